--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod config;
 pub mod label;
+pub mod unit;
 pub mod vm;
--- a/crates/settings/src/vm.rs
+++ b/crates/settings/src/vm.rs
@@ -6,9 +6,12 @@
 use derive_more::Error;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use wire::clock::Millis;
 use wire::id;
 
+use crate::unit;
+
 /// Everything a VM learns from its file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -62,21 +65,26 @@
 }
 
 /// The platform's service as this VM uses it.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Where it answers; the first that does is used.
     pub addresses: Vec<SocketAddr>,
-    /// How long a call may take, in milliseconds.
+    /// How long a call may take.
+    #[serde_as(as = "unit::Span")]
     #[serde(default = "platform_timeout")]
     pub timeout: Millis,
-    /// Writes a second that this VM may make.
+    /// Writes that this VM may make.
+    #[serde_as(as = "unit::Rate")]
     #[serde(default = "writes")]
     pub writes: u32,
-    /// Reads a second that this VM may make.
+    /// Reads that this VM may make.
+    #[serde_as(as = "unit::Rate")]
     #[serde(default = "reads")]
     pub reads: u32,
-    /// How long a lease lasts without renewal, in milliseconds.
+    /// How long a lease lasts without renewal.
+    #[serde_as(as = "unit::Span")]
     #[serde(default = "lease")]
     pub lease: Millis,
 }
@@ -120,6 +128,7 @@
 }
 
 /// Limits at the door.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Limits {
@@ -127,17 +136,22 @@
     pub connections: u32,
     /// Of these, how many are kept for urgent work.
     pub connections_urgent: u32,
-    /// The largest body in bytes.
+    /// The largest body.
+    #[serde_as(as = "unit::Size")]
     pub body: usize,
-    /// How long a request may take to arrive, in milliseconds.
+    /// How long a request may take to arrive.
+    #[serde_as(as = "unit::Span")]
     pub receive: Millis,
     /// Calls that wait for an endpoint at once.
     pub queue: usize,
-    /// How long a call may wait for an endpoint, in milliseconds.
+    /// How long a call may wait for an endpoint.
+    #[serde_as(as = "unit::Span")]
     pub wait: Millis,
-    /// How long a runner may be silent within an answer, in milliseconds.
+    /// How long a runner may be silent within an answer.
+    #[serde_as(as = "unit::Span")]
     pub silence: Millis,
-    /// How long a shutdown waits for what runs, in milliseconds.
+    /// How long a shutdown waits for what runs.
+    #[serde_as(as = "unit::Span")]
     pub grace: Millis,
 }
 
