--- /dev/null
+++ b/crates/chestnutyoke/tests/tidy.rs
@@ -0,0 +1,148 @@
+//! Checks of the house style that neither the formatter nor the linter makes.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+/// The longest source file in lines; a longer one has more than one job.
+const MAX_LINES: usize = 600;
+
+struct Source {
+    path: PathBuf,
+    text: String,
+}
+
+#[test]
+fn one_import_a_line() {
+    let braces = |line: &str| {
+        let line = line.trim_start().trim_start_matches("pub ");
+        line.starts_with("use ") && line.contains('{')
+    };
+    assert_clean("an import of several items", &braces);
+}
+
+#[test]
+fn no_getter_prefixes() {
+    assert_clean("a getter's prefix", &|line: &str| {
+        line.contains(concat!("fn ", "get_"))
+    });
+}
+
+#[test]
+fn no_boolean_parameters() {
+    let flagged = |line: &str| {
+        let line = line.trim_start();
+        let public = line.starts_with("pub fn ") || line.starts_with("pub async fn ");
+        let head = line.split("->").next().unwrap_or_default();
+        public && head.contains(": bool") && !line.contains("fn set_")
+    };
+    assert_clean("a boolean parameter", &flagged);
+}
+
+#[test]
+fn no_paths_of_one_machine() {
+    let needles = [
+        concat!("/wo", "rk/"),
+        concat!("../", "given"),
+        concat!("../", "shared"),
+    ];
+    let named = |line: &str| needles.iter().any(|needle| line.contains(needle));
+    assert_clean("a path of one machine", &named);
+}
+
+#[test]
+fn files_are_short() {
+    let long: Vec<String> = sources()
+        .iter()
+        .map(|source| (source.text.lines().count(), source.path.display()))
+        .filter(|(lines, _)| *lines > MAX_LINES)
+        .map(|(lines, path)| format!("{path}: {lines} lines"))
+        .collect();
+    assert!(long.is_empty(), "{long:#?}");
+}
+
+#[test]
+fn each_module_says_why_it_exists() {
+    let silent: Vec<String> = sources()
+        .iter()
+        .filter(|source| !source.path.ends_with("tests.rs") && !source.text.starts_with("//!"))
+        .map(|source| source.path.display().to_string())
+        .collect();
+    assert!(silent.is_empty(), "{silent:#?}");
+}
+
+#[test]
+fn imports_stand_in_three_groups() {
+    let mixed: Vec<String> = sources().iter().filter_map(mixed_block).collect();
+    assert!(mixed.is_empty(), "{mixed:#?}");
+}
+
+/// Names the first block of imports at a file's head whose lines belong to different groups.
+fn mixed_block(source: &Source) -> Option<String> {
+    let blocks = source
+        .text
+        .split("\n\n")
+        .filter(|block| block.starts_with("use "));
+    for block in blocks.take(3) {
+        let imports = block.lines().filter(|line| line.starts_with("use "));
+        let groups: Vec<u8> = imports.map(group).collect();
+        if groups.iter().any(|other| *other != groups[0]) {
+            return Some(format!(
+                "{}: {}",
+                source.path.display(),
+                block.lines().next()?
+            ));
+        }
+    }
+    None
+}
+
+/// Sorts an import: the standard library, other crates, this crate.
+fn group(line: &str) -> u8 {
+    let path = line.trim_start_matches("use ");
+    let root = path
+        .split("::")
+        .next()
+        .unwrap_or_default()
+        .trim_end_matches(';');
+    match root {
+        "std" | "core" | "alloc" => 0,
+        "crate" | "super" | "self" => 2,
+        _ => 1,
+    }
+}
+
+fn assert_clean(what: &str, fault: &dyn Fn(&str) -> bool) {
+    let mut found = Vec::new();
+    for source in sources() {
+        let lines = source
+            .text
+            .lines()
+            .enumerate()
+            .filter(|(_, line)| fault(line));
+        found.extend(lines.map(|(at, _)| format!("{}:{}", source.path.display(), at + 1)));
+    }
+    assert!(found.is_empty(), "{what}: {found:#?}");
+}
+
+fn sources() -> Vec<Source> {
+    let mut found = Vec::new();
+    walk(
+        &PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(".."),
+        &mut found,
+    );
+    assert!(!found.is_empty());
+    found
+}
+
+fn walk(folder: &Path, found: &mut Vec<Source>) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            walk(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            let text = fs::read_to_string(&path).unwrap();
+            found.push(Source { path, text });
+        }
+    }
+}
