Write labels as a map and idle limits with a unit

Operators write configuration by hand; pairs of pairs and bare milliseconds read badly there. Tests of selectors: rank decides, a selector that forbids ends the search, overdue fees never lower urgent work.

--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -3,10 +3,12 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use wire::clock::Millis;
 use wire::id;
 
 use crate::label;
+use crate::unit;
 
 /// The whole configuration. Every list is sorted by its first field.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -96,13 +98,16 @@
 }
 
 /// What a program may use in all.
+#[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Budget {
     /// Tokens generated.
     pub tokens: u64,
     /// Turns.
     pub turns: u32,
     /// The longest pause between turns.
+    #[serde_as(as = "unit::Span")]
     pub idle: Millis,
 }
 
@@ -242,3 +247,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/settings/src/config/tests.rs
@@ -0,0 +1,80 @@
+use super::*;
+
+fn caller(labels: &[(&str, &str)]) -> Caller {
+    Caller {
+        name: id::Caller::parse("tug-7").unwrap(),
+        token: id::Digest::of(b"t"),
+        labels: labels.iter().copied().collect(),
+    }
+}
+
+fn config() -> Config {
+    let text = r#"
+        [[endpoints]]
+        name = "fast"
+        kind = "runner"
+        address = "127.0.0.1:1"
+        centre = "tas-a"
+        serves = ["m"]
+        slots = 4
+        [[selectors]]
+        name = "cutoff"
+        rank = 10
+        caller = { duty = "cutoff" }
+        class = "urgent"
+        [[selectors]]
+        name = "overdue"
+        rank = 5
+        caller = { fees = "overdue" }
+        budget = { tokens = 100, idle = "1h" }
+        [[selectors]]
+        name = "barred"
+        rank = 20
+        serves = ["secret"]
+        allow = false
+        [[selectors]]
+        name = "z-all"
+    "#;
+    toml::from_str(text).unwrap()
+}
+
+fn granted(labels: &[(&str, &str)], serves: &str) -> Option<(String, Class)> {
+    let config = config();
+    let program = id::Program::parse("p").unwrap();
+    let grant = config.grant(&caller(labels), &program, Kind::Runner, serves)?;
+    Some((grant.selector.name.to_string(), grant.selector.class))
+}
+
+/// A tug master whose port account is overdue reports an emergency. Two selectors match him; the
+/// one of the higher rank speaks for the work, so the overdue fees don't lower its urgency.
+#[test]
+fn overdue_fees_never_lower_urgent_work() {
+    let both = [("duty", "cutoff"), ("fees", "overdue")];
+    assert_eq!(
+        granted(&both, "m"),
+        Some(("cutoff".to_owned(), Class::Urgent))
+    );
+    assert_eq!(
+        granted(&both[1..], "m"),
+        Some(("overdue".to_owned(), Class::Routine))
+    );
+}
+
+#[test]
+fn a_selector_that_forbids_ends_the_search() {
+    assert_eq!(granted(&[], "secret"), None);
+    assert_eq!(
+        granted(&[], "m"),
+        Some(("z-all".to_owned(), Class::Routine))
+    );
+}
+
+#[test]
+fn a_budget_names_only_what_it_changes() {
+    let budget = config().selectors[1].budget;
+    assert_eq!(
+        (budget.tokens, budget.turns),
+        (100, Budget::default().turns)
+    );
+    assert_eq!(budget.idle.as_u64(), 3_600_000);
+}
--- a/crates/settings/src/label.rs
+++ b/crates/settings/src/label.rs
@@ -1,11 +1,13 @@
 //! Labels and the selectors' matching of them.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 
-/// A set of labels, sorted by name, each name once.
+/// A set of labels, sorted by name, each name once; a map of names to values in a document.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "Vec<(String, String)>", into = "Vec<(String, String)>")]
+#[serde(from = "BTreeMap<String, String>", into = "BTreeMap<String, String>")]
 pub struct Set(Vec<(String, String)>);
 
 impl Set {
@@ -52,18 +54,24 @@
     }
 }
 
-impl From<Vec<(String, String)>> for Set {
-    fn from(pairs: Vec<(String, String)>) -> Self {
-        let mut set = Self::default();
-        for (name, value) in pairs {
-            set.insert(&name, &value);
-        }
-        set
+impl From<BTreeMap<String, String>> for Set {
+    fn from(pairs: BTreeMap<String, String>) -> Self {
+        Self(pairs.into_iter().collect())
     }
 }
 
-impl From<Set> for Vec<(String, String)> {
+impl From<Set> for BTreeMap<String, String> {
     fn from(set: Set) -> Self {
-        set.0
+        set.0.into_iter().collect()
+    }
+}
+
+impl<'a> FromIterator<(&'a str, &'a str)> for Set {
+    fn from_iter<I: IntoIterator<Item = (&'a str, &'a str)>>(pairs: I) -> Self {
+        let mut set = Self::default();
+        for (name, value) in pairs {
+            set.insert(name, value);
+        }
+        set
     }
 }
