Let no selector of routine work lower or forbid urgent work

Cause: the highest rank spoke for the work, so a broad selector for callers with overdue fees, given a high rank, made an emergency cutoff routine. Ruled out: a convention on ranks; it holds until one operator forgets it. Change: selectors of urgent work go before all others, then rank, then name. Before: the test with an overdue selector of rank 50 above an urgent one of rank 10 yields routine (seen red).

--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -1,6 +1,8 @@
 //! The operators' configuration: one document with one revision, changed by compare-and-swap, so
 //! that two operators who race can't both succeed and no change is ever undone by an older one.
 
+use std::cmp::Reverse;
+
 use serde::Deserialize;
 use serde::Serialize;
 use serde_with::serde_as;
@@ -128,7 +130,7 @@
 pub struct Selector {
     /// The selector's name.
     pub name: id::Selector,
-    /// Selectors with a higher rank are tried first; equal ranks go by name.
+    /// Within a class, selectors with a higher rank are tried first; equal ranks go by name.
     #[serde(default)]
     pub rank: i32,
     /// Labels that the caller must have.
@@ -215,8 +217,13 @@
             .any(|e| e.kind == kind && e.serves.iter().any(|s| s == name))
     }
 
-    /// Finds the first selector by rank that matches the work; `None` where none does or the one
-    /// that does forbids it.
+    /// Finds the selector that speaks for the work; `None` where none matches or the one that
+    /// does forbids it.
+    ///
+    /// Selectors of urgent work go before all others, then the higher rank, then the name. If
+    /// rank alone decided, a broad selector that limits callers with overdue fees would sooner or
+    /// later be given a rank above the one for emergencies, and an emergency cutoff would wait
+    /// behind chatter. This way no selector of routine work can lower or forbid urgent work.
     #[must_use]
     pub fn grant(
         &self,
@@ -232,7 +239,7 @@
                 && labels.covers(&s.program)
                 && (s.serves.is_empty() || s.serves.iter().any(|name| name == serves))
         });
-        let selector = matching.min_by_key(|s| (std::cmp::Reverse(s.rank), &s.name))?;
+        let selector = matching.min_by_key(|s| (s.class, Reverse(s.rank), &s.name))?;
         if !selector.allow {
             return None;
         }
--- a/crates/settings/src/config/tests.rs
+++ b/crates/settings/src/config/tests.rs
@@ -24,7 +24,7 @@
         class = "urgent"
         [[selectors]]
         name = "overdue"
-        rank = 5
+        rank = 50
         caller = { fees = "overdue" }
         budget = { tokens = 100, idle = "1h" }
         [[selectors]]
@@ -45,8 +45,9 @@
     Some((grant.selector.name.to_string(), grant.selector.class))
 }
 
-/// A tug master whose port account is overdue reports an emergency. Two selectors match him; the
-/// one of the higher rank speaks for the work, so the overdue fees don't lower its urgency.
+/// A tug master whose port account is overdue reports an emergency. Two selectors match him, and
+/// an operator gave the one for overdue accounts the higher rank. The one for emergencies speaks
+/// all the same: were rank to decide, his cutoff would wait behind routine chatter.
 #[test]
 fn overdue_fees_never_lower_urgent_work() {
     let both = [("duty", "cutoff"), ("fees", "overdue")];
