Add the command line with its first verb, check

check lists every fault of a settings file with line, value and what is allowed, and prints the effective settings.

--- /dev/null
+++ b/crates/chestnutyoke/src/cli.rs
@@ -0,0 +1,72 @@
+//! The command line: what it takes, and which verb serves it.
+
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+use crate::verbs::check;
+
+/// The outcome of a verb; the fault is shown to the person who called it.
+pub type Result<T> = std::result::Result<T, Box<dyn Error + Send + Sync>>;
+
+/// Parses the command line and runs the verb.
+#[must_use]
+pub fn run() -> ExitCode {
+    match dispatch(&command().get_matches()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("chestnutyoke")
+        .about("A scheduler for agent programs")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(check_command())
+}
+
+fn check_command() -> Command {
+    let print = Arg::new("print").long("print").action(ArgAction::SetTrue);
+    Command::new("check")
+        .about("Lists every fault of a settings file")
+        .arg(settings_arg())
+        .arg(print.help("Shows the effective settings with their defaults"))
+}
+
+fn settings_arg() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The VM's settings file")
+}
+
+fn dispatch(matches: &ArgMatches) -> Result<()> {
+    match matches.subcommand() {
+        Some(("check", matches)) => check_verb(matches),
+        _ => Ok(()),
+    }
+}
+
+fn check_verb(matches: &ArgMatches) -> Result<()> {
+    let path: &PathBuf = matches.get_one("settings").ok_or("--settings is missing")?;
+    let settings = check::load(path)?;
+    if matches.get_flag("print") {
+        print!("{}", check::print(&settings)?);
+        return Ok(());
+    }
+    println!("{}: no faults", path.display());
+    Ok(())
+}
--- a/crates/chestnutyoke/src/lib.rs
+++ b/crates/chestnutyoke/src/lib.rs
@@ -1,2 +1,12 @@
-//! A scheduler for agent programs. This crate is the library's front; the daemon in `main.rs` is
-//! a thin layer over it.
+//! A scheduler for agent programs. This crate is the library's front and its command line; the
+//! daemon in `main.rs` is a thin layer over it.
+
+pub mod cli;
+pub mod client;
+pub mod logging;
+pub mod table;
+pub mod verbs;
+
+pub use node;
+pub use settings;
+pub use wire;
--- a/crates/chestnutyoke/src/main.rs
+++ b/crates/chestnutyoke/src/main.rs
@@ -1,8 +1,7 @@
-//! The command line.
+//! The daemon and the operators' tool.
 
-use clap::Command;
+use std::process::ExitCode;
 
-fn main() {
-    let command = Command::new("chestnutyoke").about("A scheduler for agent programs");
-    let _matches = command.arg_required_else_help(true).get_matches();
+fn main() -> ExitCode {
+    chestnutyoke::cli::run()
 }
--- /dev/null
+++ b/crates/chestnutyoke/src/verbs.rs
@@ -0,0 +1,3 @@
+//! What the command line can do, a module for each group of verbs.
+
+pub mod check;
