--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -27,6 +27,30 @@
     pub stopping: bool,
 }
 
+impl View {
+    /// Looks a VM up.
+    #[must_use]
+    pub fn peer(&self, vm: &id::Vm) -> Option<&Peer> {
+        let at = self.peers.binary_search_by(|p| p.vm.cmp(vm)).ok()?;
+        Some(&self.peers[at])
+    }
+
+    /// Looks the owner of a shard up.
+    #[must_use]
+    pub fn owner(&self, shard: &id::Shard) -> Option<&Owner> {
+        let at = self.owners.binary_search_by(|o| o.shard.cmp(shard)).ok()?;
+        Some(&self.owners[at])
+    }
+
+    /// Looks the load of an endpoint up.
+    #[must_use]
+    pub fn load(&self, endpoint: &id::Endpoint) -> Option<&Load> {
+        let find = |l: &Load| l.endpoint.cmp(endpoint);
+        let at = self.loads.binary_search_by(find).ok()?;
+        Some(&self.loads[at])
+    }
+}
+
 /// A VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
