Decide changes of the configuration without a network

Cause: an accepted change must be in force everywhere and never revert, through lost answers, races, outages and restarts.

--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -12,6 +12,8 @@
 use crate::view::Owner;
 use crate::view::Peer;
 
+pub mod config;
+
 /// The platform key of the operators' configuration.
 pub const CONFIG_KEY: &str = "config";
 
