--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -12,7 +12,10 @@
 use crate::view::Owner;
 use crate::view::Peer;
 
+pub mod claims;
 pub mod config;
+pub mod members;
+pub mod rendezvous;
 
 /// The platform key of the operators' configuration.
 pub const CONFIG_KEY: &str = "config";
--- /dev/null
+++ b/crates/node/src/controllers/claims/tests.rs
@@ -0,0 +1,223 @@
+use rstest::rstest;
+
+use super::*;
+
+const LEASE: Millis = Millis::new(5_000);
+const START: Millis = Millis::new(1_000_000);
+
+fn centre(name: &str) -> id::Centre {
+    id::Centre::parse(name).unwrap()
+}
+
+fn vms(count: usize) -> Vec<Vm> {
+    let vm = |n| Vm {
+        vm: id::Vm::parse(&format!("vm{n}")).unwrap(),
+        centre: centre("c"),
+        size: 1,
+        up: true,
+        stopping: false,
+        since: Millis::ZERO,
+    };
+    (0..count).map(vm).collect()
+}
+
+fn shards(count: u16) -> Vec<id::Shard> {
+    let shard = |index| id::Shard {
+        centre: centre("c"),
+        index,
+    };
+    (0..count).map(shard).collect()
+}
+
+fn line(shard: &id::Shard, vm: &Vm) -> Owner {
+    Owner {
+        shard: shard.clone(),
+        vm: vm.vm.clone(),
+        epoch: 1,
+        free: false,
+    }
+}
+
+/// What `vm0` knows; it owns `owned`.
+fn facts<'a>(vms: &'a [Vm], shards: &'a [id::Shard], owners: &'a [Owner]) -> Facts<'a> {
+    Facts {
+        now: START,
+        me: &vms[0].vm,
+        vms,
+        shards,
+        owned: &[],
+        owners,
+        platform: Health::Since(Millis::ZERO),
+        lease: LEASE,
+        lost: &[],
+    }
+}
+
+/// Lets `vm0` decide each 20 ms for a while, and counts the claims and the hand-overs. All that it
+/// does succeeds.
+fn play(mut facts: Facts<'_>, span: Millis) -> (usize, usize) {
+    let mut claims = Claims::new(START);
+    let mut owned = facts.owned.to_vec();
+    let (mut claimed, mut released) = (0, 0);
+    for step in 0..span.as_u64() / 20 {
+        let now = START.plus(Millis::new(step * 20));
+        let before = owned.clone();
+        facts = Facts { now, ..facts };
+        for action in claims.decide(&Facts {
+            owned: &before,
+            ..facts
+        }) {
+            match action {
+                Action::Claim(shard) => {
+                    claimed += 1;
+                    owned.push(shard);
+                    owned.sort();
+                }
+                Action::Release { shard, .. } => {
+                    released += 1;
+                    owned.retain(|s| *s != shard);
+                }
+            }
+        }
+    }
+    (claimed, released)
+}
+
+fn should_have(vms: &[Vm], shards: &[id::Shard]) -> usize {
+    let facts = facts(vms, shards, &[]);
+    let mine = shards
+        .iter()
+        .filter(|s| target(&facts, s, Takers::Up) == Some(facts.me));
+    mine.count()
+}
+
+// All VMs of a centre restart. Every shard is free; this VM listens first, then claims its part and
+// nothing else, one shard each CLAIM_PACE, so that the others' commits aren't crowded out.
+#[test]
+fn a_mass_restart_is_paced_and_each_vm_claims_its_part() {
+    let (vms, shards) = (vms(8), shards(64));
+    let part = should_have(&vms, &shards);
+    let facts = facts(&vms, &shards, &[]);
+    assert_eq!(play(facts, LISTEN).0, 0);
+    let two = LISTEN.plus(Millis::new(2 * CLAIM_PACE.as_u64()));
+    assert_eq!(play(facts, two).0, 2);
+    assert_eq!(play(facts, Millis::new(60_000)), (part, 0));
+}
+
+// A rack with half of the VMs goes. What the survivors have stays with them; of what the others
+// had, this VM claims its part and leaves the rest to the other survivors.
+#[test]
+fn when_a_rack_goes_only_its_shards_are_claimed() {
+    let (mut vms, shards) = (vms(8), shards(64));
+    let before = facts(&vms, &shards, &[]);
+    let owner = |s| {
+        vms.iter()
+            .find(|v| Some(&v.vm) == target(&before, s, Takers::Up))
+    };
+    let owners: Vec<Owner> = shards.iter().map(|s| line(s, owner(s).unwrap())).collect();
+    let mine: Vec<id::Shard> = owners
+        .iter()
+        .filter(|o| o.vm == vms[0].vm)
+        .map(|o| o.shard.clone())
+        .collect();
+    vms[4..].iter_mut().for_each(|vm| vm.up = false);
+    let after = Facts {
+        owned: &mine,
+        ..facts(&vms, &shards, &owners)
+    };
+    let gained = should_have(&vms, &shards) - mine.len();
+    assert!(gained > 0);
+    assert_eq!(play(after, Millis::new(60_000)), (gained, 0));
+}
+
+// A VM comes up, dies and comes up again within seconds. Shards handed to it at once would be
+// without an owner for a lease time each time; it gets them after it has been up for STEADY.
+#[rstest]
+#[case::fresh(Millis::new(START.as_u64() - 1), 0)]
+#[case::steady(Millis::ZERO, 5)]
+fn a_flapping_vm_gets_no_shards_that_others_hold(#[case] since: Millis, #[case] handed: usize) {
+    let (mut vms, shards) = (vms(2), shards(64));
+    vms[1].since = since;
+    let facts = Facts {
+        owned: &shards,
+        ..facts(&vms, &shards, &[])
+    };
+    assert_eq!(
+        play(facts, Millis::new(5 * HANDOVER_PACE.as_u64())).1,
+        handed
+    );
+}
+
+// The VM stops: all its shards go, in a moment; without another VM it serves them to the last.
+#[rstest]
+#[case(2, 64)]
+#[case(1, 0)]
+fn a_vm_that_stops_hands_all_over(#[case] count: usize, #[case] handed: usize) {
+    let (mut vms, shards) = (vms(count), shards(64));
+    vms[0].stopping = true;
+    let facts = Facts {
+        owned: &shards,
+        ..facts(&vms, &shards, &[])
+    };
+    assert_eq!(play(facts, Millis::new(2_000)), (0, handed));
+}
+
+// An outage ends. Every lease has lapsed and every record is gone; an owner that never stopped
+// needs a moment to renew, and a VM that claimed at once would take its shard over.
+#[rstest]
+#[case::down(Health::Down, 0)]
+#[case::just_back(Health::Since(START), 0)]
+#[case::back_for_long(Health::Since(Millis::new(1)), 1)]
+fn after_an_outage_claims_wait_for_holders(#[case] platform: Health, #[case] claimed: usize) {
+    let (vms, shards) = (vms(1), shards(1));
+    let facts = Facts {
+        platform,
+        ..facts(&vms, &shards, &[])
+    };
+    assert_eq!(play(facts, Millis::new(LEASE.as_u64() - 100)).0, claimed);
+}
+
+// A centre is cut off. Its shards stay its own, whoever is thought down, until an operator declares
+// it lost; then the VMs of other centres take them over, and a VM of it takes none.
+#[rstest]
+#[case::other_cut_off("d", &[], 0)]
+#[case::other_lost("d", &["d"], 1)]
+#[case::own_lost("c", &["c"], 0)]
+fn another_centre_takes_over_only_where_one_is_lost(
+    #[case] home: &str,
+    #[case] lost: &[&str],
+    #[case] claimed: usize,
+) {
+    let vms = vms(1);
+    let lost: Vec<id::Centre> = lost.iter().map(|name| centre(name)).collect();
+    let shards = [id::Shard {
+        centre: centre(home),
+        index: 0,
+    }];
+    let facts = Facts {
+        lost: &lost,
+        ..facts(&vms, &shards, &[])
+    };
+    assert_eq!(play(facts, Millis::new(1_000)).0, claimed);
+}
+
+// A claim fails as the dead owner's lease still runs. It is tried again, but ever more seldom: a VM
+// that alone thinks all others down would otherwise read every record of its centre all the time.
+#[test]
+fn a_claim_that_fails_is_tried_again_with_growing_pauses() {
+    let (vms, shards) = (vms(1), shards(1));
+    let mut claims = Claims::new(START);
+    let mut tries = Vec::new();
+    for step in 0..1_000 {
+        let now = START.plus(Millis::new(step * 20));
+        let facts = Facts {
+            now,
+            ..facts(&vms, &shards, &[])
+        };
+        if !claims.decide(&facts).is_empty() {
+            claims.failed(&shards[0], now);
+            tries.push(now.since(START).as_u64());
+        }
+    }
+    assert_eq!(tries, [0, 500, 1_500, 3_500, 7_500, 11_500, 15_500, 19_500]);
+}
--- /dev/null
+++ b/crates/node/src/controllers/members/spread.rs
@@ -0,0 +1,54 @@
+//! News that is passed on a bounded number of times.
+//!
+//! Each item goes into a number of frames that grows with the logarithm of the fleet; by then all
+//! but a few VMs have it, and these get it when digests are compared.
+
+/// Sends of an item for each doubling of the fleet. With 3, an item that each VM passes on so often
+/// misses one VM in about `e^-6`.
+const PER_DOUBLING: u32 = 3;
+
+/// Yields how often an item is sent by one VM in a fleet of `vms`.
+#[must_use]
+pub fn sends(vms: usize) -> u32 {
+    let doublings = usize::BITS - vms.leading_zeros();
+    PER_DOUBLING * doublings
+}
+
+/// Names of items that are news, with how often each was sent.
+#[derive(Clone, Debug)]
+pub struct Spread<K> {
+    items: Vec<(K, u32)>,
+}
+
+impl<K> Default for Spread<K> {
+    fn default() -> Self {
+        Self { items: Vec::new() }
+    }
+}
+
+impl<K: Clone + PartialEq> Spread<K> {
+    /// Adds an item, or starts it anew.
+    pub fn push(&mut self, key: K) {
+        self.items.retain(|(other, _)| *other != key);
+        self.items.push((key, 0));
+    }
+
+    /// Takes up to `most` items for one frame, those sent least first, and drops those that have
+    /// then been sent `sends` times.
+    pub fn take(&mut self, most: usize, sends: u32) -> Vec<K> {
+        self.items.sort_by_key(|(_, sent)| *sent);
+        let mut taken = Vec::with_capacity(most.min(self.items.len()));
+        for (key, sent) in self.items.iter_mut().take(most) {
+            *sent += 1;
+            taken.push(key.clone());
+        }
+        self.items.retain(|(_, sent)| *sent < sends);
+        taken
+    }
+
+    /// Tells whether nothing is left to pass on.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+}
