--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/alone.rs
@@ -1,6 +1,5 @@
-//! The controllers that keep this VM's view of the deployment. Stand-in until the real ones land:
-//! reads the configuration once, thinks every peer up, and claims every shard of the own data
-//! centre where the VM is the only one of it.
+//! Keeps the view of a VM that is the only one of its data centre: reads the configuration once,
+//! thinks every peer up, and claims every shard of the data centre.
 
 use std::sync::Arc;
 
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -6,8 +6,11 @@
 use settings::vm::Settings;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wire::clock::Clock;
 
+use crate::http::client::Client;
+use crate::http::listen::Door;
 use crate::owner::registry::Registry;
 use crate::view::View;
 
@@ -24,6 +27,12 @@
     pub view: watch::Sender<Arc<View>>,
     /// The shards that this VM owns.
     pub registry: Registry,
+    /// Connections to VMs and endpoints.
+    pub client: Client,
+    /// The callers' listener.
+    pub door: Arc<Door>,
+    /// Every task that must end before the node has stopped.
+    pub tasks: TaskTracker,
     /// Set when the node begins to shut down.
     pub stopping: CancellationToken,
     /// Set when nothing runs any more and every listener and controller may end.
--- /dev/null
+++ b/crates/node/src/filters.rs
@@ -0,0 +1,126 @@
+//! The filters that a caller's request passes on the VM that it entered, in this order: [`parse`],
+//! [`authenticate`], [`route`], [`forward`], [`answer`].
+
+pub mod answer;
+pub mod authenticate;
+pub mod forward;
+pub mod header;
+pub mod parse;
+pub mod route;
+
+use std::sync::Arc;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use settings::config::Class;
+use wire::ask::Ask;
+use wire::ask::Body;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Refusal;
+use wire::event::Event;
+use wire::id;
+
+use crate::core::Core;
+use crate::http::Response;
+use crate::http::listen::Room;
+use crate::view::View;
+
+/// The outcome of a filter.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// When a caller that found no connection may come again. Connections turn over within a routine
+/// turn, which takes seconds.
+const CONNECTION_PAUSE: Millis = Millis::new(2_000);
+
+/// Answers one request of a caller.
+pub async fn handle(core: Arc<Core>, request: Request<Incoming>, room: Room) -> Response {
+    let arrived = core.clock.now();
+    match run(&core, request, room, arrived).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            log::info!(
+                "{} code={} ran={:?} detail={:?}",
+                Event::RequestRefused,
+                refusal.code.number(),
+                refusal.ran,
+                refusal.message
+            );
+            core.metrics.refused(refusal.code);
+            answer::refuse(&refusal)
+        }
+    }
+}
+
+async fn run(
+    core: &Arc<Core>,
+    request: Request<Incoming>,
+    room: Room,
+    arrived: Millis,
+) -> Result<Response> {
+    if room == Room::Full {
+        return Err(Refusal::new(Code::TooManyConnections, "").retry_after(CONNECTION_PAUSE));
+    }
+    let parsed = parse::parse(&core.settings.limits, request).await?;
+    let view = core.view();
+    if let Some(response) = answer::probe(&view, &parsed.what) {
+        return Ok(response);
+    }
+    let caller = authenticate::caller(&view.config, parsed.token)?.name.clone();
+    if parsed.what == parse::What::Models {
+        return Ok(answer::models(&view.config));
+    }
+    let shape = answer::Shape::of(&parsed.what);
+    let ask = ask(core, &view, caller, parsed, arrived)?;
+    let class = authenticate::class(&view.config, &ask)?;
+    if room == Room::UrgentOnly && class != Class::Urgent {
+        return Err(Refusal::new(Code::TooManyConnections, "").retry_after(CONNECTION_PAUSE));
+    }
+    let program = ask.program.clone();
+    let deadline = ask.deadline;
+    let replies = forward::ask(core, ask);
+    answer::answer(core, shape, &program, answer::Wait { arrived, deadline }, replies).await
+}
+
+/// Turns a parsed request into what its program's owner is asked.
+fn ask(
+    core: &Core,
+    view: &View,
+    caller: id::Caller,
+    parsed: parse::Parsed,
+    arrived: Millis,
+) -> Result<Ask> {
+    let _ = arrived;
+    let named = parsed.program;
+    let first = named.is_none();
+    let program = match (named, &parsed.key, &parsed.what) {
+        (Some(program), ..) => program,
+        // The same key finds the same program, so that the request asked again isn't run again.
+        (None, Some(key), parse::What::Chat(_)) => route::keyed(&caller, key),
+        (None, ..) => route::mint(core, view),
+    };
+    let body = match parsed.what {
+        parse::What::Chat(request) => Body::Chat(wire::ask::Chat {
+            turn: if first { Some(1) } else { parsed.turn },
+            request,
+        }),
+        parse::What::Call(call) => Body::Call(wire::ask::Call {
+            key: parsed.key,
+            ..call
+        }),
+        parse::What::Create => Body::Create,
+        parse::What::Show => Body::Show,
+        parse::What::End => Body::End,
+        parse::What::Models | parse::What::Health | parse::What::Ready => {
+            return Err(Refusal::new(Code::Internal, "not a request to an owner"));
+        }
+    };
+    Ok(Ask {
+        program,
+        caller,
+        revision: view.config.revision,
+        deadline: parsed.deadline,
+        hops: 0,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/node/src/filters/authenticate.rs
@@ -0,0 +1,46 @@
+//! Tells who asks, from the token alone, and how urgent the work is, from the operators'
+//! selectors. Nothing in a request can raise its caller's labels.
+
+use settings::config::Caller;
+use settings::config::Class;
+use settings::config::Config;
+use settings::config::Kind;
+use wire::ask::Ask;
+use wire::ask::Body;
+use wire::code::Code;
+use wire::code::Refusal;
+use wire::id;
+
+use crate::filters::Result;
+
+/// Looks up who asks.
+///
+/// # Errors
+///
+/// Refuses an absent or unknown token.
+pub fn caller(config: &Config, token: Option<id::Digest>) -> Result<&Caller> {
+    let known = token.and_then(|digest| config.caller_by_token(digest));
+    known.ok_or_else(|| Refusal::new(Code::UnknownToken, ""))
+}
+
+/// Yields how urgent the work is.
+///
+/// # Errors
+///
+/// Refuses work for an unknown model or service, and work that no selector allows.
+pub fn class(config: &Config, ask: &Ask) -> Result<Class> {
+    let (kind, serves, unknown) = match &ask.body {
+        Body::Chat(chat) => (Kind::Runner, &*chat.request.model, Code::UnknownModel),
+        Body::Call(call) => (Kind::Service, call.service.as_str(), Code::UnknownService),
+        Body::Create | Body::Show | Body::End => return Ok(Class::Routine),
+    };
+    if !config.serves(kind, serves) {
+        return Err(Refusal::new(unknown, serves));
+    }
+    let caller = config.caller(ask.caller.as_str());
+    let caller = caller.ok_or_else(|| Refusal::new(Code::UnknownToken, ""))?;
+    match config.grant(caller, &ask.program, kind, serves) {
+        Some(grant) => Ok(grant.selector.class),
+        None => Err(Refusal::new(Code::NotAllowed, serves)),
+    }
+}
--- /dev/null
+++ b/crates/node/src/filters/forward.rs
@@ -0,0 +1,247 @@
+//! Hands an ask to the owner of its program, here or on another VM, and streams the replies back.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use wire::ask::Ask;
+use wire::ask::Body;
+use wire::ask::Reply;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Ran;
+use wire::code::Refusal;
+use wire::event::Event;
+use wire::frame;
+
+use crate::core::Core;
+use crate::filters::answer;
+use crate::filters::route;
+use crate::filters::route::Hop;
+use crate::http;
+use crate::http::Response;
+use crate::http::body;
+use crate::http::body::Parts;
+use crate::http::client::Fault;
+use crate::http::client::Post;
+use crate::http::listen::Room;
+use crate::peer;
+
+/// The replies to one ask.
+pub type Replies = UnboundedReceiver<Reply>;
+
+/// How often an ask is forwarded at most: entry to the data centre's gate, gate to the owner, and
+/// one more for an owner that has just handed the shard over.
+pub const MAX_HOPS: u8 = 3;
+/// How often a VM looks for the owner anew before it gives an ask back.
+const TRIES: u32 = 4;
+/// How long a VM waits for news of an owner between tries; a hand-over takes a few of the
+/// platform's round trips of some milliseconds.
+const PAUSE: Millis = Millis::new(150);
+/// When a caller may come again whose shard has no owner: a takeover waits for the lease to end.
+const TAKEOVER: Millis = Millis::new(5_000);
+/// The type of a body of frames.
+const FRAMES: &str = "application/msgpack";
+
+/// Sends an ask to its program's owner.
+pub fn ask(core: &Arc<Core>, ask: Ask) -> Replies {
+    let (sender, replies) = mpsc::unbounded_channel();
+    let view = core.view();
+    if let Hop::Here(shard) = route::hop(core, &view, &ask.program) {
+        log::info!("{} program={} owner=here shard={shard}", Event::RequestRouted, ask.program);
+        let Err((ask, sender)) = core.registry.ask(&shard, ask, sender) else {
+            return replies;
+        };
+        // The shard went between the look-up and the hand-over.
+        core.tasks.spawn(relay(core.clone(), ask, sender));
+        return replies;
+    }
+    core.tasks.spawn(relay(core.clone(), ask, sender));
+    replies
+}
+
+/// Answers [`peer::ASK`]: an ask of another VM.
+pub async fn serve(core: Arc<Core>, request: Request<Incoming>, _room: Room) -> Response {
+    let limits = &core.settings.limits;
+    let whole = match body::read(request.into_body(), frame::MAX_BODY, limits.receive).await {
+        Ok(whole) => whole,
+        Err(refusal) => return answer::refuse(&refusal),
+    };
+    let decoded = frame::decode::<Ask>(&mut BytesMut::from(whole));
+    let Ok(Some(mut asked)) = decoded else {
+        return answer::refuse(&Refusal::new(Code::BadField, "not a frame with an ask"));
+    };
+    asked.hops = asked.hops.saturating_add(1);
+    let (sender, parts) = mpsc::unbounded_channel();
+    let replies = ask(&core, asked);
+    core.tasks.spawn(encode(replies, sender));
+    let body = http_body_util::combinators::BoxBody::new(Parts(parts));
+    let mut response = Response::new(body);
+    let kind = hyper::header::HeaderValue::from_static(FRAMES);
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
+
+async fn encode(mut replies: Replies, sender: UnboundedSender<Bytes>) {
+    while let Some(reply) = replies.recv().await {
+        let Ok(bytes) = frame::encode(&reply) else {
+            // The stream ends without its last reply, which the other side takes for a cut.
+            return;
+        };
+        if sender.send(bytes).is_err() {
+            return;
+        }
+    }
+}
+
+/// What became of one try to reach the owner.
+enum Tried {
+    /// The last reply went out, or nobody waits any more.
+    Finished,
+    /// The ask did not run, and another try may find another owner.
+    Elsewhere(Refusal),
+    /// The connection broke off after the ask may have arrived; so many replies had come.
+    Broken(usize),
+}
+
+async fn relay(core: Arc<Core>, ask: Ask, replies: UnboundedSender<Reply>) {
+    let mut last = no_owner(&ask);
+    // How many earlier tries may have arrived at an owner.
+    let mut arrived = Ran::No;
+    for tried in 0..TRIES {
+        if tried > 0 {
+            await_news(&core).await;
+        }
+        match step(&core, &ask, &replies).await {
+            Tried::Finished => return,
+            Tried::Elsewhere(refusal) => last = refusal,
+            Tried::Broken(seen) => {
+                arrived = Ran::Unknown;
+                last = Refusal::new(Code::ForwardFailed, "").retry_after(PAUSE);
+                if seen > 0 || !repeatable(&ask) {
+                    break;
+                }
+            }
+        }
+    }
+    // What an earlier try may have started, a later refusal doesn't undo.
+    if arrived == Ran::Unknown {
+        last = last.ran(Ran::Unknown);
+    }
+    let _gone = replies.send(Reply::Refused(last));
+}
+
+/// Waits for a change of the view, as it may name a new owner.
+async fn await_news(core: &Core) {
+    let mut news = core.view.subscribe();
+    let _elapsed = tokio::time::timeout(PAUSE.as_duration(), news.changed()).await;
+}
+
+/// Tells whether the order gate makes a second arrival of the ask harmless: the same turn, or the
+/// same key, asked again joins the first.
+fn repeatable(ask: &Ask) -> bool {
+    match &ask.body {
+        Body::Chat(chat) => chat.turn.is_some(),
+        Body::Call(call) => call.key.is_some(),
+        Body::Create | Body::Show | Body::End => true,
+    }
+}
+
+fn no_owner(ask: &Ask) -> Refusal {
+    Refusal::new(Code::NoOwner, ask.program.as_str()).retry_after(TAKEOVER)
+}
+
+async fn step(core: &Arc<Core>, ask: &Ask, replies: &UnboundedSender<Reply>) -> Tried {
+    let view = core.view();
+    match route::hop(core, &view, &ask.program) {
+        Hop::Here(shard) => {
+            match core.registry.ask(&shard, ask.clone(), replies.clone()) {
+                Ok(()) => Tried::Finished,
+                Err(_) => Tried::Elsewhere(no_owner(ask)),
+            }
+        }
+        Hop::There(..) if ask.hops >= MAX_HOPS => Tried::Elsewhere(no_owner(ask)),
+        Hop::There(vm, address) => {
+            log::info!(
+                "{} program={} owner={vm} hops={}",
+                Event::RequestRouted,
+                ask.program,
+                ask.hops
+            );
+            there(core, ask, &address.to_string(), replies).await
+        }
+        Hop::NoOwner(_) => Tried::Elsewhere(no_owner(ask)),
+        Hop::Unreachable(centre) => {
+            let refusal = Refusal::new(Code::HomeUnreachable, centre.as_str());
+            Tried::Elsewhere(refusal.retry_after(TAKEOVER))
+        }
+    }
+}
+
+/// Sends an ask to another VM and passes its replies on.
+async fn there(
+    core: &Core,
+    ask: &Ask,
+    address: &str,
+    replies: &UnboundedSender<Reply>,
+) -> Tried {
+    let Ok(body) = frame::encode(ask) else {
+        let _gone = replies.send(Reply::Refused(Refusal::new(Code::BodyTooLarge, "")));
+        return Tried::Finished;
+    };
+    let post = Post {
+        address,
+        path: peer::ASK,
+        kind: FRAMES,
+        headers: &[],
+        body,
+    };
+    let mut incoming = match core.client.post(post).await {
+        Ok(response) if response.status().is_success() => response.into_body(),
+        Ok(_) => return Tried::Broken(0),
+        Err(Fault::NotSent(detail)) => {
+            return Tried::Elsewhere(Refusal::new(Code::ForwardFailed, &detail).retry_after(PAUSE));
+        }
+        Err(Fault::Broken(_)) => return Tried::Broken(0),
+    };
+    let mut buffer = BytesMut::new();
+    let mut seen = 0;
+    loop {
+        match frame::decode::<Reply>(&mut buffer) {
+            Ok(Some(reply)) => match pass(reply, seen, replies) {
+                Some(tried) => return tried,
+                None => seen += 1,
+            },
+            Ok(None) => match incoming.frame().await {
+                Some(Ok(part)) => buffer.extend_from_slice(part.data_ref().map_or(&[], |d| d)),
+                Some(Err(_)) | None => return Tried::Broken(seen),
+            },
+            Err(_) => return Tried::Broken(seen),
+        }
+    }
+}
+
+/// Passes one reply on; tells what became of the try where it was the last.
+fn pass(reply: Reply, seen: usize, replies: &UnboundedSender<Reply>) -> Option<Tried> {
+    let last = !matches!(reply, Reply::Delta(_));
+    if let Reply::Refused(refusal) = &reply {
+        let moved = matches!(refusal.code, Code::NoOwner | Code::ShuttingDown);
+        if moved && refusal.ran == Ran::No && seen == 0 {
+            return Some(Tried::Elsewhere(refusal.clone()));
+        }
+    }
+    let gone = replies.send(reply).is_err();
+    (last || gone).then_some(Tried::Finished)
+}
+
+/// Answers a controllers' path of another VM.
+#[must_use]
+pub fn frames(body: Bytes) -> Response {
+    http::whole(200, FRAMES, body)
+}
--- /dev/null
+++ b/crates/node/src/filters/parse.rs
@@ -0,0 +1,223 @@
+//! Turns a caller's HTTP request into typed values; whatever doesn't fit is refused here, before
+//! anything runs.
+
+use std::str::FromStr;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use settings::vm::Limits;
+use wire::ask::Call;
+use wire::chat;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Refusal;
+use wire::id;
+
+use crate::filters::Result;
+use crate::filters::header;
+use crate::http::body;
+use crate::http::listen::MAX_HEADERS;
+
+/// A caller's request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Parsed {
+    /// The digest of the bearer token.
+    pub token: Option<id::Digest>,
+    /// The program that the caller names.
+    pub program: Option<id::Program>,
+    /// The turn that the caller names.
+    pub turn: Option<u32>,
+    /// The idempotency key.
+    pub key: Option<id::Key>,
+    /// How long the caller waits.
+    pub deadline: Option<Millis>,
+    /// What is asked.
+    pub what: What,
+}
+
+/// What a caller asks.
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// A completion.
+    Chat(chat::Request),
+    /// A call of a plain service.
+    Call(Call),
+    /// Make a program.
+    Create,
+    /// Show a program.
+    Show,
+    /// End a program.
+    End,
+    /// List the models.
+    Models,
+    /// Tell whether the process works.
+    Health,
+    /// Tell whether the VM takes requests.
+    Ready,
+}
+
+/// Parses a request.
+///
+/// # Errors
+///
+/// Refuses an unknown path or method, headers or a body over their limits or too slow, bad JSON
+/// and values that aren't allowed.
+pub async fn parse(limits: &Limits, request: Request<Incoming>) -> Result<Parsed> {
+    let (head, incoming) = request.into_parts();
+    let length: usize = head.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
+    if length + head.uri.path().len() > MAX_HEADERS {
+        let detail = format!("at most {MAX_HEADERS} bytes");
+        return Err(Refusal::new(Code::HeadersTooLarge, &detail));
+    }
+    let segments: Vec<&str> = head.uri.path().split('/').skip(1).collect();
+    let path = path(&head.method, &segments)?;
+    let mut program = optional::<id::Program>(&head.headers, header::PROGRAM, parse_id!(Program))?;
+    if let Path::Program(named, _) = &path {
+        program = Some(named.clone());
+    }
+    let whole = body::read(incoming, limits.body, limits.receive).await?;
+    let what = what(path, whole, &mut program)?;
+    Ok(Parsed {
+        token: token(&head.headers),
+        program,
+        turn: optional(&head.headers, header::TURN, turn)?,
+        key: optional::<id::Key>(&head.headers, header::KEY, parse_id!(Key))?,
+        deadline: optional(&head.headers, header::DEADLINE, millis)?,
+        what,
+    })
+}
+
+macro_rules! parse_id {
+    ($name:ident) => {
+        |text: &str| id::$name::parse(text).map_err(|fault| fault.to_string())
+    };
+}
+use parse_id;
+
+/// A known path with its parameters.
+enum Path {
+    Chat,
+    Models,
+    Create,
+    Program(id::Program, What),
+    Call(id::Service, String),
+    Probe(What),
+}
+
+fn path(method: &Method, segments: &[&str]) -> Result<Path> {
+    let known = match *segments {
+        ["v1", "chat", "completions"] => (&Method::POST, Path::Chat),
+        ["v1", "models"] => (&Method::GET, Path::Models),
+        ["v1", "programs"] => (&Method::POST, Path::Create),
+        ["v1", "programs", program] => {
+            let program = id::Program::parse(program).map_err(|f| bad_field("program", f))?;
+            if *method == Method::DELETE {
+                return Ok(Path::Program(program, What::End));
+            }
+            (&Method::GET, Path::Program(program, What::Show))
+        }
+        ["v1", "services", service, operation] => {
+            let service = id::Service::parse(service).map_err(|f| bad_field("service", f))?;
+            // The same alphabet keeps the operation from leaving its path segment.
+            id::Service::parse(operation).map_err(|f| bad_field("operation", f))?;
+            (&Method::POST, Path::Call(service, operation.to_owned()))
+        }
+        ["health"] => (&Method::GET, Path::Probe(What::Health)),
+        ["ready"] => (&Method::GET, Path::Probe(What::Ready)),
+        _ => return Err(Refusal::new(Code::UnknownPath, "")),
+    };
+    if method != known.0 {
+        return Err(Refusal::new(Code::BadMethod, method.as_str()));
+    }
+    Ok(known.1)
+}
+
+fn what(path: Path, whole: Bytes, program: &mut Option<id::Program>) -> Result<What> {
+    match path {
+        Path::Chat => Ok(What::Chat(chat(&whole)?)),
+        Path::Models => Ok(What::Models),
+        Path::Create => {
+            if !whole.trim_ascii().is_empty() {
+                *program = create(&whole)?.or(program.take());
+            }
+            Ok(What::Create)
+        }
+        Path::Call(service, operation) => Ok(What::Call(Call {
+            service,
+            operation,
+            key: None,
+            body: whole,
+        })),
+        Path::Program(_, what) | Path::Probe(what) => Ok(what),
+    }
+}
+
+fn chat(whole: &[u8]) -> Result<chat::Request> {
+    let request: chat::Request = serde_json::from_slice(whole).map_err(|f| bad_json(&f))?;
+    if request.messages.is_empty() {
+        return Err(bad_field("messages", "at least one message"));
+    }
+    if request.max_tokens == Some(0) {
+        return Err(bad_field("max_tokens", "at least 1"));
+    }
+    if request.rest.get("n").is_some_and(|n| n.as_u64() != Some(1)) {
+        return Err(bad_field("n", "only 1"));
+    }
+    Ok(request)
+}
+
+fn create(whole: &[u8]) -> Result<Option<id::Program>> {
+    #[derive(serde::Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct Create {
+        program: Option<id::Program>,
+    }
+    let create: Create = serde_json::from_slice(whole).map_err(|f| bad_json(&f))?;
+    Ok(create.program)
+}
+
+fn token(headers: &HeaderMap) -> Option<id::Digest> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, token) = value.split_once(' ')?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return None;
+    }
+    Some(id::Digest::of(token.trim().as_bytes()))
+}
+
+/// Parses a header that may be absent.
+fn optional<T>(
+    headers: &HeaderMap,
+    name: &str,
+    parse: impl Fn(&str) -> std::result::Result<T, String>,
+) -> Result<Option<T>> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|f| bad_field(name, f))?;
+    parse(text).map(Some).map_err(|fault| bad_field(name, fault))
+}
+
+fn turn(text: &str) -> std::result::Result<u32, String> {
+    match u32::from_str(text) {
+        Ok(turn) if turn > 0 => Ok(turn),
+        _ => Err("a number from 1".to_owned()),
+    }
+}
+
+fn millis(text: &str) -> std::result::Result<Millis, String> {
+    let parsed = u64::from_str(text).map(Millis::new);
+    parsed.map_err(|_| "a number of milliseconds".to_owned())
+}
+
+fn bad_field(name: &str, fault: impl std::fmt::Display) -> Refusal {
+    Refusal::new(Code::BadField, &format!("{name}: {fault}"))
+}
+
+fn bad_json(fault: &serde_json::Error) -> Refusal {
+    Refusal::new(Code::BadJson, &fault.to_string())
+}
--- /dev/null
+++ b/crates/node/src/http/listen.rs
@@ -0,0 +1,151 @@
+//! Listeners: accept connections, keep their number and pace within limits, and close without
+//! cutting a request off.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use wire::clock::Millis;
+
+use crate::core::Core;
+use crate::http::Response;
+
+/// Headers over this many bytes are refused with a code.
+pub const MAX_HEADERS: usize = 16 * 1024;
+/// Headers over this many bytes end the connection: what hyper buffers at most.
+const MAX_BUFFER: usize = 64 * 1024;
+/// How long the listener pauses after a failed accept (no file descriptors left, say), so that it
+/// doesn't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How much room a listener had when it accepted a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// Room for all.
+    Free,
+    /// Only the room kept for urgent work is left.
+    UrgentOnly,
+    /// No room at all.
+    Full,
+}
+
+/// Counts the connections of a listener.
+#[derive(Debug)]
+pub struct Door {
+    open: AtomicU32,
+    total: u32,
+    urgent: u32,
+    receive: Millis,
+}
+
+impl Door {
+    /// Makes the door of a listener that takes `total` connections, `urgent` of them kept for
+    /// urgent work, and waits `receive` for a request's headers.
+    #[must_use]
+    pub fn new(total: u32, urgent: u32, receive: Millis) -> Self {
+        Self {
+            open: AtomicU32::new(0),
+            total,
+            urgent,
+            receive,
+        }
+    }
+
+    /// Yields how many connections are open.
+    #[must_use]
+    pub fn open(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    fn enter(self: &Arc<Self>) -> (Pass, Room) {
+        let before = self.open.fetch_add(1, Ordering::Relaxed);
+        let room = if before >= self.total {
+            Room::Full
+        } else if before >= self.total.saturating_sub(self.urgent) {
+            Room::UrgentOnly
+        } else {
+            Room::Free
+        };
+        (Pass(self.clone()), room)
+    }
+}
+
+/// A place among a listener's connections, given back when dropped.
+struct Pass(Arc<Door>);
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Fails where the address can't be bound.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Accepts connections until the node has stopped, and answers each request with `handler`.
+pub async fn run<H, F>(listener: TcpListener, door: Arc<Door>, core: Arc<Core>, handler: H)
+where
+    H: Fn(Arc<Core>, Request<Incoming>, Room) -> F + Copy + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = core.stopped.cancelled() => return,
+        };
+        let Ok((stream, _from)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (pass, room) = door.enter();
+        let served = connection(stream, pass, room, core.clone(), handler);
+        core.tasks.spawn(served);
+    }
+}
+
+async fn connection<H, F>(stream: TcpStream, pass: Pass, room: Room, core: Arc<Core>, handler: H)
+where
+    H: Fn(Arc<Core>, Request<Incoming>, Room) -> F + Copy + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let _unsupported = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let answer = handler(core.clone(), request, room);
+        async { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(pass.0.receive.as_duration())
+        .max_buf_size(MAX_BUFFER)
+        // A connection in the room kept for urgent work isn't kept open between requests.
+        .keep_alive(room == Room::Free);
+    let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        _ended = served.as_mut() => return,
+        () = core.stopped.cancelled() => served.as_mut().graceful_shutdown(),
+    }
+    let _ended = served.await;
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,9 @@
 //! One VM's part of the system: the filters that a request passes and the controllers that keep
 //! its state.
 
-pub mod controllers;
+pub mod alone;
 pub mod core;
+pub mod http;
 pub mod owner;
 pub mod peer;
 pub mod view;
