--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -7,6 +7,10 @@
 use wire::code::Code;
 use wire::id;
 
+/// The most bytes of the records of one append, encoded. The rest of the platform's largest value
+/// is for the batch's own fields.
+pub const MAX_BYTES: usize = platform::edge::MAX_VALUE - 1024;
+
 /// The value of one journal key: records that take effect together, in order.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Batch {
@@ -27,6 +31,9 @@
         vm: id::Vm,
         /// One more than at the shard's last opening; the fencing number of its orders.
         epoch: u64,
+        /// The VMs that hold this owner's pending batches during an outage of the platform. They
+        /// stand here as well as in the ownership record, since that record goes with its lease.
+        copies: Vec<id::Vm>,
     },
     /// A program was made.
     Created {
@@ -57,6 +64,8 @@
         reserved: u64,
         /// The endpoint, where it was known beforehand; holds cache from now on.
         endpoint: Option<id::Endpoint>,
+        /// When.
+        at: Millis,
     },
     /// An attempt ended without a committed answer.
     Stopped {
@@ -94,6 +103,8 @@
         program: id::Program,
         /// The caller's idempotency key.
         key: id::Key,
+        /// The one dispatch that this intent allows.
+        attempt: id::Attempt,
         /// The digest of service, operation and body.
         digest: id::Digest,
         /// When.
@@ -105,6 +116,8 @@
         program: id::Program,
         /// The caller's idempotency key.
         key: id::Key,
+        /// The intent's attempt.
+        attempt: id::Attempt,
         /// What became of it.
         result: Effect,
     },
@@ -112,8 +125,8 @@
     Blamed {
         /// The program.
         program: id::Program,
-        /// The content.
-        digest: id::Digest,
+        /// The content, with the history before it: [`crate::state::State::content`].
+        content: id::Digest,
         /// The endpoint.
         endpoint: id::Endpoint,
     },
@@ -133,6 +146,11 @@
         /// The endpoint.
         endpoint: id::Endpoint,
     },
+    /// An ended program that nothing depends on any more is dropped, and its name is free.
+    Forgotten {
+        /// The program.
+        program: id::Program,
+    },
 }
 
 /// What became of a call that may run at most once.
@@ -145,6 +163,9 @@
         /// The body.
         body: bytes::Bytes,
     },
-    /// The service refused the call before it ran; the key may be used again.
+    /// The call was never sent, or the service refused it before it ran; the key may be used
+    /// again.
     NotRun,
+    /// The call was sent and no answer came; it is never sent again.
+    Unknown,
 }
