--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,4 +2,14 @@
 //! where work goes, what is tried again, and how fast the system shifts.
 //!
 //! Pure functions over plain state and a given time: no network, no clock, no randomness but a
-//! generator that is passed in.
+//! generator that is passed in. Each VM runs them over its own queue and its own view of the
+//! endpoints; nothing here needs the VMs to agree.
+
+pub mod admit;
+pub mod class;
+pub mod displace;
+pub mod eject;
+pub mod place;
+pub mod queue;
+pub mod retry;
+pub mod shift;
--- /dev/null
+++ b/crates/policy/src/place.rs
@@ -0,0 +1,207 @@
+//! Where a call goes.
+//!
+//! Answers few hot programs, slow endpoints and lagging load reports. Without it a program leaves
+//! the endpoint that has its prefix and pays for all of its history again, or stays there behind a
+//! full batch; all VMs send to the endpoint that the last report showed idle; and a slow endpoint
+//! gets as much as a fast one.
+//!
+//! The cost of an endpoint is in milliseconds: the expected wait and run, plus the prefill of what
+//! its cache lacks. The prefill counts twice over, once as latency and once as wasted work, each
+//! with the deployment's weight; so a deployment that minds wasted cache waits longer for the
+//! endpoint that has the prefix.
+//!
+//! Load reports lag by up to two seconds, so the calls that the VM itself has sent and ended since
+//! the report are added. Other VMs' calls can't be known; endpoints whose costs lie within
+//! [`TIE`] of the best are chosen among by the call's salt, so that VMs that see the same report
+//! don't all pick the same endpoint.
+
+use crate::class::Class;
+
+/// Costs within this share of the best one count as equal.
+///
+/// A report that is a second old is off by about the calls that start and end in a second; with
+/// calls of some seconds that is near a tenth of a full batch.
+pub const TIE: f64 = 0.1;
+/// The share of an endpoint's slots that routine calls leave free, at least one slot.
+///
+/// Urgent work is rare; one slot in sixteen at each endpoint lets it start at once while the loss
+/// in throughput stays under the share itself, as a batch is most efficient near full.
+pub const URGENT_SHARE: f64 = 1.0 / 16.0;
+
+/// An endpoint that may run the call, as this VM sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// How many calls it works on at once.
+    pub slots: u32,
+    /// Calls that it worked on and that waited at it when it made its report.
+    pub reported: u32,
+    /// Calls that this VM has sent to it since the report was made.
+    pub sent: u32,
+    /// Calls of this VM's that were in the report and have ended since.
+    pub ended: u32,
+    /// Tokens a second that it generates for one call, as measured.
+    pub speed: f64,
+    /// Prompt tokens a second that it prefills, as measured.
+    pub prefill: f64,
+    /// Prompt tokens of this call that its cache is thought to hold.
+    pub cached: u64,
+    /// The share of its slots that may be used, from [`crate::shift`] and [`crate::eject`]: 1 for
+    /// an endpoint in good standing, 0 for one that gets nothing.
+    pub share: f64,
+}
+
+/// What has to be known of a call to place it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Call {
+    /// Its class.
+    pub class: Class,
+    /// Tokens of the whole prompt.
+    pub prompt: u64,
+    /// Tokens that it is expected to generate.
+    pub output: u64,
+    /// Draws among equally good endpoints; differs from call to call.
+    pub salt: u64,
+}
+
+/// What a deployment minds, as plain factors.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Weight of a millisecond that the caller waits.
+    pub latency: f64,
+    /// Weight of a millisecond of prefill that a cache would have saved.
+    pub cache: f64,
+}
+
+impl Default for Weights {
+    /// Yields the weights of a deployment that minds both the same.
+    fn default() -> Self {
+        Self {
+            latency: 1.0,
+            cache: 1.0,
+        }
+    }
+}
+
+/// Whether a call can start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// A slot is thought to be free.
+    Now,
+    /// Waiting for the endpoint is thought better than going elsewhere now.
+    Later,
+}
+
+/// The endpoint chosen and the numbers that made it so, for the decision's log line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Its place among the candidates.
+    pub index: usize,
+    /// Whether the call can start there.
+    pub start: Start,
+    /// The expected wait for a slot, in milliseconds.
+    pub wait: f64,
+    /// The expected prefill of what the cache lacks, in milliseconds.
+    pub miss: f64,
+    /// The expected time of generation, in milliseconds.
+    pub run: f64,
+    /// The weighted sum that was compared.
+    pub cost: f64,
+    /// The lowest cost among the other candidates; infinite where there was no other.
+    pub next: f64,
+}
+
+/// Chooses the endpoint of least cost; `None` where no candidate may be used at all.
+#[must_use]
+pub fn choose(candidates: &[Candidate], call: &Call, weights: &Weights) -> Option<Choice> {
+    let cheapest = candidates
+        .iter()
+        .enumerate()
+        .filter_map(|(index, of)| weigh(index, of, call, weights))
+        .min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+    let choices = candidates
+        .iter()
+        .enumerate()
+        .filter_map(|(index, of)| weigh(index, of, call, weights));
+    let mut best = cheapest;
+    let mut best_draw = mix(call.salt, best.index);
+    let mut next = f64::INFINITY;
+    for choice in choices.filter(|choice| choice.index != cheapest.index) {
+        next = next.min(choice.cost);
+        let draw = mix(call.salt, choice.index);
+        if ties(&choice, &cheapest) && draw > best_draw {
+            best = choice;
+            best_draw = draw;
+        }
+    }
+    if best.index != cheapest.index {
+        next = cheapest.cost;
+    }
+    Some(Choice { next, ..best })
+}
+
+/// Tells whether a choice is as good as the cheapest. One that loses more cache isn't, so that a
+/// program doesn't leave its prefix by the draw.
+fn ties(choice: &Choice, cheapest: &Choice) -> bool {
+    choice.cost <= cheapest.cost * (1.0 + TIE)
+        && choice.miss <= cheapest.miss
+        && choice.start == cheapest.start
+}
+
+/// Yields how many calls of a class the endpoint may have at once.
+#[must_use]
+pub fn room(slots: u32, share: f64, class: Class) -> f64 {
+    let usable = f64::from(slots) * share;
+    match class {
+        Class::Urgent => usable.ceil(),
+        Class::Routine => (usable - (f64::from(slots) * URGENT_SHARE).max(1.0))
+            .ceil()
+            .max(0.0),
+    }
+}
+
+/// Yields how many calls the endpoint is thought to have now.
+#[must_use]
+pub fn occupied(candidate: &Candidate) -> u32 {
+    let known = candidate.reported.saturating_sub(candidate.ended);
+    known.saturating_add(candidate.sent)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
+fn weigh(index: usize, of: &Candidate, call: &Call, weights: &Weights) -> Option<Choice> {
+    let room = room(of.slots, of.share, call.class);
+    if room < 1.0 || of.speed <= 0.0 || of.prefill <= 0.0 {
+        return None;
+    }
+    let run = call.output as f64 / of.speed * 1000.0;
+    let miss = call.prompt.saturating_sub(of.cached) as f64 / of.prefill * 1000.0;
+    let over = f64::from(occupied(of)) + 1.0 - room;
+    let (start, wait) = if over <= 0.0 {
+        (Start::Now, 0.0)
+    } else {
+        (Start::Later, over * run / room)
+    };
+    let cost = weights.latency * (wait + miss + run) + weights.cache * miss;
+    Some(Choice {
+        index,
+        start,
+        wait,
+        miss,
+        run,
+        cost,
+        next: f64::INFINITY,
+    })
+}
+
+/// Mixes a salt with an index (the finalizer of `SplitMix64`).
+fn mix(salt: u64, index: usize) -> u64 {
+    let mut z = salt ^ (index as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    z ^ (z >> 31)
+}
+
+#[cfg(test)]
+mod tests;
