--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,7 @@
 //! One VM's part of the system: the filters that a request passes and the controllers that keep
 //! its state.
 
-pub mod alone;
+pub mod controllers;
 pub mod core;
 pub mod http;
 pub mod owner;
