--- a/crates/journal/src/gate.rs
+++ b/crates/journal/src/gate.rs
@@ -7,19 +7,30 @@
 //!
 //! Every refusal says `ran: no` but for [`Code::OutcomeUnknown`], which says `unknown`.
 
+use bytes::Bytes;
 use wire::chat;
 use wire::clock::Millis;
 use wire::code::Code;
+use wire::code::Ran;
 use wire::code::Refusal;
 use wire::id;
 
-use bytes::Bytes;
-
 use crate::log::Status;
+use crate::program;
+use crate::program::Program;
+use crate::program::Running;
+use crate::record;
 use crate::record::Effect;
 use crate::record::Record;
+use crate::state::POISON_AT;
 use crate::state::State;
 
+/// The most bytes of a turn's new messages, encoded; leaves the other half of a journal key to the
+/// answer.
+pub const MAX_MESSAGES: usize = record::MAX_BYTES / 2;
+/// The most bytes of one record. The list around it takes the rest of [`record::MAX_BYTES`].
+const MAX_COMMIT: usize = record::MAX_BYTES - 16;
+
 /// The outcome of a decision.
 pub type Result<T> = std::result::Result<T, Refusal>;
 
@@ -185,7 +196,17 @@
 ///
 /// [`Code::UnknownProgram`] where another caller has made it, [`Code::ProgramEnded`].
 pub fn create(state: &State, ask: &Create<'_>) -> Result<Option<Record>> {
-    todo!("{state:?} {ask:?}")
+    match state.program(ask.program) {
+        None => Ok(Some(Record::Created {
+            program: ask.program.clone(),
+            caller: ask.caller.clone(),
+            tokens: ask.tokens,
+            turns: ask.turns,
+            idle: ask.idle,
+            at: ask.now,
+        })),
+        Some(_) => open(state, ask.program, ask.caller).map(|_| None),
+    }
 }
 
 /// Decides on a turn.
@@ -196,7 +217,46 @@
 /// [`Code::TurnConflict`], [`Code::WrongTurn`], [`Code::Poisoned`], [`Code::IdleExpired`],
 /// [`Code::TurnLimit`], [`Code::BudgetSpent`], [`Code::BodyTooLarge`].
 pub fn begin<'a>(state: &'a State, ask: &Begin<'_>) -> Result<Turn<'a>> {
-    todo!("{state:?} {ask:?}")
+    let program = open(state, ask.program, ask.caller)?;
+    let next = program.committed() + 1;
+    let turn = ask.turn.unwrap_or(next);
+    if turn == 0 || turn > next {
+        return Err(wrong_turn(next));
+    }
+    if turn < next {
+        return replay(program, turn, ask.digest);
+    }
+    if let Some(running) = running_here(state, program) {
+        return join(running, ask.digest);
+    }
+    if state.poisoned(state.content(ask.program, ask.digest)) {
+        return Err(Refusal::new(Code::Poisoned, ""));
+    }
+    awake(program, ask.now)?;
+    if turn > program.turns {
+        return Err(Refusal::new(Code::TurnLimit, &program.turns.to_string()));
+    }
+    if record::size(ask.messages) > MAX_MESSAGES {
+        let detail = format!("a turn's messages have at most {MAX_MESSAGES} bytes");
+        return Err(Refusal::new(Code::BodyTooLarge, &detail));
+    }
+    let reserved = reserve(program.remaining(), ask.want)?;
+    let left_behind = program.running.as_ref().map(|r| stopped(program, r, None));
+    let started = Record::Started {
+        program: ask.program.clone(),
+        turn,
+        attempt: ask.attempt,
+        digest: ask.digest,
+        reserved,
+        endpoint: ask.endpoint.cloned(),
+        at: ask.now,
+    };
+    Ok(Turn::Start(Start {
+        turn,
+        attempt: ask.attempt,
+        reserved,
+        records: left_behind.into_iter().chain([started]).collect(),
+    }))
 }
 
 /// Decides on a further attempt of a running turn. `None` where the attempt that ended isn't the
@@ -206,7 +266,30 @@
 ///
 /// [`Code::BudgetSpent`] where nothing remains, [`Code::Poisoned`]; the caller then [`stop`]s.
 pub fn restart(state: &State, ask: &Restart<'_>) -> Result<Option<Start>> {
-    todo!("{state:?} {ask:?}")
+    let Some((program, running)) = attempt_of(state, ask.program, ask.ended) else {
+        return Ok(None);
+    };
+    if state.poisoned(state.content(ask.program, running.digest)) {
+        return Err(Refusal::new(Code::Poisoned, ""));
+    }
+    let used = ask.used.unwrap_or(running.reserved);
+    let remaining = program.tokens.saturating_sub(program.spent);
+    let reserved = reserve(remaining.saturating_sub(used), ask.want)?;
+    let started = Record::Started {
+        program: ask.program.clone(),
+        turn: running.turn,
+        attempt: ask.attempt,
+        digest: running.digest,
+        reserved,
+        endpoint: ask.endpoint.cloned(),
+        at: ask.now,
+    };
+    Ok(Some(Start {
+        turn: running.turn,
+        attempt: ask.attempt,
+        reserved,
+        records: vec![stopped(program, running, ask.used), started],
+    }))
 }
 
 /// Ends an attempt without an answer; the turn may be begun again. `None` where the attempt isn't
@@ -218,7 +301,8 @@
     attempt: id::Attempt,
     used: Option<u64>,
 ) -> Option<Record> {
-    todo!("{state:?} {program} {attempt} {used:?}")
+    let (program, running) = attempt_of(state, program, attempt)?;
+    Some(stopped(program, running, used))
 }
 
 /// Commits an answer. `None` where the attempt isn't the running one: a late answer, to be
@@ -229,7 +313,24 @@
 /// [`Code::AnswerIncomplete`] (`ran: yes`) where the turn is too large for the journal; the caller
 /// then [`stop`]s.
 pub fn commit(state: &State, ask: Commit<'_>) -> Result<Option<Record>> {
-    todo!("{state:?} {ask:?}")
+    let Some((_, running)) = attempt_of(state, ask.program, ask.attempt) else {
+        return Ok(None);
+    };
+    let record = Record::Committed {
+        program: ask.program.clone(),
+        turn: running.turn,
+        attempt: ask.attempt,
+        messages: ask.messages,
+        answer: ask.answer,
+        used: ask.used,
+        endpoint: ask.endpoint.clone(),
+        at: ask.now,
+    };
+    if record::size(&record) > MAX_COMMIT {
+        let detail = "the turn is too large for the journal";
+        return Err(Refusal::new(Code::AnswerIncomplete, detail).ran(Ran::Yes));
+    }
+    Ok(Some(record))
 }
 
 /// Decides on a call that may run at most once.
@@ -239,7 +340,26 @@
 /// [`Code::UnknownProgram`], [`Code::KeyConflict`], [`Code::OutcomeUnknown`] (`ran: unknown`),
 /// [`Code::ProgramEnded`], [`Code::PlatformDown`].
 pub fn intend<'a>(state: &'a State, ask: &Intend<'_>) -> Result<Call<'a>> {
-    todo!("{state:?} {ask:?}")
+    let program = known(state, ask.program, ask.caller)?;
+    if let Some(call) = program.call(ask.key) {
+        return again(state, call, ask.digest);
+    }
+    alive(program)?;
+    awake(program, ask.now)?;
+    match ask.status {
+        Status::Open => {}
+        Status::Outage { retry_after } => {
+            return Err(Refusal::new(Code::PlatformDown, "").retry_after(retry_after));
+        }
+        Status::Lost => return Err(Refusal::new(Code::OwnerLost, "")),
+    }
+    Ok(Call::Start(vec![Record::Intent {
+        program: ask.program.clone(),
+        key: ask.key.clone(),
+        attempt: ask.attempt,
+        digest: ask.digest,
+        at: ask.now,
+    }]))
 }
 
 /// Records the outcome of a call. `None` where the call is resolved already, or its key belongs to
@@ -255,7 +375,27 @@
     attempt: id::Attempt,
     result: Effect,
 ) -> Option<Record> {
-    todo!("{state:?} {program} {key} {attempt} {result:?}")
+    let call = state.program(program)?.call(key)?;
+    if call.attempt != attempt {
+        return None;
+    }
+    match (&call.result, &result) {
+        // Only the owner that sent the call, or held it back, knows that it didn't run.
+        (None, Effect::NotRun) if call.epoch != state.epoch() => return None,
+        (Some(Effect::Unknown), Effect::Answered { .. }) | (None, _) => {}
+        (Some(_), _) => return None,
+    }
+    let outcome = |result| Record::Outcome {
+        program: program.clone(),
+        key: key.clone(),
+        attempt,
+        result,
+    };
+    let record = outcome(result);
+    if record::size(&record) > MAX_COMMIT {
+        return Some(outcome(Effect::Unknown));
+    }
+    Some(record)
 }
 
 /// Blames an endpoint's crash on the content of a turn that ran there.
@@ -266,7 +406,22 @@
     digest: id::Digest,
     endpoint: &id::Endpoint,
 ) -> Blame {
-    todo!("{state:?} {program} {digest:?} {endpoint}")
+    let content = state.content(program, digest);
+    let blamed = state.blamed(content);
+    let known = blamed.contains(endpoint);
+    let count = blamed.len() + usize::from(!known);
+    let records = match known {
+        true => Vec::new(),
+        false => vec![Record::Blamed {
+            program: program.clone(),
+            content,
+            endpoint: endpoint.clone(),
+        }],
+    };
+    if count >= POISON_AT {
+        return Blame::Poisoned(records);
+    }
+    Blame::Suspect(records)
 }
 
 /// Ends a program; a running attempt counts its whole reservation. Empty where it has ended.
@@ -281,15 +436,28 @@
     code: Code,
     now: Millis,
 ) -> Result<Vec<Record>> {
-    todo!("{state:?} {program} {caller} {code:?} {now}")
+    let program = known(state, program, caller)?;
+    if program.ended.is_some() {
+        return Ok(Vec::new());
+    }
+    let running = program.running.as_ref();
+    let stopped = running.map(|running| stopped(program, running, None));
+    let ended = Record::Ended {
+        program: program.id.clone(),
+        code,
+        at: now,
+    };
+    Ok(stopped.into_iter().chain([ended]).collect())
 }
 
 /// Lists the programs that have been idle for too long, to be [`end`]ed.
 pub fn idle(state: &State, now: Millis) -> impl Iterator<Item = &id::Program> {
-    state
-        .programs()
-        .filter(move |_| now > Millis::ZERO)
-        .map(|p| &p.id)
+    let idle = move |program: &&Program| {
+        program.ended.is_none()
+            && running_here(state, program).is_none()
+            && awake(program, now).is_err()
+    };
+    state.programs().filter(idle).map(|program| &program.id)
 }
 
 /// Lists the endpoints that may hold cache of ended programs.
@@ -308,7 +476,13 @@
 /// Records that an endpoint holds no cache of an ended program. `None` where it is recorded.
 #[must_use]
 pub fn released(state: &State, program: &id::Program, endpoint: &id::Endpoint) -> Option<Record> {
-    todo!("{state:?} {program} {endpoint}")
+    let known = state.program(program)?;
+    known.ended?;
+    known.holders.binary_search(endpoint).ok()?;
+    Some(Record::Released {
+        program: program.clone(),
+        endpoint: endpoint.clone(),
+    })
 }
 
 /// Drops an ended program: `None` until `retention` has passed since its end and no endpoint
@@ -320,5 +494,125 @@
     retention: Millis,
     now: Millis,
 ) -> Option<Record> {
-    todo!("{state:?} {program} {retention} {now}")
+    let known = state.program(program)?;
+    let ending = known.ended?;
+    let epoch = state.epoch();
+    let waits = |call: &program::Call| call.result.is_none() && call.epoch == epoch;
+    let held = !known.holders.is_empty() || known.calls.iter().any(waits);
+    if held || now.since(ending.at) < retention {
+        return None;
+    }
+    Some(Record::Forgotten {
+        program: program.clone(),
+    })
+}
+
+fn known<'a>(state: &'a State, program: &id::Program, caller: &id::Caller) -> Result<&'a Program> {
+    // Another caller's program looks like one that doesn't exist, so that names can't be probed.
+    let known = state.program(program).filter(|p| p.caller == *caller);
+    known.ok_or_else(|| Refusal::new(Code::UnknownProgram, program.as_str()))
+}
+
+fn alive(program: &Program) -> Result<()> {
+    match program.ended {
+        Some(ending) => Err(Refusal::new(ending.code, program.id.as_str())),
+        None => Ok(()),
+    }
+}
+
+fn open<'a>(state: &'a State, program: &id::Program, caller: &id::Caller) -> Result<&'a Program> {
+    let known = known(state, program, caller)?;
+    alive(known)?;
+    Ok(known)
+}
+
+fn awake(program: &Program, now: Millis) -> Result<()> {
+    if now.since(program.touched) <= program.idle {
+        return Ok(());
+    }
+    let detail = format!("the longest pause is {}", program.idle);
+    Err(Refusal::new(Code::IdleExpired, &detail))
+}
+
+fn wrong_turn(next: u32) -> Refusal {
+    Refusal::new(Code::WrongTurn, &format!("turn {next} is next"))
+}
+
+fn conflict(turn: u32) -> Refusal {
+    Refusal::new(Code::TurnConflict, &format!("turn {turn}"))
 }
+
+fn replay(program: &Program, turn: u32, digest: id::Digest) -> Result<Turn<'_>> {
+    let stored = program.history.get(turn as usize - 1);
+    let stored = stored.ok_or_else(|| wrong_turn(program.committed() + 1))?;
+    if stored.digest != digest {
+        return Err(conflict(turn));
+    }
+    let answer = &stored.answer;
+    Ok(Turn::Replay { turn, answer })
+}
+
+fn join<'a>(running: &Running, digest: id::Digest) -> Result<Turn<'a>> {
+    if running.digest != digest {
+        return Err(conflict(running.turn));
+    }
+    Ok(Turn::Join {
+        turn: running.turn,
+        attempt: running.attempt,
+    })
+}
+
+/// Yields the attempt that this owner began. One of an earlier owner has nobody who waits for its
+/// answer; the turn may be begun again, and the old reservation counts as spent.
+fn running_here<'a>(state: &State, program: &'a Program) -> Option<&'a Running> {
+    let running = program.running.as_ref()?;
+    (running.epoch == state.epoch()).then_some(running)
+}
+
+fn attempt_of<'a>(
+    state: &'a State,
+    program: &id::Program,
+    attempt: id::Attempt,
+) -> Option<(&'a Program, &'a Running)> {
+    let program = state.program(program)?;
+    let running = program.running.as_ref()?;
+    (running.attempt == attempt).then_some((program, running))
+}
+
+fn reserve(remaining: u64, want: u64) -> Result<u64> {
+    if remaining == 0 {
+        return Err(Refusal::new(Code::BudgetSpent, ""));
+    }
+    Ok(want.min(remaining))
+}
+
+fn stopped(program: &Program, running: &Running, used: Option<u64>) -> Record {
+    Record::Stopped {
+        program: program.id.clone(),
+        turn: running.turn,
+        attempt: running.attempt,
+        used: used.unwrap_or(running.reserved),
+    }
+}
+
+/// Answers a key that was used before.
+fn again<'a>(state: &State, call: &'a program::Call, digest: id::Digest) -> Result<Call<'a>> {
+    if call.digest != digest {
+        return Err(Refusal::new(Code::KeyConflict, call.key.as_str()));
+    }
+    match &call.result {
+        Some(Effect::Answered { status, body }) => Ok(Call::Replay {
+            status: *status,
+            body,
+        }),
+        None if call.epoch == state.epoch() => Ok(Call::Join(call.attempt)),
+        // Either the answer was lost, or an earlier owner may have sent the call before it died:
+        // to send it again could run it twice, and to say that it didn't run could be false.
+        None | Some(Effect::Unknown | Effect::NotRun) => {
+            Err(Refusal::new(Code::OutcomeUnknown, "").ran(Ran::Unknown))
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod copy;
 pub mod gate;
 pub mod log;
+pub mod program;
 pub mod record;
 pub mod snapshot;
 pub mod state;
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -1,4 +1,9 @@
 //! The facts that a journal holds.
+//!
+//! Exists for the failure "a takeover can't tell what had happened": whatever a later owner must
+//! know is a record, and a record names all that it depends on.
+
+use std::io;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -169,3 +174,27 @@
     /// The call was sent and no answer came; it is never sent again.
     Unknown,
 }
+
+/// Yields the encoded size in bytes of a value that becomes part of a journal key.
+#[must_use]
+pub fn size<T: Serialize + ?Sized>(value: &T) -> usize {
+    let mut count = Count(0);
+    match rmp_serde::encode::write_named(&mut count, value) {
+        Ok(()) => count.0,
+        // What can't be encoded fits nowhere.
+        Err(_) => usize::MAX,
+    }
+}
+
+struct Count(usize);
+
+impl io::Write for Count {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -9,12 +9,11 @@
 use derive_more::Error;
 use serde::Deserialize;
 use serde::Serialize;
-use wire::chat;
-use wire::clock::Millis;
-use wire::code::Code;
 use wire::id;
 
-use crate::record::Effect;
+use crate::program::Program;
+use crate::program::insert;
+use crate::program::link;
 use crate::record::Record;
 
 /// How many different endpoints must have crashed on a content before it is refused for good. One
@@ -53,88 +52,6 @@
     blames: Vec<Blame>,
 }
 
-/// One program.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Program {
-    /// Its name.
-    pub id: id::Program,
-    /// Who made it; no one else may ask of it.
-    pub caller: id::Caller,
-    /// Tokens that it may generate.
-    pub tokens: u64,
-    /// Turns that it may have.
-    pub turns: u32,
-    /// The longest pause between turns.
-    pub idle: Millis,
-    /// When its last turn began or was committed, or when it was made.
-    pub touched: Millis,
-    /// Tokens spent by attempts that have ended.
-    pub spent: u64,
-    /// The committed turns in order; turn n stands at n - 1. Empty once the program has ended.
-    pub history: Vec<Turn>,
-    /// The attempt that began last, where it hasn't ended.
-    pub running: Option<Running>,
-    /// The calls that may run at most once, by key.
-    pub calls: Vec<Call>,
-    /// The endpoints that may hold cache of the program, by name.
-    pub holders: Vec<id::Endpoint>,
-    /// Why and when it ended, where it has.
-    pub ended: Option<Ending>,
-    /// The digest of the history.
-    pub chain: id::Digest,
-}
-
-/// A committed turn.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Turn {
-    /// The digest of the new messages.
-    pub digest: id::Digest,
-    /// The new messages.
-    pub messages: Vec<chat::Message>,
-    /// The answer.
-    pub answer: chat::Answer,
-}
-
-/// An attempt that began and hasn't ended.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Running {
-    /// The epoch of the owner that began it.
-    pub epoch: u64,
-    /// The turn.
-    pub turn: u32,
-    /// The attempt.
-    pub attempt: id::Attempt,
-    /// The digest of the new messages.
-    pub digest: id::Digest,
-    /// Tokens set aside.
-    pub reserved: u64,
-}
-
-/// A call that may run at most once.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Call {
-    /// The caller's idempotency key.
-    pub key: id::Key,
-    /// The epoch of the owner that journaled the intent.
-    pub epoch: u64,
-    /// The one dispatch that the intent allows.
-    pub attempt: id::Attempt,
-    /// The digest of service, operation and body.
-    pub digest: id::Digest,
-    /// What became of it, where that is known. [`Effect::NotRun`] never stands here: such a call
-    /// is dropped, so that its key can be used again.
-    pub result: Option<Effect>,
-}
-
-/// The end of a program.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ending {
-    /// Why.
-    pub code: Code,
-    /// When.
-    pub at: Millis,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Blame {
     content: id::Digest,
@@ -159,7 +76,33 @@
     /// Applies a record. One that doesn't [`fit`](Self::check) has no effect; records that
     /// [`crate::gate`] yields fit the state that they were asked of.
     pub fn apply(&mut self, record: &Record) {
-        todo!("{record:?}")
+        if self.check(record).is_err() {
+            return;
+        }
+        match record {
+            Record::Opened { vm, epoch, copies } => {
+                self.epoch = *epoch;
+                self.owner = Some(vm.clone());
+                self.copies.clone_from(copies);
+            }
+            Record::Created { program, .. } => self.create(program, record),
+            Record::Blamed {
+                content, endpoint, ..
+            } => self.blame(*content, endpoint),
+            Record::Forgotten { program } => self.forget(program),
+            Record::Committed { program, .. } => self.commit(program, record),
+            Record::Started { program, .. }
+            | Record::Stopped { program, .. }
+            | Record::Intent { program, .. }
+            | Record::Outcome { program, .. }
+            | Record::Ended { program, .. }
+            | Record::Released { program, .. } => {
+                let epoch = self.epoch;
+                if let Ok(at) = self.find(program) {
+                    self.programs[at].apply(epoch, record);
+                }
+            }
+        }
     }
 
     /// Tells whether a record fits the state.
@@ -168,7 +111,30 @@
     ///
     /// Fails with the reason where it doesn't.
     pub fn check(&self, record: &Record) -> Result<()> {
-        todo!("{record:?}")
+        match record {
+            Record::Opened { epoch, .. } if *epoch > self.epoch => Ok(()),
+            Record::Opened { epoch, .. } => Err(Misfit::Epoch(*epoch)),
+            Record::Created { program, .. } => match self.find(program) {
+                Ok(_) => Err(Misfit::Exists(program.clone())),
+                Err(_) => Ok(()),
+            },
+            Record::Started { program, .. }
+            | Record::Stopped { program, .. }
+            | Record::Committed { program, .. }
+            | Record::Intent { program, .. }
+            | Record::Outcome { program, .. }
+            | Record::Blamed { program, .. }
+            | Record::Ended { program, .. }
+            | Record::Released { program, .. }
+            | Record::Forgotten { program } => {
+                let known = self.program(program);
+                let known = known.ok_or_else(|| Misfit::Unknown(program.clone()))?;
+                if known.takes(record) {
+                    return Ok(());
+                }
+                Err(Misfit::Order(program.clone()))
+            }
+        }
     }
 
     /// Yields the epoch of the last opening; 0 where the shard was never opened.
@@ -224,54 +190,51 @@
         self.blamed(content).len() >= POISON_AT
     }
 
-    fn find(&self, id: &id::Program) -> std::result::Result<usize, usize> {
-        self.programs.binary_search_by(|p| p.id.cmp(id))
-    }
-
-    fn find_blame(&self, content: id::Digest) -> std::result::Result<usize, usize> {
-        self.blames.binary_search_by_key(&content, |b| b.content)
+    fn create(&mut self, id: &id::Program, record: &Record) {
+        let (Err(at), Some(program)) = (self.find(id), Program::of(record)) else {
+            return;
+        };
+        self.programs.insert(at, Box::new(program));
     }
-}
 
-impl Program {
-    /// Yields the number of committed turns.
-    #[must_use]
-    pub fn committed(&self) -> u32 {
-        u32::try_from(self.history.len()).unwrap_or(u32::MAX)
+    fn forget(&mut self, id: &id::Program) {
+        if let Ok(at) = self.find(id) {
+            self.programs.remove(at);
+        }
     }
 
-    /// Yields the tokens that may still be reserved. A reservation that hasn't ended counts as
-    /// spent, also one that a crash left behind.
-    #[must_use]
-    pub fn remaining(&self) -> u64 {
-        let reserved = self.running.as_ref().map_or(0, |r| r.reserved);
-        self.tokens
-            .saturating_sub(self.spent)
-            .saturating_sub(reserved)
+    /// Adds the turn, and clears the content of a crash that it was blamed for: it has run whole,
+    /// so what crashed was something else that ran beside it.
+    fn commit(&mut self, id: &id::Program, record: &Record) {
+        let Ok(at) = self.find(id) else { return };
+        let digest = self.programs[at].running.as_ref().map(|r| r.digest);
+        let content = digest.map(|digest| link(self.programs[at].chain, digest));
+        self.programs[at].apply(self.epoch, record);
+        let Some(content) = content.filter(|content| !self.poisoned(*content)) else {
+            return;
+        };
+        if let Ok(at) = self.find_blame(content) {
+            self.blames.remove(at);
+        }
     }
 
-    /// Yields every message of the committed turns in order: the prompt before the new messages.
-    pub fn messages(&self) -> impl Iterator<Item = &chat::Message> {
-        self.history
-            .iter()
-            .flat_map(|turn| turn.messages.iter().chain([&turn.answer.message]))
+    fn blame(&mut self, content: id::Digest, endpoint: &id::Endpoint) {
+        let at = self.find_blame(content).unwrap_or_else(|at| {
+            let endpoints = Vec::new();
+            self.blames.insert(at, Blame { content, endpoints });
+            at
+        });
+        insert(&mut self.blames[at].endpoints, endpoint);
     }
 
-    /// Looks a call up by its key.
-    #[must_use]
-    pub fn call(&self, key: &id::Key) -> Option<&Call> {
-        let at = self.find_call(key).ok()?;
-        Some(&self.calls[at])
+    fn find(&self, id: &id::Program) -> std::result::Result<usize, usize> {
+        self.programs.binary_search_by(|p| p.id.cmp(id))
     }
 
-    fn find_call(&self, key: &id::Key) -> std::result::Result<usize, usize> {
-        self.calls.binary_search_by(|c| c.key.cmp(key))
+    fn find_blame(&self, content: id::Digest) -> std::result::Result<usize, usize> {
+        self.blames.binary_search_by_key(&content, |b| b.content)
     }
 }
 
-fn link(chain: id::Digest, next: id::Digest) -> id::Digest {
-    let mut bytes = [0; 16];
-    bytes[..8].copy_from_slice(&chain.0.to_be_bytes());
-    bytes[8..].copy_from_slice(&next.0.to_be_bytes());
-    id::Digest::of(&bytes)
-}
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/journal/src/state/tests.rs
@@ -0,0 +1,48 @@
+use wire::clock::Millis;
+use wire::code::Code;
+
+use super::*;
+
+fn created(program: &str) -> Record {
+    Record::Created {
+        program: id::Program::parse(program).unwrap(),
+        caller: id::Caller::parse("crew").unwrap(),
+        tokens: 100,
+        turns: 3,
+        idle: Millis::new(1_000),
+        at: Millis::ZERO,
+    }
+}
+
+fn opened(epoch: u64) -> Record {
+    Record::Opened {
+        vm: id::Vm::parse("vm-1").unwrap(),
+        epoch,
+        copies: Vec::new(),
+    }
+}
+
+#[test]
+fn programs_stand_in_order_whatever_the_order_of_their_records() {
+    let records = [opened(1), created("c"), created("a"), created("b")];
+    let state = State::rebuild(&records).unwrap();
+    let ids: Vec<&str> = state.programs().map(|p| p.id.as_str()).collect();
+    assert_eq!(ids, ["a", "b", "c"]);
+}
+
+#[test]
+fn a_journal_that_does_not_fit_is_reported() {
+    // An operator restores the platform from a mixture of two backups. The new owner must not
+    // serve a history that was pieced together from both.
+    let twice = State::rebuild(&[opened(1), created("a"), created("a")]);
+    assert!(matches!(twice, Err(Misfit::Exists(_))));
+    let back = State::rebuild(&[opened(2), opened(2)]);
+    assert_eq!(back, Err(Misfit::Epoch(2)));
+    let ended = Record::Ended {
+        program: id::Program::parse("b").unwrap(),
+        code: Code::ProgramEnded,
+        at: Millis::ZERO,
+    };
+    let unknown = State::rebuild(&[opened(1), created("a"), ended]);
+    assert!(matches!(unknown, Err(Misfit::Unknown(_))));
+}
