--- /dev/null
+++ b/crates/journal/src/gate/life.rs
@@ -0,0 +1,138 @@
+//! Decides on the beginning and the end of programs.
+//!
+//! Exists for the failures "a program waits for ever" (idle limit) and "an engine keeps the cache
+//! of a program that is gone" (holders are listed until each has confirmed the release).
+
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::id;
+
+use super::Result;
+use super::awake;
+use super::known;
+use super::open;
+use super::running_here;
+use super::stopped;
+use crate::program;
+use crate::program::Program;
+use crate::record::Record;
+use crate::state::State;
+
+/// A wish to make a program.
+#[derive(Clone, Copy, Debug)]
+pub struct Create<'a> {
+    /// The program.
+    pub program: &'a id::Program,
+    /// Who asks.
+    pub caller: &'a id::Caller,
+    /// Tokens that it may generate.
+    pub tokens: u64,
+    /// Turns that it may have.
+    pub turns: u32,
+    /// The longest pause between turns.
+    pub idle: Millis,
+    /// The time.
+    pub now: Millis,
+}
+
+/// Decides on making a program. Yields no record where the caller has made it already.
+///
+/// # Errors
+///
+/// [`Code::UnknownProgram`] where another caller has made it, [`Code::ProgramEnded`].
+pub fn create(state: &State, ask: &Create<'_>) -> Result<Option<Record>> {
+    match state.program(ask.program) {
+        None => Ok(Some(Record::Created {
+            program: ask.program.clone(),
+            caller: ask.caller.clone(),
+            tokens: ask.tokens,
+            turns: ask.turns,
+            idle: ask.idle,
+            at: ask.now,
+        })),
+        Some(_) => open(state, ask.program, ask.caller).map(|_| None),
+    }
+}
+
+/// Ends a program; a running attempt counts its whole reservation. Empty where it has ended.
+///
+/// # Errors
+///
+/// [`Code::UnknownProgram`] where there is none of this caller's.
+pub fn end(
+    state: &State,
+    program: &id::Program,
+    caller: &id::Caller,
+    code: Code,
+    now: Millis,
+) -> Result<Vec<Record>> {
+    let program = known(state, program, caller)?;
+    if program.ended.is_some() {
+        return Ok(Vec::new());
+    }
+    let running = program.running.as_ref();
+    let stopped = running.map(|running| stopped(program, running, None));
+    let ended = Record::Ended {
+        program: program.id.clone(),
+        code,
+        at: now,
+    };
+    Ok(stopped.into_iter().chain([ended]).collect())
+}
+
+/// Lists the programs that have been idle for too long, to be [`end`]ed.
+pub fn idle(state: &State, now: Millis) -> impl Iterator<Item = &id::Program> {
+    let idle = move |program: &&Program| {
+        program.ended.is_none()
+            && running_here(state, program).is_none()
+            && awake(program, now).is_err()
+    };
+    state.programs().filter(idle).map(|program| &program.id)
+}
+
+/// Lists the endpoints that may hold cache of ended programs.
+pub fn holders(state: &State) -> impl Iterator<Item = (&id::Program, &id::Endpoint)> {
+    state
+        .programs()
+        .filter(|program| program.ended.is_some())
+        .flat_map(|program| {
+            program
+                .holders
+                .iter()
+                .map(|endpoint| (&program.id, endpoint))
+        })
+}
+
+/// Records that an endpoint holds no cache of an ended program. `None` where it is recorded.
+#[must_use]
+pub fn released(state: &State, program: &id::Program, endpoint: &id::Endpoint) -> Option<Record> {
+    let known = state.program(program)?;
+    known.ended?;
+    known.holders.binary_search(endpoint).ok()?;
+    Some(Record::Released {
+        program: program.clone(),
+        endpoint: endpoint.clone(),
+    })
+}
+
+/// Drops an ended program: `None` until `retention` has passed since its end and no endpoint
+/// holds cache of it. Idempotency keys of the program are protected until then.
+#[must_use]
+pub fn forget(
+    state: &State,
+    program: &id::Program,
+    retention: Millis,
+    now: Millis,
+) -> Option<Record> {
+    let known = state.program(program)?;
+    let ending = known.ended?;
+    let epoch = state.epoch();
+    let waits = |call: &program::Call| call.result.is_none() && call.epoch == epoch;
+    let held = !known.holders.is_empty() || known.calls.iter().any(waits);
+    if held || now.since(ending.at) < retention {
+        return None;
+    }
+    Some(Record::Forgotten {
+        program: program.clone(),
+    })
+}
--- a/crates/journal/src/gate/tests.rs
+++ b/crates/journal/src/gate/tests.rs
@@ -1,8 +1,13 @@
+use bytes::Bytes;
 use rstest::rstest;
 use serde_json::Map;
 use serde_json::Value;
+use wire::chat;
+use wire::code::Ran;
 
 use super::*;
+use crate::log::Status;
+use crate::record::Effect;
 
 const TOKENS: u64 = 100;
 const IDLE: u64 = 1_000;
--- /dev/null
+++ b/crates/journal/src/gate/turn.rs
@@ -0,0 +1,326 @@
+//! Decides which attempt of which turn may run, and what its end means.
+//!
+//! Exists for the failures "turns out of order", "a turn twice" and "more tokens than the budget".
+
+use wire::chat;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Ran;
+use wire::code::Refusal;
+use wire::id;
+
+use super::MAX_RECORD;
+use super::Result;
+use super::awake;
+use super::open;
+use super::running_here;
+use super::stopped;
+use crate::program::Program;
+use crate::program::Running;
+use crate::record;
+use crate::record::Record;
+use crate::state::POISON_AT;
+use crate::state::State;
+
+/// The most bytes of a turn's new messages, encoded; leaves the other half of a journal key to the
+/// answer.
+pub const MAX_MESSAGES: usize = record::MAX_BYTES / 2;
+
+/// A wish to run a turn.
+#[derive(Clone, Copy, Debug)]
+pub struct Begin<'a> {
+    /// The program.
+    pub program: &'a id::Program,
+    /// Who asks.
+    pub caller: &'a id::Caller,
+    /// The turn; `None` takes the next, or joins the running one where the content is the same.
+    pub turn: Option<u32>,
+    /// The new messages; refused where the committed turn couldn't hold them.
+    pub messages: &'a [chat::Message],
+    /// The digest of the new messages and options.
+    pub digest: id::Digest,
+    /// Tokens that the answer may have; the reservation is what remains of the budget at most.
+    pub want: u64,
+    /// The attempt, drawn at random.
+    pub attempt: id::Attempt,
+    /// The endpoint, where it is known already.
+    pub endpoint: Option<&'a id::Endpoint>,
+    /// The time.
+    pub now: Millis,
+}
+
+/// What to do for a turn.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Turn<'a> {
+    /// Dispatch it once the records are durable.
+    Start(Start),
+    /// The same turn runs here; its answer is this request's answer, too.
+    Join {
+        /// The turn.
+        turn: u32,
+        /// The attempt that runs now.
+        attempt: id::Attempt,
+    },
+    /// The turn is committed.
+    Replay {
+        /// The turn.
+        turn: u32,
+        /// Its answer.
+        answer: &'a chat::Answer,
+    },
+}
+
+/// An attempt that may be dispatched once its records are durable.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Start {
+    /// The turn.
+    pub turn: u32,
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// The output limit in tokens to send to the endpoint.
+    pub reserved: u64,
+    /// The records to apply and append.
+    pub records: Vec<Record>,
+}
+
+/// The end of an attempt, to be followed by a further one of the same turn.
+#[derive(Clone, Copy, Debug)]
+pub struct Restart<'a> {
+    /// The program.
+    pub program: &'a id::Program,
+    /// The attempt that ended.
+    pub ended: id::Attempt,
+    /// Tokens that it generated; `None` where that isn't known, which counts the reservation.
+    pub used: Option<u64>,
+    /// Tokens that the rest of the answer may have.
+    pub want: u64,
+    /// The new attempt, drawn at random.
+    pub attempt: id::Attempt,
+    /// The new endpoint, where it is known already.
+    pub endpoint: Option<&'a id::Endpoint>,
+    /// The time.
+    pub now: Millis,
+}
+
+/// A whole answer of an attempt.
+#[derive(Clone, Debug)]
+pub struct Commit<'a> {
+    /// The program.
+    pub program: &'a id::Program,
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// The turn's new messages, as begun.
+    pub messages: Vec<chat::Message>,
+    /// The answer.
+    pub answer: chat::Answer,
+    /// Tokens that this attempt generated.
+    pub used: u64,
+    /// The endpoint that ran it.
+    pub endpoint: &'a id::Endpoint,
+    /// The time.
+    pub now: Millis,
+}
+
+/// What a crash means for the content that was running.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Blame {
+    /// The content may be tried at another endpoint.
+    Suspect(Vec<Record>),
+    /// The content is refused for good once the records are applied.
+    Poisoned(Vec<Record>),
+}
+
+/// Decides on a turn.
+///
+/// # Errors
+///
+/// [`Code::UnknownProgram`] (also for another caller's), [`Code::ProgramEnded`],
+/// [`Code::TurnConflict`], [`Code::WrongTurn`], [`Code::Poisoned`], [`Code::IdleExpired`],
+/// [`Code::TurnLimit`], [`Code::BudgetSpent`], [`Code::BodyTooLarge`].
+pub fn begin<'a>(state: &'a State, ask: &Begin<'_>) -> Result<Turn<'a>> {
+    let program = open(state, ask.program, ask.caller)?;
+    let next = program.committed() + 1;
+    let turn = ask.turn.unwrap_or(next);
+    if turn == 0 || turn > next {
+        return Err(wrong_turn(next));
+    }
+    if turn < next {
+        return replay(program, turn, ask.digest);
+    }
+    if let Some(running) = running_here(state, program) {
+        return join(running, ask.digest);
+    }
+    if state.poisoned(state.content(ask.program, ask.digest)) {
+        return Err(Refusal::new(Code::Poisoned, ""));
+    }
+    awake(program, ask.now)?;
+    if turn > program.turns {
+        return Err(Refusal::new(Code::TurnLimit, &program.turns.to_string()));
+    }
+    if record::size(ask.messages) > MAX_MESSAGES {
+        let detail = format!("a turn's messages have at most {MAX_MESSAGES} bytes");
+        return Err(Refusal::new(Code::BodyTooLarge, &detail));
+    }
+    let reserved = reserve(program.remaining(), ask.want)?;
+    let left_behind = program.running.as_ref().map(|r| stopped(program, r, None));
+    let started = Record::Started {
+        program: ask.program.clone(),
+        turn,
+        attempt: ask.attempt,
+        digest: ask.digest,
+        reserved,
+        endpoint: ask.endpoint.cloned(),
+        at: ask.now,
+    };
+    Ok(Turn::Start(Start {
+        turn,
+        attempt: ask.attempt,
+        reserved,
+        records: left_behind.into_iter().chain([started]).collect(),
+    }))
+}
+
+/// Decides on a further attempt of a running turn. `None` where the attempt that ended isn't the
+/// running one: it was superseded, and nothing follows from its end.
+///
+/// # Errors
+///
+/// [`Code::BudgetSpent`] where nothing remains, [`Code::Poisoned`]; the caller then [`stop`]s.
+pub fn restart(state: &State, ask: &Restart<'_>) -> Result<Option<Start>> {
+    let Some((program, running)) = attempt_of(state, ask.program, ask.ended) else {
+        return Ok(None);
+    };
+    if state.poisoned(state.content(ask.program, running.digest)) {
+        return Err(Refusal::new(Code::Poisoned, ""));
+    }
+    let used = ask.used.unwrap_or(running.reserved);
+    let remaining = program.tokens.saturating_sub(program.spent);
+    let reserved = reserve(remaining.saturating_sub(used), ask.want)?;
+    let started = Record::Started {
+        program: ask.program.clone(),
+        turn: running.turn,
+        attempt: ask.attempt,
+        digest: running.digest,
+        reserved,
+        endpoint: ask.endpoint.cloned(),
+        at: ask.now,
+    };
+    Ok(Some(Start {
+        turn: running.turn,
+        attempt: ask.attempt,
+        reserved,
+        records: vec![stopped(program, running, ask.used), started],
+    }))
+}
+
+/// Ends an attempt without an answer; the turn may be begun again. `None` where the attempt isn't
+/// the running one. `used` is `None` where it isn't known, which counts the reservation.
+#[must_use]
+pub fn stop(
+    state: &State,
+    program: &id::Program,
+    attempt: id::Attempt,
+    used: Option<u64>,
+) -> Option<Record> {
+    let (program, running) = attempt_of(state, program, attempt)?;
+    Some(stopped(program, running, used))
+}
+
+/// Commits an answer. `None` where the attempt isn't the running one: a late answer, to be
+/// dropped.
+///
+/// # Errors
+///
+/// [`Code::AnswerIncomplete`] (`ran: yes`) where the turn is too large for the journal; the caller
+/// then [`stop`]s.
+pub fn commit(state: &State, ask: Commit<'_>) -> Result<Option<Record>> {
+    let Some((_, running)) = attempt_of(state, ask.program, ask.attempt) else {
+        return Ok(None);
+    };
+    let record = Record::Committed {
+        program: ask.program.clone(),
+        turn: running.turn,
+        attempt: ask.attempt,
+        messages: ask.messages,
+        answer: ask.answer,
+        used: ask.used,
+        endpoint: ask.endpoint.clone(),
+        at: ask.now,
+    };
+    if record::size(&record) > MAX_RECORD {
+        let detail = "the turn is too large for the journal";
+        return Err(Refusal::new(Code::AnswerIncomplete, detail).ran(Ran::Yes));
+    }
+    Ok(Some(record))
+}
+
+/// Blames an endpoint's crash on the content of a turn that ran there.
+#[must_use]
+pub fn blame(
+    state: &State,
+    program: &id::Program,
+    digest: id::Digest,
+    endpoint: &id::Endpoint,
+) -> Blame {
+    let content = state.content(program, digest);
+    let blamed = state.blamed(content);
+    let known = blamed.contains(endpoint);
+    let count = blamed.len() + usize::from(!known);
+    let records = match known {
+        true => Vec::new(),
+        false => vec![Record::Blamed {
+            program: program.clone(),
+            content,
+            endpoint: endpoint.clone(),
+        }],
+    };
+    if count >= POISON_AT {
+        return Blame::Poisoned(records);
+    }
+    Blame::Suspect(records)
+}
+
+fn wrong_turn(next: u32) -> Refusal {
+    Refusal::new(Code::WrongTurn, &format!("turn {next} is next"))
+}
+
+fn conflict(turn: u32) -> Refusal {
+    Refusal::new(Code::TurnConflict, &format!("turn {turn}"))
+}
+
+fn replay(program: &Program, turn: u32, digest: id::Digest) -> Result<Turn<'_>> {
+    let stored = program.history.get(turn as usize - 1);
+    let stored = stored.ok_or_else(|| wrong_turn(program.committed() + 1))?;
+    if stored.digest != digest {
+        return Err(conflict(turn));
+    }
+    let answer = &stored.answer;
+    Ok(Turn::Replay { turn, answer })
+}
+
+fn join<'a>(running: &Running, digest: id::Digest) -> Result<Turn<'a>> {
+    if running.digest != digest {
+        return Err(conflict(running.turn));
+    }
+    Ok(Turn::Join {
+        turn: running.turn,
+        attempt: running.attempt,
+    })
+}
+
+fn attempt_of<'a>(
+    state: &'a State,
+    program: &id::Program,
+    attempt: id::Attempt,
+) -> Option<(&'a Program, &'a Running)> {
+    let program = state.program(program)?;
+    let running = program.running.as_ref()?;
+    (running.attempt == attempt).then_some((program, running))
+}
+
+fn reserve(remaining: u64, want: u64) -> Result<u64> {
+    if remaining == 0 {
+        return Err(Refusal::new(Code::BudgetSpent, ""));
+    }
+    Ok(want.min(remaining))
+}
