--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,80 @@
+//! The listener for operators: health, metrics and the node's own view.
+
+use std::sync::Arc;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+use wire::code::Code;
+use wire::code::Refusal;
+
+use crate::core::Core;
+use crate::filters::answer;
+use crate::filters::parse::What;
+use crate::http;
+use crate::http::Response;
+use crate::http::listen::Room;
+use crate::owner::registry::Phase;
+use crate::view::View;
+
+/// Answers one request.
+pub async fn handle(core: Arc<Core>, request: Request<Incoming>, _room: Room) -> Response {
+    let view = core.view();
+    let path = request.uri().path();
+    let probed = match path {
+        "/health" => answer::probe(&view, &What::Health),
+        "/ready" => answer::probe(&view, &What::Ready),
+        "/metrics" => Some(metrics(&core)),
+        "/status" => Some(http::json(200, &status(&core, &view))),
+        _ => None,
+    };
+    let unknown = || answer::refuse(&Refusal::new(Code::UnknownPath, path));
+    probed.unwrap_or_else(unknown)
+}
+
+fn metrics(core: &Core) -> Response {
+    let mut text = core.metrics.render();
+    let gauges = [
+        ("connections", u64::from(core.door.open())),
+        ("calls_waiting", core.desk.waiting() as u64),
+        ("shards_owned", core.registry.owned().len() as u64),
+        ("config_revision", core.view().config.revision),
+    ];
+    for (name, value) in gauges {
+        text.push_str(&format!(
+            "# TYPE chestnutyoke_{name} gauge\nchestnutyoke_{name} {value}\n"
+        ));
+    }
+    http::whole(200, "text/plain; version=0.0.4", text)
+}
+
+/// Renders the deployment as this VM sees it.
+fn status(core: &Core, view: &View) -> Value {
+    let peers = view.peers.iter().map(|p| {
+        json!({"vm": p.vm, "centre": p.centre, "address": p.address, "size": p.size,
+               "up": p.up, "stopping": p.stopping})
+    });
+    let owners = view.owners.iter();
+    let owners =
+        owners.map(|o| json!({"shard": o.shard.to_string(), "vm": o.vm, "epoch": o.epoch}));
+    let owned = core.registry.owned().into_iter().map(|o| {
+        json!({"shard": o.shard.to_string(), "epoch": o.epoch,
+               "draining": o.phase == Phase::Draining, "journal": format!("{:?}", o.status)})
+    });
+    let loads = view.loads.iter().map(|l| {
+        json!({"endpoint": l.endpoint, "up": l.up, "leaving": l.leaving, "running": l.running,
+               "waiting": l.waiting, "speed": l.speed, "at_ms": l.at})
+    });
+    json!({
+        "vm": core.settings.vm.name,
+        "centre": core.settings.vm.centre,
+        "revision": view.config.revision,
+        "platform": view.platform,
+        "stopping": view.stopping,
+        "peers": peers.collect::<Vec<_>>(),
+        "owners": owners.collect::<Vec<_>>(),
+        "owned": owned.collect::<Vec<_>>(),
+        "loads": loads.collect::<Vec<_>>(),
+    })
+}
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -3,8 +3,15 @@
 
 use std::sync::Arc;
 
+use async_trait::async_trait;
 use bytes::Bytes;
+use journal::copy;
+use journal::copy::Held;
+use journal::copy::Peers;
+use journal::log::Setup;
+use platform::edge::Lease;
 use settings::config::Config;
+use wire::clock::Millis;
 use wire::id;
 
 use crate::core::Core;
@@ -45,18 +52,61 @@
     let Some(centre) = core.settings.centres.iter().find(|c| c.name == own.centre) else {
         return;
     };
+    let Ok(lease) = core.platform.grant(core.settings.platform.lease).await else {
+        return;
+    };
+    core.tasks.spawn(keep(core.clone(), lease));
     for index in 0..centre.shards {
         let shard = id::Shard {
             centre: own.centre.clone(),
             index,
         };
-        if let Ok(epoch) = core.registry.claim(core, &shard).await {
-            let vm = own.name.clone();
-            core.update(|view| view.owners.push(Owner { shard, vm, epoch }));
+        let setup = Setup {
+            platform: core.platform.clone(),
+            peers: Arc::new(Nobody),
+            vm: own.name.clone(),
+            shard: shard.clone(),
+            seed: rand::random(),
+            copies: Vec::new(),
+            acks: 0,
+        };
+        match core.registry.claim(core, setup, lease).await {
+            Ok(epoch) => {
+                let vm = own.name.clone();
+                core.update(|view| view.owners.push(Owner { shard, vm, epoch }));
+            }
+            Err(fault) => log::warn!("shard={shard} reason={fault}"),
+        }
+    }
+}
+
+async fn keep(core: Arc<Core>, lease: Lease) {
+    let third = Millis::new(core.settings.platform.lease.as_u64() / 3);
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(third.as_duration()) => {}
+            () = core.stopped.cancelled() => return,
         }
+        let _lapsed = core.platform.renew(lease).await;
     }
 }
 
+/// The other VMs of a data centre that has none.
+struct Nobody;
+
+#[async_trait]
+impl Peers for Nobody {
+    async fn hold(&self, _: &id::Vm, _: &id::Shard, _: u64, _: &Held) -> copy::Result<()> {
+        Err(copy::Fault::Unreachable)
+    }
+
+    async fn collect(&self, _: &id::Vm, _: &id::Shard, _: u64) -> copy::Result<Vec<Held>> {
+        Err(copy::Fault::Unreachable)
+    }
+
+    async fn drained(&self, _: &id::Vm, _: &id::Shard, _: u64, _: u64) {}
+}
+
 fn peers(core: &Core) -> Vec<Peer> {
     let own = &core.settings.vm;
     let others = core.settings.peers.iter().map(|p| Peer {
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -9,8 +9,10 @@
 use tokio_util::task::TaskTracker;
 use wire::clock::Clock;
 
+use crate::dispatch::desk::Desk;
 use crate::http::client::Client;
 use crate::http::listen::Door;
+use crate::metrics::Metrics;
 use crate::owner::registry::Registry;
 use crate::view::View;
 
@@ -27,6 +29,10 @@
     pub view: watch::Sender<Arc<View>>,
     /// The shards that this VM owns.
     pub registry: Registry,
+    /// Gives out the endpoints' slots.
+    pub desk: Desk,
+    /// Counts and latencies.
+    pub metrics: Metrics,
     /// Connections to VMs and endpoints.
     pub client: Client,
     /// The callers' listener.
--- /dev/null
+++ b/crates/node/src/dispatch.rs
@@ -0,0 +1,8 @@
+//! Runs calls at endpoints: chooses one within the limits of each, speaks its protocol, and tells
+//! exactly what became of the call.
+
+pub mod collect;
+pub mod desk;
+pub mod runner;
+pub mod service;
+pub mod standing;
--- /dev/null
+++ b/crates/node/src/dispatch/desk.rs
@@ -0,0 +1,470 @@
+//! The one place on a VM that gives out endpoints' slots, for all its shards: admits, queues and
+//! places calls by the decisions of crate `policy`.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use policy::admit;
+use policy::admit::Drain;
+use policy::admit::Stage;
+use policy::eject;
+use policy::eject::Sample;
+use policy::place;
+use policy::place::Choice;
+use policy::place::Start;
+use policy::queue;
+use policy::queue::Entry;
+use policy::queue::Queue;
+use policy::retry;
+use policy::shift;
+use settings::config::Config;
+use settings::config::Endpoint;
+use settings::config::Kind;
+use settings::vm::Settings;
+use tokio::sync::oneshot;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Refusal;
+use wire::event::Event;
+use wire::id;
+
+use crate::core::Core;
+use crate::dispatch::standing;
+use crate::dispatch::standing::Standing;
+use crate::view::View;
+
+/// The part of the queue that only urgent calls may take: one in this many places.
+const URGENT_PART: usize = 10;
+/// Milliseconds an output token that a call's expected run is reckoned with: the letter's 58 ms
+/// for 95 in 100, halved for the mean.
+const TOKEN: u64 = 29;
+
+/// The outcome of placing a call.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// A call that needs a slot.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The program.
+    pub program: id::Program,
+    /// The turn, 0 for a service's call.
+    pub turn: u32,
+    /// Who asks.
+    pub caller: id::Caller,
+    /// How soon it is heard.
+    pub class: settings::config::Class,
+    /// What kind of endpoint it needs.
+    pub kind: Kind,
+    /// The model or service.
+    pub serves: String,
+    /// Prompt tokens, estimated.
+    pub prompt: u64,
+    /// Tokens that the answer is expected to have.
+    pub output: u64,
+    /// Tokens that the program has generated so far.
+    pub spent: u64,
+    /// Endpoints that hold cache of the program, and how many tokens.
+    pub held: Vec<(id::Endpoint, u64)>,
+    /// Endpoints that failed this call before.
+    pub avoid: Vec<id::Endpoint>,
+    /// Whether an endpoint crashed while it ran the call. Such calls are kept apart from each
+    /// other, so that one that is innocent isn't there when the guilty one crashes the next.
+    pub suspect: bool,
+    /// How often it was tried.
+    pub tries: u32,
+    /// When the caller stops waiting.
+    pub deadline: Option<Millis>,
+}
+
+/// A slot at an endpoint, given back when dropped.
+pub struct Slot {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    core: Arc<Core>,
+    began: Millis,
+    suspect: bool,
+    sample: Option<Sample>,
+}
+
+/// Gives out the endpoints' slots.
+pub struct Desk(Mutex<State>);
+
+struct State {
+    standings: Vec<Standing>,
+    queue: Queue<Waiter>,
+    drain: Drain,
+    retries: retry::Budget,
+    born: Millis,
+}
+
+struct Waiter {
+    work: Work,
+    slot: oneshot::Sender<Result<Slot>>,
+}
+
+impl Desk {
+    /// Makes a desk for a VM.
+    #[must_use]
+    pub fn new(settings: &Settings, now: Millis) -> Self {
+        let all = settings.limits.queue;
+        let limits = queue::Limits {
+            all,
+            reserved: all / URGENT_PART,
+        };
+        Self(Mutex::new(State {
+            standings: Vec::new(),
+            queue: Queue::new(limits),
+            drain: Drain::default(),
+            retries: retry::Budget::new(now),
+            born: now,
+        }))
+    }
+
+    /// Counts a call that succeeded, which earns a part of a retry.
+    pub fn succeed(&self) {
+        self.lock().retries.succeed();
+    }
+
+    /// Decides whether a failed call is tried again.
+    pub fn retry(&self, failure: &retry::Failure, now: Millis) -> retry::Verdict {
+        let mut state = self.lock();
+        state.retries.decide(failure, now, &mut rand::rng())
+    }
+
+    /// Gives an endpoint nothing until then.
+    pub fn pause(&self, endpoint: &id::Endpoint, now: Millis, span: Millis) {
+        let mut state = self.lock();
+        let at = state.standing(endpoint, now);
+        state.standings[at].pause(now.plus(span));
+    }
+
+    /// Yields how many calls wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.lock().queue.len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Waits for a slot.
+///
+/// # Errors
+///
+/// Refuses, always with `ran: no`, where no endpoint may take the call, the load is too high, or
+/// the call has waited for too long.
+pub async fn place(core: &Arc<Core>, work: Work) -> Result<Slot> {
+    let arrived = core.clock.now();
+    let waited = enter(core, work, arrived)?;
+    let slot = match waited {
+        Entered::Placed(slot) => Ok(slot),
+        Entered::Queued(receiver) => {
+            let gone = Err(Refusal::new(Code::ShuttingDown, ""));
+            receiver.await.unwrap_or(gone)
+        }
+    };
+    core.metrics.queued(core.clock.now().since(arrived));
+    slot
+}
+
+/// Gives free slots to the calls that wait, and gives up those whose time is over.
+pub fn pump(core: &Arc<Core>) {
+    let now = core.clock.now();
+    let view = core.view();
+    let mut state = core.desk.lock();
+    let State {
+        standings,
+        queue,
+        drain,
+        ..
+    } = &mut *state;
+    let mut ready = Vec::new();
+    for entry in queue.give_up(now) {
+        let load = admit::Load::of(queue, drain, entry.class, &entry.caller);
+        let refusal = admit::give_up(&load, &mut rand::rng());
+        ready.push((entry.item, Err(refusal)));
+    }
+    loop {
+        let mut chosen = None;
+        let popped = queue.pop_where(|entry| {
+            let picked = pick(core, &view, standings, &entry.item.work, now);
+            chosen = picked.filter(|(_, choice)| choice.start == Start::Now);
+            chosen.is_some()
+        });
+        let (Some(entry), Some((endpoint, _))) = (popped, chosen) else {
+            break;
+        };
+        drain.count(now, queue.len());
+        let suspect = entry.item.work.suspect;
+        begin(standings, &endpoint.name, now, suspect);
+        ready.push((entry.item, Ok(slot(core, endpoint, now, suspect))));
+    }
+    drop(state);
+    // Sent without the lock: a slot whose waiter is gone is given back by its drop.
+    for (waiter, outcome) in ready {
+        let _gone = waiter.slot.send(outcome);
+    }
+}
+
+/// Ejects and takes back endpoints; to be called about once a second.
+pub fn sweep(core: &Arc<Core>) {
+    let now = core.clock.now();
+    let view = core.view();
+    let mut state = core.desk.lock();
+    state.drain.roll(now);
+    for endpoint in &view.config.endpoints {
+        state.standing(&endpoint.name, now);
+    }
+    let known = |s: &Standing| view.config.endpoint(s.endpoint.as_str()).is_some();
+    state.standings.retain(|s| known(s) || s.running() > 0);
+    for standing in &mut state.standings {
+        let reported = view.load(&standing.endpoint).map_or(Millis::ZERO, |l| l.at);
+        standing.forget(reported);
+    }
+    for pool in pools(&view.config) {
+        sweep_pool(&mut state.standings, &pool, now);
+    }
+}
+
+enum Entered {
+    Placed(Slot),
+    Queued(oneshot::Receiver<Result<Slot>>),
+}
+
+fn enter(core: &Arc<Core>, work: Work, now: Millis) -> Result<Entered> {
+    let view = core.view();
+    let class = standing::class(work.class);
+    let mut state = core.desk.lock();
+    for endpoint in &view.config.endpoints {
+        if endpoint.kind == work.kind {
+            state.standing(&endpoint.name, now);
+        }
+    }
+    let picked = pick(core, &view, &state.standings, &work, now);
+    if picked.is_none() && work.tries == 0 {
+        let refusal = Refusal::new(Code::NoEndpoint, &work.serves);
+        return Err(refusal.retry_after(standing::PAUSE));
+    }
+    let first = state.queue.waiting(class) == 0;
+    if let Some((endpoint, choice)) = picked
+        && choice.start == Start::Now
+        && first
+    {
+        begin(&mut state.standings, &endpoint.name, now, work.suspect);
+        let slot = slot(core, endpoint, now, work.suspect);
+        return Ok(Entered::Placed(slot));
+    }
+    let run = Millis::new(work.output.saturating_mul(TOKEN));
+    let left = work.deadline.map(|deadline| deadline.since(now));
+    if work.tries == 0 {
+        let stage = match work.turn {
+            0 | 1 => Stage::First,
+            _ => Stage::Later,
+        };
+        let call = admit::Call {
+            class,
+            stage,
+            deadline: left,
+            run,
+        };
+        let load = admit::Load::of(&state.queue, &state.drain, class, &work.caller);
+        admit::decide(&load, &call, &mut rand::rng())?;
+    }
+    log::info!(
+        "{} program={} turn={} class={class:?} waiting={}",
+        Event::CallQueued,
+        work.program,
+        work.turn,
+        state.queue.len()
+    );
+    let (sender, receiver) = oneshot::channel();
+    let limit = now.plus(core.settings.limits.wait);
+    let entry = Entry {
+        class,
+        caller: work.caller.clone(),
+        attained: Millis::new(work.spent.saturating_mul(TOKEN)),
+        cost: run,
+        since: now,
+        expires: queue::expiry(now, class, work.deadline, run).min(limit),
+        item: Waiter { work, slot: sender },
+    };
+    if let Err(entry) = state.queue.push(entry) {
+        let load = admit::Load::of(&state.queue, &state.drain, class, &entry.caller);
+        let refusal = Refusal::new(Code::QueueFull, "");
+        return Err(refusal.retry_after(load.wait().max(admit::MIN_RETRY)));
+    }
+    Ok(Entered::Queued(receiver))
+}
+
+/// Chooses an endpoint for a call as things stand; logs the decision where the call can start.
+fn pick(
+    core: &Core,
+    view: &View,
+    standings: &[Standing],
+    work: &Work,
+    now: Millis,
+) -> Option<(Endpoint, Choice)> {
+    let endpoints = usable(core, view, work);
+    let mut names: Vec<&Endpoint> = Vec::with_capacity(endpoints.len());
+    let mut candidates = Vec::with_capacity(endpoints.len());
+    for endpoint in endpoints {
+        let found = standings.binary_search_by(|s| s.endpoint.cmp(&endpoint.name));
+        let Ok(at) = found else { continue };
+        if work.suspect && standings[at].has_suspect() {
+            continue;
+        }
+        let held = work.held.iter().find(|(name, _)| *name == endpoint.name);
+        let cached = held.map_or(0, |(_, tokens)| *tokens);
+        let load = view.load(&endpoint.name);
+        if let Some(candidate) = standings[at].candidate(endpoint, load, cached, now) {
+            names.push(endpoint);
+            candidates.push(candidate);
+        }
+    }
+    let weights = place::Weights {
+        latency: core.settings.weights.latency,
+        cache: core.settings.weights.cache,
+    };
+    let call = place::Call {
+        class: standing::class(work.class),
+        prompt: work.prompt,
+        output: work.output,
+        salt: rand::random(),
+    };
+    let choice = place::choose(&candidates, &call, &weights)?;
+    let endpoint = names[choice.index];
+    if choice.start == Start::Now && log::log_enabled!(log::Level::Info) {
+        let names: Vec<&str> = names.iter().map(|e| e.name.as_str()).collect();
+        log::info!(
+            "{} program={} turn={} candidates={} choice={} reason=\"cost={:.0} wait={:.0} miss={:.0} run={:.0} next={:.0}\"",
+            Event::CallPlaced,
+            work.program,
+            work.turn,
+            names.join(","),
+            endpoint.name,
+            choice.cost,
+            choice.wait,
+            choice.miss,
+            choice.run,
+            choice.next
+        );
+    }
+    Some((endpoint.clone(), choice))
+}
+
+/// Lists the endpoints that the selectors allow now: those of this data centre, or where it has
+/// none, all; without the ones that failed the call, unless there are no others.
+fn usable<'a>(core: &Core, view: &'a View, work: &Work) -> Vec<&'a Endpoint> {
+    let caller = view.config.caller(work.caller.as_str());
+    let grant = caller.and_then(|caller| {
+        let config = &view.config;
+        config.grant(caller, &work.program, work.kind, &work.serves)
+    });
+    let mut endpoints = grant.map(|grant| grant.endpoints).unwrap_or_default();
+    let near = |e: &&Endpoint| e.centre == core.settings.vm.centre;
+    if endpoints.iter().any(near) {
+        endpoints.retain(near);
+    }
+    let fresh = |e: &&Endpoint| !work.avoid.contains(&e.name);
+    if endpoints.iter().any(fresh) {
+        endpoints.retain(fresh);
+    }
+    endpoints
+}
+
+fn begin(standings: &mut [Standing], endpoint: &id::Endpoint, now: Millis, suspect: bool) {
+    if let Ok(at) = standings.binary_search_by(|s| s.endpoint.cmp(endpoint)) {
+        standings[at].begin(now, suspect);
+    }
+}
+
+fn slot(core: &Arc<Core>, endpoint: Endpoint, now: Millis, suspect: bool) -> Slot {
+    Slot {
+        endpoint,
+        core: core.clone(),
+        began: now,
+        suspect,
+        sample: None,
+    }
+}
+
+impl Slot {
+    /// Notes what the call showed of the endpoint.
+    pub fn note(&mut self, sample: Sample) {
+        self.sample = Some(sample);
+    }
+
+    /// Yields when the slot was given out.
+    #[must_use]
+    pub fn began(&self) -> Millis {
+        self.began
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.core.clock.now();
+        let mut state = self.core.desk.lock();
+        let at = state.standing(&self.endpoint.name, now);
+        state.standings[at].end(self.began, now, self.suspect, self.sample);
+        let idle = state.queue.is_empty();
+        drop(state);
+        if !idle {
+            pump(&self.core);
+        }
+    }
+}
+
+impl State {
+    /// Finds the standing of an endpoint, or begins to keep it.
+    fn standing(&mut self, endpoint: &id::Endpoint, now: Millis) -> usize {
+        let found = self
+            .standings
+            .binary_search_by(|s| s.endpoint.cmp(endpoint));
+        found.unwrap_or_else(|at| {
+            // At the VM's own start all endpoints are new to it, and none is to the others.
+            let starting = now.since(self.born) < shift::RAMP;
+            let since = if starting { Millis::ZERO } else { now };
+            self.standings
+                .insert(at, Standing::new(endpoint.clone(), since));
+            at
+        })
+    }
+}
+
+/// Lists the pools of endpoints that serve the same.
+fn pools(config: &Config) -> Vec<Vec<&id::Endpoint>> {
+    let first = |e: &Endpoint| e.serves.first().cloned().unwrap_or_default();
+    let mut names: Vec<String> = config.endpoints.iter().map(first).collect();
+    names.sort();
+    names.dedup();
+    let members = |name: String| {
+        let all = config.endpoints.iter();
+        all.filter(|e| first(e) == name).map(|e| &e.name).collect()
+    };
+    names.into_iter().map(members).collect()
+}
+
+fn sweep_pool(standings: &mut [Standing], pool: &[&id::Endpoint], now: Millis) {
+    let find = |name: &&id::Endpoint| standings.binary_search_by(|s| s.endpoint.cmp(name)).ok();
+    let places: Vec<usize> = pool.iter().filter_map(find).collect();
+    let mut detectors: Vec<eject::Detector> =
+        places.iter().map(|at| standings[*at].detector).collect();
+    for change in eject::sweep(&mut detectors, now) {
+        let endpoint = &standings[places[change.index]].endpoint;
+        match change.kind {
+            eject::Kind::Back => log::info!("{} endpoint={endpoint}", Event::EndpointRestored),
+            fault => log::warn!(
+                "{} endpoint={endpoint} reason={fault:?}",
+                Event::EndpointEjected
+            ),
+        }
+    }
+    for (at, detector) in places.into_iter().zip(detectors) {
+        standings[at].detector = detector;
+    }
+}
--- /dev/null
+++ b/crates/node/src/dispatch/runner.rs
@@ -0,0 +1,254 @@
+//! Speaks to model runners: one streamed chat completion, watched for silence, its output limit
+//! and its end marker.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+use settings::config::Class;
+use tokio::time::timeout;
+use wire::chat;
+use wire::clock::Millis;
+use wire::id;
+
+use crate::dispatch::collect::Partial;
+use crate::filters::header;
+use crate::http::client::Client;
+use crate::http::client::Fault;
+use crate::http::client::Post;
+use crate::http::sse::Events;
+
+/// The priority field of urgent calls; runners serve lower values first.
+const URGENT: i64 = -1;
+/// The priority field of routine calls.
+const ROUTINE: i64 = 0;
+/// How much of a refusal's body is read, in bytes.
+const MAX_REFUSAL: usize = 64 * 1024;
+
+/// One attempt at a turn.
+#[derive(Clone, Copy, Debug)]
+pub struct Job<'a> {
+    /// IP number and port of the runner.
+    pub address: &'a str,
+    /// The model, and the options that are passed through.
+    pub request: &'a chat::Request,
+    /// The whole history and the new messages.
+    pub prompt: &'a [chat::Message],
+    /// The program, a hint for the runner's cache.
+    pub program: &'a id::Program,
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// How soon it is heard.
+    pub class: Class,
+    /// The most tokens that this attempt may generate.
+    pub limit: u64,
+    /// How long the runner may be silent.
+    pub silence: Millis,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    /// The end marker came.
+    Whole {
+        /// Why the model stopped.
+        finish: String,
+        /// Tokens used.
+        usage: chat::Usage,
+    },
+    /// No connection was made: the call did not run.
+    NotSent(String),
+    /// The runner refused the call before it ran.
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// What it said.
+        detail: String,
+        /// When it may be asked again, where it said so.
+        retry_after: Option<Millis>,
+        /// Whether the refusal is about the request, and another runner would say the same.
+        lasting: bool,
+    },
+    /// The connection broke off, as it does when a runner crashes.
+    Broken(String),
+    /// The runner was silent for too long, or broke the protocol; it may still be running.
+    Stalled(String),
+}
+
+/// Runs one attempt; `delta` is called with each piece of the message.
+pub async fn run(
+    client: &Client,
+    job: Job<'_>,
+    partial: &mut Partial,
+    mut delta: impl FnMut(Value) + Send,
+) -> End {
+    let headers = [
+        (header::ATTEMPT, job.attempt.to_string()),
+        (header::PROGRAM, job.program.to_string()),
+    ];
+    let post = Post {
+        address: job.address,
+        path: "/v1/chat/completions",
+        kind: "application/json",
+        headers: &headers,
+        body: body(&job, partial),
+    };
+    let silence = job.silence.as_duration();
+    let response = match timeout(silence, client.post(post)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(Fault::NotSent(detail))) => return End::NotSent(detail),
+        Ok(Err(Fault::Broken(detail))) => return End::Broken(detail),
+        Err(_) => return End::Stalled(format!("no headers within {}", job.silence)),
+    };
+    if !response.status().is_success() {
+        return refused(response).await;
+    }
+    stream(job, response.into_body(), partial, &mut delta).await
+}
+
+fn body(job: &Job<'_>, partial: &Partial) -> Bytes {
+    let mut fields = job.request.rest.clone();
+    fields.insert("model".to_owned(), json!(job.request.model));
+    fields.insert("max_tokens".to_owned(), json!(job.limit));
+    fields.insert("stream".to_owned(), json!(true));
+    fields.insert("stream_options".to_owned(), json!({"include_usage": true}));
+    let priority = match job.class {
+        Class::Urgent => URGENT,
+        Class::Routine => ROUTINE,
+    };
+    fields.insert("priority".to_owned(), json!(priority));
+    if partial.is_empty() {
+        fields.insert("messages".to_owned(), json!(job.prompt));
+        return Value::Object(fields).to_string().into();
+    }
+    // What an earlier attempt said stands last, and the runner goes on from there.
+    let said = partial.message();
+    let messages: Vec<&chat::Message> = job.prompt.iter().chain([&said]).collect();
+    fields.insert("messages".to_owned(), json!(messages));
+    fields.insert("continue_final_message".to_owned(), json!(true));
+    fields.insert("add_generation_prompt".to_owned(), json!(false));
+    Value::Object(fields).to_string().into()
+}
+
+async fn refused(response: hyper::Response<Incoming>) -> End {
+    let status = response.status();
+    let seconds = response.headers().get(header::RETRY_AFTER);
+    let seconds = seconds.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    let body = Limited::new(response.into_body(), MAX_REFUSAL)
+        .collect()
+        .await;
+    let body = body
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
+    End::Refused {
+        status: status.as_u16(),
+        detail: String::from_utf8_lossy(&body).into_owned(),
+        retry_after: seconds.map(|s| Millis::new(s.saturating_mul(1_000))),
+        lasting: status.is_client_error() && status.as_u16() != 429 && status.as_u16() != 409,
+    }
+}
+
+/// What a stream has shown so far.
+#[derive(Default)]
+struct Seen {
+    finish: Option<String>,
+    usage: Option<chat::Usage>,
+    pieces: u64,
+}
+
+async fn stream(
+    job: Job<'_>,
+    mut incoming: Incoming,
+    partial: &mut Partial,
+    delta: &mut (impl FnMut(Value) + Send),
+) -> End {
+    let silence = job.silence.as_duration();
+    let mut events = Events::default();
+    let mut seen = Seen::default();
+    loop {
+        while let Some(data) = events.pop() {
+            if &*data == b"[DONE]" {
+                return whole(seen);
+            }
+            let Ok(chunk) = serde_json::from_slice::<Value>(&data) else {
+                return End::Stalled("a chunk isn't JSON".to_owned());
+            };
+            if chunk.get("error").is_some() {
+                return End::Broken(chunk["error"].to_string());
+            }
+            take(chunk, &mut seen, partial, delta);
+            if seen.pieces > job.limit {
+                // The runner ignores its limit; what is past the reservation is cut off here.
+                return End::Stalled(format!("more than {} tokens", job.limit));
+            }
+        }
+        match timeout(silence, incoming.frame()).await {
+            Err(_) => return End::Stalled(format!("silent for {}", job.silence)),
+            Ok(None) => return End::Broken("the stream ended without its end marker".to_owned()),
+            Ok(Some(Err(fault))) => return End::Broken(fault.to_string()),
+            Ok(Some(Ok(frame))) => {
+                let data = frame.data_ref().map_or(&[][..], |data| data);
+                if let Err(fault) = events.push(data) {
+                    return End::Stalled(fault.to_string());
+                }
+            }
+        }
+    }
+}
+
+fn take(
+    mut chunk: Value,
+    seen: &mut Seen,
+    partial: &mut Partial,
+    delta: &mut (impl FnMut(Value) + Send),
+) {
+    if let Some(usage) = usage(&chunk) {
+        seen.usage = Some(usage);
+    }
+    let Some(choice) = chunk.pointer_mut("/choices/0") else {
+        return;
+    };
+    if let Some(finish) = choice.get("finish_reason").and_then(Value::as_str) {
+        seen.finish = Some(finish.to_owned());
+    }
+    let piece = choice.get_mut("delta").map(Value::take).unwrap_or_default();
+    if says_something(&piece) {
+        seen.pieces += 1;
+        partial.add(&piece);
+        delta(piece);
+    }
+}
+
+fn says_something(piece: &Value) -> bool {
+    let empty = |value: &Value| value.is_null() || value.as_str() == Some("");
+    let fields = piece.as_object();
+    fields.is_some_and(|f: &Map<String, Value>| f.iter().any(|(n, v)| n != "role" && !empty(v)))
+}
+
+fn usage(chunk: &Value) -> Option<chat::Usage> {
+    let usage = chunk.get("usage").filter(|usage| usage.is_object())?;
+    let mut parsed: chat::Usage = serde_json::from_value(usage.clone()).ok()?;
+    if let Some(cached) = usage.pointer("/prompt_tokens_details/cached_tokens") {
+        parsed.cached_tokens = cached.as_u64().unwrap_or(parsed.cached_tokens);
+    }
+    Some(parsed)
+}
+
+/// Ends a stream whose end marker came. One without a finish reason was cut off by the runner
+/// itself and isn't whole.
+fn whole(seen: Seen) -> End {
+    let Some(finish) = seen.finish else {
+        return End::Broken("the end marker came without a finish reason".to_owned());
+    };
+    let counted = chat::Usage {
+        completion_tokens: seen.pieces,
+        ..chat::Usage::default()
+    };
+    End::Whole {
+        finish,
+        usage: seen.usage.unwrap_or(counted),
+    }
+}
--- /dev/null
+++ b/crates/node/src/dispatch/service.rs
@@ -0,0 +1,111 @@
+//! Speaks to plain services: one call, and what can be said of whether it ran.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use serde_json::Value;
+use tokio::time::timeout;
+use wire::ask::Call;
+use wire::clock::Millis;
+use wire::id;
+
+use crate::filters::header;
+use crate::http::client::Client;
+use crate::http::client::Fault;
+use crate::http::client::Post;
+
+/// The longest answer of a service in bytes; leaves room beside it in a journal key.
+const MAX_ANSWER: usize = 512 * 1024;
+
+/// One attempt at a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Job<'a> {
+    /// IP number and port of the service.
+    pub address: &'a str,
+    /// The call.
+    pub call: &'a Call,
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// How long the answer may take.
+    pub silence: Millis,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The service answered.
+    Answered {
+        /// The HTTP status.
+        status: u16,
+        /// The body.
+        body: Bytes,
+    },
+    /// The call did not run: no connection was made, or the service itself says so.
+    NotRun {
+        /// Why.
+        detail: String,
+    },
+    /// The call may have run, or may still run.
+    Unknown {
+        /// Why.
+        detail: String,
+    },
+}
+
+/// Runs one attempt.
+pub async fn run(client: &Client, job: Job<'_>) -> End {
+    let mut headers = vec![(header::ATTEMPT, job.attempt.to_string())];
+    if let Some(key) = &job.call.key {
+        headers.push((header::KEY, key.to_string()));
+    }
+    let path = format!("/{}", job.call.operation);
+    let post = Post {
+        address: job.address,
+        path: &path,
+        kind: "application/json",
+        headers: &headers,
+        body: job.call.body.clone(),
+    };
+    let answered = timeout(job.silence.as_duration(), send(client, post)).await;
+    answered.unwrap_or_else(|_| End::Unknown {
+        detail: format!("no answer within {}", job.silence),
+    })
+}
+
+async fn send(client: &Client, post: Post<'_>) -> End {
+    let response = match client.post(post).await {
+        Ok(response) => response,
+        Err(Fault::NotSent(detail)) => return End::NotRun { detail },
+        Err(Fault::Broken(detail)) => return End::Unknown { detail },
+    };
+    let status = response.status();
+    let body = match Limited::new(response.into_body(), MAX_ANSWER)
+        .collect()
+        .await
+    {
+        Ok(body) => body.to_bytes(),
+        Err(fault) => {
+            return End::Unknown {
+                detail: fault.to_string(),
+            };
+        }
+    };
+    if !status.is_success() && says_not_run(&body) {
+        let detail = String::from_utf8_lossy(&body).into_owned();
+        return End::NotRun { detail };
+    }
+    End::Answered {
+        status: status.as_u16(),
+        body,
+    }
+}
+
+/// Tells whether a service's refusal says that the call did not run: `{"ran": "no"}`, at the top
+/// or under `error`.
+fn says_not_run(body: &[u8]) -> bool {
+    let Ok(value) = serde_json::from_slice::<Value>(body) else {
+        return false;
+    };
+    let ran = value.get("ran").or_else(|| value.pointer("/error/ran"));
+    ran.and_then(Value::as_str) == Some("no")
+}
--- /dev/null
+++ b/crates/node/src/dispatch/standing.rs
@@ -0,0 +1,139 @@
+//! What this VM knows of one endpoint from its own calls: which run, which ended since the last
+//! load report, and how well they went.
+
+use policy::class::Class;
+use policy::eject::Detector;
+use policy::eject::Sample;
+use policy::place::Candidate;
+use settings::config::Endpoint;
+use settings::config::Kind;
+use wire::clock::Millis;
+use wire::id;
+
+use crate::view::Load;
+
+/// Tokens a second reckoned with before an endpoint has reported or shown its speed: a slow
+/// runner, so that an unknown one isn't preferred to a known one.
+const SPEED: f64 = 20.0;
+/// Prompt tokens prefilled in the time of one generated token. Prefill is batched over the prompt;
+/// runners report no figure for it.
+const PREFILL: f64 = 50.0;
+/// How long an endpoint gets nothing after it couldn't be reached or refused without saying for
+/// how long; about the lag of the load reports and the list, which then tell.
+pub const PAUSE: Millis = Millis::new(1_000);
+
+/// What this VM knows of one endpoint.
+#[derive(Clone, Debug)]
+pub struct Standing {
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// What its calls have shown.
+    pub detector: Detector,
+    /// When the running calls were sent.
+    running: Vec<Millis>,
+    /// When calls were sent and ended that the last report may still count.
+    ended: Vec<(Millis, Millis)>,
+    /// Until when it gets nothing.
+    paused: Millis,
+    /// How many of the running calls are under suspicion of crashing endpoints.
+    suspects: u32,
+}
+
+impl Standing {
+    /// Begins to keep an endpoint's standing.
+    #[must_use]
+    pub fn new(endpoint: id::Endpoint, since: Millis) -> Self {
+        Self {
+            endpoint,
+            detector: Detector::new(since),
+            running: Vec::new(),
+            ended: Vec::new(),
+            paused: Millis::ZERO,
+            suspects: 0,
+        }
+    }
+
+    /// Counts a call that is sent.
+    pub fn begin(&mut self, now: Millis, suspect: bool) {
+        self.running.push(now);
+        self.suspects += u32::from(suspect);
+    }
+
+    /// Counts the end of a call that was sent at `began`.
+    pub fn end(&mut self, began: Millis, now: Millis, suspect: bool, sample: Option<Sample>) {
+        self.suspects = self.suspects.saturating_sub(u32::from(suspect));
+        if let Some(at) = self.running.iter().position(|sent| *sent == began) {
+            self.running.swap_remove(at);
+        }
+        self.ended.push((began, now));
+        if let Some(sample) = sample {
+            self.detector.note(sample);
+        }
+    }
+
+    /// Gives the endpoint nothing until then.
+    pub fn pause(&mut self, until: Millis) {
+        self.paused = self.paused.max(until);
+    }
+
+    /// Drops what no report can count any more.
+    pub fn forget(&mut self, reported: Millis) {
+        self.ended.retain(|(_, ended)| *ended > reported);
+    }
+
+    /// Tells whether a call runs there that is under suspicion of crashing endpoints.
+    #[must_use]
+    pub fn has_suspect(&self) -> bool {
+        self.suspects > 0
+    }
+
+    /// Yields how many of this VM's calls run there.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Yields the endpoint as placement sees it; `None` where it may get nothing.
+    #[must_use]
+    pub fn candidate(
+        &self,
+        endpoint: &Endpoint,
+        load: Option<&Load>,
+        cached: u64,
+        now: Millis,
+    ) -> Option<Candidate> {
+        if now < self.paused || load.is_some_and(|load| !load.up || load.leaving) {
+            return None;
+        }
+        let reported = load.map_or(Millis::ZERO, |load| load.at);
+        let since = |sent: &Millis| *sent > reported;
+        let sent = self.running.iter().filter(|sent| since(sent)).count();
+        let ended = self.ended.iter();
+        let ended = ended.filter(|(sent, end)| *sent <= reported && *end > reported);
+        let speed = load.map_or(0.0, |load| load.speed);
+        let shown = self.detector.pace().map(|pace| 1_000.0 / pace.max(0.001));
+        let speed = match endpoint.kind {
+            Kind::Runner if speed > 0.0 => speed,
+            _ => shown.unwrap_or(SPEED),
+        };
+        Some(Candidate {
+            slots: endpoint.slots,
+            reported: load.map_or(0, |load| load.running.saturating_add(load.waiting)),
+            sent: u32::try_from(sent).unwrap_or(u32::MAX),
+            ended: u32::try_from(ended.count()).unwrap_or(u32::MAX),
+            speed,
+            prefill: speed * PREFILL,
+            cached,
+            share: self.detector.share(now),
+        })
+    }
+}
+
+/// Converts the operators' class to the policy's.
+#[must_use]
+pub fn class(class: settings::config::Class) -> Class {
+    match class {
+        settings::config::Class::Urgent => Class::Urgent,
+        settings::config::Class::Routine => Class::Routine,
+    }
+}
--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -66,7 +66,9 @@
     if let Some(response) = answer::probe(&view, &parsed.what) {
         return Ok(response);
     }
-    let caller = authenticate::caller(&view.config, parsed.token)?.name.clone();
+    let caller = authenticate::caller(&view.config, parsed.token)?
+        .name
+        .clone();
     if parsed.what == parse::What::Models {
         return Ok(answer::models(&view.config));
     }
@@ -79,7 +81,14 @@
     let program = ask.program.clone();
     let deadline = ask.deadline;
     let replies = forward::ask(core, ask);
-    answer::answer(core, shape, &program, answer::Wait { arrived, deadline }, replies).await
+    answer::answer(
+        core,
+        shape,
+        &program,
+        answer::Wait { arrived, deadline },
+        replies,
+    )
+    .await
 }
 
 /// Turns a parsed request into what its program's owner is asked.
--- a/crates/node/src/filters/answer.rs
+++ b/crates/node/src/filters/answer.rs
@@ -84,12 +84,10 @@
 pub fn probe(view: &View, what: &What) -> Option<Response> {
     match what {
         What::Health => Some(http::json(200, &json!({"status": "ok"}))),
-        What::Ready if view.stopping => {
-            Some(refuse(&Refusal::new(Code::ShuttingDown, "")))
-        }
-        What::Ready if view.config.revision == 0 && view.config.callers.is_empty() => {
-            Some(refuse(&Refusal::new(Code::PlatformDown, "no configuration yet")))
-        }
+        What::Ready if view.stopping => Some(refuse(&Refusal::new(Code::ShuttingDown, ""))),
+        What::Ready if view.config.revision == 0 && view.config.callers.is_empty() => Some(refuse(
+            &Refusal::new(Code::PlatformDown, "no configuration yet"),
+        )),
         What::Ready => Some(http::json(200, &json!({"status": "ready"}))),
         _ => None,
     }
@@ -257,7 +255,9 @@
     }
 
     fn send(&self, value: &Value) -> std::result::Result<(), ()> {
-        self.sender.send(sse::event(&value.to_string())).map_err(|_| ())
+        self.sender
+            .send(sse::event(&value.to_string()))
+            .map_err(|_| ())
     }
 
     fn chunk(&self, delta: &Value, finish: Option<&str>) -> Value {
@@ -294,6 +294,8 @@
 
 fn set(response: &mut Response, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
-        response.headers_mut().insert(HeaderName::from_static(name), value);
+        response
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
     }
 }
--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -19,6 +19,7 @@
 use wire::code::Refusal;
 use wire::event::Event;
 use wire::frame;
+use wire::id;
 
 use crate::core::Core;
 use crate::filters::answer;
@@ -53,15 +54,18 @@
 pub fn ask(core: &Arc<Core>, ask: Ask) -> Replies {
     let (sender, replies) = mpsc::unbounded_channel();
     let view = core.view();
-    if let Hop::Here(shard) = route::hop(core, &view, &ask.program) {
-        log::info!("{} program={} owner=here shard={shard}", Event::RequestRouted, ask.program);
-        let Err((ask, sender)) = core.registry.ask(&shard, ask, sender) else {
-            return replies;
-        };
-        // The shard went between the look-up and the hand-over.
-        core.tasks.spawn(relay(core.clone(), ask, sender));
-        return replies;
-    }
+    let (ask, sender) = match route::hop(core, &view, &ask.program) {
+        // The usual case needs no task of its own.
+        Hop::Here(shard) if core.registry.serves(&shard) => {
+            log::info!("{} program={} owner=here shard={shard}", Event::RequestRouted, ask.program);
+            match core.registry.ask(&shard, ask, sender) {
+                Ok(()) => return replies,
+                // The shard went between the look-up and the hand-over.
+                Err(back) => *back,
+            }
+        }
+        _ => (ask, sender),
+    };
     core.tasks.spawn(relay(core.clone(), ask, sender));
     replies
 }
@@ -84,7 +88,9 @@
     let body = http_body_util::combinators::BoxBody::new(Parts(parts));
     let mut response = Response::new(body);
     let kind = hyper::header::HeaderValue::from_static(FRAMES);
-    response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
     response
 }
 
@@ -160,12 +166,7 @@
 async fn step(core: &Arc<Core>, ask: &Ask, replies: &UnboundedSender<Reply>) -> Tried {
     let view = core.view();
     match route::hop(core, &view, &ask.program) {
-        Hop::Here(shard) => {
-            match core.registry.ask(&shard, ask.clone(), replies.clone()) {
-                Ok(()) => Tried::Finished,
-                Err(_) => Tried::Elsewhere(no_owner(ask)),
-            }
-        }
+        Hop::Here(shard) => here(core, ask, &shard, replies).await,
         Hop::There(..) if ask.hops >= MAX_HOPS => Tried::Elsewhere(no_owner(ask)),
         Hop::There(vm, address) => {
             log::info!(
@@ -184,13 +185,29 @@
     }
 }
 
-/// Sends an ask to another VM and passes its replies on.
-async fn there(
+/// Hands an ask to this VM's own actor and passes its replies on.
+async fn here(
     core: &Core,
     ask: &Ask,
-    address: &str,
+    shard: &id::Shard,
     replies: &UnboundedSender<Reply>,
 ) -> Tried {
+    let (sender, mut received) = mpsc::unbounded_channel();
+    if core.registry.ask(shard, ask.clone(), sender).is_err() {
+        return Tried::Elsewhere(no_owner(ask));
+    }
+    let mut seen = 0;
+    while let Some(reply) = received.recv().await {
+        match pass(reply, seen, replies) {
+            Some(tried) => return tried,
+            None => seen += 1,
+        }
+    }
+    Tried::Broken(seen)
+}
+
+/// Sends an ask to another VM and passes its replies on.
+async fn there(core: &Core, ask: &Ask, address: &str, replies: &UnboundedSender<Reply>) -> Tried {
     let Ok(body) = frame::encode(ask) else {
         let _gone = replies.send(Reply::Refused(Refusal::new(Code::BodyTooLarge, "")));
         return Tried::Finished;
--- a/crates/node/src/filters/parse.rs
+++ b/crates/node/src/filters/parse.rs
@@ -68,7 +68,11 @@
 /// and values that aren't allowed.
 pub async fn parse(limits: &Limits, request: Request<Incoming>) -> Result<Parsed> {
     let (head, incoming) = request.into_parts();
-    let length: usize = head.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
+    let length: usize = head
+        .headers
+        .iter()
+        .map(|(n, v)| n.as_str().len() + v.len())
+        .sum();
     if length + head.uri.path().len() > MAX_HEADERS {
         let detail = format!("at most {MAX_HEADERS} bytes");
         return Err(Refusal::new(Code::HeadersTooLarge, &detail));
@@ -199,7 +203,9 @@
         return Ok(None);
     };
     let text = value.to_str().map_err(|f| bad_field(name, f))?;
-    parse(text).map(Some).map_err(|fault| bad_field(name, fault))
+    parse(text)
+        .map(Some)
+        .map_err(|fault| bad_field(name, fault))
 }
 
 fn turn(text: &str) -> std::result::Result<u32, String> {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -30,9 +30,8 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let empty = || {
-            Histogram::new_with_bounds(1, LONGEST, DIGITS).expect("the bounds are constants")
-        };
+        let empty =
+            || Histogram::new_with_bounds(1, LONGEST, DIGITS).expect("the bounds are constants");
         Self(Mutex::new(State {
             first: empty(),
             whole: empty(),
@@ -107,8 +106,10 @@
         out.push_str("# TYPE chestnutyoke_refused_total counter\n");
         for (code, count) in &state.refused {
             let number = code.number();
-            let _infallible =
-                writeln!(out, "chestnutyoke_refused_total{{code=\"CY{number}\"}} {count}");
+            let _infallible = writeln!(
+                out,
+                "chestnutyoke_refused_total{{code=\"CY{number}\"}} {count}"
+            );
         }
         for (name, count) in &state.counts {
             let _infallible = writeln!(
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -1,3 +1,15 @@
 //! The owner of a shard: orders, journals, places and commits the calls of its programs.
+//!
+//! [`shard`] is the actor that alone decides on the shard's state; [`turn`] and [`call`] are the
+//! tasks that carry one accepted request through its steps and come back to the actor for each
+//! decision.
 
+pub mod call;
+pub mod feed;
+pub mod keep;
+pub mod message;
+pub mod pending;
 pub mod registry;
+pub mod seat;
+pub mod shard;
+pub mod turn;
--- /dev/null
+++ b/crates/node/src/owner/message.rs
@@ -0,0 +1,152 @@
+//! What a shard's actor is told and asked.
+
+use journal::gate;
+use journal::log;
+use journal::program::Program;
+use journal::record::Effect;
+use settings::config::Budget;
+use tokio::sync::oneshot;
+use wire::ask::Ask;
+use wire::chat;
+use wire::code::Refusal;
+use wire::id;
+
+use crate::owner::feed::Sink;
+
+/// A decision of the actor's, with the append that must be durable before its effect.
+pub struct Decided<T> {
+    /// What was decided.
+    pub value: T,
+    /// The append of its records.
+    pub durable: Option<log::Append>,
+}
+
+/// Where a decision goes.
+pub type Answer<T> = oneshot::Sender<Result<Decided<T>, Refusal>>;
+
+/// A message to a shard's actor.
+pub enum Message {
+    /// A caller's request.
+    Ask(Ask, Sink),
+    /// A turn has an endpoint and wants to start.
+    Begin(Begin, Answer<Begun>),
+    /// An attempt ended and the turn goes on elsewhere.
+    Restart(Restart, Answer<gate::Start>),
+    /// An answer is whole.
+    Commit(Commit, Answer<u32>),
+    /// A turn ends without an answer.
+    Stop(id::Program, id::Attempt, Option<u64>, Answer<()>),
+    /// An endpoint crashed while it ran a turn; answers whether the content is refused for good.
+    Blame(id::Program, id::Digest, id::Endpoint, Answer<bool>),
+    /// A call that may run at most once has an endpoint and wants to start.
+    Intend(Intend, Answer<()>),
+    /// What became of such a call.
+    Resolve(id::Program, id::Key, id::Attempt, Effect, Answer<()>),
+    /// The task of a request has ended; its place among the pending ones is free.
+    Over(crate::owner::pending::Name),
+    /// An endpoint confirmed that it holds no cache of an ended program.
+    Released(id::Program, id::Endpoint),
+    /// Look after idle and ended programs.
+    Tick,
+    /// Take no new turns, and answer when nothing runs any more.
+    Drain(oneshot::Sender<()>),
+    /// The shard has another owner.
+    Lost,
+}
+
+/// The start of a turn.
+pub struct Begin {
+    /// The program.
+    pub program: id::Program,
+    /// Who asks.
+    pub caller: id::Caller,
+    /// What the program may use, where it is to be made.
+    pub budget: Budget,
+    /// The turn.
+    pub turn: u32,
+    /// The new messages.
+    pub messages: Vec<chat::Message>,
+    /// Their digest, with the options.
+    pub digest: id::Digest,
+    /// Tokens that the answer may have.
+    pub want: u64,
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+}
+
+/// A turn that may start once its records are durable.
+pub struct Begun {
+    /// The attempt's output limit and turn.
+    pub start: gate::Start,
+    /// The history before the turn.
+    pub history: Vec<chat::Message>,
+}
+
+/// A further attempt of a turn.
+pub struct Restart {
+    /// The program.
+    pub program: id::Program,
+    /// The attempt that ended.
+    pub ended: id::Attempt,
+    /// Tokens that it generated; `None` where that isn't known.
+    pub used: Option<u64>,
+    /// Tokens that the rest may have.
+    pub want: u64,
+    /// The new attempt.
+    pub attempt: id::Attempt,
+    /// The new endpoint.
+    pub endpoint: id::Endpoint,
+}
+
+/// A whole answer.
+pub struct Commit {
+    /// The program.
+    pub program: id::Program,
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// The new messages.
+    pub messages: Vec<chat::Message>,
+    /// The answer.
+    pub answer: chat::Answer,
+    /// Tokens that the attempt generated.
+    pub used: u64,
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+}
+
+/// The start of a call that may run at most once.
+pub struct Intend {
+    /// The program.
+    pub program: id::Program,
+    /// Who asks.
+    pub caller: id::Caller,
+    /// What the program may use, where it is to be made.
+    pub budget: Budget,
+    /// The idempotency key.
+    pub key: id::Key,
+    /// The digest of service, operation and body.
+    pub digest: id::Digest,
+    /// The attempt.
+    pub attempt: id::Attempt,
+}
+
+/// Renders a program for its caller.
+#[must_use]
+pub fn show(program: &Program) -> serde_json::Value {
+    let running = program.running.as_ref();
+    serde_json::json!({
+        "program": program.id,
+        "caller": program.caller,
+        "turns": program.committed(),
+        "turns_allowed": program.turns,
+        "tokens_spent": program.spent,
+        "tokens_allowed": program.tokens,
+        "tokens_remaining": program.remaining(),
+        "running_turn": running.map(|r| r.turn),
+        "ended": program.ended.map(|e| format!("CY{}", e.code.number())),
+        "touched_ms": program.touched,
+        "messages": program.messages().collect::<Vec<_>>(),
+    })
+}
--- a/crates/node/src/owner/registry.rs
+++ b/crates/node/src/owner/registry.rs
@@ -3,38 +3,65 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
-use derive_more::Display;
-use derive_more::Error;
+use journal::claim;
+use journal::copy::Held;
+use journal::log::Log;
+use journal::log::Setup;
+use journal::log::Status;
+use platform::edge::Lease;
+use ractor::Actor;
+use ractor::ActorRef;
+use ractor::MessagingErr;
+use tokio::sync::oneshot;
+use wire::ask::Ask;
+use wire::event::Event;
 use wire::id;
 
 use crate::core::Core;
-
-/// Why a shard couldn't be claimed.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
-#[display("{reason}")]
-pub struct Fault {
-    /// What failed, for the log.
-    pub reason: String,
-}
+use crate::owner::feed::Sink;
+use crate::owner::message::Message;
+use crate::owner::shard;
 
 /// The outcome of a claim.
-pub type Result<T> = std::result::Result<T, Fault>;
+pub type Result<T> = claim::Result<T>;
 
 /// The shards that this VM owns, sorted by shard.
 #[derive(Default)]
-pub struct Registry {
-    held: Mutex<Vec<Held>>,
+pub struct Registry(Mutex<Vec<Entry>>);
+
+#[derive(Clone)]
+struct Entry {
+    shard: id::Shard,
+    epoch: u64,
+    phase: Phase,
+    actor: ActorRef<Message>,
+    log: Log,
+    setup: Setup,
+}
+
+/// Whether an owned shard takes new turns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It does.
+    Serving,
+    /// It is about to be given up.
+    Draining,
 }
 
 /// An owned shard.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Held {
+pub struct Owned {
     /// The shard.
     pub shard: id::Shard,
     /// The number of this ownership.
     pub epoch: u64,
+    /// Whether it takes new turns.
+    pub phase: Phase,
+    /// Where its journal stands.
+    pub status: Status,
 }
 
 impl Registry {
@@ -43,31 +70,187 @@
     ///
     /// # Errors
     ///
-    /// Fails where the journal can't be opened now; the claim may be tried again.
-    pub async fn claim(&self, core: &Arc<Core>, shard: &id::Shard) -> Result<u64> {
-        tokio::task::yield_now().await;
-        let _ = core;
-        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
-        held.push(Held {
+    /// Fails where the shard can't be opened now; the claim may be tried again.
+    pub async fn claim(&self, core: &Arc<Core>, setup: Setup, lease: Lease) -> Result<u64> {
+        let opened = claim::open(setup.clone(), lease).await?;
+        let shard = setup.shard.clone();
+        let arguments = shard::Arguments {
+            core: core.clone(),
             shard: shard.clone(),
-            epoch: 1,
-        });
-        Ok(1)
+            state: opened.state,
+            log: opened.log.clone(),
+        };
+        let spawned = Actor::spawn(None, shard::Shard, arguments).await;
+        let (actor, _task) = spawned.map_err(|f| claim::Fault::Damaged(f.to_string()))?;
+        core.tasks
+            .spawn(watch(core.clone(), opened.log.clone(), actor.clone()));
+        let entry = Entry {
+            shard,
+            epoch: opened.epoch,
+            phase: Phase::Serving,
+            actor,
+            log: opened.log,
+            setup,
+        };
+        log::info!(
+            "{} shard={} epoch={}",
+            Event::ShardOpened,
+            entry.shard,
+            entry.epoch
+        );
+        let mut entries = self.lock();
+        match entries.binary_search_by(|e| e.shard.cmp(&entry.shard)) {
+            Ok(at) => entries[at] = entry,
+            Err(at) => entries.insert(at, entry),
+        }
+        Ok(opened.epoch)
+    }
+
+    /// Writes the ownership record of an open shard anew after its lease has lapsed. `false` where
+    /// the shard isn't open here or another VM holds the record.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the platform doesn't answer as it should.
+    pub async fn reclaim(&self, shard: &id::Shard, lease: Lease) -> Result<bool> {
+        let Some(entry) = self.entry(shard) else {
+            return Ok(false);
+        };
+        claim::reclaim(&entry.setup, entry.epoch, lease).await
     }
 
-    /// Finishes what runs of a shard, then gives it up. What still arrives meanwhile is refused
-    /// or forwarded to the next owner. Returns when the shard is free to be claimed by another.
-    pub async fn release(&self, core: &Arc<Core>, shard: &id::Shard) {
-        tokio::task::yield_now().await;
-        let _ = core;
-        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
-        held.retain(|h| h.shard != *shard);
+    /// Finishes what runs of a shard, then gives it up. What still arrives meanwhile waits or is
+    /// forwarded. Returns when the shard is free to be claimed by another.
+    pub async fn release(&self, shard: &id::Shard) {
+        let Some(entry) = self.entry(shard) else {
+            return;
+        };
+        self.set_draining(shard);
+        let (sender, drained) = oneshot::channel();
+        if entry.actor.cast(Message::Drain(sender)).is_ok() {
+            let _gone = drained.await;
+        }
+        self.remove(shard, entry.epoch);
+        entry.actor.stop(None);
+        if let Err(fault) = claim::release(&entry.setup, entry.epoch).await {
+            // The lease's end frees the shard as well, only later.
+            log::warn!("{} shard={shard} reason={fault:?}", Event::ShardReleased);
+            return;
+        }
+        log::info!(
+            "{} shard={shard} epoch={}",
+            Event::ShardReleased,
+            entry.epoch
+        );
+    }
+
+    /// Steps down for a newer owner of a shard, and yields what may not be in its journal yet.
+    pub async fn surrender(&self, shard: &id::Shard, epoch: u64) -> Vec<Held> {
+        let Some(entry) = self.entry(shard).filter(|entry| entry.epoch < epoch) else {
+            return Vec::new();
+        };
+        let held = entry.log.surrender().await;
+        self.remove(shard, entry.epoch);
+        let _stopped = entry.actor.cast(Message::Lost);
+        held
+    }
+
+    /// Forgets a shard that has another owner.
+    pub fn lose(&self, shard: &id::Shard, epoch: u64) {
+        self.remove(shard, epoch);
     }
 
     /// Yields the shards that this VM owns, sorted.
     #[must_use]
-    pub fn owned(&self) -> Vec<Held> {
-        let held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
-        held.clone()
+    pub fn owned(&self) -> Vec<Owned> {
+        let owned = |entry: &Entry| Owned {
+            shard: entry.shard.clone(),
+            epoch: entry.epoch,
+            phase: entry.phase,
+            status: entry.log.status(),
+        };
+        self.lock().iter().map(owned).collect()
+    }
+
+    /// Tells whether this VM owns a shard.
+    #[must_use]
+    pub fn holds(&self, shard: &id::Shard) -> bool {
+        self.entry_at(shard, |_| ()).is_some()
+    }
+
+    /// Tells whether this VM owns a shard and takes new turns of it.
+    #[must_use]
+    pub fn serves(&self, shard: &id::Shard) -> bool {
+        self.entry_at(shard, |e| e.phase) == Some(Phase::Serving)
+    }
+
+    /// Hands an ask to a shard's actor.
+    ///
+    /// # Errors
+    ///
+    /// Gives the ask back where the shard isn't owned here.
+    pub fn ask(
+        &self,
+        shard: &id::Shard,
+        ask: Ask,
+        sink: Sink,
+    ) -> std::result::Result<(), Box<(Ask, Sink)>> {
+        let Some(actor) = self.entry_at(shard, |e| e.actor.clone()) else {
+            return Err(Box::new((ask, sink)));
+        };
+        match actor.cast(Message::Ask(ask, sink)) {
+            Err(MessagingErr::SendErr(Message::Ask(ask, sink))) => Err(Box::new((ask, sink))),
+            // A message that is lost otherwise drops its sink, which its listener notices.
+            _ => Ok(()),
+        }
+    }
+
+    /// Tells every shard to look after its idle and ended programs.
+    pub fn tick(&self) {
+        for entry in self.lock().iter() {
+            let _gone = entry.actor.cast(Message::Tick);
+        }
+    }
+
+    fn entry(&self, shard: &id::Shard) -> Option<Entry> {
+        self.entry_at(shard, Entry::clone)
+    }
+
+    fn entry_at<T>(&self, shard: &id::Shard, read: impl Fn(&Entry) -> T) -> Option<T> {
+        let entries = self.lock();
+        let at = entries.binary_search_by(|e| e.shard.cmp(shard)).ok()?;
+        Some(read(&entries[at]))
+    }
+
+    fn set_draining(&self, shard: &id::Shard) {
+        let mut entries = self.lock();
+        if let Ok(at) = entries.binary_search_by(|e| e.shard.cmp(shard)) {
+            entries[at].phase = Phase::Draining;
+        }
+    }
+
+    fn remove(&self, shard: &id::Shard, epoch: u64) {
+        self.lock()
+            .retain(|e| e.shard != *shard || e.epoch != epoch);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Entry>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Tells the actor when its journal has another owner.
+async fn watch(core: Arc<Core>, log: Log, actor: ActorRef<Message>) {
+    let mut status = log.watch();
+    drop(log);
+    let lost = async {
+        // An error means that the log's task has ended, as it does once the shard is released.
+        let _ended = status.wait_for(|status| *status == Status::Lost).await;
+    };
+    tokio::select! {
+        () = lost => {
+            let _stopped = actor.cast(Message::Lost);
+        }
+        () = core.stopped.cancelled() => {}
     }
 }
--- /dev/null
+++ b/crates/node/src/owner/shard.rs
@@ -0,0 +1,543 @@
+//! The actor of one shard: the only place that decides on its programs. It applies each decision
+//! to its state and hands it to the journal in one step; the effects wait, in the requests' own
+//! tasks, until the journal has it.
+
+use std::sync::Arc;
+
+use journal::gate;
+use journal::gate::Turn;
+use journal::log::Append;
+use journal::log::Log;
+use journal::program::Program;
+use journal::record::Record;
+use journal::state::State;
+use ractor::Actor;
+use ractor::ActorProcessingErr;
+use ractor::ActorRef;
+use settings::config::Budget;
+use settings::config::Kind;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use wire::ask::Ask;
+use wire::ask::Body;
+use wire::ask::Chat;
+use wire::ask::Reply;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Refusal;
+use wire::event::Event;
+use wire::id;
+
+use crate::core::Core;
+use crate::dispatch::desk::Work;
+use crate::owner::call;
+use crate::owner::feed::Feed;
+use crate::owner::feed::Sink;
+use crate::owner::keep;
+use crate::owner::message;
+use crate::owner::message::Answer;
+use crate::owner::message::Begun;
+use crate::owner::message::Decided;
+use crate::owner::message::Message;
+use crate::owner::pending;
+use crate::owner::pending::Name;
+use crate::owner::pending::Pending;
+use crate::owner::seat::Seats;
+use crate::owner::turn;
+
+/// Tokens reserved for a turn whose caller names no limit: what a long answer takes. The rest of
+/// the reservation is free again once the turn commits.
+const RESERVE: u64 = 4_096;
+/// When a caller may come again whose shard is being handed over.
+const HANDOVER: Millis = Millis::new(500);
+
+/// The actor's behaviour.
+pub struct Shard;
+
+/// What an actor is started with.
+pub struct Arguments {
+    /// The node.
+    pub core: Arc<Core>,
+    /// The shard.
+    pub shard: id::Shard,
+    /// Its state, rebuilt from the journal.
+    pub state: State,
+    /// Its journal.
+    pub log: Log,
+}
+
+/// What an actor knows.
+pub struct Owner {
+    pub(super) core: Arc<Core>,
+    pub(super) shard: id::Shard,
+    pub(super) state: State,
+    pub(super) log: Log,
+    pub(super) myself: ActorRef<Message>,
+    pub(super) pending: pending::List,
+    pub(super) seats: Seats,
+    pub(super) appended: u64,
+    draining: Vec<oneshot::Sender<()>>,
+}
+
+impl Actor for Shard {
+    type Msg = Message;
+    type State = Owner;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        arguments: Arguments,
+    ) -> Result<Owner, ActorProcessingErr> {
+        Ok(Owner {
+            core: arguments.core,
+            shard: arguments.shard,
+            state: arguments.state,
+            log: arguments.log,
+            myself,
+            pending: pending::List::default(),
+            seats: Seats::default(),
+            appended: 0,
+            draining: Vec::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Message>,
+        message: Message,
+        owner: &mut Owner,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            Message::Ask(ask, sink) => owner.ask(ask, sink),
+            Message::Begin(begin, answer) => reply(answer, owner.begin(&begin)),
+            Message::Restart(restart, answer) => reply(answer, owner.restart(&restart)),
+            Message::Commit(commit, answer) => reply(answer, owner.commit(commit)),
+            Message::Stop(program, attempt, used, answer) => {
+                let record = gate::stop(&owner.state, &program, attempt, used);
+                reply(answer, Ok(owner.decide((), record)));
+            }
+            Message::Blame(program, digest, endpoint, answer) => {
+                reply(answer, Ok(owner.blame(&program, digest, &endpoint)));
+            }
+            Message::Intend(intend, answer) => reply(answer, owner.intend(&intend)),
+            Message::Resolve(program, key, attempt, effect, answer) => {
+                let record = gate::resolve(&owner.state, &program, &key, attempt, effect);
+                reply(answer, Ok(owner.decide((), record)));
+            }
+            Message::Over(name) => owner.over(&name),
+            Message::Released(program, endpoint) => {
+                let record = gate::released(&owner.state, &program, &endpoint);
+                owner.apply(record.into_iter().collect());
+            }
+            Message::Tick => keep::tick(owner),
+            Message::Drain(done) => owner.drain(done),
+            Message::Lost => {
+                owner.lose();
+                myself.stop(None);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Answers a task; one that is gone needs no answer.
+fn reply<T>(answer: Answer<T>, decided: Result<Decided<T>, Refusal>) {
+    let _gone = answer.send(decided);
+}
+
+impl Owner {
+    /// Applies records to the state and hands them to the journal.
+    pub(super) fn apply(&mut self, records: Vec<Record>) -> Option<Append> {
+        if records.is_empty() {
+            return None;
+        }
+        for record in &records {
+            self.state.apply(record);
+        }
+        self.appended += records.len() as u64;
+        Some(self.log.append(records))
+    }
+
+    pub(super) fn now(&self) -> Millis {
+        self.core.clock.now()
+    }
+
+    fn decide<T>(&mut self, value: T, records: impl IntoIterator<Item = Record>) -> Decided<T> {
+        let durable = self.apply(records.into_iter().collect());
+        Decided { value, durable }
+    }
+
+    fn ask(&mut self, ask: Ask, sink: Sink) {
+        let refused = match &ask.body {
+            Body::Chat(chat) => self.chat(&ask, chat, &sink),
+            Body::Call(call) => call::ask(self, &ask, call, &sink),
+            Body::Create => self
+                .create(&ask)
+                .and_then(|durable| self.show(&ask, &sink, durable)),
+            Body::Show => self.show(&ask, &sink, None),
+            Body::End => self
+                .end(&ask)
+                .and_then(|durable| self.show(&ask, &sink, durable)),
+        };
+        if let Err(refusal) = refused {
+            let _gone = sink.send(Reply::Refused(refusal));
+        }
+    }
+
+    /// Refuses new work while the shard is handed over.
+    pub(super) fn check_open(&self) -> Result<(), Refusal> {
+        if self.draining.is_empty() {
+            return Ok(());
+        }
+        Err(Refusal::new(Code::ShuttingDown, "").retry_after(HANDOVER))
+    }
+
+    fn chat(&mut self, ask: &Ask, chat: &Chat, sink: &Sink) -> Result<(), Refusal> {
+        let digest = digest(chat);
+        let name = Name::Turn(ask.program.clone());
+        if let Some(pending) = self.pending.find(&name)
+            && pending.caller == ask.caller
+            && chat.turn.is_none_or(|turn| turn == pending.turn)
+        {
+            if pending.digest != digest {
+                return Err(Refusal::new(Code::TurnConflict, &pending.turn.to_string()));
+            }
+            pending.feed.join(sink.clone());
+            return Ok(());
+        }
+        let work = turn::work(&self.core, ask, chat)?;
+        if self.state.program(&ask.program).is_none() && chat.turn == Some(1) {
+            return self.chat_first(ask, chat, digest, work, sink);
+        }
+        let begin = self.gate(ask, chat, digest);
+        match gate::begin(&self.state, &begin)? {
+            Turn::Replay { turn, answer } => {
+                let answer = answer.clone();
+                let _gone = sink.send(Reply::Done { turn, answer });
+                Ok(())
+            }
+            // A turn that runs here is pending and was joined above.
+            Turn::Join { turn, .. } => Err(Refusal::new(Code::TurnConflict, &turn.to_string())),
+            Turn::Start(start) => {
+                self.check_open()?;
+                self.launch(ask, chat, start.turn, digest, work, sink);
+                Ok(())
+            }
+        }
+    }
+
+    /// Begins a program with its first turn. It is made when the turn starts, in the same append.
+    fn chat_first(
+        &mut self,
+        ask: &Ask,
+        chat: &Chat,
+        digest: id::Digest,
+        work: Work,
+        sink: &Sink,
+    ) -> Result<(), Refusal> {
+        self.check_open()?;
+        if self
+            .state
+            .poisoned(self.state.content(&ask.program, digest))
+        {
+            return Err(Refusal::new(Code::Poisoned, ""));
+        }
+        self.launch(ask, chat, 1, digest, work, sink);
+        Ok(())
+    }
+
+    fn gate<'a>(&self, ask: &'a Ask, chat: &'a Chat, digest: id::Digest) -> gate::Begin<'a> {
+        gate::Begin {
+            program: &ask.program,
+            caller: &ask.caller,
+            turn: chat.turn,
+            messages: &chat.request.messages,
+            digest,
+            want: chat.request.max_tokens.unwrap_or(RESERVE),
+            attempt: id::Attempt(rand::random()),
+            endpoint: None,
+            now: self.now(),
+        }
+    }
+
+    fn launch(
+        &mut self,
+        ask: &Ask,
+        chat: &Chat,
+        turn: u32,
+        digest: id::Digest,
+        mut work: Work,
+        sink: &Sink,
+    ) {
+        let feed = Feed::default();
+        feed.join(sink.clone());
+        let cancel = CancellationToken::new();
+        let name = Name::Turn(ask.program.clone());
+        self.pending.insert(Pending {
+            name,
+            caller: ask.caller.clone(),
+            turn,
+            digest,
+            feed: feed.clone(),
+            cancel: cancel.clone(),
+        });
+        work.turn = turn;
+        if let Some(program) = self.state.program(&ask.program) {
+            turn::remember(&mut work, program, self.seats.find(&ask.program));
+        }
+        let task = turn::Task {
+            core: self.core.clone(),
+            shard: self.myself.clone(),
+            caller: ask.caller.clone(),
+            budget: budget(&self.core, ask),
+            request: chat.request.clone(),
+            want: chat.request.max_tokens.unwrap_or(RESERVE),
+            turn,
+            digest,
+            work,
+            feed,
+            cancel,
+        };
+        self.core.tasks.spawn(task.run());
+    }
+
+    fn begin(&mut self, begin: &message::Begin) -> Result<Decided<Begun>, Refusal> {
+        let created = self.first_of(&begin.program, &begin.caller, begin.budget)?;
+        let gate = gate::Begin {
+            program: &begin.program,
+            caller: &begin.caller,
+            turn: Some(begin.turn),
+            messages: &begin.messages,
+            digest: begin.digest,
+            want: begin.want,
+            attempt: begin.attempt,
+            endpoint: Some(&begin.endpoint),
+            now: self.core.clock.now(),
+        };
+        let start = match gate::begin(&self.state, &gate) {
+            Ok(Turn::Start(start)) => start,
+            Ok(_) => return Err(Refusal::new(Code::Internal, "the turn began twice")),
+            Err(refusal) => {
+                let _durable = self.apply(created.into_iter().collect());
+                return Err(refusal);
+            }
+        };
+        let program = self.state.program(&begin.program);
+        let history = program.map(|p| p.messages().cloned().collect());
+        let records: Vec<Record> = created.into_iter().chain(start.records.clone()).collect();
+        let begun = Begun {
+            start,
+            history: history.unwrap_or_default(),
+        };
+        Ok(self.decide(begun, records))
+    }
+
+    /// Applies the making of a program that doesn't exist yet, and yields its record, which goes
+    /// to the journal with the program's first deed.
+    fn first_of(
+        &mut self,
+        program: &id::Program,
+        caller: &id::Caller,
+        budget: Budget,
+    ) -> Result<Option<Record>, Refusal> {
+        if self.state.program(program).is_some() {
+            return Ok(None);
+        }
+        let wish = gate::Create {
+            program,
+            caller,
+            tokens: budget.tokens,
+            turns: budget.turns,
+            idle: budget.idle,
+            now: self.core.clock.now(),
+        };
+        let record = gate::create(&self.state, &wish)?;
+        for record in &record {
+            self.state.apply(record);
+        }
+        Ok(record)
+    }
+
+    fn restart(&mut self, restart: &message::Restart) -> Result<Decided<gate::Start>, Refusal> {
+        let gate = gate::Restart {
+            program: &restart.program,
+            ended: restart.ended,
+            used: restart.used,
+            want: restart.want,
+            attempt: restart.attempt,
+            endpoint: Some(&restart.endpoint),
+            now: self.now(),
+        };
+        let start = gate::restart(&self.state, &gate)?.ok_or_else(superseded)?;
+        let records = start.records.clone();
+        Ok(self.decide(start, records))
+    }
+
+    fn commit(&mut self, commit: message::Commit) -> Result<Decided<u32>, Refusal> {
+        let turn = self
+            .state
+            .program(&commit.program)
+            .map_or(0, |p| p.committed() + 1);
+        let gate = gate::Commit {
+            program: &commit.program,
+            attempt: commit.attempt,
+            messages: commit.messages,
+            answer: commit.answer,
+            used: commit.used,
+            endpoint: &commit.endpoint,
+            now: self.core.clock.now(),
+        };
+        let record = gate::commit(&self.state, gate)?.ok_or_else(superseded)?;
+        self.seats.set(&commit.program, &commit.endpoint);
+        Ok(self.decide(turn, [record]))
+    }
+
+    fn blame(
+        &mut self,
+        program: &id::Program,
+        digest: id::Digest,
+        endpoint: &id::Endpoint,
+    ) -> Decided<bool> {
+        log::warn!(
+            "{} program={program} endpoint={endpoint}",
+            Event::CallBlamed
+        );
+        match gate::blame(&self.state, program, digest, endpoint) {
+            gate::Blame::Suspect(records) => self.decide(false, records),
+            gate::Blame::Poisoned(records) => self.decide(true, records),
+        }
+    }
+
+    fn intend(&mut self, intend: &message::Intend) -> Result<Decided<()>, Refusal> {
+        let created = self.first_of(&intend.program, &intend.caller, intend.budget)?;
+        let gate = gate::Intend {
+            program: &intend.program,
+            caller: &intend.caller,
+            key: &intend.key,
+            digest: intend.digest,
+            attempt: intend.attempt,
+            now: self.now(),
+            status: self.log.status(),
+        };
+        let records = match gate::intend(&self.state, &gate) {
+            Ok(gate::Call::Start(records)) => records,
+            Ok(_) => return Err(Refusal::new(Code::Internal, "the call began twice")),
+            Err(refusal) => {
+                let _durable = self.apply(created.into_iter().collect());
+                return Err(refusal);
+            }
+        };
+        let records: Vec<Record> = created.into_iter().chain(records).collect();
+        Ok(self.decide((), records))
+    }
+
+    /// Makes a program; its budget is that of the selector that speaks for its caller.
+    fn create(&mut self, ask: &Ask) -> Result<Option<Append>, Refusal> {
+        let budget = budget(&self.core, ask);
+        let wish = gate::Create {
+            program: &ask.program,
+            caller: &ask.caller,
+            tokens: budget.tokens,
+            turns: budget.turns,
+            idle: budget.idle,
+            now: self.now(),
+        };
+        let record = gate::create(&self.state, &wish)?;
+        Ok(self.apply(record.into_iter().collect()))
+    }
+
+    fn end(&mut self, ask: &Ask) -> Result<Option<Append>, Refusal> {
+        let now = self.now();
+        let code = Code::ProgramEnded;
+        let records = gate::end(&self.state, &ask.program, &ask.caller, code, now)?;
+        if let Some(pending) = self.pending.find(&Name::Turn(ask.program.clone())) {
+            pending.cancel.cancel();
+        }
+        Ok(self.apply(records))
+    }
+
+    /// Shows a program once what was decided of it is durable.
+    fn show(&self, ask: &Ask, sink: &Sink, durable: Option<Append>) -> Result<(), Refusal> {
+        let unknown = || Refusal::new(Code::UnknownProgram, ask.program.as_str());
+        let program: Option<&Program> = self.state.program(&ask.program);
+        let program = program
+            .filter(|p| p.caller == ask.caller)
+            .ok_or_else(unknown)?;
+        let shown = Reply::Shown(message::show(program));
+        let Some(durable) = durable else {
+            let _gone = sink.send(shown);
+            return Ok(());
+        };
+        let sink = sink.clone();
+        self.core.tasks.spawn(async move {
+            let reply = match durable.await {
+                Ok(_) => shown,
+                Err(fault) => Reply::Refused(turn::lost(&fault)),
+            };
+            let _gone = sink.send(reply);
+        });
+        Ok(())
+    }
+
+    fn over(&mut self, name: &Name) {
+        self.pending.remove(name);
+        self.answer_drained();
+    }
+
+    fn drain(&mut self, done: oneshot::Sender<()>) {
+        self.draining.push(done);
+        self.answer_drained();
+    }
+
+    fn answer_drained(&mut self) {
+        if !self.pending.is_empty() {
+            return;
+        }
+        for done in std::mem::take(&mut self.draining) {
+            let _gone = done.send(());
+        }
+    }
+
+    /// Ends every request: whatever another owner does with them, this one can't know.
+    fn lose(&mut self) {
+        log::warn!(
+            "{} shard={} epoch={}",
+            Event::ShardLost,
+            self.shard,
+            self.state.epoch()
+        );
+        self.core.registry.lose(&self.shard, self.state.epoch());
+        for pending in self.pending.iter() {
+            pending.cancel.cancel();
+        }
+    }
+}
+
+fn superseded() -> Refusal {
+    Refusal::new(Code::ProgramEnded, "the attempt was superseded").ran(wire::code::Ran::Yes)
+}
+
+/// Yields the digest of a turn's content: the same turn asked again has the same, streamed or not.
+fn digest(chat: &Chat) -> id::Digest {
+    let request = &chat.request;
+    let content = (
+        &request.messages,
+        &request.model,
+        &request.max_tokens,
+        &request.rest,
+    );
+    id::Digest::of(&serde_json::to_vec(&content).unwrap_or_default())
+}
+
+pub(super) fn budget(core: &Core, ask: &Ask) -> Budget {
+    let view = core.view();
+    let (kind, serves) = match &ask.body {
+        Body::Chat(chat) => (Kind::Runner, chat.request.model.as_str()),
+        Body::Call(call) => (Kind::Service, call.service.as_str()),
+        Body::Create | Body::Show | Body::End => (Kind::Runner, ""),
+    };
+    let caller = view.config.caller(ask.caller.as_str());
+    let grant = caller.and_then(|c| view.config.grant(c, &ask.program, kind, serves));
+    grant.map(|grant| grant.selector.budget).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/node/src/owner/turn.rs
@@ -0,0 +1,461 @@
+//! Carries one turn through its steps: a slot, the durable start, the run, the durable commit,
+//! the last reply. Nobody needs to listen for it to go on.
+
+use std::sync::Arc;
+
+use journal::log::Fault;
+use journal::program::Program;
+use policy::eject::Sample;
+use policy::retry::Failure;
+use policy::retry::Repeat;
+use policy::retry::Verdict;
+use ractor::ActorRef;
+use settings::config::Budget;
+use settings::config::Kind;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use wire::ask::Ask;
+use wire::ask::Chat;
+use wire::ask::Reply;
+use wire::chat;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Ran;
+use wire::code::Refusal;
+use wire::event::Event;
+use wire::id;
+
+use crate::core::Core;
+use crate::dispatch::collect::Partial;
+use crate::dispatch::desk;
+use crate::dispatch::desk::Slot;
+use crate::dispatch::desk::Work;
+use crate::dispatch::runner;
+use crate::dispatch::runner::End;
+use crate::dispatch::standing;
+use crate::filters::authenticate;
+use crate::owner::feed::Feed;
+use crate::owner::message;
+use crate::owner::message::Answer;
+use crate::owner::message::Message;
+use crate::owner::pending::Name;
+
+/// Bytes of text a token, as the usual tokenizers have it for English.
+const TOKEN_BYTES: u64 = 4;
+/// Tokens that an answer is expected to have where its limit is higher.
+const EXPECTED: u64 = 256;
+
+/// The outcome of a step.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// One turn under way.
+pub struct Task {
+    /// The node.
+    pub core: Arc<Core>,
+    /// The shard's actor.
+    pub shard: ActorRef<Message>,
+    /// Who asks.
+    pub caller: id::Caller,
+    /// What the program may use, where it is to be made.
+    pub budget: Budget,
+    /// The new messages and the options.
+    pub request: chat::Request,
+    /// Tokens that the answer may have.
+    pub want: u64,
+    /// The turn.
+    pub turn: u32,
+    /// The digest of the new messages and options.
+    pub digest: id::Digest,
+    /// What placement has to know.
+    pub work: Work,
+    /// The replies.
+    pub feed: Feed,
+    /// Set when the program ends or the shard is lost.
+    pub cancel: CancellationToken,
+}
+
+/// An attempt that may be sent.
+struct Attempt {
+    id: id::Attempt,
+    limit: u64,
+    slot: Slot,
+}
+
+/// What an attempt's end means for the turn.
+struct Failed {
+    /// What it is called towards the caller.
+    refusal: Refusal,
+    /// Tokens generated; `None` where that isn't known.
+    used: Option<u64>,
+    /// Whether the endpoint crashed.
+    crashed: bool,
+    /// Whether any other endpoint would fail it as well.
+    lasting: bool,
+}
+
+impl Task {
+    /// Runs the turn to its last reply.
+    pub async fn run(self) {
+        let mut ran = Ran::No;
+        let outcome = tokio::select! {
+            outcome = self.drive(&mut ran) => outcome,
+            () = self.cancel.cancelled() => Err(Refusal::new(Code::ProgramEnded, "")),
+        };
+        match outcome {
+            Ok(last) => self.feed.finish(last),
+            // Whatever is said of the last step, what was sent before it may have run.
+            Err(refusal) if refusal.ran == Ran::No => self.feed.refuse(refusal.ran(ran)),
+            Err(refusal) => self.feed.refuse(refusal),
+        }
+        let name = Name::Turn(self.work.program.clone());
+        let _gone = self.shard.cast(Message::Over(name));
+    }
+
+    async fn drive(&self, ran: &mut Ran) -> Result<Reply> {
+        let mut work = self.work.clone();
+        let mut partial = Partial::default();
+        let (mut attempt, prompt) = self.begin(&work).await?;
+        loop {
+            let before = std::mem::replace(ran, Ran::Unknown);
+            let end = self.send(&attempt, &prompt, &mut partial).await;
+            let failed = match end {
+                End::Whole { finish, usage } => {
+                    return self.commit(attempt, &partial, finish, usage).await;
+                }
+                other => failed(other),
+            };
+            if failed.used == Some(0) {
+                *ran = before;
+            }
+            self.note(&mut attempt, &failed);
+            if partial.pieces() >= self.want {
+                // All tokens that were asked for have come; only the end marker is missing.
+                let usage = chat::Usage::default();
+                return self
+                    .commit(attempt, &partial, "length".to_owned(), usage)
+                    .await;
+            }
+            work.tries += 1;
+            attempt = self.again(&mut work, attempt, failed, &partial).await?;
+        }
+    }
+
+    /// Gets a slot and makes the turn's start durable.
+    async fn begin(&self, work: &Work) -> Result<(Attempt, Vec<chat::Message>)> {
+        let slot = desk::place(&self.core, work.clone()).await?;
+        let id = id::Attempt(rand::random());
+        let begin = message::Begin {
+            program: work.program.clone(),
+            caller: self.caller.clone(),
+            budget: self.budget,
+            turn: self.turn,
+            messages: self.request.messages.clone(),
+            digest: self.digest,
+            want: self.want,
+            attempt: id,
+            endpoint: slot.endpoint.name.clone(),
+        };
+        let begun = decide(&self.shard, |answer| Message::Begin(begin, answer)).await?;
+        let mut prompt = begun.history;
+        prompt.extend(self.request.messages.iter().cloned());
+        let limit = begun.start.reserved;
+        Ok((Attempt { id, limit, slot }, prompt))
+    }
+
+    async fn send(
+        &self,
+        attempt: &Attempt,
+        prompt: &[chat::Message],
+        partial: &mut Partial,
+    ) -> End {
+        let job = runner::Job {
+            address: &attempt.slot.endpoint.address,
+            request: &self.request,
+            prompt,
+            program: &self.work.program,
+            attempt: attempt.id,
+            class: self.work.class,
+            limit: attempt.limit,
+            silence: self.core.settings.limits.silence,
+        };
+        let feed = &self.feed;
+        runner::run(&self.core.client, job, partial, |piece| feed.delta(piece)).await
+    }
+
+    async fn commit(
+        &self,
+        mut attempt: Attempt,
+        partial: &Partial,
+        finish: String,
+        usage: chat::Usage,
+    ) -> Result<Reply> {
+        let elapsed = self.core.clock.now().since(attempt.slot.began());
+        let used = usage.completion_tokens.max(1);
+        attempt.slot.note(Sample::Done {
+            pace: pace(elapsed, used),
+        });
+        self.core.desk.succeed();
+        let endpoint = attempt.slot.endpoint.name.clone();
+        // The slot is free for others while the commit becomes durable.
+        drop(attempt.slot);
+        let answer = chat::Answer {
+            message: partial.message(),
+            finish,
+            usage: chat::Usage {
+                completion_tokens: partial.pieces().max(usage.completion_tokens),
+                ..usage
+            },
+        };
+        let commit = message::Commit {
+            program: self.work.program.clone(),
+            attempt: attempt.id,
+            messages: self.request.messages.clone(),
+            answer: answer.clone(),
+            used,
+            endpoint,
+        };
+        let turn = decide(&self.shard, |sender| Message::Commit(commit, sender)).await?;
+        Ok(Reply::Done { turn, answer })
+    }
+
+    /// Tells the desk what the failure showed of the endpoint.
+    fn note(&self, attempt: &mut Attempt, failed: &Failed) {
+        let endpoint = &attempt.slot.endpoint.name;
+        let now = self.core.clock.now();
+        let pause = failed.refusal.retry_after.unwrap_or(standing::PAUSE);
+        if failed.crashed || failed.used == Some(0) {
+            self.core.desk.pause(endpoint, now, pause);
+        }
+        if failed.refusal.code == Code::EndpointFailed {
+            attempt.slot.note(Sample::Failed);
+        }
+    }
+
+    /// Decides on a further attempt and makes its start durable.
+    async fn again(
+        &self,
+        work: &mut Work,
+        ended: Attempt,
+        failed: Failed,
+        partial: &Partial,
+    ) -> Result<Attempt> {
+        let endpoint = ended.slot.endpoint.name.clone();
+        let old = ended.id;
+        drop(ended);
+        if failed.crashed && self.blame(&endpoint).await? {
+            self.stop(old, failed.used).await?;
+            return Err(Refusal::new(Code::Poisoned, "").ran(Ran::Yes));
+        }
+        work.avoid.push(endpoint);
+        work.suspect |= failed.crashed;
+        let after = match self.verdict(work, &failed, partial) {
+            Verdict::Again { after } => after,
+            Verdict::Final | Verdict::Spent => {
+                self.stop(old, failed.used).await?;
+                return Err(failed.refusal);
+            }
+        };
+        log::info!(
+            "{} program={} turn={} tries={} reason={:?}",
+            Event::CallRetried,
+            work.program,
+            self.turn,
+            work.tries,
+            failed.refusal.message
+        );
+        tokio::time::sleep(after.as_duration()).await;
+        let slot = match desk::place(&self.core, work.clone()).await {
+            Ok(slot) => slot,
+            Err(refusal) => {
+                self.stop(old, failed.used).await?;
+                return Err(refusal);
+            }
+        };
+        self.restart(old, failed.used, slot, partial).await
+    }
+
+    async fn restart(
+        &self,
+        ended: id::Attempt,
+        used: Option<u64>,
+        slot: Slot,
+        partial: &Partial,
+    ) -> Result<Attempt> {
+        let id = id::Attempt(rand::random());
+        let restart = message::Restart {
+            program: self.work.program.clone(),
+            ended,
+            used,
+            want: self.want.saturating_sub(partial.pieces()).max(1),
+            attempt: id,
+            endpoint: slot.endpoint.name.clone(),
+        };
+        let started = decide(&self.shard, |answer| Message::Restart(restart, answer)).await;
+        match started {
+            Ok(start) => Ok(Attempt {
+                id,
+                limit: start.reserved,
+                slot,
+            }),
+            Err(refusal) => {
+                drop(slot);
+                self.stop(ended, used).await?;
+                Err(refusal)
+            }
+        }
+    }
+
+    fn verdict(&self, work: &Work, failed: &Failed, partial: &Partial) -> Verdict {
+        if failed.lasting || !partial.can_resume() {
+            return Verdict::Final;
+        }
+        let failure = Failure {
+            class: standing::class(work.class),
+            repeat: Repeat::Safe,
+            ran: failed.refusal.ran,
+            tries: work.tries,
+        };
+        self.core.desk.retry(&failure, self.core.clock.now())
+    }
+
+    async fn blame(&self, endpoint: &id::Endpoint) -> Result<bool> {
+        let program = self.work.program.clone();
+        let blame = |answer| Message::Blame(program, self.digest, endpoint.clone(), answer);
+        decide(&self.shard, blame).await
+    }
+
+    async fn stop(&self, attempt: id::Attempt, used: Option<u64>) -> Result<()> {
+        let program = self.work.program.clone();
+        decide(&self.shard, |answer| {
+            Message::Stop(program, attempt, used, answer)
+        })
+        .await
+    }
+}
+
+/// Sorts out how an attempt ended.
+fn failed(end: End) -> Failed {
+    let (code, detail, used, crashed) = match end {
+        End::NotSent(detail) => (Code::EndpointFailed, detail, Some(0), false),
+        End::Refused {
+            status,
+            detail,
+            retry_after,
+            lasting,
+        } => {
+            let detail = format!("status {status}: {detail}");
+            let mut refusal = Refusal::new(Code::EndpointRefused, &detail);
+            refusal.retry_after = retry_after;
+            return Failed {
+                refusal,
+                used: Some(0),
+                crashed: false,
+                lasting,
+            };
+        }
+        End::Broken(detail) => (Code::EndpointFailed, detail, None, true),
+        End::Stalled(detail) => (Code::EndpointFailed, detail, None, false),
+        End::Whole { .. } => (Code::Internal, String::new(), None, false),
+    };
+    let ran = if used == Some(0) {
+        Ran::No
+    } else {
+        Ran::Unknown
+    };
+    Failed {
+        refusal: Refusal::new(code, &detail).ran(ran),
+        used,
+        crashed,
+        lasting: false,
+    }
+}
+
+/// Asks the shard's actor for a decision and waits until its records are durable.
+///
+/// # Errors
+///
+/// Yields the refusal, or why the records aren't durable.
+pub async fn decide<T>(
+    shard: &ActorRef<Message>,
+    message: impl FnOnce(Answer<T>) -> Message,
+) -> Result<T> {
+    let (sender, receiver) = oneshot::channel();
+    let gone = || Refusal::new(Code::OwnerLost, "");
+    shard.cast(message(sender)).map_err(|_| gone())?;
+    let decided = receiver.await.map_err(|_| gone())??;
+    if let Some(durable) = decided.durable {
+        durable.await.map_err(|fault| lost(&fault))?;
+    }
+    Ok(decided.value)
+}
+
+/// Renders why records aren't durable.
+#[must_use]
+pub fn lost(fault: &Fault) -> Refusal {
+    let refusal = |code| Refusal::new(code, &fault.to_string());
+    match fault {
+        Fault::Lost { ran } => refusal(Code::OwnerLost).ran(*ran),
+        Fault::Withheld { ran, retry_after } => refusal(Code::PlatformDown)
+            .ran(*ran)
+            .retry_after(*retry_after),
+        Fault::TooLarge => refusal(Code::Internal),
+    }
+}
+
+/// Builds what placement has to know of a turn, without its history.
+///
+/// # Errors
+///
+/// Refuses an unknown model, and work that no selector allows.
+pub fn work(core: &Core, ask: &Ask, chat: &Chat) -> Result<Work> {
+    let view = core.view();
+    let class = authenticate::class(&view.config, ask)?;
+    let limit = chat.request.max_tokens.unwrap_or(EXPECTED);
+    Ok(Work {
+        program: ask.program.clone(),
+        turn: 0,
+        caller: ask.caller.clone(),
+        class,
+        kind: Kind::Runner,
+        serves: chat.request.model.clone(),
+        prompt: tokens(chat.request.messages.iter()),
+        output: limit.min(EXPECTED),
+        spent: 0,
+        held: Vec::new(),
+        avoid: Vec::new(),
+        suspect: false,
+        tries: 0,
+        deadline: ask.deadline.map(|span| core.clock.now().plus(span)),
+    })
+}
+
+/// Adds what a program's history means for placement.
+pub fn remember(work: &mut Work, program: &Program, seat: Option<&id::Endpoint>) {
+    let history = tokens(program.messages());
+    work.prompt += history;
+    work.spent = program.spent;
+    work.held = match seat {
+        Some(seat) => vec![(seat.clone(), history)],
+        None => program
+            .holders
+            .iter()
+            .map(|e| (e.clone(), history))
+            .collect(),
+    };
+}
+
+/// Estimates the tokens of some messages.
+fn tokens<'a>(messages: impl Iterator<Item = &'a chat::Message>) -> u64 {
+    let bytes = |message: &chat::Message| match &message.content {
+        serde_json::Value::String(text) => text.len() as u64,
+        other => other.to_string().len() as u64,
+    };
+    messages.map(bytes).sum::<u64>() / TOKEN_BYTES
+}
+
+/// Yields the milliseconds a token of a call.
+#[must_use]
+#[expect(clippy::cast_precision_loss, reason = "both are far below 2^52")]
+pub fn pace(elapsed: Millis, tokens: u64) -> f64 {
+    elapsed.as_u64() as f64 / tokens as f64
+}
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -1,4 +1,20 @@
-//! Paths of the listener for VMs. Bodies are [`wire::frame`] frames, whole or in a stream.
+//! The listener for VMs. Bodies are [`wire::frame`] frames, whole or in a stream.
+
+use std::sync::Arc;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use wire::code::Code;
+use wire::code::Refusal;
+use wire::frame;
+
+use crate::controllers;
+use crate::core::Core;
+use crate::filters::answer;
+use crate::filters::forward;
+use crate::http::Response;
+use crate::http::body;
+use crate::http::listen::Room;
 
 /// Takes a [`wire::ask::Ask`], streams [`wire::ask::Reply`] frames.
 pub const ASK: &str = "/peer/ask";
@@ -10,3 +26,20 @@
 pub const HOLD: &str = "/peer/hold";
 /// Fences a shard's earlier owner and answers the pending batches held for it.
 pub const COLLECT: &str = "/peer/collect";
+
+/// Answers one request of another VM.
+pub async fn handle(core: Arc<Core>, request: Request<Incoming>, room: Room) -> Response {
+    if request.uri().path() == ASK {
+        return forward::serve(core, request, room).await;
+    }
+    let path = request.uri().path().to_owned();
+    let receive = core.settings.limits.receive;
+    let whole = match body::read(request.into_body(), frame::MAX_BODY, receive).await {
+        Ok(whole) => whole,
+        Err(refusal) => return answer::refuse(&refusal),
+    };
+    match controllers::serve(&core, &path, whole).await {
+        Some(body) => forward::frames(body),
+        None => answer::refuse(&Refusal::new(Code::UnknownPath, &path)),
+    }
+}
--- /dev/null
+++ b/crates/node/src/start.rs
@@ -0,0 +1,246 @@
+//! Puts a node together and takes it apart.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use platform::client::Client as Limited;
+use platform::edge::Platform;
+use platform::etcd::Etcd;
+use platform::limit::Rate;
+use settings::vm::Settings;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wire::clock::Clock;
+use wire::event::Event;
+
+use crate::admin;
+use crate::controllers;
+use crate::core::Core;
+use crate::dispatch::desk;
+use crate::dispatch::desk::Desk;
+use crate::filters;
+use crate::http::client::Client;
+use crate::http::listen;
+use crate::http::listen::Door;
+use crate::metrics::Metrics;
+use crate::owner::registry::Registry;
+use crate::peer;
+use crate::view::View;
+
+/// How often waiting calls are looked at although nothing has happened, for those whose time is
+/// over; a twentieth of the shortest wait that callers are told of.
+const PUMP: Duration = Duration::from_millis(50);
+/// How many pumps there are to one sweep: a second.
+const SWEEP: u32 = 20;
+/// Connections that the listeners for VMs and operators take; callers can't use them up.
+const INNER_CONNECTIONS: u32 = 65_536;
+
+/// Why a node doesn't start.
+#[derive(Debug, Display, Error, From)]
+pub enum Fault {
+    /// A listener can't be bound.
+    #[display("can't listen on {address}: {fault}")]
+    #[from(ignore)]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        #[error(source)]
+        fault: io::Error,
+    },
+    /// The settings name no data centre, or not the VM's own.
+    #[display("the data centre {_0} isn't among the settings' centres")]
+    #[from(ignore)]
+    Centre(#[error(not(source))] String),
+}
+
+/// The outcome of a start.
+pub type Result<T> = std::result::Result<T, Fault>;
+
+/// A running node.
+pub struct Handle {
+    core: Arc<Core>,
+}
+
+/// Starts a node against the platform that its settings name. Listeners with port 0 get a free
+/// one.
+///
+/// # Errors
+///
+/// Fails where a listener can't be bound or the settings don't fit together.
+pub async fn start(settings: Settings, clock: Clock) -> Result<Handle> {
+    let service = &settings.platform;
+    let etcd = Etcd::new(service.addresses.clone(), service.timeout);
+    let rate = Rate {
+        reads: service.reads,
+        writes: service.writes,
+    };
+    let limited = Limited::new(etcd, rate, service.timeout, clock.clone());
+    start_on(settings, clock, Arc::new(limited)).await
+}
+
+/// Starts a node against a given platform.
+///
+/// # Errors
+///
+/// Fails where a listener can't be bound or the settings don't fit together.
+pub async fn start_on(
+    mut settings: Settings,
+    clock: Clock,
+    platform: Arc<dyn Platform>,
+) -> Result<Handle> {
+    let own = &settings.vm.centre;
+    if !settings.centres.iter().any(|centre| centre.name == *own) {
+        return Err(Fault::Centre(own.to_string()));
+    }
+    let callers = bind(&mut settings.listen.callers).await?;
+    let peers = bind(&mut settings.listen.peers).await?;
+    let admin = bind(&mut settings.listen.admin).await?;
+    let limits = &settings.limits;
+    let door = Door::new(
+        limits.connections,
+        limits.connections_urgent,
+        limits.receive,
+    );
+    let core = Arc::new(Core {
+        desk: Desk::new(&settings, clock.now()),
+        metrics: Metrics::default(),
+        client: Client::default(),
+        door: Arc::new(door),
+        tasks: TaskTracker::new(),
+        view: watch::Sender::new(Arc::new(View::default())),
+        registry: Registry::default(),
+        stopping: CancellationToken::new(),
+        stopped: CancellationToken::new(),
+        settings,
+        clock,
+        platform,
+    });
+    serve(&core, callers, peers, admin);
+    controllers::start(&core).await;
+    core.tasks.spawn(tick(core.clone()));
+    let vm = &core.settings.vm;
+    let listen = &core.settings.listen;
+    log::info!(
+        "{} vm={} centre={} callers={} peers={} admin={}",
+        Event::NodeStarted,
+        vm.name,
+        vm.centre,
+        listen.callers,
+        listen.peers,
+        listen.admin
+    );
+    Ok(Handle { core })
+}
+
+impl Handle {
+    /// Yields the callers' listener.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.core.settings.listen.callers
+    }
+
+    /// Yields the listener for other VMs.
+    #[must_use]
+    pub fn peers(&self) -> SocketAddr {
+        self.core.settings.listen.peers
+    }
+
+    /// Yields the operators' listener.
+    #[must_use]
+    pub fn admin(&self) -> SocketAddr {
+        self.core.settings.listen.admin
+    }
+
+    /// Yields what the node's parts share.
+    #[must_use]
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
+    /// Shuts the node down without cutting a request off: new ones are forwarded, what runs is
+    /// finished, the shards are given up, and then the listeners close.
+    pub async fn shutdown(self) {
+        let core = self.core;
+        log::info!("{} vm={}", Event::NodeStopping, core.settings.vm.name);
+        core.stopping.cancel();
+        core.update(|view| view.stopping = true);
+        let grace = core.settings.limits.grace.as_duration();
+        if timeout(grace, release_all(&core)).await.is_err() {
+            log::warn!(
+                "{} reason=\"shards still busy after the grace\"",
+                Event::NodeStopping
+            );
+        }
+        core.stopped.cancel();
+        core.tasks.close();
+        if timeout(grace, core.tasks.wait()).await.is_err() {
+            log::warn!(
+                "{} reason=\"tasks still busy after the grace\"",
+                Event::NodeStopping
+            );
+        }
+        log::info!("{} vm={}", Event::NodeStopped, core.settings.vm.name);
+    }
+}
+
+async fn bind(address: &mut SocketAddr) -> Result<TcpListener> {
+    let listen = |fault| Fault::Listen {
+        address: *address,
+        fault,
+    };
+    let listener = listen::bind(*address).await.map_err(listen)?;
+    *address = listener.local_addr().map_err(|fault| Fault::Listen {
+        address: *address,
+        fault,
+    })?;
+    Ok(listener)
+}
+
+fn serve(core: &Arc<Core>, callers: TcpListener, peers: TcpListener, admin: TcpListener) {
+    let receive = core.settings.limits.receive;
+    let inner = || Arc::new(Door::new(INNER_CONNECTIONS, 0, receive));
+    let callers = listen::run(callers, core.door.clone(), core.clone(), filters::handle);
+    core.tasks.spawn(callers);
+    core.tasks
+        .spawn(listen::run(peers, inner(), core.clone(), peer::handle));
+    core.tasks
+        .spawn(listen::run(admin, inner(), core.clone(), admin::handle));
+}
+
+/// Gives all shards up at once, each when what runs of it is done.
+async fn release_all(core: &Arc<Core>) {
+    let mut releases = tokio::task::JoinSet::new();
+    for owned in core.registry.owned() {
+        let core = core.clone();
+        releases.spawn(async move { core.registry.release(&owned.shard).await });
+    }
+    while releases.join_next().await.is_some() {}
+}
+
+async fn tick(core: Arc<Core>) {
+    let mut news = core.view.subscribe();
+    let mut pumps = 0;
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(PUMP) => {}
+            _changed = news.changed() => {}
+            () = core.stopped.cancelled() => return,
+        }
+        desk::pump(&core);
+        pumps += 1;
+        if pumps >= SWEEP {
+            pumps = 0;
+            desk::sweep(&core);
+            core.registry.tick();
+        }
+    }
+}
