--- a/crates/journal/src/claim.rs
+++ b/crates/journal/src/claim.rs
@@ -1,19 +1,51 @@
 //! How a VM becomes the owner of a shard.
 //!
 //! Exists for the failure "a VM dies or pauses and its programs wait for ever, or are run by two
-//! VMs". The ownership record decides who tries; the [`Record::Opened`](crate::record::Record) in
-//! the journal is the fence that makes every earlier owner's next append fail.
+//! VMs". The ownership record decides who tries; the [`Record::Opened`] in the journal is the fence
+//! that makes every earlier owner's next append fail.
+//!
+//! In order: read the journal; write the ownership record where it is free; collect what other VMs
+//! hold for the old owner, which fences it there; write that into the journal at the places and
+//! with the bytes that the old owner gave it, so that its own hand and this one can't differ; then
+//! write the fence. What the old owner appends meanwhile is read and applied like all else.
+//!
+//! After an outage every lease has lapsed at once: who claims shards waits one lease time first, so
+//! that their holders can [`reclaim`] them.
+
+mod collect;
+mod load;
 
+use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
 use platform::edge;
+use platform::edge::Compare;
+use platform::edge::Outcome;
+use platform::edge::Txn;
+use platform::edge::Weight;
+use platform::edge::Write;
 use serde::Deserialize;
 use serde::Serialize;
+use wire::event::Event;
 use wire::id;
 
+use crate::copy;
+use crate::key;
+use crate::log::Item;
 use crate::log::Log;
 use crate::log::Setup;
+use crate::log::Step;
+use crate::log::Tail;
+use crate::log::encode;
+use crate::log::nonce;
+use crate::log::send;
+use crate::log::wait;
+use crate::record::Record;
 use crate::state::State;
+use load::Loaded;
+
+/// Sends of one key before a claim is given up; the caller tries again from the beginning.
+const TRIES: u32 = 5;
 
 /// The value of the ownership key `owner/<centre>/<index>`, which goes with its VM's lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,7 +55,7 @@
     /// One more than at the last opening.
     pub epoch: u64,
     /// The VMs that hold copies.
-    pub copies: Vec<id::Vm>,
+    pub copies: Vec<copy::Holder>,
 }
 
 /// A shard that this VM owns.
@@ -43,11 +75,11 @@
     /// The ownership record belongs to another VM.
     #[display("{} owns the shard", _0.vm)]
     Owned(#[error(not(source))] Ownership),
-    /// Another VM opened the shard meanwhile.
-    #[display("another VM opened the shard")]
+    /// Another VM claims or opened the shard meanwhile.
+    #[display("another VM claims the shard")]
     Raced,
-    /// A VM that may hold copies doesn't answer and isn't gone by the platform's list.
-    #[display("{_0} may hold copies and doesn't answer")]
+    /// A VM that may hold pending batches doesn't answer and isn't gone by the platform's list.
+    #[display("{_0} may hold pending batches and doesn't answer")]
     Waiting(#[error(not(source))] id::Vm),
     /// The platform doesn't answer as it should.
     #[display("{_0}")]
@@ -60,13 +92,60 @@
 /// The outcome of a claim.
 pub type Result<T> = std::result::Result<T, Fault>;
 
+impl From<edge::Fault> for Fault {
+    fn from(fault: edge::Fault) -> Self {
+        Self::Platform(fault)
+    }
+}
+
+impl Ownership {
+    /// Decodes the value of an ownership key; `None` where the bytes are damaged.
+    #[must_use]
+    pub fn decode(value: &[u8]) -> Option<Self> {
+        rmp_serde::from_slice(value).ok()
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec_named(self).unwrap_or_default()
+    }
+}
+
 /// Claims a shard and opens it.
 ///
 /// # Errors
 ///
 /// Fails with a [`Fault`]; the caller may try again later.
 pub async fn open(setup: Setup, lease: edge::Lease) -> Result<Opened> {
-    todo!("{} {lease:?}", setup.vm)
+    // Read before the journal is, which may be long, so that a shard that has an owner costs one.
+    let free = vacancy(&setup).await?;
+    let mut loaded = load::load(setup.platform.as_ref(), &setup.shard).await?;
+    let epoch = loaded.state.epoch() + 1;
+    let ownership = Ownership {
+        vm: setup.vm.clone(),
+        epoch,
+        copies: setup.copies.clone(),
+    };
+    take(&setup, &ownership, free, lease).await?;
+    log::info!(
+        "{} shard={} epoch={epoch}",
+        Event::ShardClaimed,
+        setup.shard
+    );
+    let held = collect::collect(&setup, &loaded.state, epoch).await?;
+    drain(&setup, &mut loaded, &held).await?;
+    fence(&setup, &mut loaded, epoch).await?;
+    spread_drained(&setup, &loaded, &held).await;
+    log::info!("{} shard={} epoch={epoch}", Event::ShardOpened, setup.shard);
+    let tail = Tail {
+        seq: loaded.next - 1,
+        epoch,
+        index: loaded.index,
+    };
+    Ok(Opened {
+        epoch,
+        state: loaded.state,
+        log: Log::start(setup, tail),
+    })
 }
 
 /// Writes the ownership record anew after its lease has lapsed, for an owner that still has the
@@ -76,7 +155,21 @@
 ///
 /// Fails where the platform doesn't answer as it should.
 pub async fn reclaim(setup: &Setup, epoch: u64, lease: edge::Lease) -> Result<bool> {
-    todo!("{} {epoch} {lease:?}", setup.vm)
+    let ownership = Ownership {
+        vm: setup.vm.clone(),
+        epoch,
+        copies: setup.copies.clone(),
+    };
+    let free = match vacancy(setup).await {
+        Ok(free) => free,
+        Err(Fault::Owned(_)) => return Ok(false),
+        Err(fault) => return Err(fault),
+    };
+    match take(setup, &ownership, free, lease).await {
+        Ok(()) => Ok(true),
+        Err(Fault::Raced) => Ok(false),
+        Err(fault) => Err(fault),
+    }
 }
 
 /// Gives a shard up: removes the ownership record, where it is this VM's. The caller has ended its
@@ -86,5 +179,144 @@
 ///
 /// Fails where the platform doesn't answer as it should; the lease's end does the same.
 pub async fn release(setup: &Setup, epoch: u64) -> Result<()> {
-    todo!("{} {epoch}", setup.vm)
+    let key = key::owner(&setup.shard);
+    let Some(entry) = setup.platform.read(&key).await? else {
+        return Ok(());
+    };
+    let own = |ownership: &Ownership| ownership.vm == setup.vm && ownership.epoch == epoch;
+    if Ownership::decode(&entry.value).as_ref().is_some_and(own) {
+        let txn = Txn {
+            compares: vec![Compare {
+                key: key.clone(),
+                revision: entry.revision,
+            }],
+            writes: vec![Write::Delete(key)],
+        };
+        setup.platform.commit(&txn, Weight::Claim).await?;
+        log::info!(
+            "{} shard={} epoch={epoch}",
+            Event::ShardReleased,
+            setup.shard
+        );
+    }
+    Ok(())
+}
+
+/// Yields the revision of the ownership record where it is absent (0) or this VM's own.
+async fn vacancy(setup: &Setup) -> Result<u64> {
+    let Some(entry) = setup.platform.read(&key::owner(&setup.shard)).await? else {
+        return Ok(0);
+    };
+    match Ownership::decode(&entry.value) {
+        Some(ownership) if ownership.vm != setup.vm => Err(Fault::Owned(ownership)),
+        // One that can't be decoded protects nobody: the fence in the journal does.
+        Some(_) | None => Ok(entry.revision),
+    }
+}
+
+async fn take(setup: &Setup, ownership: &Ownership, free: u64, lease: edge::Lease) -> Result<()> {
+    let key = key::owner(&setup.shard);
+    let txn = Txn {
+        compares: vec![Compare {
+            key: key.clone(),
+            revision: free,
+        }],
+        writes: vec![Write::Put {
+            key: key.clone(),
+            value: ownership.encode(),
+            lease: Some(lease),
+        }],
+    };
+    match setup.platform.commit(&txn, Weight::Claim).await {
+        Ok(Outcome::Applied(_)) => Ok(()),
+        Ok(Outcome::Refused(_)) => Err(Fault::Raced),
+        // It may land later; then the record is this VM's, which tries again anyway.
+        Err(fault) => Err(fault.into()),
+    }
+}
+
+/// Writes what the old owner left pending to where it was meant to go. A batch of another epoch
+/// than the journal's last is a leftover of an owner that has lost: its place is long taken.
+async fn drain(setup: &Setup, loaded: &mut Loaded, held: &[copy::Held]) -> Result<()> {
+    let epoch = loaded.state.epoch();
+    for batch in held.iter().filter(|batch| batch.epoch == epoch) {
+        if batch.seq < loaded.next {
+            continue;
+        }
+        if batch.seq > loaded.next {
+            let gap = format!("pending batch {} after {}", batch.seq, loaded.next);
+            log::error!("{} shard={} lost: {gap}", Event::ShardClaimed, setup.shard);
+            return Ok(());
+        }
+        place(setup, loaded, batch.value.clone(), epoch).await?;
+    }
+    Ok(())
+}
+
+/// Appends the fence, after whatever the old owner appends meanwhile.
+async fn fence(setup: &Setup, loaded: &mut Loaded, epoch: u64) -> Result<()> {
+    loop {
+        let seq = loaded.next;
+        let opened = Record::Opened {
+            vm: setup.vm.clone(),
+            epoch,
+            copies: setup.copies.clone(),
+        };
+        let damaged = || Fault::Damaged("the fence can't be encoded".to_owned());
+        let nonce = nonce(setup.seed, seq);
+        let value = encode(&setup.vm, nonce, vec![opened]).ok_or_else(damaged)?;
+        if place(setup, loaded, value, epoch - 1).await? {
+            return Ok(());
+        }
+    }
+}
+
+/// Puts a value at the journal's end. `false` where another value stands there; that one is
+/// applied, and the end is one further. Fails where it is a newer owner's.
+async fn place(setup: &Setup, loaded: &mut Loaded, value: Bytes, old: u64) -> Result<bool> {
+    let mut tries = 0;
+    loop {
+        let item = Item {
+            seq: loaded.next,
+            value: value.clone(),
+            index: None,
+            index_revision: loaded.index.revision,
+        };
+        match send(setup.platform.as_ref(), &setup.shard, &item).await {
+            Step::Done(_) => {
+                loaded.add(&value)?;
+                return Ok(true);
+            }
+            Step::Taken => {
+                load::rest(setup.platform.as_ref(), &setup.shard, loaded).await?;
+                if loaded.state.epoch() > old {
+                    return Err(Fault::Raced);
+                }
+                return Ok(false);
+            }
+            // The old owner has snapshotted meanwhile; the claim begins anew.
+            Step::Passed => return Err(Fault::Raced),
+            Step::Again(fault) => {
+                tries += 1;
+                if tries >= TRIES {
+                    return Err(fault.into());
+                }
+                tokio::time::sleep(wait(tries, setup.seed).as_duration()).await;
+            }
+        }
+    }
+}
+
+/// Lets the old owner's copies go.
+async fn spread_drained(setup: &Setup, loaded: &Loaded, held: &[copy::Held]) {
+    if held.is_empty() {
+        return;
+    }
+    for holder in &loaded.old_copies {
+        let epoch = loaded.state.epoch();
+        let peers = &setup.peers;
+        peers
+            .drained(holder, &setup.shard, epoch, loaded.next)
+            .await;
+    }
 }
--- a/crates/journal/src/gate/turn.rs
+++ b/crates/journal/src/gate/turn.rs
@@ -266,14 +266,12 @@
     let blamed = state.blamed(content);
     let known = blamed.contains(endpoint);
     let count = blamed.len() + usize::from(!known);
-    let records = match known {
-        true => Vec::new(),
-        false => vec![Record::Blamed {
-            program: program.clone(),
-            content,
-            endpoint: endpoint.clone(),
-        }],
-    };
+    let blame = (!known).then(|| Record::Blamed {
+        program: program.clone(),
+        content,
+        endpoint: endpoint.clone(),
+    });
+    let records = blame.into_iter().collect();
     if count >= POISON_AT {
         return Blame::Poisoned(records);
     }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -1,7 +1,7 @@
 //! The shards' journals: what must outlive a VM, kept in the platform's key-value service.
 //!
-//! A shard's journal is a run of consecutive keys, each created only where it was absent and its
-//! predecessor is still the one that the writer knows. Two owners can thus never both append;
+//! A shard's journal is a run of consecutive keys, each created only where it was absent and the
+//! snapshot index is still the one that the writer knows. Two owners can thus never both append;
 //! leases only decide who tries.
 //!
 //! The owner of a shard holds a [`state::State`]. For each request it asks [`gate`] for a verdict,
@@ -12,6 +12,7 @@
 pub mod claim;
 pub mod copy;
 pub mod gate;
+pub mod key;
 pub mod log;
 pub mod program;
 pub mod record;
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -1,11 +1,19 @@
 //! Appends to one shard's journal, one at a time.
 //!
 //! Exists for the failures "two owners both append" (each append is refused where another has
-//! taken the key) and "an append's answer is lost" (nothing else is written until it is settled).
+//! taken the key), "an append's answer is lost" (nothing else is written until it is settled) and
+//! "each turn costs a write of the platform" (what arrives during one append goes into the next).
+
+mod line;
+mod retry;
+mod task;
+mod write;
 
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -23,6 +31,13 @@
 use crate::record::Record;
 use crate::snapshot;
 
+pub(crate) use retry::wait;
+pub(crate) use write::Item;
+pub(crate) use write::Step;
+pub(crate) use write::encode;
+pub(crate) use write::nonce;
+pub(crate) use write::send;
+
 /// Where a log stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Status {
@@ -30,7 +45,7 @@
     Open,
     /// The platform doesn't answer: appends wait in memory and at other VMs, intents are refused.
     Outage {
-        /// When the platform is tried again.
+        /// When the platform is tried again, at the latest.
         retry_after: Millis,
     },
     /// The shard has another owner; nothing is ever appended again.
@@ -42,7 +57,7 @@
 pub enum Durable {
     /// It is in the journal.
     Journal,
-    /// Another VM holds a copy of it, and the journal will.
+    /// Other VMs hold copies of it, and it goes to the journal when the platform answers again.
     Copy,
 }
 
@@ -63,7 +78,7 @@
     Withheld {
         /// `No` where the intent surely isn't in the journal, else `Unknown`.
         ran: Ran,
-        /// When the platform is tried again.
+        /// When the platform is tried again, at the latest.
         retry_after: Millis,
     },
     /// The records are over [`crate::record::MAX_BYTES`]; nothing was appended. Never met by who
@@ -80,7 +95,7 @@
 pub struct Setup {
     /// The platform.
     pub platform: Arc<dyn Platform>,
-    /// The other VMs of the centre.
+    /// The VMs of the centre.
     pub peers: Arc<dyn copy::Peers>,
     /// This VM.
     pub vm: id::Vm,
@@ -88,28 +103,31 @@
     pub shard: id::Shard,
     /// Drawn at random for each claim; the batches' nonces follow from it.
     pub seed: u64,
-    /// The VMs that hold copies during an outage.
-    pub copies: Vec<id::Vm>,
-    /// How many of them must hold a batch before it counts as durable.
+    /// The other VMs that hold copies during an outage: two, or four in a larger centre.
+    pub copies: Vec<copy::Holder>,
+    /// How many of them must hold a batch before it counts as durable; with 0, or without any
+    /// that answers, appends wait for the platform.
     pub acks: usize,
 }
 
 /// The end of a journal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Tail {
     /// The last key's number.
     pub seq: u64,
-    /// The platform's revision at which the last key was created.
-    pub revision: u64,
     /// The epoch of the last opening.
     pub epoch: u64,
+    /// The snapshot index.
+    pub index: snapshot::Known,
 }
 
-/// A handle to the task that appends. Clones speak to the same task.
+/// A handle to the task that appends. Clones speak to the same task, which ends when all are
+/// dropped and everything handed to it is in the journal.
 #[derive(Clone, Debug)]
 pub struct Log {
     commands: mpsc::UnboundedSender<Command>,
     status: watch::Receiver<Status>,
+    due: Arc<AtomicBool>,
 }
 
 /// Resolves when an append is durable or never will be. Dropping it doesn't take the append back.
@@ -121,6 +139,10 @@
 enum Command {
     Append(Vec<Record>, oneshot::Sender<Result<Durable>>),
     Snapshot(snapshot::Image),
+    /// An image is written whole, or was given up.
+    Written(Option<snapshot::Index>),
+    /// The journal keys up to this number are removed.
+    Removed(u64),
     Surrender(oneshot::Sender<Vec<copy::Held>>),
 }
 
@@ -129,27 +151,49 @@
     /// runtime.
     #[must_use]
     pub fn start(setup: Setup, tail: Tail) -> Self {
-        todo!("{} {tail:?}", setup.vm)
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let (sender, status) = watch::channel(Status::Open);
+        let due = Arc::new(AtomicBool::new(false));
+        let ends = task::Ends {
+            commands: receiver,
+            own: commands.downgrade(),
+            status: sender,
+            due: Arc::clone(&due),
+        };
+        tokio::spawn(task::run(setup, tail, ends));
+        Self {
+            commands,
+            status,
+            due,
+        }
     }
 
     /// Hands records to the journal. The order of calls is the order of the journal; the records
     /// of one call take effect together.
     pub fn append(&self, records: Vec<Record>) -> Append {
         let (sender, receiver) = oneshot::channel();
-        let _lost = self.commands.send(Command::Append(records, sender));
+        self.tell(Command::Append(records, sender));
         Append(receiver)
     }
 
-    /// Hands an image of the state to the journal, which may then drop the keys before it. The
-    /// image must hold what was appended so far and no more.
+    /// Tells whether the journal has grown enough for a [`snapshot`](Self::snapshot).
+    #[must_use]
+    pub fn is_snapshot_due(&self) -> bool {
+        self.due.load(Ordering::Relaxed)
+    }
+
+    /// Hands an image of the state to the journal, which then drops the keys before it. The image
+    /// must hold what was appended so far and no more. Without effect during an outage or while
+    /// an earlier image is being written.
     pub fn snapshot(&self, image: snapshot::Image) {
-        let _lost = self.commands.send(Command::Snapshot(image));
+        self.tell(Command::Snapshot(image));
     }
 
-    /// Steps down for a new owner, and yields the batches that aren't surely in the journal.
+    /// Steps down for a new owner, and yields the batches that aren't surely in the journal. Asked
+    /// again, yields the same ones.
     pub async fn surrender(&self) -> Vec<copy::Held> {
         let (sender, receiver) = oneshot::channel();
-        let _lost = self.commands.send(Command::Surrender(sender));
+        self.tell(Command::Surrender(sender));
         receiver.await.unwrap_or_default()
     }
 
@@ -164,6 +208,11 @@
     pub fn watch(&self) -> watch::Receiver<Status> {
         self.status.clone()
     }
+
+    fn tell(&self, command: Command) {
+        // Fails only where the task has panicked; an append's waiter then learns that it is lost.
+        let _ended = self.commands.send(command);
+    }
 }
 
 impl Future for Append {
--- /dev/null
+++ b/crates/journal/src/log/line.rs
@@ -0,0 +1,177 @@
+//! The batches that wait for the journal, in order, and those who wait for them.
+//!
+//! Exists for the failure "a caller is told something of an append that isn't so": what may be
+//! said of each append follows from whether its batch ever left this VM.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use tokio::sync::oneshot;
+use wire::clock::Millis;
+use wire::code::Ran;
+
+use super::Durable;
+use super::Fault;
+use super::Result;
+use crate::copy;
+use crate::record::Record;
+use crate::snapshot;
+
+/// Who waits for an append.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    /// Whether the append carries an intent, for which copies don't count.
+    intent: bool,
+    sender: oneshot::Sender<Result<Durable>>,
+}
+
+/// An append that has no place in the journal yet.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    pub(crate) records: Vec<Record>,
+    pub(crate) bytes: usize,
+    waiter: Option<Waiter>,
+}
+
+/// A batch with its place in the journal; its bytes never change.
+#[derive(Debug)]
+pub(crate) struct Pending {
+    pub(crate) seq: u64,
+    pub(crate) value: Bytes,
+    pub(crate) index: Option<snapshot::Index>,
+    /// Whether it was sent to the platform.
+    pub(crate) sent: bool,
+    /// Whether it was offered to another VM.
+    pub(crate) offered: bool,
+    /// Whether enough other VMs hold it.
+    pub(crate) held: bool,
+    waiters: Vec<Waiter>,
+}
+
+/// The line.
+#[derive(Debug, Default)]
+pub(crate) struct Line {
+    pub(crate) batches: VecDeque<Pending>,
+}
+
+impl Arrival {
+    pub(crate) fn new(
+        records: Vec<Record>,
+        bytes: usize,
+        sender: oneshot::Sender<Result<Durable>>,
+    ) -> Self {
+        let intent = records.iter().any(|r| matches!(r, Record::Intent { .. }));
+        Self {
+            records,
+            bytes,
+            waiter: Some(Waiter { intent, sender }),
+        }
+    }
+
+    /// Tells the one who waits for an intent that it can't count now.
+    pub(crate) fn withhold(&mut self, retry_after: Millis) {
+        let ran = Ran::No;
+        if let Some(waiter) = self.waiter.take_if(|waiter| waiter.intent) {
+            waiter.tell(Err(Fault::Withheld { ran, retry_after }));
+        }
+    }
+
+    /// Tells the one who waits that the shard is lost.
+    pub(crate) fn lose(self) {
+        if let Some(waiter) = self.waiter {
+            waiter.tell(Err(Fault::Lost { ran: Ran::No }));
+        }
+    }
+}
+
+impl Pending {
+    /// Gives a place to some arrivals, whose records `value` encodes.
+    pub(crate) fn new(
+        seq: u64,
+        value: Bytes,
+        index: Option<snapshot::Index>,
+        arrivals: Vec<Arrival>,
+    ) -> Self {
+        Self {
+            seq,
+            value,
+            index,
+            sent: false,
+            offered: false,
+            held: false,
+            waiters: arrivals.into_iter().filter_map(|a| a.waiter).collect(),
+        }
+    }
+
+    /// Tells everyone that the batch is in the journal.
+    pub(crate) fn done(self) {
+        for waiter in self.waiters {
+            waiter.tell(Ok(Durable::Journal));
+        }
+    }
+
+    /// Tells those for whom copies count that other VMs hold the batch.
+    pub(crate) fn copied(&mut self) {
+        self.held = true;
+        for waiter in self.waiters.extract_if(.., |waiter| !waiter.intent) {
+            waiter.tell(Ok(Durable::Copy));
+        }
+    }
+
+    /// Tells those who wait for intents that they can't count now.
+    pub(crate) fn withhold(&mut self, retry_after: Millis) {
+        let ran = if self.sent { Ran::Unknown } else { Ran::No };
+        for waiter in self.waiters.extract_if(.., |waiter| waiter.intent) {
+            waiter.tell(Err(Fault::Withheld { ran, retry_after }));
+        }
+    }
+
+    /// Tells everyone that the shard is lost.
+    pub(crate) fn lose(self, ran: Ran) {
+        for waiter in self.waiters {
+            waiter.tell(Err(Fault::Lost { ran }));
+        }
+    }
+
+    /// Yields what may be said of the batch when the shard is lost: one that left this VM may be
+    /// in the journal, or come there by the new owner's hand.
+    pub(crate) fn ran(&self) -> Ran {
+        if self.sent || self.offered {
+            return Ran::Unknown;
+        }
+        Ran::No
+    }
+}
+
+impl Line {
+    /// Yields copies of all batches.
+    pub(crate) fn copies(&self, epoch: u64) -> Vec<copy::Held> {
+        let held = |pending: &Pending| copy::Held {
+            epoch,
+            seq: pending.seq,
+            value: pending.value.clone(),
+        };
+        self.batches.iter().map(held).collect()
+    }
+
+    /// Yields the first batch that too few other VMs hold.
+    pub(crate) fn unheld(&mut self) -> Option<&mut Pending> {
+        self.batches.iter_mut().find(|pending| !pending.held)
+    }
+
+    /// Tells everyone that the shard is lost. `head` says it of the first batch, where that is
+    /// known better.
+    pub(crate) fn lose(&mut self, mut head: Option<Ran>) {
+        for pending in self.batches.drain(..) {
+            let ran = head.take().unwrap_or_else(|| pending.ran());
+            pending.lose(ran);
+        }
+    }
+}
+
+impl Waiter {
+    fn tell(self, result: Result<Durable>) {
+        // Who no longer waits has given the answer up; the record counts all the same.
+        let _gone = self.sender.send(result);
+    }
+}
--- /dev/null
+++ b/crates/journal/src/log/write.rs
@@ -0,0 +1,106 @@
+//! One try to create a journal key, and what its outcome means.
+//!
+//! Exists for the failures "a stale owner appends" and "the answer of an append is lost". The key
+//! is created only where it is absent *and* the snapshot index is the one that the writer knows.
+//! The second condition covers a stale owner that wakes up after the new one has snapshotted and
+//! removed the keys that stood in its way: without it, that owner would find its next key absent
+//! and take its append for durable.
+//!
+//! The same bytes may be sent any number of times: they carry a nonce, so that a key which holds
+//! them can only hold them on account of an earlier send.
+
+use bytes::Bytes;
+use platform::edge::Compare;
+use platform::edge::Fault;
+use platform::edge::Outcome;
+use platform::edge::Platform;
+use platform::edge::Txn;
+use platform::edge::Weight;
+use platform::edge::Write;
+use wire::id;
+
+use crate::key;
+use crate::record::Batch;
+use crate::record::Record;
+
+/// A value for the next journal key.
+#[derive(Clone, Debug)]
+pub(crate) struct Item {
+    /// The key's number.
+    pub(crate) seq: u64,
+    /// The encoded batch.
+    pub(crate) value: Bytes,
+    /// The new value of the snapshot index that is set along with it.
+    pub(crate) index: Option<Bytes>,
+    /// The revision of the snapshot index that the writer knows; 0 where there is none.
+    pub(crate) index_revision: u64,
+}
+
+/// What became of a try.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// The key holds the value since this revision.
+    Done(u64),
+    /// The key holds another value, and never held nor will hold this one.
+    Taken,
+    /// Another owner has moved the snapshot index. An earlier send may have landed before.
+    Passed,
+    /// Not known, or not done; the same value may be sent again.
+    Again(Fault),
+}
+
+/// Sends an item once.
+pub(crate) async fn send(platform: &dyn Platform, shard: &id::Shard, item: &Item) -> Step {
+    let key = key::journal(shard, item.seq);
+    match platform.commit(&txn(shard, item), Weight::Commit).await {
+        Ok(Outcome::Applied(revision)) => Step::Done(revision),
+        Ok(Outcome::Refused(present)) => match present.iter().find(|entry| entry.key == key) {
+            Some(entry) if entry.value == item.value => Step::Done(entry.revision),
+            Some(_) => Step::Taken,
+            None => Step::Passed,
+        },
+        Err(fault) => Step::Again(fault),
+    }
+}
+
+/// Encodes a batch. `None` where a record can't be encoded, which their types rule out.
+pub(crate) fn encode(writer: &id::Vm, nonce: u64, records: Vec<Record>) -> Option<Bytes> {
+    let batch = Batch {
+        writer: writer.clone(),
+        nonce,
+        records,
+    };
+    rmp_serde::to_vec_named(&batch).ok().map(Bytes::from)
+}
+
+/// Yields the nonce of a batch: differs from claim to claim by `seed` and from key to key.
+pub(crate) fn nonce(seed: u64, seq: u64) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&seed.to_be_bytes());
+    bytes[8..].copy_from_slice(&seq.to_be_bytes());
+    id::Digest::of(&bytes).0
+}
+
+fn txn(shard: &id::Shard, item: &Item) -> Txn {
+    let put = |key: String, value: &Bytes| Write::Put {
+        key,
+        value: value.to_vec(),
+        lease: None,
+    };
+    let index = item.index.iter().map(|value| put(key::index(shard), value));
+    let absent = Compare {
+        key: key::journal(shard, item.seq),
+        revision: 0,
+    };
+    let known = Compare {
+        key: key::index(shard),
+        revision: item.index_revision,
+    };
+    Txn {
+        compares: vec![absent, known],
+        writes: [put(key::journal(shard, item.seq), &item.value)]
+            .into_iter()
+            .chain(index)
+            .collect(),
+    }
+}
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -12,6 +12,8 @@
 use wire::code::Code;
 use wire::id;
 
+use crate::copy::Holder;
+
 /// The most bytes of the records of one append, encoded. The rest of the platform's largest value
 /// is for the batch's own fields.
 pub const MAX_BYTES: usize = platform::edge::MAX_VALUE - 1024;
@@ -38,7 +40,7 @@
         epoch: u64,
         /// The VMs that hold this owner's pending batches during an outage of the platform. They
         /// stand here as well as in the ownership record, since that record goes with its lease.
-        copies: Vec<id::Vm>,
+        copies: Vec<Holder>,
     },
     /// A program was made.
     Created {
--- a/crates/journal/src/snapshot.rs
+++ b/crates/journal/src/snapshot.rs
@@ -3,13 +3,50 @@
 //!
 //! Exists for the failure "the journal outgrows the platform, and a takeover outlasts the callers'
 //! patience".
+//!
+//! An image is the whole state, histories among it, in chunks under the platform's largest value.
+//! The chunks are written first, under a name that no other image has; then the index that names
+//! them is set in the same transaction as the next append, so that a stale owner can't set it; then
+//! the covered keys and the previous image go. A crash before the index leaves the earlier image
+//! and every key in place; one after it leaves keys that no takeover reads, which the next removal
+//! takes along.
+//!
+//! Not built: loading a program's history only when it is asked for, and images that hold only what
+//! changed. An image is as large as the state, and is due when the journal since the last one is
+//! as large as that one, so that images at most double what is written.
+
+mod progress;
+
+use std::sync::Arc;
 
 use bytes::Bytes;
+use platform::edge::Compare;
+use platform::edge::Fault;
+use platform::edge::MAX_VALUE;
+use platform::edge::Platform;
+use platform::edge::Result;
+use platform::edge::Txn;
+use platform::edge::Weight;
+use platform::edge::Write;
 use serde::Deserialize;
 use serde::Serialize;
+use wire::id;
 
+use crate::key;
+use crate::log::wait;
 use crate::state::State;
 
+pub(crate) use progress::Progress;
+pub(crate) use progress::Removal;
+
+/// Tries to write one chunk or removal before the image or removal is given up; with the longest
+/// waits about a quarter of a minute. The next image is another chance.
+const TRIES: u32 = 20;
+/// Keys removed in one transaction; half of what etcd takes by default.
+const REMOVED_AT_ONCE: u64 = 64;
+/// Chunks listed at once when leftovers are swept; each may be as large as a value can be.
+const SWEPT_AT_ONCE: usize = 2;
+
 /// An encoded state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Image(Bytes);
@@ -23,12 +60,191 @@
     pub epoch: u64,
     /// How many keys hold the image.
     pub chunks: u32,
+    /// The bytes of the image.
+    pub bytes: u64,
+    /// The number of the first journal key that may not have been removed yet.
+    pub floor: u64,
+}
+
+/// The index as a VM knows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Known {
+    /// The platform's revision at which it was set; 0 where it never was.
+    pub revision: u64,
+    /// The index.
+    pub index: Option<Index>,
+}
+
+/// What an image is written for.
+pub(crate) struct Task {
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) shard: id::Shard,
+    pub(crate) epoch: u64,
+    /// The number of the last journal key that the image covers.
+    pub(crate) seq: u64,
+    pub(crate) seed: u64,
 }
 
 impl Image {
-    /// Encodes a state.
+    /// Encodes a state. Takes time in proportion to the state.
     #[must_use]
     pub fn of(state: &State) -> Self {
-        todo!("{state:?}")
+        // A state is built of what was decoded from the same encoding; an empty image is never
+        // written.
+        Self(rmp_serde::to_vec_named(state).map_or_else(|_| Bytes::new(), Bytes::from))
+    }
+
+    /// Decodes the state; `None` where the bytes are damaged.
+    #[must_use]
+    pub fn decode(&self) -> Option<State> {
+        rmp_serde::from_slice(&self.0).ok()
+    }
+}
+
+impl Index {
+    pub(crate) fn encode(&self) -> Bytes {
+        rmp_serde::to_vec_named(self).map_or_else(|_| Bytes::new(), Bytes::from)
+    }
+
+    /// Decodes the value of an index key; `None` where the bytes are damaged.
+    #[must_use]
+    pub fn decode(value: &[u8]) -> Option<Self> {
+        rmp_serde::from_slice(value).ok()
+    }
+}
+
+/// Writes an image's chunks; `None` where the platform didn't let it.
+pub(crate) async fn write(task: &Task, image: &Image, floor: u64) -> Option<Index> {
+    if image.0.is_empty() {
+        return None;
+    }
+    let mut chunks = 0;
+    for start in (0..image.0.len()).step_by(MAX_VALUE) {
+        let end = image.0.len().min(start + MAX_VALUE);
+        let put = Write::Put {
+            key: key::chunk(&task.shard, task.epoch, task.seq, chunks),
+            value: image.0[start..end].to_vec(),
+            lease: None,
+        };
+        let platform = task.platform.as_ref();
+        if !persist(platform, vec![put], task.seed).await {
+            return None;
+        }
+        chunks += 1;
+    }
+    Some(Index {
+        seq: task.seq,
+        epoch: task.epoch,
+        chunks,
+        bytes: image.0.len() as u64,
+        floor,
+    })
+}
+
+/// Reads the image that an index names; `None` where a chunk is missing, as it is when a newer
+/// index was set meanwhile, or damaged.
+///
+/// # Errors
+///
+/// Fails where the platform doesn't answer.
+pub async fn read(
+    platform: &dyn Platform,
+    shard: &id::Shard,
+    index: &Index,
+) -> Result<Option<State>> {
+    let mut bytes = Vec::new();
+    for chunk in 0..index.chunks {
+        let key = key::chunk(shard, index.epoch, index.seq, chunk);
+        match platform.read(&key).await? {
+            Some(entry) => bytes.extend_from_slice(&entry.value),
+            None => return Ok(None),
+        }
+    }
+    if bytes.len() as u64 != index.bytes {
+        return Ok(None);
+    }
+    Ok(Image(bytes.into()).decode())
+}
+
+/// Reads the index.
+///
+/// # Errors
+///
+/// Fails where the platform doesn't answer, and with [`Fault::Invalid`] where the index is damaged.
+pub async fn find(platform: &dyn Platform, shard: &id::Shard) -> Result<Known> {
+    let Some(entry) = platform.read(&key::index(shard)).await? else {
+        return Ok(Known::default());
+    };
+    let damaged = || Fault::Invalid("the snapshot index is damaged".to_owned());
+    let index = Index::decode(&entry.value).ok_or_else(damaged)?;
+    Ok(Known {
+        revision: entry.revision,
+        index: Some(index),
+    })
+}
+
+/// Removes what a new index has made useless; `false` where the platform didn't let it.
+pub(crate) async fn remove(
+    platform: &dyn Platform,
+    shard: &id::Shard,
+    epoch: u64,
+    removal: &Removal,
+    seed: u64,
+) -> bool {
+    let mut keys: Vec<String> = (removal.from..=removal.through)
+        .map(|seq| key::journal(shard, seq))
+        .collect();
+    if let Some(old) = &removal.image {
+        keys.extend((0..old.chunks).map(|chunk| key::chunk(shard, old.epoch, old.seq, chunk)));
+    }
+    for keys in keys.chunks(usize::try_from(REMOVED_AT_ONCE).unwrap_or(1)) {
+        let deletes = keys.iter().cloned().map(Write::Delete).collect();
+        if !persist(platform, deletes, seed).await {
+            return false;
+        }
+    }
+    let swept = removal.image.as_ref().is_some_and(|old| old.epoch == epoch);
+    swept || sweep(platform, shard, epoch, seed).await
+}
+
+/// Removes chunks of images whose writer lost the shard before it had set their index. Only an
+/// earlier epoch's are touched: a later owner may be writing its own. Done with the first image of
+/// an epoch.
+async fn sweep(platform: &dyn Platform, shard: &id::Shard, epoch: u64, seed: u64) -> bool {
+    let prefix = key::images(shard);
+    let end = key::image(shard, epoch, 0);
+    let mut from = prefix.clone();
+    while from < end {
+        let Ok(listed) = platform.range(&prefix, &from, SWEPT_AT_ONCE).await else {
+            return false;
+        };
+        let Some(last) = listed.last() else {
+            return true;
+        };
+        // The first name after the last one.
+        from = format!("{}!", last.key);
+        let keys = listed.into_iter().map(|entry| entry.key);
+        let deletes: Vec<Write> = keys.filter(|key| *key < end).map(Write::Delete).collect();
+        if !deletes.is_empty() && !persist(platform, deletes, seed).await {
+            return false;
+        }
+    }
+    true
+}
+
+/// Makes writes that may be repeated, until they are known to have taken effect.
+async fn persist(platform: &dyn Platform, writes: Vec<Write>, seed: u64) -> bool {
+    let txn = Txn {
+        compares: Vec::<Compare>::new(),
+        writes,
+    };
+    for tries in 1..=TRIES {
+        let pause = match platform.commit(&txn, Weight::Background).await {
+            Ok(_) => return true,
+            Err(Fault::Limited(pause)) => pause,
+            Err(_) => wait(tries, seed),
+        };
+        tokio::time::sleep(pause.as_duration()).await;
     }
+    false
 }
--- /dev/null
+++ b/crates/journal/src/snapshot/progress.rs
@@ -0,0 +1,160 @@
+//! How far a log has come with its images: when one is due, what it covers, what may go.
+//!
+//! Exists for the failure "an image covers a record that it doesn't hold": an image asked for
+//! covers exactly the appends that were handed over before it, and the log forms no batch across
+//! that border.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use super::Image;
+use super::Index;
+use super::Known;
+
+/// Batches after which an image may be due: a takeover reads at most this many small keys, in
+/// tens of milliseconds by the range.
+const BATCHES: u64 = 256;
+
+/// What a new index has made useless.
+#[derive(Debug)]
+pub(crate) struct Removal {
+    /// The number of the first journal key to remove.
+    pub(crate) from: u64,
+    /// The number of the last one.
+    pub(crate) through: u64,
+    /// The previous image.
+    pub(crate) image: Option<Index>,
+}
+
+/// A log's images.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    known: Known,
+    floor: u64,
+    batches: u64,
+    bytes: u64,
+    due: Arc<AtomicBool>,
+    stage: Stage,
+}
+
+#[derive(Debug)]
+enum Stage {
+    Idle,
+    /// An image waits for the appends before it to get their places.
+    Asked {
+        image: Image,
+        arrivals: usize,
+    },
+    /// Its chunks are being written.
+    Writing,
+    /// Its index goes with the next batch.
+    Ready(Index),
+    /// The batch with its index is in line.
+    Sent,
+}
+
+impl Progress {
+    pub(crate) fn new(known: Known, due: Arc<AtomicBool>) -> Self {
+        Self {
+            floor: known.index.as_ref().map_or(0, |index| index.floor),
+            known,
+            batches: 0,
+            bytes: 0,
+            due,
+            stage: Stage::Idle,
+        }
+    }
+
+    /// Takes an image that covers the batches formed so far and the next `arrivals` appends.
+    pub(crate) fn ask(&mut self, image: Image, arrivals: usize) {
+        if matches!(self.stage, Stage::Idle) {
+            self.stage = Stage::Asked { image, arrivals };
+            self.due.store(false, Ordering::Relaxed);
+        }
+    }
+
+    /// Yields the image once every append before it has its place.
+    pub(crate) fn cut(&mut self) -> Option<Image> {
+        if !matches!(self.stage, Stage::Asked { arrivals: 0, .. }) {
+            return None;
+        }
+        match std::mem::replace(&mut self.stage, Stage::Writing) {
+            Stage::Asked { image, .. } => Some(image),
+            _ => None,
+        }
+    }
+
+    /// Limits the appends of the next batch to those before an image.
+    pub(crate) fn limit(&self, count: usize) -> usize {
+        match self.stage {
+            Stage::Asked { arrivals, .. } => count.min(arrivals),
+            _ => count,
+        }
+    }
+
+    /// Notes a batch of so many appends.
+    pub(crate) fn formed(&mut self, count: usize, bytes: usize) {
+        if let Stage::Asked { arrivals, .. } = &mut self.stage {
+            *arrivals -= count;
+        }
+        self.batches += 1;
+        self.bytes += bytes as u64;
+        let last = self.known.index.as_ref().map_or(0, |index| index.bytes);
+        if self.batches >= BATCHES && self.bytes >= last && matches!(self.stage, Stage::Idle) {
+            self.due.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Notes that an image is written, or given up.
+    pub(crate) fn written(&mut self, index: Option<Index>) {
+        self.stage = index.map_or(Stage::Idle, Stage::Ready);
+    }
+
+    /// Tells whether an index waits for a batch to go with.
+    pub(crate) fn is_ready(&self) -> bool {
+        matches!(self.stage, Stage::Ready(_))
+    }
+
+    pub(crate) fn take_ready(&mut self) -> Option<Index> {
+        if !self.is_ready() {
+            return None;
+        }
+        match std::mem::replace(&mut self.stage, Stage::Sent) {
+            Stage::Ready(index) => Some(index),
+            _ => None,
+        }
+    }
+
+    /// Notes that the index is set.
+    pub(crate) fn indexed(&mut self, revision: u64, index: &Index) -> Removal {
+        let known = Known {
+            revision,
+            index: Some(index.clone()),
+        };
+        let old = std::mem::replace(&mut self.known, known);
+        self.stage = Stage::Idle;
+        self.batches = 0;
+        self.bytes = 0;
+        Removal {
+            from: self.floor,
+            through: index.seq,
+            image: old.index,
+        }
+    }
+
+    /// Notes that the journal keys up to `seq` are removed.
+    pub(crate) fn removed(&mut self, seq: u64) {
+        self.floor = self.floor.max(seq + 1);
+    }
+
+    /// Yields the revision of the index that appends must find.
+    pub(crate) fn revision(&self) -> u64 {
+        self.known.revision
+    }
+
+    /// Yields the number of the first journal key that may not have been removed.
+    pub(crate) fn floor(&self) -> u64 {
+        self.floor
+    }
+}
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use wire::id;
 
+use crate::copy::Holder;
 use crate::program::Program;
 use crate::program::insert;
 use crate::program::link;
@@ -46,8 +47,11 @@
 pub struct State {
     epoch: u64,
     owner: Option<id::Vm>,
-    copies: Vec<id::Vm>,
-    // Boxed, so that an insertion moves a pointer a program and not the programs.
+    copies: Vec<Holder>,
+    #[expect(
+        clippy::vec_box,
+        reason = "an insertion moves the entries behind it, so they are kept small"
+    )]
     programs: Vec<Box<Program>>,
     blames: Vec<Blame>,
 }
@@ -151,7 +155,7 @@
 
     /// Yields the VMs that hold that owner's pending batches during an outage.
     #[must_use]
-    pub fn copies(&self) -> &[id::Vm] {
+    pub fn copies(&self) -> &[Holder] {
         &self.copies
     }
 
