--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -138,7 +138,11 @@
 /// Builds an answer whose parts come from a channel; a [`Dropped`] in it cuts the answer off.
 #[must_use]
 pub fn stream(kind: &'static str, parts: mpsc::Receiver<Result<Bytes>>) -> Response<Body> {
-    respond(StatusCode::OK, kind, Parts(parts).boxed())
+    let parts = Parts {
+        parts,
+        dropped: false,
+    };
+    respond(StatusCode::OK, kind, parts.boxed())
 }
 
 fn respond(status: StatusCode, kind: &'static str, body: Body) -> Response<Body> {
@@ -211,7 +215,10 @@
     json(StatusCode::OK, &Value::Object(serde_json::Map::new()))
 }
 
-struct Parts(mpsc::Receiver<Result<Bytes>>);
+struct Parts {
+    parts: mpsc::Receiver<Result<Bytes>>,
+    dropped: bool,
+}
 
 impl hyper::body::Body for Parts {
     type Data = Bytes;
@@ -221,7 +228,19 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>>>> {
-        let part = self.0.poll_recv(context);
-        part.map(|part| part.map(|bytes| bytes.map(Frame::data)))
+        if self.dropped {
+            return Poll::Ready(Some(Err(Dropped)));
+        }
+        match self.parts.poll_recv(context) {
+            Poll::Ready(Some(Err(Dropped))) => {
+                // The server throws away what it hasn't flushed when a body fails; a pause lets it
+                // flush first, so that the reader gets the parts before the cut.
+                self.dropped = true;
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Poll::Ready(part) => Poll::Ready(part.map(|bytes| bytes.map(Frame::data))),
+            Poll::Pending => Poll::Pending,
+        }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,3 +5,5 @@
 
 pub mod http;
 pub mod platform;
+pub mod runner;
+pub mod service;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,7 +1,8 @@
 //! The platform's stand-in: an etcd v3 JSON gateway, and the lagging list of VMs and endpoints.
 //!
 //! Paths: `/v3/kv/*`, `/v3/lease/*` and `/v3/watch` as the gateway's; `GET /vms` and
-//! `POST /vms` read and set the list; `GET /stats` counts; `POST /faults` sets [`Faults`].
+//! `POST /vms` read and set the list; `GET /stats` counts; `POST /faults` sets [`Faults`];
+//! `POST /deliver` lets the writes that were held back take effect.
 
 mod gateway;
 pub mod store;
@@ -87,10 +88,9 @@
     pub lose_answers: u32,
     /// How many of the next writes are dropped before they take effect.
     pub lose_writes: u32,
-    /// How many of the next writes are dropped and take effect after `delay_ms`.
+    /// How many of the next writes are dropped and held back; they take effect, or are refused by
+    /// their conditions, at `POST /deliver`.
     pub delay_writes: u32,
-    /// When delayed writes take effect.
-    pub delay_ms: u64,
     /// How long a change of the list of VMs takes to show, in place of the settings' value.
     pub lag_ms: Option<u64>,
 }
@@ -110,8 +110,12 @@
     pub revision: u64,
 }
 
+/// A write that was held back.
+type Held = Box<dyn FnOnce(&mut Store, Millis) + Send>;
+
 struct State {
     store: Store,
+    held: Vec<Held>,
     faults: Faults,
     stats: Stats,
     second: Second,
@@ -147,6 +151,7 @@
 pub fn serve(listener: TcpListener, settings: Settings, clock: Clock) -> std::io::Result<Server> {
     let state = State {
         store: Store::new(settings.kept_changes),
+        held: Vec::new(),
         faults: Faults::default(),
         stats: Stats::default(),
         second: Second::default(),
@@ -240,6 +245,7 @@
     match (request.method().clone(), path.as_str()) {
         (Method::GET, "/stats") => Ok(http::json(StatusCode::OK, &platform.stats())),
         (Method::POST, "/faults") => Ok(set_faults(&platform, request).await),
+        (Method::POST, "/deliver") => Ok(deliver(&platform)),
         (Method::POST, "/vms") => Ok(set_machines(&platform, request).await),
         (Method::GET, "/vms") => {
             if let Some(refusal) = enter(&platform, Effect::Read).await? {
@@ -301,6 +307,15 @@
     http::json(StatusCode::OK, &state.faults)
 }
 
+fn deliver(platform: &Platform) -> Response<Body> {
+    let now = platform.clock.now();
+    let mut state = platform.lock();
+    for write in std::mem::take(&mut state.held) {
+        write(&mut state.store, now);
+    }
+    http::done()
+}
+
 async fn set_machines(platform: &Platform, request: Request<Incoming>) -> Response<Body> {
     let list: List = match http::read_json(request).await {
         Ok(list) => list,
--- a/crates/standin/src/platform/gateway.rs
+++ b/crates/standin/src/platform/gateway.rs
@@ -1,7 +1,6 @@
 //! The gateway's paths over the store.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::Request;
@@ -96,7 +95,7 @@
     Answer,
     LoseAnswer,
     LoseWrite,
-    Delay(Duration),
+    Delay,
 }
 
 fn fate(platform: &Platform) -> Fate {
@@ -104,10 +103,7 @@
     let counters = [
         (&mut faults.lose_writes, Fate::LoseWrite),
         (&mut faults.lose_answers, Fate::LoseAnswer),
-        (
-            &mut faults.delay_writes,
-            Fate::Delay(Duration::from_millis(faults.delay_ms)),
-        ),
+        (&mut faults.delay_writes, Fate::Delay),
     ];
     for (left, fate) in counters {
         if *left > 0 {
@@ -132,13 +128,10 @@
         return Ok(refusal);
     }
     let fate = fate(platform);
-    if let Fate::Delay(span) = fate {
-        let platform = platform.clone();
-        tokio::spawn(async move {
-            tokio::time::sleep(span).await;
-            let now = platform.clock.now();
-            let _nobody_waits = apply(&mut platform.lock().store, &wanted, now);
-        });
+    if matches!(fate, Fate::Delay) {
+        platform.lock().held.push(Box::new(move |store, now| {
+            let _nobody_waits = apply(store, &wanted, now);
+        }));
         return Err(Dropped);
     }
     if matches!(fate, Fate::LoseWrite) {
--- a/crates/standin/tests/contract.rs
+++ b/crates/standin/tests/contract.rs
@@ -94,13 +94,20 @@
                 let faults = match play {
                     Play::LoseAnswer => r#"{"lose_answers":1}"#,
                     Play::LoseWrite => r#"{"lose_writes":1}"#,
-                    Play::Delay => r#"{"delay_writes":1,"delay_ms":1}"#,
+                    Play::Delay => r#"{"delay_writes":1}"#,
                 };
                 post(server.address(), "/faults", faults).await;
             }
         }
     }
 
+    async fn deliver(&self) {
+        match &self.under {
+            Under::Memory(memory) => memory.deliver(),
+            Under::Gateway { server, .. } => post(server.address(), "/deliver", "").await,
+        }
+    }
+
     async fn set_down(&self, down: bool) {
         match &self.under {
             Under::Memory(memory) => memory.set_down(down),
@@ -267,6 +274,25 @@
     apply(platform, &create("a", b"mine")).await;
 }
 
+// A write is given up and lands later. Whoever read the key back in between saw nothing: absent
+// now doesn't mean never. Once someone else has the key, the late write is refused.
+#[rstest]
+#[tokio::test]
+async fn a_write_may_land_after_it_was_given_up(#[values(Kind::Memory, Kind::Gateway)] kind: Kind) {
+    let bench = Bench::new(kind).await;
+    let platform = bench.platform();
+    for key in ["a", "b"] {
+        bench.play(Play::Delay).await;
+        let late = platform.commit(&create(key, b"late"), Weight::Commit).await;
+        assert!(matches!(late, Err(Fault::Unknown(_))), "{late:?}");
+        assert_eq!(platform.read(key).await.unwrap(), None);
+    }
+    apply(platform, &create("b", b"other")).await;
+    bench.deliver().await;
+    assert_eq!(platform.read("a").await.unwrap().unwrap().value, b"late");
+    assert_eq!(platform.read("b").await.unwrap().unwrap().value, b"other");
+}
+
 // The platform is out and says so. A write fails as one that had no effect, and after the outage
 // it really had none.
 #[rstest]
