--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! One VM's part of the system: the filters that a request passes and the controllers that keep
 //! its state.
 
+pub mod controllers;
 pub mod peer;
 pub mod view;
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -16,6 +16,9 @@
     pub revision: u64,
     /// The nonce of the change that made this revision; settles a change whose answer was lost.
     pub nonce: u64,
+    /// The nonces of the revisions before this one, the latest first; they settle a change whose
+    /// answer was lost after others have built on it.
+    pub recent: Vec<u64>,
     /// Who may ask.
     pub callers: Vec<Caller>,
     /// The back ends.
