--- a/crates/chestnutyoke/src/cli.rs
+++ b/crates/chestnutyoke/src/cli.rs
@@ -10,7 +10,11 @@
 use clap::Command;
 use clap::value_parser;
 
+use crate::verbs::change;
 use crate::verbs::check;
+use crate::verbs::show;
+
+pub mod operate;
 
 /// The outcome of a verb; the fault is shown to the person who called it.
 pub type Result<T> = std::result::Result<T, Box<dyn Error + Send + Sync>>;
@@ -34,6 +38,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(check_command())
+        .subcommands(operate::commands())
 }
 
 fn check_command() -> Command {
@@ -54,10 +59,28 @@
 }
 
 fn dispatch(matches: &ArgMatches) -> Result<()> {
-    match matches.subcommand() {
-        Some(("check", matches)) => check_verb(matches),
-        _ => Ok(()),
+    let Some((verb, matches)) = matches.subcommand() else {
+        return Ok(());
+    };
+    match verb {
+        "check" => check_verb(matches),
+        _ => runtime()?.block_on(operate_verb(verb, matches)),
+    }
+}
+
+async fn operate_verb(verb: &str, matches: &ArgMatches) -> Result<()> {
+    let target = operate::target(matches)?;
+    match operate::parse(verb, matches)? {
+        operate::Verb::Change(edit) => change::run(&target, &edit).await?,
+        operate::Verb::Show(subject) => show::run(&target, &subject).await?,
     }
+    Ok(())
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime> {
+    Ok(tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?)
 }
 
 fn check_verb(matches: &ArgMatches) -> Result<()> {
--- a/crates/chestnutyoke/src/verbs.rs
+++ b/crates/chestnutyoke/src/verbs.rs
@@ -1,3 +1,6 @@
 //! What the command line can do, a module for each group of verbs.
 
+pub mod apply;
+pub mod change;
 pub mod check;
+pub mod show;
--- /dev/null
+++ b/crates/chestnutyoke/src/verbs/change.rs
@@ -0,0 +1,36 @@
+//! Sends a change of the configuration and tells what became of it.
+
+use hyper::Method;
+use node::controllers::config::edit::Edit;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::cli::operate::Form;
+use crate::cli::operate::Target;
+use crate::client;
+
+/// Sends an edit to a VM and shows the revision and where it is in force.
+///
+/// # Errors
+///
+/// Fails where the VM can't be reached, refuses the change or can't tell what became of it.
+pub async fn run(target: &Target, edit: &Edit) -> client::Result<()> {
+    let body = json!({ "edit": edit, "expected": target.expected });
+    let answer = client::call(target.admin, Method::POST, "/operate/change", Some(&body)).await?;
+    match target.form {
+        Form::Json => println!("{answer}"),
+        Form::Table => println!("{}", summary(&answer)),
+    }
+    Ok(())
+}
+
+fn summary(answer: &Value) -> String {
+    let count = |list: &str| answer["rollout"][list].as_array().map_or(0, Vec::len);
+    format!(
+        "revision {}: in force on {} VMs, not yet on {}, {} not heard",
+        answer["revision"],
+        count("reached"),
+        count("behind"),
+        count("silent"),
+    )
+}
