--- a/crates/policy/src/admit/tests.rs
+++ b/crates/policy/src/admit/tests.rs
@@ -1,1 +1,130 @@
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Ran;
 
+use super::Call;
+use super::Drain;
+use super::FIRST_WAIT;
+use super::Load;
+use super::MIN_RETRY;
+use super::SPELL;
+use super::Stage;
+use super::decide;
+use crate::class::Class;
+
+const CALL: Call = Call {
+    class: Class::Routine,
+    stage: Stage::First,
+    deadline: None,
+    run: Millis::new(1_000),
+};
+
+const LOAD: Load = Load {
+    waiting: 0,
+    own: 0,
+    room: 100,
+    drain: Some(10.0),
+};
+
+fn code(load: &Load, call: &Call) -> Option<Code> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    decide(load, call, &mut rng).err().map(|refusal| {
+        assert_eq!(refusal.ran, Ran::No);
+        assert!(refusal.retry_after >= Some(MIN_RETRY));
+        refusal.code
+    })
+}
+
+#[rstest]
+#[case::idle(0, Stage::First, None)]
+#[case::short_wait(19, Stage::First, None)]
+#[case::long_wait(21, Stage::First, Some(Code::Overloaded))]
+#[case::long_wait_under_way(21, Stage::Later, None)]
+#[case::hopeless_under_way(700, Stage::Later, Some(Code::Overloaded))]
+fn the_load_is_cut_at_the_first_call(
+    #[case] waiting: usize,
+    #[case] stage: Stage,
+    #[case] expected: Option<Code>,
+) {
+    let load = Load { waiting, ..LOAD };
+    assert_eq!(code(&load, &Call { stage, ..CALL }), expected);
+}
+
+#[rstest]
+#[case::nobody_else(0, 100, None)]
+#[case::half(50, 50, Some(Code::QueueFull))]
+#[case::below_half(49, 51, None)]
+#[case::newcomer_finds_room(0, 1, None)]
+#[case::full(0, 0, Some(Code::QueueFull))]
+fn a_caller_stops_at_half_of_the_room(
+    #[case] own: usize,
+    #[case] room: usize,
+    #[case] expected: Option<Code>,
+) {
+    let load = Load { own, room, ..LOAD };
+    assert_eq!(code(&load, &CALL), expected);
+}
+
+#[test]
+fn what_cannot_be_met_is_refused_at_once() {
+    let load = Load {
+        waiting: 15,
+        ..LOAD
+    };
+    let tight = Call {
+        deadline: Some(Millis::new(2_000)),
+        ..CALL
+    };
+    assert_eq!(code(&load, &tight), Some(Code::DeadlineUnmeetable));
+    assert_eq!(code(&LOAD, &tight), None);
+}
+
+#[test]
+fn those_refused_together_come_back_apart() {
+    let load = Load {
+        waiting: 200,
+        ..LOAD
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut times: Vec<u64> = (0..100)
+        .filter_map(|_| decide(&load, &CALL, &mut rng).err()?.retry_after)
+        .map(Millis::as_u64)
+        .collect();
+    times.sort_unstable();
+    let excess = 20_000 - FIRST_WAIT.as_u64();
+    assert_eq!(times.len(), 100);
+    assert!(times[0] >= excess && times[99] < 2 * excess);
+    times.dedup();
+    assert!(times.len() > 90);
+}
+
+#[test]
+fn the_drain_is_measured_while_something_waits() {
+    let mut drain = Drain::default();
+    let start = 1_000;
+    for tick in 0..=2 * SPELL.as_u64() / 100 {
+        drain.count(Millis::new(start + tick * 100), 5);
+    }
+    let rate = drain.rate().expect("two spells are over");
+    assert!((rate - 10.0).abs() < 0.6, "{rate}");
+    let now = Millis::new(start).plus(SPELL).plus(SPELL);
+    drain.count(now, 0);
+    drain.roll(now.plus(SPELL));
+    assert!(drain.rate() >= Some(rate), "few arrivals lower it");
+}
+
+#[test]
+fn a_standstill_shows_in_the_drain() {
+    let mut drain = Drain::default();
+    let start = Millis::new(1_000);
+    for _ in 0..20 {
+        drain.count(start, 5);
+    }
+    drain.roll(start.plus(SPELL));
+    let before = drain.rate();
+    drain.roll(start.plus(SPELL).plus(SPELL));
+    assert!(drain.rate() < before);
+}
--- a/crates/policy/src/eject/tests.rs
+++ b/crates/policy/src/eject/tests.rs
@@ -1,1 +1,104 @@
+use rstest::rstest;
+use wire::clock::Millis;
 
+use super::Change;
+use super::Detector;
+use super::FIRST_SPAN;
+use super::Kind;
+use super::Sample;
+use super::State;
+use super::most_out;
+use super::sweep;
+use crate::shift;
+
+const NOW: Millis = Millis::new(1_000_000);
+
+fn pool(paces: &[f64]) -> Vec<Detector> {
+    let detector = |pace: &f64| {
+        let mut detector = Detector::new(Millis::ZERO);
+        for _ in 0..10 {
+            detector.note(Sample::Done { pace: *pace });
+        }
+        detector
+    };
+    paces.iter().map(detector).collect()
+}
+
+fn fail(detector: &mut Detector, times: u32) {
+    for _ in 0..times {
+        detector.note(Sample::Failed);
+    }
+}
+
+fn ejected(changes: &[Change]) -> Vec<usize> {
+    changes.iter().map(|change| change.index).collect()
+}
+
+#[test]
+fn unlike_speeds_are_no_fault() {
+    let mut pool = pool(&[10.0, 15.0, 20.0, 25.0, 30.0]);
+    assert_eq!(sweep(&mut pool, NOW), []);
+}
+
+#[test]
+fn a_slow_endpoint_is_ejected() {
+    let mut pool = pool(&[10.0, 10.0, 100.0, 10.0, 10.0]);
+    assert_eq!(ejected(&sweep(&mut pool, NOW)), [2]);
+    assert!(pool[2].share(NOW) <= 0.0);
+}
+
+#[rstest]
+#[case(2, &[])]
+#[case(3, &[1])]
+fn failures_in_a_row_eject(#[case] failures: u32, #[case] expected: &[usize]) {
+    let mut pool = pool(&[10.0; 4]);
+    fail(&mut pool[1], failures);
+    assert_eq!(ejected(&sweep(&mut pool, NOW)), expected);
+}
+
+#[test]
+fn the_worst_go_first_and_most_stay() {
+    let mut pool = pool(&[10.0; 10]);
+    for (index, detector) in pool.iter_mut().enumerate() {
+        let failures = u32::try_from(index).expect("ten fit");
+        fail(detector, 10 + failures);
+    }
+    assert_eq!(ejected(&sweep(&mut pool, NOW)), [9, 8, 7]);
+    assert_eq!(sweep(&mut pool, NOW.plus(Millis::new(1))), []);
+}
+
+#[test]
+fn an_endpoint_comes_back_with_a_growing_share() {
+    let mut pool = pool(&[10.0; 4]);
+    fail(&mut pool[0], 3);
+    sweep(&mut pool, NOW);
+    let back = NOW.plus(FIRST_SPAN);
+    let kind = Kind::Back;
+    assert_eq!(sweep(&mut pool, back), [Change { index: 0, kind }]);
+    assert!(pool[0].share(back) < 0.2);
+    assert!(pool[0].share(back.plus(shift::RAMP)) >= 1.0);
+}
+
+#[test]
+fn a_second_ejection_lasts_longer() {
+    let mut pool = pool(&[10.0; 4]);
+    fail(&mut pool[0], 3);
+    sweep(&mut pool, NOW);
+    let back = NOW.plus(FIRST_SPAN);
+    sweep(&mut pool, back);
+    fail(&mut pool[0], 3);
+    sweep(&mut pool, back);
+    let until = back.plus(FIRST_SPAN).plus(FIRST_SPAN);
+    assert_eq!(pool[0].state(), State::Out { until });
+}
+
+#[rstest]
+#[case(0, 0)]
+#[case(1, 0)]
+#[case(2, 1)]
+#[case(3, 1)]
+#[case(12, 3)]
+#[case(600, 180)]
+fn some_always_stay(#[case] endpoints: usize, #[case] expected: usize) {
+    assert_eq!(most_out(endpoints), expected);
+}
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -147,15 +147,15 @@
         && choice.start == cheapest.start
 }
 
-/// Yields how many calls of a class the endpoint may have at once.
+/// Yields how many calls of a class the endpoint may have at once; routine calls keep one slot
+/// where an endpoint has no more to use.
 #[must_use]
 pub fn room(slots: u32, share: f64, class: Class) -> f64 {
-    let usable = f64::from(slots) * share;
+    let usable = (f64::from(slots) * share).ceil();
+    let kept = (f64::from(slots) * URGENT_SHARE).ceil();
     match class {
-        Class::Urgent => usable.ceil(),
-        Class::Routine => (usable - (f64::from(slots) * URGENT_SHARE).max(1.0))
-            .ceil()
-            .max(0.0),
+        Class::Urgent => usable,
+        Class::Routine => (usable - kept).max(usable.min(1.0)),
     }
 }
 
--- a/crates/policy/src/place/tests.rs
+++ b/crates/policy/src/place/tests.rs
@@ -1,1 +1,151 @@
+use rstest::rstest;
 
+use super::Call;
+use super::Candidate;
+use super::Start;
+use super::Weights;
+use super::choose;
+use super::room;
+use crate::class::Class;
+
+const IDLE: Candidate = Candidate {
+    slots: 16,
+    reported: 0,
+    sent: 0,
+    ended: 0,
+    speed: 50.0,
+    prefill: 5_000.0,
+    cached: 0,
+    share: 1.0,
+};
+
+const CALL: Call = Call {
+    class: Class::Routine,
+    prompt: 20_000,
+    output: 200,
+    salt: 7,
+};
+
+const LATENCY: Weights = Weights {
+    latency: 1.0,
+    cache: 0.0,
+};
+
+#[test]
+fn the_prefix_holder_is_chosen_while_it_has_a_slot() {
+    let holder = Candidate {
+        cached: 19_000,
+        reported: 10,
+        ..IDLE
+    };
+    let choice = choose(&[IDLE, holder, IDLE], &CALL, &LATENCY).expect("all may be used");
+    assert_eq!(choice.index, 1);
+    assert_eq!(choice.start, Start::Now);
+}
+
+#[test]
+fn a_faster_endpoint_is_chosen_over_a_slower_one() {
+    let slow = Candidate {
+        speed: 10.0,
+        ..IDLE
+    };
+    let choice = choose(&[slow, IDLE, slow], &CALL, &LATENCY).expect("all may be used");
+    assert_eq!(choice.index, 1);
+}
+
+#[rstest]
+#[case(0.0, 1)]
+#[case(4.0, 0)]
+fn the_weight_of_cache_decides_between_waiting_and_moving(
+    #[case] cache: f64,
+    #[case] expected: usize,
+) {
+    // The holder has a wait of 16 s over 15 places for each call ahead; moving costs 4 s of
+    // prefill.
+    let holder = Candidate {
+        cached: 20_000,
+        reported: 32,
+        ..IDLE
+    };
+    let weights = Weights {
+        latency: 1.0,
+        cache,
+    };
+    let choice = choose(&[holder, IDLE], &CALL, &weights).expect("all may be used");
+    assert_eq!(choice.index, expected);
+}
+
+#[test]
+fn own_dispatches_since_the_report_count() {
+    let sent = Candidate { sent: 16, ..IDLE };
+    let busy = Candidate {
+        reported: 8,
+        ..IDLE
+    };
+    let choice = choose(&[sent, busy], &CALL, &LATENCY).expect("all may be used");
+    assert_eq!(choice.index, 1);
+}
+
+#[test]
+fn equal_endpoints_are_drawn_by_the_salt() {
+    let pool = [IDLE; 4];
+    let mut seen = [false; 4];
+    for salt in 0..64 {
+        let call = Call { salt, ..CALL };
+        let choice = choose(&pool, &call, &LATENCY).expect("all may be used");
+        seen[choice.index] = true;
+    }
+    assert_eq!(seen, [true; 4]);
+}
+
+#[test]
+fn endpoints_without_a_share_get_nothing() {
+    let out = Candidate { share: 0.0, ..IDLE };
+    assert_eq!(choose(&[out, out], &CALL, &LATENCY), None);
+    assert_eq!(choose(&[], &CALL, &LATENCY), None);
+}
+
+#[test]
+fn urgent_calls_find_the_slots_that_routine_calls_leave() {
+    let full = Candidate {
+        reported: 15,
+        ..IDLE
+    };
+    let routine = choose(&[full], &CALL, &LATENCY).expect("it may be used");
+    assert_eq!(routine.start, Start::Later);
+    let call = Call {
+        class: Class::Urgent,
+        ..CALL
+    };
+    let urgent = choose(&[full], &call, &LATENCY).expect("it may be used");
+    assert_eq!(urgent.start, Start::Now);
+}
+
+#[rstest]
+#[case(16, 1.0, Class::Urgent, 16.0)]
+#[case(16, 1.0, Class::Routine, 15.0)]
+#[case(8, 0.125, Class::Urgent, 1.0)]
+#[case(1, 1.0, Class::Urgent, 1.0)]
+#[case(1, 1.0, Class::Routine, 1.0)]
+#[case(8, 0.125, Class::Routine, 1.0)]
+#[case(8, 0.0, Class::Routine, 0.0)]
+fn room_follows_share_and_class(
+    #[case] slots: u32,
+    #[case] share: f64,
+    #[case] class: Class,
+    #[case] expected: f64,
+) {
+    assert!((room(slots, share, class) - expected).abs() < 1e-9);
+}
+
+#[test]
+fn the_runner_up_is_reported() {
+    let slow = Candidate {
+        speed: 10.0,
+        ..IDLE
+    };
+    let choice = choose(&[IDLE, slow], &CALL, &LATENCY).expect("all may be used");
+    assert!(choice.next > choice.cost);
+    let alone = choose(&[IDLE], &CALL, &LATENCY).expect("it may be used");
+    assert!(alone.next.is_infinite());
+}
