--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,8 @@
 //! its state.
 
 pub mod controllers;
+pub mod core;
+pub mod owner;
 pub mod peer;
 pub mod trace;
 pub mod view;
