--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -1,12 +1,16 @@
 //! The operators' configuration: one document with one revision, changed by compare-and-swap, so
 //! that two operators who race can't both succeed and no change is ever undone by an older one.
 
+use std::cmp::Reverse;
+
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use wire::clock::Millis;
 use wire::id;
 
 use crate::label;
+use crate::unit;
 
 /// The whole configuration. Every list is sorted by its first field.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +20,9 @@
     pub revision: u64,
     /// The nonce of the change that made this revision; settles a change whose answer was lost.
     pub nonce: u64,
+    /// The nonces of the revisions before this one, the latest first; they settle a change whose
+    /// answer was lost after others have built on it.
+    pub recent: Vec<u64>,
     /// Who may ask.
     pub callers: Vec<Caller>,
     /// The back ends.
@@ -96,13 +103,16 @@
 }
 
 /// What a program may use in all.
+#[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Budget {
     /// Tokens generated.
     pub tokens: u64,
     /// Turns.
     pub turns: u32,
     /// The longest pause between turns.
+    #[serde_as(as = "unit::Span")]
     pub idle: Millis,
 }
 
@@ -123,7 +133,7 @@
 pub struct Selector {
     /// The selector's name.
     pub name: id::Selector,
-    /// Selectors with a higher rank are tried first; equal ranks go by name.
+    /// Within a class, selectors with a higher rank are tried first; equal ranks go by name.
     #[serde(default)]
     pub rank: i32,
     /// Labels that the caller must have.
@@ -210,8 +220,13 @@
             .any(|e| e.kind == kind && e.serves.iter().any(|s| s == name))
     }
 
-    /// Finds the first selector by rank that matches the work; `None` where none does or the one
-    /// that does forbids it.
+    /// Finds the selector that speaks for the work; `None` where none matches or the one that
+    /// does forbids it.
+    ///
+    /// Selectors of urgent work go before all others, then the higher rank, then the name. If
+    /// rank alone decided, a broad selector that limits callers with overdue fees would sooner or
+    /// later be given a rank above the one for emergencies, and an emergency cutoff would wait
+    /// behind chatter. This way no selector of routine work can lower or forbid urgent work.
     #[must_use]
     pub fn grant(
         &self,
@@ -227,7 +242,7 @@
                 && labels.covers(&s.program)
                 && (s.serves.is_empty() || s.serves.iter().any(|name| name == serves))
         });
-        let selector = matching.min_by_key(|s| (std::cmp::Reverse(s.rank), &s.name))?;
+        let selector = matching.min_by_key(|s| (s.class, Reverse(s.rank), &s.name))?;
         if !selector.allow {
             return None;
         }
@@ -242,3 +257,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
