--- /dev/null
+++ b/crates/chestnutyoke/src/cli.rs
@@ -0,0 +1,95 @@
+//! The command line: what it takes, and which verb serves it.
+
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+use crate::verbs::change;
+use crate::verbs::check;
+use crate::verbs::show;
+
+pub mod operate;
+
+/// The outcome of a verb; the fault is shown to the person who called it.
+pub type Result<T> = std::result::Result<T, Box<dyn Error + Send + Sync>>;
+
+/// Parses the command line and runs the verb.
+#[must_use]
+pub fn run() -> ExitCode {
+    match dispatch(&command().get_matches()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("chestnutyoke")
+        .about("A scheduler for agent programs")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(check_command())
+        .subcommands(operate::commands())
+}
+
+fn check_command() -> Command {
+    let print = Arg::new("print").long("print").action(ArgAction::SetTrue);
+    Command::new("check")
+        .about("Lists every fault of a settings file")
+        .arg(settings_arg())
+        .arg(print.help("Shows the effective settings with their defaults"))
+}
+
+fn settings_arg() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The VM's settings file")
+}
+
+fn dispatch(matches: &ArgMatches) -> Result<()> {
+    let Some((verb, matches)) = matches.subcommand() else {
+        return Ok(());
+    };
+    match verb {
+        "check" => check_verb(matches),
+        _ => runtime()?.block_on(operate_verb(verb, matches)),
+    }
+}
+
+async fn operate_verb(verb: &str, matches: &ArgMatches) -> Result<()> {
+    let target = operate::target(matches)?;
+    match operate::parse(verb, matches)? {
+        operate::Verb::Change(edit) => change::run(&target, &edit).await?,
+        operate::Verb::Show(subject) => show::run(&target, &subject).await?,
+    }
+    Ok(())
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime> {
+    Ok(tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?)
+}
+
+fn check_verb(matches: &ArgMatches) -> Result<()> {
+    let path: &PathBuf = matches.get_one("settings").ok_or("--settings is missing")?;
+    let settings = check::load(path)?;
+    if matches.get_flag("print") {
+        print!("{}", check::print(&settings)?);
+        return Ok(());
+    }
+    println!("{}: no faults", path.display());
+    Ok(())
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod owner;
 pub mod peer;
 pub mod start;
+pub mod trace;
 pub mod view;
