--- /dev/null
+++ b/crates/journal/src/gate.rs
@@ -0,0 +1,100 @@
+//! The owner's decisions on order, history, budget and at-most-once, as pure functions.
+//!
+//! Exists for the failures "a turn runs twice or out of order", "a program spends more than its
+//! budget" and "an order that must not run twice runs twice". Each function looks at a [`State`]
+//! and yields the records that the caller must apply and append before it acts, or the refusal.
+//! The functions never change the state, so a verdict that isn't used leaves nothing behind.
+//!
+//! Every refusal says `ran: no` but for an unknown outcome, which says `unknown`, and a turn that ran
+//! and is too large to be kept, which says `yes`.
+
+mod call;
+mod life;
+mod turn;
+
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Refusal;
+use wire::id;
+
+use crate::program::Program;
+use crate::program::Running;
+use crate::record;
+use crate::record::Record;
+use crate::state::State;
+
+pub use call::Call;
+pub use call::Intend;
+pub use call::intend;
+pub use call::resolve;
+pub use life::Create;
+pub use life::create;
+pub use life::end;
+pub use life::forget;
+pub use life::holders;
+pub use life::idle;
+pub use life::released;
+pub use turn::Begin;
+pub use turn::Blame;
+pub use turn::Commit;
+pub use turn::MAX_MESSAGES;
+pub use turn::Restart;
+pub use turn::Start;
+pub use turn::Turn;
+pub use turn::begin;
+pub use turn::blame;
+pub use turn::commit;
+pub use turn::restart;
+pub use turn::stop;
+
+/// The most bytes of one record. The list around it takes the rest of [`record::MAX_BYTES`].
+const MAX_RECORD: usize = record::MAX_BYTES - 16;
+
+/// The outcome of a decision.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+fn known<'a>(state: &'a State, program: &id::Program, caller: &id::Caller) -> Result<&'a Program> {
+    // Another caller's program looks like one that doesn't exist, so that names can't be probed.
+    let known = state.program(program).filter(|p| p.caller == *caller);
+    known.ok_or_else(|| Refusal::new(Code::UnknownProgram, program.as_str()))
+}
+
+fn alive(program: &Program) -> Result<()> {
+    match program.ended {
+        Some(ending) => Err(Refusal::new(ending.code, program.id.as_str())),
+        None => Ok(()),
+    }
+}
+
+fn open<'a>(state: &'a State, program: &id::Program, caller: &id::Caller) -> Result<&'a Program> {
+    let known = known(state, program, caller)?;
+    alive(known)?;
+    Ok(known)
+}
+
+fn awake(program: &Program, now: Millis) -> Result<()> {
+    if now.since(program.touched) <= program.idle {
+        return Ok(());
+    }
+    let detail = format!("the longest pause is {}", program.idle);
+    Err(Refusal::new(Code::IdleExpired, &detail))
+}
+
+/// Yields the attempt that this owner began. One of an earlier owner has nobody who waits for its
+/// answer; the turn may be begun again, and the old reservation counts as spent.
+fn running_here<'a>(state: &State, program: &'a Program) -> Option<&'a Running> {
+    let running = program.running.as_ref()?;
+    (running.epoch == state.epoch()).then_some(running)
+}
+
+fn stopped(program: &Program, running: &Running, used: Option<u64>) -> Record {
+    Record::Stopped {
+        program: program.id.clone(),
+        turn: running.turn,
+        attempt: running.attempt,
+        used: used.unwrap_or(running.reserved),
+    }
+}
+
+#[cfg(test)]
+mod tests;
