Carry a request from the caller's listener to a runner and back

Ruled out: creating a program in its own append (a write more a program; it goes with the first turn's start). Conclusion: builds and unit tests pass; not yet tried as processes.

--- a/crates/chestnutyoke/src/cli.rs
+++ b/crates/chestnutyoke/src/cli.rs
@@ -10,6 +10,8 @@
 use clap::Command;
 use clap::value_parser;
 
+use crate::logging;
+use crate::serve;
 use crate::verbs::change;
 use crate::verbs::check;
 use crate::verbs::show;
@@ -37,10 +39,19 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(serve_command())
         .subcommand(check_command())
         .subcommands(operate::commands())
 }
 
+fn serve_command() -> Command {
+    let json = Arg::new("json").long("json").action(ArgAction::SetTrue);
+    Command::new("serve")
+        .about("Runs this VM's node")
+        .arg(settings_arg())
+        .arg(json.help("Writes the log as JSON"))
+}
+
 fn check_command() -> Command {
     let print = Arg::new("print").long("print").action(ArgAction::SetTrue);
     Command::new("check")
@@ -63,6 +74,7 @@
         return Ok(());
     };
     match verb {
+        "serve" => serve_verb(matches),
         "check" => check_verb(matches),
         _ => runtime()?.block_on(operate_verb(verb, matches)),
     }
@@ -83,6 +95,17 @@
         .build()?)
 }
 
+fn serve_verb(matches: &ArgMatches) -> Result<()> {
+    let path: &PathBuf = matches.get_one("settings").ok_or("--settings is missing")?;
+    let form = if matches.get_flag("json") {
+        logging::Form::Json
+    } else {
+        logging::Form::Text
+    };
+    let settings = check::load(path)?;
+    runtime()?.block_on(serve::run(settings, form))
+}
+
 fn check_verb(matches: &ArgMatches) -> Result<()> {
     let path: &PathBuf = matches.get_one("settings").ok_or("--settings is missing")?;
     let settings = check::load(path)?;
--- a/crates/chestnutyoke/src/lib.rs
+++ b/crates/chestnutyoke/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod client;
 pub mod logging;
+pub mod serve;
 pub mod table;
 pub mod verbs;
 
--- /dev/null
+++ b/crates/chestnutyoke/src/serve.rs
@@ -0,0 +1,40 @@
+//! The daemon: one node, from its settings to a signal that ends it.
+
+use std::io::Write;
+
+use node::start;
+use settings::vm::Settings;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use wire::clock::Clock;
+
+use crate::cli::Result;
+use crate::logging;
+
+/// Runs a node until SIGTERM or SIGINT, then shuts it down without cutting a request off.
+///
+/// # Errors
+///
+/// Fails where the log can't be set up or the node doesn't start.
+pub async fn run(settings: Settings, form: logging::Form) -> Result<()> {
+    let _logger = logging::start(form)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let handle = start::start(settings, Clock::System).await?;
+    // For whoever started the process with port 0.
+    let mut out = std::io::stdout();
+    writeln!(
+        out,
+        "listening callers={} peers={} admin={}",
+        handle.callers(),
+        handle.peers(),
+        handle.admin()
+    )?;
+    out.flush()?;
+    tokio::select! {
+        _signal = terminate.recv() => {}
+        _signal = interrupt.recv() => {}
+    }
+    handle.shutdown().await;
+    Ok(())
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -1,5 +1,6 @@
 //! The listener for operators: health, metrics and the node's own view.
 
+use std::fmt::Write;
 use std::sync::Arc;
 
 use hyper::Request;
@@ -42,9 +43,10 @@
         ("config_revision", core.view().config.revision),
     ];
     for (name, value) in gauges {
-        text.push_str(&format!(
-            "# TYPE chestnutyoke_{name} gauge\nchestnutyoke_{name} {value}\n"
-        ));
+        let _infallible = writeln!(
+            text,
+            "# TYPE chestnutyoke_{name} gauge\nchestnutyoke_{name} {value}"
+        );
     }
     http::whole(200, "text/plain; version=0.0.4", text)
 }
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -6,7 +6,9 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use journal::copy;
+use journal::copy::Collected;
 use journal::copy::Held;
+use journal::copy::Holder;
 use journal::copy::Peers;
 use journal::log::Setup;
 use platform::edge::Lease;
@@ -98,15 +100,15 @@
 
 #[async_trait]
 impl Peers for Nobody {
-    async fn hold(&self, _: &id::Vm, _: &id::Shard, _: u64, _: &Held) -> copy::Result<()> {
+    async fn hold(&self, _: &Holder, _: &id::Shard, _: &Held) -> copy::Result<()> {
         Err(copy::Fault::Unreachable)
     }
 
-    async fn collect(&self, _: &id::Vm, _: &id::Shard, _: u64) -> copy::Result<Vec<Held>> {
+    async fn collect(&self, _: &id::Vm, _: &id::Shard, _: u64) -> copy::Result<Collected> {
         Err(copy::Fault::Unreachable)
     }
 
-    async fn drained(&self, _: &id::Vm, _: &id::Shard, _: u64, _: u64) {}
+    async fn drained(&self, _: &Holder, _: &id::Shard, _: u64, _: u64) {}
 }
 
 fn peers(core: &Core) -> Vec<Peer> {
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -14,6 +14,7 @@
 use crate::http::listen::Door;
 use crate::metrics::Metrics;
 use crate::owner::registry::Registry;
+use crate::trace::Trace;
 use crate::view::View;
 
 /// What every part of one node shares. Several nodes may live in one process, so nothing of it is
@@ -33,6 +34,8 @@
     pub desk: Desk,
     /// Counts and latencies.
     pub metrics: Metrics,
+    /// The latest decisions.
+    pub trace: Trace,
     /// Connections to VMs and endpoints.
     pub client: Client,
     /// The callers' listener.
--- a/crates/node/src/dispatch/desk.rs
+++ b/crates/node/src/dispatch/desk.rs
@@ -258,46 +258,59 @@
         let slot = slot(core, endpoint, now, work.suspect);
         return Ok(Entered::Placed(slot));
     }
-    let run = Millis::new(work.output.saturating_mul(TOKEN));
-    let left = work.deadline.map(|deadline| deadline.since(now));
     if work.tries == 0 {
-        let stage = match work.turn {
-            0 | 1 => Stage::First,
-            _ => Stage::Later,
-        };
-        let call = admit::Call {
-            class,
-            stage,
-            deadline: left,
-            run,
-        };
-        let load = admit::Load::of(&state.queue, &state.drain, class, &work.caller);
-        admit::decide(&load, &call, &mut rand::rng())?;
+        admit(&state, &work, now)?;
     }
-    log::info!(
-        "{} program={} turn={} class={class:?} waiting={}",
-        Event::CallQueued,
-        work.program,
-        work.turn,
-        state.queue.len()
-    );
+    let detail = format!("class={class:?} waiting={}", state.queue.len());
+    core.trace
+        .note(now, Event::CallQueued, &work.program, work.turn, &detail);
     let (sender, receiver) = oneshot::channel();
     let limit = now.plus(core.settings.limits.wait);
-    let entry = Entry {
+    if let Err(entry) = state.queue.push(entry(work, sender, now, limit)) {
+        let load = admit::Load::of(&state.queue, &state.drain, class, &entry.caller);
+        let refusal = Refusal::new(Code::QueueFull, "");
+        return Err(refusal.retry_after(load.wait().max(admit::MIN_RETRY)));
+    }
+    Ok(Entered::Queued(receiver))
+}
+
+fn admit(state: &State, work: &Work, now: Millis) -> Result<()> {
+    let class = standing::class(work.class);
+    let call = admit::Call {
+        class,
+        stage: match work.turn {
+            0 | 1 => Stage::First,
+            _ => Stage::Later,
+        },
+        deadline: work.deadline.map(|deadline| deadline.since(now)),
+        run: expected(work),
+    };
+    let load = admit::Load::of(&state.queue, &state.drain, class, &work.caller);
+    admit::decide(&load, &call, &mut rand::rng())
+}
+
+fn entry(
+    work: Work,
+    slot: oneshot::Sender<Result<Slot>>,
+    now: Millis,
+    limit: Millis,
+) -> Entry<Waiter> {
+    let class = standing::class(work.class);
+    let run = expected(&work);
+    Entry {
         class,
         caller: work.caller.clone(),
         attained: Millis::new(work.spent.saturating_mul(TOKEN)),
         cost: run,
         since: now,
         expires: queue::expiry(now, class, work.deadline, run).min(limit),
-        item: Waiter { work, slot: sender },
-    };
-    if let Err(entry) = state.queue.push(entry) {
-        let load = admit::Load::of(&state.queue, &state.drain, class, &entry.caller);
-        let refusal = Refusal::new(Code::QueueFull, "");
-        return Err(refusal.retry_after(load.wait().max(admit::MIN_RETRY)));
+        item: Waiter { work, slot },
     }
-    Ok(Entered::Queued(receiver))
+}
+
+/// Yields how long a call is expected to run.
+fn expected(work: &Work) -> Millis {
+    Millis::new(work.output.saturating_mul(TOKEN))
 }
 
 /// Chooses an endpoint for a call as things stand; logs the decision where the call can start.
@@ -337,21 +350,20 @@
     };
     let choice = place::choose(&candidates, &call, &weights)?;
     let endpoint = names[choice.index];
-    if choice.start == Start::Now && log::log_enabled!(log::Level::Info) {
+    if choice.start == Start::Now {
         let names: Vec<&str> = names.iter().map(|e| e.name.as_str()).collect();
-        log::info!(
-            "{} program={} turn={} candidates={} choice={} reason=\"cost={:.0} wait={:.0} miss={:.0} run={:.0} next={:.0}\"",
-            Event::CallPlaced,
-            work.program,
-            work.turn,
-            names.join(","),
+        let detail = format!(
+            "choice={} reason=\"cost={:.0} wait={:.0} miss={:.0} run={:.0} next={:.0}\" candidates={}",
             endpoint.name,
             choice.cost,
             choice.wait,
             choice.miss,
             choice.run,
-            choice.next
+            choice.next,
+            names.join(",")
         );
+        core.trace
+            .note(now, Event::CallPlaced, &work.program, work.turn, &detail);
     }
     Some((endpoint.clone(), choice))
 }
--- a/crates/node/src/dispatch/service.rs
+++ b/crates/node/src/dispatch/service.rs
@@ -58,7 +58,7 @@
     if let Some(key) = &job.call.key {
         headers.push((header::KEY, key.to_string()));
     }
-    let path = format!("/{}", job.call.operation);
+    let path = format!("/{}/{}", job.call.service, job.call.operation);
     let post = Post {
         address: job.address,
         path: &path,
--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -57,7 +57,11 @@
     let (ask, sender) = match route::hop(core, &view, &ask.program) {
         // The usual case needs no task of its own.
         Hop::Here(shard) if core.registry.serves(&shard) => {
-            log::info!("{} program={} owner=here shard={shard}", Event::RequestRouted, ask.program);
+            log::info!(
+                "{} program={} owner=here shard={shard}",
+                Event::RequestRouted,
+                ask.program
+            );
             match core.registry.ask(&shard, ask, sender) {
                 Ok(()) => return replies,
                 // The shard went between the look-up and the hand-over.
@@ -221,11 +225,10 @@
     };
     let mut incoming = match core.client.post(post).await {
         Ok(response) if response.status().is_success() => response.into_body(),
-        Ok(_) => return Tried::Broken(0),
         Err(Fault::NotSent(detail)) => {
             return Tried::Elsewhere(Refusal::new(Code::ForwardFailed, &detail).retry_after(PAUSE));
         }
-        Err(Fault::Broken(_)) => return Tried::Broken(0),
+        Ok(_) | Err(Fault::Broken(_)) => return Tried::Broken(0),
     };
     let mut buffer = BytesMut::new();
     let mut seen = 0;
--- a/crates/node/src/owner/call.rs
+++ b/crates/node/src/owner/call.rs
@@ -303,12 +303,11 @@
         let Verdict::Again { after } = self.core.desk.retry(&failure, self.core.clock.now()) else {
             return Err(Refusal::new(Code::EndpointFailed, detail).ran(ran));
         };
-        log::info!(
-            "{} program={} turn=0 tries={} reason={detail:?}",
-            Event::CallRetried,
-            work.program,
-            work.tries
-        );
+        let text = format!("tries={} reason={detail:?}", work.tries);
+        let now = self.core.clock.now();
+        self.core
+            .trace
+            .note(now, Event::CallRetried, &work.program, 0, &text);
         tokio::time::sleep(after.as_duration()).await;
         Ok(())
     }
--- a/crates/node/src/owner/keep.rs
+++ b/crates/node/src/owner/keep.rs
@@ -5,13 +5,18 @@
 use journal::snapshot::Image;
 use wire::clock::Millis;
 use wire::code::Code;
+use wire::event::Event;
 use wire::id;
 
+use crate::core::Core;
+use crate::http::client::Post;
+use crate::owner::message::Message;
 use crate::owner::shard::Owner;
 
-/// Records after which the journal gets an image of the state; a takeover then reads no more than
-/// as many records, a fraction of a second's worth of pages.
-const IMAGE_EVERY: u64 = 2_000;
+/// Orders to release that go out of one shard at a time; a lost one is sent again a second later.
+const RELEASES: usize = 64;
+/// How long an endpoint may take to confirm an order; less than the second between two sends.
+const ORDER: Millis = Millis::new(800);
 /// How long an ended program is kept, so that its idempotency keys and its last answer's refusal
 /// outlast every retry of a caller.
 const RETENTION: Millis = Millis::new(60 * 60 * 1000);
@@ -20,8 +25,8 @@
 pub(super) fn tick(owner: &mut Owner) {
     end_idle(owner);
     forget(owner);
-    if owner.appended >= IMAGE_EVERY {
-        owner.appended = 0;
+    release(owner);
+    if owner.log.is_snapshot_due() {
         owner.log.snapshot(Image::of(&owner.state));
     }
 }
@@ -50,3 +55,54 @@
         .seats
         .retain(|p| state.program(p).is_some_and(|p| p.ended.is_none()));
 }
+
+/// Asks endpoints again to release what they hold of ended programs, until they confirm.
+fn release(owner: &mut Owner) {
+    let view = owner.core.view();
+    let held = gate::holders(&owner.state).take(RELEASES);
+    let held: Vec<(id::Program, id::Endpoint)> = held
+        .map(|(program, endpoint)| (program.clone(), endpoint.clone()))
+        .collect();
+    for (program, endpoint) in held {
+        let Some(address) = view
+            .config
+            .endpoint(endpoint.as_str())
+            .map(|e| e.address.clone())
+        else {
+            // An endpoint that the operators took out of the configuration is gone with its cache.
+            let record = gate::released(&owner.state, &program, &endpoint);
+            let _durable = owner.apply(record.into_iter().collect());
+            continue;
+        };
+        let order = serde_json::json!({
+            "order": "release",
+            "program": program,
+            "scope": owner.shard.to_string(),
+            "fence": owner.state.epoch(),
+        });
+        let core = owner.core.clone();
+        let myself = owner.myself.clone();
+        owner.core.tasks.spawn(async move {
+            if confirmed(&core, &address, order.to_string()).await {
+                log::info!(
+                    "{} program={program} endpoint={endpoint}",
+                    Event::CacheReleased
+                );
+                let _gone = myself.cast(Message::Released(program, endpoint));
+            }
+        });
+    }
+}
+
+/// Sends an order and tells whether the endpoint confirmed it.
+async fn confirmed(core: &Core, address: &str, order: String) -> bool {
+    let post = Post {
+        address,
+        path: "/orders",
+        kind: "application/json",
+        headers: &[],
+        body: order.into(),
+    };
+    let sent = tokio::time::timeout(ORDER.as_duration(), core.client.post(post)).await;
+    sent.is_ok_and(|answer| answer.is_ok_and(|answer| answer.status().is_success()))
+}
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -75,7 +75,6 @@
     pub(super) myself: ActorRef<Message>,
     pub(super) pending: pending::List,
     pub(super) seats: Seats,
-    pub(super) appended: u64,
     draining: Vec<oneshot::Sender<()>>,
 }
 
@@ -97,7 +96,6 @@
             myself,
             pending: pending::List::default(),
             seats: Seats::default(),
-            appended: 0,
             draining: Vec::new(),
         })
     }
@@ -109,7 +107,7 @@
         owner: &mut Owner,
     ) -> Result<(), ActorProcessingErr> {
         match message {
-            Message::Ask(ask, sink) => owner.ask(ask, sink),
+            Message::Ask(ask, sink) => owner.ask(&ask, &sink),
             Message::Begin(begin, answer) => reply(answer, owner.begin(&begin)),
             Message::Restart(restart, answer) => reply(answer, owner.restart(&restart)),
             Message::Commit(commit, answer) => reply(answer, owner.commit(commit)),
@@ -155,7 +153,6 @@
         for record in &records {
             self.state.apply(record);
         }
-        self.appended += records.len() as u64;
         Some(self.log.append(records))
     }
 
@@ -168,17 +165,17 @@
         Decided { value, durable }
     }
 
-    fn ask(&mut self, ask: Ask, sink: Sink) {
+    fn ask(&mut self, ask: &Ask, sink: &Sink) {
         let refused = match &ask.body {
-            Body::Chat(chat) => self.chat(&ask, chat, &sink),
-            Body::Call(call) => call::ask(self, &ask, call, &sink),
+            Body::Chat(chat) => self.chat(ask, chat, sink),
+            Body::Call(call) => call::ask(self, ask, call, sink),
             Body::Create => self
-                .create(&ask)
-                .and_then(|durable| self.show(&ask, &sink, durable)),
-            Body::Show => self.show(&ask, &sink, None),
+                .create(ask)
+                .and_then(|durable| self.show(ask, sink, durable)),
+            Body::Show => self.show(ask, sink, None),
             Body::End => self
-                .end(&ask)
-                .and_then(|durable| self.show(&ask, &sink, durable)),
+                .end(ask)
+                .and_then(|durable| self.show(ask, sink, durable)),
         };
         if let Err(refusal) = refused {
             let _gone = sink.send(Reply::Refused(refusal));
@@ -326,11 +323,11 @@
         let program = self.state.program(&begin.program);
         let history = program.map(|p| p.messages().cloned().collect());
         let records: Vec<Record> = created.into_iter().chain(start.records.clone()).collect();
-        let begun = Begun {
+        let value = Begun {
             start,
             history: history.unwrap_or_default(),
         };
-        Ok(self.decide(begun, records))
+        Ok(self.decide(value, records))
     }
 
     /// Applies the making of a program that doesn't exist yet, and yields its record, which goes
@@ -353,7 +350,7 @@
             now: self.core.clock.now(),
         };
         let record = gate::create(&self.state, &wish)?;
-        for record in &record {
+        if let Some(record) = &record {
             self.state.apply(record);
         }
         Ok(record)
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -155,10 +155,10 @@
             attempt: id,
             endpoint: slot.endpoint.name.clone(),
         };
-        let begun = decide(&self.shard, |answer| Message::Begin(begin, answer)).await?;
-        let mut prompt = begun.history;
+        let started = decide(&self.shard, |answer| Message::Begin(begin, answer)).await?;
+        let mut prompt = started.history;
         prompt.extend(self.request.messages.iter().cloned());
-        let limit = begun.start.reserved;
+        let limit = started.start.reserved;
         Ok((Attempt { id, limit, slot }, prompt))
     }
 
@@ -255,14 +255,11 @@
                 return Err(failed.refusal);
             }
         };
-        log::info!(
-            "{} program={} turn={} tries={} reason={:?}",
-            Event::CallRetried,
-            work.program,
-            self.turn,
-            work.tries,
-            failed.refusal.message
-        );
+        let detail = format!("tries={} reason={:?}", work.tries, failed.refusal.message);
+        let now = self.core.clock.now();
+        self.core
+            .trace
+            .note(now, Event::CallRetried, &work.program, self.turn, &detail);
         tokio::time::sleep(after.as_duration()).await;
         let slot = match desk::place(&self.core, work.clone()).await {
             Ok(slot) => slot,
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -33,6 +33,7 @@
 use crate::metrics::Metrics;
 use crate::owner::registry::Registry;
 use crate::peer;
+use crate::trace::Trace;
 use crate::view::View;
 
 /// How often waiting calls are looked at although nothing has happened, for those whose time is
@@ -113,6 +114,7 @@
     let core = Arc::new(Core {
         desk: Desk::new(&settings, clock.now()),
         metrics: Metrics::default(),
+        trace: Trace::default(),
         client: Client::default(),
         door: Arc::new(door),
         tasks: TaskTracker::new(),
