Wire configuration, membership and claims into the node

Cause: the node read its configuration once and claimed all shards only where it was alone in its data centre.

Change: tasks under controllers::run send heartbeats, pull and watch the configuration, keep the VM's lease, claim and hand over shards; copies holds batches for other VMs. A VM that stops tells the others what it has given up. Removals and claims whose answer was lost are looked at again: the VM goes on renewing its lease, and the record would keep its shard from every VM for as long as that one lives (found by the fuzzer: a lost removal left a shard without an owner). A VM started anew under its old name tells that it no longer serves what others think it does. Claims may come in a burst of 8 before their pace.

Watch or poll: two VMs a centre watch the key, all others read it each 30 s and hear of changes by heartbeats. At 380 VMs in eight centres that is 16 waiting calls and 13 reads a second; a watch each would be 380 waiting calls.

--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -1,138 +1,105 @@
-//! Keeps the view of a VM that is the only one of its data centre: reads the configuration once,
-//! thinks every peer up, and claims every shard of the data centre.
+//! The controllers that keep a VM's state: each a pure decision module, which is given the time
+//! and what was heard, beside a thin task that does the traffic and publishes a
+//! [`crate::view::View`].
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
-use async_trait::async_trait;
 use bytes::Bytes;
-use journal::copy;
-use journal::copy::Collected;
-use journal::copy::Held;
-use journal::copy::Holder;
-use journal::copy::Peers;
-use journal::log::Setup;
-use platform::edge::Lease;
-use settings::config::Config;
+use journal::copy::Store;
+use settings::vm::Settings;
+use tokio::sync::Notify;
 use wire::clock::Millis;
-use wire::id;
 
+use crate::controllers::config::Held;
+use crate::controllers::members::beat::Line;
+use crate::controllers::members::exchange::Exchange;
 use crate::core::Core;
-use crate::view::Owner;
-use crate::view::Peer;
+use crate::peer;
 
+pub mod call;
 pub mod claims;
 pub mod config;
+pub mod copies;
 pub mod members;
 pub mod rendezvous;
+pub mod run;
 
-/// The platform key of the operators' configuration.
-pub const CONFIG_KEY: &str = "config";
+/// The most that this VM holds of others' batches during an outage, in bytes. Model turns of a few
+/// kilobytes at the letter's 12 a second and VM fill 64 MB, the limit for all control, in a quarter
+/// of an hour; half of it is kept for the rest.
+const COPIES: usize = 32 * 1024 * 1024;
 
-/// Starts the controllers as tasks that end when [`Core::stopped`] is set. Returns when the VM
-/// may serve.
-pub async fn start(core: &Arc<Core>) {
-    let config = match core.platform.read(CONFIG_KEY).await {
-        Ok(Some(entry)) => serde_json::from_slice::<Config>(&entry.value).unwrap_or_default(),
-        _ => Config::default(),
-    };
-    let own = &core.settings.vm;
-    let alone = !core.settings.peers.iter().any(|p| p.centre == own.centre);
-    core.update(|view| {
-        view.config = Arc::new(config);
-        view.platform = true;
-        view.peers = peers(core);
-    });
-    if alone {
-        claim_all(core).await;
-    }
+/// What the controllers of one VM share.
+#[derive(Debug)]
+pub struct Control {
+    exchange: Mutex<Exchange>,
+    held: Mutex<Held>,
+    copies: Mutex<Store>,
+    /// Asks for heartbeats at once, as there is news that shouldn't wait for the next round.
+    hurry: Notify,
 }
 
-/// Answers a request of another VM on one of the controllers' paths of [`crate::peer`]; `None`
-/// where the path isn't theirs. Body and answer are frames.
-#[allow(clippy::unused_async)]
-pub async fn serve(_core: &Arc<Core>, _path: &str, _body: Bytes) -> Option<Bytes> {
-    None
-}
-
-async fn claim_all(core: &Arc<Core>) {
-    let own = &core.settings.vm;
-    let Some(centre) = core.settings.centres.iter().find(|c| c.name == own.centre) else {
-        return;
-    };
-    let Ok(lease) = core.platform.grant(core.settings.platform.lease).await else {
-        return;
-    };
-    core.tasks.spawn(keep(core.clone(), lease));
-    for index in 0..centre.shards {
-        let shard = id::Shard {
-            centre: own.centre.clone(),
-            index,
-        };
-        let setup = Setup {
-            platform: core.platform.clone(),
-            peers: Arc::new(Nobody),
-            vm: own.name.clone(),
-            shard: shard.clone(),
-            seed: rand::random(),
-            copies: Vec::new(),
-            acks: 0,
+impl Control {
+    /// Makes the state of a VM that starts; its listeners are bound, so that the settings name
+    /// their ports.
+    #[must_use]
+    pub fn new(settings: &Settings, now: Millis) -> Self {
+        let process = rand::random();
+        let own = Line {
+            size: settings.vm.size,
+            process,
+            ..members::seed(
+                &settings.vm.name,
+                &settings.vm.centre,
+                settings.listen.peers,
+            )
         };
-        match core.registry.claim(core, setup, lease).await {
-            Ok(epoch) => {
-                let vm = own.name.clone();
-                core.update(|view| view.owners.push(Owner { shard, vm, epoch }));
-            }
-            Err(fault) => log::warn!("shard={shard} reason={fault}"),
+        Self {
+            exchange: Mutex::new(Exchange::new(own, now)),
+            held: Mutex::default(),
+            copies: Mutex::new(Store::new(process, COPIES)),
+            hurry: Notify::new(),
         }
     }
-}
 
-async fn keep(core: Arc<Core>, lease: Lease) {
-    let third = Millis::new(core.settings.platform.lease.as_u64() / 3);
-    loop {
-        tokio::select! {
-            () = tokio::time::sleep(third.as_duration()) => {}
-            () = core.stopped.cancelled() => return,
-        }
-        let _lapsed = core.platform.renew(lease).await;
+    fn exchange(&self) -> MutexGuard<'_, Exchange> {
+        lock(&self.exchange)
     }
-}
-
-/// The other VMs of a data centre that has none.
-struct Nobody;
 
-#[async_trait]
-impl Peers for Nobody {
-    async fn hold(&self, _: &Holder, _: &id::Shard, _: &Held) -> copy::Result<()> {
-        Err(copy::Fault::Unreachable)
+    fn held(&self) -> MutexGuard<'_, Held> {
+        lock(&self.held)
     }
 
-    async fn collect(&self, _: &id::Vm, _: &id::Shard, _: u64) -> copy::Result<Collected> {
-        Err(copy::Fault::Unreachable)
+    fn copies(&self) -> MutexGuard<'_, Store> {
+        lock(&self.copies)
     }
+}
 
-    async fn drained(&self, _: &Holder, _: &id::Shard, _: u64, _: u64) {}
+/// Starts the controllers as tasks that end when [`Core::stopped`] is set. Returns when the VM
+/// may serve: it has the highest configuration that can be had.
+pub async fn start(core: &Arc<Core>) {
+    run::members::start(core);
+    run::config::boot(core).await;
+    core.tasks.spawn(run::config::follow(core.clone()));
+    core.tasks.spawn(run::claims::keep(core.clone()));
+}
+
+/// Answers a request of another VM on one of the controllers' paths of [`crate::peer`]; `None`
+/// where the path isn't theirs or the body isn't a frame. Body and answer are frames.
+pub async fn serve(core: &Arc<Core>, path: &str, body: Bytes) -> Option<Bytes> {
+    match path {
+        peer::BEAT => run::members::serve(core, &body).await,
+        peer::CONFIG => run::config::serve(core, &body),
+        peer::HOLD => copies::hold(core, &body),
+        peer::COLLECT => copies::collect(core, &body).await,
+        peer::DRAINED => copies::drained(core, &body),
+        _ => None,
+    }
 }
 
-fn peers(core: &Core) -> Vec<Peer> {
-    let own = &core.settings.vm;
-    let others = core.settings.peers.iter().map(|p| Peer {
-        vm: p.name.clone(),
-        centre: p.centre.clone(),
-        address: p.address,
-        size: 1,
-        up: true,
-        stopping: false,
-    });
-    let mut peers: Vec<Peer> = others.collect();
-    peers.push(Peer {
-        vm: own.name.clone(),
-        centre: own.centre.clone(),
-        address: core.settings.listen.peers,
-        size: own.size,
-        up: true,
-        stopping: false,
-    });
-    peers.sort_by(|a, b| a.vm.cmp(&b.vm));
-    peers
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/node/src/controllers/claims.rs
+++ b/crates/node/src/controllers/claims.rs
@@ -7,8 +7,8 @@
 //!
 //! The patterns of load that the pace answers:
 //!
-//! - *Mass restart, or a rack goes*: many shards are free at once. Each VM claims one per
-//!   [`CLAIM_PACE`], so that takeovers, a range read and a few writes each, don't crowd commits out
+//! - *Mass restart, or a rack goes*: many shards are free at once. Each VM claims [`CLAIM_BURST`]
+//!   and then one per [`CLAIM_PACE`], so that takeovers, a range read and a few writes each, don't crowd commits out
 //!   of the platform's rate. 47 VMs of a centre claim 64 shards in one or two steps.
 //! - *A flapping VM* comes and goes every few seconds. Each hand-over makes its shard's callers
 //!   wait, so a VM gets shards that others hold only after being up for [`STEADY`]; free ones it may
@@ -28,9 +28,12 @@
 
 pub mod lease;
 
-/// The time between two claims of one VM: 380 VMs that all start make 3,800 a second at worst, but
-/// never more than there are shards, and each is weighed below commits in the rate budget.
+/// The time between two claims of one VM in the long run. Claims are also weighed below commits in
+/// the VM's rate budget; the pace keeps a VM that alone is left from reading all journals at once.
 pub const CLAIM_PACE: Millis = Millis::new(100);
+/// Claims that a VM may make at once: its part when one of three VMs with 16 shards stops, so that
+/// no caller waits for the pace.
+pub const CLAIM_BURST: u64 = 8;
 /// The time between two hand-overs of one VM. One takes tens of milliseconds, so that at most a
 /// few in a hundred of its programs' turns meet one while a VM of the centre joins.
 pub const HANDOVER_PACE: Millis = Millis::new(1_000);
@@ -117,7 +120,8 @@
 #[derive(Clone, Debug)]
 pub struct Claims {
     started: Millis,
-    next_claim: Millis,
+    /// When the claims made so far would all have kept to the pace.
+    paced: Millis,
     next_release: Millis,
     /// Claims that failed: the shard, when it may be tried again, and the last pause.
     failed: Vec<(id::Shard, Millis, Millis)>,
@@ -129,13 +133,13 @@
     pub fn new(started: Millis) -> Self {
         Self {
             started,
-            next_claim: Millis::ZERO,
+            paced: Millis::ZERO,
             next_release: Millis::ZERO,
             failed: Vec::new(),
         }
     }
 
-    /// Decides what to do now: at most one claim and one hand-over at a time, by their pace.
+    /// Decides what to do now: claims and at most one hand-over, by their pace.
     pub fn decide(&mut self, facts: &Facts<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
         actions.extend(self.release(facts));
@@ -174,18 +178,24 @@
         })
     }
 
-    fn claim(&mut self, facts: &Facts<'_>) -> Option<Action> {
-        if facts.now < self.next_claim || !settled(facts) || !self.listened(facts) {
-            return None;
+    fn claim(&mut self, facts: &Facts<'_>) -> Vec<Action> {
+        let burst = Millis::new(CLAIM_BURST * CLAIM_PACE.as_u64());
+        self.paced = self.paced.max(facts.now);
+        let room = burst.since(self.paced.since(facts.now)).as_u64() / CLAIM_PACE.as_u64();
+        if room == 0 || !settled(facts) || !self.listened(facts) {
+            return Vec::new();
         }
-        let wanted = facts.shards.iter().find(|shard| {
+        let wanted = facts.shards.iter().filter(|shard| {
             facts.owned.binary_search(shard).is_err()
                 && free(facts, shard)
                 && target(facts, shard, Takers::Up) == Some(facts.me)
                 && self.may_try(shard, facts.now)
-        })?;
-        self.next_claim = facts.now.plus(CLAIM_PACE);
-        Some(Action::Claim(wanted.clone()))
+        });
+        let room = usize::try_from(room).unwrap_or(usize::MAX);
+        let claims: Vec<Action> = wanted.take(room).cloned().map(Action::Claim).collect();
+        let spent = CLAIM_PACE.as_u64() * claims.len() as u64;
+        self.paced = self.paced.plus(Millis::new(spent));
+        claims
     }
 
     fn listened(&self, facts: &Facts<'_>) -> bool {
--- a/crates/node/src/controllers/members.rs
+++ b/crates/node/src/controllers/members.rs
@@ -383,7 +383,9 @@
         None
     }
 
-    fn near(&self) -> Vec<id::Vm> {
+    /// Yields the other VMs of the own data centre that aren't down.
+    #[must_use]
+    pub fn near(&self) -> Vec<id::Vm> {
         let near = self.members.iter().map(|m| &m.line);
         near.filter(|l| l.centre == self.centre && l.life != Life::Down && l.vm != self.me)
             .map(|l| l.vm.clone())
@@ -408,6 +410,7 @@
         centre: centre.clone(),
         address,
         size: 1,
+        process: 0,
         incarnation: 0,
         life: Life::Up,
         stopping: false,
--- a/crates/node/src/controllers/members/beat.rs
+++ b/crates/node/src/controllers/members/beat.rs
@@ -51,6 +51,9 @@
     /// Its size beside the others.
     #[serde(rename = "s")]
     pub size: u32,
+    /// Drawn at random at each start of the process: names what this run of it holds for others.
+    #[serde(rename = "p", default)]
+    pub process: u64,
     /// Raised only by the VM itself, each time that it is doubted.
     #[serde(rename = "i")]
     pub incarnation: u64,
--- a/crates/node/src/controllers/members/exchange.rs
+++ b/crates/node/src/controllers/members/exchange.rs
@@ -4,6 +4,7 @@
 use wire::id;
 use xxhash_rust::xxh3::Xxh3;
 
+use super::super::claims;
 use super::Table;
 use super::beat::Beat;
 use super::beat::Life;
@@ -92,6 +93,17 @@
         }
     }
 
+    /// Builds the last heartbeat of a VM that has given up its shards and goes.
+    pub fn farewell(&mut self) -> Beat {
+        let me = self.table.own().vm.clone();
+        for line in claims::forgotten(&me, &[], self.owners.lines()) {
+            self.owners.merge(&line);
+        }
+        let mut last = self.lines();
+        last.me.life = Life::Down;
+        last
+    }
+
     /// Takes a heartbeat and builds the answer.
     pub fn answer(&mut self, beat: &Beat, now: Millis) -> Beat {
         self.take(beat, now);
--- /dev/null
+++ b/crates/node/src/controllers/run.rs
@@ -0,0 +1,5 @@
+//! The tasks that do the controllers' traffic.
+
+pub mod claims;
+pub mod config;
+pub mod members;
--- /dev/null
+++ b/crates/node/src/controllers/run/config.rs
@@ -0,0 +1,309 @@
+//! Gets the configuration from the platform and from other VMs, and makes operators' changes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use platform::edge;
+use platform::edge::Change as Changed;
+use serde::Deserialize;
+use serde::Serialize;
+use settings::config::Config;
+use tokio::time::sleep;
+use wire::clock::Millis;
+use wire::event::Event;
+use wire::frame;
+use wire::id;
+
+use crate::controllers::call;
+use crate::controllers::config::Boot;
+use crate::controllers::config::InForce;
+use crate::controllers::config::KEY;
+use crate::controllers::config::Offer;
+use crate::controllers::config::POLL;
+use crate::controllers::config::Rollout;
+use crate::controllers::config::Source;
+use crate::controllers::config::WATCHERS;
+use crate::controllers::config::boot as decide;
+use crate::controllers::config::change;
+use crate::controllers::config::change::Outcome;
+use crate::controllers::config::edit::Edit;
+use crate::controllers::config::parse;
+use crate::controllers::config::rollout as sort;
+use crate::controllers::members::beat::Life;
+use crate::controllers::rendezvous;
+use crate::controllers::rendezvous::Candidate;
+use crate::controllers::run::members;
+use crate::core::Core;
+use crate::peer;
+
+/// How long a VM may take to send the configuration.
+const ANSWER: Millis = Millis::new(1_000);
+/// The pause between two tries of a VM that starts and finds no configuration.
+const AGAIN: Millis = Millis::new(500);
+/// How often a VM looks whether it is one of those that watch.
+const DUTY: Millis = Millis::new(2_000);
+/// How long a change in doubt is looked into before the operator is told that it isn't known.
+const DEADLINE: Millis = Millis::new(3_000);
+/// VMs that an accepted change is sent to before the operator hears of it, in each centre. With
+/// three, the change outlives the accepting VM and two others in an outage that begins right
+/// after, and 24 of the letter's 380 VMs pass it on.
+const PUSH: usize = 3;
+/// How long the operator waits for the VMs to have a change in force; the users' limit is 4 s.
+const IN_FORCE: Millis = Millis::new(3_000);
+/// The pause between two rounds of asking which VMs have a change in force.
+const SURVEY: Millis = Millis::new(200);
+/// VMs that are asked at once.
+const ASKED: usize = 32;
+
+/// The platform, as a log line names where a revision came from.
+const PLATFORM: &str = "platform";
+
+/// Asks for the configuration.
+#[derive(Serialize, Deserialize)]
+struct Pull {}
+
+/// The configuration, as the platform holds it; absent where the VM starts itself.
+#[derive(Serialize, Deserialize)]
+struct Holding {
+    config: Option<Bytes>,
+}
+
+/// Takes the highest configuration among platform and peers, and returns when the VM may serve.
+pub async fn boot(core: &Arc<Core>) {
+    loop {
+        let (platform, peers) = tokio::join!(read(core), ask_peers(core));
+        if let Boot::Serve(config) = decide(&platform, &peers) {
+            take(core, &config, "start");
+            return;
+        }
+        log::warn!(
+            "{} reason=\"no configuration to be had yet\"",
+            Event::NodeStarted
+        );
+        tokio::select! {
+            () = sleep(AGAIN.as_duration()) => {}
+            () = core.stopped.cancelled() => return,
+        }
+    }
+}
+
+/// Follows the platform's key: watches it where that is this VM's duty, else reads it now and then.
+pub async fn follow(core: Arc<Core>) {
+    let follow = async {
+        // Spread over the whole time, so that VMs that started together don't read together.
+        let mut wait = Millis::new(rand::random::<u64>() % POLL.as_u64());
+        loop {
+            if on_duty(&core) {
+                watch(&core).await;
+            }
+            sleep(DUTY.as_duration()).await;
+            wait = Millis::new(wait.as_u64().saturating_sub(DUTY.as_u64()));
+            if wait == Millis::ZERO {
+                wait = POLL;
+                offer(&core, read(&core).await, PLATFORM);
+            }
+        }
+    };
+    tokio::select! {
+        () = follow => {}
+        () = core.stopped.cancelled() => {}
+    }
+}
+
+/// Answers with the configuration in force.
+pub fn serve(core: &Core, body: &[u8]) -> Option<Bytes> {
+    let Pull {} = call::decode(body)?;
+    let config = core.control.held().config().cloned();
+    let config = config.and_then(|config| serde_json::to_vec(&*config).ok());
+    let holding = Holding {
+        config: config.map(Bytes::from),
+    };
+    frame::encode(&holding).ok()
+}
+
+/// Takes the configuration of another VM where it is higher.
+pub async fn pull(core: &Arc<Core>, from: SocketAddr) {
+    offer(core, ask(core, from).await, &from.to_string());
+}
+
+/// Makes an operator's change. Once it is accepted it is sent to VMs of each centre, and the answer
+/// tells on which VMs it is in force.
+pub async fn make(core: &Arc<Core>, edit: Edit, expected: Option<u64>) -> (Outcome, Rollout) {
+    let deadline = core.clock.now().plus(DEADLINE);
+    let change = change::Change::new(edit, rand::random(), expected, deadline);
+    let outcome = change::run(core.platform.as_ref(), &core.clock, change).await;
+    let mut reached = Rollout::default();
+    if let Outcome::Accepted(config) = &outcome {
+        take(core, &Arc::new((**config).clone()), "change");
+        members::beat_all(core, pushed(core), members::PULLED).await;
+        reached = survey(core, config.revision).await;
+    }
+    (outcome, reached)
+}
+
+/// Sorts the VMs by whether a revision is in force, as far as heartbeats have told.
+#[must_use]
+pub fn rollout(core: &Core, revision: u64) -> Rollout {
+    let exchange = core.control.exchange();
+    let members = exchange.table.members().iter().map(|m| InForce {
+        vm: m.line.vm.clone(),
+        revision: m.line.revision,
+        up: m.line.life != Life::Down,
+    });
+    sort(revision, &members.collect::<Vec<_>>())
+}
+
+/// Asks the VMs that aren't known to have a revision, until all have or the time is over.
+pub async fn survey(core: &Arc<Core>, revision: u64) -> Rollout {
+    let end = core.clock.now().plus(IN_FORCE);
+    loop {
+        let known = rollout(core, revision);
+        if known.behind.is_empty() || core.clock.now() >= end {
+            return known;
+        }
+        for some in known.behind.chunks(ASKED) {
+            members::beat_all(core, some.to_vec(), members::PULLED).await;
+        }
+        if !rollout(core, revision).behind.is_empty() {
+            sleep(SURVEY.as_duration()).await;
+        }
+    }
+}
+
+fn pushed(core: &Core) -> Vec<id::Vm> {
+    let exchange = core.control.exchange();
+    let own = &exchange.table.own().vm;
+    let live = |centre: &id::Centre| {
+        let members = exchange.table.members().iter().map(|m| &m.line);
+        let live = members.filter(|l| l.centre == *centre && l.life == Life::Up && l.vm != *own);
+        let names: Vec<id::Vm> = live.take(PUSH).map(|l| l.vm.clone()).collect();
+        names
+    };
+    let centres = core.settings.centres.iter().map(|c| &c.name);
+    centres.flat_map(live).collect()
+}
+
+fn take(core: &Core, config: &Arc<Config>, from: &str) {
+    let offer = core.control.held().offer(config);
+    match offer {
+        Offer::Taken => {}
+        Offer::Known | Offer::Older => return,
+        Offer::Forked => {
+            let revision = config.revision;
+            log::error!(
+                "{} revision={revision} reason=\"another one of this number is in force\"",
+                Event::RevisionDropped
+            );
+            return;
+        }
+    }
+    // Another may have been taken meanwhile: what is published is what is held.
+    core.view.send_if_modified(|view| {
+        let held = core.control.held().config().cloned();
+        let Some(held) = held.filter(|h| h.revision >= view.config.revision) else {
+            return false;
+        };
+        Arc::make_mut(view).config = held;
+        true
+    });
+    let revision = core.control.held().revision();
+    core.control
+        .exchange()
+        .table
+        .set_own(|own| own.revision = revision);
+    core.control.hurry.notify_one();
+    log::info!("{} revision={revision} from={from}", Event::RevisionApplied);
+}
+
+fn offer(core: &Core, source: Source, from: &str) {
+    if let Source::Holds(config) = source {
+        take(core, &config, from);
+    }
+}
+
+async fn read(core: &Core) -> Source {
+    source(core.platform.read(KEY).await)
+}
+
+fn source(read: edge::Result<Option<edge::Entry>>) -> Source {
+    match read {
+        Err(_) => Source::Silent,
+        Ok(None) => Source::Holds(Arc::default()),
+        Ok(Some(entry)) => match parse(&entry.value) {
+            Ok(config) => Source::Holds(Arc::new(config)),
+            Err(fault) => {
+                log::error!("{} key={KEY} reason=\"{fault}\"", Event::RevisionDropped);
+                Source::Silent
+            }
+        },
+    }
+}
+
+async fn ask_peers(core: &Arc<Core>) -> Vec<Source> {
+    let mut asks = tokio::task::JoinSet::new();
+    let addresses: Vec<SocketAddr> = {
+        let exchange = core.control.exchange();
+        let own = &exchange.table.own().vm;
+        let others = exchange
+            .table
+            .members()
+            .iter()
+            .filter(|m| m.line.vm != *own);
+        others.map(|m| m.line.address).collect()
+    };
+    for address in addresses {
+        let core = core.clone();
+        asks.spawn(async move { ask(&core, address).await });
+    }
+    asks.join_all().await
+}
+
+async fn ask(core: &Core, address: SocketAddr) -> Source {
+    let answer = call::send(core, address, peer::CONFIG, &Pull {}, ANSWER).await;
+    let Ok(Holding {
+        config: Some(bytes),
+    }) = answer
+    else {
+        return Source::Silent;
+    };
+    parse(&bytes).map_or(Source::Silent, |config| Source::Holds(Arc::new(config)))
+}
+
+fn on_duty(core: &Core) -> bool {
+    let exchange = core.control.exchange();
+    let own = exchange.table.own();
+    let members = exchange.table.members().iter().map(|m| &m.line);
+    let near = members.filter(|l| l.centre == own.centre && l.life != Life::Down && !l.stopping);
+    let candidates = near.map(|l| Candidate {
+        vm: &l.vm,
+        size: l.size,
+    });
+    rendezvous::first(KEY, candidates, WATCHERS).contains(&&own.vm)
+}
+
+/// Watches the key until the watch breaks off or is no longer this VM's duty.
+async fn watch(core: &Core) {
+    let read = core.platform.read(KEY).await;
+    let from = match &read {
+        Ok(Some(entry)) => entry.revision + 1,
+        Ok(None) => 1,
+        Err(_) => return,
+    };
+    offer(core, source(read), PLATFORM);
+    let Ok(mut changes) = core.platform.watch(KEY, from).await else {
+        return;
+    };
+    loop {
+        tokio::select! {
+            change = changes.recv() => match change {
+                Some(Changed::Set(entry)) if entry.key == KEY => offer(core, source(Ok(Some(entry))), PLATFORM),
+                Some(_) => {}
+                None => return,
+            },
+            () = sleep(DUTY.as_duration()) => if !on_duty(core) {
+                return;
+            },
+        }
+    }
+}
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -9,6 +9,7 @@
 use tokio_util::task::TaskTracker;
 use wire::clock::Clock;
 
+use crate::controllers::Control;
 use crate::dispatch::desk::Desk;
 use crate::http::client::Client;
 use crate::http::listen::Door;
@@ -30,6 +31,8 @@
     pub view: watch::Sender<Arc<View>>,
     /// The shards that this VM owns.
     pub registry: Registry,
+    /// What the controllers share.
+    pub control: Control,
     /// Gives out the endpoints' slots.
     pub desk: Desk,
     /// Counts and latencies.
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -26,6 +26,8 @@
 pub const HOLD: &str = "/peer/hold";
 /// Fences a shard's earlier owner and answers the pending batches held for it.
 pub const COLLECT: &str = "/peer/collect";
+/// Tells that held batches are in the journal.
+pub const DRAINED: &str = "/peer/drained";
 
 /// Answers one request of another VM.
 pub async fn handle(core: Arc<Core>, request: Request<Incoming>, room: Room) -> Response {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -23,6 +23,7 @@
 
 use crate::admin;
 use crate::controllers;
+use crate::controllers::Control;
 use crate::core::Core;
 use crate::dispatch::desk;
 use crate::dispatch::desk::Desk;
@@ -120,6 +121,7 @@
         tasks: TaskTracker::new(),
         view: watch::Sender::new(Arc::new(View::default())),
         registry: Registry::default(),
+        control: Control::new(&settings, clock.now()),
         stopping: CancellationToken::new(),
         stopped: CancellationToken::new(),
         settings,
--- /dev/null
+++ b/crates/node/tests/control.rs
@@ -0,0 +1,165 @@
+//! Several real nodes in one process, on loopback, over a platform in memory: what the controllers
+//! decide, carried by their tasks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use node::controllers::config::change::Outcome;
+use node::controllers::config::edit::Edit;
+use node::controllers::config::edit::Subject;
+use node::controllers::run::config;
+use node::core::Core;
+use node::start;
+use node::start::Handle;
+use platform::memory::Memory;
+use settings::vm::Settings;
+use tokio::time::timeout;
+use wire::clock::Clock;
+use wire::id;
+
+/// How long an event is waited for. Far above what any takes, so that a busy machine changes no
+/// verdict.
+const PATIENCE: Duration = Duration::from_mins(1);
+const SHARDS: usize = 6;
+
+fn settings(name: &str, seeds: &[(&str, SocketAddr)]) -> Settings {
+    let head = format!(
+        r#"
+        [vm]
+        name = "{name}"
+        centre = "c"
+        [listen]
+        callers = "127.0.0.1:0"
+        peers = "127.0.0.1:0"
+        admin = "127.0.0.1:0"
+        [platform]
+        addresses = ["127.0.0.1:1"]
+        lease = "1s"
+        [[centres]]
+        name = "c"
+        shards = {SHARDS}
+        "#
+    );
+    let peers = seeds.iter().map(|(name, address)| {
+        format!("[[peers]]\nname = \"{name}\"\ncentre = \"c\"\naddress = \"{address}\"\n")
+    });
+    let text: String = std::iter::once(head).chain(peers).collect();
+    settings::vm::parse(&text).unwrap()
+}
+
+async fn node(name: &str, memory: &Memory, seeds: &[(&str, SocketAddr)]) -> Handle {
+    let platform = Arc::new(memory.clone());
+    let started = start::start_on(settings(name, seeds), Clock::System, platform);
+    timeout(PATIENCE, started).await.expect("starts").unwrap()
+}
+
+async fn three(memory: &Memory) -> Vec<Handle> {
+    let first = node("a", memory, &[]).await;
+    let seed = [("a", first.peers())];
+    let second = node("b", memory, &seed).await;
+    let third = node("c", memory, &seed).await;
+    vec![first, second, third]
+}
+
+/// Waits until something holds of a node's view.
+async fn until(core: &Core, what: &str, holds: impl Fn(&node::view::View) -> bool) {
+    let mut views = core.view.subscribe();
+    let waited = timeout(PATIENCE, views.wait_for(|view| holds(view))).await;
+    waited
+        .unwrap_or_else(|_| panic!("{what}: {:?}", core.view()))
+        .unwrap();
+}
+
+/// Waits until a node knows an owner of each shard, and each is one of `vms`.
+async fn owned_by(handle: &Handle, vms: &[&str]) {
+    let core = handle.core();
+    until(core, "owners", |view| {
+        let known = |o: &node::view::Owner| vms.contains(&o.vm.as_str());
+        view.owners.len() == SHARDS && view.owners.iter().all(known)
+    })
+    .await;
+}
+
+fn label(value: &str) -> Edit {
+    Edit::Label {
+        subject: Subject::Program(id::Program::parse("p").unwrap()),
+        name: "priority".to_owned(),
+        value: Some(value.to_owned()),
+    }
+}
+
+async fn change(handle: &Handle, value: &str) -> (Outcome, usize) {
+    let (outcome, rollout) = config::make(handle.core(), label(value), None).await;
+    (outcome, rollout.reached.len())
+}
+
+// An operator changes a label at one VM. When the operator is answered, the change is in force on
+// all three. The platform then goes down at once, and the accepting VM is replaced: it takes the
+// change from a peer, and mustn't serve before.
+#[tokio::test]
+async fn an_accepted_change_survives_an_outage_and_a_restart() {
+    let memory = Memory::default();
+    let mut nodes = three(&memory).await;
+    for node in &nodes {
+        until(node.core(), "three up", |view| view.peers.len() == 3).await;
+    }
+    let (outcome, reached) = change(&nodes[0], "high").await;
+    assert!(matches!(outcome, Outcome::Accepted(_)), "{outcome:?}");
+    assert_eq!(reached, 3);
+    memory.set_down(true);
+    let seed = [("b", nodes[1].peers())];
+    nodes.remove(0).shutdown().await;
+    let again = node("a", &memory, &seed).await;
+    assert_eq!(again.core().view().config.revision, 1);
+}
+
+// Two operators change the same label at two VMs at once. Both are told "accepted", each with a
+// revision of its own, and every VM ends up with the later one.
+#[tokio::test]
+async fn operators_who_race_are_both_told_the_truth() {
+    let memory = Memory::default();
+    let nodes = three(&memory).await;
+    let (one, two) = tokio::join!(change(&nodes[0], "high"), change(&nodes[1], "low"));
+    let revision = |outcome: &Outcome| match outcome {
+        Outcome::Accepted(config) => config.revision,
+        other => panic!("not accepted: {other:?}"),
+    };
+    let mut revisions = [revision(&one.0), revision(&two.0)];
+    revisions.sort_unstable();
+    assert_eq!(revisions, [1, 2]);
+    for node in &nodes {
+        until(node.core(), "revision 2", |view| view.config.revision == 2).await;
+    }
+}
+
+// Three VMs share the shards. One shuts down: the others have its shards, and know it, without
+// waiting for a lease, as it says so before it goes.
+#[tokio::test]
+async fn shards_of_a_vm_that_stops_go_to_the_others() {
+    let memory = Memory::default();
+    let mut nodes = three(&memory).await;
+    for node in &nodes {
+        owned_by(node, &["a", "b", "c"]).await;
+    }
+    nodes.remove(0).shutdown().await;
+    for node in &nodes {
+        owned_by(node, &["b", "c"]).await;
+    }
+}
+
+// A VM that owns shards dies without a word. Its peer suspects it, then thinks it down, tries its
+// shards until the lease has lapsed, and has them all.
+#[test]
+fn shards_of_a_vm_that_dies_go_to_the_others() {
+    let memory = Memory::default();
+    let runtimes = [0, 1].map(|_| tokio::runtime::Runtime::new().unwrap());
+    let first = runtimes[0].block_on(node("a", &memory, &[]));
+    let seed = [("a", first.peers())];
+    let second = runtimes[1].block_on(node("b", &memory, &seed));
+    runtimes[1].block_on(owned_by(&second, &["a", "b"]));
+    let [dies, stays] = runtimes;
+    dies.shutdown_background();
+    stays.block_on(owned_by(&second, &["b"]));
+    assert_eq!(second.core().registry.owned().len(), SHARDS);
+}
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -51,6 +51,7 @@
     PeerUp = 3001, "peer is up";
     PeerDown = 3002, "peer is down";
     RevisionApplied = 4001, "configuration revision in force";
+    RevisionDropped = 4002, "configuration that can't be taken";
     CacheReleased = 5001, "cache released";
     CacheSwept = 5002, "cache held for a gone program";
     EndpointLeaving = 5003, "endpoint leaves";
