Drive the whole path as separate processes

Cause: the path was only built. Change: a test starts a platform, two runners, a service and two nodes in two data centres as processes: turns that enter anywhere, streams, a cut stream resumed, an order that runs once, ten bad requests. Conclusion: a request goes through processes and is committed before its last event.

--- /dev/null
+++ b/crates/chestnutyoke/tests/whole_path.rs
@@ -0,0 +1,209 @@
+//! Requests from a caller through real processes to runners and services and back.
+
+mod support;
+
+use serde_json::Value;
+use serde_json::json;
+
+use support::Process;
+use support::Vm;
+
+/// Two data centres of one VM each, two runners of different speed, a service and a platform.
+struct Fleet {
+    platform: Process,
+    runners: Vec<Process>,
+    service: Process,
+    nodes: Vec<Process>,
+}
+
+async fn fleet() -> Fleet {
+    let platform = support::standin("platform", &[]);
+    let fast = support::standin("runner", &["--model", "m"]);
+    let slow = support::standin("runner", &["--model", "m", "--tokens-per-second", "50"]);
+    let service = support::standin("service", &[]);
+    let endpoints = [
+        support::endpoint("fast", "runner", fast.address(""), "a", "m"),
+        support::endpoint("shore", "service", service.address(""), "a", "shore"),
+        support::endpoint("slow", "runner", slow.address(""), "b", "m"),
+    ];
+    support::configure(platform.address(""), &support::config(&endpoints)).await;
+    let vms: Vec<Vm> = support::vms(&[("a1", "a"), ("b1", "b")]);
+    let start = |vm: &Vm| support::node(vm, &vms, platform.address(""), "");
+    let nodes: Vec<Process> = vms.iter().map(start).collect();
+    for node in &nodes {
+        support::until(node.address("callers"), "/ready", |a| {
+            a["status"] == "ready"
+        })
+        .await;
+        support::until(node.address("admin"), "/status", |a| {
+            a["owned"].as_array().is_some_and(|owned| owned.len() == 2)
+        })
+        .await;
+    }
+    Fleet {
+        platform,
+        runners: vec![fast, slow],
+        service,
+        nodes,
+    }
+}
+
+/// A program's turns enter at different VMs of different data centres; its history is one.
+#[tokio::test]
+async fn a_program_goes_on_wherever_its_turns_enter() {
+    let fleet = fleet().await;
+    let [a, b] = [0, 1].map(|at| fleet.nodes[at].address("callers"));
+    let (status, first) = support::ask(a, "/v1/chat/completions", &[], &support::chat("one")).await;
+    assert_eq!(status, 200, "{first}");
+    let program = first["chestnutyoke"]["program"]
+        .as_str()
+        .unwrap()
+        .to_owned();
+    assert_eq!(first["choices"][0]["finish_reason"], "stop");
+
+    let named = [
+        ("chestnutyoke-program", program.as_str()),
+        ("chestnutyoke-turn", "2"),
+    ];
+    let chat = support::chat("two");
+    let (status, second) = support::ask(b, "/v1/chat/completions", &named, &chat).await;
+    assert_eq!(status, 200, "{second}");
+    assert!(second["usage"]["prompt_tokens"].as_u64() > first["usage"]["prompt_tokens"].as_u64());
+
+    let (status, again) = support::ask(a, "/v1/chat/completions", &named, &chat).await;
+    assert_eq!(status, 200, "{again}");
+    assert_eq!(again["choices"], second["choices"]);
+
+    let shown = support::get(b, &format!("/v1/programs/{program}")).await;
+    assert_eq!(shown["turns"], 2);
+    assert_eq!(shown["messages"].as_array().unwrap().len(), 4);
+    let stats = support::get(fleet.platform.address(""), "/stats").await;
+    assert!(stats["writes"].as_u64().unwrap() >= 4, "{stats}");
+}
+
+/// A streamed answer has the same text as the committed one, and its end marker.
+#[tokio::test]
+async fn a_stream_is_whole() {
+    let fleet = fleet().await;
+    let a = fleet.nodes[0].address("callers");
+    let mut chat = support::chat("tell #tokens=20");
+    chat["stream"] = json!(true);
+    let bearer = format!("Bearer {}", support::TOKEN);
+    let headers = [("authorization", bearer.as_str())];
+    let body = chat.to_string();
+    let response = support::send(a, "POST", "/v1/chat/completions", &headers, &body).await;
+    let response = response.unwrap();
+    let program = response.headers()["chestnutyoke-program"]
+        .to_str()
+        .unwrap()
+        .to_owned();
+    let (text, ended) = support::stream(response).await;
+    assert!(ended, "{text}");
+    let shown = support::get(a, &format!("/v1/programs/{program}")).await;
+    assert_eq!(shown["messages"][1]["content"], support::content(&text));
+    assert_eq!(shown["tokens_spent"], 20);
+}
+
+/// A runner cuts a stream off in the middle. The caller still sees one whole stream: the rest
+/// comes from another attempt, which gets the first part as its beginning.
+#[tokio::test]
+async fn a_cut_stream_is_resumed() {
+    let fleet = fleet().await;
+    let a = fleet.nodes[0].address("callers");
+    let runner = fleet.runners[0].address("");
+    let whole = support::ask(
+        a,
+        "/v1/chat/completions",
+        &[],
+        &support::chat("x #tokens=12"),
+    )
+    .await;
+    let faults = json!({"cuts": 1, "cut_after": 5});
+    support::post(runner, "/faults", &[], &faults).await;
+    let cut = support::ask(
+        a,
+        "/v1/chat/completions",
+        &[],
+        &support::chat("x #tokens=12"),
+    )
+    .await;
+    assert_eq!(cut.0, 200, "{}", cut.1);
+    assert_eq!(
+        cut.1["choices"][0]["message"],
+        whole.1["choices"][0]["message"]
+    );
+    let stats = support::get(runner, "/stats").await;
+    assert_eq!(stats["aborted"], 1, "{stats}");
+}
+
+/// A switching order is asked twice through two VMs; it runs once and both get its answer.
+#[tokio::test]
+async fn an_order_runs_once() {
+    let fleet = fleet().await;
+    let headers = [("idempotency-key", "order-1")];
+    let order = json!({"berth": 4});
+    let mut answers = Vec::new();
+    for node in &fleet.nodes {
+        let callers = node.address("callers");
+        answers.push(support::ask(callers, "/v1/services/shore/switch", &headers, &order).await);
+    }
+    assert_eq!(answers[0].0, 200, "{}", answers[0].1);
+    assert_eq!(answers[0], answers[1]);
+    let stats = support::get(fleet.service.address(""), "/stats").await;
+    let runs: Vec<&Value> = stats["runs"].as_array().unwrap().iter().collect();
+    assert_eq!(runs.len(), 1, "{stats}");
+    assert_eq!(runs[0]["runs"], 1);
+}
+
+/// Whatever is wrong with a request, it gets its number and didn't run.
+#[tokio::test]
+async fn bad_requests_get_their_numbers() {
+    let fleet = fleet().await;
+    let a = fleet.nodes[0].address("callers");
+    let path = "/v1/chat/completions";
+    let bearer = format!("Bearer {}", support::TOKEN);
+    let token = ("authorization", bearer.as_str());
+    let chat = support::chat("one").to_string();
+    let unknown = chat.replace("\"m\"", "\"other\"");
+    let large = support::chat(&"x".repeat(3 * 1024 * 1024)).to_string();
+    let cases: &[(&str, &str, &[(&str, &str)], &str, u16, &str)] = &[
+        ("POST", path, &[token], "{", 400, "CY1101"),
+        ("POST", path, &[token], &large, 413, "CY1102"),
+        (
+            "POST",
+            path,
+            &[token, ("chestnutyoke-turn", "0")],
+            &chat,
+            400,
+            "CY1104",
+        ),
+        ("GET", "/nowhere", &[token], "", 404, "CY1105"),
+        ("GET", path, &[token], "", 405, "CY1107"),
+        ("POST", path, &[], &chat, 401, "CY1201"),
+        ("POST", path, &[token], &unknown, 404, "CY1203"),
+        ("POST", "/v1/services/none/x", &[token], "{}", 404, "CY1204"),
+        ("GET", "/v1/programs/none", &[token], "", 404, "CY1205"),
+        (
+            "POST",
+            "/v1/services/shore/switch",
+            &[token],
+            "{}",
+            400,
+            "CY1305",
+        ),
+    ];
+    for (method, path, headers, body, status, code) in cases {
+        let response = support::send(a, method, path, headers, body).await;
+        let (got, answer) = support::whole(response.expect("an answer")).await;
+        assert_eq!(
+            (got, answer["error"]["code"].as_str()),
+            (*status, Some(*code)),
+            "{answer}"
+        );
+        assert_eq!(answer["error"]["ran"], "no", "{answer}");
+    }
+    for runner in &fleet.runners {
+        let stats = support::get(runner.address(""), "/stats").await;
+        assert_eq!(stats["attempts"], json!([]));
+    }
+}
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -29,8 +29,14 @@
 /// may serve.
 pub async fn start(core: &Arc<Core>) {
     let config = match core.platform.read(CONFIG_KEY).await {
-        Ok(Some(entry)) => serde_json::from_slice::<Config>(&entry.value).unwrap_or_default(),
-        _ => Config::default(),
+        Ok(Some(entry)) => serde_json::from_slice::<Config>(&entry.value).unwrap_or_else(|fault| {
+            log::error!("key={CONFIG_KEY} reason={fault}");
+            Config::default()
+        }),
+        other => {
+            log::error!("key={CONFIG_KEY} reason={other:?}");
+            Config::default()
+        }
     };
     let own = &core.settings.vm;
     let alone = !core.settings.peers.iter().any(|p| p.centre == own.centre);
--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -105,7 +105,9 @@
     let program = match (named, &parsed.key, &parsed.what) {
         (Some(program), ..) => program,
         // The same key finds the same program, so that the request asked again isn't run again.
-        (None, Some(key), parse::What::Chat(_)) => route::keyed(&caller, key),
+        (None, Some(key), parse::What::Chat(_) | parse::What::Call(_)) => {
+            route::keyed(&caller, key)
+        }
         (None, ..) => route::mint(core, view),
     };
     let body = match parsed.what {
--- a/crates/node/src/owner/registry.rs
+++ b/crates/node/src/owner/registry.rs
@@ -92,12 +92,6 @@
             log: opened.log,
             setup,
         };
-        log::info!(
-            "{} shard={} epoch={}",
-            Event::ShardOpened,
-            entry.shard,
-            entry.epoch
-        );
         let mut entries = self.lock();
         match entries.binary_search_by(|e| e.shard.cmp(&entry.shard)) {
             Ok(at) => entries[at] = entry,
