--- a/crates/chestnutyoke/tests/whole_path.rs
+++ b/crates/chestnutyoke/tests/whole_path.rs
@@ -77,8 +77,8 @@
     let shown = support::get(b, &format!("/v1/programs/{program}")).await;
     assert_eq!(shown["turns"], 2);
     assert_eq!(shown["messages"].as_array().unwrap().len(), 4);
-    let stats = support::get(fleet.platform.address(""), "/stats").await;
-    assert!(stats["writes"].as_u64().unwrap() >= 4, "{stats}");
+    let counts = support::get(fleet.platform.address(""), "/stats").await;
+    assert!(counts["writes"].as_u64().unwrap() >= 4, "{counts}");
 }
 
 /// A streamed answer has the same text as the committed one, and its end marker.
@@ -155,6 +155,15 @@
     assert_eq!(runs[0]["runs"], 1);
 }
 
+/// A bad request and the refusal that it gets.
+struct Bad<'a> {
+    method: &'a str,
+    path: &'a str,
+    headers: &'a [(&'a str, &'a str)],
+    body: &'a str,
+    refusal: (u16, &'a str),
+}
+
 /// Whatever is wrong with a request, it gets its number and didn't run.
 #[tokio::test]
 async fn bad_requests_get_their_numbers() {
@@ -162,44 +171,39 @@
     let a = fleet.nodes[0].address("callers");
     let path = "/v1/chat/completions";
     let bearer = format!("Bearer {}", support::TOKEN);
-    let token = ("authorization", bearer.as_str());
+    let token = [("authorization", bearer.as_str())];
+    let zero = [token[0], ("chestnutyoke-turn", "0")];
     let chat = support::chat("one").to_string();
     let unknown = chat.replace("\"m\"", "\"other\"");
     let large = support::chat(&"x".repeat(3 * 1024 * 1024)).to_string();
-    let cases: &[(&str, &str, &[(&str, &str)], &str, u16, &str)] = &[
-        ("POST", path, &[token], "{", 400, "CY1101"),
-        ("POST", path, &[token], &large, 413, "CY1102"),
-        (
-            "POST",
-            path,
-            &[token, ("chestnutyoke-turn", "0")],
-            &chat,
-            400,
-            "CY1104",
-        ),
-        ("GET", "/nowhere", &[token], "", 404, "CY1105"),
-        ("GET", path, &[token], "", 405, "CY1107"),
-        ("POST", path, &[], &chat, 401, "CY1201"),
-        ("POST", path, &[token], &unknown, 404, "CY1203"),
-        ("POST", "/v1/services/none/x", &[token], "{}", 404, "CY1204"),
-        ("GET", "/v1/programs/none", &[token], "", 404, "CY1205"),
-        (
-            "POST",
-            "/v1/services/shore/switch",
-            &[token],
-            "{}",
-            400,
-            "CY1305",
-        ),
+    let long = "x".repeat(20 * 1024);
+    let headers = [token[0], ("x-long", long.as_str())];
+    let bad = |method, path, headers, body, refusal| Bad {
+        method,
+        path,
+        headers,
+        body,
+        refusal,
+    };
+    let post = |path, body, refusal| bad("POST", path, &token, body, refusal);
+    let cases = [
+        post(path, "{", (400, "CY1101")),
+        post(path, &large, (413, "CY1102")),
+        bad("POST", path, &headers, &chat, (431, "CY1103")),
+        bad("POST", path, &zero, &chat, (400, "CY1104")),
+        bad("GET", "/nowhere", &token, "", (404, "CY1105")),
+        bad("GET", path, &token, "", (405, "CY1107")),
+        bad("POST", path, &[], &chat, (401, "CY1201")),
+        post(path, &unknown, (404, "CY1203")),
+        post("/v1/services/none/x", "{}", (404, "CY1204")),
+        bad("GET", "/v1/programs/none", &token, "", (404, "CY1205")),
+        post("/v1/services/shore/switch", "{}", (400, "CY1305")),
     ];
-    for (method, path, headers, body, status, code) in cases {
-        let response = support::send(a, method, path, headers, body).await;
-        let (got, answer) = support::whole(response.expect("an answer")).await;
-        assert_eq!(
-            (got, answer["error"]["code"].as_str()),
-            (*status, Some(*code)),
-            "{answer}"
-        );
+    for case in &cases {
+        let sent = support::send(a, case.method, case.path, case.headers, case.body).await;
+        let (status, answer) = support::whole(sent.expect("an answer")).await;
+        let code = answer["error"]["code"].as_str().unwrap_or_default();
+        assert_eq!((status, code), case.refusal, "{answer}");
         assert_eq!(answer["error"]["ran"], "no", "{answer}");
     }
     for runner in &fleet.runners {
