--- /dev/null
+++ b/crates/node/tests/request/fleet.rs
@@ -0,0 +1,203 @@
+//! A node, two runners and a service as tasks of the test's process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use node::start;
+use node::start::Handle;
+use platform::edge::Platform;
+use platform::edge::Txn;
+use platform::edge::Weight;
+use platform::edge::Write;
+use platform::memory::Memory;
+use serde_json::Value;
+use serde_json::json;
+use standin::client;
+use standin::http::Server;
+use standin::runner;
+use standin::service;
+use tokio::net::TcpListener;
+use wire::clock::Clock;
+use wire::id::Digest;
+
+/// The chat path.
+pub const CHAT: &str = "/v1/chat/completions";
+
+/// A running fleet.
+pub struct Fleet {
+    pub platform: Memory,
+    pub runners: Vec<Server>,
+    pub service: Server,
+    pub node: Handle,
+    pub callers: SocketAddr,
+}
+
+/// What differs from test to test.
+pub struct Plan {
+    /// Merged into the only selector.
+    pub selector: Value,
+    /// Further lines of the settings.
+    pub limits: &'static str,
+    /// What the runners are.
+    pub runner: runner::Settings,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            selector: json!({}),
+            limits: "",
+            runner: runner::Settings::default(),
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet with nothing special.
+    pub async fn plain() -> Self {
+        Self::start(Plan::default()).await
+    }
+
+    /// Starts a fleet.
+    pub async fn start(plan: Plan) -> Self {
+        let mut runners = Vec::new();
+        for _ in 0..2 {
+            let served = runner::serve(bind().await, plan.runner.clone(), Clock::System);
+            runners.push(served.unwrap());
+        }
+        let service = service::serve(bind().await, service::Settings::default()).unwrap();
+        let platform = Memory::new(Clock::System);
+        let config = config(&runners, &service, &plan.selector);
+        let put = Write::Put {
+            key: "config".to_owned(),
+            value: config.to_string().into_bytes(),
+            lease: None,
+        };
+        let txn = Txn {
+            compares: Vec::new(),
+            writes: vec![put],
+        };
+        platform.commit(&txn, Weight::Change).await.unwrap();
+        let settings = settings::vm::parse(&format!("{SETTINGS}{}", plan.limits)).unwrap();
+        let memory = Arc::new(platform.clone());
+        let node = start::start_on(settings, Clock::System, memory)
+            .await
+            .unwrap();
+        let callers = node.callers();
+        Self {
+            platform,
+            runners,
+            service,
+            node,
+            callers,
+        }
+    }
+
+    /// Asks as the caller `tug`.
+    pub async fn ask(&self, path: &str, headers: &[(&str, &str)], body: &Value) -> (u16, Value) {
+        client::ask(self.callers, path, headers, body).await
+    }
+
+    /// Sends faults to a runner.
+    pub async fn fault(&self, runner: usize, faults: Value) {
+        let address = self.runners[runner].address();
+        client::post(address, "/faults", &[], &faults).await;
+    }
+
+    /// Sends the same faults to every runner.
+    pub async fn fault_all(&self, faults: Value) {
+        for runner in 0..self.runners.len() {
+            self.fault(runner, faults.clone()).await;
+        }
+    }
+
+    /// Lists every attempt that any runner saw.
+    pub async fn attempts(&self) -> Vec<Value> {
+        let mut all = Vec::new();
+        for runner in &self.runners {
+            let stats = client::get(runner.address(), "/stats").await;
+            all.extend(stats["attempts"].as_array().unwrap().iter().cloned());
+        }
+        all
+    }
+
+    /// Waits until the runners have seen so many attempts start.
+    pub async fn until_started(&self, count: usize) {
+        loop {
+            let attempts = self.attempts().await;
+            if attempts.iter().filter(|a| a["started"] == true).count() >= count {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// Yields the code and what is said of whether a refused request ran.
+pub fn refusal(answer: &(u16, Value)) -> (&str, &str) {
+    let error = &answer.1["error"];
+    let text = |name: &str| error[name].as_str().unwrap_or("none");
+    (text("code"), text("ran"))
+}
+
+/// Headers that name a program and its turn.
+pub fn named<'a>(program: &'a str, turn: &'a str) -> [(&'static str, &'a str); 2] {
+    [
+        ("chestnutyoke-program", program),
+        ("chestnutyoke-turn", turn),
+    ]
+}
+
+async fn bind() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.unwrap()
+}
+
+const SETTINGS: &str = r#"
+centres = [{ name = "a", shards = 1 }]
+[vm]
+name = "a1"
+centre = "a"
+[listen]
+callers = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+[platform]
+addresses = []
+"#;
+
+fn config(runners: &[Server], service: &Server, selector: &Value) -> Value {
+    let endpoint = |name: String, kind: &str, address: SocketAddr, serves: &str| {
+        json!({"name": name, "kind": kind, "address": address.to_string(), "centre": "a",
+               "serves": [serves], "slots": 8, "fences": true})
+    };
+    let numbered = runners.iter().enumerate();
+    let mut endpoints: Vec<Value> = numbered
+        .map(|(at, r)| endpoint(format!("runner-{at}"), "runner", r.address(), "m"))
+        .collect();
+    endpoints.push(endpoint(
+        "shore".into(),
+        "service",
+        service.address(),
+        "shore",
+    ));
+    let token = Digest::of(client::TOKEN.as_bytes());
+    let mut all = json!({"name": "all", "once": ["switch"]});
+    for (name, value) in selector.as_object().unwrap() {
+        all[name] = value.clone();
+    }
+    json!({
+        "revision": 1,
+        "nonce": 1,
+        "callers": [{"name": "tug", "token": token}],
+        "endpoints": endpoints,
+        "selectors": [all],
+    })
+}
+
+/// A runner that takes some hundreds of milliseconds for a short answer.
+pub fn slow() -> runner::Settings {
+    runner::Settings {
+        tokens_per_second: 40.0,
+        ..runner::Settings::default()
+    }
+}
--- /dev/null
+++ b/crates/node/tests/request/main.rs
@@ -0,0 +1,8 @@
+//! One node in this process, with stand-in endpoints and a platform in memory, under the failures
+//! that a request meets.
+
+mod door;
+mod fleet;
+mod order;
+mod service;
+mod turn;
--- /dev/null
+++ b/crates/standin/src/client.rs
@@ -0,0 +1,150 @@
+//! A plain HTTP client for tests and measurements: what a caller without any library of ours
+//! sends. It panics where a test would fail anyway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper_util::client::legacy;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use serde_json::json;
+
+/// Far longer than any wait here takes; a test that reaches it has failed.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// The token of the caller `tug`.
+pub const TOKEN: &str = "tug-secret";
+
+/// Sends a request; `None` where the connection broke before an answer.
+///
+/// # Panics
+///
+/// Panics where a header isn't valid.
+pub async fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<Response<Incoming>> {
+    let http = legacy::Client::builder(TokioExecutor::new()).build_http();
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
+    http.request(request.body(body).unwrap()).await.ok()
+}
+
+/// Posts JSON and reads the JSON answer with its status.
+///
+/// # Panics
+///
+/// Panics where the connection breaks before an answer.
+pub async fn post(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> (u16, Value) {
+    let response = send(address, "POST", path, headers, &body.to_string()).await;
+    whole(response.expect("an answer")).await
+}
+
+/// Posts as the caller `tug`.
+///
+/// # Panics
+///
+/// Panics where the connection breaks before an answer.
+pub async fn ask(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> (u16, Value) {
+    let bearer = format!("Bearer {TOKEN}");
+    let mut all = vec![("authorization", bearer.as_str())];
+    all.extend(headers);
+    post(address, path, &all, body).await
+}
+
+/// Reads a JSON answer.
+///
+/// # Panics
+///
+/// Panics where the connection breaks before an answer.
+pub async fn get(address: SocketAddr, path: &str) -> Value {
+    let bearer = format!("Bearer {TOKEN}");
+    let headers = [("authorization", bearer.as_str())];
+    let response = send(address, "GET", path, &headers, "").await;
+    whole(response.expect("an answer")).await.1
+}
+
+/// Collects a JSON answer.
+///
+/// # Panics
+///
+/// Panics where the connection breaks in the middle.
+pub async fn whole(response: Response<Incoming>) -> (u16, Value) {
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    (status, serde_json::from_slice(&body).unwrap_or_default())
+}
+
+/// Collects a stream: its text, and whether it ended with the end marker.
+///
+/// # Panics
+///
+/// Panics where the connection breaks in the middle.
+pub async fn stream(response: Response<Incoming>) -> (String, bool) {
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    let text = String::from_utf8(body.to_vec()).unwrap();
+    let ended = text.ends_with("data: [DONE]\n\n");
+    (text, ended)
+}
+
+/// Joins the contents of a stream's pieces.
+#[must_use]
+pub fn content(events: &str) -> String {
+    let lines = events
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let pieces = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let text = |piece: Value| {
+        let delta = &piece["choices"][0]["delta"]["content"];
+        delta.as_str().map(str::to_owned)
+    };
+    pieces.filter_map(text).collect()
+}
+
+/// Builds a chat request with one user message.
+#[must_use]
+pub fn chat(text: &str) -> Value {
+    json!({"model": "m", "messages": [{"role": "user", "content": text}]})
+}
+
+/// Asks again until the answer is as wished.
+///
+/// # Panics
+///
+/// Panics where it isn't within [`PATIENCE`].
+pub async fn until(address: SocketAddr, path: &str, wished: impl Fn(&Value) -> bool) -> Value {
+    let asked = async {
+        loop {
+            let answer = get(address, path).await;
+            if wished(&answer) {
+                return answer;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let found = tokio::time::timeout(PATIENCE, asked).await;
+    found.unwrap_or_else(|_| panic!("{path} never was as wished"))
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each runs as a task of any process or as a process of its own, speaks the usual protocol of
 //! what it stands for, and has switches for the faults that the real one shows.
 
+pub mod client;
 pub mod http;
 pub mod platform;
 pub mod runner;
