--- /dev/null
+++ b/crates/chestnutyoke/tests/support/mod.rs
@@ -0,0 +1,209 @@
+//! A small deployment of real processes on loopback, and a plain HTTP client for it.
+#![allow(dead_code)] // each test file uses a part
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use serde_json::Value;
+use serde_json::json;
+use wire::id::Digest;
+
+pub use standin::client::*;
+
+/// A process, ended when dropped.
+pub struct Process {
+    child: Child,
+    /// The first line that it printed.
+    pub line: String,
+}
+
+impl Process {
+    /// Starts a process and waits for its first line.
+    pub fn start(binary: &str, arguments: &[String]) -> Self {
+        let mut command = Command::new(binary);
+        command.args(arguments).stdout(Stdio::piped());
+        if std::env::var_os("CHESTNUTYOKE_TEST_LOG").is_none() {
+            command.stderr(Stdio::null());
+        }
+        let mut child = command.spawn().expect("the binary starts");
+        let mut line = String::new();
+        let out = child.stdout.take().expect("stdout is piped");
+        BufReader::new(out).read_line(&mut line).expect("a line");
+        Self { child, line }
+    }
+
+    /// Yields an address of the first line: the one after `name=`, or the whole for an empty name.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        let mut words = self.line.split_whitespace().skip(1);
+        let found = words.find_map(|word| match name {
+            "" => Some(word),
+            _ => word.strip_prefix(name)?.strip_prefix('='),
+        });
+        found
+            .and_then(|text| text.parse().ok())
+            .expect("an address")
+    }
+
+    /// Yields the process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends the process at once, as kill -9 does.
+    pub fn kill(&mut self) {
+        let _gone = self.child.kill();
+        let _status = self.child.wait();
+    }
+
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Waits for the end; tells whether it was a success.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().expect("a status").success()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Starts a stand-in.
+pub fn standin(name: &str, arguments: &[&str]) -> Process {
+    let mut all = vec![name.to_owned(), "--listen".into(), "127.0.0.1:0".into()];
+    all.extend(arguments.iter().map(|a| (*a).to_owned()));
+    Process::start(env!("CARGO_BIN_EXE_chestnutyoke-standin"), &all)
+}
+
+/// A VM of the deployment.
+#[derive(Clone, Debug)]
+pub struct Vm {
+    /// Its name.
+    pub name: &'static str,
+    /// Its data centre.
+    pub centre: &'static str,
+    /// Its listener for VMs, chosen beforehand as others must know it.
+    pub peers: SocketAddr,
+}
+
+/// Lays VMs out, each with a free port for its peers.
+pub fn vms(named: &[(&'static str, &'static str)]) -> Vec<Vm> {
+    let vm = |(name, centre): &(&'static str, &'static str)| Vm {
+        name,
+        centre,
+        peers: free_address(),
+    };
+    named.iter().map(vm).collect()
+}
+
+/// Yields an address that was free a moment ago.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// Starts one VM's node.
+pub fn node(vm: &Vm, all: &[Vm], platform: SocketAddr, extra: &str) -> Process {
+    let text = settings(vm, all, platform, extra);
+    let name = format!("chestnutyoke-{}-{}.toml", vm.name, vm.peers.port());
+    let path: PathBuf = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).expect("the settings are written");
+    let arguments = [
+        "serve".to_owned(),
+        "--settings".into(),
+        path.display().to_string(),
+    ];
+    Process::start(env!("CARGO_BIN_EXE_chestnutyoke"), &arguments)
+}
+
+fn settings(vm: &Vm, all: &[Vm], platform: SocketAddr, extra: &str) -> String {
+    use std::fmt::Write;
+    let mut text = format!(
+        r#"
+[vm]
+name = "{}"
+centre = "{}"
+
+[listen]
+callers = "127.0.0.1:0"
+peers = "{}"
+admin = "127.0.0.1:0"
+
+[platform]
+addresses = ["{platform}"]
+
+"#,
+        vm.name, vm.centre, vm.peers
+    );
+    let mut centres: Vec<&str> = all.iter().map(|vm| vm.centre).collect();
+    centres.sort_unstable();
+    centres.dedup();
+    for centre in centres {
+        writeln!(text, "[[centres]]\nname = \"{centre}\"\nshards = 2\n").expect("a string");
+    }
+    for peer in all.iter().filter(|peer| peer.name != vm.name) {
+        writeln!(
+            text,
+            "[[peers]]\nname = \"{}\"\ncentre = \"{}\"\naddress = \"{}\"\n",
+            peer.name, peer.centre, peer.peers
+        )
+        .expect("a string");
+    }
+    text.push_str(extra);
+    text
+}
+
+/// An endpoint of the configuration.
+pub fn endpoint(name: &str, kind: &str, address: SocketAddr, centre: &str, serves: &str) -> Value {
+    json!({"name": name, "kind": kind, "address": address.to_string(), "centre": centre,
+           "serves": [serves], "slots": 8, "fences": true})
+}
+
+/// A configuration with the caller `tug` and a selector that allows all.
+pub fn config(endpoints: &[Value]) -> Value {
+    let caller = json!({"name": "tug", "token": Digest::of(TOKEN.as_bytes())});
+    json!({
+        "revision": 1,
+        "nonce": 1,
+        "callers": [caller],
+        "endpoints": endpoints,
+        "selectors": [{"name": "all", "once": ["switch"]}],
+    })
+}
+
+/// Writes the configuration to the platform.
+pub async fn configure(platform: SocketAddr, config: &Value) {
+    let key = base64(b"config");
+    let value = base64(config.to_string().as_bytes());
+    let put = json!({"key": key, "value": value});
+    let (status, _) = post(platform, "/v3/kv/put", &[], &put).await;
+    assert_eq!(status, 200);
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut out = String::new();
+    for chunk in bytes.chunks(3) {
+        let mut word = [0_u8; 3];
+        word[..chunk.len()].copy_from_slice(chunk);
+        let bits = u32::from_be_bytes([0, word[0], word[1], word[2]]);
+        for place in 0..4 {
+            let letter = LETTERS[(bits >> (18 - 6 * place)) as usize & 63];
+            let filled = place <= chunk.len();
+            out.push(if filled { letter as char } else { '=' });
+        }
+    }
+    out
+}
