--- /dev/null
+++ b/crates/journal/tests/fuzz/main.rs
@@ -0,0 +1,154 @@
+//! A state machine test of gate, state, log, claim, snapshot and copies together: three VMs own
+//! one shard in turn, over a platform with faults, against an oracle of what callers were told and
+//! what endpoints ran.
+//!
+//! `cargo test -p journal --test fuzz` runs 256 cases of up to 90 steps from a fixed seed;
+//! `PROPTEST_CASES=20000 cargo test --release -p journal --test fuzz` is a longer run.
+
+mod oracle;
+mod owner;
+mod world;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+use world::World;
+
+/// VMs.
+const VMS: usize = 3;
+
+/// One step. Steps that don't fit the moment (a dead VM is killed, say) do nothing.
+#[derive(Clone, Debug)]
+enum Step {
+    /// A VM tries to take the shard over.
+    Claim(usize),
+    /// A caller asks for a turn of a program with one of some contents.
+    Ask(usize, usize, u64),
+    /// A caller asks again for a turn that was committed.
+    Again(usize, usize),
+    /// An engine answers an attempt, having generated so many parts of the reservation in 4.
+    Answer(usize, u64),
+    /// An engine fails an attempt, which goes on elsewhere or is given up.
+    Fail(usize, bool),
+    /// A caller asks for a call under one of some keys, with one of some contents.
+    Order(usize, usize, u64),
+    /// A service answers a call, refuses it before it runs, or its answer is lost.
+    Called(usize, u8),
+    /// The owner snapshots.
+    Snapshot(usize),
+    /// The platform plays a fault on a write.
+    Play(platform::memory::Play),
+    /// The platform's delayed writes land.
+    Deliver,
+    /// The platform is down for all, or for one VM.
+    Down(bool),
+    Cut(usize, bool),
+    /// Every lease lapses.
+    Lapse,
+    /// A VM is paused or goes on; dies or starts anew; the list of VMs catches up.
+    Pause(usize, bool),
+    Kill(usize),
+    Restart(usize),
+    List,
+    /// Time passes: waits for a retry end.
+    Wait(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        use platform::memory::Play;
+        let vm = 0..VMS;
+        let play = prop_oneof![
+            Just(Play::LoseAnswer),
+            Just(Play::LoseWrite),
+            Just(Play::Delay)
+        ];
+        prop_oneof![
+            10 => vm.clone().prop_map(Step::Claim),
+            20 => (vm.clone(), 0..2usize, 0..3u64).prop_map(|(v, p, c)| Step::Ask(v, p, c)),
+            3 => (vm.clone(), 0..2usize).prop_map(|(v, p)| Step::Again(v, p)),
+            20 => (0..4usize, 0..5u64).prop_map(|(pick, used)| Step::Answer(pick, used)),
+            4 => (0..4usize, any::<bool>()).prop_map(|(pick, on)| Step::Fail(pick, on)),
+            14 => (vm.clone(), 0..3usize, 0..8u64).prop_map(|(v, k, c)| Step::Order(v, k, c / 7)),
+            8 => (0..3usize, 0..3u8).prop_map(|(pick, how)| Step::Called(pick, how)),
+            3 => vm.clone().prop_map(Step::Snapshot),
+            8 => play.prop_map(Step::Play),
+            5 => Just(Step::Deliver),
+            3 => any::<bool>().prop_map(Step::Down),
+            8 => (vm.clone(), any::<bool>()).prop_map(|(v, cut)| Step::Cut(v, cut)),
+            6 => Just(Step::Lapse),
+            8 => (vm.clone(), any::<bool>()).prop_map(|(v, paused)| Step::Pause(v, paused)),
+            2 => vm.clone().prop_map(Step::Kill),
+            3 => vm.prop_map(Step::Restart),
+            3 => Just(Step::List),
+            8 => (1..3_000u64).prop_map(Step::Wait),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _step: &Step) {}
+}
+
+struct Machine {
+    runtime: tokio::runtime::Runtime,
+    world: World,
+}
+
+impl StateMachineTest for Machine {
+    type SystemUnderTest = Self;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        Self {
+            runtime,
+            world: World::new(),
+        }
+    }
+
+    fn apply(mut state: Self, (): &(), step: Step) -> Self {
+        state.runtime.block_on(async {
+            state.world.step(step).await;
+            state.world.settle().await;
+        });
+        state
+    }
+
+    fn check_invariants(state: &Self, (): &()) {
+        state.world.oracle.check();
+    }
+
+    fn teardown(mut state: Self, (): ()) {
+        state.runtime.block_on(state.world.finish());
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(0x6a6f_7572_6e61_6c00),
+        failure_persistence: None,
+        max_shrink_iters: 4_000,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn nothing_runs_twice_or_is_lost(sequential 1..90 => Machine);
+}
--- /dev/null
+++ b/crates/journal/tests/fuzz/owner.rs
@@ -0,0 +1,436 @@
+//! The owner of a shard as the node's actor will be: asks the gate, applies, appends, and acts when
+//! the append is durable.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+
+use bytes::Bytes;
+use journal::claim::Opened;
+use journal::gate;
+use journal::gate::Begin;
+use journal::gate::Commit;
+use journal::gate::Create;
+use journal::gate::Intend;
+use journal::gate::Restart;
+use journal::log::Append;
+use journal::log::Durable;
+use journal::log::Fault;
+use journal::log::Log;
+use journal::log::Status;
+use journal::record::Effect as Outcome;
+use journal::record::Record;
+use journal::state::State;
+use serde_json::Map;
+use serde_json::Value;
+use wire::chat;
+use wire::clock::Millis;
+use wire::code::Ran;
+use wire::id;
+
+use super::oracle::Call;
+use super::oracle::Run;
+use super::oracle::TOKENS;
+use super::oracle::Told;
+use super::oracle::text;
+use super::world::World;
+
+/// Tokens asked for by each turn; the last turns of a program meet its budget.
+const WANT: u64 = 30;
+/// The program that calls belong to.
+const CALLS: usize = 0;
+
+/// What waits for an append.
+enum Effect {
+    None,
+    Dispatch(Run),
+    Tell(Told),
+    Send(id::Key, id::Attempt),
+    Called(id::Key, id::Attempt),
+}
+
+pub struct Owner {
+    pub epoch: u64,
+    pub state: State,
+    pub log: Log,
+    waiting: Vec<(Append, Effect)>,
+    /// Attempts at engines that haven't ended, and calls at services.
+    running: Vec<Run>,
+    calling: Vec<(id::Key, id::Attempt)>,
+    exposed: bool,
+    dead: bool,
+}
+
+impl Owner {
+    pub fn new(opened: Opened) -> Self {
+        Self {
+            epoch: opened.epoch,
+            state: opened.state,
+            log: opened.log,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            calling: Vec::new(),
+            exposed: false,
+            dead: false,
+        }
+    }
+
+    /// Whether every record that it applied is durable.
+    pub fn is_quiet(&self) -> bool {
+        self.waiting.is_empty() && !self.dead
+    }
+
+    /// Whether something that was told may stand in copies only.
+    pub fn is_exposed(&self) -> bool {
+        self.exposed && (self.dead || self.log.status() != Status::Open)
+    }
+
+    pub fn die(&mut self) {
+        self.exposed = self.is_exposed();
+        self.dead = true;
+        self.waiting.clear();
+        self.running.clear();
+        self.calling.clear();
+    }
+
+    fn put(&mut self, records: Vec<Record>, effect: Effect) {
+        for record in &records {
+            self.state.check(record).unwrap();
+            self.state.apply(record);
+        }
+        let append = self.log.append(records);
+        self.waiting.push((append, effect));
+    }
+}
+
+impl World {
+    /// Yields the owner that a VM is as far as it knows.
+    fn owner(&mut self, vm: usize) -> Option<&mut Owner> {
+        if !self.is_running(vm) {
+            return None;
+        }
+        let owner = self.vms[vm].owner.as_mut()?;
+        (!owner.dead && owner.log.status() != Status::Lost).then_some(owner)
+    }
+
+    pub fn ask(&mut self, vm: usize, program: usize, content: u64) {
+        let (id, now, attempt) = (program_id(program), self.now(), id::Attempt(self.draw()));
+        let Some(owner) = self.owner(vm) else { return };
+        let create = Create {
+            program: &id,
+            caller: &caller(),
+            tokens: TOKENS,
+            turns: 9,
+            idle: Millis::new(u64::MAX),
+            now,
+        };
+        if let Some(record) = gate::create(&owner.state, &create).unwrap() {
+            owner.put(vec![record], Effect::None);
+        }
+        let asked = message("user", &format!("question {content}"));
+        let begin = Begin {
+            program: &id,
+            caller: &caller(),
+            turn: None,
+            messages: std::slice::from_ref(&asked),
+            digest: id::Digest(content),
+            want: WANT,
+            attempt,
+            endpoint: None,
+            now,
+        };
+        let start = match gate::begin(&owner.state, &begin) {
+            Ok(gate::Turn::Start(start)) => start,
+            Ok(gate::Turn::Join { .. }) => return,
+            Ok(gate::Turn::Replay { .. }) => panic!("a next turn was replayed"),
+            Err(refusal) => {
+                self.oracle.refused.push((attempt, refusal.ran));
+                return;
+            }
+        };
+        let mut prompt: Vec<String> = prompt(&owner.state, &id);
+        prompt.push(text(&asked));
+        let run = Run {
+            program: id,
+            turn: start.turn,
+            attempt,
+            prompt,
+            generated: start.reserved,
+        };
+        owner.put(start.records, Effect::Dispatch(run));
+    }
+
+    pub fn again(&mut self, vm: usize, program: usize) {
+        let (id, now, attempt) = (program_id(program), self.now(), id::Attempt(self.draw()));
+        let Some(owner) = self.owner(vm) else { return };
+        let Some(last) = owner.state.program(&id).and_then(|p| p.history.last()) else {
+            return;
+        };
+        // A replayed answer must be durable; the node waits for the turn's own append.
+        if !owner.is_quiet() {
+            return;
+        }
+        let turn = owner.state.program(&id).unwrap().committed();
+        let begin = Begin {
+            program: &id,
+            caller: &caller(),
+            turn: Some(turn),
+            messages: &[],
+            digest: last.digest,
+            want: WANT,
+            attempt,
+            endpoint: None,
+            now,
+        };
+        let Ok(gate::Turn::Replay { answer, .. }) = gate::begin(&owner.state, &begin) else {
+            panic!("a committed turn isn't replayed");
+        };
+        let (program, answer) = (id.clone(), answer.clone());
+        self.oracle.tell(Told {
+            program,
+            turn,
+            answer,
+        });
+    }
+
+    pub fn answer(&mut self, pick: usize, used: u64) {
+        let now = self.now();
+        let Some((vm, at)) = self.pick(pick, |owner| owner.running.len()) else {
+            return;
+        };
+        let owner = self.vms[vm].owner.as_mut().unwrap();
+        let mut run = owner.running.remove(at);
+        run.generated = run.generated * used / 4;
+        let asked = run.prompt.last().unwrap();
+        let commit = Commit {
+            program: &run.program,
+            attempt: run.attempt,
+            messages: vec![message("user", asked)],
+            answer: chat::Answer {
+                message: message("assistant", &run.attempt.to_string()),
+                finish: "stop".to_owned(),
+                usage: chat::Usage::default(),
+            },
+            used: run.generated,
+            endpoint: &id::Endpoint::parse("runner").unwrap(),
+            now,
+        };
+        let record = gate::commit(&owner.state, commit).unwrap();
+        if let Some(record) = record {
+            let Record::Committed { turn, answer, .. } = &record else {
+                panic!("commits with another record");
+            };
+            let told = Told {
+                program: run.program.clone(),
+                turn: *turn,
+                answer: answer.clone(),
+            };
+            owner.put(vec![record], Effect::Tell(told));
+        }
+        self.ended(&run);
+    }
+
+    pub fn fail(&mut self, pick: usize, on: bool) {
+        let (now, attempt) = (self.now(), id::Attempt(self.draw()));
+        let Some((vm, at)) = self.pick(pick, |owner| owner.running.len()) else {
+            return;
+        };
+        let owner = self.vms[vm].owner.as_mut().unwrap();
+        let mut run = owner.running.remove(at);
+        run.generated /= 2;
+        let restart = Restart {
+            program: &run.program,
+            ended: run.attempt,
+            used: Some(run.generated),
+            want: WANT,
+            attempt,
+            endpoint: None,
+            now,
+        };
+        let next = gate::restart(&owner.state, &restart).ok().flatten();
+        if let Some(start) = next.filter(|_| on) {
+            let next = Run {
+                attempt,
+                generated: start.reserved,
+                ..run.clone()
+            };
+            owner.put(start.records, Effect::Dispatch(next));
+        } else {
+            let used = Some(run.generated);
+            if let Some(stopped) = gate::stop(&owner.state, &run.program, run.attempt, used) {
+                owner.put(vec![stopped], Effect::None);
+            }
+        }
+        self.ended(&run);
+    }
+
+    pub fn order(&mut self, vm: usize, key: usize, content: u64) {
+        let (id, now, attempt) = (program_id(CALLS), self.now(), id::Attempt(self.draw()));
+        let Some(owner) = self.owner(vm) else { return };
+        let key = id::Key::parse(&format!("key-{key}")).unwrap();
+        let intend = Intend {
+            program: &id,
+            caller: &caller(),
+            key: &key,
+            digest: id::Digest(content),
+            attempt,
+            now,
+            status: owner.log.status(),
+        };
+        match gate::intend(&owner.state, &intend) {
+            Ok(gate::Call::Start(records)) => owner.put(records, Effect::Send(key, attempt)),
+            Ok(gate::Call::Join(_) | gate::Call::Replay { .. }) => {}
+            Err(refusal) => self.oracle.refused.push((attempt, refusal.ran)),
+        }
+    }
+
+    pub fn called(&mut self, pick: usize, how: u8) {
+        let Some((vm, at)) = self.pick(pick, |owner| owner.calling.len()) else {
+            return;
+        };
+        let owner = self.vms[vm].owner.as_mut().unwrap();
+        let (key, attempt) = owner.calling.remove(at);
+        let result = match how {
+            0 => Outcome::Answered {
+                status: 200,
+                body: Bytes::from(attempt.to_string()),
+            },
+            1 => Outcome::NotRun,
+            _ => Outcome::Unknown,
+        };
+        let effect = match how {
+            0 => Effect::Called(key.clone(), attempt),
+            _ => Effect::None,
+        };
+        let id = program_id(CALLS);
+        if let Some(record) = gate::resolve(&owner.state, &id, &key, attempt, result) {
+            owner.put(vec![record], effect);
+        }
+        if how == 1 {
+            let refused = self.oracle.calls.iter_mut().find(|c| c.attempt == attempt);
+            refused.unwrap().refused = true;
+        }
+    }
+
+    /// Acts on what became durable, or never will be.
+    pub fn act(&mut self, vm: usize) {
+        if !self.is_running(vm) {
+            return;
+        }
+        let Some(owner) = self.vms[vm].owner.as_mut() else {
+            return;
+        };
+        let mut ready = Vec::new();
+        let mut waiting = Vec::new();
+        for (mut append, effect) in owner.waiting.drain(..) {
+            let mut context = Context::from_waker(Waker::noop());
+            match Pin::new(&mut append).poll(&mut context) {
+                Poll::Ready(result) => ready.push((result, effect)),
+                Poll::Pending => waiting.push((append, effect)),
+            }
+        }
+        owner.waiting = waiting;
+        for (result, effect) in ready {
+            match result {
+                Ok(durable) => self.perform(vm, durable, effect),
+                Err(fault) => self.refuse(vm, fault, effect),
+            }
+        }
+    }
+
+    fn perform(&mut self, vm: usize, durable: Durable, effect: Effect) {
+        let owner = self.vms[vm].owner.as_mut().unwrap();
+        let copied = durable == Durable::Copy;
+        match effect {
+            Effect::None => {}
+            Effect::Dispatch(run) => {
+                owner.exposed |= copied;
+                owner.running.push(run.clone());
+                self.oracle.runs.push(run);
+            }
+            Effect::Tell(told) => {
+                owner.exposed |= copied;
+                self.oracle.tell(told);
+            }
+            Effect::Send(key, attempt) => {
+                assert!(!copied, "an intent counted in copies");
+                owner.calling.push((key.clone(), attempt));
+                let refused = false;
+                self.oracle.calls.push(Call {
+                    key,
+                    attempt,
+                    refused,
+                });
+            }
+            Effect::Called(key, attempt) => {
+                owner.exposed |= copied;
+                self.oracle.called.push((key, attempt));
+            }
+        }
+    }
+
+    fn refuse(&mut self, vm: usize, fault: Fault, effect: Effect) {
+        let owner = self.vms[vm].owner.as_mut().unwrap();
+        match (fault, effect) {
+            (Fault::Lost { ran }, Effect::Dispatch(run)) => {
+                self.oracle.refused.push((run.attempt, ran));
+            }
+            (Fault::Lost { ran }, Effect::Send(_, attempt)) => {
+                self.oracle.refused.push((attempt, ran));
+                if ran == Ran::No {
+                    self.oracle.absent.push(attempt);
+                }
+            }
+            (Fault::Withheld { ran, .. }, Effect::Send(key, attempt)) => {
+                self.oracle.refused.push((attempt, ran));
+                let id = program_id(CALLS);
+                let record = gate::resolve(&owner.state, &id, &key, attempt, Outcome::NotRun);
+                owner.put(vec![record.unwrap()], Effect::None);
+            }
+            (Fault::Lost { .. }, _) => {}
+            (fault, _) => panic!("{fault}"),
+        }
+    }
+
+    /// Picks something at an owner that runs, in any VM.
+    fn pick(&mut self, pick: usize, count: impl Fn(&Owner) -> usize) -> Option<(usize, usize)> {
+        let mut all = Vec::new();
+        for vm in 0..self.vms.len() {
+            let count = self.owner(vm).map_or(0, |owner| count(owner));
+            all.extend((0..count).map(|at| (vm, at)));
+        }
+        (!all.is_empty()).then(|| all[pick % all.len()])
+    }
+
+    fn ended(&mut self, run: &Run) {
+        let runs = &mut self.oracle.runs;
+        let own = runs.iter_mut().find(|other| other.attempt == run.attempt);
+        own.unwrap().generated = run.generated;
+    }
+}
+
+fn prompt(state: &State, program: &id::Program) -> Vec<String> {
+    state
+        .program(program)
+        .into_iter()
+        .flat_map(|program| program.messages().map(text))
+        .collect()
+}
+
+fn program_id(program: usize) -> id::Program {
+    id::Program::parse(&format!("program-{program}")).unwrap()
+}
+
+fn caller() -> id::Caller {
+    id::Caller::parse("crew").unwrap()
+}
+
+fn message(role: &str, text: &str) -> chat::Message {
+    chat::Message {
+        role: role.to_owned(),
+        content: Value::from(text),
+        rest: Map::new(),
+    }
+}
--- /dev/null
+++ b/crates/journal/tests/fuzz/world.rs
@@ -0,0 +1,496 @@
+//! The VMs, the platform between them and the steps.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use async_trait::async_trait;
+use journal::claim;
+use journal::copy;
+use journal::copy::Collected;
+use journal::copy::Held;
+use journal::copy::Holder;
+use journal::copy::Peers;
+use journal::copy::Store;
+use journal::log::Log;
+use journal::log::Setup;
+use journal::log::Status;
+use platform::edge;
+use platform::edge::Machine;
+use platform::edge::Platform;
+use platform::edge::Standing;
+use platform::memory::Memory;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use wire::clock::Clock;
+use wire::clock::Millis;
+use wire::id;
+
+use super::Step;
+use super::VMS;
+use super::oracle::Oracle;
+use super::owner::Owner;
+
+/// How long leases last.
+const LEASE: Millis = Millis::new(5_000);
+/// Turns of the scheduler that let everything run that needn't wait for time.
+const TURNS: usize = 150;
+/// What a VM holds for others, in bytes.
+const ROOM: usize = 4_096;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    Run,
+    Paused,
+    Dead,
+}
+
+/// What other VMs see of a VM.
+struct Public {
+    mode: watch::Receiver<Mode>,
+    store: Store,
+    /// The logs that it has or had, by epoch.
+    logs: Vec<(u64, Log)>,
+}
+
+type Publics = Arc<Mutex<Vec<Public>>>;
+
+pub struct Vm {
+    pub mode: watch::Sender<Mode>,
+    cut: Arc<AtomicBool>,
+    pub owner: Option<Owner>,
+    claiming: Option<JoinHandle<claim::Result<claim::Opened>>>,
+}
+
+pub struct World {
+    pub memory: Memory,
+    time: Arc<AtomicU64>,
+    publics: Publics,
+    pub vms: Vec<Vm>,
+    pub oracle: Oracle,
+    draws: u64,
+    /// Deaths since the last moment at which all that was told stood in the journal.
+    deaths: u32,
+    opened: u64,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let time = Arc::new(AtomicU64::new(1));
+        let mut world = Self {
+            memory: Memory::new(Clock::Manual(Arc::clone(&time))),
+            time,
+            publics: Arc::default(),
+            vms: Vec::new(),
+            oracle: Oracle::default(),
+            draws: 0,
+            deaths: 0,
+            opened: 0,
+        };
+        for _ in 0..VMS {
+            let (vm, public) = world.start();
+            world.vms.push(vm);
+            world.publics.lock().unwrap().push(public);
+        }
+        world.list();
+        world
+    }
+
+    pub fn draw(&mut self) -> u64 {
+        self.draws += 1;
+        self.draws
+    }
+
+    pub fn now(&self) -> Millis {
+        Millis::new(self.time.load(Ordering::SeqCst))
+    }
+
+    pub fn is_running(&self, vm: usize) -> bool {
+        *self.vms[vm].mode.borrow() == Mode::Run
+    }
+
+    fn start(&mut self) -> (Vm, Public) {
+        let (sender, mode) = watch::channel(Mode::Run);
+        let vm = Vm {
+            mode: sender,
+            cut: Arc::default(),
+            owner: None,
+            claiming: None,
+        };
+        let public = Public {
+            mode,
+            store: Store::new(self.draw(), ROOM),
+            logs: Vec::new(),
+        };
+        (vm, public)
+    }
+
+    pub async fn step(&mut self, step: Step) {
+        match step {
+            Step::Claim(vm) => self.claim(vm),
+            Step::Ask(vm, program, content) => self.ask(vm, program, content),
+            Step::Again(vm, program) => self.again(vm, program),
+            Step::Answer(pick, used) => self.answer(pick, used),
+            Step::Fail(pick, on) => self.fail(pick, on),
+            Step::Order(vm, key, content) => self.order(vm, key, content),
+            Step::Called(pick, how) => self.called(pick, how),
+            Step::Snapshot(vm) => self.snapshot(vm),
+            Step::Play(play) => self.memory.play(play),
+            Step::Deliver => self.memory.deliver(),
+            Step::Down(down) => self.memory.set_down(down),
+            Step::Cut(vm, cut) => self.vms[vm].cut.store(cut, Ordering::SeqCst),
+            Step::Lapse => {
+                self.time.fetch_add(LEASE.as_u64() + 1, Ordering::SeqCst);
+            }
+            Step::Pause(vm, paused) => self.pause(vm, paused),
+            Step::Kill(vm) => self.kill(vm),
+            Step::Restart(vm) => self.restart(vm),
+            Step::List => self.list(),
+            Step::Wait(millis) => {
+                tokio::time::sleep(Millis::new(millis).as_duration()).await;
+            }
+        }
+    }
+
+    /// Lets tasks run, then lets owners act on what became durable.
+    pub async fn settle(&mut self) {
+        for _ in 0..4 {
+            for _ in 0..TURNS {
+                tokio::task::yield_now().await;
+            }
+            for vm in 0..VMS {
+                self.finish_claim(vm).await;
+                self.act(vm);
+            }
+        }
+        if !self.is_exposed() {
+            self.deaths = 0;
+        }
+    }
+
+    /// Heals everything, and checks what a new owner reads against what was told.
+    pub async fn finish(&mut self) {
+        self.memory.set_down(false);
+        self.memory.deliver();
+        for vm in 0..VMS {
+            self.vms[vm].cut.store(false, Ordering::SeqCst);
+            self.pause(vm, false);
+            self.restart(vm);
+        }
+        self.list();
+        self.rest().await;
+        let first = self.take_over(0).await;
+        self.rest().await;
+        self.memory.deliver();
+        self.rest().await;
+        self.oracle.check();
+        let owner = self.vms[0].owner.as_ref().unwrap();
+        assert_eq!(owner.epoch, first, "the owner lost the shard unasked");
+        self.oracle.check_rebuilt(&owner.state);
+        self.take_over(1).await;
+    }
+
+    async fn rest(&mut self) {
+        for _ in 0..20 {
+            tokio::time::sleep(Millis::new(1_000).as_duration()).await;
+            self.settle().await;
+        }
+    }
+
+    /// Has a VM take over, which must work once everything is healed.
+    async fn take_over(&mut self, vm: usize) -> u64 {
+        for _ in 0..20 {
+            self.time.fetch_add(LEASE.as_u64() + 1, Ordering::SeqCst);
+            let epoch = self.vms[vm].owner.as_ref().map(|owner| owner.epoch);
+            if let Some(epoch) = epoch.filter(|epoch| *epoch == self.opened) {
+                return epoch;
+            }
+            self.claim(vm);
+            for _ in 0..5 {
+                tokio::time::sleep(Millis::new(1_000).as_duration()).await;
+                self.settle().await;
+            }
+        }
+        panic!("no takeover although everything is healed");
+    }
+
+    pub fn setup(&mut self, vm: usize) -> Setup {
+        let platform = Edge {
+            memory: self.memory.clone(),
+            mode: self.vms[vm].mode.subscribe(),
+            cut: Arc::clone(&self.vms[vm].cut),
+        };
+        let peers = Net {
+            mode: self.vms[vm].mode.subscribe(),
+            publics: Arc::clone(&self.publics),
+        };
+        let publics = self.publics.lock().unwrap();
+        let others = (0..VMS).filter(|other| *other != vm);
+        let copies = others.map(|other| Holder {
+            vm: name(other),
+            incarnation: publics[other].store.incarnation(),
+        });
+        let copies = copies.collect();
+        drop(publics);
+        Setup {
+            platform: Arc::new(platform),
+            peers: Arc::new(peers),
+            vm: name(vm),
+            shard: shard(),
+            seed: self.draw(),
+            copies,
+            acks: 1,
+        }
+    }
+
+    fn claim(&mut self, vm: usize) {
+        if !self.is_running(vm) || self.vms[vm].claiming.is_some() {
+            return;
+        }
+        let setup = self.setup(vm);
+        let claim = async move {
+            let lease = setup.platform.grant(LEASE).await?;
+            claim::open(setup, lease).await
+        };
+        self.vms[vm].claiming = Some(tokio::spawn(claim));
+    }
+
+    async fn finish_claim(&mut self, vm: usize) {
+        let done = |claim: &mut JoinHandle<_>| claim.is_finished();
+        let Some(claim) = self.vms[vm].claiming.take_if(done) else {
+            return;
+        };
+        let opened = match claim.await.unwrap() {
+            Ok(opened) => opened,
+            Err(claim::Fault::Damaged(why)) if !why.contains("missing") => panic!("{why}"),
+            Err(fault) => { if std::env::var_os("FUZZ_TRACE").is_some() { eprintln!("claim of {vm}: {fault}"); } return; }
+        };
+        self.compare(&opened);
+        self.opened = self.opened.max(opened.epoch);
+        let log = (opened.epoch, opened.log.clone());
+        self.publics.lock().unwrap()[vm].logs.push(log);
+        self.vms[vm].owner = Some(Owner::new(opened));
+    }
+
+    /// Compares a rebuilt state with the one that the last owner holds, where that one has nothing
+    /// on the way.
+    fn compare(&self, opened: &claim::Opened) {
+        let owners = self.vms.iter().filter_map(|vm| vm.owner.as_ref());
+        for owner in owners {
+            let next = owner.epoch + 1 == opened.epoch;
+            if next && owner.is_quiet() && owner.log.status() == Status::Open {
+                let copies = opened.state.copies().to_vec();
+                let mut live = owner.state.clone();
+                live.apply(&journal::record::Record::Opened {
+                    vm: opened.state.owner().unwrap().clone(),
+                    epoch: opened.epoch,
+                    copies,
+                });
+                assert_eq!(live, opened.state, "the rebuilt state isn't the live one");
+            }
+        }
+    }
+
+    fn snapshot(&mut self, vm: usize) {
+        if let Some(owner) = self.vms[vm].owner.as_ref().filter(|_| self.is_running(vm)) {
+            owner
+                .log
+                .snapshot(journal::snapshot::Image::of(&owner.state));
+        }
+    }
+
+    fn pause(&mut self, vm: usize, paused: bool) {
+        let to = if paused { Mode::Paused } else { Mode::Run };
+        if *self.vms[vm].mode.borrow() != Mode::Dead {
+            self.vms[vm].mode.send_replace(to);
+        }
+    }
+
+    /// Whether something that a caller was told stands in copies only.
+    fn is_exposed(&self) -> bool {
+        let owners = self.vms.iter().filter_map(|vm| vm.owner.as_ref());
+        let mut exposed = owners.filter(|owner| owner.is_exposed());
+        exposed.any(|owner| owner.epoch == self.opened)
+    }
+
+    fn kill(&mut self, vm: usize) {
+        let dead = *self.vms[vm].mode.borrow() == Mode::Dead;
+        if dead || (self.is_exposed() && self.deaths > 0) {
+            return;
+        }
+        self.deaths += 1;
+        self.vms[vm].mode.send_replace(Mode::Dead);
+        // What the owner had exposed stays exposed until another opens.
+        if let Some(owner) = &mut self.vms[vm].owner {
+            owner.die();
+        }
+        self.vms[vm].claiming = None;
+    }
+
+    fn restart(&mut self, vm: usize) {
+        if *self.vms[vm].mode.borrow() != Mode::Dead {
+            return;
+        }
+        let (mut fresh, public) = self.start();
+        fresh.owner = self.vms[vm].owner.take().filter(Owner::is_exposed);
+        self.vms[vm] = fresh;
+        self.publics.lock().unwrap()[vm] = public;
+    }
+
+    fn list(&mut self) {
+        let live = (0..VMS).filter(|vm| *self.vms[*vm].mode.borrow() != Mode::Dead);
+        let machine = |vm| Machine {
+            name: name(vm).to_string(),
+            centre: shard().centre,
+            standing: Standing::Live,
+        };
+        self.memory.set_machines(live.map(machine).collect());
+    }
+}
+
+fn name(vm: usize) -> id::Vm {
+    id::Vm::parse(&format!("vm-{vm}")).unwrap()
+}
+
+pub fn shard() -> id::Shard {
+    id::Shard {
+        centre: id::Centre::parse("c").unwrap(),
+        index: 0,
+    }
+}
+
+/// Waits while a VM is paused, and for ever once it is dead.
+async fn pass(mode: &watch::Receiver<Mode>) {
+    tokio::task::yield_now().await;
+    let mut mode = mode.clone();
+    let running = mode.wait_for(|mode| *mode != Mode::Paused).await;
+    if running.is_ok_and(|mode| *mode == Mode::Run) {
+        return;
+    }
+    std::future::pending::<()>().await;
+}
+
+/// The platform as one VM reaches it.
+struct Edge {
+    memory: Memory,
+    mode: watch::Receiver<Mode>,
+    cut: Arc<AtomicBool>,
+}
+
+impl Edge {
+    async fn reach(&self) -> edge::Result<()> {
+        pass(&self.mode).await;
+        if self.cut.load(Ordering::SeqCst) {
+            return Err(edge::Fault::Down("cut off".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Platform for Edge {
+    async fn range(
+        &self,
+        prefix: &str,
+        from: &str,
+        limit: usize,
+    ) -> edge::Result<Vec<edge::Entry>> {
+        self.reach().await?;
+        let listed = self.memory.range(prefix, from, limit).await;
+        pass(&self.mode).await;
+        listed
+    }
+
+    async fn read(&self, key: &str) -> edge::Result<Option<edge::Entry>> {
+        self.reach().await?;
+        let entry = self.memory.read(key).await;
+        pass(&self.mode).await;
+        entry
+    }
+
+    async fn commit(&self, txn: &edge::Txn, weight: edge::Weight) -> edge::Result<edge::Outcome> {
+        self.reach().await?;
+        let outcome = self.memory.commit(txn, weight).await;
+        pass(&self.mode).await;
+        outcome
+    }
+
+    async fn grant(&self, ttl: Millis) -> edge::Result<edge::Lease> {
+        self.reach().await?;
+        self.memory.grant(ttl).await
+    }
+
+    async fn renew(&self, lease: edge::Lease) -> edge::Result<bool> {
+        self.reach().await?;
+        self.memory.renew(lease).await
+    }
+
+    async fn revoke(&self, lease: edge::Lease) -> edge::Result<()> {
+        self.reach().await?;
+        self.memory.revoke(lease).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        revision: u64,
+    ) -> edge::Result<mpsc::Receiver<edge::Change>> {
+        self.reach().await?;
+        self.memory.watch(prefix, revision).await
+    }
+
+    async fn machines(&self) -> edge::Result<Vec<Machine>> {
+        self.reach().await?;
+        self.memory.machines().await
+    }
+}
+
+/// The other VMs as one VM reaches them.
+struct Net {
+    mode: watch::Receiver<Mode>,
+    publics: Publics,
+}
+
+impl Net {
+    async fn reach(&self, vm: &id::Vm) -> copy::Result<usize> {
+        pass(&self.mode).await;
+        let at = (0..VMS).find(|at| name(*at) == *vm).unwrap();
+        let mode = self.publics.lock().unwrap()[at].mode.clone();
+        if *mode.borrow() == Mode::Dead {
+            return Err(copy::Fault::Unreachable);
+        }
+        pass(&mode).await;
+        Ok(at)
+    }
+}
+
+#[async_trait]
+impl Peers for Net {
+    async fn hold(&self, holder: &Holder, shard: &id::Shard, held: &Held) -> copy::Result<()> {
+        let at = self.reach(&holder.vm).await?;
+        let mut publics = self.publics.lock().unwrap();
+        publics[at].store.hold(holder.incarnation, shard, held)
+    }
+
+    async fn collect(&self, vm: &id::Vm, shard: &id::Shard, epoch: u64) -> copy::Result<Collected> {
+        let at = self.reach(vm).await?;
+        let logs = self.publics.lock().unwrap()[at].logs.clone();
+        for (_, log) in logs.into_iter().filter(|(old, _)| *old < epoch) {
+            let left = log.surrender().await;
+            self.publics.lock().unwrap()[at].store.keep(shard, left);
+        }
+        let found = self.publics.lock().unwrap()[at].store.collect(shard, epoch);
+        pass(&self.mode).await;
+        found
+    }
+
+    async fn drained(&self, holder: &Holder, shard: &id::Shard, epoch: u64, seq: u64) {
+        if let Ok(at) = self.reach(&holder.vm).await {
+            let mut publics = self.publics.lock().unwrap();
+            publics[at].store.drained(shard, epoch, seq);
+        }
+    }
+}
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -81,7 +81,9 @@
     pub fn deliver(&self) {
         let mut state = self.lock();
         for txn in std::mem::take(&mut state.delayed) {
-            state.apply(&txn);
+            if state.holds_leases(&txn) {
+                state.apply(&txn);
+            }
         }
     }
 
@@ -121,6 +123,17 @@
         self.find(key).map_or(0, |at| self.entries[at].0.revision)
     }
 
+    /// Tells whether every lease of a transaction lasts; a key put under one that has ended would
+    /// never go.
+    fn holds_leases(&self, txn: &Txn) -> bool {
+        txn.writes.iter().all(|write| match write {
+            Write::Put { lease, .. } => {
+                lease.is_none_or(|lease| self.leases.iter().any(|(id, ..)| *id == lease))
+            }
+            Write::Delete(_) => true,
+        })
+    }
+
     fn apply(&mut self, txn: &Txn) -> Outcome {
         if txn
             .compares
@@ -224,6 +237,9 @@
             return Err(Fault::Invalid("a value is over the limit".to_owned()));
         }
         let lost = || Fault::Unknown("the answer was lost".to_owned());
+        if !state.holds_leases(txn) {
+            return Err(Fault::Invalid("a lease has ended".to_owned()));
+        }
         match state.plays.pop() {
             None => Ok(state.apply(txn)),
             Some(Play::LoseWrite) => Err(lost()),
--- a/crates/platform/src/memory/tests.rs
+++ b/crates/platform/src/memory/tests.rs
@@ -36,3 +36,23 @@
     memory.deliver();
     assert_eq!(memory.read("a").await.unwrap(), before);
 }
+
+#[tokio::test]
+async fn a_write_under_an_ended_lease_never_lands() {
+    // An owner's record is written late, after its lease has ended. If it landed, nothing would
+    // ever remove it, and the shard would have an owner for good that is long gone.
+    let memory = Memory::default();
+    let lease = memory.grant(Millis::new(60_000)).await.unwrap();
+    let mut txn = create("a");
+    let Write::Put { lease: held, .. } = &mut txn.writes[0] else {
+        panic!("isn't a put");
+    };
+    *held = Some(lease);
+    memory.play(Play::Delay);
+    assert!(memory.commit(&txn, Weight::Claim).await.is_err());
+    memory.revoke(lease).await.unwrap();
+    memory.deliver();
+    assert_eq!(memory.read("a").await, Ok(None));
+    let late = memory.commit(&txn, Weight::Claim).await;
+    assert!(matches!(late, Err(Fault::Invalid(_))));
+}
