--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -6,9 +6,15 @@
 use settings::vm::Settings;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wire::clock::Clock;
 
+use crate::dispatch::desk::Desk;
+use crate::http::client::Client;
+use crate::http::listen::Door;
+use crate::metrics::Metrics;
 use crate::owner::registry::Registry;
+use crate::trace::Trace;
 use crate::view::View;
 
 /// What every part of one node shares. Several nodes may live in one process, so nothing of it is
@@ -24,6 +30,18 @@
     pub view: watch::Sender<Arc<View>>,
     /// The shards that this VM owns.
     pub registry: Registry,
+    /// Gives out the endpoints' slots.
+    pub desk: Desk,
+    /// Counts and latencies.
+    pub metrics: Metrics,
+    /// The latest decisions.
+    pub trace: Trace,
+    /// Connections to VMs and endpoints.
+    pub client: Client,
+    /// The callers' listener.
+    pub door: Arc<Door>,
+    /// Every task that must end before the node has stopped.
+    pub tasks: TaskTracker,
     /// Set when the node begins to shut down.
     pub stopping: CancellationToken,
     /// Set when nothing runs any more and every listener and controller may end.
