Return from the start once each shard of the centre has an owner

Cause: a node returned from its start before its shards were claimed, and an order sent in an outage that began then was refused for the want of an owner (service::an_outage_refuses_orders: CY4101 in place of CY4104).

Change: the start waits for an owner of each shard of the own data centre, for a lease time at most.

Shown: that test red before and green after, three runs.

--- a/crates/journal/tests/fuzz/world.rs
+++ b/crates/journal/tests/fuzz/world.rs
@@ -266,7 +266,12 @@
         let opened = match claim.await.unwrap() {
             Ok(opened) => opened,
             Err(claim::Fault::Damaged(why)) if !why.contains("missing") => panic!("{why}"),
-            Err(fault) => { if std::env::var_os("FUZZ_TRACE").is_some() { eprintln!("claim of {vm}: {fault}"); } return; }
+            Err(fault) => {
+                if std::env::var_os("FUZZ_TRACE").is_some() {
+                    eprintln!("claim of {vm}: {fault}");
+                }
+                return;
+            }
         };
         self.compare(&opened);
         self.opened = self.opened.max(opened.epoch);
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -79,12 +79,14 @@
 }
 
 /// Starts the controllers as tasks that end when [`Core::stopped`] is set. Returns when the VM
-/// may serve: it has the highest configuration that can be had.
+/// may serve: it has the highest configuration that can be had, and each shard of its data centre
+/// has an owner or can't have one soon.
 pub async fn start(core: &Arc<Core>) {
     run::members::start(core);
     run::config::boot(core).await;
     core.tasks.spawn(run::config::follow(core.clone()));
     core.tasks.spawn(run::claims::keep(core.clone()));
+    run::claims::settled(core).await;
 }
 
 /// Answers a request of another VM on one of the controllers' paths of [`crate::peer`]; `None`
--- a/crates/node/src/controllers/run/claims.rs
+++ b/crates/node/src/controllers/run/claims.rs
@@ -12,6 +12,7 @@
 use platform::edge::Write;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use wire::clock::Millis;
 use wire::event::Event;
 use wire::id;
@@ -86,6 +87,20 @@
     }
 }
 
+/// Waits until each shard of the own data centre has an owner, for a lease time at most: what has
+/// none by then, has a dead owner or the platform is down.
+pub async fn settled(core: &Core) {
+    let own = &core.settings.vm.centre;
+    let shards = core.settings.centres.iter().find(|c| c.name == *own);
+    let wanted = shards.map_or(0, |centre| usize::from(centre.shards));
+    let mut views = core.view.subscribe();
+    let all = views.wait_for(|view| {
+        let near = view.owners.iter().filter(|o| o.shard.centre == *own);
+        near.count() >= wanted
+    });
+    let _or_not = timeout(core.settings.platform.lease.as_duration(), all).await;
+}
+
 impl Task {
     async fn renew(&mut self) {
         let asked = self.core.clock.now();
