Keep endpoints: load, leaving and cache of gone programs

Change: controllers::keeper gives each endpoint one keeper VM of its data centre, which asks for the load each second and for what is held each 15 s. Reports that differ little aren't told to other VMs. Two VMs a centre read the platform's list each second; what leaves by it goes with heartbeats. The keeper asks each held program's owner whether it is gone; after 15 s of the same word under the same ownership the owner orders the release, under its fence. Releases of ended programs stay with the owner.

Shown: controllers::keeper::tests, tests/control.rs every_vm_hears_that_an_endpoint_leaves and cache_of_a_gone_program_is_swept. Not yet seen red.

--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -14,6 +14,8 @@
 use wire::clock::Millis;
 
 use crate::controllers::config::Held;
+use crate::controllers::keeper::Keeper;
+use crate::controllers::keeper::sweep::Sweep;
 use crate::controllers::members::beat::Line;
 use crate::controllers::members::exchange::Exchange;
 use crate::core::Core;
@@ -23,6 +25,7 @@
 pub mod claims;
 pub mod config;
 pub mod copies;
+pub mod keeper;
 pub mod members;
 pub mod rendezvous;
 pub mod run;
@@ -38,6 +41,8 @@
     exchange: Mutex<Exchange>,
     held: Mutex<Held>,
     copies: Mutex<Store>,
+    keeper: Mutex<Keeper>,
+    sweep: Mutex<Sweep>,
     /// Asks for heartbeats at once, as there is news that shouldn't wait for the next round.
     hurry: Notify,
 }
@@ -61,6 +66,8 @@
             exchange: Mutex::new(Exchange::new(own, now)),
             held: Mutex::default(),
             copies: Mutex::new(Store::new(process, COPIES)),
+            keeper: Mutex::default(),
+            sweep: Mutex::default(),
             hurry: Notify::new(),
         }
     }
@@ -76,6 +83,14 @@
     fn copies(&self) -> MutexGuard<'_, Store> {
         lock(&self.copies)
     }
+
+    fn keeper(&self) -> MutexGuard<'_, Keeper> {
+        lock(&self.keeper)
+    }
+
+    fn sweep(&self) -> MutexGuard<'_, Sweep> {
+        lock(&self.sweep)
+    }
 }
 
 /// Starts the controllers as tasks that end when [`Core::stopped`] is set. Returns when the VM
@@ -86,6 +101,7 @@
     run::config::boot(core).await;
     core.tasks.spawn(run::config::follow(core.clone()));
     core.tasks.spawn(run::claims::keep(core.clone()));
+    core.tasks.spawn(run::keeper::keep(core.clone()));
     run::claims::settled(core).await;
 }
 
@@ -97,6 +113,7 @@
         peer::CONFIG => run::config::serve(core, &body),
         peer::HOLD => copies::hold(core, &body),
         peer::COLLECT => copies::collect(core, &body).await,
+        peer::HELD => run::keeper::serve(core, &body).await,
         peer::DRAINED => copies::drained(core, &body),
         _ => None,
     }
--- a/crates/node/src/controllers/claims.rs
+++ b/crates/node/src/controllers/claims.rs
@@ -22,6 +22,8 @@
 use wire::clock::Millis;
 use wire::id;
 
+use super::members::Member;
+use super::members::beat::Life;
 use super::members::beat::Owner;
 use super::rendezvous;
 use super::rendezvous::Candidate;
@@ -70,6 +72,21 @@
     pub since: Millis,
 }
 
+impl Vm {
+    /// Takes over what heartbeats tell.
+    #[must_use]
+    pub fn of(member: &Member) -> Self {
+        Self {
+            vm: member.line.vm.clone(),
+            centre: member.line.centre.clone(),
+            size: member.line.size,
+            up: member.line.life != Life::Down,
+            stopping: member.line.stopping,
+            since: member.since,
+        }
+    }
+}
+
 /// Whether the platform answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
--- /dev/null
+++ b/crates/node/src/controllers/keeper/tests.rs
@@ -0,0 +1,127 @@
+use rstest::rstest;
+use settings::label;
+
+use super::sweep::GRACE;
+use super::sweep::Sweep;
+use super::*;
+
+const START: Millis = Millis::new(1_000_000);
+
+fn endpoint(name: &str) -> Endpoint {
+    Endpoint {
+        name: id::Endpoint::parse(name).unwrap(),
+        kind: Kind::Runner,
+        address: "127.0.0.1:1".to_owned(),
+        centre: id::Centre::parse("c").unwrap(),
+        serves: Vec::new(),
+        fences: false,
+        slots: 1,
+        labels: label::Set::default(),
+    }
+}
+
+fn vms(count: usize) -> Vec<Vm> {
+    let vm = |n| Vm {
+        vm: id::Vm::parse(&format!("vm{n}")).unwrap(),
+        centre: id::Centre::parse("c").unwrap(),
+        size: 1,
+        up: true,
+        stopping: false,
+        since: Millis::ZERO,
+    };
+    (0..count).map(vm).collect()
+}
+
+fn report(running: u32) -> Report {
+    Report {
+        running,
+        ..Report::default()
+    }
+}
+
+/// A keeper with one endpoint that has told a report of 16 calls.
+fn keeper() -> (Keeper, id::Endpoint) {
+    let (mut keeper, endpoint, vms) = (Keeper::default(), endpoint("e"), vms(1));
+    keeper.due(std::slice::from_ref(&endpoint), &vms, &vms[0].vm, START);
+    keeper.answered(&endpoint.name, Some(&report(16)), START);
+    (keeper, endpoint.name)
+}
+
+// Each endpoint is asked by one VM and by no other, also after a VM has died: asked by none, its
+// load would grow old and its leaving unseen; asked by all, 380 VMs would ask 600 endpoints.
+#[rstest]
+#[case::all_up(&[])]
+#[case::one_dead(&[1])]
+#[case::one_left(&[0, 2])]
+fn each_endpoint_has_one_keeper(#[case] dead: &[usize]) {
+    let mut vms = vms(3);
+    for at in dead {
+        vms[*at].up = false;
+    }
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let endpoints: Vec<Endpoint> = names.iter().map(|name| endpoint(name)).collect();
+    let live = vms.iter().filter(|vm| vm.up);
+    let asked = live.flat_map(|vm| Keeper::default().due(&endpoints, &vms, &vm.vm, START));
+    let mut asked: Vec<String> = asked.map(|poll| poll.endpoint.to_string()).collect();
+    asked.sort();
+    assert_eq!(asked, names);
+}
+
+// A report goes to all VMs of the centre; one that says what they know already would cost as much
+// as one that matters.
+#[rstest]
+#[case::same(report(16), 1_000, Tell::Nobody)]
+#[case::little(report(17), 1_000, Tell::Nobody)]
+#[case::much(report(18), 1_000, Tell::Others)]
+#[case::old(report(16), 5_000, Tell::Others)]
+#[case::leaving(Report { leaving: true, ..report(16) }, 1_000, Tell::Others)]
+fn only_reports_that_matter_are_told(
+    #[case] report: Report,
+    #[case] later: u64,
+    #[case] tell: Tell,
+) {
+    let (mut keeper, endpoint) = keeper();
+    let now = START.plus(Millis::new(later));
+    let answered = keeper.answered(&endpoint, Some(&report), now);
+    assert_eq!(answered.unwrap().1, tell);
+}
+
+// One lost answer doesn't take an endpoint out of use; two in a row do, and that is told.
+#[test]
+fn an_endpoint_that_does_not_answer_twice_is_not_up() {
+    let (mut keeper, endpoint) = keeper();
+    assert_eq!(keeper.answered(&endpoint, None, START), None);
+    let (line, tell) = keeper.answered(&endpoint, None, START).unwrap();
+    assert_eq!((line.up, tell), (false, Tell::Others));
+    let (line, tell) = keeper.answered(&endpoint, Some(&report(0)), START).unwrap();
+    assert_eq!((line.up, tell), (true, Tell::Others));
+}
+
+// A runner holds a program that its owner says is gone. It is released after the owner has said so
+// for GRACE, under one ownership: an owner that lost its shard without knowing may take a program
+// that the new owner has just begun for gone.
+#[rstest]
+#[case::at_once(0, 1, 1, true, false)]
+#[case::in_time(GRACE.as_u64(), 1, 1, true, true)]
+#[case::new_owner(GRACE.as_u64(), 1, 2, true, false)]
+#[case::begun_meanwhile(GRACE.as_u64(), 1, 1, false, false)]
+fn a_program_is_swept_when_it_was_gone_for_long(
+    #[case] later: u64,
+    #[case] first: u64,
+    #[case] second: u64,
+    #[case] gone: bool,
+    #[case] swept: bool,
+) {
+    let endpoint = endpoint("e").name;
+    let program = [id::Program::parse("p").unwrap()];
+    let mut sweep = Sweep::default();
+    assert!(
+        sweep
+            .answered(&endpoint, first, &program, &program, START)
+            .is_empty()
+    );
+    let still = if gone { &program[..] } else { &[] };
+    let now = START.plus(Millis::new(later));
+    let due = sweep.answered(&endpoint, second, &program, still, now);
+    assert_eq!(!due.is_empty(), swept);
+}
--- a/crates/node/src/controllers/members.rs
+++ b/crates/node/src/controllers/members.rs
@@ -22,6 +22,7 @@
 
 pub mod beat;
 pub mod exchange;
+pub mod listings;
 pub mod loads;
 pub mod owners;
 pub mod spread;
--- a/crates/node/src/controllers/members/beat.rs
+++ b/crates/node/src/controllers/members/beat.rs
@@ -130,6 +130,20 @@
     pub cache: u64,
 }
 
+/// What the platform's list says of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The endpoint.
+    #[serde(rename = "e")]
+    pub endpoint: id::Endpoint,
+    /// Whether it leaves.
+    #[serde(rename = "x")]
+    pub leaving: bool,
+    /// How long ago the list was read.
+    #[serde(rename = "a")]
+    pub age: Millis,
+}
+
 /// A heartbeat, and the answer to one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
@@ -151,6 +165,9 @@
     /// Loads of endpoints.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<Load>,
+    /// News of endpoints that leave.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub listings: Vec<Listing>,
 }
 
 // serde calls it with a reference.
--- a/crates/node/src/controllers/members/exchange.rs
+++ b/crates/node/src/controllers/members/exchange.rs
@@ -9,6 +9,7 @@
 use super::beat::Beat;
 use super::beat::Life;
 use super::beat::Line;
+use super::listings::Listings;
 use super::loads::Loads;
 use super::owners::Owners;
 
@@ -19,6 +20,8 @@
 const OWNERS: usize = 12;
 /// Loads in a frame: at 4 frames sent a round and about 40 bytes each this is 2 KB a second.
 const LOADS: usize = 12;
+/// Endpoints in a frame that leave or no longer do.
+const LISTINGS: usize = 12;
 /// How long what a VM knows must have been unchanged before a differing digest means that it
 /// missed something, rather than that news is on its way.
 const QUIET: Millis = Millis::new(5_000);
@@ -35,6 +38,8 @@
     pub owners: Owners,
     /// The endpoints' loads.
     pub loads: Loads,
+    /// The endpoints that leave by the platform's list.
+    pub listings: Listings,
     digest: u64,
     changed: Millis,
     synced: Option<Millis>,
@@ -57,6 +62,7 @@
             table: Table::new(own, now),
             owners: Owners::default(),
             loads: Loads::default(),
+            listings: Listings::default(),
             digest: 0,
             changed: now,
             synced: None,
@@ -80,6 +86,7 @@
             vms: self.table.news(to, VMS),
             owners: self.owners.news(OWNERS, vms),
             loads: self.loads.pick(loads, now),
+            listings: self.listings.news(LISTINGS, vms, now),
         }
     }
 
@@ -134,6 +141,9 @@
         for line in &beat.owners {
             self.owners.merge(line);
         }
+        for line in &beat.listings {
+            self.listings.merge(line, now);
+        }
         for line in &beat.loads {
             self.loads.merge(line, now);
         }
@@ -149,6 +159,7 @@
             vms: told.cloned().collect(),
             owners: self.owners.lines().to_vec(),
             loads: Vec::new(),
+            listings: Vec::new(),
         }
     }
 
--- a/crates/node/src/controllers/members/loads.rs
+++ b/crates/node/src/controllers/members/loads.rs
@@ -7,6 +7,7 @@
 use wire::clock::Millis;
 use wire::id;
 
+use super::super::keeper::Tell;
 use super::beat;
 
 /// How often one VM passes a report on. Two, as each VM hears four frames a round.
@@ -47,16 +48,23 @@
             at: Millis::new(now.as_u64().saturating_sub(line.age.as_u64())),
             sent: 0,
         };
-        match self
-            .rows
-            .binary_search_by(|r| r.line.endpoint.cmp(&line.endpoint))
-        {
+        match self.at(&line.endpoint) {
             Err(at) => self.rows.insert(at, row),
             Ok(at) if row.at >= self.rows[at].at.plus(SLACK) => self.rows[at] = row,
             Ok(_) => {}
         }
     }
 
+    /// Takes a report from the endpoint itself.
+    pub fn keep(&mut self, line: &beat::Load, tell: Tell, now: Millis) {
+        self.merge(line, now);
+        if tell == Tell::Nobody
+            && let Ok(at) = self.at(&line.endpoint)
+        {
+            self.rows[at].sent = SENDS;
+        }
+    }
+
     /// Picks up to `most` reports for a frame: those sent least first, then the newest, and first
     /// of all those that say that an endpoint leaves or doesn't answer.
     pub fn pick(&mut self, most: usize, now: Millis) -> Vec<beat::Load> {
@@ -75,6 +83,11 @@
         told.collect()
     }
 
+    fn at(&self, endpoint: &id::Endpoint) -> std::result::Result<usize, usize> {
+        self.rows
+            .binary_search_by(|r| r.line.endpoint.cmp(endpoint))
+    }
+
     /// Drops what the configuration no longer has.
     pub fn retain(&mut self, keep: impl Fn(&id::Endpoint) -> bool) {
         self.rows.retain(|r| keep(&r.line.endpoint));
--- a/crates/node/src/controllers/run/claims.rs
+++ b/crates/node/src/controllers/run/claims.rs
@@ -25,8 +25,6 @@
 use crate::controllers::claims::lease::Ask;
 use crate::controllers::claims::lease::Keeping;
 use crate::controllers::copies;
-use crate::controllers::members::Member;
-use crate::controllers::members::beat::Life;
 use crate::controllers::members::beat::Owner;
 use crate::controllers::run::members;
 use crate::core::Core;
@@ -340,16 +338,3 @@
     shards.sort();
     shards
 }
-
-impl claims::Vm {
-    fn of(member: &Member) -> Self {
-        Self {
-            vm: member.line.vm.clone(),
-            centre: member.line.centre.clone(),
-            size: member.line.size,
-            up: member.line.life != Life::Down,
-            stopping: member.line.stopping,
-            since: member.since,
-        }
-    }
-}
--- a/crates/node/src/controllers/run/config.rs
+++ b/crates/node/src/controllers/run/config.rs
@@ -270,7 +270,9 @@
     parse(&bytes).map_or(Source::Silent, |config| Source::Holds(Arc::new(config)))
 }
 
-fn on_duty(core: &Core) -> bool {
+/// Tells whether this VM is one of the [`WATCHERS`] of its data centre.
+#[must_use]
+pub fn on_duty(core: &Core) -> bool {
     let exchange = core.control.exchange();
     let own = exchange.table.own();
     let members = exchange.table.members().iter().map(|m| &m.line);
--- a/crates/node/src/controllers/run/members.rs
+++ b/crates/node/src/controllers/run/members.rs
@@ -105,7 +105,7 @@
     let changes = exchange.table.drain();
     let peers = peers(&exchange);
     let owners = owners(&exchange);
-    let loads: Vec<view::Load> = exchange.loads.rows().iter().map(load).collect();
+    let loads = loads(&exchange);
     drop(exchange);
     changes.iter().for_each(tell);
     core.view.send_if_modified(|shared| {
@@ -205,6 +205,32 @@
     .collect()
 }
 
+/// Joins what keepers report with what the platform's list says: the earlier sign that an endpoint
+/// leaves counts.
+fn loads(exchange: &Exchange) -> Vec<view::Load> {
+    let mut loads: Vec<view::Load> = exchange.loads.rows().iter().map(load).collect();
+    for endpoint in exchange.listings.leaving() {
+        match loads.binary_search_by(|l| l.endpoint.cmp(endpoint)) {
+            Ok(at) => loads[at].leaving = true,
+            Err(at) => loads.insert(at, unreported(endpoint)),
+        }
+    }
+    loads
+}
+
+fn unreported(endpoint: &id::Endpoint) -> view::Load {
+    view::Load {
+        endpoint: endpoint.clone(),
+        up: true,
+        leaving: true,
+        running: 0,
+        waiting: 0,
+        speed: 0.0,
+        cache: 0,
+        at: Millis::ZERO,
+    }
+}
+
 fn load(row: &members::loads::Row) -> view::Load {
     view::Load {
         endpoint: row.line.endpoint.clone(),
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -70,6 +70,22 @@
 }
 
 impl Client {
+    /// Sends a request without a body and yields the answer once its headers are there.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no connection is made or it breaks off before the headers.
+    pub async fn get(&self, address: &str, path: &str) -> Result<hyper::Response<Incoming>> {
+        let request = Request::builder()
+            .uri(format!("http://{address}{path}"))
+            .body(Full::default())
+            .map_err(|fault| Fault::NotSent(fault.to_string()))?;
+        self.0
+            .request(request)
+            .await
+            .map_err(|fault| fault_of(&fault))
+    }
+
     /// Sends a request and yields the answer once its headers are there.
     ///
     /// # Errors
--- a/crates/node/src/owner/keep.rs
+++ b/crates/node/src/owner/keep.rs
@@ -74,16 +74,11 @@
             let _durable = owner.apply(record.into_iter().collect());
             continue;
         };
-        let order = serde_json::json!({
-            "order": "release",
-            "program": program,
-            "scope": owner.shard.to_string(),
-            "fence": owner.state.epoch(),
-        });
+        let order = order(owner, &program);
         let core = owner.core.clone();
         let myself = owner.myself.clone();
         owner.core.tasks.spawn(async move {
-            if confirmed(&core, &address, order.to_string()).await {
+            if confirmed(&core, &address, order).await {
                 log::info!(
                     "{} program={program} endpoint={endpoint}",
                     Event::CacheReleased
@@ -94,6 +89,47 @@
     }
 }
 
+/// Yields those of the programs that are gone: unknown to the shard, or ended. A program is known
+/// from before its first dispatch on.
+pub(super) fn gone(owner: &Owner, programs: Vec<id::Program>) -> Vec<id::Program> {
+    let live = |id: &id::Program| {
+        let program = owner.state.program(id);
+        program.is_some_and(|p| p.ended.is_none())
+    };
+    programs.into_iter().filter(|id| !live(id)).collect()
+}
+
+/// Orders an endpoint to release those of the programs that are gone, though the journal doesn't
+/// name it as their holder.
+pub(super) fn sweep(owner: &Owner, endpoint: &id::Endpoint, programs: Vec<id::Program>) {
+    let view = owner.core.view();
+    let Some(known) = view.config.endpoint(endpoint.as_str()) else {
+        return;
+    };
+    for program in gone(owner, programs) {
+        let (core, address) = (owner.core.clone(), known.address.clone());
+        let (endpoint, order) = (endpoint.clone(), order(owner, &program));
+        owner.core.tasks.spawn(async move {
+            if confirmed(&core, &address, order).await {
+                log::warn!(
+                    "{} program={program} endpoint={endpoint}",
+                    Event::CacheSwept
+                );
+            }
+        });
+    }
+}
+
+fn order(owner: &Owner, program: &id::Program) -> String {
+    let order = serde_json::json!({
+        "order": "release",
+        "program": program,
+        "scope": owner.shard.to_string(),
+        "fence": owner.state.epoch(),
+    });
+    order.to_string()
+}
+
 /// Sends an order and tells whether the endpoint confirmed it.
 async fn confirmed(core: &Core, address: &str, order: String) -> bool {
     let post = Post {
--- a/crates/node/src/owner/message.rs
+++ b/crates/node/src/owner/message.rs
@@ -46,6 +46,10 @@
     Over(crate::owner::pending::Name),
     /// An endpoint confirmed that it holds no cache of an ended program.
     Released(id::Program, id::Endpoint),
+    /// Which of these programs are gone?
+    Gone(Vec<id::Program>, oneshot::Sender<Vec<id::Program>>),
+    /// An endpoint holds cache of these programs; release those that are gone.
+    Sweep(id::Endpoint, Vec<id::Program>),
     /// Look after idle and ended programs.
     Tick,
     /// Take no new turns, and answer when nothing runs any more.
--- a/crates/node/src/owner/registry.rs
+++ b/crates/node/src/owner/registry.rs
@@ -199,6 +199,26 @@
         }
     }
 
+    /// Asks a shard's actor which programs are gone, and yields the number of the ownership with
+    /// them; `None` where the shard isn't owned here.
+    pub async fn gone(
+        &self,
+        shard: &id::Shard,
+        programs: &[id::Program],
+    ) -> Option<(u64, Vec<id::Program>)> {
+        let (epoch, actor) = self.entry_at(shard, |e| (e.epoch, e.actor.clone()))?;
+        let (sender, answer) = oneshot::channel();
+        actor.cast(Message::Gone(programs.to_vec(), sender)).ok()?;
+        Some((epoch, answer.await.ok()?))
+    }
+
+    /// Has a shard's actor order an endpoint to release those of the programs that are gone.
+    pub fn sweep(&self, shard: &id::Shard, endpoint: &id::Endpoint, programs: &[id::Program]) {
+        if let Some(actor) = self.entry_at(shard, |e| e.actor.clone()) {
+            let _gone = actor.cast(Message::Sweep(endpoint.clone(), programs.to_vec()));
+        }
+    }
+
     /// Tells every shard to look after its idle and ended programs.
     pub fn tick(&self) {
         for entry in self.lock().iter() {
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -124,6 +124,10 @@
                 reply(answer, Ok(owner.decide((), record)));
             }
             Message::Over(name) => owner.over(&name),
+            Message::Gone(programs, answer) => {
+                let _asker_left = answer.send(keep::gone(owner, programs));
+            }
+            Message::Sweep(endpoint, programs) => keep::sweep(owner, &endpoint, programs),
             Message::Released(program, endpoint) => {
                 let record = gate::released(&owner.state, &program, &endpoint);
                 owner.apply(record.into_iter().collect());
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -26,6 +26,8 @@
 pub const HOLD: &str = "/peer/hold";
 /// Fences a shard's earlier owner and answers the pending batches held for it.
 pub const COLLECT: &str = "/peer/collect";
+/// Asks an owner which programs that an endpoint holds are gone.
+pub const HELD: &str = "/peer/held";
 /// Tells that held batches are in the journal.
 pub const DRAINED: &str = "/peer/drained";
 
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use node::controllers::config::change::Outcome;
@@ -12,10 +14,21 @@
 use node::core::Core;
 use node::start;
 use node::start::Handle;
+use platform::edge::Machine;
+use platform::edge::Standing;
 use platform::memory::Memory;
+use serde_json::json;
+use settings::config::Endpoint;
+use settings::config::Kind;
+use settings::label;
 use settings::vm::Settings;
+use standin::client;
+use standin::http::Server;
+use standin::runner;
+use tokio::net::TcpListener;
 use tokio::time::timeout;
 use wire::clock::Clock;
+use wire::clock::Millis;
 use wire::id;
 
 /// How long an event is waited for. Far above what any takes, so that a busy machine changes no
@@ -163,3 +176,86 @@
     stays.block_on(owned_by(&second, &["b"]));
     assert_eq!(second.core().registry.owned().len(), SHARDS);
 }
+
+async fn runner() -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let settings = runner::Settings {
+        lag: Millis::ZERO,
+        ..runner::Settings::default()
+    };
+    runner::serve(listener, settings, Clock::System).unwrap()
+}
+
+async fn add(handle: &Handle, name: &str, runner: &Server) {
+    let endpoint = Endpoint {
+        name: id::Endpoint::parse(name).unwrap(),
+        kind: Kind::Runner,
+        address: runner.address().to_string(),
+        centre: id::Centre::parse("c").unwrap(),
+        serves: vec!["m".to_owned()],
+        fences: true,
+        slots: 4,
+        labels: label::Set::default(),
+    };
+    let (outcome, _) = config::make(handle.core(), Edit::Endpoint(endpoint), None).await;
+    assert!(matches!(outcome, Outcome::Accepted(_)), "{outcome:?}");
+}
+
+// A runner is drained by hand and says so in its load report only; another is taken off the
+// platform's list of live ones while its report says nothing. Neither may get new work from any
+// VM, whichever of them keeps it or reads the list.
+#[tokio::test]
+async fn every_vm_hears_that_an_endpoint_leaves() {
+    let memory = Memory::default();
+    let nodes = three(&memory).await;
+    let runners = [runner().await, runner().await];
+    for (name, runner) in ["reports", "listed"].iter().zip(&runners) {
+        add(&nodes[0], name, runner).await;
+    }
+    let leaves = |view: &node::view::View, name: &str, leaving: bool| {
+        let load = view.load(&id::Endpoint::parse(name).unwrap());
+        load.is_some_and(|l| l.up && l.leaving == leaving)
+    };
+    for node in &nodes {
+        let both = |v: &_| leaves(v, "reports", false) && leaves(v, "listed", false);
+        until(node.core(), "loads", both).await;
+    }
+    memory.set_machines(vec![Machine {
+        name: "listed".to_owned(),
+        centre: id::Centre::parse("c").unwrap(),
+        standing: Standing::Leaving,
+    }]);
+    let drain = json!({"order": "drain", "fence": 1});
+    client::post(runners[0].address(), "/orders", &[], &drain).await;
+    for node in &nodes {
+        let both = |v: &_| leaves(v, "reports", true) && leaves(v, "listed", true);
+        until(node.core(), "leaving", both).await;
+    }
+}
+
+// A runner holds the cache of a program that no journal knows: its release was lost with the VM
+// that ordered it, say. The keeper finds it, its owner says that it is gone, and once that has
+// stood for the grace the runner is told to let go.
+#[tokio::test]
+async fn cache_of_a_gone_program_is_swept() {
+    let memory = Memory::default();
+    let time = Arc::new(AtomicU64::new(1_000_000));
+    let clock = Clock::Manual(time.clone());
+    let alone = start::start_on(settings("a", &[]), clock, Arc::new(memory)).await;
+    let alone = alone.unwrap();
+    owned_by(&alone, &["a"]).await;
+    let runner = runner().await;
+    let turn = json!({"model": "m", "messages": [{"role": "user", "content": "hello #tokens=1"}]});
+    let headers = [(runner::PROGRAM, "gone")];
+    client::ask(runner.address(), "/v1/chat/completions", &headers, &turn).await;
+    let held = async || client::get(runner.address(), "/cache").await["programs"].to_string();
+    assert!(held().await.contains("gone"));
+    add(&alone, "r", &runner).await;
+    let swept = async {
+        while held().await.contains("gone") {
+            time.fetch_add(100, Ordering::SeqCst);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, swept).await.expect("swept");
+}
--- a/crates/node/tests/support/fleet.rs
+++ b/crates/node/tests/support/fleet.rs
@@ -334,7 +334,7 @@
             vm.exchange.owners.merge(&line);
         }
         let members = vm.exchange.table.members().iter();
-        let vms: Vec<claims::Vm> = members.map(fact).collect();
+        let vms: Vec<claims::Vm> = members.map(claims::Vm::of).collect();
         let facts = Facts {
             now,
             me: &vm.name,
@@ -472,17 +472,6 @@
     }
 }
 
-pub fn fact(member: &members::Member) -> claims::Vm {
-    claims::Vm {
-        vm: member.line.vm.clone(),
-        centre: member.line.centre.clone(),
-        size: member.line.size,
-        up: member.line.life != Life::Down,
-        stopping: member.line.stopping,
-        since: member.since,
-    }
-}
-
 fn compare(key: &str, revision: u64) -> Compare {
     Compare {
         key: key.to_owned(),
