--- a/crates/journal/src/claim.rs
+++ b/crates/journal/src/claim.rs
@@ -29,6 +29,7 @@
 use wire::event::Event;
 use wire::id;
 
+use self::load::Loaded;
 use crate::copy;
 use crate::key;
 use crate::log::Item;
@@ -42,7 +43,6 @@
 use crate::log::wait;
 use crate::record::Record;
 use crate::state::State;
-use load::Loaded;
 
 /// Sends of one key before a claim is given up; the caller tries again from the beginning.
 const TRIES: u32 = 5;
--- a/crates/journal/tests/fuzz/main.rs
+++ b/crates/journal/tests/fuzz/main.rs
@@ -16,6 +16,7 @@
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
 
+use owner::Then;
 use world::World;
 
 /// VMs.
@@ -33,7 +34,7 @@
     /// An engine answers an attempt, having generated so many parts of the reservation in 4.
     Answer(usize, u64),
     /// An engine fails an attempt, which goes on elsewhere or is given up.
-    Fail(usize, bool),
+    Fail(usize, Then),
     /// A caller asks for a call under one of some keys, with one of some contents.
     Order(usize, usize, u64),
     /// A service answers a call, refuses it before it runs, or its answer is lost.
@@ -82,7 +83,7 @@
             20 => (vm.clone(), 0..2usize, 0..3u64).prop_map(|(v, p, c)| Step::Ask(v, p, c)),
             3 => (vm.clone(), 0..2usize).prop_map(|(v, p)| Step::Again(v, p)),
             20 => (0..4usize, 0..5u64).prop_map(|(pick, used)| Step::Answer(pick, used)),
-            4 => (0..4usize, any::<bool>()).prop_map(|(pick, on)| Step::Fail(pick, on)),
+            4 => (0..4usize, any::<bool>()).prop_map(|(pick, on)| Step::Fail(pick, Then::of(u8::from(on)))),
             14 => (vm.clone(), 0..3usize, 0..8u64).prop_map(|(v, k, c)| Step::Order(v, k, c / 7)),
             8 => (0..3usize, 0..3u8).prop_map(|(pick, how)| Step::Called(pick, how)),
             3 => vm.clone().prop_map(Step::Snapshot),
--- a/crates/journal/tests/fuzz/owner.rs
+++ b/crates/journal/tests/fuzz/owner.rs
@@ -42,6 +42,21 @@
 /// The program that calls belong to.
 const CALLS: usize = 0;
 
+/// What follows a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Then {
+    /// A further attempt elsewhere.
+    Retry,
+    /// Nothing.
+    Stop,
+}
+
+impl Then {
+    pub fn of(drawn: u8) -> Self {
+        if drawn == 0 { Self::Stop } else { Self::Retry }
+    }
+}
+
 /// What waits for an append.
 enum Effect {
     None,
@@ -232,7 +247,7 @@
         self.ended(&run);
     }
 
-    pub fn fail(&mut self, pick: usize, on: bool) {
+    pub fn fail(&mut self, pick: usize, then: Then) {
         let (now, attempt) = (self.now(), id::Attempt(self.draw()));
         let Some((vm, at)) = self.pick(pick, |owner| owner.running.len()) else {
             return;
@@ -250,7 +265,7 @@
             now,
         };
         let next = gate::restart(&owner.state, &restart).ok().flatten();
-        if let Some(start) = next.filter(|_| on) {
+        if let Some(start) = next.filter(|_| then == Then::Retry) {
             let next = Run {
                 attempt,
                 generated: start.reserved,
--- a/crates/journal/tests/fuzz/world.rs
+++ b/crates/journal/tests/fuzz/world.rs
@@ -134,7 +134,7 @@
             Step::Ask(vm, program, content) => self.ask(vm, program, content),
             Step::Again(vm, program) => self.again(vm, program),
             Step::Answer(pick, used) => self.answer(pick, used),
-            Step::Fail(pick, on) => self.fail(pick, on),
+            Step::Fail(pick, then) => self.fail(pick, then),
             Step::Order(vm, key, content) => self.order(vm, key, content),
             Step::Called(pick, how) => self.called(pick, how),
             Step::Snapshot(vm) => self.snapshot(vm),
@@ -266,7 +266,12 @@
         let opened = match claim.await.unwrap() {
             Ok(opened) => opened,
             Err(claim::Fault::Damaged(why)) if !why.contains("missing") => panic!("{why}"),
-            Err(fault) => { if std::env::var_os("FUZZ_TRACE").is_some() { eprintln!("claim of {vm}: {fault}"); } return; }
+            Err(fault) => {
+                if std::env::var_os("FUZZ_TRACE").is_some() {
+                    eprintln!("claim of {vm}: {fault}");
+                }
+                return;
+            }
         };
         self.compare(&opened);
         self.opened = self.opened.max(opened.epoch);
--- a/crates/node/src/dispatch/desk.rs
+++ b/crates/node/src/dispatch/desk.rs
@@ -32,6 +32,7 @@
 
 use crate::core::Core;
 use crate::dispatch::standing;
+use crate::dispatch::standing::Content;
 use crate::dispatch::standing::Standing;
 use crate::view::View;
 
@@ -69,9 +70,8 @@
     pub held: Vec<(id::Endpoint, u64)>,
     /// Endpoints that failed this call before.
     pub avoid: Vec<id::Endpoint>,
-    /// Whether an endpoint crashed while it ran the call. Such calls are kept apart from each
-    /// other, so that one that is innocent isn't there when the guilty one crashes the next.
-    pub suspect: bool,
+    /// What is known of its content.
+    pub content: Content,
     /// How often it was tried.
     pub tries: u32,
     /// When the caller stops waiting.
@@ -84,7 +84,7 @@
     pub endpoint: Endpoint,
     core: Arc<Core>,
     began: Millis,
-    suspect: bool,
+    content: Content,
     sample: Option<Sample>,
 }
 
@@ -199,9 +199,9 @@
             break;
         };
         drain.count(now, queue.len());
-        let suspect = entry.item.work.suspect;
-        begin(standings, &endpoint.name, now, suspect);
-        ready.push((entry.item, Ok(slot(core, endpoint, now, suspect))));
+        let content = entry.item.work.content;
+        begin(standings, &endpoint.name, now, content);
+        ready.push((entry.item, Ok(slot(core, endpoint, now, content))));
     }
     drop(state);
     // Sent without the lock: a slot whose waiter is gone is given back by its drop.
@@ -254,8 +254,8 @@
         && choice.start == Start::Now
         && first
     {
-        begin(&mut state.standings, &endpoint.name, now, work.suspect);
-        let slot = slot(core, endpoint, now, work.suspect);
+        begin(&mut state.standings, &endpoint.name, now, work.content);
+        let slot = slot(core, endpoint, now, work.content);
         return Ok(Entered::Placed(slot));
     }
     if work.tries == 0 {
@@ -327,7 +327,7 @@
     for endpoint in endpoints {
         let found = standings.binary_search_by(|s| s.endpoint.cmp(&endpoint.name));
         let Ok(at) = found else { continue };
-        if work.suspect && standings[at].has_suspect() {
+        if work.content == Content::Suspect && standings[at].has_suspect() {
             continue;
         }
         let held = work.held.iter().find(|(name, _)| *name == endpoint.name);
@@ -388,18 +388,18 @@
     endpoints
 }
 
-fn begin(standings: &mut [Standing], endpoint: &id::Endpoint, now: Millis, suspect: bool) {
+fn begin(standings: &mut [Standing], endpoint: &id::Endpoint, now: Millis, content: Content) {
     if let Ok(at) = standings.binary_search_by(|s| s.endpoint.cmp(endpoint)) {
-        standings[at].begin(now, suspect);
+        standings[at].begin(now, content);
     }
 }
 
-fn slot(core: &Arc<Core>, endpoint: Endpoint, now: Millis, suspect: bool) -> Slot {
+fn slot(core: &Arc<Core>, endpoint: Endpoint, now: Millis, content: Content) -> Slot {
     Slot {
         endpoint,
         core: core.clone(),
         began: now,
-        suspect,
+        content,
         sample: None,
     }
 }
@@ -422,7 +422,7 @@
         let now = self.core.clock.now();
         let mut state = self.core.desk.lock();
         let at = state.standing(&self.endpoint.name, now);
-        state.standings[at].end(self.began, now, self.suspect, self.sample);
+        state.standings[at].end(self.began, now, self.content, self.sample);
         let idle = state.queue.is_empty();
         drop(state);
         if !idle {
--- a/crates/node/src/dispatch/standing.rs
+++ b/crates/node/src/dispatch/standing.rs
@@ -12,6 +12,17 @@
 
 use crate::view::Load;
 
+/// What is known of a call's content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Content {
+    /// Nothing speaks against it.
+    #[default]
+    Plain,
+    /// An endpoint crashed while it ran the call. Such calls are kept apart from each other, so
+    /// that one that is innocent isn't there when the guilty one crashes the next.
+    Suspect,
+}
+
 /// Tokens a second reckoned with before an endpoint has reported or shown its speed: a slow
 /// runner, so that an unknown one isn't preferred to a known one.
 const SPEED: f64 = 20.0;
@@ -54,14 +65,15 @@
     }
 
     /// Counts a call that is sent.
-    pub fn begin(&mut self, now: Millis, suspect: bool) {
+    pub fn begin(&mut self, now: Millis, content: Content) {
         self.running.push(now);
-        self.suspects += u32::from(suspect);
+        self.suspects += u32::from(content == Content::Suspect);
     }
 
     /// Counts the end of a call that was sent at `began`.
-    pub fn end(&mut self, began: Millis, now: Millis, suspect: bool, sample: Option<Sample>) {
-        self.suspects = self.suspects.saturating_sub(u32::from(suspect));
+    pub fn end(&mut self, began: Millis, now: Millis, content: Content, sample: Option<Sample>) {
+        let suspects = u32::from(content == Content::Suspect);
+        self.suspects = self.suspects.saturating_sub(suspects);
         if let Some(at) = self.running.iter().position(|sent| *sent == began) {
             self.running.swap_remove(at);
         }
--- a/crates/node/src/owner/call.rs
+++ b/crates/node/src/owner/call.rs
@@ -29,6 +29,7 @@
 use crate::dispatch::service;
 use crate::dispatch::service::End;
 use crate::dispatch::standing;
+use crate::dispatch::standing::Content;
 use crate::filters::authenticate;
 use crate::owner::feed::Feed;
 use crate::owner::feed::Sink;
@@ -347,7 +348,7 @@
         spent: 0,
         held: Vec::new(),
         avoid: Vec::new(),
-        suspect: false,
+        content: Content::Plain,
         tries: 0,
         deadline: ask.deadline.map(|span| core.clock.now().plus(span)),
     })
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -33,6 +33,7 @@
 use crate::dispatch::runner;
 use crate::dispatch::runner::End;
 use crate::dispatch::standing;
+use crate::dispatch::standing::Content;
 use crate::filters::authenticate;
 use crate::owner::feed::Feed;
 use crate::owner::message;
@@ -247,7 +248,9 @@
             return Err(Refusal::new(Code::Poisoned, "").ran(Ran::Yes));
         }
         work.avoid.push(endpoint);
-        work.suspect |= failed.crashed;
+        if failed.crashed {
+            work.content = Content::Suspect;
+        }
         let after = match self.verdict(work, &failed, partial) {
             Verdict::Again { after } => after,
             Verdict::Final | Verdict::Spent => {
@@ -420,7 +423,7 @@
         spent: 0,
         held: Vec::new(),
         avoid: Vec::new(),
-        suspect: false,
+        content: Content::Plain,
         tries: 0,
         deadline: ask.deadline.map(|span| core.clock.now().plus(span)),
     })
