--- a/crates/journal/tests/fuzz/world.rs
+++ b/crates/journal/tests/fuzz/world.rs
@@ -134,7 +134,7 @@
             Step::Ask(vm, program, content) => self.ask(vm, program, content),
             Step::Again(vm, program) => self.again(vm, program),
             Step::Answer(pick, used) => self.answer(pick, used),
-            Step::Fail(pick, on) => self.fail(pick, on),
+            Step::Fail(pick, then) => self.fail(pick, then),
             Step::Order(vm, key, content) => self.order(vm, key, content),
             Step::Called(pick, how) => self.called(pick, how),
             Step::Snapshot(vm) => self.snapshot(vm),
