Measure what the system adds to a call

Change: an example starts itself as platform, runner and node and compares direct and routed calls in alternating blocks.

--- a/crates/chestnutyoke/tests/support/mod.rs
+++ b/crates/chestnutyoke/tests/support/mod.rs
@@ -182,28 +182,3 @@
         "selectors": [{"name": "all", "once": ["switch"]}],
     })
 }
-
-/// Writes the configuration to the platform.
-pub async fn configure(platform: SocketAddr, config: &Value) {
-    let key = base64(b"config");
-    let value = base64(config.to_string().as_bytes());
-    let put = json!({"key": key, "value": value});
-    let (status, _) = post(platform, "/v3/kv/put", &[], &put).await;
-    assert_eq!(status, 200);
-}
-
-fn base64(bytes: &[u8]) -> String {
-    const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-    let mut out = String::new();
-    for chunk in bytes.chunks(3) {
-        let mut word = [0_u8; 3];
-        word[..chunk.len()].copy_from_slice(chunk);
-        let bits = u32::from_be_bytes([0, word[0], word[1], word[2]]);
-        for place in 0..4 {
-            let letter = LETTERS[(bits >> (18 - 6 * place)) as usize & 63];
-            let filled = place <= chunk.len();
-            out.push(if filled { letter as char } else { '=' });
-        }
-    }
-    out
-}
--- /dev/null
+++ b/crates/node/examples/overhead.rs
@@ -0,0 +1,352 @@
+//! What the system adds to a call: time to the first token and to the whole answer through a node,
+//! beside the same calls sent straight to the runner, in one run.
+//!
+//! The example starts itself as the platform, the runner and the node, each a process of its own,
+//! and sends the load itself. Direct and routed calls take turns in short blocks, so that the
+//! machine's mood meets both alike. Printed: ratios at the 50th, 95th and 99th percentile, the
+//! node's processor time a turn and the platform's writes a turn.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use clap::Arg;
+use clap::value_parser;
+use hdrhistogram::Histogram;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use serde_json::json;
+use standin::client;
+use tokio::net::TcpListener;
+use wire::clock::Clock;
+use wire::id::Digest;
+
+/// Calls at once.
+const CALLS: [usize; 3] = [1, 32, 256];
+/// Blocks of each kind at each number of calls.
+const BLOCKS: usize = 3;
+/// How long a block lasts.
+const BLOCK: Duration = Duration::from_secs(3);
+/// How late the platform answers, in milliseconds.
+const PLATFORM_MS: u64 = 2;
+/// Bytes of a prompt: about a thousand tokens, 50 ms of prefill.
+const PROMPT: usize = 4_000;
+/// Tokens of an answer.
+const ANSWER: u64 = 16;
+/// Tokens a second of the runner: 20 ms between tokens, against the target's 58.
+const SPEED: f64 = 50.0;
+/// Calls that the runner takes at once: more than are sent, as waiting isn't measured here.
+const SLOTS: u32 = 1_024;
+/// The longest time told apart, in microseconds: ten minutes.
+const LONGEST: u64 = 600_000_000;
+/// Ticks a second of the processor time that the kernel reports.
+const TICKS: f64 = 100.0;
+
+type Http = legacy::Client<HttpConnector, Full<bytes::Bytes>>;
+
+#[tokio::main]
+async fn main() {
+    let matches = clap::Command::new("overhead")
+        .arg(Arg::new("role").default_value("load"))
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .default_value("127.0.0.1:1"),
+        )
+        .arg(
+            Arg::new("writes")
+                .long("writes")
+                .default_value("30")
+                .value_parser(value_parser!(u32))
+                .help("Platform writes a second that the node may make"),
+        )
+        .get_matches();
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let writes = matches.get_one::<u32>("writes").copied().unwrap_or(30);
+    match text("role").as_str() {
+        "platform" => platform().await,
+        "runner" => runner().await,
+        "node" => node(&text("platform"), writes).await,
+        _ => load(writes).await,
+    }
+}
+
+async fn platform() {
+    let settings = standin::platform::Settings {
+        writes: 1_000_000,
+        reads: 1_000_000,
+        ..standin::platform::Settings::default()
+    };
+    let server = standin::platform::serve(bind().await, settings, Clock::System);
+    wait(server.expect("the platform starts")).await;
+}
+
+async fn runner() {
+    let settings = standin::runner::Settings {
+        slots: SLOTS,
+        tokens_per_second: SPEED,
+        crowding: 0.0,
+        answer_tokens: ANSWER,
+        ..standin::runner::Settings::default()
+    };
+    let server = standin::runner::serve(bind().await, settings, Clock::System);
+    wait(server.expect("the runner starts")).await;
+}
+
+async fn wait(server: standin::http::Server) {
+    println!("listening {}", server.address());
+    server.wait().await;
+}
+
+async fn node(platform: &str, writes: u32) {
+    let text = format!(
+        r#"
+centres = [{{ name = "a", shards = 1 }}]
+[vm]
+name = "a1"
+centre = "a"
+[listen]
+callers = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+[platform]
+addresses = ["{platform}"]
+writes = "{writes}/s"
+"#
+    );
+    let settings = settings::vm::parse(&text).expect("the settings are right");
+    let node = node::start::start(settings, Clock::System).await;
+    let node = node.expect("the node starts");
+    println!("listening {}", node.callers());
+    std::future::pending::<()>().await;
+}
+
+async fn bind() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("a free port")
+}
+
+/// A process of this example, ended when dropped.
+struct Role {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Role {
+    fn start(arguments: &[&str]) -> Self {
+        let binary = std::env::current_exe().expect("the example knows its file");
+        let mut command = Command::new(binary);
+        command.args(arguments).stdout(Stdio::piped());
+        let mut child = command.spawn().expect("the example starts itself");
+        let mut line = String::new();
+        let out = child.stdout.take().expect("stdout is piped");
+        BufReader::new(out).read_line(&mut line).expect("a line");
+        let address = line.split_whitespace().last().and_then(|a| a.parse().ok());
+        Self {
+            child,
+            address: address.expect("an address"),
+        }
+    }
+
+    /// Yields the processor time used so far, in seconds.
+    fn processor(&self) -> f64 {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        // The fields after the name in parentheses; user and system time are the 12th and 13th.
+        let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split(' ').collect();
+        let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok());
+        (ticks(12).unwrap_or(0.0) + ticks(13).unwrap_or(0.0)) / TICKS
+    }
+}
+
+impl Drop for Role {
+    fn drop(&mut self) {
+        let _gone = self.child.kill();
+        let _status = self.child.wait();
+    }
+}
+
+async fn load(writes: u32) {
+    let platform = Role::start(&["platform"]);
+    let runner = Role::start(&["runner"]);
+    configure(platform.address, runner.address).await;
+    let faults = json!({"slow_ms": PLATFORM_MS});
+    client::post(platform.address, "/faults", &[], &faults).await;
+    let address = platform.address.to_string();
+    let writes = writes.to_string();
+    let node = Role::start(&["node", "--platform", &address, "--writes", &writes]);
+    client::until(node.address, "/ready", |a| a["status"] == "ready").await;
+    println!("node's write budget {writes}/s, platform answers in {PLATFORM_MS} ms");
+    println!(
+        "calls | first token ms direct p50 p95 p99 | ratio p50 p95 p99 | whole ms direct p50 p95 \
+         p99 | ratio p50 p95 p99 | turns/s | node ms/turn | writes/turn"
+    );
+    for calls in CALLS {
+        measure(calls, &platform, &runner, &node).await;
+    }
+}
+
+/// What was measured of one way.
+struct Times {
+    first: Histogram<u64>,
+    whole: Histogram<u64>,
+}
+
+impl Times {
+    fn new() -> Self {
+        let empty = || Histogram::new_with_bounds(1, LONGEST, 3).expect("the bounds are right");
+        Self {
+            first: empty(),
+            whole: empty(),
+        }
+    }
+}
+
+async fn measure(calls: usize, platform: &Role, runner: &Role, node: &Role) {
+    let mut direct = Times::new();
+    let mut routed = Times::new();
+    let (mut processor, mut written, mut spent) = (0.0, 0, Duration::ZERO);
+    block(runner.address, calls, &mut Times::new()).await;
+    block(node.address, calls, &mut Times::new()).await;
+    for _ in 0..BLOCKS {
+        block(runner.address, calls, &mut direct).await;
+        let before = (
+            node.processor(),
+            writes(platform.address).await,
+            Instant::now(),
+        );
+        block(node.address, calls, &mut routed).await;
+        processor += node.processor() - before.0;
+        written += writes(platform.address).await - before.1;
+        spent += before.2.elapsed();
+    }
+    report(calls, &direct, &routed, processor, written, spent);
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts and microseconds are far below 2^52"
+)]
+fn report(
+    calls: usize,
+    direct: &Times,
+    routed: &Times,
+    processor: f64,
+    written: u64,
+    spent: Duration,
+) {
+    let at = |times: &Histogram<u64>, q: f64| times.value_at_quantile(q) as f64;
+    let quantiles = [0.5, 0.95, 0.99];
+    let shown = |direct: &Histogram<u64>, routed: &Histogram<u64>| {
+        let millis = quantiles.map(|q| format!("{:.1}", at(direct, q) / 1_000.0));
+        let ratio = quantiles.map(|q| format!("{:.2}", at(routed, q) / at(direct, q)));
+        format!("{} | {}", millis.join(" "), ratio.join(" "))
+    };
+    let turns = routed.whole.len() as f64;
+    println!(
+        "{calls:5} | {} | {} | {:.0} | {:.3} | {:.2}",
+        shown(&direct.first, &routed.first),
+        shown(&direct.whole, &routed.whole),
+        turns / spent.as_secs_f64(),
+        processor * 1_000.0 / turns,
+        written as f64 / turns
+    );
+}
+
+async fn writes(platform: SocketAddr) -> u64 {
+    let stats = client::get(platform, "/stats").await;
+    stats["writes"].as_u64().unwrap_or(0)
+}
+
+/// Sends `calls` calls at once, each the next when the last has ended, for the length of a block.
+async fn block(address: SocketAddr, calls: usize, times: &mut Times) {
+    let http: Arc<Http> = Arc::new(legacy::Client::builder(TokioExecutor::new()).build_http());
+    let end = Instant::now() + BLOCK;
+    let mut callers = tokio::task::JoinSet::new();
+    for caller in 0..calls {
+        let http = http.clone();
+        callers.spawn(async move {
+            let mut seen = Vec::new();
+            // The callers begin spread over a turn, as they would be after a while.
+            let part = 370 * caller / calls;
+            tokio::time::sleep(Duration::from_millis(part as u64)).await;
+            while Instant::now() < end {
+                seen.push(turn(&http, address).await);
+            }
+            seen
+        });
+    }
+    while let Some(seen) = callers.join_next().await {
+        for (first, whole) in seen.expect("a caller doesn't panic") {
+            times.first.saturating_record(micros(first));
+            times.whole.saturating_record(micros(whole));
+        }
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Sends one call and measures the time to its first token and to its end marker.
+async fn turn(http: &Http, address: SocketAddr) -> (Duration, Duration) {
+    let text = format!(
+        "{:016x}{}",
+        rand::random::<u64>(),
+        "word ".repeat(PROMPT / 5)
+    );
+    let mut chat = client::chat(&text);
+    chat["stream"] = json!(true);
+    let request = Request::post(format!("http://{address}/v1/chat/completions"))
+        .header("authorization", format!("Bearer {}", client::TOKEN))
+        .header("content-type", "application/json")
+        .body(Full::from(chat.to_string()))
+        .expect("the request is right");
+    let begun = Instant::now();
+    let response = http.request(request).await.expect("an answer");
+    let status = response.status();
+    let mut body = response.into_body();
+    let mut first = None;
+    let mut tail = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.expect("a whole stream").into_data() else {
+            continue;
+        };
+        tail.extend_from_slice(&data);
+        if first.is_none() && has_token(&tail) {
+            first = Some(begun.elapsed());
+        }
+    }
+    let whole = begun.elapsed();
+    let text = String::from_utf8_lossy(&tail);
+    assert!(text.ends_with("data: [DONE]\n\n"), "{status}: {text}");
+    (first.expect("a token"), whole)
+}
+
+/// Tells whether a piece with text has come.
+fn has_token(events: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(events);
+    !client::content(&text).is_empty()
+}
+
+async fn configure(platform: SocketAddr, runner: SocketAddr) {
+    let config: Value = json!({
+        "revision": 1,
+        "nonce": 1,
+        "callers": [{"name": "tug", "token": Digest::of(client::TOKEN.as_bytes())}],
+        "endpoints": [{"name": "runner", "kind": "runner", "address": runner.to_string(),
+                       "centre": "a", "serves": ["m"], "slots": SLOTS}],
+        "selectors": [{"name": "all"}],
+    });
+    client::configure(platform, &config).await;
+}
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD as BASE64;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -148,3 +150,16 @@
     let found = tokio::time::timeout(PATIENCE, asked).await;
     found.unwrap_or_else(|_| panic!("{path} never was as wished"))
 }
+
+/// Writes the operators' configuration to the platform's stand-in.
+///
+/// # Panics
+///
+/// Panics where the platform doesn't take it.
+pub async fn configure(platform: SocketAddr, config: &Value) {
+    let key = BASE64.encode(b"config");
+    let value = BASE64.encode(config.to_string());
+    let put = json!({"key": key, "value": value});
+    let (status, _) = post(platform, "/v3/kv/put", &[], &put).await;
+    assert_eq!(status, 200);
+}
