Serve operators on the admin listener and add the embedded deployment

The listener takes changes of the configuration, shows it and its rollout, shows a program whoever its caller is, and collects from all VMs why a program's calls went where they did. try runs one node with its stand-ins in one process and prints calls that work as pasted. Tried by hand: the printed calls, status, explain, program show, label set, selector list and rollout against a running try.

--- a/crates/chestnutyoke/src/cli.rs
+++ b/crates/chestnutyoke/src/cli.rs
@@ -10,6 +10,7 @@
 use clap::Command;
 use clap::value_parser;
 
+use crate::embedded;
 use crate::logging;
 use crate::serve;
 use crate::verbs::change;
@@ -39,11 +40,34 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(try_command())
         .subcommand(serve_command())
         .subcommand(check_command())
         .subcommands(operate::commands())
 }
 
+fn try_command() -> Command {
+    let port = |name: &'static str, default: &'static str, help: &'static str| {
+        let port = Arg::new(name)
+            .long(name)
+            .value_name("PORT")
+            .default_value(default);
+        port.value_parser(value_parser!(u16)).help(help)
+    };
+    Command::new("try")
+        .about("Runs a node with stand-ins for platform and endpoints in one process on loopback")
+        .arg(port(
+            "port",
+            "8080",
+            "Where callers connect; 0 takes a free port",
+        ))
+        .arg(port(
+            "admin-port",
+            "8082",
+            "Where operators connect; 0 takes a free port",
+        ))
+}
+
 fn serve_command() -> Command {
     let json = Arg::new("json").long("json").action(ArgAction::SetTrue);
     Command::new("serve")
@@ -74,6 +98,7 @@
         return Ok(());
     };
     match verb {
+        "try" => try_verb(matches),
         "serve" => serve_verb(matches),
         "check" => check_verb(matches),
         _ => runtime()?.block_on(operate_verb(verb, matches)),
@@ -95,6 +120,14 @@
         .build()?)
 }
 
+fn try_verb(matches: &ArgMatches) -> Result<()> {
+    let port = *matches.get_one("port").ok_or("--port is missing")?;
+    let admin = *matches
+        .get_one("admin-port")
+        .ok_or("--admin-port is missing")?;
+    runtime()?.block_on(embedded::run(port, admin))
+}
+
 fn serve_verb(matches: &ArgMatches) -> Result<()> {
     let path: &PathBuf = matches.get_one("settings").ok_or("--settings is missing")?;
     let form = if matches.get_flag("json") {
--- a/crates/chestnutyoke/src/lib.rs
+++ b/crates/chestnutyoke/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod cli;
 pub mod client;
+pub mod embedded;
 pub mod logging;
 pub mod serve;
 pub mod table;
--- a/crates/chestnutyoke/src/verbs/show.rs
+++ b/crates/chestnutyoke/src/verbs/show.rs
@@ -44,7 +44,7 @@
 
 fn path(view: &View) -> String {
     match view {
-        View::Status | View::Vms => "/operate/status".to_owned(),
+        View::Status | View::Vms => "/status".to_owned(),
         View::Labels | View::Selectors => "/operate/config".to_owned(),
         View::Rollout(None) => "/operate/rollout".to_owned(),
         View::Rollout(Some(revision)) => format!("/operate/rollout?revision={revision}"),
@@ -57,8 +57,8 @@
     match view {
         View::Status => status(answer),
         View::Vms => rows(
-            &answer["vms"],
-            &["vm", "centre", "size", "up", "stopping", "revision"],
+            &answer["peers"],
+            &["vm", "centre", "address", "size", "up", "stopping"],
         ),
         View::Labels => labels(answer),
         View::Selectors => rows(
@@ -124,12 +124,12 @@
         },
     );
     let vms = rows(
-        &answer["vms"],
-        &["vm", "centre", "size", "up", "stopping", "revision"],
+        &answer["peers"],
+        &["vm", "centre", "address", "size", "up", "stopping"],
     );
-    let shards = rows(&answer["shards"], &["shard", "vm", "epoch"]);
+    let shards = rows(&answer["owners"], &["shard", "vm", "epoch"]);
     let endpoints = rows(
-        &answer["endpoints"],
+        &answer["loads"],
         &["endpoint", "up", "leaving", "running", "waiting", "speed"],
     );
     format!("{head}\n{vms}\n{shards}\n{endpoints}")
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -16,11 +16,18 @@
 use crate::http;
 use crate::http::Response;
 use crate::http::listen::Room;
+use crate::operate;
 use crate::owner::registry::Phase;
 use crate::view::View;
 
 /// Answers one request.
 pub async fn handle(core: Arc<Core>, request: Request<Incoming>, _room: Room) -> Response {
+    if request.uri().path().starts_with(operate::PREFIX) {
+        return match operate::handle(&core, request).await {
+            Ok(answer) => http::json(200, &answer),
+            Err(refusal) => answer::refuse(&refusal),
+        };
+    }
     let view = core.view();
     let path = request.uri().path();
     let probed = match path {
--- a/crates/node/src/filters/authenticate.rs
+++ b/crates/node/src/filters/authenticate.rs
@@ -32,7 +32,7 @@
     let (kind, serves, unknown) = match &ask.body {
         Body::Chat(chat) => (Kind::Runner, &*chat.request.model, Code::UnknownModel),
         Body::Call(call) => (Kind::Service, call.service.as_str(), Code::UnknownService),
-        Body::Create | Body::Show | Body::End => return Ok(Class::Routine),
+        Body::Create | Body::Show | Body::End | Body::Inspect => return Ok(Class::Routine),
     };
     if !config.serves(kind, serves) {
         return Err(Refusal::new(unknown, serves));
--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -159,7 +159,7 @@
     match &ask.body {
         Body::Chat(chat) => chat.turn.is_some(),
         Body::Call(call) => call.key.is_some(),
-        Body::Create | Body::Show | Body::End => true,
+        Body::Create | Body::Show | Body::End | Body::Inspect => true,
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod filters;
 pub mod http;
 pub mod metrics;
+pub mod operate;
 pub mod owner;
 pub mod peer;
 pub mod start;
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -173,6 +173,7 @@
                 .create(ask)
                 .and_then(|durable| self.show(ask, sink, durable)),
             Body::Show => self.show(ask, sink, None),
+            Body::Inspect => self.inspect(ask, sink),
             Body::End => self
                 .end(ask)
                 .and_then(|durable| self.show(ask, sink, durable)),
@@ -477,6 +478,14 @@
         Ok(())
     }
 
+    /// Shows a program to an operator.
+    fn inspect(&self, ask: &Ask, sink: &Sink) -> Result<(), Refusal> {
+        let program: Option<&Program> = self.state.program(&ask.program);
+        let unknown = || Refusal::new(Code::UnknownProgram, ask.program.as_str());
+        let _gone = sink.send(Reply::Shown(message::show(program.ok_or_else(unknown)?)));
+        Ok(())
+    }
+
     fn over(&mut self, name: &Name) {
         self.pending.remove(name);
         self.answer_drained();
@@ -532,7 +541,7 @@
     let (kind, serves) = match &ask.body {
         Body::Chat(chat) => (Kind::Runner, chat.request.model.as_str()),
         Body::Call(call) => (Kind::Service, call.service.as_str()),
-        Body::Create | Body::Show | Body::End => (Kind::Runner, ""),
+        Body::Create | Body::Show | Body::End | Body::Inspect => (Kind::Runner, ""),
     };
     let caller = view.config.caller(ask.caller.as_str());
     let grant = caller.and_then(|c| view.config.grant(c, &ask.program, kind, serves));
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -15,6 +15,7 @@
 use crate::http::Response;
 use crate::http::body;
 use crate::http::listen::Room;
+use crate::operate;
 
 /// Takes a [`wire::ask::Ask`], streams [`wire::ask::Reply`] frames.
 pub const ASK: &str = "/peer/ask";
@@ -29,6 +30,9 @@
 /// Tells that held batches are in the journal.
 pub const DRAINED: &str = "/peer/drained";
 
+/// Answers what the receiver keeps of a program's decisions.
+pub const EXPLAIN: &str = "/peer/explain";
+
 /// Answers one request of another VM.
 pub async fn handle(core: Arc<Core>, request: Request<Incoming>, room: Room) -> Response {
     if request.uri().path() == ASK {
@@ -40,7 +44,11 @@
         Ok(whole) => whole,
         Err(refusal) => return answer::refuse(&refusal),
     };
-    match controllers::serve(&core, &path, whole).await {
+    let answer = match path.as_str() {
+        EXPLAIN => operate::tell(&core, &whole),
+        _ => controllers::serve(&core, &path, whole).await,
+    };
+    match answer {
         Some(body) => forward::frames(body),
         None => answer::refuse(&Refusal::new(Code::UnknownPath, &path)),
     }
--- a/crates/wire/src/ask.rs
+++ b/crates/wire/src/ask.rs
@@ -41,6 +41,8 @@
     Show,
     /// End the program.
     End,
+    /// Show the program to an operator, whoever its caller is.
+    Inspect,
 }
 
 /// A turn of a program.
