--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -124,6 +124,10 @@
                 reply(answer, Ok(owner.decide((), record)));
             }
             Message::Over(name) => owner.over(&name),
+            Message::Gone(programs, answer) => {
+                let _asker_left = answer.send(keep::gone(owner, programs));
+            }
+            Message::Sweep(endpoint, programs) => keep::sweep(owner, &endpoint, programs),
             Message::Released(program, endpoint) => {
                 let record = gate::released(&owner.state, &program, &endpoint);
                 owner.apply(record.into_iter().collect());
@@ -173,6 +177,7 @@
                 .create(ask)
                 .and_then(|durable| self.show(ask, sink, durable)),
             Body::Show => self.show(ask, sink, None),
+            Body::Inspect => self.inspect(ask, sink),
             Body::End => self
                 .end(ask)
                 .and_then(|durable| self.show(ask, sink, durable)),
@@ -477,6 +482,14 @@
         Ok(())
     }
 
+    /// Shows a program to an operator.
+    fn inspect(&self, ask: &Ask, sink: &Sink) -> Result<(), Refusal> {
+        let program: Option<&Program> = self.state.program(&ask.program);
+        let unknown = || Refusal::new(Code::UnknownProgram, ask.program.as_str());
+        let _gone = sink.send(Reply::Shown(message::show(program.ok_or_else(unknown)?)));
+        Ok(())
+    }
+
     fn over(&mut self, name: &Name) {
         self.pending.remove(name);
         self.answer_drained();
@@ -532,7 +545,7 @@
     let (kind, serves) = match &ask.body {
         Body::Chat(chat) => (Kind::Runner, chat.request.model.as_str()),
         Body::Call(call) => (Kind::Service, call.service.as_str()),
-        Body::Create | Body::Show | Body::End => (Kind::Runner, ""),
+        Body::Create | Body::Show | Body::End | Body::Inspect => (Kind::Runner, ""),
     };
     let caller = view.config.caller(ask.caller.as_str());
     let grant = caller.and_then(|c| view.config.grant(c, &ask.program, kind, serves));
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -15,6 +15,7 @@
 use crate::http::Response;
 use crate::http::body;
 use crate::http::listen::Room;
+use crate::operate;
 
 /// Takes a [`wire::ask::Ask`], streams [`wire::ask::Reply`] frames.
 pub const ASK: &str = "/peer/ask";
@@ -26,6 +27,13 @@
 pub const HOLD: &str = "/peer/hold";
 /// Fences a shard's earlier owner and answers the pending batches held for it.
 pub const COLLECT: &str = "/peer/collect";
+/// Asks an owner which programs that an endpoint holds are gone.
+pub const HELD: &str = "/peer/held";
+/// Tells that held batches are in the journal.
+pub const DRAINED: &str = "/peer/drained";
+
+/// Answers what the receiver keeps of a program's decisions.
+pub const EXPLAIN: &str = "/peer/explain";
 
 /// Answers one request of another VM.
 pub async fn handle(core: Arc<Core>, request: Request<Incoming>, room: Room) -> Response {
@@ -38,7 +46,11 @@
         Ok(whole) => whole,
         Err(refusal) => return answer::refuse(&refusal),
     };
-    match controllers::serve(&core, &path, whole).await {
+    let answer = match path.as_str() {
+        EXPLAIN => operate::tell(&core, &whole),
+        _ => controllers::serve(&core, &path, whole).await,
+    };
+    match answer {
         Some(body) => forward::frames(body),
         None => answer::refuse(&Refusal::new(Code::UnknownPath, &path)),
     }
