Run an operation at most once unless its endpoints say it may be repeated

Cause: the selector that spoke for the work listed the operations that run at most once. In the embedded configuration the selector for emergencies matched a switching order of an emergency program before the one that listed it, so the order could be sent again after a lost answer; and an operation that nobody listed was repeated. Ruled out: merging the lists of all matching selectors; the default stays unsafe. Change: an endpoint lists its repeatable operations; all others run at most once, whichever selector speaks. Before: Selector.once, default repeat.

--- a/crates/chestnutyoke/src/cli/operate.rs
+++ b/crates/chestnutyoke/src/cli/operate.rs
@@ -179,11 +179,6 @@
             "NAME",
             "A model or service; all without this option",
         ))
-        .arg(many(
-            "once",
-            "OPERATION",
-            "An operation that runs at most once; * for all",
-        ))
         .arg(one("rank", "N", "Higher goes first").value_parser(value_parser!(i32)))
         .arg(one("class", "CLASS", "How soon it is heard").value_parser(["urgent", "routine"]))
         .arg(one("tokens", "N", "Tokens of a program").value_parser(value_parser!(u64)))
@@ -389,7 +384,6 @@
             turns: matches.get_one("turns").copied().unwrap_or(standard.turns),
             idle: idle.map_or(Ok(standard.idle), |text| unit::Span::parse(text))?,
         },
-        once: words("once"),
     })
 }
 
--- a/crates/chestnutyoke/src/cli/operate/tests.rs
+++ b/crates/chestnutyoke/src/cli/operate/tests.rs
@@ -24,15 +24,13 @@
 
 #[test]
 fn a_selector_takes_its_options() {
-    let line =
-        "selector set cutoff --caller duty=cutoff --class urgent --rank 9 --idle 1h --once *";
+    let line = "selector set cutoff --caller duty=cutoff --class urgent --rank 9 --idle 1h";
     let Verb::Change(Edit::Selector(selector)) = parsed(line).unwrap() else {
         panic!("not a selector");
     };
     assert_eq!((selector.class, selector.rank), (Class::Urgent, 9));
     assert_eq!(selector.caller.value("duty"), Some("cutoff"));
     assert_eq!(selector.budget.idle.as_u64(), 3_600_000);
-    assert_eq!(selector.once, ["*"]);
 }
 
 #[rstest]
--- a/crates/chestnutyoke/tests/support/mod.rs
+++ b/crates/chestnutyoke/tests/support/mod.rs
@@ -179,6 +179,6 @@
         "nonce": 1,
         "callers": [caller],
         "endpoints": endpoints,
-        "selectors": [{"name": "all", "once": ["switch"]}],
+        "selectors": [{"name": "all"}],
     })
 }
--- a/crates/node/src/controllers/keeper/tests.rs
+++ b/crates/node/src/controllers/keeper/tests.rs
@@ -16,6 +16,7 @@
         serves: Vec::new(),
         fences: false,
         slots: 1,
+        repeatable: Vec::new(),
         labels: label::Set::default(),
     }
 }
--- a/crates/node/src/owner/call.rs
+++ b/crates/node/src/owner/call.rs
@@ -52,7 +52,7 @@
 /// Refuses it, with what is known of whether it ran.
 pub fn ask(owner: &mut Owner, ask: &Ask, call: &Call, sink: &Sink) -> Result<()> {
     let work = work(&owner.core, ask, call)?;
-    if !runs_once(&owner.core, ask, call) {
+    if !runs_once(&owner.core, call) {
         owner.check_open()?;
         let feed = Feed::default();
         feed.join(sink.clone());
@@ -135,6 +135,12 @@
     }
 }
 
+fn runs_once(core: &Core, call: &Call) -> bool {
+    let view = core.view();
+    view.config
+        .runs_once(call.service.as_str(), &call.operation)
+}
+
 /// One call under way.
 struct Task {
     core: Arc<Core>,
@@ -314,19 +320,6 @@
     }
 }
 
-/// Tells whether the operators' selector lists the operation among those that run at most once.
-fn runs_once(core: &Core, ask: &Ask, call: &Call) -> bool {
-    let view = core.view();
-    let caller = view.config.caller(ask.caller.as_str());
-    let service = call.service.as_str();
-    let grant = caller.and_then(|c| view.config.grant(c, &ask.program, Kind::Service, service));
-    grant.is_some_and(|grant| {
-        let once = &grant.selector.once;
-        once.iter()
-            .any(|operation| operation == "*" || *operation == call.operation)
-    })
-}
-
 fn digest(call: &Call) -> id::Digest {
     let mut content = format!("{}/{}\n", call.service, call.operation).into_bytes();
     content.extend_from_slice(&call.body);
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -195,6 +195,7 @@
         serves: vec!["m".to_owned()],
         fences: true,
         slots: 4,
+        repeatable: Vec::new(),
         labels: label::Set::default(),
     };
     let (outcome, _) = config::make(handle.core(), Edit::Endpoint(endpoint), None).await;
--- a/crates/node/tests/request/fleet.rs
+++ b/crates/node/tests/request/fleet.rs
@@ -168,7 +168,7 @@
 fn config(runners: &[Server], service: &Server, selector: &Value) -> Value {
     let endpoint = |name: String, kind: &str, address: SocketAddr, serves: &str| {
         json!({"name": name, "kind": kind, "address": address.to_string(), "centre": "a",
-               "serves": [serves], "slots": 8, "fences": true})
+               "serves": [serves], "slots": 8, "fences": true, "repeatable": ["read"]})
     };
     let numbered = runners.iter().enumerate();
     let mut endpoints: Vec<Value> = numbered
@@ -181,7 +181,7 @@
         "shore",
     ));
     let token = Digest::of(client::TOKEN.as_bytes());
-    let mut all = json!({"name": "all", "once": ["switch"]});
+    let mut all = json!({"name": "all"});
     for (name, value) in selector.as_object().unwrap() {
         all[name] = value.clone();
     }
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -75,6 +75,9 @@
     pub fences: bool,
     /// How many calls it works on at once.
     pub slots: u32,
+    /// Operations of a service that may run more than once; `*` for all.
+    #[serde(default)]
+    pub repeatable: Vec<String>,
     /// The endpoint's labels.
     #[serde(default)]
     pub labels: label::Set,
@@ -157,9 +160,6 @@
     /// What the program may use.
     #[serde(default)]
     pub budget: Budget,
-    /// Operations of a service that run at most once; `*` for all.
-    #[serde(default)]
-    pub once: Vec<String>,
 }
 
 fn yes() -> bool {
@@ -220,6 +220,22 @@
             .any(|e| e.kind == kind && e.serves.iter().any(|s| s == name))
     }
 
+    /// Tells whether an operation of a service runs at most once. It does unless every endpoint
+    /// that serves it says that it may be repeated.
+    ///
+    /// The default is the safe one, and no selector decides on it: an operation that an operator
+    /// forgot to list, or a selector with a broader match that speaks for the work in place of
+    /// the one that was meant, would otherwise let a switching order go through twice.
+    #[must_use]
+    pub fn runs_once(&self, service: &str, operation: &str) -> bool {
+        let serving = self
+            .endpoints
+            .iter()
+            .filter(|e| e.kind == Kind::Service && e.serves.iter().any(|name| name == service));
+        let listed = |e: &Endpoint| e.repeatable.iter().any(|o| o == "*" || o == operation);
+        !serving.clone().all(listed) || serving.count() == 0
+    }
+
     /// Finds the selector that speaks for the work; `None` where none matches or the one that
     /// does forbids it.
     ///
--- a/crates/settings/src/config/tests.rs
+++ b/crates/settings/src/config/tests.rs
@@ -79,3 +79,32 @@
     );
     assert_eq!(budget.idle.as_u64(), 3_600_000);
 }
+
+/// The operator lists what may be repeated. A switching order isn't listed, nor is any operation
+/// of a service of which one endpoint says nothing: they run at most once, whichever selector
+/// speaks for the work.
+#[test]
+fn an_operation_runs_once_unless_it_is_listed() {
+    let text = r#"
+        [[endpoints]]
+        name = "a"
+        kind = "service"
+        address = "127.0.0.1:1"
+        centre = "tas-a"
+        serves = ["shore", "weather"]
+        repeatable = ["lookup"]
+        slots = 1
+        [[endpoints]]
+        name = "b"
+        kind = "service"
+        address = "127.0.0.1:2"
+        centre = "tas-a"
+        serves = ["weather"]
+        slots = 1
+    "#;
+    let config: Config = toml::from_str(text).unwrap();
+    assert!(config.runs_once("shore", "switch"));
+    assert!(!config.runs_once("shore", "lookup"));
+    assert!(config.runs_once("weather", "lookup"));
+    assert!(config.runs_once("unknown", "lookup"));
+}
