Read on before draining copies, and never take a drained index for set

Appends that the old owner made in between looked like missing batches, the pending ones were dropped, and an answered turn was lost. A value found at its key now counts only if the index was set at the same revision.

Ruled out: the drain writing the index as well, since the claimer doesn't know that the image is whole.

Figures: PROPTEST_CASES=20000, release: red before, passes after in 133 s on a busy machine. Conclusion: 256 cases in about 8 s in a debug build.

--- a/crates/journal/src/claim.rs
+++ b/crates/journal/src/claim.rs
@@ -238,7 +238,13 @@
 /// Writes what the old owner left pending to where it was meant to go. A batch of another epoch
 /// than the journal's last is a leftover of an owner that has lost: its place is long taken.
 async fn drain(setup: &Setup, loaded: &mut Loaded, held: &[copy::Held]) -> Result<()> {
+    // The old owner may have appended until it was fenced by the collection; without these the
+    // first pending batch would look as if others were missing before it.
     let epoch = loaded.state.epoch();
+    load::rest(setup.platform.as_ref(), &setup.shard, loaded).await?;
+    if loaded.state.epoch() > epoch {
+        return Err(Fault::Raced);
+    }
     for batch in held.iter().filter(|batch| batch.epoch == epoch) {
         if batch.seq < loaded.next {
             continue;
--- a/crates/journal/src/log/write.rs
+++ b/crates/journal/src/log/write.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use platform::edge::Compare;
+use platform::edge::Entry;
 use platform::edge::Fault;
 use platform::edge::Outcome;
 use platform::edge::Platform;
@@ -43,7 +44,8 @@
     Done(u64),
     /// The key holds another value, and never held nor will hold this one.
     Taken,
-    /// Another owner has moved the snapshot index. An earlier send may have landed before.
+    /// Another owner has moved the snapshot index, or has written the value in this one's place.
+    /// An earlier send may have landed.
     Passed,
     /// Not known, or not done; the same value may be sent again.
     Again(Fault),
@@ -55,14 +57,23 @@
     match platform.commit(&txn(shard, item), Weight::Commit).await {
         Ok(Outcome::Applied(revision)) => Step::Done(revision),
         Ok(Outcome::Refused(present)) => match present.iter().find(|entry| entry.key == key) {
-            Some(entry) if entry.value == item.value => Step::Done(entry.revision),
-            Some(_) => Step::Taken,
-            None => Step::Passed,
+            Some(entry) if entry.value != item.value => Step::Taken,
+            Some(entry) if is_indexed(shard, item, entry, &present) => Step::Done(entry.revision),
+            Some(_) | None => Step::Passed,
         },
         Err(fault) => Step::Again(fault),
     }
 }
 
+/// Tells whether the index of an item, where it has one, was set along with its key. A new owner
+/// that collected the item from a copy writes the key alone; an owner that took its index for set
+/// would go on to remove keys that no image covers.
+fn is_indexed(shard: &id::Shard, item: &Item, own: &Entry, present: &[Entry]) -> bool {
+    let key = key::index(shard);
+    let index = present.iter().find(|entry| entry.key == key);
+    item.index.is_none() || index.is_some_and(|index| index.revision == own.revision)
+}
+
 /// Encodes a batch. `None` where a record can't be encoded, which their types rule out.
 pub(crate) fn encode(writer: &id::Vm, nonce: u64, records: Vec<Record>) -> Option<Bytes> {
     let batch = Batch {
--- a/crates/journal/tests/fuzz/world.rs
+++ b/crates/journal/tests/fuzz/world.rs
@@ -220,7 +220,8 @@
     async fn take_over(&mut self, vm: usize) -> u64 {
         for _ in 0..20 {
             self.time.fetch_add(LEASE.as_u64() + 1, Ordering::SeqCst);
-            let epoch = self.vms[vm].owner.as_ref().map(|owner| owner.epoch);
+            let owner = self.vms[vm].owner.as_ref().filter(|owner| owner.is_open());
+            let epoch = owner.map(|owner| owner.epoch);
             if let Some(epoch) = epoch.filter(|epoch| *epoch == self.opened) {
                 return epoch;
             }
