Prove the promises with real processes; never say no for a keyed call

Cause: the promises hold only where real processes die, freeze and lose answers. A bench starts the stand-ins and nodes as processes, on ports below the range that the system draws from, writes the operators' configuration, and sends signals; a failed test shows the nodes' last log lines.

Tests: three nodes in two centres (three_nodes), at most once (at_most_once), kill -9 and SIGSTOP of the owner (takeover), an outage of the platform longer than a lease (outage), SIGTERM with open streams (shutdown).

Fault found and mended: after the owner of an at-most-once call was killed between intent and outcome, an entry VM that couldn't reach it answered CY4106 with ran no to the same key asked again, although the call had run (seen red in an_owner_killed_between_intent_and_outcome_leaves_it_unknown). An entry VM knows nothing of earlier askings, so a call with a key is now refused there with ran unknown. Ruled out: telling first askings apart at the entry VM, which another entry VM couldn't know either. The price: a keyed call to a centre that can't be reached is also answered unknown, where no would have been true of the first asking.

--- /dev/null
+++ b/crates/chestnutyoke/tests/bench/fleet.rs
@@ -0,0 +1,471 @@
+//! A deployment of processes: one platform, endpoints, and nodes in data centres.
+
+use std::fmt::Write;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use platform::edge::Platform;
+use platform::edge::Txn;
+use platform::edge::Weight;
+use platform::edge::Write as Put;
+use platform::etcd::Etcd;
+use serde_json::Value;
+use serde_json::json;
+use settings::config::Caller;
+use settings::config::Config;
+use settings::config::Kind;
+use settings::config::Selector;
+use settings::label;
+use wire::clock::Millis;
+use wire::id;
+
+use super::port;
+use super::process::Process;
+use super::process::Signal;
+use super::relay::Relay;
+use super::switch;
+
+/// The bearer token of the one caller.
+pub const TOKEN: &str = "token-of-the-caller";
+/// The model that the runners serve.
+pub const MODEL: &str = "m1";
+/// The service's name.
+pub const SERVICE: &str = "shore";
+
+const NODE: &str = env!("CARGO_BIN_EXE_chestnutyoke");
+const STANDIN: &str = env!("CARGO_BIN_EXE_chestnutyoke-standin");
+/// An endpoint to start.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its name.
+    pub name: &'static str,
+    /// Its data centre.
+    pub centre: &'static str,
+    /// The stand-in's options.
+    pub options: Vec<&'static str>,
+}
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The data centres with their VMs.
+    pub centres: Vec<(&'static str, Vec<&'static str>)>,
+    /// How many shards each data centre has.
+    pub shards: u16,
+    /// The runners.
+    pub runners: Vec<Endpoint>,
+    /// The services.
+    pub services: Vec<Endpoint>,
+    /// Lines of the nodes' settings, in place of the table's defaults.
+    pub platform_lines: String,
+    /// Lines of the table `limits`.
+    pub limit_lines: String,
+    /// Changes the operators' configuration before it is written.
+    pub configure: fn(&mut Config),
+}
+
+impl Default for Plan {
+    /// Yields one data centre with two VMs, one runner and one service.
+    fn default() -> Self {
+        Self {
+            centres: vec![("east", vec!["vm-1", "vm-2"])],
+            shards: 2,
+            runners: vec![Endpoint {
+                name: "runner-1",
+                centre: "east",
+                options: vec![],
+            }],
+            services: vec![Endpoint {
+                name: "shore-1",
+                centre: "east",
+                options: vec![],
+            }],
+            platform_lines: "lease = \"2s\"\n".to_owned(),
+            limit_lines: String::new(),
+            configure: |_| {},
+        }
+    }
+}
+
+/// A stand-in that runs.
+pub struct Standin {
+    /// Its name.
+    pub name: String,
+    /// Its data centre.
+    pub centre: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    process: Process,
+}
+
+/// A node that runs, or ran.
+pub struct Node {
+    /// The VM's name.
+    pub name: String,
+    /// Its data centre.
+    pub centre: String,
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other VMs.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    /// The process.
+    pub process: Process,
+}
+
+impl Node {
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        self.process.signal(signal);
+    }
+
+    /// Starts the node again, with the same settings, after its process has ended.
+    pub fn restart(&mut self) {
+        self.process.kill();
+        self.process = start_node(&self.settings, &self.log);
+    }
+
+    /// Waits until the node says that it serves.
+    pub async fn ready(&self) {
+        let what = format!("{} is ready", self.name);
+        switch::until_some(&what, async || {
+            let (status, _) = switch::peek(self.admin, "/ready").await?;
+            (status == 200).then_some(())
+        })
+        .await;
+    }
+}
+
+/// A running deployment. Its processes are killed when it is dropped; after a failed test their
+/// logs are shown.
+pub struct Fleet {
+    /// The platform.
+    pub platform: Standin,
+    /// The runners in the plan's order.
+    pub runners: Vec<Standin>,
+    /// The services in the plan's order.
+    pub services: Vec<Standin>,
+    /// The nodes in the plan's order.
+    pub nodes: Vec<Node>,
+    /// In front of the platform and of each data centre's nodes, for cuts.
+    pub relays: Relays,
+    folder: PathBuf,
+}
+
+/// The relays of a deployment.
+pub struct Relays {
+    /// For each data centre: the way of its VMs to the platform.
+    pub platform: Vec<(String, Relay)>,
+}
+
+impl Relays {
+    /// Yields a data centre's way to the platform.
+    pub fn platform_of(&self, centre: &str) -> &Relay {
+        let found = self.platform.iter().find(|(name, _)| name == centre);
+        &found.unwrap().1
+    }
+}
+
+impl Fleet {
+    /// Starts everything and waits until every node serves and knows an owner of each shard.
+    pub async fn start(plan: &Plan) -> Self {
+        let folder = folder();
+        let platform = standin(&folder, "platform", "platform", "", &[]);
+        let start = |kind: &str, endpoint: &Endpoint| {
+            standin(
+                &folder,
+                kind,
+                endpoint.name,
+                endpoint.centre,
+                &endpoint.options,
+            )
+        };
+        let runners: Vec<Standin> = plan.runners.iter().map(|e| start("runner", e)).collect();
+        let services: Vec<Standin> = plan.services.iter().map(|e| start("service", e)).collect();
+        configure(plan, &platform, &runners, &services).await;
+        list(plan, &platform).await;
+        let mut relays = Relays { platform: vec![] };
+        for (centre, _) in &plan.centres {
+            let relay = Relay::start(platform.address).await;
+            relays.platform.push(((*centre).to_owned(), relay));
+        }
+        let nodes = start_nodes(plan, &relays, &folder);
+        let fleet = Self {
+            platform,
+            runners,
+            services,
+            nodes,
+            relays,
+            folder,
+        };
+        let shards = usize::from(plan.shards) * plan.centres.len();
+        for node in &fleet.nodes {
+            node.ready().await;
+            switch::until(node.admin, "/status", |status| {
+                status["owners"]
+                    .as_array()
+                    .is_some_and(|o| o.len() == shards)
+            })
+            .await;
+        }
+        fleet
+    }
+
+    /// Yields the callers' addresses of all nodes.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.callers).collect()
+    }
+
+    /// Sets faults of the platform.
+    pub async fn platform_faults(&self, faults: Value) {
+        switch::post(self.platform.address, "/faults", &faults).await;
+    }
+
+    /// Counts how often a call ran at all services together.
+    pub async fn runs(&self, key: &str, operation: &str) -> u64 {
+        let mut total = 0;
+        for service in &self.services {
+            let stats = switch::get(service.address, "/stats").await;
+            let stats: standin::service::Stats = serde_json::from_value(stats).unwrap();
+            let same = |run: &&standin::service::Run| run.key == key && run.operation == operation;
+            total += stats
+                .runs
+                .iter()
+                .filter(same)
+                .map(|run| run.runs)
+                .sum::<u64>();
+        }
+        total
+    }
+
+    /// Waits until a data centre's shard has an owner by the platform's record, other than
+    /// `except`, and yields the owner's place among the nodes.
+    pub async fn owner(&self, centre: &str, index: u16, except: Option<usize>) -> usize {
+        let shard = id::Shard {
+            centre: id::Centre::parse(centre).unwrap(),
+            index,
+        };
+        let etcd = Etcd::new(vec![self.platform.address], Millis::new(10_000));
+        let what = format!("an owner of {shard} other than {except:?}");
+        switch::until_some(&what, async || {
+            let entry = etcd.read(&journal::key::owner(&shard)).await.ok()??;
+            let ownership = journal::claim::Ownership::decode(&entry.value)?;
+            let same = |node: &Node| node.name == ownership.vm.as_str();
+            let found = self.nodes.iter().position(same)?;
+            (Some(found) != except).then_some(found)
+        })
+        .await
+    }
+
+    /// Yields the callers' addresses of all nodes but one.
+    pub fn others(&self, except: usize) -> Vec<SocketAddr> {
+        let nodes = self.nodes.iter().enumerate();
+        let kept = nodes.filter(|(index, _)| *index != except);
+        kept.map(|(_, node)| node.callers).collect()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            let _left = fs::remove_dir_all(&self.folder);
+            return;
+        }
+        for node in &self.nodes {
+            let log = fs::read_to_string(&node.log).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            let last = lines.len().saturating_sub(60);
+            eprintln!("--- {} ({})", node.name, node.log.display());
+            eprintln!("{}", lines[last..].join("\n"));
+        }
+    }
+}
+
+fn folder() -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let name = format!("chestnutyoke-{}-{number}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn standin(folder: &Path, kind: &str, name: &str, centre: &str, options: &[&str]) -> Standin {
+    let mut args = vec![kind.to_owned()];
+    args.extend(options.iter().map(|option| (*option).to_owned()));
+    let log = folder.join(format!("{name}.log"));
+    let (process, address) = Process::start_listening(STANDIN, &args, &log);
+    Standin {
+        name: name.to_owned(),
+        centre: centre.to_owned(),
+        address,
+        process,
+    }
+}
+
+impl Standin {
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.process.kill();
+    }
+
+    /// Tells whether the process has ended.
+    pub fn ended(&mut self) -> bool {
+        self.process.ended().is_some()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        self.process.signal(signal);
+    }
+
+    /// Sets faults.
+    pub async fn faults(&self, faults: Value) {
+        switch::post(self.address, "/faults", &faults).await;
+    }
+}
+
+async fn configure(plan: &Plan, platform: &Standin, runners: &[Standin], services: &[Standin]) {
+    let lines = runners.iter().map(|r| (r, Kind::Runner, MODEL));
+    let lines = lines.chain(services.iter().map(|s| (s, Kind::Service, SERVICE)));
+    let mut endpoints: Vec<settings::config::Endpoint> = lines
+        .map(|(standin, kind, serves)| settings::config::Endpoint {
+            name: id::Endpoint::parse(&standin.name).unwrap(),
+            kind,
+            address: standin.address.to_string(),
+            centre: id::Centre::parse(&standin.centre).unwrap(),
+            serves: vec![serves.to_owned()],
+            fences: kind == Kind::Runner,
+            slots: 8,
+            labels: label::Set::default(),
+        })
+        .collect();
+    endpoints.sort_by(|a, b| a.name.cmp(&b.name));
+    let mut config = Config {
+        revision: 1,
+        nonce: 1,
+        callers: vec![Caller {
+            name: id::Caller::parse("crew").unwrap(),
+            token: id::Digest::of(TOKEN.as_bytes()),
+            labels: label::Set::default(),
+        }],
+        endpoints,
+        selectors: vec![everything()],
+        ..Config::default()
+    };
+    (plan.configure)(&mut config);
+    let txn = Txn {
+        compares: vec![],
+        writes: vec![Put::Put {
+            key: node::controllers::config::KEY.to_owned(),
+            value: serde_json::to_vec(&config).unwrap(),
+            lease: None,
+        }],
+    };
+    let etcd = Etcd::new(vec![platform.address], Millis::new(10_000));
+    etcd.commit(&txn, Weight::Change).await.unwrap();
+}
+
+/// The selector that lets all callers use all endpoints, with every operation at most once.
+fn everything() -> Selector {
+    let text = json!({ "name": "all", "once": ["*"] });
+    serde_json::from_value(text).unwrap()
+}
+
+async fn list(plan: &Plan, platform: &Standin) {
+    let mut lines = Vec::new();
+    for (centre, vms) in &plan.centres {
+        lines.extend(vms.iter().map(|vm| (*vm, *centre)));
+    }
+    let endpoints = plan.runners.iter().chain(&plan.services);
+    lines.extend(endpoints.map(|endpoint| (endpoint.name, endpoint.centre)));
+    let vms: Vec<Value> = lines
+        .into_iter()
+        .map(|(name, centre)| json!({ "name": name, "centre": centre, "standing": "live" }))
+        .collect();
+    switch::post(platform.address, "/vms", &json!({ "vms": vms })).await;
+}
+
+struct Seat {
+    name: &'static str,
+    centre: &'static str,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    admin: SocketAddr,
+}
+
+fn start_nodes(plan: &Plan, relays: &Relays, folder: &Path) -> Vec<Node> {
+    let mut seats = Vec::new();
+    for (centre, vms) in &plan.centres {
+        seats.extend(vms.iter().map(|vm| Seat {
+            name: vm,
+            centre,
+            callers: port::free(),
+            peers: port::free(),
+            admin: port::free(),
+        }));
+    }
+    let start = |seat: &Seat| {
+        let settings = folder.join(format!("{}.toml", seat.name));
+        let log = folder.join(format!("{}.log", seat.name));
+        fs::write(&settings, settings_text(plan, relays, &seats, seat)).unwrap();
+        Node {
+            name: seat.name.to_owned(),
+            centre: seat.centre.to_owned(),
+            callers: seat.callers,
+            peers: seat.peers,
+            admin: seat.admin,
+            process: start_node(&settings, &log),
+            settings,
+            log,
+        }
+    };
+    seats.iter().map(start).collect()
+}
+
+fn start_node(settings: &Path, log: &Path) -> Process {
+    let file = settings.to_str().unwrap().to_owned();
+    let args = ["serve".to_owned(), "--settings".to_owned(), file];
+    Process::start(NODE, &args, log)
+}
+
+fn settings_text(plan: &Plan, relays: &Relays, seats: &[Seat], own: &Seat) -> String {
+    let platform = relays.platform_of(own.centre).address();
+    let mut text = format!(
+        "[vm]\nname = \"{}\"\ncentre = \"{}\"\n\
+         [listen]\ncallers = \"{}\"\npeers = \"{}\"\nadmin = \"{}\"\n\
+         [platform]\naddresses = [\"{platform}\"]\n{}\
+         [limits]\n{}",
+        own.name,
+        own.centre,
+        own.callers,
+        own.peers,
+        own.admin,
+        plan.platform_lines,
+        plan.limit_lines,
+    );
+    for (centre, _) in &plan.centres {
+        write!(
+            text,
+            "[[centres]]\nname = \"{centre}\"\nshards = {}\n",
+            plan.shards
+        )
+        .unwrap();
+    }
+    for other in seats.iter().filter(|seat| seat.name != own.name) {
+        write!(
+            text,
+            "[[peers]]\nname = \"{}\"\ncentre = \"{}\"\naddress = \"{}\"\n",
+            other.name, other.centre, other.peers
+        )
+        .unwrap();
+    }
+    text
+}
--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -122,8 +122,7 @@
 
 async fn relay(core: Arc<Core>, ask: Ask, replies: UnboundedSender<Reply>) {
     let mut last = no_owner(&ask);
-    // How many earlier tries may have arrived at an owner.
-    let mut arrived = Ran::No;
+    let mut arrived = earlier(&ask);
     for tried in 0..TRIES {
         if tried > 0 {
             await_news(&core).await;
@@ -147,6 +146,18 @@
     let _gone = replies.send(Reply::Refused(last));
 }
 
+/// Tells what a VM that can't reach the owner knows of earlier askings of the same call.
+///
+/// Only the owner's journal tells whether a call with an idempotency key has been sent. The caller
+/// of a switching order whose owner died asks again; were it told here that the order did not run,
+/// it would give another one, and both would have run.
+fn earlier(ask: &Ask) -> Ran {
+    match &ask.body {
+        Body::Call(call) if call.key.is_some() => Ran::Unknown,
+        Body::Call(_) | Body::Chat(_) | Body::Create | Body::Show | Body::End => Ran::No,
+    }
+}
+
 /// Waits for a change of the view, as it may name a new owner.
 async fn await_news(core: &Core) {
     let mut news = core.view.subscribe();
