Blame a request for a crash only where the runner is gone

Change: before the blame the owner asks the runner for its load; one that answers within a second hasn't crashed, as a model engine that starts anew has to load its weights first.

--- a/crates/node/src/dispatch/runner.rs
+++ b/crates/node/src/dispatch/runner.rs
@@ -1,6 +1,8 @@
 //! Speaks to model runners: one streamed chat completion, watched for silence, its output limit
 //! and its end marker.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -25,6 +27,9 @@
 const URGENT: i64 = -1;
 /// The priority field of routine calls.
 const ROUTINE: i64 = 0;
+/// How long a runner may take to show that it lives after a connection broke off: many times what
+/// a load report takes, and less than any start of a model engine.
+const PROBE: Duration = Duration::from_secs(1);
 /// How much of a refusal's body is read, in bytes.
 const MAX_REFUSAL: usize = 64 * 1024;
 
@@ -78,6 +83,16 @@
     Stalled(String),
 }
 
+/// Tells whether a runner whose connection broke off still lives.
+///
+/// A network fault or a slow reader's cut would else count as a crash, and two of them would
+/// condemn an innocent request for good. A runner that crashed can't answer at once: it has to
+/// load gigabytes of weights before it listens again.
+pub async fn lives(client: &Client, address: &str) -> bool {
+    let probe = client.answers(address, "/load");
+    timeout(PROBE, probe).await.unwrap_or(false)
+}
+
 /// Runs one attempt; `delta` is called with each piece of the message.
 pub async fn run(
     client: &Client,
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -70,6 +70,15 @@
 }
 
 impl Client {
+    /// Tells whether anyone answers a path at all, whatever the answer.
+    pub async fn answers(&self, address: &str, path: &str) -> bool {
+        let request = Request::get(format!("http://{address}{path}")).body(Full::default());
+        match request {
+            Ok(request) => self.0.request(request).await.is_ok(),
+            Err(_) => false,
+        }
+    }
+
     /// Sends a request and yields the answer once its headers are there.
     ///
     /// # Errors
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -241,14 +241,16 @@
         partial: &Partial,
     ) -> Result<Attempt> {
         let endpoint = ended.slot.endpoint.name.clone();
+        let address = ended.slot.endpoint.address.clone();
         let old = ended.id;
         drop(ended);
-        if failed.crashed && self.blame(&endpoint).await? {
+        let crashed = failed.crashed && !runner::lives(&self.core.client, &address).await;
+        if crashed && self.blame(&endpoint).await? {
             self.stop(old, failed.used).await?;
             return Err(Refusal::new(Code::Poisoned, "").ran(Ran::Yes));
         }
         work.avoid.push(endpoint);
-        if failed.crashed {
+        if crashed {
             work.content = Content::Suspect;
         }
         let after = match self.verdict(work, &failed, partial) {
