Play patterns of load around the decisions

Change: a virtual-clock driver (endpoints with slots, batching, prefill and a bounded prefix cache; reports 0.2 to 2 s old; six VMs without coordination), eight patterns, five policies, both deployments; a ledger that corrects load reports by the VM's own calls.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod class;
 pub mod displace;
 pub mod eject;
+pub mod ledger;
 pub mod place;
 pub mod queue;
 pub mod retry;
--- /dev/null
+++ b/crates/policy/tests/support/driver.rs
@@ -0,0 +1,551 @@
+//! The event loop: callers ask, VMs decide, endpoints work, reports arrive late.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use policy::admit;
+use policy::class::Class;
+use policy::displace;
+use policy::eject;
+use policy::queue;
+use wire::clock::Millis;
+use wire::id;
+
+use super::deployment::Deployment;
+use super::engine::Engine;
+use super::engine::Job;
+use super::outcome;
+use super::outcome::Fate;
+use super::outcome::Outcome;
+use super::outcome::Record;
+use super::rules::Rules;
+use super::vm;
+use super::vm::Home;
+use super::vm::Report;
+use super::vm::Vm;
+use super::work::CALLERS;
+use super::work::Pattern;
+use super::work::Program;
+
+/// How long a caller waits for one turn, with all its tries, before it gives the program up.
+pub const PATIENCE: u64 = 60_000;
+/// How often endpoints report.
+const REPORT: u64 = 500;
+/// How often VMs look after their queues.
+const TICK: u64 = 100;
+/// How often VMs judge the endpoints.
+const SWEEP: u64 = 1_000;
+/// How many times slower the fault of [`Pattern::SlowEndpoint`] makes an endpoint.
+const SLOWER: f64 = 10.0;
+
+/// What happens at a time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A caller asks for the turn that its program is at.
+    Ask { program: usize },
+    /// A caller's patience for a turn ends.
+    Tire { program: usize, turn: usize },
+    /// A call at an endpoint changes its phase, unless the epoch is over.
+    Work { endpoint: usize, epoch: u64 },
+    /// An endpoint makes a report.
+    Report { endpoint: usize },
+    /// A report arrives at the VMs.
+    Hear { endpoint: usize, report: usize },
+    /// VMs look after their queues.
+    Tick,
+    /// VMs judge the endpoints.
+    Sweep,
+    /// An endpoint becomes slow.
+    Fault { endpoint: usize },
+}
+
+/// Where a program stands.
+#[derive(Clone, Copy, Debug, Default)]
+struct Standing {
+    turn: usize,
+    /// When the turn was first asked.
+    asked: u64,
+    /// Tokens of the committed history.
+    history: u64,
+    /// Tokens that some endpoint has computed.
+    known: u64,
+    /// Tokens of this turn generated before a displacement.
+    made: u64,
+    /// Service had, in milliseconds.
+    attained: u64,
+    displaced: u32,
+    home: Option<Home>,
+    sent: Option<Sent>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    endpoint: usize,
+    at: u64,
+}
+
+/// A run in progress.
+pub struct Driver<'a> {
+    programs: &'a [Program],
+    standings: Vec<Standing>,
+    records: Vec<Record>,
+    engines: Vec<Engine>,
+    vms: Vec<Vm>,
+    reports: Vec<Report>,
+    callers: Vec<id::Caller>,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    now: u64,
+    lags: Vec<u64>,
+}
+
+/// Plays the programs under one policy; counts those that begin after `warm`.
+pub fn play(
+    of: &Deployment,
+    rules: Rules,
+    pattern: Pattern,
+    programs: &[Program],
+    warm: u64,
+    span: u64,
+) -> Outcome {
+    let mut driver = Driver::new(of, rules, programs);
+    if pattern == Pattern::SlowEndpoint {
+        let endpoint = fastest(of);
+        driver.at(span / 3, Event::Fault { endpoint });
+    }
+    driver.run(span + 10 * PATIENCE);
+    outcome::sum(programs, &driver.records, warm, span)
+}
+
+fn fastest(of: &Deployment) -> usize {
+    let endpoints = of.endpoints.iter().enumerate();
+    let best = endpoints.max_by(|a, b| a.1.speed.total_cmp(&b.1.speed));
+    best.map_or(0, |(index, _)| index)
+}
+
+impl<'a> Driver<'a> {
+    fn new(of: &Deployment, rules: Rules, programs: &'a [Program]) -> Self {
+        let caller = |n: usize| id::Caller::parse(&format!("caller-{n}")).expect("it is an id");
+        let mut driver = Self {
+            programs,
+            standings: vec![Standing::default(); programs.len()],
+            records: vec![Record::new(); programs.len()],
+            engines: of.endpoints.iter().map(|e| Engine::new(*e)).collect(),
+            vms: (0..of.vms).map(|n| Vm::new(of, rules, n)).collect(),
+            reports: Vec::new(),
+            callers: (0..CALLERS).map(caller).collect(),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            now: 0,
+            lags: of.endpoints.iter().map(|e| e.lag).collect(),
+        };
+        for (program, of) in programs.iter().enumerate() {
+            driver.at(of.arrival, Event::Ask { program });
+        }
+        for endpoint in 0..of.endpoints.len() {
+            let stagger = endpoint as u64 * REPORT / of.endpoints.len() as u64;
+            driver.at(stagger, Event::Report { endpoint });
+        }
+        driver.at(TICK, Event::Tick);
+        driver.at(SWEEP, Event::Sweep);
+        driver
+    }
+
+    fn at(&mut self, time: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((time, self.sequence, event)));
+    }
+
+    fn run(&mut self, until: u64) {
+        while let Some(Reverse((time, _, event))) = self.events.pop() {
+            if time > until {
+                return;
+            }
+            self.now = time;
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Ask { program } => self.ask(program),
+            Event::Tire { program, turn } => self.tire(program, turn),
+            Event::Work { endpoint, epoch } if self.engines[endpoint].epoch == epoch => {
+                self.work(endpoint);
+            }
+            Event::Work { .. } => {}
+            Event::Report { endpoint } => self.report(endpoint),
+            Event::Hear { endpoint, report } => self.hear(endpoint, report),
+            Event::Tick => self.tick(),
+            Event::Sweep => self.sweep(),
+            Event::Fault { endpoint } => {
+                self.engines[endpoint].set_fault(SLOWER, self.now);
+                self.schedule(endpoint);
+            }
+        }
+    }
+
+    fn millis(&self) -> Millis {
+        Millis::new(self.now)
+    }
+
+    fn ask(&mut self, program: usize) {
+        if self.records[program].fate != Fate::Open {
+            return;
+        }
+        let standing = &mut self.standings[program];
+        if standing.asked == 0 {
+            standing.asked = self.now.max(1);
+            let turn = standing.turn;
+            self.at(self.now + PATIENCE, Event::Tire { program, turn });
+        }
+        let vm = program % self.vms.len();
+        match self.vms[vm].rules {
+            Rules::Ours => self.admit(vm, program),
+            Rules::FifoLeast => {
+                self.vms[vm].fifo.push_back(program);
+                self.pump(vm);
+            }
+            Rules::RoundRobin | Rules::LeastOutstanding | Rules::Sticky => {
+                let home = self.standings[program].home.map(|home| home.endpoint);
+                let endpoint = self.vms[vm].direct(home);
+                self.send(vm, program, endpoint);
+            }
+        }
+    }
+
+    fn admit(&mut self, at: usize, program: usize) {
+        let class = self.programs[program].class;
+        let caller = &self.callers[self.programs[program].caller];
+        let vm = &mut self.vms[at];
+        let load = admit::Load::of(&vm.queue, &vm.drain, class, caller);
+        let call = admit::Call {
+            class,
+            stage: match self.standings[program].turn {
+                0 => admit::Stage::First,
+                _ => admit::Stage::Later,
+            },
+            deadline: None,
+            run: Millis::new(vm.service as u64),
+        };
+        match admit::decide(&load, &call, &mut vm.rng) {
+            Ok(()) => {
+                let since = self.millis();
+                self.enqueue(at, program, since);
+                self.pump(at);
+            }
+            Err(refusal) => self.refuse(program, refusal.retry_after),
+        }
+    }
+
+    fn enqueue(&mut self, at: usize, program: usize, since: Millis) {
+        let of = &self.programs[program];
+        let vm = &mut self.vms[at];
+        let run = Millis::new(vm.service as u64);
+        let entry = queue::Entry {
+            item: program,
+            class: of.class,
+            caller: self.callers[of.caller].clone(),
+            attained: Millis::new(self.standings[program].attained),
+            cost: run,
+            since,
+            expires: queue::expiry(since, of.class, None, run),
+        };
+        if vm.queue.push(entry).is_err() {
+            self.refuse(program, Some(admit::MIN_RETRY));
+        }
+    }
+
+    /// Lets a caller come back, if its patience lasts so long.
+    fn refuse(&mut self, program: usize, retry_after: Option<Millis>) {
+        self.records[program].refusals += 1;
+        let back = self.now + retry_after.unwrap_or(admit::MIN_RETRY).as_u64();
+        if back < self.standings[program].asked + PATIENCE {
+            self.at(back, Event::Ask { program });
+            return;
+        }
+        self.lose(program);
+    }
+
+    fn lose(&mut self, program: usize) {
+        self.records[program].fate = Fate::Lost;
+        self.records[program].ended = self.now;
+    }
+
+    fn tire(&mut self, program: usize, turn: usize) {
+        if self.records[program].fate != Fate::Open || self.standings[program].turn != turn {
+            return;
+        }
+        self.lose(program);
+        let vm = program % self.vms.len();
+        self.vms[vm].queue.remove(|item| *item == program);
+        self.vms[vm].fifo.retain(|item| *item != program);
+    }
+
+    /// Sends what can be sent.
+    fn pump(&mut self, at: usize) {
+        match self.vms[at].rules {
+            Rules::Ours => {
+                self.pump_queue(at);
+                self.displace(at);
+            }
+            Rules::FifoLeast => self.pump_fifo(at),
+            Rules::RoundRobin | Rules::LeastOutstanding | Rules::Sticky => {}
+        }
+    }
+
+    fn pump_fifo(&mut self, at: usize) {
+        while !self.vms[at].fifo.is_empty() {
+            let endpoint = self.vms[at].least_outstanding();
+            if !self.vms[at].has_slot(endpoint) {
+                return;
+            }
+            if let Some(program) = self.vms[at].fifo.pop_front() {
+                self.send(at, program, endpoint);
+            }
+        }
+    }
+
+    fn pump_queue(&mut self, at: usize) {
+        let now = self.millis();
+        loop {
+            let programs = self.programs;
+            let standings = &self.standings;
+            let vm = &mut self.vms[at];
+            let mut endpoint = 0;
+            let (views, detectors, weights) = (&vm.views, &vm.detectors, &vm.weights);
+            let output = vm.output;
+            let entry = vm.queue.pop_where(|entry| {
+                let call = call(programs, standings, entry.item, output);
+                match vm::choose(views, detectors, weights, &call, now) {
+                    Some(choice) if choice.start == policy::place::Start::Now => {
+                        endpoint = choice.index;
+                        true
+                    }
+                    _ => false,
+                }
+            });
+            let Some(entry) = entry else {
+                return;
+            };
+            let left = vm.queue.len();
+            vm.drain.count(now, left);
+            self.send(at, entry.item, endpoint);
+        }
+    }
+
+    /// Gives the places of routine calls to urgent ones that wait.
+    fn displace(&mut self, at: usize) {
+        for _ in 0..self.vms[at].queue.waiting(Class::Urgent) {
+            let own: Vec<usize> = self.sent_by(at);
+            let running: Vec<displace::Running> =
+                own.iter().map(|program| self.running(*program)).collect();
+            let Some(chosen) = displace::choose(&running) else {
+                return;
+            };
+            self.stop(at, own[chosen]);
+            self.pump_queue(at);
+        }
+    }
+
+    fn sent_by(&self, at: usize) -> Vec<usize> {
+        let count = self.vms.len();
+        let own = (at..self.programs.len()).step_by(count);
+        own.filter(|program| {
+            self.standings[*program].sent.is_some() && self.records[*program].fate == Fate::Open
+        })
+        .collect()
+    }
+
+    fn running(&self, program: usize) -> displace::Running {
+        let standing = &self.standings[program];
+        let sent = standing.sent.map_or(self.now, |sent| sent.at);
+        let vm = &self.vms[program % self.vms.len()];
+        let spent = self.now - sent;
+        displace::Running {
+            class: self.programs[program].class,
+            resume: displace::Resume::Possible,
+            left: Millis::new((vm.service as u64).saturating_sub(spent)),
+            redo: Millis::ZERO,
+            attained: Millis::new(standing.attained + spent),
+            displaced: standing.displaced,
+        }
+    }
+
+    fn stop(&mut self, at: usize, program: usize) {
+        let Some(sent) = self.standings[program].sent.take() else {
+            return;
+        };
+        let Some(job) = self.engines[sent.endpoint].cancel(program, self.now) else {
+            return;
+        };
+        self.schedule(sent.endpoint);
+        let now = self.millis();
+        self.vms[at].views[sent.endpoint]
+            .ledger
+            .end(Millis::new(sent.at), now);
+        let made = (job.output as f64 - job.left).max(0.0) as u64;
+        let begun = if job.begun == 0 { self.now } else { job.begun };
+        let standing = &mut self.standings[program];
+        standing.made += made;
+        standing.displaced += 1;
+        standing.attained += self.now - begun;
+        let asked = Millis::new(standing.asked);
+        self.enqueue(at, program, asked);
+    }
+
+    fn send(&mut self, at: usize, program: usize, endpoint: usize) {
+        let of = &self.programs[program];
+        let standing = &mut self.standings[program];
+        let turn = of.turns[standing.turn];
+        standing.sent = Some(Sent {
+            endpoint,
+            at: self.now,
+        });
+        let output = turn.output.saturating_sub(standing.made).max(1);
+        let vm = &mut self.vms[at];
+        let job = Job {
+            program,
+            vm: at,
+            class: match vm.rules {
+                Rules::Ours => of.class,
+                _ => Class::Routine,
+            },
+            prompt: standing.history + turn.add + standing.made,
+            output,
+            sent: self.now,
+            begun: 0,
+            miss: 0.0,
+            missed: 0,
+            left: output as f64,
+        };
+        vm.views[endpoint].ledger.send(Millis::new(self.now));
+        self.engines[endpoint].take(job, self.now);
+        self.schedule(endpoint);
+    }
+
+    fn schedule(&mut self, endpoint: usize) {
+        let engine = &self.engines[endpoint];
+        let epoch = engine.epoch;
+        if let Some(time) = engine.next() {
+            self.at(time, Event::Work { endpoint, epoch });
+        }
+    }
+
+    fn work(&mut self, endpoint: usize) {
+        let ended = self.engines[endpoint].step(self.now);
+        self.schedule(endpoint);
+        for job in ended {
+            self.finish(endpoint, &job);
+        }
+    }
+
+    fn finish(&mut self, endpoint: usize, job: &Job) {
+        let now = self.millis();
+        let service = self.now - job.begun;
+        let vm = &mut self.vms[job.vm];
+        vm.views[endpoint].ledger.end(Millis::new(job.sent), now);
+        vm.learn(job.output, service);
+        let pace = service as f64 / job.output as f64;
+        vm.detectors[endpoint].note(eject::Sample::Done { pace });
+        let record = &mut self.records[job.program];
+        let standing = &mut self.standings[job.program];
+        let had = job.prompt - job.missed;
+        record.again += standing.known.min(job.prompt).saturating_sub(had);
+        record.made += job.output;
+        standing.sent = None;
+        standing.history = job.prompt + job.output;
+        standing.known = standing.history;
+        standing.attained += service;
+        standing.made = 0;
+        standing.home = Some(Home {
+            endpoint,
+            tokens: standing.history,
+            at: self.now,
+        });
+        if record.fate == Fate::Open {
+            self.answer(job.program);
+        }
+        self.pump(job.vm);
+    }
+
+    fn answer(&mut self, program: usize) {
+        let of = &self.programs[program];
+        let standing = &mut self.standings[program];
+        let record = &mut self.records[program];
+        record.latency += self.now - standing.asked;
+        let pause = of.turns[standing.turn].pause;
+        standing.asked = 0;
+        standing.turn += 1;
+        if standing.turn == of.turns.len() {
+            record.fate = Fate::Whole;
+            record.ended = self.now;
+            return;
+        }
+        self.at(self.now + pause, Event::Ask { program });
+    }
+
+    fn report(&mut self, endpoint: usize) {
+        let engine = &self.engines[endpoint];
+        let mut held = engine.cache.clone();
+        held.sort_unstable();
+        let report = Report {
+            at: self.now,
+            calls: (engine.running.len() + engine.waiting.len()) as u32,
+            speed: engine.pace(),
+            held,
+        };
+        self.reports.push(report);
+        let report = self.reports.len() - 1;
+        self.at(
+            self.now + self.lags[endpoint],
+            Event::Hear { endpoint, report },
+        );
+        self.at(self.now + REPORT, Event::Report { endpoint });
+    }
+
+    fn hear(&mut self, endpoint: usize, report: usize) {
+        let report = std::mem::take(&mut self.reports[report]);
+        for at in 0..self.vms.len() {
+            self.vms[at].hear(endpoint, &report);
+            self.pump(at);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.millis();
+        for at in 0..self.vms.len() {
+            let vm = &mut self.vms[at];
+            vm.drain.roll(now);
+            for entry in vm.queue.give_up(now) {
+                let vm = &mut self.vms[at];
+                let load = admit::Load::of(&vm.queue, &vm.drain, entry.class, &entry.caller);
+                let refusal = admit::give_up(&load, &mut vm.rng);
+                self.refuse(entry.item, refusal.retry_after);
+            }
+            self.pump(at);
+        }
+        self.at(self.now + TICK, Event::Tick);
+    }
+
+    fn sweep(&mut self) {
+        let now = self.millis();
+        for vm in &mut self.vms {
+            eject::sweep(&mut vm.detectors, now);
+        }
+        self.at(self.now + SWEEP, Event::Sweep);
+    }
+}
+
+fn call(programs: &[Program], standings: &[Standing], program: usize, output: f64) -> vm::Call {
+    let standing = &standings[program];
+    let turn = programs[program].turns[standing.turn];
+    vm::Call {
+        program,
+        class: programs[program].class,
+        prompt: standing.history + turn.add + standing.made,
+        output: (output as u64).saturating_sub(standing.made).max(16),
+        home: standing.home,
+        salt: (program as u64) << 16 | standing.turn as u64,
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/support/engine.rs
@@ -0,0 +1,185 @@
+//! An endpoint: slots, continuous batching, prefill and a bounded prefix cache (least recently
+//! used goes first). Calls that find no slot wait at it, urgent ones first where told.
+
+use policy::class::Class;
+
+use super::deployment::Endpoint;
+
+/// How much slower each call generates in a full batch than alone.
+const BATCH: f64 = 0.5;
+/// The rate at which calls generate while a prompt is prefilled beside them.
+const BESIDE_PREFILL: f64 = 0.7;
+/// What is left of a phase when it counts as done, in tokens.
+const DONE: f64 = 1e-6;
+
+/// A call at an endpoint.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its program's index.
+    pub program: usize,
+    /// The VM that sent it.
+    pub vm: usize,
+    /// Its class, as the engine is told.
+    pub class: Class,
+    /// Tokens of the prompt, with what was generated before a displacement.
+    pub prompt: u64,
+    /// Tokens to generate.
+    pub output: u64,
+    /// When it was sent.
+    pub sent: u64,
+    /// When it got its slot.
+    pub begun: u64,
+    /// Prompt tokens left to prefill.
+    pub miss: f64,
+    /// Prompt tokens that the cache lacked when it began.
+    pub missed: u64,
+    /// Tokens left to generate.
+    pub left: f64,
+}
+
+/// An endpoint's state.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Its properties.
+    pub spec: Endpoint,
+    /// Calls that have a slot.
+    pub running: Vec<Job>,
+    /// Calls that have none.
+    pub waiting: Vec<Job>,
+    /// Programs and the tokens held of them, least recently used first.
+    pub cache: Vec<(usize, u64)>,
+    /// How many times slower than its properties say.
+    pub fault: f64,
+    /// Grows with each change; an event of an earlier one is void.
+    pub epoch: u64,
+    updated: u64,
+}
+
+impl Engine {
+    /// Builds an idle endpoint.
+    pub fn new(spec: Endpoint) -> Self {
+        Self {
+            spec,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            cache: Vec::new(),
+            fault: 1.0,
+            epoch: 0,
+            updated: 0,
+        }
+    }
+
+    /// Takes a call.
+    pub fn take(&mut self, job: Job, now: u64) {
+        self.advance(now);
+        let at = match job.class {
+            Class::Urgent => self.waiting.iter().position(|j| j.class == Class::Routine),
+            Class::Routine => None,
+        };
+        self.waiting.insert(at.unwrap_or(self.waiting.len()), job);
+        self.start(now);
+    }
+
+    /// Moves time on; yields the calls that ended.
+    pub fn step(&mut self, now: u64) -> Vec<Job> {
+        self.advance(now);
+        let ended: Vec<Job> = self
+            .running
+            .extract_if(.., |job| job.miss <= DONE && job.left <= DONE)
+            .collect();
+        for job in &ended {
+            self.hold(job.program, job.prompt + job.output);
+        }
+        self.start(now);
+        ended
+    }
+
+    /// Stops a call; yields it, with what it has generated missing from `left`.
+    pub fn cancel(&mut self, program: usize, now: u64) -> Option<Job> {
+        self.advance(now);
+        if let Some(at) = self.waiting.iter().position(|j| j.program == program) {
+            return Some(self.waiting.remove(at));
+        }
+        let at = self.running.iter().position(|j| j.program == program)?;
+        let job = self.running.remove(at);
+        let made = (job.output as f64 - job.left).max(0.0) as u64;
+        if job.miss <= DONE {
+            self.hold(program, job.prompt + made);
+        }
+        self.start(now);
+        Some(job)
+    }
+
+    /// Yields when the next call changes its phase.
+    pub fn next(&self) -> Option<u64> {
+        let (prefill, generate) = self.rates();
+        let spans = self.running.iter().map(|job| match job.miss > DONE {
+            true => job.miss / prefill,
+            false => job.left / generate,
+        });
+        let least = spans.min_by(f64::total_cmp)?;
+        Some(self.updated + (least * 1000.0).ceil().max(1.0) as u64)
+    }
+
+    /// Yields the tokens a second that one call gets now.
+    pub fn pace(&self) -> f64 {
+        self.rates().1
+    }
+
+    /// Yields the tokens held of a program.
+    pub fn held(&self, program: usize) -> u64 {
+        let found = self.cache.iter().find(|(held, _)| *held == program);
+        found.map_or(0, |(_, tokens)| *tokens)
+    }
+
+    /// Changes the endpoint's fault.
+    pub fn set_fault(&mut self, times: f64, now: u64) {
+        self.advance(now);
+        self.fault = times;
+        self.epoch += 1;
+    }
+
+    fn start(&mut self, now: u64) {
+        while self.running.len() < self.spec.slots as usize && !self.waiting.is_empty() {
+            let mut job = self.waiting.remove(0);
+            job.begun = now;
+            job.missed = job.prompt.saturating_sub(self.held(job.program));
+            job.miss = job.missed as f64;
+            self.running.push(job);
+        }
+        self.epoch += 1;
+    }
+
+    fn advance(&mut self, now: u64) {
+        let seconds = now.saturating_sub(self.updated) as f64 / 1000.0;
+        let (prefill, generate) = self.rates();
+        for job in &mut self.running {
+            if job.miss > DONE {
+                job.miss = (job.miss - prefill * seconds).max(0.0);
+            } else {
+                job.left = (job.left - generate * seconds).max(0.0);
+            }
+        }
+        self.updated = now;
+    }
+
+    /// Yields the rates of one prefill and of one generating call.
+    fn rates(&self) -> (f64, f64) {
+        let prefills = self.running.iter().filter(|job| job.miss > DONE).count();
+        let prefill = self.spec.prefill / self.fault / (prefills as f64).max(1.0);
+        let full = (f64::from(self.spec.slots) - 1.0).max(1.0);
+        let batch = (self.running.len() as f64 - 1.0).max(0.0) / full;
+        let beside = if prefills > 0 { BESIDE_PREFILL } else { 1.0 };
+        let generate = self.spec.speed / self.fault / (1.0 + BATCH * batch) * beside;
+        (prefill, generate)
+    }
+
+    fn hold(&mut self, program: usize, tokens: u64) {
+        self.cache.retain(|(held, _)| *held != program);
+        self.cache.push((program, tokens));
+        let mut sum: u64 = self.cache.iter().map(|(_, tokens)| tokens).sum();
+        while sum > self.spec.cache && self.cache.len() > 1 {
+            sum -= self.cache.remove(0).1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/support/vm.rs
@@ -0,0 +1,231 @@
+//! A VM: its queue, its view of the endpoints, and how it chooses among them.
+
+use std::collections::VecDeque;
+
+use policy::admit;
+use policy::class::Class;
+use policy::eject;
+use policy::ledger::Ledger;
+use policy::place;
+use policy::queue::Limits;
+use policy::queue::Queue;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use wire::clock::Millis;
+
+use super::deployment::Deployment;
+use super::rules::Rules;
+
+/// The weight of the latest call in a VM's means of output and service.
+const FRESH: f64 = 0.05;
+
+/// What an endpoint says of itself.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// When it said so.
+    pub at: u64,
+    /// Calls that run or wait there.
+    pub calls: u32,
+    /// Tokens a second for one call.
+    pub speed: f64,
+    /// Programs and tokens that its cache holds, sorted by program.
+    pub held: Vec<(usize, u64)>,
+}
+
+/// What a VM knows of an endpoint.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Its slots.
+    pub slots: u32,
+    /// Its rate of prefill.
+    pub prefill: f64,
+    /// Its last report.
+    pub report: Report,
+    /// The VM's own calls there.
+    pub ledger: Ledger,
+}
+
+/// What a VM knows of a call that waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    /// Its program.
+    pub program: usize,
+    /// Its class.
+    pub class: Class,
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Tokens expected.
+    pub output: u64,
+    /// Where the program's last call ended, how many tokens were left there, and when.
+    pub home: Option<Home>,
+    /// Differs from call to call.
+    pub salt: u64,
+}
+
+/// Where a program's prefix was left.
+#[derive(Clone, Copy, Debug)]
+pub struct Home {
+    /// The endpoint.
+    pub endpoint: usize,
+    /// Tokens.
+    pub tokens: u64,
+    /// When.
+    pub at: u64,
+}
+
+/// A VM's state.
+pub struct Vm {
+    /// How it decides.
+    pub rules: Rules,
+    /// The deployment's weights.
+    pub weights: place::Weights,
+    /// What waits, by our rules.
+    pub queue: Queue<usize>,
+    /// What waits, first in first out.
+    pub fifo: VecDeque<usize>,
+    /// The rate at which the queue drains.
+    pub drain: admit::Drain,
+    /// The endpoints.
+    pub views: Vec<View>,
+    /// What it saw them do.
+    pub detectors: Vec<eject::Detector>,
+    /// Its generator.
+    pub rng: ChaCha8Rng,
+    /// Mean tokens of a call.
+    pub output: f64,
+    /// Mean service of a call, in milliseconds.
+    pub service: f64,
+    /// The endpoint whose turn it is.
+    turn: usize,
+}
+
+impl Vm {
+    /// Builds a VM that knows the endpoints and nothing of their load.
+    pub fn new(of: &Deployment, rules: Rules, number: usize) -> Self {
+        let view = |spec: &super::deployment::Endpoint| View {
+            slots: spec.slots,
+            prefill: spec.prefill,
+            report: Report {
+                speed: spec.speed,
+                ..Report::default()
+            },
+            ledger: Ledger::default(),
+        };
+        Self {
+            rules,
+            weights: of.weights,
+            queue: Queue::new(Limits::default()),
+            fifo: VecDeque::new(),
+            drain: admit::Drain::default(),
+            views: of.endpoints.iter().map(view).collect(),
+            detectors: vec![eject::Detector::new(Millis::ZERO); of.endpoints.len()],
+            rng: ChaCha8Rng::seed_from_u64(number as u64),
+            output: of.output,
+            service: 5_000.0,
+            turn: number * of.endpoints.len() / of.vms,
+        }
+    }
+
+    /// Takes in a report.
+    pub fn hear(&mut self, endpoint: usize, report: &Report) {
+        let view = &mut self.views[endpoint];
+        view.ledger.report(Millis::new(report.at));
+        view.report = report.clone();
+    }
+
+    /// Takes in what a call was like.
+    pub fn learn(&mut self, output: u64, service: u64) {
+        self.output += FRESH * (output as f64 - self.output);
+        self.service += FRESH * (service as f64 - self.service);
+    }
+
+    /// Chooses an endpoint for a call that is sent at once, by a rule without a queue.
+    pub fn direct(&mut self, home: Option<usize>) -> usize {
+        match self.rules {
+            Rules::Sticky => home.unwrap_or_else(|| self.next_in_turn()),
+            Rules::RoundRobin => self.next_in_turn(),
+            _ => self.least_outstanding(),
+        }
+    }
+
+    /// Yields the endpoint with the fewest calls, and among equals the next in turn.
+    pub fn least_outstanding(&mut self) -> usize {
+        let first = self.next_in_turn();
+        let count = self.views.len();
+        let order = (0..count).map(|n| (first + n) % count);
+        let least = order.min_by_key(|at| outstanding(&self.views[*at]));
+        least.unwrap_or(first)
+    }
+
+    /// Tells whether an endpoint is thought to have a free slot.
+    pub fn has_slot(&self, endpoint: usize) -> bool {
+        let view = &self.views[endpoint];
+        outstanding(view) < view.slots
+    }
+
+    fn next_in_turn(&mut self) -> usize {
+        self.turn = (self.turn + 1) % self.views.len();
+        self.turn
+    }
+}
+
+/// Chooses the endpoint of a call by our rules.
+pub fn choose(
+    views: &[View],
+    detectors: &[eject::Detector],
+    weights: &place::Weights,
+    call: &Call,
+    now: Millis,
+) -> Option<place::Choice> {
+    let endpoints = views.iter().zip(detectors).enumerate();
+    let candidates: Vec<place::Candidate> = endpoints
+        .map(|(index, (view, detector))| candidate(index, view, detector, call, now))
+        .collect();
+    let placed = place::Call {
+        class: call.class,
+        prompt: call.prompt,
+        output: call.output,
+        salt: call.salt,
+    };
+    place::choose(&candidates, &placed, weights)
+}
+
+fn candidate(
+    index: usize,
+    view: &View,
+    detector: &eject::Detector,
+    call: &Call,
+    now: Millis,
+) -> place::Candidate {
+    place::Candidate {
+        slots: view.slots,
+        reported: view.report.calls,
+        sent: view.ledger.sent() as u32,
+        ended: view.ledger.ended() as u32,
+        speed: view.report.speed,
+        prefill: view.prefill,
+        cached: cached(index, view, call),
+        share: detector.share(now),
+    }
+}
+
+/// Yields what an endpoint is thought to hold: what the VM itself left there since the report, else
+/// what the report says.
+fn cached(index: usize, view: &View, call: &Call) -> u64 {
+    if let Some(home) = call.home
+        && home.endpoint == index
+        && home.at >= view.report.at
+    {
+        return home.tokens;
+    }
+    let held = &view.report.held;
+    match held.binary_search_by_key(&call.program, |(program, _)| *program) {
+        Ok(at) => held[at].1,
+        Err(_) => 0,
+    }
+}
+
+fn outstanding(view: &View) -> u32 {
+    let reported = view.report.calls.saturating_sub(view.ledger.ended() as u32);
+    reported + view.ledger.sent() as u32
+}
--- /dev/null
+++ b/crates/policy/tests/support/work.rs
@@ -0,0 +1,183 @@
+//! The patterns of load: who asks what, when. Made before a run, so that every policy gets the
+//! same programs.
+
+use policy::class::Class;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::deployment::Deployment;
+
+/// A pattern of load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pattern {
+    /// Arrivals at a share of the saturating load.
+    Steady(f64),
+    /// 0.6 of the load, with five times as much for ten seconds each minute.
+    Burst,
+    /// Two callers of forty send most of 1.3 times the load.
+    FewCallers,
+    /// Five programs in a hundred make ten times as many calls, without pauses.
+    HotPrograms,
+    /// 0.7 of the load; the fastest endpoint becomes ten times slower after a third of the time.
+    SlowEndpoint,
+    /// 0.9 of the load, a twentieth of the programs ten times as long.
+    LongAmongShort,
+    /// Only the urgent programs of twice the load.
+    UrgentAlone,
+    /// A caller floods with urgent work at 1.2 times the load, beside others' urgent work.
+    UrgentFlood,
+}
+
+impl Pattern {
+    /// Yields its name in the table.
+    pub fn name(self) -> String {
+        match self {
+            Self::Steady(load) => format!("steady {load:.2}"),
+            Self::Burst => "burst".into(),
+            Self::FewCallers => "few callers".into(),
+            Self::HotPrograms => "hot programs".into(),
+            Self::SlowEndpoint => "slow endpoint".into(),
+            Self::LongAmongShort => "long among short".into(),
+            Self::UrgentAlone => "urgent alone".into(),
+            Self::UrgentFlood => "urgent flood".into(),
+        }
+    }
+
+    /// Yields the load as a share of the saturating one at a time.
+    fn load(self, at: u64) -> f64 {
+        match self {
+            Self::Steady(load) => load,
+            Self::Burst if at % 60_000 < 10_000 => 3.0,
+            Self::Burst => 0.6,
+            Self::FewCallers => 1.3,
+            Self::HotPrograms => 0.8,
+            Self::SlowEndpoint => 0.7,
+            Self::LongAmongShort => 0.9,
+            Self::UrgentAlone => 2.0,
+            Self::UrgentFlood => 1.2,
+        }
+    }
+}
+
+/// How many callers there are.
+pub const CALLERS: usize = 40;
+/// The share of programs that are urgent.
+const URGENT: f64 = 0.03;
+/// The turns of a mean urgent program.
+const URGENT_TURNS: f64 = 2.0;
+/// The most turns, from the letter's largest program.
+const MOST_TURNS: usize = 77;
+
+/// One turn.
+#[derive(Clone, Copy, Debug)]
+pub struct Turn {
+    /// Prompt tokens that it adds.
+    pub add: u64,
+    /// Tokens that it generates.
+    pub output: u64,
+    /// The tool pause after it, in milliseconds.
+    pub pause: u64,
+}
+
+/// One program.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// Its caller.
+    pub caller: usize,
+    /// Its class.
+    pub class: Class,
+    /// When it begins.
+    pub arrival: u64,
+    /// Its turns.
+    pub turns: Vec<Turn>,
+}
+
+impl Program {
+    /// Yields the tokens that it generates in all.
+    pub fn output(&self) -> u64 {
+        self.turns.iter().map(|turn| turn.output).sum()
+    }
+}
+
+/// Makes the programs of a pattern; `rate` is the saturating load in programs a second.
+pub fn programs(
+    of: &Deployment,
+    pattern: Pattern,
+    rate: f64,
+    span: u64,
+    seed: u64,
+) -> Vec<Program> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut made = Vec::new();
+    let mut at = 0.0;
+    loop {
+        let load = pattern.load(at as u64);
+        at += exponential(&mut rng, 1000.0 / (rate * load));
+        if at >= span as f64 {
+            return made;
+        }
+        let program = program(of, pattern, at as u64, &mut rng);
+        if pattern != Pattern::UrgentAlone || program.class == Class::Urgent {
+            made.push(program);
+        }
+    }
+}
+
+fn program(of: &Deployment, pattern: Pattern, arrival: u64, rng: &mut ChaCha8Rng) -> Program {
+    let caller = caller(pattern, rng);
+    let flood = pattern == Pattern::UrgentFlood && caller == 0;
+    let urgent = rng.random::<f64>() < URGENT || flood;
+    let kind: f64 = rng.random();
+    let special = match pattern {
+        Pattern::HotPrograms | Pattern::LongAmongShort => kind < 0.05 && !urgent,
+        _ => false,
+    };
+    let mean = match (urgent, special) {
+        (true, _) => URGENT_TURNS,
+        (_, true) => of.turns * 10.0,
+        _ => of.turns,
+    };
+    let pause = match (pattern, special) {
+        (Pattern::HotPrograms, true) => 50.0,
+        _ => of.pause,
+    };
+    let count = (exponential(rng, mean).ceil() as usize).clamp(1, MOST_TURNS);
+    let turns = (0..count).map(|n| Turn {
+        add: around(rng, if n == 0 { of.first } else { of.add }),
+        output: around(rng, of.output),
+        pause: exponential(rng, pause) as u64,
+    });
+    Program {
+        caller,
+        class: if urgent {
+            Class::Urgent
+        } else {
+            Class::Routine
+        },
+        arrival,
+        turns: turns.collect(),
+    }
+}
+
+fn caller(pattern: Pattern, rng: &mut ChaCha8Rng) -> usize {
+    let heavy = match pattern {
+        Pattern::FewCallers => 2,
+        Pattern::UrgentFlood => 1,
+        _ => 0,
+    };
+    if heavy > 0 && rng.random::<f64>() < 0.7 {
+        return rng.random_range(0..heavy);
+    }
+    rng.random_range(heavy..CALLERS)
+}
+
+/// Draws from the exponential distribution.
+fn exponential(rng: &mut ChaCha8Rng, mean: f64) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
+
+/// Draws a positive number whose mean is the one given: half of it plus an exponential half.
+fn around(rng: &mut ChaCha8Rng, mean: f64) -> u64 {
+    (mean / 2.0 + exponential(rng, mean / 2.0)).ceil() as u64
+}
