Count what a prefill costs the batch when placing a call

Cause: load reports gave the speed of the moment, which a prefill beside the batch lowers by a third; calls fled from it and paid for their whole prompt, and that prefill in turn slowed the batch that they joined. Change: the speed is smoothed over some ten seconds; the cost of a miss counts the time that every call of the batch loses by it.

--- a/crates/policy/examples/patterns/capacity.rs
+++ b/crates/policy/examples/patterns/capacity.rs
@@ -12,7 +12,7 @@
 const WARM: u64 = 60_000;
 /// A load is carried while the routine programs' p95 is under this many times that of an idle
 /// fleet.
-const STRETCH: u64 = 3;
+const STRETCH: u64 = 2;
 
 /// Finds the highest load in programs a second that the policy carries, by bisection.
 pub fn saturating(of: &Deployment, rules: Rules) -> f64 {
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -28,6 +28,9 @@
 /// in throughput stays under the share itself, as a batch is most efficient near full.
 pub const URGENT_SHARE: f64 = 1.0 / 16.0;
 
+/// The share of its speed that each call of a batch loses while a prompt is prefilled beside it.
+pub const TOLL: f64 = 0.3;
+
 /// An endpoint that may run the call, as this VM sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -39,7 +42,7 @@
     pub sent: u32,
     /// Calls of this VM's that were in the report and have ended since.
     pub ended: u32,
-    /// Tokens a second that it generates for one call, as measured.
+    /// Tokens a second that it generates for one call, as measured over some ten seconds.
     pub speed: f64,
     /// Prompt tokens a second that it prefills, as measured.
     pub prefill: f64,
@@ -183,7 +186,8 @@
     } else {
         (Start::Later, over * run / room)
     };
-    let cost = weights.latency * (wait + miss + run) + weights.cache * miss;
+    let toll = miss * f64::from(occupied(of).min(of.slots)) * TOLL;
+    let cost = weights.latency * (wait + miss + run + toll) + weights.cache * miss;
     Some(Choice {
         index,
         start,
--- a/crates/policy/tests/support/vm.rs
+++ b/crates/policy/tests/support/vm.rs
@@ -19,6 +19,9 @@
 /// The weight of the latest call in a VM's means of output and service.
 const FRESH: f64 = 0.05;
 
+/// The weight of the latest report in an endpoint's speed.
+const SMOOTH: f64 = 0.1;
+
 /// What an endpoint says of itself.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -130,7 +133,9 @@
     pub fn hear(&mut self, endpoint: usize, report: &Report) {
         let view = &mut self.views[endpoint];
         view.ledger.report(Millis::new(report.at));
+        let speed = view.report.speed;
         view.report = report.clone();
+        view.report.speed = speed + SMOOTH * (report.speed - speed);
     }
 
     /// Takes in what a call was like.
