Keep a lane for urgent calls, and count who waits for an endpoint

Cause 1: an urgent call got its slot at once, but a full batch and its prefills made it twice as slow. Ruled out: more free slots at each endpoint (they don't shrink the batch). Change: the same reserve in one endpoint of sixteen. Cause 2: each waiting call took itself for the next one at a fast endpoint, so slow ones stayed idle. Change: calls ahead in the VM's queue are counted.

--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -22,12 +22,18 @@
 /// A report that is a second old is off by about the calls that start and end in a second; with
 /// calls of some seconds that is near a tenth of a full batch.
 pub const TIE: f64 = 0.1;
-/// The share of an endpoint's slots that routine calls leave free, at least one slot.
+/// One endpoint in so many is a lane for urgent calls.
 ///
-/// Urgent work is rare; one slot in sixteen at each endpoint lets it start at once while the loss
-/// in throughput stays under the share itself, as a batch is most efficient near full.
-pub const URGENT_SHARE: f64 = 1.0 / 16.0;
-
+/// An urgent call in a full batch takes about twice as long as alone, as each call slows the
+/// others and their prefills stop it; a free slot there is no help. The same reserve in one place,
+/// an endpoint that routine calls leave nearly empty, lets it run as if there were no load.
+pub const LANE_OF: usize = 16;
+/// The smallest fleet that has a lane; a smaller one would give up more than an eighth of itself
+/// and keeps one slot free at each endpoint instead.
+pub const LANE_FLEET: usize = 8;
+/// The share of a lane's slots that routine calls may use, so that it isn't idle when nothing
+/// urgent comes and its speed is known.
+pub const LANE_ROUTINE: f64 = 0.125;
 /// The share of its speed that each call of a batch loses while a prompt is prefilled beside it.
 pub const TOLL: f64 = 0.3;
 
@@ -42,6 +48,9 @@
     pub sent: u32,
     /// Calls of this VM's that were in the report and have ended since.
     pub ended: u32,
+    /// Calls of this VM that are ahead of this one and wait for this endpoint. Without them every
+    /// call that waits takes itself for the next one there, and slower endpoints stay idle.
+    pub claimed: u32,
     /// Tokens a second that it generates for one call, as measured over some ten seconds.
     pub speed: f64,
     /// Prompt tokens a second that it prefills, as measured.
@@ -51,6 +60,20 @@
     /// The share of its slots that may be used, from [`crate::shift`] and [`crate::eject`]: 1 for
     /// an endpoint in good standing, 0 for one that gets nothing.
     pub share: f64,
+    /// What it is kept for; see [`lanes`].
+    pub lane: Lane,
+}
+
+/// What an endpoint is kept for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Lane {
+    /// All work alike, in a fleet that has a lane for urgent work elsewhere.
+    #[default]
+    Open,
+    /// All work, with a slot kept free for urgent calls, in a fleet too small for a lane.
+    Shared,
+    /// Urgent work, with little else.
+    Urgent,
 }
 
 /// What has to be known of a call to place it.
@@ -150,15 +173,34 @@
         && choice.start == cheapest.start
 }
 
+/// Yields what each endpoint of a pool is kept for, given their speeds; the fastest are the lanes.
+///
+/// VMs that see the same reports agree on the lanes nearly always; where they don't, one more
+/// endpoint is partly kept free for a while.
+#[must_use]
+pub fn lanes(speeds: &[f64]) -> Vec<Lane> {
+    if speeds.len() < LANE_FLEET {
+        return vec![Lane::Shared; speeds.len()];
+    }
+    let count = (speeds.len() / LANE_OF).max(1);
+    let mut order: Vec<usize> = (0..speeds.len()).collect();
+    order.sort_by(|a, b| speeds[*b].total_cmp(&speeds[*a]));
+    let mut lanes = vec![Lane::Open; speeds.len()];
+    for index in &order[..count] {
+        lanes[*index] = Lane::Urgent;
+    }
+    lanes
+}
+
 /// Yields how many calls of a class the endpoint may have at once; routine calls keep one slot
 /// where an endpoint has no more to use.
 #[must_use]
-pub fn room(slots: u32, share: f64, class: Class) -> f64 {
+pub fn room(slots: u32, share: f64, class: Class, lane: Lane) -> f64 {
     let usable = (f64::from(slots) * share).ceil();
-    let kept = (f64::from(slots) * URGENT_SHARE).ceil();
-    match class {
-        Class::Urgent => usable,
-        Class::Routine => (usable - kept).max(usable.min(1.0)),
+    match (class, lane) {
+        (Class::Urgent, _) | (Class::Routine, Lane::Open) => usable,
+        (Class::Routine, Lane::Shared) => (usable - 1.0).max(usable.min(1.0)),
+        (Class::Routine, Lane::Urgent) => (usable * LANE_ROUTINE).ceil(),
     }
 }
 
@@ -174,13 +216,13 @@
     reason = "token counts are far below 2^52"
 )]
 fn weigh(index: usize, of: &Candidate, call: &Call, weights: &Weights) -> Option<Choice> {
-    let room = room(of.slots, of.share, call.class);
+    let room = room(of.slots, of.share, call.class, of.lane);
     if room < 1.0 || of.speed <= 0.0 || of.prefill <= 0.0 {
         return None;
     }
     let run = call.output as f64 / of.speed * 1000.0;
     let miss = call.prompt.saturating_sub(of.cached) as f64 / of.prefill * 1000.0;
-    let over = f64::from(occupied(of)) + 1.0 - room;
+    let over = f64::from(occupied(of)) + f64::from(of.claimed) + 1.0 - room;
     let (start, wait) = if over <= 0.0 {
         (Start::Now, 0.0)
     } else {
--- a/crates/policy/src/place/tests.rs
+++ b/crates/policy/src/place/tests.rs
@@ -2,9 +2,11 @@
 
 use super::Call;
 use super::Candidate;
+use super::Lane;
 use super::Start;
 use super::Weights;
 use super::choose;
+use super::lanes;
 use super::room;
 use crate::class::Class;
 
@@ -13,10 +15,12 @@
     reported: 0,
     sent: 0,
     ended: 0,
+    claimed: 0,
     speed: 50.0,
     prefill: 5_000.0,
     cached: 0,
     share: 1.0,
+    lane: Lane::Shared,
 };
 
 const CALL: Call = Call {
@@ -122,20 +126,37 @@
 }
 
 #[rstest]
-#[case(16, 1.0, Class::Urgent, 16.0)]
-#[case(16, 1.0, Class::Routine, 15.0)]
-#[case(8, 0.125, Class::Urgent, 1.0)]
-#[case(1, 1.0, Class::Urgent, 1.0)]
-#[case(1, 1.0, Class::Routine, 1.0)]
-#[case(8, 0.125, Class::Routine, 1.0)]
-#[case(8, 0.0, Class::Routine, 0.0)]
-fn room_follows_share_and_class(
+#[case(16, 1.0, Class::Urgent, Lane::Shared, 16.0)]
+#[case(16, 1.0, Class::Routine, Lane::Shared, 15.0)]
+#[case(16, 1.0, Class::Routine, Lane::Open, 16.0)]
+#[case(16, 1.0, Class::Routine, Lane::Urgent, 2.0)]
+#[case(16, 1.0, Class::Urgent, Lane::Urgent, 16.0)]
+#[case(8, 0.125, Class::Urgent, Lane::Shared, 1.0)]
+#[case(1, 1.0, Class::Urgent, Lane::Shared, 1.0)]
+#[case(1, 1.0, Class::Routine, Lane::Shared, 1.0)]
+#[case(8, 0.125, Class::Routine, Lane::Shared, 1.0)]
+#[case(8, 0.0, Class::Routine, Lane::Urgent, 0.0)]
+fn room_follows_share_class_and_lane(
     #[case] slots: u32,
     #[case] share: f64,
     #[case] class: Class,
+    #[case] lane: Lane,
     #[case] expected: f64,
 ) {
-    assert!((room(slots, share, class) - expected).abs() < 1e-9);
+    assert!((room(slots, share, class, lane) - expected).abs() < 1e-9);
+}
+
+#[rstest]
+#[case(7, 0)]
+#[case(8, 1)]
+#[case(15, 1)]
+#[case(600, 37)]
+fn a_fleet_has_a_lane_in_sixteen(#[case] endpoints: u32, #[case] expected: usize) {
+    let speeds: Vec<f64> = (0..endpoints).map(f64::from).collect();
+    let lanes = lanes(&speeds);
+    let urgent = lanes.iter().filter(|lane| **lane == Lane::Urgent);
+    assert_eq!(urgent.count(), expected);
+    assert_eq!(expected > 0, lanes.last() == Some(&Lane::Urgent));
 }
 
 #[test]
--- a/crates/policy/tests/support/driver.rs
+++ b/crates/policy/tests/support/driver.rs
@@ -7,6 +7,7 @@
 use policy::class::Class;
 use policy::displace;
 use policy::eject;
+use policy::place;
 use policy::queue;
 use wire::clock::Millis;
 use wire::id;
@@ -313,17 +314,22 @@
             let standings = &self.standings;
             let vm = &mut self.vms[at];
             let mut endpoint = 0;
-            let (views, detectors, weights) = (&vm.views, &vm.detectors, &vm.weights);
+            let mut claims = vec![0; vm.views.len()];
+            let fleet = vm::Fleet {
+                views: &vm.views,
+                lanes: &vm.lanes,
+                detectors: &vm.detectors,
+                weights: &vm.weights,
+            };
             let output = vm.output;
             let entry = vm.queue.pop_where(|entry| {
                 let call = call(programs, standings, entry.item, output);
-                match vm::choose(views, detectors, weights, &call, now) {
-                    Some(choice) if choice.start == policy::place::Start::Now => {
-                        endpoint = choice.index;
-                        true
-                    }
-                    _ => false,
-                }
+                let Some(choice) = fleet.choose(&call, &claims, now) else {
+                    return false;
+                };
+                endpoint = choice.index;
+                claims[endpoint] += 1;
+                choice.start == place::Start::Now
             });
             let Some(entry) = entry else {
                 return;
@@ -531,7 +537,7 @@
     fn sweep(&mut self) {
         let now = self.millis();
         for vm in &mut self.vms {
-            eject::sweep(&mut vm.detectors, now);
+            vm.sweep(now);
         }
         self.at(self.now + SWEEP, Event::Sweep);
     }
--- a/crates/policy/tests/support/vm.rs
+++ b/crates/policy/tests/support/vm.rs
@@ -90,6 +90,8 @@
     pub drain: admit::Drain,
     /// The endpoints.
     pub views: Vec<View>,
+    /// What they are kept for.
+    pub lanes: Vec<place::Lane>,
     /// What it saw them do.
     pub detectors: Vec<eject::Detector>,
     /// Its generator.
@@ -121,6 +123,7 @@
             fifo: VecDeque::new(),
             drain: admit::Drain::default(),
             views: of.endpoints.iter().map(view).collect(),
+            lanes: place::lanes(&of.endpoints.iter().map(|e| e.speed).collect::<Vec<_>>()),
             detectors: vec![eject::Detector::new(Millis::ZERO); of.endpoints.len()],
             rng: ChaCha8Rng::seed_from_u64(number as u64),
             output: of.output,
@@ -138,6 +141,13 @@
         view.report.speed = speed + SMOOTH * (report.speed - speed);
     }
 
+    /// Judges the endpoints.
+    pub fn sweep(&mut self, now: Millis) {
+        eject::sweep(&mut self.detectors, now);
+        let speeds: Vec<f64> = self.views.iter().map(|view| view.report.speed).collect();
+        self.lanes = place::lanes(&speeds);
+    }
+
     /// Takes in what a call was like.
     pub fn learn(&mut self, output: u64, service: u64) {
         self.output += FRESH * (output as f64 - self.output);
@@ -174,25 +184,37 @@
     }
 }
 
-/// Chooses the endpoint of a call by our rules.
-pub fn choose(
-    views: &[View],
-    detectors: &[eject::Detector],
-    weights: &place::Weights,
-    call: &Call,
-    now: Millis,
-) -> Option<place::Choice> {
-    let endpoints = views.iter().zip(detectors).enumerate();
-    let candidates: Vec<place::Candidate> = endpoints
-        .map(|(index, (view, detector))| candidate(index, view, detector, call, now))
-        .collect();
-    let placed = place::Call {
-        class: call.class,
-        prompt: call.prompt,
-        output: call.output,
-        salt: call.salt,
-    };
-    place::choose(&candidates, &placed, weights)
+/// The part of a VM's state that a placement reads.
+pub struct Fleet<'a> {
+    /// The endpoints.
+    pub views: &'a [View],
+    /// What they are kept for.
+    pub lanes: &'a [place::Lane],
+    /// What the VM saw them do.
+    pub detectors: &'a [eject::Detector],
+    /// The deployment's weights.
+    pub weights: &'a place::Weights,
+}
+
+impl Fleet<'_> {
+    /// Chooses the endpoint of a call by our rules.
+    pub fn choose(&self, call: &Call, claims: &[u32], now: Millis) -> Option<place::Choice> {
+        let endpoints = self.views.iter().zip(self.detectors).enumerate();
+        let candidates: Vec<place::Candidate> = endpoints
+            .map(|(index, (view, detector))| place::Candidate {
+                claimed: claims[index],
+                lane: self.lanes[index],
+                ..candidate(index, view, detector, call, now)
+            })
+            .collect();
+        let placed = place::Call {
+            class: call.class,
+            prompt: call.prompt,
+            output: call.output,
+            salt: call.salt,
+        };
+        place::choose(&candidates, &placed, self.weights)
+    }
 }
 
 fn candidate(
@@ -207,10 +229,12 @@
         reported: view.report.calls,
         sent: view.ledger.sent() as u32,
         ended: view.ledger.ended() as u32,
+        claimed: 0,
         speed: view.report.speed,
         prefill: view.prefill,
         cached: cached(index, view, call),
         share: detector.share(now),
+        lane: place::Lane::default(),
     }
 }
 
