Discount faster endpoints while slots are scarce

Cause: near saturation calls left their prefix for a faster endpoint; one call's gain there is another's loss, and the prefill is a loss to all. Change: the run's part of the cost shrinks with the share of room that is taken.

--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -139,15 +139,14 @@
 /// Chooses the endpoint of least cost; `None` where no candidate may be used at all.
 #[must_use]
 pub fn choose(candidates: &[Candidate], call: &Call, weights: &Weights) -> Option<Choice> {
+    let scarcity = scarcity(candidates, call);
+    let weigh = |(index, of)| weigh(index, of, call, weights, scarcity);
     let cheapest = candidates
         .iter()
         .enumerate()
-        .filter_map(|(index, of)| weigh(index, of, call, weights))
+        .filter_map(weigh)
         .min_by(|a, b| a.cost.total_cmp(&b.cost))?;
-    let choices = candidates
-        .iter()
-        .enumerate()
-        .filter_map(|(index, of)| weigh(index, of, call, weights));
+    let choices = candidates.iter().enumerate().filter_map(weigh);
     let mut best = cheapest;
     let mut best_draw = mix(call.salt, best.index);
     let mut next = f64::INFINITY;
@@ -173,6 +172,24 @@
         && choice.start == cheapest.start
 }
 
+/// Yields how much of the room for routine calls is taken, from 0 to 1; 0 for an urgent call.
+///
+/// While slots are scarce, a faster one that a call takes is one that another doesn't get: the
+/// time that it saves is no gain, and the prefill that it pays for the move is a loss to all.
+fn scarcity(candidates: &[Candidate], call: &Call) -> f64 {
+    if call.class == Class::Urgent {
+        return 0.0;
+    }
+    let mut taken = 0.0;
+    let mut all = 0.0;
+    for of in candidates {
+        let room = room(of.slots, of.share, call.class, of.lane);
+        taken += f64::from(occupied(of)).min(room);
+        all += room;
+    }
+    if all > 0.0 { taken / all } else { 0.0 }
+}
+
 /// Yields what each endpoint of a pool is kept for, given their speeds; the fastest are the lanes.
 ///
 /// VMs that see the same reports agree on the lanes nearly always; where they don't, one more
@@ -215,7 +232,13 @@
     clippy::cast_precision_loss,
     reason = "token counts are far below 2^52"
 )]
-fn weigh(index: usize, of: &Candidate, call: &Call, weights: &Weights) -> Option<Choice> {
+fn weigh(
+    index: usize,
+    of: &Candidate,
+    call: &Call,
+    weights: &Weights,
+    scarcity: f64,
+) -> Option<Choice> {
     let room = room(of.slots, of.share, call.class, of.lane);
     if room < 1.0 || of.speed <= 0.0 || of.prefill <= 0.0 {
         return None;
@@ -229,7 +252,8 @@
         (Start::Later, over * run / room)
     };
     let toll = miss * f64::from(occupied(of).min(of.slots)) * TOLL;
-    let cost = weights.latency * (wait + miss + run + toll) + weights.cache * miss;
+    let cost =
+        weights.latency * (wait + miss + run * (1.0 - scarcity) + toll) + weights.cache * miss;
     Some(Choice {
         index,
         start,
