Send calls ahead of a free slot to the endpoint that has their prefix

Change: up to half a batch may be sent ahead, only to where most of the prompt is. Conclusion: kept at a half, past which little is won and the VM's order is lost to the endpoint's.

--- a/crates/policy/examples/patterns/main.rs
+++ b/crates/policy/examples/patterns/main.rs
@@ -17,7 +17,7 @@
 use support::work::Pattern;
 
 /// Milliseconds of a run, the first of which aren't counted.
-const SPAN: u64 = 300_000;
+const SPAN: u64 = 600_000;
 /// Milliseconds until the load has settled.
 const WARM: u64 = 60_000;
 /// The seed of the work.
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -34,6 +34,15 @@
 /// The share of a lane's slots that routine calls may use, so that it isn't idle when nothing
 /// urgent comes and its speed is known.
 pub const LANE_ROUTINE: f64 = 0.125;
+/// Calls that may be sent ahead of a free slot to the endpoint that has most of their prompt, as a
+/// share of the slots.
+///
+/// A VM learns late that another VM's call has ended; without calls at hand the endpoint runs
+/// below its slots meanwhile, and its programs leave their prefix for slots elsewhere. Measured
+/// with 0, 0.25, 0.5, 0.75 and 1: throughput grows up to a half and is level from there. The
+/// endpoint hears urgent calls first among those that wait at it.
+pub const AHEAD: f64 = 0.5;
+
 /// The share of its speed that each call of a batch loses while a prompt is prefilled beside it.
 pub const TOLL: f64 = 0.3;
 
@@ -246,10 +255,16 @@
     let run = call.output as f64 / of.speed * 1000.0;
     let miss = call.prompt.saturating_sub(of.cached) as f64 / of.prefill * 1000.0;
     let over = f64::from(occupied(of)) + f64::from(of.claimed) + 1.0 - room;
-    let (start, wait) = if over <= 0.0 {
-        (Start::Now, 0.0)
+    let wait = over.max(0.0) * run / room;
+    let ahead = if of.cached * 2 > call.prompt {
+        room * AHEAD
+    } else {
+        0.0
+    };
+    let start = if over <= ahead {
+        Start::Now
     } else {
-        (Start::Later, over * run / room)
+        Start::Later
     };
     let toll = miss * f64::from(occupied(of).min(of.slots)) * TOLL;
     let cost =
