--- a/crates/node/src/dispatch/standing.rs
+++ b/crates/node/src/dispatch/standing.rs
@@ -4,7 +4,9 @@
 use policy::class::Class;
 use policy::eject::Detector;
 use policy::eject::Sample;
+use policy::ledger::Ledger;
 use policy::place::Candidate;
+use policy::place::Lane;
 use settings::config::Endpoint;
 use settings::config::Kind;
 use wire::clock::Millis;
@@ -40,10 +42,10 @@
     pub endpoint: id::Endpoint,
     /// What its calls have shown.
     pub detector: Detector,
-    /// When the running calls were sent.
-    running: Vec<Millis>,
-    /// When calls were sent and ended that the last report may still count.
-    ended: Vec<(Millis, Millis)>,
+    /// Calls that wait for it, as of the last look at the queue.
+    pub claimed: u32,
+    /// This VM's calls there, beside the last report.
+    ledger: Ledger,
     /// Until when it gets nothing.
     paused: Millis,
     /// How many of the running calls are under suspicion of crashing endpoints.
@@ -57,8 +59,8 @@
         Self {
             endpoint,
             detector: Detector::new(since),
-            running: Vec::new(),
-            ended: Vec::new(),
+            claimed: 0,
+            ledger: Ledger::default(),
             paused: Millis::ZERO,
             suspects: 0,
         }
@@ -66,7 +68,7 @@
 
     /// Counts a call that is sent.
     pub fn begin(&mut self, now: Millis, content: Content) {
-        self.running.push(now);
+        self.ledger.send(now);
         self.suspects += u32::from(content == Content::Suspect);
     }
 
@@ -74,10 +76,7 @@
     pub fn end(&mut self, began: Millis, now: Millis, content: Content, sample: Option<Sample>) {
         let suspects = u32::from(content == Content::Suspect);
         self.suspects = self.suspects.saturating_sub(suspects);
-        if let Some(at) = self.running.iter().position(|sent| *sent == began) {
-            self.running.swap_remove(at);
-        }
-        self.ended.push((began, now));
+        self.ledger.end(began, now);
         if let Some(sample) = sample {
             self.detector.note(sample);
         }
@@ -88,9 +87,9 @@
         self.paused = self.paused.max(until);
     }
 
-    /// Drops what no report can count any more.
-    pub fn forget(&mut self, reported: Millis) {
-        self.ended.retain(|(_, ended)| *ended > reported);
+    /// Takes in when the endpoint made its last report.
+    pub fn report(&mut self, at: Millis) {
+        self.ledger.report(at);
     }
 
     /// Tells whether a call runs there that is under suspicion of crashing endpoints.
@@ -102,10 +101,11 @@
     /// Yields how many of this VM's calls run there.
     #[must_use]
     pub fn running(&self) -> usize {
-        self.running.len()
+        self.ledger.under_way()
     }
 
-    /// Yields the endpoint as placement sees it; `None` where it may get nothing.
+    /// Yields the endpoint as placement sees it, but for its lane, which depends on the others;
+    /// `None` where it may get nothing.
     #[must_use]
     pub fn candidate(
         &self,
@@ -117,11 +117,6 @@
         if now < self.paused || load.is_some_and(|load| !load.up || load.leaving) {
             return None;
         }
-        let reported = load.map_or(Millis::ZERO, |load| load.at);
-        let since = |sent: &Millis| *sent > reported;
-        let sent = self.running.iter().filter(|sent| since(sent)).count();
-        let ended = self.ended.iter();
-        let ended = ended.filter(|(sent, end)| *sent <= reported && *end > reported);
         let speed = load.map_or(0.0, |load| load.speed);
         let shown = self.detector.pace().map(|pace| 1_000.0 / pace.max(0.001));
         let speed = match endpoint.kind {
@@ -131,12 +126,14 @@
         Some(Candidate {
             slots: endpoint.slots,
             reported: load.map_or(0, |load| load.running.saturating_add(load.waiting)),
-            sent: u32::try_from(sent).unwrap_or(u32::MAX),
-            ended: u32::try_from(ended.count()).unwrap_or(u32::MAX),
+            sent: u32::try_from(self.ledger.sent()).unwrap_or(u32::MAX),
+            ended: u32::try_from(self.ledger.ended()).unwrap_or(u32::MAX),
+            claimed: self.claimed,
             speed,
             prefill: speed * PREFILL,
             cached,
             share: self.detector.share(now),
+            lane: Lane::Shared,
         })
     }
 }
