--- a/crates/node/src/dispatch/desk.rs
+++ b/crates/node/src/dispatch/desk.rs
@@ -97,6 +97,21 @@
     drain: Drain,
     retries: retry::Budget,
     born: Millis,
+    /// The view that the standings follow.
+    synced: Arc<View>,
+}
+
+/// An endpoint chosen for a call.
+struct Picked {
+    endpoint: Endpoint,
+    choice: Choice,
+    detail: String,
+}
+
+impl Picked {
+    fn can_start(&self) -> bool {
+        self.choice.start == Start::Now
+    }
 }
 
 struct Waiter {
@@ -119,6 +134,7 @@
             drain: Drain::default(),
             retries: retry::Budget::new(now),
             born: now,
+            synced: Arc::default(),
         }))
     }
 
@@ -176,6 +192,7 @@
     let now = core.clock.now();
     let view = core.view();
     let mut state = core.desk.lock();
+    state.sync(&view, now);
     let State {
         standings,
         queue,
@@ -189,19 +206,22 @@
         ready.push((entry.item, Err(refusal)));
     }
     loop {
+        for standing in standings.iter_mut() {
+            standing.claimed = 0;
+        }
         let mut chosen = None;
         let popped = queue.pop_where(|entry| {
             let picked = pick(core, &view, standings, &entry.item.work, now);
-            chosen = picked.filter(|(_, choice)| choice.start == Start::Now);
+            claim(standings, picked.as_ref());
+            chosen = picked.filter(Picked::can_start);
             chosen.is_some()
         });
-        let (Some(entry), Some((endpoint, _))) = (popped, chosen) else {
+        let (Some(entry), Some(picked)) = (popped, chosen) else {
             break;
         };
         drain.count(now, queue.len());
-        let content = entry.item.work.content;
-        begin(standings, &endpoint.name, now, content);
-        ready.push((entry.item, Ok(slot(core, endpoint, now, content))));
+        let slot = begin(core, standings, &entry.item.work, picked, now);
+        ready.push((entry.item, Ok(slot)));
     }
     drop(state);
     // Sent without the lock: a slot whose waiter is gone is given back by its drop.
@@ -216,15 +236,9 @@
     let view = core.view();
     let mut state = core.desk.lock();
     state.drain.roll(now);
-    for endpoint in &view.config.endpoints {
-        state.standing(&endpoint.name, now);
-    }
+    state.sync(&view, now);
     let known = |s: &Standing| view.config.endpoint(s.endpoint.as_str()).is_some();
     state.standings.retain(|s| known(s) || s.running() > 0);
-    for standing in &mut state.standings {
-        let reported = view.load(&standing.endpoint).map_or(Millis::ZERO, |l| l.at);
-        standing.forget(reported);
-    }
     for pool in pools(&view.config) {
         sweep_pool(&mut state.standings, &pool, now);
     }
@@ -239,23 +253,19 @@
     let view = core.view();
     let class = standing::class(work.class);
     let mut state = core.desk.lock();
-    for endpoint in &view.config.endpoints {
-        if endpoint.kind == work.kind {
-            state.standing(&endpoint.name, now);
-        }
-    }
+    state.sync(&view, now);
     let picked = pick(core, &view, &state.standings, &work, now);
     if picked.is_none() && work.tries == 0 {
         let refusal = Refusal::new(Code::NoEndpoint, &work.serves);
         return Err(refusal.retry_after(standing::PAUSE));
     }
     let first = state.queue.waiting(class) == 0;
-    if let Some((endpoint, choice)) = picked
-        && choice.start == Start::Now
+    claim(&mut state.standings, picked.as_ref());
+    if let Some(picked) = picked
+        && picked.can_start()
         && first
     {
-        begin(&mut state.standings, &endpoint.name, now, work.content);
-        let slot = slot(core, endpoint, now, work.content);
+        let slot = begin(core, &mut state.standings, &work, picked, now);
         return Ok(Entered::Placed(slot));
     }
     if work.tries == 0 {
@@ -320,7 +330,7 @@
     standings: &[Standing],
     work: &Work,
     now: Millis,
-) -> Option<(Endpoint, Choice)> {
+) -> Option<Picked> {
     let endpoints = usable(core, view, work);
     let mut names: Vec<&Endpoint> = Vec::with_capacity(endpoints.len());
     let mut candidates = Vec::with_capacity(endpoints.len());
@@ -338,6 +348,10 @@
             candidates.push(candidate);
         }
     }
+    let speeds: Vec<f64> = candidates.iter().map(|c| c.speed).collect();
+    for (candidate, lane) in candidates.iter_mut().zip(place::lanes(&speeds)) {
+        candidate.lane = lane;
+    }
     let weights = place::Weights {
         latency: core.settings.weights.latency,
         cache: core.settings.weights.cache,
@@ -350,22 +364,30 @@
     };
     let choice = place::choose(&candidates, &call, &weights)?;
     let endpoint = names[choice.index];
-    if choice.start == Start::Now {
-        let names: Vec<&str> = names.iter().map(|e| e.name.as_str()).collect();
-        let detail = format!(
-            "choice={} reason=\"cost={:.0} wait={:.0} miss={:.0} run={:.0} next={:.0}\" candidates={}",
-            endpoint.name,
-            choice.cost,
-            choice.wait,
-            choice.miss,
-            choice.run,
-            choice.next,
-            names.join(",")
-        );
-        core.trace
-            .note(now, Event::CallPlaced, &work.program, work.turn, &detail);
-    }
-    Some((endpoint.clone(), choice))
+    let detail = match choice.start {
+        Start::Now => reason(endpoint, &choice, &names),
+        Start::Later => String::new(),
+    };
+    Some(Picked {
+        endpoint: endpoint.clone(),
+        choice,
+        detail,
+    })
+}
+
+/// Renders a decision for the log.
+fn reason(endpoint: &Endpoint, choice: &Choice, names: &[&Endpoint]) -> String {
+    let names: Vec<&str> = names.iter().map(|e| e.name.as_str()).collect();
+    format!(
+        "choice={} reason=\"cost={:.0} wait={:.0} miss={:.0} run={:.0} next={:.0}\" candidates={}",
+        endpoint.name,
+        choice.cost,
+        choice.wait,
+        choice.miss,
+        choice.run,
+        choice.next,
+        names.join(",")
+    )
 }
 
 /// Lists the endpoints that the selectors allow now: those of this data centre, or where it has
@@ -388,18 +410,39 @@
     endpoints
 }
 
-fn begin(standings: &mut [Standing], endpoint: &id::Endpoint, now: Millis, content: Content) {
-    if let Ok(at) = standings.binary_search_by(|s| s.endpoint.cmp(endpoint)) {
-        standings[at].begin(now, content);
+/// Counts a call that will wait for the endpoint that it prefers, so that those behind it don't
+/// reckon with the same slot.
+fn claim(standings: &mut [Standing], picked: Option<&Picked>) {
+    let Some(picked) = picked.filter(|picked| !picked.can_start()) else {
+        return;
+    };
+    let name = &picked.endpoint.name;
+    if let Ok(at) = standings.binary_search_by(|s| s.endpoint.cmp(name)) {
+        standings[at].claimed += 1;
     }
 }
 
-fn slot(core: &Arc<Core>, endpoint: Endpoint, now: Millis, content: Content) -> Slot {
+/// Gives a call its slot.
+fn begin(
+    core: &Arc<Core>,
+    standings: &mut [Standing],
+    work: &Work,
+    picked: Picked,
+    now: Millis,
+) -> Slot {
+    let Picked {
+        endpoint, detail, ..
+    } = picked;
+    core.trace
+        .note(now, Event::CallPlaced, &work.program, work.turn, &detail);
+    if let Ok(at) = standings.binary_search_by(|s| s.endpoint.cmp(&endpoint.name)) {
+        standings[at].begin(now, work.content);
+    }
     Slot {
         endpoint,
         core: core.clone(),
         began: now,
-        content,
+        content: work.content,
         sample: None,
     }
 }
@@ -432,6 +475,20 @@
 }
 
 impl State {
+    /// Takes in the endpoints and load reports of a new view.
+    fn sync(&mut self, view: &Arc<View>, now: Millis) {
+        if Arc::ptr_eq(&self.synced, view) {
+            return;
+        }
+        self.synced = view.clone();
+        for endpoint in &view.config.endpoints {
+            let at = self.standing(&endpoint.name, now);
+            if let Some(load) = view.load(&endpoint.name) {
+                self.standings[at].report(load.at);
+            }
+        }
+    }
+
     /// Finds the standing of an endpoint, or begins to keep it.
     fn standing(&mut self, endpoint: &id::Endpoint, now: Millis) -> usize {
         let found = self
