--- a/crates/policy/tests/support/deployment.rs
+++ b/crates/policy/tests/support/deployment.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// Yields a fleet for tests: nine of Derwent's runners and three VMs.
+pub fn small() -> Deployment {
+    let mut of = derwent();
+    of.name = "small";
+    of.endpoints.truncate(9);
+    of.vms = 3;
+    of
+}
+
 /// Spreads the lags over the brief's 0.2 to 2 s.
 fn lag(n: u32) -> u64 {
     200 + u64::from(n) * 777 % 1_800
