--- a/crates/node/src/dispatch/runner.rs
+++ b/crates/node/src/dispatch/runner.rs
@@ -89,8 +89,8 @@
 /// condemn an innocent request for good. A runner that crashed can't answer at once: it has to
 /// load gigabytes of weights before it listens again.
 pub async fn lives(client: &Client, address: &str) -> bool {
-    let probe = client.answers(address, "/load");
-    timeout(PROBE, probe).await.unwrap_or(false)
+    let probe = client.get(address, "/load");
+    timeout(PROBE, probe).await.is_ok_and(|load| load.is_ok())
 }
 
 /// Runs one attempt; `delta` is called with each piece of the message.
