--- a/crates/node/src/dispatch/runner.rs
+++ b/crates/node/src/dispatch/runner.rs
@@ -90,7 +90,7 @@
 /// load gigabytes of weights before it listens again.
 pub async fn lives(client: &Client, address: &str) -> bool {
     let probe = client.get(address, "/load");
-    timeout(PROBE, probe).await.is_ok_and(|load| load.is_ok())
+    matches!(timeout(PROBE, probe).await, Ok(Ok(_)))
 }
 
 /// Runs one attempt; `delta` is called with each piece of the message.
