--- /dev/null
+++ b/crates/journal/examples/slopes.rs
@@ -0,0 +1,397 @@
+//! Measures what a shard costs: appends a second over a platform that answers in 2 ms, memory a
+//! program, processor time a turn, and the time to rebuild a shard. Everything runs on one thread;
+//! processor times are that thread's by the system's count, so that other load doesn't add to them.
+//!
+//! `cargo run --release -p journal --example slopes`
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use journal::claim;
+use journal::copy;
+use journal::gate;
+use journal::log::Log;
+use journal::log::Setup;
+use journal::record::Record;
+use journal::snapshot::Image;
+use journal::state::State;
+use platform::edge;
+use platform::edge::Platform;
+use platform::memory::Memory;
+use serde_json::Map;
+use serde_json::Value;
+use tokio::sync::mpsc;
+use wire::chat;
+use wire::clock::Millis;
+use wire::id;
+
+/// How long the platform takes to answer.
+const ANSWER: Duration = Duration::from_millis(2);
+/// How long each load of the appends is measured.
+const SPAN: Duration = Duration::from_secs(3);
+/// Bytes of a turn's question and of its answer, about 250 tokens each.
+const TEXT: usize = 1_000;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() {
+    appends().await;
+    programs();
+    rebuilds().await;
+}
+
+async fn appends() {
+    println!("\nappends of one committed turn of {TEXT} + {TEXT} bytes, platform answers in 2 ms");
+    println!("callers  turns/s  writes/s  turns/write  p50 ms  p95 ms  processor us/turn");
+    for callers in [1_usize, 8, 32, 256] {
+        let memory = Memory::default();
+        let opened = open(&memory, ANSWER).await;
+        let before = memory.writes();
+        let (start, spent) = (Instant::now(), processor());
+        let tasks: Vec<_> = (0..callers)
+            .map(|caller| tokio::spawn(ask(opened.log.clone(), caller, start)))
+            .collect();
+        let mut waits = Vec::new();
+        for task in tasks {
+            waits.extend(task.await.expect("a caller's task ends"));
+        }
+        let seconds = start.elapsed().as_secs_f64();
+        let turns = count(waits.len());
+        let writes = count(usize::try_from(memory.writes() - before).unwrap_or(usize::MAX));
+        waits.sort();
+        let at = |share: usize| waits[(waits.len() - 1) * share / 100].as_secs_f64() * 1e3;
+        println!(
+            "{callers:7}  {:7.0}  {:8.0}  {:11.1}  {:6.2}  {:6.2}  {:17.1}",
+            turns / seconds,
+            writes / seconds,
+            turns / writes,
+            at(50),
+            at(95),
+            spent_since(spent).as_secs_f64() * 1e6 / turns,
+        );
+    }
+}
+
+/// Appends turns one after another for the span, and yields how long each took.
+async fn ask(log: Log, caller: usize, start: Instant) -> Vec<Duration> {
+    let mut waits = Vec::new();
+    while start.elapsed() < SPAN {
+        let asked = Instant::now();
+        let record = committed(caller, 1, 1);
+        log.append(vec![record]).await.expect("the append lands");
+        waits.push(asked.elapsed());
+    }
+    waits
+}
+
+fn programs() {
+    println!("\nstate in memory, programs of 2 turns of {TEXT} + {TEXT} bytes");
+    println!("programs  KB/program  gate+apply us/turn  image MB  image ms");
+    for programs in [1_000, 10_000, 100_000] {
+        let before = resident();
+        let mut state = opened_state();
+        for program in 0..programs {
+            state.apply(&created(program));
+            turn(&mut state, program, 1);
+        }
+        let start = processor();
+        for program in 0..programs {
+            turn(&mut state, program, 2);
+        }
+        let micros = spent_since(start).as_secs_f64() * 1e6 / count(programs);
+        let kilobytes = count(resident().saturating_sub(before)) / 1e3 / count(programs);
+        let start = processor();
+        let image = Image::of(&state);
+        let millis = spent_since(start).as_secs_f64() * 1e3;
+        println!(
+            "{programs:8}  {kilobytes:10.2}  {micros:18.2}  {:8.1}  {millis:8.1}",
+            count(image.size()) / 1e6,
+        );
+    }
+}
+
+/// Begins and commits a turn by way of the gate.
+fn turn(state: &mut State, program: usize, number: u32) {
+    let attempt = id::Attempt(program as u64 * 100 + u64::from(number));
+    let messages = [message("user")];
+    let begin = gate::Begin {
+        program: &program_id(program),
+        caller: &caller(),
+        turn: Some(number),
+        messages: &messages,
+        digest: id::Digest(u64::from(number)),
+        want: 1_000,
+        attempt,
+        endpoint: None,
+        now: Millis::ZERO,
+    };
+    let Ok(gate::Turn::Start(start)) = gate::begin(state, &begin) else {
+        panic!("a turn doesn't start");
+    };
+    start.records.iter().for_each(|record| state.apply(record));
+    let [question] = messages;
+    let commit = gate::Commit {
+        program: &program_id(program),
+        attempt,
+        messages: vec![question],
+        answer: answer(),
+        used: 250,
+        endpoint: &endpoint(),
+        now: Millis::ZERO,
+    };
+    let record = gate::commit(state, commit).expect("the turn fits a key");
+    state.apply(&record.expect("the attempt runs"));
+}
+
+async fn rebuilds() {
+    println!("\ntakeover of a shard, platform answers in 2 ms, a turn in each batch");
+    println!("batches  from the journal ms (processor)  from an image ms (processor)");
+    for batches in [1_000_usize, 10_000] {
+        let memory = Memory::default();
+        fill(&memory, batches).await;
+        let (start, spent) = (Instant::now(), processor());
+        let opened = open(&memory, ANSWER).await;
+        let journal = since(start, spent);
+        opened.log.snapshot(Image::of(&opened.state));
+        while memory
+            .read("snapshot/c/0")
+            .await
+            .is_ok_and(|index| index.is_none())
+        {
+            tokio::time::sleep(ANSWER).await;
+        }
+        let (start, spent) = (Instant::now(), processor());
+        open(&memory, ANSWER).await;
+        let image = since(start, spent);
+        println!("{batches:7}  {journal:>31}  {image:>28}");
+    }
+}
+
+/// Writes programs of one turn each, two batches a program.
+async fn fill(memory: &Memory, batches: usize) {
+    let mut opened = open(memory, Duration::ZERO).await;
+    for program in 0..batches / 2 {
+        for record in [created(program), started(program)] {
+            opened.state.apply(&record);
+            opened
+                .log
+                .append(vec![record])
+                .await
+                .expect("the append lands");
+        }
+        let record = committed(program, 1, 1);
+        let append = opened.log.append(vec![record]);
+        append.await.expect("the append lands");
+    }
+}
+
+async fn open(memory: &Memory, answer: Duration) -> claim::Opened {
+    let lease = memory.grant(Millis::new(60_000)).await.expect("a lease");
+    let setup = Setup {
+        platform: Arc::new(Slow {
+            memory: memory.clone(),
+            answer,
+        }),
+        peers: Arc::new(Alone),
+        vm: id::Vm::parse("vm").expect("an id"),
+        shard: id::Shard {
+            centre: id::Centre::parse("c").expect("an id"),
+            index: 0,
+        },
+        seed: memory.writes() + 1,
+        copies: Vec::new(),
+        acks: 0,
+    };
+    claim::open(setup, lease).await.expect("the shard opens")
+}
+
+fn opened_state() -> State {
+    let opened = Record::Opened {
+        vm: id::Vm::parse("vm").expect("an id"),
+        epoch: 1,
+        copies: Vec::new(),
+    };
+    State::rebuild([&opened]).expect("the record fits")
+}
+
+fn created(program: usize) -> Record {
+    Record::Created {
+        program: program_id(program),
+        caller: caller(),
+        tokens: 440_000,
+        turns: 77,
+        idle: Millis::new(60_000),
+        at: Millis::ZERO,
+    }
+}
+
+fn started(program: usize) -> Record {
+    Record::Started {
+        program: program_id(program),
+        turn: 1,
+        attempt: id::Attempt(1),
+        digest: id::Digest(1),
+        reserved: 1_000,
+        endpoint: None,
+        at: Millis::ZERO,
+    }
+}
+
+fn committed(program: usize, turn: u32, attempt: u64) -> Record {
+    Record::Committed {
+        program: program_id(program),
+        turn,
+        attempt: id::Attempt(attempt),
+        messages: vec![message("user")],
+        answer: answer(),
+        used: 250,
+        endpoint: endpoint(),
+        at: Millis::ZERO,
+    }
+}
+
+fn message(role: &str) -> chat::Message {
+    chat::Message {
+        role: role.to_owned(),
+        content: Value::from("x".repeat(TEXT)),
+        rest: Map::new(),
+    }
+}
+
+fn answer() -> chat::Answer {
+    chat::Answer {
+        message: message("assistant"),
+        finish: "stop".to_owned(),
+        usage: chat::Usage::default(),
+    }
+}
+
+fn program_id(program: usize) -> id::Program {
+    // Spread, as drawn names are.
+    let spread = id::Digest::of(&program.to_be_bytes()).0;
+    id::Program::parse(&format!("c-{spread:016x}")).expect("an id")
+}
+
+fn caller() -> id::Caller {
+    id::Caller::parse("crew").expect("an id")
+}
+
+fn endpoint() -> id::Endpoint {
+    id::Endpoint::parse("runner-1").expect("an id")
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
+fn since(start: Instant, spent: Duration) -> String {
+    let wall = start.elapsed().as_millis();
+    format!("{wall} ({})", spent_since(spent).as_millis())
+}
+
+fn spent_since(start: Duration) -> Duration {
+    processor().saturating_sub(start)
+}
+
+/// Yields the processor time of this thread; zero where the system doesn't tell.
+fn processor() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos = text.split(' ').next().and_then(|nanos| nanos.parse().ok());
+    Duration::from_nanos(nanos.unwrap_or(0))
+}
+
+/// Yields the process's resident memory in bytes; 0 where the system doesn't tell.
+fn resident() -> usize {
+    const PAGE: usize = 4_096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0_usize) * PAGE
+}
+
+/// A platform that takes its time.
+struct Slow {
+    memory: Memory,
+    answer: Duration,
+}
+
+impl Slow {
+    async fn wait(&self) {
+        if !self.answer.is_zero() {
+            tokio::time::sleep(self.answer).await;
+        }
+    }
+}
+
+#[async_trait]
+impl Platform for Slow {
+    async fn range(
+        &self,
+        prefix: &str,
+        from: &str,
+        limit: usize,
+    ) -> edge::Result<Vec<edge::Entry>> {
+        self.wait().await;
+        self.memory.range(prefix, from, limit).await
+    }
+
+    async fn read(&self, key: &str) -> edge::Result<Option<edge::Entry>> {
+        self.wait().await;
+        self.memory.read(key).await
+    }
+
+    async fn commit(&self, txn: &edge::Txn, weight: edge::Weight) -> edge::Result<edge::Outcome> {
+        self.wait().await;
+        self.memory.commit(txn, weight).await
+    }
+
+    async fn grant(&self, ttl: Millis) -> edge::Result<edge::Lease> {
+        self.memory.grant(ttl).await
+    }
+
+    async fn renew(&self, lease: edge::Lease) -> edge::Result<bool> {
+        self.memory.renew(lease).await
+    }
+
+    async fn revoke(&self, lease: edge::Lease) -> edge::Result<()> {
+        self.memory.revoke(lease).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        revision: u64,
+    ) -> edge::Result<mpsc::Receiver<edge::Change>> {
+        self.memory.watch(prefix, revision).await
+    }
+
+    async fn machines(&self) -> edge::Result<Vec<edge::Machine>> {
+        self.memory.machines().await
+    }
+}
+
+/// A centre of one VM.
+struct Alone;
+
+#[async_trait]
+impl copy::Peers for Alone {
+    async fn hold(
+        &self,
+        _holder: &copy::Holder,
+        _shard: &id::Shard,
+        _held: &copy::Held,
+    ) -> copy::Result<()> {
+        Err(copy::Fault::Unreachable)
+    }
+
+    async fn collect(
+        &self,
+        _vm: &id::Vm,
+        _shard: &id::Shard,
+        _epoch: u64,
+    ) -> copy::Result<copy::Collected> {
+        Err(copy::Fault::Unreachable)
+    }
+
+    async fn drained(&self, _holder: &copy::Holder, _shard: &id::Shard, _epoch: u64, _seq: u64) {}
+}
--- a/crates/journal/src/claim/load.rs
+++ b/crates/journal/src/claim/load.rs
@@ -16,8 +16,13 @@
 use crate::snapshot::Known;
 use crate::state::State;
 
-/// Keys listed at once; each may be as large as a value can be.
-const PAGE: usize = 16;
+/// Keys listed first; each may be as large as a value can be.
+const FIRST_PAGE: usize = 16;
+/// Keys listed at once when they are small; a journal of a few hundred keys is one page then.
+const LARGEST_PAGE: usize = 512;
+/// Bytes that a page is meant to have, by the largest value of the page before: enough to make the
+/// platform's answer time small beside the transfer, and a small part of a VM's memory.
+const PAGE_BYTES: usize = 4 * 1024 * 1024;
 /// Readings of a journal that changes meanwhile. Each image takes hundreds of appends, so one
 /// that moved twice while it was read is rare.
 const READINGS: u32 = 5;
@@ -71,9 +76,10 @@
     loaded: &mut Loaded,
 ) -> Result<()> {
     let prefix = key::journals(shard);
+    let mut limit = FIRST_PAGE;
     loop {
         let from = key::journal(shard, loaded.next);
-        let page = platform.range(&prefix, &from, PAGE).await?;
+        let page = platform.range(&prefix, &from, limit).await?;
         for entry in &page {
             let due = key::journal(shard, loaded.next);
             if entry.key != due {
@@ -81,9 +87,11 @@
             }
             loaded.add(&entry.value)?;
         }
-        if page.len() < PAGE {
+        if page.len() < limit {
             return Ok(());
         }
+        let largest = page.iter().map(|entry| entry.value.len()).max();
+        limit = (PAGE_BYTES / largest.unwrap_or(1).max(1)).clamp(1, LARGEST_PAGE);
     }
 }
 
--- a/crates/journal/src/snapshot.rs
+++ b/crates/journal/src/snapshot.rs
@@ -94,6 +94,12 @@
         Self(rmp_serde::to_vec_named(state).map_or_else(|_| Bytes::new(), Bytes::from))
     }
 
+    /// Yields the size in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.0.len()
+    }
+
     /// Decodes the state; `None` where the bytes are damaged.
     #[must_use]
     pub fn decode(&self) -> Option<State> {
