--- a/crates/chestnutyoke/src/lib.rs
+++ b/crates/chestnutyoke/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod cli;
 pub mod client;
+pub mod embedded;
 pub mod logging;
+pub mod serve;
 pub mod table;
 pub mod verbs;
 
--- a/crates/journal/tests/fuzz/world.rs
+++ b/crates/journal/tests/fuzz/world.rs
@@ -150,7 +150,7 @@
             Step::Ask(pick, program, content) => self.ask(self.some(pick), program, content),
             Step::Again(pick, program) => self.again(self.some(pick), program),
             Step::Answer(pick, used) => self.answer(pick, used),
-            Step::Fail(pick, on) => self.fail(pick, on),
+            Step::Fail(pick, then) => self.fail(pick, then),
             Step::Order(pick, key, content) => self.order(self.some(pick), key, content),
             Step::Called(pick, how) => self.called(pick, how),
             Step::Snapshot(pick) => self.snapshot(self.some(pick)),
--- /dev/null
+++ b/crates/node/src/controllers/run.rs
@@ -0,0 +1,6 @@
+//! The tasks that do the controllers' traffic.
+
+pub mod claims;
+pub mod config;
+pub mod keeper;
+pub mod members;
