--- a/crates/journal/src/log/line.rs
+++ b/crates/journal/src/log/line.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Arrival {
     pub(crate) records: Vec<Record>,
     pub(crate) bytes: usize,
+    /// Whether it may wait for a write that others pay for, see [`is_patient`].
+    pub(crate) patient: bool,
     waiter: Option<Waiter>,
 }
 
@@ -62,6 +64,7 @@
     ) -> Self {
         let intent = records.iter().any(|r| matches!(r, Record::Intent { .. }));
         Self {
+            patient: records.iter().all(is_patient),
             records,
             bytes,
             waiter: Some(Waiter { intent, sender }),
@@ -169,6 +172,15 @@
     }
 }
 
+/// Tells whether nothing is held up at an endpoint until the record is durable: the answer of a
+/// turn has streamed by the time that it commits, and only its last event waits.
+fn is_patient(record: &Record) -> bool {
+    matches!(
+        record,
+        Record::Committed { .. } | Record::Released { .. } | Record::Forgotten { .. }
+    )
+}
+
 impl Waiter {
     fn tell(self, result: Result<Durable>) {
         // Who no longer waits has given the answer up; the record counts all the same.
--- a/crates/journal/src/log/task.rs
+++ b/crates/journal/src/log/task.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::AtomicBool;
 
 use platform::edge;
+use platform::edge::Weight;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -49,6 +50,10 @@
     pub(super) due: Arc<AtomicBool>,
 }
 
+/// The longest that patient records wait for others to go along with: a fraction of a turn, whose
+/// last event waits for them.
+const PATIENCE: Millis = Millis::new(50);
+
 /// Work under way, of which there is one at most.
 type Slot<T> = Option<Pin<Box<dyn Future<Output = T> + Send>>>;
 
@@ -66,6 +71,10 @@
     hold_tries: u32,
     /// Whether the first batch was sent before its present send.
     resent: bool,
+    /// The weight at which the next batch waits for the rate budget.
+    pacing: Option<Weight>,
+    /// Whether the next batch has waited for the rate budget.
+    paced: bool,
     snapshots: snapshot::Progress,
 }
 
@@ -83,6 +92,8 @@
         tries: 0,
         hold_tries: 0,
         resent: false,
+        pacing: None,
+        paced: false,
         snapshots: snapshot::Progress::new(tail.index, ends.due),
         setup,
     };
@@ -100,6 +111,7 @@
     ) -> Option<Vec<copy::Held>> {
         let mut write: Slot<Step> = None;
         let mut hold: Slot<(u64, Spread)> = None;
+        let mut pace: Slot<()> = None;
         let mut open = true;
         loop {
             while let Ok(command) = commands.try_recv() {
@@ -107,16 +119,21 @@
                     return Some(self.step_down(sender));
                 }
             }
+            pace = self.begin_pace(pace);
             self.form();
             write = write.or_else(|| self.begin_write());
             hold = hold.or_else(|| self.begin_hold());
-            if !open && write.is_none() {
+            if !open && write.is_none() && self.arrivals.is_empty() {
                 return None;
             }
             let lost = tokio::select! {
                 biased;
                 step = finish(&mut write) => self.settle(step),
                 (seq, spread) = finish(&mut hold) => self.copied(seq, spread),
+                () = finish(&mut pace) => {
+                    self.paced = true;
+                    None
+                }
                 command = commands.recv(), if open => {
                     open = command.is_some();
                     if let Some(sender) = command.and_then(|command| self.take(command)) {
@@ -164,7 +181,7 @@
     /// next gathers what arrives meanwhile; during an outage likewise for the copies.
     fn form(&mut self) {
         let room = if self.is_open() {
-            self.line.batches.is_empty()
+            self.line.batches.is_empty() && (self.paced || self.arrivals.is_empty())
         } else {
             self.line.unheld().is_none()
         };
@@ -186,6 +203,7 @@
         if !room || (self.arrivals.is_empty() && !self.snapshots.is_ready()) {
             return;
         }
+        self.paced = false;
         let mut bytes = 0;
         let fits = self.arrivals.iter().take_while(|arrival| {
             bytes += arrival.bytes;
@@ -206,6 +224,39 @@
         self.line.batches.push_back(pending);
     }
 
+    /// Has the next batch wait for the rate budget before it is formed, so that what arrives
+    /// meanwhile goes along. Without it a burst of commits spends the budget, and the starts of
+    /// turns queue behind batches of one record each.
+    ///
+    /// A batch that only holds patient records leaves half of the budget to others: where the
+    /// budget is short it goes along with the next start, or after [`PATIENCE`].
+    fn begin_pace(&mut self, pace: Slot<()>) -> Slot<()> {
+        let idle = self.arrivals.is_empty() || !self.line.batches.is_empty();
+        if self.paced || idle || !self.is_open() {
+            self.pacing = None;
+            return None;
+        }
+        let weight = if self.arrivals.iter().all(|arrival| arrival.patient) {
+            Weight::Background
+        } else {
+            Weight::Commit
+        };
+        if pace.is_some() && self.pacing == Some(weight) {
+            return pace;
+        }
+        self.pacing = Some(weight);
+        let platform = Arc::clone(&self.setup.platform);
+        Some(Box::pin(async move {
+            let paced = platform.pace(weight);
+            if tokio::time::timeout(PATIENCE.as_duration(), paced)
+                .await
+                .is_err()
+            {
+                platform.pace(Weight::Commit).await;
+            }
+        }))
+    }
+
     fn begin_write(&mut self) -> Slot<Step> {
         let delay = match self.tries {
             0 => Millis::ZERO,
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -91,6 +91,19 @@
         self.inner.commit(txn, weight).await
     }
 
+    async fn pace(&self, weight: Weight) {
+        loop {
+            let verdict = {
+                let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+                budget.probe(weight, self.clock.now())
+            };
+            let Verdict::Wait(span) = verdict else {
+                return;
+            };
+            tokio::time::sleep(span.as_duration()).await;
+        }
+    }
+
     async fn grant(&self, ttl: Millis) -> Result<Lease> {
         self.pass_write(Weight::Claim).await?;
         self.inner.grant(ttl).await
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -155,6 +155,10 @@
     /// Runs a transaction.
     async fn commit(&self, txn: &Txn, weight: Weight) -> Result<Outcome>;
 
+    /// Waits until a write of this weight fits the VM's rate budget, and takes nothing of it. Who
+    /// gathers work for one write gathers it until then.
+    async fn pace(&self, _weight: Weight) {}
+
     /// Makes a lease that ends after `ttl` without a renewal.
     async fn grant(&self, ttl: Millis) -> Result<Lease>;
 
--- a/crates/platform/src/limit.rs
+++ b/crates/platform/src/limit.rs
@@ -77,13 +77,22 @@
         self.reads.take(0, now)
     }
 
-    /// Decides on a write.
-    pub fn write(&mut self, weight: Weight, now: Millis) -> Verdict {
+    /// Tells whether a write fits now, and takes nothing.
+    pub fn probe(&mut self, weight: Weight, now: Millis) -> Verdict {
+        self.writes.probe(self.floor(weight), now)
+    }
+
+    fn floor(&self, weight: Weight) -> u64 {
         let eighths = FLOORS
             .iter()
             .find(|(other, _)| *other == weight)
             .map_or(0, |(_, floor)| *floor);
-        let floor = self.writes.depth * eighths / 8;
+        self.writes.depth * eighths / 8
+    }
+
+    /// Decides on a write.
+    pub fn write(&mut self, weight: Weight, now: Millis) -> Verdict {
+        let floor = self.floor(weight);
         let common = self.writes.take(floor, now);
         let (Verdict::Wait(span), Weight::Claim) = (common, weight) else {
             return common;
@@ -115,6 +124,14 @@
     }
 
     fn take(&mut self, floor: u64, now: Millis) -> Verdict {
+        let verdict = self.probe(floor, now);
+        if verdict == Verdict::Go {
+            self.level -= CALL;
+        }
+        verdict
+    }
+
+    fn probe(&mut self, floor: u64, now: Millis) -> Verdict {
         let gained = now.since(self.at).as_u64().saturating_mul(self.rate);
         self.level = self.level.saturating_add(gained).min(self.depth);
         self.at = self.at.max(now);
@@ -122,7 +139,6 @@
         if self.level < needed {
             return Verdict::Wait(Millis::new((needed - self.level).div_ceil(self.rate)));
         }
-        self.level -= CALL;
         Verdict::Go
     }
 }
