--- a/crates/policy/examples/patterns/main.rs
+++ b/crates/policy/examples/patterns/main.rs
@@ -1,6 +1,10 @@
 //! Plays patterns of load under this crate's decisions and under simpler ones, for the sizes and
 //! weights of both deployments, and prints what callers got. Fixed seeds: the same figures at each
 //! run.
+#![allow(
+    clippy::cast_precision_loss,
+    reason = "times and counts of a run stay far below 2^52"
+)]
 
 #[path = "../../tests/support/mod.rs"]
 mod support;
--- a/crates/policy/tests/support/driver.rs
+++ b/crates/policy/tests/support/driver.rs
@@ -40,7 +40,7 @@
 const SLOWER: f64 = 10.0;
 
 /// What happens at a time.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     /// A caller asks for the turn that its program is at.
     Ask { program: usize },
@@ -361,13 +361,13 @@
         let standing = &self.standings[program];
         let sent = standing.sent.map_or(self.now, |sent| sent.at);
         let vm = &self.vms[program % self.vms.len()];
-        let spent = self.now - sent;
+        let elapsed = self.now - sent;
         displace::Running {
             class: self.programs[program].class,
             resume: displace::Resume::Possible,
-            left: Millis::new((vm.service as u64).saturating_sub(spent)),
+            left: Millis::new((vm.service as u64).saturating_sub(elapsed)),
             redo: Millis::ZERO,
-            attained: Millis::new(standing.attained + spent),
+            attained: Millis::new(standing.attained + elapsed),
             displaced: standing.displaced,
         }
     }
