--- a/crates/chestnutyoke/tests/bench/caller.rs
+++ b/crates/chestnutyoke/tests/bench/caller.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -149,9 +150,21 @@
     path: &str,
     headers: &[(&str, String)],
     body: &Value,
+) -> Option<Response<Incoming>> {
+    submit(Method::POST, address, path, headers, body).await
+}
+
+async fn submit(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, String)],
+    body: &Value,
 ) -> Option<Response<Incoming>> {
     let http = legacy::Client::builder(TokioExecutor::new()).build_http();
-    let mut request = Request::post(format!("http://{address}{path}"))
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
         .header("authorization", format!("Bearer {TOKEN}"))
         .header("content-type", "application/json");
     for (name, value) in headers {
@@ -239,3 +252,10 @@
     let body = json!({ "berth": 7 });
     collect(send(address, &path, &headers, &body).await?).await
 }
+
+/// Ends a program; `None` where the connection broke.
+pub async fn end(address: SocketAddr, program: &str) -> Option<Answer> {
+    let path = format!("/v1/programs/{program}");
+    let ended = submit(Method::DELETE, address, &path, &[], &Value::Null);
+    collect(ended.await?).await
+}
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -95,6 +95,7 @@
 /// The faults to show; `POST /faults` sets the fields that it names and leaves the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
+#[allow(clippy::struct_excessive_bools)] // switches that don't depend on each other
 pub struct Faults {
     /// By what factor it is slower than set.
     pub slow: f64,
@@ -112,6 +113,8 @@
     pub drop_answers: u32,
     /// How many of the next orders are dropped without effect.
     pub lose_orders: u32,
+    /// Whether its load report says that it leaves, though it still takes calls.
+    pub announce_leaving: bool,
     /// Whether orders with an older fence are carried out.
     pub ignore_fences: bool,
     /// How old load reports may be, in place of the settings' value.
@@ -133,6 +136,7 @@
             cut_after: 0,
             drop_answers: 0,
             lose_orders: 0,
+            announce_leaving: false,
             ignore_fences: false,
             load_lag_ms: None,
             cache_lag_ms: None,
@@ -335,7 +339,7 @@
             slots: self.settings.slots,
             tokens_per_second: self.settings.tokens_per_second,
             cache_tokens_free: state.cache.free(),
-            leaving: state.leaving,
+            leaving: state.leaving || state.faults.announce_leaving,
             age_ms: 0,
             models: state.models.clone(),
             version: state.version,
