--- a/crates/journal/tests/fuzz/world.rs
+++ b/crates/journal/tests/fuzz/world.rs
@@ -150,7 +150,7 @@
             Step::Ask(pick, program, content) => self.ask(self.some(pick), program, content),
             Step::Again(pick, program) => self.again(self.some(pick), program),
             Step::Answer(pick, used) => self.answer(pick, used),
-            Step::Fail(pick, on) => self.fail(pick, on),
+            Step::Fail(pick, then) => self.fail(pick, then),
             Step::Order(pick, key, content) => self.order(self.some(pick), key, content),
             Step::Called(pick, how) => self.called(pick, how),
             Step::Snapshot(pick) => self.snapshot(self.some(pick)),
@@ -220,7 +220,8 @@
     async fn take_over(&mut self, vm: usize) -> u64 {
         for _ in 0..20 {
             self.time.fetch_add(LEASE.as_u64() + 1, Ordering::SeqCst);
-            let epoch = self.vms[vm].owner.as_ref().map(|owner| owner.epoch);
+            let owner = self.vms[vm].owner.as_ref().filter(|owner| owner.is_open());
+            let epoch = owner.map(|owner| owner.epoch);
             if let Some(epoch) = epoch.filter(|epoch| *epoch == self.opened) {
                 return epoch;
             }
