--- a/crates/chestnutyoke/tests/bench/fleet.rs
+++ b/crates/chestnutyoke/tests/bench/fleet.rs
@@ -344,6 +344,7 @@
             serves: vec![serves.to_owned()],
             fences: kind == Kind::Runner,
             slots: 8,
+            repeatable: Vec::new(),
             labels: label::Set::default(),
         })
         .collect();
