Refuse a condemned content on every shard and VM of the data centre

Cause: a request that crashed two runners and was asked again without a program got a new one, perhaps of another shard, and crashed two more. Change: the content's digest is kept on the VM and told to the others of the data centre; a stream past its reservation ends as a whole answer of that length and drops the connection; time to durability goes to the metrics. The test now asks eight times over four shards.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -14,6 +14,7 @@
 use crate::http::client::Client;
 use crate::http::listen::Door;
 use crate::metrics::Metrics;
+use crate::owner::poison::Poison;
 use crate::owner::registry::Registry;
 use crate::trace::Trace;
 use crate::view::View;
@@ -35,6 +36,8 @@
     pub control: Control,
     /// Gives out the endpoints' slots.
     pub desk: Desk,
+    /// Contents that are refused for good.
+    pub poison: Poison,
     /// Counts and latencies.
     pub metrics: Metrics,
     /// The latest decisions.
--- a/crates/node/src/dispatch/runner.rs
+++ b/crates/node/src/dispatch/runner.rs
@@ -194,10 +194,12 @@
             if chunk.get("error").is_some() {
                 return End::Broken(chunk["error"].to_string());
             }
-            take(chunk, &mut seen, partial, delta);
+            take(chunk, job.limit, &mut seen, partial, delta);
             if seen.pieces > job.limit {
-                // The runner ignores its limit; what is past the reservation is cut off here.
-                return End::Stalled(format!("more than {} tokens", job.limit));
+                // The runner ignores its limit. Dropping the connection cancels it, before it
+                // spends more than the program has.
+                seen.finish = Some("length".to_owned());
+                return whole(seen);
             }
         }
         match timeout(silence, incoming.frame()).await {
@@ -216,6 +218,7 @@
 
 fn take(
     mut chunk: Value,
+    limit: u64,
     seen: &mut Seen,
     partial: &mut Partial,
     delta: &mut (impl FnMut(Value) + Send),
@@ -232,8 +235,10 @@
     let piece = choice.get_mut("delta").map(Value::take).unwrap_or_default();
     if says_something(&piece) {
         seen.pieces += 1;
-        partial.add(&piece);
-        delta(piece);
+        if seen.pieces <= limit {
+            partial.add(&piece);
+            delta(piece);
+        }
     }
 }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -9,6 +9,7 @@
 pub mod keep;
 pub mod message;
 pub mod pending;
+pub mod poison;
 pub mod registry;
 pub mod seat;
 pub mod shard;
--- a/crates/node/src/owner/call.rs
+++ b/crates/node/src/owner/call.rs
@@ -239,7 +239,10 @@
             digest: self.digest,
             attempt,
         };
-        let intended = turn::decide(&self.shard, |sender| Message::Intend(intend, sender)).await;
+        let intended = turn::decide(&self.core, &self.shard, |sender| {
+            Message::Intend(intend, sender)
+        })
+        .await;
         if intended
             .as_ref()
             .is_err_and(|refusal| refusal.code == Code::PlatformDown)
@@ -257,7 +260,7 @@
     async fn resolve(&self, key: &id::Key, attempt: id::Attempt, effect: Effect) -> Result<()> {
         let program = self.work.program.clone();
         let message = |sender| Message::Resolve(program, key.clone(), attempt, effect, sender);
-        let resolved = turn::decide(&self.shard, message).await;
+        let resolved = turn::decide(&self.core, &self.shard, message).await;
         resolved.map_err(|refusal| {
             Refusal::new(Code::OutcomeUnknown, &refusal.message).ran(Ran::Unknown)
         })
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -42,6 +42,7 @@
 use crate::owner::pending;
 use crate::owner::pending::Name;
 use crate::owner::pending::Pending;
+use crate::owner::poison;
 use crate::owner::seat::Seats;
 use crate::owner::turn;
 
@@ -223,6 +224,7 @@
             Turn::Join { turn, .. } => Err(Refusal::new(Code::TurnConflict, &turn.to_string())),
             Turn::Start(start) => {
                 self.check_open()?;
+                self.check_poison(ask, digest)?;
                 self.launch(ask, chat, start.turn, digest, work, sink);
                 Ok(())
             }
@@ -239,13 +241,17 @@
         sink: &Sink,
     ) -> Result<(), Refusal> {
         self.check_open()?;
-        if self
-            .state
-            .poisoned(self.state.content(&ask.program, digest))
-        {
+        self.check_poison(ask, digest)?;
+        self.launch(ask, chat, 1, digest, work, sink);
+        Ok(())
+    }
+
+    /// Refuses what has crashed endpoints, here or under another shard or VM.
+    fn check_poison(&self, ask: &Ask, digest: id::Digest) -> Result<(), Refusal> {
+        let content = self.state.content(&ask.program, digest);
+        if self.state.poisoned(content) || self.core.poison.knows(content) {
             return Err(Refusal::new(Code::Poisoned, ""));
         }
-        self.launch(ask, chat, 1, digest, work, sink);
         Ok(())
     }
 
@@ -407,7 +413,10 @@
         );
         match gate::blame(&self.state, program, digest, endpoint) {
             gate::Blame::Suspect(records) => self.decide(false, records),
-            gate::Blame::Poisoned(records) => self.decide(true, records),
+            gate::Blame::Poisoned(records) => {
+                poison::condemn(&self.core, self.state.content(program, digest));
+                self.decide(true, records)
+            }
         }
     }
 
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -156,7 +156,10 @@
             attempt: id,
             endpoint: slot.endpoint.name.clone(),
         };
-        let started = decide(&self.shard, |answer| Message::Begin(begin, answer)).await?;
+        let started = decide(&self.core, &self.shard, |answer| {
+            Message::Begin(begin, answer)
+        })
+        .await?;
         let mut prompt = started.history;
         prompt.extend(self.request.messages.iter().cloned());
         let limit = started.start.reserved;
@@ -215,7 +218,10 @@
             used,
             endpoint,
         };
-        let turn = decide(&self.shard, |sender| Message::Commit(commit, sender)).await?;
+        let turn = decide(&self.core, &self.shard, |sender| {
+            Message::Commit(commit, sender)
+        })
+        .await?;
         Ok(Reply::Done { turn, answer })
     }
 
@@ -292,7 +298,10 @@
             attempt: id,
             endpoint: slot.endpoint.name.clone(),
         };
-        let started = decide(&self.shard, |answer| Message::Restart(restart, answer)).await;
+        let started = decide(&self.core, &self.shard, |answer| {
+            Message::Restart(restart, answer)
+        })
+        .await;
         match started {
             Ok(start) => Ok(Attempt {
                 id,
@@ -323,12 +332,12 @@
     async fn blame(&self, endpoint: &id::Endpoint) -> Result<bool> {
         let program = self.work.program.clone();
         let blame = |answer| Message::Blame(program, self.digest, endpoint.clone(), answer);
-        decide(&self.shard, blame).await
+        decide(&self.core, &self.shard, blame).await
     }
 
     async fn stop(&self, attempt: id::Attempt, used: Option<u64>) -> Result<()> {
         let program = self.work.program.clone();
-        decide(&self.shard, |answer| {
+        decide(&self.core, &self.shard, |answer| {
             Message::Stop(program, attempt, used, answer)
         })
         .await
@@ -378,6 +387,7 @@
 ///
 /// Yields the refusal, or why the records aren't durable.
 pub async fn decide<T>(
+    core: &Core,
     shard: &ActorRef<Message>,
     message: impl FnOnce(Answer<T>) -> Message,
 ) -> Result<T> {
@@ -386,7 +396,9 @@
     shard.cast(message(sender)).map_err(|_| gone())?;
     let decided = receiver.await.map_err(|_| gone())??;
     if let Some(durable) = decided.durable {
+        let asked = core.clock.now();
         durable.await.map_err(|fault| lost(&fault))?;
+        core.metrics.appended(core.clock.now().since(asked));
     }
     Ok(decided.value)
 }
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -16,6 +16,7 @@
 use crate::http::body;
 use crate::http::listen::Room;
 use crate::operate;
+use crate::owner::poison;
 
 /// Takes a [`wire::ask::Ask`], streams [`wire::ask::Reply`] frames.
 pub const ASK: &str = "/peer/ask";
@@ -23,6 +24,8 @@
 pub const BEAT: &str = "/peer/beat";
 /// Answers the whole configuration at the receiver's revision.
 pub const CONFIG: &str = "/peer/config";
+/// Takes the digest of a content that is refused for good.
+pub const POISON: &str = "/peer/poison";
 /// Takes a pending batch of a shard to hold during an outage of the platform.
 pub const HOLD: &str = "/peer/hold";
 /// Fences a shard's earlier owner and answers the pending batches held for it.
@@ -48,6 +51,7 @@
     };
     let answer = match path.as_str() {
         EXPLAIN => operate::tell(&core, &whole),
+        POISON => poison::serve(&core, whole),
         _ => controllers::serve(&core, &path, whole).await,
     };
     match answer {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -32,6 +32,7 @@
 use crate::http::listen;
 use crate::http::listen::Door;
 use crate::metrics::Metrics;
+use crate::owner::poison::Poison;
 use crate::owner::registry::Registry;
 use crate::peer;
 use crate::trace::Trace;
@@ -114,6 +115,7 @@
     );
     let core = Arc::new(Core {
         desk: Desk::new(&settings, clock.now()),
+        poison: Poison::default(),
         metrics: Metrics::default(),
         trace: Trace::default(),
         client: Client::default(),
--- a/crates/node/tests/request/fleet.rs
+++ b/crates/node/tests/request/fleet.rs
@@ -153,7 +153,7 @@
 }
 
 const SETTINGS: &str = r#"
-centres = [{ name = "a", shards = 1 }]
+centres = [{ name = "a", shards = 4 }]
 [vm]
 name = "a1"
 centre = "a"
--- a/crates/node/tests/request/turn.rs
+++ b/crates/node/tests/request/turn.rs
@@ -35,7 +35,7 @@
 }
 
 /// A request crashes the runner that has it, and the next one, too. Its caller is told finally
-/// after the second; asked again, as another program, it isn't run.
+/// after the second; asked again, each time as another program and so of any shard, it isn't run.
 #[tokio::test]
 async fn a_request_that_crashes_runners_is_stopped() {
     let fleet = Fleet::plain().await;
@@ -45,8 +45,10 @@
     assert_eq!(refusal(&first), ("CY3102", "yes"));
     fleet.fault_all(json!({"crashed": false})).await;
     let before = fleet.attempts().await.len();
-    let again = fleet.ask(CHAT, &[], &chat).await;
-    assert_eq!(refusal(&again), ("CY3102", "no"));
+    for _ in 0..8 {
+        let again = fleet.ask(CHAT, &[], &chat).await;
+        assert_eq!(refusal(&again), ("CY3102", "no"));
+    }
     assert_eq!(fleet.attempts().await.len(), before);
 }
 
