Let an owner name other holders of its copies

Cause: the holders were named at the opening only.

Change: Record::Copies names the holders anew. After the first naming a claimer asks the earlier ones as well; a second naming ends that.

Ruled out: replacing the holders with one record, since an append whose outcome is unknown may land after the owner has had batches held by the earlier ones.

--- a/crates/journal/src/gate.rs
+++ b/crates/journal/src/gate.rs
@@ -28,6 +28,7 @@
 pub use call::intend;
 pub use call::resolve;
 pub use life::Create;
+pub use life::copies;
 pub use life::create;
 pub use life::end;
 pub use life::forget;
--- a/crates/journal/src/gate/life.rs
+++ b/crates/journal/src/gate/life.rs
@@ -13,6 +13,7 @@
 use super::open;
 use super::running_here;
 use super::stopped;
+use crate::copy::Holder;
 use crate::program;
 use crate::program::Program;
 use crate::record::Record;
@@ -136,3 +137,16 @@
         program: program.clone(),
     })
 }
+
+/// Names the VMs that hold pending batches from now on. `None` where nothing changes. To be asked
+/// whenever they may have changed, and only while [`crate::log::Log::may_rename`] says so. A change
+/// takes two records: after the first, the VMs named before may still hold batches, and a claimer
+/// asks them as well; the second ends that.
+#[must_use]
+pub fn copies(state: &State, holders: &[Holder]) -> Option<Record> {
+    let known = state.copies();
+    let same = known.len() == holders.len() && holders.iter().all(|h| known.contains(h));
+    (!same).then(|| Record::Copies {
+        holders: holders.to_vec(),
+    })
+}
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -127,7 +127,16 @@
 pub struct Log {
     commands: mpsc::UnboundedSender<Command>,
     status: watch::Receiver<Status>,
-    due: Arc<AtomicBool>,
+    flags: Arc<Flags>,
+}
+
+/// What the task tells besides its status.
+#[derive(Debug, Default)]
+struct Flags {
+    /// A snapshot is due.
+    due: AtomicBool,
+    /// A naming of other holders of copies isn't in the journal yet.
+    renaming: AtomicBool,
 }
 
 /// Resolves when an append is durable or never will be. Dropping it doesn't take the append back.
@@ -153,18 +162,18 @@
     pub fn start(setup: Setup, tail: Tail) -> Self {
         let (commands, receiver) = mpsc::unbounded_channel();
         let (sender, status) = watch::channel(Status::Open);
-        let due = Arc::new(AtomicBool::new(false));
+        let flags = Arc::<Flags>::default();
         let ends = task::Ends {
             commands: receiver,
             own: commands.downgrade(),
             status: sender,
-            due: Arc::clone(&due),
+            flags: Arc::clone(&flags),
         };
         tokio::spawn(task::run(setup, tail, ends));
         Self {
             commands,
             status,
-            due,
+            flags,
         }
     }
 
@@ -172,14 +181,25 @@
     /// of one call take effect together.
     pub fn append(&self, records: Vec<Record>) -> Append {
         let (sender, receiver) = oneshot::channel();
+        if records.iter().any(|r| matches!(r, Record::Copies { .. })) {
+            self.flags.renaming.store(true, Ordering::SeqCst);
+        }
         self.tell(Command::Append(records, sender));
         Append(receiver)
     }
 
+    /// Tells whether other VMs may be named for the copies ([`crate::gate::copies`]): not before an
+    /// earlier naming is in the journal, and not during an outage. Two namings on their way could
+    /// both land late, and a claimer would then ask none of the VMs that hold copies.
+    #[must_use]
+    pub fn may_rename(&self) -> bool {
+        self.status() == Status::Open && !self.flags.renaming.load(Ordering::SeqCst)
+    }
+
     /// Tells whether the journal has grown enough for a [`snapshot`](Self::snapshot).
     #[must_use]
     pub fn is_snapshot_due(&self) -> bool {
-        self.due.load(Ordering::Relaxed)
+        self.flags.due.load(Ordering::Relaxed)
     }
 
     /// Hands an image of the state to the journal, which then drops the keys before it. The image
--- a/crates/journal/src/log/line.rs
+++ b/crates/journal/src/log/line.rs
@@ -39,6 +39,8 @@
     pub(crate) seq: u64,
     pub(crate) value: Bytes,
     pub(crate) index: Option<snapshot::Index>,
+    /// The holders of copies from when it is in the journal.
+    pub(crate) holders: Option<Vec<copy::Holder>>,
     /// Whether it was sent to the platform.
     pub(crate) sent: bool,
     /// Whether it was offered to another VM.
@@ -96,6 +98,7 @@
             seq,
             value,
             index,
+            holders: None,
             sent: false,
             offered: false,
             held: false,
--- a/crates/journal/src/log/task.rs
+++ b/crates/journal/src/log/task.rs
@@ -8,7 +8,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use platform::edge;
 use tokio::sync::mpsc;
@@ -21,6 +21,7 @@
 use super::Command;
 use super::Durable;
 use super::Fault;
+use super::Flags;
 use super::Result;
 use super::Setup;
 use super::Status;
@@ -46,7 +47,7 @@
     /// To itself, from work that it starts; doesn't keep it alive.
     pub(super) own: mpsc::WeakUnboundedSender<Command>,
     pub(super) status: watch::Sender<Status>,
-    pub(super) due: Arc<AtomicBool>,
+    pub(super) flags: Arc<Flags>,
 }
 
 /// Work under way, of which there is one at most.
@@ -67,6 +68,7 @@
     /// Whether the first batch was sent before its present send.
     resent: bool,
     snapshots: snapshot::Progress,
+    flags: Arc<Flags>,
 }
 
 /// Runs until every handle is dropped and the line is empty, or the shard is lost and every handle
@@ -83,7 +85,8 @@
         tries: 0,
         hold_tries: 0,
         resent: false,
-        snapshots: snapshot::Progress::new(tail.index, ends.due),
+        snapshots: snapshot::Progress::new(tail.index),
+        flags: ends.flags,
         setup,
     };
     let left = task.serve(&mut commands).await;
@@ -138,6 +141,7 @@
             Command::Snapshot(image) => {
                 if self.is_open() {
                     self.snapshots.ask(image, self.arrivals.len());
+                    self.flags.due.store(false, Ordering::Relaxed);
                 }
             }
             Command::Written(index) => self.snapshots.written(index),
@@ -194,15 +198,20 @@
         let count = self.snapshots.limit(fits.count());
         let mut arrivals: Vec<Arrival> = self.arrivals.drain(..count).collect();
         let records = arrivals.iter_mut().flat_map(|a| a.records.drain(..));
-        let records = records.collect();
+        let records: Vec<Record> = records.collect();
+        let holders = records.iter().rev().find_map(named);
         let seq = self.last + 1;
         let nonce = write::nonce(self.setup.seed, seq);
         // Records that can't be encoded have no size and were refused when they arrived.
         let value = write::encode(&self.setup.vm, nonce, records).unwrap_or_default();
         self.last = seq;
         self.snapshots.formed(count, value.len());
+        if self.snapshots.is_due() {
+            self.flags.due.store(true, Ordering::Relaxed);
+        }
         let index = self.snapshots.take_ready();
-        let pending = Pending::new(seq, value, index, arrivals);
+        let mut pending = Pending::new(seq, value, index, arrivals);
+        pending.holders = holders;
         self.line.batches.push_back(pending);
     }
 
@@ -295,12 +304,23 @@
             let removal = self.snapshots.indexed(revision, index);
             self.remove(removal);
         }
+        if let Some(holders) = head.holders.clone() {
+            self.rename(holders, seq);
+        }
         head.done();
         if self.line.batches.is_empty() && !self.is_open() {
             self.end_outage(seq);
         }
     }
 
+    /// Has other VMs hold copies from now on; the earlier ones let go of what is in the journal.
+    fn rename(&mut self, holders: Vec<copy::Holder>, seq: u64) {
+        let (old, epoch) = (self.setup.clone(), self.epoch);
+        tokio::spawn(async move { spread::drained(&old, epoch, seq).await });
+        self.setup.copies = holders;
+        self.flags.renaming.store(false, Ordering::SeqCst);
+    }
+
     fn remove(&self, removal: snapshot::Removal) {
         let platform = Arc::clone(&self.setup.platform);
         let shard = self.setup.shard.clone();
@@ -436,6 +456,13 @@
     head: Option<Ran>,
 }
 
+fn named(record: &Record) -> Option<Vec<copy::Holder>> {
+    match record {
+        Record::Copies { holders } => Some(holders.clone()),
+        _ => None,
+    }
+}
+
 fn tell(own: &mpsc::WeakUnboundedSender<Command>, command: Command) {
     if let Some(own) = own.upgrade() {
         let _ended = own.send(command);
--- a/crates/journal/src/program.rs
+++ b/crates/journal/src/program.rs
@@ -175,7 +175,7 @@
             Record::Ended { .. } => self.ended.is_none(),
             Record::Released { .. } | Record::Forgotten { .. } => self.ended.is_some(),
             Record::Blamed { .. } => true,
-            Record::Opened { .. } | Record::Created { .. } => false,
+            Record::Opened { .. } | Record::Copies { .. } | Record::Created { .. } => false,
         }
     }
 
@@ -223,6 +223,7 @@
                 self.holders.retain(|holder| holder != endpoint);
             }
             Record::Opened { .. }
+            | Record::Copies { .. }
             | Record::Created { .. }
             | Record::Blamed { .. }
             | Record::Forgotten { .. } => {}
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -42,6 +42,11 @@
         /// stand here as well as in the ownership record, since that record goes with its lease.
         copies: Vec<Holder>,
     },
+    /// Other VMs hold the owner's pending batches from now on: one was restarted or has left.
+    Copies {
+        /// The VMs.
+        holders: Vec<Holder>,
+    },
     /// A program was made.
     Created {
         /// The program.
--- a/crates/journal/src/snapshot/progress.rs
+++ b/crates/journal/src/snapshot/progress.rs
@@ -4,10 +4,6 @@
 //! covers exactly the appends that were handed over before it, and the log forms no batch across
 //! that border.
 
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
-
 use super::Image;
 use super::Index;
 use super::Known;
@@ -34,7 +30,6 @@
     floor: u64,
     batches: u64,
     bytes: u64,
-    due: Arc<AtomicBool>,
     stage: Stage,
 }
 
@@ -55,13 +50,12 @@
 }
 
 impl Progress {
-    pub(crate) fn new(known: Known, due: Arc<AtomicBool>) -> Self {
+    pub(crate) fn new(known: Known) -> Self {
         Self {
             floor: known.index.as_ref().map_or(0, |index| index.floor),
             known,
             batches: 0,
             bytes: 0,
-            due,
             stage: Stage::Idle,
         }
     }
@@ -70,7 +64,6 @@
     pub(crate) fn ask(&mut self, image: Image, arrivals: usize) {
         if matches!(self.stage, Stage::Idle) {
             self.stage = Stage::Asked { image, arrivals };
-            self.due.store(false, Ordering::Relaxed);
         }
     }
 
@@ -100,10 +93,12 @@
         }
         self.batches += 1;
         self.bytes += bytes as u64;
+    }
+
+    /// Tells whether the journal has grown enough since the last image.
+    pub(crate) fn is_due(&self) -> bool {
         let last = self.known.index.as_ref().map_or(0, |index| index.bytes);
-        if self.batches >= BATCHES && self.bytes >= last && matches!(self.stage, Stage::Idle) {
-            self.due.store(true, Ordering::Relaxed);
-        }
+        self.batches >= BATCHES && self.bytes >= last && matches!(self.stage, Stage::Idle)
     }
 
     /// Notes that an image is written, or given up.
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -47,6 +47,9 @@
 pub struct State {
     epoch: u64,
     owner: Option<id::Vm>,
+    /// The holders that were named last.
+    named: Vec<Holder>,
+    /// These and the ones named before.
     copies: Vec<Holder>,
     #[expect(
         clippy::vec_box,
@@ -87,8 +90,10 @@
             Record::Opened { vm, epoch, copies } => {
                 self.epoch = *epoch;
                 self.owner = Some(vm.clone());
+                self.named.clone_from(copies);
                 self.copies.clone_from(copies);
             }
+            Record::Copies { holders } => self.name(holders),
             Record::Created { program, .. } => self.create(program, record),
             Record::Blamed {
                 content, endpoint, ..
@@ -117,6 +122,7 @@
     pub fn check(&self, record: &Record) -> Result<()> {
         match record {
             Record::Opened { epoch, .. } if *epoch > self.epoch => Ok(()),
+            Record::Copies { .. } => Ok(()),
             Record::Opened { epoch, .. } => Err(Misfit::Epoch(*epoch)),
             Record::Created { program, .. } => match self.find(program) {
                 Ok(_) => Err(Misfit::Exists(program.clone())),
@@ -153,7 +159,8 @@
         self.owner.as_ref()
     }
 
-    /// Yields the VMs that hold that owner's pending batches during an outage.
+    /// Yields the VMs that may hold that owner's pending batches: those that it named last and
+    /// those before, as it can't tell when the last naming lands.
     #[must_use]
     pub fn copies(&self) -> &[Holder] {
         &self.copies
@@ -194,6 +201,16 @@
         self.blamed(content).len() >= POISON_AT
     }
 
+    fn name(&mut self, holders: &[Holder]) {
+        self.copies.clone_from(&self.named);
+        for holder in holders {
+            if !self.copies.contains(holder) {
+                self.copies.push(holder.clone());
+            }
+        }
+        self.named = holders.to_vec();
+    }
+
     fn create(&mut self, id: &id::Program, record: &Record) {
         let (Err(at), Some(program)) = (self.find(id), Program::of(record)) else {
             return;
--- a/crates/journal/tests/fuzz/main.rs
+++ b/crates/journal/tests/fuzz/main.rs
@@ -41,6 +41,8 @@
     Called(usize, u8),
     /// The owner snapshots.
     Snapshot(usize),
+    /// The owner names the VMs that hold copies as they are now.
+    Rename(usize),
     /// The platform plays a fault on a write.
     Play(platform::memory::Play),
     /// The platform's delayed writes land.
@@ -87,6 +89,7 @@
             14 => (vm.clone(), 0..3usize, 0..8u64).prop_map(|(v, k, c)| Step::Order(v, k, c / 7)),
             8 => (0..3usize, 0..3u8).prop_map(|(pick, how)| Step::Called(pick, how)),
             3 => vm.clone().prop_map(Step::Snapshot),
+            4 => vm.clone().prop_map(Step::Rename),
             8 => play.prop_map(Step::Play),
             5 => Just(Step::Deliver),
             2 => (0..3u8).prop_map(|draw| Step::Down(draw == 0)),
--- a/crates/journal/tests/fuzz/owner.rs
+++ b/crates/journal/tests/fuzz/owner.rs
@@ -286,6 +286,17 @@
         self.ended(&run);
     }
 
+    pub fn rename(&mut self, vm: usize) {
+        let holders = self.holders(vm);
+        let Some(owner) = self.owner(vm) else { return };
+        if !owner.log.may_rename() {
+            return;
+        }
+        if let Some(record) = gate::copies(&owner.state, &holders) {
+            owner.put(vec![record], Effect::None);
+        }
+    }
+
     pub fn order(&mut self, vm: usize, key: usize, content: u64) {
         let (id, now, attempt) = (program_id(CALLS), self.now(), id::Attempt(self.draw()));
         let Some(owner) = self.owner(vm) else { return };
--- a/crates/journal/tests/fuzz/world.rs
+++ b/crates/journal/tests/fuzz/world.rs
@@ -154,6 +154,7 @@
             Step::Order(pick, key, content) => self.order(self.some(pick), key, content),
             Step::Called(pick, how) => self.called(pick, how),
             Step::Snapshot(pick) => self.snapshot(self.some(pick)),
+            Step::Rename(pick) => self.rename(self.some(pick)),
             Step::Play(play) => self.memory.play(play),
             Step::Deliver => self.memory.deliver(),
             Step::Down(down) => self.memory.set_down(down),
@@ -244,25 +245,28 @@
             mode: self.vms[vm].mode.subscribe(),
             publics: Arc::clone(&self.publics),
         };
-        let publics = self.publics.lock().unwrap();
-        let others = (0..VMS).filter(|other| *other != vm);
-        let copies = others.map(|other| Holder {
-            vm: name(other),
-            incarnation: publics[other].store.incarnation(),
-        });
-        let copies = copies.collect();
-        drop(publics);
         Setup {
             platform: Arc::new(platform),
             peers: Arc::new(peers),
             vm: name(vm),
             shard: shard(),
             seed: self.draw(),
-            copies,
+            copies: self.holders(vm),
             acks: 1,
         }
     }
 
+    /// Yields the holders of a VM's copies as they are now.
+    pub fn holders(&self, vm: usize) -> Vec<Holder> {
+        let publics = self.publics.lock().unwrap();
+        let others = (0..VMS).filter(|other| *other != vm);
+        let holder = |other: usize| Holder {
+            vm: name(other),
+            incarnation: publics[other].store.incarnation(),
+        };
+        others.map(holder).collect()
+    }
+
     fn claim(&mut self, vm: usize) {
         if !self.is_running(vm) || self.vms[vm].claiming.is_some() {
             return;
