Test appends and takeovers one failure at a time

Cause: the fuzzer tells that something is lost, not which failure loses it.

Change: 13 tests: shared writes, records too large for a key, appends of unknown outcome, a paused owner that wakes up (also when the keys in its way are gone), withheld intents, a death before the index is set and one before the covered keys are removed, a missing key, a release.

--- /dev/null
+++ b/crates/journal/tests/takeover.rs
@@ -0,0 +1,348 @@
+//! Appends, snapshots and takeovers over a platform in memory, one failure at a time.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use journal::claim;
+use journal::claim::Opened;
+use journal::copy;
+use journal::key;
+use journal::log::Durable;
+use journal::log::Fault;
+use journal::log::Setup;
+use journal::log::Status;
+use journal::record::MAX_BYTES;
+use journal::record::Record;
+use journal::snapshot::Image;
+use platform::edge::Entry;
+use platform::edge::Platform;
+use platform::edge::Txn;
+use platform::edge::Weight;
+use platform::edge::Write;
+use platform::memory::Memory;
+use platform::memory::Play;
+use rstest::rstest;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Ran;
+use wire::id;
+
+/// A centre whose other VMs can't be reached.
+struct Alone;
+
+#[async_trait]
+impl copy::Peers for Alone {
+    async fn hold(
+        &self,
+        _holder: &copy::Holder,
+        _shard: &id::Shard,
+        _held: &copy::Held,
+    ) -> copy::Result<()> {
+        Err(copy::Fault::Unreachable)
+    }
+
+    async fn collect(
+        &self,
+        _vm: &id::Vm,
+        _shard: &id::Shard,
+        _epoch: u64,
+    ) -> copy::Result<copy::Collected> {
+        Err(copy::Fault::Unreachable)
+    }
+
+    async fn drained(&self, _holder: &copy::Holder, _shard: &id::Shard, _epoch: u64, _seq: u64) {}
+}
+
+fn shard() -> id::Shard {
+    id::Shard {
+        centre: id::Centre::parse("c").unwrap(),
+        index: 0,
+    }
+}
+
+async fn open(memory: &Memory, vm: &str) -> claim::Result<Opened> {
+    let lease = memory.grant(Millis::new(60_000)).await.unwrap();
+    let setup = Setup {
+        platform: Arc::new(memory.clone()),
+        peers: Arc::new(Alone),
+        vm: id::Vm::parse(vm).unwrap(),
+        shard: shard(),
+        seed: lease.0,
+        copies: Vec::new(),
+        acks: 0,
+    };
+    claim::open(setup, lease).await
+}
+
+/// Removes the ownership record, as the end of its lease does.
+async fn lapse(memory: &Memory) {
+    put(memory, vec![Write::Delete(key::owner(&shard()))]).await;
+}
+
+async fn put(memory: &Memory, writes: Vec<Write>) {
+    let compares = Vec::new();
+    let txn = Txn { compares, writes };
+    memory.commit(&txn, Weight::Background).await.unwrap();
+}
+
+async fn listed(memory: &Memory, prefix: &str) -> Vec<Entry> {
+    memory.range(prefix, "", usize::MAX).await.unwrap()
+}
+
+fn created(name: &str) -> Record {
+    Record::Created {
+        program: id::Program::parse(name).unwrap(),
+        caller: id::Caller::parse("crew").unwrap(),
+        tokens: 100,
+        turns: 3,
+        idle: Millis::new(1_000),
+        at: Millis::ZERO,
+    }
+}
+
+fn intent(name: &str) -> Record {
+    Record::Intent {
+        program: id::Program::parse(name).unwrap(),
+        key: id::Key::parse("key").unwrap(),
+        attempt: id::Attempt(1),
+        digest: id::Digest(1),
+        at: Millis::ZERO,
+    }
+}
+
+async fn add(opened: &mut Opened, name: &str) {
+    opened.state.apply(&created(name));
+    let append = opened.log.append(vec![created(name)]);
+    assert_eq!(append.await, Ok(Durable::Journal));
+}
+
+/// Snapshots and waits for the index to be set and the covered keys to be gone.
+async fn snapshot(memory: &Memory, opened: &Opened) {
+    opened.log.snapshot(Image::of(&opened.state));
+    loop {
+        tokio::task::yield_now().await;
+        let first = listed(memory, &key::journals(&shard())).await;
+        if first[0].key != key::journal(&shard(), 0) {
+            return;
+        }
+    }
+}
+
+#[tokio::test]
+async fn appends_that_arrive_during_one_share_the_next_write() {
+    // A hundred callers finish turns at once on a platform that takes several hundred writes a
+    // second from the whole fleet.
+    let memory = Memory::default();
+    let opened = open(&memory, "a").await.unwrap();
+    let before = memory.writes();
+    let names: Vec<String> = (0..100).map(|at| format!("p{at}")).collect();
+    let appends: Vec<_> = names
+        .iter()
+        .map(|name| opened.log.append(vec![created(name)]))
+        .collect();
+    for append in appends {
+        assert_eq!(append.await, Ok(Durable::Journal));
+    }
+    assert!(memory.writes() - before <= 2);
+}
+
+#[tokio::test]
+async fn a_record_that_no_key_holds_is_refused_and_leaves_nothing() {
+    let memory = Memory::default();
+    let mut opened = open(&memory, "a").await.unwrap();
+    let before = memory.writes();
+    let names = (0..MAX_BYTES / 16).map(|at| created(&format!("p{at}")));
+    let append = opened.log.append(names.collect());
+    assert_eq!(append.await, Err(Fault::TooLarge));
+    assert_eq!(memory.writes(), before);
+    add(&mut opened, "p").await;
+}
+
+#[rstest]
+#[case::answer(Play::LoseAnswer)]
+#[case::write(Play::LoseWrite)]
+#[case::delayed(Play::Delay)]
+#[tokio::test(start_paused = true)]
+async fn an_append_of_unknown_outcome_lands_once(#[case] play: Play) {
+    // The platform takes the write, or loses it, or takes it later, and the answer never comes.
+    // The owner sends the same bytes until the key holds them.
+    let memory = Memory::default();
+    let mut opened = open(&memory, "a").await.unwrap();
+    memory.play(play);
+    add(&mut opened, "p").await;
+    memory.deliver();
+    assert_eq!(listed(&memory, &key::journals(&shard())).await.len(), 2);
+    lapse(&memory).await;
+    let next = open(&memory, "b").await.unwrap();
+    assert!(
+        next.state
+            .program(&id::Program::parse("p").unwrap())
+            .is_some()
+    );
+}
+
+#[tokio::test]
+async fn a_paused_owner_that_wakes_up_appends_nothing() {
+    // An owner is paused past its lease, another VM takes over, and the first wakes up with a
+    // turn to commit. Its append is refused, and that turn surely isn't in the journal.
+    let memory = Memory::default();
+    let stale = open(&memory, "a").await.unwrap();
+    assert!(matches!(
+        open(&memory, "b").await,
+        Err(claim::Fault::Owned(_))
+    ));
+    lapse(&memory).await;
+    let mut next = open(&memory, "b").await.unwrap();
+    assert_eq!((stale.epoch, next.epoch), (1, 2));
+    let append = stale.log.append(vec![created("p")]);
+    assert_eq!(append.await, Err(Fault::Lost { ran: Ran::No }));
+    assert_eq!(stale.log.status(), Status::Lost);
+    add(&mut next, "p").await;
+}
+
+#[tokio::test]
+async fn a_paused_owner_whose_keys_are_gone_appends_nothing() {
+    // As above, but the new owner has snapshotted meanwhile and removed the journal keys that the
+    // paused one would run into. Its next key is absent again; the index tells it.
+    let memory = Memory::default();
+    let stale = open(&memory, "a").await.unwrap();
+    lapse(&memory).await;
+    let mut next = open(&memory, "b").await.unwrap();
+    add(&mut next, "p").await;
+    snapshot(&memory, &next).await;
+    assert!(
+        memory
+            .read(&key::journal(&shard(), 1))
+            .await
+            .unwrap()
+            .is_none()
+    );
+    let append = stale.log.append(vec![intent("p")]);
+    assert_eq!(append.await, Err(Fault::Lost { ran: Ran::No }));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_intent_is_withheld_during_an_outage_and_turns_wait() {
+    let memory = Memory::default();
+    let mut opened = open(&memory, "a").await.unwrap();
+    add(&mut opened, "p").await;
+    memory.set_down(true);
+    let turn = opened.log.append(vec![created("q")]);
+    let mut status = opened.log.watch();
+    status
+        .wait_for(|status| *status != Status::Open)
+        .await
+        .unwrap();
+    let withheld = opened.log.append(vec![intent("p")]).await;
+    assert!(matches!(
+        withheld,
+        Err(Fault::Withheld { ran: Ran::No, .. })
+    ));
+    memory.set_down(false);
+    assert_eq!(turn.await, Ok(Durable::Journal));
+    status
+        .wait_for(|status| *status == Status::Open)
+        .await
+        .unwrap();
+}
+
+#[tokio::test]
+async fn a_takeover_begins_with_the_image() {
+    let memory = Memory::default();
+    let mut opened = open(&memory, "a").await.unwrap();
+    add(&mut opened, "p").await;
+    snapshot(&memory, &opened).await;
+    add(&mut opened, "q").await;
+    lapse(&memory).await;
+    let next = open(&memory, "b").await.unwrap();
+    let ids: Vec<&str> = next.state.programs().map(|p| p.id.as_str()).collect();
+    assert_eq!(ids, ["p", "q"]);
+    assert_eq!(next.epoch, 2);
+}
+
+#[tokio::test]
+async fn an_owner_that_dies_before_its_index_leaves_the_journal_whole() {
+    // The owner dies with its image half written. The next one reads the journal, and its own
+    // first image takes the leftovers away.
+    let memory = Memory::default();
+    let mut opened = open(&memory, "a").await.unwrap();
+    add(&mut opened, "p").await;
+    let key = key::chunk(&shard(), 1, 1, 0);
+    let (value, lease) = (b"half".to_vec(), None);
+    let half = Write::Put { key, value, lease };
+    put(&memory, vec![half]).await;
+    lapse(&memory).await;
+    let next = open(&memory, "b").await.unwrap();
+    assert_eq!(next.state.programs().count(), 1);
+    snapshot(&memory, &next).await;
+    while memory
+        .read(&key::chunk(&shard(), 1, 1, 0))
+        .await
+        .unwrap()
+        .is_some()
+    {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn an_owner_that_dies_before_the_removal_leaves_keys_that_go_later() {
+    // The owner dies between the index and the removal of the covered keys. The next one begins
+    // with the image, and its own next image takes the old keys away.
+    let memory = Memory::default();
+    let mut opened = open(&memory, "a").await.unwrap();
+    add(&mut opened, "p").await;
+    let covered = listed(&memory, &key::journals(&shard())).await;
+    snapshot(&memory, &opened).await;
+    let restored = covered.into_iter().map(|entry| Write::Put {
+        key: entry.key,
+        value: entry.value,
+        lease: None,
+    });
+    put(&memory, restored.collect()).await;
+    lapse(&memory).await;
+    let mut next = open(&memory, "b").await.unwrap();
+    assert_eq!(next.state.programs().count(), 1);
+    add(&mut next, "q").await;
+    snapshot(&memory, &next).await;
+}
+
+#[tokio::test]
+async fn a_journal_with_a_missing_key_is_not_served() {
+    let memory = Memory::default();
+    let mut opened = open(&memory, "a").await.unwrap();
+    add(&mut opened, "p").await;
+    add(&mut opened, "q").await;
+    let missing = key::journal(&shard(), 1);
+    put(&memory, vec![Write::Delete(missing)]).await;
+    lapse(&memory).await;
+    assert!(matches!(
+        open(&memory, "b").await,
+        Err(claim::Fault::Damaged(_))
+    ));
+}
+
+#[tokio::test]
+async fn a_released_shard_is_free_at_once() {
+    let memory = Memory::default();
+    let opened = open(&memory, "a").await.unwrap();
+    let setup = Setup {
+        platform: Arc::new(memory.clone()),
+        peers: Arc::new(Alone),
+        vm: id::Vm::parse("a").unwrap(),
+        shard: shard(),
+        seed: 0,
+        copies: Vec::new(),
+        acks: 0,
+    };
+    let ended = Record::Ended {
+        program: id::Program::parse("p").unwrap(),
+        code: Code::ProgramEnded,
+        at: Millis::ZERO,
+    };
+    let append = opened.log.append(vec![created("p"), ended]);
+    assert_eq!(append.await, Ok(Durable::Journal));
+    claim::release(&setup, opened.epoch).await.unwrap();
+    let next = open(&memory, "b").await.unwrap();
+    assert_eq!(next.state.programs().count(), 1);
+}
