Tell callers at once when an outage leaves a turn nowhere to be kept

Cause, seen by hand with three processes: in a data centre of one VM a turn asked in an outage of the platform waited for as long as the outage (20 s, the caller's own time-out), as no other VM could hold a copy; and the first order of a shard in an outage that the VM already knew of was refused with ran: unknown, as the shard's log learns of an outage only from its own appends. Also, holders were named at the opening only: an owner that opened its shards as the first VM of its data centre had none for good. Ruled out: answering no for an intent whose append is in doubt; the rule that an unknown append says nothing else stands. Change: the owner counts what the VM knows of the platform, refuses with CY4104, ran: no and Retry-After where no copy can be held, and names holders anew each second where they have changed; the acknowledgements follow their number.

--- a/crates/journal/src/copy.rs
+++ b/crates/journal/src/copy.rs
@@ -64,6 +64,18 @@
 /// The outcome of a call on copies.
 pub type Result<T> = std::result::Result<T, Fault>;
 
+/// Yields how many of a shard's holders must have a batch before it counts as durable in an outage.
+/// Each acknowledgement survives one more death: with one or two holders there is room for one,
+/// with more it takes two.
+#[must_use]
+pub const fn acks(holders: usize) -> usize {
+    match holders {
+        0 => 0,
+        1..=2 => 1,
+        _ => 2,
+    }
+}
+
 /// The VMs of the centre, this one among them, as the journal sees them.
 #[async_trait]
 pub trait Peers: Send + Sync + 'static {
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -137,6 +137,8 @@
     due: AtomicBool,
     /// A naming of other holders of copies isn't in the journal yet.
     renaming: AtomicBool,
+    /// Some VM holds copies.
+    copied: AtomicBool,
 }
 
 /// Resolves when an append is durable or never will be. Dropping it doesn't take the append back.
@@ -163,6 +165,7 @@
         let (commands, receiver) = mpsc::unbounded_channel();
         let (sender, status) = watch::channel(Status::Open);
         let flags = Arc::<Flags>::default();
+        flags.copied.store(setup.acks > 0, Ordering::SeqCst);
         let ends = task::Ends {
             commands: receiver,
             own: commands.downgrade(),
@@ -196,6 +199,12 @@
         self.status() == Status::Open && !self.flags.renaming.load(Ordering::SeqCst)
     }
 
+    /// Tells whether no other VM holds copies, so that in an outage nothing can become durable.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        !self.flags.copied.load(Ordering::SeqCst)
+    }
+
     /// Tells whether the journal has grown enough for a [`snapshot`](Self::snapshot).
     #[must_use]
     pub fn is_snapshot_due(&self) -> bool {
--- a/crates/journal/src/log/task.rs
+++ b/crates/journal/src/log/task.rs
@@ -368,7 +368,10 @@
     fn rename(&mut self, holders: Vec<copy::Holder>, seq: u64) {
         let (old, epoch) = (self.setup.clone(), self.epoch);
         tokio::spawn(async move { spread::drained(&old, epoch, seq).await });
+        self.setup.acks = copy::acks(holders.len());
         self.setup.copies = holders;
+        let copied = self.setup.acks > 0;
+        self.flags.copied.store(copied, Ordering::SeqCst);
         self.flags.renaming.store(false, Ordering::SeqCst);
     }
 
--- a/crates/node/src/controllers/copies.rs
+++ b/crates/node/src/controllers/copies.rs
@@ -116,11 +116,13 @@
     }
 }
 
-/// Chooses the VMs that hold a shard's batches, and how many of them must before a batch counts
-/// as durable. Each acknowledgement survives one more death: a centre with two or three VMs has
-/// room for one, a larger one asks for two of four.
+/// How many VMs hold a shard's batches, in a centre that has as many; two of them may then be gone
+/// while two acknowledge.
+const HOLDERS: usize = 4;
+
+/// Chooses the VMs that hold a shard's batches.
 #[must_use]
-pub fn holders(core: &Core, shard: &id::Shard) -> (Vec<Holder>, usize) {
+pub fn holders(core: &Core, shard: &id::Shard) -> Vec<Holder> {
     let exchange = core.control.exchange();
     let own = exchange.table.own();
     let members = exchange.table.members().iter().map(|m| &m.line);
@@ -129,22 +131,17 @@
         // One of which only the settings speak can't be named as this run of its process.
         .filter(|l| l.process != 0)
         .collect();
-    let (count, acks) = match others.len() {
-        0 => (0, 0),
-        1..=2 => (others.len(), 1),
-        _ => (4, 2),
-    };
     let candidates = others.iter().map(|l| Candidate {
         vm: &l.vm,
         size: l.size,
     });
-    let chosen = rendezvous::first(&format!("copies/{shard}"), candidates, count);
+    let chosen = rendezvous::first(&format!("copies/{shard}"), candidates, HOLDERS);
     let process = |vm: &id::Vm| others.iter().find(|l| l.vm == *vm).map_or(0, |l| l.process);
     let holders = chosen.into_iter().map(|vm| Holder {
         vm: vm.clone(),
         incarnation: process(vm),
     });
-    (holders.collect(), acks)
+    holders.collect()
 }
 
 /// Takes a batch to hold.
--- a/crates/node/src/controllers/run/claims.rs
+++ b/crates/node/src/controllers/run/claims.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use journal::claim::Ownership;
+use journal::copy;
 use journal::key;
 use journal::log::Setup;
 use platform::edge;
@@ -265,15 +266,15 @@
 }
 
 async fn claim(core: &Arc<Core>, shard: &id::Shard, lease: edge::Lease) -> bool {
-    let (copies, acks) = copies::holders(core, shard);
+    let copies = copies::holders(core, shard);
     let setup = Setup {
         platform: core.platform.clone(),
         peers: Arc::new(copies::Others::new(core)),
         vm: core.settings.vm.name.clone(),
         shard: shard.clone(),
         seed: rand::random(),
+        acks: copy::acks(copies.len()),
         copies,
-        acks,
     };
     match core.registry.claim(core, setup, lease).await {
         Ok(epoch) => {
--- a/crates/node/src/owner/call.rs
+++ b/crates/node/src/owner/call.rs
@@ -93,7 +93,7 @@
             digest,
             attempt: id::Attempt(rand::random()),
             now: owner.now(),
-            status: owner.log.status(),
+            status: owner.status(),
         };
         match gate::intend(&owner.state, &intend)? {
             gate::Call::Start(_) => {}
--- a/crates/node/src/owner/keep.rs
+++ b/crates/node/src/owner/keep.rs
@@ -8,6 +8,7 @@
 use wire::event::Event;
 use wire::id;
 
+use crate::controllers::copies;
 use crate::core::Core;
 use crate::http::client::Post;
 use crate::owner::message::Message;
@@ -26,11 +27,24 @@
     end_idle(owner);
     forget(owner);
     release(owner);
+    name_holders(owner);
     if owner.log.is_snapshot_due() {
         owner.log.snapshot(Image::of(&owner.state));
     }
 }
 
+/// Names the VMs that hold copies anew where one was replaced. Without it an owner that opened its
+/// shard as the first VM of its data centre, or whose holders were restarted since, would have
+/// nowhere to put a committed turn in the next outage.
+fn name_holders(owner: &mut Owner) {
+    if !owner.log.may_rename() {
+        return;
+    }
+    let holders = copies::holders(&owner.core, &owner.shard);
+    let record = gate::copies(&owner.state, &holders);
+    let _durable = owner.apply(record.into_iter().collect());
+}
+
 fn end_idle(owner: &mut Owner) {
     let now = owner.now();
     let idle: Vec<id::Program> = gate::idle(&owner.state, now).cloned().collect();
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -8,6 +8,7 @@
 use journal::gate::Turn;
 use journal::log::Append;
 use journal::log::Log;
+use journal::log::Status;
 use journal::program::Program;
 use journal::record::Record;
 use journal::state::State;
@@ -49,6 +50,8 @@
 /// Tokens reserved for a turn whose caller names no limit: what a long answer takes. The rest of
 /// the reservation is free again once the turn commits.
 const RESERVE: u64 = 4_096;
+/// When a caller may come again in an outage of the platform; it is looked at once a second.
+const OUTAGE_PAUSE: Millis = Millis::new(1_000);
 /// When a caller may come again whose shard is being handed over.
 const HANDOVER: Millis = Millis::new(500);
 
@@ -188,12 +191,31 @@
         }
     }
 
-    /// Refuses new work while the shard is handed over.
+    /// Refuses new work while the shard is handed over, and in an outage in which nothing of it
+    /// could become durable: it would wait for the platform with its caller none the wiser.
     pub(super) fn check_open(&self) -> Result<(), Refusal> {
-        if self.draining.is_empty() {
-            return Ok(());
+        if !self.draining.is_empty() {
+            return Err(Refusal::new(Code::ShuttingDown, "").retry_after(HANDOVER));
+        }
+        if let Status::Outage { retry_after } = self.status()
+            && self.log.is_alone()
+        {
+            let detail = "no other VM of the data centre can hold a copy";
+            return Err(Refusal::new(Code::PlatformDown, detail).retry_after(retry_after));
+        }
+        Ok(())
+    }
+
+    /// Yields where the log stands. What the VM knows of the platform counts, too: a log learns of
+    /// an outage only from an append of its own, and an intent among that one would have to be
+    /// answered as unknown although it never runs.
+    pub(super) fn status(&self) -> Status {
+        match self.log.status() {
+            Status::Open if !self.core.view().platform => Status::Outage {
+                retry_after: OUTAGE_PAUSE,
+            },
+            status => status,
         }
-        Err(Refusal::new(Code::ShuttingDown, "").retry_after(HANDOVER))
     }
 
     fn chat(&mut self, ask: &Ask, chat: &Chat, sink: &Sink) -> Result<(), Refusal> {
@@ -429,7 +451,7 @@
             digest: intend.digest,
             attempt: intend.attempt,
             now: self.now(),
-            status: self.log.status(),
+            status: self.status(),
         };
         let records = match gate::intend(&self.state, &gate) {
             Ok(gate::Call::Start(records)) => records,
--- a/crates/node/tests/request/fleet.rs
+++ b/crates/node/tests/request/fleet.rs
@@ -5,6 +5,7 @@
 
 use node::start;
 use node::start::Handle;
+use node::view::View;
 use platform::edge::Platform;
 use platform::edge::Txn;
 use platform::edge::Weight;
@@ -121,6 +122,25 @@
         all
     }
 
+    /// Waits until the node knows of an outage of the platform.
+    pub async fn until_outage(&self) {
+        self.until_view(|view| !view.platform).await;
+    }
+
+    /// Waits until the node knows that the platform answers.
+    pub async fn until_answers(&self) {
+        self.until_view(|view| view.platform).await;
+    }
+
+    async fn until_view(&self, fits: impl Fn(&View) -> bool) {
+        let mut view = self.node.core().view.subscribe();
+        let known = view.wait_for(|view| fits(view));
+        tokio::time::timeout(client::PATIENCE, known)
+            .await
+            .unwrap()
+            .unwrap();
+    }
+
     /// Waits until the runners have seen so many attempts start.
     pub async fn until_started(&self, count: usize) {
         loop {
--- a/crates/node/tests/request/turn.rs
+++ b/crates/node/tests/request/turn.rs
@@ -110,3 +110,23 @@
     let (_, ran) = refusal(&answer);
     assert_eq!(ran, "no", "{}", answer.1);
 }
+
+/// The platform is down and no other VM of the data centre is left to hold a copy. A turn couldn't
+/// be kept, so its caller is told at once that it didn't run and when to come again, in place of
+/// waiting for the platform unknowing; after the outage the same turn runs, once.
+#[tokio::test]
+async fn a_vm_alone_in_an_outage_says_so_at_once() {
+    let fleet = Fleet::plain().await;
+    let chat = client::chat("one");
+    fleet.platform.set_down(true);
+    fleet.until_outage().await;
+    let answer = fleet.ask(CHAT, &named("berth", "1"), &chat).await;
+    assert_eq!(refusal(&answer), ("CY4104", "no"));
+    assert!(answer.1["error"]["retry_after_ms"].is_u64(), "{}", answer.1);
+    assert!(fleet.attempts().await.is_empty());
+    fleet.platform.set_down(false);
+    fleet.until_answers().await;
+    let answer = fleet.ask(CHAT, &named("berth", "1"), &chat).await;
+    assert_eq!(answer.0, 200, "{}", answer.1);
+    assert_eq!(fleet.attempts().await.len(), 1);
+}
