Try the price and the feedback of the DCAF paper

The paper's eq. 6 (admit where the gain exceeds the price of the cost, the price by bisection over ten seconds of offers so that the admitted cost meets the fleet's slots) and its algorithm 2 (feedback on the wait bounds the largest prompt admitted), beside the limit on first calls' wait and beside no limit.

--- a/crates/policy/examples/patterns/main.rs
+++ b/crates/policy/examples/patterns/main.rs
@@ -39,6 +39,13 @@
     Pattern::UrgentFlood,
 ];
 
+const ADMITTED: [Pattern; 4] = [
+    Pattern::Steady(0.9),
+    Pattern::Steady(1.2),
+    Pattern::Steady(2.0),
+    Pattern::Burst,
+];
+
 const LOADS: [f64; 7] = [0.5, 0.7, 0.9, 1.0, 1.2, 1.5, 2.0];
 
 /// One line of the table.
@@ -90,6 +97,15 @@
         rate: most,
     });
     table(of, &runs);
+    println!("\nways to let programs in, load 1 = {most:.2} programs/s:");
+    let ways = ADMITTED.iter().flat_map(|pattern| {
+        Rules::ADMISSION.into_iter().map(|rules| Run {
+            pattern: *pattern,
+            rules,
+            rate: most,
+        })
+    });
+    table(of, &ways.collect::<Vec<_>>());
 }
 
 fn with_all(pattern: Pattern, rate: f64) -> impl Iterator<Item = Run> {
--- /dev/null
+++ b/crates/policy/tests/support/dcaf.rs
@@ -0,0 +1,122 @@
+//! Two admission rules after the DCAF paper (Jiang et al., 2020), tried against
+//! `policy::admit`'s limit on the wait of first calls. Neither is used outside of the driver.
+
+/// Milliseconds of offers that the price is computed from.
+const WINDOW: u64 = 10_000;
+/// Milliseconds between two prices.
+const RENEW: u64 = 1_000;
+/// Steps of the bisection.
+const STEPS: u32 = 40;
+
+/// A price on work under a fixed budget: the paper's eq. 6 with the actions "refuse" (no gain, no
+/// cost) and "admit", the multiplier by its algorithm 1.
+#[derive(Clone, Debug)]
+pub struct Price {
+    /// Service that the VM's part of the fleet gives, in milliseconds a millisecond.
+    budget: f64,
+    offers: Vec<Offer>,
+    lambda: f64,
+    renewed: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    at: u64,
+    gain: f64,
+    cost: f64,
+}
+
+impl Price {
+    /// Builds the rule for a budget.
+    pub fn new(budget: f64) -> Self {
+        Self {
+            budget,
+            offers: Vec::new(),
+            lambda: 0.0,
+            renewed: 0,
+        }
+    }
+
+    /// Tells whether a job is admitted: where its gain exceeds the price of its cost.
+    pub fn admits(&mut self, now: u64, gain: f64, cost: f64) -> bool {
+        self.offers.retain(|offer| offer.at + WINDOW > now);
+        self.offers.push(Offer {
+            at: now,
+            gain,
+            cost,
+        });
+        if self.renewed + RENEW <= now {
+            self.renewed = now;
+            self.lambda = self.solve(now.min(WINDOW));
+        }
+        gain >= self.lambda * cost
+    }
+
+    /// Searches for the multiplier at which the admitted cost meets the budget.
+    fn solve(&self, span: u64) -> f64 {
+        let budget = self.budget * span as f64;
+        if self.cost_at(0.0) <= budget {
+            return 0.0;
+        }
+        let ratios = self.offers.iter().map(|offer| offer.gain / offer.cost);
+        let mut low = 0.0;
+        let mut high = ratios.fold(0.0, f64::max);
+        for _ in 0..STEPS {
+            let middle = f64::midpoint(low, high);
+            if self.cost_at(middle) > budget {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        high
+    }
+
+    fn cost_at(&self, lambda: f64) -> f64 {
+        let admitted = self.offers.iter();
+        let admitted = admitted.filter(|offer| offer.gain >= lambda * offer.cost);
+        admitted.map(|offer| offer.cost).sum()
+    }
+}
+
+/// The paper's weights of the proportional, the summed and the differential part.
+const GAINS: [f64; 3] = [1.0, 0.1, 0.2];
+/// The wait that counts as no instability, in milliseconds, as `admit::FIRST_WAIT`.
+const TARGET: f64 = 2_000.0;
+/// The bound at rest, in prompt tokens: above nearly all prompts.
+const AT_REST: f64 = 32_000.0;
+/// The most that the sum counts; without it the bound stays shut long after an overload.
+const MOST_SUM: f64 = 60.0;
+
+/// A bound on the largest job, moved by feedback on the wait: the paper's algorithm 2.
+#[derive(Clone, Copy, Debug)]
+pub struct MaxPower {
+    bound: f64,
+    sum: f64,
+    last: f64,
+}
+
+impl MaxPower {
+    /// Builds the rule with its bound at rest.
+    pub const fn new() -> Self {
+        Self {
+            bound: AT_REST,
+            sum: 0.0,
+            last: 0.0,
+        }
+    }
+
+    /// Moves the bound, once a second; each unit of control halves it.
+    pub fn renew(&mut self, wait: u64) {
+        let error = wait as f64 / TARGET - 1.0;
+        self.sum = (self.sum + error).clamp(0.0, MOST_SUM);
+        let control = GAINS[0] * error + GAINS[1] * self.sum + GAINS[2] * (error - self.last);
+        self.last = error;
+        self.bound = AT_REST * (-control.max(0.0)).exp2();
+    }
+
+    /// Tells whether a job of so many prompt tokens is admitted.
+    pub fn admits(&self, prompt: u64) -> bool {
+        prompt as f64 <= self.bound
+    }
+}
--- a/crates/policy/tests/support/driver.rs
+++ b/crates/policy/tests/support/driver.rs
@@ -39,6 +39,11 @@
 /// How many times slower the fault of [`Pattern::SlowEndpoint`] makes an endpoint.
 const SLOWER: f64 = 10.0;
 
+/// The `retry_after` of the rules that are tried: about what ours yields at twice the load.
+const TRIED_RETRY: Millis = Millis::new(3_000);
+/// Prompt tokens of a mean call, for the cost that the price is put on.
+const MEAN_PROMPT: f64 = 3_000.0;
+
 /// What happens at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -202,7 +207,11 @@
         }
         let vm = program % self.vms.len();
         match self.vms[vm].rules {
-            Rules::Ours => self.admit(vm, program),
+            Rules::Ours
+            | Rules::Price
+            | Rules::MaxPower
+            | Rules::MaxPowerFirst
+            | Rules::Unlimited => self.admit(vm, program),
             Rules::FifoLeast => {
                 self.vms[vm].fifo.push_back(program);
                 self.pump(vm);
@@ -222,14 +231,17 @@
         let load = admit::Load::of(&vm.queue, &vm.drain, class, caller);
         let call = admit::Call {
             class,
-            stage: match self.standings[program].turn {
-                0 => admit::Stage::First,
+            stage: match (vm.rules, self.standings[program].turn) {
+                (Rules::Ours, 0) => admit::Stage::First,
                 _ => admit::Stage::Later,
             },
             deadline: None,
             run: Millis::new(vm.service as u64),
         };
         match admit::decide(&load, &call, &mut vm.rng) {
+            Ok(()) if !self.tried_rule_admits(at, program) => {
+                self.refuse(program, Some(TRIED_RETRY));
+            }
             Ok(()) => {
                 let since = self.millis();
                 self.enqueue(at, program, since);
@@ -239,6 +251,25 @@
         }
     }
 
+    /// Asks the rule of the DCAF paper that is tried, if any.
+    fn tried_rule_admits(&mut self, at: usize, program: usize) -> bool {
+        let of = &self.programs[program];
+        if of.class == Class::Urgent {
+            return true;
+        }
+        let standing = &self.standings[program];
+        let prompt = standing.history + of.turns[standing.turn].add;
+        let vm = &mut self.vms[at];
+        match (vm.rules, standing.turn) {
+            (Rules::Price, turn) => {
+                let cost = vm.service * (0.5 + 0.5 * prompt as f64 / MEAN_PROMPT);
+                vm.price.admits(self.now, 1.0 + turn as f64, cost)
+            }
+            (Rules::MaxPower, _) | (Rules::MaxPowerFirst, 0) => vm.power.admits(prompt),
+            _ => true,
+        }
+    }
+
     fn enqueue(&mut self, at: usize, program: usize, since: Millis) {
         let of = &self.programs[program];
         let vm = &mut self.vms[at];
@@ -286,12 +317,12 @@
     /// Sends what can be sent.
     fn pump(&mut self, at: usize) {
         match self.vms[at].rules {
-            Rules::Ours => {
+            Rules::FifoLeast => self.pump_fifo(at),
+            Rules::RoundRobin | Rules::LeastOutstanding | Rules::Sticky => {}
+            _ => {
                 self.pump_queue(at);
                 self.displace(at);
             }
-            Rules::FifoLeast => self.pump_fifo(at),
-            Rules::RoundRobin | Rules::LeastOutstanding | Rules::Sticky => {}
         }
     }
 
@@ -409,8 +440,10 @@
             program,
             vm: at,
             class: match vm.rules {
-                Rules::Ours => of.class,
-                _ => Class::Routine,
+                Rules::FifoLeast | Rules::RoundRobin | Rules::LeastOutstanding | Rules::Sticky => {
+                    Class::Routine
+                }
+                _ => of.class,
             },
             prompt: standing.history + turn.add + standing.made,
             output,
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -13,6 +13,7 @@
     reason = "the driver reckons in tokens and milliseconds far below 2^52"
 )]
 
+pub mod dcaf;
 pub mod deployment;
 pub mod driver;
 pub mod engine;
--- a/crates/policy/tests/support/rules.rs
+++ b/crates/policy/tests/support/rules.rs
@@ -5,6 +5,14 @@
 pub enum Rules {
     /// By this crate.
     Ours,
+    /// By this crate, with new programs let in by the price of eq. 6 of the DCAF paper.
+    Price,
+    /// By this crate, with routine calls bounded in size by algorithm 2 of the DCAF paper.
+    MaxPower,
+    /// The same bound for first calls only.
+    MaxPowerFirst,
+    /// By this crate, with nothing refused before the queue's own limits.
+    Unlimited,
     /// One first-in-first-out queue at the VM, then the endpoint with the least outstanding.
     FifoLeast,
     /// Each call to the next endpoint in turn, at once.
@@ -25,10 +33,23 @@
         Self::Sticky,
     ];
 
+    /// The ways to let programs in, ours first.
+    pub const ADMISSION: [Self; 5] = [
+        Self::Ours,
+        Self::Price,
+        Self::MaxPower,
+        Self::MaxPowerFirst,
+        Self::Unlimited,
+    ];
+
     /// Yields the name in the table.
     pub fn name(self) -> &'static str {
         match self {
             Self::Ours => "ours",
+            Self::Price => "price (eq. 6)",
+            Self::MaxPower => "max power, all",
+            Self::MaxPowerFirst => "max power, first",
+            Self::Unlimited => "no limit on first",
             Self::FifoLeast => "fifo + least outst.",
             Self::RoundRobin => "round robin",
             Self::LeastOutstanding => "least outstanding",
--- a/crates/policy/tests/support/vm.rs
+++ b/crates/policy/tests/support/vm.rs
@@ -12,6 +12,8 @@
 use rand_chacha::ChaCha8Rng;
 use wire::clock::Millis;
 
+use super::dcaf::MaxPower;
+use super::dcaf::Price;
 use super::deployment::Deployment;
 use super::rules::Rules;
 
@@ -89,6 +91,10 @@
     pub lanes: Vec<place::Lane>,
     /// What it saw them do.
     pub detectors: Vec<eject::Detector>,
+    /// The price of work, where that rule is tried.
+    pub price: Price,
+    /// The bound on work, where that rule is tried.
+    pub power: MaxPower,
     /// Its generator.
     pub rng: ChaCha8Rng,
     /// Mean tokens of a call.
@@ -111,6 +117,7 @@
             },
             ledger: Ledger::default(),
         };
+        let slots: f64 = of.endpoints.iter().map(|spec| f64::from(spec.slots)).sum();
         Self {
             rules,
             weights: of.weights,
@@ -121,6 +128,8 @@
             views: of.endpoints.iter().map(view).collect(),
             lanes: place::lanes(&of.endpoints.iter().map(|e| e.speed).collect::<Vec<_>>()),
             detectors: vec![eject::Detector::new(Millis::ZERO); of.endpoints.len()],
+            price: Price::new(slots / of.vms as f64),
+            power: MaxPower::new(),
             rng: ChaCha8Rng::seed_from_u64(number as u64),
             output: of.output,
             service: 5_000.0,
@@ -142,6 +151,13 @@
         eject::sweep(&mut self.detectors, now);
         let speeds: Vec<f64> = self.views.iter().map(|view| view.report.speed).collect();
         self.lanes = place::lanes(&speeds);
+        let wait = admit::Load {
+            waiting: self.queue.len(),
+            own: 0,
+            room: 1,
+            drain: self.drain.rate(),
+        };
+        self.power.renew(wait.wait().as_u64());
     }
 
     /// Takes in what a call was like.
