--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -30,9 +30,9 @@
 
 /// The longest expected wait at which a routine program's first call is let in.
 ///
-/// Some mean call durations: long enough that the endpoints don't run dry while the programs that
-/// are under way pause for their tools, short enough that a program's wait stays small beside its
-/// run.
+/// The longest lag of a load report: until then a VM can't tell a queue that drains from one that
+/// grows. Measured against no such limit at twice the saturating load (docs/LOAD.md): a third more
+/// goodput for Derwent and a sixth for Kwabena, as programs aren't broken off in the middle.
 pub const FIRST_WAIT: Millis = Millis::new(2_000);
 /// The shortest `retry_after`: below it, coming back costs more than the wait saves.
 pub const MIN_RETRY: Millis = Millis::new(250);
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -44,6 +44,8 @@
 pub const AHEAD: f64 = 0.5;
 
 /// The share of its speed that each call of a batch loses while a prompt is prefilled beside it.
+///
+/// As in the engine model that it is measured with; to be set from the real engines' figures.
 pub const TOLL: f64 = 0.3;
 
 /// An endpoint that may run the call, as this VM sees it.
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -13,6 +13,9 @@
 //!    program's attained service, the latter up to [`AGEING_BOUND`]: a call is overtaken only by
 //!    calls that come less than that later, so none starves. Ranks don't change with time, so the
 //!    lists stay sorted without being gone through again.
+//!
+//! Measured (docs/LOAD.md): the second level decides what small callers get beside large ones; the
+//! third changes little while [`crate::admit`] keeps the queue short.
 
 use wire::clock::Millis;
 use wire::id;
--- a/crates/policy/tests/support/driver.rs
+++ b/crates/policy/tests/support/driver.rs
@@ -4,11 +4,7 @@
 use std::collections::BinaryHeap;
 
 use policy::admit;
-use policy::class::Class;
-use policy::displace;
 use policy::eject;
-use policy::place;
-use policy::queue;
 use wire::clock::Millis;
 use wire::id;
 
@@ -20,7 +16,6 @@
 use super::outcome::Outcome;
 use super::outcome::Record;
 use super::rules::Rules;
-use super::vm;
 use super::vm::Home;
 use super::vm::Report;
 use super::vm::Vm;
@@ -28,6 +23,8 @@
 use super::work::Pattern;
 use super::work::Program;
 
+mod dispatch;
+
 /// How long a caller waits for one turn, with all its tries, before it gives the program up.
 pub const PATIENCE: u64 = 60_000;
 /// How often endpoints report.
@@ -39,11 +36,6 @@
 /// How many times slower the fault of [`Pattern::SlowEndpoint`] makes an endpoint.
 const SLOWER: f64 = 10.0;
 
-/// The `retry_after` of the rules that are tried: about what ours yields at twice the load.
-const TRIED_RETRY: Millis = Millis::new(3_000);
-/// Prompt tokens of a mean call, for the cost that the price is put on.
-const MEAN_PROMPT: f64 = 3_000.0;
-
 /// What happens at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -224,86 +216,6 @@
         }
     }
 
-    fn admit(&mut self, at: usize, program: usize) {
-        let class = self.programs[program].class;
-        let caller = &self.callers[self.programs[program].caller];
-        let vm = &mut self.vms[at];
-        let load = admit::Load::of(&vm.queue, &vm.drain, class, caller);
-        let call = admit::Call {
-            class,
-            stage: match (vm.rules, self.standings[program].turn) {
-                (Rules::Ours, 0) => admit::Stage::First,
-                _ => admit::Stage::Later,
-            },
-            deadline: None,
-            run: Millis::new(vm.service as u64),
-        };
-        match admit::decide(&load, &call, &mut vm.rng) {
-            Ok(()) if !self.tried_rule_admits(at, program) => {
-                self.refuse(program, Some(TRIED_RETRY));
-            }
-            Ok(()) => {
-                let since = self.millis();
-                self.enqueue(at, program, since);
-                self.pump(at);
-            }
-            Err(refusal) => self.refuse(program, refusal.retry_after),
-        }
-    }
-
-    /// Asks the rule of the DCAF paper that is tried, if any.
-    fn tried_rule_admits(&mut self, at: usize, program: usize) -> bool {
-        let of = &self.programs[program];
-        if of.class == Class::Urgent {
-            return true;
-        }
-        let standing = &self.standings[program];
-        let prompt = standing.history + of.turns[standing.turn].add;
-        let vm = &mut self.vms[at];
-        match (vm.rules, standing.turn) {
-            (Rules::Price, turn) => {
-                let cost = vm.service * (0.5 + 0.5 * prompt as f64 / MEAN_PROMPT);
-                vm.price.admits(self.now, 1.0 + turn as f64, cost)
-            }
-            (Rules::MaxPower, _) | (Rules::MaxPowerFirst, 0) => vm.power.admits(prompt),
-            _ => true,
-        }
-    }
-
-    fn enqueue(&mut self, at: usize, program: usize, since: Millis) {
-        let of = &self.programs[program];
-        let vm = &mut self.vms[at];
-        let run = Millis::new(vm.service as u64);
-        let entry = queue::Entry {
-            item: program,
-            class: of.class,
-            caller: self.callers[of.caller].clone(),
-            attained: Millis::new(self.standings[program].attained),
-            cost: run,
-            since,
-            expires: queue::expiry(since, of.class, None, run),
-        };
-        if vm.queue.push(entry).is_err() {
-            self.refuse(program, Some(admit::MIN_RETRY));
-        }
-    }
-
-    /// Lets a caller come back, if its patience lasts so long.
-    fn refuse(&mut self, program: usize, retry_after: Option<Millis>) {
-        self.records[program].refusals += 1;
-        let back = self.now + retry_after.unwrap_or(admit::MIN_RETRY).as_u64();
-        if back < self.standings[program].asked + PATIENCE {
-            self.at(back, Event::Ask { program });
-            return;
-        }
-        self.lose(program);
-    }
-
-    fn lose(&mut self, program: usize) {
-        self.records[program].fate = Fate::Lost;
-        self.records[program].ended = self.now;
-    }
-
     fn tire(&mut self, program: usize, turn: usize) {
         if self.records[program].fate != Fate::Open || self.standings[program].turn != turn {
             return;
@@ -314,151 +226,6 @@
         self.vms[vm].fifo.retain(|item| *item != program);
     }
 
-    /// Sends what can be sent.
-    fn pump(&mut self, at: usize) {
-        match self.vms[at].rules {
-            Rules::FifoLeast => self.pump_fifo(at),
-            Rules::RoundRobin | Rules::LeastOutstanding | Rules::Sticky => {}
-            _ => {
-                self.pump_queue(at);
-                self.displace(at);
-            }
-        }
-    }
-
-    fn pump_fifo(&mut self, at: usize) {
-        while !self.vms[at].fifo.is_empty() {
-            let endpoint = self.vms[at].least_outstanding();
-            if !self.vms[at].has_slot(endpoint) {
-                return;
-            }
-            if let Some(program) = self.vms[at].fifo.pop_front() {
-                self.send(at, program, endpoint);
-            }
-        }
-    }
-
-    fn pump_queue(&mut self, at: usize) {
-        let now = self.millis();
-        loop {
-            let programs = self.programs;
-            let standings = &self.standings;
-            let vm = &mut self.vms[at];
-            let mut endpoint = 0;
-            let fleet = vm::Fleet {
-                views: &vm.views,
-                lanes: &vm.lanes,
-                detectors: &vm.detectors,
-                weights: &vm.weights,
-            };
-            let output = vm.output;
-            let mut candidates = fleet.candidates(now);
-            let entry = vm.queue.pop_where(|entry| {
-                let call = call(programs, standings, entry.item, output);
-                let Some(choice) = fleet.choose(&call, &mut candidates) else {
-                    return false;
-                };
-                endpoint = choice.index;
-                candidates[endpoint].claimed += 1;
-                choice.start == place::Start::Now
-            });
-            let Some(entry) = entry else {
-                return;
-            };
-            let left = vm.queue.len();
-            vm.drain.count(now, left);
-            self.send(at, entry.item, endpoint);
-        }
-    }
-
-    /// Gives the places of routine calls to urgent ones that wait.
-    fn displace(&mut self, at: usize) {
-        for _ in 0..self.vms[at].queue.waiting(Class::Urgent) {
-            let under_way = self.vms[at].under_way.iter().copied();
-            let own: Vec<usize> = under_way
-                .filter(|program| self.records[*program].fate == Fate::Open)
-                .collect();
-            let running: Vec<displace::Running> =
-                own.iter().map(|program| self.running(*program)).collect();
-            let Some(chosen) = displace::choose(&running) else {
-                return;
-            };
-            self.stop(at, own[chosen]);
-            self.pump_queue(at);
-        }
-    }
-
-    fn running(&self, program: usize) -> displace::Running {
-        let standing = &self.standings[program];
-        let begun = standing.sent.map_or(self.now, |sent| sent.at);
-        let vm = &self.vms[program % self.vms.len()];
-        let spent = self.now - begun;
-        displace::Running {
-            class: self.programs[program].class,
-            resume: displace::Resume::Possible,
-            left: Millis::new((vm.service as u64).saturating_sub(spent)),
-            redo: Millis::ZERO,
-            attained: Millis::new(standing.attained + spent),
-            displaced: standing.displaced,
-        }
-    }
-
-    fn stop(&mut self, at: usize, program: usize) {
-        let Some(sent) = self.standings[program].sent.take() else {
-            return;
-        };
-        let Some(job) = self.engines[sent.endpoint].cancel(program, self.now) else {
-            return;
-        };
-        self.schedule(sent.endpoint);
-        self.vms[at].under_way.retain(|sent| *sent != program);
-        let now = self.millis();
-        self.vms[at].views[sent.endpoint]
-            .ledger
-            .end(Millis::new(sent.at), now);
-        let made = (job.output as f64 - job.left).max(0.0) as u64;
-        let begun = if job.begun == 0 { self.now } else { job.begun };
-        let standing = &mut self.standings[program];
-        standing.made += made;
-        standing.displaced += 1;
-        standing.attained += self.now - begun;
-        let asked = Millis::new(standing.asked);
-        self.enqueue(at, program, asked);
-    }
-
-    fn send(&mut self, at: usize, program: usize, endpoint: usize) {
-        let of = &self.programs[program];
-        let standing = &mut self.standings[program];
-        let turn = of.turns[standing.turn];
-        standing.sent = Some(Sent {
-            endpoint,
-            at: self.now,
-        });
-        let output = turn.output.saturating_sub(standing.made).max(1);
-        let vm = &mut self.vms[at];
-        let job = Job {
-            program,
-            vm: at,
-            class: match vm.rules {
-                Rules::FifoLeast | Rules::RoundRobin | Rules::LeastOutstanding | Rules::Sticky => {
-                    Class::Routine
-                }
-                _ => of.class,
-            },
-            prompt: standing.history + turn.add + standing.made,
-            output,
-            sent: self.now,
-            begun: 0,
-            miss: 0.0,
-            missed: 0,
-            left: output as f64,
-        };
-        vm.under_way.push(program);
-        vm.views[endpoint].ledger.send(Millis::new(self.now));
-        self.engines[endpoint].take(job, self.now);
-        self.schedule(endpoint);
-    }
-
     fn schedule(&mut self, endpoint: usize) {
         let engine = &self.engines[endpoint];
         let epoch = engine.epoch;
@@ -572,18 +339,3 @@
         self.at(self.now + SWEEP, Event::Sweep);
     }
 }
-
-fn call(programs: &[Program], standings: &[Standing], program: usize, output: f64) -> vm::Call {
-    let standing = &standings[program];
-    let turn = programs[program].turns[standing.turn];
-    vm::Call {
-        program,
-        placed: place::Call {
-            class: programs[program].class,
-            prompt: standing.history + turn.add + standing.made,
-            output: (output as u64).saturating_sub(standing.made).max(16),
-            salt: (program as u64) << 16 | standing.turn as u64,
-        },
-        home: standing.home,
-    }
-}
