--- a/crates/node/src/dispatch/desk.rs
+++ b/crates/node/src/dispatch/desk.rs
@@ -9,17 +9,12 @@
 use policy::admit;
 use policy::admit::Drain;
 use policy::admit::Stage;
-use policy::eject;
 use policy::eject::Sample;
-use policy::place;
-use policy::place::Choice;
-use policy::place::Start;
 use policy::queue;
 use policy::queue::Entry;
 use policy::queue::Queue;
 use policy::retry;
 use policy::shift;
-use settings::config::Config;
 use settings::config::Endpoint;
 use settings::config::Kind;
 use settings::vm::Settings;
@@ -31,6 +26,8 @@
 use wire::id;
 
 use crate::core::Core;
+use crate::dispatch::choose::Picked;
+use crate::dispatch::choose::pick;
 use crate::dispatch::standing;
 use crate::dispatch::standing::Content;
 use crate::dispatch::standing::Standing;
@@ -91,29 +88,16 @@
 /// Gives out the endpoints' slots.
 pub struct Desk(Mutex<State>);
 
-struct State {
-    standings: Vec<Standing>,
+pub(super) struct State {
+    pub(super) standings: Vec<Standing>,
     queue: Queue<Waiter>,
-    drain: Drain,
+    pub(super) drain: Drain,
     retries: retry::Budget,
     born: Millis,
     /// The view that the standings follow.
     synced: Arc<View>,
 }
 
-/// An endpoint chosen for a call.
-struct Picked {
-    endpoint: Endpoint,
-    choice: Choice,
-    detail: String,
-}
-
-impl Picked {
-    fn can_start(&self) -> bool {
-        self.choice.start == Start::Now
-    }
-}
-
 struct Waiter {
     work: Work,
     slot: oneshot::Sender<Result<Slot>>,
@@ -162,7 +146,7 @@
         self.lock().queue.len()
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -230,20 +214,6 @@
     }
 }
 
-/// Ejects and takes back endpoints; to be called about once a second.
-pub fn sweep(core: &Arc<Core>) {
-    let now = core.clock.now();
-    let view = core.view();
-    let mut state = core.desk.lock();
-    state.drain.roll(now);
-    state.sync(&view, now);
-    let known = |s: &Standing| view.config.endpoint(s.endpoint.as_str()).is_some();
-    state.standings.retain(|s| known(s) || s.running() > 0);
-    for pool in pools(&view.config) {
-        sweep_pool(&mut state.standings, &pool, now);
-    }
-}
-
 enum Entered {
     Placed(Slot),
     Queued(oneshot::Receiver<Result<Slot>>),
@@ -323,93 +293,6 @@
     Millis::new(work.output.saturating_mul(TOKEN))
 }
 
-/// Chooses an endpoint for a call as things stand; logs the decision where the call can start.
-fn pick(
-    core: &Core,
-    view: &View,
-    standings: &[Standing],
-    work: &Work,
-    now: Millis,
-) -> Option<Picked> {
-    let endpoints = usable(core, view, work);
-    let mut names: Vec<&Endpoint> = Vec::with_capacity(endpoints.len());
-    let mut candidates = Vec::with_capacity(endpoints.len());
-    for endpoint in endpoints {
-        let found = standings.binary_search_by(|s| s.endpoint.cmp(&endpoint.name));
-        let Ok(at) = found else { continue };
-        if work.content == Content::Suspect && standings[at].has_suspect() {
-            continue;
-        }
-        let held = work.held.iter().find(|(name, _)| *name == endpoint.name);
-        let cached = held.map_or(0, |(_, tokens)| *tokens);
-        let load = view.load(&endpoint.name);
-        if let Some(candidate) = standings[at].candidate(endpoint, load, cached, now) {
-            names.push(endpoint);
-            candidates.push(candidate);
-        }
-    }
-    let speeds: Vec<f64> = candidates.iter().map(|c| c.speed).collect();
-    for (candidate, lane) in candidates.iter_mut().zip(place::lanes(&speeds)) {
-        candidate.lane = lane;
-    }
-    let weights = place::Weights {
-        latency: core.settings.weights.latency,
-        cache: core.settings.weights.cache,
-    };
-    let call = place::Call {
-        class: standing::class(work.class),
-        prompt: work.prompt,
-        output: work.output,
-        salt: rand::random(),
-    };
-    let choice = place::choose(&candidates, &call, &weights)?;
-    let endpoint = names[choice.index];
-    let detail = match choice.start {
-        Start::Now => reason(endpoint, &choice, &names),
-        Start::Later => String::new(),
-    };
-    Some(Picked {
-        endpoint: endpoint.clone(),
-        choice,
-        detail,
-    })
-}
-
-/// Renders a decision for the log.
-fn reason(endpoint: &Endpoint, choice: &Choice, names: &[&Endpoint]) -> String {
-    let names: Vec<&str> = names.iter().map(|e| e.name.as_str()).collect();
-    format!(
-        "choice={} reason=\"cost={:.0} wait={:.0} miss={:.0} run={:.0} next={:.0}\" candidates={}",
-        endpoint.name,
-        choice.cost,
-        choice.wait,
-        choice.miss,
-        choice.run,
-        choice.next,
-        names.join(",")
-    )
-}
-
-/// Lists the endpoints that the selectors allow now: those of this data centre, or where it has
-/// none, all; without the ones that failed the call, unless there are no others.
-fn usable<'a>(core: &Core, view: &'a View, work: &Work) -> Vec<&'a Endpoint> {
-    let caller = view.config.caller(work.caller.as_str());
-    let grant = caller.and_then(|caller| {
-        let config = &view.config;
-        config.grant(caller, &work.program, work.kind, &work.serves)
-    });
-    let mut endpoints = grant.map(|grant| grant.endpoints).unwrap_or_default();
-    let near = |e: &&Endpoint| e.centre == core.settings.vm.centre;
-    if endpoints.iter().any(near) {
-        endpoints.retain(near);
-    }
-    let fresh = |e: &&Endpoint| !work.avoid.contains(&e.name);
-    if endpoints.iter().any(fresh) {
-        endpoints.retain(fresh);
-    }
-    endpoints
-}
-
 /// Counts a call that will wait for the endpoint that it prefers, so that those behind it don't
 /// reckon with the same slot.
 fn claim(standings: &mut [Standing], picked: Option<&Picked>) {
@@ -476,7 +359,7 @@
 
 impl State {
     /// Takes in the endpoints and load reports of a new view.
-    fn sync(&mut self, view: &Arc<View>, now: Millis) {
+    pub(super) fn sync(&mut self, view: &Arc<View>, now: Millis) {
         if Arc::ptr_eq(&self.synced, view) {
             return;
         }
@@ -504,36 +387,3 @@
         })
     }
 }
-
-/// Lists the pools of endpoints that serve the same.
-fn pools(config: &Config) -> Vec<Vec<&id::Endpoint>> {
-    let first = |e: &Endpoint| e.serves.first().cloned().unwrap_or_default();
-    let mut names: Vec<String> = config.endpoints.iter().map(first).collect();
-    names.sort();
-    names.dedup();
-    let members = |name: String| {
-        let all = config.endpoints.iter();
-        all.filter(|e| first(e) == name).map(|e| &e.name).collect()
-    };
-    names.into_iter().map(members).collect()
-}
-
-fn sweep_pool(standings: &mut [Standing], pool: &[&id::Endpoint], now: Millis) {
-    let find = |name: &&id::Endpoint| standings.binary_search_by(|s| s.endpoint.cmp(name)).ok();
-    let places: Vec<usize> = pool.iter().filter_map(find).collect();
-    let mut detectors: Vec<eject::Detector> =
-        places.iter().map(|at| standings[*at].detector).collect();
-    for change in eject::sweep(&mut detectors, now) {
-        let endpoint = &standings[places[change.index]].endpoint;
-        match change.kind {
-            eject::Kind::Back => log::info!("{} endpoint={endpoint}", Event::EndpointRestored),
-            fault => log::warn!(
-                "{} endpoint={endpoint} reason={fault:?}",
-                Event::EndpointEjected
-            ),
-        }
-    }
-    for (at, detector) in places.into_iter().zip(detectors) {
-        standings[at].detector = detector;
-    }
-}
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -5,6 +5,7 @@
 //! decision.
 
 pub mod call;
+mod decide;
 pub mod feed;
 pub mod keep;
 pub mod message;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -27,6 +27,7 @@
 use crate::core::Core;
 use crate::dispatch::desk;
 use crate::dispatch::desk::Desk;
+use crate::dispatch::sweep;
 use crate::filters;
 use crate::http::client::Client;
 use crate::http::listen;
@@ -245,7 +246,7 @@
         pumps += 1;
         if pumps >= SWEEP {
             pumps = 0;
-            desk::sweep(&core);
+            sweep::sweep(&core);
             core.registry.tick();
         }
     }
