--- a/crates/policy/examples/patterns/main.rs
+++ b/crates/policy/examples/patterns/main.rs
@@ -6,8 +6,6 @@
     reason = "times and counts of a run stay far below 2^52"
 )]
 
-#![allow(clippy::cast_precision_loss, reason = "the figures are far below 2^52")]
-
 #[path = "../../tests/support/mod.rs"]
 mod support;
 
