Give up waiting for a VM that is silent and replaced

Cause: a VM that freezes or loses its power leaves connections that neither answer nor break. A turn forwarded to it hung for as long as its caller waited, although another VM had taken the program over after some seconds (seen red in a_turn_sent_to_a_frozen_owner_is_answered_by_the_next: no answer in 60 s).

Change: after two seconds of silence the forwarding VM looks whether another VM owns the program, or the VM has been thought down for ten seconds; it then breaks off as if the connection had. Ruled out: a fixed time-out for answers, which would cut off turns that wait in a queue or for a long prompt; breaking off at the change of ownership itself, which could overtake the last replies of a graceful hand-over.

--- a/crates/chestnutyoke/tests/takeover.rs
+++ b/crates/chestnutyoke/tests/takeover.rs
@@ -5,6 +5,7 @@
 use bench::Ask;
 use bench::Endpoint;
 use bench::Fleet;
+use bench::PATIENCE;
 use bench::Plan;
 use bench::Signal;
 use bench::chat;
@@ -149,6 +150,29 @@
     .await;
 }
 
+// A turn is forwarded to an owner that has just frozen: the connection is made, as the machine
+// still takes it, and nothing comes back. The caller isn't left waiting for the frozen process:
+// once another VM has taken the shard over, the entry VM sends the turn there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_turn_sent_to_a_frozen_owner_is_answered_by_the_next() {
+    let fleet = Fleet::start(&three_vms()).await;
+    let owner = fleet.owner("east", 0, None).await;
+    let mut history = Vec::new();
+    next(
+        &fleet,
+        owner,
+        &mut history,
+        &Ask::turn("p", 1, "one #tokens=3"),
+    )
+    .await;
+    fleet.nodes[owner].signal(Signal::Stop);
+    let second = Ask::turn("p", 2, "two #tokens=3");
+    let answer = tokio::time::timeout(PATIENCE, chat(fleet.others(owner)[0], &second)).await;
+    let answer = answer.expect("the caller hangs").unwrap();
+    history.push(said("user", &second.text));
+    assert_eq!(answer.content(), answer::whole(&history, 16));
+}
+
 // The platform takes writes and loses the answers, again and again, while a program goes on. Each
 // append is settled by reading it back, so no turn is lost and none is committed twice.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -1,5 +1,7 @@
 //! Hands an ask to the owner of its program, here or on another VM, and streams the replies back.
 
+mod gone;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -192,7 +194,7 @@
                 ask.program,
                 ask.hops
             );
-            there(core, ask, &address.to_string(), replies).await
+            there(core, ask, &vm, &address.to_string(), replies).await
         }
         Hop::NoOwner(_) => Tried::Elsewhere(no_owner(ask)),
         Hop::Unreachable(centre) => {
@@ -224,7 +226,13 @@
 }
 
 /// Sends an ask to another VM and passes its replies on.
-async fn there(core: &Core, ask: &Ask, address: &str, replies: &UnboundedSender<Reply>) -> Tried {
+async fn there(
+    core: &Arc<Core>,
+    ask: &Ask,
+    vm: &id::Vm,
+    address: &str,
+    replies: &UnboundedSender<Reply>,
+) -> Tried {
     let Ok(body) = frame::encode(ask) else {
         let _gone = replies.send(Reply::Refused(Refusal::new(Code::BodyTooLarge, "")));
         return Tried::Finished;
@@ -236,7 +244,11 @@
         headers: &[],
         body,
     };
-    let mut incoming = match core.client.post(post).await {
+    let response = tokio::select! {
+        response = core.client.post(post) => response,
+        () = gone::gone(core, ask, vm) => return Tried::Broken(0),
+    };
+    let mut incoming = match response {
         Ok(response) if response.status().is_success() => response.into_body(),
         Err(Fault::NotSent(detail)) => {
             return Tried::Elsewhere(Refusal::new(Code::ForwardFailed, &detail).retry_after(PAUSE));
@@ -251,10 +263,16 @@
                 Some(tried) => return tried,
                 None => seen += 1,
             },
-            Ok(None) => match incoming.frame().await {
-                Some(Ok(part)) => buffer.extend_from_slice(part.data_ref().map_or(&[], |d| d)),
-                Some(Err(_)) | None => return Tried::Broken(seen),
-            },
+            Ok(None) => {
+                let part = tokio::select! {
+                    part = incoming.frame() => part,
+                    () = gone::gone(core, ask, vm) => return Tried::Broken(seen),
+                };
+                let Some(Ok(part)) = part else {
+                    return Tried::Broken(seen);
+                };
+                buffer.extend_from_slice(part.data_ref().map_or(&[], |d| d));
+            }
             Err(_) => return Tried::Broken(seen),
         }
     }
