Keep a lost shard's line for later claimers

Cause: an owner that learnt of its loss in another way than by a claimer's question (a fenced copy, a taken key) dropped its log, and with it batches that only a VM which is gone since had acknowledged.

Change: the log puts its line into this VM's own store before anyone can learn of the loss (Peers::keep). A test shows that only the last owner's batches are taken over.

--- a/crates/journal/examples/slopes.rs
+++ b/crates/journal/examples/slopes.rs
@@ -393,5 +393,7 @@
         Err(copy::Fault::Unreachable)
     }
 
+    async fn keep(&self, _shard: &id::Shard, _held: Vec<copy::Held>) {}
+
     async fn drained(&self, _holder: &copy::Holder, _shard: &id::Shard, _epoch: u64, _seq: u64) {}
 }
--- a/crates/journal/src/copy.rs
+++ b/crates/journal/src/copy.rs
@@ -76,6 +76,10 @@
     /// ([`Store::keep`]), so that a second claimer finds it there if the first one dies.
     async fn collect(&self, vm: &id::Vm, shard: &id::Shard, epoch: u64) -> Result<Collected>;
 
+    /// Puts what was in line when this VM lost a shard into its own store ([`Store::keep`]). It
+    /// may have been acknowledged by a VM that is gone since, and the next claimer asks for it.
+    async fn keep(&self, shard: &id::Shard, held: Vec<Held>);
+
     /// Tells a VM that the batches of a shard up to `seq` are in the journal ([`Store::drained`]).
     /// May be lost: later batches of a higher epoch drop them as well.
     async fn drained(&self, holder: &Holder, shard: &id::Shard, epoch: u64, seq: u64);
--- a/crates/journal/src/log/task.rs
+++ b/crates/journal/src/log/task.rs
@@ -119,7 +119,7 @@
         loop {
             while let Ok(command) = commands.try_recv() {
                 if let Some(sender) = self.take(command) {
-                    return Some(self.step_down(sender));
+                    return Some(self.step_down(sender).await);
                 }
             }
             pace = self.begin_pace(pace);
@@ -140,13 +140,13 @@
                 command = commands.recv(), if open => {
                     open = command.is_some();
                     if let Some(sender) = command.and_then(|command| self.take(command)) {
-                        return Some(self.step_down(sender));
+                        return Some(self.step_down(sender).await);
                     }
                     None
                 }
             };
             if let Some(lost) = lost {
-                return Some(self.lose(lost.head));
+                return Some(self.lose(lost.head).await);
             }
         }
     }
@@ -454,22 +454,25 @@
         }
     }
 
-    fn step_down(&mut self, sender: oneshot::Sender<Vec<copy::Held>>) -> Vec<copy::Held> {
+    async fn step_down(&mut self, sender: oneshot::Sender<Vec<copy::Held>>) -> Vec<copy::Held> {
         // The new owner writes what it gets, so none of it may be called absent from the journal.
         for pending in &mut self.line.batches {
             pending.offered = true;
         }
-        let left = self.lose(None);
+        let left = self.lose(None).await;
         let _gone = sender.send(left.clone());
         left
     }
 
-    fn lose(&mut self, head: Option<Ran>) -> Vec<copy::Held> {
+    /// Keeps what was in line for later claimers, and tells everyone that the shard is lost.
+    async fn lose(&mut self, head: Option<Ran>) -> Vec<copy::Held> {
         let shard = &self.setup.shard;
         let epoch = self.epoch;
         log::warn!("{} shard={shard} epoch={epoch}", Event::ShardLost);
-        self.status.send_replace(Status::Lost);
         let left = self.line.copies(epoch);
+        // Before anyone can learn of the loss and drop this log with its line.
+        self.setup.peers.keep(shard, left.clone()).await;
+        self.status.send_replace(Status::Lost);
         self.line.lose(head);
         for arrival in self.arrivals.drain(..) {
             arrival.lose();
--- a/crates/journal/tests/fuzz/world.rs
+++ b/crates/journal/tests/fuzz/world.rs
@@ -183,6 +183,10 @@
                 self.act(vm);
             }
         }
+        // A node forgets a shard that it has lost.
+        for public in self.publics.lock().unwrap().iter_mut() {
+            public.logs.retain(|(_, log)| log.status() != Status::Lost);
+        }
         if !self.is_exposed() {
             self.deaths = 0;
         }
@@ -242,6 +246,7 @@
             cut: Arc::clone(&self.vms[vm].cut),
         };
         let peers = Net {
+            vm,
             mode: self.vms[vm].mode.subscribe(),
             publics: Arc::clone(&self.publics),
         };
@@ -476,6 +481,7 @@
 
 /// The other VMs as one VM reaches them.
 struct Net {
+    vm: usize,
     mode: watch::Receiver<Mode>,
     publics: Publics,
 }
@@ -504,14 +510,20 @@
         let at = self.reach(vm).await?;
         let logs = self.publics.lock().unwrap()[at].logs.clone();
         for (_, log) in logs.into_iter().filter(|(old, _)| *old < epoch) {
-            let left = log.surrender().await;
-            self.publics.lock().unwrap()[at].store.keep(shard, left);
+            log.surrender().await;
         }
         let found = self.publics.lock().unwrap()[at].store.collect(shard, epoch);
         pass(&self.mode).await;
         found
     }
 
+    async fn keep(&self, shard: &id::Shard, held: Vec<Held>) {
+        pass(&self.mode).await;
+        self.publics.lock().unwrap()[self.vm]
+            .store
+            .keep(shard, held);
+    }
+
     async fn drained(&self, holder: &Holder, shard: &id::Shard, epoch: u64, seq: u64) {
         if let Ok(at) = self.reach(&holder.vm).await {
             let mut publics = self.publics.lock().unwrap();
--- a/crates/journal/tests/takeover.rs
+++ b/crates/journal/tests/takeover.rs
@@ -27,11 +27,14 @@
 use wire::code::Ran;
 use wire::id;
 
-/// A centre whose other VMs can't be reached.
-struct Alone;
+/// A centre whose VMs answer claimers with these batches, and hold none.
+struct Fixed(Vec<copy::Held>);
+
+/// The incarnation of each VM.
+const INCARNATION: u64 = 7;
 
 #[async_trait]
-impl copy::Peers for Alone {
+impl copy::Peers for Fixed {
     async fn hold(
         &self,
         _holder: &copy::Holder,
@@ -47,9 +50,14 @@
         _shard: &id::Shard,
         _epoch: u64,
     ) -> copy::Result<copy::Collected> {
-        Err(copy::Fault::Unreachable)
+        Ok(copy::Collected {
+            incarnation: INCARNATION,
+            held: self.0.clone(),
+        })
     }
 
+    async fn keep(&self, _shard: &id::Shard, _held: Vec<copy::Held>) {}
+
     async fn drained(&self, _holder: &copy::Holder, _shard: &id::Shard, _epoch: u64, _seq: u64) {}
 }
 
@@ -61,14 +69,21 @@
 }
 
 async fn open(memory: &Memory, vm: &str) -> claim::Result<Opened> {
+    open_with(memory, vm, Vec::new()).await
+}
+
+async fn open_with(memory: &Memory, vm: &str, held: Vec<copy::Held>) -> claim::Result<Opened> {
     let lease = memory.grant(Millis::new(60_000)).await.unwrap();
     let setup = Setup {
         platform: Arc::new(memory.clone()),
-        peers: Arc::new(Alone),
+        peers: Arc::new(Fixed(held)),
         vm: id::Vm::parse(vm).unwrap(),
         shard: shard(),
         seed: lease.0,
-        copies: Vec::new(),
+        copies: vec![copy::Holder {
+            vm: id::Vm::parse("holder").unwrap(),
+            incarnation: INCARNATION,
+        }],
         acks: 0,
     };
     claim::open(setup, lease).await
@@ -328,7 +343,7 @@
     let opened = open(&memory, "a").await.unwrap();
     let setup = Setup {
         platform: Arc::new(memory.clone()),
-        peers: Arc::new(Alone),
+        peers: Arc::new(Fixed(Vec::new())),
         vm: id::Vm::parse("a").unwrap(),
         shard: shard(),
         seed: 0,
@@ -346,3 +361,32 @@
     let next = open(&memory, "b").await.unwrap();
     assert_eq!(next.state.programs().count(), 1);
 }
+
+#[rstest]
+#[case::of_the_last_owner(2, true)]
+#[case::of_an_owner_before(1, false)]
+#[tokio::test]
+async fn only_the_last_owners_pending_batches_are_taken_over(
+    #[case] epoch: u64,
+    #[case] taken: bool,
+) {
+    // A VM that was thought gone when the second owner took over is back, and still holds a batch
+    // of the first. The third owner must not put it behind the second one's.
+    let memory = Memory::default();
+    for vm in ["a", "b"] {
+        open(&memory, vm).await.unwrap();
+        lapse(&memory).await;
+    }
+    let batch = journal::record::Batch {
+        writer: id::Vm::parse("a").unwrap(),
+        nonce: 1,
+        records: vec![created("p")],
+    };
+    let held = copy::Held {
+        epoch,
+        seq: 2,
+        value: rmp_serde::to_vec_named(&batch).unwrap().into(),
+    };
+    let next = open_with(&memory, "c", vec![held]).await.unwrap();
+    assert_eq!(next.state.programs().count(), usize::from(taken));
+}
--- a/crates/node/src/controllers/copies.rs
+++ b/crates/node/src/controllers/copies.rs
@@ -106,6 +106,12 @@
             .await?
     }
 
+    async fn keep(&self, shard: &id::Shard, held: Vec<Held>) {
+        if let Some(core) = self.0.upgrade() {
+            core.control.copies().keep(shard, held);
+        }
+    }
+
     async fn drained(&self, holder: &Holder, shard: &id::Shard, epoch: u64, seq: u64) {
         let drained = Drained {
             shard: shard.clone(),
