Let operators end a program

A program that loops or whose caller can't be reached could be ended by its caller only. program end asks the owner in the caller's name; the test of an operator's first steps ends the program and sees its next turn refused.

--- a/crates/chestnutyoke/src/cli.rs
+++ b/crates/chestnutyoke/src/cli.rs
@@ -110,6 +110,7 @@
     match operate::parse(verb, matches)? {
         operate::Verb::Change(edit) => change::run(&target, &edit).await?,
         operate::Verb::Show(subject) => show::run(&target, &subject).await?,
+        operate::Verb::End(program) => show::end(&target, &program).await?,
     }
     Ok(())
 }
--- a/crates/chestnutyoke/src/cli/operate.rs
+++ b/crates/chestnutyoke/src/cli/operate.rs
@@ -52,6 +52,8 @@
     Change(Edit),
     /// To see something.
     Show(View),
+    /// To end a program.
+    End(id::Program),
 }
 
 /// Yields the operators' commands.
@@ -211,13 +213,19 @@
 }
 
 fn program_command() -> Command {
+    let name = Arg::new("name").required(true);
     Command::new("program")
         .about("Programs")
         .subcommand_required(true)
         .subcommand(
             Command::new("show")
-                .about("Shows a program's turns, budget and labels")
-                .arg(Arg::new("name").required(true)),
+                .about("Shows a program's turns, budget and history")
+                .arg(name.clone()),
+        )
+        .subcommand(
+            Command::new("end")
+                .about("Ends a program for good, whoever its caller is")
+                .arg(name),
         )
 }
 
@@ -288,6 +296,7 @@
             leaf, "centre",
         )?)?))),
         ("vm", _) => Ok(Verb::Show(View::Vms)),
+        ("program", Some(("end", leaf))) => Ok(Verb::End(id::Program::parse(text(leaf, "name")?)?)),
         ("program", Some((_, leaf))) => Ok(Verb::Show(View::Program(id::Program::parse(text(
             leaf, "name",
         )?)?))),
--- a/crates/chestnutyoke/src/verbs/show.rs
+++ b/crates/chestnutyoke/src/verbs/show.rs
@@ -42,6 +42,21 @@
     Ok(())
 }
 
+/// Ends a program and shows what it was.
+///
+/// # Errors
+///
+/// Fails where the VM can't be reached or doesn't know the program.
+pub async fn end(target: &Target, program: &id::Program) -> client::Result<()> {
+    let path = format!("/operate/programs/{program}");
+    let answer = client::call(target.admin, Method::DELETE, &path, None).await?;
+    match target.form {
+        Form::Json => println!("{answer}"),
+        Form::Table => print!("{}", fields(&answer)),
+    }
+    Ok(())
+}
+
 fn path(view: &View) -> String {
     match view {
         View::Status | View::Vms => "/status".to_owned(),
--- a/crates/chestnutyoke/tests/operators.rs
+++ b/crates/chestnutyoke/tests/operators.rs
@@ -51,6 +51,11 @@
         (&shown["turns"], &shown["caller"]),
         (&1.into(), &"crew".into())
     );
+    let ended = json(admin, &["program", "end", "ferry-7"]).await;
+    assert_eq!(ended["ended"], "CY1303");
+    let next = [headers[0], headers[1], ("chestnutyoke-turn", "2")];
+    let (status, refused) = support::post(deployment.callers(), path, &next, &chat).await;
+    assert_eq!((status, &refused["error"]["code"]), (410, &"CY1303".into()));
     deployment.stop().await;
 }
 
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -80,6 +80,7 @@
         (&Method::GET, "config") => Ok(json!(*core.view().config)),
         (&Method::GET, "rollout") => rollout(core, request.uri().query()).await,
         (&Method::GET, "programs") => program(core, parse(subject)?).await,
+        (&Method::DELETE, "programs") => end(core, parse(subject)?).await,
         (&Method::GET, "explain") => Ok(explain(core, parse(subject)?).await),
         (_, "change" | "config" | "rollout" | "programs" | "explain") => {
             Err(Refusal::new(Code::BadMethod, &path))
@@ -146,17 +147,37 @@
     json!({ "reached": rollout.reached, "behind": rollout.behind, "silent": rollout.silent })
 }
 
-/// Asks the program's owner, as callers do, but without being its caller.
 async fn program(core: &Arc<Core>, program: id::Program) -> Result<Value> {
-    let caller = id::Caller::parse("operator")
+    ask(core, program, operator()?, Body::Inspect).await
+}
+
+/// Ends a program in the name of its caller, who may be the one that can't be reached.
+async fn end(core: &Arc<Core>, program: id::Program) -> Result<Value> {
+    let shown = ask(core, program.clone(), operator()?, Body::Inspect).await?;
+    let caller = shown["caller"].as_str().unwrap_or_default();
+    let caller = id::Caller::parse(caller)
         .map_err(|fault| Refusal::new(Code::Internal, &fault.to_string()))?;
+    ask(core, program, caller, Body::End).await
+}
+
+fn operator() -> Result<id::Caller> {
+    id::Caller::parse("operator").map_err(|f| Refusal::new(Code::Internal, &f.to_string()))
+}
+
+/// Asks the program's owner, as callers' requests do.
+async fn ask(
+    core: &Arc<Core>,
+    program: id::Program,
+    caller: id::Caller,
+    body: Body,
+) -> Result<Value> {
     let ask = Ask {
         program,
         caller,
         revision: core.view().config.revision,
         deadline: Some(TELL),
         hops: 0,
-        body: Body::Inspect,
+        body,
     };
     let mut replies = forward::ask(core, ask);
     while let Some(reply) = replies.recv().await {
