Name the holders of copies anew as VMs come and go

Cause: a node that opens its shards before it knows others named no holders, and held no copies in any later outage.

Change: the shard's actor names the holders with each tick, where they have changed and the log may. The number of acknowledgements follows from the number of holders (copy::acks).

--- a/crates/journal/src/copy.rs
+++ b/crates/journal/src/copy.rs
@@ -85,6 +85,18 @@
     async fn drained(&self, holder: &Holder, shard: &id::Shard, epoch: u64, seq: u64);
 }
 
+/// Yields how many of so many holders must hold a batch before it counts as durable. Each
+/// acknowledgement survives one more death of a VM; one or two holders have room for one, as two
+/// of two would make each restart of either a stop.
+#[must_use]
+pub fn acks(holders: usize) -> usize {
+    match holders {
+        0 => 0,
+        1..=2 => 1,
+        _ => 2,
+    }
+}
+
 /// The copies that one VM holds for others.
 #[derive(Debug)]
 pub struct Store {
--- a/crates/journal/src/log/task.rs
+++ b/crates/journal/src/log/task.rs
@@ -368,6 +368,7 @@
     fn rename(&mut self, holders: Vec<copy::Holder>, seq: u64) {
         let (old, epoch) = (self.setup.clone(), self.epoch);
         tokio::spawn(async move { spread::drained(&old, epoch, seq).await });
+        self.setup.acks = copy::acks(holders.len());
         self.setup.copies = holders;
         self.flags.renaming.store(false, Ordering::SeqCst);
     }
--- a/crates/journal/tests/takeover.rs
+++ b/crates/journal/tests/takeover.rs
@@ -390,3 +390,27 @@
     let next = open_with(&memory, "c", vec![held]).await.unwrap();
     assert_eq!(next.state.programs().count(), usize::from(taken));
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_intent_that_may_have_landed_is_never_called_absent() {
+    // The platform takes an intent and its answer is lost, and then the platform goes down. The
+    // caller is told that the outcome isn't known, as the intent may be in the journal.
+    let memory = Memory::default();
+    let mut opened = open(&memory, "a").await.unwrap();
+    add(&mut opened, "p").await;
+    let before = memory.writes();
+    memory.play(Play::LoseAnswer);
+    let append = opened.log.append(vec![intent("p")]);
+    while memory.writes() == before {
+        tokio::task::yield_now().await;
+    }
+    memory.set_down(true);
+    let withheld = append.await;
+    assert!(matches!(
+        withheld,
+        Err(Fault::Withheld {
+            ran: Ran::Unknown,
+            ..
+        })
+    ));
+}
--- a/crates/node/src/controllers/copies.rs
+++ b/crates/node/src/controllers/copies.rs
@@ -28,6 +28,10 @@
 /// How long another VM may take: an answer waits for it, and the next holder is asked after it.
 const ANSWER: Millis = Millis::new(500);
 
+/// Other VMs that hold a shard's batches: two acknowledgements are needed, and two more VMs may be
+/// slow or gone without holding up a turn.
+const HOLDERS: usize = 4;
+
 /// A batch to hold.
 #[derive(Serialize, Deserialize)]
 struct Hold {
@@ -135,11 +139,7 @@
         // One of which only the settings speak can't be named as this run of its process.
         .filter(|l| l.process != 0)
         .collect();
-    let (count, acks) = match others.len() {
-        0 => (0, 0),
-        1..=2 => (others.len(), 1),
-        _ => (4, 2),
-    };
+    let count = others.len().min(HOLDERS);
     let candidates = others.iter().map(|l| Candidate {
         vm: &l.vm,
         size: l.size,
@@ -150,7 +150,9 @@
         vm: vm.clone(),
         incarnation: process(vm),
     });
-    (holders.collect(), acks)
+    let holders: Vec<Holder> = holders.collect();
+    let acks = journal::copy::acks(holders.len());
+    (holders, acks)
 }
 
 /// Takes a batch to hold.
--- a/crates/node/src/owner/keep.rs
+++ b/crates/node/src/owner/keep.rs
@@ -8,6 +8,7 @@
 use wire::event::Event;
 use wire::id;
 
+use crate::controllers::copies;
 use crate::core::Core;
 use crate::http::client::Post;
 use crate::owner::message::Message;
@@ -26,11 +27,27 @@
     end_idle(owner);
     forget(owner);
     release(owner);
+    name_holders(owner);
     if owner.log.is_snapshot_due() {
         owner.log.snapshot(Image::of(&owner.state));
     }
 }
 
+/// Names other VMs for the copies when one was restarted or has left, or more are up than when the
+/// shard was opened. Without it an owner that opened its shards alone would hold none in the next
+/// outage. Where no other VM is up, those named before stay.
+fn name_holders(owner: &mut Owner) {
+    if !owner.log.may_rename() {
+        return;
+    }
+    let (holders, _) = copies::holders(&owner.core, &owner.shard);
+    if holders.is_empty() {
+        return;
+    }
+    let record = gate::copies(&owner.state, &holders);
+    let _durable = owner.apply(record.into_iter().collect());
+}
+
 fn end_idle(owner: &mut Owner) {
     let now = owner.now();
     let idle: Vec<id::Program> = gate::idle(&owner.state, now).cloned().collect();
