--- a/crates/journal/src/copy.rs
+++ b/crates/journal/src/copy.rs
@@ -64,6 +64,18 @@
 /// The outcome of a call on copies.
 pub type Result<T> = std::result::Result<T, Fault>;
 
+/// Yields how many of a shard's holders must have a batch before it counts as durable in an outage.
+/// Each acknowledgement survives one more death: with one or two holders there is room for one,
+/// with more it takes two.
+#[must_use]
+pub const fn acks(holders: usize) -> usize {
+    match holders {
+        0 => 0,
+        1..=2 => 1,
+        _ => 2,
+    }
+}
+
 /// The VMs of the centre, this one among them, as the journal sees them.
 #[async_trait]
 pub trait Peers: Send + Sync + 'static {
@@ -85,18 +97,6 @@
     async fn drained(&self, holder: &Holder, shard: &id::Shard, epoch: u64, seq: u64);
 }
 
-/// Yields how many of so many holders must hold a batch before it counts as durable. Each
-/// acknowledgement survives one more death of a VM; one or two holders have room for one, as two
-/// of two would make each restart of either a stop.
-#[must_use]
-pub fn acks(holders: usize) -> usize {
-    match holders {
-        0 => 0,
-        1..=2 => 1,
-        _ => 2,
-    }
-}
-
 /// The copies that one VM holds for others.
 #[derive(Debug)]
 pub struct Store {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -5,10 +5,12 @@
 //! decision.
 
 pub mod call;
+mod decide;
 pub mod feed;
 pub mod keep;
 pub mod message;
 pub mod pending;
+pub mod poison;
 pub mod registry;
 pub mod seat;
 pub mod shard;
--- a/crates/node/src/owner/keep.rs
+++ b/crates/node/src/owner/keep.rs
@@ -33,17 +33,14 @@
     }
 }
 
-/// Names other VMs for the copies when one was restarted or has left, or more are up than when the
-/// shard was opened. Without it an owner that opened its shards alone would hold none in the next
-/// outage. Where no other VM is up, those named before stay.
+/// Names the VMs that hold copies anew where one was replaced. Without it an owner that opened its
+/// shard as the first VM of its data centre, or whose holders were restarted since, would have
+/// nowhere to put a committed turn in the next outage.
 fn name_holders(owner: &mut Owner) {
     if !owner.log.may_rename() {
         return;
     }
-    let (holders, _) = copies::holders(&owner.core, &owner.shard);
-    if holders.is_empty() {
-        return;
-    }
+    let holders = copies::holders(&owner.core, &owner.shard);
     let record = gate::copies(&owner.state, &holders);
     let _durable = owner.apply(record.into_iter().collect());
 }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -27,11 +27,13 @@
 use crate::core::Core;
 use crate::dispatch::desk;
 use crate::dispatch::desk::Desk;
+use crate::dispatch::sweep;
 use crate::filters;
 use crate::http::client::Client;
 use crate::http::listen;
 use crate::http::listen::Door;
 use crate::metrics::Metrics;
+use crate::owner::poison::Poison;
 use crate::owner::registry::Registry;
 use crate::peer;
 use crate::trace::Trace;
@@ -114,6 +116,7 @@
     );
     let core = Arc::new(Core {
         desk: Desk::new(&settings, clock.now()),
+        poison: Poison::default(),
         metrics: Metrics::default(),
         trace: Trace::default(),
         client: Client::default(),
@@ -243,7 +246,7 @@
         pumps += 1;
         if pumps >= SWEEP {
             pumps = 0;
-            desk::sweep(&core);
+            sweep::sweep(&core);
             core.registry.tick();
         }
     }
