--- a/crates/journal/src/program.rs
+++ b/crates/journal/src/program.rs
@@ -3,6 +3,9 @@
 //! Exists for the failure "a program's history is lost or mixed with another's": everything that a
 //! program has stands in one value that only its own records change, each of them checked against
 //! the turn and attempt that are due.
+//!
+//! A program's model and labels aren't kept: each request names its model, and labels come from the
+//! operators' configuration, so that a change of theirs holds for programs under way as well.
 
 use serde::Deserialize;
 use serde::Serialize;
