--- a/crates/chestnutyoke/tests/bench/caller.rs
+++ b/crates/chestnutyoke/tests/bench/caller.rs
@@ -14,12 +14,22 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
 use serde_json::json;
+use wire::chat::Message;
 
 use super::MODEL;
 use super::SERVICE;
 use super::TOKEN;
 use super::switch::until_some;
 
+/// Builds a message of a conversation.
+pub fn said(role: &str, text: &str) -> Message {
+    Message {
+        role: role.to_owned(),
+        content: text.into(),
+        rest: serde_json::Map::new(),
+    }
+}
+
 /// What is asked for a program's turn.
 #[derive(Clone, Debug, Default)]
 pub struct Ask {
--- a/crates/chestnutyoke/tests/bench/fleet.rs
+++ b/crates/chestnutyoke/tests/bench/fleet.rs
@@ -136,7 +136,7 @@
     pub async fn ready(&self) {
         let what = format!("{} is ready", self.name);
         switch::until_some(&what, async || {
-            let (status, _) = switch::peek(self.admin, "/ready").await?;
+            let status = switch::peek(self.admin, "/ready").await?;
             (status == 200).then_some(())
         })
         .await;
--- a/crates/chestnutyoke/tests/bench/mod.rs
+++ b/crates/chestnutyoke/tests/bench/mod.rs
@@ -18,6 +18,7 @@
 pub use caller::chat_until_answered;
 pub use caller::end;
 pub use caller::open;
+pub use caller::said;
 pub use fleet::Endpoint;
 pub use fleet::Fleet;
 pub use fleet::MODEL;
--- a/crates/chestnutyoke/tests/cut.rs
+++ b/crates/chestnutyoke/tests/cut.rs
@@ -13,12 +13,12 @@
 use bench::chat_until_answered;
 use bench::get;
 use bench::post;
+use bench::said;
 use bench::until;
 use bench::until_some;
 use serde_json::Value;
 use serde_json::json;
 use standin::runner::answer;
-use wire::chat::Message;
 
 /// An accepted change is in force on every VM that can be reached after this time.
 const IN_FORCE: Duration = Duration::from_secs(4);
@@ -41,14 +41,6 @@
     }
 }
 
-fn said(role: &str, text: &str) -> Message {
-    Message {
-        role: role.to_owned(),
-        content: text.into(),
-        rest: serde_json::Map::new(),
-    }
-}
-
 async fn change(fleet: &Fleet, node: usize, value: &str) -> Value {
     let subject = json!({ "program": "p" });
     let edit = json!({ "label": { "subject": subject, "name": "duty", "value": value } });
--- a/crates/chestnutyoke/tests/endpoints.rs
+++ b/crates/chestnutyoke/tests/endpoints.rs
@@ -9,10 +9,10 @@
 use bench::chat;
 use bench::get;
 use bench::open;
+use bench::said;
 use bench::until_some;
 use serde_json::json;
 use standin::runner::answer;
-use wire::chat::Message;
 
 fn runners(names: &[&'static str]) -> Plan {
     let runner = |name: &&'static str| Endpoint {
@@ -26,14 +26,6 @@
     }
 }
 
-fn asked(text: &str) -> Message {
-    Message {
-        role: "user".to_owned(),
-        content: text.into(),
-        rest: serde_json::Map::new(),
-    }
-}
-
 async fn busy(fleet: &Fleet) -> usize {
     until_some("a runner with a call", async || {
         for (index, runner) in fleet.runners.iter().enumerate() {
@@ -60,7 +52,7 @@
     fleet.runners[running].kill();
     stream.finish().await;
     assert!(stream.ended, "{:?}", stream.error);
-    assert_eq!(stream.text, answer::whole(&[asked(text)], 16));
+    assert_eq!(stream.text, answer::whole(&[said("user", text)], 16));
 }
 
 // A stream is cut off by the runner, again and again. No cut stream is passed off as whole: the
@@ -75,7 +67,7 @@
     let ask = Ask::turn("p", 1, text);
     let mut stream = open(fleet.nodes[0].callers, &ask).await.unwrap();
     stream.finish().await;
-    let whole = answer::whole(&[asked(text)], 16);
+    let whole = answer::whole(&[said("user", text)], 16);
     assert!(whole.starts_with(&stream.text), "{}", stream.text);
     assert_eq!(stream.ended, stream.text == whole, "{:?}", stream.error);
     let again = chat(fleet.nodes[1].callers, &ask).await.unwrap();
@@ -107,7 +99,7 @@
     assert_eq!(fresh.code(), "CY3102", "{fresh:?}");
     stream.finish().await;
     assert!(stream.ended, "{:?}", stream.error);
-    assert_eq!(stream.text, answer::whole(&[asked(text)], 16));
+    assert_eq!(stream.text, answer::whole(&[said("user", text)], 16));
     let dead = fleet
         .runners
         .iter_mut()
--- a/crates/chestnutyoke/tests/outage.rs
+++ b/crates/chestnutyoke/tests/outage.rs
@@ -8,10 +8,10 @@
 use bench::call;
 use bench::chat_until_answered;
 use bench::get;
+use bench::said;
 use bench::until_some;
 use serde_json::json;
 use standin::runner::answer;
-use wire::chat::Message;
 
 fn three_vms() -> Plan {
     Plan {
@@ -21,14 +21,6 @@
     }
 }
 
-fn said(role: &str, text: &str) -> Message {
-    Message {
-        role: role.to_owned(),
-        content: text.into(),
-        rest: serde_json::Map::new(),
-    }
-}
-
 // The platform is out for longer than a lease. Model turns go on, for a program under way and for
 // a new one. A call that may run at most once is refused, with the promise that it did not run and
 // a time to ask again. After the outage the call runs once, and the turns of the outage are in
--- a/crates/chestnutyoke/tests/shutdown.rs
+++ b/crates/chestnutyoke/tests/shutdown.rs
@@ -9,8 +9,8 @@
 use bench::Signal;
 use bench::chat_until_answered;
 use bench::open;
+use bench::said;
 use standin::runner::answer;
-use wire::chat::Message;
 
 const STREAMS: usize = 8;
 
@@ -26,14 +26,6 @@
     }
 }
 
-fn asked(text: &str) -> Message {
-    Message {
-        role: "user".to_owned(),
-        content: text.into(),
-        rest: serde_json::Map::new(),
-    }
-}
-
 // The owner of all programs gets SIGTERM while streams are open through it and through the other
 // VM. Every stream goes on to its end and its marker, new requests are answered by the other VM
 // meanwhile, the shard is handed over, and the process ends with success.
@@ -57,13 +49,13 @@
         for (text, stream) in &mut streams {
             stream.finish().await;
             assert!(stream.ended, "{text} was cut off: {:?}", stream.error);
-            assert_eq!(stream.text, answer::whole(&[asked(text)], 16));
+            assert_eq!(stream.text, answer::whole(&[said("user", text)], 16));
         }
     };
     let (late, ()) = tokio::join!(chat_until_answered(&others, &late), finished);
     assert_eq!(
         late.content(),
-        answer::whole(&[asked("late #tokens=2")], 16)
+        answer::whole(&[said("user", "late #tokens=2")], 16)
     );
     let status = fleet.nodes[owner].process.wait().await;
     assert!(status.success(), "{status}");
--- a/crates/chestnutyoke/tests/takeover.rs
+++ b/crates/chestnutyoke/tests/takeover.rs
@@ -12,6 +12,7 @@
 use bench::chat_until_answered;
 use bench::get;
 use bench::open;
+use bench::said;
 use bench::until;
 use serde_json::json;
 use standin::runner::answer;
@@ -34,14 +35,6 @@
     }
 }
 
-fn said(role: &str, text: &str) -> Message {
-    Message {
-        role: role.to_owned(),
-        content: text.into(),
-        rest: serde_json::Map::new(),
-    }
-}
-
 /// Asks for a turn until it is answered, checks the answer against the one conversation, and adds
 /// both to the history.
 async fn next(fleet: &Fleet, skip: usize, history: &mut Vec<Message>, ask: &Ask) {
--- a/crates/chestnutyoke/tests/three_nodes.rs
+++ b/crates/chestnutyoke/tests/three_nodes.rs
@@ -13,8 +13,8 @@
 use bench::chat_until_answered;
 use bench::get;
 use bench::open;
+use bench::said;
 use standin::runner::answer;
-use wire::chat::Message;
 
 fn three_nodes() -> Plan {
     Plan {
@@ -35,14 +35,6 @@
     }
 }
 
-fn said(role: &str, text: &str) -> Message {
-    Message {
-        role: role.to_owned(),
-        content: text.into(),
-        rest: serde_json::Map::new(),
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn every_node_answers_whole_and_streamed() {
     let fleet = Fleet::start(&three_nodes()).await;
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -100,14 +100,14 @@
     (status, serde_json::from_slice(&body).unwrap_or_default())
 }
 
-/// Collects a stream: its text, and whether it ended with the end marker.
-///
-/// # Panics
-///
-/// Panics where the connection breaks in the middle.
+/// Collects a stream: its text as far as it came, and whether it ended with the end marker.
 pub async fn stream(response: Response<Incoming>) -> (String, bool) {
-    let body = response.into_body().collect().await.unwrap().to_bytes();
-    let text = String::from_utf8(body.to_vec()).unwrap();
+    let mut body = response.into_body();
+    let mut bytes = Vec::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+    }
+    let text = String::from_utf8_lossy(&bytes).into_owned();
     let ended = text.ends_with("data: [DONE]\n\n");
     (text, ended)
 }
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -8,7 +8,9 @@
 pub mod answer;
 pub mod cache;
 mod engine;
+pub mod faults;
 mod generate;
+pub mod report;
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -20,8 +22,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use serde::Deserialize;
-use serde::Serialize;
 use serde_json::json;
 use tokio::net::TcpListener;
 use wire::clock::Clock;
@@ -35,6 +35,12 @@
 use crate::runner::cache::Cache;
 use crate::runner::engine::Engine;
 use crate::runner::engine::Speed;
+use crate::runner::faults::Faults;
+use crate::runner::report::Command;
+use crate::runner::report::Holding;
+use crate::runner::report::Load;
+use crate::runner::report::Order;
+use crate::runner::report::Stats;
 
 /// The header that names the program whose prefix may be cached.
 pub const PROGRAM: &str = "chestnutyoke-program";
@@ -92,167 +98,6 @@
     }
 }
 
-/// The faults to show; `POST /faults` sets the fields that it names and leaves the others.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-#[allow(clippy::struct_excessive_bools)] // switches that don't depend on each other
-pub struct Faults {
-    /// By what factor it is slower than set.
-    pub slow: f64,
-    /// Whether calls start and then generate nothing more.
-    pub hang: bool,
-    /// Crashes on a request whose messages contain this text; empty for none.
-    pub crash_mark: String,
-    /// Whether it has crashed ([`Crash::Break`]).
-    pub crashed: bool,
-    /// How many of the next answers are cut off after `cut_after` tokens.
-    pub cuts: u32,
-    /// Where they are cut off.
-    pub cut_after: u64,
-    /// How many of the next answers are generated whole and dropped before their end is sent.
-    pub drop_answers: u32,
-    /// How many of the next orders are dropped without effect.
-    pub lose_orders: u32,
-    /// Whether its load report says that it leaves, though it still takes calls.
-    pub announce_leaving: bool,
-    /// Whether orders with an older fence are carried out.
-    pub ignore_fences: bool,
-    /// How old load reports may be, in place of the settings' value.
-    pub load_lag_ms: Option<u64>,
-    /// How old cache reports may be, in place of the settings' value.
-    pub cache_lag_ms: Option<u64>,
-    /// Leaves every n-th program out of cache reports; 0 for none.
-    pub cache_gap: usize,
-}
-
-impl Default for Faults {
-    fn default() -> Self {
-        Self {
-            slow: 1.0,
-            hang: false,
-            crash_mark: String::new(),
-            crashed: false,
-            cuts: 0,
-            cut_after: 0,
-            drop_answers: 0,
-            lose_orders: 0,
-            announce_leaving: false,
-            ignore_fences: false,
-            load_lag_ms: None,
-            cache_lag_ms: None,
-            cache_gap: 0,
-        }
-    }
-}
-
-/// What an order asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Command {
-    /// Forget a program's cache.
-    Release,
-    /// Serve a further model.
-    Load,
-    /// Take no new calls, finish those under way.
-    Drain,
-    /// Change what the runner is for.
-    Role,
-}
-
-/// An order to a runner. One with a fence below the highest seen for its scope is refused with
-/// 409.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Order {
-    /// What it asks for.
-    pub order: Command,
-    /// The program to release.
-    #[serde(default)]
-    pub program: Option<String>,
-    /// The model to load.
-    #[serde(default)]
-    pub model: Option<String>,
-    /// The role to take.
-    #[serde(default)]
-    pub role: Option<String>,
-    /// Whose fencing numbers are compared with each other: a shard, say.
-    #[serde(default)]
-    pub scope: String,
-    /// The fencing number.
-    pub fence: u64,
-}
-
-/// A load report.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Load {
-    /// Calls in the batch.
-    pub running: u32,
-    /// Calls that wait for a slot.
-    pub waiting: u32,
-    /// Calls that fit in the batch.
-    pub slots: u32,
-    /// Tokens a second that a call generates when it runs alone.
-    pub tokens_per_second: f64,
-    /// Prompt tokens for which the cache has room.
-    pub cache_tokens_free: u64,
-    /// Whether it takes no new calls.
-    pub leaving: bool,
-    /// The report's age.
-    pub age_ms: u64,
-    /// Models that it serves.
-    pub models: Vec<String>,
-    /// Grows with each order to load a model.
-    pub version: u64,
-    /// What the runner is for, as the last order said.
-    pub role: String,
-}
-
-/// A program in a cache report.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holding {
-    /// The program.
-    pub program: String,
-    /// Its tokens.
-    pub tokens: u64,
-}
-
-/// What became of one attempt.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Attempt {
-    /// The attempt's id.
-    pub attempt: String,
-    /// Its program.
-    pub program: String,
-    /// Whether it got a slot.
-    pub started: bool,
-    /// Tokens of its prompt.
-    pub prompt: u64,
-    /// Of these, how many the cache had.
-    pub cached: u64,
-    /// Tokens generated so far.
-    pub generated: u64,
-    /// Whether its answer was generated whole.
-    pub finished: bool,
-}
-
-/// What has been counted.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Stats {
-    /// Prompt tokens computed.
-    pub prefilled: u64,
-    /// Prompt tokens that the cache had.
-    pub cached: u64,
-    /// Tokens generated.
-    pub generated: u64,
-    /// Attempts that ended before their answer was whole.
-    pub aborted: u64,
-    /// Orders carried out.
-    pub orders: u64,
-    /// Orders refused for their fence.
-    pub fenced: u64,
-    /// The attempts, the latest last.
-    pub attempts: Vec<Attempt>,
-}
-
 struct State {
     cache: Cache,
     faults: Faults,
--- a/crates/standin/src/runner/generate.rs
+++ b/crates/standin/src/runner/generate.rs
@@ -16,7 +16,6 @@
 use wire::chat::Usage;
 
 use super::ATTEMPT;
-use super::Attempt;
 use super::Crash;
 use super::KEPT_ATTEMPTS;
 use super::PROGRAM;
@@ -25,6 +24,7 @@
 use super::answer::Plan;
 use super::cache;
 use super::cache::Part;
+use super::report::Attempt;
 use crate::http;
 use crate::http::Body;
 use crate::http::Dropped;
--- a/crates/standin/tests/contract.rs
+++ b/crates/standin/tests/contract.rs
@@ -5,13 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
-use hyper_util::client::legacy;
-use hyper_util::rt::TokioExecutor;
 use platform::edge::Change;
 use platform::edge::Compare;
 use platform::edge::Fault;
@@ -28,6 +22,8 @@
 use platform::memory::Memory;
 use platform::memory::Play;
 use rstest::rstest;
+use standin::client;
+use standin::client::PATIENCE;
 use standin::http::Server;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -35,9 +31,6 @@
 use wire::clock::Millis;
 use wire::id;
 
-/// Far longer than any call here takes; a test that reaches it has failed.
-const PATIENCE: Duration = Duration::from_secs(20);
-
 #[derive(Clone, Copy, Debug)]
 enum Kind {
     Memory,
@@ -131,12 +124,9 @@
 }
 
 async fn post(address: SocketAddr, path: &str, body: &str) {
-    let http = legacy::Client::builder(TokioExecutor::new()).build_http();
-    let request = Request::post(format!("http://{address}{path}"))
-        .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
-        .unwrap();
-    let response = http.request(request).await.unwrap();
-    assert!(response.status().is_success(), "{}", response.status());
+    let response = client::send(address, "POST", path, &[], body).await;
+    let status = response.unwrap().status();
+    assert!(status.is_success(), "{status}");
 }
 
 fn put(key: &str, value: &[u8], lease: Option<Lease>) -> Write {
--- a/crates/standin/tests/gateway.rs
+++ b/crates/standin/tests/gateway.rs
@@ -1,7 +1,5 @@
 //! What only the adapter over the network shows: connections, rates, time-outs, several addresses.
 
-mod support;
-
 use std::net::SocketAddr;
 
 use platform::edge::Compare;
@@ -14,16 +12,16 @@
 use platform::edge::Write;
 use platform::etcd::Etcd;
 use serde_json::json;
+use standin::client;
+use standin::client::get;
+use standin::client::post;
+use standin::client::until;
 use standin::http::Server;
 use standin::platform::Settings;
 use tokio::net::TcpListener;
 use wire::clock::Clock;
 use wire::clock::Millis;
 
-use support::get;
-use support::post;
-use support::until;
-
 async fn start(settings: Settings) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     standin::platform::serve(listener, settings, Clock::System).unwrap()
@@ -68,13 +66,13 @@
     let server = start(Settings::default()).await;
     let etcd = Etcd::new(vec![server.address()], Millis::new(100));
     for down in ["drop", "hang"] {
-        post(server.address(), "/faults", &json!({ "down": down })).await;
+        post(server.address(), "/faults", &[], &json!({ "down": down })).await;
         let write = create(&etcd, "a").await;
         assert!(matches!(write, Err(Fault::Unknown(_))), "{down}: {write:?}");
         let read = etcd.read("a").await;
         assert!(matches!(read, Err(Fault::Down(_))), "{down}: {read:?}");
     }
-    post(server.address(), "/faults", &json!({ "down": "off" })).await;
+    post(server.address(), "/faults", &[], &json!({ "down": "off" })).await;
     assert_eq!(etcd.read("a").await, Ok(None));
 }
 
@@ -100,8 +98,14 @@
     let etcd = Etcd::new(vec![server.address()], Millis::new(2_000));
     let mut changes = etcd.watch("a", 1).await.unwrap();
     until(server.address(), "/stats", |stats| stats["watches"] == 1).await;
-    post(server.address(), "/faults", &json!({ "down": "refuse" })).await;
-    let end = tokio::time::timeout(support::PATIENCE, changes.recv()).await;
+    post(
+        server.address(),
+        "/faults",
+        &[],
+        &json!({ "down": "refuse" }),
+    )
+    .await;
+    let end = tokio::time::timeout(client::PATIENCE, changes.recv()).await;
     assert_eq!(end, Ok(None));
 }
 
@@ -110,13 +114,13 @@
     let server = start(Settings::default()).await;
     let etcd = Etcd::new(vec![server.address()], Millis::new(2_000));
     let list = |standing: &str| json!({ "vms": [{ "name": "vm-1", "centre": "east", "standing": standing }] });
-    post(server.address(), "/vms", &list("live")).await;
+    post(server.address(), "/vms", &[], &list("live")).await;
     assert_eq!(etcd.machines().await.unwrap().len(), 1);
     let faults = json!({ "lag_ms": 3_600_000 });
-    post(server.address(), "/faults", &faults).await;
+    post(server.address(), "/faults", &[], &faults).await;
     assert_eq!(etcd.machines().await.unwrap().len(), 0);
-    post(server.address(), "/faults", &json!({ "lag_ms": 0 })).await;
-    post(server.address(), "/vms", &list("leaving")).await;
+    post(server.address(), "/faults", &[], &json!({ "lag_ms": 0 })).await;
+    post(server.address(), "/vms", &[], &list("leaving")).await;
     let shown = get(server.address(), "/vms").await;
     assert_eq!(shown["vms"][0]["standing"], "leaving");
 }
--- a/crates/standin/tests/runner.rs
+++ b/crates/standin/tests/runner.rs
@@ -1,12 +1,17 @@
 //! The runner's stand-in, as the system meets it.
 
-mod support;
-
 use std::net::SocketAddr;
 
 use http_body_util::BodyExt;
 use serde_json::Value;
 use serde_json::json;
+use standin::client::content;
+use standin::client::get;
+use standin::client::post;
+use standin::client::send;
+use standin::client::stream;
+use standin::client::until;
+use standin::client::whole;
 use standin::http::Server;
 use standin::runner;
 use standin::runner::Settings;
@@ -14,14 +19,6 @@
 use wire::chat::Message;
 use wire::clock::Clock;
 
-use support::content;
-use support::get;
-use support::post;
-use support::send;
-use support::stream;
-use support::until;
-use support::whole;
-
 const CHAT: &str = "/v1/chat/completions";
 
 async fn start(settings: Settings) -> Server {
@@ -91,7 +88,7 @@
     assert_eq!(second["usage"]["cached_tokens"], 4 + 5);
     assert_eq!(get(address, "/cache").await["programs"][0]["program"], "p");
     let release = json!({ "order": "release", "program": "p", "fence": 3 });
-    assert_eq!(post(address, "/orders", &release).await.0, 200);
+    assert_eq!(post(address, "/orders", &[], &release).await.0, 200);
     assert_eq!(get(address, "/cache").await["programs"], json!([]));
     let (_, third) = chat(address, "p", "3", &body).await;
     assert_eq!(third["usage"]["cached_tokens"], 0);
@@ -102,12 +99,12 @@
     let server = start(fast()).await;
     let address = server.address();
     let order = |fence: u64| json!({ "order": "role", "role": "r", "scope": "s", "fence": fence });
-    assert_eq!(post(address, "/orders", &order(5)).await.0, 200);
-    let (status, refusal) = post(address, "/orders", &order(4)).await;
+    assert_eq!(post(address, "/orders", &[], &order(5)).await.0, 200);
+    let (status, refusal) = post(address, "/orders", &[], &order(4)).await;
     assert_eq!((status, &refusal["ran"]), (409, &json!("no")));
-    assert_eq!(post(address, "/orders", &order(5)).await.0, 200);
-    post(address, "/faults", &json!({ "ignore_fences": true })).await;
-    assert_eq!(post(address, "/orders", &order(4)).await.0, 200);
+    assert_eq!(post(address, "/orders", &[], &order(5)).await.0, 200);
+    post(address, "/faults", &[], &json!({ "ignore_fences": true })).await;
+    assert_eq!(post(address, "/orders", &[], &order(4)).await.0, 200);
 }
 
 #[tokio::test]
@@ -121,7 +118,13 @@
     let running =
         tokio::spawn(async move { chat(address, "p", "1", &request("#tokens=20", false)).await });
     until(address, "/load", |load| load["running"] == 1).await;
-    post(address, "/orders", &json!({ "order": "drain", "fence": 1 })).await;
+    post(
+        address,
+        "/orders",
+        &[],
+        &json!({ "order": "drain", "fence": 1 }),
+    )
+    .await;
     let (status, refusal) = chat(address, "q", "2", &request("#tokens=2", false)).await;
     assert_eq!((status, &refusal["ran"]), (503, &json!("no")));
     assert_eq!(get(address, "/load").await["leaving"], true);
@@ -135,7 +138,7 @@
 async fn the_lowest_priority_number_goes_first() {
     let server = start(Settings { slots: 1, ..fast() }).await;
     let address = server.address();
-    post(address, "/faults", &json!({ "hang": true })).await;
+    post(address, "/faults", &[], &json!({ "hang": true })).await;
     let body = request("#tokens=2", true).to_string();
     let first = send(address, "POST", CHAT, &[], &body).await.unwrap();
     until(address, "/load", |load| load["running"] == 1).await;
@@ -189,7 +192,13 @@
 async fn a_cut_stream_ends_without_its_marker_once() {
     let server = start(fast()).await;
     let address = server.address();
-    post(address, "/faults", &json!({ "cuts": 1, "cut_after": 3 })).await;
+    post(
+        address,
+        "/faults",
+        &[],
+        &json!({ "cuts": 1, "cut_after": 3 }),
+    )
+    .await;
     let text = "#tokens=8";
     let body = request(text, true).to_string();
     let cut = send(address, "POST", CHAT, &[], &body).await.unwrap();
@@ -212,14 +221,14 @@
     })
     .await;
     let address = server.address();
-    post(address, "/faults", &json!({ "crash_mark": "boom" })).await;
+    post(address, "/faults", &[], &json!({ "crash_mark": "boom" })).await;
     let body = request("#tokens=100000", true).to_string();
     let innocent = send(address, "POST", CHAT, &[], &body).await.unwrap();
     let marked = request("say boom", false).to_string();
     assert!(send(address, "POST", CHAT, &[], &marked).await.is_none());
     assert!(!stream(innocent).await.1);
     assert!(send(address, "GET", "/load", &[], "").await.is_none());
-    post(address, "/faults", &json!({ "crashed": false })).await;
+    post(address, "/faults", &[], &json!({ "crashed": false })).await;
     assert_eq!(get(address, "/load").await["running"], 0);
 }
 
@@ -227,7 +236,7 @@
 async fn an_answer_can_be_generated_and_dropped() {
     let server = start(fast()).await;
     let address = server.address();
-    post(address, "/faults", &json!({ "drop_answers": 1 })).await;
+    post(address, "/faults", &[], &json!({ "drop_answers": 1 })).await;
     let body = request("#tokens=3", false).to_string();
     assert!(send(address, "POST", CHAT, &[], &body).await.is_none());
     let counts = get(address, "/stats").await;
@@ -240,12 +249,18 @@
     let server = start(fast()).await;
     let address = server.address();
     let faults = json!({ "load_lag_ms": 3_600_000, "cache_gap": 2 });
-    post(address, "/faults", &faults).await;
+    post(address, "/faults", &[], &faults).await;
     assert_eq!(get(address, "/load").await["leaving"], false);
-    post(address, "/orders", &json!({ "order": "drain", "fence": 1 })).await;
+    post(
+        address,
+        "/orders",
+        &[],
+        &json!({ "order": "drain", "fence": 1 }),
+    )
+    .await;
     assert_eq!(get(address, "/load").await["leaving"], false);
     let unknown = json!({ "no_such_fault": 1 });
-    assert_eq!(post(address, "/faults", &unknown).await.0, 400);
-    post(address, "/faults", &json!({ "load_lag_ms": 0 })).await;
+    assert_eq!(post(address, "/faults", &[], &unknown).await.0, 400);
+    post(address, "/faults", &[], &json!({ "load_lag_ms": 0 })).await;
     assert_eq!(get(address, "/load").await["leaving"], true);
 }
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -1,17 +1,14 @@
 //! The service's stand-in, as the system meets it.
 
-mod support;
-
 use serde_json::json;
+use standin::client::get;
+use standin::client::post;
+use standin::client::send;
+use standin::client::whole;
 use standin::service;
 use standin::service::Settings;
 use tokio::net::TcpListener;
 
-use support::get;
-use support::post;
-use support::send;
-use support::whole;
-
 // The first answer is lost after the call ran, the second call is refused before it runs, the
 // third runs. The service has counted two runs for the key, and a caller of the first can't tell.
 #[tokio::test]
@@ -21,9 +18,9 @@
     let address = server.address();
     let headers = [("idempotency-key", "k")];
     let path = "/switching/close";
-    post(address, "/faults", &json!({ "lose_answers": 1 })).await;
+    post(address, "/faults", &[], &json!({ "lose_answers": 1 })).await;
     assert!(send(address, "POST", path, &headers, "{}").await.is_none());
-    post(address, "/faults", &json!({ "refuse": 1 })).await;
+    post(address, "/faults", &[], &json!({ "refuse": 1 })).await;
     let refused = send(address, "POST", path, &headers, "{}").await.unwrap();
     let (status, refusal) = whole(refused).await;
     assert_eq!((status, &refusal["ran"]), (503, &json!("no")));
@@ -40,9 +37,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let server = service::serve(listener, Settings::default()).unwrap();
     let address = server.address();
-    post(address, "/faults", &json!({ "leaving": true })).await;
+    post(address, "/faults", &[], &json!({ "leaving": true })).await;
     assert_eq!(get(address, "/load").await["leaving"], true);
-    let (status, _) = post(address, "/billing/order", &json!({})).await;
+    let (status, _) = post(address, "/billing/order", &[], &json!({})).await;
     assert_eq!(status, 503);
     assert_eq!(get(address, "/stats").await["runs"], json!([]));
 }
