Prove that a silent data centre's programs are refused and kept

Test: no VM of a centre answers; its program's turn is refused with ran unknown where it may have arrived and ran no after that, the other centre's programs go on, and the program goes on where it stood when its centre is back.

--- a/crates/chestnutyoke/tests/cut.rs
+++ b/crates/chestnutyoke/tests/cut.rs
@@ -9,7 +9,9 @@
 use bench::Endpoint;
 use bench::Fleet;
 use bench::Plan;
+use bench::Signal;
 use bench::call;
+use bench::chat;
 use bench::chat_until_answered;
 use bench::get;
 use bench::post;
@@ -106,6 +108,48 @@
     assert_eq!(last.content(), answer::whole(&history, 16));
 }
 
+// No VM of the other data centre answers any more, and its leases lapse. A turn of its program is
+// refused here, first with an outcome that isn't known where it may have arrived there, then with
+// the promise that it did not run; nobody takes the program over, and programs of this data
+// centre go on. When the other one is back, the program goes on where it stood.
+#[tokio::test(flavor = "multi_thread")]
+async fn programs_of_a_silent_centre_are_refused_and_kept() {
+    let fleet = Fleet::start(&two_centres()).await;
+    let (east, west) = (fleet.nodes[0].callers, fleet.nodes[2].callers);
+    let first = Ask {
+        text: "one #tokens=2".to_owned(),
+        ..Ask::default()
+    };
+    let answer = chat_until_answered(&[west], &first).await;
+    let program = answer.body["chestnutyoke"]["program"].as_str().unwrap();
+    let mut history = vec![
+        said("user", &first.text),
+        said("assistant", answer.content()),
+    ];
+    for node in &fleet.nodes[2..] {
+        node.signal(Signal::Stop);
+    }
+    let second = Ask::turn(program, 2, "two #tokens=2");
+    let refused = until_some("a refusal with a promise", async || {
+        let refused = chat(east, &second).await?;
+        assert_ne!(refused.status, 200, "{refused:?}");
+        assert_ne!(refused.ran(), "yes", "{refused:?}");
+        (refused.ran() == "no").then_some(refused)
+    })
+    .await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(!refused.header("retry-after").is_empty(), "{refused:?}");
+    chat_until_answered(&[east], &first).await;
+    for node in &fleet.nodes[2..] {
+        node.signal(Signal::Cont);
+    }
+    history.push(said("user", &second.text));
+    let answer = chat_until_answered(&[east], &second).await;
+    assert_eq!(answer.content(), answer::whole(&history, 16));
+    let owner = fleet.owner("west", 0, None).await;
+    assert_eq!(fleet.nodes[owner].centre, "west");
+}
+
 // Two operators change the configuration by different VMs. The platform goes down right after the
 // second change was accepted. Both are in force on every VM within four seconds all the same, and
 // a VM that is killed and starts during the outage takes the highest revision from its peers
