--- a/crates/journal/src/copy.rs
+++ b/crates/journal/src/copy.rs
@@ -64,6 +64,18 @@
 /// The outcome of a call on copies.
 pub type Result<T> = std::result::Result<T, Fault>;
 
+/// Yields how many of a shard's holders must have a batch before it counts as durable in an outage.
+/// Each acknowledgement survives one more death: with one or two holders there is room for one,
+/// with more it takes two.
+#[must_use]
+pub const fn acks(holders: usize) -> usize {
+    match holders {
+        0 => 0,
+        1..=2 => 1,
+        _ => 2,
+    }
+}
+
 /// The VMs of the centre, this one among them, as the journal sees them.
 #[async_trait]
 pub trait Peers: Send + Sync + 'static {
@@ -76,6 +88,10 @@
     /// ([`Store::keep`]), so that a second claimer finds it there if the first one dies.
     async fn collect(&self, vm: &id::Vm, shard: &id::Shard, epoch: u64) -> Result<Collected>;
 
+    /// Puts what was in line when this VM lost a shard into its own store ([`Store::keep`]). It
+    /// may have been acknowledged by a VM that is gone since, and the next claimer asks for it.
+    async fn keep(&self, shard: &id::Shard, held: Vec<Held>);
+
     /// Tells a VM that the batches of a shard up to `seq` are in the journal ([`Store::drained`]).
     /// May be lost: later batches of a higher epoch drop them as well.
     async fn drained(&self, holder: &Holder, shard: &id::Shard, epoch: u64, seq: u64);
--- a/crates/journal/tests/fuzz/world.rs
+++ b/crates/journal/tests/fuzz/world.rs
@@ -154,6 +154,7 @@
             Step::Order(pick, key, content) => self.order(self.some(pick), key, content),
             Step::Called(pick, how) => self.called(pick, how),
             Step::Snapshot(pick) => self.snapshot(self.some(pick)),
+            Step::Rename(pick) => self.rename(self.some(pick)),
             Step::Play(play) => self.memory.play(play),
             Step::Deliver => self.memory.deliver(),
             Step::Down(down) => self.memory.set_down(down),
@@ -182,6 +183,10 @@
                 self.act(vm);
             }
         }
+        // A node forgets a shard that it has lost.
+        for public in self.publics.lock().unwrap().iter_mut() {
+            public.logs.retain(|(_, log)| log.status() != Status::Lost);
+        }
         if !self.is_exposed() {
             self.deaths = 0;
         }
@@ -241,28 +246,32 @@
             cut: Arc::clone(&self.vms[vm].cut),
         };
         let peers = Net {
+            vm,
             mode: self.vms[vm].mode.subscribe(),
             publics: Arc::clone(&self.publics),
         };
-        let publics = self.publics.lock().unwrap();
-        let others = (0..VMS).filter(|other| *other != vm);
-        let copies = others.map(|other| Holder {
-            vm: name(other),
-            incarnation: publics[other].store.incarnation(),
-        });
-        let copies = copies.collect();
-        drop(publics);
         Setup {
             platform: Arc::new(platform),
             peers: Arc::new(peers),
             vm: name(vm),
             shard: shard(),
             seed: self.draw(),
-            copies,
+            copies: self.holders(vm),
             acks: 1,
         }
     }
 
+    /// Yields the holders of a VM's copies as they are now.
+    pub fn holders(&self, vm: usize) -> Vec<Holder> {
+        let publics = self.publics.lock().unwrap();
+        let others = (0..VMS).filter(|other| *other != vm);
+        let holder = |other: usize| Holder {
+            vm: name(other),
+            incarnation: publics[other].store.incarnation(),
+        };
+        others.map(holder).collect()
+    }
+
     fn claim(&mut self, vm: usize) {
         if !self.is_running(vm) || self.vms[vm].claiming.is_some() {
             return;
@@ -472,6 +481,7 @@
 
 /// The other VMs as one VM reaches them.
 struct Net {
+    vm: usize,
     mode: watch::Receiver<Mode>,
     publics: Publics,
 }
@@ -500,14 +510,20 @@
         let at = self.reach(vm).await?;
         let logs = self.publics.lock().unwrap()[at].logs.clone();
         for (_, log) in logs.into_iter().filter(|(old, _)| *old < epoch) {
-            let left = log.surrender().await;
-            self.publics.lock().unwrap()[at].store.keep(shard, left);
+            log.surrender().await;
         }
         let found = self.publics.lock().unwrap()[at].store.collect(shard, epoch);
         pass(&self.mode).await;
         found
     }
 
+    async fn keep(&self, shard: &id::Shard, held: Vec<Held>) {
+        pass(&self.mode).await;
+        self.publics.lock().unwrap()[self.vm]
+            .store
+            .keep(shard, held);
+    }
+
     async fn drained(&self, holder: &Holder, shard: &id::Shard, epoch: u64, seq: u64) {
         if let Ok(at) = self.reach(&holder.vm).await {
             let mut publics = self.publics.lock().unwrap();
