--- a/crates/policy/tests/support/engine.rs
+++ b/crates/policy/tests/support/engine.rs
@@ -115,9 +115,10 @@
         let (prefill, generate) = self.rates();
         let spans = self.running.iter().map(|job| {
             if job.miss > DONE {
-                return job.miss / prefill;
+                job.miss / prefill
+            } else {
+                job.left / generate
             }
-            job.left / generate
         });
         let least = spans.min_by(f64::total_cmp)?;
         Some(self.updated + (least * 1000.0).ceil().max(1.0) as u64)
