--- /dev/null
+++ b/crates/journal/src/state.rs
@@ -0,0 +1,261 @@
+//! What a shard's journal says, as one value in memory.
+//!
+//! Exists for the failure "the new owner decides otherwise than the old one would have": the state
+//! is a function of the records alone, so one rebuilt after a takeover equals the one that the old
+//! owner held. What ran under an earlier owner is told from what runs here by the epoch of the
+//! last [`Record::Opened`], not by anything that lives beside the records.
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+use wire::id;
+
+use crate::copy::Holder;
+use crate::program::Program;
+use crate::program::insert;
+use crate::program::link;
+use crate::record::Record;
+
+/// How many different endpoints must have crashed on a content before it is refused for good. One
+/// crash can be the endpoint's own fault; two different endpoints that crash on the same content
+/// are the content's.
+pub const POISON_AT: usize = 2;
+
+/// A record that doesn't fit the state: the journal was damaged or mixed with another one.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum Misfit {
+    /// The record speaks of a program that doesn't exist.
+    #[display("program {_0} isn't known")]
+    Unknown(#[error(not(source))] id::Program),
+    /// A program is made twice.
+    #[display("program {_0} exists")]
+    Exists(#[error(not(source))] id::Program),
+    /// A turn or attempt isn't the one that is due.
+    #[display("program {_0} isn't at this turn or attempt")]
+    Order(#[error(not(source))] id::Program),
+    /// A shard is opened with an epoch that isn't higher than the last.
+    #[display("epoch {_0} isn't new")]
+    Epoch(#[error(not(source))] u64),
+}
+
+/// The outcome of checking a record.
+pub type Result<T> = std::result::Result<T, Misfit>;
+
+/// The facts of one shard.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    epoch: u64,
+    owner: Option<id::Vm>,
+    /// The holders that were named last.
+    named: Vec<Holder>,
+    /// These and the ones named before.
+    copies: Vec<Holder>,
+    #[expect(
+        clippy::vec_box,
+        reason = "an insertion moves the entries behind it, so they are kept small"
+    )]
+    programs: Vec<Box<Program>>,
+    blames: Vec<Blame>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Blame {
+    content: id::Digest,
+    endpoints: Vec<id::Endpoint>,
+}
+
+impl State {
+    /// Rebuilds a state from records, in order.
+    ///
+    /// # Errors
+    ///
+    /// Fails on the first record that doesn't fit.
+    pub fn rebuild<'a>(records: impl IntoIterator<Item = &'a Record>) -> Result<Self> {
+        let mut state = Self::default();
+        for record in records {
+            state.check(record)?;
+            state.apply(record);
+        }
+        Ok(state)
+    }
+
+    /// Applies a record. One that doesn't [`fit`](Self::check) has no effect; records that
+    /// [`crate::gate`] yields fit the state that they were asked of.
+    pub fn apply(&mut self, record: &Record) {
+        if self.check(record).is_err() {
+            return;
+        }
+        match record {
+            Record::Opened { vm, epoch, copies } => {
+                self.epoch = *epoch;
+                self.owner = Some(vm.clone());
+                self.named.clone_from(copies);
+                self.copies.clone_from(copies);
+            }
+            Record::Copies { holders } => self.name(holders),
+            Record::Created { program, .. } => self.create(program, record),
+            Record::Blamed {
+                content, endpoint, ..
+            } => self.blame(*content, endpoint),
+            Record::Forgotten { program } => self.forget(program),
+            Record::Committed { program, .. } => self.commit(program, record),
+            Record::Started { program, .. }
+            | Record::Stopped { program, .. }
+            | Record::Intent { program, .. }
+            | Record::Outcome { program, .. }
+            | Record::Ended { program, .. }
+            | Record::Released { program, .. } => {
+                let epoch = self.epoch;
+                if let Ok(at) = self.find(program) {
+                    self.programs[at].apply(epoch, record);
+                }
+            }
+        }
+    }
+
+    /// Tells whether a record fits the state.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason where it doesn't.
+    pub fn check(&self, record: &Record) -> Result<()> {
+        match record {
+            Record::Opened { epoch, .. } if *epoch > self.epoch => Ok(()),
+            Record::Copies { .. } => Ok(()),
+            Record::Opened { epoch, .. } => Err(Misfit::Epoch(*epoch)),
+            Record::Created { program, .. } => match self.find(program) {
+                Ok(_) => Err(Misfit::Exists(program.clone())),
+                Err(_) => Ok(()),
+            },
+            Record::Started { program, .. }
+            | Record::Stopped { program, .. }
+            | Record::Committed { program, .. }
+            | Record::Intent { program, .. }
+            | Record::Outcome { program, .. }
+            | Record::Blamed { program, .. }
+            | Record::Ended { program, .. }
+            | Record::Released { program, .. }
+            | Record::Forgotten { program } => {
+                let known = self.program(program);
+                let known = known.ok_or_else(|| Misfit::Unknown(program.clone()))?;
+                if known.takes(record) {
+                    return Ok(());
+                }
+                Err(Misfit::Order(program.clone()))
+            }
+        }
+    }
+
+    /// Yields the epoch of the last opening; 0 where the shard was never opened.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Yields the VM that opened the shard last.
+    #[must_use]
+    pub fn owner(&self) -> Option<&id::Vm> {
+        self.owner.as_ref()
+    }
+
+    /// Yields the VMs that may hold that owner's pending batches: those that it named last and
+    /// those before, as it can't tell when the last naming lands.
+    #[must_use]
+    pub fn copies(&self) -> &[Holder] {
+        &self.copies
+    }
+
+    /// Looks a program up.
+    #[must_use]
+    pub fn program(&self, id: &id::Program) -> Option<&Program> {
+        let at = self.find(id).ok()?;
+        Some(&self.programs[at])
+    }
+
+    /// Walks the programs by name, ended ones among them.
+    pub fn programs(&self) -> impl Iterator<Item = &Program> {
+        self.programs.iter().map(Box::as_ref)
+    }
+
+    /// Yields the digest of a turn's content: its new messages after the program's history. The
+    /// same content in another program yields the same digest.
+    #[must_use]
+    pub fn content(&self, id: &id::Program, digest: id::Digest) -> id::Digest {
+        let chain = self.program(id).map_or(id::Digest(0), |p| p.chain);
+        link(chain, digest)
+    }
+
+    /// Yields the endpoints that crashed on a content.
+    #[must_use]
+    pub fn blamed(&self, content: id::Digest) -> &[id::Endpoint] {
+        match self.find_blame(content) {
+            Ok(at) => &self.blames[at].endpoints,
+            Err(_) => &[],
+        }
+    }
+
+    /// Tells whether a content is refused for good.
+    #[must_use]
+    pub fn poisoned(&self, content: id::Digest) -> bool {
+        self.blamed(content).len() >= POISON_AT
+    }
+
+    fn name(&mut self, holders: &[Holder]) {
+        self.copies.clone_from(&self.named);
+        for holder in holders {
+            if !self.copies.contains(holder) {
+                self.copies.push(holder.clone());
+            }
+        }
+        self.named = holders.to_vec();
+    }
+
+    fn create(&mut self, id: &id::Program, record: &Record) {
+        let (Err(at), Some(program)) = (self.find(id), Program::of(record)) else {
+            return;
+        };
+        self.programs.insert(at, Box::new(program));
+    }
+
+    fn forget(&mut self, id: &id::Program) {
+        if let Ok(at) = self.find(id) {
+            self.programs.remove(at);
+        }
+    }
+
+    /// Adds the turn, and clears the content of a crash that it was blamed for: it has run whole,
+    /// so what crashed was something else that ran beside it.
+    fn commit(&mut self, id: &id::Program, record: &Record) {
+        let Ok(at) = self.find(id) else { return };
+        let digest = self.programs[at].running.as_ref().map(|r| r.digest);
+        let content = digest.map(|digest| link(self.programs[at].chain, digest));
+        self.programs[at].apply(self.epoch, record);
+        let Some(content) = content.filter(|content| !self.poisoned(*content)) else {
+            return;
+        };
+        if let Ok(at) = self.find_blame(content) {
+            self.blames.remove(at);
+        }
+    }
+
+    fn blame(&mut self, content: id::Digest, endpoint: &id::Endpoint) {
+        let at = self.find_blame(content).unwrap_or_else(|at| {
+            let endpoints = Vec::new();
+            self.blames.insert(at, Blame { content, endpoints });
+            at
+        });
+        insert(&mut self.blames[at].endpoints, endpoint);
+    }
+
+    fn find(&self, id: &id::Program) -> std::result::Result<usize, usize> {
+        self.programs.binary_search_by(|p| p.id.cmp(id))
+    }
+
+    fn find_blame(&self, content: id::Digest) -> std::result::Result<usize, usize> {
+        self.blames.binary_search_by_key(&content, |b| b.content)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -1,12 +1,16 @@
 //! The operators' configuration: one document with one revision, changed by compare-and-swap, so
 //! that two operators who race can't both succeed and no change is ever undone by an older one.
 
+use std::cmp::Reverse;
+
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use wire::clock::Millis;
 use wire::id;
 
 use crate::label;
+use crate::unit;
 
 /// The whole configuration. Every list is sorted by its first field.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +20,9 @@
     pub revision: u64,
     /// The nonce of the change that made this revision; settles a change whose answer was lost.
     pub nonce: u64,
+    /// The nonces of the revisions before this one, the latest first; they settle a change whose
+    /// answer was lost after others have built on it.
+    pub recent: Vec<u64>,
     /// Who may ask.
     pub callers: Vec<Caller>,
     /// The back ends.
@@ -68,6 +75,9 @@
     pub fences: bool,
     /// How many calls it works on at once.
     pub slots: u32,
+    /// Operations of a service that may run more than once; `*` for all.
+    #[serde(default)]
+    pub repeatable: Vec<String>,
     /// The endpoint's labels.
     #[serde(default)]
     pub labels: label::Set,
@@ -96,13 +106,16 @@
 }
 
 /// What a program may use in all.
+#[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Budget {
     /// Tokens generated.
     pub tokens: u64,
     /// Turns.
     pub turns: u32,
     /// The longest pause between turns.
+    #[serde_as(as = "unit::Span")]
     pub idle: Millis,
 }
 
@@ -123,7 +136,7 @@
 pub struct Selector {
     /// The selector's name.
     pub name: id::Selector,
-    /// Selectors with a higher rank are tried first; equal ranks go by name.
+    /// Within a class, selectors with a higher rank are tried first; equal ranks go by name.
     #[serde(default)]
     pub rank: i32,
     /// Labels that the caller must have.
@@ -147,9 +160,6 @@
     /// What the program may use.
     #[serde(default)]
     pub budget: Budget,
-    /// Operations of a service that run at most once; `*` for all.
-    #[serde(default)]
-    pub once: Vec<String>,
 }
 
 fn yes() -> bool {
@@ -210,8 +220,29 @@
             .any(|e| e.kind == kind && e.serves.iter().any(|s| s == name))
     }
 
-    /// Finds the first selector by rank that matches the work; `None` where none does or the one
-    /// that does forbids it.
+    /// Tells whether an operation of a service runs at most once. It does unless every endpoint
+    /// that serves it says that it may be repeated.
+    ///
+    /// The default is the safe one, and no selector decides on it: an operation that an operator
+    /// forgot to list, or a selector with a broader match that speaks for the work in place of
+    /// the one that was meant, would otherwise let a switching order go through twice.
+    #[must_use]
+    pub fn runs_once(&self, service: &str, operation: &str) -> bool {
+        let serving = self
+            .endpoints
+            .iter()
+            .filter(|e| e.kind == Kind::Service && e.serves.iter().any(|name| name == service));
+        let listed = |e: &Endpoint| e.repeatable.iter().any(|o| o == "*" || o == operation);
+        !serving.clone().all(listed) || serving.count() == 0
+    }
+
+    /// Finds the selector that speaks for the work; `None` where none matches or the one that
+    /// does forbids it.
+    ///
+    /// Selectors of urgent work go before all others, then the higher rank, then the name. If
+    /// rank alone decided, a broad selector that limits callers with overdue fees would sooner or
+    /// later be given a rank above the one for emergencies, and an emergency cutoff would wait
+    /// behind chatter. This way no selector of routine work can lower or forbid urgent work.
     #[must_use]
     pub fn grant(
         &self,
@@ -227,7 +258,7 @@
                 && labels.covers(&s.program)
                 && (s.serves.is_empty() || s.serves.iter().any(|name| name == serves))
         });
-        let selector = matching.min_by_key(|s| (std::cmp::Reverse(s.rank), &s.name))?;
+        let selector = matching.min_by_key(|s| (s.class, Reverse(s.rank), &s.name))?;
         if !selector.allow {
             return None;
         }
@@ -242,3 +273,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
