Play an endpoint that fails its calls

Change: a pattern in which the fastest endpoint fails each call at once for a third of the time; it uses the retry budget, ejection, return and ramp.

--- a/crates/policy/examples/patterns/main.rs
+++ b/crates/policy/examples/patterns/main.rs
@@ -30,13 +30,14 @@
 /// Threads that play runs side by side.
 const THREADS: usize = 6;
 
-const PATTERNS: [Pattern; 8] = [
+const PATTERNS: [Pattern; 9] = [
     Pattern::Steady(0.3),
     Pattern::Steady(0.9),
     Pattern::Burst,
     Pattern::FewCallers,
     Pattern::HotPrograms,
     Pattern::SlowEndpoint,
+    Pattern::FailingEndpoint,
     Pattern::LongAmongShort,
     Pattern::UrgentFlood,
 ];
--- a/crates/policy/tests/patterns.rs
+++ b/crates/policy/tests/patterns.rs
@@ -106,6 +106,19 @@
     assert!(ours.routine.p95 * 4 <= simple.routine.p95 * 3, "{ours:?}");
 }
 
+/// The fastest endpoint fails every call for a while. Callers see none of it: the call is tried
+/// elsewhere, the endpoint is ejected after a few, probed again and again, and taken back. Without
+/// ejection it looks idle, draws all the work, and spends the budget for retries in no time.
+#[test]
+fn a_failing_endpoint_costs_no_program() {
+    let ours = play(Pattern::FailingEndpoint, Rules::Ours);
+    let before = play(Pattern::Steady(0.7), Rules::Ours);
+    let slower = ratio(ours.routine.p95, before.routine.p95);
+    assert!(ours.routine_lost <= 0.0, "{ours:?}");
+    assert!(ours.urgent_lost <= 0.0, "{ours:?}");
+    assert!(slower <= 1.5, "{slower}");
+}
+
 /// One program in twenty is ten times as long. Short ones aren't held up: the median program takes
 /// at most three quarters of its time by one queue.
 #[test]
--- a/crates/policy/tests/support/driver.rs
+++ b/crates/policy/tests/support/driver.rs
@@ -10,6 +10,7 @@
 
 use super::deployment::Deployment;
 use super::engine::Engine;
+use super::engine::Health;
 use super::engine::Job;
 use super::outcome;
 use super::outcome::Fate;
@@ -24,6 +25,7 @@
 use super::work::Program;
 
 mod dispatch;
+mod failure;
 
 /// How long a caller waits for one turn, with all its tries, before it gives the program up.
 pub const PATIENCE: u64 = 60_000;
@@ -53,6 +55,14 @@
     Tick,
     /// VMs judge the endpoints.
     Sweep,
+    /// An endpoint begins to fail its calls.
+    Crash { endpoint: usize },
+    /// It works again.
+    Mend { endpoint: usize },
+    /// A call that was sent to a failing endpoint fails.
+    Fail { endpoint: usize, job: usize },
+    /// A VM tries a call again.
+    Retry { program: usize },
     /// An endpoint becomes slow.
     Fault { endpoint: usize },
 }
@@ -72,6 +82,8 @@
     /// Service had, in milliseconds.
     attained: u64,
     displaced: u32,
+    /// How often this turn's call was tried.
+    tries: u32,
     home: Option<Home>,
     sent: Option<Sent>,
 }
@@ -90,6 +102,8 @@
     engines: Vec<Engine>,
     vms: Vec<Vm>,
     reports: Vec<Report>,
+    /// Calls that were sent to a failing endpoint.
+    failing: Vec<Job>,
     callers: Vec<id::Caller>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
@@ -111,6 +125,11 @@
         let endpoint = fastest(of);
         driver.at(span / 3, Event::Fault { endpoint });
     }
+    if pattern == Pattern::FailingEndpoint {
+        let endpoint = fastest(of);
+        driver.at(span / 3, Event::Crash { endpoint });
+        driver.at(span * 2 / 3, Event::Mend { endpoint });
+    }
     driver.run(span + 10 * PATIENCE);
     outcome::sum(programs, &driver.records, warm, span)
 }
@@ -131,6 +150,7 @@
             engines: of.endpoints.iter().map(|e| Engine::new(*e)).collect(),
             vms: (0..of.vms).map(|n| Vm::new(of, rules, n)).collect(),
             reports: Vec::new(),
+            failing: Vec::new(),
             callers: (0..CALLERS).map(caller).collect(),
             events: BinaryHeap::new(),
             sequence: 0,
@@ -176,6 +196,17 @@
             Event::Hear { endpoint, report } => self.hear(endpoint, report),
             Event::Tick => self.tick(),
             Event::Sweep => self.sweep(),
+            Event::Crash { endpoint } => {
+                for job in self.engines[endpoint].crash(self.now) {
+                    self.fail(endpoint, &job);
+                }
+            }
+            Event::Mend { endpoint } => self.engines[endpoint].health = Health::Up,
+            Event::Fail { endpoint, job } => {
+                let job = self.failing[job].clone();
+                self.fail(endpoint, &job);
+            }
+            Event::Retry { program } => self.retry(program),
             Event::Fault { endpoint } => {
                 self.engines[endpoint].set_fault(SLOWER, self.now);
                 self.schedule(endpoint);
@@ -251,6 +282,7 @@
         vm.learn(job.output, service);
         let pace = service as f64 / job.output as f64;
         vm.detectors[endpoint].note(eject::Sample::Done { pace });
+        vm.retries.succeed();
         let record = &mut self.records[job.program];
         let standing = &mut self.standings[job.program];
         let had = job.prompt - job.missed;
@@ -279,6 +311,7 @@
         record.latency += self.now - standing.asked;
         let pause = of.turns[standing.turn].pause;
         standing.asked = 0;
+        standing.tries = 0;
         standing.turn += 1;
         if standing.turn == of.turns.len() {
             record.fate = Fate::Whole;
--- a/crates/policy/tests/support/driver/dispatch.rs
+++ b/crates/policy/tests/support/driver/dispatch.rs
@@ -12,6 +12,7 @@
 use super::PATIENCE;
 use super::Sent;
 use super::Standing;
+use crate::support::engine::Health;
 use crate::support::engine::Job;
 use crate::support::outcome::Fate;
 use crate::support::rules::Rules;
@@ -20,6 +21,8 @@
 
 /// The `retry_after` of the rules that are tried: about what ours yields at twice the load.
 const TRIED_RETRY: Millis = Millis::new(3_000);
+/// How soon a failing endpoint fails a call, in milliseconds.
+const FAIL_TIME: u64 = 5;
 /// Prompt tokens of a mean call, for the cost that the price is put on.
 const MEAN_PROMPT: f64 = 3_000.0;
 
@@ -245,6 +248,13 @@
         };
         vm.under_way.push(program);
         vm.views[endpoint].ledger.send(Millis::new(self.now));
+        standing.tries += 1;
+        if self.engines[endpoint].health == Health::Failing {
+            self.failing.push(job);
+            let job = self.failing.len() - 1;
+            self.at(self.now + FAIL_TIME, Event::Fail { endpoint, job });
+            return;
+        }
         self.engines[endpoint].take(job, self.now);
         self.schedule(endpoint);
     }
--- /dev/null
+++ b/crates/policy/tests/support/driver/failure.rs
@@ -0,0 +1,63 @@
+//! What happens to a call that an endpoint fails.
+
+use policy::admit;
+use policy::eject;
+use policy::retry;
+use wire::clock::Millis;
+use wire::code::Ran;
+
+use super::Driver;
+use super::Event;
+use crate::support::engine::Job;
+use crate::support::outcome::Fate;
+use crate::support::rules::Rules;
+
+impl Driver<'_> {
+    /// Takes in that a call failed: by our rules the VM tries again while its budget lasts, by the
+    /// others the caller comes back.
+    pub(super) fn fail(&mut self, endpoint: usize, job: &Job) {
+        let now = self.millis();
+        let program = job.program;
+        let vm = &mut self.vms[job.vm];
+        vm.under_way.retain(|sent| *sent != program);
+        vm.views[endpoint].ledger.end(Millis::new(job.sent), now);
+        vm.detectors[endpoint].note(eject::Sample::Failed);
+        let standing = &mut self.standings[program];
+        standing.sent = None;
+        if self.records[program].fate != Fate::Open {
+            return;
+        }
+        if self.vms[job.vm].rules != Rules::Ours {
+            // A sticky program keeps its endpoint, failing or not.
+            self.refuse(program, Some(admit::MIN_RETRY));
+            return;
+        }
+        let failure = retry::Failure {
+            class: job.class,
+            repeat: retry::Repeat::Safe,
+            ran: Ran::Unknown,
+            tries: standing.tries,
+        };
+        let vm = &mut self.vms[job.vm];
+        match vm.retries.decide(&failure, now, &mut vm.rng) {
+            retry::Verdict::Again { after } => {
+                self.at(self.now + after.as_u64(), Event::Retry { program });
+            }
+            retry::Verdict::Final | retry::Verdict::Spent => {
+                self.standings[program].tries = 0;
+                self.refuse(program, Some(admit::MIN_RETRY));
+            }
+        }
+    }
+
+    /// Puts a call back into the queue, at the time at which it came first.
+    pub(super) fn retry(&mut self, program: usize) {
+        if self.records[program].fate != Fate::Open {
+            return;
+        }
+        let at = program % self.vms.len();
+        let since = Millis::new(self.standings[program].asked);
+        self.enqueue(at, program, since);
+        self.pump(at);
+    }
+}
--- a/crates/policy/tests/support/engine.rs
+++ b/crates/policy/tests/support/engine.rs
@@ -37,6 +37,15 @@
     pub left: f64,
 }
 
+/// Whether an endpoint answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// It works.
+    Up,
+    /// It fails each call at once, and loses its cache.
+    Failing,
+}
+
 /// An endpoint's state.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -50,6 +59,8 @@
     pub cache: Vec<(usize, u64)>,
     /// How many times slower than its properties say.
     pub fault: f64,
+    /// Whether it answers.
+    pub health: Health,
     /// Grows with each change; an event of an earlier one is void.
     pub epoch: u64,
     updated: u64,
@@ -64,6 +75,7 @@
             waiting: Vec::new(),
             cache: Vec::new(),
             fault: 1.0,
+            health: Health::Up,
             epoch: 0,
             updated: 0,
         }
@@ -135,6 +147,17 @@
         found.map_or(0, |(_, tokens)| *tokens)
     }
 
+    /// Breaks the endpoint; yields the calls that fail by it.
+    pub fn crash(&mut self, now: u64) -> Vec<Job> {
+        self.advance(now);
+        self.health = Health::Failing;
+        self.cache.clear();
+        self.epoch += 1;
+        let mut failed = std::mem::take(&mut self.running);
+        failed.append(&mut self.waiting);
+        failed
+    }
+
     /// Changes the endpoint's fault.
     pub fn set_fault(&mut self, times: f64, now: u64) {
         self.advance(now);
--- a/crates/policy/tests/support/vm.rs
+++ b/crates/policy/tests/support/vm.rs
@@ -8,6 +8,7 @@
 use policy::place;
 use policy::queue::Limits;
 use policy::queue::Queue;
+use policy::retry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wire::clock::Millis;
@@ -95,6 +96,8 @@
     pub price: Price,
     /// The bound on work, where that rule is tried.
     pub power: MaxPower,
+    /// The retries that it may make.
+    pub retries: retry::Budget,
     /// Its generator.
     pub rng: ChaCha8Rng,
     /// Mean tokens of a call.
@@ -130,6 +133,7 @@
             detectors: vec![eject::Detector::new(Millis::ZERO); of.endpoints.len()],
             price: Price::new(slots / of.vms as f64),
             power: MaxPower::new(),
+            retries: retry::Budget::new(Millis::ZERO),
             rng: ChaCha8Rng::seed_from_u64(number as u64),
             output: of.output,
             service: 5_000.0,
--- a/crates/policy/tests/support/work.rs
+++ b/crates/policy/tests/support/work.rs
@@ -21,6 +21,8 @@
     HotPrograms,
     /// 0.7 of the load; the fastest endpoint becomes ten times slower after a third of the time.
     SlowEndpoint,
+    /// 0.7 of the load; the fastest endpoint fails every call in the middle third of the time.
+    FailingEndpoint,
     /// 0.9 of the load, a twentieth of the programs ten times as long.
     LongAmongShort,
     /// Only the urgent programs of twice the load.
@@ -38,6 +40,7 @@
             Self::FewCallers => "few callers".into(),
             Self::HotPrograms => "hot programs".into(),
             Self::SlowEndpoint => "slow endpoint".into(),
+            Self::FailingEndpoint => "failing endpoint".into(),
             Self::LongAmongShort => "long among short".into(),
             Self::UrgentAlone => "urgent alone".into(),
             Self::UrgentFlood => "urgent flood".into(),
@@ -52,7 +55,7 @@
             Self::Burst => 0.6,
             Self::FewCallers => 1.3,
             Self::HotPrograms => 0.8,
-            Self::SlowEndpoint => 0.7,
+            Self::SlowEndpoint | Self::FailingEndpoint => 0.7,
             Self::LongAmongShort => 0.9,
             Self::UrgentAlone => 2.0,
             Self::UrgentFlood => 4.0,
