--- a/crates/policy/src/place/tests.rs
+++ b/crates/policy/src/place/tests.rs
@@ -102,6 +102,27 @@
     assert_eq!(seen, [true; 4]);
 }
 
+/// An endpoint fails with sixteen calls of six VMs. All VMs act on the same old report, in which
+/// the other endpoints are alike, and don't hear of each other's dispatches.
+#[test]
+fn the_calls_of_a_failed_endpoint_spread_over_the_rest() {
+    let busy = Candidate {
+        reported: 10,
+        ..IDLE
+    };
+    let mut taken = [0; 8];
+    for vm in 0..6 {
+        let mut seen = [busy; 8];
+        for call in 0..3 {
+            let salt = vm * 100 + call;
+            let choice = choose(&seen, &Call { salt, ..CALL }, &LATENCY).expect("all may be used");
+            seen[choice.index].sent += 1;
+            taken[choice.index] += 1;
+        }
+    }
+    assert!(taken.iter().all(|calls| *calls <= 5), "{taken:?}");
+}
+
 #[test]
 fn endpoints_without_a_share_get_nothing() {
     let out = Candidate { share: 0.0, ..IDLE };
