--- a/crates/policy/src/place/tests.rs
+++ b/crates/policy/src/place/tests.rs
@@ -8,6 +8,7 @@
 use super::choose;
 use super::lanes;
 use super::room;
+use super::smoothed;
 use crate::class::Class;
 
 const IDLE: Candidate = Candidate {
@@ -102,6 +103,35 @@
     assert_eq!(seen, [true; 4]);
 }
 
+/// An endpoint fails with sixteen calls of six VMs. All VMs act on the same old report, in which
+/// the other endpoints are alike, and don't hear of each other's dispatches.
+#[test]
+fn the_calls_of_a_failed_endpoint_spread_over_the_rest() {
+    let busy = Candidate {
+        reported: 10,
+        ..IDLE
+    };
+    let mut taken = [0; 8];
+    for vm in 0..6 {
+        let mut seen = [busy; 8];
+        for call in 0..3 {
+            let salt = vm * 100 + call;
+            let choice = choose(&seen, &Call { salt, ..CALL }, &LATENCY).expect("all may be used");
+            seen[choice.index].sent += 1;
+            taken[choice.index] += 1;
+        }
+    }
+    assert!(taken.iter().all(|calls| *calls <= 5), "{taken:?}");
+}
+
+#[test]
+fn one_report_moves_the_speed_little_and_many_move_it_whole() {
+    let once = smoothed(60.0, 40.0);
+    assert!((once - 58.0).abs() < 1e-9, "{once}");
+    let often = (0..60).fold(60.0, |speed, _| smoothed(speed, 40.0));
+    assert!((often - 40.0).abs() < 0.1, "{often}");
+}
+
 #[test]
 fn endpoints_without_a_share_get_nothing() {
     let out = Candidate { share: 0.0, ..IDLE };
