Gather a batch until the write budget has room for it

Cause: a batch was formed and then waited for the VM's write budget, so what arrived meanwhile queued behind it, and each turn's commit spent a write of its own. Change: the log waits for the budget first and forms the batch then; records for which only a last event waits leave half of the budget to others, for 50 ms at most, and go along with them. Test: seen red with the patience taken out.

--- a/crates/journal/tests/takeover.rs
+++ b/crates/journal/tests/takeover.rs
@@ -14,14 +14,17 @@
 use journal::record::MAX_BYTES;
 use journal::record::Record;
 use journal::snapshot::Image;
+use platform::client::Client;
 use platform::edge::Entry;
 use platform::edge::Platform;
 use platform::edge::Txn;
 use platform::edge::Weight;
 use platform::edge::Write;
+use platform::limit::Rate;
 use platform::memory::Memory;
 use platform::memory::Play;
 use rstest::rstest;
+use wire::clock::Clock;
 use wire::clock::Millis;
 use wire::code::Code;
 use wire::code::Ran;
@@ -61,9 +64,13 @@
 }
 
 async fn open(memory: &Memory, vm: &str) -> claim::Result<Opened> {
-    let lease = memory.grant(Millis::new(60_000)).await.unwrap();
+    open_on(Arc::new(memory.clone()), vm).await
+}
+
+async fn open_on(platform: Arc<dyn Platform>, vm: &str) -> claim::Result<Opened> {
+    let lease = platform.grant(Millis::new(60_000)).await.unwrap();
     let setup = Setup {
-        platform: Arc::new(memory.clone()),
+        platform,
         peers: Arc::new(Alone),
         vm: id::Vm::parse(vm).unwrap(),
         shard: shard(),
@@ -128,6 +135,34 @@
     }
 }
 
+#[tokio::test]
+async fn a_patient_record_goes_along_where_the_budget_is_short() {
+    // A VM has used half of its write budget up. Turns end and others begin: were each end written
+    // at once, the starts would wait for the budget, and with them the first tokens.
+    let memory = Memory::default();
+    let rate = Rate {
+        reads: 1_000,
+        writes: 9,
+    };
+    let clock = Clock::Manual(Arc::default());
+    let limited = Client::new(memory.clone(), rate, Millis::new(500), clock);
+    let mut opened = open_on(Arc::new(limited), "a").await.unwrap();
+    for name in ["p1", "p2"] {
+        add(&mut opened, name).await;
+    }
+    let before = memory.writes();
+    let program = id::Program::parse("p1").unwrap();
+    let patient = opened.log.append(vec![Record::Forgotten { program }]);
+    for _ in 0..20 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(memory.writes(), before);
+    let start = opened.log.append(vec![created("p3")]);
+    assert_eq!(start.await, Ok(Durable::Journal));
+    assert_eq!(patient.await, Ok(Durable::Journal));
+    assert_eq!(memory.writes(), before + 1);
+}
+
 #[tokio::test]
 async fn appends_that_arrive_during_one_share_the_next_write() {
     // A hundred callers finish turns at once on a platform that takes several hundred writes a
