Let an ask wait for an owner that is on its way

Cause: an ask whose shard changed hands was given back after 0.6 s, while a hand-over lasts as long as the running turns and a takeover about a lease, so callers met refusals that a wait avoids. Change: the VM that the caller entered waits up to a lease and two seconds, or the deadline; a VM that was asked by another sends the ask back as before.

--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -45,6 +45,8 @@
 /// How long a VM waits for news of an owner between tries; a hand-over takes a few of the
 /// platform's round trips of some milliseconds.
 const PAUSE: Millis = Millis::new(150);
+/// What a takeover takes beyond the lease's end: a beat to notice it, and the claim.
+const MARGIN: Millis = Millis::new(2_000);
 /// When a caller may come again whose shard has no owner: a takeover waits for the lease to end.
 const TAKEOVER: Millis = Millis::new(5_000);
 /// The type of a body of frames.
@@ -123,21 +125,27 @@
 async fn relay(core: Arc<Core>, ask: Ask, replies: UnboundedSender<Reply>) {
     let mut last = no_owner(&ask);
     let mut arrived = earlier(&ask);
-    for tried in 0..TRIES {
-        if tried > 0 {
-            await_news(&core).await;
-        }
+    let until = core.clock.now().plus(patience(&core, &ask));
+    let mut tries = 0;
+    while tries < TRIES {
         match step(&core, &ask, &replies).await {
             Tried::Finished => return,
-            Tried::Elsewhere(refusal) => last = refusal,
+            Tried::Elsewhere(refusal) => {
+                // An owner is on its way: the ask waits for it and isn't given back.
+                let waits = is_moving(&refusal) && core.clock.now() < until;
+                tries += u32::from(!waits);
+                last = refusal;
+            }
             Tried::Broken(seen) => {
                 arrived = Ran::Unknown;
                 last = Refusal::new(Code::ForwardFailed, "").retry_after(PAUSE);
                 if seen > 0 || !repeatable(&ask) {
                     break;
                 }
+                tries += 1;
             }
         }
+        await_news(&core).await;
     }
     // What an earlier try may have started, a later refusal doesn't undo.
     if arrived == Ran::Unknown {
@@ -146,6 +154,24 @@
     let _gone = replies.send(Reply::Refused(last));
 }
 
+/// Yields how long an ask may wait for an owner: a takeover lasts about one lease. Only the VM that
+/// the caller entered waits; the others send the ask back, as it may have been misdirected.
+fn patience(core: &Core, ask: &Ask) -> Millis {
+    if ask.hops > 0 {
+        return Millis::ZERO;
+    }
+    let takeover = core.settings.platform.lease.plus(MARGIN);
+    ask.deadline
+        .map_or(takeover, |deadline| deadline.min(takeover))
+}
+
+/// Tells whether a refusal says that the shard changes hands, or is about to, as its owner doesn't
+/// answer.
+fn is_moving(refusal: &Refusal) -> bool {
+    let moving = [Code::NoOwner, Code::ShuttingDown, Code::ForwardFailed];
+    moving.contains(&refusal.code) && refusal.ran == Ran::No
+}
+
 /// Tells what a VM that can't reach the owner knows of earlier askings of the same call.
 ///
 /// Only the owner's journal tells whether a call with an idempotency key has been sent. The caller
@@ -263,11 +289,11 @@
 /// Passes one reply on; tells what became of the try where it was the last.
 fn pass(reply: Reply, seen: usize, replies: &UnboundedSender<Reply>) -> Option<Tried> {
     let last = !matches!(reply, Reply::Delta(_));
-    if let Reply::Refused(refusal) = &reply {
-        let moved = matches!(refusal.code, Code::NoOwner | Code::ShuttingDown);
-        if moved && refusal.ran == Ran::No && seen == 0 {
-            return Some(Tried::Elsewhere(refusal.clone()));
-        }
+    if let Reply::Refused(refusal) = &reply
+        && is_moving(refusal)
+        && seen == 0
+    {
+        return Some(Tried::Elsewhere(refusal.clone()));
     }
     let gone = replies.send(reply).is_err();
     (last || gone).then_some(Tried::Finished)
