Meet budgets sooner in the fuzzer

Cause: with a turn's want at 15% of the budget, reservations past the budget were seen only in the 2,538th case, or not in 3,000.

Change: a turn wants 35% of the budget.

A reservation that isn't counted fails the 19th case, a restart that reserves beyond the budget the 66th. Conclusion: both are red within the default cases.

--- a/crates/journal/tests/fuzz/owner.rs
+++ b/crates/journal/tests/fuzz/owner.rs
@@ -38,7 +38,7 @@
 use super::world::World;
 
 /// Tokens asked for by each turn; the last turns of a program meet its budget.
-const WANT: u64 = 30;
+const WANT: u64 = 70;
 /// The program that calls belong to.
 const CALLS: usize = 0;
 
