--- a/crates/node/src/owner/decide.rs
+++ b/crates/node/src/owner/decide.rs
@@ -140,7 +140,7 @@
             digest: intend.digest,
             attempt: intend.attempt,
             now: self.now(),
-            status: self.log.status(),
+            status: self.status(),
         };
         let records = match gate::intend(&self.state, &gate) {
             Ok(gate::Call::Start(records)) => records,
