Give a lost shard up in the open

Cause: callers of turns under way on a shard that was lost were told that the program had ended; an actor that died by a fault left its shard held and unserved. Change: they are told that the owner changed, ran unknown, and the entry asks the next owner where that is harmless; a shard whose actor ended is forgotten, so that it is claimed anew. Conclusion: not covered by a test of its own yet.

--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -314,6 +314,14 @@
     {
         return Some(Tried::Elsewhere(refusal.clone()));
     }
+    if let Reply::Refused(refusal) = &reply
+        && refusal.code == Code::OwnerLost
+        && refusal.ran == Ran::Unknown
+        && seen == 0
+    {
+        // The next owner knows from the journal what became of it.
+        return Some(Tried::Broken(seen));
+    }
     let gone = replies.send(reply).is_err();
     (last || gone).then_some(Tried::Finished)
 }
--- a/crates/node/src/owner/registry.rs
+++ b/crates/node/src/owner/registry.rs
@@ -16,6 +16,7 @@
 use ractor::ActorRef;
 use ractor::MessagingErr;
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 use wire::ask::Ask;
 use wire::event::Event;
 use wire::id;
@@ -81,7 +82,9 @@
             log: opened.log.clone(),
         };
         let spawned = Actor::spawn(None, shard::Shard, arguments).await;
-        let (actor, _task) = spawned.map_err(|f| claim::Fault::Damaged(f.to_string()))?;
+        let (actor, task) = spawned.map_err(|f| claim::Fault::Damaged(f.to_string()))?;
+        let ended = forget(core.clone(), shard.clone(), opened.epoch, task);
+        core.tasks.spawn(ended);
         core.tasks
             .spawn(watch(core.clone(), opened.log.clone(), actor.clone()));
         let entry = Entry {
@@ -253,6 +256,15 @@
     }
 }
 
+/// Forgets a shard whose actor has ended, by a fault in it, say. Without this the VM would hold the
+/// shard and serve nobody; so it claims the shard anew, and the journal fences what is left.
+async fn forget<T>(core: Arc<Core>, shard: id::Shard, epoch: u64, actor: JoinHandle<T>) {
+    tokio::select! {
+        _ended = actor => core.registry.lose(&shard, epoch),
+        () = core.stopped.cancelled() => {}
+    }
+}
+
 /// Tells the actor when its journal has another owner.
 async fn watch(core: Arc<Core>, log: Log, actor: ActorRef<Message>) {
     let mut status = log.watch();
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -25,6 +25,7 @@
 use wire::ask::Reply;
 use wire::clock::Millis;
 use wire::code::Code;
+use wire::code::Ran;
 use wire::code::Refusal;
 use wire::event::Event;
 use wire::id;
@@ -419,6 +420,8 @@
         );
         self.core.registry.lose(&self.shard, self.state.epoch());
         for pending in self.pending.iter() {
+            let lost = Refusal::new(Code::OwnerLost, "").ran(Ran::Unknown);
+            pending.feed.refuse(lost);
             pending.cancel.cancel();
         }
     }
