--- a/crates/journal/tests/takeover.rs
+++ b/crates/journal/tests/takeover.rs
@@ -1,6 +1,7 @@
 //! Appends, snapshots and takeovers over a platform in memory, one failure at a time.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use async_trait::async_trait;
 use journal::claim;
@@ -34,6 +35,8 @@
     held: Vec<copy::Held>,
     /// An owner that appends once more before the first answer.
     owner: Option<Log>,
+    /// What this VM keeps of lost shards.
+    kept: Arc<Mutex<Vec<copy::Held>>>,
 }
 
 /// The incarnation of each VM.
@@ -66,7 +69,9 @@
         })
     }
 
-    async fn keep(&self, _shard: &id::Shard, _held: Vec<copy::Held>) {}
+    async fn keep(&self, _shard: &id::Shard, held: Vec<copy::Held>) {
+        self.kept.lock().unwrap().extend(held);
+    }
 
     async fn drained(&self, _holder: &copy::Holder, _shard: &id::Shard, _epoch: u64, _seq: u64) {}
 }
@@ -392,6 +397,7 @@
     let peers = Fixed {
         held: vec![pending(1, 2)],
         owner: Some(old.log.clone()),
+        ..Fixed::default()
     };
     let next = open_with(&memory, "b", peers).await.unwrap();
     let ids: Vec<&str> = next.state.programs().map(|p| p.id.as_str()).collect();
@@ -435,7 +441,7 @@
     }
     let peers = Fixed {
         held: vec![pending(epoch, 2)],
-        owner: None,
+        ..Fixed::default()
     };
     let next = open_with(&memory, "c", peers).await.unwrap();
     assert_eq!(next.state.programs().count(), usize::from(taken));
@@ -464,3 +470,24 @@
         })
     ));
 }
+
+#[tokio::test]
+async fn what_is_in_line_is_kept_before_anyone_learns_of_the_loss() {
+    // An owner learns at its next append that the shard has another owner. Its node drops the log
+    // then, and what was in line may be the one copy left of an answered turn.
+    let memory = Memory::default();
+    let peers = Fixed::default();
+    let kept = Arc::clone(&peers.kept);
+    let stale = open_with(&memory, "a", peers).await.unwrap();
+    lapse(&memory).await;
+    open(&memory, "b").await.unwrap();
+    let append = stale.log.append(vec![created("p")]);
+    assert!(matches!(append.await, Err(Fault::Lost { .. })));
+    let kept: Vec<(u64, u64)> = kept
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|h| (h.epoch, h.seq))
+        .collect();
+    assert_eq!(kept, [(1, 1)]);
+}
