--- a/crates/policy/tests/support/vm.rs
+++ b/crates/policy/tests/support/vm.rs
@@ -8,6 +8,7 @@
 use policy::place;
 use policy::queue::Limits;
 use policy::queue::Queue;
+use policy::retry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wire::clock::Millis;
@@ -20,9 +21,6 @@
 /// The weight of the latest call in a VM's means of output and service.
 const FRESH: f64 = 0.05;
 
-/// The weight of the latest report in an endpoint's speed.
-const SMOOTH: f64 = 0.1;
-
 /// What an endpoint says of itself.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -95,6 +93,8 @@
     pub price: Price,
     /// The bound on work, where that rule is tried.
     pub power: MaxPower,
+    /// The retries that it may make.
+    pub retries: retry::Budget,
     /// Its generator.
     pub rng: ChaCha8Rng,
     /// Mean tokens of a call.
@@ -130,6 +130,7 @@
             detectors: vec![eject::Detector::new(Millis::ZERO); of.endpoints.len()],
             price: Price::new(slots / of.vms as f64),
             power: MaxPower::new(),
+            retries: retry::Budget::new(Millis::ZERO),
             rng: ChaCha8Rng::seed_from_u64(number as u64),
             output: of.output,
             service: 5_000.0,
@@ -143,7 +144,7 @@
         view.ledger.report(Millis::new(report.at));
         let speed = view.report.speed;
         view.report = report.clone();
-        view.report.speed = speed + SMOOTH * (report.speed - speed);
+        view.report.speed = place::smoothed(speed, report.speed);
     }
 
     /// Judges the endpoints.
