Count only what is ahead of a caller, and leave less of a lane to routine work

Change: routine calls may use a sixteenth of a lane, not an eighth. Change: a call's wait counts of each other caller no more calls than its own has.

--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -67,8 +67,9 @@
 /// The load that a call meets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
-    /// Calls that wait and would be served before it or with it: of its class for an urgent call,
-    /// of both for a routine one.
+    /// Calls that wait and are served before it: of its class for an urgent call, of both for a
+    /// routine one; of each other caller no more than its own has, as the queue is fair. So a
+    /// caller that floods meets its own wait, and the others' programs are still let in.
     pub waiting: usize,
     /// Calls of its class that its caller has waiting.
     pub own: usize,
@@ -82,9 +83,13 @@
     /// Reads the load off a queue.
     #[must_use]
     pub fn of<T>(queue: &Queue<T>, drain: &Drain, class: Class, caller: &id::Caller) -> Self {
+        let ahead = queue.ahead_of(class, caller);
         let (waiting, used) = match class {
-            Class::Urgent => (queue.waiting(Class::Urgent), queue.len()),
-            Class::Routine => (queue.len(), queue.waiting(Class::Routine)),
+            Class::Urgent => (ahead, queue.len()),
+            Class::Routine => {
+                let routine = queue.waiting(Class::Routine);
+                (queue.waiting(Class::Urgent) + ahead, routine)
+            }
         };
         Self {
             waiting,
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -32,8 +32,10 @@
 /// and keeps one slot free at each endpoint instead.
 pub const LANE_FLEET: usize = 8;
 /// The share of a lane's slots that routine calls may use, so that it isn't idle when nothing
-/// urgent comes and its speed is known.
-pub const LANE_ROUTINE: f64 = 0.125;
+/// urgent comes. Measured over four seeds and both deployments at twice the saturating load: with
+/// an eighth urgent p99 is up to 1.54 times that of an idle fleet, with a sixteenth up to 1.16, with
+/// none up to 1.11; a sixteenth costs one to two per cent of goodput beside an eighth.
+pub const LANE_ROUTINE: f64 = 0.0625;
 /// Calls that may be sent ahead of a free slot to the endpoint that has most of their prompt, as a
 /// share of the slots.
 ///
--- a/crates/policy/src/place/tests.rs
+++ b/crates/policy/src/place/tests.rs
@@ -159,7 +159,7 @@
 #[case(16, 1.0, Class::Urgent, Lane::Shared, 16.0)]
 #[case(16, 1.0, Class::Routine, Lane::Shared, 15.0)]
 #[case(16, 1.0, Class::Routine, Lane::Open, 16.0)]
-#[case(16, 1.0, Class::Routine, Lane::Urgent, 2.0)]
+#[case(16, 1.0, Class::Routine, Lane::Urgent, 1.0)]
 #[case(16, 1.0, Class::Urgent, Lane::Urgent, 16.0)]
 #[case(8, 0.125, Class::Urgent, Lane::Shared, 1.0)]
 #[case(1, 1.0, Class::Urgent, Lane::Shared, 1.0)]
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -159,6 +159,15 @@
         self.band(class).len
     }
 
+    /// Yields how many calls of a class are served before one that a caller adds now: under the
+    /// fairness between callers no more of each other's than it has of its own, and one.
+    #[must_use]
+    pub fn ahead_of(&self, class: Class, caller: &id::Caller) -> usize {
+        let most = self.waiting_of(class, caller) + 1;
+        let lanes = self.band(class).lanes.iter();
+        lanes.map(|lane| lane.waiting.len().min(most)).sum()
+    }
+
     /// Yields how many calls of a class one caller has waiting.
     #[must_use]
     pub fn waiting_of(&self, class: Class, caller: &id::Caller) -> usize {
--- a/crates/policy/src/queue/tests.rs
+++ b/crates/policy/src/queue/tests.rs
@@ -133,6 +133,14 @@
     assert_eq!(queue.len(), 5);
 }
 
+#[test]
+fn a_flood_is_not_ahead_of_others() {
+    let mut queue = filled((0..6).map(|n| entry(n, Class::Routine, "flood")).collect());
+    queue.push(entry(6, Class::Routine, "other")).expect("fits");
+    let ahead = |name: &str| queue.ahead_of(Class::Routine, &caller(name));
+    assert_eq!((ahead("new"), ahead("other"), ahead("flood")), (2, 3, 7));
+}
+
 #[test]
 fn removed_calls_are_handed_back() {
     let mut queue = filled((0..4).map(|n| entry(n, Class::Urgent, "a")).collect());
--- a/crates/policy/tests/patterns.rs
+++ b/crates/policy/tests/patterns.rs
@@ -82,7 +82,7 @@
 #[test]
 fn few_callers_do_not_take_the_fleet() {
     let ours = play(Pattern::FewCallers, Rules::Ours);
-    assert!(ours.worst >= 0.7, "{ours:?}");
+    assert!(ours.worst >= 0.85, "{ours:?}");
 }
 
 /// A few programs call ten times as often, without pauses, with long histories. The median program
