Keep an endpoint in poor standing from being a lane

Cause: an endpoint that fails each call is idle and reports the highest speed; it became the lane, and urgent calls had none while it was ejected. Change: an endpoint without its whole share isn't considered.

--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -224,6 +224,9 @@
 
 /// Yields what each endpoint of a pool is kept for, given their speeds; the fastest are the lanes.
 ///
+/// Pass 0 for an endpoint that hasn't its whole share: one that fails everything is idle, reports
+/// the highest speed, and would be the lane of all urgent calls.
+///
 /// VMs that see the same reports agree on the lanes nearly always; where they don't, one more
 /// endpoint is partly kept free for a while.
 #[must_use]
--- a/crates/policy/tests/support/vm.rs
+++ b/crates/policy/tests/support/vm.rs
@@ -150,7 +150,13 @@
     /// Judges the endpoints.
     pub fn sweep(&mut self, now: Millis) {
         eject::sweep(&mut self.detectors, now);
-        let speeds: Vec<f64> = self.views.iter().map(|view| view.report.speed).collect();
+        let speed = |(view, detector): (&View, &eject::Detector)| {
+            if detector.share(now) < 1.0 {
+                return 0.0;
+            }
+            view.report.speed
+        };
+        let speeds: Vec<f64> = self.views.iter().zip(&self.detectors).map(speed).collect();
         self.lanes = place::lanes(&speeds);
         let wait = admit::Load {
             waiting: self.queue.len(),
