--- a/crates/policy/tests/patterns.rs
+++ b/crates/policy/tests/patterns.rs
@@ -82,7 +82,7 @@
 #[test]
 fn few_callers_do_not_take_the_fleet() {
     let ours = play(Pattern::FewCallers, Rules::Ours);
-    assert!(ours.worst >= 0.7, "{ours:?}");
+    assert!(ours.worst >= 0.85, "{ours:?}");
 }
 
 /// A few programs call ten times as often, without pauses, with long histories. The median program
@@ -133,7 +133,7 @@
 #[test]
 fn a_flood_of_urgent_work_does_not_starve_other_urgent_work() {
     let flood = play(Pattern::UrgentFlood, Rules::Ours);
-    assert!(flood.others.p95 * 3 <= flood.urgent.p95 * 2, "{flood:?}");
+    assert!(flood.others.p95 * 2 <= flood.urgent.p95, "{flood:?}");
     assert!(flood.others_lost <= 0.02, "{flood:?}");
 }
 
