--- /dev/null
+++ b/crates/node/tests/request/lost.rs
@@ -0,0 +1,101 @@
+//! A shard that another VM takes while this one still thinks that it owns it.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use journal::claim;
+use journal::copy;
+use journal::copy::Collected;
+use journal::copy::Held;
+use journal::copy::Holder;
+use journal::key;
+use journal::log::Setup;
+use platform::edge::Lease;
+use platform::edge::Platform;
+use platform::edge::Txn;
+use platform::edge::Weight;
+use platform::edge::Write;
+use platform::memory::Memory;
+use standin::client;
+use wire::clock::Millis;
+use wire::id;
+
+use crate::fleet::CHAT;
+use crate::fleet::Fleet;
+use crate::fleet::named;
+use crate::fleet::refusal;
+
+struct Nobody;
+
+#[async_trait]
+impl copy::Peers for Nobody {
+    async fn hold(&self, _: &Holder, _: &id::Shard, _: &Held) -> copy::Result<()> {
+        Err(copy::Fault::Unreachable)
+    }
+
+    async fn collect(&self, _: &id::Vm, _: &id::Shard, _: u64) -> copy::Result<Collected> {
+        Err(copy::Fault::Unreachable)
+    }
+
+    async fn keep(&self, _: &id::Shard, _: Vec<Held>) {}
+
+    async fn drained(&self, _: &Holder, _: &id::Shard, _: u64, _: u64) {}
+}
+
+/// Takes every shard as another VM would after this one's lease had lapsed.
+async fn take_all(platform: &Memory) -> Lease {
+    let lease = platform.grant(Millis::new(60_000)).await.unwrap();
+    for index in 0..4 {
+        let shard = id::Shard {
+            centre: id::Centre::parse("a").unwrap(),
+            index,
+        };
+        let txn = Txn {
+            compares: Vec::new(),
+            writes: vec![Write::Delete(key::owner(&shard))],
+        };
+        platform.commit(&txn, Weight::Claim).await.unwrap();
+        let setup = Setup {
+            platform: Arc::new(platform.clone()),
+            peers: Arc::new(Nobody),
+            vm: id::Vm::parse("a2").unwrap(),
+            shard,
+            seed: u64::from(index),
+            copies: Vec::new(),
+            acks: 0,
+        };
+        claim::open(setup, lease).await.unwrap();
+    }
+    lease
+}
+
+/// A VM was paused past its lease and wakes up. Its first append meets the new owner's, so the turn
+/// is refused without having run; once the shard is free again, the VM claims it and the program
+/// goes on where it stood.
+#[tokio::test]
+async fn a_lost_shard_runs_nothing_and_comes_back() {
+    let fleet = Fleet::plain().await;
+    let first = fleet
+        .ask(CHAT, &named("berth", "1"), &client::chat("one"))
+        .await;
+    assert_eq!(first.0, 200, "{}", first.1);
+    let lease = take_all(&fleet.platform).await;
+    let next = named("berth", "2");
+    let headers = [next[0], next[1], ("chestnutyoke-deadline-ms", "500")];
+    let lost = fleet.ask(CHAT, &headers, &client::chat("two")).await;
+    assert_eq!(lost.0, 503, "{}", lost.1);
+    assert_ne!(refusal(&lost).1, "yes");
+    assert_eq!(fleet.attempts().await.len(), 1);
+    fleet.platform.revoke(lease).await.unwrap();
+    let again = tokio::time::timeout(client::PATIENCE, async {
+        loop {
+            let answer = fleet.ask(CHAT, &next, &client::chat("two")).await;
+            if answer.0 == 200 {
+                return answer;
+            }
+        }
+    });
+    let answer = again.await.expect("the program goes on");
+    assert_eq!(answer.1["chestnutyoke"]["turn"], 2);
+    assert_eq!(fleet.attempts().await.len(), 2);
+}
--- a/crates/node/tests/request/main.rs
+++ b/crates/node/tests/request/main.rs
@@ -3,6 +3,7 @@
 
 mod door;
 mod fleet;
+mod lost;
 mod order;
 mod service;
 mod turn;
