--- a/crates/journal/tests/fuzz/owner.rs
+++ b/crates/journal/tests/fuzz/owner.rs
@@ -38,7 +38,7 @@
 use super::world::World;
 
 /// Tokens asked for by each turn; the last turns of a program meet its budget.
-const WANT: u64 = 30;
+const WANT: u64 = 70;
 /// The program that calls belong to.
 const CALLS: usize = 0;
 
@@ -248,8 +248,8 @@
                 answer: answer.clone(),
             };
             owner.put(vec![record], Effect::Tell(told));
+            self.ended(&run);
         }
-        self.ended(&run);
     }
 
     pub fn fail(&mut self, pick: usize, then: Then) {
@@ -277,11 +277,13 @@
                 ..run.clone()
             };
             owner.put(start.records, Effect::Dispatch(next));
+            // Its engine may still answer, too late.
+            owner.running.push(run.clone());
         } else {
             let used = Some(run.generated);
-            if let Some(stopped) = gate::stop(&owner.state, &run.program, run.attempt, used) {
-                owner.put(vec![stopped], Effect::None);
-            }
+            let stopped = gate::stop(&owner.state, &run.program, run.attempt, used);
+            let Some(stopped) = stopped else { return };
+            owner.put(vec![stopped], Effect::None);
         }
         self.ended(&run);
     }
