--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -73,7 +73,7 @@
         return Ok(answer::models(&view.config));
     }
     let shape = answer::Shape::of(&parsed.what);
-    let ask = ask(core, &view, caller, parsed, arrived)?;
+    let ask = ask(core, &view, caller, parsed)?;
     let class = authenticate::class(&view.config, &ask)?;
     if room == Room::UrgentOnly && class != Class::Urgent {
         return Err(Refusal::new(Code::TooManyConnections, "").retry_after(CONNECTION_PAUSE));
@@ -92,14 +92,7 @@
 }
 
 /// Turns a parsed request into what its program's owner is asked.
-fn ask(
-    core: &Core,
-    view: &View,
-    caller: id::Caller,
-    parsed: parse::Parsed,
-    arrived: Millis,
-) -> Result<Ask> {
-    let _ = arrived;
+fn ask(core: &Core, view: &View, caller: id::Caller, parsed: parse::Parsed) -> Result<Ask> {
     let named = parsed.program;
     let first = named.is_none();
     let program = match (named, &parsed.key, &parsed.what) {
