--- a/crates/chestnutyoke/tests/support/mod.rs
+++ b/crates/chestnutyoke/tests/support/mod.rs
@@ -9,6 +9,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use serde_json::Value;
 use serde_json::json;
@@ -109,9 +111,18 @@
 }
 
 /// Yields an address that was free a moment ago.
+///
+/// Its port is below those that the kernel gives out (from 32,768 on Linux). One of theirs may go
+/// to any connection before the node binds it, and the node then doesn't start.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let drawn = std::process::id().wrapping_mul(97) + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = u16::try_from(10_000 + drawn % 20_000).expect("below 30,000");
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
 }
 
 /// Starts one VM's node.
--- a/crates/journal/tests/takeover.rs
+++ b/crates/journal/tests/takeover.rs
@@ -1,6 +1,7 @@
 //! Appends, snapshots and takeovers over a platform in memory, one failure at a time.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use async_trait::async_trait;
 use journal::claim;
@@ -9,29 +10,43 @@
 use journal::key;
 use journal::log::Durable;
 use journal::log::Fault;
+use journal::log::Log;
 use journal::log::Setup;
 use journal::log::Status;
 use journal::record::MAX_BYTES;
 use journal::record::Record;
 use journal::snapshot::Image;
+use platform::client::Client;
 use platform::edge::Entry;
 use platform::edge::Platform;
 use platform::edge::Txn;
 use platform::edge::Weight;
 use platform::edge::Write;
+use platform::limit::Rate;
 use platform::memory::Memory;
 use platform::memory::Play;
 use rstest::rstest;
+use wire::clock::Clock;
 use wire::clock::Millis;
 use wire::code::Code;
 use wire::code::Ran;
 use wire::id;
 
-/// A centre whose other VMs can't be reached.
-struct Alone;
+/// A centre whose VMs answer claimers with fixed batches, and hold none.
+#[derive(Default)]
+struct Fixed {
+    held: Vec<copy::Held>,
+    /// An owner that appends once more before the first answer.
+    owner: Option<Log>,
+    /// What this VM keeps of lost shards.
+    kept: Arc<Mutex<Vec<copy::Held>>>,
+}
+
+/// The incarnation of each VM.
+const INCARNATION: u64 = 7;
 
 #[async_trait]
-impl copy::Peers for Alone {
+impl copy::Peers for Fixed {
     async fn hold(
         &self,
         _holder: &copy::Holder,
@@ -47,7 +62,18 @@
         _shard: &id::Shard,
         _epoch: u64,
     ) -> copy::Result<copy::Collected> {
-        Err(copy::Fault::Unreachable)
+        if let Some(owner) = &self.owner {
+            let late = owner.append(vec![created("late")]);
+            assert_eq!(late.await, Ok(Durable::Journal));
+        }
+        Ok(copy::Collected {
+            incarnation: INCARNATION,
+            held: self.held.clone(),
+        })
+    }
+
+    async fn keep(&self, _shard: &id::Shard, held: Vec<copy::Held>) {
+        self.kept.lock().unwrap().extend(held);
     }
 
     async fn drained(&self, _holder: &copy::Holder, _shard: &id::Shard, _epoch: u64, _seq: u64) {}
@@ -61,14 +87,25 @@
 }
 
 async fn open(memory: &Memory, vm: &str) -> claim::Result<Opened> {
-    let lease = memory.grant(Millis::new(60_000)).await.unwrap();
+    open_with(memory, vm, Fixed::default()).await
+}
+
+async fn open_with(memory: &Memory, vm: &str, peers: Fixed) -> claim::Result<Opened> {
+    open_on(Arc::new(memory.clone()), vm, peers).await
+}
+
+async fn open_on(platform: Arc<dyn Platform>, vm: &str, peers: Fixed) -> claim::Result<Opened> {
+    let lease = platform.grant(Millis::new(60_000)).await.unwrap();
     let setup = Setup {
-        platform: Arc::new(memory.clone()),
-        peers: Arc::new(Alone),
+        platform,
+        peers: Arc::new(peers),
         vm: id::Vm::parse(vm).unwrap(),
         shard: shard(),
         seed: lease.0,
-        copies: Vec::new(),
+        copies: vec![copy::Holder {
+            vm: id::Vm::parse("holder").unwrap(),
+            incarnation: INCARNATION,
+        }],
         acks: 0,
     };
     claim::open(setup, lease).await
@@ -128,6 +165,36 @@
     }
 }
 
+#[tokio::test]
+async fn a_patient_record_goes_along_where_the_budget_is_short() {
+    // A VM has used half of its write budget up. Turns end and others begin: were each end written
+    // at once, the starts would wait for the budget, and with them the first tokens.
+    let memory = Memory::default();
+    let rate = Rate {
+        reads: 1_000,
+        writes: 9,
+    };
+    let clock = Clock::Manual(Arc::default());
+    let limited = Client::new(memory.clone(), rate, Millis::new(500), clock);
+    let mut opened = open_on(Arc::new(limited), "a", Fixed::default())
+        .await
+        .unwrap();
+    for name in ["p1", "p2"] {
+        add(&mut opened, name).await;
+    }
+    let before = memory.writes();
+    let program = id::Program::parse("p1").unwrap();
+    let patient = opened.log.append(vec![Record::Forgotten { program }]);
+    for _ in 0..20 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(memory.writes(), before);
+    let start = opened.log.append(vec![created("p3")]);
+    assert_eq!(start.await, Ok(Durable::Journal));
+    assert_eq!(patient.await, Ok(Durable::Journal));
+    assert_eq!(memory.writes(), before + 1);
+}
+
 #[tokio::test]
 async fn appends_that_arrive_during_one_share_the_next_write() {
     // A hundred callers finish turns at once on a platform that takes several hundred writes a
@@ -328,7 +395,7 @@
     let opened = open(&memory, "a").await.unwrap();
     let setup = Setup {
         platform: Arc::new(memory.clone()),
-        peers: Arc::new(Alone),
+        peers: Arc::new(Fixed::default()),
         vm: id::Vm::parse("a").unwrap(),
         shard: shard(),
         seed: 0,
@@ -346,3 +413,118 @@
     let next = open(&memory, "b").await.unwrap();
     assert_eq!(next.state.programs().count(), 1);
 }
+
+fn pending(epoch: u64, seq: u64) -> copy::Held {
+    let batch = journal::record::Batch {
+        writer: id::Vm::parse("a").unwrap(),
+        nonce: 1,
+        records: vec![created("p")],
+    };
+    let value = rmp_serde::to_vec_named(&batch).unwrap().into();
+    copy::Held { epoch, seq, value }
+}
+
+#[tokio::test]
+async fn pending_batches_follow_what_the_old_owner_appended_last() {
+    // The old owner is cut off, copies a turn, and before that appended another one that the
+    // claimer hadn't read yet. Both turns were answered, and neither may be lost.
+    let memory = Memory::default();
+    let old = open(&memory, "a").await.unwrap();
+    lapse(&memory).await;
+    let peers = Fixed {
+        held: vec![pending(1, 2)],
+        owner: Some(old.log.clone()),
+        ..Fixed::default()
+    };
+    let next = open_with(&memory, "b", peers).await.unwrap();
+    let ids: Vec<&str> = next.state.programs().map(|p| p.id.as_str()).collect();
+    assert_eq!(ids, ["late", "p"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_steps_down_calls_nothing_absent_that_it_hands_over() {
+    // A claimer asks the old owner while an intent is on its way. The claimer writes what it gets,
+    // so the old owner must not tell its caller that the intent isn't in the journal.
+    let memory = Memory::default();
+    let mut opened = open(&memory, "a").await.unwrap();
+    add(&mut opened, "p").await;
+    let before = memory.writes();
+    memory.play(Play::LoseWrite);
+    let append = opened.log.append(vec![intent("p")]);
+    while memory.writes() == before {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(opened.log.surrender().await.len(), 1);
+    assert_eq!(append.await, Err(Fault::Lost { ran: Ran::Unknown }));
+    let late = opened.log.append(vec![intent("p")]);
+    assert_eq!(late.await, Err(Fault::Lost { ran: Ran::No }));
+    assert_eq!(opened.log.surrender().await.len(), 1);
+}
+
+#[rstest]
+#[case::of_the_last_owner(2, true)]
+#[case::of_an_owner_before(1, false)]
+#[tokio::test]
+async fn only_the_last_owners_pending_batches_are_taken_over(
+    #[case] epoch: u64,
+    #[case] taken: bool,
+) {
+    // A VM that was thought gone when the second owner took over is back, and still holds a batch
+    // of the first. The third owner must not put it behind the second one's.
+    let memory = Memory::default();
+    for vm in ["a", "b"] {
+        open(&memory, vm).await.unwrap();
+        lapse(&memory).await;
+    }
+    let peers = Fixed {
+        held: vec![pending(epoch, 2)],
+        ..Fixed::default()
+    };
+    let next = open_with(&memory, "c", peers).await.unwrap();
+    assert_eq!(next.state.programs().count(), usize::from(taken));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_intent_that_may_have_landed_is_never_called_absent() {
+    // The platform takes an intent and its answer is lost, and then the platform goes down. The
+    // caller is told that the outcome isn't known, as the intent may be in the journal.
+    let memory = Memory::default();
+    let mut opened = open(&memory, "a").await.unwrap();
+    add(&mut opened, "p").await;
+    let before = memory.writes();
+    memory.play(Play::LoseAnswer);
+    let append = opened.log.append(vec![intent("p")]);
+    while memory.writes() == before {
+        tokio::task::yield_now().await;
+    }
+    memory.set_down(true);
+    let withheld = append.await;
+    assert!(matches!(
+        withheld,
+        Err(Fault::Withheld {
+            ran: Ran::Unknown,
+            ..
+        })
+    ));
+}
+
+#[tokio::test]
+async fn what_is_in_line_is_kept_before_anyone_learns_of_the_loss() {
+    // An owner learns at its next append that the shard has another owner. Its node drops the log
+    // then, and what was in line may be the one copy left of an answered turn.
+    let memory = Memory::default();
+    let peers = Fixed::default();
+    let kept = Arc::clone(&peers.kept);
+    let stale = open_with(&memory, "a", peers).await.unwrap();
+    lapse(&memory).await;
+    open(&memory, "b").await.unwrap();
+    let append = stale.log.append(vec![created("p")]);
+    assert!(matches!(append.await, Err(Fault::Lost { .. })));
+    let kept: Vec<(u64, u64)> = kept
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|h| (h.epoch, h.seq))
+        .collect();
+    assert_eq!(kept, [(1, 1)]);
+}
--- a/crates/node/src/controllers/run/claims.rs
+++ b/crates/node/src/controllers/run/claims.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use journal::claim::Ownership;
+use journal::copy;
 use journal::key;
 use journal::log::Setup;
 use platform::edge;
@@ -29,8 +30,8 @@
 use crate::controllers::run::members;
 use crate::core::Core;
 
-/// How often decisions are taken: half the pace of claims, so that the pace is met.
-const TURN: Millis = Millis::new(50);
+/// How often decisions are taken: the pace of claims. Each one lists all VMs anew.
+const TURN: Millis = Millis::new(100);
 /// How often records that may be left over are looked at.
 const CLEAR: Millis = Millis::new(1_000);
 /// How long the next owner may take to answer when it is told of a hand-over.
@@ -265,15 +266,15 @@
 }
 
 async fn claim(core: &Arc<Core>, shard: &id::Shard, lease: edge::Lease) -> bool {
-    let (copies, acks) = copies::holders(core, shard);
+    let copies = copies::holders(core, shard);
     let setup = Setup {
         platform: core.platform.clone(),
         peers: Arc::new(copies::Others::new(core)),
         vm: core.settings.vm.name.clone(),
         shard: shard.clone(),
         seed: rand::random(),
+        acks: copy::acks(copies.len()),
         copies,
-        acks,
     };
     match core.registry.claim(core, setup, lease).await {
         Ok(epoch) => {
