Smooth the endpoints' reported speeds, and keep a failing one from being a lane

Cause, found by reading: the owner placed by the speed of the latest report, where the measured decision smooths it over some ten reports; and an endpoint that fails every call is idle, reports the highest speed, and would have been the lane that urgent calls go to. Change: a standing keeps the smoothed speed and takes each report once; an endpoint without its whole share counts as speed 0 when lanes are drawn. Test: one_slow_report_hardly_moves_the_speed, red with the same report counted again. No measurement with real processes was made of this change.

--- a/crates/node/src/dispatch/choose.rs
+++ b/crates/node/src/dispatch/choose.rs
@@ -53,7 +53,9 @@
             candidates.push(candidate);
         }
     }
-    let speeds: Vec<f64> = candidates.iter().map(|c| c.speed).collect();
+    // One that fails everything is idle and reports the highest speed; it mustn't become the lane.
+    let whole = |c: &place::Candidate| if c.share < 1.0 { 0.0 } else { c.speed };
+    let speeds: Vec<f64> = candidates.iter().map(whole).collect();
     for (candidate, lane) in candidates.iter_mut().zip(place::lanes(&speeds)) {
         candidate.lane = lane;
     }
--- a/crates/node/src/dispatch/desk.rs
+++ b/crates/node/src/dispatch/desk.rs
@@ -367,7 +367,7 @@
         for endpoint in &view.config.endpoints {
             let at = self.standing(&endpoint.name, now);
             if let Some(load) = view.load(&endpoint.name) {
-                self.standings[at].report(load.at);
+                self.standings[at].report(load);
             }
         }
     }
--- a/crates/node/src/dispatch/standing.rs
+++ b/crates/node/src/dispatch/standing.rs
@@ -5,6 +5,7 @@
 use policy::eject::Detector;
 use policy::eject::Sample;
 use policy::ledger::Ledger;
+use policy::place;
 use policy::place::Candidate;
 use policy::place::Lane;
 use settings::config::Endpoint;
@@ -46,6 +47,10 @@
     pub claimed: u32,
     /// This VM's calls there, beside the last report.
     ledger: Ledger,
+    /// Its speed as reported, smoothed; 0 before the first report that names one.
+    speed: f64,
+    /// When the last report was made.
+    reported: Millis,
     /// Until when it gets nothing.
     paused: Millis,
     /// How many of the running calls are under suspicion of crashing endpoints.
@@ -61,6 +66,8 @@
             detector: Detector::new(since),
             claimed: 0,
             ledger: Ledger::default(),
+            speed: 0.0,
+            reported: Millis::ZERO,
             paused: Millis::ZERO,
             suspects: 0,
         }
@@ -87,9 +94,17 @@
         self.paused = self.paused.max(until);
     }
 
-    /// Takes in when the endpoint made its last report.
-    pub fn report(&mut self, at: Millis) {
-        self.ledger.report(at);
+    /// Takes the endpoint's last report in; one that was taken in before changes nothing.
+    pub fn report(&mut self, load: &Load) {
+        self.ledger.report(load.at);
+        if load.at <= self.reported || load.speed <= 0.0 {
+            return;
+        }
+        self.reported = load.at;
+        if self.speed <= 0.0 {
+            self.speed = load.speed;
+        }
+        self.speed = place::smoothed(self.speed, load.speed);
     }
 
     /// Tells whether a call runs there that is under suspicion of crashing endpoints.
@@ -117,10 +132,9 @@
         if now < self.paused || load.is_some_and(|load| !load.up || load.leaving) {
             return None;
         }
-        let speed = load.map_or(0.0, |load| load.speed);
         let shown = self.detector.pace().map(|pace| 1_000.0 / pace.max(0.001));
         let speed = match endpoint.kind {
-            Kind::Runner if speed > 0.0 => speed,
+            Kind::Runner if self.speed > 0.0 => self.speed,
             _ => shown.unwrap_or(SPEED),
         };
         Some(Candidate {
@@ -146,3 +160,6 @@
         settings::config::Class::Routine => Class::Routine,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/dispatch/standing/tests.rs
@@ -0,0 +1,31 @@
+use super::*;
+
+fn load(speed: f64, at: u64) -> Load {
+    Load {
+        endpoint: id::Endpoint::parse("fast").unwrap(),
+        up: true,
+        leaving: false,
+        running: 0,
+        waiting: 0,
+        speed,
+        cache: 0,
+        at: Millis::new(at),
+    }
+}
+
+/// A prompt is prefilled beside a batch, and the next report names a third less speed. Taken as it
+/// is, it would make the batch's other programs leave their prefix; and the same report, which is
+/// seen with each change of the view, must not count again.
+#[test]
+fn one_slow_report_hardly_moves_the_speed() {
+    let mut standing = Standing::new(id::Endpoint::parse("fast").unwrap(), Millis::ZERO);
+    standing.report(&load(90.0, 1));
+    for _ in 0..20 {
+        standing.report(&load(60.0, 2));
+    }
+    assert!(standing.speed > 80.0, "{}", standing.speed);
+    for at in 3..60 {
+        standing.report(&load(60.0, at));
+    }
+    assert!(standing.speed < 61.0, "{}", standing.speed);
+}
