--- a/crates/chestnutyoke/tests/takeover_time.rs
+++ b/crates/chestnutyoke/benches/takeover.rs
@@ -1,6 +1,7 @@
-//! How long callers wait after their program's owner was killed. A measurement, run by hand:
-//! `cargo test --release -p chestnutyoke --test takeover_time -- --ignored --nocapture`
+//! How long callers wait after their program's owner was killed, with real processes:
+//! `cargo bench -p chestnutyoke --bench takeover`.
 
+#[path = "../tests/bench/mod.rs"]
 mod bench;
 
 use std::net::SocketAddr;
@@ -76,9 +77,8 @@
     sorted[(sorted.len() * percent).div_ceil(100).saturating_sub(1)]
 }
 
-#[tokio::test(flavor = "multi_thread")]
-#[ignore = "a measurement of some minutes"]
-async fn time_to_take_over() {
+#[tokio::main]
+async fn main() {
     let rounds = std::env::var("ROUNDS").ok();
     let rounds = rounds.map_or(ROUNDS, |text| text.parse().unwrap());
     for lease in ["5s", "2s"] {
--- a/crates/journal/examples/slopes.rs
+++ b/crates/journal/examples/costs.rs
@@ -2,7 +2,7 @@
 //! program, processor time a turn, and the time to rebuild a shard. Everything runs on one thread;
 //! processor times are that thread's by the system's count, so that other load doesn't add to them.
 //!
-//! `cargo run --release -p journal --example slopes`
+//! `cargo run --release -p journal --example costs`
 
 use std::sync::Arc;
 use std::time::Duration;
