Say that a data centre can't be reached where that is so

Cause: a program of a data centre whose VMs are all silent was refused with CY4101 (no owner now), as the last known owner was still on record; the person on call would have looked for a takeover. Change: CY4102, unless the shard of a lost data centre had an owner elsewhere.

--- a/crates/chestnutyoke/tests/cut.rs
+++ b/crates/chestnutyoke/tests/cut.rs
@@ -137,6 +137,7 @@
         (refused.ran() == "no").then_some(refused)
     })
     .await;
+    assert_eq!(refused.body["error"]["code"], "CY4102", "{refused:?}");
     assert_eq!(refused.status, 503, "{refused:?}");
     assert!(!refused.header("retry-after").is_empty(), "{refused:?}");
     chat_until_answered(&[east], &first).await;
--- a/crates/node/src/filters/route.rs
+++ b/crates/node/src/filters/route.rs
@@ -44,7 +44,8 @@
     }
     match gate(view, &shard, program) {
         Some(peer) => Hop::There(peer.vm.clone(), peer.address),
-        None if owner.is_some() => Hop::NoOwner(shard),
+        // A lost data centre's shard, whose owner elsewhere has died.
+        None if owner.is_some_and(|p| p.centre != shard.centre) => Hop::NoOwner(shard),
         None => Hop::Unreachable(shard.centre),
     }
 }
