--- a/crates/chestnutyoke/src/cli.rs
+++ b/crates/chestnutyoke/src/cli.rs
@@ -43,6 +43,14 @@
         .subcommand(try_command())
         .subcommand(serve_command())
         .subcommand(check_command())
+        .subcommand(role_command(
+            "front",
+            "Takes clients' requests, routes them and calls the runners",
+        ))
+        .subcommand(role_command(
+            "store",
+            "Keeps turns and tokens spent on this VM's disk",
+        ))
         .subcommands(operate::commands())
 }
 
@@ -84,6 +92,21 @@
         .arg(print.help("Shows the effective settings with their defaults"))
 }
 
+fn role_command(name: &'static str, about: &'static str) -> Command {
+    let settings = format!("The settings file is named by {}.", adapter::settings::VARIABLE);
+    Command::new(name)
+        .about(about)
+        .after_help(settings)
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .value_name("PORT")
+                .default_value("9400")
+                .value_parser(value_parser!(u16))
+                .help("Where counters and latency histograms are served, on the VM's IP number"),
+        )
+}
+
 fn settings_arg() -> Arg {
     Arg::new("settings")
         .long("settings")
@@ -101,6 +124,8 @@
         "try" => try_verb(matches),
         "serve" => serve_verb(matches),
         "check" => check_verb(matches),
+        "front" => role_verb(Role::Front, matches),
+        "store" => role_verb(Role::Store, matches),
         _ => runtime()?.block_on(operate_verb(verb, matches)),
     }
 }
@@ -129,6 +154,30 @@
     runtime()?.block_on(embedded::run(port, admin))
 }
 
+/// What a process on a small VM does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Front,
+    Store,
+}
+
+/// Runs a role on one thread: its VM has a part of one core, and threads would only take turns.
+fn role_verb(role: Role, matches: &ArgMatches) -> Result<()> {
+    let port = *matches
+        .get_one("metrics-port")
+        .ok_or("--metrics-port is missing")?;
+    let settings = adapter::settings::load()?;
+    let _logger = link::output::start(log::LevelFilter::Info)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    match role {
+        Role::Front => runtime.block_on(relay::front::run(settings, port))?,
+        Role::Store => runtime.block_on(relay::store::run(settings, port))?,
+    }
+    Ok(())
+}
+
 fn serve_verb(matches: &ArgMatches) -> Result<()> {
     let path: &PathBuf = matches.get_one("settings").ok_or("--settings is missing")?;
     let form = if matches.get_flag("json") {
--- /dev/null
+++ b/crates/link/src/body.rs
@@ -0,0 +1,156 @@
+//! Bodies of answers: whole, or sent in parts as they come.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use tokio::sync::mpsc;
+
+/// An answer that ends before it is whole; the connection is closed without the end of the body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("the answer broke off")]
+pub struct Broken;
+
+/// A step of an answer that is sent in parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// More bytes.
+    Data(Bytes),
+    /// The answer is whole.
+    End,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Parts as they come. A sender that goes away before [`Part::End`] breaks the answer off, so
+    /// that a task that dies can't pass half an answer for a whole one.
+    Parts(mpsc::Receiver<Part>),
+}
+
+impl Body {
+    /// Makes a body of these bytes.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match &mut *self {
+            Self::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Parts(parts) => parts.poll_recv(context).map(|part| match part {
+                Some(Part::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Part::End) => None,
+                None => Some(Err(Broken)),
+            }),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                let length = bytes.as_ref().map_or(0, Bytes::len);
+                SizeHint::with_exact(length as u64)
+            }
+            Self::Parts(_) => SizeHint::default(),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+}
+
+/// The body of a request: pieces that are sent one after the other under one length, so that a
+/// long history is never copied into one buffer on a small VM.
+#[derive(Clone, Debug, Default)]
+pub struct Payload {
+    /// The pieces left to be sent.
+    pieces: VecDeque<Bytes>,
+    left: u64,
+}
+
+impl From<Bytes> for Payload {
+    fn from(bytes: Bytes) -> Self {
+        Self::of(vec![bytes])
+    }
+}
+
+impl Payload {
+    /// Makes a body of these pieces.
+    #[must_use]
+    pub fn of(pieces: Vec<Bytes>) -> Self {
+        let pieces: VecDeque<Bytes> = pieces.into_iter().filter(|p| !p.is_empty()).collect();
+        let left = pieces.iter().map(|piece| piece.len() as u64).sum();
+        Self { pieces, left }
+    }
+}
+
+impl hyper::body::Body for Payload {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let piece = self.pieces.pop_front();
+        self.left -= piece.as_ref().map_or(0, |piece| piece.len() as u64);
+        Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.pieces.is_empty()
+    }
+}
+
+/// Why a body could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum Fault {
+    /// It is longer than allowed.
+    #[display("the body is over the limit")]
+    TooLong,
+    /// It broke off.
+    #[display("the body broke off: {_0}")]
+    Broken(#[error(not(source))] String),
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails where the body is longer or breaks off.
+pub async fn read(body: Incoming, limit: usize) -> Result<Bytes, Fault> {
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(fault) if fault.is::<LengthLimitError>() => Err(Fault::TooLong),
+        Err(fault) => Err(Fault::Broken(fault.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/link/src/listen.rs
@@ -0,0 +1,112 @@
+//! Connections in: accepted, served, and closed without cutting a request off.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+use crate::body::Body;
+use crate::socket;
+
+/// How long the listener pauses after a failed accept (no file descriptors left, say), so that it
+/// doesn't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long bytes sent to a caller may go unacknowledged: longer than any partition that a caller
+/// would outwait.
+const SILENCE: Duration = Duration::from_secs(10);
+
+/// A listener's state that its process looks at.
+#[derive(Debug, Default)]
+pub struct Door {
+    open: AtomicUsize,
+    /// Cancelled when the process stops: kept connections are closed after the answer under way.
+    pub closing: CancellationToken,
+}
+
+impl Door {
+    /// Yields how many connections are open.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+}
+
+struct Pass(Arc<Door>);
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Fails where the address can't be bound.
+pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Accepts connections for as long as it is polled, and answers each request with `handler`. A
+/// connection may be idle for `idle`.
+pub async fn run<H, F>(listener: TcpListener, door: Arc<Door>, idle: Duration, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    loop {
+        let (stream, _from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(fault) => {
+                log::warn!("accept failed: {fault}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        door.open.fetch_add(1, Ordering::Relaxed);
+        let pass = Pass(door.clone());
+        tokio::spawn(connection(stream, pass, idle, handler.clone()));
+    }
+}
+
+async fn connection<H, F>(stream: TcpStream, pass: Pass, idle: Duration, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    if let Err(fault) = socket::prepare(&stream, SILENCE) {
+        log::debug!("socket options of a caller: {fault}");
+    }
+    let service = service_fn(|request| {
+        let answer = handler(request);
+        async { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(idle);
+    let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let ended = tokio::select! {
+        ended = served.as_mut() => ended,
+        () = pass.0.closing.cancelled() => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
+    if let Err(fault) = ended {
+        log::debug!("a caller's connection ended: {fault}");
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod eject;
 pub mod ledger;
 pub mod place;
+pub mod prefix;
 pub mod queue;
 pub mod retry;
 pub mod shift;
--- /dev/null
+++ b/crates/policy/src/prefix.rs
@@ -0,0 +1,103 @@
+//! What an endpoint's prefix cache holds, as far as one VM can know.
+//!
+//! Answers programs whose turns share long prompts. Without it a turn goes where a slot is free and
+//! pays for its whole history again, and beside the reading itself stops every other stream of that
+//! endpoint for as long. Cache events of the endpoints come late and with gaps, so a VM goes by the
+//! prompts that it, and its peers as they tell, have sent.
+//!
+//! The endpoint drops the parts used least recently when its memory is short; so does this. The
+//! memory that prompts under way take can't yield, so only [`YIELDING`] of it counts.
+
+use wire::clock::Millis;
+
+/// The share of an endpoint's memory that holds parts nobody works on. Measured on a day of twice
+/// the usual load: running prompts took up to half of it.
+pub const YIELDING: f64 = 0.5;
+/// The most parts that are remembered for an endpoint; at a thousand tokens each, several times
+/// what fits its memory.
+pub const MOST_PARTS: usize = 1024;
+
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Names its content.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    part: Part,
+    used: Millis,
+}
+
+/// The cache of one endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Cache {
+    /// In the order of the parts' ids.
+    held: Vec<Held>,
+    tokens: u64,
+    room: u64,
+}
+
+impl Cache {
+    /// Makes the empty cache of an endpoint with this much memory, in tokens.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "memories are some millions of tokens"
+    )]
+    pub fn new(memory: u64) -> Self {
+        Self {
+            room: (memory as f64 * YIELDING) as u64,
+            ..Self::default()
+        }
+    }
+
+    /// Yields how many tokens at the prompt's head are held: parts count up to the first gap.
+    #[must_use]
+    pub fn cached(&self, prompt: &[Part]) -> u64 {
+        let known = prompt.iter().take_while(|part| self.find(part.id).is_ok());
+        known.map(|part| part.tokens).sum()
+    }
+
+    /// Notes that the endpoint has read a prompt.
+    pub fn note(&mut self, prompt: &[Part], now: Millis) {
+        for part in prompt {
+            match self.find(part.id) {
+                Ok(at) => self.held[at].used = now,
+                Err(at) => {
+                    let held = Held {
+                        part: *part,
+                        used: now,
+                    };
+                    self.held.insert(at, held);
+                    self.tokens += part.tokens;
+                }
+            }
+        }
+        self.shrink();
+    }
+
+    fn find(&self, id: u64) -> Result<usize, usize> {
+        self.held.binary_search_by_key(&id, |held| held.part.id)
+    }
+
+    /// Drops the parts used least recently, an eighth at a time, so that not each note sorts.
+    fn shrink(&mut self) {
+        if self.tokens <= self.room && self.held.len() <= MOST_PARTS {
+            return;
+        }
+        let mut ages: Vec<Millis> = self.held.iter().map(|held| held.used).collect();
+        ages.sort_unstable();
+        let oldest = ages[ages.len() / 8];
+        self.held.retain(|held| held.used > oldest);
+        self.tokens = self.held.iter().map(|held| held.part.tokens).sum();
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/fleet.rs
@@ -0,0 +1,374 @@
+//! The runners as this VM knows them, and the choice of one for a request.
+
+use std::net::SocketAddr;
+
+use adapter::config::Engine;
+use adapter::runner::Entry;
+use adapter::runner::Load;
+use adapter::runner::State;
+use policy::class::Class;
+use policy::eject;
+use policy::eject::Detector;
+use policy::eject::Sample;
+use policy::place;
+use policy::place::Candidate;
+use policy::place::Lane;
+use policy::place::Weights;
+use policy::prefix;
+use policy::prefix::Cache;
+use wire::clock::Millis;
+
+/// Tokens a second that an engine generates for one request before any has been measured.
+const SPEED: f64 = 700.0;
+/// Prompt tokens that an engine reads in the time in which it generates one. Measured at the
+/// engines of both deployments: 206 and 260.
+const READS: f64 = 220.0;
+/// The weight of the latest request in a runner's speed.
+const FRESH: f64 = 0.15;
+/// How long a runner gets nothing after a connection to it could not be made: a restart takes
+/// seconds, and another try costs its request this VM's time to connect.
+const UNREACHABLE: Millis = Millis::new(1_000);
+/// How long a runner is passed over after it turned a request away as full: about the time in
+/// which one of its requests ends.
+const FULL: Millis = Millis::new(40);
+/// How long an entry that is missing after the key-value service was away is still used; the
+/// runners that live are back in the list within two seconds.
+const MISSING: Millis = Millis::new(1_700);
+/// How long another VM's count of its requests holds without a newer one.
+const HEARD: Millis = Millis::new(600);
+
+/// A runner.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// Its id, which no other runner ever has.
+    pub id: String,
+    /// What it says of itself.
+    pub entry: Entry,
+    /// Requests of this VM under way at it.
+    pub own: u32,
+    /// Requests of other VMs under way at it, by VM, with the time of the count.
+    others: Vec<(String, u32, Millis)>,
+    /// What it said of its load last.
+    load: Option<(Load, Millis)>,
+    cache: Cache,
+    /// Tokens a second for one request; for plain services, requests a second.
+    speed: f64,
+    detector: Detector,
+    unreachable_until: Millis,
+    full_until: Millis,
+    /// Its entry was missing when the key-value service came back.
+    missing_since: Option<Millis>,
+    known_since: Millis,
+}
+
+/// The runners, in the order of their ids.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    runners: Vec<Runner>,
+}
+
+/// What has to be known of a request to place it.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// What the service's engines can do; `None` for a plain service.
+    pub engine: Option<Engine>,
+    /// The prompt's parts.
+    pub prompt: &'a [prefix::Part],
+    /// The prompt's length in tokens.
+    pub prompt_tokens: u64,
+    /// Tokens that it will generate at most.
+    pub output_tokens: u64,
+    /// Draws among equally good runners.
+    pub salt: u64,
+    /// Runners that have turned it away or failed it.
+    pub not: &'a [String],
+    /// The time.
+    pub now: Millis,
+}
+
+/// A runner that was chosen, and the figures that made it so.
+#[derive(Clone, Debug)]
+pub struct Chosen {
+    /// Its id.
+    pub id: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Requests that it is thought to have.
+    pub occupied: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Tokens of the prompt that it is thought to hold.
+    pub cached: u64,
+    /// The expected time that was compared, in milliseconds.
+    pub cost: f64,
+    /// How many runners could have been chosen.
+    pub among: usize,
+}
+
+/// What a change of a runner's entry did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A runner that wasn't known.
+    Appeared,
+    /// It is about to leave.
+    Leaves,
+    /// It is gone.
+    Gone,
+    /// Nothing that matters.
+    Same,
+}
+
+impl Fleet {
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        self.runners
+            .binary_search_by(|runner| runner.id.as_str().cmp(id))
+    }
+
+    /// Finds a runner.
+    pub fn runner(&mut self, id: &str) -> Option<&mut Runner> {
+        let at = self.find(id).ok()?;
+        Some(&mut self.runners[at])
+    }
+
+    /// Yields all runners.
+    #[must_use]
+    pub fn runners(&self) -> &[Runner] {
+        &self.runners
+    }
+
+    /// Takes an entry in.
+    pub fn set(&mut self, id: &str, entry: Entry, memory: u64, now: Millis) -> Change {
+        match self.find(id) {
+            Err(at) => {
+                self.runners.insert(at, Runner::new(id, entry, memory, now));
+                Change::Appeared
+            }
+            Ok(at) => {
+                let runner = &mut self.runners[at];
+                runner.missing_since = None;
+                let anew = runner.entry.born != entry.born;
+                let leaves = runner.entry.state == State::Ready && entry.state == State::Draining;
+                if anew {
+                    // It knows nothing of before, nor do its caches.
+                    let others = std::mem::take(&mut runner.others);
+                    let own = runner.own;
+                    *runner = Runner::new(id, entry, memory, now);
+                    runner.own = own;
+                    runner.others = others;
+                    return Change::Appeared;
+                }
+                runner.entry = entry;
+                if leaves { Change::Leaves } else { Change::Same }
+            }
+        }
+    }
+
+    /// Takes an entry's removal in.
+    pub fn remove(&mut self, id: &str) -> Change {
+        match self.find(id) {
+            Ok(at) => {
+                self.runners.remove(at);
+                Change::Gone
+            }
+            Err(_) => Change::Same,
+        }
+    }
+
+    /// Notes which entries are missing in a list that was read after the key-value service had
+    /// been away; they are used a while longer.
+    pub fn note_missing(&mut self, listed: &[String], now: Millis) {
+        for runner in &mut self.runners {
+            if listed.binary_search(&runner.id).is_err() {
+                runner.missing_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Removes and yields the runners whose entries have been missing for too long.
+    pub fn sweep(&mut self, now: Millis) -> Vec<String> {
+        let gone = |runner: &mut Runner| {
+            let since = runner.missing_since;
+            since.is_some_and(|since| now.since(since) >= MISSING)
+        };
+        let gone = self.runners.extract_if(.., gone);
+        gone.map(|runner| runner.id).collect()
+    }
+
+    /// Ejects failing runners and takes them back, by service. To be called about once a second.
+    pub fn judge(&mut self, now: Millis) -> Vec<(String, eject::Kind)> {
+        let mut services: Vec<String> = Vec::new();
+        for runner in &self.runners {
+            if !services.contains(&runner.entry.service) {
+                services.push(runner.entry.service.clone());
+            }
+        }
+        let mut changes = Vec::new();
+        for service in services {
+            let mut pool: Vec<&mut Runner> = self
+                .runners
+                .iter_mut()
+                .filter(|runner| runner.entry.service == service)
+                .collect();
+            let mut detectors: Vec<Detector> = pool.iter().map(|runner| runner.detector).collect();
+            for change in eject::sweep(&mut detectors, now) {
+                changes.push((pool[change.index].id.clone(), change.kind));
+            }
+            for (runner, detector) in pool.iter_mut().zip(detectors) {
+                runner.detector = detector;
+            }
+        }
+        changes
+    }
+
+    /// Takes in how many requests another VM has under way at each runner.
+    pub fn hear(&mut self, vm: &str, counts: &[(String, u32)], now: Millis) {
+        for runner in &mut self.runners {
+            let count = counts.binary_search_by(|(id, _)| id.cmp(&runner.id));
+            let count = count.map_or(0, |at| counts[at].1);
+            match runner.others.iter_mut().find(|(name, ..)| name == vm) {
+                Some(line) => {
+                    line.1 = count;
+                    line.2 = now;
+                }
+                None => runner.others.push((vm.to_owned(), count, now)),
+            }
+        }
+    }
+
+    /// Yields how many requests this VM has under way at each runner.
+    #[must_use]
+    pub fn counts(&self) -> Vec<(String, u32)> {
+        let busy = self.runners.iter().filter(|runner| runner.own > 0);
+        busy.map(|runner| (runner.id.clone(), runner.own)).collect()
+    }
+
+    /// Chooses a runner; `None` where the service has none that may be used.
+    #[must_use]
+    pub fn choose(&self, want: &Want<'_>) -> Option<Chosen> {
+        let usable: Vec<&Runner> = self
+            .runners
+            .iter()
+            .filter(|runner| runner.may_take(want))
+            .collect();
+        let candidates: Vec<Candidate> =
+            usable.iter().map(|runner| runner.candidate(want)).collect();
+        let call = place::Call {
+            class: Class::Routine,
+            prompt: want.prompt_tokens,
+            output: want.output_tokens.max(1),
+            salt: want.salt,
+        };
+        let choice = place::choose(&candidates, &call, &Weights::default())?;
+        let runner = usable[choice.index];
+        let candidate = &candidates[choice.index];
+        Some(Chosen {
+            id: runner.id.clone(),
+            address: runner.entry.address,
+            occupied: place::occupied(candidate),
+            slots: runner.entry.slots,
+            cached: candidate.cached,
+            cost: choice.cost,
+            among: candidates.len(),
+        })
+    }
+}
+
+impl Runner {
+    fn new(id: &str, entry: Entry, memory: u64, now: Millis) -> Self {
+        Self {
+            id: id.to_owned(),
+            entry,
+            own: 0,
+            others: Vec::new(),
+            load: None,
+            cache: Cache::new(memory),
+            speed: SPEED,
+            detector: Detector::new(Millis::ZERO),
+            unreachable_until: Millis::ZERO,
+            full_until: Millis::ZERO,
+            missing_since: None,
+            known_since: now,
+        }
+    }
+
+    fn may_take(&self, want: &Want<'_>) -> bool {
+        self.entry.service == want.service
+            && self.entry.state == State::Ready
+            && self.unreachable_until <= want.now
+            && !want.not.contains(&self.id)
+    }
+
+    fn candidate(&self, want: &Want<'_>) -> Candidate {
+        let others: u32 = self
+            .others
+            .iter()
+            .filter(|(_, _, at)| want.now.since(*at) < HEARD)
+            .map(|(_, count, _)| *count)
+            .sum();
+        let known = self.own + others;
+        let busy = if self.full_until > want.now {
+            known.max(self.entry.slots + 2)
+        } else {
+            known
+        };
+        Candidate {
+            slots: self.entry.slots,
+            reported: busy,
+            sent: 0,
+            ended: 0,
+            claimed: 0,
+            speed: self.speed,
+            prefill: self.speed * READS,
+            cached: self.cache.cached(want.prompt),
+            share: self.detector.share(want.now),
+            lane: Lane::Open,
+        }
+    }
+
+    /// Notes that a prompt goes to the runner.
+    pub fn note_prompt(&mut self, prompt: &[prefix::Part], now: Millis) {
+        self.cache.note(prompt, now);
+    }
+
+    /// Notes the load that an answer told.
+    pub fn note_load(&mut self, load: Load, now: Millis) {
+        self.load = Some((load, now));
+    }
+
+    /// Notes that no connection could be made.
+    pub fn note_unreachable(&mut self, now: Millis) {
+        self.unreachable_until = now.plus(UNREACHABLE);
+        self.detector.note(Sample::Failed);
+    }
+
+    /// Notes that the runner turned a request away.
+    pub fn note_full(&mut self, now: Millis) {
+        self.full_until = now.plus(FULL);
+    }
+
+    /// Notes that the runner failed a request.
+    pub fn note_failed(&mut self) {
+        self.detector.note(Sample::Failed);
+    }
+
+    /// Notes that a request of so many tokens (1 for a plain service) took `span` at the runner.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "token counts and spans are far below 2^52"
+    )]
+    pub fn note_done(&mut self, tokens: u64, span: Millis) {
+        let span = span.as_u64().max(1) as f64;
+        let pace = span / tokens.max(1) as f64;
+        self.speed += FRESH * (1000.0 / pace - self.speed);
+        self.detector.note(Sample::Done { pace });
+    }
+
+    /// Yields since when the runner is known.
+    #[must_use]
+    pub fn known_since(&self) -> Millis {
+        self.known_since
+    }
+}
+
--- /dev/null
+++ b/crates/relay/src/follow.rs
@@ -0,0 +1,281 @@
+//! Follows what the operators and the runners write into the key-value service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::config;
+use adapter::keys;
+use adapter::kv::Freshness;
+use adapter::kv::Listing;
+use adapter::kv::News;
+use adapter::runner;
+use platform::edge;
+use platform::edge::Entry;
+use replica::list::List;
+use tokio::time::sleep;
+use wire::clock::Millis;
+use wire::event::Event;
+
+use crate::fleet;
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::table::Table;
+
+/// How long a watch waits at the service for a change.
+const WAIT: Millis = Millis::new(20_000);
+/// The pause between two watches of the runners. Their entries change at each heartbeat, so that a
+/// watch returns at once; the pause gathers changes, and keeps a leaving runner from being used
+/// for longer than a fifth of the time that is allowed.
+const PAUSE: Duration = Duration::from_millis(400);
+/// The pause after a failed call, below a tenth of the time in which a configuration has to be in
+/// force.
+const AGAIN: Duration = Duration::from_millis(150);
+
+/// What is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// The operators' configuration.
+    Config,
+    /// The runners' entries.
+    Runners,
+    /// The system's own keys.
+    Own,
+}
+
+impl Subject {
+    const fn prefix(self) -> &'static str {
+        match self {
+            Self::Config => keys::CONFIG,
+            Self::Runners => keys::RUNNERS,
+            Self::Own => keys::OWN,
+        }
+    }
+}
+
+/// Names the key of the list of VMs with a disk.
+#[must_use]
+pub fn list_key() -> String {
+    format!("{}members", keys::OWN)
+}
+
+/// Names the prefix of the VMs that take requests.
+#[must_use]
+pub fn vm_prefix() -> String {
+    format!("{}vm/", keys::OWN)
+}
+
+/// Follows a subject for as long as it is polled.
+pub async fn run(node: Arc<Node>, subject: Subject) {
+    let mut away = Away::default();
+    loop {
+        let listed = node.kv.list(subject.prefix(), Freshness::Latest).await;
+        node.metrics.count(Counter::StoreCalls);
+        match listed {
+            Ok(listing) => {
+                away.answered(subject);
+                let revision = listing.revision;
+                take_all(&node, subject, listing);
+                watch(&node, subject, revision, &mut away).await;
+            }
+            Err(fault) => away.failed(subject, &fault),
+        }
+        sleep(AGAIN).await;
+    }
+}
+
+/// Watches until the history has been dropped.
+async fn watch(node: &Arc<Node>, subject: Subject, revision: u64, away: &mut Away) {
+    let mut revision = revision;
+    loop {
+        let news = node.kv.changes(subject.prefix(), revision, WAIT).await;
+        node.metrics.count(Counter::StoreCalls);
+        match news {
+            Ok(News::Changes {
+                changes,
+                revision: next,
+            }) => {
+                away.answered(subject);
+                revision = next.max(revision);
+                for change in changes {
+                    take(node, subject, change);
+                }
+                if subject == Subject::Runners {
+                    node.set_runners_at(node.clock.now());
+                    sleep(PAUSE).await;
+                }
+            }
+            Ok(News::Dropped) => return,
+            Err(fault) => {
+                away.failed(subject, &fault);
+                sleep(AGAIN).await;
+                // What is listed tells more than a watch that may have been cut for long.
+                if away.since_failures() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Whether the service answers, for the log.
+#[derive(Debug, Default)]
+struct Away {
+    failures: u32,
+}
+
+impl Away {
+    fn answered(&mut self, subject: Subject) {
+        if self.failures > 0 {
+            log::info!(
+                "event=E{} text=\"{}\" subject={subject:?} failures={}",
+                Event::OutageEnded.number(),
+                Event::OutageEnded.text(),
+                self.failures
+            );
+        }
+        self.failures = 0;
+    }
+
+    fn failed(&mut self, subject: Subject, fault: &edge::Fault) {
+        if self.failures == 0 {
+            log::warn!(
+                "event=E{} text=\"{}\" subject={subject:?} fault=\"{fault}\"",
+                Event::OutageBegan.number(),
+                Event::OutageBegan.text()
+            );
+        }
+        self.failures += 1;
+    }
+
+    const fn since_failures(&self) -> bool {
+        self.failures > 2
+    }
+}
+
+fn take_all(node: &Arc<Node>, subject: Subject, listing: Listing) {
+    if subject == Subject::Runners {
+        let mut ids: Vec<String> = listing
+            .entries
+            .iter()
+            .filter_map(|entry| id(&entry.key))
+            .collect();
+        ids.sort();
+        let now = node.clock.now();
+        node.fleet().note_missing(&ids, now);
+        node.set_runners_at(now);
+    }
+    if subject == Subject::Own {
+        let prefix = vm_prefix();
+        let listed = listing.entries.iter();
+        let vms = listed.filter_map(|entry| entry.key.strip_prefix(&prefix));
+        let vms: Vec<String> = vms.map(str::to_owned).collect();
+        node.peers().keep(&vms);
+    }
+    for entry in listing.entries {
+        take(node, subject, edge::Change::Set(entry));
+    }
+}
+
+fn take(node: &Arc<Node>, subject: Subject, change: edge::Change) {
+    match (subject, change) {
+        (Subject::Config, edge::Change::Set(entry)) => take_config(node, &entry.value),
+        (Subject::Runners, edge::Change::Set(entry)) => take_runner(node, &entry),
+        (Subject::Runners, edge::Change::Removed { key, .. }) => drop_runner(node, &key),
+        (Subject::Own, edge::Change::Set(entry)) => take_own(node, &entry),
+        (Subject::Own, edge::Change::Removed { key, .. }) => {
+            if let Some(vm) = key.strip_prefix(&vm_prefix()) {
+                node.peers().lapse(vm);
+            }
+        }
+        (Subject::Config, edge::Change::Removed { .. }) => {}
+    }
+}
+
+/// Puts a configuration in force, wherever it came from.
+pub fn take_config(node: &Arc<Node>, bytes: &[u8]) {
+    let config = match config::decode(bytes) {
+        Ok(config) => config,
+        Err(fault) => {
+            log::error!(
+                "event=E{} text=\"{}\" fault=\"{fault}\"",
+                Event::RevisionDropped.number(),
+                Event::RevisionDropped.text()
+            );
+            return;
+        }
+    };
+    let version = config.version;
+    let routes = config.routes.len();
+    let before = node.table().version;
+    if node.set_table(Table::new(config)) {
+        log::info!(
+            "event=E{} text=\"{}\" revision={version} before={before} routes={routes}",
+            Event::RevisionApplied.number(),
+            Event::RevisionApplied.text()
+        );
+    }
+}
+
+fn id(key: &str) -> Option<String> {
+    key.strip_prefix(keys::RUNNERS).map(str::to_owned)
+}
+
+fn take_runner(node: &Arc<Node>, entry: &Entry) {
+    let Some(id) = id(&entry.key) else {
+        return;
+    };
+    let Some(decoded) = runner::decode(&entry.value) else {
+        log::warn!(
+            "event=E{} text=\"{}\" key={} store_revision={}",
+            Event::EntryUnreadable.number(),
+            Event::EntryUnreadable.text(),
+            entry.key,
+            entry.revision
+        );
+        return;
+    };
+    let engine = node.table().engine(&decoded.service);
+    let memory = engine.map_or(0, |engine| engine.memory_tokens);
+    let now = node.clock.now();
+    let line = format!(
+        "runner={id} service={} address={} slots={} store_revision={}",
+        decoded.service, decoded.address, decoded.slots, entry.revision
+    );
+    let change = node.fleet().set(&id, decoded, memory, now);
+    log_change(&change, &line);
+}
+
+fn drop_runner(node: &Arc<Node>, key: &str) {
+    if let Some(id) = id(key) {
+        let change = node.fleet().remove(&id);
+        log_change(&change, &format!("runner={id}"));
+    }
+}
+
+/// Logs what became of a runner.
+pub fn log_change(change: &fleet::Change, line: &str) {
+    let event = match change {
+        fleet::Change::Appeared => Event::EndpointAppeared,
+        fleet::Change::Leaves => Event::EndpointLeaving,
+        fleet::Change::Gone => Event::EndpointGone,
+        fleet::Change::Same => return,
+    };
+    log::info!("event=E{} text=\"{}\" {line}", event.number(), event.text());
+}
+
+fn take_own(node: &Arc<Node>, entry: &Entry) {
+    if entry.key == list_key() {
+        match rmp_serde::from_slice::<List>(&entry.value) {
+            Ok(list) => node.replicas.adopt(list),
+            Err(fault) => log::error!("text=\"the list can't be read\" fault=\"{fault}\""),
+        }
+        return;
+    }
+    if let Some(vm) = entry.key.strip_prefix(&vm_prefix()) {
+        let address = std::str::from_utf8(&entry.value).ok();
+        match address.and_then(|address| address.parse().ok()) {
+            Some(address) => node.peers().set(vm, address),
+            None => log::warn!("text=\"a VM's entry can't be read\" key={}", entry.key),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/front.rs
@@ -0,0 +1,230 @@
+//! The process on VMs that clients reach.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use adapter::settings;
+use adapter::settings::Settings;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use link::listen;
+use link::listen::Door;
+use policy::eject;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use wire::clock::Clock;
+use wire::event::Event;
+
+use crate::fleet;
+use crate::follow;
+use crate::follow::Subject;
+use crate::job;
+use crate::node::Node;
+use crate::peers;
+use crate::probe;
+
+/// How long a client's connection may be idle: longer than any limit that operators set, as the
+/// clients leave first.
+const IDLE: Duration = Duration::from_secs(60);
+/// How often members with a disk are asked whether they answer.
+const PING: Duration = Duration::from_millis(500);
+/// How often connections, runners and entries are looked over.
+const SWEEP: Duration = Duration::from_millis(250);
+/// How long after SIGTERM new connections are still taken: the balancer asks each second and stops
+/// sending after two refusals, so for a little over two seconds.
+const LINGER: Duration = Duration::from_millis(3_200);
+/// What is left of the time before SIGKILL when the process ends in any case.
+const MARGIN: Duration = Duration::from_millis(400);
+/// How often the end of running requests is looked for.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Why the process can't run.
+#[derive(Debug, Display, Error, From)]
+pub enum Fault {
+    /// The settings lack an address.
+    #[display("CY6101: the settings have faults: no {_0} address")]
+    #[from(ignore)]
+    Missing(#[error(not(source))] &'static str),
+    /// The settings can't be used.
+    #[display("{_0}")]
+    Settings(settings::Fault),
+    /// A listener can't be bound, a signal can't be caught, or the disk fails.
+    #[display("{_0}")]
+    Io(std::io::Error),
+}
+
+/// The outcome of a process.
+pub type Result<T> = std::result::Result<T, Fault>;
+
+/// Runs the process until SIGTERM.
+///
+/// # Errors
+///
+/// Fails where the settings can't be used or a listener can't be bound.
+pub async fn run(settings: Settings, metrics: u16) -> Result<()> {
+    let node = Node::new(settings, Clock::System);
+    let settings = &node.settings;
+    let callers = settings.callers.ok_or(Fault::Missing("front"))?;
+    let ready = settings.ready.ok_or(Fault::Missing("ready"))?;
+    let ip = callers.ip();
+    let own = SocketAddr::new(ip, settings.first_port);
+    let door = Arc::new(Door::default());
+    listen_all(&node, &door, callers, ready, own, SocketAddr::new(ip, metrics)).await?;
+    log::info!(
+        "event=E{} text=\"{}\" vm={} role=front callers={callers} ready={ready} vms={own}",
+        Event::NodeStarted.number(),
+        Event::NodeStarted.text(),
+        settings.vm
+    );
+    for subject in [Subject::Config, Subject::Runners, Subject::Own] {
+        tokio::spawn(follow::run(node.clone(), subject));
+    }
+    tokio::spawn(peers::run(node.clone()));
+    tokio::spawn(peers::register(node.clone(), own));
+    tokio::spawn(ping(node.clone()));
+    tokio::spawn(sweep(node.clone()));
+    stopped().await?;
+    drain(&node, &door).await;
+    Ok(())
+}
+
+async fn listen_all(
+    node: &Arc<Node>,
+    door: &Arc<Door>,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    own: SocketAddr,
+    metrics: SocketAddr,
+) -> Result<()> {
+    let shared = node.clone();
+    let handler = move |request| job::serve(shared.clone(), request);
+    let listener = listen::bind(callers).await?;
+    tokio::spawn(listen::run(listener, door.clone(), IDLE, handler));
+
+    let shared = node.clone();
+    let handler = move |_request| std::future::ready(probe::ready(&shared));
+    let listener = listen::bind(ready).await?;
+    tokio::spawn(listen::run(listener, Arc::default(), IDLE, handler));
+
+    let shared = node.clone();
+    let handler = move |request| peers::serve(shared.clone(), request);
+    let listener = listen::bind(own).await?;
+    tokio::spawn(listen::run(listener, Arc::default(), IDLE, handler));
+
+    let shared = node.clone();
+    let counted = door.clone();
+    let handler = move |request| probe::metrics(shared.clone(), counted.clone(), request);
+    let listener = listen::bind(metrics).await?;
+    tokio::spawn(listen::run(listener, Arc::default(), IDLE, handler));
+    Ok(())
+}
+
+/// Waits for SIGTERM; reads the settings again at SIGHUP.
+///
+/// # Errors
+///
+/// Fails where the signals can't be caught.
+pub async fn stopped() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _signal = terminate.recv() => return Ok(()),
+            _signal = interrupt.recv() => return Ok(()),
+            _signal = hangup.recv() => reload(),
+        }
+    }
+}
+
+/// Reads the settings again. What a process does with its settings is fixed at its start, so a
+/// change is only checked and told.
+fn reload() {
+    let outcome = match settings::load() {
+        Ok(settings) => format!("vm={} outcome=read", settings.vm),
+        Err(fault) => format!("outcome=\"{fault}\""),
+    };
+    log::info!(
+        "event=E{} text=\"{}\" {outcome}",
+        Event::SettingsReloaded.number(),
+        Event::SettingsReloaded.text()
+    );
+}
+
+/// Lets running requests end and the balancer notice, then returns.
+async fn drain(node: &Arc<Node>, door: &Arc<Door>) {
+    node.stop();
+    log::info!(
+        "event=E{} text=\"{}\" under_way={} connections={}",
+        Event::NodeStopping.number(),
+        Event::NodeStopping.text(),
+        node.under_way.load(Ordering::Relaxed),
+        door.open()
+    );
+    let begun = Instant::now();
+    let last = begun + node.settings.grace.as_duration().saturating_sub(MARGIN);
+    door.closing.cancel();
+    sleep(LINGER).await;
+    while Instant::now() < last && (node.under_way.load(Ordering::Relaxed) > 0 || door.open() > 0) {
+        sleep(LOOK).await;
+    }
+    log::info!(
+        "event=E{} text=\"{}\" under_way={} ms={}",
+        Event::NodeStopped.number(),
+        Event::NodeStopped.text(),
+        node.under_way.load(Ordering::Relaxed),
+        begun.elapsed().as_millis()
+    );
+}
+
+/// Asks the members with a disk whether enough of them answer.
+async fn ping(node: Arc<Node>) {
+    loop {
+        let (answered, members) = node.replicas.reachable().await;
+        let enough = members > 0 && answered >= replica::list::majority(members);
+        if node.set_records(enough) {
+            let event = if enough {
+                Event::MembersRegained
+            } else {
+                Event::MembersLost
+            };
+            log::warn!(
+                "event=E{} text=\"{}\" answered={answered} members={members}",
+                event.number(),
+                event.text()
+            );
+        }
+        sleep(PING).await;
+    }
+}
+
+/// Looks over connections and runners.
+async fn sweep(node: Arc<Node>) {
+    loop {
+        sleep(SWEEP).await;
+        node.runners.sweep();
+        node.vms.sweep();
+        let now = node.clock.now();
+        let gone = node.fleet().sweep(now);
+        for id in gone {
+            follow::log_change(&fleet::Change::Gone, &format!("runner={id} missing=true"));
+        }
+        let changes = node.fleet().judge(now);
+        for (id, kind) in changes {
+            let event = match kind {
+                eject::Kind::Failing { .. } | eject::Kind::Slow { .. } => Event::EndpointEjected,
+                eject::Kind::Back => Event::EndpointRestored,
+            };
+            log::info!(
+                "event=E{} text=\"{}\" runner={id} why=\"{kind:?}\"",
+                event.number(),
+                event.text()
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/node.rs
@@ -0,0 +1,183 @@
+//! What the parts of a process share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use adapter::kv::Kv;
+use adapter::settings::Settings;
+use link::client::Client;
+use link::client::Limits;
+use replica::client::Replicas;
+use wire::clock::Clock;
+use wire::clock::Millis;
+
+use crate::fleet::Fleet;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::table::Table;
+use crate::turns::Cache;
+
+/// How long a call of the key-value service may take: well above its usual few milliseconds, also
+/// where it is fifty times slower, and short enough that a lost answer is noticed within the time
+/// in which a configuration has to be in force.
+pub const STORE_TIMEOUT: Millis = Millis::new(900);
+/// How long a connection to a runner or VM may take: data centres are a few milliseconds apart.
+const CONNECT: Duration = Duration::from_millis(400);
+/// How long sent bytes may go unacknowledged before the connection counts as dead. Below the
+/// shortest time a client waits for a plain call, above a packet sent again once.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// How long an unused connection to a runner is kept. Runners that close sooner say so.
+const KEEP: Duration = Duration::from_secs(4);
+/// How long a connection rests after an answer; a second answer of a faulty runner comes within
+/// some milliseconds.
+const REST: Duration = Duration::from_millis(5);
+/// The most unused connections to a runner: more than the requests that one VM has at it.
+const IDLE: usize = 24;
+/// The share of the process's memory for turns at hand, as a divisor.
+const TURNS_SHARE: u64 = 6;
+
+/// A process's parts.
+#[derive(Debug)]
+pub struct Node {
+    /// The settings.
+    pub settings: Settings,
+    /// The time.
+    pub clock: Clock,
+    /// Connections to runners.
+    pub runners: Arc<Client>,
+    /// Connections to other VMs.
+    pub vms: Arc<Client>,
+    /// The platform's key-value service.
+    pub kv: Kv,
+    /// The VMs with a disk.
+    pub replicas: Replicas,
+    /// Other VMs of the same role.
+    pub peers: Mutex<Peers>,
+    /// Turns at hand.
+    pub turns: Mutex<Cache>,
+    /// The figures.
+    pub metrics: Metrics,
+    table: Mutex<Arc<Table>>,
+    fleet: Mutex<Fleet>,
+    stopping: AtomicBool,
+    /// Whether enough VMs with a disk answer.
+    records: AtomicBool,
+    /// When the runners' list was last known to be current.
+    runners_at: AtomicU64,
+    /// Requests under way.
+    pub under_way: AtomicU64,
+}
+
+impl Node {
+    /// Makes a process's parts.
+    #[must_use]
+    pub fn new(settings: Settings, clock: Clock) -> Arc<Self> {
+        let limits = Limits {
+            connect: CONNECT,
+            silence: SILENCE,
+            keep: KEEP,
+            rest: REST,
+            idle: IDLE,
+        };
+        let runners = Client::new(limits);
+        let vms = Client::new(Limits {
+            rest: Duration::ZERO,
+            ..limits
+        });
+        let kv = Kv::new(vms.clone(), settings.store, STORE_TIMEOUT);
+        let replicas = Replicas::new(vms.clone(), &settings.centre, settings.losses);
+        let turns = usize::try_from(settings.memory_bytes / TURNS_SHARE).unwrap_or(usize::MAX);
+        Arc::new(Self {
+            runners,
+            vms,
+            kv,
+            replicas,
+            peers: Mutex::default(),
+            turns: Mutex::new(Cache::new(turns)),
+            metrics: Metrics::default(),
+            table: Mutex::default(),
+            fleet: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            records: AtomicBool::new(false),
+            runners_at: AtomicU64::new(0),
+            under_way: AtomicU64::new(0),
+            settings,
+            clock,
+        })
+    }
+
+    /// Yields the routes in force.
+    #[must_use]
+    pub fn table(&self) -> Arc<Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub fn set_table(&self, table: Table) -> bool {
+        let mut own = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        if own.known && table.version <= own.version {
+            return false;
+        }
+        *own = Arc::new(table);
+        true
+    }
+
+    /// Yields the runners.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Yields the turns at hand.
+    pub fn turns(&self) -> MutexGuard<'_, Cache> {
+        self.turns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Yields the other VMs.
+    pub fn peers(&self) -> MutexGuard<'_, Peers> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that the process stops.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether the process stops.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether enough VMs with a disk answer, and tells whether that is news.
+    pub fn set_records(&self, enough: bool) -> bool {
+        self.records.swap(enough, Ordering::Relaxed) != enough
+    }
+
+    /// Notes that the runners' list is current.
+    pub fn set_runners_at(&self, now: Millis) {
+        self.runners_at.store(now.as_u64(), Ordering::Relaxed);
+    }
+
+    /// Yields how old the runners' list is.
+    #[must_use]
+    pub fn runners_age(&self) -> Millis {
+        let at = Millis::new(self.runners_at.load(Ordering::Relaxed));
+        self.clock.now().since(at)
+    }
+
+    /// Tells whether the process can serve what clients ask.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let table = self.table();
+        if !table.known || self.is_stopping() || self.fleet().runners().is_empty() {
+            return false;
+        }
+        !table.has_streams() || self.records.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/plain.rs
@@ -0,0 +1,162 @@
+//! Plain calls: one answer, whole before any of it is passed on.
+
+use std::time::Duration;
+
+use adapter::config::Kind;
+use hyper::Response;
+use link::body::Body;
+use link::body::Payload;
+use link::client::Reply;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Ran;
+use wire::code::Refusal;
+use wire::event::Event;
+
+use crate::answer;
+use crate::job;
+use crate::job::Attempt;
+use crate::job::Job;
+use crate::job::Sent;
+use crate::metrics::Counter;
+use crate::metrics::Span;
+
+/// The longest answer in bytes that is held to be passed on whole.
+const MAX_ANSWER: usize = 8 * 1024 * 1024;
+/// After this many times the wanted time, a repeatable call that got no answer is tried elsewhere.
+/// Work of twice the usual length ends sooner; a lost answer never comes.
+const PATIENCE: u32 = 3;
+
+/// Serves a call. One that may run at most once goes on where the client has left, as breaking it
+/// off would leave its outcome unknown to everyone.
+pub async fn serve(job: Job) -> Response<Body> {
+    if job.route.kind == Kind::Idempotent {
+        return run(&job).await;
+    }
+    let (sender, receiver) = oneshot::channel();
+    let node = job.node.clone();
+    tokio::spawn(async move {
+        let response = run(&job).await;
+        if sender.send(response).is_err() {
+            log::info!(
+                "event=E{} text=\"{}\" request={} ran_on=true",
+                Event::CallerGone.number(),
+                Event::CallerGone.text(),
+                job.call.id
+            );
+        }
+    });
+    receiver.await.unwrap_or_else(|_| {
+        let refusal = Refusal::new(Code::Internal, "").ran(Ran::Unknown);
+        job::refuse(&node, &refusal, "", None)
+    })
+}
+
+async fn run(job: &Job) -> Response<Body> {
+    match attempts(job).await {
+        Ok(response) => response,
+        Err(refusal) => job::refuse(&job.node, &refusal, &job.call.id, Some(job)),
+    }
+}
+
+async fn attempts(job: &Job) -> Result<Response<Body>, Refusal> {
+    let mut not = Vec::new();
+    let mut runs = 0;
+    let mut offers = 0;
+    loop {
+        if job.left() == Millis::ZERO {
+            return Err(late(runs));
+        }
+        let Some(runner) = job.choose(&not) else {
+            return Err(nowhere(runs));
+        };
+        let id = runner.id.clone();
+        offers += 1;
+        let repeatable = job.route.kind == Kind::Idempotent;
+        let more = repeatable && runs + 1 < job.route.attempts;
+        let payload = Payload::from(job.body.clone());
+        let until = patience(job, more);
+        let why = match job.send(runner, payload, None, until).await {
+            Sent::Answers(reply, attempt) => match whole(job, reply, attempt, until).await {
+                Ok(response) => return Ok(response),
+                Err(why) => why,
+            },
+            Sent::NotRun if offers < job::OFFERS => {
+                not.push(id);
+                continue;
+            }
+            Sent::NotRun => return Err(nowhere(runs)),
+            Sent::Unknown(why) => why,
+            Sent::Late => "no answer in time".to_owned(),
+        };
+        runs += 1;
+        job.log_retry(&id, &why);
+        not.push(id);
+        if !more {
+            return Err(failed(job, &why));
+        }
+    }
+}
+
+/// Yields until when an answer is waited for before the call is tried elsewhere.
+fn patience(job: &Job, more: bool) -> Instant {
+    if !more {
+        return job.until;
+    }
+    let aim = job.route.aim.as_duration().max(Duration::from_millis(20));
+    job.until.min(Instant::now() + aim * PATIENCE)
+}
+
+async fn whole(
+    job: &Job,
+    reply: Reply,
+    attempt: Attempt,
+    until: Instant,
+) -> Result<Response<Body>, String> {
+    let head = reply.head;
+    let read = timeout_at(until, reply.body.whole(MAX_ANSWER)).await;
+    let body = match read {
+        Ok(Ok(body)) => body,
+        Ok(Err(fault)) => {
+            if let Some(runner) = job.node.fleet().runner(&attempt.runner.id) {
+                runner.note_failed();
+            }
+            return Err(fault.to_string());
+        }
+        Err(_) => return Err("the answer's body wasn't whole in time".to_owned()),
+    };
+    let span = Millis::from(attempt.sent.elapsed());
+    if let Some(runner) = job.node.fleet().runner(&attempt.runner.id) {
+        runner.note_done(1, span);
+    }
+    job.node.metrics.count(Counter::Answered);
+    job.node.metrics.time(Span::Whole, job.age());
+    job.log_answered(&attempt.runner.id, head.status.as_u16(), 0, "");
+    Ok(answer::passed_on(head.status, &head.headers, Body::whole(body)))
+}
+
+fn late(runs: u32) -> Refusal {
+    if runs == 0 {
+        return Refusal::new(Code::WaitedTooLong, "").retry_after(job::RETRY);
+    }
+    Refusal::new(Code::OutcomeUnknown, "").ran(Ran::Unknown)
+}
+
+fn nowhere(runs: u32) -> Refusal {
+    if runs == 0 {
+        return Refusal::new(Code::NoEndpoint, "").retry_after(job::RETRY);
+    }
+    Refusal::new(Code::EndpointFailed, "").ran(Ran::Unknown)
+}
+
+fn failed(job: &Job, why: &str) -> Refusal {
+    let code = if job.left() == Millis::ZERO {
+        Code::OutcomeUnknown
+    } else {
+        Code::EndpointFailed
+    };
+    Refusal::new(code, why).ran(Ran::Unknown)
+}
--- /dev/null
+++ b/crates/relay/src/probe.rs
@@ -0,0 +1,43 @@
+//! What the balancer and scrapers ask: whether the VM takes clients, and its figures.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use link::body::Body;
+use link::listen::Door;
+
+use crate::answer;
+use crate::node::Node;
+
+/// Answers whether the VM takes clients; the path doesn't matter, as nothing else is asked there.
+#[must_use]
+pub fn ready(node: &Node) -> Response<Body> {
+    if node.is_ready() {
+        return answer::text(StatusCode::OK, "ready\n");
+    }
+    answer::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+}
+
+/// Answers with the figures.
+pub async fn metrics(
+    node: Arc<Node>,
+    door: Arc<Door>,
+    _request: Request<Incoming>,
+) -> Response<Body> {
+    let gauges = [
+        ("requests_under_way", node.under_way.load(Ordering::Relaxed)),
+        ("connections", door.open() as u64),
+        ("runners", node.fleet().runners().len() as u64),
+        ("runners_age_ms", node.runners_age().as_u64()),
+        ("revision", node.table().version),
+        ("members_version", node.replicas.list().version),
+        ("runner_connections_made", node.runners.made()),
+        ("vm_connections_made", node.vms.made()),
+        ("ready", u64::from(node.is_ready())),
+    ];
+    answer::text(StatusCode::OK, node.metrics.render(&gauges))
+}
--- /dev/null
+++ b/crates/relay/src/store.rs
@@ -0,0 +1,212 @@
+//! The process on VMs that have a disk.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::keys;
+use adapter::kv::Freshness;
+use adapter::kv::Kv;
+use adapter::kv::News;
+use adapter::settings::Settings;
+use hyper::StatusCode;
+use link::client::Client;
+use link::client::Limits;
+use link::listen;
+use platform::edge::Change;
+use platform::edge::Platform;
+use platform::edge::Txn;
+use platform::edge::Weight;
+use platform::edge::Write;
+use rand::RngExt;
+use replica::list;
+use replica::member::Driver;
+use replica::member::Phase;
+use replica::server;
+use replica::server::Member;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use wire::clock::Clock;
+use wire::clock::Millis;
+use wire::event::Event;
+
+use crate::answer;
+use crate::follow;
+use crate::front;
+use crate::front::Fault;
+use crate::front::Result;
+use crate::node;
+
+/// How long a connection to another VM may take.
+const CONNECT: Duration = Duration::from_millis(400);
+/// How long sent bytes may go unacknowledged.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// How long an unused connection is kept.
+const KEEP: Duration = Duration::from_secs(4);
+/// The most unused connections to another VM.
+const IDLE: usize = 8;
+/// How long another VM's connection may be idle.
+const IDLE_IN: Duration = Duration::from_secs(60);
+/// How long a watch waits for a request to empty a VM.
+const WAIT: Millis = Millis::new(20_000);
+/// The pause after a failed call.
+const AGAIN: Duration = Duration::from_millis(300);
+/// How long requests under way may take after SIGTERM: some syncs.
+const FINISH: Duration = Duration::from_millis(300);
+
+/// Runs the process until SIGTERM.
+///
+/// # Errors
+///
+/// Fails where the settings can't be used, the disk fails, or a listener can't be bound.
+pub async fn run(settings: Settings, metrics: u16) -> Result<()> {
+    let clock = Clock::System;
+    let folder = settings.data.clone().ok_or(Fault::Missing("data folder"))?;
+    let fresh = rand::rng().random::<u64>();
+    let member = server::open(&folder, settings.disk_bytes, fresh, clock.clone()).await?;
+    let ip = settings.ip.parse();
+    let ip = ip.map_err(|_| Fault::Missing("IP number as"))?;
+    let address = SocketAddr::new(ip, settings.first_port);
+    listen_all(&member, address, SocketAddr::new(ip, metrics)).await?;
+    log::info!(
+        "event=E{} text=\"{}\" vm={} role=store vms={address}",
+        Event::NodeStarted.number(),
+        Event::NodeStarted.text(),
+        settings.vm
+    );
+    let http = Client::new(Limits {
+        connect: CONNECT,
+        silence: SILENCE,
+        keep: KEEP,
+        rest: Duration::ZERO,
+        idle: IDLE,
+    });
+    let kv = Kv::new(http.clone(), settings.store, node::STORE_TIMEOUT);
+    let (phase, phases) = watch::channel(Phase::Member);
+    let driver = Driver {
+        own: list::Member {
+            vm: settings.vm.clone(),
+            centre: settings.centre.clone(),
+            address,
+            disk: member.status().disk,
+        },
+        member,
+        http,
+        platform: Arc::new(kv.clone()),
+        key: follow::list_key(),
+        losses: settings.losses,
+        clock,
+        phase: phase.clone(),
+    };
+    tokio::spawn(driver.run());
+    tokio::spawn(retire(kv, settings.vm.clone(), phase, phases));
+    front::stopped().await?;
+    log::info!(
+        "event=E{} text=\"{}\"",
+        Event::NodeStopping.number(),
+        Event::NodeStopping.text()
+    );
+    sleep(FINISH).await;
+    Ok(())
+}
+
+async fn listen_all(
+    member: &Arc<Member>,
+    address: SocketAddr,
+    metrics: SocketAddr,
+) -> Result<()> {
+    let shared = member.clone();
+    let handler = move |request| server::serve(shared.clone(), request);
+    let listener = listen::bind(address).await?;
+    tokio::spawn(listen::run(listener, Arc::default(), IDLE_IN, handler));
+
+    let shared = member.clone();
+    let handler = move |_request| {
+        let status = shared.status();
+        let holdings = shared.holdings();
+        let text = format!(
+            "chestnutyoke_members_version {}\nchestnutyoke_members_ready {}\nchestnutyoke_turns {}\nchestnutyoke_accounts {}\n",
+            status.version,
+            status.ready,
+            holdings.turns.len(),
+            holdings.accounts.len()
+        );
+        std::future::ready(answer::text(StatusCode::OK, text))
+    };
+    let listener = listen::bind(metrics).await?;
+    tokio::spawn(listen::run(listener, Arc::default(), IDLE_IN, handler));
+    Ok(())
+}
+
+/// Empties the VM when operators ask for it, and tells them how far that is.
+async fn retire(
+    kv: Kv,
+    vm: String,
+    phase: watch::Sender<Phase>,
+    mut phases: watch::Receiver<Phase>,
+) {
+    wait_for_request(&kv, &vm).await;
+    log::info!("text=\"the VM is to be emptied\" vm={vm}");
+    write(&kv, &vm, keys::retire_running()).await;
+    phase.send_replace(Phase::Leaving);
+    if phases.wait_for(|phase| *phase == Phase::Left).await.is_err() {
+        return;
+    }
+    write(&kv, &vm, keys::retire_complete()).await;
+    log::info!("text=\"the VM has been emptied\" vm={vm}");
+}
+
+async fn wait_for_request(kv: &Kv, vm: &str) {
+    let key = format!("{}{vm}", keys::RETIRE);
+    loop {
+        match kv.list(&key, Freshness::Latest).await {
+            Ok(listing) => {
+                if listing.entries.iter().any(|entry| entry.key == key) {
+                    return;
+                }
+                if watch_for_request(kv, &key, listing.revision).await {
+                    return;
+                }
+            }
+            Err(fault) => log::debug!("requests to empty the VM can't be read: {fault}"),
+        }
+        sleep(AGAIN).await;
+    }
+}
+
+/// Watches until the request comes or the watch breaks off; tells whether it came.
+async fn watch_for_request(kv: &Kv, key: &str, revision: u64) -> bool {
+    let mut revision = revision;
+    while let Ok(News::Changes {
+        changes,
+        revision: next,
+    }) = kv.changes(key, revision, WAIT).await
+    {
+        revision = next.max(revision);
+        let asked = |change: &Change| matches!(change, Change::Set(entry) if entry.key == key);
+        if changes.iter().any(asked) {
+            return true;
+        }
+    }
+    false
+}
+
+async fn write(kv: &Kv, vm: &str, value: Vec<u8>) {
+    let txn = Txn {
+        compares: Vec::new(),
+        writes: vec![Write::Put {
+            key: keys::retire_status(vm),
+            value,
+            lease: None,
+        }],
+    };
+    loop {
+        match kv.commit(&txn, Weight::Change).await {
+            Ok(_) => return,
+            Err(fault) => {
+                log::warn!("text=\"the VM's state not written\" vm={vm} fault=\"{fault}\"");
+                sleep(AGAIN).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/stream.rs
@@ -0,0 +1,590 @@
+//! Turns: streams of events, their tokens set aside before and their text kept after.
+//!
+//! Events go to the client as they come, each whole. The end of a kept turn's stream is held until
+//! its text is on enough disks: a client that has the end may name the turn at any VM.
+
+use std::time::Duration;
+
+use adapter::config::Kind;
+use bytes::Bytes;
+use bytes::BytesMut;
+use hyper::Response;
+use link::body::Body;
+use link::body::Part;
+use link::body::Payload;
+use link::client::Reply;
+use replica::quorum::Verdict;
+use replica::record::Key;
+use replica::record::Record;
+use replica::record::Reservation;
+use replica::record::Settlement;
+use replica::record::Turn;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Ran;
+use wire::code::Refusal;
+use wire::event::Event;
+
+use crate::answer;
+use crate::events::Reader;
+use crate::job;
+use crate::job::Attempt;
+use crate::job::Counted;
+use crate::job::Job;
+use crate::job::Sent;
+use crate::metrics::Counter;
+use crate::metrics::Span;
+use crate::turns;
+
+/// Parts of an answer that wait for a client that reads slowly, before its runner is read no
+/// further.
+const DEPTH: usize = 32;
+/// How long after a refusal for want of tokens the account is looked at once more: two turns that
+/// start at the same time each see the other's reservation, and a turn that has just ended is
+/// settled within this time.
+const SECOND_LOOK: Duration = Duration::from_millis(30);
+/// When a turn whose tokens couldn't be set aside may come again: about the time in which a VM
+/// with a disk restarts or a cut is noticed.
+const RETRY: Millis = Millis::new(300);
+/// How often a stream is taken up again after a break.
+const RESUMES: u32 = 3;
+/// How long the end of a stream is held for its text to be kept, beyond the request's own time:
+/// the client has all events by then, and giving up would have it repeat the whole turn.
+const KEEPING: Duration = Duration::from_millis(1_500);
+/// The pause between two tries to keep a turn's text.
+const KEEP_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a turn needs beside a runner.
+struct Prepared {
+    /// The texts before the turn's own input.
+    history: Vec<Bytes>,
+}
+
+/// A turn's account of tokens.
+#[derive(Clone, Copy)]
+struct Account {
+    program: Key,
+    turn: Key,
+    most: u32,
+    budget: u64,
+}
+
+/// How a stream ended.
+#[derive(Debug)]
+enum End {
+    /// The runner sent all of it.
+    Whole,
+    /// The runner broke off.
+    Broken(String),
+    /// The client has left.
+    Gone,
+    /// The time is over.
+    Late,
+}
+
+/// A stream on its way to the client.
+struct Flow {
+    parts: mpsc::Sender<Part>,
+    reader: Reader,
+    /// The events' data, each with a line feed, as later turns repeat them.
+    output: BytesMut,
+    events: u64,
+    last: Option<u64>,
+    first_at: Option<Instant>,
+}
+
+/// Serves a turn.
+pub async fn serve(job: Job, counted: Counted) -> Response<Body> {
+    let node = job.node.clone();
+    let id = job.call.id.clone();
+    let (sender, receiver) = oneshot::channel();
+    tokio::spawn(async move {
+        run(job, sender).await;
+        drop(counted);
+    });
+    receiver.await.unwrap_or_else(|_| {
+        let refusal = Refusal::new(Code::Internal, "").ran(Ran::Unknown);
+        job::refuse(&node, &refusal, &id, None)
+    })
+}
+
+async fn run(job: Job, head: oneshot::Sender<Response<Body>>) {
+    let account = account(&job);
+    let mut head = head;
+    let begun = tokio::select! {
+        begun = begin(&job, account) => begun,
+        () = head.closed() => {
+            log_gone(&job, 0);
+            settle(&job, account, 0);
+            return;
+        }
+    };
+    match begun {
+        Ok((reply, attempt, prepared)) => {
+            answered(&job, account, &prepared, reply, attempt, head).await;
+        }
+        Err(refusal) => {
+            settle(&job, account, 0);
+            // A client that has left needs no answer.
+            let _gone = head.send(job::refuse(&job.node, &refusal, &job.call.id, Some(&job)));
+        }
+    }
+}
+
+fn account(job: &Job) -> Option<Account> {
+    let program = job.call.program.as_ref()?;
+    Some(Account {
+        program: Key::of(program),
+        turn: Key::of(&job.call.id),
+        most: u32::try_from(job.call.most_tokens).unwrap_or(u32::MAX),
+        budget: job.call.budget?,
+    })
+}
+
+/// Prepares a turn and finds the runner that answers it.
+async fn begin(
+    job: &Job,
+    account: Option<Account>,
+) -> Result<(Reply, Attempt, Prepared), Refusal> {
+    let prepared = prepare(job, account).await?;
+    job.node.metrics.time(Span::Prepare, job.age());
+    let mut not = Vec::new();
+    let mut runs = 0;
+    let last_event = job.call.last_event;
+    let (reply, attempt) = open(job, &prepared, &mut not, &mut runs, last_event).await?;
+    Ok((reply, attempt, prepared))
+}
+
+async fn prepare(job: &Job, account: Option<Account>) -> Result<Prepared, Refusal> {
+    let (history, ()) = tokio::try_join!(history(job), reserve(job, account))?;
+    Ok(Prepared { history })
+}
+
+async fn history(job: &Job) -> Result<Vec<Bytes>, Refusal> {
+    match &job.call.previous {
+        Some(previous) if job.route.keeps_turns => {
+            turns::history(&job.node, Key::of(previous)).await
+        }
+        _ => Ok(Vec::new()),
+    }
+}
+
+async fn reserve(job: &Job, account: Option<Account>) -> Result<(), Refusal> {
+    let Some(account) = account else {
+        return Ok(());
+    };
+    let fact = Reservation {
+        program: account.program,
+        turn: account.turn,
+        most: account.most,
+    };
+    let mut spent = 0;
+    for look in 0..2 {
+        if look > 0 {
+            sleep(SECOND_LOOK).await;
+        }
+        let reserved = timeout_at(job.until, job.node.replicas.reserve(fact, account.budget));
+        let verdict = match reserved.await {
+            Ok(Ok(verdict)) => verdict,
+            Ok(Err(fault)) => {
+                let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
+                return Err(refusal.retry_after(RETRY));
+            }
+            Err(_) => return Err(Refusal::new(Code::WaitedTooLong, "").retry_after(RETRY)),
+        };
+        match verdict {
+            Verdict::Fits => return Ok(()),
+            Verdict::Spent(tokens) => spent = tokens,
+        }
+    }
+    job.node.metrics.count(Counter::OverBudget);
+    let detail = format!("{spent} of {} spent, {} asked", account.budget, account.most);
+    Err(Refusal::new(Code::TokensSpent, &detail))
+}
+
+/// Offers the turn to runners until one answers. `runs` counts those that may have run it.
+async fn open(
+    job: &Job,
+    prepared: &Prepared,
+    not: &mut Vec<String>,
+    runs: &mut u32,
+    last_event: Option<u64>,
+) -> Result<(Reply, Attempt), Refusal> {
+    for _ in 0..job::OFFERS {
+        if job.left() == Millis::ZERO {
+            break;
+        }
+        let Some(runner) = job.choose(not) else {
+            return Err(nowhere(*runs));
+        };
+        let id = runner.id.clone();
+        let mut pieces = prepared.history.clone();
+        pieces.push(job.body.clone());
+        let sent = job.send(runner, Payload::of(pieces), last_event, job.until).await;
+        match sent {
+            Sent::Answers(reply, attempt) => return Ok((reply, attempt)),
+            Sent::NotRun => not.push(id),
+            Sent::Unknown(why) => {
+                *runs += 1;
+                job.log_retry(&id, &why);
+                not.push(id);
+                if !job.route.resumable || *runs >= job.route.attempts {
+                    return Err(Refusal::new(Code::EndpointFailed, &why).ran(Ran::Unknown));
+                }
+            }
+            Sent::Late => {
+                *runs += 1;
+                break;
+            }
+        }
+    }
+    if job.left() == Millis::ZERO {
+        return Err(late(*runs));
+    }
+    Err(nowhere(*runs))
+}
+
+fn late(runs: u32) -> Refusal {
+    if runs == 0 {
+        return Refusal::new(Code::WaitedTooLong, "").retry_after(job::RETRY);
+    }
+    Refusal::new(Code::OutcomeUnknown, "").ran(Ran::Unknown)
+}
+
+fn nowhere(runs: u32) -> Refusal {
+    if runs == 0 {
+        return Refusal::new(Code::NoEndpoint, "all runners are full").retry_after(job::RETRY);
+    }
+    Refusal::new(Code::EndpointFailed, "").ran(Ran::Unknown)
+}
+
+/// Passes an answer on, and takes the stream up again where it breaks and may be.
+async fn answered(
+    job: &Job,
+    account: Option<Account>,
+    prepared: &Prepared,
+    reply: Reply,
+    attempt: Attempt,
+    head: oneshot::Sender<Response<Body>>,
+) {
+    let (sender, receiver) = mpsc::channel(DEPTH);
+    let status = reply.head.status;
+    let response = answer::passed_on(status, &reply.head.headers, Body::Parts(receiver));
+    let mut response = response;
+    // The end is the system's to send, so the length isn't the runner's to announce.
+    response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+    if head.send(response).is_err() {
+        log_gone(job, 0);
+        settle(job, account, 0);
+        return;
+    }
+    let mut flow = Flow {
+        parts: sender,
+        reader: Reader::default(),
+        output: BytesMut::new(),
+        events: 0,
+        last: job.call.last_event,
+        first_at: None,
+    };
+    let runner = attempt.runner.id.clone();
+    let success = status.is_success();
+    let end = if success {
+        follow(job, prepared, &mut flow, reply, attempt).await
+    } else {
+        copy(job, &mut flow, reply).await
+    };
+    finish(job, account, flow, end, &runner, status.as_u16()).await;
+}
+
+async fn finish(
+    job: &Job,
+    account: Option<Account>,
+    flow: Flow,
+    end: End,
+    runner: &str,
+    status: u16,
+) {
+    let used = used(job, account, flow.events);
+    match end {
+        End::Whole => {
+            let last = Instant::now();
+            let output = flow.output.freeze();
+            let success = (200..300).contains(&status);
+            if success && !keep(job, account, used, &output).await {
+                log_broken(job, flow.events, "the turn couldn't be kept");
+                return;
+            }
+            if !success || !job.route.keeps_turns {
+                settle(job, account, used);
+            }
+            job.node.metrics.time(Span::Sync, Millis::from(last.elapsed()));
+            job.node.metrics.time(Span::Whole, job.age());
+            job.node.metrics.count(Counter::Answered);
+            // A client that has left needs no end.
+            let _gone = flow.parts.send(Part::End).await;
+            job.log_answered(runner, status, flow.events, "");
+        }
+        End::Broken(why) => {
+            settle(job, account, used);
+            log_broken(job, flow.events, &why);
+        }
+        End::Gone => {
+            settle(job, account, used);
+            log_gone(job, flow.events);
+        }
+        End::Late => {
+            settle(job, account, used);
+            log_broken(job, flow.events, "the time is over");
+        }
+    }
+}
+
+fn used(job: &Job, account: Option<Account>, events: u64) -> u32 {
+    let engine = job.table.engine(&job.service);
+    let tokens = engine.map_or(1, |engine| engine.event_tokens) * events;
+    let most = account.map_or(u32::MAX, |account| account.most);
+    u32::try_from(tokens).unwrap_or(u32::MAX).min(most)
+}
+
+/// Passes events on until the end, over breaks where the route allows.
+async fn follow(
+    job: &Job,
+    prepared: &Prepared,
+    flow: &mut Flow,
+    reply: Reply,
+    attempt: Attempt,
+) -> End {
+    let mut reply = reply;
+    let mut attempt = attempt;
+    let mut resumes = 0;
+    loop {
+        let before = flow.events;
+        let begun = Instant::now();
+        let end = pump(job, flow, &mut reply).await;
+        note(job, &attempt, flow, before, begun, &end);
+        let End::Broken(why) = end else {
+            return end;
+        };
+        resumes += 1;
+        if !job.route.resumable || resumes > RESUMES || job.left() == Millis::ZERO {
+            return End::Broken(why);
+        }
+        match resume(job, prepared, flow, &attempt, &why).await {
+            Ok(next) => (reply, attempt) = next,
+            Err(end) => return end,
+        }
+    }
+}
+
+/// Takes a broken stream up again: at its runner if that still answers, as it has read the prompt
+/// and another one would count as a further run, else at another.
+async fn resume(
+    job: &Job,
+    prepared: &Prepared,
+    flow: &mut Flow,
+    attempt: &Attempt,
+    why: &str,
+) -> Result<(Reply, Attempt), End> {
+    flow.reader = Reader::default();
+    let same = attempt.runner.clone();
+    log::info!(
+        "event=E{} text=\"{}\" request={} program={} runner={} event_id={:?} why=\"{why}\"",
+        Event::StreamResumed.number(),
+        Event::StreamResumed.text(),
+        job.call.id,
+        job.call.program.as_deref().unwrap_or_default(),
+        same.id,
+        flow.last
+    );
+    let mut pieces = prepared.history.clone();
+    pieces.push(job.body.clone());
+    let gone = flow.parts.clone();
+    let again = async {
+        let id = same.id.clone();
+        let sent = job.send(same, Payload::of(pieces), flow.last, job.until).await;
+        if let Sent::Answers(reply, attempt) = sent {
+            return Ok((reply, attempt));
+        }
+        let mut not = vec![id];
+        open(job, prepared, &mut not, &mut 0, flow.last).await
+    };
+    let opened = tokio::select! {
+        opened = again => opened,
+        () = gone.closed() => return Err(End::Gone),
+    };
+    match opened {
+        Ok((reply, attempt)) if reply.head.status.is_success() => {
+            job.node.metrics.count(Counter::Resumed);
+            Ok((reply, attempt))
+        }
+        Ok((reply, _)) => Err(End::Broken(format!("{why}; then status {}", reply.head.status))),
+        Err(refusal) => Err(End::Broken(format!("{why}; then {refusal}"))),
+    }
+}
+
+/// Notes how fast the runner was.
+fn note(job: &Job, attempt: &Attempt, flow: &Flow, before: u64, begun: Instant, end: &End) {
+    let events = flow.events - before;
+    let mut fleet = job.node.fleet();
+    let Some(runner) = fleet.runner(&attempt.runner.id) else {
+        return;
+    };
+    match end {
+        End::Broken(_) => runner.note_failed(),
+        End::Whole if events > 1 => {
+            let engine = job.table.engine(&job.service);
+            let tokens = engine.map_or(1, |engine| engine.event_tokens) * (events - 1);
+            runner.note_done(tokens, Millis::from(begun.elapsed()));
+        }
+        End::Whole | End::Gone | End::Late => {}
+    }
+}
+
+async fn pump(job: &Job, flow: &mut Flow, reply: &mut Reply) -> End {
+    loop {
+        let data = tokio::select! {
+            data = reply.body.data() => data,
+            () = flow.parts.closed() => return End::Gone,
+            () = tokio::time::sleep_until(job.until) => return End::Late,
+        };
+        match data {
+            Ok(Some(bytes)) => {
+                if let Err(fault) = flow.reader.push(&bytes) {
+                    return End::Broken(fault.to_string());
+                }
+            }
+            Ok(None) if flow.reader.is_within() => {
+                return End::Broken("the runner stopped within an event".to_owned());
+            }
+            Ok(None) => return End::Whole,
+            Err(fault) => return End::Broken(fault.to_string()),
+        }
+        while let Some(event) = flow.reader.pop() {
+            if event.id.is_some() && flow.last.is_some() && event.id <= flow.last {
+                return End::Broken("an event came twice".to_owned());
+            }
+            if flow.first_at.is_none() {
+                flow.first_at = Some(Instant::now());
+                job.node.metrics.time(Span::First, job.age());
+            }
+            flow.events += 1;
+            flow.last = event.id.or(flow.last);
+            if job.route.keeps_turns {
+                flow.output.extend_from_slice(&event.data);
+                flow.output.extend_from_slice(b"\n");
+            }
+            job.node.metrics.count(Counter::Events);
+            let sent = timeout_at(job.until, flow.parts.send(Part::Data(event.bytes)));
+            match sent.await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return End::Gone,
+                Err(_) => return End::Late,
+            }
+        }
+    }
+}
+
+/// Passes an answer on that isn't a stream of events, a failure of the runner's own.
+async fn copy(job: &Job, flow: &mut Flow, reply: Reply) -> End {
+    let mut reply = reply;
+    loop {
+        let data = tokio::select! {
+            data = reply.body.data() => data,
+            () = flow.parts.closed() => return End::Gone,
+            () = tokio::time::sleep_until(job.until) => return End::Late,
+        };
+        match data {
+            Ok(Some(bytes)) => {
+                if flow.parts.send(Part::Data(bytes)).await.is_err() {
+                    return End::Gone;
+                }
+            }
+            Ok(None) => return End::Whole,
+            Err(fault) => return End::Broken(fault.to_string()),
+        }
+    }
+}
+
+/// Keeps a turn's text and settles its tokens; tells whether it is kept, if it has to be.
+async fn keep(job: &Job, account: Option<Account>, used: u32, output: &Bytes) -> bool {
+    if job.route.kind != Kind::Stream || !job.route.keeps_turns {
+        return true;
+    }
+    let key = Key::of(&job.call.id);
+    let previous = job.call.previous.as_deref().map(Key::of);
+    let mut text = BytesMut::with_capacity(job.body.len() + output.len());
+    text.extend_from_slice(&job.body);
+    text.extend_from_slice(output);
+    let text = text.freeze();
+    let turn = Turn {
+        key,
+        previous,
+        text: text.clone(),
+    };
+    let until = job.until.max(Instant::now()) + KEEPING;
+    loop {
+        let kept = job.node.replicas.apply(key, vec![Record::Turn(turn.clone())]);
+        match timeout_at(until, kept).await {
+            Ok(Ok(())) => break,
+            Ok(Err(fault)) => log::warn!(
+                "text=\"turn not kept yet\" request={} fault=\"{fault}\"",
+                job.call.id
+            ),
+            Err(_) => return false,
+        }
+        sleep(KEEP_PAUSE).await;
+    }
+    settle(job, account, used);
+    job.node.turns().insert(key, text, previous);
+    true
+}
+
+/// Settles a turn's tokens. Nobody waits for it: until then the turn counts for its most.
+fn settle(job: &Job, account: Option<Account>, used: u32) {
+    let Some(account) = account else {
+        return;
+    };
+    let fact = Settlement {
+        program: account.program,
+        turn: account.turn,
+        used,
+    };
+    let node = job.node.clone();
+    let id = job.call.id.clone();
+    tokio::spawn(async move {
+        if let Err(fault) = node.replicas.settle(fact).await {
+            log::warn!("text=\"turn not settled\" request={id} used={used} fault=\"{fault}\"");
+        }
+    });
+}
+
+fn log_gone(job: &Job, events: u64) {
+    job.node.metrics.count(Counter::Gone);
+    log::info!(
+        "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={}",
+        Event::CallerGone.number(),
+        Event::CallerGone.text(),
+        job.call.id,
+        job.call.program.as_deref().unwrap_or_default(),
+        job.route.name,
+        job.age().as_u64()
+    );
+}
+
+fn log_broken(job: &Job, events: u64, why: &str) {
+    job.node.metrics.count(Counter::Failed);
+    log::warn!(
+        "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={} why=\"{why}\"",
+        Event::StreamBroken.number(),
+        Event::StreamBroken.text(),
+        job.call.id,
+        job.call.program.as_deref().unwrap_or_default(),
+        job.route.name,
+        job.age().as_u64()
+    );
+}
--- /dev/null
+++ b/crates/replica/src/client.rs
@@ -0,0 +1,392 @@
+//! The readers' and writers' side: asks the members of a group and judges their answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use hyper::Method;
+use hyper::Request;
+use link::body::Payload;
+use link::client::Client;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+
+use crate::ledger::Entry;
+use crate::list;
+use crate::list::List;
+use crate::list::Member;
+use crate::message;
+use crate::message::Answer;
+use crate::message::Ask;
+use crate::message::Body;
+use crate::message::Link;
+use crate::quorum;
+use crate::quorum::Verdict;
+use crate::record::Key;
+use crate::record::Record;
+use crate::record::Reservation;
+use crate::record::Settlement;
+
+/// How long a member may take to answer: some hundred times a sync and a way across data centres.
+const ANSWER: Duration = Duration::from_millis(700);
+/// How long the last members are waited for once a majority has a reservation. All members' answers
+/// save a second round; a member that is down or cut off mustn't cost more than that round.
+const STRAGGLERS: Duration = Duration::from_millis(6);
+/// How long the member nearby may take over a chain before the others are asked as well.
+const HEDGE: Duration = Duration::from_millis(60);
+/// How often a request is tried again after a change of the list.
+const RELISTED: usize = 3;
+/// The longest answer in bytes.
+const MAX_ANSWER: usize = 32 * 1024 * 1024;
+
+/// Why the members gave no answer that can be relied on.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum Fault {
+    /// Too few members answered.
+    #[display("too few members with a disk answered")]
+    TooFew,
+    /// No list of members is known yet.
+    #[display("no list of members is known")]
+    NoList,
+    /// The list changed too often meanwhile.
+    #[display("the list of members changed meanwhile")]
+    Relisted,
+}
+
+/// The outcome of asking the members.
+pub type Result<T> = std::result::Result<T, Fault>;
+
+/// The members as one VM asks them.
+#[derive(Debug)]
+pub struct Replicas {
+    http: Arc<Client>,
+    list: Mutex<Arc<List>>,
+    centre: String,
+    losses: usize,
+}
+
+/// A chain of turns, or a part of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// Turns from the one asked for backwards, and the next one beyond, if the chain goes on.
+    Part(Vec<Link>, Option<Key>),
+    /// No such turn was ever acknowledged, or it has been dropped.
+    Absent,
+}
+
+impl Replicas {
+    /// Makes a client for a VM in this data centre; `losses` members may be lost at once.
+    #[must_use]
+    pub fn new(http: Arc<Client>, centre: &str, losses: usize) -> Self {
+        Self {
+            http,
+            list: Mutex::default(),
+            centre: centre.to_owned(),
+            losses,
+        }
+    }
+
+    /// Yields the list in use.
+    #[must_use]
+    pub fn list(&self) -> Arc<List> {
+        let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        list.clone()
+    }
+
+    /// Takes a newer list over.
+    pub fn adopt(&self, list: List) {
+        let mut own = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        if list.version <= own.version {
+            return;
+        }
+        log::info!(
+            "event=E3101 text=\"list of members in force\" version={} before={} members={}",
+            list.version,
+            own.version,
+            list.members.len()
+        );
+        *own = Arc::new(list);
+    }
+
+    /// Syncs facts to a majority of the group of `key`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no majority can be had; the facts may still be on some members.
+    pub async fn apply(&self, key: Key, records: Vec<Record>) -> Result<()> {
+        for _ in 0..RELISTED {
+            let (list, group) = self.group(key)?;
+            let mut asked = self.ask_all(&list, &group, &Body::Apply(records.clone()))?;
+            let mut done = 0;
+            let mut failed = 0;
+            let mut relisted = false;
+            while let Some(answer) = asked.recv().await {
+                match answer {
+                    Some(Answer::Applied(_)) => done += 1,
+                    Some(Answer::Newer(newer)) => {
+                        self.adopt(newer);
+                        relisted = true;
+                        failed += 1;
+                    }
+                    _ => failed += 1,
+                }
+                match quorum::write(group.len(), done, failed) {
+                    quorum::Write::Waiting => {}
+                    quorum::Write::Majority | quorum::Write::All => return Ok(()),
+                    quorum::Write::Failed if relisted => break,
+                    quorum::Write::Failed => return Err(Fault::TooFew),
+                }
+            }
+            if !relisted {
+                return Err(Fault::TooFew);
+            }
+        }
+        Err(Fault::Relisted)
+    }
+
+    /// Sets tokens aside, if the program's budget holds them.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no majority can be had; the reservation may then count against the budget.
+    pub async fn reserve(&self, fact: Reservation, budget: u64) -> Result<Verdict> {
+        for _ in 0..RELISTED {
+            match self.reserve_once(&fact, budget).await {
+                Err(Fault::Relisted) => {}
+                outcome => return outcome,
+            }
+        }
+        Err(Fault::Relisted)
+    }
+
+    async fn reserve_once(&self, fact: &Reservation, budget: u64) -> Result<Verdict> {
+        let (list, group) = self.group(fact.program)?;
+        let body = Body::Apply(vec![Record::Reserve(*fact)]);
+        let mut asked = self.ask_all(&list, &group, &body)?;
+        let mut known = Vec::new();
+        let mut failed = 0;
+        let mut relisted = false;
+        let mut until = Instant::now() + ANSWER * 2;
+        let mut state = quorum::Write::Waiting;
+        // Ends early where the stragglers' time is over.
+        while let Ok(Some(answer)) = timeout_at(until, asked.recv()).await {
+            match answer {
+                Some(Answer::Applied(entries)) => known.push(entries),
+                Some(Answer::Newer(newer)) => {
+                    self.adopt(newer);
+                    relisted = true;
+                    failed += 1;
+                }
+                _ => failed += 1,
+            }
+            let before = state;
+            state = quorum::write(group.len(), known.len(), failed);
+            match state {
+                quorum::Write::Waiting => {}
+                quorum::Write::Majority if failed + known.len() == group.len() => break,
+                quorum::Write::Majority if before == quorum::Write::Waiting => {
+                    until = Instant::now() + STRAGGLERS;
+                }
+                quorum::Write::Majority => {}
+                quorum::Write::All | quorum::Write::Failed => break,
+            }
+        }
+        let own = Entry {
+            turn: fact.turn,
+            most: fact.most,
+            used: None,
+        };
+        match state {
+            quorum::Write::All => Ok(quorum::reserve(&quorum::union(&known), &own, budget)),
+            quorum::Write::Majority => {
+                known.extend(self.accounts(&list, &group, fact.program).await?);
+                Ok(quorum::reserve(&quorum::union(&known), &own, budget))
+            }
+            _ if relisted => Err(Fault::Relisted),
+            _ => Err(Fault::TooFew),
+        }
+    }
+
+    /// Reads a program's entries from a majority.
+    async fn accounts(&self, list: &Arc<List>, group: &[Member], program: Key) -> Result<Vec<Vec<Entry>>> {
+        let mut asked = self.ask_all(list, group, &Body::Account(program))?;
+        let mut known = Vec::new();
+        while let Some(answer) = asked.recv().await {
+            match answer {
+                Some(Answer::Account(entries)) => known.push(entries),
+                Some(Answer::Newer(newer)) => {
+                    self.adopt(newer);
+                    return Err(Fault::Relisted);
+                }
+                _ => {}
+            }
+            if known.len() >= list::majority(group.len()) {
+                return Ok(known);
+            }
+        }
+        Err(Fault::TooFew)
+    }
+
+    /// Notes what an attempt used.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no majority can be had; the reservation then counts for its most.
+    pub async fn settle(&self, fact: Settlement) -> Result<()> {
+        self.apply(fact.program, vec![Record::Settle(fact)]).await
+    }
+
+    /// Finds a turn and what it continued from.
+    ///
+    /// # Errors
+    ///
+    /// Fails where too few members answered to be certain that there is no such turn.
+    pub async fn chain(&self, key: Key) -> Result<Found> {
+        let (list, group) = self.group(key)?;
+        let ask = Ask {
+            version: list.version,
+            body: Body::Chain(key),
+        };
+        let near = group.iter().find(|member| member.centre == self.centre);
+        if let Some(near) = near {
+            let answer = timeout(HEDGE, self.ask(near.address, &ask)).await;
+            if let Ok(Some(Answer::Chain(chain))) = answer {
+                if !chain.turns.is_empty() {
+                    return Ok(Found::Part(chain.turns, chain.next));
+                }
+            }
+        }
+        let mut asked = self.ask_all(&list, &group, &ask.body)?;
+        let mut absent = 0;
+        while let Some(answer) = asked.recv().await {
+            match answer {
+                Some(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
+                Some(Answer::Chain(chain)) => return Ok(Found::Part(chain.turns, chain.next)),
+                Some(Answer::Newer(newer)) => self.adopt(newer),
+                _ => {}
+            }
+            if absent >= list::meeting(group.len()) {
+                return Ok(Found::Absent);
+            }
+        }
+        Err(Fault::TooFew)
+    }
+
+    /// Tells how many of the members answer, and how many there are.
+    pub async fn reachable(&self) -> (usize, usize) {
+        let list = self.list();
+        let Ok(mut asked) = self.ask_all(&list, &list.members, &Body::Status) else {
+            return (0, list.members.len());
+        };
+        let mut answered = 0;
+        while let Some(answer) = asked.recv().await {
+            if let Some(Answer::Status(_)) = answer {
+                answered += 1;
+            }
+        }
+        (answered, list.members.len())
+    }
+
+    fn group(&self, key: Key) -> Result<(Arc<List>, Vec<Member>)> {
+        let list = self.list();
+        if list.members.is_empty() {
+            return Err(Fault::NoList);
+        }
+        let group = list.group(key, self.losses);
+        let group = group.into_iter().cloned().collect();
+        Ok((list, group))
+    }
+
+    /// Asks members at the same time; each answer comes as it arrives, `None` for a failure. They
+    /// are asked to the end also where the receiver is dropped, so that every copy is written.
+    fn ask_all(
+        &self,
+        list: &Arc<List>,
+        group: &[Member],
+        body: &Body,
+    ) -> Result<mpsc::Receiver<Option<Answer>>> {
+        let ask = Ask {
+            version: list.version,
+            body: body.clone(),
+        };
+        let bytes = rmp_serde::to_vec(&ask).map_err(|fault| {
+            log::error!("text=\"a request can't be encoded\" fault=\"{fault}\"");
+            Fault::TooFew
+        })?;
+        let bytes = Bytes::from(bytes);
+        let (sender, receiver) = mpsc::channel(group.len().max(1));
+        for member in group {
+            let sender = sender.clone();
+            let asked = asked(self.http.clone(), member.clone(), bytes.clone(), list.clone());
+            tokio::spawn(async move {
+                // The receiver may have enough answers already.
+                let _enough = sender.send(asked.await).await;
+            });
+        }
+        Ok(receiver)
+    }
+
+    async fn ask(&self, address: SocketAddr, ask: &Ask) -> Option<Answer> {
+        let bytes = rmp_serde::to_vec(ask).ok()?;
+        send(&self.http, address, Bytes::from(bytes)).await
+    }
+}
+
+/// Asks a member; one that goes by an older list is told the newer one and asked again.
+async fn asked(
+    http: Arc<Client>,
+    member: Member,
+    bytes: Bytes,
+    list: Arc<List>,
+) -> Option<Answer> {
+    let answer = send(&http, member.address, bytes.clone()).await;
+    if answer != Some(Answer::Older) {
+        return answer;
+    }
+    let adopt = Ask {
+        version: list.version,
+        body: Body::Adopt(List::clone(&list)),
+    };
+    let adopt = rmp_serde::to_vec(&adopt).ok()?;
+    send(&http, member.address, Bytes::from(adopt)).await?;
+    send(&http, member.address, bytes).await
+}
+
+/// Sends a request to a member; `None` where it fails in any way.
+pub async fn send(http: &Arc<Client>, address: SocketAddr, body: Bytes) -> Option<Answer> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(message::PATH)
+        .header("host", address.to_string())
+        .body(Payload::from(body))
+        .ok()?;
+    let exchange = async {
+        let reply = http.send(address, request).await?;
+        reply.body.whole(MAX_ANSWER).await
+    };
+    let bytes = match timeout(ANSWER, exchange).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(fault)) => {
+            log::debug!("member {address}: {fault}");
+            return None;
+        }
+        Err(_) => {
+            log::debug!("member {address}: no answer in time");
+            return None;
+        }
+    };
+    match rmp_serde::from_slice(&bytes) {
+        Ok(answer) => Some(answer),
+        Err(fault) => {
+            log::warn!("text=\"a member's answer can't be read\" member={address} fault=\"{fault}\"");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/disk.rs
@@ -0,0 +1,376 @@
+//! A member's disk: segments of frames, synced in groups, and a small file of what it is.
+//!
+//! A thread of its own writes: it takes all that waits, writes it, syncs once, and answers each.
+//! A power loss tears at most what was not yet answered; checksums tell a torn end from a record.
+//! After a start a new segment is begun, so nothing is ever written behind a torn end.
+
+use std::fs;
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::mpsc;
+use std::thread;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::oneshot;
+
+use crate::index::Place;
+use crate::list::List;
+use crate::record;
+use crate::record::Parsed;
+use crate::record::Record;
+
+/// A segment is closed at this length; whole segments are removed when they are no longer needed.
+const SEGMENT: u64 = 8 * 1024 * 1024;
+/// The share of the disk that is used before the oldest segments go, in hundredths: the rest is
+/// room for the segments under way.
+const FILL: u64 = 85;
+/// The file of what the member is.
+const IDENTITY: &str = "identity";
+
+/// What a member keeps beside the records.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// The disk's number.
+    pub disk: u64,
+    /// The list that the member goes by.
+    pub list: List,
+    /// The version up to which it has learnt all that was acknowledged.
+    pub ready: u64,
+}
+
+/// A record found at the start, and where it lies.
+#[derive(Debug)]
+pub struct Found {
+    /// The record.
+    pub record: Record,
+    /// Where it lies.
+    pub place: Place,
+}
+
+/// The disk of a running member.
+#[derive(Debug)]
+pub struct Disk {
+    folder: PathBuf,
+    jobs: mpsc::Sender<Job>,
+    files: Mutex<Vec<(u64, Arc<File>)>>,
+}
+
+enum Job {
+    Append(Vec<Vec<u8>>, oneshot::Sender<io::Result<Vec<Place>>>),
+    Identify(Box<Identity>, oneshot::Sender<io::Result<()>>),
+}
+
+struct Writer {
+    folder: PathBuf,
+    /// Closed segments with their lengths, the oldest first.
+    closed: Vec<(u64, u64)>,
+    number: u64,
+    file: File,
+    length: u64,
+    limit: u64,
+    events: mpsc::Sender<Event>,
+}
+
+/// What the writer did on its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It began this segment.
+    Began(u64),
+    /// It removed this segment, the oldest, as the disk fills.
+    Removed(u64),
+}
+
+/// What opening a folder yields.
+#[derive(Debug)]
+pub struct Opened {
+    /// The disk.
+    pub disk: Disk,
+    /// What the member is; `None` where the folder was empty.
+    pub identity: Option<Identity>,
+    /// What the writer does on its own.
+    pub events: mpsc::Receiver<Event>,
+}
+
+/// Opens a folder, yields each record to `found`, and starts the writer. `bytes` is the disk's
+/// size.
+///
+/// # Errors
+///
+/// Fails where the folder can't be read or written.
+pub fn open(folder: &Path, bytes: u64, found: &mut dyn FnMut(Found)) -> io::Result<Opened> {
+    fs::create_dir_all(folder)?;
+    let identity = identity(folder)?;
+    let numbers = segments(folder)?;
+    let mut closed = Vec::new();
+    for number in &numbers {
+        let length = scan(folder, *number, found)?;
+        closed.push((*number, length));
+    }
+    let number = numbers.last().map_or(1, |last| last + 1);
+    let file = create(folder, number)?;
+    let (jobs, queue) = mpsc::channel();
+    let (sender, events) = mpsc::channel();
+    let mut writer = Writer {
+        folder: folder.to_owned(),
+        closed,
+        number,
+        file,
+        length: 0,
+        limit: bytes / 100 * FILL,
+        events: sender,
+    };
+    thread::spawn(move || writer.run(&queue));
+    let disk = Disk {
+        folder: folder.to_owned(),
+        jobs,
+        files: Mutex::default(),
+    };
+    Ok(Opened {
+        disk,
+        identity,
+        events,
+    })
+}
+
+fn identity(folder: &Path) -> io::Result<Option<Identity>> {
+    match fs::read(folder.join(IDENTITY)) {
+        Ok(bytes) => {
+            let parsed = rmp_serde::from_slice(&bytes);
+            Ok(Some(parsed.map_err(io::Error::other)?))
+        }
+        Err(fault) if fault.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(fault) => Err(fault),
+    }
+}
+
+fn segments(folder: &Path) -> io::Result<Vec<u64>> {
+    let mut numbers = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let name = entry?.file_name();
+        let number = name.to_str().and_then(|name| name.strip_prefix("segment-"));
+        if let Some(number) = number.and_then(|number| number.parse().ok()) {
+            numbers.push(number);
+        }
+    }
+    numbers.sort_unstable();
+    Ok(numbers)
+}
+
+fn path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("segment-{number:010}"))
+}
+
+fn create(folder: &Path, number: u64) -> io::Result<File> {
+    let file = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path(folder, number))?;
+    // Without it the whole file may be gone after a power loss, synced records and all.
+    File::open(folder)?.sync_all()?;
+    Ok(file)
+}
+
+/// Reads a segment up to its end or to the first torn frame, and yields the length read.
+fn scan(folder: &Path, number: u64, found: &mut dyn FnMut(Found)) -> io::Result<u64> {
+    let mut file = File::open(path(folder, number))?;
+    let mut buffer: Vec<u8> = Vec::new();
+    let mut chunk = vec![0; 256 * 1024];
+    let mut offset = 0;
+    loop {
+        let read = file.read(&mut chunk)?;
+        buffer.extend_from_slice(&chunk[..read]);
+        let mut at = 0;
+        loop {
+            match record::parse(&buffer[at..]) {
+                Parsed::Record(record, length) => {
+                    let place = Place {
+                        segment: number,
+                        offset: offset + at as u64,
+                        length: u32::try_from(length).unwrap_or(u32::MAX),
+                    };
+                    found(Found { record, place });
+                    at += length;
+                }
+                Parsed::Short => break,
+                Parsed::Torn => return Ok(offset + at as u64),
+            }
+        }
+        buffer.drain(..at);
+        offset += at as u64;
+        if read == 0 {
+            return Ok(offset);
+        }
+    }
+}
+
+impl Disk {
+    /// Writes and syncs frames, and yields where they lie.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the disk does.
+    pub async fn append(&self, frames: Vec<Vec<u8>>) -> io::Result<Vec<Place>> {
+        let (reply, answer) = oneshot::channel();
+        self.hand(Job::Append(frames, reply))?;
+        answer.await.map_err(io::Error::other)?
+    }
+
+    /// Writes and syncs what the member is.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the disk does.
+    pub async fn identify(&self, identity: &Identity) -> io::Result<()> {
+        let (reply, answer) = oneshot::channel();
+        self.hand(Job::Identify(Box::new(identity.clone()), reply))?;
+        answer.await.map_err(io::Error::other)?
+    }
+
+    fn hand(&self, job: Job) -> io::Result<()> {
+        let sent = self.jobs.send(job);
+        sent.map_err(|_| io::Error::other("the disk's thread has ended"))
+    }
+
+    /// Reads the record at a place.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the disk does, or no record lies there.
+    pub fn read(&self, place: Place) -> io::Result<Record> {
+        let file = self.file(place.segment)?;
+        let mut frame = vec![0; place.length as usize];
+        file.read_exact_at(&mut frame, place.offset)?;
+        match record::parse(&frame) {
+            Parsed::Record(record, _) => Ok(record),
+            Parsed::Short | Parsed::Torn => Err(io::Error::other("no record lies there")),
+        }
+    }
+
+    fn file(&self, segment: u64) -> io::Result<Arc<File>> {
+        let mut files = self.files.lock().unwrap_or_else(PoisonError::into_inner);
+        match files.binary_search_by_key(&segment, |(number, _)| *number) {
+            Ok(at) => Ok(files[at].1.clone()),
+            Err(at) => {
+                let file = Arc::new(File::open(path(&self.folder, segment))?);
+                files.insert(at, (segment, file.clone()));
+                Ok(file)
+            }
+        }
+    }
+
+    /// Closes the file of a segment that was removed.
+    pub fn forget(&self, segment: u64) {
+        let mut files = self.files.lock().unwrap_or_else(PoisonError::into_inner);
+        files.retain(|(number, _)| *number != segment);
+    }
+}
+
+impl Writer {
+    fn run(&mut self, queue: &mpsc::Receiver<Job>) {
+        while let Ok(first) = queue.recv() {
+            let mut waiting = Vec::new();
+            let mut job = Some(first);
+            while let Some(next) = job {
+                match next {
+                    Job::Append(frames, reply) => {
+                        let written = self.write(&frames);
+                        waiting.push((written, reply));
+                    }
+                    Job::Identify(identity, reply) => {
+                        // A sender that has gone needs no answer.
+                        let _gone = reply.send(self.identify(&identity));
+                    }
+                }
+                job = queue.try_recv().ok();
+            }
+            self.settle(waiting);
+        }
+    }
+
+    /// Syncs once for all that was written, and answers each.
+    fn settle(&mut self, waiting: Vec<(io::Result<Vec<Place>>, oneshot::Sender<io::Result<Vec<Place>>>)>) {
+        if waiting.is_empty() {
+            return;
+        }
+        let synced = self.file.sync_data();
+        for (written, reply) in waiting {
+            let outcome = match &synced {
+                Ok(()) => written,
+                Err(fault) => Err(io::Error::other(fault.to_string())),
+            };
+            // A sender that has gone needs no answer.
+            let _gone = reply.send(outcome);
+        }
+        if self.length >= SEGMENT {
+            if let Err(fault) = self.roll() {
+                log::error!("text=\"can't begin a segment\" fault=\"{fault}\"");
+            }
+        }
+    }
+
+    fn write(&mut self, frames: &[Vec<u8>]) -> io::Result<Vec<Place>> {
+        let written = self.write_frames(frames);
+        if written.is_err() {
+            // What was half written is a torn frame; nothing may follow it in this segment.
+            self.length = self.length.max(SEGMENT);
+        }
+        written
+    }
+
+    fn write_frames(&mut self, frames: &[Vec<u8>]) -> io::Result<Vec<Place>> {
+        let mut places = Vec::with_capacity(frames.len());
+        for frame in frames {
+            self.file.write_all(frame)?;
+            places.push(Place {
+                segment: self.number,
+                offset: self.length,
+                length: u32::try_from(frame.len()).unwrap_or(u32::MAX),
+            });
+            self.length += frame.len() as u64;
+        }
+        Ok(places)
+    }
+
+    fn roll(&mut self) -> io::Result<()> {
+        let next = self.number + 1;
+        self.file = create(&self.folder, next)?;
+        self.closed.push((self.number, self.length));
+        self.number = next;
+        self.length = 0;
+        self.tell(Event::Began(next));
+        let mut used: u64 = self.closed.iter().map(|(_, length)| length).sum();
+        while used + SEGMENT > self.limit && self.closed.len() > 1 {
+            let (number, length) = self.closed.remove(0);
+            log::warn!("text=\"oldest segment removed\" segment={number} bytes={length} used={used}");
+            fs::remove_file(path(&self.folder, number))?;
+            used -= length;
+            self.tell(Event::Removed(number));
+        }
+        Ok(())
+    }
+
+    fn tell(&self, event: Event) {
+        // Where nobody listens any more the process is ending.
+        let _ending = self.events.send(event);
+    }
+
+    fn identify(&self, identity: &Identity) -> io::Result<()> {
+        let bytes = rmp_serde::to_vec(identity).map_err(io::Error::other)?;
+        let next = self.folder.join("identity.next");
+        let mut file = File::create(&next)?;
+        file.write_all(&bytes)?;
+        file.sync_all()?;
+        fs::rename(&next, self.folder.join(IDENTITY))?;
+        File::open(&self.folder)?.sync_all()
+    }
+}
--- /dev/null
+++ b/crates/replica/src/ledger.rs
@@ -0,0 +1,135 @@
+//! What each program has set aside and used of its tokens, as one member knows it.
+//!
+//! Entries only grow in number, and an entry changes once, from reserved to settled, so the union
+//! of two members' entries is again a ledger: whatever order facts arrive in, and however often.
+
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use wire::clock::Millis;
+
+use crate::record::Key;
+use crate::record::Reservation;
+use crate::record::Settlement;
+
+/// How long a program's entries are kept after its last one. A program that was stopped may come
+/// back for as long as its turns are kept, a minute as deployed; five leave room for slow programs.
+pub const KEPT: Millis = Millis::new(300_000);
+
+/// One attempt's tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The attempt.
+    pub turn: Key,
+    /// What was set aside.
+    pub most: u32,
+    /// What was used, once that is known.
+    pub used: Option<u32>,
+}
+
+impl Entry {
+    /// Yields what the attempt counts for: all that was set aside until it is settled.
+    #[must_use]
+    pub fn counts(&self) -> u64 {
+        u64::from(self.used.unwrap_or(self.most))
+    }
+}
+
+/// All entries of one program.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Account {
+    /// The program.
+    pub program: Key,
+    /// Its entries, in the order of their attempts' keys.
+    pub entries: Vec<Entry>,
+}
+
+/// The accounts of a member. A map, as programs come and go by the tens of a second, and a sorted
+/// vector would move all entries behind each.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    accounts: HashMap<Key, Held>,
+}
+
+#[derive(Debug)]
+struct Held {
+    entries: Vec<Entry>,
+    touched: Millis,
+}
+
+impl Ledger {
+    /// Notes a reservation; one that is known changes nothing.
+    pub fn reserve(&mut self, fact: &Reservation, now: Millis) {
+        let entry = Entry {
+            turn: fact.turn,
+            most: fact.most,
+            used: None,
+        };
+        self.merge(fact.program, &[entry], now);
+    }
+
+    /// Notes what an attempt used.
+    pub fn settle(&mut self, fact: &Settlement, now: Millis) {
+        let entry = Entry {
+            turn: fact.turn,
+            most: fact.used,
+            used: Some(fact.used),
+        };
+        self.merge(fact.program, &[entry], now);
+    }
+
+    /// Takes in entries that another member knows.
+    pub fn merge(&mut self, program: Key, entries: &[Entry], now: Millis) {
+        let held = self.accounts.entry(program).or_insert_with(|| Held {
+            entries: Vec::new(),
+            touched: now,
+        });
+        held.touched = now;
+        unite(&mut held.entries, entries);
+    }
+
+    /// Yields a program's entries.
+    #[must_use]
+    pub fn entries(&self, program: Key) -> &[Entry] {
+        self.accounts
+            .get(&program)
+            .map_or(&[], |held| held.entries.as_slice())
+    }
+
+    /// Yields all accounts, for another member.
+    #[must_use]
+    pub fn accounts(&self) -> Vec<Account> {
+        let account = |(program, held): (&Key, &Held)| Account {
+            program: *program,
+            entries: held.entries.clone(),
+        };
+        self.accounts.iter().map(account).collect()
+    }
+
+    /// Forgets programs that have been quiet for [`KEPT`].
+    pub fn sweep(&mut self, now: Millis) {
+        self.accounts
+            .retain(|_, held| now.since(held.touched) < KEPT);
+    }
+}
+
+/// Adds to sorted entries what `more` knows beyond them.
+pub fn unite(entries: &mut Vec<Entry>, more: &[Entry]) {
+    for entry in more {
+        match entries.binary_search_by_key(&entry.turn, |known| known.turn) {
+            Ok(at) => {
+                let known = &mut entries[at];
+                known.used = known.used.or(entry.used);
+                known.most = known.most.max(entry.most);
+            }
+            Err(at) => entries.insert(at, *entry),
+        }
+    }
+}
+
+/// Yields what all entries count for.
+#[must_use]
+pub fn total(entries: &[Entry]) -> u64 {
+    entries.iter().map(Entry::counts).sum()
+}
--- /dev/null
+++ b/crates/replica/src/list.rs
@@ -0,0 +1,129 @@
+//! The list of members, and which of them hold what.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::record::Key;
+
+/// Up to this many members each hold everything. Beyond, each key has a group of its own, as more
+/// copies would only cost bandwidth: 5 members bear two losses.
+pub const ALL_HOLD: usize = 5;
+
+/// A VM with a disk.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The VM's name.
+    pub vm: String,
+    /// Its data centre.
+    pub centre: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Drawn when the disk was found empty, so a VM whose disk was lost is another member.
+    pub disk: u64,
+}
+
+/// The members, agreed in the platform's key-value service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct List {
+    /// Grows by one with each change.
+    pub version: u64,
+    /// The members, in the order of their VMs' names.
+    pub members: Vec<Member>,
+    /// The members of the version before, from whom the present ones learn what was acknowledged.
+    pub before: Vec<Member>,
+}
+
+impl List {
+    /// Finds a VM's place.
+    #[must_use]
+    pub fn find(&self, vm: &str) -> Option<&Member> {
+        self.members.iter().find(|member| member.vm == vm)
+    }
+
+    /// Tells whether this disk of this VM is a member, at this address.
+    #[must_use]
+    pub fn holds(&self, member: &Member) -> bool {
+        self.members.contains(member)
+    }
+
+    /// Builds the next version, in which `member` takes the place of an earlier disk of its VM.
+    #[must_use]
+    pub fn with(&self, member: &Member) -> Self {
+        let mut members = self.without_members(&member.vm);
+        members.push(member.clone());
+        members.sort_by(|a, b| a.vm.cmp(&b.vm));
+        self.next(members)
+    }
+
+    /// Builds the next version, without a VM.
+    #[must_use]
+    pub fn without(&self, vm: &str) -> Self {
+        self.next(self.without_members(vm))
+    }
+
+    fn without_members(&self, vm: &str) -> Vec<Member> {
+        let others = self.members.iter().filter(|member| member.vm != vm);
+        others.cloned().collect()
+    }
+
+    fn next(&self, members: Vec<Member>) -> Self {
+        Self {
+            version: self.version + 1,
+            members,
+            before: self.members.clone(),
+        }
+    }
+
+    /// Yields the members that hold a key, `losses` of which may be lost at once.
+    #[must_use]
+    pub fn group(&self, key: Key, losses: usize) -> Vec<&Member> {
+        let size = 2 * losses + 1;
+        if self.members.len() <= ALL_HOLD.max(size) {
+            return self.members.iter().collect();
+        }
+        let mut ranked: Vec<(u64, &Member)> = self
+            .members
+            .iter()
+            .map(|member| (weight(key, member), member))
+            .collect();
+        ranked.sort_by(|a, b| b.0.cmp(&a.0));
+        spread(&ranked, size)
+    }
+}
+
+/// Takes the first of each data centre before a second of any, so that a lost data centre takes as
+/// few copies as can be.
+fn spread<'a>(ranked: &[(u64, &'a Member)], size: usize) -> Vec<&'a Member> {
+    let mut taken: Vec<&Member> = Vec::with_capacity(size);
+    for rounds in 1..=size {
+        for (_, member) in ranked {
+            let same = taken.iter().filter(|other| other.centre == member.centre);
+            if taken.len() < size && same.count() < rounds && !taken.contains(member) {
+                taken.push(member);
+            }
+        }
+    }
+    taken
+}
+
+/// Ranks a member for a key by rendezvous hashing: a change of the list moves few keys.
+fn weight(key: Key, member: &Member) -> u64 {
+    let mut text = member.vm.as_bytes().to_vec();
+    text.extend_from_slice(&key.0.to_le_bytes());
+    xxh3_64(&text)
+}
+
+/// Yields how many of a group make a majority.
+#[must_use]
+pub const fn majority(group: usize) -> usize {
+    group / 2 + 1
+}
+
+/// Yields how many of a group meet every majority of it.
+#[must_use]
+pub const fn meeting(group: usize) -> usize {
+    group - majority(group) + 1
+}
--- /dev/null
+++ b/crates/replica/src/member.rs
@@ -0,0 +1,396 @@
+//! How a VM with a disk joins the list, learns what was acknowledged before, and leaves.
+//!
+//! One change of the list at a time: the next one is proposed only when enough members have learnt
+//! all that was acknowledged under the present one. A member that joins is in the list first, which
+//! makes the others refuse requests under the old list, and only then asks for what they hold; so
+//! whatever was acknowledged under the old list is in what they hold.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use link::client::Client;
+use platform::edge::Compare;
+use platform::edge::Entry;
+use platform::edge::Fault;
+use platform::edge::Outcome;
+use platform::edge::Platform;
+use platform::edge::Txn;
+use platform::edge::Weight;
+use platform::edge::Write;
+use tokio::sync::watch;
+use wire::clock::Clock;
+use wire::clock::Millis;
+
+use crate::client;
+use crate::list;
+use crate::list::List;
+use crate::message::Answer;
+use crate::message::Ask;
+use crate::message::Body;
+use crate::message::Holdings;
+use crate::message::Status;
+use crate::record::Key;
+use crate::record::Record;
+use crate::server::Member;
+
+/// How often the member looks at its own state.
+const TICK: Duration = Duration::from_millis(200);
+/// How often the list is read from the key-value service: a tenth of the time that a VM with an
+/// empty disk has to be a full copy again. Changes also come with other VMs' requests.
+const REREAD: Millis = Millis::new(500);
+/// How long a member may be silent, where there are more members than losses ask for, before it is
+/// taken off the list. A majority of a list with a dead member bears one loss less. A member that
+/// was only cut off joins again and learns the little that it missed.
+const EVICT: Millis = Millis::new(1_500);
+/// Without a request for this long a member was cut off, frozen or idle; it then asks what it
+/// missed.
+const QUIET: Millis = Millis::new(1_000);
+/// Turns that are fetched in one request: half a megabyte of usual ones, as much as an answer has.
+const BATCH: usize = 32;
+
+/// Where a member stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It belongs to the list, or is about to.
+    Member,
+    /// It leaves: others take over what it holds.
+    Leaving,
+    /// Everything that it held is elsewhere.
+    Left,
+}
+
+/// What drives a member.
+pub struct Driver {
+    /// The member.
+    pub member: Arc<Member>,
+    /// For the other members.
+    pub http: Arc<Client>,
+    /// Where the list is agreed.
+    pub platform: Arc<dyn Platform>,
+    /// The list's key there.
+    pub key: String,
+    /// The member's line of the list.
+    pub own: list::Member,
+    /// How many members may be lost at once.
+    pub losses: usize,
+    /// The time.
+    pub clock: Clock,
+    /// Whether operators want the VM emptied, and what has come of it.
+    pub phase: watch::Sender<Phase>,
+}
+
+#[derive(Default)]
+struct Memory {
+    /// The list's revision in the key-value service.
+    revision: u64,
+    read_at: Option<Millis>,
+    /// Members that don't answer, and since when.
+    silent: Vec<(String, Millis)>,
+    /// Whether what others hold was compared since the start or the last quiet spell.
+    compared: bool,
+    outage: bool,
+}
+
+impl Driver {
+    /// Drives the member for as long as it is polled.
+    pub async fn run(self) {
+        let mut memory = Memory::default();
+        loop {
+            self.step(&mut memory).await;
+            tokio::select! {
+                () = self.member.changed.notified() => {}
+                () = tokio::time::sleep(TICK) => {}
+            }
+        }
+    }
+
+    async fn step(&self, memory: &mut Memory) {
+        if let Err(fault) = self.member.sweep().await {
+            log::error!("event=E3105 text=\"the disk failed\" fault=\"{fault}\"");
+        }
+        self.reread(memory).await;
+        let identity = self.member.identity();
+        let list = identity.list;
+        if list.version > identity.ready && list.holds(&self.own) {
+            self.learn_all(&list).await;
+            return;
+        }
+        let phase = *self.phase.borrow();
+        match (phase, list.holds(&self.own)) {
+            (Phase::Member, false) => self.propose(memory, &list, &list.with(&self.own)).await,
+            (Phase::Member, true) => {
+                self.compare(memory, &list).await;
+                self.evict(memory, &list).await;
+            }
+            (Phase::Leaving, true) => {
+                self.propose(memory, &list, &list.without(&self.own.vm)).await;
+            }
+            (Phase::Leaving, false) => self.leave(&list).await,
+            (Phase::Left, _) => {}
+        }
+    }
+
+    /// Reads the list from the key-value service, where that answers.
+    async fn reread(&self, memory: &mut Memory) {
+        let now = self.clock.now();
+        let fresh = memory.read_at.is_some_and(|at| now.since(at) < REREAD);
+        if fresh {
+            return;
+        }
+        memory.read_at = Some(now);
+        match self.platform.read(&self.key).await {
+            Ok(entry) => {
+                if memory.outage {
+                    log::info!("event=E2103 text=\"platform outage ended\"");
+                }
+                memory.outage = false;
+                self.take(memory, entry).await;
+            }
+            Err(fault) => {
+                if !memory.outage {
+                    log::warn!("event=E2102 text=\"platform outage began\" fault=\"{fault}\"");
+                }
+                memory.outage = true;
+            }
+        }
+    }
+
+    async fn take(&self, memory: &mut Memory, entry: Option<Entry>) {
+        let Some(entry) = entry else {
+            memory.revision = 0;
+            return;
+        };
+        memory.revision = entry.revision;
+        match rmp_serde::from_slice::<List>(&entry.value) {
+            Ok(list) => self.adopt(&list).await,
+            Err(fault) => log::error!("text=\"the list can't be read\" fault=\"{fault}\""),
+        }
+    }
+
+    async fn adopt(&self, list: &List) {
+        if let Err(fault) = self.member.adopt(list).await {
+            log::error!("event=E3105 text=\"the disk failed\" fault=\"{fault}\"");
+        }
+    }
+
+    /// Proposes the next list, once enough members have learnt all of the present one.
+    async fn propose(&self, memory: &mut Memory, list: &List, next: &List) {
+        if next.members.is_empty() {
+            return;
+        }
+        let ready = self.ready(list).await;
+        if list.version > 0 && ready < list::meeting(list.members.len()) {
+            log::info!(
+                "event=E3104 text=\"change of members waits\" version={} ready={ready} members={}",
+                list.version,
+                list.members.len()
+            );
+            return;
+        }
+        let value = match rmp_serde::to_vec(next) {
+            Ok(value) => value,
+            Err(fault) => {
+                log::error!("text=\"the list can't be encoded\" fault=\"{fault}\"");
+                return;
+            }
+        };
+        let txn = Txn {
+            compares: vec![Compare {
+                key: self.key.clone(),
+                revision: memory.revision,
+            }],
+            writes: vec![Write::Put {
+                key: self.key.clone(),
+                value,
+                lease: None,
+            }],
+        };
+        match self.platform.commit(&txn, Weight::Claim).await {
+            Ok(Outcome::Applied(revision)) => {
+                memory.revision = revision;
+                self.adopt(next).await;
+            }
+            Ok(Outcome::Refused(_)) | Err(Fault::Unknown(_)) => memory.read_at = None,
+            Err(fault) => log::warn!("text=\"list not written\" fault=\"{fault}\""),
+        }
+    }
+
+    /// Counts the members that have learnt all that was acknowledged before the list.
+    async fn ready(&self, list: &List) -> usize {
+        let mut ready = 0;
+        for member in &list.members {
+            if let Some(status) = self.status(member).await {
+                let same = status.disk == member.disk;
+                ready += usize::from(same && status.ready >= list.version);
+            }
+        }
+        ready
+    }
+
+    async fn status(&self, member: &list::Member) -> Option<Status> {
+        if *member == self.own {
+            return Some(self.member.status());
+        }
+        match self.ask(member, 0, Body::Status).await? {
+            Answer::Status(status) => Some(status),
+            _ => None,
+        }
+    }
+
+    async fn ask(&self, member: &list::Member, version: u64, body: Body) -> Option<Answer> {
+        let bytes = rmp_serde::to_vec(&Ask { version, body }).ok()?;
+        client::send(&self.http, member.address, Bytes::from(bytes)).await
+    }
+
+    /// Learns all that was acknowledged before this list.
+    async fn learn_all(&self, list: &List) {
+        let started = self.clock.now();
+        let mut heard = 0;
+        let mut whole = list.before.is_empty();
+        for member in &list.before {
+            if *member == self.own {
+                heard += 1;
+                whole |= self.member.status().ready + 1 >= list.version;
+                continue;
+            }
+            let Some(holdings) = self.holdings(member, list).await else {
+                continue;
+            };
+            if let Err(fault) = self.take_over(member, list, &holdings).await {
+                log::warn!("text=\"a member's records not learnt\" member={} fault=\"{fault}\"", member.vm);
+                continue;
+            }
+            heard += 1;
+            whole |= holdings.ready + 1 >= list.version;
+        }
+        let needed = list.before.len().min(list::meeting(list.before.len()));
+        if heard < needed || !whole {
+            log::warn!(
+                "event=E3103 text=\"records not yet learnt\" version={} heard={heard} needed={needed} whole={whole}",
+                list.version
+            );
+            tokio::time::sleep(TICK).await;
+            return;
+        }
+        if let Err(fault) = self.member.set_ready(list.version).await {
+            log::error!("event=E3105 text=\"the disk failed\" fault=\"{fault}\"");
+            return;
+        }
+        log::info!(
+            "event=E3102 text=\"records learnt\" version={} heard={heard} ms={}",
+            list.version,
+            self.clock.now().since(started).as_u64()
+        );
+    }
+
+    /// Asks a member for what it holds, after making it take this list over.
+    async fn holdings(&self, member: &list::Member, list: &List) -> Option<Holdings> {
+        match self.ask(member, list.version, Body::Keys).await? {
+            Answer::Keys(holdings) => Some(holdings),
+            Answer::Older => {
+                self.ask(member, list.version, Body::Adopt(list.clone())).await?;
+                match self.ask(member, list.version, Body::Keys).await? {
+                    Answer::Keys(holdings) => Some(holdings),
+                    _ => None,
+                }
+            }
+            Answer::Newer(newer) => {
+                self.adopt(&newer).await;
+                None
+            }
+            _ => None,
+        }
+    }
+
+    async fn take_over(
+        &self,
+        member: &list::Member,
+        list: &List,
+        holdings: &Holdings,
+    ) -> io::Result<()> {
+        self.member.learn(&holdings.accounts).await?;
+        let own = |key: &Key| list.group(*key, self.losses).contains(&&self.own);
+        let wanted: Vec<Key> = holdings.turns.iter().copied().filter(own).collect();
+        let mut missing = self.member.missing(&wanted);
+        while !missing.is_empty() {
+            let batch: Vec<Key> = missing.iter().take(BATCH).copied().collect();
+            let answer = self.ask(member, list.version, Body::Fetch(batch.clone())).await;
+            let Some(Answer::Turns(turns)) = answer else {
+                return Err(io::Error::other("no answer"));
+            };
+            if turns.is_empty() {
+                // The member has dropped them meanwhile.
+                missing.drain(..batch.len());
+                continue;
+            }
+            let got: Vec<Key> = turns.iter().map(|turn| turn.key).collect();
+            let records = turns.into_iter().map(Record::Turn).collect();
+            if let Answer::Failed(fault) = self.member.apply(records).await {
+                return Err(io::Error::other(fault));
+            }
+            missing.retain(|key| !got.contains(key));
+        }
+        Ok(())
+    }
+
+    /// Compares with the other members after the start and after each quiet spell: facts that a
+    /// majority got while this member was away are copied to it, so that they bear the next loss.
+    async fn compare(&self, memory: &mut Memory, list: &List) {
+        if self.member.quiet_for() >= QUIET {
+            memory.compared = false;
+            return;
+        }
+        if memory.compared {
+            return;
+        }
+        memory.compared = true;
+        for member in &list.members {
+            if *member == self.own {
+                continue;
+            }
+            let Some(holdings) = self.holdings(member, list).await else {
+                continue;
+            };
+            if let Err(fault) = self.take_over(member, list, &holdings).await {
+                log::warn!("text=\"a member's records not compared\" member={} fault=\"{fault}\"", member.vm);
+            }
+        }
+    }
+
+    /// Takes a silent member off a list that is longer than needed.
+    async fn evict(&self, memory: &mut Memory, list: &List) {
+        if list.members.len() <= 2 * self.losses + 1 {
+            memory.silent.clear();
+            return;
+        }
+        let now = self.clock.now();
+        let mut first_alive = None;
+        for member in &list.members {
+            if self.status(member).await.is_some() {
+                memory.silent.retain(|(vm, _)| *vm != member.vm);
+                first_alive.get_or_insert(&member.vm);
+            } else if !memory.silent.iter().any(|(vm, _)| *vm == member.vm) {
+                memory.silent.push((member.vm.clone(), now));
+            }
+        }
+        if first_alive != Some(&self.own.vm) {
+            return;
+        }
+        let long = |(_, since): &&(String, Millis)| now.since(*since) >= EVICT;
+        if let Some((vm, _)) = memory.silent.iter().find(long).cloned() {
+            log::warn!("event=E3106 text=\"silent member taken off the list\" member={vm}");
+            self.propose(memory, list, &list.without(&vm)).await;
+        }
+    }
+
+    /// Has left the list: waits until the others have all that this member held.
+    async fn leave(&self, list: &List) {
+        if self.ready(list).await < list.members.len() {
+            return;
+        }
+        log::info!("event=E3107 text=\"all records are elsewhere\" version={}", list.version);
+        self.phase.send_replace(Phase::Left);
+    }
+}
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -71,9 +71,11 @@
     ProgramEnded = 1303, 410, "the program has ended";
     KeyConflict = 1304, 422, "the idempotency key was used with other content";
     KeyMissing = 1305, 400, "the operation needs an idempotency key";
+    UnknownTurn = 1306, 404, "no such turn is kept";
     BudgetSpent = 2101, 403, "the program's token budget is spent";
     TurnLimit = 2102, 403, "the program has had all its turns";
     IdleExpired = 2103, 410, "the program was idle for too long";
+    TokensSpent = 2104, 402, "the program's tokens are spent";
     QueueFull = 2201, 429, "too much work waits";
     Overloaded = 2202, 429, "the work isn't let in at the present load";
     DeadlineUnmeetable = 2203, 503, "the deadline can't be met";
@@ -90,6 +92,8 @@
     PlatformDown = 4104, 503, "the call needs the platform, which doesn't answer";
     ShuttingDown = 4105, 503, "the VM is shutting down";
     ForwardFailed = 4106, 503, "the VM that owns the program broke off";
+    RecordsUnreachable = 4107, 503, "too few VMs with a disk answer";
+    NoConfiguration = 4108, 503, "no configuration is known yet";
     RevisionConflict = 5101, 409, "the configuration changed meanwhile";
     BadChange = 5102, 400, "the change isn't allowed";
     ChangeUnknown = 5103, 504, "it isn't known whether the change was accepted";
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -33,14 +33,20 @@
     NodeStarted = 1001, "node started";
     NodeStopping = 1002, "node stops";
     NodeStopped = 1003, "node stopped";
+    SettingsReloaded = 1004, "settings read again";
+    LinesDropped = 1005, "lines dropped";
     RequestRouted = 1101, "request routed";
     RequestRefused = 1102, "request refused";
+    RequestAnswered = 1103, "request answered";
     CallPlaced = 1201, "call placed";
     CallQueued = 1202, "call queued";
     CallRetried = 1203, "call tried again";
     EndpointEjected = 1204, "endpoint ejected";
     EndpointRestored = 1205, "endpoint taken back";
     CallBlamed = 1206, "call blamed for a crash";
+    StreamResumed = 1207, "stream goes on";
+    StreamBroken = 1208, "stream broken off";
+    CallerGone = 1209, "caller has gone";
     ShardClaimed = 2001, "shard claimed";
     ShardOpened = 2002, "shard opened";
     ShardReleased = 2003, "shard released";
@@ -50,11 +56,23 @@
     OutageEnded = 2103, "platform outage ended";
     PeerUp = 3001, "peer is up";
     PeerDown = 3002, "peer is down";
+    MembersChanged = 3101, "list of members in force";
+    RecordsLearnt = 3102, "records learnt";
+    RecordsMissing = 3103, "records not yet learnt";
+    ChangeWaits = 3104, "change of members waits";
+    DiskFailed = 3105, "the disk failed";
+    MemberEvicted = 3106, "silent member taken off the list";
+    MemberLeft = 3107, "all records are elsewhere";
+    MembersLost = 3108, "too few members answer";
+    MembersRegained = 3109, "enough members answer";
     RevisionApplied = 4001, "configuration revision in force";
     RevisionDropped = 4002, "configuration that can't be taken";
     CacheReleased = 5001, "cache released";
     CacheSwept = 5002, "cache held for a gone program";
     EndpointLeaving = 5003, "endpoint leaves";
+    EndpointAppeared = 5004, "endpoint appears";
+    EndpointGone = 5005, "endpoint is gone";
+    EntryUnreadable = 5006, "an entry names no endpoint";
 }
 
 impl fmt::Display for Event {
