--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -185,18 +185,19 @@
 /// Asks the members with a disk whether enough of them answer.
 async fn ping(node: Arc<Node>) {
     loop {
-        let (answered, members) = node.replicas.reachable().await;
-        let enough = members > 0 && answered >= replica::list::majority(members);
-        if node.set_records(enough) {
-            let event = if enough {
+        let reach = node.replicas.reachable().await;
+        if node.set_records(reach.enough) {
+            let event = if reach.enough {
                 Event::MembersRegained
             } else {
                 Event::MembersLost
             };
             log::warn!(
-                "event=E{} text=\"{}\" answered={answered} members={members}",
+                "event=E{} text=\"{}\" answered={} members={}",
                 event.number(),
-                event.text()
+                event.text(),
+                reach.answered,
+                reach.members
             );
         }
         sleep(PING).await;
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -72,6 +72,17 @@
     losses: usize,
 }
 
+/// Whether the members can be relied on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reach {
+    /// Whether a majority answers for every key.
+    pub enough: bool,
+    /// How many answer.
+    pub answered: usize,
+    /// How many there are.
+    pub members: usize,
+}
+
 /// A chain of turns, or a part of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Found {
@@ -256,7 +267,7 @@
         };
         let near = group.iter().find(|member| member.centre == self.centre);
         if let Some(near) = near {
-            let answer = timeout(HEDGE, self.ask(near.address, &ask)).await;
+            let answer = timeout(HEDGE, ask_one(&self.http, near.address, &ask)).await;
             if let Ok(Some(Answer::Chain(chain))) = answer {
                 if !chain.turns.is_empty() {
                     return Ok(Found::Part(chain.turns, chain.next));
@@ -279,19 +290,31 @@
         Err(Fault::TooFew)
     }
 
-    /// Tells how many of the members answer, and how many there are.
-    pub async fn reachable(&self) -> (usize, usize) {
+    /// Tells whether enough members answer for every key, and how many do.
+    pub async fn reachable(&self) -> Reach {
         let list = self.list();
-        let Ok(mut asked) = self.ask_all(&list, &list.members, &Body::Status) else {
-            return (0, list.members.len());
-        };
-        let mut answered = 0;
-        while let Some(answer) = asked.recv().await {
-            if let Some(Answer::Status(_)) = answer {
-                answered += 1;
+        let mut answered = Vec::new();
+        let mut asked = Vec::new();
+        for member in &list.members {
+            let ask = Ask {
+                version: list.version,
+                body: Body::Status,
+            };
+            let http = self.http.clone();
+            let address = member.address;
+            asked.push(tokio::spawn(async move { ask_one(&http, address, &ask).await }));
+        }
+        for (member, answer) in list.members.iter().zip(asked) {
+            if let Ok(Some(Answer::Status(_))) = answer.await {
+                answered.push(member);
             }
         }
-        (answered, list.members.len())
+        let needed = list::majority(list.group_size(self.losses));
+        Reach {
+            enough: !list.members.is_empty() && list.covers(&answered, self.losses, needed),
+            answered: answered.len(),
+            members: list.members.len(),
+        }
     }
 
     fn group(&self, key: Key) -> Result<(Arc<List>, Vec<Member>)> {
@@ -332,11 +355,11 @@
         }
         Ok(receiver)
     }
+}
 
-    async fn ask(&self, address: SocketAddr, ask: &Ask) -> Option<Answer> {
-        let bytes = rmp_serde::to_vec(ask).ok()?;
-        send(&self.http, address, Bytes::from(bytes)).await
-    }
+async fn ask_one(http: &Arc<Client>, address: SocketAddr, ask: &Ask) -> Option<Answer> {
+    let bytes = rmp_serde::to_vec(ask).ok()?;
+    send(http, address, Bytes::from(bytes)).await
 }
 
 /// Asks a member; one that goes by an older list is told the newer one and asked again.
--- a/crates/replica/src/list.rs
+++ b/crates/replica/src/list.rs
@@ -8,10 +8,6 @@
 
 use crate::record::Key;
 
-/// Up to this many members each hold everything. Beyond, each key has a group of its own, as more
-/// copies would only cost bandwidth: 5 members bear two losses.
-pub const ALL_HOLD: usize = 5;
-
 /// A VM with a disk.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -77,13 +73,14 @@
         }
     }
 
-    /// Yields the members that hold a key, `losses` of which may be lost at once.
+    /// Yields the members that hold a key, so many that `losses` of them may be lost.
+    ///
+    /// They are spread over the data centres also where few more members would make it simpler for
+    /// all to hold everything: with four members, two of them in one data centre, neither side of a
+    /// cut around that one has three of four.
     #[must_use]
     pub fn group(&self, key: Key, losses: usize) -> Vec<&Member> {
-        let size = 2 * losses + 1;
-        if self.members.len() <= ALL_HOLD.max(size) {
-            return self.members.iter().collect();
-        }
+        let size = self.group_size(losses);
         let mut ranked: Vec<(u64, &Member)> = self
             .members
             .iter()
@@ -92,6 +89,43 @@
         ranked.sort_by(|a, b| b.0.cmp(&a.0));
         spread(&ranked, size)
     }
+
+    /// Yields how many members hold each key.
+    #[must_use]
+    pub fn group_size(&self, losses: usize) -> usize {
+        (2 * losses + 1).min(self.members.len())
+    }
+
+    /// Tells whether `some` of the members have at least `needed` of the group of every key.
+    ///
+    /// With a majority of every group, the others can neither keep nor read anything without them.
+    /// The bound is safe, not exact: no group has more members of a data centre than its even share
+    /// and what other data centres leave free.
+    #[must_use]
+    pub fn covers(&self, some: &[&Member], losses: usize, needed: usize) -> bool {
+        let size = self.group_size(losses);
+        let mut centres: Vec<(&str, usize, usize)> = Vec::new();
+        for member in &self.members {
+            let missing = usize::from(!some.contains(&member));
+            match centres.iter_mut().find(|line| line.0 == member.centre) {
+                Some(line) => {
+                    line.1 += 1;
+                    line.2 += missing;
+                }
+                None => centres.push((&member.centre, 1, missing)),
+            }
+        }
+        let cap = deepest(&centres, size);
+        let lost: usize = centres.iter().map(|line| line.2.min(cap)).sum();
+        size.saturating_sub(lost) >= needed
+    }
+}
+
+/// Yields the most members of one data centre that a group of this size has: the round in which
+/// [`spread`] has taken enough.
+fn deepest(centres: &[(&str, usize, usize)], size: usize) -> usize {
+    let taken = |rounds: usize| -> usize { centres.iter().map(|line| line.1.min(rounds)).sum() };
+    (1..=size).find(|rounds| taken(*rounds) >= size).unwrap_or(size)
 }
 
 /// Takes the first of each data centre before a second of any, so that a lost data centre takes as
@@ -127,3 +161,6 @@
 pub const fn meeting(group: usize) -> usize {
     group - majority(group) + 1
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/replica/src/list/tests.rs
@@ -0,0 +1,98 @@
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::proptest;
+use rstest::rstest;
+
+use super::List;
+use super::Member;
+use super::majority;
+use super::meeting;
+use crate::record::Key;
+
+fn member(number: usize, centre: &str) -> Member {
+    Member {
+        vm: format!("vm-{number:02}"),
+        centre: centre.to_owned(),
+        address: ([127, 0, 0, 1], 7000).into(),
+        disk: number as u64,
+    }
+}
+
+fn list(centres: &[&str]) -> List {
+    let members = centres.iter().enumerate();
+    List {
+        version: 1,
+        members: members.map(|(at, centre)| member(at, centre)).collect(),
+        before: Vec::new(),
+    }
+}
+
+fn lists() -> impl Strategy<Value = List> {
+    let centres = prop::collection::vec(prop::sample::select(vec!["a", "b", "c", "d"]), 1..9);
+    centres.prop_map(|centres| list(&centres))
+}
+
+proptest! {
+    /// A caller's turn was answered whole under a new list, and the next one is told that there is
+    /// no such turn. The members on the other side of a cut never learnt of the new list; they are
+    /// enough to say "absent" under the old one. So the members that a new list waits for must
+    /// leave the others too few of every group, to read as well as to write.
+    #[test]
+    fn those_not_heard_can_do_nothing_alone(
+        list in lists(),
+        heard in prop::collection::vec(any::<bool>(), 9),
+        key in any::<u128>(),
+        losses in 1_usize..3,
+    ) {
+        let some: Vec<&Member> = list.members.iter().zip(&heard).filter(|(_, heard)| **heard).map(|(member, _)| member).collect();
+        let group = list.group(Key(key), losses);
+        let needed = majority(list.group_size(losses));
+        if list.covers(&some, losses, needed) {
+            let others = group.iter().filter(|member| !some.contains(member)).count();
+            prop_assert!(others < meeting(group.len()), "{others} of {}", group.len());
+            prop_assert!(others < majority(group.len()));
+        }
+    }
+
+    #[test]
+    fn a_majority_meets_what_reads_ask(group in 1_usize..20) {
+        prop_assert!(majority(group) + meeting(group) > group);
+        prop_assert!(meeting(group) <= majority(group));
+    }
+}
+
+#[rstest]
+#[case(&["a", "b", "c"], "a")]
+#[case(&["a", "a", "b", "c"], "a")]
+#[case(&["a", "a", "b", "b", "c", "c"], "b")]
+fn a_lost_data_centre_leaves_a_majority(#[case] centres: &[&str], #[case] lost: &str) {
+    let list = list(centres);
+    let some: Vec<&Member> = list
+        .members
+        .iter()
+        .filter(|member| member.centre != lost)
+        .collect();
+    assert!(list.covers(&some, 1, 2));
+    for key in 0..100 {
+        let group = list.group(Key(key), 1);
+        let left = group.iter().filter(|member| member.centre != lost);
+        assert!(left.count() >= 2);
+    }
+}
+
+#[test]
+fn a_change_of_the_list_remembers_the_members_before() {
+    let first = list(&["a", "b", "c"]);
+    let wiped = Member {
+        disk: 77,
+        ..member(1, "b")
+    };
+    let next = first.with(&wiped);
+    assert_eq!(next.version, 2);
+    assert_eq!(next.before, first.members);
+    assert_eq!(next.members.len(), 3);
+    assert!(next.holds(&wiped));
+    assert!(!next.without("vm-01").members.contains(&wiped));
+}
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -181,10 +181,12 @@
             return;
         }
         let ready = self.ready(list).await;
-        if list.version > 0 && ready < list::meeting(list.members.len()) {
+        let needed = list::majority(list.group_size(self.losses));
+        if list.version > 0 && !list.covers(&ready, self.losses, needed) {
             log::info!(
-                "event=E3104 text=\"change of members waits\" version={} ready={ready} members={}",
+                "event=E3104 text=\"change of members waits\" version={} ready={} members={}",
                 list.version,
+                ready.len(),
                 list.members.len()
             );
             return;
@@ -217,13 +219,14 @@
         }
     }
 
-    /// Counts the members that have learnt all that was acknowledged before the list.
-    async fn ready(&self, list: &List) -> usize {
-        let mut ready = 0;
+    /// Yields the members that have learnt all that was acknowledged before the list.
+    async fn ready<'a>(&self, list: &'a List) -> Vec<&'a list::Member> {
+        let mut ready = Vec::new();
         for member in &list.members {
             if let Some(status) = self.status(member).await {
-                let same = status.disk == member.disk;
-                ready += usize::from(same && status.ready >= list.version);
+                if status.disk == member.disk && status.ready >= list.version {
+                    ready.push(member);
+                }
             }
         }
         ready
@@ -245,14 +248,24 @@
     }
 
     /// Learns all that was acknowledged before this list.
+    ///
+    /// Needs a majority of every group of the list before: their refusal of requests under that
+    /// list leaves the others too few to keep or to read anything under it, so nobody goes on with
+    /// the old list beside the new one. At least one of every group must have learnt all before.
     async fn learn_all(&self, list: &List) {
         let started = self.clock.now();
-        let mut heard = 0;
-        let mut whole = list.before.is_empty();
-        for member in &list.before {
+        let before = List {
+            members: list.before.clone(),
+            ..List::default()
+        };
+        let mut heard = Vec::new();
+        let mut whole = Vec::new();
+        for member in &before.members {
             if *member == self.own {
-                heard += 1;
-                whole |= self.member.status().ready + 1 >= list.version;
+                heard.push(member);
+                if self.member.status().ready + 1 >= list.version {
+                    whole.push(member);
+                }
                 continue;
             }
             let Some(holdings) = self.holdings(member, list).await else {
@@ -262,14 +275,22 @@
                 log::warn!("text=\"a member's records not learnt\" member={} fault=\"{fault}\"", member.vm);
                 continue;
             }
-            heard += 1;
-            whole |= holdings.ready + 1 >= list.version;
+            heard.push(member);
+            if holdings.ready + 1 >= list.version {
+                whole.push(member);
+            }
         }
-        let needed = list.before.len().min(list::meeting(list.before.len()));
-        if heard < needed || !whole {
+        let majority = list::majority(before.group_size(self.losses));
+        let enough = before.members.is_empty()
+            || (before.covers(&heard, self.losses, majority)
+                && before.covers(&whole, self.losses, 1));
+        if !enough {
             log::warn!(
-                "event=E3103 text=\"records not yet learnt\" version={} heard={heard} needed={needed} whole={whole}",
-                list.version
+                "event=E3103 text=\"records not yet learnt\" version={} heard={} whole={} before={}",
+                list.version,
+                heard.len(),
+                whole.len(),
+                before.members.len()
             );
             tokio::time::sleep(TICK).await;
             return;
@@ -279,8 +300,9 @@
             return;
         }
         log::info!(
-            "event=E3102 text=\"records learnt\" version={} heard={heard} ms={}",
+            "event=E3102 text=\"records learnt\" version={} heard={} ms={}",
             list.version,
+            heard.len(),
             self.clock.now().since(started).as_u64()
         );
     }
@@ -366,16 +388,18 @@
             return;
         }
         let now = self.clock.now();
-        let mut first_alive = None;
+        let mut alive: Vec<&list::Member> = Vec::new();
         for member in &list.members {
             if self.status(member).await.is_some() {
                 memory.silent.retain(|(vm, _)| *vm != member.vm);
-                first_alive.get_or_insert(&member.vm);
+                alive.push(member);
             } else if !memory.silent.iter().any(|(vm, _)| *vm == member.vm) {
                 memory.silent.push((member.vm.clone(), now));
             }
         }
-        if first_alive != Some(&self.own.vm) {
+        // A side of a cut that has too few members keeps the list; the other side returns.
+        let enough = alive.len() > 2 * self.losses;
+        if !enough || alive.first().is_none_or(|first| **first != self.own) {
             return;
         }
         let long = |(_, since): &&(String, Millis)| now.since(*since) >= EVICT;
@@ -387,7 +411,7 @@
 
     /// Has left the list: waits until the others have all that this member held.
     async fn leave(&self, list: &List) {
-        if self.ready(list).await < list.members.len() {
+        if self.ready(list).await.len() < list.members.len() {
             return;
         }
         log::info!("event=E3107 text=\"all records are elsewhere\" version={}", list.version);
