Let either of two members go on once the list says so

A write to two needs both, so each holds everything: the list may go on with either. Reads of an absence now take a majority, so the one left out can't answer alone.

--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -283,7 +283,7 @@
                 Some(Answer::Newer(newer)) => self.adopt(newer),
                 _ => {}
             }
-            if absent >= list::meeting(group.len()) {
+            if absent >= list::majority(group.len()) {
                 return Ok(Found::Absent);
             }
         }
--- a/crates/replica/src/list.rs
+++ b/crates/replica/src/list.rs
@@ -98,7 +98,8 @@
 
     /// Tells whether `some` of the members have at least `needed` of the group of every key.
     ///
-    /// With a majority of every group, the others can neither keep nor read anything without them.
+    /// Those that meet every majority leave the others too few for one: these can neither keep a
+    /// turn nor be certain that one is absent.
     /// The bound is safe, not exact: no group has more members of a data centre than its even share
     /// and what other data centres leave free.
     #[must_use]
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -40,8 +40,8 @@
 /// How often the list is read from the key-value service: a tenth of the time that a VM with an
 /// empty disk has to be a full copy again. Changes also come with other VMs' requests.
 const REREAD: Millis = Millis::new(500);
-/// How long a member may be silent, where there are more members than losses ask for, before it is
-/// taken off the list. A majority of a list with a dead member bears one loss less. A member that
+/// How long a member may be silent, where there are more members than losses ask for, or only two,
+/// before it is taken off the list. A majority of a list with a dead member bears one loss less. A member that
 /// was only cut off joins again and learns the little that it missed.
 const EVICT: Millis = Millis::new(1_500);
 /// Without a request for this long a member was cut off, frozen or idle; it then asks what it
@@ -181,7 +181,7 @@
             return;
         }
         let ready = self.ready(list).await;
-        let needed = list::majority(list.group_size(self.losses));
+        let needed = list::meeting(list.group_size(self.losses));
         if list.version > 0 && !list.covers(&ready, self.losses, needed) {
             log::info!(
                 "event=E3104 text=\"change of members waits\" version={} ready={} members={}",
@@ -249,9 +249,10 @@
 
     /// Learns all that was acknowledged before this list.
     ///
-    /// Needs a majority of every group of the list before: their refusal of requests under that
-    /// list leaves the others too few to keep or to read anything under it, so nobody goes on with
-    /// the old list beside the new one. At least one of every group must have learnt all before.
+    /// Needs so many of every group of the list before that they meet every majority of it: they
+    /// hold whatever was acknowledged, and their refusal of requests under that list leaves the
+    /// others too few to keep a turn or to be certain of an absent one, so nobody goes on with the
+    /// old list beside the new one. At least one of every group must have learnt all before.
     async fn learn_all(&self, list: &List) {
         let started = self.clock.now();
         let before = List {
@@ -280,9 +281,9 @@
                 whole.push(member);
             }
         }
-        let majority = list::majority(before.group_size(self.losses));
+        let meeting = list::meeting(before.group_size(self.losses));
         let enough = before.members.is_empty()
-            || (before.covers(&heard, self.losses, majority)
+            || (before.covers(&heard, self.losses, meeting)
                 && before.covers(&whole, self.losses, 1));
         if !enough {
             log::warn!(
@@ -383,7 +384,8 @@
 
     /// Takes a silent member off a list that is longer than needed.
     async fn evict(&self, memory: &mut Memory, list: &List) {
-        if list.members.len() <= 2 * self.losses + 1 {
+        let longer = list.members.len() > 2 * self.losses + 1;
+        if !longer && list.members.len() != 2 {
             memory.silent.clear();
             return;
         }
@@ -397,8 +399,10 @@
                 memory.silent.push((member.vm.clone(), now));
             }
         }
-        // A side of a cut that has too few members keeps the list; the other side returns.
-        let enough = alive.len() > 2 * self.losses;
+        // A side of a cut that has too few members keeps the list; the other side returns. Of two
+        // members each holds everything, as a write needs both; neither can go on without the
+        // other until the list says so, and only one of them can change it.
+        let enough = alive.len() > 2 * self.losses || list.members.len() == 2;
         if !enough || alive.first().is_none_or(|first| **first != self.own) {
             return;
         }
