Tell other VMs the runners' entries and the configuration; ask again after a change of the list

Now the first VM of a data centre reads them and tells the others, over hubs where there are more than 12 VMs; members reread their list each 5 s in place of 0.5 s. Cause 2 (a test of the whole path that failed once, traced): a reader with an older list gave up with 'too few members' where the members told the newer one.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -237,11 +237,19 @@
         }
     }
 
-    /// Yields how many requests this VM has under way at each runner.
+    /// Yields how many requests this VM and the other VMs that `speaks_for` names have under way
+    /// at each runner.
     #[must_use]
-    pub fn counts(&self) -> Vec<(String, u32)> {
-        let busy = self.runners.iter().filter(|runner| runner.own > 0);
-        busy.map(|runner| (runner.id.clone(), runner.own)).collect()
+    pub fn counts(&self, now: Millis, speaks_for: impl Fn(&str) -> bool) -> Vec<(String, u32)> {
+        let count = |runner: &Runner| {
+            let fresh = |at: Millis| now.since(at) < HEARD;
+            let others = runner.others.iter();
+            let others = others.filter(|(vm, _, at)| fresh(*at) && speaks_for(vm));
+            runner.own + others.map(|(_, count, _)| count).sum::<u32>()
+        };
+        let counted = self.runners.iter();
+        let counted = counted.map(|runner| (runner.id.clone(), count(runner)));
+        counted.filter(|(_, count)| *count > 0).collect()
     }
 
     /// Chooses a runner; `None` where the service has none that may be used.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -19,6 +19,7 @@
 use crate::fleet;
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::roster;
 use crate::table::Table;
 
 /// How long a watch waits at the service for a change.
@@ -68,6 +69,10 @@
 pub async fn run(node: Arc<Node>, subject: Subject) {
     let mut away = Away::default();
     loop {
+        if subject == Subject::Runners && !node.reads_runners() {
+            sleep(PAUSE).await;
+            continue;
+        }
         let listed = node.kv.list(subject.prefix(), Freshness::Latest).await;
         node.metrics.count(Counter::StoreCalls);
         match listed {
@@ -99,9 +104,18 @@
                 for change in changes {
                     take(node, subject, change);
                 }
-                if subject == Subject::Runners {
-                    node.set_runners_at(node.clock.now());
-                    sleep(PAUSE).await;
+                match subject {
+                    Subject::Runners => {
+                        node.set_runners_at(node.clock.now());
+                        sleep(PAUSE).await;
+                        let now = node.clock.now();
+                        let settings = &node.settings;
+                        if !node.peers().is_first(&settings.vm, &settings.centre, now) {
+                            return;
+                        }
+                    }
+                    Subject::Own => sleep(PAUSE).await,
+                    Subject::Config => {}
                 }
             }
             Ok(News::Dropped) => return,
@@ -163,13 +177,22 @@
         let now = node.clock.now();
         node.fleet().note_missing(&ids, now);
         node.set_runners_at(now);
+        let missing: Vec<String> = {
+            let roster = node.roster();
+            let known = roster.entries.iter().map(|(id, _)| id.clone());
+            known.filter(|id| ids.binary_search(id).is_err()).collect()
+        };
+        for id in missing {
+            node.roster().remove(&id, listing.revision);
+        }
     }
     if subject == Subject::Own {
         let prefix = vm_prefix();
         let listed = listing.entries.iter();
         let vms = listed.filter_map(|entry| entry.key.strip_prefix(&prefix));
         let vms: Vec<String> = vms.map(str::to_owned).collect();
-        node.peers().keep(&vms);
+        let now = node.clock.now();
+        node.peers().keep(&vms, now);
     }
     for entry in listing.entries {
         take(node, subject, edge::Change::Set(entry));
@@ -180,11 +203,14 @@
     match (subject, change) {
         (Subject::Config, edge::Change::Set(entry)) => take_config(node, &entry.value),
         (Subject::Runners, edge::Change::Set(entry)) => take_runner(node, &entry),
-        (Subject::Runners, edge::Change::Removed { key, .. }) => drop_runner(node, &key),
+        (Subject::Runners, edge::Change::Removed { key, revision }) => {
+            drop_runner(node, &key, revision);
+        }
         (Subject::Own, edge::Change::Set(entry)) => take_own(node, &entry),
         (Subject::Own, edge::Change::Removed { key, .. }) => {
             if let Some(vm) = key.strip_prefix(&vm_prefix()) {
-                node.peers().lapse(vm);
+                let now = node.clock.now();
+                node.peers().lapse(vm, now);
             }
         }
         (Subject::Config, edge::Change::Removed { .. }) => {}
@@ -207,7 +233,7 @@
     let version = config.version;
     let routes = config.routes.len();
     let before = node.table().version;
-    if node.set_table(Table::new(config)) {
+    if node.set_table(Table::new(config, bytes)) {
         log::info!(
             "event=E{} text=\"{}\" revision={version} before={before} routes={routes}",
             Event::RevisionApplied.number(),
@@ -234,19 +260,30 @@
         );
         return;
     };
-    let engine = node.table().engine(&decoded.service);
-    let memory = engine.map_or(0, |engine| engine.memory_tokens);
     let now = node.clock.now();
     let line = format!(
         "runner={id} service={} address={} slots={} store_revision={}",
         decoded.service, decoded.address, decoded.slots, entry.revision
     );
-    let change = node.fleet().set(&id, decoded, memory, now);
+    let change = set_runner(node, &id, decoded, now);
+    let weight = match change {
+        fleet::Change::Same => roster::Weight::Heartbeat,
+        _ => roster::Weight::Matters,
+    };
+    node.roster().set(&id, &entry.value, entry.revision, weight);
     log_change(&change, &line);
 }
 
-fn drop_runner(node: &Arc<Node>, key: &str) {
+/// Takes a runner's entry in, wherever it came from.
+pub fn set_runner(node: &Arc<Node>, id: &str, entry: runner::Entry, now: Millis) -> fleet::Change {
+    let engine = node.table().engine(&entry.service);
+    let memory = engine.map_or(0, |engine| engine.memory_tokens);
+    node.fleet().set(id, entry, memory, now)
+}
+
+fn drop_runner(node: &Arc<Node>, key: &str, revision: u64) {
     if let Some(id) = id(key) {
+        node.roster().remove(&id, revision);
         let change = node.fleet().remove(&id);
         log_change(&change, &format!("runner={id}"));
     }
@@ -272,9 +309,15 @@
         return;
     }
     if let Some(vm) = entry.key.strip_prefix(&vm_prefix()) {
-        let address = std::str::from_utf8(&entry.value).ok();
-        match address.and_then(|address| address.parse().ok()) {
-            Some(address) => node.peers().set(vm, address),
+        let text = std::str::from_utf8(&entry.value).ok();
+        let parts = text.and_then(|text| text.split_once(' '));
+        let parsed = parts.and_then(|(address, centre)| Some((address.parse().ok()?, centre)));
+        match parsed {
+            Some((address, centre)) if vm != node.settings.vm => {
+                let now = node.clock.now();
+                node.peers().set(vm, centre, address, now);
+            }
+            Some(_) => {}
             None => log::warn!("text=\"a VM's entry can't be read\" key={}", entry.key),
         }
     }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -20,6 +20,7 @@
 use wire::clock::Clock;
 use wire::event::Event;
 
+use crate::exchange;
 use crate::fleet;
 use crate::follow;
 use crate::follow::Subject;
@@ -92,7 +93,7 @@
     for subject in [Subject::Config, Subject::Runners, Subject::Own] {
         tokio::spawn(follow::run(node.clone(), subject));
     }
-    tokio::spawn(peers::run(node.clone()));
+    tokio::spawn(exchange::run(node.clone()));
     tokio::spawn(peers::register(node.clone(), own));
     tokio::spawn(ping(node.clone()));
     tokio::spawn(sweep(node.clone()));
@@ -120,7 +121,7 @@
     tokio::spawn(listen::run(listener, Arc::default(), IDLE, handler));
 
     let shared = node.clone();
-    let handler = move |request| peers::serve(shared.clone(), request);
+    let handler = move |request| exchange::serve(shared.clone(), request);
     let listener = listen::bind(own).await?;
     tokio::spawn(listen::run(listener, Arc::default(), IDLE, handler));
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod account;
 pub mod answer;
 pub mod events;
+pub mod exchange;
 pub mod fleet;
 pub mod follow;
 pub mod front;
@@ -18,6 +19,7 @@
 pub mod peers;
 pub mod plain;
 pub mod probe;
+pub mod roster;
 pub mod store;
 pub mod stream;
 pub mod table;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -20,6 +20,7 @@
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::roster::Roster;
 use crate::table::Table;
 use crate::turns::Cache;
 
@@ -39,6 +40,9 @@
 const REST: Duration = Duration::from_millis(5);
 /// The most unused connections to a runner: more than the requests that one VM has at it.
 const IDLE: usize = 24;
+/// How old a VM's knowledge of the runners may be before it reads their entries itself: a little
+/// over half of the time in which a leaving runner has to be free of new calls.
+const STALE: Millis = Millis::new(1_200);
 /// The share of the process's memory for turns at hand, as a divisor.
 const TURNS_SHARE: u64 = 6;
 
@@ -65,6 +69,7 @@
     pub metrics: Metrics,
     table: Mutex<Arc<Table>>,
     fleet: Mutex<Fleet>,
+    roster: Mutex<Roster>,
     stopping: AtomicBool,
     /// Whether enough VMs with a disk answer.
     records: AtomicBool,
@@ -103,6 +108,7 @@
             metrics: Metrics::default(),
             table: Mutex::default(),
             fleet: Mutex::default(),
+            roster: Mutex::default(),
             stopping: AtomicBool::new(false),
             records: AtomicBool::new(false),
             runners_at: AtomicU64::new(0),
@@ -136,6 +142,11 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Yields the runners' entries.
+    pub fn roster(&self) -> MutexGuard<'_, Roster> {
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Yields the turns at hand.
     pub fn turns(&self) -> MutexGuard<'_, Cache> {
         self.turns.lock().unwrap_or_else(PoisonError::into_inner)
@@ -164,7 +175,7 @@
 
     /// Notes that the runners' list is current.
     pub fn set_runners_at(&self, now: Millis) {
-        self.runners_at.store(now.as_u64(), Ordering::Relaxed);
+        self.runners_at.fetch_max(now.as_u64(), Ordering::Relaxed);
     }
 
     /// Yields how old the runners' list is.
@@ -174,6 +185,15 @@
         self.clock.now().since(at)
     }
 
+    /// Tells whether this VM reads the runners' entries itself: the first of its data centre does
+    /// for the others, and any VM does that hasn't heard of them for [`STALE`].
+    #[must_use]
+    pub fn reads_runners(&self) -> bool {
+        let now = self.clock.now();
+        let settings = &self.settings;
+        self.runners_age() > STALE || self.peers().is_first(&settings.vm, &settings.centre, now)
+    }
+
     /// Tells whether the process can serve what clients ask.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,49 +1,29 @@
-//! What the VMs that take requests tell each other: how many requests each has at each runner.
+//! The other VMs that take requests: who they are, and which of them tells whom.
 //!
-//! A runner's own figures come with its answers, some hundred milliseconds late at each VM. Without
-//! the others' counts all VMs pick the same runner that looked idle, and it turns them away.
+//! In a small deployment every two VMs exchange what they know. In a larger one that would be more
+//! messages than requests; there the first VM of each data centre (by name) is its hub: the others
+//! exchange with their hub, and the hubs among each other. A hub that dies is passed over once its
+//! entry has lapsed or it no longer answers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use derive_more::Display;
-use derive_more::Error;
-use derive_more::From;
-use hyper::Method;
-use hyper::Request;
-use hyper::Response;
-use hyper::StatusCode;
-use hyper::body::Incoming;
-use link::body;
-use link::body::Body;
-use link::body::Payload;
-use link::client;
 use platform::edge::Lease;
 use platform::edge::Platform;
 use platform::edge::Txn;
 use platform::edge::Weight;
 use platform::edge::Write;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::time::sleep;
-use tokio::time::timeout;
 use wire::clock::Millis;
 
-use crate::answer;
 use crate::follow;
 use crate::metrics::Counter;
 use crate::node::Node;
 
-/// The path of the exchange.
-const PATH: &str = "/counts";
-/// How often two VMs exchange their counts: a fraction of the time that a request takes.
-const EVERY: Duration = Duration::from_millis(60);
-/// How long an exchange may take.
-const PATIENCE: Duration = Duration::from_millis(250);
-/// The longest message in bytes: some thousand runners.
-const MAX_MESSAGE: usize = 256 * 1024;
+/// Up to this many VMs exchange with each other directly: at 16 exchanges a second with each that
+/// is under 200 messages a second and VM, some per cent of a small VM's processor.
+pub const DIRECT: usize = 12;
 /// How long a VM's entry lasts without renewal. Long beside a short outage of the service, as a VM
 /// that is dead costs its peers only unanswered messages.
 const LEASE: Millis = Millis::new(8_000);
@@ -51,19 +31,8 @@
 const RENEW: Duration = Duration::from_millis(2_500);
 /// A VM whose entry has lapsed is still told for this long: the service may have been away.
 const LAPSED: Millis = Millis::new(10_000);
-
-/// Why an exchange failed.
-#[derive(Debug, Display, Error, From)]
-enum Fault {
-    #[display("{_0}")]
-    Client(client::Fault),
-    #[display("can't be encoded: {_0}")]
-    Encode(rmp_serde::encode::Error),
-    #[display("can't be read: {_0}")]
-    Decode(rmp_serde::decode::Error),
-    #[display("can't be sent: {_0}")]
-    Http(hyper::http::Error),
-}
+/// A VM that hasn't answered for this long is no hub: several exchanges, and a short freeze.
+const SILENT: Millis = Millis::new(1_000);
 
 /// The other VMs, in the order of their names.
 #[derive(Debug, Default)]
@@ -71,130 +40,154 @@
     known: Vec<Peer>,
 }
 
-#[derive(Clone, Debug)]
-struct Peer {
-    vm: String,
-    address: SocketAddr,
+/// Another VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub vm: String,
+    /// Its data centre.
+    pub centre: String,
+    /// Where it answers other VMs.
+    pub address: SocketAddr,
+    /// The roster's revision that it had when it was last heard.
+    pub roster: u64,
+    /// The configuration's revision that it had then.
+    pub config: u64,
+    heard: Millis,
     lapsed: Option<Millis>,
 }
 
-/// How many requests a VM has at each runner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Counts {
-    /// The VM.
-    pub vm: String,
-    /// By runner, in the order of their ids.
-    pub counts: Vec<(String, u32)>,
+/// Whom a VM exchanges with, as it sees the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// Every two VMs exchange.
+    Direct,
+    /// The first of its data centre.
+    Hub,
+    /// Exchanges with its data centre's hub only.
+    Leaf,
 }
 
 impl Peers {
-    /// Notes a VM.
-    pub fn set(&mut self, vm: &str, address: SocketAddr) {
-        let peer = Peer {
-            vm: vm.to_owned(),
-            address,
-            lapsed: None,
-        };
-        match self.known.binary_search_by(|peer| peer.vm.as_str().cmp(vm)) {
-            Ok(at) => self.known[at] = peer,
-            Err(at) => self.known.insert(at, peer),
+    /// Notes a VM. One that is new counts as heard, so that it can be asked.
+    pub fn set(&mut self, vm: &str, centre: &str, address: SocketAddr, now: Millis) {
+        match self.find(vm) {
+            Ok(at) => {
+                let peer = &mut self.known[at];
+                peer.address = address;
+                centre.clone_into(&mut peer.centre);
+                peer.lapsed = None;
+            }
+            Err(at) => self.known.insert(
+                at,
+                Peer {
+                    vm: vm.to_owned(),
+                    centre: centre.to_owned(),
+                    address,
+                    roster: 0,
+                    config: 0,
+                    heard: now,
+                    lapsed: None,
+                },
+            ),
+        }
+    }
+
+    fn find(&self, vm: &str) -> Result<usize, usize> {
+        self.known.binary_search_by(|peer| peer.vm.as_str().cmp(vm))
+    }
+
+    /// Finds a VM.
+    #[must_use]
+    pub fn peer(&self, vm: &str) -> Option<&Peer> {
+        self.find(vm).ok().map(|at| &self.known[at])
+    }
+
+    /// Notes what a VM had when it was heard.
+    pub fn hear(&mut self, vm: &str, roster: u64, config: u64, now: Millis) {
+        if let Ok(at) = self.find(vm) {
+            let peer = &mut self.known[at];
+            peer.heard = now;
+            peer.roster = roster;
+            peer.config = config;
         }
     }
 
     /// Notes that a VM's entry has lapsed.
-    pub fn lapse(&mut self, vm: &str) {
-        if let Some(peer) = self.known.iter_mut().find(|peer| peer.vm == vm) {
-            peer.lapsed.get_or_insert(Millis::ZERO);
+    pub fn lapse(&mut self, vm: &str, now: Millis) {
+        if let Ok(at) = self.find(vm) {
+            self.known[at].lapsed.get_or_insert(now);
         }
     }
 
     /// Notes which VMs are listed; the others have lapsed.
-    pub fn keep(&mut self, vms: &[String]) {
+    pub fn keep(&mut self, vms: &[String], now: Millis) {
         for peer in &mut self.known {
             if !vms.contains(&peer.vm) {
-                peer.lapsed.get_or_insert(Millis::ZERO);
+                peer.lapsed.get_or_insert(now);
             }
         }
     }
 
-    fn sweep(&mut self, now: Millis) {
-        for peer in &mut self.known {
-            if peer.lapsed == Some(Millis::ZERO) {
-                peer.lapsed = Some(now);
-            }
-        }
+    /// Forgets VMs whose entries lapsed long ago.
+    pub fn sweep(&mut self, now: Millis) {
         let recent = |since: Millis| now.since(since) < LAPSED;
         self.known.retain(|peer| peer.lapsed.is_none_or(recent));
     }
 
-    /// Yields the VMs that the VM named starts the exchange with: of each two, the one whose name
-    /// comes first does.
-    fn to_ask(&self, own: &str) -> Vec<SocketAddr> {
-        let later = self.known.iter().filter(|peer| peer.vm.as_str() > own);
-        later.map(|peer| peer.address).collect()
+    /// Tells whether no VM of the data centre that answers comes before `own`: it reads the runners'
+    /// entries for the others, and is their hub where hubs are needed.
+    #[must_use]
+    pub fn is_first(&self, own: &str, centre: &str, now: Millis) -> bool {
+        self.hub(centre, now)
+            .is_none_or(|hub| own <= hub.vm.as_str())
     }
-}
 
-/// Exchanges counts for as long as it is polled.
-pub async fn run(node: Arc<Node>) {
-    loop {
-        sleep(EVERY).await;
-        let asked = {
-            let mut peers = node.peers();
-            peers.sweep(node.clock.now());
-            peers.to_ask(&node.settings.vm)
-        };
-        for address in asked {
-            tokio::spawn(exchange(node.clone(), address));
-        }
+    fn hub(&self, centre: &str, now: Millis) -> Option<&Peer> {
+        self.known.iter().find(|peer| {
+            peer.centre == centre && peer.lapsed.is_none() && now.since(peer.heard) < SILENT
+        })
     }
-}
-
-async fn exchange(node: Arc<Node>, address: SocketAddr) {
-    match timeout(PATIENCE, ask(&node, address)).await {
-        Ok(Ok(counts)) => hear(&node, &counts),
-        Ok(Err(fault)) => log::debug!("peer {address}: {fault}"),
-        Err(_) => log::debug!("peer {address}: no answer in time"),
-    }
-}
 
-async fn ask(node: &Arc<Node>, address: SocketAddr) -> Result<Counts, Fault> {
-    let body = rmp_serde::to_vec(&own(node))?;
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(PATH)
-        .header("host", address.to_string())
-        .body(Payload::from(Bytes::from(body)))?;
-    let reply = node.vms.send(address, request).await?;
-    let bytes = reply.body.whole(MAX_MESSAGE).await?;
-    Ok(rmp_serde::from_slice(&bytes)?)
-}
-
-fn own(node: &Node) -> Counts {
-    Counts {
-        vm: node.settings.vm.clone(),
-        counts: node.fleet().counts(),
+    /// Tells whom the VM named exchanges with.
+    #[must_use]
+    pub fn place(&self, own: &str, centre: &str, now: Millis) -> Place {
+        if self.known.len() <= DIRECT {
+            return Place::Direct;
+        }
+        if self.is_first(own, centre, now) {
+            return Place::Hub;
+        }
+        Place::Leaf
     }
-}
-
-fn hear(node: &Node, counts: &Counts) {
-    let now = node.clock.now();
-    node.fleet().hear(&counts.vm, &counts.counts, now);
-}
 
-/// Serves another VM's exchange.
-pub async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let bytes = match body::read(request.into_body(), MAX_MESSAGE).await {
-        Ok(bytes) => bytes,
-        Err(fault) => return answer::text(StatusCode::BAD_REQUEST, fault.to_string()),
-    };
-    match rmp_serde::from_slice::<Counts>(&bytes) {
-        Ok(counts) => hear(&node, &counts),
-        Err(fault) => return answer::text(StatusCode::BAD_REQUEST, fault.to_string()),
-    }
-    match rmp_serde::to_vec(&own(&node)) {
-        Ok(bytes) => answer::text(StatusCode::OK, bytes),
-        Err(fault) => answer::text(StatusCode::INTERNAL_SERVER_ERROR, fault.to_string()),
+    /// Yields the VMs that the VM named starts an exchange with. Of two that both would, the one
+    /// whose name comes first does; a hub keeps asking silent VMs that came before it, so that it
+    /// steps back when they are heard again.
+    #[must_use]
+    pub fn to_ask(&self, own: &str, centre: &str, now: Millis) -> Vec<Peer> {
+        let others = self.known.iter().filter(|peer| peer.vm != own);
+        match self.place(own, centre, now) {
+            Place::Direct => others
+                .filter(|peer| peer.vm.as_str() > own)
+                .cloned()
+                .collect(),
+            Place::Leaf => self.hub(centre, now).into_iter().cloned().collect(),
+            Place::Hub => {
+                let mut asked: Vec<Peer> = others
+                    .clone()
+                    .filter(|peer| peer.centre == centre && peer.vm.as_str() < own)
+                    .cloned()
+                    .collect();
+                let mut centres: Vec<&str> = others.map(|peer| peer.centre.as_str()).collect();
+                centres.sort_unstable();
+                centres.dedup();
+                for other in centres.into_iter().filter(|other| *other != centre) {
+                    asked.extend(self.hub(other, now).cloned());
+                }
+                asked
+            }
+        }
     }
 }
 
@@ -226,9 +219,10 @@
 
 async fn enter(node: &Node, address: SocketAddr) -> platform::edge::Result<Lease> {
     let lease = node.kv.grant(LEASE).await?;
+    let value = format!("{address} {}", node.settings.centre);
     let put = Write::Put {
         key: format!("{}{}", follow::vm_prefix(), node.settings.vm),
-        value: address.to_string().into_bytes(),
+        value: value.into_bytes(),
         lease: Some(lease),
     };
     let txn = Txn {
@@ -238,3 +232,6 @@
     node.kv.commit(&txn, Weight::Claim).await?;
     Ok(lease)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/peers/tests.rs
@@ -0,0 +1,65 @@
+use wire::clock::Millis;
+
+use super::DIRECT;
+use super::Peers;
+use super::Place;
+
+const NOW: Millis = Millis::new(10_000);
+
+fn peers(count: usize) -> Peers {
+    let mut peers = Peers::default();
+    for at in 0..count {
+        let centre = ["a", "b", "c"][at % 3];
+        let vm = format!("vm-{at:03}");
+        peers.set(&vm, centre, ([127, 0, 0, 1], 7000).into(), NOW);
+    }
+    peers
+}
+
+fn asked(peers: &Peers, own: &str, centre: &str, now: Millis) -> Vec<String> {
+    let asked = peers.to_ask(own, centre, now).into_iter();
+    asked.map(|peer| peer.vm).collect()
+}
+
+#[test]
+fn few_vms_exchange_with_each_other_once_a_pair() {
+    let peers = peers(6);
+    assert_eq!(peers.place("vm-000", "a", NOW), Place::Direct);
+    assert_eq!(asked(&peers, "vm-003", "a", NOW), ["vm-004", "vm-005"]);
+    assert!(asked(&peers, "vm-005", "c", NOW).is_empty());
+}
+
+#[test]
+fn many_vms_exchange_over_their_hubs() {
+    let peers = peers(DIRECT + 60);
+    assert_eq!(asked(&peers, "vm-030", "a", NOW), ["vm-000"]);
+    assert_eq!(asked(&peers, "vm-000", "a", NOW), ["vm-001", "vm-002"]);
+    assert_eq!(peers.place("vm-000", "a", NOW), Place::Hub);
+}
+
+/// A hub freezes. Its data centre's VMs no longer hear of others' requests and would all pick the
+/// same idle runner; the next VM takes over within a second, and steps back when it is heard again.
+#[test]
+fn a_silent_hub_is_passed_over() {
+    let mut peers = peers(DIRECT + 60);
+    let later = Millis::new(11_500);
+    for at in 1..DIRECT + 60 {
+        peers.hear(&format!("vm-{at:03}"), 0, 0, later);
+    }
+    assert_eq!(asked(&peers, "vm-030", "a", later), ["vm-003"]);
+    assert_eq!(peers.place("vm-003", "a", later), Place::Hub);
+    assert!(asked(&peers, "vm-003", "a", later).contains(&"vm-000".to_owned()));
+    peers.hear("vm-000", 0, 0, later);
+    assert_eq!(peers.place("vm-003", "a", later), Place::Leaf);
+}
+
+#[test]
+fn a_vm_whose_entry_has_lapsed_is_forgotten_later() {
+    let mut peers = peers(3);
+    peers.lapse("vm-000", NOW);
+    assert!(peers.is_first("vm-003", "a", NOW));
+    peers.sweep(Millis::new(15_000));
+    assert!(peers.peer("vm-000").is_some());
+    peers.sweep(Millis::new(21_000));
+    assert!(peers.peer("vm-000").is_none());
+}
--- /dev/null
+++ b/crates/relay/src/roster.rs
@@ -0,0 +1,59 @@
+//! The runners' entries as they were read, for VMs that don't read them from the key-value service.
+//!
+//! The entries change with each heartbeat, so a watch of every VM would cost the service a call a
+//! VM every few hundred milliseconds. One VM of a data centre watches and passes changes that
+//! matter on; a VM that is cut off from the service, or turned away, still learns of them.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// All entries at one revision of the key-value service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// The revision of the last change that mattered.
+    pub revision: u64,
+    /// The entries' bytes by runner, in the order of their ids.
+    pub entries: Vec<(String, Vec<u8>)>,
+}
+
+/// Whether a change of an entry matters to other VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weight {
+    /// Only a heartbeat.
+    Heartbeat,
+    /// A runner that appears, leaves or is gone.
+    Matters,
+}
+
+impl Roster {
+    /// Notes an entry.
+    pub fn set(&mut self, id: &str, bytes: &[u8], revision: u64, weight: Weight) {
+        match self.find(id) {
+            Ok(at) => self.entries[at].1 = bytes.to_vec(),
+            Err(at) => self.entries.insert(at, (id.to_owned(), bytes.to_vec())),
+        }
+        self.note(revision, weight);
+    }
+
+    /// Notes that an entry is gone.
+    pub fn remove(&mut self, id: &str, revision: u64) {
+        if let Ok(at) = self.find(id) {
+            self.entries.remove(at);
+            self.note(revision, Weight::Matters);
+        }
+    }
+
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|(key, _)| key.as_str().cmp(id))
+    }
+
+    fn note(&mut self, revision: u64, weight: Weight) {
+        if weight == Weight::Matters {
+            self.revision = self.revision.max(revision);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/roster/tests.rs
@@ -0,0 +1,17 @@
+use super::Roster;
+use super::Weight;
+
+#[test]
+fn heartbeats_are_no_news_for_other_vms() {
+    let mut roster = Roster::default();
+    roster.set("i-2", b"ready", 5, Weight::Matters);
+    roster.set("i-1", b"ready", 6, Weight::Matters);
+    roster.set("i-2", b"ready, seq 2", 9, Weight::Heartbeat);
+    assert_eq!(roster.revision, 6);
+    let ids: Vec<&str> = roster.entries.iter().map(|(id, _)| id.as_str()).collect();
+    assert_eq!(ids, ["i-1", "i-2"]);
+    roster.remove("i-1", 12);
+    assert_eq!((roster.revision, roster.entries.len()), (12, 1));
+    roster.remove("i-1", 14);
+    assert_eq!(roster.revision, 12);
+}
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -18,6 +18,8 @@
     pub idle_ms: u64,
     /// The largest body in bytes.
     pub body_bytes: usize,
+    /// The document as it was read, for other VMs.
+    pub document: Vec<u8>,
     /// In the order of host and prefix.
     routes: Vec<Arc<Route>>,
     /// In the order of their names.
@@ -27,7 +29,7 @@
 impl Table {
     /// Builds the table of a configuration.
     #[must_use]
-    pub fn new(config: Config) -> Self {
+    pub fn new(config: Config, document: &[u8]) -> Self {
         let mut routes: Vec<Arc<Route>> = config.routes.into_iter().map(Arc::new).collect();
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         let mut services = config.services;
@@ -37,6 +39,7 @@
             known: true,
             idle_ms: config.idle.as_u64(),
             body_bytes: config.body_bytes,
+            document: document.to_vec(),
             routes,
             services,
         }
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -264,6 +264,16 @@
     ///
     /// Fails where too few members answered to be certain that there is no such turn.
     pub async fn chain(&self, key: Key) -> Result<Found> {
+        for _ in 0..RELISTED {
+            match self.chain_once(key).await {
+                Err(Fault::Relisted) => {}
+                outcome => return outcome,
+            }
+        }
+        Err(Fault::Relisted)
+    }
+
+    async fn chain_once(&self, key: Key) -> Result<Found> {
         let (list, group) = self.group(key)?;
         let ask = Ask {
             version: list.version,
@@ -284,7 +294,10 @@
             match answer {
                 Some(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
                 Some(Answer::Chain(chain)) => return Ok(Found::Part(chain.turns, chain.next)),
-                Some(Answer::Newer(newer)) => self.adopt(newer),
+                Some(Answer::Newer(newer)) => {
+                    self.adopt(newer);
+                    return Err(Fault::Relisted);
+                }
                 _ => {}
             }
             if absent >= list::majority(group.len()) {
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -37,9 +37,12 @@
 
 /// How often the member looks at its own state.
 const TICK: Duration = Duration::from_millis(200);
-/// How often the list is read from the key-value service: a tenth of the time that a VM with an
-/// empty disk has to be a full copy again. Changes also come with other VMs' requests.
-const REREAD: Millis = Millis::new(500);
+/// How often a member reads the list from the key-value service. Changes come with other VMs'
+/// requests; this is for a member that none of them reaches.
+const REREAD: Millis = Millis::new(5_000);
+/// How often a VM does that has to change the list: a tenth of the time in which one with an empty
+/// disk has to be a full copy again.
+const REREAD_SOON: Millis = Millis::new(500);
 /// How long a member may be silent, where there are more members than losses ask for, or only two,
 /// before it is taken off the list. A majority of a list with a dead member bears one loss less. A member that
 /// was only cut off joins again and learns the little that it missed.
@@ -136,8 +139,10 @@
     /// Reads the list from the key-value service, where that answers.
     async fn reread(&self, memory: &mut Memory) {
         let now = self.clock.now();
-        let fresh = memory.read_at.is_some_and(|at| now.since(at) < REREAD);
-        if fresh {
+        let settled =
+            self.member.identity().list.holds(&self.own) && *self.phase.borrow() == Phase::Member;
+        let pause = if settled { REREAD } else { REREAD_SOON };
+        if memory.read_at.is_some_and(|at| now.since(at) < pause) {
             return;
         }
         memory.read_at = Some(now);
