Refuse at once what needs VMs that can't be reached; measure runners from their first event

Cause: in a cut data centre each turn waited 400 ms for members that were known to be silent, and was told to come again in 0.3 s, to the same data centre; a runner's speed counted the wait for a slot.

--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -22,6 +22,9 @@
 /// When a turn whose tokens couldn't be set aside may come again: about the time in which a VM
 /// with a disk restarts or a cut is noticed.
 const RETRY: Millis = Millis::new(300);
+/// When it may come again where this VM is known to reach too few of them: the balancer then takes
+/// the VM out within two seconds, and another one serves the next try.
+const RETRY_ELSEWHERE: Millis = Millis::new(1_000);
 /// A turn's account of tokens.
 #[derive(Clone, Copy, Debug)]
 pub struct Account {
@@ -52,6 +55,7 @@
     let Some(account) = account else {
         return Ok(());
     };
+    reachable(job)?;
     let fact = Reservation {
         program: account.program,
         turn: account.turn,
@@ -66,6 +70,7 @@
         let verdict = match reserved.await {
             Ok(Ok(verdict)) => verdict,
             Ok(Err(fault)) => {
+                job.node.note_records_lost();
                 let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
                 return Err(refusal.retry_after(RETRY));
             }
@@ -84,6 +89,16 @@
     Err(Refusal::new(Code::TokensSpent, &detail))
 }
 
+/// Refuses at once what is known to need VMs that can't be reached: waiting for them would only
+/// cost the client the time in which another VM could serve it.
+fn reachable(job: &Job) -> Result<(), Refusal> {
+    if job.node.has_records() {
+        return Ok(());
+    }
+    let refusal = Refusal::new(Code::RecordsUnreachable, "known before the turn came");
+    Err(refusal.retry_after(RETRY_ELSEWHERE))
+}
+
 /// Yields the tokens of so many events.
 #[must_use]
 pub fn used(job: &Job, account: Option<Account>, events: u64) -> u32 {
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -32,8 +32,9 @@
 /// How long a client's connection may be idle: longer than any limit that operators set, as the
 /// clients leave first.
 const IDLE: Duration = Duration::from_mins(1);
-/// How often members with a disk are asked whether they answer.
-const PING: Duration = Duration::from_millis(500);
+/// How often members with a disk are asked whether they answer: a cut is noticed before the
+/// balancer asks again, and turns are served again soon after it.
+const PING: Duration = Duration::from_millis(300);
 /// How often connections, runners and entries are looked over.
 const SWEEP: Duration = Duration::from_millis(250);
 /// How long after SIGTERM new connections are still taken: the balancer asks each second and stops
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -16,6 +16,7 @@
 use replica::client::Replicas;
 use wire::clock::Clock;
 use wire::clock::Millis;
+use wire::event::Event;
 
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
@@ -173,6 +174,23 @@
         self.records.swap(enough, Ordering::Relaxed) != enough
     }
 
+    /// Notes that a write or read found too few VMs with a disk; the next look tells for how long.
+    pub fn note_records_lost(&self) {
+        if self.set_records(false) {
+            log::warn!(
+                "event=E{} text=\"{}\" why=\"a turn's tokens could not be set aside\"",
+                Event::MembersLost.number(),
+                Event::MembersLost.text()
+            );
+        }
+    }
+
+    /// Tells whether enough VMs with a disk answered when they were last asked.
+    #[must_use]
+    pub fn has_records(&self) -> bool {
+        self.records.load(Ordering::Relaxed)
+    }
+
     /// Notes that the runners' list is current.
     pub fn set_runners_at(&self, now: Millis) {
         self.runners_at.fetch_max(now.as_u64(), Ordering::Relaxed);
@@ -201,6 +219,6 @@
         if !table.known || self.is_stopping() || self.fleet().runners().is_empty() {
             return false;
         }
-        !table.has_streams() || self.records.load(Ordering::Relaxed)
+        !table.has_streams() || self.has_records()
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -79,6 +79,8 @@
     events: u64,
     last: Option<u64>,
     first_at: Option<Instant>,
+    /// When the first event since the stream was last taken up came.
+    begun: Option<Instant>,
 }
 
 /// Serves a turn.
@@ -229,6 +231,7 @@
         events: 0,
         last: job.call.last_event,
         first_at: None,
+        begun: None,
     };
     let runner = attempt.runner.id.clone();
     let success = status.is_success();
@@ -298,9 +301,9 @@
     let mut resumes = 0;
     loop {
         let before = flow.events;
-        let begun = Instant::now();
+        flow.begun = None;
         let end = pump(job, flow, &mut reply).await;
-        note(job, &attempt, flow, before, begun, &end);
+        note(job, &attempt, flow, before, &end);
         let End::Broken(why) = end else {
             return end;
         };
@@ -367,7 +370,10 @@
 }
 
 /// Notes how fast the runner was.
-fn note(job: &Job, attempt: &Attempt, flow: &Flow, before: u64, begun: Instant, end: &End) {
+///
+/// Counted from its first event on: the wait for a slot and the reading of the prompt would else
+/// make a runner look slow that only got long prompts, and have it ejected.
+fn note(job: &Job, attempt: &Attempt, flow: &Flow, before: u64, end: &End) {
     let events = flow.events - before;
     let mut fleet = job.node.fleet();
     let Some(runner) = fleet.runner(&attempt.runner.id) else {
@@ -378,6 +384,7 @@
         End::Whole if events > 1 => {
             let engine = job.table.engine(&job.service);
             let tokens = engine.map_or(1, |engine| engine.event_tokens) * (events - 1);
+            let begun = flow.begun.unwrap_or_else(Instant::now);
             runner.note_done(tokens, Millis::from(begun.elapsed()));
         }
         End::Whole | End::Gone | End::Late => {}
@@ -411,6 +418,7 @@
                 flow.first_at = Some(Instant::now());
                 job.node.metrics.time(Span::First, job.age());
             }
+            flow.begun.get_or_insert_with(Instant::now);
             flow.events += 1;
             flow.last = event.id.or(flow.last);
             if job.route.keeps_turns {
