--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -150,6 +150,17 @@
         sent.map_err(|(_, fault)| fault)
     }
 
+    /// Makes a connection and keeps it for the next request, to learn whether that is possible.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no connection is made.
+    pub async fn probe(&self, address: SocketAddr) -> Result<()> {
+        let connection = self.connect(address).await?;
+        self.checkin(address, connection, self.limits.keep);
+        Ok(())
+    }
+
     /// Drops the connections to an address, for a peer that is gone.
     pub fn forget(&self, address: SocketAddr) {
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -25,9 +25,9 @@
 const READS: f64 = 220.0;
 /// The weight of the latest request in a runner's speed.
 const FRESH: f64 = 0.15;
-/// How long a runner gets nothing after a connection to it could not be made: a restart takes
-/// seconds, and another try costs its request this VM's time to connect.
-const UNREACHABLE: Millis = Millis::new(1_000);
+/// How long a runner gets nothing after another one answered at its address: until its entry is
+/// gone from the list, as a rule.
+const ELSEWHERE: Millis = Millis::new(1_000);
 /// How long a runner is passed over after it turned a request away as full: about the time in
 /// which one of its requests ends.
 const FULL: Millis = Millis::new(40);
@@ -54,7 +54,9 @@
     /// Tokens a second for one request; for plain services, requests a second.
     speed: f64,
     detector: Detector,
-    unreachable_until: Millis,
+    /// No connection to it could be made, or one broke, and none has been made since.
+    unreachable: bool,
+    elsewhere_until: Millis,
     full_until: Millis,
     /// Its entry was missing when the key-value service came back.
     missing_since: Option<Millis>,
@@ -222,6 +224,15 @@
         changes
     }
 
+    /// Yields the runners to which no connection could be made, to try them again.
+    #[must_use]
+    pub fn unreachable(&self) -> Vec<(String, SocketAddr)> {
+        let unreachable = self.runners.iter().filter(|runner| runner.unreachable);
+        unreachable
+            .map(|runner| (runner.id.clone(), runner.entry.address))
+            .collect()
+    }
+
     /// Takes in how many requests another VM has under way at each runner.
     pub fn hear(&mut self, vm: &str, counts: &[(String, u32)], now: Millis) {
         for runner in &mut self.runners {
@@ -294,7 +305,8 @@
             cache: Cache::new(memory),
             speed: SPEED,
             detector: Detector::new(Millis::ZERO),
-            unreachable_until: Millis::ZERO,
+            unreachable: false,
+            elsewhere_until: Millis::ZERO,
             full_until: Millis::ZERO,
             missing_since: None,
             known_since: now,
@@ -304,7 +316,8 @@
     fn may_take(&self, want: &Want<'_>) -> bool {
         self.entry.service == want.service
             && self.entry.state == State::Ready
-            && self.unreachable_until <= want.now
+            && !self.unreachable
+            && self.elsewhere_until <= want.now
             && !want.not.contains(&self.id)
     }
 
@@ -345,12 +358,23 @@
         self.load = Some((load, now));
     }
 
-    /// Notes that no connection could be made.
-    pub fn note_unreachable(&mut self, now: Millis) {
-        self.unreachable_until = now.plus(UNREACHABLE);
+    /// Notes that no connection could be made, or that one broke. The runner gets nothing until a
+    /// new connection was made: beside a partition each request sent there would wait in vain.
+    pub fn note_unreachable(&mut self) {
+        self.unreachable = true;
         self.detector.note(Sample::Failed);
     }
 
+    /// Notes that a connection was made.
+    pub fn note_reachable(&mut self) {
+        self.unreachable = false;
+    }
+
+    /// Notes that another runner has its address.
+    pub fn note_elsewhere(&mut self, now: Millis) {
+        self.elsewhere_until = now.plus(ELSEWHERE);
+    }
+
     /// Notes that the runner turned a request away.
     pub fn note_full(&mut self, now: Millis) {
         self.full_until = now.plus(FULL);
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -214,6 +214,18 @@
     }
 }
 
+/// Tries to make a connection to a runner that could not be reached.
+async fn try_again(node: Arc<Node>, id: String, address: SocketAddr) {
+    match node.runners.probe(address).await {
+        Ok(()) => {
+            if let Some(runner) = node.fleet().runner(&id) {
+                runner.note_reachable();
+            }
+        }
+        Err(fault) => log::debug!("runner {id}: {fault}"),
+    }
+}
+
 /// Looks over connections and runners.
 async fn sweep(node: Arc<Node>) {
     loop {
@@ -225,6 +237,10 @@
         for id in gone {
             follow::log_change(&fleet::Change::Gone, &format!("runner={id} missing=true"));
         }
+        let unreachable = node.fleet().unreachable();
+        for (id, address) in unreachable {
+            tokio::spawn(try_again(node.clone(), id, address));
+        }
         let changes = node.fleet().judge(now);
         for (id, kind) in changes {
             let event = match kind {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -287,22 +287,26 @@
         match sent {
             Ok(reply) => self.judge(reply, attempt).await,
             Err(client::Fault::NotSent(why)) => {
-                let now = self.node.clock.now();
-                if let Some(runner) = self.node.fleet().runner(&runner.id) {
-                    runner.note_unreachable(now);
-                }
+                self.note_broken(&attempt);
                 self.log_retry(&attempt.runner.id, &why);
                 Sent::NotRun
             }
             Err(client::Fault::Broken(why)) => {
-                if let Some(runner) = self.node.fleet().runner(&runner.id) {
-                    runner.note_failed();
-                }
+                self.note_broken(&attempt);
                 Sent::Unknown(why)
             }
         }
     }
 
+    /// Notes that a connection to a runner broke or could not be made. Others that are kept to it
+    /// may hang in the same way, so they are dropped.
+    fn note_broken(&self, attempt: &Attempt) {
+        self.node.runners.forget(attempt.runner.address);
+        if let Some(runner) = self.node.fleet().runner(&attempt.runner.id) {
+            runner.note_unreachable();
+        }
+    }
+
     fn begin(&self, runner: Chosen) -> Attempt {
         let now = self.node.clock.now();
         if let Some(known) = self.node.fleet().runner(&runner.id) {
@@ -365,7 +369,7 @@
         self.node.metrics.count(Counter::TurnedAway);
         if let Some(runner) = self.node.fleet().runner(&attempt.runner.id) {
             if elsewhere {
-                runner.note_unreachable(now);
+                runner.note_elsewhere(now);
             } else {
                 runner.note_full(now);
             }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -30,10 +30,11 @@
 /// in which a configuration has to be in force.
 pub const STORE_TIMEOUT: Millis = Millis::new(900);
 /// How long a connection to a runner or VM may take: data centres are a few milliseconds apart.
-const CONNECT: Duration = Duration::from_millis(400);
-/// How long sent bytes may go unacknowledged before the connection counts as dead. Below the
-/// shortest time a client waits for a plain call, above a packet sent again once.
-const SILENCE: Duration = Duration::from_millis(1_500);
+const CONNECT: Duration = Duration::from_millis(250);
+/// How long sent bytes may go unacknowledged before the connection counts as dead: above a packet
+/// that is sent again twice (after 0.2 and 0.4 s). In a partition everything on kept connections
+/// hangs for this long before anyone knows.
+const SILENCE: Duration = Duration::from_millis(650);
 /// How long an unused connection to a runner is kept. Runners that close sooner say so.
 const KEEP: Duration = Duration::from_secs(4);
 /// How long a connection rests after an answer; a second answer of a faulty runner comes within
