--- a/crates/node/src/filters/parse.rs
+++ b/crates/node/src/filters/parse.rs
@@ -22,6 +22,17 @@
 use crate::http::body;
 use crate::http::listen::MAX_HEADERS;
 
+/// Who may speak in a conversation. A model that meets another role answers something all the same,
+/// and the history that is kept then holds a message that nobody can place.
+const ROLES: [&str; 6] = [
+    "system",
+    "developer",
+    "user",
+    "assistant",
+    "tool",
+    "function",
+];
+
 /// A caller's request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Parsed {
@@ -165,6 +176,11 @@
     if request.messages.is_empty() {
         return Err(bad_field("messages", "at least one message"));
     }
+    let unknown = |message: &&chat::Message| !ROLES.contains(&message.role.as_str());
+    if let Some(message) = request.messages.iter().find(unknown) {
+        let text = format!("{:?} isn't one of {}", message.role, ROLES.join(", "));
+        return Err(bad_field("messages.role", text));
+    }
     if request.max_tokens == Some(0) {
         return Err(bad_field("max_tokens", "at least 1"));
     }
@@ -227,3 +243,6 @@
 fn bad_json(fault: &serde_json::Error) -> Refusal {
     Refusal::new(Code::BadJson, &fault.to_string())
 }
+
+#[cfg(test)]
+mod tests;
