--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -96,7 +96,13 @@
         return Ok(());
     }
     let refusal = Refusal::new(Code::RecordsUnreachable, "known before the turn came");
-    Err(refusal.retry_after(RETRY_ELSEWHERE))
+    // Just after its start a VM needs some milliseconds more, not another VM.
+    let retry = if job.node.had_records() {
+        RETRY_ELSEWHERE
+    } else {
+        RETRY
+    };
+    Err(refusal.retry_after(retry))
 }
 
 /// Yields the tokens of so many events.
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -35,6 +35,9 @@
 /// How often members with a disk are asked whether they answer: a cut is noticed before the
 /// balancer asks again, and turns are served again soon after it.
 const PING: Duration = Duration::from_millis(300);
+/// How often they are asked while too few answer: each turn is refused until enough do, and after
+/// a restart of all VMs the clients' next tries come within some hundred milliseconds.
+const PING_SOON: Duration = Duration::from_millis(50);
 /// How often connections, runners and entries are looked over.
 const SWEEP: Duration = Duration::from_millis(250);
 /// How long after SIGTERM new connections are still taken: the balancer asks each second and stops
@@ -210,7 +213,7 @@
                 reach.members
             );
         }
-        sleep(PING).await;
+        sleep(if reach.enough { PING } else { PING_SOON }).await;
     }
 }
 
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -75,6 +75,8 @@
     stopping: AtomicBool,
     /// Whether enough VMs with a disk answer.
     records: AtomicBool,
+    /// Whether they did at any time since the start.
+    had_records: AtomicBool,
     /// When the runners' list was last known to be current.
     runners_at: AtomicU64,
     /// Requests under way.
@@ -113,6 +115,7 @@
             roster: Mutex::default(),
             stopping: AtomicBool::new(false),
             records: AtomicBool::new(false),
+            had_records: AtomicBool::new(false),
             runners_at: AtomicU64::new(0),
             under_way: AtomicU64::new(0),
             settings,
@@ -172,9 +175,16 @@
 
     /// Notes whether enough VMs with a disk answer, and tells whether that is news.
     pub fn set_records(&self, enough: bool) -> bool {
+        self.had_records.fetch_or(enough, Ordering::Relaxed);
         self.records.swap(enough, Ordering::Relaxed) != enough
     }
 
+    /// Tells whether the VM has reached enough VMs with a disk at any time since its start.
+    #[must_use]
+    pub fn had_records(&self) -> bool {
+        self.had_records.load(Ordering::Relaxed)
+    }
+
     /// Notes that a write or read found too few VMs with a disk; the next look tells for how long.
     pub fn note_records_lost(&self) {
         if self.set_records(false) {
