--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -43,6 +43,11 @@
 const HEDGE: Duration = Duration::from_millis(60);
 /// How often a request is tried again after a change of the list.
 const RELISTED: usize = 3;
+/// The pause before members that are still learning are asked again, and how often they are: a
+/// change of the list takes them some tens of milliseconds, a new disk asks nothing of the others.
+const LEARNING_PAUSE: Duration = Duration::from_millis(40);
+/// See [`LEARNING_PAUSE`].
+const LEARNING_TRIES: usize = 8;
 /// The longest answer in bytes.
 const MAX_ANSWER: usize = 32 * 1024 * 1024;
 
@@ -55,6 +60,9 @@
     /// No list of members is known yet.
     #[display("no list of members is known")]
     NoList,
+    /// The members haven't yet learnt all that was acknowledged before their list.
+    #[display("the members with a disk are still learning")]
+    Learning,
     /// The list changed too often meanwhile.
     #[display("the list of members changed meanwhile")]
     Relisted,
@@ -92,6 +100,28 @@
     Absent,
 }
 
+/// How often a caller has asked again already.
+#[derive(Debug, Default)]
+struct Patience {
+    relisted: usize,
+    learning: usize,
+}
+
+impl Patience {
+    /// Returns when asking again makes sense, or gives the fault back.
+    async fn bear(&mut self, fault: Fault) -> Result<()> {
+        match fault {
+            Fault::Relisted if self.relisted + 1 < RELISTED => self.relisted += 1,
+            Fault::Learning if self.learning < LEARNING_TRIES => {
+                self.learning += 1;
+                tokio::time::sleep(LEARNING_PAUSE).await;
+            }
+            fault => return Err(fault),
+        }
+        Ok(())
+    }
+}
+
 impl Replicas {
     /// Makes a client for a VM in this data centre; `losses` members may be lost at once.
     #[must_use]
@@ -168,13 +198,13 @@
     ///
     /// Fails where no majority can be had; the reservation may then count against the budget.
     pub async fn reserve(&self, fact: Reservation, budget: u64) -> Result<Verdict> {
-        for _ in 0..RELISTED {
+        let mut patience = Patience::default();
+        loop {
             match self.reserve_once(&fact, budget).await {
-                Err(Fault::Relisted) => {}
+                Err(fault) => patience.bear(fault).await?,
                 outcome => return outcome,
             }
         }
-        Err(Fault::Relisted)
     }
 
     async fn reserve_once(&self, fact: &Reservation, budget: u64) -> Result<Verdict> {
@@ -233,6 +263,7 @@
     ) -> Result<Vec<Vec<Entry>>> {
         let mut asked = self.ask_all(list, group, &Body::Account(program))?;
         let mut known = Vec::new();
+        let mut fault = Fault::TooFew;
         while let Some(answer) = asked.recv().await {
             match answer {
                 Some(Answer::Account(entries)) => known.push(entries),
@@ -240,13 +271,14 @@
                     self.adopt(newer);
                     return Err(Fault::Relisted);
                 }
+                Some(Answer::NotReady) => fault = Fault::Learning,
                 _ => {}
             }
             if known.len() >= list::majority(group.len()) {
                 return Ok(known);
             }
         }
-        Err(Fault::TooFew)
+        Err(fault)
     }
 
     /// Notes what an attempt used.
@@ -264,13 +296,13 @@
     ///
     /// Fails where too few members answered to be certain that there is no such turn.
     pub async fn chain(&self, key: Key) -> Result<Found> {
-        for _ in 0..RELISTED {
+        let mut patience = Patience::default();
+        loop {
             match self.chain_once(key).await {
-                Err(Fault::Relisted) => {}
+                Err(fault) => patience.bear(fault).await?,
                 outcome => return outcome,
             }
         }
-        Err(Fault::Relisted)
     }
 
     async fn chain_once(&self, key: Key) -> Result<Found> {
@@ -290,6 +322,7 @@
         }
         let mut asked = self.ask_all(&list, &group, &ask.body)?;
         let mut absent = 0;
+        let mut fault = Fault::TooFew;
         while let Some(answer) = asked.recv().await {
             match answer {
                 Some(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
@@ -298,13 +331,14 @@
                     self.adopt(newer);
                     return Err(Fault::Relisted);
                 }
+                Some(Answer::NotReady) => fault = Fault::Learning,
                 _ => {}
             }
             if absent >= list::majority(group.len()) {
                 return Ok(Found::Absent);
             }
         }
-        Err(Fault::TooFew)
+        Err(fault)
     }
 
     /// Tells whether enough members answer for every key, and how many do.
--- a/crates/replica/tests/relisted.rs
+++ b/crates/replica/tests/relisted.rs
@@ -107,3 +107,22 @@
     };
     assert_eq!(payer.reserve(next, 60).await.unwrap(), Verdict::Spent(50));
 }
+
+/// The list has just changed and the members compare what they hold. A caller that goes on from a
+/// kept turn meanwhile waits some milliseconds instead of being refused.
+#[tokio::test]
+async fn members_that_still_learn_cost_no_caller_its_turn() {
+    let folder = Folder(std::env::temp_dir().join(format!("replica-l-{}", std::process::id())));
+    let (member, _first, second) = member(&folder).await;
+    let own = second.members[0].clone();
+    let third = second.with(&own);
+    member.adopt(&third).await.unwrap();
+    let reader = replicas();
+    reader.adopt(third.clone());
+    let learnt = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        member.set_ready(third.version).await.unwrap();
+    });
+    assert_eq!(reader.chain(Key::of("never")).await.unwrap(), Found::Absent);
+    learnt.await.unwrap();
+}
