Serve connections that come while a process stops

Cause, found by a test of SIGTERM with a stream open: a connection made after the stop was closed before its first request was read, for all of the two seconds in which the balancer still sends callers. Red before ('connection closed before message completed'), green after.

--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -29,6 +29,9 @@
 /// would outwait.
 const SILENCE: Duration = Duration::from_secs(10);
 
+/// How long a connection that was made while the process stops may take to send its request.
+const LAST_CALL: Duration = Duration::from_secs(1);
+
 /// A listener's state that its process looks at.
 #[derive(Debug, Default)]
 pub struct Door {
@@ -96,12 +99,19 @@
         let answer = handler(request);
         async { Ok::<_, Infallible>(answer.await) }
     });
+    // One that comes while the process stops gets one answer: closing it unread would send its
+    // caller away although there is time to serve it.
+    let stopping = pass.0.closing.is_cancelled();
+    let idle = if stopping { idle.min(LAST_CALL) } else { idle };
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle);
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .keep_alive(!stopping);
     let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
-        () = pass.0.closing.cancelled() => {
+        () = pass.0.closing.cancelled(), if !stopping => {
             served.as_mut().graceful_shutdown();
             served.await
         }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -72,6 +72,19 @@
 ///
 /// Fails where the settings can't be used or a listener can't be bound.
 pub async fn run(settings: Settings, metrics: u16) -> Result<()> {
+    run_until(settings, metrics, stopped()).await
+}
+
+/// Runs the process until `stop` ends, and then lets running requests end.
+///
+/// # Errors
+///
+/// Fails where the settings can't be used, a listener can't be bound, or `stop` fails.
+pub async fn run_until(
+    settings: Settings,
+    metrics: u16,
+    stop: impl Future<Output = Result<()>>,
+) -> Result<()> {
     let node = Node::new(settings, Clock::System);
     let settings = &node.settings;
     let callers = settings.callers.ok_or(Fault::Missing("front"))?;
@@ -101,7 +114,7 @@
     tokio::spawn(peers::register(node.clone(), own));
     tokio::spawn(ping(node.clone()));
     tokio::spawn(sweep(node.clone()));
-    stopped().await?;
+    stop.await?;
     drain(&node, &door).await;
     Ok(())
 }
