--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -271,9 +271,9 @@
 }
 
 impl Body {
-    /// Shortens how long the connection is kept unused, where the peer closes it sooner.
-    pub fn keep_at_most(&mut self, span: Duration) {
-        self.keep = self.keep.min(span);
+    /// Sets how long the connection is kept unused, where the peer tells how long it does.
+    pub fn keep_for(&mut self, span: Duration) {
+        self.keep = span;
     }
 
     /// Yields the next bytes; `None` at the end of a whole body.
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -49,6 +49,9 @@
 pub const OFFERS: usize = 4;
 /// How long a client waits that doesn't say.
 const PATIENCE: Millis = Millis::new(30_000);
+/// The longest that an unused connection is kept where its runner tells that it keeps it longer:
+/// over the pauses of a busy minute, without holding many of its connections for nothing.
+const KEEP_TOLD: Millis = Millis::new(20_000);
 /// The longest refusal of a runner that is read, in bytes, so that its connection can be kept.
 const REFUSAL: usize = 64 * 1024;
 
@@ -350,8 +353,8 @@
         let now = self.node.clock.now();
         if let Some(span) = said.keeps_idle {
             // Closed a second earlier than the runner does, so that no request meets its close.
-            let span = Millis::new(span.as_u64().saturating_sub(1_000));
-            reply.body.keep_at_most(span.as_duration());
+            let span = Millis::new(span.as_u64().saturating_sub(1_000)).min(KEEP_TOLD);
+            reply.body.keep_for(span.as_duration());
         }
         if let (Some(load), Some(runner)) =
             (said.load, self.node.fleet().runner(&attempt.runner.id))
