Count what a runner said of its load just now; slower exchanges in large data centres

Cause: a VM that can't hear another one sent to runners that had just said that they were full; a hub of 95 VMs would hear 1,520 messages a second. Unused state of runners removed.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -79,7 +79,8 @@
 /// Exchanges for as long as it is polled.
 pub async fn run(node: Arc<Node>) {
     loop {
-        sleep(EVERY).await;
+        let pause = EVERY * node.peers().spread();
+        sleep(pause).await;
         let now = node.clock.now();
         let asked = {
             let mut peers = node.peers();
@@ -163,7 +164,7 @@
         follow::take_config(node, document);
     }
     if let Some(entries) = message.entries {
-        take_over(node, &message.vm, entries, now);
+        take_over(node, &message.vm, entries);
     }
     if message.roster >= node.roster().revision {
         let at = now.since(Millis::new(message.roster_age));
@@ -172,7 +173,7 @@
 }
 
 /// Takes newer entries over: all of them, and nothing else.
-fn take_over(node: &Arc<Node>, vm: &str, entries: Roster, now: Millis) {
+fn take_over(node: &Arc<Node>, vm: &str, entries: Roster) {
     if entries.revision <= node.roster().revision {
         return;
     }
@@ -194,7 +195,7 @@
     for (id, bytes) in &entries.entries {
         if let Some(entry) = runner::decode(bytes) {
             let line = format!("runner={id} service={} heard_from={vm}", entry.service);
-            let change = follow::set_runner(node, id, entry, now);
+            let change = follow::set_runner(node, id, entry);
             follow::log_change(&change, &line);
         }
     }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -34,6 +34,8 @@
 /// How long an entry that is missing after the key-value service was away is still used; the
 /// runners that live are back in the list within two seconds.
 const MISSING: Millis = Millis::new(1_700);
+/// How long a runner's own count of its requests holds: a fraction of the time that one takes.
+const TOLD: Millis = Millis::new(120);
 /// How long another VM's count of its requests holds without a newer one.
 const HEARD: Millis = Millis::new(600);
 
@@ -60,7 +62,6 @@
     full_until: Millis,
     /// Its entry was missing when the key-value service came back.
     missing_since: Option<Millis>,
-    known_since: Millis,
 }
 
 /// The runners, in the order of their ids.
@@ -141,10 +142,10 @@
     }
 
     /// Takes an entry in.
-    pub fn set(&mut self, id: &str, entry: Entry, memory: u64, now: Millis) -> Change {
+    pub fn set(&mut self, id: &str, entry: Entry, memory: u64) -> Change {
         match self.find(id) {
             Err(at) => {
-                self.runners.insert(at, Runner::new(id, entry, memory, now));
+                self.runners.insert(at, Runner::new(id, entry, memory));
                 Change::Appeared
             }
             Ok(at) => {
@@ -156,7 +157,7 @@
                     // It knows nothing of before, nor do its caches.
                     let others = std::mem::take(&mut runner.others);
                     let own = runner.own;
-                    *runner = Runner::new(id, entry, memory, now);
+                    *runner = Runner::new(id, entry, memory);
                     runner.own = own;
                     runner.others = others;
                     return Change::Appeared;
@@ -295,7 +296,7 @@
 }
 
 impl Runner {
-    fn new(id: &str, entry: Entry, memory: u64, now: Millis) -> Self {
+    fn new(id: &str, entry: Entry, memory: u64) -> Self {
         Self {
             id: id.to_owned(),
             entry,
@@ -309,7 +310,6 @@
             elsewhere_until: Millis::ZERO,
             full_until: Millis::ZERO,
             missing_since: None,
-            known_since: now,
         }
     }
 
@@ -329,10 +329,14 @@
             .map(|(_, count, _)| *count)
             .sum();
         let known = self.own + others;
+        // What the runner said just now counts where it is more than is known here: another VM that
+        // can't be heard has requests at it, too.
+        let told = self.load.filter(|(_, at)| want.now.since(*at) < TOLD);
+        let told = told.map_or(0, |(load, _)| load.running + load.waiting);
         let busy = if self.full_until > want.now {
             known.max(self.entry.slots + 2)
         } else {
-            known
+            known.max(told)
         };
         Candidate {
             slots: self.entry.slots,
@@ -396,12 +400,6 @@
         self.speed += FRESH * (1000.0 / pace - self.speed);
         self.detector.note(Sample::Done { pace });
     }
-
-    /// Yields since when the runner is known.
-    #[must_use]
-    pub fn known_since(&self) -> Millis {
-        self.known_since
-    }
 }
 
 #[cfg(test)]
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -1,5 +1,6 @@
 use adapter::config::Engine;
 use adapter::runner::Entry;
+use adapter::runner::Load;
 use adapter::runner::State;
 use policy::prefix::Part;
 use rstest::rstest;
@@ -42,7 +43,7 @@
     let mut fleet = Fleet::default();
     for at in 0..count {
         let id = format!("i-{at}");
-        fleet.set(&id, entry(State::Ready), ENGINE.memory_tokens, Millis::ZERO);
+        fleet.set(&id, entry(State::Ready), ENGINE.memory_tokens);
     }
     fleet
 }
@@ -91,7 +92,7 @@
 
 #[rstest]
 #[case::leaving(|fleet: &mut Fleet| {
-    assert_eq!(fleet.set("i-0", entry(State::Draining), 0, NOW), Change::Leaves);
+    assert_eq!(fleet.set("i-0", entry(State::Draining), 0), Change::Leaves);
 })]
 #[case::unreachable(|fleet: &mut Fleet| fleet.runner("i-0").unwrap().note_unreachable())]
 #[case::elsewhere(|fleet: &mut Fleet| fleet.runner("i-0").unwrap().note_elsewhere(NOW))]
@@ -124,7 +125,7 @@
     assert!(fleet.sweep(NOW.plus(Millis::new(1_000))).is_empty());
     assert_eq!(fleet.sweep(NOW.plus(Millis::new(1_900))), ["i-1"]);
     fleet.note_missing(&[], NOW);
-    fleet.set("i-0", entry(State::Ready), 0, NOW);
+    fleet.set("i-0", entry(State::Ready), 0);
     assert!(fleet.sweep(NOW.plus(Millis::new(9_000))).is_empty());
 }
 
@@ -141,7 +142,7 @@
         ..entry(State::Ready)
     };
     assert_eq!(
-        fleet.set("i-0", anew, ENGINE.memory_tokens, NOW),
+        fleet.set("i-0", anew, ENGINE.memory_tokens),
         Change::Appeared
     );
     assert_eq!(fleet.choose(&want(&["i-1".to_owned()])).unwrap().cached, 0);
@@ -154,3 +155,24 @@
     let chosen = fleet.choose(&want(&["i-0".to_owned()])).unwrap();
     assert_eq!((chosen.id.as_str(), chosen.among), ("i-1", 1));
 }
+
+/// Another VM that can't be heard has filled a runner. What the runner said of itself a moment ago
+/// keeps this VM from sending there as well.
+#[test]
+fn what_a_runner_just_said_of_its_load_counts() {
+    let mut fleet = fleet(2);
+    let runner = fleet.runner("i-0").unwrap();
+    runner.note_prompt(&PROMPT, NOW);
+    let load = Load {
+        running: 16,
+        waiting: 30,
+        slots: 16,
+    };
+    runner.note_load(load, NOW);
+    assert_eq!(fleet.choose(&want(&[])).unwrap().id, "i-1");
+    let later = Want {
+        now: NOW.plus(Millis::new(500)),
+        ..want(&[])
+    };
+    assert_eq!(fleet.choose(&later).unwrap().id, "i-0");
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -260,12 +260,11 @@
         );
         return;
     };
-    let now = node.clock.now();
     let line = format!(
         "runner={id} service={} address={} slots={} store_revision={}",
         decoded.service, decoded.address, decoded.slots, entry.revision
     );
-    let change = set_runner(node, &id, decoded, now);
+    let change = set_runner(node, &id, decoded);
     let weight = match change {
         fleet::Change::Same => roster::Weight::Heartbeat,
         _ => roster::Weight::Matters,
@@ -275,10 +274,10 @@
 }
 
 /// Takes a runner's entry in, wherever it came from.
-pub fn set_runner(node: &Arc<Node>, id: &str, entry: runner::Entry, now: Millis) -> fleet::Change {
+pub fn set_runner(node: &Arc<Node>, id: &str, entry: runner::Entry) -> fleet::Change {
     let engine = node.table().engine(&entry.service);
     let memory = engine.map_or(0, |engine| engine.memory_tokens);
-    node.fleet().set(id, entry, memory, now)
+    node.fleet().set(id, entry, memory)
 }
 
 fn drop_runner(node: &Arc<Node>, key: &str, revision: u64) {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -24,6 +24,8 @@
 /// Up to this many VMs exchange with each other directly: at 16 exchanges a second with each that
 /// is under 200 messages a second and VM, some per cent of a small VM's processor.
 pub const DIRECT: usize = 12;
+/// VMs of a data centre that its hub hears at the full rate, 16 times a second each.
+const LEAVES: usize = 24;
 /// How long a VM's entry lasts without renewal. Long beside a short outage of the service, as a VM
 /// that is dead costs its peers only unanswered messages.
 const LEASE: Millis = Millis::new(8_000);
@@ -149,6 +151,16 @@
         })
     }
 
+    /// Yields by how much the pause between two exchanges grows, so that a hub has at most some
+    /// hundred messages a second: once more for each [`LEAVES`] VMs of a data centre.
+    #[must_use]
+    pub fn spread(&self) -> u32 {
+        let mut centres: Vec<&str> = self.known.iter().map(|peer| peer.centre.as_str()).collect();
+        centres.sort_unstable();
+        let largest = centres.chunk_by(|a, b| a == b).map(<[&str]>::len).max();
+        u32::try_from(largest.unwrap_or(0) / LEAVES).unwrap_or(u32::MAX) + 1
+    }
+
     /// Tells whom the VM named exchanges with.
     #[must_use]
     pub fn place(&self, own: &str, centre: &str, now: Millis) -> Place {
