--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -144,6 +144,25 @@
     }
 }
 
+/// Yields the refusal of a request whose time is over; `runs` counts the runners that may have run
+/// it.
+#[must_use]
+pub fn late(runs: u32) -> Refusal {
+    if runs == 0 {
+        return Refusal::new(Code::WaitedTooLong, "").retry_after(RETRY);
+    }
+    Refusal::new(Code::OutcomeUnknown, "").ran(Ran::Unknown)
+}
+
+/// Yields the refusal of a request that no runner took; `runs` counts those that may have run it.
+#[must_use]
+pub fn nowhere(runs: u32) -> Refusal {
+    if runs == 0 {
+        return Refusal::new(Code::NoEndpoint, "none takes it").retry_after(RETRY);
+    }
+    Refusal::new(Code::EndpointFailed, "").ran(Ran::Unknown)
+}
+
 /// Logs and renders a refusal.
 #[must_use]
 pub fn refuse(node: &Node, refusal: &Refusal, id: &str, job: Option<&Job>) -> Response<Body> {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -12,23 +12,24 @@
 /// The longest span that a histogram tells apart, in milliseconds: an hour.
 const LONGEST: u64 = 3_600_000;
 
-macro_rules! counters {
-    ($($name:ident = $text:literal, $help:literal;)*) => {
-        /// What is counted.
+/// Declares what is counted or timed: a name for scrapers and an explanation each.
+macro_rules! figures {
+    ($(#[$doc:meta])* $kind:ident: $($name:ident = $text:literal, $help:literal;)*) => {
+        $(#[$doc])*
         #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-        pub enum Counter { $(#[doc = $help] $name,)* }
+        pub enum $kind { $(#[doc = $help] $name,)* }
 
-        impl Counter {
-            /// Every counter.
+        impl $kind {
+            /// Every one, in the order of their declaration.
             pub const ALL: &'static [Self] = &[$(Self::$name,)*];
 
-            /// Yields the counter's name.
+            /// Yields its name.
             #[must_use]
             pub const fn name(self) -> &'static str {
                 match self { $(Self::$name => $text,)* }
             }
 
-            /// Yields what it counts.
+            /// Yields what it tells.
             #[must_use]
             pub const fn help(self) -> &'static str {
                 match self { $(Self::$name => $help,)* }
@@ -37,7 +38,9 @@
     };
 }
 
-counters! {
+figures! {
+    /// What is counted.
+    Counter:
     Requests = "requests", "requests whose headers were read";
     Answered = "requests_answered", "answers of runners that were passed on";
     Refused = "requests_refused", "requests refused by the system that had not run";
@@ -53,32 +56,9 @@
     StoreCalls = "platform_calls", "calls of the platform's key-value service";
 }
 
-macro_rules! spans {
-    ($($name:ident = $text:literal, $help:literal;)*) => {
-        /// What is timed.
-        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-        pub enum Span { $(#[doc = $help] $name,)* }
-
-        impl Span {
-            /// Every span.
-            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
-
-            /// Yields the span's name.
-            #[must_use]
-            pub const fn name(self) -> &'static str {
-                match self { $(Self::$name => $text,)* }
-            }
-
-            /// Yields what it times.
-            #[must_use]
-            pub const fn help(self) -> &'static str {
-                match self { $(Self::$name => $help,)* }
-            }
-        }
-    };
-}
-
-spans! {
+figures! {
+    /// What is timed.
+    Span:
     Prepare = "prepare_ms", "from a turn's arrival until its history and tokens are there";
     First = "first_event_ms", "from a stream's arrival to its first event";
     Whole = "whole_answer_ms", "from a request's arrival to the end of its answer";
@@ -134,9 +114,11 @@
     pub fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut out = String::new();
         for counter in Counter::ALL {
+            explain(&mut out, counter.name(), counter.help());
             line(&mut out, counter.name(), "", self.value(*counter));
         }
         for span in Span::ALL {
+            explain(&mut out, span.name(), span.help());
             let histogram = &self.spans[*span as usize];
             let histogram = histogram.lock().unwrap_or_else(PoisonError::into_inner);
             for (label, quantile) in [("0.5", 0.5), ("0.95", 0.95), ("0.99", 0.99)] {
@@ -157,6 +139,11 @@
     }
 }
 
+fn explain(out: &mut String, name: &str, help: &str) {
+    // Writing to a string doesn't fail.
+    let _never = writeln!(out, "# HELP chestnutyoke_{name} {help}");
+}
+
 fn line(out: &mut String, name: &str, label: &str, value: u64) {
     // Writing to a string doesn't fail.
     let _never = writeln!(out, "chestnutyoke_{name}{label} {value}");
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -68,10 +68,10 @@
     let mut offers = 0;
     loop {
         if job.left() == Millis::ZERO {
-            return Err(late(runs));
+            return Err(job::late(runs));
         }
         let Some(runner) = job.choose(&not) else {
-            return Err(nowhere(runs));
+            return Err(job::nowhere(runs));
         };
         let id = runner.id.clone();
         offers += 1;
@@ -88,7 +88,7 @@
                 not.push(id);
                 continue;
             }
-            Sent::NotRun => return Err(nowhere(runs)),
+            Sent::NotRun => return Err(job::nowhere(runs)),
             Sent::Unknown(why) => why,
             Sent::Late => "no answer in time".to_owned(),
         };
@@ -142,20 +142,6 @@
     ))
 }
 
-fn late(runs: u32) -> Refusal {
-    if runs == 0 {
-        return Refusal::new(Code::WaitedTooLong, "").retry_after(job::RETRY);
-    }
-    Refusal::new(Code::OutcomeUnknown, "").ran(Ran::Unknown)
-}
-
-fn nowhere(runs: u32) -> Refusal {
-    if runs == 0 {
-        return Refusal::new(Code::NoEndpoint, "").retry_after(job::RETRY);
-    }
-    Refusal::new(Code::EndpointFailed, "").ran(Ran::Unknown)
-}
-
 fn failed(job: &Job, why: &str) -> Refusal {
     let code = if job.left() == Millis::ZERO {
         Code::OutcomeUnknown
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -51,11 +51,8 @@
 /// The pause between two tries to keep a turn's text.
 const KEEP_PAUSE: Duration = Duration::from_millis(50);
 
-/// What a turn needs beside a runner.
-struct Prepared {
-    /// The texts before the turn's own input.
-    history: Vec<Bytes>,
-}
+/// The texts before a turn's own input, the oldest first.
+type History = Vec<Bytes>;
 
 /// How a stream ended.
 #[derive(Debug)]
@@ -110,8 +107,8 @@
         }
     };
     match begun {
-        Ok((reply, attempt, prepared)) => {
-            answered(&job, account, &prepared, reply, attempt, head).await;
+        Ok((reply, attempt, history)) => {
+            answered(&job, account, &history, reply, attempt, head).await;
         }
         Err(refusal) => {
             account::settle(&job, account, 0);
@@ -122,22 +119,22 @@
 }
 
 /// Prepares a turn and finds the runner that answers it.
-async fn begin(job: &Job, account: Option<Account>) -> Result<(Reply, Attempt, Prepared), Refusal> {
-    let prepared = prepare(job, account).await?;
+async fn begin(job: &Job, account: Option<Account>) -> Result<(Reply, Attempt, History), Refusal> {
+    let history = prepare(job, account).await?;
     job.node.metrics.time(Span::Prepare, job.age());
     let mut not = Vec::new();
     let mut runs = 0;
     let last_event = job.call.last_event;
-    let (reply, attempt) = open(job, &prepared, &mut not, &mut runs, last_event).await?;
-    Ok((reply, attempt, prepared))
+    let (reply, attempt) = open(job, &history, &mut not, &mut runs, last_event).await?;
+    Ok((reply, attempt, history))
 }
 
-async fn prepare(job: &Job, account: Option<Account>) -> Result<Prepared, Refusal> {
-    let (history, ()) = tokio::try_join!(history(job), account::reserve(job, account))?;
-    Ok(Prepared { history })
+async fn prepare(job: &Job, account: Option<Account>) -> Result<History, Refusal> {
+    let (history, ()) = tokio::try_join!(read_history(job), account::reserve(job, account))?;
+    Ok(history)
 }
 
-async fn history(job: &Job) -> Result<Vec<Bytes>, Refusal> {
+async fn read_history(job: &Job) -> Result<History, Refusal> {
     match &job.call.previous {
         Some(previous) if job.route.keeps_turns => {
             turns::history(&job.node, Key::of(previous)).await
@@ -149,7 +146,7 @@
 /// Offers the turn to runners until one answers. `runs` counts those that may have run it.
 async fn open(
     job: &Job,
-    prepared: &Prepared,
+    history: &[Bytes],
     not: &mut Vec<String>,
     runs: &mut u32,
     last_event: Option<u64>,
@@ -159,10 +156,10 @@
             break;
         }
         let Some(runner) = job.choose(not) else {
-            return Err(nowhere(*runs));
+            return Err(job::nowhere(*runs));
         };
         let id = runner.id.clone();
-        let mut pieces = prepared.history.clone();
+        let mut pieces = history.to_vec();
         pieces.push(job.body.clone());
         let sent = job
             .send(runner, Payload::of(pieces), last_event, job.until)
@@ -185,30 +182,16 @@
         }
     }
     if job.left() == Millis::ZERO {
-        return Err(late(*runs));
-    }
-    Err(nowhere(*runs))
-}
-
-fn late(runs: u32) -> Refusal {
-    if runs == 0 {
-        return Refusal::new(Code::WaitedTooLong, "").retry_after(job::RETRY);
-    }
-    Refusal::new(Code::OutcomeUnknown, "").ran(Ran::Unknown)
-}
-
-fn nowhere(runs: u32) -> Refusal {
-    if runs == 0 {
-        return Refusal::new(Code::NoEndpoint, "all runners are full").retry_after(job::RETRY);
+        return Err(job::late(*runs));
     }
-    Refusal::new(Code::EndpointFailed, "").ran(Ran::Unknown)
+    Err(job::nowhere(*runs))
 }
 
 /// Passes an answer on, and takes the stream up again where it breaks and may be.
 async fn answered(
     job: &Job,
     account: Option<Account>,
-    prepared: &Prepared,
+    history: &[Bytes],
     reply: Reply,
     attempt: Attempt,
     head: oneshot::Sender<Response<Body>>,
@@ -236,7 +219,7 @@
     let runner = attempt.runner.id.clone();
     let success = status.is_success();
     let end = if success {
-        follow(job, prepared, &mut flow, reply, attempt).await
+        follow(job, history, &mut flow, reply, attempt).await
     } else {
         copy(job, &mut flow, reply).await
     };
@@ -291,7 +274,7 @@
 /// Passes events on until the end, over breaks where the route allows.
 async fn follow(
     job: &Job,
-    prepared: &Prepared,
+    history: &[Bytes],
     flow: &mut Flow,
     reply: Reply,
     attempt: Attempt,
@@ -311,7 +294,7 @@
         if !job.route.resumable || resumes > RESUMES || job.left() == Millis::ZERO {
             return End::Broken(why);
         }
-        match resume(job, prepared, flow, &attempt, &why).await {
+        match resume(job, history, flow, &attempt, &why).await {
             Ok(next) => (reply, attempt) = next,
             Err(end) => return end,
         }
@@ -322,7 +305,7 @@
 /// and another one would count as a further run, else at another.
 async fn resume(
     job: &Job,
-    prepared: &Prepared,
+    history: &[Bytes],
     flow: &mut Flow,
     attempt: &Attempt,
     why: &str,
@@ -338,7 +321,7 @@
         same.id,
         flow.last
     );
-    let mut pieces = prepared.history.clone();
+    let mut pieces = history.to_vec();
     pieces.push(job.body.clone());
     let gone = flow.parts.clone();
     let again = async {
@@ -350,7 +333,7 @@
             return Ok((*reply, attempt));
         }
         let mut not = vec![id];
-        open(job, prepared, &mut not, &mut 0, flow.last).await
+        open(job, history, &mut not, &mut 0, flow.last).await
     };
     let opened = tokio::select! {
         opened = again => opened,
