Try the runners around an unreachable one, and place near runners first

A runner that broke one connection got nothing until the next look, up to 250 ms later.

Now a broken connection is tried again at once; where nothing answers, the runners of that data centre that haven't answered for 0.3 s are tried too, beside the traffic. Of equal runners the near one goes first, and a call that may run once goes near while a runner is free there. A plain service's runner counts as 40 requests a second before any was measured, not 700, and a runner that was read before the configuration gets its engine's memory once that is known.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -33,6 +33,9 @@
 /// Why a request has no answer.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum Fault {
+    /// Nobody answered in time: the request wasn't written. A partition shows so.
+    #[display("no connection in time: {_0}")]
+    Silent(#[error(not(source))] SocketAddr),
     /// No byte of the request was written: it can't have arrived.
     #[display("not sent: {_0}")]
     NotSent(#[error(not(source))] String),
@@ -220,7 +223,7 @@
         let stream = match connected.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(fault)) => return Err(not_sent(fault.to_string())),
-            Err(_) => return Err(not_sent("no connection in time".to_owned())),
+            Err(_) => return Err(Fault::Silent(address)),
         };
         if let Err(fault) = socket::prepare(&stream, self.limits.silence) {
             log::debug!("socket options of {address}: {fault}");
--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -74,6 +74,7 @@
         cached: if index % 50 == 7 { 18_000 } else { 0 },
         share: 1.0,
         lane: place::Lane::Open,
+        away: 0.0,
     }
 }
 
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -13,7 +13,8 @@
 //! Load reports lag by up to two seconds, so the calls that the VM itself has sent and ended since
 //! the report are added. Other VMs' calls can't be known; endpoints whose costs lie within
 //! [`TIE`] of the best are chosen among by the call's salt, so that VMs that see the same report
-//! don't all pick the same endpoint.
+//! don't all pick the same endpoint. Among those, one in the VM's own data centre goes first: what
+//! crosses data centres is paid for, and hangs when one of them is cut off.
 
 use crate::class::Class;
 
@@ -75,6 +76,8 @@
     pub share: f64,
     /// What it is kept for; see [`lanes`].
     pub lane: Lane,
+    /// What the way to it costs, in milliseconds: 0 in the VM's own data centre.
+    pub away: f64,
 }
 
 /// What an endpoint is kept for.
@@ -187,7 +190,11 @@
     }
     let tied = candidates.iter().enumerate().filter_map(weigh);
     let tied = tied.filter(|choice| ties(choice, &cheapest));
-    let best = tied.max_by_key(|choice| mix(call.salt, choice.index))?;
+    let away = |choice: &Choice| candidates[choice.index].away;
+    let best = tied.min_by(|a, b| {
+        let nearer = away(a).total_cmp(&away(b));
+        nearer.then_with(|| mix(call.salt, b.index).cmp(&mix(call.salt, a.index)))
+    })?;
     let next = if best.index == cheapest.index {
         second
     } else {
@@ -298,8 +305,8 @@
         Start::Later
     };
     let toll = miss * f64::from(occupied(of).min(of.slots)) * TOLL;
-    let cost =
-        weights.latency * (wait + miss + run * (1.0 - scarcity) + toll) + weights.cache * miss;
+    let time = wait + miss + run * (1.0 - scarcity) + toll + of.away;
+    let cost = weights.latency * time + weights.cache * miss;
     Some(Choice {
         index,
         start,
--- a/crates/policy/tests/support/vm.rs
+++ b/crates/policy/tests/support/vm.rs
@@ -231,6 +231,7 @@
                 cached: 0,
                 share: detector.share(now),
                 lane: *lane,
+                away: 0.0,
             }
         };
         endpoints.map(candidate).collect()
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -18,8 +18,14 @@
 use policy::prefix::Cache;
 use wire::clock::Millis;
 
+use crate::reach::Target;
+
 /// Tokens a second that an engine generates for one request before any has been measured.
 const SPEED: f64 = 700.0;
+/// Requests a second that a plain service's runner does one after the other before any has been
+/// measured: work of 25 ms, the usual one of both deployments (10 to 52 ms). One thought faster
+/// would draw all calls after its start, as a wait at it looks short.
+const SPEED_PLAIN: f64 = 40.0;
 /// Prompt tokens that an engine reads in the time in which it generates one. Measured at the
 /// engines of both deployments: 206 and 260.
 const READS: f64 = 220.0;
@@ -36,6 +42,16 @@
 const MISSING: Millis = Millis::new(1_700);
 /// How long a runner's own count of its requests holds: a fraction of the time that one takes.
 const TOLD: Millis = Millis::new(120);
+/// A runner that hasn't answered for this long is tried where others of its data centre don't
+/// answer: some times the pause between two answers of a busy runner.
+const QUIET: Millis = Millis::new(300);
+/// What a way to another data centre costs a request that may run again, in milliseconds: there and
+/// back between the data centres of both deployments, 1 and 2.8.
+pub const AWAY: f64 = 3.0;
+/// What it costs a call that may run at most once. Its outcome stays unknown where the way breaks
+/// meanwhile, and its program ends; so one in the VM's own data centre is worth half the time of a
+/// usual call (26 to 52 ms).
+pub const AWAY_ONCE: f64 = 15.0;
 /// How long another VM's count of its requests holds without a newer one.
 const HEARD: Millis = Millis::new(600);
 
@@ -52,12 +68,16 @@
     others: Vec<(String, u32, Millis)>,
     /// What it said of its load last.
     load: Option<(Load, Millis)>,
+    /// Its engine's memory in tokens; 0 for plain services.
+    memory: u64,
     cache: Cache,
     /// Tokens a second for one request; for plain services, requests a second.
     speed: f64,
     detector: Detector,
     /// No connection to it could be made, or one broke, and none has been made since.
     unreachable: bool,
+    /// When an answer of its came last, or a connection was made beside the traffic.
+    heard: Millis,
     elsewhere_until: Millis,
     full_until: Millis,
     /// Its entry was missing when the key-value service came back.
@@ -87,6 +107,10 @@
     pub salt: u64,
     /// Runners that have turned it away or failed it.
     pub not: &'a [String],
+    /// The data centre of this VM.
+    pub centre: &'a str,
+    /// What a way to another data centre costs, in milliseconds.
+    pub away: f64,
     /// The time.
     pub now: Millis,
 }
@@ -225,13 +249,47 @@
         changes
     }
 
+    /// Notes that a connection to a runner broke or could not be made; yields where to try it again
+    /// if that is news. It gets nothing until a new connection was made: beside a partition each
+    /// request sent there would wait in vain.
+    pub fn lose(&mut self, id: &str) -> Option<Target> {
+        let runner = self.runner(id)?;
+        runner.detector.note(Sample::Failed);
+        if std::mem::replace(&mut runner.unreachable, true) {
+            return None;
+        }
+        Some(runner.target())
+    }
+
     /// Yields the runners to which no connection could be made, to try them again.
     #[must_use]
-    pub fn unreachable(&self) -> Vec<(String, SocketAddr)> {
+    pub fn unreachable(&self) -> Vec<Target> {
         let unreachable = self.runners.iter().filter(|runner| runner.unreachable);
-        unreachable
-            .map(|runner| (runner.id.clone(), runner.entry.address))
-            .collect()
+        unreachable.map(Runner::target).collect()
+    }
+
+    /// Yields the runners of a data centre that are thought reachable, but haven't answered for
+    /// [`QUIET`].
+    #[must_use]
+    pub fn unheard(&self, centre: &str, now: Millis) -> Vec<Target> {
+        let around = self.runners.iter().filter(|runner| {
+            runner.entry.centre == centre && !runner.unreachable && now.since(runner.heard) >= QUIET
+        });
+        around.map(Runner::target).collect()
+    }
+
+    /// Notes how much memory the engines of each service have, which a new configuration tells.
+    /// Entries may be read before the first configuration; without this, such a runner would be
+    /// thought to hold nothing of any prompt for as long as it lives.
+    pub fn learn_memory(&mut self, memory: impl Fn(&str) -> u64) {
+        for runner in &mut self.runners {
+            let memory = memory(&runner.entry.service);
+            if runner.memory != memory {
+                runner.memory = memory;
+                runner.cache = Cache::new(memory);
+                runner.speed = first_speed(memory);
+            }
+        }
     }
 
     /// Takes in how many requests another VM has under way at each runner.
@@ -295,18 +353,25 @@
     }
 }
 
+/// Yields the speed to reckon with before any was measured; plain services have no memory.
+const fn first_speed(memory: u64) -> f64 {
+    if memory == 0 { SPEED_PLAIN } else { SPEED }
+}
+
 impl Runner {
     fn new(id: &str, entry: Entry, memory: u64) -> Self {
         Self {
+            memory,
             id: id.to_owned(),
             entry,
             own: 0,
             others: Vec::new(),
             load: None,
             cache: Cache::new(memory),
-            speed: SPEED,
+            speed: first_speed(memory),
             detector: Detector::new(Millis::ZERO),
             unreachable: false,
+            heard: Millis::ZERO,
             elsewhere_until: Millis::ZERO,
             full_until: Millis::ZERO,
             missing_since: None,
@@ -349,6 +414,11 @@
             cached: self.cache.cached(want.prompt),
             share: self.detector.share(want.now),
             lane: Lane::Open,
+            away: if self.entry.centre == want.centre {
+                0.0
+            } else {
+                want.away
+            },
         }
     }
 
@@ -357,21 +427,28 @@
         self.cache.note(prompt, now);
     }
 
+    fn target(&self) -> Target {
+        Target {
+            id: self.id.clone(),
+            address: self.entry.address,
+            centre: self.entry.centre.clone(),
+        }
+    }
+
     /// Notes the load that an answer told.
     pub fn note_load(&mut self, load: Load, now: Millis) {
         self.load = Some((load, now));
     }
 
-    /// Notes that no connection could be made, or that one broke. The runner gets nothing until a
-    /// new connection was made: beside a partition each request sent there would wait in vain.
-    pub fn note_unreachable(&mut self) {
-        self.unreachable = true;
-        self.detector.note(Sample::Failed);
+    /// Notes that an answer came.
+    pub fn note_heard(&mut self, now: Millis) {
+        self.heard = now;
     }
 
-    /// Notes that a connection was made.
-    pub fn note_reachable(&mut self) {
-        self.unreachable = false;
+    /// Notes that a connection was made; tells whether that is news.
+    pub fn note_reachable(&mut self, now: Millis) -> bool {
+        self.heard = now;
+        std::mem::replace(&mut self.unreachable, false)
     }
 
     /// Notes that another runner has its address.
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use wire::clock::Millis;
 
+use super::AWAY_ONCE;
 use super::Change;
 use super::Fleet;
 use super::Want;
@@ -57,6 +58,8 @@
         output_tokens: 250,
         salt: 7,
         not,
+        centre: "a",
+        away: AWAY_ONCE,
         now: NOW,
     }
 }
@@ -94,7 +97,7 @@
 #[case::leaving(|fleet: &mut Fleet| {
     assert_eq!(fleet.set("i-0", entry(State::Draining), 0), Change::Leaves);
 })]
-#[case::unreachable(|fleet: &mut Fleet| fleet.runner("i-0").unwrap().note_unreachable())]
+#[case::unreachable(|fleet: &mut Fleet| assert!(fleet.lose("i-0").is_some()))]
 #[case::elsewhere(|fleet: &mut Fleet| fleet.runner("i-0").unwrap().note_elsewhere(NOW))]
 #[case::gone(|fleet: &mut Fleet| assert_eq!(fleet.remove("i-0"), Change::Gone))]
 fn a_runner_that_takes_nothing_gets_nothing(#[case] play: fn(&mut Fleet)) {
@@ -109,9 +112,11 @@
 #[test]
 fn an_unreachable_runner_is_used_again_after_a_connection() {
     let mut fleet = fleet(1);
-    fleet.runner("i-0").unwrap().note_unreachable();
+    assert!(fleet.lose("i-0").is_some());
+    assert!(fleet.lose("i-0").is_none(), "it is news only once");
     assert_eq!(fleet.unreachable().len(), 1);
-    fleet.runner("i-0").unwrap().note_reachable();
+    assert!(fleet.runner("i-0").unwrap().note_reachable(NOW));
+    assert!(!fleet.runner("i-0").unwrap().note_reachable(NOW));
     assert!(fleet.unreachable().is_empty());
     assert!(fleet.choose(&want(&[])).is_some());
 }
@@ -176,3 +181,65 @@
     };
     assert_eq!(fleet.choose(&later).unwrap().id, "i-0");
 }
+
+/// A call that may run at most once is sent to another data centre, which is cut off before the
+/// answer comes. Its caller learns that the outcome is unknown, and its program ends. A runner
+/// nearby would have answered.
+#[test]
+fn a_call_that_may_run_once_stays_near_while_a_runner_is_free_there() {
+    let mut fleet = Fleet::default();
+    for (id, centre) in [("i-0", "b"), ("i-1", "a"), ("i-2", "b")] {
+        let entry = Entry {
+            centre: centre.to_owned(),
+            ..entry(State::Ready)
+        };
+        fleet.set(id, entry, 0);
+    }
+    let want = Want {
+        engine: None,
+        prompt: &[],
+        prompt_tokens: 0,
+        output_tokens: 1,
+        ..want(&[])
+    };
+    for salt in 0..16 {
+        let chosen = fleet
+            .choose(&Want { salt, ..want })
+            .expect("three are there");
+        assert_eq!(chosen.id, "i-1");
+    }
+    fleet.runner("i-1").expect("it is there").own = 40;
+    let chosen = fleet.choose(&want).expect("three are there");
+    assert_ne!(chosen.id, "i-1");
+}
+
+/// One runner of a data centre doesn't answer. Those around it that haven't answered lately are
+/// tried beside the traffic, so that no request has to find out; those of other data centres and
+/// those that just answered aren't.
+#[test]
+fn runners_around_an_unreachable_one_are_tried() {
+    let mut fleet = fleet(4);
+    let far = Entry {
+        centre: "b".to_owned(),
+        ..entry(State::Ready)
+    };
+    fleet.set("i-3", far, ENGINE.memory_tokens);
+    fleet.runner("i-1").expect("it is there").note_heard(NOW);
+    let lost = fleet.lose("i-0").expect("it was reachable");
+    let around = fleet.unheard(&lost.centre, NOW.plus(Millis::new(100)));
+    let ids: Vec<&str> = around.iter().map(|target| target.id.as_str()).collect();
+    assert_eq!(ids, ["i-2"]);
+}
+
+/// A runner's entry is read before the first configuration, so its memory isn't known. Once it is,
+/// turns go back to the runner that holds their prompt.
+#[test]
+fn a_runner_read_before_the_configuration_is_known_to_hold_prompts() {
+    let mut fleet = Fleet::default();
+    fleet.set("i-0", entry(State::Ready), 0);
+    fleet.learn_memory(|_| ENGINE.memory_tokens);
+    let runner = fleet.runner("i-0").expect("it is there");
+    runner.note_prompt(&PROMPT, NOW);
+    let chosen = fleet.choose(&want(&[])).expect("it is there");
+    assert_eq!(chosen.cached, 13_000);
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -234,6 +234,12 @@
     let routes = config.routes.len();
     let before = node.table().version;
     if node.set_table(Table::new(config, bytes)) {
+        let table = node.table();
+        let memory = |service: &str| {
+            let engine = table.engine(service);
+            engine.map_or(0, |engine| engine.memory_tokens)
+        };
+        node.fleet().learn_memory(memory);
         log::info!(
             "event=E{} text=\"{}\" revision={version} before={before} routes={routes}",
             Event::RevisionApplied.number(),
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -28,6 +28,7 @@
 use crate::node::Node;
 use crate::peers;
 use crate::probe;
+use crate::reach;
 
 /// How long a client's connection may be idle: longer than any limit that operators set, as the
 /// clients leave first.
@@ -230,18 +231,6 @@
     }
 }
 
-/// Tries to make a connection to a runner that could not be reached.
-async fn try_again(node: Arc<Node>, id: String, address: SocketAddr) {
-    match node.runners.probe(address).await {
-        Ok(()) => {
-            if let Some(runner) = node.fleet().runner(&id) {
-                runner.note_reachable();
-            }
-        }
-        Err(fault) => log::debug!("runner {id}: {fault}"),
-    }
-}
-
 /// Looks over connections and runners.
 async fn sweep(node: Arc<Node>) {
     loop {
@@ -253,10 +242,7 @@
         for id in gone {
             follow::log_change(&fleet::Change::Gone, &format!("runner={id} missing=true"));
         }
-        let unreachable = node.fleet().unreachable();
-        for (id, address) in unreachable {
-            tokio::spawn(try_again(node.clone(), id, address));
-        }
+        reach::retry(&node);
         let changes = node.fleet().judge(now);
         for (id, kind) in changes {
             let event = match kind {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -32,11 +32,13 @@
 use wire::event::Event;
 
 use crate::answer;
+use crate::fleet;
 use crate::fleet::Chosen;
 use crate::fleet::Want;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::plain;
+use crate::reach;
 use crate::stream;
 use crate::table;
 use crate::table::Table;
@@ -276,6 +278,11 @@
             },
             salt: rand::rng().next_u64(),
             not,
+            centre: &self.node.settings.centre,
+            away: match self.route.kind {
+                Kind::AtMostOnce => fleet::AWAY_ONCE,
+                Kind::Idempotent | Kind::Stream => fleet::AWAY,
+            },
             now: self.node.clock.now(),
         };
         self.node.fleet().choose(&want)
@@ -310,27 +317,20 @@
         };
         match sent {
             Ok(reply) => self.judge(reply, attempt).await,
-            Err(client::Fault::NotSent(why)) => {
-                self.note_broken(&attempt);
-                self.log_retry(&attempt.runner.id, &why);
-                Sent::NotRun
-            }
-            Err(client::Fault::Broken(why)) => {
-                self.note_broken(&attempt);
-                Sent::Unknown(why)
+            Err(fault) => {
+                let runner = &attempt.runner;
+                reach::note_broken(&self.node, &runner.id, runner.address);
+                match fault {
+                    client::Fault::Silent(_) | client::Fault::NotSent(_) => {
+                        self.log_retry(&runner.id, &fault.to_string());
+                        Sent::NotRun
+                    }
+                    client::Fault::Broken(why) => Sent::Unknown(why),
+                }
             }
         }
     }
 
-    /// Notes that a connection to a runner broke or could not be made. Others that are kept to it
-    /// may hang in the same way, so they are dropped.
-    fn note_broken(&self, attempt: &Attempt) {
-        self.node.runners.forget(attempt.runner.address);
-        if let Some(runner) = self.node.fleet().runner(&attempt.runner.id) {
-            runner.note_unreachable();
-        }
-    }
-
     fn begin(&self, runner: Chosen) -> Attempt {
         let now = self.node.clock.now();
         if let Some(known) = self.node.fleet().runner(&runner.id) {
@@ -377,10 +377,11 @@
             let span = Millis::new(span.as_u64().saturating_sub(1_000)).min(KEEP_TOLD);
             reply.body.keep_for(span.as_duration());
         }
-        if let (Some(load), Some(runner)) =
-            (said.load, self.node.fleet().runner(&attempt.runner.id))
-        {
-            runner.note_load(load, now);
+        if let Some(runner) = self.node.fleet().runner(&attempt.runner.id) {
+            runner.note_heard(now);
+            if let Some(load) = said.load {
+                runner.note_load(load, now);
+            }
         }
         if said.id.as_ref().is_some_and(|id| *id != self.call.id) {
             return Sent::Unknown("the answer belongs to another request".to_owned());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod plain;
 pub mod probe;
+pub mod reach;
 pub mod roster;
 pub mod store;
 pub mod stream;
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -73,6 +73,8 @@
     EndpointAppeared = 5004, "endpoint appears";
     EndpointGone = 5005, "endpoint is gone";
     EntryUnreadable = 5006, "an entry names no endpoint";
+    EndpointUnreachable = 5007, "endpoint can't be reached";
+    EndpointReachable = 5008, "endpoint can be reached again";
 }
 
 impl fmt::Display for Event {
