Forget a silent member once it is off the list

The members that don't answer are now a pure state of their own. A list with members to spare waits 3 s instead of 1.5 s, so that a restart or a short cut takes nobody off.

Red before: a_member_that_was_taken_off_is_not_taken_off_again.

--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod quorum;
 pub mod record;
 pub mod server;
+pub mod silence;
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -34,6 +34,7 @@
 use crate::record::Key;
 use crate::record::Record;
 use crate::server::Member;
+use crate::silence::Silence;
 
 /// How often the member looks at its own state.
 const TICK: Duration = Duration::from_millis(200);
@@ -43,10 +44,6 @@
 /// How often a VM does that has to change the list: a tenth of the time in which one with an empty
 /// disk has to be a full copy again.
 const REREAD_SOON: Millis = Millis::new(500);
-/// How long a member may be silent, where there are more members than losses ask for, or only two,
-/// before it is taken off the list. A majority of a list with a dead member bears one loss less. A member that
-/// was only cut off joins again and learns the little that it missed.
-const EVICT: Millis = Millis::new(1_500);
 /// Without a request for this long a member was cut off, frozen or idle; it then asks what it
 /// missed.
 const QUIET: Millis = Millis::new(1_000);
@@ -89,8 +86,7 @@
     /// The list's revision in the key-value service.
     revision: u64,
     read_at: Option<Millis>,
-    /// Members that don't answer, and since when.
-    silent: Vec<(String, Millis)>,
+    silence: Silence,
     /// Whether what others hold was compared since the start or the last quiet spell.
     compared: bool,
     outage: bool,
@@ -402,19 +398,18 @@
     async fn evict(&self, memory: &mut Memory, list: &List) {
         let longer = list.members.len() > 2 * self.losses + 1;
         if !longer && list.members.len() != 2 {
-            memory.silent.clear();
+            memory.silence.clear();
             return;
         }
-        let now = self.clock.now();
         let mut alive: Vec<&list::Member> = Vec::new();
         for member in &list.members {
             if self.status(member).await.is_some() {
-                memory.silent.retain(|(vm, _)| *vm != member.vm);
                 alive.push(member);
-            } else if !memory.silent.iter().any(|(vm, _)| *vm == member.vm) {
-                memory.silent.push((member.vm.clone(), now));
             }
         }
+        let now = self.clock.now();
+        let answered: Vec<&str> = alive.iter().map(|member| member.vm.as_str()).collect();
+        memory.silence.note(list, &answered, now);
         // A side of a cut that has too few members keeps the list; the other side returns. Of two
         // members each holds everything, as a write needs both; neither can go on without the
         // other until the list says so, and only one of them can change it.
@@ -422,10 +417,10 @@
         if !enough || alive.first().is_none_or(|first| **first != self.own) {
             return;
         }
-        let long = |(_, since): &&(String, Millis)| now.since(*since) >= EVICT;
-        if let Some((vm, _)) = memory.silent.iter().find(long).cloned() {
+        if let Some(vm) = memory.silence.lapsed(list, now) {
             log::warn!("event=E3106 text=\"silent member taken off the list\" member={vm}");
-            self.propose(memory, list, &list.without(&vm)).await;
+            let next = list.without(vm);
+            self.propose(memory, list, &next).await;
         }
     }
 
--- /dev/null
+++ b/crates/replica/src/silence/tests.rs
@@ -0,0 +1,56 @@
+use wire::clock::Millis;
+
+use super::Silence;
+use crate::list::List;
+use crate::list::Member;
+
+const NOW: Millis = Millis::new(50_000);
+
+fn list(vms: &[&str]) -> List {
+    let member = |vm: &&str| Member {
+        vm: (*vm).to_owned(),
+        centre: "a".to_owned(),
+        address: ([127, 0, 0, 1], 80).into(),
+        disk: 1,
+    };
+    vms.iter()
+        .fold(List::default(), |list, vm| list.with(&member(vm)))
+}
+
+/// A member is gone for good and is taken off the list. If it were remembered as silent, the list
+/// would change again every few hundred milliseconds, and callers would wait for members that learn
+/// without end.
+#[test]
+fn a_member_that_was_taken_off_is_not_taken_off_again() {
+    let mut silence = Silence::default();
+    let four = list(&["a", "b", "c", "d"]);
+    silence.note(&four, &["a", "b", "c"], NOW);
+    let later = NOW.plus(Millis::new(3_000));
+    silence.note(&four, &["a", "b", "c"], later);
+    assert_eq!(silence.lapsed(&four, later), Some("d"));
+    let three = four.without("d");
+    silence.note(&three, &["a", "b", "c"], later);
+    assert_eq!(silence.lapsed(&three, later), None);
+}
+
+#[test]
+fn a_restart_takes_no_member_off() {
+    let mut silence = Silence::default();
+    let four = list(&["a", "b", "c", "d"]);
+    silence.note(&four, &["a", "b", "c"], NOW);
+    let later = NOW.plus(Millis::new(2_900));
+    assert_eq!(silence.lapsed(&four, later), None);
+    silence.note(&four, &["a", "b", "c", "d"], later);
+    let last = NOW.plus(Millis::new(9_000));
+    assert_eq!(silence.lapsed(&four, last), None);
+}
+
+#[test]
+fn the_other_one_of_two_is_taken_off_sooner() {
+    let mut silence = Silence::default();
+    let two = list(&["a", "b"]);
+    silence.note(&two, &["a"], NOW);
+    assert_eq!(silence.lapsed(&two, NOW.plus(Millis::new(1_400))), None);
+    let later = NOW.plus(Millis::new(1_500));
+    assert_eq!(silence.lapsed(&two, later), Some("b"));
+}
