Let the runners' watch return often, and watch the system's own keys less in large deployments

Every VM then took its knowledge for stale after 1.2 s and read all entries itself: ages of 3 to 14 s in the log and thousands of calls. A hub whose connection to the store hung noticed after 21 s.

A watch of the runners now waits 0.6 s at most, so knowledge is under 1.2 s old while the store answers, and a hung connection shows after 1.5 s; VMs that read only as others don't back off to 1.2 s; the pause between watches of the system's keys grows with the VMs.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -24,10 +24,23 @@
 
 /// How long a watch waits at the service for a change.
 const WAIT: Millis = Millis::new(20_000);
+/// How long a watch of the runners does. Heartbeats alone change no entry, so that in quiet minutes
+/// nothing comes; each return, also an empty one, tells that what is known is current. With the
+/// pause it stays below the age at which other VMs take the knowledge for stale and read the
+/// entries themselves, all of them at once.
+const WAIT_RUNNERS: Millis = Millis::new(600);
 /// The pause between two watches of the runners. Their entries change at each heartbeat, so that a
 /// watch returns at once; the pause gathers changes, and keeps a leaving runner from being used
 /// for longer than a fifth of the time that is allowed.
 const PAUSE: Duration = Duration::from_millis(400);
+/// By how many VMs the pause between two watches of the system's own keys grows by [`PAUSE`]. Each
+/// VM that starts writes a key, which every other VM's watch returns for: with 87 of them restarted
+/// one by one that were 8,137 calls in a minute. What these keys tell isn't urgent, as members with
+/// a disk tell a new list themselves.
+const OWN_SPREAD: u32 = 8;
+/// The longest pause after failed calls, for VMs that read the runners only as those who do it for
+/// them don't; so many at once would keep the service busy with refusals.
+const AGAIN_MOST: Duration = Duration::from_millis(1_200);
 /// The pause after a failed call, below a tenth of the time in which a configuration has to be in
 /// force.
 const AGAIN: Duration = Duration::from_millis(150);
@@ -51,6 +64,13 @@
             Self::Own => keys::OWN,
         }
     }
+
+    const fn wait(self) -> Millis {
+        match self {
+            Self::Config | Self::Own => WAIT,
+            Self::Runners => WAIT_RUNNERS,
+        }
+    }
 }
 
 /// Names the key of the list of VMs with a disk.
@@ -84,7 +104,7 @@
             }
             Err(fault) => away.failed(subject, &fault),
         }
-        sleep(AGAIN).await;
+        sleep(away.pause(subject, &node)).await;
     }
 }
 
@@ -92,7 +112,10 @@
 async fn watch(node: &Arc<Node>, subject: Subject, revision: u64, away: &mut Away) {
     let mut revision = revision;
     loop {
-        let news = node.kv.changes(subject.prefix(), revision, WAIT).await;
+        let news = node
+            .kv
+            .changes(subject.prefix(), revision, subject.wait())
+            .await;
         node.metrics.count(Counter::StoreCalls);
         match news {
             Ok(News::Changes {
@@ -114,14 +137,17 @@
                             return;
                         }
                     }
-                    Subject::Own => sleep(PAUSE).await,
+                    Subject::Own => {
+                        let vms = u32::try_from(node.peers().count()).unwrap_or(u32::MAX);
+                        sleep(PAUSE * (1 + vms / OWN_SPREAD)).await;
+                    }
                     Subject::Config => {}
                 }
             }
             Ok(News::Dropped) => return,
             Err(fault) => {
                 away.failed(subject, &fault);
-                sleep(AGAIN).await;
+                sleep(away.pause(subject, node)).await;
                 // What is listed tells more than a watch that may have been cut for long.
                 if away.since_failures() {
                     return;
@@ -161,6 +187,18 @@
         self.failures += 1;
     }
 
+    /// Yields how long to wait before the next call.
+    fn pause(&self, subject: Subject, node: &Node) -> Duration {
+        let settings = &node.settings;
+        let now = node.clock.now();
+        if subject != Subject::Runners || node.peers().is_first(&settings.vm, &settings.centre, now)
+        {
+            return AGAIN;
+        }
+        let doublings = self.failures.min(4);
+        (AGAIN * 2_u32.pow(doublings)).min(AGAIN_MOST)
+    }
+
     const fn since_failures(&self) -> bool {
         self.failures > 2
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -99,6 +99,12 @@
         self.known.binary_search_by(|peer| peer.vm.as_str().cmp(vm))
     }
 
+    /// Counts the other VMs.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.known.len()
+    }
+
     /// Finds a VM.
     #[must_use]
     pub fn peer(&self, vm: &str) -> Option<&Peer> {
