Have VMs that hear of changes from a hub ask the store less

A VM with a hub now watches the configuration only while what it hears is stale, and reads a copy of the own keys.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -19,6 +19,7 @@
 use crate::fleet;
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::peers::Place;
 use crate::roster;
 use crate::table::Table;
 
@@ -73,6 +74,50 @@
     }
 }
 
+/// Where a VM learns of a subject.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// It watches the key-value service.
+    Store,
+    /// It reads a copy there now and then, which may be seconds old and costs a tenth.
+    Copy,
+    /// Other VMs tell it.
+    Peers,
+}
+
+impl Source {
+    const fn freshness(self) -> Freshness {
+        match self {
+            Self::Store | Self::Peers => Freshness::Latest,
+            Self::Copy => Freshness::Stale,
+        }
+    }
+}
+
+/// Decides where a VM learns of a subject: `place` is the VM's among those that tell each other,
+/// `first` whether it reads for its data centre, `stale` whether what others told is too old.
+///
+/// In a large deployment a watch of every VM for every subject was most of what the service was
+/// asked: each change has as many answers as there are VMs, in which a VM that has a hub hears of
+/// it within two exchanges. What its hub tells is current as long as the runners' entries are, as
+/// both come in one message; when they aren't, it asks the service itself.
+#[must_use]
+pub const fn source(subject: Subject, place: Place, first: bool, stale: bool) -> Source {
+    match (subject, place) {
+        (Subject::Runners, _) if first || stale => Source::Store,
+        (Subject::Runners, _) => Source::Peers,
+        (Subject::Config, Place::Leaf) if !stale => Source::Peers,
+        (Subject::Own, Place::Leaf) => Source::Copy,
+        (Subject::Config | Subject::Own, _) => Source::Store,
+    }
+}
+
+/// Yields the pause between two reads of the system's own keys.
+fn own_pause(node: &Node) -> Duration {
+    let vms = u32::try_from(node.peers().count()).unwrap_or(u32::MAX);
+    PAUSE * (1 + vms / OWN_SPREAD)
+}
+
 /// Names the key of the list of VMs with a disk.
 #[must_use]
 pub fn list_key() -> String {
@@ -89,18 +134,24 @@
 pub async fn run(node: Arc<Node>, subject: Subject) {
     let mut away = Away::default();
     loop {
-        if subject == Subject::Runners && !node.reads_runners() {
+        let source = node.source(subject);
+        if source == Source::Peers {
             sleep(PAUSE).await;
             continue;
         }
-        let listed = node.kv.list(subject.prefix(), Freshness::Latest).await;
+        let listed = node.kv.list(subject.prefix(), source.freshness()).await;
         node.metrics.count(Counter::StoreCalls);
         match listed {
             Ok(listing) => {
                 away.answered(subject);
                 let revision = listing.revision;
                 take_all(&node, subject, listing);
-                watch(&node, subject, revision, &mut away).await;
+                match source {
+                    Source::Copy => sleep(own_pause(&node)).await,
+                    Source::Store | Source::Peers => {
+                        watch(&node, subject, revision, &mut away).await;
+                    }
+                }
             }
             Err(fault) => away.failed(subject, &fault),
         }
@@ -131,18 +182,13 @@
                     Subject::Runners => {
                         node.set_runners_at(node.clock.now());
                         sleep(PAUSE).await;
-                        let now = node.clock.now();
-                        let settings = &node.settings;
-                        if !node.peers().is_first(&settings.vm, &settings.centre, now) {
-                            return;
-                        }
-                    }
-                    Subject::Own => {
-                        let vms = u32::try_from(node.peers().count()).unwrap_or(u32::MAX);
-                        sleep(PAUSE * (1 + vms / OWN_SPREAD)).await;
                     }
+                    Subject::Own => sleep(own_pause(node)).await,
                     Subject::Config => {}
                 }
+                if node.source(subject) != Source::Store {
+                    return;
+                }
             }
             Ok(News::Dropped) => return,
             Err(fault) => {
@@ -365,3 +411,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -21,6 +21,9 @@
 use wire::event::Event;
 
 use crate::fleet::Fleet;
+use crate::follow;
+use crate::follow::Source;
+use crate::follow::Subject;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::roster::Roster;
@@ -242,13 +245,17 @@
         self.clock.now().since(at)
     }
 
-    /// Tells whether this VM reads the runners' entries itself: the first of its data centre does
-    /// for the others, and any VM does that hasn't heard of them for [`STALE`].
+    /// Yields where this VM learns of a subject now.
     #[must_use]
-    pub fn reads_runners(&self) -> bool {
+    pub fn source(&self, subject: Subject) -> Source {
         let now = self.clock.now();
         let settings = &self.settings;
-        self.runners_age() > STALE || self.peers().is_first(&settings.vm, &settings.centre, now)
+        let (place, first) = {
+            let peers = self.peers();
+            let place = peers.place(&settings.vm, &settings.centre, now);
+            (place, peers.is_first(&settings.vm, &settings.centre, now))
+        };
+        follow::source(subject, place, first, self.runners_age() > STALE)
     }
 
     /// Tells whether the process can serve what clients ask.
