Hold off runners whose requests break, and tell other VMs

A runner gets nothing for 0.25 s after a request to it broke, doubled to 1 s until one is answered; VMs tell each other which runners they hold off, and two that do are believed while there are others.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,5 +1,6 @@
-//! What the VMs that take requests tell each other: how many requests each has at each runner, and
-//! the runners' entries and the configuration where one of two knows newer ones.
+//! What the VMs that take requests tell each other: how many requests each has at each runner, which
+//! runners it holds off, and the runners' entries and the configuration where one of two knows newer
+//! ones.
 //!
 //! A runner's own figures come with its answers, some hundred milliseconds late at each VM. Without
 //! the others' counts all VMs pick the same runner that looked idle, and it turns them away.
@@ -33,6 +34,7 @@
 use crate::peers::Peer;
 use crate::peers::Place;
 use crate::roster::Roster;
+use crate::tally::Tally;
 
 /// The path of the exchange.
 const PATH: &str = "/exchange";
@@ -61,9 +63,8 @@
 pub struct Message {
     /// The VM.
     pub vm: String,
-    /// Requests under way by runner, in the order of their ids: the VM's own, and those of other
-    /// VMs that it speaks for.
-    pub counts: Vec<(String, u32)>,
+    /// What the VM, and other VMs that it speaks for, have at runners; in the order of their ids.
+    pub tallies: Vec<Tally>,
     /// The roster's revision that it has.
     pub roster: u64,
     /// How old its knowledge of the runners is, in milliseconds.
@@ -130,23 +131,23 @@
             Place::Direct | Place::Leaf => None,
         }
     };
-    let counts = match speaks_for {
-        None => node.fleet().counts(now, |_| false),
-        Some(true) => node.fleet().counts(now, |vm| vm != to),
+    let tallies = match speaks_for {
+        None => node.fleet().tallies(now, |_| false),
+        Some(true) => node.fleet().tallies(now, |vm| vm != to),
         Some(false) => {
             let peers = node.peers();
             let near = |vm: &str| {
                 let peer = peers.peer(vm);
                 peer.is_some_and(|peer| peer.centre == settings.centre)
             };
-            node.fleet().counts(now, near)
+            node.fleet().tallies(now, near)
         }
     };
     let table = node.table();
     let known = node.roster();
     Message {
         vm: settings.vm.clone(),
-        counts,
+        tallies,
         roster: known.revision,
         roster_age: node.runners_age().as_u64(),
         config: table.version,
@@ -159,7 +160,7 @@
     let now = node.clock.now();
     node.peers()
         .hear(&message.vm, message.roster, message.config, now);
-    node.fleet().hear(&message.vm, &message.counts, now);
+    node.fleet().hear(&message.vm, &message.tallies, now);
     if let Some(document) = &message.document {
         follow::take_config(node, document);
     }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -19,6 +19,8 @@
 use wire::clock::Millis;
 
 use crate::reach::Target;
+use crate::tally::Tally;
+use crate::tally::Told;
 
 /// Tokens a second that an engine generates for one request before any has been measured.
 const SPEED: f64 = 700.0;
@@ -52,8 +54,16 @@
 /// meanwhile, and its program ends; so one in the VM's own data centre is worth half the time of a
 /// usual call (26 to 52 ms).
 pub const AWAY_ONCE: f64 = 15.0;
-/// How long another VM's count of its requests holds without a newer one.
-const HEARD: Millis = Millis::new(600);
+/// How long a runner gets nothing after a request to it broke and no other was answered since: for
+/// the first one, then doubled up to [`HOLD_MOST`]. A runner that goes down and up again accepts
+/// connections while it is down, so that a connection tells nothing.
+const HOLD: Millis = Millis::new(250);
+/// The longest: about the time that a runner takes to be back.
+const HOLD_MOST: Millis = Millis::new(1_000);
+/// So many other VMs that hold a runner off are believed. One may have a broken way to a runner
+/// that all others reach. Measured on 91 VMs with runners that go down and up: without it each VM
+/// found out by itself, 369 requests in 5 s.
+const BELIEVED: u32 = 2;
 
 /// A runner.
 #[derive(Clone, Debug)]
@@ -64,8 +74,8 @@
     pub entry: Entry,
     /// Requests of this VM under way at it.
     pub own: u32,
-    /// Requests of other VMs under way at it, by VM, with the time of the count.
-    others: Vec<(String, u32, Millis)>,
+    /// What other VMs told of it.
+    told: Told,
     /// What it said of its load last.
     load: Option<(Load, Millis)>,
     /// Its engine's memory in tokens; 0 for plain services.
@@ -76,6 +86,9 @@
     detector: Detector,
     /// No connection to it could be made, or one broke, and none has been made since.
     unreachable: bool,
+    /// Requests to it that broke since one was answered last.
+    broken: u32,
+    held_until: Millis,
     /// When an answer of its came last, or a connection was made beside the traffic.
     heard: Millis,
     elsewhere_until: Millis,
@@ -179,11 +192,11 @@
                 let leaves = runner.entry.state == State::Ready && entry.state == State::Draining;
                 if anew {
                     // It knows nothing of before, nor do its caches.
-                    let others = std::mem::take(&mut runner.others);
+                    let told = std::mem::take(&mut runner.told);
                     let own = runner.own;
                     *runner = Runner::new(id, entry, memory);
                     runner.own = own;
-                    runner.others = others;
+                    runner.told = told;
                     return Change::Appeared;
                 }
                 runner.entry = entry;
@@ -252,8 +265,11 @@
     /// Notes that a connection to a runner broke or could not be made; yields where to try it again
     /// if that is news. It gets nothing until a new connection was made: beside a partition each
     /// request sent there would wait in vain.
-    pub fn lose(&mut self, id: &str) -> Option<Target> {
+    pub fn lose(&mut self, id: &str, now: Millis) -> Option<Target> {
         let runner = self.runner(id)?;
+        let doubled = HOLD.as_u64() << runner.broken.min(8);
+        runner.held_until = now.plus(Millis::new(doubled).min(HOLD_MOST));
+        runner.broken += 1;
         runner.detector.note(Sample::Failed);
         if std::mem::replace(&mut runner.unreachable, true) {
             return None;
@@ -292,44 +308,43 @@
         }
     }
 
-    /// Takes in how many requests another VM has under way at each runner.
-    pub fn hear(&mut self, vm: &str, counts: &[(String, u32)], now: Millis) {
+    /// Takes in what another VM tells of each runner; the tallies are in the order of runners.
+    pub fn hear(&mut self, vm: &str, tallies: &[Tally], now: Millis) {
         for runner in &mut self.runners {
-            let count = counts.binary_search_by(|(id, _)| id.cmp(&runner.id));
-            let count = count.map_or(0, |at| counts[at].1);
-            match runner.others.iter_mut().find(|(name, ..)| name == vm) {
-                Some(line) => {
-                    line.1 = count;
-                    line.2 = now;
-                }
-                None => runner.others.push((vm.to_owned(), count, now)),
-            }
+            let found = tallies.binary_search_by(|tally| tally.runner.cmp(&runner.id));
+            let tally = found.ok().map(|at| &tallies[at]);
+            runner.told.note(vm, tally, now);
         }
     }
 
-    /// Yields how many requests this VM and the other VMs that `speaks_for` names have under way
-    /// at each runner.
+    /// Yields what this VM and the other VMs that `speaks_for` names have at each runner.
     #[must_use]
-    pub fn counts(&self, now: Millis, speaks_for: impl Fn(&str) -> bool) -> Vec<(String, u32)> {
-        let count = |runner: &Runner| {
-            let fresh = |at: Millis| now.since(at) < HEARD;
-            let others = runner.others.iter();
-            let others = others.filter(|(vm, _, at)| fresh(*at) && speaks_for(vm));
-            runner.own + others.map(|(_, count, _)| count).sum::<u32>()
+    pub fn tallies(&self, now: Millis, speaks_for: impl Fn(&str) -> bool) -> Vec<Tally> {
+        let tally = |runner: &Runner| {
+            let (under_way, held_off) = runner.told.sum(now, &speaks_for);
+            Tally {
+                runner: runner.id.clone(),
+                under_way: runner.own + under_way,
+                held_off: u32::from(runner.is_held_off(now)) + held_off,
+            }
         };
-        let counted = self.runners.iter();
-        let counted = counted.map(|runner| (runner.id.clone(), count(runner)));
-        counted.filter(|(_, count)| *count > 0).collect()
+        let tallies = self.runners.iter().map(tally);
+        let tells = |tally: &Tally| tally.under_way > 0 || tally.held_off > 0;
+        tallies.filter(tells).collect()
     }
 
     /// Chooses a runner; `None` where the service has none that may be used.
     #[must_use]
     pub fn choose(&self, want: &Want<'_>) -> Option<Chosen> {
-        let usable: Vec<&Runner> = self
+        let mut usable: Vec<&Runner> = self
             .runners
             .iter()
             .filter(|runner| runner.may_take(want))
             .collect();
+        let sound = |runner: &&Runner| runner.told.sum(want.now, |_| true).1 < BELIEVED;
+        if usable.iter().any(sound) {
+            usable.retain(sound);
+        }
         let candidates: Vec<Candidate> =
             usable.iter().map(|runner| runner.candidate(want)).collect();
         let call = place::Call {
@@ -365,12 +380,14 @@
             id: id.to_owned(),
             entry,
             own: 0,
-            others: Vec::new(),
+            told: Told::default(),
             load: None,
             cache: Cache::new(memory),
             speed: first_speed(memory),
             detector: Detector::new(Millis::ZERO),
             unreachable: false,
+            broken: 0,
+            held_until: Millis::ZERO,
             heard: Millis::ZERO,
             elsewhere_until: Millis::ZERO,
             full_until: Millis::ZERO,
@@ -382,17 +399,13 @@
         self.entry.service == want.service
             && self.entry.state == State::Ready
             && !self.unreachable
+            && !self.is_held_off(want.now)
             && self.elsewhere_until <= want.now
             && !want.not.contains(&self.id)
     }
 
     fn candidate(&self, want: &Want<'_>) -> Candidate {
-        let others: u32 = self
-            .others
-            .iter()
-            .filter(|(_, _, at)| want.now.since(*at) < HEARD)
-            .map(|(_, count, _)| *count)
-            .sum();
+        let (others, _) = self.told.sum(want.now, |_| true);
         let known = self.own + others;
         // What the runner said just now counts where it is more than is known here: another VM that
         // can't be heard has requests at it, too.
@@ -443,6 +456,13 @@
     /// Notes that an answer came.
     pub fn note_heard(&mut self, now: Millis) {
         self.heard = now;
+        self.broken = 0;
+        self.held_until = Millis::ZERO;
+    }
+
+    /// Tells whether this VM holds the runner off, as requests to it broke.
+    fn is_held_off(&self, now: Millis) -> bool {
+        self.held_until > now
     }
 
     /// Notes that a connection was made; tells whether that is news.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod store;
 pub mod stream;
 pub mod table;
+pub mod tally;
 pub mod turns;
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -28,7 +28,8 @@
 /// are kept to it may hang in the same way, so they are dropped.
 pub fn note_broken(node: &Arc<Node>, id: &str, address: SocketAddr) {
     node.runners.forget(address);
-    let Some(target) = node.fleet().lose(id) else {
+    let now = node.clock.now();
+    let Some(target) = node.fleet().lose(id, now) else {
         return;
     };
     log::info!(
@@ -69,7 +70,8 @@
         tokio::spawn(async move {
             if connect(&node, &target).await == Outcome::Silent {
                 node.runners.forget(target.address);
-                node.fleet().lose(&target.id);
+                let now = node.clock.now();
+                node.fleet().lose(&target.id, now);
             }
         });
     }
