Tell other VMs of the runners with whose figures they are

Figures now carry their source (one VM, a data centre, all others); a sum of all others is never told on, and a data centre's latest sum takes the place of its earlier one.

Test: two_hubs_do_not_echo_each_others_sums.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -34,6 +34,7 @@
 use crate::peers::Peer;
 use crate::peers::Place;
 use crate::roster::Roster;
+use crate::tally::Source;
 use crate::tally::Tally;
 
 /// The path of the exchange.
@@ -59,10 +60,12 @@
 }
 
 /// One side of an exchange.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
     /// The VM.
     pub vm: String,
+    /// Whose tallies these are.
+    pub source: Source,
     /// What the VM, and other VMs that it speaks for, have at runners; in the order of their ids.
     pub tallies: Vec<Tally>,
     /// The roster's revision that it has.
@@ -119,34 +122,12 @@
 fn message(node: &Node, to: &str, roster: u64, config: u64) -> Message {
     let now = node.clock.now();
     let settings = &node.settings;
-    let speaks_for = {
-        let peers = node.peers();
-        match peers.place(&settings.vm, &settings.centre, now) {
-            // A hub tells its own VMs all that it has heard, and other hubs what its VMs have.
-            Place::Hub => {
-                let to = peers.peer(to);
-                let near = to.is_some_and(|to| to.centre == settings.centre);
-                Some(near)
-            }
-            Place::Direct | Place::Leaf => None,
-        }
-    };
-    let tallies = match speaks_for {
-        None => node.fleet().tallies(now, |_| false),
-        Some(true) => node.fleet().tallies(now, |vm| vm != to),
-        Some(false) => {
-            let peers = node.peers();
-            let near = |vm: &str| {
-                let peer = peers.peer(vm);
-                peer.is_some_and(|peer| peer.centre == settings.centre)
-            };
-            node.fleet().tallies(now, near)
-        }
-    };
+    let (source, tallies) = tell(node, to, now);
     let table = node.table();
     let known = node.roster();
     Message {
         vm: settings.vm.clone(),
+        source,
         tallies,
         roster: known.revision,
         roster_age: node.runners_age().as_u64(),
@@ -156,11 +137,41 @@
     }
 }
 
+/// Yields what a VM is told of the runners, and whose figures these are: a hub tells its own VMs
+/// all that it knows of the others, and other hubs the sum of its data centre.
+fn tell(node: &Node, to: &str, now: Millis) -> (Source, Vec<Tally>) {
+    let settings = &node.settings;
+    let peers = node.peers();
+    let near = |vm: &str| {
+        let peer = peers.peer(vm);
+        peer.is_some_and(|peer| peer.centre == settings.centre)
+    };
+    match peers.place(&settings.vm, &settings.centre, now) {
+        Place::Direct | Place::Leaf => {
+            let tallies = node.fleet().tallies(now, |_| false);
+            (Source::Vm(settings.vm.clone()), tallies)
+        }
+        Place::Hub if near(to) => {
+            let others = |source: &Source| match source {
+                Source::Vm(vm) => vm != to && near(vm),
+                Source::Centre(centre) => *centre != settings.centre,
+                Source::Others => false,
+            };
+            (Source::Others, node.fleet().tallies(now, others))
+        }
+        Place::Hub => {
+            let centre = |source: &Source| matches!(source, Source::Vm(vm) if near(vm));
+            let tallies = node.fleet().tallies(now, centre);
+            (Source::Centre(settings.centre.clone()), tallies)
+        }
+    }
+}
+
 fn hear(node: &Arc<Node>, message: Message) {
     let now = node.clock.now();
     node.peers()
         .hear(&message.vm, message.roster, message.config, now);
-    node.fleet().hear(&message.vm, &message.tallies, now);
+    node.fleet().hear(&message.source, &message.tallies, now);
     if let Some(document) = &message.document {
         follow::take_config(node, document);
     }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -19,6 +19,7 @@
 use wire::clock::Millis;
 
 use crate::reach::Target;
+use crate::tally::Source;
 use crate::tally::Tally;
 use crate::tally::Told;
 
@@ -309,17 +310,17 @@
     }
 
     /// Takes in what another VM tells of each runner; the tallies are in the order of runners.
-    pub fn hear(&mut self, vm: &str, tallies: &[Tally], now: Millis) {
+    pub fn hear(&mut self, source: &Source, tallies: &[Tally], now: Millis) {
         for runner in &mut self.runners {
             let found = tallies.binary_search_by(|tally| tally.runner.cmp(&runner.id));
             let tally = found.ok().map(|at| &tallies[at]);
-            runner.told.note(vm, tally, now);
+            runner.told.note(source, tally, now);
         }
     }
 
-    /// Yields what this VM and the other VMs that `speaks_for` names have at each runner.
+    /// Yields what this VM and the sources that `speaks_for` names have at each runner.
     #[must_use]
-    pub fn tallies(&self, now: Millis, speaks_for: impl Fn(&str) -> bool) -> Vec<Tally> {
+    pub fn tallies(&self, now: Millis, speaks_for: impl Fn(&Source) -> bool) -> Vec<Tally> {
         let tally = |runner: &Runner| {
             let (under_way, held_off) = runner.told.sum(now, &speaks_for);
             Tally {
@@ -341,7 +342,7 @@
             .iter()
             .filter(|runner| runner.may_take(want))
             .collect();
-        let sound = |runner: &&Runner| runner.told.sum(want.now, |_| true).1 < BELIEVED;
+        let sound = |runner: &&Runner| runner.told.all(want.now).1 < BELIEVED;
         if usable.iter().any(sound) {
             usable.retain(sound);
         }
@@ -405,7 +406,7 @@
     }
 
     fn candidate(&self, want: &Want<'_>) -> Candidate {
-        let (others, _) = self.told.sum(want.now, |_| true);
+        let (others, _) = self.told.all(want.now);
         let known = self.own + others;
         // What the runner said just now counts where it is more than is known here: another VM that
         // can't be heard has requests at it, too.
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -10,6 +10,7 @@
 use super::Change;
 use super::Fleet;
 use super::Want;
+use crate::tally::Source;
 use crate::tally::Tally;
 
 const NOW: Millis = Millis::new(50_000);
@@ -41,6 +42,10 @@
     }
 }
 
+fn vm(name: &str) -> Source {
+    Source::Vm(name.to_owned())
+}
+
 fn tally(runner: &str, under_way: u32, held_off: u32) -> Tally {
     Tally {
         runner: runner.to_owned(),
@@ -89,7 +94,7 @@
 fn others_requests_count_as_much_as_own() {
     let mut fleet = fleet(6);
     fleet.runner("i-4").unwrap().note_prompt(&PROMPT, NOW);
-    fleet.hear("front-b", &[tally("i-4", 40, 0)], NOW);
+    fleet.hear(&vm("front-b"), &[tally("i-4", 40, 0)], NOW);
     assert_ne!(fleet.choose(&want(&[])).unwrap().id, "i-4");
     let later = Want {
         now: NOW.plus(Millis::new(2_000)),
@@ -265,13 +270,13 @@
 #[test]
 fn a_runner_that_others_hold_off_gets_nothing_while_there_are_others() {
     let mut fleet = fleet(2);
-    fleet.hear("front-b", &[tally("i-0", 0, 1)], NOW);
+    fleet.hear(&vm("front-b"), &[tally("i-0", 0, 1)], NOW);
     let chosen = |fleet: &Fleet| {
         let ids = (0..16).filter_map(|salt| fleet.choose(&Want { salt, ..want(&[]) }));
         ids.filter(|chosen| chosen.id == "i-0").count()
     };
     assert!(chosen(&fleet) > 0);
-    fleet.hear("front-c", &[tally("i-0", 0, 1)], NOW);
+    fleet.hear(&vm("front-c"), &[tally("i-0", 0, 1)], NOW);
     assert_eq!(chosen(&fleet), 0);
     fleet.remove("i-1");
     assert_eq!(chosen(&fleet), 16, "it is the last one");
--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -19,41 +19,68 @@
     pub held_off: u32,
 }
 
+/// Whose figures these are.
+///
+/// In a large deployment sums are passed on, and for a moment several VMs may take themselves for
+/// the hub of a data centre. Were a sum added to another one without knowing whose it is, a VM's
+/// own requests would come back to it as others' and be told again: figures that double with each
+/// exchange, and all runners that look full.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Source {
+    /// One VM's own.
+    Vm(String),
+    /// All VMs' of a data centre.
+    Centre(String),
+    /// All VMs' but the one that is told. Never told on.
+    Others,
+}
+
 /// What other VMs told of one runner.
 #[derive(Clone, Debug, Default)]
 pub struct Told(Vec<Line>);
 
 #[derive(Clone, Debug)]
 struct Line {
-    vm: String,
+    source: Source,
     under_way: u32,
     held_off: u32,
     at: Millis,
 }
 
 impl Told {
-    /// Takes in what a VM tells; `None` where it has nothing there.
-    pub fn note(&mut self, vm: &str, tally: Option<&Tally>, now: Millis) {
+    /// Takes in what is told; `None` where there is nothing at this runner.
+    pub fn note(&mut self, source: &Source, tally: Option<&Tally>, now: Millis) {
         let line = Line {
-            vm: vm.to_owned(),
+            source: source.clone(),
             under_way: tally.map_or(0, |tally| tally.under_way),
             held_off: tally.map_or(0, |tally| tally.held_off),
             at: now,
         };
-        match self.0.iter_mut().find(|known| known.vm == vm) {
+        match self.0.iter_mut().find(|known| known.source == *source) {
             Some(known) => *known = line,
             None => self.0.push(line),
         }
     }
 
-    /// Adds up what was told lately by the VMs that `counts` names: requests under way, and VMs
+    /// Adds up what was told lately by the sources that `counts` names: requests under way, and VMs
     /// that hold the runner off.
     #[must_use]
-    pub fn sum(&self, now: Millis, counts: impl Fn(&str) -> bool) -> (u32, u32) {
+    pub fn sum(&self, now: Millis, counts: impl Fn(&Source) -> bool) -> (u32, u32) {
         let fresh = self.0.iter().filter(|line| now.since(line.at) < HEARD);
-        let counted = fresh.filter(|line| counts(&line.vm));
+        let counted = fresh.filter(|line| counts(&line.source));
         counted.fold((0, 0), |(under_way, held_off), line| {
             (under_way + line.under_way, held_off + line.held_off)
         })
     }
+
+    /// Yields what all others have: the sum that a hub told, or what was heard one by one.
+    #[must_use]
+    pub fn all(&self, now: Millis) -> (u32, u32) {
+        let told = self.sum(now, |source| *source == Source::Others);
+        let heard = self.sum(now, |source| *source != Source::Others);
+        (told.0.max(heard.0), told.1.max(heard.1))
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/tally/tests.rs
@@ -0,0 +1,58 @@
+use wire::clock::Millis;
+
+use super::Source;
+use super::Tally;
+use super::Told;
+
+const NOW: Millis = Millis::new(5_000);
+
+fn tally(under_way: u32) -> Tally {
+    Tally {
+        runner: "i-0".to_owned(),
+        under_way,
+        held_off: 0,
+    }
+}
+
+fn vm(name: &str) -> Source {
+    Source::Vm(name.to_owned())
+}
+
+/// What a VM that takes itself for a hub tells another one of its data centre, which does as well.
+fn tell(from: &Told, own: u32, to: &str) -> Tally {
+    let counts = |source: &Source| match source {
+        Source::Vm(name) => name != to,
+        Source::Centre(_) => true,
+        Source::Others => false,
+    };
+    tally(own + from.sum(NOW, counts).0)
+}
+
+/// After a hub was killed, two VMs both take themselves for its successor and tell each other sums.
+/// If these were told on, each exchange would add a VM's own requests once more; within a second
+/// all runners would look full, and callers be refused while they are idle.
+#[test]
+fn two_hubs_do_not_echo_each_others_sums() {
+    let (mut a, mut b) = (Told::default(), Told::default());
+    a.note(&vm("leaf"), Some(&tally(2)), NOW);
+    b.note(&vm("leaf"), Some(&tally(2)), NOW);
+    for _ in 0..20 {
+        let told = tell(&a, 3, "b");
+        b.note(&Source::Others, Some(&told), NOW);
+        let told = tell(&b, 4, "a");
+        a.note(&Source::Others, Some(&told), NOW);
+    }
+    assert_eq!(a.all(NOW), (6, 0), "4 of b and 2 of the leaf");
+    assert_eq!(b.all(NOW), (5, 0), "3 of a and 2 of the leaf");
+}
+
+#[test]
+fn the_latest_sum_of_a_data_centre_counts_whoever_told_it() {
+    let mut told = Told::default();
+    let centre = Source::Centre("b".to_owned());
+    told.note(&centre, Some(&tally(5)), NOW);
+    told.note(&centre, Some(&tally(7)), NOW);
+    told.note(&vm("leaf"), Some(&tally(1)), NOW);
+    assert_eq!(told.all(NOW), (8, 0));
+    assert_eq!(told.all(NOW.plus(Millis::new(700))), (0, 0), "too old");
+}
