Presume a shared first part at the same few runners on all VMs

Each of 79 VMs knows only what it sent itself, so for a first turn all 45 runners look alike to it, and every shared part was read at every runner (77 ms each, beside everybody else's streams there).

One runner in eight (three at least) is presumed to hold a first part, by rendezvous hashing, the same on all VMs. The policy test plays 4,000 first turns from 79 VMs over 45 idle runners: 865 reads again before, at most 96 after.

--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -99,5 +99,38 @@
     }
 }
 
+/// One endpoint in so many is presumed to hold a prompt's first part.
+pub const PRESUMED_OF: usize = 8;
+/// The fewest endpoints that are presumed to hold it: one may be away and one full.
+pub const PRESUMED_LEAST: usize = 3;
+
+/// Yields for each endpoint of a pool, named by a number that never changes, whether it is presumed
+/// to hold a prompt's first part.
+///
+/// Answers many VMs before many endpoints. What one VM has sent says little of what the others
+/// have; each would send the first turn of a program, whose long first part is shared, to any idle
+/// endpoint, until every endpoint has read every first part. Rendezvous hashing has all VMs choose
+/// the same few for a part without a message.
+#[must_use]
+pub fn presumed(first: u64, endpoints: &[u64]) -> Vec<bool> {
+    let count = (endpoints.len() / PRESUMED_OF).max(PRESUMED_LEAST);
+    if endpoints.len() <= count {
+        return vec![false; endpoints.len()];
+    }
+    let mut weights: Vec<u64> = endpoints.iter().map(|of| weight(first, *of)).collect();
+    let by_endpoint = weights.clone();
+    weights.sort_unstable_by(|a, b| b.cmp(a));
+    let least = weights[count - 1];
+    by_endpoint.iter().map(|weight| *weight >= least).collect()
+}
+
+/// Mixes a part with an endpoint (the finalizer of `SplitMix64`).
+fn weight(part: u64, endpoint: u64) -> u64 {
+    let mut z = part.rotate_left(32) ^ endpoint;
+    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    z ^ (z >> 31)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/policy/src/prefix/tests.rs
+++ b/crates/policy/src/prefix/tests.rs
@@ -2,6 +2,12 @@
 
 use super::Cache;
 use super::Part;
+use crate::class::Class;
+use crate::place::Call;
+use crate::place::Candidate;
+use crate::place::Lane;
+use crate::place::Weights;
+use crate::place::choose;
 
 fn part(id: u64, tokens: u64) -> Part {
     Part { id, tokens }
@@ -29,3 +35,66 @@
     assert_eq!(cache.cached(&[part(1, 400)]), 400);
     assert_eq!(cache.cached(&[part(3, 400)]), 400);
 }
+
+/// Many VMs place the first turns of programs whose long first part is shared, over an idle fleet.
+/// Each knows only what it sent itself. Yields how often an endpoint read a part that another one
+/// had read already, of so many placed turns.
+fn reads_again(vms: usize, endpoints: usize, parts: u64, turns: usize, is_presumed: bool) -> usize {
+    let names: Vec<u64> = (0..endpoints as u64).map(|at| at * 7_919 + 3).collect();
+    let mut held = vec![Vec::new(); endpoints];
+    let mut known = vec![vec![Vec::new(); endpoints]; vms];
+    let mut reads = 0;
+    for turn in 0..turns {
+        let vm = turn * 31 % vms;
+        let part = (turn as u64 * 13) % parts + 1;
+        let presumed = super::presumed(part, &names);
+        let candidate = |at: usize| Candidate {
+            slots: 16,
+            reported: 0,
+            sent: 0,
+            ended: 0,
+            claimed: 0,
+            speed: 700.0,
+            prefill: 160_000.0,
+            cached: if known[vm][at].contains(&part) || (is_presumed && presumed[at]) {
+                12_600
+            } else {
+                0
+            },
+            share: 1.0,
+            lane: Lane::Open,
+            away: 0.0,
+        };
+        let candidates: Vec<Candidate> = (0..endpoints).map(candidate).collect();
+        let call = Call {
+            class: Class::Routine,
+            prompt: 14_280,
+            output: 300,
+            salt: turn as u64 * 0x9E37_79B9,
+        };
+        let chosen = choose(&candidates, &call, &Weights::default()).expect("all are idle");
+        if !held[chosen.index].contains(&part) {
+            held[chosen.index].push(part);
+            reads += 1;
+        }
+        known[vm][chosen.index].push(part);
+    }
+    reads - usize::try_from(parts).expect("some tens")
+}
+
+/// Without a presumption each of 79 VMs sends a shared part to endpoints of its own, until all have
+/// read it; callers wait 77 ms for each, and everyone else at that endpoint is slowed.
+#[test]
+fn many_vms_read_a_shared_part_at_few_endpoints() {
+    let before = reads_again(79, 45, 24, 4_000, false);
+    let after = reads_again(79, 45, 24, 4_000, true);
+    assert!(before > 800, "{before}");
+    assert!(after <= 24 * 4, "{after}");
+}
+
+#[test]
+fn a_small_pool_has_no_presumption() {
+    assert_eq!(super::presumed(7, &[1, 2, 3]), [false; 3]);
+    let of_many = super::presumed(7, &(0..45).collect::<Vec<u64>>());
+    assert_eq!(of_many.iter().filter(|presumed| **presumed).count(), 5);
+}
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -17,6 +17,7 @@
 use policy::prefix;
 use policy::prefix::Cache;
 use wire::clock::Millis;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::reach::Target;
 use crate::tally::Source;
@@ -79,6 +80,8 @@
     told: Told,
     /// What it said of its load last.
     load: Option<(Load, Millis)>,
+    /// Stands for its id where runners are ranked.
+    number: u64,
     /// Its engine's memory in tokens; 0 for plain services.
     memory: u64,
     cache: Cache,
@@ -346,8 +349,17 @@
         if usable.iter().any(sound) {
             usable.retain(sound);
         }
-        let candidates: Vec<Candidate> =
+        let mut candidates: Vec<Candidate> =
             usable.iter().map(|runner| runner.candidate(want)).collect();
+        if let Some(first) = want.prompt.first() {
+            let numbers: Vec<u64> = usable.iter().map(|runner| runner.number).collect();
+            let presumed = prefix::presumed(first.id, &numbers);
+            for (candidate, presumed) in candidates.iter_mut().zip(presumed) {
+                if presumed {
+                    candidate.cached = candidate.cached.max(first.tokens);
+                }
+            }
+        }
         let call = place::Call {
             class: Class::Routine,
             prompt: want.prompt_tokens,
@@ -377,6 +389,7 @@
 impl Runner {
     fn new(id: &str, entry: Entry, memory: u64) -> Self {
         Self {
+            number: xxh3_64(id.as_bytes()),
             memory,
             id: id.to_owned(),
             entry,
