Decide in one pure place what a hub tells on; count records for the metrics

The test of two hubs used a copy of the decision; now it uses the decision, and turns red where a sum of all others is told on. A scrape of a VM with a disk cloned all that it holds to count it.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -34,6 +34,8 @@
 use crate::peers::Peer;
 use crate::peers::Place;
 use crate::roster::Roster;
+use crate::tally;
+use crate::tally::Audience;
 use crate::tally::Source;
 use crate::tally::Tally;
 
@@ -151,18 +153,14 @@
             let tallies = node.fleet().tallies(now, |_| false);
             (Source::Vm(settings.vm.clone()), tallies)
         }
-        Place::Hub if near(to) => {
-            let others = |source: &Source| match source {
-                Source::Vm(vm) => vm != to && near(vm),
-                Source::Centre(centre) => *centre != settings.centre,
-                Source::Others => false,
-            };
-            (Source::Others, node.fleet().tallies(now, others))
-        }
         Place::Hub => {
-            let centre = |source: &Source| matches!(source, Source::Vm(vm) if near(vm));
-            let tallies = node.fleet().tallies(now, centre);
-            (Source::Centre(settings.centre.clone()), tallies)
+            let (audience, source) = if near(to) {
+                (Audience::Near(to), Source::Others)
+            } else {
+                (Audience::Far, Source::Centre(settings.centre.clone()))
+            };
+            let told_on = |of: &Source| tally::is_told_on(of, audience, &settings.centre, near);
+            (source, node.fleet().tallies(now, told_on))
         }
     }
 }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -119,13 +119,10 @@
     let shared = member.clone();
     let handler = move |_request| {
         let status = shared.status();
-        let holdings = shared.holdings();
+        let (turns, accounts) = shared.counts();
         let text = format!(
             "chestnutyoke_members_version {}\nchestnutyoke_members_ready {}\nchestnutyoke_turns {}\nchestnutyoke_accounts {}\n",
-            status.version,
-            status.ready,
-            holdings.turns.len(),
-            holdings.accounts.len()
+            status.version, status.ready, turns, accounts
         );
         std::future::ready(answer::text(StatusCode::OK, text))
     };
--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -35,6 +35,32 @@
     Others,
 }
 
+/// Whom a hub tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience<'a> {
+    /// A VM of its own data centre, by name: all that it knows of the others.
+    Near(&'a str),
+    /// Another hub: the sum of its data centre.
+    Far,
+}
+
+/// Tells whether a hub in `centre` adds a source's figures to its own for this audience; `is_near`
+/// tells whether a VM belongs to its data centre.
+#[must_use]
+pub fn is_told_on(
+    source: &Source,
+    audience: Audience<'_>,
+    centre: &str,
+    is_near: impl Fn(&str) -> bool,
+) -> bool {
+    match (source, audience) {
+        (Source::Vm(vm), Audience::Near(to)) => vm != to && is_near(vm),
+        (Source::Vm(vm), Audience::Far) => is_near(vm),
+        (Source::Centre(of), Audience::Near(_)) => of != centre,
+        (Source::Centre(_), Audience::Far) | (Source::Others, _) => false,
+    }
+}
+
 /// What other VMs told of one runner.
 #[derive(Clone, Debug, Default)]
 pub struct Told(Vec<Line>);
--- a/crates/relay/src/tally/tests.rs
+++ b/crates/relay/src/tally/tests.rs
@@ -1,8 +1,11 @@
+use rstest::rstest;
 use wire::clock::Millis;
 
+use super::Audience;
 use super::Source;
 use super::Tally;
 use super::Told;
+use super::is_told_on;
 
 const NOW: Millis = Millis::new(5_000);
 
@@ -20,11 +23,7 @@
 
 /// What a VM that takes itself for a hub tells another one of its data centre, which does as well.
 fn tell(from: &Told, own: u32, to: &str) -> Tally {
-    let counts = |source: &Source| match source {
-        Source::Vm(name) => name != to,
-        Source::Centre(_) => true,
-        Source::Others => false,
-    };
+    let counts = |source: &Source| is_told_on(source, Audience::Near(to), "a", |_| true);
     tally(own + from.sum(NOW, counts).0)
 }
 
@@ -56,3 +55,18 @@
     assert_eq!(told.all(NOW), (8, 0));
     assert_eq!(told.all(NOW.plus(Millis::new(700))), (0, 0), "too old");
 }
+
+#[rstest]
+#[case::a_leaf_hears_of_others(vm("x"), Audience::Near("y"), true)]
+#[case::not_of_itself(vm("y"), Audience::Near("y"), false)]
+#[case::of_other_centres(Source::Centre("b".to_owned()), Audience::Near("y"), true)]
+#[case::not_of_its_own_centre_twice(Source::Centre("a".to_owned()), Audience::Near("y"), false)]
+#[case::no_sum_of_others(Source::Others, Audience::Near("y"), false)]
+#[case::a_hub_hears_of_the_centres_vms(vm("x"), Audience::Far, true)]
+#[case::not_of_distant_ones(vm("far"), Audience::Far, false)]
+#[case::not_of_third_centres(Source::Centre("c".to_owned()), Audience::Far, false)]
+#[case::no_sum_told_far(Source::Others, Audience::Far, false)]
+fn a_hub_tells_on(#[case] source: Source, #[case] audience: Audience<'_>, #[case] expected: bool) {
+    let is_near = |vm: &str| vm != "far";
+    assert_eq!(is_told_on(&source, audience, "a", is_near), expected);
+}
--- a/crates/replica/src/index.rs
+++ b/crates/replica/src/index.rs
@@ -42,6 +42,12 @@
         self.turns.get(&key).copied()
     }
 
+    /// Counts the turns.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.turns.len()
+    }
+
     /// Yields all turns, for another member.
     #[must_use]
     pub fn keys(&self) -> Vec<Key> {
--- a/crates/replica/src/ledger.rs
+++ b/crates/replica/src/ledger.rs
@@ -97,6 +97,12 @@
             .map_or(&[], |held| held.entries.as_slice())
     }
 
+    /// Counts the programs.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.accounts.len()
+    }
+
     /// Yields all programs.
     #[must_use]
     pub fn programs(&self) -> Vec<Key> {
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -341,9 +341,16 @@
         Answer::Chain(chain)
     }
 
+    /// Counts the turns and accounts that the member holds.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.index.count(), state.ledger.count())
+    }
+
     /// Yields what the member holds, for one that has to learn it.
     #[must_use]
-    pub fn holdings(&self) -> Holdings {
+    fn holdings(&self) -> Holdings {
         let state = self.lock();
         Holdings {
             ready: state.identity.ready,
