Refuse what a stopping VM might not finish

Cause: three of four VMs of a data centre stop, the balancer sends to all of them until they are gone, and a stopping process took whatever came until its end. Tests: relay stop::tests; a_stopping_vm_takes_nothing_that_may_outlast_it was red before (status 200).

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -44,8 +44,6 @@
 /// How long after SIGTERM new connections are still taken: the balancer asks each second and stops
 /// sending after two refusals, so for a little over two seconds.
 const LINGER: Duration = Duration::from_millis(3_200);
-/// What is left of the time before SIGKILL when the process ends in any case.
-const MARGIN: Duration = Duration::from_millis(400);
 /// How often the end of running requests is looked for.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -185,7 +183,7 @@
 
 /// Lets running requests end and the balancer notice, then returns.
 async fn drain(node: &Arc<Node>, door: &Arc<Door>) {
-    node.stop();
+    let stop = node.begin_stop();
     log::info!(
         "event=E{} text=\"{}\" under_way={} connections={}",
         Event::NodeStopping.number(),
@@ -193,11 +191,11 @@
         node.under_way.load(Ordering::Relaxed),
         door.open()
     );
-    let begun = Instant::now();
-    let last = begun + node.settings.grace.as_duration().saturating_sub(MARGIN);
     door.closing.cancel();
     sleep(LINGER).await;
-    while Instant::now() < last && (node.under_way.load(Ordering::Relaxed) > 0 || door.open() > 0) {
+    while Instant::now() < stop.last
+        && (node.under_way.load(Ordering::Relaxed) > 0 || door.open() > 0)
+    {
         sleep(LOOK).await;
     }
     log::info!(
@@ -205,7 +203,7 @@
         Event::NodeStopped.number(),
         Event::NodeStopped.text(),
         node.under_way.load(Ordering::Relaxed),
-        begun.elapsed().as_millis()
+        stop.begun.elapsed().as_millis()
     );
 }
 
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -39,6 +39,7 @@
 use crate::node::Node;
 use crate::plain;
 use crate::reach;
+use crate::stop;
 use crate::stream;
 use crate::table;
 use crate::table::Table;
@@ -217,6 +218,11 @@
         return Err(Refusal::new(Code::BadField, "the request has no id"));
     }
     let until = arrived + patience.min(route.timeout).as_duration();
+    if let Some(stop) = node.stop()
+        && !stop.takes(arrived, until)
+    {
+        return Err(Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY));
+    }
     let body = match timeout_at(until, body::read(incoming, table.body_bytes)).await {
         Ok(Ok(body)) => body,
         Ok(Err(body::Fault::TooLong)) => return Err(Refusal::new(Code::BodyTooLarge, "")),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod probe;
 pub mod reach;
 pub mod roster;
+pub mod stop;
 pub mod store;
 pub mod stream;
 pub mod table;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -27,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::roster::Roster;
+use crate::stop::Stop;
 use crate::table::Table;
 use crate::turns::Cache;
 
@@ -84,7 +86,8 @@
     table: Mutex<Arc<Table>>,
     fleet: Mutex<Fleet>,
     roster: Mutex<Roster>,
-    stopping: AtomicBool,
+    /// Set once the process stops.
+    stop: OnceLock<Stop>,
     /// Whether enough VMs with a disk answer.
     records: AtomicBool,
     /// Whether they did at any time since the start.
@@ -126,7 +129,7 @@
             table: Mutex::default(),
             fleet: Mutex::default(),
             roster: Mutex::default(),
-            stopping: AtomicBool::new(false),
+            stop: OnceLock::new(),
             records: AtomicBool::new(false),
             had_records: AtomicBool::new(false),
             runners_at: AtomicU64::new(0),
@@ -193,15 +196,16 @@
         self.table().known && !self.fleet().runners().is_empty()
     }
 
-    /// Notes that the process stops.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Notes that the process stops from now on, and yields how.
+    pub fn begin_stop(&self) -> Stop {
+        let grace = self.settings.grace.as_duration();
+        *self.stop.get_or_init(|| Stop::new(Instant::now(), grace))
     }
 
-    /// Tells whether the process stops.
+    /// Yields how the process stops, if it does.
     #[must_use]
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+    pub fn stop(&self) -> Option<Stop> {
+        self.stop.get().copied()
     }
 
     /// Notes whether enough VMs with a disk answer, and tells whether that is news.
@@ -262,7 +266,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let table = self.table();
-        if !self.can_route() || self.is_stopping() {
+        if !self.can_route() || self.stop().is_some() {
             return false;
         }
         !table.has_streams() || self.has_records()
