Learn runners' speeds from nothing: an unmeasured one counts as the middle one

Cause: 700 tokens a second were presumed of each new runner; engines that make 220 had every burst go to the newest runner (2.4 times its slots while the median held 0.3), and after a start to any. Change: policy::pace; each runner's mean of what calls showed, drawn to the middle of its service. fleet.rs split: fleet/runner.rs holds the runner. Test: a_runner_that_appears_in_a_burst_gets_its_share, red at the presumed speed (42 of 42).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod displace;
 pub mod eject;
 pub mod ledger;
+pub mod pace;
 pub mod place;
 pub mod prefix;
 pub mod queue;
--- /dev/null
+++ b/crates/policy/src/pace.rs
@@ -0,0 +1,86 @@
+//! How fast endpoints are, as learnt from the calls that they ended.
+//!
+//! Answers pools whose endpoints nobody described: engines of other hardware, of different speeds
+//! within a pool, that appear while others are busy. Without it a compiled-in presumption decides:
+//! where it is faster than the pool is, every endpoint that nobody has measured looks best, and a
+//! burst goes to the newest one until it holds several times its slots, in which most endpoints
+//! idle. So what isn't measured yet counts as the pool's middle one.
+
+use wire::clock::Millis;
+
+/// In this time a sample loses half of its weight: long beside a call (some tenths of a second), so
+/// that the figure is made of some tens of calls, and short beside the times for which an endpoint
+/// turns slow.
+const HALF: Millis = Millis::new(5_000);
+/// How many samples the pool's middle figure weighs as against an endpoint's own. One call tells
+/// little: its prompt may have been read while others waited.
+const POOL: f64 = 1.0;
+
+/// A mean in which older samples weigh less.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Mean {
+    sum: f64,
+    weight: f64,
+    at: Millis,
+}
+
+impl Mean {
+    /// Takes a sample in.
+    pub fn note(&mut self, value: f64, now: Millis) {
+        *self = self.at(now);
+        self.sum += value;
+        self.weight += 1.0;
+    }
+
+    /// Yields the mean as it weighs at a later time.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52")]
+    pub fn at(&self, now: Millis) -> Self {
+        let age = now.since(self.at).as_u64() as f64;
+        let left = (-age / HALF.as_u64() as f64).exp2();
+        Self {
+            sum: self.sum * left,
+            weight: self.weight * left,
+            at: now,
+        }
+    }
+
+    /// Joins it with what others measured, both at the same time.
+    #[must_use]
+    pub fn with(&self, value: f64, weight: f64) -> Self {
+        Self {
+            sum: self.sum + value * weight,
+            weight: self.weight + weight,
+            at: self.at,
+        }
+    }
+
+    /// Yields the value and how many samples it is worth; `None` where nothing was measured.
+    #[must_use]
+    pub fn value(&self) -> Option<(f64, f64)> {
+        (self.weight > 0.0).then(|| (self.sum / self.weight, self.weight))
+    }
+
+    /// Yields the value, drawn towards the pool's middle one where few samples made it.
+    #[must_use]
+    pub fn drawn_to(&self, middle: f64) -> f64 {
+        (self.sum + middle * POOL) / (self.weight + POOL)
+    }
+}
+
+/// Yields the middle one of what a pool's endpoints showed, or `first` where none has shown
+/// anything; figures made of little count no less, as the middle one bears some that are far off.
+#[must_use]
+pub fn middle(figures: impl Iterator<Item = Mean>, first: f64) -> f64 {
+    let mut known: Vec<f64> = figures
+        .filter_map(|figure| Some(figure.value()?.0))
+        .collect();
+    if known.is_empty() {
+        return first;
+    }
+    known.sort_by(f64::total_cmp);
+    known[known.len() / 2]
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -1,51 +1,31 @@
 //! The runners as this VM knows them, and the choice of one for a request.
 
+pub mod runner;
+
 use std::net::SocketAddr;
 
 use adapter::config::Engine;
 use adapter::runner::Entry;
-use adapter::runner::Load;
 use adapter::runner::State;
 use policy::class::Class;
 use policy::eject;
 use policy::eject::Detector;
 use policy::eject::Sample;
+use policy::pace;
 use policy::place;
 use policy::place::Candidate;
-use policy::place::Lane;
 use policy::place::Weights;
 use policy::prefix;
-use policy::prefix::Cache;
 use wire::clock::Millis;
-use xxhash_rust::xxh3::xxh3_64;
 
+use crate::fleet::runner::Runner;
 use crate::reach::Target;
 use crate::tally::Source;
 use crate::tally::Tally;
-use crate::tally::Told;
 
-/// Tokens a second that an engine generates for one request before any has been measured.
-const SPEED: f64 = 700.0;
-/// Requests a second that a plain service's runner does one after the other before any has been
-/// measured: work of 25 ms, the usual one of both deployments (10 to 52 ms). One thought faster
-/// would draw all calls after its start, as a wait at it looks short.
-const SPEED_PLAIN: f64 = 40.0;
-/// Prompt tokens that an engine reads in the time in which it generates one. Measured at the
-/// engines of both deployments: 206 and 260.
-const READS: f64 = 220.0;
-/// The weight of the latest request in a runner's speed.
-const FRESH: f64 = 0.15;
-/// How long a runner gets nothing after another one answered at its address: until its entry is
-/// gone from the list, as a rule.
-const ELSEWHERE: Millis = Millis::new(1_000);
-/// How long a runner is passed over after it turned a request away as full: about the time in
-/// which one of its requests ends.
-const FULL: Millis = Millis::new(40);
 /// How long an entry that is missing after the key-value service was away is still used; the
 /// runners that live are back in the list within two seconds.
 const MISSING: Millis = Millis::new(1_700);
-/// How long a runner's own count of its requests holds: a fraction of the time that one takes.
-const TOLD: Millis = Millis::new(120);
 /// A runner that hasn't answered for this long is tried where others of its data centre don't
 /// answer: some times the pause between two answers of a busy runner.
 const QUIET: Millis = Millis::new(300);
@@ -62,45 +42,17 @@
 const HOLD: Millis = Millis::new(250);
 /// The longest: about the time that a runner takes to be back.
 const HOLD_MOST: Millis = Millis::new(1_000);
+/// Milliseconds that an engine is presumed to take for a token before any runner of its service was
+/// measured: for the first second of the first VM. All runners have the same then, so that it only
+/// weighs the reading of a prompt against the way to another data centre.
+const FIRST_PACE: f64 = 3.0;
+/// The same for a request of a plain service.
+const FIRST_PACE_PLAIN: f64 = 50.0;
 /// So many other VMs that hold a runner off are believed. One may have a broken way to a runner
 /// that all others reach. Measured on 91 VMs with runners that go down and up: without it each VM
 /// found out by itself, 369 requests in 5 s.
 const BELIEVED: u32 = 2;
 
-/// A runner.
-#[derive(Clone, Debug)]
-pub struct Runner {
-    /// Its id, which no other runner ever has.
-    pub id: String,
-    /// What it says of itself.
-    pub entry: Entry,
-    /// Requests of this VM under way at it.
-    pub own: u32,
-    /// What other VMs told of it.
-    told: Told,
-    /// What it said of its load last.
-    load: Option<(Load, Millis)>,
-    /// Stands for its id where runners are ranked.
-    number: u64,
-    /// Its engine's memory in tokens; 0 for plain services.
-    memory: u64,
-    cache: Cache,
-    /// Tokens a second for one request; for plain services, requests a second.
-    speed: f64,
-    detector: Detector,
-    /// No connection to it could be made, or one broke, and none has been made since.
-    unreachable: bool,
-    /// Requests to it that broke since one was answered last.
-    broken: u32,
-    held_until: Millis,
-    /// When an answer of its came last, or a connection was made beside the traffic.
-    heard: Millis,
-    elsewhere_until: Millis,
-    full_until: Millis,
-    /// Its entry was missing when the key-value service came back.
-    missing_since: Option<Millis>,
-}
-
 /// The runners, in the order of their ids.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -304,11 +256,7 @@
     pub fn learn_memory(&mut self, memory: impl Fn(&str) -> u64) {
         for runner in &mut self.runners {
             let memory = memory(&runner.entry.service);
-            if runner.memory != memory {
-                runner.memory = memory;
-                runner.cache = Cache::new(memory);
-                runner.speed = first_speed(memory);
-            }
+            runner.learn_memory(memory);
         }
     }
 
@@ -337,6 +285,20 @@
         tallies.filter(tells).collect()
     }
 
+    /// Yields the pace of the service's runners that nobody has measured.
+    fn middle_pace(&self, want: &Want<'_>) -> f64 {
+        let of_service = self
+            .runners
+            .iter()
+            .filter(|runner| runner.entry.service == want.service);
+        let paces = of_service.map(|runner| runner.pace.at(want.now));
+        let first = match want.engine {
+            Some(_) => FIRST_PACE,
+            None => FIRST_PACE_PLAIN,
+        };
+        pace::middle(paces, first)
+    }
+
     /// Chooses a runner; `None` where the service has none that may be used.
     #[must_use]
     pub fn choose(&self, want: &Want<'_>) -> Option<Chosen> {
@@ -349,8 +311,11 @@
         if usable.iter().any(sound) {
             usable.retain(sound);
         }
-        let mut candidates: Vec<Candidate> =
-            usable.iter().map(|runner| runner.candidate(want)).collect();
+        let pace = self.middle_pace(want);
+        let usable_runners = usable.iter();
+        let mut candidates: Vec<Candidate> = usable_runners
+            .map(|runner| runner.candidate(want, pace))
+            .collect();
         if let Some(first) = want.prompt.first() {
             let numbers: Vec<u64> = usable.iter().map(|runner| runner.number).collect();
             let presumed = prefix::presumed(first.id, &numbers);
@@ -381,137 +346,5 @@
     }
 }
 
-/// Yields the speed to reckon with before any was measured; plain services have no memory.
-const fn first_speed(memory: u64) -> f64 {
-    if memory == 0 { SPEED_PLAIN } else { SPEED }
-}
-
-impl Runner {
-    fn new(id: &str, entry: Entry, memory: u64) -> Self {
-        Self {
-            number: xxh3_64(id.as_bytes()),
-            memory,
-            id: id.to_owned(),
-            entry,
-            own: 0,
-            told: Told::default(),
-            load: None,
-            cache: Cache::new(memory),
-            speed: first_speed(memory),
-            detector: Detector::new(Millis::ZERO),
-            unreachable: false,
-            broken: 0,
-            held_until: Millis::ZERO,
-            heard: Millis::ZERO,
-            elsewhere_until: Millis::ZERO,
-            full_until: Millis::ZERO,
-            missing_since: None,
-        }
-    }
-
-    fn may_take(&self, want: &Want<'_>) -> bool {
-        self.entry.service == want.service
-            && self.entry.state == State::Ready
-            && !self.unreachable
-            && !self.is_held_off(want.now)
-            && self.elsewhere_until <= want.now
-            && !want.not.contains(&self.id)
-    }
-
-    fn candidate(&self, want: &Want<'_>) -> Candidate {
-        let (others, _) = self.told.all(want.now);
-        let known = self.own + others;
-        // What the runner said just now counts where it is more than is known here: another VM that
-        // can't be heard has requests at it, too.
-        let told = self.load.filter(|(_, at)| want.now.since(*at) < TOLD);
-        let told = told.map_or(0, |(load, _)| load.running + load.waiting);
-        let busy = if self.full_until > want.now {
-            known.max(self.entry.slots + 2)
-        } else {
-            known.max(told)
-        };
-        Candidate {
-            slots: self.entry.slots,
-            reported: busy,
-            sent: 0,
-            ended: 0,
-            claimed: 0,
-            speed: self.speed,
-            prefill: self.speed * READS,
-            cached: self.cache.cached(want.prompt),
-            share: self.detector.share(want.now),
-            lane: Lane::Open,
-            away: if self.entry.centre == want.centre {
-                0.0
-            } else {
-                want.away
-            },
-        }
-    }
-
-    /// Notes that a prompt goes to the runner.
-    pub fn note_prompt(&mut self, prompt: &[prefix::Part], now: Millis) {
-        self.cache.note(prompt, now);
-    }
-
-    fn target(&self) -> Target {
-        Target {
-            id: self.id.clone(),
-            address: self.entry.address,
-            centre: self.entry.centre.clone(),
-        }
-    }
-
-    /// Notes the load that an answer told.
-    pub fn note_load(&mut self, load: Load, now: Millis) {
-        self.load = Some((load, now));
-    }
-
-    /// Notes that an answer came.
-    pub fn note_heard(&mut self, now: Millis) {
-        self.heard = now;
-        self.broken = 0;
-        self.held_until = Millis::ZERO;
-    }
-
-    /// Tells whether this VM holds the runner off, as requests to it broke.
-    fn is_held_off(&self, now: Millis) -> bool {
-        self.held_until > now
-    }
-
-    /// Notes that a connection was made; tells whether that is news.
-    pub fn note_reachable(&mut self, now: Millis) -> bool {
-        self.heard = now;
-        std::mem::replace(&mut self.unreachable, false)
-    }
-
-    /// Notes that another runner has its address.
-    pub fn note_elsewhere(&mut self, now: Millis) {
-        self.elsewhere_until = now.plus(ELSEWHERE);
-    }
-
-    /// Notes that the runner turned a request away.
-    pub fn note_full(&mut self, now: Millis) {
-        self.full_until = now.plus(FULL);
-    }
-
-    /// Notes that the runner failed a request.
-    pub fn note_failed(&mut self) {
-        self.detector.note(Sample::Failed);
-    }
-
-    /// Notes that a request of so many tokens (1 for a plain service) took `span` at the runner.
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "token counts and spans are far below 2^52"
-    )]
-    pub fn note_done(&mut self, tokens: u64, span: Millis) {
-        let span = span.as_u64().max(1) as f64;
-        let pace = span / tokens.max(1) as f64;
-        self.speed += FRESH * (1000.0 / pace - self.speed);
-        self.detector.note(Sample::Done { pace });
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/relay/src/fleet/runner.rs
@@ -0,0 +1,200 @@
+//! One runner as this VM knows it: what it says, what others tell of it, what its answers showed.
+
+use adapter::runner::Entry;
+use adapter::runner::Load;
+use adapter::runner::State;
+use policy::eject::Detector;
+use policy::eject::Sample;
+use policy::pace::Mean;
+use policy::place::Candidate;
+use policy::place::Lane;
+use policy::prefix;
+use policy::prefix::Cache;
+use wire::clock::Millis;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::fleet::Want;
+use crate::reach::Target;
+use crate::tally::Told;
+
+/// Prompt tokens that an engine reads in the time in which it generates one. Measured at the
+/// engines of both deployments: 206 and 260.
+const READS: f64 = 220.0;
+/// How long a runner gets nothing after another one answered at its address: until its entry is
+/// gone from the list, as a rule.
+const ELSEWHERE: Millis = Millis::new(1_000);
+/// How long a runner is passed over after it turned a request away as full: about the time in
+/// which one of its requests ends.
+const FULL: Millis = Millis::new(40);
+/// How long a runner's own count of its requests holds: a fraction of the time that one takes.
+const TOLD: Millis = Millis::new(120);
+
+/// A runner.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// Its id, which no other runner ever has.
+    pub id: String,
+    /// What it says of itself.
+    pub entry: Entry,
+    /// Requests of this VM under way at it.
+    pub own: u32,
+    /// What other VMs told of it.
+    pub(super) told: Told,
+    /// What it said of its load last.
+    pub(super) load: Option<(Load, Millis)>,
+    /// Stands for its id where runners are ranked.
+    pub(super) number: u64,
+    /// Its engine's memory in tokens; 0 for plain services.
+    pub(super) memory: u64,
+    pub(super) cache: Cache,
+    /// Milliseconds a token; for plain services, a request.
+    pub(super) pace: Mean,
+    pub(super) detector: Detector,
+    /// No connection to it could be made, or one broke, and none has been made since.
+    pub(super) unreachable: bool,
+    /// Requests to it that broke since one was answered last.
+    pub(super) broken: u32,
+    pub(super) held_until: Millis,
+    /// When an answer of its came last, or a connection was made beside the traffic.
+    pub(super) heard: Millis,
+    pub(super) elsewhere_until: Millis,
+    pub(super) full_until: Millis,
+    /// Its entry was missing when the key-value service came back.
+    pub(super) missing_since: Option<Millis>,
+}
+
+impl Runner {
+    pub(super) fn new(id: &str, entry: Entry, memory: u64) -> Self {
+        Self {
+            number: xxh3_64(id.as_bytes()),
+            memory,
+            id: id.to_owned(),
+            entry,
+            own: 0,
+            told: Told::default(),
+            load: None,
+            cache: Cache::new(memory),
+            pace: Mean::default(),
+            detector: Detector::new(Millis::ZERO),
+            unreachable: false,
+            broken: 0,
+            held_until: Millis::ZERO,
+            heard: Millis::ZERO,
+            elsewhere_until: Millis::ZERO,
+            full_until: Millis::ZERO,
+            missing_since: None,
+        }
+    }
+
+    pub(super) fn may_take(&self, want: &Want<'_>) -> bool {
+        self.entry.service == want.service
+            && self.entry.state == State::Ready
+            && !self.unreachable
+            && !self.is_held_off(want.now)
+            && self.elsewhere_until <= want.now
+            && !want.not.contains(&self.id)
+    }
+
+    pub(super) fn candidate(&self, want: &Want<'_>, middle_pace: f64) -> Candidate {
+        let (others, _) = self.told.all(want.now);
+        let known = self.own + others;
+        // What the runner said just now counts where it is more than is known here: another VM that
+        // can't be heard has requests at it, too.
+        let told = self.load.filter(|(_, at)| want.now.since(*at) < TOLD);
+        let told = told.map_or(0, |(load, _)| load.running + load.waiting);
+        let busy = if self.full_until > want.now {
+            known.max(self.entry.slots + 2)
+        } else {
+            known.max(told)
+        };
+        let speed = 1_000.0 / self.pace.at(want.now).drawn_to(middle_pace);
+        Candidate {
+            slots: self.entry.slots,
+            reported: busy,
+            sent: 0,
+            ended: 0,
+            claimed: 0,
+            speed,
+            prefill: speed * READS,
+            cached: self.cache.cached(want.prompt),
+            share: self.detector.share(want.now),
+            lane: Lane::Open,
+            away: if self.entry.centre == want.centre {
+                0.0
+            } else {
+                want.away
+            },
+        }
+    }
+
+    /// Notes how much memory its engine has, which a configuration tells.
+    pub(super) fn learn_memory(&mut self, memory: u64) {
+        if self.memory != memory {
+            self.memory = memory;
+            self.cache = Cache::new(memory);
+        }
+    }
+
+    /// Notes that a prompt goes to the runner.
+    pub fn note_prompt(&mut self, prompt: &[prefix::Part], now: Millis) {
+        self.cache.note(prompt, now);
+    }
+
+    pub(super) fn target(&self) -> Target {
+        Target {
+            id: self.id.clone(),
+            address: self.entry.address,
+            centre: self.entry.centre.clone(),
+        }
+    }
+
+    /// Notes the load that an answer told.
+    pub fn note_load(&mut self, load: Load, now: Millis) {
+        self.load = Some((load, now));
+    }
+
+    /// Notes that an answer came.
+    pub fn note_heard(&mut self, now: Millis) {
+        self.heard = now;
+        self.broken = 0;
+        self.held_until = Millis::ZERO;
+    }
+
+    /// Tells whether this VM holds the runner off, as requests to it broke.
+    pub(super) fn is_held_off(&self, now: Millis) -> bool {
+        self.held_until > now
+    }
+
+    /// Notes that a connection was made; tells whether that is news.
+    pub fn note_reachable(&mut self, now: Millis) -> bool {
+        self.heard = now;
+        std::mem::replace(&mut self.unreachable, false)
+    }
+
+    /// Notes that another runner has its address.
+    pub fn note_elsewhere(&mut self, now: Millis) {
+        self.elsewhere_until = now.plus(ELSEWHERE);
+    }
+
+    /// Notes that the runner turned a request away.
+    pub fn note_full(&mut self, now: Millis) {
+        self.full_until = now.plus(FULL);
+    }
+
+    /// Notes that the runner failed a request.
+    pub fn note_failed(&mut self) {
+        self.detector.note(Sample::Failed);
+    }
+
+    /// Notes that a request of so many tokens (1 for a plain service) took `span` at the runner.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "token counts and spans are far below 2^52"
+    )]
+    pub fn note_done(&mut self, tokens: u64, span: Millis, now: Millis) {
+        let span = span.as_u64().max(1) as f64;
+        let pace = span / tokens.max(1) as f64;
+        self.pace.note(pace, now);
+        self.detector.note(Sample::Done { pace });
+    }
+}
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -310,3 +310,29 @@
     now = now.plus(Millis::new(250));
     assert!(fleet.choose(&Want { now, ..want(&[]) }).is_some());
 }
+
+/// The load: a burst in which a runner is replaced. Its engines are three times slower than others
+/// that the system has served. Taken for a fast one until it is measured, the new runner would get
+/// every turn of the burst, until it held several times what the others do.
+#[test]
+fn a_runner_that_appears_in_a_burst_gets_its_share() {
+    let mut fleet = fleet(6);
+    for at in 0..6 {
+        let runner = fleet.runner(&format!("i-{at}")).expect("it is there");
+        for _ in 0..8 {
+            runner.note_done(100, Millis::new(500), NOW);
+        }
+    }
+    fleet.set("i-new", entry(State::Ready), ENGINE.memory_tokens);
+    for salt in 0..42 {
+        let burst = Want {
+            prompt: &[],
+            salt,
+            ..want(&[])
+        };
+        let chosen = fleet.choose(&burst).expect("there are runners");
+        fleet.runner(&chosen.id).expect("it is there").own += 1;
+    }
+    let new = fleet.runner("i-new").expect("it is there").own;
+    assert!((3..=12).contains(&new), "{new} of 42 at one of seven");
+}
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -129,8 +129,9 @@
         Err(_) => return Err("the answer's body wasn't whole in time".to_owned()),
     };
     let span = Millis::from(attempt.sent.elapsed());
+    let now = job.node.clock.now();
     if let Some(runner) = job.node.fleet().runner(&attempt.runner.id) {
-        runner.note_done(1, span);
+        runner.note_done(1, span, now);
     }
     job.node.metrics.count(Counter::Answered);
     job.node.metrics.time(Span::Whole, job.age());
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -358,6 +358,7 @@
 /// make a runner look slow that only got long prompts, and have it ejected.
 fn note(job: &Job, attempt: &Attempt, flow: &Flow, before: u64, end: &End) {
     let events = flow.events - before;
+    let now = job.node.clock.now();
     let mut fleet = job.node.fleet();
     let Some(runner) = fleet.runner(&attempt.runner.id) else {
         return;
@@ -368,7 +369,7 @@
             let engine = job.table.engine(&job.service);
             let tokens = engine.map_or(1, |engine| engine.event_tokens) * (events - 1);
             let begun = flow.begun.unwrap_or_else(Instant::now);
-            runner.note_done(tokens, Millis::from(begun.elapsed()));
+            runner.note_done(tokens, Millis::from(begun.elapsed()), now);
         }
         End::Whole | End::Gone | End::Late => {}
     }
