--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -55,16 +55,6 @@
         }
     }
 
-    /// Joins two means, both at the same time.
-    #[must_use]
-    pub fn and(&self, other: &Self) -> Self {
-        Self {
-            sum: self.sum + other.sum,
-            weight: self.weight + other.weight,
-            at: self.at,
-        }
-    }
-
     /// Yields the value and how many samples it is worth; `None` where nothing was measured.
     #[must_use]
     pub fn value(&self) -> Option<(f64, f64)> {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -36,7 +36,6 @@
 use crate::roster::Roster;
 use crate::tally;
 use crate::tally::Audience;
-use crate::tally::Pace;
 use crate::tally::Source;
 use crate::tally::Tally;
 
@@ -63,7 +62,7 @@
 }
 
 /// One side of an exchange.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
     /// The VM.
     pub vm: String,
@@ -71,8 +70,6 @@
     pub source: Source,
     /// What the VM, and other VMs that it speaks for, have at runners; in the order of their ids.
     pub tallies: Vec<Tally>,
-    /// How fast they measured runners to be; empty in most messages.
-    pub paces: Vec<Pace>,
     /// The roster's revision that it has.
     pub roster: u64,
     /// How old its knowledge of the runners is, in milliseconds.
@@ -127,14 +124,13 @@
 fn message(node: &Node, to: &str, roster: u64, config: u64) -> Message {
     let now = node.clock.now();
     let settings = &node.settings;
-    let figures = tell(node, to, now);
+    let (source, tallies) = tell(node, to, now);
     let table = node.table();
     let known = node.roster();
     Message {
         vm: settings.vm.clone(),
-        source: figures.source,
-        tallies: figures.tallies,
-        paces: figures.paces,
+        source,
+        tallies,
         roster: known.revision,
         roster_age: node.runners_age().as_u64(),
         config: table.version,
@@ -143,42 +139,29 @@
     }
 }
 
-/// What a VM is told of the runners, and whose figures these are.
-struct Figures {
-    source: Source,
-    tallies: Vec<Tally>,
-    paces: Vec<Pace>,
-}
-
-/// Yields what a VM is told of the runners: a hub tells its own VMs all that it knows of the others,
-/// and other hubs the sum of its data centre.
-fn tell(node: &Node, to: &str, now: Millis) -> Figures {
+/// Yields what a VM is told of the runners, and whose figures these are: a hub tells its own VMs
+/// all that it knows of the others, and other hubs the sum of its data centre.
+fn tell(node: &Node, to: &str, now: Millis) -> (Source, Vec<Tally>) {
     let settings = &node.settings;
-    let mut peers = node.peers();
-    let tells_paces = peers.tell_paces(to, now);
+    let peers = node.peers();
     let near = |vm: &str| {
         let peer = peers.peer(vm);
         peer.is_some_and(|peer| peer.centre == settings.centre)
     };
-    let (audience, source) = match peers.place(&settings.vm, &settings.centre, now) {
-        Place::Direct | Place::Leaf => (None, Source::Vm(settings.vm.clone())),
-        Place::Hub if near(to) => (Some(Audience::Near(to)), Source::Others),
+    match peers.place(&settings.vm, &settings.centre, now) {
+        Place::Direct | Place::Leaf => {
+            let tallies = node.fleet().tallies(now, |_| false);
+            (Source::Vm(settings.vm.clone()), tallies)
+        }
         Place::Hub => {
-            let centre = Source::Centre(settings.centre.clone());
-            (Some(Audience::Far), centre)
+            let (audience, source) = if near(to) {
+                (Audience::Near(to), Source::Others)
+            } else {
+                (Audience::Far, Source::Centre(settings.centre.clone()))
+            };
+            let told_on = |of: &Source| tally::is_told_on(of, audience, &settings.centre, near);
+            (source, node.fleet().tallies(now, told_on))
         }
-    };
-    let told_on =
-        |of: &Source| audience.is_some_and(|to| tally::is_told_on(of, to, &settings.centre, near));
-    let fleet = node.fleet();
-    Figures {
-        source,
-        tallies: fleet.tallies(now, told_on),
-        paces: if tells_paces {
-            fleet.paces(now, told_on)
-        } else {
-            Vec::new()
-        },
     }
 }
 
@@ -187,10 +170,6 @@
     node.peers()
         .hear(&message.vm, message.roster, message.config, now);
     node.fleet().hear(&message.source, &message.tallies, now);
-    if !message.paces.is_empty() {
-        node.fleet()
-            .hear_paces(&message.source, &message.paces, now);
-    }
     if let Some(document) = &message.document {
         follow::take_config(node, document);
     }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -20,7 +20,6 @@
 
 use crate::fleet::runner::Runner;
 use crate::reach::Target;
-use crate::tally::Pace;
 use crate::tally::Source;
 use crate::tally::Tally;
 
@@ -43,9 +42,6 @@
 const HOLD: Millis = Millis::new(250);
 /// The longest: about the time that a runner takes to be back.
 const HOLD_MOST: Millis = Millis::new(1_000);
-/// The least that a measured pace is made of to be told, in calls: less is of no weight beside the
-/// pool's middle figure.
-const LEAST_TOLD: f64 = 0.05;
 /// Milliseconds that an engine is presumed to take for a token before any runner of its service was
 /// measured: for the first second of the first VM. All runners have the same then, so that it only
 /// weighs the reading of a prompt against the way to another data centre.
@@ -289,41 +285,13 @@
         tallies.filter(tells).collect()
     }
 
-    /// Takes in what another VM measured of the runners' paces, in the order of runners.
-    pub fn hear_paces(&mut self, source: &Source, paces: &[Pace], now: Millis) {
-        for runner in &mut self.runners {
-            let found = paces.binary_search_by(|pace| pace.runner.cmp(&runner.id));
-            let pace = found.ok().map(|at| &paces[at]);
-            runner.measured.note(source, pace, now);
-        }
-    }
-
-    /// Yields the paces that this VM and the sources that `speaks_for` names measured.
-    #[must_use]
-    #[expect(
-        clippy::cast_possible_truncation,
-        reason = "a share in ten millions is enough"
-    )]
-    pub fn paces(&self, now: Millis, speaks_for: impl Fn(&Source) -> bool) -> Vec<Pace> {
-        let told = |runner: &Runner| {
-            let others = runner.measured.sum(now, &speaks_for);
-            let (pace, weight) = runner.own_pace(now).and(&others).value()?;
-            (weight > LEAST_TOLD).then(|| Pace {
-                runner: runner.id.clone(),
-                pace: pace as f32,
-                weight: weight as f32,
-            })
-        };
-        self.runners.iter().filter_map(told).collect()
-    }
-
     /// Yields the pace of the service's runners that nobody has measured.
     fn middle_pace(&self, want: &Want<'_>) -> f64 {
         let of_service = self
             .runners
             .iter()
             .filter(|runner| runner.entry.service == want.service);
-        let paces = of_service.map(|runner| runner.pace(want.now));
+        let paces = of_service.map(|runner| runner.pace.at(want.now));
         let first = match want.engine {
             Some(_) => FIRST_PACE,
             None => FIRST_PACE_PLAIN,
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -15,7 +15,6 @@
 
 use crate::fleet::Want;
 use crate::reach::Target;
-use crate::tally::Measured;
 use crate::tally::Told;
 
 /// Prompt tokens that an engine reads in the time in which it generates one. Measured at the
@@ -49,9 +48,7 @@
     pub(super) memory: u64,
     pub(super) cache: Cache,
     /// Milliseconds a token; for plain services, a request.
-    pace: Mean,
-    /// The same as other VMs measured it.
-    pub(super) measured: Measured,
+    pub(super) pace: Mean,
     pub(super) detector: Detector,
     /// No connection to it could be made, or one broke, and none has been made since.
     pub(super) unreachable: bool,
@@ -78,7 +75,6 @@
             load: None,
             cache: Cache::new(memory),
             pace: Mean::default(),
-            measured: Measured::default(),
             detector: Detector::new(Millis::ZERO),
             unreachable: false,
             broken: 0,
@@ -111,7 +107,7 @@
         } else {
             known.max(told)
         };
-        let speed = 1_000.0 / self.pace(want.now).drawn_to(middle_pace);
+        let speed = 1_000.0 / self.pace.at(want.now).drawn_to(middle_pace);
         Candidate {
             slots: self.entry.slots,
             reported: busy,
@@ -139,16 +135,6 @@
         }
     }
 
-    /// Yields what this VM measured of its pace.
-    pub(super) fn own_pace(&self, now: Millis) -> Mean {
-        self.pace.at(now)
-    }
-
-    /// Yields its pace as all VMs measured it.
-    pub(super) fn pace(&self, now: Millis) -> Mean {
-        self.own_pace(now).and(&self.measured.all(now))
-    }
-
     /// Notes that a prompt goes to the runner.
     pub fn note_prompt(&mut self, prompt: &[prefix::Part], now: Millis) {
         self.cache.note(prompt, now);
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -336,28 +336,3 @@
     let new = fleet.runner("i-new").expect("it is there").own;
     assert!((3..=12).contains(&new), "{new} of 42 at one of seven");
 }
-
-/// A VM restarts under load. Measuring each runner by itself again, it would send as much to the
-/// slow ones as to the fast ones for seconds; what another VM measured tells it at once.
-#[test]
-fn a_vm_that_starts_knows_what_others_measured() {
-    let mut known = fleet(3);
-    for (id, span) in [("i-0", 900), ("i-1", 300), ("i-2", 900)] {
-        let runner = known.runner(id).expect("it is there");
-        for _ in 0..8 {
-            runner.note_done(100, Millis::new(span), NOW);
-        }
-    }
-    let mut fleet = fleet(3);
-    fleet.hear_paces(&vm("front-b"), &known.paces(NOW, |_| false), NOW);
-    for salt in 0..8 {
-        let first = Want {
-            prompt: &[],
-            salt,
-            ..want(&[])
-        };
-        assert_eq!(fleet.choose(&first).expect("there are runners").id, "i-1");
-    }
-    let told_on = fleet.paces(NOW, |_| false);
-    assert!(told_on.is_empty(), "it has measured nothing itself");
-}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -36,10 +36,6 @@
 /// A VM that hasn't answered for this long is no hub: several exchanges, and a short freeze.
 const SILENT: Millis = Millis::new(1_000);
 
-/// How often a VM is told how fast runners are: a fraction of the time in which a measured pace
-/// loses half of its weight, and a sixteenth of the messages.
-const PACES: Millis = Millis::new(1_000);
-
 /// The other VMs, in the order of their names.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -60,8 +56,6 @@
     /// The configuration's revision that it had then.
     pub config: u64,
     heard: Millis,
-    /// When it was told last how fast runners are.
-    paces_at: Millis,
     lapsed: Option<Millis>,
 }
 
@@ -95,7 +89,6 @@
                     roster: 0,
                     config: 0,
                     heard: now,
-                    paces_at: Millis::ZERO,
                     lapsed: None,
                 },
             ),
@@ -128,18 +121,6 @@
         }
     }
 
-    /// Tells whether it is time to tell a VM how fast runners are, and notes that it is told.
-    pub fn tell_paces(&mut self, vm: &str, now: Millis) -> bool {
-        let Ok(at) = self.find(vm) else {
-            return false;
-        };
-        let due = now.since(self.known[at].paces_at) >= PACES;
-        if due {
-            self.known[at].paces_at = now;
-        }
-        due
-    }
-
     /// Notes that a VM's entry has lapsed.
     pub fn lapse(&mut self, vm: &str, now: Millis) {
         if let Ok(at) = self.find(vm) {
--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -1,7 +1,6 @@
-//! What VMs tell each other of a runner: how many requests they have under way at it, how many of
-//! them hold it off because requests to it broke, and how fast they measured it to be.
+//! What VMs tell each other of a runner: how many requests they have under way at it, and how many
+//! of them hold it off because requests to it broke.
 
-use policy::pace::Mean;
 use serde::Deserialize;
 use serde::Serialize;
 use wire::clock::Millis;
@@ -20,17 +19,6 @@
     pub held_off: u32,
 }
 
-/// How fast a runner is, as one VM measured it or several that one speaks for.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Pace {
-    /// The runner.
-    pub runner: String,
-    /// Milliseconds a token; for plain services, a request.
-    pub pace: f32,
-    /// How many calls the figure is worth.
-    pub weight: f32,
-}
-
 /// Whose figures these are.
 ///
 /// In a large deployment sums are passed on, and for a moment several VMs may take themselves for
@@ -120,47 +108,5 @@
     }
 }
 
-/// What other VMs measured of one runner's pace.
-#[derive(Clone, Debug, Default)]
-pub struct Measured(Vec<(Source, Mean)>);
-
-impl Measured {
-    /// Takes in what is told; nothing where the source has measured nothing.
-    pub fn note(&mut self, source: &Source, pace: Option<&Pace>, now: Millis) {
-        self.0.retain(|(known, _)| known != source);
-        if let Some(pace) = pace {
-            let mean = Mean::default().at(now);
-            let mean = mean.with(f64::from(pace.pace), f64::from(pace.weight));
-            self.0.push((source.clone(), mean));
-        }
-    }
-
-    /// Joins what the sources that `counts` names measured.
-    #[must_use]
-    pub fn sum(&self, now: Millis, counts: impl Fn(&Source) -> bool) -> Mean {
-        let counted = self.0.iter().filter(|(source, _)| counts(source));
-        counted.fold(Mean::default().at(now), |sum, (_, mean)| {
-            match mean.at(now).value() {
-                Some((value, weight)) => sum.with(value, weight),
-                None => sum,
-            }
-        })
-    }
-
-    /// Yields what all others measured: what a hub told, or what was heard one by one, whichever is
-    /// made of more.
-    #[must_use]
-    pub fn all(&self, now: Millis) -> Mean {
-        let told = self.sum(now, |source| *source == Source::Others);
-        let heard = self.sum(now, |source| *source != Source::Others);
-        let weight = |mean: &Mean| mean.value().map_or(0.0, |(_, weight)| weight);
-        if weight(&told) > weight(&heard) {
-            told
-        } else {
-            heard
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
