Tell the balancer of a cut at the first look, and have refused turns come back when it has noticed

Cause: in a data centre that is cut off, looks took up to 700 ms to fail, and refused turns came back after a fixed second, to the same VM again as the balancer needs two seconds. Change: relay::records holds what the looks found; 250 ms a look, not ready at the first that fails, turns refused from the second one on, Retry-After by the time that the balancer still needs.

--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -20,12 +20,6 @@
 /// start at the same time each see the other's reservation, and a turn that has just ended is
 /// settled within this time.
 const SECOND_LOOK: Duration = Duration::from_millis(30);
-/// When a turn whose tokens couldn't be set aside may come again: about the time in which a VM
-/// with a disk restarts or a cut is noticed.
-const RETRY: Millis = Millis::new(300);
-/// When it may come again where this VM is known to reach too few of them: the balancer then takes
-/// the VM out within two seconds, and another one serves the next try.
-const RETRY_ELSEWHERE: Millis = Millis::new(1_000);
 /// A turn's account of tokens.
 #[derive(Clone, Copy, Debug)]
 pub struct Account {
@@ -74,9 +68,9 @@
             Ok(Err(fault)) => {
                 job.node.note_records_lost();
                 let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
-                return Err(refusal.retry_after(RETRY));
+                return Err(refusal.retry_after(retry(job)));
             }
-            Err(_) => return Err(Refusal::new(Code::WaitedTooLong, "").retry_after(RETRY)),
+            Err(_) => return Err(Refusal::new(Code::WaitedTooLong, "").retry_after(retry(job))),
         };
         match verdict {
             Verdict::Fits => return Ok(()),
@@ -98,13 +92,12 @@
         return Ok(());
     }
     let refusal = Refusal::new(Code::RecordsUnreachable, "known before the turn came");
-    // Just after its start a VM needs some milliseconds more, not another VM.
-    let retry = if job.node.had_records() {
-        RETRY_ELSEWHERE
-    } else {
-        RETRY
-    };
-    Err(refusal.retry_after(retry))
+    Err(refusal.retry_after(retry(job)))
+}
+
+fn retry(job: &Job) -> Millis {
+    let now = job.node.clock.now();
+    job.node.records().retry(now)
 }
 
 /// Yields the tokens of so many events.
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -29,6 +29,7 @@
 use crate::peers;
 use crate::probe;
 use crate::reach;
+use crate::records;
 
 /// How long a client's connection may be idle: longer than any limit that operators set, as the
 /// clients leave first.
@@ -210,8 +211,9 @@
 /// Asks the members with a disk whether enough of them answer.
 async fn ping(node: Arc<Node>) {
     loop {
-        let reach = node.replicas.reachable().await;
-        if node.set_records(reach.enough) {
+        let reach = node.replicas.reachable(records::PATIENCE).await;
+        let now = node.clock.now();
+        if node.records().note(reach.enough, now) {
             let event = if reach.enough {
                 Event::MembersRegained
             } else {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod plain;
 pub mod probe;
 pub mod reach;
+pub mod records;
 pub mod roster;
 pub mod stop;
 pub mod store;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -5,7 +5,6 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -27,6 +26,7 @@
 use crate::follow::Subject;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::records::Records;
 use crate::roster::Roster;
 use crate::stop::Stop;
 use crate::table::Table;
@@ -89,9 +89,7 @@
     /// Set once the process stops.
     stop: OnceLock<Stop>,
     /// Whether enough VMs with a disk answer.
-    records: AtomicBool,
-    /// Whether they did at any time since the start.
-    had_records: AtomicBool,
+    records: Mutex<Records>,
     /// When the runners' list was last known to be current.
     runners_at: AtomicU64,
     /// Requests under way.
@@ -130,8 +128,7 @@
             fleet: Mutex::default(),
             roster: Mutex::default(),
             stop: OnceLock::new(),
-            records: AtomicBool::new(false),
-            had_records: AtomicBool::new(false),
+            records: Mutex::default(),
             runners_at: AtomicU64::new(0),
             under_way: AtomicU64::new(0),
             settings,
@@ -208,21 +205,15 @@
         self.stop.get().copied()
     }
 
-    /// Notes whether enough VMs with a disk answer, and tells whether that is news.
-    pub fn set_records(&self, enough: bool) -> bool {
-        self.had_records.fetch_or(enough, Ordering::Relaxed);
-        self.records.swap(enough, Ordering::Relaxed) != enough
-    }
-
-    /// Tells whether the VM has reached enough VMs with a disk at any time since its start.
-    #[must_use]
-    pub fn had_records(&self) -> bool {
-        self.had_records.load(Ordering::Relaxed)
+    /// Yields whether enough VMs with a disk answer.
+    pub fn records(&self) -> MutexGuard<'_, Records> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Notes that a write or read found too few VMs with a disk; the next look tells for how long.
     pub fn note_records_lost(&self) {
-        if self.set_records(false) {
+        let now = self.clock.now();
+        if self.records().note_lost(now) {
             log::warn!(
                 "event=E{} text=\"{}\" why=\"a turn's tokens could not be set aside\"",
                 Event::MembersLost.number(),
@@ -231,10 +222,10 @@
         }
     }
 
-    /// Tells whether enough VMs with a disk answered when they were last asked.
+    /// Tells whether turns can be served, as far as the VMs with a disk go.
     #[must_use]
     pub fn has_records(&self) -> bool {
-        self.records.load(Ordering::Relaxed)
+        self.records().serves()
     }
 
     /// Notes that the runners' list is current.
@@ -269,6 +260,6 @@
         if !self.can_route() || self.stop().is_some() {
             return false;
         }
-        !table.has_streams() || self.has_records()
+        !table.has_streams() || self.records().is_ready()
     }
 }
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -341,8 +341,8 @@
         Err(fault)
     }
 
-    /// Tells whether enough members answer for every key, and how many do.
-    pub async fn reachable(&self) -> Reach {
+    /// Tells whether enough members answer for every key within `patience`, and how many do.
+    pub async fn reachable(&self, patience: Duration) -> Reach {
         let list = self.list();
         let mut answered = Vec::new();
         let mut asked = Vec::new();
@@ -353,9 +353,10 @@
             };
             let http = self.http.clone();
             let address = member.address;
-            asked.push(tokio::spawn(
-                async move { ask_one(&http, address, &ask).await },
-            ));
+            asked.push(tokio::spawn(async move {
+                let answer = timeout(patience, ask_one(&http, address, &ask));
+                answer.await.ok().flatten()
+            }));
         }
         for (member, answer) in list.members.iter().zip(asked) {
             if let Ok(Some(Answer::Status(_))) = answer.await {
