Presume a popular first part at as many runners as its work needs

Cause: every first part was presumed at an eighth of the runners (3 at least). Change: policy::prefix::Demand, the share of turns that begin with a part as the VM sees it; twice that share of the runners hold it, nested by rendezvous. Test: a_popular_part_is_presumed_at_more_endpoints.

--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -99,28 +99,93 @@
     }
 }
 
-/// One endpoint in so many is presumed to hold a prompt's first part.
-pub const PRESUMED_OF: usize = 8;
+/// How many endpoints more than its share of the work would fill are presumed to hold a first part:
+/// with just its share, each of them would have to be as fast as the middle one and take nothing
+/// else.
+pub const SPREAD: f64 = 2.0;
 /// The fewest endpoints that are presumed to hold it: one may be away and one full.
 pub const PRESUMED_LEAST: usize = 3;
+/// In this time a turn counts half as much for its first part's share of the work: some hundred
+/// turns of a VM in a large deployment, and short beside the hours in which demand moves.
+const DEMAND_HALF: Millis = Millis::new(10_000);
+/// The most first parts whose demand is followed; rarer ones need no more than the fewest.
+const MOST_FOLLOWED: usize = 256;
+
+/// How much of a pool's work each first part asks for, as one VM sees it.
+///
+/// The client's balancer spreads the work over the VMs, so that each sees about the same shares.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    /// In the order of the parts' ids.
+    counts: Vec<(u64, f64)>,
+    total: f64,
+    at: Millis,
+}
+
+impl Demand {
+    /// Notes a turn that begins with a part.
+    pub fn note(&mut self, first: u64, now: Millis) {
+        self.fade(now);
+        self.total += 1.0;
+        match self.counts.binary_search_by_key(&first, |(id, _)| *id) {
+            Ok(at) => self.counts[at].1 += 1.0,
+            Err(at) => self.counts.insert(at, (first, 1.0)),
+        }
+        if self.counts.len() > MOST_FOLLOWED {
+            let few = |(_, count): &(u64, f64)| *count > 1.0;
+            self.counts.retain(few);
+        }
+    }
+
+    /// Weighs what was noted as it counts now.
+    #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52")]
+    fn fade(&mut self, now: Millis) {
+        let age = now.since(self.at).as_u64() as f64;
+        let left = (-age / DEMAND_HALF.as_u64() as f64).exp2();
+        for (_, count) in &mut self.counts {
+            *count *= left;
+        }
+        self.total *= left;
+        self.at = now;
+    }
+
+    /// Yields how many of so many endpoints should hold a first part.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "a pool has some hundreds of endpoints"
+    )]
+    pub fn holders(&self, first: u64, endpoints: usize) -> usize {
+        let found = self.counts.binary_search_by_key(&first, |(id, _)| *id);
+        let count = found.map_or(0.0, |at| self.counts[at].1);
+        let share = count / self.total.max(1.0);
+        let wanted = (share * endpoints as f64 * SPREAD).ceil() as usize;
+        wanted.max(PRESUMED_LEAST).min(endpoints)
+    }
+}
 
 /// Yields for each endpoint of a pool, named by a number that never changes, whether it is presumed
-/// to hold a prompt's first part.
+/// to hold a prompt's first part, as `holders` of them are.
 ///
 /// Answers many VMs before many endpoints. What one VM has sent says little of what the others
 /// have; each would send the first turn of a program, whose long first part is shared, to any idle
 /// endpoint, until every endpoint has read every first part. Rendezvous hashing has all VMs choose
-/// the same few for a part without a message.
+/// the same few for a part without a message. Where VMs differ by one or two holders, the smaller
+/// set lies within the larger one.
+///
+/// Few parts may ask for most of the work. With as few holders for such a part as for any other,
+/// most turns went to a tenth of the endpoints while the others idled.
 #[must_use]
-pub fn presumed(first: u64, endpoints: &[u64]) -> Vec<bool> {
-    let count = (endpoints.len() / PRESUMED_OF).max(PRESUMED_LEAST);
-    if endpoints.len() <= count {
+pub fn presumed(first: u64, endpoints: &[u64], holders: usize) -> Vec<bool> {
+    if endpoints.len() <= holders {
         return vec![false; endpoints.len()];
     }
     let mut weights: Vec<u64> = endpoints.iter().map(|of| weight(first, *of)).collect();
     let by_endpoint = weights.clone();
     weights.sort_unstable_by(|a, b| b.cmp(a));
-    let least = weights[count - 1];
+    let least = weights[holders - 1];
     by_endpoint.iter().map(|weight| *weight >= least).collect()
 }
 
--- a/crates/policy/src/prefix/tests.rs
+++ b/crates/policy/src/prefix/tests.rs
@@ -1,6 +1,7 @@
 use wire::clock::Millis;
 
 use super::Cache;
+use super::Demand;
 use super::Part;
 use crate::class::Class;
 use crate::place::Call;
@@ -47,7 +48,7 @@
     for turn in 0..turns {
         let vm = turn * 31 % vms;
         let part = (turn as u64 * 13) % parts + 1;
-        let presumed = super::presumed(part, &names);
+        let presumed = super::presumed(part, &names, 5);
         let candidate = |at: usize| Candidate {
             slots: 16,
             reported: 0,
@@ -94,7 +95,28 @@
 
 #[test]
 fn a_small_pool_has_no_presumption() {
-    assert_eq!(super::presumed(7, &[1, 2, 3]), [false; 3]);
-    let of_many = super::presumed(7, &(0..45).collect::<Vec<u64>>());
+    assert_eq!(super::presumed(7, &[1, 2, 3], 3), [false; 3]);
+    let of_many = super::presumed(7, &(0..45).collect::<Vec<u64>>(), 5);
     assert_eq!(of_many.iter().filter(|presumed| **presumed).count(), 5);
 }
+
+/// The load: two first parts of which one asks for most of the work. Each VM sees few of the turns;
+/// it presumes the popular part at as many endpoints as its work needs, and a rare one at few.
+#[test]
+fn a_popular_part_is_presumed_at_more_endpoints() {
+    let mut demand = Demand::default();
+    for at in 0..100 {
+        let first = if at % 10 < 7 { 1 } else { 2 + at };
+        demand.note(first, Millis::new(100 * at));
+    }
+    let popular = demand.holders(1, 48);
+    assert!(
+        popular >= 34,
+        "70% of the work needs 34 of 48, not {popular}"
+    );
+    assert_eq!(demand.holders(99, 48), 3, "never seen");
+    assert!(demand.holders(1, 2) <= 2);
+    let few = super::presumed(1, &(0..48).collect::<Vec<u64>>(), 5);
+    let more = super::presumed(1, &(0..48).collect::<Vec<u64>>(), 9);
+    assert!(few.iter().zip(&more).all(|(few, more)| !few || *more));
+}
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -16,6 +16,7 @@
 use policy::place::Candidate;
 use policy::place::Weights;
 use policy::prefix;
+use policy::prefix::Demand;
 use wire::clock::Millis;
 
 use crate::fleet::runner::Runner;
@@ -57,6 +58,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     runners: Vec<Runner>,
+    /// What prompts begin with, by service, in the order of their names.
+    demand: Vec<(String, Demand)>,
 }
 
 /// What has to be known of a request to place it.
@@ -285,6 +288,29 @@
         tallies.filter(tells).collect()
     }
 
+    /// Notes a turn of a service that is placed.
+    pub fn note_demand(&mut self, service: &str, prompt: &[prefix::Part], now: Millis) {
+        let Some(first) = prompt.first() else {
+            return;
+        };
+        let found = self
+            .demand
+            .binary_search_by(|(known, _)| known.as_str().cmp(service));
+        let at = found.unwrap_or_else(|at| {
+            let new = (service.to_owned(), Demand::default());
+            self.demand.insert(at, new);
+            at
+        });
+        self.demand[at].1.note(first.id, now);
+    }
+
+    fn demand(&self, service: &str) -> Option<&Demand> {
+        let found = self
+            .demand
+            .binary_search_by(|(known, _)| known.as_str().cmp(service));
+        found.ok().map(|at| &self.demand[at].1)
+    }
+
     /// Yields the pace of the service's runners that nobody has measured.
     fn middle_pace(&self, want: &Want<'_>) -> f64 {
         let of_service = self
@@ -318,7 +344,11 @@
             .collect();
         if let Some(first) = want.prompt.first() {
             let numbers: Vec<u64> = usable.iter().map(|runner| runner.number).collect();
-            let presumed = prefix::presumed(first.id, &numbers);
+            let demand = self.demand(want.service);
+            let holders = demand.map_or(prefix::PRESUMED_LEAST, |demand| {
+                demand.holders(first.id, numbers.len())
+            });
+            let presumed = prefix::presumed(first.id, &numbers, holders);
             for (candidate, presumed) in candidates.iter_mut().zip(presumed) {
                 if presumed {
                     candidate.cached = candidate.cached.max(first.tokens);
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -339,9 +339,13 @@
 
     fn begin(&self, runner: Chosen) -> Attempt {
         let now = self.node.clock.now();
-        if let Some(known) = self.node.fleet().runner(&runner.id) {
-            known.own += 1;
-            known.note_prompt(&self.prompt, now);
+        {
+            let mut fleet = self.node.fleet();
+            fleet.note_demand(&self.service, &self.prompt, now);
+            if let Some(known) = fleet.runner(&runner.id) {
+                known.own += 1;
+                known.note_prompt(&self.prompt, now);
+            }
         }
         let missed = self.call.prompt_tokens.saturating_sub(runner.cached);
         self.node
