--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -69,8 +69,6 @@
     pub speed: f64,
     /// Prompt tokens a second that it prefills, as measured.
     pub prefill: f64,
-    /// Prompt tokens of other calls that were sent to it and that it has yet to prefill.
-    pub unread: u64,
     /// Prompt tokens of this call that its cache is thought to hold.
     pub cached: u64,
     /// The share of its slots that may be used, from [`crate::shift`] and [`crate::eject`]: 1 for
@@ -294,9 +292,8 @@
     }
     let run = call.output as f64 / of.speed * 1000.0;
     let miss = call.prompt.saturating_sub(of.cached) as f64 / of.prefill * 1000.0;
-    let queue = of.unread as f64 / of.prefill * 1000.0;
     let over = f64::from(occupied(of)) + f64::from(of.claimed) + 1.0 - room;
-    let wait = over.max(0.0) * run / room + queue;
+    let wait = over.max(0.0) * run / room;
     let ahead = if may_go_ahead(of, call) {
         room * AHEAD
     } else {
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -38,8 +38,6 @@
     pub entry: Entry,
     /// Requests of this VM under way at it.
     pub own: u32,
-    /// Prompt tokens of these that it is thought to have yet to prefill: no event has come of them.
-    pub own_unread: u32,
     /// What other VMs told of it.
     pub(super) told: Told,
     /// What it said of its load last.
@@ -73,7 +71,6 @@
             id: id.to_owned(),
             entry,
             own: 0,
-            own_unread: 0,
             told: Told::default(),
             load: None,
             cache: Cache::new(memory),
@@ -99,8 +96,8 @@
     }
 
     pub(super) fn candidate(&self, want: &Want<'_>, middle_pace: f64) -> Candidate {
-        let others = self.told.all(want.now);
-        let known = self.own + others.under_way;
+        let (others, _) = self.told.all(want.now);
+        let known = self.own + others;
         // What the runner said just now counts where it is more than is known here: another VM that
         // can't be heard has requests at it, too.
         let told = self.load.filter(|(_, at)| want.now.since(*at) < TOLD);
@@ -119,7 +116,6 @@
             claimed: 0,
             speed,
             prefill: speed * READS,
-            unread: u64::from(self.own_unread.saturating_add(others.unread)),
             cached: self.cache.cached(want.prompt),
             share: self.detector.share(want.now),
             lane: Lane::Open,
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -94,24 +94,11 @@
     pub runner: Chosen,
     /// When it was sent.
     pub sent: Instant,
-    /// Prompt tokens that the runner is thought to have yet to prefill.
-    unread: u32,
     node: Arc<Node>,
 }
 
-impl Attempt {
-    /// Notes that the runner has prefilled the prompt, as its first event tells.
-    pub fn note_read(&mut self) {
-        let read = std::mem::take(&mut self.unread);
-        if let Some(runner) = self.node.fleet().runner(&self.runner.id) {
-            runner.own_unread = runner.own_unread.saturating_sub(read);
-        }
-    }
-}
-
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.note_read();
         if let Some(runner) = self.node.fleet().runner(&self.runner.id) {
             runner.own = runner.own.saturating_sub(1);
         }
@@ -352,17 +339,15 @@
 
     fn begin(&self, runner: Chosen) -> Attempt {
         let now = self.node.clock.now();
-        let missed = self.call.prompt_tokens.saturating_sub(runner.cached);
-        let unread = u32::try_from(missed).unwrap_or(u32::MAX);
         {
             let mut fleet = self.node.fleet();
             fleet.note_demand(&self.service, &self.prompt, now);
             if let Some(known) = fleet.runner(&runner.id) {
                 known.own += 1;
-                known.own_unread = known.own_unread.saturating_add(unread);
                 known.note_prompt(&self.prompt, now);
             }
         }
+        let missed = self.call.prompt_tokens.saturating_sub(runner.cached);
         self.node
             .metrics
             .add(Counter::TokensAsked, self.call.prompt_tokens);
@@ -389,7 +374,6 @@
         Attempt {
             runner,
             sent: Instant::now(),
-            unread,
             node: self.node.clone(),
         }
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -285,7 +285,7 @@
     loop {
         let before = flow.events;
         flow.begun = None;
-        let end = pump(job, flow, &mut reply, &mut attempt).await;
+        let end = pump(job, flow, &mut reply).await;
         note(job, &attempt, flow, before, &end);
         let End::Broken(why) = end else {
             return end;
@@ -375,7 +375,7 @@
     }
 }
 
-async fn pump(job: &Job, flow: &mut Flow, reply: &mut Reply, attempt: &mut Attempt) -> End {
+async fn pump(job: &Job, flow: &mut Flow, reply: &mut Reply) -> End {
     loop {
         let data = tokio::select! {
             data = reply.body.data() => data,
@@ -402,10 +402,7 @@
                 flow.first_at = Some(Instant::now());
                 job.node.metrics.time(Span::First, job.age());
             }
-            if flow.begun.is_none() {
-                flow.begun = Some(Instant::now());
-                attempt.note_read();
-            }
+            flow.begun.get_or_insert_with(Instant::now);
             flow.events += 1;
             flow.last = event.id.or(flow.last);
             if job.route.keeps_turns {
