--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod node;
 pub mod peers;
 pub mod plain;
+pub mod priority;
 pub mod probe;
 pub mod reach;
 pub mod records;
