--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -38,7 +38,6 @@
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::plain;
-use crate::priority;
 use crate::reach;
 use crate::stop;
 use crate::stream;
@@ -436,13 +435,7 @@
     /// Yields how urgent the engines should take the request: 0 goes first.
     fn priority(&self) -> Option<u8> {
         self.table.engine(&self.service)?;
-        Some(priority::of(self.route.rank, self.begins()))
-    }
-
-    /// Tells whether the turn begins a program or a line of one: it continues from no turn, and its
-    /// prompt holds nothing between what programs share and its own input.
-    fn begins(&self) -> bool {
-        self.call.previous.is_none() && self.prompt.len() <= 2
+        Some((1 + 2 * self.route.rank.min(3)).min(9))
     }
 
     /// Logs the end of a request that ran.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod node;
 pub mod peers;
 pub mod plain;
-pub mod priority;
 pub mod probe;
 pub mod reach;
 pub mod records;
