--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -69,9 +69,6 @@
     pub speed: f64,
     /// Prompt tokens a second that it prefills, as measured.
     pub prefill: f64,
-    /// The share of its memory that calls which were sent to it take, apart from what they share;
-    /// over 1 where it has to put some of them back.
-    pub memory: f64,
     /// Prompt tokens of this call that its cache is thought to hold.
     pub cached: u64,
     /// The share of its slots that may be used, from [`crate::shift`] and [`crate::eject`]: 1 for
@@ -295,8 +292,7 @@
     }
     let run = call.output as f64 / of.speed * 1000.0;
     let miss = call.prompt.saturating_sub(of.cached) as f64 / of.prefill * 1000.0;
-    let taken = f64::from(occupied(of)).max(of.memory * room);
-    let over = taken + f64::from(of.claimed) + 1.0 - room;
+    let over = f64::from(occupied(of)) + f64::from(of.claimed) + 1.0 - room;
     let wait = over.max(0.0) * run / room;
     let ahead = if may_go_ahead(of, call) {
         room * AHEAD
--- a/crates/policy/src/place/tests.rs
+++ b/crates/policy/src/place/tests.rs
@@ -19,7 +19,6 @@
     claimed: 0,
     speed: 50.0,
     prefill: 5_000.0,
-    memory: 0.0,
     cached: 0,
     share: 1.0,
     lane: Lane::Shared,
--- a/crates/policy/src/prefix/tests.rs
+++ b/crates/policy/src/prefix/tests.rs
@@ -57,7 +57,6 @@
             claimed: 0,
             speed: 700.0,
             prefill: 160_000.0,
-            memory: 0.0,
             cached: if known[vm][at].contains(&part) || (is_presumed && presumed[at]) {
                 12_600
             } else {
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -153,10 +153,8 @@
                     // It knows nothing of before, nor do its caches.
                     let told = std::mem::take(&mut runner.told);
                     let own = runner.own;
-                    let own_tokens = runner.own_tokens;
                     *runner = Runner::new(id, entry, memory);
                     runner.own = own;
-                    runner.own_tokens = own_tokens;
                     runner.told = told;
                     return Change::Appeared;
                 }
@@ -278,12 +276,11 @@
     #[must_use]
     pub fn tallies(&self, now: Millis, speaks_for: impl Fn(&Source) -> bool) -> Vec<Tally> {
         let tally = |runner: &Runner| {
-            let others = runner.told.sum(now, &speaks_for);
+            let (under_way, held_off) = runner.told.sum(now, &speaks_for);
             Tally {
                 runner: runner.id.clone(),
-                under_way: runner.own + others.under_way,
-                held_off: u32::from(runner.is_held_off(now)) + others.held_off,
-                tokens: runner.own_tokens.saturating_add(others.tokens),
+                under_way: runner.own + under_way,
+                held_off: u32::from(runner.is_held_off(now)) + held_off,
             }
         };
         let tallies = self.runners.iter().map(tally);
@@ -336,7 +333,7 @@
             .iter()
             .filter(|runner| runner.may_take(want))
             .collect();
-        let sound = |runner: &&Runner| runner.told.all(want.now).held_off < BELIEVED;
+        let sound = |runner: &&Runner| runner.told.all(want.now).1 < BELIEVED;
         if usable.iter().any(sound) {
             usable.retain(sound);
         }
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -38,8 +38,6 @@
     pub entry: Entry,
     /// Requests of this VM under way at it.
     pub own: u32,
-    /// Prompt tokens of these that it is thought to have yet to prefill: no event has come of them.
-    pub own_tokens: u32,
     /// What other VMs told of it.
     pub(super) told: Told,
     /// What it said of its load last.
@@ -73,7 +71,6 @@
             id: id.to_owned(),
             entry,
             own: 0,
-            own_tokens: 0,
             told: Told::default(),
             load: None,
             cache: Cache::new(memory),
@@ -98,17 +95,9 @@
             && !want.not.contains(&self.id)
     }
 
-    /// Yields the share of its memory that so many tokens take; 0 where it has none.
-    fn memory_taken(&self, tokens: u32) -> f64 {
-        match u32::try_from(self.memory) {
-            Ok(0) | Err(_) => 0.0,
-            Ok(memory) => f64::from(tokens) / f64::from(memory),
-        }
-    }
-
     pub(super) fn candidate(&self, want: &Want<'_>, middle_pace: f64) -> Candidate {
-        let others = self.told.all(want.now);
-        let known = self.own + others.under_way;
+        let (others, _) = self.told.all(want.now);
+        let known = self.own + others;
         // What the runner said just now counts where it is more than is known here: another VM that
         // can't be heard has requests at it, too.
         let told = self.load.filter(|(_, at)| want.now.since(*at) < TOLD);
@@ -127,7 +116,6 @@
             claimed: 0,
             speed,
             prefill: speed * READS,
-            memory: self.memory_taken(self.own_tokens.saturating_add(others.tokens)),
             cached: self.cache.cached(want.prompt),
             share: self.detector.share(want.now),
             lane: Lane::Open,
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -94,8 +94,6 @@
     pub runner: Chosen,
     /// When it was sent.
     pub sent: Instant,
-    /// Tokens of the runner's memory that it takes, apart from what prompts share.
-    tokens: u32,
     node: Arc<Node>,
 }
 
@@ -103,7 +101,6 @@
     fn drop(&mut self) {
         if let Some(runner) = self.node.fleet().runner(&self.runner.id) {
             runner.own = runner.own.saturating_sub(1);
-            runner.own_tokens = runner.own_tokens.saturating_sub(self.tokens);
         }
     }
 }
@@ -342,19 +339,15 @@
 
     fn begin(&self, runner: Chosen) -> Attempt {
         let now = self.node.clock.now();
-        let missed = self.call.prompt_tokens.saturating_sub(runner.cached);
-        let shared = self.prompt.first().map_or(0, |part| part.tokens);
-        let taken = self.call.prompt_tokens.saturating_sub(shared) + self.call.most_tokens;
-        let tokens = u32::try_from(taken).unwrap_or(u32::MAX);
         {
             let mut fleet = self.node.fleet();
             fleet.note_demand(&self.service, &self.prompt, now);
             if let Some(known) = fleet.runner(&runner.id) {
                 known.own += 1;
-                known.own_tokens = known.own_tokens.saturating_add(tokens);
                 known.note_prompt(&self.prompt, now);
             }
         }
+        let missed = self.call.prompt_tokens.saturating_sub(runner.cached);
         self.node
             .metrics
             .add(Counter::TokensAsked, self.call.prompt_tokens);
@@ -381,7 +374,6 @@
         Attempt {
             runner,
             sent: Instant::now(),
-            tokens,
             node: self.node.clone(),
         }
     }
--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -1,5 +1,5 @@
-//! What VMs tell each other of a runner: how many requests they have under way at it, how much of
-//! their prompts it has yet to prefill, and how many VMs hold it off because requests to it broke.
+//! What VMs tell each other of a runner: how many requests they have under way at it, and how many
+//! of them hold it off because requests to it broke.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,19 +17,6 @@
     pub under_way: u32,
     /// How many VMs hold it off.
     pub held_off: u32,
-    /// Prompt tokens of these requests that it is thought to have yet to prefill.
-    pub tokens: u32,
-}
-
-/// What several VMs have at one runner.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Sum {
-    /// Requests under way at it.
-    pub under_way: u32,
-    /// How many of them hold it off.
-    pub held_off: u32,
-    /// Prompt tokens of these requests that it has yet to prefill.
-    pub tokens: u32,
 }
 
 /// Whose figures these are.
@@ -83,7 +70,6 @@
     source: Source,
     under_way: u32,
     held_off: u32,
-    tokens: u32,
     at: Millis,
 }
 
@@ -94,7 +80,6 @@
             source: source.clone(),
             under_way: tally.map_or(0, |tally| tally.under_way),
             held_off: tally.map_or(0, |tally| tally.held_off),
-            tokens: tally.map_or(0, |tally| tally.tokens),
             at: now,
         };
         match self.0.iter_mut().find(|known| known.source == *source) {
@@ -103,28 +88,23 @@
         }
     }
 
-    /// Adds up what was told lately by the sources that `counts` names.
+    /// Adds up what was told lately by the sources that `counts` names: requests under way, and VMs
+    /// that hold the runner off.
     #[must_use]
-    pub fn sum(&self, now: Millis, counts: impl Fn(&Source) -> bool) -> Sum {
+    pub fn sum(&self, now: Millis, counts: impl Fn(&Source) -> bool) -> (u32, u32) {
         let fresh = self.0.iter().filter(|line| now.since(line.at) < HEARD);
         let counted = fresh.filter(|line| counts(&line.source));
-        counted.fold(Sum::default(), |sum, line| Sum {
-            under_way: sum.under_way + line.under_way,
-            held_off: sum.held_off + line.held_off,
-            tokens: sum.tokens.saturating_add(line.tokens),
+        counted.fold((0, 0), |(under_way, held_off), line| {
+            (under_way + line.under_way, held_off + line.held_off)
         })
     }
 
     /// Yields what all others have: the sum that a hub told, or what was heard one by one.
     #[must_use]
-    pub fn all(&self, now: Millis) -> Sum {
+    pub fn all(&self, now: Millis) -> (u32, u32) {
         let told = self.sum(now, |source| *source == Source::Others);
         let heard = self.sum(now, |source| *source != Source::Others);
-        Sum {
-            under_way: told.under_way.max(heard.under_way),
-            held_off: told.held_off.max(heard.held_off),
-            tokens: told.tokens.max(heard.tokens),
-        }
+        (told.0.max(heard.0), told.1.max(heard.1))
     }
 }
 
