--- a/crates/chestnutyoke/src/cli.rs
+++ b/crates/chestnutyoke/src/cli.rs
@@ -16,6 +16,7 @@
 use crate::verbs::change;
 use crate::verbs::check;
 use crate::verbs::show;
+use crate::verbs::trace;
 
 pub mod operate;
 
@@ -51,6 +52,7 @@
             "store",
             "Keeps turns and tokens spent on this VM's disk",
         ))
+        .subcommand(trace_command())
         .subcommands(operate::commands())
 }
 
@@ -107,6 +109,28 @@
     )
 }
 
+fn trace_command() -> Command {
+    let late = Arg::new("late").long("late").action(ArgAction::SetTrue);
+    let json = Arg::new("json").long("json").action(ArgAction::SetTrue);
+    Command::new("trace")
+        .about("Tells the story of a request or program from the logs of many VMs")
+        .arg(late.help("Instead: where programs that ended late or failed spent their time"))
+        .arg(json.help("Writes JSON"))
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required_unless_present("late")
+                .help("A request's or a program's id; with --late, a log"),
+        )
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs, each named after its VM; standard input where there are none"),
+        )
+}
+
 fn settings_arg() -> Arg {
     Arg::new("settings")
         .long("settings")
@@ -126,6 +150,7 @@
         "check" => check_verb(matches),
         "front" => role_verb(Role::Front, matches),
         "store" => role_verb(Role::Store, matches),
+        "trace" => trace_verb(matches),
         _ => runtime()?.block_on(operate_verb(verb, matches)),
     }
 }
@@ -178,6 +203,24 @@
     Ok(())
 }
 
+fn trace_verb(matches: &ArgMatches) -> Result<()> {
+    let id: Option<&String> = matches.get_one("id");
+    let logs = matches.get_many("logs").unwrap_or_default();
+    let mut logs: Vec<PathBuf> = logs.cloned().collect();
+    let question = if matches.get_flag("late") {
+        logs.splice(0..0, id.map(PathBuf::from));
+        trace::Question::Late
+    } else {
+        trace::Question::Story(id.ok_or("an id is missing")?.clone())
+    };
+    let form = if matches.get_flag("json") {
+        operate::Form::Json
+    } else {
+        operate::Form::Table
+    };
+    trace::run(&question, &logs, form)
+}
+
 fn serve_verb(matches: &ArgMatches) -> Result<()> {
     let path: &PathBuf = matches.get_one("settings").ok_or("--settings is missing")?;
     let form = if matches.get_flag("json") {
--- a/crates/chestnutyoke/src/verbs.rs
+++ b/crates/chestnutyoke/src/verbs.rs
@@ -4,3 +4,4 @@
 pub mod change;
 pub mod check;
 pub mod show;
+pub mod trace;
--- /dev/null
+++ b/crates/chestnutyoke/src/verbs/trace.rs
@@ -0,0 +1,94 @@
+//! Tells a request's or a program's story from the logs of many VMs, or where late programs spent
+//! their time.
+
+use std::fs::File;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::Path;
+use std::path::PathBuf;
+
+use trace::line;
+use trace::line::Line;
+use trace::spent;
+use trace::story;
+
+use crate::cli;
+use crate::cli::operate::Form;
+
+/// What is asked of the logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Question {
+    /// The story of a request or program.
+    Story(String),
+    /// Where the time of programs that ended late or failed went.
+    Late,
+}
+
+/// Reads the logs (standard input where there are none) and prints the answer.
+///
+/// # Errors
+///
+/// Fails where a log can't be read, or no line concerns the id.
+pub fn run(question: &Question, logs: &[PathBuf], form: Form) -> cli::Result<()> {
+    let lines = read_all(logs)?;
+    match question {
+        Question::Story(id) => {
+            let story = story::of(id, &lines);
+            if story.lines.is_empty() {
+                let read = lines.len();
+                return Err(format!("none of {read} lines names {id}: is a log missing?").into());
+            }
+            match form {
+                Form::Json => println!("{}", serde_json::to_string(&story)?),
+                Form::Table => print!("{story}"),
+            }
+        }
+        Question::Late => {
+            let seconds = spent::sum(&lines);
+            match form {
+                Form::Json => println!("{}", serde_json::to_string(&seconds)?),
+                Form::Table => print!("{}", spent::render(&seconds)),
+            }
+        }
+    }
+    Ok(())
+}
+
+fn read_all(logs: &[PathBuf]) -> cli::Result<Vec<Line>> {
+    if logs.is_empty() {
+        return read(std::io::stdin().lock(), "standard input");
+    }
+    let mut lines = Vec::new();
+    for log in logs {
+        let fault = |fault| format!("{}: {fault}", log.display());
+        let file = File::open(log).map_err(fault)?;
+        lines.extend(read(BufReader::new(file), &name(log))?);
+    }
+    Ok(lines)
+}
+
+/// Names the VM of a log by the file's name.
+fn name(log: &Path) -> String {
+    let stem = log.file_stem().unwrap_or_default();
+    stem.to_string_lossy().into_owned()
+}
+
+/// Reads the lines that name events. Others are left out, and told, as one may be torn.
+fn read(mut log: impl BufRead, name: &str) -> cli::Result<Vec<Line>> {
+    let mut lines = Vec::new();
+    let mut torn = 0;
+    let mut bytes = Vec::new();
+    while log.read_until(b'\n', &mut bytes)? > 0 {
+        let text = String::from_utf8_lossy(&bytes);
+        match line::parse(text.trim_end(), name) {
+            Some(line) => lines.push(line),
+            None if text.contains("event=E") => torn += 1,
+            None => {}
+        }
+        bytes.clear();
+    }
+    if torn > 0 {
+        eprintln!("{name}: {torn} lines are torn and were left out");
+    }
+    Ok(lines)
+}
--- /dev/null
+++ b/crates/trace/src/line.rs
@@ -0,0 +1,84 @@
+//! One line of a log.
+
+use serde::Serialize;
+
+/// A line that names an event.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Line {
+    /// When it was written, as it stands there; orders lines of VMs whose clocks agree.
+    pub at: String,
+    /// The same in milliseconds of its day.
+    pub day_ms: u64,
+    /// The VM: the word before the time, as collectors put it there, else the log's name.
+    pub vm: String,
+    /// The event's number.
+    pub event: u16,
+    /// The other fields, in their order.
+    pub fields: Vec<(String, String)>,
+}
+
+impl Line {
+    /// Yields a field's value, or nothing for one that is missing.
+    #[must_use]
+    pub fn field(&self, name: &str) -> &str {
+        let found = self.fields.iter().find(|(known, _)| known == name);
+        found.map_or("", |(_, value)| value)
+    }
+
+    /// Yields a field's number.
+    #[must_use]
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.field(name).parse().ok()
+    }
+}
+
+/// Reads a line of the log called `log`; `None` for one that is torn or names no event.
+#[must_use]
+pub fn parse(text: &str, log: &str) -> Option<Line> {
+    let begins = text.find("at=")?;
+    let vm = text[..begins].split_whitespace().next_back().unwrap_or(log);
+    let mut fields = split(&text[begins..])?;
+    let at = take(&mut fields, "at")?;
+    let event = take(&mut fields, "event")?;
+    Some(Line {
+        day_ms: day_ms(&at)?,
+        at,
+        vm: vm.to_owned(),
+        event: event.strip_prefix('E')?.parse().ok()?,
+        fields,
+    })
+}
+
+fn take(fields: &mut Vec<(String, String)>, name: &str) -> Option<String> {
+    let at = fields.iter().position(|(known, _)| known == name)?;
+    Some(fields.remove(at).1)
+}
+
+/// Splits `name=value name="value with spaces"`; `None` where a quote isn't closed.
+fn split(text: &str) -> Option<Vec<(String, String)>> {
+    let mut fields = Vec::new();
+    let mut rest = text.trim();
+    while let Some((name, after)) = rest.split_once('=') {
+        let (value, left) = match after.strip_prefix('"') {
+            Some(quoted) => quoted.split_once('"')?,
+            None => after.split_once(' ').unwrap_or((after, "")),
+        };
+        fields.push((name.trim().to_owned(), value.to_owned()));
+        rest = left.trim_start();
+    }
+    Some(fields)
+}
+
+/// Yields the milliseconds since midnight of `2026-12-03T05:02:55.123`.
+fn day_ms(at: &str) -> Option<u64> {
+    let (_, time) = at.split_once('T')?;
+    let time = time.trim_end_matches('Z');
+    let (clock, millis) = time.split_once('.').unwrap_or((time, "0"));
+    let mut parts = clock.split(':').map(str::parse::<u64>);
+    let mut next = || parts.next()?.ok();
+    let seconds = next()? * 3600 + next()? * 60 + next()?;
+    Some(seconds * 1000 + millis.get(..3).unwrap_or(millis).parse::<u64>().ok()?)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/trace/src/spent/tests.rs
@@ -0,0 +1,49 @@
+use super::Sink;
+use super::render;
+use super::sum;
+use crate::line::Line;
+use crate::line::parse;
+
+fn lines(text: &str) -> Vec<Line> {
+    let parsed = text.lines().map(|line| parse(line, "log"));
+    parsed.map(|line| line.expect("it is whole")).collect()
+}
+
+/// One program waits two seconds after refusals and ends late, one fails, one is in time and one has
+/// spent its tokens; only the first two are told, with where their time went.
+#[test]
+fn late_and_failed_programs_tell_where_their_time_went() {
+    let all = lines(
+        "v at=2026-05-17T00:00:01.000 event=E1102 request=a1 program=late code=CY4107
+v at=2026-05-17T00:00:03.000 event=E1201 request=a2 program=late
+v at=2026-05-17T00:00:03.400 event=E1103 request=a2 program=late status=200 ms=410 finish_ms=100
+v at=2026-05-17T00:00:02.000 event=E1201 request=b1 program=failed
+v at=2026-05-17T00:00:03.100 event=E1102 request=b1 program=failed code=CY3104
+v at=2026-05-17T00:00:03.000 event=E1103 request=c1 program=good status=200 ms=10 finish_ms=100
+v at=2026-05-17T00:00:03.000 event=E1102 request=d1 program=spent code=CY2104
+v at=2026-05-17T00:00:03.000 event=E1102 request=e1 program=forged code=CY1306",
+    );
+    let seconds = sum(&all);
+    assert_eq!(seconds.len(), 1);
+    assert_eq!((seconds[0].late, seconds[0].failed), (1, 1));
+    let spent = |sink: Sink| {
+        let found = seconds[0].spent_ms.iter().find(|(known, _)| *known == sink);
+        found.map(|(_, ms)| *ms)
+    };
+    assert_eq!(spent(Sink::Refused), Some(2_000));
+    assert_eq!(spent(Sink::Runner), Some(400 + 1_100));
+    assert_eq!(spent(Sink::ProcessEnded), Some(0));
+    assert!(render(&seconds).contains("Refused ms"));
+}
+
+/// A process ends in the middle of a turn; the program's next try is another request.
+#[test]
+fn time_after_a_process_has_ended_is_told() {
+    let all = lines(
+        "v at=2026-05-17T00:00:01.000 event=E1201 request=a1 program=p
+w at=2026-05-17T00:00:03.500 event=E1201 request=a2 program=p
+w at=2026-05-17T00:00:03.900 event=E1103 request=a2 program=p ms=400 finish_ms=0",
+    );
+    let seconds = sum(&all);
+    assert_eq!(seconds[0].spent_ms[2], (Sink::ProcessEnded, 2_500));
+}
