--- a/crates/trace/src/line.rs
+++ b/crates/trace/src/line.rs
@@ -1,5 +1,7 @@
 //! One line of a log.
 
+use std::fmt;
+
 use serde::Serialize;
 
 /// A line that names an event.
@@ -32,6 +34,17 @@
     }
 }
 
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} E{}", self.at, self.vm, self.event)?;
+        let told = self.fields.iter().filter(|(_, value)| !value.is_empty());
+        for (name, value) in told {
+            write!(f, " {name}={value}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Reads a line of the log called `log`; `None` for one that is torn or names no event.
 #[must_use]
 pub fn parse(text: &str, log: &str) -> Option<Line> {
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -46,10 +46,29 @@
 pub struct Story {
     /// The lines, in order.
     pub lines: Vec<Line>,
-    /// Each request's cause, in the order in which the requests came.
-    pub causes: Vec<(String, Cause)>,
+    /// What became of each request, in the order in which the requests came.
+    pub ends: Vec<End>,
 }
 
+/// What became of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct End {
+    /// Its id.
+    pub request: String,
+    /// Why it ended.
+    pub cause: Cause,
+    /// What its VM last noted of its own state before that, where it wasn't answered: a refusal says
+    /// what is missing, these lines since when.
+    pub state: Vec<Line>,
+}
+
+/// The pairs of events that tell of a VM's own state.
+const STATES: [[Event; 2]; 3] = [
+    [Event::NodeStarted, Event::NodeStopping],
+    [Event::OutageBegan, Event::OutageEnded],
+    [Event::MembersLost, Event::MembersRegained],
+];
+
 /// Tells the story of a request or of all requests of a program.
 #[must_use]
 pub fn of(id: &str, lines: &[Line]) -> Story {
@@ -63,17 +82,42 @@
             requests.push(request);
         }
     }
-    let causes = requests.iter().map(|request| {
+    let ends = requests.iter().map(|request| {
         let of_request = told.iter().filter(|line| line.field("request") == *request);
         let of_request: Vec<&Line> = of_request.collect();
-        ((*request).to_owned(), cause(&of_request, lines))
+        end(request, &of_request, lines)
     });
     Story {
-        causes: causes.collect(),
+        ends: ends.collect(),
         lines: told,
     }
 }
 
+fn end(request: &str, of_request: &[&Line], all: &[Line]) -> End {
+    let cause = cause(of_request, all);
+    let state = match (&cause, of_request.last()) {
+        (Cause::Answered { .. }, _) | (_, None) => Vec::new(),
+        (_, Some(last)) => state(last, all),
+    };
+    End {
+        request: request.to_owned(),
+        cause,
+        state,
+    }
+}
+
+/// Finds the last line about each part of its own state that a VM wrote until then.
+fn state(last: &Line, all: &[Line]) -> Vec<Line> {
+    let before = |line: &&Line| line.vm == last.vm && line.at <= last.at;
+    let before: Vec<&Line> = all.iter().filter(before).collect();
+    let latest = |pair: &[Event; 2]| {
+        let tells = |line: &&&Line| pair.iter().any(|event| event.number() == line.event);
+        let told = before.iter().filter(tells);
+        told.max_by(|a, b| a.at.cmp(&b.at)).copied().cloned()
+    };
+    STATES.iter().filter_map(latest).collect()
+}
+
 /// Names the cause of a request's end by its own lines, in order, and by what its VM did.
 #[must_use]
 pub fn cause(of_request: &[&Line], all: &[Line]) -> Cause {
@@ -130,15 +174,13 @@
 impl fmt::Display for Story {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for line in &self.lines {
-            write!(f, "{} {} E{}", line.at, line.vm, line.event)?;
-            let told = line.fields.iter().filter(|(_, value)| !value.is_empty());
-            for (name, value) in told {
-                write!(f, " {name}={value}")?;
-            }
-            writeln!(f)?;
+            writeln!(f, "{line}")?;
         }
-        for (request, cause) in &self.causes {
-            writeln!(f, "request {request}: {cause}")?;
+        for end in &self.ends {
+            writeln!(f, "request {}: {}", end.request, end.cause)?;
+            for state in &end.state {
+                writeln!(f, "  its VM before that: {state}")?;
+            }
         }
         Ok(())
     }
--- a/crates/trace/src/story/tests.rs
+++ b/crates/trace/src/story/tests.rs
@@ -23,7 +23,7 @@
     let story = of("p1", &all);
     assert_eq!(story.lines.len(), 5);
     assert_eq!(story.lines[0].field("request"), "r1", "in order of time");
-    let causes: Vec<&str> = story.causes.iter().map(|(id, _)| id.as_str()).collect();
+    let causes: Vec<&str> = story.ends.iter().map(|end| end.request.as_str()).collect();
     assert_eq!(causes, ["r1", "r2", "r3"]);
     let text = story.to_string();
     assert!(text.contains("request r2: refused, CY4107: too few VMs with a disk answer"));
@@ -31,6 +31,25 @@
     assert_eq!(of("r2", &all).lines.len(), 1, "a request's own story");
 }
 
+/// A turn is refused for want of VMs with a disk. The refusal doesn't say since when; what its own VM
+/// noted last does, and another VM's notes don't count.
+#[test]
+fn a_refusal_stands_beside_its_vms_state() {
+    let all = lines(
+        "v at=2026-05-17T07:00:00.000 event=E1001 vm=v
+v at=2026-05-17T07:00:01.000 event=E3108 answered=1 members=3
+w at=2026-05-17T07:00:01.500 event=E3109 answered=3 members=3
+v at=2026-05-17T07:00:02.000 event=E1102 request=r1 code=CY4107 why=few
+v at=2026-05-17T07:00:03.000 event=E3109 answered=3 members=3",
+    );
+    let story = of("r1", &all);
+    let state = &story.ends[0].state;
+    let events: Vec<u16> = state.iter().map(|line| line.event).collect();
+    assert_eq!(events, [1001, 3108]);
+    assert_eq!(state[1].field("answered"), "1");
+    assert!(story.to_string().contains("its VM before that"));
+}
+
 /// A process is killed in the middle of a stream: its log holds no end of the request, but the start
 /// of the next process.
 #[test]
@@ -40,9 +59,9 @@
     let elsewhere = "front-a-2 at=2026-05-17T07:00:04.000 event=E1001 vm=front-a-2";
     let ended = of("r1", &lines(&format!("{placed}\n{started}")));
     let vm = "front-a-1".to_owned();
-    assert_eq!(ended.causes[0].1, Cause::ProcessEnded { vm: vm.clone() });
+    assert_eq!(ended.ends[0].cause, Cause::ProcessEnded { vm: vm.clone() });
     let missing = of("r1", &lines(&format!("{placed}\n{elsewhere}")));
-    assert_eq!(missing.causes[0].1, Cause::EndMissing { vm });
+    assert_eq!(missing.ends[0].cause, Cause::EndMissing { vm });
 }
 
 /// A stream ends late: the caller has left, or the time is over. The story says which.
@@ -52,8 +71,8 @@
     let gone = "v at=2026-05-17T07:00:04.469 event=E1209 request=r1 events=2";
     let broken = "v at=2026-05-17T07:00:05.469 event=E1208 request=r1 why=\"the time is over\"";
     let story = of("r1", &lines(&format!("{placed}\n{gone}")));
-    assert_eq!(story.causes[0].1, Cause::CallerGone);
+    assert_eq!(story.ends[0].cause, Cause::CallerGone);
     let story = of("r1", &lines(&format!("{placed}\n{broken}")));
     let why = "the time is over".to_owned();
-    assert_eq!(story.causes[0].1, Cause::Broken { why });
+    assert_eq!(story.ends[0].cause, Cause::Broken { why });
 }
