--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -30,6 +30,7 @@
 use crate::probe;
 use crate::reach;
 use crate::records;
+use crate::records::Look;
 
 /// How long a client's connection may be idle: longer than any limit that operators set, as the
 /// clients leave first.
@@ -213,7 +214,12 @@
     loop {
         let reach = node.replicas.reachable(records::PATIENCE).await;
         let now = node.clock.now();
-        if node.records().note(reach.enough, now) {
+        let look = if reach.enough {
+            Look::Enough
+        } else {
+            Look::TooFew
+        };
+        if node.records().note(look, now) {
             let event = if reach.enough {
                 Event::MembersRegained
             } else {
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -21,6 +21,15 @@
 /// When it may come again where the balancer should have noticed already.
 const RETRY_NOTICED: Millis = Millis::new(100);
 
+/// What one look at the members found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Look {
+    /// Enough of them answer for every key.
+    Enough,
+    /// They don't.
+    TooFew,
+}
+
 /// What the looks at the members found.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Records {
@@ -37,13 +46,15 @@
 impl Records {
     /// Notes what a look found; tells whether turns are served from now on where they weren't, or
     /// the other way round.
-    pub fn note(&mut self, enough: bool, now: Millis) -> bool {
-        if !enough {
-            return self.note_failed(now, 1);
+    pub fn note(&mut self, look: Look, now: Millis) -> bool {
+        match look {
+            Look::Enough => {
+                self.ever = true;
+                self.failed = 0;
+                !std::mem::replace(&mut self.enough, true)
+            }
+            Look::TooFew => self.note_failed(now, 1),
         }
-        self.ever = true;
-        self.failed = 0;
-        !std::mem::replace(&mut self.enough, true)
     }
 
     /// Notes that a turn found too few members, which tells as much as the looks that it takes to
--- a/crates/relay/src/records/tests.rs
+++ b/crates/relay/src/records/tests.rs
@@ -1,5 +1,6 @@
 use wire::clock::Millis;
 
+use super::Look;
 use super::RETRY;
 use super::Records;
 
@@ -11,7 +12,7 @@
 
 fn serving() -> Records {
     let mut records = Records::default();
-    assert!(records.note(true, NOW), "it is news");
+    assert!(records.note(Look::Enough, NOW), "it is news");
     records
 }
 
@@ -20,12 +21,12 @@
 #[test]
 fn the_balancer_hears_of_a_cut_at_the_first_look() {
     let mut records = serving();
-    assert!(!records.note(false, later(300)));
+    assert!(!records.note(Look::TooFew, later(300)));
     assert!(records.serves(), "two members may have paused");
     assert!(!records.is_ready());
-    assert!(records.note(false, later(600)));
+    assert!(records.note(Look::TooFew, later(600)));
     assert!(!records.serves());
-    assert!(records.note(true, later(900)));
+    assert!(records.note(Look::Enough, later(900)));
     assert!(records.is_ready());
 }
 
@@ -44,7 +45,7 @@
 #[test]
 fn a_vm_that_has_just_started_asks_for_little_patience() {
     let mut records = Records::default();
-    assert!(!records.note(false, NOW));
+    assert!(!records.note(Look::TooFew, NOW));
     assert!(!records.serves());
     assert_eq!(records.retry(later(3_000)), RETRY);
 }
