See how a process ends: its last lines are written, and what it cuts off is named

The process ended before the log's thread had had a turn (one core), and the VMs with a disk wrote no such line at all. So neither when a process ended nor what it cut off could be told, and the hypotheses on the cut answers not be told apart. Change: the log waits up to 200 ms for its last lines; what is under way is a register of requests in place of a count, each one that the end cuts off is named (E1210), E1003 tells how many and how long after SIGTERM, and a refusal while stopping tells how long the VM has been stopping, what is left of it and what the request may need.

--- a/crates/link/src/output.rs
+++ b/crates/link/src/output.rs
@@ -4,6 +4,9 @@
 //! a thread of their own; where the queue is full they are dropped and counted, and the count is
 //! written with the next line that passes. Lines about refusals and losses may use all of the
 //! queue, routine ones three quarters of it, so that a flood of routine lines hides no failure.
+//!
+//! A process that ends waits for its last lines: the one that says when it ended, and what it cut off,
+//! is logged just before, and on one core the writing thread has had no turn by then.
 
 use std::io;
 use std::io::Write;
@@ -13,6 +16,8 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use flexi_logger::DeferredNow;
 use flexi_logger::FlexiLoggerError;
@@ -28,6 +33,26 @@
 const DEPTH: usize = 4096;
 /// Lines that routine events may have waiting.
 const ROUTINE_DEPTH: usize = DEPTH / 4 * 3;
+/// How long the end of a process waits for its last lines to be written: a reader that has stopped
+/// mustn't hold it for longer.
+const LAST_LINES: Duration = Duration::from_millis(200);
+/// How often it looks whether they are.
+const LOOK: Duration = Duration::from_millis(2);
+
+/// A log that is open; dropped, it waits for its last lines to be written.
+pub struct Output {
+    _logger: LoggerHandle,
+    waiting: Arc<AtomicUsize>,
+}
+
+impl Drop for Output {
+    fn drop(&mut self) {
+        let until = Instant::now() + LAST_LINES;
+        while self.waiting.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+            thread::sleep(LOOK);
+        }
+    }
+}
 
 struct Queue {
     lines: mpsc::SyncSender<Vec<u8>>,
@@ -40,18 +65,22 @@
 /// # Errors
 ///
 /// Fails where a logger is set already.
-pub fn start(level: LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
+pub fn start(level: LevelFilter) -> Result<Output, FlexiLoggerError> {
     let (lines, queue) = mpsc::sync_channel(DEPTH);
     let waiting = Arc::new(AtomicUsize::new(0));
     let left = waiting.clone();
     thread::spawn(move || write_all(&queue, &left));
     let writer = Queue {
         lines,
-        waiting,
+        waiting: waiting.clone(),
         dropped: AtomicU64::new(0),
     };
     let spec = LogSpecification::builder().default(level).build();
-    Logger::with(spec).log_to_writer(Box::new(writer)).start()
+    let logger = Logger::with(spec).log_to_writer(Box::new(writer)).start()?;
+    Ok(Output {
+        _logger: logger,
+        waiting,
+    })
 }
 
 fn write_all(queue: &mpsc::Receiver<Vec<u8>>, waiting: &AtomicUsize) {
@@ -62,9 +91,9 @@
             batch.extend_from_slice(&more);
             lines += 1;
         }
-        waiting.fetch_sub(lines, Ordering::Relaxed);
         // Nobody is left to tell where standard output is closed.
         let _closed = out.write_all(&batch).and_then(|()| out.flush());
+        waiting.fetch_sub(lines, Ordering::Relaxed);
     }
 }
 
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use adapter::settings;
@@ -31,6 +30,7 @@
 use crate::reach;
 use crate::records;
 use crate::records::Look;
+use crate::work;
 
 /// How long a client's connection may be idle: longer than any limit that operators set, as the
 /// clients leave first.
@@ -48,6 +48,8 @@
 const LINGER: Duration = Duration::from_millis(3_200);
 /// How often the end of running requests is looked for.
 const LOOK: Duration = Duration::from_millis(50);
+/// The most requests that the end of a process names as cut off.
+const CUT_NAMED: usize = 100;
 
 /// Why the process can't run.
 #[derive(Debug, Display, Error, From)]
@@ -190,25 +192,38 @@
         "event=E{} text=\"{}\" under_way={} connections={}",
         Event::NodeStopping.number(),
         Event::NodeStopping.text(),
-        node.under_way.load(Ordering::Relaxed),
+        node.work.count(),
         door.open()
     );
     door.closing.cancel();
     sleep(LINGER).await;
-    while Instant::now() < stop.last
-        && (node.under_way.load(Ordering::Relaxed) > 0 || door.open() > 0)
-    {
+    while Instant::now() < stop.last && (node.work.count() > 0 || door.open() > 0) {
         sleep(LOOK).await;
     }
+    log_cut(&node.work.entries());
     log::info!(
-        "event=E{} text=\"{}\" under_way={} ms={}",
+        "event=E{} text=\"{}\" under_way={} connections={} ms={}",
         Event::NodeStopped.number(),
         Event::NodeStopped.text(),
-        node.under_way.load(Ordering::Relaxed),
+        node.work.count(),
+        door.open(),
         stop.begun.elapsed().as_millis()
     );
 }
 
+/// Names what the end of the process cuts off.
+fn log_cut(entries: &[work::Entry]) {
+    for entry in entries.iter().take(CUT_NAMED) {
+        log::warn!(
+            "event=E{} text=\"{}\" request={} ms={}",
+            Event::RequestCut.number(),
+            Event::RequestCut.text(),
+            entry.request,
+            entry.since.elapsed().as_millis()
+        );
+    }
+}
+
 /// Asks the members with a disk whether enough of them answer.
 async fn ping(node: Arc<Node>) {
     loop {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -1,7 +1,6 @@
 //! A request on its way: read, routed, and what its attempts at runners share.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use adapter::config::Kind;
 use adapter::config::Route;
@@ -121,12 +120,11 @@
 /// Serves a client's request.
 pub async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     node.metrics.count(Counter::Requests);
-    node.under_way.fetch_add(1, Ordering::Relaxed);
-    let counted = Counted(node.clone());
     let id = header::call(request.headers()).id;
+    let guard = node.work.begin(&id);
     let mut response = match read(&node, request).await {
         Ok(job) => match job.route.kind {
-            Kind::Stream => stream::serve(job, counted).await,
+            Kind::Stream => stream::serve(job, guard).await,
             Kind::Idempotent | Kind::AtMostOnce => plain::serve(job).await,
         },
         Err(refusal) => refuse(&node, &refusal, &id, None),
@@ -137,16 +135,6 @@
     response
 }
 
-/// Counts a request under way until dropped.
-#[derive(Debug)]
-pub struct Counted(Arc<Node>);
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.under_way.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Yields the refusal of a request whose time is over; `runs` counts the runners that may have run
 /// it.
 #[must_use]
@@ -221,7 +209,8 @@
     if let Some(stop) = node.stop()
         && !stop.takes(arrived, until)
     {
-        return Err(Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY));
+        let refusal = Refusal::new(Code::ShuttingDown, &stop.told(arrived, until));
+        return Err(refusal.retry_after(stop::RETRY));
     }
     let body = match timeout_at(until, body::read(incoming, table.body_bytes)).await {
         Ok(Ok(body)) => body,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod table;
 pub mod tally;
 pub mod turns;
+pub mod work;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -31,6 +31,7 @@
 use crate::stop::Stop;
 use crate::table::Table;
 use crate::turns::Cache;
+use crate::work;
 
 /// How long a call of the key-value service may take: well above its usual few milliseconds, also
 /// where it is fifty times slower, and short enough that a lost answer is noticed within the time
@@ -92,8 +93,8 @@
     records: Mutex<Records>,
     /// When the runners' list was last known to be current.
     runners_at: AtomicU64,
-    /// Requests under way.
-    pub under_way: AtomicU64,
+    /// What is under way.
+    pub work: Arc<work::Register>,
 }
 
 impl Node {
@@ -130,7 +131,7 @@
             stop: OnceLock::new(),
             records: Mutex::default(),
             runners_at: AtomicU64::new(0),
-            under_way: AtomicU64::new(0),
+            work: Arc::default(),
             settings,
             clock,
         })
--- a/crates/relay/src/probe.rs
+++ b/crates/relay/src/probe.rs
@@ -1,7 +1,5 @@
 //! What the balancer and scrapers ask: whether the VM takes clients, and its figures.
 
-use std::sync::atomic::Ordering;
-
 use hyper::Response;
 use hyper::StatusCode;
 use link::body::Body;
@@ -26,7 +24,7 @@
     // asking whether the VM is ready takes it again.
     let runners = node.fleet().runners().len() as u64;
     let gauges = [
-        ("requests_under_way", node.under_way.load(Ordering::Relaxed)),
+        ("requests_under_way", node.work.count() as u64),
         ("connections", door.open() as u64),
         ("runners", runners),
         ("runners_age_ms", node.runners_age().as_u64()),
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -45,6 +45,17 @@
     pub fn takes(&self, arrived: Instant, until: Instant) -> bool {
         arrived < self.begun + FREELY || until <= self.last
     }
+
+    /// Tells in words what decided over such a request.
+    #[must_use]
+    pub fn told(&self, arrived: Instant, until: Instant) -> String {
+        format!(
+            "stopping for {} ms, ends in {} ms, may need {} ms",
+            arrived.saturating_duration_since(self.begun).as_millis(),
+            self.last.saturating_duration_since(arrived).as_millis(),
+            until.saturating_duration_since(arrived).as_millis()
+        )
+    }
 }
 
 #[cfg(test)]
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -107,6 +107,11 @@
         Event::NodeStopping.text()
     );
     sleep(FINISH).await;
+    log::info!(
+        "event=E{} text=\"{}\"",
+        Event::NodeStopped.number(),
+        Event::NodeStopped.text()
+    );
     Ok(())
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -33,12 +33,12 @@
 use crate::events::Reader;
 use crate::job;
 use crate::job::Attempt;
-use crate::job::Counted;
 use crate::job::Job;
 use crate::job::Sent;
 use crate::metrics::Counter;
 use crate::metrics::Span;
 use crate::turns;
+use crate::work;
 
 /// Parts of an answer that wait for a client that reads slowly, before its runner is read no
 /// further.
@@ -81,13 +81,13 @@
 }
 
 /// Serves a turn.
-pub async fn serve(job: Job, counted: Counted) -> Response<Body> {
+pub async fn serve(job: Job, guard: work::Guard) -> Response<Body> {
     let node = job.node.clone();
     let id = job.call.id.clone();
     let (sender, receiver) = oneshot::channel();
     tokio::spawn(async move {
         run(job, sender).await;
-        drop(counted);
+        drop(guard);
     });
     receiver.await.unwrap_or_else(|_| {
         let refusal = Refusal::new(Code::Internal, "").ran(Ran::Unknown);
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -47,6 +47,7 @@
     StreamResumed = 1207, "stream goes on";
     StreamBroken = 1208, "stream broken off";
     CallerGone = 1209, "caller has gone";
+    RequestCut = 1210, "cut off by the end of the process";
     ShardClaimed = 2001, "shard claimed";
     ShardOpened = 2002, "shard opened";
     ShardReleased = 2003, "shard released";
