Count the time for which an end may be held when a stopping VM takes a turn

What callers saw: all of an answer but its end, and then a closed connection. Cause: a turn's end is held for up to 1.5 s beyond its own time until its text is on enough disks, but whether it ends before the process was judged by its own time; and in the first 2.5 s after SIGTERM anything was taken, however long it might last or short the grace was. Now one pure rule (policy::stop, for both kinds of callers) holds from SIGTERM on: what may be under way at the process's end isn't taken.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -14,7 +14,6 @@
 use policy::eject;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::time::Instant;
 use tokio::time::sleep;
 use wire::clock::Clock;
 use wire::event::Event;
@@ -197,7 +196,7 @@
     );
     door.closing.cancel();
     sleep(LINGER).await;
-    while Instant::now() < stop.last && (node.work.count() > 0 || door.open() > 0) {
+    while node.clock.now() < stop.last() && (node.work.count() > 0 || door.open() > 0) {
         sleep(LOOK).await;
     }
     log_cut(&node.work.entries());
@@ -207,7 +206,7 @@
         Event::NodeStopped.text(),
         node.work.count(),
         door.open(),
-        stop.begun.elapsed().as_millis()
+        node.clock.now().since(stop.begun()).as_u64()
     );
 }
 
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -20,6 +20,7 @@
 use link::client;
 use link::client::Reply;
 use policy::prefix;
+use policy::stop;
 use rand::Rng;
 use rand::RngExt;
 use tokio::time::Instant;
@@ -38,7 +39,6 @@
 use crate::node::Node;
 use crate::plain;
 use crate::reach;
-use crate::stop;
 use crate::stream;
 use crate::table;
 use crate::table::Table;
@@ -206,12 +206,7 @@
         return Err(Refusal::new(Code::BadField, "the request has no id"));
     }
     let until = arrived + patience.min(route.timeout).as_duration();
-    if let Some(stop) = node.stop()
-        && !stop.takes(arrived, until)
-    {
-        let refusal = Refusal::new(Code::ShuttingDown, &stop.told(arrived, until));
-        return Err(refusal.retry_after(stop::RETRY));
-    }
+    admit(node, until + stream::held(&route))?;
     let body = match timeout_at(until, body::read(incoming, table.body_bytes)).await {
         Ok(Ok(body)) => body,
         Ok(Err(body::Fault::TooLong)) => return Err(Refusal::new(Code::BodyTooLarge, "")),
@@ -244,6 +239,25 @@
     })
 }
 
+/// Refuses a request that may be under way until after the process's end: it would be cut off, and
+/// another VM can serve it.
+fn admit(node: &Node, ends: Instant) -> Result<(), Refusal> {
+    let Some(stop) = node.stop() else {
+        return Ok(());
+    };
+    let now = node.clock.now();
+    let needed = Millis::from(ends.saturating_duration_since(Instant::now()));
+    if stop.takes(Some(now.plus(needed))) {
+        return Ok(());
+    }
+    let detail = format!(
+        "stopping for {}, ends in {}, may need {needed}",
+        now.since(stop.begun()),
+        stop.left(now)
+    );
+    Err(Refusal::new(Code::ShuttingDown, &detail).retry_after(stop::RETRY))
+}
+
 impl Job {
     /// Yields the time left.
     #[must_use]
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,7 +22,6 @@
 pub mod reach;
 pub mod records;
 pub mod roster;
-pub mod stop;
 pub mod store;
 pub mod stream;
 pub mod table;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -13,6 +13,7 @@
 use adapter::settings::Settings;
 use link::client::Client;
 use link::client::Limits;
+use policy::stop::Stop;
 use replica::client::Replicas;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -28,7 +29,6 @@
 use crate::peers::Peers;
 use crate::records::Records;
 use crate::roster::Roster;
-use crate::stop::Stop;
 use crate::table::Table;
 use crate::turns::Cache;
 use crate::work;
@@ -196,8 +196,10 @@
 
     /// Notes that the process stops from now on, and yields how.
     pub fn begin_stop(&self) -> Stop {
-        let grace = self.settings.grace.as_duration();
-        *self.stop.get_or_init(|| Stop::new(Instant::now(), grace))
+        let now = self.clock.now();
+        *self
+            .stop
+            .get_or_init(|| Stop::new(now, self.settings.grace))
     }
 
     /// Yields how the process stops, if it does.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use adapter::config::Kind;
+use adapter::config::Route;
 use bytes::Bytes;
 use bytes::BytesMut;
 use hyper::Response;
@@ -80,6 +81,21 @@
     begun: Option<Instant>,
 }
 
+/// Yields how long an answer may be held beyond the request's own time.
+#[must_use]
+pub fn held(route: &Route) -> Duration {
+    if is_kept(route) {
+        KEEPING
+    } else {
+        Duration::ZERO
+    }
+}
+
+/// Tells whether a turn's text has to be on disks before its end goes out.
+fn is_kept(route: &Route) -> bool {
+    route.kind == Kind::Stream && route.keeps_turns
+}
+
 /// Serves a turn.
 pub async fn serve(job: Job, guard: work::Guard) -> Response<Body> {
     let node = job.node.clone();
@@ -443,7 +459,7 @@
 
 /// Keeps a turn's text and settles its tokens; tells whether it is kept, if it has to be.
 async fn keep(job: &Job, account: Option<Account>, used: u32, output: &Bytes) -> bool {
-    if job.route.kind != Kind::Stream || !job.route.keeps_turns {
+    if !is_kept(&job.route) {
         return true;
     }
     let key = Key::of(&job.call.id);
