Read a refused request's body to its end, so that the refusal arrives

What callers saw: a connection reset in place of the answer, where a request with a body of more than a few kilobytes was refused by its headers: no route, no configuration yet, a VM that stops. Cause: the refusal went out with the rest of the body unread, and closing a connection with unread bytes resets it, which discards what was sent before. The promise that the request has not run was lost with it. Now the rest is read first, for a second and up to the longest body that the configuration allows; what was read is dropped.

--- a/crates/link/src/body.rs
+++ b/crates/link/src/body.rs
@@ -142,6 +142,16 @@
     Broken(#[error(not(source))] String),
 }
 
+/// Reads on to the end of a body that nobody wants, for at most `limit` bytes.
+///
+/// A connection that is closed with bytes unread is reset, and its peer may never see the answer that
+/// was sent before.
+pub async fn discard(body: Incoming, limit: usize) {
+    let mut body = Limited::new(body, limit);
+    // One that is longer or breaks off isn't read any further.
+    while let Some(Ok(_frame)) = body.frame().await {}
+}
+
 /// Reads a whole body of at most `limit` bytes.
 ///
 /// # Errors
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -1,6 +1,7 @@
 //! A request on its way: read, routed, and what its attempts at runners share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use adapter::config::Kind;
 use adapter::config::Route;
@@ -14,6 +15,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::HOST;
+use hyper::http::request;
 use link::body;
 use link::body::Body;
 use link::body::Payload;
@@ -24,6 +26,7 @@
 use rand::Rng;
 use rand::RngExt;
 use tokio::time::Instant;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 use wire::clock::Millis;
 use wire::code::Code;
@@ -54,6 +57,8 @@
 /// The longest that an unused connection is kept where its runner tells that it keeps it longer:
 /// over the pauses of a busy minute, without holding many of its connections for nothing.
 const KEEP_TOLD: Millis = Millis::new(20_000);
+/// How long the rest of a refused request's body is read.
+const DISCARD: Duration = Duration::from_secs(1);
 /// The longest refusal of a runner that is read, in bytes, so that its connection can be kept.
 const REFUSAL: usize = 64 * 1024;
 
@@ -184,29 +189,31 @@
     answer::refusal(refusal, id)
 }
 
+/// Where a request goes, as its headers tell.
+struct Routed {
+    table: Arc<Table>,
+    route: Arc<Route>,
+    until: Instant,
+}
+
 async fn read(node: &Arc<Node>, request: Request<Incoming>) -> Result<Job, Refusal> {
     let arrived = Instant::now();
     let (head, incoming) = request.into_parts();
     let call = header::call(&head.headers);
-    let patience = call.deadline.unwrap_or(PATIENCE);
-    node.wait_at_start(Node::can_route, arrived + patience.as_duration())
-        .await;
-    let table = node.table();
-    if !table.known {
-        let refusal = Refusal::new(Code::NoConfiguration, "");
-        return Err(refusal.retry_after(RETRY));
-    }
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or(head.uri.host()).unwrap_or_default();
-    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    let route = table.find(host, head.uri.path());
-    let route = route.ok_or_else(|| Refusal::new(Code::UnknownPath, head.uri.path()))?;
-    let route = route.clone();
-    if call.id.is_empty() {
-        return Err(Refusal::new(Code::BadField, "the request has no id"));
-    }
-    let until = arrived + patience.min(route.timeout).as_duration();
-    admit(node, until + stream::held(&route))?;
+    let routed = match route(node, &head, &call, arrived).await {
+        Ok(routed) => routed,
+        Err(refusal) => {
+            // The refusal would be lost with the rest of a long body: see `body::discard`.
+            let discarded = body::discard(incoming, node.table().body_bytes);
+            let _too_slow = timeout(DISCARD, discarded).await;
+            return Err(refusal);
+        }
+    };
+    let Routed {
+        table,
+        route,
+        until,
+    } = routed;
     let body = match timeout_at(until, body::read(incoming, table.body_bytes)).await {
         Ok(Ok(body)) => body,
         Ok(Err(body::Fault::TooLong)) => return Err(Refusal::new(Code::BodyTooLarge, "")),
@@ -239,6 +246,39 @@
     })
 }
 
+/// Finds a request's route and the time that it has.
+async fn route(
+    node: &Arc<Node>,
+    head: &request::Parts,
+    call: &Call,
+    arrived: Instant,
+) -> Result<Routed, Refusal> {
+    let patience = call.deadline.unwrap_or(PATIENCE);
+    node.wait_at_start(Node::can_route, arrived + patience.as_duration())
+        .await;
+    let table = node.table();
+    if !table.known {
+        let refusal = Refusal::new(Code::NoConfiguration, "");
+        return Err(refusal.retry_after(RETRY));
+    }
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let route = table.find(host, head.uri.path());
+    let route = route.ok_or_else(|| Refusal::new(Code::UnknownPath, head.uri.path()))?;
+    let route = route.clone();
+    if call.id.is_empty() {
+        return Err(Refusal::new(Code::BadField, "the request has no id"));
+    }
+    let until = arrived + patience.min(route.timeout).as_duration();
+    admit(node, until + stream::held(&route))?;
+    Ok(Routed {
+        table,
+        route,
+        until,
+    })
+}
+
 /// Refuses a request that may be under way until after the process's end: it would be cut off, and
 /// another VM can serve it.
 fn admit(node: &Node, ends: Instant) -> Result<(), Refusal> {
