Read a refused request's body also where no configuration is known yet

The limit on bodies is zero until then, so that nothing was read. Not seen red: on this machine the kernel's buffers take a body of three megabytes in the 0.8 s for which the VM waits for its configuration.

--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -57,6 +57,9 @@
 /// The longest that an unused connection is kept where its runner tells that it keeps it longer:
 /// over the pauses of a busy minute, without holding many of its connections for nothing.
 const KEEP_TOLD: Millis = Millis::new(20_000);
+/// The longest body of a refused request that is read before the configuration tells how long bodies
+/// are, in bytes.
+const DISCARDED: usize = 4 * 1024 * 1024;
 /// How long the rest of a refused request's body is read.
 const DISCARD: Duration = Duration::from_secs(1);
 /// The longest refusal of a runner that is read, in bytes, so that its connection can be kept.
@@ -204,7 +207,7 @@
         Ok(routed) => routed,
         Err(refusal) => {
             // The refusal would be lost with the rest of a long body: see `body::discard`.
-            let discarded = body::discard(incoming, node.table().body_bytes);
+            let discarded = body::discard(incoming, node.table().body_bytes.max(DISCARDED));
             let _too_slow = timeout(DISCARD, discarded).await;
             return Err(refusal);
         }
