Wait for a call that may run once though its caller has left

What users saw: an order with an unknown outcome. Cause: such a call goes on when its caller leaves, but only the caller's connection counted as under way; a stopping process that had nothing else ended and broke the call off at its service. Now the call itself counts until it has its answer. Red before, green after: stopping::a_call_that_may_run_once_ends_though_its_caller_has_left.

--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -133,7 +133,7 @@
     let mut response = match read(&node, request).await {
         Ok(job) => match job.route.kind {
             Kind::Stream => stream::serve(job, guard).await,
-            Kind::Idempotent | Kind::AtMostOnce => plain::serve(job).await,
+            Kind::Idempotent | Kind::AtMostOnce => plain::serve(job, guard).await,
         },
         Err(refusal) => refuse(&node, &refusal, &id, None),
     };
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -23,6 +23,7 @@
 use crate::job::Sent;
 use crate::metrics::Counter;
 use crate::metrics::Span;
+use crate::work;
 
 /// The longest answer in bytes that is held to be passed on whole.
 const MAX_ANSWER: usize = 8 * 1024 * 1024;
@@ -31,8 +32,8 @@
 const PATIENCE: u32 = 3;
 
 /// Serves a call. One that may run at most once goes on where the client has left, as breaking it
-/// off would leave its outcome unknown to everyone.
-pub async fn serve(job: Job) -> Response<Body> {
+/// off would leave its outcome unknown to everyone; `guard` has the process wait for it when it stops.
+pub async fn serve(job: Job, guard: work::Guard) -> Response<Body> {
     if job.route.kind == Kind::Idempotent {
         return run(&job).await;
     }
@@ -40,6 +41,7 @@
     let node = job.node.clone();
     tokio::spawn(async move {
         let response = run(&job).await;
+        drop(guard);
         if sender.send(response).is_err() {
             log::info!(
                 "event=E{} text=\"{}\" request={} ran_on=true",
