Wait for the settlement of the last turns before a process ends

What users saw: a program's later turn refused for want of tokens that it had. Cause: what a turn used is noted after its end in a task that nothing waited for; a process whose last stream had ended was gone up to 50 ms later, and a turn whose settlement was not yet sent counts for the most that it could have used, for good. It is counted as under way now, and named apart where the end cuts it off.

--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -15,6 +15,7 @@
 use crate::job::Job;
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::work;
 
 /// How long after a refusal for want of tokens the account is looked at once more: two turns that
 /// start at the same time each see the other's reservation, and a turn that has just ended is
@@ -109,7 +110,8 @@
     u32::try_from(tokens).unwrap_or(u32::MAX).min(most)
 }
 
-/// Settles a turn's tokens. Nobody waits for it: until then the turn counts for its most.
+/// Settles a turn's tokens. No client waits for it: until then the turn counts for its most. The
+/// process waits when it stops, as the turn would count for its most for good.
 pub fn settle(job: &Job, account: Option<Account>, used: u32) {
     let Some(account) = account else {
         return;
@@ -121,8 +123,11 @@
     };
     let node = job.node.clone();
     let id = job.call.id.clone();
+    let guard = node.work.begin(work::Kind::Settlement, &id);
     tokio::spawn(async move {
-        if let Err(fault) = node.replicas.settle(fact).await {
+        let settled = node.replicas.settle(fact).await;
+        drop(guard);
+        if let Err(fault) = settled {
             log::warn!("text=\"turn not settled\" request={id} used={used} fault=\"{fault}\"");
         }
     });
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -214,10 +214,11 @@
 fn log_cut(entries: &[work::Entry]) {
     for entry in entries.iter().take(CUT_NAMED) {
         log::warn!(
-            "event=E{} text=\"{}\" request={} ms={}",
+            "event=E{} text=\"{}\" request={} what={:?} ms={}",
             Event::RequestCut.number(),
             Event::RequestCut.text(),
             entry.request,
+            entry.kind,
             entry.since.elapsed().as_millis()
         );
     }
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -45,6 +45,7 @@
 use crate::stream;
 use crate::table;
 use crate::table::Table;
+use crate::work;
 
 /// When a request that found no runner may come again: about the time in which a runner ends a
 /// request, or in which a new one is listed.
@@ -129,7 +130,7 @@
 pub async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     node.metrics.count(Counter::Requests);
     let id = header::call(request.headers()).id;
-    let guard = node.work.begin(&id);
+    let guard = node.work.begin(work::Kind::Answer, &id);
     let mut response = match read(&node, request).await {
         Ok(job) => match job.route.kind {
             Kind::Stream => stream::serve(job, guard).await,
--- a/crates/relay/src/work.rs
+++ b/crates/relay/src/work.rs
@@ -1,7 +1,7 @@
 //! What a process has under way, so that its end cuts nothing off unseen.
 //!
-//! An entry lasts from a request's headers until its answer is whole or given up, however long its
-//! client stays.
+//! The entry of an answer lasts from the request's headers until the answer is whole or given up,
+//! however long the client stays.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -21,10 +21,21 @@
     next: u64,
 }
 
+/// What is done for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Its answer.
+    Answer,
+    /// What it used of its program's tokens is noted.
+    Settlement,
+}
+
 /// A piece of work.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
     number: u64,
+    /// What is done.
+    pub kind: Kind,
     /// The request's id, as its client gave it.
     pub request: String,
     /// When it began.
@@ -41,12 +52,13 @@
 impl Register {
     /// Enters work for a request.
     #[must_use]
-    pub fn begin(self: &Arc<Self>, request: &str) -> Guard {
+    pub fn begin(self: &Arc<Self>, kind: Kind, request: &str) -> Guard {
         let mut state = self.lock();
         let number = state.next;
         state.next += 1;
         state.entries.push(Entry {
             number,
+            kind,
             request: request.to_owned(),
             since: Instant::now(),
         });
--- a/crates/relay/src/work/tests.rs
+++ b/crates/relay/src/work/tests.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use super::Kind;
 use super::Register;
 
 fn requests(register: &Register) -> Vec<String> {
@@ -10,9 +11,9 @@
 #[test]
 fn an_entry_lasts_until_its_guard_is_dropped() {
     let register = Arc::new(Register::default());
-    let first = register.begin("a");
-    let second = register.begin("b");
-    let third = register.begin("a");
+    let first = register.begin(Kind::Answer, "a");
+    let second = register.begin(Kind::Settlement, "b");
+    let third = register.begin(Kind::Answer, "a");
     assert_eq!(requests(&register), ["a", "b", "a"]);
     drop(second);
     drop(first);
