Close the listener before the last look at what is under way

Nothing was seen: the process runs on one thread, on which no connection is accepted between its last look and its end. But nothing said so, and with a second thread a request taken in between would be cut off. Now the listener for clients is closed first.

--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -38,6 +38,8 @@
     open: AtomicUsize,
     /// Cancelled when the process stops: kept connections are closed after the answer under way.
     pub closing: CancellationToken,
+    /// Cancelled when nobody may connect any more: the listener is closed.
+    pub shut: CancellationToken,
 }
 
 impl Door {
@@ -65,7 +67,7 @@
     TcpListener::bind(address).await
 }
 
-/// Accepts connections for as long as it is polled, and answers each request with `handler`. A
+/// Accepts connections until `door` is shut, and answers each request with `handler`. A
 /// connection may be idle for `idle`.
 pub async fn run<H, F>(listener: TcpListener, door: Arc<Door>, idle: Duration, handler: H)
 where
@@ -73,7 +75,11 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     loop {
-        let (stream, _from) = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = door.shut.cancelled() => return,
+        };
+        let (stream, _from) = match accepted {
             Ok(accepted) => accepted,
             Err(fault) => {
                 log::warn!("accept failed: {fault}");
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -12,8 +12,10 @@
 use link::listen;
 use link::listen::Door;
 use policy::eject;
+use policy::stop::Stop;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use wire::clock::Clock;
 use wire::event::Event;
@@ -94,7 +96,7 @@
     let ip = callers.ip();
     let own = SocketAddr::new(ip, settings.first_port);
     let door = Arc::new(Door::default());
-    listen_all(
+    let listener = listen_all(
         &node,
         &door,
         callers,
@@ -117,10 +119,11 @@
     tokio::spawn(ping(node.clone()));
     tokio::spawn(sweep(node.clone()));
     stop.await?;
-    drain(&node, &door).await;
+    drain(&node, &door, listener).await;
     Ok(())
 }
 
+/// Opens all listeners; yields the task of the one for clients.
 async fn listen_all(
     node: &Arc<Node>,
     door: &Arc<Door>,
@@ -128,11 +131,11 @@
     ready: SocketAddr,
     own: SocketAddr,
     metrics: SocketAddr,
-) -> Result<()> {
+) -> Result<JoinHandle<()>> {
     let shared = node.clone();
     let handler = move |request| job::serve(shared.clone(), request);
     let listener = listen::bind(callers).await?;
-    tokio::spawn(listen::run(listener, door.clone(), IDLE, handler));
+    let listening = tokio::spawn(listen::run(listener, door.clone(), IDLE, handler));
 
     let shared = node.clone();
     let handler = move |_request| std::future::ready(probe::ready(&shared));
@@ -149,7 +152,7 @@
     let handler = move |_request| std::future::ready(probe::metrics(&shared, &counted));
     let listener = listen::bind(metrics).await?;
     tokio::spawn(listen::run(listener, Arc::default(), IDLE, handler));
-    Ok(())
+    Ok(listening)
 }
 
 /// Waits for SIGTERM; reads the settings again at SIGHUP.
@@ -185,7 +188,7 @@
 }
 
 /// Lets running requests end and the balancer notice, then returns.
-async fn drain(node: &Arc<Node>, door: &Arc<Door>) {
+async fn drain(node: &Arc<Node>, door: &Arc<Door>, listener: JoinHandle<()>) {
     let stop = node.begin_stop();
     log::info!(
         "event=E{} text=\"{}\" under_way={} connections={}",
@@ -196,9 +199,13 @@
     );
     door.closing.cancel();
     sleep(LINGER).await;
-    while node.clock.now() < stop.last() && (node.work.count() > 0 || door.open() > 0) {
-        sleep(LOOK).await;
+    wait_until_idle(node, door, stop).await;
+    // A request that is taken after the last look would be cut off: nobody can connect by then.
+    door.shut.cancel();
+    if let Err(fault) = listener.await {
+        log::error!("text=\"the listener for clients has failed\" fault=\"{fault}\"");
     }
+    wait_until_idle(node, door, stop).await;
     log_cut(&node.work.entries());
     log::info!(
         "event=E{} text=\"{}\" under_way={} connections={} ms={}",
@@ -210,6 +217,13 @@
     );
 }
 
+async fn wait_until_idle(node: &Node, door: &Door, stop: Stop) {
+    let is_busy = || node.work.count() > 0 || door.open() > 0;
+    while is_busy() && node.clock.now() < stop.last() {
+        sleep(LOOK).await;
+    }
+}
+
 /// Names what the end of the process cuts off.
 fn log_cut(entries: &[work::Entry]) {
     for entry in entries.iter().take(CUT_NAMED) {
