--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! endpoints; nothing here needs the VMs to agree.
 
 pub mod admit;
+pub mod balancer;
 pub mod class;
 pub mod displace;
 pub mod eject;
--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -8,19 +8,35 @@
 
 use wire::clock::Millis;
 
+use crate::balancer;
+
 /// What is kept of the time that a stopping process has, for the last bytes of its last answers and
 /// for its own end.
 const MARGIN: Millis = Millis::new(400);
 /// The part of a short time that the margin takes at most: one in so many.
 const MARGIN_PART: u64 = 4;
+/// How long a process that has nothing under way lives on: until the balancer sends elsewhere, with a
+/// margin for its last look. Where it doesn't, as too few other VMs are ready, living on only keeps
+/// the next process from serving.
+const LINGER: Millis = balancer::NOTICES.plus(Millis::new(300));
 /// When a refused request may come again: at once, as another VM can serve it.
 pub const RETRY: Millis = Millis::new(10);
 
+/// Whether a process has anything under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Activity {
+    /// Requests are under way, or connections are open.
+    Busy,
+    /// Nothing is.
+    Idle,
+}
+
 /// The stop of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stop {
     begun: Millis,
     last: Millis,
+    killed: Millis,
 }
 
 impl Stop {
@@ -31,6 +47,7 @@
         Self {
             begun,
             last: begun.plus(grace.since(MARGIN.min(part))),
+            killed: begun.plus(grace),
         }
     }
 
@@ -46,6 +63,22 @@
         self.last
     }
 
+    /// Yields when the process is killed where it hasn't ended.
+    #[must_use]
+    pub const fn killed(&self) -> Millis {
+        self.killed
+    }
+
+    /// Tells whether the process ends now: when the balancer has had time to notice and nothing is
+    /// under way, and at the last moment in any case.
+    #[must_use]
+    pub fn is_over(&self, now: Millis, activity: Activity) -> bool {
+        match activity {
+            Activity::Busy => now >= self.last,
+            Activity::Idle => now >= self.last.min(self.begun.plus(LINGER)),
+        }
+    }
+
     /// Yields the time that is left for what is under way.
     #[must_use]
     pub const fn left(&self, now: Millis) -> Millis {
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -12,6 +12,7 @@
 use link::listen;
 use link::listen::Door;
 use policy::eject;
+use policy::stop::Activity;
 use policy::stop::Stop;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -44,9 +45,6 @@
 const PING_SOON: Duration = Duration::from_millis(50);
 /// How often connections, runners and entries are looked over.
 const SWEEP: Duration = Duration::from_millis(250);
-/// How long after SIGTERM new connections are still taken: the balancer asks each second and stops
-/// sending after two refusals, so for a little over two seconds.
-const LINGER: Duration = Duration::from_millis(3_200);
 /// How often the end of running requests is looked for.
 const LOOK: Duration = Duration::from_millis(50);
 /// The most requests that the end of a process names as cut off.
@@ -198,7 +196,6 @@
         door.open()
     );
     door.closing.cancel();
-    sleep(LINGER).await;
     wait_until_idle(node, door, stop).await;
     // A request that is taken after the last look would be cut off: nobody can connect by then.
     door.shut.cancel();
@@ -218,12 +215,19 @@
 }
 
 async fn wait_until_idle(node: &Node, door: &Door, stop: Stop) {
-    let is_busy = || node.work.count() > 0 || door.open() > 0;
-    while is_busy() && node.clock.now() < stop.last() {
+    while !stop.is_over(node.clock.now(), activity(node, door)) {
         sleep(LOOK).await;
     }
 }
 
+fn activity(node: &Node, door: &Door) -> Activity {
+    if node.work.count() > 0 || door.open() > 0 {
+        Activity::Busy
+    } else {
+        Activity::Idle
+    }
+}
+
 /// Names what the end of the process cuts off.
 fn log_cut(entries: &[work::Entry]) {
     for entry in entries.iter().take(CUT_NAMED) {
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use policy::balancer;
 use wire::clock::Millis;
 
 /// How long the members may take to answer a look. They answer in a few milliseconds; one that is
@@ -14,8 +15,6 @@
 pub const PATIENCE: Duration = Duration::from_millis(250);
 /// Looks that fail in a row before turns are refused: one may meet a pause of two members.
 const LOST_AFTER: u32 = 2;
-/// How long the balancer takes to send elsewhere: it asks each second, and heeds the second refusal.
-const BALANCER: Millis = Millis::new(2_000);
 /// When a turn may come again at the soonest: about the time in which a VM with a disk restarts.
 pub const RETRY: Millis = Millis::new(300);
 /// When it may come again where the balancer should have noticed already.
@@ -91,7 +90,9 @@
         if !self.ever {
             return RETRY;
         }
-        BALANCER.since(now.since(self.since)).max(RETRY_NOTICED)
+        balancer::NOTICES
+            .since(now.since(self.since))
+            .max(RETRY_NOTICED)
     }
 }
 
