Split a request's arrival and the refusals out of job, and tell a refused request's program before it has a route

job, plain and stream no longer depend on each other in a circle: arrival reads and routes, plain and stream serve, job holds what their attempts share. The line of a refusal (E1102) names the program also where the request was refused by its headers; a program's story lacked it.

--- /dev/null
+++ b/crates/relay/src/arrival.rs
@@ -0,0 +1,185 @@
+//! A request as it arrives: read, routed, and taken or refused.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::config::Kind;
+use adapter::config::Route;
+use adapter::header;
+use adapter::header::Call;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request;
+use link::body;
+use link::body::Body;
+use policy::prefix;
+use policy::stop;
+use rand::RngExt;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Refusal;
+
+use crate::answer;
+use crate::job::Job;
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::plain;
+use crate::refuse;
+use crate::stream;
+use crate::table;
+use crate::table::Table;
+use crate::work;
+
+/// How long a client waits that doesn't say.
+const PATIENCE: Millis = Millis::new(30_000);
+/// The longest body of a refused request that is read before the configuration tells how long bodies
+/// are, in bytes.
+const DISCARDED: usize = 4 * 1024 * 1024;
+/// How long the rest of a refused request's body is read.
+const DISCARD: Duration = Duration::from_secs(1);
+
+/// Serves a client's request.
+pub async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    node.metrics.count(Counter::Requests);
+    let arrived = Instant::now();
+    let call = header::call(request.headers());
+    let id = call.id.clone();
+    let program = call.program.clone();
+    let guard = node.work.begin(work::Kind::Answer, &id);
+    let mut response = match read(&node, request, call, arrived).await {
+        Ok(job) => match job.route.kind {
+            Kind::Stream => stream::serve(job, guard).await,
+            Kind::Idempotent | Kind::AtMostOnce => plain::serve(job, guard).await,
+        },
+        Err(refusal) => {
+            let subject = refuse::Subject {
+                request: &id,
+                program: program.as_deref().unwrap_or_default(),
+                waited: Millis::from(arrived.elapsed()),
+                ..refuse::Subject::default()
+            };
+            refuse::answer(&node, &refusal, &subject)
+        }
+    };
+    if !node.is_ready() {
+        answer::close(&mut response);
+    }
+    response
+}
+
+/// Where a request goes, as its headers tell.
+struct Routed {
+    table: Arc<Table>,
+    route: Arc<Route>,
+    until: Instant,
+}
+
+async fn read(
+    node: &Arc<Node>,
+    request: Request<Incoming>,
+    call: Call,
+    arrived: Instant,
+) -> Result<Job, Refusal> {
+    let (head, incoming) = request.into_parts();
+    let routed = match route(node, &head, &call, arrived).await {
+        Ok(routed) => routed,
+        Err(refusal) => {
+            // The refusal would be lost with the rest of a long body: see `body::discard`.
+            let discarded = body::discard(incoming, node.table().body_bytes.max(DISCARDED));
+            let _too_slow = timeout(DISCARD, discarded).await;
+            return Err(refusal);
+        }
+    };
+    let Routed {
+        table,
+        route,
+        until,
+    } = routed;
+    let body = match timeout_at(until, body::read(incoming, table.body_bytes)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(body::Fault::TooLong)) => return Err(Refusal::new(Code::BodyTooLarge, "")),
+        Ok(Err(fault)) => return Err(Refusal::new(Code::ReadTimeout, &fault.to_string())),
+        Err(_) => return Err(Refusal::new(Code::ReadTimeout, "")),
+    };
+    let service = table::draw(&route, rand::rng().random::<f64>());
+    let service = service.ok_or_else(|| Refusal::new(Code::NoEndpoint, "no service"))?;
+    let parts = call.parts.iter();
+    let prompt = parts.map(|part| prefix::Part {
+        id: part.id,
+        tokens: part.tokens,
+    });
+    Ok(Job {
+        node: node.clone(),
+        service: service.to_owned(),
+        prompt: prompt.collect(),
+        method: head.method,
+        path: head
+            .uri
+            .path_and_query()
+            .map_or_else(|| "/".to_owned(), ToString::to_string),
+        headers: head.headers,
+        table,
+        route,
+        call,
+        body,
+        arrived,
+        until,
+    })
+}
+
+/// Finds a request's route and the time that it has.
+async fn route(
+    node: &Arc<Node>,
+    head: &request::Parts,
+    call: &Call,
+    arrived: Instant,
+) -> Result<Routed, Refusal> {
+    let patience = call.deadline.unwrap_or(PATIENCE);
+    node.wait_at_start(Node::can_route, arrived + patience.as_duration())
+        .await;
+    let table = node.table();
+    if !table.known {
+        let refusal = Refusal::new(Code::NoConfiguration, "");
+        return Err(refusal.retry_after(refuse::RETRY));
+    }
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let route = table.find(host, head.uri.path());
+    let route = route.ok_or_else(|| Refusal::new(Code::UnknownPath, head.uri.path()))?;
+    let route = route.clone();
+    if call.id.is_empty() {
+        return Err(Refusal::new(Code::BadField, "the request has no id"));
+    }
+    let until = arrived + patience.min(route.timeout).as_duration();
+    admit(node, until + stream::held(&route))?;
+    Ok(Routed {
+        table,
+        route,
+        until,
+    })
+}
+
+/// Refuses a request that may be under way until after the process's end: it would be cut off, and
+/// another VM can serve it.
+fn admit(node: &Node, ends: Instant) -> Result<(), Refusal> {
+    let Some(stop) = node.stop() else {
+        return Ok(());
+    };
+    let now = node.clock.now();
+    let needed = Millis::from(ends.saturating_duration_since(Instant::now()));
+    if stop.takes(Some(now.plus(needed))) {
+        return Ok(());
+    }
+    let detail = format!(
+        "stopping for {}, ends in {}, may need {needed}",
+        now.since(stop.begun()),
+        stop.left(now)
+    );
+    Err(Refusal::new(Code::ShuttingDown, &detail).retry_after(stop::RETRY))
+}
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -21,11 +21,11 @@
 use wire::clock::Clock;
 use wire::event::Event;
 
+use crate::arrival;
 use crate::exchange;
 use crate::fleet;
 use crate::follow;
 use crate::follow::Subject;
-use crate::job;
 use crate::node::Node;
 use crate::peers;
 use crate::probe;
@@ -131,7 +131,7 @@
     metrics: SocketAddr,
 ) -> Result<JoinHandle<()>> {
     let shared = node.clone();
-    let handler = move |request| job::serve(shared.clone(), request);
+    let handler = move |request| arrival::serve(shared.clone(), request);
     let listener = listen::bind(callers).await?;
     let listening = tokio::spawn(listen::run(listener, door.clone(), IDLE, handler));
 
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -1,7 +1,6 @@
-//! A request on its way: read, routed, and what its attempts at runners share.
+//! A request on its way, and what its attempts at runners share.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use adapter::config::Kind;
 use adapter::config::Route;
@@ -12,57 +11,31 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
-use hyper::Response;
-use hyper::body::Incoming;
-use hyper::header::HOST;
-use hyper::http::request;
-use link::body;
-use link::body::Body;
 use link::body::Payload;
 use link::client;
 use link::client::Reply;
 use policy::prefix;
-use policy::stop;
 use rand::Rng;
-use rand::RngExt;
 use tokio::time::Instant;
-use tokio::time::timeout;
 use tokio::time::timeout_at;
 use wire::clock::Millis;
-use wire::code::Code;
-use wire::code::Ran;
-use wire::code::Refusal;
 use wire::event::Event;
 
-use crate::answer;
 use crate::fleet;
 use crate::fleet::Chosen;
 use crate::fleet::Want;
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::plain;
 use crate::reach;
-use crate::stream;
-use crate::table;
+use crate::refuse::Subject;
 use crate::table::Table;
-use crate::work;
 
-/// When a request that found no runner may come again: about the time in which a runner ends a
-/// request, or in which a new one is listed.
-pub const RETRY: Millis = Millis::new(250);
 /// How many runners a request is offered to at most, those that turned it away included. With the
 /// load known to within a few requests, a fourth refusal means that all are full.
 pub const OFFERS: usize = 4;
-/// How long a client waits that doesn't say.
-const PATIENCE: Millis = Millis::new(30_000);
 /// The longest that an unused connection is kept where its runner tells that it keeps it longer:
 /// over the pauses of a busy minute, without holding many of its connections for nothing.
 const KEEP_TOLD: Millis = Millis::new(20_000);
-/// The longest body of a refused request that is read before the configuration tells how long bodies
-/// are, in bytes.
-const DISCARDED: usize = 4 * 1024 * 1024;
-/// How long the rest of a refused request's body is read.
-const DISCARD: Duration = Duration::from_secs(1);
 /// The longest refusal of a runner that is read, in bytes, so that its connection can be kept.
 const REFUSAL: usize = 64 * 1024;
 
@@ -126,182 +99,6 @@
     Late,
 }
 
-/// Serves a client's request.
-pub async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
-    node.metrics.count(Counter::Requests);
-    let id = header::call(request.headers()).id;
-    let guard = node.work.begin(work::Kind::Answer, &id);
-    let mut response = match read(&node, request).await {
-        Ok(job) => match job.route.kind {
-            Kind::Stream => stream::serve(job, guard).await,
-            Kind::Idempotent | Kind::AtMostOnce => plain::serve(job, guard).await,
-        },
-        Err(refusal) => refuse(&node, &refusal, &id, None),
-    };
-    if !node.is_ready() {
-        answer::close(&mut response);
-    }
-    response
-}
-
-/// Yields the refusal of a request whose time is over; `runs` counts the runners that may have run
-/// it.
-#[must_use]
-pub fn late(runs: u32) -> Refusal {
-    if runs == 0 {
-        return Refusal::new(Code::WaitedTooLong, "").retry_after(RETRY);
-    }
-    Refusal::new(Code::OutcomeUnknown, "").ran(Ran::Unknown)
-}
-
-/// Yields the refusal of a request that no runner took; `runs` counts those that may have run it.
-#[must_use]
-pub fn nowhere(runs: u32) -> Refusal {
-    if runs == 0 {
-        return Refusal::new(Code::NoEndpoint, "none takes it").retry_after(RETRY);
-    }
-    Refusal::new(Code::EndpointFailed, "").ran(Ran::Unknown)
-}
-
-/// Logs and renders a refusal.
-#[must_use]
-pub fn refuse(node: &Node, refusal: &Refusal, id: &str, job: Option<&Job>) -> Response<Body> {
-    let counter = match refusal.ran {
-        Ran::No => Counter::Refused,
-        Ran::Unknown | Ran::Yes => Counter::Failed,
-    };
-    node.metrics.count(counter);
-    let (route, program, waited) = job.map_or(("", "", 0), |job| {
-        let waited = u64::try_from(job.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
-        (
-            job.route.name.as_str(),
-            job.call.program.as_deref().unwrap_or_default(),
-            waited,
-        )
-    });
-    let table = node.table();
-    log::warn!(
-        "event=E{} text=\"{}\" request={id} program={program} route={route} revision={} code=CY{} ran={:?} waited_ms={waited} runners_age_ms={} why=\"{}\"",
-        Event::RequestRefused.number(),
-        Event::RequestRefused.text(),
-        table.version,
-        refusal.code.number(),
-        refusal.ran,
-        node.runners_age().as_u64(),
-        refusal.message
-    );
-    answer::refusal(refusal, id)
-}
-
-/// Where a request goes, as its headers tell.
-struct Routed {
-    table: Arc<Table>,
-    route: Arc<Route>,
-    until: Instant,
-}
-
-async fn read(node: &Arc<Node>, request: Request<Incoming>) -> Result<Job, Refusal> {
-    let arrived = Instant::now();
-    let (head, incoming) = request.into_parts();
-    let call = header::call(&head.headers);
-    let routed = match route(node, &head, &call, arrived).await {
-        Ok(routed) => routed,
-        Err(refusal) => {
-            // The refusal would be lost with the rest of a long body: see `body::discard`.
-            let discarded = body::discard(incoming, node.table().body_bytes.max(DISCARDED));
-            let _too_slow = timeout(DISCARD, discarded).await;
-            return Err(refusal);
-        }
-    };
-    let Routed {
-        table,
-        route,
-        until,
-    } = routed;
-    let body = match timeout_at(until, body::read(incoming, table.body_bytes)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(body::Fault::TooLong)) => return Err(Refusal::new(Code::BodyTooLarge, "")),
-        Ok(Err(fault)) => return Err(Refusal::new(Code::ReadTimeout, &fault.to_string())),
-        Err(_) => return Err(Refusal::new(Code::ReadTimeout, "")),
-    };
-    let service = table::draw(&route, rand::rng().random::<f64>());
-    let service = service.ok_or_else(|| Refusal::new(Code::NoEndpoint, "no service"))?;
-    let parts = call.parts.iter();
-    let prompt = parts.map(|part| prefix::Part {
-        id: part.id,
-        tokens: part.tokens,
-    });
-    Ok(Job {
-        node: node.clone(),
-        service: service.to_owned(),
-        prompt: prompt.collect(),
-        method: head.method,
-        path: head
-            .uri
-            .path_and_query()
-            .map_or_else(|| "/".to_owned(), ToString::to_string),
-        headers: head.headers,
-        table,
-        route,
-        call,
-        body,
-        arrived,
-        until,
-    })
-}
-
-/// Finds a request's route and the time that it has.
-async fn route(
-    node: &Arc<Node>,
-    head: &request::Parts,
-    call: &Call,
-    arrived: Instant,
-) -> Result<Routed, Refusal> {
-    let patience = call.deadline.unwrap_or(PATIENCE);
-    node.wait_at_start(Node::can_route, arrived + patience.as_duration())
-        .await;
-    let table = node.table();
-    if !table.known {
-        let refusal = Refusal::new(Code::NoConfiguration, "");
-        return Err(refusal.retry_after(RETRY));
-    }
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or(head.uri.host()).unwrap_or_default();
-    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    let route = table.find(host, head.uri.path());
-    let route = route.ok_or_else(|| Refusal::new(Code::UnknownPath, head.uri.path()))?;
-    let route = route.clone();
-    if call.id.is_empty() {
-        return Err(Refusal::new(Code::BadField, "the request has no id"));
-    }
-    let until = arrived + patience.min(route.timeout).as_duration();
-    admit(node, until + stream::held(&route))?;
-    Ok(Routed {
-        table,
-        route,
-        until,
-    })
-}
-
-/// Refuses a request that may be under way until after the process's end: it would be cut off, and
-/// another VM can serve it.
-fn admit(node: &Node, ends: Instant) -> Result<(), Refusal> {
-    let Some(stop) = node.stop() else {
-        return Ok(());
-    };
-    let now = node.clock.now();
-    let needed = Millis::from(ends.saturating_duration_since(Instant::now()));
-    if stop.takes(Some(now.plus(needed))) {
-        return Ok(());
-    }
-    let detail = format!(
-        "stopping for {}, ends in {}, may need {needed}",
-        now.since(stop.begun()),
-        stop.left(now)
-    );
-    Err(Refusal::new(Code::ShuttingDown, &detail).retry_after(stop::RETRY))
-}
-
 impl Job {
     /// Yields the time left.
     #[must_use]
@@ -315,6 +112,17 @@
         Millis::from(self.arrived.elapsed())
     }
 
+    /// Yields what a refusal of it tells.
+    #[must_use]
+    pub fn subject(&self) -> Subject<'_> {
+        Subject {
+            request: &self.call.id,
+            program: self.call.program.as_deref().unwrap_or_default(),
+            route: &self.route.name,
+            waited: self.age(),
+        }
+    }
+
     /// Chooses a runner, apart from those in `not`.
     #[must_use]
     pub fn choose(&self, not: &[String]) -> Option<Chosen> {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod account;
 pub mod answer;
+pub mod arrival;
 pub mod events;
 pub mod exchange;
 pub mod fleet;
@@ -21,6 +22,7 @@
 pub mod probe;
 pub mod reach;
 pub mod records;
+pub mod refuse;
 pub mod roster;
 pub mod store;
 pub mod stream;
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -23,6 +23,7 @@
 use crate::job::Sent;
 use crate::metrics::Counter;
 use crate::metrics::Span;
+use crate::refuse;
 use crate::work;
 
 /// The longest answer in bytes that is held to be passed on whole.
@@ -39,6 +40,7 @@
     }
     let (sender, receiver) = oneshot::channel();
     let node = job.node.clone();
+    let id = job.call.id.clone();
     tokio::spawn(async move {
         let response = run(&job).await;
         drop(guard);
@@ -53,14 +55,18 @@
     });
     receiver.await.unwrap_or_else(|_| {
         let refusal = Refusal::new(Code::Internal, "").ran(Ran::Unknown);
-        job::refuse(&node, &refusal, "", None)
+        let subject = refuse::Subject {
+            request: &id,
+            ..refuse::Subject::default()
+        };
+        refuse::answer(&node, &refusal, &subject)
     })
 }
 
 async fn run(job: &Job) -> Response<Body> {
     match attempts(job).await {
         Ok(response) => response,
-        Err(refusal) => job::refuse(&job.node, &refusal, &job.call.id, Some(job)),
+        Err(refusal) => refuse::answer(&job.node, &refusal, &job.subject()),
     }
 }
 
@@ -70,10 +76,10 @@
     let mut offers = 0;
     loop {
         if job.left() == Millis::ZERO {
-            return Err(job::late(runs));
+            return Err(refuse::late(runs));
         }
         let Some(runner) = job.choose(&not) else {
-            return Err(job::nowhere(runs));
+            return Err(refuse::nowhere(runs));
         };
         let id = runner.id.clone();
         offers += 1;
@@ -90,7 +96,7 @@
                 not.push(id);
                 continue;
             }
-            Sent::NotRun => return Err(job::nowhere(runs)),
+            Sent::NotRun => return Err(refuse::nowhere(runs)),
             Sent::Unknown(why) => why,
             Sent::Late => "no answer in time".to_owned(),
         };
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -38,6 +38,7 @@
 use crate::job::Sent;
 use crate::metrics::Counter;
 use crate::metrics::Span;
+use crate::refuse;
 use crate::turns;
 use crate::work;
 
@@ -107,7 +108,11 @@
     });
     receiver.await.unwrap_or_else(|_| {
         let refusal = Refusal::new(Code::Internal, "").ran(Ran::Unknown);
-        job::refuse(&node, &refusal, &id, None)
+        let subject = refuse::Subject {
+            request: &id,
+            ..refuse::Subject::default()
+        };
+        refuse::answer(&node, &refusal, &subject)
     })
 }
 
@@ -129,7 +134,7 @@
         Err(refusal) => {
             account::settle(&job, account, 0);
             // A client that has left needs no answer.
-            let _gone = head.send(job::refuse(&job.node, &refusal, &job.call.id, Some(&job)));
+            let _gone = head.send(refuse::answer(&job.node, &refusal, &job.subject()));
         }
     }
 }
@@ -172,7 +177,7 @@
             break;
         }
         let Some(runner) = job.choose(not) else {
-            return Err(job::nowhere(*runs));
+            return Err(refuse::nowhere(*runs));
         };
         let id = runner.id.clone();
         let mut pieces = history.to_vec();
@@ -198,9 +203,9 @@
         }
     }
     if job.left() == Millis::ZERO {
-        return Err(job::late(*runs));
+        return Err(refuse::late(*runs));
     }
-    Err(job::nowhere(*runs))
+    Err(refuse::nowhere(*runs))
 }
 
 /// Passes an answer on, and takes the stream up again where it breaks and may be.
