Read the start behind a torn line, and no torn line's rest as a value

A process that is killed leaves its last line without an end, and the next process's start (E1001) stands right behind it in the same log. The reader took both for one line: the start was lost, so a killed process read as 'its end is missing', and the torn value swallowed the next line's time. The last whole line that begins in a text is read now.

--- a/crates/trace/src/line.rs
+++ b/crates/trace/src/line.rs
@@ -46,11 +46,23 @@
 }
 
 /// Reads a line of the log called `log`; `None` for one that is torn or names no event.
+///
+/// A process that is killed leaves its last line torn and without an end, and the first line of the
+/// next process stands right behind it: its start, without which the kill would pass unnoticed. So
+/// the last whole line that begins in the text is read. A time inside a field's quotes begins no
+/// whole line.
 #[must_use]
 pub fn parse(text: &str, log: &str) -> Option<Line> {
-    let begins = text.find("at=")?;
-    let vm = text[..begins].split_whitespace().next_back().unwrap_or(log);
-    let mut fields = split(&text[begins..])?;
+    let begins: Vec<usize> = text.match_indices(OPENING).map(|(at, _)| at).collect();
+    let mut begins = begins.into_iter().filter(|at| is_dated(&text[*at..]));
+    let first = begins.next()?;
+    let vm = text[..first].split_whitespace().next_back().unwrap_or(log);
+    let mut whole = begins.rev().filter_map(|at| read(&text[at..], vm));
+    whole.next().or_else(|| read(&text[first..], vm))
+}
+
+fn read(text: &str, vm: &str) -> Option<Line> {
+    let mut fields = split(text)?;
     let at = take(&mut fields, "at")?;
     let event = take(&mut fields, "event")?;
     Some(Line {
@@ -62,19 +74,43 @@
     })
 }
 
+/// What a line begins with; its time follows.
+const OPENING: &str = "at=";
+/// The form of the date in a line's time, with a zero for each digit.
+const DATE: &str = "0000-00-00T";
+
+/// Tells whether a text that begins as a line does goes on with a date.
+fn is_dated(text: &str) -> bool {
+    let date = text
+        .as_bytes()
+        .get(OPENING.len()..OPENING.len() + DATE.len());
+    let fits = |(known, found): (u8, &u8)| match known {
+        b'0' => found.is_ascii_digit(),
+        _ => known == *found,
+    };
+    date.is_some_and(|date| DATE.bytes().zip(date).all(fits))
+}
+
 fn take(fields: &mut Vec<(String, String)>, name: &str) -> Option<String> {
     let at = fields.iter().position(|(known, _)| known == name)?;
     Some(fields.remove(at).1)
 }
 
-/// Splits `name=value name="value with spaces"`; `None` where a quote isn't closed.
+/// Splits `name=value name="value with spaces"`; `None` where a quote isn't closed or another line
+/// begins within a value.
 fn split(text: &str) -> Option<Vec<(String, String)>> {
     let mut fields = Vec::new();
     let mut rest = text.trim();
     while let Some((name, after)) = rest.split_once('=') {
-        let (value, left) = match after.strip_prefix('"') {
-            Some(quoted) => quoted.split_once('"')?,
-            None => after.split_once(' ').unwrap_or((after, "")),
+        let (value, left) = if let Some(quoted) = after.strip_prefix('"') {
+            quoted.split_once('"')?
+        } else {
+            let (value, left) = after.split_once(' ').unwrap_or((after, ""));
+            let mut begins = value.match_indices(OPENING);
+            if begins.any(|(at, _)| is_dated(&value[at..])) {
+                return None;
+            }
+            (value, left)
         };
         fields.push((name.trim().to_owned(), value.to_owned()));
         rest = left.trim_start();
