Tell in a story what is missing in it, which VMs told the same, and what made an answer late

A story read as if it were whole where a VM's log had a hole: a process that was killed leaves no line. A start (E1001) without an end (E1003) since the start before, and counts of dropped lines (E1005), are now told below the story they fall into. A refusal for want of VMs with a disk names the other VMs that told the same then (none: its own VM is cut off), a late answer says whether its time went before its runner or at it, and what isn't answered in time names its runner and what its VM last noted of that runner.

--- /dev/null
+++ b/crates/trace/src/hole/tests.rs
@@ -0,0 +1,74 @@
+use super::Hole;
+use super::Told;
+use super::find;
+use super::within;
+use crate::line::Line;
+use crate::line::parse;
+
+fn lines(text: &str) -> Vec<Line> {
+    let parsed = text.lines().map(|line| parse(line, "log"));
+    parsed.map(|line| line.expect("it is whole")).collect()
+}
+
+/// A process is killed and a new one starts; a second one stops in order; a third is killed while it
+/// stops. Only the first and the third are told, each with when its log broke off.
+#[test]
+fn a_start_without_an_end_before_it_is_told() {
+    let all = lines(
+        "v at=2026-05-17T07:00:01.000 event=E1001 vm=v
+v at=2026-05-17T07:00:02.000 event=E1201 request=r1
+v at=2026-05-17T07:00:04.000 event=E1001 vm=v
+v at=2026-05-17T07:00:05.000 event=E1002
+v at=2026-05-17T07:00:06.000 event=E1003
+v at=2026-05-17T07:00:07.000 event=E1001 vm=v
+v at=2026-05-17T07:00:08.000 event=E1002
+v at=2026-05-17T07:00:09.000 event=E1001 vm=v",
+    );
+    let ended = |last: &str, start: &str, told| Hole::Ended {
+        vm: "v".to_owned(),
+        last: format!("2026-05-17T07:00:0{last}.000"),
+        start: format!("2026-05-17T07:00:0{start}.000"),
+        told,
+    };
+    let wanted = [
+        ended("2", "4", Told::Nothing),
+        ended("8", "9", Told::Stopping),
+    ];
+    assert_eq!(find(&all), wanted);
+}
+
+/// The logs of two VMs are joined without regard to time, and each begins in the middle. A line of
+/// one VM between two of the other hides nothing, and a cut head isn't a lost process.
+#[test]
+fn logs_of_several_vms_are_kept_apart() {
+    let all = lines(
+        "w at=2026-05-17T07:00:05.000 event=E1001 vm=w
+v at=2026-05-17T07:00:01.000 event=E1201 request=r1
+w at=2026-05-17T07:00:02.000 event=E1003
+v at=2026-05-17T07:00:03.000 event=E1001 vm=v",
+    );
+    let holes = find(&all);
+    assert_eq!(holes.len(), 1, "{holes:?}");
+    assert!(holes[0].to_string().contains("the process on v ended"));
+}
+
+/// Lines found no room while a request ran. The count comes with the next line that passes, after
+/// the request's last one; a second count, later, has nothing to do with it, nor has another VM's.
+#[test]
+fn dropped_lines_are_told_with_the_first_count_after_a_story() {
+    let all = lines(
+        "v at=2026-05-17T07:00:01.000 event=E1005 lines=1
+v at=2026-05-17T07:00:02.000 event=E1201 request=r1
+w at=2026-05-17T07:00:03.000 event=E1005 lines=9
+v at=2026-05-17T07:00:04.000 event=E1005 lines=7
+v at=2026-05-17T07:00:05.000 event=E1005 lines=3",
+    );
+    let at = "2026-05-17T07:00:02.000";
+    let told = within(&find(&all), at, at, &["v"]);
+    let wanted = Hole::Dropped {
+        vm: "v".to_owned(),
+        at: "2026-05-17T07:00:04.000".to_owned(),
+        lines: 7,
+    };
+    assert_eq!(told, [wanted]);
+}
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -5,8 +5,13 @@
 use serde::Serialize;
 use wire::event::Event;
 
+use crate::hole;
+use crate::hole::Hole;
 use crate::line::Line;
 
+/// How long after a refusal another VM may notice the same: two looks at the VMs with a disk.
+const NOTICED_MS: u64 = 1_500;
+
 /// What became of a request, as far as the logs tell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub enum Cause {
@@ -15,6 +20,15 @@
         /// The status that its runner gave.
         status: String,
     },
+    /// It was answered, later than its program had time for.
+    Late {
+        /// Milliseconds from its arrival to its end.
+        ms: u64,
+        /// Milliseconds that its program had left when it came.
+        left_ms: u64,
+        /// Milliseconds of these until it was sent to the runner that answered it.
+        placed_ms: u64,
+    },
     /// The system refused it.
     Refused {
         /// The result code.
@@ -48,6 +62,8 @@
     pub lines: Vec<Line>,
     /// What became of each request, in the order in which the requests came.
     pub ends: Vec<End>,
+    /// Where lines may be missing in it.
+    pub holes: Vec<Hole>,
 }
 
 /// What became of one request.
@@ -57,9 +73,16 @@
     pub request: String,
     /// Why it ended.
     pub cause: Cause,
+    /// The runner that had it last; empty where none had it.
+    pub runner: String,
+    /// What its VM last noted of that runner until then, where it wasn't answered in time.
+    pub reach: Option<Line>,
     /// What its VM last noted of its own state before that, where it wasn't answered: a refusal says
     /// what is missing, these lines since when.
     pub state: Vec<Line>,
+    /// The other VMs that reached too few VMs with a disk at that time, where its own did: with none
+    /// its own VM is cut off, with all of them the VMs with a disk are away.
+    pub alike: Vec<String>,
 }
 
 /// The pairs of events that tell of a VM's own state.
@@ -69,6 +92,16 @@
     [Event::MembersLost, Event::MembersRegained],
 ];
 
+/// The events that tell how a runner is to be used.
+const RUNNERS: [Event; 6] = [
+    Event::EndpointEjected,
+    Event::EndpointRestored,
+    Event::EndpointLeaving,
+    Event::EndpointGone,
+    Event::EndpointUnreachable,
+    Event::EndpointReachable,
+];
+
 /// Tells the story of a request or of all requests of a program.
 #[must_use]
 pub fn of(id: &str, lines: &[Line]) -> Story {
@@ -87,23 +120,76 @@
         let of_request: Vec<&Line> = of_request.collect();
         end(request, &of_request, lines)
     });
+    let ends = ends.collect();
     Story {
-        ends: ends.collect(),
+        ends,
+        holes: holes(&told, lines),
         lines: told,
     }
 }
 
+fn holes(told: &[Line], all: &[Line]) -> Vec<Hole> {
+    let (Some(first), Some(last)) = (told.first(), told.last()) else {
+        return Vec::new();
+    };
+    let vms: Vec<&str> = told.iter().map(|line| line.vm.as_str()).collect();
+    hole::within(&hole::find(all), &first.at, &last.at, &vms)
+}
+
 fn end(request: &str, of_request: &[&Line], all: &[Line]) -> End {
     let cause = cause(of_request, all);
-    let state = match (&cause, of_request.last()) {
-        (Cause::Answered { .. }, _) | (_, None) => Vec::new(),
-        (_, Some(last)) => state(last, all),
-    };
-    End {
+    let named = of_request.iter().rev().map(|line| line.field("runner"));
+    let runner = named.into_iter().find(|runner| !runner.is_empty());
+    let runner = runner.unwrap_or_default().to_owned();
+    let mut end = End {
         request: request.to_owned(),
         cause,
-        state,
+        runner,
+        reach: None,
+        state: Vec::new(),
+        alike: Vec::new(),
+    };
+    let last = match (&end.cause, of_request.last()) {
+        (Cause::Answered { .. }, _) | (_, None) => return end,
+        (_, Some(last)) => last,
+    };
+    end.reach = reach(&end.runner, last, all);
+    if matches!(end.cause, Cause::Late { .. }) {
+        return end;
+    }
+    end.state = state(last, all);
+    if end.state.iter().any(lacks_members) {
+        end.alike = alike(last, all);
     }
+    end
+}
+
+fn lacks_members(line: &Line) -> bool {
+    line.event == Event::MembersLost.number()
+}
+
+/// Finds the last line about a runner that a VM wrote until then.
+fn reach(runner: &str, last: &Line, all: &[Line]) -> Option<Line> {
+    let tells = |line: &&Line| {
+        let about = RUNNERS.iter().any(|event| event.number() == line.event);
+        about && line.field("runner") == runner && line.vm == last.vm && line.at <= last.at
+    };
+    let told = all.iter().filter(tells);
+    told.max_by(|a, b| a.at.cmp(&b.at)).cloned()
+}
+
+/// Names the other VMs whose last word about the VMs with a disk was then that too few answer.
+fn alike(last: &Line, all: &[Line]) -> Vec<String> {
+    let told = all.iter().filter(|line| {
+        let about = lacks_members(line) || line.event == Event::MembersRegained.number();
+        about && line.vm != last.vm && line.day_ms <= last.day_ms + NOTICED_MS
+    });
+    let mut told: Vec<&Line> = told.collect();
+    told.sort_by(|a, b| (&a.vm, &a.at).cmp(&(&b.vm, &b.at)));
+    let vms = told.chunk_by(|a, b| a.vm == b.vm);
+    let latest = vms.filter_map(|of_vm| of_vm.last());
+    let lacking = latest.filter(|line| lacks_members(line));
+    lacking.map(|line| line.vm.clone()).collect()
 }
 
 /// Finds the last line about each part of its own state that a VM wrote until then.
@@ -125,8 +211,7 @@
     let ends = of_request.iter().rev();
     for line in ends {
         if is(line, Event::RequestAnswered) {
-            let status = line.field("status").to_owned();
-            return Cause::Answered { status };
+            return answered(line, of_request);
         }
         if is(line, Event::RequestRefused) {
             return Cause::Refused {
@@ -156,10 +241,37 @@
     }
 }
 
+/// Tells whether an answer came in its program's time. A program that tells none has `finish_ms=0`.
+fn answered(line: &Line, of_request: &[&Line]) -> Cause {
+    let left_ms = line.number("finish_ms").unwrap_or_default();
+    let ms = line.number("ms").unwrap_or_default();
+    if left_ms == 0 || ms <= left_ms {
+        let status = line.field("status").to_owned();
+        return Cause::Answered { status };
+    }
+    let mut placed = of_request.iter().rev().copied();
+    let placed = placed.find(|line| line.event == Event::CallPlaced.number());
+    let placed_ms = placed.and_then(|line| line.number("waited_ms"));
+    Cause::Late {
+        ms,
+        left_ms,
+        placed_ms: placed_ms.unwrap_or_default(),
+    }
+}
+
 impl fmt::Display for Cause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Answered { status } => write!(f, "answered with status {status}"),
+            Self::Late {
+                ms,
+                left_ms,
+                placed_ms,
+            } => write!(
+                f,
+                "late: answered after {ms} ms, its program had {left_ms}; {placed_ms} ms until it was sent to its runner, {} from then on",
+                ms.saturating_sub(*placed_ms)
+            ),
             Self::Refused { code, why } => write!(f, "refused, {code}: {why}"),
             Self::Broken { why } => write!(f, "broken off: {why}"),
             Self::CallerGone => write!(f, "its caller left before the end"),
@@ -177,14 +289,38 @@
             writeln!(f, "{line}")?;
         }
         for end in &self.ends {
-            writeln!(f, "request {}: {}", end.request, end.cause)?;
-            for state in &end.state {
-                writeln!(f, "  its VM before that: {state}")?;
-            }
+            write!(f, "{end}")?;
+        }
+        for hole in &self.holes {
+            writeln!(f, "lines may be missing: {hole}")?;
         }
         Ok(())
     }
 }
 
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "request {}: {}", self.request, self.cause)?;
+        if self.runner.is_empty() {
+            writeln!(f)?;
+        } else {
+            writeln!(f, " (at runner {})", self.runner)?;
+        }
+        if let Some(reach) = &self.reach {
+            writeln!(f, "  its runner before that: {reach}")?;
+        }
+        for state in &self.state {
+            writeln!(f, "  its VM before that: {state}")?;
+        }
+        if !self.state.iter().any(lacks_members) {
+            return Ok(());
+        }
+        if self.alike.is_empty() {
+            return writeln!(f, "  no other VM told the same then");
+        }
+        writeln!(f, "  told the same then: {}", self.alike.join(", "))
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/trace/src/story/tests.rs
+++ b/crates/trace/src/story/tests.rs
@@ -76,3 +76,66 @@
     let why = "the time is over".to_owned();
     assert_eq!(story.ends[0].cause, Cause::Broken { why });
 }
+
+/// A turn is answered whole, but later than its program could wait. The story says so, and whether
+/// the time went before the runner or at it; one whose program told no time isn't called late.
+#[test]
+fn a_late_answer_tells_where_its_time_went() {
+    let all = lines(
+        "v at=2026-05-17T07:00:00.500 event=E1204 runner=i-2 why=Slow
+v at=2026-05-17T07:00:01.012 event=E1201 request=r1 runner=i-2 waited_ms=12
+v at=2026-05-17T07:00:02.600 event=E1103 request=r1 runner=i-2 status=200 ms=1600 finish_ms=500
+v at=2026-05-17T07:00:03.000 event=E1103 request=r2 runner=i-2 status=200 ms=1600 finish_ms=0",
+    );
+    let story = of("r1", &all);
+    let wanted = Cause::Late {
+        ms: 1_600,
+        left_ms: 500,
+        placed_ms: 12,
+    };
+    assert_eq!(story.ends[0].cause, wanted);
+    let text = story.to_string();
+    assert!(text.contains("1588 from then on (at runner i-2)"), "{text}");
+    assert!(text.contains("its runner before that: 2026-05-17T07:00:00.500 v E1204"));
+    let status = "200".to_owned();
+    assert_eq!(of("r2", &all).ends[0].cause, Cause::Answered { status });
+}
+
+/// Two VMs refuse turns for want of VMs with a disk, a third doesn't. Whether one VM is cut off or
+/// the VMs with a disk are away decides what on-call does; the story names who told the same.
+#[test]
+fn a_refusal_names_the_vms_that_told_the_same() {
+    let all = lines(
+        "u at=2026-05-17T07:00:00.000 event=E3108 answered=1 members=3
+u at=2026-05-17T07:00:00.900 event=E3109 answered=3 members=3
+v at=2026-05-17T07:00:01.000 event=E3108 answered=1 members=3
+v at=2026-05-17T07:00:01.100 event=E1102 request=r1 code=CY4107 why=few
+w at=2026-05-17T07:00:01.300 event=E3108 answered=1 members=3
+x at=2026-05-17T07:00:09.000 event=E3108 answered=1 members=3",
+    );
+    let story = of("r1", &all);
+    assert_eq!(story.ends[0].alike, ["w"]);
+    assert!(story.to_string().contains("told the same then: w\n"));
+    let alone: Vec<Line> = all.into_iter().filter(|line| line.vm == "v").collect();
+    let text = of("r1", &alone).to_string();
+    assert!(text.contains("no other VM told the same then"), "{text}");
+}
+
+/// A VM with a disk is killed while a turn waits for it. Its log says nothing of its end; the story
+/// tells that from its next start, and nothing of a process that ended long before.
+#[test]
+fn a_story_tells_which_processes_ended_without_a_word() {
+    let all = lines(
+        "old at=2026-05-17T06:00:00.000 event=E1001 vm=old
+old at=2026-05-17T06:00:02.000 event=E1001 vm=old
+disk at=2026-05-17T07:00:00.000 event=E1001 vm=disk
+front at=2026-05-17T07:00:01.000 event=E1201 request=r1 program=p1 runner=i-1
+front at=2026-05-17T07:00:03.000 event=E1208 request=r1 program=p1 why=\"the turn couldn't be kept\"
+disk at=2026-05-17T07:00:09.000 event=E1001 vm=disk",
+    );
+    let text = of("p1", &all).to_string();
+    assert!(text.contains("(at runner i-1)"), "{text}");
+    let told = "lines may be missing: the process on disk ended without a word after 2026-05-17T07:00:00.000; a new one started at 2026-05-17T07:00:09.000";
+    assert!(text.contains(told), "{text}");
+    assert!(!text.contains("on old"), "{text}");
+}
