Take a log's last line for torn where it has no end

The line that a killed process leaves without an end was read as whole, with the rest of its last value: code=CY4 for CY4107. It is left out and counted now, unless a closing quote ends it. Tests play torn, cut, missing and out-of-order logs through the verb.

Seen red before: a_line_without_an_end_is_torn; the other four were green at once.

--- a/crates/chestnutyoke/src/verbs/trace.rs
+++ b/crates/chestnutyoke/src/verbs/trace.rs
@@ -73,14 +73,17 @@
     stem.to_string_lossy().into_owned()
 }
 
-/// Reads the lines that name events. Others are left out, and told, as one may be torn.
+/// Reads the lines that name events. Others are left out, and told, as one may be torn: a line
+/// without an end is, too, unless a closing quote tells that its last value is whole.
 fn read(mut log: impl BufRead, name: &str) -> cli::Result<Vec<Line>> {
     let mut lines = Vec::new();
     let mut torn = 0;
     let mut bytes = Vec::new();
     while log.read_until(b'\n', &mut bytes)? > 0 {
         let text = String::from_utf8_lossy(&bytes);
-        match line::parse(text.trim_end(), name) {
+        let ends = text.ends_with(['\n', '"']);
+        let line = line::parse(text.trim_end(), name).filter(|_| ends);
+        match line {
             Some(line) => lines.push(line),
             None if text.contains("event=E") => torn += 1,
             None => {}
