Say which other VMs told the same also where they were served again soon after

A VM that noticed the loss and was back within the time in which others may notice it was told as having had none. Seen red before, in the case with a regained VM.

--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -80,9 +80,18 @@
     /// What its VM last noted of its own state before that, where it wasn't answered: a refusal says
     /// what is missing, these lines since when.
     pub state: Vec<Line>,
-    /// The other VMs that reached too few VMs with a disk at that time, where its own did: with none
-    /// its own VM is cut off, with all of them the VMs with a disk are away.
-    pub alike: Vec<String>,
+    /// Who else reached too few VMs with a disk at that time, where its own VM did.
+    pub alike: Option<Alike>,
+}
+
+/// Which VMs had the same trouble at the same time: where few did, their own VM is cut off, where all
+/// did, the VMs with a disk are away.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Alike {
+    /// How many other VMs the logs tell of that look for VMs with a disk.
+    pub others: usize,
+    /// Those of them that had it.
+    pub vms: Vec<String>,
 }
 
 /// The pairs of events that tell of a VM's own state.
@@ -147,7 +156,7 @@
         runner,
         reach: None,
         state: Vec::new(),
-        alike: Vec::new(),
+        alike: None,
     };
     let last = match (&end.cause, of_request.last()) {
         (Cause::Answered { .. }, _) | (_, None) => return end,
@@ -159,7 +168,7 @@
     }
     end.state = state(last, all);
     if end.state.iter().any(lacks_members) {
-        end.alike = alike(last, all);
+        end.alike = Some(alike(last, all));
     }
     end
 }
@@ -178,18 +187,28 @@
     told.max_by(|a, b| a.at.cmp(&b.at)).cloned()
 }
 
-/// Names the other VMs whose last word about the VMs with a disk was then that too few answer.
-fn alike(last: &Line, all: &[Line]) -> Vec<String> {
+/// Names the other VMs that reached too few VMs with a disk then, or noticed it just after.
+fn alike(last: &Line, all: &[Line]) -> Alike {
     let told = all.iter().filter(|line| {
         let about = lacks_members(line) || line.event == Event::MembersRegained.number();
-        about && line.vm != last.vm && line.day_ms <= last.day_ms + NOTICED_MS
+        about && line.vm != last.vm
     });
     let mut told: Vec<&Line> = told.collect();
     told.sort_by(|a, b| (&a.vm, &a.at).cmp(&(&b.vm, &b.at)));
-    let vms = told.chunk_by(|a, b| a.vm == b.vm);
-    let latest = vms.filter_map(|of_vm| of_vm.last());
-    let lacking = latest.filter(|line| lacks_members(line));
-    lacking.map(|line| line.vm.clone()).collect()
+    let vms: Vec<&[&Line]> = told.chunk_by(|a, b| a.vm == b.vm).collect();
+    let had = |of_vm: &&&[&Line]| {
+        let before = of_vm.partition_point(|line| line.at <= last.at);
+        let (before, after) = of_vm.split_at(before);
+        let soon = |line: &&&Line| line.day_ms <= last.day_ms + NOTICED_MS;
+        let mut after = after.iter().take_while(soon);
+        before.last().is_some_and(|line| lacks_members(line))
+            || after.any(|line| lacks_members(line))
+    };
+    let same = vms.iter().filter(had);
+    Alike {
+        others: vms.len(),
+        vms: same.map(|of_vm| of_vm[0].vm.clone()).collect(),
+    }
 }
 
 /// Finds the last line about each part of its own state that a VM wrote until then.
@@ -312,13 +331,13 @@
         for state in &self.state {
             writeln!(f, "  its VM before that: {state}")?;
         }
-        if !self.state.iter().any(lacks_members) {
-            return Ok(());
-        }
-        if self.alike.is_empty() {
-            return writeln!(f, "  no other VM told the same then");
+        if let Some(alike) = &self.alike {
+            let (same, others) = (alike.vms.len(), alike.others);
+            write!(f, "  told the same then: {same} of {others} other VMs")?;
+            let lead = if same > 0 { ": " } else { "" };
+            writeln!(f, "{lead}{}", alike.vms.join(", "))?;
         }
-        writeln!(f, "  told the same then: {}", self.alike.join(", "))
+        Ok(())
     }
 }
 
--- a/crates/trace/src/story/tests.rs
+++ b/crates/trace/src/story/tests.rs
@@ -111,14 +111,18 @@
 v at=2026-05-17T07:00:01.000 event=E3108 answered=1 members=3
 v at=2026-05-17T07:00:01.100 event=E1102 request=r1 code=CY4107 why=few
 w at=2026-05-17T07:00:01.300 event=E3108 answered=1 members=3
+w at=2026-05-17T07:00:01.400 event=E3109 answered=3 members=3
 x at=2026-05-17T07:00:09.000 event=E3108 answered=1 members=3",
     );
     let story = of("r1", &all);
-    assert_eq!(story.ends[0].alike, ["w"]);
-    assert!(story.to_string().contains("told the same then: w\n"));
+    let told = "told the same then: 1 of 3 other VMs: w\n";
+    assert!(story.to_string().contains(told), "{story}");
     let alone: Vec<Line> = all.into_iter().filter(|line| line.vm == "v").collect();
     let text = of("r1", &alone).to_string();
-    assert!(text.contains("no other VM told the same then"), "{text}");
+    assert!(
+        text.contains("told the same then: 0 of 0 other VMs\n"),
+        "{text}"
+    );
 }
 
 /// A VM with a disk is killed while a turn waits for it. Its log says nothing of its end; the story
