Test that a stopped reader of the log delays no request

A pipe that nobody reads was bounded by design only. A real process refuses 6,000 requests, a line each, with its standard output unread; 95 of 100 must have their answer within the aim for a first token, and when the reader goes on each line must be there or counted by E1005.

--- /dev/null
+++ b/crates/chestnutyoke/tests/output.rs
@@ -0,0 +1,182 @@
+//! The log's way out with a real process: a reader of standard output that stops holds up nobody.
+
+mod bench;
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use bench::PATIENCE;
+use bench::until_some;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+/// Requests, each with a line of its own: more than the queue of lines (4,096) and a pipe (65,536
+/// bytes, some 400 lines) hold together.
+const REQUESTS: usize = 6_000;
+/// Callers at a time.
+const CALLERS: usize = 4;
+/// How long 95 of 100 requests may take: the stated aim for a first token.
+const AIM: Duration = Duration::from_millis(640);
+
+/// A process of the front role whose standard output is a pipe, and its folder.
+struct Front {
+    child: Child,
+    callers: SocketAddr,
+    folder: PathBuf,
+}
+
+impl Front {
+    /// Starts the process. Its platform answers nothing, so that it refuses each request, with a line.
+    fn start() -> Self {
+        let [_, _, high, low] = process::id().to_be_bytes();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 0x30, high, low));
+        let folder = std::env::temp_dir().join(format!("chestnutyoke-output-{}", process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let settings = format!(
+            "node = \"front-a-1\"\nip = \"{ip}\"\nzone = \"a\"\nportRange = [7380, 7380]\n[listen]\nfront = \"{ip}:8149\"\nready = \"{ip}:8141\"\n[limits]\nmemoryMb = 110\ndiskMb = 500\n[tolerate]\nnodes = 1\n[bounds]\ngraceS = 8\napplyMs = 2000\ndrainMs = 2000\n[platform]\naddr = \"{ip}:8142\"\n"
+        );
+        let file = folder.join("settings.toml");
+        fs::write(&file, settings).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_chestnutyoke"))
+            .arg("front")
+            .env("CHESTNUTYOKE_CONFIG", file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        Self {
+            child,
+            callers: SocketAddr::new(ip, 8149),
+            folder,
+        }
+    }
+
+    /// Reads standard output from now on.
+    fn read(&mut self) -> Arc<Mutex<Vec<String>>> {
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let read = lines.clone();
+        let out = self.child.stdout.take().unwrap();
+        thread::spawn(move || {
+            for line in BufReader::new(out).lines() {
+                read.lock().unwrap().push(line.unwrap());
+            }
+        });
+        lines
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _gone = self.child.kill();
+        let _status = self.child.wait();
+        // Left behind only where another process uses it.
+        let _absent = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Sends a request, and yields how long its whole answer took.
+async fn ask(address: SocketAddr, id: &str) -> Duration {
+    let begun = Instant::now();
+    let answered = async {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let request = format!(
+            "POST /kept/x HTTP/1.1\r\nhost: x\r\nrequest-id: {id}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        answer
+    };
+    let answer = timeout(PATIENCE, answered).await.expect("no answer came");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    begun.elapsed()
+}
+
+/// Sends requests `from` to `to`, some at a time, and yields how long each took, the longest last.
+async fn ask_all(address: SocketAddr, from: usize, to: usize) -> Vec<Duration> {
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        callers.spawn(async move {
+            let mut took = Vec::new();
+            for at in (from + caller..to).step_by(CALLERS) {
+                took.push(ask(address, &format!("r{at}")).await);
+            }
+            took
+        });
+    }
+    let mut took = callers.join_all().await.concat();
+    took.sort_unstable();
+    took
+}
+
+/// Waits until something holds.
+async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    until_some(what, async || holds().await.then_some(())).await;
+}
+
+fn dropped(line: &str) -> Option<usize> {
+    line.contains("event=E1005")
+        .then(|| line.rsplit_once("lines=")?.1.parse().ok())?
+}
+
+/// Nobody reads a process's standard output, and its requests write more lines than the pipe and the
+/// queue hold. Each request is answered as quickly as it should be; a write that waits for its reader
+/// would hold all of them up for ever. When the reader goes on, each line is there or counted as
+/// dropped (E1005).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_reader_of_the_log_delays_no_request() {
+    let mut front = Front::start();
+    let address = front.callers;
+    until("the process listens", async || {
+        TcpStream::connect(address).await.is_ok()
+    })
+    .await;
+    let took = ask_all(address, 0, REQUESTS).await;
+    let (most, longest) = (took[REQUESTS * 95 / 100], took[REQUESTS - 1]);
+    println!("95 of 100 within {most:?}, all within {longest:?}");
+    assert!(most < AIM, "95 of 100 within {most:?}");
+
+    let lines = front.read();
+    let written = |lines: &[String]| {
+        let refused = lines.iter().filter(|line| line.contains("event=E1102"));
+        refused.count()
+    };
+    let mut sent = REQUESTS;
+    until("the count of dropped lines is written", async || {
+        ask(address, &format!("r{sent}")).await;
+        sent += 1;
+        lines
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|line| dropped(line).is_some())
+    })
+    .await;
+    until("each line is written or counted", async || {
+        let lines = lines.lock().unwrap();
+        let dropped: usize = lines.iter().filter_map(|line| dropped(line)).sum();
+        written(&lines) + dropped >= sent
+    })
+    .await;
+    let lines = lines.lock().unwrap();
+    let dropped: usize = lines.iter().filter_map(|line| dropped(line)).sum();
+    println!("{} written, {dropped} dropped of {sent}", written(&lines));
+    assert!(written(&lines) < sent, "the queue was never full");
+}
