Tell an outage of the platform for each subject in a story

E2102 and E2103 go by subject (the configuration, the runners, the VMs' own keys), and a story showed the later word of all: 'answers again' for the configuration hid that the runners' entries were still out of reach. Seen red before: an_outage_is_told_for_each_subject.

--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -211,16 +211,20 @@
     }
 }
 
-/// Finds the last line about each part of its own state that a VM wrote until then.
+/// Finds the last line about each part of its own state that a VM wrote until then; the parts of an
+/// outage are its subjects.
 fn state(last: &Line, all: &[Line]) -> Vec<Line> {
     let before = |line: &&Line| line.vm == last.vm && line.at <= last.at;
     let before: Vec<&Line> = all.iter().filter(before).collect();
-    let latest = |pair: &[Event; 2]| {
+    let mut latest = Vec::new();
+    for pair in STATES {
         let tells = |line: &&&Line| pair.iter().any(|event| event.number() == line.event);
-        let told = before.iter().filter(tells);
-        told.max_by(|a, b| a.at.cmp(&b.at)).copied().cloned()
-    };
-    STATES.iter().filter_map(latest).collect()
+        let mut told: Vec<&Line> = before.iter().filter(tells).copied().collect();
+        told.sort_by_key(|line| (line.field("subject"), &line.at));
+        let subjects = told.chunk_by(|a, b| a.field("subject") == b.field("subject"));
+        latest.extend(subjects.filter_map(|of_subject| of_subject.last().copied().cloned()));
+    }
+    latest
 }
 
 /// Names the cause of a request's end by its own lines, in order, and by what its VM did.
--- a/crates/trace/src/story/tests.rs
+++ b/crates/trace/src/story/tests.rs
@@ -143,3 +143,21 @@
     assert!(text.contains(told), "{text}");
     assert!(!text.contains("on old"), "{text}");
 }
+
+/// The platform's store answers again for one subject, not yet for another. A refusal while the runners'
+/// entries are still out of reach stands beside both words, not only the later one.
+#[test]
+fn an_outage_is_told_for_each_subject() {
+    let all = lines(
+        "v at=2026-05-17T07:00:00.000 event=E2102 subject=Config fault=late
+v at=2026-05-17T07:00:00.000 event=E2102 subject=Runners fault=late
+v at=2026-05-17T07:00:01.000 event=E2103 subject=Config failures=3
+v at=2026-05-17T07:00:02.000 event=E1102 request=r1 code=CY2204 why=none",
+    );
+    let story = of("r1", &all);
+    let state = story.ends[0].state.iter();
+    let told: Vec<(u16, &str)> = state
+        .map(|line| (line.event, line.field("subject")))
+        .collect();
+    assert_eq!(told, [(2103, "Config"), (2102, "Runners")]);
+}
