Say where a joined log bears no names of its VMs

Logs joined without the VMs' names read as one VM's: the story showed a disk VM's start as the state of the VM that refused. The verb now names the VMs that started in such a log.

--- a/crates/chestnutyoke/src/verbs/trace.rs
+++ b/crates/chestnutyoke/src/verbs/trace.rs
@@ -11,6 +11,7 @@
 use trace::line::Line;
 use trace::spent;
 use trace::story;
+use wire::event::Event;
 
 use crate::cli;
 use crate::cli::operate::Form;
@@ -93,5 +94,22 @@
     if torn > 0 {
         eprintln!("{name}: {torn} lines are torn and were left out");
     }
+    let vms = unnamed(&lines, name);
+    if vms.len() > 1 {
+        let vms = vms.join(", ");
+        eprintln!("{name}: lines of several VMs that don't bear their names: {vms}");
+    }
     Ok(lines)
 }
+
+/// Names the VMs that started in a log whose lines bear only the log's name: with several, what one
+/// noted of itself passes for another's.
+fn unnamed<'a>(lines: &'a [Line], name: &str) -> Vec<&'a str> {
+    let starts = lines
+        .iter()
+        .filter(|line| line.event == Event::NodeStarted.number() && line.vm == name);
+    let mut vms: Vec<&str> = starts.map(|line| line.field("vm")).collect();
+    vms.sort_unstable();
+    vms.dedup();
+    vms
+}
--- a/crates/chestnutyoke/tests/trace.rs
+++ b/crates/chestnutyoke/tests/trace.rs
@@ -117,3 +117,21 @@
     let wanted = "lines may be missing: front-a-1 dropped 12 lines before 2026-05-17T07:00:03.000";
     assert!(told.out.contains(wanted), "{}", told.out);
 }
+
+/// The logs of two VMs are joined with nothing that tells their lines apart. One VM's state would pass
+/// for the other's, so the verb says so.
+#[test]
+fn joined_logs_without_names_are_told() {
+    let other = STARTED.replace("front-a-1", "store-b-1");
+    let log = format!("{STARTED}{PLACED}{other}");
+    let told = trace("joined", "r1", &[("all.log", &log)]);
+    let wanted = "lines of several VMs that don't bear their names: front-a-1, store-b-1";
+    assert!(told.err.contains(wanted), "{}", told.err);
+    let named: Vec<String> = log
+        .lines()
+        .map(|line| format!("front-a-1 {line}"))
+        .collect();
+    let named = format!("{}\n", named.join("\n"));
+    let told = trace("named", "r1", &[("all.log", &named)]);
+    assert_eq!(told.err, "");
+}
