Tell that the caller of a repeatable call has left

Such a call is broken off with its caller, and its task ended without a line: in its story it read as a log that was cut. Red before, green after: explain::a_repeatable_call_whose_caller_leaves_is_explained.

--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -293,6 +293,20 @@
         Some((1 + 2 * self.route.rank.min(3)).min(9))
     }
 
+    /// Logs that the client left before its answer was whole.
+    pub fn log_gone(&self, events: u64) {
+        self.node.metrics.count(Counter::Gone);
+        log::info!(
+            "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={}",
+            Event::CallerGone.number(),
+            Event::CallerGone.text(),
+            self.call.id,
+            self.call.program.as_deref().unwrap_or_default(),
+            self.route.name,
+            self.age().as_u64()
+        );
+    }
+
     /// Logs the end of a request that ran.
     pub fn log_answered(&self, runner: &str, status: u16, events: u64, why: &str) {
         log::info!(
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -36,7 +36,7 @@
 /// off would leave its outcome unknown to everyone; `guard` has the process wait for it when it stops.
 pub async fn serve(job: Job, guard: work::Guard) -> Response<Body> {
     if job.route.kind == Kind::Idempotent {
-        return run(&job).await;
+        return run_watched(&job).await;
     }
     let (sender, receiver) = oneshot::channel();
     let node = job.node.clone();
@@ -63,6 +63,28 @@
     })
 }
 
+/// Tells that the caller has left where it is dropped before the call's end.
+struct Watch<'a> {
+    job: &'a Job,
+    ended: bool,
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.job.log_gone(0);
+        }
+    }
+}
+
+/// Runs a call that is broken off where its caller leaves.
+async fn run_watched(job: &Job) -> Response<Body> {
+    let mut watch = Watch { job, ended: false };
+    let response = run(job).await;
+    watch.ended = true;
+    response
+}
+
 async fn run(job: &Job) -> Response<Body> {
     match attempts(job).await {
         Ok(response) => response,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -122,7 +122,7 @@
     let begun = tokio::select! {
         begun = begin(&job, account) => begun,
         () = head.closed() => {
-            log_gone(&job, 0);
+            job.log_gone(0);
             account::settle(&job, account, 0);
             return;
         }
@@ -224,7 +224,7 @@
     // The end is the system's to send, so the length isn't the runner's to announce.
     response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
     if head.send(response).is_err() {
-        log_gone(job, 0);
+        job.log_gone(0);
         account::settle(job, account, 0);
         return;
     }
@@ -283,7 +283,7 @@
         }
         End::Gone => {
             account::settle(job, account, used);
-            log_gone(job, flow.events);
+            job.log_gone(flow.events);
         }
         End::Late => {
             account::settle(job, account, used);
@@ -504,19 +504,6 @@
     true
 }
 
-fn log_gone(job: &Job, events: u64) {
-    job.node.metrics.count(Counter::Gone);
-    log::info!(
-        "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={}",
-        Event::CallerGone.number(),
-        Event::CallerGone.text(),
-        job.call.id,
-        job.call.program.as_deref().unwrap_or_default(),
-        job.route.name,
-        job.age().as_u64()
-    );
-}
-
 fn log_broken(job: &Job, events: u64, why: &str) {
     job.node.metrics.count(Counter::Failed);
     log::warn!(
