Work out in one place what a half-life leaves of a weight

Mean::with is gone with its test: nothing but that test called it, as VMs don't tell each other speeds.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod class;
 pub mod displace;
 pub mod eject;
+pub mod fade;
 pub mod ledger;
 pub mod pace;
 pub mod place;
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -8,6 +8,8 @@
 
 use wire::clock::Millis;
 
+use crate::fade;
+
 /// In this time a sample loses half of its weight: long beside a call (some tenths of a second), so
 /// that the figure is made of some tens of calls, and short beside the times for which an endpoint
 /// turns slow.
@@ -34,10 +36,8 @@
 
     /// Yields the mean as it weighs at a later time.
     #[must_use]
-    #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52")]
     pub fn at(&self, now: Millis) -> Self {
-        let age = now.since(self.at).as_u64() as f64;
-        let left = (-age / HALF.as_u64() as f64).exp2();
+        let left = fade::left(now.since(self.at), HALF);
         Self {
             sum: self.sum * left,
             weight: self.weight * left,
@@ -45,16 +45,6 @@
         }
     }
 
-    /// Joins it with what others measured, both at the same time.
-    #[must_use]
-    pub fn with(&self, value: f64, weight: f64) -> Self {
-        Self {
-            sum: self.sum + value * weight,
-            weight: self.weight + weight,
-            at: self.at,
-        }
-    }
-
     /// Yields the value and how many samples it is worth; `None` where nothing was measured.
     #[must_use]
     pub fn value(&self) -> Option<(f64, f64)> {
--- a/crates/policy/src/pace/tests.rs
+++ b/crates/policy/src/pace/tests.rs
@@ -43,15 +43,3 @@
     assert!((pool[2].drawn_to(middle) - 7.0).abs() < 1e-9, "one sample");
     assert!((super::middle([Mean::default()].into_iter(), 1.0) - 1.0).abs() < 1e-9);
 }
-
-/// Two VMs have measured the same endpoint; together they know what one with all samples would.
-#[test]
-fn what_others_measured_adds_up() {
-    let own = mean(&[2.0, 4.0]);
-    let (value, weight) = mean(&[6.0]).value().expect("there is a sample");
-    let joined = own.with(value, weight).value().expect("there are samples");
-    assert_eq!(
-        joined,
-        mean(&[2.0, 4.0, 6.0]).value().expect("there are samples")
-    );
-}
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -10,6 +10,8 @@
 
 use wire::clock::Millis;
 
+use crate::fade;
+
 /// The share of an endpoint's memory that holds parts nobody works on. Measured on a day of twice
 /// the usual load: running prompts took up to half of it.
 pub const YIELDING: f64 = 0.5;
@@ -138,10 +140,8 @@
     }
 
     /// Weighs what was noted as it counts now.
-    #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52")]
     fn fade(&mut self, now: Millis) {
-        let age = now.since(self.at).as_u64() as f64;
-        let left = (-age / DEMAND_HALF.as_u64() as f64).exp2();
+        let left = fade::left(now.since(self.at), DEMAND_HALF);
         for (_, count) in &mut self.counts {
             *count *= left;
         }
