Fade a first part's count when it is read, and make the bound of followed parts explicit

The bound held before only because the part that exceeded it was the one dropped; now a new part is followed only where there is room, after parts with less than one turn's weight have been dropped. The part that came when they were dropped is kept, where before it was dropped with them; nothing else counts differently. Fleet's two searches for a service are one.

Three new tests.

--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -118,35 +118,56 @@
 /// The client's balancer spreads the work over the VMs, so that each sees about the same shares.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
-    /// In the order of the parts' ids.
-    counts: Vec<(u64, f64)>,
+    /// In the order of the parts' ids, at most [`MOST_FOLLOWED`].
+    counts: Vec<Count>,
     total: f64,
+    /// When a turn was noted last.
     at: Millis,
 }
 
+/// The turns that begin with one part, as they weighed when the last of them was noted.
+#[derive(Clone, Copy, Debug)]
+struct Count {
+    first: u64,
+    turns: f64,
+    at: Millis,
+}
+
+impl Count {
+    fn weigh(&self, now: Millis) -> f64 {
+        self.turns * fade::left(now.since(self.at), DEMAND_HALF)
+    }
+}
+
 impl Demand {
     /// Notes a turn that begins with a part.
     pub fn note(&mut self, first: u64, now: Millis) {
-        self.fade(now);
-        self.total += 1.0;
-        match self.counts.binary_search_by_key(&first, |(id, _)| *id) {
-            Ok(at) => self.counts[at].1 += 1.0,
-            Err(at) => self.counts.insert(at, (first, 1.0)),
+        self.total = self.total * fade::left(now.since(self.at), DEMAND_HALF) + 1.0;
+        self.at = now;
+        if let Ok(at) = self.find(first) {
+            let count = &mut self.counts[at];
+            count.turns = count.weigh(now) + 1.0;
+            count.at = now;
+            return;
         }
-        if self.counts.len() > MOST_FOLLOWED {
-            let few = |(_, count): &(u64, f64)| *count > 1.0;
-            self.counts.retain(few);
+        if self.counts.len() >= MOST_FOLLOWED {
+            self.counts.retain(|count| count.weigh(now) > 1.0);
         }
+        if self.counts.len() >= MOST_FOLLOWED {
+            return;
+        }
+        let count = Count {
+            first,
+            turns: 1.0,
+            at: now,
+        };
+        let at = self.counts.partition_point(|count| count.first < first);
+        self.counts.insert(at, count);
     }
 
-    /// Weighs what was noted as it counts now.
-    fn fade(&mut self, now: Millis) {
-        let left = fade::left(now.since(self.at), DEMAND_HALF);
-        for (_, count) in &mut self.counts {
-            *count *= left;
-        }
-        self.total *= left;
-        self.at = now;
+    fn find(&self, first: u64) -> Result<usize, usize> {
+        self.counts
+            .binary_search_by_key(&first, |count| count.first)
     }
 
     /// Yields how many of so many endpoints should hold a first part.
@@ -158,8 +179,8 @@
         reason = "a pool has some hundreds of endpoints"
     )]
     pub fn holders(&self, first: u64, endpoints: usize) -> usize {
-        let found = self.counts.binary_search_by_key(&first, |(id, _)| *id);
-        let count = found.map_or(0.0, |at| self.counts[at].1);
+        let found = self.find(first);
+        let count = found.map_or(0.0, |at| self.counts[at].weigh(self.at));
         let share = count / self.total.max(1.0);
         let wanted = (share * endpoints as f64 * SPREAD).ceil() as usize;
         wanted.max(PRESUMED_LEAST).min(endpoints)
--- a/crates/policy/src/prefix/tests.rs
+++ b/crates/policy/src/prefix/tests.rs
@@ -120,3 +120,58 @@
     let more = super::presumed(1, &(0..48).collect::<Vec<u64>>(), 9);
     assert!(few.iter().zip(&more).all(|(few, more)| !few || *more));
 }
+
+/// The load: more first parts than are followed, each asked for twice at once, so that none of them
+/// is rare. A VM that followed them all would hold and search as many as there are programs.
+#[test]
+fn no_more_parts_are_followed_than_the_bound() {
+    let mut demand = Demand::default();
+    let now = Millis::new(1_000);
+    for first in 0..2_000 {
+        demand.note(first, now);
+        demand.note(first, now);
+        assert!(demand.counts.len() <= super::MOST_FOLLOWED);
+    }
+    assert_eq!(demand.counts.len(), super::MOST_FOLLOWED);
+}
+
+/// All followed parts were popular and aren't any more. A part that becomes popular now is followed.
+#[test]
+fn a_new_part_takes_a_faded_ones_place() {
+    let mut demand = Demand::default();
+    for first in 0..2 * super::MOST_FOLLOWED as u64 {
+        demand.note(first, Millis::new(1_000));
+        demand.note(first, Millis::new(1_000));
+    }
+    for at in 0..100 {
+        demand.note(9_999, Millis::new(60_000 + at));
+    }
+    assert!(demand.holders(9_999, 48) > 40);
+    assert_eq!(demand.holders(0, 48), 3);
+}
+
+/// Parts are noted at times of their own; each counts by what is left of each note, as all notes
+/// weighed anew at the last one's time would say.
+#[test]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "the figures are small"
+)]
+fn a_part_counts_by_what_is_left_of_its_turns() {
+    let notes: Vec<(u64, u64)> = (0..300).map(|at| (at * at % 5, at * 137)).collect();
+    let mut demand = Demand::default();
+    for (first, at) in &notes {
+        demand.note(*first, Millis::new(*at));
+    }
+    let last = notes[notes.len() - 1].1;
+    let weight = |at: u64| (-((last - at) as f64) / 10_000.0).exp2();
+    let total: f64 = notes.iter().map(|(_, at)| weight(*at)).sum();
+    for part in 0..5 {
+        let own = notes.iter().filter(|(first, _)| *first == part);
+        let share = own.map(|(_, at)| weight(*at)).sum::<f64>() / total;
+        let wanted = (share * 600.0 * 2.0).ceil() as usize;
+        assert_eq!(demand.holders(part, 600), wanted.clamp(3, 600), "{part}");
+    }
+}
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -293,10 +293,7 @@
         let Some(first) = prompt.first() else {
             return;
         };
-        let found = self
-            .demand
-            .binary_search_by(|(known, _)| known.as_str().cmp(service));
-        let at = found.unwrap_or_else(|at| {
+        let at = self.find_demand(service).unwrap_or_else(|at| {
             let new = (service.to_owned(), Demand::default());
             self.demand.insert(at, new);
             at
@@ -305,10 +302,13 @@
     }
 
     fn demand(&self, service: &str) -> Option<&Demand> {
-        let found = self
-            .demand
-            .binary_search_by(|(known, _)| known.as_str().cmp(service));
-        found.ok().map(|at| &self.demand[at].1)
+        let at = self.find_demand(service).ok()?;
+        Some(&self.demand[at].1)
+    }
+
+    fn find_demand(&self, service: &str) -> Result<usize, usize> {
+        self.demand
+            .binary_search_by(|(known, _)| known.as_str().cmp(service))
     }
 
     /// Yields the pace of the service's runners that nobody has measured.
