Call members from one module

Writers and readers (replica::client) and members that learn (replica::member) each had their own encoding of a request, and their own way of telling a member a newer list and asking it again. replica::call serves both. holdings_of passed over the own member when it asked and again when it read the answers; it now yields the answers of those asked, and the own line of the earlier list is looked at where it counts. Members that have to be told the list are asked again at the same time, as the others are.

--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -1,30 +1,24 @@
 //! The readers' and writers' side: asks the members of a group and judges their answers.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
-use hyper::Method;
-use hyper::Request;
-use link::body::Payload;
 use link::client::Client;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::call;
 use crate::ledger::Entry;
 use crate::list;
 use crate::list::List;
 use crate::list::Member;
-use crate::message;
 use crate::message::Answer;
-use crate::message::Ask;
 use crate::message::Body;
 use crate::message::Link;
 use crate::quorum;
@@ -34,8 +28,6 @@
 use crate::record::Reservation;
 use crate::record::Settlement;
 
-/// How long a member may take to answer: some hundred times a sync and a way across data centres.
-const ANSWER: Duration = Duration::from_millis(700);
 /// How long the last members are waited for once a majority has a reservation. All members' answers
 /// save a second round; a member that is down or cut off mustn't cost more than that round.
 const STRAGGLERS: Duration = Duration::from_millis(6);
@@ -48,8 +40,6 @@
 const LEARNING_PAUSE: Duration = Duration::from_millis(40);
 /// See [`LEARNING_PAUSE`].
 const LEARNING_TRIES: usize = 8;
-/// The longest answer in bytes.
-const MAX_ANSWER: usize = 32 * 1024 * 1024;
 
 /// Why the members gave no answer that can be relied on.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -164,7 +154,7 @@
     pub async fn apply(&self, key: Key, records: Vec<Record>) -> Result<()> {
         for _ in 0..RELISTED {
             let (list, group) = self.group(key)?;
-            let mut asked = self.ask_all(&list, &group, &Body::Apply(records.clone()))?;
+            let mut asked = self.ask_all(&list, &group, Body::Apply(records.clone()))?;
             let mut done = 0;
             let mut failed = 0;
             let mut relisted = false;
@@ -210,11 +200,11 @@
     async fn reserve_once(&self, fact: &Reservation, budget: u64) -> Result<Verdict> {
         let (list, group) = self.group(fact.program)?;
         let body = Body::Apply(vec![Record::Reserve(*fact)]);
-        let mut asked = self.ask_all(&list, &group, &body)?;
+        let mut asked = self.ask_all(&list, &group, body)?;
         let mut known = Vec::new();
         let mut failed = 0;
         let mut relisted = false;
-        let mut until = Instant::now() + ANSWER * 2;
+        let mut until = Instant::now() + call::ANSWER * 2;
         let mut state = quorum::Write::Waiting;
         // Ends early where the stragglers' time is over.
         while let Ok(Some(answer)) = timeout_at(until, asked.recv()).await {
@@ -261,7 +251,7 @@
         group: &[Member],
         program: Key,
     ) -> Result<Vec<Vec<Entry>>> {
-        let mut asked = self.ask_all(list, group, &Body::Account(program))?;
+        let mut asked = self.ask_all(list, group, Body::Account(program))?;
         let mut known = Vec::new();
         let mut fault = Fault::TooFew;
         while let Some(answer) = asked.recv().await {
@@ -307,20 +297,17 @@
 
     async fn chain_once(&self, key: Key) -> Result<Found> {
         let (list, group) = self.group(key)?;
-        let ask = Ask {
-            version: list.version,
-            body: Body::Chain(key),
-        };
         let near = group.iter().find(|member| member.centre == self.centre);
         if let Some(near) = near {
-            let answer = timeout(HEDGE, ask_one(&self.http, near.address, &ask)).await;
+            let asked = call::ask(&self.http, near.address, list.version, Body::Chain(key));
+            let answer = timeout(HEDGE, asked).await;
             if let Ok(Some(Answer::Chain(chain))) = answer
                 && !chain.turns.is_empty()
             {
                 return Ok(Found::Part(chain.turns, chain.next));
             }
         }
-        let mut asked = self.ask_all(&list, &group, &ask.body)?;
+        let mut asked = self.ask_all(&list, &group, Body::Chain(key))?;
         let mut absent = 0;
         let mut fault = Fault::TooFew;
         while let Some(answer) = asked.recv().await {
@@ -347,15 +334,11 @@
         let mut answered = Vec::new();
         let mut asked = Vec::new();
         for member in &list.members {
-            let ask = Ask {
-                version: list.version,
-                body: Body::Status,
-            };
             let http = self.http.clone();
-            let address = member.address;
+            let (address, version) = (member.address, list.version);
             asked.push(tokio::spawn(async move {
-                let answer = timeout(patience, ask_one(&http, address, &ask));
-                answer.await.ok().flatten()
+                let answer = call::ask(&http, address, version, Body::Status);
+                timeout(patience, answer).await.ok().flatten()
             }));
         }
         for (member, answer) in list.members.iter().zip(asked) {
@@ -387,85 +370,19 @@
         &self,
         list: &Arc<List>,
         group: &[Member],
-        body: &Body,
+        body: Body,
     ) -> Result<mpsc::Receiver<Option<Answer>>> {
-        let ask = Ask {
-            version: list.version,
-            body: body.clone(),
-        };
-        let bytes = rmp_serde::to_vec(&ask).map_err(|fault| {
-            log::error!("text=\"a request can't be encoded\" fault=\"{fault}\"");
-            Fault::TooFew
-        })?;
-        let bytes = Bytes::from(bytes);
+        let bytes = call::encode(list.version, body).ok_or(Fault::TooFew)?;
         let (sender, receiver) = mpsc::channel(group.len().max(1));
         for member in group {
-            let sender = sender.clone();
-            let asked = asked(
-                self.http.clone(),
-                member.clone(),
-                bytes.clone(),
-                list.clone(),
-            );
+            let (http, list) = (self.http.clone(), list.clone());
+            let (member, bytes, sender) = (member.clone(), bytes.clone(), sender.clone());
             tokio::spawn(async move {
+                let answer = call::ask_by(&http, &member, &list, bytes).await;
                 // The receiver may have enough answers already.
-                let _enough = sender.send(asked.await).await;
+                let _enough = sender.send(answer).await;
             });
         }
         Ok(receiver)
     }
 }
-
-async fn ask_one(http: &Arc<Client>, address: SocketAddr, ask: &Ask) -> Option<Answer> {
-    let bytes = rmp_serde::to_vec(ask).ok()?;
-    send(http, address, Bytes::from(bytes)).await
-}
-
-/// Asks a member; one that goes by an older list is told the newer one and asked again.
-async fn asked(http: Arc<Client>, member: Member, bytes: Bytes, list: Arc<List>) -> Option<Answer> {
-    let answer = send(&http, member.address, bytes.clone()).await;
-    if answer != Some(Answer::Older) {
-        return answer;
-    }
-    let adopt = Ask {
-        version: list.version,
-        body: Body::Adopt(List::clone(&list)),
-    };
-    let adopt = rmp_serde::to_vec(&adopt).ok()?;
-    send(&http, member.address, Bytes::from(adopt)).await?;
-    send(&http, member.address, bytes).await
-}
-
-/// Sends a request to a member; `None` where it fails in any way.
-pub async fn send(http: &Arc<Client>, address: SocketAddr, body: Bytes) -> Option<Answer> {
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(message::PATH)
-        .header("host", address.to_string())
-        .body(Payload::from(body))
-        .ok()?;
-    let exchange = async {
-        let reply = http.send(address, request).await?;
-        reply.body.whole(MAX_ANSWER).await
-    };
-    let bytes = match timeout(ANSWER, exchange).await {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(fault)) => {
-            log::debug!("member {address}: {fault}");
-            return None;
-        }
-        Err(_) => {
-            log::debug!("member {address}: no answer in time");
-            return None;
-        }
-    };
-    match rmp_serde::from_slice(&bytes) {
-        Ok(answer) => Some(answer),
-        Err(fault) => {
-            log::warn!(
-                "text=\"a member's answer can't be read\" member={address} fault=\"{fault}\""
-            );
-            None
-        }
-    }
-}
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -8,6 +8,7 @@
 //! compare-and-swap in the platform's key-value service. A member refuses requests under another
 //! version than its own, so no majority of an old list forms once a new one is in use.
 
+pub mod call;
 pub mod client;
 pub mod disk;
 pub mod gain;
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use link::client::Client;
 use platform::edge::Compare;
 use platform::edge::Entry;
@@ -23,14 +22,13 @@
 use wire::clock::Clock;
 use wire::clock::Millis;
 
-use crate::client;
+use crate::call;
 use crate::gain;
 use crate::gain::Scope;
 use crate::ledger::Account;
 use crate::list;
 use crate::list::List;
 use crate::message::Answer;
-use crate::message::Ask;
 use crate::message::Body;
 use crate::message::Holdings;
 use crate::message::Status;
@@ -95,20 +93,6 @@
     outage: bool,
 }
 
-fn encode(version: u64, body: &Body) -> Option<Bytes> {
-    let ask = Ask {
-        version,
-        body: body.clone(),
-    };
-    match rmp_serde::to_vec(&ask) {
-        Ok(bytes) => Some(Bytes::from(bytes)),
-        Err(fault) => {
-            log::error!("text=\"a request can't be encoded\" fault=\"{fault}\"");
-            None
-        }
-    }
-}
-
 impl Driver {
     /// Drives the member for as long as it is polled.
     pub async fn run(self) {
@@ -263,7 +247,7 @@
     }
 
     async fn ask(&self, member: &list::Member, version: u64, body: Body) -> Option<Answer> {
-        client::send(&self.http, member.address, encode(version, &body)?).await
+        call::ask(&self.http, member.address, version, body).await
     }
 
     /// Learns all that was acknowledged before this list.
@@ -278,18 +262,13 @@
         let mut whole = Vec::new();
         let ready = self.member.status().ready;
         let scope = gain::scope(list, &self.own, ready, self.losses);
-        let answers = self.holdings_of(&list.before, list, scope).await;
-        for (member, holdings) in list.before.iter().zip(answers) {
-            if *member == self.own {
-                heard.push(member);
-                if ready + 1 >= list.version {
-                    whole.push(member);
-                }
-                continue;
+        if let Some(own) = list.before.iter().find(|member| **member == self.own) {
+            heard.push(own);
+            if ready + 1 >= list.version {
+                whole.push(own);
             }
-            let Some(holdings) = holdings else {
-                continue;
-            };
+        }
+        for (member, holdings) in self.holdings_of(&list.before, list, scope).await {
             if let Err(fault) = self.take_over(member, list, &holdings).await {
                 log::warn!(
                     "text=\"a member's records not learnt\" member={} fault=\"{fault}\"",
@@ -326,14 +305,14 @@
         );
     }
 
-    /// Asks members at the same time for what they hold: those that don't answer cost their time
-    /// once, not one after the other.
-    async fn holdings_of(
+    /// Asks the other members at the same time for what they hold, and yields what was answered:
+    /// those that don't answer cost their time once, not one after the other.
+    async fn holdings_of<'a>(
         &self,
-        members: &[list::Member],
+        members: &'a [list::Member],
         list: &List,
         scope: Scope,
-    ) -> Vec<Option<Holdings>> {
+    ) -> Vec<(&'a list::Member, Holdings)> {
         let body = match scope {
             Scope::All => Body::Keys,
             Scope::Gained => Body::Gained {
@@ -341,57 +320,27 @@
                 losses: self.losses,
             },
         };
+        let Some(bytes) = call::encode(list.version, body) else {
+            return Vec::new();
+        };
         let mut asked = Vec::new();
         for member in members.iter().filter(|member| **member != self.own) {
-            let http = self.http.clone();
-            let address = member.address;
-            let bytes = encode(list.version, &body);
-            asked.push(tokio::spawn(async move {
-                client::send(&http, address, bytes?).await
-            }));
+            let (http, bytes) = (self.http.clone(), bytes.clone());
+            let (to, list) = (member.clone(), list.clone());
+            let answer = tokio::spawn(async move { call::ask_by(&http, &to, &list, bytes).await });
+            asked.push((member, answer));
         }
-        let mut asked = asked.into_iter();
         let mut all = Vec::new();
-        for member in members {
-            if *member == self.own {
-                all.push(None);
-                continue;
+        for (member, answer) in asked {
+            match answer.await {
+                Ok(Some(Answer::Keys(holdings))) => all.push((member, holdings)),
+                Ok(Some(Answer::Newer(newer))) => self.adopt(&newer).await,
+                _ => {}
             }
-            let answer = match asked.next() {
-                Some(asked) => asked.await.ok().flatten(),
-                None => None,
-            };
-            all.push(self.judge(member, list, &body, answer).await);
         }
         all
     }
 
-    /// Takes a member's answer; one that goes by an older list is told this one and asked again.
-    async fn judge(
-        &self,
-        member: &list::Member,
-        list: &List,
-        body: &Body,
-        answer: Option<Answer>,
-    ) -> Option<Holdings> {
-        match answer? {
-            Answer::Keys(holdings) => Some(holdings),
-            Answer::Older => {
-                self.ask(member, list.version, Body::Adopt(list.clone()))
-                    .await?;
-                match self.ask(member, list.version, body.clone()).await? {
-                    Answer::Keys(holdings) => Some(holdings),
-                    _ => None,
-                }
-            }
-            Answer::Newer(newer) => {
-                self.adopt(&newer).await;
-                None
-            }
-            _ => None,
-        }
-    }
-
     async fn take_over(
         &self,
         member: &list::Member,
@@ -441,11 +390,7 @@
             return;
         }
         memory.compared = true;
-        let answers = self.holdings_of(&list.members, list, Scope::All).await;
-        for (member, holdings) in list.members.iter().zip(answers) {
-            let Some(holdings) = holdings else {
-                continue;
-            };
+        for (member, holdings) in self.holdings_of(&list.members, list, Scope::All).await {
             if let Err(fault) = self.take_over(member, list, &holdings).await {
                 log::warn!(
                     "text=\"a member's records not compared\" member={} fault=\"{fault}\"",
