--- /dev/null
+++ b/crates/replica/src/server/read.rs
@@ -0,0 +1,85 @@
+//! What a member tells of what it holds.
+
+use crate::message::Answer;
+use crate::message::Chain;
+use crate::message::Holdings;
+use crate::message::Link;
+use crate::record::Key;
+use crate::record::Record;
+use crate::record::Turn;
+use crate::server::Member;
+use crate::server::failed;
+
+/// How much text an answer holds before it stops: a part of what a small VM can buffer.
+const MAX_TEXT: usize = 512 * 1024;
+
+impl Member {
+    pub(super) fn chain(&self, key: Key) -> Answer {
+        let mut chain = Chain::default();
+        let mut text = 0;
+        let mut next = Some(key);
+        while let Some(key) = next {
+            let Some(line) = self.lock().index.find(key) else {
+                break;
+            };
+            if text > MAX_TEXT {
+                break;
+            }
+            match self.disk.read(line.place) {
+                Ok(Record::Turn(turn)) => {
+                    text += turn.text.len();
+                    chain.turns.push(Link {
+                        key,
+                        text: turn.text,
+                    });
+                    next = turn.previous;
+                }
+                Ok(_) => return Answer::Failed("another record lies there".to_owned()),
+                Err(fault) => return failed(&fault),
+            }
+        }
+        chain.next = next;
+        Answer::Chain(chain)
+    }
+
+    /// Yields what the member holds, for one that has to learn it.
+    #[must_use]
+    pub(super) fn holdings(&self) -> Holdings {
+        let state = self.lock();
+        Holdings {
+            ready: state.identity.ready,
+            turns: state.index.keys(),
+            accounts: state.ledger.accounts(),
+        }
+    }
+
+    pub(super) fn fetch(&self, keys: &[Key]) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        let mut text = 0;
+        for key in keys {
+            let Some(line) = self.lock().index.find(*key) else {
+                continue;
+            };
+            match self.disk.read(line.place) {
+                Ok(Record::Turn(turn)) => {
+                    text += turn.text.len();
+                    turns.push(turn);
+                }
+                Ok(_) => {}
+                Err(fault) => log::error!("text=\"a turn can't be read\" fault=\"{fault}\""),
+            }
+            if text > MAX_TEXT {
+                break;
+            }
+        }
+        turns
+    }
+
+    /// Yields which of these turns aren't here.
+    #[must_use]
+    pub fn missing(&self, keys: &[Key]) -> Vec<Key> {
+        let state = self.lock();
+        let absent = |key: &&Key| state.index.find(**key).is_none();
+        keys.iter().filter(absent).copied().collect()
+    }
+}
