Write a member's events by their names

All come from wire::event::Event now, so the lines are the same; the two that stood at several places are written by list::log_in_force and disk::log_failed.

--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -137,12 +137,7 @@
         if list.version <= own.version {
             return;
         }
-        log::info!(
-            "event=E3101 text=\"list of members in force\" version={} before={} members={}",
-            list.version,
-            own.version,
-            list.members.len()
-        );
+        list::log_in_force(&list, own.version);
         *own = Arc::new(list);
     }
 
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -22,6 +22,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::oneshot;
+use wire::event;
 
 use crate::index::Place;
 use crate::list::List;
@@ -147,6 +148,15 @@
     })
 }
 
+/// Logs that the disk failed.
+pub fn log_failed(fault: &io::Error) {
+    log::error!(
+        "event=E{} text=\"{}\" fault=\"{fault}\"",
+        event::Event::DiskFailed.number(),
+        event::Event::DiskFailed.text()
+    );
+}
+
 fn identity(folder: &Path) -> io::Result<Option<Identity>> {
     match fs::read(folder.join(IDENTITY)) {
         Ok(bytes) => {
--- a/crates/replica/src/list.rs
+++ b/crates/replica/src/list.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use wire::event::Event;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::record::Key;
@@ -179,6 +180,17 @@
     xxh3_64(&text[..end])
 }
 
+/// Logs that a list is in force after the one of version `before`.
+pub fn log_in_force(list: &List, before: u64) {
+    log::info!(
+        "event=E{} text=\"{}\" version={} before={before} members={}",
+        Event::MembersChanged.number(),
+        Event::MembersChanged.text(),
+        list.version,
+        list.members.len()
+    );
+}
+
 /// Yields how many of a group make a majority.
 #[must_use]
 pub const fn majority(group: usize) -> usize {
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -21,8 +21,10 @@
 use tokio::sync::watch;
 use wire::clock::Clock;
 use wire::clock::Millis;
+use wire::event::Event;
 
 use crate::call;
+use crate::disk;
 use crate::gain;
 use crate::gain::Scope;
 use crate::ledger::Account;
@@ -108,7 +110,7 @@
 
     async fn step(&self, memory: &mut Memory) {
         if let Err(fault) = self.member.sweep().await {
-            log::error!("event=E3105 text=\"the disk failed\" fault=\"{fault}\"");
+            disk::log_failed(&fault);
         }
         self.reread(memory).await;
         let identity = self.member.identity();
@@ -146,14 +148,22 @@
         match self.platform.read(&self.key).await {
             Ok(entry) => {
                 if memory.outage {
-                    log::info!("event=E2103 text=\"platform outage ended\"");
+                    log::info!(
+                        "event=E{} text=\"{}\"",
+                        Event::OutageEnded.number(),
+                        Event::OutageEnded.text()
+                    );
                 }
                 memory.outage = false;
                 self.take(memory, entry).await;
             }
             Err(fault) => {
                 if !memory.outage {
-                    log::warn!("event=E2102 text=\"platform outage began\" fault=\"{fault}\"");
+                    log::warn!(
+                        "event=E{} text=\"{}\" fault=\"{fault}\"",
+                        Event::OutageBegan.number(),
+                        Event::OutageBegan.text()
+                    );
                 }
                 memory.outage = true;
             }
@@ -174,7 +184,7 @@
 
     async fn adopt(&self, list: &List) {
         if let Err(fault) = self.member.adopt(list).await {
-            log::error!("event=E3105 text=\"the disk failed\" fault=\"{fault}\"");
+            disk::log_failed(&fault);
         }
     }
 
@@ -187,7 +197,9 @@
         let needed = list::meeting(list.group_size(self.losses));
         if list.version > 0 && !list.covers(&ready, self.losses, needed) {
             log::info!(
-                "event=E3104 text=\"change of members waits\" version={} ready={} members={}",
+                "event=E{} text=\"{}\" version={} ready={} members={}",
+                Event::ChangeWaits.number(),
+                Event::ChangeWaits.text(),
                 list.version,
                 ready.len(),
                 list.members.len()
@@ -284,7 +296,9 @@
         let enough = gain::is_enough(list, &heard, &whole, self.losses);
         if !enough {
             log::warn!(
-                "event=E3103 text=\"records not yet learnt\" version={} heard={} whole={} before={}",
+                "event=E{} text=\"{}\" version={} heard={} whole={} before={}",
+                Event::RecordsMissing.number(),
+                Event::RecordsMissing.text(),
                 list.version,
                 heard.len(),
                 whole.len(),
@@ -294,11 +308,13 @@
             return;
         }
         if let Err(fault) = self.member.set_ready(list.version).await {
-            log::error!("event=E3105 text=\"the disk failed\" fault=\"{fault}\"");
+            disk::log_failed(&fault);
             return;
         }
         log::info!(
-            "event=E3102 text=\"records learnt\" version={} heard={} ms={}",
+            "event=E{} text=\"{}\" version={} heard={} ms={}",
+            Event::RecordsLearnt.number(),
+            Event::RecordsLearnt.text(),
             list.version,
             heard.len(),
             self.clock.now().since(started).as_u64()
@@ -424,7 +440,11 @@
             return;
         }
         if let Some(vm) = memory.silence.lapsed(list, now) {
-            log::warn!("event=E3106 text=\"silent member taken off the list\" member={vm}");
+            log::warn!(
+                "event=E{} text=\"{}\" member={vm}",
+                Event::MemberEvicted.number(),
+                Event::MemberEvicted.text()
+            );
             let next = list.without(vm);
             self.propose(memory, list, &next).await;
         }
@@ -436,7 +456,9 @@
             return;
         }
         log::info!(
-            "event=E3107 text=\"all records are elsewhere\" version={}",
+            "event=E{} text=\"{}\" version={}",
+            Event::MemberLeft.number(),
+            Event::MemberLeft.text(),
             list.version
         );
         self.phase.send_replace(Phase::Left);
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -30,6 +30,7 @@
 use crate::index::Index;
 use crate::index::Line;
 use crate::ledger::Ledger;
+use crate::list;
 use crate::list::List;
 use crate::message::Answer;
 use crate::message::Ask;
@@ -152,12 +153,7 @@
             if list.version <= state.identity.list.version {
                 return Ok(());
             }
-            log::info!(
-                "event=E3101 text=\"list of members in force\" version={} before={} members={}",
-                list.version,
-                state.identity.list.version,
-                list.members.len()
-            );
+            list::log_in_force(list, state.identity.list.version);
             state.identity.list = list.clone();
             state.identity.clone()
         };
@@ -250,7 +246,7 @@
 }
 
 fn failed(fault: &io::Error) -> Answer {
-    log::error!("event=E3105 text=\"the disk failed\" fault=\"{fault}\"");
+    disk::log_failed(fault);
     Answer::Failed(fault.to_string())
 }
 
