Log each runner that is marked as unreachable, and give the tries around it an event of their own

Runners around a silent one were marked as unreachable without a line, so E5008 (reached again) came for runners that no E5007 had named; and E5007 with tried= named the first one twice. One function marks a runner and logs it, for requests that break and for tries beside the traffic. The line with tried= is E5009 now. Target, which the fleet builds, stands with its runners.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -20,7 +20,7 @@
 use wire::clock::Millis;
 
 use crate::fleet::runner::Runner;
-use crate::reach::Target;
+use crate::fleet::runner::Target;
 use crate::tally::Source;
 use crate::tally::Tally;
 
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -1,5 +1,7 @@
 //! One runner as this VM knows it: what it says, what others tell of it, what its answers showed.
 
+use std::net::SocketAddr;
+
 use adapter::runner::Entry;
 use adapter::runner::Load;
 use adapter::runner::State;
@@ -14,7 +16,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::Want;
-use crate::reach::Target;
 use crate::tally::Told;
 
 /// Prompt tokens that an engine reads in the time in which it generates one: 205 to 280 at three
@@ -63,6 +64,17 @@
     pub(super) missing_since: Option<Millis>,
 }
 
+/// Where a runner is tried beside the traffic.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Its id.
+    pub id: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub centre: String,
+}
+
 impl Runner {
     pub(super) fn new(id: &str, entry: Entry, memory: u64) -> Self {
         Self {
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -11,34 +11,30 @@
 use link::client::Fault;
 use wire::event::Event;
 
+use crate::fleet::runner::Target;
 use crate::node::Node;
 
-/// A runner to be tried.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Target {
-    /// Its id.
-    pub id: String,
-    /// Where it answers.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub centre: String,
-}
-
 /// Notes that a connection to a runner broke or could not be made, and tries it again. Others that
 /// are kept to it may hang in the same way, so they are dropped.
 pub fn note_broken(node: &Arc<Node>, id: &str, address: SocketAddr) {
+    if let Some(target) = mark(node, id, address) {
+        tokio::spawn(first(node.clone(), target));
+    }
+}
+
+/// Marks a runner as one that can't be reached; yields where to try it again if that is news, which
+/// is logged.
+fn mark(node: &Node, id: &str, address: SocketAddr) -> Option<Target> {
     node.runners.forget(address);
     let now = node.clock.now();
-    let Some(target) = node.fleet().lose(id, now) else {
-        return;
-    };
+    let target = node.fleet().lose(id, now)?;
     log::info!(
         "event=E{} text=\"{}\" runner={id} centre={}",
         Event::EndpointUnreachable.number(),
         Event::EndpointUnreachable.text(),
         target.centre
     );
-    tokio::spawn(first(node.clone(), target));
+    Some(target)
 }
 
 /// Tries the runners that are known to be unreachable once more.
@@ -59,8 +55,8 @@
     let around = node.fleet().unheard(&target.centre, now);
     log::info!(
         "event=E{} text=\"{}\" runner={} centre={} tried={}",
-        Event::EndpointUnreachable.number(),
-        Event::EndpointUnreachable.text(),
+        Event::EndpointSilent.number(),
+        Event::EndpointSilent.text(),
         target.id,
         target.centre,
         around.len()
@@ -69,9 +65,7 @@
         let node = node.clone();
         tokio::spawn(async move {
             if connect(&node, &target).await == Outcome::Silent {
-                node.runners.forget(target.address);
-                let now = node.clock.now();
-                node.fleet().lose(&target.id, now);
+                mark(&node, &target.id, target.address);
             }
         });
     }
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -75,6 +75,7 @@
     EntryUnreadable = 5006, "an entry names no endpoint";
     EndpointUnreachable = 5007, "endpoint can't be reached";
     EndpointReachable = 5008, "endpoint can be reached again";
+    EndpointSilent = 5009, "nothing answers at an endpoint";
 }
 
 impl fmt::Display for Event {
