Call whose figures a tally is its origin

follow::Source says where a VM learns of a subject, tally::Source said whose figures a tally has. The latter is tally::Origin now; messages between VMs are the same, as fields go by place.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -36,7 +36,7 @@
 use crate::roster::Roster;
 use crate::tally;
 use crate::tally::Audience;
-use crate::tally::Source;
+use crate::tally::Origin;
 use crate::tally::Tally;
 
 /// The path of the exchange.
@@ -67,7 +67,7 @@
     /// The VM.
     pub vm: String,
     /// Whose tallies these are.
-    pub source: Source,
+    pub origin: Origin,
     /// What the VM, and other VMs that it speaks for, have at runners; in the order of their ids.
     pub tallies: Vec<Tally>,
     /// The roster's revision that it has.
@@ -124,12 +124,12 @@
 fn message(node: &Node, to: &str, roster: u64, config: u64) -> Message {
     let now = node.clock.now();
     let settings = &node.settings;
-    let (source, tallies) = tell(node, to, now);
+    let (origin, tallies) = tell(node, to, now);
     let table = node.table();
     let known = node.roster();
     Message {
         vm: settings.vm.clone(),
-        source,
+        origin,
         tallies,
         roster: known.revision,
         roster_age: node.runners_age().as_u64(),
@@ -141,7 +141,7 @@
 
 /// Yields what a VM is told of the runners, and whose figures these are: a hub tells its own VMs
 /// all that it knows of the others, and other hubs the sum of its data centre.
-fn tell(node: &Node, to: &str, now: Millis) -> (Source, Vec<Tally>) {
+fn tell(node: &Node, to: &str, now: Millis) -> (Origin, Vec<Tally>) {
     let settings = &node.settings;
     let peers = node.peers();
     let near = |vm: &str| {
@@ -151,16 +151,16 @@
     match peers.place(&settings.vm, &settings.centre, now) {
         Place::Direct | Place::Leaf => {
             let tallies = node.fleet().tallies(now, |_| false);
-            (Source::Vm(settings.vm.clone()), tallies)
+            (Origin::Vm(settings.vm.clone()), tallies)
         }
         Place::Hub => {
-            let (audience, source) = if near(to) {
-                (Audience::Near(to), Source::Others)
+            let (audience, origin) = if near(to) {
+                (Audience::Near(to), Origin::Others)
             } else {
-                (Audience::Far, Source::Centre(settings.centre.clone()))
+                (Audience::Far, Origin::Centre(settings.centre.clone()))
             };
-            let told_on = |of: &Source| tally::is_told_on(of, audience, &settings.centre, near);
-            (source, node.fleet().tallies(now, told_on))
+            let told_on = |of: &Origin| tally::is_told_on(of, audience, &settings.centre, near);
+            (origin, node.fleet().tallies(now, told_on))
         }
     }
 }
@@ -169,7 +169,7 @@
     let now = node.clock.now();
     node.peers()
         .hear(&message.vm, message.roster, message.config, now);
-    node.fleet().hear(&message.source, &message.tallies, now);
+    node.fleet().hear(&message.origin, &message.tallies, now);
     if let Some(document) = &message.document {
         follow::take_config(node, document);
     }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -21,7 +21,7 @@
 
 use crate::fleet::runner::Runner;
 use crate::fleet::runner::Target;
-use crate::tally::Source;
+use crate::tally::Origin;
 use crate::tally::Tally;
 
 /// How long an entry that is missing after the key-value service was away is still used; the
@@ -264,17 +264,17 @@
     }
 
     /// Takes in what another VM tells of each runner; the tallies are in the order of runners.
-    pub fn hear(&mut self, source: &Source, tallies: &[Tally], now: Millis) {
+    pub fn hear(&mut self, origin: &Origin, tallies: &[Tally], now: Millis) {
         for runner in &mut self.runners {
             let found = tallies.binary_search_by(|tally| tally.runner.cmp(&runner.id));
             let tally = found.ok().map(|at| &tallies[at]);
-            runner.told.note(source, tally, now);
+            runner.told.note(origin, tally, now);
         }
     }
 
-    /// Yields what this VM and the sources that `speaks_for` names have at each runner.
+    /// Yields what this VM and the origins that `speaks_for` names have at each runner.
     #[must_use]
-    pub fn tallies(&self, now: Millis, speaks_for: impl Fn(&Source) -> bool) -> Vec<Tally> {
+    pub fn tallies(&self, now: Millis, speaks_for: impl Fn(&Origin) -> bool) -> Vec<Tally> {
         let tally = |runner: &Runner| {
             let (under_way, held_off) = runner.told.sum(now, &speaks_for);
             Tally {
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -10,7 +10,7 @@
 use super::Change;
 use super::Fleet;
 use super::Want;
-use crate::tally::Source;
+use crate::tally::Origin;
 use crate::tally::Tally;
 
 const NOW: Millis = Millis::new(50_000);
@@ -42,8 +42,8 @@
     }
 }
 
-fn vm(name: &str) -> Source {
-    Source::Vm(name.to_owned())
+fn vm(name: &str) -> Origin {
+    Origin::Vm(name.to_owned())
 }
 
 fn tally(runner: &str, under_way: u32, held_off: u32) -> Tally {
--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -26,7 +26,7 @@
 /// own requests would come back to it as others' and be told again: figures that double with each
 /// exchange, and all runners that look full.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Source {
+pub enum Origin {
     /// One VM's own.
     Vm(String),
     /// All VMs' of a data centre.
@@ -44,20 +44,20 @@
     Far,
 }
 
-/// Tells whether a hub in `centre` adds a source's figures to its own for this audience; `is_near`
+/// Tells whether a hub in `centre` adds an origin's figures to its own for this audience; `is_near`
 /// tells whether a VM belongs to its data centre.
 #[must_use]
 pub fn is_told_on(
-    source: &Source,
+    origin: &Origin,
     audience: Audience<'_>,
     centre: &str,
     is_near: impl Fn(&str) -> bool,
 ) -> bool {
-    match (source, audience) {
-        (Source::Vm(vm), Audience::Near(to)) => vm != to && is_near(vm),
-        (Source::Vm(vm), Audience::Far) => is_near(vm),
-        (Source::Centre(of), Audience::Near(_)) => of != centre,
-        (Source::Centre(_), Audience::Far) | (Source::Others, _) => false,
+    match (origin, audience) {
+        (Origin::Vm(vm), Audience::Near(to)) => vm != to && is_near(vm),
+        (Origin::Vm(vm), Audience::Far) => is_near(vm),
+        (Origin::Centre(of), Audience::Near(_)) => of != centre,
+        (Origin::Centre(_), Audience::Far) | (Origin::Others, _) => false,
     }
 }
 
@@ -67,7 +67,7 @@
 
 #[derive(Clone, Debug)]
 struct Line {
-    source: Source,
+    origin: Origin,
     under_way: u32,
     held_off: u32,
     at: Millis,
@@ -75,25 +75,25 @@
 
 impl Told {
     /// Takes in what is told; `None` where there is nothing at this runner.
-    pub fn note(&mut self, source: &Source, tally: Option<&Tally>, now: Millis) {
+    pub fn note(&mut self, origin: &Origin, tally: Option<&Tally>, now: Millis) {
         let line = Line {
-            source: source.clone(),
+            origin: origin.clone(),
             under_way: tally.map_or(0, |tally| tally.under_way),
             held_off: tally.map_or(0, |tally| tally.held_off),
             at: now,
         };
-        match self.0.iter_mut().find(|known| known.source == *source) {
+        match self.0.iter_mut().find(|known| known.origin == *origin) {
             Some(known) => *known = line,
             None => self.0.push(line),
         }
     }
 
-    /// Adds up what was told lately by the sources that `counts` names: requests under way, and VMs
+    /// Adds up what was told lately by the origins that `counts` names: requests under way, and VMs
     /// that hold the runner off.
     #[must_use]
-    pub fn sum(&self, now: Millis, counts: impl Fn(&Source) -> bool) -> (u32, u32) {
+    pub fn sum(&self, now: Millis, counts: impl Fn(&Origin) -> bool) -> (u32, u32) {
         let fresh = self.0.iter().filter(|line| now.since(line.at) < HEARD);
-        let counted = fresh.filter(|line| counts(&line.source));
+        let counted = fresh.filter(|line| counts(&line.origin));
         counted.fold((0, 0), |(under_way, held_off), line| {
             (under_way + line.under_way, held_off + line.held_off)
         })
@@ -102,8 +102,8 @@
     /// Yields what all others have: the sum that a hub told, or what was heard one by one.
     #[must_use]
     pub fn all(&self, now: Millis) -> (u32, u32) {
-        let told = self.sum(now, |source| *source == Source::Others);
-        let heard = self.sum(now, |source| *source != Source::Others);
+        let told = self.sum(now, |origin| *origin == Origin::Others);
+        let heard = self.sum(now, |origin| *origin != Origin::Others);
         (told.0.max(heard.0), told.1.max(heard.1))
     }
 }
--- a/crates/relay/src/tally/tests.rs
+++ b/crates/relay/src/tally/tests.rs
@@ -2,7 +2,7 @@
 use wire::clock::Millis;
 
 use super::Audience;
-use super::Source;
+use super::Origin;
 use super::Tally;
 use super::Told;
 use super::is_told_on;
@@ -17,13 +17,13 @@
     }
 }
 
-fn vm(name: &str) -> Source {
-    Source::Vm(name.to_owned())
+fn vm(name: &str) -> Origin {
+    Origin::Vm(name.to_owned())
 }
 
 /// What a VM that takes itself for a hub tells another one of its data centre, which does as well.
 fn tell(from: &Told, own: u32, to: &str) -> Tally {
-    let counts = |source: &Source| is_told_on(source, Audience::Near(to), "a", |_| true);
+    let counts = |origin: &Origin| is_told_on(origin, Audience::Near(to), "a", |_| true);
     tally(own + from.sum(NOW, counts).0)
 }
 
@@ -37,9 +37,9 @@
     b.note(&vm("leaf"), Some(&tally(2)), NOW);
     for _ in 0..20 {
         let told = tell(&a, 3, "b");
-        b.note(&Source::Others, Some(&told), NOW);
+        b.note(&Origin::Others, Some(&told), NOW);
         let told = tell(&b, 4, "a");
-        a.note(&Source::Others, Some(&told), NOW);
+        a.note(&Origin::Others, Some(&told), NOW);
     }
     assert_eq!(a.all(NOW), (6, 0), "4 of b and 2 of the leaf");
     assert_eq!(b.all(NOW), (5, 0), "3 of a and 2 of the leaf");
@@ -48,7 +48,7 @@
 #[test]
 fn the_latest_sum_of_a_data_centre_counts_whoever_told_it() {
     let mut told = Told::default();
-    let centre = Source::Centre("b".to_owned());
+    let centre = Origin::Centre("b".to_owned());
     told.note(&centre, Some(&tally(5)), NOW);
     told.note(&centre, Some(&tally(7)), NOW);
     told.note(&vm("leaf"), Some(&tally(1)), NOW);
@@ -59,14 +59,14 @@
 #[rstest]
 #[case::a_leaf_hears_of_others(vm("x"), Audience::Near("y"), true)]
 #[case::not_of_itself(vm("y"), Audience::Near("y"), false)]
-#[case::of_other_centres(Source::Centre("b".to_owned()), Audience::Near("y"), true)]
-#[case::not_of_its_own_centre_twice(Source::Centre("a".to_owned()), Audience::Near("y"), false)]
-#[case::no_sum_of_others(Source::Others, Audience::Near("y"), false)]
+#[case::of_other_centres(Origin::Centre("b".to_owned()), Audience::Near("y"), true)]
+#[case::not_of_its_own_centre_twice(Origin::Centre("a".to_owned()), Audience::Near("y"), false)]
+#[case::no_sum_of_others(Origin::Others, Audience::Near("y"), false)]
 #[case::a_hub_hears_of_the_centres_vms(vm("x"), Audience::Far, true)]
 #[case::not_of_distant_ones(vm("far"), Audience::Far, false)]
-#[case::not_of_third_centres(Source::Centre("c".to_owned()), Audience::Far, false)]
-#[case::no_sum_told_far(Source::Others, Audience::Far, false)]
-fn a_hub_tells_on(#[case] source: Source, #[case] audience: Audience<'_>, #[case] expected: bool) {
+#[case::not_of_third_centres(Origin::Centre("c".to_owned()), Audience::Far, false)]
+#[case::no_sum_told_far(Origin::Others, Audience::Far, false)]
+fn a_hub_tells_on(#[case] origin: Origin, #[case] audience: Audience<'_>, #[case] expected: bool) {
     let is_near = |vm: &str| vm != "far";
-    assert_eq!(is_told_on(&source, audience, "a", is_near), expected);
+    assert_eq!(is_told_on(&origin, audience, "a", is_near), expected);
 }
