--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -325,11 +325,7 @@
     let before = node.table().version;
     if node.set_table(Table::new(config, bytes)) {
         let table = node.table();
-        let memory = |service: &str| {
-            let engine = table.engine(service);
-            engine.map_or(0, |engine| engine.memory_tokens)
-        };
-        node.fleet().learn_memory(memory);
+        node.fleet().learn_memory(|service| table.memory(service));
         log::info!(
             "event=E{} text=\"{}\" revision={version} before={before} routes={routes}",
             Event::RevisionApplied.number(),
@@ -371,8 +367,7 @@
 
 /// Takes a runner's entry in, wherever it came from.
 pub fn set_runner(node: &Arc<Node>, id: &str, entry: runner::Entry) -> fleet::Change {
-    let engine = node.table().engine(&entry.service);
-    let memory = engine.map_or(0, |engine| engine.memory_tokens);
+    let memory = node.table().memory(&entry.service);
     node.fleet().set(id, entry, memory)
 }
 
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -73,6 +73,14 @@
         self.service(service)?.engine
     }
 
+    /// Yields how much memory a service's engines have, in tokens; 0 for plain services and unknown
+    /// ones.
+    #[must_use]
+    pub fn memory(&self, service: &str) -> u64 {
+        let engine = self.engine(service);
+        engine.map_or(0, |engine| engine.memory_tokens)
+    }
+
     /// Tells whether any route takes turns, which need the VMs with a disk.
     #[must_use]
     pub fn has_streams(&self) -> bool {
