Index once what VMs noted of their own state

story::of went through all lines twice for each request of a program, and through the program's lines once more. trace::state picks and orders the few lines concerned once; requests are grouped by one sort.

A new test compares the index with a search of all lines; seen red when lines of the same time were left out.

--- a/crates/trace/src/spent/tests.rs
+++ b/crates/trace/src/spent/tests.rs
@@ -1,13 +1,7 @@
 use super::Sink;
 use super::render;
 use super::sum;
-use crate::line::Line;
-use crate::line::parse;
-
-fn lines(text: &str) -> Vec<Line> {
-    let parsed = text.lines().map(|line| parse(line, "log"));
-    parsed.map(|line| line.expect("it is whole")).collect()
-}
+use crate::tests::lines;
 
 /// One program waits two seconds after refusals and ends late, one fails, one is in time and one has
 /// spent its tokens; only the first two are told, with where their time went.
--- /dev/null
+++ b/crates/trace/src/state/tests.rs
@@ -0,0 +1,40 @@
+use wire::event::Event;
+
+use super::Index;
+use crate::line::Line;
+use crate::tests::lines;
+
+/// Logs of several VMs, joined without regard to time, with lines at the same time.
+fn logs() -> Vec<Line> {
+    let events = [1001, 1002, 2102, 2103, 3108, 3109, 1201];
+    let line = |at: usize| {
+        let second = at * 7 % 13;
+        let event = events[at * 5 % 11 % events.len()];
+        let vm = ["a", "aa", "b"][at * 3 % 7 % 3];
+        format!("{vm} at=2026-05-17T07:00:{second:02}.000 event=E{event} number={at}")
+    };
+    let text: Vec<String> = (0..300).map(line).collect();
+    lines(&text.join("\n"))
+}
+
+#[test]
+fn the_index_finds_what_a_search_of_all_lines_does() {
+    let all = logs();
+    let index = Index::new(&all);
+    for line in &all {
+        let pairs = [[1001, 1002], [2102, 2103], [3108, 3109]];
+        let latest = |pair: &[u16; 2]| {
+            let of_vm = all.iter().filter(|other| other.vm == line.vm);
+            let told = of_vm.filter(|other| other.at <= line.at && pair.contains(&other.event));
+            told.max_by(|a, b| a.at.cmp(&b.at)).cloned()
+        };
+        let expected: Vec<Line> = pairs.iter().filter_map(latest).collect();
+        assert_eq!(index.until(line), expected, "{line}");
+        let started = |other: &Line| other.event == Event::NodeStarted.number();
+        let of_vm = all.iter().filter(|other| other.vm == line.vm);
+        let expected = of_vm
+            .clone()
+            .any(|other| other.at >= line.at && started(other));
+        assert_eq!(index.starts_after(line), expected, "{line}");
+    }
+}
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -6,6 +6,7 @@
 use wire::event::Event;
 
 use crate::line::Line;
+use crate::state::Index;
 
 /// What became of a request, as far as the logs tell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -62,42 +63,45 @@
     pub state: Vec<Line>,
 }
 
-/// The pairs of events that tell of a VM's own state.
-const STATES: [[Event; 2]; 3] = [
-    [Event::NodeStarted, Event::NodeStopping],
-    [Event::OutageBegan, Event::OutageEnded],
-    [Event::MembersLost, Event::MembersRegained],
-];
-
 /// Tells the story of a request or of all requests of a program.
 #[must_use]
 pub fn of(id: &str, lines: &[Line]) -> Story {
     let concerns = |line: &&Line| line.field("request") == id || line.field("program") == id;
     let mut told: Vec<Line> = lines.iter().filter(concerns).cloned().collect();
     told.sort_by(|a, b| a.at.cmp(&b.at));
-    let mut requests: Vec<&str> = Vec::new();
-    for line in &told {
-        let request = line.field("request");
-        if !request.is_empty() && !requests.contains(&request) {
-            requests.push(request);
-        }
-    }
-    let ends = requests.iter().map(|request| {
-        let of_request = told.iter().filter(|line| line.field("request") == *request);
-        let of_request: Vec<&Line> = of_request.collect();
-        end(request, &of_request, lines)
-    });
+    let states = Index::new(lines);
+    let ends = by_request(&told);
+    let ends = ends
+        .iter()
+        .map(|(request, lines)| end(request, lines, &states));
     Story {
         ends: ends.collect(),
         lines: told,
     }
 }
 
-fn end(request: &str, of_request: &[&Line], all: &[Line]) -> End {
-    let cause = cause(of_request, all);
+/// Groups lines by their requests, in the order of the requests' first lines.
+fn by_request(told: &[Line]) -> Vec<(&str, Vec<&Line>)> {
+    let numbered = told.iter().enumerate();
+    let mut of_requests: Vec<(&str, usize)> = numbered
+        .map(|(at, line)| (line.field("request"), at))
+        .filter(|(request, _)| !request.is_empty())
+        .collect();
+    of_requests.sort_unstable();
+    let mut groups: Vec<&[(&str, usize)]> = of_requests.chunk_by(|a, b| a.0 == b.0).collect();
+    groups.sort_by_key(|group| group[0].1);
+    let lines = |group: &&[(&str, usize)]| group.iter().map(|(_, at)| &told[*at]).collect();
+    groups
+        .iter()
+        .map(|group| (group[0].0, lines(group)))
+        .collect()
+}
+
+fn end(request: &str, of_request: &[&Line], states: &Index<'_>) -> End {
+    let cause = cause(of_request, states);
     let state = match (&cause, of_request.last()) {
         (Cause::Answered { .. }, _) | (_, None) => Vec::new(),
-        (_, Some(last)) => state(last, all),
+        (_, Some(last)) => states.until(last),
     };
     End {
         request: request.to_owned(),
@@ -106,21 +110,9 @@
     }
 }
 
-/// Finds the last line about each part of its own state that a VM wrote until then.
-fn state(last: &Line, all: &[Line]) -> Vec<Line> {
-    let before = |line: &&Line| line.vm == last.vm && line.at <= last.at;
-    let before: Vec<&Line> = all.iter().filter(before).collect();
-    let latest = |pair: &[Event; 2]| {
-        let tells = |line: &&&Line| pair.iter().any(|event| event.number() == line.event);
-        let told = before.iter().filter(tells);
-        told.max_by(|a, b| a.at.cmp(&b.at)).copied().cloned()
-    };
-    STATES.iter().filter_map(latest).collect()
-}
-
 /// Names the cause of a request's end by its own lines, in order, and by what its VM did.
 #[must_use]
-pub fn cause(of_request: &[&Line], all: &[Line]) -> Cause {
+pub fn cause(of_request: &[&Line], index: &Index<'_>) -> Cause {
     let is = |line: &Line, event: Event| line.event == event.number();
     let ends = of_request.iter().rev();
     for line in ends {
@@ -146,10 +138,7 @@
         return Cause::EndMissing { vm: String::new() };
     };
     let vm = last.vm.clone();
-    let restarted = all
-        .iter()
-        .any(|line| line.vm == vm && is(line, Event::NodeStarted) && line.at >= last.at);
-    if restarted {
+    if index.starts_after(last) {
         Cause::ProcessEnded { vm }
     } else {
         Cause::EndMissing { vm }
--- a/crates/trace/src/story/tests.rs
+++ b/crates/trace/src/story/tests.rs
@@ -1,12 +1,6 @@
 use super::Cause;
 use super::of;
-use crate::line::Line;
-use crate::line::parse;
-
-fn lines(text: &str) -> Vec<Line> {
-    let parsed = text.lines().map(|line| parse(line, "log"));
-    parsed.map(|line| line.expect("it is whole")).collect()
-}
+use crate::tests::lines;
 
 /// A program's turn meets a runner that is cut off; its second try comes to a VM that reaches too few
 /// others, the third is served elsewhere. Three logs were joined without regard to time.
