Take what needs a whole process out of the modules that it is made of

Where a VM learns of a subject (subject) and the keys' names, kept turns at hand (turns) and the other VMs (peers) are plain data now; what acts on the process stands apart: take, register, history, and follow with its pauses after failures (follow::away). log_change stands beside fleet::Change. Code moved, none changed; the tests moved with it and pass as they are.

follow, peers and turns still pass the old paths on (pub use), as other modules use them.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -29,11 +29,12 @@
 use wire::clock::Millis;
 
 use crate::answer;
-use crate::follow;
+use crate::fleet;
 use crate::node::Node;
 use crate::peers::Peer;
 use crate::peers::Place;
 use crate::roster::Roster;
+use crate::take;
 use crate::tally;
 use crate::tally::Audience;
 use crate::tally::Origin;
@@ -171,7 +172,7 @@
         .hear(&message.vm, message.roster, message.config, now);
     node.fleet().hear(&message.origin, &message.tallies, now);
     if let Some(document) = &message.document {
-        follow::take_config(node, document);
+        take::document(node, document);
     }
     if let Some(entries) = message.entries {
         take_over(node, &message.vm, entries);
@@ -200,13 +201,13 @@
     };
     for id in gone {
         let change = node.fleet().remove(&id);
-        follow::log_change(&change, &format!("runner={id} heard_from={vm}"));
+        fleet::log_change(&change, &format!("runner={id} heard_from={vm}"));
     }
     for (id, bytes) in &entries.entries {
         if let Some(entry) = runner::decode(bytes) {
             let line = format!("runner={id} service={} heard_from={vm}", entry.service);
-            let change = follow::set_runner(node, id, entry);
-            follow::log_change(&change, &line);
+            let change = take::set_runner(node, id, entry);
+            fleet::log_change(&change, &line);
         }
     }
     *node.roster() = entries;
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -15,6 +15,7 @@
 use policy::prefix;
 use policy::prefix::Demand;
 use wire::clock::Millis;
+use wire::event::Event;
 
 use crate::fleet::runner::Runner;
 use crate::tally::Origin;
@@ -96,6 +97,17 @@
     Same,
 }
 
+/// Logs what became of a runner.
+pub fn log_change(change: &Change, line: &str) {
+    let event = match change {
+        Change::Appeared => Event::EndpointAppeared,
+        Change::Leaves => Event::EndpointLeaving,
+        Change::Gone => Event::EndpointGone,
+        Change::Same => return,
+    };
+    log::info!("event=E{} text=\"{}\" {line}", event.number(), event.text());
+}
+
 impl Fleet {
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.runners
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -6,31 +6,16 @@
 //! entry has lapsed or it no longer answers.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
 
-use platform::edge::Lease;
-use platform::edge::Platform;
-use platform::edge::Txn;
-use platform::edge::Weight;
-use platform::edge::Write;
-use tokio::time::sleep;
 use wire::clock::Millis;
 
-use crate::follow;
-use crate::metrics::Counter;
-use crate::node::Node;
+pub use crate::register::run as register;
 
 /// Up to this many VMs exchange with each other directly: at 16 exchanges a second with each that
 /// is under 200 messages a second and VM, some per cent of a small VM's processor.
 pub const DIRECT: usize = 12;
 /// VMs of a data centre that its hub hears at the full rate, 16 times a second each.
 const LEAVES: usize = 24;
-/// How long a VM's entry lasts without renewal. Long beside a short outage of the service, as a VM
-/// that is dead costs its peers only unanswered messages.
-const LEASE: Millis = Millis::new(8_000);
-/// How often the entry is renewed: three times within its lease.
-const RENEW: Duration = Duration::from_millis(2_500);
 /// A VM whose entry has lapsed is still told for this long: the service may have been away.
 const LAPSED: Millis = Millis::new(10_000);
 /// A VM that hasn't answered for this long is no hub: several exchanges, and a short freeze.
@@ -223,47 +208,5 @@
     }
 }
 
-/// Keeps this VM's entry in the key-value service for as long as it is polled.
-pub async fn register(node: Arc<Node>, address: SocketAddr) {
-    let mut lease: Option<Lease> = None;
-    loop {
-        node.metrics.count(Counter::StoreCalls);
-        lease = match lease {
-            Some(held) => match node.kv.renew(held).await {
-                Ok(true) => Some(held),
-                Ok(false) => None,
-                Err(fault) => {
-                    log::debug!("lease not renewed: {fault}");
-                    Some(held)
-                }
-            },
-            None => match enter(&node, address).await {
-                Ok(lease) => Some(lease),
-                Err(fault) => {
-                    log::debug!("entry not written: {fault}");
-                    None
-                }
-            },
-        };
-        sleep(RENEW).await;
-    }
-}
-
-async fn enter(node: &Node, address: SocketAddr) -> platform::edge::Result<Lease> {
-    let lease = node.kv.grant(LEASE).await?;
-    let value = format!("{address} {}", node.settings.centre);
-    let put = Write::Put {
-        key: format!("{}{}", follow::vm_prefix(), node.settings.vm),
-        value: value.into_bytes(),
-        lease: Some(lease),
-    };
-    let txn = Txn {
-        compares: Vec::new(),
-        writes: vec![put],
-    };
-    node.kv.commit(&txn, Weight::Claim).await?;
-    Ok(lease)
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/relay/src/register.rs
@@ -0,0 +1,65 @@
+//! A VM's own entry in the key-value service, by which the others find it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use platform::edge::Lease;
+use platform::edge::Platform;
+use platform::edge::Txn;
+use platform::edge::Weight;
+use platform::edge::Write;
+use tokio::time::sleep;
+use wire::clock::Millis;
+
+use crate::metrics::Counter;
+use crate::node::Node;
+use crate::subject;
+
+/// How long a VM's entry lasts without renewal. Long beside a short outage of the service, as a VM
+/// that is dead costs its peers only unanswered messages.
+const LEASE: Millis = Millis::new(8_000);
+/// How often the entry is renewed: three times within its lease.
+const RENEW: Duration = Duration::from_millis(2_500);
+
+/// Keeps this VM's entry in the key-value service for as long as it is polled.
+pub async fn run(node: Arc<Node>, address: SocketAddr) {
+    let mut lease: Option<Lease> = None;
+    loop {
+        node.metrics.count(Counter::StoreCalls);
+        lease = match lease {
+            Some(held) => match node.kv.renew(held).await {
+                Ok(true) => Some(held),
+                Ok(false) => None,
+                Err(fault) => {
+                    log::debug!("lease not renewed: {fault}");
+                    Some(held)
+                }
+            },
+            None => match enter(&node, address).await {
+                Ok(lease) => Some(lease),
+                Err(fault) => {
+                    log::debug!("entry not written: {fault}");
+                    None
+                }
+            },
+        };
+        sleep(RENEW).await;
+    }
+}
+
+async fn enter(node: &Node, address: SocketAddr) -> platform::edge::Result<Lease> {
+    let lease = node.kv.grant(LEASE).await?;
+    let value = format!("{address} {}", node.settings.centre);
+    let put = Write::Put {
+        key: format!("{}{}", subject::vm_prefix(), node.settings.vm),
+        value: value.into_bytes(),
+        lease: Some(lease),
+    };
+    let txn = Txn {
+        compares: Vec::new(),
+        writes: vec![put],
+    };
+    node.kv.commit(&txn, Weight::Claim).await?;
+    Ok(lease)
+}
--- /dev/null
+++ b/crates/relay/src/take.rs
@@ -0,0 +1,167 @@
+//! Takes in what operators, runners and VMs write into the key-value service.
+
+use std::sync::Arc;
+
+use adapter::config;
+use adapter::keys;
+use adapter::kv::Listing;
+use adapter::runner;
+use platform::edge;
+use platform::edge::Entry;
+use replica::list::List;
+use wire::event::Event;
+
+use crate::fleet;
+use crate::node::Node;
+use crate::roster;
+use crate::subject;
+use crate::subject::Subject;
+use crate::table::Table;
+
+/// Takes in all entries of a subject.
+pub fn listing(node: &Arc<Node>, subject: Subject, listing: Listing) {
+    if subject == Subject::Runners {
+        let mut ids: Vec<String> = listing
+            .entries
+            .iter()
+            .filter_map(|entry| id(&entry.key))
+            .collect();
+        ids.sort();
+        let now = node.clock.now();
+        node.fleet().note_missing(&ids, now);
+        node.set_runners_at(now);
+        let missing: Vec<String> = {
+            let roster = node.roster();
+            let known = roster.entries.iter().map(|(id, _)| id.clone());
+            known.filter(|id| ids.binary_search(id).is_err()).collect()
+        };
+        for id in missing {
+            node.roster().remove(&id, listing.revision);
+        }
+    }
+    if subject == Subject::Own {
+        let prefix = subject::vm_prefix();
+        let listed = listing.entries.iter();
+        let vms = listed.filter_map(|entry| entry.key.strip_prefix(&prefix));
+        let vms: Vec<String> = vms.map(str::to_owned).collect();
+        let now = node.clock.now();
+        node.peers().keep(&vms, now);
+    }
+    for entry in listing.entries {
+        change(node, subject, edge::Change::Set(entry));
+    }
+}
+
+/// Takes in a change of an entry.
+pub fn change(node: &Arc<Node>, subject: Subject, change: edge::Change) {
+    match (subject, change) {
+        (Subject::Config, edge::Change::Set(entry)) => document(node, &entry.value),
+        (Subject::Runners, edge::Change::Set(entry)) => runner_entry(node, &entry),
+        (Subject::Runners, edge::Change::Removed { key, revision }) => {
+            drop_runner(node, &key, revision);
+        }
+        (Subject::Own, edge::Change::Set(entry)) => own_entry(node, &entry),
+        (Subject::Own, edge::Change::Removed { key, .. }) => {
+            if let Some(vm) = key.strip_prefix(&subject::vm_prefix()) {
+                let now = node.clock.now();
+                node.peers().lapse(vm, now);
+            }
+        }
+        (Subject::Config, edge::Change::Removed { .. }) => {}
+    }
+}
+
+/// Puts a configuration in force, wherever it came from.
+pub fn document(node: &Arc<Node>, bytes: &[u8]) {
+    let config = match config::decode(bytes) {
+        Ok(config) => config,
+        Err(fault) => {
+            log::error!(
+                "event=E{} text=\"{}\" fault=\"{fault}\"",
+                Event::RevisionDropped.number(),
+                Event::RevisionDropped.text()
+            );
+            return;
+        }
+    };
+    let version = config.version;
+    let routes = config.routes.len();
+    let before = node.table().version;
+    if node.set_table(Table::new(config, bytes)) {
+        let table = node.table();
+        node.fleet().learn_memory(|service| table.memory(service));
+        log::info!(
+            "event=E{} text=\"{}\" revision={version} before={before} routes={routes}",
+            Event::RevisionApplied.number(),
+            Event::RevisionApplied.text()
+        );
+    }
+}
+
+fn id(key: &str) -> Option<String> {
+    key.strip_prefix(keys::RUNNERS).map(str::to_owned)
+}
+
+fn runner_entry(node: &Arc<Node>, entry: &Entry) {
+    let Some(id) = id(&entry.key) else {
+        return;
+    };
+    let Some(decoded) = runner::decode(&entry.value) else {
+        log::warn!(
+            "event=E{} text=\"{}\" key={} store_revision={}",
+            Event::EntryUnreadable.number(),
+            Event::EntryUnreadable.text(),
+            entry.key,
+            entry.revision
+        );
+        return;
+    };
+    let line = format!(
+        "runner={id} service={} address={} slots={} store_revision={}",
+        decoded.service, decoded.address, decoded.slots, entry.revision
+    );
+    let change = set_runner(node, &id, decoded);
+    let weight = match change {
+        fleet::Change::Same => roster::Weight::Heartbeat,
+        _ => roster::Weight::Matters,
+    };
+    node.roster().set(&id, &entry.value, entry.revision, weight);
+    fleet::log_change(&change, &line);
+}
+
+/// Takes a runner's entry in, wherever it came from.
+pub fn set_runner(node: &Arc<Node>, id: &str, entry: runner::Entry) -> fleet::Change {
+    let memory = node.table().memory(&entry.service);
+    node.fleet().set(id, entry, memory)
+}
+
+fn drop_runner(node: &Arc<Node>, key: &str, revision: u64) {
+    if let Some(id) = id(key) {
+        node.roster().remove(&id, revision);
+        let change = node.fleet().remove(&id);
+        fleet::log_change(&change, &format!("runner={id}"));
+    }
+}
+
+fn own_entry(node: &Arc<Node>, entry: &Entry) {
+    if entry.key == subject::list_key() {
+        match rmp_serde::from_slice::<List>(&entry.value) {
+            Ok(list) => node.replicas.adopt(list),
+            Err(fault) => log::error!("text=\"the list can't be read\" fault=\"{fault}\""),
+        }
+        return;
+    }
+    if let Some(vm) = entry.key.strip_prefix(&subject::vm_prefix()) {
+        let text = std::str::from_utf8(&entry.value).ok();
+        let parts = text.and_then(|text| text.split_once(' '));
+        let parsed = parts.and_then(|(address, centre)| Some((address.parse().ok()?, centre)));
+        match parsed {
+            Some((address, centre)) if vm != node.settings.vm => {
+                let now = node.clock.now();
+                node.peers().set(vm, centre, address, now);
+            }
+            Some(_) => {}
+            None => log::warn!("text=\"a VM's entry can't be read\" key={}", entry.key),
+        }
+    }
+}
