Split the exchange of VMs by job

exchange.rs held the traffic, what is told and what is done with it; the latter two are exchange::tell and exchange::hear.

--- /dev/null
+++ b/crates/relay/src/exchange/hear.rs
@@ -0,0 +1,59 @@
+//! Takes in what another VM tells.
+
+use std::sync::Arc;
+
+use adapter::runner;
+use wire::clock::Millis;
+
+use crate::exchange::tell::Message;
+use crate::fleet;
+use crate::node::Node;
+use crate::roster::Roster;
+use crate::take;
+
+/// Takes a message in.
+pub fn message(node: &Arc<Node>, told: Message) {
+    let now = node.clock.now();
+    node.peers().hear(&told.vm, told.roster, told.config, now);
+    node.fleet().hear(&told.origin, &told.tallies, now);
+    if let Some(document) = &told.document {
+        take::document(node, document);
+    }
+    if let Some(entries) = told.entries {
+        take_over(node, &told.vm, entries);
+    }
+    if told.roster >= node.roster().revision {
+        let at = now.since(Millis::new(told.roster_age));
+        node.set_runners_at(at);
+    }
+}
+
+/// Takes newer entries over: all of them, and nothing else.
+fn take_over(node: &Arc<Node>, vm: &str, entries: Roster) {
+    if entries.revision <= node.roster().revision {
+        return;
+    }
+    let gone: Vec<String> = {
+        let fleet = node.fleet();
+        let listed = |id: &String| {
+            entries
+                .entries
+                .binary_search_by(|(key, _)| key.cmp(id))
+                .is_ok()
+        };
+        let ids = fleet.runners().iter().map(|runner| runner.id.clone());
+        ids.filter(|id| !listed(id)).collect()
+    };
+    for id in gone {
+        let change = node.fleet().remove(&id);
+        fleet::log_change(&change, &format!("runner={id} heard_from={vm}"));
+    }
+    for (id, bytes) in &entries.entries {
+        if let Some(entry) = runner::decode(bytes) {
+            let line = format!("runner={id} service={} heard_from={vm}", entry.service);
+            let change = take::set_runner(node, id, entry);
+            fleet::log_change(&change, &line);
+        }
+    }
+    *node.roster() = entries;
+}
