--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -15,3 +15,4 @@
 pub mod seat;
 pub mod shard;
 pub mod turn;
+pub mod work;
--- a/crates/node/src/owner/call.rs
+++ b/crates/node/src/owner/call.rs
@@ -29,8 +29,6 @@
 use crate::dispatch::service;
 use crate::dispatch::service::End;
 use crate::dispatch::standing;
-use crate::dispatch::standing::Content;
-use crate::filters::authenticate;
 use crate::owner::feed::Feed;
 use crate::owner::feed::Sink;
 use crate::owner::message;
@@ -41,6 +39,7 @@
 use crate::owner::shard::Owner;
 use crate::owner::turn;
 use crate::owner::turn::Result;
+use crate::owner::work;
 
 /// Tokens' worth of time that a service's call is expected to take in placement.
 const EXPECTED: u64 = 8;
@@ -330,22 +329,6 @@
 }
 
 fn work(core: &Core, ask: &Ask, call: &Call) -> Result<Work> {
-    let view = core.view();
-    let class = authenticate::class(&view.config, ask)?;
-    Ok(Work {
-        program: ask.program.clone(),
-        turn: 0,
-        caller: ask.caller.clone(),
-        class,
-        kind: Kind::Service,
-        serves: call.service.to_string(),
-        prompt: 0,
-        output: EXPECTED,
-        spent: 0,
-        held: Vec::new(),
-        avoid: Vec::new(),
-        content: Content::Plain,
-        tries: 0,
-        deadline: ask.deadline.map(|span| core.clock.now().plus(span)),
-    })
+    let service = call.service.to_string();
+    work::new(core, ask, Kind::Service, &service, 0, EXPECTED)
 }
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -34,12 +34,12 @@
 use crate::dispatch::runner::End;
 use crate::dispatch::standing;
 use crate::dispatch::standing::Content;
-use crate::filters::authenticate;
 use crate::owner::feed::Feed;
 use crate::owner::message;
 use crate::owner::message::Answer;
 use crate::owner::message::Message;
 use crate::owner::pending::Name;
+use crate::owner::work;
 
 /// Bytes of text a token, as the usual tokenizers have it for English.
 const TOKEN_BYTES: u64 = 4;
@@ -422,25 +422,10 @@
 ///
 /// Refuses an unknown model, and work that no selector allows.
 pub fn work(core: &Core, ask: &Ask, chat: &Chat) -> Result<Work> {
-    let view = core.view();
-    let class = authenticate::class(&view.config, ask)?;
     let limit = chat.request.max_tokens.unwrap_or(EXPECTED);
-    Ok(Work {
-        program: ask.program.clone(),
-        turn: 0,
-        caller: ask.caller.clone(),
-        class,
-        kind: Kind::Runner,
-        serves: chat.request.model.clone(),
-        prompt: tokens(chat.request.messages.iter()),
-        output: limit.min(EXPECTED),
-        spent: 0,
-        held: Vec::new(),
-        avoid: Vec::new(),
-        content: Content::Plain,
-        tries: 0,
-        deadline: ask.deadline.map(|span| core.clock.now().plus(span)),
-    })
+    let prompt = tokens(chat.request.messages.iter());
+    let output = limit.min(EXPECTED);
+    work::new(core, ask, Kind::Runner, &chat.request.model, prompt, output)
 }
 
 /// Adds what a program's history means for placement.
--- /dev/null
+++ b/crates/node/src/owner/work.rs
@@ -0,0 +1,43 @@
+//! What placement has to know of a request, before anything is known of its program.
+
+use settings::config::Kind;
+use wire::ask::Ask;
+
+use crate::core::Core;
+use crate::dispatch::desk::Work;
+use crate::dispatch::standing::Content;
+use crate::filters::authenticate;
+use crate::owner::turn::Result;
+
+/// Builds it for a request that has `prompt` tokens and is expected to generate `output`.
+///
+/// # Errors
+///
+/// Refuses work that no selector allows.
+pub fn new(
+    core: &Core,
+    ask: &Ask,
+    kind: Kind,
+    serves: &str,
+    prompt: u64,
+    output: u64,
+) -> Result<Work> {
+    let view = core.view();
+    let class = authenticate::class(&view.config, ask)?;
+    Ok(Work {
+        program: ask.program.clone(),
+        turn: 0,
+        caller: ask.caller.clone(),
+        class,
+        kind,
+        serves: serves.to_owned(),
+        prompt,
+        output,
+        spent: 0,
+        held: Vec::new(),
+        avoid: Vec::new(),
+        content: Content::Plain,
+        tries: 0,
+        deadline: ask.deadline.map(|span| core.clock.now().plus(span)),
+    })
+}
