Share what tests of processes and searches had twice

Four tests of processes and a benchmark had the same plan of three VMs, two searches the same reading of how many cases to play. Seeds, numbers of cases and assertions are as they were.

--- a/crates/chestnutyoke/benches/takeover.rs
+++ b/crates/chestnutyoke/benches/takeover.rs
@@ -83,10 +83,8 @@
     let rounds = rounds.map_or(ROUNDS, |text| text.parse().unwrap());
     for lease in ["5s", "2s"] {
         let plan = Plan {
-            centres: vec![("east", vec!["vm-1", "vm-2", "vm-3"])],
-            shards: 1,
             platform_lines: format!("lease = \"{lease}\"\n"),
-            ..Plan::default()
+            ..Plan::three_vms()
         };
         let mut fleet = Fleet::start(&plan).await;
         let mut waits = Vec::new();
--- a/crates/chestnutyoke/tests/at_most_once.rs
+++ b/crates/chestnutyoke/tests/at_most_once.rs
@@ -19,10 +19,8 @@
 
 fn three_vms() -> Plan {
     Plan {
-        centres: vec![("east", vec!["vm-1", "vm-2", "vm-3"])],
-        shards: 1,
         limit_lines: "silence = \"6s\"\n".to_owned(),
-        ..Plan::default()
+        ..Plan::three_vms()
     }
 }
 
--- a/crates/chestnutyoke/tests/bench/fleet.rs
+++ b/crates/chestnutyoke/tests/bench/fleet.rs
@@ -68,6 +68,17 @@
     pub configure: fn(&mut Config),
 }
 
+impl Plan {
+    /// Yields one data centre with three VMs, one shard, one runner and one service.
+    pub fn three_vms() -> Self {
+        Self {
+            centres: vec![("east", vec!["vm-1", "vm-2", "vm-3"])],
+            shards: 1,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for Plan {
     /// Yields one data centre with two VMs, one runner and one service.
     fn default() -> Self {
--- a/crates/chestnutyoke/tests/outage.rs
+++ b/crates/chestnutyoke/tests/outage.rs
@@ -13,21 +13,13 @@
 use serde_json::json;
 use standin::runner::answer;
 
-fn three_vms() -> Plan {
-    Plan {
-        centres: vec![("east", vec!["vm-1", "vm-2", "vm-3"])],
-        shards: 1,
-        ..Plan::default()
-    }
-}
-
 // The platform is out for longer than a lease. Model turns go on, for a program under way and for
 // a new one. A call that may run at most once is refused, with the promise that it did not run and
 // a time to ask again. After the outage the call runs once, and the turns of the outage are in
 // the journal: they survive the death of their owner.
 #[tokio::test(flavor = "multi_thread")]
 async fn turns_go_on_and_calls_that_run_once_are_refused() {
-    let mut fleet = Fleet::start(&three_vms()).await;
+    let mut fleet = Fleet::start(&Plan::three_vms()).await;
     let owner = fleet.owner("east", 0, None).await;
     let entry = fleet.others(owner)[0];
     let mut history = Vec::new();
--- a/crates/chestnutyoke/tests/release.rs
+++ b/crates/chestnutyoke/tests/release.rs
@@ -10,21 +10,13 @@
 use bench::until;
 use serde_json::json;
 
-fn three_vms() -> Plan {
-    Plan {
-        centres: vec![("east", vec!["vm-1", "vm-2", "vm-3"])],
-        shards: 1,
-        ..Plan::default()
-    }
-}
-
 // The program ends, and the order to release its cache is lost again and again. Its owner is
 // killed before one gets through. The VM that takes the shard over knows from the journal who
 // holds the cache and goes on asking, until the runner holds nothing of the program; another
 // program's cache stays.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_release_outlives_the_owner() {
-    let mut fleet = Fleet::start(&three_vms()).await;
+    let mut fleet = Fleet::start(&Plan::three_vms()).await;
     let addresses = fleet.addresses();
     for program in ["gone", "kept"] {
         chat_until_answered(&addresses, &Ask::turn(program, 1, "one #tokens=3")).await;
--- a/crates/chestnutyoke/tests/takeover.rs
+++ b/crates/chestnutyoke/tests/takeover.rs
@@ -23,15 +23,13 @@
 
 fn three_vms() -> Plan {
     Plan {
-        centres: vec![("east", vec!["vm-1", "vm-2", "vm-3"])],
-        shards: 1,
         runners: vec![Endpoint {
             name: "runner-1",
             centre: "east",
             options: vec!["--tokens-per-second", "50"],
         }],
         configure: |config| config.selectors[0].budget.tokens = BUDGET,
-        ..Plan::default()
+        ..Plan::three_vms()
     }
 }
 
--- a/crates/node/tests/claims_fuzz.rs
+++ b/crates/node/tests/claims_fuzz.rs
@@ -5,6 +5,8 @@
 
 #[path = "support/fleet.rs"]
 mod fleet;
+#[path = "support/runs.rs"]
+mod runs;
 
 use fleet::Fleet;
 use fleet::Phase;
@@ -13,11 +15,10 @@
 use node::controllers::members;
 use platform::memory::Play;
 use proptest::prelude::*;
-use proptest::test_runner::Config as Runs;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
+use runs::runs;
 use wire::clock::Millis;
 
 const CENTRES: usize = 2;
@@ -183,18 +184,8 @@
     }
 }
 
-fn runs() -> Runs {
-    let cases = std::env::var("PROPTEST_CASES").ok();
-    Runs {
-        cases: cases.and_then(|n| n.parse().ok()).unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Runs::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(runs())]
+    #![proptest_config(runs(CASES, SEED))]
 
     #[test]
     fn each_shard_gets_one_owner_once_all_is_calm(sequential 1..40 => Claiming);
--- a/crates/node/tests/config_fuzz.rs
+++ b/crates/node/tests/config_fuzz.rs
@@ -1,6 +1,9 @@
 //! Stateful fuzzing of the configuration: racing operators, lost answers, outages, restarts and old
 //! nodes that wake up, against the sequence of documents that the platform accepted.
 
+#[path = "support/runs.rs"]
+mod runs;
+
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -21,11 +24,10 @@
 use platform::memory::Memory;
 use platform::memory::Play;
 use proptest::prelude::*;
-use proptest::test_runner::Config as Runs;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
+use runs::runs;
 use settings::config::Config;
 use wire::clock::Clock;
 use wire::clock::Millis;
@@ -408,18 +410,8 @@
     }
 }
 
-fn runs() -> Runs {
-    let cases = std::env::var("PROPTEST_CASES").ok();
-    Runs {
-        cases: cases.and_then(|n| n.parse().ok()).unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Runs::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(runs())]
+    #![proptest_config(runs(CASES, SEED))]
 
     #[test]
     fn an_accepted_change_holds_and_a_rejected_one_never_does(sequential 1..80 => Fleet);
