--- a/crates/node/src/controllers/members/spread.rs
+++ b/crates/node/src/controllers/members/spread.rs
@@ -4,8 +4,8 @@
 //! but a few VMs have it, and these get it when digests are compared.
 
 /// Sends of an item beyond one for each doubling of the fleet. An item that each VM passes on `n`
-/// times misses one VM in about `e^n`: one in 8,000 at 96 VMs. More would be sent in vain: at
-/// first, three sends a doubling kept a fleet that had started as a whole busy for three minutes.
+/// times misses one VM in about `e^n`: one in 8,000 at 96 VMs. More would be sent in vain, and
+/// keep a fleet that starts as a whole busy.
 const BEYOND: u32 = 2;
 
 /// Yields how often an item is sent by one VM in a fleet of `vms`.
--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -31,8 +31,7 @@
 /// The longest expected wait at which a routine program's first call is let in.
 ///
 /// The longest lag of a load report: until then a VM can't tell a queue that drains from one that
-/// grows. Measured against no such limit at twice the saturating load (docs/LOAD.md): 1.59
-/// times the goodput for Derwent and 1.24 times for Kwabena, as fewer programs are broken off.
+/// grows. Without the limit programs are let in that are broken off later, and their work is lost.
 pub const FIRST_WAIT: Millis = Millis::new(2_000);
 /// The shortest `retry_after`: below it, coming back costs more than the wait saves.
 pub const MIN_RETRY: Millis = Millis::new(250);
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -33,22 +33,19 @@
 /// and keeps one slot free at each endpoint instead.
 pub const LANE_FLEET: usize = 8;
 /// The share of a lane's slots that routine calls may use, so that it isn't idle when nothing
-/// urgent comes. Measured over four seeds and both deployments at twice the saturating load: with
-/// an eighth urgent p99 is up to 1.54 times that of an idle fleet, with a sixteenth up to 1.16, with
-/// none up to 1.11; a sixteenth costs one to two per cent of goodput beside an eighth.
+/// urgent comes: one slot of sixteen, which an urgent call hardly feels.
 pub const LANE_ROUTINE: f64 = 0.0625;
 /// Calls that may be sent ahead of a free slot to the endpoint that has most of their prompt, as a
 /// share of the slots.
 ///
 /// A VM learns late that another VM's call has ended; without calls at hand the endpoint runs
-/// below its slots meanwhile, and its programs leave their prefix for slots elsewhere. Measured
-/// with 0, 0.25, 0.5, 0.75 and 1: throughput grows up to a half and is level from there. The
-/// endpoint hears urgent calls first among those that wait at it.
+/// below its slots meanwhile, and its programs leave their prefix for slots elsewhere; more
+/// than that only waits. The endpoint hears urgent calls first among those that wait at it.
 pub const AHEAD: f64 = 0.5;
 
 /// The share of its speed that each call of a batch loses while a prompt is prefilled beside it.
 ///
-/// As in the engine model that it is measured with; to be set from the real engines' figures.
+/// An engine shares each of its steps between the two.
 pub const TOLL: f64 = 0.3;
 
 /// An endpoint that may run the call, as this VM sees it.
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -12,8 +12,8 @@
 
 use crate::fade;
 
-/// The share of an endpoint's memory that holds parts nobody works on. Measured on a day of twice
-/// the usual load: running prompts took up to half of it.
+/// The share of an endpoint's memory that holds parts nobody works on: under high load running
+/// prompts take the other half.
 pub const YIELDING: f64 = 0.5;
 /// The most parts that are remembered for an endpoint; at a thousand tokens each, several times
 /// what fits its memory.
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -14,8 +14,8 @@
 //!    calls that come less than that later, so none starves. Ranks don't change with time, so the
 //!    lists stay sorted without being gone through again.
 //!
-//! Measured (docs/LOAD.md): the second level decides what small callers get beside large ones; the
-//! third changes little while [`crate::admit`] keeps the queue short.
+//! The second level decides what small callers get beside large ones; the third changes little while
+//! [`crate::admit`] keeps the queue short (docs/LOAD.md).
 
 use wire::clock::Millis;
 use wire::id;
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -25,11 +25,11 @@
 /// runners that live are back in the list within two seconds.
 const MISSING: Millis = Millis::new(1_700);
 /// What a way to another data centre costs a request that may run again, in milliseconds: there and
-/// back between data centres that are half a millisecond to one and a half apart, 1 to 2.8.
+/// back.
 pub const AWAY: f64 = 3.0;
 /// What it costs a call that may run at most once. Its outcome stays unknown where the way breaks
 /// meanwhile, and its program ends; so one in the VM's own data centre is worth half the time of a
-/// usual call (26 to 52 ms).
+/// usual call.
 pub const AWAY_ONCE: f64 = 15.0;
 
 /// The runners, in the order of their ids.
--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -21,8 +21,7 @@
 /// The same for a request of a plain service.
 const FIRST_PACE_PLAIN: f64 = 50.0;
 /// So many other VMs that hold a runner off are believed. One may have a broken way to a runner
-/// that all others reach. Measured on 91 VMs with runners that go down and up: without it each VM
-/// found out by itself, 369 requests in 5 s.
+/// that all others reach; were none believed, each VM would lose a request to find out by itself.
 const BELIEVED: u32 = 2;
 
 impl Fleet {
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -18,8 +18,8 @@
 use crate::fleet::Want;
 use crate::tally::Told;
 
-/// Prompt tokens that an engine reads in the time in which it generates one: 205 to 280 at three
-/// kinds of engines of very different speed, as both times are made of the same arithmetic.
+/// Prompt tokens that an engine reads in the time in which it generates one: about the same at fast
+/// and slow engines, as both times are made of the same arithmetic.
 const READS: f64 = 220.0;
 /// How long a runner gets nothing after another one answered at its address: until its entry is
 /// gone from the list, as a rule.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -23,9 +23,9 @@
 /// for longer than a fifth of the time that is allowed.
 const PAUSE: Duration = Duration::from_millis(400);
 /// By how many VMs the pause between two watches of the system's own keys grows by [`PAUSE`]. Each
-/// VM that starts writes a key, which every other VM's watch returns for: with 87 of them restarted
-/// one by one that were 8,137 calls in a minute. What these keys tell isn't urgent, as members with
-/// a disk tell a new list themselves.
+/// VM that starts writes a key, which every other VM's watch returns for, so that a restart of all
+/// costs calls by the square of their number. What these keys tell isn't urgent, as members with a
+/// disk tell a new list themselves.
 const OWN_SPREAD: u32 = 8;
 
 /// Yields the pause between two reads of the system's own keys.
--- a/crates/relay/src/follow/away.rs
+++ b/crates/relay/src/follow/away.rs
@@ -13,8 +13,7 @@
 /// refusals.
 const AGAIN_MOST: Duration = Duration::from_millis(1_200);
 /// The longest pause after failed calls for the configuration: under a third of the time in which
-/// one has to be in force. With the first pause each time, 19 VMs that the service turned away for
-/// nine seconds asked it 678 times for the configuration alone.
+/// one has to be in force, and long enough that VMs which the service turns away don't keep it busy.
 const AGAIN_CONFIG: Duration = Duration::from_millis(600);
 /// The pause after a failed call, below a tenth of the time in which a configuration has to be in
 /// force.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -135,8 +135,8 @@
     }
 
     /// Tells whether no VM that answers comes before `own`: it reads the runners' entries for the
-    /// others. One reader a data centre asked the service three times as often, and told the others
-    /// no more: 395 calls in a quiet minute of 12 VMs, nearly all of them these.
+    /// others. One reader a data centre would ask the service as often as there are data centres,
+    /// and tell the others no more.
     #[must_use]
     pub fn is_reader(&self, own: &str, now: Millis) -> bool {
         let before = self.known.iter().take_while(|peer| peer.vm.as_str() < own);
--- a/crates/relay/src/subject.rs
+++ b/crates/relay/src/subject.rs
@@ -71,9 +71,9 @@
 /// Decides where a VM learns of a subject: `place` is the VM's among those that tell each other,
 /// `reads` whether it reads the runners for all, `stale` whether what others told is too old.
 ///
-/// In a large deployment a watch of every VM for every subject was most of what the service was
-/// asked: each change has as many answers as there are VMs, in which a VM that has a hub hears of
-/// it within two exchanges. What its hub tells is current as long as the runners' entries are, as
+/// In a large deployment a watch of every VM for every subject would be most of what the service is
+/// asked: each change has as many answers as there are VMs, and a VM that has a hub hears of it
+/// within two exchanges. What its hub tells is current as long as the runners' entries are, as
 /// both come in one message; when they aren't, it asks the service itself.
 #[must_use]
 pub const fn source(subject: Subject, place: Place, reads: bool, stale: bool) -> Source {
--- a/crates/replica/src/gain.rs
+++ b/crates/replica/src/gain.rs
@@ -1,9 +1,9 @@
 //! What members have to learn after a change of the list.
 //!
 //! A change moves few keys: a member that goes or comes changes the groups that it is in by one or
-//! two members. Having every member compare everything with every other took 0.4 to 1.3 s on VMs
-//! with 0.3 cores, in which reads that need all members wait. So a member that held its share
-//! before asks only for the keys that it has just got.
+//! two members. Were every member to compare everything with every other, reads that need all
+//! members would wait for as long. So a member that held its share before asks only for the keys
+//! that it has just got.
 //!
 //! Where each acknowledged fact is with a majority of its group, so it is after the change: of the
 //! majority each member that went out is replaced by one that came in, which has learnt from so
--- a/crates/replica/src/silence.rs
+++ b/crates/replica/src/silence.rs
@@ -7,8 +7,8 @@
 
 /// How long a member may be silent before it is taken off a list that has more members than it
 /// needs. Until then its groups bear one loss less, so it is well below the time after which a
-/// removed VM's successor counts (4.9 s and more); and longer than a restart or a short cut, as
-/// each change of the list has all members compare what they hold.
+/// removed VM's successor counts; and longer than a restart or a short cut, as each change of the list
+/// has all members compare what they hold.
 const LAPSED: Millis = Millis::new(3_000);
 /// The same for the other one of two members. Each write needs both, so that turns wait for it.
 const LAPSED_OF_TWO: Millis = Millis::new(1_500);
