--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod class;
 pub mod displace;
 pub mod eject;
+pub mod fade;
 pub mod ledger;
 pub mod pace;
 pub mod place;
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use link::client::Client;
 use platform::edge::Compare;
 use platform::edge::Entry;
@@ -22,15 +21,16 @@
 use tokio::sync::watch;
 use wire::clock::Clock;
 use wire::clock::Millis;
+use wire::event::Event;
 
-use crate::client;
+use crate::call;
+use crate::disk;
 use crate::gain;
 use crate::gain::Scope;
 use crate::ledger::Account;
 use crate::list;
 use crate::list::List;
 use crate::message::Answer;
-use crate::message::Ask;
 use crate::message::Body;
 use crate::message::Holdings;
 use crate::message::Status;
@@ -95,20 +95,6 @@
     outage: bool,
 }
 
-fn encode(version: u64, body: &Body) -> Option<Bytes> {
-    let ask = Ask {
-        version,
-        body: body.clone(),
-    };
-    match rmp_serde::to_vec(&ask) {
-        Ok(bytes) => Some(Bytes::from(bytes)),
-        Err(fault) => {
-            log::error!("text=\"a request can't be encoded\" fault=\"{fault}\"");
-            None
-        }
-    }
-}
-
 impl Driver {
     /// Drives the member for as long as it is polled.
     pub async fn run(self) {
@@ -124,7 +110,7 @@
 
     async fn step(&self, memory: &mut Memory) {
         if let Err(fault) = self.member.sweep().await {
-            log::error!("event=E3105 text=\"the disk failed\" fault=\"{fault}\"");
+            disk::log_failed(&fault);
         }
         self.reread(memory).await;
         let identity = self.member.identity();
@@ -162,14 +148,22 @@
         match self.platform.read(&self.key).await {
             Ok(entry) => {
                 if memory.outage {
-                    log::info!("event=E2103 text=\"platform outage ended\"");
+                    log::info!(
+                        "event=E{} text=\"{}\"",
+                        Event::OutageEnded.number(),
+                        Event::OutageEnded.text()
+                    );
                 }
                 memory.outage = false;
                 self.take(memory, entry).await;
             }
             Err(fault) => {
                 if !memory.outage {
-                    log::warn!("event=E2102 text=\"platform outage began\" fault=\"{fault}\"");
+                    log::warn!(
+                        "event=E{} text=\"{}\" fault=\"{fault}\"",
+                        Event::OutageBegan.number(),
+                        Event::OutageBegan.text()
+                    );
                 }
                 memory.outage = true;
             }
@@ -190,7 +184,7 @@
 
     async fn adopt(&self, list: &List) {
         if let Err(fault) = self.member.adopt(list).await {
-            log::error!("event=E3105 text=\"the disk failed\" fault=\"{fault}\"");
+            disk::log_failed(&fault);
         }
     }
 
@@ -203,7 +197,9 @@
         let needed = list::meeting(list.group_size(self.losses));
         if list.version > 0 && !list.covers(&ready, self.losses, needed) {
             log::info!(
-                "event=E3104 text=\"change of members waits\" version={} ready={} members={}",
+                "event=E{} text=\"{}\" version={} ready={} members={}",
+                Event::ChangeWaits.number(),
+                Event::ChangeWaits.text(),
                 list.version,
                 ready.len(),
                 list.members.len()
@@ -263,7 +259,7 @@
     }
 
     async fn ask(&self, member: &list::Member, version: u64, body: Body) -> Option<Answer> {
-        client::send(&self.http, member.address, encode(version, &body)?).await
+        call::ask(&self.http, member.address, version, body).await
     }
 
     /// Learns all that was acknowledged before this list.
@@ -278,18 +274,13 @@
         let mut whole = Vec::new();
         let ready = self.member.status().ready;
         let scope = gain::scope(list, &self.own, ready, self.losses);
-        let answers = self.holdings_of(&list.before, list, scope).await;
-        for (member, holdings) in list.before.iter().zip(answers) {
-            if *member == self.own {
-                heard.push(member);
-                if ready + 1 >= list.version {
-                    whole.push(member);
-                }
-                continue;
+        if let Some(own) = list.before.iter().find(|member| **member == self.own) {
+            heard.push(own);
+            if ready + 1 >= list.version {
+                whole.push(own);
             }
-            let Some(holdings) = holdings else {
-                continue;
-            };
+        }
+        for (member, holdings) in self.holdings_of(&list.before, list, scope).await {
             if let Err(fault) = self.take_over(member, list, &holdings).await {
                 log::warn!(
                     "text=\"a member's records not learnt\" member={} fault=\"{fault}\"",
@@ -305,7 +296,9 @@
         let enough = gain::is_enough(list, &heard, &whole, self.losses);
         if !enough {
             log::warn!(
-                "event=E3103 text=\"records not yet learnt\" version={} heard={} whole={} before={}",
+                "event=E{} text=\"{}\" version={} heard={} whole={} before={}",
+                Event::RecordsMissing.number(),
+                Event::RecordsMissing.text(),
                 list.version,
                 heard.len(),
                 whole.len(),
@@ -315,25 +308,27 @@
             return;
         }
         if let Err(fault) = self.member.set_ready(list.version).await {
-            log::error!("event=E3105 text=\"the disk failed\" fault=\"{fault}\"");
+            disk::log_failed(&fault);
             return;
         }
         log::info!(
-            "event=E3102 text=\"records learnt\" version={} heard={} ms={}",
+            "event=E{} text=\"{}\" version={} heard={} ms={}",
+            Event::RecordsLearnt.number(),
+            Event::RecordsLearnt.text(),
             list.version,
             heard.len(),
             self.clock.now().since(started).as_u64()
         );
     }
 
-    /// Asks members at the same time for what they hold: those that don't answer cost their time
-    /// once, not one after the other.
-    async fn holdings_of(
+    /// Asks the other members at the same time for what they hold, and yields what was answered:
+    /// those that don't answer cost their time once, not one after the other.
+    async fn holdings_of<'a>(
         &self,
-        members: &[list::Member],
+        members: &'a [list::Member],
         list: &List,
         scope: Scope,
-    ) -> Vec<Option<Holdings>> {
+    ) -> Vec<(&'a list::Member, Holdings)> {
         let body = match scope {
             Scope::All => Body::Keys,
             Scope::Gained => Body::Gained {
@@ -341,57 +336,27 @@
                 losses: self.losses,
             },
         };
+        let Some(bytes) = call::encode(list.version, body) else {
+            return Vec::new();
+        };
         let mut asked = Vec::new();
         for member in members.iter().filter(|member| **member != self.own) {
-            let http = self.http.clone();
-            let address = member.address;
-            let bytes = encode(list.version, &body);
-            asked.push(tokio::spawn(async move {
-                client::send(&http, address, bytes?).await
-            }));
+            let (http, bytes) = (self.http.clone(), bytes.clone());
+            let (to, list) = (member.clone(), list.clone());
+            let answer = tokio::spawn(async move { call::ask_by(&http, &to, &list, bytes).await });
+            asked.push((member, answer));
         }
-        let mut asked = asked.into_iter();
         let mut all = Vec::new();
-        for member in members {
-            if *member == self.own {
-                all.push(None);
-                continue;
+        for (member, answer) in asked {
+            match answer.await {
+                Ok(Some(Answer::Keys(holdings))) => all.push((member, holdings)),
+                Ok(Some(Answer::Newer(newer))) => self.adopt(&newer).await,
+                _ => {}
             }
-            let answer = match asked.next() {
-                Some(asked) => asked.await.ok().flatten(),
-                None => None,
-            };
-            all.push(self.judge(member, list, &body, answer).await);
         }
         all
     }
 
-    /// Takes a member's answer; one that goes by an older list is told this one and asked again.
-    async fn judge(
-        &self,
-        member: &list::Member,
-        list: &List,
-        body: &Body,
-        answer: Option<Answer>,
-    ) -> Option<Holdings> {
-        match answer? {
-            Answer::Keys(holdings) => Some(holdings),
-            Answer::Older => {
-                self.ask(member, list.version, Body::Adopt(list.clone()))
-                    .await?;
-                match self.ask(member, list.version, body.clone()).await? {
-                    Answer::Keys(holdings) => Some(holdings),
-                    _ => None,
-                }
-            }
-            Answer::Newer(newer) => {
-                self.adopt(&newer).await;
-                None
-            }
-            _ => None,
-        }
-    }
-
     async fn take_over(
         &self,
         member: &list::Member,
@@ -441,11 +406,7 @@
             return;
         }
         memory.compared = true;
-        let answers = self.holdings_of(&list.members, list, Scope::All).await;
-        for (member, holdings) in list.members.iter().zip(answers) {
-            let Some(holdings) = holdings else {
-                continue;
-            };
+        for (member, holdings) in self.holdings_of(&list.members, list, Scope::All).await {
             if let Err(fault) = self.take_over(member, list, &holdings).await {
                 log::warn!(
                     "text=\"a member's records not compared\" member={} fault=\"{fault}\"",
@@ -479,7 +440,11 @@
             return;
         }
         if let Some(vm) = memory.silence.lapsed(list, now) {
-            log::warn!("event=E3106 text=\"silent member taken off the list\" member={vm}");
+            log::warn!(
+                "event=E{} text=\"{}\" member={vm}",
+                Event::MemberEvicted.number(),
+                Event::MemberEvicted.text()
+            );
             let next = list.without(vm);
             self.propose(memory, list, &next).await;
         }
@@ -491,7 +456,9 @@
             return;
         }
         log::info!(
-            "event=E3107 text=\"all records are elsewhere\" version={}",
+            "event=E{} text=\"{}\" version={}",
+            Event::MemberLeft.number(),
+            Event::MemberLeft.text(),
             list.version
         );
         self.phase.send_replace(Phase::Left);
--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -8,6 +8,7 @@
 use crate::hole;
 use crate::hole::Hole;
 use crate::line::Line;
+use crate::state::Index;
 
 /// How long after a refusal another VM may notice the same: two looks at the VMs with a disk.
 const NOTICED_MS: u64 = 1_500;
@@ -94,13 +95,6 @@
     pub vms: Vec<String>,
 }
 
-/// The pairs of events that tell of a VM's own state.
-const STATES: [[Event; 2]; 3] = [
-    [Event::NodeStarted, Event::NodeStopping],
-    [Event::OutageBegan, Event::OutageEnded],
-    [Event::MembersLost, Event::MembersRegained],
-];
-
 /// The events that tell how a runner is to be used.
 const RUNNERS: [Event; 6] = [
     Event::EndpointEjected,
@@ -117,18 +111,11 @@
     let concerns = |line: &&Line| line.field("request") == id || line.field("program") == id;
     let mut told: Vec<Line> = lines.iter().filter(concerns).cloned().collect();
     told.sort_by(|a, b| a.at.cmp(&b.at));
-    let mut requests: Vec<&str> = Vec::new();
-    for line in &told {
-        let request = line.field("request");
-        if !request.is_empty() && !requests.contains(&request) {
-            requests.push(request);
-        }
-    }
-    let ends = requests.iter().map(|request| {
-        let of_request = told.iter().filter(|line| line.field("request") == *request);
-        let of_request: Vec<&Line> = of_request.collect();
-        end(request, &of_request, lines)
-    });
+    let states = Index::new(lines);
+    let ends = by_request(&told);
+    let ends = ends
+        .iter()
+        .map(|(request, of_request)| end(request, of_request, lines, &states));
     let ends = ends.collect();
     Story {
         ends,
@@ -145,8 +132,25 @@
     hole::within(&hole::find(all), &first.at, &last.at, &vms)
 }
 
-fn end(request: &str, of_request: &[&Line], all: &[Line]) -> End {
-    let cause = cause(of_request, all);
+/// Groups lines by their requests, in the order of the requests' first lines.
+fn by_request(told: &[Line]) -> Vec<(&str, Vec<&Line>)> {
+    let numbered = told.iter().enumerate();
+    let mut of_requests: Vec<(&str, usize)> = numbered
+        .map(|(at, line)| (line.field("request"), at))
+        .filter(|(request, _)| !request.is_empty())
+        .collect();
+    of_requests.sort_unstable();
+    let mut groups: Vec<&[(&str, usize)]> = of_requests.chunk_by(|a, b| a.0 == b.0).collect();
+    groups.sort_by_key(|group| group[0].1);
+    let lines = |group: &&[(&str, usize)]| group.iter().map(|(_, at)| &told[*at]).collect();
+    groups
+        .iter()
+        .map(|group| (group[0].0, lines(group)))
+        .collect()
+}
+
+fn end(request: &str, of_request: &[&Line], all: &[Line], states: &Index<'_>) -> End {
+    let cause = cause(of_request, states);
     let named = of_request.iter().rev().map(|line| line.field("runner"));
     let runner = named.into_iter().find(|runner| !runner.is_empty());
     let runner = runner.unwrap_or_default().to_owned();
@@ -166,7 +170,7 @@
     if matches!(end.cause, Cause::Late { .. }) {
         return end;
     }
-    end.state = state(last, all);
+    end.state = states.until(last);
     if end.state.iter().any(lacks_members) {
         end.alike = Some(alike(last, all));
     }
@@ -211,25 +215,9 @@
     }
 }
 
-/// Finds the last line about each part of its own state that a VM wrote until then; the parts of an
-/// outage are its subjects.
-fn state(last: &Line, all: &[Line]) -> Vec<Line> {
-    let before = |line: &&Line| line.vm == last.vm && line.at <= last.at;
-    let before: Vec<&Line> = all.iter().filter(before).collect();
-    let mut latest = Vec::new();
-    for pair in STATES {
-        let tells = |line: &&&Line| pair.iter().any(|event| event.number() == line.event);
-        let mut told: Vec<&Line> = before.iter().filter(tells).copied().collect();
-        told.sort_by_key(|line| (line.field("subject"), &line.at));
-        let subjects = told.chunk_by(|a, b| a.field("subject") == b.field("subject"));
-        latest.extend(subjects.filter_map(|of_subject| of_subject.last().copied().cloned()));
-    }
-    latest
-}
-
 /// Names the cause of a request's end by its own lines, in order, and by what its VM did.
 #[must_use]
-pub fn cause(of_request: &[&Line], all: &[Line]) -> Cause {
+pub fn cause(of_request: &[&Line], index: &Index<'_>) -> Cause {
     let is = |line: &Line, event: Event| line.event == event.number();
     let ends = of_request.iter().rev();
     for line in ends {
@@ -249,15 +237,16 @@
         if is(line, Event::CallerGone) {
             return Cause::CallerGone;
         }
+        if is(line, Event::RequestCut) && line.field("what") == "Answer" {
+            let vm = line.vm.clone();
+            return Cause::ProcessEnded { vm };
+        }
     }
     let Some(last) = of_request.last() else {
         return Cause::EndMissing { vm: String::new() };
     };
     let vm = last.vm.clone();
-    let restarted = all
-        .iter()
-        .any(|line| line.vm == vm && is(line, Event::NodeStarted) && line.at >= last.at);
-    if restarted {
+    if index.starts_after(last) {
         Cause::ProcessEnded { vm }
     } else {
         Cause::EndMissing { vm }
--- a/crates/trace/src/story/tests.rs
+++ b/crates/trace/src/story/tests.rs
@@ -1,12 +1,7 @@
 use super::Cause;
 use super::of;
 use crate::line::Line;
-use crate::line::parse;
-
-fn lines(text: &str) -> Vec<Line> {
-    let parsed = text.lines().map(|line| parse(line, "log"));
-    parsed.map(|line| line.expect("it is whole")).collect()
-}
+use crate::tests::lines;
 
 /// A program's turn meets a runner that is cut off; its second try comes to a VM that reaches too few
 /// others, the third is served elsewhere. Three logs were joined without regard to time.
@@ -161,3 +156,25 @@
         .collect();
     assert_eq!(told, [(2103, "Config"), (2102, "Runners")]);
 }
+
+/// A process ends while a request is under way and says so; its log goes on with no new start yet, as the
+/// VM is still down. A settlement that it cuts off is no end of an answered request.
+#[test]
+fn what_the_end_of_a_process_cuts_off_is_told() {
+    let log = lines(
+        "a at=2026-05-17T07:00:01.000 event=E1201 request=r1 program=p runner=i-1\n\
+         a at=2026-05-17T07:00:02.000 event=E1103 request=r2 program=p runner=i-1 status=200 ms=9\n\
+         a at=2026-05-17T07:00:03.000 event=E1210 request=r1 what=Answer ms=2000\n\
+         a at=2026-05-17T07:00:03.000 event=E1210 request=r2 what=Settlement ms=900\n",
+    );
+    let ends: Vec<Cause> = of("p", &log)
+        .ends
+        .into_iter()
+        .map(|end| end.cause)
+        .collect();
+    let vm = "a".to_owned();
+    let status = "200".to_owned();
+    assert_eq!(ends[1], Cause::Answered { status });
+    let cut = of("r1", &log).ends.remove(0).cause;
+    assert_eq!(cut, Cause::ProcessEnded { vm });
+}
