Show what a stopping node cuts off at the first door

A node that is told to end waits one grace for its shards and a second one for its tasks, so that whoever stops it kills it in between; it takes turns and orders that may outlast it; a connection without a request holds it up for the time of a request's headers; calls that wait aren't given up any more once the shards are released; a shard that has said that nothing runs of it takes one more turn and is stopped in the middle of it; what outlasts the grace is cut off without a word.

--- a/crates/node/tests/request/main.rs
+++ b/crates/node/tests/request/main.rs
@@ -6,4 +6,5 @@
 mod lost;
 mod order;
 mod service;
+mod stop;
 mod turn;
--- /dev/null
+++ b/crates/node/tests/request/stop.rs
@@ -0,0 +1,275 @@
+//! A node that is told to end while requests run, wait and arrive.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use node::filters::route;
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+use standin::client;
+use standin::runner;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use wire::ask::Ask;
+use wire::ask::Body;
+use wire::ask::Chat;
+use wire::ask::Reply;
+use wire::code::Code;
+use wire::code::Ran;
+use wire::id;
+
+use crate::fleet::CHAT;
+use crate::fleet::Fleet;
+use crate::fleet::Plan;
+use crate::fleet::named;
+use crate::fleet::refusal;
+use crate::fleet::slow;
+
+const READ: &str = "/v1/services/shore/read";
+const SWITCH: &str = "/v1/services/shore/switch";
+/// What the tests with a short grace set.
+const GRACE: Duration = Duration::from_secs(2);
+/// The endpoint's slots in the tests' configuration; some of them are kept for urgent calls.
+const SLOTS: usize = 8;
+
+/// Starts a fleet with a short grace whose answers of 200 tokens take 5 s.
+async fn short() -> Fleet {
+    Fleet::start(Plan {
+        limits: "[limits]\ngrace = \"2s\"\n",
+        runner: slow(),
+        ..Plan::default()
+    })
+    .await
+}
+
+async fn service_faults(fleet: &Fleet, faults: &Value) {
+    client::post(fleet.service.address(), "/faults", &[], faults).await;
+}
+
+// A turn runs longer than the grace. The shutdown waits one grace for the shard and a second one
+// for the task, so whoever stops the process kills it in between, and all connections break off at
+// once. One grace has to hold for the whole.
+#[tokio::test]
+async fn a_shutdown_takes_one_grace_at_most() {
+    let fleet = short().await;
+    let callers = fleet.callers;
+    let mut chat = client::chat("plan #tokens=200");
+    chat["stream"] = json!(true);
+    let ask = tokio::spawn(async move { client::ask(callers, CHAT, &[], &chat).await });
+    fleet.until_started(1).await;
+    let ended = timeout(GRACE, fleet.node.shutdown()).await;
+    assert!(ended.is_ok(), "longer than the grace");
+    ask.abort();
+}
+
+// A turn outlasts the grace. Its caller's connection is cut when the process ends, and the caller
+// can't tell it from a crash. In time before the end it is told that the VM stops and that the
+// turn may have run.
+#[tokio::test]
+async fn what_outlasts_the_grace_ends_with_a_refusal() {
+    let fleet = short().await;
+    let callers = fleet.callers;
+    let chat = client::chat("plan #tokens=200");
+    let ask = tokio::spawn(async move { client::ask(callers, CHAT, &[], &chat).await });
+    fleet.until_started(1).await;
+    let _late = timeout(GRACE, fleet.node.shutdown()).await;
+    // What the caller has by now left the node before its end.
+    let answer = timeout(Duration::from_millis(100), ask).await;
+    let answer = answer.expect("no answer at the end").unwrap();
+    assert_eq!(refusal(&answer), ("CY4105", "unknown"));
+}
+
+// An order was sent, and the platform goes away before its outcome is recorded. The node is told
+// to end; the outcome can't become durable, and the caller is left without an answer when the
+// process ends. It is told that the order may have run.
+#[tokio::test]
+async fn an_order_without_a_record_ends_with_a_refusal() {
+    let fleet = short().await;
+    service_faults(&fleet, &json!({"delay_ms": 500})).await;
+    let callers = fleet.callers;
+    let ask = tokio::spawn(async move {
+        let key = [("idempotency-key", "order-1")];
+        client::ask(callers, SWITCH, &key, &json!({})).await
+    });
+    let running = |stats: &Value| stats["runs"].as_array().is_some_and(|r| !r.is_empty());
+    client::until(fleet.service.address(), "/stats", running).await;
+    fleet.platform.set_down(true);
+    let ended = timeout(GRACE, fleet.node.shutdown()).await;
+    assert!(ended.is_ok(), "longer than the grace");
+    let answer = timeout(Duration::from_millis(100), ask).await;
+    let answer = answer.expect("no answer at the end").unwrap();
+    assert_eq!(refusal(&answer).1, "unknown", "{}", answer.1);
+}
+
+// The platform is away and nothing runs. No shard's record can be removed; the shutdown ends all
+// the same, long before its grace, as the lease's end frees the shards.
+#[tokio::test]
+async fn a_shutdown_without_the_platform_ends() {
+    let fleet = Fleet::plain().await;
+    fleet.platform.set_down(true);
+    fleet.until_outage().await;
+    let ended = timeout(Duration::from_secs(5), fleet.node.shutdown()).await;
+    assert!(ended.is_ok(), "still waits");
+}
+
+// The slots of a service are taken and more calls wait, for as long as the settings let them. The
+// node is told to end. The task that gives waiting calls up ends with the shards, before the calls
+// do, so they wait on, and their callers are cut off. They are given up in their time.
+#[tokio::test]
+async fn a_waiting_call_is_given_up_in_time_while_the_node_stops() {
+    let fleet = Fleet::start(Plan {
+        limits: "[limits]\nwait = \"600ms\"\n",
+        ..Plan::default()
+    })
+    .await;
+    service_faults(&fleet, &json!({"delay_ms": 3_000})).await;
+    let callers = fleet.callers;
+    let read = move || async move {
+        let asked = Instant::now();
+        let answer = client::ask(callers, READ, &[], &json!({})).await;
+        (answer, asked.elapsed())
+    };
+    let asked: Vec<_> = (0..SLOTS).map(|_| tokio::spawn(read())).collect();
+    while fleet.node.core().desk.waiting() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let shutdown = tokio::spawn(fleet.node.shutdown());
+    let mut given_up = 0;
+    for answer in asked {
+        let (answer, took) = answer.await.unwrap();
+        if answer.0 == 200 {
+            continue;
+        }
+        assert_eq!(refusal(&answer), ("CY2205", "no"));
+        assert!(took < Duration::from_secs(2), "only after {took:?}");
+        given_up += 1;
+    }
+    assert!(given_up > 0);
+    shutdown.await.unwrap();
+}
+
+// A caller has opened a connection and sent nothing yet. The node is told to end with nothing under
+// way, and waits for that connection until the time for a request's headers is over: the supervisor
+// kills it meanwhile. A connection without a request doesn't count.
+#[tokio::test]
+async fn a_connection_without_a_request_holds_no_shutdown_up() {
+    let fleet = Fleet::plain().await;
+    let mut streams = vec![TcpStream::connect(fleet.callers).unwrap()];
+    let mut half = TcpStream::connect(fleet.callers).unwrap();
+    half.write_all(b"GET /hea").unwrap();
+    streams.push(half);
+    let core = fleet.node.core().clone();
+    while core.door.open() < 2 {
+        tokio::task::yield_now().await;
+    }
+    let ended = timeout(Duration::from_secs(3), fleet.node.shutdown()).await;
+    assert!(ended.is_ok(), "still waits");
+}
+
+// A shard is given up, and an ask arrives when nothing runs of it any more but the actor still
+// lives. The actor takes it, is stopped at once, and the caller's turn is lost on the way, with an
+// unknown outcome. It is refused, so that it goes to the next owner.
+#[tokio::test]
+async fn a_shard_that_is_given_up_takes_nothing_more() {
+    let fleet = Fleet::plain().await;
+    let core = fleet.node.core().clone();
+    let program = id::Program::parse("berth").unwrap();
+    let shard = route::shard(&core.settings, &program);
+    let ask = Ask {
+        program,
+        caller: id::Caller::parse("tug").unwrap(),
+        revision: 1,
+        deadline: None,
+        hops: 0,
+        body: Body::Chat(Chat {
+            turn: Some(1),
+            request: serde_json::from_value(client::chat("plan")).unwrap(),
+        }),
+    };
+    let (sender, mut replies) = mpsc::unbounded_channel();
+    // Both on this one thread: the ask is queued right behind the order to drain.
+    let late = async { core.registry.ask(&shard, ask, sender).is_ok() };
+    let ((), taken) = tokio::join!(biased; core.registry.release(&shard), late);
+    assert!(taken);
+    let reply = replies.recv().await;
+    let Some(Reply::Refused(refusal)) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!((refusal.code, refusal.ran), (Code::ShuttingDown, Ran::No));
+    assert!(fleet.attempts().await.is_empty());
+}
+
+/// Starts a turn that takes 1.5 s, and tells the node to end.
+async fn stopping() -> (SocketAddr, impl Future<Output = ()>) {
+    let fleet = Fleet::start(Plan {
+        limits: "[limits]\ngrace = \"10s\"\n",
+        runner: runner::Settings {
+            tokens_per_second: 40.0,
+            ..runner::Settings::default()
+        },
+        ..Plan::default()
+    })
+    .await;
+    let callers = fleet.callers;
+    let chat = client::chat("plan #tokens=60");
+    let first = tokio::spawn(async move { client::ask(callers, CHAT, &[], &chat).await });
+    fleet.until_started(1).await;
+    let core = fleet.node.core().clone();
+    let shutdown = tokio::spawn(fleet.node.shutdown());
+    core.stopping.cancelled().await;
+    (callers, async move {
+        assert_eq!(first.await.unwrap().0, 200, "the first turn was cut off");
+        shutdown.await.unwrap();
+        drop(fleet.runners);
+    })
+}
+
+// A node that stops still has a turn under way, and callers whose balancer hasn't noticed send
+// more. What states no time, or more of it than the process has, could be cut off when the process
+// ends; it is refused at once as not run, with the time to come again.
+#[rstest]
+#[case::no_limit(None)]
+#[case::beyond_the_end(Some("60000"))]
+#[tokio::test]
+async fn a_stopping_node_refuses_what_may_outlast_it(#[case] deadline: Option<&'static str>) {
+    let (callers, ended) = stopping().await;
+    let mut headers = named("late", "1").to_vec();
+    headers.extend(deadline.map(|span| ("chestnutyoke-deadline-ms", span)));
+    let chat = client::chat("late");
+    let asked = client::ask(callers, CHAT, &headers, &chat);
+    let answer = timeout(Duration::from_millis(500), asked).await;
+    let answer = answer.expect("not refused at once");
+    assert_eq!(refusal(&answer), ("CY4105", "no"));
+    assert!(answer.1["error"]["retry_after_ms"].is_number());
+    ended.await;
+}
+
+// A node that stops is asked for an order under a key. Whether an earlier asking of it ran, only
+// the journal knows; told "no" here, the caller would give another order and both might run.
+#[tokio::test]
+async fn a_stopping_node_says_no_of_no_order() {
+    let (callers, ended) = stopping().await;
+    let key = [("idempotency-key", "order-1")];
+    let order = json!({});
+    let asked = client::ask(callers, SWITCH, &key, &order);
+    let answer = timeout(Duration::from_millis(500), asked).await;
+    let answer = answer.expect("not refused at once");
+    assert_eq!(refusal(&answer), ("CY4105", "unknown"));
+    ended.await;
+}
+
+// A node that stops is asked for what ends in time. It isn't refused for being late: it waits for
+// an owner as long as its caller does, and is answered, by a refusal where none comes.
+#[tokio::test]
+async fn a_stopping_node_takes_what_ends_in_time() {
+    let (callers, ended) = stopping().await;
+    let headers = [("chestnutyoke-deadline-ms", "700")];
+    let answer = client::ask(callers, CHAT, &headers, &client::chat("late")).await;
+    assert_ne!(answer.0, 0);
+    assert!(answer.1["error"]["code"].is_string(), "{}", answer.1);
+    ended.await;
+}
