Take nothing of a shard once it is being given up

A shard that is handed over says that nothing runs of it, and the actor forgot in that moment that it drains. An ask that came before the shard was taken off the VM's list was taken, its turn sent to a runner, and the actor stopped in the middle of it: the caller lost the turn, with an unknown outcome. It happens at each hand-over, not at shutdowns alone.

--- a/crates/node/src/owner/message.rs
+++ b/crates/node/src/owner/message.rs
@@ -54,6 +54,8 @@
     Tick,
     /// Take no new turns, and answer when nothing runs any more.
     Drain(oneshot::Sender<()>),
+    /// The shard is given up: what was asked before gets its answer, then the actor ends.
+    Close,
     /// The shard has another owner.
     Lost,
 }
--- a/crates/node/src/owner/registry.rs
+++ b/crates/node/src/owner/registry.rs
@@ -128,7 +128,8 @@
             let _gone = drained.await;
         }
         self.remove(shard, entry.epoch);
-        entry.actor.stop(None);
+        // Stopped at once, the actor would drop the asks that reached it before the shard was removed.
+        let _ended = entry.actor.cast(Message::Close);
         if let Err(fault) = claim::release(&entry.setup, entry.epoch).await {
             // The lease's end frees the shard as well, only later.
             log::warn!("{} shard={shard} reason={fault:?}", Event::ShardReleased);
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -78,7 +78,10 @@
     pub(super) myself: ActorRef<Message>,
     pub(super) pending: pending::List,
     pub(super) seats: Seats,
-    draining: Vec<oneshot::Sender<()>>,
+    /// Whether the shard takes nothing new any more; it never does again once it was told so, or
+    /// what comes between its last look and its end would be lost on the way.
+    draining: bool,
+    drained: Vec<oneshot::Sender<()>>,
 }
 
 impl Actor for Shard {
@@ -99,7 +102,8 @@
             myself,
             pending: pending::List::default(),
             seats: Seats::default(),
-            draining: Vec::new(),
+            draining: false,
+            drained: Vec::new(),
         })
     }
 
@@ -137,6 +141,7 @@
             }
             Message::Tick => keep::tick(owner),
             Message::Drain(done) => owner.drain(done),
+            Message::Close => myself.stop(None),
             Message::Lost => {
                 owner.lose();
                 myself.stop(None);
@@ -197,7 +202,7 @@
     /// Refuses new work while the shard is handed over, and in an outage in which nothing of it
     /// could become durable: it would wait for the platform with its caller none the wiser.
     pub(super) fn check_open(&self) -> Result<(), Refusal> {
-        if !self.draining.is_empty() {
+        if self.draining {
             return Err(Refusal::new(Code::ShuttingDown, "").retry_after(HANDOVER));
         }
         if let Status::Outage { retry_after } = self.status()
@@ -397,7 +402,8 @@
     }
 
     fn drain(&mut self, done: oneshot::Sender<()>) {
-        self.draining.push(done);
+        self.draining = true;
+        self.drained.push(done);
         self.answer_drained();
     }
 
@@ -405,7 +411,7 @@
         if !self.pending.is_empty() {
             return;
         }
-        for done in std::mem::take(&mut self.draining) {
+        for done in std::mem::take(&mut self.drained) {
             let _gone = done.send(());
         }
     }
