Tell from a process's stop when it is killed

What is said last at the end of a stop has to be over before the kill, not before the last answer's time; the margin in between is the stop's own. Adds Stop::killed; nothing else changes. Green: policy::stop.

--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -21,6 +21,7 @@
 pub struct Stop {
     begun: Millis,
     last: Millis,
+    killed: Millis,
 }
 
 impl Stop {
@@ -31,6 +32,7 @@
         Self {
             begun,
             last: begun.plus(grace.since(MARGIN.min(part))),
+            killed: begun.plus(grace),
         }
     }
 
@@ -46,6 +48,12 @@
         self.last
     }
 
+    /// Yields when the process is killed where it hasn't ended.
+    #[must_use]
+    pub const fn killed(&self) -> Millis {
+        self.killed
+    }
+
     /// Yields the time that is left for what is under way.
     #[must_use]
     pub const fn left(&self, now: Millis) -> Millis {
--- a/crates/policy/src/stop/tests.rs
+++ b/crates/policy/src/stop/tests.rs
@@ -36,7 +36,7 @@
     for grace_ms in [0, 1, 100, 399, 400, 1_000, 1_600, 8_000, 120_000] {
         let stop = Stop::new(BEGUN, Millis::new(grace_ms));
         let killed = after(grace_ms);
-        assert_eq!(stop.begun(), BEGUN);
+        assert_eq!((stop.begun(), stop.killed()), (BEGUN, killed));
         assert!(stop.last() <= killed);
         assert!(grace_ms < 4 || stop.last() < killed, "{grace_ms}");
         let coarse = usize::try_from(grace_ms / 200 + 1).unwrap();
