Hold a node's shutdown to one grace, in the order that its work needs

The shutdown waited limits.grace for the shards and limits.grace once more for the tasks, so that a supervisor that kills after the grace cut off what ran. Listeners and controllers ended together as soon as the shards were released: the task that gives waiting calls up ended before the calls, and forwarded answers lost the news of their owners. A listener could still accept after its end was decided, and hyper takes a connection that never had a request for busy, which held the shutdown up for the time of a request's headers.

One deadline (policy::stop) now holds for the whole. First the shards are given up, then listeners close, with what waits to be accepted taken in, and connections end with their last answer; work for requests is counted apart from the controllers, which end after the last of it.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,8 +1,10 @@
 //! What every part of one node shares.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 use platform::edge::Platform;
+use policy::stop::Stop;
 use settings::vm::Settings;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -46,11 +48,19 @@
     pub client: Client,
     /// The callers' listener.
     pub door: Arc<Door>,
-    /// Every task that must end before the node has stopped.
+    /// The work for requests: connections and every task that an answer or a record waits for.
+    pub work: TaskTracker,
+    /// Every other task that must end before the node has stopped.
     pub tasks: TaskTracker,
+    /// The plan of the node's stop, from its begin on.
+    pub stop: OnceLock<Stop>,
     /// Set when the node begins to shut down.
     pub stopping: CancellationToken,
-    /// Set when nothing runs any more and every listener and controller may end.
+    /// Set when the shards are given up: listeners close, and connections with their last answer.
+    pub closing: CancellationToken,
+    /// Set when the time for what runs is over: who still waits is told so.
+    pub expired: CancellationToken,
+    /// Set when no work is left and every controller may end.
     pub stopped: CancellationToken,
 }
 
--- a/crates/node/src/filters/answer.rs
+++ b/crates/node/src/filters/answer.rs
@@ -148,7 +148,7 @@
                 wait,
                 sender,
             };
-            core.tasks.spawn(stream.run(first, replies));
+            core.work.spawn(stream.run(first, replies));
             let mut response = Response::new(BoxBody::new(Parts(parts)));
             let kind = HeaderValue::from_static("text/event-stream");
             response.headers_mut().insert(CONTENT_TYPE, kind);
--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -75,7 +75,7 @@
         }
         _ => (ask, sender),
     };
-    core.tasks.spawn(relay(core.clone(), ask, sender));
+    core.work.spawn(relay(core.clone(), ask, sender));
     replies
 }
 
@@ -93,7 +93,7 @@
     asked.hops = asked.hops.saturating_add(1);
     let (sender, parts) = mpsc::unbounded_channel();
     let replies = ask(&core, asked);
-    core.tasks.spawn(encode(replies, sender));
+    core.work.spawn(encode(replies, sender));
     let body = http_body_util::combinators::BoxBody::new(Parts(parts));
     let mut response = Response::new(body);
     let kind = hyper::header::HeaderValue::from_static(FRAMES);
--- a/crates/node/src/http/listen.rs
+++ b/crates/node/src/http/listen.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -30,6 +31,12 @@
 /// How long the listener pauses after a failed accept (no file descriptors left, say), so that it
 /// doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The most connections that wait to be accepted when the listener closes, as the standard library
+/// asks for it.
+const BACKLOG: u32 = 1_024;
+/// How long a connection without a request is kept when the listener closes: a first request that
+/// was sent before may still be on its way.
+const FIRST: Duration = Duration::from_millis(100);
 
 /// How much room a listener had when it accepted a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,24 +108,39 @@
     TcpListener::bind(address).await
 }
 
-/// Accepts connections until the node has stopped, and answers each request with `handler`.
+/// Accepts connections until the node closes its listeners, and answers each request with `handler`.
+/// What waits to be accepted by then is taken, too, as its callers have their connections already.
 pub async fn run<H, F>(listener: TcpListener, door: Arc<Door>, core: Arc<Core>, handler: H)
 where
     H: Fn(Arc<Core>, Request<Incoming>, Room) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
+    let enter = |stream| {
+        let (pass, room) = door.enter();
+        let served = connection(stream, pass, room, core.clone(), handler);
+        core.work.spawn(served);
+    };
     loop {
         let accepted = tokio::select! {
+            biased;
+            () = core.closing.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _from)) => enter(stream),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    for _ in 0..BACKLOG {
+        let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = core.stopped.cancelled() => return,
+            () = std::future::ready(()) => return,
         };
         let Ok((stream, _from)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+            return;
         };
-        let (pass, room) = door.enter();
-        let served = connection(stream, pass, room, core.clone(), handler);
-        core.tasks.spawn(served);
+        enter(stream);
     }
 }
 
@@ -128,7 +150,9 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let _unsupported = stream.set_nodelay(true);
+    let asked = AtomicBool::new(false);
     let service = service_fn(|request| {
+        asked.store(true, Ordering::Relaxed);
         let answer = handler(core.clone(), request, room);
         async { Ok::<_, Infallible>(answer.await) }
     });
@@ -141,10 +165,16 @@
         .keep_alive(room == Room::Free);
     let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
+        biased;
         _ended = served.as_mut() => return,
-        () = core.stopped.cancelled() => served.as_mut().graceful_shutdown(),
+        () = core.closing.cancelled() => served.as_mut().graceful_shutdown(),
+    }
+    // Hyper closes a connection that is idle after an answer, and takes one that never had a request
+    // for busy: each such one would hold the shutdown up until the time for headers is over.
+    let ended = tokio::time::timeout(FIRST, served.as_mut()).await;
+    if ended.is_err() && asked.load(Ordering::Relaxed) {
+        let _ended = served.await;
     }
-    let _ended = served.await;
 }
 
 #[cfg(test)]
--- a/crates/node/src/owner/call.rs
+++ b/crates/node/src/owner/call.rs
@@ -57,7 +57,7 @@
         let feed = Feed::default();
         feed.join(sink.clone());
         let task = task(owner, ask, call, id::Digest(0), work, feed);
-        owner.core.tasks.spawn(task.repeatable());
+        owner.core.work.spawn(task.repeatable());
         return Ok(());
     }
     let Some(key) = &call.key else {
@@ -118,7 +118,7 @@
         cancel: CancellationToken::new(),
     });
     let task = task(owner, ask, call, digest, work, feed);
-    owner.core.tasks.spawn(task.once(key.clone()));
+    owner.core.work.spawn(task.once(key.clone()));
     Ok(())
 }
 
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -337,7 +337,7 @@
             feed,
             cancel,
         };
-        self.core.tasks.spawn(task.run());
+        self.core.work.spawn(task.run());
     }
 
     /// Makes a program; its budget is that of the selector that speaks for its caller.
@@ -378,7 +378,7 @@
             return Ok(());
         };
         let sink = sink.clone();
-        self.core.tasks.spawn(async move {
+        self.core.work.spawn(async move {
             let reply = match durable.await {
                 Ok(_) => shown,
                 Err(fault) => Reply::Refused(turn::lost(&fault)),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -12,6 +13,7 @@
 use platform::edge::Platform;
 use platform::etcd::Etcd;
 use platform::limit::Rate;
+use policy::stop::Stop;
 use settings::vm::Settings;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -121,11 +123,15 @@
         trace: Trace::default(),
         client: Client::default(),
         door: Arc::new(door),
+        work: TaskTracker::new(),
         tasks: TaskTracker::new(),
+        stop: OnceLock::new(),
         view: watch::Sender::new(Arc::new(View::default())),
         registry: Registry::default(),
         control: Control::new(&settings, clock.now()),
         stopping: CancellationToken::new(),
+        closing: CancellationToken::new(),
+        expired: CancellationToken::new(),
         stopped: CancellationToken::new(),
         settings,
         clock,
@@ -173,32 +179,51 @@
         &self.core
     }
 
-    /// Shuts the node down without cutting a request off: new ones are forwarded, what runs is
-    /// finished, the shards are given up, and then the listeners close.
+    /// Shuts the node down within the settings' grace: what may outlast it is refused, what runs is
+    /// finished, the shards are given up, the listeners close, and the controllers end last, as the
+    /// work needs them. Whoever still waits at the end is told so.
     pub async fn shutdown(self) {
         let core = self.core;
         log::info!("{} vm={}", Event::NodeStopping, core.settings.vm.name);
+        let stop = Stop::new(core.clock.now(), core.settings.limits.grace);
+        let stop = *core.stop.get_or_init(|| stop);
         core.stopping.cancel();
         core.update(|view| view.stopping = true);
-        let grace = core.settings.limits.grace.as_duration();
-        if timeout(grace, release_all(&core)).await.is_err() {
-            log::warn!(
-                "{} reason=\"shards still busy after the grace\"",
-                Event::NodeStopping
-            );
+        let left = stop.left(core.clock.now()).as_duration();
+        if timeout(left, release_all(&core)).await.is_err() {
+            warn("shards still busy at the end of the grace");
+        }
+        core.closing.cancel();
+        core.work.close();
+        let left = stop.left(core.clock.now()).as_duration();
+        if timeout(left, core.work.wait()).await.is_err() {
+            warn("requests still busy at the end of the grace");
+            core.expired.cancel();
+            let _cut = timeout(part(&stop), core.work.wait()).await;
         }
         core.stopped.cancel();
         core.tasks.close();
-        if timeout(grace, core.tasks.wait()).await.is_err() {
-            log::warn!(
-                "{} reason=\"tasks still busy after the grace\"",
-                Event::NodeStopping
-            );
+        let left = stop.left(core.clock.now()).as_duration();
+        if timeout(left.max(part(&stop)), core.tasks.wait())
+            .await
+            .is_err()
+        {
+            warn("tasks still busy at the end of the grace");
         }
         log::info!("{} vm={}", Event::NodeStopped, core.settings.vm.name);
     }
 }
 
+fn warn(reason: &str) {
+    log::warn!("{} reason={reason:?}", Event::NodeStopping);
+}
+
+/// Yields the time that the last words take at most, and as much again the controllers' end: a
+/// third of what is left then, so that the process itself ends in the last one.
+fn part(stop: &Stop) -> Duration {
+    stop.killed().since(stop.last()).as_duration() / 3
+}
+
 async fn bind(address: &mut SocketAddr) -> Result<TcpListener> {
     let listen = |fault| Fault::Listen {
         address: *address,
@@ -216,10 +241,10 @@
     let receive = core.settings.limits.receive;
     let inner = || Arc::new(Door::new(INNER_CONNECTIONS, 0, receive));
     let callers = listen::run(callers, core.door.clone(), core.clone(), filters::handle);
-    core.tasks.spawn(callers);
-    core.tasks
+    core.work.spawn(callers);
+    core.work
         .spawn(listen::run(peers, inner(), core.clone(), peer::handle));
-    core.tasks
+    core.work
         .spawn(listen::run(admin, inner(), core.clone(), admin::handle));
 }
 
