Tell who still waits at the end of the grace that the VM stops

What outlasted the grace was cut off with the process: its caller saw a broken connection, and of an order without a durable outcome nothing at all. At the end of the grace each such caller now gets CY4105, ran unknown, as an answer or as the last event of a stream without its end marker, within the margin that the stop keeps for it.

--- a/crates/node/src/filters/answer.rs
+++ b/crates/node/src/filters/answer.rs
@@ -8,6 +8,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use policy::stop;
 use serde_json::Value;
 use serde_json::json;
 use settings::config::Config;
@@ -79,6 +80,15 @@
     pub deadline: Option<Millis>,
 }
 
+impl Wait {
+    /// Yields when the caller has its answer at the latest; `None` where it waits for any time.
+    #[must_use]
+    pub fn until(&self) -> Option<Millis> {
+        let deadline = self.deadline?;
+        Some(self.arrived.plus(deadline).plus(SLACK))
+    }
+}
+
 /// Answers health and readiness probes; `None` for other requests.
 #[must_use]
 pub fn probe(view: &View, what: &What) -> Option<Response> {
@@ -160,14 +170,26 @@
     Ok(response)
 }
 
-/// Waits for the next reply. An owner that vanished and a deadline that passed leave open whether
-/// the turn runs.
+/// Waits for the next reply. An owner that vanished, a deadline that passed and a VM that ends leave
+/// open whether the turn runs.
 async fn next(core: &Core, wait: Wait, replies: &mut Replies) -> Result<Reply> {
+    tokio::select! {
+        biased;
+        reply = receive(core, wait, replies) => reply,
+        // Cut off by the process's end, the caller couldn't tell its answer from a whole one whose
+        // connection broke.
+        () = core.expired.cancelled() => {
+            let refusal = Refusal::new(Code::ShuttingDown, "").ran(Ran::Unknown);
+            Err(refusal.retry_after(stop::RETRY))
+        }
+    }
+}
+
+async fn receive(core: &Core, wait: Wait, replies: &mut Replies) -> Result<Reply> {
     let lost = || Refusal::new(Code::OwnerLost, "").ran(Ran::Unknown);
-    let reply = match wait.deadline {
+    let reply = match wait.until() {
         None => replies.recv().await.ok_or_else(lost)?,
-        Some(span) => {
-            let end = wait.arrived.plus(span).plus(SLACK);
+        Some(end) => {
             let left = end.since(core.clock.now()).as_duration();
             let late = |_| Refusal::new(Code::DeadlineUnmeetable, "").ran(Ran::Unknown);
             let received = tokio::time::timeout(left, replies.recv()).await;
