Show two more ways by which a stopping node takes work

A claim under way when the node is told to end brings a shard that nobody drains, and its asks are taken until the process ends. An ask of another VM for a shard that was given up is passed on, and its answer comes through a process that ends.

--- a/crates/node/tests/request/stop.rs
+++ b/crates/node/tests/request/stop.rs
@@ -6,7 +6,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::BytesMut;
+use http_body_util::BodyExt;
 use node::filters::route;
+use node::http::client::Post;
+use node::peer;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
@@ -20,6 +24,7 @@
 use wire::ask::Reply;
 use wire::code::Code;
 use wire::code::Ran;
+use wire::frame;
 use wire::id;
 
 use crate::fleet::CHAT;
@@ -170,16 +175,9 @@
     assert!(ended.is_ok(), "still waits");
 }
 
-// A shard is given up, and an ask arrives when nothing runs of it any more but the actor still
-// lives. The actor takes it, is stopped at once, and the caller's turn is lost on the way, with an
-// unknown outcome. It is refused, so that it goes to the next owner.
-#[tokio::test]
-async fn a_shard_that_is_given_up_takes_nothing_more() {
-    let fleet = Fleet::plain().await;
-    let core = fleet.node.core().clone();
-    let program = id::Program::parse("berth").unwrap();
-    let shard = route::shard(&core.settings, &program);
-    let ask = Ask {
+/// Asks for a program's first turn as the caller `tug`.
+fn chat_of(program: id::Program) -> Ask {
+    Ask {
         program,
         caller: id::Caller::parse("tug").unwrap(),
         revision: 1,
@@ -189,7 +187,19 @@
             turn: Some(1),
             request: serde_json::from_value(client::chat("plan")).unwrap(),
         }),
-    };
+    }
+}
+
+// A shard is given up, and an ask arrives when nothing runs of it any more but the actor still
+// lives. The actor takes it, is stopped at once, and the caller's turn is lost on the way, with an
+// unknown outcome. It is refused, so that it goes to the next owner.
+#[tokio::test]
+async fn a_shard_that_is_given_up_takes_nothing_more() {
+    let fleet = Fleet::plain().await;
+    let core = fleet.node.core().clone();
+    let program = id::Program::parse("berth").unwrap();
+    let shard = route::shard(&core.settings, &program);
+    let ask = chat_of(program);
     let (sender, mut replies) = mpsc::unbounded_channel();
     // Both on this one thread: the ask is queued right behind the order to drain.
     let late = async { core.registry.ask(&shard, ask, sender).is_ok() };
@@ -273,3 +283,62 @@
     assert!(answer.1["error"]["code"].is_string(), "{}", answer.1);
     ended.await;
 }
+
+// A claim that was under way when the node was told to end brings one more shard, after the node has
+// looked at what it has to give up. Asks for it come until the process ends, which nobody makes wait
+// for them. They are refused, so that they go to the next owner.
+#[tokio::test]
+async fn a_shard_that_comes_during_the_stop_takes_nothing() {
+    let fleet = Fleet::plain().await;
+    let core = fleet.node.core().clone();
+    let program = id::Program::parse("berth").unwrap();
+    let shard = route::shard(&core.settings, &program);
+    core.stopping.cancel();
+    assert!(core.registry.serves(&shard));
+    let (sender, mut replies) = mpsc::unbounded_channel();
+    assert!(core.registry.ask(&shard, chat_of(program), sender).is_ok());
+    let reply = replies.recv().await;
+    let Some(Reply::Refused(refusal)) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!((refusal.code, refusal.ran), (Code::ShuttingDown, Ran::No));
+}
+
+// Another VM takes the stopping one for the owner of a shard that it has given up. Passed on from
+// there, the answer would come through a process that ends, and be cut off with it. The ask is given
+// back at once, so that the other VM looks for the owner itself.
+#[tokio::test]
+async fn a_stopping_node_passes_nothing_on_for_others() {
+    let fleet = short().await;
+    let core = fleet.node.core().clone();
+    let peers = fleet.node.peers();
+    let callers = fleet.callers;
+    let chat = client::chat("plan #tokens=50");
+    let first = named("berth", "1");
+    let first = tokio::spawn(async move { client::ask(callers, CHAT, &first, &chat).await });
+    fleet.until_started(1).await;
+    let shutdown = tokio::spawn(fleet.node.shutdown());
+    let names = (0..).map(|number| id::Program::parse(&format!("p{number}")).unwrap());
+    let shard = |program: &id::Program| route::shard(&core.settings, program);
+    let busy = shard(&id::Program::parse("berth").unwrap());
+    let program = names.into_iter().find(|p| shard(p) != busy).unwrap();
+    while core.registry.holds(&shard(&program)) {
+        tokio::task::yield_now().await;
+    }
+    let post = Post {
+        address: &peers.to_string(),
+        path: peer::ASK,
+        kind: "application/msgpack",
+        headers: &[],
+        body: frame::encode(&chat_of(program)).unwrap(),
+    };
+    let answer = core.client.post(post).await.unwrap();
+    let body = answer.into_body().collect().await.unwrap().to_bytes();
+    let reply = frame::decode::<Reply>(&mut BytesMut::from(body)).unwrap();
+    let Some(Reply::Refused(refusal)) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!((refusal.code, refusal.ran), (Code::ShuttingDown, Ran::No));
+    assert_eq!(first.await.unwrap().0, 200);
+    shutdown.await.unwrap();
+}
