Refuse at a stopping node what may outlast it

From SIGTERM on a node went on taking requests, waited with them for its own shards' next owner and passed the answers through itself, until it ended and cut them off.

An entry VM that stops now refuses with CY4105 and a Retry-After at once what policy::stop doesn't take. The time that counts is the caller's own deadline with the entry VM's slack, at which the caller has its answer or a refusal in any case. Without a deadline a request has no time limit: limits.silence bounds the pause between two pieces of an answer and not the answer, so it is refused. It is sent again to another VM for the price of one round trip, while a cut answer is lost. Asks of other VMs are given back where they could only be passed on, and a shard that is claimed during the stop takes nothing.

Red before, green now: stop::a_stopping_node_refuses_what_may_outlast_it (2 cases), a_stopping_node_says_no_of_no_order, a_shard_that_comes_during_the_stop_takes_nothing and a_stopping_node_passes_nothing_on_for_others.

--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -12,6 +12,7 @@
 
 use hyper::Request;
 use hyper::body::Incoming;
+use policy::stop;
 use settings::config::Class;
 use wire::ask::Ask;
 use wire::ask::Body;
@@ -78,17 +79,24 @@
     if room == Room::UrgentOnly && class != Class::Urgent {
         return Err(Refusal::new(Code::TooManyConnections, "").retry_after(CONNECTION_PAUSE));
     }
-    let program = ask.program.clone();
     let deadline = ask.deadline;
+    let wait = answer::Wait { arrived, deadline };
+    check_end(core, &ask, wait)?;
+    let program = ask.program.clone();
     let replies = forward::ask(core, ask);
-    answer::answer(
-        core,
-        shape,
-        &program,
-        answer::Wait { arrived, deadline },
-        replies,
-    )
-    .await
+    answer::answer(core, shape, &program, wait, replies).await
+}
+
+/// Refuses what may outlast a VM that stops: its answer would be cut off when the process ends.
+/// Only a deadline of its own bounds a request, as a runner may go on for as long as it isn't
+/// silent. Of a keyed call only the owner's journal knows whether an earlier asking ran.
+fn check_end(core: &Core, ask: &Ask, wait: answer::Wait) -> Result<()> {
+    let taken = core.stop.get().is_none_or(|stop| stop.takes(wait.until()));
+    if taken {
+        return Ok(());
+    }
+    let refusal = Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY);
+    Err(refusal.ran(forward::earlier(ask)))
 }
 
 /// Turns a parsed request into what its program's owner is asked.
--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -24,6 +24,7 @@
 use wire::id;
 
 use crate::core::Core;
+use crate::filters::Result;
 use crate::filters::answer;
 use crate::filters::route;
 use crate::filters::route::Hop;
@@ -92,7 +93,10 @@
     };
     asked.hops = asked.hops.saturating_add(1);
     let (sender, parts) = mpsc::unbounded_channel();
-    let replies = ask(&core, asked);
+    let replies = match check_owner(&core, &asked) {
+        Ok(()) => ask(&core, asked),
+        Err(refusal) => refused(refusal),
+    };
     core.work.spawn(encode(replies, sender));
     let body = http_body_util::combinators::BoxBody::new(Parts(parts));
     let mut response = Response::new(body);
@@ -103,6 +107,22 @@
     response
 }
 
+/// Refuses an ask of another VM that this one could only pass on while it stops: the answer would
+/// be cut off when the process ends. The other VM looks for the owner itself.
+fn check_owner(core: &Core, ask: &Ask) -> Result<()> {
+    let shard = route::shard(&core.settings, &ask.program);
+    if core.stop.get().is_none() || core.registry.holds(&shard) {
+        return Ok(());
+    }
+    Err(Refusal::new(Code::ShuttingDown, "").retry_after(PAUSE))
+}
+
+fn refused(refusal: Refusal) -> Replies {
+    let (sender, replies) = mpsc::unbounded_channel();
+    let _received = sender.send(Reply::Refused(refusal));
+    replies
+}
+
 async fn encode(mut replies: Replies, sender: UnboundedSender<Bytes>) {
     while let Some(reply) = replies.recv().await {
         let Ok(bytes) = frame::encode(&reply) else {
@@ -175,12 +195,12 @@
     moving.contains(&refusal.code) && refusal.ran == Ran::No
 }
 
-/// Tells what a VM that can't reach the owner knows of earlier askings of the same call.
+/// Tells what a VM that doesn't ask the owner knows of earlier askings of the same call.
 ///
 /// Only the owner's journal tells whether a call with an idempotency key has been sent. The caller
 /// of a switching order whose owner died asks again; were it told here that the order did not run,
 /// it would give another one, and both would have run.
-fn earlier(ask: &Ask) -> Ran {
+pub fn earlier(ask: &Ask) -> Ran {
     match &ask.body {
         Body::Call(call) if call.key.is_some() => Ran::Unknown,
         Body::Call(_) | Body::Chat(_) | Body::Create | Body::Show | Body::End | Body::Inspect => {
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -199,10 +199,11 @@
         }
     }
 
-    /// Refuses new work while the shard is handed over, and in an outage in which nothing of it
+    /// Refuses new work while the shard is handed over or the VM stops, and in an outage in which nothing of it
     /// could become durable: it would wait for the platform with its caller none the wiser.
     pub(super) fn check_open(&self) -> Result<(), Refusal> {
-        if self.draining {
+        // A claim that ends after the stop's begin brings a shard that nobody drains.
+        if self.draining || self.core.stopping.is_cancelled() {
             return Err(Refusal::new(Code::ShuttingDown, "").retry_after(HANDOVER));
         }
         if let Status::Outage { retry_after } = self.status()
