Play a stop beyond the grace and late callers with real processes

Two process tests: a stream that outlasts the grace ends with CY4105 before the kill would come, and an owner that stops refuses what may outlast it while it answers what ends in time.

--- a/crates/chestnutyoke/tests/bench/caller.rs
+++ b/crates/chestnutyoke/tests/bench/caller.rs
@@ -41,6 +41,8 @@
     pub text: String,
     /// The most tokens that the answer may have.
     pub max_tokens: Option<u64>,
+    /// How long the caller waits, in milliseconds.
+    pub deadline_ms: Option<u64>,
 }
 
 impl Ask {
@@ -51,6 +53,7 @@
             turn: Some(turn),
             text: text.to_owned(),
             max_tokens: None,
+            deadline_ms: None,
         }
     }
 }
@@ -192,6 +195,9 @@
     if let Some(turn) = ask.turn {
         headers.push(("chestnutyoke-turn", turn.to_string()));
     }
+    if let Some(span) = ask.deadline_ms {
+        headers.push(("chestnutyoke-deadline-ms", span.to_string()));
+    }
     let mut body = json!({
         "model": MODEL,
         "stream": streamed,
--- a/crates/chestnutyoke/tests/shutdown.rs
+++ b/crates/chestnutyoke/tests/shutdown.rs
@@ -1,15 +1,21 @@
-//! A graceful shutdown cuts off no request.
+//! A shutdown cuts off no request, and ends within its grace.
 
 mod bench;
 
+use std::time::Duration;
+use std::time::Instant;
+
 use bench::Ask;
 use bench::Endpoint;
 use bench::Fleet;
 use bench::Plan;
 use bench::Signal;
+use bench::chat;
 use bench::chat_until_answered;
 use bench::open;
+use bench::peek;
 use bench::said;
+use bench::until_some;
 use standin::runner::answer;
 
 const STREAMS: usize = 8;
@@ -63,3 +69,71 @@
     let again = chat_until_answered(&others, &Ask::turn("p0", 1, "stream 0 #tokens=60")).await;
     assert_eq!(again.content(), streams[0].1.text);
 }
+
+// A stream outlasts the grace of the VM that it comes through and that owns its program. The process
+// ends before whoever stops it would kill it, which is after one grace, and the stream's caller is
+// told that the VM stops: its connection isn't just cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_beyond_the_grace_ends_with_a_refusal() {
+    let mut fleet = Fleet::start(&Plan {
+        limit_lines: "grace = \"2s\"\n".to_owned(),
+        ..two_vms()
+    })
+    .await;
+    let owner = fleet.owner("east", 0, None).await;
+    let ask = Ask::turn("long", 1, "long #tokens=400");
+    let mut stream = open(fleet.nodes[owner].callers, &ask).await.unwrap();
+    stream.words(1).await;
+    let stopped = Instant::now();
+    fleet.nodes[owner].signal(Signal::Term);
+    stream.finish().await;
+    let status = fleet.nodes[owner].process.wait().await;
+    let took = stopped.elapsed();
+    assert!(status.success(), "{status}");
+    assert!(took < Duration::from_secs(2), "{took:?}");
+    assert!(!stream.ended);
+    assert_eq!(stream.error["code"], "CY4105");
+    assert_eq!(stream.error["ran"], "unknown");
+}
+
+// The owner of all programs stops while a stream of two seconds runs. Callers whose balancer hasn't
+// noticed send it turns: those that could outlast it are refused at once, as not run, and answered
+// by the other VM; one with a deadline before its end waits for the next owner and is answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_vm_takes_only_what_ends_before_it() {
+    let mut fleet = Fleet::start(&Plan {
+        limit_lines: "grace = \"20s\"\n".to_owned(),
+        ..two_vms()
+    })
+    .await;
+    let owner = fleet.owner("east", 0, None).await;
+    let entry = fleet.nodes[owner].callers;
+    let admin = fleet.nodes[owner].admin;
+    let first = Ask::turn("first", 1, "first #tokens=100");
+    let mut stream = open(entry, &first).await.unwrap();
+    stream.words(1).await;
+    fleet.nodes[owner].signal(Signal::Term);
+    until_some("the VM isn't ready", async || {
+        (peek(admin, "/ready").await? == 503).then_some(())
+    })
+    .await;
+    let turn = |name: &str, deadline_ms| Ask {
+        deadline_ms,
+        ..Ask::turn(name, 1, "late #tokens=2")
+    };
+    for (name, deadline_ms) in [("open", None), ("beyond", Some(60_000))] {
+        let refused = chat(entry, &turn(name, deadline_ms)).await.unwrap();
+        assert_eq!((refused.code(), refused.ran()), ("CY4105", "no"), "{name}");
+        assert_eq!(refused.header("retry-after"), "1");
+    }
+    let taken = turn("within", Some(15_000));
+    let (taken, ()) = tokio::join!(chat(entry, &taken), stream.finish());
+    let said = answer::whole(&[said("user", "late #tokens=2")], 16);
+    assert_eq!(taken.unwrap().content(), said);
+    assert!(stream.ended, "cut off: {:?}", stream.error);
+    let others = fleet.others(owner);
+    let again = chat_until_answered(&others, &turn("open", None)).await;
+    assert_eq!(again.content(), said);
+    let status = fleet.nodes[owner].process.wait().await;
+    assert!(status.success(), "{status}");
+}
