Show listeners that close while the node still works

The listeners for VMs and operators close with the callers' as soon as the shards are given up. A call that still runs then meets a failed probe of its process, and other VMs take the VM for dead. Red: stop::operators_and_vms_are_answered_until_the_work_is_done (no answer at the admin listener).

--- a/crates/node/tests/request/stop.rs
+++ b/crates/node/tests/request/stop.rs
@@ -342,3 +342,31 @@
     assert_eq!(first.await.unwrap().0, 200);
     shutdown.await.unwrap();
 }
+
+// A call goes on after the shards are given up. Where the listeners for VMs and operators close with
+// the callers', a probe of the process fails and other VMs take this one for dead while it still
+// works. They answer until the last work is done; only callers find the door closed.
+#[tokio::test]
+async fn operators_and_vms_are_answered_until_the_work_is_done() {
+    let fleet = Fleet::plain().await;
+    service_faults(&fleet, &json!({"delay_ms": 1_000})).await;
+    let callers = fleet.callers;
+    let read = tokio::spawn(async move { client::ask(callers, READ, &[], &json!({})).await });
+    let running = |load: &Value| load["running"] == 1;
+    client::until(fleet.service.address(), "/load", running).await;
+    let (admin, peers) = (fleet.node.admin(), fleet.node.peers());
+    let core = fleet.node.core().clone();
+    let shutdown = tokio::spawn(fleet.node.shutdown());
+    core.closing.cancelled().await;
+    while TcpStream::connect(callers).is_ok() {
+        tokio::task::yield_now().await;
+    }
+    let health = client::send(admin, "GET", "/health", &[], "").await;
+    assert!(health.is_some_and(|answer| answer.status().is_success()));
+    let beat = client::send(peers, "POST", peer::BEAT, &[], "").await;
+    assert!(beat.is_some(), "other VMs find nobody");
+    assert_eq!(read.await.unwrap().0, 200);
+    shutdown.await.unwrap();
+    assert!(TcpStream::connect(admin).is_err());
+    assert!(TcpStream::connect(peers).is_err());
+}
