Answer VMs and operators until a stopping node's work is done

The listeners for VMs and operators now close with the controllers, after the last work for requests, and are counted with them. Red before, green now: stop::operators_and_vms_are_answered_until_the_work_is_done.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -48,7 +48,8 @@
     pub client: Client,
     /// The callers' listener.
     pub door: Arc<Door>,
-    /// The work for requests: connections and every task that an answer or a record waits for.
+    /// The work for requests: callers' connections and every task that an answer or a record waits
+    /// for.
     pub work: TaskTracker,
     /// Every other task that must end before the node has stopped.
     pub tasks: TaskTracker,
@@ -56,11 +57,12 @@
     pub stop: OnceLock<Stop>,
     /// Set when the node begins to shut down.
     pub stopping: CancellationToken,
-    /// Set when the shards are given up: listeners close, and connections with their last answer.
+    /// Set when the shards are given up: the callers' listener closes, and its connections with
+    /// their last answer.
     pub closing: CancellationToken,
     /// Set when the time for what runs is over: who still waits is told so.
     pub expired: CancellationToken,
-    /// Set when no work is left and every controller may end.
+    /// Set when no work is left: the other listeners close, and every controller may end.
     pub stopped: CancellationToken,
 }
 
--- a/crates/node/src/http/listen.rs
+++ b/crates/node/src/http/listen.rs
@@ -19,6 +19,8 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wire::clock::Millis;
 
 use crate::core::Core;
@@ -108,22 +110,38 @@
     TcpListener::bind(address).await
 }
 
-/// Accepts connections until the node closes its listeners, and answers each request with `handler`.
-/// What waits to be accepted by then is taken, too, as its callers have their connections already.
-pub async fn run<H, F>(listener: TcpListener, door: Arc<Door>, core: Arc<Core>, handler: H)
-where
+/// How long a listener is open, and who counts its connections.
+#[derive(Clone, Debug)]
+pub struct Life {
+    /// Set when the listener closes, and each connection with its last answer.
+    pub end: CancellationToken,
+    /// Counts the connections.
+    pub tasks: TaskTracker,
+}
+
+/// Accepts connections until the end of the listener's life, and answers each request with
+/// `handler`. What waits to be accepted by then is taken, too, as its callers have their connections
+/// already.
+pub async fn run<H, F>(
+    listener: TcpListener,
+    door: Arc<Door>,
+    life: Life,
+    core: Arc<Core>,
+    handler: H,
+) where
     H: Fn(Arc<Core>, Request<Incoming>, Room) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     let enter = |stream| {
         let (pass, room) = door.enter();
-        let served = connection(stream, pass, room, core.clone(), handler);
-        core.work.spawn(served);
+        let end = life.end.clone();
+        let served = connection(stream, pass, room, end, core.clone(), handler);
+        life.tasks.spawn(served);
     };
     loop {
         let accepted = tokio::select! {
             biased;
-            () = core.closing.cancelled() => break,
+            () = life.end.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
@@ -144,8 +162,14 @@
     }
 }
 
-async fn connection<H, F>(stream: TcpStream, pass: Pass, room: Room, core: Arc<Core>, handler: H)
-where
+async fn connection<H, F>(
+    stream: TcpStream,
+    pass: Pass,
+    room: Room,
+    end: CancellationToken,
+    core: Arc<Core>,
+    handler: H,
+) where
     H: Fn(Arc<Core>, Request<Incoming>, Room) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
@@ -167,7 +191,7 @@
     tokio::select! {
         biased;
         _ended = served.as_mut() => return,
-        () = core.closing.cancelled() => served.as_mut().graceful_shutdown(),
+        () = end.cancelled() => served.as_mut().graceful_shutdown(),
     }
     // Hyper closes a connection that is idle after an answer, and takes one that never had a request
     // for busy: each such one would hold the shutdown up until the time for headers is over.
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -34,6 +34,7 @@
 use crate::http::client::Client;
 use crate::http::listen;
 use crate::http::listen::Door;
+use crate::http::listen::Life;
 use crate::metrics::Metrics;
 use crate::owner::poison::Poison;
 use crate::owner::registry::Registry;
@@ -238,14 +239,30 @@
 }
 
 fn serve(core: &Arc<Core>, callers: TcpListener, peers: TcpListener, admin: TcpListener) {
+    let outer = Life {
+        end: core.closing.clone(),
+        tasks: core.work.clone(),
+    };
+    let served = listen::run(
+        callers,
+        core.door.clone(),
+        outer,
+        core.clone(),
+        filters::handle,
+    );
+    core.work.spawn(served);
+    // Other VMs and operators are answered until the last work is done: without it they would take
+    // the VM for dead while it still works.
+    let inner = Life {
+        end: core.stopped.clone(),
+        tasks: core.tasks.clone(),
+    };
     let receive = core.settings.limits.receive;
-    let inner = || Arc::new(Door::new(INNER_CONNECTIONS, 0, receive));
-    let callers = listen::run(callers, core.door.clone(), core.clone(), filters::handle);
-    core.work.spawn(callers);
-    core.work
-        .spawn(listen::run(peers, inner(), core.clone(), peer::handle));
-    core.work
-        .spawn(listen::run(admin, inner(), core.clone(), admin::handle));
+    let door = || Arc::new(Door::new(INNER_CONNECTIONS, 0, receive));
+    let served = listen::run(peers, door(), inner.clone(), core.clone(), peer::handle);
+    core.tasks.spawn(served);
+    let served = listen::run(admin, door(), inner, core.clone(), admin::handle);
+    core.tasks.spawn(served);
 }
 
 /// Gives all shards up at once, each when what runs of it is done.
