Accept what the kernel has accepted before a listener closes

A listener that closes goes on accepting for some turns of the event loop, so that the news of each connection that was made before has come, and takes in what waits then.

--- a/crates/node/src/http/listen.rs
+++ b/crates/node/src/http/listen.rs
@@ -36,6 +36,10 @@
 /// The most connections that wait to be accepted when the listener closes, as the standard library
 /// asks for it.
 const BACKLOG: u32 = 1_024;
+/// How long a listener that closes still accepts: the kernel's news of a connection that it has made
+/// may not have come yet, and closed before, the listener would reset it. Many turns of the event
+/// loop.
+const CLOSE: Duration = Duration::from_millis(20);
 /// How long a connection without a request is kept when the listener closes: a first request that
 /// was sent before may still be on its way.
 const FIRST: Duration = Duration::from_millis(100);
@@ -138,10 +142,14 @@
         let served = connection(stream, pass, room, end, core.clone(), handler);
         life.tasks.spawn(served);
     };
+    let mut closed = std::pin::pin!(async {
+        life.end.cancelled().await;
+        tokio::time::sleep(CLOSE).await;
+    });
     loop {
         let accepted = tokio::select! {
             biased;
-            () = life.end.cancelled() => break,
+            () = closed.as_mut() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
