Show a VM that doesn't hear that it is to end while it starts

A VM listens before it has a configuration and knows the shards' owners, and its process heard no SIGTERM until then: without a platform and without other VMs it never did, and else went on taking callers for up to a lease, with the grace running. Red: a_vm_that_starts_hears_that_it_is_to_end (nothing within 5 s).

--- a/crates/chestnutyoke/tests/shutdown.rs
+++ b/crates/chestnutyoke/tests/shutdown.rs
@@ -137,3 +137,26 @@
     let status = fleet.nodes[owner].process.wait().await;
     assert!(status.success(), "{status}");
 }
+
+// A VM starts while neither the platform nor another VM has a configuration for it, as after a power
+// cut, and listens already. It is told to end, and doesn't hear it: it waits for a configuration
+// until it is killed, with whatever callers it has by then. It ends as at any other time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_starts_hears_that_it_is_to_end() {
+    let mut fleet = Fleet::start(&two_vms()).await;
+    fleet.relays.platform_of("east").cut();
+    for node in &mut fleet.nodes {
+        node.process.kill();
+    }
+    let node = &mut fleet.nodes[0];
+    node.restart();
+    until_some("the VM listens", async || {
+        (peek(node.admin, "/health").await? == 200).then_some(())
+    })
+    .await;
+    assert_eq!(peek(node.admin, "/ready").await, Some(503));
+    node.signal(Signal::Term);
+    let ended = tokio::time::timeout(Duration::from_secs(5), node.process.wait()).await;
+    let status = ended.expect("it didn't hear");
+    assert!(status.success(), "{status}");
+}
