Hear SIGTERM while a VM starts

The daemon opens the node and waits for its start and for the signal at once; a node that is still starting is shut down like any other. A fault in telling the listeners' addresses ends by a shutdown, too, where it ended the process with callers inside.

--- a/crates/chestnutyoke/src/serve.rs
+++ b/crates/chestnutyoke/src/serve.rs
@@ -1,8 +1,10 @@
 //! The daemon: one node, from its settings to a signal that ends it.
 
+use std::future;
 use std::io::Write;
 
 use node::start;
+use node::start::Handle;
 use settings::vm::Settings;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -20,8 +22,24 @@
     let _logger = logging::start(form)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let handle = start::start(settings, Clock::System).await?;
-    // For whoever started the process with port 0.
+    let handle = start::open(settings, Clock::System).await?;
+    // A node that starts takes callers already, and may wait for its platform for any time.
+    let served = async {
+        handle.settle().await;
+        announce(&handle)?;
+        future::pending::<Result<()>>().await
+    };
+    let outcome = tokio::select! {
+        failed = served => failed,
+        _signal = terminate.recv() => Ok(()),
+        _signal = interrupt.recv() => Ok(()),
+    };
+    handle.shutdown().await;
+    outcome
+}
+
+/// Tells the listeners to whoever started the process with port 0.
+fn announce(handle: &Handle) -> Result<()> {
     let mut out = std::io::stdout();
     writeln!(
         out,
@@ -31,10 +49,5 @@
         handle.admin()
     )?;
     out.flush()?;
-    tokio::select! {
-        _signal = terminate.recv() => {}
-        _signal = interrupt.recv() => {}
-    }
-    handle.shutdown().await;
     Ok(())
 }
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -84,6 +84,18 @@
 ///
 /// Fails where a listener can't be bound or the settings don't fit together.
 pub async fn start(settings: Settings, clock: Clock) -> Result<Handle> {
+    let handle = open(settings, clock).await?;
+    handle.settle().await;
+    Ok(handle)
+}
+
+/// Opens a node against the platform that its settings name; [`Handle::settle`] starts it. Listeners
+/// with port 0 get a free one.
+///
+/// # Errors
+///
+/// Fails where a listener can't be bound or the settings don't fit together.
+pub async fn open(settings: Settings, clock: Clock) -> Result<Handle> {
     let service = &settings.platform;
     let etcd = Etcd::new(service.addresses.clone(), service.timeout);
     let rate = Rate {
@@ -91,7 +103,7 @@
         writes: service.writes,
     };
     let limited = Limited::new(etcd, rate, service.timeout, clock.clone());
-    start_on(settings, clock, Arc::new(limited)).await
+    open_on(settings, clock, Arc::new(limited)).await
 }
 
 /// Starts a node against a given platform.
@@ -100,6 +112,16 @@
 ///
 /// Fails where a listener can't be bound or the settings don't fit together.
 pub async fn start_on(
+    settings: Settings,
+    clock: Clock,
+    platform: Arc<dyn Platform>,
+) -> Result<Handle> {
+    let handle = open_on(settings, clock, platform).await?;
+    handle.settle().await;
+    Ok(handle)
+}
+
+async fn open_on(
     mut settings: Settings,
     clock: Clock,
     platform: Arc<dyn Platform>,
@@ -139,23 +161,29 @@
         platform,
     });
     serve(&core, callers, peers, admin);
-    controllers::start(&core).await;
     core.tasks.spawn(tick(core.clone()));
-    let vm = &core.settings.vm;
-    let listen = &core.settings.listen;
-    log::info!(
-        "{} vm={} centre={} callers={} peers={} admin={}",
-        Event::NodeStarted,
-        vm.name,
-        vm.centre,
-        listen.callers,
-        listen.peers,
-        listen.admin
-    );
     Ok(Handle { core })
 }
 
 impl Handle {
+    /// Starts the controllers, and returns when the VM may serve. It takes callers before, and may
+    /// have to be shut down without it: whoever waits here listens for that as well.
+    pub async fn settle(&self) {
+        let core = &self.core;
+        controllers::start(core).await;
+        let vm = &core.settings.vm;
+        let listen = &core.settings.listen;
+        log::info!(
+            "{} vm={} centre={} callers={} peers={} admin={}",
+            Event::NodeStarted,
+            vm.name,
+            vm.centre,
+            listen.callers,
+            listen.peers,
+            listen.admin
+        );
+    }
+
     /// Yields the callers' listener.
     #[must_use]
     pub fn callers(&self) -> SocketAddr {
