--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -246,7 +246,7 @@
             "grace",
             Kind::Span(100, HOUR),
             Some("\"2m\""),
-            "How long a shutdown waits for what runs.",
+            "How long a shutdown takes at most, as whoever stops the process kills it then; what may last longer is refused.",
         ),
     ],
 };
--- a/crates/settings/src/vm.rs
+++ b/crates/settings/src/vm.rs
@@ -150,7 +150,7 @@
     /// How long a runner may be silent within an answer.
     #[serde_as(as = "unit::Span")]
     pub silence: Millis,
-    /// How long a shutdown waits for what runs.
+    /// How long a shutdown takes at most.
     #[serde_as(as = "unit::Span")]
     pub grace: Millis,
 }
