Show a kept connection that closes under its next request

A stopping node keeps callers' connections open after their answers and closes them when its shards are given up, whatever is on its way then. Red: stop::a_stopping_node_keeps_no_connection_after_its_answer (kept open for more than 500 ms).

--- a/crates/node/tests/request/stop.rs
+++ b/crates/node/tests/request/stop.rs
@@ -19,6 +19,7 @@
 use standin::client;
 use standin::runner;
 use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use wire::ask::Ask;
@@ -275,6 +276,25 @@
     ended.await;
 }
 
+// A node that stops keeps a caller's connection open after its answer, and closes it when it is idle,
+// just as the caller's next request is on its way: the request is lost with it, and its caller can't
+// tell whether it ran. The answer says that the connection ends, so that the next request takes
+// another one.
+#[tokio::test]
+async fn a_stopping_node_keeps_no_connection_after_its_answer() {
+    let (callers, ended) = stopping().await;
+    let mut stream = tokio::net::TcpStream::connect(callers).await.unwrap();
+    let probe = b"GET /ready HTTP/1.1\r\nhost: vm\r\n\r\n";
+    stream.write_all(probe).await.unwrap();
+    let mut answer = Vec::new();
+    let read = timeout(Duration::from_millis(500), stream.read_to_end(&mut answer));
+    read.await.expect("kept open").unwrap();
+    let answer = String::from_utf8(answer).unwrap().to_lowercase();
+    assert!(answer.starts_with("http/1.1 503"), "{answer:?}");
+    assert!(answer.contains("connection: close\r\n"), "{answer:?}");
+    ended.await;
+}
+
 // A node that stops is asked for what ends in time. It isn't refused for being late: it waits for
 // an owner as long as its caller does, and is answered, by a refusal where none comes.
 #[tokio::test]
