End connections with their answers while a node stops

Each answer of a stopping node says that its connection closes, so that no kept connection is left to close under a caller's next request. Red before, green now: stop::a_stopping_node_keeps_no_connection_after_its_answer.

--- a/crates/node/src/http/listen.rs
+++ b/crates/node/src/http/listen.rs
@@ -13,6 +13,8 @@
 
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -186,7 +188,8 @@
     let service = service_fn(|request| {
         asked.store(true, Ordering::Relaxed);
         let answer = handler(core.clone(), request, room);
-        async { Ok::<_, Infallible>(answer.await) }
+        let core = core.clone();
+        async move { Ok::<_, Infallible>(last(&core, answer.await)) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -209,5 +212,15 @@
     }
 }
 
+/// Has a node that stops end each connection with its answer. Closed later, when idle, it could meet
+/// the caller's next request, which would be lost with it.
+fn last(core: &Core, mut response: Response) -> Response {
+    if core.stopping.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
 #[cfg(test)]
 mod tests;
