Ask a stopping VM without a pause until its door is closed

A process test: eight callers send turns, each on a new connection, from before SIGTERM to the end; each that finds the door open gets a whole answer or is told that its turn didn't run.

--- a/crates/chestnutyoke/tests/shutdown.rs
+++ b/crates/chestnutyoke/tests/shutdown.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,6 +11,7 @@
 use bench::Fleet;
 use bench::Plan;
 use bench::Signal;
+use bench::TOKEN;
 use bench::chat;
 use bench::chat_until_answered;
 use bench::open;
@@ -17,6 +19,9 @@
 use bench::said;
 use bench::until_some;
 use standin::runner::answer;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 const STREAMS: usize = 8;
 
@@ -160,3 +165,63 @@
     let status = ended.expect("it didn't hear");
     assert!(status.success(), "{status}");
 }
+
+/// Sends turns, each on a connection of its own, until the door is closed, and counts the answers;
+/// an answer that isn't whole fails the test.
+async fn ask_until_closed(address: SocketAddr, name: String) -> usize {
+    let body = r#"{"model":"m1","messages":[{"role":"user","content":"more #tokens=4"}]}"#;
+    for turn in 0.. {
+        let Ok(mut stream) = TcpStream::connect(address).await else {
+            return turn;
+        };
+        let deadline = ["", "chestnutyoke-deadline-ms: 6000\r\n"][turn % 2];
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: vm\r\nconnection: close\r\n\
+             authorization: Bearer {TOKEN}\r\nchestnutyoke-program: {name}-{turn}\r\n\
+             chestnutyoke-turn: 1\r\n{deadline}content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        let read = stream.read_to_string(&mut answer).await;
+        assert!(read.is_ok(), "{name}-{turn}: {read:?} after {answer:?}");
+        let (head, body) = answer.split_once("\r\n\r\n").expect("a whole head");
+        assert!(head.starts_with("HTTP/1.1 "), "{head}");
+        let json: serde_json::Value = serde_json::from_str(body).expect("a whole body");
+        let refused = json["error"]["ran"] == "no";
+        assert!(
+            refused || json["choices"][0]["message"].is_object(),
+            "{body}"
+        );
+    }
+    unreachable!()
+}
+
+// Callers send turns to a VM without a pause, each on a new connection, from before its SIGTERM to
+// its end. Each of them that finds the door open gets a whole answer or is told that its turn didn't
+// run, at whichever moment of the stop it comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn whoever_finds_the_door_open_is_answered() {
+    let mut fleet = Fleet::start(&Plan {
+        limit_lines: "grace = \"10s\"\n".to_owned(),
+        ..two_vms()
+    })
+    .await;
+    let owner = fleet.owner("east", 0, None).await;
+    let entry = fleet.nodes[owner].callers;
+    let long = Ask::turn("long", 1, "long #tokens=50");
+    let mut stream = open(entry, &long).await.unwrap();
+    stream.words(1).await;
+    let callers: Vec<_> = (0..STREAMS)
+        .map(|index| tokio::spawn(ask_until_closed(entry, format!("c{index}"))))
+        .collect();
+    stream.words(10).await;
+    fleet.nodes[owner].signal(Signal::Term);
+    stream.finish().await;
+    assert!(stream.ended, "cut off: {:?}", stream.error);
+    for caller in callers {
+        assert!(caller.await.unwrap() > 0);
+    }
+    let status = fleet.nodes[owner].process.wait().await;
+    assert!(status.success(), "{status}");
+}
