--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! A request's path, top to bottom: [`http::listen`] accepts it; [`filters`] parse, authenticate,
 //! route and forward it; [`owner`] orders, journals and commits it; [`dispatch`] runs it at an
-//! endpoint; [`filters::answer`] renders what comes back. [`start`] puts a node together.
+//! endpoint; [`filters::answer`] renders what comes back. [`start`] puts a node together, `stop` takes it apart.
 
 pub mod admin;
 pub mod controllers;
@@ -16,5 +16,6 @@
 pub mod owner;
 pub mod peer;
 pub mod start;
+mod stop;
 pub mod trace;
 pub mod view;
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -1,4 +1,4 @@
-//! Puts a node together and takes it apart.
+//! Puts a node together.
 
 use std::io;
 use std::net::SocketAddr;
@@ -13,11 +13,9 @@
 use platform::edge::Platform;
 use platform::etcd::Etcd;
 use platform::limit::Rate;
-use policy::stop::Stop;
 use settings::vm::Settings;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wire::clock::Clock;
@@ -39,6 +37,7 @@
 use crate::owner::poison::Poison;
 use crate::owner::registry::Registry;
 use crate::peer;
+use crate::stop;
 use crate::trace::Trace;
 use crate::view::View;
 
@@ -208,51 +207,12 @@
         &self.core
     }
 
-    /// Shuts the node down within the settings' grace: what may outlast it is refused, what runs is
-    /// finished, the shards are given up, the listeners close, and the controllers end last, as the
-    /// work needs them. Whoever still waits at the end is told so.
+    /// Shuts the node down within the settings' grace.
     pub async fn shutdown(self) {
-        let core = self.core;
-        log::info!("{} vm={}", Event::NodeStopping, core.settings.vm.name);
-        let stop = Stop::new(core.clock.now(), core.settings.limits.grace);
-        let stop = *core.stop.get_or_init(|| stop);
-        core.stopping.cancel();
-        core.update(|view| view.stopping = true);
-        let left = stop.left(core.clock.now()).as_duration();
-        if timeout(left, release_all(&core)).await.is_err() {
-            warn("shards still busy at the end of the grace");
-        }
-        core.closing.cancel();
-        core.work.close();
-        let left = stop.left(core.clock.now()).as_duration();
-        if timeout(left, core.work.wait()).await.is_err() {
-            warn("requests still busy at the end of the grace");
-            core.expired.cancel();
-            let _cut = timeout(part(&stop), core.work.wait()).await;
-        }
-        core.stopped.cancel();
-        core.tasks.close();
-        let left = stop.left(core.clock.now()).as_duration();
-        if timeout(left.max(part(&stop)), core.tasks.wait())
-            .await
-            .is_err()
-        {
-            warn("tasks still busy at the end of the grace");
-        }
-        log::info!("{} vm={}", Event::NodeStopped, core.settings.vm.name);
+        stop::run(&self.core).await;
     }
 }
 
-fn warn(reason: &str) {
-    log::warn!("{} reason={reason:?}", Event::NodeStopping);
-}
-
-/// Yields the time that the last words take at most, and as much again the controllers' end: a
-/// third of what is left then, so that the process itself ends in the last one.
-fn part(stop: &Stop) -> Duration {
-    stop.killed().since(stop.last()).as_duration() / 3
-}
-
 async fn bind(address: &mut SocketAddr) -> Result<TcpListener> {
     let listen = |fault| Fault::Listen {
         address: *address,
@@ -293,16 +253,6 @@
     core.tasks.spawn(served);
 }
 
-/// Gives all shards up at once, each when what runs of it is done.
-async fn release_all(core: &Arc<Core>) {
-    let mut releases = tokio::task::JoinSet::new();
-    for owned in core.registry.owned() {
-        let core = core.clone();
-        releases.spawn(async move { core.registry.release(&owned.shard).await });
-    }
-    while releases.join_next().await.is_some() {}
-}
-
 async fn tick(core: Arc<Core>) {
     let mut news = core.view.subscribe();
     let mut pumps = 0;
