Show calls that are told too little at the end of a stop

Calls that wait for a slot until the grace ends get CY4105, ran unknown, although nothing of them was sent.

--- a/crates/node/tests/request/stop.rs
+++ b/crates/node/tests/request/stop.rs
@@ -161,6 +161,34 @@
     shutdown.await.unwrap();
 }
 
+// All slots are taken for longer than the grace, and calls wait for one. At the end of the grace
+// their callers are told only that they may have run, and don't dare to send them elsewhere. They
+// have had no slot: they are told so while the time for it is left.
+#[tokio::test]
+async fn calls_that_still_wait_at_the_end_are_told_that_they_did_not_run() {
+    let fleet = short().await;
+    service_faults(&fleet, &json!({"delay_ms": 5_000})).await;
+    let callers = fleet.callers;
+    let read = move || async move { client::ask(callers, READ, &[], &json!({})).await };
+    let asked: Vec<_> = (0..SLOTS).map(|_| tokio::spawn(read())).collect();
+    while fleet.node.core().desk.waiting() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let sent = SLOTS - fleet.node.core().desk.waiting();
+    let ended = timeout(GRACE, fleet.node.shutdown()).await;
+    assert!(ended.is_ok(), "longer than the grace");
+    let mut ran = Vec::new();
+    for answer in asked {
+        let answer = timeout(Duration::from_millis(100), answer).await;
+        let answer = answer.expect("no answer at the end").unwrap();
+        assert_eq!(refusal(&answer).0, "CY4105", "{}", answer.1);
+        ran.push(refusal(&answer).1.to_owned());
+    }
+    ran.sort();
+    assert_eq!(ran.iter().filter(|ran| *ran == "no").count(), SLOTS - sent);
+    assert_eq!(ran.iter().filter(|ran| *ran == "unknown").count(), sent);
+}
+
 // A caller has opened a connection and sent nothing yet. The node is told to end with nothing under
 // way, and waits for that connection until the time for a request's headers is over: the supervisor
 // kills it meanwhile. A connection without a request doesn't count.
