Give waiting calls up while a stop has time to tell them

Half a second before the end of its stop a VM gives up the calls that still wait for a slot, with CY4105, ran no, so that their callers can send them elsewhere.

--- a/crates/node/src/dispatch/desk.rs
+++ b/crates/node/src/dispatch/desk.rs
@@ -15,6 +15,7 @@
 use policy::queue::Queue;
 use policy::retry;
 use policy::shift;
+use policy::stop;
 use settings::config::Endpoint;
 use settings::config::Kind;
 use settings::vm::Settings;
@@ -38,6 +39,9 @@
 /// Milliseconds an output token that a call's expected run is reckoned with: the letter's 58 ms
 /// for 95 in 100, halved for the mean.
 const TOKEN: u64 = 29;
+/// How long before the end of its stop a VM gives up the calls that still wait. A slot that they got
+/// then would be of no use; told that they may have run, their callers couldn't send them elsewhere.
+const LAST_CALL: Millis = Millis::new(500);
 
 /// The outcome of placing a call.
 pub type Result<T> = std::result::Result<T, Refusal>;
@@ -171,7 +175,8 @@
     slot
 }
 
-/// Gives free slots to the calls that wait, and gives up those whose time is over.
+/// Gives free slots to the calls that wait, and gives up those whose time is over, as well as all
+/// that a VM which stops has no time for.
 pub fn pump(core: &Arc<Core>) {
     let now = core.clock.now();
     let view = core.view();
@@ -184,6 +189,11 @@
         ..
     } = &mut *state;
     let mut ready = Vec::new();
+    if core.stop.get().is_some_and(|s| s.left(now) < LAST_CALL) {
+        let refusal = Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY);
+        let waiting = queue.remove(|_| true).into_iter();
+        ready.extend(waiting.map(|entry| (entry.item, Err(refusal.clone()))));
+    }
     for entry in queue.give_up(now) {
         let load = admit::Load::of(queue, drain, entry.class, &entry.caller);
         let refusal = admit::give_up(&load, &mut rand::rng());
