--- a/crates/node/src/http/listen.rs
+++ b/crates/node/src/http/listen.rs
@@ -6,18 +6,23 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wire::clock::Millis;
 
 use crate::core::Core;
@@ -30,6 +35,16 @@
 /// How long the listener pauses after a failed accept (no file descriptors left, say), so that it
 /// doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The most connections that wait to be accepted when the listener closes, as the standard library
+/// asks for it.
+const BACKLOG: u32 = 1_024;
+/// How long a listener that closes still accepts: the kernel's news of a connection that it has made
+/// may not have come yet, and closed before, the listener would reset it. Many turns of the event
+/// loop.
+const CLOSE: Duration = Duration::from_millis(20);
+/// How long a connection without a request is kept when the listener closes: a first request that
+/// was sent before may still be on its way.
+const FIRST: Duration = Duration::from_millis(100);
 
 /// How much room a listener had when it accepted a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,36 +116,80 @@
     TcpListener::bind(address).await
 }
 
-/// Accepts connections until the node has stopped, and answers each request with `handler`.
-pub async fn run<H, F>(listener: TcpListener, door: Arc<Door>, core: Arc<Core>, handler: H)
-where
+/// How long a listener is open, and who counts its connections.
+#[derive(Clone, Debug)]
+pub struct Life {
+    /// Set when the listener closes, and each connection with its last answer.
+    pub end: CancellationToken,
+    /// Counts the connections.
+    pub tasks: TaskTracker,
+}
+
+/// Accepts connections until the end of the listener's life, and answers each request with
+/// `handler`. What waits to be accepted by then is taken, too, as its callers have their connections
+/// already.
+pub async fn run<H, F>(
+    listener: TcpListener,
+    door: Arc<Door>,
+    life: Life,
+    core: Arc<Core>,
+    handler: H,
+) where
     H: Fn(Arc<Core>, Request<Incoming>, Room) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
+    let enter = |stream| {
+        let (pass, room) = door.enter();
+        let end = life.end.clone();
+        let served = connection(stream, pass, room, end, core.clone(), handler);
+        life.tasks.spawn(served);
+    };
+    let mut closed = std::pin::pin!(async {
+        life.end.cancelled().await;
+        tokio::time::sleep(CLOSE).await;
+    });
     loop {
         let accepted = tokio::select! {
+            biased;
+            () = closed.as_mut() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _from)) => enter(stream),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    for _ in 0..BACKLOG {
+        let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = core.stopped.cancelled() => return,
+            () = std::future::ready(()) => return,
         };
         let Ok((stream, _from)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+            return;
         };
-        let (pass, room) = door.enter();
-        let served = connection(stream, pass, room, core.clone(), handler);
-        core.tasks.spawn(served);
+        enter(stream);
     }
 }
 
-async fn connection<H, F>(stream: TcpStream, pass: Pass, room: Room, core: Arc<Core>, handler: H)
-where
+async fn connection<H, F>(
+    stream: TcpStream,
+    pass: Pass,
+    room: Room,
+    end: CancellationToken,
+    core: Arc<Core>,
+    handler: H,
+) where
     H: Fn(Arc<Core>, Request<Incoming>, Room) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     let _unsupported = stream.set_nodelay(true);
+    let asked = AtomicBool::new(false);
     let service = service_fn(|request| {
+        asked.store(true, Ordering::Relaxed);
         let answer = handler(core.clone(), request, room);
-        async { Ok::<_, Infallible>(answer.await) }
+        let core = core.clone();
+        async move { Ok::<_, Infallible>(last(&core, answer.await)) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -141,10 +200,26 @@
         .keep_alive(room == Room::Free);
     let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
+        biased;
         _ended = served.as_mut() => return,
-        () = core.stopped.cancelled() => served.as_mut().graceful_shutdown(),
+        () = end.cancelled() => served.as_mut().graceful_shutdown(),
+    }
+    // Hyper closes a connection that is idle after an answer, and takes one that never had a request
+    // for busy: each such one would hold the shutdown up until the time for headers is over.
+    let ended = tokio::time::timeout(FIRST, served.as_mut()).await;
+    if ended.is_err() && asked.load(Ordering::Relaxed) {
+        let _ended = served.await;
+    }
+}
+
+/// Has a node that stops end each connection with its answer. Closed later, when idle, it could meet
+/// the caller's next request, which would be lost with it.
+fn last(core: &Core, mut response: Response) -> Response {
+    if core.stopping.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
     }
-    let _ended = served.await;
+    response
 }
 
 #[cfg(test)]
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -1,8 +1,9 @@
-//! Puts a node together and takes it apart.
+//! Puts a node together.
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -15,7 +16,6 @@
 use settings::vm::Settings;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wire::clock::Clock;
@@ -32,10 +32,12 @@
 use crate::http::client::Client;
 use crate::http::listen;
 use crate::http::listen::Door;
+use crate::http::listen::Life;
 use crate::metrics::Metrics;
 use crate::owner::poison::Poison;
 use crate::owner::registry::Registry;
 use crate::peer;
+use crate::stop;
 use crate::trace::Trace;
 use crate::view::View;
 
@@ -81,6 +83,18 @@
 ///
 /// Fails where a listener can't be bound or the settings don't fit together.
 pub async fn start(settings: Settings, clock: Clock) -> Result<Handle> {
+    let handle = open(settings, clock).await?;
+    handle.settle().await;
+    Ok(handle)
+}
+
+/// Opens a node against the platform that its settings name; [`Handle::settle`] starts it. Listeners
+/// with port 0 get a free one.
+///
+/// # Errors
+///
+/// Fails where a listener can't be bound or the settings don't fit together.
+pub async fn open(settings: Settings, clock: Clock) -> Result<Handle> {
     let service = &settings.platform;
     let etcd = Etcd::new(service.addresses.clone(), service.timeout);
     let rate = Rate {
@@ -88,7 +102,7 @@
         writes: service.writes,
     };
     let limited = Limited::new(etcd, rate, service.timeout, clock.clone());
-    start_on(settings, clock, Arc::new(limited)).await
+    open_on(settings, clock, Arc::new(limited)).await
 }
 
 /// Starts a node against a given platform.
@@ -97,6 +111,16 @@
 ///
 /// Fails where a listener can't be bound or the settings don't fit together.
 pub async fn start_on(
+    settings: Settings,
+    clock: Clock,
+    platform: Arc<dyn Platform>,
+) -> Result<Handle> {
+    let handle = open_on(settings, clock, platform).await?;
+    handle.settle().await;
+    Ok(handle)
+}
+
+async fn open_on(
     mut settings: Settings,
     clock: Clock,
     platform: Arc<dyn Platform>,
@@ -121,34 +145,44 @@
         trace: Trace::default(),
         client: Client::default(),
         door: Arc::new(door),
+        work: TaskTracker::new(),
         tasks: TaskTracker::new(),
+        stop: OnceLock::new(),
         view: watch::Sender::new(Arc::new(View::default())),
         registry: Registry::default(),
         control: Control::new(&settings, clock.now()),
         stopping: CancellationToken::new(),
+        closing: CancellationToken::new(),
+        expired: CancellationToken::new(),
         stopped: CancellationToken::new(),
         settings,
         clock,
         platform,
     });
     serve(&core, callers, peers, admin);
-    controllers::start(&core).await;
     core.tasks.spawn(tick(core.clone()));
-    let vm = &core.settings.vm;
-    let listen = &core.settings.listen;
-    log::info!(
-        "{} vm={} centre={} callers={} peers={} admin={}",
-        Event::NodeStarted,
-        vm.name,
-        vm.centre,
-        listen.callers,
-        listen.peers,
-        listen.admin
-    );
     Ok(Handle { core })
 }
 
 impl Handle {
+    /// Starts the controllers, and returns when the VM may serve. It takes callers before, and may
+    /// have to be shut down without it: whoever waits here listens for that as well.
+    pub async fn settle(&self) {
+        let core = &self.core;
+        controllers::start(core).await;
+        let vm = &core.settings.vm;
+        let listen = &core.settings.listen;
+        log::info!(
+            "{} vm={} centre={} callers={} peers={} admin={}",
+            Event::NodeStarted,
+            vm.name,
+            vm.centre,
+            listen.callers,
+            listen.peers,
+            listen.admin
+        );
+    }
+
     /// Yields the callers' listener.
     #[must_use]
     pub fn callers(&self) -> SocketAddr {
@@ -173,29 +207,9 @@
         &self.core
     }
 
-    /// Shuts the node down without cutting a request off: new ones are forwarded, what runs is
-    /// finished, the shards are given up, and then the listeners close.
+    /// Shuts the node down within the settings' grace.
     pub async fn shutdown(self) {
-        let core = self.core;
-        log::info!("{} vm={}", Event::NodeStopping, core.settings.vm.name);
-        core.stopping.cancel();
-        core.update(|view| view.stopping = true);
-        let grace = core.settings.limits.grace.as_duration();
-        if timeout(grace, release_all(&core)).await.is_err() {
-            log::warn!(
-                "{} reason=\"shards still busy after the grace\"",
-                Event::NodeStopping
-            );
-        }
-        core.stopped.cancel();
-        core.tasks.close();
-        if timeout(grace, core.tasks.wait()).await.is_err() {
-            log::warn!(
-                "{} reason=\"tasks still busy after the grace\"",
-                Event::NodeStopping
-            );
-        }
-        log::info!("{} vm={}", Event::NodeStopped, core.settings.vm.name);
+        stop::run(&self.core).await;
     }
 }
 
@@ -213,24 +227,30 @@
 }
 
 fn serve(core: &Arc<Core>, callers: TcpListener, peers: TcpListener, admin: TcpListener) {
+    let outer = Life {
+        end: core.closing.clone(),
+        tasks: core.work.clone(),
+    };
+    let served = listen::run(
+        callers,
+        core.door.clone(),
+        outer,
+        core.clone(),
+        filters::handle,
+    );
+    core.work.spawn(served);
+    // Other VMs and operators are answered until the last work is done: without it they would take
+    // the VM for dead while it still works.
+    let inner = Life {
+        end: core.stopped.clone(),
+        tasks: core.tasks.clone(),
+    };
     let receive = core.settings.limits.receive;
-    let inner = || Arc::new(Door::new(INNER_CONNECTIONS, 0, receive));
-    let callers = listen::run(callers, core.door.clone(), core.clone(), filters::handle);
-    core.tasks.spawn(callers);
-    core.tasks
-        .spawn(listen::run(peers, inner(), core.clone(), peer::handle));
-    core.tasks
-        .spawn(listen::run(admin, inner(), core.clone(), admin::handle));
-}
-
-/// Gives all shards up at once, each when what runs of it is done.
-async fn release_all(core: &Arc<Core>) {
-    let mut releases = tokio::task::JoinSet::new();
-    for owned in core.registry.owned() {
-        let core = core.clone();
-        releases.spawn(async move { core.registry.release(&owned.shard).await });
-    }
-    while releases.join_next().await.is_some() {}
+    let door = || Arc::new(Door::new(INNER_CONNECTIONS, 0, receive));
+    let served = listen::run(peers, door(), inner.clone(), core.clone(), peer::handle);
+    core.tasks.spawn(served);
+    let served = listen::run(admin, door(), inner, core.clone(), admin::handle);
+    core.tasks.spawn(served);
 }
 
 async fn tick(core: Arc<Core>) {
