--- a/crates/node/src/http/listen.rs
+++ b/crates/node/src/http/listen.rs
@@ -35,8 +35,8 @@
 /// How long the listener pauses after a failed accept (no file descriptors left, say), so that it
 /// doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// The most connections that wait to be accepted when the listener closes, as the standard library
-/// asks for it.
+/// The most connections that a closing listener still takes of those that wait to be accepted: a
+/// flood of them can't keep it open. As many as the kernel lets wait.
 const BACKLOG: u32 = 1_024;
 /// How long a listener that closes still accepts: the kernel's news of a connection that it has made
 /// may not have come yet, and closed before, the listener would reset it. Many turns of the event
