Answer once more on a kept connection while a VM stops, and close it with that answer

What callers saw: a reset in place of an answer. Cause: on SIGTERM all idle kept connections were closed at once, and a request that crossed the close was lost with one of its caller's few attempts.

--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -36,8 +36,11 @@
 #[derive(Debug, Default)]
 pub struct Door {
     open: AtomicUsize,
-    /// Cancelled when the process stops: kept connections are closed after the answer under way.
+    /// Cancelled when the process stops: a connection that is made from now on gets one answer.
     pub closing: CancellationToken,
+    /// Cancelled some time later: kept connections are closed after the answer under way. Closed at
+    /// once, an idle one could meet its caller's next request, which would be lost.
+    pub leaving: CancellationToken,
     /// Cancelled when nobody may connect any more: the listener is closed.
     pub shut: CancellationToken,
 }
@@ -117,7 +120,7 @@
     let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
-        () = pass.0.closing.cancelled(), if !stopping => {
+        () = pass.0.leaving.cancelled(), if !stopping => {
             served.as_mut().graceful_shutdown();
             served.await
         }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -196,13 +196,15 @@
         door.open()
     );
     door.closing.cancel();
-    wait_until_idle(node, door, stop).await;
+    wait(node, stop, || Activity::Idle).await;
+    door.leaving.cancel();
+    wait(node, stop, || activity(node, door)).await;
     // A request that is taken after the last look would be cut off: nobody can connect by then.
     door.shut.cancel();
     if let Err(fault) = listener.await {
         log::error!("text=\"the listener for clients has failed\" fault=\"{fault}\"");
     }
-    wait_until_idle(node, door, stop).await;
+    wait(node, stop, || activity(node, door)).await;
     log_cut(&node.work.entries());
     log::info!(
         "event=E{} text=\"{}\" under_way={} connections={} ms={}",
@@ -214,8 +216,9 @@
     );
 }
 
-async fn wait_until_idle(node: &Node, door: &Door, stop: Stop) {
-    while !stop.is_over(node.clock.now(), activity(node, door)) {
+/// Waits until the process may end as far as `activity` goes.
+async fn wait(node: &Node, stop: Stop, activity: impl Fn() -> Activity) {
+    while !stop.is_over(node.clock.now(), activity()) {
         sleep(LOOK).await;
     }
 }
