Take what the kernel has accepted before a VM closes its listener

Closing a listener resets the connections that wait to be accepted; each is an attempt of a caller. They are accepted first now.

--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -78,7 +78,9 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     loop {
+        // What the kernel has accepted already is taken first: closing the listener resets it.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             () = door.shut.cancelled() => return,
         };
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -18,6 +18,7 @@
 use tokio::signal::unix::signal;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use wire::clock::Clock;
 use wire::event::Event;
 
@@ -201,8 +202,9 @@
     wait(node, stop, || activity(node, door)).await;
     // A request that is taken after the last look would be cut off: nobody can connect by then.
     door.shut.cancel();
-    if let Err(fault) = listener.await {
-        log::error!("text=\"the listener for clients has failed\" fault=\"{fault}\"");
+    let left = stop.left(node.clock.now()).as_duration();
+    if timeout(left, listener).await.is_err() {
+        log::warn!("text=\"callers still connect at the end of the grace\"");
     }
     wait(node, stop, || activity(node, door)).await;
     log_cut(&node.work.entries());
