Add a fault soak that runs the real processes

A shared fleet of stand-ins in one process shows no signal, no restart and no process's own end. The soak starts the product's processes on addresses of their own, puts proxies before the platform's store and the runners, draws faults from a seed, and judges what clients and runners see: 18 checks, each with how often it was exercised.

--- /dev/null
+++ b/crates/soak/src/balancer.rs
@@ -0,0 +1,101 @@
+//! Which VM gets a new connection, as the platform's balancer decides it.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use fakes::caller;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+/// How often VMs are asked whether they are ready, and how long they may take to say so.
+pub const ASK: Duration = Duration::from_secs(1);
+/// After so many misses a VM gets no new connections.
+const MISSES: u32 = 2;
+
+/// A VM as the balancer sees it.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Its data centre.
+    pub centre: usize,
+    /// Where clients connect.
+    pub callers: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    /// Answers other than 200 in a row.
+    pub misses: u32,
+}
+
+/// The balancer.
+#[derive(Debug, Default)]
+pub struct Balancer(Mutex<Vec<Row>>);
+
+impl Balancer {
+    /// Makes a balancer of these VMs, none of which is asked yet.
+    #[must_use]
+    pub fn new(rows: Vec<Row>) -> Self {
+        Self(Mutex::new(rows))
+    }
+
+    /// Yields how the VMs stand.
+    #[must_use]
+    pub fn rows(&self) -> Vec<Row> {
+        let rows = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        rows.clone()
+    }
+
+    /// Yields where a VM takes clients.
+    #[must_use]
+    pub fn callers(&self, vm: usize) -> SocketAddr {
+        let rows = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        rows[vm].callers
+    }
+
+    /// Asks all VMs once whether they are ready.
+    pub async fn ask(&self) {
+        let mut asked = JoinSet::new();
+        for (at, row) in self.rows().into_iter().enumerate() {
+            asked.spawn(async move {
+                let status = timeout(ASK, caller::status(row.ready, "/-/readyz")).await;
+                (at, status == Ok(Some(200)))
+            });
+        }
+        while let Some(Ok((at, is_ready))) = asked.join_next().await {
+            let mut rows = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+            let row = &mut rows[at];
+            row.misses = if is_ready { 0 } else { row.misses + 1 };
+        }
+    }
+
+    /// Chooses a VM for a new connection from a data centre.
+    #[must_use]
+    pub fn choose(&self, centre: usize, hash: usize) -> usize {
+        choose(&self.rows(), centre, hash)
+    }
+}
+
+/// Chooses among the VMs of the data centre in rotation; among all of it where fewer than half are,
+/// and in other data centres where none is.
+#[must_use]
+pub fn choose(rows: &[Row], centre: usize, hash: usize) -> usize {
+    let all: Vec<usize> = (0..rows.len()).collect();
+    let own: Vec<usize> = of(&all, |at| rows[at].centre == centre);
+    let in_rotation = of(&own, |at| rows[at].misses < MISSES);
+    if in_rotation.len() * 2 >= own.len() && !in_rotation.is_empty() {
+        return in_rotation[hash % in_rotation.len()];
+    }
+    if !in_rotation.is_empty() {
+        return own[hash % own.len()];
+    }
+    let elsewhere = of(&all, |at| rows[at].misses < MISSES);
+    let usable = if elsewhere.is_empty() { all } else { elsewhere };
+    usable[hash % usable.len()]
+}
+
+fn of(rows: &[usize], wanted: impl Fn(usize) -> bool) -> Vec<usize> {
+    rows.iter().copied().filter(|at| wanted(*at)).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/soak/src/connection.rs
@@ -0,0 +1,144 @@
+//! A client's connection: one request at a time, kept open as long as the VM keeps it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use fakes::caller;
+use fakes::caller::Told;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use link::body::Payload;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+
+/// How long a connection may take to be made.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// No connection could be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("no connection to {_0}")]
+pub struct Fault(#[error(not(source))] SocketAddr);
+
+/// The outcome of making a connection.
+pub type Result<T> = std::result::Result<T, Fault>;
+
+/// An open connection; closed when dropped.
+#[derive(Debug)]
+pub struct Connection {
+    /// The VM at its other end, by its place in the fleet.
+    pub vm: usize,
+    /// When it was last used.
+    pub used: Instant,
+    sender: SendRequest<Payload>,
+    task: JoinHandle<()>,
+}
+
+/// What a client has of an answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// What its headers say.
+    pub told: Told,
+    /// Its body, as far as it came.
+    pub body: String,
+}
+
+/// How an attempt ended, as its client sees it.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// With a whole answer.
+    Whole(Answer),
+    /// The connection closed within the answer.
+    Cut(Answer),
+    /// The connection closed before the answer.
+    Closed,
+    /// No byte of the request was sent.
+    NotSent,
+    /// The client's time was over; the answer may have begun.
+    GaveUp(Option<Answer>),
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Connects to a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails where nobody accepts in time.
+    pub async fn open(vm: usize, address: SocketAddr) -> Result<Self> {
+        let connected = timeout(CONNECT, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = connected else {
+            return Err(Fault(address));
+        };
+        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = shaken.map_err(|_| Fault(address))?;
+        let task = tokio::spawn(async move {
+            // What went wrong shows in the request that was under way.
+            let _ended = connection.await;
+        });
+        Ok(Self {
+            vm,
+            used: Instant::now(),
+            sender,
+            task,
+        })
+    }
+
+    /// Tells whether another request can be sent.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Sends a request and reads its answer until `until`.
+    pub async fn ask(&mut self, request: Request<Payload>, until: Instant) -> Outcome {
+        let sent = timeout_at(until, self.sender.try_send_request(request)).await;
+        self.used = Instant::now();
+        match sent {
+            Err(_) => Outcome::GaveUp(None),
+            Ok(Ok(response)) => self.read(response, until).await,
+            Ok(Err(mut failed)) => match failed.take_message() {
+                Some(_unsent) => Outcome::NotSent,
+                None => Outcome::Closed,
+            },
+        }
+    }
+
+    async fn read(&mut self, response: Response<Incoming>, until: Instant) -> Outcome {
+        let (head, mut incoming) = response.into_parts();
+        let mut answer = Answer {
+            status: head.status.as_u16(),
+            told: caller::told(&head.headers),
+            body: String::new(),
+        };
+        loop {
+            let frame = timeout_at(until, incoming.frame()).await;
+            self.used = Instant::now();
+            match frame {
+                Err(_) => return Outcome::GaveUp(Some(answer)),
+                Ok(None) => return Outcome::Whole(answer),
+                Ok(Some(Err(_))) => return Outcome::Cut(answer),
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    answer.body.push_str(&String::from_utf8_lossy(&data));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,144 @@
+//! The command line of the soak.
+
+use std::env;
+use std::error::Error;
+use std::fs;
+use std::path::PathBuf;
+use std::process;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::ValueEnum;
+use clap::value_parser;
+use soak::fault::Kind;
+use soak::plan::Plan;
+use tokio::runtime::Builder;
+use wire::clock::Millis;
+
+/// The outcome of a run; the fault is shown to the person who called it.
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+/// Threads of the soak; the processes under test need the rest of the machine.
+const THREADS: usize = 2;
+
+fn command() -> Command {
+    let count = |name: &'static str, default: &'static str, help: &'static str| {
+        let count = Arg::new(name).long(name).default_value(default).help(help);
+        count.value_parser(value_parser!(usize))
+    };
+    Command::new("soak")
+        .about("Runs real processes under faults and checks what clients and runners see")
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .required(true)
+                .value_parser(value_parser!(u64))
+                .help("Draws the faults and what clients ask"),
+        )
+        .arg(
+            Arg::new("for")
+                .long("for")
+                .default_value("60s")
+                .value_parser(span)
+                .help("How long clients ask, in seconds"),
+        )
+        .arg(count("vms", "6", "VMs that take callers"))
+        .arg(count("runners", "6", "Runners"))
+        .arg(count("clients", "24", "Clients"))
+        .arg(
+            Arg::new("faults")
+                .long("faults")
+                .value_delimiter(',')
+                .value_parser(value_parser!(Kind))
+                .help("What is done to the system; everything where none is named"),
+        )
+        .arg(path(
+            "binary",
+            "The product's binary; else the one beside the soak's",
+        ))
+        .arg(path(
+            "folder",
+            "Where settings, logs and disks are kept; else removed after a clean run",
+        ))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Writes the report as JSON"),
+        )
+}
+
+fn path(name: &'static str, help: &'static str) -> Arg {
+    let path = Arg::new(name).long(name).value_name("PATH").help(help);
+    path.value_parser(value_parser!(PathBuf))
+}
+
+fn span(text: &str) -> std::result::Result<Millis, String> {
+    let seconds = text.trim_end_matches('s').parse::<u64>();
+    let seconds = seconds.map_err(|fault| fault.to_string())?;
+    Ok(Millis::new(seconds * 1_000))
+}
+
+fn main() -> ExitCode {
+    match play(&command().get_matches()) {
+        Ok(code) => code,
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn plan(matches: &ArgMatches) -> Result<Plan> {
+    let number = |name: &str| matches.get_one::<usize>(name).copied();
+    let named = matches.get_many::<Kind>("faults");
+    let seed = *matches.get_one::<u64>("seed").ok_or("no seed")?;
+    let folder = matches.get_one::<PathBuf>("folder").cloned();
+    let binary = match matches.get_one::<PathBuf>("binary") {
+        Some(binary) => binary.clone(),
+        None => env::current_exe()?.with_file_name("chestnutyoke"),
+    };
+    Ok(Plan {
+        binary,
+        folder: folder.unwrap_or_else(|| {
+            let name = format!("soak-{seed}-{}", process::id());
+            env::temp_dir().join(name)
+        }),
+        seed,
+        span: *matches.get_one("for").ok_or("no span")?,
+        vms: number("vms").ok_or("no number of VMs")?,
+        runners: number("runners").ok_or("no number of runners")?,
+        clients: number("clients").ok_or("no number of clients")?,
+        kinds: named.map_or_else(
+            || Kind::value_variants().to_vec(),
+            |named| named.copied().collect(),
+        ),
+    })
+}
+
+fn play(matches: &ArgMatches) -> Result<ExitCode> {
+    let plan = plan(matches)?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(THREADS)
+        .enable_all()
+        .build()?;
+    let report = runtime.block_on(soak::run(&plan))?;
+    // The processes end with the runtime, before their folder goes.
+    drop(runtime);
+    if matches.get_flag("json") {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{report}");
+    }
+    if !report.is_clean() {
+        eprintln!("settings, logs and disks: {}", plan.folder.display());
+        return Ok(ExitCode::FAILURE);
+    }
+    if !matches.contains_id("folder") {
+        fs::remove_dir_all(&plan.folder)?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/soak/src/oracle/tests.rs
@@ -0,0 +1,327 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use fakes::caller;
+use fakes::caller::Told;
+use fakes::runner::Log;
+use fakes::runner::Mode;
+use fakes::runner::Seen;
+use hyper::HeaderMap;
+use tokio::time::Instant;
+use wire::clock::Millis;
+
+use crate::check::Check;
+use crate::connection::Answer;
+use crate::connection::Outcome;
+use crate::request;
+use crate::request::Kind;
+use crate::request::Turn;
+use crate::request::Want;
+
+use super::CALM_MOST;
+use super::Oracle;
+
+/// A judge of one VM and the log that its runner writes.
+struct Bench {
+    oracle: Oracle,
+    log: Log,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let log = Log::default();
+        let names = vec!["vm-1".to_owned()];
+        Self {
+            oracle: Oracle::new(Instant::now(), names, log.clone()),
+            log,
+        }
+    }
+
+    fn begin(&mut self, want: &Want) -> String {
+        self.oracle.begin(0, want, want.deadline)
+    }
+
+    fn run(&self, id: &str, path: &str, body: &Bytes) {
+        let now = Instant::now().into_std();
+        self.log.lock().unwrap().push(Seen {
+            runner: "i-1".to_owned(),
+            id: id.to_owned(),
+            path: path.to_owned(),
+            body: body.clone(),
+            headers: HeaderMap::new(),
+            mode: Mode::Sound,
+            at: now,
+            ended: Some(now),
+        });
+    }
+
+    /// Sends and runs a request, and ends it so.
+    fn play(&mut self, want: &Want, outcome: impl FnOnce(&str) -> Outcome) -> String {
+        let id = self.begin(want);
+        self.run(&id, &want.path(), &want.input);
+        self.oracle.finish(&id, &outcome(&id));
+        id
+    }
+
+    /// Lets time pass: the run began so much earlier.
+    fn advance(&mut self, millis: u64) {
+        let begun = self.oracle.begun;
+        self.oracle.begun = begun.checked_sub(Duration::from_millis(millis)).unwrap();
+    }
+
+    fn stop(&mut self) {
+        let now = self.oracle.now();
+        self.oracle.history.stop(0, now);
+    }
+
+    fn broken(&self) -> Vec<Check> {
+        let rows = self.oracle.book.rows().iter();
+        rows.filter(|row| row.broken > 0)
+            .map(|row| row.check)
+            .collect()
+    }
+}
+
+fn want(kind: Kind) -> Want {
+    Want {
+        kind,
+        events: 3,
+        pause: Duration::ZERO,
+        deadline: Duration::from_secs(2),
+        input: Bytes::from_static(b"in\n"),
+        turn: None,
+    }
+}
+
+fn turn(program: usize, budget: u64, previous: Option<&str>) -> Want {
+    Want {
+        turn: Some(Turn {
+            program,
+            budget,
+            previous: previous.map(str::to_owned),
+        }),
+        ..want(Kind::Kept)
+    }
+}
+
+fn answer(id: &str, status: u16, body: String) -> Answer {
+    Answer {
+        status,
+        told: Told {
+            id: Some(id.to_owned()),
+            is_signed: true,
+            ..caller::told(&HeaderMap::new())
+        },
+        body,
+    }
+}
+
+fn whole(id: &str) -> Outcome {
+    Outcome::Whole(answer(id, 200, request::answer(id, b"in\n", 3)))
+}
+
+fn refused(id: &str) -> Outcome {
+    Outcome::Whole(answer(id, 503, String::new()))
+}
+
+#[test]
+fn a_whole_answer_breaks_nothing() {
+    let mut bench = Bench::new();
+    bench.play(&want(Kind::Order), whole);
+    bench.oracle.end();
+    assert_eq!(bench.broken(), []);
+    assert_eq!(bench.oracle.book.row(Check::Order).exercised, 1);
+    assert_eq!(bench.oracle.book.row(Check::Lost).exercised, 0);
+}
+
+/// A VM stops while a request that it has passed on runs, and its process ends before the answer
+/// does: the client sees a closed connection.
+#[test]
+fn a_request_that_a_stop_cuts_is_lost() {
+    for outcome in [
+        Outcome::Closed,
+        Outcome::Cut(answer("", 200, String::new())),
+    ] {
+        let mut bench = Bench::new();
+        let id = bench.begin(&want(Kind::Order));
+        bench.run(&id, &want(Kind::Order).path(), &want(Kind::Order).input);
+        bench.stop();
+        bench.oracle.finish(&id, &outcome);
+        assert_eq!(bench.broken(), [Check::Lost]);
+    }
+}
+
+/// The connection closes at once on a request that crosses the close: it wasn't read.
+#[test]
+fn a_request_that_crosses_the_close_is_not_lost() {
+    let mut bench = Bench::new();
+    bench.stop();
+    let id = bench.begin(&want(Kind::Order));
+    bench.oracle.finish(&id, &Outcome::Closed);
+    assert_eq!(bench.broken(), []);
+}
+
+/// The connection closes later than that: the VM had read the request, though it never passed it on.
+#[test]
+fn a_request_that_is_held_and_cut_is_lost() {
+    let mut bench = Bench::new();
+    bench.stop();
+    let id = bench.begin(&want(Kind::Order));
+    bench.advance(250);
+    bench.oracle.finish(&id, &Outcome::Closed);
+    assert_eq!(bench.broken(), [Check::Lost]);
+}
+
+#[test]
+fn beside_a_disruption_nothing_is_lost() {
+    let mut bench = Bench::new();
+    bench.stop();
+    bench.oracle.history.disrupt(Millis::ZERO);
+    bench.play(&want(Kind::Order), |_| Outcome::Closed);
+    assert_eq!(bench.broken(), []);
+    assert_eq!(bench.oracle.book.row(Check::Lost).exercised, 0);
+}
+
+#[test]
+fn a_runner_that_broke_off_excuses_its_vm() {
+    let mut bench = Bench::new();
+    bench.stop();
+    let id = bench.begin(&want(Kind::Order));
+    bench.run(&id, &want(Kind::Order).path(), &want(Kind::Order).input);
+    bench.log.lock().unwrap()[0].mode = Mode::AnswerLost;
+    bench.oracle.finish(&id, &Outcome::Closed);
+    assert_eq!(bench.broken(), []);
+}
+
+#[test]
+fn few_closed_connections_are_borne_without_a_fault() {
+    let mut bench = Bench::new();
+    for _ in 0..CALM_MOST {
+        bench.play(&want(Kind::Order), |_| Outcome::Closed);
+    }
+    assert_eq!(bench.oracle.calm().len(), CALM_MOST);
+    bench.play(&want(Kind::Order), |_| Outcome::Closed);
+    bench.oracle.end();
+    assert_eq!(bench.broken(), [Check::Calm]);
+}
+
+#[test]
+fn an_answer_without_its_end_must_not_look_whole() {
+    let mut bench = Bench::new();
+    bench.play(&want(Kind::Look), |id| {
+        Outcome::Whole(answer(id, 200, request::answer(id, b"in\n", 2)))
+    });
+    assert_eq!(bench.broken(), [Check::Order]);
+}
+
+#[test]
+fn a_part_of_an_answer_may_break_off_but_not_skip() {
+    let mut bench = Bench::new();
+    bench.play(&want(Kind::Talk), |id| {
+        let body = request::answer(id, b"in\n", 2);
+        Outcome::GaveUp(Some(answer(id, 200, body)))
+    });
+    assert_eq!(bench.broken(), []);
+    bench.play(&want(Kind::Talk), |id| {
+        let body = request::answer(id, b"in\n", 3);
+        let second = body.split_once("\n\n").unwrap().1.to_owned();
+        Outcome::GaveUp(Some(answer(id, 200, second)))
+    });
+    assert_eq!(bench.broken(), [Check::Order]);
+}
+
+#[test]
+fn another_requests_answer_is_seen() {
+    let mut bench = Bench::new();
+    bench.play(&want(Kind::Look), |_| whole("50a0000000000099"));
+    assert_eq!(bench.broken(), [Check::Own, Check::Order]);
+}
+
+#[test]
+fn what_runs_once_must_not_run_twice() {
+    for (kind, broken) in [(Kind::Order, vec![Check::Once]), (Kind::Look, vec![])] {
+        let mut bench = Bench::new();
+        let id = bench.play(&want(kind), whole);
+        bench.run(&id, &want(kind).path(), &want(kind).input);
+        bench.oracle.end();
+        assert_eq!(bench.broken(), broken);
+    }
+}
+
+/// A VM refuses with the promise that a call hasn't run and never will, and a runner gets it before
+/// or after that.
+#[test]
+fn what_was_refused_must_not_run() {
+    let mut bench = Bench::new();
+    bench.play(&want(Kind::Order), refused);
+    assert_eq!(bench.broken(), [Check::Refused]);
+    let mut bench = Bench::new();
+    let id = bench.begin(&want(Kind::Order));
+    bench.oracle.finish(&id, &refused(&id));
+    assert_eq!(bench.broken(), []);
+    bench.run(&id, &want(Kind::Order).path(), &want(Kind::Order).input);
+    bench.oracle.end();
+    assert_eq!(bench.broken(), [Check::Refused]);
+}
+
+#[test]
+fn a_turn_continues_its_chain() {
+    let mut bench = Bench::new();
+    let program = bench.oracle.add_program(100);
+    let first = bench.play(&turn(program, 100, None), whole);
+    let next = turn(program, 100, Some(&first));
+    let id = bench.begin(&next);
+    let text = format!("in\n{}in\n", request::output(&first, b"in\n", 3));
+    bench.run(&id, &next.path(), &text.into());
+    let id = bench.begin(&next);
+    bench.oracle.end();
+    assert_eq!(bench.broken(), []);
+    bench.run(&id, &next.path(), &next.input);
+    bench.oracle.end();
+    assert_eq!(bench.broken(), [Check::Chain]);
+}
+
+#[test]
+fn a_kept_turn_must_be_found() {
+    let mut bench = Bench::new();
+    let program = bench.oracle.add_program(100);
+    let first = bench.play(&turn(program, 100, None), whole);
+    let id = bench.begin(&turn(program, 100, Some(&first)));
+    let outcome = Outcome::Whole(answer(&id, 404, String::new()));
+    bench.oracle.finish(&id, &outcome);
+    assert_eq!(bench.broken(), [Check::Kept]);
+}
+
+#[test]
+fn a_program_gets_its_budget_and_one_turn_at_most() {
+    for (turns, broken) in [(2, vec![]), (3, vec![Check::Budget])] {
+        let mut bench = Bench::new();
+        let program = bench.oracle.add_program(30);
+        for _ in 0..turns {
+            bench.play(&turn(program, 30, None), whole);
+        }
+        bench.oracle.end();
+        assert_eq!(bench.broken(), broken);
+    }
+}
+
+#[test]
+fn an_unknown_id_at_a_runner_is_seen() {
+    let mut bench = Bench::new();
+    bench.run("50b", "/look/x", &Bytes::new());
+    bench.oracle.end();
+    assert_eq!(bench.broken(), [Check::Asked]);
+}
+
+/// A runner says that it leaves, and gets a request later than the VMs have time to learn of it.
+#[test]
+fn a_leaving_runner_must_get_nothing_late() {
+    let mut bench = Bench::new();
+    bench.oracle.history.leave("i-1", Millis::ZERO);
+    bench.advance(1_900);
+    bench.play(&want(Kind::Look), whole);
+    assert_eq!(bench.broken(), []);
+    bench.advance(200);
+    bench.play(&want(Kind::Look), whole);
+    assert_eq!(bench.broken(), [Check::Drains]);
+}
--- /dev/null
+++ b/crates/soak/src/proxy.rs
@@ -0,0 +1,215 @@
+//! A loopback proxy between the product's processes and the platform's store or a runner, which
+//! delays, resets, cuts or silences what passes.
+//!
+//! The system acknowledges bytes that the proxy holds back, so a time-out of TCP itself never shows
+//! here as it does on a real link that is cut.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+use socket2::SockRef;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use wire::clock::Millis;
+
+/// Bytes that are passed on at once.
+const CHUNK: usize = 16 * 1024;
+/// After so much silence a keep-alive of the product ends a connection. Its probes don't show the
+/// silence here, as the system answers them for the proxy.
+const KEEP_ALIVE: Duration = Duration::from_millis(3_200);
+/// The pause before an address is tried again that couldn't be listened on.
+const AGAIN: Duration = Duration::from_millis(20);
+
+/// Which way bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Way {
+    /// From the process that connected.
+    Out,
+    /// Back to it.
+    Back,
+}
+
+/// How a link passes bytes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// As they come.
+    Open,
+    /// Each chunk later.
+    Slow(Millis),
+    /// None, until the link is open again.
+    Cut,
+    /// None in this direction, until the link is open again.
+    CutOneWay(Way),
+    /// Nobody listens, and open connections are reset.
+    Down,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct State {
+    mode: Mode,
+    /// Counts the times that open connections were reset.
+    resets: u64,
+    /// Counts the times that open connections went silent for good.
+    silences: u64,
+}
+
+/// A link.
+#[derive(Debug)]
+pub struct Link {
+    /// Where processes connect.
+    pub address: SocketAddr,
+    state: watch::Sender<State>,
+}
+
+impl Link {
+    /// Starts a link to `target`.
+    #[must_use]
+    pub fn start(address: SocketAddr, target: SocketAddr) -> Self {
+        let (state, states) = watch::channel(State {
+            mode: Mode::Open,
+            resets: 0,
+            silences: 0,
+        });
+        tokio::spawn(listen(address, target, states));
+        Self { address, state }
+    }
+
+    /// Sets how bytes are passed on.
+    pub fn set_mode(&self, mode: Mode) {
+        self.state.send_modify(|state| state.mode = mode);
+    }
+
+    /// Resets the connections that are open.
+    pub fn reset(&self) {
+        self.state.send_modify(|state| state.resets += 1);
+    }
+
+    /// Has the connections that are open pass nothing any more, and be reset once a keep-alive of
+    /// the product would have noticed; new ones work.
+    pub fn silence(&self) {
+        self.state.send_modify(|state| state.silences += 1);
+    }
+}
+
+async fn listen(address: SocketAddr, target: SocketAddr, mut states: watch::Receiver<State>) {
+    loop {
+        if states
+            .wait_for(|state| state.mode != Mode::Down)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        let Ok(listener) = TcpListener::bind(address).await else {
+            sleep(AGAIN).await;
+            continue;
+        };
+        let mut down = states.clone();
+        tokio::select! {
+            () = accept(&listener, target, &states) => {}
+            gone = down.wait_for(|state| state.mode == Mode::Down) => {
+                if gone.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn accept(listener: &TcpListener, target: SocketAddr, states: &watch::Receiver<State>) {
+    while let Ok((stream, _from)) = listener.accept().await {
+        tokio::spawn(connection(stream, target, states.clone()));
+    }
+}
+
+async fn connection(mut near: TcpStream, target: SocketAddr, mut states: watch::Receiver<State>) {
+    let born = *states.borrow();
+    let Ok(mut far) = TcpStream::connect(target).await else {
+        abort(&near);
+        return;
+    };
+    // Without it, small packets wait for others; the link would add what no fault asked for.
+    let prepared = near.set_nodelay(true).and_then(|()| far.set_nodelay(true));
+    let (out, back) = (states.clone(), states.clone());
+    let passed = {
+        let (from_near, to_near) = near.split();
+        let (from_far, to_far) = far.split();
+        tokio::select! {
+            passed = async {
+                tokio::try_join!(
+                    pump(from_near, to_far, Way::Out, born, out),
+                    pump(from_far, to_near, Way::Back, born, back),
+                )
+            } => passed.map(|_| ()),
+            _reset = reset(&mut states, born) => Err(io::ErrorKind::ConnectionReset.into()),
+        }
+    };
+    if prepared.and(passed).is_err() {
+        abort(&near);
+        abort(&far);
+    }
+}
+
+async fn reset(states: &mut watch::Receiver<State>, born: State) {
+    let is_reset = |state: &State| state.resets > born.resets || state.mode == Mode::Down;
+    let is_over = |state: &State| is_reset(state) || state.silences > born.silences;
+    // A link that is dropped resets its connections, too.
+    if matches!(states.wait_for(is_over).await, Ok(state) if !is_reset(&state)) {
+        // Whatever comes first ends it.
+        let _reset = tokio::time::timeout(KEEP_ALIVE, states.wait_for(is_reset)).await;
+    }
+}
+
+/// Has a connection's end be a reset.
+fn abort(stream: &TcpStream) {
+    // Fails only where the connection is gone already.
+    let _set = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+async fn pump(
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    way: Way,
+    born: State,
+    mut states: watch::Receiver<State>,
+) -> io::Result<()> {
+    let mut buffer = vec![0; CHUNK];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        pass(&mut states, way, born).await?;
+        if count == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&buffer[..count]).await?;
+    }
+}
+
+/// Waits until the link lets bytes pass.
+async fn pass(states: &mut watch::Receiver<State>, way: Way, born: State) -> io::Result<()> {
+    let is_open = |state: &State| {
+        let held = match state.mode {
+            Mode::Cut | Mode::Down => true,
+            Mode::CutOneWay(cut) => cut == way,
+            Mode::Open | Mode::Slow(_) => false,
+        };
+        !held && state.silences == born.silences
+    };
+    let gone = || io::Error::from(io::ErrorKind::ConnectionReset);
+    let mode = states.wait_for(is_open).await.map_err(|_| gone())?.mode;
+    if let Mode::Slow(span) = mode {
+        sleep(span.as_duration()).await;
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/soak/src/proxy/tests.rs
@@ -0,0 +1,121 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use wire::clock::Millis;
+
+use super::Link;
+use super::Mode;
+use super::Way;
+
+/// Longer than a loopback takes, also on a busy machine.
+const SOON: Duration = Duration::from_secs(5);
+/// How long nothing may come to count as held.
+const HELD: Duration = Duration::from_millis(150);
+
+/// Starts an echo and a link to it; yields a connection through it.
+async fn through() -> (Link, TcpStream) {
+    let echo = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = echo.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = echo.accept().await {
+            tokio::spawn(async move {
+                let (mut from, mut to) = stream.split();
+                tokio::io::copy(&mut from, &mut to).await
+            });
+        }
+    });
+    let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = free.local_addr().unwrap();
+    drop(free);
+    let link = Link::start(address, target);
+    let stream = connect(address).await;
+    (link, stream)
+}
+
+async fn connect(address: SocketAddr) -> TcpStream {
+    let connected = async {
+        loop {
+            if let Ok(stream) = TcpStream::connect(address).await {
+                return stream;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(SOON, connected).await.unwrap()
+}
+
+async fn echoed(stream: &mut TcpStream) -> std::io::Result<u8> {
+    stream.write_all(b"x").await?;
+    stream.read_u8().await
+}
+
+#[tokio::test]
+async fn an_open_link_passes_bytes() {
+    let (_link, mut stream) = through().await;
+    let byte = timeout(SOON, echoed(&mut stream)).await.unwrap();
+    assert_eq!(byte.unwrap(), b'x');
+}
+
+#[tokio::test]
+async fn a_slow_link_passes_bytes_later() {
+    let (link, mut stream) = through().await;
+    link.set_mode(Mode::Slow(Millis::new(100)));
+    let begun = std::time::Instant::now();
+    let byte = timeout(SOON, echoed(&mut stream)).await.unwrap();
+    assert_eq!(byte.unwrap(), b'x');
+    assert!(begun.elapsed() >= Duration::from_millis(200));
+}
+
+#[tokio::test]
+async fn a_cut_holds_bytes_until_it_ends() {
+    for cut in [
+        Mode::Cut,
+        Mode::CutOneWay(Way::Out),
+        Mode::CutOneWay(Way::Back),
+    ] {
+        let (link, mut stream) = through().await;
+        link.set_mode(cut);
+        stream.write_all(b"x").await.unwrap();
+        assert!(timeout(HELD, stream.read_u8()).await.is_err(), "{cut:?}");
+        link.set_mode(Mode::Open);
+        let byte = timeout(SOON, stream.read_u8()).await.unwrap();
+        assert_eq!(byte.unwrap(), b'x', "{cut:?}");
+    }
+}
+
+/// Connections go silent without a reset, as where a middlebox has dropped their flows. They stay
+/// silent; new ones work.
+#[tokio::test]
+async fn a_silenced_connection_stays_silent() {
+    let (link, mut stream) = through().await;
+    timeout(SOON, echoed(&mut stream)).await.unwrap().unwrap();
+    link.silence();
+    assert!(timeout(HELD, echoed(&mut stream)).await.is_err());
+    let mut fresh = connect(link.address).await;
+    let byte = timeout(SOON, echoed(&mut fresh)).await.unwrap();
+    assert_eq!(byte.unwrap(), b'x');
+}
+
+#[tokio::test]
+async fn a_link_that_is_down_resets_and_refuses() {
+    let (link, mut stream) = through().await;
+    timeout(SOON, echoed(&mut stream)).await.unwrap().unwrap();
+    link.set_mode(Mode::Down);
+    let ended = timeout(SOON, stream.read_u8()).await.unwrap();
+    assert!(ended.is_err());
+    let refused = async {
+        while TcpStream::connect(link.address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(SOON, refused).await.unwrap();
+    link.set_mode(Mode::Open);
+    let mut fresh = connect(link.address).await;
+    let byte = timeout(SOON, echoed(&mut fresh)).await.unwrap();
+    assert_eq!(byte.unwrap(), b'x');
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,263 @@
+//! When which fault comes: drawn from a seed, in series and overlapping.
+//!
+//! Eras of planned work alone and eras of everything take turns, as what may not be lost around a
+//! stop is only owed where no other fault is near.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use wire::clock::Millis;
+
+use crate::fault::Failure;
+use crate::fault::Fault;
+use crate::fault::Harm;
+use crate::fault::Kind;
+use crate::fault::Pair;
+use crate::proxy::Way;
+
+/// Before the first fault.
+const CALM: u64 = 2_000;
+/// After the last fault and before the end: a stop takes its grace, and clients recover.
+pub const QUIET: u64 = 14_000;
+/// How long an era lasts, from and to.
+const ERA: (u64, u64) = (8_000, 16_000);
+/// Between two eras: above the time after a disruption in which promises with a time bound rest.
+const BETWEEN_ERAS: u64 = 4_500;
+/// Between two lost disks: the time in which a new member has learnt all, with room to spare.
+const BETWEEN_WIPES: u64 = 20_000;
+/// Before a disk is lost, how long the other VMs with a disk must have been left alone.
+const BEFORE_WIPE: u64 = 10_000;
+
+/// How runners fail.
+const FAILURES: [Failure; 4] = [
+    Failure::BreaksOff,
+    Failure::AnswerLost,
+    Failure::Full,
+    Failure::Crossed,
+];
+
+/// A fault at its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Step {
+    /// When, since the start of traffic.
+    pub at: Millis,
+    /// What.
+    pub fault: Fault,
+}
+
+/// How large the fleet is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// VMs that take callers; they stand first.
+    pub callers: usize,
+    /// VMs with a disk; they follow.
+    pub disks: usize,
+    /// Data centres, over which VMs of either sort are dealt in turn.
+    pub centres: usize,
+    /// Runners.
+    pub runners: usize,
+}
+
+struct Draw {
+    random: ChaCha8Rng,
+    size: Size,
+    steps: Vec<Step>,
+    /// When a disk was lost last, and when VMs with a disk were last disturbed.
+    wiped: Option<u64>,
+    disks_disturbed: Option<u64>,
+}
+
+/// Draws the faults of a run.
+#[must_use]
+pub fn draw(seed: u64, span: Millis, kinds: &[Kind], size: Size) -> Vec<Step> {
+    let mut draw = Draw {
+        random: ChaCha8Rng::seed_from_u64(seed),
+        size,
+        steps: Vec::new(),
+        wiped: None,
+        disks_disturbed: None,
+    };
+    let planned: Vec<Kind> = kinds
+        .iter()
+        .copied()
+        .filter(|kind| kind.is_planned())
+        .collect();
+    let end = span.as_u64().saturating_sub(QUIET);
+    let mut at = CALM;
+    while at < end && !kinds.is_empty() {
+        let era_end = end.min(at + draw.random.random_range(ERA.0..ERA.1));
+        let only_planned = !planned.is_empty() && draw.random.random_bool(0.6);
+        let kinds = if only_planned { &planned } else { kinds };
+        draw.era(at, era_end, kinds);
+        at = era_end + BETWEEN_ERAS;
+    }
+    draw.steps.sort_by_key(|step| step.at);
+    draw.steps
+}
+
+impl Draw {
+    fn era(&mut self, from: u64, to: u64, kinds: &[Kind]) {
+        let mut at = from;
+        while at < to {
+            let kind = kinds[self.random.random_range(0..kinds.len())];
+            self.kind(kind, at, to);
+            // Often beside what is under way, sometimes after it.
+            at += if self.random.random_bool(0.5) {
+                self.random.random_range(100..1_500)
+            } else {
+                self.random.random_range(2_000..6_000)
+            };
+        }
+    }
+
+    fn push(&mut self, at: u64, fault: Fault) {
+        self.steps.push(Step {
+            at: Millis::new(at),
+            fault,
+        });
+    }
+
+    fn span(&mut self, from: u64, to: u64) -> Millis {
+        Millis::new(self.random.random_range(from..to))
+    }
+
+    fn caller(&mut self) -> usize {
+        self.random.random_range(0..self.size.callers)
+    }
+
+    fn disk(&mut self) -> usize {
+        self.size.callers + self.random.random_range(0..self.size.disks)
+    }
+
+    fn vm(&mut self) -> usize {
+        self.random
+            .random_range(0..self.size.callers + self.size.disks)
+    }
+
+    fn kind(&mut self, kind: Kind, at: u64, to: u64) {
+        match kind {
+            Kind::Stops => self.series(at, to, 0..self.size.callers),
+            Kind::DiskStops => {
+                self.disks_disturbed = Some(to);
+                self.series(
+                    at,
+                    to,
+                    self.size.callers..self.size.callers + self.size.disks,
+                );
+            }
+            Kind::Overlap => self.overlap(at),
+            Kind::Reload => {
+                let vm = self.vm();
+                self.push(at, Fault::Reload(vm));
+            }
+            Kind::Configure => self.push(at, Fault::Configure),
+            Kind::Kill => {
+                let vm = self.vm();
+                self.note_disk(vm, at);
+                self.push(at, Fault::Kill(vm));
+            }
+            Kind::Pause => {
+                let (vm, span) = (self.vm(), self.span(300, 4_000));
+                self.note_disk(vm, at + span.as_u64());
+                self.push(at, Fault::Pause(vm, span));
+            }
+            Kind::Wipe => self.wipe(at),
+            Kind::StoreAway => {
+                let span = self.span(500, 5_000);
+                self.disks_disturbed = self.disks_disturbed.max(Some(at + span.as_u64()));
+                self.push(at, Fault::StoreAway(span));
+            }
+            Kind::StoreLink => {
+                let vm = self.vm();
+                self.note_disk(vm, at + 4_000);
+                self.link(at, Pair::Store(vm));
+            }
+            Kind::RunnerLeaves | Kind::RunnerFails | Kind::RunnerDown | Kind::RunnerLink => {
+                self.runner_fault(kind, at);
+            }
+        }
+    }
+
+    fn runner_fault(&mut self, kind: Kind, at: u64) {
+        let runner = self.random.random_range(0..self.size.runners);
+        match kind {
+            Kind::RunnerLeaves if self.random.random_bool(0.5) => {
+                self.push(at, Fault::RunnerLeaves(runner));
+            }
+            Kind::RunnerLeaves => self.push(at, Fault::RunnerUnlisted(runner)),
+            Kind::RunnerFails => {
+                let failure = FAILURES[self.random.random_range(0..FAILURES.len())];
+                let count = self.random.random_range(1..6);
+                self.push(at, Fault::RunnerFails(runner, failure, count));
+            }
+            Kind::RunnerDown => {
+                let span = self.span(500, 4_000);
+                self.push(at, Fault::RunnerDown(runner, span));
+            }
+            _ => self.link(at, Pair::Runner(runner)),
+        }
+    }
+
+    fn note_disk(&mut self, vm: usize, until: u64) {
+        if vm >= self.size.callers {
+            self.disks_disturbed = self.disks_disturbed.max(Some(until));
+        }
+    }
+
+    /// Stops some VMs, each a little after the one before, which may still be stopping.
+    fn series(&mut self, at: u64, to: u64, vms: std::ops::Range<usize>) {
+        let count = self.random.random_range(1..=vms.len());
+        let first = self.random.random_range(vms.clone());
+        let gap = self.random.random_range(200..4_500);
+        for step in 0..count {
+            let vm = vms.start + (first - vms.start + step) % vms.len();
+            let at = at + gap * step as u64;
+            if at < to {
+                self.push(at, Fault::Stop(vm));
+            }
+        }
+    }
+
+    /// Stops all VMs that take callers of a data centre, or all but one.
+    fn overlap(&mut self, at: u64) {
+        let centre = self.random.random_range(0..self.size.centres);
+        let spared = self.random.random_bool(0.3).then(|| self.caller());
+        for vm in (centre..self.size.callers).step_by(self.size.centres) {
+            if spared != Some(vm) {
+                let late = self.random.random_range(0..2_500);
+                self.push(at + late, Fault::Stop(vm));
+            }
+        }
+    }
+
+    /// Empties a disk, unless another one may not have been made good yet: two lost disks of three
+    /// are more than the system is asked to bear.
+    fn wipe(&mut self, at: u64) {
+        let is_recent =
+            |before: Option<u64>, span: u64| before.is_some_and(|before| at < before + span);
+        if is_recent(self.wiped, BETWEEN_WIPES) || is_recent(self.disks_disturbed, BEFORE_WIPE) {
+            return;
+        }
+        self.wiped = Some(at);
+        let vm = self.disk();
+        self.push(at, Fault::Wipe(vm));
+    }
+
+    fn link(&mut self, at: u64, pair: Pair) {
+        let harms = [
+            Harm::Slow(self.span(20, 400)),
+            Harm::Cut,
+            Harm::CutOneWay(Way::Out),
+            Harm::CutOneWay(Way::Back),
+            Harm::Reset,
+            Harm::Silence,
+        ];
+        let harm = harms[self.random.random_range(0..harms.len())];
+        let span = self.span(500, 4_000);
+        self.push(at, Fault::Link(pair, harm, span));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/soak/src/schedule/tests.rs
@@ -0,0 +1,71 @@
+use clap::ValueEnum;
+use wire::clock::Millis;
+
+use crate::fault::Fault;
+use crate::fault::Kind;
+
+use super::BETWEEN_WIPES;
+use super::QUIET;
+use super::Size;
+use super::Step;
+use super::draw;
+
+const SIZE: Size = Size {
+    callers: 6,
+    disks: 3,
+    centres: 3,
+    runners: 6,
+};
+const SPAN: Millis = Millis::new(120_000);
+
+fn drawn(seed: u64, kinds: &[Kind]) -> Vec<Step> {
+    draw(seed, SPAN, kinds, SIZE)
+}
+
+#[test]
+fn a_seed_draws_the_same_again() {
+    let kinds = Kind::value_variants();
+    assert_eq!(drawn(7, kinds), drawn(7, kinds));
+    assert_ne!(drawn(7, kinds), drawn(8, kinds));
+}
+
+#[test]
+fn each_kind_is_drawn_and_leaves_the_end_quiet() {
+    for kind in Kind::value_variants() {
+        let steps = drawn(3, &[*kind]);
+        assert!(!steps.is_empty(), "{kind:?}");
+        let last = Millis::new(SPAN.as_u64() - QUIET + 2_500);
+        assert!(steps.iter().all(|step| step.at < last), "{kind:?}");
+    }
+}
+
+/// Two disks lost before the first one was made good again would be more than the system promises
+/// to bear, and the run would blame it for that.
+#[test]
+fn no_two_disks_are_lost_near_each_other() {
+    for seed in 0..200 {
+        let steps = drawn(seed, Kind::value_variants());
+        let wipes = steps
+            .iter()
+            .filter(|step| matches!(step.fault, Fault::Wipe(_)));
+        let wipes: Vec<Millis> = wipes.map(|step| step.at).collect();
+        for pair in wipes.windows(2) {
+            assert!(pair[1].since(pair[0]).as_u64() >= BETWEEN_WIPES);
+        }
+    }
+}
+
+/// All VMs of a data centre are told to stop before the first one has ended.
+#[test]
+fn stops_of_a_data_centre_overlap() {
+    let steps = drawn(1, &[Kind::Overlap]);
+    let overlapping = steps.windows(2).filter(|pair| {
+        let centres = pair.iter().map(|step| match step.fault {
+            Fault::Stop(vm) => vm % SIZE.centres,
+            _ => usize::MAX,
+        });
+        let centres: Vec<usize> = centres.collect();
+        centres[0] == centres[1] && pair[1].at.since(pair[0].at) < Millis::new(2_500)
+    });
+    assert!(overlapping.count() > 3);
+}
