--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -40,6 +40,8 @@
     Chain,
     /// A program's clients got more tokens than its budget and one turn.
     Budget,
+    /// Runners go on working for clients that have left.
+    Gone,
     /// A runner that leaves still gets requests.
     Drains,
     /// An older configuration is still in force.
@@ -50,7 +52,7 @@
 
 impl Check {
     /// All checks.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Lost,
         Self::Stops,
         Self::Lives,
@@ -66,6 +68,7 @@
         Self::Asked,
         Self::Chain,
         Self::Budget,
+        Self::Gone,
         Self::Drains,
         Self::Applied,
         Self::Served,
@@ -90,6 +93,7 @@
             Self::Asked => "runners get what clients sent, unchanged",
             Self::Chain => "a turn's text is its chain's inputs and outputs, and its input",
             Self::Budget => "programs get no more tokens than their budget and one turn",
+            Self::Gone => "runners hear of it when a client leaves",
             Self::Drains => "a leaving runner gets nothing new",
             Self::Applied => "a new route is in force everywhere in time",
             Self::Served => "in the quiet at the end, most requests are served",
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -124,6 +124,7 @@
             events,
             pause: Duration::from_millis(pause),
             deadline,
+            leaves: None,
             input: self.input(),
             turn,
         }
@@ -138,7 +139,7 @@
         let mut want = self.want(kind, None);
         // A few leave early, mostly in the middle of the answer.
         if kind != Kind::Order && self.random.random_bool(0.03) {
-            want.deadline = Duration::from_millis(self.random.random_range(20..300));
+            want.leaves = Some(Duration::from_millis(self.random.random_range(20..300)));
         }
         want
     }
@@ -220,7 +221,10 @@
                 }),
                 body: want.input.clone(),
             });
-            let outcome = connection.ask(request, until).await;
+            let patience = want
+                .leaves
+                .map_or(until, |span| until.min(Instant::now() + span));
+            let outcome = connection.ask(request, patience).await;
             self.world.oracle().finish(&id, &outcome);
             if let Outcome::Whole(answer) = &outcome
                 && !answer.told.closes
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -3,13 +3,14 @@
 use clap::ValueEnum;
 use clap::builder::PossibleValue;
 use fakes::runner;
+use serde::Deserialize;
 use serde::Serialize;
 use wire::clock::Millis;
 
 use crate::proxy::Way;
 
 /// A kind of fault, as `--faults` names it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Kind {
     /// VMs that take callers stop and start, one after the other.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,7 +5,6 @@
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::process;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -115,8 +114,12 @@
     ///
     /// # Errors
     ///
-    /// Fails where the run's folder can't be written.
+    /// Fails where the run's folder can't be made; one that is there holds another run's disks.
     pub async fn new(plan: &Plan) -> io::Result<Self> {
+        if let Some(parent) = plan.folder.parent() {
+            fs::create_dir_all(parent)?;
+        }
+        fs::create_dir(&plan.folder)?;
         let net = Net::new();
         let store = Store::start(SocketAddr::new(net.ip(250), STORE_PORT)).await;
         let mut vms = Vec::new();
@@ -276,6 +279,7 @@
             events: 1,
             pause: Duration::ZERO,
             deadline: Duration::from_secs(1),
+            leaves: None,
             input: "added\n".into(),
             turn: None,
         };
@@ -377,7 +381,7 @@
         disk: disk.as_deref(),
     });
     let file = plan.folder.join(format!("{name}.toml"));
-    write(&file, &text)?;
+    fs::write(&file, text)?;
     Ok(Place {
         at,
         ip,
@@ -389,13 +393,6 @@
     })
 }
 
-fn write(file: &Path, text: &str) -> io::Result<()> {
-    if let Some(folder) = file.parent() {
-        fs::create_dir_all(folder)?;
-    }
-    fs::write(file, text)
-}
-
 /// Starts a runner: two of three serve models.
 async fn backend(net: Net, at: usize, log: runner::Log) -> Backend {
     let id = format!("i-{at:02}");
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod plan;
 pub mod process;
 pub mod proxy;
+pub mod regression;
 pub mod report;
 pub mod request;
 pub mod schedule;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,6 +15,7 @@
 use clap::value_parser;
 use soak::fault::Kind;
 use soak::plan::Plan;
+use soak::regression;
 use tokio::runtime::Builder;
 use wire::clock::Millis;
 
@@ -34,7 +35,7 @@
         .arg(
             Arg::new("seed")
                 .long("seed")
-                .required(true)
+                .required_unless_present("regressions")
                 .value_parser(value_parser!(u64))
                 .help("Draws the faults and what clients ask"),
         )
@@ -63,6 +64,7 @@
             "folder",
             "Where settings, logs and disks are kept; else removed after a clean run",
         ))
+        .arg(path("regressions", "Plays the runs of this file instead").conflicts_with("seed"))
         .arg(
             Arg::new("json")
                 .long("json")
@@ -92,10 +94,10 @@
     }
 }
 
-fn plan(matches: &ArgMatches) -> Result<Plan> {
+fn plan(matches: &ArgMatches, seed: u64) -> Result<Plan> {
     let number = |name: &str| matches.get_one::<usize>(name).copied();
     let named = matches.get_many::<Kind>("faults");
-    let seed = *matches.get_one::<u64>("seed").ok_or("no seed")?;
+    let name = format!("soak-{seed}-{}", process::id());
     let folder = matches.get_one::<PathBuf>("folder").cloned();
     let binary = match matches.get_one::<PathBuf>("binary") {
         Some(binary) => binary.clone(),
@@ -103,10 +105,7 @@
     };
     Ok(Plan {
         binary,
-        folder: folder.unwrap_or_else(|| {
-            let name = format!("soak-{seed}-{}", process::id());
-            env::temp_dir().join(name)
-        }),
+        folder: folder.unwrap_or_else(|| env::temp_dir().join(name)),
         seed,
         span: *matches.get_one("for").ok_or("no span")?,
         vms: number("vms").ok_or("no number of VMs")?,
@@ -120,12 +119,31 @@
 }
 
 fn play(matches: &ArgMatches) -> Result<ExitCode> {
-    let plan = plan(matches)?;
+    let Some(file) = matches.get_one::<PathBuf>("regressions") else {
+        let seed = *matches.get_one("seed").ok_or("no seed")?;
+        return play_one(matches, &plan(matches, seed)?);
+    };
+    let mut code = ExitCode::SUCCESS;
+    for run in regression::parse(&fs::read_to_string(file)?)? {
+        let plan = Plan {
+            span: Millis::new(run.for_s * 1_000),
+            vms: run.vms,
+            kinds: run.faults,
+            ..plan(matches, run.seed)?
+        };
+        if play_one(matches, &plan)? != ExitCode::SUCCESS {
+            code = ExitCode::FAILURE;
+        }
+    }
+    Ok(code)
+}
+
+fn play_one(matches: &ArgMatches, plan: &Plan) -> Result<ExitCode> {
     let runtime = Builder::new_multi_thread()
         .worker_threads(THREADS)
         .enable_all()
         .build()?;
-    let report = runtime.block_on(soak::run(&plan))?;
+    let report = runtime.block_on(soak::run(plan))?;
     // The processes end with the runtime, before their folder goes.
     drop(runtime);
     if matches.get_flag("json") {
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -1,5 +1,7 @@
 //! What must hold, judged from what clients sent and got and what runners ran.
 
+use std::sync::PoisonError;
+
 use bytes::Bytes;
 use fakes::runner;
 use fakes::runner::Seen;
@@ -25,6 +27,10 @@
 const CALM_MOST: usize = 3;
 /// How long after it says that it leaves a runner may still get requests.
 const DRAIN: Millis = Millis::new(2_000);
+/// How soon after its client has left a run has to end.
+const HEARD: Millis = Millis::new(500);
+/// The share of runs that may go on for longer, as a divisor.
+const UNHEARD: usize = 4;
 /// How long a new configuration may take to be in force.
 const APPLY: Millis = Millis::new(settings::APPLY_MS);
 
@@ -96,6 +102,8 @@
     attempts: Vec<Attempt>,
     programs: Vec<Program>,
     calm: Vec<Case>,
+    /// Attempts whose clients left, and when.
+    left: Vec<(usize, Millis)>,
 }
 
 impl Oracle {
@@ -113,6 +121,7 @@
             attempts: Vec::new(),
             programs: Vec::new(),
             calm: Vec::new(),
+            left: Vec::new(),
         }
     }
 
@@ -179,6 +188,7 @@
             }
             Outcome::GaveUp(answer) => {
                 self.counts.given_up += 1;
+                self.left.push((at, ended));
                 if let Some(answer) = answer {
                     self.judge_part(at, answer);
                 }
@@ -199,6 +209,7 @@
         } else {
             self.calm = calm;
         }
+        self.judge_left();
         self.judge_quiet();
     }
 
@@ -211,6 +222,44 @@
         }
     }
 
+    /// Judges whether runners heard of clients that left. One or the other run may go on.
+    fn judge_left(&mut self) {
+        let mut unheard = Vec::new();
+        for (at, left) in std::mem::take(&mut self.left) {
+            match self.heard(at, left) {
+                None => {}
+                Some(true) => self.note(Check::Gone, at, None),
+                Some(false) => unheard.push(at),
+            }
+        }
+        let judged = unheard.len()
+            + usize::try_from(self.book.row(Check::Gone).exercised).unwrap_or(usize::MAX);
+        let is_broken = unheard.len() * UNHEARD > judged;
+        for at in unheard {
+            let what = || "its run went on after its client had left".to_owned();
+            self.note(Check::Gone, at, is_broken.then(what));
+        }
+    }
+
+    /// Tells whether a run ended soon after its client left; `None` where it would have anyway,
+    /// didn't begin, or something was disturbed.
+    fn heard(&self, at: usize, left: Millis) -> Option<bool> {
+        let attempt = &self.attempts[at];
+        let soon = left.plus(HEARD);
+        if attempt.want.kind == Kind::Order || self.history.is_disturbed(attempt.sent, soon) {
+            return None;
+        }
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let seen = &log[*attempt.runs.last()?];
+        let work = attempt.want.pause * u32::try_from(attempt.want.events).ok()?;
+        let own_end = self.since_start(seen.at).plus(Millis::from(work));
+        if own_end <= soon {
+            return None;
+        }
+        let ended = seen.ended.map(|ended| self.since_start(ended));
+        Some(ended.is_some_and(|ended| ended <= soon))
+    }
+
     /// Judges whether turns are served once nothing is disturbed any more.
     fn judge_quiet(&mut self) {
         let quiet = self.history.quiet_from();
@@ -278,10 +327,7 @@
 
     fn judge_runs(&mut self) {
         let fresh: Vec<Seen> = {
-            let log = self
-                .log
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner);
+            let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
             log[self.judged..].to_vec()
         };
         for seen in fresh {
@@ -435,8 +481,11 @@
         let broken = broken.filter(|_| was_read && !is_late && !self.is_excused(attempt, ended));
         let told = |what: &str| {
             let span = ended.since(attempt.sent).as_u64();
-            let since = planned.map_or(0, |began| attempt.sent.since(began).as_u64());
             let run = if has_run { "ran" } else { "not run" };
+            let Some(signal) = planned else {
+                return format!("{what} after {span} ms; {run}");
+            };
+            let since = attempt.sent.since(signal).as_u64();
             format!("{what} after {span} ms; sent {since} ms after the signal; {run}")
         };
         let broken = broken.map(told);
@@ -455,10 +504,7 @@
     /// Tells whether an attempt may have been broken off: its runner did, or was still at work when
     /// the process had to end, on what it got soon after SIGTERM.
     fn is_excused(&self, attempt: &Attempt, ended: Millis) -> bool {
-        let log = self
-            .log
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
         attempt.runs.iter().any(|place| {
             let seen = &log[*place];
             let ended = seen.ended.map_or(ended, |at| self.since_start(at));
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -86,8 +86,9 @@
     Want {
         kind,
         events: 3,
-        pause: Duration::ZERO,
+        pause: Duration::from_millis(500),
         deadline: Duration::from_secs(2),
+        leaves: None,
         input: Bytes::from_static(b"in\n"),
         turn: None,
     }
@@ -325,3 +326,17 @@
     bench.play(&want(Kind::Look), whole);
     assert_eq!(bench.broken(), [Check::Drains]);
 }
+
+/// A client leaves while a runner works for it, and the runner is told so at once or never.
+#[test]
+fn a_runner_must_hear_that_its_client_has_left() {
+    for (hears, broken) in [(true, vec![]), (false, vec![Check::Gone])] {
+        let mut bench = Bench::new();
+        bench.play(&want(Kind::Talk), |_| Outcome::GaveUp(None));
+        if !hears {
+            bench.log.lock().unwrap()[0].ended = None;
+        }
+        bench.oracle.end();
+        assert_eq!(bench.broken(), broken);
+    }
+}
--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -74,8 +74,10 @@
     pub events: u64,
     /// The pause before each.
     pub pause: Duration,
-    /// How long the client waits.
+    /// How long the client says that it waits.
     pub deadline: Duration,
+    /// When it leaves without a word, where it does.
+    pub leaves: Option<Duration>,
     /// The input.
     pub input: Bytes,
     /// What makes it a turn.
