Count two lost disks as a disruption, and leave one VM of three in an overlap

One loss of three VMs with a disk is what the settings ask the system to bear; restarts of two at a time are more. Fewer than half of a data centre's VMs ready has the balancer use all, which takes three.

--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -17,6 +17,9 @@
 /// Until so long after SIGHUP requests count as sent beside it.
 const APPLY: Millis = Millis::new(settings::APPLY_MS);
 
+/// How long a VM with a disk that is back still counts as lost: until then it may have to learn.
+const SYNC: Millis = Millis::new(4_900);
+
 /// A disruption that wasn't planned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 struct Disruption {
@@ -37,6 +40,8 @@
     stops: Vec<(usize, Millis)>,
     /// VMs that got SIGHUP, and when.
     reloads: Vec<(usize, Millis)>,
+    /// VMs with a disk that are lost, since when, and until when.
+    lost: Vec<(usize, Millis, Option<Millis>)>,
     /// Runners that leave: since when, and until when they are gone or back.
     leaving: Vec<(String, Millis, Option<Millis>)>,
     /// Since when nothing is done any more.
@@ -60,6 +65,18 @@
         self.stops.push((vm, at));
     }
 
+    /// Notes that a VM with a disk is gone.
+    pub fn lose(&mut self, vm: usize, at: Millis) {
+        self.lost.push((vm, at, None));
+    }
+
+    /// Notes that its process is back.
+    pub fn regain(&mut self, vm: usize, at: Millis) {
+        for (_, _, to) in self.lost.iter_mut().filter(|(lost, ..)| *lost == vm) {
+            to.get_or_insert(at.plus(SYNC));
+        }
+    }
+
     /// Notes that a VM gets SIGHUP.
     pub fn reload(&mut self, vm: usize, at: Millis) {
         self.reloads.push((vm, at));
@@ -95,6 +112,22 @@
         let from = from.since(CONTACT);
         let mut disruptions = self.disruptions.iter();
         disruptions.any(|row| row.from <= to && row.to.is_none_or(|end| end >= from))
+            || self.is_beyond_tolerance(from, to)
+    }
+
+    /// Tells whether two VMs with a disk were lost at the same time, be it by planned work: one loss
+    /// of three is what the settings ask the system to bear.
+    fn is_beyond_tolerance(&self, from: Millis, to: Millis) -> bool {
+        let near = |(_, begun, end): &&(usize, Millis, Option<Millis>)| {
+            *begun <= to && end.is_none_or(|end| end >= from)
+        };
+        let near: Vec<_> = self.lost.iter().filter(near).collect();
+        near.iter().any(|(vm, begun, end)| {
+            let meets = |other: &&&(usize, Millis, Option<Millis>)| {
+                other.0 != *vm && other.1 >= *begun && end.is_none_or(|end| other.1 <= end)
+            };
+            near.iter().any(|other| meets(&other))
+        })
     }
 
     /// Yields when the planned work began that a request to this VM is to outlast.
--- a/crates/soak/src/history/tests.rs
+++ b/crates/soak/src/history/tests.rs
@@ -62,3 +62,20 @@
     assert_eq!(history.left_at("i-1", at(3_000)), None);
     assert_eq!(history.left_at("i-2", at(2_000)), None);
 }
+
+/// Two of three VMs with a disk are restarted so soon one after the other that the second goes while
+/// the first may still have to learn. That is more than one loss at a time.
+#[test]
+fn two_lost_disks_are_a_disruption() {
+    let mut history = History::default();
+    history.lose(6, at(10_000));
+    history.regain(6, at(11_000));
+    assert!(!history.is_disturbed(at(10_500), at(12_000)), "one loss");
+    history.lose(6, at(12_000));
+    history.regain(6, at(13_000));
+    assert!(!history.is_disturbed(at(10_500), at(14_000)), "the same VM");
+    history.lose(7, at(17_000));
+    assert!(history.is_disturbed(at(17_500), at(18_000)));
+    history.regain(7, at(18_000));
+    assert!(!history.is_disturbed(at(30_000), at(30_000)), "long after");
+}
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -122,10 +122,6 @@
         Millis::new(self.random.random_range(from..to))
     }
 
-    fn caller(&mut self) -> usize {
-        self.random.random_range(0..self.size.callers)
-    }
-
     fn disk(&mut self) -> usize {
         self.size.callers + self.random.random_range(0..self.size.disks)
     }
@@ -219,15 +215,19 @@
         }
     }
 
-    /// Stops all VMs that take callers of a data centre, or all but one.
+    /// Stops all VMs that take callers of a data centre, or all but one: the balancer then goes on
+    /// sending to all of them where they are three or more.
     fn overlap(&mut self, at: u64) {
         let centre = self.random.random_range(0..self.size.centres);
-        let spared = self.random.random_bool(0.3).then(|| self.caller());
-        for vm in (centre..self.size.callers).step_by(self.size.centres) {
-            if spared != Some(vm) {
-                let late = self.random.random_range(0..2_500);
-                self.push(at + late, Fault::Stop(vm));
-            }
+        let own = (centre..self.size.callers).step_by(self.size.centres);
+        let mut vms: Vec<usize> = own.collect();
+        if vms.len() > 2 && self.random.random_bool(0.5) {
+            let spared = self.random.random_range(0..vms.len());
+            vms.remove(spared);
+        }
+        for vm in vms {
+            let late = self.random.random_range(0..2_500);
+            self.push(at + late, Fault::Stop(vm));
         }
     }
 
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -100,7 +100,7 @@
     /// Fails where the process can't be started or looked at.
     pub async fn run(self: Arc<Self>, world: Arc<World>) -> io::Result<()> {
         loop {
-            self.start()?;
+            self.start(&world)?;
             let status = self.ended(&world).await?;
             let ticket = self.judge(&world, status);
             sleep(RESTART).await;
@@ -123,6 +123,7 @@
         let now = world.oracle().now();
         life.stopped = Some(now);
         world.oracle().history.stop(self.place.at, now);
+        self.lose(world);
         life.signal(Signal::Term)?;
         Ok(true)
     }
@@ -159,6 +160,7 @@
     ///
     /// Fails where the signal can't be sent.
     pub fn kill(&self, world: &World) -> io::Result<()> {
+        self.lose(world);
         let mut life = self.life();
         life.disrupt(world);
         life.signal(Signal::Kill)
@@ -180,6 +182,7 @@
     ///
     /// Fails where the signal can't be sent.
     pub async fn pause(&self, world: &World, span: Millis) -> io::Result<()> {
+        self.lose(world);
         let ticket = {
             let mut life = self.life();
             life.meddled = true;
@@ -196,14 +199,24 @@
         let mut oracle = world.oracle();
         let now = oracle.now();
         oracle.history.restore(ticket, now);
+        oracle.history.regain(self.place.at, now);
         Ok(())
     }
 
+    /// Notes that the VM is lost, where it has a disk.
+    fn lose(&self, world: &World) {
+        if self.place.disk.is_some() {
+            let mut oracle = world.oracle();
+            let now = oracle.now();
+            oracle.history.lose(self.place.at, now);
+        }
+    }
+
     fn life(&self) -> MutexGuard<'_, Life> {
         self.life.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn start(&self) -> io::Result<()> {
+    fn start(&self, world: &World) -> io::Result<()> {
         let mut life = self.life();
         let wipe = std::mem::take(&mut life.wipe);
         if let Some(disk) = self.place.disk.as_ref().filter(|_| wipe) {
@@ -221,6 +234,9 @@
         })?);
         life.stopped = None;
         life.meddled = false;
+        let mut oracle = world.oracle();
+        let now = oracle.now();
+        oracle.history.regain(self.place.at, now);
         Ok(())
     }
 
