--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -95,7 +95,7 @@
             Self::Budget => "programs get no more tokens than their budget and one turn",
             Self::Gone => "runners hear of it when a client leaves",
             Self::Drains => "a leaving runner gets nothing new",
-            Self::Applied => "a new route is in force everywhere in time",
+            Self::Applied => "a configuration is in force everywhere in time",
             Self::Served => "in the quiet at the end, most requests are served",
         }
     }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -110,7 +110,7 @@
                 self.random.random_range(2..12),
                 self.random.random_range(5..150),
             ),
-            Kind::Look | Kind::Order | Kind::Added(_) => (
+            Kind::Look | Kind::Order | Kind::Added(_) | Kind::Dropped(_) => (
                 self.random.random_range(1..6),
                 self.random.random_range(1..60),
             ),
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -21,7 +21,7 @@
     DiskStops,
     /// VMs are told that their settings have changed.
     Reload,
-    /// A configuration adds a route.
+    /// A configuration adds a route and drops one.
     Configure,
     /// A VM is killed.
     Kill,
@@ -49,7 +49,12 @@
     pub const fn is_planned(self) -> bool {
         matches!(
             self,
-            Self::Stops | Self::Overlap | Self::DiskStops | Self::Reload | Self::Configure
+            Self::Stops
+                | Self::Overlap
+                | Self::DiskStops
+                | Self::Reload
+                | Self::Configure
+                | Self::RunnerLeaves
         )
     }
 }
@@ -156,7 +161,7 @@
     Stop(usize),
     /// A VM gets SIGHUP.
     Reload(usize),
-    /// A configuration with a further route.
+    /// A configuration with a further route, and without an earlier one.
     Configure,
     /// A VM gets SIGKILL; it starts again.
     Kill(usize),
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::process;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -51,6 +52,8 @@
 const LAPSE: Duration = Duration::from_millis(3 * settings::HEARTBEAT_MS);
 /// How long after SIGTERM a VM may still say that it is ready.
 const LEAVES: Duration = Duration::from_secs(4);
+/// How many of the routes that configurations add are in force at a time.
+const ROUTES: u64 = 2;
 /// The ports of the store and the runners.
 const STORE_PORT: u16 = 8142;
 const RUNNER_PORT: u16 = 8080;
@@ -251,16 +254,18 @@
             .enter(&backend.id, backend.service, backend.link.address, state);
     }
 
-    /// Writes a configuration with a route more than before; yields its version.
+    /// Writes a configuration with a route that the one before lacks, and without one that it has;
+    /// yields its version.
     fn configure(&self) -> u64 {
-        let mut version = self.version.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut version = self.version();
         *version += 1;
         let kept = r#","attempts":1,"retain":true,"retainS":60.0"#;
         let mut more = format!(
             ",{}",
             store::route("long", "stream", "models", LONG_MS, kept)
         );
-        for version in 1..=*version {
+        let oldest = version.saturating_sub(ROUTES - 1).max(1);
+        for version in oldest..=*version {
             let name = format!("new-{version}");
             let rest = r#","attempts":2"#;
             let route = store::route(&name, "idempotent", "ops", store::USUAL_MS, rest);
@@ -270,38 +275,53 @@
         *version
     }
 
-    /// Writes a configuration, and asks each sound VM for the new route once it has to be in force.
+    fn version(&self) -> MutexGuard<'_, u64> {
+        self.version.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes a configuration, and asks each sound VM for the routes that it adds and drops once it
+    /// has to be in force.
     async fn configure_and_ask(&self) {
         let version = self.configure();
         sleep(Duration::from_millis(settings::APPLY_MS)).await;
+        let callers = self.vms.iter().filter(|vm| vm.place.disk.is_none());
+        for vm in callers.filter(|vm| vm.is_sound()) {
+            // A later one may have dropped the route again.
+            if *self.version() == version {
+                self.ask(vm, Kind::Added(version)).await;
+            }
+            if version > ROUTES {
+                self.ask(vm, Kind::Dropped(version - ROUTES)).await;
+            }
+        }
+    }
+
+    /// Asks a VM once, whatever the balancer says.
+    async fn ask(&self, vm: &Vm, kind: Kind) {
         let want = Want {
-            kind: Kind::Added(version),
+            kind,
             events: 1,
             pause: Duration::ZERO,
             deadline: Duration::from_secs(1),
             leaves: None,
-            input: "added\n".into(),
+            input: "which configuration\n".into(),
             turn: None,
         };
-        let callers = self.vms.iter().filter(|vm| vm.place.disk.is_none());
-        for vm in callers.filter(|vm| vm.is_sound()) {
-            let Ok(mut connection) = Connection::open(vm.place.at, vm.callers()).await else {
-                continue;
-            };
-            let id = self.world.oracle().begin(vm.place.at, &want, want.deadline);
-            let request = caller::request(&caller::Ask {
-                id: &id,
-                path: &want.path(),
-                deadline: want.deadline,
-                program: None,
-                turn: None,
-                body: want.input.clone(),
-            });
-            let outcome = connection
-                .ask(request, Instant::now() + want.deadline)
-                .await;
-            self.world.oracle().finish(&id, &outcome);
-        }
+        let Ok(mut connection) = Connection::open(vm.place.at, vm.callers()).await else {
+            return;
+        };
+        let id = self.world.oracle().begin(vm.place.at, &want, want.deadline);
+        let request = caller::request(&caller::Ask {
+            id: &id,
+            path: &want.path(),
+            deadline: want.deadline,
+            program: None,
+            turn: None,
+            body: want.input.clone(),
+        });
+        let until = Instant::now() + want.deadline;
+        let outcome = connection.ask(request, until).await;
+        self.world.oracle().finish(&id, &outcome);
     }
 
     /// Has a runner leave and come back; `tell` writes or removes its entry.
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -408,22 +408,36 @@
             let what = || format!("status {status} though its previous turn was answered whole");
             self.note(Check::Kept, at, matches!(status, 404 | 410).then(what));
         }
-        if let Kind::Added(_) = kind {
-            let sent = self.attempts[at].sent;
-            let disturbed = self.history.is_disturbed(sent.since(APPLY), self.now());
-            let what = || "status 404 for a route that is there".to_owned();
-            self.note(Check::Applied, at, (status == 404 && !disturbed).then(what));
-        } else {
-            let is_denied = matches!(status, 300..=499) && !matches!(status, 402 | 408 | 421 | 429);
-            let is_denied = is_denied && !(continues && matches!(status, 404 | 410));
-            self.note(
-                Check::Proper,
-                at,
-                is_denied.then(|| format!("status {status}: {}", answer.body)),
-            );
+        match kind {
+            Kind::Added(_) => {
+                let what = "status 404 for a route that was added";
+                self.judge_applied(at, (status == 404).then_some(what));
+            }
+            Kind::Dropped(_) => {
+                let what = "served on a route that was dropped";
+                self.judge_applied(at, (200..300).contains(&status).then_some(what));
+            }
+            _ => self.judge_proper(at, answer, continues),
         }
     }
 
+    /// Judges a request that tells which configuration is in force.
+    fn judge_applied(&mut self, at: usize, broken: Option<&str>) {
+        let sent = self.attempts[at].sent;
+        let is_disturbed = self.history.is_disturbed(sent.since(APPLY), self.now());
+        let broken = broken.filter(|_| !is_disturbed).map(str::to_owned);
+        self.note(Check::Applied, at, broken);
+    }
+
+    fn judge_proper(&mut self, at: usize, answer: &Answer, continues: bool) {
+        let status = answer.status;
+        let is_own = matches!(status, 402 | 408 | 421 | 429);
+        let is_kept = continues && matches!(status, 404 | 410);
+        let is_denied = matches!(status, 300..=499) && !is_own && !is_kept;
+        let what = || format!("status {status}: {}", answer.body);
+        self.note(Check::Proper, at, is_denied.then(what));
+    }
+
     fn judge_promise(&mut self, check: Check, at: usize, status: u16) {
         self.attempts[at].promised = Some(status);
         let has_run = !self.attempts[at].runs.is_empty();
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -327,6 +327,22 @@
     assert_eq!(bench.broken(), [Check::Drains]);
 }
 
+/// A configuration adds a route and drops another. A VM that goes by the one before says 404 for the
+/// first, and serves the second.
+#[test]
+fn an_older_configuration_is_seen() {
+    let unknown = |id: &str| Outcome::Whole(answer(id, 404, String::new()));
+    for (kind, holds) in [(Kind::Added(3), true), (Kind::Dropped(1), false)] {
+        let mut bench = Bench::new();
+        bench.play(&want(kind), whole);
+        assert_eq!(bench.broken().is_empty(), holds, "{kind:?}");
+        let mut bench = Bench::new();
+        let id = bench.begin(&want(kind));
+        bench.oracle.finish(&id, &unknown(&id));
+        assert_eq!(bench.broken().is_empty(), !holds, "{kind:?}");
+    }
+}
+
 /// A client leaves while a runner works for it, and the runner is told so at once or never.
 #[test]
 fn a_runner_must_hear_that_its_client_has_left() {
--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -27,6 +27,8 @@
     Long,
     /// A call of a route that was added while the system ran.
     Added(u64),
+    /// A call of a route that was dropped.
+    Dropped(u64),
 }
 
 impl Kind {
@@ -39,7 +41,7 @@
             Self::Talk => "/talk/".to_owned(),
             Self::Kept => "/kept/".to_owned(),
             Self::Long => "/long/".to_owned(),
-            Self::Added(version) => format!("/new-{version}/"),
+            Self::Added(version) | Self::Dropped(version) => format!("/new-{version}/"),
         }
     }
 
