--- a/crates/chestnutyoke/tests/output.rs
+++ b/crates/chestnutyoke/tests/output.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
+use wire::event::Event;
 
 /// Requests, each with a line of its own: more than the queue of lines (4,096) and a pipe (65,536
 /// bytes, some 400 lines) hold together.
@@ -131,9 +132,11 @@
     until_some(what, async || holds().await.then_some(())).await;
 }
 
+/// Yields the count of dropped lines that a line tells, as a story's reader takes it.
 fn dropped(line: &str) -> Option<usize> {
-    line.contains("event=E1005")
-        .then(|| line.rsplit_once("lines=")?.1.parse().ok())?
+    let line = trace::line::parse(line, "front-a-1")?;
+    let counts = line.event == Event::LinesDropped.number();
+    counts.then(|| usize::try_from(line.number("lines")?).ok())?
 }
 
 /// Nobody reads a process's standard output, and its requests write more lines than the pipe and the
--- a/crates/link/src/output.rs
+++ b/crates/link/src/output.rs
@@ -109,24 +109,20 @@
             return Ok(());
         }
         let mut line = Vec::with_capacity(256);
+        let at = now.format("%Y-%m-%dT%H:%M:%S%.3f");
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
             writeln!(
                 line,
-                "level=WARN event=E1005 text=\"lines dropped\" lines={dropped}"
+                "at={at} level=WARN event=E1005 text=\"lines dropped\" lines={dropped}"
             )?;
         }
-        writeln!(
-            line,
-            "at={} level={} {}",
-            now.format("%Y-%m-%dT%H:%M:%S%.3f"),
-            record.level(),
-            record.args()
-        )?;
+        writeln!(line, "at={at} level={} {}", record.level(), record.args())?;
         self.waiting.fetch_add(1, Ordering::Relaxed);
         if self.lines.try_send(line).is_err() {
             self.waiting.fetch_sub(1, Ordering::Relaxed);
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+            // The line that tells the count is lost with it.
+            self.dropped.fetch_add(1 + dropped, Ordering::Relaxed);
         }
         Ok(())
     }
