Drop a runner at once that is missing from a list read while the knowledge of it was fresh

Now it drops what is missing unless its knowledge was stale. Red before, green after: missing::a_runner_that_left_under_a_watch_is_gone_at_once. After an outage other VMs still drop a missing runner at once while the reader keeps it: open.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -174,6 +174,13 @@
         }
     }
 
+    /// Removes and yields the runners that aren't listed.
+    pub fn keep(&mut self, listed: &[String]) -> Vec<String> {
+        let gone = |runner: &mut Runner| listed.binary_search(&runner.id).is_err();
+        let gone = self.runners.extract_if(.., gone);
+        gone.map(|runner| runner.id).collect()
+    }
+
     /// Removes and yields the runners whose entries have been missing for too long.
     pub fn sweep(&mut self, now: Millis) -> Vec<String> {
         let gone = |runner: &mut Runner| {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -243,6 +243,12 @@
         self.clock.now().since(at)
     }
 
+    /// Tells whether the runners' list is too old to rely on.
+    #[must_use]
+    pub fn is_runners_list_stale(&self) -> bool {
+        self.runners_age() > STALE
+    }
+
     /// Yields where this VM learns of a subject now.
     #[must_use]
     pub fn source(&self, subject: Subject) -> Source {
@@ -253,7 +259,7 @@
             let place = peers.place(&settings.vm, &settings.centre, now);
             (place, peers.is_reader(&settings.vm, now))
         };
-        follow::source(subject, place, reads, self.runners_age() > STALE)
+        follow::source(subject, place, reads, self.is_runners_list_stale())
     }
 
     /// Tells whether the process can serve what clients ask.
--- a/crates/relay/src/take.rs
+++ b/crates/relay/src/take.rs
@@ -27,9 +27,8 @@
             .filter_map(|entry| id(&entry.key))
             .collect();
         ids.sort();
-        let now = node.clock.now();
-        node.fleet().note_missing(&ids, now);
-        node.set_runners_at(now);
+        drop_missing(node, &ids);
+        node.set_runners_at(node.clock.now());
         let missing: Vec<String> = {
             let roster = node.roster();
             let known = roster.entries.iter().map(|(id, _)| id.clone());
@@ -52,6 +51,23 @@
     }
 }
 
+/// Drops the runners that aren't listed.
+///
+/// Where what was known was fresh, they have left: used any longer, they would get calls after the
+/// time in which a leaving runner has to be free of them. Else the service may have been away and
+/// lost entries of runners that live, so they are used a while longer.
+fn drop_missing(node: &Node, listed: &[String]) {
+    if node.is_runners_list_stale() {
+        let now = node.clock.now();
+        node.fleet().note_missing(listed, now);
+        return;
+    }
+    let gone = node.fleet().keep(listed);
+    for id in gone {
+        fleet::log_change(&fleet::Change::Gone, &format!("runner={id} listed=false"));
+    }
+}
+
 /// Takes in a change of an entry.
 pub fn change(node: &Arc<Node>, subject: Subject, change: edge::Change) {
     match (subject, change) {
