--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -40,19 +40,21 @@
     Chain,
     /// A program's clients got more tokens than its budget and one turn.
     Budget,
+    /// Requests that take longer than their route allows are held on.
+    Timely,
     /// Runners go on working for clients that have left.
     Gone,
     /// A runner that leaves still gets requests.
     Drains,
     /// An older configuration is still in force.
     Applied,
-    /// Without any fault near at the end, too few requests are served.
+    /// Without any fault near at the end, too few turns are served.
     Served,
 }
 
 impl Check {
     /// All checks.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::Lost,
         Self::Stops,
         Self::Lives,
@@ -68,6 +70,7 @@
         Self::Asked,
         Self::Chain,
         Self::Budget,
+        Self::Timely,
         Self::Gone,
         Self::Drains,
         Self::Applied,
@@ -93,10 +96,11 @@
             Self::Asked => "runners get what clients sent, unchanged",
             Self::Chain => "a turn's text is its chain's inputs and outputs, and its input",
             Self::Budget => "programs get no more tokens than their budget and one turn",
+            Self::Timely => "what takes longer than its route allows ends then",
             Self::Gone => "runners hear of it when a client leaves",
             Self::Drains => "a leaving runner gets nothing new",
             Self::Applied => "a configuration is in force everywhere in time",
-            Self::Served => "in the quiet at the end, most requests are served",
+            Self::Served => "in the quiet at the end, a quarter of the turns or more is served",
         }
     }
 }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use fakes::caller;
 use fakes::caller::Ask;
+use fakes::store;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -33,6 +34,9 @@
 const DEADLINE: Duration = Duration::from_millis(2_900);
 /// How long they wait for long turns.
 const LONG_DEADLINE: Duration = Duration::from_millis(6_500);
+/// What takes longer than most routes allow, and how long its client waits.
+const OVER: Duration = Duration::from_millis(store::USUAL_MS + 800);
+const OVER_DEADLINE: Duration = Duration::from_millis(store::USUAL_MS + 1_500);
 /// A budget that no program spends.
 const AMPLE: u64 = 20_000;
 
@@ -137,6 +141,13 @@
             _ => Kind::Talk,
         };
         let mut want = self.want(kind, None);
+        // A few take longer than their route allows.
+        if self.random.random_bool(0.02) {
+            want.pause = OVER / 8;
+            want.events = 8;
+            want.deadline = OVER_DEADLINE;
+            return want;
+        }
         // A few leave early, mostly in the middle of the answer.
         if kind != Kind::Order && self.random.random_bool(0.03) {
             want.leaves = Some(Duration::from_millis(self.random.random_range(20..300)));
--- /dev/null
+++ b/crates/soak/src/oracle/end.rs
@@ -0,0 +1,63 @@
+//! Judges whether an attempt may end as it did.
+
+use std::sync::PoisonError;
+
+use fakes::runner;
+use wire::clock::Millis;
+
+use crate::check::Check;
+
+use super::Attempt;
+use super::Oracle;
+
+/// A connection that closes sooner after its request may not have read it.
+const READ: Millis = Millis::new(200);
+/// How close to its time's end a request counts as ended by it.
+const CLOSE: Millis = Millis::new(50);
+
+impl Oracle {
+    /// Judges whether the end of an attempt is one that a VM may leave its caller with.
+    pub(super) fn judge_end(&mut self, at: usize, ended: Millis, broken: Option<&str>) {
+        let attempt = &self.attempts[at];
+        if self.history.is_disturbed(attempt.sent, ended) {
+            return;
+        }
+        let planned = self.history.planned(attempt.vm, attempt.sent, ended);
+        let has_run = !attempt.runs.is_empty();
+        let was_read = has_run || ended.since(attempt.sent) > READ;
+        let is_late = ended.plus(CLOSE) >= attempt.until;
+        let broken = broken.filter(|_| was_read && !is_late && !self.is_excused(attempt, ended));
+        let told = |what: &str| {
+            let span = ended.since(attempt.sent).as_u64();
+            let run = if has_run { "ran" } else { "not run" };
+            let Some(signal) = planned else {
+                return format!("{what} after {span} ms; {run}");
+            };
+            let since = attempt.sent.since(signal).as_u64();
+            format!("{what} after {span} ms; sent {since} ms after the signal; {run}")
+        };
+        let broken = broken.map(told);
+        if planned.is_some() {
+            self.note(Check::Lost, at, broken);
+            return;
+        }
+        if let Some(what) = broken {
+            let vm = &self.vms[attempt.vm];
+            self.calm.push(self.case(&attempt.id, vm, what));
+        } else {
+            self.note(Check::Calm, at, None);
+        }
+    }
+
+    /// Tells whether an attempt may have been broken off: its runner did, or was still at work when
+    /// the process had to end, on what it got soon after SIGTERM.
+    fn is_excused(&self, attempt: &Attempt, ended: Millis) -> bool {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        attempt.runs.iter().any(|place| {
+            let seen = &log[*place];
+            let ended = seen.ended.map_or(ended, |at| self.since_start(at));
+            seen.mode != runner::Mode::Sound
+                || self.history.outlasts(attempt.vm, attempt.sent, ended)
+        })
+    }
+}
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -18,8 +18,8 @@
 use crate::request::Turn;
 use crate::request::Want;
 
-use super::CALM_MOST;
 use super::Oracle;
+use super::sum::CALM_MOST;
 
 /// A judge of one VM and the log that its runner writes.
 struct Bench {
@@ -356,3 +356,23 @@
         assert_eq!(bench.broken(), broken);
     }
 }
+
+/// A runner takes longer than the route allows. The VM ends the request then, or holds it until its
+/// client gives up.
+#[test]
+fn a_request_must_end_when_its_routes_time_is_over() {
+    for (held_ms, broken) in [(3_400, vec![]), (3_600, vec![Check::Timely])] {
+        let mut bench = Bench::new();
+        let long = Want {
+            events: 8,
+            deadline: Duration::from_millis(4_500),
+            ..want(Kind::Look)
+        };
+        let id = bench.begin(&long);
+        bench.advance(held_ms);
+        let outcome = Outcome::Whole(answer(&id, 504, String::new()));
+        bench.oracle.finish(&id, &outcome);
+        bench.oracle.end();
+        assert_eq!(bench.broken(), broken);
+    }
+}
--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -109,6 +109,12 @@
         )
     }
 
+    /// Yields how long its runner works on it.
+    #[must_use]
+    pub fn work(&self) -> Duration {
+        self.pause * u32::try_from(self.events).unwrap_or(u32::MAX)
+    }
+
     /// Yields the most tokens that it generates.
     #[must_use]
     pub const fn most(&self) -> u64 {
