Have a VM that starts tell up to when its list of runners holds

Cause: the VM that reads the runners for all restarted just then. Its list lacked the runner, but what it knew counted as old as the newest entry; another VM's older knowledge was newer than that and put the entry back, and nobody heard of the removal any more. Now the first list after a start counts as of the service's revision.

--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -43,6 +43,15 @@
         }
     }
 
+    /// Notes that the entries are all that there were at a revision.
+    ///
+    /// A VM that starts has no entry that could tell it of a removal just before. Were its knowledge
+    /// as old as its newest entry, it would take over what another VM knew before the removal, and
+    /// the runner that is gone would get requests until it ends.
+    pub fn raise(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|(key, _)| key.as_str().cmp(id))
--- a/crates/relay/src/take.rs
+++ b/crates/relay/src/take.rs
@@ -20,6 +20,7 @@
 
 /// Takes in all entries of a subject.
 pub fn listing(node: &Arc<Node>, subject: Subject, listing: Listing) {
+    let first = subject == Subject::Runners && node.roster().entries.is_empty();
     if subject == Subject::Runners {
         let mut ids: Vec<String> = listing
             .entries
@@ -49,6 +50,9 @@
     for entry in listing.entries {
         change(node, subject, edge::Change::Set(entry));
     }
+    if first {
+        node.roster().raise(listing.revision);
+    }
 }
 
 /// Drops the runners that aren't listed.
