--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -11,6 +11,7 @@
 use wire::clock::Millis;
 use wire::code::Code;
 use wire::code::Refusal;
+use wire::event::Event;
 
 use crate::job::Job;
 use crate::metrics::Counter;
@@ -128,7 +129,11 @@
         let settled = node.replicas.settle(fact).await;
         drop(guard);
         if let Err(fault) = settled {
-            log::warn!("text=\"turn not settled\" request={id} used={used} fault=\"{fault}\"");
+            log::warn!(
+                "event=E{} text=\"{}\" request={id} used={used} fault=\"{fault}\"",
+                Event::TurnNotSettled.number(),
+                Event::TurnNotSettled.text()
+            );
         }
     });
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -8,14 +8,11 @@
 use adapter::kv::News;
 use tokio::time::sleep;
 
-pub use crate::fleet::log_change;
 use crate::follow::away::Away;
 use crate::metrics::Counter;
 use crate::node::Node;
-pub use crate::subject::Source;
-pub use crate::subject::Subject;
-pub use crate::subject::list_key;
-pub use crate::subject::source;
+use crate::subject::Source;
+use crate::subject::Subject;
 use crate::take;
 
 /// The pause between two watches of the runners. Their entries change at each heartbeat, so that a
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -26,13 +26,13 @@
 use crate::exchange;
 use crate::fleet;
 use crate::follow;
-use crate::follow::Subject;
 use crate::node::Node;
-use crate::peers;
 use crate::probe;
 use crate::reach;
 use crate::records;
 use crate::records::Look;
+use crate::register;
+use crate::subject::Subject;
 use crate::work;
 
 /// How long a client's connection may be idle: longer than any limit that operators set, as the
@@ -114,7 +114,7 @@
         tokio::spawn(follow::run(node.clone(), subject));
     }
     tokio::spawn(exchange::run(node.clone()));
-    tokio::spawn(peers::register(node.clone(), own));
+    tokio::spawn(register::run(node.clone(), own));
     tokio::spawn(ping(node.clone()));
     tokio::spawn(sweep(node.clone()));
     stop.await?;
@@ -284,7 +284,7 @@
         let now = node.clock.now();
         let gone = node.fleet().sweep(now);
         for id in gone {
-            follow::log_change(&fleet::Change::Gone, &format!("runner={id} missing=true"));
+            fleet::log_change(&fleet::Change::Gone, &format!("runner={id} missing=true"));
         }
         reach::retry(&node);
         let changes = node.fleet().judge(now);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -22,13 +22,13 @@
 use wire::event::Event;
 
 use crate::fleet::Fleet;
-use crate::follow;
-use crate::follow::Source;
-use crate::follow::Subject;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::records::Records;
 use crate::roster::Roster;
+use crate::subject;
+use crate::subject::Source;
+use crate::subject::Subject;
 use crate::table::Table;
 use crate::turns::Cache;
 use crate::work;
@@ -259,7 +259,7 @@
             let place = peers.place(&settings.vm, &settings.centre, now);
             (place, peers.is_reader(&settings.vm, now))
         };
-        follow::source(subject, place, reads, self.is_runners_list_stale())
+        subject::source(subject, place, reads, self.is_runners_list_stale())
     }
 
     /// Tells whether the process can serve what clients ask.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -9,8 +9,6 @@
 
 use wire::clock::Millis;
 
-pub use crate::register::run as register;
-
 /// Up to this many VMs exchange with each other directly: at 16 exchanges a second with each that
 /// is under 200 messages a second and VM, some per cent of a small VM's processor.
 pub const DIRECT: usize = 12;
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -31,11 +31,11 @@
 use wire::event::Event;
 
 use crate::answer;
-use crate::follow;
 use crate::front;
 use crate::front::Fault;
 use crate::front::Result;
 use crate::node;
+use crate::subject;
 
 /// How long a connection to another VM may take.
 const CONNECT: Duration = Duration::from_millis(400);
@@ -93,7 +93,7 @@
         member,
         http,
         platform: Arc::new(kv.clone()),
-        key: follow::list_key(),
+        key: subject::list_key(),
         losses: settings.losses,
         clock,
         phase: phase.clone(),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -32,6 +32,7 @@
 use crate::account::Account;
 use crate::answer;
 use crate::events::Reader;
+use crate::history;
 use crate::job;
 use crate::job::Attempt;
 use crate::job::Job;
@@ -39,7 +40,6 @@
 use crate::metrics::Counter;
 use crate::metrics::Span;
 use crate::refuse;
-use crate::turns;
 use crate::work;
 
 /// Parts of an answer that wait for a client that reads slowly, before its runner is read no
@@ -158,7 +158,7 @@
 async fn read_history(job: &Job) -> Result<History, Refusal> {
     match &job.call.previous {
         Some(previous) if job.route.keeps_turns => {
-            turns::history(&job.node, Key::of(previous)).await
+            history::whole(&job.node, Key::of(previous)).await
         }
         _ => Ok(Vec::new()),
     }
@@ -487,8 +487,11 @@
         match timeout_at(until, kept).await {
             Ok(Ok(())) => break,
             Ok(Err(fault)) => log::warn!(
-                "text=\"turn not kept yet\" request={} fault=\"{fault}\"",
-                job.call.id
+                "event=E{} text=\"{}\" request={} program={} fault=\"{fault}\"",
+                Event::TurnNotKept.number(),
+                Event::TurnNotKept.text(),
+                job.call.id,
+                job.call.program.as_deref().unwrap_or_default()
             ),
             Err(_) => return false,
         }
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -6,8 +6,6 @@
 use bytes::Bytes;
 use replica::record::Key;
 
-pub use crate::history::whole as history;
-
 /// Turns at hand, the oldest dropped first. A map, as turns come in no order of their keys.
 #[derive(Debug, Default)]
 pub struct Cache {
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -48,6 +48,8 @@
     StreamBroken = 1208, "stream broken off";
     CallerGone = 1209, "caller has gone";
     RequestCut = 1210, "cut off by the end of the process";
+    TurnNotKept = 1211, "turn not kept yet";
+    TurnNotSettled = 1212, "turn not settled";
     ShardClaimed = 2001, "shard claimed";
     ShardOpened = 2002, "shard opened";
     ShardReleased = 2003, "shard released";
