Drop no runner for a second, an empty or an older list

What another VM tells lacks runners by the same rule now: dropped at once where the own knowledge was fresh, used a while longer where it wasn't.

--- a/crates/relay/src/exchange/hear.rs
+++ b/crates/relay/src/exchange/hear.rs
@@ -33,21 +33,8 @@
     if entries.revision <= node.roster().revision {
         return;
     }
-    let gone: Vec<String> = {
-        let fleet = node.fleet();
-        let listed = |id: &String| {
-            entries
-                .entries
-                .binary_search_by(|(key, _)| key.cmp(id))
-                .is_ok()
-        };
-        let ids = fleet.runners().iter().map(|runner| runner.id.clone());
-        ids.filter(|id| !listed(id)).collect()
-    };
-    for id in gone {
-        let change = node.fleet().remove(&id);
-        fleet::log_change(&change, &format!("runner={id} heard_from={vm}"));
-    }
+    let listed: Vec<String> = entries.entries.iter().map(|(id, _)| id.clone()).collect();
+    take::drop_missing(node, &listed, &format!("heard_from={vm}"));
     for (id, bytes) in &entries.entries {
         if let Some(entry) = runner::decode(bytes) {
             let line = format!("runner={id} service={} heard_from={vm}", entry.service);
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -174,9 +174,12 @@
         }
     }
 
-    /// Removes and yields the runners that aren't listed.
+    /// Removes and yields the runners that aren't listed, but for those that are still used after an
+    /// outage: they go with [`Self::sweep`].
     pub fn keep(&mut self, listed: &[String]) -> Vec<String> {
-        let gone = |runner: &mut Runner| listed.binary_search(&runner.id).is_err();
+        let gone = |runner: &mut Runner| {
+            runner.missing_since.is_none() && listed.binary_search(&runner.id).is_err()
+        };
         let gone = self.runners.extract_if(.., gone);
         gone.map(|runner| runner.id).collect()
     }
--- a/crates/relay/src/take.rs
+++ b/crates/relay/src/take.rs
@@ -22,22 +22,7 @@
 pub fn listing(node: &Arc<Node>, subject: Subject, listing: Listing) {
     let first = subject == Subject::Runners && node.roster().entries.is_empty();
     if subject == Subject::Runners {
-        let mut ids: Vec<String> = listing
-            .entries
-            .iter()
-            .filter_map(|entry| id(&entry.key))
-            .collect();
-        ids.sort();
-        drop_missing(node, &ids);
-        node.set_runners_at(node.clock.now());
-        let missing: Vec<String> = {
-            let roster = node.roster();
-            let known = roster.entries.iter().map(|(id, _)| id.clone());
-            known.filter(|id| ids.binary_search(id).is_err()).collect()
-        };
-        for id in missing {
-            node.roster().remove(&id, listing.revision);
-        }
+        missing(node, &listing);
     }
     if subject == Subject::Own {
         let prefix = subject::vm_prefix();
@@ -50,17 +35,37 @@
     for entry in listing.entries {
         change(node, subject, edge::Change::Set(entry));
     }
-    if first {
+    // An empty list may be one of a service that has lost all entries: others keep theirs.
+    if first && !node.roster().entries.is_empty() {
         node.roster().raise(listing.revision);
     }
 }
 
-/// Drops the runners that aren't listed.
+/// Takes in which runners a list lacks.
+///
+/// A list that is older than what another VM has told lacks runners that came since; nothing is
+/// dropped for it.
+fn missing(node: &Node, listing: &Listing) {
+    let entries = listing.entries.iter();
+    let mut ids: Vec<String> = entries.filter_map(|entry| id(&entry.key)).collect();
+    ids.sort();
+    if listing.revision >= node.roster().revision {
+        drop_missing(node, &ids, "listed=false");
+        let lacks = |id: &String| ids.binary_search(id).is_err();
+        let known = node.roster().entries.clone().into_iter().map(|(id, _)| id);
+        for id in known.filter(lacks) {
+            node.roster().remove(&id, listing.revision);
+        }
+    }
+    node.set_runners_at(node.clock.now());
+}
+
+/// Drops the runners that aren't listed; `how` tells the log where the list is from.
 ///
 /// Where what was known was fresh, they have left: used any longer, they would get calls after the
 /// time in which a leaving runner has to be free of them. Else the service may have been away and
 /// lost entries of runners that live, so they are used a while longer.
-fn drop_missing(node: &Node, listed: &[String]) {
+pub fn drop_missing(node: &Node, listed: &[String], how: &str) {
     if node.is_runners_list_stale() {
         let now = node.clock.now();
         node.fleet().note_missing(listed, now);
@@ -68,7 +73,7 @@
     }
     let gone = node.fleet().keep(listed);
     for id in gone {
-        fleet::log_change(&fleet::Change::Gone, &format!("runner={id} listed=false"));
+        fleet::log_change(&fleet::Change::Gone, &format!("runner={id} {how}"));
     }
 }
 
