Refuse before the process ends also where the body is slow

The rest of a refused body was read for up to a second, also where the process had less: the connection closed without the refusal (shown by a review with a real process, 6.8 s after SIGTERM). No test of its own.

--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -72,6 +72,15 @@
     response
 }
 
+/// Yields how long the rest of a refused body may be read: so that the refusal goes out before the
+/// process ends.
+fn discard_time(node: &Node) -> Duration {
+    let Some(stop) = node.stop() else {
+        return DISCARD;
+    };
+    DISCARD.min(stop.left(node.clock.now()).as_duration())
+}
+
 /// Where a request goes, as its headers tell.
 struct Routed {
     table: Arc<Table>,
@@ -91,7 +100,7 @@
         Err(refusal) => {
             // The refusal would be lost with the rest of a long body: see `body::discard`.
             let discarded = body::discard(incoming, node.table().body_bytes.max(DISCARDED));
-            let _too_slow = timeout(DISCARD, discarded).await;
+            let _too_slow = timeout(discard_time(node), discarded).await;
             return Err(refusal);
         }
     };
