--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -29,6 +30,11 @@
 /// would outwait.
 const SILENCE: Duration = Duration::from_secs(10);
 
+/// How long a listener that closes waits for the event loop to tell of connections that are made
+/// already.
+const CLOSE: Duration = Duration::from_millis(20);
+/// The most connections that wait to be accepted when it closes: what the kernel queues.
+const BACKLOG: usize = 4_096;
 /// How long a connection that was made while the process stops may take to send its request.
 const LAST_CALL: Duration = Duration::from_secs(1);
 
@@ -77,24 +83,40 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
+    let enter = |stream| {
+        door.open.fetch_add(1, Ordering::Relaxed);
+        let pass = Pass(door.clone());
+        tokio::spawn(connection(stream, pass, idle, handler.clone()));
+    };
+    let mut closed = std::pin::pin!(async {
+        door.shut.cancelled().await;
+        tokio::time::sleep(CLOSE).await;
+    });
     loop {
-        // What the kernel has accepted already is taken first: closing the listener resets it.
         let accepted = tokio::select! {
             biased;
+            () = closed.as_mut() => break,
             accepted = listener.accept() => accepted,
-            () = door.shut.cancelled() => return,
         };
-        let (stream, _from) = match accepted {
-            Ok(accepted) => accepted,
+        match accepted {
+            Ok((stream, _from)) => enter(stream),
             Err(fault) => {
                 log::warn!("accept failed: {fault}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
             }
+        }
+    }
+    // What the kernel has accepted already is taken: closing the listener resets it.
+    for _ in 0..BACKLOG {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = std::future::ready(()) => return,
         };
-        door.open.fetch_add(1, Ordering::Relaxed);
-        let pass = Pass(door.clone());
-        tokio::spawn(connection(stream, pass, idle, handler.clone()));
+        let Ok((stream, _from)) = accepted else {
+            return;
+        };
+        enter(stream);
     }
 }
 
@@ -106,7 +128,9 @@
     if let Err(fault) = socket::prepare(&stream, SILENCE) {
         log::debug!("socket options of a caller: {fault}");
     }
+    let asked = AtomicBool::new(false);
     let service = service_fn(|request| {
+        asked.store(true, Ordering::Relaxed);
         let answer = handler(request);
         async { Ok::<_, Infallible>(answer.await) }
     });
@@ -124,10 +148,22 @@
         ended = served.as_mut() => ended,
         () = pass.0.leaving.cancelled(), if !stopping => {
             served.as_mut().graceful_shutdown();
-            served.await
+            // Part of a request may be here, and the rest never come: that would hold the stop up.
+            tokio::select! {
+                ended = served.as_mut() => ended,
+                () = never_asked(&asked) => return,
+            }
         }
     };
     if let Err(fault) = ended {
         log::debug!("a caller's connection ended: {fault}");
     }
 }
+
+/// Ends where a connection has brought no request for [`LAST_CALL`].
+async fn never_asked(asked: &AtomicBool) {
+    tokio::time::sleep(LAST_CALL).await;
+    if asked.load(Ordering::Relaxed) {
+        std::future::pending::<()>().await;
+    }
+}
