--- a/crates/replica/src/gain.rs
+++ b/crates/replica/src/gain.rs
@@ -39,15 +39,15 @@
 }
 
 /// Tells whether a member takes a key over when it learns for a list: one that it has to hold by the
-/// list, or by the one before.
+/// list, or by the one `before` it.
 ///
 /// A member that is late may learn for a list without having learnt for the one before. From then on
 /// others take it for one that had, and learn from it. Without that share, the copies that they
 /// count on aren't there, and a majority calls an acknowledged turn absent.
 #[must_use]
-pub fn is_wanted(list: &List, own: &Member, key: Key, losses: usize) -> bool {
+pub fn is_wanted(list: &List, before: &List, own: &Member, key: Key, losses: usize) -> bool {
     let in_group = |list: &List| list.group(key, losses).contains(&own);
-    in_group(list) || in_group(&list.earlier())
+    in_group(list) || in_group(before)
 }
 
 /// Tells whether a member has learnt enough of a list's earlier members: `heard` have told what
--- a/crates/replica/src/gain/tests.rs
+++ b/crates/replica/src/gain/tests.rs
@@ -160,7 +160,7 @@
             .collect();
         for number in known {
             let wanted = match what {
-                Scope::All => is_wanted(&list, own, key(number), LOSSES),
+                Scope::All => is_wanted(&list, &list.earlier(), own, key(number), LOSSES),
                 Scope::Gained => gains(&list, &[key(number)], LOSSES)
                     .iter()
                     .any(|(vm, _)| *vm == own.vm),
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -280,8 +280,9 @@
                 whole.push(own);
             }
         }
+        let before = list.earlier();
         for (member, holdings) in self.holdings_of(&list.before, list, scope).await {
-            let wanted = |key| gain::is_wanted(list, &self.own, key, self.losses);
+            let wanted = |key| gain::is_wanted(list, &before, &self.own, key, self.losses);
             if let Err(fault) = self.take_over(member, list, &holdings, wanted).await {
                 log::warn!(
                     "text=\"a member's records not learnt\" member={} fault=\"{fault}\"",
