--- a/crates/chestnutyoke/tests/shutdown.rs
+++ b/crates/chestnutyoke/tests/shutdown.rs
@@ -225,3 +225,24 @@
     let status = fleet.nodes[owner].process.wait().await;
     assert!(status.success(), "{status}");
 }
+
+// The owner of all programs has nothing to do and is told to end. The balancer sends it callers for two
+// seconds more, who would find no listener were it closed at once; it hands its shards over and passes
+// their turns on to the new owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_vm_answers_until_the_balancer_has_noticed() {
+    let mut fleet = Fleet::start(&two_vms()).await;
+    let owner = fleet.owner("east", 0, None).await;
+    let entry = fleet.nodes[owner].callers;
+    fleet.nodes[owner].signal(Signal::Term);
+    assert_ne!(fleet.owner("east", 0, Some(owner)).await, owner);
+    let ask = Ask {
+        deadline_ms: Some(15_000),
+        ..Ask::turn("late", 1, "late #tokens=2")
+    };
+    let got = chat(entry, &ask).await.expect("the VM listens");
+    let said = answer::whole(&[said("user", "late #tokens=2")], 16);
+    assert_eq!(got.content(), said);
+    let status = fleet.nodes[owner].process.wait().await;
+    assert!(status.success(), "{status}");
+}
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -7,13 +7,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::stop::Activity;
 use policy::stop::Stop;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use wire::event::Event;
 
 use crate::core::Core;
 
+/// How often a lingering node looks at the time.
+const LOOK: Duration = Duration::from_millis(50);
+
 /// Stops a node. Returns when all its tasks have ended, or the time for them is over.
 pub async fn run(core: &Arc<Core>) {
     log::info!("{} vm={}", Event::NodeStopping, core.settings.vm.name);
@@ -25,6 +30,7 @@
     if timeout(left, release_all(core)).await.is_err() {
         warn("shards still busy at the end of the grace");
     }
+    linger(core, stop).await;
     core.closing.cancel();
     core.work.close();
     let left = stop.left(core.clock.now()).as_duration();
@@ -53,6 +59,14 @@
     while releases.join_next().await.is_some() {}
 }
 
+/// Lives on until the balancer sends elsewhere: callers that it still sends would find no listener,
+/// and requests on kept connections would be lost with them.
+async fn linger(core: &Core, stop: Stop) {
+    while !stop.is_over(core.clock.now(), Activity::Idle) {
+        sleep(LOOK).await;
+    }
+}
+
 /// Yields the time that the last words take at most, and the controllers' end as much again: a
 /// third of what is left then, so that the process itself ends in the last one.
 fn part(stop: &Stop) -> Duration {
