--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -22,6 +22,7 @@
 /// start at the same time each see the other's reservation, and a turn that has just ended is
 /// settled within this time.
 const SECOND_LOOK: Duration = Duration::from_millis(30);
+
 /// A turn's account of tokens.
 #[derive(Clone, Copy, Debug)]
 pub struct Account {
--- /dev/null
+++ b/crates/relay/src/drain.rs
@@ -0,0 +1,83 @@
+//! How a process that takes clients' requests stops: it lets the balancer notice, then what is under
+//! way end, and names what its own end cuts off.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use link::listen::Door;
+use policy::stop::Activity;
+use policy::stop::Stop;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use wire::event::Event;
+
+use crate::node::Node;
+use crate::work;
+
+/// How often the end of what is under way is looked for.
+const LOOK: Duration = Duration::from_millis(50);
+/// How long the listener may take to close.
+const CLOSING: Duration = Duration::from_millis(60);
+/// The most requests that the end of a process names as cut off.
+const CUT_NAMED: usize = 100;
+
+/// Returns when the process may end; `listener` is the task of the clients' listener.
+pub async fn run(node: &Arc<Node>, door: &Arc<Door>, listener: JoinHandle<()>) {
+    let stop = node.begin_stop();
+    log::info!(
+        "event=E{} text=\"{}\" under_way={} connections={}",
+        Event::NodeStopping.number(),
+        Event::NodeStopping.text(),
+        node.work.count(),
+        door.open()
+    );
+    door.closing.cancel();
+    wait(node, stop, || Activity::Idle).await;
+    door.leaving.cancel();
+    wait(node, stop, || activity(node, door)).await;
+    // A request that is taken after the last look would be cut off: nobody can connect by then.
+    door.shut.cancel();
+    if timeout(CLOSING, listener).await.is_err() {
+        log::warn!("text=\"the listener for clients doesn't close\"");
+    }
+    wait(node, stop, || activity(node, door)).await;
+    log_cut(&node.work.entries());
+    log::info!(
+        "event=E{} text=\"{}\" under_way={} connections={} ms={}",
+        Event::NodeStopped.number(),
+        Event::NodeStopped.text(),
+        node.work.count(),
+        door.open(),
+        node.clock.now().since(stop.begun()).as_u64()
+    );
+}
+
+/// Waits until the process may end as far as `activity` goes.
+async fn wait(node: &Node, stop: Stop, activity: impl Fn() -> Activity) {
+    while !stop.is_over(node.clock.now(), activity()) {
+        sleep(LOOK).await;
+    }
+}
+
+fn activity(node: &Node, door: &Door) -> Activity {
+    if node.work.count() > 0 || door.open() > 0 {
+        Activity::Busy
+    } else {
+        Activity::Idle
+    }
+}
+
+/// Names what the end of the process cuts off.
+fn log_cut(entries: &[work::Entry]) {
+    for entry in entries.iter().take(CUT_NAMED) {
+        log::warn!(
+            "event=E{} text=\"{}\" request={} what={:?} ms={}",
+            Event::RequestCut.number(),
+            Event::RequestCut.text(),
+            entry.request,
+            entry.kind,
+            entry.since.elapsed().as_millis()
+        );
+    }
+}
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -12,17 +12,15 @@
 use link::listen;
 use link::listen::Door;
 use policy::eject;
-use policy::stop::Activity;
-use policy::stop::Stop;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
-use tokio::time::timeout;
 use wire::clock::Clock;
 use wire::event::Event;
 
 use crate::arrival;
+use crate::drain;
 use crate::exchange;
 use crate::fleet;
 use crate::follow;
@@ -33,7 +31,6 @@
 use crate::records::Look;
 use crate::register;
 use crate::subject::Subject;
-use crate::work;
 
 /// How long a client's connection may be idle: longer than any limit that operators set, as the
 /// clients leave first.
@@ -46,10 +43,6 @@
 const PING_SOON: Duration = Duration::from_millis(50);
 /// How often connections, runners and entries are looked over.
 const SWEEP: Duration = Duration::from_millis(250);
-/// How often the end of running requests is looked for.
-const LOOK: Duration = Duration::from_millis(50);
-/// The most requests that the end of a process names as cut off.
-const CUT_NAMED: usize = 100;
 
 /// Why the process can't run.
 #[derive(Debug, Display, Error, From)]
@@ -118,7 +111,7 @@
     tokio::spawn(ping(node.clone()));
     tokio::spawn(sweep(node.clone()));
     stop.await?;
-    drain(&node, &door, listener).await;
+    drain::run(&node, &door, listener).await;
     Ok(())
 }
 
@@ -186,67 +179,6 @@
     );
 }
 
-/// Lets running requests end and the balancer notice, then returns.
-async fn drain(node: &Arc<Node>, door: &Arc<Door>, listener: JoinHandle<()>) {
-    let stop = node.begin_stop();
-    log::info!(
-        "event=E{} text=\"{}\" under_way={} connections={}",
-        Event::NodeStopping.number(),
-        Event::NodeStopping.text(),
-        node.work.count(),
-        door.open()
-    );
-    door.closing.cancel();
-    wait(node, stop, || Activity::Idle).await;
-    door.leaving.cancel();
-    wait(node, stop, || activity(node, door)).await;
-    // A request that is taken after the last look would be cut off: nobody can connect by then.
-    door.shut.cancel();
-    let left = stop.left(node.clock.now()).as_duration();
-    if timeout(left, listener).await.is_err() {
-        log::warn!("text=\"callers still connect at the end of the grace\"");
-    }
-    wait(node, stop, || activity(node, door)).await;
-    log_cut(&node.work.entries());
-    log::info!(
-        "event=E{} text=\"{}\" under_way={} connections={} ms={}",
-        Event::NodeStopped.number(),
-        Event::NodeStopped.text(),
-        node.work.count(),
-        door.open(),
-        node.clock.now().since(stop.begun()).as_u64()
-    );
-}
-
-/// Waits until the process may end as far as `activity` goes.
-async fn wait(node: &Node, stop: Stop, activity: impl Fn() -> Activity) {
-    while !stop.is_over(node.clock.now(), activity()) {
-        sleep(LOOK).await;
-    }
-}
-
-fn activity(node: &Node, door: &Door) -> Activity {
-    if node.work.count() > 0 || door.open() > 0 {
-        Activity::Busy
-    } else {
-        Activity::Idle
-    }
-}
-
-/// Names what the end of the process cuts off.
-fn log_cut(entries: &[work::Entry]) {
-    for entry in entries.iter().take(CUT_NAMED) {
-        log::warn!(
-            "event=E{} text=\"{}\" request={} what={:?} ms={}",
-            Event::RequestCut.number(),
-            Event::RequestCut.text(),
-            entry.request,
-            entry.kind,
-            entry.since.elapsed().as_millis()
-        );
-    }
-}
-
 /// Asks the members with a disk whether enough of them answer.
 async fn ping(node: Arc<Node>) {
     loop {
