Take a missing runner for gone unless its entry may have lapsed

An entry lapses after three silent heartbeats; knowledge of up to two can't lack a runner that lives. Red before (trial), green after: missing::a_runner_that_left_before_another_vm_reads_is_gone_at_once.

--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -53,6 +53,8 @@
 /// How old a VM's knowledge of the runners may be before it reads their entries itself: a little
 /// over half of the time in which a leaving runner has to be free of new calls.
 const STALE: Millis = Millis::new(1_200);
+/// Heartbeats of a runner within which its entry doesn't lapse; three of silence end it.
+const RENEWED: u64 = 2;
 /// How long after its start a VM lets requests wait for what it has yet to learn. All of it takes
 /// under 0.2 s where the others are there (measured after a loss of all power); one that takes
 /// longer has something to wait for that may not come, and refuses.
@@ -243,9 +245,17 @@
         self.clock.now().since(at)
     }
 
+    /// Tells whether entries of runners that live may have lapsed since the runners' list was current:
+    /// one does that couldn't be renewed for some heartbeats.
+    #[must_use]
+    pub fn may_have_lapsed(&self) -> bool {
+        let renewed = Millis::new(self.settings.heartbeat.as_u64() * RENEWED);
+        self.runners_age() > renewed
+    }
+
     /// Tells whether the runners' list is too old to rely on.
     #[must_use]
-    pub fn is_runners_list_stale(&self) -> bool {
+    fn is_runners_list_stale(&self) -> bool {
         self.runners_age() > STALE
     }
 
--- a/crates/relay/src/take.rs
+++ b/crates/relay/src/take.rs
@@ -62,11 +62,11 @@
 
 /// Drops the runners that aren't listed; `how` tells the log where the list is from.
 ///
-/// Where what was known was fresh, they have left: used any longer, they would get calls after the
-/// time in which a leaving runner has to be free of them. Else the service may have been away and
-/// lost entries of runners that live, so they are used a while longer.
+/// Where what was known is too young for entries to have lapsed, they have left: used any longer, they
+/// would get calls after the time in which a leaving runner has to be free of them. Else the service
+/// may have been away and lost entries of runners that live, so they are used a while longer.
 pub fn drop_missing(node: &Node, listed: &[String], how: &str) {
-    if node.is_runners_list_stale() {
+    if node.may_have_lapsed() {
         let now = node.clock.now();
         node.fleet().note_missing(listed, now);
         return;
