Answer the first request of a connection that its listener closes on

Callers that connected just before a VM's listener closed got no answer and no refusal: the connection was closed without a word, and they couldn't tell whether their turn had run.

Cause, two of them. Hyper's graceful shutdown closes a connection at once that has had no request, while its first one is in the socket already; the code took it for kept open for a while.

Now a connection that has brought no request is given a second from when it was made (a tenth of one where it is older) before it is told to end, and a closing listener asks the kernel itself. Both doors use the same two pieces, link::accept and link::connection, in place of one each; their limits differed (0.1 s and 1 s, 1,024 and 4,096 waiting connections). The listener no longer goes on accepting for 20 ms.

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -4,8 +4,10 @@
 //! connection: whether a request can have arrived, that an abandoned exchange closes its
 //! connection at once, and that a broken answer never looks whole.
 
+pub mod accept;
 pub mod body;
 pub mod client;
+pub mod connection;
 pub mod listen;
 pub mod output;
 pub mod socket;
--- a/crates/node/src/http/listen.rs
+++ b/crates/node/src/http/listen.rs
@@ -1,24 +1,21 @@
 //! Listeners: accept connections, keep their number and pace within limits, and close without
 //! cutting a request off.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use link::accept;
+use link::connection;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
@@ -32,20 +29,6 @@
 pub const MAX_HEADERS: usize = 16 * 1024;
 /// Headers over this many bytes end the connection: what hyper buffers at most.
 const MAX_BUFFER: usize = 64 * 1024;
-/// How long the listener pauses after a failed accept (no file descriptors left, say), so that it
-/// doesn't spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// The most connections that a closing listener still takes of those that wait to be accepted: a
-/// flood of them can't keep it open. As many as the kernel lets wait.
-const BACKLOG: u32 = 1_024;
-/// How long a listener that closes still accepts: the kernel's news of a connection that it has made
-/// may not have come yet, and closed before, the listener would reset it. Many turns of the event
-/// loop.
-const CLOSE: Duration = Duration::from_millis(20);
-/// How long a connection without a request is kept when the listener closes: a first request that
-/// was sent before may still be on its way.
-const FIRST: Duration = Duration::from_millis(100);
-
 /// How much room a listener had when it accepted a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Room {
@@ -126,8 +109,7 @@
 }
 
 /// Accepts connections until the end of the listener's life, and answers each request with
-/// `handler`. What waits to be accepted by then is taken, too, as its callers have their connections
-/// already.
+/// `handler`.
 pub async fn run<H, F>(
     listener: TcpListener,
     door: Arc<Door>,
@@ -141,38 +123,13 @@
     let enter = |stream| {
         let (pass, room) = door.enter();
         let end = life.end.clone();
-        let served = connection(stream, pass, room, end, core.clone(), handler);
+        let served = serve(stream, pass, room, end, core.clone(), handler);
         life.tasks.spawn(served);
     };
-    let mut closed = std::pin::pin!(async {
-        life.end.cancelled().await;
-        tokio::time::sleep(CLOSE).await;
-    });
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = closed.as_mut() => break,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _from)) => enter(stream),
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
-    for _ in 0..BACKLOG {
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            () = std::future::ready(()) => return,
-        };
-        let Ok((stream, _from)) = accepted else {
-            return;
-        };
-        enter(stream);
-    }
+    accept::run(listener, &life.end, enter).await;
 }
 
-async fn connection<H, F>(
+async fn serve<H, F>(
     stream: TcpStream,
     pass: Pass,
     room: Room,
@@ -184,32 +141,20 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let _unsupported = stream.set_nodelay(true);
-    let asked = AtomicBool::new(false);
-    let service = service_fn(|request| {
-        asked.store(true, Ordering::Relaxed);
-        let answer = handler(core.clone(), request, room);
-        let core = core.clone();
-        async move { Ok::<_, Infallible>(last(&core, answer.await)) }
-    });
-    let mut builder = http1::Builder::new();
-    builder
+    let mut protocol = http1::Builder::new();
+    protocol
         .timer(TokioTimer::new())
         .header_read_timeout(pass.0.receive.as_duration())
         .max_buf_size(MAX_BUFFER)
         // A connection in the room kept for urgent work isn't kept open between requests.
         .keep_alive(room == Room::Free);
-    let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
-    tokio::select! {
-        biased;
-        _ended = served.as_mut() => return,
-        () = end.cancelled() => served.as_mut().graceful_shutdown(),
-    }
-    // Hyper closes a connection that is idle after an answer, and takes one that never had a request
-    // for busy: each such one would hold the shutdown up until the time for headers is over.
-    let ended = tokio::time::timeout(FIRST, served.as_mut()).await;
-    if ended.is_err() && asked.load(Ordering::Relaxed) {
-        let _ended = served.await;
-    }
+    let answer = |request| {
+        let answer = handler(core.clone(), request, room);
+        let core = core.clone();
+        async move { last(&core, answer.await) }
+    };
+    // A connection that breaks is its caller's loss; what ran of it is told by the filters.
+    let _ended = connection::serve(stream, &protocol, &end, answer).await;
 }
 
 /// Has a node that stops end each connection with its answer. Closed later, when idle, it could meet
