--- a/crates/policy/examples/patterns/main.rs
+++ b/crates/policy/examples/patterns/main.rs
@@ -65,7 +65,7 @@
     let only = std::env::args().nth(1);
     let seed = std::env::args().nth(2);
     let seed = seed.map_or(SEED, |text| text.parse().expect("the seed is a number"));
-    for of in [deployment::derwent(), deployment::kwabena()] {
+    for of in [deployment::unlike_runners(), deployment::long_programs()] {
         if only.as_ref().is_none_or(|name| name == of.name) {
             deployment_table(&of, seed);
         }
--- a/crates/policy/tests/support/deployment.rs
+++ b/crates/policy/tests/support/deployment.rs
@@ -1,4 +1,4 @@
-//! The two deployments' sizes, with the parameters of the engine model.
+//! Deployments of two kinds, with the parameters of the engine model.
 
 use policy::place::Weights;
 
@@ -40,8 +40,8 @@
     pub pause: f64,
 }
 
-/// Yields Derwent's size: 15 runners of unlike speed, latency weighs more.
-pub fn derwent() -> Deployment {
+/// Yields 15 runners of three speeds; latency weighs more than wasted cache.
+pub fn unlike_runners() -> Deployment {
     let endpoint = |n: u32| Endpoint {
         slots: 16,
         speed: [30.0, 60.0, 90.0][n as usize % 3],
@@ -50,7 +50,7 @@
         lag: lag(n),
     };
     Deployment {
-        name: "Derwent",
+        name: "unlike runners",
         endpoints: (0..15).map(endpoint).collect(),
         weights: Weights {
             latency: 1.0,
@@ -65,8 +65,8 @@
     }
 }
 
-/// Yields Kwabena's size: 12 runners, long coaching sessions, wasted cache weighs more.
-pub fn kwabena() -> Deployment {
+/// Yields 12 runners and programs of many turns; wasted cache weighs more than latency.
+pub fn long_programs() -> Deployment {
     let endpoint = |n: u32| Endpoint {
         slots: 16,
         speed: [45.0, 60.0][n as usize % 2],
@@ -75,7 +75,7 @@
         lag: lag(n),
     };
     Deployment {
-        name: "Kwabena",
+        name: "long programs",
         endpoints: (0..12).map(endpoint).collect(),
         weights: Weights {
             latency: 1.0,
@@ -90,9 +90,9 @@
     }
 }
 
-/// Yields a fleet for tests: nine of Derwent's runners and three VMs.
+/// Yields a fleet for tests: nine runners of three speeds, and three VMs.
 pub fn small() -> Deployment {
-    let mut of = derwent();
+    let mut of = unlike_runners();
     of.name = "small";
     of.endpoints.truncate(9);
     of.vms = 3;
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -43,6 +43,16 @@
         }
     }
 
+    /// Drops the entries that a list of the key-value service lacks; `listed` is in the order of ids.
+    pub fn keep(&mut self, listed: &[String], revision: u64) {
+        let before = self.entries.len();
+        self.entries
+            .retain(|(id, _)| listed.binary_search(id).is_ok());
+        if self.entries.len() < before {
+            self.note(revision, Weight::Matters);
+        }
+    }
+
     /// Notes that the entries are all that there were at a revision.
     ///
     /// A VM that starts has no entry that could tell it of a removal just before. Were its knowledge
--- a/crates/relay/src/roster/tests.rs
+++ b/crates/relay/src/roster/tests.rs
@@ -15,3 +15,15 @@
     roster.remove("i-1", 14);
     assert_eq!(roster.revision, 12);
 }
+
+#[test]
+fn only_listed_entries_are_kept() {
+    let mut roster = Roster::default();
+    roster.set("i-1", b"ready", 5, Weight::Matters);
+    roster.set("i-2", b"ready", 6, Weight::Matters);
+    roster.keep(&["i-1".to_owned(), "i-2".to_owned()], 8);
+    assert_eq!(roster.revision, 6);
+    roster.keep(&["i-2".to_owned(), "i-3".to_owned()], 9);
+    let ids: Vec<&str> = roster.entries.iter().map(|(id, _)| id.as_str()).collect();
+    assert_eq!((roster.revision, ids), (9, vec!["i-2"]));
+}
--- a/crates/relay/src/take.rs
+++ b/crates/relay/src/take.rs
@@ -51,11 +51,7 @@
     ids.sort();
     if listing.revision >= node.roster().revision {
         drop_missing(node, &ids, "listed=false");
-        let lacks = |id: &String| ids.binary_search(id).is_err();
-        let known = node.roster().entries.clone().into_iter().map(|(id, _)| id);
-        for id in known.filter(lacks) {
-            node.roster().remove(&id, listing.revision);
-        }
+        node.roster().keep(&ids, listing.revision);
     }
     node.set_runners_at(node.clock.now());
 }
