Tell a request that no runner has by the process's end that it has not run

A request from before SIGTERM that waits for its body, its history or its tokens may last longer than the process. Its end cut the connection, and the caller couldn't know that nothing had run. From half a second before the end what may outlast the process and no runner has is refused with CY4105, ran: no, and no runner is tried any more for it. A body that isn't received in time is answered at once, as before.

--- a/crates/link/src/body.rs
+++ b/crates/link/src/body.rs
@@ -157,7 +157,11 @@
 /// # Errors
 ///
 /// Fails where the body is longer or breaks off.
-pub async fn read(body: Incoming, limit: usize) -> Result<Bytes, Fault> {
+pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, Fault>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     match Limited::new(body, limit).collect().await {
         Ok(whole) => Ok(whole.to_bytes()),
         Err(fault) if fault.is::<LengthLimitError>() => Err(Fault::TooLong),
--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -17,6 +17,9 @@
 const MARGIN_PART: u64 = 4;
 /// The part of the margin in which the last bytes go out: one in so many.
 const LAST_BYTES_PART: u64 = 4;
+/// How long before [`Stop::last`] a request is given up that no endpoint has: time to read what is on its
+/// way of its body, and to answer. An endpoint that got it then would hardly be done in time.
+const LAST_CALL: Millis = Millis::new(500);
 /// How long a process that has nothing under way lives on: until the balancer sends elsewhere, with a
 /// margin for its last look. Where it doesn't, as too few other VMs are ready, living on only keeps
 /// the next process from serving.
@@ -65,6 +68,14 @@
         self.last
     }
 
+    /// Yields when requests that may outlast the process are given up where no endpoint has them.
+    #[must_use]
+    pub fn last_call(&self) -> Millis {
+        let grace = self.killed.since(self.begun);
+        let part = Millis::new(grace.as_u64() / MARGIN_PART);
+        Millis::new(self.last.as_u64() - LAST_CALL.min(part).as_u64())
+    }
+
     /// Yields when the process is killed where it hasn't ended.
     #[must_use]
     pub const fn killed(&self) -> Millis {
--- a/crates/policy/src/stop/tests.rs
+++ b/crates/policy/src/stop/tests.rs
@@ -81,6 +81,18 @@
     assert_eq!(stop.left(BEGUN), Millis::new(left_ms));
 }
 
+// A request that came before the stop may last longer than the process, and no endpoint has it. It is
+// given up while there is time to tell its caller, and not before most of the time is over.
+#[rstest]
+#[case(0, 0)]
+#[case(100, 50)]
+#[case(2_000, 1_100)]
+#[case(8_000, 7_100)]
+fn the_last_call_leaves_time_to_answer(#[case] grace_ms: u64, #[case] called_ms: u64) {
+    let stop = Stop::new(BEGUN, Millis::new(grace_ms));
+    assert_eq!(stop.last_call(), after(called_ms));
+}
+
 // An answer is taken that is over at the last moment. The process lives on for its last bytes, and ends
 // before it is killed.
 #[test]
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -7,6 +7,7 @@
 use adapter::config::Route;
 use adapter::header;
 use adapter::header::Call;
+use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -15,7 +16,6 @@
 use link::body;
 use link::body::Body;
 use policy::prefix;
-use policy::stop;
 use rand::RngExt;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -30,6 +30,7 @@
 use crate::node::Node;
 use crate::plain;
 use crate::refuse;
+use crate::shutdown;
 use crate::stream;
 use crate::table;
 use crate::table::Table;
@@ -94,9 +95,16 @@
     call: Call,
     arrived: Instant,
 ) -> Result<Job, Refusal> {
-    let (head, incoming) = request.into_parts();
-    let routed = match route(node, &head, &call, arrived).await {
-        Ok(routed) => routed,
+    let (head, mut incoming) = request.into_parts();
+    let received = async {
+        let routed = route(node, &head, &call, arrived).await?;
+        let body = receive(node, &routed, &mut incoming).await?;
+        Ok::<_, Refusal>((routed, body))
+    };
+    let (routed, body) = match received.await {
+        Ok(received) => received,
+        // The caller no longer waits for the rest to be read.
+        Err(refusal) if refusal.code == Code::ReadTimeout => return Err(refusal),
         Err(refusal) => {
             // The refusal would be lost with the rest of a long body: see `body::discard`.
             let discarded = body::discard(incoming, node.table().body_bytes.max(DISCARDED));
@@ -109,12 +117,6 @@
         route,
         until,
     } = routed;
-    let body = match timeout_at(until, body::read(incoming, table.body_bytes)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(body::Fault::TooLong)) => return Err(Refusal::new(Code::BodyTooLarge, "")),
-        Ok(Err(fault)) => return Err(Refusal::new(Code::ReadTimeout, &fault.to_string())),
-        Err(_) => return Err(Refusal::new(Code::ReadTimeout, "")),
-    };
     let service = table::draw(&route, rand::rng().random::<f64>());
     let service = service.ok_or_else(|| Refusal::new(Code::NoEndpoint, "no service"))?;
     let parts = call.parts.iter();
@@ -141,6 +143,18 @@
     })
 }
 
+/// Receives a request's body.
+async fn receive(node: &Node, routed: &Routed, incoming: &mut Incoming) -> Result<Bytes, Refusal> {
+    let read = timeout_at(routed.until, body::read(incoming, routed.table.body_bytes));
+    let ends = stream::ends(&routed.route, routed.until);
+    match shutdown::before(node, ends, read).await? {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(body::Fault::TooLong)) => Err(Refusal::new(Code::BodyTooLarge, "")),
+        Ok(Err(fault)) => Err(Refusal::new(Code::ReadTimeout, &fault.to_string())),
+        Err(_) => Err(Refusal::new(Code::ReadTimeout, "")),
+    }
+}
+
 /// Finds a request's route and the time that it has.
 async fn route(
     node: &Arc<Node>,
@@ -166,29 +180,10 @@
         return Err(Refusal::new(Code::BadField, "the request has no id"));
     }
     let until = arrived + patience.min(route.timeout).as_duration();
-    admit(node, until + stream::held(&route))?;
+    shutdown::admit(node, stream::ends(&route, until))?;
     Ok(Routed {
         table,
         route,
         until,
     })
 }
-
-/// Refuses a request that may be under way until after the process's end: it would be cut off, and
-/// another VM can serve it.
-fn admit(node: &Node, ends: Instant) -> Result<(), Refusal> {
-    let Some(stop) = node.stop() else {
-        return Ok(());
-    };
-    let now = node.clock.now();
-    let needed = Millis::from(ends.saturating_duration_since(Instant::now()));
-    if stop.takes(Some(now.plus(needed))) {
-        return Ok(());
-    }
-    let detail = format!(
-        "stopping for {}, ends in {}, may need {needed}",
-        now.since(stop.begun()),
-        stop.left(now)
-    );
-    Err(Refusal::new(Code::ShuttingDown, &detail).retry_after(stop::RETRY))
-}
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -28,6 +28,7 @@
 use crate::node::Node;
 use crate::reach;
 use crate::refuse::Subject;
+use crate::stream;
 use crate::table::Table;
 
 /// How many runners a request is offered to at most, those that turned it away included. With the
@@ -106,6 +107,12 @@
         Millis::from(self.until.saturating_duration_since(Instant::now()))
     }
 
+    /// Yields when it is over at the latest.
+    #[must_use]
+    pub fn ends(&self) -> Instant {
+        stream::ends(&self.route, self.until)
+    }
+
     /// Yields the time since the request arrived.
     #[must_use]
     pub fn age(&self) -> Millis {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod refuse;
 pub mod register;
 pub mod roster;
+pub mod shutdown;
 pub mod store;
 pub mod stream;
 pub mod subject;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -15,6 +14,7 @@
 use link::client::Limits;
 use policy::stop::Stop;
 use replica::client::Replicas;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use wire::clock::Clock;
@@ -90,7 +90,7 @@
     fleet: Mutex<Fleet>,
     roster: Mutex<Roster>,
     /// Set once the process stops.
-    stop: OnceLock<Stop>,
+    stop: watch::Sender<Option<Stop>>,
     /// Whether enough VMs with a disk answer.
     records: Mutex<Records>,
     /// When the runners' list was last known to be current.
@@ -130,7 +130,7 @@
             table: Mutex::default(),
             fleet: Mutex::default(),
             roster: Mutex::default(),
-            stop: OnceLock::new(),
+            stop: watch::Sender::default(),
             records: Mutex::default(),
             runners_at: AtomicU64::new(0),
             work: Arc::default(),
@@ -198,16 +198,29 @@
 
     /// Notes that the process stops from now on, and yields how.
     pub fn begin_stop(&self) -> Stop {
-        let now = self.clock.now();
-        *self
-            .stop
-            .get_or_init(|| Stop::new(now, self.settings.grace))
+        let begun = Stop::new(self.clock.now(), self.settings.grace);
+        let stop = self.stop().unwrap_or(begun);
+        self.stop.send_replace(Some(stop));
+        stop
     }
 
     /// Yields how the process stops, if it does.
     #[must_use]
     pub fn stop(&self) -> Option<Stop> {
-        self.stop.get().copied()
+        *self.stop.borrow()
+    }
+
+    /// Waits until the process stops, and yields how.
+    pub async fn stopping(&self) -> Stop {
+        let mut told = self.stop.subscribe();
+        let stop = match told.wait_for(Option::is_some).await {
+            Ok(stop) => *stop,
+            Err(_) => None,
+        };
+        match stop {
+            Some(stop) => stop,
+            None => std::future::pending().await,
+        }
     }
 
     /// Yields whether enough VMs with a disk answer.
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -24,6 +24,7 @@
 use crate::metrics::Counter;
 use crate::metrics::Span;
 use crate::refuse;
+use crate::shutdown;
 use crate::work;
 
 /// The longest answer in bytes that is held to be passed on whole.
@@ -100,6 +101,9 @@
         if job.left() == Millis::ZERO {
             return Err(refuse::late(runs));
         }
+        if runs == 0 {
+            shutdown::pass_on(&job.node, job.ends())?;
+        }
         let Some(runner) = job.choose(&not) else {
             return Err(refuse::nowhere(runs));
         };
--- /dev/null
+++ b/crates/relay/src/shutdown/tests.rs
@@ -0,0 +1,101 @@
+use std::future::pending;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::settings::Settings;
+use rstest::rstest;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use wire::clock::Clock;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Ran;
+
+use super::before;
+use super::pass_on;
+use crate::node::Node;
+
+const NOBODY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+/// The last call comes after the half of it.
+const GRACE: Millis = Millis::new(800);
+
+fn node() -> Arc<Node> {
+    let settings = Settings {
+        vm: "front-a-1".to_owned(),
+        ip: "127.0.0.1".to_owned(),
+        centre: "a".to_owned(),
+        first_start: false,
+        data: None,
+        disk_bytes: 0,
+        memory_bytes: 64_000_000,
+        callers: None,
+        ready: None,
+        first_port: 1,
+        last_port: 1,
+        store: NOBODY,
+        losses: 1,
+        grace: GRACE,
+        heartbeat: Millis::new(1_000),
+        apply: Millis::new(4_000),
+        drain: Millis::new(2_000),
+    };
+    Node::new(settings, Clock::System)
+}
+
+fn in_ms(ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(ms)
+}
+
+// A turn came before the stop and waits for VMs with a disk that don't answer, for longer than the
+// process has. Its caller must hear before the end that no runner has had it.
+#[tokio::test]
+async fn what_waits_at_the_last_call_is_told_that_it_has_not_run() {
+    let node = node();
+    let stopping = node.clone();
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(50)).await;
+        stopping.begin_stop();
+    });
+    let refusal = before(&node, in_ms(20_000), pending::<()>()).await;
+    let refusal = refusal.unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::ShuttingDown, Ran::No));
+    let stop = node.stop().unwrap();
+    assert!(node.clock.now() >= stop.last_call());
+    assert!(node.clock.now() < stop.last());
+}
+
+// What is over before the process is, isn't given up, stop or no stop: refused, its caller would lose
+// an answer that it could have had.
+#[rstest]
+#[case::that_ends_in_time(500)]
+#[case::while_nothing_stops(20_000)]
+#[tokio::test]
+async fn nothing_is_given_up_without_need(#[case] ends_ms: u64) {
+    let node = node();
+    let ends = in_ms(ends_ms);
+    if ends_ms < GRACE.as_u64() {
+        node.begin_stop();
+    }
+    let waited = timeout(
+        Duration::from_millis(550),
+        before(&node, ends, pending::<()>()),
+    );
+    assert!(waited.await.is_err());
+    assert_eq!(pass_on(&node, ends), Ok(()));
+}
+
+// A runner turns a request away just before the process ends. Passed on to the next one, it would be
+// cut off there and its outcome be unknown; nobody has run it yet, so it is refused.
+#[tokio::test]
+async fn nothing_is_passed_on_after_the_last_call() {
+    let node = node();
+    let ends = in_ms(20_000);
+    node.begin_stop();
+    assert_eq!(pass_on(&node, ends), Ok(()));
+    sleep(Duration::from_millis(450)).await;
+    let refusal = pass_on(&node, ends).unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::ShuttingDown, Ran::No));
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -40,6 +40,7 @@
 use crate::metrics::Counter;
 use crate::metrics::Span;
 use crate::refuse;
+use crate::shutdown;
 use crate::work;
 
 /// Parts of an answer that wait for a client that reads slowly, before its runner is read no
@@ -82,13 +83,14 @@
     begun: Option<Instant>,
 }
 
-/// Yields how long an answer may be held beyond the request's own time.
+/// Yields when a request is over at the latest that has to have its answer at `until`: the end of an
+/// answer may be held beyond.
 #[must_use]
-pub fn held(route: &Route) -> Duration {
+pub fn ends(route: &Route, until: Instant) -> Instant {
     if is_kept(route) {
-        KEEPING
+        until + KEEPING
     } else {
-        Duration::ZERO
+        until
     }
 }
 
@@ -141,7 +143,8 @@
 
 /// Prepares a turn and finds the runner that answers it.
 async fn begin(job: &Job, account: Option<Account>) -> Result<(Reply, Attempt, History), Refusal> {
-    let history = prepare(job, account).await?;
+    let prepared = prepare(job, account);
+    let history = shutdown::before(&job.node, job.ends(), prepared).await??;
     job.node.metrics.time(Span::Prepare, job.age());
     let mut not = Vec::new();
     let mut runs = 0;
@@ -176,6 +179,9 @@
         if job.left() == Millis::ZERO {
             break;
         }
+        if *runs == 0 {
+            shutdown::pass_on(&job.node, job.ends())?;
+        }
         let Some(runner) = job.choose(not) else {
             return Err(refuse::nowhere(*runs));
         };
