--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -8,9 +8,12 @@
 use adapter::header;
 use adapter::header::Call;
 use bytes::Bytes;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
+use hyper::header::EXPECT;
 use hyper::header::HOST;
 use hyper::http::request;
 use link::body;
@@ -52,6 +55,7 @@
     let id = call.id.clone();
     let program = call.program.clone();
     let guard = node.work.begin(work::Kind::Answer, &id);
+    let asks_first = asks_first(request.headers());
     let mut response = match read(&node, request, call, arrived).await {
         Ok(job) => match job.route.kind {
             Kind::Stream => stream::serve(job, guard).await,
@@ -64,7 +68,12 @@
                 waited: Millis::from(arrived.elapsed()),
                 ..refuse::Subject::default()
             };
-            refuse::answer(&node, &refusal, &subject)
+            let mut response = refuse::answer(&node, &refusal, &subject);
+            if asks_first {
+                // What was not asked for isn't read, which ends the connection.
+                answer::close(&mut response);
+            }
+            response
         }
     };
     if !node.is_ready() {
@@ -96,8 +105,13 @@
     arrived: Instant,
 ) -> Result<Job, Refusal> {
     let (head, mut incoming) = request.into_parts();
+    let mut wanted = !asks_first(&head.headers);
     let received = async {
         let routed = route(node, &head, &call, arrived).await?;
+        if !wanted && incoming.size_hint().lower() > routed.table.body_bytes as u64 {
+            return Err(Refusal::new(Code::BodyTooLarge, ""));
+        }
+        wanted = true;
         let body = receive(node, &routed, &mut incoming).await?;
         Ok::<_, Refusal>((routed, body))
     };
@@ -105,6 +119,8 @@
         Ok(received) => received,
         // The caller no longer waits for the rest to be read.
         Err(refusal) if refusal.code == Code::ReadTimeout => return Err(refusal),
+        // Reading would have the caller send the body.
+        Err(refusal) if !wanted => return Err(refusal),
         Err(refusal) => {
             // The refusal would be lost with the rest of a long body: see `body::discard`.
             let discarded = body::discard(incoming, node.table().body_bytes.max(DISCARDED));
@@ -143,6 +159,12 @@
     })
 }
 
+/// Tells whether the caller waits with the body until it is asked for it.
+fn asks_first(headers: &HeaderMap) -> bool {
+    let expected = headers.get(EXPECT);
+    expected.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
 /// Receives a request's body.
 async fn receive(node: &Node, routed: &Routed, incoming: &mut Incoming) -> Result<Bytes, Refusal> {
     let read = timeout_at(routed.until, body::read(incoming, routed.table.body_bytes));
