Say of an ask that no owner took in time that it has not run, and of no keyed call that it hasn't

An ask that waited for an owner past its caller's deadline got CY2203 with ran: unknown from the VM that rendered the answer, as the wait itself went on for up to 0.6 s.

CY1108 said no of keyed calls: unknown.

Test changed: stop::a_stopping_node_takes_what_ends_in_time accepted any coded refusal; now it must be CY2203, no, after the deadline, and a read beside it must be served. lost::... asks once more. Red before: that test, lost::a_lost_shard_runs_nothing_and_comes_back, both cases of door::a_full_door_says_no_of_no_order. Green after: node's request tests, 40 passed.

--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -18,6 +18,7 @@
 use wire::ask::Body;
 use wire::clock::Millis;
 use wire::code::Code;
+use wire::code::Ran;
 use wire::code::Refusal;
 use wire::event::Event;
 use wire::id;
@@ -60,7 +61,7 @@
     arrived: Millis,
 ) -> Result<Response> {
     if room == Room::Full {
-        return Err(Refusal::new(Code::TooManyConnections, "").retry_after(CONNECTION_PAUSE));
+        return Err(full(parse::earlier(&request)));
     }
     let parsed = parse::parse(&core.settings.limits, request).await?;
     let view = core.view();
@@ -77,16 +78,29 @@
     let ask = ask(core, &view, caller, parsed)?;
     let class = authenticate::class(&view.config, &ask)?;
     if room == Room::UrgentOnly && class != Class::Urgent {
-        return Err(Refusal::new(Code::TooManyConnections, "").retry_after(CONNECTION_PAUSE));
+        return Err(full(forward::earlier(&ask)));
     }
     let deadline = ask.deadline;
     let wait = answer::Wait { arrived, deadline };
     check_end(core, &ask, wait)?;
     let program = ask.program.clone();
+    // Counted anew from here on, a body that took its time would have the ask wait for longer than
+    // its caller.
+    let spent = core.clock.now().since(arrived);
+    let ask = Ask {
+        deadline: deadline.map(|deadline| deadline.since(spent)),
+        ..ask
+    };
     let replies = forward::ask(core, ask);
     answer::answer(core, shape, &program, wait, replies).await
 }
 
+/// Yields the refusal of a request for which no connection is left; `ran` tells of earlier askings.
+fn full(ran: Ran) -> Refusal {
+    let refusal = Refusal::new(Code::TooManyConnections, "").retry_after(CONNECTION_PAUSE);
+    refusal.ran(ran)
+}
+
 /// Refuses what may outlast a VM that stops: its answer would be cut off when the process ends.
 /// Only a deadline of its own bounds a request, as a runner may go on for as long as it isn't
 /// silent. Of a keyed call only the owner's journal knows whether an earlier asking ran.
--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -148,7 +148,9 @@
 async fn relay(core: Arc<Core>, ask: Ask, replies: UnboundedSender<Reply>) {
     let mut last = no_owner(&ask);
     let mut arrived = earlier(&ask);
-    let until = core.clock.now().plus(patience(&core, &ask));
+    let now = core.clock.now();
+    let until = now.plus(patience(&core, &ask));
+    let leaves = leaves(&ask, now);
     let mut tries = 0;
     while tries < TRIES {
         match step(&core, &ask, &replies).await {
@@ -168,7 +170,11 @@
                 tries += 1;
             }
         }
-        await_news(&core).await;
+        await_news(&core, leaves).await;
+        if core.clock.now() >= leaves {
+            last = late(&last);
+            break;
+        }
     }
     // What an earlier try may have started, a later refusal doesn't undo.
     if arrived == Ran::Unknown {
@@ -188,6 +194,22 @@
         .map_or(takeover, |deadline| deadline.min(takeover))
 }
 
+/// Yields when the caller of an ask stops waiting, where this VM is the one that it entered: the ask
+/// isn't passed on any more. Another VM's clock says nothing of it.
+fn leaves(ask: &Ask, now: Millis) -> Millis {
+    let deadline = ask.deadline.filter(|_| ask.hops == 0);
+    now.plus(deadline.unwrap_or(Millis::new(u64::MAX)))
+}
+
+/// Yields the refusal of an ask that nobody has taken in its caller's time.
+fn late(last: &Refusal) -> Refusal {
+    let refusal = Refusal::new(Code::DeadlineUnmeetable, last.code.text());
+    Refusal {
+        retry_after: last.retry_after,
+        ..refusal
+    }
+}
+
 /// Tells whether a refusal says that the shard changes hands, or is about to, as its owner doesn't
 /// answer.
 fn is_moving(refusal: &Refusal) -> bool {
@@ -209,10 +231,12 @@
     }
 }
 
-/// Waits for a change of the view, as it may name a new owner.
-async fn await_news(core: &Core) {
+/// Waits for a change of the view, as it may name a new owner, until `leaves` at the latest.
+async fn await_news(core: &Core, leaves: Millis) {
     let mut news = core.view.subscribe();
-    let _elapsed = tokio::time::timeout(PAUSE.as_duration(), news.changed()).await;
+    let left = leaves.since(core.clock.now());
+    let pause = PAUSE.min(left).as_duration();
+    let _elapsed = tokio::time::timeout(pause, news.changed()).await;
 }
 
 /// Tells whether the order gate makes a second arrival of the ask harmless: the same turn, or the
--- a/crates/node/src/filters/parse.rs
+++ b/crates/node/src/filters/parse.rs
@@ -14,6 +14,7 @@
 use wire::chat;
 use wire::clock::Millis;
 use wire::code::Code;
+use wire::code::Ran;
 use wire::code::Refusal;
 use wire::id;
 
@@ -22,6 +23,8 @@
 use crate::http::body;
 use crate::http::listen::MAX_HEADERS;
 
+/// What the paths of services' calls begin with.
+const SERVICES: &str = "/v1/services/";
 /// Who may speak in a conversation. A model that meets another role answers something all the same,
 /// and the history that is kept then holds a message that nobody can place.
 const ROLES: [&str; 6] = [
@@ -106,6 +109,18 @@
     })
 }
 
+/// Tells what the headers of a request that isn't parsed say of earlier askings: as
+/// [`crate::filters::forward::earlier`] does of a parsed one.
+#[must_use]
+pub fn earlier(request: &Request<Incoming>) -> Ran {
+    let keyed = request.headers().contains_key(header::KEY);
+    if keyed && request.uri().path().starts_with(SERVICES) {
+        Ran::Unknown
+    } else {
+        Ran::No
+    }
+}
+
 macro_rules! parse_id {
     ($name:ident) => {
         |text: &str| id::$name::parse(text).map_err(|fault| fault.to_string())
--- a/crates/node/tests/request/door.rs
+++ b/crates/node/tests/request/door.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use serde_json::json;
 use standin::client;
 use tokio::io::AsyncReadExt;
@@ -11,6 +12,9 @@
 use crate::fleet::CHAT;
 use crate::fleet::Fleet;
 use crate::fleet::Plan;
+use crate::fleet::refusal;
+
+const SWITCH: &str = "/v1/services/shore/switch";
 
 /// A caller sends a few bytes and then waits. Its connection ends, with a number where the headers
 /// were whole, and the node answers others meanwhile.
@@ -62,3 +66,30 @@
         assert_eq!(answer.0, status, "{}", answer.1);
     }
 }
+
+/// Idle connections fill the listener, and an order under a key is refused for want of room, by all of
+/// it or all but the room for urgent work. Whether an earlier asking ran, only its owner knows; told
+/// "no" here, the caller would give another order and both might run. What has no key hasn't run.
+#[rstest]
+#[case::no_room(4)]
+#[case::room_for_urgent_work(2)]
+#[tokio::test]
+async fn a_full_door_says_no_of_no_order(#[case] open: usize) {
+    let fleet = Fleet::start(Plan {
+        limits: "[limits]\nconnections = 4\nconnections_urgent = 2\n",
+        ..Plan::default()
+    })
+    .await;
+    let mut idle = Vec::new();
+    for _ in 0..open {
+        idle.push(TcpStream::connect(fleet.callers).await.unwrap());
+    }
+    while fleet.node.core().door.open() < u32::try_from(open).unwrap() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let key = [("idempotency-key", "order-1")];
+    let order = fleet.ask(SWITCH, &key, &json!({})).await;
+    assert_eq!(refusal(&order), ("CY1108", "unknown"), "{}", order.1);
+    let chat = fleet.ask(CHAT, &[], &client::chat("x")).await;
+    assert_eq!(refusal(&chat), ("CY1108", "no"), "{}", chat.1);
+}
--- a/crates/node/tests/request/lost.rs
+++ b/crates/node/tests/request/lost.rs
@@ -71,7 +71,8 @@
 
 /// A VM was paused past its lease and wakes up. Its first append meets the new owner's, so the turn
 /// is refused without having run; once the shard is free again, the VM claims it and the program
-/// goes on where it stood.
+/// goes on where it stood. Meanwhile a turn that finds no owner in its caller's time is told that it
+/// has not run: it may be asked anywhere.
 #[tokio::test]
 async fn a_lost_shard_runs_nothing_and_comes_back() {
     let fleet = Fleet::plain().await;
@@ -86,6 +87,8 @@
     assert_eq!(lost.0, 503, "{}", lost.1);
     assert_ne!(refusal(&lost).1, "yes");
     assert_eq!(fleet.attempts().await.len(), 1);
+    let nobody = fleet.ask(CHAT, &headers, &client::chat("two")).await;
+    assert_eq!(refusal(&nobody), ("CY2203", "no"), "{}", nobody.1);
     fleet.platform.revoke(lease).await.unwrap();
     let again = tokio::time::timeout(client::PATIENCE, async {
         loop {
--- a/crates/node/tests/request/stop.rs
+++ b/crates/node/tests/request/stop.rs
@@ -258,7 +258,8 @@
     .await;
     let callers = fleet.callers;
     let chat = client::chat("plan #tokens=60");
-    let first = tokio::spawn(async move { client::ask(callers, CHAT, &[], &chat).await });
+    let first = named("berth", "1");
+    let first = tokio::spawn(async move { client::ask(callers, CHAT, &first, &chat).await });
     fleet.until_started(1).await;
     let core = fleet.node.core().clone();
     let shutdown = tokio::spawn(fleet.node.shutdown());
@@ -324,14 +325,49 @@
 }
 
 // A node that stops is asked for what ends in time. It isn't refused for being late: it waits for
-// an owner as long as its caller does, and is answered, by a refusal where none comes.
+// an owner as long as its caller does. None comes, and nobody has taken it, so its caller is told that
+// it has not run; told that it may have, it couldn't ask elsewhere.
 #[tokio::test]
 async fn a_stopping_node_takes_what_ends_in_time() {
     let (callers, ended) = stopping().await;
     let headers = [("chestnutyoke-deadline-ms", "700")];
+    let asked = Instant::now();
     let answer = client::ask(callers, CHAT, &headers, &client::chat("late")).await;
-    assert_ne!(answer.0, 0);
-    assert!(answer.1["error"]["code"].is_string(), "{}", answer.1);
+    let waited = asked.elapsed();
+    // The node counts whole milliseconds.
+    assert!(waited >= Duration::from_millis(690), "{waited:?}");
+    assert_eq!(refusal(&answer), ("CY2203", "no"), "{}", answer.1);
+    assert!(answer.1["error"]["retry_after_ms"].is_number());
+    ended.await;
+}
+
+// What a node that stops takes is served as long as the shard is here: the program whose turn runs is
+// shown.
+#[tokio::test]
+async fn a_stopping_node_shows_a_program_whose_turn_runs() {
+    let (callers, ended) = stopping().await;
+    let path = "/v1/programs/berth";
+    let token = format!("Bearer {}", client::TOKEN);
+    let headers = [
+        ("authorization", token.as_str()),
+        ("chestnutyoke-deadline-ms", "700"),
+    ];
+    let answer = client::send(callers, "GET", path, &headers, "").await;
+    assert_eq!(answer.unwrap().status().as_u16(), 200);
+    ended.await;
+}
+
+// An order under a key waits in vain for an owner, and its caller's time is over. This node has not
+// passed it on, but an earlier asking may have run, which only the next owner's journal tells.
+#[tokio::test]
+async fn an_order_that_found_no_owner_may_have_run_before() {
+    let (callers, ended) = stopping().await;
+    let headers = [
+        ("chestnutyoke-deadline-ms", "700"),
+        ("idempotency-key", "order-1"),
+    ];
+    let answer = client::ask(callers, SWITCH, &headers, &json!({})).await;
+    assert_eq!(refusal(&answer), ("CY2203", "unknown"), "{}", answer.1);
     ended.await;
 }
 
