Tell who waits for an owner when the VM ends that it has not run

An ask without a deadline waits for its shard's next owner; at the end of a VM's stop it was told that it may have run, though nobody had taken it. The calls that wait for a slot are given up by the same rule, Stop::last_call, which leaves a short grace more than 0.5 s did.

--- a/crates/node/src/dispatch/desk.rs
+++ b/crates/node/src/dispatch/desk.rs
@@ -39,9 +39,6 @@
 /// Milliseconds an output token that a call's expected run is reckoned with: the letter's 58 ms
 /// for 95 in 100, halved for the mean.
 const TOKEN: u64 = 29;
-/// How long before the end of its stop a VM gives up the calls that still wait. A slot that they got
-/// then would be of no use; told that they may have run, their callers couldn't send them elsewhere.
-const LAST_CALL: Millis = Millis::new(500);
 
 /// The outcome of placing a call.
 pub type Result<T> = std::result::Result<T, Refusal>;
@@ -189,7 +186,9 @@
         ..
     } = &mut *state;
     let mut ready = Vec::new();
-    if core.stop.get().is_some_and(|s| s.left(now) < LAST_CALL) {
+    // A slot that they got now would be of no use; told that they may have run, their callers couldn't
+    // send them elsewhere.
+    if core.stop.get().is_some_and(|s| now >= s.last_call()) {
         let refusal = Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY);
         let waiting = queue.remove(|_| true).into_iter();
         ready.extend(waiting.map(|entry| (entry.item, Err(refusal.clone()))));
--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
+use policy::stop;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
@@ -171,8 +172,8 @@
             }
         }
         await_news(&core, leaves).await;
-        if core.clock.now() >= leaves {
-            last = late(&last);
+        if let Some(refusal) = give_up(&core, leaves, &last) {
+            last = refusal;
             break;
         }
     }
@@ -201,13 +202,20 @@
     now.plus(deadline.unwrap_or(Millis::new(u64::MAX)))
 }
 
-/// Yields the refusal of an ask that nobody has taken in its caller's time.
-fn late(last: &Refusal) -> Refusal {
-    let refusal = Refusal::new(Code::DeadlineUnmeetable, last.code.text());
-    Refusal {
-        retry_after: last.retry_after,
-        ..refusal
+/// Yields the refusal of an ask that nobody has taken, where its caller's time is over or the process
+/// is about to end: passed on then, its answer would come too late.
+fn give_up(core: &Core, leaves: Millis, last: &Refusal) -> Option<Refusal> {
+    let now = core.clock.now();
+    if now >= leaves {
+        let refusal = Refusal::new(Code::DeadlineUnmeetable, last.code.text());
+        return Some(Refusal {
+            retry_after: last.retry_after,
+            ..refusal
+        });
     }
+    let stop = core.stop.get()?;
+    let ends = now >= stop.last_call() && !stop.takes(Some(leaves));
+    ends.then(|| Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY))
 }
 
 /// Tells whether a refusal says that the shard changes hands, or is about to, as its owner doesn't
--- a/crates/node/tests/request/lost.rs
+++ b/crates/node/tests/request/lost.rs
@@ -1,6 +1,7 @@
 //! A shard that another VM takes while this one still thinks that it owns it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use journal::claim;
@@ -16,15 +17,19 @@
 use platform::edge::Weight;
 use platform::edge::Write;
 use platform::memory::Memory;
+use serde_json::json;
 use standin::client;
 use wire::clock::Millis;
 use wire::id;
 
 use crate::fleet::CHAT;
 use crate::fleet::Fleet;
+use crate::fleet::Plan;
 use crate::fleet::named;
 use crate::fleet::refusal;
 
+const SWITCH: &str = "/v1/services/shore/switch";
+
 struct Nobody;
 
 #[async_trait]
@@ -102,3 +107,38 @@
     assert_eq!(answer.1["chestnutyoke"]["turn"], 2);
     assert_eq!(fleet.attempts().await.len(), 2);
 }
+
+/// A turn and an order wait for an owner, for as long as it takes, and the VM is told to end. Nobody has
+/// taken them; told at the end that they may have run, the turn's caller couldn't ask elsewhere. Of the
+/// order an earlier asking may have run.
+#[tokio::test]
+async fn who_waits_for_an_owner_when_the_vm_ends_is_told_so() {
+    let fleet = Fleet::start(Plan {
+        limits: "[limits]\ngrace = \"2s\"\n",
+        ..Plan::default()
+    })
+    .await;
+    take_all(&fleet.platform).await;
+    let first = named("berth", "1");
+    let headers = [first[0], first[1], ("chestnutyoke-deadline-ms", "300")];
+    let lost = fleet.ask(CHAT, &headers, &client::chat("one")).await;
+    assert_eq!(lost.0, 503, "{}", lost.1);
+    let callers = fleet.callers;
+    let turn = tokio::spawn(async move {
+        client::ask(callers, CHAT, &named("berth", "1"), &client::chat("one")).await
+    });
+    let order = tokio::spawn(async move {
+        let headers = [
+            ("chestnutyoke-program", "berth"),
+            ("idempotency-key", "order-1"),
+        ];
+        client::ask(callers, SWITCH, &headers, &json!({})).await
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.node.shutdown().await;
+    let turn = turn.await.unwrap();
+    assert_eq!(refusal(&turn), ("CY4105", "no"), "{}", turn.1);
+    assert!(turn.1["error"]["retry_after_ms"].is_number());
+    let order = order.await.unwrap();
+    assert_eq!(refusal(&order), ("CY4105", "unknown"), "{}", order.1);
+}
