Make and end no program of a shard that is given up

Making and ending a program were taken while the VM stopped or its shard was handed over.

stop::a_shard_that_is_given_up_makes_no_program and ..._ends_no_program: red before (200), green after; node's request tests, 43 passed.

--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -202,10 +202,7 @@
     /// Refuses new work while the shard is handed over or the VM stops, and in an outage in which nothing of it
     /// could become durable: it would wait for the platform with its caller none the wiser.
     pub(super) fn check_open(&self) -> Result<(), Refusal> {
-        // A claim that ends after the stop's begin brings a shard that nobody drains.
-        if self.draining || self.core.stopping.is_cancelled() {
-            return Err(Refusal::new(Code::ShuttingDown, "").retry_after(HANDOVER));
-        }
+        self.check_kept()?;
         if let Status::Outage { retry_after } = self.status()
             && self.log.is_alone()
         {
@@ -215,6 +212,16 @@
         Ok(())
     }
 
+    /// Refuses what changes the shard's state while it is handed over or the VM stops: nothing would
+    /// wait for its record, which the next owner may not read.
+    fn check_kept(&self) -> Result<(), Refusal> {
+        // A claim that ends after the stop's begin brings a shard that nobody drains.
+        if self.draining || self.core.stopping.is_cancelled() {
+            return Err(Refusal::new(Code::ShuttingDown, "").retry_after(HANDOVER));
+        }
+        Ok(())
+    }
+
     /// Yields where the log stands. What the VM knows of the platform counts, too: a log learns of
     /// an outage only from an append of its own, and an intent among that one would have to be
     /// answered as unknown although it never runs.
@@ -352,14 +359,20 @@
             idle: budget.idle,
             now: self.now(),
         };
-        let record = gate::create(&self.state, &wish)?;
-        Ok(self.apply(record.into_iter().collect()))
+        let records: Vec<Record> = gate::create(&self.state, &wish)?.into_iter().collect();
+        if !records.is_empty() {
+            self.check_kept()?;
+        }
+        Ok(self.apply(records))
     }
 
     fn end(&mut self, ask: &Ask) -> Result<Option<Append>, Refusal> {
         let now = self.now();
         let code = Code::ProgramEnded;
         let records = gate::end(&self.state, &ask.program, &ask.caller, code, now)?;
+        if !records.is_empty() {
+            self.check_kept()?;
+        }
         if let Some(pending) = self.pending.find(&Name::Turn(ask.program.clone())) {
             pending.cancel.cancel();
         }
--- a/crates/node/tests/request/fleet.rs
+++ b/crates/node/tests/request/fleet.rs
@@ -172,7 +172,8 @@
     TcpListener::bind("127.0.0.1:0").await.unwrap()
 }
 
-const SETTINGS: &str = r#"
+/// The node's settings, without further limits.
+pub const SETTINGS: &str = r#"
 centres = [{ name = "a", shards = 4 }]
 [vm]
 name = "a1"
--- a/crates/node/tests/request/stop.rs
+++ b/crates/node/tests/request/stop.rs
@@ -34,6 +34,7 @@
 use crate::fleet::CHAT;
 use crate::fleet::Fleet;
 use crate::fleet::Plan;
+use crate::fleet::SETTINGS;
 use crate::fleet::named;
 use crate::fleet::refusal;
 use crate::fleet::slow;
@@ -346,14 +347,46 @@
 #[tokio::test]
 async fn a_stopping_node_shows_a_program_whose_turn_runs() {
     let (callers, ended) = stopping().await;
-    let path = "/v1/programs/berth";
+    let answer = send(callers, "GET", "/v1/programs/berth", "").await;
+    assert_eq!(answer.0, 200, "{}", answer.1);
+    ended.await;
+}
+
+/// Asks for something of the program `berth` or beside it; yields status and body.
+async fn send(callers: SocketAddr, method: &str, path: &str, body: &str) -> (u16, Value) {
     let token = format!("Bearer {}", client::TOKEN);
     let headers = [
         ("authorization", token.as_str()),
         ("chestnutyoke-deadline-ms", "700"),
     ];
-    let answer = client::send(callers, "GET", path, &headers, "").await;
-    assert_eq!(answer.unwrap().status().as_u16(), 200);
+    let answer = client::send(callers, method, path, &headers, body).await;
+    client::whole(answer.expect("no answer")).await
+}
+
+// A shard is given up while a turn of it runs, and a caller makes a program of the same shard. Its
+// record may come after the shard's last one: its caller gets no answer, or one for a program that the
+// next owner doesn't know. It is refused, so that it goes to the next owner.
+#[tokio::test]
+async fn a_shard_that_is_given_up_makes_no_program() {
+    let (callers, ended) = stopping().await;
+    let settings = settings::vm::parse(SETTINGS).unwrap();
+    let shard = |program: &id::Program| route::shard(&settings, program);
+    let busy = shard(&id::Program::parse("berth").unwrap());
+    let names = (0..).map(|number| id::Program::parse(&format!("p{number}")).unwrap());
+    let program = names.into_iter().find(|p| shard(p) == busy).unwrap();
+    let body = json!({"program": program}).to_string();
+    let answer = send(callers, "POST", "/v1/programs", &body).await;
+    assert_eq!(refusal(&answer), ("CY2203", "no"), "{}", answer.1);
+    ended.await;
+}
+
+// A shard is given up while a turn of it runs, and a caller ends the turn's program. It is refused for
+// the same reason; the turn is answered.
+#[tokio::test]
+async fn a_shard_that_is_given_up_ends_no_program() {
+    let (callers, ended) = stopping().await;
+    let answer = send(callers, "DELETE", "/v1/programs/berth", "").await;
+    assert_eq!(refusal(&answer), ("CY2203", "no"), "{}", answer.1);
     ended.await;
 }
 
