Have a VM with a disk answer the writes that it took before it ends

Its end came 0.3 s after SIGTERM whatever its disk was doing. Of a group of three, two that stop at once with a slow disk lost the answers of writes that were on their way: the turn was refused or tried again. It now ends when the writes that it took are answered, within the grace (policy::stop), and refuses later ones at once, as well as the question by which VMs look whether writes can be had. Without a write on its way the end comes sooner than before.

--- a/crates/chestnutyoke/tests/role_stop.rs
+++ b/crates/chestnutyoke/tests/role_stop.rs
@@ -1,16 +1,33 @@
-//! How the processes of the two roles end: what their logs say last.
+//! How the processes of the two roles end: what their logs say last, and what a VM with a disk still
+//! answers.
 
 use std::fs;
+use std::fs::File;
 use std::io::Read;
+use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::thread;
 use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
 
+use hyper::Request;
+use link::body::Payload;
+use link::client::Client;
+use link::client::Limits;
+use replica::call;
+use replica::list::List;
+use replica::list::Member;
+use replica::message;
+use replica::message::Answer;
+use replica::message::Body;
+use replica::record::Key;
+use replica::record::Record;
+use replica::record::Reservation;
 use rstest::rstest;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_chestnutyoke");
@@ -21,6 +38,8 @@
 struct Process {
     child: Child,
     address: String,
+    /// Where other VMs ask it.
+    vms: SocketAddr,
     folder: PathBuf,
 }
 
@@ -28,7 +47,7 @@
     fn start(role: &str, last: u8) -> Self {
         let pid = std::process::id();
         let ip = format!("127.{}.{}.{last}", 1 + pid % 250, pid / 250 % 250);
-        let folder = std::env::temp_dir().join(format!("chestnutyoke-{pid}-{role}"));
+        let folder = std::env::temp_dir().join(format!("chestnutyoke-{pid}-{role}-{last}"));
         fs::create_dir_all(&folder).unwrap();
         let data = folder.join("data");
         let text = format!(
@@ -46,6 +65,7 @@
         let process = Self {
             child,
             address: format!("{ip}:9400"),
+            vms: format!("{ip}:7380").parse().unwrap(),
             folder,
         };
         process.wait_until_it_listens();
@@ -98,3 +118,71 @@
     let end = log.lines().last().unwrap();
     assert!(end.contains("event=E1003"), "{end}");
 }
+
+/// Asks a VM with a disk, for as long as it takes; `None` where the connection breaks off.
+async fn ask(address: SocketAddr, version: u64, body: Body) -> Option<Answer> {
+    let client = Client::new(Limits {
+        connect: Duration::from_secs(1),
+        silence: Duration::from_secs(5),
+        keep: Duration::ZERO,
+        rest: Duration::ZERO,
+        idle: 1,
+    });
+    let request = Request::post(message::PATH).header("host", "store");
+    let request = request.body(Payload::from(call::encode(version, body).unwrap()));
+    let reply = client.send(address, request.unwrap()).await.ok()?;
+    let bytes = reply.body.whole(1_000_000).await.ok()?;
+    Some(rmp_serde::from_slice(&bytes).unwrap())
+}
+
+fn reservation(turn: &str) -> Body {
+    Body::Apply(vec![Record::Reserve(Reservation {
+        program: Key::of("p1"),
+        turn: Key::of(turn),
+        most: 50,
+    })])
+}
+
+/// A VM with a disk has a turn's tokens to set aside, its disk is slow, and it gets SIGTERM. Were its end
+/// not to wait for the write, the writer would have one answer less; where two of three VMs stop at
+/// once, the turn is refused though its tokens are set aside. A write that comes later is refused at
+/// once, so that its writer needn't wait for a process that ends, and so is the question that tells
+/// whether enough members take writes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_with_a_disk_answers_the_writes_that_it_took() {
+    let mut process = Process::start("store", 33);
+    let vms = process.vms;
+    // The disk's thread stands still from its next look at its identity until somebody reads there.
+    let slow = process.folder.join("data/identity.next");
+    let made = Command::new("mkfifo").arg(&slow).status().unwrap();
+    assert!(made.success());
+    let list = List::default().with(&Member {
+        vm: "store-1".to_owned(),
+        centre: "a".to_owned(),
+        address: vms,
+        disk: 7,
+    });
+    let version = list.version;
+    let _stands = tokio::spawn(ask(vms, 0, Body::Adopt(list)));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let taken = tokio::spawn(ask(vms, version, reservation("t1")));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    process.terminate();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let late = tokio::spawn(ask(vms, version, reservation("t2")));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let refused = late.is_finished();
+    let counts = ask(vms, version, Body::Status).await;
+    assert!(matches!(counts, Some(Answer::Failed(_))), "{counts:?}");
+    let reader = thread::spawn(move || File::open(slow).unwrap().read_to_end(&mut Vec::new()));
+    let released = Instant::now();
+    let answer = taken.await.unwrap();
+    assert!(matches!(answer, Some(Answer::Applied(_))), "{answer:?}");
+    assert!(refused, "the later write waits");
+    let late = late.await.unwrap();
+    assert!(matches!(late, Some(Answer::Failed(_))), "{late:?}");
+    let log = process.log();
+    assert!(released.elapsed() < Duration::from_secs(2));
+    assert!(log.lines().last().unwrap().contains("event=E1003"), "{log}");
+    reader.join().unwrap().unwrap();
+}
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -13,11 +13,13 @@
 use link::client::Client;
 use link::client::Limits;
 use link::listen;
+use link::listen::Door;
 use platform::edge::Change;
 use platform::edge::Platform;
 use platform::edge::Txn;
 use platform::edge::Weight;
 use platform::edge::Write;
+use policy::stop::Stop;
 use rand::RngExt;
 use replica::list;
 use replica::member::Driver;
@@ -26,6 +28,7 @@
 use replica::server::Member;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use wire::clock::Clock;
 use wire::clock::Millis;
 use wire::event::Event;
@@ -51,8 +54,10 @@
 const WAIT: Millis = Millis::new(20_000);
 /// The pause after a failed call.
 const AGAIN: Duration = Duration::from_millis(300);
-/// How long requests under way may take after SIGTERM: some syncs.
-const FINISH: Duration = Duration::from_millis(300);
+/// How long the last answers may take to go out.
+const LAST_BYTES: Duration = Duration::from_millis(100);
+/// How often it is looked whether they have.
+const LOOK: Duration = Duration::from_millis(5);
 
 /// Runs the process until SIGTERM.
 ///
@@ -61,13 +66,15 @@
 /// Fails where the settings can't be used, the disk fails, or a listener can't be bound.
 pub async fn run(settings: Settings, metrics: u16) -> Result<()> {
     let clock = Clock::System;
+    let grace = settings.grace;
+    let door = Arc::new(Door::default());
     let folder = settings.data.clone().ok_or(Fault::Missing("data folder"))?;
     let fresh = rand::rng().random::<u64>();
     let member = server::open(&folder, settings.disk_bytes, fresh, clock.clone()).await?;
     let ip = settings.ip.parse();
     let ip = ip.map_err(|_| Fault::Missing("IP number as"))?;
     let address = SocketAddr::new(ip, settings.first_port);
-    listen_all(&member, address, SocketAddr::new(ip, metrics)).await?;
+    listen_all(&member, &door, address, SocketAddr::new(ip, metrics)).await?;
     log::info!(
         "event=E{} text=\"{}\" vm={} role=store vms={address}",
         Event::NodeStarted.number(),
@@ -83,6 +90,7 @@
     });
     let kv = Kv::new(http.clone(), settings.store, node::STORE_TIMEOUT);
     let (phase, phases) = watch::channel(Phase::Member);
+    let shared = member.clone();
     let driver = Driver {
         own: list::Member {
             vm: settings.vm.clone(),
@@ -90,12 +98,12 @@
             address,
             disk: member.status().disk,
         },
-        member,
+        member: shared,
         http,
         platform: Arc::new(kv.clone()),
         key: subject::list_key(),
         losses: settings.losses,
-        clock,
+        clock: clock.clone(),
         phase: phase.clone(),
     };
     tokio::spawn(driver.run());
@@ -106,7 +114,8 @@
         Event::NodeStopping.number(),
         Event::NodeStopping.text()
     );
-    sleep(FINISH).await;
+    let stop = Stop::new(clock.now(), grace);
+    drain(&member, &door, stop, &clock).await;
     log::info!(
         "event=E{} text=\"{}\"",
         Event::NodeStopped.number(),
@@ -115,11 +124,34 @@
     Ok(())
 }
 
-async fn listen_all(member: &Arc<Member>, address: SocketAddr, metrics: SocketAddr) -> Result<()> {
+/// Ends what the member has taken: writes that a writer may count on, and the bytes of their answers.
+async fn drain(member: &Member, door: &Door, stop: Stop, clock: &Clock) {
+    member.stop();
+    let left = stop.left(clock.now()).as_duration();
+    if timeout(left, member.written()).await.is_err() {
+        log::warn!("text=\"the disk has not ended its writes\"");
+    }
+    door.closing.cancel();
+    door.leaving.cancel();
+    door.shut.cancel();
+    let gone = async {
+        while door.open() > 0 {
+            sleep(LOOK).await;
+        }
+    };
+    let _cut = timeout(LAST_BYTES, gone).await;
+}
+
+async fn listen_all(
+    member: &Arc<Member>,
+    door: &Arc<Door>,
+    address: SocketAddr,
+    metrics: SocketAddr,
+) -> Result<()> {
     let shared = member.clone();
     let handler = move |request| server::serve(shared.clone(), request);
     let listener = listen::bind(address).await?;
-    tokio::spawn(listen::run(listener, Arc::default(), IDLE_IN, handler));
+    tokio::spawn(listen::run(listener, door.clone(), IDLE_IN, handler));
 
     let shared = member.clone();
     let handler = move |_request| {
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -19,6 +19,7 @@
 use link::body;
 use link::body::Body as ResponseBody;
 use tokio::sync::Notify;
+use tokio_util::task::TaskTracker;
 use wire::clock::Clock;
 use wire::clock::Millis;
 
@@ -50,6 +51,8 @@
     events: Mutex<mpsc::Receiver<Event>>,
     gains: tokio::sync::Mutex<Gains>,
     clock: Clock,
+    /// Writes that were taken and aren't answered yet; closed when the process stops.
+    writes: TaskTracker,
     /// Rung when the list changes.
     pub changed: Notify,
 }
@@ -115,6 +118,7 @@
         events: Mutex::new(opened.events),
         gains: tokio::sync::Mutex::default(),
         clock,
+        writes: TaskTracker::new(),
         changed: Notify::new(),
     }))
 }
@@ -181,8 +185,22 @@
         self.disk.identify(&identity).await
     }
 
+    /// Refuses writes from now on, as the process stops: a writer that waits for one that it may not
+    /// finish loses time in which the other members decide.
+    pub fn stop(&self) {
+        self.writes.close();
+    }
+
+    /// Waits until the writes that were taken before [`Self::stop`] have their answers.
+    pub async fn written(&self) {
+        self.writes.wait().await;
+    }
+
     /// Answers a request.
     pub async fn answer(&self, ask: Ask) -> Answer {
+        // Counted before it is looked whether writes are still taken: the process would else end
+        // between the two.
+        let _taken = matches!(ask.body, Body::Apply(_)).then(|| self.writes.token());
         if let Some(answer) = self.check(&ask) {
             return answer;
         }
@@ -208,9 +226,13 @@
         }
     }
 
-    /// Refuses what goes by another list, and reads before the member has learnt all: others might
+    /// Refuses what goes by another list, writes while the process stops, with the question that tells
+    /// whether writes can be had, and reads before the member has learnt all: others might
     /// take an absence or a sum that it tells for the truth.
     fn check(&self, ask: &Ask) -> Option<Answer> {
+        if self.writes.is_closed() && matches!(ask.body, Body::Apply(_) | Body::Status) {
+            return Some(Answer::Failed("stopping".to_owned()));
+        }
         if matches!(ask.body, Body::Adopt(_) | Body::Status | Body::Fetch(_)) {
             return None;
         }
