Take members with slow disks for lost only where a look says so, too

One reservation that two slow disks didn't answer in time (0.7 s) counted as the two looks that it takes to call the members lost, though looks, which need no sync, found that enough answer. Until the next look, up to 0.3 s, all turns were refused, and a turn under way whose text was being kept was broken off after its first try. A turn's doubt now counts as one look, however many turns have it, and a look is taken at once to settle it: one for all that wait. In a cut this is no later than before, as a look fails before a reservation does. A refused turn whose members answer may come again in 0.3 s.

Tests changed: a_refused_turn_comes_back_... took one turn's doubt for the loss; now it takes a doubt and a look, with the same times asked for.

--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -16,6 +16,7 @@
 use crate::job::Job;
 use crate::metrics::Counter;
 use crate::node::Node;
+use crate::records;
 use crate::work;
 
 /// How long after a refusal for want of tokens the account is looked at once more: two turns that
@@ -69,7 +70,7 @@
         let verdict = match reserved.await {
             Ok(Ok(verdict)) => verdict,
             Ok(Err(fault)) => {
-                job.node.note_records_lost();
+                let _late = timeout_at(job.until, records::doubt(&job.node)).await;
                 let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
                 return Err(refusal.retry_after(retry(job)));
             }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -182,28 +182,11 @@
 /// Asks the members with a disk whether enough of them answer.
 async fn ping(node: Arc<Node>) {
     loop {
-        let reach = node.replicas.reachable(records::PATIENCE).await;
-        let now = node.clock.now();
-        let look = if reach.enough {
-            Look::Enough
-        } else {
-            Look::TooFew
+        let pause = match records::look(&node).await {
+            Look::Enough => PING,
+            Look::TooFew => PING_SOON,
         };
-        if node.records().note(look, now) {
-            let event = if reach.enough {
-                Event::MembersRegained
-            } else {
-                Event::MembersLost
-            };
-            log::warn!(
-                "event=E{} text=\"{}\" answered={} members={}",
-                event.number(),
-                event.text(),
-                reach.answered,
-                reach.members
-            );
-        }
-        sleep(if reach.enough { PING } else { PING_SOON }).await;
+        sleep(pause).await;
     }
 }
 
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -19,7 +19,6 @@
 use tokio::time::sleep;
 use wire::clock::Clock;
 use wire::clock::Millis;
-use wire::event::Event;
 
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
@@ -93,6 +92,8 @@
     stop: watch::Sender<Option<Stop>>,
     /// Whether enough VMs with a disk answer.
     records: Mutex<Records>,
+    /// Held while a doubt of that is settled.
+    pub settling: tokio::sync::Mutex<()>,
     /// When the runners' list was last known to be current.
     runners_at: AtomicU64,
     /// What is under way.
@@ -132,6 +133,7 @@
             roster: Mutex::default(),
             stop: watch::Sender::default(),
             records: Mutex::default(),
+            settling: tokio::sync::Mutex::default(),
             runners_at: AtomicU64::new(0),
             work: Arc::default(),
             settings,
@@ -228,18 +230,6 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that a write or read found too few VMs with a disk; the next look tells for how long.
-    pub fn note_records_lost(&self) {
-        let now = self.clock.now();
-        if self.records().note_lost(now) {
-            log::warn!(
-                "event=E{} text=\"{}\" why=\"a turn's tokens could not be set aside\"",
-                Event::MembersLost.number(),
-                Event::MembersLost.text()
-            );
-        }
-    }
-
     /// Tells whether turns can be served, as far as the VMs with a disk go.
     #[must_use]
     pub fn has_records(&self) -> bool {
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -4,18 +4,27 @@
 //! and its client come back to the same VM, until the balancer sends elsewhere. So the VM looks
 //! often, tells the balancer at the first look that fails, refuses turns at once from the second one
 //! on, and asks their clients to come back when the balancer is expected to have noticed.
+//!
+//! A turn whose tokens can't be set aside makes a VM doubt its members. Their disks may be slow while
+//! they answer: taken for lost then, turns would be refused and answers broken off that only have to
+//! wait. So a doubt counts as one look that failed, however many turns have it, and a look is taken at
+//! once to settle it.
 
 use std::time::Duration;
 
 use policy::balancer;
 use wire::clock::Millis;
+use wire::event::Event;
+
+use crate::node::Node;
 
 /// How long the members may take to answer a look. They answer in a few milliseconds; one that is
 /// busy with many records takes some tens.
 pub const PATIENCE: Duration = Duration::from_millis(250);
 /// Looks that fail in a row before turns are refused: one may meet a pause of two members.
 const LOST_AFTER: u32 = 2;
-/// When a turn may come again at the soonest: about the time in which a VM with a disk restarts.
+/// When a turn may come again at the soonest: about the time in which a VM with a disk restarts, or in
+/// which a slow disk ends what it does.
 pub const RETRY: Millis = Millis::new(300);
 /// When it may come again where the balancer should have noticed already.
 const RETRY_NOTICED: Millis = Millis::new(100);
@@ -29,6 +38,49 @@
     TooFew,
 }
 
+/// Looks whether enough members answer, and tells the log where that is news.
+pub async fn look(node: &Node) -> Look {
+    let reach = node.replicas.reachable(PATIENCE).await;
+    let look = if reach.enough {
+        Look::Enough
+    } else {
+        Look::TooFew
+    };
+    if node.records().note(look, node.clock.now()) {
+        let event = if reach.enough {
+            Event::MembersRegained
+        } else {
+            Event::MembersLost
+        };
+        log::warn!(
+            "event=E{} text=\"{}\" answered={} members={}",
+            event.number(),
+            event.text(),
+            reach.answered,
+            reach.members
+        );
+    }
+    look
+}
+
+/// Notes that a turn found too few members, and returns when a look has settled whether they are lost:
+/// one look for all turns that have the doubt at the time.
+pub async fn doubt(node: &Node) {
+    let lost = node.records().doubt(node.clock.now());
+    if lost {
+        log::warn!(
+            "event=E{} text=\"{}\" why=\"a turn's tokens could not be set aside\"",
+            Event::MembersLost.number(),
+            Event::MembersLost.text()
+        );
+        return;
+    }
+    let _one = node.settling.lock().await;
+    if node.records().is_doubted() {
+        look(node).await;
+    }
+}
+
 /// What the looks at the members found.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Records {
@@ -38,7 +90,9 @@
     ever: bool,
     /// Looks that failed since the last one that didn't.
     failed: u32,
-    /// When the first of these failed.
+    /// Whether a turn has found too few since then.
+    doubted: bool,
+    /// When the first of all these failed.
     since: Millis,
 }
 
@@ -50,24 +104,41 @@
             Look::Enough => {
                 self.ever = true;
                 self.failed = 0;
+                self.doubted = false;
                 !std::mem::replace(&mut self.enough, true)
             }
-            Look::TooFew => self.note_failed(now, 1),
+            Look::TooFew => {
+                self.note_since(now);
+                let doubts = u32::from(std::mem::take(&mut self.doubted));
+                self.failed = self.failed.saturating_add(1 + doubts);
+                self.judge()
+            }
         }
     }
 
-    /// Notes that a turn found too few members, which tells as much as the looks that it takes to
-    /// refuse turns; tells whether that is news.
-    pub fn note_lost(&mut self, now: Millis) -> bool {
-        self.note_failed(now, LOST_AFTER)
+    /// Notes that a turn found too few members; tells whether turns are refused from now on where
+    /// they were served.
+    pub fn doubt(&mut self, now: Millis) -> bool {
+        self.note_since(now);
+        self.doubted = true;
+        self.judge()
     }
 
-    fn note_failed(&mut self, now: Millis, looks: u32) -> bool {
-        if self.failed == 0 {
+    /// Tells whether a turn has found too few members since the last look.
+    #[must_use]
+    pub const fn is_doubted(&self) -> bool {
+        self.doubted
+    }
+
+    fn note_since(&mut self, now: Millis) {
+        if self.failed == 0 && !self.doubted {
             self.since = now;
         }
-        self.failed = self.failed.saturating_add(looks);
-        self.failed >= LOST_AFTER && std::mem::replace(&mut self.enough, false)
+    }
+
+    fn judge(&mut self) -> bool {
+        let looks = self.failed.saturating_add(u32::from(self.doubted));
+        looks >= LOST_AFTER && std::mem::replace(&mut self.enough, false)
     }
 
     /// Tells whether turns are served.
@@ -79,15 +150,16 @@
     /// Tells whether the balancer should send turns here.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
-        self.enough && self.failed == 0
+        self.enough && self.failed == 0 && !self.doubted
     }
 
     /// Yields when a turn that is refused may come again: when the balancer is expected to send it
     /// to another VM. Coming sooner it would meet the same refusal, and use up one of its tries; a
-    /// VM that has just started needs some milliseconds more, not another VM.
+    /// VM that has just started needs some milliseconds more, not another VM, and neither does one
+    /// whose members answer but are slow.
     #[must_use]
     pub fn retry(&self, now: Millis) -> Millis {
-        if !self.ever {
+        if !self.ever || self.is_ready() {
             return RETRY;
         }
         balancer::NOTICES
--- a/crates/relay/src/records/tests.rs
+++ b/crates/relay/src/records/tests.rs
@@ -30,12 +30,43 @@
     assert!(records.is_ready());
 }
 
+/// Several turns can't have their tokens set aside, as the disks of two members are slow; both answer.
+/// The turns that run wait for them, and others come: only a look that fails as well says that the
+/// members are lost. The balancer is told meanwhile.
+#[test]
+fn turns_alone_lose_no_members() {
+    let mut records = serving();
+    for ms in [100, 110, 120] {
+        assert!(!records.doubt(later(ms)));
+        assert!(records.serves());
+        assert!(!records.is_ready());
+    }
+    assert!(!records.note(Look::Enough, later(150)));
+    assert!(records.is_ready());
+    assert_eq!(records.retry(later(150)), RETRY);
+}
+
+/// A data centre is cut off, and a turn finds out before the look under way does, or after it. Turns are
+/// refused from the second of the two on.
+#[test]
+fn a_turn_and_a_look_lose_the_members() {
+    let mut records = serving();
+    assert!(!records.doubt(later(100)));
+    assert!(records.note(Look::TooFew, later(300)));
+    assert!(!records.serves());
+    let mut records = serving();
+    assert!(!records.note(Look::TooFew, later(300)));
+    assert!(records.doubt(later(350)));
+    assert!(!records.serves());
+}
+
 /// A turn of a cut VM is refused. Its client has few tries: it should come back when it will be sent
 /// to another VM, not before, and not long after.
 #[test]
 fn a_refused_turn_comes_back_when_the_balancer_has_noticed() {
     let mut records = serving();
-    assert!(records.note_lost(later(100)));
+    assert!(!records.doubt(later(100)));
+    assert!(records.note(Look::TooFew, later(200)));
     assert_eq!(records.retry(later(100)), Millis::new(2_000));
     assert_eq!(records.retry(later(1_600)), Millis::new(500));
     assert_eq!(records.retry(later(5_000)), Millis::new(100));
