--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -54,14 +54,8 @@
             );
         }
     });
-    receiver.await.unwrap_or_else(|_| {
-        let refusal = Refusal::new(Code::Internal, "").ran(Ran::Unknown);
-        let subject = refuse::Subject {
-            request: &id,
-            ..refuse::Subject::default()
-        };
-        refuse::answer(&node, &refusal, &subject)
-    })
+    let answer = receiver.await;
+    answer.unwrap_or_else(|_| refuse::died(&node, &id))
 }
 
 /// Tells that the caller has left where it is dropped before the call's end.
--- a/crates/relay/src/refuse.rs
+++ b/crates/relay/src/refuse.rs
@@ -48,6 +48,17 @@
     Refusal::new(Code::EndpointFailed, "").ran(Ran::Unknown)
 }
 
+/// Answers a request whose task has died: whether a runner has it isn't known.
+#[must_use]
+pub fn died(node: &Node, request: &str) -> Response<Body> {
+    let refusal = Refusal::new(Code::Internal, "").ran(Ran::Unknown);
+    let subject = Subject {
+        request,
+        ..Subject::default()
+    };
+    answer(node, &refusal, &subject)
+}
+
 /// Logs and renders a refusal.
 #[must_use]
 pub fn answer(node: &Node, refusal: &Refusal, subject: &Subject<'_>) -> Response<Body> {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -108,14 +108,8 @@
         run(job, sender).await;
         drop(guard);
     });
-    receiver.await.unwrap_or_else(|_| {
-        let refusal = Refusal::new(Code::Internal, "").ran(Ran::Unknown);
-        let subject = refuse::Subject {
-            request: &id,
-            ..refuse::Subject::default()
-        };
-        refuse::answer(&node, &refusal, &subject)
-    })
+    let answer = receiver.await;
+    answer.unwrap_or_else(|_| refuse::died(&node, &id))
 }
 
 async fn run(job: Job, head: oneshot::Sender<Response<Body>>) {
