--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
+use policy::stop;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
@@ -148,7 +149,9 @@
 async fn relay(core: Arc<Core>, ask: Ask, replies: UnboundedSender<Reply>) {
     let mut last = no_owner(&ask);
     let mut arrived = earlier(&ask);
-    let until = core.clock.now().plus(patience(&core, &ask));
+    let now = core.clock.now();
+    let until = now.plus(patience(&core, &ask));
+    let leaves = leaves(&ask, now);
     let mut tries = 0;
     while tries < TRIES {
         match step(&core, &ask, &replies).await {
@@ -168,7 +171,11 @@
                 tries += 1;
             }
         }
-        await_news(&core).await;
+        await_news(&core, leaves).await;
+        if let Some(refusal) = give_up(&core, leaves, &last) {
+            last = refusal;
+            break;
+        }
     }
     // What an earlier try may have started, a later refusal doesn't undo.
     if arrived == Ran::Unknown {
@@ -188,6 +195,29 @@
         .map_or(takeover, |deadline| deadline.min(takeover))
 }
 
+/// Yields when the caller of an ask stops waiting, where this VM is the one that it entered: the ask
+/// isn't passed on any more. Another VM's clock says nothing of it.
+fn leaves(ask: &Ask, now: Millis) -> Millis {
+    let deadline = ask.deadline.filter(|_| ask.hops == 0);
+    now.plus(deadline.unwrap_or(Millis::new(u64::MAX)))
+}
+
+/// Yields the refusal of an ask that nobody has taken, where its caller's time is over or the process
+/// is about to end: passed on then, its answer would come too late.
+fn give_up(core: &Core, leaves: Millis, last: &Refusal) -> Option<Refusal> {
+    let now = core.clock.now();
+    if now >= leaves {
+        let refusal = Refusal::new(Code::DeadlineUnmeetable, last.code.text());
+        return Some(Refusal {
+            retry_after: last.retry_after,
+            ..refusal
+        });
+    }
+    let stop = core.stop.get()?;
+    let ends = now >= stop.last_call() && !stop.takes(Some(leaves));
+    ends.then(|| Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY))
+}
+
 /// Tells whether a refusal says that the shard changes hands, or is about to, as its owner doesn't
 /// answer.
 fn is_moving(refusal: &Refusal) -> bool {
@@ -209,10 +239,12 @@
     }
 }
 
-/// Waits for a change of the view, as it may name a new owner.
-async fn await_news(core: &Core) {
+/// Waits for a change of the view, as it may name a new owner, until `leaves` at the latest.
+async fn await_news(core: &Core, leaves: Millis) {
     let mut news = core.view.subscribe();
-    let _elapsed = tokio::time::timeout(PAUSE.as_duration(), news.changed()).await;
+    let left = leaves.since(core.clock.now());
+    let pause = PAUSE.min(left).as_duration();
+    let _elapsed = tokio::time::timeout(pause, news.changed()).await;
 }
 
 /// Tells whether the order gate makes a second arrival of the ask harmless: the same turn, or the
--- a/crates/node/tests/request/stop.rs
+++ b/crates/node/tests/request/stop.rs
@@ -34,6 +34,7 @@
 use crate::fleet::CHAT;
 use crate::fleet::Fleet;
 use crate::fleet::Plan;
+use crate::fleet::SETTINGS;
 use crate::fleet::named;
 use crate::fleet::refusal;
 use crate::fleet::slow;
@@ -258,7 +259,8 @@
     .await;
     let callers = fleet.callers;
     let chat = client::chat("plan #tokens=60");
-    let first = tokio::spawn(async move { client::ask(callers, CHAT, &[], &chat).await });
+    let first = named("berth", "1");
+    let first = tokio::spawn(async move { client::ask(callers, CHAT, &first, &chat).await });
     fleet.until_started(1).await;
     let core = fleet.node.core().clone();
     let shutdown = tokio::spawn(fleet.node.shutdown());
@@ -324,14 +326,81 @@
 }
 
 // A node that stops is asked for what ends in time. It isn't refused for being late: it waits for
-// an owner as long as its caller does, and is answered, by a refusal where none comes.
+// an owner as long as its caller does. None comes, and nobody has taken it, so its caller is told that
+// it has not run; told that it may have, it couldn't ask elsewhere.
 #[tokio::test]
 async fn a_stopping_node_takes_what_ends_in_time() {
     let (callers, ended) = stopping().await;
     let headers = [("chestnutyoke-deadline-ms", "700")];
+    let asked = Instant::now();
     let answer = client::ask(callers, CHAT, &headers, &client::chat("late")).await;
-    assert_ne!(answer.0, 0);
-    assert!(answer.1["error"]["code"].is_string(), "{}", answer.1);
+    let waited = asked.elapsed();
+    // The node counts whole milliseconds.
+    assert!(waited >= Duration::from_millis(690), "{waited:?}");
+    assert_eq!(refusal(&answer), ("CY2203", "no"), "{}", answer.1);
+    assert!(answer.1["error"]["retry_after_ms"].is_number());
+    ended.await;
+}
+
+// What a node that stops takes is served as long as the shard is here: the program whose turn runs is
+// shown.
+#[tokio::test]
+async fn a_stopping_node_shows_a_program_whose_turn_runs() {
+    let (callers, ended) = stopping().await;
+    let answer = send(callers, "GET", "/v1/programs/berth", "").await;
+    assert_eq!(answer.0, 200, "{}", answer.1);
+    ended.await;
+}
+
+/// Asks for something of the program `berth` or beside it; yields status and body.
+async fn send(callers: SocketAddr, method: &str, path: &str, body: &str) -> (u16, Value) {
+    let token = format!("Bearer {}", client::TOKEN);
+    let headers = [
+        ("authorization", token.as_str()),
+        ("chestnutyoke-deadline-ms", "700"),
+    ];
+    let answer = client::send(callers, method, path, &headers, body).await;
+    client::whole(answer.expect("no answer")).await
+}
+
+// A shard is given up while a turn of it runs, and a caller makes a program of the same shard. Its
+// record may come after the shard's last one: its caller gets no answer, or one for a program that the
+// next owner doesn't know. It is refused, so that it goes to the next owner.
+#[tokio::test]
+async fn a_shard_that_is_given_up_makes_no_program() {
+    let (callers, ended) = stopping().await;
+    let settings = settings::vm::parse(SETTINGS).unwrap();
+    let shard = |program: &id::Program| route::shard(&settings, program);
+    let busy = shard(&id::Program::parse("berth").unwrap());
+    let names = (0..).map(|number| id::Program::parse(&format!("p{number}")).unwrap());
+    let program = names.into_iter().find(|p| shard(p) == busy).unwrap();
+    let body = json!({"program": program}).to_string();
+    let answer = send(callers, "POST", "/v1/programs", &body).await;
+    assert_eq!(refusal(&answer), ("CY2203", "no"), "{}", answer.1);
+    ended.await;
+}
+
+// A shard is given up while a turn of it runs, and a caller ends the turn's program. It is refused for
+// the same reason; the turn is answered.
+#[tokio::test]
+async fn a_shard_that_is_given_up_ends_no_program() {
+    let (callers, ended) = stopping().await;
+    let answer = send(callers, "DELETE", "/v1/programs/berth", "").await;
+    assert_eq!(refusal(&answer), ("CY2203", "no"), "{}", answer.1);
+    ended.await;
+}
+
+// An order under a key waits in vain for an owner, and its caller's time is over. This node has not
+// passed it on, but an earlier asking may have run, which only the next owner's journal tells.
+#[tokio::test]
+async fn an_order_that_found_no_owner_may_have_run_before() {
+    let (callers, ended) = stopping().await;
+    let headers = [
+        ("chestnutyoke-deadline-ms", "700"),
+        ("idempotency-key", "order-1"),
+    ];
+    let answer = client::ask(callers, SWITCH, &headers, &json!({})).await;
+    assert_eq!(refusal(&answer), ("CY2203", "unknown"), "{}", answer.1);
     ended.await;
 }
 
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -15,11 +14,11 @@
 use link::client::Limits;
 use policy::stop::Stop;
 use replica::client::Replicas;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use wire::clock::Clock;
 use wire::clock::Millis;
-use wire::event::Event;
 
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
@@ -90,9 +89,11 @@
     fleet: Mutex<Fleet>,
     roster: Mutex<Roster>,
     /// Set once the process stops.
-    stop: OnceLock<Stop>,
+    stop: watch::Sender<Option<Stop>>,
     /// Whether enough VMs with a disk answer.
     records: Mutex<Records>,
+    /// Held while a doubt of that is settled.
+    pub settling: tokio::sync::Mutex<()>,
     /// When the runners' list was last known to be current.
     runners_at: AtomicU64,
     /// What is under way.
@@ -130,8 +131,9 @@
             table: Mutex::default(),
             fleet: Mutex::default(),
             roster: Mutex::default(),
-            stop: OnceLock::new(),
+            stop: watch::Sender::default(),
             records: Mutex::default(),
+            settling: tokio::sync::Mutex::default(),
             runners_at: AtomicU64::new(0),
             work: Arc::default(),
             settings,
@@ -198,16 +200,29 @@
 
     /// Notes that the process stops from now on, and yields how.
     pub fn begin_stop(&self) -> Stop {
-        let now = self.clock.now();
-        *self
-            .stop
-            .get_or_init(|| Stop::new(now, self.settings.grace))
+        let begun = Stop::new(self.clock.now(), self.settings.grace);
+        let stop = self.stop().unwrap_or(begun);
+        self.stop.send_replace(Some(stop));
+        stop
     }
 
     /// Yields how the process stops, if it does.
     #[must_use]
     pub fn stop(&self) -> Option<Stop> {
-        self.stop.get().copied()
+        *self.stop.borrow()
+    }
+
+    /// Waits until the process stops, and yields how.
+    pub async fn stopping(&self) -> Stop {
+        let mut told = self.stop.subscribe();
+        let stop = match told.wait_for(Option::is_some).await {
+            Ok(stop) => *stop,
+            Err(_) => None,
+        };
+        match stop {
+            Some(stop) => stop,
+            None => std::future::pending().await,
+        }
     }
 
     /// Yields whether enough VMs with a disk answer.
@@ -215,18 +230,6 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that a write or read found too few VMs with a disk; the next look tells for how long.
-    pub fn note_records_lost(&self) {
-        let now = self.clock.now();
-        if self.records().note_lost(now) {
-            log::warn!(
-                "event=E{} text=\"{}\" why=\"a turn's tokens could not be set aside\"",
-                Event::MembersLost.number(),
-                Event::MembersLost.text()
-            );
-        }
-    }
-
     /// Tells whether turns can be served, as far as the VMs with a disk go.
     #[must_use]
     pub fn has_records(&self) -> bool {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -24,6 +24,7 @@
 use crate::metrics::Counter;
 use crate::metrics::Span;
 use crate::refuse;
+use crate::shutdown;
 use crate::work;
 
 /// The longest answer in bytes that is held to be passed on whole.
@@ -53,14 +54,8 @@
             );
         }
     });
-    receiver.await.unwrap_or_else(|_| {
-        let refusal = Refusal::new(Code::Internal, "").ran(Ran::Unknown);
-        let subject = refuse::Subject {
-            request: &id,
-            ..refuse::Subject::default()
-        };
-        refuse::answer(&node, &refusal, &subject)
-    })
+    let answer = receiver.await;
+    answer.unwrap_or_else(|_| refuse::died(&node, &id))
 }
 
 /// Tells that the caller has left where it is dropped before the call's end.
@@ -100,6 +95,9 @@
         if job.left() == Millis::ZERO {
             return Err(refuse::late(runs));
         }
+        if runs == 0 {
+            shutdown::pass_on(&job.node, job.ends())?;
+        }
         let Some(runner) = job.choose(&not) else {
             return Err(refuse::nowhere(runs));
         };
