Count no program as late that tells no time to be finished by

The story of a request already told the two apart.

A test of such a program was red before (one late), green after. The test of a process that ended had used the fault to have its program counted; it now gives a time that was over, and checks the same.

--- a/crates/trace/src/spent.rs
+++ b/crates/trace/src/spent.rs
@@ -1,9 +1,9 @@
 //! Where programs that ended late, or didn't end, spent their time.
 //!
 //! A program is late where the time that it had left when its last answered turn came was shorter
-//! than that turn. One whose last request wasn't answered is counted as failed, unless it was refused
-//! for what it asked. Time counts for a
-//! cause from a try's end until the program's next line: while it comes back after a refusal, say.
+//! than that turn; one that tells no time is never late. One whose last request wasn't answered is
+//! counted as failed, unless it was refused for what it asked. Time counts for a cause from a try's
+//! end until the program's next line: while it comes back after a refusal, say.
 
 use std::fmt;
 
@@ -123,7 +123,8 @@
     };
     let left = answered.number("finish_ms");
     match (left, answered.number("ms")) {
-        (Some(left), Some(took)) if took > left => Fate::Late,
+        // A program that tells no time to be finished by has zero there.
+        (Some(left), Some(took)) if left > 0 && took > left => Fate::Late,
         _ => Fate::InTime,
     }
 }
--- a/crates/trace/src/spent/tests.rs
+++ b/crates/trace/src/spent/tests.rs
@@ -36,8 +36,19 @@
     let all = lines(
         "v at=2026-05-17T00:00:01.000 event=E1201 request=a1 program=p
 w at=2026-05-17T00:00:03.500 event=E1201 request=a2 program=p
-w at=2026-05-17T00:00:03.900 event=E1103 request=a2 program=p ms=400 finish_ms=0",
+w at=2026-05-17T00:00:03.900 event=E1103 request=a2 program=p ms=400 finish_ms=100",
     );
     let seconds = sum(&all);
     assert_eq!(seconds[0].spent_ms[2], (Sink::ProcessEnded, 2_500));
 }
+
+/// A program that tells no time to be finished by has `finish_ms=0` in its lines. Its answer, however
+/// long it took, isn't late.
+#[test]
+fn a_program_that_tells_no_time_is_never_late() {
+    let all = lines(
+        "v at=2026-05-17T00:00:01.000 event=E1201 request=a1 program=p
+v at=2026-05-17T00:00:09.000 event=E1103 request=a1 program=p status=200 ms=8000 finish_ms=0",
+    );
+    assert_eq!(sum(&all), []);
+}
