Count ends by kind, refusals by code and broken streams by cause; time waits and store calls

The second door's metrics had totals alone: which kind of request failed, and by which code or cause, stood only in the log. Ends of requests now have their kind, refusals their result code, broken streams their cause; a code that hasn't come up is told as zero, as a scraper else misses the first.

New spans: from arrival until the runner that answers has the request, and calls of the platform's store (watches left out). New counts of calls of the store that failed.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -5,6 +5,7 @@
 
 mod choice;
 mod health;
+pub mod load;
 pub mod runner;
 
 use std::net::SocketAddr;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use adapter::kv::News;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use wire::clock::Millis;
 
 use crate::follow::away::Away;
 use crate::metrics::Counter;
+use crate::metrics::Span;
 use crate::node::Node;
 use crate::subject::Source;
 use crate::subject::Subject;
@@ -40,11 +43,15 @@
             sleep(PAUSE).await;
             continue;
         }
+        let begun = Instant::now();
         let listed = node.kv.list(subject.prefix(), source.freshness()).await;
         node.metrics.count(Counter::StoreCalls);
+        node.metrics
+            .time(Span::StoreCall, Millis::from(begun.elapsed()));
         match listed {
             Ok(listing) => {
                 away.answered(subject);
+                note_current(&node, subject);
                 let revision = listing.revision;
                 take::listing(&node, subject, listing);
                 match source {
@@ -54,12 +61,25 @@
                     }
                 }
             }
-            Err(fault) => away.failed(subject, &fault),
+            Err(fault) => {
+                node.metrics.count(Counter::StoreFailures);
+                away.failed(subject, &fault);
+            }
         }
         sleep(away.pause(subject, &node)).await;
     }
 }
 
+/// Notes that what is known of a subject is current.
+fn note_current(node: &Node, subject: Subject) {
+    let now = node.clock.now();
+    match subject {
+        Subject::Config => node.set_config_at(now),
+        // A list of the runners may be older than what others told.
+        Subject::Runners | Subject::Own => {}
+    }
+}
+
 /// Watches until the history has been dropped.
 async fn watch(node: &Arc<Node>, subject: Subject, revision: u64, away: &mut Away) {
     let mut revision = revision;
@@ -75,6 +95,7 @@
                 revision: next,
             }) => {
                 away.answered(subject);
+                note_current(node, subject);
                 revision = next.max(revision);
                 for change in changes {
                     take::change(node, subject, change);
@@ -93,6 +114,7 @@
             }
             Ok(News::Dropped) => return,
             Err(fault) => {
+                node.metrics.count(Counter::StoreFailures);
                 away.failed(subject, &fault);
                 sleep(away.pause(subject, node)).await;
                 // What is listed tells more than a watch that may have been cut for long.
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -25,6 +25,8 @@
 use crate::fleet::Chosen;
 use crate::fleet::Want;
 use crate::metrics::Counter;
+use crate::metrics::Outcome;
+use crate::metrics::Span;
 use crate::node::Node;
 use crate::reach;
 use crate::refuse::Subject;
@@ -112,6 +114,12 @@
         Millis::from(self.arrived.elapsed())
     }
 
+    /// Notes how long it took until the runner that answers had it.
+    pub fn note_wait(&self, attempt: &Attempt) {
+        let waited = attempt.sent.saturating_duration_since(self.arrived);
+        self.node.metrics.time(Span::Wait, Millis::from(waited));
+    }
+
     /// Yields what a refusal of it tells.
     #[must_use]
     pub fn subject(&self) -> Subject<'_> {
@@ -119,6 +127,7 @@
             request: &self.call.id,
             program: self.call.program.as_deref().unwrap_or_default(),
             route: &self.route.name,
+            kind: Some(self.route.kind),
             waited: self.age(),
         }
     }
@@ -295,7 +304,8 @@
 
     /// Logs that the client left before its answer was whole.
     pub fn log_gone(&self, events: u64) {
-        self.node.metrics.count(Counter::Gone);
+        let kind = Some(self.route.kind);
+        self.node.metrics.end(kind, Outcome::Gone);
         log::info!(
             "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={}",
             Event::CallerGone.number(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod front;
 pub mod history;
 pub mod job;
+pub mod memory;
 pub mod metrics;
 pub mod node;
 pub mod peers;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -6,8 +6,10 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use adapter::config::Kind;
 use hdrhistogram::Histogram;
 use wire::clock::Millis;
+use wire::code::Code;
 
 /// The longest span that a histogram tells apart, in milliseconds: an hour.
 const LONGEST: u64 = 3_600_000;
@@ -42,33 +44,69 @@
     /// What is counted.
     Counter:
     Requests = "requests", "requests whose headers were read";
-    Answered = "requests_answered", "answers of runners that were passed on";
-    Refused = "requests_refused", "requests refused by the system that had not run";
-    Failed = "requests_failed", "requests that may have run and got no whole answer";
     Retried = "attempts_retried", "attempts after the first of a request";
     TurnedAway = "attempts_turned_away", "attempts that a runner refused without running them";
-    Gone = "callers_gone", "requests whose caller left before the answer was whole";
     Resumed = "streams_resumed", "streams that went on after a break";
     OverBudget = "turns_over_budget", "turns refused as their program's tokens are spent";
     Events = "events", "events of streams that were passed on";
     TokensMissed = "prompt_tokens_missed", "prompt tokens that the chosen runner was thought to lack";
     TokensAsked = "prompt_tokens", "prompt tokens of all turns that were placed";
     StoreCalls = "platform_calls", "calls of the platform's key-value service";
+    StoreFailures = "platform_calls_failed", "calls of the platform's key-value service without an answer";
+}
+
+figures! {
+    /// How a request ends; counted by its kind.
+    Outcome:
+    Answered = "requests_answered", "answers of runners that were passed on";
+    Refused = "requests_refused", "requests refused by the system that had not run";
+    Failed = "requests_failed", "requests that may have run and got no whole answer";
+    Gone = "callers_gone", "requests whose caller left before the answer was whole";
+}
+
+figures! {
+    /// Why a stream ended before it was whole.
+    Break:
+    Runner = "runner", "its runner broke off";
+    Late = "late", "its time was over";
+    Unkept = "unkept", "its turn couldn't be kept";
 }
 
 figures! {
     /// What is timed.
     Span:
+    Wait = "wait_ms", "from a request's arrival until it is sent to the runner that answers it";
     Prepare = "prepare_ms", "from a turn's arrival until its history and tokens are there";
     First = "first_event_ms", "from a stream's arrival to its first event";
     Whole = "whole_answer_ms", "from a request's arrival to the end of its answer";
     Sync = "sync_ms", "from a stream's last event until its turn is kept";
+    StoreCall = "platform_call_ms", "how long a call of the platform's key-value service took";
 }
 
+/// The kinds of requests, `None` for one that was refused before it had a route, with their labels.
+const KINDS: [(Option<Kind>, &str); 4] = [
+    (Some(Kind::Stream), "stream"),
+    (Some(Kind::Idempotent), "idempotent"),
+    (Some(Kind::AtMostOnce), "at_most_once"),
+    (None, "unrouted"),
+];
+
+/// What refusals are counted as.
+const REFUSALS: (&str, &str) = ("refusals", "refusals by result code");
+/// What broken streams are counted as.
+const BREAKS: (&str, &str) = (
+    "streams_broken",
+    "streams that ended before they were whole",
+);
+
 /// All figures of a process.
 #[derive(Debug)]
 pub struct Metrics {
     counters: Vec<AtomicU64>,
+    /// By outcome, and for each by kind.
+    outcomes: Vec<AtomicU64>,
+    refusals: Vec<AtomicU64>,
+    breaks: Vec<AtomicU64>,
     spans: Vec<Mutex<Histogram<u64>>>,
 }
 
@@ -79,12 +117,19 @@
             Mutex::new(made.unwrap_or_else(|_| Histogram::new(1).expect("one digit is allowed")))
         };
         Self {
-            counters: Counter::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
+            counters: zeros(Counter::ALL.len()),
+            outcomes: zeros(Outcome::ALL.len() * KINDS.len()),
+            refusals: zeros(Code::ALL.len()),
+            breaks: zeros(Break::ALL.len()),
             spans: Span::ALL.iter().map(|_| histogram()).collect(),
         }
     }
 }
 
+fn zeros(count: usize) -> Vec<AtomicU64> {
+    (0..count).map(|_| AtomicU64::new(0)).collect()
+}
+
 impl Metrics {
     /// Adds one.
     pub fn count(&self, counter: Counter) {
@@ -102,6 +147,23 @@
         self.counters[counter as usize].load(Ordering::Relaxed)
     }
 
+    /// Counts the end of a request of a kind; `None` where it had no route yet.
+    pub fn end(&self, kind: Option<Kind>, outcome: Outcome) {
+        let of_kind = KINDS.iter().position(|(known, _)| *known == kind);
+        let at = outcome as usize * KINDS.len() + of_kind.unwrap_or_default();
+        self.outcomes[at].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a refusal by its code.
+    pub fn refuse(&self, code: Code) {
+        self.refusals[code as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a stream that ended before it was whole.
+    pub fn break_off(&self, cause: Break) {
+        self.breaks[cause as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Notes a span.
     pub fn time(&self, span: Span, took: Millis) {
         let histogram = &self.spans[span as usize];
@@ -117,28 +179,60 @@
             explain(&mut out, counter.name(), counter.help());
             line(&mut out, counter.name(), "", self.value(*counter));
         }
-        for span in Span::ALL {
-            explain(&mut out, span.name(), span.help());
-            let histogram = &self.spans[*span as usize];
-            let histogram = histogram.lock().unwrap_or_else(PoisonError::into_inner);
-            for (label, quantile) in [("0.5", 0.5), ("0.95", 0.95), ("0.99", 0.99)] {
-                let label = format!("{{quantile=\"{label}\"}}");
-                line(
-                    &mut out,
-                    span.name(),
-                    &label,
-                    histogram.value_at_quantile(quantile),
-                );
-            }
-            line(&mut out, span.name(), "_count", histogram.len());
+        for (outcome, values) in Outcome::ALL.iter().zip(self.outcomes.chunks(KINDS.len())) {
+            let labels = KINDS.iter().map(|(_, label)| format!("kind=\"{label}\""));
+            family(&mut out, (outcome.name(), outcome.help()), labels, values);
         }
-        for (name, value) in gauges {
-            line(&mut out, name, "", *value);
+        let codes = Code::ALL.iter();
+        let codes = codes.map(|code| format!("code=\"CY{}\"", code.number()));
+        family(&mut out, REFUSALS, codes, &self.refusals);
+        let causes = Break::ALL.iter();
+        let causes = causes.map(|cause| format!("cause=\"{}\"", cause.name()));
+        family(&mut out, BREAKS, causes, &self.breaks);
+        for (span, histogram) in Span::ALL.iter().zip(&self.spans) {
+            let histogram = histogram.lock().unwrap_or_else(PoisonError::into_inner);
+            summary(&mut out, *span, &histogram);
         }
+        out.push_str(&render(gauges));
         out
     }
 }
 
+/// Renders figures of the moment.
+#[must_use]
+pub fn render(gauges: &[(&str, u64)]) -> String {
+    let mut out = String::new();
+    for (name, value) in gauges {
+        line(&mut out, name, "", *value);
+    }
+    out
+}
+
+/// Renders the counters of one name, each with its label. Those that are still zero are told, too: a
+/// scraper else misses the first of a kind, as it knows no value before it.
+fn family(
+    out: &mut String,
+    (name, help): (&str, &str),
+    labels: impl Iterator<Item = String>,
+    values: &[AtomicU64],
+) {
+    explain(out, name, help);
+    for (label, value) in labels.zip(values) {
+        let value = value.load(Ordering::Relaxed);
+        line(out, name, &format!("{{{label}}}"), value);
+    }
+}
+
+fn summary(out: &mut String, span: Span, histogram: &Histogram<u64>) {
+    explain(out, span.name(), span.help());
+    for (label, quantile) in [("0.5", 0.5), ("0.95", 0.95), ("0.99", 0.99)] {
+        let label = format!("{{quantile=\"{label}\"}}");
+        let value = histogram.value_at_quantile(quantile);
+        line(out, span.name(), &label, value);
+    }
+    line(out, span.name(), "_count", histogram.len());
+}
+
 fn explain(out: &mut String, name: &str, help: &str) {
     // Writing to a string doesn't fail.
     let _never = writeln!(out, "# HELP chestnutyoke_{name} {help}");
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -95,6 +95,8 @@
     records: Mutex<Records>,
     /// When the runners' list was last known to be current.
     runners_at: AtomicU64,
+    /// When the configuration in force was last known to be current.
+    config_at: AtomicU64,
     /// What is under way.
     pub work: Arc<work::Register>,
 }
@@ -133,6 +135,7 @@
             stop: OnceLock::new(),
             records: Mutex::default(),
             runners_at: AtomicU64::new(0),
+            config_at: AtomicU64::new(0),
             work: Arc::default(),
             settings,
             clock,
@@ -245,6 +248,22 @@
         self.clock.now().since(at)
     }
 
+    /// Notes that the configuration in force is current.
+    pub fn set_config_at(&self, now: Millis) {
+        self.config_at.fetch_max(now.as_u64(), Ordering::Relaxed);
+    }
+
+    /// Yields how long ago the VM last heard that its configuration is current: from the key-value
+    /// service, or from its hub, whose messages tell of both the configuration and the runners.
+    #[must_use]
+    pub fn config_age(&self) -> Millis {
+        if self.source(Subject::Config) == Source::Peers {
+            return self.runners_age();
+        }
+        let at = Millis::new(self.config_at.load(Ordering::Relaxed));
+        self.clock.now().since(at)
+    }
+
     /// Tells whether entries of runners that live may have lapsed since the runners' list was current:
     /// one does that couldn't be renewed for some heartbeats.
     #[must_use]
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -21,7 +21,7 @@
 use crate::job::Attempt;
 use crate::job::Job;
 use crate::job::Sent;
-use crate::metrics::Counter;
+use crate::metrics::Outcome;
 use crate::metrics::Span;
 use crate::refuse;
 use crate::work;
@@ -163,7 +163,10 @@
     if let Some(runner) = job.node.fleet().runner(&attempt.runner.id) {
         runner.note_done(1, span, now);
     }
-    job.node.metrics.count(Counter::Answered);
+    job.node
+        .metrics
+        .end(Some(job.route.kind), Outcome::Answered);
+    job.note_wait(&attempt);
     job.node.metrics.time(Span::Whole, job.age());
     job.log_answered(&attempt.runner.id, head.status.as_u16(), 0, "");
     Ok(answer::passed_on(
--- a/crates/relay/src/probe.rs
+++ b/crates/relay/src/probe.rs
@@ -6,6 +6,7 @@
 use link::listen::Door;
 
 use crate::answer;
+use crate::memory;
 use crate::node::Node;
 
 /// Answers whether the VM takes clients; the path doesn't matter, as nothing else is asked there.
@@ -22,16 +23,23 @@
 pub fn metrics(node: &Node, door: &Door) -> Response<Body> {
     // Taken before the others: the lock would else be held until the whole list is built, and
     // asking whether the VM is ready takes it again.
-    let runners = node.fleet().runners().len() as u64;
+    let load = node.fleet().load(node.clock.now());
+    let answers = node.work.answers() as u64;
     let gauges = [
         ("requests_under_way", node.work.count() as u64),
+        ("requests_without_runner", answers.saturating_sub(load.own)),
+        ("requests_at_runners", load.own),
+        ("slots", load.slots),
+        ("slots_occupied", load.occupied),
         ("connections", door.open() as u64),
-        ("runners", runners),
+        ("runners", load.runners),
         ("runners_age_ms", node.runners_age().as_u64()),
         ("revision", node.table().version),
+        ("revision_age_ms", node.config_age().as_u64()),
         ("members_version", node.replicas.list().version),
         ("runner_connections_made", node.runners.made()),
         ("vm_connections_made", node.vms.made()),
+        ("memory_bytes", memory::resident()),
         ("ready", u64::from(node.is_ready())),
     ];
     answer::text(StatusCode::OK, node.metrics.render(&gauges))
--- a/crates/relay/src/refuse.rs
+++ b/crates/relay/src/refuse.rs
@@ -1,5 +1,6 @@
 //! Refusals of the system's own: which one, told in the log, and rendered.
 
+use adapter::config::Kind;
 use hyper::Response;
 use link::body::Body;
 use wire::clock::Millis;
@@ -9,7 +10,7 @@
 use wire::event::Event;
 
 use crate::answer;
-use crate::metrics::Counter;
+use crate::metrics::Outcome;
 use crate::node::Node;
 
 /// When a request that found no runner may come again: about the time in which a runner ends a
@@ -25,6 +26,8 @@
     pub program: &'a str,
     /// Its route, if it has got one.
     pub route: &'a str,
+    /// The kind of that route.
+    pub kind: Option<Kind>,
     /// How long ago it arrived.
     pub waited: Millis,
 }
@@ -51,16 +54,18 @@
 /// Logs and renders a refusal.
 #[must_use]
 pub fn answer(node: &Node, refusal: &Refusal, subject: &Subject<'_>) -> Response<Body> {
-    let counter = match refusal.ran {
-        Ran::No => Counter::Refused,
-        Ran::Unknown | Ran::Yes => Counter::Failed,
+    let outcome = match refusal.ran {
+        Ran::No => Outcome::Refused,
+        Ran::Unknown | Ran::Yes => Outcome::Failed,
     };
-    node.metrics.count(counter);
+    node.metrics.end(subject.kind, outcome);
+    node.metrics.refuse(refusal.code);
     let Subject {
         request,
         program,
         route,
         waited,
+        ..
     } = subject;
     let table = node.table();
     log::warn!(
--- a/crates/relay/src/register.rs
+++ b/crates/relay/src/register.rs
@@ -9,10 +9,12 @@
 use platform::edge::Txn;
 use platform::edge::Weight;
 use platform::edge::Write;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use wire::clock::Millis;
 
 use crate::metrics::Counter;
+use crate::metrics::Span;
 use crate::node::Node;
 use crate::subject;
 
@@ -27,11 +29,13 @@
     let mut lease: Option<Lease> = None;
     loop {
         node.metrics.count(Counter::StoreCalls);
+        let begun = Instant::now();
         lease = match lease {
             Some(held) => match node.kv.renew(held).await {
                 Ok(true) => Some(held),
                 Ok(false) => None,
                 Err(fault) => {
+                    node.metrics.count(Counter::StoreFailures);
                     log::debug!("lease not renewed: {fault}");
                     Some(held)
                 }
@@ -39,11 +43,14 @@
             None => match enter(&node, address).await {
                 Ok(lease) => Some(lease),
                 Err(fault) => {
+                    node.metrics.count(Counter::StoreFailures);
                     log::debug!("entry not written: {fault}");
                     None
                 }
             },
         };
+        node.metrics
+            .time(Span::StoreCall, Millis::from(begun.elapsed()));
         sleep(RENEW).await;
     }
 }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -34,6 +34,8 @@
 use crate::front;
 use crate::front::Fault;
 use crate::front::Result;
+use crate::memory;
+use crate::metrics;
 use crate::node;
 use crate::subject;
 
@@ -59,7 +61,7 @@
 /// # Errors
 ///
 /// Fails where the settings can't be used, the disk fails, or a listener can't be bound.
-pub async fn run(settings: Settings, metrics: u16) -> Result<()> {
+pub async fn run(settings: Settings, metrics_port: u16) -> Result<()> {
     let clock = Clock::System;
     let folder = settings.data.clone().ok_or(Fault::Missing("data folder"))?;
     let fresh = rand::rng().random::<u64>();
@@ -67,7 +69,7 @@
     let ip = settings.ip.parse();
     let ip = ip.map_err(|_| Fault::Missing("IP number as"))?;
     let address = SocketAddr::new(ip, settings.first_port);
-    listen_all(&member, address, SocketAddr::new(ip, metrics)).await?;
+    listen_all(&member, address, SocketAddr::new(ip, metrics_port)).await?;
     log::info!(
         "event=E{} text=\"{}\" vm={} role=store vms={address}",
         Event::NodeStarted.number(),
@@ -115,7 +117,7 @@
     Ok(())
 }
 
-async fn listen_all(member: &Arc<Member>, address: SocketAddr, metrics: SocketAddr) -> Result<()> {
+async fn listen_all(member: &Arc<Member>, address: SocketAddr, scraped: SocketAddr) -> Result<()> {
     let shared = member.clone();
     let handler = move |request| server::serve(shared.clone(), request);
     let listener = listen::bind(address).await?;
@@ -125,13 +127,16 @@
     let handler = move |_request| {
         let status = shared.status();
         let (turns, accounts) = shared.counts();
-        let text = format!(
-            "chestnutyoke_members_version {}\nchestnutyoke_members_ready {}\nchestnutyoke_turns {}\nchestnutyoke_accounts {}\n",
-            status.version, status.ready, turns, accounts
-        );
+        let text = metrics::render(&[
+            ("members_version", status.version),
+            ("members_ready", status.ready),
+            ("turns", turns as u64),
+            ("accounts", accounts as u64),
+            ("memory_bytes", memory::resident()),
+        ]);
         std::future::ready(answer::text(StatusCode::OK, text))
     };
-    let listener = listen::bind(metrics).await?;
+    let listener = listen::bind(scraped).await?;
     tokio::spawn(listen::run(listener, Arc::default(), IDLE_IN, handler));
     Ok(())
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -37,7 +37,9 @@
 use crate::job::Attempt;
 use crate::job::Job;
 use crate::job::Sent;
+use crate::metrics::Break;
 use crate::metrics::Counter;
+use crate::metrics::Outcome;
 use crate::metrics::Span;
 use crate::refuse;
 use crate::work;
@@ -147,6 +149,7 @@
     let mut runs = 0;
     let last_event = job.call.last_event;
     let (reply, attempt) = open(job, &history, &mut not, &mut runs, last_event).await?;
+    job.note_wait(&attempt);
     Ok((reply, attempt, history))
 }
 
@@ -262,7 +265,7 @@
             let output = flow.output.freeze();
             let success = (200..300).contains(&status);
             if success && !keep(job, account, used, &output).await {
-                log_broken(job, flow.events, "the turn couldn't be kept");
+                log_broken(job, flow.events, Break::Unkept, "the turn couldn't be kept");
                 return;
             }
             if !success || !job.route.keeps_turns {
@@ -272,14 +275,16 @@
                 .metrics
                 .time(Span::Sync, Millis::from(last.elapsed()));
             job.node.metrics.time(Span::Whole, job.age());
-            job.node.metrics.count(Counter::Answered);
+            job.node
+                .metrics
+                .end(Some(job.route.kind), Outcome::Answered);
             // A client that has left needs no end.
             let _gone = flow.parts.send(Part::End).await;
             job.log_answered(runner, status, flow.events, "");
         }
         End::Broken(why) => {
             account::settle(job, account, used);
-            log_broken(job, flow.events, &why);
+            log_broken(job, flow.events, Break::Runner, &why);
         }
         End::Gone => {
             account::settle(job, account, used);
@@ -287,7 +292,7 @@
         }
         End::Late => {
             account::settle(job, account, used);
-            log_broken(job, flow.events, "the time is over");
+            log_broken(job, flow.events, Break::Late, "the time is over");
         }
     }
 }
@@ -507,8 +512,9 @@
     true
 }
 
-fn log_broken(job: &Job, events: u64, why: &str) {
-    job.node.metrics.count(Counter::Failed);
+fn log_broken(job: &Job, events: u64, cause: Break, why: &str) {
+    job.node.metrics.end(Some(job.route.kind), Outcome::Failed);
+    job.node.metrics.break_off(cause);
     log::warn!(
         "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={} why=\"{why}\"",
         Event::StreamBroken.number(),
--- a/crates/relay/src/work.rs
+++ b/crates/relay/src/work.rs
@@ -74,6 +74,14 @@
         self.lock().entries.len()
     }
 
+    /// Yields how many answers are.
+    #[must_use]
+    pub fn answers(&self) -> usize {
+        let state = self.lock();
+        let answers = state.entries.iter();
+        answers.filter(|entry| entry.kind == Kind::Answer).count()
+    }
+
     /// Yields what is under way, the oldest first.
     #[must_use]
     pub fn entries(&self) -> Vec<Entry> {
