Tell in a stream's last line its runner and first event, and name the silent VMs with a disk

E1208 named no runner, E1103 and E1208 didn't tell when the first event came, so a late stream's time couldn't be split between the wait for a slot and the generating. E1103 of a stream that went on at another runner named the one that began it: on-call looked at the wrong log. E3108 told how many VMs with a disk answer, not which are silent; where a turn found it first, no line told even that.

E1103 and E1208 have first_ms, E1208 has runner, and both name the runner that had the stream last. E3108 has silent with up to twelve names; after a turn's own line, and after a start, the next look at the members tells them, too.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -12,6 +12,7 @@
 use link::listen;
 use link::listen::Door;
 use policy::eject;
+use replica::client::Reach;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::task::JoinHandle;
@@ -41,6 +42,8 @@
 /// How often they are asked while too few answer: each turn is refused until enough do, and after
 /// a restart of all VMs the clients' next tries come within some hundred milliseconds.
 const PING_SOON: Duration = Duration::from_millis(50);
+/// VMs that a line of the log names at most.
+const NAMED: usize = 12;
 /// How often connections, runners and entries are looked over.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -181,6 +184,8 @@
 
 /// Asks the members with a disk whether enough of them answer.
 async fn ping(node: Arc<Node>) {
+    // Whether the log has the silent ones' names: what a turn finds and tells at once has none.
+    let mut named = false;
     loop {
         let reach = node.replicas.reachable(records::PATIENCE).await;
         let now = node.clock.now();
@@ -189,24 +194,41 @@
         } else {
             Look::TooFew
         };
-        if node.records().note(look, now) {
-            let event = if reach.enough {
-                Event::MembersRegained
-            } else {
-                Event::MembersLost
-            };
-            log::warn!(
-                "event=E{} text=\"{}\" answered={} members={}",
-                event.number(),
-                event.text(),
-                reach.answered,
-                reach.members
-            );
+        let news = node.records().note(look, now);
+        match look {
+            Look::Enough if news => log_reach(Event::MembersRegained, &reach),
+            Look::TooFew if !named && reach.members > 0 && !node.has_records() => {
+                log_reach(Event::MembersLost, &reach);
+                named = true;
+            }
+            Look::Enough | Look::TooFew => {}
         }
+        named &= !reach.enough;
         sleep(if reach.enough { PING } else { PING_SOON }).await;
     }
 }
 
+fn log_reach(event: Event, reach: &Reach) {
+    log::warn!(
+        "event=E{} text=\"{}\" answered={} members={} silent={}",
+        event.number(),
+        event.text(),
+        reach.answered,
+        reach.members,
+        names(&reach.silent)
+    );
+}
+
+/// Joins the names of the first VMs, and tells how many more there are.
+fn names(vms: &[String]) -> String {
+    let named = &vms[..vms.len().min(NAMED)];
+    let more = vms.len() - named.len();
+    match more {
+        0 => named.join(","),
+        _ => format!("{},+{more}", named.join(",")),
+    }
+}
+
 /// Looks over connections and runners.
 async fn sweep(node: Arc<Node>) {
     loop {
@@ -233,3 +255,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -101,6 +101,12 @@
     Late,
 }
 
+/// Renders a span for the log; nothing where there is none.
+#[must_use]
+pub fn told(span: Option<Millis>) -> String {
+    span.map_or_else(String::new, |span| span.as_u64().to_string())
+}
+
 impl Job {
     /// Yields the time left.
     #[must_use]
@@ -317,10 +323,10 @@
         );
     }
 
-    /// Logs the end of a request that ran.
-    pub fn log_answered(&self, runner: &str, status: u16, events: u64, why: &str) {
+    /// Logs the end of a request that ran; `first` is how long its first event took.
+    pub fn log_answered(&self, runner: &str, status: u16, events: u64, first: Option<Millis>) {
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} line={} route={} revision={} runner={runner} status={status} events={events} ms={} finish_ms={} why=\"{why}\"",
+            "event=E{} text=\"{}\" request={} program={} line={} route={} revision={} runner={runner} status={status} events={events} first_ms={} ms={} finish_ms={}",
             Event::RequestAnswered.number(),
             Event::RequestAnswered.text(),
             self.call.id,
@@ -328,6 +334,7 @@
             self.call.line.as_deref().unwrap_or_default(),
             self.route.name,
             self.table.version,
+            told(first),
             self.age().as_u64(),
             self.call.finish.unwrap_or_default().as_u64()
         );
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -168,7 +168,7 @@
         .end(Some(job.route.kind), Outcome::Answered);
     job.note_wait(&attempt);
     job.node.metrics.time(Span::Whole, job.age());
-    job.log_answered(&attempt.runner.id, head.status.as_u16(), 0, "");
+    job.log_answered(&attempt.runner.id, head.status.as_u16(), 0, None);
     Ok(answer::passed_on(
         head.status,
         &head.headers,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -79,7 +79,10 @@
     output: BytesMut,
     events: u64,
     last: Option<u64>,
-    first_at: Option<Instant>,
+    /// How long after the request's arrival its first event came.
+    first: Option<Millis>,
+    /// The runner that has the stream, or had it last.
+    runner: String,
     /// When the first event since the stream was last taken up came.
     begun: Option<Instant>,
 }
@@ -237,35 +240,29 @@
         output: BytesMut::new(),
         events: 0,
         last: job.call.last_event,
-        first_at: None,
+        first: None,
+        runner: attempt.runner.id.clone(),
         begun: None,
     };
-    let runner = attempt.runner.id.clone();
     let success = status.is_success();
     let end = if success {
         follow(job, history, &mut flow, reply, attempt).await
     } else {
         copy(job, &mut flow, reply).await
     };
-    finish(job, account, flow, end, &runner, status.as_u16()).await;
+    finish(job, account, flow, end, status.as_u16()).await;
 }
 
-async fn finish(
-    job: &Job,
-    account: Option<Account>,
-    flow: Flow,
-    end: End,
-    runner: &str,
-    status: u16,
-) {
+async fn finish(job: &Job, account: Option<Account>, flow: Flow, end: End, status: u16) {
+    let mut flow = flow;
     let used = account::used(job, account, flow.events);
     match end {
         End::Whole => {
             let last = Instant::now();
-            let output = flow.output.freeze();
+            let output = std::mem::take(&mut flow.output).freeze();
             let success = (200..300).contains(&status);
             if success && !keep(job, account, used, &output).await {
-                log_broken(job, flow.events, Break::Unkept, "the turn couldn't be kept");
+                log_broken(job, &flow, Break::Unkept, "the turn couldn't be kept");
                 return;
             }
             if !success || !job.route.keeps_turns {
@@ -280,11 +277,11 @@
                 .end(Some(job.route.kind), Outcome::Answered);
             // A client that has left needs no end.
             let _gone = flow.parts.send(Part::End).await;
-            job.log_answered(runner, status, flow.events, "");
+            job.log_answered(&flow.runner, status, flow.events, flow.first);
         }
         End::Broken(why) => {
             account::settle(job, account, used);
-            log_broken(job, flow.events, Break::Runner, &why);
+            log_broken(job, &flow, Break::Runner, &why);
         }
         End::Gone => {
             account::settle(job, account, used);
@@ -292,7 +289,7 @@
         }
         End::Late => {
             account::settle(job, account, used);
-            log_broken(job, flow.events, Break::Late, "the time is over");
+            log_broken(job, &flow, Break::Late, "the time is over");
         }
     }
 }
@@ -321,7 +318,10 @@
             return End::Broken(why);
         }
         match resume(job, history, flow, &attempt, &why).await {
-            Ok(next) => (reply, attempt) = next,
+            Ok(next) => {
+                (reply, attempt) = next;
+                flow.runner.clone_from(&attempt.runner.id);
+            }
             Err(end) => return end,
         }
     }
@@ -424,9 +424,10 @@
             if event.id.is_some() && flow.last.is_some() && event.id <= flow.last {
                 return End::Broken("an event came twice".to_owned());
             }
-            if flow.first_at.is_none() {
-                flow.first_at = Some(Instant::now());
-                job.node.metrics.time(Span::First, job.age());
+            if flow.first.is_none() {
+                let age = job.age();
+                flow.first = Some(age);
+                job.node.metrics.time(Span::First, age);
             }
             flow.begun.get_or_insert_with(Instant::now);
             flow.events += 1;
@@ -512,16 +513,19 @@
     true
 }
 
-fn log_broken(job: &Job, events: u64, cause: Break, why: &str) {
+fn log_broken(job: &Job, flow: &Flow, cause: Break, why: &str) {
     job.node.metrics.end(Some(job.route.kind), Outcome::Failed);
     job.node.metrics.break_off(cause);
     log::warn!(
-        "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={} why=\"{why}\"",
+        "event=E{} text=\"{}\" request={} program={} route={} runner={} events={} first_ms={} ms={} why=\"{why}\"",
         Event::StreamBroken.number(),
         Event::StreamBroken.text(),
         job.call.id,
         job.call.program.as_deref().unwrap_or_default(),
         job.route.name,
+        flow.runner,
+        flow.events,
+        job::told(flow.first),
         job.age().as_u64()
     );
 }
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -71,12 +71,14 @@
 }
 
 /// Whether the members can be relied on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reach {
     /// Whether a majority answers for every key.
     pub enough: bool,
     /// How many answer.
     pub answered: usize,
+    /// The VMs of those that don't.
+    pub silent: Vec<String>,
     /// How many there are.
     pub members: usize,
 }
@@ -323,10 +325,11 @@
         Err(fault)
     }
 
-    /// Tells whether enough members answer for every key within `patience`, and how many do.
+    /// Tells whether enough members answer for every key within `patience`, and which don't.
     pub async fn reachable(&self, patience: Duration) -> Reach {
         let list = self.list();
         let mut answered = Vec::new();
+        let mut silent = Vec::new();
         let mut asked = Vec::new();
         for member in &list.members {
             let http = self.http.clone();
@@ -339,12 +342,15 @@
         for (member, answer) in list.members.iter().zip(asked) {
             if let Ok(Some(Answer::Status(_))) = answer.await {
                 answered.push(member);
+            } else {
+                silent.push(member.vm.clone());
             }
         }
         let needed = list::majority(list.group_size(self.losses));
         Reach {
             enough: !list.members.is_empty() && list.covers(&answered, self.losses, needed),
             answered: answered.len(),
+            silent,
             members: list.members.len(),
         }
     }
