List the first door's metrics, count its answers by kind, and check the page against them

The metrics of chestnutyoke serve had no page, no explanations and no counts of what was answered; a refusal's code showed only once it had come up, so that a scraper missed its first.

The comparison of page and role is in fakes, for the tests of both doors.

Seen red with a row taken out and an explanation changed.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -16,6 +16,7 @@
 use crate::http;
 use crate::http::Response;
 use crate::http::listen::Room;
+use crate::metrics;
 use crate::operate;
 use crate::owner::registry::Phase;
 use crate::view::View;
@@ -33,7 +34,7 @@
     let probed = match path {
         "/health" => answer::probe(&view, &What::Health),
         "/ready" => answer::probe(&view, &What::Ready),
-        "/metrics" => Some(metrics(&core)),
+        "/metrics" => Some(figures(&core)),
         "/status" => Some(http::json(200, &status(&core, &view))),
         _ => None,
     };
@@ -41,19 +42,33 @@
     probed.unwrap_or_else(unknown)
 }
 
-fn metrics(core: &Core) -> Response {
+fn figures(core: &Core) -> Response {
     let mut text = core.metrics.render();
     let gauges = [
-        ("connections", u64::from(core.door.open())),
-        ("calls_waiting", core.desk.waiting() as u64),
-        ("shards_owned", core.registry.owned().len() as u64),
-        ("config_revision", core.view().config.revision),
+        (
+            "connections",
+            "connections of callers that are open",
+            u64::from(core.door.open()),
+        ),
+        (
+            "calls_waiting",
+            "calls that wait for an endpoint's slot",
+            core.desk.waiting() as u64,
+        ),
+        (
+            "shards_owned",
+            "shards that the VM owns",
+            core.registry.owned().len() as u64,
+        ),
+        (
+            "config_revision",
+            "the configuration in force",
+            core.view().config.revision,
+        ),
     ];
-    for (name, value) in gauges {
-        let _infallible = writeln!(
-            text,
-            "# TYPE chestnutyoke_{name} gauge\nchestnutyoke_{name} {value}"
-        );
+    for (name, help, value) in gauges {
+        metrics::explain(&mut text, name, "gauge", help);
+        let _infallible = writeln!(text, "chestnutyoke_{name} {value}");
     }
     http::whole(200, "text/plain; version=0.0.4", text)
 }
--- a/crates/node/src/filters/answer.rs
+++ b/crates/node/src/filters/answer.rs
@@ -32,6 +32,7 @@
 use crate::http::Response;
 use crate::http::body::Parts;
 use crate::http::sse;
+use crate::metrics;
 use crate::view::View;
 
 /// How long an entry VM waits for an owner's own refusal after the caller's deadline: a hop or two
@@ -144,6 +145,7 @@
         Shape::Whole { model } => {
             let (turn, answer) = last(core, wait, first, &mut replies).await?;
             core.metrics.whole(core.clock.now().since(wait.arrived));
+            core.metrics.answered(metrics::Kind::Whole);
             let completion = completion(program, turn, &model, &answer);
             let mut response = http::json(200, &completion);
             set(&mut response, header::TURN, &turn.to_string());
@@ -164,7 +166,11 @@
             response.headers_mut().insert(CONTENT_TYPE, kind);
             response
         }
-        Shape::Plain => plain(first)?,
+        Shape::Plain => {
+            let response = plain(first)?;
+            core.metrics.answered(metrics::Kind::Plain);
+            response
+        }
     };
     set(&mut response, header::PROGRAM, program.as_str());
     Ok(response)
@@ -269,6 +275,7 @@
         let _gone = self.sender.send(Bytes::from_static(b"data: [DONE]\n\n"));
         let elapsed = self.core.clock.now().since(self.wait.arrived);
         self.core.metrics.whole(elapsed);
+        self.core.metrics.answered(metrics::Kind::Stream);
     }
 
     fn fail(&self, refusal: &Refusal) {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -16,6 +16,26 @@
 /// The quantiles shown.
 const QUANTILES: [f64; 4] = [0.5, 0.95, 0.99, 1.0];
 
+/// What an answer that came whole was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A turn, in one piece.
+    Whole,
+    /// A turn, in parts.
+    Stream,
+    /// A call of a service, or something shown.
+    Plain,
+}
+
+impl Kind {
+    /// Every kind with its label, in the order of their declaration.
+    const ALL: [(Self, &str); 3] = [
+        (Self::Whole, "whole"),
+        (Self::Stream, "stream"),
+        (Self::Plain, "plain"),
+    ];
+}
+
 /// The measures of one node.
 pub struct Metrics(Mutex<State>);
 
@@ -24,8 +44,10 @@
     whole: Histogram<u64>,
     queued: Histogram<u64>,
     appended: Histogram<u64>,
-    refused: Vec<(Code, u64)>,
-    counts: Vec<(&'static str, u64)>,
+    /// By code, in the order of [`Code::ALL`].
+    refused: Vec<u64>,
+    /// By kind, in the order of [`Kind::ALL`].
+    answered: Vec<u64>,
 }
 
 impl Default for Metrics {
@@ -37,8 +59,8 @@
             whole: empty(),
             queued: empty(),
             appended: empty(),
-            refused: Vec::new(),
-            counts: Vec::new(),
+            refused: vec![0; Code::ALL.len()],
+            answered: vec![0; Kind::ALL.len()],
         }))
     }
 }
@@ -66,55 +88,67 @@
 
     /// Counts a refusal.
     pub fn refused(&self, code: Code) {
-        let mut state = self.lock();
-        match state.refused.binary_search_by_key(&code, |(c, _)| *c) {
-            Ok(at) => state.refused[at].1 += 1,
-            Err(at) => state.refused.insert(at, (code, 1)),
-        }
-    }
-
-    /// Counts an event of a kind.
-    pub fn count(&self, name: &'static str) {
-        let mut state = self.lock();
-        match state.counts.binary_search_by_key(&name, |(n, _)| *n) {
-            Ok(at) => state.counts[at].1 += 1,
-            Err(at) => state.counts.insert(at, (name, 1)),
-        }
+        self.lock().refused[code as usize] += 1;
     }
 
-    /// Yields how often an event of a kind was counted.
-    #[must_use]
-    pub fn counted(&self, name: &str) -> u64 {
-        let state = self.lock();
-        let found = state.counts.iter().find(|(n, _)| *n == name);
-        found.map_or(0, |(_, count)| *count)
+    /// Counts an answer that came whole.
+    pub fn answered(&self, kind: Kind) {
+        self.lock().answered[kind as usize] += 1;
     }
 
-    /// Renders every measure.
+    /// Renders every measure. Counters that are still zero are told, too: a scraper else misses the
+    /// first of a kind, as it knows no value before it.
     #[must_use]
     pub fn render(&self) -> String {
         let state = self.lock();
         let mut out = String::new();
-        for (name, histogram) in [
-            ("first_reply", &state.first),
-            ("whole_answer", &state.whole),
-            ("queue_wait", &state.queued),
-            ("journal_append", &state.appended),
+        for (name, help, histogram) in [
+            (
+                "first_reply",
+                "from a request's arrival to its owner's first reply",
+                &state.first,
+            ),
+            (
+                "whole_answer",
+                "from a turn's arrival to the end of its answer",
+                &state.whole,
+            ),
+            (
+                "queue_wait",
+                "how long a call waited for an endpoint's slot",
+                &state.queued,
+            ),
+            (
+                "journal_append",
+                "how long a record took to be durable",
+                &state.appended,
+            ),
         ] {
-            summary(&mut out, name, histogram);
+            summary(&mut out, name, help, histogram);
         }
-        out.push_str("# TYPE chestnutyoke_refused_total counter\n");
-        for (code, count) in &state.refused {
+        explain(
+            &mut out,
+            "refused_total",
+            "counter",
+            "refusals by result code",
+        );
+        for (code, count) in Code::ALL.iter().zip(&state.refused) {
             let number = code.number();
             let _infallible = writeln!(
                 out,
                 "chestnutyoke_refused_total{{code=\"CY{number}\"}} {count}"
             );
         }
-        for (name, count) in &state.counts {
+        explain(
+            &mut out,
+            "answered_total",
+            "counter",
+            "answers that came whole",
+        );
+        for ((_, kind), count) in Kind::ALL.iter().zip(&state.answered) {
             let _infallible = writeln!(
                 out,
-                "# TYPE chestnutyoke_{name}_total counter\nchestnutyoke_{name}_total {count}"
+                "chestnutyoke_answered_total{{kind=\"{kind}\"}} {count}"
             );
         }
         out
@@ -125,10 +159,18 @@
     }
 }
 
+/// Writes what stands before a measure: its type and what it tells.
+pub fn explain(out: &mut String, name: &str, kind: &str, help: &str) {
+    let _infallible = writeln!(
+        out,
+        "# HELP chestnutyoke_{name} {help}\n# TYPE chestnutyoke_{name} {kind}"
+    );
+}
+
 #[allow(clippy::cast_precision_loss)] // Milliseconds up to an hour are exact in an f64.
-fn summary(out: &mut String, name: &str, histogram: &Histogram<u64>) {
+fn summary(out: &mut String, name: &str, help: &str, histogram: &Histogram<u64>) {
+    explain(out, &format!("{name}_seconds"), "summary", help);
     let metric = format!("chestnutyoke_{name}_seconds");
-    let _infallible = writeln!(out, "# TYPE {metric} summary");
     for quantile in QUANTILES {
         let seconds = histogram.value_at_quantile(quantile) as f64 / 1_000.0;
         let _infallible = writeln!(out, "{metric}{{quantile=\"{quantile}\"}} {seconds}");
--- a/crates/node/tests/request/main.rs
+++ b/crates/node/tests/request/main.rs
@@ -4,6 +4,7 @@
 mod door;
 mod fleet;
 mod lost;
+mod metrics;
 mod order;
 mod service;
 mod stop;
--- /dev/null
+++ b/crates/node/tests/request/metrics.rs
@@ -0,0 +1,53 @@
+//! What scrapers read of a node.
+
+use fakes::figures;
+use http_body_util::BodyExt;
+use serde_json::json;
+use standin::client;
+
+use crate::fleet::CHAT;
+use crate::fleet::Fleet;
+use crate::fleet::refusal;
+
+async fn scraped(fleet: &Fleet) -> String {
+    let response = client::send(fleet.node.admin(), "GET", "/metrics", &[], "").await;
+    let body = response.unwrap().into_body().collect().await.unwrap();
+    String::from_utf8(body.to_bytes().to_vec()).unwrap()
+}
+
+/// On-call reads a figure's name on a dashboard and looks it up. A figure that is served and not
+/// listed, or listed and gone, fails here, as does one whose explanations differ.
+#[tokio::test]
+async fn the_page_of_metrics_has_each_figure() {
+    let fleet = Fleet::plain().await;
+    figures::compare("serve", &scraped(&fleet).await);
+}
+
+/// A turn in one piece, one in parts and a refusal each count as what they are.
+#[tokio::test]
+async fn ends_are_counted_by_kind_and_code() {
+    let fleet = Fleet::plain().await;
+    let mut chat = client::chat("plan #tokens=3");
+    assert_eq!(fleet.ask(CHAT, &[], &chat).await.0, 200);
+    chat["stream"] = json!(true);
+    let token = format!("Bearer {}", client::TOKEN);
+    let headers = [
+        ("authorization", token.as_str()),
+        ("content-type", "application/json"),
+    ];
+    let stream = client::send(fleet.callers, "POST", CHAT, &headers, &chat.to_string()).await;
+    let (_, whole) = client::stream(stream.unwrap()).await;
+    assert!(whole);
+    let unknown = json!({"model": "none", "messages": [{"role": "user", "content": "x"}]});
+    let refused = fleet.ask(CHAT, &[], &unknown).await;
+    let (code, _) = refusal(&refused);
+    let text = scraped(&fleet).await;
+    for line in [
+        "chestnutyoke_answered_total{kind=\"whole\"} 1\n".to_owned(),
+        "chestnutyoke_answered_total{kind=\"stream\"} 1\n".to_owned(),
+        "chestnutyoke_answered_total{kind=\"plain\"} 0\n".to_owned(),
+        format!("chestnutyoke_refused_total{{code=\"{code}\"}} 1\n"),
+    ] {
+        assert!(text.contains(&line), "{line}{text}");
+    }
+}
