Name in a story the refusal behind a caller that left, what else the runner did, and the silent members

A call that may run once was refused for want of an answer, and the story told only that its caller had left. Where a runner gave no answer, nothing told a lost answer from a runner that stood still. A turn that found too few VMs with a disk before its VM's own look did stood beside a line without names.

A refusal now counts though its caller had left; other requests at the same runner are counted meanwhile, on all VMs, by whether they were answered; and the look just after, which has the names, stands beside.

Three tests were red before and are green.

--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -10,7 +10,8 @@
 use crate::line::Line;
 use crate::state::Index;
 
-/// How long after a refusal another VM may notice the same: two looks at the VMs with a disk.
+/// How long after a refusal its VM or another one may notice the same: two looks at the VMs with a
+/// disk.
 const NOTICED_MS: u64 = 1_500;
 
 /// What became of a request, as far as the logs tell.
@@ -78,13 +79,28 @@
     pub runner: String,
     /// What its VM last noted of that runner until then, where it wasn't answered in time.
     pub reach: Option<Line>,
+    /// What else that runner did while it had the request, by the logs of all VMs.
+    pub beside: Option<Beside>,
     /// What its VM last noted of its own state before that, where it wasn't answered: a refusal says
     /// what is missing, these lines since when.
     pub state: Vec<Line>,
+    /// What its VM noted of the silent ones just after, where a turn had found them before it knew their
+    /// names.
+    pub after: Option<Line>,
     /// Who else reached too few VMs with a disk at that time, where its own VM did.
     pub alike: Option<Alike>,
 }
 
+/// How other requests at a runner ended: with all of them unanswered it stood still or was out of
+/// reach, with few it lost an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Beside {
+    /// Those that it answered.
+    pub answered: usize,
+    /// Those that it didn't.
+    pub failed: usize,
+}
+
 /// Which VMs had the same trouble at the same time: where few did, their own VM is cut off, where all
 /// did, the VMs with a disk are away.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -95,6 +111,10 @@
     pub vms: Vec<String>,
 }
 
+/// The field that names VMs with a disk that don't answer.
+const SILENT: &str = "silent";
+/// What the reason of a try begins with that its runner turned away: it did answer.
+const TURNED_AWAY: &str = "not run";
 /// The events that tell how a runner is to be used.
 const RUNNERS: [Event; 6] = [
     Event::EndpointEjected,
@@ -159,7 +179,9 @@
         cause,
         runner,
         reach: None,
+        beside: None,
         state: Vec::new(),
+        after: None,
         alike: None,
     };
     let last = match (&end.cause, of_request.last()) {
@@ -167,12 +189,16 @@
         (_, Some(last)) => last,
     };
     end.reach = reach(&end.runner, last, all);
+    end.beside = beside(&end.runner, of_request, all);
     if matches!(end.cause, Cause::Late { .. }) {
         return end;
     }
     end.state = states.until(last);
-    if end.state.iter().any(lacks_members) {
+    if let Some(lost) = end.state.iter().find(|line| lacks_members(line)) {
         end.alike = Some(alike(last, all));
+        if lost.field(SILENT).is_empty() {
+            end.after = named_after(last, all);
+        }
     }
     end
 }
@@ -181,6 +207,43 @@
     line.event == Event::MembersLost.number()
 }
 
+/// Finds the line just after that names the VMs with a disk that its VM didn't reach.
+fn named_after(last: &Line, all: &[Line]) -> Option<Line> {
+    let names = |line: &&Line| {
+        let soon = line.at >= last.at && line.day_ms <= last.day_ms + NOTICED_MS;
+        lacks_members(line) && line.vm == last.vm && soon && !line.field(SILENT).is_empty()
+    };
+    let found = all.iter().filter(names);
+    found.min_by(|a, b| a.at.cmp(&b.at)).cloned()
+}
+
+/// Counts how others ended at a runner from the time that it got the request until the request's end.
+fn beside(runner: &str, of_request: &[&Line], all: &[Line]) -> Option<Beside> {
+    let placed =
+        |line: &&&Line| line.event == Event::CallPlaced.number() && line.field("runner") == runner;
+    let begin = of_request.iter().rfind(placed)?;
+    let last = of_request.last()?;
+    let meanwhile = all.iter().filter(|line| {
+        let within = line.at >= begin.at && line.at <= last.at;
+        within && line.field("runner") == runner && line.field("request") != last.field("request")
+    });
+    let mut beside = Beside {
+        answered: 0,
+        failed: 0,
+    };
+    for line in meanwhile {
+        if line.event == Event::RequestAnswered.number() {
+            beside.answered += 1;
+        }
+        let failed = [Event::CallRetried, Event::StreamBroken];
+        let failed = failed.iter().any(|event| event.number() == line.event);
+        if failed && !line.field("why").starts_with(TURNED_AWAY) {
+            beside.failed += 1;
+        }
+    }
+    Some(beside)
+}
+
 /// Finds the last line about a runner that a VM wrote until then.
 fn reach(runner: &str, last: &Line, all: &[Line]) -> Option<Line> {
     let tells = |line: &&Line| {
@@ -220,7 +283,12 @@
 pub fn cause(of_request: &[&Line], index: &Index<'_>) -> Cause {
     let is = |line: &Line, event: Event| line.event == event.number();
     let ends = of_request.iter().rev();
+    // A call that may run once goes on without its caller; what became of it stands before that.
+    let mut ran_on = false;
     for line in ends {
+        if is(line, Event::RequestAnswered) && ran_on {
+            return Cause::CallerGone;
+        }
         if is(line, Event::RequestAnswered) {
             return answered(line, of_request);
         }
@@ -234,14 +302,18 @@
             let why = line.field("why").to_owned();
             return Cause::Broken { why };
         }
-        if is(line, Event::CallerGone) {
+        if is(line, Event::CallerGone) && line.field("ran_on").is_empty() {
             return Cause::CallerGone;
         }
+        ran_on |= is(line, Event::CallerGone);
         if is(line, Event::RequestCut) && line.field("what") == "Answer" {
             let vm = line.vm.clone();
             return Cause::ProcessEnded { vm };
         }
     }
+    if ran_on {
+        return Cause::CallerGone;
+    }
     let Some(last) = of_request.last() else {
         return Cause::EndMissing { vm: String::new() };
     };
@@ -321,9 +393,19 @@
         if let Some(reach) = &self.reach {
             writeln!(f, "  its runner before that: {reach}")?;
         }
+        if let Some(beside) = &self.beside {
+            let Beside { answered, failed } = beside;
+            writeln!(
+                f,
+                "  its runner meanwhile: {answered} other requests answered, {failed} not"
+            )?;
+        }
         for state in &self.state {
             writeln!(f, "  its VM before that: {state}")?;
         }
+        if let Some(after) = &self.after {
+            writeln!(f, "  its VM just after: {after}")?;
+        }
         if let Some(alike) = &self.alike {
             let (same, others) = (alike.vms.len(), alike.others);
             write!(f, "  told the same then: {same} of {others} other VMs")?;
--- a/crates/trace/src/story/tests.rs
+++ b/crates/trace/src/story/tests.rs
@@ -178,3 +178,58 @@
     let cut = of("r1", &log).ends.remove(0).cause;
     assert_eq!(cut, Cause::ProcessEnded { vm });
 }
+
+/// A call that may run once gets no answer in time; its VM refuses it, and tells in the same moment that
+/// its caller had left. What on-call needs is why there was no answer, not that nobody waited for one.
+#[test]
+fn a_refusal_counts_though_its_caller_had_left() {
+    let refused =
+        "v at=2026-05-17T07:00:05.000 event=E1102 request=r1 code=CY3104 why=\"no answer in time\"";
+    let answered =
+        "v at=2026-05-17T07:00:05.000 event=E1103 request=r1 status=200 ms=5000 finish_ms=0";
+    let left = "v at=2026-05-17T07:00:05.000 event=E1209 request=r1 ran_on=true";
+    let story = of("r1", &lines(&format!("{refused}\n{left}")));
+    let code = "CY3104".to_owned();
+    let why = "no answer in time".to_owned();
+    assert_eq!(story.ends[0].cause, Cause::Refused { code, why });
+    let story = of("r1", &lines(&format!("{answered}\n{left}")));
+    assert_eq!(story.ends[0].cause, Cause::CallerGone);
+}
+
+/// A runner gives one call no answer. Whether it stood still or lost that answer alone tells on-call
+/// whether to look at the runner; what it did with the others meanwhile, for all VMs, tells which.
+#[test]
+fn a_lost_answer_stands_beside_what_else_its_runner_did() {
+    let all = lines(
+        "w at=2026-05-17T07:00:00.900 event=E1103 request=a1 runner=i-1 status=200 ms=9 finish_ms=0
+v at=2026-05-17T07:00:01.000 event=E1201 request=r1 runner=i-1
+w at=2026-05-17T07:00:01.500 event=E1103 request=a2 runner=i-1 status=200 ms=9 finish_ms=0
+w at=2026-05-17T07:00:01.600 event=E1103 request=a3 runner=i-2 status=200 ms=9 finish_ms=0
+u at=2026-05-17T07:00:02.000 event=E1103 request=a4 runner=i-1 status=200 ms=9 finish_ms=0
+u at=2026-05-17T07:00:02.500 event=E1203 request=a5 runner=i-1 why=\"no answer in time\"
+u at=2026-05-17T07:00:02.600 event=E1203 request=a6 runner=i-1 why=\"not run, status 503\"
+v at=2026-05-17T07:00:05.000 event=E1203 request=r1 runner=i-1 why=\"no answer in time\"
+v at=2026-05-17T07:00:05.000 event=E1102 request=r1 code=CY3104 why=\"no answer in time\"",
+    );
+    let text = of("r1", &all).to_string();
+    let told = "its runner meanwhile: 2 other requests answered, 1 not\n";
+    assert!(text.contains(told), "{text}");
+}
+
+/// A turn finds too few VMs with a disk before its VM's own look does, and its line can't name the silent
+/// ones. The look that comes just after does, and stands beside the refusal.
+#[test]
+fn silent_members_are_named_though_a_turn_found_them_first() {
+    let all = lines(
+        "v at=2026-05-17T07:00:01.000 event=E3108 why=\"a turn's tokens could not be set aside\"
+v at=2026-05-17T07:00:01.050 event=E1102 request=r1 code=CY4107 why=few
+v at=2026-05-17T07:00:01.200 event=E3108 answered=1 members=3 silent=s-1,s-2
+v at=2026-05-17T07:00:09.000 event=E3108 answered=1 members=3 silent=s-3,s-2",
+    );
+    let text = of("r1", &all).to_string();
+    assert!(text.contains("its VM before that"), "{text}");
+    let told =
+        "its VM just after: 2026-05-17T07:00:01.200 v E3108 answered=1 members=3 silent=s-1,s-2\n";
+    assert!(text.contains(told), "{text}");
+    assert!(!text.contains("s-3"), "{text}");
+}
