--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -69,7 +69,7 @@
         let verdict = match reserved.await {
             Ok(Ok(verdict)) => verdict,
             Ok(Err(fault)) => {
-                job.node.note_records_lost();
+                job.node.note_records_lost(&fault);
                 let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
                 return Err(refusal.retry_after(retry(job)));
             }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -14,6 +14,7 @@
 use link::client::Client;
 use link::client::Limits;
 use policy::stop::Stop;
+use replica::client::Fault;
 use replica::client::Replicas;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -218,12 +219,13 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that a write or read found too few VMs with a disk; the next look tells for how long.
-    pub fn note_records_lost(&self) {
+    /// Notes that a turn's write or read failed at the VMs with a disk; the next look tells for how
+    /// long.
+    pub fn note_records_lost(&self, fault: &Fault) {
         let now = self.clock.now();
         if self.records().note_lost(now) {
             log::warn!(
-                "event=E{} text=\"{}\" why=\"a turn's tokens could not be set aside\"",
+                "event=E{} text=\"{}\" why=\"a turn's tokens could not be set aside: {fault}\"",
                 Event::MembersLost.number(),
                 Event::MembersLost.text()
             );
--- /dev/null
+++ b/crates/relay/tests/lost.rs
@@ -0,0 +1,77 @@
+//! What the log tells where a turn finds that the VMs with a disk don't serve it.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use adapter::settings::Settings;
+use log::LevelFilter;
+use log::Log;
+use log::Metadata;
+use log::Record;
+use relay::node::Node;
+use relay::records::Look;
+use replica::client::Fault;
+use wire::clock::Clock;
+use wire::clock::Millis;
+use wire::event::Event;
+
+const NOBODY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
+/// Keeps all lines.
+struct Lines(Mutex<Vec<String>>);
+
+static LINES: Lines = Lines(Mutex::new(Vec::new()));
+
+impl Log for Lines {
+    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        self.0.lock().unwrap().push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+fn settings() -> Settings {
+    Settings {
+        vm: "front-a-1".to_owned(),
+        ip: "127.0.0.1".to_owned(),
+        centre: "a".to_owned(),
+        first_start: false,
+        data: None,
+        disk_bytes: 0,
+        memory_bytes: 64_000_000,
+        callers: None,
+        ready: None,
+        first_port: 1,
+        last_port: 1,
+        store: NOBODY,
+        losses: 1,
+        grace: Millis::new(10_000),
+        heartbeat: Millis::new(1_000),
+        apply: Millis::new(4_000),
+        drain: Millis::new(2_000),
+    }
+}
+
+/// Enough members answer whether they are there, but they still learn, and refuse a turn's reads. The turns
+/// after the first are refused at once, with no reason of their own; the line of the first has to tell it,
+/// as on-call else looks for members that are down.
+#[tokio::test]
+async fn a_loss_that_a_turn_finds_tells_why() {
+    log::set_logger(&LINES).unwrap();
+    log::set_max_level(LevelFilter::Warn);
+    let node = Node::new(settings(), Clock::System);
+    let now = node.clock.now();
+    assert!(node.records().note(Look::Enough, now));
+    node.note_records_lost(&Fault::Learning);
+    let lines = LINES.0.lock().unwrap();
+    let event = format!("event=E{} ", Event::MembersLost.number());
+    let told: Vec<&String> = lines.iter().filter(|line| line.contains(&event)).collect();
+    assert_eq!(told.len(), 1, "{lines:?}");
+    assert!(told[0].contains(&Fault::Learning.to_string()), "{told:?}");
+}
