--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -70,7 +70,7 @@
         let verdict = match reserved.await {
             Ok(Ok(verdict)) => verdict,
             Ok(Err(fault)) => {
-                let _late = timeout_at(job.until, records::doubt(&job.node)).await;
+                let _late = timeout_at(job.until, records::doubt(&job.node, &fault)).await;
                 let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
                 return Err(refusal.retry_after(retry(job)));
             }
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -25,6 +25,8 @@
 use crate::fleet::Chosen;
 use crate::fleet::Want;
 use crate::metrics::Counter;
+use crate::metrics::Outcome;
+use crate::metrics::Span;
 use crate::node::Node;
 use crate::reach;
 use crate::refuse::Subject;
@@ -100,6 +102,12 @@
     Late,
 }
 
+/// Renders a span for the log; nothing where there is none.
+#[must_use]
+pub fn told(span: Option<Millis>) -> String {
+    span.map_or_else(String::new, |span| span.as_u64().to_string())
+}
+
 impl Job {
     /// Yields the time left.
     #[must_use]
@@ -119,6 +127,12 @@
         Millis::from(self.arrived.elapsed())
     }
 
+    /// Notes how long it took until the runner that answers had it.
+    pub fn note_wait(&self, attempt: &Attempt) {
+        let waited = attempt.sent.saturating_duration_since(self.arrived);
+        self.node.metrics.time(Span::Wait, Millis::from(waited));
+    }
+
     /// Yields what a refusal of it tells.
     #[must_use]
     pub fn subject(&self) -> Subject<'_> {
@@ -126,6 +140,7 @@
             request: &self.call.id,
             program: self.call.program.as_deref().unwrap_or_default(),
             route: &self.route.name,
+            kind: Some(self.route.kind),
             waited: self.age(),
         }
     }
@@ -302,7 +317,8 @@
 
     /// Logs that the client left before its answer was whole.
     pub fn log_gone(&self, events: u64) {
-        self.node.metrics.count(Counter::Gone);
+        let kind = Some(self.route.kind);
+        self.node.metrics.end(kind, Outcome::Gone);
         log::info!(
             "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={}",
             Event::CallerGone.number(),
@@ -314,10 +330,10 @@
         );
     }
 
-    /// Logs the end of a request that ran.
-    pub fn log_answered(&self, runner: &str, status: u16, events: u64, why: &str) {
+    /// Logs the end of a request that ran; `first` is how long its first event took.
+    pub fn log_answered(&self, runner: &str, status: u16, events: u64, first: Option<Millis>) {
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} line={} route={} revision={} runner={runner} status={status} events={events} ms={} finish_ms={} why=\"{why}\"",
+            "event=E{} text=\"{}\" request={} program={} line={} route={} revision={} runner={runner} status={status} events={events} first_ms={} ms={} finish_ms={}",
             Event::RequestAnswered.number(),
             Event::RequestAnswered.text(),
             self.call.id,
@@ -325,6 +341,7 @@
             self.call.line.as_deref().unwrap_or_default(),
             self.route.name,
             self.table.version,
+            told(first),
             self.age().as_u64(),
             self.call.finish.unwrap_or_default().as_u64()
         );
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 
 use policy::balancer;
+use replica::client::Fault;
+use replica::client::Reach;
 use wire::clock::Millis;
 use wire::event::Event;
 
@@ -23,6 +25,8 @@
 pub const PATIENCE: Duration = Duration::from_millis(250);
 /// Looks that fail in a row before turns are refused: one may meet a pause of two members.
 const LOST_AFTER: u32 = 2;
+/// VMs that a line of the log names at most.
+const NAMED: usize = 12;
 /// When a turn may come again at the soonest: about the time in which a VM with a disk restarts, or in
 /// which a slow disk ends what it does.
 pub const RETRY: Millis = Millis::new(300);
@@ -46,30 +50,24 @@
     } else {
         Look::TooFew
     };
-    if node.records().note(look, node.clock.now()) {
-        let event = if reach.enough {
-            Event::MembersRegained
-        } else {
-            Event::MembersLost
-        };
-        log::warn!(
-            "event=E{} text=\"{}\" answered={} members={}",
-            event.number(),
-            event.text(),
-            reach.answered,
-            reach.members
-        );
+    let news = node.records().note(look, node.clock.now());
+    match look {
+        Look::Enough if news => log_reach(Event::MembersRegained, &reach),
+        Look::TooFew if reach.members > 0 && node.records().is_to_name() => {
+            log_reach(Event::MembersLost, &reach);
+        }
+        Look::Enough | Look::TooFew => {}
     }
     look
 }
 
 /// Notes that a turn found too few members, and returns when a look has settled whether they are lost:
 /// one look for all turns that have the doubt at the time.
-pub async fn doubt(node: &Node) {
+pub async fn doubt(node: &Node, fault: &Fault) {
     let lost = node.records().doubt(node.clock.now());
     if lost {
         log::warn!(
-            "event=E{} text=\"{}\" why=\"a turn's tokens could not be set aside\"",
+            "event=E{} text=\"{}\" why=\"a turn's tokens could not be set aside: {fault}\"",
             Event::MembersLost.number(),
             Event::MembersLost.text()
         );
@@ -81,6 +79,27 @@
     }
 }
 
+fn log_reach(event: Event, reach: &Reach) {
+    log::warn!(
+        "event=E{} text=\"{}\" answered={} members={} silent={}",
+        event.number(),
+        event.text(),
+        reach.answered,
+        reach.members,
+        names(&reach.silent)
+    );
+}
+
+/// Joins the names of the first VMs, and tells how many more there are.
+fn names(vms: &[String]) -> String {
+    let named = &vms[..vms.len().min(NAMED)];
+    let more = vms.len() - named.len();
+    match more {
+        0 => named.join(","),
+        _ => format!("{},+{more}", named.join(",")),
+    }
+}
+
 /// What the looks at the members found.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Records {
@@ -92,6 +111,8 @@
     failed: u32,
     /// Whether a turn has found too few since then.
     doubted: bool,
+    /// Whether the log has the names of those that are lost: a turn that finds out has none.
+    named: bool,
     /// When the first of all these failed.
     since: Millis,
 }
@@ -105,6 +126,7 @@
                 self.ever = true;
                 self.failed = 0;
                 self.doubted = false;
+                self.named = false;
                 !std::mem::replace(&mut self.enough, true)
             }
             Look::TooFew => {
@@ -130,6 +152,11 @@
         self.doubted
     }
 
+    /// Tells once whether the members are lost and the log lacks their names.
+    fn is_to_name(&mut self) -> bool {
+        !self.enough && !std::mem::replace(&mut self.named, true)
+    }
+
     fn note_since(&mut self, now: Millis) {
         if self.failed == 0 && !self.doubted {
             self.since = now;
--- a/crates/relay/src/records/tests.rs
+++ b/crates/relay/src/records/tests.rs
@@ -1,8 +1,10 @@
 use wire::clock::Millis;
 
 use super::Look;
+use super::NAMED;
 use super::RETRY;
 use super::Records;
+use super::names;
 
 const NOW: Millis = Millis::new(50_000);
 
@@ -80,3 +82,16 @@
     assert!(!records.serves());
     assert_eq!(records.retry(later(3_000)), RETRY);
 }
+
+#[test]
+fn a_line_names_some_vms_and_counts_the_others() {
+    let vms: Vec<String> = (0..NAMED + 3).map(|at| format!("v{at}")).collect();
+    assert_eq!(names(&vms[..2]), "v0,v1");
+    assert_eq!(names(&[]), "");
+    let text = names(&vms);
+    assert!(
+        text.starts_with("v0,v1,") && text.ends_with(",+3"),
+        "{text}"
+    );
+    assert_eq!(text.split(',').count(), NAMED + 1);
+}
