--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -100,13 +100,22 @@
     }
 }
 
+/// Whether turns are served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Service {
+    /// Not yet since the start.
+    #[default]
+    Starting,
+    /// They are.
+    Served,
+    /// They were.
+    Lost,
+}
+
 /// What the looks at the members found.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Records {
-    /// Whether turns are served.
-    enough: bool,
-    /// Whether they ever were since the start.
-    ever: bool,
+    service: Service,
     /// Looks that failed since the last one that didn't.
     failed: u32,
     /// Whether a turn has found too few since then.
@@ -123,11 +132,10 @@
     pub fn note(&mut self, look: Look, now: Millis) -> bool {
         match look {
             Look::Enough => {
-                self.ever = true;
                 self.failed = 0;
                 self.doubted = false;
                 self.named = false;
-                !std::mem::replace(&mut self.enough, true)
+                std::mem::replace(&mut self.service, Service::Served) != Service::Served
             }
             Look::TooFew => {
                 self.note_since(now);
@@ -154,7 +162,7 @@
 
     /// Tells once whether the members are lost and the log lacks their names.
     fn is_to_name(&mut self) -> bool {
-        !self.enough && !std::mem::replace(&mut self.named, true)
+        !self.serves() && !std::mem::replace(&mut self.named, true)
     }
 
     fn note_since(&mut self, now: Millis) {
@@ -165,19 +173,23 @@
 
     fn judge(&mut self) -> bool {
         let looks = self.failed.saturating_add(u32::from(self.doubted));
-        looks >= LOST_AFTER && std::mem::replace(&mut self.enough, false)
+        let lost = looks >= LOST_AFTER && self.serves();
+        if lost {
+            self.service = Service::Lost;
+        }
+        lost
     }
 
     /// Tells whether turns are served.
     #[must_use]
     pub const fn serves(&self) -> bool {
-        self.enough
+        matches!(self.service, Service::Served)
     }
 
     /// Tells whether the balancer should send turns here.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
-        self.enough && self.failed == 0 && !self.doubted
+        self.serves() && self.failed == 0 && !self.doubted
     }
 
     /// Yields when a turn that is refused may come again: when the balancer is expected to send it
@@ -186,7 +198,7 @@
     /// whose members answer but are slow.
     #[must_use]
     pub fn retry(&self, now: Millis) -> Millis {
-        if !self.ever || self.is_ready() {
+        if self.service == Service::Starting || self.is_ready() {
             return RETRY;
         }
         balancer::NOTICES
--- a/crates/relay/tests/lost.rs
+++ b/crates/relay/tests/lost.rs
@@ -11,6 +11,7 @@
 use log::Metadata;
 use log::Record;
 use relay::node::Node;
+use relay::records;
 use relay::records::Look;
 use replica::client::Fault;
 use wire::clock::Clock;
@@ -58,9 +59,9 @@
     }
 }
 
-/// Enough members answer whether they are there, but they still learn, and refuse a turn's reads. The turns
-/// after the first are refused at once, with no reason of their own; the line of the first has to tell it,
-/// as on-call else looks for members that are down.
+/// A look finds too few members, and a turn's reads are refused, as those that answer still learn: with that
+/// the members are lost. The turns after it are refused at once, with no reason of their own; the line of
+/// the loss has to tell it, as on-call else looks for members that are down.
 #[tokio::test]
 async fn a_loss_that_a_turn_finds_tells_why() {
     log::set_logger(&LINES).unwrap();
@@ -68,7 +69,8 @@
     let node = Node::new(settings(), Clock::System);
     let now = node.clock.now();
     assert!(node.records().note(Look::Enough, now));
-    node.note_records_lost(&Fault::Learning);
+    assert!(!node.records().note(Look::TooFew, now));
+    records::doubt(&node, &Fault::Learning).await;
     let lines = LINES.0.lock().unwrap();
     let event = format!("event=E{} ", Event::MembersLost.number());
     let told: Vec<&String> = lines.iter().filter(|line| line.contains(&event)).collect();
