--- a/crates/relay/src/shutdown/tests.rs
+++ b/crates/relay/src/shutdown/tests.rs
@@ -19,8 +19,8 @@
 use crate::node::Node;
 
 const NOBODY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
-/// The last call comes after the half of it.
-const GRACE: Millis = Millis::new(800);
+/// The last call comes after 1.1 s of it, and its last moment after 1.6 s.
+const GRACE: Millis = Millis::new(2_000);
 
 fn node() -> Arc<Node> {
     let settings = Settings {
@@ -70,7 +70,7 @@
 // What is over before the process is, isn't given up, stop or no stop: refused, its caller would lose
 // an answer that it could have had.
 #[rstest]
-#[case::that_ends_in_time(500)]
+#[case::that_ends_in_time(1_000)]
 #[case::while_nothing_stops(20_000)]
 #[tokio::test]
 async fn nothing_is_given_up_without_need(#[case] ends_ms: u64) {
@@ -80,7 +80,7 @@
         node.begin_stop();
     }
     let waited = timeout(
-        Duration::from_millis(550),
+        Duration::from_millis(1_200),
         before(&node, ends, pending::<()>()),
     );
     assert!(waited.await.is_err());
@@ -95,7 +95,7 @@
     let ends = in_ms(20_000);
     node.begin_stop();
     assert_eq!(pass_on(&node, ends), Ok(()));
-    sleep(Duration::from_millis(450)).await;
+    sleep(Duration::from_millis(1_150)).await;
     let refusal = pass_on(&node, ends).unwrap_err();
     assert_eq!((refusal.code, refusal.ran), (Code::ShuttingDown, Ran::No));
 }
