Tell in a story what another VM noted of the runner just after

Where a connection to a runner breaks off, one VM's log can't tell a dead runner from a broken way there. The first line of another VM about that runner, within the time in which a silent one is noticed, now stands beside.

The test was red before, and is green.

--- a/crates/trace/src/story.rs
+++ b/crates/trace/src/story.rs
@@ -14,6 +14,10 @@
 /// disk.
 const NOTICED_MS: u64 = 1_500;
 
+/// How long after a broken request another VM may notice that its runner is gone: three heartbeats that
+/// are missed, and the way of the news.
+const MISSED_MS: u64 = 5_000;
+
 /// What became of a request, as far as the logs tell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub enum Cause {
@@ -79,6 +83,8 @@
     pub runner: String,
     /// What its VM last noted of that runner until then, where it wasn't answered in time.
     pub reach: Option<Line>,
+    /// What another VM noted of that runner first from then on.
+    pub elsewhere: Option<Line>,
     /// What else that runner did while it had the request, by the logs of all VMs.
     pub beside: Option<Beside>,
     /// What its VM last noted of its own state before that, where it wasn't answered: a refusal says
@@ -179,6 +185,7 @@
         cause,
         runner,
         reach: None,
+        elsewhere: None,
         beside: None,
         state: Vec::new(),
         after: None,
@@ -189,6 +196,7 @@
         (_, Some(last)) => last,
     };
     end.reach = reach(&end.runner, last, all);
+    end.elsewhere = elsewhere(&end.runner, last, all);
     end.beside = beside(&end.runner, of_request, all);
     if matches!(end.cause, Cause::Late { .. }) {
         return end;
@@ -244,6 +252,17 @@
     Some(beside)
 }
 
+/// Finds the first line about a runner that another VM wrote from then on.
+fn elsewhere(runner: &str, last: &Line, all: &[Line]) -> Option<Line> {
+    let tells = |line: &&Line| {
+        let about = RUNNERS.iter().any(|event| event.number() == line.event);
+        let soon = line.at >= last.at && line.day_ms <= last.day_ms + MISSED_MS;
+        about && soon && line.field("runner") == runner && line.vm != last.vm
+    };
+    let told = all.iter().filter(tells);
+    told.min_by(|a, b| a.at.cmp(&b.at)).cloned()
+}
+
 /// Finds the last line about a runner that a VM wrote until then.
 fn reach(runner: &str, last: &Line, all: &[Line]) -> Option<Line> {
     let tells = |line: &&Line| {
@@ -393,6 +412,9 @@
         if let Some(reach) = &self.reach {
             writeln!(f, "  its runner before that: {reach}")?;
         }
+        if let Some(elsewhere) = &self.elsewhere {
+            writeln!(f, "  another VM of that runner just after: {elsewhere}")?;
+        }
         if let Some(beside) = &self.beside {
             let Beside { answered, failed } = beside;
             writeln!(
--- a/crates/trace/src/story/tests.rs
+++ b/crates/trace/src/story/tests.rs
@@ -233,3 +233,27 @@
     assert!(text.contains(told), "{text}");
     assert!(!text.contains("s-3"), "{text}");
 }
+
+/// A connection to a runner breaks off. Whether the way there or the runner failed shows in what another VM
+/// says of it just after, once it has noticed.
+#[test]
+fn a_broken_connection_stands_beside_what_another_vm_notices() {
+    let all = lines(
+        "w at=2026-05-17T07:00:00.500 event=E5004 runner=i-1
+v at=2026-05-17T07:00:01.000 event=E1201 request=r1 runner=i-1
+v at=2026-05-17T07:00:01.010 event=E5007 runner=i-1
+v at=2026-05-17T07:00:01.010 event=E1102 request=r1 code=CY3101 why=closed
+v at=2026-05-17T07:00:01.500 event=E5008 runner=i-1
+w at=2026-05-17T07:00:02.000 event=E5007 runner=i-2
+w at=2026-05-17T07:00:03.000 event=E5005 runner=i-1
+u at=2026-05-17T07:00:03.500 event=E5007 runner=i-1
+v at=2026-05-17T07:00:05.000 event=E1201 request=r2 runner=i-3
+v at=2026-05-17T07:00:05.010 event=E1102 request=r2 code=CY3101 why=closed
+w at=2026-05-17T07:00:11.000 event=E5005 runner=i-3",
+    );
+    let text = of("r1", &all).to_string();
+    let told = "another VM of that runner just after: 2026-05-17T07:00:03.000 w E5005 runner=i-1\n";
+    assert!(text.contains(told), "{text}");
+    let text = of("r2", &all).to_string();
+    assert!(!text.contains("another VM of that runner"), "{text}");
+}
