Hold a runner off that fails what it gets, and eject none at the second door

A runner that answered with failures of its own was taken for the fastest: its answer counted as work done, and with nothing under way it was the idle one for each request.

Ejection saw answers that tell a failure as successes, and a second between two looks is long beside a request. Now a failure (a status of 5xx but 504, or a broken answer) has a runner held off as a broken connection does: 250 ms, doubled up to a second until it does something well, while there are others; it says nothing of the runner's pace. Ejection goes from the second door; policy::eject stays, as the first door uses it.

--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -70,7 +70,9 @@
             .iter()
             .filter(|runner| runner.may_take(want))
             .collect();
-        let sound = |runner: &&Runner| runner.told.all(want.now).1 < BELIEVED;
+        let sound = |runner: &&Runner| {
+            !runner.is_spared(want.now) && runner.told.all(want.now).1 < BELIEVED
+        };
         if usable.iter().any(sound) {
             usable.retain(sound);
         }
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -5,8 +5,6 @@
 use adapter::runner::Entry;
 use adapter::runner::Load;
 use adapter::runner::State;
-use policy::eject::Detector;
-use policy::eject::Sample;
 use policy::pace::Mean;
 use policy::place::Candidate;
 use policy::place::Lane;
@@ -16,11 +14,14 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::Want;
+use crate::fleet::health;
 use crate::tally::Told;
 
 /// Prompt tokens that an engine reads in the time in which it generates one: about the same at fast
 /// and slow engines, as both times are made of the same arithmetic.
 const READS: f64 = 220.0;
+/// All of a runner's slots may be used; what fails is held off whole.
+const WHOLE: f64 = 1.0;
 /// How long a runner gets nothing after another one answered at its address: until its entry is
 /// gone from the list, as a rule.
 const ELSEWHERE: Millis = Millis::new(1_000);
@@ -50,12 +51,14 @@
     pub(super) cache: Cache,
     /// Milliseconds a token; for plain services, a request.
     pub(super) pace: Mean,
-    pub(super) detector: Detector,
     /// No connection to it could be made, or one broke, and none has been made since.
     pub(super) unreachable: bool,
     /// Requests to it that broke since one was answered last.
     pub(super) broken: u32,
     pub(super) held_until: Millis,
+    /// Requests that it failed since it did one well last.
+    pub(super) failed: u32,
+    pub(super) spared_until: Millis,
     /// When an answer of its came last, or a connection was made beside the traffic.
     pub(super) heard: Millis,
     pub(super) elsewhere_until: Millis,
@@ -87,10 +90,11 @@
             load: None,
             cache: Cache::new(memory),
             pace: Mean::default(),
-            detector: Detector::new(Millis::ZERO),
             unreachable: false,
             broken: 0,
             held_until: Millis::ZERO,
+            failed: 0,
+            spared_until: Millis::ZERO,
             heard: Millis::ZERO,
             elsewhere_until: Millis::ZERO,
             full_until: Millis::ZERO,
@@ -129,7 +133,7 @@
             speed,
             prefill: speed * READS,
             cached: self.cache.cached(want.prompt),
-            share: self.detector.share(want.now),
+            share: WHOLE,
             lane: Lane::Open,
             away: if self.entry.centre == want.centre {
                 0.0
@@ -193,9 +197,18 @@
         self.full_until = now.plus(FULL);
     }
 
-    /// Notes that the runner failed a request.
-    pub fn note_failed(&mut self) {
-        self.detector.note(Sample::Failed);
+    /// Notes that the runner answered a request with a failure of its own, or broke its answer off.
+    ///
+    /// One that fails at once has nothing under way. Without a pause it is the idle one for every
+    /// request, and callers get nothing but failures from then on.
+    pub fn note_failed(&mut self, now: Millis) {
+        self.spared_until = now.plus(health::hold(self.failed));
+        self.failed += 1;
+    }
+
+    /// Tells whether the runner gets nothing while there are others, as it failed requests.
+    pub(super) fn is_spared(&self, now: Millis) -> bool {
+        self.spared_until > now
     }
 
     /// Notes that a request of so many tokens (1 for a plain service) took `span` at the runner.
@@ -207,6 +220,6 @@
         let span = span.as_u64().max(1) as f64;
         let pace = span / tokens.max(1) as f64;
         self.pace.note(pace, now);
-        self.detector.note(Sample::Done { pace });
+        self.failed = 0;
     }
 }
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -311,6 +311,41 @@
     assert!(fleet.choose(&Want { now, ..want(&[]) }).is_some());
 }
 
+/// A runner answers with failures of its own, at once, and is idle for every next request. It gets
+/// nothing while another one is there; where all fail, as for a request that fails everywhere, they
+/// are used all the same, and callers see what the runners say.
+#[test]
+fn a_runner_that_fails_gets_nothing_while_there_are_others() {
+    let mut fleet = fleet(2);
+    let chosen = |fleet: &Fleet, now| {
+        let ids = (0..16).filter_map(|salt| {
+            let want = want(&[]);
+            fleet.choose(&Want { salt, now, ..want })
+        });
+        ids.filter(|chosen| chosen.id == "i-0").count()
+    };
+    let mut now = NOW;
+    for span in [250, 500, 1_000, 1_000] {
+        fail(&mut fleet, "i-0", now);
+        now = now.plus(Millis::new(span));
+        assert_eq!(chosen(&fleet, now.since(Millis::new(1))), 0);
+        assert!(chosen(&fleet, now) > 0);
+    }
+    fail(&mut fleet, "i-0", now);
+    fail(&mut fleet, "i-1", now);
+    assert!(chosen(&fleet, now) > 0, "all of them fail");
+    let runner = fleet.runner("i-0").expect("it is there");
+    runner.note_done(100, Millis::new(500), now);
+    fail(&mut fleet, "i-0", now);
+    now = now.plus(Millis::new(250));
+    assert!(chosen(&fleet, now) > 0, "a success forgives the failures");
+}
+
+fn fail(fleet: &mut Fleet, id: &str, now: Millis) {
+    let runner = fleet.runner(id).expect("it is there");
+    runner.note_failed(now);
+}
+
 /// The load: a burst in which a runner is replaced. Its engines are three times slower than others
 /// that the system has served. Taken for a fast one until it is measured, the new runner would get
 /// every turn of the burst, until it held several times what the others do.
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -11,7 +11,6 @@
 use derive_more::From;
 use link::listen;
 use link::listen::Door;
-use policy::eject;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::task::JoinHandle;
@@ -219,17 +218,5 @@
             fleet::log_change(&fleet::Change::Gone, &format!("runner={id} missing=true"));
         }
         reach::retry(&node);
-        let changes = node.fleet().judge(now);
-        for (id, kind) in changes {
-            let event = match kind {
-                eject::Kind::Failing { .. } | eject::Kind::Slow { .. } => Event::EndpointEjected,
-                eject::Kind::Back => Event::EndpointRestored,
-            };
-            log::info!(
-                "event=E{} text=\"{}\" runner={id} why=\"{kind:?}\"",
-                event.number(),
-                event.text()
-            );
-        }
     }
 }
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -11,6 +11,7 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
+use hyper::StatusCode;
 use link::body::Payload;
 use link::client;
 use link::client::Reply;
@@ -254,6 +255,7 @@
         // Another runner has the address; it says so and has not run the request.
         let elsewhere = reply.head.status.as_u16() == 421;
         if !said.not_run && !elsewhere {
+            self.note_status(reply.head.status, &attempt);
             return Sent::Answers(Box::new(reply), attempt);
         }
         self.node.metrics.count(Counter::TurnedAway);
@@ -273,6 +275,17 @@
         Sent::NotRun
     }
 
+    /// Notes where a status tells that the runner failed.
+    fn note_status(&self, status: StatusCode, attempt: &Attempt) {
+        if !is_failure(status) {
+            return;
+        }
+        let now = self.node.clock.now();
+        if let Some(runner) = self.node.fleet().runner(&attempt.runner.id) {
+            runner.note_failed(now);
+        }
+    }
+
     /// Logs that an attempt has ended without an answer that is passed on.
     pub fn log_retry(&self, runner: &str, why: &str) {
         self.node.metrics.count(Counter::Retried);
@@ -323,3 +336,10 @@
         );
     }
 }
+
+/// Tells whether a status is a failure of the runner's own. One that says that the time is over isn't:
+/// its runner was slow, as the time that it took tells.
+#[must_use]
+pub fn is_failure(status: StatusCode) -> bool {
+    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
+}
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -151,8 +151,9 @@
     let body = match read {
         Ok(Ok(body)) => body,
         Ok(Err(fault)) => {
+            let now = job.node.clock.now();
             if let Some(runner) = job.node.fleet().runner(&attempt.runner.id) {
-                runner.note_failed();
+                runner.note_failed(now);
             }
             return Err(fault.to_string());
         }
@@ -160,7 +161,10 @@
     };
     let span = Millis::from(attempt.sent.elapsed());
     let now = job.node.clock.now();
-    if let Some(runner) = job.node.fleet().runner(&attempt.runner.id) {
+    // A failure tells nothing of how long work takes; most come at once.
+    if !job::is_failure(head.status)
+        && let Some(runner) = job.node.fleet().runner(&attempt.runner.id)
+    {
         runner.note_done(1, span, now);
     }
     job.node.metrics.count(Counter::Answered);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -376,7 +376,7 @@
 /// Notes how fast the runner was.
 ///
 /// Counted from its first event on: the wait for a slot and the reading of the prompt would else
-/// make a runner look slow that only got long prompts, and have it ejected.
+/// make a runner look slow that only got long prompts.
 fn note(job: &Job, attempt: &Attempt, flow: &Flow, before: u64, end: &End) {
     let events = flow.events - before;
     let now = job.node.clock.now();
@@ -385,7 +385,7 @@
         return;
     };
     match end {
-        End::Broken(_) => runner.note_failed(),
+        End::Broken(_) => runner.note_failed(now),
         End::Whole if events > 1 => {
             let engine = job.table.engine(&job.service);
             let tokens = engine.map_or(1, |engine| engine.event_tokens) * (events - 1);
--- /dev/null
+++ b/crates/relay/tests/failing.rs
@@ -0,0 +1,228 @@
+//! Runners that answer, but fail what they answer, or are slow: what their callers see.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::config;
+use adapter::header::Call;
+use adapter::runner::Entry;
+use adapter::runner::State;
+use adapter::settings::Settings;
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::StatusCode;
+use rand::RngExt;
+use relay::job::Job;
+use relay::node::Node;
+use relay::plain;
+use relay::table::Table;
+use relay::work::Kind;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use wire::clock::Clock;
+use wire::clock::Millis;
+
+const SERVICE: &str = "s";
+const ROUTES: &str = r#"{"version":1,"services":[],"routes":[{"name":"r","host":"h","prefix":"/","kind":"idempotent","timeoutMs":5000,"sloMs":1000,"priority":0,"service":"s"}]}"#;
+const CALLERS: u32 = 8;
+const PLAYED: Duration = Duration::from_secs(3);
+/// What the work of a request takes.
+const WORK: Duration = Duration::from_millis(20);
+
+const DONE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const FAILED: &str = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n";
+
+/// What a runner does with a request.
+#[derive(Clone, Copy, Debug)]
+enum Manner {
+    /// It answers after its work.
+    Sound(Duration),
+    /// It answers at once that it failed.
+    Fails,
+    /// It answers two of five at once that it failed, the others after its work.
+    FailsSome(Duration),
+    /// It breaks its answer off at once.
+    BreaksOff,
+    /// It answers that the time is over, when it is.
+    Hangs(Duration),
+}
+
+async fn runner(manner: Manner) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer(stream, manner));
+        }
+    });
+    address
+}
+
+/// Answers the requests of a connection, which have no bodies.
+async fn answer(mut stream: TcpStream, manner: Manner) {
+    let mut read = Vec::new();
+    while let Ok(1..) = stream.read_buf(&mut read).await {
+        if !read.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        read.clear();
+        let said = match manner {
+            Manner::FailsSome(_) if rand::rng().random_ratio(2, 5) => FAILED,
+            Manner::Sound(work) | Manner::FailsSome(work) => {
+                sleep(work).await;
+                DONE
+            }
+            Manner::Fails => FAILED,
+            Manner::Hangs(time) => {
+                sleep(time).await;
+                "HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n"
+            }
+            Manner::BreaksOff => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no",
+        };
+        if stream.write_all(said.as_bytes()).await.is_err() {
+            return;
+        }
+        if matches!(manner, Manner::BreaksOff) {
+            return;
+        }
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        vm: "front-a-1".to_owned(),
+        ip: "127.0.0.1".to_owned(),
+        centre: "a".to_owned(),
+        first_start: false,
+        data: None,
+        disk_bytes: 0,
+        memory_bytes: 64_000_000,
+        callers: None,
+        ready: None,
+        first_port: 1,
+        last_port: 1,
+        store: ([127, 0, 0, 1], 1).into(),
+        losses: 1,
+        grace: Millis::new(10_000),
+        heartbeat: Millis::new(1_000),
+        apply: Millis::new(4_000),
+        drain: Millis::new(2_000),
+    }
+}
+
+/// Makes a VM that knows a runner of each manner.
+async fn node(manners: &[Manner]) -> Arc<Node> {
+    let node = Node::new(settings(), Clock::System);
+    for (at, manner) in manners.iter().enumerate() {
+        let entry = Entry {
+            service: SERVICE.to_owned(),
+            address: runner(*manner).await,
+            centre: "a".to_owned(),
+            slots: 8,
+            state: State::Ready,
+            cold: Millis::ZERO,
+            born: Some(1),
+        };
+        node.fleet().set(&format!("i-{at}"), entry, 0);
+    }
+    node
+}
+
+fn job(node: &Arc<Node>, table: &Arc<Table>, id: &str) -> Job {
+    let arrived = Instant::now();
+    Job {
+        node: node.clone(),
+        table: table.clone(),
+        route: table.find("h", "/").expect("the route is there").clone(),
+        service: SERVICE.to_owned(),
+        call: Call {
+            id: id.to_owned(),
+            ..Call::default()
+        },
+        method: Method::GET,
+        path: "/".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        prompt: Vec::new(),
+        arrived,
+        until: arrived + Duration::from_secs(5),
+    }
+}
+
+/// What the callers got.
+#[derive(Clone, Copy, Debug, Default)]
+struct Got {
+    requests: u32,
+    failed: u32,
+    /// Those that took several times the usual work.
+    late: u32,
+}
+
+/// Has callers send one request after the other.
+async fn play(node: &Arc<Node>) -> Got {
+    let config = config::decode(ROUTES.as_bytes()).expect("it is sound");
+    let table = Arc::new(Table::new(config, &[]));
+    let until = Instant::now() + PLAYED;
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let (node, table) = (node.clone(), table.clone());
+        callers.spawn(async move {
+            let mut got = Got::default();
+            while Instant::now() < until {
+                let id = format!("q-{caller}-{}", got.requests);
+                let job = job(&node, &table, &id);
+                let sent = job.arrived;
+                let guard = node.work.begin(Kind::Answer, &id);
+                let response = plain::serve(job, guard).await;
+                got.requests += 1;
+                got.failed += u32::from(response.status() != StatusCode::OK);
+                got.late += u32::from(sent.elapsed() > WORK * 4);
+            }
+            got
+        });
+    }
+    let got = callers.join_all().await;
+    got.iter().fold(Got::default(), |sum, got| Got {
+        requests: sum.requests + got.requests,
+        failed: sum.failed + got.failed,
+        late: sum.late + got.late,
+    })
+}
+
+/// One runner of four fails all or some of what it gets, faster than the others work. With nothing under way it
+/// is always the idle one, and the fastest if its failures count as work that it did: callers would
+/// see nearly nothing but failures.
+#[rstest]
+#[case::fails(Manner::Fails)]
+#[case::fails_some(Manner::FailsSome(WORK))]
+#[case::breaks_off(Manner::BreaksOff)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_runner_that_fails_at_once_gets_little(#[case] manner: Manner) {
+    let sound = Manner::Sound(WORK);
+    let node = node(&[manner, sound, sound, sound]).await;
+    let got = play(&node).await;
+    assert!(got.requests > 200, "{got:?}");
+    assert!(got.failed * 20 < got.requests, "{got:?}");
+}
+
+/// One runner of four takes twenty times as long as the others, or hangs until the time is over. Given
+/// an equal share it would hold all callers up in turn; its pace, once learnt, keeps them from it.
+#[rstest]
+#[case::works_on(Manner::Sound(WORK * 20))]
+#[case::hangs(Manner::Hangs(WORK * 20))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_runner_that_is_slow_gets_little(#[case] manner: Manner) {
+    let sound = Manner::Sound(WORK);
+    let node = node(&[manner, sound, sound, sound]).await;
+    let got = play(&node).await;
+    assert!(got.requests > 200, "{got:?}");
+    assert!(got.late * 20 < got.requests, "{got:?}");
+}
