Let a VM tell others an address that isn't its own

listen.advertised names where other VMs connect, as behind a proxy or a translation of addresses; without it nothing changes.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -107,7 +107,8 @@
         tokio::spawn(follow::run(node.clone(), subject));
     }
     tokio::spawn(exchange::run(node.clone()));
-    tokio::spawn(register::run(node.clone(), own));
+    let advertised = settings.advertised.unwrap_or(own);
+    tokio::spawn(register::run(node.clone(), advertised));
     tokio::spawn(ping(node.clone()));
     tokio::spawn(sweep(node.clone()));
     stop.await?;
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -87,7 +87,7 @@
         own: list::Member {
             vm: settings.vm.clone(),
             centre: settings.centre.clone(),
-            address,
+            address: settings.advertised.unwrap_or(address),
             disk: member.status().disk,
         },
         member,
--- a/crates/relay/tests/reach.rs
+++ b/crates/relay/tests/reach.rs
@@ -80,6 +80,7 @@
         memory_bytes: 64_000_000,
         callers: None,
         ready: None,
+        advertised: None,
         first_port: 1,
         last_port: 1,
         store: NOBODY,
