Disturb what VMs and clients send each other in the soak; send and answer slowly

New kinds: vm-link (what one VM sends another, or all that one exchanges: slow, cut, cut one way, silent, reset), client-link, slow-bodies (a body in four pieces, or half of one and no more), runner-slow. VMs don't connect from addresses of their own; the kernel tells over netlink which process has opened a connection. The first trial read /proc/net/tcp instead: 16,000 rows, over 50 ms for each connection, in which VMs gave their messages up and opened further ones; the run never got ready. Runs in one process have nets of their own now, and a net holds 400 VMs. Tests: soak::body, soak::opener, soak::proxy links_of_a_fan_are_cut_by_themselves (new); oracle/tests has the new field of Want, without any other change.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -14,6 +14,8 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::body::Body;
+use crate::body::Pace;
 use crate::connection::Answer;
 use crate::connection::Connection;
 use crate::connection::Outcome;
@@ -104,6 +106,17 @@
         format!("input {} {} {filler}\n", self.hash, self.sent).into()
     }
 
+    /// Draws how a body is sent, while some are sent slowly.
+    fn pace(&mut self) -> Pace {
+        if !self.world.is_slow() || !self.random.random_bool(0.4) {
+            return Pace::AtOnce;
+        }
+        if self.random.random_bool(0.15) {
+            return Pace::Stops;
+        }
+        Pace::Slow(Duration::from_millis(self.random.random_range(10..250)))
+    }
+
     fn want(&mut self, kind: Kind, turn: Option<Turn>) -> Want {
         let (events, pause) = match kind {
             Kind::Long => (
@@ -129,6 +142,7 @@
             pause: Duration::from_millis(pause),
             deadline,
             leaves: None,
+            pace: self.pace(),
             input: self.input(),
             turn,
         }
@@ -232,6 +246,7 @@
                 }),
                 body: want.input.clone(),
             });
+            let request = request.map(|_| Body::new(want.input.clone(), want.pace));
             let patience = want
                 .leaves
                 .map_or(until, |span| until.min(Instant::now() + span));
--- a/crates/soak/src/connection.rs
+++ b/crates/soak/src/connection.rs
@@ -14,13 +14,14 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use link::body::Payload;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::body::Body;
+
 /// How long a connection may take to be made.
 const CONNECT: Duration = Duration::from_secs(1);
 
@@ -39,7 +40,7 @@
     pub vm: usize,
     /// When it was last used.
     pub used: Instant,
-    sender: SendRequest<Payload>,
+    sender: SendRequest<Body>,
     task: JoinHandle<()>,
 }
 
@@ -107,7 +108,7 @@
     }
 
     /// Sends a request and reads its answer until `until`.
-    pub async fn ask(&mut self, request: Request<Payload>, until: Instant) -> Outcome {
+    pub async fn ask(&mut self, request: Request<Body>, until: Instant) -> Outcome {
         let sent = timeout_at(until, self.sender.try_send_request(request)).await;
         self.used = Instant::now();
         match sent {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -41,6 +41,14 @@
     RunnerDown,
     /// A runner's link is slow, cut, silent or reset.
     RunnerLink,
+    /// A runner answers slowly, or stops in the middle of its answers.
+    RunnerSlow,
+    /// What one VM sends another is slow, cut, silent or reset, or all that a VM exchanges with others.
+    VmLink,
+    /// The links between clients and a VM are slow, cut, silent or reset.
+    ClientLink,
+    /// Clients send bodies slowly, or stop half-way.
+    SlowBodies,
 }
 
 impl Kind {
@@ -55,6 +63,7 @@
                 | Self::Reload
                 | Self::Configure
                 | Self::RunnerLeaves
+                | Self::SlowBodies
         )
     }
 }
@@ -76,6 +85,10 @@
             Self::RunnerFails,
             Self::RunnerDown,
             Self::RunnerLink,
+            Self::RunnerSlow,
+            Self::VmLink,
+            Self::ClientLink,
+            Self::SlowBodies,
         ]
     }
 
@@ -95,6 +108,10 @@
             Self::RunnerFails => "runner-fails",
             Self::RunnerDown => "runner-down",
             Self::RunnerLink => "runner-link",
+            Self::RunnerSlow => "runner-slow",
+            Self::VmLink => "vm-link",
+            Self::ClientLink => "client-link",
+            Self::SlowBodies => "slow-bodies",
         };
         Some(PossibleValue::new(name))
     }
@@ -108,6 +125,12 @@
     Store(usize),
     /// Between all VMs and a runner.
     Runner(usize),
+    /// From the VM that connects to another one.
+    Vms(usize, usize),
+    /// Between a VM and all others.
+    Around(usize),
+    /// Between clients and a VM.
+    Client(usize),
 }
 
 /// How a link is disturbed.
@@ -126,6 +149,18 @@
     Silence,
 }
 
+impl Harm {
+    /// Yields the harm that does the same to a link whose connections are opened from its other end.
+    #[must_use]
+    pub const fn from_other_end(self) -> Self {
+        match self {
+            Self::CutOneWay(Way::Out) => Self::CutOneWay(Way::Back),
+            Self::CutOneWay(Way::Back) => Self::CutOneWay(Way::Out),
+            harm => harm,
+        }
+    }
+}
+
 /// How a runner fails at its next requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -138,6 +173,10 @@
     Full,
     /// They get an answer that belongs to another request.
     Crossed,
+    /// Their answers pause for long after each event.
+    Slow,
+    /// Their answers stop in the middle, and the connection stays open.
+    Stalls,
 }
 
 impl Failure {
@@ -149,6 +188,8 @@
             Self::AnswerLost => runner::Mode::AnswerLost,
             Self::Full => runner::Mode::Full,
             Self::Crossed => runner::Mode::Crossed,
+            Self::Slow => runner::Mode::Slow,
+            Self::Stalls => runner::Mode::Stalls,
         }
     }
 }
@@ -181,4 +222,40 @@
     RunnerDown(usize, Millis),
     /// A link is harmed for so long.
     Link(Pair, Harm, Millis),
+    /// Some clients send their bodies slowly or stop half-way for so long.
+    SlowBodies(Millis),
+}
+
+impl Fault {
+    /// Yields how long it lasts, where it says so.
+    #[must_use]
+    pub const fn span(self) -> Option<Millis> {
+        match self {
+            Self::Pause(_, span)
+            | Self::StoreAway(span)
+            | Self::RunnerDown(_, span)
+            | Self::Link(_, _, span)
+            | Self::SlowBodies(span) => Some(span),
+            _ => None,
+        }
+    }
+
+    /// Yields the row of the report's timeline that it stands in.
+    #[must_use]
+    pub const fn row(self) -> &'static str {
+        match self {
+            Self::Stop(_) => "stop",
+            Self::Reload(_) => "reload",
+            Self::Configure => "configure",
+            Self::Kill(_) => "kill",
+            Self::Pause(..) => "pause",
+            Self::Wipe(_) => "wipe",
+            Self::StoreAway(_) => "store away",
+            Self::RunnerLeaves(_) | Self::RunnerUnlisted(_) => "runner leaves",
+            Self::RunnerFails(..) => "runner fails",
+            Self::RunnerDown(..) => "runner down",
+            Self::Link(..) => "link",
+            Self::SlowBodies(_) => "slow bodies",
+        }
+    }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fakes::caller;
@@ -24,13 +26,18 @@
 
 use crate::balancer::Balancer;
 use crate::balancer::Row;
+use crate::body::Body;
+use crate::body::Pace;
 use crate::check::Check;
 use crate::connection::Connection;
 use crate::fault::Fault;
 use crate::fault::Harm;
+use crate::fault::Kind as FaultKind;
 use crate::fault::Pair;
+use crate::opener;
 use crate::oracle::Oracle;
 use crate::plan::Plan;
+use crate::proxy::Fan;
 use crate::proxy::Link;
 use crate::proxy::Mode;
 use crate::request::Kind;
@@ -77,38 +84,60 @@
     store: Store,
     /// By VM.
     store_links: Vec<Link>,
+    /// What VMs send each other, by target; only where a run disturbs it.
+    vm_links: Vec<Fan>,
+    /// What clients send, by VM; only where a run disturbs it.
+    client_links: Vec<Link>,
     runners: Vec<Backend>,
     /// The configuration's version.
     version: Mutex<u64>,
 }
 
-/// Addresses of one run: the process's id makes the second and third number, so that runs beside
-/// each other don't meet; the links have a net of their own.
+/// Addresses of one run: the process's id and the run's number in it choose the net, so that runs
+/// beside each other don't meet. A part of the net is one number in the address's third place, or as
+/// many as it needs.
 #[derive(Clone, Copy, Debug)]
 struct Net {
     second: u8,
     third: u8,
 }
 
+/// A part of a run's net, by the first of its numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Part {
+    Vms = 0,
+    StoreLinks = 2,
+    VmLinks = 4,
+    ClientLinks = 6,
+    Runners = 8,
+    RunnerLinks = 9,
+    Store = 10,
+}
+
+/// How many addresses each number of a part has.
+const NET_SIZE: usize = 200;
+
 impl Net {
-    fn new() -> Self {
+    /// Yields the net of the next run.
+    fn next() -> Self {
+        static RUNS: AtomicU32 = AtomicU32::new(0);
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let id = process::id();
         let part = |value: u32| u8::try_from(value).unwrap_or_default();
         Self {
             second: part(1 + id % 250),
-            third: part(100 + id / 250 % 75 * 2),
+            third: part(10 + (id / 250 + run) % 20 * 12),
         }
     }
 
-    fn ip(self, last: usize) -> IpAddr {
-        let last = u8::try_from(last).unwrap_or_default();
-        IpAddr::from([127, self.second, self.third, last])
+    fn ip(self, of: Part, at: usize) -> IpAddr {
+        let part = |value: usize| u8::try_from(value).unwrap_or_default();
+        let third = self.third + of as u8 + part(at / NET_SIZE);
+        IpAddr::from([127, self.second, third, part(1 + at % NET_SIZE)])
     }
 
-    fn link(self, last: usize, port: u16) -> SocketAddr {
-        let last = u8::try_from(last).unwrap_or_default();
-        let ip = IpAddr::from([127, self.second, self.third + 1, last]);
-        SocketAddr::new(ip, port)
+    fn link(self, of: Part, at: usize, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip(of, at), port)
     }
 }
 
@@ -123,15 +152,17 @@
             fs::create_dir_all(parent)?;
         }
         fs::create_dir(&plan.folder)?;
-        let net = Net::new();
-        let store = Store::start(SocketAddr::new(net.ip(250), STORE_PORT)).await;
+        let net = Net::next();
+        let store = Store::start(net.link(Part::Store, 0, STORE_PORT)).await;
         let mut vms = Vec::new();
         let mut store_links = Vec::new();
         for at in 0..plan.vms + DISKS {
-            let address = net.link(at, STORE_PORT);
+            let address = net.link(Part::StoreLinks, at, STORE_PORT);
             store_links.push(Link::start(address, store.address));
-            vms.push(Vm::new(place(plan, at, net.ip(at + 1), address)?));
+            vms.push(Vm::new(place(plan, net, at)?));
         }
+        let vm_links = vm_links(plan, net, &vms);
+        let client_links = client_links(plan, net, &vms);
         let log = runner::Log::default();
         let mut runners = Vec::new();
         for at in 0..plan.runners {
@@ -139,7 +170,9 @@
         }
         let rows = vms[..plan.vms].iter().enumerate().map(|(at, vm)| Row {
             centre: at % DISKS,
-            callers: vm.callers(),
+            callers: client_links
+                .get(at)
+                .map_or(vm.callers(), |link| link.address),
             ready: vm.ready(),
             misses: 2,
         });
@@ -151,6 +184,8 @@
             vms,
             store,
             store_links,
+            vm_links,
+            client_links,
             runners,
             version: Mutex::new(0),
         })
@@ -208,18 +243,40 @@
             }
             Fault::RunnerDown(at, span) => self.crash(&self.runners[at], span).await,
             Fault::Link(pair, harm, span) => {
-                let link = match pair {
-                    Pair::Store(vm) => &self.store_links[vm],
-                    Pair::Runner(at) => &self.runners[at].link,
-                };
-                harm_link(link, harm);
+                let links = self.links(pair, harm);
+                for (link, harm) in &links {
+                    harm_link(link, *harm);
+                }
                 self.disrupt(span).await;
-                link.set_mode(Mode::Open);
+                for (link, _) in links {
+                    link.set_mode(Mode::Open);
+                }
+            }
+            Fault::SlowBodies(span) => {
+                self.world.slow_down();
+                sleep(span.as_duration()).await;
+                self.world.hurry();
             }
         }
         Ok(())
     }
 
+    /// Yields the links of a pair, each with its harm.
+    fn links(&self, pair: Pair, harm: Harm) -> Vec<(&Link, Harm)> {
+        match pair {
+            Pair::Store(vm) => vec![(&self.store_links[vm], harm)],
+            Pair::Runner(at) => vec![(&self.runners[at].link, harm)],
+            Pair::Client(vm) => vec![(&self.client_links[vm], harm)],
+            Pair::Vms(from, to) => vec![(&self.vm_links[to].links[from], harm)],
+            Pair::Around(vm) => {
+                let from = self.vm_links.iter().map(|fan| (&fan.links[vm], harm));
+                let to = self.vm_links[vm].links.iter();
+                let to = to.map(|link| (link, harm.from_other_end()));
+                from.chain(to).collect()
+            }
+        }
+    }
+
     /// Notes a disruption for a while.
     async fn disrupt(&self, span: Millis) {
         let ticket = {
@@ -304,6 +361,7 @@
             pause: Duration::ZERO,
             deadline: Duration::from_secs(1),
             leaves: None,
+            pace: Pace::AtOnce,
             input: "which configuration\n".into(),
             turn: None,
         };
@@ -319,6 +377,7 @@
             turn: None,
             body: want.input.clone(),
         });
+        let request = request.map(|_| Body::new(want.input.clone(), want.pace));
         let until = Instant::now() + want.deadline;
         let outcome = connection.ask(request, until).await;
         self.world.oracle().finish(&id, &outcome);
@@ -383,8 +442,38 @@
     }
 }
 
+/// Starts proxies between VMs, where the run disturbs what they send each other.
+fn vm_links(plan: &Plan, net: Net, vms: &[Arc<Vm>]) -> Vec<Fan> {
+    if !plan.kinds.contains(&FaultKind::VmLink) {
+        return Vec::new();
+    }
+    let all: Arc<[Arc<Vm>]> = vms.into();
+    let source = move |from, to| {
+        let ids: Vec<Option<u32>> = all.iter().map(|vm| vm.id()).collect();
+        opener::find(&ids, from, to).ok().flatten()
+    };
+    let fan = |(at, vm): (usize, &Arc<Vm>)| {
+        let address = net.link(Part::VmLinks, at, settings::PEERS);
+        Fan::start(address, vm.peers(), vms.len(), source.clone())
+    };
+    vms.iter().enumerate().map(fan).collect()
+}
+
+/// Starts proxies between clients and VMs, where the run disturbs what they send.
+fn client_links(plan: &Plan, net: Net, vms: &[Arc<Vm>]) -> Vec<Link> {
+    if !plan.kinds.contains(&FaultKind::ClientLink) {
+        return Vec::new();
+    }
+    let link = |(at, vm): (usize, &Arc<Vm>)| {
+        let address = net.link(Part::ClientLinks, at, settings::CALLERS);
+        Link::start(address, vm.callers())
+    };
+    vms[..plan.vms].iter().enumerate().map(link).collect()
+}
+
 /// Prepares a VM's folder and settings file.
-fn place(plan: &Plan, at: usize, ip: IpAddr, store: SocketAddr) -> io::Result<Place> {
+fn place(plan: &Plan, net: Net, at: usize) -> io::Result<Place> {
+    let ip = net.ip(Part::Vms, at);
     let centre = ["a", "b", "c"][at % DISKS];
     let is_disk = at >= plan.vms;
     let name = if is_disk {
@@ -393,11 +482,16 @@
         format!("front-{centre}-{}", at / DISKS + 1)
     };
     let disk = is_disk.then(|| plan.folder.join(&name));
+    let advertised = net.link(Part::VmLinks, at, settings::PEERS);
     let text = settings::text(&settings::Vm {
         name: &name,
         centre,
         ip,
-        store,
+        advertised: plan
+            .kinds
+            .contains(&FaultKind::VmLink)
+            .then_some(advertised),
+        store: net.link(Part::StoreLinks, at, STORE_PORT),
         disk: disk.as_deref(),
     });
     let file = plan.folder.join(format!("{name}.toml"));
@@ -416,12 +510,12 @@
 /// Starts a runner: two of three serve models.
 async fn backend(net: Net, at: usize, log: runner::Log) -> Backend {
     let id = format!("i-{at:02}");
-    let address = SocketAddr::new(net.ip(100 + at), RUNNER_PORT);
+    let address = net.link(Part::Runners, at, RUNNER_PORT);
     let runner = Runner::start_logging(&id, address, log).await;
     Backend {
         id,
         service: if at % 3 == 2 { "ops" } else { "models" },
         runner,
-        link: Link::start(net.link(100 + at, RUNNER_PORT), address),
+        link: Link::start(net.link(Part::RunnerLinks, at, RUNNER_PORT), address),
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -23,6 +23,7 @@
 use crate::schedule::Step;
 
 pub mod balancer;
+pub mod body;
 pub mod check;
 pub mod client;
 pub mod connection;
@@ -30,6 +31,7 @@
 pub mod fault;
 pub mod fleet;
 pub mod history;
+pub mod opener;
 pub mod oracle;
 pub mod plan;
 pub mod process;
--- /dev/null
+++ b/crates/soak/src/opener.rs
@@ -0,0 +1,102 @@
+//! Which VM has opened a connection: the kernel tells its socket, and which process holds that.
+//!
+//! VMs don't connect from addresses of their own, so a proxy between them can't tell them apart
+//! otherwise. The kernel is asked for the one socket over netlink; its table of all sockets takes tens
+//! of milliseconds on a busy machine, in which a VM gives its message up.
+
+use std::fs;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::Socket;
+use socket2::Type;
+
+/// The kernel's numbers for its netlink sockets, and for the family that tells about sockets.
+const NETLINK: i32 = 16;
+const SOCK_DIAG: i32 = 4;
+/// The message's type, its flag of a request, and the type of an answer that is a failure.
+const BY_FAMILY: u16 = 20;
+const REQUEST: u16 = 1;
+const FAILURE: u16 = 2;
+/// The numbers of IPv4 and of TCP.
+const IPV4: u8 = 2;
+const TCP: u8 = 6;
+/// The length of a request, with its header.
+const LENGTH: u32 = 72;
+/// Where an answer has its type and the socket's inode.
+const TYPE_AT: usize = 4;
+const INODE_AT: usize = 84;
+
+/// Finds which of these processes has opened the connection between two addresses.
+///
+/// # Errors
+///
+/// Fails where the kernel can't be asked.
+pub fn find(ids: &[Option<u32>], from: SocketAddr, to: SocketAddr) -> io::Result<Option<usize>> {
+    let (SocketAddr::V4(from), SocketAddr::V4(to)) = (from, to) else {
+        return Ok(None);
+    };
+    let Some(inode) = inode(from, to)? else {
+        return Ok(None);
+    };
+    let socket = format!("socket:[{inode}]");
+    let holds = |id: &Option<u32>| id.is_some_and(|id| holds(id, &socket));
+    Ok(ids.iter().position(holds))
+}
+
+/// Asks the kernel for the inode of the socket with these ends; there may be none any more.
+fn inode(local: SocketAddrV4, remote: SocketAddrV4) -> io::Result<Option<u32>> {
+    let protocol = Some(Protocol::from(SOCK_DIAG));
+    let mut kernel = Socket::new(Domain::from(NETLINK), Type::DGRAM, protocol)?;
+    kernel.write_all(&request(local, remote))?;
+    let mut answer = [0; 1024];
+    let length = kernel.read(&mut answer)?;
+    let kind = u16::from_ne_bytes([answer[TYPE_AT], answer[TYPE_AT + 1]]);
+    if kind == FAILURE || length < INODE_AT + 4 {
+        return Ok(None);
+    }
+    let bytes = [0, 1, 2, 3].map(|at| answer[INODE_AT + at]);
+    Ok(Some(u32::from_ne_bytes(bytes)))
+}
+
+fn request(local: SocketAddrV4, remote: SocketAddrV4) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    bytes.extend(LENGTH.to_ne_bytes());
+    bytes.extend(BY_FAMILY.to_ne_bytes());
+    bytes.extend(REQUEST.to_ne_bytes());
+    // A number and a sender, which nobody asks for.
+    bytes.extend([0; 8]);
+    bytes.extend([IPV4, TCP, 0, 0]);
+    // In whatever state.
+    bytes.extend([0xff; 4]);
+    bytes.extend(local.port().to_be_bytes());
+    bytes.extend(remote.port().to_be_bytes());
+    for address in [local, remote] {
+        bytes.extend(address.ip().octets());
+        // The rest of an IPv6 address.
+        bytes.extend([0; 12]);
+    }
+    // On any interface, without the kernel's cookie.
+    bytes.extend([0; 4]);
+    bytes.extend([0xff; 8]);
+    bytes
+}
+
+/// Tells whether a process holds a socket; one that has ended holds none.
+fn holds(id: u32, socket: &str) -> bool {
+    let Ok(files) = fs::read_dir(format!("/proc/{id}/fd")) else {
+        return false;
+    };
+    files.flatten().any(|file| {
+        let target = fs::read_link(file.path());
+        target.is_ok_and(|target| target.as_os_str() == socket)
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -33,6 +33,14 @@
     text: Option<Bytes>,
 }
 
+impl Attempt {
+    /// Yields when its last byte was sent; `None` where that never was.
+    fn whole(&self) -> Option<Millis> {
+        let span = self.want.pace.span()?;
+        Some(self.sent.plus(Millis::from(span)))
+    }
+}
+
 /// A program's tokens.
 #[derive(Clone, Copy, Debug, Default)]
 struct Program {
--- a/crates/soak/src/oracle/answer.rs
+++ b/crates/soak/src/oracle/answer.rs
@@ -66,7 +66,8 @@
         let status = answer.status;
         let is_own = matches!(status, 402 | 408 | 421 | 429);
         let is_kept = continues && matches!(status, 404 | 410);
-        let is_denied = matches!(status, 300..=499) && !is_own && !is_kept;
+        let is_whole = self.attempts[at].whole().is_some();
+        let is_denied = matches!(status, 300..=499) && is_whole && !is_own && !is_kept;
         let what = || format!("status {status}: {}", answer.body);
         self.note(Check::Proper, at, is_denied.then(what));
     }
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use wire::clock::Millis;
 
+use crate::body::Pace;
 use crate::check::Check;
 use crate::connection::Answer;
 use crate::connection::Outcome;
@@ -89,6 +90,7 @@
         pause: Duration::from_millis(500),
         deadline: Duration::from_secs(2),
         leaves: None,
+        pace: Pace::AtOnce,
         input: Bytes::from_static(b"in\n"),
         turn: None,
     }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -79,6 +79,12 @@
         Ok(Self(child))
     }
 
+    /// Yields the process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     /// Sends a signal. The process hasn't been waited for, so its id can't be another's.
     ///
     /// # Errors
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,5 +1,5 @@
-//! A loopback proxy between the product's processes and the platform's store or a runner, which
-//! delays, resets, cuts or silences what passes.
+//! A loopback proxy before a VM, the platform's store or a runner, which delays, resets, cuts or
+//! silences what passes.
 //!
 //! The system acknowledges bytes that the proxy holds back, so a time-out of TCP itself never shows
 //! here as it does on a real link that is cut.
@@ -17,6 +17,7 @@
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
 use tokio::sync::watch;
+use tokio::task::spawn_blocking;
 use tokio::time::sleep;
 use wire::clock::Millis;
 
@@ -74,12 +75,17 @@
     /// Starts a link to `target`.
     #[must_use]
     pub fn start(address: SocketAddr, target: SocketAddr) -> Self {
-        let (state, states) = watch::channel(State {
+        let link = Self::new(address);
+        tokio::spawn(listen(address, target, link.state.subscribe()));
+        link
+    }
+
+    fn new(address: SocketAddr) -> Self {
+        let (state, _states) = watch::channel(State {
             mode: Mode::Open,
             resets: 0,
             silences: 0,
         });
-        tokio::spawn(listen(address, target, states));
         Self { address, state }
     }
 
@@ -100,6 +106,54 @@
     }
 }
 
+/// Links of several sources to one target, all at one address.
+#[derive(Debug)]
+pub struct Fan {
+    /// By source.
+    pub links: Vec<Link>,
+}
+
+impl Fan {
+    /// Starts links of so many sources to `target`. `source` tells from both ends of a connection who
+    /// has opened it; it may block.
+    #[must_use]
+    pub fn start<S>(address: SocketAddr, target: SocketAddr, count: usize, source: S) -> Self
+    where
+        S: Fn(SocketAddr, SocketAddr) -> Option<usize> + Clone + Send + 'static,
+    {
+        let links: Vec<Link> = (0..count).map(|_| Link::new(address)).collect();
+        let states = links.iter().map(|link| link.state.subscribe()).collect();
+        tokio::spawn(fan_out(address, target, states, source));
+        Self { links }
+    }
+}
+
+async fn fan_out<S>(
+    address: SocketAddr,
+    target: SocketAddr,
+    states: Vec<watch::Receiver<State>>,
+    source: S,
+) where
+    S: Fn(SocketAddr, SocketAddr) -> Option<usize> + Clone + Send + 'static,
+{
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(_) => sleep(AGAIN).await,
+        }
+    };
+    while let Ok((stream, from)) = listener.accept().await {
+        let (source, states) = (source.clone(), states.clone());
+        tokio::spawn(async move {
+            let found = spawn_blocking(move || source(from, address)).await;
+            // One whose opener is gone already is closed.
+            if let Ok(Some(at)) = found {
+                connection(stream, target, states[at].clone()).await;
+            }
+        });
+    }
+}
+
 async fn listen(address: SocketAddr, target: SocketAddr, mut states: watch::Receiver<State>) {
     loop {
         if states
--- a/crates/soak/src/proxy/tests.rs
+++ b/crates/soak/src/proxy/tests.rs
@@ -1,4 +1,7 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -8,6 +11,7 @@
 use tokio::time::timeout;
 use wire::clock::Millis;
 
+use super::Fan;
 use super::Link;
 use super::Mode;
 use super::Way;
@@ -119,3 +123,24 @@
     let byte = timeout(SOON, echoed(&mut fresh)).await.unwrap();
     assert_eq!(byte.unwrap(), b'x');
 }
+
+/// What one VM sends another is cut, while a third one still reaches it.
+#[tokio::test]
+async fn links_of_a_fan_are_cut_by_themselves() {
+    let (echo, _stream) = through().await;
+    let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = free.local_addr().unwrap();
+    drop(free);
+    // The first to connect is the first source.
+    let count = Arc::new(AtomicUsize::new(0));
+    let source = move |_from, _to| Some(count.fetch_add(1, Ordering::SeqCst));
+    let fan = Fan::start(address, echo.address, 2, source);
+    let mut first = connect(address).await;
+    timeout(SOON, echoed(&mut first)).await.unwrap().unwrap();
+    let mut second = connect(address).await;
+    timeout(SOON, echoed(&mut second)).await.unwrap().unwrap();
+    fan.links[0].set_mode(Mode::Cut);
+    assert!(timeout(HELD, echoed(&mut first)).await.is_err());
+    let byte = timeout(SOON, echoed(&mut second)).await.unwrap();
+    assert_eq!(byte.unwrap(), b'x');
+}
--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -7,6 +7,8 @@
 use fakes::runner;
 use fakes::store;
 
+use crate::body::Pace;
+
 /// How long a route for long turns lets them take.
 pub const LONG_MS: u64 = 7_000;
 /// The tokens that an event of a stream stands for, as the configuration tells.
@@ -80,6 +82,8 @@
     pub deadline: Duration,
     /// When it leaves without a word, where it does.
     pub leaves: Option<Duration>,
+    /// How it sends the body.
+    pub pace: Pace,
     /// The input.
     pub input: Bytes,
     /// What makes it a turn.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -29,6 +29,9 @@
 /// Before a disk is lost, how long the other VMs with a disk must have been left alone.
 const BEFORE_WIPE: u64 = 10_000;
 
+/// How long a link is harmed at most.
+const LINK_MOST: u64 = 4_000;
+
 /// How runners fail.
 const FAILURES: [Failure; 4] = [
     Failure::BreaksOff,
@@ -36,6 +39,8 @@
     Failure::Full,
     Failure::Crossed,
 ];
+/// How slow ones do.
+const SLOW: [Failure; 2] = [Failure::Slow, Failure::Stalls];
 
 /// A fault at its time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -166,12 +171,23 @@
             }
             Kind::StoreLink => {
                 let vm = self.vm();
-                self.note_disk(vm, at + 4_000);
+                self.note_disk(vm, at + LINK_MOST);
                 self.link(at, Pair::Store(vm));
             }
-            Kind::RunnerLeaves | Kind::RunnerFails | Kind::RunnerDown | Kind::RunnerLink => {
-                self.runner_fault(kind, at);
+            Kind::VmLink => self.vm_link(at),
+            Kind::ClientLink => {
+                let vm = self.random.random_range(0..self.size.callers);
+                self.link(at, Pair::Client(vm));
+            }
+            Kind::SlowBodies => {
+                let span = self.span(1_000, 6_000);
+                self.push(at, Fault::SlowBodies(span));
             }
+            Kind::RunnerLeaves
+            | Kind::RunnerFails
+            | Kind::RunnerSlow
+            | Kind::RunnerDown
+            | Kind::RunnerLink => self.runner_fault(kind, at),
         }
     }
 
@@ -182,11 +198,8 @@
                 self.push(at, Fault::RunnerLeaves(runner));
             }
             Kind::RunnerLeaves => self.push(at, Fault::RunnerUnlisted(runner)),
-            Kind::RunnerFails => {
-                let failure = FAILURES[self.random.random_range(0..FAILURES.len())];
-                let count = self.random.random_range(1..6);
-                self.push(at, Fault::RunnerFails(runner, failure, count));
-            }
+            Kind::RunnerFails => self.runner_fails(at, runner, &FAILURES),
+            Kind::RunnerSlow => self.runner_fails(at, runner, &SLOW),
             Kind::RunnerDown => {
                 let span = self.span(500, 4_000);
                 self.push(at, Fault::RunnerDown(runner, span));
@@ -195,6 +208,26 @@
         }
     }
 
+    fn runner_fails(&mut self, at: u64, runner: usize, failures: &[Failure]) {
+        let failure = failures[self.random.random_range(0..failures.len())];
+        let count = self.random.random_range(1..6);
+        self.push(at, Fault::RunnerFails(runner, failure, count));
+    }
+
+    fn vm_link(&mut self, at: u64) {
+        let vm = self.vm();
+        let count = self.size.callers + self.size.disks;
+        let other = (vm + self.random.random_range(1..count)) % count;
+        self.note_disk(vm, at + LINK_MOST);
+        self.note_disk(other, at + LINK_MOST);
+        let pair = if self.random.random_bool(0.3) {
+            Pair::Around(vm)
+        } else {
+            Pair::Vms(vm, other)
+        };
+        self.link(at, pair);
+    }
+
     fn note_disk(&mut self, vm: usize, until: u64) {
         if vm >= self.size.callers {
             self.disks_disturbed = self.disks_disturbed.max(Some(until));
@@ -254,7 +287,7 @@
             Harm::Silence,
         ];
         let harm = harms[self.random.random_range(0..harms.len())];
-        let span = self.span(500, 4_000);
+        let span = self.span(500, LINK_MOST);
         self.push(at, Fault::Link(pair, harm, span));
     }
 }
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -93,6 +93,18 @@
         SocketAddr::new(self.place.ip, settings::READY)
     }
 
+    /// Yields where other VMs connect to it.
+    #[must_use]
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.place.ip, settings::PEERS)
+    }
+
+    /// Yields the id of its process, where it has one.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.life().process.as_ref().map(Process::id)
+    }
+
     /// Starts the process and starts it again after each end, for as long as it is polled.
     ///
     /// # Errors
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -3,6 +3,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use crate::balancer::Balancer;
 use crate::oracle::Oracle;
@@ -15,6 +17,8 @@
     /// Data centres.
     pub centres: usize,
     oracle: Mutex<Oracle>,
+    /// How many faults have clients send bodies slowly.
+    slow: AtomicUsize,
 }
 
 impl World {
@@ -25,6 +29,7 @@
             balancer,
             centres,
             oracle: Mutex::new(oracle),
+            slow: AtomicUsize::new(0),
         }
     }
 
@@ -32,4 +37,20 @@
     pub fn oracle(&self) -> MutexGuard<'_, Oracle> {
         self.oracle.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Has some clients send bodies slowly, until [`Self::hurry`].
+    pub fn slow_down(&self) {
+        self.slow.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Ends what [`Self::slow_down`] began.
+    pub fn hurry(&self) {
+        self.slow.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    /// Tells whether some clients send bodies slowly.
+    #[must_use]
+    pub fn is_slow(&self) -> bool {
+        self.slow.load(Ordering::SeqCst) > 0
+    }
 }
