--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,8 +19,10 @@
 use crate::fleet::Fleet;
 use crate::plan::Plan;
 use crate::report::Report;
+use crate::report::Sample;
 use crate::schedule::Size;
 use crate::schedule::Step;
+use crate::world::World;
 
 pub mod balancer;
 pub mod body;
@@ -34,6 +36,7 @@
 pub mod opener;
 pub mod oracle;
 pub mod plan;
+pub mod plot;
 pub mod process;
 pub mod proxy;
 pub mod regression;
@@ -45,6 +48,8 @@
 
 /// How often the soak looks whether it is late itself.
 const TICK: Duration = Duration::from_millis(10);
+/// How often the report's timeline has a point.
+const SAMPLE: Duration = Duration::from_secs(1);
 /// Until nothing is disturbed any more at the end, before how requests fare is judged.
 const SETTLE: u64 = 4_000;
 
@@ -78,6 +83,7 @@
         traffic_from,
         done: played.done,
         counts: oracle.counts,
+        samples: played.samples,
         checks: oracle.book.clone(),
         calm: oracle.calm().to_vec(),
         late: played.late,
@@ -92,6 +98,7 @@
 struct Played {
     done: Vec<Step>,
     late: Millis,
+    samples: Vec<Sample>,
     disk: Stalls,
 }
 
@@ -104,6 +111,7 @@
     }
     let balancer = tokio::spawn(balance(fleet.clone()));
     let lateness = tokio::spawn(measure(until));
+    let samples = tokio::spawn(sample(fleet.world.clone(), until));
     let (world, folder) = (fleet.world.clone(), plan.folder.clone());
     let watch = tokio::spawn(async move { disk::watch(world, &folder, until).await });
     let size = Size {
@@ -137,6 +145,7 @@
     Ok(Played {
         done,
         late: lateness.await.map_err(io::Error::other)?,
+        samples: samples.await.map_err(io::Error::other)?,
         disk: watch.await.map_err(io::Error::other)??,
     })
 }
@@ -148,6 +157,22 @@
     }
 }
 
+/// Notes again and again how attempts have ended.
+async fn sample(world: Arc<World>, until: Instant) -> Vec<Sample> {
+    let mut samples = Vec::new();
+    while Instant::now() < until {
+        {
+            let oracle = world.oracle();
+            samples.push(Sample {
+                at: oracle.now(),
+                counts: oracle.counts,
+            });
+        }
+        sleep(SAMPLE).await;
+    }
+    samples
+}
+
 /// Measures by how much the soak itself is late at most.
 async fn measure(until: Instant) -> Millis {
     let mut most = Duration::ZERO;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,6 +15,7 @@
 use clap::value_parser;
 use soak::fault::Kind;
 use soak::plan::Plan;
+use soak::plot;
 use soak::regression;
 use tokio::runtime::Builder;
 use wire::clock::Millis;
@@ -65,6 +66,7 @@
             "Where settings, logs and disks are kept; else removed after a clean run",
         ))
         .arg(path("regressions", "Plays the runs of this file instead").conflicts_with("seed"))
+        .arg(path("svg", "Draws the report's timeline into this file"))
         .arg(
             Arg::new("json")
                 .long("json")
@@ -151,6 +153,9 @@
     } else {
         print!("{report}");
     }
+    if let Some(file) = matches.get_one::<PathBuf>("svg") {
+        plot::draw(&report, file)?;
+    }
     if !report.is_clean() {
         eprintln!("settings, logs and disks: {}", plan.folder.display());
         return Ok(ExitCode::FAILURE);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -24,6 +24,8 @@
     pub done: Vec<Step>,
     /// How clients' attempts ended.
     pub counts: Counts,
+    /// How many had ended so by then, second by second.
+    pub samples: Vec<Sample>,
     /// The checks.
     pub checks: Book,
     /// Connections that closed on their request without a fault near, where they were few.
@@ -35,6 +37,15 @@
     pub disk: Stalls,
 }
 
+/// How clients' attempts had ended by a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Sample {
+    /// When.
+    pub at: Millis,
+    /// How they had ended.
+    pub counts: Counts,
+}
+
 impl Report {
     /// Tells whether all checks held.
     #[must_use]
