--- a/crates/chestnutyoke/tests/soak.rs
+++ b/crates/chestnutyoke/tests/soak.rs
@@ -9,9 +9,18 @@
 use soak::check::Check;
 use soak::fault::Kind;
 use soak::plan::Plan;
+use soak::regression;
+use soak::regression::Run;
 use soak::report::Report;
+use tokio::task::JoinSet;
 use wire::clock::Millis;
 
+/// The seeds that once showed a fault.
+const REGRESSIONS: &str = include_str!("../../soak/regressions.toml");
+/// How long clients ask in their short form: the last part of it is quiet.
+const SHORT: Millis = Millis::new(26_000);
+/// How many of them are played at a time: each is a dozen processes.
+const BESIDE: usize = 2;
 /// How long clients ask.
 const SPAN: Millis = Millis::new(36_000);
 
@@ -25,18 +34,16 @@
     env::temp_dir()
 }
 
-async fn play(seed: u64, kinds: &[Kind]) -> Report {
-    let name = format!("chestnutyoke-soak-{}-{seed}", process::id());
-    let plan = Plan {
-        binary: PathBuf::from(env!("CARGO_BIN_EXE_chestnutyoke")),
-        folder: folder().join(name),
-        seed,
-        span: SPAN,
-        vms: 9,
-        runners: 6,
-        clients: 12,
-        kinds: kinds.to_vec(),
-    };
+fn binary() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_chestnutyoke"))
+}
+
+/// Yields a folder of its own for a run.
+fn folder_of(run: &str) -> PathBuf {
+    folder().join(format!("chestnutyoke-soak-{}-{run}", process::id()))
+}
+
+async fn play(plan: Plan) -> Report {
     let report = soak::run(&plan).await.unwrap();
     assert!(report.is_clean(), "{}\n{report}", plan.folder.display());
     fs::remove_dir_all(&plan.folder).unwrap();
@@ -48,9 +55,65 @@
 /// the balancer sends them, and run programs. Whatever a stopping VM has read is answered whole, and each process ends by itself within its grace.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn overlapping_stops_lose_nothing() {
-    let report = play(11, &[Kind::Stops, Kind::Overlap, Kind::Configure]).await;
+    let report = play(Plan {
+        binary: binary(),
+        folder: folder_of("stops"),
+        seed: 11,
+        span: SPAN,
+        vms: 9,
+        runners: 6,
+        clients: 12,
+        kinds: vec![Kind::Stops, Kind::Overlap, Kind::Configure],
+    })
+    .await;
     for check in [Check::Lost, Check::Stops, Check::Once, Check::Chain] {
         let row = report.checks.row(check);
         assert!(row.exercised > 0, "{check:?} was never exercised: {report}");
     }
 }
+
+/// Each seed that once showed a fault does again what it began with then, two at a time; what its
+/// whole run did is played by hand.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn seeds_that_once_failed_hold_in_short() {
+    let runs = regression::parse(REGRESSIONS).unwrap();
+    let plan = |(at, run): (usize, &Run)| run.plan(binary(), folder_of(&at.to_string()), SHORT);
+    let plans: Vec<Plan> = runs.iter().enumerate().map(plan).collect();
+    for two in plans.chunks(BESIDE) {
+        let mut playing = JoinSet::new();
+        for plan in two {
+            playing.spawn(play(plan.clone()));
+        }
+        playing.join_all().await;
+    }
+}
+
+/// Links between VMs, between clients and VMs, and to the store and the runners are slow, cut, silent or
+/// reset, while clients and runners send slowly, stop half-way, and VMs stop. What clients are told
+/// stays true: nothing runs twice or changed, no turn that was answered whole is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn disturbed_links_break_no_promise() {
+    let report = play(Plan {
+        binary: binary(),
+        folder: folder_of("links"),
+        seed: 7,
+        span: SHORT,
+        vms: 6,
+        runners: 6,
+        clients: 12,
+        kinds: vec![
+            Kind::VmLink,
+            Kind::ClientLink,
+            Kind::StoreLink,
+            Kind::RunnerLink,
+            Kind::RunnerSlow,
+            Kind::SlowBodies,
+            Kind::Stops,
+        ],
+    })
+    .await;
+    for check in [Check::Once, Check::Asked, Check::Kept, Check::Chain] {
+        let row = report.checks.row(check);
+        assert!(row.exercised > 0, "{check:?} was never exercised: {report}");
+    }
+}
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -126,13 +126,13 @@
         return play_one(matches, &plan(matches, seed)?);
     };
     let mut code = ExitCode::SUCCESS;
-    for run in regression::parse(&fs::read_to_string(file)?)? {
-        let plan = Plan {
-            span: Millis::new(run.for_s * 1_000),
-            vms: run.vms,
-            kinds: run.faults,
-            ..plan(matches, run.seed)?
-        };
+    for (at, run) in regression::parse(&fs::read_to_string(file)?)?
+        .iter()
+        .enumerate()
+    {
+        let Plan { binary, folder, .. } = plan(matches, run.seed)?;
+        let folder = folder.join(format!("run-{at}"));
+        let plan = run.plan(binary, folder, Millis::new(u64::MAX));
         if play_one(matches, &plan)? != ExitCode::SUCCESS {
             code = ExitCode::FAILURE;
         }
--- a/crates/soak/src/regression.rs
+++ b/crates/soak/src/regression.rs
@@ -1,10 +1,14 @@
 //! Seeds that once showed a fault, kept in a file.
 
+use std::path::PathBuf;
+
 use derive_more::Display;
 use derive_more::Error;
 use serde::Deserialize;
+use wire::clock::Millis;
 
 use crate::fault::Kind;
+use crate::plan::Plan;
 
 /// The file can't be read.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -23,12 +27,45 @@
     pub for_s: u64,
     /// VMs that took callers.
     pub vms: usize,
+    /// Runners.
+    #[serde(default = "default_runners")]
+    pub runners: usize,
+    /// Clients.
+    #[serde(default = "default_clients")]
+    pub clients: usize,
     /// What was done to the system.
     pub faults: Vec<Kind>,
     /// Why the run failed.
     pub cause: String,
 }
 
+impl Run {
+    /// Plans to play the run again, with this binary, in this folder, for at most `most`.
+    #[must_use]
+    pub fn plan(&self, binary: PathBuf, folder: PathBuf, most: Millis) -> Plan {
+        Plan {
+            binary,
+            folder,
+            seed: self.seed,
+            span: most.min(Millis::new(self.for_s * 1_000)),
+            vms: self.vms,
+            runners: self.runners,
+            clients: self.clients,
+            kinds: self.faults.clone(),
+        }
+    }
+}
+
+/// As many as the command line takes where it isn't told.
+const fn default_runners() -> usize {
+    6
+}
+
+/// As many as the command line takes where it isn't told.
+const fn default_clients() -> usize {
+    24
+}
+
 #[derive(Deserialize)]
 struct File {
     #[serde(default)]
--- a/crates/soak/src/regression/tests.rs
+++ b/crates/soak/src/regression/tests.rs
@@ -1,3 +1,11 @@
+use std::path::PathBuf;
+
+use wire::clock::Millis;
+
+use crate::plan::Plan;
+use crate::schedule;
+use crate::schedule::Size;
+
 use super::parse;
 
 /// The file beside the crate's sources.
@@ -11,6 +19,25 @@
     }
 }
 
+#[test]
+fn a_short_form_does_what_the_whole_run_begins_with() {
+    for run in parse(FILE).unwrap() {
+        let plan = |most: u64| run.plan(PathBuf::new(), PathBuf::new(), Millis::new(most));
+        assert_eq!(plan(u64::MAX).span, Millis::new(run.for_s * 1_000));
+        let size = Size {
+            callers: run.vms,
+            disks: 3,
+            centres: 3,
+            runners: run.runners,
+        };
+        let (short, whole) = (plan(26_000), plan(u64::MAX));
+        let drawn = |plan: &Plan| schedule::draw(plan.seed, plan.span, &plan.kinds, size);
+        let (short, whole) = (drawn(&short), drawn(&whole));
+        assert!(!short.is_empty(), "{run:?}");
+        assert!(short.iter().all(|step| whole.contains(step)), "{run:?}");
+    }
+}
+
 #[test]
 fn an_unknown_fault_is_named() {
     let text =
