--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,6 +15,7 @@
 use clap::value_parser;
 use soak::fault::Kind;
 use soak::plan::Plan;
+use soak::plot;
 use soak::regression;
 use tokio::runtime::Builder;
 use wire::clock::Millis;
@@ -65,6 +66,7 @@
             "Where settings, logs and disks are kept; else removed after a clean run",
         ))
         .arg(path("regressions", "Plays the runs of this file instead").conflicts_with("seed"))
+        .arg(path("svg", "Draws the report's timeline into this file"))
         .arg(
             Arg::new("json")
                 .long("json")
@@ -124,13 +126,13 @@
         return play_one(matches, &plan(matches, seed)?);
     };
     let mut code = ExitCode::SUCCESS;
-    for run in regression::parse(&fs::read_to_string(file)?)? {
-        let plan = Plan {
-            span: Millis::new(run.for_s * 1_000),
-            vms: run.vms,
-            kinds: run.faults,
-            ..plan(matches, run.seed)?
-        };
+    for (at, run) in regression::parse(&fs::read_to_string(file)?)?
+        .iter()
+        .enumerate()
+    {
+        let Plan { binary, folder, .. } = plan(matches, run.seed)?;
+        let folder = folder.join(format!("run-{at}"));
+        let plan = run.plan(binary, folder, Millis::new(u64::MAX));
         if play_one(matches, &plan)? != ExitCode::SUCCESS {
             code = ExitCode::FAILURE;
         }
@@ -151,6 +153,9 @@
     } else {
         print!("{report}");
     }
+    if let Some(file) = matches.get_one::<PathBuf>("svg") {
+        plot::draw(&report, file)?;
+    }
     if !report.is_clean() {
         eprintln!("settings, logs and disks: {}", plan.folder.display());
         return Ok(ExitCode::FAILURE);
