--- a/crates/relay/src/shutdown/tests.rs
+++ b/crates/relay/src/shutdown/tests.rs
@@ -1,6 +1,4 @@
 use std::future::pending;
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,29 +16,14 @@
 use super::pass_on;
 use crate::node::Node;
 
-const NOBODY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
 /// The last call comes after 1.1 s of it, and its last moment after 1.6 s.
 const GRACE: Millis = Millis::new(2_000);
 
 fn node() -> Arc<Node> {
+    let settings = adapter::settings::parse(&fakes::settings::alone()).unwrap();
     let settings = Settings {
-        vm: "front-a-1".to_owned(),
-        ip: "127.0.0.1".to_owned(),
-        centre: "a".to_owned(),
-        first_start: false,
-        data: None,
-        disk_bytes: 0,
-        memory_bytes: 64_000_000,
-        callers: None,
-        ready: None,
-        first_port: 1,
-        last_port: 1,
-        store: NOBODY,
-        losses: 1,
         grace: GRACE,
-        heartbeat: Millis::new(1_000),
-        apply: Millis::new(4_000),
-        drain: Millis::new(2_000),
+        ..settings
     };
     Node::new(settings, Clock::System)
 }
--- a/crates/relay/tests/failing.rs
+++ b/crates/relay/tests/failing.rs
@@ -8,7 +8,7 @@
 use adapter::header::Call;
 use adapter::runner::Entry;
 use adapter::runner::State;
-use adapter::settings::Settings;
+use adapter::settings;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -96,31 +96,12 @@
     }
 }
 
-fn settings() -> Settings {
-    Settings {
-        vm: "front-a-1".to_owned(),
-        ip: "127.0.0.1".to_owned(),
-        centre: "a".to_owned(),
-        first_start: false,
-        data: None,
-        disk_bytes: 0,
-        memory_bytes: 64_000_000,
-        callers: None,
-        ready: None,
-        first_port: 1,
-        last_port: 1,
-        store: ([127, 0, 0, 1], 1).into(),
-        losses: 1,
-        grace: Millis::new(10_000),
-        heartbeat: Millis::new(1_000),
-        apply: Millis::new(4_000),
-        drain: Millis::new(2_000),
-    }
-}
-
 /// Makes a VM that knows a runner of each manner.
 async fn node(manners: &[Manner]) -> Arc<Node> {
-    let node = Node::new(settings(), Clock::System);
+    let node = Node::new(
+        settings::parse(&fakes::settings::alone()).expect("it is sound"),
+        Clock::System,
+    );
     for (at, manner) in manners.iter().enumerate() {
         let entry = Entry {
             service: SERVICE.to_owned(),
--- a/crates/relay/tests/lost.rs
+++ b/crates/relay/tests/lost.rs
@@ -1,11 +1,8 @@
 //! What the log tells where a turn finds that the VMs with a disk don't serve it.
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::sync::Mutex;
 
-use adapter::settings::Settings;
+use adapter::settings;
 use log::LevelFilter;
 use log::Log;
 use log::Metadata;
@@ -15,11 +12,8 @@
 use relay::records::Look;
 use replica::client::Fault;
 use wire::clock::Clock;
-use wire::clock::Millis;
 use wire::event::Event;
 
-const NOBODY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
-
 /// Keeps all lines.
 struct Lines(Mutex<Vec<String>>);
 
@@ -37,28 +31,6 @@
     fn flush(&self) {}
 }
 
-fn settings() -> Settings {
-    Settings {
-        vm: "front-a-1".to_owned(),
-        ip: "127.0.0.1".to_owned(),
-        centre: "a".to_owned(),
-        first_start: false,
-        data: None,
-        disk_bytes: 0,
-        memory_bytes: 64_000_000,
-        callers: None,
-        ready: None,
-        first_port: 1,
-        last_port: 1,
-        store: NOBODY,
-        losses: 1,
-        grace: Millis::new(10_000),
-        heartbeat: Millis::new(1_000),
-        apply: Millis::new(4_000),
-        drain: Millis::new(2_000),
-    }
-}
-
 /// A look finds too few members, and a turn's reads are refused, as those that answer still learn: with that
 /// the members are lost. The turns after it are refused at once, with no reason of their own; the line of
 /// the loss has to tell it, as on-call else looks for members that are down.
@@ -66,7 +38,10 @@
 async fn a_loss_that_a_turn_finds_tells_why() {
     log::set_logger(&LINES).unwrap();
     log::set_max_level(LevelFilter::Warn);
-    let node = Node::new(settings(), Clock::System);
+    let node = Node::new(
+        settings::parse(&fakes::settings::alone()).expect("it is sound"),
+        Clock::System,
+    );
     let now = node.clock.now();
     assert!(node.records().note(Look::Enough, now));
     assert!(!node.records().note(Look::TooFew, now));
--- a/crates/relay/tests/reach.rs
+++ b/crates/relay/tests/reach.rs
@@ -1,14 +1,12 @@
 //! What the log tells of runners that can't be reached.
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::mpsc;
 use std::time::Duration;
 
 use adapter::runner::Entry;
 use adapter::runner::State;
-use adapter::settings::Settings;
+use adapter::settings;
 use log::Level;
 use log::LevelFilter;
 use log::Log;
@@ -26,7 +24,6 @@
 use wire::clock::Millis;
 use wire::event::Event;
 
-const NOBODY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
 const PATIENCE: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -69,29 +66,6 @@
     }
 }
 
-fn settings() -> Settings {
-    Settings {
-        vm: "front-a-1".to_owned(),
-        ip: "127.0.0.1".to_owned(),
-        centre: "a".to_owned(),
-        first_start: false,
-        data: None,
-        disk_bytes: 0,
-        memory_bytes: 64_000_000,
-        callers: None,
-        ready: None,
-        advertised: None,
-        first_port: 1,
-        last_port: 1,
-        store: NOBODY,
-        losses: 1,
-        grace: Millis::new(10_000),
-        heartbeat: Millis::new(1_000),
-        apply: Millis::new(4_000),
-        drain: Millis::new(2_000),
-    }
-}
-
 fn entry(address: SocketAddr) -> Entry {
     Entry {
         service: "models".to_owned(),
@@ -118,7 +92,10 @@
         .iter()
         .map(|runner| runner.listener.local_addr().expect("an address"));
     let addresses: Vec<SocketAddr> = addresses.collect();
-    let node = Node::new(settings(), Clock::System);
+    let node = Node::new(
+        settings::parse(&fakes::settings::alone()).expect("it is sound"),
+        Clock::System,
+    );
     for (at, address) in addresses.iter().enumerate() {
         let id = format!("i-{at}");
         node.fleet().set(&id, entry(*address), 0);
