Tell no order that it hasn't run before its program's owner has seen it

Refused for an unknown token, a long body or any other reason of the entry's filters it was told ran: no; its caller would give the order under another key, and both might run. One rule for all of these refusals now, in place of one each for full doors and stopping VMs.

door::a_refusal_before_the_owner_says_no_of_no_order, both cases: red before (no), green after; node's request tests, 47 passed.

--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -18,7 +18,6 @@
 use wire::ask::Body;
 use wire::clock::Millis;
 use wire::code::Code;
-use wire::code::Ran;
 use wire::code::Refusal;
 use wire::event::Event;
 use wire::id;
@@ -54,36 +53,68 @@
     }
 }
 
+/// A request that no filter refused.
+enum Passed {
+    /// It is answered here.
+    Answered(Response),
+    /// Its program's owner answers it.
+    Asks {
+        ask: Ask,
+        shape: answer::Shape,
+        wait: answer::Wait,
+    },
+}
+
 async fn run(
     core: &Arc<Core>,
     request: Request<Incoming>,
     room: Room,
     arrived: Millis,
 ) -> Result<Response> {
+    // A keyed call may have been asked before, and only its owner's journal knows whether that ran.
+    // Told that it hasn't, its caller would give the order under another key, and both might run.
+    let earlier = parse::earlier(&request);
+    let passed = pass(core, request, room, arrived).await;
+    match passed.map_err(|refusal| refusal.ran(earlier))? {
+        Passed::Answered(response) => Ok(response),
+        Passed::Asks { ask, shape, wait } => {
+            let program = ask.program.clone();
+            let replies = forward::ask(core, ask);
+            answer::answer(core, shape, &program, wait, replies).await
+        }
+    }
+}
+
+/// Takes a request through the filters before its owner's.
+async fn pass(
+    core: &Arc<Core>,
+    request: Request<Incoming>,
+    room: Room,
+    arrived: Millis,
+) -> Result<Passed> {
     if room == Room::Full {
-        return Err(full(parse::earlier(&request)));
+        return Err(full());
     }
     let parsed = parse::parse(&core.settings.limits, request).await?;
     let view = core.view();
     if let Some(response) = answer::probe(&view, &parsed.what) {
-        return Ok(response);
+        return Ok(Passed::Answered(response));
     }
     let caller = authenticate::caller(&view.config, parsed.token)?
         .name
         .clone();
     if parsed.what == parse::What::Models {
-        return Ok(answer::models(&view.config));
+        return Ok(Passed::Answered(answer::models(&view.config)));
     }
     let shape = answer::Shape::of(&parsed.what);
     let ask = ask(core, &view, caller, parsed)?;
     let class = authenticate::class(&view.config, &ask)?;
     if room == Room::UrgentOnly && class != Class::Urgent {
-        return Err(full(forward::earlier(&ask)));
+        return Err(full());
     }
     let deadline = ask.deadline;
     let wait = answer::Wait { arrived, deadline };
-    check_end(core, &ask, wait)?;
-    let program = ask.program.clone();
+    check_end(core, wait)?;
     // Counted anew from here on, a body that took its time would have the ask wait for longer than
     // its caller.
     let spent = core.clock.now().since(arrived);
@@ -91,26 +122,23 @@
         deadline: deadline.map(|deadline| deadline.since(spent)),
         ..ask
     };
-    let replies = forward::ask(core, ask);
-    answer::answer(core, shape, &program, wait, replies).await
+    Ok(Passed::Asks { ask, shape, wait })
 }
 
-/// Yields the refusal of a request for which no connection is left; `ran` tells of earlier askings.
-fn full(ran: Ran) -> Refusal {
-    let refusal = Refusal::new(Code::TooManyConnections, "").retry_after(CONNECTION_PAUSE);
-    refusal.ran(ran)
+/// Yields the refusal of a request for which no connection is left.
+fn full() -> Refusal {
+    Refusal::new(Code::TooManyConnections, "").retry_after(CONNECTION_PAUSE)
 }
 
 /// Refuses what may outlast a VM that stops: its answer would be cut off when the process ends.
 /// Only a deadline of its own bounds a request, as a runner may go on for as long as it isn't
-/// silent. Of a keyed call only the owner's journal knows whether an earlier asking ran.
-fn check_end(core: &Core, ask: &Ask, wait: answer::Wait) -> Result<()> {
+/// silent.
+fn check_end(core: &Core, wait: answer::Wait) -> Result<()> {
     let taken = core.stop.get().is_none_or(|stop| stop.takes(wait.until()));
     if taken {
         return Ok(());
     }
-    let refusal = Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY);
-    Err(refusal.ran(forward::earlier(ask)))
+    Err(Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY))
 }
 
 /// Turns a parsed request into what its program's owner is asked.
--- a/crates/node/tests/request/door.rs
+++ b/crates/node/tests/request/door.rs
@@ -93,3 +93,32 @@
     let chat = fleet.ask(CHAT, &[], &client::chat("x")).await;
     assert_eq!(refusal(&chat), ("CY1108", "no"), "{}", chat.1);
 }
+
+// An order is asked again, and refused before its program's owner sees it: its token has gone from the
+// configuration, or its body is over the limit now. Whether the first asking ran only the owner's journal
+// knows; told "no" here, the caller would give another order and both might run.
+#[rstest]
+#[case::unknown_token("nobody", 1, "CY1201")]
+#[case::long_body(client::TOKEN, 1_000, "CY1102")]
+#[tokio::test]
+async fn a_refusal_before_the_owner_says_no_of_no_order(
+    #[case] token: &str,
+    #[case] length: usize,
+    #[case] code: &str,
+) {
+    let fleet = Fleet::start(Plan {
+        limits: "[limits]\nbody = \"500B\"\n",
+        ..Plan::default()
+    })
+    .await;
+    let bearer = format!("Bearer {token}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", "order-1"),
+    ];
+    let body = json!({ "text": "x".repeat(length) });
+    let order = client::post(fleet.callers, SWITCH, &headers, &body).await;
+    assert_eq!(refusal(&order), (code, "unknown"), "{}", order.1);
+    let plain = client::post(fleet.callers, SWITCH, &headers[..1], &body).await;
+    assert_eq!(refusal(&plain), (code, "no"), "{}", plain.1);
+}
