Look for the openers of connections once for all of them

It had a search through all processes for each connection, and for connections to VMs that were stopped as well. Now the target is connected to first, and one search serves all connections that wait.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -34,7 +34,7 @@
 use crate::fault::Harm;
 use crate::fault::Kind as FaultKind;
 use crate::fault::Pair;
-use crate::opener;
+use crate::opener::Openers;
 use crate::oracle::Oracle;
 use crate::plan::Plan;
 use crate::proxy::Fan;
@@ -448,9 +448,10 @@
         return Vec::new();
     }
     let all: Arc<[Arc<Vm>]> = vms.into();
+    let openers = Arc::new(Openers::default());
     let source = move |from, to| {
-        let ids: Vec<Option<u32>> = all.iter().map(|vm| vm.id()).collect();
-        opener::find(&ids, from, to).ok().flatten()
+        let ids = || all.iter().map(|vm| vm.id()).collect();
+        openers.find(ids, from, to).ok().flatten()
     };
     let fan = |(at, vm): (usize, &Arc<Vm>)| {
         let address = net.link(Part::VmLinks, at, settings::PEERS);
--- a/crates/soak/src/opener.rs
+++ b/crates/soak/src/opener.rs
@@ -4,12 +4,15 @@
 //! otherwise. The kernel is asked for the one socket over netlink; its table of all sockets takes tens
 //! of milliseconds on a busy machine, in which a VM gives its message up.
 
+use std::collections::HashMap;
 use std::fs;
 use std::io;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 
 use socket2::Domain;
 use socket2::Protocol;
@@ -32,21 +35,57 @@
 const TYPE_AT: usize = 4;
 const INODE_AT: usize = 84;
 
-/// Finds which of these processes has opened the connection between two addresses.
+/// Which process holds which socket, as it was last looked at.
 ///
-/// # Errors
-///
-/// Fails where the kernel can't be asked.
-pub fn find(ids: &[Option<u32>], from: SocketAddr, to: SocketAddr) -> io::Result<Option<usize>> {
-    let (SocketAddr::V4(from), SocketAddr::V4(to)) = (from, to) else {
-        return Ok(None);
-    };
-    let Some(inode) = inode(from, to)? else {
-        return Ok(None);
-    };
-    let socket = format!("socket:[{inode}]");
-    let holds = |id: &Option<u32>| id.is_some_and(|id| holds(id, &socket));
-    Ok(ids.iter().position(holds))
+/// All processes are looked through at once, by one thread at a time, and only for a socket that
+/// isn't known. By themselves, hundreds of new connections a second had a search each, which took the
+/// processor from the VMs; these gave their messages up, and opened further connections.
+#[derive(Debug, Default)]
+pub struct Openers(Mutex<HashMap<String, usize>>);
+
+impl Openers {
+    /// Finds which of these processes has opened the connection between two addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the kernel can't be asked.
+    pub fn find(
+        &self,
+        ids: impl FnOnce() -> Vec<Option<u32>>,
+        from: SocketAddr,
+        to: SocketAddr,
+    ) -> io::Result<Option<usize>> {
+        let (SocketAddr::V4(from), SocketAddr::V4(to)) = (from, to) else {
+            return Ok(None);
+        };
+        let Some(inode) = inode(from, to)? else {
+            return Ok(None);
+        };
+        let socket = format!("socket:[{inode}]");
+        let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if !known.contains_key(&socket) {
+            *known = look(&ids());
+        }
+        Ok(known.get(&socket).copied())
+    }
+}
+
+/// Looks which sockets these processes hold; one that has ended holds none.
+fn look(ids: &[Option<u32>]) -> HashMap<String, usize> {
+    let mut found = HashMap::new();
+    for (at, id) in ids.iter().enumerate() {
+        let Some(id) = id else {
+            continue;
+        };
+        let Ok(files) = fs::read_dir(format!("/proc/{id}/fd")) else {
+            continue;
+        };
+        let targets = files.flatten().map(|file| fs::read_link(file.path()));
+        for target in targets.flatten() {
+            found.insert(target.to_string_lossy().into_owned(), at);
+        }
+    }
+    found
 }
 
 /// Asks the kernel for the inode of the socket with these ends; there may be none any more.
@@ -87,16 +126,5 @@
     bytes
 }
 
-/// Tells whether a process holds a socket; one that has ended holds none.
-fn holds(id: u32, socket: &str) -> bool {
-    let Ok(files) = fs::read_dir(format!("/proc/{id}/fd")) else {
-        return false;
-    };
-    files.flatten().any(|file| {
-        let target = fs::read_link(file.path());
-        target.is_ok_and(|target| target.as_os_str() == socket)
-    })
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/soak/src/opener/tests.rs
+++ b/crates/soak/src/opener/tests.rs
@@ -3,7 +3,7 @@
 use std::net::TcpStream;
 use std::process;
 
-use super::find;
+use super::Openers;
 
 #[test]
 fn the_process_that_connected_is_found() {
@@ -13,13 +13,20 @@
     let from = stream.local_addr().unwrap();
     // The first process of the machine is another one.
     let ids = [None, Some(1), Some(process::id())];
-    assert_eq!(find(&ids, from, to).unwrap(), Some(2));
-    assert_eq!(find(&ids[..2], from, to).unwrap(), None);
+    let openers = Openers::default();
+    let others = || ids[..2].to_vec();
+    assert_eq!(openers.find(others, from, to).unwrap(), None);
+    let all = || ids.to_vec();
+    assert_eq!(openers.find(all, from, to).unwrap(), Some(2));
+    let nobody = Vec::new;
+    let again = openers.find(nobody, from, to).unwrap();
+    assert_eq!(again, Some(2), "it is known by now");
 }
 
 #[test]
 fn nobody_has_opened_what_is_not_there() {
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
-    let ids = [Some(process::id())];
-    assert_eq!(find(&ids, nowhere, nowhere).unwrap(), None);
+    let ids = || vec![Some(process::id())];
+    let found = Openers::default().find(ids, nowhere, nowhere);
+    assert_eq!(found.unwrap(), None);
 }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -145,10 +145,15 @@
     while let Ok((stream, from)) = listener.accept().await {
         let (source, states) = (source.clone(), states.clone());
         tokio::spawn(async move {
+            // Before its opener is looked for: VMs try one that is stopped dozens of times a second, and
+            // the search for each took the processor from the runners and clients of the run.
+            let Some(far) = connect(&stream, target).await else {
+                return;
+            };
             let found = spawn_blocking(move || source(from, address)).await;
             // One whose opener is gone already is closed.
             if let Ok(Some(at)) = found {
-                connection(stream, target, states[at].clone()).await;
+                pass_on(stream, far, states[at].clone()).await;
             }
         });
     }
@@ -181,16 +186,26 @@
 
 async fn accept(listener: &TcpListener, target: SocketAddr, states: &watch::Receiver<State>) {
     while let Ok((stream, _from)) = listener.accept().await {
-        tokio::spawn(connection(stream, target, states.clone()));
+        let states = states.clone();
+        tokio::spawn(async move {
+            if let Some(far) = connect(&stream, target).await {
+                pass_on(stream, far, states).await;
+            }
+        });
+    }
+}
+
+/// Connects to the target; resets the other end where nobody listens.
+async fn connect(near: &TcpStream, target: SocketAddr) -> Option<TcpStream> {
+    let far = TcpStream::connect(target).await.ok();
+    if far.is_none() {
+        abort(near);
     }
+    far
 }
 
-async fn connection(mut near: TcpStream, target: SocketAddr, mut states: watch::Receiver<State>) {
+async fn pass_on(mut near: TcpStream, mut far: TcpStream, mut states: watch::Receiver<State>) {
     let born = *states.borrow();
-    let Ok(mut far) = TcpStream::connect(target).await else {
-        abort(&near);
-        return;
-    };
     // Without it, small packets wait for others; the link would add what no fault asked for.
     let prepared = near.set_nodelay(true).and_then(|()| far.set_nodelay(true));
     let (out, back) = (states.clone(), states.clone());
