--- a/crates/chestnutyoke/tests/role_stop.rs
+++ b/crates/chestnutyoke/tests/role_stop.rs
@@ -2,6 +2,8 @@
 
 use std::fs;
 use std::io::Read;
+use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
@@ -11,6 +13,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fakes::settings;
 use rstest::rstest;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_chestnutyoke");
@@ -20,32 +23,36 @@
 /// A role's process on an address of its own.
 struct Process {
     child: Child,
-    address: String,
+    address: SocketAddr,
     folder: PathBuf,
 }
 
 impl Process {
     fn start(role: &str, last: u8) -> Self {
         let pid = std::process::id();
-        let ip = format!("127.{}.{}.{last}", 1 + pid % 250, pid / 250 % 250);
+        let part = |value: u32| u8::try_from(value % 250).unwrap();
+        let ip = IpAddr::from([127, 1 + part(pid), part(pid / 250), last]);
         let folder = std::env::temp_dir().join(format!("chestnutyoke-{pid}-{role}"));
         fs::create_dir_all(&folder).unwrap();
-        let data = folder.join("data");
-        let text = format!(
-            "node = \"{role}-1\"\nip = \"{ip}\"\nzone = \"a\"\nportRange = [7380, 7395]\ndataDir = \"{}\"\n[listen]\nfront = \"{ip}:8149\"\nready = \"{ip}:8141\"\n[limits]\nmemoryMb = 110\ndiskMb = 50\n[tolerate]\nnodes = 1\n[bounds]\ngraceS = 8\napplyMs = 2000\ndrainMs = 2000\n[platform]\naddr = \"{NOBODY}\"\n",
-            data.display()
-        );
-        let settings = folder.join("node.toml");
-        fs::write(&settings, text).unwrap();
+        let text = settings::text(&settings::Vm {
+            name: &format!("{role}-1"),
+            centre: "a",
+            ip,
+            advertised: None,
+            store: NOBODY.parse().unwrap(),
+            disk: Some(&folder.join("data")),
+        });
+        let file = folder.join("node.toml");
+        fs::write(&file, text).unwrap();
         let child = Command::new(BINARY)
-            .args([role, "--metrics-port", "9400"])
-            .env("CHESTNUTYOKE_CONFIG", &settings)
+            .args([role, "--metrics-port", &settings::METRICS.to_string()])
+            .env("CHESTNUTYOKE_CONFIG", &file)
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
         let process = Self {
             child,
-            address: format!("{ip}:9400"),
+            address: SocketAddr::new(ip, settings::METRICS),
             folder,
         };
         process.wait_until_it_listens();
@@ -54,7 +61,7 @@
 
     fn wait_until_it_listens(&self) {
         let begun = Instant::now();
-        while TcpStream::connect(&self.address).is_err() {
+        while TcpStream::connect(self.address).is_err() {
             assert!(begun.elapsed() < Duration::from_secs(10), "no listener");
             sleep(Duration::from_millis(10));
         }
