--- a/crates/chestnutyoke/tests/role_stop.rs
+++ b/crates/chestnutyoke/tests/role_stop.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::path::PathBuf;
@@ -16,6 +17,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fakes::settings;
 use hyper::Request;
 use link::body::Payload;
 use link::client::Client;
@@ -38,7 +40,7 @@
 /// A role's process on an address of its own.
 struct Process {
     child: Child,
-    address: String,
+    address: SocketAddr,
     /// Where other VMs ask it.
     vms: SocketAddr,
     folder: PathBuf,
@@ -47,26 +49,30 @@
 impl Process {
     fn start(role: &str, last: u8) -> Self {
         let pid = std::process::id();
-        let ip = format!("127.{}.{}.{last}", 1 + pid % 250, pid / 250 % 250);
+        let part = |value: u32| u8::try_from(value % 250).unwrap();
+        let ip = IpAddr::from([127, 1 + part(pid), part(pid / 250), last]);
         let folder = std::env::temp_dir().join(format!("chestnutyoke-{pid}-{role}-{last}"));
         fs::create_dir_all(&folder).unwrap();
-        let data = folder.join("data");
-        let text = format!(
-            "node = \"{role}-1\"\nip = \"{ip}\"\nzone = \"a\"\nportRange = [7380, 7395]\ndataDir = \"{}\"\n[listen]\nfront = \"{ip}:8149\"\nready = \"{ip}:8141\"\n[limits]\nmemoryMb = 110\ndiskMb = 50\n[tolerate]\nnodes = 1\n[bounds]\ngraceS = 8\napplyMs = 2000\ndrainMs = 2000\n[platform]\naddr = \"{NOBODY}\"\n",
-            data.display()
-        );
-        let settings = folder.join("node.toml");
-        fs::write(&settings, text).unwrap();
+        let text = settings::text(&settings::Vm {
+            name: &format!("{role}-1"),
+            centre: "a",
+            ip,
+            advertised: None,
+            store: NOBODY.parse().unwrap(),
+            disk: Some(&folder.join("data")),
+        });
+        let file = folder.join("node.toml");
+        fs::write(&file, text).unwrap();
         let child = Command::new(BINARY)
-            .args([role, "--metrics-port", "9400"])
-            .env("CHESTNUTYOKE_CONFIG", &settings)
+            .args([role, "--metrics-port", &settings::METRICS.to_string()])
+            .env("CHESTNUTYOKE_CONFIG", &file)
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
         let process = Self {
             child,
-            address: format!("{ip}:9400"),
-            vms: format!("{ip}:7380").parse().unwrap(),
+            address: SocketAddr::new(ip, settings::METRICS),
+            vms: SocketAddr::new(ip, settings::PEERS),
             folder,
         };
         process.wait_until_it_listens();
@@ -75,7 +81,7 @@
 
     fn wait_until_it_listens(&self) {
         let begun = Instant::now();
-        while TcpStream::connect(&self.address).is_err() {
+        while TcpStream::connect(self.address).is_err() {
             assert!(begun.elapsed() < Duration::from_secs(10), "no listener");
             sleep(Duration::from_millis(10));
         }
