--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -37,7 +37,7 @@
 /// How often two VMs exchange: a fraction of the time that a request takes at a runner.
 const EVERY: Duration = Duration::from_millis(60);
 /// How long an exchange may take.
-const PATIENCE: Duration = Duration::from_millis(250);
+pub const PATIENCE: Duration = Duration::from_millis(250);
 /// The longest message in bytes: all entries of some thousand runners.
 const MAX_MESSAGE: usize = 4 * 1024 * 1024;
 
@@ -57,20 +57,37 @@
 /// Exchanges for as long as it is polled.
 pub async fn run(node: Arc<Node>) {
     loop {
-        let pause = EVERY * node.peers().spread();
-        sleep(pause).await;
-        let now = node.clock.now();
-        let asked = {
-            let mut peers = node.peers();
-            peers.sweep(now);
-            peers.to_ask(&node.settings.vm, &node.settings.centre, now)
-        };
-        for peer in asked {
+        sleep(pause(&node)).await;
+        for peer in to_ask(&node) {
             tokio::spawn(exchange(node.clone(), peer));
         }
     }
 }
 
+/// Yields how long a VM waits before it exchanges again.
+#[must_use]
+pub fn pause(node: &Node) -> Duration {
+    EVERY * node.peers().spread()
+}
+
+/// Yields the VMs that this one starts an exchange with now; those that have been gone for long are
+/// forgotten.
+#[must_use]
+pub fn to_ask(node: &Node) -> Vec<Peer> {
+    let now = node.clock.now();
+    let mut peers = node.peers();
+    peers.sweep(now);
+    peers.to_ask(&node.settings.vm, &node.settings.centre, now)
+}
+
+/// Takes in what another VM tells, and yields what it is told.
+#[must_use]
+pub fn respond(node: &Arc<Node>, theirs: Message) -> Message {
+    let own = tell::message(node, &theirs.vm, theirs.roster, theirs.config);
+    hear::message(node, theirs);
+    own
+}
+
 async fn exchange(node: Arc<Node>, peer: Peer) {
     match timeout(PATIENCE, ask(&node, &peer)).await {
         Ok(Ok(message)) => hear::message(&node, message),
@@ -102,9 +119,7 @@
         Ok(message) => message,
         Err(fault) => return answer::text(StatusCode::BAD_REQUEST, fault.to_string()),
     };
-    let own = tell::message(&node, &theirs.vm, theirs.roster, theirs.config);
-    hear::message(&node, theirs);
-    match rmp_serde::to_vec(&own) {
+    match rmp_serde::to_vec(&respond(&node, theirs)) {
         Ok(bytes) => answer::text(StatusCode::OK, bytes),
         Err(fault) => answer::text(StatusCode::INTERNAL_SERVER_ERROR, fault.to_string()),
     }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -42,7 +42,7 @@
 /// a restart of all VMs the clients' next tries come within some hundred milliseconds.
 const PING_SOON: Duration = Duration::from_millis(50);
 /// How often connections, runners and entries are looked over.
-const SWEEP: Duration = Duration::from_millis(250);
+pub const SWEEP: Duration = Duration::from_millis(250);
 
 /// Why the process can't run.
 #[derive(Debug, Display, Error, From)]
--- a/crates/relay/src/register.rs
+++ b/crates/relay/src/register.rs
@@ -18,9 +18,9 @@
 
 /// How long a VM's entry lasts without renewal. Long beside a short outage of the service, as a VM
 /// that is dead costs its peers only unanswered messages.
-const LEASE: Millis = Millis::new(8_000);
+pub const LEASE: Millis = Millis::new(8_000);
 /// How often the entry is renewed: three times within its lease.
-const RENEW: Duration = Duration::from_millis(2_500);
+pub const RENEW: Duration = Duration::from_millis(2_500);
 
 /// Keeps this VM's entry in the key-value service for as long as it is polled.
 pub async fn run(node: Arc<Node>, address: SocketAddr) {
