Ask silent VMs in turn, so that hubs find each other and leaves go back to theirs

A VM hears only those that it exchanges with. After a hub was killed its successor had never heard the other data centres' hubs, nor they it: none asked, and the data centres never heard of each other's requests again (each hub then also read the runners for itself). After a hub had been silent for a second, as at a pause, a restart or a cut, its leaves stayed with its deputy for good, which had stepped back and told them only its own requests. And for one round every leaf took itself for a hub and asked all VMs before it.

Now a VM asks, beside its hub, the first two silent VMs before it and one of the others drawn by the time; a hub does so for other data centres too, the more seldom the more silent VMs come before it. A hub's death costs each leaf at most three messages more a round.

New: leaves_without_a_hub_ask_few.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -3,17 +3,22 @@
 //! In a small deployment every two VMs exchange what they know. In a larger one that would be more
 //! messages than requests; there the first VM of each data centre (by name) is its hub: the others
 //! exchange with their hub, and the hubs among each other. A hub that dies is passed over once its
-//! entry has lapsed or it no longer answers.
+//! entry has lapsed or it no longer answers, and has its place back when it answers again.
 
 use std::net::SocketAddr;
 
 use wire::clock::Millis;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Up to this many VMs exchange with each other directly: at 16 exchanges a second with each that
 /// is under 200 messages a second and VM, some per cent of a small VM's processor.
 pub const DIRECT: usize = 12;
 /// VMs of a data centre that its hub hears at the full rate, 16 times a second each.
 const LEAVES: usize = 24;
+/// Of the silent VMs before a data centre's hub, so many are asked each time, the first ones by name,
+/// as one of them is the hub as soon as it answers; and one of the others in turn. To ask all would be
+/// messages by the square of the VMs when a hub dies, as no leaf has heard another one.
+const TRIED: usize = 2;
 /// A VM whose entry has lapsed is still told for this long: the service may have been away.
 const LAPSED: Millis = Millis::new(10_000);
 /// A VM that hasn't answered for this long is no hub: several exchanges, and a short freeze.
@@ -177,33 +182,86 @@
     }
 
     /// Yields the VMs that the VM named starts an exchange with. Of two that both would, the one
-    /// whose name comes first does; a hub keeps asking silent VMs that came before it, so that it
-    /// steps back when they are heard again.
+    /// whose name comes first does.
+    ///
+    /// A VM hears only those that it exchanges with. Did it ask no silent ones, nobody would ever learn
+    /// which VM has become another data centre's hub, and the leaves of a hub that was silent for a
+    /// moment would stay with its deputy, which has stepped back and tells them nothing of others.
     #[must_use]
     pub fn to_ask(&self, own: &str, centre: &str, now: Millis) -> Vec<Peer> {
-        let others = self.known.iter().filter(|peer| peer.vm != own);
-        match self.place(own, centre, now) {
-            Place::Direct => others
-                .filter(|peer| peer.vm.as_str() > own)
-                .cloned()
-                .collect(),
-            Place::Leaf => self.hub(centre, now).into_iter().cloned().collect(),
-            Place::Hub => {
-                let mut asked: Vec<Peer> = others
-                    .clone()
-                    .filter(|peer| peer.centre == centre && peer.vm.as_str() < own)
-                    .cloned()
-                    .collect();
-                let mut centres: Vec<&str> = others.map(|peer| peer.centre.as_str()).collect();
-                centres.sort_unstable();
-                centres.dedup();
-                for other in centres.into_iter().filter(|other| *other != centre) {
-                    asked.extend(self.hub(other, now).cloned());
+        let place = self.place(own, centre, now);
+        let mut asked = Vec::new();
+        if place == Place::Direct {
+            asked.extend(self.known.iter().filter(|peer| peer.vm.as_str() > own));
+        } else {
+            let before = self.until_hub(centre, |vm| vm < own, now);
+            asked.extend(before.tried(now));
+            asked.extend(before.hub);
+            if place == Place::Hub {
+                let others = self.centres().into_iter().filter(|of| *of != centre);
+                for other in others.map(|of| self.until_hub(of, |_| true, now)) {
+                    if before.is_own_turn(now) {
+                        asked.extend(other.tried(now));
+                    }
+                    asked.extend(other.hub);
                 }
-                asked
             }
         }
+        asked.into_iter().cloned().collect()
     }
+
+    /// Names the data centres of the others.
+    fn centres(&self) -> Vec<&str> {
+        let mut centres: Vec<&str> = self.known.iter().map(|peer| peer.centre.as_str()).collect();
+        centres.sort_unstable();
+        centres.dedup();
+        centres
+    }
+
+    /// Yields a data centre's hub among the VMs that `counts` names, and the silent VMs before it.
+    fn until_hub(&self, centre: &str, counts: impl Fn(&str) -> bool, now: Millis) -> UntilHub<'_> {
+        let known = self.known.iter();
+        let mut counted = known.filter(|peer| peer.centre == centre && counts(&peer.vm));
+        let mut silent = Vec::new();
+        let hub = counted.find(|peer| {
+            let answers = peer.answers(now);
+            if !answers {
+                silent.push(*peer);
+            }
+            answers
+        });
+        UntilHub { silent, hub }
+    }
+}
+
+/// A data centre's VMs in the order of their names, up to its hub.
+struct UntilHub<'a> {
+    silent: Vec<&'a Peer>,
+    hub: Option<&'a Peer>,
+}
+
+impl<'a> UntilHub<'a> {
+    /// Yields the silent VMs that are asked now: the first [`TRIED`], and one in turn.
+    fn tried(&self, now: Millis) -> impl Iterator<Item = &'a Peer> {
+        let turn = drawn(now, self.silent.len());
+        let silent = self.silent.iter().copied().enumerate();
+        let tried = silent.filter(move |(at, _)| *at < TRIED || *at == turn);
+        tried.map(|(_, peer)| peer)
+    }
+
+    /// Tells whether a VM that has these before it, all silent, tries those of other data centres now:
+    /// the more there are, the more seldom. When a hub dies, for a moment all its leaves take
+    /// themselves for hubs, and all at once would ask the same VMs of each other data centre.
+    fn is_own_turn(&self, now: Millis) -> bool {
+        drawn(now, self.silent.len()) < TRIED
+    }
+}
+
+/// Draws a number below `count`. Drawn by the time, as a count of rounds could skip the same VMs again
+/// and again.
+fn drawn(now: Millis, count: usize) -> usize {
+    let number = xxh3_64(&now.as_u64().to_le_bytes());
+    usize::try_from(number % count.max(1) as u64).unwrap_or(0)
 }
 
 #[cfg(test)]
--- a/crates/relay/src/peers/tests.rs
+++ b/crates/relay/src/peers/tests.rs
@@ -46,11 +46,25 @@
     for at in 1..DIRECT + 60 {
         peers.hear(&format!("vm-{at:03}"), 0, 0, later);
     }
-    assert_eq!(asked(&peers, "vm-030", "a", later), ["vm-003"]);
+    assert_eq!(asked(&peers, "vm-030", "a", later), ["vm-000", "vm-003"]);
     assert_eq!(peers.place("vm-003", "a", later), Place::Hub);
     assert!(asked(&peers, "vm-003", "a", later).contains(&"vm-000".to_owned()));
     peers.hear("vm-000", 0, 0, later);
     assert_eq!(peers.place("vm-003", "a", later), Place::Leaf);
+    assert_eq!(asked(&peers, "vm-030", "a", later), ["vm-000"]);
+}
+
+/// A hub dies, and its leaves have never heard each other. Did each ask all that come before it, or
+/// all at once those of other data centres, a hub's death would cost messages by the square of the VMs.
+#[test]
+fn leaves_without_a_hub_ask_few() {
+    let peers = peers(DIRECT + 60);
+    let later = Millis::new(11_500);
+    for at in 1..DIRECT + 60 {
+        let own = format!("vm-{at:03}");
+        let asked = asked(&peers, &own, ["a", "b", "c"][at % 3], later);
+        assert!(asked.len() <= 9, "{own}: {asked:?}");
+    }
 }
 
 #[test]
