--- a/crates/chestnutyoke/tests/role_stop.rs
+++ b/crates/chestnutyoke/tests/role_stop.rs
@@ -91,7 +91,7 @@
     fn wait_for_figure(&self, line: &str) {
         let begun = Instant::now();
         loop {
-            let mut stream = TcpStream::connect(&self.address).unwrap();
+            let mut stream = TcpStream::connect(self.address).unwrap();
             let request = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
             stream.write_all(request.as_bytes()).unwrap();
             let mut text = String::new();
