--- a/crates/chestnutyoke/benches/takeover.rs
+++ b/crates/chestnutyoke/benches/takeover.rs
@@ -1,20 +1,20 @@
 //! How long callers wait after their program's owner was killed, with real processes:
 //! `cargo bench -p chestnutyoke --bench takeover`.
 
-#[path = "../tests/bench/mod.rs"]
-mod bench;
+#[path = "../tests/harness/mod.rs"]
+mod harness;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
-use bench::Ask;
-use bench::Fleet;
-use bench::PATIENCE;
-use bench::Plan;
-use bench::chat;
-use bench::chat_until_answered;
-use bench::until;
+use harness::Ask;
+use harness::Fleet;
+use harness::PATIENCE;
+use harness::Plan;
+use harness::chat;
+use harness::chat_until_answered;
+use harness::until;
 use tokio::task::JoinSet;
 
 /// Owners killed; `ROUNDS` in the environment sets another number.
--- a/crates/chestnutyoke/tests/at_most_once.rs
+++ b/crates/chestnutyoke/tests/at_most_once.rs
@@ -1,16 +1,16 @@
 //! A switching order, billing order, certificate issue or fee charge runs at most once.
 
-mod bench;
+mod harness;
 
 use std::net::SocketAddr;
 
-use bench::Answer;
-use bench::Fleet;
-use bench::Plan;
-use bench::Signal;
-use bench::call;
-use bench::until;
-use bench::until_some;
+use harness::Answer;
+use harness::Fleet;
+use harness::Plan;
+use harness::Signal;
+use harness::call;
+use harness::until;
+use harness::until_some;
 use rstest::rstest;
 use serde_json::json;
 
--- a/crates/chestnutyoke/tests/cut.rs
+++ b/crates/chestnutyoke/tests/cut.rs
@@ -1,23 +1,23 @@
 //! A data centre that is cut off from the platform, and changes of the configuration around it.
 
-mod bench;
+mod harness;
 
 use std::time::Duration;
 use std::time::Instant;
 
-use bench::Ask;
-use bench::Endpoint;
-use bench::Fleet;
-use bench::Plan;
-use bench::Signal;
-use bench::call;
-use bench::chat;
-use bench::chat_until_answered;
-use bench::get;
-use bench::post;
-use bench::said;
-use bench::until;
-use bench::until_some;
+use harness::Ask;
+use harness::Endpoint;
+use harness::Fleet;
+use harness::Plan;
+use harness::Signal;
+use harness::call;
+use harness::chat;
+use harness::chat_until_answered;
+use harness::get;
+use harness::post;
+use harness::said;
+use harness::until;
+use harness::until_some;
 use serde_json::Value;
 use serde_json::json;
 use standin::runner::answer;
--- a/crates/chestnutyoke/tests/endpoints.rs
+++ b/crates/chestnutyoke/tests/endpoints.rs
@@ -1,16 +1,16 @@
 //! Runners that die, alone or by a request that kills each one that runs it.
 
-mod bench;
+mod harness;
 
-use bench::Ask;
-use bench::Endpoint;
-use bench::Fleet;
-use bench::Plan;
-use bench::chat;
-use bench::get;
-use bench::open;
-use bench::said;
-use bench::until_some;
+use harness::Ask;
+use harness::Endpoint;
+use harness::Fleet;
+use harness::Plan;
+use harness::chat;
+use harness::get;
+use harness::open;
+use harness::said;
+use harness::until_some;
 use serde_json::json;
 use standin::runner::answer;
 
--- a/crates/chestnutyoke/tests/bench/mod.rs
+++ b/crates/chestnutyoke/tests/harness/mod.rs
@@ -1,4 +1,4 @@
-//! The bench of the process tests: stand-ins and nodes as processes of their own on loopback, a
+//! The harness of the process tests: stand-ins and nodes as processes of their own on loopback, a
 //! caller, and the signals and switches that make them fail.
 #![allow(dead_code)] // each test file uses a part
 #![allow(unused_imports)]
--- a/crates/chestnutyoke/tests/bench/process.rs
+++ b/crates/chestnutyoke/tests/harness/process.rs
@@ -1,4 +1,4 @@
-//! One process of the bench and the signals that it is sent.
+//! One process of the harness and the signals that it is sent.
 
 use std::fs::File;
 use std::fs::OpenOptions;
--- a/crates/chestnutyoke/tests/leaving.rs
+++ b/crates/chestnutyoke/tests/leaving.rs
@@ -1,16 +1,16 @@
 //! A leaving endpoint gets no new work after a few seconds.
 
-mod bench;
+mod harness;
 
 use std::time::Duration;
 
-use bench::Ask;
-use bench::Endpoint;
-use bench::Fleet;
-use bench::Plan;
-use bench::chat_until_answered;
-use bench::get;
-use bench::post;
+use harness::Ask;
+use harness::Endpoint;
+use harness::Fleet;
+use harness::Plan;
+use harness::chat_until_answered;
+use harness::get;
+use harness::post;
 use rstest::rstest;
 use serde_json::json;
 
--- a/crates/chestnutyoke/tests/outage.rs
+++ b/crates/chestnutyoke/tests/outage.rs
@@ -1,15 +1,15 @@
 //! What goes on, and what is refused, while the platform doesn't answer.
 
-mod bench;
+mod harness;
 
-use bench::Ask;
-use bench::Fleet;
-use bench::Plan;
-use bench::call;
-use bench::chat_until_answered;
-use bench::get;
-use bench::said;
-use bench::until_some;
+use harness::Ask;
+use harness::Fleet;
+use harness::Plan;
+use harness::call;
+use harness::chat_until_answered;
+use harness::get;
+use harness::said;
+use harness::until_some;
 use serde_json::json;
 use standin::runner::answer;
 
--- a/crates/chestnutyoke/tests/output.rs
+++ b/crates/chestnutyoke/tests/output.rs
@@ -1,6 +1,6 @@
 //! The log's way out with a real process: a reader of standard output that stops holds up nobody.
 
-mod bench;
+mod harness;
 
 use std::fs;
 use std::io::BufRead;
@@ -19,8 +19,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bench::PATIENCE;
-use bench::until_some;
+use harness::PATIENCE;
+use harness::until_some;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
--- a/crates/chestnutyoke/tests/release.rs
+++ b/crates/chestnutyoke/tests/release.rs
@@ -1,13 +1,13 @@
 //! No engine memory stays held for programs that are gone.
 
-mod bench;
+mod harness;
 
-use bench::Ask;
-use bench::Fleet;
-use bench::Plan;
-use bench::chat_until_answered;
-use bench::end;
-use bench::until;
+use harness::Ask;
+use harness::Fleet;
+use harness::Plan;
+use harness::chat_until_answered;
+use harness::end;
+use harness::until;
 use serde_json::json;
 
 // The program ends, and the order to release its cache is lost again and again. Its owner is
--- a/crates/chestnutyoke/tests/shutdown.rs
+++ b/crates/chestnutyoke/tests/shutdown.rs
@@ -1,23 +1,23 @@
 //! A shutdown cuts off no request, and ends within its grace.
 
-mod bench;
+mod harness;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
-use bench::Ask;
-use bench::Endpoint;
-use bench::Fleet;
-use bench::Plan;
-use bench::Signal;
-use bench::TOKEN;
-use bench::chat;
-use bench::chat_until_answered;
-use bench::open;
-use bench::peek;
-use bench::said;
-use bench::until_some;
+use harness::Ask;
+use harness::Endpoint;
+use harness::Fleet;
+use harness::Plan;
+use harness::Signal;
+use harness::TOKEN;
+use harness::chat;
+use harness::chat_until_answered;
+use harness::open;
+use harness::peek;
+use harness::said;
+use harness::until_some;
 use standin::runner::answer;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
--- a/crates/chestnutyoke/tests/takeover.rs
+++ b/crates/chestnutyoke/tests/takeover.rs
@@ -1,19 +1,19 @@
 //! Turns stay in order and histories whole when a program's owner dies or freezes.
 
-mod bench;
+mod harness;
 
-use bench::Ask;
-use bench::Endpoint;
-use bench::Fleet;
-use bench::PATIENCE;
-use bench::Plan;
-use bench::Signal;
-use bench::chat;
-use bench::chat_until_answered;
-use bench::get;
-use bench::open;
-use bench::said;
-use bench::until;
+use harness::Ask;
+use harness::Endpoint;
+use harness::Fleet;
+use harness::PATIENCE;
+use harness::Plan;
+use harness::Signal;
+use harness::chat;
+use harness::chat_until_answered;
+use harness::get;
+use harness::open;
+use harness::said;
+use harness::until;
 use serde_json::json;
 use standin::runner::answer;
 use wire::chat::Message;
--- a/crates/chestnutyoke/tests/three_nodes.rs
+++ b/crates/chestnutyoke/tests/three_nodes.rs
@@ -1,19 +1,19 @@
 //! The whole path with real processes: caller, entry VM, owner, endpoint and back.
 
-mod bench;
+mod harness;
 
 use std::collections::BTreeSet;
 
-use bench::Ask;
-use bench::Endpoint;
-use bench::Fleet;
-use bench::Plan;
-use bench::call;
-use bench::chat;
-use bench::chat_until_answered;
-use bench::get;
-use bench::open;
-use bench::said;
+use harness::Ask;
+use harness::Endpoint;
+use harness::Fleet;
+use harness::Plan;
+use harness::call;
+use harness::chat;
+use harness::chat_until_answered;
+use harness::get;
+use harness::open;
+use harness::said;
 use standin::runner::answer;
 
 fn three_nodes() -> Plan {
