Search for no opener of a connection that is closed already

A connection between VMs whose opener has given it up has no inode; it was searched for in all processes, was not found, and the ones behind it waited so long that they were given up as well.

--- a/crates/soak/src/opener.rs
+++ b/crates/soak/src/opener.rs
@@ -100,7 +100,10 @@
         return Ok(None);
     }
     let bytes = [0, 1, 2, 3].map(|at| answer[INODE_AT + at]);
-    Ok(Some(u32::from_ne_bytes(bytes)))
+    let inode = u32::from_ne_bytes(bytes);
+    // A socket that is closed already, but not yet gone, is nobody's. Looked for, it costs a search
+    // and isn't found; openers that give up meanwhile would make the next ones wait ever longer.
+    Ok(Some(inode).filter(|inode| *inode != 0))
 }
 
 fn request(local: SocketAddrV4, remote: SocketAddrV4) -> Vec<u8> {
--- a/crates/soak/src/opener/tests.rs
+++ b/crates/soak/src/opener/tests.rs
@@ -30,3 +30,16 @@
     let found = Openers::default().find(ids, nowhere, nowhere);
     assert_eq!(found.unwrap(), None);
 }
+
+/// A VM has given up a connection whose opener is still to be found: nothing is searched for it.
+#[test]
+fn nobody_holds_a_closed_socket() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let to = listener.local_addr().unwrap();
+    let stream = TcpStream::connect(to).unwrap();
+    let from = stream.local_addr().unwrap();
+    let _open = listener.accept().unwrap();
+    drop(stream);
+    let search = || panic!("processes were searched");
+    assert_eq!(Openers::default().find(search, from, to).unwrap(), None);
+}
