Keep no line of a VM that has nothing at a runner

A hub had a line for each runner and VM, nearly all of them nothing, and went through all of them, each looked up by name, for each message to each VM of its data centre. What the counts add up to is the same.

Seen red before: tally::tests::what_is_nothing_is_not_kept. A hub at 380 VMs still doesn't keep the limit.

--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -75,16 +75,24 @@
 
 impl Told {
     /// Takes in what is told; `None` where there is nothing at this runner.
+    ///
+    /// What is nothing isn't kept: a hub would have a line for each runner and VM, and go through all
+    /// of them for each message.
     pub fn note(&mut self, origin: &Origin, tally: Option<&Tally>, now: Millis) {
-        let line = Line {
+        let known = self.0.iter().position(|line| line.origin == *origin);
+        let line = tally.map(|tally| Line {
             origin: origin.clone(),
-            under_way: tally.map_or(0, |tally| tally.under_way),
-            held_off: tally.map_or(0, |tally| tally.held_off),
+            under_way: tally.under_way,
+            held_off: tally.held_off,
             at: now,
-        };
-        match self.0.iter_mut().find(|known| known.origin == *origin) {
-            Some(known) => *known = line,
-            None => self.0.push(line),
+        });
+        match (known, line) {
+            (Some(at), Some(line)) => self.0[at] = line,
+            (Some(at), None) => {
+                self.0.swap_remove(at);
+            }
+            (None, Some(line)) => self.0.push(line),
+            (None, None) => {}
         }
     }
 
--- a/crates/relay/src/tally/tests.rs
+++ b/crates/relay/src/tally/tests.rs
@@ -56,6 +56,18 @@
     assert_eq!(told.all(NOW.plus(Millis::new(700))), (0, 0), "too old");
 }
 
+#[test]
+fn what_is_nothing_is_not_kept() {
+    let mut told = Told::default();
+    told.note(&vm("idle"), None, NOW);
+    assert!(told.0.is_empty());
+    told.note(&vm("busy"), Some(&tally(2)), NOW);
+    told.note(&vm("idle"), None, NOW);
+    assert_eq!((told.0.len(), told.all(NOW)), (1, (2, 0)));
+    told.note(&vm("busy"), None, NOW);
+    assert!(told.0.is_empty());
+}
+
 #[rstest]
 #[case::a_leaf_hears_of_others(vm("x"), Audience::Near("y"), true)]
 #[case::not_of_itself(vm("y"), Audience::Near("y"), false)]
