Have the next VM read for all as soon as the reader stops

For the others a stopping VM was the reader until it was silent.

A VM now tells the others that it stops, and is no reader for them from then on. That holds where every two VMs exchange; behind a hub leaves hear only that hub, and all of them would read at once.

peers::tests::readers_that_stop_are_not_waited_for: new code, red without the check of the course.

--- a/crates/relay/src/exchange/hear.rs
+++ b/crates/relay/src/exchange/hear.rs
@@ -8,13 +8,19 @@
 use crate::exchange::tell::Message;
 use crate::fleet;
 use crate::node::Node;
+use crate::peers::Told;
 use crate::roster::Roster;
 use crate::take;
 
 /// Takes a message in.
 pub fn message(node: &Arc<Node>, told: Message) {
     let now = node.clock.now();
-    node.peers().hear(&told.vm, told.roster, told.config, now);
+    let of_itself = Told {
+        roster: told.roster,
+        config: told.config,
+        course: told.course,
+    };
+    node.peers().hear(&told.vm, of_itself, now);
     node.fleet().hear(&told.origin, &told.tallies, now);
     if let Some(document) = &told.document {
         take::document(node, document);
--- a/crates/relay/src/exchange/tell.rs
+++ b/crates/relay/src/exchange/tell.rs
@@ -5,6 +5,7 @@
 use wire::clock::Millis;
 
 use crate::node::Node;
+use crate::peers::Course;
 use crate::peers::Place;
 use crate::roster::Roster;
 use crate::tally;
@@ -31,6 +32,9 @@
     pub entries: Option<Roster>,
     /// The configuration, where the other has an older one.
     pub document: Option<Vec<u8>>,
+    /// Whether the VM goes on.
+    #[serde(default)]
+    pub course: Course,
 }
 
 /// Builds the message for a VM that has these revisions.
@@ -49,6 +53,7 @@
         config: table.version,
         entries: (known.revision > roster).then(|| known.clone()),
         document: (table.version > config).then(|| table.document.clone()),
+        course: node.stop().map_or(Course::Stays, |_| Course::Stops),
     }
 }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -7,6 +7,8 @@
 
 use std::net::SocketAddr;
 
+use serde::Deserialize;
+use serde::Serialize;
 use wire::clock::Millis;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -44,15 +46,37 @@
     /// The configuration's revision that it had then.
     pub config: u64,
     heard: Millis,
+    course: Course,
     lapsed: Option<Millis>,
 }
 
+/// Whether a VM goes on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Course {
+    /// It does.
+    #[default]
+    Stays,
+    /// Its process stops.
+    Stops,
+}
+
 impl Peer {
     fn answers(&self, now: Millis) -> bool {
         self.lapsed.is_none() && now.since(self.heard) < SILENT
     }
 }
 
+/// What a VM tells of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// The roster's revision that it has.
+    pub roster: u64,
+    /// The configuration's revision that it has.
+    pub config: u64,
+    /// Whether it goes on.
+    pub course: Course,
+}
+
 /// Whom a VM exchanges with, as it sees the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -83,6 +107,7 @@
                     roster: 0,
                     config: 0,
                     heard: now,
+                    course: Course::Stays,
                     lapsed: None,
                 },
             ),
@@ -106,12 +131,13 @@
     }
 
     /// Notes what a VM had when it was heard.
-    pub fn hear(&mut self, vm: &str, roster: u64, config: u64, now: Millis) {
+    pub fn hear(&mut self, vm: &str, told: Told, now: Millis) {
         if let Ok(at) = self.find(vm) {
             let peer = &mut self.known[at];
             peer.heard = now;
-            peer.roster = roster;
-            peer.config = config;
+            peer.course = told.course;
+            peer.roster = told.roster;
+            peer.config = told.config;
         }
     }
 
@@ -140,10 +166,19 @@
     /// Tells whether no VM that answers comes before `own`: it reads the runners' entries for the
     /// others. One reader a data centre would ask the service as often as there are data centres,
     /// and tell the others no more.
+    ///
+    /// One that stops isn't waited for until it is silent: where the next one stops as well, the second
+    /// silence would have all VMs use a runner that left for longer than it may be. In a larger deployment
+    /// it is, as leaves that hear only their hub would all read at once.
     #[must_use]
     pub fn is_reader(&self, own: &str, now: Millis) -> bool {
-        let before = self.known.iter().take_while(|peer| peer.vm.as_str() < own);
-        !before.into_iter().any(|peer| peer.answers(now))
+        let goes_on = |peer: &Peer| !self.is_direct() || peer.course == Course::Stays;
+        let mut before = self.known.iter().take_while(|peer| peer.vm.as_str() < own);
+        !before.any(|peer| peer.answers(now) && goes_on(peer))
+    }
+
+    fn is_direct(&self) -> bool {
+        self.known.len() <= DIRECT
     }
 
     /// Tells whether no VM of the data centre that answers comes before `own`: it is their hub where
@@ -172,7 +207,7 @@
     /// Tells whom the VM named exchanges with.
     #[must_use]
     pub fn place(&self, own: &str, centre: &str, now: Millis) -> Place {
-        if self.known.len() <= DIRECT {
+        if self.is_direct() {
             return Place::Direct;
         }
         if self.is_first(own, centre, now) {
--- a/crates/relay/src/peers/tests.rs
+++ b/crates/relay/src/peers/tests.rs
@@ -1,8 +1,10 @@
 use wire::clock::Millis;
 
+use super::Course;
 use super::DIRECT;
 use super::Peers;
 use super::Place;
+use super::Told;
 
 const NOW: Millis = Millis::new(10_000);
 
@@ -44,12 +46,12 @@
     let mut peers = peers(DIRECT + 60);
     let later = Millis::new(11_500);
     for at in 1..DIRECT + 60 {
-        peers.hear(&format!("vm-{at:03}"), 0, 0, later);
+        peers.hear(&format!("vm-{at:03}"), Told::default(), later);
     }
     assert_eq!(asked(&peers, "vm-030", "a", later), ["vm-000", "vm-003"]);
     assert_eq!(peers.place("vm-003", "a", later), Place::Hub);
     assert!(asked(&peers, "vm-003", "a", later).contains(&"vm-000".to_owned()));
-    peers.hear("vm-000", 0, 0, later);
+    peers.hear("vm-000", Told::default(), later);
     assert_eq!(peers.place("vm-003", "a", later), Place::Leaf);
     assert_eq!(asked(&peers, "vm-030", "a", later), ["vm-000"]);
 }
@@ -87,8 +89,27 @@
     assert!(!peers.is_reader("vm-001", NOW));
     let later = Millis::new(11_100);
     for vm in ["vm-002", "vm-003"] {
-        peers.hear(vm, 0, 0, later);
+        peers.hear(vm, Told::default(), later);
     }
     assert!(peers.is_reader("vm-001", later), "the first is silent");
     assert!(!peers.is_reader("vm-003", later));
 }
+
+/// A runner's entry goes while the VM that reads the entries for all stops, and so does the next one by
+/// name. Each taken for the reader until it had been silent for a second, the others would hear of the
+/// entry more than two seconds later, and send requests to a runner that has gone.
+#[test]
+fn readers_that_stop_are_not_waited_for() {
+    let mut peers = peers(6);
+    let stops = Told {
+        course: Course::Stops,
+        ..Told::default()
+    };
+    for vm in ["vm-000", "vm-001"] {
+        peers.hear(vm, stops, NOW);
+    }
+    assert!(peers.is_reader("vm-002", NOW));
+    assert!(!peers.is_reader("vm-003", NOW));
+    peers.hear("vm-000", Told::default(), NOW);
+    assert!(!peers.is_reader("vm-002", NOW), "the first is back");
+}
