Tell the caller of a request that a runner has at the process's end

A request taken before SIGTERM whose runner had not answered by the end lost its connection without a word. Everything before an answer's head now ends at Stop::last with CY3104 (504), ran unknown, a moment before the process does; what may run once goes on in its own task. CY4105 isn't used for it: 503 promises that nothing has run. After the last call a repeatable call or turn that a runner broke off isn't passed on again if it may outlast the process (CY3101, ran unknown), and what a turn waits for beyond its own time is refused at the last moment, ran no.

--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -1,5 +1,6 @@
 //! Plain calls: one answer, whole before any of it is passed on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use adapter::config::Kind;
@@ -39,11 +40,13 @@
     if job.route.kind == Kind::Idempotent {
         return run_watched(&job).await;
     }
+    let asked = Arc::new(job);
+    let job = asked.clone();
     let (sender, receiver) = oneshot::channel();
-    let node = job.node.clone();
-    let id = job.call.id.clone();
     tokio::spawn(async move {
-        let response = run(&job).await;
+        let response = attempts(&job)
+            .await
+            .unwrap_or_else(|why| refuse(&job, &why));
         drop(guard);
         if sender.send(response).is_err() {
             log::info!(
@@ -54,8 +57,11 @@
             );
         }
     });
-    let answer = receiver.await;
-    answer.unwrap_or_else(|_| refuse::died(&node, &id))
+    match shutdown::by_the_end(&asked.node, receiver).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(_)) => refuse::died(&asked.node, &asked.call.id),
+        Err(refusal) => refuse(&asked, &refusal),
+    }
 }
 
 /// Tells that the caller has left where it is dropped before the call's end.
@@ -75,16 +81,16 @@
 /// Runs a call that is broken off where its caller leaves.
 async fn run_watched(job: &Job) -> Response<Body> {
     let mut watch = Watch { job, ended: false };
-    let response = run(job).await;
+    let answer = shutdown::by_the_end(&job.node, attempts(job)).await;
     watch.ended = true;
-    response
+    match answer {
+        Ok(Ok(response)) => response,
+        Ok(Err(refusal)) | Err(refusal) => refuse(job, &refusal),
+    }
 }
 
-async fn run(job: &Job) -> Response<Body> {
-    match attempts(job).await {
-        Ok(response) => response,
-        Err(refusal) => refuse::answer(&job.node, &refusal, &job.subject()),
-    }
+fn refuse(job: &Job, refusal: &Refusal) -> Response<Body> {
+    refuse::answer(&job.node, refusal, &job.subject())
 }
 
 async fn attempts(job: &Job) -> Result<Response<Body>, Refusal> {
@@ -97,6 +103,8 @@
         }
         if runs == 0 {
             shutdown::pass_on(&job.node, job.ends())?;
+        } else {
+            shutdown::try_again(&job.node, job.ends())?;
         }
         let Some(runner) = job.choose(&not) else {
             return Err(refuse::nowhere(runs));
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 use wire::clock::Millis;
 use wire::code::Code;
+use wire::code::Ran;
 use wire::code::Refusal;
 
 use crate::node::Node;
@@ -38,13 +39,24 @@
     }
 }
 
+/// Tells whether a request that a runner may have run may still be passed on to another one, which it may
+/// under the same condition as [`pass_on`] has.
+///
+/// # Errors
+///
+/// Fails where it may not. Not with [`Code::ShuttingDown`]: its status promises that nothing has run.
+pub fn try_again(node: &Node, ends: Instant) -> Result<(), Refusal> {
+    pass_on(node, ends)
+        .map_err(|refusal| Refusal::new(Code::EndpointFailed, &refusal.message).ran(Ran::Unknown))
+}
+
 /// Waits for `work` that a request needs before a runner has it, at most until the last call where the
-/// process stops and the request may outlast it. Cut off by the process's end, its caller couldn't
-/// know that it has not run.
+/// process stops and the request may outlast it, and until the last moment where it shouldn't. Cut off
+/// by the process's end, its caller couldn't know that it has not run.
 ///
 /// # Errors
 ///
-/// Refuses at the last call.
+/// Refuses when that is over.
 pub async fn before<T>(
     node: &Node,
     ends: Instant,
@@ -57,13 +69,37 @@
     }
 }
 
-/// Waits for the last call, and for ever where the request is over before the process is.
+/// Waits for `work` that a runner may have, at most until the process's last answers have to go out. Cut
+/// off by the process's end, its caller would see a closed connection and have no code to go by.
+///
+/// # Errors
+///
+/// Fails at that moment. Not with [`Code::ShuttingDown`]: its status promises that nothing has run.
+pub async fn by_the_end<T>(node: &Node, work: impl Future<Output = T>) -> Result<T, Refusal> {
+    tokio::select! {
+        biased;
+        done = work => Ok(done),
+        refusal = end(node) => Err(refusal),
+    }
+}
+
+/// Waits until the process's last answers have to go out; yields that of a request which may have run.
+async fn end(node: &Node) -> Refusal {
+    let stop = node.stopping().await;
+    let left = stop.last().since(node.clock.now());
+    sleep(left.as_duration()).await;
+    Refusal::new(Code::OutcomeUnknown, "the VM is shutting down").ran(Ran::Unknown)
+}
+
+/// Waits for the last call, or for the last moment where the request should be over before that.
 async fn last_call(node: &Node, ends: Instant) -> Refusal {
     let stop = node.stopping().await;
-    if !outlasts(node, stop, ends) {
-        return std::future::pending().await;
-    }
-    let left = stop.last_call().since(node.clock.now());
+    let at = if outlasts(node, stop, ends) {
+        stop.last_call()
+    } else {
+        stop.last()
+    };
+    let left = at.since(node.clock.now());
     sleep(left.as_duration()).await;
     refusal(node, stop, ends)
 }
--- a/crates/relay/src/shutdown/tests.rs
+++ b/crates/relay/src/shutdown/tests.rs
@@ -82,3 +82,18 @@
     let refusal = pass_on(&node, ends).unwrap_err();
     assert_eq!((refusal.code, refusal.ran), (Code::ShuttingDown, Ran::No));
 }
+
+// A turn waits for VMs with a disk for longer than the time that it has, and the process ends meanwhile. It
+// isn't given up at the last call, as it should have been over by then; cut off at the end, its caller
+// wouldn't know that no runner has had it.
+#[tokio::test]
+async fn what_should_have_been_over_is_told_at_the_last_moment() {
+    let node = node();
+    let stop = node.begin_stop();
+    let waited = before(&node, in_ms(1_000), pending::<()>());
+    let told = timeout(GRACE.as_duration(), waited).await;
+    let refusal = told.expect("it is told before the end").unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::ShuttingDown, Ran::No));
+    assert!(node.clock.now() >= stop.last());
+    assert!(node.clock.now() < stop.ends());
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -148,7 +148,8 @@
     let mut not = Vec::new();
     let mut runs = 0;
     let last_event = job.call.last_event;
-    let (reply, attempt) = open(job, &history, &mut not, &mut runs, last_event).await?;
+    let opened = open(job, &history, &mut not, &mut runs, last_event);
+    let (reply, attempt) = shutdown::by_the_end(&job.node, opened).await??;
     job.note_wait(&attempt);
     Ok((reply, attempt, history))
 }
@@ -181,6 +182,8 @@
         }
         if *runs == 0 {
             shutdown::pass_on(&job.node, job.ends())?;
+        } else {
+            shutdown::try_again(&job.node, job.ends())?;
         }
         let Some(runner) = job.choose(not) else {
             return Err(refuse::nowhere(*runs));
