Close the second door's listener while there is time to answer

While busy the listener stayed open until the process ended: what waited then was accepted and reset unread. It closes at Stop::last at the latest now. Open connections counted as busy, so that callers that bring nothing, or whose requests are refused, kept it open for the whole grace; only requests do now.

--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -101,6 +101,17 @@
         }
     }
 
+    /// Tells whether the listener for callers closes now, `requests` being whether any are under way:
+    /// with the process's end, but at [`Self::last`] at the latest. What waits to be accepted then
+    /// has the time up to [`Self::ends`] to be answered.
+    #[must_use]
+    pub fn closes(&self, now: Millis, requests: Activity) -> bool {
+        match requests {
+            Activity::Busy => now >= self.last,
+            Activity::Idle => self.is_over(now, Activity::Idle),
+        }
+    }
+
     /// Yields the time that is left for what is under way.
     #[must_use]
     pub const fn left(&self, now: Millis) -> Millis {
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -6,7 +6,6 @@
 
 use link::listen::Door;
 use policy::stop::Activity;
-use policy::stop::Stop;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -33,15 +32,17 @@
         door.open()
     );
     door.closing.cancel();
-    wait(node, stop, || Activity::Idle).await;
+    wait(|| stop.is_over(node.clock.now(), Activity::Idle)).await;
     door.leaving.cancel();
-    wait(node, stop, || activity(node, door)).await;
+    // Connections alone don't count: with callers that connect and bring nothing, or are refused, the
+    // listener would stay open to the last moment, and keep the next process from serving.
+    wait(|| stop.closes(node.clock.now(), requests(node))).await;
     // A request that is taken after the last look would be cut off: nobody can connect by then.
     door.shut.cancel();
     if timeout(CLOSING, listener).await.is_err() {
         log::warn!("text=\"the listener for clients doesn't close\"");
     }
-    wait(node, stop, || activity(node, door)).await;
+    wait(|| stop.is_over(node.clock.now(), activity(node, door))).await;
     log_cut(&node.work.entries());
     log::info!(
         "event=E{} text=\"{}\" under_way={} connections={} ms={}",
@@ -53,18 +54,25 @@
     );
 }
 
-/// Waits until the process may end as far as `activity` goes.
-async fn wait(node: &Node, stop: Stop, activity: impl Fn() -> Activity) {
-    while !stop.is_over(node.clock.now(), activity()) {
+async fn wait(is_time: impl Fn() -> bool) {
+    while !is_time() {
         sleep(LOOK).await;
     }
 }
 
+/// Tells whether anything is done for requests.
+fn requests(node: &Node) -> Activity {
+    match node.work.count() {
+        0 => Activity::Idle,
+        _ => Activity::Busy,
+    }
+}
+
+/// Tells whether anything is done for requests, or callers are connected.
 fn activity(node: &Node, door: &Door) -> Activity {
-    if node.work.count() > 0 || door.open() > 0 {
-        Activity::Busy
-    } else {
-        Activity::Idle
+    match door.open() {
+        0 => requests(node),
+        _ => Activity::Busy,
     }
 }
 
@@ -81,3 +89,6 @@
         );
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/drain/tests.rs
@@ -0,0 +1,76 @@
+use adapter::settings;
+use adapter::settings::Settings;
+use link::body::Body;
+use link::listen;
+use tokio::net::TcpStream;
+use wire::clock::Clock;
+use wire::clock::Millis;
+
+use super::*;
+
+/// A process that stops, with nothing but its listener for clients.
+struct Stopping {
+    node: Arc<Node>,
+    door: Arc<Door>,
+    drained: JoinHandle<()>,
+    address: std::net::SocketAddr,
+}
+
+async fn stopping(grace: Millis) -> Stopping {
+    let settings = settings::parse(&fakes::settings::alone()).unwrap();
+    let node = Node::new(Settings { grace, ..settings }, Clock::System);
+    let door = Arc::new(Door::default());
+    let listener = listen::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let handler = |_request| std::future::ready(hyper::Response::new(Body::whole("")));
+    let idle = Duration::from_mins(1);
+    let listening = tokio::spawn(listen::run(listener, door.clone(), idle, handler));
+    let (stops, shuts) = (node.clone(), door.clone());
+    let drained = tokio::spawn(async move { run(&stops, &shuts, listening).await });
+    Stopping {
+        node,
+        door,
+        drained,
+        address,
+    }
+}
+
+/// A request is under way to the last moment. Were the listener open until the process ends, what waits to
+/// be accepted then would be accepted and reset unread, its caller not knowing whether it ran. The
+/// listener closes while there is time to answer, and the process ends no sooner for it.
+#[tokio::test]
+async fn the_listener_closes_while_there_is_time_to_answer() {
+    let process = stopping(Millis::new(2_000)).await;
+    let _busy = process.node.work.begin(work::Kind::Answer, "q-1");
+    process.door.shut.cancelled().await;
+    let shut = process.node.clock.now();
+    process.drained.await.unwrap();
+    let stop = process.node.stop().unwrap();
+    assert!(
+        shut >= stop.last() && shut < stop.ends(),
+        "{shut} of {stop:?}"
+    );
+    assert!(process.node.clock.now() >= stop.ends());
+}
+
+/// The balancer has noticed that the process stops, and no request is under way; callers go on to connect
+/// and bring nothing. Were each open connection waited for, the listener would stay open to the last
+/// moment, and the next process serve seconds later.
+#[tokio::test]
+async fn connections_that_bring_nothing_hold_no_listener_open() {
+    let process = stopping(Millis::new(6_000)).await;
+    let address = process.address;
+    let callers = tokio::spawn(async move {
+        let mut connections = Vec::new();
+        while let Ok(connection) = TcpStream::connect(address).await {
+            connections.push(connection);
+            sleep(Duration::from_millis(100)).await;
+        }
+        connections
+    });
+    process.drained.await.unwrap();
+    let stop = process.node.stop().unwrap();
+    let took = process.node.clock.now().since(stop.begun());
+    assert!(took < Millis::new(4_500), "{took}");
+    assert!(callers.await.unwrap().len() > 10);
+}
