Give the body of a runner's refusal a short time

A runner that turned a request away and stalled within its refusal's body held the request beyond its own time and the process's last call, as that body was read without a limit to keep the connection. It has 50 ms now.

Test: failing::a_refusal_that_stalls_holds_no_request, red before (no answer within 1 s), green after.

--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -1,6 +1,7 @@
 //! A request on its way, and what its attempts at runners share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use adapter::config::Kind;
 use adapter::config::Route;
@@ -18,6 +19,7 @@
 use policy::prefix;
 use rand::Rng;
 use tokio::time::Instant;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 use wire::clock::Millis;
 use wire::event::Event;
@@ -42,6 +44,9 @@
 const KEEP_TOLD: Millis = Millis::new(20_000);
 /// The longest refusal of a runner that is read, in bytes, so that its connection can be kept.
 const REFUSAL: usize = 64 * 1024;
+/// How long it may take to come. A request that nobody has waits meanwhile; a new connection costs less
+/// than more of this.
+const REFUSAL_TIME: Duration = Duration::from_millis(50);
 
 /// A request that was read and routed.
 #[derive(Debug)]
@@ -291,8 +296,10 @@
         let status = reply.head.status;
         self.log_retry(&attempt.runner.id, &format!("not run, status {status}"));
         // Read to its end, so that the connection can be used again.
-        if let Err(fault) = reply.body.whole(REFUSAL).await {
-            log::debug!("a refusal's body: {fault}");
+        match timeout(REFUSAL_TIME, reply.body.whole(REFUSAL)).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(fault)) => log::debug!("a refusal's body: {fault}"),
+            Err(_) => log::debug!("a refusal's body doesn't come"),
         }
         Sent::NotRun
     }
--- a/crates/relay/tests/failing.rs
+++ b/crates/relay/tests/failing.rs
@@ -27,6 +27,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use wire::clock::Clock;
 use wire::clock::Millis;
 
@@ -53,6 +54,8 @@
     BreaksOff,
     /// It answers that the time is over, when it is.
     Hangs(Duration),
+    /// It turns requests away, and the body that it announces for that doesn't come.
+    TurnsAwayInHalf,
 }
 
 async fn runner(manner: Manner) -> SocketAddr {
@@ -85,6 +88,9 @@
                 sleep(time).await;
                 "HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n"
             }
+            Manner::TurnsAwayInHalf => {
+                "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 9\r\n\r\n"
+            }
             Manner::BreaksOff => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no",
         };
         if stream.write_all(said.as_bytes()).await.is_err() {
@@ -207,3 +213,18 @@
     assert!(got.requests > 200, "{got:?}");
     assert!(got.late * 20 < got.requests, "{got:?}");
 }
+
+/// A runner turns a request away and stalls within the refusal's body, which is read only so that the
+/// connection can be used again. The request, which nobody has, is held for it beyond all its time,
+/// and beyond the process's last call. The body isn't waited for.
+#[tokio::test]
+async fn a_refusal_that_stalls_holds_no_request() {
+    let node = node(&[Manner::TurnsAwayInHalf]).await;
+    let config = config::decode(ROUTES.as_bytes()).expect("it is sound");
+    let table = Arc::new(Table::new(config, &[]));
+    let guard = node.work.begin(Kind::Answer, "q-1");
+    let served = plain::serve(job(&node, &table, "q-1"), guard);
+    let response = timeout(Duration::from_secs(1), served).await;
+    let response = response.expect("it is answered");
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+}
