Hold a turn's end while its members may only restart

The end of a stream that waits for its text to be kept was given up as soon as the members counted as lost, though two of three that restart are back within the time for keeping. It is given up once the loss is older than a restart takes (1 s).

--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -25,6 +25,9 @@
 pub const PATIENCE: Duration = Duration::from_millis(250);
 /// Looks that fail in a row before turns are refused: one may meet a pause of two members.
 const LOST_AFTER: u32 = 2;
+/// How long VMs with a disk that restart are away at most: their processes are started again after a
+/// short delay. Those that are away for longer are cut off or down, and nobody knows until when.
+const RESTART: Millis = Millis::new(1_000);
 /// VMs that a line of the log names at most.
 const NAMED: usize = 12;
 /// When a turn may come again at the soonest: about the time in which a VM with a disk restarts, or in
@@ -186,6 +189,12 @@
         matches!(self.service, Service::Served)
     }
 
+    /// Tells whether turns aren't served, and haven't been for longer than a restart takes.
+    #[must_use]
+    pub fn is_outage(&self, now: Millis) -> bool {
+        !self.serves() && now.since(self.since) > RESTART
+    }
+
     /// Tells whether the balancer should send turns here.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
