Go on after a failed accept when a listener closes

The first accept that failed left all that waited behind it to be reset unread. It is passed over now, at most as often as connections can wait.

Tests: accept::tests; a_failed_accept_loses_nobody_else red before (0 of 3 taken), green after; the bound's test was green before as well.

--- a/crates/link/src/accept.rs
+++ b/crates/link/src/accept.rs
@@ -1,6 +1,7 @@
 //! Accepts connections until a listener closes, without resetting one that a caller has already.
 
 use std::io;
+use std::net;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -35,24 +36,40 @@
             }
         }
     }
-    if let Err(fault) = take_waiting(listener, enter) {
+    let taken = listener
+        .into_std()
+        .and_then(|listener| take_waiting(|| Ok(listener.accept()?.0), enter));
+    if let Err(fault) = taken {
         log::warn!("connections that waited to be accepted are lost: {fault}");
     }
 }
 
 /// Takes the connections that wait to be accepted. The kernel is asked itself: the event loop may not
-/// have heard of the last ones.
-fn take_waiting(listener: TcpListener, mut enter: impl FnMut(TcpStream)) -> io::Result<()> {
-    let listener = listener.into_std()?;
+/// have heard of the last ones. One that can't be taken (its caller has gone, or no file descriptor is
+/// left for a moment) is passed over: the listener's close would reset those behind it unread.
+///
+/// # Errors
+///
+/// Yields the last failure, once all others are taken.
+fn take_waiting(
+    mut accept: impl FnMut() -> io::Result<net::TcpStream>,
+    mut enter: impl FnMut(TcpStream),
+) -> io::Result<()> {
+    let mut outcome = Ok(());
     for _ in 0..BACKLOG {
-        match listener.accept() {
-            Ok((stream, _from)) => {
-                stream.set_nonblocking(true)?;
-                enter(TcpStream::from_std(stream)?);
-            }
+        match accept().and_then(prepare) {
+            Ok(stream) => enter(stream),
             Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => break,
-            Err(fault) => return Err(fault),
+            Err(fault) => outcome = Err(fault),
         }
     }
-    Ok(())
+    outcome
 }
+
+fn prepare(stream: net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
+#[cfg(test)]
+mod tests;
