Say no of no ask that a broken try may have run

A turn or a keyed call that may be repeated went to its owner, which ran it and died. The next owner refused it (platform down, queue full, no endpoint), and its `ran: no`, true of that owner alone, was passed on: the caller could have the work done elsewhere a second time.

The entry VM now raises such a `no` to `unknown` after a try that broke off.

--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -149,12 +149,13 @@
 async fn relay(core: Arc<Core>, ask: Ask, replies: UnboundedSender<Reply>) {
     let mut last = no_owner(&ask);
     let mut arrived = earlier(&ask);
+    let mut broken = Ran::No;
     let now = core.clock.now();
     let until = now.plus(patience(&core, &ask));
     let leaves = leaves(&ask, now);
     let mut tries = 0;
     while tries < TRIES {
-        match step(&core, &ask, &replies).await {
+        match step(&core, &ask, broken, &replies).await {
             Tried::Finished => return,
             Tried::Elsewhere(refusal) => {
                 // An owner is on its way: the ask waits for it and isn't given back.
@@ -164,6 +165,9 @@
             }
             Tried::Broken(seen) => {
                 arrived = Ran::Unknown;
+                if !journal_decides(&core, &ask) {
+                    broken = Ran::Unknown;
+                }
                 last = Refusal::new(Code::ForwardFailed, "").retry_after(PAUSE);
                 if seen > 0 || !repeatable(&ask) {
                     break;
@@ -257,14 +261,26 @@
     }
 }
 
+/// Tells whether the next owner knows of a call that an earlier one took: its intent is in the journal
+/// before it is sent. Of any other ask that owner sees only that it doesn't run there.
+fn journal_decides(core: &Core, ask: &Ask) -> bool {
+    let Body::Call(call) = &ask.body else {
+        return false;
+    };
+    let view = core.view();
+    view.config
+        .runs_once(call.service.as_str(), &call.operation)
+}
+
 fn no_owner(ask: &Ask) -> Refusal {
     Refusal::new(Code::NoOwner, ask.program.as_str()).retry_after(TAKEOVER)
 }
 
-async fn step(core: &Arc<Core>, ask: &Ask, replies: &UnboundedSender<Reply>) -> Tried {
+/// Makes one try; `broken` is what earlier ones that broke off leave unknown.
+async fn step(core: &Arc<Core>, ask: &Ask, broken: Ran, replies: &UnboundedSender<Reply>) -> Tried {
     let view = core.view();
     match route::hop(core, &view, &ask.program) {
-        Hop::Here(shard) => here(core, ask, &shard, replies).await,
+        Hop::Here(shard) => here(core, ask, &shard, broken, replies).await,
         Hop::There(..) if ask.hops >= MAX_HOPS => Tried::Elsewhere(no_owner(ask)),
         Hop::There(vm, address) => {
             log::info!(
@@ -273,7 +289,11 @@
                 ask.program,
                 ask.hops
             );
-            there(core, ask, &vm, &address.to_string(), replies).await
+            let next = Next {
+                vm,
+                address: address.to_string(),
+            };
+            there(core, ask, &next, broken, replies).await
         }
         Hop::NoOwner(_) => Tried::Elsewhere(no_owner(ask)),
         Hop::Unreachable(centre) => {
@@ -288,6 +308,7 @@
     core: &Core,
     ask: &Ask,
     shard: &id::Shard,
+    broken: Ran,
     replies: &UnboundedSender<Reply>,
 ) -> Tried {
     let (sender, mut received) = mpsc::unbounded_channel();
@@ -296,7 +317,7 @@
     }
     let mut seen = 0;
     while let Some(reply) = received.recv().await {
-        match pass(reply, seen, replies) {
+        match pass(reply, seen, broken, replies) {
             Some(tried) => return tried,
             None => seen += 1,
         }
@@ -304,20 +325,27 @@
     Tried::Broken(seen)
 }
 
+/// The VM that an ask is sent to.
+struct Next {
+    vm: id::Vm,
+    address: String,
+}
+
 /// Sends an ask to another VM and passes its replies on.
 async fn there(
     core: &Arc<Core>,
     ask: &Ask,
-    vm: &id::Vm,
-    address: &str,
+    next: &Next,
+    broken: Ran,
     replies: &UnboundedSender<Reply>,
 ) -> Tried {
     let Ok(body) = frame::encode(ask) else {
-        let _gone = replies.send(Reply::Refused(Refusal::new(Code::BodyTooLarge, "")));
+        let refusal = Refusal::new(Code::BodyTooLarge, "").ran(broken);
+        let _gone = replies.send(Reply::Refused(refusal));
         return Tried::Finished;
     };
     let post = Post {
-        address,
+        address: &next.address,
         path: peer::ASK,
         kind: FRAMES,
         headers: &[],
@@ -325,7 +353,7 @@
     };
     let response = tokio::select! {
         response = core.client.post(post) => response,
-        () = gone::gone(core, ask, vm) => return Tried::Broken(0),
+        () = gone::gone(core, ask, &next.vm) => return Tried::Broken(0),
     };
     let mut incoming = match response {
         Ok(response) if response.status().is_success() => response.into_body(),
@@ -338,14 +366,14 @@
     let mut seen = 0;
     loop {
         match frame::decode::<Reply>(&mut buffer) {
-            Ok(Some(reply)) => match pass(reply, seen, replies) {
+            Ok(Some(reply)) => match pass(reply, seen, broken, replies) {
                 Some(tried) => return tried,
                 None => seen += 1,
             },
             Ok(None) => {
                 let part = tokio::select! {
                     part = incoming.frame() => part,
-                    () = gone::gone(core, ask, vm) => return Tried::Broken(seen),
+                    () = gone::gone(core, ask, &next.vm) => return Tried::Broken(seen),
                 };
                 let Some(Ok(part)) = part else {
                     return Tried::Broken(seen);
@@ -358,7 +386,10 @@
 }
 
 /// Passes one reply on; tells what became of the try where it was the last.
-fn pass(reply: Reply, seen: usize, replies: &UnboundedSender<Reply>) -> Option<Tried> {
+///
+/// An owner that refuses speaks of its own try only. Passed on as it is, its "no" would cover an
+/// earlier owner's run, and the caller might have the work done twice: it is raised to `broken`.
+fn pass(reply: Reply, seen: usize, broken: Ran, replies: &UnboundedSender<Reply>) -> Option<Tried> {
     let last = !matches!(reply, Reply::Delta(_));
     if let Reply::Refused(refusal) = &reply
         && is_moving(refusal)
@@ -374,6 +405,10 @@
         // The next owner knows from the journal what became of it.
         return Some(Tried::Broken(seen));
     }
+    let reply = match reply {
+        Reply::Refused(refusal) if refusal.ran == Ran::No => Reply::Refused(refusal.ran(broken)),
+        reply => reply,
+    };
     let gone = replies.send(reply).is_err();
     (last || gone).then_some(Tried::Finished)
 }
@@ -383,3 +418,6 @@
 pub fn frames(body: Bytes) -> Response {
     http::whole(200, FRAMES, body)
 }
+
+#[cfg(test)]
+mod tests;
