Look an order up before it is refused by the configuration

It looks there first now. A VM that had lost the shard said `no`, too: by the gate where its log knew of the loss, and by the intent's append where it learned of it there; the next owner may have run the order. Both say `unknown`, which has the entry VM ask the next owner.

Red before, green after: service::an_order_that_ran_is_answered_though_it_is_not_allowed_any_more, gate::tests::a_lost_log_says_no_of_no_call, lost::an_order_that_meets_the_next_owner_may_have_run_there.

--- a/crates/journal/src/gate/call.rs
+++ b/crates/journal/src/gate/call.rs
@@ -62,7 +62,7 @@
 /// # Errors
 ///
 /// [`Code::UnknownProgram`], [`Code::KeyConflict`], [`Code::OutcomeUnknown`] (`ran: unknown`),
-/// [`Code::ProgramEnded`], [`Code::PlatformDown`].
+/// [`Code::ProgramEnded`], [`Code::PlatformDown`], [`Code::OwnerLost`] (`ran: unknown`).
 pub fn intend<'a>(state: &'a State, ask: &Intend<'_>) -> Result<Call<'a>> {
     let program = known(state, ask.program, ask.caller)?;
     if let Some(call) = program.call(ask.key) {
@@ -75,7 +75,8 @@
         Status::Outage { retry_after } => {
             return Err(Refusal::new(Code::PlatformDown, "").retry_after(retry_after));
         }
-        Status::Lost => return Err(Refusal::new(Code::OwnerLost, "")),
+        // The next owner may have run it: its records aren't seen here.
+        Status::Lost => return Err(Refusal::new(Code::OwnerLost, "").ran(Ran::Unknown)),
     }
     Ok(Call::Start(vec![Record::Intent {
         program: ask.program.clone(),
--- a/crates/journal/src/gate/tests.rs
+++ b/crates/journal/src/gate/tests.rs
@@ -320,6 +320,14 @@
     assert_eq!(refusal.retry_after, Some(retry_after));
 }
 
+// A VM has lost its shard and doesn't see what the next owner writes. An order that ran there is asked
+// again here; told that it didn't run, the caller would give another one and both would have run.
+#[test]
+fn a_lost_log_says_no_of_no_call() {
+    let refusal = order(&fresh(), 1, Status::Lost).unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::OwnerLost, Ran::Unknown));
+}
+
 #[test]
 fn the_second_endpoint_that_crashes_condemns_the_content() {
     // A request crashes the runner that it runs on, is moved, and crashes the next one. It is
--- a/crates/node/src/owner/call.rs
+++ b/crates/node/src/owner/call.rs
@@ -50,8 +50,8 @@
 ///
 /// Refuses it, with what is known of whether it ran.
 pub fn ask(owner: &mut Owner, ask: &Ask, call: &Call, sink: &Sink) -> Result<()> {
-    let work = work(&owner.core, ask, call)?;
     if !runs_once(&owner.core, call) {
+        let work = work(&owner.core, ask, call)?;
         owner.check_open()?;
         let feed = Feed::default();
         feed.join(sink.clone());
@@ -62,17 +62,10 @@
     let Some(key) = &call.key else {
         return Err(Refusal::new(Code::KeyMissing, &call.operation));
     };
-    once(owner, ask, call, key, work, sink)
+    once(owner, ask, call, key, sink)
 }
 
-fn once(
-    owner: &mut Owner,
-    ask: &Ask,
-    call: &Call,
-    key: &id::Key,
-    work: Work,
-    sink: &Sink,
-) -> Result<()> {
+fn once(owner: &mut Owner, ask: &Ask, call: &Call, key: &id::Key, sink: &Sink) -> Result<()> {
     let digest = digest(call);
     let name = Name::Call(ask.program.clone(), key.clone());
     if let Some(pending) = owner.pending.find(&name)
@@ -105,6 +98,9 @@
             gate::Call::Join(_) => return Err(Refusal::new(Code::KeyConflict, key.as_str())),
         }
     }
+    // Only after the journal: a configuration that allows the call no more tells nothing of an earlier
+    // asking, and refused as not run, its caller might have it run twice.
+    let work = work(&owner.core, ask, call)?;
     owner.check_open()?;
     let feed = Feed::default();
     feed.join(sink.clone());
@@ -252,7 +248,11 @@
             let message = Message::Resolve(program, key, attempt, Effect::NotRun, sender);
             let _gone = self.shard.cast(message);
         }
-        intended
+        intended.map_err(|refusal| match refusal.code {
+            // It wasn't sent from here; but the next owner may have run it on an earlier asking.
+            Code::OwnerLost => refusal.ran(Ran::Unknown),
+            _ => refusal,
+        })
     }
 
     /// Makes the outcome durable. Where that fails, the next owner will only see the intent.
--- a/crates/node/tests/request/lost.rs
+++ b/crates/node/tests/request/lost.rs
@@ -108,6 +108,23 @@
     assert_eq!(fleet.attempts().await.len(), 2);
 }
 
+// Another VM has taken the shard, and this one doesn't know yet. An order is asked here that may have run
+// there; its intent meets the next owner's records. Told that it didn't run, as it did not on this VM, the
+// caller would give another one and both would have run.
+#[tokio::test]
+async fn an_order_that_meets_the_next_owner_may_have_run_there() {
+    let fleet = Fleet::plain().await;
+    take_all(&fleet.platform).await;
+    let headers = [
+        ("chestnutyoke-program", "berth"),
+        ("idempotency-key", "order-1"),
+        ("chestnutyoke-deadline-ms", "500"),
+    ];
+    let order = fleet.ask(SWITCH, &headers, &json!({})).await;
+    assert_eq!(order.0, 503, "{}", order.1);
+    assert_eq!(refusal(&order).1, "unknown", "{}", order.1);
+}
+
 /// A turn and an order wait for an owner, for as long as it takes, and the VM is told to end. Nobody has
 /// taken them; told at the end that they may have run, the turn's caller couldn't ask elsewhere. Of the
 /// order an earlier asking may have run.
--- a/crates/node/tests/request/service.rs
+++ b/crates/node/tests/request/service.rs
@@ -1,9 +1,21 @@
 //! Calls that may run at most once.
 
+use std::sync::Arc;
+
+use bytes::Bytes;
+use node::filters::route;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
 use standin::client;
+use tokio::sync::mpsc;
+use wire::ask::Ask;
+use wire::ask::Body;
+use wire::ask::Call;
+use wire::ask::Reply;
+use wire::code::Code;
+use wire::code::Ran;
+use wire::id;
 
 use crate::fleet::Fleet;
 use crate::fleet::refusal;
@@ -114,3 +126,48 @@
     let answer = fleet.ask("/v1/services/shore/read", &[], &json!({})).await;
     assert_eq!(answer.0, 200, "{}", answer.1);
 }
+
+/// Hands an order to its program's owner as a VM does that the caller entered.
+async fn order(fleet: &Fleet, key: &str) -> Option<Reply> {
+    let core = fleet.node.core();
+    let program = id::Program::parse("berth").unwrap();
+    let shard = route::shard(&core.settings, &program);
+    let ask = Ask {
+        program,
+        caller: id::Caller::parse("tug").unwrap(),
+        revision: 1,
+        deadline: None,
+        hops: 1,
+        body: Body::Call(Call {
+            service: id::Service::parse("shore").unwrap(),
+            operation: "switch".to_owned(),
+            key: Some(id::Key::parse(key).unwrap()),
+            body: Bytes::from_static(b"{}"),
+        }),
+    };
+    let (sender, mut replies) = mpsc::unbounded_channel();
+    assert!(core.registry.ask(&shard, ask, sender).is_ok());
+    replies.recv().await
+}
+
+// An order ran, and its answer was lost on the way. It is asked again; the owner has a newer configuration
+// than the VM that the caller entered, and no selector allows the order any more. Refused as not run, the
+// caller would give another one and both would have run. It gets the order's answer; a new one is refused.
+#[tokio::test]
+async fn an_order_that_ran_is_answered_though_it_is_not_allowed_any_more() {
+    let fleet = Fleet::plain().await;
+    let first = order(&fleet, "order-1").await;
+    assert!(
+        matches!(first, Some(Reply::Called { status: 200, .. })),
+        "{first:?}"
+    );
+    fleet.node.core().update(|view| {
+        Arc::make_mut(&mut view.config).selectors.clear();
+    });
+    assert_eq!(order(&fleet, "order-1").await, first);
+    let Some(Reply::Refused(refusal)) = order(&fleet, "order-2").await else {
+        panic!("the order was let in");
+    };
+    assert_eq!((refusal.code, refusal.ran), (Code::NotAllowed, Ran::No));
+    assert_eq!(runs(&fleet).await, 1);
+}
