Give up before the end by one rule what no endpoint has

Half a second before a node's end every waiting call was refused, also one whose caller's time was over before the process was and that a slot could still serve; but a call that came for a slot then, as its endpoint had turned it away, got one, was sent and cut off: `unknown` in place of `no`.

Both follow policy::stop now, as asks that wait for an owner do: given up past the last call is what may outlast the process.

Red before, green after: stop::a_waiting_call_that_ends_before_the_process_is_served, stop::a_call_that_comes_after_the_last_call_is_not_sent. New: policy::stop::tests::a_stopping_process_gives_up.

--- a/crates/node/src/dispatch/desk.rs
+++ b/crates/node/src/dispatch/desk.rs
@@ -186,12 +186,8 @@
         ..
     } = &mut *state;
     let mut ready = Vec::new();
-    // A slot that they got now would be of no use; told that they may have run, their callers couldn't
-    // send them elsewhere.
-    if core.stop.get().is_some_and(|s| now >= s.last_call()) {
-        let refusal = Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY);
-        let waiting = queue.remove(|_| true).into_iter();
-        ready.extend(waiting.map(|entry| (entry.item, Err(refusal.clone()))));
+    for entry in queue.remove(|waiter| is_given_up(core, &waiter.work, now)) {
+        ready.push((entry.item, Err(shutting_down())));
     }
     for entry in queue.give_up(now) {
         let load = admit::Load::of(queue, drain, entry.class, &entry.caller);
@@ -223,12 +219,26 @@
     }
 }
 
+/// Tells whether a call without a slot gets none any more, as the VM ends before the call may: cut off
+/// at its endpoint it may have run, and its caller couldn't send it elsewhere.
+fn is_given_up(core: &Core, work: &Work, now: Millis) -> bool {
+    let stop = core.stop.get();
+    stop.is_some_and(|stop| stop.gives_up(now, work.deadline))
+}
+
+fn shutting_down() -> Refusal {
+    Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY)
+}
+
 enum Entered {
     Placed(Slot),
     Queued(oneshot::Receiver<Result<Slot>>),
 }
 
 fn enter(core: &Arc<Core>, work: Work, now: Millis) -> Result<Entered> {
+    if is_given_up(core, &work, now) {
+        return Err(shutting_down());
+    }
     let view = core.view();
     let class = standing::class(work.class);
     let mut state = core.desk.lock();
--- a/crates/node/src/filters/forward.rs
+++ b/crates/node/src/filters/forward.rs
@@ -218,7 +218,7 @@
         });
     }
     let stop = core.stop.get()?;
-    let ends = now >= stop.last_call() && !stop.takes(Some(leaves));
+    let ends = stop.gives_up(now, Some(leaves));
     ends.then(|| Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY))
 }
 
--- a/crates/node/tests/request/stop.rs
+++ b/crates/node/tests/request/stop.rs
@@ -13,6 +13,7 @@
 use node::peer;
 use platform::edge::Entry;
 use platform::edge::Platform;
+use policy::stop::Stop;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
@@ -26,6 +27,7 @@
 use wire::ask::Body;
 use wire::ask::Chat;
 use wire::ask::Reply;
+use wire::clock::Millis;
 use wire::code::Code;
 use wire::code::Ran;
 use wire::frame;
@@ -190,6 +192,59 @@
     assert_eq!(ran.iter().filter(|ran| *ran == "unknown").count(), sent);
 }
 
+// Calls wait for a slot while a node that stops has half a second left. Those whose callers' time is over
+// before the process is can still be served; refused with the others, they would have to go elsewhere with
+// little of their time left.
+#[tokio::test]
+async fn a_waiting_call_that_ends_before_the_process_is_served() {
+    let fleet = Fleet::plain().await;
+    service_faults(&fleet, &json!({"delay_ms": 150})).await;
+    let core = fleet.node.core().clone();
+    let callers = fleet.callers;
+    let read = move || async move {
+        let headers = [("chestnutyoke-deadline-ms", "560")];
+        client::ask(callers, READ, &headers, &json!({})).await
+    };
+    let asked: Vec<_> = (0..SLOTS).map(|_| tokio::spawn(read())).collect();
+    while core.desk.waiting() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let last = core.clock.now().plus(Millis::new(570));
+    core.stop.set(ends_at(last)).unwrap();
+    for answer in asked {
+        let answer = answer.await.unwrap();
+        assert_eq!(answer.0, 200, "{}", answer.1);
+    }
+}
+
+// A turn whose runner turned it away finds another one when the node has less than half a second left. Sent
+// there, it would be cut off with the process, and its caller told that it may have run. It isn't sent.
+#[tokio::test]
+async fn a_call_that_comes_after_the_last_call_is_not_sent() {
+    let fleet = Fleet::plain().await;
+    let core = fleet.node.core().clone();
+    let last = core.clock.now().plus(Millis::new(400));
+    core.stop.set(ends_at(last)).unwrap();
+    let program = id::Program::parse("berth").unwrap();
+    let shard = route::shard(&core.settings, &program);
+    let (sender, mut replies) = mpsc::unbounded_channel();
+    let taken = core.registry.ask(&shard, chat_of(program), sender);
+    assert!(taken.is_ok());
+    let reply = replies.recv().await;
+    let Some(Reply::Refused(refusal)) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!((refusal.code, refusal.ran), (Code::ShuttingDown, Ran::No));
+    assert!(fleet.attempts().await.is_empty());
+}
+
+/// Plans a stop under which all that was taken is over at `last`.
+fn ends_at(last: Millis) -> Stop {
+    let grace = Millis::new(10_000);
+    let span = Stop::new(Millis::ZERO, grace).last();
+    Stop::new(last.since(span), grace)
+}
+
 // A caller has opened a connection and sent nothing yet. The node is told to end with nothing under
 // way, and waits for that connection until the time for a request's headers is over: the supervisor
 // kills it meanwhile. A connection without a request doesn't count.
--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -113,6 +113,13 @@
     pub fn takes(&self, until: Option<Millis>) -> bool {
         until.is_some_and(|until| until <= self.last)
     }
+
+    /// Tells whether a request that no endpoint has, and that is over at `until` at the latest, is given
+    /// up now.
+    #[must_use]
+    pub fn gives_up(&self, now: Millis, until: Option<Millis>) -> bool {
+        now >= self.last_call() && !self.takes(until)
+    }
 }
 
 #[cfg(test)]
--- a/crates/policy/src/stop/tests.rs
+++ b/crates/policy/src/stop/tests.rs
@@ -30,6 +30,22 @@
     assert_eq!(stop.takes(until), expected);
 }
 
+// A request still waits for an endpoint when a process with eight seconds to end has half a second left. Sent
+// now it could be cut off, unless its caller's time is over first; before, an endpoint may finish it.
+#[rstest]
+#[case::in_time(7_099, None, false)]
+#[case::at_the_last_call(7_100, None, true)]
+#[case::ends_in_time(7_100, Some(7_600), false)]
+#[case::ends_too_late(7_100, Some(7_601), true)]
+fn a_stopping_process_gives_up(
+    #[case] now_ms: u64,
+    #[case] until_ms: Option<u64>,
+    #[case] expected: bool,
+) {
+    let stop = Stop::new(BEGUN, Millis::new(8_000));
+    assert_eq!(stop.gives_up(after(now_ms), until_ms.map(after)), expected);
+}
+
 // Whatever comes at whatever moment with whatever limit: what is taken is over before the process
 // ends, and the process ends before it is killed.
 #[test]
