Read on to the end of a body that is refused

A request that was refused before its body was read (no connection left, path, header, body over the limit) had its connection closed with bytes unread. It was reset under its sender, and the refusal was lost.

Half a body when a node stopped was read on until the process was cut off without a word. Past the last call it is refused as not run.

Bodies of 3 MB fit into the loopback's buffers and show nothing; the tests send 8 MB, all of it before they read.

Red before, green after: door::a_refusal_reaches_the_sender_of_a_long_body (3 cases), door::a_refusal_of_a_body_over_the_limit_reaches_its_sender, stop::the_sender_of_half_a_body_is_told_of_the_end. Green before, too: door::a_refusal_by_the_path_asks_for_no_body.

--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -12,6 +12,9 @@
 
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 use policy::stop;
 use settings::config::Class;
 use wire::ask::Ask;
@@ -24,6 +27,9 @@
 
 use crate::core::Core;
 use crate::http::Response;
+use crate::http::body;
+use crate::http::body::Arrival;
+use crate::http::body::Sender;
 use crate::http::listen::Room;
 use crate::view::View;
 
@@ -37,7 +43,9 @@
 /// Answers one request of a caller.
 pub async fn handle(core: Arc<Core>, request: Request<Incoming>, room: Room) -> Response {
     let arrived = core.clock.now();
-    match run(&core, request, room, arrived).await {
+    let (head, incoming) = request.into_parts();
+    let mut arrival = Arrival::new(&head.headers, incoming);
+    match run(&core, &head, &mut arrival, room, arrived).await {
         Ok(response) => response,
         Err(refusal) => {
             log::info!(
@@ -48,11 +56,29 @@
                 refusal.message
             );
             core.metrics.refused(refusal.code);
-            answer::refuse(&refusal)
+            let mut response = answer::refuse(&refusal);
+            if arrival.sender() == Sender::Waits {
+                // What was not asked for isn't read, which ends the connection.
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            let limit = core.settings.limits.body;
+            arrival.discard(limit, discard_time(&core)).await;
+            response
         }
     }
 }
 
+/// Yields how long the rest of a refused body may be read: so that the refusal goes out before the
+/// process ends.
+fn discard_time(core: &Core) -> Millis {
+    let Some(stop) = core.stop.get() else {
+        return body::DISCARD;
+    };
+    let left = stop.left(core.clock.now());
+    body::DISCARD.min(Millis::new(left.as_u64() / 2))
+}
+
 /// A request that no filter refused.
 enum Passed {
     /// It is answered here.
@@ -67,14 +93,15 @@
 
 async fn run(
     core: &Arc<Core>,
-    request: Request<Incoming>,
+    head: &Parts,
+    arrival: &mut Arrival,
     room: Room,
     arrived: Millis,
 ) -> Result<Response> {
     // A keyed call may have been asked before, and only its owner's journal knows whether that ran.
     // Told that it hasn't, its caller would give the order under another key, and both might run.
-    let earlier = parse::earlier(&request);
-    let passed = pass(core, request, room, arrived).await;
+    let earlier = parse::earlier(head);
+    let passed = pass(core, head, arrival, room, arrived).await;
     match passed.map_err(|refusal| refusal.ran(earlier))? {
         Passed::Answered(response) => Ok(response),
         Passed::Asks { ask, shape, wait } => {
@@ -88,14 +115,19 @@
 /// Takes a request through the filters before its owner's.
 async fn pass(
     core: &Arc<Core>,
-    request: Request<Incoming>,
+    head: &Parts,
+    arrival: &mut Arrival,
     room: Room,
     arrived: Millis,
 ) -> Result<Passed> {
     if room == Room::Full {
         return Err(full());
     }
-    let parsed = parse::parse(&core.settings.limits, request).await?;
+    let parsed = tokio::select! {
+        biased;
+        parsed = parse::parse(&core.settings.limits, head, arrival) => parsed?,
+        () = last_call(core) => return Err(shutting_down()),
+    };
     let view = core.view();
     if let Some(response) = answer::probe(&view, &parsed.what) {
         return Ok(Passed::Answered(response));
@@ -138,7 +170,22 @@
     if taken {
         return Ok(());
     }
-    Err(Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY))
+    Err(shutting_down())
+}
+
+/// Returns when a node that stops gives up what no endpoint has: a request of which only a part has come
+/// would be cut off at the end without a word.
+async fn last_call(core: &Core) {
+    core.stopping.cancelled().await;
+    let Some(stop) = core.stop.get() else {
+        return;
+    };
+    let left = stop.last_call().since(core.clock.now());
+    tokio::time::sleep(left.as_duration()).await;
+}
+
+fn shutting_down() -> Refusal {
+    Refusal::new(Code::ShuttingDown, "").retry_after(stop::RETRY)
 }
 
 /// Turns a parsed request into what its program's owner is asked.
--- a/crates/node/src/filters/parse.rs
+++ b/crates/node/src/filters/parse.rs
@@ -6,9 +6,8 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
-use hyper::Request;
-use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
+use hyper::http::request::Parts;
 use settings::vm::Limits;
 use wire::ask::Call;
 use wire::chat;
@@ -20,7 +19,7 @@
 
 use crate::filters::Result;
 use crate::filters::header;
-use crate::http::body;
+use crate::http::body::Arrival;
 use crate::http::listen::MAX_HEADERS;
 
 /// What the paths of services' calls begin with.
@@ -80,8 +79,7 @@
 ///
 /// Refuses an unknown path or method, headers or a body over their limits or too slow, bad JSON
 /// and values that aren't allowed.
-pub async fn parse(limits: &Limits, request: Request<Incoming>) -> Result<Parsed> {
-    let (head, incoming) = request.into_parts();
+pub async fn parse(limits: &Limits, head: &Parts, arrival: &mut Arrival) -> Result<Parsed> {
     let length: usize = head
         .headers
         .iter()
@@ -97,7 +95,7 @@
     if let Path::Program(named, _) = &path {
         program = Some(named.clone());
     }
-    let whole = body::read(incoming, limits.body, limits.receive).await?;
+    let whole = arrival.read(limits.body, limits.receive).await?;
     let what = what(path, whole, &mut program)?;
     Ok(Parsed {
         token: token(&head.headers),
@@ -112,9 +110,9 @@
 /// Tells what the headers of a request that isn't parsed say of earlier askings: as
 /// [`crate::filters::forward::earlier`] does of a parsed one.
 #[must_use]
-pub fn earlier(request: &Request<Incoming>) -> Ran {
-    let keyed = request.headers().contains_key(header::KEY);
-    if keyed && request.uri().path().starts_with(SERVICES) {
+pub fn earlier(head: &Parts) -> Ran {
+    let keyed = head.headers.contains_key(header::KEY);
+    if keyed && head.uri.path().starts_with(SERVICES) {
         Ran::Unknown
     } else {
         Ran::No
--- a/crates/node/tests/request/door.rs
+++ b/crates/node/tests/request/door.rs
@@ -122,3 +122,80 @@
     let plain = client::post(fleet.callers, SWITCH, &headers[..1], &body).await;
     assert_eq!(refusal(&plain), (code, "no"), "{}", plain.1);
 }
+
+// An order's body has megabytes, over the limit. The sender gets the refusal, and with it that an earlier
+// asking may have run; a connection that is reset under it tells nothing.
+#[tokio::test]
+async fn a_refusal_of_a_body_over_the_limit_reaches_its_sender() {
+    let fleet = Fleet::start(Plan {
+        limits: "[limits]\nbody = \"500B\"\n",
+        ..Plan::default()
+    })
+    .await;
+    let head = format!("POST {SWITCH} HTTP/1.1\r\nidempotency-key: order-1\r\n");
+    let answer = send_all(&fleet, &head).await;
+    assert!(answer.contains("CY1102"), "{answer}");
+    assert!(answer.contains(r#""ran":"unknown""#), "{answer}");
+}
+
+// A request is refused by its path or a header, or as no connection is left, while its sender still sends
+// megabytes. Closed with bytes unread, the connection is reset under the sender, and the refusal lost.
+#[rstest]
+#[case::by_the_path("/v1/nothing", "x", 0, "CY1105")]
+#[case::by_a_header(CHAT, "1\r\nchestnutyoke-program: a b", 0, "CY1104")]
+#[case::no_room(CHAT, "1", 4, "CY1108")]
+#[tokio::test]
+async fn a_refusal_reaches_the_sender_of_a_long_body(
+    #[case] path: &str,
+    #[case] deadline: &str,
+    #[case] open: u32,
+    #[case] code: &str,
+) {
+    let fleet = Fleet::start(Plan {
+        limits: "[limits]\nbody = \"4MiB\"\nconnections = 4\nconnections_urgent = 2\n",
+        ..Plan::default()
+    })
+    .await;
+    let mut idle = Vec::new();
+    for _ in 0..open {
+        idle.push(TcpStream::connect(fleet.callers).await.unwrap());
+    }
+    while fleet.node.core().door.open() < open {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let head = format!("POST {path} HTTP/1.1\r\nchestnutyoke-deadline-ms: {deadline}\r\n");
+    let answer = send_all(&fleet, &head).await;
+    assert!(answer.contains(code), "{answer}");
+    assert!(answer.contains(r#""ran":"no""#), "{answer}");
+}
+
+/// Sends a request whose body has megabytes, all of it before anything is read, as simple senders do.
+async fn send_all(fleet: &Fleet, head: &str) -> String {
+    let body = "x".repeat(8_000_000);
+    let length = body.len();
+    let mut stream = TcpStream::connect(fleet.callers).await.unwrap();
+    let request =
+        format!("{head}host: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}");
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the whole request goes out");
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer).await;
+    read.expect("the connection ends in order");
+    answer
+}
+
+// A caller waits with its body until it is asked for it, and is refused by the path. Reading the body
+// would have it sent for nothing: it isn't asked for, and the connection ends.
+#[tokio::test]
+async fn a_refusal_by_the_path_asks_for_no_body() {
+    let fleet = Fleet::plain().await;
+    let mut stream = TcpStream::connect(fleet.callers).await.unwrap();
+    let head = "POST /v1/nothing HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\n\
+                content-length: 3000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut rest = String::new();
+    let read = tokio::time::timeout(client::PATIENCE, stream.read_to_string(&mut rest));
+    read.await.expect("the connection ends").unwrap();
+    assert!(rest.starts_with("HTTP/1.1 404"), "{rest}");
+    assert!(rest.contains("CY1105"), "{rest}");
+}
--- a/crates/node/tests/request/stop.rs
+++ b/crates/node/tests/request/stop.rs
@@ -238,6 +238,23 @@
     assert!(fleet.attempts().await.is_empty());
 }
 
+// Half a body has come when a node is told to end, and the rest doesn't come. Read on to the end of the
+// process, the connection is cut without a word; half a second before it the caller is told that nothing ran.
+#[tokio::test]
+async fn the_sender_of_half_a_body_is_told_of_the_end() {
+    let fleet = short().await;
+    let mut stream = tokio::net::TcpStream::connect(fleet.callers).await.unwrap();
+    let half = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 99\r\n\r\n{";
+    stream.write_all(half.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.node.shutdown().await;
+    let mut rest = String::new();
+    let read = timeout(Duration::from_millis(100), stream.read_to_string(&mut rest));
+    let _ended = read.await.expect("the connection ends");
+    assert!(rest.contains("CY4105"), "{rest:?}");
+    assert!(rest.contains(r#""ran":"no""#), "{rest}");
+}
+
 /// Plans a stop under which all that was taken is over at `last`.
 fn ends_at(last: Millis) -> Stop {
     let grace = Millis::new(10_000);
