--- a/crates/node/tests/request/fleet.rs
+++ b/crates/node/tests/request/fleet.rs
@@ -18,7 +18,11 @@
 use standin::runner;
 use standin::service;
 use tokio::net::TcpListener;
+use wire::ask::Ask;
+use wire::ask::Body;
+use wire::ask::Chat;
 use wire::clock::Clock;
+use wire::id;
 use wire::id::Digest;
 
 /// The chat path.
@@ -222,3 +226,29 @@
         ..runner::Settings::default()
     }
 }
+
+/// Asks for a program's first turn as the caller `tug`.
+pub fn chat_of(program: id::Program) -> Ask {
+    Ask {
+        program,
+        caller: id::Caller::parse("tug").unwrap(),
+        revision: 1,
+        deadline: None,
+        hops: 0,
+        body: Body::Chat(Chat {
+            turn: Some(1),
+            request: serde_json::from_value(client::chat("plan")).unwrap(),
+        }),
+    }
+}
+
+/// Asks for something of the program `berth` or beside it; yields status and body.
+pub async fn send(callers: SocketAddr, method: &str, path: &str, body: &str) -> (u16, Value) {
+    let token = format!("Bearer {}", client::TOKEN);
+    let headers = [
+        ("authorization", token.as_str()),
+        ("chestnutyoke-deadline-ms", "700"),
+    ];
+    let answer = client::send(callers, method, path, &headers, body).await;
+    client::whole(answer.expect("no answer")).await
+}
--- a/crates/node/tests/request/main.rs
+++ b/crates/node/tests/request/main.rs
@@ -3,6 +3,7 @@
 
 mod door;
 mod fleet;
+mod handover;
 mod lost;
 mod metrics;
 mod order;
--- a/crates/relay/tests/ending.rs
+++ b/crates/relay/tests/ending.rs
@@ -1,5 +1,7 @@
 //! Requests that are at their runners when the process ends: what their callers see.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
@@ -7,31 +9,21 @@
 use std::time::Duration;
 
 use adapter::config;
-use adapter::header::Call;
-use adapter::runner::Entry;
-use adapter::runner::State;
 use adapter::settings;
 use adapter::settings::Settings;
-use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::HeaderMap;
-use hyper::Method;
-use relay::job::Job;
 use relay::node::Node;
 use relay::plain;
 use relay::stream;
-use relay::table::Table;
 use relay::work::Kind;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
-use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use wire::clock::Clock;
 use wire::clock::Millis;
 
-const SERVICE: &str = "s";
 /// The last call comes after 1.1 s of it, and its last moment after 1.6 s.
 const GRACE: Millis = Millis::new(2_000);
 
@@ -71,15 +63,7 @@
     };
     let node = Node::new(settings, Clock::System);
     for id in ["i-1", "i-2"] {
-        let entry = Entry {
-            service: SERVICE.to_owned(),
-            address: runner(closes, taken.clone()).await,
-            centre: "a".to_owned(),
-            slots: 8,
-            state: State::Ready,
-            cold: Millis::ZERO,
-            born: Some(1),
-        };
+        let entry = support::entry(runner(closes, taken.clone()).await);
         node.fleet().set(id, entry, 0);
     }
     node
@@ -87,29 +71,7 @@
 
 /// Has a request that came before the stop answered, on a route of a kind that gives it 20 s.
 async fn ask(node: &Arc<Node>, kind: &str, rest: &str) -> Got {
-    let route = fakes::store::route("r", kind, SERVICE, 20_000, rest);
-    let document = format!(r#"{{"version":1,"services":[],"routes":[{route}]}}"#);
-    let config = config::decode(document.as_bytes()).expect("it is sound");
-    let table = Arc::new(Table::new(config, &[]));
-    let route = table.find(fakes::store::HOST, "/r/x");
-    let arrived = Instant::now();
-    let job = Job {
-        node: node.clone(),
-        route: route.expect("the route is there").clone(),
-        table,
-        service: SERVICE.to_owned(),
-        call: Call {
-            id: "q-1".to_owned(),
-            ..Call::default()
-        },
-        method: Method::GET,
-        path: "/r/x".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        prompt: Vec::new(),
-        arrived,
-        until: arrived + Duration::from_secs(20),
-    };
+    let job = support::job(node, &support::table(kind, rest), "q-1");
     let guard = node.work.begin(Kind::Answer, "q-1");
     let response = match job.route.kind {
         config::Kind::Stream => stream::serve(job, guard).await,
--- a/crates/relay/tests/failing.rs
+++ b/crates/relay/tests/failing.rs
@@ -1,23 +1,16 @@
 //! Runners that answer, but fail what they answer, or are slow: what their callers see.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use adapter::config;
-use adapter::header::Call;
-use adapter::runner::Entry;
-use adapter::runner::State;
 use adapter::settings;
-use bytes::Bytes;
-use hyper::HeaderMap;
-use hyper::Method;
 use hyper::StatusCode;
 use rand::RngExt;
-use relay::job::Job;
 use relay::node::Node;
 use relay::plain;
-use relay::table::Table;
 use relay::work::Kind;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
@@ -29,10 +22,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 use wire::clock::Clock;
-use wire::clock::Millis;
 
-const SERVICE: &str = "s";
-const ROUTES: &str = r#"{"version":1,"services":[],"routes":[{"name":"r","host":"h","prefix":"/","kind":"idempotent","timeoutMs":5000,"sloMs":1000,"priority":0,"service":"s"}]}"#;
 const CALLERS: u32 = 8;
 const PLAYED: Duration = Duration::from_secs(3);
 /// What the work of a request takes.
@@ -109,41 +99,12 @@
         Clock::System,
     );
     for (at, manner) in manners.iter().enumerate() {
-        let entry = Entry {
-            service: SERVICE.to_owned(),
-            address: runner(*manner).await,
-            centre: "a".to_owned(),
-            slots: 8,
-            state: State::Ready,
-            cold: Millis::ZERO,
-            born: Some(1),
-        };
+        let entry = support::entry(runner(*manner).await);
         node.fleet().set(&format!("i-{at}"), entry, 0);
     }
     node
 }
 
-fn job(node: &Arc<Node>, table: &Arc<Table>, id: &str) -> Job {
-    let arrived = Instant::now();
-    Job {
-        node: node.clone(),
-        table: table.clone(),
-        route: table.find("h", "/").expect("the route is there").clone(),
-        service: SERVICE.to_owned(),
-        call: Call {
-            id: id.to_owned(),
-            ..Call::default()
-        },
-        method: Method::GET,
-        path: "/".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        prompt: Vec::new(),
-        arrived,
-        until: arrived + Duration::from_secs(5),
-    }
-}
-
 /// What the callers got.
 #[derive(Clone, Copy, Debug, Default)]
 struct Got {
@@ -155,8 +116,7 @@
 
 /// Has callers send one request after the other.
 async fn play(node: &Arc<Node>) -> Got {
-    let config = config::decode(ROUTES.as_bytes()).expect("it is sound");
-    let table = Arc::new(Table::new(config, &[]));
+    let table = support::table("idempotent", "");
     let until = Instant::now() + PLAYED;
     let mut callers = JoinSet::new();
     for caller in 0..CALLERS {
@@ -165,7 +125,7 @@
             let mut got = Got::default();
             while Instant::now() < until {
                 let id = format!("q-{caller}-{}", got.requests);
-                let job = job(&node, &table, &id);
+                let job = support::job(&node, &table, &id);
                 let sent = job.arrived;
                 let guard = node.work.begin(Kind::Answer, &id);
                 let response = plain::serve(job, guard).await;
@@ -220,10 +180,9 @@
 #[tokio::test]
 async fn a_refusal_that_stalls_holds_no_request() {
     let node = node(&[Manner::TurnsAwayInHalf]).await;
-    let config = config::decode(ROUTES.as_bytes()).expect("it is sound");
-    let table = Arc::new(Table::new(config, &[]));
+    let table = support::table("idempotent", "");
     let guard = node.work.begin(Kind::Answer, "q-1");
-    let served = plain::serve(job(&node, &table, "q-1"), guard);
+    let served = plain::serve(support::job(&node, &table, "q-1"), guard);
     let response = timeout(Duration::from_secs(1), served).await;
     let response = response.expect("it is answered");
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/relay/tests/keeping.rs
+++ b/crates/relay/tests/keeping.rs
@@ -1,33 +1,23 @@
 //! Turns whose text can't be kept at once: when the end of their answers is given up.
 
+mod support;
+
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use adapter::config;
-use adapter::header::Call;
-use adapter::runner::Entry;
-use adapter::runner::State;
 use adapter::settings;
-use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::HeaderMap;
-use hyper::Method;
 use hyper::StatusCode;
-use relay::job::Job;
 use relay::node::Node;
 use relay::records::Look;
 use relay::stream;
-use relay::table::Table;
 use relay::work::Kind;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 use wire::clock::Clock;
-use wire::clock::Millis;
 
-const SERVICE: &str = "s";
 /// What a VM with a disk takes to restart, at the least.
 const RESTART: Duration = Duration::from_millis(600);
 const ANSWER: &[u8] =
@@ -49,32 +39,6 @@
     address
 }
 
-fn job(node: &Arc<Node>) -> Job {
-    let route = fakes::store::route("r", "stream", SERVICE, 20_000, r#","retain":true"#);
-    let document = format!(r#"{{"version":1,"services":[],"routes":[{route}]}}"#);
-    let config = config::decode(document.as_bytes()).expect("it is sound");
-    let table = Arc::new(Table::new(config, &[]));
-    let route = table.find(fakes::store::HOST, "/r/x");
-    let arrived = Instant::now();
-    Job {
-        node: node.clone(),
-        route: route.expect("the route is there").clone(),
-        table,
-        service: SERVICE.to_owned(),
-        call: Call {
-            id: "q-1".to_owned(),
-            ..Call::default()
-        },
-        method: Method::GET,
-        path: "/r/x".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        prompt: Vec::new(),
-        arrived,
-        until: arrived + Duration::from_secs(20),
-    }
-}
-
 /// Two of three VMs with a disk restart just as a turn has sent all of its answer but the end, which waits
 /// for its text to be kept. Both are known to be lost, but for a moment only: they are back well within
 /// the time for keeping. Were the end given up at once, the caller would have the whole turn again. It
@@ -85,23 +49,17 @@
         settings::parse(&fakes::settings::alone()).expect("it is sound"),
         Clock::System,
     );
-    let entry = Entry {
-        service: SERVICE.to_owned(),
-        address: runner().await,
-        centre: "a".to_owned(),
-        slots: 8,
-        state: State::Ready,
-        cold: Millis::ZERO,
-        born: Some(1),
-    };
+    let entry = support::entry(runner().await);
     node.fleet().set("i-1", entry, 0);
     for look in [Look::Enough, Look::TooFew, Look::TooFew] {
         node.records().note(look, node.clock.now());
     }
     assert!(!node.has_records());
     let lost = Instant::now();
+    let table = support::table("stream", r#","retain":true"#);
+    let job = support::job(&node, &table, "q-1");
     let guard = node.work.begin(Kind::Answer, "q-1");
-    let response = stream::serve(job(&node), guard).await;
+    let response = stream::serve(job, guard).await;
     assert_eq!(response.status(), StatusCode::OK);
     let body = response.into_body().collect().await;
     assert!(body.is_err(), "it can't be kept");
