--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -10,6 +10,7 @@
 use wire::code::Refusal;
 
 use crate::node::Node;
+use crate::records;
 
 /// When a turn whose history couldn't be read may come again: about the time in which a VM with a
 /// disk restarts or a cut is noticed, and short beside a program's time.
@@ -48,6 +49,9 @@
                 return Err(refusal.retry_after(RETRY));
             }
             Err(fault) => {
+                // The next turns are refused at once where the members are lost, and the log names
+                // them before it has this refusal.
+                records::doubt(node, &fault).await;
                 let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
                 return Err(refusal.retry_after(RETRY));
             }
@@ -56,3 +60,6 @@
     texts.reverse();
     Ok(texts)
 }
+
+#[cfg(test)]
+mod tests;
