--- a/crates/relay/examples/fleet/measure.rs
+++ b/crates/relay/examples/fleet/measure.rs
@@ -13,7 +13,7 @@
 /// Requests by which a VM's count is recognised at others.
 const MARK: u32 = 1_000;
 
-/// What was measured at one size.
+/// The figures of one size.
 #[derive(Clone, Debug)]
 pub struct Figures {
     /// VMs.
