--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -153,6 +153,12 @@
     /// Reads one key.
     async fn read(&self, key: &str) -> Result<Option<Entry>>;
 
+    /// Reads a copy of one key, which may be seconds old. Costs less than [`Platform::read`] on
+    /// platforms that have copies.
+    async fn read_copy(&self, key: &str) -> Result<Option<Entry>> {
+        self.read(key).await
+    }
+
     /// Runs a transaction.
     async fn commit(&self, txn: &Txn, priority: Priority) -> Result<Outcome>;
 
--- a/crates/relay/examples/fleet/measure.rs
+++ b/crates/relay/examples/fleet/measure.rs
@@ -1,5 +1,7 @@
 //! Simulates one fleet: measures idle traffic first, then how soon all VMs learn of changes.
 
+use relay::metrics::Call;
+
 use crate::fleet_model::traffic::Mechanism;
 use crate::fleet_model::world::Size;
 use crate::fleet_model::world::World;
@@ -8,6 +10,8 @@
 const SETTLE_MS: u64 = 10_000;
 /// How long traffic is measured, in seconds.
 const MEASURED_SECONDS: u32 = 10;
+/// How long calls of the service are counted from the start, in milliseconds.
+const CALLS_MS: u64 = 60_000;
 /// How long to wait for agreement, in milliseconds.
 const AGREEMENT_TIMEOUT_MS: u64 = 60_000;
 /// A number of requests that is high enough to recognise one VM's requests in the counts of other
@@ -38,6 +42,17 @@
     pub processor: (f64, f64),
     /// Number of times that a VM used a departed runner again.
     pub readmissions: usize,
+    /// Calls of the key-value service of all VMs, by situation.
+    pub calls: Vec<(&'static str, Calls)>,
+}
+
+/// Calls of the key-value service.
+#[derive(Clone, Debug)]
+pub struct Calls {
+    /// Number of calls by what they are for.
+    pub by_kind: Vec<(&'static str, u64)>,
+    /// Their price in whole calls.
+    pub weight: u64,
 }
 
 /// Simulates a fleet.
@@ -87,6 +102,7 @@
             processor.fold(0.0, f64::max),
         ),
         readmissions: 0,
+        calls: measure_calls(size),
     };
     figures.agreed.extend(measure_changes(&mut world));
     let askers = world.vms.iter().map(|vm| vm.traffic.max_askers);
@@ -95,6 +111,33 @@
     figures
 }
 
+/// Counts the calls from the start of all VMs through a quiet minute, and from a restart of all.
+fn measure_calls(size: Size) -> Vec<(&'static str, Calls)> {
+    let mut world = World::new(size);
+    world.run(CALLS_MS);
+    let quiet = take_calls(&mut world);
+    for vm in 0..size.vms {
+        world.kill(vm);
+        world.start(vm);
+    }
+    world.run(CALLS_MS / 3);
+    vec![
+        ("start and a minute", quiet),
+        ("restart and 20 s", take_calls(&mut world)),
+    ]
+}
+
+fn take_calls(world: &mut World) -> Calls {
+    let count = |call: &Call| world.vms.iter().map(|vm| vm.traffic.calls(*call)).sum();
+    let by_kind = Call::ALL.iter().map(|call| (call.name(), count(call)));
+    let calls = Calls {
+        by_kind: by_kind.collect(),
+        weight: world.calls_weight(),
+    };
+    world.clear_counts();
+    calls
+}
+
 /// Makes changes one after the other. Returns for each how long it took until all VMs knew of it.
 fn measure_changes(world: &mut World) -> Vec<(&'static str, Option<u64>)> {
     world.write_config();
--- a/crates/relay/examples/fleet/table.rs
+++ b/crates/relay/examples/fleet/table.rs
@@ -58,9 +58,30 @@
             ),
         );
     }
+    calls(&mut text, figures);
     text
 }
 
+fn calls(text: &mut String, figures: &[Figures]) {
+    line(
+        text,
+        "\ncalls of the key-value service, all VMs: their price in whole calls, and their number by kind",
+    );
+    for row in figures {
+        for (situation, calls) in &row.calls {
+            let kinds = calls.by_kind.iter().filter(|(_, count)| *count > 0);
+            let kinds: Vec<String> = kinds
+                .map(|(name, count)| format!("{name} {count}"))
+                .collect();
+            let (vms, weight, kinds) = (row.vms, calls.weight, kinds.join(", "));
+            line(
+                text,
+                &format!("{vms:>4} VMs, {situation}: {weight}; {kinds}"),
+            );
+        }
+    }
+}
+
 fn line(text: &mut String, line: &str) {
     // Writing to a string can't fail.
     let _written = writeln!(text, "{line}");
@@ -94,5 +115,10 @@
         "mean_processor_percent": row.processor.0,
         "most_processor_percent": row.processor.1,
         "returns": row.readmissions,
+        "calls": row.calls.iter().map(|(situation, calls)| json!({
+            "situation": situation,
+            "weight": calls.weight,
+            "kinds": calls.by_kind.iter().map(|(name, count)| json!({ "call": name, "count": count })).collect::<Vec<Value>>(),
+        })).collect::<Vec<Value>>(),
     })
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -38,6 +38,8 @@
 /// Interval between two exchanges of the same two VMs: a fraction of the time that a request takes
 /// at a runner.
 const INTERVAL: Duration = Duration::from_millis(60);
+/// Interval while a process that has just started can't serve requests yet.
+const START_INTERVAL: Duration = Duration::from_millis(30);
 /// How long an exchange may take.
 pub const TIMEOUT: Duration = Duration::from_millis(250);
 /// The longest message in bytes: all entries of some thousand runners.
@@ -69,6 +71,9 @@
 /// Returns the pause before the next round of exchanges.
 #[must_use]
 pub fn pause(node: &Node) -> Duration {
+    if node.is_starting() && !node.can_route() {
+        return START_INTERVAL;
+    }
     INTERVAL * node.peers().pause_factor()
 }
 
@@ -85,7 +90,7 @@
 /// Applies another VM's message and returns the answer to it.
 #[must_use]
 pub fn respond(node: &Arc<Node>, theirs: Message) -> Message {
-    let own = outgoing::message(node, &theirs.vm, theirs.roster, theirs.config);
+    let own = outgoing::message(node, &theirs.vm, &theirs.status);
     incoming::apply(node, theirs);
     own
 }
@@ -99,7 +104,7 @@
 }
 
 async fn ask(node: &Arc<Node>, peer: &Peer) -> Result<Message, Fault> {
-    let own = outgoing::message(node, &peer.vm, peer.roster, peer.config);
+    let own = outgoing::message(node, &peer.vm, &peer.status);
     let body = rmp_serde::to_vec(&own)?;
     let request = Request::builder()
         .method(Method::POST)
--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use adapter::kv::Freshness;
 use adapter::runner;
 use wire::clock::Millis;
 
@@ -9,19 +10,21 @@
 use crate::fleet;
 use crate::ingest;
 use crate::node::Node;
-use crate::peers;
 use crate::roster::Roster;
 
 /// Applies a message: the sender's status and figures, and its configuration and entries of runners
 /// if they are newer.
 pub fn apply(node: &Arc<Node>, received: Message) {
     let now = node.clock.now();
-    let status = peers::Status {
-        roster: received.roster,
-        config: received.config,
-        lifecycle: received.course,
-    };
-    node.peers().note_status(&received.vm, status, now);
+    let Message { vm, centre, .. } = &received;
+    node.peers().note_status(vm, centre, received.status, now);
+    if let Some(directory) = received.directory {
+        ingest::change_directory(node, |own| own.adopt(directory));
+        node.note_directory_listed(Freshness::Stale);
+    }
+    if let Some(members) = received.members {
+        node.replicas.adopt(members);
+    }
     node.fleet()
         .note_tallies(&received.origin, &received.tallies, now);
     if let Some(document) = &received.document {
@@ -30,7 +33,7 @@
     if let Some(entries) = received.entries {
         replace_entries(node, &received.vm, entries);
     }
-    if received.roster >= node.roster().revision {
+    if received.status.roster >= node.roster().revision {
         let current_at = now.since(Millis::new(received.roster_age));
         node.note_runners_current(current_at);
     }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -7,15 +7,12 @@
 
 use std::sync::Arc;
 
-use tokio::time::Instant;
 use tokio::time::sleep;
-use wire::clock::Millis;
 
 use crate::follow::step::Follower;
 use crate::follow::step::Step;
-use crate::metrics::Counter;
-use crate::metrics::Latency;
 use crate::node::Node;
+use crate::store_call;
 use crate::subject::Subject;
 
 /// Follows a subject for as long as it is polled.
@@ -25,19 +22,16 @@
         let pause = match follower.step(&node) {
             Step::Pause(pause) => pause,
             Step::List(freshness) => {
-                let begun = Instant::now();
-                let listed = node.kv.list(subject.prefix(), freshness).await;
-                node.metrics.count(Counter::StoreCalls);
-                let took = Millis::from(begun.elapsed());
-                node.metrics.record(Latency::StoreCall, took);
+                let listing = node.kv.list(subject.prefix(), freshness);
+                let call = subject.list_call(freshness);
+                let listed = store_call::made(&node, call, listing).await;
                 follower.listed(&node, listed)
             }
             Step::Watch(revision) => {
                 let update = node
                     .kv
                     .changes(subject.prefix(), revision, subject.watch_timeout());
-                let update = update.await;
-                node.metrics.count(Counter::StoreCalls);
+                let update = store_call::made(&node, subject.watch_call(), update).await;
                 follower.watched(&node, update)
             }
         };
--- a/crates/relay/src/follow/outage.rs
+++ b/crates/relay/src/follow/outage.rs
@@ -54,10 +54,10 @@
     /// Returns how long to wait before the next call.
     pub(super) fn pause(&self, subject: Subject, node: &Node) -> Duration {
         let now = node.clock.now();
-        let is_reader = node.peers().is_reader(&node.settings.vm, now);
+        let is_first = node.peers().is_first_of_all(&node.settings.vm, now);
         let max_pause = match subject {
             Subject::Config => MAX_CONFIG_RETRY_PAUSE,
-            Subject::Runners if is_reader => FIRST_RETRY_PAUSE,
+            Subject::Runners if is_first => FIRST_RETRY_PAUSE,
             Subject::Runners | Subject::Own => MAX_RETRY_PAUSE,
         };
         let doublings = self.failures.saturating_sub(1).min(4);
--- a/crates/relay/src/follow/step.rs
+++ b/crates/relay/src/follow/step.rs
@@ -10,8 +10,8 @@
 
 use crate::follow::outage::Outage;
 use crate::ingest;
-use crate::metrics::Counter;
 use crate::node::Node;
+use crate::peers::Access;
 use crate::subject::Source;
 use crate::subject::Subject;
 
@@ -19,6 +19,8 @@
 /// returns at once. The pause batches changes, and is short enough to delay the news of a leaving
 /// runner by at most a fifth of the two seconds within which it has to stop getting new calls.
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
+/// The pause of a process that has just started and waits for the directory or for other VMs.
+const START_PAUSE: Duration = Duration::from_millis(20);
 /// Number of VMs by which the pause between two watches of the system's own keys grows by another
 /// [`WATCH_PAUSE`]. Each VM that starts writes a key, for which the watches of all other VMs
 /// return, so a restart of all VMs costs calls by the square of their number. These keys aren't
@@ -95,7 +97,12 @@
     fn decide(&mut self, node: &Node) -> Step {
         let source = node.source(self.subject);
         if source == Source::Peers {
-            return Step::Pause(WATCH_PAUSE);
+            let pause = if node.is_starting() {
+                START_PAUSE
+            } else {
+                WATCH_PAUSE
+            };
+            return Step::Pause(pause);
         }
         self.phase = Phase::List(source);
         Step::List(source.freshness())
@@ -112,6 +119,9 @@
                 self.answered(node);
                 let revision = listing.revision;
                 ingest::listing(node, self.subject, listing);
+                if self.subject == Subject::Own {
+                    node.note_directory_listed(source.freshness());
+                }
                 match source {
                     Source::Copy => own_pause(node) + self.outage.pause(self.subject, node),
                     Source::Store | Source::Peers => {
@@ -170,6 +180,7 @@
 
     /// Records that the service answered and, for the configuration, that it is current.
     fn answered(&mut self, node: &Node) {
+        node.note_access(Access::Answered);
         self.outage.answered(self.subject);
         match self.subject {
             Subject::Config => node.note_config_current(node.clock.now()),
@@ -179,7 +190,7 @@
     }
 
     fn failed(&mut self, node: &Node, fault: &edge::Fault) -> Duration {
-        node.metrics.count(Counter::StoreFailures);
+        node.note_access(Access::Failing);
         self.outage.failed(self.subject, fault);
         self.outage.pause(self.subject, node)
     }
@@ -187,6 +198,6 @@
 
 /// Returns the pause between two reads of the system's own keys.
 fn own_pause(node: &Node) -> Duration {
-    let vms = u32::try_from(node.peers().count()).unwrap_or(u32::MAX);
+    let vms = u32::try_from(node.peers().listed()).unwrap_or(u32::MAX);
     WATCH_PAUSE * (1 + vms / VMS_PER_OWN_PAUSE)
 }
--- a/crates/relay/src/ingest.rs
+++ b/crates/relay/src/ingest.rs
@@ -11,6 +11,8 @@
 use replica::list::List;
 use wire::event::Event;
 
+use crate::directory;
+use crate::directory::Directory;
 use crate::fleet;
 use crate::node::Node;
 use crate::roster;
@@ -25,14 +27,13 @@
         apply_missing(node, &listing);
     }
     if subject == Subject::Own {
-        let prefix = subject::vm_prefix();
-        let listed = listing.entries.iter();
-        let vms = listed.filter_map(|entry| entry.key.strip_prefix(&prefix));
-        let vms: Vec<String> = vms.map(str::to_owned).collect();
-        let now = node.clock.now();
-        node.peers().mark_unlisted(&vms, now);
+        replace_directory(node, &listing);
     }
+    let is_in_directory = |entry: &Entry| entry.key.starts_with(&subject::directory_prefix());
     for entry in listing.entries {
+        if subject == Subject::Own && is_in_directory(&entry) {
+            continue;
+        }
         change(node, subject, edge::Change::Set(entry));
     }
     // An empty list may come from a service that has lost all entries, so the roster's revision
@@ -84,11 +85,11 @@
             drop_runner(node, &key, revision);
         }
         (Subject::Own, edge::Change::Set(entry)) => system_entry(node, &entry),
-        (Subject::Own, edge::Change::Removed { key, .. }) => {
-            if let Some(vm) = key.strip_prefix(&subject::vm_prefix()) {
-                let now = node.clock.now();
-                node.peers().mark_lapsed(vm, now);
-            }
+        (Subject::Own, edge::Change::Removed { key, revision }) => {
+            change_directory(node, |directory| {
+                directory.remove(&key, revision);
+                directory.raise_revision(revision);
+            });
         }
         (Subject::Config, edge::Change::Removed { .. }) => {}
     }
@@ -168,6 +169,26 @@
     }
 }
 
+/// Changes the directory, and the VMs that this one exchanges with accordingly.
+pub fn change_directory(node: &Node, change: impl FnOnce(&mut Directory)) {
+    let mut directory = node.directory();
+    change(&mut directory);
+    let now = node.clock.now();
+    node.peers().apply(&directory.entries, now);
+}
+
+/// Replaces the directory by the entries of a listing unless the directory is newer.
+fn replace_directory(node: &Node, listing: &Listing) {
+    let entries = listing.entries.iter();
+    let mut entries: Vec<_> = entries.filter_map(directory::decode).collect();
+    entries.sort_by(|a, b| a.key.cmp(&b.key));
+    let listed = Directory {
+        revision: listing.revision,
+        entries,
+    };
+    change_directory(node, |directory| directory.adopt(listed));
+}
+
 fn system_entry(node: &Arc<Node>, entry: &Entry) {
     if entry.key == subject::members_key() {
         match rmp_serde::from_slice::<List>(&entry.value) {
@@ -176,17 +197,15 @@
         }
         return;
     }
-    if let Some(vm) = entry.key.strip_prefix(&subject::vm_prefix()) {
-        let text = std::str::from_utf8(&entry.value).ok();
-        let parts = text.and_then(|text| text.split_once(' '));
-        let parsed = parts.and_then(|(address, centre)| Some((address.parse().ok()?, centre)));
-        match parsed {
-            Some((address, centre)) if vm != node.settings.vm => {
-                let now = node.clock.now();
-                node.peers().set(vm, centre, address, now);
-            }
-            Some(_) => {}
-            None => log::warn!("text=\"a VM's entry can't be decoded\" key={}", entry.key),
-        }
+    if !entry.key.starts_with(&subject::directory_prefix()) {
+        return;
     }
+    let Some(decoded) = directory::decode(entry) else {
+        log::warn!("text=\"a VM's entry can't be decoded\" key={}", entry.key);
+        return;
+    };
+    change_directory(node, |directory| {
+        directory.set(decoded);
+        directory.raise_revision(entry.revision);
+    });
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod account;
 pub mod answer;
 pub mod arrival;
+pub mod directory;
 pub mod drain;
 pub mod events;
 pub mod exchange;
@@ -31,6 +32,7 @@
 pub mod roster;
 pub mod shutdown;
 pub mod store;
+mod store_call;
 pub mod stream;
 pub mod subject;
 pub mod table;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -51,10 +51,52 @@
     Events = "events", "events of streams that were passed on";
     TokensMissed = "prompt_tokens_missed", "prompt tokens that the chosen runner was thought to lack";
     TokensAsked = "prompt_tokens", "prompt tokens of all turns that were placed";
-    StoreCalls = "platform_calls", "calls of the platform's key-value service";
+    StoreWeight = "platform_calls_weight", "price of these calls in tenths of a full one";
     StoreFailures = "platform_calls_failed", "calls of the platform's key-value service without an answer";
 }
 
+figures! {
+    /// A call of the key-value service by what it is for. The exported name is its label.
+    Call:
+    ListConfig = "list_config", "the configuration is read";
+    WatchConfig = "watch_config", "a change of the configuration is waited for";
+    ListRunners = "list_runners", "the runners' entries are read";
+    WatchRunners = "watch_runners", "a change of the runners' entries is waited for";
+    ListOwn = "list_own", "the system's own keys are read";
+    CopyOwn = "copy_own", "a copy of the system's own keys is read";
+    WatchOwn = "watch_own", "a change of the system's own keys is waited for";
+    Grant = "grant", "a lease is taken for the VM's entry";
+    Write = "write", "the VM's entry is written";
+    Renew = "renew", "the lease of the VM's entry is renewed";
+}
+
+impl Call {
+    /// Returns the price of a call in tenths of a full one.
+    #[must_use]
+    pub const fn weight(self) -> u64 {
+        match self {
+            Self::CopyOwn | Self::Renew => 1,
+            Self::ListConfig
+            | Self::WatchConfig
+            | Self::ListRunners
+            | Self::WatchRunners
+            | Self::ListOwn
+            | Self::WatchOwn
+            | Self::Grant
+            | Self::Write => 10,
+        }
+    }
+
+    /// Returns whether the call waits at the service for a change.
+    #[must_use]
+    pub const fn is_watch(self) -> bool {
+        matches!(
+            self,
+            Self::WatchConfig | Self::WatchRunners | Self::WatchOwn
+        )
+    }
+}
+
 figures! {
     /// The outcome of a request, counted by the kind of the request.
     Outcome:
@@ -94,6 +136,11 @@
 
 /// Name and help of the refusal counters.
 const REFUSALS: (&str, &str) = ("refusals", "refusals by result code");
+/// Name and help of the counters of calls of the key-value service.
+const STORE_CALLS: (&str, &str) = (
+    "platform_calls",
+    "calls of the platform's key-value service by what they are for",
+);
 /// Name and help of the counters of broken streams.
 const BREAKS: (&str, &str) = (
     "streams_broken",
@@ -108,6 +155,7 @@
     outcomes: Vec<AtomicU64>,
     refusals: Vec<AtomicU64>,
     breaks: Vec<AtomicU64>,
+    store_calls: Vec<AtomicU64>,
     latencies: Vec<Mutex<Histogram<u64>>>,
 }
 
@@ -122,6 +170,7 @@
             outcomes: zeros(Outcome::ALL.len() * KINDS.len()),
             refusals: zeros(Code::ALL.len()),
             breaks: zeros(Break::ALL.len()),
+            store_calls: zeros(Call::ALL.len()),
             latencies: Latency::ALL.iter().map(|_| histogram()).collect(),
         }
     }
@@ -165,6 +214,12 @@
         self.breaks[cause as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a call of the key-value service.
+    pub fn count_store_call(&self, call: Call) {
+        self.store_calls[call as usize].fetch_add(1, Ordering::Relaxed);
+        self.add(Counter::StoreWeight, call.weight());
+    }
+
     /// Records a latency.
     pub fn record(&self, latency: Latency, took: Millis) {
         let histogram = &self.latencies[latency as usize];
@@ -190,6 +245,9 @@
         let causes = Break::ALL.iter();
         let causes = causes.map(|cause| format!("cause=\"{}\"", cause.name()));
         family(&mut out, BREAKS, causes, &self.breaks);
+        let calls = Call::ALL.iter();
+        let calls = calls.map(|call| format!("call=\"{}\"", call.name()));
+        family(&mut out, STORE_CALLS, calls, &self.store_calls);
         for (latency, histogram) in Latency::ALL.iter().zip(&self.latencies) {
             let histogram = histogram.lock().unwrap_or_else(PoisonError::into_inner);
             summary(&mut out, *latency, &histogram);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -4,10 +4,12 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use adapter::kv::Freshness;
 use adapter::kv::Kv;
 use adapter::settings::Settings;
 use link::client::Client;
@@ -20,12 +22,17 @@
 use wire::clock::Clock;
 use wire::clock::Millis;
 
+use crate::directory::Directory;
 use crate::fleet::Fleet;
 use crate::member_health;
 use crate::metrics::Metrics;
+use crate::peers;
+use crate::peers::Access;
 use crate::peers::Peers;
 use crate::roster::Roster;
 use crate::subject;
+use crate::subject::Knowledge;
+use crate::subject::Situation;
 use crate::subject::Source;
 use crate::subject::Subject;
 use crate::table::Table;
@@ -51,9 +58,11 @@
 /// The most unused connections kept to a runner. More than the requests that one VM has in flight
 /// at a runner.
 const MAX_IDLE_CONNECTIONS: usize = 24;
-/// Age of a VM's knowledge of the runners above which it reads their entries itself. A little over
-/// half of the time in which a leaving runner has to stop getting new calls.
-const RUNNERS_MAX_AGE: Millis = Millis::new(1_200);
+/// Age of a VM's knowledge of the runners above which it reads their entries itself, as a
+/// percentage of the time in which a leaving runner has to stop getting new calls. In a large
+/// deployment the knowledge of most VMs is up to a second old, because it comes through two hubs,
+/// and all would read at once if one of these were slow.
+const RUNNERS_MAX_AGE_PERCENT: u64 = 60;
 /// Number of heartbeats for which a runner's entry is certain not to lapse. It lapses after three
 /// missed heartbeats.
 const ENTRY_LIFETIME_HEARTBEATS: u64 = 2;
@@ -88,9 +97,15 @@
     /// Counters and histograms.
     pub metrics: Metrics,
     started: Instant,
+    started_at: Millis,
     table: Mutex<Arc<Table>>,
     fleet: Mutex<Fleet>,
     roster: Mutex<Roster>,
+    directory: Mutex<Directory>,
+    /// Whether the directory has been read, so that the VM knows whom to ask.
+    directory_read: AtomicBool,
+    /// Whether the key-value service failed to answer the last call.
+    store_failing: AtomicBool,
     /// Set once the process begins to stop.
     stop: watch::Sender<Option<Stop>>,
     /// Whether enough VMs with a disk answer.
@@ -134,13 +149,17 @@
             vm_client,
             kv,
             replicas,
-            peers: Mutex::default(),
+            peers: Mutex::new(Peers::new(&settings)),
             turns: Mutex::new(Cache::new(cache_bytes)),
             metrics: Metrics::default(),
             started: Instant::now(),
+            started_at: clock.now(),
             table: Mutex::default(),
             fleet: Mutex::default(),
             roster: Mutex::default(),
+            directory: Mutex::default(),
+            directory_read: AtomicBool::new(false),
+            store_failing: AtomicBool::new(false),
             stop: watch::Sender::default(),
             member_health: Mutex::default(),
             suspicion_check: tokio::sync::Mutex::default(),
@@ -182,6 +201,13 @@
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the directory.
+    pub fn directory(&self) -> MutexGuard<'_, Directory> {
+        self.directory
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the cache of turns.
     pub fn turns(&self) -> MutexGuard<'_, Cache> {
         self.turns.lock().unwrap_or_else(PoisonError::into_inner)
@@ -204,6 +230,41 @@
         }
     }
 
+    /// Returns whether the process started less than `START_WAIT` ago.
+    #[must_use]
+    pub fn is_starting(&self) -> bool {
+        self.clock.now().since(self.started_at).as_duration() < START_WAIT
+    }
+
+    /// Records that the latest entries of the directory were read.
+    pub fn note_directory_read(&self) {
+        self.directory_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the directory was read. A copy may be older than the entries of all VMs that
+    /// have started with this one, so it counts only if it names a VM of the data centre.
+    pub fn note_directory_listed(&self, freshness: Freshness) {
+        if freshness == Freshness::Latest || self.directory().covers(&self.settings.centre) {
+            self.note_directory_read();
+        }
+    }
+
+    /// Records whether the key-value service answered a call.
+    pub fn note_access(&self, access: Access) {
+        self.store_failing
+            .store(access == Access::Failing, Ordering::Relaxed);
+    }
+
+    /// Returns whether the key-value service answered the last call.
+    #[must_use]
+    pub fn access(&self) -> Access {
+        if self.store_failing.load(Ordering::Relaxed) {
+            Access::Failing
+        } else {
+            Access::Answered
+        }
+    }
+
     /// Returns whether a configuration and at least one runner are known.
     #[must_use]
     pub fn can_route(&self) -> bool {
@@ -290,10 +351,21 @@
         self.runners_age() > certain_for
     }
 
-    /// Returns whether the list of runners is too old to rely on.
-    #[must_use]
-    fn is_runners_list_stale(&self) -> bool {
-        self.runners_age() > RUNNERS_MAX_AGE
+    /// Returns how current the information from other VMs is.
+    fn knowledge(&self, role: peers::Role, peers: &Peers) -> Knowledge {
+        let is_starting = self.is_starting();
+        if is_starting && !self.directory_read.load(Ordering::Relaxed) {
+            return Knowledge::None;
+        }
+        let max_age = self.settings.drain.as_u64() * RUNNERS_MAX_AGE_PERCENT / 100;
+        let asks_hub = is_starting && role == peers::Role::Leaf;
+        if asks_hub || self.runners_age() <= Millis::new(max_age) {
+            return Knowledge::Current;
+        }
+        if role == peers::Role::Leaf && !peers.reads_for_stale_hub(self.clock.now()) {
+            return Knowledge::Awaited;
+        }
+        Knowledge::Stale
     }
 
     /// Returns where this VM currently learns of a subject.
@@ -301,12 +373,15 @@
     pub fn source(&self, subject: Subject) -> Source {
         let now = self.clock.now();
         let settings = &self.settings;
-        let (role, is_reader) = {
-            let peers = self.peers();
-            let role = peers.exchange_role(&settings.vm, &settings.centre, now);
-            (role, peers.is_reader(&settings.vm, now))
+        let peers = self.peers();
+        let role = peers.exchange_role(&settings.vm, &settings.centre, now);
+        let situation = Situation {
+            role,
+            is_listed: peers.lists_own(),
+            is_reader: peers.is_reader(&settings.vm, now) && self.access() == Access::Answered,
+            knowledge: self.knowledge(role, &peers),
         };
-        subject::source(subject, role, is_reader, self.is_runners_list_stale())
+        subject::source(subject, situation)
     }
 
     /// Returns whether the process can serve callers' requests.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,17 +1,24 @@
 //! The other VMs that take requests, and which of them exchange messages with each other.
 //!
 //! In a small deployment all VMs exchange messages pairwise. In a larger one that would be more
-//! messages than requests. There the first VM of each data centre (by name) is its hub: the other
-//! VMs of the data centre, its leaves, exchange messages with their hub only, and the hubs with
-//! each other. A hub that dies is skipped once its entry has lapsed or it no longer answers. It is
-//! the hub again as soon as it answers again.
+//! messages than requests. There the largest VM of each data centre in the directory (the first by
+//! name among equals) is its hub: the other VMs of the data centre, its leaves, exchange messages
+//! with their hub only, and the hubs with each other. A hub that dies is skipped once its entry has
+//! lapsed or it no longer answers. It is the hub again as soon as it answers again. VMs without an
+//! entry are leaves, known only to the VMs that they ask.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
+use adapter::settings::Settings;
 use serde::Deserialize;
 use serde::Serialize;
 use wire::clock::Millis;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::directory::Entry;
+use crate::directory::SLOTS;
 
 /// The most other VMs with which all VMs exchange messages pairwise. At 16 exchanges a second with
 /// each, that is under 200 messages per VM and second, which take a few per cent of a small VM's
@@ -19,7 +26,7 @@
 pub const MAX_DIRECT_PEERS: usize = 12;
 /// Number of VMs of a data centre that exchange with their hub at the full rate, 16 times a second
 /// each.
-const LEAVES_AT_FULL_RATE: usize = 24;
+const LEAVES_AT_FULL_RATE: u32 = 24;
 /// Number of silent VMs before a data centre's hub that are probed in each round. These are the
 /// first ones by name, because any of them becomes the hub as soon as it answers. One of the other
 /// silent VMs is probed as well, chosen again in each round. If all were probed, the messages would
@@ -33,10 +40,37 @@
 /// freeze.
 const ANSWER_TIMEOUT: Millis = Millis::new(1_000);
 
-/// The other VMs, sorted by name.
+/// Time for which the same VMs of a data centre read the key-value service for a hub whose knowledge
+/// is stale: that of a call that fails at once, and its retry.
+const STALE_READ_INTERVAL: Millis = Millis::new(400);
+/// How long a VM without an entry is kept after it was last heard.
+const LEAF_RETENTION: Millis = Millis::new(3_000);
+
+/// The other VMs, each group sorted by name.
 #[derive(Debug, Default)]
 pub struct Peers {
+    own: Own,
+    /// The VMs in the directory.
     known: Vec<Peer>,
+    /// VMs without an entry that this VM has heard from.
+    leaves: Vec<Leaf>,
+}
+
+/// This VM.
+#[derive(Debug, Default)]
+struct Own {
+    vm: String,
+    centre: String,
+    capacity: u64,
+    is_listed: bool,
+}
+
+/// Another VM that isn't in the directory.
+#[derive(Debug)]
+struct Leaf {
+    vm: String,
+    centre: String,
+    last_heard: Millis,
 }
 
 /// Another VM.
@@ -48,12 +82,11 @@
     pub centre: String,
     /// Address that takes messages from other VMs.
     pub address: SocketAddr,
-    /// Revision of the roster that the VM had when it was last heard from.
-    pub roster: u64,
-    /// Revision of the configuration that the VM had when it was last heard from.
-    pub config: u64,
+    /// The state that the VM last reported of itself.
+    pub status: Status,
+    /// The VM's share of a processor in thousandths of a core.
+    capacity: u64,
     last_heard: Millis,
-    lifecycle: Lifecycle,
     lapsed_at: Option<Millis>,
 }
 
@@ -71,17 +104,43 @@
     fn answers(&self, now: Millis) -> bool {
         self.lapsed_at.is_none() && now.since(self.last_heard) < ANSWER_TIMEOUT
     }
+
+    /// Returns the VM's place in the order in which VMs become hubs.
+    fn rank(&self) -> Rank<'_> {
+        (Reverse(self.capacity), &self.vm)
+    }
 }
 
+/// The place of a VM in the order in which VMs become hubs.
+type Rank<'a> = (Reverse<u64>, &'a str);
+
 /// The state that a VM reports of itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
     /// Revision of the VM's roster.
     pub roster: u64,
     /// Revision of the VM's configuration.
     pub config: u64,
+    /// Revision of the VM's directory.
+    pub directory: u64,
+    /// Version of the VM's list of VMs with a disk.
+    pub members: u64,
+    /// Number of VMs in the VM's data centre that it knows of.
+    pub centre_vms: u32,
     /// Whether the VM keeps running.
     pub lifecycle: Lifecycle,
+    /// Whether the key-value service answers the VM.
+    pub access: Access,
+}
+
+/// Whether the key-value service answers a VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Access {
+    /// It answered the last call.
+    #[default]
+    Answered,
+    /// It didn't, or refused it.
+    Failing,
 }
 
 /// A VM's role in the exchange, which follows from what it knows of the other VMs.
@@ -96,25 +155,57 @@
 }
 
 impl Peers {
-    /// Adds or updates a VM. A new VM counts as just heard, so that exchanges with it start.
-    pub fn set(&mut self, vm: &str, centre: &str, address: SocketAddr, now: Millis) {
-        match self.find(vm) {
+    /// Creates the peers of a VM that knows of no other VM yet and isn't in the directory.
+    #[must_use]
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            own: Own {
+                vm: settings.vm.clone(),
+                centre: settings.centre.clone(),
+                capacity: settings.capacity,
+                is_listed: false,
+            },
+            ..Self::default()
+        }
+    }
+
+    /// Applies the entries of the directory. A new VM counts as just heard, so that exchanges with
+    /// it start; one without an entry as lapsed.
+    pub fn apply(&mut self, entries: &[Entry], now: Millis) {
+        self.own.is_listed = entries.iter().any(|entry| entry.vm == self.own.vm);
+        for peer in &mut self.known {
+            if !entries.iter().any(|entry| entry.vm == peer.vm) {
+                peer.lapsed_at.get_or_insert(now);
+            }
+        }
+        for entry in entries {
+            if entry.vm != self.own.vm {
+                self.set(entry, now);
+            }
+        }
+        let known = &self.known;
+        let has_entry = |leaf: &Leaf| known.iter().any(|peer| peer.vm == leaf.vm);
+        self.leaves.retain(|leaf| !has_entry(leaf));
+    }
+
+    fn set(&mut self, entry: &Entry, now: Millis) {
+        match self.find(&entry.vm) {
             Ok(index) => {
                 let peer = &mut self.known[index];
-                peer.address = address;
-                centre.clone_into(&mut peer.centre);
+                peer.address = entry.address;
+                peer.capacity = entry.capacity;
+                entry.centre.clone_into(&mut peer.centre);
                 peer.lapsed_at = None;
             }
             Err(index) => self.known.insert(
                 index,
                 Peer {
-                    vm: vm.to_owned(),
-                    centre: centre.to_owned(),
-                    address,
-                    roster: 0,
-                    config: 0,
+                    vm: entry.vm.clone(),
+                    centre: entry.centre.clone(),
+                    address: entry.address,
+                    status: Status::default(),
+                    capacity: entry.capacity,
                     last_heard: now,
-                    lifecycle: Lifecycle::Stays,
                     lapsed_at: None,
                 },
             ),
@@ -125,49 +216,65 @@
         self.known.binary_search_by(|peer| peer.vm.as_str().cmp(vm))
     }
 
-    /// Returns the number of other VMs.
+    /// Returns the number of other VMs in the directory.
     #[must_use]
-    pub fn count(&self) -> usize {
+    pub fn listed(&self) -> usize {
         self.known.len()
     }
 
-    /// Finds a VM by name.
+    /// Returns whether this VM is in the directory.
+    #[must_use]
+    pub const fn lists_own(&self) -> bool {
+        self.own.is_listed
+    }
+
+    /// Finds a VM of the directory by name.
     #[must_use]
     pub fn peer(&self, vm: &str) -> Option<&Peer> {
         self.find(vm).ok().map(|index| &self.known[index])
     }
 
-    /// Records the state that a VM reported.
-    pub fn note_status(&mut self, vm: &str, status: Status, now: Millis) {
-        if let Ok(index) = self.find(vm) {
-            let peer = &mut self.known[index];
-            peer.last_heard = now;
-            peer.lifecycle = status.lifecycle;
-            peer.roster = status.roster;
-            peer.config = status.config;
+    /// Returns whether a VM belongs to a data centre, as far as this VM has heard of it.
+    #[must_use]
+    pub fn is_in_centre(&self, vm: &str, centre: &str) -> bool {
+        if let Some(peer) = self.peer(vm) {
+            return peer.centre == centre;
         }
+        let leaf = self.leaves.iter().find(|leaf| leaf.vm == vm);
+        leaf.is_some_and(|leaf| leaf.centre == centre)
     }
 
-    /// Records that a VM's entry has lapsed.
-    pub fn mark_lapsed(&mut self, vm: &str, now: Millis) {
+    /// Records the state that a VM reported.
+    pub fn note_status(&mut self, vm: &str, centre: &str, status: Status, now: Millis) {
         if let Ok(index) = self.find(vm) {
-            self.known[index].lapsed_at.get_or_insert(now);
+            let peer = &mut self.known[index];
+            peer.last_heard = now;
+            peer.status = status;
+            return;
         }
-    }
-
-    /// Marks all VMs but the listed ones as lapsed.
-    pub fn mark_unlisted(&mut self, vms: &[String], now: Millis) {
-        for peer in &mut self.known {
-            if !vms.contains(&peer.vm) {
-                peer.lapsed_at.get_or_insert(now);
-            }
+        let known = self
+            .leaves
+            .binary_search_by(|leaf| leaf.vm.as_str().cmp(vm));
+        match known {
+            Ok(index) => self.leaves[index].last_heard = now,
+            Err(index) => self.leaves.insert(
+                index,
+                Leaf {
+                    vm: vm.to_owned(),
+                    centre: centre.to_owned(),
+                    last_heard: now,
+                },
+            ),
         }
     }
 
-    /// Removes VMs whose entries lapsed at least `LAPSED_RETENTION` ago.
+    /// Removes VMs whose entries lapsed at least `LAPSED_RETENTION` ago, and those without an entry
+    /// that have been silent.
     pub fn forget_lapsed(&mut self, now: Millis) {
         let recent = |since: Millis| now.since(since) < LAPSED_RETENTION;
         self.known.retain(|peer| peer.lapsed_at.is_none_or(recent));
+        let heard = |leaf: &Leaf| now.since(leaf.last_heard) < LEAF_RETENTION;
+        self.leaves.retain(heard);
     }
 
     /// Returns whether no VM that answers sorts before `own`, across all data centres. If so, this
@@ -179,28 +286,72 @@
     /// one stopped as well, waiting until both have timed out would make all VMs use a departed
     /// runner for longer than allowed. In a larger deployment a stopping VM isn't skipped, because
     /// leaves hear only their hub and would all read at once.
+    ///
+    /// A VM that the service doesn't answer is skipped. Otherwise all VMs would wait for it until
+    /// their knowledge is stale, and then read at once, as long as the service refuses it.
     #[must_use]
     pub fn is_reader(&self, own: &str, now: Millis) -> bool {
-        let keeps_running = |peer: &Peer| !self.is_direct() || peer.lifecycle == Lifecycle::Stays;
-        let mut earlier = self.known.iter().take_while(|peer| peer.vm.as_str() < own);
-        !earlier.any(|peer| peer.answers(now) && keeps_running(peer))
+        let keeps_running =
+            |peer: &Peer| !self.is_direct() || peer.status.lifecycle == Lifecycle::Stays;
+        let can_read = |peer: &Peer| keeps_running(peer) && peer.status.access == Access::Answered;
+        let mut earlier = self
+            .known
+            .iter()
+            .filter(|peer| self.ranks_before(peer, own));
+        !earlier.any(|peer| peer.answers(now) && can_read(peer))
+    }
+
+    /// Returns whether no VM that answers ranks before `own`, across all data centres, whether or not
+    /// the key-value service answers it.
+    #[must_use]
+    pub fn is_first_of_all(&self, own: &str, now: Millis) -> bool {
+        let mut earlier = self
+            .known
+            .iter()
+            .filter(|peer| self.ranks_before(peer, own));
+        !earlier.any(|peer| peer.answers(now))
+    }
+
+    /// Returns whether this VM, a leaf whose knowledge is stale although its hub answers, reads the
+    /// key-value service itself at `now`. About two VMs of a data centre do at a time, whatever
+    /// their number. If the service has failed, all VMs would otherwise call it until it returns.
+    /// If it only refuses the hub, the first that reads tells the hub.
+    #[must_use]
+    pub fn reads_for_stale_hub(&self, now: Millis) -> bool {
+        let told = self
+            .known
+            .iter()
+            .filter(|peer| peer.centre == self.own.centre);
+        let centre_vms = told.map(|peer| peer.status.centre_vms).max().unwrap_or(0);
+        let seed = now.as_u64() / STALE_READ_INTERVAL.as_u64();
+        let number = xxh3_64_with_seed(self.own.vm.as_bytes(), seed);
+        number % u64::from(centre_vms.max(1)) < PROBED_SILENT as u64
+    }
+
+    /// Returns whether a VM becomes a hub before the VM `own`. All VMs in the directory rank before
+    /// one that isn't.
+    fn ranks_before(&self, peer: &Peer, own: &str) -> bool {
+        !self.own.is_listed || peer.rank() < (Reverse(self.own.capacity), own)
     }
 
+    /// Returns whether all VMs exchange pairwise: they are few, and no data centre has more of them
+    /// than the directory has room for.
     fn is_direct(&self) -> bool {
         self.known.len() <= MAX_DIRECT_PEERS
+            && self.centres().into_iter().all(|centre| {
+                let others = self.known.iter().filter(|peer| peer.centre == centre);
+                others.count() + usize::from(centre == self.own.centre) < SLOTS
+            })
     }
 
-    /// Returns whether no VM of the data centre that answers sorts before `own`. Where hubs are
+    /// Returns whether no VM of the data centre that answers ranks before `own`. Where hubs are
     /// needed, this VM is the hub of its data centre.
     #[must_use]
     pub fn is_first(&self, own: &str, centre: &str, now: Millis) -> bool {
-        self.hub(centre, now)
-            .is_none_or(|hub| own <= hub.vm.as_str())
-    }
-
-    fn hub(&self, centre: &str, now: Millis) -> Option<&Peer> {
-        let of_centre = |peer: &&Peer| peer.centre == centre && peer.answers(now);
-        self.known.iter().find(of_centre)
+        let is_hub = |peer: &Peer| {
+            peer.centre == centre && peer.answers(now) && self.ranks_before(peer, own)
+        };
+        !self.known.iter().any(is_hub)
     }
 
     /// Returns the factor by which the pause between two exchanges grows, so that a hub handles at
@@ -208,10 +359,18 @@
     /// the largest data centre.
     #[must_use]
     pub fn pause_factor(&self) -> u32 {
-        let mut centres: Vec<&str> = self.known.iter().map(|peer| peer.centre.as_str()).collect();
-        centres.sort_unstable();
-        let largest = centres.chunk_by(|a, b| a == b).map(<[&str]>::len).max();
-        u32::try_from(largest.unwrap_or(0) / LEAVES_AT_FULL_RATE).unwrap_or(u32::MAX) + 1
+        let told = self.known.iter().map(|peer| peer.status.centre_vms).max();
+        let largest = told.unwrap_or(0).max(self.count_in(&self.own.centre));
+        largest / LEAVES_AT_FULL_RATE + 1
+    }
+
+    /// Returns the number of VMs of a data centre that this VM knows of, itself included.
+    #[must_use]
+    pub fn count_in(&self, centre: &str) -> u32 {
+        let listed = self.known.iter().filter(|peer| peer.centre == centre);
+        let leaves = self.leaves.iter().filter(|leaf| leaf.centre == centre);
+        let others = listed.count() + leaves.count();
+        u32::try_from(others + usize::from(centre == self.own.centre)).unwrap_or(u32::MAX)
     }
 
     /// Returns the role of the VM `own` in the exchange.
@@ -240,16 +399,21 @@
         if role == Role::Direct {
             asked.extend(self.known.iter().filter(|peer| peer.vm.as_str() > own));
         } else {
-            let own_search = self.find_hub(centre, |vm| vm < own, now);
+            let own_search = self.find_hub(centre, |peer| self.ranks_before(peer, own), now);
             asked.extend(own_search.probed(now));
             asked.extend(own_search.hub);
             if role == Role::Hub {
+                let told = self.known.iter().filter(|peer| peer.centre == centre);
+                let centre_vms = told.map(|peer| peer.status.centre_vms).max().unwrap_or(0);
                 let others = self.centres().into_iter().filter(|other| *other != centre);
                 for search in others.map(|other| self.find_hub(other, |_| true, now)) {
-                    if own_search.probes_other_centres(now) {
+                    let probes = own_search.probes_other_centres(now, centre_vms);
+                    if probes {
                         asked.extend(search.probed(now));
                     }
-                    asked.extend(search.hub);
+                    if probes || self.own.is_listed {
+                        asked.extend(search.hub);
+                    }
                 }
             }
         }
@@ -266,11 +430,13 @@
 
     /// Finds the hub of a data centre among the VMs that `counts` selects, and the silent VMs
     /// before it.
-    fn find_hub(&self, centre: &str, counts: impl Fn(&str) -> bool, now: Millis) -> Search<'_> {
+    fn find_hub(&self, centre: &str, counts: impl Fn(&Peer) -> bool, now: Millis) -> Search<'_> {
         let known = self.known.iter();
-        let mut counted = known.filter(|peer| peer.centre == centre && counts(&peer.vm));
+        let counted = known.filter(|peer| peer.centre == centre && counts(peer));
+        let mut counted: Vec<&Peer> = counted.collect();
+        counted.sort_by_key(|peer| peer.rank());
         let mut silent = Vec::new();
-        let hub = counted.find(|peer| {
+        let hub = counted.into_iter().find(|peer| {
             let answers = peer.answers(now);
             if !answers {
                 silent.push(*peer);
@@ -281,7 +447,7 @@
     }
 }
 
-/// The VMs of a data centre in the order of their names, up to its hub.
+/// The VMs of a data centre in the order in which they become hubs, up to its hub.
 struct Search<'a> {
     silent: Vec<&'a Peer>,
     hub: Option<&'a Peer>,
@@ -298,11 +464,16 @@
     }
 
     /// Returns whether a VM that has only silent VMs before it probes the silent VMs of other data
-    /// centres now. The more VMs are before it, the more rarely it does. When a hub dies, all its
+    /// centres now. The more VMs its data centre has, the more rarely it does. When a hub dies, all its
     /// leaves consider themselves hubs for a moment, and would otherwise probe the same VMs of each
     /// other data centre at once.
-    fn probes_other_centres(&self, now: Millis) -> bool {
-        pseudo_random_index(now, self.silent.len()) < PROBED_SILENT
+    fn probes_other_centres(&self, now: Millis, centre_vms: u32) -> bool {
+        let centre_vms = usize::try_from(centre_vms).unwrap_or(usize::MAX);
+        let asking = match self.silent.len() {
+            0 => 0,
+            silent => silent.max(centre_vms),
+        };
+        pseudo_random_index(now, asking) < PROBED_SILENT
     }
 }
 
--- a/crates/relay/src/register.rs
+++ b/crates/relay/src/register.rs
@@ -1,72 +1,108 @@
-//! Maintains a VM's own entry in the key-value service, by which the other VMs find it.
+//! Maintains a VM's own entry in the directory, if the directory has room for it.
+//!
+//! [`step`] decides on the next call and on the pauses; this module makes the calls.
+
+pub mod step;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
+use adapter::kv::Freshness;
+use platform::edge;
+use platform::edge::Compare;
 use platform::edge::Lease;
+use platform::edge::Outcome;
 use platform::edge::Platform;
 use platform::edge::Priority;
 use platform::edge::Txn;
 use platform::edge::Write;
-use tokio::time::Instant;
 use tokio::time::sleep;
-use wire::clock::Millis;
 
-use crate::metrics::Counter;
-use crate::metrics::Latency;
+use crate::directory;
+use crate::directory::Entry;
+use crate::ingest;
+use crate::metrics::Call;
 use crate::node::Node;
-use crate::subject;
-
-/// How long a VM's entry lasts without renewal. Long compared to a short outage of the service,
-/// because a dead VM costs its peers only unanswered messages.
-pub const LEASE_TTL: Millis = Millis::new(8_000);
-/// Interval of renewals: three fit into [`LEASE_TTL`].
-pub const RENEW_INTERVAL: Duration = Duration::from_millis(2_500);
+use crate::register::step::LEASE_TTL;
+use crate::register::step::Registration;
+use crate::register::step::Step;
+use crate::store_call;
+use crate::subject::Subject;
 
-/// Keeps this VM's entry in the key-value service for as long as it is polled.
+/// Keeps this VM's entry in the directory for as long as it is polled.
 pub async fn run(node: Arc<Node>, address: SocketAddr) {
-    let mut lease: Option<Lease> = None;
+    let mut registration = Registration::default();
     loop {
-        node.metrics.count(Counter::StoreCalls);
-        let begun = Instant::now();
-        lease = match lease {
-            Some(held) => match node.kv.renew(held).await {
-                Ok(true) => Some(held),
-                Ok(false) => None,
-                Err(fault) => {
-                    node.metrics.count(Counter::StoreFailures);
-                    log::debug!("lease not renewed: {fault}");
-                    Some(held)
+        let pause = match registration.step(&node) {
+            Step::Pause(pause) => pause,
+            Step::List => {
+                let listed = list(&node).await;
+                registration.listed(listed.as_ref().copied())
+            }
+            Step::Write { key, revision } => {
+                let entry = entry(&node, key, revision, address);
+                match grant(&node).await {
+                    Ok(lease) => {
+                        let written = write(&node, &entry, lease).await;
+                        registration.written(&node, entry, lease, written)
+                    }
+                    Err(_) => registration.failed(),
                 }
-            },
-            None => match write_entry(&node, address).await {
-                Ok(lease) => Some(lease),
-                Err(fault) => {
-                    node.metrics.count(Counter::StoreFailures);
-                    log::debug!("entry not written: {fault}");
-                    None
-                }
-            },
+            }
+            Step::Renew(lease) => {
+                let renewal = node.kv.renew(lease);
+                let renewed = store_call::made(&node, Call::Renew, renewal).await;
+                registration.renewed(&node, &renewed)
+            }
         };
-        node.metrics
-            .record(Latency::StoreCall, Millis::from(begun.elapsed()));
-        sleep(RENEW_INTERVAL).await;
+        sleep(pause).await;
     }
 }
 
-async fn write_entry(node: &Node, address: SocketAddr) -> platform::edge::Result<Lease> {
-    let lease = node.kv.grant(LEASE_TTL).await?;
-    let value = format!("{address} {}", node.settings.centre);
-    let put = Write::Put {
-        key: format!("{}{}", subject::vm_prefix(), node.settings.vm),
-        value: value.into_bytes(),
-        lease: Some(lease),
-    };
-    let txn = Txn {
-        compares: Vec::new(),
-        writes: vec![put],
-    };
-    node.kv.commit(&txn, Priority::Claim).await?;
-    Ok(lease)
+async fn list(node: &Arc<Node>) -> edge::Result<()> {
+    let listing = node.kv.list(Subject::Own.prefix(), Freshness::Latest);
+    let listing = store_call::made(node, Call::ListOwn, listing).await?;
+    ingest::listing(node, Subject::Own, listing);
+    node.note_directory_read();
+    Ok(())
+}
+
+async fn grant(node: &Node) -> edge::Result<Lease> {
+    store_call::made(node, Call::Grant, node.kv.grant(LEASE_TTL)).await
+}
+
+async fn write(node: &Node, entry: &Entry, lease: Lease) -> edge::Result<Outcome> {
+    let txn = transaction(entry, lease);
+    let commit = node.kv.commit(&txn, Priority::Claim);
+    store_call::made(node, Call::Write, commit).await
+}
+
+/// Builds this VM's entry for a key that has a revision.
+#[must_use]
+pub fn entry(node: &Node, key: String, revision: u64, address: SocketAddr) -> Entry {
+    let settings = &node.settings;
+    Entry {
+        key,
+        revision,
+        vm: settings.vm.clone(),
+        centre: settings.centre.clone(),
+        address,
+        capacity: settings.capacity,
+    }
+}
+
+/// Builds the transaction that writes an entry unless its key has changed.
+#[must_use]
+pub fn transaction(entry: &Entry, lease: Lease) -> Txn {
+    Txn {
+        compares: vec![Compare {
+            key: entry.key.clone(),
+            revision: entry.revision,
+        }],
+        writes: vec![Write::Put {
+            key: entry.key.clone(),
+            value: directory::encode(entry),
+            lease: Some(lease),
+        }],
+    }
 }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -52,10 +52,14 @@
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// How long a connection from another VM may be idle.
 const INCOMING_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
-/// How long a watch waits at the service for the request to retire this VM.
-const WATCH_TIMEOUT: Millis = Millis::new(20_000);
+/// How long a watch waits at the service for the request to retire this VM: as long as the service
+/// allows, because each return costs a call.
+const WATCH_TIMEOUT: Millis = Millis::new(30_000);
 /// The pause after a failed call of the key-value service.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// The longest pause of a VM that can't read whether it has to retire. A fraction of the time that
+/// emptying a VM takes.
+const MAX_RETIRE_RETRY_PAUSE: Duration = Duration::from_millis(2_400);
 /// How long a stopping process waits until its last answers have been sent.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// How often a stopping process checks whether its last answers have been sent.
@@ -209,9 +213,11 @@
 
 async fn wait_for_request(kv: &Kv, vm: &str) {
     let key = format!("{}{vm}", keys::RETIRE);
+    let mut pause = RETRY_PAUSE;
     loop {
         match kv.list(&key, Freshness::Latest).await {
             Ok(listing) => {
+                pause = RETRY_PAUSE;
                 if listing.entries.iter().any(|entry| entry.key == key) {
                     return;
                 }
@@ -221,7 +227,8 @@
             }
             Err(fault) => log::debug!("requests to retire the VM can't be read: {fault}"),
         }
-        sleep(RETRY_PAUSE).await;
+        sleep(pause).await;
+        pause = (pause * 2).min(MAX_RETIRE_RETRY_PAUSE);
     }
 }
 
--- a/crates/relay/src/subject.rs
+++ b/crates/relay/src/subject.rs
@@ -5,6 +5,7 @@
 use adapter::kv::Freshness;
 use wire::clock::Millis;
 
+use crate::metrics::Call;
 use crate::peers;
 
 /// How long a watch waits at the service for a change.
@@ -37,6 +38,27 @@
         }
     }
 
+    /// Returns the call that lists the group's entries.
+    #[must_use]
+    pub const fn list_call(self, freshness: Freshness) -> Call {
+        match (self, freshness) {
+            (Self::Config, _) => Call::ListConfig,
+            (Self::Runners, _) => Call::ListRunners,
+            (Self::Own, Freshness::Latest) => Call::ListOwn,
+            (Self::Own, Freshness::Stale) => Call::CopyOwn,
+        }
+    }
+
+    /// Returns the call that watches the group.
+    #[must_use]
+    pub const fn watch_call(self) -> Call {
+        match self {
+            Self::Config => Call::WatchConfig,
+            Self::Runners => Call::WatchRunners,
+            Self::Own => Call::WatchOwn,
+        }
+    }
+
     /// Returns how long a watch waits at the service for a change.
     #[must_use]
     pub const fn watch_timeout(self) -> Millis {
@@ -70,22 +92,54 @@
     }
 }
 
-/// Decides where a VM learns of a subject. `role` is the VM's role in the exchange, `is_reader`
-/// whether it reads the runners for the other VMs, and `stale` whether the information from other
-/// VMs is too old.
+/// What decides where a VM learns of a subject.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Situation {
+    /// The VM's role in the exchange.
+    pub role: peers::Role,
+    /// Whether the VM has an entry in the directory.
+    pub is_listed: bool,
+    /// Whether it is the first VM that answers and reaches the service, so that it reads the
+    /// runners for all.
+    pub is_reader: bool,
+    /// How old its information from other VMs is.
+    pub knowledge: Knowledge,
+}
+
+/// How current a VM's information from other VMs is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Knowledge {
+    /// The process has just started and hasn't read the directory, so it knows of no VM to ask.
+    None,
+    /// It is current, or the process has just started and other VMs are being asked.
+    Current,
+    /// It is too old, but the hub answers and other VMs read the service for it.
+    Awaited,
+    /// It is too old.
+    Stale,
+}
+
+/// Decides where a VM learns of a subject.
 ///
 /// In a large deployment, watches of every VM for every subject would be most of the service's
 /// load, as each change is answered once for each VM. A VM with a hub hears of a change within two
-/// exchanges. The configuration and the runners' entries come in the same messages, so both are
-/// current as long as the entries are. When they aren't, the VM asks the service itself.
+/// exchanges. All subjects come in the same messages, so all are current as long as the runners'
+/// entries are. When they aren't, the VM asks the service itself. A VM without an entry isn't a hub,
+/// even when it hears none for a moment: if all VMs of a hub that dies asked the service, the calls
+/// would grow with the number of VMs. Where the service refuses all hubs, other VMs read for all.
 #[must_use]
-pub const fn source(subject: Subject, role: peers::Role, is_reader: bool, stale: bool) -> Source {
-    match (subject, role) {
-        (Subject::Runners, _) if is_reader || stale => Source::Store,
-        (Subject::Runners, _) => Source::Peers,
-        (Subject::Config, peers::Role::Leaf) if !stale => Source::Peers,
-        (Subject::Own, peers::Role::Leaf) => Source::Copy,
-        (Subject::Config | Subject::Own, _) => Source::Store,
+pub const fn source(subject: Subject, situation: Situation) -> Source {
+    let reads_for_others = !matches!(situation.role, peers::Role::Leaf) || situation.is_reader;
+    let follows_hub = !reads_for_others || !situation.is_listed;
+    match (subject, situation.knowledge) {
+        (Subject::Own, Knowledge::None) => Source::Copy,
+        (Subject::Config | Subject::Runners, Knowledge::None) | (_, Knowledge::Awaited) => {
+            Source::Peers
+        }
+        (Subject::Runners, Knowledge::Current) if !situation.is_reader => Source::Peers,
+        (_, Knowledge::Current) if follows_hub => Source::Peers,
+        (Subject::Own, Knowledge::Stale) if follows_hub => Source::Copy,
+        (_, Knowledge::Current | Knowledge::Stale) => Source::Store,
     }
 }
 
@@ -95,10 +149,16 @@
     format!("{}members", keys::OWN)
 }
 
-/// Returns the prefix of the entries of VMs that take requests.
+/// Returns the prefix of the directory's entries.
+#[must_use]
+pub fn directory_prefix() -> String {
+    format!("{}directory/", keys::OWN)
+}
+
+/// Returns the key of a slot of a data centre in the directory.
 #[must_use]
-pub fn vm_prefix() -> String {
-    format!("{}vm/", keys::OWN)
+pub fn directory_key(centre: &str, slot: usize) -> String {
+    format!("{}{centre}/{slot}", directory_prefix())
 }
 
 #[cfg(test)]
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -5,6 +5,8 @@
 use fleet_model::network::Host;
 use fleet_model::world::Size;
 use fleet_model::world::World;
+use relay::directory::SLOTS;
+use relay::register;
 use rstest::rstest;
 
 mod fleet_model;
@@ -100,15 +102,23 @@
     assert_eq!(world.vms_counting(runner, 1_000), [""; 0]);
 }
 
+/// Returns the last running VM of a data centre that isn't its hub.
+fn running_leaf(world: &World, centre: usize) -> usize {
+    let of_centre = world.running_vms().filter(|vm| vm % CENTRES == centre);
+    let leaf = of_centre.filter(|vm| *vm != world.hub(centre)).last();
+    leaf.expect("the data centre has leaves")
+}
+
 /// Kills hubs one after the other, each just before a configuration changes, one runner leaves and
 /// another one joins. The hub's leaves hear nothing for a second until another VM takes over. The
 /// bounds hold nevertheless.
 #[rstest]
 fn hubs_are_killed_one_after_the_other(#[values(1, 2, 3)] seed: u64) {
     let mut world = fleet(48, seed);
-    for hub in 0..4 {
+    for round in 0..4 {
+        let hub = world.hub(round % CENTRES);
         world.kill(hub);
-        let changes = Changes::apply(&mut world, hub);
+        let changes = Changes::apply(&mut world, round);
         changes.assert_known(&mut world, BOUND_MS);
         world.run(BOUND_MS);
         world.remove_runner(&changes.leaving);
@@ -125,13 +135,15 @@
 fn data_centres_hear_each_other_after_a_hub_is_killed(#[values(1, 2, 3)] seed: u64) {
     let mut world = fleet(48, seed);
     assert_requests_known(&mut world, 30);
-    world.kill(0);
+    world.kill(world.hub(0));
     world.run(CONTACT_MS);
-    assert_requests_known(&mut world, 30);
-    world.kill(1);
-    world.kill(3);
+    let leaf = running_leaf(&world, 0);
+    assert_requests_known(&mut world, leaf);
+    world.kill(world.hub(1));
+    world.kill(world.hub(0));
     world.run(CONTACT_MS);
-    assert_requests_known(&mut world, 31);
+    let leaf = running_leaf(&world, 1);
+    assert_requests_known(&mut world, leaf);
     assert_invariants(&world);
 }
 
@@ -236,6 +248,111 @@
     assert_invariants(&world);
 }
 
+/// Kills the VMs of a data centre that have an entry, all at once, and then the same again. The
+/// others hear nobody of their data centre until the first of them has read the directory and
+/// written its own entry.
+#[rstest]
+fn hub_and_all_its_substitutes_are_killed(#[values(1, 2, 3)] seed: u64) {
+    let mut world = fleet(60, seed);
+    for round in 0..2 {
+        for vm in world.listed_of(0) {
+            world.kill(vm);
+        }
+        let changes = Changes::apply(&mut world, round);
+        changes.assert_known(&mut world, CONTACT_MS + BOUND_MS);
+        world.run(register::step::LEASE_TTL.as_u64() + CONTACT_MS);
+        world.remove_runner(&changes.leaving);
+        assert_eq!(world.listed_of(0).len(), SLOTS);
+        let leaf = running_leaf(&world, 0);
+        assert_requests_known(&mut world, leaf);
+    }
+    assert_eq!(world.disagreeing_vms(), [""; 0]);
+    assert_invariants(&world);
+}
+
+/// All processes restart at once, at the same moment as the service becomes unreachable. The VMs
+/// know nobody, so nothing can be agreed on until it returns; from then on the bounds hold.
+#[rstest]
+fn all_are_restarted_while_the_service_is_away(#[values(1, 2)] seed: u64) {
+    let mut world = fleet(48, seed);
+    let all: Vec<Host> = (0..48).map(Host::Vm).collect();
+    world.cut_both_ways(&all, &[Host::Store]);
+    for vm in 0..48 {
+        world.kill(vm);
+        world.start(vm);
+    }
+    world.run(5_000);
+    world.network.heal();
+    world.run(CONTACT_MS);
+    Changes::apply(&mut world, 0).assert_known(&mut world, BOUND_MS);
+    world.run(LISTED_MS);
+    assert_requests_known(&mut world, 40);
+    assert_invariants(&world);
+}
+
+/// The service can't be reached by some VMs, among them the one that reads for all, while it serves
+/// the others. If all waited for that one, each would read the service itself again and again. What
+/// the others read reaches all within the bounds.
+#[rstest]
+fn service_refuses_some_vms(#[values(1, 2)] seed: u64) {
+    let mut world = fleet(48, seed);
+    let refused: Vec<Host> = (0..48).filter(|vm| vm % 4 == 0).map(Host::Vm).collect();
+    let hubs: Vec<Host> = (0..CENTRES - 1).map(|of| Host::Vm(world.hub(of))).collect();
+    world.cut_both_ways(&refused, &[Host::Store]);
+    world.cut_both_ways(&hubs, &[Host::Store]);
+    world.run(CONTACT_MS);
+    for leaving in 0..6 {
+        let changes = Changes::apply(&mut world, leaving);
+        changes.assert_known(&mut world, BOUND_MS);
+        world.run(4_000);
+        world.remove_runner(&changes.leaving);
+    }
+    world.network.heal();
+    world.run(LISTED_MS);
+    assert_eq!(world.disagreeing_vms(), [""; 0]);
+    assert_invariants(&world);
+}
+
+/// A machine is replaced by another one at a new address, under the name of a hub.
+#[rstest]
+fn hub_returns_at_another_address(#[values(1, 2)] seed: u64) {
+    let mut world = fleet(48, seed);
+    let hub = world.hub(0);
+    world.kill(hub);
+    world.run(1_000);
+    world.vms[hub].address.set_port(7_999);
+    world.start(hub);
+    world.run(CONTACT_MS);
+    Changes::apply(&mut world, 0).assert_known(&mut world, BOUND_MS);
+    let listed = world.listed_address(hub);
+    assert_eq!(listed.map(|address| address.port()), Some(7_999));
+    assert_eq!(world.hub(0), hub);
+    assert_invariants(&world);
+}
+
+/// If every VM called the service in a quiet minute, or made several calls at each start, the calls
+/// would grow with the number of VMs and take most of the service's rate.
+#[rstest]
+#[case::start(0)]
+#[case::restart_of_all(1)]
+fn calls_of_the_service_do_not_grow_with_the_number_of_vms(#[case] restarts: usize) {
+    let calls = |vms: usize| {
+        let mut world = fleet(vms, 1);
+        for _ in 0..restarts {
+            for vm in 0..vms {
+                world.kill(vm);
+                world.start(vm);
+            }
+        }
+        world.run(50_000);
+        world.calls_weight()
+    };
+    let (few, many) = (calls(48), calls(192));
+    // Each VM reads a copy of the directory at a start, and the directory itself at the first one.
+    let starts = (192 - 48) * (11 + restarts as u64) / 10;
+    assert!(many <= few + starts + few / 4, "{few} calls, then {many}");
+}
+
 /// Returns the mean messages and bytes that a VM sends in a second.
 fn sent_per_second(vms: usize) -> (f64, f64) {
     let mut world = fleet(vms, 1);
--- a/crates/relay/tests/fleet_model/queue.rs
+++ b/crates/relay/tests/fleet_model/queue.rs
@@ -59,8 +59,8 @@
     },
     /// The answer to the process's own exchange arrives.
     ExchangeAnswered(Box<Message>),
-    /// The process writes its entry or renews its lease.
-    RenewLease,
+    /// The process takes the next step for its own entry.
+    Register,
     /// The process removes runners whose entries have been missing for too long.
     SweepRunners,
     /// Some of the process's requests end and others begin.
--- a/crates/relay/tests/fleet_model/simulate.rs
+++ b/crates/relay/tests/fleet_model/simulate.rs
@@ -1,17 +1,24 @@
 //! Handles one event: runs what the product's tasks do between two waits.
 
+use std::time::Duration;
 use std::time::Instant;
 
+use adapter::kv::Freshness;
+use platform::edge;
 use platform::edge::Fault;
+use platform::edge::Outcome;
+use relay::directory;
 use relay::exchange;
 use relay::exchange::incoming;
 use relay::exchange::outgoing;
 use relay::exchange::outgoing::Message;
 use relay::follow::step;
 use relay::front;
+use relay::ingest;
+use relay::metrics;
 use relay::node::STORE_TIMEOUT;
 use relay::register;
-use relay::subject;
+use relay::subject::Subject;
 use wire::clock::Millis;
 
 use super::network::Host;
@@ -21,11 +28,11 @@
 use super::queue::Event;
 use super::queue::Step;
 use super::store;
-use super::traffic::Mechanism;
 use super::view::Readmission;
 use super::vm;
 use super::vm::SUBJECTS;
 use super::vm::Vm;
+use super::world::Lease;
 use super::world::Watch;
 use super::world::World;
 
@@ -33,8 +40,8 @@
 const COPY_INTERVAL_MS: u64 = 2_000;
 /// Interval at which a VM's requests change, in milliseconds.
 const LOAD_INTERVAL_MS: u64 = 500;
-/// Bytes of a call that renews a lease.
-const RENEWAL_BYTES: usize = 64;
+/// Bytes of a call that takes or renews a lease or writes an entry.
+const LEASE_BYTES: usize = 64;
 
 impl World {
     pub(super) fn handle_event(&mut self, event: Event) {
@@ -89,7 +96,7 @@
                 incoming::apply(&self.process(vm).node, *message);
                 self.vms[vm].traffic.processor_time += begin.elapsed();
             }
-            Step::RenewLease => self.register(vm),
+            Step::Register => self.register(vm),
             Step::SweepRunners => {
                 let node = &self.process(vm).node;
                 let _gone = node.fleet().remove_missing(node.clock.now());
@@ -202,8 +209,12 @@
     }
 
     fn return_answer(&mut self, vm: usize, call: Call, answer: Answer, bytes: usize) {
-        let mechanism = Mechanism::of(SUBJECTS[call.follower]);
-        self.vms[vm].traffic.note_call(mechanism, bytes);
+        let subject = SUBJECTS[call.follower];
+        let kind = match call.ask {
+            Ask::List(freshness) => subject.list_call(freshness),
+            Ask::Watch(_) => subject.watch_call(),
+        };
+        self.vms[vm].traffic.note_call(kind, bytes);
         match self.network.delay(Host::Store, Host::Vm(vm)) {
             Some(delay) => self.schedule(vm, delay, Step::AnswerArrives(call.follower, answer)),
             None => self.fail_call(vm, call),
@@ -228,7 +239,7 @@
         let sent = self.now();
         for peer in exchange::targets(&node) {
             let begin = Instant::now();
-            let message = outgoing::message(&node, &peer.vm, peer.roster, peer.config);
+            let message = outgoing::message(&node, &peer.vm, &peer.status);
             self.vms[vm].traffic.processor_time += begin.elapsed();
             self.vms[vm].traffic.note_message(&message);
             let other = vm::number(&peer.vm).expect("the model named it");
@@ -273,38 +284,87 @@
         );
     }
 
-    /// Writes the VM's entry, or renews its lease. If the lease has lapsed, the next call writes
-    /// the entry again.
+    /// Takes the next steps for the VM's own entry, up to a pause. Calls take no time here.
     fn register(&mut self, vm: usize) {
+        loop {
+            let process = self.process(vm);
+            let node = process.node.clone();
+            let step = process.registration.step(&node);
+            let pause = match step {
+                register::step::Step::Pause(pause) => pause,
+                _ if self.network.delay(Host::Vm(vm), Host::Store).is_none() => {
+                    self.process(vm).registration.failed()
+                }
+                register::step::Step::List => self.list_directory(vm),
+                register::step::Step::Write { key, revision } => {
+                    self.write_entry(vm, key, revision)
+                }
+                register::step::Step::Renew(_) => self.renew_lease(vm),
+            };
+            if !pause.is_zero() {
+                self.schedule(vm, Millis::from(pause).as_u64(), Step::Register);
+                return;
+            }
+        }
+    }
+
+    fn list_directory(&mut self, vm: usize) -> Duration {
+        let listing = self.store.list(Subject::Own.prefix(), Freshness::Latest);
+        let bytes = store::listing_bytes(&listing);
         self.vms[vm]
             .traffic
-            .note_call(Mechanism::StoreLease, RENEWAL_BYTES);
-        if self.network.delay(Host::Vm(vm), Host::Store).is_some() {
-            let due = self.now() + register::LEASE_TTL.as_u64();
-            let lapsed = self.leases[vm] <= self.now();
-            let registered = std::mem::replace(&mut self.process(vm).registered, true);
-            if registered && lapsed {
-                self.process(vm).registered = false;
-            } else {
-                self.leases[vm] = due;
-                self.queue.put(due, Event::LeaseExpires { vm, due });
-            }
-            if !registered {
-                let value = format!("{} {}", self.vms[vm].address, self.vms[vm].centre);
-                let key = format!("{}{}", subject::vm_prefix(), self.vms[vm].name);
-                self.put(&key, value.as_bytes());
-            }
+            .note_call(metrics::Call::ListOwn, bytes);
+        let process = self.process(vm);
+        ingest::listing(&process.node, Subject::Own, listing);
+        process.node.note_directory_read();
+        process.registration.listed(Ok(()))
+    }
+
+    fn write_entry(&mut self, vm: usize, key: String, revision: u64) -> Duration {
+        let traffic = &mut self.vms[vm].traffic;
+        traffic.note_call(metrics::Call::Grant, LEASE_BYTES);
+        traffic.note_call(metrics::Call::Write, LEASE_BYTES);
+        let address = self.vms[vm].address;
+        let node = self.process(vm).node.clone();
+        let entry = register::entry(&node, key, revision, address);
+        let present = self.store.entry(&entry.key).cloned();
+        let written = if present.as_ref().map_or(0, |present| present.revision) == revision {
+            self.put(&entry.key, &directory::encode(&entry));
+            self.extend_lease(vm, &entry.key);
+            Outcome::Applied(self.store.revision())
+        } else {
+            Outcome::Refused(present.into_iter().collect())
+        };
+        let registration = &mut self.process(vm).registration;
+        registration.written(&node, entry, edge::Lease(0), Ok(written))
+    }
+
+    fn renew_lease(&mut self, vm: usize) -> Duration {
+        self.vms[vm]
+            .traffic
+            .note_call(metrics::Call::Renew, LEASE_BYTES);
+        let lease = self.leases[vm].clone();
+        let is_live = lease.due > self.now();
+        if is_live {
+            self.extend_lease(vm, &lease.key);
         }
-        self.schedule(
-            vm,
-            Millis::from(register::RENEW_INTERVAL).as_u64(),
-            Step::RenewLease,
-        );
+        let process = self.process(vm);
+        let node = process.node.clone();
+        process.registration.renewed(&node, &Ok(is_live))
+    }
+
+    fn extend_lease(&mut self, vm: usize, key: &str) {
+        let due = self.now() + register::step::LEASE_TTL.as_u64();
+        self.leases[vm] = Lease {
+            due,
+            key: key.to_owned(),
+        };
+        self.queue.put(due, Event::LeaseExpires { vm, due });
     }
 
     fn lapse(&mut self, vm: usize, due: u64) {
-        if self.leases[vm] == due {
-            let key = format!("{}{}", subject::vm_prefix(), self.vms[vm].name);
+        if self.leases[vm].due == due {
+            let key = self.leases[vm].key.clone();
             self.store.remove(&key);
             self.answer_watches();
         }
--- a/crates/relay/tests/fleet_model/store.rs
+++ b/crates/relay/tests/fleet_model/store.rs
@@ -35,6 +35,16 @@
         self.changes.push((self.revision, Change::Set(entry)));
     }
 
+    /// Returns a key's entry.
+    pub fn entry(&self, key: &str) -> Option<&Entry> {
+        self.items.get(key)
+    }
+
+    /// Returns the revision of the last write.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Removes a key.
     pub fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_none() {
@@ -111,6 +121,7 @@
     changes.iter().map(bytes).sum()
 }
 
-fn entry_bytes(entry: &Entry) -> usize {
+/// Returns the size of an entry in bytes, with its value in base64.
+pub fn entry_bytes(entry: &Entry) -> usize {
     ENTRY_OVERHEAD_BYTES + entry.key.len() + entry.value.len().div_ceil(3) * 4
 }
--- a/crates/relay/tests/fleet_model/traffic.rs
+++ b/crates/relay/tests/fleet_model/traffic.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use relay::exchange::outgoing::Message;
-use relay::subject::Subject;
+use relay::metrics::Call;
 
 /// Bytes of a message's headers, as in an exchange of a VM with a name of usual length.
 const HEADER_BYTES: usize = 112;
@@ -20,6 +20,8 @@
     Entries,
     /// The configuration in an exchange.
     Document,
+    /// The directory and the list of VMs with a disk in an exchange.
+    Directory,
     /// Calls of the service for the configuration.
     StoreConfig,
     /// Calls of the service for the runners' entries.
@@ -32,11 +34,12 @@
 
 impl Mechanism {
     /// All mechanisms, in the order of their counters.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Exchange,
         Self::Tallies,
         Self::Entries,
         Self::Document,
+        Self::Directory,
         Self::StoreConfig,
         Self::StoreRunners,
         Self::StoreOwn,
@@ -50,6 +53,7 @@
             Self::Tallies => "tallies",
             Self::Entries => "entries",
             Self::Document => "document",
+            Self::Directory => "directory",
             Self::StoreConfig => "store-config",
             Self::StoreRunners => "store-runners",
             Self::StoreOwn => "store-own",
@@ -57,12 +61,13 @@
         }
     }
 
-    /// Returns the mechanism of calls of the service for a subject.
-    pub const fn of(subject: Subject) -> Self {
-        match subject {
-            Subject::Config => Self::StoreConfig,
-            Subject::Runners => Self::StoreRunners,
-            Subject::Own => Self::StoreOwn,
+    /// Returns the mechanism to which a call of the service belongs.
+    const fn of(call: Call) -> Self {
+        match call {
+            Call::ListConfig | Call::WatchConfig => Self::StoreConfig,
+            Call::ListRunners | Call::WatchRunners => Self::StoreRunners,
+            Call::ListOwn | Call::CopyOwn | Call::WatchOwn => Self::StoreOwn,
+            Call::Grant | Call::Write | Call::Renew => Self::StoreLease,
         }
     }
 }
@@ -87,6 +92,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Traffic {
     sums: [Sum; Mechanism::ALL.len()],
+    calls: [u64; Call::ALL.len()],
     /// Exchanges that other VMs started with this one.
     pub exchanges_served: u64,
     /// Processor time of the simulating machine for building and reading messages.
@@ -105,7 +111,12 @@
     /// Returns the messages of all mechanisms. The parts of an exchange aren't messages of their
     /// own.
     pub fn messages(&self) -> u64 {
-        let parts_of_exchange = [Mechanism::Tallies, Mechanism::Entries, Mechanism::Document];
+        let parts_of_exchange = [
+            Mechanism::Tallies,
+            Mechanism::Entries,
+            Mechanism::Document,
+            Mechanism::Directory,
+        ];
         let counted = Mechanism::ALL
             .into_iter()
             .filter(|mechanism| !parts_of_exchange.contains(mechanism));
@@ -118,8 +129,20 @@
     }
 
     /// Records a call of the service whose answer has `bytes` bytes.
-    pub fn note_call(&mut self, mechanism: Mechanism, bytes: usize) {
-        self.sums[mechanism as usize].add(HEADER_BYTES + bytes);
+    pub fn note_call(&mut self, call: Call, bytes: usize) {
+        self.sums[Mechanism::of(call) as usize].add(HEADER_BYTES + bytes);
+        self.calls[call as usize] += 1;
+    }
+
+    /// Returns the number of calls of a kind.
+    pub fn calls(&self, call: Call) -> u64 {
+        self.calls[call as usize]
+    }
+
+    /// Returns the price of all calls in tenths of a full one.
+    pub fn calls_weight(&self) -> u64 {
+        let calls = Call::ALL.iter();
+        calls.map(|call| self.calls(*call) * call.weight()).sum()
     }
 
     /// Records a message to another VM.
@@ -128,12 +151,15 @@
         let tallies = part(size(&message.tallies), message.tallies.is_empty());
         let entries = part(size(&message.entries), message.entries.is_none());
         let document = part(size(&message.document), message.document.is_none());
-        let rest = total - tallies - entries - document;
+        let directory = part(size(&message.directory), message.directory.is_none())
+            + part(size(&message.members), message.members.is_none());
+        let rest = total - tallies - entries - document - directory;
         self.sums[Mechanism::Exchange as usize].add(HEADER_BYTES + rest);
         let parts = [
             (Mechanism::Tallies, tallies),
             (Mechanism::Entries, entries),
             (Mechanism::Document, document),
+            (Mechanism::Directory, directory),
         ];
         for (mechanism, bytes) in parts.into_iter().filter(|(_, bytes)| *bytes > 0) {
             self.sums[mechanism as usize].add(bytes);
--- a/crates/relay/tests/fleet_model/vm.rs
+++ b/crates/relay/tests/fleet_model/vm.rs
@@ -11,6 +11,8 @@
 use fakes::settings::PEERS;
 use relay::follow::step::Follower;
 use relay::node::Node;
+use relay::peers::Role;
+use relay::register::step::Registration;
 use relay::subject::Subject;
 use wire::clock::Clock;
 use wire::clock::Millis;
@@ -49,8 +51,8 @@
     pub followers: Vec<Follower>,
     /// Runners with a request of this VM, once per request.
     pub under_way: Vec<String>,
-    /// Whether the process has written its entry.
-    pub registered: bool,
+    /// Its own entry in the directory.
+    pub registration: Registration,
     /// Runners that have left and still get requests from this process.
     pub used_departed: BTreeSet<String>,
     /// Runners that have left and get no requests any more from this process.
@@ -102,7 +104,7 @@
             node: Node::new(settings, clock),
             followers: SUBJECTS.map(Follower::new).into(),
             under_way: Vec::new(),
-            registered: false,
+            registration: Registration::default(),
             used_departed: BTreeSet::new(),
             dropped_departed: BTreeSet::new(),
         });
@@ -123,6 +125,14 @@
         found.is_some_and(|runner| runner.entry.state == State::Ready)
     }
 
+    /// Returns whether the VM is the hub of its data centre.
+    pub fn is_hub(&self) -> bool {
+        let settings = &self.node.settings;
+        let peers = self.node.peers();
+        let role = peers.exchange_role(&settings.vm, &settings.centre, self.node.clock.now());
+        peers.lists_own() && role == Role::Hub
+    }
+
     /// Returns the number of requests at a runner that the process knows of.
     pub fn known_requests(&self, runner: &str) -> u32 {
         let now = self.node.clock.now();
--- a/crates/relay/tests/fleet_model/world.rs
+++ b/crates/relay/tests/fleet_model/world.rs
@@ -1,12 +1,14 @@
 //! The simulated fleet, the changes made to it, and the time that it takes to agree.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use adapter::kv::Freshness;
 use fakes::store;
+use relay::directory;
 use relay::subject::Subject;
 use wire::clock::Clock;
 
@@ -20,6 +22,7 @@
 use super::traffic::Traffic;
 use super::view::Readmission;
 use super::view::View;
+use super::vm::Process;
 use super::vm::Vm;
 
 /// Start of the simulated time in milliseconds: long after the epoch, as on real machines.
@@ -64,14 +67,23 @@
     pub(super) queue: Queue,
     pub(super) watches: Vec<Watch>,
     pub(super) watch_count: u64,
-    /// When each VM's lease lapses, in milliseconds; 0 for a VM without a lease.
-    pub(super) leases: Vec<u64>,
+    /// The leases of the VMs' entries, by VM.
+    pub(super) leases: Vec<Lease>,
     pub(super) departed: BTreeSet<String>,
     time: Arc<AtomicU64>,
     version: u64,
     runner_count: usize,
 }
 
+/// The lease of a VM's entry.
+#[derive(Clone, Debug, Default)]
+pub struct Lease {
+    /// When it lapses, in milliseconds; 0 for a VM that never had one.
+    pub(super) due: u64,
+    /// Key of the entry.
+    pub(super) key: String,
+}
+
 /// A watch that waits at the service.
 #[derive(Clone, Copy, Debug)]
 pub struct Watch {
@@ -131,7 +143,7 @@
         let first = self.vms.len();
         for at in first..first + count {
             self.vms.push(Vm::new(at, self.size.centres));
-            self.leases.push(0);
+            self.leases.push(Lease::default());
             self.start(at);
         }
     }
@@ -145,7 +157,7 @@
         }
         for step in [
             Step::Exchange,
-            Step::RenewLease,
+            Step::Register,
             Step::SweepRunners,
             Step::ChangeLoad,
         ] {
@@ -331,9 +343,57 @@
         }
     }
 
+    /// Returns the number of the VM that is the hub of a data centre, for itself and for the most
+    /// other VMs.
+    pub fn hub(&self, centre: usize) -> usize {
+        let is_hub = |vm: &usize| {
+            let process = self.vms[*vm].process.as_ref();
+            process.is_some_and(Process::is_hub)
+        };
+        let of_centre = self
+            .running_vms()
+            .filter(|vm| vm % self.size.centres == centre);
+        let hubs: Vec<usize> = of_centre.filter(is_hub).collect();
+        assert_eq!(hubs.len(), 1, "hubs of data centre {centre}: {hubs:?}");
+        hubs[0]
+    }
+
+    /// Returns the price of all calls of the service in whole calls.
+    pub fn calls_weight(&self) -> u64 {
+        let tenths: u64 = self.vms.iter().map(|vm| vm.traffic.calls_weight()).sum();
+        tenths.div_ceil(10)
+    }
+
+    /// Returns the numbers of the running VMs of a data centre with an entry in the service.
+    pub fn listed_of(&self, centre: usize) -> Vec<usize> {
+        let entries = self.directory();
+        let is_listed = |vm: &usize| entries.iter().any(|entry| entry.vm == self.vms[*vm].name);
+        let of_centre = self
+            .running_vms()
+            .filter(|vm| vm % self.size.centres == centre);
+        of_centre.filter(is_listed).collect()
+    }
+
+    /// Returns the address in a VM's entry in the service.
+    pub fn listed_address(&self, vm: usize) -> Option<SocketAddr> {
+        let mut entries = self.directory().into_iter();
+        let found = entries.find(|entry| entry.vm == self.vms[vm].name);
+        found.map(|entry| entry.address)
+    }
+
+    fn directory(&self) -> Vec<directory::Entry> {
+        let prefix = relay::subject::directory_prefix();
+        let listing = self.store.list(&prefix, Freshness::Latest);
+        listing
+            .entries
+            .iter()
+            .filter_map(directory::decode)
+            .collect()
+    }
+
     /// Returns the number of entries of VMs in the service.
     pub fn listed_vms(&self) -> usize {
-        let prefix = relay::subject::vm_prefix();
+        let prefix = relay::subject::directory_prefix();
         self.store.list(&prefix, Freshness::Latest).entries.len()
     }
 }
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -6,19 +6,14 @@
 //! which makes the others refuse requests under the old list, and only then asks for what they
 //! hold. What they hold then includes everything acknowledged under the old list.
 
+mod list_change;
+
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use link::client::Client;
-use platform::edge::Compare;
-use platform::edge::Entry;
-use platform::edge::Fault;
-use platform::edge::Outcome;
 use platform::edge::Platform;
-use platform::edge::Priority;
-use platform::edge::Txn;
-use platform::edge::Write;
 use tokio::sync::watch;
 use wire::clock::Clock;
 use wire::clock::Millis;
@@ -31,6 +26,7 @@
 use crate::ledger::Account;
 use crate::list;
 use crate::list::List;
+use crate::member::list_change::State;
 use crate::message::Answer;
 use crate::message::Body;
 use crate::message::Holdings;
@@ -38,16 +34,9 @@
 use crate::record::Key;
 use crate::record::Record;
 use crate::server::Member;
-use crate::unresponsive;
 
 /// How often the driver runs.
 const STEP_INTERVAL: Duration = Duration::from_millis(200);
-/// How often a member reads the list from the key-value service. Other VMs' requests announce
-/// changes; this is for a member that none of them reaches.
-const LIST_READ_INTERVAL: Millis = Millis::new(5_000);
-/// How often a VM that has to change the list reads it: a tenth of the time within which a VM with
-/// an empty disk has to be a complete replica again.
-const LIST_READ_INTERVAL_PENDING: Millis = Millis::new(500);
 /// A member without write requests for this long was cut off, frozen or idle. It then compares its
 /// records with the other members to get what it missed.
 const IDLE_BEFORE_COMPARE: Millis = Millis::new(1_000);
@@ -87,23 +76,10 @@
     pub phase: watch::Sender<Phase>,
 }
 
-#[derive(Default)]
-struct DriverState {
-    /// The list's revision in the key-value service.
-    revision: u64,
-    list_read_at: Option<Millis>,
-    unresponsive: unresponsive::Members,
-    /// Whether records were compared with the other members since the start or the last idle
-    /// period.
-    compared: bool,
-    /// Whether the last read of the key-value service failed.
-    in_outage: bool,
-}
-
 impl Driver {
     /// Runs the member for as long as the future is polled.
     pub async fn run(self) {
-        let mut state = DriverState::default();
+        let mut state = State::default();
         loop {
             self.step(&mut state).await;
             tokio::select! {
@@ -113,7 +89,7 @@
         }
     }
 
-    async fn step(&self, state: &mut DriverState) {
+    async fn step(&self, state: &mut State) {
         if let Err(fault) = self.member.sweep().await {
             disk::log_failed(&fault);
         }
@@ -140,109 +116,6 @@
         }
     }
 
-    /// Reads the list from the key-value service if the last read is long enough ago.
-    async fn refresh_list(&self, state: &mut DriverState) {
-        let now = self.clock.now();
-        let is_stable = self.member.identity().list.has_member(&self.own)
-            && *self.phase.borrow() == Phase::Member;
-        let pause = if is_stable {
-            LIST_READ_INTERVAL
-        } else {
-            LIST_READ_INTERVAL_PENDING
-        };
-        if state.list_read_at.is_some_and(|at| now.since(at) < pause) {
-            return;
-        }
-        state.list_read_at = Some(now);
-        match self.platform.read(&self.key).await {
-            Ok(entry) => {
-                if state.in_outage {
-                    log::info!(
-                        "event=E{} text=\"{}\"",
-                        Event::OutageEnded.number(),
-                        Event::OutageEnded.text()
-                    );
-                }
-                state.in_outage = false;
-                self.adopt_entry(state, entry).await;
-            }
-            Err(fault) => {
-                if !state.in_outage {
-                    log::warn!(
-                        "event=E{} text=\"{}\" fault=\"{fault}\"",
-                        Event::OutageBegan.number(),
-                        Event::OutageBegan.text()
-                    );
-                }
-                state.in_outage = true;
-            }
-        }
-    }
-
-    async fn adopt_entry(&self, state: &mut DriverState, entry: Option<Entry>) {
-        let Some(entry) = entry else {
-            state.revision = 0;
-            return;
-        };
-        state.revision = entry.revision;
-        match rmp_serde::from_slice::<List>(&entry.value) {
-            Ok(list) => self.adopt(&list).await,
-            Err(fault) => log::error!("text=\"list of members not decoded\" fault=\"{fault}\""),
-        }
-    }
-
-    async fn adopt(&self, list: &List) {
-        if let Err(fault) = self.member.adopt(list).await {
-            disk::log_failed(&fault);
-        }
-    }
-
-    /// Proposes the next list once enough members have caught up with the current one.
-    async fn propose(&self, state: &mut DriverState, list: &List, next: &List) {
-        if next.members.is_empty() {
-            return;
-        }
-        let ready = self.ready_members(list).await;
-        let needed = list::blocking_size(list.group_size(self.losses));
-        if list.version > 0 && !list.covers(&ready, self.losses, needed) {
-            log::info!(
-                "event=E{} text=\"{}\" version={} ready={} members={}",
-                Event::ChangeWaits.number(),
-                Event::ChangeWaits.text(),
-                list.version,
-                ready.len(),
-                list.members.len()
-            );
-            return;
-        }
-        let value = match rmp_serde::to_vec(next) {
-            Ok(value) => value,
-            Err(fault) => {
-                log::error!("text=\"the list of members can't be encoded\" fault=\"{fault}\"");
-                return;
-            }
-        };
-        let txn = Txn {
-            compares: vec![Compare {
-                key: self.key.clone(),
-                revision: state.revision,
-            }],
-            writes: vec![Write::Put {
-                key: self.key.clone(),
-                value,
-                lease: None,
-            }],
-        };
-        match self.platform.commit(&txn, Priority::Claim).await {
-            Ok(Outcome::Applied(revision)) => {
-                state.revision = revision;
-                self.adopt(next).await;
-            }
-            Ok(Outcome::Refused(_)) | Err(Fault::Unknown(_)) => state.list_read_at = None,
-            Err(fault) => log::warn!("text=\"list of members not written\" fault=\"{fault}\""),
-        }
-    }
-
     /// Returns the members that hold everything acknowledged before the list.
     async fn ready_members<'a>(&self, list: &'a List) -> Vec<&'a list::Member> {
         let mut ready = Vec::new();
@@ -411,7 +284,7 @@
     /// Compares records with the other members after the start and after each idle period. Copies
     /// records that a majority got while this member was away, so that they survive the next loss
     /// of a member.
-    async fn compare(&self, state: &mut DriverState, list: &List) {
+    async fn compare(&self, state: &mut State, list: &List) {
         if self.member.idle_for() >= IDLE_BEFORE_COMPARE {
             state.compared = false;
             return;
@@ -433,7 +306,7 @@
 
     /// Proposes to remove an unresponsive member if the list has more members than it needs, or
     /// exactly two.
-    async fn evict(&self, state: &mut DriverState, list: &List) {
+    async fn evict(&self, state: &mut State, list: &List) {
         let has_spare = list.members.len() > 2 * self.losses + 1;
         if !has_spare && list.members.len() != 2 {
             state.unresponsive.clear();
--- /dev/null
+++ b/crates/replica/src/member/list_change.rs
@@ -0,0 +1,261 @@
+//! How a VM with a disk learns of a new list and proposes to change the list.
+
+use platform::edge::Compare;
+use platform::edge::Entry;
+use platform::edge::Fault;
+use platform::edge::Outcome;
+use platform::edge::Priority;
+use platform::edge::Txn;
+use platform::edge::Write;
+use wire::clock::Millis;
+use wire::event::Event;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::disk;
+use crate::list;
+use crate::list::List;
+use crate::member::Driver;
+use crate::member::Phase;
+use crate::message::Answer;
+use crate::message::Body;
+use crate::unresponsive;
+
+/// How often a member reads a copy of the list from the key-value service. Other VMs' requests
+/// announce changes; this is for a member that none of them reaches.
+const LIST_READ_INTERVAL: Millis = Millis::new(5_000);
+/// How often a VM that has to change the list reads it while no member answers: a tenth of the time
+/// within which a VM with an empty disk has to be a complete replica again.
+const LIST_READ_INTERVAL_PENDING: Millis = Millis::new(500);
+/// Time for each member of the list over which VMs spread their proposals to change it. When all
+/// VMs with a disk start at once, each may propose after every change, and all but one of the
+/// proposals are refused. On small VMs a new list is known to most members after some fifty
+/// milliseconds.
+const PROPOSAL_SPREAD_PER_MEMBER: Millis = Millis::new(100);
+/// The longest time over which proposals are spread.
+const MAX_PROPOSAL_SPREAD: Millis = Millis::new(600);
+/// How long a VM waits before it proposes again after the key-value service has failed.
+const PROPOSAL_RETRY_PAUSE: Millis = Millis::new(500);
+
+/// What a driver remembers between its steps.
+#[derive(Default)]
+pub(super) struct State {
+    /// The list's revision in the key-value service when it was last read or written.
+    revision: u64,
+    /// The list's version at that revision.
+    version: u64,
+    list_read_at: Option<Millis>,
+    pub(super) unresponsive: unresponsive::Members,
+    /// Whether records were compared with the other members since the start or the last idle
+    /// period.
+    pub(super) compared: bool,
+    /// Whether the last read of the key-value service failed.
+    in_outage: bool,
+    /// When a call for a proposal last failed.
+    proposal_failed_at: Option<Millis>,
+}
+
+impl State {
+    /// Returns whether the last read of the list is at least `interval` ago, and notes the time if
+    /// so.
+    fn is_read_due(&mut self, interval: Millis, now: Millis) -> bool {
+        let is_due = self.list_read_at.is_none_or(|at| now.since(at) >= interval);
+        if is_due {
+            self.list_read_at = Some(now);
+        }
+        is_due
+    }
+}
+
+/// Whether any member answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    Answer,
+    Silence,
+}
+
+impl Driver {
+    /// Looks for a newer list: a member reads a copy of the list now and then. A VM that has to
+    /// change the list asks the members, and reads the list itself if none of them answers.
+    pub(super) async fn refresh_list(&self, state: &mut State) {
+        let list = self.member.identity().list;
+        let is_stable = list.has_member(&self.own) && *self.phase.borrow() == Phase::Member;
+        if is_stable {
+            if state.is_read_due(LIST_READ_INTERVAL, self.clock.now()) {
+                let read = self.platform.read_copy(&self.key).await;
+                self.note_read(state, read).await;
+            }
+            return;
+        }
+        if self.learn_newer(&list).await == Asked::Silence
+            && state.is_read_due(LIST_READ_INTERVAL_PENDING, self.clock.now())
+        {
+            self.read_latest(state).await;
+        }
+    }
+
+    async fn read_latest(&self, state: &mut State) {
+        let read = self.platform.read(&self.key).await;
+        if matches!(read, Ok(None)) {
+            state.revision = 0;
+            state.version = 0;
+        }
+        self.note_read(state, read).await;
+    }
+
+    /// Adopts the list that was read, and logs when the key-value service fails and returns.
+    async fn note_read(&self, state: &mut State, read: platform::edge::Result<Option<Entry>>) {
+        match read {
+            Ok(entry) => {
+                if state.in_outage {
+                    log::info!(
+                        "event=E{} text=\"{}\"",
+                        Event::OutageEnded.number(),
+                        Event::OutageEnded.text()
+                    );
+                }
+                state.in_outage = false;
+                if let Some(entry) = entry {
+                    self.adopt_entry(state, &entry).await;
+                }
+            }
+            Err(fault) => {
+                if !state.in_outage {
+                    log::warn!(
+                        "event=E{} text=\"{}\" fault=\"{fault}\"",
+                        Event::OutageBegan.number(),
+                        Event::OutageBegan.text()
+                    );
+                }
+                state.in_outage = true;
+                state.proposal_failed_at = Some(self.clock.now());
+            }
+        }
+    }
+
+    /// Adopts the list of an entry unless a newer entry is known, as a copy may be old.
+    async fn adopt_entry(&self, state: &mut State, entry: &Entry) {
+        if entry.revision < state.revision {
+            return;
+        }
+        match rmp_serde::from_slice::<List>(&entry.value) {
+            Ok(list) => {
+                state.revision = entry.revision;
+                state.version = list.version;
+                self.adopt(&list).await;
+            }
+            Err(fault) => log::error!("text=\"list of members not decoded\" fault=\"{fault}\""),
+        }
+    }
+
+    pub(super) async fn adopt(&self, list: &List) {
+        if let Err(fault) = self.member.adopt(list).await {
+            disk::log_failed(&fault);
+        }
+    }
+
+    /// Proposes the next list once enough members have caught up with the current one.
+    pub(super) async fn propose(&self, state: &mut State, list: &List, next: &List) {
+        let failed_at = state.proposal_failed_at;
+        let has_just_failed =
+            failed_at.is_some_and(|at| self.clock.now().since(at) < PROPOSAL_RETRY_PAUSE);
+        if next.members.is_empty() || has_just_failed {
+            return;
+        }
+        let ready = self.ready_members(list).await;
+        let needed = list::blocking_size(list.group_size(self.losses));
+        if list.version > 0 && !list.covers(&ready, self.losses, needed) {
+            log::info!(
+                "event=E{} text=\"{}\" version={} ready={} members={}",
+                Event::ChangeWaits.number(),
+                Event::ChangeWaits.text(),
+                list.version,
+                ready.len(),
+                list.members.len()
+            );
+            return;
+        }
+        tokio::time::sleep(self.proposal_delay(list).as_duration()).await;
+        self.learn_newer(list).await;
+        if state.version != list.version {
+            self.read_latest(state).await;
+        }
+        let current = self.member.identity().list;
+        if current.version != list.version || state.version != list.version {
+            return;
+        }
+        self.write_list(state, next).await;
+    }
+
+    /// Returns how long this VM waits before it proposes to change a list. The VMs choose different
+    /// times, each another one for each list.
+    fn proposal_delay(&self, list: &List) -> Millis {
+        let members = list.members.len() as u64;
+        let spread = PROPOSAL_SPREAD_PER_MEMBER.as_u64() * members;
+        let spread = spread.min(MAX_PROPOSAL_SPREAD.as_u64());
+        Millis::new(self.choice(list) % spread.max(1))
+    }
+
+    /// Asks members in turn, up to the first that answers, whether the list has changed. That costs
+    /// the key-value service nothing.
+    async fn learn_newer(&self, list: &List) -> Asked {
+        let mut others = list.members.clone();
+        others.retain(|member| *member != self.own);
+        let first = self.choice(list) % (others.len() as u64).max(1);
+        others.rotate_left(usize::try_from(first).unwrap_or(0));
+        for member in &others {
+            match self.ask(member, list.version, Body::List).await {
+                Some(Answer::Newer(newer)) => {
+                    self.adopt(&newer).await;
+                    return Asked::Answer;
+                }
+                Some(_) => return Asked::Answer,
+                None => {}
+            }
+        }
+        Asked::Silence
+    }
+
+    /// Returns a number that differs between VMs, and between lists for the same VM.
+    fn choice(&self, list: &List) -> u64 {
+        xxh3_64_with_seed(self.own.vm.as_bytes(), list.version)
+    }
+
+    async fn write_list(&self, state: &mut State, next: &List) {
+        let value = match rmp_serde::to_vec(next) {
+            Ok(value) => value,
+            Err(fault) => {
+                log::error!("text=\"the list of members can't be encoded\" fault=\"{fault}\"");
+                return;
+            }
+        };
+        let txn = Txn {
+            compares: vec![Compare {
+                key: self.key.clone(),
+                revision: state.revision,
+            }],
+            writes: vec![Write::Put {
+                key: self.key.clone(),
+                value,
+                lease: None,
+            }],
+        };
+        match self.platform.commit(&txn, Priority::Claim).await {
+            Ok(Outcome::Applied(revision)) => {
+                state.revision = revision;
+                state.version = next.version;
+                self.adopt(next).await;
+            }
+            Ok(Outcome::Refused(present)) => {
+                if let Some(entry) = present.first() {
+                    self.adopt_entry(state, entry).await;
+                }
+            }
+            // It may have taken effect, so the list is read again before the next proposal.
+            Err(Fault::Unknown(_)) => state.version = u64::MAX,
+            Err(fault) => {
+                state.proposal_failed_at = Some(self.clock.now());
+                log::warn!("text=\"list of members not written\" fault=\"{fault}\"");
+            }
+        }
+    }
+}
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -53,6 +53,8 @@
     Fetch(Vec<Key>),
     /// Return the member's state.
     Status,
+    /// Return the member's state, or its list if it is newer.
+    List,
 }
 
 /// A member's answer.
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -57,6 +57,8 @@
     AppendUnknown = 2101, "append has an unknown outcome";
     OutageBegan = 2102, "platform outage began";
     OutageEnded = 2103, "platform outage ended";
+    EntryWritten = 2104, "entry in the directory written";
+    EntryLost = 2105, "entry in the directory lost";
     PeerUp = 3001, "peer is up";
     PeerDown = 3002, "peer is down";
     MembersChanged = 3101, "list of members in force";
