Share how VMs before this one, told sizes and read directories are looked up

Behaviour is as it was: the three questions who ranks before a VM and answers go through one iterator, the size of a data centre that was told through one function, both ways to note that the directory was read through one, and a slot is chosen without nested options. A count that nothing called leaves the played fleet.

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -129,15 +129,12 @@
         }
         let keys = (0..SLOTS).map(|slot| subject::directory_key(centre, slot));
         let free: Vec<String> = keys.filter(|key| self.find(key).is_err()).collect();
-        let Ok(count) = u64::try_from(free.len()) else {
+        if free.is_empty() {
             return Claim::Full;
-        };
-        let chosen = xxh3_64(vm.as_bytes()).checked_rem(count);
-        let chosen = chosen.and_then(|index| usize::try_from(index).ok());
-        match chosen.and_then(|index| free.into_iter().nth(index)) {
-            Some(key) => Claim::Write { key, revision: 0 },
-            None => Claim::Full,
         }
+        let chosen = xxh3_64(vm.as_bytes()) % free.len() as u64;
+        let key = free[usize::try_from(chosen).unwrap_or(0)].clone();
+        Claim::Write { key, revision: 0 }
     }
 
     fn find(&self, key: &str) -> Result<usize, usize> {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -236,16 +236,11 @@
         self.clock.now().since(self.started_at).as_duration() < START_WAIT
     }
 
-    /// Records that the latest entries of the directory were read.
-    pub fn note_directory_read(&self) {
-        self.directory_read.store(true, Ordering::Relaxed);
-    }
-
     /// Records that the directory was read. A copy may be older than the entries of all VMs that
     /// have started with this one, so it counts only if it names a VM of the data centre.
     pub fn note_directory_listed(&self, freshness: Freshness) {
         if freshness == Freshness::Latest || self.directory().covers(&self.settings.centre) {
-            self.note_directory_read();
+            self.directory_read.store(true, Ordering::Relaxed);
         }
     }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -294,22 +294,20 @@
         let keeps_running =
             |peer: &Peer| !self.is_direct() || peer.status.lifecycle == Lifecycle::Stays;
         let can_read = |peer: &Peer| keeps_running(peer) && peer.status.access == Access::Answered;
-        let mut earlier = self
-            .known
-            .iter()
-            .filter(|peer| self.ranks_before(peer, own));
-        !earlier.any(|peer| peer.answers(now) && can_read(peer))
+        !self.before(own, now).any(can_read)
     }
 
     /// Returns whether no VM that answers ranks before `own`, across all data centres, whether or not
     /// the key-value service answers it.
     #[must_use]
     pub fn is_first_of_all(&self, own: &str, now: Millis) -> bool {
-        let mut earlier = self
-            .known
-            .iter()
-            .filter(|peer| self.ranks_before(peer, own));
-        !earlier.any(|peer| peer.answers(now))
+        self.before(own, now).next().is_none()
+    }
+
+    /// Returns the VMs that answer and rank before `own`.
+    fn before(&self, own: &str, now: Millis) -> impl Iterator<Item = &Peer> {
+        let known = self.known.iter();
+        known.filter(move |peer| peer.answers(now) && self.ranks_before(peer, own))
     }
 
     /// Returns whether this VM, a leaf whose knowledge is stale although its hub answers, reads the
@@ -318,14 +316,17 @@
     /// If it only refuses the hub, the first that reads tells the hub.
     #[must_use]
     pub fn reads_for_stale_hub(&self, now: Millis) -> bool {
-        let told = self
-            .known
-            .iter()
-            .filter(|peer| peer.centre == self.own.centre);
-        let centre_vms = told.map(|peer| peer.status.centre_vms).max().unwrap_or(0);
+        let centre_vms = self.told_vms(&self.own.centre).max(1);
         let seed = now.as_u64() / STALE_READ_INTERVAL.as_u64();
         let number = xxh3_64_with_seed(self.own.vm.as_bytes(), seed);
-        number % u64::from(centre_vms.max(1)) < PROBED_SILENT as u64
+        number % u64::from(centre_vms) < PROBED_SILENT as u64
+    }
+
+    /// Returns how many VMs a data centre has according to those of it that were heard.
+    fn told_vms(&self, centre: &str) -> u32 {
+        let of_centre = self.known.iter().filter(|peer| peer.centre == centre);
+        let told = of_centre.map(|peer| peer.status.centre_vms);
+        told.max().unwrap_or(0)
     }
 
     /// Returns whether a VM becomes a hub before the VM `own`. All VMs in the directory rank before
@@ -348,10 +349,7 @@
     /// needed, this VM is the hub of its data centre.
     #[must_use]
     pub fn is_first(&self, own: &str, centre: &str, now: Millis) -> bool {
-        let is_hub = |peer: &Peer| {
-            peer.centre == centre && peer.answers(now) && self.ranks_before(peer, own)
-        };
-        !self.known.iter().any(is_hub)
+        !self.before(own, now).any(|peer| peer.centre == centre)
     }
 
     /// Returns the factor by which the pause between two exchanges grows, so that a hub handles at
@@ -403,8 +401,7 @@
             asked.extend(own_search.probed(now));
             asked.extend(own_search.hub);
             if role == Role::Hub {
-                let told = self.known.iter().filter(|peer| peer.centre == centre);
-                let centre_vms = told.map(|peer| peer.status.centre_vms).max().unwrap_or(0);
+                let centre_vms = self.told_vms(centre);
                 let others = self.centres().into_iter().filter(|other| *other != centre);
                 for search in others.map(|other| self.find_hub(other, |_| true, now)) {
                     let probes = own_search.probes_other_centres(now, centre_vms);
--- a/crates/relay/src/register.rs
+++ b/crates/relay/src/register.rs
@@ -63,7 +63,7 @@
     let listing = node.kv.list(Subject::Own.prefix(), Freshness::Latest);
     let listing = store_call::made(node, Call::ListOwn, listing).await?;
     ingest::listing(node, Subject::Own, listing);
-    node.note_directory_read();
+    node.note_directory_listed(Freshness::Latest);
     Ok(())
 }
 
--- a/crates/relay/tests/fleet_model/simulate.rs
+++ b/crates/relay/tests/fleet_model/simulate.rs
@@ -316,7 +316,7 @@
             .note_call(metrics::Call::ListOwn, bytes);
         let process = self.process(vm);
         ingest::listing(&process.node, Subject::Own, listing);
-        process.node.note_directory_read();
+        process.node.note_directory_listed(Freshness::Latest);
         process.registration.listed(Ok(()))
     }
 
--- a/crates/relay/tests/fleet_model/world.rs
+++ b/crates/relay/tests/fleet_model/world.rs
@@ -363,8 +363,7 @@
         }
     }
 
-    /// Returns the number of the VM that is the hub of a data centre, for itself and for the most
-    /// other VMs.
+    /// Returns the number of the only VM that considers itself the hub of a data centre.
     pub fn hub(&self, centre: usize) -> usize {
         let is_hub = |vm: &usize| {
             let process = self.vms[*vm].process.as_ref();
@@ -421,10 +420,4 @@
             .filter_map(directory::decode)
             .collect()
     }
-
-    /// Returns the number of entries of VMs in the service.
-    pub fn listed_vms(&self) -> usize {
-        let prefix = relay::subject::directory_prefix();
-        self.store.list(&prefix, Freshness::Latest).entries.len()
-    }
 }
