Pause when a slot of the directory holds bytes that can't be read; watch for retirement as before

Cause: a refused entry showed who has the slot, or so the code took for granted. With bytes there that can't be read the slot stayed free to the VM, and it took a lease and wrote again without any pause for as long as they stood. Found by reading. Change: such a refusal is followed by the pauses of failed calls. Test: unreadable_entry_is_not_written_against_without_pauses, red before (four pauses of zero), green after.

--- a/crates/relay/src/register/step.rs
+++ b/crates/relay/src/register/step.rs
@@ -125,7 +125,8 @@
 
     /// Applies the answer to [`Step::Write`]. Returns how long to wait before the next step.
     ///
-    /// A refusal shows who has the slot, so the next step doesn't need to read the directory.
+    /// A refusal shows who has the slot, so the next step doesn't need to read the directory. If what
+    /// it shows can't be read, the slot stays free as far as the VM knows, so it pauses.
     pub fn written(
         &mut self,
         node: &Node,
@@ -151,12 +152,19 @@
                 Duration::ZERO
             }
             Ok(Outcome::Refused(present)) => {
+                let found: Vec<_> = present.iter().filter_map(directory::decode).collect();
+                let is_known = found.len() == present.len();
                 ingest::change_directory(node, |directory| {
                     directory.remove(&entry.key, u64::MAX);
-                    let found = present.iter().filter_map(directory::decode);
-                    found.for_each(|found| directory.set(found));
+                    for present in found {
+                        directory.set(present);
+                    }
                 });
-                Duration::ZERO
+                if is_known {
+                    Duration::ZERO
+                } else {
+                    self.retry_pause()
+                }
             }
             Err(_) => self.failed(),
         }
@@ -184,6 +192,10 @@
         if matches!(self.phase, Phase::Listed) {
             self.phase = Phase::Idle;
         }
+        self.retry_pause()
+    }
+
+    fn retry_pause(&mut self) -> Duration {
         let pause = FIRST_RETRY_PAUSE.as_duration() * 2_u32.pow(self.failures.min(4));
         self.failures += 1;
         pause.min(MAX_RETRY_PAUSE.as_duration())
--- a/crates/relay/src/register/step/tests.rs
+++ b/crates/relay/src/register/step/tests.rs
@@ -193,3 +193,25 @@
     let second = setup.registration.listed(Err(&fault));
     assert!(first >= Duration::from_millis(300) && second > first);
 }
+
+/// Bytes that can't be read stand in the slot that the VM has chosen. It doesn't learn who has the
+/// slot, and would write again at once for as long as they stand there.
+#[test]
+fn unreadable_entry_is_not_written_against_without_pauses() {
+    let mut setup = Setup::new();
+    setup.read_directory(0);
+    assert_eq!(setup.next_call(), Step::List);
+    setup.registration.listed(Ok(()));
+    let Step::Write { key, .. } = setup.step() else {
+        panic!("no entry is written");
+    };
+    let present = edge::Entry {
+        key,
+        value: b"unreadable".to_vec(),
+        revision: 6,
+    };
+    let pauses: Vec<Duration> = (0..4)
+        .map(|_| setup.write(Ok(Outcome::Refused(vec![present.clone()]))))
+        .collect();
+    assert!(pauses.is_sorted() && pauses[0] < pauses[3], "{pauses:?}");
+}
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -52,9 +52,9 @@
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// How long a connection from another VM may be idle.
 const INCOMING_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
-/// How long a watch waits at the service for the request to retire this VM: as long as the service
-/// allows, because each return costs a call.
-const WATCH_TIMEOUT: Millis = Millis::new(30_000);
+/// How long a watch waits at the service for the request to retire this VM. A watch that waits for
+/// longer than the service keeps its history breaks off, and the request has to be read again.
+const WATCH_TIMEOUT: Millis = Millis::new(20_000);
 /// The pause after a failed call of the key-value service.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// The longest pause of a VM that can't read whether it has to retire. A fraction of the time that
