--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod preempt;
 pub mod prefix;
 pub mod queue;
+pub mod quota;
 pub mod retry;
 pub mod slow_start;
 pub mod stop;
--- /dev/null
+++ b/crates/policy/src/quota.rs
@@ -0,0 +1,204 @@
+//! Decides whether a request is within the limit that its workspace has over all VMs.
+//!
+//! The load: one caller sends several times its usual requests, at all VMs, unevenly. Without a
+//! common count, each VM would either allow the whole limit, and the sum would be many times of it,
+//! or a fixed share, and a workspace whose callers reach a few VMs would be refused far below its
+//! limit. So each VM counts what it admitted in the last window, and is told the others' counts.
+//!
+//! Three things bound the sum where counts are missing:
+//! - A VM that hears no other one admits no more than it had admitted when it last heard one, and its
+//!   part of what was left of the limit then ([`Contact::Lost`]). The others go on counting what it
+//!   last told.
+//! - A VM that has just started presumes that the limit was used up before, unless others remember
+//!   ([`presumed`]). Otherwise, after a restart of all processes, a workspace would get its limit
+//!   twice in one window.
+//! - What is told is some hundred milliseconds old. The users' slack covers what is admitted
+//!   meanwhile.
+//!
+//! Near the limit, first turns of programs are refused before others ([`Step::Opens`]). A program
+//! earns nothing unless all of its calls are served, so each one that is begun and not finished uses
+//! up requests of the limit for nothing.
+
+use wire::clock::Millis;
+
+/// Number of parts of a window. What falls out of the window does so in these steps.
+const SLOTS: usize = 25;
+/// The part of the limit up to which programs may begin, as a percentage. The rest is kept for the
+/// calls of programs that have begun.
+const OPENING_PERCENT: u64 = 85;
+/// Requests that a VM admits in spite of what it presumes after its start. A workspace whose limit
+/// is a few requests would otherwise be refused after each restart of all processes.
+const START_ALLOWANCE: u64 = 8;
+/// The shortest time after which a refused request may be repeated. In less, hardly any of a
+/// workspace's requests fall out of the window.
+const MIN_RETRY: Millis = Millis::new(200);
+/// The longest one: as long as a caller with a deadline of three seconds waits at most.
+const MAX_RETRY: Millis = Millis::new(1_000);
+
+/// Counts events of the last window.
+#[derive(Clone, Debug)]
+pub struct Window {
+    slot: Millis,
+    counts: [u32; SLOTS],
+    /// Number of the slot that the newest event belongs to.
+    newest: u64,
+}
+
+impl Window {
+    /// Creates an empty window that spans `span`.
+    #[must_use]
+    pub fn new(span: Millis) -> Self {
+        // One slot less than there are, as the newest one has only begun.
+        let slot = span.as_u64().div_ceil(SLOTS as u64 - 1).max(1);
+        Self {
+            slot: Millis::new(slot),
+            counts: [0; SLOTS],
+            newest: 0,
+        }
+    }
+
+    fn advance(&mut self, now: Millis) {
+        let number = now.as_u64() / self.slot.as_u64();
+        let passed = number.saturating_sub(self.newest).min(SLOTS as u64);
+        for step in 0..passed {
+            let index = Self::index(number - step);
+            self.counts[index] = 0;
+        }
+        self.newest = self.newest.max(number);
+    }
+
+    fn index(number: u64) -> usize {
+        // The remainder is below SLOTS.
+        usize::try_from(number % SLOTS as u64).unwrap_or(0)
+    }
+
+    /// Adds an event.
+    pub fn add(&mut self, now: Millis) {
+        self.advance(now);
+        self.counts[Self::index(self.newest)] += 1;
+    }
+
+    /// Takes the latest event back.
+    pub fn take_back(&mut self, now: Millis) {
+        self.advance(now);
+        for step in 0..SLOTS as u64 {
+            let index = Self::index(self.newest.saturating_sub(step));
+            if self.counts[index] > 0 {
+                self.counts[index] -= 1;
+                return;
+            }
+        }
+    }
+
+    /// Returns the number of events of the last window, and of at most one slot before it.
+    pub fn count(&mut self, now: Millis) -> u32 {
+        self.advance(now);
+        self.counts.iter().sum()
+    }
+}
+
+/// Returns how many requests a limit allows in a window.
+#[must_use]
+pub const fn allowance(milli_per_second: u64, burst: u64, window: Millis) -> u64 {
+    milli_per_second * window.as_u64() / 1_000_000 + burst
+}
+
+/// The place of a request in its program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The program begins with it, as far as the VM knows.
+    Opens,
+    /// The program has begun.
+    Continues,
+}
+
+/// What a VM knows of the other VMs' counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// They are told regularly.
+    Kept,
+    /// They were last told a while ago.
+    Lost {
+        /// What this VM had admitted in the window by then.
+        own_then: u32,
+        /// The number of VMs, this one included.
+        vms: u32,
+    },
+}
+
+/// A workspace's requests in the last window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Usage {
+    /// Those that this VM admitted.
+    pub own: u32,
+    /// Those that other VMs admitted, as last told.
+    pub others: u32,
+    /// Whether these are still told.
+    pub contact: Contact,
+    /// For how long the VMs together have counted, up to the window.
+    pub counted_for: Millis,
+}
+
+/// What is decided of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is within the limit.
+    Admit,
+    /// It is over the limit; it may be repeated after the span.
+    OverLimit(Millis),
+    /// It is over what the VM may admit while it hears no other one.
+    OverShare(Millis),
+}
+
+/// Returns the requests that are presumed of the time before the VMs began to count.
+#[must_use]
+pub fn presumed(allowance: u64, counted_for: Millis, window: Millis) -> u64 {
+    let unknown = window.since(counted_for);
+    let presumed = allowance * unknown.as_u64() / window.as_u64().max(1);
+    presumed.saturating_sub(START_ALLOWANCE)
+}
+
+/// Decides whether a request is admitted.
+#[must_use]
+pub fn decide(allowance: u64, window: Millis, usage: Usage, step: Step) -> Verdict {
+    let own = u64::from(usage.own);
+    let bound = match step {
+        Step::Opens => allowance * OPENING_PERCENT / 100,
+        Step::Continues => allowance,
+    };
+    if let Contact::Lost { own_then, vms } = usage.contact {
+        let share = lost_share(allowance, own_then, usage.others, vms);
+        return if own < share {
+            Verdict::Admit
+        } else {
+            Verdict::OverShare(retry_after(own, share, window))
+        };
+    }
+    let presumed = presumed(allowance, usage.counted_for, window);
+    let used = own + u64::from(usage.others) + presumed;
+    // A limit of a few requests has no room to keep some back.
+    if used < bound.max(1) {
+        Verdict::Admit
+    } else {
+        Verdict::OverLimit(retry_after(used, bound, window))
+    }
+}
+
+/// Returns how many requests a VM that hears no other one may have admitted in a window: what it
+/// had admitted when it last heard one, and its part of what was left then, rounded up.
+fn lost_share(allowance: u64, own_then: u32, others: u32, vms: u32) -> u64 {
+    let used = u64::from(own_then) + u64::from(others);
+    let left = allowance.saturating_sub(used);
+    u64::from(own_then) + left.div_ceil(u64::from(vms.max(1)))
+}
+
+/// Returns when the count is expected to have fallen below the bound: the requests of a window fall
+/// out of it about as evenly as they came.
+fn retry_after(used: u64, bound: u64, window: Millis) -> Millis {
+    let excess = used.saturating_sub(bound) + 1;
+    let wait = excess * window.as_u64() / used.max(1);
+    Millis::new(wait).max(MIN_RETRY).min(MAX_RETRY)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -39,8 +39,8 @@
 pub fn of(job: &Job) -> Option<Account> {
     let program = job.call.program.as_ref()?;
     Some(Account {
-        program: Key::of(program),
-        turn: Key::of(&job.call.id),
+        program: job.identity.key_of(program),
+        turn: job.identity.key_of(&job.call.id),
         max_tokens: u32::try_from(job.call.max_tokens).unwrap_or(u32::MAX),
         budget: job.call.budget?,
     })
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -16,11 +16,15 @@
 pub fn refusal(refusal: &Refusal, id: &str) -> Response<Body> {
     let text = refusal.to_json().to_string();
     let mut response = Response::new(Body::whole(text));
-    *response.status_mut() =
+    let response_status =
         StatusCode::from_u16(refusal.code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() = response_status;
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     header::set_request(headers, id);
+    if response_status == StatusCode::UNAUTHORIZED {
+        header::set_challenge(headers);
+    }
     if let Some(span) = refusal.retry_after {
         header::set_retry_after(headers, span);
     }
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -19,6 +19,7 @@
 use link::body;
 use link::body::Body;
 use policy::prefix;
+use policy::quota::Step;
 use rand::RngExt;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -28,6 +29,9 @@
 use wire::code::Refusal;
 
 use crate::answer;
+use crate::identity;
+use crate::identity::Access;
+use crate::identity::Identity;
 use crate::job::Job;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -37,6 +41,8 @@
 use crate::stream;
 use crate::table;
 use crate::table::Table;
+use crate::usage;
+use crate::usage::Admission;
 use crate::work;
 
 /// The time limit of a request that states none.
@@ -95,6 +101,8 @@
 struct RoutedRequest {
     table: Arc<Table>,
     route: Arc<Route>,
+    identity: Identity,
+    admission: Option<Admission>,
     deadline: Instant,
 }
 
@@ -113,6 +121,8 @@
         }
         body_requested = true;
         let body = receive(node, &routed, &mut incoming).await?;
+        // The key may have been taken away while the body was received.
+        identify(node, &routed.route, &call)?;
         Ok::<_, Refusal>((routed, body))
     };
     let (routed, body) = match received.await {
@@ -132,6 +142,8 @@
     let RoutedRequest {
         table,
         route,
+        identity,
+        admission,
         deadline,
     } = routed;
     let service = table::pick_service(&route, rand::rng().random::<f64>());
@@ -154,6 +166,8 @@
         headers: head.headers,
         table,
         route,
+        identity,
+        admission,
         call,
         body,
         arrived,
@@ -194,7 +208,8 @@
     arrived: Instant,
 ) -> Result<RoutedRequest, Refusal> {
     let time_limit = call.deadline.unwrap_or(DEFAULT_TIME_LIMIT);
-    node.wait_at_start(Node::can_route, arrived + time_limit.as_duration())
+    let knows_enough = |node: &Node| node.can_route() && node.can_identify();
+    node.wait_at_start(knows_enough, arrived + time_limit.as_duration())
         .await;
     let table = node.table();
     if !table.loaded {
@@ -210,11 +225,47 @@
     if call.id.is_empty() {
         return Err(Refusal::new(Code::BadField, "the request has no id"));
     }
+    let identity = identify(node, &route, call)?;
     let deadline = arrived + time_limit.min(route.timeout).as_duration();
     shutdown::admit(node, stream::latest_end(&route, deadline))?;
+    let admission = admit(node, &route, &identity, call)?;
     Ok(RoutedRequest {
         table,
         route,
+        identity,
+        admission,
         deadline,
     })
 }
+
+/// Counts a request against its workspace's limit. Calls of a program are made between its turns, so
+/// only a turn that continues none may be the program's first request.
+fn admit(
+    node: &Arc<Node>,
+    route: &Route,
+    identity: &Identity,
+    call: &Call,
+) -> Result<Option<Admission>, Refusal> {
+    let Some(workspace) = identity.workspace() else {
+        return Ok(None);
+    };
+    let is_call = route.kind != Kind::Stream && call.program.is_some();
+    let step = if is_call || call.previous.is_some() {
+        Step::Continues
+    } else {
+        Step::Opens
+    };
+    usage::admit(node, workspace, call.program.as_deref(), step)
+}
+
+/// Identifies a request by the configuration that is in force now.
+fn identify(node: &Node, route: &Route, call: &Call) -> Result<Identity, Refusal> {
+    let (table, age) = node.table_with_age();
+    let freshness = node.freshness(age);
+    identity::identify(
+        table.workspaces.as_ref(),
+        Access::of(route),
+        call.credential,
+        freshness,
+    )
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -90,7 +90,8 @@
 /// Applies another VM's message and returns the answer to it.
 #[must_use]
 pub fn respond(node: &Arc<Node>, theirs: Message) -> Message {
-    let own = outgoing::message(node, &theirs.vm, &theirs.status);
+    let echo = theirs.extension.proof.stamp;
+    let own = outgoing::message(node, &theirs.vm, &theirs.status, echo);
     incoming::apply(node, theirs);
     own
 }
@@ -104,8 +105,8 @@
 }
 
 async fn ask(node: &Arc<Node>, peer: &Peer) -> Result<Message, Fault> {
-    let own = outgoing::message(node, &peer.vm, &peer.status);
-    let body = rmp_serde::to_vec(&own)?;
+    let own = outgoing::message(node, &peer.vm, &peer.status, peer.stamp);
+    let body = outgoing::encode(&own)?;
     let request = Request::builder()
         .method(Method::POST)
         .uri(PATH)
@@ -113,7 +114,7 @@
         .body(Payload::from(Bytes::from(body)))?;
     let reply = node.vm_client.send(peer.address, request).await?;
     let bytes = reply.body.whole(MAX_MESSAGE_BYTES).await?;
-    Ok(rmp_serde::from_slice(&bytes)?)
+    Ok(outgoing::decode(&bytes)?)
 }
 
 /// Serves an exchange that another VM started.
@@ -122,11 +123,11 @@
         Ok(bytes) => bytes,
         Err(fault) => return answer::text(StatusCode::BAD_REQUEST, fault.to_string()),
     };
-    let theirs: Message = match rmp_serde::from_slice(&bytes) {
+    let theirs = match outgoing::decode(&bytes) {
         Ok(message) => message,
         Err(fault) => return answer::text(StatusCode::BAD_REQUEST, fault.to_string()),
     };
-    match rmp_serde::to_vec(&respond(&node, theirs)) {
+    match outgoing::encode(&respond(&node, theirs)) {
         Ok(bytes) => answer::text(StatusCode::OK, bytes),
         Err(fault) => answer::text(StatusCode::INTERNAL_SERVER_ERROR, fault.to_string()),
     }
--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -8,6 +8,7 @@
 
 use crate::exchange::outgoing::Message;
 use crate::fleet;
+use crate::freshness;
 use crate::ingest;
 use crate::node::Node;
 use crate::roster::Roster;
@@ -17,7 +18,12 @@
 pub fn apply(node: &Arc<Node>, received: Message) {
     let now = node.clock.now();
     let Message { vm, centre, .. } = &received;
-    node.peers().note_status(vm, centre, received.status, now);
+    let proof = received.extension.proof;
+    {
+        let mut peers = node.peers();
+        peers.note_status(vm, centre, received.status, now);
+        peers.note_stamp(vm, proof.stamp);
+    }
     if let Some(directory) = received.directory {
         ingest::change_directory(node, |own| own.adopt(directory));
         node.note_directory_listed(Freshness::Stale);
@@ -27,9 +33,18 @@
     }
     node.fleet()
         .note_tallies(&received.origin, &received.tallies, now);
+    node.usage().note(
+        &received.origin,
+        &received.extension.uses,
+        Millis::new(received.extension.counted_for),
+        now,
+    );
     if let Some(document) = &received.document {
         ingest::configuration(node, document);
     }
+    if let Some(at) = freshness::current_at(&proof, node.stamp().process, now) {
+        node.note_config_current(received.status.config, at);
+    }
     if let Some(entries) = received.entries {
         replace_entries(node, &received.vm, entries);
     }
--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -6,6 +6,8 @@
 use wire::clock::Millis;
 
 use crate::directory::Directory;
+use crate::freshness::Proof;
+use crate::freshness::Stamp;
 use crate::node::Node;
 use crate::peers;
 use crate::peers::Lifecycle;
@@ -15,6 +17,7 @@
 use crate::tally::Origin;
 use crate::tally::Recipient;
 use crate::tally::Tally;
+use crate::usage::Use;
 
 /// The message that each side of an exchange sends. Encoded by position, so the order of fields
 /// must not change.
@@ -40,16 +43,61 @@
     pub directory: Option<Directory>,
     /// The list of VMs with a disk, if the recipient's is older.
     pub members: Option<List>,
+    /// What was added to the format later.
+    #[serde(skip)]
+    pub extension: Extension,
 }
 
-/// Builds the message to a VM with the given status.
-pub fn message(node: &Node, to: &str, theirs: &Status) -> Message {
+/// The part of a message that follows its first part. A process that doesn't know it reads the first
+/// part only.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Extension {
+    /// What the sender says of its configuration.
+    pub proof: Proof,
+    /// The requests of workspaces that have a limit, from the VMs of the message's origin; sorted by
+    /// workspace.
+    pub uses: Vec<Use>,
+    /// For how long these VMs, or others that they heard, have counted them, in milliseconds.
+    pub counted_for: u64,
+}
+
+/// Encodes a message.
+///
+/// # Errors
+///
+/// Fails if the message can't be encoded.
+pub fn encode(message: &Message) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let mut bytes = rmp_serde::to_vec(message)?;
+    rmp_serde::encode::write(&mut bytes, &message.extension)?;
+    Ok(bytes)
+}
+
+/// Decodes a message, which may lack the extension.
+///
+/// # Errors
+///
+/// Fails if the bytes aren't a message.
+pub fn decode(bytes: &[u8]) -> Result<Message, rmp_serde::decode::Error> {
+    let mut rest = bytes;
+    let mut message: Message = rmp_serde::from_read(&mut rest)?;
+    if !rest.is_empty() {
+        message.extension = rmp_serde::from_read(&mut rest)?;
+    }
+    Ok(message)
+}
+
+/// Builds the message to a VM with the given status; `echo` is the last stamp that it sent.
+pub fn message(node: &Node, to: &str, theirs: &Status, echo: Option<Stamp>) -> Message {
     let now = node.clock.now();
     let settings = &node.settings;
-    let (origin, tallies) = tallies_for(node, to, now);
-    let table = node.table();
+    let Figures {
+        origin,
+        tallies,
+        uses,
+    } = figures_for(node, to, now);
+    let (table, config_age) = node.table_with_age();
     let members = node.replicas.list();
-    let status = status(node);
+    let status = status(node, table.version);
     let is_newer = |own: u64, theirs: u64| own > theirs;
     Message {
         vm: settings.vm.clone(),
@@ -62,14 +110,23 @@
         document: is_newer(status.config, theirs.config).then(|| table.document.clone()),
         directory: is_newer(status.directory, theirs.directory).then(|| node.directory().clone()),
         members: is_newer(status.members, theirs.members).then(|| List::clone(&members)),
+        extension: Extension {
+            proof: Proof {
+                stamp: Some(node.stamp()),
+                echo,
+                age: config_age.map(Millis::as_u64),
+            },
+            uses,
+            counted_for: node.usage().counted_for(now).as_u64(),
+        },
     }
 }
 
 /// Returns the state that this VM reports of itself.
-fn status(node: &Node) -> Status {
+fn status(node: &Node, config: u64) -> Status {
     Status {
         roster: node.roster().revision,
-        config: node.table().version,
+        config,
         directory: node.directory().revision,
         members: node.replicas.list().version,
         centre_vms: node.peers().count_in(&node.settings.centre),
@@ -78,16 +135,23 @@
     }
 }
 
-/// Returns the tallies for a VM and their origin. A hub sends the VMs of its own data centre the
+/// What a message says of the requests of several VMs.
+struct Figures {
+    origin: Origin,
+    tallies: Vec<Tally>,
+    uses: Vec<Use>,
+}
+
+/// Returns the figures for a VM and their origin. A hub sends the VMs of its own data centre the
 /// sum of all other VMs, and other hubs the sum of its data centre.
-fn tallies_for(node: &Node, to: &str, now: Millis) -> (Origin, Vec<Tally>) {
+fn figures_for(node: &Node, to: &str, now: Millis) -> Figures {
     let settings = &node.settings;
     let peers = node.peers();
     let in_own_centre = |vm: &str| peers.is_in_centre(vm, &settings.centre);
     match peers.exchange_role(&settings.vm, &settings.centre, now) {
         peers::Role::Direct | peers::Role::Leaf => {
-            let tallies = node.fleet().tallies(now, |_| false);
-            (Origin::Vm(settings.vm.clone()), tallies)
+            let origin = Origin::Vm(settings.vm.clone());
+            figures(node, origin, now, |_| false)
         }
         peers::Role::Hub => {
             let (recipient, origin) = if in_own_centre(to) {
@@ -97,7 +161,20 @@
             };
             let is_forwarded =
                 |of: &Origin| tally::is_forwarded(of, recipient, &settings.centre, in_own_centre);
-            (origin, node.fleet().tallies(now, is_forwarded))
+            figures(node, origin, now, is_forwarded)
         }
     }
 }
+
+fn figures(
+    node: &Node,
+    origin: Origin,
+    now: Millis,
+    speaks_for: impl Fn(&Origin) -> bool,
+) -> Figures {
+    Figures {
+        origin,
+        tallies: node.fleet().tallies(now, &speaks_for),
+        uses: node.usage().uses(now, &speaks_for),
+    }
+}
--- a/crates/relay/src/follow/outage.rs
+++ b/crates/relay/src/follow/outage.rs
@@ -56,7 +56,7 @@
         let now = node.clock.now();
         let is_first = node.peers().is_first_of_all(&node.settings.vm, now);
         let max_pause = match subject {
-            Subject::Config => MAX_CONFIG_RETRY_PAUSE,
+            Subject::Config | Subject::Proof => MAX_CONFIG_RETRY_PAUSE,
             Subject::Runners if is_first => FIRST_RETRY_PAUSE,
             Subject::Runners | Subject::Own => MAX_RETRY_PAUSE,
         };
--- a/crates/relay/src/follow/step.rs
+++ b/crates/relay/src/follow/step.rs
@@ -7,6 +7,7 @@
 use adapter::kv::Listing;
 use adapter::kv::Update;
 use platform::edge;
+use wire::clock::Millis;
 
 use crate::follow::outage::Outage;
 use crate::ingest;
@@ -33,6 +34,8 @@
     subject: Subject,
     outage: Outage,
     phase: Phase,
+    /// When the last call was sent.
+    asked_at: Millis,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -68,6 +71,7 @@
             subject,
             outage: Outage::default(),
             phase: Phase::Decide,
+            asked_at: Millis::ZERO,
         }
     }
 
@@ -79,6 +83,7 @@
 
     /// Returns the next action.
     pub fn step(&mut self, node: &Node) -> Step {
+        self.asked_at = node.clock.now();
         match self.phase {
             Phase::Decide => self.decide(node),
             Phase::List(source) => Step::List(source.freshness()),
@@ -119,6 +124,7 @@
                 self.answered(node);
                 let revision = listing.revision;
                 ingest::listing(node, self.subject, listing);
+                self.note_config_current(node);
                 if self.subject == Subject::Own {
                     node.note_directory_listed(source.freshness());
                 }
@@ -149,6 +155,7 @@
                 for change in changes {
                     ingest::change(node, self.subject, change);
                 }
+                self.note_config_current(node);
                 self.watch_pause(node)
             }
             Ok(Update::HistoryDropped) => {
@@ -175,17 +182,21 @@
             }
             Subject::Own => own_pause(node),
             Subject::Config => Duration::ZERO,
+            Subject::Proof => node.proof_interval().as_duration(),
         }
     }
 
-    /// Records that the service answered and, for the configuration, that it is current.
+    /// Records that the service answered.
     fn answered(&mut self, node: &Node) {
         node.note_access(Access::Answered);
         self.outage.answered(self.subject);
-        match self.subject {
-            Subject::Config => node.note_config_current(node.clock.now()),
-            // The list of runners may be older than what other VMs sent.
-            Subject::Runners | Subject::Own => {}
+    }
+
+    /// Records, if the configuration was read, that it is current: as of the time at which the call
+    /// was sent, because a change that was acknowledged later may not be in the answer.
+    fn note_config_current(&self, node: &Node) {
+        if matches!(self.subject, Subject::Config | Subject::Proof) {
+            node.note_config_current(node.table().version, self.asked_at);
         }
     }
 
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -23,6 +23,7 @@
 use crate::exchange;
 use crate::fleet;
 use crate::follow;
+use crate::identity;
 use crate::member_health;
 use crate::member_health::Check;
 use crate::node::Node;
@@ -104,7 +105,7 @@
         Event::NodeStarted.text(),
         settings.vm
     );
-    for subject in [Subject::Config, Subject::Runners, Subject::Own] {
+    for subject in Subject::ALL {
         tokio::spawn(follow::run(node.clone(), subject));
     }
     tokio::spawn(exchange::run(node.clone()));
@@ -215,6 +216,7 @@
 /// Repeatedly closes connections that were unused for too long, removes runners whose entries have
 /// been missing for too long, and probes unreachable runners.
 async fn sweep(node: Arc<Node>) {
+    let mut keys_log = identity::ChangeLog::default();
     loop {
         sleep(SWEEP_INTERVAL).await;
         node.runner_client.sweep();
@@ -228,5 +230,6 @@
             );
         }
         reachability::retry(&node);
+        keys_log.log_change(&node);
     }
 }
--- a/crates/relay/src/ingest.rs
+++ b/crates/relay/src/ingest.rs
@@ -83,7 +83,9 @@
 /// Applies a change of one entry.
 pub fn change(node: &Arc<Node>, subject: Subject, change: edge::Change) {
     match (subject, change) {
-        (Subject::Config, edge::Change::Set(entry)) => configuration(node, &entry.value),
+        (Subject::Config | Subject::Proof, edge::Change::Set(entry)) => {
+            configuration(node, &entry.value);
+        }
         (Subject::Runners, edge::Change::Set(entry)) => runner_entry(node, &entry),
         (Subject::Runners, edge::Change::Removed { key, revision }) => {
             drop_runner(node, &key, revision);
@@ -95,7 +97,7 @@
                 directory.raise_revision(revision);
             });
         }
-        (Subject::Config, edge::Change::Removed { .. }) => {}
+        (Subject::Config | Subject::Proof, edge::Change::Removed { .. }) => {}
     }
 }
 
@@ -109,13 +111,15 @@
                 Event::RevisionDropped.number(),
                 Event::RevisionDropped.text()
             );
+            node.note_config_unreadable();
             return;
         }
     };
     let version = config.version;
     let routes = config.routes.len();
-    let before = node.table().version;
-    if node.set_table(Table::new(config, bytes)) {
+    let previous = node.table();
+    let before = previous.version;
+    if node.set_table(Table::new(config, bytes, &previous)) {
         let table = node.table();
         node.fleet()
             .set_memory(|service| table.memory_tokens(service));
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -25,6 +25,7 @@
 use wire::event::Event;
 
 use crate::fleet;
+use crate::identity::Identity;
 use crate::metrics::Counter;
 use crate::metrics::Latency;
 use crate::metrics::Outcome;
@@ -33,6 +34,7 @@
 use crate::refuse;
 use crate::stream;
 use crate::table::Table;
+use crate::usage::Admission;
 
 /// The most runners that a request is offered to, including those that turn it away. The load is
 /// known to within a few requests, so a fourth refusal means that all runners are full.
@@ -56,6 +58,10 @@
     pub table: Arc<Table>,
     /// The request's route.
     pub route: Arc<Route>,
+    /// On whose behalf the request runs.
+    pub identity: Identity,
+    /// The request's place within the limit of its workspace; `None` without a limit.
+    pub admission: Option<Admission>,
     /// The service picked for the request.
     pub service: String,
     /// What the caller states in the headers.
@@ -146,6 +152,7 @@
         refuse::Info {
             request: &self.call.id,
             program: self.call.program.as_deref().unwrap_or_default(),
+            workspace: self.workspace_name(),
             route: &self.route.name,
             kind: Some(self.route.kind),
             waited: self.age(),
@@ -194,6 +201,7 @@
             instance: &runner.id,
             priority: self.priority(),
             last_event,
+            identity: self.identity.header(),
         };
         let mut request = Request::new(payload);
         *request.method_mut() = self.method.clone();
@@ -223,6 +231,9 @@
     }
 
     fn begin_attempt(&self, runner: fleet::Choice) -> Attempt {
+        if let Some(admission) = &self.admission {
+            admission.note_sent();
+        }
         let now = self.node.clock.now();
         {
             let mut fleet = self.node.fleet();
@@ -238,11 +249,12 @@
             .add(Counter::TokensAsked, self.call.prompt_tokens);
         self.node.metrics.add(Counter::TokensMissed, missed);
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} route={} revision={} runner={} occupied={} slots={} prompt={} cached={} cost_ms={:.0} among={} runners_age_ms={} waited_ms={} left_ms={}",
+            "event=E{} text=\"{}\" request={} program={} workspace={} route={} revision={} runner={} occupied={} slots={} prompt={} cached={} cost_ms={:.0} among={} runners_age_ms={} waited_ms={} left_ms={}",
             Event::CallPlaced.number(),
             Event::CallPlaced.text(),
             self.call.id,
             self.call.program.as_deref().unwrap_or_default(),
+            self.workspace_name(),
             self.route.name,
             self.table.version,
             runner.id,
@@ -337,11 +349,20 @@
         );
     }
 
+    /// Returns the name of the request's workspace; empty if it has none.
+    fn workspace_name(&self) -> &str {
+        let workspace = self.identity.workspace();
+        workspace.map_or("", |workspace| &workspace.name)
+    }
+
     /// Returns the request's priority for the engines, 0 being the most urgent; `None` for plain
     /// services.
     fn priority(&self) -> Option<u8> {
         self.table.engine(&self.service)?;
-        Some((1 + 2 * self.route.priority.min(3)).min(9))
+        let workspace = self.identity.workspace();
+        let priority = workspace.and_then(|workspace| workspace.priority);
+        let priority = priority.unwrap_or(self.route.priority);
+        Some((1 + 2 * priority.min(3)).min(9))
     }
 
     /// Logs that the caller left before its answer was complete.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -60,6 +60,7 @@
     Call:
     ListConfig = "list_config", "the configuration is read";
     WatchConfig = "watch_config", "a change of the configuration is waited for";
+    ProveConfig = "prove_config", "it is asked whether the configuration is current";
     ListRunners = "list_runners", "the runners' entries are read";
     WatchRunners = "watch_runners", "a change of the runners' entries is waited for";
     ListOwn = "list_own", "the system's own keys are read";
@@ -78,6 +79,7 @@
             Self::CopyOwn | Self::Renew => 1,
             Self::ListConfig
             | Self::WatchConfig
+            | Self::ProveConfig
             | Self::ListRunners
             | Self::WatchRunners
             | Self::ListOwn
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -24,6 +24,8 @@
 
 use crate::directory::Directory;
 use crate::fleet::Fleet;
+use crate::freshness::Stamp;
+use crate::identity;
 use crate::member_health;
 use crate::metrics::Metrics;
 use crate::peers;
@@ -37,6 +39,7 @@
 use crate::subject::Subject;
 use crate::table::Table;
 use crate::turns::Cache;
+use crate::usage::Ledger;
 use crate::work;
 
 /// How long a call of the key-value service may take. Calls usually take a few milliseconds; this
@@ -63,6 +66,16 @@
 /// deployment the knowledge of most VMs is up to a second old, because it comes through two hubs,
 /// and all would read at once if one of these were slow.
 const RUNNERS_MAX_AGE_PERCENT: u64 = 60;
+/// Age of a VM's knowledge of the configuration above which it reads it itself where keys are in
+/// use, as a percentage of the time in which a change has to be in force.
+const CONFIG_MAX_AGE_PERCENT: u64 = 60;
+/// Number of times that the configuration is proved to be current within the time in which a change
+/// has to be in force. On its way through two hubs a proof gets some hundred milliseconds older, and
+/// must then still be younger than [`CONFIG_MAX_AGE_PERCENT`] of that time.
+const PROOFS_PER_APPLY: u64 = 3;
+/// Age of that knowledge above which the VM isn't ready for callers, as a percentage of the age at
+/// which it refuses all keys. The balancer then sends them elsewhere before that.
+const READY_MAX_AGE_PERCENT: u64 = 60;
 /// Number of heartbeats for which a runner's entry is certain not to lapse. It lapses after three
 /// missed heartbeats.
 const ENTRY_LIFETIME_HEARTBEATS: u64 = 2;
@@ -98,8 +111,11 @@
     pub metrics: Metrics,
     started: Instant,
     started_at: Millis,
-    table: Mutex<Arc<Table>>,
+    /// Distinguishes this process's stamps from those of others.
+    process: u64,
+    in_force: Mutex<InForce>,
     fleet: Mutex<Fleet>,
+    usage: Mutex<Ledger>,
     roster: Mutex<Roster>,
     directory: Mutex<Directory>,
     /// Whether the directory has been read, so that the VM knows whom to ask.
@@ -114,12 +130,21 @@
     pub suspicion_check: tokio::sync::Mutex<()>,
     /// When the list of runners was last known to be current, in milliseconds.
     runners_current_at: AtomicU64,
-    /// When the configuration in force was last known to be current, in milliseconds.
-    config_current_at: AtomicU64,
     /// Work in progress.
     pub work: Arc<work::Registry>,
 }
 
+/// The configuration in force.
+#[derive(Debug, Default)]
+struct InForce {
+    table: Arc<Table>,
+    /// Everything that was acknowledged before this time is part of the table; `None` if that isn't
+    /// known of any time.
+    current_at: Option<Millis>,
+    /// Whether a later configuration was read that can't be taken.
+    unreadable: bool,
+}
+
 impl Node {
     /// Creates the state of a process that knows no runners, routes or other VMs yet.
     #[must_use]
@@ -154,8 +179,10 @@
             metrics: Metrics::default(),
             started: Instant::now(),
             started_at: clock.now(),
-            table: Mutex::default(),
+            process: rand::random(),
+            in_force: Mutex::default(),
             fleet: Mutex::default(),
+            usage: Mutex::new(Ledger::new(settings.limit_window, clock.now())),
             roster: Mutex::default(),
             directory: Mutex::default(),
             directory_read: AtomicBool::new(false),
@@ -164,7 +191,6 @@
             member_health: Mutex::default(),
             suspicion_check: tokio::sync::Mutex::default(),
             runners_current_at: AtomicU64::new(0),
-            config_current_at: AtomicU64::new(0),
             work: Arc::default(),
             settings,
             clock,
@@ -174,28 +200,106 @@
     /// Returns the routes in force.
     #[must_use]
     pub fn table(&self) -> Arc<Table> {
-        self.table
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.in_force().table.clone()
+    }
+
+    /// Returns the routes in force and how long ago they were last known to be current.
+    #[must_use]
+    pub fn table_with_age(&self) -> (Arc<Table>, Option<Millis>) {
+        let in_force = self.in_force();
+        let age = in_force.current_at.map(|at| self.clock.now().since(at));
+        (in_force.table.clone(), age)
     }
 
     /// Puts a configuration in force unless one that is as new or newer already is. Returns whether
     /// it did.
     pub fn set_table(&self, table: Table) -> bool {
-        let mut current = self.table.lock().unwrap_or_else(PoisonError::into_inner);
-        if current.loaded && table.version <= current.version {
+        let mut in_force = self.in_force();
+        if in_force.table.loaded && table.version <= in_force.table.version {
             return false;
         }
-        *current = Arc::new(table);
+        in_force.table = Arc::new(table);
+        in_force.unreadable = false;
         true
     }
 
+    /// Records that the configuration was changed to one that can't be read. Until a later one is in
+    /// force, nothing shows that the one in force is current.
+    pub fn note_config_unreadable(&self) {
+        self.in_force().unreadable = true;
+    }
+
+    /// Records that everything acknowledged before `at` is part of the configuration's `version`.
+    pub fn note_config_current(&self, version: u64, at: Millis) {
+        let mut in_force = self.in_force();
+        if in_force.unreadable || !in_force.table.loaded || in_force.table.version < version {
+            return;
+        }
+        in_force.current_at = in_force.current_at.max(Some(at));
+    }
+
+    fn in_force(&self) -> MutexGuard<'_, InForce> {
+        self.in_force.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a stamp of the current time.
+    #[must_use]
+    pub fn stamp(&self) -> Stamp {
+        Stamp {
+            process: self.process,
+            at: self.clock.now(),
+        }
+    }
+
+    /// Returns how old a table is, and how old it may be for keys to be checked against it.
+    #[must_use]
+    pub fn freshness(&self, age: Option<Millis>) -> identity::Freshness {
+        identity::Freshness {
+            age,
+            max_accept: self.settings.revocation,
+            max_reject: self.config_max_age(),
+        }
+    }
+
+    /// Returns whether the keys of callers can be checked.
+    #[must_use]
+    pub fn can_identify(&self) -> bool {
+        let (table, age) = self.table_with_age();
+        table.workspaces.is_none() || age.is_some_and(|age| age <= self.config_max_age())
+    }
+
+    /// Returns whether the configuration is too old for callers to be sent to this VM. No VM is
+    /// better off while none has a proof, but then the balancer uses all.
+    fn is_config_stale(&self) -> bool {
+        let (table, age) = self.table_with_age();
+        let Some(bound) = self.settings.revocation else {
+            return false;
+        };
+        let max_age = Millis::new(bound.as_u64() * READY_MAX_AGE_PERCENT / 100);
+        table.workspaces.is_some() && age.is_none_or(|age| age > max_age)
+    }
+
+    /// Returns how often one VM proves to all that the configuration is current where callers need
+    /// keys.
+    #[must_use]
+    pub fn proof_interval(&self) -> Millis {
+        Millis::new(self.settings.apply.as_u64() / PROOFS_PER_APPLY)
+    }
+
+    fn config_max_age(&self) -> Millis {
+        Millis::new(self.settings.apply.as_u64() * CONFIG_MAX_AGE_PERCENT / 100)
+    }
+
     /// Locks the runners.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the counts of the workspaces' requests.
+    pub fn usage(&self) -> MutexGuard<'_, Ledger> {
+        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the runners' entries.
     pub fn roster(&self) -> MutexGuard<'_, Roster> {
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
@@ -320,22 +424,12 @@
         self.clock.now().since(current_at)
     }
 
-    /// Records that the configuration in force was current at `now`.
-    pub fn note_config_current(&self, now: Millis) {
-        self.config_current_at
-            .fetch_max(now.as_u64(), Ordering::Relaxed);
-    }
-
-    /// Returns how long ago the VM last learned that its configuration is current: from the
-    /// key-value service, or from its hub, whose messages cover both the configuration and the
-    /// runners.
+    /// Returns how long ago the configuration in force was last known to be current; since the
+    /// clock's origin if that was never known.
     #[must_use]
     pub fn config_age(&self) -> Millis {
-        if self.source(Subject::Config) == Source::Peers {
-            return self.runners_age();
-        }
-        let current_at = Millis::new(self.config_current_at.load(Ordering::Relaxed));
-        self.clock.now().since(current_at)
+        let (_, age) = self.table_with_age();
+        age.unwrap_or_else(|| self.clock.now())
     }
 
     /// Returns whether entries of running runners may have lapsed since the list of runners was
@@ -347,14 +441,13 @@
     }
 
     /// Returns how current the information from other VMs is.
-    fn knowledge(&self, role: peers::Role, peers: &Peers) -> Knowledge {
+    fn knowledge(&self, subject: Subject, role: peers::Role, peers: &Peers) -> Knowledge {
         let is_starting = self.is_starting();
         if is_starting && !self.directory_read.load(Ordering::Relaxed) {
             return Knowledge::None;
         }
-        let max_age = self.settings.drain.as_u64() * RUNNERS_MAX_AGE_PERCENT / 100;
         let asks_hub = is_starting && role == peers::Role::Leaf;
-        if asks_hub || self.runners_age() <= Millis::new(max_age) {
+        if asks_hub || self.is_current(subject) {
             return Knowledge::Current;
         }
         if role == peers::Role::Leaf && !peers.reads_for_stale_hub(self.clock.now()) {
@@ -363,6 +456,23 @@
         Knowledge::Stale
     }
 
+    /// Returns whether what this VM knows of a subject is recent. What comes in the same messages as
+    /// the runners' entries is as current as they are.
+    fn is_current(&self, subject: Subject) -> bool {
+        let max_age = self.settings.drain.as_u64() * RUNNERS_MAX_AGE_PERCENT / 100;
+        let runners_are_current = self.runners_age() <= Millis::new(max_age);
+        match subject {
+            Subject::Proof => self.can_identify(),
+            Subject::Config | Subject::Runners | Subject::Own => runners_are_current,
+        }
+    }
+
+    /// Returns whether callers need keys.
+    #[must_use]
+    pub fn uses_keys(&self) -> bool {
+        self.table().workspaces.is_some()
+    }
+
     /// Returns where this VM currently learns of a subject.
     #[must_use]
     pub fn source(&self, subject: Subject) -> Source {
@@ -374,7 +484,8 @@
             role,
             is_listed: peers.lists_own(),
             is_reader: peers.is_reader(&settings.vm, now) && self.access() == Access::Answered,
-            knowledge: self.knowledge(role, &peers),
+            uses_keys: self.uses_keys(),
+            knowledge: self.knowledge(subject, role, &peers),
         };
         subject::source(subject, situation)
     }
@@ -383,7 +494,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let table = self.table();
-        if !self.can_route() || self.stop().is_some() {
+        if !self.can_route() || self.stop().is_some() || self.is_config_stale() {
             return false;
         }
         !table.has_streams() || self.member_health().is_ready()
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -19,6 +19,7 @@
 
 use crate::directory::Entry;
 use crate::directory::SLOTS;
+use crate::freshness::Stamp;
 
 /// The most other VMs with which all VMs exchange messages pairwise. At 16 exchanges a second with
 /// each, that is under 200 messages per VM and second, which take a few per cent of a small VM's
@@ -84,6 +85,8 @@
     pub address: SocketAddr,
     /// The state that the VM last reported of itself.
     pub status: Status,
+    /// The stamp of the last message from the VM.
+    pub stamp: Option<Stamp>,
     /// The VM's share of a processor in thousandths of a core.
     capacity: u64,
     last_heard: Millis,
@@ -204,6 +207,7 @@
                     centre: entry.centre.clone(),
                     address: entry.address,
                     status: Status::default(),
+                    stamp: None,
                     capacity: entry.capacity,
                     last_heard: now,
                     lapsed_at: None,
@@ -268,6 +272,13 @@
         }
     }
 
+    /// Records the stamp of a message, to be returned in the next message to its sender.
+    pub fn note_stamp(&mut self, vm: &str, stamp: Option<Stamp>) {
+        if let Ok(index) = self.find(vm) {
+            self.known[index].stamp = stamp;
+        }
+    }
+
     /// Removes VMs whose entries lapsed at least `LAPSED_RETENTION` ago, and those without an entry
     /// that have been silent.
     pub fn forget_lapsed(&mut self, now: Millis) {
@@ -371,6 +382,20 @@
         u32::try_from(others + usize::from(centre == self.own.centre)).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of VMs of all data centres, this one included, according to those that were
+    /// heard.
+    #[must_use]
+    pub fn count_all(&self) -> u32 {
+        let own = self.own.centre.as_str();
+        let mut centres = self.centres();
+        centres.retain(|centre| *centre != own);
+        let others = centres
+            .into_iter()
+            .map(|centre| self.count_in(centre).max(self.told_vms(centre)));
+        let own = self.count_in(own).max(self.told_vms(own));
+        others.sum::<u32>() + own
+    }
+
     /// Returns the role of the VM `own` in the exchange.
     #[must_use]
     pub fn exchange_role(&self, own: &str, centre: &str, now: Millis) -> Role {
--- a/crates/relay/src/refuse.rs
+++ b/crates/relay/src/refuse.rs
@@ -24,6 +24,8 @@
     pub request: &'a str,
     /// Its program; empty if it names none.
     pub program: &'a str,
+    /// Its workspace; empty if it has none, or none yet.
+    pub workspace: &'a str,
     /// Its route; empty if it has none yet.
     pub route: &'a str,
     /// The kind of that route.
@@ -76,13 +78,14 @@
     let Info {
         request,
         program,
+        workspace,
         route,
         waited,
         ..
     } = info;
     let table = node.table();
     log::warn!(
-        "event=E{} text=\"{}\" request={request} program={program} route={route} revision={} code=CY{} ran={:?} waited_ms={} runners_age_ms={} why=\"{}\"",
+        "event=E{} text=\"{}\" request={request} program={program} workspace={workspace} route={route} revision={} code=CY{} ran={:?} waited_ms={} runners_age_ms={} revision_age_ms={} why=\"{}\"",
         Event::RequestRefused.number(),
         Event::RequestRefused.text(),
         table.version,
@@ -90,6 +93,7 @@
         refusal.ran,
         waited.as_u64(),
         node.runners_age().as_u64(),
+        node.config_age().as_u64(),
         refusal.message
     );
     answer::refusal(refusal, request)
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -16,7 +16,6 @@
 use link::body::Part;
 use link::body::Payload;
 use link::client::Reply;
-use replica::record::Key;
 use replica::record::Record;
 use replica::record::Turn;
 use tokio::sync::mpsc;
@@ -167,7 +166,7 @@
 async fn read_history(job: &Job) -> Result<History, Refusal> {
     match &job.call.previous {
         Some(previous) if job.route.keeps_turns => {
-            history::load(&job.node, Key::of(previous)).await
+            history::load(&job.node, job.identity.key_of(previous)).await
         }
         _ => Ok(Vec::new()),
     }
@@ -494,8 +493,9 @@
     if !is_kept(&job.route) {
         return true;
     }
-    let key = Key::of(&job.call.id);
-    let previous = job.call.previous.as_deref().map(Key::of);
+    let key = job.identity.key_of(&job.call.id);
+    let previous = job.call.previous.as_deref();
+    let previous = previous.map(|id| job.identity.key_of(id));
     let mut text = BytesMut::with_capacity(job.body.len() + output.len());
     text.extend_from_slice(&job.body);
     text.extend_from_slice(output);
--- a/crates/relay/src/subject.rs
+++ b/crates/relay/src/subject.rs
@@ -25,6 +25,15 @@
     Runners,
     /// The system's own keys.
     Own,
+    /// The operators' configuration again, asked for at short intervals where callers need keys. The
+    /// configuration's watch tells of changes at once, but until it returns it doesn't prove that
+    /// there were none.
+    Proof,
+}
+
+impl Subject {
+    /// All subjects.
+    pub const ALL: [Self; 4] = [Self::Config, Self::Runners, Self::Own, Self::Proof];
 }
 
 impl Subject {
@@ -32,7 +41,7 @@
     #[must_use]
     pub const fn prefix(self) -> &'static str {
         match self {
-            Self::Config => keys::CONFIG,
+            Self::Config | Self::Proof => keys::CONFIG,
             Self::Runners => keys::RUNNERS,
             Self::Own => keys::OWN,
         }
@@ -42,7 +51,7 @@
     #[must_use]
     pub const fn list_call(self, freshness: Freshness) -> Call {
         match (self, freshness) {
-            (Self::Config, _) => Call::ListConfig,
+            (Self::Config | Self::Proof, _) => Call::ListConfig,
             (Self::Runners, _) => Call::ListRunners,
             (Self::Own, Freshness::Latest) => Call::ListOwn,
             (Self::Own, Freshness::Stale) => Call::CopyOwn,
@@ -56,6 +65,7 @@
             Self::Config => Call::WatchConfig,
             Self::Runners => Call::WatchRunners,
             Self::Own => Call::WatchOwn,
+            Self::Proof => Call::ProveConfig,
         }
     }
 
@@ -65,6 +75,8 @@
         match self {
             Self::Config | Self::Own => WATCH_TIMEOUT,
             Self::Runners => RUNNERS_WATCH_TIMEOUT,
+            // A proof is as old as the call, so the call doesn't wait.
+            Self::Proof => Millis::ZERO,
         }
     }
 }
@@ -102,6 +114,8 @@
     /// Whether it is the first VM that answers and reaches the service, so that it reads the
     /// runners for all.
     pub is_reader: bool,
+    /// Whether callers need keys, so that each VM has to know that its configuration is current.
+    pub uses_keys: bool,
     /// How old its information from other VMs is.
     pub knowledge: Knowledge,
 }
@@ -124,7 +138,8 @@
 /// In a large deployment, watches of every VM for every subject would be most of the service's
 /// load, as each change is answered once for each VM. A VM with a hub hears of a change within two
 /// exchanges. All subjects come in the same messages, so all are current as long as the runners'
-/// entries are. When they aren't, the VM asks the service itself. A VM without an entry isn't a hub,
+/// entries are. When they aren't, the VM asks the service itself. The VM that
+/// reads the runners for all also proves to all that the configuration is current. A VM without an entry isn't a hub,
 /// even when it hears none for a moment: if all VMs of a hub that dies asked the service, the calls
 /// would grow with the number of VMs. Where the service refuses all hubs, other VMs read for all.
 #[must_use]
@@ -132,11 +147,12 @@
     let reads_for_others = !matches!(situation.role, peers::Role::Leaf) || situation.is_reader;
     let follows_hub = !reads_for_others || !situation.is_listed;
     match (subject, situation.knowledge) {
+        (Subject::Proof, _) if !situation.uses_keys => Source::Peers,
         (Subject::Own, Knowledge::None) => Source::Copy,
-        (Subject::Config | Subject::Runners, Knowledge::None) | (_, Knowledge::Awaited) => {
+        (_, Knowledge::None | Knowledge::Awaited) => Source::Peers,
+        (Subject::Runners | Subject::Proof, Knowledge::Current) if !situation.is_reader => {
             Source::Peers
         }
-        (Subject::Runners, Knowledge::Current) if !situation.is_reader => Source::Peers,
         (_, Knowledge::Current) if follows_hub => Source::Peers,
         (Subject::Own, Knowledge::Stale) if follows_hub => Source::Copy,
         (_, Knowledge::Current | Knowledge::Stale) => Source::Store,
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -7,6 +7,8 @@
 use adapter::config::Route;
 use adapter::config::Service;
 
+use crate::workspace::Index;
+
 /// One version of the configuration, indexed for look-ups.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -20,6 +22,8 @@
     pub body_bytes: usize,
     /// The configuration's bytes as they were read, for other VMs.
     pub document: Vec<u8>,
+    /// The workspaces; `None` if callers need no key.
+    pub workspaces: Option<Index>,
     /// Sorted by host and prefix.
     routes: Vec<Arc<Route>>,
     /// Sorted by name.
@@ -27,9 +31,12 @@
 }
 
 impl Table {
-    /// Builds the table of a configuration.
+    /// Builds the table of a configuration; `previous` is the one in force before.
     #[must_use]
-    pub fn new(config: Config, document: &[u8]) -> Self {
+    pub fn new(config: Config, document: &[u8], previous: &Self) -> Self {
+        let workspaces = config
+            .workspaces
+            .map(|workspaces| Index::new(workspaces, previous.workspaces.as_ref()));
         let mut routes: Vec<Arc<Route>> = config.routes.into_iter().map(Arc::new).collect();
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         let mut services = config.services;
@@ -40,6 +47,7 @@
             idle_ms: config.idle.as_u64(),
             body_bytes: config.body_bytes,
             document: document.to_vec(),
+            workspaces,
             routes,
             services,
         }
--- a/crates/relay/src/table/tests.rs
+++ b/crates/relay/src/table/tests.rs
@@ -10,7 +10,11 @@
  {"name":"other","host":"i","prefix":"/a/b/c/","kind":"idempotent","timeoutMs":1,"sloMs":1,"priority":0,"service":"s"}]}"#;
 
 fn table() -> Table {
-    Table::new(config::decode(DOCUMENT.as_bytes()).unwrap(), &[])
+    Table::new(
+        config::decode(DOCUMENT.as_bytes()).unwrap(),
+        &[],
+        &Table::default(),
+    )
 }
 
 #[rstest]
--- /dev/null
+++ b/crates/relay/src/usage.rs
@@ -0,0 +1,330 @@
+//! Counts the requests of workspaces that have a limit, at this VM and, as they tell, at the others.
+//!
+//! The counts travel with the exchange of the VMs, summed up by hubs in the same way as the figures
+//! about runners (`tally`). `policy::quota` decides what they mean.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use adapter::config::Limit;
+use policy::quota;
+use policy::quota::Contact;
+use policy::quota::Step;
+use policy::quota::Verdict;
+use policy::quota::Window;
+use serde::Deserialize;
+use serde::Serialize;
+use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Refusal;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::node::Node;
+use crate::tally::Origin;
+use crate::workspace::Workspace;
+
+/// For how many windows another VM's count is kept without an update. The requests that it admitted
+/// stay in the window for one, and it may go on for as long as its configuration counts as current.
+const REPORT_WINDOWS: u64 = 2;
+/// A VM that hasn't heard any other for this long has lost contact. Longer than the silence of a hub
+/// that is replaced by another one.
+const CONTACT_TIMEOUT: Millis = Millis::new(1_500);
+/// The most workspaces whose counts a message tells. Those nearest to their limits come first.
+const MAX_TOLD: usize = 256;
+/// The part of its limit below which a workspace's count in a data centre isn't told to others, as
+/// one over this number. If no data centre tells a count, the sum is too low by this part for each.
+/// The counts of single VMs are told however small they are: those of dozens of VMs add up to most of
+/// a limit.
+const MIN_TOLD_DIVISOR: u64 = 32;
+/// Number of programs that are remembered as begun.
+const MAX_PROGRAMS: usize = 8_192;
+
+/// A workspace's requests in the last window, from one VM or summed over several.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Use {
+    /// The workspace's id.
+    pub workspace: u64,
+    /// The requests that were admitted.
+    pub admitted: u32,
+}
+
+/// All counts of a VM.
+#[derive(Debug)]
+pub struct Ledger {
+    window: Millis,
+    /// Sorted by the workspaces' ids.
+    accounts: Vec<Account>,
+    /// Programs that have begun at this VM, oldest first, by digests of their ids.
+    programs: VecDeque<u64>,
+    /// When this VM last heard another one.
+    heard_at: Option<Millis>,
+    /// Since when this VM or one that it heard counts.
+    counting_since: Millis,
+}
+
+#[derive(Debug)]
+struct Account {
+    workspace: u64,
+    own: Window,
+    /// Own count when this VM last heard another one.
+    own_then: u32,
+    reports: Vec<Report>,
+    /// The limit that was last looked at, as the number of requests in a window.
+    allowance: u64,
+}
+
+#[derive(Debug)]
+struct Report {
+    origin: Origin,
+    admitted: u32,
+    at: Millis,
+}
+
+/// A request that was counted. Unless it is sent, it is taken back when this is dropped.
+#[derive(Debug)]
+pub struct Admission {
+    node: Arc<Node>,
+    workspace: u64,
+    sent: AtomicBool,
+}
+
+impl Admission {
+    /// Records that the request was sent to a runner.
+    pub fn note_sent(&self) {
+        self.sent.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        if !self.sent.load(Ordering::Relaxed) {
+            let now = self.node.clock.now();
+            self.node.usage().take_back(self.workspace, now);
+        }
+    }
+}
+
+/// Counts a request of a workspace, or refuses it if it is over the workspace's limit. `step` is its
+/// place in its program, as far as the request itself shows it.
+///
+/// # Errors
+///
+/// Refuses a request that is over the limit, or over what this VM may admit alone.
+pub fn admit(
+    node: &Arc<Node>,
+    workspace: &Workspace,
+    program: Option<&str>,
+    step: Step,
+) -> Result<Option<Admission>, Refusal> {
+    let Some(limit) = workspace.limit else {
+        return Ok(None);
+    };
+    let now = node.clock.now();
+    let vms = node.peers().count_all();
+    let mut ledger = node.usage();
+    let program = program.map(|id| xxh3_64(id.as_bytes()));
+    let step = ledger.step(program, step);
+    match ledger.decide(workspace.id, limit, step, vms, now) {
+        Verdict::Admit => {
+            ledger.add(workspace.id, now);
+            ledger.note_program(program);
+            Ok(Some(Admission {
+                node: node.clone(),
+                workspace: workspace.id,
+                sent: AtomicBool::new(false),
+            }))
+        }
+        Verdict::OverLimit(span) => Err(refusal(Code::OverLimit, workspace, span)),
+        Verdict::OverShare(span) => Err(refusal(Code::OverShare, workspace, span)),
+    }
+}
+
+fn refusal(code: Code, workspace: &Workspace, span: Millis) -> Refusal {
+    Refusal::new(code, &workspace.name).retry_after(span)
+}
+
+impl Ledger {
+    /// Creates the counts of a process that starts at `now`.
+    #[must_use]
+    pub fn new(window: Millis, now: Millis) -> Self {
+        Self {
+            window,
+            accounts: Vec::new(),
+            programs: VecDeque::new(),
+            heard_at: None,
+            counting_since: now,
+        }
+    }
+
+    fn find(&self, workspace: u64) -> Result<usize, usize> {
+        self.accounts
+            .binary_search_by_key(&workspace, |account| account.workspace)
+    }
+
+    fn account(&mut self, workspace: u64) -> &mut Account {
+        let index = self.find(workspace).unwrap_or_else(|index| {
+            let account = Account {
+                workspace,
+                own: Window::new(self.window),
+                own_then: 0,
+                reports: Vec::new(),
+                allowance: 0,
+            };
+            self.accounts.insert(index, account);
+            index
+        });
+        &mut self.accounts[index]
+    }
+
+    /// Returns a request's place in its program; `shown` is what the request itself shows of it.
+    fn step(&self, program: Option<u64>, shown: Step) -> Step {
+        let has_begun = program.is_some_and(|program| self.programs.contains(&program));
+        if has_begun { Step::Continues } else { shown }
+    }
+
+    fn note_program(&mut self, program: Option<u64>) {
+        let Some(program) = program else {
+            return;
+        };
+        if self.programs.contains(&program) {
+            return;
+        }
+        self.programs.push_back(program);
+        if self.programs.len() > MAX_PROGRAMS {
+            self.programs.pop_front();
+        }
+    }
+
+    /// Decides whether a request of a workspace is admitted. `vms` is the number of all VMs.
+    pub fn decide(
+        &mut self,
+        workspace: u64,
+        limit: Limit,
+        step: Step,
+        vms: u32,
+        now: Millis,
+    ) -> Verdict {
+        let window = self.window;
+        let allowance = quota::allowance(limit.milli_per_second, limit.burst, window);
+        let keeps_contact = vms <= 1
+            || self
+                .heard_at
+                .is_some_and(|heard_at| now.since(heard_at) < CONTACT_TIMEOUT);
+        let counted_for = now.since(self.counting_since);
+        let account = self.account(workspace);
+        account.allowance = allowance;
+        let usage = quota::Usage {
+            own: account.own.count(now),
+            others: account.others(now, window),
+            contact: if keeps_contact {
+                Contact::Kept
+            } else {
+                Contact::Lost {
+                    own_then: account.own_then,
+                    vms,
+                }
+            },
+            counted_for,
+        };
+        quota::decide(allowance, window, usage, step)
+    }
+
+    /// Counts a request.
+    pub fn add(&mut self, workspace: u64, now: Millis) {
+        self.account(workspace).own.add(now);
+    }
+
+    fn take_back(&mut self, workspace: u64, now: Millis) {
+        self.account(workspace).own.take_back(now);
+    }
+
+    /// Records what another VM tells; `uses` is sorted by workspace. `counted_for` says for how long
+    /// the VMs that it has heard have counted.
+    pub fn note(&mut self, origin: &Origin, uses: &[Use], counted_for: Millis, now: Millis) {
+        self.heard_at = Some(now);
+        let since = Millis::new(now.as_u64().saturating_sub(counted_for.as_u64()));
+        self.counting_since = self.counting_since.min(since);
+        for told in uses {
+            self.account(told.workspace);
+        }
+        let window = self.window;
+        for account in &mut self.accounts {
+            let found = uses.binary_search_by_key(&account.workspace, |told| told.workspace);
+            let admitted = found.map_or(0, |index| uses[index].admitted);
+            account.note(origin, admitted, window, now);
+        }
+    }
+
+    /// Returns for how long this VM or one that it has heard has counted, up to the window.
+    #[must_use]
+    pub fn counted_for(&self, now: Millis) -> Millis {
+        now.since(self.counting_since).min(self.window)
+    }
+
+    /// Returns the sums of this VM's own counts and those of the origins that `speaks_for` selects,
+    /// sorted by workspace.
+    pub fn uses(&mut self, now: Millis, speaks_for: impl Fn(&Origin) -> bool) -> Vec<Use> {
+        let window = self.window;
+        let mut told = Vec::new();
+        for account in &mut self.accounts {
+            let of_others = account.sum(now, window, &speaks_for);
+            let admitted = account.own.count(now) + of_others;
+            let is_small = u64::from(admitted) * MIN_TOLD_DIVISOR < account.allowance;
+            if admitted > 0 && (of_others == 0 || !is_small) {
+                let use_ = Use {
+                    workspace: account.workspace,
+                    admitted,
+                };
+                let left = account.allowance.saturating_sub(u64::from(admitted));
+                told.push((left, use_));
+            }
+        }
+        told.sort_by_key(|(left, _)| *left);
+        told.truncate(MAX_TOLD);
+        let mut uses: Vec<Use> = told.into_iter().map(|(_, use_)| use_).collect();
+        uses.sort_by_key(|use_| use_.workspace);
+        uses
+    }
+}
+
+impl Account {
+    fn note(&mut self, origin: &Origin, admitted: u32, window: Millis, now: Millis) {
+        self.own_then = self.own.count(now);
+        let max_age = retention(window);
+        self.reports
+            .retain(|report| report.origin != *origin && now.since(report.at) < max_age);
+        if admitted > 0 {
+            self.reports.push(Report {
+                origin: origin.clone(),
+                admitted,
+                at: now,
+            });
+        }
+    }
+
+    fn sum(&self, now: Millis, window: Millis, counts: impl Fn(&Origin) -> bool) -> u32 {
+        let max_age = retention(window);
+        let recent = self.reports.iter();
+        recent
+            .filter(|report| now.since(report.at) < max_age && counts(&report.origin))
+            .map(|report| report.admitted)
+            .sum()
+    }
+
+    /// Returns the count of all other VMs: the one that a hub told, or the sum of single ones,
+    /// whichever is higher.
+    fn others(&self, now: Millis, window: Millis) -> u32 {
+        let from_hub = self.sum(now, window, |origin| *origin == Origin::Others);
+        let one_by_one = self.sum(now, window, |origin| *origin != Origin::Others);
+        from_hub.max(one_by_one)
+    }
+}
+
+fn retention(window: Millis) -> Millis {
+    Millis::new(window.as_u64() * REPORT_WINDOWS)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/tests/fleet_model/simulate.rs
+++ b/crates/relay/tests/fleet_model/simulate.rs
@@ -30,7 +30,6 @@
 use super::store;
 use super::view::Readmission;
 use super::vm;
-use super::vm::SUBJECTS;
 use super::vm::Vm;
 use super::world::Lease;
 use super::world::Watch;
@@ -129,7 +128,7 @@
         };
         let waits = match ask {
             Ask::List(_) => 0,
-            Ask::Watch(_) => SUBJECTS[follower].watch_timeout().as_u64(),
+            Ask::Watch(_) => Subject::ALL[follower].watch_timeout().as_u64(),
         };
         let call = Call {
             follower,
@@ -154,7 +153,7 @@
     }
 
     fn serve_call(&mut self, vm: usize, call: Call) {
-        let subject = SUBJECTS[call.follower];
+        let subject = Subject::ALL[call.follower];
         match call.ask {
             Ask::List(freshness) => {
                 let listing = self.store.list(subject.prefix(), freshness);
@@ -185,8 +184,9 @@
     /// Answers the watches for which there are changes.
     pub(super) fn answer_watches(&mut self) {
         let store = &self.store;
-        let has_changes =
-            |watch: &mut Watch| store.has_changed(SUBJECTS[watch.follower].prefix(), watch.after);
+        let has_changes = |watch: &mut Watch| {
+            store.has_changed(Subject::ALL[watch.follower].prefix(), watch.after)
+        };
         let answered: Vec<Watch> = self.watches.extract_if(.., has_changes).collect();
         for watch in answered {
             self.answer_watch(watch);
@@ -197,7 +197,7 @@
         if self.vms[watch.vm].incarnation != watch.incarnation {
             return;
         }
-        let prefix = SUBJECTS[watch.follower].prefix();
+        let prefix = Subject::ALL[watch.follower].prefix();
         let update = self.store.changes(prefix, watch.after);
         let bytes = store::update_bytes(&update);
         let call = Call {
@@ -209,7 +209,7 @@
     }
 
     fn return_answer(&mut self, vm: usize, call: Call, answer: Answer, bytes: usize) {
-        let subject = SUBJECTS[call.follower];
+        let subject = Subject::ALL[call.follower];
         let kind = match call.ask {
             Ask::List(freshness) => subject.list_call(freshness),
             Ask::Watch(_) => subject.watch_call(),
@@ -239,7 +239,7 @@
         let sent = self.now();
         for peer in exchange::targets(&node) {
             let begin = Instant::now();
-            let message = outgoing::message(&node, &peer.vm, &peer.status);
+            let message = outgoing::message(&node, &peer.vm, &peer.status, peer.stamp);
             self.vms[vm].traffic.processor_time += begin.elapsed();
             self.vms[vm].traffic.note_message(&message);
             let other = vm::number(&peer.vm).expect("the model named it");
--- a/crates/relay/tests/fleet_model/traffic.rs
+++ b/crates/relay/tests/fleet_model/traffic.rs
@@ -64,7 +64,7 @@
     /// Returns the mechanism to which a call of the service belongs.
     const fn of(call: Call) -> Self {
         match call {
-            Call::ListConfig | Call::WatchConfig => Self::StoreConfig,
+            Call::ListConfig | Call::WatchConfig | Call::ProveConfig => Self::StoreConfig,
             Call::ListRunners | Call::WatchRunners => Self::StoreRunners,
             Call::ListOwn | Call::CopyOwn | Call::WatchOwn => Self::StoreOwn,
             Call::Grant | Call::Write | Call::Renew => Self::StoreLease,
@@ -147,7 +147,7 @@
 
     /// Records a message to another VM.
     pub fn note_message(&mut self, message: &Message) {
-        let total = size(message);
+        let total = size(message) + size(&message.extension);
         let tallies = part(size(&message.tallies), message.tallies.is_empty());
         let entries = part(size(&message.entries), message.entries.is_none());
         let document = part(size(&message.document), message.document.is_none());
--- a/crates/relay/tests/fleet_model/vm.rs
+++ b/crates/relay/tests/fleet_model/vm.rs
@@ -6,10 +6,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use adapter::key::Credential;
+use adapter::key::Digest;
 use adapter::runner::State;
 use adapter::settings;
 use fakes::settings::PEERS;
 use relay::follow::step::Follower;
+use relay::identity;
+use relay::identity::Access;
 use relay::node::Node;
 use relay::peers::Role;
 use relay::register::step::Registration;
@@ -21,8 +25,6 @@
 
 /// Interval of the runners' heartbeats.
 const HEARTBEAT: Millis = Millis::new(1_200);
-/// The subjects that a process follows.
-pub const SUBJECTS: [Subject; 3] = [Subject::Config, Subject::Runners, Subject::Own];
 
 /// A VM.
 #[derive(Debug)]
@@ -47,7 +49,7 @@
 pub struct Process {
     /// The product's shared state of the process.
     pub node: Arc<Node>,
-    /// Its followers, in the order of [`SUBJECTS`].
+    /// Its followers, in the order of [`Subject::ALL`].
     pub followers: Vec<Follower>,
     /// Runners with a request of this VM, once per request.
     pub under_way: Vec<String>,
@@ -102,7 +104,7 @@
         self.incarnation += 1;
         self.process = Some(Process {
             node: Node::new(settings, clock),
-            followers: SUBJECTS.map(Follower::new).into(),
+            followers: Subject::ALL.map(Follower::new).into(),
             under_way: Vec::new(),
             registration: Registration::default(),
             used_departed: BTreeSet::new(),
@@ -125,6 +127,15 @@
         found.is_some_and(|runner| runner.entry.state == State::Ready)
     }
 
+    /// Returns whether the process accepts a key of a caller now.
+    pub fn accepts(&self, key: &str) -> bool {
+        let (table, age) = self.node.table_with_age();
+        let credential = Credential::Key(Digest::of(key));
+        let freshness = self.node.freshness(age);
+        let index = table.workspaces.as_ref();
+        table.loaded && identity::identify(index, Access::Keyed, credential, freshness).is_ok()
+    }
+
     /// Returns whether the VM is the hub of its data centre.
     pub fn is_hub(&self) -> bool {
         let settings = &self.node.settings;
--- a/crates/relay/tests/fleet_model/world.rs
+++ b/crates/relay/tests/fleet_model/world.rs
@@ -73,6 +73,7 @@
     pub(super) departed: BTreeSet<String>,
     time: Arc<AtomicU64>,
     version: u64,
+    keys: Vec<String>,
     runner_count: usize,
 }
 
@@ -111,6 +112,7 @@
             departed: BTreeSet::new(),
             time: Arc::new(AtomicU64::new(START_TIME_MS)),
             version: 0,
+            keys: Vec::new(),
             runner_count: 0,
             size,
         };
@@ -153,7 +155,7 @@
     pub fn start(&mut self, vm: usize) {
         let after = self.network.random_below(START_SPREAD_MS) as u64;
         self.vms[vm].start(Clock::Manual(self.time.clone()));
-        for follower in 0..3 {
+        for follower in 0..Subject::ALL.len() {
             self.schedule(vm, after, Step::Follow(follower));
         }
         for step in [
@@ -185,10 +187,37 @@
     /// Writes the next version of the configuration.
     pub fn write_config(&mut self) {
         self.version += 1;
-        let document = store::configuration(self.version, "");
+        let document = if self.keys.is_empty() {
+            store::configuration(self.version, "")
+        } else {
+            let keys: Vec<&str> = self.keys.iter().map(String::as_str).collect();
+            let workspace = store::Workspace {
+                name: "w",
+                keys: &keys,
+                per_second: 0,
+                burst: 0,
+            };
+            store::keyed_configuration(self.version, "", &[workspace])
+        };
         self.put(Subject::Config.prefix(), document.as_bytes());
     }
 
+    /// Writes the next version of the configuration, with a workspace that holds these keys.
+    pub fn write_keys(&mut self, keys: &[&str]) {
+        self.keys = keys.iter().map(|key| (*key).to_owned()).collect();
+        self.write_config();
+    }
+
+    /// Returns the names of the running VMs that accept a key now.
+    pub fn vms_accepting(&self, key: &str) -> Vec<String> {
+        let accepts = |vm: &&Vm| {
+            let process = vm.process.as_ref();
+            process.is_some_and(|process| process.accepts(key))
+        };
+        let vms = self.vms.iter().filter(accepts);
+        vms.map(|vm| vm.name.clone()).collect()
+    }
+
     /// Adds a runner and returns its id.
     pub fn add_runner(&mut self) -> String {
         let id = format!("r-{:04}", self.runner_count);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
+use relay::identity::Identity;
 use relay::job::Job;
 use relay::node::Node;
 use relay::table::Table;
@@ -42,7 +43,7 @@
     let route = fakes::store::route("r", kind, SERVICE, TIME_LIMIT.as_u64(), extra_fields);
     let document = format!(r#"{{"version":1,"services":[],"routes":[{route}]}}"#);
     let config = config::decode(document.as_bytes()).expect("the configuration is valid");
-    Arc::new(Table::new(config, &[]))
+    Arc::new(Table::new(config, &[], &Table::default()))
 }
 
 /// Creates a request that arrives now.
@@ -53,6 +54,8 @@
         node: node.clone(),
         table: table.clone(),
         route: route.expect("the table has the route").clone(),
+        identity: Identity::Unmanaged,
+        admission: None,
         service: SERVICE.to_owned(),
         call: Call {
             id: id.to_owned(),
--- a/crates/wire/src/clock.rs
+++ b/crates/wire/src/clock.rs
@@ -9,10 +9,11 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use nix::time::ClockId;
+use nix::time::clock_gettime;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -73,8 +74,9 @@
 /// A source of the current time.
 #[derive(Clone, Debug, Default)]
 pub enum Clock {
-    /// The system time at process start plus the monotonic time since then, so that it never goes
-    /// back when the system clock is changed.
+    /// The system time at process start plus the time since then. It never goes back when the
+    /// system clock is changed, and it includes the time for which the VM was suspended: otherwise
+    /// what a process knew before would still look recent.
     #[default]
     System,
     /// A time that a test sets, in milliseconds.
@@ -93,12 +95,19 @@
 }
 
 fn system_now() -> Millis {
-    static START: OnceLock<(Millis, Instant)> = OnceLock::new();
-    let (wall, instant) = START.get_or_init(|| {
+    static START: OnceLock<(Millis, Duration)> = OnceLock::new();
+    let (wall, started) = START.get_or_init(|| {
         let wall = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
-        (Millis::from(wall), Instant::now())
+        (Millis::from(wall), since_boot())
     });
-    wall.plus(Millis::from(instant.elapsed()))
+    wall.plus(Millis::from(since_boot().saturating_sub(*started)))
+}
+
+/// Returns the time since the VM's boot, suspensions included.
+fn since_boot() -> Duration {
+    // The clock exists on all supported kernels; without it, all ages would be zero.
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the kernel has a boot-time clock");
+    Duration::from(time)
 }
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -66,6 +66,8 @@
     UnknownModel = 1203, 404, "the model isn't known";
     UnknownService = 1204, 404, "the service or operation isn't known";
     UnknownProgram = 1205, 404, "the program isn't known";
+    UnknownKey = 1206, 401, "no workspace holds the key";
+    RevokedKey = 1207, 401, "the key was taken away";
     WrongTurn = 1301, 409, "the turn isn't the next one";
     TurnConflict = 1302, 409, "the turn was asked before with other content";
     ProgramEnded = 1303, 410, "the program has ended";
@@ -81,6 +83,8 @@
     DeadlineUnmeetable = 2203, 503, "the deadline can't be met";
     NoEndpoint = 2204, 503, "no endpoint can take the work now";
     WaitedTooLong = 2205, 503, "the work waited as long as it may";
+    OverLimit = 2206, 429, "the workspace is over its limit";
+    OverShare = 2207, 429, "the VM's share of the workspace's limit is used up";
     EndpointFailed = 3101, 502, "the endpoint failed";
     Poisoned = 3102, 422, "the request crashed the endpoints that ran it";
     AnswerIncomplete = 3103, 502, "the answer couldn't be completed";
@@ -94,6 +98,7 @@
     ForwardFailed = 4106, 503, "the VM that owns the program broke off";
     RecordsUnreachable = 4107, 503, "too few VMs with a disk answer";
     NoConfiguration = 4108, 503, "no configuration is known yet";
+    StaleConfiguration = 4109, 503, "the configuration may have changed without the VM hearing of it";
     RevisionConflict = 5101, 409, "the configuration changed meanwhile";
     BadChange = 5102, 400, "the change isn't allowed";
     ChangeUnknown = 5103, 504, "it isn't known whether the change was accepted";
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -72,6 +72,8 @@
     MembersRegained = 3109, "enough members answer";
     RevisionApplied = 4001, "configuration revision in force";
     RevisionDropped = 4002, "configuration that can't be taken";
+    ConfigurationStale = 4003, "configuration may be out of date";
+    ConfigurationCurrent = 4004, "configuration is current again";
     CacheReleased = 5001, "cache released";
     CacheSwept = 5002, "cache held for a gone program";
     EndpointLeaving = 5003, "endpoint leaves";
