Presume the rate alone after a restart, name a later time in an outage, send changes of runners' entries

Three changes, each with its tests.

Now only the rate is presumed.

A VM that was a few changes behind got all runners' entries, hundreds of kilobytes at thousands of runners.

--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -9,9 +9,10 @@
 //! - A VM that hears no other one admits no more than it had admitted when it last heard one, and its
 //!   part of what was left of the limit then ([`Contact::Lost`]). The others go on counting what it
 //!   last told.
-//! - A VM that has just started presumes that the limit was used up before, unless others remember
-//!   ([`presumed`]). Otherwise, after a restart of all processes, a workspace would get its limit
-//!   twice in one window.
+//! - A VM that has just started presumes that a workspace had used what its rate allows before,
+//!   unless others remember ([`presumed`]). Otherwise, after a restart of all processes, a workspace
+//!   would get its limit twice in one window. Its burst isn't presumed to be used: after an outage
+//!   all callers come at once with what they could not send meanwhile.
 //! - What is told is some hundred milliseconds old. The users' slack covers what is admitted
 //!   meanwhile.
 //!
@@ -97,12 +98,6 @@
     }
 }
 
-/// Returns how many requests a limit allows in a window.
-#[must_use]
-pub const fn allowance(milli_per_second: u64, burst: u64, window: Millis) -> u64 {
-    milli_per_second * window.as_u64() / 1_000_000 + burst
-}
-
 /// The place of a request in its program.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -150,17 +145,42 @@
     OverShare(Millis),
 }
 
+/// A limit of a workspace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limit {
+    /// Thousandths of a request per second.
+    pub milli_per_second: u64,
+    /// Requests on top of that.
+    pub burst: u64,
+    /// The span in which requests are counted.
+    pub window: Millis,
+}
+
+impl Limit {
+    /// Returns how many requests are allowed in a window.
+    #[must_use]
+    pub const fn allowance(&self) -> u64 {
+        self.at_rate(self.window) + self.burst
+    }
+
+    /// Returns how many requests the rate alone allows in a span.
+    const fn at_rate(&self, span: Millis) -> u64 {
+        self.milli_per_second * span.as_u64() / 1_000_000
+    }
+}
+
 /// Returns the requests that are presumed of the time before the VMs began to count.
 #[must_use]
-pub fn presumed(allowance: u64, counted_for: Millis, window: Millis) -> u64 {
-    let unknown = window.since(counted_for);
-    let presumed = allowance * unknown.as_u64() / window.as_u64().max(1);
-    presumed.saturating_sub(START_ALLOWANCE)
+pub fn presumed(limit: &Limit, counted_for: Millis) -> u64 {
+    let uncounted = limit.window.since(counted_for);
+    limit.at_rate(uncounted).saturating_sub(START_ALLOWANCE)
 }
 
 /// Decides whether a request is admitted.
 #[must_use]
-pub fn decide(allowance: u64, window: Millis, usage: Usage, step: Step) -> Verdict {
+pub fn decide(limit: &Limit, usage: Usage, step: Step) -> Verdict {
+    let allowance = limit.allowance();
+    let window = limit.window;
     let own = u64::from(usage.own);
     let bound = match step {
         Step::Opens => allowance * OPENING_PERCENT / 100,
@@ -174,7 +194,7 @@
             Verdict::OverShare(retry_after(own, share, window))
         };
     }
-    let presumed = presumed(allowance, usage.counted_for, window);
+    let presumed = presumed(limit, usage.counted_for);
     let used = own + u64::from(usage.others) + presumed;
     // A limit of a few requests has no room to keep some back.
     if used < bound.max(1) {
--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -11,6 +11,7 @@
 use crate::freshness;
 use crate::ingest;
 use crate::node::Node;
+use crate::roster::Delta;
 use crate::roster::Roster;
 
 /// Applies a message: the sender's status and figures, and its configuration and entries of runners
@@ -48,6 +49,9 @@
     if let Some(entries) = received.entries {
         replace_entries(node, &received.vm, entries);
     }
+    if let Some(changes) = &received.extension.changes {
+        change_entries(node, &received.vm, changes);
+    }
     if received.status.roster >= node.roster().revision {
         let current_at = now.since(Millis::new(received.roster_age));
         node.note_runners_current(current_at);
@@ -61,12 +65,30 @@
     }
     let listed: Vec<String> = entries.entries.iter().map(|(id, _)| id.clone()).collect();
     ingest::drop_missing(node, &listed, &format!("heard_from={vm}"));
-    for (id, bytes) in &entries.entries {
+    set_runners(node, vm, &entries.entries);
+    node.roster().replace(entries);
+}
+
+/// Applies changes of the runners' entries if they follow on what this VM knows.
+fn change_entries(node: &Arc<Node>, vm: &str, changes: &Delta) {
+    let listed: Vec<String> = {
+        let mut roster = node.roster();
+        if !roster.apply(changes) {
+            return;
+        }
+        roster.entries.iter().map(|(id, _)| id.clone()).collect()
+    };
+    ingest::drop_missing(node, &listed, &format!("heard_from={vm}"));
+    set_runners(node, vm, &changes.changed);
+}
+
+/// Applies runners' entries that another VM sent.
+fn set_runners(node: &Arc<Node>, vm: &str, entries: &[(String, Vec<u8>)]) {
+    for (id, bytes) in entries {
         if let Some(entry) = runner::decode(bytes) {
             let line = format!("runner={id} service={} heard_from={vm}", entry.service);
             let change = ingest::set_runner(node, id, entry);
             fleet::log_change(&change, &line);
         }
     }
-    *node.roster() = entries;
 }
--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -12,6 +12,7 @@
 use crate::peers;
 use crate::peers::Lifecycle;
 use crate::peers::Status;
+use crate::roster::Delta;
 use crate::roster::Roster;
 use crate::tally;
 use crate::tally::Origin;
@@ -57,6 +58,8 @@
     /// The requests of workspaces that have a limit, from the VMs of the message's origin; sorted by
     /// workspace.
     pub uses: Vec<Use>,
+    /// The changes of the runners' entries, if the recipient's are only a few changes behind.
+    pub changes: Option<Delta>,
     /// For how long these VMs, or others that they heard, have counted them, in milliseconds.
     pub counted_for: u64,
 }
@@ -99,6 +102,7 @@
     let members = node.replicas.list();
     let status = status(node, table.version);
     let is_newer = |own: u64, theirs: u64| own > theirs;
+    let (entries, changes) = roster_for(node, theirs, echo);
     Message {
         vm: settings.vm.clone(),
         centre: settings.centre.clone(),
@@ -106,7 +110,7 @@
         origin,
         tallies,
         roster_age: node.runners_age().as_u64(),
-        entries: is_newer(status.roster, theirs.roster).then(|| node.roster().clone()),
+        entries,
         document: is_newer(status.config, theirs.config).then(|| table.document.clone()),
         directory: is_newer(status.directory, theirs.directory).then(|| node.directory().clone()),
         members: is_newer(status.members, theirs.members).then(|| List::clone(&members)),
@@ -117,6 +121,7 @@
                 age: config_age.map(Millis::as_u64),
             },
             uses,
+            changes,
             counted_for: node.usage().counted_for(now).as_u64(),
         },
     }
@@ -135,6 +140,24 @@
     }
 }
 
+/// Returns what a VM with the given status needs to know of the runners' entries: all, or what
+/// changed. A VM that has sent no stamp doesn't understand changes.
+fn roster_for(
+    node: &Node,
+    theirs: &Status,
+    echo: Option<Stamp>,
+) -> (Option<Roster>, Option<Delta>) {
+    let roster = node.roster();
+    if roster.revision <= theirs.roster {
+        return (None, None);
+    }
+    let changes = echo.and_then(|_| roster.delta(theirs.roster));
+    match changes {
+        Some(changes) => (None, Some(changes)),
+        None => (Some(roster.clone()), None),
+    }
+}
+
 /// What a message says of the requests of several VMs.
 struct Figures {
     origin: Origin,
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -24,9 +24,13 @@
 /// By how much a key is refused before its bound, for the time between reading the clock and using
 /// what was read.
 const MARGIN: Millis = Millis::new(200);
-/// When a request may be retried whose key can't be checked now: about the time in which a VM learns
-/// from another one that its configuration is current.
-const RETRY_DELAY: Millis = Millis::new(300);
+/// When a request may be retried whose key can't be checked by this VM, which hears no other one:
+/// another VM probably can, and a retry reaches another one.
+const RETRY_DELAY_ELSEWHERE: Millis = Millis::new(300);
+/// The same where the other VMs can't check keys either. The key-value service has been silent for
+/// seconds and probably will be for seconds more. Callers have a few tries, and wait for up to a third
+/// of their time before each: with shorter pauses their programs would fail before it is back.
+const RETRY_DELAY_OUTAGE: Millis = Millis::new(900);
 /// Separates a workspace's name from an id within it.
 const SEPARATOR: char = '\0';
 
@@ -73,6 +77,18 @@
     /// The age up to which an unknown key is certain not to have been added meanwhile, at a VM that
     /// hears of changes in time.
     pub max_reject: Millis,
+    /// Whether other VMs are heard. They would pass on that the configuration is current if they
+    /// knew.
+    pub others: Others,
+}
+
+/// Whether a VM hears other VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Others {
+    /// It does.
+    Heard,
+    /// It doesn't.
+    Silent,
 }
 
 impl Freshness {
@@ -189,7 +205,11 @@
         Some(age) => format!("last known to be current {age} ago"),
         None => "not known to be current yet".to_owned(),
     };
-    Refusal::new(Code::StaleConfiguration, &detail).retry_after(RETRY_DELAY)
+    let delay = match (freshness.age, freshness.others) {
+        (Some(_), Others::Heard) => RETRY_DELAY_OUTAGE,
+        (None, _) | (Some(_), Others::Silent) => RETRY_DELAY_ELSEWHERE,
+    };
+    Refusal::new(Code::StaleConfiguration, &detail).retry_after(delay)
 }
 
 #[cfg(test)]
--- a/crates/relay/src/identity/tests.rs
+++ b/crates/relay/src/identity/tests.rs
@@ -8,6 +8,7 @@
 use super::Access;
 use super::Freshness;
 use super::Identity;
+use super::Others;
 use super::identify;
 use crate::workspace::Index;
 
@@ -28,6 +29,7 @@
         age: millis.map(Millis::new),
         max_accept: Some(BOUND),
         max_reject: Millis::new(1_800),
+        others: Others::Heard,
     }
 }
 
@@ -89,3 +91,29 @@
     assert_ne!(one.key_of("t1"), Identity::Unmanaged.key_of("t1"));
     assert_eq!(one.key_of("t1"), one.key_of("t1"));
 }
+
+/// The service is away for some seconds longer than keys are accepted. A caller has two tries for each
+/// of three sends of a turn; if they were over before the service is back, its program would fail.
+#[test]
+fn an_outage_is_bridged_by_a_callers_tries() {
+    let index = index(&["a"], None);
+    let refusal = identify(Some(&index), Access::Keyed, key("a"), aged(Some(5_000))).unwrap_err();
+    let pause = refusal.retry_after.unwrap();
+    let sends = 3;
+    let bridged = pause.as_u64() * sends;
+    assert!(bridged >= 2_500, "{bridged}");
+    // A third of a deadline of three seconds.
+    assert!(pause <= Millis::new(1_000));
+}
+
+/// A VM is cut off alone. A caller that comes back soon reaches another VM.
+#[test]
+fn a_vm_that_is_alone_sends_callers_elsewhere_soon() {
+    let index = index(&["a"], None);
+    let freshness = Freshness {
+        others: Others::Silent,
+        ..aged(Some(5_000))
+    };
+    let refusal = identify(Some(&index), Access::Keyed, key("a"), freshness).unwrap_err();
+    assert!(refusal.retry_after.unwrap() <= Millis::new(300));
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -258,6 +258,7 @@
             age,
             max_accept: self.settings.revocation,
             max_reject: self.config_max_age(),
+            others: self.peers().heard(self.clock.now()),
         }
     }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -20,6 +20,7 @@
 use crate::directory::Entry;
 use crate::directory::SLOTS;
 use crate::freshness::Stamp;
+use crate::identity::Others;
 
 /// The most other VMs with which all VMs exchange messages pairwise. At 16 exchanges a second with
 /// each, that is under 200 messages per VM and second, which take a few per cent of a small VM's
@@ -396,6 +397,16 @@
         others.sum::<u32>() + own
     }
 
+    /// Returns whether any other VM of the directory is heard.
+    #[must_use]
+    pub fn heard(&self, now: Millis) -> Others {
+        if self.known.iter().any(|peer| peer.answers(now)) {
+            Others::Heard
+        } else {
+            Others::Silent
+        }
+    }
+
     /// Returns the role of the VM `own` in the exchange.
     #[must_use]
     pub fn exchange_role(&self, own: &str, centre: &str, now: Millis) -> Role {
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -3,10 +3,20 @@
 //! The entries change with each heartbeat, so if every VM watched them, each watch would cost the
 //! service a call every few hundred milliseconds. Instead, one VM watches and forwards the changes
 //! that matter. A VM that is cut off from the service, or refused by it, still learns of them.
+//!
+//! Where the recipient's entries are only a few changes behind, just these are sent ([`Delta`]): the
+//! entries of thousands of runners are hundreds of kilobytes, and while runners start or are replaced
+//! they change several times a second.
+
+use std::collections::VecDeque;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Number of significant changes that are remembered to be sent as deltas. A VM that is further
+/// behind gets all entries.
+const MAX_LOGGED: usize = 2_048;
+
 /// All entries at one revision of the key-value service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
@@ -14,6 +24,32 @@
     pub revision: u64,
     /// The encoded entries by runner, sorted by id.
     pub entries: Vec<(String, Vec<u8>)>,
+    /// The latest significant changes, oldest first.
+    #[serde(skip)]
+    log: VecDeque<Logged>,
+    /// The revision after which the log is complete.
+    #[serde(skip)]
+    logged_since: u64,
+}
+
+/// A significant change of a runner's entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Logged {
+    revision: u64,
+    id: String,
+}
+
+/// What changed between two revisions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Revision of the entries to which the changes apply.
+    pub from: u64,
+    /// Revision of the entries with the changes.
+    pub revision: u64,
+    /// Entries that were added or changed, sorted by id.
+    pub changed: Vec<(String, Vec<u8>)>,
+    /// Runners whose entries were removed, sorted by id.
+    pub removed: Vec<String>,
 }
 
 /// Whether other VMs need to learn of a change of an entry.
@@ -32,11 +68,11 @@
         match self.find(id) {
             Ok(index) => {
                 self.entries[index].1 = bytes.to_vec();
-                self.note_change(revision, change);
+                self.note_change(id, revision, change);
             }
             Err(index) => {
                 self.entries.insert(index, (id.to_owned(), bytes.to_vec()));
-                self.note_change(revision, Change::Significant);
+                self.note_change(id, revision, Change::Significant);
             }
         }
     }
@@ -45,18 +81,70 @@
     pub fn remove(&mut self, id: &str, revision: u64) {
         if let Ok(index) = self.find(id) {
             self.entries.remove(index);
-            self.note_change(revision, Change::Significant);
+            self.note_change(id, revision, Change::Significant);
         }
     }
 
     /// Removes the entries that are missing in a list of the key-value service; `listed` is sorted.
     pub fn retain_listed(&mut self, listed: &[String], revision: u64) {
-        let before = self.entries.len();
-        self.entries
-            .retain(|(id, _)| listed.binary_search(id).is_ok());
-        if self.entries.len() < before {
-            self.note_change(revision, Change::Significant);
+        let is_missing = |(id, _): &mut (String, Vec<u8>)| listed.binary_search(id).is_err();
+        let missing: Vec<_> = self.entries.extract_if(.., is_missing).collect();
+        for (id, _) in missing {
+            self.note_change(&id, revision, Change::Significant);
+        }
+    }
+
+    /// Returns what changed since a revision; `None` if that isn't known, or is most of the entries.
+    #[must_use]
+    pub fn delta(&self, since: u64) -> Option<Delta> {
+        if since < self.logged_since || since == 0 {
+            return None;
         }
+        let later = self.log.iter().filter(|logged| logged.revision > since);
+        let mut ids: Vec<&str> = later.map(|logged| logged.id.as_str()).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        if ids.len() * 2 > self.entries.len() {
+            return None;
+        }
+        let mut delta = Delta {
+            from: since,
+            revision: self.revision,
+            changed: Vec::new(),
+            removed: Vec::new(),
+        };
+        for id in ids {
+            match self.find(id) {
+                Ok(index) => delta.changed.push(self.entries[index].clone()),
+                Err(_) => delta.removed.push(id.to_owned()),
+            }
+        }
+        Some(delta)
+    }
+
+    /// Applies changes. Returns whether they applied: the entries must be those of the revision at
+    /// which the changes begin, or of one between it and that at which they end.
+    pub fn apply(&mut self, delta: &Delta) -> bool {
+        if !(delta.from..delta.revision).contains(&self.revision) {
+            return false;
+        }
+        for (id, bytes) in &delta.changed {
+            self.set(id, bytes, delta.revision, Change::Significant);
+        }
+        for id in &delta.removed {
+            self.remove(id, delta.revision);
+        }
+        self.raise_revision(delta.revision);
+        true
+    }
+
+    /// Replaces all entries by those that another VM sent.
+    pub fn replace(&mut self, other: Self) {
+        *self = Self {
+            logged_since: other.revision,
+            log: VecDeque::new(),
+            ..other
+        };
     }
 
     /// Records that the entries were complete at a revision.
@@ -73,9 +161,19 @@
             .binary_search_by(|(key, _)| key.as_str().cmp(id))
     }
 
-    fn note_change(&mut self, revision: u64, change: Change) {
-        if change == Change::Significant {
-            self.revision = self.revision.max(revision);
+    fn note_change(&mut self, id: &str, revision: u64, change: Change) {
+        if change == Change::Heartbeat {
+            return;
+        }
+        self.revision = self.revision.max(revision);
+        self.log.push_back(Logged {
+            revision: self.revision,
+            id: id.to_owned(),
+        });
+        if self.log.len() > MAX_LOGGED
+            && let Some(dropped) = self.log.pop_front()
+        {
+            self.logged_since = dropped.revision;
         }
     }
 }
--- a/crates/relay/src/roster/tests.rs
+++ b/crates/relay/src/roster/tests.rs
@@ -38,3 +38,77 @@
     roster.set("i-1", b"ready", 9, Change::Heartbeat);
     assert_eq!(roster.revision, 9);
 }
+
+/// Applies the changes since the revision of `behind` to it.
+fn catch_up(behind: &mut Roster, ahead: &Roster) {
+    let delta = ahead.delta(behind.revision).expect("the changes are known");
+    assert!(behind.apply(&delta));
+    assert_eq!(behind.revision, ahead.revision);
+    assert_eq!(behind.entries, ahead.entries);
+}
+
+fn many() -> Roster {
+    let mut roster = Roster::default();
+    for number in 10..40 {
+        roster.set(
+            &format!("i-{number}"),
+            b"ready",
+            number,
+            Change::Significant,
+        );
+    }
+    roster
+}
+
+#[test]
+fn changes_alone_lead_to_the_same_entries() {
+    let mut ahead = many();
+    let mut behind = ahead.clone();
+    ahead.set("i-12", b"draining", 50, Change::Significant);
+    ahead.set("i-99", b"ready", 51, Change::Significant);
+    ahead.remove("i-30", 52);
+    catch_up(&mut behind, &ahead);
+    ahead.set("i-30", b"ready again", 53, Change::Significant);
+    ahead.remove("i-99", 54);
+    catch_up(&mut behind, &ahead);
+    // What was received as a delta is passed on as one.
+    let mut third = many();
+    third.raise_revision(49);
+    catch_up(&mut third, &behind);
+}
+
+/// A VM that restarted between two revisions knows nothing of what was removed before. Sending it
+/// changes alone would leave it with runners that are gone.
+#[test]
+fn what_was_received_whole_is_no_base_for_older_changes() {
+    let mut received = Roster::default();
+    received.replace(many());
+    assert_eq!(received.delta(20), None);
+    received.remove("i-12", 60);
+    let delta = received.delta(39).unwrap();
+    assert_eq!(delta.removed, ["i-12"]);
+}
+
+/// The recipient has other entries than the sender thought. Applying the changes would skip those in
+/// between.
+#[test]
+fn changes_from_a_later_revision_are_not_applied() {
+    let mut ahead = many();
+    ahead.remove("i-12", 50);
+    let mut behind = many();
+    behind.revision = 20;
+    let delta = ahead.delta(39).unwrap();
+    assert!(!behind.apply(&delta));
+    assert_eq!(behind.entries.len(), 30);
+}
+
+/// More changes than are remembered: all entries have to be sent.
+#[test]
+fn forgotten_changes_are_no_delta() {
+    let mut roster = many();
+    for revision in 100..100 + 2 * super::MAX_LOGGED as u64 {
+        roster.set("i-12", b"ready", revision, Change::Significant);
+    }
+    assert_eq!(roster.delta(99), None);
+    assert!(roster.delta(roster.revision - 5).is_some());
+}
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -207,14 +207,18 @@
         now: Millis,
     ) -> Verdict {
         let window = self.window;
-        let allowance = quota::allowance(limit.milli_per_second, limit.burst, window);
+        let limit = quota::Limit {
+            milli_per_second: limit.milli_per_second,
+            burst: limit.burst,
+            window,
+        };
         let keeps_contact = vms <= 1
             || self
                 .heard_at
                 .is_some_and(|heard_at| now.since(heard_at) < CONTACT_TIMEOUT);
         let counted_for = now.since(self.counting_since);
         let account = self.account(workspace);
-        account.allowance = allowance;
+        account.allowance = limit.allowance();
         let usage = quota::Usage {
             own: account.own.count(now),
             others: account.others(now, window),
@@ -228,7 +232,7 @@
             },
             counted_for,
         };
-        quota::decide(allowance, window, usage, step)
+        quota::decide(&limit, usage, step)
     }
 
     /// Counts a request.
