--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod retry;
 pub mod slow_start;
 pub mod stop;
+pub mod subset;
--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -174,30 +174,40 @@
     match peers.exchange_role(&settings.vm, &settings.centre, now) {
         peers::Role::Direct | peers::Role::Leaf => {
             let origin = Origin::Vm(settings.vm.clone());
-            figures(node, origin, now, |_| false)
+            figures(node, origin, now, None, |_| false)
         }
         peers::Role::Hub => {
-            let (recipient, origin) = if in_own_centre(to) {
-                (Recipient::SameCentre(to), Origin::Others)
+            let leaf = in_own_centre(to).then_some(to);
+            let (recipient, origin) = if let Some(leaf) = leaf {
+                (Recipient::SameCentre(leaf), Origin::Others)
             } else {
                 (Recipient::OtherHub, Origin::Centre(settings.centre.clone()))
             };
             let is_forwarded =
                 |of: &Origin| tally::is_forwarded(of, recipient, &settings.centre, in_own_centre);
-            figures(node, origin, now, is_forwarded)
+            figures(node, origin, now, leaf, is_forwarded)
         }
     }
 }
 
+/// Returns the figures of an origin. A `leaf` of the hub is told of the runners that it uses only.
 fn figures(
     node: &Node,
     origin: Origin,
     now: Millis,
+    leaf: Option<&str>,
     speaks_for: impl Fn(&Origin) -> bool,
 ) -> Figures {
+    let tallies = match leaf {
+        Some(vm) => {
+            let centre = &node.settings.centre;
+            node.fleet().tallies_for(vm, centre, now, &speaks_for)
+        }
+        None => node.fleet().tallies(now, &speaks_for),
+    };
     Figures {
         origin,
-        tallies: node.fleet().tallies(now, &speaks_for),
+        tallies,
         uses: node.usage().uses(now, &speaks_for),
     }
 }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -7,6 +7,7 @@
 mod health;
 pub mod load;
 pub mod runner;
+mod subset;
 
 use std::net::SocketAddr;
 
@@ -15,6 +16,7 @@
 use adapter::runner::State;
 use policy::prefix;
 use policy::prefix::Demand;
+use policy::subset::MAX_USED;
 use wire::clock::Millis;
 use wire::event::Event;
 
@@ -25,6 +27,9 @@
 /// How long a runner is still used after its entry was found missing at the end of an outage of the
 /// key-value service. Runners that still run are back in the list within two seconds.
 const MISSING_RETENTION: Millis = Millis::new(1_700);
+/// Number of runners of a service whose figures a VM is told. More than it uses, as some of those are
+/// leaving or unreachable for it.
+const MAX_TOLD: usize = MAX_USED + MAX_USED / 3;
 /// Cost of a round trip to another data centre for a request that may be repeated, in milliseconds.
 pub const REMOTE_COST_MS: f64 = 3.0;
 /// The same for a call that may run at most once. If the network breaks before the answer, the
@@ -59,6 +64,8 @@
     pub excluded: &'a [String],
     /// Data centre of this VM.
     pub centre: &'a str,
+    /// Name of this VM, which determines the runners that it uses where there are many.
+    pub vm: &'a str,
     /// Cost of using another data centre, in milliseconds.
     pub remote_cost_ms: f64,
     /// Time at which the runner is chosen.
@@ -222,19 +229,44 @@
     /// `speaks_for` selects.
     #[must_use]
     pub fn tallies(&self, now: Millis, speaks_for: impl Fn(&Origin) -> bool) -> Vec<Tally> {
-        let tally = |runner: &Runner| {
-            let (under_way, held_off) = runner.peer_reports.sum(now, &speaks_for);
-            Tally {
-                runner: runner.id.clone(),
-                under_way: runner.own_requests + under_way,
-                held_off: u32::from(runner.is_held_off(now)) + held_off,
-            }
-        };
-        let tallies = self.runners.iter().map(tally);
-        let has_figures = |tally: &Tally| tally.under_way > 0 || tally.held_off > 0;
-        tallies.filter(has_figures).collect()
+        tallies(self.runners.iter(), now, speaks_for)
+    }
+
+    /// The same for the runners that another VM of a data centre uses.
+    #[must_use]
+    pub fn tallies_for(
+        &self,
+        vm: &str,
+        centre: &str,
+        now: Millis,
+        speaks_for: impl Fn(&Origin) -> bool,
+    ) -> Vec<Tally> {
+        let mut of_service: Vec<&Runner> = self.runners.iter().collect();
+        of_service.sort_by(|a, b| a.entry.service.cmp(&b.entry.service));
+        let services = of_service.chunk_by(|a, b| a.entry.service == b.entry.service);
+        let used = services.flat_map(|runners| subset::used(vm, centre, runners, MAX_TOLD));
+        let mut tallies = tallies(used, now, speaks_for);
+        tallies.sort_by(|a, b| a.runner.cmp(&b.runner));
+        tallies
     }
 }
 
+fn tallies<'a>(
+    runners: impl Iterator<Item = &'a Runner>,
+    now: Millis,
+    speaks_for: impl Fn(&Origin) -> bool,
+) -> Vec<Tally> {
+    let tally = |runner: &Runner| {
+        let (under_way, held_off) = runner.peer_reports.sum(now, &speaks_for);
+        Tally {
+            runner: runner.id.clone(),
+            under_way: runner.own_requests + under_way,
+            held_off: u32::from(runner.is_held_off(now)) + held_off,
+        }
+    };
+    let has_figures = |tally: &Tally| tally.under_way > 0 || tally.held_off > 0;
+    runners.map(tally).filter(has_figures).collect()
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -7,12 +7,14 @@
 use policy::place::Weights;
 use policy::prefix;
 use policy::prefix::Demand;
+use policy::subset::MAX_USED;
 use wire::clock::Millis;
 
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::Request;
 use crate::fleet::runner::Runner;
+use crate::fleet::subset;
 
 /// Presumed milliseconds per token as long as no runner of the service has been measured, that is,
 /// during the first second of the first VM. The pace is then the same for all runners, so it only
@@ -80,6 +82,7 @@
         if usable.iter().any(preferred) {
             usable.retain(preferred);
         }
+        let usable = subset::used(request.vm, request.centre, &usable, MAX_USED);
         let pace = self.median_pace(request);
         let usable_runners = usable.iter();
         let mut candidates: Vec<Candidate> = usable_runners
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -73,6 +73,7 @@
         salt: 7,
         excluded,
         centre: "a",
+        vm: "front-a-1",
         remote_cost_ms: REMOTE_COST_AT_MOST_ONCE_MS,
         now: NOW,
     }
@@ -437,3 +438,23 @@
         .own_requests;
     assert!((3..=12).contains(&new), "{new} of 42 at one of seven");
 }
+
+/// Thousands of runners are busy. If a hub told each leaf the figures of all, they would be more
+/// bytes than the requests; if it left out some that a leaf uses, the leaf would take them for idle.
+#[test]
+fn a_leaf_is_told_of_the_runners_that_it_uses() {
+    let mut fleet = fleet(1_000);
+    for number in 0..1_000 {
+        fleet.runner(&format!("i-{number}")).unwrap().own_requests = 1;
+    }
+    let told = fleet.tallies_for("front-a-1", "a", NOW, |_| false);
+    assert_eq!(told.len(), super::MAX_TOLD);
+    assert!(told.is_sorted_by(|a, b| a.runner < b.runner));
+    let mut excluded = Vec::new();
+    // Those that the leaf uses, also when a third of them turns its request away.
+    for _ in 0..policy::subset::MAX_USED / 3 {
+        let chosen = fleet.choose(&request(&excluded)).unwrap().id;
+        assert!(told.iter().any(|tally| tally.runner == chosen), "{chosen}");
+        excluded.push(chosen);
+    }
+}
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -176,6 +176,7 @@
             salt: rand::rng().next_u64(),
             excluded,
             centre: &self.node.settings.centre,
+            vm: &self.node.settings.vm,
             remote_cost_ms: match self.route.kind {
                 Kind::AtMostOnce => fleet::REMOTE_COST_AT_MOST_ONCE_MS,
                 Kind::Idempotent | Kind::Stream => fleet::REMOTE_COST_MS,
