Refuse keys 50 ms before their bound in place of 200

The proof's age counts from a time before the read and is compared after the request's arrival, so that the margin has to cover rounding only.

--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -23,7 +23,7 @@
 
 /// By how much a key is refused before its bound, for the time between reading the clock and using
 /// what was read.
-const MARGIN: Millis = Millis::new(200);
+const MARGIN: Millis = Millis::new(50);
 /// When a request may be retried whose key can't be checked by this VM, which hears no other one:
 /// another VM probably can, and a retry reaches another one.
 const RETRY_DELAY_ELSEWHERE: Millis = Millis::new(300);
--- a/crates/relay/src/identity/tests.rs
+++ b/crates/relay/src/identity/tests.rs
@@ -39,8 +39,8 @@
 
 #[rstest]
 #[case::held_key(key("a"), 0, None)]
-#[case::held_key_of_an_older_configuration(key("a"), 4_800, None)]
-#[case::nearly_too_old(key("a"), 4_801, Some(Code::StaleConfiguration))]
+#[case::held_key_of_an_older_configuration(key("a"), 4_950, None)]
+#[case::nearly_too_old(key("a"), 4_951, Some(Code::StaleConfiguration))]
 #[case::unknown_key(key("c"), 1_800, Some(Code::UnknownKey))]
 #[case::key_that_may_be_new(key("c"), 1_801, Some(Code::StaleConfiguration))]
 #[case::revoked_key(key("b"), 1_800, Some(Code::RevokedKey))]
