--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -16,17 +16,25 @@
 //! - What is told is some hundred milliseconds old. The users' slack covers what is admitted
 //!   meanwhile.
 //!
-//! Near the limit, first turns of programs are refused before others ([`Step::Opens`]). A program
-//! earns nothing unless all of its calls are served, so each one that is begun and not finished uses
-//! up requests of the limit for nothing.
+//! A program earns nothing unless all of its requests are served, so each one that is begun and not
+//! finished uses up requests of the limit for nothing. Served in the order of their arrival, callers
+//! that begin four times as many programs as the limit holds see nearly all of them fail. So a program
+//! may begin only if the limit also holds what the programs under way are still expected to ask
+//! ([`programs`]).
 
 use wire::clock::Millis;
 
+pub mod programs;
+
 /// Number of parts of a window. What falls out of the window does so in these steps.
 const SLOTS: usize = 25;
-/// The part of the limit up to which programs may begin, as a percentage. The rest is kept for the
-/// calls of programs that have begun.
-const OPENING_PERCENT: u64 = 85;
+/// How much of the limit the requests of a window and those that are still expected may take up for
+/// a program to begin, as a percentage. Some of what is expected comes when the earliest requests have
+/// fallen out of the window.
+const OPENING_PERCENT: u64 = 105;
+/// The part of the limit up to which a program may begin whatever it is expected to ask, as one over
+/// this number. A limit may be smaller than a program, which lasts longer than a window then.
+const ALWAYS_OPEN_DIVISOR: u64 = 2;
 /// Requests that a VM admits in spite of what it presumes after its start. A workspace whose limit
 /// is a few requests would otherwise be refused after each restart of all processes.
 const START_ALLOWANCE: u64 = 8;
@@ -101,8 +109,9 @@
 /// The place of a request in its program.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// The program begins with it, as far as the VM knows.
-    Opens,
+    /// The program begins with it, as far as the VM knows, and is expected to make this many requests
+    /// altogether.
+    Opens(u32),
     /// The program has begun.
     Continues,
 }
@@ -128,6 +137,8 @@
     pub own: u32,
     /// Those that other VMs admitted, as last told.
     pub others: u32,
+    /// Those that programs under way at all VMs are still expected to make.
+    pub pending: u32,
     /// Whether these are still told.
     pub contact: Contact,
     /// For how long the VMs together have counted, up to the window.
@@ -182,10 +193,6 @@
     let allowance = limit.allowance();
     let window = limit.window;
     let own = u64::from(usage.own);
-    let bound = match step {
-        Step::Opens => allowance * OPENING_PERCENT / 100,
-        Step::Continues => allowance,
-    };
     if let Contact::Lost { own_then, vms } = usage.contact {
         let share = lost_share(allowance, own_then, usage.others, vms);
         return if own < share {
@@ -196,11 +203,19 @@
     }
     let presumed = presumed(limit, usage.counted_for);
     let used = own + u64::from(usage.others) + presumed;
-    // A limit of a few requests has no room to keep some back.
-    if used < bound.max(1) {
+    let expected = used + u64::from(usage.pending);
+    let is_within = match step {
+        Step::Continues => used < allowance,
+        Step::Opens(requests) => {
+            let bound = allowance * OPENING_PERCENT / 100;
+            let always = allowance.div_ceil(ALWAYS_OPEN_DIVISOR);
+            used < allowance && (expected + u64::from(requests) <= bound || expected < always)
+        }
+    };
+    if is_within {
         Verdict::Admit
     } else {
-        Verdict::OverLimit(retry_after(used, bound, window))
+        Verdict::OverLimit(retry_after(used, allowance, window))
     }
 }
 
--- a/crates/policy/src/quota/tests.rs
+++ b/crates/policy/src/quota/tests.rs
@@ -25,6 +25,7 @@
     Usage {
         own,
         others,
+        pending: 0,
         contact: Contact::Kept,
         counted_for: WINDOW,
     }
@@ -63,8 +64,10 @@
 #[case::below(usage(40, 59), Step::Continues, true)]
 #[case::at_the_limit(usage(40, 60), Step::Continues, false)]
 #[case::others_used_it(usage(0, 100), Step::Continues, false)]
-#[case::first_turn_below_its_bound(usage(40, 44), Step::Opens, true)]
-#[case::first_turn_at_its_bound(usage(40, 45), Step::Opens, false)]
+#[case::program_that_fits(usage(40, 30), Step::Opens(35), true)]
+#[case::program_that_does_not_fit(usage(40, 30), Step::Opens(36), false)]
+#[case::others_are_under_way(Usage { pending: 30, ..usage(40, 0) }, Step::Opens(36), false)]
+#[case::program_larger_than_the_limit(usage(20, 29), Step::Opens(500), true)]
 fn all_vms_count(#[case] usage: Usage, #[case] step: Step, #[case] admitted: bool) {
     let verdict = decide(&limit(100), usage, step);
     assert_eq!(verdict == Verdict::Admit, admitted, "{verdict:?}");
@@ -73,7 +76,10 @@
 /// A limit of one request a window must not refuse all programs.
 #[test]
 fn a_program_can_begin_under_the_smallest_limit() {
-    assert_eq!(decide(&limit(1), usage(0, 0), Step::Opens), Verdict::Admit);
+    assert_eq!(
+        decide(&limit(1), usage(0, 0), Step::Opens(11)),
+        Verdict::Admit
+    );
 }
 
 /// All processes were killed, and a workspace had used up its limit just before. It would get it
@@ -117,19 +123,17 @@
         burst,
         window: WINDOW,
     };
-    let mut admitted = 0;
-    for request in 0..5 * per_second {
-        let passed = u64::from(request.saturating_sub(per_second)) * 1_000 / u64::from(per_second);
+    for admitted in 0..5 * per_second {
+        if u64::from(admitted) == limit.allowance() {
+            break;
+        }
+        let passed = u64::from(admitted.saturating_sub(per_second)) * 1_000 / u64::from(per_second);
         let usage = Usage {
             counted_for: Millis::new(passed),
             ..usage(admitted, 0)
         };
-        if u64::from(admitted) == limit.allowance() {
-            break;
-        }
         let verdict = decide(&limit, usage, Step::Continues);
         assert_eq!(verdict, Verdict::Admit, "{passed} ms, {admitted} admitted");
-        admitted += 1;
     }
 }
 
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -19,7 +19,6 @@
 use link::body;
 use link::body::Body;
 use policy::prefix;
-use policy::quota::Step;
 use rand::RngExt;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -43,6 +42,7 @@
 use crate::table::Table;
 use crate::usage;
 use crate::usage::Admission;
+use crate::usage::Shown;
 use crate::work;
 
 /// The time limit of a request that states none.
@@ -250,12 +250,12 @@
         return Ok(None);
     };
     let is_call = route.kind != Kind::Stream && call.program.is_some();
-    let step = if is_call || call.previous.is_some() {
-        Step::Continues
+    let shown = if is_call || call.previous.is_some() {
+        Shown::HasBegun
     } else {
-        Step::Opens
+        Shown::Nothing
     };
-    usage::admit(node, workspace, call.program.as_deref(), step)
+    usage::admit(node, workspace, call.program.as_deref(), shown)
 }
 
 /// Identifies a request by the configuration that is in force now.
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -3,7 +3,6 @@
 //! The counts travel with the exchange of the VMs, summed up by hubs in the same way as the figures
 //! about runners (`tally`). `policy::quota` decides what they mean.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -14,6 +13,7 @@
 use policy::quota::Step;
 use policy::quota::Verdict;
 use policy::quota::Window;
+use policy::quota::programs::Programs;
 use serde::Deserialize;
 use serde::Serialize;
 use wire::clock::Millis;
@@ -38,8 +38,6 @@
 /// The counts of single VMs are told however small they are: those of dozens of VMs add up to most of
 /// a limit.
 const MIN_TOLD_DIVISOR: u64 = 32;
-/// Number of programs that are remembered as begun.
-const MAX_PROGRAMS: usize = 8_192;
 
 /// A workspace's requests in the last window, from one VM or summed over several.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,6 +46,8 @@
     pub workspace: u64,
     /// The requests that were admitted.
     pub admitted: u32,
+    /// The requests that programs under way are still expected to make.
+    pub pending: u32,
 }
 
 /// All counts of a VM.
@@ -56,8 +56,6 @@
     window: Millis,
     /// Sorted by the workspaces' ids.
     accounts: Vec<Account>,
-    /// Programs that have begun at this VM, oldest first, by digests of their ids.
-    programs: VecDeque<u64>,
     /// When this VM last heard another one.
     heard_at: Option<Millis>,
     /// Since when this VM or one that it heard counts.
@@ -68,6 +66,7 @@
 struct Account {
     workspace: u64,
     own: Window,
+    programs: Programs,
     /// Own count when this VM last heard another one.
     own_then: u32,
     reports: Vec<Report>,
@@ -79,9 +78,17 @@
 struct Report {
     origin: Origin,
     admitted: u32,
+    pending: u32,
     at: Millis,
 }
 
+/// Requests of other VMs.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    admitted: u32,
+    pending: u32,
+}
+
 /// A request that was counted. Unless it is sent, it is taken back when this is dropped.
 #[derive(Debug)]
 pub struct Admission {
@@ -106,8 +113,16 @@
     }
 }
 
-/// Counts a request of a workspace, or refuses it if it is over the workspace's limit. `step` is its
-/// place in its program, as far as the request itself shows it.
+/// What a request itself shows of its place in its program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shown {
+    /// The program has begun.
+    HasBegun,
+    /// Nothing.
+    Nothing,
+}
+
+/// Counts a request of a workspace, or refuses it if it is over the workspace's limit.
 ///
 /// # Errors
 ///
@@ -116,7 +131,7 @@
     node: &Arc<Node>,
     workspace: &Workspace,
     program: Option<&str>,
-    step: Step,
+    shown: Shown,
 ) -> Result<Option<Admission>, Refusal> {
     let Some(limit) = workspace.limit else {
         return Ok(None);
@@ -125,11 +140,10 @@
     let vms = node.peers().count_all();
     let mut ledger = node.usage();
     let program = program.map(|id| xxh3_64(id.as_bytes()));
-    let step = ledger.step(program, step);
+    let step = ledger.step(workspace.id, program, shown);
     match ledger.decide(workspace.id, limit, step, vms, now) {
         Verdict::Admit => {
-            ledger.add(workspace.id, now);
-            ledger.note_program(program);
+            ledger.add(workspace.id, program, now);
             Ok(Some(Admission {
                 node: node.clone(),
                 workspace: workspace.id,
@@ -152,7 +166,6 @@
         Self {
             window,
             accounts: Vec::new(),
-            programs: VecDeque::new(),
             heard_at: None,
             counting_since: now,
         }
@@ -168,6 +181,7 @@
             let account = Account {
                 workspace,
                 own: Window::new(self.window),
+                programs: Programs::default(),
                 own_then: 0,
                 reports: Vec::new(),
                 allowance: 0,
@@ -178,22 +192,14 @@
         &mut self.accounts[index]
     }
 
-    /// Returns a request's place in its program; `shown` is what the request itself shows of it.
-    fn step(&self, program: Option<u64>, shown: Step) -> Step {
-        let has_begun = program.is_some_and(|program| self.programs.contains(&program));
-        if has_begun { Step::Continues } else { shown }
-    }
-
-    fn note_program(&mut self, program: Option<u64>) {
-        let Some(program) = program else {
-            return;
-        };
-        if self.programs.contains(&program) {
-            return;
-        }
-        self.programs.push_back(program);
-        if self.programs.len() > MAX_PROGRAMS {
-            self.programs.pop_front();
+    /// Returns a request's place in its program.
+    fn step(&mut self, workspace: u64, program: Option<u64>, shown: Shown) -> Step {
+        let programs = &self.account(workspace).programs;
+        let has_begun = program.is_some_and(|program| programs.has_begun(program));
+        if has_begun || shown == Shown::HasBegun {
+            Step::Continues
+        } else {
+            Step::Opens(programs.expected())
         }
     }
 
@@ -219,9 +225,11 @@
         let counted_for = now.since(self.counting_since);
         let account = self.account(workspace);
         account.allowance = limit.allowance();
+        let others = account.others(now, window);
         let usage = quota::Usage {
             own: account.own.count(now),
-            others: account.others(now, window),
+            others: others.admitted,
+            pending: account.programs.pending(now) + others.pending,
             contact: if keeps_contact {
                 Contact::Kept
             } else {
@@ -235,9 +243,13 @@
         quota::decide(&limit, usage, step)
     }
 
-    /// Counts a request.
-    pub fn add(&mut self, workspace: u64, now: Millis) {
-        self.account(workspace).own.add(now);
+    /// Counts a request of a program.
+    pub fn add(&mut self, workspace: u64, program: Option<u64>, now: Millis) {
+        let account = self.account(workspace);
+        account.own.add(now);
+        if let Some(program) = program {
+            account.programs.note(program, now);
+        }
     }
 
     fn take_back(&mut self, workspace: u64, now: Millis) {
@@ -256,8 +268,11 @@
         let window = self.window;
         for account in &mut self.accounts {
             let found = uses.binary_search_by_key(&account.workspace, |told| told.workspace);
-            let admitted = found.map_or(0, |index| uses[index].admitted);
-            account.note(origin, admitted, window, now);
+            let told = found.map_or(Count::default(), |index| Count {
+                admitted: uses[index].admitted,
+                pending: uses[index].pending,
+            });
+            account.note(origin, told, window, now);
         }
     }
 
@@ -273,13 +288,14 @@
         let window = self.window;
         let mut told = Vec::new();
         for account in &mut self.accounts {
-            let of_others = account.sum(now, window, &speaks_for);
-            let admitted = account.own.count(now) + of_others;
+            let others = account.sum(now, window, &speaks_for);
+            let admitted = account.own.count(now) + others.admitted;
             let is_small = u64::from(admitted) * MIN_TOLD_DIVISOR < account.allowance;
-            if admitted > 0 && (of_others == 0 || !is_small) {
+            if admitted > 0 && (others.admitted == 0 || !is_small) {
                 let use_ = Use {
                     workspace: account.workspace,
                     admitted,
+                    pending: account.programs.pending(now) + others.pending,
                 };
                 let left = account.allowance.saturating_sub(u64::from(admitted));
                 told.push((left, use_));
@@ -294,35 +310,41 @@
 }
 
 impl Account {
-    fn note(&mut self, origin: &Origin, admitted: u32, window: Millis, now: Millis) {
+    fn note(&mut self, origin: &Origin, told: Count, window: Millis, now: Millis) {
         self.own_then = self.own.count(now);
         let max_age = retention(window);
         self.reports
             .retain(|report| report.origin != *origin && now.since(report.at) < max_age);
-        if admitted > 0 {
+        if told.admitted > 0 {
             self.reports.push(Report {
                 origin: origin.clone(),
-                admitted,
+                admitted: told.admitted,
+                pending: told.pending,
                 at: now,
             });
         }
     }
 
-    fn sum(&self, now: Millis, window: Millis, counts: impl Fn(&Origin) -> bool) -> u32 {
+    fn sum(&self, now: Millis, window: Millis, counts: impl Fn(&Origin) -> bool) -> Count {
         let max_age = retention(window);
         let recent = self.reports.iter();
         recent
             .filter(|report| now.since(report.at) < max_age && counts(&report.origin))
-            .map(|report| report.admitted)
-            .sum()
+            .fold(Count::default(), |sum, report| Count {
+                admitted: sum.admitted + report.admitted,
+                pending: sum.pending + report.pending,
+            })
     }
 
     /// Returns the count of all other VMs: the one that a hub told, or the sum of single ones,
     /// whichever is higher.
-    fn others(&self, now: Millis, window: Millis) -> u32 {
+    fn others(&self, now: Millis, window: Millis) -> Count {
         let from_hub = self.sum(now, window, |origin| *origin == Origin::Others);
         let one_by_one = self.sum(now, window, |origin| *origin != Origin::Others);
-        from_hub.max(one_by_one)
+        Count {
+            admitted: from_hub.admitted.max(one_by_one.admitted),
+            pending: from_hub.pending.max(one_by_one.pending),
+        }
     }
 }
 
--- a/crates/relay/src/usage/tests.rs
+++ b/crates/relay/src/usage/tests.rs
@@ -27,6 +27,7 @@
     [Use {
         workspace: WORKSPACE,
         admitted,
+        pending: 0,
     }]
 }
 
@@ -34,7 +35,7 @@
 fn fill(ledger: &mut Ledger, now: Millis) -> u32 {
     let mut admitted = 0;
     while ledger.decide(WORKSPACE, LIMIT, Step::Continues, VMS, now) == Verdict::Admit {
-        ledger.add(WORKSPACE, now);
+        ledger.add(WORKSPACE, None, now);
         admitted += 1;
     }
     admitted
@@ -72,7 +73,7 @@
 fn a_vm_that_hears_nobody_keeps_to_its_share() {
     let mut ledger = ledger();
     for _ in 0..6 {
-        ledger.add(WORKSPACE, START);
+        ledger.add(WORKSPACE, None, START);
     }
     ledger.note(&Origin::Others, &told(24), WINDOW, START);
     let cut = START.plus(Millis::new(2_000));
@@ -100,8 +101,8 @@
         milli_per_second: 1_000_000,
         burst: 0,
     };
-    let _verdict = ledger.decide(WORKSPACE, large, Step::Opens, VMS, START);
-    ledger.add(WORKSPACE, START);
+    let _verdict = ledger.decide(WORKSPACE, large, Step::Opens(8), VMS, START);
+    ledger.add(WORKSPACE, None, START);
     assert_eq!(ledger.uses(START, |_| false), told(1));
 }
 
@@ -115,7 +116,7 @@
         milli_per_second: 1_000_000,
         burst: 0,
     };
-    let _verdict = ledger.decide(WORKSPACE, large, Step::Opens, VMS, START);
+    let _verdict = ledger.decide(WORKSPACE, large, Step::Opens(8), VMS, START);
     assert_eq!(ledger.uses(START, |_| true), []);
 }
 
@@ -125,8 +126,8 @@
     let mut ledger = ledger();
     assert_eq!(fill(&mut ledger, START), 60);
     for other in 10..400 {
-        let _verdict = ledger.decide(other, LIMIT, Step::Opens, VMS, START);
-        ledger.add(other, START);
+        let _verdict = ledger.decide(other, LIMIT, Step::Opens(8), VMS, START);
+        ledger.add(other, None, START);
     }
     let uses = ledger.uses(START, |_| false);
     assert_eq!(uses.len(), super::MAX_TOLD);
