--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters and latency histograms, as text for a scraper.
 
+mod by_workspace;
+
 use std::fmt::Write;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -11,6 +14,8 @@
 use wire::clock::Millis;
 use wire::code::Code;
 
+use crate::metrics::by_workspace::Counters;
+
 /// The longest recordable latency in milliseconds: one hour. Longer ones count as this.
 const MAX_LATENCY_MS: u64 = 3_600_000;
 
@@ -143,6 +148,11 @@
     "platform_calls",
     "calls of the platform's key-value service by what they are for",
 );
+/// Name and help of the counters of requests over their workspace's limit.
+const OVER_LIMIT: (&str, &str) = (
+    "requests_over_limit",
+    "requests over their workspace's limit, or over the VM's share of it",
+);
 /// Name and help of the counters of broken streams.
 const BREAKS: (&str, &str) = (
     "streams_broken",
@@ -157,6 +167,7 @@
     outcomes: Vec<AtomicU64>,
     refusals: Vec<AtomicU64>,
     breaks: Vec<AtomicU64>,
+    over_limit: Mutex<Counters>,
     store_calls: Vec<AtomicU64>,
     latencies: Vec<Mutex<Histogram<u64>>>,
 }
@@ -172,6 +183,7 @@
             outcomes: zeros(Outcome::ALL.len() * KINDS.len()),
             refusals: zeros(Code::ALL.len()),
             breaks: zeros(Break::ALL.len()),
+            over_limit: Mutex::default(),
             store_calls: zeros(Call::ALL.len()),
             latencies: Latency::ALL.iter().map(|_| histogram()).collect(),
         }
@@ -211,6 +223,17 @@
         self.refusals[code as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a request that is over the limit of its workspace.
+    pub fn count_over_limit(&self, workspace: &str) {
+        self.over_limit().count(workspace);
+    }
+
+    fn over_limit(&self) -> MutexGuard<'_, Counters> {
+        self.over_limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a stream that ended early.
     pub fn count_break(&self, cause: Break) {
         self.breaks[cause as usize].fetch_add(1, Ordering::Relaxed);
@@ -244,6 +267,11 @@
         let codes = Code::ALL.iter();
         let codes = codes.map(|code| format!("code=\"CY{}\"", code.number()));
         family(&mut out, REFUSALS, codes, &self.refusals);
+        explain(&mut out, OVER_LIMIT.0, OVER_LIMIT.1);
+        for (workspace, count) in self.over_limit().all() {
+            let label = format!("{{workspace=\"{workspace}\"}}");
+            line(&mut out, OVER_LIMIT.0, &label, count);
+        }
         let causes = Break::ALL.iter();
         let causes = causes.map(|cause| format!("cause=\"{}\"", cause.name()));
         family(&mut out, BREAKS, causes, &self.breaks);
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -150,12 +150,13 @@
                 sent: AtomicBool::new(false),
             }))
         }
-        Verdict::OverLimit(span) => Err(refusal(Code::OverLimit, workspace, span)),
-        Verdict::OverShare(span) => Err(refusal(Code::OverShare, workspace, span)),
+        Verdict::OverLimit(span) => Err(refuse(node, Code::OverLimit, workspace, span)),
+        Verdict::OverShare(span) => Err(refuse(node, Code::OverShare, workspace, span)),
     }
 }
 
-fn refusal(code: Code, workspace: &Workspace, span: Millis) -> Refusal {
+fn refuse(node: &Node, code: Code, workspace: &Workspace, span: Millis) -> Refusal {
+    node.metrics.count_over_limit(&workspace.name);
     Refusal::new(code, &workspace.name).retry_after(span)
 }
 
