Send many runners' entries in parts, and one exchange at a time to a VM

Change: parts of 256 entries with a cursor (roster::transfer), and no second exchange with a VM that hasn't answered the first.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -25,11 +25,13 @@
 use link::body::Body;
 use link::body::Payload;
 use link::client;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::answer;
 use crate::exchange::outgoing::Message;
+use crate::exchange::outgoing::Recipient;
 use crate::node::Node;
 use crate::peers::Peer;
 
@@ -58,16 +60,31 @@
     Http(hyper::http::Error),
 }
 
-/// Starts exchanges periodically for as long as it is polled.
+/// Starts exchanges periodically for as long as it is polled. None is started with a VM that hasn't
+/// answered the one before: on a slow link the messages would queue up and fill the memory.
 pub async fn run(node: Arc<Node>) {
+    let mut under_way: Vec<UnderWay> = Vec::new();
     loop {
         sleep(pause(&node)).await;
+        under_way.retain(|exchange| !exchange.task.is_finished());
         for peer in targets(&node) {
-            tokio::spawn(exchange(node.clone(), peer));
+            if under_way.iter().any(|exchange| exchange.vm == peer.vm) {
+                continue;
+            }
+            under_way.push(UnderWay {
+                vm: peer.vm.clone(),
+                task: tokio::spawn(exchange(node.clone(), peer)),
+            });
         }
     }
 }
 
+/// An exchange that this VM started.
+struct UnderWay {
+    vm: String,
+    task: JoinHandle<()>,
+}
+
 /// Returns the pause before the next round of exchanges.
 #[must_use]
 pub fn pause(node: &Node) -> Duration {
@@ -90,8 +107,11 @@
 /// Applies another VM's message and returns the answer to it.
 #[must_use]
 pub fn respond(node: &Arc<Node>, theirs: Message) -> Message {
-    let echo = theirs.extension.proof.stamp;
-    let own = outgoing::message(node, &theirs.vm, &theirs.status, echo);
+    let recipient = Recipient {
+        stamp: theirs.extension.proof.stamp,
+        cursor: theirs.extension.cursor.as_deref(),
+    };
+    let own = outgoing::message(node, &theirs.vm, &theirs.status, recipient);
     incoming::apply(node, theirs);
     own
 }
@@ -105,7 +125,7 @@
 }
 
 async fn ask(node: &Arc<Node>, peer: &Peer) -> Result<Message, Fault> {
-    let own = outgoing::message(node, &peer.vm, &peer.status, peer.stamp);
+    let own = outgoing::message(node, &peer.vm, &peer.status, peer.recipient());
     let body = outgoing::encode(&own)?;
     let request = Request::builder()
         .method(Method::POST)
--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -13,6 +13,7 @@
 use crate::node::Node;
 use crate::roster::Delta;
 use crate::roster::Roster;
+use crate::roster::transfer::Part;
 
 /// Applies a message: the sender's status and figures, and its configuration and entries of runners
 /// if they are newer.
@@ -23,7 +24,7 @@
     {
         let mut peers = node.peers();
         peers.note_status(vm, centre, received.status, now);
-        peers.note_stamp(vm, proof.stamp);
+        peers.note_extension(vm, proof.stamp, received.extension.cursor.clone());
     }
     if let Some(directory) = received.directory {
         ingest::change_directory(node, |own| own.adopt(directory));
@@ -49,6 +50,9 @@
     if let Some(entries) = received.entries {
         replace_entries(node, &received.vm, entries);
     }
+    if let Some(part) = received.extension.part {
+        add_part(node, &received.vm, part);
+    }
     if let Some(changes) = &received.extension.changes {
         change_entries(node, &received.vm, changes);
     }
@@ -69,6 +73,18 @@
     node.roster().replace(entries);
 }
 
+/// Applies a part of the runners' entries: the runners in it are used at once, and those that no part
+/// has are dropped when the last one is there.
+fn add_part(node: &Arc<Node>, vm: &str, part: Part) {
+    if part.revision <= node.roster().revision {
+        return;
+    }
+    set_runners(node, vm, &part.entries);
+    if let Some(complete) = node.add_roster_part(vm, part) {
+        replace_entries(node, vm, complete);
+    }
+}
+
 /// Applies changes of the runners' entries if they follow on what this VM knows.
 fn change_entries(node: &Arc<Node>, vm: &str, changes: &Delta) {
     let listed: Vec<String> = {
--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -14,9 +14,10 @@
 use crate::peers::Status;
 use crate::roster::Delta;
 use crate::roster::Roster;
+use crate::roster::transfer;
+use crate::roster::transfer::Part;
 use crate::tally;
 use crate::tally::Origin;
-use crate::tally::Recipient;
 use crate::tally::Tally;
 use crate::usage::Use;
 
@@ -60,6 +61,10 @@
     pub uses: Vec<Use>,
     /// The changes of the runners' entries, if the recipient's are only a few changes behind.
     pub changes: Option<Delta>,
+    /// Some of the runners' entries, if they are too many for a message.
+    pub part: Option<Part>,
+    /// The last entry that the sender has of those that the recipient sends in parts.
+    pub cursor: Option<String>,
     /// For how long these VMs, or others that they heard, have counted them, in milliseconds.
     pub counted_for: u64,
 }
@@ -89,8 +94,17 @@
     Ok(message)
 }
 
-/// Builds the message to a VM with the given status; `echo` is the last stamp that it sent.
-pub fn message(node: &Node, to: &str, theirs: &Status, echo: Option<Stamp>) -> Message {
+/// What a VM's last message said besides its status.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Recipient<'a> {
+    /// The stamp of the message; `None` if the VM doesn't know the extension of messages.
+    pub stamp: Option<Stamp>,
+    /// The last entry that the VM has of those that this one sends in parts.
+    pub cursor: Option<&'a str>,
+}
+
+/// Builds the message to a VM with the given status.
+pub fn message(node: &Node, to: &str, theirs: &Status, peer: Recipient<'_>) -> Message {
     let now = node.clock.now();
     let settings = &node.settings;
     let Figures {
@@ -102,7 +116,11 @@
     let members = node.replicas.list();
     let status = status(node, table.version);
     let is_newer = |own: u64, theirs: u64| own > theirs;
-    let (entries, changes) = roster_for(node, theirs, echo);
+    let RosterNews {
+        entries,
+        changes,
+        part,
+    } = roster_news(node, theirs, peer);
     Message {
         vm: settings.vm.clone(),
         centre: settings.centre.clone(),
@@ -117,11 +135,13 @@
         extension: Extension {
             proof: Proof {
                 stamp: Some(node.stamp()),
-                echo,
+                echo: peer.stamp,
                 age: config_age.map(Millis::as_u64),
             },
             uses,
             changes,
+            part,
+            cursor: node.roster_cursor(to),
             counted_for: node.usage().counted_for(now).as_u64(),
         },
     }
@@ -140,21 +160,40 @@
     }
 }
 
-/// Returns what a VM with the given status needs to know of the runners' entries: all, or what
-/// changed. A VM that has sent no stamp doesn't understand changes.
-fn roster_for(
-    node: &Node,
-    theirs: &Status,
-    echo: Option<Stamp>,
-) -> (Option<Roster>, Option<Delta>) {
+/// What a VM needs to know of the runners' entries; at most one of these.
+#[derive(Default)]
+struct RosterNews {
+    entries: Option<Roster>,
+    changes: Option<Delta>,
+    part: Option<Part>,
+}
+
+fn roster_news(node: &Node, theirs: &Status, peer: Recipient<'_>) -> RosterNews {
     let roster = node.roster();
     if roster.revision <= theirs.roster {
-        return (None, None);
+        return RosterNews::default();
+    }
+    if peer.stamp.is_none() {
+        return RosterNews {
+            entries: Some(roster.clone()),
+            ..RosterNews::default()
+        };
+    }
+    if let Some(changes) = roster.delta(theirs.roster) {
+        return RosterNews {
+            changes: Some(changes),
+            ..RosterNews::default()
+        };
+    }
+    if roster.entries.len() > transfer::MAX_ENTRIES {
+        return RosterNews {
+            part: Some(Part::of(&roster, peer.cursor)),
+            ..RosterNews::default()
+        };
     }
-    let changes = echo.and_then(|_| roster.delta(theirs.roster));
-    match changes {
-        Some(changes) => (None, Some(changes)),
-        None => (Some(roster.clone()), None),
+    RosterNews {
+        entries: Some(roster.clone()),
+        ..RosterNews::default()
     }
 }
 
@@ -179,9 +218,12 @@
         peers::Role::Hub => {
             let leaf = in_own_centre(to).then_some(to);
             let (recipient, origin) = if let Some(leaf) = leaf {
-                (Recipient::SameCentre(leaf), Origin::Others)
+                (tally::Recipient::SameCentre(leaf), Origin::Others)
             } else {
-                (Recipient::OtherHub, Origin::Centre(settings.centre.clone()))
+                (
+                    tally::Recipient::OtherHub,
+                    Origin::Centre(settings.centre.clone()),
+                )
             };
             let is_forwarded =
                 |of: &Origin| tally::is_forwarded(of, recipient, &settings.centre, in_own_centre);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -32,6 +32,8 @@
 use crate::peers::Access;
 use crate::peers::Peers;
 use crate::roster::Roster;
+use crate::roster::transfer::Part;
+use crate::roster::transfer::Transfer;
 use crate::subject;
 use crate::subject::Knowledge;
 use crate::subject::Situation;
@@ -117,6 +119,8 @@
     fleet: Mutex<Fleet>,
     usage: Mutex<Ledger>,
     roster: Mutex<Roster>,
+    /// The runners' entries that another VM is sending in parts.
+    roster_transfer: Mutex<Option<Transfer>>,
     directory: Mutex<Directory>,
     /// Whether the directory has been read, so that the VM knows whom to ask.
     directory_read: AtomicBool,
@@ -184,6 +188,7 @@
             fleet: Mutex::default(),
             usage: Mutex::new(Ledger::new(settings.limit_window, clock.now())),
             roster: Mutex::default(),
+            roster_transfer: Mutex::default(),
             directory: Mutex::default(),
             directory_read: AtomicBool::new(false),
             store_failing: AtomicBool::new(false),
@@ -306,6 +311,26 @@
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds a part of the runners' entries that another VM sent. Returns the entries if they are
+    /// complete.
+    pub fn add_roster_part(&self, vm: &str, part: Part) -> Option<Roster> {
+        Transfer::add(&mut self.roster_transfer(), vm, part)
+    }
+
+    /// Returns the last of the runners' entries that a VM has sent in parts.
+    #[must_use]
+    pub fn roster_cursor(&self, vm: &str) -> Option<String> {
+        let transfer = self.roster_transfer();
+        let cursor = transfer.as_ref()?.cursor(vm);
+        cursor.map(str::to_owned)
+    }
+
+    fn roster_transfer(&self) -> MutexGuard<'_, Option<Transfer>> {
+        self.roster_transfer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the directory.
     pub fn directory(&self) -> MutexGuard<'_, Directory> {
         self.directory
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -19,6 +19,7 @@
 
 use crate::directory::Entry;
 use crate::directory::SLOTS;
+use crate::exchange::outgoing::Recipient;
 use crate::freshness::Stamp;
 use crate::identity::Others;
 
@@ -88,6 +89,8 @@
     pub status: Status,
     /// The stamp of the last message from the VM.
     pub stamp: Option<Stamp>,
+    /// The last of the runners' entries that the VM has of those that this one sends in parts.
+    pub cursor: Option<String>,
     /// The VM's share of a processor in thousandths of a core.
     capacity: u64,
     last_heard: Millis,
@@ -105,6 +108,15 @@
 }
 
 impl Peer {
+    /// Returns what the VM's last message said.
+    #[must_use]
+    pub fn recipient(&self) -> Recipient<'_> {
+        Recipient {
+            stamp: self.stamp,
+            cursor: self.cursor.as_deref(),
+        }
+    }
+
     fn answers(&self, now: Millis) -> bool {
         self.lapsed_at.is_none() && now.since(self.last_heard) < ANSWER_TIMEOUT
     }
@@ -209,6 +221,7 @@
                     address: entry.address,
                     status: Status::default(),
                     stamp: None,
+                    cursor: None,
                     capacity: entry.capacity,
                     last_heard: now,
                     lapsed_at: None,
@@ -273,10 +286,12 @@
         }
     }
 
-    /// Records the stamp of a message, to be returned in the next message to its sender.
-    pub fn note_stamp(&mut self, vm: &str, stamp: Option<Stamp>) {
+    /// Records what else a message said, for the next message to its sender: its stamp, and the last
+    /// of the runners' entries that the sender has of those sent to it in parts.
+    pub fn note_extension(&mut self, vm: &str, stamp: Option<Stamp>, cursor: Option<String>) {
         if let Ok(index) = self.find(vm) {
             self.known[index].stamp = stamp;
+            self.known[index].cursor = cursor;
         }
     }
 
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -8,6 +8,8 @@
 //! entries of thousands of runners are hundreds of kilobytes, and while runners start or are replaced
 //! they change several times a second.
 
+pub mod transfer;
+
 use std::collections::VecDeque;
 
 use serde::Deserialize;
--- a/crates/relay/tests/fleet_model/simulate.rs
+++ b/crates/relay/tests/fleet_model/simulate.rs
@@ -239,7 +239,7 @@
         let sent = self.now();
         for peer in exchange::targets(&node) {
             let begin = Instant::now();
-            let message = outgoing::message(&node, &peer.vm, &peer.status, peer.stamp);
+            let message = outgoing::message(&node, &peer.vm, &peer.status, peer.recipient());
             self.vms[vm].traffic.processor_time += begin.elapsed();
             self.vms[vm].traffic.note_message(&message);
             let other = vm::number(&peer.vm).expect("the model named it");
