--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -18,9 +18,10 @@
 //!
 //! A program earns nothing unless all of its requests are served, so each one that is begun and not
 //! finished uses up requests of the limit for nothing. Served in the order of their arrival, callers
-//! that begin four times as many programs as the limit holds see nearly all of them fail. So a program
-//! may begin only if the limit also holds what the programs under way are still expected to ask
-//! ([`programs`]).
+//! that begin four times as many programs as the limit holds see nearly all of them fail. So once
+//! the limit was reached, a program may begin only if the limit also holds what the programs under way
+//! are still expected to ask ([`programs`]). Below the limit nothing is kept back: a workspace of few
+//! requests comes near its limit by chance, and would be refused for nothing.
 
 use wire::clock::Millis;
 
@@ -130,6 +131,22 @@
     },
 }
 
+/// Whether a workspace asks for more than its limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pressure {
+    /// It was not refused lately.
+    Low,
+    /// It was.
+    High,
+}
+
+/// For how long after a refusal the pressure counts as high: programs that began before have mostly
+/// ended then.
+#[must_use]
+pub const fn pressure_span(window: Millis) -> Millis {
+    Millis::new(window.as_u64() * 2)
+}
+
 /// A workspace's requests in the last window.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Usage {
@@ -139,7 +156,9 @@
     pub others: u32,
     /// Those that programs under way at all VMs are still expected to make.
     pub pending: u32,
-    /// Whether these are still told.
+    /// Whether the limit was reached lately.
+    pub pressure: Pressure,
+    /// Whether the other VMs' counts are still told.
     pub contact: Contact,
     /// For how long the VMs together have counted, up to the window.
     pub counted_for: Millis,
@@ -209,7 +228,8 @@
         Step::Opens(requests) => {
             let bound = allowance * OPENING_PERCENT / 100;
             let always = allowance.div_ceil(ALWAYS_OPEN_DIVISOR);
-            used < allowance && (expected + u64::from(requests) <= bound || expected < always)
+            let fits = expected + u64::from(requests) <= bound || expected < always;
+            used < allowance && (usage.pressure == Pressure::Low || fits)
         }
     };
     if is_within {
--- a/crates/policy/src/quota/tests.rs
+++ b/crates/policy/src/quota/tests.rs
@@ -3,6 +3,7 @@
 
 use super::Contact;
 use super::Limit;
+use super::Pressure;
 use super::START_ALLOWANCE;
 use super::Step;
 use super::Usage;
@@ -26,6 +27,7 @@
         own,
         others,
         pending: 0,
+        pressure: Pressure::High,
         contact: Contact::Kept,
         counted_for: WINDOW,
     }
@@ -66,6 +68,8 @@
 #[case::others_used_it(usage(0, 100), Step::Continues, false)]
 #[case::program_that_fits(usage(40, 30), Step::Opens(35), true)]
 #[case::program_that_does_not_fit(usage(40, 30), Step::Opens(36), false)]
+#[case::nothing_was_refused(Usage { pressure: Pressure::Low, ..usage(40, 59) }, Step::Opens(36), true)]
+#[case::nothing_is_left(Usage { pressure: Pressure::Low, ..usage(40, 60) }, Step::Opens(1), false)]
 #[case::others_are_under_way(Usage { pending: 30, ..usage(40, 0) }, Step::Opens(36), false)]
 #[case::program_larger_than_the_limit(usage(20, 29), Step::Opens(500), true)]
 fn all_vms_count(#[case] usage: Usage, #[case] step: Step, #[case] admitted: bool) {
--- a/crates/policy/tests/quotas.rs
+++ b/crates/policy/tests/quotas.rs
@@ -4,6 +4,7 @@
 use policy::quota;
 use policy::quota::Contact;
 use policy::quota::Limit;
+use policy::quota::Pressure;
 use policy::quota::Step;
 use policy::quota::Usage;
 use policy::quota::Verdict;
@@ -92,6 +93,8 @@
     draws: ChaCha8Rng,
     own: Vec<Window>,
     begun: Vec<Programs>,
+    /// Until when the pressure is high, by VM.
+    pressed_until: Vec<Millis>,
     /// What all VMs have admitted and expect, at each millisecond.
     history: Vec<Vec<Count>>,
     programs: Vec<Program>,
@@ -106,6 +109,7 @@
         draws: ChaCha8Rng::seed_from_u64(seed),
         own: vec![Window::new(LIMIT.window); VMS],
         begun: vec![Programs::default(); VMS],
+        pressed_until: vec![Millis::ZERO; VMS],
         history: Vec::new(),
         programs: Vec::new(),
         last_id: 0,
@@ -181,6 +185,7 @@
                 program.next_at = now + STEP_MS;
             }
             Verdict::OverLimit(span) | Verdict::OverShare(span) => {
+                self.pressed_until[program.vm] = at.plus(quota::pressure_span(LIMIT.window));
                 program.tries += 1;
                 program.next_at = now + span.as_u64() + self.draws.random_range(0..100);
             }
@@ -199,6 +204,11 @@
             own: self.own[vm].count(at),
             others,
             pending: pending + self.begun[vm].pending(at),
+            pressure: if at < self.pressed_until[vm] {
+                Pressure::High
+            } else {
+                Pressure::Low
+            },
             contact: Contact::Kept,
             counted_for: LIMIT.window,
         }
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -10,6 +10,7 @@
 use adapter::config::Limit;
 use policy::quota;
 use policy::quota::Contact;
+use policy::quota::Pressure;
 use policy::quota::Step;
 use policy::quota::Verdict;
 use policy::quota::Window;
@@ -70,6 +71,8 @@
     /// Own count when this VM last heard another one.
     own_then: u32,
     reports: Vec<Report>,
+    /// When a request was last refused; `None` if none was.
+    refused_at: Option<Millis>,
     /// The limit that was last looked at, as the number of requests in a window.
     allowance: u64,
 }
@@ -185,6 +188,7 @@
                 programs: Programs::default(),
                 own_then: 0,
                 reports: Vec::new(),
+                refused_at: None,
                 allowance: 0,
             };
             self.accounts.insert(index, account);
@@ -231,6 +235,7 @@
             own: account.own.count(now),
             others: others.admitted,
             pending: account.programs.pending(now) + others.pending,
+            pressure: account.pressure(now, window),
             contact: if keeps_contact {
                 Contact::Kept
             } else {
@@ -241,7 +246,11 @@
             },
             counted_for,
         };
-        quota::decide(&limit, usage, step)
+        let verdict = quota::decide(&limit, usage, step);
+        if verdict != Verdict::Admit {
+            account.refused_at = Some(now);
+        }
+        verdict
     }
 
     /// Counts a request of a program.
@@ -311,6 +320,16 @@
 }
 
 impl Account {
+    fn pressure(&self, now: Millis, window: Millis) -> Pressure {
+        let span = quota::pressure_span(window);
+        let is_recent = |at| now.since(at) < span;
+        if self.refused_at.is_some_and(is_recent) {
+            Pressure::High
+        } else {
+            Pressure::Low
+        }
+    }
+
     fn note(&mut self, origin: &Origin, told: Count, window: Millis, now: Millis) {
         self.own_then = self.own.count(now);
         let max_age = retention(window);
