Test that a proof is as old as its call, and that an unreadable configuration proves nothing

Taking the answer's time for the call's left all tests of relay's tests/keys green, as the played service answers within milliseconds; it is red here.

--- a/crates/relay/src/follow/step.rs
+++ b/crates/relay/src/follow/step.rs
@@ -212,3 +212,6 @@
     let vms = u32::try_from(node.peers().listed()).unwrap_or(u32::MAX);
     WATCH_PAUSE * (1 + vms / VMS_PER_OWN_PAUSE)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/follow/step/tests.rs
@@ -0,0 +1,132 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use adapter::keys;
+use adapter::kv::Freshness;
+use adapter::kv::Listing;
+use adapter::kv::Update;
+use adapter::settings;
+use platform::edge::Change;
+use platform::edge::Entry;
+use wire::clock::Clock;
+use wire::clock::Millis;
+
+use super::Follower;
+use super::Step;
+use crate::node::Node;
+use crate::subject::Subject;
+
+const START: u64 = 100_000;
+
+/// A VM that reads the configuration itself.
+struct Reader {
+    node: Arc<Node>,
+    now: Arc<AtomicU64>,
+    follower: Follower,
+}
+
+impl Reader {
+    fn new(subject: Subject) -> Self {
+        let now = Arc::new(AtomicU64::new(START));
+        let settings = settings::parse(&fakes::settings::alone()).unwrap();
+        let node = Node::new(settings, Clock::Manual(now.clone()));
+        node.note_directory_listed(Freshness::Latest);
+        Self {
+            node,
+            now,
+            follower: Follower::new(subject),
+        }
+    }
+
+    fn pass(&self, millis: u64) {
+        self.now.fetch_add(millis, Ordering::SeqCst);
+    }
+
+    /// Takes steps until one is a call.
+    fn call(&mut self) -> Step {
+        loop {
+            match self.follower.step(&self.node) {
+                Step::Pause(_) => self.pass(50),
+                call => return call,
+            }
+        }
+    }
+
+    fn age(&self) -> Option<Millis> {
+        self.node.table_with_age().1
+    }
+}
+
+fn entry(version: u64) -> Entry {
+    let document = fakes::store::keyed_configuration(version, "", &[]);
+    Entry {
+        key: keys::CONFIG.to_owned(),
+        value: document.into_bytes(),
+        revision: version,
+    }
+}
+
+fn listing(version: u64) -> Listing {
+    Listing {
+        entries: vec![entry(version)],
+        revision: version,
+    }
+}
+
+/// The service answers late. A key may have been taken away after it had made the answer, so the
+/// configuration is only known to have been current when the call was sent.
+#[test]
+fn a_configuration_is_as_old_as_the_call_that_read_it() {
+    let mut reader = Reader::new(Subject::Config);
+    assert_eq!(reader.call(), Step::List(Freshness::Latest));
+    reader.pass(700);
+    reader.follower.listed(&reader.node, Ok(listing(1)));
+    assert_eq!(reader.age(), Some(Millis::new(700)));
+    assert_eq!(reader.call(), Step::Watch(1));
+    reader.pass(20_000);
+    let nothing = Update::Changes {
+        changes: Vec::new(),
+        revision: 1,
+    };
+    reader.follower.watched(&reader.node, Ok(nothing));
+    assert_eq!(reader.age(), Some(Millis::new(20_000)));
+}
+
+/// The operator's newest configuration can't be read. It may have taken keys away, so the one in
+/// force must not pass for current any more.
+#[test]
+fn an_unreadable_configuration_ends_the_proof() {
+    let mut reader = Reader::new(Subject::Config);
+    reader.call();
+    reader.follower.listed(&reader.node, Ok(listing(1)));
+    reader.call();
+    reader.pass(1_000);
+    let unreadable = Entry {
+        value: b"{".to_vec(),
+        ..entry(2)
+    };
+    let update = Update::Changes {
+        changes: vec![Change::Set(unreadable)],
+        revision: 2,
+    };
+    reader.follower.watched(&reader.node, Ok(update));
+    assert_eq!(reader.age(), Some(Millis::new(1_000)));
+    reader.call();
+    let update = Update::Changes {
+        changes: vec![Change::Set(entry(3))],
+        revision: 3,
+    };
+    reader.follower.watched(&reader.node, Ok(update));
+    assert_eq!(reader.age(), Some(Millis::ZERO));
+}
+
+/// Where callers need no keys, no call is made for proofs.
+#[test]
+fn no_proof_is_asked_for_without_keys() {
+    let mut reader = Reader::new(Subject::Proof);
+    for _ in 0..100 {
+        assert!(matches!(reader.follower.step(&reader.node), Step::Pause(_)));
+        reader.pass(100);
+    }
+}
