Ask the service again soon for a proof after a failed call

Cause: in an outage the one VM that asks for all paused up to 0.6 s between calls, and no key is accepted until one is answered. It pauses 0.15 s now, as for the runners.

--- a/crates/relay/src/follow/outage.rs
+++ b/crates/relay/src/follow/outage.rs
@@ -56,8 +56,8 @@
         let now = node.clock.now();
         let is_first = node.peers().is_first_of_all(&node.settings.vm, now);
         let max_pause = match subject {
+            Subject::Runners | Subject::Proof if is_first => FIRST_RETRY_PAUSE,
             Subject::Config | Subject::Proof => MAX_CONFIG_RETRY_PAUSE,
-            Subject::Runners if is_first => FIRST_RETRY_PAUSE,
             Subject::Runners | Subject::Own => MAX_RETRY_PAUSE,
         };
         let doublings = self.failures.saturating_sub(1).min(4);
--- a/crates/relay/tests/keys.rs
+++ b/crates/relay/tests/keys.rs
@@ -49,6 +49,15 @@
     counts
 }
 
+/// Returns the VMs of the first data centre, and all others with the service.
+fn first_centre() -> (Vec<Host>, Vec<Host>) {
+    let (inside, mut outside): (Vec<Host>, Vec<Host>) = (0..VMS)
+        .map(Host::Vm)
+        .partition(|host| matches!(host, Host::Vm(vm) if vm % CENTRES == 0));
+    outside.push(Host::Store);
+    (inside, outside)
+}
+
 /// Takes the key "taken" away and fails if a VM accepts it after the bound.
 fn assert_revoked(world: &mut World) {
     world.write_keys(&["kept"]);
@@ -114,15 +123,7 @@
 #[rstest]
 fn a_data_centre_that_is_cut_off_refuses_all_keys(#[values(1, 2, 3)] seed: u64) {
     let mut world = fleet(seed);
-    let inside: Vec<Host> = (0..VMS)
-        .filter(|vm| vm % CENTRES == 0)
-        .map(Host::Vm)
-        .collect();
-    let mut outside: Vec<Host> = (0..VMS)
-        .filter(|vm| vm % CENTRES != 0)
-        .map(Host::Vm)
-        .collect();
-    outside.push(Host::Store);
+    let (inside, outside) = first_centre();
     world.cut_both_ways(&inside, &outside);
     assert_revoked(&mut world);
     assert_eq!(world.vms_accepting("kept").len(), VMS - inside.len());
@@ -133,15 +134,7 @@
 #[rstest]
 fn a_data_centre_that_hears_and_is_not_heard_refuses_all_keys(#[values(1, 2)] seed: u64) {
     let mut world = fleet(seed);
-    let inside: Vec<Host> = (0..VMS)
-        .filter(|vm| vm % CENTRES == 0)
-        .map(Host::Vm)
-        .collect();
-    let mut outside: Vec<Host> = (0..VMS)
-        .filter(|vm| vm % CENTRES != 0)
-        .map(Host::Vm)
-        .collect();
-    outside.push(Host::Store);
+    let (inside, outside) = first_centre();
     world.cut_one_way(&inside, &outside);
     assert_revoked(&mut world);
 }
@@ -177,6 +170,21 @@
     assert_revoked(&mut world);
 }
 
+/// The service is away for longer than keys are accepted. Callers have few tries left by its return, so
+/// the VMs have to notice it at once.
+#[rstest]
+fn keys_are_accepted_soon_after_an_outage(#[values(1, 2, 3)] seed: u64) {
+    let mut world = fleet(seed);
+    let hosts: Vec<Host> = (0..VMS).map(Host::Vm).collect();
+    world.cut_both_ways(&hosts, &[Host::Store]);
+    world.run(7_000);
+    assert_eq!(world.vms_accepting("kept"), [""; 0]);
+    world.network.heal();
+    // A call that the outage left without an answer lasts 0.9 s.
+    world.run(900 + 400);
+    assert_eq!(world.vms_accepting("kept").len(), VMS);
+}
+
 /// All VMs restart at once after a key was taken away. None may accept it again, from whatever
 /// another VM still knew.
 #[rstest]
