--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -241,6 +241,9 @@
         now: Millis,
         speaks_for: impl Fn(&Origin) -> bool,
     ) -> Vec<Tally> {
+        if self.runners.len() <= MAX_TOLD {
+            return self.tallies(now, speaks_for);
+        }
         let mut of_service: Vec<&Runner> = self.runners.iter().collect();
         of_service.sort_by(|a, b| a.entry.service.cmp(&b.entry.service));
         let services = of_service.chunk_by(|a, b| a.entry.service == b.entry.service);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -267,15 +267,15 @@
         }
     }
 
-    /// Returns whether the keys of callers can be checked.
+    /// Returns whether the configuration is recent enough for unknown keys to be refused for good.
     #[must_use]
     pub fn can_identify(&self) -> bool {
         let (table, age) = self.table_with_age();
         table.workspaces.is_none() || age.is_some_and(|age| age <= self.config_max_age())
     }
 
-    /// Returns whether the configuration is too old for callers to be sent to this VM. No VM is
-    /// better off while none has a proof, but then the balancer uses all.
+    /// Returns whether the configuration is too old for callers to be sent to this VM. While that
+    /// holds for most VMs of a data centre, the balancer uses all of them.
     fn is_config_stale(&self) -> bool {
         let (table, age) = self.table_with_age();
         let Some(bound) = self.settings.revocation else {
