--- a/crates/replica/tests/list_changes.rs
+++ b/crates/replica/tests/list_changes.rs
@@ -24,6 +24,10 @@
 use replica::server;
 use wire::clock::Clock;
 
+/// Writes that are tried until one is still being synced when the list changes. The disk's thread may
+/// be done with one at once.
+const MAX_ATTEMPTS: u32 = 100;
+
 struct Folder(PathBuf);
 
 impl Drop for Folder {
@@ -145,24 +149,32 @@
 async fn a_write_synced_during_a_list_change_is_answered_with_the_new_list() {
     let folder = Folder(std::env::temp_dir().join(format!("replica-r-{}", std::process::id())));
     let (member, _first, second) = member(&folder).await;
-    let turn = Turn {
-        key: Key::of("t1"),
-        previous: None,
-        text: Bytes::from_static(b"one"),
-    };
-    let ask = Ask {
-        version: second.version,
-        body: Body::Apply(vec![Record::Turn(turn)]),
-    };
-    let mut answer = Box::pin(member.answer(ask));
-    tokio::select! {
-        biased;
-        answer = &mut answer => panic!("nothing is synced yet: {answer:?}"),
-        () = std::future::ready(()) => {}
+    for attempt in 0..MAX_ATTEMPTS {
+        let turn = Turn {
+            key: Key::of(&format!("t{attempt}")),
+            previous: None,
+            text: Bytes::from_static(b"one"),
+        };
+        let ask = Ask {
+            version: second.version,
+            body: Body::Apply(vec![Record::Turn(turn)]),
+        };
+        let mut answer = Box::pin(member.answer(ask));
+        tokio::select! {
+            biased;
+            // The disk's thread was done before this thread went on: no list changed meanwhile.
+            answer = &mut answer => {
+                assert_eq!(answer, Answer::Applied(Vec::new()));
+                continue;
+            }
+            () = std::future::ready(()) => {}
+        }
+        let third = second.with(&second.members[0].clone());
+        member.adopt(&third).await.unwrap();
+        assert_eq!(answer.await, Answer::Newer(third));
+        return;
     }
-    let third = second.with(&second.members[0].clone());
-    member.adopt(&third).await.unwrap();
-    assert_eq!(answer.await, Answer::Newer(third));
+    panic!("each write was synced before the list could change");
 }
 
 /// The list has just changed and a member is still catching up. A turn that the member holds is
