--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod prefix;
 pub mod queue;
 pub mod quota;
+mod rendezvous;
 pub mod retry;
 pub mod slow_start;
 pub mod stop;
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -11,6 +11,7 @@
 use wire::clock::Millis;
 
 use crate::decay;
+use crate::rendezvous;
 
 /// Share of an endpoint's memory that holds parts that no running call uses; under high load,
 /// running prompts take the other half.
@@ -212,7 +213,7 @@
     }
     let mut weights: Vec<u64> = endpoints
         .iter()
-        .map(|endpoint| weight(first, *endpoint))
+        .map(|endpoint| rendezvous::weight(first, *endpoint))
         .collect();
     let by_endpoint = weights.clone();
     weights.sort_unstable_by(|a, b| b.cmp(a));
@@ -223,13 +224,5 @@
         .collect()
 }
 
-/// Hashes a part with an endpoint (the finalizer of `SplitMix64`).
-fn weight(part: u64, endpoint: u64) -> u64 {
-    let mut z = part.rotate_left(32) ^ endpoint;
-    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    z ^ (z >> 31)
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/policy/src/subset.rs
+++ b/crates/policy/src/subset.rs
@@ -9,7 +9,7 @@
 //! endpoints another one uses. Most are in the VM's data centre; the rest are for the moment when
 //! these are full or cut off.
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use crate::rendezvous;
 
 /// Number of endpoints of a service that a VM uses. Where there are no more, it uses all.
 pub const MAX_USED: usize = 96;
@@ -57,7 +57,7 @@
     let at_place = candidates.iter().enumerate();
     let at_place = at_place.filter(|(_, candidate)| candidate.place == place);
     let mut ranked: Vec<(u64, usize)> = at_place
-        .map(|(index, candidate)| (xxh3_64_with_seed(&candidate.id.to_le_bytes(), vm), index))
+        .map(|(index, candidate)| (rendezvous::weight(vm, candidate.id), index))
         .collect();
     ranked.sort_unstable();
     ranked.into_iter().map(|(_, index)| index).collect()
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -31,9 +31,9 @@
 
 use crate::answer;
 use crate::exchange::outgoing::Message;
-use crate::exchange::outgoing::Recipient;
 use crate::node::Node;
 use crate::peers::Peer;
+use crate::peers::Recipient;
 
 /// HTTP path of the exchange.
 const PATH: &str = "/exchange";
--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -7,10 +7,10 @@
 
 use crate::directory::Directory;
 use crate::freshness::Proof;
-use crate::freshness::Stamp;
 use crate::node::Node;
 use crate::peers;
 use crate::peers::Lifecycle;
+use crate::peers::Recipient;
 use crate::peers::Status;
 use crate::roster::Delta;
 use crate::roster::Roster;
@@ -65,7 +65,8 @@
     pub part: Option<Part>,
     /// The last entry that the sender has of those that the recipient sends in parts.
     pub cursor: Option<String>,
-    /// For how long these VMs, or others that they heard, have counted them, in milliseconds.
+    /// For how long the VMs of the message's origin, or others that they heard, have counted requests
+    /// of workspaces, in milliseconds.
     pub counted_for: u64,
 }
 
@@ -94,15 +95,6 @@
     Ok(message)
 }
 
-/// What a VM's last message said besides its status.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Recipient<'a> {
-    /// The stamp of the message; `None` if the VM doesn't know the extension of messages.
-    pub stamp: Option<Stamp>,
-    /// The last entry that the VM has of those that this one sends in parts.
-    pub cursor: Option<&'a str>,
-}
-
 /// Builds the message to a VM with the given status.
 pub fn message(node: &Node, to: &str, theirs: &Status, peer: Recipient<'_>) -> Message {
     let now = node.clock.now();
@@ -173,27 +165,26 @@
     if roster.revision <= theirs.roster {
         return RosterNews::default();
     }
-    if peer.stamp.is_none() {
-        return RosterNews {
-            entries: Some(roster.clone()),
-            ..RosterNews::default()
-        };
-    }
-    if let Some(changes) = roster.delta(theirs.roster) {
-        return RosterNews {
-            changes: Some(changes),
+    let knows_extension = peer.stamp.is_some();
+    let changes = if knows_extension {
+        roster.delta(theirs.roster)
+    } else {
+        None
+    };
+    let is_large = knows_extension && roster.entries.len() > transfer::MAX_ENTRIES;
+    match changes {
+        Some(_) => RosterNews {
+            changes,
             ..RosterNews::default()
-        };
-    }
-    if roster.entries.len() > transfer::MAX_ENTRIES {
-        return RosterNews {
+        },
+        None if is_large => RosterNews {
             part: Some(Part::of(&roster, peer.cursor)),
             ..RosterNews::default()
-        };
-    }
-    RosterNews {
-        entries: Some(roster.clone()),
-        ..RosterNews::default()
+        },
+        None => RosterNews {
+            entries: Some(roster.clone()),
+            ..RosterNews::default()
+        },
     }
 }
 
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -244,10 +244,17 @@
         if self.runners.len() <= MAX_TOLD {
             return self.tallies(now, speaks_for);
         }
-        let mut of_service: Vec<&Runner> = self.runners.iter().collect();
-        of_service.sort_by(|a, b| a.entry.service.cmp(&b.entry.service));
-        let services = of_service.chunk_by(|a, b| a.entry.service == b.entry.service);
-        let used = services.flat_map(|runners| subset::used(vm, centre, runners, MAX_TOLD));
+        let mut services: Vec<&str> = Vec::new();
+        for runner in &self.runners {
+            if !services.contains(&runner.entry.service.as_str()) {
+                services.push(&runner.entry.service);
+            }
+        }
+        let used = services.into_iter().flat_map(|service| {
+            let runners = self.runners.iter();
+            let of_service = runners.filter(|runner| runner.entry.service == service);
+            subset::used(vm, centre, &of_service.collect::<Vec<_>>(), MAX_TOLD)
+        });
         let mut tallies = tallies(used, now, speaks_for);
         tallies.sort_by(|a, b| a.runner.cmp(&b.runner));
         tallies
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -17,6 +17,7 @@
 use wire::event::Event;
 
 use crate::node::Node;
+use crate::peers::Others;
 use crate::workspace::Index;
 use crate::workspace::Lookup;
 use crate::workspace::Workspace;
@@ -82,15 +83,6 @@
     pub others: Others,
 }
 
-/// Whether a VM hears other VMs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Others {
-    /// It does.
-    Heard,
-    /// It doesn't.
-    Silent,
-}
-
 impl Freshness {
     fn allows_accept(&self) -> bool {
         let Some(bound) = self.max_accept else {
--- a/crates/relay/src/identity/tests.rs
+++ b/crates/relay/src/identity/tests.rs
@@ -8,8 +8,8 @@
 use super::Access;
 use super::Freshness;
 use super::Identity;
-use super::Others;
 use super::identify;
+use crate::peers::Others;
 use crate::workspace::Index;
 
 const BOUND: Millis = Millis::new(5_000);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod reachability;
 pub mod refuse;
 pub mod register;
+pub mod reports;
 pub mod roster;
 pub mod shutdown;
 pub mod store;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -19,9 +19,7 @@
 
 use crate::directory::Entry;
 use crate::directory::SLOTS;
-use crate::exchange::outgoing::Recipient;
 use crate::freshness::Stamp;
-use crate::identity::Others;
 
 /// The most other VMs with which all VMs exchange messages pairwise. At 16 exchanges a second with
 /// each, that is under 200 messages per VM and second, which take a few per cent of a small VM's
@@ -107,6 +105,24 @@
     Stops,
 }
 
+/// What a VM's last message said besides its status.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Recipient<'a> {
+    /// The stamp of the message; `None` if the VM doesn't know the extension of messages.
+    pub stamp: Option<Stamp>,
+    /// The last entry that the VM has of those that this one sends in parts.
+    pub cursor: Option<&'a str>,
+}
+
+/// Whether a VM hears other VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Others {
+    /// It does.
+    Heard,
+    /// It doesn't.
+    Silent,
+}
+
 impl Peer {
     /// Returns what the VM's last message said.
     #[must_use]
--- a/crates/relay/src/register/step/tests.rs
+++ b/crates/relay/src/register/step/tests.rs
@@ -81,6 +81,17 @@
         panic!("no call");
     }
 
+    /// Reads a directory without entries and returns the key that the VM would write then.
+    fn key_to_write(&mut self) -> String {
+        self.read_directory(0);
+        assert_eq!(self.next_call(), Step::List);
+        self.registration.listed(Ok(()));
+        let Step::Write { key, .. } = self.step() else {
+            panic!("no entry is written");
+        };
+        key
+    }
+
     fn write(&mut self, written: edge::Result<Outcome>) -> Duration {
         let Step::Write { key, revision } = self.next_call() else {
             panic!("no entry is written");
@@ -139,12 +150,7 @@
 #[test]
 fn refused_entry_is_written_to_another_slot() {
     let mut setup = Setup::new();
-    setup.read_directory(0);
-    assert_eq!(setup.next_call(), Step::List);
-    setup.registration.listed(Ok(()));
-    let Step::Write { key, .. } = setup.step() else {
-        panic!("no entry is written");
-    };
+    let key = setup.key_to_write();
     let winner = Entry {
         key: key.clone(),
         ..entry("winner", 0, 6)
@@ -199,12 +205,7 @@
 #[test]
 fn unreadable_entry_is_not_written_against_without_pauses() {
     let mut setup = Setup::new();
-    setup.read_directory(0);
-    assert_eq!(setup.next_call(), Step::List);
-    setup.registration.listed(Ok(()));
-    let Step::Write { key, .. } = setup.step() else {
-        panic!("no entry is written");
-    };
+    let key = setup.key_to_write();
     let present = edge::Entry {
         key,
         value: b"unreadable".to_vec(),
--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -1,10 +1,13 @@
 //! Figures that VMs exchange about each runner: how many requests they have in flight at it, and
 //! how many VMs hold it off because requests to it broke.
 
+use derive_more::Add;
 use serde::Deserialize;
 use serde::Serialize;
 use wire::clock::Millis;
 
+use crate::reports;
+
 /// How long another VM's figures are valid without an update.
 const REPORT_MAX_AGE: Millis = Millis::new(600);
 
@@ -62,61 +65,57 @@
 }
 
 /// The latest reports of other VMs about one runner.
-#[derive(Clone, Debug, Default)]
-pub struct Reports(Vec<Report>);
-
 #[derive(Clone, Debug)]
-struct Report {
-    origin: Origin,
+pub struct Reports(reports::Reports<Figures>);
+
+/// The figures of a [`Tally`].
+#[derive(Clone, Copy, Debug, Default, Add)]
+struct Figures {
     under_way: u32,
     held_off: u32,
-    at: Millis,
+}
+
+impl Figures {
+    const fn as_pair(self) -> (u32, u32) {
+        (self.under_way, self.held_off)
+    }
+
+    fn higher(self, other: Self) -> Self {
+        Self {
+            under_way: self.under_way.max(other.under_way),
+            held_off: self.held_off.max(other.held_off),
+        }
+    }
+}
+
+impl Default for Reports {
+    fn default() -> Self {
+        Self(reports::Reports::new(REPORT_MAX_AGE))
+    }
 }
 
 impl Reports {
     /// Replaces the report of an origin; `None` removes it, as the origin has nothing to report.
-    ///
-    /// Empty reports aren't stored: otherwise a hub would have a report for each runner and VM, and
-    /// go through all of them for each message.
     pub fn note(&mut self, origin: &Origin, tally: Option<&Tally>, now: Millis) {
-        let known = self.0.iter().position(|report| report.origin == *origin);
-        let report = tally.map(|tally| Report {
-            origin: origin.clone(),
+        let figures = tally.map(|tally| Figures {
             under_way: tally.under_way,
             held_off: tally.held_off,
-            at: now,
         });
-        match (known, report) {
-            (Some(index), Some(report)) => self.0[index] = report,
-            (Some(index), None) => {
-                self.0.swap_remove(index);
-            }
-            (None, Some(report)) => self.0.push(report),
-            (None, None) => {}
-        }
+        self.0.note(origin, figures, now);
     }
 
     /// Sums up the recent reports of the origins that `counts` selects. Returns the requests in
     /// flight and the number of VMs that hold the runner off.
     #[must_use]
     pub fn sum(&self, now: Millis, counts: impl Fn(&Origin) -> bool) -> (u32, u32) {
-        let fresh = self
-            .0
-            .iter()
-            .filter(|report| now.since(report.at) < REPORT_MAX_AGE);
-        let counted = fresh.filter(|report| counts(&report.origin));
-        counted.fold((0, 0), |(under_way, held_off), report| {
-            (under_way + report.under_way, held_off + report.held_off)
-        })
+        self.0.sum(now, counts).as_pair()
     }
 
     /// Returns the totals of all other VMs: those that a hub sent, or the sum of individual
     /// reports, whichever is higher.
     #[must_use]
     pub fn all(&self, now: Millis) -> (u32, u32) {
-        let from_hub = self.sum(now, |origin| *origin == Origin::Others);
-        let one_by_one = self.sum(now, |origin| *origin != Origin::Others);
-        (from_hub.0.max(one_by_one.0), from_hub.1.max(one_by_one.1))
+        self.0.all(now, Figures::higher).as_pair()
     }
 }
 
--- a/crates/relay/src/tally/tests.rs
+++ b/crates/relay/src/tally/tests.rs
@@ -61,12 +61,12 @@
 fn empty_reports_are_not_stored() {
     let mut reports = Reports::default();
     reports.note(&vm("idle"), None, NOW);
-    assert!(reports.0.is_empty());
+    assert!(reports.0.stored.is_empty());
     reports.note(&vm("busy"), Some(&tally(2)), NOW);
     reports.note(&vm("idle"), None, NOW);
-    assert_eq!((reports.0.len(), reports.all(NOW)), (1, (2, 0)));
+    assert_eq!((reports.0.stored.len(), reports.all(NOW)), (1, (2, 0)));
     reports.note(&vm("busy"), None, NOW);
-    assert!(reports.0.is_empty());
+    assert!(reports.0.stored.is_empty());
 }
 
 #[rstest]
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 
 use adapter::config::Limit;
+use derive_more::Add;
 use policy::quota;
 use policy::quota::Contact;
 use policy::quota::Pressure;
@@ -23,6 +24,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::node::Node;
+use crate::reports::Reports;
 use crate::tally::Origin;
 use crate::workspace::Workspace;
 
@@ -70,28 +72,29 @@
     programs: Programs,
     /// Own count when this VM last heard another one.
     own_then: u32,
-    reports: Vec<Report>,
+    reports: Reports<Count>,
     /// When a request was last refused; `None` if none was.
     refused_at: Option<Millis>,
     /// The limit that was last looked at, as the number of requests in a window.
     allowance: u64,
 }
 
-#[derive(Debug)]
-struct Report {
-    origin: Origin,
-    admitted: u32,
-    pending: u32,
-    at: Millis,
-}
-
 /// Requests of other VMs.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Add)]
 struct Count {
     admitted: u32,
     pending: u32,
 }
 
+impl Count {
+    fn higher(self, other: Self) -> Self {
+        Self {
+            admitted: self.admitted.max(other.admitted),
+            pending: self.pending.max(other.pending),
+        }
+    }
+}
+
 /// A request that was counted. Unless it is sent, it is taken back when this is dropped.
 #[derive(Debug)]
 pub struct Admission {
@@ -187,7 +190,7 @@
                 own: Window::new(self.window),
                 programs: Programs::default(),
                 own_then: 0,
-                reports: Vec::new(),
+                reports: Reports::new(report_max_age(self.window)),
                 refused_at: None,
                 allowance: 0,
             };
@@ -230,7 +233,7 @@
         let counted_for = now.since(self.counting_since);
         let account = self.account(workspace);
         account.allowance = limit.allowance();
-        let others = account.others(now, window);
+        let others = account.reports.all(now, Count::higher);
         let usage = quota::Usage {
             own: account.own.count(now),
             others: others.admitted,
@@ -275,14 +278,14 @@
         for told in uses {
             self.account(told.workspace);
         }
-        let window = self.window;
         for account in &mut self.accounts {
             let found = uses.binary_search_by_key(&account.workspace, |told| told.workspace);
-            let told = found.map_or(Count::default(), |index| Count {
+            let told = found.ok().map(|index| Count {
                 admitted: uses[index].admitted,
                 pending: uses[index].pending,
             });
-            account.note(origin, told, window, now);
+            account.own_then = account.own.count(now);
+            account.reports.note(origin, told, now);
         }
     }
 
@@ -295,10 +298,9 @@
     /// Returns the sums of this VM's own counts and those of the origins that `speaks_for` selects,
     /// sorted by workspace.
     pub fn uses(&mut self, now: Millis, speaks_for: impl Fn(&Origin) -> bool) -> Vec<Use> {
-        let window = self.window;
         let mut told = Vec::new();
         for account in &mut self.accounts {
-            let others = account.sum(now, window, &speaks_for);
+            let others = account.reports.sum(now, &speaks_for);
             let admitted = account.own.count(now) + others.admitted;
             let is_small = u64::from(admitted) * MIN_TOLD_DIVISOR < account.allowance;
             if admitted > 0 && (others.admitted == 0 || !is_small) {
@@ -329,46 +331,10 @@
             Pressure::Low
         }
     }
-
-    fn note(&mut self, origin: &Origin, told: Count, window: Millis, now: Millis) {
-        self.own_then = self.own.count(now);
-        let max_age = retention(window);
-        self.reports
-            .retain(|report| report.origin != *origin && now.since(report.at) < max_age);
-        if told.admitted > 0 {
-            self.reports.push(Report {
-                origin: origin.clone(),
-                admitted: told.admitted,
-                pending: told.pending,
-                at: now,
-            });
-        }
-    }
-
-    fn sum(&self, now: Millis, window: Millis, counts: impl Fn(&Origin) -> bool) -> Count {
-        let max_age = retention(window);
-        let recent = self.reports.iter();
-        recent
-            .filter(|report| now.since(report.at) < max_age && counts(&report.origin))
-            .fold(Count::default(), |sum, report| Count {
-                admitted: sum.admitted + report.admitted,
-                pending: sum.pending + report.pending,
-            })
-    }
-
-    /// Returns the count of all other VMs: the one that a hub told, or the sum of single ones,
-    /// whichever is higher.
-    fn others(&self, now: Millis, window: Millis) -> Count {
-        let from_hub = self.sum(now, window, |origin| *origin == Origin::Others);
-        let one_by_one = self.sum(now, window, |origin| *origin != Origin::Others);
-        Count {
-            admitted: from_hub.admitted.max(one_by_one.admitted),
-            pending: from_hub.pending.max(one_by_one.pending),
-        }
-    }
 }
 
-fn retention(window: Millis) -> Millis {
+/// Returns for how long another VM's count is kept without an update.
+fn report_max_age(window: Millis) -> Millis {
     Millis::new(window.as_u64() * REPORT_WINDOWS)
 }
 
--- a/crates/trace/src/line.rs
+++ b/crates/trace/src/line.rs
@@ -118,7 +118,7 @@
     Some(fields)
 }
 
-/// Returns the milliseconds since midnight of a time like `2026-12-03T05:02:55.123`.
+/// Returns the milliseconds since midnight of a time in the form `YYYY-MM-DDThh:mm:ss.fff`.
 fn day_ms(at: &str) -> Option<u64> {
     let (_, time) = at.split_once('T')?;
     let time = time.trim_end_matches('Z');
