Serve the configuration's figures first, and count configurations that can't be taken

Scrapers that keep the first 4 KB of a page had collected neither the configuration in force nor the calls by kind: both came behind the zero counters of refusals. From an incident's scrapes nobody could tell whether VMs asked for the configuration after an outage, or got one that they couldn't take. The gauges now come first, the calls by kind before the outcomes, and revisions_dropped counts E4002.

--- a/crates/relay/src/ingest.rs
+++ b/crates/relay/src/ingest.rs
@@ -14,6 +14,7 @@
 use crate::directory;
 use crate::directory::Directory;
 use crate::fleet;
+use crate::metrics::Counter;
 use crate::node::Node;
 use crate::roster;
 use crate::subject;
@@ -111,6 +112,7 @@
                 Event::RevisionDropped.number(),
                 Event::RevisionDropped.text()
             );
+            node.metrics.count(Counter::ConfigsDropped);
             node.note_config_unreadable();
             return;
         }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -58,6 +58,7 @@
     TokensAsked = "prompt_tokens", "prompt tokens of all turns that were placed";
     StoreWeight = "platform_calls_weight", "price of these calls in tenths of a full one";
     StoreFailures = "platform_calls_failed", "calls of the platform's key-value service without an answer";
+    ConfigsDropped = "revisions_dropped", "configurations that couldn't be taken";
 }
 
 figures! {
@@ -252,14 +253,18 @@
         histogram.saturating_record(took.as_u64());
     }
 
-    /// Renders all metrics, followed by `gauges`.
+    /// Renders `gauges` and all metrics. The figures that tell most of the VM's state come first,
+    /// because some scrapers read only the first kilobytes.
     #[must_use]
     pub fn render(&self, gauges: &[(&str, u64)]) -> String {
-        let mut out = String::new();
+        let mut out = render(gauges);
         for counter in Counter::ALL {
             explain(&mut out, counter.name(), counter.help());
             line(&mut out, counter.name(), "", self.value(*counter));
         }
+        let calls = Call::ALL.iter();
+        let calls = calls.map(|call| format!("call=\"{}\"", call.name()));
+        family(&mut out, STORE_CALLS, calls, &self.store_calls);
         for (outcome, values) in Outcome::ALL.iter().zip(self.outcomes.chunks(KINDS.len())) {
             let labels = KINDS.iter().map(|(_, label)| format!("kind=\"{label}\""));
             family(&mut out, (outcome.name(), outcome.help()), labels, values);
@@ -275,14 +280,10 @@
         let causes = Break::ALL.iter();
         let causes = causes.map(|cause| format!("cause=\"{}\"", cause.name()));
         family(&mut out, BREAKS, causes, &self.breaks);
-        let calls = Call::ALL.iter();
-        let calls = calls.map(|call| format!("call=\"{}\"", call.name()));
-        family(&mut out, STORE_CALLS, calls, &self.store_calls);
         for (latency, histogram) in Latency::ALL.iter().zip(&self.latencies) {
             let histogram = histogram.lock().unwrap_or_else(PoisonError::into_inner);
             summary(&mut out, *latency, &histogram);
         }
-        out.push_str(&render(gauges));
         out
     }
 }
