Reproduce an incident: no VM hears of a configuration after an outage in which its watch was lost

What callers saw: requests were handled by a configuration that another one had replaced 6 and 10 s before.

--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -102,6 +102,12 @@
     assert_eq!(world.vms_counting(runner, 1_000), [""; 0]);
 }
 
+/// Fails unless all running VMs have the latest configuration in force within [`BOUND_MS`].
+fn assert_config_known(world: &mut World) {
+    let known = world.run_until(BOUND_MS, World::agree_on_config);
+    assert!(known.is_some(), "{:?}", world.disagreeing_vms());
+}
+
 /// Returns the last running VM of a data centre that isn't its hub.
 fn running_leaf(world: &World, centre: usize) -> usize {
     let of_centre = world.running_vms().filter(|vm| vm % CENTRES == centre);
@@ -346,6 +352,44 @@
     Changes::apply(&mut world, 0).assert_known(&mut world, BOUND_MS);
 }
 
+/// All watches of the configuration end in an outage of the service, and the next ones are lost in
+/// it, so that no VM hears of a change until they time out.
+#[rstest]
+#[case::small(9)]
+#[case::large(48)]
+fn a_change_after_an_outage_is_in_force_in_time(
+    #[case] vms: usize,
+    #[values(1, 2)] seed: u64,
+    #[values(18_500, 19_500, 20_500)] outage_at: u64,
+) {
+    let mut world = fleet(vms, seed);
+    let all: Vec<Host> = (0..vms).map(Host::Vm).collect();
+    world.write_config();
+    world.run(outage_at);
+    world.cut_both_ways(&all, &[Host::Store]);
+    world.run(2_500);
+    world.network.heal();
+    world.write_config();
+    assert_config_known(&mut world);
+}
+
+/// The service forgets the watches that wait there without closing their connections, so that no
+/// VM hears of a change until they time out.
+#[rstest]
+#[case::small(9)]
+#[case::large(48)]
+fn a_change_after_the_watches_are_lost_is_in_force_in_time(
+    #[case] vms: usize,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut world = fleet(vms, seed);
+    world.write_config();
+    world.run(CONTACT_MS);
+    world.lose_watches();
+    world.write_config();
+    assert_config_known(&mut world);
+}
+
 /// A machine is replaced by another one at a new address, under the name of a hub.
 #[rstest]
 fn hub_returns_at_another_address(#[values(1, 2)] seed: u64) {
--- a/crates/relay/tests/fleet_model/simulate.rs
+++ b/crates/relay/tests/fleet_model/simulate.rs
@@ -142,7 +142,7 @@
     }
 
     /// Fails a call when its timeout is over.
-    fn fail_call(&mut self, vm: usize, call: Call) {
+    pub(super) fn fail_call(&mut self, vm: usize, call: Call) {
         let fault = || Fault::Unknown("no answer".to_owned());
         let answer = match call.ask {
             Ask::List(_) => Answer::Listed(Err(fault())),
@@ -200,12 +200,7 @@
         let prefix = Subject::ALL[watch.follower].prefix();
         let update = self.store.changes(prefix, watch.after);
         let bytes = store::update_bytes(&update);
-        let call = Call {
-            follower: watch.follower,
-            ask: Ask::Watch(watch.after),
-            until: watch.until,
-        };
-        self.return_answer(watch.vm, call, Answer::Watched(Ok(update)), bytes);
+        self.return_answer(watch.vm, watch.call(), Answer::Watched(Ok(update)), bytes);
     }
 
     fn return_answer(&mut self, vm: usize, call: Call, answer: Answer, bytes: usize) {
--- a/crates/relay/tests/fleet_model/world.rs
+++ b/crates/relay/tests/fleet_model/world.rs
@@ -16,6 +16,8 @@
 use super::network::Cut;
 use super::network::Host;
 use super::network::Network;
+use super::queue::Ask;
+use super::queue::Call;
 use super::queue::Event;
 use super::queue::Queue;
 use super::queue::Step;
@@ -97,6 +99,17 @@
     pub(super) until: u64,
 }
 
+impl Watch {
+    /// Returns the call that waits.
+    pub(super) const fn call(&self) -> Call {
+        Call {
+            follower: self.follower,
+            ask: Ask::Watch(self.after),
+            until: self.until,
+        }
+    }
+}
+
 impl World {
     /// Creates a fleet with a configuration and all runners, whose VMs start now.
     pub fn new(size: Size) -> Self {
@@ -275,6 +288,15 @@
         self.answer_watches();
     }
 
+    /// Loses all watches that wait at the service: they fail when their time is over.
+    pub fn lose_watches(&mut self) {
+        for watch in std::mem::take(&mut self.watches) {
+            if self.vms[watch.vm].incarnation == watch.incarnation {
+                self.fail_call(watch.vm, watch.call());
+            }
+        }
+    }
+
     /// Loses all messages between two groups.
     pub fn cut_both_ways(&mut self, a: &[Host], b: &[Host]) {
         self.cut_one_way(a, b);
