Prove the configuration current whether or not callers need keys

Cause: a VM waits 20.9 s for the answer to its watch of the configuration, ten times the time in which a change has to be in force, and a watch that the service has lost looks like one without changes. All VMs send theirs in the same 50 ms, when a change arrives, so they are lost in the same outage, and no exchange helps.

Now the VM that reads the runners for all asks three times in the time of a change whether the configuration is current, also where callers need no keys; the proof's age travels with the exchanges, and a VM whose proof is older than six tenths of that time asks itself. A lost watch can't make a configuration older than that. This is the mechanism that keys have had; it no longer depends on them. E4003 and E4004 tell of it without keys, too.

The list after a failed watch leaves the watch that is sent just before the service goes away. A test said that no proof is asked for without keys; that is now wrong. Two as strict replace it: a proof at the same interval with and without keys, and none before the first configuration.

--- a/crates/relay/src/follow/step/tests.rs
+++ b/crates/relay/src/follow/step/tests.rs
@@ -121,9 +121,41 @@
     assert_eq!(reader.age(), Some(Millis::ZERO));
 }
 
-/// Where callers need no keys, no call is made for proofs.
+/// The service may lose a watch without a word, and nobody would learn of a change until it times
+/// out, also where callers need no keys.
 #[test]
-fn no_proof_is_asked_for_without_keys() {
+fn a_configuration_without_keys_is_proved_as_often_as_one_with_keys() {
+    let mut config = Reader::new(Subject::Config);
+    config.call();
+    let document = fakes::store::configuration(1, "");
+    let listing = Listing {
+        entries: vec![Entry {
+            value: document.into_bytes(),
+            ..entry(1)
+        }],
+        revision: 1,
+    };
+    config.follower.listed(&config.node, Ok(listing.clone()));
+    let mut reader = Reader {
+        follower: Follower::new(Subject::Proof),
+        ..config
+    };
+    assert!(matches!(reader.follower.step(&reader.node), Step::Pause(_)));
+    reader.pass(1_300);
+    assert_eq!(reader.call(), Step::List(Freshness::Latest));
+    reader.follower.listed(&reader.node, Ok(listing));
+    let nothing = Update::Changes {
+        changes: Vec::new(),
+        revision: 1,
+    };
+    assert_eq!(reader.call(), Step::Watch(1));
+    let pause = reader.follower.watched(&reader.node, Ok(nothing));
+    assert_eq!(pause, reader.node.proof_interval().as_duration());
+}
+
+/// Until a configuration was read, the follower that reads it is the only one to ask for it.
+#[test]
+fn no_proof_is_asked_for_before_the_first_configuration() {
     let mut reader = Reader::new(Subject::Proof);
     for _ in 0..100 {
         assert!(matches!(reader.follower.step(&reader.node), Step::Pause(_)));
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -163,8 +163,7 @@
     }
 }
 
-/// Logs when the configuration becomes too old for unknown keys to be refused for good, and when it
-/// is current again.
+/// Logs when the configuration is no longer known to be current, and when it is again.
 #[derive(Debug, Default)]
 pub struct ChangeLog {
     is_stale: bool,
@@ -173,7 +172,7 @@
 impl ChangeLog {
     /// Logs a change since the last call.
     pub fn log_change(&mut self, node: &Node) {
-        let is_stale = !node.can_identify();
+        let is_stale = !node.is_config_proved();
         if std::mem::replace(&mut self.is_stale, is_stale) == is_stale {
             return;
         }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -68,8 +68,8 @@
 /// deployment the knowledge of most VMs is up to a second old, because it comes through two hubs,
 /// and all would read at once if one of these were slow.
 const RUNNERS_MAX_AGE_PERCENT: u64 = 60;
-/// Age of a VM's knowledge of the configuration above which it reads it itself where keys are in
-/// use, as a percentage of the time in which a change has to be in force.
+/// Age of a VM's knowledge of the configuration above which it reads it itself, as a percentage of
+/// the time in which a change has to be in force.
 const CONFIG_MAX_AGE_PERCENT: u64 = 60;
 /// Number of times that the configuration is proved to be current within the time in which a change
 /// has to be in force. On its way through two hubs a proof gets some hundred milliseconds older, and
@@ -274,6 +274,14 @@
         table.workspaces.is_none() || age.is_some_and(|age| age <= self.config_max_age())
     }
 
+    /// Returns whether the configuration in force is known to have been current recently. Before the
+    /// first one there is nothing to prove.
+    #[must_use]
+    pub fn is_config_proved(&self) -> bool {
+        let (table, age) = self.table_with_age();
+        !table.loaded || age.is_some_and(|age| age <= self.config_max_age())
+    }
+
     /// Returns whether the configuration is too old for callers to be sent to this VM. While that
     /// holds for most VMs of a data centre, the balancer uses all of them.
     fn is_config_stale(&self) -> bool {
@@ -285,8 +293,7 @@
         table.workspaces.is_some() && age.is_none_or(|age| age > max_age)
     }
 
-    /// Returns how often one VM proves to all that the configuration is current where callers need
-    /// keys.
+    /// Returns how often one VM proves to all that the configuration is current.
     #[must_use]
     pub fn proof_interval(&self) -> Millis {
         Millis::new(self.settings.apply.as_u64() / PROOFS_PER_APPLY)
@@ -488,17 +495,11 @@
         let max_age = self.settings.drain.as_u64() * RUNNERS_MAX_AGE_PERCENT / 100;
         let runners_are_current = self.runners_age() <= Millis::new(max_age);
         match subject {
-            Subject::Proof => self.can_identify(),
+            Subject::Proof => self.is_config_proved(),
             Subject::Config | Subject::Runners | Subject::Own => runners_are_current,
         }
     }
 
-    /// Returns whether callers need keys.
-    #[must_use]
-    pub fn uses_keys(&self) -> bool {
-        self.table().workspaces.is_some()
-    }
-
     /// Returns where this VM currently learns of a subject.
     #[must_use]
     pub fn source(&self, subject: Subject) -> Source {
@@ -510,7 +511,6 @@
             role,
             is_listed: peers.lists_own(),
             is_reader: peers.is_reader(&settings.vm, now) && self.access() == Access::Answered,
-            uses_keys: self.uses_keys(),
             knowledge: self.knowledge(subject, role, &peers),
         };
         subject::source(subject, situation)
--- a/crates/relay/src/subject.rs
+++ b/crates/relay/src/subject.rs
@@ -25,9 +25,9 @@
     Runners,
     /// The system's own keys.
     Own,
-    /// The operators' configuration again, asked for at short intervals where callers need keys. The
-    /// configuration's watch tells of changes at once, but until it returns it doesn't prove that
-    /// there were none.
+    /// The operators' configuration again, asked for at short intervals. The configuration's watch
+    /// tells of changes at once, but until it returns it doesn't prove that there were none: the
+    /// service may have lost the watch, or its answer.
     Proof,
 }
 
@@ -114,8 +114,6 @@
     /// Whether it is the first VM that answers and reaches the service, so that it reads the
     /// runners for all.
     pub is_reader: bool,
-    /// Whether callers need keys, so that each VM has to know that its configuration is current.
-    pub uses_keys: bool,
     /// How old its information from other VMs is.
     pub knowledge: Knowledge,
 }
@@ -147,7 +145,6 @@
     let reads_for_others = !matches!(situation.role, peers::Role::Leaf) || situation.is_reader;
     let follows_hub = !reads_for_others || !situation.is_listed;
     match (subject, situation.knowledge) {
-        (Subject::Proof, _) if !situation.uses_keys => Source::Peers,
         (Subject::Own, Knowledge::None) => Source::Copy,
         (_, Knowledge::None | Knowledge::Awaited) => Source::Peers,
         (Subject::Runners | Subject::Proof, Knowledge::Current) if !situation.is_reader => {
--- a/crates/relay/src/subject/tests.rs
+++ b/crates/relay/src/subject/tests.rs
@@ -81,7 +81,6 @@
         role,
         is_listed: true,
         is_reader,
-        uses_keys: false,
         knowledge: if stale {
             Knowledge::Stale
         } else {
@@ -101,7 +100,6 @@
         role: peers::Role::Leaf,
         is_listed: true,
         is_reader: false,
-        uses_keys: false,
         knowledge: Knowledge::Awaited,
     };
     assert_eq!(source(subject, situation), Source::Peers);
@@ -125,7 +123,6 @@
         role: peers::Role::Hub,
         is_listed: false,
         is_reader: true,
-        uses_keys: false,
         knowledge,
     };
     assert_eq!(source(subject, situation), expected);
@@ -142,7 +139,6 @@
         role: peers::Role::Direct,
         is_listed: false,
         is_reader: true,
-        uses_keys: false,
         knowledge: Knowledge::None,
     };
     assert_eq!(source(subject, situation), expected);
