--- a/crates/node/src/controllers/run/config.rs
+++ b/crates/node/src/controllers/run/config.rs
@@ -41,7 +41,8 @@
 const PULL_TIMEOUT: Millis = Millis::new(1_000);
 /// The delay between two attempts of a VM that starts and finds no configuration.
 const BOOT_RETRY_DELAY: Millis = Millis::new(500);
-/// The time between two checks of whether this VM is one of the watchers.
+/// The time between two checks of whether this VM is one of the watchers, and between two reads of
+/// the key by a watcher. Half of the users' limit of 4 s.
 const WATCHER_CHECK_INTERVAL: Millis = Millis::new(2_000);
 /// How long the outcome of a change in doubt is investigated before the operator is told that it is
 /// unknown.
@@ -293,7 +294,8 @@
     rendezvous::choose_several(KEY, candidates, WATCHERS).contains(&&own.vm)
 }
 
-/// Watches the key until the watch ends or this VM is no longer a watcher.
+/// Watches the key until the watch ends or this VM is no longer a watcher. Also reads it now and
+/// then: a platform that has lost a watch without ending it reports no change any more.
 async fn watch(core: &Core) {
     let read = core.platform.read(KEY).await;
     let from = match &read {
@@ -312,9 +314,12 @@
                 Some(_) => {}
                 None => return,
             },
-            () = sleep(WATCHER_CHECK_INTERVAL.as_duration()) => if !is_watcher(core) {
-                return;
-            },
+            () = sleep(WATCHER_CHECK_INTERVAL.as_duration()) => {
+                if !is_watcher(core) {
+                    return;
+                }
+                offer(core, self::read(core).await, PLATFORM);
+            }
         }
     }
 }
--- a/crates/node/tests/request/fleet.rs
+++ b/crates/node/tests/request/fleet.rs
@@ -28,6 +28,9 @@
 /// The chat path.
 pub const CHAT: &str = "/v1/chat/completions";
 
+/// The key of the configuration.
+const CONFIG: &str = "config";
+
 /// A running node with its endpoints and platform.
 pub struct Fleet {
     pub platform: Memory,
@@ -73,16 +76,7 @@
         let service = service::serve(bind().await, service::Settings::default()).unwrap();
         let platform = Memory::new(Clock::System);
         let config = config(&runners, &service, &plan.selector);
-        let put = Write::Put {
-            key: "config".to_owned(),
-            value: config.to_string().into_bytes(),
-            lease: None,
-        };
-        let txn = Txn {
-            compares: Vec::new(),
-            writes: vec![put],
-        };
-        platform.commit(&txn, Priority::Change).await.unwrap();
+        write_config(&platform, &config).await;
         let settings = settings::vm::parse(&format!("{SETTINGS}{}", plan.limits)).unwrap();
         let memory = Arc::new(platform.clone());
         let node = start::start_on(settings, Clock::System, memory)
@@ -98,6 +92,20 @@
         }
     }
 
+    /// Writes the configuration again with the next revision.
+    pub async fn change_config(&self) {
+        let entry = self.platform.read(CONFIG).await.unwrap().unwrap();
+        let mut config: Value = serde_json::from_slice(&entry.value).unwrap();
+        config["revision"] = json!(config["revision"].as_u64().unwrap() + 1);
+        write_config(&self.platform, &config).await;
+    }
+
+    /// Waits until a revision is in force.
+    pub async fn until_revision(&self, revision: u64) {
+        self.until_view(|view| view.config.revision == revision)
+            .await;
+    }
+
     /// Sends a POST request as the caller `tug`.
     pub async fn ask(&self, path: &str, headers: &[(&str, &str)], body: &Value) -> (u16, Value) {
         client::ask(self.callers, path, headers, body).await
@@ -172,6 +180,19 @@
     ]
 }
 
+async fn write_config(platform: &Memory, config: &Value) {
+    let put = Write::Put {
+        key: CONFIG.to_owned(),
+        value: config.to_string().into_bytes(),
+        lease: None,
+    };
+    let txn = Txn {
+        compares: Vec::new(),
+        writes: vec![put],
+    };
+    platform.commit(&txn, Priority::Change).await.unwrap();
+}
+
 async fn bind() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").await.unwrap()
 }
--- a/crates/node/tests/request/main.rs
+++ b/crates/node/tests/request/main.rs
@@ -2,6 +2,7 @@
 //! failures that a request may meet.
 
 mod admission;
+mod config;
 mod fleet;
 mod handover;
 mod lost;
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -54,6 +54,8 @@
     leases: Vec<(Lease, Millis, Millis)>,
     /// Each watch's prefix and where to send its changes.
     watches: Vec<(String, mpsc::Sender<Change>)>,
+    /// Watches that were lost: they get no change any more and stay open.
+    lost_watches: Vec<mpsc::Sender<Change>>,
     machines: Vec<Machine>,
     down: bool,
     /// The faults to inject, the next one last.
@@ -78,6 +80,16 @@
         self.lock().down = down;
     }
 
+    /// Loses all watches without ending them, and returns how many there were.
+    pub fn lose_watches(&self) -> usize {
+        let mut state = self.lock();
+        let watches = std::mem::take(&mut state.watches);
+        let lost = watches.len();
+        let senders = watches.into_iter().map(|(_, sender)| sender);
+        state.lost_watches.extend(senders);
+        lost
+    }
+
     /// Injects a fault into the next write that has none planned yet.
     pub fn inject(&self, injection: Injection) {
         self.lock().injections.insert(0, injection);
