--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -81,6 +81,7 @@
     }
 
     /// Loses all watches without ending them, and returns how many there were.
+    #[must_use]
     pub fn lose_watches(&self) -> usize {
         let mut state = self.lock();
         let watches = std::mem::take(&mut state.watches);
