Read anew after a failed watch instead of watching again

The same cause for all subjects: a watch that fails in an outage was followed by a watch, which waits for a change as long and is lost in the same outage. The VM heard nothing of the system's own keys for 20.9 s after the service was back, and E2103 came as late. A list doesn't wait, and shows when the service is back.

Red before: follow::step::tests::a_call_that_does_not_wait_follows_a_failed_watch.

--- a/crates/relay/src/follow/outage.rs
+++ b/crates/relay/src/follow/outage.rs
@@ -63,8 +63,4 @@
         let doublings = self.failures.saturating_sub(1).min(4);
         (FIRST_RETRY_PAUSE * 2_u32.pow(doublings)).min(max_pause)
     }
-
-    pub(super) const fn has_failed_repeatedly(&self) -> bool {
-        self.failures > 2
-    }
 }
--- a/crates/relay/src/follow/step.rs
+++ b/crates/relay/src/follow/step.rs
@@ -163,12 +163,10 @@
                 Duration::ZERO
             }
             Err(fault) => {
-                let pause = self.failed(node, &fault);
-                // A full list tells more than a watch that may have been interrupted for long.
-                if self.outage.has_failed_repeatedly() {
-                    self.phase = Phase::Broken;
-                }
-                pause
+                // The next call mustn't wait for a change: sent into an outage, it would be noticed
+                // as lost only when that wait is over.
+                self.phase = Phase::Decide;
+                self.failed(node, &fault)
             }
         }
     }
--- a/crates/relay/src/follow/step/tests.rs
+++ b/crates/relay/src/follow/step/tests.rs
@@ -9,6 +9,7 @@
 use adapter::settings;
 use platform::edge::Change;
 use platform::edge::Entry;
+use platform::edge::Fault;
 use wire::clock::Clock;
 use wire::clock::Millis;
 
@@ -153,6 +154,21 @@
     assert_eq!(pause, reader.node.proof_interval().as_duration());
 }
 
+/// A watch fails in an outage. If the next call waited for a change as well, it would be lost in the
+/// same outage, and the VM would hear of nothing until its wait is over.
+#[test]
+fn a_call_that_does_not_wait_follows_a_failed_watch() {
+    let mut reader = Reader::new(Subject::Config);
+    reader.call();
+    reader.follower.listed(&reader.node, Ok(listing(1)));
+    assert_eq!(reader.call(), Step::Watch(1));
+    let fault = || Fault::Down("no answer in time".to_owned());
+    reader.follower.watched(&reader.node, Err(fault()));
+    assert_eq!(reader.call(), Step::List(Freshness::Latest));
+    reader.follower.listed(&reader.node, Err(fault()));
+    assert_eq!(reader.call(), Step::List(Freshness::Latest));
+}
+
 /// Until a configuration was read, the follower that reads it is the only one to ask for it.
 #[test]
 fn no_proof_is_asked_for_before_the_first_configuration() {
