--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -216,7 +216,7 @@
 /// Repeatedly closes connections that were unused for too long, removes runners whose entries have
 /// been missing for too long, and probes unreachable runners.
 async fn sweep(node: Arc<Node>) {
-    let mut keys_log = identity::ChangeLog::default();
+    let mut proof_log = identity::ChangeLog::default();
     loop {
         sleep(SWEEP_INTERVAL).await;
         node.runner_client.sweep();
@@ -230,6 +230,6 @@
             );
         }
         reachability::retry(&node);
-        keys_log.log_change(&node);
+        proof_log.log_change(&node);
     }
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -270,8 +270,7 @@
     /// Returns whether the configuration is recent enough for unknown keys to be refused for good.
     #[must_use]
     pub fn can_identify(&self) -> bool {
-        let (table, age) = self.table_with_age();
-        table.workspaces.is_none() || age.is_some_and(|age| age <= self.config_max_age())
+        self.table().workspaces.is_none() || self.is_config_proved()
     }
 
     /// Returns whether the configuration in force is known to have been current recently. Before the
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -55,8 +55,8 @@
 /// How long a watch waits at the service for the request to retire this VM. A watch that waits for
 /// longer than the service keeps its history breaks off, and the request has to be read again.
 const WATCH_TIMEOUT: Millis = Millis::new(20_000);
-/// The pause between two reads of a copy of that request. A third of the time in which operators want
-/// a VM emptied, and a tenth of the price of a watch.
+/// The pause between two reads of a copy of the request to retire this VM: a third of the time in
+/// which operators want a VM emptied. A copy costs a tenth of a watch.
 const COPY_INTERVAL: Duration = Duration::from_secs(4);
 /// The pause after a failed call of the key-value service.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
