Drop a follower's phase that only a dropped history still reached

Since a failed watch is followed by a list, the phase Broken meant no more than a pause before the next decision, which the answer to the watch can return itself. The pause and the next call stay the same.

--- a/crates/relay/src/follow/step.rs
+++ b/crates/relay/src/follow/step.rs
@@ -48,8 +48,6 @@
     Watch(u64),
     /// Changes up to a revision have been applied.
     Watched(u64),
-    /// A watch broke off.
-    Broken,
 }
 
 /// The next action of a follower.
@@ -92,7 +90,7 @@
                 self.phase = Phase::Watch(revision);
                 Step::Watch(revision)
             }
-            Phase::Watched(_) | Phase::Broken => {
+            Phase::Watched(_) => {
                 self.phase = Phase::Decide;
                 Step::Pause(self.outage.pause(self.subject, node))
             }
@@ -159,8 +157,8 @@
                 self.watch_pause(node)
             }
             Ok(Update::HistoryDropped) => {
-                self.phase = Phase::Broken;
-                Duration::ZERO
+                self.phase = Phase::Decide;
+                self.outage.pause(self.subject, node)
             }
             Err(fault) => {
                 // The next call mustn't wait for a change: sent into an outage, it would be noticed
