--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -163,8 +163,8 @@
     }
 }
 
-/// Logs when the configuration is no longer known to be current, and when it is again: from then on
-/// keys can't be refused for good, and routes may have changed.
+/// Logs when the configuration is no longer known to be current, and when it is again. Meanwhile
+/// routes may have changed, and keys can't be refused for good.
 #[derive(Debug, Default)]
 pub struct ChangeLog {
     is_stale: bool,
