Log from where a VM took each revision of the endpoints' entries

Whether the news of a leaving endpoint was late, lost to some VMs or undone can't be told from the log: it says which endpoints appear, leave and go, not that a VM moved to a later revision without such a line. E5011 tells revision before and after, the form and the sender.

--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -13,6 +13,8 @@
 use crate::node::Node;
 use crate::roster::Delta;
 use crate::roster::Roster;
+use crate::roster::Source;
+use crate::roster::Step;
 use crate::roster::transfer::Part;
 
 /// Applies a message: the sender's status and figures, and its configuration and entries of runners
@@ -66,13 +68,22 @@
 
 /// Replaces all runners' entries if those from the other VM are newer.
 fn replace_entries(node: &Arc<Node>, vm: &str, entries: Roster) {
-    if entries.revision <= node.roster().revision {
+    let from = node.roster().revision;
+    if entries.revision <= from {
         return;
     }
     let listed: Vec<String> = entries.entries.iter().map(|(id, _)| id.clone()).collect();
     ingest::drop_missing(node, &listed, &format!("heard_from={vm}"));
     set_runners(node, vm, &entries.entries);
-    node.roster().replace(entries);
+    let mut roster = node.roster();
+    let removed = roster.retain_listed(&listed, entries.revision);
+    roster.replace(entries);
+    roster.log_step(&Step {
+        source: Source::Whole(vm),
+        from,
+        changed: listed.len(),
+        removed,
+    });
 }
 
 /// Applies a part of the runners' entries: the runners in it are used at once, and those that no part
@@ -91,9 +102,16 @@
 fn change_entries(node: &Arc<Node>, vm: &str, changes: &Delta) {
     let listed: Vec<String> = {
         let mut roster = node.roster();
+        let from = roster.revision;
         if !roster.apply(changes) {
             return;
         }
+        roster.log_step(&Step {
+            source: Source::Changes(vm),
+            from,
+            changed: changes.changed.len(),
+            removed: changes.removed.len(),
+        });
         roster.entries.iter().map(|(id, _)| id.clone()).collect()
     };
     ingest::drop_missing(node, &listed, &format!("heard_from={vm}"));
--- a/crates/relay/src/ingest.rs
+++ b/crates/relay/src/ingest.rs
@@ -29,12 +29,15 @@
     let is_news = subject == Subject::Runners
         && !listing.entries.is_empty()
         && (node.roster().entries.is_empty() || node.may_have_lapsed());
+    let before = node.roster().revision;
+    let mut removed = 0;
     if subject == Subject::Runners {
-        apply_missing(node, &listing);
+        removed = apply_missing(node, &listing);
     }
     if subject == Subject::Own {
         replace_directory(node, &listing);
     }
+    let listed = listing.entries.len();
     let is_in_directory = |entry: &Entry| entry.key.starts_with(&subject::directory_prefix());
     for entry in listing.entries {
         if subject == Subject::Own && is_in_directory(&entry) {
@@ -47,21 +50,31 @@
     if is_news {
         node.roster().raise_revision(listing.revision);
     }
+    if subject == Subject::Runners {
+        node.roster().log_step(&roster::Step {
+            source: roster::Source::List,
+            from: before,
+            changed: listed,
+            removed,
+        });
+    }
 }
 
 /// Drops the runners that a listing lacks.
 ///
 /// A listing that is older than what another VM has passed on lacks runners that came since, so
-/// nothing is dropped because of it.
-fn apply_missing(node: &Node, listing: &Listing) {
+/// nothing is dropped because of it. Returns how many entries were removed.
+fn apply_missing(node: &Node, listing: &Listing) -> usize {
     let entries = listing.entries.iter();
     let mut ids: Vec<String> = entries.filter_map(|entry| runner_id(&entry.key)).collect();
     ids.sort();
+    let mut removed = 0;
     if listing.revision >= node.roster().revision {
         drop_missing(node, &ids, "listed=false");
-        node.roster().retain_listed(&ids, listing.revision);
+        removed = node.roster().retain_listed(&ids, listing.revision);
     }
     node.note_runners_current(node.clock.now());
+    removed
 }
 
 /// Drops the runners that aren't listed; `source` says in the log where the list came from.
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -14,6 +14,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use wire::event::Event;
 
 /// Number of significant changes that are remembered to be sent as deltas. A VM that is further
 /// behind gets all entries.
@@ -54,6 +55,30 @@
     pub removed: Vec<String>,
 }
 
+/// How a VM's entries got to a later revision, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct Step<'a> {
+    /// Where the entries came from.
+    pub source: Source<'a>,
+    /// Revision before.
+    pub from: u64,
+    /// Number of entries that were added or changed.
+    pub changed: usize,
+    /// Number of entries that were removed.
+    pub removed: usize,
+}
+
+/// Where entries came from.
+#[derive(Clone, Copy, Debug)]
+pub enum Source<'a> {
+    /// A list of the key-value service.
+    List,
+    /// All entries of another VM.
+    Whole(&'a str),
+    /// The changes that another VM sent.
+    Changes(&'a str),
+}
+
 /// Whether other VMs need to learn of a change of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -88,12 +113,14 @@
     }
 
     /// Removes the entries that are missing in a list of the key-value service; `listed` is sorted.
-    pub fn retain_listed(&mut self, listed: &[String], revision: u64) {
+    /// Returns how many.
+    pub fn retain_listed(&mut self, listed: &[String], revision: u64) -> usize {
         let is_missing = |(id, _): &mut (String, Vec<u8>)| listed.binary_search(id).is_err();
         let missing: Vec<_> = self.entries.extract_if(.., is_missing).collect();
-        for (id, _) in missing {
-            self.note_change(&id, revision, Change::Significant);
+        for (id, _) in &missing {
+            self.note_change(id, revision, Change::Significant);
         }
+        missing.len()
     }
 
     /// Returns what changed since a revision; `None` if that isn't known, or is most of the entries.
@@ -158,6 +185,25 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Logs how the entries got to their revision.
+    pub fn log_step(&self, step: &Step<'_>) {
+        let (form, sender) = match step.source {
+            Source::List => ("list", ""),
+            Source::Whole(vm) => ("whole", vm),
+            Source::Changes(vm) => ("changes", vm),
+        };
+        log::info!(
+            "event=E{} text=\"{}\" as={form} heard_from={sender} from={} to={} changed={} removed={} entries={}",
+            Event::EntriesTaken.number(),
+            Event::EntriesTaken.text(),
+            step.from,
+            self.revision,
+            step.changed,
+            step.removed,
+            self.entries.len()
+        );
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|(key, _)| key.as_str().cmp(id))
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -84,6 +84,7 @@
     EndpointReachable = 5008, "endpoint can be reached again";
     EndpointSilent = 5009, "nothing answers at an endpoint";
     EndpointRefuses = 5010, "an endpoint refuses connections";
+    EntriesTaken = 5011, "endpoints' entries taken over";
 }
 
 impl fmt::Display for Event {
