Reproduce an incident: VMs use a runner that was removed before another VM started

A VM that starts lists the entries and tells the others what changed since their revision, of which it knows only what it read: nothing of what had been removed. They move to its revision with the runner still there, and as VMs tell only what is newer, nobody tells it again.

--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -352,6 +352,34 @@
     Changes::apply(&mut world, 0).assert_known(&mut world, BOUND_MS);
 }
 
+/// A VM that starts after a runner's entry was removed has never seen it. If what it tells the others
+/// counted as complete, they would use the runner for as long as it answers.
+#[rstest]
+#[case::small(9)]
+#[case::large(48)]
+fn a_runner_removed_before_a_vm_starts_is_dropped_by_all(
+    #[case] vms: usize,
+    #[values(1, 2, 3)] seed: u64,
+    #[values(20, 200, 600)] removed_before_ms: u64,
+) {
+    let mut world = fleet(vms, seed);
+    for starting in 0..9 {
+        world.kill(starting);
+        world.run(CONTACT_MS);
+        let id = format!("r-{starting:04}");
+        world.remove_runner(&id);
+        world.run(removed_before_ms);
+        world.start(starting);
+        let dropped = world.run_until(BOUND_MS - removed_before_ms, |world| {
+            world.agree_to_drop(&id)
+        });
+        assert!(dropped.is_some(), "{id} while VM {starting} starts");
+        world.run(CONTACT_MS);
+        assert_eq!(world.disagreeing_vms(), [""; 0]);
+    }
+    assert_eq!(world.readmissions, []);
+}
+
 /// All watches of the configuration end in an outage of the service, and the next ones are lost in
 /// it, so that no VM hears of a change until they time out.
 #[rstest]
