Know the gaps in the log of endpoints' entries, so that no VM is told a part as all that changed

Callers saw: a VM went on sending requests to an endpoint for as long as that answered, seconds after its entry had been removed. Cause: a VM that starts lists the entries, and its log of changes counted as complete from the first revision on, though it shows no removal from before the list. Where it told another VM what had changed before the reader did, that VM took its revision without the removal. As VMs tell each other only what is newer than the other's revision, nobody told it again. The reader, having taken the same revision, noted the removal at that one, so that the others heard nothing of it either.

Class: a VM vouches for a revision up to which it hasn't seen all changes. A list, whole entries and changes that another VM sent are jumps: what was added and removed within one is unknown. The log now knows its gaps and gives no changes from a revision within one; changes apply only to the revision that they begin at. The test of changes from a third VM's revision presumed that the entries at 49 were those at 39; in its place are one from the revision itself and one that such a revision gets all entries.

--- a/crates/relay/src/ingest.rs
+++ b/crates/relay/src/ingest.rs
@@ -48,7 +48,7 @@
     // An empty list may come from a service that has lost all entries, so the roster's revision
     // stays and other VMs keep their entries.
     if is_news {
-        node.roster().raise_revision(listing.revision);
+        node.roster().note_listed(before, listing.revision);
     }
     if subject == Subject::Runners {
         node.roster().log_step(&roster::Step {
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -19,6 +19,8 @@
 /// Number of significant changes that are remembered to be sent as deltas. A VM that is further
 /// behind gets all entries.
 const MAX_LOGGED: usize = 2_048;
+/// Number of gaps in the log that are remembered. Deltas then begin after the oldest one.
+const MAX_GAPS: usize = 64;
 
 /// All entries at one revision of the key-value service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,9 +32,20 @@
     /// The latest significant changes, oldest first.
     #[serde(skip)]
     log: VecDeque<Logged>,
-    /// The revision after which the log is complete.
+    /// The revision after which the log is complete but for the gaps.
     #[serde(skip)]
     logged_since: u64,
+    /// Oldest first.
+    #[serde(skip)]
+    gaps: VecDeque<Gap>,
+}
+
+/// Two revisions at which the entries are known, but not all between them: what was added and removed
+/// again is in neither.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Gap {
+    from: u64,
+    to: u64,
 }
 
 /// A significant change of a runner's entry.
@@ -124,11 +137,17 @@
     }
 
     /// Returns what changed since a revision; `None` if that isn't known, or is most of the entries.
+    ///
+    /// A VM whose entries are of a revision within a gap may have some of which this one never knew.
     #[must_use]
     pub fn delta(&self, since: u64) -> Option<Delta> {
         if since < self.logged_since || since == 0 {
             return None;
         }
+        let mut gaps = self.gaps.iter();
+        if gaps.any(|gap| gap.from < since && since < gap.to) {
+            return None;
+        }
         let later = self.log.iter().filter(|logged| logged.revision > since);
         let mut ids: Vec<&str> = later.map(|logged| logged.id.as_str()).collect();
         ids.sort_unstable();
@@ -152,9 +171,9 @@
     }
 
     /// Applies changes. Returns whether they applied: the entries must be those of the revision at
-    /// which the changes begin, or of one between it and that at which they end.
+    /// which the changes begin.
     pub fn apply(&mut self, delta: &Delta) -> bool {
-        if !(delta.from..delta.revision).contains(&self.revision) {
+        if self.revision != delta.from {
             return false;
         }
         for (id, bytes) in &delta.changed {
@@ -163,26 +182,14 @@
         for id in &delta.removed {
             self.remove(id, delta.revision);
         }
-        self.raise_revision(delta.revision);
+        self.note_gap(delta.from, delta.revision);
         true
     }
 
     /// Replaces all entries by those that another VM sent.
     pub fn replace(&mut self, other: Self) {
-        *self = Self {
-            logged_since: other.revision,
-            log: VecDeque::new(),
-            ..other
-        };
-    }
-
-    /// Records that the entries were complete at a revision.
-    ///
-    /// A VM that starts has no entry that reveals a removal just before its start. If its revision
-    /// were that of its newest entry, it would accept the older entries that another VM had before
-    /// the removal, and the removed runner would get requests until it ends.
-    pub fn raise_revision(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+        *self = other;
+        self.begin_log();
     }
 
     /// Logs how the entries got to their revision.
@@ -204,6 +211,41 @@
         );
     }
 
+    /// Records that the entries, which were those of revision `before`, are now those of a list that
+    /// was read at `revision`, unless they are newer.
+    ///
+    /// The revision of the newest entry isn't enough: a VM that starts has no entry that reveals a removal
+    /// just before its start, and would accept the older entries of another VM.
+    pub fn note_listed(&mut self, before: u64, revision: u64) {
+        if revision >= self.revision {
+            self.note_gap(before, revision);
+        }
+    }
+
+    /// Records that the entries have become those of a later revision at once.
+    fn note_gap(&mut self, from: u64, to: u64) {
+        self.revision = to;
+        if from == 0 {
+            self.begin_log();
+        }
+        if from == 0 || from == to {
+            return;
+        }
+        self.gaps.push_back(Gap { from, to });
+        if self.gaps.len() > MAX_GAPS
+            && let Some(oldest) = self.gaps.pop_front()
+        {
+            self.logged_since = self.logged_since.max(oldest.to);
+        }
+    }
+
+    /// Empties the log: what changed up to the present revision isn't known.
+    fn begin_log(&mut self) {
+        self.logged_since = self.revision;
+        self.log.clear();
+        self.gaps.clear();
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|(key, _)| key.as_str().cmp(id))
--- a/crates/relay/src/roster/tests.rs
+++ b/crates/relay/src/roster/tests.rs
@@ -47,6 +47,10 @@
     assert_eq!(behind.entries, ahead.entries);
 }
 
+fn ids(roster: &Roster) -> Vec<String> {
+    roster.entries.iter().map(|(id, _)| id.clone()).collect()
+}
+
 fn many() -> Roster {
     let mut roster = Roster::default();
     for number in 10..40 {
@@ -71,12 +75,44 @@
     ahead.set("i-30", b"ready again", 53, Change::Significant);
     ahead.remove("i-99", 54);
     catch_up(&mut behind, &ahead);
-    // What was received as a delta is passed on as one.
+    // What was received as a delta is passed on as one, from either of its ends.
     let mut third = many();
-    third.raise_revision(49);
     catch_up(&mut third, &behind);
 }
 
+/// A VM that learnt of two revisions alone doesn't know what was there for a while between them. A VM
+/// that has it would keep it for good.
+#[test]
+fn what_is_between_two_known_revisions_is_no_base_for_changes() {
+    let mut ahead = many();
+    let mut behind = ahead.clone();
+    let mut between = ahead.clone();
+    for roster in [&mut ahead, &mut between] {
+        roster.set("i-99", b"ready", 50, Change::Significant);
+    }
+    ahead.remove("i-99", 51);
+    ahead.remove("i-30", 52);
+    catch_up(&mut behind, &ahead);
+    assert_eq!(behind.delta(between.revision), None);
+    catch_up(&mut between, &ahead);
+    let mut listed = many();
+    listed.retain_listed(&ids(&ahead), 52);
+    listed.note_listed(39, 60);
+    assert_eq!(listed.delta(50), None);
+    assert!(listed.delta(39).is_some());
+}
+
+/// The log of gaps is bounded: what was before the oldest one that is remembered is no base.
+#[test]
+fn forgotten_gaps_are_no_base_for_changes() {
+    let mut roster = many();
+    for revision in 40..50 + super::MAX_GAPS as u64 {
+        roster.note_listed(revision - 1, revision);
+    }
+    assert_eq!(roster.delta(45), None);
+    assert!(roster.delta(roster.revision - 5).is_some());
+}
+
 /// A VM that restarted between two revisions knows nothing of what was removed before. Sending it
 /// changes alone would leave it with runners that are gone.
 #[test]
--- a/crates/relay/tests/entries.rs
+++ b/crates/relay/tests/entries.rs
@@ -217,8 +217,10 @@
 
 /// A VM that starts after a runner's entry was removed has never seen it. If what it tells counted as
 /// all that changed, the others would use the runner for as long as it answers.
-#[test]
-fn a_runner_removed_before_a_vm_starts_is_dropped_by_those_that_it_tells() {
+#[rstest]
+#[case::by_the_last_change(false)]
+#[case::before_another_change(true)]
+fn a_runner_removed_before_a_vm_starts_is_dropped_by_those_that_it_tells(#[case] later: bool) {
     let mut world = World::new(1);
     for vm in 0..3 {
         world.vms[vm].list = Some(world.oracle.list());
@@ -227,6 +229,9 @@
     world.ask(2, 0);
     world.take_answer(2);
     world.oracle.remove(0);
+    if later {
+        world.oracle.drain(1);
+    }
     world.vms[0] = Vm::new(0);
     world.vms[0].list = Some(world.oracle.list());
     world.take_list(0);
