Count each list of endpoints as news to the other VMs

A list now raises the revision like any other jump. With the gaps that costs others a message without entries.

--- a/crates/relay/src/ingest.rs
+++ b/crates/relay/src/ingest.rs
@@ -38,10 +38,6 @@
 /// would be undone, and departed runners would be used again.
 fn runners_listing(node: &Arc<Node>, listing: &Listing) {
     let before = node.roster().revision;
-    // After an outage, another VM may have read the entries while they had lapsed and passed that on
-    // as newer than what this VM knows.
-    let is_news =
-        !listing.entries.is_empty() && (node.roster().entries.is_empty() || node.may_have_lapsed());
     if listing.revision >= before {
         let entries = listing.entries.iter();
         let mut ids: Vec<String> = entries.filter_map(|entry| runner_id(&entry.key)).collect();
@@ -54,7 +50,7 @@
         let mut roster = node.roster();
         // An empty list may come from a service that has lost all entries, so the roster's revision
         // stays and other VMs keep their entries.
-        if is_news {
+        if !listing.entries.is_empty() {
             roster.note_listed(before, listing.revision);
         }
         roster.log_step(&roster::Step {
