Log the build of the endpoint of each call, and the attempt whose stream a caller takes up

Two VMs' lines of a stream can't be told to be of one build or of two: neither E1201 nor E1207 names the version of the endpoint's software, nor which attempt began the stream. The stand-ins speak builds.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -82,6 +82,8 @@
     pub address: SocketAddr,
     /// The runner's present life.
     pub incarnation: Incarnation,
+    /// The version of its software.
+    pub build: String,
     /// Estimated number of requests at the runner.
     pub occupied: u32,
     /// Number of requests that the runner works on at once.
--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -115,6 +115,7 @@
             id: runner.id.clone(),
             address: runner.entry.address,
             incarnation: crashes::incarnation(&runner.id, runner.entry.born),
+            build: runner.entry.build.clone(),
             occupied: place::occupied(candidate),
             slots: runner.entry.slots,
             cached: candidate.cached,
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -38,6 +38,7 @@
         slots: 16,
         state,
         cold: Millis::ZERO,
+        build: "v1".to_owned(),
         born: Some(1),
     }
 }
@@ -179,6 +180,7 @@
     runner.note_prompt(&PROMPT, NOW);
     runner.own_requests = 2;
     let restarted = Entry {
+        build: "v1".to_owned(),
         born: Some(2),
         ..entry(State::Ready)
     };
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -259,7 +259,7 @@
             .add(Counter::TokensAsked, self.call.prompt_tokens);
         self.node.metrics.add(Counter::TokensMissed, missed);
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} workspace={} route={} revision={} runner={} occupied={} slots={} prompt={} cached={} cost_ms={:.0} among={} runners_age_ms={} waited_ms={} left_ms={}",
+            "event=E{} text=\"{}\" request={} program={} workspace={} route={} revision={} runner={} build={} resumes={} occupied={} slots={} prompt={} cached={} cost_ms={:.0} among={} runners_age_ms={} waited_ms={} left_ms={}",
             Event::CallPlaced.number(),
             Event::CallPlaced.text(),
             self.call.id,
@@ -268,6 +268,8 @@
             self.route.name,
             self.table.version,
             runner.id,
+            runner.build,
+            self.call.resumes.as_deref().unwrap_or_default(),
             runner.occupied,
             runner.slots,
             self.call.prompt_tokens,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -357,12 +357,13 @@
     state.reader = Reader::default();
     let same_runner = attempt.runner.clone();
     log::info!(
-        "event=E{} text=\"{}\" request={} program={} runner={} event_id={:?} why=\"{why}\"",
+        "event=E{} text=\"{}\" request={} program={} runner={} build={} event_id={:?} why=\"{why}\"",
         Event::StreamResumed.number(),
         Event::StreamResumed.text(),
         job.call.id,
         job.call.program.as_deref().unwrap_or_default(),
         same_runner.id,
+        same_runner.build,
         state.last_event_id
     );
     let mut pieces = history.to_vec();
--- a/crates/relay/tests/reach.rs
+++ b/crates/relay/tests/reach.rs
@@ -74,6 +74,7 @@
         slots: 16,
         state: State::Ready,
         cold: Millis::ZERO,
+        build: "v1".to_owned(),
         born: Some(1),
     }
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -34,6 +34,7 @@
         slots: 8,
         state: State::Ready,
         cold: Millis::ZERO,
+        build: "v1".to_owned(),
         born: Some(1),
     }
 }
