Keep a stream at the build that began it, at whatever VM its caller takes it up

Callers saw: while endpoints of two builds (versions of their software) served side by side, streams that broke off went on at either, so that they hold events that don't fit together. Cause: no VM knew builds. A resumed stream was placed like a new one.

Class: a fact about a stream lived, if at all, in the VM that began it, and a stream outlives that VM. The build is now recorded by the VMs with a disk before the first event: a reservation of no tokens beside the turn's own, in the same message and sync, under a key computed from attempt, service and build. Older processes keep, copy and return it like any other. Who takes a stream up reads the program's entries from a majority, looks for the keys of the builds that it knows, and places the stream there alone. A stream of which no event was passed on may move: the first record is settled, the next one written before it runs.

The service of a stream follows from its id, so that a stream that is taken up meets the service that began it. A stream without a budget is recorded beside its run; if that gets lost it can't be taken up.

Ways: telling all VMs each stream's build with the exchange (on paper: a VM that was cut off or has just started would have to guess or refuse, and streams of a VM that dies within an exchange are lost); a record of its own once the endpoint has answered (on paper: a second sync before each first event); a build computed from the id alone (on paper: VMs that know other builds compute another one). Built: the record beside the reservation.

--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use replica::client::Fault;
 use replica::quorum::Verdict;
 use replica::record::Key;
 use replica::record::Reservation;
@@ -46,19 +47,20 @@
     })
 }
 
-/// Reserves the most tokens that the turn can use.
+/// Reserves the most tokens that the turn can use, and syncs another reservation of its program, if any.
 ///
 /// # Errors
 ///
 /// Refuses if the budget doesn't cover them, or if this can't be determined.
-pub async fn reserve(job: &Job, account: Option<Account>) -> Result<(), Refusal> {
+pub async fn reserve(
+    job: &Job,
+    account: Option<Account>,
+    with: Option<Reservation>,
+) -> Result<(), Refusal> {
     let Some(account) = account else {
         return Ok(());
     };
-    job.node
-        .wait_at_start(Node::can_serve_turns, job.deadline)
-        .await;
-    check_reachable(job)?;
+    wait_for_members(job).await?;
     let reservation = Reservation {
         program: account.program,
         turn: account.turn,
@@ -71,16 +73,11 @@
         }
         let reserved = timeout_at(
             job.deadline,
-            job.node.replicas.reserve(reservation, account.budget),
+            job.node.replicas.reserve(reservation, with, account.budget),
         );
         let verdict = match reserved.await {
             Ok(Ok(verdict)) => verdict,
-            Ok(Err(fault)) => {
-                let _late =
-                    timeout_at(job.deadline, member_health::suspect(&job.node, &fault)).await;
-                let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
-                return Err(refusal.retry_after(delay(job)));
-            }
+            Ok(Err(fault)) => return Err(unreachable(job, &fault).await),
             Err(_) => return Err(Refusal::new(Code::WaitedTooLong, "").retry_after(delay(job))),
         };
         match verdict {
@@ -96,6 +93,25 @@
     Err(Refusal::new(Code::TokensSpent, &detail))
 }
 
+/// Waits at the process's start until enough members answer.
+///
+/// # Errors
+///
+/// Refuses if it is known that too few do.
+pub async fn wait_for_members(job: &Job) -> Result<(), Refusal> {
+    job.node
+        .wait_at_start(Node::can_serve_turns, job.deadline)
+        .await;
+    check_reachable(job)
+}
+
+/// Returns the refusal of a turn for which the members gave no reliable answer, and looks into it.
+pub async fn unreachable(job: &Job, fault: &Fault) -> Refusal {
+    let _late = timeout_at(job.deadline, member_health::suspect(&job.node, fault)).await;
+    let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
+    refusal.retry_after(delay(job))
+}
+
 /// Refuses a turn at once if it is known that too few members can be reached. Waiting for them
 /// would only cost the caller time in which another VM could serve the turn.
 fn check_reachable(job: &Job) -> Result<(), Refusal> {
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -19,7 +19,6 @@
 use link::body;
 use link::body::Body;
 use policy::prefix;
-use rand::RngExt;
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
@@ -146,7 +145,9 @@
         admission,
         deadline,
     } = routed;
-    let service = table::pick_service(&route, rand::rng().random::<f64>());
+    // A stream that is taken up goes to the service that began it.
+    let stream = call.resumes.as_deref().unwrap_or(&call.id);
+    let service = table::pick_service(&route, table::sample(stream));
     let service =
         service.ok_or_else(|| Refusal::new(Code::NoEndpoint, "the route has no service"))?;
     let parts = call.parts.iter();
--- /dev/null
+++ b/crates/relay/src/build.rs
@@ -0,0 +1,200 @@
+//! Keeps a stream at the build (version of a runner's software) that began it.
+//!
+//! What two builds write doesn't fit together, and runners don't check it. A caller may take a stream up
+//! at any VM, also after the one that began it has ended, so the build is recorded by the VMs with a disk
+//! before the first event is passed on. A stream whose build can't be found out is refused, not guessed.
+//!
+//! The record is a reservation of no tokens, whose key is computed from the attempt and the build: it is
+//! copied, restored and dropped like any other, and goes with the turn's own reservation. Whoever takes
+//! the stream up computes the keys of the builds that it knows and looks for one that is there. A
+//! settled one has been withdrawn.
+
+use adapter::config::Kind;
+use replica::client::Fault;
+use replica::ledger::Entry;
+use replica::record::Key;
+use replica::record::Record;
+use replica::record::Reservation;
+use replica::record::Settlement;
+use tokio::time::timeout_at;
+use wire::code::Code;
+use wire::code::Refusal;
+
+use crate::account;
+use crate::account::Account;
+use crate::job::Job;
+use crate::refuse;
+
+/// The result of a step that may refuse the request.
+type Result<T> = std::result::Result<T, Refusal>;
+
+/// Which builds may run a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Pin {
+    /// Any: the stream can't be resumed.
+    Any,
+    /// One, as long as the caller has no event; another one has to be recorded first.
+    Movable(String),
+    /// One for good.
+    Fixed(String),
+}
+
+impl Pin {
+    /// Returns the only build that may run the stream; `None` if any may.
+    #[must_use]
+    pub fn build(&self) -> Option<&str> {
+        match self {
+            Self::Any => None,
+            Self::Movable(build) | Self::Fixed(build) => Some(build),
+        }
+    }
+
+    /// Records that the caller is about to get events.
+    pub fn fix(&mut self) {
+        if let Self::Movable(build) = self {
+            *self = Self::Fixed(std::mem::take(build));
+        }
+    }
+}
+
+/// Decides which builds may run a stream that begins or that its caller takes up.
+///
+/// # Errors
+///
+/// Refuses a stream that begins if no runner can take it, and one that is taken up unless the build
+/// that began it is known and has a runner.
+pub async fn pin(job: &Job, account: Option<Account>) -> Result<Pin> {
+    if job.route.kind != Kind::Stream || !job.route.resumable {
+        return Ok(Pin::Any);
+    }
+    if job.call.last_event.is_some() {
+        return begun_by(job).await.map(Pin::Fixed);
+    }
+    let Some(runner) = job.choose(&[], None) else {
+        return Err(refuse::no_runner(0));
+    };
+    if account.is_some() {
+        return Ok(Pin::Movable(runner.build));
+    }
+    // Nobody waits for this record. If it gets lost, the stream can't be taken up.
+    let record = Record::Reserve(reservation(job, &job.call.id, &runner.build));
+    let (node, owner) = (job.node.clone(), owner(job, &job.call.id));
+    tokio::spawn(async move {
+        if let Err(fault) = node.replicas.apply(owner, vec![record]).await {
+            log::debug!("the build of a stream isn't recorded: {fault}");
+        }
+    });
+    Ok(Pin::Fixed(runner.build))
+}
+
+/// Returns the reservation that records the build of a stream that begins.
+#[must_use]
+pub fn record(job: &Job, pin: &Pin) -> Option<Reservation> {
+    match pin {
+        Pin::Movable(build) => Some(reservation(job, &job.call.id, build)),
+        Pin::Any | Pin::Fixed(_) => None,
+    }
+}
+
+/// Moves a stream of which the caller has no event to a build that has a runner for it, and records that.
+///
+/// # Errors
+///
+/// Refuses the stream if it can't be moved; `possible_runs` counts the runners that may have run it.
+pub async fn move_on(
+    job: &Job,
+    pin: &mut Pin,
+    excluded: &[String],
+    possible_runs: u32,
+) -> Result<()> {
+    let before = match pin {
+        Pin::Movable(build) => build,
+        Pin::Fixed(build) if possible_runs == 0 => {
+            return Err(unavailable(&format!("no runner of {build}")));
+        }
+        Pin::Any | Pin::Fixed(_) => return Err(refuse::no_runner(possible_runs)),
+    };
+    let Some(runner) = job.choose(excluded, None) else {
+        return Err(refuse::no_runner(possible_runs));
+    };
+    let attempt = &job.call.id;
+    let withdrawn = reservation(job, attempt, before);
+    let records = vec![
+        Record::Settle(Settlement {
+            program: withdrawn.program,
+            turn: withdrawn.turn,
+            used: 0,
+        }),
+        Record::Reserve(reservation(job, attempt, &runner.build)),
+    ];
+    let applied = job.node.replicas.apply(owner(job, attempt), records);
+    match timeout_at(job.deadline, applied).await {
+        Ok(Ok(())) => {
+            *pin = Pin::Movable(runner.build);
+            Ok(())
+        }
+        Ok(Err(_)) | Err(_) => Err(refuse::no_runner(possible_runs)),
+    }
+}
+
+/// Returns the build that began the stream that a caller takes up.
+async fn begun_by(job: &Job) -> Result<String> {
+    let Some(attempt) = &job.call.resumes else {
+        return Err(unavailable("the request names no attempt that began it"));
+    };
+    account::wait_for_members(job).await?;
+    let read = job.node.replicas.entries(owner(job, attempt));
+    let entries = match timeout_at(job.deadline, read).await {
+        Ok(Ok(entries)) => entries,
+        Ok(Err(fault)) => return Err(account::unreachable(job, &fault).await),
+        Err(_) => return Err(account::unreachable(job, &Fault::TooFew).await),
+    };
+    let mut builds = known_builds(job);
+    builds.retain(|build| is_recorded(&entries, key(job, attempt, build)));
+    match builds.pop() {
+        Some(build) if builds.is_empty() => Ok(build),
+        _ => Err(unavailable(&format!("no known build began {attempt}"))),
+    }
+}
+
+fn is_recorded(entries: &[Entry], key: Key) -> bool {
+    let found = entries.iter().find(|entry| entry.turn == key);
+    found.is_some_and(|entry| entry.used.is_none())
+}
+
+/// Returns the builds of the service's runners, sorted.
+fn known_builds(job: &Job) -> Vec<String> {
+    let fleet = job.node.fleet();
+    let runners = fleet.runners().iter();
+    let of_service = runners.filter(|runner| runner.entry.service == job.service);
+    let mut builds: Vec<String> = of_service
+        .map(|runner| runner.entry.build.clone())
+        .collect();
+    builds.sort();
+    builds.dedup();
+    builds
+}
+
+fn reservation(job: &Job, attempt: &str, build: &str) -> Reservation {
+    Reservation {
+        program: owner(job, attempt),
+        turn: key(job, attempt, build),
+        most: 0,
+    }
+}
+
+/// Returns the key under which the VMs with a disk keep a stream's build.
+fn owner(job: &Job, attempt: &str) -> Key {
+    let program = job.call.program.as_deref();
+    job.identity.key_of(program.unwrap_or(attempt))
+}
+
+fn key(job: &Job, attempt: &str, build: &str) -> Key {
+    let service = &job.service;
+    job.identity
+        .key_of(&format!("{attempt}\n{service}\n{build}"))
+}
+
+fn unavailable(why: &str) -> Refusal {
+    Refusal::new(Code::BuildUnavailable, why).retry_after(refuse::RETRY_DELAY)
+}
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -61,6 +61,8 @@
     pub output_tokens: u64,
     /// Random value that breaks ties among equally good runners.
     pub salt: u64,
+    /// The only build whose runners may run the request; `None` if any may.
+    pub build: Option<&'a str>,
     /// Ids of the runners that have refused or failed the request.
     pub excluded: &'a [String],
     /// Data centre of this VM.
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -114,6 +114,7 @@
             && !self.unreachable
             && !self.is_held_off(request.now)
             && self.address_taken_until <= request.now
+            && request.build.is_none_or(|build| self.entry.build == build)
             && !request.excluded.contains(&self.id)
     }
 
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -72,6 +72,7 @@
         prompt_tokens: 13_000,
         output_tokens: 250,
         salt: 7,
+        build: None,
         excluded,
         centre: "a",
         vm: "front-a-1",
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -161,9 +161,9 @@
         }
     }
 
-    /// Chooses a runner that is not in `excluded`.
+    /// Chooses a runner that is not in `excluded`, and of a build if one is given.
     #[must_use]
-    pub fn choose(&self, excluded: &[String]) -> Option<fleet::Choice> {
+    pub fn choose(&self, excluded: &[String], build: Option<&str>) -> Option<fleet::Choice> {
         let engine = self.table.engine(&self.service);
         let request = fleet::Request {
             service: &self.service,
@@ -176,6 +176,7 @@
                 1
             },
             salt: rand::rng().next_u64(),
+            build,
             excluded,
             centre: &self.node.settings.centre,
             vm: &self.node.settings.vm,
@@ -188,6 +189,19 @@
         self.node.fleet().choose(&request)
     }
 
+    /// Returns whether the runner that was chosen hasn't started again since, as far as this VM knows.
+    /// It may have come back with other software.
+    #[must_use]
+    pub fn is_same_process(&self, chosen: &fleet::Choice) -> bool {
+        let mut fleet = self.node.fleet();
+        let known = fleet.runner(&chosen.id);
+        known.is_some_and(|known| {
+            let entry = &known.entry;
+            chosen.incarnation == crashes::incarnation(&chosen.id, entry.born)
+                && chosen.build == entry.build
+        })
+    }
+
     /// Sends the request to a runner and waits for the head of its answer, at most until
     /// `deadline`.
     pub async fn send(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod account;
 pub mod answer;
 pub mod arrival;
+pub mod build;
 pub mod content;
 pub mod crashes;
 pub mod directory;
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -112,7 +112,7 @@
             shutdown::allow_retry(&job.node, job.latest_end())?;
         }
         crashes::check(job, possible_runs).await?;
-        let Some(runner) = job.choose(&excluded) else {
+        let Some(runner) = job.choose(&excluded, None) else {
             return Err(refuse::no_runner(possible_runs));
         };
         let id = runner.id.clone();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -32,6 +32,8 @@
 use crate::account;
 use crate::account::Account;
 use crate::answer;
+use crate::build;
+use crate::build::Pin;
 use crate::crashes;
 use crate::events::Reader;
 use crate::history;
@@ -86,6 +88,8 @@
     first_event_after: Option<Millis>,
     /// The runner that sends the stream or sent it last.
     runner: String,
+    /// Which builds may go on with the stream.
+    pin: Pin,
     /// When the first event came since the stream was opened or last resumed.
     first_event_at: Option<Instant>,
 }
@@ -131,9 +135,7 @@
         }
     };
     match started {
-        Ok((reply, attempt, history)) => {
-            forward_answer(&job, account, &history, reply, attempt, responder).await;
-        }
+        Ok(begun) => forward_answer(&job, account, begun, responder).await,
         Err(refusal) => {
             account::settle(&job, account, 0);
             // A caller that has left needs no answer.
@@ -142,26 +144,39 @@
     }
 }
 
+/// A turn that a runner has begun to answer.
+struct Begun {
+    history: History,
+    pin: Pin,
+    reply: Reply,
+    attempt: Attempt,
+}
+
 /// Prepares a turn and finds the runner that answers it.
-async fn start_turn(
-    job: &Job,
-    account: Option<Account>,
-) -> Result<(Reply, Attempt, History), Refusal> {
+async fn start_turn(job: &Job, account: Option<Account>) -> Result<Begun, Refusal> {
     crashes::check(job, 0).await?;
-    let prepared = prepare(job, account);
+    let pinned = build::pin(job, account);
+    let mut pin = shutdown::with_send_deadline(&job.node, job.latest_end(), pinned).await??;
+    let prepared = prepare(job, account, &pin);
     let history = shutdown::with_send_deadline(&job.node, job.latest_end(), prepared).await??;
     job.node.metrics.record(Latency::Prepare, job.age());
-    let mut excluded = Vec::new();
-    let mut possible_runs = 0;
     let last_event = job.call.last_event;
-    let opened = find_runner(job, &history, &mut excluded, &mut possible_runs, last_event);
+    let mut excluded = Vec::new();
+    let opened = find_runner(job, &history, &mut pin, &mut excluded, last_event);
     let (reply, attempt) = shutdown::with_answer_deadline(&job.node, opened).await??;
     job.record_wait(&attempt);
-    Ok((reply, attempt, history))
+    pin.fix();
+    Ok(Begun {
+        history,
+        pin,
+        reply,
+        attempt,
+    })
 }
 
-async fn prepare(job: &Job, account: Option<Account>) -> Result<History, Refusal> {
-    let (history, ()) = tokio::try_join!(read_history(job), account::reserve(job, account))?;
+async fn prepare(job: &Job, account: Option<Account>, pin: &Pin) -> Result<History, Refusal> {
+    let reserved = account::reserve(job, account, build::record(job, pin));
+    let (history, ()) = tokio::try_join!(read_history(job), reserved)?;
     Ok(history)
 }
 
@@ -174,27 +189,29 @@
     }
 }
 
-/// Offers the turn to runners until one answers. `possible_runs` counts the runners that may have
-/// run it.
+/// Offers the turn to runners until one answers.
 async fn find_runner(
     job: &Job,
     history: &[Bytes],
+    pin: &mut Pin,
     excluded: &mut Vec<String>,
-    possible_runs: &mut u32,
     last_event: Option<u64>,
 ) -> Result<(Reply, Attempt), Refusal> {
+    // Counts the runners that may have run the turn.
+    let mut possible_runs = 0;
     for _ in 0..job::MAX_OFFERS {
         if job.time_left() == Millis::ZERO {
             break;
         }
-        if *possible_runs == 0 {
+        if possible_runs == 0 {
             shutdown::allow_send(&job.node, job.latest_end())?;
         } else {
             shutdown::allow_retry(&job.node, job.latest_end())?;
         }
-        crashes::check(job, *possible_runs).await?;
-        let Some(runner) = job.choose(excluded) else {
-            return Err(refuse::no_runner(*possible_runs));
+        crashes::check(job, possible_runs).await?;
+        let Some(runner) = job.choose(excluded, pin.build()) else {
+            build::move_on(job, pin, excluded, possible_runs).await?;
+            continue;
         };
         let id = runner.id.clone();
         let mut pieces = history.to_vec();
@@ -206,34 +223,38 @@
             SendOutcome::Answered(reply, attempt) => return Ok((*reply, attempt)),
             SendOutcome::NotRun => excluded.push(id),
             SendOutcome::Unknown(why) => {
-                *possible_runs += 1;
+                possible_runs += 1;
                 job.log_retry(&id, &why);
                 excluded.push(id);
-                if !job.route.resumable || *possible_runs >= job.route.attempts {
+                if !job.route.resumable || possible_runs >= job.route.attempts {
                     return Err(Refusal::new(Code::EndpointFailed, &why).ran(Ran::Unknown));
                 }
             }
             SendOutcome::TimedOut => {
-                *possible_runs += 1;
+                possible_runs += 1;
                 break;
             }
         }
     }
     if job.time_left() == Millis::ZERO {
-        return Err(refuse::timed_out(*possible_runs));
+        return Err(refuse::timed_out(possible_runs));
     }
-    Err(refuse::no_runner(*possible_runs))
+    Err(refuse::no_runner(possible_runs))
 }
 
 /// Passes an answer on, and resumes the stream after a break if the route allows it.
 async fn forward_answer(
     job: &Job,
     account: Option<Account>,
-    history: &[Bytes],
-    reply: Reply,
-    attempt: Attempt,
+    begun: Begun,
     responder: oneshot::Sender<Response<Body>>,
 ) {
+    let Begun {
+        history,
+        pin,
+        reply,
+        attempt,
+    } = begun;
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
     let status = reply.head.status;
     let response = answer::forwarded(status, &reply.head.headers, Body::Parts(receiver));
@@ -254,11 +275,12 @@
         last_event_id: job.call.last_event,
         first_event_after: None,
         runner: attempt.runner.id.clone(),
+        pin,
         first_event_at: None,
     };
     let success = status.is_success();
     let end = if success {
-        forward_stream(job, history, &mut state, reply, attempt).await
+        forward_stream(job, &history, &mut state, reply, attempt).await
     } else {
         forward_body(job, &mut state, reply).await
     };
@@ -369,22 +391,21 @@
     let mut pieces = history.to_vec();
     pieces.push(job.body.clone());
     let caller = state.parts.clone();
+    let pin = &mut state.pin;
+    let last_event = state.last_event_id;
     let retry_same_runner = async {
         crashes::check(job, 1).await?;
-        let id = same_runner.id.clone();
-        let sent = job
-            .send(
-                same_runner,
-                Payload::of(pieces),
-                state.last_event_id,
-                job.deadline,
-            )
-            .await;
-        if let SendOutcome::Answered(reply, attempt) = sent {
-            return Ok((*reply, attempt));
+        let mut excluded = Vec::new();
+        if job.is_same_process(&same_runner) {
+            excluded.push(same_runner.id.clone());
+            let sent = job
+                .send(same_runner, Payload::of(pieces), last_event, job.deadline)
+                .await;
+            if let SendOutcome::Answered(reply, attempt) = sent {
+                return Ok((*reply, attempt));
+            }
         }
-        let mut excluded = vec![id];
-        find_runner(job, history, &mut excluded, &mut 0, state.last_event_id).await
+        find_runner(job, history, pin, &mut excluded, last_event).await
     };
     let opened = tokio::select! {
         opened = retry_same_runner => opened,
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -6,6 +6,7 @@
 use adapter::config::Engine;
 use adapter::config::Route;
 use adapter::config::Service;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::workspace::Index;
 
@@ -101,6 +102,17 @@
     }
 }
 
+/// Returns the sample of a request in [0, 1), which its id determines.
+#[must_use]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a sample needs no more digits than it has"
+)]
+pub fn sample(id: &str) -> f64 {
+    const STEPS: u64 = 1 << 32;
+    (xxh3_64(id.as_bytes()) % STEPS) as f64 / STEPS as f64
+}
+
 /// Picks a route's service for a request by the services' weights; `sample` is in [0, 1).
 #[must_use]
 pub fn pick_service(route: &Route, sample: f64) -> Option<&str> {
--- a/crates/relay/src/table/tests.rs
+++ b/crates/relay/src/table/tests.rs
@@ -3,6 +3,7 @@
 
 use super::Table;
 use super::pick_service;
+use super::sample;
 
 const DOCUMENT: &str = r#"{"version":3,"services":[],"routes":[
  {"name":"short","host":"h","prefix":"/a/","kind":"idempotent","timeoutMs":1,"sloMs":1,"priority":0,"service":"s"},
@@ -44,3 +45,11 @@
     let route = table.find("h", "/a/b/c").unwrap();
     assert_eq!(pick_service(route, sample), Some(expected));
 }
+
+/// A stream that is taken up would go to another service, which no runner of its build belongs to.
+#[test]
+fn an_id_decides_on_the_service_and_ids_follow_the_weights() {
+    assert!((sample("q1") - sample("q1")).abs() < f64::EPSILON);
+    let low = (0..1_000).filter(|number| sample(&format!("q{number}")) < 0.9);
+    assert!((860..940).contains(&low.count()));
+}
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -180,24 +180,36 @@
         Err(Fault::ListChanged)
     }
 
-    /// Reserves tokens if they fit the program's budget.
+    /// Reserves tokens if they fit the program's budget, and syncs another reservation of the same
+    /// program with them, if any.
     ///
     /// # Errors
     ///
     /// Fails if no majority can be reached; the reservation may then count against the budget.
-    pub async fn reserve(&self, reservation: Reservation, budget: u64) -> Result<Verdict> {
+    pub async fn reserve(
+        &self,
+        reservation: Reservation,
+        with: Option<Reservation>,
+        budget: u64,
+    ) -> Result<Verdict> {
         let mut retries = Retries::default();
         loop {
-            match self.reserve_once(&reservation, budget).await {
+            match self.reserve_once(&reservation, with, budget).await {
                 Err(fault) => retries.wait_or_fail(fault).await?,
                 outcome => return outcome,
             }
         }
     }
 
-    async fn reserve_once(&self, reservation: &Reservation, budget: u64) -> Result<Verdict> {
+    async fn reserve_once(
+        &self,
+        reservation: &Reservation,
+        with: Option<Reservation>,
+        budget: u64,
+    ) -> Result<Verdict> {
         let (list, group) = self.group(reservation.program)?;
-        let body = Body::Apply(vec![Record::Reserve(*reservation)]);
+        let reservations = with.into_iter().chain([*reservation]);
+        let body = Body::Apply(reservations.map(Record::Reserve).collect());
         let mut answers = self.ask_all(&list, &group, body)?;
         let mut known = Vec::new();
         let mut failed = 0;
@@ -245,6 +257,22 @@
         }
     }
 
+    /// Returns a program's entries: all that were acknowledged.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no majority answers.
+    pub async fn entries(&self, program: Key) -> Result<Vec<Entry>> {
+        let mut retries = Retries::default();
+        loop {
+            let (list, group) = self.group(program)?;
+            match self.read_entries(&list, &group, program).await {
+                Ok(known) => return Ok(quorum::union(&known)),
+                Err(fault) => retries.wait_or_fail(fault).await?,
+            }
+        }
+    }
+
     /// Reads a program's entries from a majority.
     async fn read_entries(
         &self,
--- a/crates/replica/tests/list_changes.rs
+++ b/crates/replica/tests/list_changes.rs
@@ -109,7 +109,7 @@
         most: 50,
     };
     assert_eq!(
-        reserver.reserve(reservation, 60).await.unwrap(),
+        reserver.reserve(reservation, None, 60).await.unwrap(),
         Verdict::Fits
     );
     let next = Reservation {
@@ -117,7 +117,7 @@
         ..reservation
     };
     assert_eq!(
-        reserver.reserve(next, 60).await.unwrap(),
+        reserver.reserve(next, None, 60).await.unwrap(),
         Verdict::Spent(50)
     );
 }
