Ask no leaving runner to resume the stream that it broke off

A VM that resumes a broken stream first asks the same runner, as that has read the prompt, whatever its entry said meanwhile: a runner that had said seconds before that it leaves got a new request. It was chosen by a VM that knew better, which the tests of leaving runners don't play, as none breaks a stream off.

--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -8,6 +8,7 @@
 use adapter::header;
 use adapter::header::Additions;
 use adapter::header::Call;
+use adapter::runner::State;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -189,16 +190,17 @@
         self.node.fleet().choose(&request)
     }
 
-    /// Returns whether the runner that was chosen hasn't started again since, as far as this VM knows.
-    /// It may have come back with other software.
+    /// Returns whether a runner that broke a stream off may be asked to resume it, as far as this VM knows:
+    /// one that is leaving gets no new work, and one that has started again may have other software.
     #[must_use]
-    pub fn is_same_process(&self, chosen: &fleet::Choice) -> bool {
+    pub fn may_resume_at(&self, chosen: &fleet::Choice) -> bool {
         let mut fleet = self.node.fleet();
         let known = fleet.runner(&chosen.id);
         known.is_some_and(|known| {
             let entry = &known.entry;
             chosen.incarnation == crashes::incarnation(&chosen.id, entry.born)
                 && chosen.build == entry.build
+                && entry.state == State::Ready
         })
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -396,7 +396,7 @@
     let retry_same_runner = async {
         crashes::check(job, 1).await?;
         let mut excluded = Vec::new();
-        if job.is_same_process(&same_runner) {
+        if job.may_resume_at(&same_runner) {
             excluded.push(same_runner.id.clone());
             let sent = job
                 .send(same_runner, Payload::of(pieces), last_event, job.deadline)
