--- a/crates/node/src/controllers/members/exchange.rs
+++ b/crates/node/src/controllers/members/exchange.rs
@@ -98,17 +98,17 @@
         self.synced_at = Some(now);
         Heartbeat {
             full: true,
-            ..self.full_state()
+            ..self.full_state(now)
         }
     }
 
     /// Builds the last heartbeat of a VM that has given up its shards and shuts down.
-    pub fn leave(&mut self) -> Heartbeat {
+    pub fn leave(&mut self, now: Millis) -> Heartbeat {
         let me = self.table.own().vm.clone();
         for owner in claims::stale_ownerships(&me, &[], self.owners.entries()) {
             self.owners.merge(&owner);
         }
-        let mut last = self.full_state();
+        let mut last = self.full_state(now);
         last.me.liveness = Liveness::Down;
         last
     }
@@ -117,7 +117,7 @@
     pub fn answer(&mut self, heartbeat: &Heartbeat, now: Millis) -> Heartbeat {
         self.merge(heartbeat, now);
         if heartbeat.full {
-            return self.full_state();
+            return self.full_state(now);
         }
         self.heartbeat(&heartbeat.me.vm, now)
     }
@@ -151,7 +151,7 @@
         }
     }
 
-    fn full_state(&self) -> Heartbeat {
+    fn full_state(&self, now: Millis) -> Heartbeat {
         let others = self.table.members().iter().map(|m| &m.status);
         let known = others.filter(|s| s.liveness != Liveness::Down || s.incarnation > 0);
         Heartbeat {
@@ -161,7 +161,7 @@
             vms: known.cloned().collect(),
             owners: self.owners.entries().to_vec(),
             loads: Vec::new(),
-            listings: Vec::new(),
+            listings: self.listings.all_leaving(now),
         }
     }
 
--- a/crates/node/src/controllers/members/listings.rs
+++ b/crates/node/src/controllers/members/listings.rs
@@ -21,6 +21,16 @@
     read_at: Millis,
 }
 
+impl Entry {
+    fn listing(&self, now: Millis) -> Listing {
+        Listing {
+            endpoint: self.endpoint.clone(),
+            leaving: self.leaving,
+            age: now.since(self.read_at),
+        }
+    }
+}
+
 /// The findings, sorted by endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Listings {
@@ -72,13 +82,15 @@
         let entries = names
             .iter()
             .filter_map(|e| Some(&self.entries[self.position(e).ok()?]));
-        entries
-            .map(|entry| Listing {
-                endpoint: entry.endpoint.clone(),
-                leaving: entry.leaving,
-                age: now.since(entry.read_at),
-            })
-            .collect()
+        entries.map(|entry| entry.listing(now)).collect()
+    }
+
+    /// Returns the findings on endpoints that are leaving, for a VM that has just started and missed
+    /// the updates.
+    #[must_use]
+    pub fn all_leaving(&self, now: Millis) -> Vec<Listing> {
+        let leaving = self.entries.iter().filter(|entry| entry.leaving);
+        leaving.map(|entry| entry.listing(now)).collect()
     }
 
     fn position(&self, endpoint: &id::Endpoint) -> std::result::Result<usize, usize> {
--- a/crates/node/src/controllers/members/tests.rs
+++ b/crates/node/src/controllers/members/tests.rs
@@ -2,6 +2,8 @@
 use rand::rngs::SmallRng;
 use rstest::rstest;
 
+use super::exchange::Exchange;
+use super::heartbeat::Listing;
 use super::*;
 
 const START: Millis = Millis::new(1_000_000);
@@ -42,6 +44,26 @@
     }
 }
 
+/// Guards against a VM that starts after others stopped telling that an endpoint leaves, and sends it
+/// calls.
+#[test]
+fn a_vm_that_starts_learns_which_endpoints_are_leaving() {
+    let mut known = Exchange::new(status("other", 1, Liveness::Up), START);
+    let endpoint = id::Endpoint::parse("r").unwrap();
+    let listing = Listing {
+        endpoint: endpoint.clone(),
+        leaving: true,
+        age: Millis::ZERO,
+    };
+    known.listings.merge(&listing, START);
+    let listener = id::Vm::parse("third").unwrap();
+    while !known.heartbeat(&listener, START).listings.is_empty() {}
+    let mut started = Exchange::new(status("me", 1, Liveness::Up), START);
+    let all = known.answer(&started.full_sync(START), START);
+    started.on_answer(&all, START);
+    assert!(started.listings.leaves(&endpoint));
+}
+
 // Updates on a VM arrive in any order and more than once; the result must be the same.
 #[rstest]
 #[case::older(status("other", 4, Liveness::Down), (5, Liveness::Up))]
--- a/crates/node/src/controllers/run/members.rs
+++ b/crates/node/src/controllers/run/members.rs
@@ -174,7 +174,7 @@
         successors.truncate(MAX_SUCCESSORS);
         let members = successors.iter().filter_map(|vm| exchange.table.find(vm));
         let addresses: Vec<SocketAddr> = members.map(|m| m.status.address).collect();
-        (exchange.leave(), addresses)
+        (exchange.leave(core.clock.now()), addresses)
     };
     let mut calls = tokio::task::JoinSet::new();
     for address in targets {
