--- a/crates/relay/src/build.rs
+++ b/crates/relay/src/build.rs
@@ -73,23 +73,27 @@
     let Some(runner) = job.choose(&[], None) else {
         return Err(refuse::no_runner(0));
     };
-    if account.is_some() {
-        return Ok(Pin::Movable(runner.build));
+    if account.is_none() {
+        record_beside(job, &runner.build);
     }
-    // Nobody waits for this record. If it gets lost, the stream can't be taken up.
-    let record = Record::Reserve(reservation(job, &job.call.id, &runner.build));
+    Ok(Pin::Movable(runner.build))
+}
+
+/// Records the build of a stream without a budget beside its run. If that fails, the stream can't be
+/// taken up.
+fn record_beside(job: &Job, build: &str) {
+    let record = Record::Reserve(reservation(job, &job.call.id, build));
     let (node, owner) = (job.node.clone(), owner(job, &job.call.id));
     tokio::spawn(async move {
         if let Err(fault) = node.replicas.apply(owner, vec![record]).await {
             log::debug!("the build of a stream isn't recorded: {fault}");
         }
     });
-    Ok(Pin::Fixed(runner.build))
 }
 
-/// Returns the reservation that records the build of a stream that begins.
+/// Returns the reservation that records the build of a stream that begins, to go with its tokens.
 #[must_use]
-pub fn record(job: &Job, pin: &Pin) -> Option<Reservation> {
+pub fn reservation_of(job: &Job, pin: &Pin) -> Option<Reservation> {
     match pin {
         Pin::Movable(build) => Some(reservation(job, &job.call.id, build)),
         Pin::Any | Pin::Fixed(_) => None,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -175,7 +175,7 @@
 }
 
 async fn prepare(job: &Job, account: Option<Account>, pin: &Pin) -> Result<History, Refusal> {
-    let reserved = account::reserve(job, account, build::record(job, pin));
+    let reserved = account::reserve(job, account, build::reservation_of(job, pin));
     let (history, ()) = tokio::try_join!(read_history(job), reserved)?;
     Ok(history)
 }
