Log what a VM knew of a workspace's requests when it admitted or refused one

E1201 has a field 'counted', and the messages of CY2206 and CY2207 have the same figures: the VM's own count, the others' as told, for how long they were counted, and whether other VMs are heard.

--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -23,6 +23,8 @@
 //! are still expected to ask ([`programs`]). Below the limit nothing is kept back: a workspace of few
 //! requests comes near its limit by chance, and would be refused for nothing.
 
+use std::fmt;
+
 use wire::clock::Millis;
 
 pub mod programs;
@@ -164,6 +166,20 @@
     pub counted_for: Millis,
 }
 
+impl fmt::Display for Usage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { own, others, .. } = self;
+        let counted_for = self.counted_for.as_u64();
+        write!(f, "own:{own},others:{others},counted_ms:{counted_for}")?;
+        match self.contact {
+            Contact::Kept => write!(f, ",contact:kept"),
+            Contact::Lost { own_then, vms } => {
+                write!(f, ",contact:lost,own_then:{own_then},vms:{vms}")
+            }
+        }
+    }
+}
+
 /// What is decided of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -256,6 +256,13 @@
         reachability::check(&self.node, &runner.id);
     }
 
+    /// Returns what was known of the workspace's requests when this one was admitted; empty if it has
+    /// no limit.
+    fn counted(&self) -> String {
+        let admission = self.admission.as_ref();
+        admission.map_or_else(String::new, |admission| admission.known.to_string())
+    }
+
     fn begin_attempt(&self, runner: fleet::Choice) -> Attempt {
         if let Some(admission) = &self.admission {
             admission.note_sent();
@@ -275,12 +282,13 @@
             .add(Counter::TokensAsked, self.call.prompt_tokens);
         self.node.metrics.add(Counter::TokensMissed, missed);
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} workspace={} route={} revision={} runner={} build={} resumes={} occupied={} slots={} prompt={} cached={} cost_ms={:.0} among={} runners_age_ms={} waited_ms={} left_ms={}",
+            "event=E{} text=\"{}\" request={} program={} workspace={} counted={} route={} revision={} runner={} build={} resumes={} occupied={} slots={} prompt={} cached={} cost_ms={:.0} among={} runners_age_ms={} waited_ms={} left_ms={}",
             Event::CallPlaced.number(),
             Event::CallPlaced.text(),
             self.call.id,
             self.call.program.as_deref().unwrap_or_default(),
             self.workspace_name(),
+            self.counted(),
             self.route.name,
             self.table.version,
             runner.id,
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -9,6 +9,7 @@
 
 use adapter::config::Limit;
 use derive_more::Add;
+use derive_more::Display;
 use policy::quota;
 use policy::quota::Contact;
 use policy::quota::Pressure;
@@ -101,6 +102,16 @@
     node: Arc<Node>,
     workspace: u64,
     sent: AtomicBool,
+    /// What was known when it was admitted.
+    pub known: Known,
+}
+
+/// What a VM knew of a workspace's requests when it decided on one.
+#[derive(Clone, Copy, Debug, Display)]
+#[display("{usage},allowed:{allowance}")]
+pub struct Known {
+    usage: quota::Usage,
+    allowance: u64,
 }
 
 impl Admission {
@@ -147,23 +158,23 @@
     let mut ledger = node.usage();
     let program = program.map(|id| xxh3_64(id.as_bytes()));
     let step = ledger.step(workspace.id, program, shown);
-    match ledger.decide(workspace.id, limit, step, vms, now) {
+    let (verdict, known) = ledger.decide(workspace.id, limit, step, vms, now);
+    let (code, span) = match verdict {
         Verdict::Admit => {
             ledger.add(workspace.id, program, now);
-            Ok(Some(Admission {
+            return Ok(Some(Admission {
                 node: node.clone(),
                 workspace: workspace.id,
                 sent: AtomicBool::new(false),
-            }))
+                known,
+            }));
         }
-        Verdict::OverLimit(span) => Err(refuse(node, Code::OverLimit, workspace, span)),
-        Verdict::OverShare(span) => Err(refuse(node, Code::OverShare, workspace, span)),
-    }
-}
-
-fn refuse(node: &Node, code: Code, workspace: &Workspace, span: Millis) -> Refusal {
+        Verdict::OverLimit(span) => (Code::OverLimit, span),
+        Verdict::OverShare(span) => (Code::OverShare, span),
+    };
     node.metrics.count_over_limit(&workspace.name);
-    Refusal::new(code, &workspace.name).retry_after(span)
+    let detail = format!("{} ({known})", workspace.name);
+    Err(Refusal::new(code, &detail).retry_after(span))
 }
 
 impl Ledger {
@@ -219,7 +230,7 @@
         step: Step,
         vms: u32,
         now: Millis,
-    ) -> Verdict {
+    ) -> (Verdict, Known) {
         let window = self.window;
         let limit = quota::Limit {
             milli_per_second: limit.milli_per_second,
@@ -253,7 +264,8 @@
         if verdict != Verdict::Admit {
             account.refused_at = Some(now);
         }
-        verdict
+        let allowance = limit.allowance();
+        (verdict, Known { usage, allowance })
     }
 
     /// Counts a request of a program.
--- a/crates/relay/src/usage/tests.rs
+++ b/crates/relay/src/usage/tests.rs
@@ -34,7 +34,7 @@
 /// Admits as many requests as the limit allows and returns their number.
 fn fill(ledger: &mut Ledger, now: Millis) -> u32 {
     let mut admitted = 0;
-    while ledger.decide(WORKSPACE, LIMIT, Step::Continues, VMS, now) == Verdict::Admit {
+    while ledger.decide(WORKSPACE, LIMIT, Step::Continues, VMS, now).0 == Verdict::Admit {
         ledger.add(WORKSPACE, None, now);
         admitted += 1;
     }
