--- a/crates/relay/tests/fleet_model/vm.rs
+++ b/crates/relay/tests/fleet_model/vm.rs
@@ -14,12 +14,17 @@
 use relay::follow::step::Follower;
 use relay::identity;
 use relay::identity::Access;
+use relay::identity::Identity;
 use relay::node::Node;
 use relay::peers::Role;
 use relay::register::step::Registration;
 use relay::subject::Subject;
+use relay::usage;
+use relay::usage::Shown;
 use wire::clock::Clock;
 use wire::clock::Millis;
+use wire::code::Code;
+use wire::code::Refusal;
 
 use super::traffic::Traffic;
 
@@ -129,11 +134,28 @@
 
     /// Returns whether the process accepts a key of a caller now.
     pub fn accepts(&self, key: &str) -> bool {
+        self.identify(key).is_ok()
+    }
+
+    fn identify(&self, key: &str) -> Result<Identity, Refusal> {
         let (table, age) = self.node.table_with_age();
+        if !table.loaded {
+            return Err(Refusal::new(Code::NoConfiguration, ""));
+        }
         let credential = Credential::Key(Digest::of(key));
         let freshness = self.node.freshness(age);
         let index = table.workspaces.as_ref();
-        table.loaded && identity::identify(index, Access::Keyed, credential, freshness).is_ok()
+        identity::identify(index, Access::Keyed, credential, freshness)
+    }
+
+    /// Counts a request with a key of a caller as one that reaches a runner, or refuses it.
+    pub fn admit(&self, key: &str, program: &str, shown: Shown) -> Result<(), Refusal> {
+        let identity = self.identify(key)?;
+        let workspace = identity.workspace().expect("the route needs a key");
+        if let Some(admission) = usage::admit(&self.node, workspace, Some(program), shown)? {
+            admission.note_sent();
+        }
+        Ok(())
     }
 
     /// Returns whether the VM is the hub of its data centre.
--- a/crates/relay/tests/fleet_model/world.rs
+++ b/crates/relay/tests/fleet_model/world.rs
@@ -75,10 +75,23 @@
     pub(super) departed: BTreeSet<String>,
     time: Arc<AtomicU64>,
     version: u64,
-    keys: Vec<String>,
+    workspaces: Vec<Workspace>,
     runner_count: usize,
 }
 
+/// A workspace of the configuration.
+#[derive(Clone, Debug)]
+pub struct Workspace {
+    /// Its name.
+    pub name: &'static str,
+    /// The keys that it holds.
+    pub keys: Vec<&'static str>,
+    /// The requests that it may have run per second; 0 for any number.
+    pub per_second: u32,
+    /// The requests that it may have run on top of that.
+    pub burst: u32,
+}
+
 /// The lease of a VM's entry.
 #[derive(Clone, Debug, Default)]
 pub struct Lease {
@@ -125,7 +138,7 @@
             departed: BTreeSet::new(),
             time: Arc::new(AtomicU64::new(START_TIME_MS)),
             version: 0,
-            keys: Vec::new(),
+            workspaces: Vec::new(),
             runner_count: 0,
             size,
         };
@@ -200,24 +213,38 @@
     /// Writes the next version of the configuration.
     pub fn write_config(&mut self) {
         self.version += 1;
-        let document = if self.keys.is_empty() {
+        let document = if self.workspaces.is_empty() {
             store::configuration(self.version, "")
         } else {
-            let keys: Vec<&str> = self.keys.iter().map(String::as_str).collect();
-            let workspace = store::Workspace {
-                name: "w",
-                keys: &keys,
-                per_second: 0,
-                burst: 0,
-            };
-            store::keyed_configuration(self.version, "", &[workspace])
+            store::keyed_configuration(self.version, "", &self.rendered_workspaces())
         };
         self.put(Subject::Config.prefix(), document.as_bytes());
     }
 
+    fn rendered_workspaces(&self) -> Vec<store::Workspace<'_>> {
+        let workspaces = self.workspaces.iter();
+        let rendered = workspaces.map(|workspace| store::Workspace {
+            name: workspace.name,
+            keys: &workspace.keys,
+            per_second: workspace.per_second,
+            burst: workspace.burst,
+        });
+        rendered.collect()
+    }
+
     /// Writes the next version of the configuration, with a workspace that holds these keys.
-    pub fn write_keys(&mut self, keys: &[&str]) {
-        self.keys = keys.iter().map(|key| (*key).to_owned()).collect();
+    pub fn write_keys(&mut self, keys: &[&'static str]) {
+        self.write_workspaces(vec![Workspace {
+            name: "w",
+            keys: keys.to_vec(),
+            per_second: 0,
+            burst: 0,
+        }]);
+    }
+
+    /// Writes the next version of the configuration, with these workspaces.
+    pub fn write_workspaces(&mut self, workspaces: Vec<Workspace>) {
+        self.workspaces = workspaces;
         self.write_config();
     }
 
--- a/crates/relay/tests/keys.rs
+++ b/crates/relay/tests/keys.rs
@@ -89,7 +89,7 @@
 /// each VM or each hub asked, the calls of the service would grow with the deployment.
 #[rstest]
 fn one_vm_asks_for_all(#[values(1)] seed: u64) {
-    let calls = |keys: &[&str]| {
+    let calls = |keys: &[&'static str]| {
         let mut world = World::new(size(seed));
         world.write_keys(keys);
         world.run(LISTED_MS);
