Count requests of workspaces by slots, so that no restart undoes what VMs know

What callers saw: a workspace got its limit again when VMs were killed. Cause: a VM's count was kept under its name, and the next process of the VM told less under the same name, which replaced it; a new hub's sum replaced the sum of the hub before. Sums of a window fall with time, so nothing could tell a lost count from one that had left the window.

Requests are now counted by slots of a common time, whose counts only grow. A VM keeps the highest count of each slot, also of ended processes, and tells beside its own what it knows of all, so that one that restarts learns it from any that lived. Only what was sent to a runner is counted so; what is admitted and waits is a figure of the moment. Processes of the version before are told and read as they were.

Evidence: the tests of the ledger for a restarted VM and for a new hub fail on the code before.

--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -27,10 +27,11 @@
 
 use wire::clock::Millis;
 
+use crate::quota::slots::Slots;
+
 pub mod programs;
+pub mod slots;
 
-/// Number of parts of a window. What falls out of the window does so in these steps.
-const SLOTS: usize = 25;
 /// How much of the limit the requests of a window and those that are still expected may take up for
 /// a program to begin, as a percentage. Some of what is expected comes when the earliest requests have
 /// fallen out of the window.
@@ -50,62 +51,42 @@
 /// Counts events of the last window.
 #[derive(Clone, Debug)]
 pub struct Window {
-    slot: Millis,
-    counts: [u32; SLOTS],
-    /// Number of the slot that the newest event belongs to.
-    newest: u64,
+    span: Millis,
+    slots: Slots,
 }
 
 impl Window {
     /// Creates an empty window that spans `span`.
     #[must_use]
     pub fn new(span: Millis) -> Self {
-        // One slot less than there are, as the newest one has only begun.
-        let slot = span.as_u64().div_ceil(SLOTS as u64 - 1).max(1);
         Self {
-            slot: Millis::new(slot),
-            counts: [0; SLOTS],
-            newest: 0,
-        }
-    }
-
-    fn advance(&mut self, now: Millis) {
-        let number = now.as_u64() / self.slot.as_u64();
-        let passed = number.saturating_sub(self.newest).min(SLOTS as u64);
-        for step in 0..passed {
-            let index = Self::index(number - step);
-            self.counts[index] = 0;
+            span: slots::span(span),
+            slots: Slots::default(),
         }
-        self.newest = self.newest.max(number);
     }
 
-    fn index(number: u64) -> usize {
-        // The remainder is below SLOTS.
-        usize::try_from(number % SLOTS as u64).unwrap_or(0)
+    fn advance(&mut self, now: Millis) -> u64 {
+        let number = slots::number(now, self.span);
+        self.slots.advance(number);
+        number
     }
 
     /// Adds an event.
     pub fn add(&mut self, now: Millis) {
-        self.advance(now);
-        self.counts[Self::index(self.newest)] += 1;
+        let number = self.advance(now);
+        self.slots.add(number, 1);
     }
 
     /// Takes the latest event back.
     pub fn take_back(&mut self, now: Millis) {
         self.advance(now);
-        for step in 0..SLOTS as u64 {
-            let index = Self::index(self.newest.saturating_sub(step));
-            if self.counts[index] > 0 {
-                self.counts[index] -= 1;
-                return;
-            }
-        }
+        self.slots.take_back();
     }
 
     /// Returns the number of events of the last window, and of at most one slot before it.
     pub fn count(&mut self, now: Millis) -> u32 {
         self.advance(now);
-        self.counts.iter().sum()
+        self.slots.sum()
     }
 }
 
--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -39,12 +39,12 @@
     }
     node.fleet()
         .note_tallies(&received.origin, &received.tallies, now);
-    node.usage().note(
-        &received.origin,
-        &received.extension.uses,
-        Millis::new(received.extension.counted_for),
-        now,
-    );
+    if let Some(report) = &received.limits {
+        node.usage().note(&received.origin, report, now);
+    } else {
+        let sums = &received.extension.sums;
+        node.usage().note_sums(&received.origin, sums, now);
+    }
     if let Some(document) = &received.document {
         ingest::configuration(node, document);
     }
--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -20,7 +20,10 @@
 use crate::tally;
 use crate::tally::Origin;
 use crate::tally::Tally;
-use crate::usage::Use;
+use crate::usage::report::Entry;
+use crate::usage::report::Report;
+use crate::usage::report::Scope;
+use crate::usage::report::Sum;
 
 /// The message that each side of an exchange sends. Encoded by position, so the order of fields
 /// must not change.
@@ -52,6 +55,10 @@
     /// What was added after that.
     #[serde(skip)]
     pub crashes: News,
+    /// What was added last: the requests of workspaces that have a limit, from the VMs of the message's
+    /// origin. `None` from a process that tells only their sums.
+    #[serde(skip)]
+    pub limits: Option<Report>,
 }
 
 /// The part of a message that follows its first part. A process that doesn't know it reads the first
@@ -60,9 +67,9 @@
 pub struct Extension {
     /// What the sender says of its configuration.
     pub proof: Proof,
-    /// The requests of workspaces that have a limit, from the VMs of the message's origin; sorted by
-    /// workspace.
-    pub uses: Vec<Use>,
+    /// The sums of the requests of workspaces that have a limit, for processes that don't know
+    /// [`Message::limits`]; sorted by workspace.
+    pub sums: Vec<Sum>,
     /// The changes of the runners' entries, if the recipient's are only a few changes behind.
     pub changes: Option<Delta>,
     /// Some of the runners' entries, if they are too many for a message.
@@ -82,9 +89,12 @@
 pub fn encode(message: &Message) -> Result<Vec<u8>, rmp_serde::encode::Error> {
     let mut bytes = rmp_serde::to_vec(message)?;
     rmp_serde::encode::write(&mut bytes, &message.extension)?;
-    if message.crashes != News::default() {
+    if message.crashes != News::default() || message.limits.is_some() {
         rmp_serde::encode::write(&mut bytes, &message.crashes)?;
     }
+    if let Some(limits) = &message.limits {
+        rmp_serde::encode::write(&mut bytes, limits)?;
+    }
     Ok(bytes)
 }
 
@@ -102,6 +112,9 @@
     if !rest.is_empty() {
         message.crashes = rmp_serde::from_read(&mut rest)?;
     }
+    if !rest.is_empty() {
+        message.limits = Some(rmp_serde::from_read(&mut rest)?);
+    }
     Ok(message)
 }
 
@@ -112,7 +125,7 @@
     let Figures {
         origin,
         tallies,
-        uses,
+        limits,
     } = figures_for(node, to, now);
     let (table, config_age) = node.table_with_age();
     let members = node.replicas.list();
@@ -140,13 +153,14 @@
                 echo: peer.stamp,
                 age: config_age.map(Millis::as_u64),
             },
-            uses,
+            sums: limits.entries.iter().map(Entry::sum).collect(),
             changes,
             part,
             cursor: node.roster_cursor(to),
-            counted_for: node.usage().counted_for(now).as_u64(),
+            counted_for: limits.counted_for,
         },
         crashes: node.crashes().news(to, node.stamp().process, now),
+        limits: Some(limits),
     }
 }
 
@@ -203,7 +217,7 @@
 struct Figures {
     origin: Origin,
     tallies: Vec<Tally>,
-    uses: Vec<Use>,
+    limits: Report,
 }
 
 /// Returns the figures for a VM and their origin. A hub sends the VMs of its own data centre the
@@ -215,43 +229,41 @@
     match peers.exchange_role(&settings.vm, &settings.centre, now) {
         peers::Role::Direct | peers::Role::Leaf => {
             let origin = Origin::Vm(settings.vm.clone());
-            figures(node, origin, now, None, |_| false)
+            figures(node, origin, now, Scope::Own, |_| false)
         }
         peers::Role::Hub => {
-            let leaf = in_own_centre(to).then_some(to);
-            let (recipient, origin) = if let Some(leaf) = leaf {
-                (tally::Recipient::SameCentre(leaf), Origin::Others)
+            let (recipient, origin, scope) = if in_own_centre(to) {
+                let recipient = tally::Recipient::SameCentre(to);
+                (recipient, Origin::Others, Scope::AllBut(to))
             } else {
-                (
-                    tally::Recipient::OtherHub,
-                    Origin::Centre(settings.centre.clone()),
-                )
+                let origin = Origin::Centre(settings.centre.clone());
+                (tally::Recipient::OtherHub, origin, Scope::Centre)
             };
             let is_forwarded =
                 |of: &Origin| tally::is_forwarded(of, recipient, &settings.centre, in_own_centre);
-            figures(node, origin, now, leaf, is_forwarded)
+            figures(node, origin, now, scope, is_forwarded)
         }
     }
 }
 
-/// Returns the figures of an origin. A `leaf` of the hub is told of the runners that it uses only.
+/// Returns the figures of an origin. A leaf of the hub is told of the runners that it uses only.
 fn figures(
     node: &Node,
     origin: Origin,
     now: Millis,
-    leaf: Option<&str>,
+    scope: Scope<'_>,
     speaks_for: impl Fn(&Origin) -> bool,
 ) -> Figures {
-    let tallies = match leaf {
-        Some(vm) => {
+    let tallies = match scope {
+        Scope::AllBut(vm) => {
             let centre = &node.settings.centre;
             node.fleet().tallies_for(vm, centre, now, &speaks_for)
         }
-        None => node.fleet().tallies(now, &speaks_for),
+        Scope::Own | Scope::Centre => node.fleet().tallies(now, &speaks_for),
     };
     Figures {
         origin,
         tallies,
-        uses: node.usage().uses(now, &speaks_for),
+        limits: node.usage().report(scope, &speaks_for, now),
     }
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -42,7 +42,7 @@
 use crate::subject::Subject;
 use crate::table::Table;
 use crate::turns::Cache;
-use crate::usage::Ledger;
+use crate::usage::ledger::Ledger;
 use crate::work;
 
 /// How long a call of the key-value service may take. Calls usually take a few milliseconds; this
@@ -175,6 +175,8 @@
         );
         let cache_bytes =
             usize::try_from(settings.memory_bytes / TURN_CACHE_DIVISOR).unwrap_or(usize::MAX);
+        let process = rand::random();
+        let now = clock.now();
         Arc::new(Self {
             runner_client,
             vm_client,
@@ -184,11 +186,11 @@
             turns: Mutex::new(Cache::new(cache_bytes)),
             metrics: Metrics::default(),
             started: Instant::now(),
-            started_at: clock.now(),
-            process: rand::random(),
+            started_at: now,
+            process,
             in_force: Mutex::default(),
             fleet: Mutex::default(),
-            usage: Mutex::new(Ledger::new(settings.limit_window, clock.now())),
+            usage: Mutex::new(Ledger::new(process, settings.limit_window, now)),
             crashes: Mutex::default(),
             roster: Mutex::default(),
             roster_transfer: Mutex::default(),
--- /dev/null
+++ b/crates/relay/src/usage/ledger.rs
@@ -0,0 +1,319 @@
+//! All counts of a VM.
+
+use adapter::config::Limit;
+use policy::quota;
+use policy::quota::Contact;
+use policy::quota::Pressure;
+use policy::quota::Step;
+use policy::quota::Verdict;
+use policy::quota::slots;
+use policy::quota::slots::SLOTS;
+use wire::clock::Millis;
+
+use crate::tally::Origin;
+use crate::usage::Known;
+use crate::usage::Shown;
+use crate::usage::account::Account;
+use crate::usage::account::Figures;
+use crate::usage::report::Count;
+use crate::usage::report::Entry;
+use crate::usage::report::Report;
+use crate::usage::report::Scope;
+use crate::usage::report::Sum;
+
+/// For how many windows another VM's figures are kept without an update.
+const REPORT_WINDOWS: u64 = 2;
+/// A VM that hasn't heard any other for this long has lost contact. Longer than the silence of a hub
+/// that is replaced by another one.
+const CONTACT_TIMEOUT: Millis = Millis::new(1_500);
+/// The most workspaces whose counts a message tells. Those nearest to their limits come first.
+const MAX_TOLD: usize = 256;
+
+/// The age from which a report is dropped. Longer than a message takes that was lost and sent again.
+const MAX_REPORT_AGE: Millis = Millis::new(800);
+
+/// All counts of a VM.
+#[derive(Debug)]
+pub struct Ledger {
+    /// A random number of this process.
+    process: u64,
+    window: Millis,
+    started_at: Millis,
+    slot_span: Millis,
+    /// The common time at which the process started. VMs that hear each other have the same common time,
+    /// and so number slots alike: each takes over the latest time that it hears.
+    started_common: Millis,
+    /// Sorted by the workspaces' ids.
+    accounts: Vec<Account>,
+    /// The VMs that told their own requests.
+    senders: Vec<Sender>,
+    /// When this VM last heard another one.
+    heard_at: Option<Millis>,
+    /// Since when this VM or one that it heard counts.
+    counting_since: Millis,
+}
+
+/// A VM or data centre that tells its requests.
+#[derive(Debug)]
+struct Sender {
+    origin: Origin,
+    heard_at: Millis,
+}
+
+impl Ledger {
+    /// Creates the counts of a process that starts at `now`.
+    #[must_use]
+    pub fn new(process: u64, window: Millis, now: Millis) -> Self {
+        let slot_span = slots::span(window);
+        Self {
+            process,
+            window,
+            started_at: now,
+            slot_span,
+            // Leaves room for the window before.
+            started_common: Millis::new(slot_span.as_u64() * SLOTS as u64),
+            accounts: Vec::new(),
+            senders: Vec::new(),
+            heard_at: None,
+            counting_since: now,
+        }
+    }
+
+    fn common_time(&self, now: Millis) -> Millis {
+        self.started_common.plus(now.since(self.started_at))
+    }
+
+    fn slot(&self, now: Millis) -> u64 {
+        slots::number(self.common_time(now), self.slot_span)
+    }
+
+    fn account(&mut self, workspace: u64, now: Millis) -> &mut Account {
+        let found = self
+            .accounts
+            .binary_search_by_key(&workspace, |account| account.workspace);
+        let index = found.unwrap_or_else(|index| {
+            let account = Account::new(workspace, self.report_max_age());
+            self.accounts.insert(index, account);
+            index
+        });
+        let slot = self.slot(now);
+        let account = &mut self.accounts[index];
+        account.advance(slot);
+        account
+    }
+
+    /// Returns a request's place in its program.
+    pub fn step(
+        &mut self,
+        workspace: u64,
+        program: Option<u64>,
+        shown: Shown,
+        now: Millis,
+    ) -> Step {
+        let programs = &self.account(workspace, now).programs;
+        let has_begun = program.is_some_and(|program| programs.has_begun(program));
+        if has_begun || shown == Shown::HasBegun {
+            Step::Continues
+        } else {
+            Step::Opens(programs.expected())
+        }
+    }
+
+    /// Decides whether a request of a workspace is admitted. `vms` is the number of all VMs.
+    pub fn decide(
+        &mut self,
+        workspace: u64,
+        limit: Limit,
+        step: Step,
+        vms: u32,
+        now: Millis,
+    ) -> (Verdict, Known) {
+        let window = self.window;
+        let limit = quota::Limit {
+            milli_per_second: limit.milli_per_second,
+            burst: limit.burst,
+            window,
+        };
+        let keeps_contact = vms <= 1
+            || self
+                .heard_at
+                .is_some_and(|heard_at| now.since(heard_at) < CONTACT_TIMEOUT);
+        let counted_for = now.since(self.counting_since);
+        let allowance = limit.allowance();
+        let account = self.account(workspace, now);
+        account.allowance = allowance;
+        let usage = quota::Usage {
+            own: account.own(),
+            others: account.others(now),
+            pending: account.programs.pending(now) + account.figures(now).pending,
+            pressure: pressure(account, now, window),
+            contact: if keeps_contact {
+                Contact::Kept
+            } else {
+                Contact::Lost {
+                    own_then: account.own_then,
+                    vms,
+                }
+            },
+            counted_for,
+        };
+        let verdict = quota::decide(&limit, usage, step);
+        if verdict != Verdict::Admit {
+            account.refused_at = Some(now);
+        }
+        (verdict, Known { usage, allowance })
+    }
+
+    /// Counts an admitted request of a program.
+    pub fn reserve(&mut self, workspace: u64, program: Option<u64>, now: Millis) {
+        let account = self.account(workspace, now);
+        account.reserve();
+        if let Some(program) = program {
+            account.programs.note(program, now);
+        }
+    }
+
+    /// Takes an admitted request back that wasn't sent.
+    pub fn release(&mut self, workspace: u64, now: Millis) {
+        self.account(workspace, now).release();
+    }
+
+    /// Records that an admitted request was sent to a runner.
+    pub fn note_sent(&mut self, workspace: u64, now: Millis) {
+        let slot = self.slot(now);
+        self.account(workspace, now).note_sent(slot);
+    }
+
+    /// Records what another VM tells.
+    ///
+    /// An old report is dropped: it was on its way for long, or its sender has just started and not heard of
+    /// the common time. Its next report tells the same.
+    pub fn note(&mut self, origin: &Origin, report: &Report, now: Millis) {
+        let made_at = Millis::new(report.at);
+        if self.common_time(now).since(made_at) > MAX_REPORT_AGE {
+            return;
+        }
+        self.adopt_time(made_at, now);
+        self.note_sender(origin, now);
+        let since = now.as_u64().saturating_sub(report.counted_for);
+        self.counting_since = self.counting_since.min(Millis::new(since));
+        let newest = slots::number(made_at, self.slot_span);
+        let slot_of = |count: &Count| newest.saturating_sub(u64::from(count.age));
+        for entry in &report.entries {
+            self.account(entry.workspace, now);
+        }
+        let slot = self.slot(now);
+        for account in &mut self.accounts {
+            account.advance(slot);
+            account.own_then = account.own();
+            let entry = find(&report.entries, account.workspace);
+            account.note(origin, report.process, entry, slot_of, now);
+        }
+    }
+
+    /// Takes over a common time that is later. What this VM counted by a time that the others don't share
+    /// gets other numbers; what it counted by nearly the same time keeps those that the others know.
+    fn adopt_time(&mut self, common: Millis, now: Millis) {
+        let by = common.since(self.common_time(now));
+        let slot = self.slot(now);
+        self.started_common = self.started_common.plus(by);
+        if by > MAX_REPORT_AGE {
+            let passed = self.slot(now) - slot;
+            for account in &mut self.accounts {
+                account.renumber(passed);
+            }
+        }
+    }
+
+    fn note_sender(&mut self, origin: &Origin, now: Millis) {
+        self.heard_at = Some(now);
+        let max_age = self.report_max_age();
+        self.senders
+            .retain(|sender| sender.origin != *origin && now.since(sender.heard_at) < max_age);
+        self.senders.push(Sender {
+            origin: origin.clone(),
+            heard_at: now,
+        });
+    }
+
+    /// Returns whether a VM told its own requests.
+    fn has_heard(&self, vm: &str) -> bool {
+        let is_of = |sender: &Sender| matches!(&sender.origin, Origin::Vm(name) if name == vm);
+        self.senders.iter().any(is_of)
+    }
+
+    /// Returns for how long what another VM told is kept without an update.
+    const fn report_max_age(&self) -> Millis {
+        Millis::new(self.window.as_u64() * REPORT_WINDOWS)
+    }
+
+    /// Records what a process tells that doesn't count by slots: its requests of the last window, sorted
+    /// by workspace.
+    pub fn note_sums(&mut self, origin: &Origin, sums: &[Sum], now: Millis) {
+        self.note_sender(origin, now);
+        for sum in sums {
+            self.account(sum.workspace, now);
+        }
+        for account in &mut self.accounts {
+            let found = sums.binary_search_by_key(&account.workspace, |sum| sum.workspace);
+            let figures = found.ok().map(|index| Figures {
+                admitted: sums[index].admitted,
+                pending: sums[index].pending,
+                ..Figures::default()
+            });
+            account.note_sum(origin, figures, now);
+        }
+    }
+
+    /// Returns what is told of the VMs of a scope. `speaks_for` selects the origins that belong to it.
+    ///
+    /// A VM whose own requests aren't known is told nothing: it would count them as those of others.
+    pub fn report(
+        &mut self,
+        scope: Scope<'_>,
+        speaks_for: impl Fn(&Origin) -> bool,
+        now: Millis,
+    ) -> Report {
+        let slot = self.slot(now);
+        let is_told = match scope {
+            Scope::Own | Scope::Centre => true,
+            Scope::AllBut(vm) => self.has_heard(vm),
+        };
+        let mut told = Vec::new();
+        for account in &mut self.accounts {
+            account.advance(slot);
+            if let Some(entry) = account.entry(scope, &speaks_for, now)
+                && is_told
+            {
+                told.push((account.left(), entry));
+            }
+        }
+        told.sort_by_key(|(left, _)| *left);
+        told.truncate(MAX_TOLD);
+        let mut entries: Vec<Entry> = told.into_iter().map(|(_, entry)| entry).collect();
+        entries.sort_by_key(|entry| entry.workspace);
+        Report {
+            process: self.process,
+            at: self.common_time(now).as_u64(),
+            entries,
+            counted_for: now.since(self.counting_since).min(self.window).as_u64(),
+        }
+    }
+}
+
+fn find(entries: &[Entry], workspace: u64) -> Option<&Entry> {
+    let found = entries.binary_search_by_key(&workspace, |entry| entry.workspace);
+    found.ok().map(|index| &entries[index])
+}
+
+fn pressure(account: &Account, now: Millis, window: Millis) -> Pressure {
+    let span = quota::pressure_span(window);
+    if account.refused_at.is_some_and(|at| now.since(at) < span) {
+        Pressure::High
+    } else {
+        Pressure::Low
+    }
+}
+
+#[cfg(test)]
+mod tests;
