Admit only a part of a workspace's requests where the counts are late for the rest

What callers saw: a workspace whose callers send several times its limit got more than the limit and the slack, though nothing happened to the VMs. Cause: the other VMs' counts are some hundred milliseconds old. All VMs see the same requests left and each of them admits them; the excess grows with what is sent, and the slack doesn't.

VMs now tell how many requests of a workspace arrive at them. Once the others get more in the time until all know of each other than is left of the limit, each VM admits such a part of its requests that all together admit what is left.

--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -13,8 +13,9 @@
 //!   unless others remember ([`presumed`]). Otherwise, after a restart of all processes, a workspace
 //!   would get its limit twice in one window. Its burst isn't presumed to be used: after an outage
 //!   all callers come at once with what they could not send meanwhile.
-//! - What is told is some hundred milliseconds old. The users' slack covers what is admitted
-//!   meanwhile.
+//! - What is told is some hundred milliseconds old. Once the other VMs get more requests in that time
+//!   than are left of the limit, each VM admits only so large a part of its requests that all together
+//!   admit what is left ([`Demand`]).
 //!
 //! A program earns nothing unless all of its requests are served, so each one that is begun and not
 //! finished uses up requests of the limit for nothing. Served in the order of their arrival, callers
@@ -42,6 +43,8 @@
 /// Requests that a VM admits in spite of what it presumes after its start. A workspace whose limit
 /// is a few requests would otherwise be refused after each restart of all processes.
 const START_ALLOWANCE: u64 = 8;
+/// Thousandths of a whole.
+pub const PER_MILLE: u64 = 1_000;
 /// The shortest time after which a refused request may be repeated. In less, hardly any of a
 /// workspace's requests fall out of the window.
 const MIN_RETRY: Millis = Millis::new(200);
@@ -130,6 +133,39 @@
     Millis::new(window.as_u64() * 2)
 }
 
+/// How many requests a workspace sends, admitted or not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Those that this VM got in the last second.
+    pub own: u32,
+    /// Those that the other VMs got.
+    pub others: u32,
+    /// How long it takes until all VMs know of a request.
+    pub lag: Millis,
+}
+
+impl Demand {
+    /// Returns how many requests all VMs get before they know of each other's.
+    fn unknown(&self) -> u64 {
+        let all = u64::from(self.own) + u64::from(self.others);
+        all * self.lag.as_u64() / 1_000
+    }
+
+    /// Returns how many the other VMs get before this one knows.
+    fn unknown_of_others(&self) -> u64 {
+        u64::from(self.others) * self.lag.as_u64() / 1_000
+    }
+
+    /// Returns the part of the requests that all VMs may admit if `left` more are allowed, in
+    /// thousandths.
+    fn admitted_per_mille(&self, left: u64) -> u64 {
+        if left > self.unknown_of_others() {
+            return PER_MILLE;
+        }
+        left * PER_MILLE / self.unknown().max(1)
+    }
+}
+
 /// A workspace's requests in the last window.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Usage {
@@ -139,6 +175,8 @@
     pub others: u32,
     /// Those that programs under way at all VMs are still expected to make.
     pub pending: u32,
+    /// How many are sent.
+    pub demand: Demand,
     /// Whether the limit was reached lately.
     pub pressure: Pressure,
     /// Whether the other VMs' counts are still told.
@@ -151,7 +189,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { own, others, .. } = self;
         let counted_for = self.counted_for.as_u64();
-        write!(f, "own:{own},others:{others},counted_ms:{counted_for}")?;
+        let asked = self.demand.own + self.demand.others;
+        write!(
+            f,
+            "own:{own},others:{others},counted_ms:{counted_for},asked_per_s:{asked}"
+        )?;
         match self.contact {
             Contact::Kept => write!(f, ",contact:kept"),
             Contact::Lost { own_then, vms } => {
@@ -203,9 +245,9 @@
     limit.at_rate(uncounted).saturating_sub(START_ALLOWANCE)
 }
 
-/// Decides whether a request is admitted.
+/// Decides whether a request is admitted. `draw` is a random number below [`PER_MILLE`].
 #[must_use]
-pub fn decide(limit: &Limit, usage: Usage, step: Step) -> Verdict {
+pub fn decide(limit: &Limit, usage: Usage, step: Step, draw: u64) -> Verdict {
     let allowance = limit.allowance();
     let window = limit.window;
     let own = u64::from(usage.own);
@@ -220,13 +262,15 @@
     let presumed = presumed(limit, usage.counted_for);
     let used = own + u64::from(usage.others) + presumed;
     let expected = used + u64::from(usage.pending);
+    let left = allowance.saturating_sub(used);
+    let is_drawn = draw < usage.demand.admitted_per_mille(left);
     let is_within = match step {
-        Step::Continues => used < allowance,
+        Step::Continues => is_drawn,
         Step::Opens(requests) => {
             let bound = allowance * OPENING_PERCENT / 100;
             let always = allowance.div_ceil(ALWAYS_OPEN_DIVISOR);
             let fits = expected + u64::from(requests) <= bound || expected < always;
-            used < allowance && (usage.pressure == Pressure::Low || fits)
+            is_drawn && (usage.pressure == Pressure::Low || fits)
         }
     };
     if is_within {
--- a/crates/policy/src/quota/tests.rs
+++ b/crates/policy/src/quota/tests.rs
@@ -2,6 +2,7 @@
 use wire::clock::Millis;
 
 use super::Contact;
+use super::Demand;
 use super::Limit;
 use super::Pressure;
 use super::START_ALLOWANCE;
@@ -27,6 +28,7 @@
         own,
         others,
         pending: 0,
+        demand: Demand::default(),
         pressure: Pressure::High,
         contact: Contact::Kept,
         counted_for: WINDOW,
@@ -73,7 +75,7 @@
 #[case::others_are_under_way(Usage { pending: 30, ..usage(40, 0) }, Step::Opens(36), false)]
 #[case::program_larger_than_the_limit(usage(20, 29), Step::Opens(500), true)]
 fn all_vms_count(#[case] usage: Usage, #[case] step: Step, #[case] admitted: bool) {
-    let verdict = decide(&limit(100), usage, step);
+    let verdict = decide(&limit(100), usage, step, 0);
     assert_eq!(verdict == Verdict::Admit, admitted, "{verdict:?}");
 }
 
@@ -81,7 +83,7 @@
 #[test]
 fn a_program_can_begin_under_the_smallest_limit() {
     assert_eq!(
-        decide(&limit(1), usage(0, 0), Step::Opens(11)),
+        decide(&limit(1), usage(0, 0), Step::Opens(11), 0),
         Verdict::Admit
     );
 }
@@ -102,7 +104,7 @@
             ..usage(admitted, 0)
         };
         // Twice the limit's rate.
-        if passed % 10 == 0 && decide(&limit, usage, Step::Continues) == Verdict::Admit {
+        if passed % 10 == 0 && decide(&limit, usage, Step::Continues, 0) == Verdict::Admit {
             admitted += 1;
         }
     }
@@ -136,7 +138,7 @@
             counted_for: Millis::new(passed),
             ..usage(admitted, 0)
         };
-        let verdict = decide(&limit, usage, Step::Continues);
+        let verdict = decide(&limit, usage, Step::Continues, 0);
         assert_eq!(verdict, Verdict::Admit, "{passed} ms, {admitted} admitted");
     }
 }
@@ -159,7 +161,7 @@
             contact: Contact::Lost { own_then, vms },
             ..usage(own, others)
         };
-        while decide(&limit(allowance), lost(own), Step::Continues) == Verdict::Admit {
+        while decide(&limit(allowance), lost(own), Step::Continues, 0) == Verdict::Admit {
             own += 1;
         }
         sum += u64::from(own);
@@ -174,6 +176,6 @@
 #[case::just_over(usage(0, 100), 200)]
 #[case::far_over(usage(0, 300), 1_000)]
 fn a_refusal_names_the_time_to_come_back(#[case] usage: Usage, #[case] millis: u64) {
-    let verdict = decide(&limit(100), usage, Step::Continues);
+    let verdict = decide(&limit(100), usage, Step::Continues, 0);
     assert_eq!(verdict, Verdict::OverLimit(Millis::new(millis)));
 }
--- a/crates/policy/tests/quotas.rs
+++ b/crates/policy/tests/quotas.rs
@@ -3,6 +3,7 @@
 
 use policy::quota;
 use policy::quota::Contact;
+use policy::quota::Demand;
 use policy::quota::Limit;
 use policy::quota::Pressure;
 use policy::quota::Step;
@@ -43,9 +44,10 @@
     Program,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Count {
     admitted: u32,
+    asked: u32,
     pending: u32,
 }
 
@@ -92,6 +94,7 @@
     order: Order,
     draws: ChaCha8Rng,
     own: Vec<Window>,
+    asked: Vec<Window>,
     begun: Vec<Programs>,
     /// Until when the pressure is high, by VM.
     pressed_until: Vec<Millis>,
@@ -108,6 +111,7 @@
         order,
         draws: ChaCha8Rng::seed_from_u64(seed),
         own: vec![Window::new(LIMIT.window); VMS],
+        asked: vec![Window::new(Millis::new(1_000)); VMS],
         begun: vec![Programs::default(); VMS],
         pressed_until: vec![Millis::ZERO; VMS],
         history: Vec::new(),
@@ -133,9 +137,10 @@
 impl Play {
     fn record_counts(&mut self, now: u64) {
         let at = Millis::new(now);
-        let counts = self.own.iter_mut().zip(&self.begun);
-        let counts = counts.map(|(window, begun)| Count {
+        let counts = self.own.iter_mut().zip(&mut self.asked).zip(&self.begun);
+        let counts = counts.map(|((window, asked), begun)| Count {
             admitted: window.count(at),
+            asked: asked.count(at),
             pending: begun.pending(at),
         });
         self.history.push(counts.collect());
@@ -175,7 +180,9 @@
         } else {
             Step::Continues
         };
-        match quota::decide(&LIMIT, self.usage(program.vm, at), step) {
+        self.asked[program.vm].add(at);
+        let draw = self.draws.random_range(0..quota::PER_MILLE);
+        match quota::decide(&LIMIT, self.usage(program.vm, at), step, draw) {
             Verdict::Admit => {
                 self.own[program.vm].add(at);
                 self.begun[program.vm].note(program.id, at);
@@ -197,13 +204,21 @@
         let lag = usize::try_from(LAG_MS).unwrap();
         let known = &self.history[self.history.len().saturating_sub(1 + lag)];
         let others = known.iter().enumerate().filter(|(other, _)| *other != vm);
-        let (others, pending) = others.fold((0, 0), |(admitted, pending), (_, count)| {
-            (admitted + count.admitted, pending + count.pending)
-        });
+        let mut all = Count::default();
+        for (_, count) in others {
+            all.admitted += count.admitted;
+            all.asked += count.asked;
+            all.pending += count.pending;
+        }
         Usage {
             own: self.own[vm].count(at),
-            others,
-            pending: pending + self.begun[vm].pending(at),
+            others: all.admitted,
+            pending: all.pending + self.begun[vm].pending(at),
+            demand: Demand {
+                own: self.asked[vm].count(at),
+                others: all.asked,
+                lag: Millis::new(LAG_MS),
+            },
             pressure: if at < self.pressed_until[vm] {
                 Pressure::High
             } else {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -28,6 +28,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use wire::clock::Millis;
 
 use crate::answer;
 use crate::exchange::outgoing::Message;
@@ -42,6 +43,10 @@
 const INTERVAL: Duration = Duration::from_millis(60);
 /// Interval while a process that has just started can't serve requests yet.
 const START_INTERVAL: Duration = Duration::from_millis(30);
+/// The most messages by which a VM learns of what another one did.
+const MESSAGES_TO_ALL: u32 = 3;
+/// What messages take on the way to all VMs.
+const MESSAGE_TIME: Duration = Duration::from_millis(20);
 /// How long an exchange may take.
 pub const TIMEOUT: Duration = Duration::from_millis(250);
 /// The longest message in bytes: all entries of some thousand runners.
@@ -94,6 +99,14 @@
     INTERVAL * node.peers().pause_factor()
 }
 
+/// Returns how long it takes until all VMs know what one of them tells: a message to its hub, one to the
+/// other hubs and one from there, and what they take on their way.
+#[must_use]
+pub fn lag(node: &Node) -> Millis {
+    let pause = INTERVAL * node.peers().pause_factor();
+    Millis::from(pause * MESSAGES_TO_ALL + MESSAGE_TIME)
+}
+
 /// Returns the VMs with which this one starts an exchange now. Forgets VMs whose entries lapsed
 /// long ago.
 #[must_use]
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -190,7 +190,12 @@
             process,
             in_force: Mutex::default(),
             fleet: Mutex::default(),
-            usage: Mutex::new(Ledger::new(process, settings.limit_window, now)),
+            usage: Mutex::new(Ledger::new(
+                &settings.vm,
+                process,
+                settings.limit_window,
+                now,
+            )),
             crashes: Mutex::default(),
             roster: Mutex::default(),
             roster_transfer: Mutex::default(),
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -14,7 +14,9 @@
 use wire::code::Refusal;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::exchange;
 use crate::node::Node;
+use crate::usage::ledger::Fleet;
 use crate::workspace::Workspace;
 
 pub mod account;
@@ -85,10 +87,11 @@
     };
     let now = node.clock.now();
     let vms = node.peers().count_all();
+    let lag = exchange::lag(node);
     let mut ledger = node.usage();
     let program = program.map(|id| xxh3_64(id.as_bytes()));
     let step = ledger.step(workspace.id, program, shown, now);
-    let (verdict, known) = ledger.decide(workspace.id, limit, step, vms, now);
+    let (verdict, known) = ledger.decide(workspace.id, limit, step, Fleet { vms, lag }, now);
     let (code, span) = match verdict {
         Verdict::Admit => {
             ledger.reserve(workspace.id, program, now);
--- a/crates/relay/src/usage/account.rs
+++ b/crates/relay/src/usage/account.rs
@@ -5,6 +5,7 @@
 //! next hub, which hasn't heard all VMs yet.
 
 use derive_more::Add;
+use policy::quota::Window;
 use policy::quota::programs::Programs;
 use policy::quota::slots::Slots;
 use wire::clock::Millis;
@@ -24,6 +25,9 @@
 /// only if they or the hubs have lost their counts, which matters near the limit.
 const MIN_TOLD_ALL_DIVISOR: u64 = 8;
 
+/// The span in which requests are counted that arrive.
+const DEMAND_SPAN: Millis = Millis::new(1_000);
+
 /// The requests of a workspace.
 #[derive(Debug)]
 pub struct Account {
@@ -33,6 +37,8 @@
     sent: Slots,
     /// Admitted requests of this process that wait for a runner.
     reserved: u32,
+    /// The requests that this process got.
+    asked: Window,
     /// The programs that this process served.
     pub programs: Programs,
     /// Own requests when this VM last heard another one.
@@ -72,6 +78,8 @@
     pub admitted: u32,
     /// Admitted requests that wait for a runner.
     pub reserved: u32,
+    /// Requests of the last second, admitted or not.
+    pub asked: u32,
     /// The requests that programs under way are still expected to make.
     pub pending: u32,
 }
@@ -81,6 +89,7 @@
         Self {
             admitted: self.admitted.max(other.admitted),
             reserved: self.reserved.max(other.reserved),
+            asked: self.asked.max(other.asked),
             pending: self.pending.max(other.pending),
         }
     }
@@ -94,6 +103,7 @@
             workspace,
             sent: Slots::default(),
             reserved: 0,
+            asked: Window::new(DEMAND_SPAN),
             programs: Programs::default(),
             own_then: 0,
             told: Vec::new(),
@@ -128,6 +138,12 @@
         }
     }
 
+    /// Counts a request that arrives and returns how many did in the last second.
+    pub fn note_asked(&mut self, now: Millis) -> u32 {
+        self.asked.add(now);
+        self.asked.count(now)
+    }
+
     /// Admits a request, which waits for a runner.
     pub const fn reserve(&mut self) {
         self.reserved += 1;
@@ -181,6 +197,7 @@
         let figures = entry.map(|entry| Figures {
             admitted: 0,
             reserved: entry.reserved,
+            asked: entry.asked,
             pending: entry.pending,
         });
         self.figures.note(origin, figures, now);
@@ -249,7 +266,7 @@
 
     /// Returns what is told of the workspace; `None` if that is nothing.
     pub fn entry(
-        &self,
+        &mut self,
         scope: Scope<'_>,
         speaks_for: impl Fn(&Origin) -> bool,
         now: Millis,
@@ -279,9 +296,11 @@
                 _ => Vec::new(),
             },
             reserved: self.reserved + figures.reserved,
+            asked: self.asked.count(now) + figures.asked,
             pending: self.programs.pending(now) + figures.pending,
         };
-        let is_empty = entry.sent.is_empty() && entry.all.is_empty() && entry.reserved == 0;
+        let is_empty = entry.sent.is_empty() && entry.all.is_empty();
+        let is_empty = is_empty && entry.reserved == 0 && entry.asked == 0;
         (!is_empty).then_some(entry)
     }
 
--- a/crates/relay/src/usage/ledger.rs
+++ b/crates/relay/src/usage/ledger.rs
@@ -3,12 +3,15 @@
 use adapter::config::Limit;
 use policy::quota;
 use policy::quota::Contact;
+use policy::quota::Demand;
+use policy::quota::PER_MILLE;
 use policy::quota::Pressure;
 use policy::quota::Step;
 use policy::quota::Verdict;
 use policy::quota::slots;
 use policy::quota::slots::SLOTS;
 use wire::clock::Millis;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::tally::Origin;
 use crate::usage::Known;
@@ -43,6 +46,9 @@
     /// The common time at which the process started. VMs that hear each other have the same common time,
     /// and so number slots alike: each takes over the latest time that it hears.
     started_common: Millis,
+    seed: u64,
+    /// The number of draws that were made.
+    draws: u64,
     /// Sorted by the workspaces' ids.
     accounts: Vec<Account>,
     /// The VMs that told their own requests.
@@ -53,6 +59,15 @@
     counting_since: Millis,
 }
 
+/// What a VM knows of the others.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// The number of all VMs, this one included.
+    pub vms: u32,
+    /// How long it takes until all VMs know of a request.
+    pub lag: Millis,
+}
+
 /// A VM or data centre that tells its requests.
 #[derive(Debug)]
 struct Sender {
@@ -63,7 +78,7 @@
 impl Ledger {
     /// Creates the counts of a process that starts at `now`.
     #[must_use]
-    pub fn new(process: u64, window: Millis, now: Millis) -> Self {
+    pub fn new(vm: &str, process: u64, window: Millis, now: Millis) -> Self {
         let slot_span = slots::span(window);
         Self {
             process,
@@ -72,6 +87,8 @@
             slot_span,
             // Leaves room for the window before.
             started_common: Millis::new(slot_span.as_u64() * SLOTS as u64),
+            seed: xxh3_64_with_seed(vm.as_bytes(), now.as_u64()),
+            draws: 0,
             accounts: Vec::new(),
             senders: Vec::new(),
             heard_at: None,
@@ -119,15 +136,17 @@
         }
     }
 
-    /// Decides whether a request of a workspace is admitted. `vms` is the number of all VMs.
+    /// Decides whether a request of a workspace is admitted.
     pub fn decide(
         &mut self,
         workspace: u64,
         limit: Limit,
         step: Step,
-        vms: u32,
+        fleet: Fleet,
         now: Millis,
     ) -> (Verdict, Known) {
+        let Fleet { vms, lag } = fleet;
+        let draw = self.draw();
         let window = self.window;
         let limit = quota::Limit {
             milli_per_second: limit.milli_per_second,
@@ -142,10 +161,16 @@
         let allowance = limit.allowance();
         let account = self.account(workspace, now);
         account.allowance = allowance;
+        let figures = account.figures(now);
         let usage = quota::Usage {
             own: account.own(),
             others: account.others(now),
-            pending: account.programs.pending(now) + account.figures(now).pending,
+            pending: account.programs.pending(now) + figures.pending,
+            demand: Demand {
+                own: account.note_asked(now),
+                others: figures.asked,
+                lag,
+            },
             pressure: pressure(account, now, window),
             contact: if keeps_contact {
                 Contact::Kept
@@ -157,13 +182,19 @@
             },
             counted_for,
         };
-        let verdict = quota::decide(&limit, usage, step);
+        let verdict = quota::decide(&limit, usage, step, draw);
         if verdict != Verdict::Admit {
             account.refused_at = Some(now);
         }
         (verdict, Known { usage, allowance })
     }
 
+    /// Returns a pseudo-random number below [`PER_MILLE`].
+    fn draw(&mut self) -> u64 {
+        self.draws += 1;
+        xxh3_64_with_seed(&self.draws.to_le_bytes(), self.seed) % PER_MILLE
+    }
+
     /// Counts an admitted request of a program.
     pub fn reserve(&mut self, workspace: u64, program: Option<u64>, now: Millis) {
         let account = self.account(workspace, now);
--- a/crates/relay/src/usage/ledger/tests.rs
+++ b/crates/relay/src/usage/ledger/tests.rs
@@ -3,6 +3,7 @@
 use policy::quota::Verdict;
 use wire::clock::Millis;
 
+use super::Fleet;
 use super::Ledger;
 use crate::tally::Origin;
 use crate::usage::report::Count;
@@ -18,12 +19,15 @@
     milli_per_second: 10_000,
     burst: 10,
 };
-const VMS: u32 = 3;
+const FLEET: Fleet = Fleet {
+    vms: 3,
+    lag: Millis::new(200),
+};
 /// The common time of the other VMs at the start.
 const COMMON_START: Millis = Millis::new(1_000_000);
 
 fn ledger() -> Ledger {
-    let mut ledger = Ledger::new(0, WINDOW, START);
+    let mut ledger = Ledger::new("own", 0, WINDOW, START);
     ledger.note(&Origin::Others, &told(0), START);
     ledger
 }
@@ -73,7 +77,11 @@
 /// Admits as many requests as the limit allows and returns their number.
 fn fill(ledger: &mut Ledger, now: Millis) -> u32 {
     let mut admitted = 0;
-    while ledger.decide(WORKSPACE, LIMIT, Step::Continues, VMS, now).0 == Verdict::Admit {
+    while ledger
+        .decide(WORKSPACE, LIMIT, Step::Continues, FLEET, now)
+        .0
+        == Verdict::Admit
+    {
         send(ledger, WORKSPACE, now);
         admitted += 1;
     }
@@ -136,7 +144,7 @@
     let mut lived = ledger();
     lived.note(&vm("x"), &told(30), START);
     assert_eq!(fill(&mut lived, START), 30);
-    let mut started = Ledger::new(0, WINDOW, START);
+    let mut started = Ledger::new("own", 0, WINDOW, START);
     let report = lived.report(Scope::Own, |_| false, START);
     started.note(&vm("y"), &report, START);
     assert_eq!(fill(&mut started, START), 0);
@@ -182,10 +190,10 @@
 /// After a restart, a VM that others remember for must not presume that the limit is used up.
 #[test]
 fn others_that_have_counted_for_long_make_presumptions_needless() {
-    let mut started = Ledger::new(0, WINDOW, START);
+    let mut started = Ledger::new("own", 0, WINDOW, START);
     started.note(&Origin::Others, &told_by(Millis::new(100), START, 0), START);
     assert!(fill(&mut started, START) < 20);
-    let mut started = Ledger::new(0, WINDOW, START);
+    let mut started = Ledger::new("own", 0, WINDOW, START);
     started.note(&Origin::Others, &told(0), START);
     assert_eq!(fill(&mut started, START), 60);
 }
@@ -199,7 +207,7 @@
         milli_per_second: 1_000_000,
         burst: 0,
     };
-    let _verdict = ledger.decide(WORKSPACE, large, Step::Opens(8), VMS, START);
+    let _verdict = ledger.decide(WORKSPACE, large, Step::Opens(8), FLEET, START);
     send(&mut ledger, WORKSPACE, START);
     let report = ledger.report(Scope::Own, |_| false, START);
     assert_eq!(requests(&report), 1);
@@ -215,7 +223,7 @@
         milli_per_second: 1_000_000,
         burst: 0,
     };
-    let _verdict = ledger.decide(WORKSPACE, large, Step::Opens(8), VMS, START);
+    let _verdict = ledger.decide(WORKSPACE, large, Step::Opens(8), FLEET, START);
     let report = ledger.report(Scope::Centre, |_| true, START);
     assert_eq!(report.entries, []);
 }
@@ -226,7 +234,7 @@
     let mut ledger = ledger();
     assert_eq!(fill(&mut ledger, START), 60);
     for other in 10..400 {
-        let _verdict = ledger.decide(other, LIMIT, Step::Opens(8), VMS, START);
+        let _verdict = ledger.decide(other, LIMIT, Step::Opens(8), FLEET, START);
         send(&mut ledger, other, START);
     }
     let report = ledger.report(Scope::Own, |_| false, START);
--- a/crates/relay/src/usage/report.rs
+++ b/crates/relay/src/usage/report.rs
@@ -27,6 +27,8 @@
     pub all: Vec<Count>,
     /// Admitted requests that wait for a runner.
     pub reserved: u32,
+    /// Requests of the last second, admitted or not.
+    pub asked: u32,
     /// The requests that programs under way are still expected to make.
     pub pending: u32,
 }
