--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -209,7 +209,8 @@
     arrived: Instant,
 ) -> Result<RoutedRequest, Refusal> {
     let time_limit = call.deadline.unwrap_or(DEFAULT_TIME_LIMIT);
-    let knows_enough = |node: &Node| node.can_route() && node.can_identify();
+    let knows_enough =
+        |node: &Node| node.can_route() && node.can_identify() && usage::knows_others(node);
     node.wait_at_start(knows_enough, arrived + time_limit.as_duration())
         .await;
     let table = node.table();
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -110,6 +110,12 @@
     Err(Refusal::new(code, &detail).retry_after(span))
 }
 
+/// Returns whether requests of workspaces that have a limit can be admitted.
+pub fn knows_others(node: &Node) -> bool {
+    let known = fleet(node).known;
+    node.table().workspaces.is_none() || node.usage().knows_others(known, node.clock.now())
+}
+
 /// Returns what a VM knows of the others.
 pub fn fleet(node: &Node) -> Fleet {
     let lag = exchange::lag(node);
--- a/crates/relay/src/usage/ledger.rs
+++ b/crates/relay/src/usage/ledger.rs
@@ -200,6 +200,12 @@
         self.hearing.contact(known, then, both)
     }
 
+    /// Returns whether requests can be admitted: a VM that has just started has to hear others first.
+    pub fn knows_others(&mut self, known: contact::Known, now: Millis) -> bool {
+        let both = self.both(now);
+        self.hearing.contact(known, |_| 0, both) != Contact::None
+    }
+
     /// Counts an admitted request of a program.
     pub fn reserve(&mut self, workspace: u64, program: Option<u64>, now: Millis) {
         let account = self.account(workspace, now);
