Hear processes of the version before, which don't say which VMs they hear

While VMs are replaced by this version one by one, the first ones hear only older processes. A VM that has heard none admits nothing of a workspace with a limit, and those processes didn't count as heard: such requests would have been refused until the hub was replaced. They count as heard now, for how long they have counted is taken over as before, and their sums are added.

--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -43,7 +43,9 @@
         node.usage().note(&received.origin, report, now);
     } else {
         let sums = &received.extension.sums;
-        node.usage().note_sums(&received.origin, sums, now);
+        let counted_for = Millis::new(received.extension.counted_for);
+        node.usage()
+            .note_sums(&received.origin, sums, counted_for, now);
     }
     if let Some(document) = &received.document {
         ingest::configuration(node, document);
--- a/crates/relay/src/usage/contact.rs
+++ b/crates/relay/src/usage/contact.rs
@@ -14,6 +14,8 @@
 const SILENCE_LAGS: u64 = 4;
 /// VMs that haven't been heard for this long don't count any more. Longer than most cuts.
 const REMOVAL_TIMEOUT: Millis = Millis::new(30_000);
+/// How long a process counts as heard that doesn't say which VMs it hears.
+const OLDER_TIMEOUT: Millis = Millis::new(1_500);
 /// How long after its start a VM doesn't go by the number of VMs that it knows itself. When all VMs start, they
 /// learn of each other one by one.
 const SETTLING_TIME: Millis = Millis::new(2_000);
@@ -31,6 +33,8 @@
     senders: Vec<Sender>,
     /// When all VMs were last heard, by this one or one that told it.
     all: Option<AllHeard>,
+    /// When a process was last heard that doesn't say which VMs it hears.
+    older_heard_at: Option<Millis>,
 }
 
 /// A VM or data centre that tells its requests, or the hub that tells those of all.
@@ -81,9 +85,15 @@
             memory,
             senders: Vec::new(),
             all: None,
+            older_heard_at: None,
         }
     }
 
+    /// Records that a process was heard that doesn't say which VMs it hears.
+    pub const fn note_older(&mut self, now: Millis) {
+        self.older_heard_at = Some(now);
+    }
+
     /// Records a report.
     pub fn note(&mut self, origin: &Origin, report: &Report, now: Millis) {
         let memory = self.memory;
@@ -218,6 +228,11 @@
     /// it last heard all, in the common time.
     pub fn contact(&mut self, known: Known, then: impl Fn(Millis) -> u32, now: Now) -> Contact {
         let count = self.count(known, now);
+        // While VMs are replaced by a later version, some hear older processes only.
+        let is_recent = |at| now.own.since(at) < OLDER_TIMEOUT;
+        if self.older_heard_at.is_some_and(is_recent) {
+            return Contact::Kept;
+        }
         let has_heard_any = !self.senders.is_empty();
         if count.vms <= 1 && !has_heard_any {
             let is_alone = now.own.since(self.started_at) >= ALONE_AFTER;
--- a/crates/relay/src/usage/ledger.rs
+++ b/crates/relay/src/usage/ledger.rs
@@ -237,8 +237,7 @@
         }
         self.adopt_time(made_at, now);
         self.hearing.note(origin, report, now);
-        let since = now.as_u64().saturating_sub(report.counted_for);
-        self.counting_since = self.counting_since.min(Millis::new(since));
+        self.note_counting(Millis::new(report.counted_for), now);
         let newest = slots::number(made_at, self.slot_span);
         let slot_of = |count: &Count| newest.saturating_sub(u64::from(count.age));
         for entry in &report.entries {
@@ -252,6 +251,11 @@
         }
     }
 
+    fn note_counting(&mut self, counted_for: Millis, now: Millis) {
+        let since = now.as_u64().saturating_sub(counted_for.as_u64());
+        self.counting_since = self.counting_since.min(Millis::new(since));
+    }
+
     /// Takes over a common time that is later. What this VM counted by a time that the others don't share
     /// gets other numbers; what it counted by nearly the same time keeps those that the others know.
     fn adopt_time(&mut self, common: Millis, now: Millis) {
@@ -268,8 +272,10 @@
     }
 
     /// Records what a process tells that doesn't count by slots: its requests of the last window, sorted
-    /// by workspace.
-    pub fn note_sums(&mut self, origin: &Origin, sums: &[Sum], now: Millis) {
+    /// by workspace, and for how long they were counted.
+    pub fn note_sums(&mut self, origin: &Origin, sums: &[Sum], counted_for: Millis, now: Millis) {
+        self.hearing.note_older(now);
+        self.note_counting(counted_for, now);
         for sum in sums {
             self.account(sum.workspace, now);
         }
--- a/crates/relay/src/usage/ledger/tests.rs
+++ b/crates/relay/src/usage/ledger/tests.rs
@@ -12,6 +12,7 @@
 use crate::usage::report::Entry;
 use crate::usage::report::Report;
 use crate::usage::report::Scope;
+use crate::usage::report::Sum;
 
 const WINDOW: Millis = Millis::new(5_000);
 const START: Millis = Millis::new(100_000);
@@ -219,6 +220,19 @@
     assert_eq!(fill(&mut started, START), 60);
 }
 
+/// VMs are replaced by a later version one by one. The first ones hear only older processes, which tell sums.
+#[test]
+fn a_vm_that_hears_only_older_processes_counts_their_sums() {
+    let mut ledger = Ledger::new("own", 0, WINDOW, START);
+    let sums = [Sum {
+        workspace: WORKSPACE,
+        admitted: 45,
+        pending: 0,
+    }];
+    ledger.note_sums(&Origin::Others, &sums, WINDOW, START);
+    assert_eq!(fill(&mut ledger, START), 15);
+}
+
 /// Dozens of VMs admit a few requests each. If each kept so small a part of the limit to itself, the
 /// sum would never be known.
 #[test]
