Count the VMs of a silent data centre as long as the directory lists some

30 s after all VMs were last heard, the missing ones were forgotten. In a cut between data centres that lasts longer, both sides reach the service and each would get the whole limit; and the last VM of a system from which the others were removed kept to its share for ever. Both were found by reading the diff, and the two tests fail without the change. A hub now goes by the VMs that other hubs tell only while it hears a hub of each data centre that the directory lists, and otherwise by the directory and what those data centres told before.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -428,6 +428,14 @@
         others.sum::<u32>() + own
     }
 
+    /// Returns the number of data centres with VMs, this one's included.
+    #[must_use]
+    pub fn count_centres(&self) -> u32 {
+        let own = self.own.centre.as_str();
+        let others = self.centres().into_iter().filter(|centre| *centre != own);
+        u32::try_from(others.count() + 1).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether any other VM of the directory is heard.
     #[must_use]
     pub fn heard(&self, now: Millis) -> Others {
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -123,6 +123,7 @@
     let known = contact::Known {
         vms: peers.count_all(),
         centre_vms: peers.count_in(&node.settings.centre),
+        centres: peers.count_centres(),
     };
     Fleet { known, lag }
 }
--- a/crates/relay/src/usage/contact.rs
+++ b/crates/relay/src/usage/contact.rs
@@ -55,6 +55,8 @@
     pub vms: u32,
     /// Those of its data centre.
     pub centre_vms: u32,
+    /// The number of data centres with VMs, its own included.
+    pub centres: u32,
 }
 
 /// The present.
@@ -179,10 +181,11 @@
         }
         let heard = 1 + self.recent(now).map(|sender| sender.heard).sum::<u32>();
         // VMs that are gone for good don't count for ever, unless this one can't know.
+        let is_cut_off = heard == 1 && known.vms > 1;
         let is_valid =
-            |all: &AllHeard| heard == 1 || common.since(Millis::new(all.at)) < REMOVAL_TIMEOUT;
+            |all: &AllHeard| is_cut_off || common.since(Millis::new(all.at)) < REMOVAL_TIMEOUT;
         let remembered = self.all.filter(is_valid).map_or(0, |all| all.vms);
-        let vms = self.known_vms(known).max(remembered).max(heard);
+        let vms = self.known_vms(known, now).max(remembered).max(heard);
         let is_settled = now.since(self.started_at) >= SETTLING_TIME;
         if heard == vms && is_settled {
             let at = common.since(self.oldest_news(now)).as_u64();
@@ -191,13 +194,14 @@
         Count { heard, vms }
     }
 
-    /// Returns the number of VMs by what this one knows itself: a hub goes by what other hubs tell.
-    fn known_vms(&self, known: Known) -> u32 {
-        let centres = self.senders.iter();
+    /// Returns the number of VMs by what this one knows itself. A hub that hears all other hubs goes by what
+    /// they tell; otherwise those of a silent data centre count as long as the directory lists some.
+    fn known_vms(&self, known: Known, now: Millis) -> u32 {
+        let centres = self.recent(now);
         let centres = centres.filter(|sender| matches!(sender.origin, Origin::Centre(_)));
-        let told: u32 = centres.map(|sender| sender.vms).sum();
-        if told > 0 {
-            known.centre_vms + told
+        let told: Vec<u32> = centres.map(|sender| sender.vms).collect();
+        if !told.is_empty() && told.len() + 1 >= known.centres as usize {
+            known.centre_vms + told.iter().sum::<u32>()
         } else {
             known.vms
         }
--- a/crates/relay/src/usage/contact/tests.rs
+++ b/crates/relay/src/usage/contact/tests.rs
@@ -45,6 +45,7 @@
     let known = Known {
         vms: known,
         centre_vms: 2,
+        centres: 2,
     };
     let since_start = |at: Millis| u32::try_from(at.since(START).as_u64()).unwrap();
     let now = Now {
@@ -126,3 +127,28 @@
     };
     assert_eq!(contact(&mut hearing, 3, 1_000), partial);
 }
+
+/// A cut between data centres lasts for minutes, and the directory still lists the others. Each side would have the
+/// whole limit once the others were forgotten.
+#[test]
+fn a_data_centre_that_is_listed_counts_through_a_long_cut() {
+    let mut hearing = hearing();
+    hearing.note(&Origin::Centre("b".to_owned()), &report(3, 3, 60), at(60));
+    hearing.note(&vm("x"), &report(1, 1, 60), at(100_000));
+    let partial = Contact::Partial {
+        then: 60,
+        heard: 2,
+        vms: 5,
+    };
+    assert_eq!(contact(&mut hearing, 5, 100_000), partial);
+}
+
+/// The other VM was removed for good and its entry has lapsed. The last one would be left with half of each limit.
+#[test]
+fn the_last_vm_gets_the_whole_limit() {
+    let mut hearing = hearing();
+    hearing.note(&vm("x"), &report(1, 1, 60), at(60));
+    let is_partial = |contact| matches!(contact, Contact::Partial { .. });
+    assert!(is_partial(contact(&mut hearing, 2, 10_000)));
+    assert_eq!(contact(&mut hearing, 1, 40_000), Contact::Kept);
+}
--- a/crates/relay/src/usage/ledger/tests.rs
+++ b/crates/relay/src/usage/ledger/tests.rs
@@ -26,6 +26,7 @@
     known: Known {
         vms: 3,
         centre_vms: 3,
+        centres: 1,
     },
     lag: Millis::new(200),
 };
