Name what a VM knows of all VMs once

The page of contacts and the ledger each had a struct of what a VM knows of the fleet, one of them named like the inputs of a decision. There is one now, and the lag is part of it in place of a call that had to come first.

--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -21,7 +21,7 @@
 use crate::tally::Origin;
 use crate::tally::Tally;
 use crate::usage;
-use crate::usage::ledger::Fleet;
+use crate::usage::contact::Fleet;
 use crate::usage::report::Entry;
 use crate::usage::report::Report;
 use crate::usage::report::Scope;
@@ -232,7 +232,7 @@
     match peers.exchange_role(&settings.vm, &settings.centre, now) {
         peers::Role::Direct | peers::Role::Leaf => {
             let origin = Origin::Vm(settings.vm.clone());
-            figures(node, origin, now, (Scope::Own, fleet), |_| false)
+            figures(node, origin, now, Scope::Own, fleet, |_| false)
         }
         peers::Role::Hub => {
             let (recipient, origin, scope) = if in_own_centre(to) {
@@ -244,7 +244,7 @@
             };
             let is_forwarded =
                 |of: &Origin| tally::is_forwarded(of, recipient, &settings.centre, in_own_centre);
-            figures(node, origin, now, (scope, fleet), is_forwarded)
+            figures(node, origin, now, scope, fleet, is_forwarded)
         }
     }
 }
@@ -254,7 +254,8 @@
     node: &Node,
     origin: Origin,
     now: Millis,
-    (scope, fleet): (Scope<'_>, Fleet),
+    scope: Scope<'_>,
+    fleet: Fleet,
     speaks_for: impl Fn(&Origin) -> bool,
 ) -> Figures {
     let tallies = match scope {
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -16,7 +16,7 @@
 
 use crate::exchange;
 use crate::node::Node;
-use crate::usage::ledger::Fleet;
+use crate::usage::contact::Fleet;
 use crate::workspace::Workspace;
 
 pub mod account;
@@ -112,18 +112,18 @@
 
 /// Returns whether requests of workspaces that have a limit can be admitted.
 pub fn knows_others(node: &Node) -> bool {
-    let known = fleet(node).known;
-    node.table().workspaces.is_none() || node.usage().knows_others(known, node.clock.now())
+    let fleet = fleet(node);
+    node.table().workspaces.is_none() || node.usage().knows_others(fleet, node.clock.now())
 }
 
-/// Returns what a VM knows of the others.
+/// Returns what a VM knows of all VMs by itself.
 pub fn fleet(node: &Node) -> Fleet {
     let lag = exchange::lag(node);
     let peers = node.peers();
-    let known = contact::Known {
+    Fleet {
         vms: peers.count_all(),
         centre_vms: peers.count_in(&node.settings.centre),
         centres: peers.count_centres(),
-    };
-    Fleet { known, lag }
+        lag,
+    }
 }
--- a/crates/relay/src/usage/contact.rs
+++ b/crates/relay/src/usage/contact.rs
@@ -27,6 +27,7 @@
 #[derive(Debug)]
 pub struct Hearing {
     started_at: Millis,
+    /// How long it takes until all VMs know what one of them tells, which grows with their number.
     lag: Millis,
     /// For how long senders are remembered.
     memory: Millis,
@@ -48,15 +49,17 @@
     heard: u32,
 }
 
-/// The VMs that a VM knows of by itself, this one included.
+/// What a VM knows of all VMs by itself; it is counted.
 #[derive(Clone, Copy, Debug)]
-pub struct Known {
-    /// All.
+pub struct Fleet {
+    /// The number of VMs.
     pub vms: u32,
-    /// Those of its data centre.
+    /// The number of VMs of its data centre.
     pub centre_vms: u32,
-    /// The number of data centres with VMs, its own included.
+    /// The number of data centres with VMs.
     pub centres: u32,
+    /// How long it takes until all VMs know what one of them tells.
+    pub lag: Millis,
 }
 
 /// The present.
@@ -155,11 +158,6 @@
         senders.filter(move |sender| self.is_recent(sender, now))
     }
 
-    /// Records how long it takes until all VMs know what one of them tells, which grows with their number.
-    pub const fn set_lag(&mut self, lag: Millis) {
-        self.lag = lag;
-    }
-
     /// Returns the age of what this VM knows of others: it takes the lag until all know of a request, and the
     /// time since a VM that should tell this one did.
     #[must_use]
@@ -167,10 +165,10 @@
         self.lag.plus(self.oldest_news(now))
     }
 
-    /// Counts the VMs of all data centres that are heard. `known` is the number of those that this VM
-    /// knows of by itself.
-    pub fn count(&mut self, known: Known, now: Now) -> Count {
+    /// Counts the VMs of all data centres that are heard.
+    pub fn count(&mut self, fleet: Fleet, now: Now) -> Count {
         let Now { own: now, common } = now;
+        self.lag = fleet.lag;
         let is_hub = |sender: &&Sender| sender.origin == Origin::Others;
         let hub = self.recent(now).find(is_hub);
         if let Some(hub) = hub {
@@ -181,11 +179,13 @@
         }
         let heard = 1 + self.recent(now).map(|sender| sender.heard).sum::<u32>();
         // VMs that are gone for good don't count for ever, unless this one can't know.
-        let is_cut_off = heard == 1 && known.vms > 1;
+        let is_cut_off = heard == 1 && fleet.vms > 1;
         let is_valid =
             |all: &AllHeard| is_cut_off || common.since(Millis::new(all.at)) < REMOVAL_TIMEOUT;
         let remembered = self.all.filter(is_valid).map_or(0, |all| all.vms);
-        let vms = self.known_vms(known, now).max(remembered).max(heard);
+        let vms = Self::known_vms(self.recent(now), fleet)
+            .max(remembered)
+            .max(heard);
         let is_settled = now.since(self.started_at) >= SETTLING_TIME;
         if heard == vms && is_settled {
             let at = common.since(self.oldest_news(now)).as_u64();
@@ -196,14 +196,13 @@
 
     /// Returns the number of VMs by what this one knows itself. A hub that hears all other hubs goes by what
     /// they tell; otherwise those of a silent data centre count as long as the directory lists some.
-    fn known_vms(&self, known: Known, now: Millis) -> u32 {
-        let centres = self.recent(now);
-        let centres = centres.filter(|sender| matches!(sender.origin, Origin::Centre(_)));
+    fn known_vms<'a>(recent: impl Iterator<Item = &'a Sender>, fleet: Fleet) -> u32 {
+        let centres = recent.filter(|sender| matches!(sender.origin, Origin::Centre(_)));
         let told: Vec<u32> = centres.map(|sender| sender.vms).collect();
-        if !told.is_empty() && told.len() + 1 >= known.centres as usize {
-            known.centre_vms + told.iter().sum::<u32>()
+        if !told.is_empty() && told.len() + 1 >= fleet.centres as usize {
+            fleet.centre_vms + told.iter().sum::<u32>()
         } else {
-            known.vms
+            fleet.vms
         }
     }
 
@@ -213,9 +212,9 @@
         ages.max().unwrap_or_default()
     }
 
-    /// Counts the VMs of the own data centre that are heard; `known` is the number of all of them.
+    /// Counts the VMs of the own data centre that are heard.
     #[must_use]
-    pub fn count_in_centre(&self, known: u32, now: Millis) -> Count {
+    pub fn count_in_centre(&self, fleet: Fleet, now: Millis) -> Count {
         let is_vm = |sender: &&Sender| matches!(sender.origin, Origin::Vm(_));
         let heard = 1 + self
             .recent(now)
@@ -224,14 +223,14 @@
             .sum::<u32>();
         Count {
             heard,
-            vms: known.max(heard),
+            vms: fleet.centre_vms.max(heard),
         }
     }
 
     /// Returns how this VM hears the others. `then` are the workspace's requests up to the time at which
     /// it last heard all, in the common time.
-    pub fn contact(&mut self, known: Known, then: impl Fn(Millis) -> u32, now: Now) -> Contact {
-        let count = self.count(known, now);
+    pub fn contact(&mut self, fleet: Fleet, then: impl Fn(Millis) -> u32, now: Now) -> Contact {
+        let count = self.count(fleet, now);
         // While VMs are replaced by a later version, some hear older processes only.
         let is_recent = |at| now.own.since(at) < OLDER_TIMEOUT;
         if self.older_heard_at.is_some_and(is_recent) {
--- a/crates/relay/src/usage/contact/tests.rs
+++ b/crates/relay/src/usage/contact/tests.rs
@@ -1,8 +1,8 @@
 use policy::quota::Contact;
 use wire::clock::Millis;
 
+use super::Fleet;
 use super::Hearing;
-use super::Known;
 use super::Now;
 use crate::tally::Origin;
 use crate::usage::report::AllHeard;
@@ -16,9 +16,7 @@
 }
 
 fn hearing() -> Hearing {
-    let mut hearing = Hearing::new(MEMORY, START);
-    hearing.set_lag(Millis::new(200));
-    hearing
+    Hearing::new(MEMORY, START)
 }
 
 /// Returns a report of some VMs, of which some are heard, and the time at which all were.
@@ -42,17 +40,18 @@
 
 /// Returns the contact, and the time at which all were heard in place of what had been admitted by then.
 fn contact(hearing: &mut Hearing, known: u32, millis: u64) -> Contact {
-    let known = Known {
+    let fleet = Fleet {
         vms: known,
         centre_vms: 2,
         centres: 2,
+        lag: Millis::new(200),
     };
     let since_start = |at: Millis| u32::try_from(at.since(START).as_u64()).unwrap();
     let now = Now {
         own: at(millis),
         common: at(millis),
     };
-    hearing.contact(known, since_start, now)
+    hearing.contact(fleet, since_start, now)
 }
 
 /// When all VMs start, the directory is empty. Each of them would have the whole limit for itself.
--- a/crates/relay/src/usage/ledger.rs
+++ b/crates/relay/src/usage/ledger.rs
@@ -20,6 +20,7 @@
 use crate::usage::account::Account;
 use crate::usage::account::Figures;
 use crate::usage::contact;
+use crate::usage::contact::Fleet;
 use crate::usage::contact::Hearing;
 use crate::usage::report::Count;
 use crate::usage::report::Entry;
@@ -56,15 +57,6 @@
     counting_since: Millis,
 }
 
-/// What a VM knows of the others by itself.
-#[derive(Clone, Copy, Debug)]
-pub struct Fleet {
-    /// The VMs.
-    pub known: contact::Known,
-    /// How long it takes until all VMs know of a request.
-    pub lag: Millis,
-}
-
 impl Ledger {
     /// Creates the counts of a process that starts at `now`.
     #[must_use]
@@ -141,8 +133,7 @@
             burst: limit.burst,
             window,
         };
-        self.hearing.set_lag(fleet.lag);
-        let contact = self.contact(workspace, fleet.known, now);
+        let contact = self.contact(workspace, fleet, now);
         let lag = self.hearing.news_age(now);
         let counted_for = now.since(self.counting_since);
         let allowance = limit.allowance();
@@ -185,7 +176,7 @@
         }
     }
 
-    fn contact(&mut self, workspace: u64, known: contact::Known, now: Millis) -> Contact {
+    fn contact(&mut self, workspace: u64, fleet: Fleet, now: Millis) -> Contact {
         let both = self.both(now);
         let span = self.slot_span;
         self.account(workspace, now);
@@ -197,13 +188,13 @@
             let slot = slots::number(common, span);
             account.map_or(0, |account| account.all_until(slot))
         };
-        self.hearing.contact(known, then, both)
+        self.hearing.contact(fleet, then, both)
     }
 
     /// Returns whether requests can be admitted: a VM that has just started has to hear others first.
-    pub fn knows_others(&mut self, known: contact::Known, now: Millis) -> bool {
+    pub fn knows_others(&mut self, fleet: Fleet, now: Millis) -> bool {
         let both = self.both(now);
-        self.hearing.contact(known, |_| 0, both) != Contact::None
+        self.hearing.contact(fleet, |_| 0, both) != Contact::None
     }
 
     /// Counts an admitted request of a program.
@@ -318,11 +309,10 @@
         told.truncate(MAX_TOLD);
         let mut entries: Vec<Entry> = told.into_iter().map(|(_, entry)| entry).collect();
         entries.sort_by_key(|entry| entry.workspace);
-        self.hearing.set_lag(fleet.lag);
-        let all = self.hearing.count(fleet.known, self.both(now));
+        let all = self.hearing.count(fleet, self.both(now));
         let of_scope = match scope {
             Scope::Own => contact::Count { heard: 1, vms: 1 },
-            Scope::Centre => self.hearing.count_in_centre(fleet.known.centre_vms, now),
+            Scope::Centre => self.hearing.count_in_centre(fleet, now),
             Scope::AllBut(_) => contact::Count {
                 heard: all.heard.saturating_sub(1),
                 vms: all.vms.saturating_sub(1),
--- a/crates/relay/src/usage/ledger/tests.rs
+++ b/crates/relay/src/usage/ledger/tests.rs
@@ -3,10 +3,9 @@
 use policy::quota::Verdict;
 use wire::clock::Millis;
 
-use super::Fleet;
 use super::Ledger;
 use crate::tally::Origin;
-use crate::usage::contact::Known;
+use crate::usage::contact::Fleet;
 use crate::usage::report::AllHeard;
 use crate::usage::report::Count;
 use crate::usage::report::Entry;
@@ -23,11 +22,9 @@
     burst: 10,
 };
 const FLEET: Fleet = Fleet {
-    known: Known {
-        vms: 3,
-        centre_vms: 3,
-        centres: 1,
-    },
+    vms: 3,
+    centre_vms: 3,
+    centres: 1,
     lag: Millis::new(200),
 };
 /// The common time of the other VMs at the start.
