--- a/crates/relay/tests/fleet_model/traffic.rs
+++ b/crates/relay/tests/fleet_model/traffic.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use relay::exchange::outgoing;
 use relay::exchange::outgoing::Message;
 use relay::metrics::Call;
 
@@ -147,7 +148,9 @@
 
     /// Records a message to another VM.
     pub fn note_message(&mut self, message: &Message) {
-        let total = size(message) + size(&message.extension);
+        let total = outgoing::encode(message)
+            .expect("a message can be encoded")
+            .len();
         let tallies = part(size(&message.tallies), message.tallies.is_empty());
         let entries = part(size(&message.entries), message.entries.is_none());
         let document = part(size(&message.document), message.document.is_none());
