--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -79,12 +79,6 @@
         self.slots.add(number, 1);
     }
 
-    /// Takes the latest event back.
-    pub fn take_back(&mut self, now: Millis) {
-        self.advance(now);
-        self.slots.take_back();
-    }
-
     /// Returns the number of events of the last window, and of at most one slot before it.
     pub fn count(&mut self, now: Millis) -> u32 {
         self.advance(now);
@@ -148,10 +142,14 @@
 }
 
 impl Demand {
+    /// Returns how many requests all VMs got in the last second.
+    fn asked(&self) -> u64 {
+        u64::from(self.own) + u64::from(self.others)
+    }
+
     /// Returns how many requests all VMs get before they know of each other's.
     fn unknown(&self) -> u64 {
-        let all = u64::from(self.own) + u64::from(self.others);
-        all * self.lag.as_u64() / 1_000
+        self.asked() * self.lag.as_u64() / 1_000
     }
 
     /// Returns how many the other VMs get before this one knows.
@@ -192,7 +190,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { own, others, .. } = self;
         let counted_for = self.counted_for.as_u64();
-        let asked = self.demand.own + self.demand.others;
+        let asked = self.demand.asked();
         write!(
             f,
             "own:{own},others:{others},counted_ms:{counted_for},asked_per_s:{asked}"
@@ -246,8 +244,7 @@
         return 0;
     }
     let allowance = limit.allowance();
-    let asked = u64::from(demand.own) + u64::from(demand.others);
-    let in_window = asked * limit.window.as_u64() / 1_000;
+    let in_window = demand.asked() * limit.window.as_u64() / 1_000;
     let presumed = in_window.saturating_sub(allowance).min(allowance);
     presumed.saturating_sub(START_ALLOWANCE)
 }
@@ -273,9 +270,8 @@
         }
         Contact::None => return Verdict::OverShare(MIN_RETRY),
     };
-    let own = u64::from(usage.own);
     let presumed = presumed(limit, usage.demand, usage.counted_for);
-    let used = own + u64::from(usage.others) + presumed;
+    let used = u64::from(usage.own) + u64::from(usage.others) + presumed;
     let left = bound.saturating_sub(used);
     let is_drawn = draws.request < usage.demand.admitted_per_mille(left);
     let is_within = match step {
--- a/crates/policy/src/quota/slots.rs
+++ b/crates/policy/src/quota/slots.rs
@@ -81,17 +81,6 @@
         added
     }
 
-    /// Takes the latest event back.
-    pub fn take_back(&mut self) {
-        for age in 0..SLOTS as u64 {
-            let count = &mut self.counts[index(self.newest.saturating_sub(age))];
-            if *count > 0 {
-                *count -= 1;
-                return;
-            }
-        }
-    }
-
     /// Returns the count of a slot; 0 if it isn't kept.
     #[must_use]
     pub fn count(&self, number: u64) -> u32 {
--- a/crates/policy/src/quota/tests.rs
+++ b/crates/policy/src/quota/tests.rs
@@ -56,16 +56,6 @@
     assert_eq!(window.count(at.plus(WINDOW)), 1);
 }
 
-#[test]
-fn a_request_that_was_not_sent_is_taken_back() {
-    let mut window = Window::new(WINDOW);
-    window.add(Millis::new(10_000));
-    window.take_back(Millis::new(11_000));
-    assert_eq!(window.count(Millis::new(11_000)), 0);
-    window.take_back(Millis::new(11_000));
-    assert_eq!(window.count(Millis::new(11_000)), 0);
-}
-
 #[rstest]
 #[case::below(usage(40, 59), Step::Continues, true)]
 #[case::at_the_limit(usage(40, 60), Step::Continues, false)]
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -34,6 +34,7 @@
 use crate::exchange::outgoing::Message;
 use crate::node::Node;
 use crate::peers::Peer;
+use crate::peers::Peers;
 use crate::peers::Recipient;
 
 /// HTTP path of the exchange.
@@ -96,15 +97,18 @@
     if node.is_starting() && !node.can_route() {
         return START_INTERVAL;
     }
-    INTERVAL * node.peers().pause_factor()
+    interval(&node.peers())
+}
+
+fn interval(peers: &Peers) -> Duration {
+    INTERVAL * peers.pause_factor()
 }
 
 /// Returns how long it takes until all VMs know what one of them tells: a message to its hub, one to the
 /// other hubs and one from there, and what they take on their way.
 #[must_use]
-pub fn lag(node: &Node) -> Millis {
-    let pause = INTERVAL * node.peers().pause_factor();
-    Millis::from(pause * MESSAGES_TO_ALL + MESSAGE_TIME)
+pub fn lag(peers: &Peers) -> Millis {
+    Millis::from(interval(peers) * MESSAGES_TO_ALL + MESSAGE_TIME)
 }
 
 /// Returns the VMs with which this one starts an exchange now. Forgets VMs whose entries lapsed
--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -40,7 +40,8 @@
     node.fleet()
         .note_tallies(&received.origin, &received.tallies, now);
     if let Some(report) = &received.limits {
-        node.usage().note(&received.origin, report, now);
+        let process = proof.stamp.map_or(0, |stamp| stamp.process);
+        node.usage().note(&received.origin, process, report, now);
     } else {
         let sums = &received.extension.sums;
         let counted_for = Millis::new(received.extension.counted_for);
--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -79,7 +79,7 @@
     /// The last entry that the sender has of those that the recipient sends in parts.
     pub cursor: Option<String>,
     /// For how long the VMs of the message's origin, or others that they heard, have counted requests
-    /// of workspaces, in milliseconds.
+    /// of workspaces, in milliseconds; for processes that don't know [`Message::limits`].
     pub counted_for: u64,
 }
 
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -175,8 +175,6 @@
         );
         let cache_bytes =
             usize::try_from(settings.memory_bytes / TURN_CACHE_DIVISOR).unwrap_or(usize::MAX);
-        let process = rand::random();
-        let now = clock.now();
         Arc::new(Self {
             runner_client,
             vm_client,
@@ -186,15 +184,14 @@
             turns: Mutex::new(Cache::new(cache_bytes)),
             metrics: Metrics::default(),
             started: Instant::now(),
-            started_at: now,
-            process,
+            started_at: clock.now(),
+            process: rand::random(),
             in_force: Mutex::default(),
             fleet: Mutex::default(),
             usage: Mutex::new(Ledger::new(
                 &settings.vm,
-                process,
                 settings.limit_window,
-                now,
+                clock.now(),
             )),
             crashes: Mutex::default(),
             roster: Mutex::default(),
@@ -376,7 +373,7 @@
     /// refusal would use up one of the few attempts that a turn has.
     pub async fn wait_at_start(&self, known: impl Fn(&Self) -> bool, until: Instant) {
         let until = until.min(self.started + START_WAIT);
-        while !known(self) && Instant::now() < until {
+        while Instant::now() < until && !known(self) {
             sleep(POLL_INTERVAL).await;
         }
     }
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -112,18 +112,20 @@
 
 /// Returns whether requests of workspaces that have a limit can be admitted.
 pub fn knows_others(node: &Node) -> bool {
+    if node.table().workspaces.is_none() {
+        return true;
+    }
     let fleet = fleet(node);
-    node.table().workspaces.is_none() || node.usage().knows_others(fleet, node.clock.now())
+    node.usage().knows_others(fleet, node.clock.now())
 }
 
 /// Returns what a VM knows of all VMs by itself.
 pub fn fleet(node: &Node) -> Fleet {
-    let lag = exchange::lag(node);
     let peers = node.peers();
     Fleet {
         vms: peers.count_all(),
         centre_vms: peers.count_in(&node.settings.centre),
         centres: peers.count_centres(),
-        lag,
+        lag: exchange::lag(&peers),
     }
 }
--- a/crates/relay/src/usage/contact/tests.rs
+++ b/crates/relay/src/usage/contact/tests.rs
@@ -38,6 +38,10 @@
     Origin::Vm(name.to_owned())
 }
 
+const fn partial(then: u32, heard: u32, vms: u32) -> Contact {
+    Contact::Partial { then, heard, vms }
+}
+
 /// Returns the contact, and the time at which all were heard in place of what had been admitted by then.
 fn contact(hearing: &mut Hearing, known: u32, millis: u64) -> Contact {
     let fleet = Fleet {
@@ -79,11 +83,7 @@
     hearing.note(&vm("x"), &report(1, 1, 0), at(60));
     assert_eq!(contact(&mut hearing, 5, 400), Contact::Kept);
     hearing.note(&vm("x"), &report(1, 1, 400), at(2_000));
-    let partial = Contact::Partial {
-        then: 400,
-        heard: 2,
-        vms: 5,
-    };
+    let partial = partial(400, 2, 5);
     assert_eq!(contact(&mut hearing, 5, 2_100), partial);
 }
 
@@ -92,11 +92,7 @@
 fn a_hub_tells_its_leaves_which_vms_are_missing() {
     let mut hearing = hearing();
     hearing.note(&Origin::Others, &report(2, 4, 300), at(1_000));
-    let partial = Contact::Partial {
-        then: 300,
-        heard: 3,
-        vms: 5,
-    };
+    let partial = partial(300, 3, 5);
     assert_eq!(contact(&mut hearing, 2, 1_000), partial);
 }
 
@@ -105,11 +101,7 @@
     let mut hearing = hearing();
     hearing.note(&Origin::Others, &report(4, 4, 1_000), at(1_000));
     assert_eq!(contact(&mut hearing, 2, 1_100), Contact::Kept);
-    let partial = Contact::Partial {
-        then: 1_000,
-        heard: 1,
-        vms: 5,
-    };
+    let partial = partial(1_000, 1, 5);
     assert_eq!(contact(&mut hearing, 2, 3_000), partial);
 }
 
@@ -119,11 +111,7 @@
 fn a_hub_that_starts_in_a_cut_learns_how_many_vms_there_are() {
     let mut hearing = hearing();
     hearing.note(&vm("x"), &report(1, 1, 200), at(1_000));
-    let partial = Contact::Partial {
-        then: 200,
-        heard: 2,
-        vms: 5,
-    };
+    let partial = partial(200, 2, 5);
     assert_eq!(contact(&mut hearing, 3, 1_000), partial);
 }
 
@@ -134,11 +122,7 @@
     let mut hearing = hearing();
     hearing.note(&Origin::Centre("b".to_owned()), &report(3, 3, 60), at(60));
     hearing.note(&vm("x"), &report(1, 1, 60), at(100_000));
-    let partial = Contact::Partial {
-        then: 60,
-        heard: 2,
-        vms: 5,
-    };
+    let partial = partial(60, 2, 5);
     assert_eq!(contact(&mut hearing, 5, 100_000), partial);
 }
 
--- a/crates/relay/src/usage/ledger.rs
+++ b/crates/relay/src/usage/ledger.rs
@@ -39,8 +39,6 @@
 /// All counts of a VM.
 #[derive(Debug)]
 pub struct Ledger {
-    /// A random number of this process.
-    process: u64,
     window: Millis,
     started_at: Millis,
     slot_span: Millis,
@@ -60,10 +58,9 @@
 impl Ledger {
     /// Creates the counts of a process that starts at `now`.
     #[must_use]
-    pub fn new(vm: &str, process: u64, window: Millis, now: Millis) -> Self {
+    pub fn new(vm: &str, window: Millis, now: Millis) -> Self {
         let slot_span = slots::span(window);
         Self {
-            process,
             window,
             started_at: now,
             slot_span,
@@ -86,6 +83,12 @@
     }
 
     fn account(&mut self, workspace: u64, now: Millis) -> &mut Account {
+        let index = self.account_index(workspace, now);
+        &mut self.accounts[index]
+    }
+
+    /// Finds a workspace's account, or creates it, and lets it forget what has left the window.
+    fn account_index(&mut self, workspace: u64, now: Millis) -> usize {
         let found = self
             .accounts
             .binary_search_by_key(&workspace, |account| account.workspace);
@@ -95,9 +98,8 @@
             index
         });
         let slot = self.slot(now);
-        let account = &mut self.accounts[index];
-        account.advance(slot);
-        account
+        self.accounts[index].advance(slot);
+        index
     }
 
     /// Returns a request's place in its program.
@@ -178,16 +180,9 @@
 
     fn contact(&mut self, workspace: u64, fleet: Fleet, now: Millis) -> Contact {
         let both = self.both(now);
-        let span = self.slot_span;
-        self.account(workspace, now);
-        let found = self
-            .accounts
-            .binary_search_by_key(&workspace, |account| account.workspace);
-        let account = found.ok().map(|index| &self.accounts[index]);
-        let then = |common: Millis| {
-            let slot = slots::number(common, span);
-            account.map_or(0, |account| account.all_until(slot))
-        };
+        let index = self.account_index(workspace, now);
+        let account = &self.accounts[index];
+        let then = |common| account.all_until(slots::number(common, self.slot_span));
         self.hearing.contact(fleet, then, both)
     }
 
@@ -217,11 +212,11 @@
         self.account(workspace, now).note_sent(slot);
     }
 
-    /// Records what another VM tells.
+    /// Records what a process of another VM tells.
     ///
     /// An old report is dropped: it was on its way for long, or its sender has just started and not heard of
     /// the common time. Its next report tells the same.
-    pub fn note(&mut self, origin: &Origin, report: &Report, now: Millis) {
+    pub fn note(&mut self, origin: &Origin, process: u64, report: &Report, now: Millis) {
         let made_at = Millis::new(report.at);
         if self.common_time(now).since(made_at) > MAX_REPORT_AGE {
             return;
@@ -238,7 +233,7 @@
         for account in &mut self.accounts {
             account.advance(slot);
             let entry = find(&report.entries, account.workspace);
-            account.note(origin, report.process, entry, slot_of, now);
+            account.note(origin, process, entry, slot_of, now);
         }
     }
 
@@ -281,27 +276,18 @@
         }
     }
 
-    /// Returns what is told of the VMs of a scope. `speaks_for` selects the origins that belong to it.
-    ///
-    /// A VM whose own requests aren't known is told nothing: it would count them as those of others.
-    pub fn report(
+    /// Returns the requests that are told, sorted by workspace.
+    fn entries(
         &mut self,
         scope: Scope<'_>,
-        fleet: Fleet,
         speaks_for: impl Fn(&Origin) -> bool,
         now: Millis,
-    ) -> Report {
+    ) -> Vec<Entry> {
         let slot = self.slot(now);
-        let is_told = match scope {
-            Scope::Own | Scope::Centre => true,
-            Scope::AllBut(vm) => self.hearing.has_heard(vm),
-        };
         let mut told = Vec::new();
         for account in &mut self.accounts {
             account.advance(slot);
-            if let Some(entry) = account.entry(scope, &speaks_for, now)
-                && is_told
-            {
+            if let Some(entry) = account.entry(scope, &speaks_for, now) {
                 told.push((account.left(), entry));
             }
         }
@@ -309,6 +295,28 @@
         told.truncate(MAX_TOLD);
         let mut entries: Vec<Entry> = told.into_iter().map(|(_, entry)| entry).collect();
         entries.sort_by_key(|entry| entry.workspace);
+        entries
+    }
+
+    /// Returns what is told of the VMs of a scope. `speaks_for` selects the origins that belong to it.
+    ///
+    /// A VM whose own requests aren't known is told nothing: it would count them as those of others.
+    pub fn report(
+        &mut self,
+        scope: Scope<'_>,
+        fleet: Fleet,
+        speaks_for: impl Fn(&Origin) -> bool,
+        now: Millis,
+    ) -> Report {
+        let is_told = match scope {
+            Scope::Own | Scope::Centre => true,
+            Scope::AllBut(vm) => self.hearing.has_heard(vm),
+        };
+        let entries = if is_told {
+            self.entries(scope, speaks_for, now)
+        } else {
+            Vec::new()
+        };
         let all = self.hearing.count(fleet, self.both(now));
         let of_scope = match scope {
             Scope::Own => contact::Count { heard: 1, vms: 1 },
@@ -325,7 +333,6 @@
             now.since(self.counting_since).min(self.window)
         };
         Report {
-            process: self.process,
             at: self.common_time(now).as_u64(),
             entries,
             counted_for: counted_for.as_u64(),
--- a/crates/relay/src/usage/ledger/tests.rs
+++ b/crates/relay/src/usage/ledger/tests.rs
@@ -27,12 +27,14 @@
     centres: 1,
     lag: Millis::new(200),
 };
+/// The process of each other VM.
+const PROCESS: u64 = 7;
 /// The common time of the other VMs at the start.
 const COMMON_START: Millis = Millis::new(1_000_000);
 
 fn ledger() -> Ledger {
-    let mut ledger = Ledger::new("own", 0, WINDOW, START);
-    ledger.note(&Origin::Others, &told(0), START);
+    let mut ledger = Ledger::new("own", WINDOW, START);
+    ledger.note(&Origin::Others, PROCESS, &told(0), START);
     ledger
 }
 
@@ -51,7 +53,6 @@
         requests: sent,
     };
     Report {
-        process: 0,
         at: COMMON_START.plus(now.since(START)).as_u64(),
         entries: vec![Entry {
             workspace: WORKSPACE,
@@ -101,7 +102,7 @@
 #[test]
 fn the_others_count() {
     let mut ledger = ledger();
-    ledger.note(&Origin::Others, &told(45), START);
+    ledger.note(&Origin::Others, PROCESS, &told(45), START);
     assert_eq!(fill(&mut ledger, START), 15);
 }
 
@@ -110,8 +111,8 @@
 #[test]
 fn sums_and_single_counts_are_not_added_up() {
     let mut ledger = ledger();
-    ledger.note(&Origin::Others, &told(20), START);
-    ledger.note(&vm("x"), &told(15), START);
+    ledger.note(&Origin::Others, PROCESS, &told(20), START);
+    ledger.note(&vm("x"), PROCESS, &told(15), START);
     assert_eq!(fill(&mut ledger, START), 40);
 }
 
@@ -119,9 +120,9 @@
 #[test]
 fn a_silent_vm_counts_for_the_window() {
     let mut ledger = ledger();
-    ledger.note(&vm("x"), &told(50), START);
+    ledger.note(&vm("x"), PROCESS, &told(50), START);
     let later = START.plus(WINDOW);
-    ledger.note(&vm("y"), &told_at(later, 0), later);
+    ledger.note(&vm("y"), PROCESS, &told_at(later, 0), later);
     assert_eq!(fill(&mut ledger, later), 10);
 }
 
@@ -130,9 +131,9 @@
 #[test]
 fn a_restarted_vm_does_not_undo_its_count() {
     let mut ledger = ledger();
-    ledger.note(&vm("x"), &told(50), START);
+    ledger.note(&vm("x"), PROCESS, &told(50), START);
     let later = START.plus(Millis::new(2_000));
-    ledger.note(&vm("x"), &told_at(later, 0), later);
+    ledger.note(&vm("x"), PROCESS, &told_at(later, 0), later);
     assert_eq!(fill(&mut ledger, later), 10);
 }
 
@@ -140,9 +141,9 @@
 #[test]
 fn a_new_hub_does_not_undo_what_the_hub_before_told() {
     let mut ledger = ledger();
-    ledger.note(&Origin::Others, &told(50), START);
+    ledger.note(&Origin::Others, PROCESS, &told(50), START);
     let later = START.plus(Millis::new(2_000));
-    ledger.note(&Origin::Others, &told_at(later, 5), later);
+    ledger.note(&Origin::Others, PROCESS, &told_at(later, 5), later);
     // Later requests come on top.
     assert_eq!(fill(&mut ledger, later), 5);
 }
@@ -152,14 +153,27 @@
 #[test]
 fn a_restarted_vm_is_told_what_all_had_sent() {
     let mut lived = ledger();
-    lived.note(&vm("x"), &told(30), START);
+    lived.note(&vm("x"), PROCESS, &told(30), START);
     assert_eq!(fill(&mut lived, START), 30);
-    let mut started = Ledger::new("own", 0, WINDOW, START);
+    let mut started = Ledger::new("own", WINDOW, START);
     let report = lived.report(Scope::Own, FLEET, |_| false, START);
-    started.note(&vm("y"), &report, START);
+    started.note(&vm("y"), PROCESS, &report, START);
     assert_eq!(fill(&mut started, START), 0);
 }
 
+#[test]
+fn a_request_that_was_not_sent_is_taken_back() {
+    let mut ledger = ledger();
+    let admitted =
+        |ledger: &mut Ledger| requests(&ledger.report(Scope::Own, FLEET, |_| false, START));
+    ledger.reserve(WORKSPACE, None, START);
+    assert_eq!(admitted(&mut ledger), 1);
+    ledger.release(WORKSPACE, START);
+    assert_eq!(admitted(&mut ledger), 0);
+    ledger.release(WORKSPACE, START);
+    assert_eq!(admitted(&mut ledger), 0);
+}
+
 /// A hub's sum contains the requests of the VM that it tells. Counted twice, they would be refused below the
 /// limit.
 #[test]
@@ -170,8 +184,8 @@
         requests(&hub.report(Scope::AllBut("x"), FLEET, all, START)),
         0
     );
-    hub.note(&vm("x"), &told(10), START);
-    hub.note(&vm("y"), &told(20), START);
+    hub.note(&vm("x"), PROCESS, &told(10), START);
+    hub.note(&vm("y"), PROCESS, &told(20), START);
     assert_eq!(
         requests(&hub.report(Scope::AllBut("x"), FLEET, all, START)),
         20
@@ -184,8 +198,8 @@
 #[test]
 fn a_late_message_does_not_make_a_vm_count_itself_twice() {
     let mut hub = ledger();
-    hub.note(&vm("x"), &told(10), START);
-    hub.note(&vm("x"), &told(4), START);
+    hub.note(&vm("x"), PROCESS, &told(10), START);
+    hub.note(&vm("x"), PROCESS, &told(4), START);
     let report = hub.report(Scope::AllBut("x"), FLEET, |_| true, START);
     assert_eq!(requests(&report), 0);
 }
@@ -197,7 +211,7 @@
     for _ in 0..6 {
         send(&mut ledger, WORKSPACE, START);
     }
-    ledger.note(&Origin::Others, &told(24), START);
+    ledger.note(&Origin::Others, PROCESS, &told(24), START);
     let cut = START.plus(Millis::new(2_000));
     // Six, and a third of the thirty that were left.
     assert_eq!(fill(&mut ledger, cut), 10);
@@ -208,20 +222,25 @@
 fn others_that_have_counted_for_long_make_presumptions_needless() {
     let mut hot = told_by(Millis::new(100), START, 0);
     hot.entries[0].asked = 100;
-    let mut started = Ledger::new("own", 0, WINDOW, START);
-    started.note(&vm("x"), &hot, START);
-    started.note(&vm("y"), &told_by(Millis::new(100), START, 0), START);
+    let mut started = Ledger::new("own", WINDOW, START);
+    started.note(&vm("x"), PROCESS, &hot, START);
+    started.note(
+        &vm("y"),
+        PROCESS,
+        &told_by(Millis::new(100), START, 0),
+        START,
+    );
     assert!(fill(&mut started, START) < 20);
-    let mut started = Ledger::new("own", 0, WINDOW, START);
-    started.note(&vm("x"), &told(0), START);
-    started.note(&vm("y"), &told(0), START);
+    let mut started = Ledger::new("own", WINDOW, START);
+    started.note(&vm("x"), PROCESS, &told(0), START);
+    started.note(&vm("y"), PROCESS, &told(0), START);
     assert_eq!(fill(&mut started, START), 60);
 }
 
 /// VMs are replaced by a later version one by one. The first ones hear only older processes, which tell sums.
 #[test]
 fn a_vm_that_hears_only_older_processes_counts_their_sums() {
-    let mut ledger = Ledger::new("own", 0, WINDOW, START);
+    let mut ledger = Ledger::new("own", WINDOW, START);
     let sums = [Sum {
         workspace: WORKSPACE,
         admitted: 45,
@@ -251,7 +270,7 @@
 #[test]
 fn small_sums_are_not_told() {
     let mut ledger = ledger();
-    ledger.note(&vm("x"), &told(1), START);
+    ledger.note(&vm("x"), PROCESS, &told(1), START);
     let large = Limit {
         milli_per_second: 1_000_000,
         burst: 0,
--- a/crates/relay/src/usage/report.rs
+++ b/crates/relay/src/usage/report.rs
@@ -6,8 +6,6 @@
 /// The requests of some VMs. Encoded by position, so the order of fields must not change.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// A random number of the sender's process.
-    pub process: u64,
     /// The common time of the VMs at which it was made, in milliseconds.
     pub at: u64,
     /// The requests, sorted by workspace.
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -178,12 +178,18 @@
     vms.into_iter().map(Host::Vm).collect()
 }
 
-/// Returns what went wrong.
-fn over_bound(trouble: Trouble, seed: u64) -> Option<String> {
+/// Plays a trouble from a full window before it until one that holds nothing of it.
+fn play(trouble: Trouble, seed: u64) -> Play {
     let mut play = Play::new(seed);
     play.run(WARM_UP_MS);
     play.cause(trouble);
     play.run(COOL_DOWN_MS);
+    play
+}
+
+/// Returns what went wrong.
+fn over_bound(trouble: Trouble, seed: u64) -> Option<String> {
+    let play = play(trouble, seed);
     let over = play.callers.over_bound();
     let report = play.callers.report();
     println!("{trouble:?} {seed}\n{report}");
@@ -246,10 +252,7 @@
     trouble: Trouble,
     #[values(1, 2)] seed: u64,
 ) {
-    let mut play = Play::new(seed);
-    play.run(WARM_UP_MS);
-    play.cause(trouble);
-    play.run(COOL_DOWN_MS);
+    let play = play(trouble, seed);
     let report = play.callers.report();
     let lost = play.callers.most_lost_below_limit();
     assert!(lost <= MAX_LOST_PER_MILLE, "{trouble:?} {seed}\n{report}");
