Read whether endpoints are scarce, and how fast a runner's machine is at the moment

Parts that are to come act only where capacity may fall short of what callers ask: the settings' contracts name it, or a service's runners share their machines with others and report a fourth figure with their load, which was dropped. Nothing uses either yet.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -140,6 +140,14 @@
         &self.runners
     }
 
+    /// Returns whether runners of a service share their machines with others, so that their capacity
+    /// varies whatever they are asked.
+    #[must_use]
+    pub fn shares_machines(&self, service: &str) -> bool {
+        let mut runners = self.runners.iter();
+        runners.any(|runner| runner.shares_machine && runner.entry.service == service)
+    }
+
     /// Adds or updates a runner's entry. `memory` is the memory of its engine in tokens.
     pub fn set(&mut self, id: &str, entry: Entry, memory: u64) -> Change {
         match self.find(id) {
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -45,6 +45,8 @@
     pub(super) peer_reports: tally::Reports,
     /// The load that the runner reported last, and when.
     pub(super) load: Option<(Load, Millis)>,
+    /// Whether the runner has reported how fast its machine is at the moment, which it shares with others.
+    pub(super) shares_machine: bool,
     /// Hash of the id, by which runners are ranked.
     pub(super) id_hash: u64,
     /// Memory of its engine in tokens; 0 for plain services.
@@ -94,6 +96,7 @@
             own_requests: 0,
             peer_reports: tally::Reports::default(),
             load: None,
+            shares_machine: false,
             prompt_cache: Cache::new(memory_tokens),
             pace: Mean::default(),
             unreachable: false,
@@ -183,6 +186,7 @@
     /// Records the load reported with an answer.
     pub fn note_load(&mut self, load: Load, now: Millis) {
         self.load = Some((load, now));
+        self.shares_machine |= load.slowdown_percent.is_some();
     }
 
     /// Records that an answer came.
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -214,6 +214,7 @@
         running: 16,
         waiting: 30,
         slots: 16,
+        slowdown_percent: None,
     };
     runner.note_load(load, NOW);
     assert_eq!(fleet.choose(&request(&[])).unwrap().id, "i-1");
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -9,6 +9,7 @@
 use adapter::header::Additions;
 use adapter::header::Call;
 use adapter::runner::State;
+use adapter::settings::Supply;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -162,6 +163,17 @@
         }
     }
 
+    /// Returns whether the runners of the request's service may at times have less capacity than callers
+    /// ask for: the settings say so, or the runners share their machines with others.
+    #[must_use]
+    pub fn supply(&self) -> Supply {
+        match self.node.settings.supply {
+            Supply::Scarce => Supply::Scarce,
+            Supply::Ample if self.node.fleet().shares_machines(&self.service) => Supply::Scarce,
+            Supply::Ample => Supply::Ample,
+        }
+    }
+
     /// Chooses a runner that is not in `excluded`, and of a build if one is given.
     #[must_use]
     pub fn choose(&self, excluded: &[String], build: Option<&str>) -> Option<fleet::Choice> {
