Choose runners by how fast their machines are at the moment

Runners of some services share their machines and tell how long work takes there now. Placement went by a mean over seconds, which levels such slowdowns out and is spoilt by them. policy::slowdown says what a reading means for a request that starts now, less with its age and the request's length; the pace is learnt from what requests would have taken without it. E1201 says the reading (slowdown=).

Each VM goes by its own answers only, until readings are exchanged.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -17,6 +17,7 @@
 use policy::crash::Incarnation;
 use policy::prefix;
 use policy::prefix::Demand;
+use policy::slowdown::Reading;
 use policy::subset::MAX_USED;
 use wire::clock::Millis;
 use wire::event::Event;
@@ -96,6 +97,8 @@
     pub cost_ms: f64,
     /// Number of runners that were eligible.
     pub candidates: usize,
+    /// How fast the runner's machine was when that was last read; `None` if it doesn't share one.
+    pub slowdown: Option<Reading>,
 }
 
 /// The effect of a change of a runner's entry.
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -10,6 +10,7 @@
 use policy::place::Lane;
 use policy::prefix;
 use policy::prefix::Cache;
+use policy::slowdown::Reading;
 use wire::clock::Millis;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -47,6 +48,8 @@
     pub(super) load: Option<(Load, Millis)>,
     /// Whether the runner has reported how fast its machine is at the moment, which it shares with others.
     pub(super) shares_machine: bool,
+    /// How fast its machine was when that was last read, by any VM.
+    pub(super) slowdown: Option<Reading>,
     /// Hash of the id, by which runners are ranked.
     pub(super) id_hash: u64,
     /// Memory of its engine in tokens; 0 for plain services.
@@ -97,6 +100,7 @@
             peer_reports: tally::Reports::default(),
             load: None,
             shares_machine: false,
+            slowdown: None,
             prompt_cache: Cache::new(memory_tokens),
             pace: Mean::default(),
             unreachable: false,
@@ -135,11 +139,7 @@
         } else {
             known.max(reported)
         };
-        let speed = 1_000.0
-            / self
-                .pace
-                .decayed_to(request.now)
-                .shrunk_towards(median_pace);
+        let speed = 1_000.0 / self.expected_pace(request, median_pace);
         Candidate {
             slots: self.entry.slots,
             reported: busy,
@@ -160,6 +160,24 @@
         }
     }
 
+    /// Returns the milliseconds per token, or per request of a plain service, that are expected of a
+    /// request that starts now.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "token counts are far below 2^52"
+    )]
+    fn expected_pace(&self, request: &Request<'_>, median_pace: f64) -> f64 {
+        let usual = self.pace.decayed_to(request.now);
+        let usual = usual.shrunk_towards(median_pace);
+        let Some(reading) = self.slowdown else {
+            return usual;
+        };
+        let cached = self.prompt_cache.cached(request.prompt);
+        let missed = request.prompt_tokens.saturating_sub(cached) as f64;
+        let work = request.output_tokens as f64 + missed / PREFILL_TOKENS_PER_GENERATED;
+        usual * reading.expected_factor(usual * work, request.now)
+    }
+
     /// Sets the memory of the runner's engine, which the configuration defines.
     pub(super) fn set_memory(&mut self, memory: u64) {
         if self.memory_tokens != memory {
@@ -186,7 +204,10 @@
     /// Records the load reported with an answer.
     pub fn note_load(&mut self, load: Load, now: Millis) {
         self.load = Some((load, now));
-        self.shares_machine |= load.slowdown_percent.is_some();
+        if let Some(percent) = load.slowdown_percent {
+            self.shares_machine = true;
+            self.slowdown = Some(Reading { percent, at: now });
+        }
     }
 
     /// Records that an answer came.
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -462,3 +462,65 @@
         excluded.push(chosen);
     }
 }
+
+fn tell(fleet: &mut Fleet, id: &str, slowdown_percent: Option<u32>, now: Millis) {
+    let load = Load {
+        running: 0,
+        waiting: 0,
+        slots: 16,
+        slowdown_percent,
+    };
+    let runner = fleet.runner(id).expect("the runner is known");
+    runner.note_load(load, now);
+}
+
+fn choices(fleet: &Fleet, now: Millis) -> Vec<(String, f64)> {
+    let choose = |salt| {
+        let request = Request {
+            salt,
+            now,
+            ..request(&[])
+        };
+        let chosen = fleet.choose(&request).expect("a runner is eligible");
+        (chosen.id, chosen.cost_ms)
+    };
+    (0..30).map(choose).collect()
+}
+
+/// Guards against requests that wait out a slowdown at a runner while others are idle, and against a
+/// runner that is avoided for long after it.
+#[test]
+fn a_runner_is_avoided_while_its_machine_is_slow() {
+    let mut fleet = fleet(4);
+    tell(&mut fleet, "i-1", Some(250), NOW);
+    let chosen = |now| choices(&fleet, now).into_iter();
+    let is_slow = |(id, _): &(String, f64)| id == "i-1";
+    assert_eq!(chosen(NOW).filter(is_slow).count(), 0);
+    let later = NOW.plus(Millis::new(2_000));
+    assert!(chosen(later).filter(is_slow).count() > 0);
+    tell(&mut fleet, "i-1", Some(100), NOW.plus(Millis::new(100)));
+    let ended = choices(&fleet, NOW.plus(Millis::new(101)));
+    assert!(ended.iter().any(is_slow), "a newer reading counts");
+}
+
+/// Guards against other choices among runners that don't share their machines, or are as fast as usual.
+#[rstest]
+#[case(None)]
+#[case(Some(100))]
+fn without_a_slowdown_choices_are_the_same(#[case] figure: Option<u32>) {
+    let paced = || {
+        let mut fleet = fleet(6);
+        for number in 0..6 {
+            let runner = fleet.runner(&format!("i-{number}"));
+            let runner = runner.expect("the runner is known");
+            runner.note_success(100, Millis::new(400 + 70 * number), NOW);
+        }
+        fleet
+    };
+    let expected = choices(&paced(), NOW);
+    let mut fleet = paced();
+    for number in 0..6 {
+        tell(&mut fleet, &format!("i-{number}"), figure, NOW);
+    }
+    assert_eq!(choices(&fleet, NOW), expected);
+}
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -19,6 +19,7 @@
 use link::client;
 use link::client::Reply;
 use policy::prefix;
+use policy::slowdown::Reading;
 use rand::Rng;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -93,9 +94,20 @@
     pub runner: fleet::Choice,
     /// When the attempt was sent.
     pub sent_at: Instant,
+    /// How fast the runner's machine was when it answered; `None` if it doesn't say.
+    slowdown: Option<Reading>,
     node: Arc<Node>,
 }
 
+impl Attempt {
+    /// Returns how long what took `span` at the runner would have taken there at its usual speed.
+    #[must_use]
+    pub fn usual_span(&self, span: Millis) -> Millis {
+        self.slowdown
+            .map_or(span, |reading| reading.usual_span(span))
+    }
+}
+
 impl Drop for Attempt {
     fn drop(&mut self) {
         if let Some(runner) = self.node.fleet().runner(&self.runner.id) {
@@ -117,6 +129,13 @@
     TimedOut,
 }
 
+/// Formats a reading for the log, as `percent/age` with the age in milliseconds; empty for `None`.
+fn format_slowdown(reading: Option<Reading>, now: Millis) -> String {
+    reading.map_or_else(String::new, |reading| {
+        format!("{}/{}", reading.percent, now.since(reading.at).as_u64())
+    })
+}
+
 /// Formats a span in milliseconds for the log; empty for `None`.
 #[must_use]
 pub fn format_span(span: Option<Millis>) -> String {
@@ -294,7 +313,7 @@
             .add(Counter::TokensAsked, self.call.prompt_tokens);
         self.node.metrics.add(Counter::TokensMissed, missed);
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} workspace={} counted={} route={} revision={} runner={} build={} resumes={} occupied={} slots={} prompt={} cached={} cost_ms={:.0} among={} runners_age_ms={} waited_ms={} left_ms={}",
+            "event=E{} text=\"{}\" request={} program={} workspace={} counted={} route={} revision={} runner={} build={} resumes={} occupied={} slots={} prompt={} cached={} cost_ms={:.0} among={} slowdown={} runners_age_ms={} waited_ms={} left_ms={}",
             Event::CallPlaced.number(),
             Event::CallPlaced.text(),
             self.call.id,
@@ -312,6 +331,7 @@
             runner.cached,
             runner.cost_ms,
             runner.candidates,
+            format_slowdown(runner.slowdown, now),
             self.node.runners_age().as_u64(),
             self.age().as_u64(),
             self.time_left().as_u64()
@@ -319,13 +339,14 @@
         Attempt {
             runner,
             sent_at: Instant::now(),
+            slowdown: None,
             node: self.node.clone(),
         }
     }
 
     /// Decides from the head of an answer whether the runner took the request, and records what the
     /// head says about the runner.
-    async fn classify_reply(&self, mut reply: Reply, attempt: Attempt) -> SendOutcome {
+    async fn classify_reply(&self, mut reply: Reply, mut attempt: Attempt) -> SendOutcome {
         let answer_headers = header::answer(&reply.head.headers);
         let now = self.node.clock.now();
         if let Some(span) = answer_headers.idle_timeout {
@@ -340,6 +361,8 @@
                 runner.note_load(load, now);
             }
         }
+        let percent = answer_headers.load.and_then(|load| load.slowdown_percent);
+        attempt.slowdown = percent.map(|percent| Reading { percent, at: now });
         if answer_headers
             .id
             .as_ref()
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -181,7 +181,7 @@
     if !job::is_runner_failure(head.status)
         && let Some(runner) = job.node.fleet().runner(&attempt.runner.id)
     {
-        runner.note_success(1, span, now);
+        runner.note_success(1, attempt.usual_span(span), now);
     }
     if head.status.is_success() {
         crashes::note_completed(job);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -441,7 +441,8 @@
             let engine = job.table.engine(&job.service);
             let tokens = engine.map_or(1, |engine| engine.event_tokens) * (events - 1);
             let first_event_at = state.first_event_at.unwrap_or_else(Instant::now);
-            runner.note_success(tokens, Millis::from(first_event_at.elapsed()), now);
+            let span = attempt.usual_span(Millis::from(first_event_at.elapsed()));
+            runner.note_success(tokens, span, now);
         }
         End::Complete | End::CallerGone | End::TimedOut => {}
     }
