Tell all VMs how fast the runners' machines are

A VM read a runner's figure with its own answers only; with many VMs, few of them see a slowdown before it is over. Where no runner tells, messages have no byte more. New metrics runners_slowed and slowdowns_heard.

--- a/crates/policy/src/slowdown.rs
+++ b/crates/policy/src/slowdown.rs
@@ -38,6 +38,12 @@
         self.percent.abs_diff(USUAL_PERCENT) <= USUAL_TOLERANCE_PERCENT
     }
 
+    /// Returns whether the machine was slower than usual.
+    #[must_use]
+    pub const fn is_slow(&self) -> bool {
+        !self.is_usual() && self.percent > USUAL_PERCENT
+    }
+
     /// Returns whether the reading is recent enough to be used.
     #[must_use]
     pub fn is_valid(&self, now: Millis) -> bool {
--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -10,6 +10,7 @@
 use crate::fleet;
 use crate::freshness;
 use crate::ingest;
+use crate::metrics::Counter;
 use crate::node::Node;
 use crate::roster::Delta;
 use crate::roster::Roster;
@@ -39,6 +40,10 @@
     }
     node.fleet()
         .note_tallies(&received.origin, &received.tallies, now);
+    let taken = node
+        .fleet()
+        .note_slowdowns(&received.origin, &received.slowdowns, now);
+    node.metrics.add(Counter::SlowdownsHeard, taken);
     if let Some(report) = &received.limits {
         let process = proof.stamp.map_or(0, |stamp| stamp.process);
         node.usage().note(&received.origin, process, report, now);
--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -7,6 +7,7 @@
 
 use crate::crashes::news::News;
 use crate::directory::Directory;
+use crate::fleet::slowdown;
 use crate::freshness::Proof;
 use crate::node::Node;
 use crate::peers;
@@ -57,10 +58,14 @@
     /// What was added after that.
     #[serde(skip)]
     pub crashes: News,
-    /// What was added last: the requests of workspaces that have a limit, from the VMs of the message's
+    /// What was added after that: the requests of workspaces that have a limit, from the VMs of the message's
     /// origin. `None` from a process that tells only their sums.
     #[serde(skip)]
     pub limits: Option<Report>,
+    /// What was added last: how fast the runners' machines are, as read by the VMs of the message's
+    /// origin. Sorted by runner. Only a message with [`Self::limits`] has any.
+    #[serde(skip)]
+    pub slowdowns: Vec<slowdown::Told>,
 }
 
 /// The part of a message that follows its first part. A process that doesn't know it reads the first
@@ -96,6 +101,9 @@
     }
     if let Some(limits) = &message.limits {
         rmp_serde::encode::write(&mut bytes, limits)?;
+        if !message.slowdowns.is_empty() {
+            rmp_serde::encode::write(&mut bytes, &message.slowdowns)?;
+        }
     }
     Ok(bytes)
 }
@@ -117,6 +125,9 @@
     if !rest.is_empty() {
         message.limits = Some(rmp_serde::from_read(&mut rest)?);
     }
+    if !rest.is_empty() {
+        message.slowdowns = rmp_serde::from_read(&mut rest)?;
+    }
     Ok(message)
 }
 
@@ -128,6 +139,7 @@
         origin,
         tallies,
         limits,
+        slowdowns,
     } = figures_for(node, to, now);
     let (table, config_age) = node.table_with_age();
     let members = node.replicas.list();
@@ -163,6 +175,7 @@
         },
         crashes: node.crashes().news(to, node.stamp().process, now),
         limits: Some(limits),
+        slowdowns,
     }
 }
 
@@ -215,11 +228,12 @@
     }
 }
 
-/// What a message says of the requests of several VMs.
+/// What a message says of the requests of several VMs, and of what they read.
 struct Figures {
     origin: Origin,
     tallies: Vec<Tally>,
     limits: Report,
+    slowdowns: Vec<slowdown::Told>,
 }
 
 /// Returns the figures for a VM and their origin. A hub sends the VMs of its own data centre the
@@ -268,6 +282,7 @@
     Figures {
         origin,
         tallies,
+        slowdowns: node.fleet().slowdowns(now, &speaks_for),
         limits: node.usage().report(scope, fleet, &speaks_for, now),
     }
 }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -7,6 +7,7 @@
 mod health;
 pub mod load;
 pub mod runner;
+pub mod slowdown;
 mod subset;
 
 use std::net::SocketAddr;
--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -121,7 +121,7 @@
             cached: candidate.cached,
             cost_ms: choice.cost,
             candidates: candidates.len(),
-            slowdown: runner.slowdown,
+            slowdown: runner.slowdown(),
         })
     }
 }
--- a/crates/relay/src/fleet/load.rs
+++ b/crates/relay/src/fleet/load.rs
@@ -15,6 +15,8 @@
     pub own_requests: u64,
     /// Requests of all VMs in flight at the runners.
     pub occupied: u64,
+    /// Runners whose machines were slower than usual when that was last read, not long ago.
+    pub slowed: u64,
 }
 
 impl Fleet {
@@ -28,6 +30,7 @@
             load.slots += u64::from(runner.entry.slots);
             load.own_requests += u64::from(runner.own_requests);
             load.occupied += u64::from(runner.own_requests + others);
+            load.slowed += u64::from(runner.is_slowed(now));
         }
         load
     }
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -16,6 +16,7 @@
 
 use crate::fleet::Request;
 use crate::fleet::health;
+use crate::fleet::slowdown;
 use crate::tally;
 
 /// Prompt tokens that an engine reads in the time in which it generates one token. The ratio is
@@ -48,8 +49,8 @@
     pub(super) load: Option<(Load, Millis)>,
     /// Whether the runner has reported how fast its machine is at the moment, which it shares with others.
     pub(super) shares_machine: bool,
-    /// How fast its machine was when that was last read, by any VM.
-    pub(super) slowdown: Option<Reading>,
+    /// How fast its machine is, as read last by any VM.
+    pub(super) slowdown: slowdown::Known,
     /// Hash of the id, by which runners are ranked.
     pub(super) id_hash: u64,
     /// Memory of its engine in tokens; 0 for plain services.
@@ -100,7 +101,7 @@
             peer_reports: tally::Reports::default(),
             load: None,
             shares_machine: false,
-            slowdown: None,
+            slowdown: slowdown::Known::default(),
             prompt_cache: Cache::new(memory_tokens),
             pace: Mean::default(),
             unreachable: false,
@@ -169,7 +170,7 @@
     fn expected_pace(&self, request: &Request<'_>, median_pace: f64) -> f64 {
         let usual = self.pace.decayed_to(request.now);
         let usual = usual.shrunk_towards(median_pace);
-        let Some(reading) = self.slowdown else {
+        let Some(reading) = self.slowdown.reading else {
             return usual;
         };
         let cached = self.prompt_cache.cached(request.prompt);
@@ -206,10 +207,22 @@
         self.load = Some((load, now));
         if let Some(percent) = load.slowdown_percent {
             self.shares_machine = true;
-            self.slowdown = Some(Reading { percent, at: now });
+            self.slowdown.note_own(Reading { percent, at: now });
         }
     }
 
+    /// Returns how fast the runner's machine is, as read last by any VM; `None` if it doesn't tell.
+    #[must_use]
+    pub const fn slowdown(&self) -> Option<Reading> {
+        self.slowdown.reading
+    }
+
+    /// Returns whether its machine was slower than usual when that was last read, not long ago.
+    pub(super) fn is_slowed(&self, now: Millis) -> bool {
+        self.slowdown()
+            .is_some_and(|reading| reading.is_valid(now) && reading.is_slow())
+    }
+
     /// Records that an answer came.
     pub fn note_answer(&mut self, now: Millis) {
         self.last_contact = now;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -59,6 +59,7 @@
     StoreWeight = "platform_calls_weight", "price of these calls in tenths of a full one";
     StoreFailures = "platform_calls_failed", "calls of the platform's key-value service without an answer";
     Blamed = "crashes_blamed", "crashes of runners for which this VM blamed a content";
+    SlowdownsHeard = "slowdowns_heard", "readings of how fast a runner's machine is that other VMs told";
     ConfigsDropped = "revisions_dropped", "configurations that couldn't be taken";
 }
 
--- a/crates/relay/src/probe.rs
+++ b/crates/relay/src/probe.rs
@@ -36,6 +36,7 @@
         ("slots_occupied", load.occupied),
         ("connections", connections.open() as u64),
         ("runners", load.runners),
+        ("runners_slowed", load.slowed),
         ("runners_age_ms", node.runners_age().as_u64()),
         ("revision", node.table().version),
         ("revision_age_ms", node.config_age().as_u64()),
