Let turns of late programs yield where endpoints are scarce

Engines were told a priority by rank alone. While callers ask for more than the engines can do, all programs so become late together, and a late one is worth little to its caller.

Where Job::supply() is scarce, policy::standing compares what is left of a turn's program with what the turn itself needs, and late turns yield to those in time of their rank and of the next one. Elsewhere priorities are what they were, which a test shows. E1201 names standing and priority, three counters count turns by standing.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,5 +21,6 @@
 mod rendezvous;
 pub mod retry;
 pub mod slow_start;
+pub mod standing;
 pub mod stop;
 pub mod subset;
--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -2,6 +2,7 @@
 
 use policy::class::Class;
 use policy::decaying_mean;
+use policy::decaying_mean::Mean;
 use policy::place;
 use policy::place::Candidate;
 use policy::place::Weights;
@@ -14,6 +15,7 @@
 use crate::fleet::Choice;
 use crate::fleet::Fleet;
 use crate::fleet::Request;
+use crate::fleet::runner::PREFILL_TOKENS_PER_GENERATED;
 use crate::fleet::runner::Runner;
 use crate::fleet::subset;
 
@@ -56,16 +58,34 @@
     /// Returns the median pace of the service's runners, which is presumed for runners without
     /// measurements of their own.
     fn median_pace(&self, request: &Request<'_>) -> f64 {
-        let of_service = self
-            .runners
-            .iter()
-            .filter(|runner| runner.entry.service == request.service);
-        let paces = of_service.map(|runner| runner.pace.decayed_to(request.now));
         let default = match request.engine {
             Some(_) => DEFAULT_PACE_MS,
             None => DEFAULT_PLAIN_PACE_MS,
         };
-        decaying_mean::median(paces, default)
+        decaying_mean::median(self.paces(request.service, request.now), default)
+    }
+
+    fn paces(&self, service: &str, now: Millis) -> impl Iterator<Item = Mean> {
+        let of_service = self
+            .runners
+            .iter()
+            .filter(move |runner| runner.entry.service == service);
+        of_service.map(move |runner| runner.pace.decayed_to(now))
+    }
+
+    /// Returns how long a turn takes that is served at once, by the median pace of the service's
+    /// engines; `Millis::ZERO` if none has been measured.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "token counts and spans are far below 2^52"
+    )]
+    pub fn turn_span(&self, service: &str, to_read: u64, to_generate: u64, now: Millis) -> Millis {
+        let pace = decaying_mean::median(self.paces(service, now), 0.0);
+        let read = to_read as f64 / PREFILL_TOKENS_PER_GENERATED;
+        Millis::new((pace * (read + to_generate as f64)) as u64)
     }
 
     /// Chooses a runner; `None` if the service has no eligible one.
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -19,7 +19,7 @@
 
 /// Prompt tokens that an engine reads in the time in which it generates one token. The ratio is
 /// about the same for fast and slow engines, because both times come from the same arithmetic.
-const PREFILL_TOKENS_PER_GENERATED: f64 = 220.0;
+pub(super) const PREFILL_TOKENS_PER_GENERATED: f64 = 220.0;
 /// Share of a runner's slots that may be used: all of them, because a failing runner is held off
 /// entirely.
 const FULL_SHARE: f64 = 1.0;
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -19,6 +19,8 @@
 use link::client;
 use link::client::Reply;
 use policy::prefix;
+use policy::standing;
+use policy::standing::Standing;
 use rand::Rng;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -225,12 +227,14 @@
         last_event: Option<u64>,
         deadline: Instant,
     ) -> SendOutcome {
-        let attempt = self.begin_attempt(runner);
+        let standing = self.standing(&runner);
+        let priority = self.priority(standing);
+        let attempt = self.begin_attempt(runner, standing, priority);
         let runner = &attempt.runner;
         let additions = Additions {
             time_left: Millis::from(self.deadline.saturating_duration_since(Instant::now())),
             instance: &runner.id,
-            priority: self.priority(),
+            priority,
             last_event,
             identity: self.identity.header(),
         };
@@ -275,7 +279,12 @@
         admission.map_or_else(String::new, |admission| admission.known.to_string())
     }
 
-    fn begin_attempt(&self, runner: fleet::Choice) -> Attempt {
+    fn begin_attempt(
+        &self,
+        runner: fleet::Choice,
+        standing: Option<Standing>,
+        priority: Option<u8>,
+    ) -> Attempt {
         if let Some(admission) = &self.admission {
             admission.note_sent();
         }
@@ -293,8 +302,11 @@
             .metrics
             .add(Counter::TokensAsked, self.call.prompt_tokens);
         self.node.metrics.add(Counter::TokensMissed, missed);
+        if let Some(standing) = standing {
+            self.node.metrics.count(Counter::of_standing(standing));
+        }
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} workspace={} counted={} route={} revision={} runner={} build={} resumes={} occupied={} slots={} prompt={} cached={} cost_ms={:.0} among={} runners_age_ms={} waited_ms={} left_ms={}",
+            "event=E{} text=\"{}\" request={} program={} workspace={} counted={} route={} revision={} runner={} build={} resumes={} occupied={} slots={} prompt={} cached={} cost_ms={:.0} among={} runners_age_ms={} waited_ms={} left_ms={} standing={} priority={}",
             Event::CallPlaced.number(),
             Event::CallPlaced.text(),
             self.call.id,
@@ -314,7 +326,11 @@
             runner.candidates,
             self.node.runners_age().as_u64(),
             self.age().as_u64(),
-            self.time_left().as_u64()
+            self.time_left().as_u64(),
+            standing.map_or("", Standing::name),
+            standing
+                .and(priority)
+                .map_or_else(String::new, |priority| priority.to_string())
         );
         Attempt {
             runner,
@@ -405,14 +421,34 @@
         workspace.map_or("", |workspace| &workspace.name)
     }
 
+    /// Returns the standing of a turn that is sent to `runner`; `None` for calls, and where the
+    /// runners are enough for all.
+    #[must_use]
+    pub fn standing(&self, runner: &fleet::Choice) -> Option<Standing> {
+        self.table.engine(&self.service)?;
+        if self.supply() == Supply::Ample {
+            return None;
+        }
+        let waited = self.age().as_u64();
+        let left = self.call.finish_within;
+        let left = left.map(|left| Millis::new(left.as_u64().saturating_sub(waited)));
+        let to_read = self.call.prompt_tokens.saturating_sub(runner.cached);
+        let to_generate = self.call.expected_tokens.unwrap_or_default();
+        let now = self.node.clock.now();
+        let fleet = self.node.fleet();
+        let needed = fleet.turn_span(&self.service, to_read, to_generate, now);
+        Some(Standing::of(left, needed))
+    }
+
     /// Returns the request's priority for the engines, 0 being the most urgent; `None` for plain
     /// services.
-    fn priority(&self) -> Option<u8> {
+    #[must_use]
+    pub fn priority(&self, standing: Option<Standing>) -> Option<u8> {
         self.table.engine(&self.service)?;
         let workspace = self.identity.workspace();
-        let priority = workspace.and_then(|workspace| workspace.priority);
-        let priority = priority.unwrap_or(self.route.priority);
-        Some((1 + 2 * priority.min(3)).min(9))
+        let rank = workspace.and_then(|workspace| workspace.priority);
+        let rank = rank.unwrap_or(self.route.priority);
+        Some(standing.map_or(standing::of_rank(rank), |standing| standing.priority(rank)))
     }
 
     /// Logs that the caller left before its answer was complete.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,6 +11,7 @@
 
 use adapter::config::Kind;
 use hdrhistogram::Histogram;
+use policy::standing::Standing;
 use wire::clock::Millis;
 use wire::code::Code;
 
@@ -58,10 +59,25 @@
     TokensAsked = "prompt_tokens", "prompt tokens of all turns that were placed";
     StoreWeight = "platform_calls_weight", "price of these calls in tenths of a full one";
     StoreFailures = "platform_calls_failed", "calls of the platform's key-value service without an answer";
+    TurnsInTime = "turns_in_time", "turns of scarce services that were sent with time to spare";
+    TurnsAtRisk = "turns_at_risk", "turns of scarce services that were sent with little time to spare";
+    TurnsLate = "turns_late", "turns of scarce services that were sent when their program was late";
     Blamed = "crashes_blamed", "crashes of runners for which this VM blamed a content";
     ConfigsDropped = "revisions_dropped", "configurations that couldn't be taken";
 }
 
+impl Counter {
+    /// Returns the counter of turns of a standing.
+    #[must_use]
+    pub const fn of_standing(standing: Standing) -> Self {
+        match standing {
+            Standing::InTime => Self::TurnsInTime,
+            Standing::AtRisk => Self::TurnsAtRisk,
+            Standing::Late => Self::TurnsLate,
+        }
+    }
+}
+
 figures! {
     /// A call of the key-value service by what it is for. The exported name is its label.
     Call:
