--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod retry;
 pub mod slow_start;
 pub mod slowdown;
+pub mod standing;
 pub mod stop;
 pub mod subset;
