--- a/crates/policy/src/slowdown.rs
+++ b/crates/policy/src/slowdown.rs
@@ -7,15 +7,18 @@
 //! So each endpoint tells with its answers how long work takes at that moment. A reading says much of
 //! a call that starts at once and is short, and ever less of one that is long, or starts later.
 //!
-//! A slowdown is expected to last [`LASTING`] from any moment at which it is seen.
+//! A slowdown is expected to go on for [`LASTING`] from any moment at which it is seen. What a reading
+//! doesn't say counts as usual: if it counted as a little slower, all VMs would send to the few endpoints
+//! that were just read.
 
 use wire::clock::Millis;
 
-/// How long a slowdown lasts on average from the moment at which it is read.
-pub const LASTING: Millis = Millis::new(600);
+/// How long a slowdown goes on, on average, after it is read: less than it lasts, as it may have begun
+/// some time before.
+pub const LASTING: Millis = Millis::new(400);
 /// Age from which a reading isn't used or passed on any more. What then remains of a slowdown is less
 /// than costs must differ by for an endpoint to be preferred.
-pub const MAX_AGE: Millis = Millis::new(1_200);
+pub const MAX_AGE: Millis = Millis::new(1_000);
 /// The usual time, in per cent.
 const USUAL_PERCENT: u32 = 100;
 /// Readings that differ by less from the usual one, in per cent of it, count as usual: they change no
--- a/crates/relay/tests/slowdowns.rs
+++ b/crates/relay/tests/slowdowns.rs
@@ -16,8 +16,7 @@
 
 mod fleet_model;
 
-/// Time after which a reading is of little use to a request: half of that for which a slowdown lasts,
-/// in milliseconds.
+/// Time after which a reading is of little use to a request, in milliseconds: half of a slowdown.
 const USEFUL_MS: u64 = 300;
 /// How long VMs need to learn of each other, and of a new hub, in milliseconds.
 const LISTED_MS: u64 = 8_000;
