--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -10,7 +10,9 @@
 use policy::admit;
 use policy::class::Class;
 use policy::eject;
+use policy::home;
 use policy::place;
+use policy::prefix;
 use policy::queue;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -33,6 +35,8 @@
     );
     let points = ENDPOINTS.map(|count| (count, placement(count)));
     slope("place::choose, ns per endpoint", points[0], points[2]);
+    let points = ENDPOINTS.map(|count| (count, placement_at_home(count)));
+    slope("home::choose, ns per endpoint", points[0], points[2]);
     let points = ENDPOINTS.map(|count| (count, sweep(count)));
     slope("eject::sweep, ns per endpoint", points[0], points[2]);
     for callers in [CALLERS, MANY_CALLERS] {
@@ -62,6 +66,29 @@
     })
 }
 
+/// Measures the whole decision for a turn of a program that has homes.
+fn placement_at_home(count: u32) -> f64 {
+    let candidates: Vec<place::Candidate> = (0..count).map(candidate).collect();
+    let endpoints: Vec<u64> = (0..u64::from(count)).map(|at| at * 7_919 + 3).collect();
+    let prompt = [12_000, 7_800, 200].map(|tokens| prefix::Part { id: tokens, tokens });
+    let mut salt = 0;
+    report("home::choose", count, || {
+        salt += 1;
+        let mut candidates = candidates.clone();
+        let call = place::Call {
+            class: Class::Routine,
+            prompt: 20_000,
+            output: 200,
+            salt,
+        };
+        let places = home::places(1, black_box(&endpoints));
+        let homes = home::Homes::of(salt, &endpoints, &places);
+        homes.presume(&prompt, &mut candidates);
+        let weights = place::Weights::default();
+        black_box(home::choose(&candidates, &call, &weights, &homes));
+    })
+}
+
 fn candidate(index: u32) -> place::Candidate {
     place::Candidate {
         slots: 16,
