Let programs whose first part most others share have their homes anywhere

A part with over half of a VM's turns now has the whole pool for its places. VMs count this for two minutes and not ten seconds, as they see few turns each; `prefix::Demand` takes its half-life, and its own stays what it was.

--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -70,6 +70,7 @@
 fn placement_at_home(count: u32) -> f64 {
     let candidates: Vec<place::Candidate> = (0..count).map(candidate).collect();
     let endpoints: Vec<u64> = (0..u64::from(count)).map(|at| at * 7_919 + 3).collect();
+    let demand = home::demand();
     let prompt = [12_000, 7_800, 200].map(|tokens| prefix::Part { id: tokens, tokens });
     let mut salt = 0;
     report("home::choose", count, || {
@@ -81,7 +82,7 @@
             output: 200,
             salt,
         };
-        let places = home::places(1, black_box(&endpoints));
+        let places = home::places(1, black_box(&endpoints), &demand);
         let homes = home::Homes::of(salt, &endpoints, &places);
         homes.presume(&prompt, &mut candidates);
         let weights = place::Weights::default();
--- a/crates/policy/src/home.rs
+++ b/crates/policy/src/home.rs
@@ -7,7 +7,8 @@
 //!
 //! The homes of a program are [`HOMES`] of its first part's [`places`], the first ones by a rendezvous
 //! hash of the program's id. The places are a fixed share of the pool, by a rendezvous hash of the
-//! part's id, and are the presumed holders of that part. All VMs compute the same ones from what a
+//! part's id, and are the presumed holders of that part; of a part that most programs begin with,
+//! the whole pool is the place. All VMs compute the same ones from what a
 //! request itself states, without messages and without state, also after a restart. Holders by demand
 //! ([`prefix::Demand`]) don't serve here: VMs that see few turns each differ in them, so that homes
 //! among them would differ as well, and a part seen twice in a row spreads over half the pool. The first
@@ -18,12 +19,15 @@
 //! A home is no more than a presumed cache and a preference within [`TOLERANCE`]: one that is full,
 //! slow, or not among the candidates loses by its cost like any other endpoint.
 
+use wire::clock::Millis;
+
 use crate::place;
 use crate::place::Call;
 use crate::place::Candidate;
 use crate::place::Choice;
 use crate::place::Weights;
 use crate::prefix;
+use crate::prefix::Demand;
 use crate::prefix::Part;
 use crate::rendezvous;
 
@@ -34,15 +38,33 @@
 /// would be full with the programs of a part that many share; more would each have to keep parts
 /// that are seldom used in the memory of histories.
 pub const ENDPOINTS_PER_PLACE: usize = 4;
+/// Share of the turns above which a first part's programs may have their homes anywhere: they would
+/// fill the places twice over. Far above the shares of other parts, so that VMs that see few turns
+/// agree on it.
+pub const MAX_SHARE: f64 = 0.5;
+/// Turns below which a VM takes no first part for one of so many programs.
+const MIN_TURNS: f64 = 10.0;
+/// Half-life of a turn's weight in the demand: a VM of a large deployment sees a turn a second.
+const DEMAND_HALF_LIFE: Millis = Millis::new(120_000);
 /// Costs within this share of the lowest one are accepted for a home. A first turn that runs
 /// elsewhere saves less than that once, and each later one that looks for it at home prefills it.
 pub const TOLERANCE: f64 = 0.25;
 
+/// Returns the record of demand that [`places`] goes by, without turns.
+#[must_use]
+pub fn demand() -> Demand {
+    Demand::new(DEMAND_HALF_LIFE)
+}
+
 /// Returns, for each endpoint of a pool, whether it may be a home of programs whose prompts begin with
-/// the part `first`: one in [`ENDPOINTS_PER_PLACE`], or none in a pool so small that all may be.
+/// the part `first`: one in [`ENDPOINTS_PER_PLACE`], or none if all may be, as in a small pool.
 #[must_use]
-pub fn places(first: u64, endpoints: &[u64]) -> Vec<bool> {
-    let count = endpoints.len().div_ceil(ENDPOINTS_PER_PLACE).max(HOMES);
+pub fn places(first: u64, endpoints: &[u64], demand: &Demand) -> Vec<bool> {
+    let count = if demand.share(first, MIN_TURNS) > MAX_SHARE {
+        endpoints.len()
+    } else {
+        endpoints.len().div_ceil(ENDPOINTS_PER_PLACE).max(HOMES)
+    };
     prefix::presumed_holders(first, endpoints, count)
 }
 
--- a/crates/policy/src/home/tests.rs
+++ b/crates/policy/src/home/tests.rs
@@ -1,11 +1,15 @@
+use wire::clock::Millis;
+
 use super::Homes;
 use super::choose;
+use super::demand;
 use super::places;
 use crate::class::Class;
 use crate::place::Call;
 use crate::place::Candidate;
 use crate::place::Lane;
 use crate::place::Weights;
+use crate::prefix::Demand;
 use crate::prefix::Part;
 
 const IDLE: Candidate = Candidate {
@@ -29,7 +33,7 @@
 }
 
 fn homes_of(program: u64, first: u64, endpoints: &[u64]) -> Homes {
-    Homes::of(program, endpoints, &places(first, endpoints))
+    Homes::of(program, endpoints, &places(first, endpoints, &demand()))
 }
 
 fn endpoints(count: u64) -> Vec<u64> {
@@ -121,6 +125,26 @@
     assert_eq!(candidates[home].cached, 14_800);
 }
 
+/// Nearly all programs begin with one part. In a quarter of the pool they would wait while the rest is
+/// idle.
+#[test]
+fn a_part_of_most_programs_has_its_place_everywhere() {
+    let ids = endpoints(44);
+    let mut demand = demand();
+    let places_of = |demand: &Demand, first| {
+        let places = places(first, &ids, demand);
+        places.iter().filter(|place| **place).count()
+    };
+    for turn in 0..5 {
+        demand.note(1, Millis::new(turn));
+    }
+    assert_eq!(places_of(&demand, 1), 11, "five turns tell nothing");
+    for turn in 5..30 {
+        demand.note(turn % 3 / 2 + 1, Millis::new(turn));
+    }
+    assert_eq!([1, 2].map(|first| places_of(&demand, first)), [0, 11]);
+}
+
 /// A pool with fewer endpoints than homes.
 #[test]
 fn a_small_pool_has_fewer_homes() {
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -119,13 +119,20 @@
 /// The share of a pool's work that each first part accounts for, as one VM sees it.
 ///
 /// The load balancer spreads the work over the VMs, so that each VM sees about the same shares.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Demand {
     /// Sorted by part id, at most [`MAX_TRACKED`].
     counts: Vec<Count>,
     total: f64,
     /// When the last turn was recorded.
     updated: Millis,
+    half_life: Millis,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Self::new(DEMAND_HALF_LIFE)
+    }
 }
 
 /// The decayed count of turns that begin with one part, as of the last of them.
@@ -137,25 +144,37 @@
 }
 
 impl Count {
-    fn turns_at(&self, now: Millis) -> f64 {
-        self.turns * decay::remaining_weight(now.since(self.updated), DEMAND_HALF_LIFE)
+    fn turns_at(&self, now: Millis, half_life: Millis) -> f64 {
+        self.turns * decay::remaining_weight(now.since(self.updated), half_life)
     }
 }
 
 impl Demand {
+    /// Creates a record without turns, in which a turn's weight has this half-life.
+    #[must_use]
+    pub fn new(half_life: Millis) -> Self {
+        Self {
+            counts: Vec::new(),
+            total: 0.0,
+            updated: Millis::ZERO,
+            half_life,
+        }
+    }
+
     /// Records a turn that begins with a part.
     pub fn note(&mut self, first: u64, now: Millis) {
         self.total =
-            self.total * decay::remaining_weight(now.since(self.updated), DEMAND_HALF_LIFE) + 1.0;
+            self.total * decay::remaining_weight(now.since(self.updated), self.half_life) + 1.0;
         self.updated = now;
         if let Ok(at) = self.find(first) {
             let count = &mut self.counts[at];
-            count.turns = count.turns_at(now) + 1.0;
+            count.turns = count.turns_at(now, self.half_life) + 1.0;
             count.updated = now;
             return;
         }
         if self.counts.len() >= MAX_TRACKED {
-            self.counts.retain(|count| count.turns_at(now) > 1.0);
+            self.counts
+                .retain(|count| count.turns_at(now, self.half_life) > 1.0);
         }
         if self.counts.len() >= MAX_TRACKED {
             return;
@@ -174,6 +193,17 @@
             .binary_search_by_key(&first, |count| count.first)
     }
 
+    /// Returns the share of the turns that begin with a part, from 0 to 1; of `min_turns` turns while
+    /// there are fewer.
+    #[must_use]
+    pub fn share(&self, first: u64, min_turns: f64) -> f64 {
+        let found = self.find(first);
+        let count = found.map_or(0.0, |at| {
+            self.counts[at].turns_at(self.updated, self.half_life)
+        });
+        count / self.total.max(min_turns)
+    }
+
     /// Returns how many of `endpoints` endpoints should hold a first part.
     #[must_use]
     #[expect(
@@ -183,9 +213,7 @@
         reason = "a pool has some hundreds of endpoints"
     )]
     pub fn holders(&self, first: u64, endpoints: usize) -> usize {
-        let found = self.find(first);
-        let count = found.map_or(0.0, |at| self.counts[at].turns_at(self.updated));
-        let share = count / self.total.max(1.0);
+        let share = self.share(first, 1.0);
         let wanted = (share * endpoints as f64 * HOLDER_HEADROOM).ceil() as usize;
         wanted.max(MIN_HOLDERS).min(endpoints)
     }
--- a/crates/policy/tests/homes.rs
+++ b/crates/policy/tests/homes.rs
@@ -98,6 +98,7 @@
     way: Way,
     vms: usize,
     load: f64,
+    first_parts: u64,
     seed: u64,
 }
 
@@ -147,8 +148,9 @@
     fn row(&self, play: &Play) -> String {
         let share = |tokens: u64| 100.0 * tokens as f64 / self.prompt as f64;
         format!(
-            "{:<12} {:>3} {:.1} | {:>6} | {:>5.2} ({:>5.2} {:>5.2}) = {:>5.2} {:>5.2} {:>5.2} {:>5.2} | {:>6} {:>6} {:>6} | {:.2}",
+            "{:<12} {:>2} {:>3} {:.1} | {:>6} | {:>5.2} ({:>5.2} {:>5.2}) = {:>5.2} {:>5.2} {:>5.2} {:>5.2} | {:>6} {:>6} {:>6} | {:.2}",
             format!("{:?}", play.way),
+            play.first_parts,
             play.vms,
             play.load,
             self.turns,
@@ -269,6 +271,7 @@
 struct Vm {
     caches: Vec<Cache>,
     demand: Demand,
+    demand_for_places: Demand,
     in_flight: Vec<u32>,
     sent: Vec<u32>,
     ended: Vec<u32>,
@@ -279,6 +282,7 @@
         Self {
             caches: vec![Cache::new(2 * MEMORY); ENGINES],
             demand: Demand::default(),
+            demand_for_places: home::demand(),
             in_flight: vec![0; ENGINES],
             sent: vec![0; ENGINES],
             ended: vec![0; ENGINES],
@@ -410,7 +414,7 @@
         let programs_per_second = self.play.load * CAPACITY / PROGRAM_TURNS;
         let next = exponential(&mut self.rng, 1_000.0 / programs_per_second);
         self.push(now + next.ceil() as u64, Event::Begin);
-        let weights = (1..=FIRST_PARTS).map(|rank| 1.0 / rank as f64);
+        let weights = (1..=self.play.first_parts).map(|rank| 1.0 / rank as f64);
         let mut draw = self.rng.random::<f64>() * weights.clone().sum::<f64>();
         let mut first = 0;
         for weight in weights {
@@ -457,6 +461,7 @@
         self.told[program].push((now, engine));
         let vm = &mut self.vms[at];
         vm.demand.note(prompt[0].id, time);
+        vm.demand_for_places.note(prompt[0].id, time);
         vm.caches[engine].note(&prompt, time);
         vm.in_flight[engine] += 1;
         vm.sent[engine] += 1;
@@ -481,7 +486,9 @@
                 let holders = vm.demand.holders(first.id, ids.len());
                 prefix::presumed_holders(first.id, &ids, holders)
             }
-            Way::Home | Way::SessionHome | Way::ToldPlaces => home::places(first.id, &ids),
+            Way::Home | Way::SessionHome | Way::ToldPlaces => {
+                home::places(first.id, &ids, &vm.demand_for_places)
+            }
         };
         let holders_of = usable.iter().zip(&holders);
         let mut candidates: Vec<Candidate> = holders_of
@@ -756,15 +763,40 @@
     assert!(after <= before, "{after} {before}");
 }
 
+/// Half the programs begin with the same part. With their homes in a quarter of the pool they waited
+/// longer than without homes.
+#[rstest]
+#[case::idle(0.6)]
+#[case::at_capacity(1.0)]
+fn a_part_of_half_the_programs_does_not_slow_them(#[case] load: f64) {
+    let [alone, home] = [Way::Alone, Way::Home].map(|way| {
+        run_play(Play {
+            way,
+            vms: 120,
+            load,
+            first_parts: 3,
+            seed: SEED,
+        })
+    });
+    assert!(home.again() < 0.08, "{home:?}");
+    assert!(home.turns >= alone.turns, "{} {}", home.turns, alone.turns);
+    let [before, after] = [&alone, &home].map(|outcome| outcome.time(0.95));
+    assert!(after <= before, "{after} {before}");
+}
+
 fn run(way: Way, vms: usize, load: f64) -> Outcome {
-    let ways = Play {
+    run_play(Play {
         way,
         vms,
         load,
+        first_parts: FIRST_PARTS,
         seed: SEED,
-    };
-    let outcome = play(ways);
-    println!("{}", outcome.row(&ways));
+    })
+}
+
+fn run_play(parameters: Play) -> Outcome {
+    let outcome = play(parameters);
+    println!("{}", outcome.row(&parameters));
     outcome
 }
 
@@ -772,7 +804,7 @@
 /// that sees all engines would show that the play is wrong.
 #[test]
 fn ways_are_compared() {
-    println!("way, VMs, load | turns | % read again (after the restart, the failure)");
+    println!("way, first parts, VMs, load | turns | % read again (after the restart, the failure)");
     println!("= histories, first parts under way, evicted, spread | ms p50 p95 p99 | imbalance");
     for load in [0.6, 1.0, 1.3] {
         for vms in [30, 120] {
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -47,7 +47,16 @@
 pub struct Fleet {
     runners: Vec<Runner>,
     /// The first parts of recent prompts by service, sorted by the services' names.
-    demand: Vec<(String, Demand)>,
+    demand: Vec<(String, Demands)>,
+}
+
+/// The first parts of a service's recent prompts.
+#[derive(Debug)]
+struct Demands {
+    /// By which the presumed holders of a first part are counted.
+    for_holders: Demand,
+    /// By which the places of homes are counted.
+    for_places: Demand,
 }
 
 /// The properties of a request that determine its placement.
--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -14,6 +14,7 @@
 
 use crate::crashes;
 use crate::fleet::Choice;
+use crate::fleet::Demands;
 use crate::fleet::Fleet;
 use crate::fleet::Home;
 use crate::fleet::Placement;
@@ -40,14 +41,19 @@
             return;
         };
         let index = self.find_demand(service).unwrap_or_else(|index| {
-            let new = (service.to_owned(), Demand::default());
-            self.demand.insert(index, new);
+            let new = Demands {
+                for_holders: Demand::default(),
+                for_places: home::demand(),
+            };
+            self.demand.insert(index, (service.to_owned(), new));
             index
         });
-        self.demand[index].1.note(first.id, now);
+        let demands = &mut self.demand[index].1;
+        demands.for_holders.note(first.id, now);
+        demands.for_places.note(first.id, now);
     }
 
-    fn demand(&self, service: &str) -> Option<&Demand> {
+    fn demand(&self, service: &str) -> Option<&Demands> {
         let index = self.find_demand(service).ok()?;
         Some(&self.demand[index].1)
     }
@@ -132,7 +138,7 @@
         let first = request.prompt.first()?;
         let hashes: Vec<u64> = usable.iter().map(|runner| runner.id_hash).collect();
         let presumed = match request.home {
-            Home::Of(_) => home::places(first.id, &hashes),
+            Home::Of(_) => self.places(request.service, first.id, &hashes),
             Home::None => self.presumed_holders(request.service, first.id, &hashes),
         };
         for (candidate, presumed) in candidates.iter_mut().zip(&presumed) {
@@ -148,10 +154,17 @@
         Some(homes)
     }
 
+    fn places(&self, service: &str, first: u64, hashes: &[u64]) -> Vec<bool> {
+        match self.demand(service) {
+            Some(demand) => home::places(first, hashes, &demand.for_places),
+            None => home::places(first, hashes, &home::demand()),
+        }
+    }
+
     fn presumed_holders(&self, service: &str, first: u64, hashes: &[u64]) -> Vec<bool> {
         let demand = self.demand(service);
         let holders = demand.map_or(prefix::MIN_HOLDERS, |demand| {
-            demand.holders(first, hashes.len())
+            demand.for_holders.holders(first, hashes.len())
         });
         prefix::presumed_holders(first, hashes, holders)
     }
