Refuse programs at their first turn while the engines are occupied

While callers begin more programs than the engines can end, each got a part of the engines and most ended late or not at all, after work had been spent on them.

Where endpoints are scarce, policy::opening lets programs begin by the requests at the usable engines, their rank, and their workspace's share of the programs that began at the VM lately. While slots are free nobody is refused. Before a refusal (CY2202, Retry-After spread by chance) the members are asked whether the program has used tokens, so that none under way is refused; if they can't tell, the turn goes on. Elsewhere nothing changes, which a test shows.

--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -10,6 +10,7 @@
 use policy::admit;
 use policy::class::Class;
 use policy::eject;
+use policy::opening;
 use policy::place;
 use policy::queue;
 use rand::SeedableRng;
@@ -23,6 +24,8 @@
 const CALLERS: u32 = 40;
 /// Number of workspaces of a large deployment, for the cost of many callers.
 const MANY_CALLERS: u32 = 3_700;
+/// Number of workspaces that a VM counts programs of.
+const WORKSPACES: [u64; 2] = [10, 256];
 const ROUNDS: u32 = 20;
 const ITERATIONS: u32 = 500;
 
@@ -44,6 +47,33 @@
     for count in WAITING {
         admission(count);
     }
+    for count in WORKSPACES {
+        begin(count);
+    }
+}
+
+fn begin(workspaces: u64) {
+    let mut opening = opening::Opening::default();
+    let room = opening::Room {
+        occupied: 90,
+        slots: 100,
+        turn: Millis::new(300),
+    };
+    let mut asked = 0;
+    let name = "opening::decide, by workspaces";
+    report(
+        name,
+        u32::try_from(workspaces).expect("a few hundred"),
+        || {
+            asked += 1;
+            let program = opening::Program {
+                workspace: Some(asked % workspaces),
+                rank: 1,
+                finish_within: None,
+            };
+            black_box(opening.decide(&program, room, [0.5; 2], Millis::new(asked)));
+        },
+    );
 }
 
 fn placement(count: u32) -> f64 {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod decay;
 pub mod decaying_mean;
 pub mod eject;
+pub mod opening;
 pub mod own_calls;
 pub mod place;
 pub mod preempt;
--- a/crates/policy/tests/scarcity.rs
+++ b/crates/policy/tests/scarcity.rs
@@ -38,12 +38,39 @@
     }
 }
 
+/// Guards against engines that are worked to the full on programs that end too late: whatever the load, no
+/// kind and no workspace gets less than if all programs begin, and hardly any work is of no use.
+#[rstest]
+fn programs_that_begin_end_in_time(#[values(1, 2, 3)] seed: u64) {
+    let before = outcomes(Order::Rank, seed);
+    let after = outcomes(Order::Opening, seed);
+    for (before, after) in before.iter().zip(&after) {
+        for rank in 0..2 {
+            // One program in a hundred may be refused in vain.
+            assert!(
+                after.in_time[rank] >= before.in_time[rank] - 0.01,
+                "{before:?} {after:?}"
+            );
+        }
+        assert!(
+            after.worst_workspace >= before.worst_workspace - 0.01,
+            "{before:?} {after:?}"
+        );
+        assert!(after.wasted <= 0.05, "{after:?}");
+    }
+    // The engines can do a third of the programs of a burst.
+    assert!(after[3].total_worth() >= 2.0 * before[3].total_worth());
+    assert!(after[3].worst_workspace >= 1.0 / 3.0, "{after:?}");
+}
+
 /// Guards against standings that make programs late where the engines are enough.
 #[test]
 fn below_the_capacity_all_programs_end_in_time() {
-    let outcome = play(LOADS[0], Order::Standing, 1);
-    let in_time = outcome.in_time.iter();
-    assert!(in_time.copied().all(|share| share >= 0.99), "{outcome:?}");
+    for order in [Order::Standing, Order::Opening] {
+        let outcome = play(LOADS[0], order, 1);
+        let in_time = outcome.in_time.iter();
+        assert!(in_time.copied().all(|share| share >= 0.99), "{outcome:?}");
+    }
 }
 
 /// Prints what each order brings callers.
--- a/crates/policy/tests/scarcity/play.rs
+++ b/crates/policy/tests/scarcity/play.rs
@@ -10,6 +10,10 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+use policy::opening;
+use policy::opening::Opening;
+use policy::opening::Room;
+use policy::opening::Verdict;
 use policy::standing;
 use policy::standing::Standing;
 use rand::RngExt;
@@ -34,6 +38,9 @@
 const CYCLE_MS: u64 = 10_000;
 const END_MS: u64 = 40_000;
 const PAUSE_LOAD: f64 = 0.5;
+const VMS: usize = 24;
+/// How often VMs learn of the engines' requests.
+const LAG_MS: u64 = 100;
 const WORKSPACES: usize = 8;
 /// What a late program is worth to its caller beside one in time.
 const LATE_WORTH: f64 = 0.3;
@@ -49,14 +56,20 @@
     Standing,
     /// By `policy::standing`, and turns of programs under way before first turns.
     UnderWayFirst,
+    /// By `policy::standing`, and programs begin by `policy::opening`.
+    Opening,
+    /// By `policy::standing`, and turns wait at the VMs until an engine has a free slot.
+    Held,
 }
 
 impl Order {
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 6] = [
         Self::Rank,
         Self::WithinRank,
         Self::Standing,
         Self::UnderWayFirst,
+        Self::Opening,
+        Self::Held,
     ];
 
     fn priority(self, rank: u8, left: u64, is_first: bool) -> u8 {
@@ -66,7 +79,7 @@
             Self::Rank => standing::of_rank(rank),
             Self::WithinRank if standing == Standing::Late => standing::of_rank(rank) + 1,
             Self::UnderWayFirst if is_first => standing::of_rank(rank) + 1,
-            Self::WithinRank | Self::Standing | Self::UnderWayFirst => standing.priority(rank),
+            _ => standing.priority(rank),
         }
     }
 }
@@ -119,6 +132,12 @@
     waiting: Vec<Turn>,
 }
 
+impl Engine {
+    fn load(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+}
+
 struct Play {
     order: Order,
     now: u64,
@@ -126,6 +145,11 @@
     programs: Vec<Program>,
     engines: Vec<Engine>,
     due: BinaryHeap<Reverse<(u64, usize)>>,
+    /// Turns that wait at the VMs, by priority and order of arrival.
+    held: Vec<Turn>,
+    vms: Vec<Opening>,
+    /// Requests at the engines as VMs know them.
+    occupied: u32,
 }
 
 /// Plays bursts of `load` times what the engines can do.
@@ -140,6 +164,9 @@
         random,
         due: due.collect(),
         programs,
+        held: Vec::new(),
+        vms: (0..VMS).map(|_| Opening::default()).collect(),
+        occupied: 0,
         engines: (0..ENGINES).map(|_| Engine::default()).collect(),
     };
     while play.now < 2 * END_MS {
@@ -191,21 +218,64 @@
 impl Play {
     fn step(&mut self) {
         self.now += TICK;
+        if self.now.is_multiple_of(LAG_MS) {
+            let loads = self.engines.iter().map(Engine::load);
+            self.occupied = loads.sum::<usize>() as u32;
+        }
         while let Some(Reverse((at, program))) = self.due.peek().copied()
             && at <= self.now
         {
             self.due.pop();
             self.send(program);
         }
+        while !self.held.is_empty()
+            && let Some(engine) = self.engines.iter_mut().find(|engine| engine.load() < SLOTS)
+        {
+            engine.waiting.push(self.held.remove(0));
+        }
         for index in 0..ENGINES {
             self.run(index);
         }
+        let now = self.now;
+        let late = self.held.extract_if(.., |turn| turn.deadline <= now);
+        let late: Vec<usize> = late.map(|turn| turn.program).collect();
+        for program in late {
+            self.fail(program);
+        }
+    }
+
+    /// Returns when a program that may not begin may ask again.
+    fn opening(&mut self, index: usize, left: u64) -> Option<u64> {
+        let program = &self.programs[index];
+        let asked = opening::Program {
+            workspace: Some(program.workspace as u64),
+            rank: program.rank,
+            finish_within: Some(Millis::new(left)),
+        };
+        let room = Room {
+            occupied: self.occupied,
+            slots: (ENGINES * SLOTS) as u32,
+            turn: Millis::new(ALONE_MS as u64),
+        };
+        let vm = self.random.random_range(0..VMS);
+        let draws = [self.random.random(), self.random.random()];
+        match self.vms[vm].decide(&asked, room, draws, Millis::new(self.now)) {
+            Verdict::Begin => None,
+            Verdict::Refuse(span, _) => Some(span.as_u64()),
+        }
     }
 
     fn send(&mut self, index: usize) {
         let program = &self.programs[index];
         let left = (program.began + program.aim).saturating_sub(self.now);
         let first = program.done == 0;
+        if first
+            && self.order == Order::Opening
+            && let Some(after) = self.opening(index, left)
+        {
+            return self.refuse(index, after);
+        }
+        let program = &self.programs[index];
         let turn = Turn {
             program: index,
             priority: self.order.priority(program.rank, left, first),
@@ -214,10 +284,15 @@
         };
         let offset = self.random.random_range(0..ENGINES);
         let engines = (0..ENGINES).map(|engine| (engine + offset) % ENGINES);
-        let load = |engine: &usize| {
-            self.engines[*engine].running.len() + self.engines[*engine].waiting.len()
-        };
+        let load = |engine: &usize| self.engines[*engine].load();
         let engine = engines.min_by_key(load).expect("there are engines");
+        if self.order == Order::Held {
+            let place = self
+                .held
+                .partition_point(|other| other.priority <= turn.priority);
+            self.held.insert(place, turn);
+            return;
+        }
         let waiting = &mut self.engines[engine].waiting;
         if waiting.len() >= MAX_WAITING {
             return self.refuse(index, RETRY_MS);
--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -35,6 +35,14 @@
     budget: u64,
 }
 
+impl Account {
+    /// Returns the program's key.
+    #[must_use]
+    pub const fn program(&self) -> Key {
+        self.program
+    }
+}
+
 /// Returns the account of a turn; `None` if its program has no budget.
 #[must_use]
 pub fn of(job: &Job) -> Option<Account> {
--- a/crates/relay/src/fleet/load.rs
+++ b/crates/relay/src/fleet/load.rs
@@ -1,8 +1,13 @@
 //! Total load of the runners, for the metrics endpoint.
 
+use adapter::runner::State;
+use policy::opening::Room;
+use policy::subset::MAX_USED;
 use wire::clock::Millis;
 
 use crate::fleet::Fleet;
+use crate::fleet::runner::Runner;
+use crate::fleet::subset;
 
 /// Total load of the runners.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -18,6 +23,29 @@
 }
 
 impl Fleet {
+    /// Sums up the load of the runners of a service that a VM of a data centre uses. `turn` says how
+    /// long a request takes.
+    #[must_use]
+    pub fn room(&self, service: &str, vm: &str, centre: &str, turn: Millis, now: Millis) -> Room {
+        let is_usable = |runner: &&Runner| {
+            runner.entry.service == service
+                && runner.entry.state == State::Ready
+                && !runner.unreachable
+                && !runner.is_held_off(now)
+        };
+        let usable: Vec<&Runner> = self.runners.iter().filter(is_usable).collect();
+        let mut room = Room {
+            turn,
+            ..Room::default()
+        };
+        for runner in subset::used(vm, centre, &usable, MAX_USED) {
+            let (others, _) = runner.peer_reports.all(now);
+            room.slots += runner.entry.slots;
+            room.occupied += runner.own_requests + others;
+        }
+        room
+    }
+
     /// Sums up the load of all runners as far as this VM knows it.
     #[must_use]
     pub fn load(&self, now: Millis) -> Load {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -421,6 +421,14 @@
         workspace.map_or("", |workspace| &workspace.name)
     }
 
+    /// Returns the rank of the request's workspace or else of its route, 0 being the most urgent.
+    #[must_use]
+    pub fn rank(&self) -> u8 {
+        let workspace = self.identity.workspace();
+        let rank = workspace.and_then(|workspace| workspace.priority);
+        rank.unwrap_or(self.route.priority)
+    }
+
     /// Returns the standing of a turn that is sent to `runner`; `None` for calls, and where the
     /// runners are enough for all.
     #[must_use]
@@ -445,9 +453,7 @@
     #[must_use]
     pub fn priority(&self, standing: Option<Standing>) -> Option<u8> {
         self.table.engine(&self.service)?;
-        let workspace = self.identity.workspace();
-        let rank = workspace.and_then(|workspace| workspace.priority);
-        let rank = rank.unwrap_or(self.route.priority);
+        let rank = self.rank();
         Some(standing.map_or(standing::of_rank(rank), |standing| standing.priority(rank)))
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod memory;
 pub mod metrics;
 pub mod node;
+pub mod opening;
 pub mod peers;
 pub mod plain;
 pub mod probe;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -59,6 +59,7 @@
     TokensAsked = "prompt_tokens", "prompt tokens of all turns that were placed";
     StoreWeight = "platform_calls_weight", "price of these calls in tenths of a full one";
     StoreFailures = "platform_calls_failed", "calls of the platform's key-value service without an answer";
+    ProgramsRefused = "programs_refused", "programs refused at their first turn as the engines were occupied";
     TurnsInTime = "turns_in_time", "turns of scarce services that were sent with time to spare";
     TurnsAtRisk = "turns_at_risk", "turns of scarce services that were sent with little time to spare";
     TurnsLate = "turns_late", "turns of scarce services that were sent when their program was late";
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -14,6 +14,7 @@
 use adapter::settings::Settings;
 use link::client::Client;
 use link::client::Limits;
+use policy::opening::Opening;
 use policy::stop::Stop;
 use replica::client::Replicas;
 use tokio::sync::watch;
@@ -119,6 +120,7 @@
     in_force: Mutex<InForce>,
     fleet: Mutex<Fleet>,
     usage: Mutex<Ledger>,
+    opening: Mutex<Opening>,
     crashes: Mutex<Crashes>,
     roster: Mutex<Roster>,
     /// The runners' entries that another VM is sending in parts.
@@ -193,6 +195,7 @@
                 settings.limit_window,
                 clock.now(),
             )),
+            opening: Mutex::default(),
             crashes: Mutex::default(),
             roster: Mutex::default(),
             roster_transfer: Mutex::default(),
@@ -319,6 +322,11 @@
         self.usage.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the counts of programs that asked to begin.
+    pub fn opening(&self) -> MutexGuard<'_, Opening> {
+        self.opening.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks what is known of runners that crashed.
     pub fn crashes(&self) -> MutexGuard<'_, Crashes> {
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -45,6 +45,7 @@
 use crate::metrics::Counter;
 use crate::metrics::Latency;
 use crate::metrics::Outcome;
+use crate::opening;
 use crate::refuse;
 use crate::shutdown;
 use crate::work;
@@ -155,6 +156,8 @@
 /// Prepares a turn and finds the runner that answers it.
 async fn start_turn(job: &Job, account: Option<Account>) -> Result<Begun, Refusal> {
     crashes::check(job, 0).await?;
+    let admitted = opening::admit(job, account);
+    shutdown::with_send_deadline(&job.node, job.latest_end(), admitted).await??;
     let pinned = build::pin(job, account);
     let mut pin = shutdown::with_send_deadline(&job.node, job.latest_end(), pinned).await??;
     let prepared = prepare(job, account, &pin);
