--- a/crates/policy/tests/slowdowns.rs
+++ b/crates/policy/tests/slowdowns.rs
@@ -247,8 +247,9 @@
         match self.way {
             Way::Mean => None,
             Way::Own => own,
-            Way::Shared(lag) | Way::SharedRawMean(lag) => self.told(own, index, lag, now),
-            Way::Wary(lag) | Way::Events(lag) => self.told(own, index, lag, now),
+            Way::Shared(lag) | Way::SharedRawMean(lag) | Way::Wary(lag) | Way::Events(lag) => {
+                self.told(own, index, lag, now)
+            }
             Way::Probed(_) => self.told(own, index, 150, now),
             Way::Oracle => Some(self.endpoints[index].read(now)),
         }
@@ -345,7 +346,7 @@
             && self
                 .calls
                 .iter()
-                .any(|call| (now - call.begun) % HEAD_MS == 0)
+                .any(|call| (now - call.begun).is_multiple_of(HEAD_MS))
         {
             self.readings.push(reading);
         }
