Let VMs that have all just started hear all before they share a limit

Cause, from a trace of each admission: a VM that nobody tells when all VMs were last heard took its part of the whole limit, as if nothing had been sent before its start, and kept to the part of the VMs that it heard last until these counted as silent, 0.8 s later. What callers send wasn't known yet, so nothing was presumed of the time before.

Built: a VM that has just started admits nothing until it has heard all VMs that it knows of, and of no further one, for as long as news take to all, or a VM that lived tells when all were heard; after 2 s it takes its part as before. A caller that is refused meanwhile is told to come back after 1 s, not 0.2 s, as it has few attempts. Requests that are held at the start count as asked for, so that others know of them before they are let through; those of workspaces without a limit no longer wait for other VMs.

--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -9,7 +9,8 @@
 //! - VMs that don't hear all others admit together no more than their part of what was left of the limit
 //!   when they last heard all ([`Contact::Partial`]). What they had admitted by then leaves the window,
 //!   at them and at the others.
-//! - A VM that has heard no other one since its start admits nothing ([`Contact::None`]).
+//! - A VM that has heard no other one since its start, or may learn of more, admits nothing
+//!   ([`Contact::None`]).
 //! - VMs that have all just started know nothing of the window before. They presume that a workspace
 //!   whose callers send more than its limit now had done so before ([`presumed`]).
 //! - What is told is some hundred milliseconds old. Once the other VMs get more requests in that time
@@ -110,7 +111,8 @@
         /// All VMs.
         vms: u32,
     },
-    /// It hears none and never heard all, so it doesn't know how many there are.
+    /// It hears none, or learns of one after the other, and never heard all. So it doesn't know how many
+    /// there are, and nobody told it what was sent before its start.
     None,
 }
 
@@ -268,7 +270,8 @@
             let bound = share(limit.allowance(), then, heard, vms, draws.lot);
             (bound, true)
         }
-        Contact::None => return Verdict::OverShare(MIN_RETRY),
+        // A caller that comes back earlier uses up the few attempts that it has.
+        Contact::None => return Verdict::OverShare(MAX_RETRY),
     };
     let presumed = presumed(limit, usage.demand, usage.counted_for);
     let used = u64::from(usage.own) + u64::from(usage.others) + presumed;
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -209,10 +209,50 @@
     arrived: Instant,
 ) -> Result<RoutedRequest, Refusal> {
     let time_limit = call.deadline.unwrap_or(DEFAULT_TIME_LIMIT);
-    let knows_enough =
-        |node: &Node| node.can_route() && node.can_identify() && usage::knows_others(node);
-    node.wait_at_start(knows_enough, arrived + time_limit.as_duration())
-        .await;
+    wait_at_start(node, head, call, arrived + time_limit.as_duration()).await;
+    let Found {
+        table,
+        route,
+        identity,
+    } = find(node, head, call)?;
+    let deadline = arrived + time_limit.min(route.timeout).as_duration();
+    shutdown::admit(node, stream::latest_end(&route, deadline))?;
+    let admission = admit(node, &route, &identity, call)?;
+    Ok(RoutedRequest {
+        table,
+        route,
+        identity,
+        admission,
+        deadline,
+    })
+}
+
+/// Waits until a process that has just started knows enough to decide on a request.
+async fn wait_at_start(node: &Arc<Node>, head: &request::Parts, call: &Call, until: Instant) {
+    let knows_caller = |node: &Node| node.can_route() && node.can_identify();
+    node.wait_at_start(knows_caller, until).await;
+    if !node.is_starting() || usage::knows_others(node) {
+        return;
+    }
+    let Ok(found) = find(node, head, call) else {
+        return;
+    };
+    let workspace = found.identity.workspace();
+    let Some(workspace) = workspace.filter(|workspace| workspace.limit.is_some()) else {
+        return;
+    };
+    usage::note_waiting(node, workspace);
+    node.wait_at_start(usage::knows_others, until).await;
+}
+
+/// What the configuration in force says of a request.
+struct Found {
+    table: Arc<Table>,
+    route: Arc<Route>,
+    identity: Identity,
+}
+
+fn find(node: &Node, head: &request::Parts, call: &Call) -> Result<Found, Refusal> {
     let table = node.table();
     if !table.loaded {
         let refusal = Refusal::new(Code::NoConfiguration, "");
@@ -228,15 +268,10 @@
         return Err(Refusal::new(Code::BadField, "the request has no id"));
     }
     let identity = identify(node, &route, call)?;
-    let deadline = arrived + time_limit.min(route.timeout).as_duration();
-    shutdown::admit(node, stream::latest_end(&route, deadline))?;
-    let admission = admit(node, &route, &identity, call)?;
-    Ok(RoutedRequest {
+    Ok(Found {
         table,
         route,
         identity,
-        admission,
-        deadline,
     })
 }
 
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -110,11 +110,15 @@
     Err(Refusal::new(code, &detail).retry_after(span))
 }
 
+/// Counts a request that waits until requests of its workspace can be admitted. Those that arrive meanwhile
+/// show what callers send, which other VMs have to know before all of them are admitted at once.
+pub fn note_waiting(node: &Node, workspace: &Workspace) {
+    let now = node.clock.now();
+    node.usage().note_asked(workspace.id, now);
+}
+
 /// Returns whether requests of workspaces that have a limit can be admitted.
 pub fn knows_others(node: &Node) -> bool {
-    if node.table().workspaces.is_none() {
-        return true;
-    }
     let fleet = fleet(node);
     node.usage().knows_others(fleet, node.clock.now())
 }
--- a/crates/relay/src/usage/contact.rs
+++ b/crates/relay/src/usage/contact.rs
@@ -16,8 +16,8 @@
 const REMOVAL_TIMEOUT: Millis = Millis::new(30_000);
 /// How long a process counts as heard that doesn't say which VMs it hears.
 const OLDER_TIMEOUT: Millis = Millis::new(1_500);
-/// How long after its start a VM doesn't go by the number of VMs that it knows itself. When all VMs start, they
-/// learn of each other one by one.
+/// How long after its start a VM doesn't go by the number of VMs that it knows itself, unless it hears all and
+/// learns of no further one. When all VMs start, they learn of each other one by one.
 const SETTLING_TIME: Millis = Millis::new(2_000);
 /// A VM that sees no other one in the directory for this long after its start is the only one. When all
 /// VMs start, none is in the directory at first.
@@ -36,6 +36,17 @@
     all: Option<AllHeard>,
     /// When a process was last heard that doesn't say which VMs it hears.
     older_heard_at: Option<Millis>,
+    /// Since when all VMs that are known have been heard; `None` while some aren't.
+    complete: Option<Complete>,
+}
+
+/// All VMs that are known are heard.
+#[derive(Clone, Copy, Debug)]
+struct Complete {
+    /// Their number.
+    vms: u32,
+    /// The time from which on there were neither more nor fewer of them.
+    since: Millis,
 }
 
 /// A VM or data centre that tells its requests, or the hub that tells those of all.
@@ -91,6 +102,7 @@
             senders: Vec::new(),
             all: None,
             older_heard_at: None,
+            complete: None,
         }
     }
 
@@ -167,6 +179,18 @@
 
     /// Counts the VMs of all data centres that are heard.
     pub fn count(&mut self, fleet: Fleet, now: Now) -> Count {
+        let count = self.count_heard(fleet, now);
+        let known = self.complete.filter(|known| known.vms == count.vms);
+        let begun = Complete {
+            vms: count.vms,
+            since: now.own,
+        };
+        let is_complete = count.heard >= count.vms;
+        self.complete = is_complete.then_some(known.unwrap_or(begun));
+        count
+    }
+
+    fn count_heard(&mut self, fleet: Fleet, now: Now) -> Count {
         let Now { own: now, common } = now;
         self.lag = fleet.lag;
         let is_hub = |sender: &&Sender| sender.origin == Origin::Others;
@@ -227,6 +251,17 @@
         }
     }
 
+    /// Returns whether the VM has just started, and may learn of others yet that nobody told it of.
+    ///
+    /// VMs that have all just started hear each other one by one, and none knows what was sent before. If
+    /// they were cut off from each other now, each would go on with the part of the whole limit that those
+    /// have which it heard last.
+    fn is_joining(&self, now: Millis) -> bool {
+        let is_stable = |complete: Complete| now.since(complete.since) >= self.lag;
+        let is_settled = now.since(self.started_at) >= SETTLING_TIME;
+        self.all.is_none() && !is_settled && !self.complete.is_some_and(is_stable)
+    }
+
     /// Returns how this VM hears the others. `then` are the workspace's requests up to the time at which
     /// it last heard all, in the common time.
     pub fn contact(&mut self, fleet: Fleet, then: impl Fn(Millis) -> u32, now: Now) -> Contact {
@@ -245,6 +280,9 @@
                 Contact::None
             };
         }
+        if self.is_joining(now.own) {
+            return Contact::None;
+        }
         if count.heard >= count.vms {
             return Contact::Kept;
         }
--- a/crates/relay/src/usage/contact/tests.rs
+++ b/crates/relay/src/usage/contact/tests.rs
@@ -34,6 +34,15 @@
     }
 }
 
+/// Returns the report of a VM that doesn't know when all were heard.
+fn unaware() -> Report {
+    Report {
+        heard: 1,
+        vms: 1,
+        ..Report::default()
+    }
+}
+
 fn vm(name: &str) -> Origin {
     Origin::Vm(name.to_owned())
 }
@@ -135,3 +144,26 @@
     assert!(is_partial(contact(&mut hearing, 2, 10_000)));
     assert_eq!(contact(&mut hearing, 1, 40_000), Contact::Kept);
 }
+
+/// All VMs restart and are cut off from each other within a second. Each would go on with the part of those that it
+/// had heard by then, of a limit that was used up before.
+#[test]
+fn vms_that_have_all_just_started_hear_all_before_they_share_a_limit() {
+    let mut hearing = hearing();
+    hearing.note(&vm("x"), &unaware(), at(50));
+    assert_eq!(contact(&mut hearing, 5, 100), Contact::None);
+    assert_eq!(contact(&mut hearing, 2, 200), Contact::None);
+    assert_eq!(contact(&mut hearing, 3, 300), Contact::None);
+    hearing.note(&vm("y"), &unaware(), at(350));
+    assert_eq!(contact(&mut hearing, 3, 400), Contact::None);
+    assert_eq!(contact(&mut hearing, 3, 600), Contact::Kept);
+}
+
+/// One of the VMs that restarted doesn't come back. The others would admit nothing until its entry has lapsed.
+#[test]
+fn a_vm_that_stays_away_does_not_keep_the_others_from_their_part() {
+    let mut hearing = hearing();
+    hearing.note(&vm("x"), &unaware(), at(1_900));
+    assert_eq!(contact(&mut hearing, 3, 1_999), Contact::None);
+    assert_eq!(contact(&mut hearing, 3, 2_000), partial(0, 2, 3));
+}
--- a/crates/relay/src/usage/ledger.rs
+++ b/crates/relay/src/usage/ledger.rs
@@ -192,6 +192,11 @@
         self.hearing.contact(fleet, |_| 0, both) != Contact::None
     }
 
+    /// Counts a request that arrives and isn't decided yet.
+    pub fn note_asked(&mut self, workspace: u64, now: Millis) {
+        self.account(workspace, now).note_asked(now);
+    }
+
     /// Counts an admitted request of a program.
     pub fn reserve(&mut self, workspace: u64, program: Option<u64>, now: Millis) {
         let account = self.account(workspace, now);
