Refuse a body whatever turn it continues, and a resource with any body

Cause: a content was suspected by its exact digest only, with the turn that it continues. A body that continues another turn each time, or a resource that gets another body each time, was a content of its own at each crash and never refused; innocents that ran beside it were.

Change: `policy::crash` suspects at three widths (exact, body, resource) and refuses at the narrowest that repeats. A body needs two turns, a resource several bodies that were there alone, and a run to the end clears what it is a part of, so one content never gets its path refused. A culprit also explains a crash if it was there each time and oftener, or if its other crashes suffice. The second door waits up to 0.1 s for what other VMs tell of the last crash before it refuses. The first door judges a turn's new messages whatever history they follow, by the same mechanism. What contents are a part of is the last part of a message between VMs; records of the wider widths have prefixes of their own. Older processes read neither and judge as before.

--- a/crates/node/src/owner/call.rs
+++ b/crates/node/src/owner/call.rs
@@ -38,6 +38,7 @@
 use crate::owner::pending::Name;
 use crate::owner::pending::Pending;
 use crate::owner::poison;
+use crate::owner::poison::Subject;
 use crate::owner::shard;
 use crate::owner::shard::Owner;
 use crate::owner::turn;
@@ -293,7 +294,7 @@
                 });
                 self.core.scheduler.record_success();
                 let endpoint = &slot.endpoint.name;
-                poison::note_completed(&self.core, content_digest(&self.call), endpoint);
+                poison::note_completed(&self.core, subject(&self.call), endpoint);
             }
             End::NotRun { .. } => {
                 let now = self.core.clock.now();
@@ -312,7 +313,7 @@
 
     /// Refuses the call if its content crashes endpoints.
     fn check_poison(&self, ran: Ran) -> Result<()> {
-        if self.core.poison.contains(content_digest(&self.call)) {
+        if self.core.poison.refuses(subject(&self.call)) {
             return Err(Refusal::new(Code::Poisoned, "").ran(ran));
         }
         Ok(())
@@ -322,8 +323,7 @@
         if runner::is_alive(&self.core.client, &endpoint.address).await {
             return;
         }
-        let content = content_digest(&self.call);
-        let is_refused = poison::note_crash(&self.core, content, &endpoint.name);
+        let is_refused = poison::note_crash(&self.core, subject(&self.call), &endpoint.name);
         log::warn!(
             "{} program={} endpoint={} refused={is_refused}",
             Event::CallBlamed,
@@ -366,6 +366,13 @@
     }
 }
 
+fn subject(call: &Call) -> Subject {
+    Subject {
+        content: content_digest(call),
+        body: None,
+    }
+}
+
 fn content_digest(call: &Call) -> id::Digest {
     let mut content = format!("{}/{}\n", call.service, call.operation).into_bytes();
     content.extend_from_slice(&call.body);
--- a/crates/node/src/owner/decide.rs
+++ b/crates/node/src/owner/decide.rs
@@ -16,6 +16,7 @@
 use crate::owner::message::Begun;
 use crate::owner::message::Decided;
 use crate::owner::poison;
+use crate::owner::poison::Subject;
 use crate::owner::shard::Owner;
 
 impl Owner {
@@ -109,17 +110,25 @@
             now: self.core.clock.now(),
         };
         let record = decision::commit(&self.state, input)?.ok_or_else(superseded)?;
-        if let Some(content) = self.running_content(&commit.program) {
-            poison::note_completed(&self.core, content, &commit.endpoint);
+        if let Some(subject) = self.running_subject(&commit.program) {
+            poison::note_completed(&self.core, subject, &commit.endpoint);
         }
         self.last_endpoints.set(&commit.program, &commit.endpoint);
         Ok(self.decide(turn, [record]))
     }
 
-    /// Returns the content of the turn that a program is running.
-    fn running_content(&self, program: &id::Program) -> Option<id::Digest> {
+    /// Returns what endpoints may crash under while a program's turn is running.
+    fn running_subject(&self, program: &id::Program) -> Option<Subject> {
         let running = self.state.program(program)?.running.as_ref()?;
-        Some(self.state.content_digest(program, running.digest))
+        Some(self.subject(program, running.digest))
+    }
+
+    /// Returns what endpoints may crash under when they run a program's next turn.
+    pub(super) fn subject(&self, program: &id::Program, digest: id::Digest) -> Subject {
+        Subject {
+            content: self.state.content_digest(program, digest),
+            body: Some(digest),
+        }
     }
 
     pub(super) fn blame(
@@ -132,12 +141,12 @@
             "{} program={program} endpoint={endpoint}",
             Event::CallBlamed
         );
-        let content = self.state.content_digest(program, digest);
-        let is_refused = poison::note_crash(&self.core, content, endpoint);
+        let subject = self.subject(program, digest);
+        let is_refused = poison::note_crash(&self.core, subject, endpoint);
         match decision::blame(&self.state, program, digest, endpoint) {
             decision::Blame::Suspect(records) => self.decide(is_refused, records),
             decision::Blame::Poisoned(records) => {
-                poison::mark(&self.core, content);
+                poison::mark(&self.core, subject.content);
                 self.decide(true, records)
             }
         }
--- a/crates/node/src/owner/poison.rs
+++ b/crates/node/src/owner/poison.rs
@@ -19,6 +19,7 @@
 use policy::crash::Outcome;
 use policy::crash::Report;
 use policy::crash::Verdict;
+use policy::crash::Wider;
 use serde::Deserialize;
 use serde::Serialize;
 use wire::clock::Millis;
@@ -38,6 +39,9 @@
 /// this long after the last one did; sooner, it may not be back yet.
 const CRASH_SPAN: Millis = Millis::new(500);
 
+/// What tells the digest of a body from that of a content.
+const BODY_MARK: u128 = 1 << 64;
+
 /// The contents that this VM refuses.
 #[derive(Debug, Default)]
 pub struct Poison(Mutex<State>);
@@ -60,22 +64,43 @@
     at: Millis,
 }
 
+/// What endpoints crash under.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Subject {
+    /// The content: of a turn with its program's history.
+    pub content: id::Digest,
+    /// The new messages of a turn, whatever history they follow. `None` for a call.
+    pub body: Option<id::Digest>,
+}
+
 /// What one VM tells another of a content that an endpoint was running.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct Notice {
     content: id::Digest,
+    #[serde(default)]
+    body: Option<id::Digest>,
     /// The endpoint's life that ended; `None` if it ran the content to its end.
     crashed: Option<u64>,
 }
 
 impl Poison {
-    /// Returns whether a content is refused.
+    /// Returns whether a content is refused permanently.
     #[must_use]
     pub fn contains(&self, content: id::Digest) -> bool {
         let state = self.lock();
         let known = &state.refused;
         known.binary_search_by_key(&content, |(c, _)| *c).is_ok()
-            || state.ledger.verdict(key(content)) == Verdict::Refused
+    }
+
+    /// Returns whether a content is refused, or its body is whatever history it follows.
+    #[must_use]
+    pub fn refuses(&self, subject: Subject) -> bool {
+        if self.contains(subject.content) {
+            return true;
+        }
+        let state = self.lock();
+        let verdict = state.ledger.verdict(key(subject.content), subject.wider());
+        verdict != Verdict::Allowed
     }
 
     /// Adds a content that is refused permanently; drops the oldest one if there are too many.
@@ -93,9 +118,10 @@
     }
 
     /// Records what an endpoint did with a content, and returns whether that is news.
-    fn note(&self, content: id::Digest, outcome: Outcome, now: Millis) -> bool {
+    fn note(&self, subject: Subject, outcome: Outcome, now: Millis) -> bool {
         let report = Report {
-            content: key(content),
+            content: key(subject.content),
+            wider: subject.wider(),
             outcome,
             age: Millis::ZERO,
         };
@@ -145,28 +171,34 @@
 
 /// Records that an endpoint crashed while it ran a content, and tells all VMs. Returns whether the
 /// content is refused from now on.
-pub fn note_crash(core: &Arc<Core>, content: id::Digest, endpoint: &id::Endpoint) -> bool {
+pub fn note_crash(core: &Arc<Core>, subject: Subject, endpoint: &id::Endpoint) -> bool {
     let now = core.clock.now();
     let incarnation = core.poison.lock().incarnation(endpoint, now);
     core.poison
-        .note(content, Outcome::Crashed(incarnation), now);
-    tell_notice(core, content, Some(incarnation.0));
-    core.poison.contains(content)
+        .note(subject, Outcome::Crashed(incarnation), now);
+    tell_notice(core, subject, Some(incarnation.0));
+    core.poison.refuses(subject)
 }
 
 /// Records that an endpoint ran a content to its end. If that clears the content of a crash, tells all
 /// VMs.
-pub fn note_completed(core: &Arc<Core>, content: id::Digest, endpoint: &id::Endpoint) {
+pub fn note_completed(core: &Arc<Core>, subject: Subject, endpoint: &id::Endpoint) {
     let now = core.clock.now();
     core.poison.note_answer(endpoint);
-    if core.poison.note(content, Outcome::Completed, now) {
-        tell_notice(core, content, None);
+    if core.poison.note(subject, Outcome::Completed, now) {
+        tell_notice(core, subject, None);
     }
 }
 
-fn tell_notice(core: &Arc<Core>, content: id::Digest, crashed: Option<u64>) {
-    if let Ok(body) = frame::encode(&Notice { content, crashed }) {
-        tell_all(core, peer::CRASH, &body);
+fn tell_notice(core: &Arc<Core>, subject: Subject, crashed: Option<u64>) {
+    let Subject { content, body } = subject;
+    let notice = Notice {
+        content,
+        body,
+        crashed,
+    };
+    if let Ok(frame) = frame::encode(&notice) {
+        tell_all(core, peer::CRASH, &frame);
     }
 }
 
@@ -215,10 +247,26 @@
     let notice = frame::decode::<Notice>(&mut BytesMut::from(body)).ok()??;
     let crashed = notice.crashed.map(Incarnation);
     let outcome = crashed.map_or(Outcome::Completed, Outcome::Crashed);
-    core.poison.note(notice.content, outcome, core.clock.now());
+    let subject = Subject {
+        content: notice.content,
+        body: notice.body,
+    };
+    core.poison.note(subject, outcome, core.clock.now());
     frame::encode(&()).ok()
 }
 
+impl Subject {
+    /// Returns what the content is a part of. A turn has no resource but the service that all share, so
+    /// its body stands for that.
+    fn wider(self) -> Option<Wider> {
+        let body = Content(u128::from(self.body?.0) | BODY_MARK);
+        Some(Wider {
+            body,
+            resource: body,
+        })
+    }
+}
+
 fn key(content: id::Digest) -> Content {
     Content(u128::from(content.0))
 }
--- a/crates/node/src/owner/shard.rs
+++ b/crates/node/src/owner/shard.rs
@@ -291,8 +291,8 @@
     /// Refuses content that has crashed endpoints, under this shard or, as far as this VM knows,
     /// under another shard or VM.
     fn check_poison(&self, ask: &Ask, digest: id::Digest) -> Result<(), Refusal> {
-        let content = self.state.content_digest(&ask.program, digest);
-        if self.state.is_poisoned(content) || self.core.poison.contains(content) {
+        let subject = self.subject(&ask.program, digest);
+        if self.state.is_poisoned(subject.content) || self.core.poison.refuses(subject) {
             return Err(Refusal::new(Code::Poisoned, ""));
         }
         Ok(())
--- a/crates/node/tests/request/turn.rs
+++ b/crates/node/tests/request/turn.rs
@@ -1,5 +1,8 @@
 //! Turns that run while budgets are used up, runners fail, the platform is down or the node stops.
 
+use std::time::Duration;
+
+use policy::crash::MAX_CRASHES;
 use serde_json::json;
 use standin::client;
 
@@ -10,6 +13,9 @@
 use crate::fleet::refusal;
 use crate::fleet::slow;
 
+/// The pause after a refusal that says that nothing has run.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
 // A program with a budget of 10 tokens asks for 20. The runner is limited to 10, so the answer ends
 // there. The next turn finds no budget left, and the runners never generate more than 10.
 #[tokio::test]
@@ -52,6 +58,32 @@
     assert_eq!(fleet.attempts().await.len(), before);
 }
 
+/// Guards against new messages that crash runners again in each program, as they follow another history.
+#[tokio::test]
+async fn messages_that_crash_runners_are_refused_after_any_history() {
+    let fleet = Fleet::plain().await;
+    fleet.fault_all(json!({"crash_mark": "poison"})).await;
+    let mut runs = 0;
+    for number in 0..4 {
+        fleet.fault_all(json!({"crashed": false})).await;
+        let program = format!("berth-{number}");
+        let first = client::chat(&format!("plan {number}"));
+        let begun = tokio::time::timeout(client::TIMEOUT, async {
+            // Runners that have crashed are left alone for a while.
+            while fleet.ask(CHAT, &named(&program, "1"), &first).await.0 == 503 {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        });
+        begun.await.expect("the program's first turn runs");
+        let before = fleet.attempts().await.len();
+        let next = client::chat("poison");
+        let refused = fleet.ask(CHAT, &named(&program, "2"), &next).await;
+        assert_eq!(refusal(&refused).0, "CY3102");
+        runs += fleet.attempts().await.len() - before;
+    }
+    assert!(runs <= MAX_CRASHES, "{runs} runs");
+}
+
 // A runner starts an answer and then sends nothing more. After the `silence` timeout, the turn
 // continues at the other runner, and the caller gets a complete answer.
 #[tokio::test]
--- a/crates/relay/src/content.rs
+++ b/crates/relay/src/content.rs
@@ -1,4 +1,5 @@
-//! Identifies what a request asks for: the same for each attempt, through any VM.
+//! Identifies what a request asks for: the same for each attempt, through any VM. The numbers of fields
+//! tell digests of several widths apart.
 //!
 //! A digest of a cryptographic hash: a caller that knew another one's request could otherwise make
 //! up a request of its own with the same digest.
@@ -7,30 +8,50 @@
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use policy::crash::Content;
+use policy::crash::Wider;
 use sha2::Digest as _;
 use sha2::Sha256;
 
 use crate::job::Job;
 
+/// What tells the digest of a body from that of a request that continues no turn.
+const BODY: &[u8] = b"body";
+/// What tells the digest of a resource from that of a request.
+const RESOURCE: &[u8] = b"resource";
+
 /// Computes the digest of a request's workspace, method, host, path and body, and of the turn that
 /// it continues. Ids of the attempt and of its program aren't part of it.
 #[must_use]
 pub fn digest(job: &Job) -> Content {
-    let host = job.headers.get(HOST).map(HeaderValue::as_bytes);
     let previous = match job.route.kind {
         Kind::Stream => job.call.previous.as_deref(),
         Kind::Idempotent | Kind::AtMostOnce => None,
     };
-    let mut hash = Sha256::new();
-    let fields = [
+    hash(job, &[previous.unwrap_or_default().as_bytes(), &job.body])
+}
+
+/// Computes the digests of what a request is a part of: its body, whatever turn it continues, and its
+/// workspace, method, host and path, whatever its body is.
+#[must_use]
+pub fn wider(job: &Job) -> Wider {
+    let body = match job.route.kind {
+        Kind::Stream => hash(job, &[BODY, &job.body, &[]]),
+        Kind::Idempotent | Kind::AtMostOnce => digest(job),
+    };
+    let resource = hash(job, &[RESOURCE]);
+    Wider { body, resource }
+}
+
+fn hash(job: &Job, parts: &[&[u8]]) -> Content {
+    let host = job.headers.get(HOST).map(HeaderValue::as_bytes);
+    let resource = [
         job.workspace_name().as_bytes(),
         job.method.as_str().as_bytes(),
         host.unwrap_or_default(),
         job.path.as_bytes(),
-        previous.unwrap_or_default().as_bytes(),
-        &job.body,
     ];
-    for field in fields {
+    let mut hash = Sha256::new();
+    for field in resource.iter().chain(parts) {
         hash.update((field.len() as u64).to_le_bytes());
         hash.update(field);
     }
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -2,22 +2,24 @@
 //!
 //! A connection that breaks off may have many reasons. So a content isn't blamed for a break at
 //! once, but when the runner's address refuses the next connection ([`crate::reachability`]), as
-//! after the end of its process. Then `policy::crash` decides which contents are refused, and the
-//! other VMs are told ([`news`]).
+//! after the end of its process. Then `policy::crash` decides which contents are refused, and at which
+//! width; the other VMs are told ([`news`]).
 
 pub mod news;
 pub mod record;
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use policy::crash::Content;
 use policy::crash::Incarnation;
 use policy::crash::Ledger;
-use policy::crash::MIN_CRASHES;
 use policy::crash::Outcome;
 use policy::crash::Report;
 use policy::crash::Verdict;
+use policy::crash::Wider;
+use policy::crash::Width;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use wire::clock::Millis;
@@ -29,6 +31,7 @@
 
 use crate::content;
 use crate::crashes::news::Contact;
+use crate::crashes::record::Record;
 use crate::fleet;
 use crate::job::Job;
 use crate::metrics::Counter;
@@ -39,12 +42,15 @@
 const BREAK_RETENTION: Millis = Millis::new(2_000);
 /// The most breaks whose reason is looked for; the oldest is dropped first.
 const MAX_BREAKS: usize = 1_024;
-/// How long a request waits for the reason of a break that would get it refused. A connection that
-/// is refused, or made, takes some milliseconds.
+/// How long a request waits for the reason of a break that would get it refused, or for what other VMs
+/// tell of it. A connection that is refused, or made, takes some milliseconds.
 const MAX_CHECK_TIME: Duration = Duration::from_millis(100);
 /// How often a waiting request looks for the reason.
 const CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
+/// At how many widths a request is judged, the narrowest first.
+const WIDTHS: [Width; 3] = [Width::Exact, Width::Body, Width::Resource];
+
 /// What a VM knows of crashes.
 #[derive(Debug, Default)]
 pub struct Crashes {
@@ -63,6 +69,7 @@
     runner: String,
     incarnation: Incarnation,
     content: Content,
+    wider: Wider,
     at: Millis,
 }
 
@@ -79,6 +86,8 @@
     Allowed,
     /// It may not if its last runners have crashed, which isn't known yet.
     Pending,
+    /// It may not, unless other VMs tell what else its last runner was running.
+    Doubted,
     /// It may not: too many runners have crashed under it.
     Refused,
 }
@@ -90,6 +99,7 @@
         runner: runner.id.clone(),
         incarnation: runner.incarnation,
         content: content::digest(job),
+        wider: content::wider(job),
         at: node.clock.now(),
     };
     let mut crashes = node.crashes();
@@ -133,6 +143,7 @@
     }
     let report = Report {
         content: content::digest(job),
+        wider: Some(content::wider(job)),
         outcome: Outcome::Completed,
         age: Millis::ZERO,
     };
@@ -151,8 +162,9 @@
     crashes.forget_contacts(now);
 }
 
-/// Refuses a request if too many runners have crashed under its content. Waits for the reason of a
-/// break that decides this; `possible_runs` counts the runners that may have run the request.
+/// Refuses a request if too many runners have crashed under its content, its body or its resource.
+/// Waits for the reason of a break that decides this, and for what other VMs tell of the last crash;
+/// `possible_runs` counts the runners that may have run the request.
 ///
 /// # Errors
 ///
@@ -162,13 +174,16 @@
         return Ok(());
     }
     let content = content::digest(job);
+    let wider = content::wider(job);
     let until = job.deadline.min(Instant::now() + MAX_CHECK_TIME);
     loop {
-        let status = job.node.crashes().status(content);
+        let now = job.node.clock.now();
+        let status = job.node.crashes().status(content, wider, now);
+        let may_wait = Instant::now() < until;
         match status {
-            Status::Refused => return Err(refusal(possible_runs)),
-            Status::Pending if Instant::now() < until => sleep(CHECK_INTERVAL).await,
+            Status::Pending | Status::Doubted if may_wait => sleep(CHECK_INTERVAL).await,
             Status::Allowed | Status::Pending => return Ok(()),
+            Status::Doubted | Status::Refused => return Err(refusal(possible_runs)),
         }
     }
 }
@@ -197,13 +212,22 @@
         self.breaks.extract_if(.., of_runner).collect()
     }
 
-    fn status(&self, content: Content) -> Status {
-        if self.ledger.verdict(content) == Verdict::Refused {
-            return Status::Refused;
+    fn status(&self, content: Content, wider: Wider, now: Millis) -> Status {
+        let known = Some(wider);
+        if let Verdict::Refused(width) = self.ledger.verdict(content, known) {
+            return match self.ledger.unsettled_for(content, known, width, now) {
+                Millis::ZERO => Status::Refused,
+                _ => Status::Doubted,
+            };
         }
-        let breaks = self.breaks.iter();
-        let breaks = breaks.filter(|broken| broken.content == content).count();
-        if breaks > 0 && self.ledger.crashes(content) + breaks >= MIN_CRASHES {
+        let might_refuse = |width: &Width| {
+            let breaks = self.breaks.iter();
+            let breaks = breaks.filter(|broken| broken.is_same(content, wider, *width));
+            let breaks = breaks.count();
+            let weight = self.ledger.weight(content, Some(wider), *width);
+            breaks > 0 && weight + breaks >= width.min_weight()
+        };
+        if WIDTHS.iter().any(might_refuse) {
             Status::Pending
         } else {
             Status::Allowed
@@ -214,30 +238,57 @@
         let now = node.clock.now();
         let report = Report {
             content: broken.content,
+            wider: Some(broken.wider),
             outcome: Outcome::Crashed(broken.incarnation),
             age: now.since(broken.at),
         };
-        let before = self.ledger.verdict(broken.content);
+        let wider = Some(broken.wider);
+        let before = self.ledger.verdict(broken.content, wider);
         if !self.ledger.note(report, now) {
             return;
         }
-        let verdict = self.ledger.verdict(broken.content);
-        if verdict != before {
-            let crashes = self.ledger.incarnations(broken.content);
-            record::write(node, broken.content, crashes);
+        let verdict = self.ledger.verdict(broken.content, wider);
+        if verdict != before
+            && let Verdict::Refused(width) = verdict
+        {
+            record::write(node, Record::of(&self.ledger, broken, width));
         }
         node.metrics.count(Counter::Blamed);
         log::warn!(
-            "event=E{} text=\"{}\" content={} runner={} crashes={} verdict={verdict:?}",
+            "event=E{} text=\"{}\" content={} runner={} crashes={} verdict={}",
             Event::CallBlamed.number(),
             Event::CallBlamed.text(),
             broken.content,
             broken.runner,
-            self.ledger.crashes(broken.content)
+            self.ledger.crashes(broken.content),
+            Shown(verdict)
         );
     }
 }
 
+impl Break {
+    /// Returns whether the request is the same as another one at a width.
+    fn is_same(&self, content: Content, wider: Wider, width: Width) -> bool {
+        match width {
+            Width::Exact => self.content == content,
+            Width::Body => self.wider.body == wider.body,
+            Width::Resource => self.wider.resource == wider.resource,
+        }
+    }
+}
+
+/// A verdict as it is logged.
+struct Shown(Verdict);
+
+impl fmt::Display for Shown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Verdict::Allowed => f.write_str("Allowed"),
+            Verdict::Refused(width) => write!(f, "Refused width={width}"),
+        }
+    }
+}
+
 /// Returns what identifies the life of a runner that started at `born`.
 #[must_use]
 pub fn incarnation(runner: &str, born: Option<u64>) -> Incarnation {
--- a/crates/relay/src/crashes/news.rs
+++ b/crates/relay/src/crashes/news.rs
@@ -7,6 +7,7 @@
 use policy::crash::Incarnation;
 use policy::crash::Outcome;
 use policy::crash::Report;
+use policy::crash::Wider;
 use serde::Deserialize;
 use serde::Serialize;
 use wire::clock::Millis;
@@ -32,6 +33,25 @@
     pub heard: u64,
     /// The number of the last change that the sender has of that process.
     pub received: u64,
+    /// What was added to the format later: what the contents are a part of.
+    #[serde(skip)]
+    pub relations: Relations,
+}
+
+/// The part of a message that says what the contents of its [`News`] are a part of. A process that
+/// doesn't know it suspects these contents by themselves.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relations(pub Vec<Relation>);
+
+/// What a content is a part of. Encoded by position, so the order of fields must not change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relation {
+    /// The content.
+    pub content: u128,
+    /// Its body.
+    pub body: u128,
+    /// Its resource.
+    pub resource: u128,
 }
 
 /// What a runner did with a content.
@@ -69,12 +89,14 @@
             return News::default();
         }
         let changes = self.ledger.changes(confirmed, MAX_TOLD, now);
+        let relations = Relations::of(&changes.reports);
         News {
             process,
             changes: changes.reports.into_iter().map(Change::from).collect(),
             through: changes.through,
             heard: contact.map_or(0, |contact| contact.process),
             received,
+            relations,
         }
     }
 
@@ -89,7 +111,11 @@
             return;
         }
         for change in &news.changes {
-            self.ledger.note(Report::from(*change), now);
+            let report = Report {
+                wider: news.relations.of_content(change.content),
+                ..Report::from(*change)
+            };
+            self.ledger.note(report, now);
         }
         let index = found.unwrap_or_else(|index| {
             let contact = Contact {
@@ -126,6 +152,34 @@
     }
 }
 
+impl Relations {
+    /// Lists what the contents of some reports are a part of, sorted by content.
+    fn of(reports: &[Report]) -> Self {
+        let relation = |report: &Report| {
+            let wider = report.wider?;
+            Some(Relation {
+                content: report.content.0,
+                body: wider.body.0,
+                resource: wider.resource.0,
+            })
+        };
+        let mut relations: Vec<Relation> = reports.iter().filter_map(relation).collect();
+        relations.sort_by_key(|relation| relation.content);
+        relations.dedup_by_key(|relation| relation.content);
+        Self(relations)
+    }
+
+    fn of_content(&self, content: u128) -> Option<Wider> {
+        let relations = &self.0;
+        let found = relations.binary_search_by_key(&content, |relation| relation.content);
+        let relation = relations[found.ok()?];
+        Some(Wider {
+            body: Content(relation.body),
+            resource: Content(relation.resource),
+        })
+    }
+}
+
 impl From<Report> for Change {
     fn from(report: Report) -> Self {
         let crashed = match report.outcome {
@@ -145,6 +199,7 @@
         let crashed = change.crashed.map(Incarnation);
         Self {
             content: Content(change.content),
+            wider: None,
             outcome: crashed.map_or(Outcome::Completed, Outcome::Crashed),
             age: Millis::new(change.age),
         }
--- a/crates/relay/src/crashes/news/tests.rs
+++ b/crates/relay/src/crashes/news/tests.rs
@@ -1,3 +1,6 @@
+use policy::crash::Verdict;
+use policy::crash::Width;
+
 use super::*;
 use crate::crashes::Crashes;
 
@@ -23,6 +26,7 @@
     fn see_crash(&mut self, incarnation: u64) {
         let report = Report {
             content: CONTENT,
+            wider: None,
             outcome: Outcome::Crashed(Incarnation(incarnation)),
             age: Millis::ZERO,
         };
@@ -87,3 +91,27 @@
     other.hear(&hub);
     assert_eq!(other.known(), 1);
 }
+
+/// Guards against VMs of which each knows another width of a culprit.
+#[test]
+fn what_a_content_is_a_part_of_is_passed_on() {
+    let (mut leaf, mut hub, mut other) = (vm("a", 1), vm("b", 2), vm("c", 3));
+    let wider = Wider {
+        body: Content(8),
+        resource: Content(9),
+    };
+    for number in 1..=2 {
+        let report = Report {
+            content: Content(number.into()),
+            wider: Some(wider),
+            outcome: Outcome::Crashed(Incarnation(number)),
+            age: Millis::ZERO,
+        };
+        assert!(leaf.crashes.ledger.note(report, NOW));
+    }
+    hub.hear(&leaf);
+    other.hear(&hub);
+    let known = &other.crashes.ledger;
+    let verdict = known.verdict(Content(3), Some(wider));
+    assert_eq!(verdict, Verdict::Refused(Width::Body));
+}
--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -6,6 +6,7 @@
 use wire::clock::Millis;
 
 use crate::crashes::news::News;
+use crate::crashes::news::Relations;
 use crate::directory::Directory;
 use crate::freshness::Proof;
 use crate::node::Node;
@@ -54,10 +55,10 @@
     /// What was added to the format later.
     #[serde(skip)]
     pub extension: Extension,
-    /// What was added after that.
+    /// What was added after that; its relations were added last and follow `limits` only.
     #[serde(skip)]
     pub crashes: News,
-    /// What was added last: the requests of workspaces that have a limit, from the VMs of the message's
+    /// What was added before them: the requests of workspaces that have a limit, from the VMs of the message's
     /// origin. `None` from a process that tells only their sums.
     #[serde(skip)]
     pub limits: Option<Report>,
@@ -96,6 +97,10 @@
     }
     if let Some(limits) = &message.limits {
         rmp_serde::encode::write(&mut bytes, limits)?;
+        let relations = &message.crashes.relations;
+        if *relations != Relations::default() {
+            rmp_serde::encode::write(&mut bytes, relations)?;
+        }
     }
     Ok(bytes)
 }
@@ -117,6 +122,9 @@
     if !rest.is_empty() {
         message.limits = Some(rmp_serde::from_read(&mut rest)?);
     }
+    if !rest.is_empty() {
+        message.crashes.relations = rmp_serde::from_read(&mut rest)?;
+    }
     Ok(message)
 }
 
--- a/crates/relay/tests/content.rs
+++ b/crates/relay/tests/content.rs
@@ -55,3 +55,28 @@
     digests.dedup();
     assert_eq!(digests.len(), jobs.len());
 }
+
+/// Guards against a body that looks new as it continues another turn.
+#[tokio::test]
+async fn another_turn_has_the_same_body() {
+    let mut jobs: Vec<Job> = (0..3).map(|_| job("stream", "q-1")).collect();
+    jobs[1].call.previous = Some("t1".to_owned());
+    jobs[2].body = Bytes::from_static(b"body");
+    let [first, second, third] = [0, 1, 2].map(|index| content::wider(&jobs[index]));
+    assert_eq!(first, second);
+    assert_ne!(first.body, third.body);
+    assert_eq!(first.resource, third.resource);
+    let exact = content::digest(&jobs[0]);
+    assert!(exact != first.body && exact != first.resource && first.body != first.resource);
+}
+
+/// Guards against a resource that is taken for another one.
+#[tokio::test]
+async fn another_path_is_another_resource() {
+    let first = content::wider(&job("stream", "q-1"));
+    let mut other = job("stream", "q-1");
+    other.path = "/r/y".to_owned();
+    let other = content::wider(&other);
+    assert_ne!(first.body, other.body);
+    assert_ne!(first.resource, other.resource);
+}
