--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -6,6 +6,7 @@
 use wire::clock::Millis;
 
 use crate::crashes::news::News;
+use crate::crashes::news::Relations;
 use crate::directory::Directory;
 use crate::fleet::slowdown;
 use crate::freshness::Proof;
@@ -55,14 +56,14 @@
     /// What was added to the format later.
     #[serde(skip)]
     pub extension: Extension,
-    /// What was added after that.
+    /// What was added after that; its relations were added last and follow [`Self::slowdowns`].
     #[serde(skip)]
     pub crashes: News,
     /// What was added after that: the requests of workspaces that have a limit, from the VMs of the message's
     /// origin. `None` from a process that tells only their sums.
     #[serde(skip)]
     pub limits: Option<Report>,
-    /// What was added last: how fast the runners' machines are, as read by the VMs of the message's
+    /// What was added after that: how fast the runners' machines are, as read by the VMs of the message's
     /// origin. Sorted by runner. Only a message with [`Self::limits`] has any.
     #[serde(skip)]
     pub slowdowns: Vec<slowdown::Told>,
@@ -101,9 +102,14 @@
     }
     if let Some(limits) = &message.limits {
         rmp_serde::encode::write(&mut bytes, limits)?;
-        if !message.slowdowns.is_empty() {
+        let relations = &message.crashes.relations;
+        let has_relations = *relations != Relations::default();
+        if has_relations || !message.slowdowns.is_empty() {
             rmp_serde::encode::write(&mut bytes, &message.slowdowns)?;
         }
+        if has_relations {
+            rmp_serde::encode::write(&mut bytes, relations)?;
+        }
     }
     Ok(bytes)
 }
@@ -128,6 +134,9 @@
     if !rest.is_empty() {
         message.slowdowns = rmp_serde::from_read(&mut rest)?;
     }
+    if !rest.is_empty() {
+        message.crashes.relations = rmp_serde::from_read(&mut rest)?;
+    }
     Ok(message)
 }
 
