--- a/crates/relay/tests/crash_news.rs
+++ b/crates/relay/tests/crash_news.rs
@@ -1,7 +1,6 @@
 //! How long it takes until dozens of VMs know of a crash that one of them saw. Seeds are fixed, so
 //! the results are deterministic.
 
-use fleet_model::world::Size;
 use fleet_model::world::World;
 use relay::crashes::news::Change;
 use relay::crashes::news::News;
@@ -12,27 +11,12 @@
 
 /// Time after which no VM may send a refused content to a runner any more, in milliseconds.
 const CONTACT_MS: u64 = 3_000;
-/// How long VMs need to learn of each other, in milliseconds.
-const LISTED_MS: u64 = 8_000;
 /// VMs of a fleet without hubs.
 const DIRECT_VMS: usize = 6;
 /// VMs of a fleet with a hub in each data centre.
 const HUB_VMS: usize = 48;
-const CENTRES: usize = 3;
 const CONTENT: u128 = 7;
 
-fn fleet(vms: usize, seed: u64) -> World {
-    let mut world = World::new(Size {
-        vms,
-        runners: 30,
-        centres: CENTRES,
-        under_way: 8,
-        seed,
-    });
-    world.run(LISTED_MS);
-    world
-}
-
 /// Has a VM see the crash of a runner.
 fn see_crash(world: &World, vm: usize, runner: u64) {
     let process = world.vms[vm].process.as_ref().expect("the VM runs");
@@ -72,7 +56,7 @@
     #[values(DIRECT_VMS, HUB_VMS)] vms: usize,
     #[values(1, 2, 3)] seed: u64,
 ) {
-    let mut world = fleet(vms, seed);
+    let mut world = World::listed(vms, seed);
     see_crash(&world, 1, 1);
     see_crash(&world, vms - 1, 2);
     assert_known(&mut world, 2);
@@ -85,7 +69,7 @@
 /// Guards against a VM that has restarted and isn't told what it knew before.
 #[rstest]
 fn a_vm_that_starts_learns_of_crashes_in_time(#[values(DIRECT_VMS, HUB_VMS)] vms: usize) {
-    let mut world = fleet(vms, 1);
+    let mut world = World::listed(vms, 1);
     see_crash(&world, 1, 1);
     assert_known(&mut world, 1);
     for vm in [0, 2, vms - 1] {
@@ -100,7 +84,7 @@
 /// Guards against VMs that repeat to each other for ever what both know.
 #[rstest]
 fn what_both_know_is_not_sent_again(#[values(DIRECT_VMS, HUB_VMS)] vms: usize) {
-    let mut world = fleet(vms, 1);
+    let mut world = World::listed(vms, 1);
     for runner in 1..=5 {
         see_crash(&world, 1, runner);
     }
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -3,7 +3,8 @@
 //! deterministic.
 
 use fleet_model::network::Host;
-use fleet_model::world::Size;
+use fleet_model::world::CENTRES;
+use fleet_model::world::LISTED_MS;
 use fleet_model::world::World;
 use relay::directory::SLOTS;
 use relay::register;
@@ -16,20 +17,9 @@
 const BOUND_MS: u64 = 2_000;
 /// How long a VM needs contact with the others before the bounds apply to it, in milliseconds.
 const CONTACT_MS: u64 = 3_000;
-/// How long VMs need to learn of each other, in milliseconds: the service's copies are up to two
-/// seconds old, and with some dozens of VMs they are read every few seconds.
-const LISTED_MS: u64 = 8_000;
-const CENTRES: usize = 3;
 
 fn fleet(vms: usize, seed: u64) -> World {
-    let mut world = World::new(Size {
-        vms,
-        runners: 30,
-        centres: CENTRES,
-        under_way: 8,
-        seed,
-    });
-    world.run(LISTED_MS);
+    let world = World::listed(vms, seed);
     assert_eq!(world.disagreeing_vms(), [""; 0]);
     world
 }
--- a/crates/relay/tests/fleet_model/world.rs
+++ b/crates/relay/tests/fleet_model/world.rs
@@ -54,6 +54,12 @@
     pub seed: u64,
 }
 
+/// Number of data centres of a fleet that [`World::listed`] creates.
+pub const CENTRES: usize = 3;
+/// How long VMs need to learn of each other, in milliseconds: the service's copies are up to two
+/// seconds old, and with some dozens of VMs they are read every few seconds.
+pub const LISTED_MS: u64 = 8_000;
+
 /// The simulated fleet.
 #[derive(Debug)]
 pub struct World {
@@ -124,6 +130,19 @@
 }
 
 impl World {
+    /// Creates a fleet of 30 runners whose VMs have learnt of each other.
+    pub fn listed(vms: usize, seed: u64) -> Self {
+        let mut world = Self::new(Size {
+            vms,
+            runners: 30,
+            centres: CENTRES,
+            under_way: 8,
+            seed,
+        });
+        world.run(LISTED_MS);
+        world
+    }
+
     /// Creates a fleet with a configuration and all runners, whose VMs start now.
     pub fn new(size: Size) -> Self {
         let mut world = Self {
--- a/crates/relay/tests/slowdowns.rs
+++ b/crates/relay/tests/slowdowns.rs
@@ -3,7 +3,8 @@
 
 use adapter::runner::Load;
 use fleet_model::network::Host;
-use fleet_model::world::Size;
+use fleet_model::world::CENTRES;
+use fleet_model::world::LISTED_MS;
 use fleet_model::world::World;
 use policy::slowdown::MAX_AGE;
 use policy::slowdown::Reading;
@@ -18,25 +19,10 @@
 
 /// Time after which a reading is of little use to a request, in milliseconds: half of a slowdown.
 const USEFUL_MS: u64 = 300;
-/// How long VMs need to learn of each other, and of a new hub, in milliseconds.
-const LISTED_MS: u64 = 8_000;
 /// VMs of a fleet without hubs.
 const DIRECT_VMS: usize = 6;
 /// VMs of a fleet with a hub in each data centre.
 const HUB_VMS: usize = 48;
-const CENTRES: usize = 3;
-
-fn fleet(vms: usize, seed: u64) -> World {
-    let mut world = World::new(Size {
-        vms,
-        runners: 30,
-        centres: CENTRES,
-        under_way: 8,
-        seed,
-    });
-    world.run(LISTED_MS);
-    world
-}
 
 fn runner_id(world: &World) -> String {
     let process = world.vms[0].process.as_ref().expect("the VM runs");
@@ -109,7 +95,7 @@
     #[values(DIRECT_VMS, HUB_VMS)] vms: usize,
     #[values(1, 2, 3)] seed: u64,
 ) {
-    let mut world = fleet(vms, seed);
+    let mut world = World::listed(vms, seed);
     let runner = runner_id(&world);
     read(&world, 1, &runner, 250);
     assert_known(&mut world, &runner, 250);
@@ -120,7 +106,7 @@
 /// Guards against readings that VMs tell each other for ever, ever again as new ones.
 #[rstest]
 fn a_reading_is_forgotten(#[values(DIRECT_VMS, HUB_VMS)] vms: usize, #[values(1, 2)] seed: u64) {
-    let mut world = fleet(vms, seed);
+    let mut world = World::listed(vms, seed);
     let runner = runner_id(&world);
     read(&world, 1, &runner, 250);
     world.run(MAX_AGE.as_u64() + USEFUL_MS);
@@ -135,7 +121,7 @@
 /// Guards against VMs that learn nothing any more after their hub has died.
 #[rstest]
 fn readings_reach_the_vms_of_a_hub_that_died(#[values(1, 2)] seed: u64) {
-    let mut world = fleet(HUB_VMS, seed);
+    let mut world = World::listed(HUB_VMS, seed);
     let runner = runner_id(&world);
     let hub = world.hub(0);
     world.kill(hub);
@@ -149,7 +135,7 @@
 /// Guards against a cut after which older readings replace those that were made meanwhile.
 #[test]
 fn the_newer_reading_counts_after_a_cut() {
-    let mut world = fleet(HUB_VMS, 1);
+    let mut world = World::listed(HUB_VMS, 1);
     let runner = runner_id(&world);
     let (here, there): (Vec<usize>, Vec<usize>) = (0..HUB_VMS).partition(|vm| vm % CENTRES == 0);
     let hosts = |vms: &[usize]| vms.iter().map(|vm| Host::Vm(*vm)).collect::<Vec<Host>>();
@@ -168,7 +154,7 @@
 /// VMs of an older release can't read.
 #[test]
 fn only_readings_take_bytes() {
-    let world = fleet(DIRECT_VMS, 1);
+    let world = World::listed(DIRECT_VMS, 1);
     let runner = runner_id(&world);
     let without = message(&world, 0, 1);
     assert_eq!(without.slowdowns, []);
