--- a/crates/node/src/owner/poison.rs
+++ b/crates/node/src/owner/poison.rs
@@ -18,8 +18,8 @@
 use policy::crash::Ledger;
 use policy::crash::Outcome;
 use policy::crash::Report;
+use policy::crash::Scope;
 use policy::crash::Verdict;
-use policy::crash::Wider;
 use serde::Deserialize;
 use serde::Serialize;
 use wire::clock::Millis;
@@ -258,9 +258,9 @@
 impl Subject {
     /// Returns what the content is a part of. A turn has no resource but the service that all share, so
     /// its body stands for that.
-    fn wider(self) -> Option<Wider> {
+    fn wider(self) -> Option<Scope> {
         let body = Content(u128::from(self.body?.0) | BODY_MARK);
-        Some(Wider {
+        Some(Scope {
             body,
             resource: body,
         })
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -66,7 +66,7 @@
 
 /// What a content is a part of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Wider {
+pub struct Scope {
     /// The digest of its body and resource, whatever turn it continues.
     pub body: Content,
     /// The digest of its resource, whatever its body is.
@@ -113,7 +113,7 @@
     /// The content. Of one that ran to its end it may be that of any width.
     pub content: Content,
     /// What the content is a part of, if that is known.
-    pub wider: Option<Wider>,
+    pub wider: Option<Scope>,
     /// What an endpoint did.
     pub outcome: Outcome,
     /// How long ago.
@@ -152,7 +152,7 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     content: Content,
-    wider: Option<Wider>,
+    wider: Option<Scope>,
     /// The crashes since the content last ran to its end, sorted by time.
     crashes: Vec<Crash>,
     completed: Option<Completion>,
@@ -212,7 +212,7 @@
 
     /// Decides whether a content may be sent to an endpoint.
     #[must_use]
-    pub fn verdict(&self, content: Content, wider: Option<Wider>) -> Verdict {
+    pub fn verdict(&self, content: Content, wider: Option<Scope>) -> Verdict {
         let mut groups = group::of(content, wider);
         let refused = groups.find(|group| self.is_refused(*group));
         refused.map_or(Verdict::Allowed, |group| Verdict::Refused(group.width))
@@ -224,7 +224,7 @@
     pub fn unsettled_for(
         &self,
         content: Content,
-        wider: Option<Wider>,
+        wider: Option<Scope>,
         width: Width,
         now: Millis,
     ) -> Millis {
@@ -237,7 +237,7 @@
 
     /// Returns how much accuses a content at a width: the crashes, or of a resource the bodies.
     #[must_use]
-    pub fn weight(&self, content: Content, wider: Option<Wider>, width: Width) -> usize {
+    pub fn weight(&self, content: Content, wider: Option<Scope>, width: Width) -> usize {
         let mut groups = group::of(content, wider);
         let found = groups.find(|group| group.width == width);
         found.map_or(0, |group| group::weight(width, &self.accusations(group)))
@@ -245,7 +245,7 @@
 
     /// Returns the crashes that accuse a content at a width, each with the content that ran there.
     #[must_use]
-    pub fn evidence(&self, content: Content, wider: Option<Wider>, width: Width) -> Vec<Report> {
+    pub fn evidence(&self, content: Content, wider: Option<Scope>, width: Width) -> Vec<Report> {
         let mut groups = group::of(content, wider);
         let found = groups.find(|group| group.width == width);
         let accusations = found.map(|group| self.accusations(group));
@@ -445,7 +445,7 @@
 
     /// Returns whether a digest is that of the suspect's body or resource.
     fn is_part_of(&self, content: Content) -> bool {
-        let is_wider = |wider: Wider| wider.body == content || wider.resource == content;
+        let is_wider = |wider: Scope| wider.body == content || wider.resource == content;
         self.wider.is_some_and(is_wider)
     }
 
--- a/crates/policy/src/crash/group.rs
+++ b/crates/policy/src/crash/group.rs
@@ -14,8 +14,8 @@
 use crate::crash::Outcome;
 use crate::crash::Report;
 use crate::crash::SETTLE_TIME;
+use crate::crash::Scope;
 use crate::crash::Suspect;
-use crate::crash::Wider;
 use crate::crash::Width;
 
 /// The contents that are the same at a width.
@@ -26,7 +26,7 @@
     /// The digest of what they have in common.
     content: Content,
     /// What one of them is a part of.
-    wider: Option<Wider>,
+    wider: Option<Scope>,
 }
 
 /// A crash that accuses a group.
@@ -41,7 +41,7 @@
 }
 
 /// Returns the groups of a content, the narrowest first.
-pub(super) fn of(content: Content, wider: Option<Wider>) -> impl Iterator<Item = Group> {
+pub(super) fn of(content: Content, wider: Option<Scope>) -> impl Iterator<Item = Group> {
     let group = move |width, content| Group {
         width,
         content,
--- a/crates/policy/src/crash/tests.rs
+++ b/crates/policy/src/crash/tests.rs
@@ -189,22 +189,22 @@
 }
 
 /// A body of a resource.
-const fn part(resource: u128, body: u128) -> Wider {
-    Wider {
+const fn part(resource: u128, body: u128) -> Scope {
+    Scope {
         body: Content(resource * 1_000 + body),
         resource: Content(resource * 1_000),
     }
 }
 
 /// Returns a crash of a content that is a part of something.
-fn wide_crash(content: u128, wider: Wider, incarnation: u64, age: u64) -> Report {
+fn wide_crash(content: u128, wider: Scope, incarnation: u64, age: u64) -> Report {
     Report {
         wider: Some(wider),
         ..crash(Content(content), incarnation, age)
     }
 }
 
-fn wide_completion(content: u128, wider: Wider, age: u64) -> Report {
+fn wide_completion(content: u128, wider: Scope, age: u64) -> Report {
     Report {
         wider: Some(wider),
         ..completion(Content(content), age)
--- a/crates/policy/tests/crashing/culprit.rs
+++ b/crates/policy/tests/crashing/culprit.rs
@@ -3,7 +3,7 @@
 use policy::crash::Content;
 use policy::crash::MAX_CRASHES;
 use policy::crash::MIN_BODIES;
-use policy::crash::Wider;
+use policy::crash::Scope;
 
 /// Endpoints that one attempt of a caller may run on.
 pub const ATTEMPTS: u32 = 2;
@@ -35,7 +35,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Request {
     pub content: Content,
-    pub wider: Wider,
+    pub wider: Scope,
     pub is_culprit: bool,
 }
 
@@ -45,7 +45,7 @@
         let resource = path << 64;
         Self {
             content: digest(0, resource | content),
-            wider: Wider {
+            wider: Scope {
                 body: digest(1, resource | body),
                 resource: digest(2, resource),
             },
--- a/crates/policy/tests/crashing/play.rs
+++ b/crates/policy/tests/crashing/play.rs
@@ -5,8 +5,8 @@
 use policy::crash::Ledger;
 use policy::crash::Outcome;
 use policy::crash::Report;
+use policy::crash::Scope;
 use policy::crash::Verdict;
-use policy::crash::Wider;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -269,7 +269,7 @@
     }
 
     /// Returns what the ledger knows of a request.
-    fn suspects(&self, request: Request) -> Vec<(Content, Option<Wider>)> {
+    fn suspects(&self, request: Request) -> Vec<(Content, Option<Scope>)> {
         let Request { content, wider, .. } = request;
         match self.way {
             Way::None | Way::Breaks(_) | Way::Crashes(_) => Vec::new(),
--- a/crates/relay/src/content.rs
+++ b/crates/relay/src/content.rs
@@ -8,7 +8,7 @@
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use policy::crash::Content;
-use policy::crash::Wider;
+use policy::crash::Scope;
 use sha2::Digest as _;
 use sha2::Sha256;
 
@@ -33,13 +33,13 @@
 /// Computes the digests of what a request is a part of: its body, whatever turn it continues, and its
 /// workspace, method, host and path, whatever its body is.
 #[must_use]
-pub fn wider(job: &Job) -> Wider {
+pub fn wider(job: &Job) -> Scope {
     let body = match job.route.kind {
         Kind::Stream => hash(job, &[BODY, &job.body, &[]]),
         Kind::Idempotent | Kind::AtMostOnce => digest(job),
     };
     let resource = hash(job, &[RESOURCE]);
-    Wider { body, resource }
+    Scope { body, resource }
 }
 
 fn hash(job: &Job, parts: &[&[u8]]) -> Content {
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -17,8 +17,8 @@
 use policy::crash::Ledger;
 use policy::crash::Outcome;
 use policy::crash::Report;
+use policy::crash::Scope;
 use policy::crash::Verdict;
-use policy::crash::Wider;
 use policy::crash::Width;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -69,7 +69,7 @@
     runner: String,
     incarnation: Incarnation,
     content: Content,
-    wider: Wider,
+    wider: Scope,
     at: Millis,
 }
 
@@ -212,7 +212,7 @@
         self.breaks.extract_if(.., of_runner).collect()
     }
 
-    fn status(&self, content: Content, wider: Wider, now: Millis) -> Status {
+    fn status(&self, content: Content, wider: Scope, now: Millis) -> Status {
         let known = Some(wider);
         if let Verdict::Refused(width) = self.ledger.verdict(content, known) {
             return match self.ledger.unsettled_for(content, known, width, now) {
@@ -268,7 +268,7 @@
 
 impl Break {
     /// Returns whether the request is the same as another one at a width.
-    fn is_same(&self, content: Content, wider: Wider, width: Width) -> bool {
+    fn is_same(&self, content: Content, wider: Scope, width: Width) -> bool {
         match width {
             Width::Exact => self.content == content,
             Width::Body => self.wider.body == wider.body,
--- a/crates/relay/src/crashes/news.rs
+++ b/crates/relay/src/crashes/news.rs
@@ -7,7 +7,7 @@
 use policy::crash::Incarnation;
 use policy::crash::Outcome;
 use policy::crash::Report;
-use policy::crash::Wider;
+use policy::crash::Scope;
 use serde::Deserialize;
 use serde::Serialize;
 use wire::clock::Millis;
@@ -169,11 +169,11 @@
         Self(relations)
     }
 
-    fn of_content(&self, content: u128) -> Option<Wider> {
+    fn of_content(&self, content: u128) -> Option<Scope> {
         let relations = &self.0;
         let found = relations.binary_search_by_key(&content, |relation| relation.content);
         let relation = relations[found.ok()?];
-        Some(Wider {
+        Some(Scope {
             body: Content(relation.body),
             resource: Content(relation.resource),
         })
--- a/crates/relay/src/crashes/news/tests.rs
+++ b/crates/relay/src/crashes/news/tests.rs
@@ -96,7 +96,7 @@
 #[test]
 fn what_a_content_is_a_part_of_is_passed_on() {
     let (mut leaf, mut hub, mut other) = (vm("a", 1), vm("b", 2), vm("c", 3));
-    let wider = Wider {
+    let wider = Scope {
         body: Content(8),
         resource: Content(9),
     };
--- a/crates/relay/src/crashes/record.rs
+++ b/crates/relay/src/crashes/record.rs
@@ -20,7 +20,7 @@
 use policy::crash::Outcome;
 use policy::crash::RETENTION;
 use policy::crash::Report;
-use policy::crash::Wider;
+use policy::crash::Scope;
 use policy::crash::Width;
 use tokio::time::sleep;
 use wire::clock::Millis;
@@ -78,7 +78,7 @@
             };
             Some(match report.wider {
                 Some(wider) if self.width != Width::Exact => {
-                    let Wider { body, resource } = wider;
+                    let Scope { body, resource } = wider;
                     format!("{} {body} {resource} {number}", report.content)
                 }
                 Some(_) | None => number.to_string(),
@@ -176,7 +176,7 @@
     let [content, body, resource, number] = fields[..] else {
         return None;
     };
-    let wider = Wider {
+    let wider = Scope {
         body: decode_content(body)?,
         resource: decode_content(resource)?,
     };
@@ -187,7 +187,7 @@
     u128::from_str_radix(digits, 16).ok().map(Content)
 }
 
-fn report(content: Content, wider: Option<Wider>, number: &str) -> Option<Report> {
+fn report(content: Content, wider: Option<Scope>, number: &str) -> Option<Report> {
     let number = u64::from_str(number).ok()?;
     Some(Report {
         content,
--- a/crates/relay/src/crashes/record/tests.rs
+++ b/crates/relay/src/crashes/record/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-fn evidence(wider: Option<Wider>) -> Vec<Report> {
+fn evidence(wider: Option<Scope>) -> Vec<Report> {
     let crash = |number| Report {
         content: Content(0x2a),
         wider,
@@ -12,7 +12,7 @@
 
 #[test]
 fn a_record_is_read_as_it_was_written() {
-    let wider = Wider {
+    let wider = Scope {
         body: Content(0x2b),
         resource: Content(u128::MAX),
     };
@@ -35,7 +35,7 @@
 /// Guards against a record that a process of an older release can't read.
 #[test]
 fn a_record_of_an_exact_content_lists_the_runners_only() {
-    let wider = Wider {
+    let wider = Scope {
         body: Content(1),
         resource: Content(2),
     };
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -121,7 +121,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placement {
     /// Its program has no home.
-    Homeless,
+    Unassigned,
     /// At the program's home of this rank, from 1.
     Home(usize),
     /// At another runner than the program's homes.
@@ -131,7 +131,7 @@
 impl fmt::Display for Placement {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Homeless => Ok(()),
+            Self::Unassigned => Ok(()),
             Self::Home(rank) => write!(out, "{rank}"),
             Self::Elsewhere => write!(out, "none"),
         }
--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -193,7 +193,7 @@
 
 fn placement(homes: Option<&Homes>, index: usize) -> Placement {
     match homes.map(|homes| homes.rank(index)) {
-        None => Placement::Homeless,
+        None => Placement::Unassigned,
         Some(Some(rank)) => Placement::Home(rank),
         Some(None) => Placement::Elsewhere,
     }
--- a/crates/relay/src/fleet/tests/choices.rs
+++ b/crates/relay/src/fleet/tests/choices.rs
@@ -150,6 +150,6 @@
         let expected = place::choose(&candidates, &call, &weights).unwrap();
         let chosen = fleet.choose(&request).unwrap();
         assert_eq!(chosen.id, fleet.runners()[expected.index].id);
-        assert_eq!(chosen.placement, Placement::Homeless);
+        assert_eq!(chosen.placement, Placement::Unassigned);
     }
 }
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -323,7 +323,7 @@
             .add(Counter::TokensAsked, self.call.prompt_tokens);
         self.node.metrics.add(Counter::TokensMissed, missed);
         match runner.placement {
-            fleet::Placement::Homeless => {}
+            fleet::Placement::Unassigned => {}
             fleet::Placement::Home(_) => self.node.metrics.count(Counter::PlacedHome),
             fleet::Placement::Elsewhere => self.node.metrics.count(Counter::PlacedElsewhere),
         }
--- a/crates/relay/tests/standing.rs
+++ b/crates/relay/tests/standing.rs
@@ -45,7 +45,7 @@
         cost_ms: 0.0,
         candidates: 1,
         slowdown: None,
-        placement: fleet::Placement::Homeless,
+        placement: fleet::Placement::Unassigned,
     }
 }
 
