Give the links of the proxy's tests addresses that no other socket can take

Cause, suspected: the link's address was found by binding a port of the kernel's choice and closing it again. Until the link listens, a socket of another test that runs beside it may get the port, and the test's connection then reaches that test's echo server, without a delay. Tokio's timer never ends a sleep early, and the mode is set before the byte is written.

Change: each link listens at a loopback address of its own and a port outside the kernel's range.

--- a/crates/soak/src/proxy/tests.rs
+++ b/crates/soak/src/proxy/tests.rs
@@ -1,5 +1,9 @@
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::process;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -20,6 +24,18 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// After this long without any byte the bytes count as held back.
 const HOLD_TIME: Duration = Duration::from_millis(150);
+/// The port of all links, outside the kernel's range for sockets that name none.
+const LINK_PORT: u16 = 7_000;
+
+/// Returns an address of this test run on which no other socket can listen or connect from. On a
+/// port of the kernel's choice, another test's server could answer before the link listens.
+fn link_address() -> SocketAddr {
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let count = COUNT.fetch_add(1, Ordering::SeqCst);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, count, high, low);
+    SocketAddr::new(IpAddr::V4(ip), LINK_PORT)
+}
 
 /// Starts an echo server and a link to it; returns the link and a connection through it.
 async fn echo_through_link() -> (Link, TcpStream) {
@@ -33,9 +49,7 @@
             });
         }
     });
-    let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
+    let address = link_address();
     let link = Link::start(address, target);
     let stream = connect(address).await;
     (link, stream)
@@ -137,9 +151,7 @@
 #[tokio::test]
 async fn links_of_a_group_are_cut_independently() {
     let (echo, _stream) = echo_through_link().await;
-    let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
+    let address = link_address();
     // Sources are numbered in the order in which they connect.
     let count = Arc::new(AtomicUsize::new(0));
     let source = move |_from, _to| Some(count.fetch_add(1, Ordering::SeqCst));
