Read each chain of turns from one member at a time

Cause of `usual_turns_fit_the_smallest_vm` beside load: a history that isn't cached is asked of the nearby member, and after 60 ms without its whole answer of all members. A VM that is short of time passes the 60 ms for every turn, so each history was read up to four times at once, into a buffer and decoded, and the three that nobody needed were read to their end.

Change: the nearby member is asked, one more each 60 ms that none has begun to answer, and only one answer is read at a time; what isn't needed any more is broken off.

Not bounded by this: how many histories are under way.

--- a/crates/replica/src/call.rs
+++ b/crates/replica/src/call.rs
@@ -10,8 +10,11 @@
 use hyper::Method;
 use hyper::Request;
 use link::body::Payload;
+use link::client;
 use link::client::Client;
-use tokio::time::timeout;
+use tokio::time::Instant;
+use tokio::time::error::Elapsed;
+use tokio::time::timeout_at;
 
 use crate::list::List;
 use crate::list::Member;
@@ -65,34 +68,63 @@
     }
 }
 
-async fn send(http: &Arc<Client>, address: SocketAddr, body: Bytes) -> Option<Answer> {
+/// An answer whose head has come.
+pub struct Reply {
+    begun: client::Reply,
+    deadline: Instant,
+    address: SocketAddr,
+}
+
+impl Reply {
+    /// Reads and decodes the answer. Returns `None` if that fails in any way.
+    pub async fn read(self) -> Option<Answer> {
+        let address = self.address;
+        let whole = self.begun.body.whole(MAX_ANSWER_BYTES);
+        let bytes = note(address, timeout_at(self.deadline, whole).await)?;
+        match rmp_serde::from_slice(&bytes) {
+            Ok(answer) => Some(answer),
+            Err(fault) => {
+                log::warn!(
+                    "text=\"a member's answer can't be decoded\" member={address} fault=\"{fault}\""
+                );
+                None
+            }
+        }
+    }
+}
+
+/// Sends a request encoded by [`encode`] and waits for the head of the answer. Returns `None` if it
+/// fails in any way.
+pub async fn open(http: &Arc<Client>, address: SocketAddr, body: Bytes) -> Option<Reply> {
+    let deadline = Instant::now() + ANSWER_TIMEOUT;
     let request = Request::builder()
         .method(Method::POST)
         .uri(message::PATH)
         .header("host", address.to_string())
         .body(Payload::from(body))
         .ok()?;
-    let exchange = async {
-        let reply = http.send(address, request).await?;
-        reply.body.whole(MAX_ANSWER_BYTES).await
-    };
-    let bytes = match timeout(ANSWER_TIMEOUT, exchange).await {
-        Ok(Ok(bytes)) => bytes,
+    let sent = timeout_at(deadline, http.send(address, request)).await;
+    Some(Reply {
+        begun: note(address, sent)?,
+        deadline,
+        address,
+    })
+}
+
+async fn send(http: &Arc<Client>, address: SocketAddr, body: Bytes) -> Option<Answer> {
+    open(http, address, body).await?.read().await
+}
+
+/// Logs why a step of an exchange failed.
+fn note<T>(address: SocketAddr, outcome: Result<client::Result<T>, Elapsed>) -> Option<T> {
+    match outcome {
+        Ok(Ok(value)) => Some(value),
         Ok(Err(fault)) => {
             log::debug!("member {address}: {fault}");
-            return None;
+            None
         }
         Err(_) => {
             log::debug!("member {address}: no answer in time");
-            return None;
-        }
-    };
-    match rmp_serde::from_slice(&bytes) {
-        Ok(answer) => Some(answer),
-        Err(fault) => {
-            log::warn!(
-                "text=\"a member's answer can't be decoded\" member={address} fault=\"{fault}\""
-            );
             None
         }
     }
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout_at;
 
 use crate::call;
+use crate::chain;
 use crate::ledger::Entry;
 use crate::list;
 use crate::list::List;
@@ -31,8 +32,6 @@
 /// How long to wait for the last members once a majority has a reservation. Answers from all
 /// members save a second round; a member that is down or cut off mustn't cost more than that round.
 const STRAGGLER_WAIT: Duration = Duration::from_millis(6);
-/// How long the nearby member may take to return a chain before the whole group is asked.
-const HEDGE_DELAY: Duration = Duration::from_millis(60);
 /// How many times a request is sent at most when the list changes in between.
 const MAX_TRIES: usize = 3;
 /// The pause before asking members again that are still catching up. A change of the list takes
@@ -327,35 +326,15 @@
 
     async fn chain_once(&self, key: Key) -> Result<Found> {
         let (list, group) = self.group(key)?;
-        let nearby = group.iter().find(|member| member.centre == self.centre);
-        if let Some(nearby) = nearby {
-            let request = call::ask(&self.http, nearby.address, list.version, Body::Chain(key));
-            let answer = timeout(HEDGE_DELAY, request).await;
-            if let Ok(Some(Answer::Chain(chain))) = answer
-                && !chain.turns.is_empty()
-            {
-                return Ok(Found::Part(chain.turns, chain.next));
-            }
-        }
-        let mut answers = self.ask_all(&list, &group, Body::Chain(key))?;
-        let mut absent = 0;
-        let mut fault = Fault::TooFew;
-        while let Some(answer) = answers.recv().await {
-            match answer {
-                Some(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
-                Some(Answer::Chain(chain)) => return Ok(Found::Part(chain.turns, chain.next)),
-                Some(Answer::Newer(newer)) => {
-                    self.adopt(newer);
-                    return Err(Fault::ListChanged);
-                }
-                Some(Answer::NotReady) => fault = Fault::CatchingUp,
-                _ => {}
-            }
-            if absent >= list::majority(group.len()) {
-                return Ok(Found::Absent);
-            }
+        let mut found = chain::read(&self.http, &list, group, &self.centre, key).await;
+        if let Err(chain::Fault::Newer(newer)) = &mut found {
+            self.adopt(std::mem::take(newer));
         }
-        Err(fault)
+        found.map_err(|fault| match fault {
+            chain::Fault::Newer(_) => Fault::ListChanged,
+            chain::Fault::CatchingUp => Fault::CatchingUp,
+            chain::Fault::TooFew => Fault::TooFew,
+        })
     }
 
     /// Returns whether enough members answer within `limit` to serve every key, and which members
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod call;
 pub mod catch_up;
+mod chain;
 pub mod client;
 pub mod disk;
 pub mod index;
