Bound the bytes that a VM holds for requests under way

Cause: bodies, histories and plain answers were bounded each and not a VM. 20 answers of 8 MB, 20 bodies of 4 MB or 90 histories of 0.5 MB at once run the smallest VM (96 MB) out of memory.

Change: `policy::memory` decides on one budget of a third of `memoryMb`, `relay::held` holds it in guards that give bytes back on drop; the guard of a body or answer goes with its bytes into the connection's queue. A request claims in one go by its body's length, then by an estimate for its history or answer. It waits by rank, then in order, and is refused (CY2209, not run, Retry-After from how long bytes are held) if that is beyond its deadline. Claims before work go first and bodies have half at most, so nobody waits in a circle. What has come is never refused. Events of streams are counted; while the budget is used up a stream queues one. Bodies and answers are read into one buffer of their size instead of one that is copied or doubled. The end of a stream waits for room to the request's deadline only. `relay::kept` is moved out of `relay::stream`, unchanged.

Requests of that file are now sent at once instead of one after the other, as a flood is.

Partly or not done: the first answers of a route after a start may exceed the estimate; a turn's text while it is collected isn't counted; a runner that pauses its reading for over 0.65 s is still cut off.

--- a/crates/chestnutyoke/tests/readers.rs
+++ b/crates/chestnutyoke/tests/readers.rs
@@ -1,6 +1,7 @@
 //! What a real process holds for callers and runners that read slowly or stop reading.
 
 use std::fs;
+use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -38,20 +39,27 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 /// Bytes of memory of the smallest VM.
 const SMALLEST_VM: u64 = 96_000_000;
 /// Bytes of a long answer; under the longest that is passed on whole.
 const LONG_ANSWER: u64 = 8_000_000;
+/// Bytes of a long body; nearly as long as the configuration allows.
+const LONG_BODY: usize = 4_000_000;
 /// How many requests with long answers are held at once.
 const LONG_REQUESTS: usize = 4;
+/// How many long requests come at once, each of which would fill the smallest VM with half a dozen others.
+const LONG_FLOOD: usize = 20;
 /// How many usual requests are held at once: nearly twice what a VM gets within their deadline.
 const USUAL_REQUESTS: usize = 90;
 /// Bytes of a usual turn's text.
 const TURN: usize = 17_000;
 /// How many turns a turn continues.
 const HISTORY_TURNS: u128 = 8;
+/// How many turns a turn continues whose history fills the longest answer of a VM with a disk.
+const LONG_HISTORY_TURNS: u128 = 30;
 /// The deadline of all requests.
 const DEADLINE: Duration = Duration::from_secs(4);
 /// How long an unread answer may be held: the deadline, the longest partition that a caller would
@@ -75,7 +83,7 @@
 }
 
 impl Deployment {
-    async fn start(net: u8) -> Self {
+    async fn start(net: u8, history_turns: u128) -> Self {
         let [_, _, high, low] = process::id().to_be_bytes();
         let ip = |last: u8| IpAddr::V4(Ipv4Addr::new(127, net, high ^ last, low));
         let store = Store::start(SocketAddr::new(ip(1), 8142)).await;
@@ -84,7 +92,7 @@
             run_runner(address).await;
             store.put_runner(&format!("i-{service}"), service, address, "ready");
         }
-        start_members(&store, &[ip(11), ip(12), ip(13)]).await;
+        start_members(&store, &[ip(11), ip(12), ip(13)], history_turns).await;
         let routes = [
             store::route("plain", "non_idempotent", "ops", 60_000, r#","attempts":1"#),
             store::route("events", "stream", "models", 60_000, r#","attempts":1"#),
@@ -142,28 +150,32 @@
         line.split(' ').next_back().unwrap().parse().unwrap()
     }
 
-    /// Sends the head and body of a request; nothing of the answer is read.
-    async fn ask(&self, path: &str, id: &str, body: usize) -> TcpStream {
+    /// Sends the head and body of a request in the background; nothing of the answer is read. The
+    /// connection is kept unless it breaks off.
+    fn ask(&self, path: &str, id: &str, body: usize) -> JoinHandle<io::Result<TcpStream>> {
         let deadline_ms = DEADLINE.as_millis();
         let address = SocketAddr::new(self.ip, file::CALLERS);
-        let mut stream = TcpStream::connect(address).await.unwrap();
         let head = format!(
             "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {id}\r\ndeadline-ms: {deadline_ms}\r\nprevious-turn: before-{id}\r\ncontent-length: {body}\r\n\r\n"
         );
-        stream.write_all(head.as_bytes()).await.unwrap();
-        stream.write_all(&vec![b'x'; body]).await.unwrap();
-        stream
+        tokio::spawn(async move {
+            let mut stream = TcpStream::connect(address).await?;
+            stream.write_all(head.as_bytes()).await?;
+            stream.write_all(&vec![b'x'; body]).await?;
+            Ok(stream)
+        })
     }
 }
 
-/// Starts members that hold a history of [`HISTORY_TURNS`] turns before each turn.
-async fn start_members(store: &Store, ips: &[IpAddr]) {
+/// Starts members that hold a history of `turns` turns before each turn.
+async fn start_members(store: &Store, ips: &[IpAddr], turns: u128) {
     let mut members = Vec::new();
     for (ip, centre) in ips.iter().zip(["a", "b", "c"]) {
         let address = SocketAddr::new(*ip, file::PEERS);
         let listener = listen::bind(address).await.unwrap();
         let idle = Duration::from_mins(1);
-        tokio::spawn(listen::run(listener, Arc::default(), idle, answer_member));
+        let answer = move |request| answer_member(request, turns);
+        tokio::spawn(listen::run(listener, Arc::default(), idle, answer));
         members.push(Member {
             vm: format!("store-{centre}-1"),
             centre: centre.to_owned(),
@@ -179,13 +191,13 @@
     store.put("chestnutyoke/members", &rmp_serde::to_vec(&list).unwrap());
 }
 
-async fn answer_member(request: Request<Incoming>) -> Response<Body> {
+async fn answer_member(request: Request<Incoming>, history: u128) -> Response<Body> {
     let bytes = body::read(request.into_body(), 1 << 24).await.unwrap();
     let ask: Ask = rmp_serde::from_slice(&bytes).unwrap();
     let answer = match ask.body {
         AskBody::Apply(_) => Answer::Applied(Vec::new()),
         AskBody::Chain(Key(last)) => Answer::Chain(Chain {
-            turns: (0..HISTORY_TURNS)
+            turns: (0..history)
                 .map(|earlier| Link {
                     key: Key(last.wrapping_add(earlier)),
                     text: vec![b'x'; TURN].into(),
@@ -268,14 +280,18 @@
     let started = Instant::now();
     let mut callers = Vec::new();
     for number in 0..requests {
-        callers.push(deployment.ask(path, &format!("q{number}"), body).await);
+        callers.push(deployment.ask(path, &format!("q{number}"), body));
     }
     let mut held = Held { peak: 0, end: 0 };
     while started.elapsed() < limit {
         sleep(Duration::from_millis(250)).await;
         let open = deployment.metric("connections ").await;
         let memory = deployment.metric("memory_bytes").await;
-        assert!(memory < SMALLEST_VM, "{memory} bytes of memory");
+        let counted = deployment.metric("request_bytes").await;
+        assert!(
+            memory < SMALLEST_VM,
+            "{memory} bytes of memory, {counted} counted"
+        );
         held.end = memory.saturating_sub(before);
         held.peak = held.peak.max(held.end);
         if open == 0 {
@@ -300,7 +316,7 @@
 #[case::ended_stream(0x54, "/events/32/200000")]
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_that_read_nothing_are_ended(#[case] net: u8, #[case] path: &str) {
-    let deployment = Deployment::start(net).await;
+    let deployment = Deployment::start(net, HISTORY_TURNS).await;
     let held = hold(&deployment, LONG_REQUESTS, path, TURN, HELD_AT_MOST).await;
     assert_eq!(deployment.metric("connections ").await, 0);
     assert!(held.end < LONG_ANSWER, "{} bytes stay", held.end);
@@ -313,6 +329,29 @@
 #[case::runners(0x56, "/turns/unread")]
 #[tokio::test(flavor = "multi_thread")]
 async fn usual_turns_fit_the_smallest_vm(#[case] net: u8, #[case] path: &str) {
-    let deployment = Deployment::start(net).await;
+    let deployment = Deployment::start(net, HISTORY_TURNS).await;
     hold(&deployment, USUAL_REQUESTS, path, TURN, DEADLINE * 2).await;
 }
+
+/// Guards against a VM that runs out of memory because of many long answers, streams, bodies or histories at
+/// once: what can't be held is refused before it runs. The first request tells how long answers are.
+#[rstest]
+#[case::answers(0x57, "/plain/8000000", TURN, LONG_FLOOD)]
+#[case::streams(0x58, "/events/1000000/200000", TURN, LONG_FLOOD)]
+#[case::bodies(0x59, "/turns/unread", LONG_BODY, LONG_FLOOD)]
+#[case::histories(0x5a, "/turns/22/990", TURN, USUAL_REQUESTS)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_of_long_requests_fits_the_smallest_vm(
+    #[case] net: u8,
+    #[case] path: &str,
+    #[case] body: usize,
+    #[case] requests: usize,
+) {
+    let deployment = Deployment::start(net, LONG_HISTORY_TURNS).await;
+    hold(&deployment, 1, path, TURN, DEADLINE / 2).await;
+    hold(&deployment, requests, path, body, HELD_AT_MOST).await;
+    let refused = deployment.metric("refusals{code=\"CY2209\"}").await;
+    println!("{path}: {refused} refused");
+    assert!(refused > 0 || !path.starts_with("/plain"));
+    assert_eq!(deployment.metric("request_bytes").await, 0);
+}
--- a/crates/link/src/body.rs
+++ b/crates/link/src/body.rs
@@ -164,9 +164,26 @@
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(fault) if fault.is::<LengthLimitError>() => Err(Fault::TooLong),
-        Err(fault) => Err(Fault::Broken(fault.to_string())),
+    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(limit);
+    let mut body = std::pin::pin!(Limited::new(body, limit));
+    let mut all = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|fault| {
+            if fault.is::<LengthLimitError>() {
+                return Fault::TooLong;
+            }
+            Fault::Broken(fault.to_string())
+        })?;
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        if all.is_empty() {
+            if hyper::body::Body::is_end_stream(&*body) {
+                return Ok(bytes);
+            }
+            all.reserve_exact(expected.min(limit).max(bytes.len()));
+        }
+        all.extend_from_slice(&bytes);
     }
+    Ok(Bytes::from(all))
 }
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -305,12 +305,19 @@
         }
     }
 
+    /// Returns the bytes that the body has according to its head; zero if that doesn't say.
+    #[must_use]
+    pub fn size(&self) -> u64 {
+        hyper::body::Body::size_hint(&self.incoming).lower()
+    }
+
     /// Reads the complete body, of at most `limit` bytes.
     ///
     /// # Errors
     ///
     /// Fails if the body is longer or breaks off.
     pub async fn whole(mut self, limit: usize) -> Result<Bytes> {
+        let expected = usize::try_from(self.size()).unwrap_or(limit).min(limit);
         let mut all = Vec::new();
         while let Some(bytes) = self.data().await? {
             if all.len() + bytes.len() > limit {
@@ -320,6 +327,9 @@
                 self.data().await?;
                 return Ok(bytes);
             }
+            if all.is_empty() {
+                all.reserve_exact(expected.max(bytes.len()));
+            }
             all.extend_from_slice(&bytes);
         }
         Ok(Bytes::from(all))
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod decaying_mean;
 pub mod eject;
 pub mod home;
+pub mod memory;
 pub mod opening;
 pub mod own_calls;
 pub mod place;
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -18,6 +18,7 @@
 use hyper::http::request;
 use link::body;
 use link::body::Body;
+use policy::memory::Step;
 use policy::prefix;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -27,10 +28,13 @@
 use wire::code::Refusal;
 
 use crate::answer;
+use crate::held::Held;
 use crate::identity;
 use crate::identity::Access;
 use crate::identity::Identity;
+use crate::job;
 use crate::job::Job;
+use crate::kept;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::plain;
@@ -118,8 +122,9 @@
         if !body_requested && incoming.size_hint().lower() > routed.table.body_bytes as u64 {
             return Err(Refusal::new(Code::BodyTooLarge, ""));
         }
+        let memory = hold_body(node, &routed, &incoming).await?;
         body_requested = true;
-        let body = receive(node, &routed, &mut incoming).await?;
+        let body = receive(node, &routed, &mut incoming, memory).await?;
         // The key may have been taken away while the body was received.
         identify(node, &routed.route, &call)?;
         Ok::<_, Refusal>((routed, body))
@@ -182,19 +187,40 @@
     expected.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
 }
 
+/// Holds the memory for a request's body before it is read; as much as any request may have if its length
+/// isn't known.
+async fn hold_body(
+    node: &Node,
+    routed: &RoutedRequest,
+    incoming: &Incoming,
+) -> Result<Held, Refusal> {
+    let most = routed.table.body_bytes as u64;
+    let bytes = match incoming.size_hint().exact() {
+        Some(bytes) => bytes.min(most),
+        None => most.min(node.holdings.limit()),
+    };
+    let wait = Millis::from(routed.deadline.saturating_duration_since(Instant::now()));
+    let rank = job::rank(&routed.identity, &routed.route);
+    let claim = node.holdings.claim(Step::Arrival, rank, bytes, wait);
+    let latest_end = kept::latest_end(&routed.route, routed.deadline);
+    shutdown::with_send_deadline(node, latest_end, claim).await?
+}
+
 /// Receives a request's body.
 async fn receive(
     node: &Node,
     routed: &RoutedRequest,
     incoming: &mut Incoming,
+    memory: Held,
 ) -> Result<Bytes, Refusal> {
-    let read = timeout_at(
-        routed.deadline,
-        body::read(incoming, routed.table.body_bytes),
-    );
-    let latest_end = stream::latest_end(&routed.route, routed.deadline);
+    let limit = match incoming.size_hint().exact() {
+        Some(_) => routed.table.body_bytes,
+        None => usize::try_from(memory.bytes()).unwrap_or(usize::MAX),
+    };
+    let read = timeout_at(routed.deadline, body::read(incoming, limit));
+    let latest_end = kept::latest_end(&routed.route, routed.deadline);
     match shutdown::with_send_deadline(node, latest_end, read).await? {
-        Ok(Ok(body)) => Ok(body),
+        Ok(Ok(body)) => Ok(memory.attach(body)),
         Ok(Err(body::Fault::TooLong)) => Err(Refusal::new(Code::BodyTooLarge, "")),
         Ok(Err(fault)) => Err(Refusal::new(Code::ReadTimeout, &fault.to_string())),
         Err(_) => Err(Refusal::new(Code::ReadTimeout, "")),
@@ -216,7 +242,7 @@
         identity,
     } = find(node, head, call)?;
     let deadline = arrived + time_limit.min(route.timeout).as_duration();
-    shutdown::admit(node, stream::latest_end(&route, deadline))?;
+    shutdown::admit(node, kept::latest_end(&route, deadline))?;
     let admission = admit(node, &route, &identity, call)?;
     Ok(RoutedRequest {
         table,
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -3,25 +3,68 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use policy::memory::Step;
 use replica::client::Found;
 use replica::record::Key;
 use wire::clock::Millis;
 use wire::code::Code;
 use wire::code::Refusal;
 
+use crate::held::Held;
 use crate::member_health;
 use crate::node::Node;
 
 /// When a turn whose history couldn't be read may be retried: about the time in which a VM with a
 /// disk restarts or a partition is noticed, and short compared to a program's run time.
 const RETRY_DELAY: Millis = Millis::new(300);
+/// How often the texts of an answer are held while it is decoded.
+const COPIES: u64 = 2;
 
-/// Returns the texts of a turn and of all turns that it continued from, oldest first.
+/// The turns that a turn continues from, with the memory that they hold.
+#[derive(Debug, Default)]
+pub struct History {
+    /// Their texts, oldest first.
+    pub texts: Vec<Bytes>,
+    _held: Option<Held>,
+}
+
+/// Returns the texts of a turn and of all turns that it continued from, once there is memory for them. Waits
+/// for it at most for `wait`.
 ///
 /// # Errors
 ///
 /// Refuses with "no such turn" only if that is certain, and otherwise asks the caller to retry.
-pub async fn load(node: &Arc<Node>, last: Key) -> Result<Vec<Bytes>, Refusal> {
+pub async fn load(node: &Arc<Node>, last: Key, rank: u8, wait: Millis) -> Result<History, Refusal> {
+    let bytes = expected_bytes(node, last).min(node.holdings.limit());
+    let mut held = node.holdings.claim(Step::Work, rank, bytes, wait).await?;
+    let texts = read(node, last).await?;
+    let bytes = texts.iter().map(|text| text.len() as u64).sum();
+    node.holdings.note_history(bytes);
+    held.resize(bytes);
+    Ok(History {
+        texts,
+        _held: Some(held),
+    })
+}
+
+/// Returns the bytes to expect of a history: those of cached turns once, as they may leave the cache
+/// meanwhile, and those of others twice, as they are read and then decoded.
+fn expected_bytes(node: &Node, last: Key) -> u64 {
+    let turns = node.turns();
+    let mut cached = 0;
+    let mut next = Some(last);
+    while let Some(key) = next {
+        let Some(kept) = turns.find(key) else {
+            let expected = node.holdings.expected_history();
+            return cached + expected.saturating_sub(cached) * COPIES;
+        };
+        cached += kept.text.len() as u64;
+        next = kept.previous;
+    }
+    cached
+}
+
+async fn read(node: &Arc<Node>, last: Key) -> Result<Vec<Bytes>, Refusal> {
     let mut texts = Vec::new();
     let mut next = Some(last);
     while let Some(key) = next {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -33,13 +33,13 @@
 use crate::crashes;
 use crate::fleet;
 use crate::identity::Identity;
+use crate::kept;
 use crate::metrics::Counter;
 use crate::metrics::Latency;
 use crate::metrics::Outcome;
 use crate::node::Node;
 use crate::reachability;
 use crate::refuse;
-use crate::stream;
 use crate::table::Table;
 use crate::usage::Admission;
 
@@ -154,7 +154,7 @@
     /// Returns the latest time at which the request ends.
     #[must_use]
     pub fn latest_end(&self) -> Instant {
-        stream::latest_end(&self.route, self.deadline)
+        kept::latest_end(&self.route, self.deadline)
     }
 
     /// Returns the time since the request arrived.
@@ -454,9 +454,7 @@
     /// Returns the rank of the request's workspace or else of its route, 0 being the most urgent.
     #[must_use]
     pub fn rank(&self) -> u8 {
-        let workspace = self.identity.workspace();
-        let rank = workspace.and_then(|workspace| workspace.priority);
-        rank.unwrap_or(self.route.priority)
+        rank(&self.identity, &self.route)
     }
 
     /// Returns the standing of a turn that is sent to `runner`; `None` for calls, and where the
@@ -526,6 +524,14 @@
     }
 }
 
+/// Returns the rank of a request's workspace or else of its route, 0 being the most urgent.
+#[must_use]
+pub fn rank(identity: &Identity, route: &Route) -> u8 {
+    let workspace = identity.workspace();
+    let rank = workspace.and_then(|workspace| workspace.priority);
+    rank.unwrap_or(route.priority)
+}
+
 /// Returns whether a status is a failure of the runner itself. A gateway timeout isn't: that runner
 /// was slow, which shows in the time that it took.
 #[must_use]
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -27,6 +27,7 @@
 use crate::directory::Directory;
 use crate::fleet::Fleet;
 use crate::freshness::Stamp;
+use crate::held::Holdings;
 use crate::identity;
 use crate::member_health;
 use crate::metrics::Metrics;
@@ -91,6 +92,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Divisor of the process's memory that gives the size of the turn cache.
 const TURN_CACHE_DIVISOR: u64 = 6;
+/// Divisor of the process's memory that gives the bytes that requests under way may hold. With the
+/// cache that is half of it; the other half is for the process and its connections.
+const HELD_DIVISOR: u64 = 3;
 
 /// Shared state of a process.
 #[derive(Debug)]
@@ -111,6 +115,8 @@
     pub peers: Mutex<Peers>,
     /// Cache of turns.
     pub turns: Mutex<Cache>,
+    /// The bytes that requests under way hold.
+    pub holdings: Arc<Holdings>,
     /// Counters and histograms.
     pub metrics: Metrics,
     started: Instant,
@@ -184,6 +190,7 @@
             replicas,
             peers: Mutex::new(Peers::new(&settings)),
             turns: Mutex::new(Cache::new(cache_bytes)),
+            holdings: Holdings::new(settings.memory_bytes / HELD_DIVISOR, clock.clone()),
             metrics: Metrics::default(),
             started: Instant::now(),
             started_at: clock.now(),
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -8,6 +8,7 @@
 use link::body::Body;
 use link::body::Payload;
 use link::client::Reply;
+use policy::memory::Step;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -19,6 +20,7 @@
 
 use crate::answer;
 use crate::crashes;
+use crate::held::Held;
 use crate::job;
 use crate::job::Attempt;
 use crate::job::Job;
@@ -102,6 +104,7 @@
     let mut excluded = Vec::new();
     let mut possible_runs = 0;
     let mut offers = 0;
+    let mut memory = Some(hold_answer(job).await?);
     loop {
         if job.time_left() == Millis::ZERO {
             return Err(refuse::timed_out(possible_runs));
@@ -123,7 +126,7 @@
         let deadline = attempt_deadline(job, may_retry);
         let why = match job.send(runner, payload, None, deadline).await {
             SendOutcome::Answered(reply, attempt) => {
-                match read_answer(job, *reply, attempt, deadline).await {
+                match read_answer(job, *reply, attempt, deadline, &mut memory).await {
                     Ok(response) => return Ok(response),
                     Err(why) => why,
                 }
@@ -145,6 +148,16 @@
     }
 }
 
+/// Holds the memory for the call's answer before a runner gets the call, by the size of the route's last
+/// answers. Once it may have run, its answer is read however long it is.
+async fn hold_answer(job: &Job) -> Result<Held, Refusal> {
+    let holdings = &job.node.holdings;
+    let bytes = holdings.expected_answer(&job.route.name);
+    let bytes = bytes.min(holdings.limit());
+    let claim = holdings.claim(Step::Work, job.rank(), bytes, job.time_left());
+    shutdown::with_send_deadline(&job.node, job.latest_end(), claim).await?
+}
+
 /// Returns until when an attempt waits for its answer; after that the call is tried elsewhere if
 /// `may_retry`.
 fn attempt_deadline(job: &Job, may_retry: bool) -> Instant {
@@ -160,8 +173,13 @@
     reply: Reply,
     attempt: Attempt,
     deadline: Instant,
+    memory: &mut Option<Held>,
 ) -> Result<Response<Body>, String> {
     let head = reply.head;
+    if let Some(held) = memory {
+        let size = reply.body.size().min(MAX_ANSWER_BYTES as u64);
+        held.resize(size.max(held.bytes()));
+    }
     let read = timeout_at(deadline, reply.body.whole(MAX_ANSWER_BYTES)).await;
     let body = match read {
         Ok(Ok(body)) => body,
@@ -175,6 +193,13 @@
         }
         Err(_) => return Err("the answer's body was not complete in time".to_owned()),
     };
+    job.node
+        .holdings
+        .note_answer(&job.route.name, body.len() as u64);
+    let body = match memory.take() {
+        Some(memory) => memory.attach(body),
+        None => body,
+    };
     let span = Millis::from(attempt.sent_at.elapsed());
     let now = job.node.clock.now();
     // A failure says nothing about how long the work takes; most failures come at once.
--- a/crates/relay/src/probe.rs
+++ b/crates/relay/src/probe.rs
@@ -24,6 +24,7 @@
     // Taken before the array is built: otherwise the lock would be held until the array is
     // complete, and `is_ready` locks it again.
     let load = node.fleet().load(node.clock.now());
+    let held = node.holdings.figures();
     let answers = node.work.answers() as u64;
     let gauges = [
         ("requests_under_way", node.work.count() as u64),
@@ -43,6 +44,8 @@
         ("members_version", node.replicas.list().version),
         ("runner_connections_made", node.runner_client.made()),
         ("vm_connections_made", node.vm_client.made()),
+        ("request_bytes", held.bytes),
+        ("requests_without_memory", held.waiting as u64),
         ("memory_bytes", memory::resident()),
         ("ready", u64::from(node.is_ready())),
     ];
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -5,10 +5,6 @@
 //! back until the turn's text is on enough disks: a caller that has seen the end may continue from
 //! the turn at any VM.
 
-use std::time::Duration;
-
-use adapter::config::Kind;
-use adapter::config::Route;
 use bytes::Bytes;
 use bytes::BytesMut;
 use hyper::Response;
@@ -16,12 +12,10 @@
 use link::body::Part;
 use link::body::Payload;
 use link::client::Reply;
-use replica::record::Record;
-use replica::record::Turn;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tokio::time::sleep;
 use tokio::time::timeout_at;
 use wire::clock::Millis;
 use wire::code::Code;
@@ -37,10 +31,12 @@
 use crate::crashes;
 use crate::events::Reader;
 use crate::history;
+use crate::history::History;
 use crate::job;
 use crate::job::Attempt;
 use crate::job::Job;
 use crate::job::SendOutcome;
+use crate::kept;
 use crate::metrics::Break;
 use crate::metrics::Counter;
 use crate::metrics::Latency;
@@ -55,15 +51,6 @@
 const MAX_QUEUED_PARTS: usize = 32;
 /// The most times that a stream is resumed after a break.
 const MAX_RESUMES: u32 = 3;
-/// How long the end of a stream is held back beyond the request's deadline while its text is being
-/// kept. The caller has all events by then, and giving up would make it repeat the whole turn.
-const KEEP_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The pause between two tries to keep a turn's text.
-const KEEP_RETRY_PAUSE: Duration = Duration::from_millis(50);
-
-/// The texts of the turns that this turn continues from, oldest first.
-type History = Vec<Bytes>;
-
 /// How a stream ended.
 #[derive(Debug)]
 enum End {
@@ -95,22 +82,6 @@
     first_event_at: Option<Instant>,
 }
 
-/// Returns the latest time at which a request with this deadline ends: the end of a kept turn's
-/// stream may be held back beyond the deadline.
-#[must_use]
-pub fn latest_end(route: &Route, deadline: Instant) -> Instant {
-    if is_kept(route) {
-        deadline + KEEP_TIMEOUT
-    } else {
-        deadline
-    }
-}
-
-/// Returns whether a turn's text has to be on disk before the end of its stream is sent.
-fn is_kept(route: &Route) -> bool {
-    route.kind == Kind::Stream && route.keeps_turns
-}
-
 /// Serves a turn.
 pub async fn serve(job: Job, guard: work::Guard) -> Response<Body> {
     let node = job.node.clone();
@@ -186,16 +157,17 @@
 async fn read_history(job: &Job) -> Result<History, Refusal> {
     match &job.call.previous {
         Some(previous) if job.route.keeps_turns => {
-            history::load(&job.node, job.identity.key_of(previous)).await
+            let last = job.identity.key_of(previous);
+            history::load(&job.node, last, job.rank(), job.time_left()).await
         }
-        _ => Ok(Vec::new()),
+        _ => Ok(History::default()),
     }
 }
 
 /// Offers the turn to runners until one answers.
 async fn find_runner(
     job: &Job,
-    history: &[Bytes],
+    history: &History,
     pin: &mut Pin,
     excluded: &mut Vec<String>,
     last_event: Option<u64>,
@@ -217,7 +189,7 @@
             continue;
         };
         let id = runner.id.clone();
-        let mut pieces = history.to_vec();
+        let mut pieces = history.texts.clone();
         pieces.push(job.body.clone());
         let sent = job
             .send(runner, Payload::of(pieces), last_event, job.deadline)
@@ -301,7 +273,7 @@
             if success {
                 crashes::note_completed(job);
             }
-            if success && !keep_turn(job, account, used, &output).await {
+            if success && !kept::keep(job, account, used, &output).await {
                 log_broken(job, &state, Break::Unkept, "the turn couldn't be kept");
                 return;
             }
@@ -311,12 +283,19 @@
             job.node
                 .metrics
                 .record(Latency::Sync, Millis::from(keep_started.elapsed()));
+            let latest = job.latest_end().max(Instant::now());
+            // A caller that has left needs no end.
+            if timeout_at(latest, state.parts.send(Part::End))
+                .await
+                .is_err()
+            {
+                log_broken(job, &state, Break::Late, "the caller didn't read in time");
+                return;
+            }
             job.node.metrics.record(Latency::WholeAnswer, job.age());
             job.node
                 .metrics
                 .count_outcome(Some(job.route.kind), Outcome::Answered);
-            // A caller that has left needs no end.
-            let _gone = state.parts.send(Part::End).await;
             job.log_answered(&state.runner, status, state.events, state.first_event_after);
         }
         End::Broken(why) => {
@@ -337,7 +316,7 @@
 /// Passes events on until the end of the stream, resuming it after breaks if the route allows it.
 async fn forward_stream(
     job: &Job,
-    history: &[Bytes],
+    history: &History,
     state: &mut State,
     reply: Reply,
     attempt: Attempt,
@@ -374,7 +353,7 @@
 /// prompt and another runner would count as a further run; otherwise at another runner.
 async fn resume(
     job: &Job,
-    history: &[Bytes],
+    history: &History,
     state: &mut State,
     attempt: &Attempt,
     why: &str,
@@ -391,7 +370,7 @@
         same_runner.build,
         state.last_event_id
     );
-    let mut pieces = history.to_vec();
+    let mut pieces = history.texts.clone();
     pieces.push(job.body.clone());
     let caller = state.parts.clone();
     let pin = &mut state.pin;
@@ -492,16 +471,31 @@
                 state.output.extend_from_slice(b"\n");
             }
             job.node.metrics.count(Counter::Events);
-            let sent = timeout_at(job.deadline, state.parts.send(Part::Data(event.bytes)));
-            match sent.await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return End::CallerGone,
-                Err(_) => return End::TimedOut,
+            if let Err(end) = send(job, state, event.bytes).await {
+                return end;
             }
         }
     }
 }
 
+/// Queues bytes for the caller. While requests hold all the memory that they may, each stream has only one
+/// part in its queue.
+async fn send(job: &Job, state: &State, bytes: Bytes) -> Result<(), End> {
+    let holdings = &job.node.holdings;
+    let queued = async {
+        if holdings.is_full() {
+            state.parts.reserve_many(MAX_QUEUED_PARTS).await?;
+        }
+        let part = Part::Data(holdings.hold(bytes));
+        state.parts.send(part).await.map_err(|_| SendError(()))
+    };
+    match timeout_at(job.deadline, queued).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) => Err(End::CallerGone),
+        Err(_) => Err(End::TimedOut),
+    }
+}
+
 /// Passes on an answer that isn't a stream of events: a failure of the runner itself.
 async fn forward_body(job: &Job, state: &mut State, reply: Reply) -> End {
     let mut reply = reply;
@@ -513,8 +507,8 @@
         };
         match data {
             Ok(Some(bytes)) => {
-                if state.parts.send(Part::Data(bytes)).await.is_err() {
-                    return End::CallerGone;
+                if let Err(end) = send(job, state, bytes).await {
+                    return end;
                 }
             }
             Ok(None) => return End::Complete,
@@ -523,54 +517,6 @@
     }
 }
 
-/// Keeps a turn's text, then settles its tokens; does nothing if the route doesn't keep turns.
-/// Returns `false`, without settling, if the text has to be kept and could not be.
-async fn keep_turn(job: &Job, account: Option<Account>, used: u32, output: &Bytes) -> bool {
-    if !is_kept(&job.route) {
-        return true;
-    }
-    let key = job.identity.key_of(&job.call.id);
-    let previous = job.call.previous.as_deref();
-    let previous = previous.map(|id| job.identity.key_of(id));
-    let mut text = BytesMut::with_capacity(job.body.len() + output.len());
-    text.extend_from_slice(&job.body);
-    text.extend_from_slice(output);
-    let text = text.freeze();
-    let turn = Turn {
-        key,
-        previous,
-        text: text.clone(),
-    };
-    let deadline = job.deadline.max(Instant::now()) + KEEP_TIMEOUT;
-    loop {
-        let kept = job
-            .node
-            .replicas
-            .apply(key, vec![Record::Turn(turn.clone())]);
-        match timeout_at(deadline, kept).await {
-            Ok(Ok(())) => break,
-            Ok(Err(fault)) => log::warn!(
-                "event=E{} text=\"{}\" request={} program={} fault=\"{fault}\"",
-                Event::TurnNotKept.number(),
-                Event::TurnNotKept.text(),
-                job.call.id,
-                job.call.program.as_deref().unwrap_or_default()
-            ),
-            Err(_) => return false,
-        }
-        if job.node.member_health().is_outage(job.node.clock.now()) {
-            // The partition or outage has lasted longer than a restart of two members takes. The
-            // caller retries sooner if the stream breaks off now than if it waits for an end that
-            // doesn't come.
-            return false;
-        }
-        sleep(KEEP_RETRY_PAUSE).await;
-    }
-    account::settle(job, account, used);
-    job.node.turns().insert(key, text, previous);
-    true
-}
-
 fn log_broken(job: &Job, state: &State, cause: Break, why: &str) {
     job.node
         .metrics
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -86,6 +86,7 @@
     OverLimit = 2206, 429, "the workspace is over its limit";
     OverShare = 2207, 429, "the VM's share of the workspace's limit is used up";
     BuildUnavailable = 2208, 503, "the build that began the stream isn't known or has no endpoint";
+    MemoryTaken = 2209, 503, "requests under way hold all the memory that they may";
     EndpointFailed = 3101, 502, "the endpoint failed";
     Poisoned = 3102, 422, "the request crashed the endpoints that ran it";
     AnswerIncomplete = 3103, 502, "the answer couldn't be completed";
