Refuse long bodies that don't come while others wait for memory

Five callers that announce 4 MB and send nothing take what bodies may have, and all others wait behind the fifth.

Also: the rule by which a stream queues one part while no memory is left has a test of its own (`Holdings::queue`), and `usual_turns_fit_the_smallest_vm` also checks that no turn is refused for memory.

--- a/crates/chestnutyoke/tests/readers.rs
+++ b/crates/chestnutyoke/tests/readers.rs
@@ -331,6 +331,7 @@
 async fn usual_turns_fit_the_smallest_vm(#[case] net: u8, #[case] path: &str) {
     let deployment = Deployment::start(net, HISTORY_TURNS).await;
     hold(&deployment, USUAL_REQUESTS, path, TURN, DEADLINE * 2).await;
+    assert_eq!(deployment.metric("refusals{code=\"CY2209\"}").await, 0);
 }
 
 /// Guards against a VM that runs out of memory because of many long answers, streams, bodies or histories at
@@ -355,3 +356,28 @@
     assert!(refused > 0 || !path.starts_with("/plain"));
     assert_eq!(deployment.metric("request_bytes").await, 0);
 }
+
+/// Guards against a few callers that announce long bodies and send nothing, and so keep the memory for
+/// bodies from all others.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_send_nothing_hold_up_nobody() {
+    let deployment = Deployment::start(0x5b, HISTORY_TURNS).await;
+    let address = SocketAddr::new(deployment.ip, file::CALLERS);
+    let mut silent = Vec::new();
+    for number in 0..5 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let head = format!(
+            "POST /plain/1 HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: s{number}\r\ndeadline-ms: 60000\r\ncontent-length: {LONG_BODY}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        silent.push(stream);
+    }
+    while deployment.metric("requests_without_memory").await == 0 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let caller = deployment.ask("/plain/1", "q", TURN).await.unwrap();
+    let mut caller = caller.unwrap();
+    let mut status = [0; 12];
+    caller.read_exact(&mut status).await.unwrap();
+    assert_eq!(&status, b"HTTP/1.1 200");
+}
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -1,5 +1,6 @@
 //! The arrival of a request: it is read, routed, and accepted or refused.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use policy::memory::Step;
 use policy::prefix;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 use wire::clock::Millis;
@@ -29,6 +31,7 @@
 
 use crate::answer;
 use crate::held::Held;
+use crate::held::Holdings;
 use crate::identity;
 use crate::identity::Access;
 use crate::identity::Identity;
@@ -53,6 +56,14 @@
 /// The smallest limit, in bytes, up to which a refused request's body is read and discarded. Before
 /// a configuration is loaded, it is the only limit.
 const MIN_DISCARD_LIMIT: usize = 4 * 1024 * 1024;
+/// How long a long body may take to arrive while others wait for memory: a fraction of the shortest
+/// deadlines. Otherwise a few callers that send nothing would hold all others up.
+const BODY_TIME: Duration = Duration::from_secs(1);
+/// How often it is checked whether others wait.
+const AWAITED_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// A body is long from the bytes that a claim may have, divided by this, on: a hundred shorter ones hold
+/// nobody up.
+const LONG_BODY_DIVISOR: u64 = 100;
 /// How long the rest of a refused request's body is read.
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(1);
 
@@ -206,6 +217,17 @@
     shutdown::with_send_deadline(node, latest_end, claim).await?
 }
 
+/// Waits until others need the memory of a long body that has had its time to arrive.
+async fn until_awaited(holdings: &Holdings, bytes: u64) {
+    if bytes < holdings.limit() / LONG_BODY_DIVISOR {
+        return pending().await;
+    }
+    sleep(BODY_TIME).await;
+    while !holdings.is_awaited() {
+        sleep(AWAITED_POLL_INTERVAL).await;
+    }
+}
+
 /// Receives a request's body.
 async fn receive(
     node: &Node,
@@ -217,7 +239,15 @@
         Some(_) => routed.table.body_bytes,
         None => usize::try_from(memory.bytes()).unwrap_or(usize::MAX),
     };
-    let read = timeout_at(routed.deadline, body::read(incoming, limit));
+    let read = async {
+        tokio::select! {
+            biased;
+            read = timeout_at(routed.deadline, body::read(incoming, limit)) => read,
+            () = until_awaited(&node.holdings, memory.bytes()) => Ok(Err(body::Fault::Broken(
+                "others wait for the memory of what the caller doesn't send".to_owned(),
+            ))),
+        }
+    };
     let latest_end = kept::latest_end(&routed.route, routed.deadline);
     match shutdown::with_send_deadline(node, latest_end, read).await? {
         Ok(Ok(body)) => Ok(memory.attach(body)),
--- a/crates/relay/src/held.rs
+++ b/crates/relay/src/held.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 
 use bytes::Bytes;
+use link::body::Part;
 use policy::memory::Budget;
 use policy::memory::Claim;
 use policy::memory::Estimate;
@@ -16,6 +17,8 @@
 use policy::memory::Step;
 use policy::memory::Ticket;
 use policy::memory::Verdict;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use wire::clock::Clock;
@@ -161,22 +164,35 @@
         state.answers[at].estimate.note(bytes);
     }
 
-    /// Returns whether requests hold all the bytes that they may, or more.
+    /// Returns whether a claim waits.
     #[must_use]
-    pub fn is_full(&self) -> bool {
-        self.lock().budget.is_full()
+    pub fn is_awaited(&self) -> bool {
+        self.figures().waiting > 0
     }
 
-    /// Holds bytes that have come, until the last copy of them is dropped.
-    #[must_use]
-    pub fn hold(self: &Arc<Self>, bytes: Bytes) -> Bytes {
+    /// Queues bytes that have come, and holds them until their last copy is dropped. While requests hold
+    /// all the bytes that they may, the queue has to be empty first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the receiver is gone.
+    pub async fn queue(
+        self: &Arc<Self>,
+        parts: &mpsc::Sender<Part>,
+        bytes: Bytes,
+    ) -> Result<(), SendError<()>> {
+        let is_full = self.lock().budget.is_full();
+        if is_full {
+            parts.reserve_many(parts.max_capacity()).await?;
+        }
         let held = Held {
             holdings: self.clone(),
             step: Step::Work,
             bytes: 0,
             since: self.clock.now(),
         };
-        held.attach(bytes)
+        let part = Part::Data(held.attach(bytes));
+        parts.send(part).await.map_err(|_| SendError(()))
     }
 
     /// Claims `bytes` and waits for them, at most for `wait`.
--- a/crates/relay/src/held/tests.rs
+++ b/crates/relay/src/held/tests.rs
@@ -79,3 +79,22 @@
     drop(held);
     work(&holdings, 500, Millis::ZERO).await.unwrap();
 }
+
+/// Guards against streams that go on filling their queues while no memory is left.
+#[tokio::test]
+async fn a_stream_queues_one_part_while_no_memory_is_left() {
+    let holdings = holdings();
+    let (parts, mut receiver) = mpsc::channel(4);
+    let event = Bytes::from_static(b"event");
+    for _ in 0..2 {
+        holdings.queue(&parts, event.clone()).await.unwrap();
+    }
+    let mut held = work(&holdings, 500, LONG).await.unwrap();
+    held.resize(TOTAL);
+    let mut queued = Box::pin(holdings.queue(&parts, event.clone()));
+    assert!(poll_once(&mut queued).is_none());
+    receiver.recv().await.unwrap();
+    assert!(poll_once(&mut queued).is_none());
+    receiver.recv().await.unwrap();
+    assert!(poll_once(&mut queued).is_some());
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -13,7 +13,6 @@
 use link::body::Payload;
 use link::client::Reply;
 use tokio::sync::mpsc;
-use tokio::sync::mpsc::error::SendError;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -478,17 +477,9 @@
     }
 }
 
-/// Queues bytes for the caller. While requests hold all the memory that they may, each stream has only one
-/// part in its queue.
+/// Queues bytes for the caller.
 async fn send(job: &Job, state: &State, bytes: Bytes) -> Result<(), End> {
-    let holdings = &job.node.holdings;
-    let queued = async {
-        if holdings.is_full() {
-            state.parts.reserve_many(MAX_QUEUED_PARTS).await?;
-        }
-        let part = Part::Data(holdings.hold(bytes));
-        state.parts.send(part).await.map_err(|_| SendError(()))
-    };
+    let queued = job.node.holdings.queue(&state.parts, bytes);
     match timeout_at(job.deadline, queued).await {
         Ok(Ok(())) => Ok(()),
         Ok(Err(_)) => Err(End::CallerGone),
