--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -1,5 +1,6 @@
 //! The arrival of a request: it is read, routed, and accepted or refused.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,8 +19,10 @@
 use hyper::http::request;
 use link::body;
 use link::body::Body;
+use policy::memory::Step;
 use policy::prefix;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 use wire::clock::Millis;
@@ -27,10 +30,14 @@
 use wire::code::Refusal;
 
 use crate::answer;
+use crate::held::Held;
+use crate::held::Holdings;
 use crate::identity;
 use crate::identity::Access;
 use crate::identity::Identity;
+use crate::job;
 use crate::job::Job;
+use crate::kept;
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::plain;
@@ -49,6 +56,14 @@
 /// The smallest limit, in bytes, up to which a refused request's body is read and discarded. Before
 /// a configuration is loaded, it is the only limit.
 const MIN_DISCARD_LIMIT: usize = 4 * 1024 * 1024;
+/// How long a long body may take to arrive while others wait for memory: a fraction of the shortest
+/// deadlines. Otherwise a few callers that send nothing would hold all others up.
+const BODY_TIME: Duration = Duration::from_secs(1);
+/// How often it is checked whether others wait.
+const AWAITED_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// A body is long from the bytes that a claim may have, divided by this, on: a hundred shorter ones hold
+/// nobody up.
+const LONG_BODY_DIVISOR: u64 = 100;
 /// How long the rest of a refused request's body is read.
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(1);
 
@@ -118,8 +133,9 @@
         if !body_requested && incoming.size_hint().lower() > routed.table.body_bytes as u64 {
             return Err(Refusal::new(Code::BodyTooLarge, ""));
         }
+        let memory = hold_body(node, &routed, &incoming).await?;
         body_requested = true;
-        let body = receive(node, &routed, &mut incoming).await?;
+        let body = receive(node, &routed, &mut incoming, memory).await?;
         // The key may have been taken away while the body was received.
         identify(node, &routed.route, &call)?;
         Ok::<_, Refusal>((routed, body))
@@ -182,19 +198,59 @@
     expected.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
 }
 
+/// Holds the memory for a request's body before it is read; as much as any request may have if its length
+/// isn't known.
+async fn hold_body(
+    node: &Node,
+    routed: &RoutedRequest,
+    incoming: &Incoming,
+) -> Result<Held, Refusal> {
+    let most = routed.table.body_bytes as u64;
+    let bytes = match incoming.size_hint().exact() {
+        Some(bytes) => bytes.min(most),
+        None => most.min(node.holdings.limit()),
+    };
+    let wait = Millis::from(routed.deadline.saturating_duration_since(Instant::now()));
+    let rank = job::rank(&routed.identity, &routed.route);
+    let claim = node.holdings.claim(Step::Arrival, rank, bytes, wait);
+    let latest_end = kept::latest_end(&routed.route, routed.deadline);
+    shutdown::with_send_deadline(node, latest_end, claim).await?
+}
+
+/// Waits until others need the memory of a long body that has had its time to arrive.
+async fn until_awaited(holdings: &Holdings, bytes: u64) {
+    if bytes < holdings.limit() / LONG_BODY_DIVISOR {
+        return pending().await;
+    }
+    sleep(BODY_TIME).await;
+    while !holdings.is_awaited() {
+        sleep(AWAITED_POLL_INTERVAL).await;
+    }
+}
+
 /// Receives a request's body.
 async fn receive(
     node: &Node,
     routed: &RoutedRequest,
     incoming: &mut Incoming,
+    memory: Held,
 ) -> Result<Bytes, Refusal> {
-    let read = timeout_at(
-        routed.deadline,
-        body::read(incoming, routed.table.body_bytes),
-    );
-    let latest_end = stream::latest_end(&routed.route, routed.deadline);
+    let limit = match incoming.size_hint().exact() {
+        Some(_) => routed.table.body_bytes,
+        None => usize::try_from(memory.bytes()).unwrap_or(usize::MAX),
+    };
+    let read = async {
+        tokio::select! {
+            biased;
+            read = timeout_at(routed.deadline, body::read(incoming, limit)) => read,
+            () = until_awaited(&node.holdings, memory.bytes()) => Ok(Err(body::Fault::Broken(
+                "others wait for the memory of what the caller doesn't send".to_owned(),
+            ))),
+        }
+    };
+    let latest_end = kept::latest_end(&routed.route, routed.deadline);
     match shutdown::with_send_deadline(node, latest_end, read).await? {
-        Ok(Ok(body)) => Ok(body),
+        Ok(Ok(body)) => Ok(memory.attach(body)),
         Ok(Err(body::Fault::TooLong)) => Err(Refusal::new(Code::BodyTooLarge, "")),
         Ok(Err(fault)) => Err(Refusal::new(Code::ReadTimeout, &fault.to_string())),
         Err(_) => Err(Refusal::new(Code::ReadTimeout, "")),
@@ -216,7 +272,7 @@
         identity,
     } = find(node, head, call)?;
     let deadline = arrived + time_limit.min(route.timeout).as_duration();
-    shutdown::admit(node, stream::latest_end(&route, deadline))?;
+    shutdown::admit(node, kept::latest_end(&route, deadline))?;
     let admission = admit(node, &route, &identity, call)?;
     Ok(RoutedRequest {
         table,
