Let a VM that has heard all after a restart go on admitting limited work

Cause, from the refusals' counts (all contact:none though all 71 VMs run) and from the model of the fleet: a VM that has just started admits nothing until it has heard all VMs that it knows of, and of no more, for as long as news take. While VMs find their hubs some are counted twice; when what was heard first counts as silent, the number falls by one, or it grows by one, or the pause between exchanges grows with it. Each began the time anew, up to two seconds after the start.

Change: a VM that has joined stays so. It knows what the others sent since their start; if they are cut off from each other then, it admits its part as any VM that doesn't hear all. A smaller number doesn't begin the time anew.

`--test limits`: 28 green, none changed.

--- a/crates/relay/src/usage/contact.rs
+++ b/crates/relay/src/usage/contact.rs
@@ -38,6 +38,8 @@
     older_heard_at: Option<Millis>,
     /// Since when all VMs that are known have been heard; `None` while some aren't.
     complete: Option<Complete>,
+    /// Whether it has heard all VMs for as long as news take, or been told of all, since its start.
+    has_joined: bool,
 }
 
 /// All VMs that are known are heard.
@@ -45,7 +47,8 @@
 struct Complete {
     /// Their number.
     vms: u32,
-    /// The time from which on there were neither more nor fewer of them.
+    /// The time from which on there were no more of them. When all VMs start, some are counted twice at
+    /// first, as they change their hub.
     since: Millis,
 }
 
@@ -103,6 +106,7 @@
             all: None,
             older_heard_at: None,
             complete: None,
+            has_joined: false,
         }
     }
 
@@ -180,13 +184,12 @@
     /// Counts the VMs of all data centres that are heard.
     pub fn count(&mut self, fleet: Fleet, now: Now) -> Count {
         let count = self.count_heard(fleet, now);
-        let known = self.complete.filter(|known| known.vms == count.vms);
-        let begun = Complete {
-            vms: count.vms,
-            since: now.own,
-        };
+        let known = self.complete.filter(|known| known.vms >= count.vms);
         let is_complete = count.heard >= count.vms;
-        self.complete = is_complete.then_some(known.unwrap_or(begun));
+        self.complete = is_complete.then(|| Complete {
+            vms: count.vms,
+            since: known.map_or(now.own, |known| known.since),
+        });
         count
     }
 
@@ -255,11 +258,14 @@
     ///
     /// VMs that have all just started hear each other one by one, and none knows what was sent before. If
     /// they were cut off from each other now, each would go on with the part of the whole limit that those
-    /// have which it heard last.
-    fn is_joining(&self, now: Millis) -> bool {
+    /// have which it heard last. One that has heard all for as long as news take knows what they sent since, and
+    /// doesn't go back for a change of their number: some are counted twice at first, as they change their hub.
+    fn is_joining(&mut self, now: Millis) -> bool {
         let is_stable = |complete: Complete| now.since(complete.since) >= self.lag;
         let is_settled = now.since(self.started_at) >= SETTLING_TIME;
-        self.all.is_none() && !is_settled && !self.complete.is_some_and(is_stable)
+        let is_known = self.all.is_some() || self.complete.is_some_and(is_stable);
+        self.has_joined |= is_known || is_settled;
+        !self.has_joined
     }
 
     /// Returns how this VM hears the others. `then` are the workspace's requests up to the time at which
