--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -5,7 +5,9 @@
 //! may be sent elsewhere even if it must not run twice, and dropping an exchange closes its
 //! connection at once, which is how a runner learns that nobody waits for its response any more.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -26,6 +28,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use crate::body::Payload;
 use crate::socket;
@@ -102,6 +105,50 @@
     pub head: response::Parts,
     /// The body.
     pub body: Body,
+    /// How long it took to establish the connection; `None` if it was a kept one.
+    pub connected_in: Option<Duration>,
+}
+
+/// What became of a request that waits only for some time for a connection.
+#[derive(Debug)]
+pub enum Sent {
+    /// It was answered.
+    Answered(Box<Reply>),
+    /// No byte of it was written, as no connection was established in that time. The attempt may go on.
+    Waiting(Connecting),
+}
+
+/// An attempt to establish a connection, which ends when dropped.
+pub struct Connecting {
+    client: Arc<Client>,
+    address: SocketAddr,
+    attempt: Pin<Box<dyn Future<Output = Result<Established>> + Send>>,
+}
+
+impl fmt::Debug for Connecting {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.debug_struct("Connecting")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Connecting {
+    /// Waits for the connection and keeps it for the next request. Returns how long it took.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be made.
+    pub async fn finish(self) -> Result<Duration> {
+        let established = self.attempt.await?;
+        Ok(self.client.keep(self.address, established))
+    }
+}
+
+/// A new connection, and how long it took to establish it.
+struct Established {
+    connection: Connection,
+    took: Duration,
 }
 
 /// The body of a response. Dropping it before its end closes the connection.
@@ -141,29 +188,83 @@
         address: SocketAddr,
         request: Request<Payload>,
     ) -> Result<Reply> {
+        let request = match self.send_kept(address, request).await {
+            Kept::Answered(reply) => return reply,
+            Kept::Unsent(request) => request,
+        };
+        let established = self.connect(address).await?;
+        self.send_new(address, established, request).await
+    }
+
+    /// The same, but waits only for `first_wait` for a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be made or it breaks off before the headers.
+    pub async fn send_within(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Payload>,
+        first_wait: Duration,
+    ) -> Result<Sent> {
+        let request = match self.send_kept(address, request).await {
+            Kept::Answered(reply) => return reply.map(Box::new).map(Sent::Answered),
+            Kept::Unsent(request) => request,
+        };
+        let client = self.clone();
+        let mut attempt = Box::pin(async move { client.connect(address).await });
+        let Ok(established) = timeout(first_wait, &mut attempt).await else {
+            return Ok(Sent::Waiting(Connecting {
+                client: self.clone(),
+                address,
+                attempt,
+            }));
+        };
+        let sent = self.send_new(address, established?, request).await;
+        sent.map(Box::new).map(Sent::Answered)
+    }
+
+    /// Sends a request on a kept connection, if there is one that is still open.
+    async fn send_kept(self: &Arc<Self>, address: SocketAddr, request: Request<Payload>) -> Kept {
         let mut request = request;
         while let Some(connection) = self.checkout(address) {
             match self.exchange(address, connection, request).await {
-                Ok(reply) => return Ok(reply),
+                Ok(reply) => return Kept::Answered(Ok(reply)),
                 // The pooled connection had been closed and the request was returned unsent.
                 Err((Some(unsent), _)) => request = unsent,
-                Err((None, fault)) => return Err(fault),
+                Err((None, fault)) => return Kept::Answered(Err(fault)),
             }
         }
-        let connection = self.connect(address).await?;
+        Kept::Unsent(request)
+    }
+
+    async fn send_new(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        established: Established,
+        request: Request<Payload>,
+    ) -> Result<Reply> {
+        let Established { connection, took } = established;
         let sent = self.exchange(address, connection, request).await;
-        sent.map_err(|(_, fault)| fault)
+        let mut reply = sent.map_err(|(_, fault)| fault)?;
+        reply.connected_in = Some(took);
+        Ok(reply)
     }
 
-    /// Checks whether a connection can be made, and keeps it for the next request.
+    /// Checks whether a connection can be made, and keeps it for the next request. Returns how long it
+    /// took.
     ///
     /// # Errors
     ///
     /// Fails if no connection can be made.
-    pub async fn probe(&self, address: SocketAddr) -> Result<()> {
-        let connection = self.connect(address).await?;
-        self.checkin(address, connection, self.limits.idle_timeout);
-        Ok(())
+    pub async fn probe(&self, address: SocketAddr) -> Result<Duration> {
+        let established = self.connect(address).await?;
+        Ok(self.keep(address, established))
+    }
+
+    fn keep(&self, address: SocketAddr, established: Established) -> Duration {
+        self.checkin(address, established.connection, self.limits.idle_timeout);
+        established.took
     }
 
     /// Closes the unused connections to the address of a peer that is gone.
@@ -220,15 +321,16 @@
         idle.push(kept);
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection> {
+    async fn connect(&self, address: SocketAddr) -> Result<Established> {
         let not_sent = |text: String| Fault::NotSent(format!("{address}: {text}"));
-        let connected =
-            tokio::time::timeout(self.limits.connect_timeout, TcpStream::connect(address));
+        let began = Instant::now();
+        let connected = timeout(self.limits.connect_timeout, TcpStream::connect(address));
         let stream = match connected.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(fault)) => return Err(not_sent(fault.to_string())),
             Err(_) => return Err(Fault::Silent(address)),
         };
+        let took = began.elapsed();
         if let Err(fault) = socket::prepare(&stream, self.limits.unacked_timeout) {
             log::debug!("setting socket options for {address} failed: {fault}");
         }
@@ -240,7 +342,10 @@
                 log::debug!("connection to {address} ended: {fault}");
             }
         });
-        Ok(Connection { sender, task })
+        Ok(Established {
+            connection: Connection { sender, task },
+            took,
+        })
     }
 
     /// Sends a request on a connection. The error contains the request if it was not written.
@@ -273,10 +378,19 @@
                 address,
                 idle_timeout: self.limits.idle_timeout,
             },
+            connected_in: None,
         })
     }
 }
 
+/// What became of a request that is sent on a kept connection only.
+enum Kept {
+    /// It was sent.
+    Answered(Result<Reply>),
+    /// No kept connection was open.
+    Unsent(Request<Payload>),
+}
+
 impl Body {
     /// Overrides how long the connection is kept unused, for peers that announce their own
     /// time-out.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod prefix;
 pub mod queue;
 pub mod quota;
+pub mod reachability;
 mod rendezvous;
 pub mod retry;
 pub mod slow_start;
--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -44,6 +44,10 @@
         .fleet()
         .note_slowdowns(&received.origin, &received.slowdowns, now);
     node.metrics.add(Counter::SlowdownsHeard, taken);
+    let taken = node
+        .fleet()
+        .note_silences(&received.origin, &received.silences, now);
+    node.metrics.add(Counter::SilencesHeard, taken);
     if let Some(report) = &received.limits {
         let process = proof.stamp.map_or(0, |stamp| stamp.process);
         node.usage().note(&received.origin, process, report, now);
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -7,11 +7,13 @@
 mod health;
 pub mod load;
 pub mod runner;
+pub mod silence;
 pub mod slowdown;
 mod subset;
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use adapter::config::Engine;
 use adapter::header::Call;
@@ -28,6 +30,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::runner::Runner;
+use crate::fleet::silence::CentrePath;
 use crate::tally::Origin;
 use crate::tally::Tally;
 
@@ -50,6 +53,8 @@
     runners: Vec<Runner>,
     /// The first parts of recent prompts by service, sorted by the services' names.
     demand: Vec<(String, Demands)>,
+    /// How long connections take, sorted by data centre.
+    paths: Vec<CentrePath>,
 }
 
 /// The first parts of a service's recent prompts.
@@ -163,6 +168,11 @@
     pub slowdown: Option<Reading>,
     /// Whether the runner is a home of the request's program.
     pub placement: Placement,
+    /// How long the request waits for a new connection before it goes elsewhere; `None` if that is as long
+    /// as an attempt may take.
+    pub first_wait: Option<Duration>,
+    /// The suspected runner that would have been chosen.
+    pub passed_over: Option<String>,
 }
 
 /// The effect of a change of a runner's entry.
--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -113,7 +113,21 @@
         if usable.iter().any(preferred) {
             usable.retain(preferred);
         }
-        let usable = subset::used(request.vm, request.centre, &usable, MAX_USED);
+        let first = self.place(request, &usable)?;
+        let trusted = self.trusted(&usable, request.now);
+        if trusted.is_empty() || trusted.iter().any(|runner| runner.id == first.id) {
+            return Some(first);
+        }
+        let placed = self.place(request, &trusted)?;
+        Some(Choice {
+            passed_over: Some(first.id),
+            ..placed
+        })
+    }
+
+    /// Places a request at one of some runners.
+    fn place(&self, request: &Request<'_>, runners: &[&Runner]) -> Option<Choice> {
+        let usable = subset::used(request.vm, request.centre, runners, MAX_USED);
         let pace = self.median_pace(request);
         let usable_runners = usable.iter();
         let mut candidates: Vec<Candidate> = usable_runners
@@ -145,6 +159,11 @@
             candidates: candidates.len(),
             slowdown: runner.slowdown(),
             placement: placement(homes.as_ref(), choice.index),
+            first_wait: match candidates.len() {
+                0 | 1 => None,
+                _ => self.first_wait(runner),
+            },
+            passed_over: None,
         })
     }
 
--- a/crates/relay/src/fleet/health.rs
+++ b/crates/relay/src/fleet/health.rs
@@ -46,14 +46,18 @@
     }
 
     /// Returns the runners of a data centre that count as reachable but haven't answered for
-    /// `QUIET_AFTER`.
-    #[must_use]
-    pub fn quiet_runners(&self, centre: &str, now: Millis) -> Vec<Target> {
-        let quiet = self.runners.iter().filter(|runner| {
+    /// `QUIET_AFTER`, to be probed now. Until these probes end, they get requests only if there are no
+    /// others.
+    pub fn probe_quiet(&mut self, centre: &str, now: Millis) -> Vec<Target> {
+        let quiet = self.runners.iter_mut().filter(|runner| {
             runner.entry.centre == centre
                 && !runner.unreachable
                 && now.since(runner.last_contact) >= QUIET_AFTER
         });
-        quiet.map(Runner::target).collect()
+        let probed = quiet.map(|runner| {
+            runner.note_attempt(now);
+            runner.target()
+        });
+        probed.collect()
     }
 }
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -16,7 +16,9 @@
 
 use crate::fleet::Request;
 use crate::fleet::health;
+use crate::fleet::silence;
 use crate::fleet::slowdown;
+use crate::node::CONNECT_TIMEOUT;
 use crate::tally;
 
 /// Prompt tokens that an engine reads in the time in which it generates one token. The ratio is
@@ -51,6 +53,8 @@
     pub(super) shares_machine: bool,
     /// How fast its machine is, as read last by any VM.
     pub(super) slowdown: slowdown::Known,
+    /// Whether it is silent, as found by any VM.
+    pub(super) silence: silence::Known,
     /// Hash of the id, by which runners are ranked.
     pub(super) id_hash: u64,
     /// Memory of its engine in tokens; 0 for plain services.
@@ -102,6 +106,7 @@
             load: None,
             shares_machine: false,
             slowdown: slowdown::Known::default(),
+            silence: silence::Known::default(),
             prompt_cache: Cache::new(memory_tokens),
             pace: Mean::default(),
             unreachable: false,
@@ -226,6 +231,7 @@
     /// Records that an answer came.
     pub fn note_answer(&mut self, now: Millis) {
         self.last_contact = now;
+        self.silence.knowledge.note_reached(now);
         self.broken_requests = 0;
         self.held_off_until = Millis::ZERO;
     }
@@ -238,9 +244,17 @@
     /// Records that a connection was made. Returns whether the runner was unreachable before.
     pub fn note_reachable(&mut self, now: Millis) -> bool {
         self.last_contact = now;
+        self.silence.knowledge.note_reached(now);
         std::mem::replace(&mut self.unreachable, false)
     }
 
+    /// Records that an attempt to connect has been under way since `since` and may fail. Until it ends, the
+    /// runner gets requests only if there is no other.
+    pub(super) fn note_attempt(&mut self, since: Millis) {
+        let until = since.plus(Millis::from(CONNECT_TIMEOUT));
+        self.silence.knowledge.begin_attempt(since, until);
+    }
+
     /// Records that a different runner answered at the address.
     pub fn note_address_taken(&mut self, now: Millis) {
         self.address_taken_until = now.plus(ADDRESS_TAKEN_PAUSE);
--- a/crates/relay/src/fleet/slowdown.rs
+++ b/crates/relay/src/fleet/slowdown.rs
@@ -21,7 +21,7 @@
 const MAX_TOLD: usize = 128;
 /// What a message takes on its way at most, as a rule. Without it, a VM that hears its own reading
 /// again would take it for a newer one.
-const MESSAGE_TIME: Millis = Millis::new(5);
+pub(super) const MESSAGE_TIME: Millis = Millis::new(5);
 
 /// A reading as VMs tell it. Encoded by position, so the order of fields must not change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,7 +50,7 @@
     clippy::cast_possible_truncation,
     reason = "two runners of the same hash would only take each other's readings"
 )]
-const fn short_hash(id_hash: u64) -> u32 {
+pub(super) const fn short_hash(id_hash: u64) -> u32 {
     id_hash as u32
 }
 
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -1,4 +1,5 @@
 mod choices;
+mod silences;
 
 use adapter::config::Engine;
 use adapter::runner::Entry;
@@ -281,7 +282,7 @@
     let unreachable = fleet
         .note_unreachable("i-0", NOW)
         .expect("it was reachable");
-    let quiet = fleet.quiet_runners(&unreachable.centre, NOW.plus(Millis::new(100)));
+    let quiet = fleet.probe_quiet(&unreachable.centre, NOW.plus(Millis::new(100)));
     let ids: Vec<&str> = quiet.iter().map(|target| target.id.as_str()).collect();
     assert_eq!(ids, ["i-2"]);
 }
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -18,6 +18,7 @@
 use link::body::Payload;
 use link::client;
 use link::client::Reply;
+use link::client::Sent;
 use policy::prefix;
 use policy::slowdown::Reading;
 use policy::standing;
@@ -221,7 +222,14 @@
             },
             now: self.node.clock.now(),
         };
-        self.node.fleet().choose(&request)
+        let chosen = self.node.fleet().choose(&request);
+        let passed_over = chosen
+            .as_ref()
+            .and_then(|chosen| chosen.passed_over.as_ref());
+        if let Some(suspected) = passed_over {
+            reachability::check_told(&self.node, suspected);
+        }
+        chosen
     }
 
     /// Returns whether a runner that broke a stream off may be asked to resume it, as far as this VM knows:
@@ -265,12 +273,18 @@
             Ok(uri) => *request.uri_mut() = uri,
             Err(fault) => return SendOutcome::Unknown(format!("the path isn't a URI: {fault}")),
         }
-        let sent = self.node.runner_client.send(runner.address, request);
-        let Ok(sent) = timeout_at(deadline, sent).await else {
+        let since = self.node.clock.now();
+        let Ok(sent) = timeout_at(deadline, self.send_to(runner, request)).await else {
             return SendOutcome::TimedOut;
         };
         match sent {
-            Ok(reply) => self.classify_reply(reply, attempt).await,
+            Ok(Sent::Answered(reply)) => self.classify_reply(*reply, attempt).await,
+            Ok(Sent::Waiting(connecting)) => {
+                let id = &attempt.runner.id;
+                reachability::note_slow(&self.node, id, since, connecting);
+                self.log_retry(id, "a connection takes long");
+                SendOutcome::NotRun
+            }
             Err(client::Fault::Broken(why)) => {
                 let runner = &attempt.runner;
                 crashes::note_break(self, runner);
@@ -286,6 +300,25 @@
         }
     }
 
+    async fn send_to(
+        &self,
+        runner: &fleet::Choice,
+        request: Request<Payload>,
+    ) -> client::Result<Sent> {
+        let client = &self.node.runner_client;
+        match runner.first_wait {
+            Some(first_wait) => {
+                client
+                    .send_within(runner.address, request, first_wait)
+                    .await
+            }
+            None => {
+                let reply = client.send(runner.address, request).await?;
+                Ok(Sent::Answered(Box::new(reply)))
+            }
+        }
+    }
+
     /// Records that a runner broke its answer off. It may have crashed, or only failed.
     pub fn note_answer_broken(&self, runner: &fleet::Choice) {
         crashes::note_break(self, runner);
@@ -378,6 +411,10 @@
             let span = Millis::new(span.as_u64().saturating_sub(1_000)).min(MAX_IDLE_TIME);
             reply.body.set_idle_timeout(span.as_duration());
         }
+        if let Some(took) = reply.connected_in {
+            let id = &attempt.runner.id;
+            self.node.fleet().note_connected(id, took);
+        }
         if let Some(runner) = self.node.fleet().runner(&attempt.runner.id) {
             runner.note_answer(now);
             if let Some(load) = answer_headers.load {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -67,6 +67,9 @@
     TurnsLate = "turns_late", "turns of scarce services that were sent when their program was late";
     Blamed = "crashes_blamed", "crashes of runners for which this VM blamed a content";
     SlowdownsHeard = "slowdowns_heard", "readings of how fast a runner's machine is that other VMs told";
+    SilencesHeard = "silences_heard", "reports of other VMs that a runner is silent or was reached again";
+    RunnersChecked = "runners_checked", "checks of runners that other VMs found silent";
+    ConnectsSlow = "connects_slow", "requests that went to another runner as a connection took long";
     ConfigsDropped = "revisions_dropped", "configurations that couldn't be taken";
 }
 
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -51,7 +51,7 @@
 /// within the time in which a configuration has to be in force.
 pub const STORE_TIMEOUT: Millis = Millis::new(900);
 /// Timeout for connecting to a runner or VM. Data centres are a few milliseconds apart.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long sent bytes may stay unacknowledged before the connection counts as dead. Longer than
 /// two retransmissions of a packet (after 0.2 and 0.4 s). In a partition, requests on kept
 /// connections hang for this long before the failure is noticed.
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -4,15 +4,24 @@
 //! and the outcome of a request on a kept connection stays unknown. So a runner to which a
 //! connection broke is retried by probes instead of requests. If it doesn't answer at all, the
 //! other runners of its data centre are probed at once, because they often share the cause.
+//!
+//! A runner to which a connection takes long, or that another VM found silent, is checked beside the
+//! requests, which go elsewhere meanwhile; see [`policy::reachability`].
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use link::client::Connecting;
 use link::client::Fault;
+use link::client::Result;
+use wire::clock::Millis;
 use wire::event::Event;
 
 use crate::crashes;
 use crate::fleet::runner::Target;
+use crate::fleet::silence::Why;
+use crate::metrics::Counter;
 use crate::node::Node;
 
 /// Records that a connection to a runner failed or broke, and probes the runner. Closes the other
@@ -23,6 +32,68 @@
     }
 }
 
+/// Takes over an attempt to connect to a runner that has been slow since `since`. Its request goes
+/// elsewhere.
+pub fn note_slow(node: &Arc<Node>, id: &str, since: Millis, connecting: Connecting) {
+    node.metrics.count(Counter::ConnectsSlow);
+    let now = node.clock.now();
+    let Some(target) = node.fleet().note_slow(id, since, now) else {
+        return;
+    };
+    log_suspected(&target, Why::Slow);
+    let node = node.clone();
+    tokio::spawn(async move {
+        let result = connecting.finish().await;
+        end_check(node, target, since, result).await;
+    });
+}
+
+/// Checks a runner that other VMs found silent and that would have got a request, unless a check is under
+/// way.
+pub fn check_told(node: &Arc<Node>, id: &str) {
+    let since = node.clock.now();
+    let Some(target) = node.fleet().begin_check(id, since) else {
+        return;
+    };
+    node.metrics.count(Counter::RunnersChecked);
+    log_suspected(&target, Why::Told);
+    let node = node.clone();
+    tokio::spawn(async move {
+        let result = node.runner_client.probe(target.address).await;
+        end_check(node, target, since, result).await;
+    });
+}
+
+fn log_suspected(target: &Target, why: Why) {
+    log::info!(
+        "event=E{} text=\"{}\" runner={} centre={} why={}",
+        Event::EndpointSuspected.number(),
+        Event::EndpointSuspected.text(),
+        target.id,
+        target.centre,
+        why.name()
+    );
+}
+
+/// Ends the suspicion of a runner with the outcome of an attempt to connect that began at `since`.
+async fn end_check(node: Arc<Node>, target: Target, since: Millis, result: Result<Duration>) {
+    match settle(&node, &target, since, result) {
+        Outcome::Connected => log::info!(
+            "event=E{} text=\"{}\" runner={} centre={} ms={}",
+            Event::EndpointCleared.number(),
+            Event::EndpointCleared.text(),
+            target.id,
+            target.centre,
+            node.clock.now().since(since).as_u64()
+        ),
+        outcome @ (Outcome::Refused | Outcome::Silent) => {
+            if mark_unreachable(&node, &target.id, target.address).is_some() {
+                probe_neighbours(node, target, outcome).await;
+            }
+        }
+    }
+}
+
 /// Marks a runner as unreachable. If it was reachable before, logs that and returns the address to
 /// probe.
 fn mark_unreachable(node: &Node, id: &str, address: SocketAddr) -> Option<Target> {
@@ -57,10 +128,15 @@
     tokio::spawn(async move { probe(&node, &target).await });
 }
 
-/// Probes a runner whose connection broke. If nothing answers, probes the quiet runners of its data
-/// centre as well.
+/// Probes a runner whose connection broke, and its neighbours if nothing answers.
 async fn probe_and_neighbours(node: Arc<Node>, target: Target) {
-    match probe(&node, &target).await {
+    let outcome = probe(&node, &target).await;
+    probe_neighbours(node, target, outcome).await;
+}
+
+/// Probes the quiet runners of the data centre of one that didn't answer an attempt to connect.
+async fn probe_neighbours(node: Arc<Node>, target: Target, outcome: Outcome) {
+    match outcome {
         Outcome::Connected => return,
         Outcome::Refused => {
             log::info!(
@@ -75,7 +151,7 @@
         Outcome::Silent => {}
     }
     let now = node.clock.now();
-    let neighbours = node.fleet().quiet_runners(&target.centre, now);
+    let neighbours = node.fleet().probe_quiet(&target.centre, now);
     log::info!(
         "event=E{} text=\"{}\" runner={} centre={} tried={}",
         Event::EndpointSilent.number(),
@@ -104,12 +180,20 @@
 }
 
 async fn probe(node: &Arc<Node>, target: &Target) -> Outcome {
-    match node.runner_client.probe(target.address).await {
-        Ok(()) => {
+    let since = node.clock.now();
+    let result = node.runner_client.probe(target.address).await;
+    settle(node, target, since, result)
+}
+
+/// Records the outcome of an attempt to connect to a runner that began at `since`.
+fn settle(node: &Arc<Node>, target: &Target, since: Millis, result: Result<Duration>) -> Outcome {
+    match result {
+        Ok(took) => {
             crashes::note_connected(node, &target.id);
             let now = node.clock.now();
             let was_unreachable = {
                 let mut fleet = node.fleet();
+                fleet.note_connected(&target.id, took);
                 let runner = fleet.runner(&target.id);
                 runner.is_some_and(|runner| runner.note_reachable(now))
             };
@@ -127,7 +211,11 @@
         Err(fault) => {
             log::debug!("runner {}: {fault}", target.id);
             match fault {
-                Fault::Silent(_) => Outcome::Silent,
+                Fault::Silent(_) => {
+                    let now = node.clock.now();
+                    node.fleet().note_silent(&target.id, since, now);
+                    Outcome::Silent
+                }
                 Fault::NotSent(_) | Fault::Broken(_) => {
                     crashes::note_refused(node, &target.id);
                     Outcome::Refused
--- a/crates/relay/tests/standing.rs
+++ b/crates/relay/tests/standing.rs
@@ -46,6 +46,8 @@
         candidates: 1,
         slowdown: None,
         placement: fleet::Placement::Unassigned,
+        first_wait: None,
+        passed_over: None,
     }
 }
 
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -85,6 +85,8 @@
     EndpointSilent = 5009, "nothing answers at an endpoint";
     EndpointRefuses = 5010, "an endpoint refuses connections";
     EntriesTaken = 5011, "endpoints' entries taken over";
+    EndpointSuspected = 5012, "endpoint may be silent";
+    EndpointCleared = 5013, "endpoint isn't silent";
 }
 
 impl fmt::Display for Event {
