Lock the runners once for a message to another VM

Cause: two guards in one struct expression are held until its end, so each message waited for itself for ever. relay/tests/silences hung on it (17 minutes, no processor time) before this change.

--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -303,11 +303,17 @@
         }
         Scope::Own | Scope::Centre => node.fleet().tallies(now, &speaks_for),
     };
+    // Locked once: in the value below, two guards would be held at the same time.
+    let (slowdowns, silences) = {
+        let fleet = node.fleet();
+        let silences = fleet.silences(now, &speaks_for);
+        (fleet.slowdowns(now, &speaks_for), silences)
+    };
     Figures {
         origin,
         tallies,
-        slowdowns: node.fleet().slowdowns(now, &speaks_for),
-        silences: node.fleet().silences(now, &speaks_for),
+        slowdowns,
+        silences,
         limits: node.usage().report(scope, fleet, &speaks_for, now),
     }
 }
