--- a/crates/link/tests/first_wait.rs
+++ b/crates/link/tests/first_wait.rs
@@ -60,6 +60,8 @@
     });
     let took = timeout(LONG, connecting.finish()).await;
     assert!(took.expect("in time").expect("a connection") >= FIRST_WAIT);
+    // Its task has to run once before the connection can be used.
+    tokio::task::yield_now().await;
     let sent = client.send_within(address, request(), LONG);
     let sent = timeout(LONG, sent).await.expect("in time");
     let Ok(Sent::Answered(reply)) = sent else {
