--- a/crates/policy/tests/silences.rs
+++ b/crates/policy/tests/silences.rs
@@ -21,7 +21,7 @@
 const CENTRES: usize = 3;
 const TURNS_PER_MS: f64 = 0.7;
 /// What a connection takes.
-const CONNECT_MS: u64 = 4;
+const CONNECT_MS: u32 = 4;
 const TIMEOUT_MS: u64 = 250;
 /// After which a request on a kept connection breaks.
 const UNACKED_MS: u64 = 650;
@@ -194,7 +194,8 @@
                 let moves = self.fault == Fault::Centre
                     && vm % CENTRES == CENTRES - 1
                     && (WARM_MS + MOVED_MS..WARM_MS + FAULT_MS).contains(&now);
-                let vm = if moves { vm - 1 - now as usize % 2 } else { vm };
+                let other = 1 + usize::from(now % 2 == 1);
+                let vm = if moves { vm - other } else { vm };
                 self.at(
                     now,
                     Event::Turn {
@@ -234,6 +235,11 @@
         self.outcome
     }
 
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "some milliseconds"
+    )]
     fn turn(&mut self, vm: usize, tries: u32, lost: u64, now: u64) {
         let Some(endpoint) = self.choose(vm, now) else {
             return;
@@ -243,7 +249,7 @@
         if up {
             self.reach(vm, endpoint, now);
             if !is_kept {
-                self.paths[vm].note(CONNECT_MS as f64);
+                self.paths[vm].note(f64::from(CONNECT_MS));
             }
             self.outcome.turns += 1;
             self.outcome.lost_ms += lost;
@@ -319,7 +325,7 @@
         let known = &mut self.views[vm][endpoint].knowledge;
         known.begin_attempt(millis(now), until);
         let ends = if self.fault.is_up(vm, endpoint, now) {
-            now + CONNECT_MS
+            now + u64::from(CONNECT_MS)
         } else {
             now + TIMEOUT_MS
         };
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -123,7 +123,7 @@
 #[derive(Debug)]
 pub enum SendOutcome {
     /// The runner answered; the answer is passed on whatever its status is.
-    Answered(Box<Reply>, Attempt),
+    Answered(Box<Reply>, Box<Attempt>),
     /// The runner has not run the request and never will.
     NotRun,
     /// The runner may have run the request; holds the reason for the failure.
@@ -306,17 +306,12 @@
         request: Request<Payload>,
     ) -> client::Result<Sent> {
         let client = &self.node.runner_client;
-        match runner.first_wait {
-            Some(first_wait) => {
-                client
-                    .send_within(runner.address, request, first_wait)
-                    .await
-            }
-            None => {
-                let reply = client.send(runner.address, request).await?;
-                Ok(Sent::Answered(Box::new(reply)))
-            }
+        if let Some(first_wait) = runner.first_wait {
+            let sent = client.send_within(runner.address, request, first_wait);
+            return sent.await;
         }
+        let reply = client.send(runner.address, request).await?;
+        Ok(Sent::Answered(Box::new(reply)))
     }
 
     /// Records that a runner broke its answer off. It may have crashed, or only failed.
@@ -434,7 +429,7 @@
         let wrong_runner = reply.head.status.as_u16() == 421;
         if !answer_headers.not_run && !wrong_runner {
             self.record_status(reply.head.status, &attempt);
-            return SendOutcome::Answered(Box::new(reply), attempt);
+            return SendOutcome::Answered(Box::new(reply), Box::new(attempt));
         }
         self.node.metrics.count(Counter::TurnedAway);
         if let Some(runner) = self.node.fleet().runner(&attempt.runner.id) {
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -123,7 +123,7 @@
         let deadline = attempt_deadline(job, may_retry);
         let why = match job.send(runner, payload, None, deadline).await {
             SendOutcome::Answered(reply, attempt) => {
-                match read_answer(job, *reply, attempt, deadline).await {
+                match read_answer(job, *reply, *attempt, deadline).await {
                     Ok(response) => return Ok(response),
                     Err(why) => why,
                 }
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -44,7 +44,7 @@
     let node = node.clone();
     tokio::spawn(async move {
         let result = connecting.finish().await;
-        end_check(node, target, since, result).await;
+        end_check(&node, &target, since, result);
     });
 }
 
@@ -60,7 +60,7 @@
     let node = node.clone();
     tokio::spawn(async move {
         let result = node.runner_client.probe(target.address).await;
-        end_check(node, target, since, result).await;
+        end_check(&node, &target, since, result);
     });
 }
 
@@ -76,8 +76,8 @@
 }
 
 /// Ends the suspicion of a runner with the outcome of an attempt to connect that began at `since`.
-async fn end_check(node: Arc<Node>, target: Target, since: Millis, result: Result<Duration>) {
-    match settle(&node, &target, since, result) {
+fn end_check(node: &Arc<Node>, target: &Target, since: Millis, result: Result<Duration>) {
+    match settle(node, target, since, result) {
         Outcome::Connected => log::info!(
             "event=E{} text=\"{}\" runner={} centre={} ms={}",
             Event::EndpointCleared.number(),
@@ -87,8 +87,8 @@
             node.clock.now().since(since).as_u64()
         ),
         outcome @ (Outcome::Refused | Outcome::Silent) => {
-            if mark_unreachable(&node, &target.id, target.address).is_some() {
-                probe_neighbours(node, target, outcome).await;
+            if mark_unreachable(node, &target.id, target.address).is_some() {
+                probe_neighbours(node, target, outcome);
             }
         }
     }
@@ -131,11 +131,11 @@
 /// Probes a runner whose connection broke, and its neighbours if nothing answers.
 async fn probe_and_neighbours(node: Arc<Node>, target: Target) {
     let outcome = probe(&node, &target).await;
-    probe_neighbours(node, target, outcome).await;
+    probe_neighbours(&node, &target, outcome);
 }
 
 /// Probes the quiet runners of the data centre of one that didn't answer an attempt to connect.
-async fn probe_neighbours(node: Arc<Node>, target: Target, outcome: Outcome) {
+fn probe_neighbours(node: &Arc<Node>, target: &Target, outcome: Outcome) {
     match outcome {
         Outcome::Connected => return,
         Outcome::Refused => {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -223,7 +223,7 @@
             .send(runner, Payload::of(pieces), last_event, job.deadline)
             .await;
         match sent {
-            SendOutcome::Answered(reply, attempt) => return Ok((*reply, attempt)),
+            SendOutcome::Answered(reply, attempt) => return Ok((*reply, *attempt)),
             SendOutcome::NotRun => excluded.push(id),
             SendOutcome::Unknown(why) => {
                 possible_runs += 1;
@@ -405,7 +405,7 @@
                 .send(same_runner, Payload::of(pieces), last_event, job.deadline)
                 .await;
             if let SendOutcome::Answered(reply, attempt) = sent {
-                return Ok((*reply, attempt));
+                return Ok((*reply, *attempt));
             }
         }
         find_runner(job, history, pin, &mut excluded, last_event).await
