--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -126,7 +126,7 @@
         let deadline = attempt_deadline(job, may_retry);
         let why = match job.send(runner, payload, None, deadline).await {
             SendOutcome::Answered(reply, attempt) => {
-                match read_answer(job, *reply, attempt, deadline, &mut memory).await {
+                match read_answer(job, *reply, *attempt, deadline, &mut memory).await {
                     Ok(response) => return Ok(response),
                     Err(why) => why,
                 }
