Show the states of processes and threads if a test with a fleet fails

programs_of_a_silent_centre_are_refused_and_kept was red once: both VMs of the silent data centre logged nothing for 60 s after SIGCONT. Nothing told whether they were still stopped or hung. A failing test now prints, beside the last lines of each VM's log, each thread's state, pending signals and the kernel's call that it waits in. Nothing is eased.

Ruled out by reading: a full pipe (the harness gives VMs a file for both outputs), and a signal that wasn't sent (kill's status is asserted). The cause isn't found; the line in KNOWN-RED.txt stays.

--- a/crates/chestnutyoke/tests/harness/fleet.rs
+++ b/crates/chestnutyoke/tests/harness/fleet.rs
@@ -295,6 +295,7 @@
             let last = lines.len().saturating_sub(60);
             eprintln!("--- {} ({})", node.name, node.log.display());
             eprintln!("{}", lines[last..].join("\n"));
+            eprintln!("{}", node.process.states());
         }
     }
 }
--- a/crates/chestnutyoke/tests/harness/process.rs
+++ b/crates/chestnutyoke/tests/harness/process.rs
@@ -1,5 +1,6 @@
 //! A process of the harness, and the signals that tests send it.
 
+use std::fs;
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::io::BufRead;
@@ -83,6 +84,22 @@
         assert!(sent.unwrap().success(), "{signal:?} wasn't sent");
     }
 
+    /// Returns the states of the process and its threads, a line each: the letter that `ps` shows and the call
+    /// of the kernel that a thread waits in.
+    pub fn states(&self) -> String {
+        let folder = format!("/proc/{}/task", self.0.id());
+        let threads = fs::read_dir(folder).into_iter().flatten().flatten();
+        let states = threads.map(|thread| {
+            let read = |file| fs::read_to_string(thread.path().join(file)).unwrap_or_default();
+            let status = read("status");
+            let line = |name| status.lines().find(|line| line.starts_with(name));
+            let fields =
+                ["Name:", "State:", "SigPnd:", "ShdPnd:"].map(|name| line(name).unwrap_or(name));
+            format!("{} wchan: {}\n", fields.join(" "), read("wchan"))
+        });
+        states.collect()
+    }
+
     /// Kills the process and waits until it has ended.
     pub fn kill(&mut self) {
         let _gone = self.0.kill();
