--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -16,8 +16,6 @@
 //! - What is told is some hundred milliseconds old. Once the other VMs get more requests in that time
 //!   than are left of the limit, each VM admits only so large a part of its requests that all together
 //!   admit what is left ([`Demand`]).
-//! - Callers that had paused aren't part of what was told. Beyond its news a VM admits no more than its part
-//!   of what was left then ([`Untold`]).
 //!
 //! A program earns nothing unless all of its requests are served, so each one that is begun and not
 //! finished uses up requests of the limit for nothing. Served in the order of their arrival, callers
@@ -31,12 +29,9 @@
 use wire::clock::Millis;
 
 use crate::quota::slots::Slots;
-use crate::quota::untold::Pool;
-use crate::quota::untold::Untold;
 
 pub mod programs;
 pub mod slots;
-pub mod untold;
 
 /// How much of the limit the requests of a window and those that are still expected may take up for
 /// a program to begin, as a percentage. Some of what is expected comes when the earliest requests have
@@ -85,20 +80,6 @@
         self.slots.add(number, 1);
     }
 
-    /// Returns the number of events from a time in the window on, and of at most one slot before it.
-    pub fn count_since(&mut self, from: Millis, now: Millis) -> u32 {
-        self.count_between(from, now.plus(self.span), now)
-    }
-
-    /// Returns the number of events of a span in the window, in whole slots.
-    pub fn count_between(&mut self, from: Millis, until: Millis, now: Millis) -> u32 {
-        self.advance(now);
-        let first = slots::number(from, self.span);
-        let end = slots::number(until, self.span);
-        let numbers = self.slots.numbers().filter(|at| (first..end).contains(at));
-        numbers.map(|number| self.slots.count(number)).sum()
-    }
-
     /// Returns the number of events of the last window, and of at most one slot before it.
     pub fn count(&mut self, now: Millis) -> u32 {
         self.advance(now);
@@ -205,8 +186,6 @@
     pub contact: Contact,
     /// For how long the VMs together have counted, up to the window.
     pub counted_for: Millis,
-    /// Those of this VM that the others may not know of.
-    pub untold: Untold,
 }
 
 impl fmt::Display for Usage {
@@ -297,17 +276,6 @@
     let presumed = presumed(limit, usage.demand, usage.counted_for);
     let used = u64::from(usage.own) + u64::from(usage.others) + presumed;
     let left = bound.saturating_sub(used);
-    let pool = Pool {
-        bound,
-        used: used - presumed,
-        asked_of_others: usage.demand.others,
-        heard: match usage.contact {
-            Contact::Partial { heard, .. } => heard,
-            Contact::Kept | Contact::None => usage.untold.vms,
-        },
-        counted_for: usage.counted_for,
-    };
-    let has_room = usage.untold.has_room(limit, &pool, draws.lot);
     let is_drawn = draws.request < usage.demand.admitted_per_mille(left);
     let is_within = match step {
         Step::Continues => is_drawn,
@@ -318,14 +286,10 @@
             is_drawn && (usage.pressure == Pressure::Low || fits || expected < always)
         }
     };
-    if is_within && has_room {
+    if is_within {
         return Verdict::Admit;
     }
-    let wait = if is_within {
-        MAX_RETRY
-    } else {
-        retry_after(used, bound, window)
-    };
+    let wait = retry_after(used, bound, window);
     if is_share {
         Verdict::OverShare(wait)
     } else {
--- a/crates/policy/src/quota/tests.rs
+++ b/crates/policy/src/quota/tests.rs
@@ -13,8 +13,6 @@
 use super::Verdict;
 use super::Window;
 use super::decide;
-use super::untold::News;
-use super::untold::Untold;
 
 const WINDOW: Millis = Millis::new(5_000);
 
@@ -36,12 +34,6 @@
         pressure: Pressure::High,
         contact: Contact::Kept,
         counted_for: WINDOW,
-        untold: Untold {
-            admitted: 0,
-            asked: 0,
-            news: News::Recent,
-            vms: 1,
-        },
     }
 }
 
--- a/crates/policy/tests/quotas.rs
+++ b/crates/policy/tests/quotas.rs
@@ -12,8 +12,6 @@
 use policy::quota::Verdict;
 use policy::quota::Window;
 use policy::quota::programs::Programs;
-use policy::quota::untold::News;
-use policy::quota::untold::Untold;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -114,7 +112,7 @@
         order,
         draws: ChaCha8Rng::seed_from_u64(seed),
         own: vec![Window::new(LIMIT.window); VMS],
-        asked: vec![Window::new(Millis::new(2_000)); VMS],
+        asked: vec![Window::new(Millis::new(1_000)); VMS],
         begun: vec![Programs::default(); VMS],
         pressed_until: vec![Millis::ZERO; VMS],
         history: Vec::new(),
@@ -143,7 +141,7 @@
         let counts = self.own.iter_mut().zip(&mut self.asked).zip(&self.begun);
         let counts = counts.map(|((window, asked), begun)| Count {
             admitted: window.count(at),
-            asked: asked.count_since(before(at, 1_000), at),
+            asked: asked.count(at),
             pending: begun.pending(at),
         });
         self.history.push(counts.collect());
@@ -205,17 +203,6 @@
         }
     }
 
-    /// Returns what the others don't know of a VM.
-    fn untold(&mut self, vm: usize, at: Millis) -> Untold {
-        let news_at = before(at, LAG_MS);
-        Untold {
-            admitted: self.own[vm].count_since(news_at, at),
-            asked: self.asked[vm].count_between(before(news_at, 1_000), news_at, at),
-            news: News::Recent,
-            vms: u32::try_from(VMS).expect("some dozens"),
-        }
-    }
-
     /// Returns what a VM knows.
     fn usage(&mut self, vm: usize, at: Millis) -> Usage {
         let lag = usize::try_from(LAG_MS).unwrap();
@@ -232,7 +219,7 @@
             others: all.admitted,
             pending: all.pending + self.begun[vm].pending(at),
             demand: Demand {
-                own: self.asked[vm].count_since(before(at, 1_000), at),
+                own: self.asked[vm].count(at),
                 others: all.asked,
                 lag: Millis::new(LAG_MS),
             },
@@ -243,7 +230,6 @@
             },
             contact: Contact::Kept,
             counted_for: LIMIT.window,
-            untold: self.untold(vm, at),
         }
     }
 }
@@ -278,8 +264,3 @@
     // used, and most programs fail.
     assert!(outcome.used() >= 0.8, "{}", outcome.used());
 }
-
-/// Returns the time that is `span_ms` earlier.
-fn before(at: Millis, span_ms: u64) -> Millis {
-    Millis::new(at.as_u64().saturating_sub(span_ms))
-}
--- a/crates/relay/src/usage/account.rs
+++ b/crates/relay/src/usage/account.rs
@@ -27,9 +27,6 @@
 
 /// The span in which requests are counted that arrive.
 const DEMAND_SPAN: Millis = Millis::new(1_000);
-/// How long requests of this process are remembered one by one: for the span in which they are counted, up to
-/// the oldest news.
-const OWN_SPAN: Millis = Millis::new(2_000);
 
 /// The requests of a workspace.
 #[derive(Debug)]
@@ -42,8 +39,6 @@
     reserved: u32,
     /// The requests that this process got.
     asked: Window,
-    /// The requests that this process admitted.
-    admitted: Window,
     /// The programs that this process served.
     pub programs: Programs,
     /// What other VMs and data centres sent, as they told.
@@ -106,8 +101,7 @@
             workspace,
             sent: Slots::default(),
             reserved: 0,
-            asked: Window::new(OWN_SPAN),
-            admitted: Window::new(OWN_SPAN),
+            asked: Window::new(DEMAND_SPAN),
             programs: Programs::default(),
             told: Vec::new(),
             vms: Slots::default(),
@@ -144,28 +138,12 @@
     /// Counts a request that arrives and returns how many did in the last second.
     pub fn note_asked(&mut self, now: Millis) -> u32 {
         self.asked.add(now);
-        self.asked_lately(now)
-    }
-
-    fn asked_lately(&mut self, now: Millis) -> u32 {
-        self.asked.count_since(before(now, DEMAND_SPAN), now)
-    }
-
-    /// Returns how many requests arrived in the second up to `until`.
-    pub fn asked_until(&mut self, until: Millis, now: Millis) -> u32 {
-        let from = before(until, DEMAND_SPAN);
-        self.asked.count_between(from, until, now)
-    }
-
-    /// Returns how many requests this process admitted from a time on.
-    pub fn admitted_since(&mut self, from: Millis, now: Millis) -> u32 {
-        self.admitted.count_since(from, now)
+        self.asked.count(now)
     }
 
     /// Admits a request, which waits for a runner.
-    pub fn reserve(&mut self, now: Millis) {
+    pub const fn reserve(&mut self) {
         self.reserved += 1;
-        self.admitted.add(now);
     }
 
     /// Takes an admitted request back that wasn't sent.
@@ -322,7 +300,7 @@
                 _ => Vec::new(),
             },
             reserved: self.reserved + figures.reserved,
-            asked: self.asked_lately(now) + figures.asked,
+            asked: self.asked.count(now) + figures.asked,
             pending: self.programs.pending(now) + figures.pending,
         };
         let is_empty = entry.sent.is_empty() && entry.all.is_empty();
@@ -359,8 +337,3 @@
         counts.filter(|count| count.requests > 0).collect()
     }
 }
-
-/// Returns the time that is `span` earlier.
-const fn before(at: Millis, span: Millis) -> Millis {
-    Millis::new(at.as_u64().saturating_sub(span.as_u64()))
-}
--- a/crates/relay/src/usage/contact.rs
+++ b/crates/relay/src/usage/contact.rs
@@ -4,7 +4,6 @@
 //! hears: together they may take that part of the limit which was left when they last heard all.
 
 use policy::quota::Contact;
-use policy::quota::untold::News;
 use wire::clock::Millis;
 
 use crate::tally::Origin;
@@ -13,10 +12,6 @@
 
 /// A VM counts as silent that hasn't been heard for this many times as long as news take to all VMs.
 const SILENCE_LAGS: u64 = 4;
-/// The longest time for which others may not have been told of a request while they count as heard.
-const MAX_UNTOLD: Millis = Millis::new(1_000);
-/// News that are older than this many times as long as they take to all VMs are late.
-const LATE_LAGS: u64 = 2;
 /// VMs that haven't been heard for this long don't count any more. Longer than most cuts.
 const REMOVAL_TIMEOUT: Millis = Millis::new(30_000);
 /// How long a process counts as heard that doesn't say which VMs it hears.
@@ -182,28 +177,6 @@
         self.lag.plus(self.oldest_news(now))
     }
 
-    /// Returns for how long others may not have been told of this VM's requests.
-    #[must_use]
-    pub fn untold_for(&self, contact: Contact, now: Now) -> Millis {
-        let news = self.news_age(now.own);
-        // VMs that are missing for long hold up the time at which all were heard.
-        let of_all = match (contact, self.all) {
-            (Contact::Kept, Some(all)) => now.common.since(Millis::new(all.at)),
-            _ => Millis::ZERO,
-        };
-        news.max(of_all).min(MAX_UNTOLD)
-    }
-
-    /// Returns whether news of an age are late.
-    #[must_use]
-    pub fn news(&self, age: Millis) -> News {
-        if age.as_u64() > self.lag.as_u64() * LATE_LAGS {
-            News::Late
-        } else {
-            News::Recent
-        }
-    }
-
     /// Counts the VMs of all data centres that are heard.
     pub fn count(&mut self, fleet: Fleet, now: Now) -> Count {
         let count = self.count_heard(fleet, now);
--- a/crates/relay/src/usage/ledger.rs
+++ b/crates/relay/src/usage/ledger.rs
@@ -11,7 +11,6 @@
 use policy::quota::Verdict;
 use policy::quota::slots;
 use policy::quota::slots::SLOTS;
-use policy::quota::untold::Untold;
 use wire::clock::Millis;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -137,7 +136,6 @@
             window,
         };
         let contact = self.contact(workspace, fleet, now);
-        let untold = self.untold(workspace, fleet, contact, now);
         let lag = self.hearing.news_age(now);
         let counted_for = now.since(self.counting_since);
         let allowance = limit.allowance();
@@ -156,7 +154,6 @@
             pressure: pressure(account, now, window),
             contact,
             counted_for,
-            untold,
         };
         let verdict = quota::decide(&limit, usage, step, draws);
         if verdict != Verdict::Admit {
@@ -174,22 +171,6 @@
         }
     }
 
-    /// Returns the requests of this process that the others may not know of.
-    fn untold(&mut self, workspace: u64, fleet: Fleet, contact: Contact, now: Millis) -> Untold {
-        let both = self.both(now);
-        let vms = self.hearing.count(fleet, both).vms;
-        let untold_for = self.hearing.untold_for(contact, both);
-        let news = self.hearing.news(untold_for);
-        let news_at = Millis::new(now.as_u64().saturating_sub(untold_for.as_u64()));
-        let account = self.account(workspace, now);
-        Untold {
-            admitted: account.admitted_since(news_at, now),
-            asked: account.asked_until(news_at, now),
-            news,
-            vms,
-        }
-    }
-
     fn both(&self, now: Millis) -> contact::Now {
         contact::Now {
             own: now,
@@ -219,7 +200,7 @@
     /// Counts an admitted request of a program.
     pub fn reserve(&mut self, workspace: u64, program: Option<u64>, now: Millis) {
         let account = self.account(workspace, now);
-        account.reserve(now);
+        account.reserve();
         if let Some(program) = program {
             account.programs.note(program, now);
         }
