--- a/crates/policy/src/decaying_mean.rs
+++ b/crates/policy/src/decaying_mean.rs
@@ -27,16 +27,6 @@
 }
 
 impl Mean {
-    /// Creates the mean of samples of a total weight that were made or told at `now`.
-    #[must_use]
-    pub fn of(value: f64, weight: f64, now: Millis) -> Self {
-        Self {
-            sum: value * weight,
-            weight,
-            updated: now,
-        }
-    }
-
     /// Adds a sample.
     pub fn add(&mut self, value: f64, now: Millis) {
         *self = self.decayed_to(now);
@@ -55,23 +45,6 @@
         }
     }
 
-    /// Returns the mean of the samples of both at a later time.
-    #[must_use]
-    pub fn plus(&self, other: &Self, now: Millis) -> Self {
-        let (own, other) = (self.decayed_to(now), other.decayed_to(now));
-        Self {
-            sum: own.sum + other.sum,
-            weight: own.weight + other.weight,
-            updated: now,
-        }
-    }
-
-    /// Returns when a sample was last added.
-    #[must_use]
-    pub const fn updated(&self) -> Millis {
-        self.updated
-    }
-
     /// Returns the mean and its weight in samples, or `None` without samples.
     #[must_use]
     pub fn value(&self) -> Option<(f64, f64)> {
--- a/crates/relay/src/exchange/incoming.rs
+++ b/crates/relay/src/exchange/incoming.rs
@@ -44,8 +44,6 @@
         .fleet()
         .note_slowdowns(&received.origin, &received.slowdowns, now);
     node.metrics.add(Counter::SlowdownsHeard, taken);
-    node.fleet()
-        .note_paces(&received.origin, &received.paces, now);
     if let Some(report) = &received.limits {
         let process = proof.stamp.map_or(0, |stamp| stamp.process);
         node.usage().note(&received.origin, process, report, now);
--- a/crates/relay/src/exchange/outgoing.rs
+++ b/crates/relay/src/exchange/outgoing.rs
@@ -8,7 +8,6 @@
 use crate::crashes::news::News;
 use crate::crashes::news::Relations;
 use crate::directory::Directory;
-use crate::fleet::pace;
 use crate::fleet::slowdown;
 use crate::freshness::Proof;
 use crate::node::Node;
@@ -57,7 +56,7 @@
     /// What was added to the format later.
     #[serde(skip)]
     pub extension: Extension,
-    /// What was added after that; its relations were added later and follow [`Self::slowdowns`].
+    /// What was added after that; its relations were added last and follow [`Self::slowdowns`].
     #[serde(skip)]
     pub crashes: News,
     /// What was added after that: the requests of workspaces that have a limit, from the VMs of the message's
@@ -68,10 +67,6 @@
     /// origin. Sorted by runner. Only a message with [`Self::limits`] has any.
     #[serde(skip)]
     pub slowdowns: Vec<slowdown::Told>,
-    /// What was added last: how fast endpoints were, by the answers of the VMs of the message's origin.
-    /// Sorted by runner. Only a message with [`Self::limits`] has any.
-    #[serde(skip)]
-    pub paces: Vec<pace::Told>,
 }
 
 /// The part of a message that follows its first part. A process that doesn't know it reads the first
@@ -108,17 +103,13 @@
     if let Some(limits) = &message.limits {
         rmp_serde::encode::write(&mut bytes, limits)?;
         let relations = &message.crashes.relations;
-        let has_paces = !message.paces.is_empty();
-        let has_relations = has_paces || *relations != Relations::default();
+        let has_relations = *relations != Relations::default();
         if has_relations || !message.slowdowns.is_empty() {
             rmp_serde::encode::write(&mut bytes, &message.slowdowns)?;
         }
         if has_relations {
             rmp_serde::encode::write(&mut bytes, relations)?;
         }
-        if has_paces {
-            rmp_serde::encode::write(&mut bytes, &message.paces)?;
-        }
     }
     Ok(bytes)
 }
@@ -146,9 +137,6 @@
     if !rest.is_empty() {
         message.crashes.relations = rmp_serde::from_read(&mut rest)?;
     }
-    if !rest.is_empty() {
-        message.paces = rmp_serde::from_read(&mut rest)?;
-    }
     Ok(message)
 }
 
@@ -161,7 +149,6 @@
         tallies,
         limits,
         slowdowns,
-        paces,
     } = figures_for(node, to, now);
     let (table, config_age) = node.table_with_age();
     let members = node.replicas.list();
@@ -198,7 +185,6 @@
         crashes: node.crashes().news(to, node.stamp().process, now),
         limits: Some(limits),
         slowdowns,
-        paces,
     }
 }
 
@@ -257,7 +243,6 @@
     tallies: Vec<Tally>,
     limits: Report,
     slowdowns: Vec<slowdown::Told>,
-    paces: Vec<pace::Told>,
 }
 
 /// Returns the figures for a VM and their origin. A hub sends the VMs of its own data centre the
@@ -303,15 +288,9 @@
         }
         Scope::Own | Scope::Centre => node.fleet().tallies(now, &speaks_for),
     };
-    let paces = if node.tells_paces() {
-        node.fleet().paces_told(now, &speaks_for)
-    } else {
-        Vec::new()
-    };
     Figures {
         origin,
         tallies,
-        paces,
         slowdowns: node.fleet().slowdowns(now, &speaks_for),
         limits: node.usage().report(scope, fleet, &speaks_for, now),
     }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -6,7 +6,6 @@
 mod choice;
 mod health;
 pub mod load;
-pub mod pace;
 pub mod runner;
 pub mod slowdown;
 mod subset;
@@ -179,15 +178,6 @@
     Unchanged,
 }
 
-/// Returns the hash by which VMs tell each other of a runner, from that of its id.
-#[expect(
-    clippy::cast_possible_truncation,
-    reason = "two runners of the same hash would only take each other's figures"
-)]
-const fn short_hash(id_hash: u64) -> u32 {
-    id_hash as u32
-}
-
 /// Logs a change of a runner; `line` holds the fields of the log line.
 pub fn log_change(change: &Change, line: &str) {
     let event = match change {
@@ -225,12 +215,6 @@
         runners.any(|runner| runner.shares_machine && runner.entry.service == service)
     }
 
-    /// Returns whether runners of any service share their machines with others.
-    #[must_use]
-    pub fn has_shared_machines(&self) -> bool {
-        self.runners.iter().any(|runner| runner.shares_machine)
-    }
-
     /// Adds or updates a runner's entry. `memory` is the memory of its engine in tokens.
     pub fn set(&mut self, id: &str, entry: Entry, memory: u64) -> Change {
         match self.find(id) {
--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -80,7 +80,7 @@
             .runners
             .iter()
             .filter(move |runner| runner.entry.service == service);
-        of_service.map(move |runner| runner.pace.all(now))
+        of_service.map(move |runner| runner.pace.decayed_to(now))
     }
 
     /// Returns how long a turn takes that is served at once, by the median pace of the service's
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -5,6 +5,7 @@
 use adapter::runner::Entry;
 use adapter::runner::Load;
 use adapter::runner::State;
+use policy::decaying_mean::Mean;
 use policy::place::Candidate;
 use policy::place::Lane;
 use policy::prefix;
@@ -15,7 +16,6 @@
 
 use crate::fleet::Request;
 use crate::fleet::health;
-use crate::fleet::pace;
 use crate::fleet::slowdown;
 use crate::tally;
 
@@ -58,7 +58,7 @@
     /// The prompts that the runner is presumed to have cached.
     pub(super) prompt_cache: Cache,
     /// Measured milliseconds per token, or per request of a plain service.
-    pub(super) pace: pace::Known,
+    pub(super) pace: Mean,
     /// A connection failed or broke, and none has been made since.
     pub(super) unreachable: bool,
     /// Requests to the runner that broke since its last answer.
@@ -103,7 +103,7 @@
             shares_machine: false,
             slowdown: slowdown::Known::default(),
             prompt_cache: Cache::new(memory_tokens),
-            pace: pace::Known::default(),
+            pace: Mean::default(),
             unreachable: false,
             broken_requests: 0,
             held_off_until: Millis::ZERO,
@@ -168,7 +168,7 @@
         reason = "token counts are far below 2^52"
     )]
     fn expected_pace(&self, request: &Request<'_>, median_pace: f64) -> f64 {
-        let usual = self.pace.own(request.now);
+        let usual = self.pace.decayed_to(request.now);
         let usual = usual.shrunk_towards(median_pace);
         let Some(reading) = self.slowdown.reading else {
             return usual;
@@ -274,7 +274,7 @@
     pub fn note_success(&mut self, tokens: u64, span: Millis, now: Millis) {
         let span = span.as_u64().max(1) as f64;
         let pace = span / tokens.max(1) as f64;
-        self.pace.note_own(pace, now);
+        self.pace.add(pace, now);
         self.failed_requests = 0;
     }
 }
--- a/crates/relay/src/fleet/slowdown.rs
+++ b/crates/relay/src/fleet/slowdown.rs
@@ -15,7 +15,6 @@
 use wire::clock::Millis;
 
 use crate::fleet::Fleet;
-use crate::fleet::short_hash;
 use crate::tally::Origin;
 
 /// The most readings that a message holds, the newest: about a kilobyte.
@@ -46,6 +45,15 @@
     slowed_at: Option<Millis>,
 }
 
+/// Returns the hash by which VMs tell each other of a runner, from that of its id.
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "two runners of the same hash would only take each other's readings"
+)]
+const fn short_hash(id_hash: u64) -> u32 {
+    id_hash as u32
+}
+
 impl Known {
     /// Records a reading of this VM.
     pub(super) fn note_own(&mut self, reading: Reading) {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -12,7 +12,6 @@
 use adapter::kv::Freshness;
 use adapter::kv::Kv;
 use adapter::settings::Settings;
-use adapter::settings::Supply;
 use link::client::Client;
 use link::client::Limits;
 use policy::opening::Opening;
@@ -318,13 +317,6 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether VMs tell each other how fast endpoints were: where endpoints are scarce, a request
-    /// at a slow one takes up a place for longer.
-    #[must_use]
-    pub fn tells_paces(&self) -> bool {
-        self.settings.supply == Supply::Scarce || self.fleet().has_shared_machines()
-    }
-
     /// Locks the counts of the workspaces' requests.
     pub fn usage(&self) -> MutexGuard<'_, Ledger> {
         self.usage.lock().unwrap_or_else(PoisonError::into_inner)
