Compute a request's digests once, and without the lock on crashes

While endpoints are suspected, each request that ends was hashed at three widths with the lock held that all other requests need, and the body of a call twice for the same digest. Now the digests of all widths are computed together, a call's body once, before the lock is taken. The digests are the same.

--- a/crates/relay/src/content.rs
+++ b/crates/relay/src/content.rs
@@ -30,16 +30,29 @@
     hash(job, &[previous.unwrap_or_default().as_bytes(), &job.body])
 }
 
-/// Computes the digests of what a request is a part of: its body, whatever turn it continues, and its
-/// workspace, method, host and path, whatever its body is.
+/// The digests of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Digests {
+    /// That of all that it asks for; see [`digest`].
+    pub content: Content,
+    /// Those of what it is a part of: its body, whatever turn it continues, and its workspace, method,
+    /// host and path, whatever its body is.
+    pub wider: Scope,
+}
+
+/// Computes the digests of a request at all widths.
 #[must_use]
-pub fn wider(job: &Job) -> Scope {
+pub fn digests(job: &Job) -> Digests {
+    let content = digest(job);
     let body = match job.route.kind {
         Kind::Stream => hash(job, &[BODY, &job.body, &[]]),
-        Kind::Idempotent | Kind::AtMostOnce => digest(job),
+        Kind::Idempotent | Kind::AtMostOnce => content,
     };
     let resource = hash(job, &[RESOURCE]);
-    Scope { body, resource }
+    Digests {
+        content,
+        wider: Scope { body, resource },
+    }
 }
 
 fn hash(job: &Job, parts: &[&[u8]]) -> Content {
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -30,6 +30,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::content;
+use crate::content::Digests;
 use crate::crashes::news::Contact;
 use crate::crashes::record::Record;
 use crate::fleet;
@@ -95,11 +96,12 @@
 /// Records that the connection to a runner broke off before the end of a request's answer.
 pub fn note_break(job: &Job, runner: &fleet::Choice) {
     let node = &job.node;
+    let Digests { content, wider } = content::digests(job);
     let broken = Break {
         runner: runner.id.clone(),
         incarnation: runner.incarnation,
-        content: content::digest(job),
-        wider: content::wider(job),
+        content,
+        wider,
         at: node.clock.now(),
     };
     let mut crashes = node.crashes();
@@ -137,18 +139,19 @@
 
 /// Records that a runner ran a request to its end.
 pub fn note_completed(job: &Job) {
-    let mut crashes = job.node.crashes();
-    if crashes.ledger.is_empty() {
+    if job.node.crashes().ledger.is_empty() {
         return;
     }
+    // Computed without the lock: bodies may be long.
+    let Digests { content, wider } = content::digests(job);
     let report = Report {
-        content: content::digest(job),
-        wider: Some(content::wider(job)),
+        content,
+        wider: Some(wider),
         outcome: Outcome::Completed,
         age: Millis::ZERO,
     };
     let now = job.node.clock.now();
-    crashes.ledger.note(report, now);
+    job.node.crashes().ledger.note(report, now);
 }
 
 /// Forgets what is too old.
@@ -173,8 +176,7 @@
     if job.node.crashes().is_empty() {
         return Ok(());
     }
-    let content = content::digest(job);
-    let wider = content::wider(job);
+    let Digests { content, wider } = content::digests(job);
     let until = job.deadline.min(Instant::now() + MAX_CHECK_TIME);
     loop {
         let now = job.node.clock.now();
--- a/crates/relay/tests/content.rs
+++ b/crates/relay/tests/content.rs
@@ -62,7 +62,7 @@
     let mut jobs: Vec<Job> = (0..3).map(|_| job("stream", "q-1")).collect();
     jobs[1].call.previous = Some("t1".to_owned());
     jobs[2].body = Bytes::from_static(b"body");
-    let [first, second, third] = [0, 1, 2].map(|index| content::wider(&jobs[index]));
+    let [first, second, third] = [0, 1, 2].map(|index| content::digests(&jobs[index]).wider);
     assert_eq!(first, second);
     assert_ne!(first.body, third.body);
     assert_eq!(first.resource, third.resource);
@@ -73,10 +73,10 @@
 /// Guards against a resource that is taken for another one.
 #[tokio::test]
 async fn another_path_is_another_resource() {
-    let first = content::wider(&job("stream", "q-1"));
+    let first = content::digests(&job("stream", "q-1")).wider;
     let mut other = job("stream", "q-1");
     other.path = "/r/y".to_owned();
-    let other = content::wider(&other);
+    let other = content::digests(&other).wider;
     assert_ne!(first.body, other.body);
     assert_ne!(first.resource, other.resource);
 }
