Share what the two reports on runners do alike

fleet::slowdown and fleet::silence each cut their reports to the newest, sorted them, matched them to runners and corrected their age, and one borrowed two items of the other. fleet::told has these once. The encoding of each report and all decisions are what they were. A check that begins goes by the rule for attempts that are slow, which it repeated; the path to a data centre is found in one place.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -10,6 +10,7 @@
 pub mod silence;
 pub mod slowdown;
 mod subset;
+mod told;
 
 use std::fmt;
 use std::net::SocketAddr;
--- a/crates/relay/src/fleet/silence.rs
+++ b/crates/relay/src/fleet/silence.rs
@@ -20,8 +20,8 @@
 use crate::fleet::Fleet;
 use crate::fleet::runner::Runner;
 use crate::fleet::runner::Target;
-use crate::fleet::slowdown::MESSAGE_TIME;
-use crate::fleet::slowdown::short_hash;
+use crate::fleet::told;
+use crate::fleet::told::short_hash;
 use crate::node::CONNECT_TIMEOUT;
 use crate::tally::Origin;
 
@@ -89,7 +89,7 @@
     /// `speaks_for` selects. Sorted by runner.
     #[must_use]
     pub fn silences(&self, now: Millis, speaks_for: impl Fn(&Origin) -> bool) -> Vec<Told> {
-        let told = self.runners.iter().filter_map(|runner| {
+        let reports = self.runners.iter().filter_map(|runner| {
             let report = runner.silence.news(now, &speaks_for)?;
             Some(Told {
                 runner: short_hash(runner.id_hash),
@@ -97,31 +97,20 @@
                 silent: report.evidence == Evidence::Silent,
             })
         });
-        let mut told: Vec<Told> = told.collect();
-        if told.len() > MAX_TOLD {
-            told.sort_by_key(|told| told.age);
-            told.truncate(MAX_TOLD);
-        }
-        told.sort_by_key(|told| told.runner);
-        told
+        told::newest(reports, MAX_TOLD, |told| told.age, |told| told.runner)
     }
 
     /// Records reports that another VM told. Returns how many were newer than what was told before.
     pub fn note_silences(&mut self, origin: &Origin, told: &[Told], now: Millis) -> u64 {
         let mut taken = 0;
-        for runner in &mut self.runners {
-            let hash = short_hash(runner.id_hash);
-            let Ok(index) = told.binary_search_by_key(&hash, |told| told.runner) else {
-                continue;
-            };
-            let told = told[index];
+        for (runner, told) in self.reported(told, |told| told.runner) {
             let report = Report {
                 evidence: if told.silent {
                     Evidence::Silent
                 } else {
                     Evidence::Reached
                 },
-                at: now.since(Millis::new(told.age).plus(MESSAGE_TIME)),
+                at: told::made_at(told.age, now),
             };
             if runner.silence.knowledge.note_told(report) {
                 runner.silence.told_by = Some(origin.clone());
@@ -137,10 +126,7 @@
             return;
         };
         let centre = &self.runners[index].entry.centre;
-        let found = self
-            .paths
-            .binary_search_by(|path| path.centre.as_str().cmp(centre));
-        let at = found.unwrap_or_else(|at| {
+        let at = self.find_path(centre).unwrap_or_else(|at| {
             let new = CentrePath {
                 centre: centre.clone(),
                 path: Path::default(),
@@ -154,15 +140,17 @@
     /// Returns how long a request waits for a connection to a runner before it goes elsewhere; `None` if
     /// that is as long as an attempt may take.
     pub(super) fn first_wait(&self, runner: &Runner) -> Option<Duration> {
-        let centre = runner.entry.centre.as_str();
-        let found = self
-            .paths
-            .binary_search_by(|path| path.centre.as_str().cmp(centre));
+        let found = self.find_path(&runner.entry.centre);
         let wait_ms = self.paths[found.ok()?].path.first_wait_ms()?;
         let wait = Duration::from_secs_f64(wait_ms / 1_000.0);
         (wait < CONNECT_TIMEOUT).then_some(wait)
     }
 
+    fn find_path(&self, centre: &str) -> Result<usize, usize> {
+        self.paths
+            .binary_search_by(|path| path.centre.as_str().cmp(centre))
+    }
+
     /// Returns those that get requests before the other ones: neither they are suspected, nor that their
     /// data centre is cut off.
     pub(super) fn trusted<'a>(&self, runners: &[&'a Runner], now: Millis) -> Vec<&'a Runner> {
@@ -209,12 +197,7 @@
         if self.runners.iter().filter(is_checked).count() >= MAX_CHECKS {
             return None;
         }
-        let runner = self.runner(id)?;
-        if matches!(runner.silence.knowledge.verdict(now), Verdict::Checked(_)) {
-            return None;
-        }
-        runner.note_attempt(now);
-        Some(runner.target())
+        self.note_slow(id, now, now)
     }
 
     /// Records that an attempt which began at `since` is slow. Returns where to connect; `None` if one is
--- a/crates/relay/src/fleet/slowdown.rs
+++ b/crates/relay/src/fleet/slowdown.rs
@@ -15,13 +15,12 @@
 use wire::clock::Millis;
 
 use crate::fleet::Fleet;
+use crate::fleet::told;
+use crate::fleet::told::short_hash;
 use crate::tally::Origin;
 
 /// The most readings that a message holds, the newest: about a kilobyte.
 const MAX_TOLD: usize = 128;
-/// What a message takes on its way at most, as a rule. Without it, a VM that hears its own reading
-/// again would take it for a newer one.
-pub(super) const MESSAGE_TIME: Millis = Millis::new(5);
 
 /// A reading as VMs tell it. Encoded by position, so the order of fields must not change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,15 +44,6 @@
     slowed_at: Option<Millis>,
 }
 
-/// Returns the hash by which VMs tell each other of a runner, from that of its id.
-#[expect(
-    clippy::cast_possible_truncation,
-    reason = "two runners of the same hash would only take each other's readings"
-)]
-pub(super) const fn short_hash(id_hash: u64) -> u32 {
-    id_hash as u32
-}
-
 impl Known {
     /// Records a reading of this VM.
     pub(super) fn note_own(&mut self, reading: Reading) {
@@ -95,7 +85,7 @@
     /// which `speaks_for` selects. Sorted by runner.
     #[must_use]
     pub fn slowdowns(&self, now: Millis, speaks_for: impl Fn(&Origin) -> bool) -> Vec<Told> {
-        let told = self.runners.iter().filter_map(|runner| {
+        let readings = self.runners.iter().filter_map(|runner| {
             let reading = runner.slowdown.news(now, &speaks_for)?;
             Some(Told {
                 runner: short_hash(runner.id_hash),
@@ -103,27 +93,16 @@
                 age: now.since(reading.at).as_u64(),
             })
         });
-        let mut told: Vec<Told> = told.collect();
-        if told.len() > MAX_TOLD {
-            told.sort_by_key(|told| told.age);
-            told.truncate(MAX_TOLD);
-        }
-        told.sort_by_key(|told| told.runner);
-        told
+        told::newest(readings, MAX_TOLD, |told| told.age, |told| told.runner)
     }
 
     /// Records readings that another VM told. Returns how many were newer than what was known.
     pub fn note_slowdowns(&mut self, origin: &Origin, told: &[Told], now: Millis) -> u64 {
         let mut taken = 0;
-        for runner in &mut self.runners {
-            let hash = short_hash(runner.id_hash);
-            let Ok(index) = told.binary_search_by_key(&hash, |told| told.runner) else {
-                continue;
-            };
-            let age = Millis::new(told[index].age).plus(MESSAGE_TIME);
+        for (runner, told) in self.reported(told, |told| told.runner) {
             let reading = Reading {
-                percent: told[index].percent,
-                at: now.since(age),
+                percent: told.percent,
+                at: told::made_at(told.age, now),
             };
             if reading.is_valid(now) && runner.slowdown.note_told(reading, origin) {
                 runner.shares_machine = true;
--- a/crates/relay/src/fleet/tests/silences.rs
+++ b/crates/relay/src/fleet/tests/silences.rs
@@ -15,7 +15,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::Request;
 use crate::fleet::silence::Told;
-use crate::fleet::slowdown::short_hash;
+use crate::fleet::told::short_hash;
 
 /// A fleet of runners in data centres of their own.
 fn spread(count: usize) -> Fleet {
