Find the accusations of a content at a width in one place

Three methods of the ledger searched for the group of a width in the same way, and the list of incarnations had no caller left since records hold the evidence.

--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -28,6 +28,8 @@
 
 use wire::clock::Millis;
 
+use crate::crash::group::Accusation;
+
 /// Number of endpoints that crash under a content before it is refused if no other content was
 /// running at as many of them.
 pub const MIN_CRASHES: usize = 2;
@@ -200,16 +202,6 @@
         found.map_or(0, |index| self.suspects[index].crashes.len())
     }
 
-    /// Returns the endpoints that crashed under a content since it last ran to its end.
-    #[must_use]
-    pub fn incarnations(&self, content: Content) -> Vec<Incarnation> {
-        let Ok(index) = self.find(content) else {
-            return Vec::new();
-        };
-        let crashes = self.suspects[index].crashes.iter();
-        crashes.map(|crash| crash.incarnation).collect()
-    }
-
     /// Decides whether a content may be sent to an endpoint.
     #[must_use]
     pub fn verdict(&self, content: Content, wider: Option<Scope>) -> Verdict {
@@ -228,29 +220,35 @@
         width: Width,
         now: Millis,
     ) -> Millis {
-        let mut groups = group::of(content, wider);
-        let found = groups.find(|group| group.width == width);
-        let accusations = found.map(|group| self.accusations(group));
-        let last = accusations.and_then(|accusations| accusations.last().copied());
+        let accusations = self.accusations_at(content, wider, width);
+        let last = accusations.last();
         last.map_or(Millis::ZERO, |last| last.settled_at().since(now))
     }
 
     /// Returns how much accuses a content at a width: the crashes, or of a resource the bodies.
     #[must_use]
     pub fn weight(&self, content: Content, wider: Option<Scope>, width: Width) -> usize {
-        let mut groups = group::of(content, wider);
-        let found = groups.find(|group| group.width == width);
-        found.map_or(0, |group| group::weight(width, &self.accusations(group)))
+        group::weight(width, &self.accusations_at(content, wider, width))
     }
 
     /// Returns the crashes that accuse a content at a width, each with the content that ran there.
     #[must_use]
     pub fn evidence(&self, content: Content, wider: Option<Scope>, width: Width) -> Vec<Report> {
+        let accusations = self.accusations_at(content, wider, width);
+        accusations.iter().map(Accusation::report).collect()
+    }
+
+    /// Returns the crashes that accuse a content at a width, sorted by time; none if it isn't known what the
+    /// content is a part of there.
+    fn accusations_at(
+        &self,
+        content: Content,
+        wider: Option<Scope>,
+        width: Width,
+    ) -> Vec<Accusation<'_>> {
         let mut groups = group::of(content, wider);
         let found = groups.find(|group| group.width == width);
-        let accusations = found.map(|group| self.accusations(group));
-        let accusations = accusations.into_iter().flatten();
-        accusations.map(|accusation| accusation.report()).collect()
+        found.map_or_else(Vec::new, |group| self.accusations(group))
     }
 
     /// Records what an endpoint did `age` ago, and returns whether that was new. That a content ran to
