Compute a placement's figures once, and lock the runners once an answer

For each runner that shares its machine what it has cached of a prompt was looked up twice, for each home the pool's utilization was computed anew, and the head of an answer took the runners' lock twice and built the same reading in two places. No decision changes.

--- a/crates/policy/src/home.rs
+++ b/crates/policy/src/home.rs
@@ -142,11 +142,8 @@
 ) -> Option<Choice> {
     let cheapest = place::choose(candidates, call, weights)?;
     let lowest = cheapest.cost.min(cheapest.runner_up_cost);
-    let choices = homes
-        .indices
-        .iter()
-        .flatten()
-        .filter_map(|home| place::choice_at(*home, candidates, call, weights));
+    let indices = homes.indices.iter().flatten().copied();
+    let choices = place::choices_at(indices, candidates, call, weights);
     let mut accepted = choices.filter(|choice| choice.cost <= lowest * (1.0 + TOLERANCE));
     let chosen = accepted.next().map(|choice| Choice {
         runner_up_cost: if choice.index == cheapest.index {
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -211,15 +211,15 @@
     })
 }
 
-/// Returns the costs of one candidate; `None` if it may not be used.
-pub(crate) fn choice_at(
-    index: usize,
-    candidates: &[Candidate],
-    call: &Call,
-    weights: &Weights,
-) -> Option<Choice> {
+/// Returns the costs of those of some candidates that may be used, in their order.
+pub(crate) fn choices_at<'a>(
+    indices: impl Iterator<Item = usize> + 'a,
+    candidates: &'a [Candidate],
+    call: &'a Call,
+    weights: &'a Weights,
+) -> impl Iterator<Item = Choice> + 'a {
     let utilization = utilization(candidates, call);
-    evaluate(index, &candidates[index], call, weights, utilization)
+    indices.filter_map(move |index| evaluate(index, &candidates[index], call, weights, utilization))
 }
 
 /// Returns whether a choice counts as equal to the cheapest. One with a longer prefill doesn't, so
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -145,7 +145,8 @@
         } else {
             known.max(reported)
         };
-        let speed = 1_000.0 / self.expected_pace(request, median_pace);
+        let cached = self.prompt_cache.cached(request.prompt);
+        let speed = 1_000.0 / self.expected_pace(request, cached, median_pace);
         Candidate {
             slots: self.entry.slots,
             reported: busy,
@@ -155,7 +156,7 @@
             claimed: 0,
             speed,
             prefill: speed * PREFILL_TOKENS_PER_GENERATED,
-            cached: self.prompt_cache.cached(request.prompt),
+            cached,
             share: FULL_SHARE,
             lane: Lane::Open,
             network_cost: if self.entry.centre == request.centre {
@@ -167,18 +168,17 @@
     }
 
     /// Returns the milliseconds per token, or per request of a plain service, that are expected of a
-    /// request that starts now.
+    /// request that starts now and of whose prompt `cached` tokens are cached.
     #[expect(
         clippy::cast_precision_loss,
         reason = "token counts are far below 2^52"
     )]
-    fn expected_pace(&self, request: &Request<'_>, median_pace: f64) -> f64 {
+    fn expected_pace(&self, request: &Request<'_>, cached: u64, median_pace: f64) -> f64 {
         let usual = self.pace.decayed_to(request.now);
         let usual = usual.shrunk_towards(median_pace);
         let Some(reading) = self.slowdown.reading else {
             return usual;
         };
-        let cached = self.prompt_cache.cached(request.prompt);
         let missed = request.prompt_tokens.saturating_sub(cached) as f64;
         let work = request.output_tokens as f64 + missed / PREFILL_TOKENS_PER_GENERATED;
         usual * reading.expected_factor(usual * work, request.now)
@@ -210,9 +210,9 @@
     /// Records the load reported with an answer.
     pub fn note_load(&mut self, load: Load, now: Millis) {
         self.load = Some((load, now));
-        if let Some(percent) = load.slowdown_percent {
+        if let Some(reading) = slowdown::reading(load, now) {
             self.shares_machine = true;
-            self.slowdown.note_own(Reading { percent, at: now });
+            self.slowdown.note_own(reading);
         }
     }
 
--- a/crates/relay/src/fleet/slowdown.rs
+++ b/crates/relay/src/fleet/slowdown.rs
@@ -8,6 +8,7 @@
 //! VMs pass on what they hear by the rules for all figures ([`crate::tally::is_forwarded`]), so that no
 //! reading comes back to a VM that passed it on. Where no runner tells how fast it is, nothing is sent.
 
+use adapter::runner::Load;
 use policy::slowdown::MAX_AGE;
 use policy::slowdown::Reading;
 use serde::Deserialize;
@@ -44,6 +45,13 @@
     slowed_at: Option<Millis>,
 }
 
+/// Returns what a load that has just come says of the runner's machine.
+#[must_use]
+pub fn reading(load: Load, now: Millis) -> Option<Reading> {
+    let percent = load.slowdown_percent?;
+    Some(Reading { percent, at: now })
+}
+
 impl Known {
     /// Records a reading of this VM.
     pub(super) fn note_own(&mut self, reading: Reading) {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -8,6 +8,7 @@
 use adapter::header;
 use adapter::header::Additions;
 use adapter::header::Call;
+use adapter::runner::Load;
 use adapter::runner::State;
 use adapter::settings::Supply;
 use bytes::Bytes;
@@ -33,6 +34,7 @@
 use crate::content;
 use crate::crashes;
 use crate::fleet;
+use crate::fleet::slowdown;
 use crate::identity::Identity;
 use crate::kept;
 use crate::metrics::Counter;
@@ -395,6 +397,22 @@
         }
     }
 
+    /// Records what the coming of an answer, and its head, say about the runner.
+    fn note_head(&self, reply: &Reply, attempt: &Attempt, load: Option<Load>, now: Millis) {
+        let id = &attempt.runner.id;
+        let mut fleet = self.node.fleet();
+        if let Some(took) = reply.connected_in {
+            fleet.note_connected(id, took);
+        }
+        let Some(runner) = fleet.runner(id) else {
+            return;
+        };
+        runner.note_answer(now);
+        if let Some(load) = load {
+            runner.note_load(load, now);
+        }
+    }
+
     /// Decides from the head of an answer whether the runner took the request, and records what the
     /// head says about the runner.
     async fn classify_reply(&self, mut reply: Reply, mut attempt: Attempt) -> SendOutcome {
@@ -406,18 +424,9 @@
             let span = Millis::new(span.as_u64().saturating_sub(1_000)).min(MAX_IDLE_TIME);
             reply.body.set_idle_timeout(span.as_duration());
         }
-        if let Some(took) = reply.connected_in {
-            let id = &attempt.runner.id;
-            self.node.fleet().note_connected(id, took);
-        }
-        if let Some(runner) = self.node.fleet().runner(&attempt.runner.id) {
-            runner.note_answer(now);
-            if let Some(load) = answer_headers.load {
-                runner.note_load(load, now);
-            }
-        }
-        let percent = answer_headers.load.and_then(|load| load.slowdown_percent);
-        attempt.slowdown = percent.map(|percent| Reading { percent, at: now });
+        self.note_head(&reply, &attempt, answer_headers.load, now);
+        let load = answer_headers.load;
+        attempt.slowdown = load.and_then(|load| slowdown::reading(load, now));
         if answer_headers
             .id
             .as_ref()
