Don't send a member the request again before it has the newer list

A chain was asked of a member that uses an older list a second time, which was certain to be answered in the same way, before the list was sent. Also: the newer list of a fault is moved instead of taken out of a borrowed one.

--- a/crates/replica/src/call.rs
+++ b/crates/replica/src/call.rs
@@ -51,6 +51,17 @@
     if answer != Some(Answer::Older) {
         return answer;
     }
+    resend_with_list(http, member, list, bytes).await
+}
+
+/// Sends a member that uses an older list this list, and then the request again. Returns `None` if
+/// either fails in any way.
+pub async fn resend_with_list(
+    http: &Arc<Client>,
+    member: &Member,
+    list: &List,
+    bytes: Bytes,
+) -> Option<Answer> {
     let adopt = Body::Adopt(list.clone());
     ask(http, member.address, list.version, adopt).await?;
     send(http, member.address, bytes).await
--- a/crates/replica/src/chain.rs
+++ b/crates/replica/src/chain.rs
@@ -87,7 +87,7 @@
         };
         let mut answer = reply.read().await;
         if answer == Some(Answer::Older) {
-            answer = call::ask_with_list(http, &begun.member, list, bytes.clone()).await;
+            answer = call::resend_with_list(http, &begun.member, list, bytes.clone()).await;
         }
         match answer {
             Some(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -326,12 +326,12 @@
 
     async fn chain_once(&self, key: Key) -> Result<Found> {
         let (list, group) = self.group(key)?;
-        let mut found = chain::read(&self.http, &list, group, &self.centre, key).await;
-        if let Err(chain::Fault::Newer(newer)) = &mut found {
-            self.adopt(std::mem::take(newer));
-        }
+        let found = chain::read(&self.http, &list, group, &self.centre, key).await;
         found.map_err(|fault| match fault {
-            chain::Fault::Newer(_) => Fault::ListChanged,
+            chain::Fault::Newer(newer) => {
+                self.adopt(newer);
+                Fault::ListChanged
+            }
             chain::Fault::CatchingUp => Fault::CatchingUp,
             chain::Fault::TooFew => Fault::TooFew,
         })
