--- a/crates/link/src/body.rs
+++ b/crates/link/src/body.rs
@@ -164,7 +164,7 @@
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(limit);
+    let expected = usize::try_from(body.size_hint().lower()).map_or(limit, |size| size.min(limit));
     let mut body = std::pin::pin!(Limited::new(body, limit));
     let mut all = Vec::new();
     while let Some(frame) = body.frame().await {
@@ -177,13 +177,19 @@
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
-        if all.is_empty() {
-            if hyper::body::Body::is_end_stream(&*body) {
-                return Ok(bytes);
-            }
-            all.reserve_exact(expected.min(limit).max(bytes.len()));
+        if all.is_empty() && hyper::body::Body::is_end_stream(&*body) {
+            return Ok(bytes);
         }
-        all.extend_from_slice(&bytes);
+        append(&mut all, &bytes, expected);
     }
     Ok(Bytes::from(all))
 }
+
+/// Appends bytes to those of a body that have come before. Makes room for all that are expected at the
+/// first, so that they aren't copied as more come.
+pub(crate) fn append(all: &mut Vec<u8>, bytes: &[u8], expected: usize) {
+    if all.is_empty() {
+        all.reserve_exact(expected.max(bytes.len()));
+    }
+    all.extend_from_slice(bytes);
+}
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -30,6 +30,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::body;
 use crate::body::Payload;
 use crate::socket;
 
@@ -441,10 +442,7 @@
                 self.data().await?;
                 return Ok(bytes);
             }
-            if all.is_empty() {
-                all.reserve_exact(expected.max(bytes.len()));
-            }
-            all.extend_from_slice(&bytes);
+            body::append(&mut all, &bytes, expected);
         }
         Ok(Bytes::from(all))
     }
