--- a/crates/relay/tests/content.rs
+++ b/crates/relay/tests/content.rs
@@ -4,7 +4,6 @@
 
 use std::sync::Arc;
 
-use adapter::settings;
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HOST;
@@ -13,14 +12,10 @@
 use relay::content;
 use relay::identity::Identity;
 use relay::job::Job;
-use relay::node::Node;
 use relay::workspace::Workspace;
-use wire::clock::Clock;
 
 fn job(kind: &str, id: &str) -> Job {
-    let settings = settings::parse(&fakes::settings::alone()).expect("the settings are valid");
-    let node = Node::new(settings, Clock::System);
-    support::job(&node, &support::table(kind, ""), id)
+    support::job(&support::node(""), &support::table(kind, ""), id)
 }
 
 /// Guards against a content that looks new with each attempt and so is never recognised.
--- a/crates/relay/tests/opening.rs
+++ b/crates/relay/tests/opening.rs
@@ -7,14 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use adapter::config;
-use adapter::settings;
 use link::listen;
 use relay::account;
 use relay::job::Job;
-use relay::node::Node;
 use relay::opening;
-use relay::table::Table;
 use replica::list::List;
 use replica::list::Member;
 use replica::record::Reservation;
@@ -68,9 +64,7 @@
 /// Creates the first turn of a program's line at a VM all of whose engines are full; `contracts` is a
 /// line of the settings.
 fn turn(contracts: &str) -> Job {
-    let text = format!("{contracts}\n{}", fakes::settings::alone());
-    let settings = settings::parse(&text).expect("the settings are valid");
-    let node = Node::new(settings, Clock::System);
+    let node = support::node(contracts);
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     node.fleet().set("i-1", support::entry(address), 0);
     let mut fleet = node.fleet();
@@ -78,13 +72,7 @@
     runner.own_requests = 10 * runner.entry.slots;
     drop(fleet);
     let route = fakes::store::route("r", "stream", "s", 20_000, "");
-    let engine = r#"{"slots":16,"kvTokens":400000,"chunkTokens":10}"#;
-    let document = format!(
-        r#"{{"version":1,"services":[{{"name":"s","maxConns":9,"engine":{engine}}}],"routes":[{route}]}}"#
-    );
-    let config = config::decode(document.as_bytes()).expect("the configuration is valid");
-    let table = Arc::new(Table::new(config, &[], &Table::default()));
-    let mut job = support::job(&node, &table, "q-1");
+    let mut job = support::job(&node, &support::engine_table(&route), "q-1");
     job.call.program = Some("p".to_owned());
     job.call.budget = Some(1_000);
     job.call.finish_within = Some(Millis::new(8_000));
--- a/crates/relay/tests/standing.rs
+++ b/crates/relay/tests/standing.rs
@@ -2,33 +2,18 @@
 
 mod support;
 
-use std::sync::Arc;
-
-use adapter::config;
-use adapter::settings;
 use policy::crash::Incarnation;
 use policy::standing::Standing;
 use relay::fleet;
 use relay::job::Job;
-use relay::node::Node;
-use relay::table::Table;
-use wire::clock::Clock;
 use wire::clock::Millis;
 
 /// Creates a turn of a late program, of the rank 2; `contracts` is a line of the settings.
 fn late_turn(contracts: &str) -> Job {
-    let text = format!("{contracts}\n{}", fakes::settings::alone());
-    let settings = settings::parse(&text).expect("the settings are valid");
-    let node = Node::new(settings, Clock::System);
+    let node = support::node(contracts);
     let route = fakes::store::route("r", "stream", "s", 20_000, "");
     let route = route.replace("\"priority\":0", "\"priority\":2");
-    let engine = r#"{"slots":16,"kvTokens":400000,"chunkTokens":10}"#;
-    let document = format!(
-        r#"{{"version":1,"services":[{{"name":"s","maxConns":9,"engine":{engine}}}],"routes":[{route}]}}"#
-    );
-    let config = config::decode(document.as_bytes()).expect("the configuration is valid");
-    let table = Arc::new(Table::new(config, &[], &Table::default()));
-    let mut job = support::job(&node, &table, "q-1");
+    let mut job = support::job(&node, &support::engine_table(&route), "q-1");
     job.call.finish_within = Some(Millis::ZERO);
     job
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use adapter::header::Call;
 use adapter::runner::Entry;
 use adapter::runner::State;
+use adapter::settings;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -16,6 +17,7 @@
 use relay::node::Node;
 use relay::table::Table;
 use tokio::time::Instant;
+use wire::clock::Clock;
 use wire::clock::Millis;
 
 /// The service of all routes and runners.
@@ -44,10 +46,30 @@
 pub fn table(kind: &str, extra_fields: &str) -> Arc<Table> {
     let route = fakes::store::route("r", kind, SERVICE, TIME_LIMIT.as_u64(), extra_fields);
     let document = format!(r#"{{"version":1,"services":[],"routes":[{route}]}}"#);
+    decode(&document)
+}
+
+/// Creates a table whose only route, with this JSON object, leads to engines.
+pub fn engine_table(route: &str) -> Arc<Table> {
+    let engine = r#"{"slots":16,"kvTokens":400000,"chunkTokens":10}"#;
+    let document = format!(
+        r#"{{"version":1,"services":[{{"name":"{SERVICE}","maxConns":9,"engine":{engine}}}],"routes":[{route}]}}"#
+    );
+    decode(&document)
+}
+
+fn decode(document: &str) -> Arc<Table> {
     let config = config::decode(document.as_bytes()).expect("the configuration is valid");
     Arc::new(Table::new(config, &[], &Table::default()))
 }
 
+/// Creates a process with these lines before its settings.
+pub fn node(lines: &str) -> Arc<Node> {
+    let text = format!("{lines}\n{}", fakes::settings::alone());
+    let settings = settings::parse(&text).expect("the settings are valid");
+    Node::new(settings, Clock::System)
+}
+
 /// Creates a request that arrives now.
 pub fn job(node: &Arc<Node>, table: &Arc<Table>, id: &str) -> Job {
     let route = table.find(fakes::store::HOST, PATH);
