--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -526,11 +526,13 @@
 
 
 def free_net():
-    """Finds a loopback network whose addresses are free."""
+    """Finds a loopback network on which all ports that a case uses are free."""
+    used = [(last, port) for last in (10, 11, 12, 20, 21, 22) for port in (7380, 8141, 8149, 9400)]
+    used += [(250, 8142)] + [(100, port) for port in range(8500, 8620)]
     for _ in range(100):
         net = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
         try:
-            for last, port in ((10, 7380), (20, 8149), (250, 8142), (100, 8500)):
+            for last, port in used:
                 with socket.socket() as probe:
                     probe.bind((f"{net}.{last}", port))
             return net
@@ -542,6 +544,7 @@
 def main(folder, play):
     """Runs a case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     deployment = Deployment(folder, **getattr(play, "options", {}))
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def limited():
         return await asyncio.wait_for(play(deployment), 110)
@@ -550,7 +553,7 @@
     try:
         broken = loop.run_until_complete(limited())
         lines, code = ([f"BROKEN: {line}" for line in broken], 1) if broken else (["the rule held"], 0)
-    except Exception as fault:  # a case that fails in any other way couldn't run
+    except (Exception, KeyboardInterrupt) as fault:  # a case that fails in any other way couldn't run
         lines, code = [f"the case couldn't run: {fault!r}"], 2
     finally:
         deployment.end()
