--- a/review/4/case.py
+++ b/review/4/case.py
@@ -88,4 +88,4 @@
 
 
 if __name__ == "__main__":
-    standins.main(HERE, play)
+    standins.main(HERE / "record.txt", play)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -117,4 +117,4 @@
 play.options = {"page": 50}
 
 if __name__ == "__main__":
-    standins.main(HERE, play)
+    standins.main(HERE / "record.txt", play)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -30,10 +30,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt`."""
+    """Writes what was sent, answered and run to a file."""
 
-    def __init__(self, folder):
-        self.file = open(Path(folder) / "record.txt", "w", buffering=1)
+    def __init__(self, path):
+        self.file = open(path, "w", buffering=1)
         self.began = time.monotonic()
 
     def now(self):
@@ -449,9 +449,8 @@
 class Deployment:
     """Three data centres with a front and a store VM each."""
 
-    def __init__(self, folder, page=500):
-        self.case = Path(folder)
-        self.record = Record(folder)
+    def __init__(self, record, page=500):
+        self.record = Record(record)
         self.folder = tempfile.mkdtemp(prefix="chestnutyoke-review-")
         self.net = free_net()
         self.platform = Platform(self.record, page)
@@ -541,9 +540,9 @@
     raise CannotRun("no free loopback network")
 
 
-def main(folder, play):
-    """Runs a case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
-    deployment = Deployment(folder, **getattr(play, "options", {}))
+def main(record, play):
+    """Runs a case and writes its record. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
+    deployment = Deployment(record, **getattr(play, "options", {}))
     signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def limited():
