Keep a kept turn whole when its caller takes its stream up

What callers saw: on a route with `retain` and `resumable` a stream was cut off after its second event, taken up at another VM and ended whole there.

Cause: the attempt that takes a stream up gets from its runner what follows `Last-Event-Id`, and `stream::forward_answer` kept just that as the turn's text. No VM knew the first part: the text of a turn was in the memory of the VM that passed it on until the end of its stream. The same on a route that keeps turns and doesn't let streams be resumed: the header was passed on, the runner left the first events out, and what was left was kept.

Three designs: - the events are recorded at the VMs with a disk before the caller has them, each as a turn whose key follows from the stream, the event's id and how often the stream was taken up (built); - the same behind the caller (built: MAX_HOLD 0); - the runner sends the stream from its start and the VM leaves out what the caller has (on paper): a new run may differ from what the caller has, as it does in the case, and tokens are generated twice.

Why it works: a caller's last event is on a majority of disks, so whoever takes the stream up reads the chain of exactly the events that the caller has. An event that an earlier attempt recorded and nobody got has a key of its own, also when attempts differ in what they make.

--- a/crates/relay/src/build.rs
+++ b/crates/relay/src/build.rs
@@ -188,7 +188,8 @@
 }
 
 /// Returns the key under which the VMs with a disk keep a stream's build.
-fn owner(job: &Job, attempt: &str) -> Key {
+#[must_use]
+pub fn owner(job: &Job, attempt: &str) -> Key {
     let program = job.call.program.as_deref();
     job.identity.key_of(program.unwrap_or(attempt))
 }
--- /dev/null
+++ b/crates/relay/src/delivered.rs
@@ -0,0 +1,254 @@
+//! Records the events of a turn's stream before they are passed on, so that the VM at which the caller takes
+//! the stream up can keep the whole turn.
+//!
+//! A turn is kept with all events that its caller has. The attempt that takes a stream up gets only the later
+//! ones from its runner, and a new run of the earlier ones may differ from what the caller has. So where a
+//! route both keeps turns and lets streams be resumed, each event is on the disks of a majority before the
+//! caller has it. An event that can't be recorded in time is passed on all the same: a stream whose first part
+//! can't be read later isn't taken up.
+//!
+//! The record of an event is a turn whose key is computed from the stream, the event's id and how often the
+//! stream had been taken up, and which continues the record of the event before: like any turn it is copied,
+//! restored and dropped. The chain of the last event that the caller has is thus what the caller has. An
+//! event that an earlier attempt recorded, and its caller never got, has another key than the event that the
+//! next attempt makes in its place. How often a stream was taken up is counted by reservations of no tokens,
+//! as its build is recorded ([`crate::build`]).
+
+use std::time::Duration;
+
+use adapter::config::Kind;
+use adapter::config::Route;
+use bytes::Bytes;
+use bytes::BytesMut;
+use policy::crash::Content;
+use replica::client::Fault;
+use replica::ledger::Entry;
+use replica::record::Key;
+use replica::record::Record;
+use replica::record::Reservation;
+use replica::record::Turn;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+use wire::code::Code;
+use wire::code::Refusal;
+use wire::event::Event;
+
+use crate::account;
+use crate::build;
+use crate::content;
+use crate::events;
+use crate::history;
+use crate::job::Job;
+
+/// How long an event is held back at most while it is being recorded: a few times what a sync and a trip
+/// between data centres take, and short against the pause between two events.
+const MAX_HOLD: Duration = Duration::from_millis(50);
+
+/// The result of a step that may refuse the request.
+type Result<T> = std::result::Result<T, Refusal>;
+
+/// What the caller of a stream has, and where its further events are recorded.
+#[derive(Debug, Default)]
+pub struct Delivered {
+    /// The data of the events that earlier attempts brought, oldest first, each followed by a line feed.
+    pub texts: Vec<Bytes>,
+    /// `None` if the route's streams aren't recorded.
+    pub recorder: Option<Recorder>,
+}
+
+/// Records the events of a stream.
+#[derive(Debug)]
+pub struct Recorder {
+    stream: Stream,
+    /// How often the stream has been taken up.
+    resumptions: usize,
+    /// The record of the last event.
+    last: Option<Key>,
+    /// The data of events that came since without an id.
+    pending: BytesMut,
+}
+
+/// Identifies a stream: the attempt that began it, and what it asks for.
+#[derive(Clone, Debug)]
+struct Stream {
+    attempt: String,
+    content: Content,
+}
+
+/// Finds out what the caller of a stream has, if it takes the stream up.
+///
+/// # Errors
+///
+/// Refuses a stream that can't be taken up because what the caller has isn't known for certain.
+pub async fn find(job: &Job) -> Result<Delivered> {
+    let Some(last_event) = job.call.last_event else {
+        let recorder = is_recorded(&job.route).then(|| Recorder::begin(job));
+        return Ok(Delivered {
+            texts: Vec::new(),
+            recorder,
+        });
+    };
+    if !job.route.keeps_turns {
+        return Ok(Delivered::default());
+    }
+    if !is_recorded(&job.route) {
+        return Err(unknown("streams of this route can't be taken up"));
+    }
+    let Some(attempt) = &job.call.resumes else {
+        return Err(unknown("the request names no attempt that began it"));
+    };
+    let stream = Stream::of(job, attempt);
+    account::wait_for_members(job).await?;
+    let resumptions = count_resumptions(job, &stream).await?;
+    let (texts, last) = read(job, &stream, resumptions, last_event).await?;
+    let recorder = Recorder {
+        stream,
+        resumptions: resumptions + 1,
+        last: Some(last),
+        pending: BytesMut::new(),
+    };
+    recorder.note_resumption(job).await?;
+    Ok(Delivered {
+        texts,
+        recorder: Some(recorder),
+    })
+}
+
+/// Returns whether events of the route's streams are recorded.
+fn is_recorded(route: &Route) -> bool {
+    route.kind == Kind::Stream && route.keeps_turns && route.resumable
+}
+
+/// Returns how often a stream has been taken up.
+async fn count_resumptions(job: &Job, stream: &Stream) -> Result<usize> {
+    let owner = build::owner(job, &stream.attempt);
+    let read = timeout_at(job.deadline, job.node.replicas.entries(owner));
+    let entries = match read.await {
+        Ok(Ok(entries)) => entries,
+        Ok(Err(fault)) => return Err(account::unreachable(job, &fault).await),
+        Err(_) => return Err(account::unreachable(job, &Fault::TooFew).await),
+    };
+    let is_noted = |number: &usize| has_entry(&entries, stream.resumption_key(job, *number));
+    Ok((1..=entries.len()).take_while(is_noted).count())
+}
+
+fn has_entry(entries: &[Entry], key: Key) -> bool {
+    entries.iter().any(|entry| entry.turn == key)
+}
+
+/// Reads the data of a stream's events up to one, as the latest attempt recorded it that has the event.
+/// Returns the key of the last one, too.
+async fn read(
+    job: &Job,
+    stream: &Stream,
+    resumptions: usize,
+    last_event: u64,
+) -> Result<(Vec<Bytes>, Key)> {
+    for resumption in (0..=resumptions).rev() {
+        let key = stream.event_key(job, resumption, last_event);
+        match history::read(&job.node, key).await {
+            Ok(texts) => return Ok((texts, key)),
+            Err(refusal) if refusal.code == Code::UnknownTurn => {}
+            Err(refusal) => return Err(refusal),
+        }
+    }
+    let attempt = &stream.attempt;
+    Err(unknown(&format!(
+        "event {last_event} of {attempt} isn't recorded"
+    )))
+}
+
+fn unknown(why: &str) -> Refusal {
+    Refusal::new(Code::StreamUnknown, why)
+}
+
+impl Stream {
+    fn of(job: &Job, attempt: &str) -> Self {
+        Self {
+            attempt: attempt.to_owned(),
+            content: content::digest(job),
+        }
+    }
+
+    fn event_key(&self, job: &Job, resumption: usize, event: u64) -> Key {
+        self.key(job, &format!("{resumption}\n{event}"))
+    }
+
+    fn resumption_key(&self, job: &Job, number: usize) -> Key {
+        self.key(job, &number.to_string())
+    }
+
+    fn key(&self, job: &Job, part: &str) -> Key {
+        let Content(content) = self.content;
+        let attempt = &self.attempt;
+        // No id of an attempt has a line feed.
+        job.identity
+            .key_of(&format!("{attempt}\n{content:x}\n{part}"))
+    }
+}
+
+impl Recorder {
+    fn begin(job: &Job) -> Self {
+        Self {
+            stream: Stream::of(job, &job.call.id),
+            resumptions: 0,
+            last: None,
+            pending: BytesMut::new(),
+        }
+    }
+
+    /// Records that the stream is taken up once more.
+    async fn note_resumption(&self, job: &Job) -> Result<()> {
+        let owner = build::owner(job, &self.stream.attempt);
+        let reservation = Reservation {
+            program: owner,
+            turn: self.stream.resumption_key(job, self.resumptions),
+            most: 0,
+        };
+        let records = vec![Record::Reserve(reservation)];
+        let noted = timeout_at(job.deadline, job.node.replicas.apply(owner, records));
+        match noted.await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(fault)) => Err(account::unreachable(job, &fault).await),
+            Err(_) => Err(account::unreachable(job, &Fault::TooFew).await),
+        }
+    }
+
+    /// Records an event. Returns once it is recorded, or after [`MAX_HOLD`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if too few members can be reached. No later event can be recorded then.
+    pub async fn record(
+        &mut self,
+        job: &Job,
+        event: &events::Event,
+    ) -> std::result::Result<(), Fault> {
+        self.pending.extend_from_slice(&event.data);
+        self.pending.extend_from_slice(b"\n");
+        let Some(id) = event.id else {
+            return Ok(());
+        };
+        let key = self.stream.event_key(job, self.resumptions, id);
+        let turn = Turn {
+            key,
+            previous: self.last.replace(key),
+            text: self.pending.split().freeze(),
+        };
+        let recorded = job.node.replicas.apply(key, vec![Record::Turn(turn)]);
+        // The members that are slow write it all the same.
+        timeout(MAX_HOLD, recorded).await.unwrap_or(Ok(()))
+    }
+}
+
+/// Logs that a stream's events are no longer recorded.
+pub fn log_failed(job: &Job, fault: &Fault) {
+    log::warn!(
+        "event=E{} text=\"{}\" request={} program={} route={} fault=\"{fault}\"",
+        Event::EventsNotRecorded.number(),
+        Event::EventsNotRecorded.text(),
+        job.call.id,
+        job.call.program.as_deref().unwrap_or_default(),
+        job.route.name
+    );
+}
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -64,7 +64,12 @@
     cached
 }
 
-async fn read(node: &Arc<Node>, last: Key) -> Result<Vec<Bytes>, Refusal> {
+/// Returns the texts of a turn and of all turns that it continued from, oldest first.
+///
+/// # Errors
+///
+/// As [`load`].
+pub async fn read(node: &Arc<Node>, last: Key) -> Result<Vec<Bytes>, Refusal> {
     let mut texts = Vec::new();
     let mut next = Some(last);
     while let Some(key) = next {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod build;
 pub mod content;
 pub mod crashes;
+pub mod delivered;
 pub mod directory;
 pub mod document;
 pub mod drain;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -28,6 +28,10 @@
 use crate::build;
 use crate::build::Pin;
 use crate::crashes;
+use crate::delivered;
+use crate::delivered::Delivered;
+use crate::delivered::Recorder;
+use crate::events;
 use crate::events::Reader;
 use crate::history;
 use crate::history::History;
@@ -69,6 +73,8 @@
     reader: Reader,
     /// The data of the events, each followed by a line feed, as later turns repeat them.
     output: BytesMut,
+    /// Records the events for the VM at which the caller may take the stream up.
+    recorder: Option<Recorder>,
     events: u64,
     last_event_id: Option<u64>,
     /// The time from the request's arrival to its first event.
@@ -118,6 +124,7 @@
 /// A turn that a runner has begun to answer.
 struct Begun {
     history: History,
+    delivered: Delivered,
     pin: Pin,
     reply: Reply,
     attempt: Attempt,
@@ -130,6 +137,8 @@
     shutdown::with_send_deadline(&job.node, job.latest_end(), admitted).await??;
     let pinned = build::pin(job, account);
     let mut pin = shutdown::with_send_deadline(&job.node, job.latest_end(), pinned).await??;
+    let delivered = delivered::find(job);
+    let delivered = shutdown::with_send_deadline(&job.node, job.latest_end(), delivered).await??;
     let prepared = prepare(job, account, &pin);
     let history = shutdown::with_send_deadline(&job.node, job.latest_end(), prepared).await??;
     job.node.metrics.record(Latency::Prepare, job.age());
@@ -141,6 +150,7 @@
     pin.fix();
     Ok(Begun {
         history,
+        delivered,
         pin,
         reply,
         attempt,
@@ -225,6 +235,7 @@
 ) {
     let Begun {
         history,
+        delivered,
         pin,
         reply,
         attempt,
@@ -244,7 +255,8 @@
     let mut state = State {
         parts: sender,
         reader: Reader::default(),
-        output: BytesMut::new(),
+        output: delivered.texts.iter().flatten().collect(),
+        recorder: delivered.recorder,
         events: 0,
         last_event_id: job.call.last_event,
         first_event_after: None,
@@ -479,6 +491,7 @@
                 state.output.extend_from_slice(b"\n");
             }
             job.node.metrics.count(Counter::Events);
+            record(job, state, &event).await;
             if let Err(end) = send(job, state, event.bytes).await {
                 return end;
             }
@@ -486,6 +499,17 @@
     }
 }
 
+/// Records an event before the caller has it, if the route's streams are recorded.
+async fn record(job: &Job, state: &mut State, event: &events::Event) {
+    let Some(recorder) = &mut state.recorder else {
+        return;
+    };
+    if let Err(fault) = recorder.record(job, event).await {
+        delivered::log_failed(job, &fault);
+        state.recorder = None;
+    }
+}
+
 /// Returns whether one more than `events` events are more than the tokens that the turn may generate, of
 /// which each event holds at least one.
 fn exceeds_tokens(job: &Job, events: u64) -> bool {
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -50,6 +50,7 @@
     RequestCut = 1210, "cut off by the end of the process";
     TurnNotKept = 1211, "turn not kept yet";
     TurnNotSettled = 1212, "turn not settled";
+    EventsNotRecorded = 1213, "a stream's events are no longer recorded";
     ShardClaimed = 2001, "shard claimed";
     ShardOpened = 2002, "shard opened";
     ShardReleased = 2003, "shard released";
