Complete a list of several pages to what the service held at one revision

The VMs knew runners too many until the next list.

Cause: `Kv::list` gave the first page's revision to entries of later pages, which may be newer. A drained or new runner on a later page raised the roster's revision to its own, and the changes up to there of runners on earlier pages, which the watch then brings, were left out as known (`ingest::changes`). Under it lies that pages are the state of no revision at all: the exchange between VMs passes on entries with a revision, and with copies the later page may even be older than the first.

One more call for a list of several pages between which something was written.

Related: the same function lists the system's own keys (directory, members, crash records) and the configuration, as a reader, on registering, for a VM that retires, and copies.

--- a/crates/relay/src/follow/step/tests.rs
+++ b/crates/relay/src/follow/step/tests.rs
@@ -72,6 +72,7 @@
     Listing {
         entries: vec![entry(version)],
         revision: version,
+        ..Listing::default()
     }
 }
 
@@ -135,6 +136,7 @@
             ..entry(1)
         }],
         revision: 1,
+        ..Listing::default()
     };
     config.follower.listed(&config.node, Ok(listing.clone()));
     let mut reader = Reader {
--- a/crates/relay/src/ingest.rs
+++ b/crates/relay/src/ingest.rs
@@ -42,6 +42,10 @@
         let entries = listing.entries.iter();
         let mut ids: Vec<String> = entries.filter_map(|entry| runner_id(&entry.key)).collect();
         ids.sort();
+        // These haven't lapsed: the service has told of their removal.
+        for key in &listing.removed {
+            drop_runner(node, key, listing.revision);
+        }
         drop_missing(node, &ids, "listed=false");
         let removed = node.roster().retain_listed(&ids, listing.revision);
         for entry in &listing.entries {
--- a/crates/relay/tests/entries.rs
+++ b/crates/relay/tests/entries.rs
@@ -1,10 +1,11 @@
-//! Plays lists, watches, messages between VMs and restarts in random order against a simple oracle:
+//! Plays lists that are read page by page, watches, messages between VMs and restarts in random order against a simple oracle:
 //! what a VM knows of the runners at a revision has to be what the key-value service held then.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
 use adapter::kv::Listing;
+use adapter::kv::pages::Pages;
 use adapter::runner::State;
 use adapter::settings;
 use oracle::Oracle;
@@ -33,10 +34,20 @@
 /// The simulated time in milliseconds, which stands still: no entry lapses.
 const NOW_MS: u64 = 1_000_000;
 
+/// A list that is being read.
+enum Reading {
+    /// Further pages follow.
+    Pages(Pages),
+    /// All pages are read.
+    AllPages(Pages),
+    /// Also the changes between the pages are.
+    Whole(Listing),
+}
+
 /// A VM, and what is on its way to it.
 struct Vm {
     node: Arc<Node>,
-    list: Option<Listing>,
+    list: Option<Reading>,
     /// The revision after which it watches.
     watches_after: Option<u64>,
     watch: Option<(Vec<Change>, u64)>,
@@ -101,7 +112,7 @@
     fn step(&mut self) -> String {
         let vm = self.below(VMS);
         let other = (vm + 1 + self.below(VMS - 1)) % VMS;
-        match self.below(24) {
+        match self.below(28) {
             0 => format!("add {}", self.oracle.add()),
             1 => {
                 let number = self.below(usize::MAX);
@@ -120,10 +131,10 @@
                 format!("restart {vm}")
             }
             5 => {
-                self.vms[vm].list = Some(self.oracle.list());
-                format!("list for {vm}")
+                self.vms[vm].list = Some(Reading::Pages(Pages::default()));
+                self.read_list(vm)
             }
-            6..=8 => self.take_list(vm),
+            6..=8 | 19..=22 => self.read_list(vm),
             9..=10 => {
                 let after = self.vms[vm].watches_after;
                 self.vms[vm].watch = after.map(|after| self.oracle.changes(after));
@@ -135,14 +146,42 @@
         }
     }
 
-    fn take_list(&mut self, vm: usize) -> String {
+    /// A VM reads the next page of its list, then the changes between the pages, and then takes the list.
+    fn read_list(&mut self, vm: usize) -> String {
         let vm_state = &mut self.vms[vm];
-        if let Some(list) = vm_state.list.take() {
-            vm_state.watches_after = Some(list.revision);
-            vm_state.watch = None;
-            ingest::listing(&vm_state.node, Subject::Runners, list);
+        match vm_state.list.take() {
+            None => "nothing".to_owned(),
+            Some(Reading::Pages(mut pages)) => {
+                let is_last = self.oracle.read_page(&mut pages);
+                let reading = if is_last {
+                    Reading::AllPages(pages)
+                } else {
+                    Reading::Pages(pages)
+                };
+                vm_state.list = Some(reading);
+                format!("page for {vm}")
+            }
+            Some(Reading::AllPages(mut pages)) => {
+                if let Some(after) = pages.incomplete_after() {
+                    let (changes, revision) = self.oracle.changes(after);
+                    pages.add_changes(changes, revision);
+                }
+                vm_state.list = Some(Reading::Whole(pages.into_listing()));
+                format!("changes between pages for {vm}")
+            }
+            Some(Reading::Whole(list)) => {
+                vm_state.watches_after = Some(list.revision);
+                vm_state.watch = None;
+                ingest::listing(&vm_state.node, Subject::Runners, list);
+                format!("{vm} takes its list")
+            }
         }
-        format!("{vm} takes its list")
+    }
+
+    /// A VM takes a list that it reads in one piece.
+    fn take_list(&mut self, vm: usize) {
+        self.vms[vm].list = Some(Reading::Whole(self.oracle.list()));
+        self.read_list(vm);
     }
 
     fn take_watch(&mut self, vm: usize) -> String {
@@ -200,7 +239,6 @@
 
     /// Lets one VM list the entries and all exchange until nothing is on its way.
     fn settle(&mut self) {
-        self.vms[0].list = Some(self.oracle.list());
         self.take_list(0);
         for round in 0..4 {
             for vm in 0..VMS {
@@ -222,7 +260,6 @@
 fn a_runner_removed_before_a_vm_starts_is_dropped_by_those_that_it_tells(#[case] later: bool) {
     let mut world = World::new(1);
     for vm in 0..3 {
-        world.vms[vm].list = Some(world.oracle.list());
         world.take_list(vm);
     }
     world.ask(2, 0);
@@ -232,7 +269,6 @@
         world.oracle.drain(1);
     }
     world.vms[0] = Vm::new(0);
-    world.vms[0].list = Some(world.oracle.list());
     world.take_list(0);
     world.ask(2, 0);
     world.take_answer(2);
--- a/crates/relay/tests/entries/oracle.rs
+++ b/crates/relay/tests/entries/oracle.rs
@@ -1,10 +1,14 @@
 //! What the key-value service held at each revision.
 
 use adapter::kv::Listing;
+use adapter::kv::pages::Pages;
 use platform::edge::Change;
 use platform::edge::Entry;
 use relay::subject::Subject;
 
+/// The most entries of a page.
+const PAGE: usize = 3;
+
 /// A change of a runner's entry.
 struct Write {
     revision: u64,
@@ -65,9 +69,19 @@
         Listing {
             entries: held.filter_map(entry).collect(),
             revision: self.revision,
+            ..Listing::default()
         }
     }
 
+    /// Reads the next page of a list. Returns whether it was the last one.
+    pub fn read_page(&self, pages: &mut Pages) -> bool {
+        let list = self.list();
+        let after = pages.last_key().unwrap_or_default().to_owned();
+        let mut rest = list.entries.into_iter().filter(|entry| entry.key > after);
+        pages.add(rest.by_ref().take(PAGE), list.revision);
+        rest.next().is_none()
+    }
+
     /// Returns the changes after a revision, and the revision up to which they are complete.
     pub fn changes(&self, after: u64) -> (Vec<Change>, u64) {
         let later = self.writes.iter().filter(|write| write.revision > after);
--- a/crates/relay/tests/fleet_model/store.rs
+++ b/crates/relay/tests/fleet_model/store.rs
@@ -75,6 +75,7 @@
         Listing {
             entries: under.map(|(_, entry)| entry.clone()).collect(),
             revision,
+            ..Listing::default()
         }
     }
 
