Soak: turns whose streams clients take up

One program in three now asks for such turns, each second one loses its connection in the middle, and the client goes on with `Last-Event-Id` at another VM, also after a kill or stop. The oracle knows what the client has of each stream, and checks the next turn's text with it.

The draws of clients are as before; the choices follow from the number of program and turn.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -21,6 +21,7 @@
 use crate::connection::Connection;
 use crate::connection::Outcome;
 use crate::context::Context;
+use crate::request::Got;
 use crate::request::Kind;
 use crate::request::Spec;
 use crate::request::Turn;
@@ -42,6 +43,10 @@
 const OVERLONG: Duration = Duration::from_millis(store::DEFAULT_TIMEOUT_MS + 800);
 /// How long clients wait for an overlong request.
 const OVERLONG_DEADLINE: Duration = Duration::from_millis(store::DEFAULT_TIMEOUT_MS + 1_500);
+/// One program in so many has turns whose streams may be resumed.
+const RESUMABLE_EACH: usize = 3;
+/// One turn of such a program in so many loses its connection.
+const BREAK_EACH: usize = 2;
 /// A token budget that no program uses up.
 const AMPLE_BUDGET: u64 = 20_000;
 
@@ -126,7 +131,7 @@
                 self.random.random_range(8..16),
                 self.random.random_range(150..300),
             ),
-            Kind::Kept | Kind::Talk => (
+            Kind::Kept | Kind::Resumable | Kind::Talk => (
                 self.random.random_range(2..12),
                 self.random.random_range(5..150),
             ),
@@ -148,6 +153,7 @@
             pace: self.random_pace(),
             input: self.random_input(),
             turn,
+            got: None,
         }
     }
 
@@ -191,6 +197,8 @@
             };
             let kind = if self.random.random_bool(0.12) {
                 Kind::Long
+            } else if program.is_multiple_of(RESUMABLE_EACH) {
+                Kind::Resumable
             } else {
                 Kind::Kept
             };
@@ -199,7 +207,11 @@
                 budget,
                 previous,
             };
-            let spec = self.random_spec(kind, Some(turn));
+            let mut spec = self.random_spec(kind, Some(turn));
+            if kind == Kind::Resumable && turns.len().is_multiple_of(BREAK_EACH) {
+                // The connection breaks off in the middle of the stream.
+                spec.leave_after = Some(spec.work() / 2);
+            }
             match self.turn(&spec).await {
                 Completion::Served(id) => turns.push(id),
                 Completion::Spent | Completion::Failed => return,
@@ -227,6 +239,7 @@
     }
 
     async fn request(&mut self, spec: &Spec) -> Completion {
+        let mut spec = spec.clone();
         let deadline = Instant::now() + spec.deadline;
         for attempt in 0..MAX_ATTEMPTS {
             let left = deadline.saturating_duration_since(Instant::now());
@@ -236,7 +249,7 @@
             let Some(mut connection) = self.connection(attempt).await else {
                 continue;
             };
-            let id = self.context.oracle().begin(connection.vm, spec, left);
+            let id = self.context.oracle().begin(connection.vm, &spec, left);
             let program = spec.turn.as_ref().map(|turn| format!("p{}", turn.program));
             let request = caller::request(&Params {
                 id: &id,
@@ -250,7 +263,10 @@
                 }),
                 body: spec.input.clone(),
             });
-            let request = request.map(|_| Body::new(spec.input.clone(), spec.pace));
+            let mut request = request.map(|_| Body::new(spec.input.clone(), spec.pace));
+            if let Some(got) = &spec.got {
+                caller::take_up(&mut request, &got.first, got.last_event);
+            }
             let give_up_at = spec
                 .leave_after
                 .map_or(deadline, |span| deadline.min(Instant::now() + span));
@@ -262,6 +278,10 @@
                 self.idle = Some(connection);
             }
             let left = deadline.saturating_duration_since(Instant::now());
+            if spec.kind == Kind::Resumable {
+                spec.got = after_break(&spec, &id, &outcome);
+                spec.leave_after = None;
+            }
             match decide(spec.kind, id, &outcome, left) {
                 Decision::Done(completion) => return completion,
                 Decision::Again(span) => sleep(span).await,
@@ -292,6 +312,17 @@
     }
 }
 
+/// Returns what the client has of a stream that it takes up with its next attempt; `None` if it begins anew.
+fn after_break(spec: &Spec, id: &str, outcome: &Outcome) -> Option<Got> {
+    match outcome {
+        Outcome::Cut(answer) | Outcome::GaveUp(Some(answer)) if answer.status == 200 => {
+            Got::after(spec, id, &answer.body)
+        }
+        Outcome::Closed | Outcome::NotSent | Outcome::GaveUp(None) => spec.got.clone(),
+        Outcome::Whole(_) | Outcome::Cut(_) | Outcome::GaveUp(_) => None,
+    }
+}
+
 fn decide(kind: Kind, id: String, outcome: &Outcome, left: Duration) -> Decision {
     let repeatable = !kind.runs_once();
     match outcome {
@@ -304,6 +335,7 @@
         },
         Outcome::NotSent => Decision::Again(Duration::ZERO),
         Outcome::Cut(_) | Outcome::Closed if repeatable => Decision::Again(Duration::ZERO),
+        Outcome::GaveUp(_) if kind == Kind::Resumable => Decision::Again(Duration::ZERO),
         Outcome::Cut(_) | Outcome::Closed | Outcome::GaveUp(_) => {
             Decision::Done(Completion::Failed)
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -329,9 +329,17 @@
         let mut version = self.version();
         *version += 1;
         let kept = r#","attempts":1,"retain":true,"retainS":60.0"#;
+        let resumable = format!(r#"{kept},"resumable":true"#);
         let mut more = format!(
-            ",{}",
-            store::route("long", "stream", "models", LONG_MS, kept)
+            ",{},{}",
+            store::route("long", "stream", "models", LONG_MS, kept),
+            store::route(
+                "both",
+                "stream",
+                "models",
+                store::DEFAULT_TIMEOUT_MS,
+                &resumable
+            )
         );
         let oldest = version.saturating_sub(ADDED_ROUTES - 1).max(1);
         for version in oldest..=*version {
@@ -376,6 +384,7 @@
             pace: Pace::AtOnce,
             input: "which configuration\n".into(),
             turn: None,
+            got: None,
         };
         let Ok(mut connection) = Connection::open(vm.config.index, vm.callers()).await else {
             return;
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -60,6 +60,10 @@
     pub refused: u64,
     /// With the program's token budget spent.
     pub spent: u64,
+    /// With a 2xx status, after they took a stream up.
+    pub taken_up: u64,
+    /// With a refusal to take a stream up.
+    pub not_taken_up: u64,
     /// With any other status.
     pub failed: u64,
     /// With a connection that closed before or during the answer.
--- a/crates/soak/src/oracle/answer.rs
+++ b/crates/soak/src/oracle/answer.rs
@@ -19,10 +19,12 @@
         let kind = attempt.spec.kind;
         let continues = attempt.spec.turn.as_ref();
         let continues = continues.is_some_and(|turn| turn.previous.is_some());
+        let takes_up = attempt.spec.got.is_some();
         let status = answer.status;
         match status {
             200..=299 => {
                 self.counts.served += 1;
+                self.counts.taken_up += u64::from(takes_up);
                 self.check_complete(index, answer);
             }
             402 => {
@@ -31,6 +33,7 @@
             }
             408 | 421 | 429 | 503 => {
                 self.counts.refused += 1;
+                self.counts.not_taken_up += u64::from(takes_up);
                 if kind.runs_once() {
                     self.check_refusal(Check::Refused, index, status);
                 }
@@ -89,13 +92,13 @@
         self.record(Check::Own, index, (!is_own).then(what));
         let spec = self.attempts[index].spec.clone();
         let body = self.expected_body(index);
-        let expected = request::answer(&id, &body, spec.events);
+        let expected = request::answer(&id, &body, &spec);
         let is_whole = answer.body == expected;
         let what = || format!("looks whole, but is {:?}", answer.body);
         self.record(Check::Order, index, (!is_whole).then(what));
         self.count_tokens(index, answer);
         if spec.kind.is_turn() && is_whole {
-            let output = request::output(&id, &body, spec.events);
+            let output = request::output(&id, &body, &spec);
             self.attempts[index].chain_text =
                 Some([body.as_ref(), output.as_bytes()].concat().into());
         }
@@ -106,8 +109,7 @@
             return;
         }
         let attempt = &self.attempts[index];
-        let expected =
-            request::answer(&attempt.id, &self.expected_body(index), attempt.spec.events);
+        let expected = request::answer(&attempt.id, &self.expected_body(index), &attempt.spec);
         let is_part = expected.starts_with(&answer.body);
         let what = || format!("is no part of its answer: {:?}", answer.body);
         self.record(Check::Order, index, (!is_part).then(what));
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -15,6 +15,7 @@
 use crate::connection::Answer;
 use crate::connection::Outcome;
 use crate::request;
+use crate::request::Got;
 use crate::request::Kind;
 use crate::request::Spec;
 use crate::request::Turn;
@@ -93,6 +94,14 @@
         pace: Pace::AtOnce,
         input: Bytes::from_static(b"in\n"),
         turn: None,
+        got: None,
+    }
+}
+
+fn two_events() -> Spec {
+    Spec {
+        events: 2,
+        ..spec(Kind::Talk)
     }
 }
 
@@ -120,7 +129,11 @@
 }
 
 fn whole(id: &str) -> Outcome {
-    Outcome::Whole(answer(id, 200, request::answer(id, b"in\n", 3)))
+    Outcome::Whole(answer(
+        id,
+        200,
+        request::answer(id, b"in\n", &spec(Kind::Talk)),
+    ))
 }
 
 fn refused(id: &str) -> Outcome {
@@ -216,7 +229,7 @@
 fn an_answer_without_its_end_must_not_look_complete() {
     let mut fixture = Fixture::new();
     fixture.execute(&spec(Kind::Look), |id| {
-        Outcome::Whole(answer(id, 200, request::answer(id, b"in\n", 2)))
+        Outcome::Whole(answer(id, 200, request::answer(id, b"in\n", &two_events())))
     });
     assert_eq!(fixture.broken_checks(), [Check::Order]);
 }
@@ -225,12 +238,12 @@
 fn an_answer_may_be_cut_off_but_not_skip_events() {
     let mut fixture = Fixture::new();
     fixture.execute(&spec(Kind::Talk), |id| {
-        let body = request::answer(id, b"in\n", 2);
+        let body = request::answer(id, b"in\n", &two_events());
         Outcome::GaveUp(Some(answer(id, 200, body)))
     });
     assert_eq!(fixture.broken_checks(), []);
     fixture.execute(&spec(Kind::Talk), |id| {
-        let body = request::answer(id, b"in\n", 3);
+        let body = request::answer(id, b"in\n", &spec(Kind::Talk));
         let second = body.split_once("\n\n").unwrap().1.to_owned();
         Outcome::GaveUp(Some(answer(id, 200, second)))
     });
@@ -278,8 +291,11 @@
     let first = fixture.execute(&turn(program, 100, None), whole);
     let next = turn(program, 100, Some(&first));
     let id = fixture.begin(&next);
-    let text = format!("in\n{}in\n", request::output(&first, b"in\n", 3));
-    fixture.run(&id, &next.path(), &text.into());
+    let text = format!(
+        "in\n{}in\n",
+        request::output(&first, b"in\n", &spec(Kind::Kept))
+    );
+    fixture.run(&id, &next.path(), &text.clone().into());
     let id = fixture.begin(&next);
     fixture.oracle.check_whole_run();
     assert_eq!(fixture.broken_checks(), []);
@@ -383,3 +399,39 @@
         assert_eq!(fixture.broken_checks(), broken);
     }
 }
+
+/// Guards against an oracle that takes the part of a stream that an earlier attempt brought for missing, or
+/// that doesn't miss it in the next turn.
+#[test]
+fn a_stream_that_was_taken_up_continues_what_its_client_has() {
+    let mut fixture = Fixture::new();
+    let program = fixture.oracle.add_program(1_000);
+    let mut begun = turn(program, 1_000, None);
+    begun.kind = Kind::Resumable;
+    let mut part = String::new();
+    let first = fixture.execute(&begun, |id| {
+        part = request::answer(id, b"in\n", &two_events());
+        Outcome::Cut(answer(id, 200, part.clone()))
+    });
+    let resumed = Spec {
+        got: Got::after(&begun, &first, &part),
+        ..begun.clone()
+    };
+    assert_eq!(resumed.first_event(), 3);
+    let second = fixture.execute(&resumed, |id| {
+        Outcome::Whole(answer(id, 200, request::answer(id, b"in\n", &resumed)))
+    });
+    assert_eq!(fixture.oracle.counts.taken_up, 1);
+    let next = turn(program, 1_000, Some(&second));
+    let id = fixture.begin(&next);
+    let text = format!("in\n{}in\n", request::output(&second, b"in\n", &resumed));
+    assert!(text.contains(&first) && text.contains(&second));
+    fixture.run(&id, &next.path(), &text.clone().into());
+    fixture.oracle.check_whole_run();
+    assert_eq!(fixture.broken_checks(), []);
+    let id = fixture.begin(&next);
+    let short = text.replace(&first, &second);
+    fixture.run(&id, &next.path(), &short.into());
+    fixture.oracle.check_whole_run();
+    assert_eq!(fixture.broken_checks(), [Check::Chain]);
+}
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -64,6 +64,8 @@
         }
         let Counts {
             served,
+            taken_up,
+            not_taken_up,
             refused,
             spent,
             failed,
@@ -73,7 +75,7 @@
         } = self.counts;
         writeln!(
             out,
-            "attempts: {served} served, {refused} refused, {spent} over budget, {failed} failed, {cut} cut, {unsent} unsent, {given_up} given up; the longest delay of the soak itself was {} ms",
+            "attempts: {served} served, {refused} refused, {taken_up} streams taken up, {not_taken_up} not, {spent} over budget, {failed} failed, {cut} cut, {unsent} unsent, {given_up} given up; the longest delay of the soak itself was {} ms",
             self.late.as_u64()
         )?;
         writeln!(
--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -27,6 +27,8 @@
     Kept,
     /// A long turn of a program.
     Long,
+    /// A turn of a program whose stream may be resumed.
+    Resumable,
     /// A call of the route that the configuration of this version added.
     Added(u64),
     /// A call of the route that the configuration of this version added and a later one dropped.
@@ -43,6 +45,7 @@
             Self::Talk => "/talk/".to_owned(),
             Self::Kept => "/kept/".to_owned(),
             Self::Long => "/long/".to_owned(),
+            Self::Resumable => "/both/".to_owned(),
             Self::Added(version) | Self::Dropped(version) => format!("/new-{version}/"),
         }
     }
@@ -65,7 +68,7 @@
     /// Returns whether it is a turn of a program.
     #[must_use]
     pub const fn is_turn(self) -> bool {
-        matches!(self, Self::Kept | Self::Long)
+        matches!(self, Self::Kept | Self::Long | Self::Resumable)
     }
 }
 
@@ -88,6 +91,45 @@
     pub input: Bytes,
     /// The data of a turn, if the request is one.
     pub turn: Option<Turn>,
+    /// What the client has of the stream, if the attempt takes it up.
+    pub got: Option<Got>,
+}
+
+/// What a client has of a stream that broke off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Got {
+    /// The id of the attempt that brought its first event.
+    pub first: String,
+    /// The id of its last event.
+    pub last_event: u64,
+    /// The data of its events, each followed by a line feed.
+    pub data: String,
+}
+
+impl Got {
+    /// Returns what a client has after an attempt `id` at `spec` that broke off with this part of its answer.
+    #[must_use]
+    pub fn after(spec: &Spec, id: &str, body: &str) -> Option<Self> {
+        let complete = body.rfind("\n\n").map_or("", |end| &body[..end]);
+        let lines = complete
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        let data: String = lines.map(|data| data.to_owned() + "\n").collect();
+        let events = data.lines().count() as u64;
+        match &spec.got {
+            _ if events == 0 => spec.got.clone(),
+            None => Some(Self {
+                first: id.to_owned(),
+                last_event: events,
+                data,
+            }),
+            Some(before) => Some(Self {
+                first: before.first.clone(),
+                last_event: before.last_event + events,
+                data: format!("{}{data}", before.data),
+            }),
+        }
+    }
 }
 
 /// The data of a turn.
@@ -113,6 +155,12 @@
         )
     }
 
+    /// Returns the id of the first event that the attempt's answer has.
+    #[must_use]
+    pub fn first_event(&self) -> u64 {
+        self.got.as_ref().map_or(1, |got| got.last_event + 1)
+    }
+
     /// Returns how long a runner works on it.
     #[must_use]
     pub fn work(&self) -> Duration {
@@ -126,11 +174,11 @@
     }
 }
 
-/// Returns the complete answer to a request of which the runner received `body`.
+/// Returns the complete answer to an attempt at `spec` of which the runner received `body`.
 #[must_use]
-pub fn answer(id: &str, body: &[u8], events: u64) -> String {
+pub fn answer(id: &str, body: &[u8], spec: &Spec) -> String {
     let mut whole = String::new();
-    for event in 1..=events {
+    for event in spec.first_event()..=spec.events {
         let data = runner::echo(id, body, event);
         // Writing to a string can't fail.
         let _written = write!(whole, "id: {event}\ndata: {data}\n\n");
@@ -140,7 +188,9 @@
 
 /// Returns the text that a turn with this answer appends to its chain.
 #[must_use]
-pub fn output(id: &str, body: &[u8], events: u64) -> String {
-    let lines = (1..=events).map(|event| runner::echo(id, body, event) + "\n");
-    lines.collect()
+pub fn output(id: &str, body: &[u8], spec: &Spec) -> String {
+    let before = spec.got.as_ref().map_or("", |got| got.data.as_str());
+    let events = spec.first_event()..=spec.events;
+    let lines = events.map(|event| runner::echo(id, body, event) + "\n");
+    before.to_owned() + &lines.collect::<String>()
 }
