Hold an event back until it is recorded

Cause: an event was passed on after 50 ms, recorded or not, and a sync on a disk that others use takes longer at times. The VM was killed while the write was under way, and nobody but the caller had the event.

Change: an event waits until it is recorded, as the end of a kept stream does, at most for the 700 ms that a member may take to answer. If it isn't recorded then, or it is known that too few members can be reached, the rest of the stream is passed on unrecorded (E1213): a stream waits so long once. Slow syncs delay all events alike.

--- a/crates/relay/src/delivered.rs
+++ b/crates/relay/src/delivered.rs
@@ -4,8 +4,8 @@
 //! A turn is kept with all events that its caller has. The attempt that takes a stream up gets only the later
 //! ones from its runner, and a new run of the earlier ones may differ from what the caller has. So where a
 //! route both keeps turns and lets streams be resumed, each event is on the disks of a majority before the
-//! caller has it. An event that can't be recorded in time is passed on all the same: a stream whose first part
-//! can't be read later isn't taken up.
+//! caller has it. An event that can't be recorded is passed on all the same: a stream whose first part can't be
+//! read later isn't taken up.
 //!
 //! The record of an event is a turn whose key is computed from the stream, the event's id and how often the
 //! stream had been taken up, and which continues the record of the event before: like any turn it is copied,
@@ -21,6 +21,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use policy::crash::Content;
+use replica::call::ANSWER_TIMEOUT;
 use replica::client::Fault;
 use replica::ledger::Entry;
 use replica::record::Key;
@@ -40,9 +41,9 @@
 use crate::history;
 use crate::job::Job;
 
-/// How long an event is held back at most while it is being recorded: a few times what a sync and a trip
-/// between data centres take, and short against the pause between two events.
-const MAX_HOLD: Duration = Duration::from_millis(50);
+/// How long an event is held back at most while it is being recorded: as long as a member may take to answer.
+/// A stream waits so long once, as its later events aren't recorded then.
+const MAX_HOLD: Duration = ANSWER_TIMEOUT;
 
 /// The result of a step that may refuse the request.
 type Result<T> = std::result::Result<T, Refusal>;
@@ -214,11 +215,12 @@
         }
     }
 
-    /// Records an event. Returns once it is recorded, or after [`MAX_HOLD`].
+    /// Records an event.
     ///
     /// # Errors
     ///
-    /// Fails if too few members can be reached. No later event can be recorded then.
+    /// Fails if too few members record it within [`MAX_HOLD`], or if it is known that too few can be reached.
+    /// No later event can be recorded then.
     pub async fn record(
         &mut self,
         job: &Job,
@@ -229,6 +231,9 @@
         let Some(id) = event.id else {
             return Ok(());
         };
+        if !job.node.can_serve_turns() {
+            return Err(Fault::TooFew);
+        }
         let key = self.stream.event_key(job, self.resumptions, id);
         let turn = Turn {
             key,
@@ -236,8 +241,8 @@
             text: self.pending.split().freeze(),
         };
         let recorded = job.node.replicas.apply(key, vec![Record::Turn(turn)]);
-        // The members that are slow write it all the same.
-        timeout(MAX_HOLD, recorded).await.unwrap_or(Ok(()))
+        let recorded = timeout(MAX_HOLD, recorded).await;
+        recorded.unwrap_or(Err(Fault::TooFew))
     }
 }
 
