--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -113,6 +113,22 @@
     check_reachable(job)
 }
 
+/// Waits for what the members answer, at most until the request's deadline.
+///
+/// # Errors
+///
+/// Refuses the request if they give no reliable answer in time.
+pub async fn answer_of<T>(
+    job: &Job,
+    answer: impl Future<Output = replica::client::Result<T>>,
+) -> Result<T, Refusal> {
+    match timeout_at(job.deadline, answer).await {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(fault)) => Err(unreachable(job, &fault).await),
+        Err(_) => Err(unreachable(job, &Fault::TooFew).await),
+    }
+}
+
 /// Returns the refusal of a turn for which the members gave no reliable answer, and looks into it.
 pub async fn unreachable(job: &Job, fault: &Fault) -> Refusal {
     let _late = timeout_at(job.deadline, member_health::suspect(&job.node, fault)).await;
--- a/crates/relay/src/build.rs
+++ b/crates/relay/src/build.rs
@@ -10,7 +10,6 @@
 //! settled one has been withdrawn.
 
 use adapter::config::Kind;
-use replica::client::Fault;
 use replica::ledger::Entry;
 use replica::record::Key;
 use replica::record::Record;
@@ -148,11 +147,7 @@
     };
     account::wait_for_members(job).await?;
     let read = job.node.replicas.entries(owner(job, attempt));
-    let entries = match timeout_at(job.deadline, read).await {
-        Ok(Ok(entries)) => entries,
-        Ok(Err(fault)) => return Err(account::unreachable(job, &fault).await),
-        Err(_) => return Err(account::unreachable(job, &Fault::TooFew).await),
-    };
+    let entries = account::answer_of(job, read).await?;
     let mut builds = known_builds(job);
     builds.retain(|build| is_recorded(&entries, key(job, attempt, build)));
     match builds.pop() {
--- a/crates/relay/src/delivered.rs
+++ b/crates/relay/src/delivered.rs
@@ -29,7 +29,6 @@
 use replica::record::Reservation;
 use replica::record::Turn;
 use tokio::time::timeout;
-use tokio::time::timeout_at;
 use wire::code::Code;
 use wire::code::Refusal;
 use wire::event::Event;
@@ -123,12 +122,7 @@
 /// Returns how often a stream has been taken up.
 async fn count_resumptions(job: &Job, stream: &Stream) -> Result<usize> {
     let owner = build::owner(job, &stream.attempt);
-    let read = timeout_at(job.deadline, job.node.replicas.entries(owner));
-    let entries = match read.await {
-        Ok(Ok(entries)) => entries,
-        Ok(Err(fault)) => return Err(account::unreachable(job, &fault).await),
-        Err(_) => return Err(account::unreachable(job, &Fault::TooFew).await),
-    };
+    let entries = account::answer_of(job, job.node.replicas.entries(owner)).await?;
     let is_noted = |number: &usize| has_entry(&entries, stream.resumption_key(job, *number));
     Ok((1..=entries.len()).take_while(is_noted).count())
 }
@@ -207,12 +201,7 @@
             most: 0,
         };
         let records = vec![Record::Reserve(reservation)];
-        let noted = timeout_at(job.deadline, job.node.replicas.apply(owner, records));
-        match noted.await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(fault)) => Err(account::unreachable(job, &fault).await),
-            Err(_) => Err(account::unreachable(job, &Fault::TooFew).await),
-        }
+        account::answer_of(job, job.node.replicas.apply(owner, records)).await
     }
 
     /// Records an event.
