Catch SIGHUP before the settings and the disk are read

Callers saw: a VM that got SIGHUP as it started was gone until something started it again. A store VM caught the signal only after it had read its disk, a front VM after it had opened its listeners; until then SIGHUP does what it does by default, it ends the process. Operators reload all VMs at once, also one that has just restarted.

Evidence, with real processes (before): the settings file, or the disk's identity, is a pipe, SIGHUP comes while the process reads it, and the process never listens: a_reload_while_the_settings_are_read_does_not_end_the_process (both roles) a_reload_while_the_disk_is_read_does_not_end_the_process "panicked at crates/chestnutyoke/tests/role_stop.rs:150:13: no listener"

Now SIGHUP is the first thing that a role catches, and it is handled once the process runs. SIGTERM and SIGINT are caught before the first listener opens: before, a front opened its listeners first. While the disk is read they still end the process at once, as nothing has been accepted by then.

--- a/crates/chestnutyoke/src/cli.rs
+++ b/crates/chestnutyoke/src/cli.rs
@@ -9,6 +9,7 @@
 use clap::ArgMatches;
 use clap::Command;
 use clap::value_parser;
+use relay::signals::Reloads;
 
 use crate::commands::change;
 use crate::commands::check;
@@ -192,14 +193,18 @@
     let port = *matches
         .get_one("metrics-port")
         .ok_or("--metrics-port is missing")?;
-    let settings = adapter::settings::load()?;
-    let _logger = link::output::start(log::LevelFilter::Info)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    let reloads = {
+        let _entered = runtime.enter();
+        Reloads::catch()?
+    };
+    let settings = adapter::settings::load()?;
+    let _logger = link::output::start(log::LevelFilter::Info)?;
     match role {
-        Role::Front => runtime.block_on(relay::front::run(settings, port))?,
-        Role::Store => runtime.block_on(relay::store::run(settings, port))?,
+        Role::Front => runtime.block_on(relay::front::run(settings, port, reloads))?,
+        Role::Store => runtime.block_on(relay::store::run(settings, port, reloads))?,
     }
     Ok(())
 }
--- a/crates/chestnutyoke/tests/role_stop.rs
+++ b/crates/chestnutyoke/tests/role_stop.rs
@@ -1,13 +1,15 @@
-//! How the processes of the two roles shut down: the last line of their logs, and what a VM with a
-//! disk still answers.
+//! How the processes of the two roles handle signals: what a reload before they serve does, the last
+//! line of their logs, and what a VM with a disk still answers while it stops.
 
 use std::fs;
 use std::fs::File;
+use std::fs::OpenOptions;
 use std::io::Read;
 use std::io::Write;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -46,35 +48,98 @@
     folder: PathBuf,
 }
 
-impl Process {
-    fn start(role: &str, last: u8) -> Self {
+/// The folder and settings of a role's process.
+struct Setup {
+    role: String,
+    ip: IpAddr,
+    folder: PathBuf,
+}
+
+impl Setup {
+    fn new(role: &str, last: u8) -> Self {
         let pid = std::process::id();
         let part = |value: u32| u8::try_from(value % 250).unwrap();
         let ip = IpAddr::from([127, 1 + part(pid), part(pid / 250), last]);
         let folder = std::env::temp_dir().join(format!("chestnutyoke-{pid}-{role}-{last}"));
         fs::create_dir_all(&folder).unwrap();
+        let setup = Self {
+            role: role.to_owned(),
+            ip,
+            folder,
+        };
         let text = settings::text(&settings::Vm {
             name: &format!("{role}-1"),
             centre: "a",
             ip,
             advertised: None,
             store: NO_LISTENER.parse().unwrap(),
-            disk: Some(&folder.join("data")),
+            disk: Some(&setup.folder.join("data")),
         });
-        let file = folder.join("node.toml");
-        fs::write(&file, text).unwrap();
+        fs::write(setup.file(), text).unwrap();
+        setup
+    }
+
+    /// Returns the path of the settings file.
+    fn file(&self) -> PathBuf {
+        self.folder.join("node.toml")
+    }
+
+    /// Returns the path of the disk's identity.
+    fn identity(&self) -> PathBuf {
+        self.folder.join("data/identity")
+    }
+
+    fn spawn(&self) -> Process {
         let child = Command::new(BINARY)
-            .args([role, "--metrics-port", &settings::METRICS.to_string()])
-            .env("CHESTNUTYOKE_CONFIG", &file)
+            .args([&self.role, "--metrics-port", &settings::METRICS.to_string()])
+            .env("CHESTNUTYOKE_CONFIG", self.file())
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let process = Self {
+        Process {
             child,
-            address: SocketAddr::new(ip, settings::METRICS),
-            vms: SocketAddr::new(ip, settings::PEERS),
-            folder,
-        };
+            address: SocketAddr::new(self.ip, settings::METRICS),
+            vms: SocketAddr::new(self.ip, settings::PEERS),
+            folder: self.folder.clone(),
+        }
+    }
+}
+
+/// A file whose reader waits, as on a slow disk.
+struct SlowFile {
+    path: PathBuf,
+    bytes: Vec<u8>,
+}
+
+impl SlowFile {
+    /// Makes a file slow for its next reader.
+    fn of(path: &Path) -> Self {
+        let bytes = fs::read(path).unwrap();
+        fs::remove_file(path).unwrap();
+        let made = Command::new("mkfifo").arg(path).status().unwrap();
+        assert!(made.success());
+        Self {
+            path: path.to_owned(),
+            bytes,
+        }
+    }
+
+    /// Waits until a process reads the file, calls `meanwhile`, and lets the process read on. Later
+    /// readers don't wait.
+    fn read_during(&self, meanwhile: impl FnOnce()) {
+        let mut pipe = OpenOptions::new().write(true).open(&self.path).unwrap();
+        let usual = self.path.with_extension("usual");
+        fs::write(&usual, &self.bytes).unwrap();
+        fs::rename(&usual, &self.path).unwrap();
+        meanwhile();
+        // Fails if the process has ended, which the caller finds out.
+        let _ended = pipe.write_all(&self.bytes);
+    }
+}
+
+impl Process {
+    fn start(role: &str, last: u8) -> Self {
+        let process = Setup::new(role, last).spawn();
         process.wait_until_listening();
         process
     }
@@ -105,8 +170,12 @@
     }
 
     fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-s", "TERM", &id]).status();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
         assert!(sent.unwrap().success());
     }
 
@@ -144,6 +213,40 @@
     assert!(end.contains("event=E1003"), "{end}");
 }
 
+/// Operators ask all VMs to reload their settings while a process starts and still reads its
+/// settings. If the process didn't catch the signal yet, it would end.
+#[rstest]
+#[case::front("front", 34)]
+#[case::store("store", 35)]
+fn a_reload_while_the_settings_are_read_does_not_end_the_process(
+    #[case] role: &str,
+    #[case] last: u8,
+) {
+    let setup = Setup::new(role, last);
+    let settings = SlowFile::of(&setup.file());
+    let mut process = setup.spawn();
+    settings.read_during(|| process.signal("HUP"));
+    process.wait_until_listening();
+    process.terminate();
+    assert!(process.log().contains("event=E1004"));
+}
+
+/// The same for a VM with a disk that reads a long disk as it starts.
+#[test]
+fn a_reload_while_the_disk_is_read_does_not_end_the_process() {
+    let setup = Setup::new("store", 36);
+    let mut process = setup.spawn();
+    process.wait_until_listening();
+    process.terminate();
+    process.log();
+    let identity = SlowFile::of(&setup.identity());
+    let mut process = setup.spawn();
+    identity.read_during(|| process.signal("HUP"));
+    process.wait_until_listening();
+    process.terminate();
+    assert!(process.log().contains("event=E1004"));
+}
+
 /// Calls a VM with a disk and waits for its answer; returns `None` if the connection breaks.
 async fn call_vm(address: SocketAddr, version: u64, body: Body) -> Option<Answer> {
     let client = Client::new(Limits {
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -11,8 +11,6 @@
 use derive_more::From;
 use link::listen;
 use link::listen::Connections;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use wire::clock::Clock;
@@ -31,6 +29,8 @@
 use crate::probe;
 use crate::reachability;
 use crate::register;
+use crate::signals::Reloads;
+use crate::signals::Signals;
 use crate::subject::Subject;
 
 /// How long a caller's connection may be idle: longer than any limit that operators set, because
@@ -69,20 +69,21 @@
 ///
 /// # Errors
 ///
-/// Fails if the settings can't be used or a listener can't be bound.
-pub async fn run(settings: Settings, metrics: u16) -> Result<()> {
-    run_until(settings, metrics, stop_signal()).await
+/// Fails if the settings can't be used, a listener can't be bound, or a signal can't be caught.
+pub async fn run(settings: Settings, metrics: u16, reloads: Reloads) -> Result<()> {
+    let signals = Signals::catch(reloads)?;
+    run_until(settings, metrics, signals.stopped()).await
 }
 
 /// Runs the process until `stop` completes, and then lets requests in progress finish.
 ///
 /// # Errors
 ///
-/// Fails if the settings can't be used, a listener can't be bound, or `stop` fails.
+/// Fails if the settings can't be used or a listener can't be bound.
 pub async fn run_until(
     settings: Settings,
     metrics: u16,
-    stop: impl Future<Output = Result<()>>,
+    stop: impl Future<Output = ()>,
 ) -> Result<()> {
     let node = Node::new(settings, Clock::System);
     let settings = &node.settings;
@@ -114,7 +115,7 @@
     tokio::spawn(register::run(node.clone(), advertised));
     tokio::spawn(check_members(node.clone()));
     tokio::spawn(sweep(node.clone()));
-    stop.await?;
+    stop.await;
     drain::run(&node, &connections, listener).await;
     Ok(())
 }
@@ -171,38 +172,6 @@
     Ok(listening)
 }
 
-/// Waits for SIGTERM or SIGINT; reloads the settings on SIGHUP.
-///
-/// # Errors
-///
-/// Fails if the signals can't be caught.
-pub async fn stop_signal() -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _signal = terminate.recv() => return Ok(()),
-            _signal = interrupt.recv() => return Ok(()),
-            _signal = hangup.recv() => reload(),
-        }
-    }
-}
-
-/// Reads the settings again. The settings that a process uses are fixed at its start, so a change
-/// is only checked and logged.
-fn reload() {
-    let outcome = match settings::load() {
-        Ok(settings) => format!("vm={} outcome=read", settings.vm),
-        Err(fault) => format!("outcome=\"{fault}\""),
-    };
-    log::info!(
-        "event=E{} text=\"{}\" {outcome}",
-        Event::SettingsReloaded.number(),
-        Event::SettingsReloaded.text()
-    );
-}
-
 /// Checks repeatedly whether enough members answer.
 async fn check_members(node: Arc<Node>) {
     loop {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod reports;
 pub mod roster;
 pub mod shutdown;
+pub mod signals;
 pub mod store;
 mod store_call;
 pub mod stream;
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -34,12 +34,13 @@
 use wire::event::Event;
 
 use crate::answer;
-use crate::front;
 use crate::front::Fault;
 use crate::front::Result;
 use crate::memory;
 use crate::metrics;
 use crate::node;
+use crate::signals::Reloads;
+use crate::signals::Signals;
 use crate::subject;
 
 /// Timeout for connecting to another VM.
@@ -80,14 +81,16 @@
 ///
 /// # Errors
 ///
-/// Fails if the settings can't be used, the disk fails, or a listener can't be bound.
-pub async fn run(settings: Settings, metrics_port: u16) -> Result<()> {
+/// Fails if the settings can't be used, the disk fails, a listener can't be bound, or a signal can't be
+/// caught.
+pub async fn run(settings: Settings, metrics_port: u16, reloads: Reloads) -> Result<()> {
     let clock = Clock::System;
     let grace = settings.grace;
     let conns = Arc::new(Connections::default());
     let folder = settings.data.clone().ok_or(Fault::Missing("data folder"))?;
     let new_disk_id = rand::rng().random::<u64>();
     let member = server::open(&folder, settings.disk_bytes, new_disk_id, clock.clone()).await?;
+    let signals = Signals::catch(reloads)?;
     let ip = settings.ip.parse();
     let ip = ip.map_err(|_| Fault::Missing("IP address"))?;
     let address = SocketAddr::new(ip, settings.first_port);
@@ -119,7 +122,7 @@
     };
     tokio::spawn(driver.run());
     tokio::spawn(retire(kv, settings.vm.clone(), phase, phases));
-    front::stop_signal().await?;
+    signals.stopped().await;
     log::info!(
         "event=E{} text=\"{}\"",
         Event::NodeStopping.number(),
