Give the last callers time to be answered when a process stops late

Callers saw: a connection that ended without an answer, made while a stopping VM was paused or got no processor time until its time was over. The process closed its listener, accepted the connections that waited, found that the moment of its end had passed, and ended with their requests unread; the kill was still a quarter of a second away. The callers couldn't know whether an order had run.

Cause: the end was one moment of the clock, whatever the process had done by then. Now a process whose listener closes late goes on for as long after it as it would have otherwise (`Stop::exit_after`), and still ends before it is killed. A process whose listener closes in time ends when it did before.

--- a/crates/chestnutyoke/tests/role_stop.rs
+++ b/crates/chestnutyoke/tests/role_stop.rs
@@ -247,6 +247,37 @@
     assert!(process.log().contains("event=E1004"));
 }
 
+/// A caller has connected while a stopping VM was paused, and the VM goes on just before it is killed.
+/// If the process ended at once because its time was over, the connection that it has just accepted
+/// would end without an answer, and the caller couldn't know that its order has not run.
+#[test]
+fn a_caller_that_connects_during_a_pause_is_answered_before_the_end() {
+    let setup = Setup::new("front", 37);
+    let text = fs::read_to_string(setup.file()).unwrap();
+    let usual = format!("graceS = {}\n", settings::GRACE_S);
+    fs::write(setup.file(), text.replace(&usual, "graceS = 2\n")).unwrap();
+    let mut process = setup.spawn();
+    process.wait_until_listening();
+    sleep(Duration::from_secs(1));
+    process.terminate();
+    let begun = Instant::now();
+    let sleep_until = |ms| sleep(Duration::from_millis(ms).saturating_sub(begun.elapsed()));
+    sleep_until(1_400);
+    process.signal("STOP");
+    let callers = SocketAddr::new(setup.ip, settings::CALLERS);
+    let mut stream = TcpStream::connect(callers).unwrap();
+    let order =
+        "POST /order/x HTTP/1.1\r\nhost: x\r\nrequest-id: o1\r\ncontent-length: 2\r\n\r\nin";
+    stream.write_all(order.as_bytes()).unwrap();
+    sleep_until(1_750);
+    process.signal("CONT");
+    let mut answer = String::new();
+    let _reset = stream.read_to_string(&mut answer);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    assert!(process.log().contains("event=E1003"));
+    assert!(begun.elapsed() < Duration::from_secs(2));
+}
+
 /// Calls a VM with a disk and waits for its answer; returns `None` if the connection breaks.
 async fn call_vm(address: SocketAddr, version: u64, body: Body) -> Option<Answer> {
     let client = Client::new(Limits {
--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -95,6 +95,17 @@
             .plus(Millis::new(margin.as_u64() / FLUSH_DIVISOR))
     }
 
+    /// Returns when a process that is still busy exits if its listener closed at `closed`. A process
+    /// that was paused, or got no processor time, may close it late, and the connections that it
+    /// accepts last still have to be answered. Where the kill leaves time, they get as much as they
+    /// would have had without the delay.
+    #[must_use]
+    pub fn exit_after(&self, closed: Millis) -> Millis {
+        let flush = self.exit_at().since(self.deadline);
+        let latest = Millis::new(self.killed.as_u64() - flush.as_u64());
+        closed.plus(flush).min(latest).max(self.exit_at())
+    }
+
     /// Returns whether the process exits now: once the balancer has had time to notice and nothing
     /// is in progress, and at [`Self::exit_at`] at the latest.
     #[must_use]
--- a/crates/policy/src/stop/tests.rs
+++ b/crates/policy/src/stop/tests.rs
@@ -120,3 +120,16 @@
     assert!(stop.is_over(stop.deadline().plus(Millis::new(200)), Activity::Busy));
     assert!(stop.exit_at() < stop.killed());
 }
+
+// A process with 8 s to exit was paused, and its listener closes late. What it accepts then is
+// answered, unless the process would be killed meanwhile.
+#[rstest]
+#[case::in_time(7_600, 7_700)]
+#[case::idle(2_300, 7_700)]
+#[case::late(7_750, 7_850)]
+#[case::just_before_the_kill(7_950, 7_900)]
+#[case::after_the_kill(9_000, 7_900)]
+fn a_late_listener_leaves_time_to_answer(#[case] closed_ms: u64, #[case] exit_ms: u64) {
+    let stop = Stop::new(BEGUN, Millis::new(8_000));
+    assert_eq!(stop.exit_after(after(closed_ms)), after(exit_ms));
+}
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -45,7 +45,12 @@
     if timeout(LISTENER_CLOSE_TIMEOUT, listener).await.is_err() {
         log::warn!("text=\"the listener for callers did not close in time\"");
     }
-    wait_until(|| stop.is_over(node.clock.now(), activity(node, connections))).await;
+    let exit_at = stop.exit_after(node.clock.now());
+    let is_over = |now| match activity(node, connections) {
+        Activity::Idle => stop.is_over(now, Activity::Idle),
+        Activity::Busy => now >= exit_at,
+    };
+    wait_until(|| is_over(node.clock.now())).await;
     log_cut(&node.work.entries());
     log::info!(
         "event=E{} text=\"{}\" under_way={} connections={} ms={}",
