--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -5,15 +5,8 @@
 //! A power loss tears at most what was not yet answered; checksums tell a torn end from a record.
 //! Each start begins a new segment, so nothing is ever written after a torn end.
 
-use std::fs;
-use std::fs::File;
-use std::fs::OpenOptions;
 use std::io;
-use std::io::Read;
-use std::io::Write;
-use std::os::unix::fs::FileExt;
 use std::path::Path;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -27,6 +20,10 @@
 
 use crate::index::Location;
 use crate::list::List;
+use crate::medium;
+use crate::medium::File;
+use crate::medium::Folder;
+use crate::medium::Medium;
 use crate::record;
 use crate::record::Parsed;
 use crate::record::Record;
@@ -39,6 +36,8 @@
 const FILL_PERCENT: u64 = 85;
 /// Name of the identity file.
 const IDENTITY_FILE: &str = "identity";
+/// Name of the file in which the next identity is written before it takes the place of the last one.
+const NEXT_IDENTITY_FILE: &str = "identity.next";
 
 /// What a member stores beside the records.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,10 +62,10 @@
 /// The disk of a running member.
 #[derive(Debug)]
 pub struct Disk {
-    folder: PathBuf,
+    medium: Arc<dyn Medium>,
     jobs: mpsc::Sender<Job>,
     /// Segments that are open for reading, sorted by number.
-    files: Mutex<Vec<(u64, Arc<File>)>>,
+    files: Mutex<Vec<(u64, Arc<dyn File>)>>,
 }
 
 /// Receives the locations of an append's frames.
@@ -80,12 +79,12 @@
 }
 
 struct Writer {
-    folder: PathBuf,
+    medium: Arc<dyn Medium>,
     /// Numbers and lengths of the closed segments, the oldest first.
     closed: Vec<(u64, u64)>,
     /// The open segment's number.
     number: u64,
-    file: File,
+    file: Arc<dyn File>,
     /// The open segment's length in bytes.
     length: u64,
     /// The oldest segments are removed to keep all of them below this.
@@ -120,20 +119,32 @@
 ///
 /// Fails if the folder can't be read or written.
 pub fn open(folder: &Path, bytes: u64, on_record: &mut dyn FnMut(Entry)) -> io::Result<Opened> {
-    fs::create_dir_all(folder)?;
-    let identity = read_identity(folder)?;
-    let numbers = segment_numbers(folder)?;
+    open_on(Folder::open(folder)?, bytes, on_record)
+}
+
+/// The same for the files of `medium`.
+///
+/// # Errors
+///
+/// Fails if the files can't be read or written.
+pub fn open_on(
+    medium: Arc<dyn Medium>,
+    bytes: u64,
+    on_record: &mut dyn FnMut(Entry),
+) -> io::Result<Opened> {
+    let identity = read_identity(&*medium)?;
+    let numbers = segment_numbers(&*medium)?;
     let mut closed = Vec::new();
     for number in &numbers {
-        let length = scan_segment(folder, *number, on_record)?;
+        let length = scan_segment(&*medium, *number, on_record)?;
         closed.push((*number, length));
     }
     let number = numbers.last().map_or(1, |last| last + 1);
-    let file = create_segment(folder, number)?;
+    let file = create_segment(&*medium, number)?;
     let (jobs, queue) = mpsc::channel();
     let (sender, events) = mpsc::channel();
     let mut writer = Writer {
-        folder: folder.to_owned(),
+        medium: medium.clone(),
         closed,
         number,
         file,
@@ -143,7 +154,7 @@
     };
     thread::spawn(move || writer.run(&queue));
     let disk = Disk {
-        folder: folder.to_owned(),
+        medium,
         jobs,
         files: Mutex::default(),
     };
@@ -163,53 +174,48 @@
     );
 }
 
-fn read_identity(folder: &Path) -> io::Result<Option<Identity>> {
-    match fs::read(folder.join(IDENTITY_FILE)) {
-        Ok(bytes) => {
-            let parsed = rmp_serde::from_slice(&bytes);
-            Ok(Some(parsed.map_err(io::Error::other)?))
-        }
-        Err(fault) if fault.kind() == io::ErrorKind::NotFound => Ok(None),
-        Err(fault) => Err(fault),
-    }
+fn read_identity(medium: &dyn Medium) -> io::Result<Option<Identity>> {
+    let bytes = match medium.open(IDENTITY_FILE) {
+        Ok(file) => medium::read_whole(&*file)?,
+        Err(fault) if fault.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(fault) => return Err(fault),
+    };
+    let parsed = rmp_serde::from_slice(&bytes);
+    Ok(Some(parsed.map_err(io::Error::other)?))
 }
 
-fn segment_numbers(folder: &Path) -> io::Result<Vec<u64>> {
-    let mut numbers = Vec::new();
-    for entry in fs::read_dir(folder)? {
-        let name = entry?.file_name();
-        let number = name.to_str().and_then(|name| name.strip_prefix("segment-"));
-        if let Some(number) = number.and_then(|number| number.parse().ok()) {
-            numbers.push(number);
-        }
-    }
+fn segment_numbers(medium: &dyn Medium) -> io::Result<Vec<u64>> {
+    let names = medium.names()?;
+    let numbers = names.iter().filter_map(|name| name.strip_prefix("segment-"));
+    let mut numbers: Vec<u64> = numbers.filter_map(|number| number.parse().ok()).collect();
     numbers.sort_unstable();
     Ok(numbers)
 }
 
-fn segment_path(folder: &Path, number: u64) -> PathBuf {
-    folder.join(format!("segment-{number:010}"))
+fn segment_name(number: u64) -> String {
+    format!("segment-{number:010}")
 }
 
-fn create_segment(folder: &Path, number: u64) -> io::Result<File> {
-    let file = OpenOptions::new()
-        .create(true)
-        .append(true)
-        .open(segment_path(folder, number))?;
-    // Without syncing the folder, the whole file with its synced records may be gone after a power
+fn create_segment(medium: &dyn Medium, number: u64) -> io::Result<Arc<dyn File>> {
+    let file = medium.create(&segment_name(number))?;
+    // Without syncing the names, the whole file with its synced records may be gone after a power
     // loss.
-    File::open(folder)?.sync_all()?;
+    medium.sync_names()?;
     Ok(file)
 }
 
 /// Reads a segment up to its end or the first torn frame, and returns the length read.
-fn scan_segment(folder: &Path, number: u64, on_record: &mut dyn FnMut(Entry)) -> io::Result<u64> {
-    let mut file = File::open(segment_path(folder, number))?;
+fn scan_segment(
+    medium: &dyn Medium,
+    number: u64,
+    on_record: &mut dyn FnMut(Entry),
+) -> io::Result<u64> {
+    let file = medium.open(&segment_name(number))?;
     let mut buffer: Vec<u8> = Vec::new();
     let mut chunk = vec![0; 256 * 1024];
     let mut offset = 0;
     loop {
-        let read = file.read(&mut chunk)?;
+        let read = file.read_at(&mut chunk, offset + buffer.len() as u64)?;
         buffer.extend_from_slice(&chunk[..read]);
         let mut at = 0;
         loop {
@@ -271,7 +277,8 @@
     pub fn read(&self, location: Location) -> io::Result<Record> {
         let file = self.file(location.segment)?;
         let mut frame = vec![0; location.length as usize];
-        file.read_exact_at(&mut frame, location.offset)?;
+        let read = file.read_at(&mut frame, location.offset)?;
+        frame.truncate(read);
         match record::parse_frame(&frame) {
             Parsed::Record(record, _) => Ok(record),
             Parsed::Incomplete | Parsed::Torn => {
@@ -280,12 +287,12 @@
         }
     }
 
-    fn file(&self, segment: u64) -> io::Result<Arc<File>> {
+    fn file(&self, segment: u64) -> io::Result<Arc<dyn File>> {
         let mut files = self.files.lock().unwrap_or_else(PoisonError::into_inner);
         match files.binary_search_by_key(&segment, |(number, _)| *number) {
             Ok(at) => Ok(files[at].1.clone()),
             Err(at) => {
-                let file = Arc::new(File::open(segment_path(&self.folder, segment))?);
+                let file = self.medium.open(&segment_name(segment))?;
                 files.insert(at, (segment, file.clone()));
                 Ok(file)
             }
@@ -326,7 +333,7 @@
         if pending.is_empty() {
             return;
         }
-        let synced = self.file.sync_data();
+        let synced = self.file.sync();
         for (written, reply) in pending {
             let outcome = match &synced {
                 Ok(()) => written,
@@ -355,7 +362,7 @@
     fn write_frames(&mut self, frames: &[Vec<u8>]) -> io::Result<Vec<Location>> {
         let mut locations = Vec::with_capacity(frames.len());
         for frame in frames {
-            self.file.write_all(frame)?;
+            self.file.append(frame)?;
             locations.push(Location {
                 segment: self.number,
                 offset: self.length,
@@ -368,7 +375,7 @@
 
     fn roll_segment(&mut self) -> io::Result<()> {
         let next = self.number + 1;
-        self.file = create_segment(&self.folder, next)?;
+        self.file = create_segment(&*self.medium, next)?;
         self.closed.push((self.number, self.length));
         self.number = next;
         self.length = 0;
@@ -379,7 +386,7 @@
             log::warn!(
                 "text=\"oldest segment removed\" segment={number} bytes={length} used={used}"
             );
-            fs::remove_file(segment_path(&self.folder, number))?;
+            self.medium.remove(&segment_name(number))?;
             used -= length;
             self.emit(SegmentEvent::Removed(number));
         }
@@ -393,12 +400,11 @@
 
     fn write_identity(&self, identity: &Identity) -> io::Result<()> {
         let bytes = rmp_serde::to_vec(identity).map_err(io::Error::other)?;
-        let next = self.folder.join("identity.next");
-        let mut file = File::create(&next)?;
-        file.write_all(&bytes)?;
-        file.sync_all()?;
-        fs::rename(&next, self.folder.join(IDENTITY_FILE))?;
-        File::open(&self.folder)?.sync_all()
+        let file = self.medium.create(NEXT_IDENTITY_FILE)?;
+        file.append(&bytes)?;
+        file.sync()?;
+        self.medium.rename(NEXT_IDENTITY_FILE, IDENTITY_FILE)?;
+        self.medium.sync_names()
     }
 }
 
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod index;
 pub mod ledger;
 pub mod list;
+pub mod medium;
 pub mod member;
 pub mod message;
 pub mod quorum;
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -32,6 +32,8 @@
 use crate::ledger::Ledger;
 use crate::list;
 use crate::list::List;
+use crate::medium::Folder;
+use crate::medium::Medium;
 use crate::message::Answer;
 use crate::message::Ask;
 use crate::message::Body;
@@ -77,11 +79,25 @@
     bytes: u64,
     new_disk: u64,
     clock: Clock,
+) -> io::Result<Arc<Member>> {
+    open_on(Folder::open(folder)?, bytes, new_disk, clock).await
+}
+
+/// The same for the files of `medium`.
+///
+/// # Errors
+///
+/// Fails if the files can't be read or written.
+pub async fn open_on(
+    medium: Arc<dyn Medium>,
+    bytes: u64,
+    new_disk: u64,
+    clock: Clock,
 ) -> io::Result<Arc<Member>> {
     let mut state = State::default();
     let now = clock.now();
     let mut records = 0_u64;
-    let opened = disk::open(folder, bytes, &mut |found: disk::Entry| {
+    let opened = disk::open_on(medium, bytes, &mut |found: disk::Entry| {
         records += 1;
         match found.record {
             Record::Turn(turn) => {
