Sync what a member finds when it starts

Cause: a member answers a repeated write of a turn that it holds without another sync. What it holds after a restart is what it reads, and a killed process leaves behind what it wrote and never synced. The copy counted, and wasn't on disk.

Evidence: a stand-in disk that drops what was not synced (tests/support). Before: 'a_repeated_write_after_a_restart_survives_a_power_loss panicked: the turn is lost'. The window is a kill between a write and its sync, then the repetition; not seen with real processes.

Fix: a member syncs each segment that it finds before it serves, so that whatever it holds is on disk, whoever wrote it.

--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -3,7 +3,9 @@
 //!
 //! A dedicated thread writes: it takes all queued jobs, writes them, syncs once, and answers each.
 //! A power loss tears at most what was not yet answered; checksums tell a torn end from a record.
-//! Each start begins a new segment, so nothing is ever written after a torn end.
+//! Each start begins a new segment, so nothing is ever written after a torn end. It also syncs what it
+//! finds: the process before it may have been killed between a write and its sync, and whoever repeats
+//! that write is answered without another one.
 
 use std::io;
 use std::path::Path;
@@ -186,7 +188,9 @@
 
 fn segment_numbers(medium: &dyn Medium) -> io::Result<Vec<u64>> {
     let names = medium.names()?;
-    let numbers = names.iter().filter_map(|name| name.strip_prefix("segment-"));
+    let numbers = names
+        .iter()
+        .filter_map(|name| name.strip_prefix("segment-"));
     let mut numbers: Vec<u64> = numbers.filter_map(|number| number.parse().ok()).collect();
     numbers.sort_unstable();
     Ok(numbers)
@@ -204,13 +208,14 @@
     Ok(file)
 }
 
-/// Reads a segment up to its end or the first torn frame, and returns the length read.
+/// Reads a segment up to its end or the first torn frame, syncs it, and returns the length read.
 fn scan_segment(
     medium: &dyn Medium,
     number: u64,
     on_record: &mut dyn FnMut(Entry),
 ) -> io::Result<u64> {
     let file = medium.open(&segment_name(number))?;
+    file.sync()?;
     let mut buffer: Vec<u8> = Vec::new();
     let mut chunk = vec![0; 256 * 1024];
     let mut offset = 0;
--- a/crates/replica/src/medium.rs
+++ b/crates/replica/src/medium.rs
@@ -18,7 +18,7 @@
     /// Fails if they can't be read.
     fn names(&self) -> io::Result<Vec<String>>;
 
-    /// Opens a file, to read it.
+    /// Opens a file, to read and sync it.
     ///
     /// # Errors
     ///
--- /dev/null
+++ b/crates/replica/tests/power_loss.rs
@@ -0,0 +1,71 @@
+//! What members have answered for is there after a power loss.
+
+mod support;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use replica::message::Answer;
+use replica::message::Ask;
+use replica::message::Body;
+use replica::record::Key;
+use replica::record::Record;
+use replica::record::Turn;
+use replica::server;
+use support::Disk;
+use wire::clock::Clock;
+
+/// The size of a disk in bytes.
+const DISK_BYTES: u64 = 500_000_000;
+
+/// Starts a member on a disk, as after a restart of its process.
+async fn start(disk: &Disk) -> Arc<server::Member> {
+    let member = server::open_on(disk.medium(), DISK_BYTES, 7, Clock::System);
+    member.await.unwrap()
+}
+
+fn turn(id: &str) -> Record {
+    Record::Turn(Turn {
+        key: Key::of(id),
+        previous: None,
+        text: Bytes::from_static(b"some text"),
+    })
+}
+
+async fn ask(member: &server::Member, body: Body) -> Answer {
+    let version = member.identity().list.version;
+    member.answer(Ask { version, body }).await
+}
+
+async fn write(member: &server::Member, id: &str) -> Answer {
+    ask(member, Body::Apply(vec![turn(id)])).await
+}
+
+async fn holds(member: &server::Member, id: &str) -> bool {
+    let answer = ask(member, Body::Fetch(vec![Key::of(id)])).await;
+    answer
+        == Answer::Turns(vec![match turn(id) {
+            Record::Turn(turn) => turn,
+            other => panic!("{other:?}"),
+        }])
+}
+
+/// Guards against a copy that counts and isn't on disk: one that a killed process wrote and didn't sync,
+/// which its successor finds and answers for when the write is repeated.
+#[tokio::test]
+async fn a_repeated_write_after_a_restart_survives_a_power_loss() {
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    disk.block();
+    let first = tokio::spawn(async move { write(&member, "t1").await });
+    disk.wait_for_blocked_sync().await;
+    // The process is killed here: what it wrote stays, unsynced, and nobody hears from it.
+    first.abort();
+    let before_restart = disk.clone_unsynced();
+    let restarted = start(&before_restart).await;
+    assert!(holds(&restarted, "t1").await);
+    assert_eq!(write(&restarted, "t1").await, Answer::Applied(Vec::new()));
+    let after = start(&before_restart.after_power_loss()).await;
+    assert!(holds(&after, "t1").await, "the turn is lost");
+    disk.unblock();
+}
