Answer for a new list of members only once it is on disk

What callers may see: 404 for a turn that was answered whole (LOST), after a change of the list at which a member lost its power.

Cause: a member took a new list over in memory first, and only the first request to adopt it waited for the disk. The second one, and whoever asked for its keys, were answered at once. After a power loss the member goes on with the old list, while the members that asked it count on the opposite: two majorities, one of each list, side by side.

Evidence: with syncs that wait (tests/support), before: 'a_member_answers_for_a_list_that_is_on_disk panicked: answered before the sync: Ok(Status(..))', and the same for Ok(Keys(..)).

Fix: all wait until the list, or a newer one, is on disk. Writes of records need no such wait: the disk's thread syncs them after the list. One write of the identity at a time, so that an older one never replaces a newer one. Still open: if the disk fails to write the list, records under it are answered all the same.

--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -54,6 +54,8 @@
     clock: Clock,
     /// Accepted writes that aren't answered yet; closed when the process stops.
     writes: TaskTracker,
+    /// Held while the identity is written, so that the newest one is written last.
+    identity_writes: tokio::sync::Mutex<()>,
     /// Notified when the list changes.
     pub list_changed: Notify,
 }
@@ -61,6 +63,8 @@
 #[derive(Debug, Default)]
 struct State {
     identity: Identity,
+    /// The version of the list that is on disk.
+    stored_version: u64,
     index: Index,
     ledger: Ledger,
     /// Segments created since the accounts were last rewritten.
@@ -121,6 +125,7 @@
         opened.disk.write_identity(&identity).await?;
         identity
     };
+    state.stored_version = state.identity.list.version;
     log::info!(
         "text=\"disk opened\" disk={} records={records} version={} ready={}",
         state.identity.disk,
@@ -134,6 +139,7 @@
         gained_cache: tokio::sync::Mutex::default(),
         clock,
         writes: TaskTracker::new(),
+        identity_writes: tokio::sync::Mutex::default(),
         list_changed: Notify::new(),
     }))
 }
@@ -168,17 +174,40 @@
     ///
     /// Fails if the disk does.
     pub async fn adopt(&self, list: &List) -> io::Result<()> {
-        let identity = {
+        let is_newer = {
             let mut state = self.lock();
-            if list.version <= state.identity.list.version {
-                return Ok(());
+            let before = state.identity.list.version;
+            let is_newer = list.version > before;
+            if is_newer {
+                list::log_list_change(list, before);
+                state.identity.list = list.clone();
             }
-            list::log_list_change(list, state.identity.list.version);
-            state.identity.list = list.clone();
-            state.identity.clone()
+            is_newer
         };
-        self.list_changed.notify_waiters();
-        self.disk.write_identity(&identity).await
+        if is_newer {
+            self.list_changed.notify_waiters();
+        }
+        self.store_list(list.version).await
+    }
+
+    /// Returns once the list of this version, or a newer one in its place, is on disk.
+    async fn store_list(&self, version: u64) -> io::Result<()> {
+        if self.lock().stored_version >= version {
+            return Ok(());
+        }
+        let _write = self.identity_writes.lock().await;
+        if self.lock().stored_version >= version {
+            return Ok(());
+        }
+        self.write_identity().await
+    }
+
+    /// Writes the identity. To be called while `identity_writes` is held.
+    async fn write_identity(&self) -> io::Result<()> {
+        let identity = self.identity();
+        self.disk.write_identity(&identity).await?;
+        self.lock().stored_version = identity.list.version;
+        Ok(())
     }
 
     /// Returns how long ago another VM last sent a write.
@@ -193,12 +222,9 @@
     ///
     /// Fails if the disk does.
     pub async fn set_ready(&self, ready: u64) -> io::Result<()> {
-        let identity = {
-            let mut state = self.lock();
-            state.identity.ready = ready;
-            state.identity.clone()
-        };
-        self.disk.write_identity(&identity).await
+        self.lock().identity.ready = ready;
+        let _write = self.identity_writes.lock().await;
+        self.write_identity().await
     }
 
     /// Refuses writes from now on because the process is stopping. A writer that waited for a write
@@ -220,6 +246,12 @@
         if let Some(answer) = self.refusal(&ask) {
             return answer;
         }
+        // Who asks for what the member holds counts on it that the older list isn't used any more.
+        if matches!(ask.body, Body::Keys | Body::Gained { .. })
+            && let Err(fault) = self.store_list(ask.version).await
+        {
+            return disk_failed(&fault);
+        }
         match ask.body {
             Body::Apply(records) => {
                 self.lock().last_write = self.clock.now();
--- a/crates/replica/tests/power_loss.rs
+++ b/crates/replica/tests/power_loss.rs
@@ -3,8 +3,11 @@
 mod support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use replica::list::List;
+use replica::list::Member;
 use replica::message::Answer;
 use replica::message::Ask;
 use replica::message::Body;
@@ -12,11 +15,15 @@
 use replica::record::Record;
 use replica::record::Turn;
 use replica::server;
+use rstest::rstest;
 use support::Disk;
+use tokio::time::timeout;
 use wire::clock::Clock;
 
 /// The size of a disk in bytes.
 const DISK_BYTES: u64 = 500_000_000;
+/// How long an answer that has to wait for a blocked sync is waited for.
+const BLOCKED: Duration = Duration::from_millis(200);
 
 /// Starts a member on a disk, as after a restart of its process.
 async fn start(disk: &Disk) -> Arc<server::Member> {
@@ -24,6 +31,15 @@
     member.await.unwrap()
 }
 
+fn list() -> List {
+    List::default().with(&Member {
+        vm: "store-a-1".to_owned(),
+        centre: "a".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        disk: 7,
+    })
+}
+
 fn turn(id: &str) -> Record {
     Record::Turn(Turn {
         key: Key::of(id),
@@ -69,3 +85,26 @@
     assert!(holds(&after, "t1").await, "the turn is lost");
     disk.unblock();
 }
+
+/// Guards against a member that says that it uses a new list and, after a power loss, uses the old one
+/// again.
+#[rstest]
+#[case::adopted_twice(Body::Adopt(list()))]
+#[case::asked_for_its_keys(Body::Keys)]
+#[tokio::test]
+async fn a_member_answers_for_a_list_that_is_on_disk(#[case] body: Body) {
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    disk.block();
+    let adopting = member.clone();
+    let adopted = tokio::spawn(async move { ask(&adopting, Body::Adopt(list())).await });
+    disk.wait_for_blocked_sync().await;
+    let answer = timeout(BLOCKED, ask(&member, body.clone())).await;
+    assert!(answer.is_err(), "answered before the sync: {answer:?}");
+    disk.unblock();
+    assert!(matches!(adopted.await.unwrap(), Answer::Status(_)));
+    let answered = ask(&member, body).await;
+    assert!(!matches!(answered, Answer::Failed(_)), "{answered:?}");
+    let after = start(&disk.after_power_loss()).await;
+    assert_eq!(after.identity().list, list());
+}
