Write nothing behind a torn record in a segment

What callers may see: 404 for a turn that was answered whole (LOST), after a member whose disk had failed to take a write restarts.

Cause: all writes that wait are written together. Where one failed half-way, those behind it went into the same segment, were synced and answered; a restart reads a segment up to the first torn record. A failure to begin the next segment had later writes follow the torn record as well.

Evidence: a stand-in disk whose append fails half-way, before: 'a_write_after_a_failed_one_survives_a_restart panicked: t3 is lost'. Not seen with real processes.

Fix: a segment that ends with a torn record takes no write; those are refused until the next segment is there.

--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -89,6 +89,8 @@
     file: Arc<dyn File>,
     /// The open segment's length in bytes.
     length: u64,
+    /// Whether the open segment ends with a torn frame, behind which no restart finds a record.
+    is_torn: bool,
     /// The oldest segments are removed to keep all of them below this.
     limit_bytes: u64,
     events: mpsc::Sender<SegmentEvent>,
@@ -151,6 +153,7 @@
         number,
         file,
         length: 0,
+        is_torn: false,
         limit_bytes: bytes / 100 * FILL_PERCENT,
         events: sender,
     };
@@ -347,7 +350,7 @@
             // The receiver may be gone and needs no answer then.
             let _gone = reply.send(outcome);
         }
-        if self.length < SEGMENT_BYTES {
+        if self.length < SEGMENT_BYTES && !self.is_torn {
             return;
         }
         if let Err(fault) = self.roll_segment() {
@@ -356,11 +359,11 @@
     }
 
     fn write(&mut self, frames: &[Vec<u8>]) -> io::Result<Vec<Location>> {
-        let written = self.write_frames(frames);
-        if written.is_err() {
-            // A partly written frame is torn, so nothing may follow it in this segment.
-            self.length = self.length.max(SEGMENT_BYTES);
+        if self.is_torn {
+            return Err(io::Error::other("the open segment ends with a torn frame"));
         }
+        let written = self.write_frames(frames);
+        self.is_torn = written.is_err();
         written
     }
 
@@ -384,6 +387,7 @@
         self.closed.push((self.number, self.length));
         self.number = next;
         self.length = 0;
+        self.is_torn = false;
         self.emit(SegmentEvent::Created(next));
         let mut used: u64 = self.closed.iter().map(|(_, length)| length).sum();
         while used + SEGMENT_BYTES > self.limit_bytes && self.closed.len() > 1 {
--- a/crates/replica/tests/power_loss.rs
+++ b/crates/replica/tests/power_loss.rs
@@ -108,3 +108,43 @@
     let after = start(&disk.after_power_loss()).await;
     assert_eq!(after.identity().list, list());
 }
+
+/// Guards against a record that is answered for and lies behind a torn one, where no restart finds it.
+#[tokio::test]
+async fn a_write_after_a_failed_one_survives_a_restart() {
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    // All that comes while this write is synced is written together afterwards.
+    disk.block();
+    let mut writes = Vec::new();
+    for id in ["t1", "t2", "t3"] {
+        let member = member.clone();
+        writes.push((id, tokio::spawn(async move { write(&member, id).await })));
+        if id == "t1" {
+            disk.wait_for_blocked_sync().await;
+            disk.fail_append_after(0);
+        } else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    disk.unblock();
+    let mut applied = Vec::new();
+    for (id, written) in writes {
+        if written.await.unwrap() == Answer::Applied(Vec::new()) {
+            applied.push(id);
+        }
+    }
+    for id in ["t2", "t3"] {
+        if write(&member, id).await == Answer::Applied(Vec::new()) {
+            applied.push(id);
+        }
+    }
+    assert!(
+        applied.contains(&"t2") && applied.contains(&"t3"),
+        "{applied:?}"
+    );
+    let after = start(&disk.after_power_loss()).await;
+    for id in applied {
+        assert!(holds(&after, id).await, "{id} is lost");
+    }
+}
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -30,6 +30,8 @@
     blocked: bool,
     /// How many syncs wait.
     waiting: usize,
+    /// Which of the next appends fails half-way, counted from zero.
+    failing_append: Option<usize>,
 }
 
 /// A file of a stand-in disk.
@@ -128,6 +130,11 @@
         }
     }
 
+    /// Has the append after `count` others fail half-way.
+    pub fn fail_append_after(&self, count: usize) {
+        self.lock().failing_append = Some(count);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.state.lock().unwrap()
     }
@@ -222,7 +229,17 @@
     }
 
     fn append(&self, bytes: &[u8]) -> io::Result<()> {
+        let fails = {
+            let mut state = self.disk.lock();
+            let fails = state.failing_append == Some(0);
+            state.failing_append = state.failing_append.and_then(|left| left.checked_sub(1));
+            fails
+        };
         let mut content = self.lock();
+        if fails {
+            content.bytes.extend_from_slice(&bytes[..bytes.len() / 2]);
+            return Err(io::Error::other("no space"));
+        }
         content.bytes.extend_from_slice(bytes);
         Ok(())
     }
