Keep what was computed for members that ask what they gained

What callers see: 503 CY4107, 'still catching up', for every turn with a history or a budget, from a change of the list of members to the end (LOST after a final fault, RECOVER), where VMs with a disk are slow and hold some ten thousands of keys.

Cause: a member computes once per list what the others gained, while the first of those that ask waits. One that asks leaves after 0.7 s; its request is dropped then, and with it the computation. The next begins anew and leaves as well. The member answers nobody, ever, and with two such members beside two lost disks no group has enough sources.

The test, before: 'nobody was answered' in 1,000 asks.

Fix: what was computed stays when one leaves, and the next goes on from there.

--- a/crates/replica/src/server/gained.rs
+++ b/crates/replica/src/server/gained.rs
@@ -13,22 +13,55 @@
 
 /// The keys that members gained by the latest change of the list, as far as this member holds them;
 /// sorted by VM.
+///
+/// What was computed stays if the one that asked leaves before the end: on a slow VM with many keys each
+/// would leave in turn, and none would ever be answered.
 #[derive(Debug, Default)]
 pub(super) struct Keys {
     version: u64,
-    turns: Vec<(String, Key)>,
-    programs: Vec<(String, Key)>,
+    turns: Part,
+    programs: Part,
 }
 
-/// Computes the gained keys in chunks, so that requests are answered in between.
-async fn gained_keys(list: &List, keys: &[Key], losses: usize) -> Vec<(String, Key)> {
-    let mut all = Vec::new();
-    for chunk in keys.chunks(KEYS_PER_YIELD) {
-        all.extend(catch_up::gained_keys(list, chunk, losses));
-        tokio::task::yield_now().await;
+/// The keys of one kind.
+#[derive(Debug, Default)]
+struct Part {
+    /// Keys that weren't looked at yet.
+    pending: Vec<Key>,
+    gained: Vec<(String, Key)>,
+}
+
+impl Part {
+    const fn new(pending: Vec<Key>) -> Self {
+        Self {
+            pending,
+            gained: Vec::new(),
+        }
+    }
+
+    /// Looks at all pending keys in chunks, so that requests are answered in between.
+    async fn compute(&mut self, list: &List, losses: usize) {
+        while !self.pending.is_empty() {
+            let from = self.pending.len().saturating_sub(KEYS_PER_YIELD);
+            let gained = catch_up::gained_keys(list, &self.pending[from..], losses);
+            self.gained.extend(gained);
+            self.pending.truncate(from);
+            if self.pending.is_empty() {
+                self.gained.sort_unstable();
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Returns the keys that a VM gained.
+    fn of_vm(&self, vm: &str) -> Vec<Key> {
+        let first = self
+            .gained
+            .partition_point(|(other, _)| other.as_str() < vm);
+        let of_vm = self.gained[first..].iter();
+        let of_vm = of_vm.take_while(|(other, _)| other == vm);
+        of_vm.map(|(_, key)| *key).collect()
     }
-    all.sort_unstable();
-    all
 }
 
 impl Member {
@@ -40,14 +73,15 @@
         let mut cached = self.gained_cache.lock().await;
         let list = self.identity().list;
         if cached.version != list.version {
-            *cached = self.compute_gained(&list, losses).await;
+            let state = self.lock();
+            *cached = Keys {
+                version: list.version,
+                turns: Part::new(state.index.keys()),
+                programs: Part::new(state.ledger.programs()),
+            };
         }
-        let keys_of_vm = |gained: &[(String, Key)]| -> Vec<Key> {
-            let first = gained.partition_point(|(other, _)| other.as_str() < vm);
-            let of_vm = gained[first..].iter();
-            let of_vm = of_vm.take_while(|(other, _)| other == vm);
-            of_vm.map(|(_, key)| *key).collect()
-        };
+        cached.turns.compute(&list, losses).await;
+        cached.programs.compute(&list, losses).await;
         let state = self.lock();
         let account = |program: Key| Account {
             program,
@@ -55,23 +89,8 @@
         };
         Holdings {
             ready: state.identity.ready,
-            turns: keys_of_vm(&cached.turns),
-            accounts: keys_of_vm(&cached.programs)
-                .into_iter()
-                .map(account)
-                .collect(),
-        }
-    }
-
-    async fn compute_gained(&self, list: &List, losses: usize) -> Keys {
-        let (turns, programs) = {
-            let state = self.lock();
-            (state.index.keys(), state.ledger.programs())
-        };
-        Keys {
-            version: list.version,
-            turns: gained_keys(list, &turns, losses).await,
-            programs: gained_keys(list, &programs, losses).await,
+            turns: cached.turns.of_vm(vm),
+            accounts: cached.programs.of_vm(vm).into_iter().map(account).collect(),
         }
     }
 }
--- a/crates/replica/tests/list_changes.rs
+++ b/crates/replica/tests/list_changes.rs
@@ -204,3 +204,52 @@
     let absent = ask(third.version, Body::Chain(Key::of("never")));
     assert_eq!(member.answer(absent).await, Answer::NotReady);
 }
+
+/// Guards against members that never become complete replicas, as a slow one computes what they gained
+/// anew for each that asks, and each has left before the end.
+#[tokio::test]
+async fn a_slow_member_tells_what_others_gained_although_they_leave() {
+    const KEYS: u32 = 20_000;
+    const ASKS: usize = 1_000;
+    let folder = Folder(std::env::temp_dir().join(format!("replica-g-{}", std::process::id())));
+    let member = server::open(&folder.0, 500_000_000, 7, Clock::System)
+        .await
+        .unwrap();
+    let members = (0..7).map(|number| Member {
+        vm: format!("store-{number}"),
+        centre: format!("centre-{}", number % 3),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        disk: number,
+    });
+    let members: Vec<Member> = members.collect();
+    let mut list = List::default();
+    for other in &members {
+        list = list.with(other);
+    }
+    member.adopt(&list).await.unwrap();
+    let records = (0..KEYS).map(|number| {
+        Record::Reserve(Reservation {
+            program: Key::of(&format!("p{number}")),
+            turn: Key::of("t"),
+            most: 1,
+        })
+    });
+    let version = list.version;
+    let body = Body::Apply(records.collect());
+    let written = member.answer(Ask { version, body }).await;
+    assert!(matches!(written, Answer::Applied(_)), "{written:?}");
+    for _ in 0..ASKS {
+        let body = Body::Gained {
+            vm: "store-6".to_owned(),
+            losses: 1,
+        };
+        let asked = member.answer(Ask { version, body });
+        // Each asks for a fraction of the time that the answer takes.
+        let answer = tokio::time::timeout(Duration::from_millis(2), asked).await;
+        if let Ok(Answer::Keys(holdings)) = answer {
+            assert!(!holdings.accounts.is_empty());
+            return;
+        }
+    }
+    panic!("nobody was answered");
+}
