Send a resumable stream only to the process that wrote the runner's entry

What callers saw: take-ups answered 200 that ran to the end, with the first events of one version and the rest of another. A runner that starts again under its id and address may have another version long before a VM reads its new entry; Expect-Instance names the id alone, so the new process takes what is sent to the old one.

Cause: the recorded build, and the choice of a runner of that build, rest on the entry, which says nothing of the process that answers. A record could name the wrong build from the first event on, and a stream could go on at the wrong one: resumed by its VM, taken up at another VM, or after all VMs were killed.

Fix: the runner's report states `born`, as its entry does. A connection belongs to one process, so the client asks once on a connection, before its first resumable stream, and keeps the answer with the connection. If it isn't the entry's, nothing is sent: the request goes elsewhere as not run, and for a second the runner takes no resumable stream whose build has to be known. If no runner's build is known, a stream that begins runs unrecorded: nobody resumes it, and a take-up is refused. A process that closes the connection after its report is asked on a third one, after the second was made. Entries without `born`, and runners without a report or without `born` in it, are used as before.

Cost: one report for each new connection that carries a resumable stream, and one round trip before that stream's request; none on a kept connection.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -5,6 +5,8 @@
 //! may be sent elsewhere even if it must not run twice, and dropping an exchange closes its
 //! connection at once, which is how a runner learns that nobody waits for its response any more.
 
+mod process;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -34,6 +36,9 @@
 
 use crate::body;
 use crate::body::Payload;
+pub use crate::client::process::Check;
+use crate::client::process::Process;
+use crate::client::process::Verified;
 use crate::inbound;
 use crate::inbound::Allowance;
 use crate::inbound::Renewal;
@@ -46,8 +51,8 @@
 /// The reason that a request has no response.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum Fault {
-    /// The connection wasn't established in time, as in a network partition. The request wasn't
-    /// written.
+    /// The connection wasn't established in time, as in a network partition, or the process didn't say in
+    /// time which it is. The request wasn't written.
     #[display("connection timed out: {_0}")]
     Silent(#[error(not(source))] SocketAddr),
     /// No byte of the request was written, so it can't have arrived.
@@ -56,6 +61,10 @@
     /// The connection broke off. The request may have arrived.
     #[display("the connection broke off: {_0}")]
     Broken(#[error(not(source))] String),
+    /// Another process than the expected one is at the address; it started at the given time. The request
+    /// wasn't written.
+    #[display("another process, started at {_0}, is at the address")]
+    OtherProcess(#[error(not(source))] u64),
     /// No byte of an answer came in time. The request may have arrived.
     #[display("no answer in time from {_0}")]
     Late(#[error(not(source))] SocketAddr),
@@ -123,6 +132,7 @@
     sender: SendRequest<Payload>,
     task: JoinHandle<()>,
     allowance: Allowance,
+    process: Process,
 }
 
 impl Drop for Connection {
@@ -221,7 +231,7 @@
         address: SocketAddr,
         request: Request<Payload>,
     ) -> Result<Reply> {
-        let request = match self.send_kept(address, request, None).await {
+        let request = match self.send_kept(address, request, None, None).await {
             Kept::Answered(reply) => return reply,
             Kept::Unsent(request) => request,
         };
@@ -240,7 +250,23 @@
         request: Request<Payload>,
         wait: Wait,
     ) -> Result<Sent> {
-        let request = match self.send_kept(address, request, wait.head).await {
+        self.send_checked(address, request, wait, None).await
+    }
+
+    /// The same, but only to the process that `check` describes, or one that doesn't tell when it started.
+    ///
+    /// # Errors
+    ///
+    /// Fails also if another process is at the address, or it can't be asked.
+    pub async fn send_checked(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Payload>,
+        wait: Wait,
+        check: Option<Check>,
+    ) -> Result<Sent> {
+        let kept = self.send_kept(address, request, wait.head, check);
+        let request = match kept.await {
             Kept::Answered(reply) => return reply.map(Box::new).map(Sent::Answered),
             Kept::Unsent(request) => request,
         };
@@ -257,7 +283,11 @@
                 attempt,
             }));
         };
-        let sent = self.send_new(address, established?, request, wait.head);
+        let established = match check {
+            Some(check) => self.verify_new(address, established?, check).await?,
+            None => established?,
+        };
+        let sent = self.send_new(address, established, request, wait.head);
         sent.await.map(Box::new).map(Sent::Answered)
     }
 
@@ -267,9 +297,19 @@
         address: SocketAddr,
         request: Request<Payload>,
         head_until: Option<time::Instant>,
+        check: Option<Check>,
     ) -> Kept {
         let mut request = request;
         while let Some(connection) = self.checkout(address) {
+            let connection = match check {
+                Some(check) => match process::verify(connection, address, check).await {
+                    Ok(Verified::Open(connection)) => connection,
+                    Err(fault @ Fault::Silent(_)) => return Kept::Answered(Err(fault)),
+                    // A new connection shows which process is at the address now.
+                    Ok(Verified::Closed(_)) | Err(_) => continue,
+                },
+                None => connection,
+            };
             let sent = self.exchange(address, connection, request, head_until);
             match sent.await {
                 Ok(reply) => return Kept::Answered(Ok(reply)),
@@ -395,6 +435,7 @@
                 sender,
                 task,
                 allowance,
+                process: Process::default(),
             },
             took,
         })
--- a/crates/relay/src/build.rs
+++ b/crates/relay/src/build.rs
@@ -2,7 +2,8 @@
 //!
 //! What two builds write doesn't fit together, and runners don't check it. A caller may take a stream up
 //! at any VM, also after the one that began it has ended, so the build is recorded by the VMs with a disk
-//! before the first event is passed on. A stream whose build can't be found out is refused, not guessed.
+//! before the first event is passed on. A runner may start again with another build before its new entry is
+//! read, so a resumable stream is sent only to the process that wrote the entry, if it tells. A stream whose build can't be found out is refused, not guessed.
 //!
 //! The record is a reservation of no tokens, whose key is computed from the attempt and the build: it is
 //! copied, restored and dropped like any other, and goes with the turn's own reservation. Whoever takes
@@ -21,6 +22,7 @@
 
 use crate::account;
 use crate::account::Account;
+use crate::fleet::Software;
 use crate::job::Job;
 use crate::refuse;
 
@@ -30,7 +32,8 @@
 /// Which builds may run a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Pin {
-    /// Any: the stream can't be resumed.
+    /// Any: the stream can't be resumed, by its route or because it begins while no runner's build is
+    /// known.
     Any,
     /// One, as long as the caller has no event; another one has to be recorded first.
     Movable(String),
@@ -39,12 +42,12 @@
 }
 
 impl Pin {
-    /// Returns the only build that may run the stream; `None` if any may.
+    /// Returns which software may run the stream.
     #[must_use]
-    pub fn build(&self) -> Option<&str> {
+    pub fn software(&self) -> Software<'_> {
         match self {
-            Self::Any => None,
-            Self::Movable(build) | Self::Fixed(build) => Some(build),
+            Self::Any => Software::Any,
+            Self::Movable(build) | Self::Fixed(build) => Software::Build(build),
         }
     }
 
@@ -69,8 +72,9 @@
     if job.call.last_event.is_some() {
         return begun_by(job).await.map(Pin::Fixed);
     }
-    let Some(runner) = job.choose(&[], None) else {
-        return Err(refuse::no_runner(0));
+    let Some(runner) = job.choose(&[], Software::Known) else {
+        let other = job.choose(&[], Software::Any);
+        return other.map(|_| Pin::Any).ok_or(refuse::no_runner(0));
     };
     if account.is_none() {
         record_beside(job, &runner.build);
@@ -117,7 +121,7 @@
         }
         Pin::Any | Pin::Fixed(_) => return Err(refuse::no_runner(possible_runs)),
     };
-    let Some(runner) = job.choose(excluded, None) else {
+    let Some(runner) = job.choose(excluded, Software::Known) else {
         return Err(refuse::no_runner(possible_runs));
     };
     let attempt = &job.call.id;
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -21,6 +21,7 @@
 use adapter::runner::Entry;
 use adapter::runner::State;
 use adapter::settings::Supply;
+use link::client::Check;
 use policy::crash::Incarnation;
 use policy::prefix;
 use policy::prefix::Demand;
@@ -84,8 +85,8 @@
     pub output_tokens: u64,
     /// Random value that breaks ties among equally good runners.
     pub salt: u64,
-    /// The only build whose runners may run the request; `None` if any may.
-    pub build: Option<&'a str>,
+    /// Which software may run the request.
+    pub software: Software<'a>,
     /// Ids of the runners that have refused or failed the request.
     pub excluded: &'a [String],
     /// Data centre of this VM.
@@ -98,6 +99,17 @@
     pub now: Millis,
 }
 
+/// Which software may run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Software<'a> {
+    /// Any.
+    Any,
+    /// Any whose build is known: of runners whose entry was written by the process that answers.
+    Known,
+    /// That of one build.
+    Build(&'a str),
+}
+
 /// Whether the turns of a program are to meet at the same runners, whatever VM they arrive at; see
 /// [`policy::home`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -155,6 +167,8 @@
     pub incarnation: Incarnation,
     /// The version of its software.
     pub build: String,
+    /// When the process started that has to answer; `None` if any process may.
+    pub born: Option<u64>,
     /// Estimated number of requests at the runner.
     pub occupied: u32,
     /// Number of requests that the runner works on at once.
@@ -176,6 +190,18 @@
     pub passed_over: Option<String>,
 }
 
+impl Choice {
+    /// Returns how the client checks which process is at the address; `None` if any may be.
+    #[must_use]
+    pub fn check(&self) -> Option<Check> {
+        self.born.map(|born| Check {
+            born,
+            question: adapter::runner::report_request,
+            decode: adapter::runner::born,
+        })
+    }
+}
+
 /// The effect of a change of a runner's entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
--- a/crates/relay/src/fleet/choice.rs
+++ b/crates/relay/src/fleet/choice.rs
@@ -20,6 +20,7 @@
 use crate::fleet::Home;
 use crate::fleet::Placement;
 use crate::fleet::Request;
+use crate::fleet::Software;
 use crate::fleet::runner::PREFILL_TOKENS_PER_GENERATED;
 use crate::fleet::runner::Runner;
 use crate::fleet::subset;
@@ -152,6 +153,10 @@
             address: runner.entry.address,
             incarnation: crashes::incarnation(&runner.id, runner.entry.born),
             build: runner.entry.build.clone(),
+            born: match request.software {
+                Software::Any => None,
+                Software::Known | Software::Build(_) => runner.entry.born,
+            },
             occupied: place::occupied(candidate),
             slots: runner.entry.slots,
             cached: candidate.cached,
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::Request;
+use crate::fleet::Software;
 use crate::fleet::health;
 use crate::fleet::silence;
 use crate::fleet::slowdown;
@@ -30,6 +31,9 @@
 /// How long a runner gets no requests after a different one answered at its address. By then its
 /// entry is usually gone from the list.
 const ADDRESS_TAKEN_PAUSE: Millis = Millis::new(1_000);
+/// How long a runner's build counts as unknown after a process answered at its address that had not written
+/// its entry. About the time in which the new entry is read.
+const REPLACED_PAUSE: Millis = Millis::new(1_000);
 /// How long a runner counts as full after it refused a request as full. About the time in which one
 /// of its requests ends.
 const FULL_PAUSE: Millis = Millis::new(40);
@@ -77,6 +81,8 @@
     pub(super) last_contact: Millis,
     /// Gets no requests before this time, because a different runner answered at its address.
     pub(super) address_taken_until: Millis,
+    /// Its build counts as unknown before this time, because its entry is of an earlier process.
+    pub(super) replaced_until: Millis,
     /// Counts as full before this time, because it refused a request as full.
     pub(super) full_until: Millis,
     /// When the runner's entry was found missing after an outage of the key-value service.
@@ -116,6 +122,7 @@
             avoided_until: Millis::ZERO,
             last_contact: Millis::ZERO,
             address_taken_until: Millis::ZERO,
+            replaced_until: Millis::ZERO,
             full_until: Millis::ZERO,
             missing_since: None,
         }
@@ -127,10 +134,19 @@
             && !self.unreachable
             && !self.is_held_off(request.now)
             && self.address_taken_until <= request.now
-            && request.build.is_none_or(|build| self.entry.build == build)
+            && self.may_run(request.software, request.now)
             && !request.excluded.contains(&self.id)
     }
 
+    fn may_run(&self, software: Software<'_>, now: Millis) -> bool {
+        let is_known = self.replaced_until <= now;
+        match software {
+            Software::Any => true,
+            Software::Known => is_known,
+            Software::Build(build) => is_known && self.entry.build == build,
+        }
+    }
+
     pub(super) fn candidate(&self, request: &Request<'_>, median_pace: f64) -> Candidate {
         let (others, _) = self.peer_reports.all(request.now);
         let known = self.own_requests + others;
@@ -260,6 +276,11 @@
         self.address_taken_until = now.plus(ADDRESS_TAKEN_PAUSE);
     }
 
+    /// Records that another process answered at the address than the one that wrote the entry.
+    pub fn note_replaced(&mut self, now: Millis) {
+        self.replaced_until = now.plus(REPLACED_PAUSE);
+    }
+
     /// Records that the runner refused a request as full.
     pub fn note_full(&mut self, now: Millis) {
         self.full_until = now.plus(FULL_PAUSE);
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -14,6 +14,7 @@
 use super::Home;
 use super::REMOTE_COST_AT_MOST_ONCE_MS;
 use super::Request;
+use super::Software;
 use crate::tally::Origin;
 use crate::tally::Tally;
 
@@ -77,7 +78,7 @@
         home: Home::None,
         output_tokens: 250,
         salt: 7,
-        build: None,
+        software: Software::Any,
         excluded,
         centre: "a",
         vm: "front-a-1",
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -35,6 +35,7 @@
 use crate::content;
 use crate::crashes;
 use crate::fleet;
+use crate::fleet::Software;
 use crate::fleet::slowdown;
 use crate::identity::Identity;
 use crate::kept;
@@ -199,9 +200,9 @@
         }
     }
 
-    /// Chooses a runner that is not in `excluded`, and of a build if one is given.
+    /// Chooses a runner that is not in `excluded`.
     #[must_use]
-    pub fn choose(&self, excluded: &[String], build: Option<&str>) -> Option<fleet::Choice> {
+    pub fn choose(&self, excluded: &[String], software: Software<'_>) -> Option<fleet::Choice> {
         let engine = self.table.engine(&self.service);
         let request = fleet::Request {
             service: &self.service,
@@ -215,7 +216,7 @@
                 1
             },
             salt: rand::rng().next_u64(),
-            build,
+            software,
             excluded,
             centre: &self.node.settings.centre,
             vm: &self.node.settings.vm,
@@ -281,10 +282,8 @@
             connection: runner.first_wait,
             head: Some(deadline),
         };
-        let sent = self
-            .node
-            .runner_client
-            .send_within(runner.address, request, wait);
+        let client = &self.node.runner_client;
+        let sent = client.send_checked(runner.address, request, wait, runner.check());
         let Ok(sent) = timeout_at(deadline, sent).await else {
             return SendOutcome::TimedOut;
         };
@@ -296,20 +295,30 @@
                 self.log_retry(id, "a connection takes long");
                 SendOutcome::NotRun
             }
-            Err(client::Fault::Late(_)) => SendOutcome::TimedOut,
-            Err(client::Fault::Broken(why)) => {
-                let runner = &attempt.runner;
+            Err(fault) => self.classify_fault(fault, &attempt.runner),
+        }
+    }
+
+    fn classify_fault(&self, fault: client::Fault, runner: &fleet::Choice) -> SendOutcome {
+        match fault {
+            client::Fault::Late(_) => return SendOutcome::TimedOut,
+            client::Fault::Broken(why) => {
                 crashes::note_break(self, runner);
                 reachability::note_broken(&self.node, &runner.id, runner.address);
-                SendOutcome::Unknown(why)
+                return SendOutcome::Unknown(why);
             }
-            Err(fault @ (client::Fault::Silent(_) | client::Fault::NotSent(_))) => {
-                let runner = &attempt.runner;
+            client::Fault::OtherProcess(_) => {
+                let now = self.node.clock.now();
+                if let Some(known) = self.node.fleet().runner(&runner.id) {
+                    known.note_replaced(now);
+                }
+            }
+            client::Fault::Silent(_) | client::Fault::NotSent(_) => {
                 reachability::note_broken(&self.node, &runner.id, runner.address);
-                self.log_retry(&runner.id, &fault.to_string());
-                SendOutcome::NotRun
             }
         }
+        self.log_retry(&runner.id, &fault.to_string());
+        SendOutcome::NotRun
     }
 
     /// Records that a runner broke its answer off. It may have crashed, or only failed.
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -24,6 +24,7 @@
 
 use crate::answer;
 use crate::crashes;
+use crate::fleet::Software;
 use crate::held::Held;
 use crate::job;
 use crate::job::Attempt;
@@ -119,7 +120,7 @@
             shutdown::allow_retry(&job.node, job.latest_end())?;
         }
         crashes::check(job, possible_runs).await?;
-        let Some(runner) = job.choose(&excluded, None) else {
+        let Some(runner) = job.choose(&excluded, Software::Any) else {
             return Err(refuse::no_runner(possible_runs));
         };
         let id = runner.id.clone();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -193,7 +193,7 @@
             shutdown::allow_retry(&job.node, job.latest_end())?;
         }
         crashes::check(job, possible_runs).await?;
-        let Some(runner) = job.choose(excluded, pin.build()) else {
+        let Some(runner) = job.choose(excluded, pin.software()) else {
             build::move_on(job, pin, excluded, possible_runs).await?;
             continue;
         };
@@ -345,7 +345,8 @@
         };
         job.note_answer_broken(&attempt.runner);
         resumes += 1;
-        let may_resume = job.route.resumable
+        let may_resume = state.pin != Pin::Any
+            && job.route.resumable
             && resumes <= MAX_RESUMES
             && job.time_left() > Millis::ZERO
             && !exceeds_tokens(job, state.events);
--- a/crates/relay/tests/standing.rs
+++ b/crates/relay/tests/standing.rs
@@ -24,6 +24,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         incarnation: Incarnation(1),
         build: "v1".to_owned(),
+        born: None,
         occupied: 0,
         slots: 16,
         cached: 0,
