Bound answers that grow by the VM's memory, not by their connection

What callers saw: runners sent events, or bodies, without end, and slowly. Each answer stayed below the bound of its connection; together they took the VM past its memory, and its end cut all its requests off. Where the bodies stated their length, requests to a sound service were refused (CY2205): the memory was held for the bodies to the end of their time.

Cause: the budget for requests under way exempted answers that were still coming. Incomplete events, the output that is collected of a kept stream and its events that are still to be recorded were in no budget.

Why it works: what is expected of an answer is held for it and stays. It grows beyond that into memory that nobody has claimed, and a claim, or an answer that has grown less, displaces the one that has grown most: its reader is told, breaks it off (E1214) and notes its runner as failed. Bodies of unknown length and outputs are collected in segments instead of buffers that double, short events no longer keep the buffer that they came in, a refusal's body is thrown away as it comes, and a connection to a runner reads 16 KB ahead, not 64.

--- a/crates/link/src/body.rs
+++ b/crates/link/src/body.rs
@@ -17,6 +17,8 @@
 use hyper::body::SizeHint;
 use tokio::sync::mpsc;
 
+use crate::segments::Segments;
+
 /// The response ended before it was complete. The connection is closed without the end of the
 /// body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
@@ -187,9 +189,48 @@
 
 /// Appends bytes to those of a body that have come before. Makes room for all that are expected at the
 /// first, so that they aren't copied as more come.
-pub(crate) fn append(all: &mut Vec<u8>, bytes: &[u8], expected: usize) {
+fn append(all: &mut Vec<u8>, bytes: &[u8], expected: usize) {
     if all.is_empty() {
         all.reserve_exact(expected.max(bytes.len()));
     }
     all.extend_from_slice(bytes);
 }
+
+/// The bytes of a body that have come.
+pub(crate) enum Collected {
+    /// Those of one that states how many it has. The first ones make room for all.
+    Sized(Vec<u8>, usize),
+    /// Those of another.
+    Unsized(Segments),
+}
+
+impl Collected {
+    /// Collects a body of `expected` bytes; of any number if that is zero.
+    pub(crate) fn of(expected: usize) -> Self {
+        match expected {
+            0 => Self::Unsized(Segments::default()),
+            _ => Self::Sized(Vec::new(), expected),
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        match self {
+            Self::Sized(bytes, _) => bytes.len(),
+            Self::Unsized(segments) => segments.len(),
+        }
+    }
+
+    pub(crate) fn extend(&mut self, bytes: &[u8]) {
+        match self {
+            Self::Sized(all, expected) => append(all, bytes, *expected),
+            Self::Unsized(segments) => segments.extend(bytes),
+        }
+    }
+
+    pub(crate) fn join(self) -> Bytes {
+        match self {
+            Self::Sized(bytes, _) => Bytes::from(bytes),
+            Self::Unsized(segments) => segments.join(),
+        }
+    }
+}
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -32,7 +32,7 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
-use crate::body;
+use crate::body::Collected;
 use crate::body::Payload;
 use crate::inbound;
 use crate::inbound::Allowance;
@@ -61,6 +61,17 @@
     Late(#[error(not(source))] SocketAddr),
 }
 
+/// The reason that the body of a response wasn't read to its end.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum Unread {
+    /// It broke off, or is longer than it may be.
+    #[display("{_0}")]
+    Broken(Fault),
+    /// It wasn't allowed to grow.
+    #[display("no memory after {_0} bytes")]
+    Stopped(#[error(not(source))] usize),
+}
+
 /// The outcome of a request.
 pub type Result<T> = std::result::Result<T, Fault>;
 
@@ -510,46 +521,58 @@
     ///
     /// Fails if the body is longer or breaks off.
     pub async fn whole(self, limit: usize) -> Result<Bytes> {
-        self.whole_while(limit, |_| true).await
+        let read = self.whole_while(limit, |_| true).await;
+        read.map_err(|unread| match unread {
+            Unread::Broken(fault) => fault,
+            Unread::Stopped(_) => Fault::Broken(unread.to_string()),
+        })
     }
 
-    /// The same, but only while `may_grow` allows the number of bytes that the buffer takes.
+    /// Reads the rest of the body and keeps nothing of it, so that the connection can be reused.
     ///
     /// # Errors
     ///
-    /// Fails if the body is longer or breaks off.
+    /// Fails if the body is longer than `limit` bytes or breaks off.
+    pub async fn discard(mut self, limit: usize) -> Result<()> {
+        let mut left = limit;
+        while let Some(bytes) = self.data().await? {
+            let rest = left.checked_sub(bytes.len());
+            left = rest.ok_or_else(|| Fault::Broken(format!("body longer than {limit} bytes")))?;
+        }
+        Ok(())
+    }
+
+    /// The same, but only while `may_grow` allows the number of bytes that have come.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is longer, breaks off or isn't allowed to grow.
     pub async fn whole_while(
         mut self,
         limit: usize,
         mut may_grow: impl FnMut(usize) -> bool,
-    ) -> Result<Bytes> {
-        let too_long = || Fault::Broken(format!("body longer than {limit} bytes"));
+    ) -> std::result::Result<Bytes, Unread> {
+        let too_long = || Unread::Broken(Fault::Broken(format!("body longer than {limit} bytes")));
         let expected = usize::try_from(self.size()).unwrap_or(usize::MAX);
         if expected > limit {
             return Err(too_long());
         }
-        let mut all = Vec::new();
-        while let Some(bytes) = self.data().await? {
+        let mut all = Collected::of(expected);
+        while let Some(bytes) = self.data().await.map_err(Unread::Broken)? {
             let received = all.len() + bytes.len();
             if received > limit {
                 return Err(too_long());
             }
-            let capacity = all.capacity();
-            let needed = if received > capacity {
-                received.max(2 * capacity)
-            } else {
-                capacity
-            };
-            if !may_grow(needed) {
-                return Err(Fault::Broken(format!("no memory after {received} bytes")));
+            if !may_grow(received) {
+                return Err(Unread::Stopped(received));
             }
-            if all.is_empty() && self.has_ended() {
-                self.data().await?;
+            if all.len() == 0 && self.has_ended() {
+                self.data().await.map_err(Unread::Broken)?;
                 return Ok(bytes);
             }
-            body::append(&mut all, &bytes, expected);
+            all.extend(&bytes);
         }
-        Ok(Bytes::from(all))
+        Ok(all.join())
     }
 
     fn has_ended(&self) -> bool {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod inbound;
 pub mod listen;
 pub mod output;
+pub mod segments;
 pub mod socket;
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -8,6 +8,13 @@
 //! the former. Whoever holds bytes for work claims no more, so it ends without anyone else's, and all
 //! claims are met in the end: nobody waits in a circle. Bytes that can't be refused, as of an answer that
 //! has come, are granted always, and keep others waiting until the budget is met again.
+//!
+//! An answer that is still being read may grow beyond what was claimed for it, as its peer may send without
+//! end. It grows into bytes that nobody has claimed, and has to give them back: if a claim or another
+//! answer needs them, the answer that has grown most is displaced. Its reader breaks it off.
+
+use std::error::Error;
+use std::fmt;
 
 use wire::clock::Millis;
 
@@ -79,12 +86,36 @@
     }
 }
 
+/// An answer that may grow beyond what was claimed for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Growth {
+    ticket: Ticket,
+    bytes: u64,
+}
+
+/// There are no bytes for an answer to grow: it was displaced, or none has grown more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Displaced;
+
+impl fmt::Display for Displaced {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str("the answer grew, and the VM's memory for requests was used up")
+    }
+}
+
+impl Error for Displaced {}
+
 /// The bytes of a VM for requests under way.
 #[derive(Debug, Default)]
 pub struct Budget {
     total: u64,
     for_work: u64,
     for_arrival: u64,
+    grown: u64,
+    /// Sorted by ticket.
+    growing: Vec<Growth>,
+    /// The answers that were displaced since [`Self::take_displaced`].
+    displaced: Vec<Ticket>,
     /// Sorted by step, rank and ticket.
     waiters: Vec<Waiter>,
     last: u64,
@@ -141,13 +172,18 @@
     /// Returns the bytes that are held.
     #[must_use]
     pub const fn held(&self) -> u64 {
+        self.claimed() + self.grown
+    }
+
+    /// Returns the bytes that are held and that nothing else can get.
+    const fn claimed(&self) -> u64 {
         self.for_work + self.for_arrival
     }
 
-    /// Returns whether all bytes are held, or more.
+    /// Returns whether all bytes are held, or more, that nothing else can get.
     #[must_use]
     pub const fn is_full(&self) -> bool {
-        self.held() >= self.total
+        self.claimed() >= self.total
     }
 
     /// Returns how many claims wait.
@@ -177,8 +213,8 @@
             return Verdict::Granted;
         }
         let ahead: u64 = self.waiters[..at].iter().map(|waiter| waiter.bytes).sum();
-        let needed = (self.held() + ahead + claim.bytes).saturating_sub(self.total);
-        let span = self.drain.span(needed, self.held()).unwrap_or_default();
+        let needed = (self.claimed() + ahead + claim.bytes).saturating_sub(self.total);
+        let span = self.drain.span(needed, self.claimed()).unwrap_or_default();
         if now.plus(span) > claim.deadline {
             return Verdict::Refused(Reason::TooLate(span));
         }
@@ -186,9 +222,15 @@
         Verdict::Waits(waiter.ticket)
     }
 
-    /// Holds bytes that can't be refused.
+    /// Holds bytes that can't be refused. Displaces answers that have grown into them.
     pub fn hold(&mut self, step: Step, bytes: u64) {
         *self.share(step) += bytes;
+        while self.held() > self.total {
+            let Some(most) = self.most_grown() else {
+                return;
+            };
+            self.displace(most);
+        }
     }
 
     /// Gives bytes back that were held for some time.
@@ -210,6 +252,52 @@
         Some(first.ticket)
     }
 
+    /// Begins to count an answer that has not grown yet.
+    pub fn begin_growth(&mut self) -> Ticket {
+        self.last += 1;
+        let ticket = Ticket(self.last);
+        self.growing.push(Growth { ticket, bytes: 0 });
+        ticket
+    }
+
+    /// Corrects by how many bytes an answer has grown. Displaces others that have grown more if need be.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer was displaced, or is displaced as none has grown more.
+    pub fn grow(&mut self, ticket: Ticket, bytes: u64) -> Result<(), Displaced> {
+        let at = self.find_growing(ticket).map_err(|_| Displaced)?;
+        let before = self.growing[at].bytes;
+        self.growing[at].bytes = bytes;
+        self.grown = self.grown - before + bytes;
+        if bytes <= before {
+            return Ok(());
+        }
+        while self.held() > self.total {
+            // Among equals the one that asks for more gives way.
+            match self.most_grown() {
+                Some(most) if self.growing[most].bytes > bytes => self.displace(most),
+                _ => {
+                    self.end_growth(ticket);
+                    return Err(Displaced);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Gives back what an answer had grown by, as it is whole or its reader has left.
+    pub fn end_growth(&mut self, ticket: Ticket) {
+        if let Ok(at) = self.find_growing(ticket) {
+            self.grown -= self.growing.remove(at).bytes;
+        }
+    }
+
+    /// Takes the answers that were displaced since the last time.
+    pub fn take_displaced(&mut self) -> Vec<Ticket> {
+        std::mem::take(&mut self.displaced)
+    }
+
     /// Takes back a claim that waits.
     pub fn leave(&mut self, ticket: Ticket) {
         self.waiters.retain(|waiter| waiter.ticket != ticket);
@@ -220,7 +308,26 @@
             Step::Work => true,
             Step::Arrival => self.for_arrival + waiter.bytes <= self.limit(),
         };
-        share_fits && self.held() + waiter.bytes <= self.total
+        share_fits && self.claimed() + waiter.bytes <= self.total
+    }
+
+    /// Returns which answer has grown most; `None` if none has grown.
+    fn most_grown(&self) -> Option<usize> {
+        let grown = self.growing.iter().enumerate();
+        let grown = grown.filter(|(_, growth)| growth.bytes > 0);
+        let most = grown.max_by_key(|(_, growth)| growth.bytes)?;
+        Some(most.0)
+    }
+
+    fn displace(&mut self, at: usize) {
+        let growth = self.growing.remove(at);
+        self.grown -= growth.bytes;
+        self.displaced.push(growth.ticket);
+    }
+
+    fn find_growing(&self, ticket: Ticket) -> Result<usize, usize> {
+        self.growing
+            .binary_search_by_key(&ticket, |growth| growth.ticket)
     }
 
     const fn share(&mut self, step: Step) -> &mut u64 {
--- a/crates/policy/src/memory/tests.rs
+++ b/crates/policy/src/memory/tests.rs
@@ -3,6 +3,7 @@
 
 use super::Budget;
 use super::Claim;
+use super::Displaced;
 use super::Estimate;
 use super::Reason;
 use super::Step;
@@ -132,3 +133,59 @@
     }
     assert_eq!(estimate.bytes(64), 800);
 }
+
+/// Guards against answers without an end that keep the bytes from claims: the one that has grown most gives
+/// them back, and one that has not grown stays.
+#[test]
+fn a_claim_displaces_the_answer_that_has_grown_most() {
+    let mut budget = Budget::new(TOTAL);
+    let answers = [(); 3].map(|()| budget.begin_growth());
+    for (answer, bytes) in answers.iter().zip([0, TOTAL / 2, TOTAL / 4]) {
+        budget.grow(*answer, bytes).unwrap();
+    }
+    let work = claim(Step::Work, 0, TOTAL / 2);
+    assert_eq!(budget.claim(&work, NOW), Verdict::Granted);
+    assert_eq!(budget.take_displaced(), [answers[1]]);
+    assert_eq!(budget.held(), TOTAL / 4 * 3);
+    assert_eq!(budget.claim(&work, NOW), Verdict::Granted);
+    assert_eq!(budget.take_displaced(), [answers[2]]);
+    assert_eq!(budget.grow(answers[0], 0), Ok(()));
+    assert_eq!(budget.grow(answers[0], 1), Err(Displaced));
+    assert_eq!(budget.held(), TOTAL);
+}
+
+/// Guards against a growing answer that ends others that have grown less, or just as much.
+#[test]
+fn an_answer_displaces_only_those_that_have_grown_more() {
+    let mut budget = Budget::new(TOTAL);
+    let large = budget.begin_growth();
+    budget.grow(large, TOTAL - TEXT).unwrap();
+    let small = budget.begin_growth();
+    assert_eq!(budget.grow(small, 2 * TEXT), Ok(()));
+    assert_eq!(budget.take_displaced(), [large]);
+    assert_eq!(budget.grow(large, 0), Err(Displaced));
+    let equal = [(); 2].map(|()| budget.begin_growth());
+    budget.grow(equal[0], TOTAL / 2).unwrap();
+    assert_eq!(budget.grow(equal[1], TOTAL / 2), Err(Displaced));
+    assert!(budget.take_displaced().is_empty());
+    budget.end_growth(equal[0]);
+    budget.end_growth(small);
+    assert_eq!(budget.held(), 0);
+}
+
+/// Guards against claims that wait for bytes into which an answer has grown meanwhile.
+#[test]
+fn a_claim_that_waits_displaces_answers_as_its_turn_comes() {
+    let mut budget = Budget::new(TOTAL);
+    let work = claim(Step::Work, 0, TOTAL / 2);
+    assert_eq!(budget.claim(&work, NOW), Verdict::Granted);
+    assert_eq!(budget.claim(&work, NOW), Verdict::Granted);
+    assert!(matches!(budget.claim(&work, NOW), Verdict::Waits(_)));
+    budget.release(Step::Work, TOTAL / 4, Millis::new(1), NOW);
+    assert_eq!(budget.grant_next(), None);
+    let answer = budget.begin_growth();
+    budget.grow(answer, TOTAL / 4).unwrap();
+    budget.release(Step::Work, TOTAL / 4, Millis::new(1), NOW);
+    assert!(budget.grant_next().is_some());
+    assert_eq!(budget.take_displaced(), [answer]);
+}
--- a/crates/relay/src/delivered.rs
+++ b/crates/relay/src/delivered.rs
@@ -192,6 +192,12 @@
         }
     }
 
+    /// Returns the bytes of the events that are still to be recorded.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Records that the stream is taken up once more.
     async fn note_resumption(&self, job: &Job) -> Result<()> {
         let owner = build::owner(job, &self.stream.attempt);
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -3,6 +3,7 @@
 //! Only complete events are passed on: a runner may stop in the middle of an event, and half of it
 //! followed by the rest from another run would be a corrupt event.
 
+use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
 use derive_more::Display;
@@ -12,6 +13,10 @@
 /// fault of the sender.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// The longest event that is copied out of the buffer, and the most that the buffer keeps when it is empty,
+/// in bytes.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
 /// The sender's bytes are not a stream of events: an event is too long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
 #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
@@ -59,7 +64,7 @@
             return None;
         };
         self.scanned = 0;
-        let bytes = self.buffer.split_to(end).freeze();
+        let bytes = self.take(end);
         let mut id = None;
         let mut data: Option<Bytes> = None;
         for line in bytes.split(|byte| *byte == b'\n') {
@@ -81,6 +86,25 @@
         })
     }
 
+    /// Takes the first `end` bytes. Few are copied: as a part of the buffer they would keep all of it.
+    fn take(&mut self, end: usize) -> Bytes {
+        if end > MAX_COPIED_BYTES {
+            return self.buffer.split_to(end).freeze();
+        }
+        let bytes = Bytes::copy_from_slice(&self.buffer[..end]);
+        self.buffer.advance(end);
+        if self.buffer.is_empty() && self.buffer.capacity() > MAX_COPIED_BYTES {
+            self.buffer = BytesMut::new();
+        }
+        bytes
+    }
+
+    /// Returns the bytes that the incomplete event may take: its buffer doubles as it grows.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        self.buffer.len() * 2
+    }
+
     /// Returns whether the bytes so far end within an event.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
--- a/crates/relay/src/held.rs
+++ b/crates/relay/src/held.rs
@@ -26,6 +26,11 @@
 use wire::code::Code;
 use wire::code::Refusal;
 
+pub use growth::Displacement;
+pub use growth::Growth;
+
+mod growth;
+
 /// The shortest time after which a refused request may be retried.
 const MIN_RETRY_DELAY: Millis = Millis::new(100);
 /// The bytes of a history before any was read: the longest part that a VM with a disk returns at once.
@@ -45,6 +50,8 @@
     budget: Budget,
     /// Sorted by ticket, because tickets only grow.
     waiters: Vec<Waiter>,
+    /// The answers that may grow, sorted by ticket, because tickets only grow.
+    growing: Vec<(Ticket, oneshot::Sender<()>)>,
     history: Estimate,
     /// Sorted by route.
     answers: Vec<Answers>,
@@ -185,13 +192,7 @@
         if is_full {
             parts.reserve_many(parts.max_capacity()).await?;
         }
-        let held = Held {
-            holdings: self.clone(),
-            step: Step::Work,
-            bytes: 0,
-            since: self.clock.now(),
-        };
-        let part = Part::Data(held.attach(bytes));
+        let part = Part::Data(self.hold_nothing().attach(bytes));
         parts.send(part).await.map_err(|_| SendError(()))
     }
 
@@ -216,7 +217,9 @@
         };
         let (ticket, granted) = {
             let mut state = self.lock();
-            match state.budget.claim(&claim, now) {
+            let verdict = state.budget.claim(&claim, now);
+            state.tell_displaced();
+            match verdict {
                 Verdict::Granted => return Ok(self.held(&claim)),
                 Verdict::Refused(reason) => return Err(refusal(reason, state.budget.held())),
                 Verdict::Waits(ticket) => {
@@ -240,6 +243,17 @@
         }
     }
 
+    /// Holds no bytes yet.
+    #[must_use]
+    pub fn hold_nothing(self: &Arc<Self>) -> Held {
+        Held {
+            holdings: self.clone(),
+            step: Step::Work,
+            bytes: 0,
+            since: self.clock.now(),
+        }
+    }
+
     fn held(self: &Arc<Self>, claim: &Claim) -> Held {
         Held {
             holdings: self.clone(),
@@ -259,6 +273,7 @@
                 let found = state.waiters.binary_search_by_key(&ticket, |w| w.ticket);
                 granted.extend(found.map(|at| state.waiters.remove(at)));
             }
+            state.tell_displaced();
         }
         // After the lock is released: what a waiter that has left doesn't take is given back here.
         for waiter in granted {
@@ -272,6 +287,16 @@
 }
 
 impl State {
+    /// Tells the readers of answers that were displaced.
+    fn tell_displaced(&mut self) {
+        for ticket in self.budget.take_displaced() {
+            if let Ok(at) = self.growing.binary_search_by_key(&ticket, |(key, _)| *key) {
+                // A reader that has just left needs no word.
+                let _left = self.growing.remove(at).1.send(());
+            }
+        }
+    }
+
     fn find(&self, route: &str) -> Result<usize, usize> {
         self.answers
             .binary_search_by(|answers| answers.route.as_str().cmp(route))
@@ -285,19 +310,13 @@
         self.bytes
     }
 
-    /// Returns whether the requests of the process hold all the bytes that they may.
-    #[must_use]
-    pub fn is_scarce(&self) -> bool {
-        self.holdings.lock().budget.is_full()
-    }
-
     /// Corrects how many bytes are held. More are granted always.
     pub fn resize(&mut self, bytes: u64) {
         let now = self.holdings.clock.now();
         let (step, held_for) = (self.step, now.since(self.since));
         if bytes > self.bytes {
             let more = bytes - self.bytes;
-            self.holdings.lock().budget.hold(step, more);
+            self.holdings.change(|state| state.budget.hold(step, more));
         } else {
             let less = self.bytes - bytes;
             let release = |state: &mut State| state.budget.release(step, less, held_for, now);
--- a/crates/relay/src/held/tests.rs
+++ b/crates/relay/src/held/tests.rs
@@ -98,3 +98,34 @@
     receiver.recv().await.unwrap();
     assert!(poll_once(&mut queued).is_some());
 }
+
+/// Guards against the reader of a displaced answer that goes on waiting for its peer, and against bytes that
+/// stay held for it.
+#[tokio::test]
+async fn the_reader_of_a_displaced_answer_is_told() {
+    let holdings = Holdings::new(4 * FIRST_ANSWER_BYTES, Clock::System);
+    let held = work(&holdings, 10, LONG).await.unwrap();
+    let (mut growth, mut displacement) = holdings.begin_growth(held, 0);
+    growth.resize(3 * FIRST_ANSWER_BYTES).unwrap();
+    let mut told = Box::pin(displacement.wait());
+    assert!(poll_once(&mut told).is_none());
+    let _first = work(&holdings, FIRST_ANSWER_BYTES, LONG).await.unwrap();
+    assert!(poll_once(&mut told).is_none());
+    let _second = work(&holdings, FIRST_ANSWER_BYTES, LONG).await.unwrap();
+    assert!(poll_once(&mut told).is_some());
+    assert!(growth.resize(4 * FIRST_ANSWER_BYTES).is_err());
+    let held = growth.into_claimed();
+    assert_eq!(held.bytes(), 10);
+    assert_eq!(holdings.figures().bytes, 10 + 2 * FIRST_ANSWER_BYTES);
+}
+
+/// Guards against answers of the usual size that are broken off while the memory is used up.
+#[tokio::test]
+async fn an_answer_of_the_usual_size_is_never_displaced() {
+    let holdings = holdings();
+    let mut all = work(&holdings, 500, LONG).await.unwrap();
+    all.resize(TOTAL);
+    let (mut growth, _displacement) = holdings.begin_growth(holdings.hold_nothing(), 0);
+    growth.resize(FIRST_ANSWER_BYTES).unwrap();
+    assert!(growth.resize(FIRST_ANSWER_BYTES + 1).is_err());
+}
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -455,8 +455,8 @@
         let status = reply.head.status;
         self.log_retry(&attempt.runner.id, &format!("not run, status {status}"));
         // Read to its end, so that the connection can be reused.
-        match timeout(REFUSAL_READ_TIMEOUT, reply.body.whole(MAX_REFUSAL_BYTES)).await {
-            Ok(Ok(_)) => {}
+        match timeout(REFUSAL_READ_TIMEOUT, reply.body.discard(MAX_REFUSAL_BYTES)).await {
+            Ok(Ok(())) => {}
             Ok(Err(fault)) => log::debug!("can't read the body of a runner's refusal: {fault}"),
             Err(_) => log::debug!("the body of a runner's refusal did not arrive in time"),
         }
@@ -526,6 +526,21 @@
         Some(standing.map_or(standing::of_rank(rank), |standing| standing.priority(rank)))
     }
 
+    /// Logs and counts an answer that was broken off as it had grown into memory that others need.
+    pub fn log_displaced(&self, runner: &fleet::Choice) {
+        self.node.metrics.count(Counter::Displaced);
+        log::warn!(
+            "event=E{} text=\"{}\" request={} route={} runner={} held={} ms={}",
+            Event::AnswerDisplaced.number(),
+            Event::AnswerDisplaced.text(),
+            self.call.id,
+            self.route.name,
+            runner.id,
+            self.node.holdings.figures().bytes,
+            self.age().as_u64()
+        );
+    }
+
     /// Logs that the caller left before its answer was complete.
     pub fn log_caller_gone(&self, events: u64) {
         let kind = Some(self.route.kind);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -52,6 +52,7 @@
     Requests = "requests", "requests whose headers were read";
     Retried = "attempts_retried", "attempts after the first of a request";
     TurnedAway = "attempts_turned_away", "attempts that a runner refused without running them";
+    Displaced = "answers_displaced", "answers broken off as they had grown into memory that others need";
     Resumed = "streams_resumed", "streams that went on after a break";
     OverBudget = "turns_over_budget", "turns refused as their program's tokens are spent";
     Events = "events", "events of streams that were passed on";
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -68,8 +68,12 @@
 /// The most unused connections kept to a runner. More than the requests that one VM has in flight
 /// at a runner.
 const MAX_IDLE_CONNECTIONS: usize = 24;
-/// The most bytes of a connection to a runner that are read ahead: several events, or a plain answer.
-const MAX_RUNNER_BUFFER_BYTES: usize = 64 * 1024;
+/// The most bytes of a connection to a runner that are read ahead: several events, or a plain answer. Each
+/// connection may take them twice, beside the bytes that are counted: a part that waits to be taken, and
+/// the next one.
+const MAX_RUNNER_BUFFER_BYTES: usize = 16 * 1024;
+/// The most bytes of an answer that its connection has read ahead.
+pub const READ_AHEAD_BYTES: usize = 2 * MAX_RUNNER_BUFFER_BYTES;
 /// The same for connections to VMs and to the key-value service, of which histories come.
 const MAX_VM_BUFFER_BYTES: usize = 400 * 1024;
 /// The most bytes that a runner may send after the head of an answer: twice the longest answer that is
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -12,6 +12,7 @@
 use link::body::Payload;
 use link::client;
 use link::client::Reply;
+use policy::memory::Displaced;
 use policy::memory::Step;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -24,6 +25,8 @@
 
 use crate::answer;
 use crate::crashes;
+use crate::held::Displacement;
+use crate::held::Growth;
 use crate::held::Held;
 use crate::job;
 use crate::job::Attempt;
@@ -180,15 +183,17 @@
     memory: &mut Option<Held>,
 ) -> Result<Response<Body>, String> {
     let head = reply.head;
-    let claimed = memory.as_ref().map_or(0, Held::bytes);
-    let read = read_body(reply.body, deadline, memory.as_mut()).await;
-    if let (Err(_), Some(held)) = (&read, memory.as_mut()) {
-        held.resize(claimed);
-    }
-    let body = match read {
+    let claimed = memory.take();
+    let claimed = claimed.unwrap_or_else(|| job.node.holdings.hold_nothing());
+    let (claimed, outcome) = read_body(job, reply.body, deadline, claimed).await;
+    let body = match outcome {
         Ok(body) => body,
         Err(fault) => {
+            *memory = Some(claimed);
             job.note_failed(&attempt.runner);
+            if let Unread::Displaced(_) = fault {
+                job.log_displaced(&attempt.runner);
+            }
             if let Unread::Broken(_) = fault {
                 job.note_answer_broken(&attempt.runner);
             }
@@ -198,10 +203,7 @@
     job.node
         .holdings
         .note_answer(&job.route.name, body.len() as u64);
-    let body = match memory.take() {
-        Some(memory) => memory.attach(body),
-        None => body,
-    };
+    let body = claimed.attach(body);
     let span = Millis::from(attempt.sent_at.elapsed());
     let now = job.node.clock.now();
     // A failure says nothing about how long the work takes; most failures come at once.
@@ -235,41 +237,52 @@
     /// It didn't end in time.
     #[display("the answer's body was not complete in time")]
     Late,
+    /// It took memory that others need.
+    #[display("{_0}")]
+    Displaced(Displaced),
 }
 
-/// Reads the body of an answer while `memory` holds the bytes for it.
+/// Reads the body of an answer while there is memory for it. Returns what was held for it as well.
 async fn read_body(
+    job: &Job,
     body: client::Body,
     deadline: Instant,
-    mut memory: Option<&mut Held>,
+    held: Held,
+) -> (Held, Result<Bytes, Unread>) {
+    let expected = held.bytes();
+    let (mut growth, displacement) = job.node.holdings.begin_growth(held, expected);
+    let read = read_counted(body, deadline, &mut growth, displacement).await;
+    (growth.into_claimed(), read)
+}
+
+async fn read_counted(
+    body: client::Body,
+    deadline: Instant,
+    growth: &mut Growth,
+    mut displacement: Displacement,
 ) -> Result<Bytes, Unread> {
-    if let Some(memory) = &mut memory {
-        let size = body.size().min(MAX_ANSWER_BYTES as u64);
-        memory.resize(size.max(memory.bytes()));
-    }
-    let states_size = body.states_size();
-    let may_grow = |bytes: usize| match &mut memory {
-        Some(memory) => grow(memory, bytes as u64, states_size),
-        None => true,
-    };
+    // An answer of a known length takes all of it at once, so that several don't displace each other.
+    let stated = body.size().min(MAX_ANSWER_BYTES as u64);
+    growth.resize(stated).map_err(Unread::Displaced)?;
+    let may_grow = |bytes: usize| growth.resize(stated.max(bytes as u64)).is_ok();
     let read = body.whole_while(MAX_ANSWER_BYTES, may_grow);
-    match timeout_at(deadline, read).await {
-        Ok(read) => read.map_err(Unread::Broken),
-        Err(_) => Err(Unread::Late),
+    tokio::select! {
+        biased;
+        () = displacement.wait() => Err(Unread::Displaced(Displaced)),
+        read = timeout_at(deadline, read) => match read {
+            Ok(read) => read.map_err(Unread::from),
+            Err(_) => Err(Unread::Late),
+        },
     }
 }
 
-/// Holds the memory for an answer of which `bytes` have come. Returns whether more of it may be read: one
-/// whose length nobody knows may take no more than it claimed while requests hold all that they may.
-fn grow(held: &mut Held, bytes: u64, states_size: bool) -> bool {
-    if bytes <= held.bytes() {
-        return true;
-    }
-    if !states_size && held.is_scarce() {
-        return false;
+impl From<client::Unread> for Unread {
+    fn from(unread: client::Unread) -> Self {
+        match unread {
+            client::Unread::Broken(fault) => Self::Broken(fault),
+            client::Unread::Stopped(_) => Self::Displaced(Displaced),
+        }
     }
-    held.resize(bytes);
-    true
 }
 
 fn failure(job: &Job, why: &str) -> Refusal {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -6,12 +6,13 @@
 //! the turn at any VM.
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use hyper::Response;
 use link::body::Body;
 use link::body::Part;
 use link::body::Payload;
 use link::client::Reply;
+use link::segments::Segments;
+use policy::memory::Displaced;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -33,6 +34,8 @@
 use crate::delivered::Recorder;
 use crate::events;
 use crate::events::Reader;
+use crate::held::Displacement;
+use crate::held::Growth;
 use crate::history;
 use crate::history::History;
 use crate::job;
@@ -44,11 +47,14 @@
 use crate::metrics::Counter;
 use crate::metrics::Latency;
 use crate::metrics::Outcome;
+use crate::node::READ_AHEAD_BYTES;
 use crate::opening;
 use crate::refuse;
 use crate::shutdown;
 use crate::work;
 
+mod pace;
+
 /// The most parts of an answer that wait for a slow caller. Beyond that, the runner's stream is not
 /// read further.
 const MAX_QUEUED_PARTS: usize = 32;
@@ -65,6 +71,8 @@
     CallerGone,
     /// The deadline passed.
     TimedOut,
+    /// It took memory that others need.
+    Displaced,
 }
 
 /// The state of a stream that is passed on to the caller.
@@ -72,7 +80,10 @@
     parts: mpsc::Sender<Part>,
     reader: Reader,
     /// The data of the events, each followed by a line feed, as later turns repeat them.
-    output: BytesMut,
+    output: Segments,
+    /// The bytes of the incomplete event and the output.
+    growth: Growth,
+    displacement: Displacement,
     /// Records the events for the VM at which the caller may take the stream up.
     recorder: Option<Recorder>,
     events: u64,
@@ -87,6 +98,15 @@
     first_event_at: Option<Instant>,
 }
 
+impl State {
+    /// Corrects how many bytes are held for the stream.
+    fn hold(&mut self) -> Result<(), Displaced> {
+        let recorder = self.recorder.as_ref().map_or(0, Recorder::memory);
+        let bytes = READ_AHEAD_BYTES + recorder + self.reader.memory() + self.output.memory();
+        self.growth.resize(bytes as u64)
+    }
+}
+
 /// Serves a turn.
 pub async fn serve(job: Job, guard: work::Guard) -> Response<Body> {
     let node = job.node.clone();
@@ -252,10 +272,19 @@
         account::settle(job, account, 0);
         return;
     }
+    let holdings = &job.node.holdings;
+    let expected = holdings.expected_answer(&job.route.name);
+    let (growth, displacement) = holdings.begin_growth(holdings.hold_nothing(), expected);
+    let mut output = Segments::default();
+    for text in &delivered.texts {
+        output.extend(text);
+    }
     let mut state = State {
+        growth,
+        displacement,
         parts: sender,
         reader: Reader::default(),
-        output: delivered.texts.iter().flatten().collect(),
+        output,
         recorder: delivered.recorder,
         events: 0,
         last_event_id: job.call.last_event,
@@ -279,7 +308,10 @@
     match end {
         End::Complete => {
             let keep_started = Instant::now();
-            let output = std::mem::take(&mut state.output).freeze();
+            let output = std::mem::take(&mut state.output).join();
+            let holdings = &job.node.holdings;
+            let taken = READ_AHEAD_BYTES + output.len();
+            holdings.note_answer(&job.route.name, taken as u64);
             let success = (200..300).contains(&status);
             if success {
                 crashes::note_completed(job);
@@ -313,6 +345,10 @@
             account::settle(job, account, used);
             log_broken(job, &state, Break::Runner, &why);
         }
+        End::Displaced => {
+            account::settle(job, account, used);
+            log_broken(job, &state, Break::Runner, &Displaced.to_string());
+        }
         End::CallerGone => {
             account::settle(job, account, used);
             job.log_caller_gone(state.events);
@@ -339,7 +375,10 @@
         let events_before = state.events;
         state.first_event_at = None;
         let end = forward_events(job, state, &mut reply).await;
-        record_pace(job, &attempt, state, events_before, &end);
+        pace::record(job, &attempt, state, events_before, &end);
+        if let End::Displaced = end {
+            job.log_displaced(&attempt.runner);
+        }
         let End::Broken(why) = end else {
             return end;
         };
@@ -421,38 +460,13 @@
     }
 }
 
-/// Records how fast the runner was.
-///
-/// The pace is measured from the runner's first event on. Otherwise the wait for a slot and the
-/// reading of the prompt would make a runner that only got long prompts look slow.
-fn record_pace(job: &Job, attempt: &Attempt, state: &State, events_before: u64, end: &End) {
-    let events = state.events - events_before;
-    let now = job.node.clock.now();
-    let mut fleet = job.node.fleet();
-    let Some(runner) = fleet.runner(&attempt.runner.id) else {
-        return;
-    };
-    match end {
-        End::Broken(_) => runner.note_failed(now),
-        // An engine sends an event whole; its end doesn't take until the deadline.
-        End::TimedOut if state.reader.has_partial_event() => runner.note_failed(now),
-        End::Complete if events > 1 => {
-            let engine = job.table.engine(&job.service);
-            let tokens = engine.map_or(1, |engine| engine.event_tokens) * (events - 1);
-            let first_event_at = state.first_event_at.unwrap_or_else(Instant::now);
-            let span = attempt.usual_span(Millis::from(first_event_at.elapsed()));
-            runner.note_success(tokens, span, now);
-        }
-        End::Complete | End::CallerGone | End::TimedOut => {}
-    }
-}
-
 async fn forward_events(job: &Job, state: &mut State, reply: &mut Reply) -> End {
     loop {
         let data = tokio::select! {
             data = reply.body.data() => data,
             () = state.parts.closed() => return End::CallerGone,
             () = tokio::time::sleep_until(job.deadline) => return End::TimedOut,
+            () = state.displacement.wait() => return End::Displaced,
         };
         match data {
             Ok(Some(bytes)) => {
@@ -487,8 +501,8 @@
             state.events += 1;
             state.last_event_id = event.id.or(state.last_event_id);
             if job.route.keeps_turns {
-                state.output.extend_from_slice(&event.data);
-                state.output.extend_from_slice(b"\n");
+                state.output.extend(&event.data);
+                state.output.extend(b"\n");
             }
             job.node.metrics.count(Counter::Events);
             record(job, state, &event).await;
@@ -496,6 +510,9 @@
                 return end;
             }
         }
+        if state.hold().is_err() {
+            return End::Displaced;
+        }
     }
 }
 
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -51,6 +51,7 @@
     TurnNotKept = 1211, "turn not kept yet";
     TurnNotSettled = 1212, "turn not settled";
     EventsNotRecorded = 1213, "a stream's events are no longer recorded";
+    AnswerDisplaced = 1214, "answer broken off for the VM's memory";
     ShardClaimed = 2001, "shard claimed";
     ShardOpened = 2002, "shard opened";
     ShardReleased = 2003, "shard released";
