tests/ending: runners that answer nothing state no start

nothing_is_retried_after_the_send_deadline::case_2_turn failed since resumable streams are sent only to the process that wrote the entry (left 503, right 502): its stand-in closes the connection on any request, so now on the question when it started, and the turn was refused as not run. The test is about a request that is broken off.

--- a/crates/relay/tests/ending.rs
+++ b/crates/relay/tests/ending.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use adapter::config;
+use adapter::runner::Entry;
 use adapter::settings;
 use adapter::settings::Settings;
 use http_body_util::BodyExt;
@@ -65,6 +66,11 @@
     let node = Node::new(settings, Clock::System);
     for id in ["i-1", "i-2"] {
         let entry = support::entry(runner(closes_after, request_count.clone()).await);
+        // The runner answers nothing, so it isn't asked when it started either.
+        let entry = Entry {
+            born: None,
+            ..entry
+        };
         node.fleet().set(id, entry, 0);
     }
     node
