--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -166,25 +166,7 @@
         }
         let before = list.previous();
         for (member, holdings) in self.fetch_holdings(&list.before, list, scope).await {
-            let wanted = |key| catch_up::must_copy(list, &before, &self.own, key, self.losses);
-            if let Err(fault) = self.copy_missing(member, list, &holdings, wanted).await {
-                log::warn!(
-                    "text=\"a member's records not copied\" member={} fault=\"{fault}\"",
-                    member.vm
-                );
-                continue;
-            }
-            // Asked afterwards, so that all that was copied came from that disk: a VM whose disk was lost
-            // answers at the same address, also to itself, with the little that it has.
-            let status = self.status(member).await;
-            if status.is_none_or(|status| status.disk != member.disk) {
-                log::info!(
-                    "event=E{} text=\"{}\" member={} version={}",
-                    Event::DiskReplaced.number(),
-                    Event::DiskReplaced.text(),
-                    member.vm,
-                    list.version
-                );
+            if !self.copy_from(member, list, &before, &holdings).await {
                 continue;
             }
             answered.push(member);
@@ -220,6 +202,38 @@
         );
     }
 
+    /// Copies what a member of the list `before` holds. Returns whether that is all that its disk holds.
+    async fn copy_from(
+        &self,
+        member: &list::Member,
+        list: &List,
+        before: &List,
+        holdings: &Holdings,
+    ) -> bool {
+        let wanted = |key| catch_up::must_copy(list, before, &self.own, key, self.losses);
+        if let Err(fault) = self.copy_missing(member, list, holdings, wanted).await {
+            log::warn!(
+                "text=\"a member's records not copied\" member={} fault=\"{fault}\"",
+                member.vm
+            );
+            return false;
+        }
+        // Asked afterwards, so that all that was copied came from that disk: a VM whose disk was lost answers
+        // at the same address, also to itself, with the little that it has.
+        let status = self.status(member).await;
+        let is_its_disk = status.is_some_and(|status| status.disk == member.disk);
+        if !is_its_disk {
+            log::info!(
+                "event=E{} text=\"{}\" member={} version={}",
+                Event::DiskReplaced.number(),
+                Event::DiskReplaced.text(),
+                member.vm,
+                list.version
+            );
+        }
+        is_its_disk
+    }
+
     /// Asks the other members concurrently for what they hold and returns the answers. Concurrent
     /// requests cost one timeout in total when several members don't answer.
     async fn fetch_holdings<'a>(
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -214,7 +214,8 @@
     fn sync_names(&self) -> io::Result<()> {
         self.pass_sync();
         let mut state = self.lock();
-        state.synced_names = state.names.clone();
+        let state = &mut *state;
+        state.synced_names.clone_from(&state.names);
         Ok(())
     }
 }
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -47,6 +47,7 @@
         let now = Instant::now().into_std();
         self.log.lock().unwrap().push(Execution {
             runner: "i-1".to_owned(),
+            born: 1,
             id: id.to_owned(),
             path: path.to_owned(),
             body: body.clone(),
