Tell what a member held when it listed its keys, not what it holds since

What callers may see: 404 for a turn that was answered whole (LOST), after two changes of the list that follow each other closely.

Cause: a member that hasn't caught up is asked what others gained, and keeps the list of keys for all that ask later. It copies the rest, is a complete replica, and tells the next one so, together with the keys from before. That one counts it as a source and misses what it had copied.

Evidence: 'a_member_that_has_caught_up_tells_all_that_it_holds', before: 'nothing is told', with ready at the list's version.

Fix: the version up to which it had caught up is kept with the keys, and both are listed anew when that changes.

--- a/crates/replica/src/server/gained.rs
+++ b/crates/replica/src/server/gained.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Keys {
     version: u64,
+    /// The list version up to which the member held everything when its keys were listed.
+    ready: u64,
     turns: Part,
     programs: Part,
 }
@@ -72,13 +74,18 @@
         // the result.
         let mut cached = self.gained_cache.lock().await;
         let list = self.identity().list;
-        if cached.version != list.version {
+        {
             let state = self.lock();
-            *cached = Keys {
-                version: list.version,
-                turns: Part::new(state.index.keys()),
-                programs: Part::new(state.ledger.programs()),
-            };
+            let ready = state.identity.ready;
+            // What the member has copied since is missing from what was listed before.
+            if (cached.version, cached.ready) != (list.version, ready) {
+                *cached = Keys {
+                    version: list.version,
+                    ready,
+                    turns: Part::new(state.index.keys()),
+                    programs: Part::new(state.ledger.programs()),
+                };
+            }
         }
         cached.turns.compute(&list, losses).await;
         cached.programs.compute(&list, losses).await;
@@ -88,7 +95,7 @@
             entries: state.ledger.entries(program).to_vec(),
         };
         Holdings {
-            ready: state.identity.ready,
+            ready: cached.ready,
             turns: cached.turns.of_vm(vm),
             accounts: cached.programs.of_vm(vm).into_iter().map(account).collect(),
         }
--- a/crates/replica/tests/list_changes.rs
+++ b/crates/replica/tests/list_changes.rs
@@ -205,46 +205,57 @@
     assert_eq!(member.answer(absent).await, Answer::NotReady);
 }
 
-/// Guards against members that never become complete replicas, as a slow one computes what they gained
-/// anew for each that asks, and each has left before the end.
-#[tokio::test]
-async fn a_slow_member_tells_what_others_gained_although_they_leave() {
-    const KEYS: u32 = 20_000;
-    const ASKS: usize = 1_000;
-    let folder = Folder(std::env::temp_dir().join(format!("replica-g-{}", std::process::id())));
-    let member = server::open(&folder.0, 500_000_000, 7, Clock::System)
-        .await
-        .unwrap();
-    let members = (0..7).map(|number| Member {
-        vm: format!("store-{number}"),
-        centre: format!("centre-{}", number % 3),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        disk: number,
-    });
-    let members: Vec<Member> = members.collect();
+/// Starts a member of a list of seven, of which each holds a part, with accounts of `keys` programs.
+async fn member_with_accounts(folder: &Folder, keys: u32) -> (Arc<server::Member>, List) {
+    let member = server::open(&folder.0, 500_000_000, 7, Clock::System);
+    let member = member.await.unwrap();
     let mut list = List::default();
-    for other in &members {
-        list = list.with(other);
+    for number in 0..7 {
+        list = list.with(&Member {
+            vm: format!("store-{number}"),
+            centre: format!("centre-{}", number % 3),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            disk: number,
+        });
     }
     member.adopt(&list).await.unwrap();
-    let records = (0..KEYS).map(|number| {
+    apply_accounts(&member, keys).await;
+    (member, list)
+}
+
+async fn apply_accounts(member: &server::Member, keys: u32) {
+    let records = (0..keys).map(|number| {
         Record::Reserve(Reservation {
             program: Key::of(&format!("p{number}")),
             turn: Key::of("t"),
             most: 1,
         })
     });
-    let version = list.version;
+    let version = member.identity().list.version;
     let body = Body::Apply(records.collect());
     let written = member.answer(Ask { version, body }).await;
     assert!(matches!(written, Answer::Applied(_)), "{written:?}");
+}
+
+async fn ask_gained(member: &server::Member, version: u64) -> Answer {
+    let body = Body::Gained {
+        vm: "store-6".to_owned(),
+        losses: 1,
+    };
+    member.answer(Ask { version, body }).await
+}
+
+/// Guards against members that never become complete replicas, as a slow one computes what they gained
+/// anew for each that asks, and each has left before the end.
+#[tokio::test]
+async fn a_slow_member_tells_what_others_gained_although_they_leave() {
+    const KEYS: u32 = 20_000;
+    const ASKS: usize = 1_000;
+    let folder = Folder(std::env::temp_dir().join(format!("replica-g-{}", std::process::id())));
+    let (member, list) = member_with_accounts(&folder, KEYS).await;
     for _ in 0..ASKS {
-        let body = Body::Gained {
-            vm: "store-6".to_owned(),
-            losses: 1,
-        };
-        let asked = member.answer(Ask { version, body });
         // Each asks for a fraction of the time that the answer takes.
+        let asked = ask_gained(&member, list.version);
         let answer = tokio::time::timeout(Duration::from_millis(2), asked).await;
         if let Ok(Answer::Keys(holdings)) = answer {
             assert!(!holdings.accounts.is_empty());
@@ -253,3 +264,23 @@
     }
     panic!("nobody was answered");
 }
+
+/// Guards against a member that says that it has caught up, and what it held before it had: one that learns
+/// from it misses the rest, and tells readers that there is no such turn.
+#[tokio::test]
+async fn a_member_that_has_caught_up_tells_all_that_it_holds() {
+    const KEYS: u32 = 200;
+    let folder = Folder(std::env::temp_dir().join(format!("replica-u-{}", std::process::id())));
+    let (member, list) = member_with_accounts(&folder, 0).await;
+    let Answer::Keys(before) = ask_gained(&member, list.version).await else {
+        panic!("no keys");
+    };
+    assert_eq!((before.ready, before.accounts.len()), (0, 0));
+    apply_accounts(&member, KEYS).await;
+    member.set_ready(list.version).await.unwrap();
+    let Answer::Keys(after) = ask_gained(&member, list.version).await else {
+        panic!("no keys");
+    };
+    assert_eq!(after.ready, list.version);
+    assert!(!after.accounts.is_empty(), "nothing is told");
+}
