Write a member's identity once, in the order of its changes, and tell it when it is on disk

What callers may see: 503 CY4107 for good after a power loss of all VMs, or 404 for a turn that was answered whole; on a slow disk 503 for as long as others ask a member to adopt a list.

Cause, three with one root, as the write belonged to the request that asked for it: (1) one that left had its write done and not noted, so each one that asked queued another write of the same list, and records waited behind all of them; (2) 'holds everything' was told before it was on disk, and others changed the list because of it: after a power loss of all nobody is a source for the new one; (3) a write of the list waited for the one before it, and a record under the new list overtook it.

Fix: the write is queued together with the change, under one lock, and numbered; the disk's thread notes the last number, and whoever needs it waits for that. Records wait for their list, too, so that a failed write of a list fails the records under it.

--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -18,6 +18,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use wire::event;
 
 use crate::index::Location;
@@ -66,6 +67,9 @@
 pub struct Disk {
     medium: Arc<dyn Medium>,
     jobs: mpsc::Sender<Job>,
+    /// How many writes of the identity were queued.
+    identity_writes: Mutex<u64>,
+    identities: watch::Receiver<Identities>,
     /// Segments that are open for reading, sorted by number.
     files: Mutex<Vec<(u64, Arc<dyn File>)>>,
 }
@@ -77,7 +81,25 @@
 
 enum Job {
     Append(Vec<Vec<u8>>, Reply),
-    WriteIdentity(Box<Identity>, oneshot::Sender<io::Result<()>>),
+    WriteIdentity(Box<Identity>, u64),
+}
+
+/// The last writes of the identity, by their numbers. A later one holds all that an earlier one does.
+#[derive(Clone, Copy, Debug, Default)]
+struct Identities {
+    written: u64,
+    failed: u64,
+}
+
+impl Identities {
+    /// Returns the outcome of a write; `None` while it is queued.
+    fn outcome(&self, number: u64) -> Option<io::Result<()>> {
+        if self.written >= number {
+            return Some(Ok(()));
+        }
+        let failed = || Err(io::Error::other("the identity wasn't written"));
+        (self.failed >= number).then(failed)
+    }
 }
 
 struct Writer {
@@ -94,6 +116,7 @@
     /// The oldest segments are removed to keep all of them below this.
     limit_bytes: u64,
     events: mpsc::Sender<SegmentEvent>,
+    identities: watch::Sender<Identities>,
 }
 
 /// What the writer thread did to its segments.
@@ -147,6 +170,7 @@
     let file = create_segment(&*medium, number)?;
     let (jobs, queue) = mpsc::channel();
     let (sender, events) = mpsc::channel();
+    let (written, identities) = watch::channel(Identities::default());
     let mut writer = Writer {
         medium: medium.clone(),
         closed,
@@ -156,11 +180,14 @@
         is_torn: false,
         limit_bytes: bytes / 100 * FILL_PERCENT,
         events: sender,
+        identities: written,
     };
     thread::spawn(move || writer.run(&queue));
     let disk = Disk {
         medium,
         jobs,
+        identity_writes: Mutex::default(),
+        identities,
         files: Mutex::default(),
     };
     Ok(Opened {
@@ -267,9 +294,45 @@
     ///
     /// Fails if the disk does.
     pub async fn write_identity(&self, identity: &Identity) -> io::Result<()> {
-        let (reply, answer) = oneshot::channel();
-        self.send_job(Job::WriteIdentity(Box::new(identity.clone()), reply))?;
-        answer.await.map_err(io::Error::other)?
+        let number = self.queue_identity(identity)?;
+        self.wait_for_identity(number).await
+    }
+
+    /// Queues a write of the member's identity before all that is written from now on, and returns its
+    /// number. It is done whether somebody waits for it or not.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk's thread has ended.
+    pub fn queue_identity(&self, identity: &Identity) -> io::Result<u64> {
+        let writes = self.identity_writes.lock();
+        let mut writes = writes.unwrap_or_else(PoisonError::into_inner);
+        *writes += 1;
+        self.send_job(Job::WriteIdentity(Box::new(identity.clone()), *writes))?;
+        Ok(*writes)
+    }
+
+    /// Returns whether a write of the identity has failed, and none after it was done.
+    #[must_use]
+    pub fn has_failed(&self, number: u64) -> bool {
+        let outcome = self.identities.borrow().outcome(number);
+        matches!(outcome, Some(Err(_)))
+    }
+
+    /// Waits until a write of the identity, or a later one, is synced.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk does.
+    pub async fn wait_for_identity(&self, number: u64) -> io::Result<()> {
+        let mut identities = self.identities.clone();
+        loop {
+            let outcome = identities.borrow_and_update().outcome(number);
+            if let Some(outcome) = outcome {
+                return outcome;
+            }
+            identities.changed().await.map_err(io::Error::other)?;
+        }
     }
 
     fn send_job(&self, job: Job) -> io::Result<()> {
@@ -325,9 +388,15 @@
                         let written = self.write(&frames);
                         pending.push((written, reply));
                     }
-                    Job::WriteIdentity(identity, reply) => {
-                        // The receiver may be gone and needs no answer then.
-                        let _gone = reply.send(self.write_identity(&identity));
+                    Job::WriteIdentity(identity, number) => {
+                        let written = self.write_identity(&identity);
+                        self.identities.send_modify(|last| match &written {
+                            Ok(()) => last.written = number,
+                            Err(_) => last.failed = number,
+                        });
+                        if let Err(fault) = written {
+                            log_failed(&fault);
+                        }
                     }
                 }
                 job = queue.try_recv().ok();
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -54,8 +54,6 @@
     clock: Clock,
     /// Accepted writes that aren't answered yet; closed when the process stops.
     writes: TaskTracker,
-    /// Held while the identity is written, so that the newest one is written last.
-    identity_writes: tokio::sync::Mutex<()>,
     /// Notified when the list changes.
     pub list_changed: Notify,
 }
@@ -63,8 +61,10 @@
 #[derive(Debug, Default)]
 struct State {
     identity: Identity,
-    /// The version of the list that is on disk.
-    stored_version: u64,
+    /// The identity that is on disk once all queued writes are done.
+    queued: Identity,
+    /// The number of the write that holds the list in use.
+    list_write: u64,
     index: Index,
     ledger: Ledger,
     /// Segments created since the accounts were last rewritten.
@@ -125,7 +125,7 @@
         opened.disk.write_identity(&identity).await?;
         identity
     };
-    state.stored_version = state.identity.list.version;
+    state.queued = state.identity.clone();
     log::info!(
         "text=\"disk opened\" disk={} records={records} version={} ready={}",
         state.identity.disk,
@@ -139,7 +139,6 @@
         gained_cache: tokio::sync::Mutex::default(),
         clock,
         writes: TaskTracker::new(),
-        identity_writes: tokio::sync::Mutex::default(),
         list_changed: Notify::new(),
     }))
 }
@@ -181,33 +180,28 @@
             if is_newer {
                 list::log_list_change(list, before);
                 state.identity.list = list.clone();
+                state.queued.list = list.clone();
+                // Queued under the lock, so that no record under the new list is written before it.
+                state.list_write = self.disk.queue_identity(&state.queued)?;
             }
             is_newer
         };
         if is_newer {
             self.list_changed.notify_waiters();
         }
-        self.store_list(list.version).await
+        self.store_list().await
     }
 
-    /// Returns once the list of this version, or a newer one in its place, is on disk.
-    async fn store_list(&self, version: u64) -> io::Result<()> {
-        if self.lock().stored_version >= version {
-            return Ok(());
-        }
-        let _write = self.identity_writes.lock().await;
-        if self.lock().stored_version >= version {
-            return Ok(());
-        }
-        self.write_identity().await
-    }
-
-    /// Writes the identity. To be called while `identity_writes` is held.
-    async fn write_identity(&self) -> io::Result<()> {
-        let identity = self.identity();
-        self.disk.write_identity(&identity).await?;
-        self.lock().stored_version = identity.list.version;
-        Ok(())
+    /// Returns once the list in use is on disk.
+    async fn store_list(&self) -> io::Result<()> {
+        let write = {
+            let mut state = self.lock();
+            if self.disk.has_failed(state.list_write) {
+                state.list_write = self.disk.queue_identity(&state.queued)?;
+            }
+            state.list_write
+        };
+        self.disk.wait_for_identity(write).await
     }
 
     /// Returns how long ago another VM last sent a write.
@@ -222,9 +216,15 @@
     ///
     /// Fails if the disk does.
     pub async fn set_ready(&self, ready: u64) -> io::Result<()> {
+        let write = {
+            let mut state = self.lock();
+            state.queued.ready = ready;
+            self.disk.queue_identity(&state.queued)?
+        };
+        self.disk.wait_for_identity(write).await?;
+        // Not before: others may change the list again because of it.
         self.lock().identity.ready = ready;
-        let _write = self.identity_writes.lock().await;
-        self.write_identity().await
+        Ok(())
     }
 
     /// Refuses writes from now on because the process is stopping. A writer that waited for a write
@@ -248,7 +248,7 @@
         }
         // Who asks for what the member holds counts on it that the older list isn't used any more.
         if matches!(ask.body, Body::Keys | Body::Gained { .. })
-            && let Err(fault) = self.store_list(ask.version).await
+            && let Err(fault) = self.store_list().await
         {
             return disk_failed(&fault);
         }
@@ -256,6 +256,9 @@
             Body::Apply(records) => {
                 self.lock().last_write = self.clock.now();
                 let answer = self.apply(records).await;
+                if let Err(fault) = self.store_list().await {
+                    return disk_failed(&fault);
+                }
                 // The list may have changed during the sync. Members that catch up with the new
                 // list may already have been told what this member holds, without these records, so
                 // the records don't count under the old list; the sender sends them again.
--- a/crates/replica/tests/power_loss.rs
+++ b/crates/replica/tests/power_loss.rs
@@ -148,3 +148,76 @@
         assert!(holds(&after, id).await, "{id} is lost");
     }
 }
+
+/// Guards against a list that is written once for each that asks for it, as each leaves before the end: on
+/// a slow disk nobody is ever answered, and all writes of records wait behind.
+#[tokio::test]
+async fn a_list_is_written_once_although_those_that_ask_leave() {
+    const ASKS: usize = 20;
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    disk.block();
+    for _ in 0..ASKS {
+        let adopted = ask(&member, Body::Adopt(list()));
+        assert!(timeout(BLOCKED / 10, adopted).await.is_err());
+    }
+    let files_before = disk.created();
+    disk.unblock();
+    assert!(matches!(
+        ask(&member, Body::Adopt(list())).await,
+        Answer::Status(_)
+    ));
+    assert_eq!(write(&member, "t1").await, Answer::Applied(Vec::new()));
+    assert_eq!(disk.created(), files_before, "the list was written again");
+}
+
+/// Guards against a member that says that it holds everything before that is on disk: after a power loss of
+/// all, nobody would be a source for the list that came after it.
+#[tokio::test]
+async fn a_member_is_ready_once_that_is_on_disk() {
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    member.adopt(&list()).await.unwrap();
+    disk.block();
+    let setting = member.clone();
+    let set = tokio::spawn(async move { setting.set_ready(1).await });
+    disk.wait_for_blocked_sync().await;
+    assert_eq!(member.status().ready, 0);
+    disk.unblock();
+    set.await.unwrap().unwrap();
+    assert_eq!(member.status().ready, 1);
+    let after = start(&disk.after_power_loss()).await;
+    assert_eq!(after.status().ready, 1);
+}
+
+/// Guards against a record that is answered for under a list that isn't on disk, as the write of the list
+/// waits for another one.
+#[tokio::test]
+async fn a_record_is_answered_for_after_its_list_is_on_disk() {
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    member.adopt(&list()).await.unwrap();
+    disk.block();
+    let setting = member.clone();
+    let set = tokio::spawn(async move { setting.set_ready(1).await });
+    disk.wait_for_blocked_sync().await;
+    let next = list().with(&list().members[0]);
+    let (adopting, newer) = (member.clone(), next.clone());
+    let adopted = tokio::spawn(async move { adopting.adopt(&newer).await });
+    while member.identity().list != next {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let (writing, losing) = (member.clone(), disk.clone());
+    let written = tokio::spawn(async move {
+        let answer = write(&writing, "t1").await;
+        assert_eq!(answer, Answer::Applied(Vec::new()));
+        losing.after_power_loss()
+    });
+    tokio::task::yield_now().await;
+    disk.unblock();
+    let after = start(&written.await.unwrap()).await;
+    assert_eq!(after.identity().list, next);
+    assert!(holds(&after, "t1").await);
+    set.await.unwrap().unwrap();
+    adopted.await.unwrap().unwrap();
+}
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -31,6 +31,8 @@
     blocked: bool,
     /// How many syncs wait.
     waiting: usize,
+    /// How many files were created.
+    created: usize,
     /// Which of the next appends fails half-way, counted from zero.
     failing_append: Option<usize>,
 }
@@ -131,6 +133,11 @@
         }
     }
 
+    /// Returns how many files were created.
+    pub fn created(&self) -> usize {
+        self.lock().created
+    }
+
     /// Has the append after `count` others fail half-way.
     pub fn fail_append_after(&self, count: usize) {
         self.lock().failing_append = Some(count);
@@ -192,7 +199,9 @@
             disk: self.clone(),
             content: Arc::default(),
         };
-        self.lock().put(name, file.clone());
+        let mut state = self.lock();
+        state.created += 1;
+        state.put(name, file.clone());
         Ok(Arc::new(file))
     }
 
