Merge other members' accounts once they are on disk

What callers may see: tokens that a program has used count again as unused (BUDGET), after a member that learnt loses its power.

Cause: a member merged what others told in memory first. Where the write failed, the second try found nothing new to write, and the member was a complete replica with accounts that weren't on its disk. Found by review.

Evidence: 'accounts_that_are_merged_again_survive_a_power_loss', before: 'left: (0, 0)' accounts after the power loss, one expected.

Fix: written first, merged afterwards. E3110 is logged only where another disk answers, not where nobody does; the test of replaced disks ends after a bound.

--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -220,8 +220,10 @@
         }
         // Asked afterwards, so that all that was copied came from that disk: a VM whose disk was lost answers
         // at the same address, also to itself, with the little that it has.
-        let status = self.status(member).await;
-        let is_its_disk = status.is_some_and(|status| status.disk == member.disk);
+        let Some(status) = self.status(member).await else {
+            return false;
+        };
+        let is_its_disk = status.disk == member.disk;
         if !is_its_disk {
             log::info!(
                 "event=E{} text=\"{}\" member={} version={}",
--- a/crates/replica/src/server/write.rs
+++ b/crates/replica/src/server/write.rs
@@ -65,22 +65,27 @@
     ///
     /// Fails if the disk does.
     pub async fn merge_accounts(&self, accounts: &[Account]) -> io::Result<()> {
-        let now = self.clock.now();
-        let mut records = Vec::new();
+        let mut merged = Vec::new();
         {
-            let mut state = self.lock();
+            let state = self.lock();
             for account in accounts {
                 let known = state.ledger.entries(account.program);
-                let added: Vec<Entry> = added_entries(known, &account.entries);
-                records.extend(
-                    added
-                        .iter()
-                        .map(|entry| entry_record(account.program, entry)),
-                );
-                state.ledger.merge(account.program, &added, now);
+                let entries = added_entries(known, &account.entries);
+                merged.push(Account {
+                    program: account.program,
+                    entries,
+                });
             }
         }
-        self.write_records(&records).await
+        let records: Vec<Record> = merged.iter().flat_map(account_records).collect();
+        self.write_records(&records).await?;
+        // Not before: what is known isn't written again.
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for account in merged {
+            state.ledger.merge(account.program, &account.entries, now);
+        }
+        Ok(())
     }
 
     async fn write_records(&self, records: &[Record]) -> io::Result<()> {
--- a/crates/replica/tests/power_loss.rs
+++ b/crates/replica/tests/power_loss.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use replica::ledger::Account;
+use replica::ledger::Entry;
 use replica::list::List;
 use replica::list::Member;
 use replica::message::Answer;
@@ -221,3 +223,25 @@
     set.await.unwrap().unwrap();
     adopted.await.unwrap().unwrap();
 }
+
+/// Guards against accounts of other members that are known and not on disk, as their first write failed
+/// and the second one found nothing to write.
+#[tokio::test]
+async fn accounts_that_are_merged_again_survive_a_power_loss() {
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    let account = Account {
+        program: Key::of("p1"),
+        entries: vec![Entry {
+            turn: Key::of("t1"),
+            most: 50,
+            used: None,
+        }],
+    };
+    disk.fail_append_after(0);
+    let accounts = [account];
+    member.merge_accounts(&accounts).await.unwrap_err();
+    member.merge_accounts(&accounts).await.unwrap();
+    let after = start(&disk.after_power_loss()).await;
+    assert_eq!(after.counts(), (0, 1));
+}
--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -30,12 +30,15 @@
 use replica::server;
 use support::Disk;
 use tokio::sync::watch;
+use tokio::time::timeout;
 use wire::clock::Clock;
 
 /// The size of a disk in bytes.
 const DISK_BYTES: u64 = 500_000_000;
 /// How long members that can't become complete replicas get for it: some steps of their drivers.
 const STEPS: Duration = Duration::from_millis(1_500);
+/// How long members may take to become complete replicas once all answer.
+const RECOVERY: Duration = Duration::from_secs(12);
 
 /// A VM at whose address one member after another answers, or nobody.
 struct Vm {
@@ -182,9 +185,12 @@
 
     b.silent.store(false, Ordering::SeqCst);
     b.drive();
-    while !vms.iter().all(|vm| vm.is_ready(&next)) {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    let all_ready = async {
+        while !vms.iter().all(|vm| vm.is_ready(&next)) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(RECOVERY, all_ready).await.expect("all are ready");
     b.silent.store(true, Ordering::SeqCst);
     let found = reader.chain(key).await;
     let Ok(Found::Part(links, None)) = found else {
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // each test file uses only a part of this module
 
 use std::io;
+use std::mem;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -35,6 +36,8 @@
     created: usize,
     /// Which of the next appends fails half-way, counted from zero.
     failing_append: Option<usize>,
+    /// Whether the next sync of a file fails.
+    failing_sync: bool,
 }
 
 /// A file of a stand-in disk.
@@ -143,6 +146,11 @@
         self.lock().failing_append = Some(count);
     }
 
+    /// Has the next sync of a file fail. What it was to sync is dropped: zeroes are there after a power loss.
+    pub fn fail_next_sync(&self) {
+        self.lock().failing_sync = true;
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.state.lock().unwrap()
     }
@@ -257,8 +265,14 @@
 
     fn sync(&self) -> io::Result<()> {
         self.disk.pass_sync();
+        let fails = mem::take(&mut self.disk.lock().failing_sync);
         let mut content = self.lock();
+        let from = content.synced;
         content.synced = content.bytes.len();
+        if fails {
+            content.bytes[from..].fill(0);
+            return Err(io::Error::other("the disk failed"));
+        }
         Ok(())
     }
 }
