Begin a new segment after a failed sync

What callers may see: 404 for a turn that was answered whole (LOST), after a member whose disk failed to sync loses its power.

Cause: the system drops what it could not sync and reports that once. A later sync of the same segment succeeds, and the records behind the hole are answered for; a restart reads up to the hole. Found by review.

Evidence: 'a_write_after_a_failed_sync_survives_a_power_loss', before: 'the turn is lost'.

Fix: a segment whose sync failed takes no further write, like one that ends with a torn record.

--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -411,6 +411,8 @@
             return;
         }
         let synced = self.file.sync();
+        // What wasn't synced may be gone, and a later sync wouldn't tell.
+        self.is_torn |= synced.is_err();
         for (written, reply) in pending {
             let outcome = match &synced {
                 Ok(()) => written,
--- a/crates/replica/tests/power_loss.rs
+++ b/crates/replica/tests/power_loss.rs
@@ -245,3 +245,17 @@
     let after = start(&disk.after_power_loss()).await;
     assert_eq!(after.counts(), (0, 1));
 }
+
+/// Guards against a record that is answered for and lies behind a hole, as an earlier sync of its segment
+/// failed and dropped what was to be synced.
+#[tokio::test]
+async fn a_write_after_a_failed_sync_survives_a_power_loss() {
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    disk.fail_next_sync();
+    let failed = write(&member, "t1").await;
+    assert!(matches!(failed, Answer::Failed(_)), "{failed:?}");
+    assert_eq!(write(&member, "t2").await, Answer::Applied(Vec::new()));
+    let after = start(&disk.after_power_loss()).await;
+    assert!(holds(&after, "t2").await, "the turn is lost");
+}
