KNOWN-RED: a reservation rests on members that have not caught up

Shown by the reviewer of the work on LOST, not fixed: replica::client::reserve_once takes the answers of all three members for all that is known, whether they have caught up or not.

--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -15,6 +15,7 @@
 use link::client::Limits;
 use link::listen;
 use platform::memory::Memory;
+use replica::client::Fault;
 use replica::client::Found;
 use replica::client::Replicas;
 use replica::list::List;
@@ -26,6 +27,7 @@
 use replica::message::Body;
 use replica::record::Key;
 use replica::record::Record;
+use replica::record::Reservation;
 use replica::record::Turn;
 use replica::server;
 use support::Disk;
@@ -198,3 +200,30 @@
     };
     assert_eq!(links[0].text, turn.text);
 }
+
+/// Guards against a budget that is exceeded, as members that haven't caught up, and don't know what was
+/// reserved before, count as knowing it.
+#[tokio::test]
+async fn a_reservation_does_not_rest_on_members_that_have_not_caught_up() {
+    let vms = [
+        Vm::start("a", 1).await,
+        Vm::start("b", 2).await,
+        Vm::start("c", 3).await,
+    ];
+    let mut list = List::default();
+    for vm in &vms {
+        list = list.with(&vm.entry());
+    }
+    for vm in &vms {
+        vm.adopt(&list, 0).await;
+    }
+    let writer = Replicas::new(client(), "a", 1);
+    writer.adopt(list);
+    let reservation = Reservation {
+        program: Key::of("p1"),
+        turn: Key::of("t1"),
+        most: 50,
+    };
+    let verdict = writer.reserve(reservation, None, 100).await;
+    assert_eq!(verdict, Err(Fault::CatchingUp));
+}
