--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -52,7 +52,6 @@
     Requests = "requests", "requests whose headers were read";
     Retried = "attempts_retried", "attempts after the first of a request";
     TurnedAway = "attempts_turned_away", "attempts that a runner refused without running them";
-    Displaced = "answers_displaced", "answers broken off as they had grown into memory that others need";
     Resumed = "streams_resumed", "streams that went on after a break";
     OverBudget = "turns_over_budget", "turns refused as their program's tokens are spent";
     Events = "events", "events of streams that were passed on";
@@ -74,6 +73,7 @@
     ConfigsDropped = "revisions_dropped", "configurations that couldn't be taken";
     ExchangesFailed = "exchanges_failed", "messages to other VMs that weren't answered in time";
     DocumentBytes = "document_bytes", "bytes of configurations that were sent to other VMs";
+    Displaced = "answers_displaced", "answers broken off as they had grown into memory that others need";
 }
 
 impl Counter {
@@ -285,13 +285,13 @@
     #[must_use]
     pub fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut out = render(gauges);
+        let calls = Call::ALL.iter();
+        let calls = calls.map(|call| format!("call=\"{}\"", call.name()));
+        family(&mut out, STORE_CALLS, calls, &self.store_calls);
         for counter in Counter::ALL {
             explain(&mut out, counter.name(), counter.help());
             line(&mut out, counter.name(), "", self.value(*counter));
         }
-        let calls = Call::ALL.iter();
-        let calls = calls.map(|call| format!("call=\"{}\"", call.name()));
-        family(&mut out, STORE_CALLS, calls, &self.store_calls);
         for (outcome, values) in Outcome::ALL.iter().zip(self.outcomes.chunks(KINDS.len())) {
             let labels = KINDS.iter().map(|(_, label)| format!("kind=\"{label}\""));
             family(&mut out, (outcome.name(), outcome.help()), labels, values);
