Read the identity as a whole file again, and let the test's disk recover

Two tests of role_stop were red: the identity was read at an offset, which a pipe refuses (a_reload_while_the_disk_is_read_...: the process ended), and a_vm_with_a_disk_answers_the_writes_that_it_accepted rested on records that were answered for though the write of their list had failed: its pipe can't be synced.

--- a/crates/chestnutyoke/tests/role_stop.rs
+++ b/crates/chestnutyoke/tests/role_stop.rs
@@ -343,7 +343,10 @@
     let late = tokio::spawn(call_vm(vms, version, reservation("t2")));
     tokio::time::sleep(Duration::from_millis(600)).await;
     let refused = late.is_finished();
-    let reader = thread::spawn(move || File::open(slow).unwrap().read_to_end(&mut Vec::new()));
+    // A pipe can't be synced, so the process writes its identity again, to a file.
+    let pipe = slow.with_extension("pipe");
+    fs::rename(&slow, &pipe).unwrap();
+    let reader = thread::spawn(move || File::open(pipe).unwrap().read_to_end(&mut Vec::new()));
     let released = Instant::now();
     let answer = taken.await.unwrap();
     assert!(matches!(answer, Some(Answer::Applied(_))), "{answer:?}");
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -23,7 +23,6 @@
 
 use crate::index::Location;
 use crate::list::List;
-use crate::medium;
 use crate::medium::File;
 use crate::medium::Folder;
 use crate::medium::Medium;
@@ -207,8 +206,8 @@
 }
 
 fn read_identity(medium: &dyn Medium) -> io::Result<Option<Identity>> {
-    let bytes = match medium.open(IDENTITY_FILE) {
-        Ok(file) => medium::read_whole(&*file)?,
+    let bytes = match medium.read(IDENTITY_FILE) {
+        Ok(bytes) => bytes,
         Err(fault) if fault.kind() == io::ErrorKind::NotFound => return Ok(None),
         Err(fault) => return Err(fault),
     };
--- a/crates/replica/src/medium.rs
+++ b/crates/replica/src/medium.rs
@@ -25,6 +25,13 @@
     /// Fails if there is none of that name.
     fn open(&self, name: &str) -> io::Result<Arc<dyn File>>;
 
+    /// Reads a whole file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none of that name, or it can't be read.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+
     /// Creates an empty file, or empties the one of that name.
     ///
     /// # Errors
@@ -78,23 +85,6 @@
     fn sync(&self) -> io::Result<()>;
 }
 
-/// Reads a whole file.
-///
-/// # Errors
-///
-/// Fails if it can't be read.
-pub fn read_whole(file: &dyn File) -> io::Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    let mut chunk = [0; 4096];
-    loop {
-        let read = file.read_at(&mut chunk, bytes.len() as u64)?;
-        if read == 0 {
-            return Ok(bytes);
-        }
-        bytes.extend_from_slice(&chunk[..read]);
-    }
-}
-
 /// A folder of the file system.
 #[derive(Debug)]
 pub struct Folder(PathBuf);
@@ -125,6 +115,10 @@
         Ok(Arc::new(fs::File::open(self.0.join(name))?))
     }
 
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.0.join(name))
+    }
+
     fn create(&self, name: &str) -> io::Result<Arc<dyn File>> {
         Ok(Arc::new(fs::File::create(self.0.join(name))?))
     }
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -202,6 +202,13 @@
         Ok(Arc::new(state.names[at].1.clone()))
     }
 
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let state = self.lock();
+        let at = state.find(name)?;
+        let content = state.names[at].1.lock();
+        Ok(content.bytes.clone())
+    }
+
     fn create(&self, name: &str) -> io::Result<Arc<dyn medium::File>> {
         let file = File {
             disk: self.clone(),
