--- /dev/null
+++ b/crates/relay/src/job/log_lines.rs
@@ -0,0 +1,81 @@
+//! What is logged of a request.
+
+use wire::clock::Millis;
+use wire::event::Event;
+
+use crate::content;
+use crate::fleet;
+use crate::job::Job;
+use crate::job::format_span;
+use crate::metrics::Counter;
+use crate::metrics::Outcome;
+
+impl Job {
+    /// Logs and counts a failed attempt: one whose answer, if any, isn't passed on to the caller.
+    pub fn log_retry(&self, runner: &str, why: &str) {
+        self.node.metrics.count(Counter::Retried);
+        log::info!(
+            "event=E{} text=\"{}\" request={} program={} route={} content={} runner={runner} waited_ms={} why=\"{why}\"",
+            Event::CallRetried.number(),
+            Event::CallRetried.text(),
+            self.call.id,
+            self.call.program.as_deref().unwrap_or_default(),
+            self.route.name,
+            content::digest(self),
+            self.age().as_u64()
+        );
+    }
+
+    /// Logs and counts an answer that was broken off as it had grown into memory that others need.
+    pub fn log_displaced(&self, runner: &fleet::Choice) {
+        self.node.metrics.count(Counter::Displaced);
+        log::warn!(
+            "event=E{} text=\"{}\" request={} route={} runner={} held={} ms={}",
+            Event::AnswerDisplaced.number(),
+            Event::AnswerDisplaced.text(),
+            self.call.id,
+            self.route.name,
+            runner.id,
+            self.node.holdings.figures().bytes,
+            self.age().as_u64()
+        );
+    }
+
+    /// Logs that the caller left before its answer was complete.
+    pub fn log_caller_gone(&self, events: u64) {
+        let kind = Some(self.route.kind);
+        self.node.metrics.count_outcome(kind, Outcome::Gone);
+        log::info!(
+            "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={}",
+            Event::CallerGone.number(),
+            Event::CallerGone.text(),
+            self.call.id,
+            self.call.program.as_deref().unwrap_or_default(),
+            self.route.name,
+            self.age().as_u64()
+        );
+    }
+
+    /// Logs the end of a request that ran; `first_event` is the time until its first event.
+    pub fn log_answered(
+        &self,
+        runner: &str,
+        status: u16,
+        events: u64,
+        first_event: Option<Millis>,
+    ) {
+        log::info!(
+            "event=E{} text=\"{}\" request={} program={} line={} route={} revision={} runner={runner} status={status} events={events} first_ms={} ms={} finish_ms={}",
+            Event::RequestAnswered.number(),
+            Event::RequestAnswered.text(),
+            self.call.id,
+            self.call.program.as_deref().unwrap_or_default(),
+            self.call.session.as_deref().unwrap_or_default(),
+            self.route.name,
+            self.table.version,
+            format_span(first_event),
+            self.age().as_u64(),
+            self.call.finish_within.unwrap_or_default().as_u64()
+        );
+    }
+}
