--- a/crates/relay/src/build.rs
+++ b/crates/relay/src/build.rs
@@ -3,7 +3,8 @@
 //! What two builds write doesn't fit together, and runners don't check it. A caller may take a stream up
 //! at any VM, also after the one that began it has ended, so the build is recorded by the VMs with a disk
 //! before the first event is passed on. A runner may start again with another build before its new entry is
-//! read, so a resumable stream is sent only to the process that wrote the entry, if it tells. A stream whose build can't be found out is refused, not guessed.
+//! read, so a resumable stream is sent only to the process that wrote the entry, if it tells. A stream whose
+//! build can't be found out is refused, not guessed.
 //!
 //! The record is a reservation of no tokens, whose key is computed from the attempt and the build: it is
 //! copied, restored and dropped like any other, and goes with the turn's own reservation. Whoever takes
