Add up numbers of endpoints, callers and configurations without overflow

What callers saw, in builds that check: a request that was placed while an endpoint's last answer had reported the largest load ended with a closed connection, and so did one whose prompt's parts were too long to be added up. In release builds the sums wrapped: an endpoint that reports running requests and one waiting looked idle, and weights of a split of some millions sent all requests to one service.

The sums saturate now, so that what is too large looks full, late or long; weights are added as floating-point numbers.

--- a/crates/policy/src/home.rs
+++ b/crates/policy/src/home.rs
@@ -117,14 +117,13 @@
         let Some(home) = self.indices[0] else {
             return;
         };
-        let tokens = |parts: &[Part]| parts.iter().map(|part| part.tokens).sum();
         let before = &prompt[..prompt.len().saturating_sub(1)];
-        let mut held: u64 = tokens(before);
+        let mut held = prefix::tokens(before);
         let ran_elsewhere = |(index, candidate): (usize, &Candidate)| {
             index != home && before.len() > 1 && candidate.cached >= held
         };
         if candidates.iter().enumerate().any(ran_elsewhere) {
-            held = tokens(&before[..before.len() - 1]);
+            held = prefix::tokens(&before[..before.len() - 1]);
         }
         let candidate = &mut candidates[home];
         candidate.cached = candidate.cached.max(held);
--- a/crates/policy/src/home/tests.rs
+++ b/crates/policy/src/home/tests.rs
@@ -53,6 +53,23 @@
         .index
 }
 
+/// Guards against a prompt whose lengths are too large to be added up.
+#[test]
+fn a_prompt_of_any_length_is_placed() {
+    let homes = homes_of(1, 1, &endpoints(8));
+    let mut candidates = vec![IDLE; 8];
+    let prompt = [part(1, u64::MAX), part(2, u64::MAX), part(3, 1)];
+    homes.presume(&prompt, &mut candidates);
+    let call = Call {
+        class: Class::Routine,
+        prompt: u64::MAX,
+        output: u64::MAX,
+        salt: 1,
+    };
+    let chosen = choose(&candidates, &call, &Weights::default(), &homes).expect("all may be used");
+    assert_eq!(candidates[chosen.index].cached, u64::MAX);
+}
+
 /// An endpoint leaves. If the homes of all programs moved with it, all of them would prefill their
 /// histories again; those that had theirs there go on at their second one.
 #[test]
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -346,7 +346,7 @@
 /// prefix is cached, because otherwise calls sent ahead by others would take every slot that
 /// becomes free; urgent calls may anywhere.
 fn may_send_ahead(candidate: &Candidate, call: &Call) -> bool {
-    call.class == Class::Urgent || candidate.cached * 2 > call.prompt
+    call.class == Class::Urgent || candidate.cached > call.prompt / 2
 }
 
 /// Mixes a salt with an index (the finalizer of `SplitMix64`).
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -65,7 +65,7 @@
     #[must_use]
     pub fn cached(&self, prompt: &[Part]) -> u64 {
         let known = prompt.iter().take_while(|part| self.find(part.id).is_ok());
-        known.map(|part| part.tokens).sum()
+        tokens(known)
     }
 
     /// Records that the endpoint has prefilled a prompt.
@@ -79,7 +79,7 @@
                         last_used: now,
                     };
                     self.entries.insert(at, entry);
-                    self.tokens += part.tokens;
+                    self.tokens = self.tokens.saturating_add(part.tokens);
                 }
             }
         }
@@ -101,10 +101,16 @@
         ages.sort_unstable();
         let oldest = ages[ages.len() / 8];
         self.entries.retain(|entry| entry.last_used > oldest);
-        self.tokens = self.entries.iter().map(|entry| entry.part.tokens).sum();
+        self.tokens = tokens(self.entries.iter().map(|entry| &entry.part));
     }
 }
 
+/// Returns how many tokens some parts have together. Callers may state any lengths.
+pub(crate) fn tokens<'a>(parts: impl IntoIterator<Item = &'a Part>) -> u64 {
+    let lengths = parts.into_iter().map(|part| part.tokens);
+    lengths.fold(0, u64::saturating_add)
+}
+
 /// Factor by which the presumed holders of a first part exceed its share of the work. With exactly
 /// its share, each of them would have to be as fast as the median endpoint and take no other calls.
 pub const HOLDER_HEADROOM: f64 = 2.0;
--- a/crates/policy/src/prefix/tests.rs
+++ b/crates/policy/src/prefix/tests.rs
@@ -37,6 +37,18 @@
     assert_eq!(cache.cached(&[part(3, 400)]), 400);
 }
 
+/// Guards against a prompt whose lengths are too large to be added up: the memory that it is presumed to
+/// take must not look small.
+#[test]
+fn parts_of_any_length_are_added_up() {
+    let prompt = [part(1, u64::MAX), part(2, u64::MAX), part(3, 1)];
+    let mut cache = Cache::new(2000);
+    cache.note(&prompt, Millis::new(1));
+    assert_eq!(cache.cached(&prompt), 0);
+    cache.note(&[part(4, 1)], Millis::new(2));
+    assert_eq!(cache.cached(&[part(4, 1)]), 1);
+}
+
 /// Simulates many VMs that place the first turns of programs with shared long first parts on an
 /// idle fleet, each knowing only what it has sent itself. Returns how often, in `turns` turns, an
 /// endpoint prefilled a part that another endpoint had already prefilled.
--- a/crates/policy/src/standing.rs
+++ b/crates/policy/src/standing.rs
@@ -44,7 +44,7 @@
         };
         if left == Millis::ZERO || left < needed {
             Self::Late
-        } else if left.as_u64() < needed.as_u64() * RISK_MULTIPLE {
+        } else if left.as_u64() < needed.as_u64().saturating_mul(RISK_MULTIPLE) {
             Self::AtRisk
         } else {
             Self::InTime
--- a/crates/policy/src/standing/tests.rs
+++ b/crates/policy/src/standing/tests.rs
@@ -23,6 +23,15 @@
     assert_eq!(standing(0), Standing::Late);
 }
 
+/// Guards against a span that is too long to be multiplied: a program without the time for it is late.
+#[test]
+fn a_turn_of_any_length_has_a_standing() {
+    let longest = Millis::new(u64::MAX);
+    let standing = |left| Standing::of(Some(Millis::new(left)), longest);
+    assert_eq!(standing(300), Standing::Late);
+    assert_eq!(standing(u64::MAX), Standing::InTime);
+}
+
 /// Guards against late work of one rank that waits behind all others.
 #[test]
 fn late_turns_yield_to_the_next_rank_at_most() {
--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -158,7 +158,8 @@
 #[must_use]
 pub fn used(job: &Job, account: Option<Account>, events: u64) -> u32 {
     let engine = job.table.engine(&job.service);
-    let tokens = engine.map_or(1, |engine| engine.event_tokens) * events;
+    let tokens = engine.map_or(1, |engine| engine.event_tokens);
+    let tokens = tokens.saturating_mul(events);
     let max_tokens = account.map_or(u32::MAX, |account| account.max_tokens);
     u32::try_from(tokens).unwrap_or(u32::MAX).min(max_tokens)
 }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -389,8 +389,8 @@
         let (under_way, held_off) = runner.peer_reports.sum(now, &speaks_for);
         Tally {
             runner: runner.id.clone(),
-            under_way: runner.own_requests + under_way,
-            held_off: u32::from(runner.is_held_off(now)) + held_off,
+            under_way: runner.own_requests.saturating_add(under_way),
+            held_off: held_off.saturating_add(u32::from(runner.is_held_off(now))),
         }
     };
     let has_figures = |tally: &Tally| tally.under_way > 0 || tally.held_off > 0;
--- a/crates/relay/src/fleet/load.rs
+++ b/crates/relay/src/fleet/load.rs
@@ -42,8 +42,10 @@
         };
         for runner in subset::used(vm, centre, &usable, MAX_USED) {
             let (others, _) = runner.peer_reports.all(now);
-            room.slots += runner.entry.slots;
-            room.occupied += runner.own_requests + others;
+            room.slots = room.slots.saturating_add(runner.entry.slots);
+            room.occupied = room
+                .occupied
+                .saturating_add(runner.own_requests.saturating_add(others));
         }
         room
     }
@@ -57,7 +59,7 @@
             load.runners += 1;
             load.slots += u64::from(runner.entry.slots);
             load.own_requests += u64::from(runner.own_requests);
-            load.occupied += u64::from(runner.own_requests + others);
+            load.occupied += u64::from(runner.own_requests.saturating_add(others));
             load.slowed += u64::from(runner.is_slowed(now));
         }
         load
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -149,15 +149,15 @@
 
     pub(super) fn candidate(&self, request: &Request<'_>, median_pace: f64) -> Candidate {
         let (others, _) = self.peer_reports.all(request.now);
-        let known = self.own_requests + others;
+        let known = self.own_requests.saturating_add(others);
         // The runner's own report counts if it is higher than what this VM knows: a VM that can't
         // reach this VM may have requests at the runner, too.
         let reported = self
             .load
             .filter(|(_, at)| request.now.since(*at) < REPORTED_LOAD_MAX_AGE);
-        let reported = reported.map_or(0, |(load, _)| load.running + load.waiting);
+        let reported = reported.map_or(0, |(load, _)| load.running.saturating_add(load.waiting));
         let busy = if self.full_until > request.now {
-            known.max(self.entry.slots + 2)
+            known.max(self.entry.slots.saturating_add(2))
         } else {
             known.max(reported)
         };
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -231,6 +231,38 @@
     assert_eq!(fleet.choose(&later).unwrap().id, "i-0");
 }
 
+/// Guards against an endpoint whose figures are too large to be added up: it must look full, or large, and
+/// not take the requests of all others or end them.
+#[test]
+fn the_largest_figures_of_a_runner_are_added_up() {
+    let mut fleet = fleet(2);
+    let runner = fleet.runner("i-0").unwrap();
+    runner.note_prompt(&PROMPT, NOW);
+    let load = Load {
+        running: u32::MAX,
+        waiting: 16,
+        slots: 16,
+        slowdown_percent: None,
+    };
+    runner.note_load(load, NOW);
+    assert_eq!(fleet.choose(&request(&[])).unwrap().id, "i-1");
+    for id in ["i-0", "i-1"] {
+        let largest = Entry {
+            slots: u32::MAX,
+            ..entry(State::Ready)
+        };
+        fleet.set(id, largest, ENGINE.memory_tokens);
+        fleet.runner(id).unwrap().note_full(NOW);
+        fleet.runner(id).unwrap().own_requests = 1;
+    }
+    fleet.note_tallies(&vm("front-b"), &[tally("i-0", u32::MAX, u32::MAX)], NOW);
+    assert!(fleet.choose(&request(&[])).is_some());
+    let room = fleet.room("models", "front-a-1", "a", Millis::ZERO, NOW);
+    assert_eq!((room.slots, room.occupied), (u32::MAX, u32::MAX));
+    assert_eq!(fleet.tallies(NOW, |_| true)[0].under_way, u32::MAX);
+    assert!(fleet.load(NOW).occupied >= u64::from(u32::MAX));
+}
+
 /// A call that may run at most once is sent to another data centre, which is cut off before the
 /// answer comes. Its caller learns that the outcome is unknown, and its program ends. A runner
 /// nearby would have answered.
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -117,8 +117,8 @@
 /// Picks a route's service for a request by the services' weights; `sample` is in [0, 1).
 #[must_use]
 pub fn pick_service(route: &Route, sample: f64) -> Option<&str> {
-    let total: u32 = route.services.iter().map(|share| share.weight).sum();
-    let mut left = sample * f64::from(total);
+    let weights = route.services.iter().map(|share| f64::from(share.weight));
+    let mut left = sample * weights.sum::<f64>();
     for share in &route.services {
         left -= f64::from(share.weight);
         if left < 0.0 {
--- a/crates/relay/src/table/tests.rs
+++ b/crates/relay/src/table/tests.rs
@@ -46,6 +46,19 @@
     assert_eq!(pick_service(route, sample), Some(expected));
 }
 
+/// Guards against weights that are too large to be added up: all requests went to one service.
+#[rstest]
+#[case(0.25, "s")]
+#[case(0.75, "t")]
+fn the_largest_weights_are_added_up(#[case] sample: f64, #[case] expected: &str) {
+    let largest = DOCUMENT.replace("\"weight\":90", "\"weight\":1e12");
+    let largest = largest.replace("\"weight\":10", "\"weight\":1e12");
+    let config = config::decode(largest.as_bytes()).unwrap();
+    let table = Table::new(config, &[], &Table::default());
+    let route = table.find("h", "/a/b/c").unwrap();
+    assert_eq!(pick_service(route, sample), Some(expected));
+}
+
 /// A stream that is taken up would go to another service, which no runner of its build belongs to.
 #[test]
 fn an_id_decides_on_the_service_and_ids_follow_the_weights() {
--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -1,7 +1,8 @@
 //! Figures that VMs exchange about each runner: how many requests they have in flight at it, and
 //! how many VMs hold it off because requests to it broke.
 
-use derive_more::Add;
+use std::ops::Add;
+
 use serde::Deserialize;
 use serde::Serialize;
 use wire::clock::Millis;
@@ -69,12 +70,23 @@
 pub struct Reports(reports::Reports<Figures>);
 
 /// The figures of a [`Tally`].
-#[derive(Clone, Copy, Debug, Default, Add)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Figures {
     under_way: u32,
     held_off: u32,
 }
 
+impl Add for Figures {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            under_way: self.under_way.saturating_add(other.under_way),
+            held_off: self.held_off.saturating_add(other.held_off),
+        }
+    }
+}
+
 impl Figures {
     const fn as_pair(self) -> (u32, u32) {
         (self.under_way, self.held_off)
