Take two answers that were joined in a head for no answer

What callers saw: 200 with the length and body of another answer, even of a failure, and a cut stamp with the beginning of the second answer's head as the rest of its value.

Cause: where an answer breaks off in the reason of its status line or in a header's value, and its sender goes on with another answer on the same connection, the bytes parse as one head. Nothing in the parser looks at values.

Fix: the client takes an answer whose reason or a header's value holds a status line for one that broke off. Only whole status lines count (the version and a status of three digits), so that values may name protocols.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -38,6 +38,7 @@
 use crate::client::process::Verified;
 pub use crate::client::reply_body::Body;
 pub use crate::client::reply_body::Unread;
+use crate::head;
 use crate::inbound;
 use crate::inbound::Allowance;
 use crate::inbound::Renewal;
@@ -459,6 +460,10 @@
                 return Err((unsent, fault));
             }
         };
+        if head::is_joined(&response) {
+            let why = format!("{address}: an answer begins within the head of another one");
+            return Err((None, Fault::Broken(why)));
+        }
         connection.allowance.grant(self.limits.max_answer);
         let (head, incoming) = response.into_parts();
         Ok(Reply {
