Refuse to take a stream up by an older configuration at any build

What callers saw: 200 and the whole rest of their stream, written by another software version than its first part. The stream had begun through another VM, under a configuration that lets the route's streams be resumed. The VM at which the caller took it up still had the configuration of before, in which the route's streams can't be resumed, or in which the route has calls, and knew only the runners of before.

Cause: whether a stream needs the build that began it was decided by the route alone. By the older route no stream has a build, so the take-up was placed at any runner, with the caller's Last-Event-Id. The class: a promise that another VM has made is judged by what this VM knows of the route, and not by what the request says of itself.

Now a request that names an event to go on after needs the recorded build whatever the route says, and a call that names an attempt and an event is refused as not run (503, CY2208, with Retry-After). A stream that began at such a VM has no record and is refused at the VMs in step, as before. The refusal names the builds that the VM knows, so that its log line tells a VM that doesn't know the build from one without a record.

--- a/crates/relay/src/build.rs
+++ b/crates/relay/src/build.rs
@@ -67,12 +67,14 @@
 /// Refuses a stream that begins if no runner can take it, and one that is taken up unless the build
 /// that began it is known and has a runner.
 pub async fn pin(job: &Job, account: Option<Account>) -> Result<Pin> {
-    if job.route.kind != Kind::Stream || !job.route.resumable {
-        return Ok(Pin::Any);
-    }
+    // Another VM may have begun the stream under a newer configuration, which lets streams of the route be
+    // resumed.
     if job.call.last_event.is_some() {
         return begun_by(job).await.map(Pin::Fixed);
     }
+    if job.route.kind != Kind::Stream || !job.route.resumable {
+        return Ok(Pin::Any);
+    }
     let Some(runner) = job.choose(&[], Software::Known) else {
         let other = job.choose(&[], Software::Any);
         return other.map(|_| Pin::Any).ok_or(refuse::no_runner(0));
@@ -83,6 +85,22 @@
     Ok(Pin::Movable(runner.build))
 }
 
+/// Checks that a call doesn't take a stream up, as it may if the route's requests are streams in a newer
+/// configuration.
+///
+/// # Errors
+///
+/// Refuses a call that names the attempt and the event after which a stream is to go on.
+pub fn check_call(job: &Job) -> Result<()> {
+    match (&job.call.resumes, job.call.last_event) {
+        (Some(attempt), Some(_)) => {
+            let why = format!("the route has calls, and the request takes {attempt} up");
+            Err(unavailable(&why))
+        }
+        (Some(_), None) | (None, _) => Ok(()),
+    }
+}
+
 /// Records the build of a stream without a budget beside its run. If that fails, the stream can't be
 /// taken up.
 fn record_beside(job: &Job, build: &str) {
@@ -153,11 +171,18 @@
     account::wait_for_members(job).await?;
     let read = job.node.replicas.entries(owner(job, attempt));
     let entries = account::answer_of(job, read).await?;
-    let mut builds = known_builds(job);
-    builds.retain(|build| is_recorded(&entries, key(job, attempt, build)));
-    match builds.pop() {
-        Some(build) if builds.is_empty() => Ok(build),
-        _ => Err(unavailable(&format!("no known build began {attempt}"))),
+    let known = known_builds(job);
+    let is_of_stream = |build: &&String| is_recorded(&entries, key(job, attempt, build));
+    let mut recorded: Vec<&String> = known.iter().filter(is_of_stream).collect();
+    match (recorded.pop(), recorded.is_empty()) {
+        (Some(build), true) => Ok(build.clone()),
+        (Some(_), false) => Err(unavailable(&format!("several builds began {attempt}"))),
+        (None, _) => {
+            let known = known.join(", ");
+            Err(unavailable(&format!(
+                "none of the known builds ({known}) began {attempt}"
+            )))
+        }
     }
 }
 
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -24,6 +24,7 @@
 use wire::event::Event;
 
 use crate::answer;
+use crate::build;
 use crate::crashes;
 use crate::fleet::Software;
 use crate::held::Displacement;
@@ -109,6 +110,7 @@
 }
 
 async fn run_attempts(job: &Job) -> Result<Response<Body>, Refusal> {
+    build::check_call(job)?;
     let mut excluded = Vec::new();
     let mut possible_runs = 0;
     let mut offers = 0;
