Ask a runner for its report on a connection of its own

Callers of resumable streams got 200 without the stamp of a runner, and events of another attempt under it, where a runner answered the question for its report twice. The question shared the connection of the request, and names no request: its second answer was taken for the head of the stream. The other way round, a late second answer to an earlier request was taken for the answer to the question, so that the process counted as one that doesn't tell when it started, and got a stream of another build.

Before, in crates/link/tests/process.rs:

a_second_answer_to_the_question_meets_no_request, a_second_answer_to_a_request_says_nothing_of_the_process: assertion `left == right` failed: the answer of another request left: b"7" right: "done"

The question is now the only request on a connection that is closed afterwards. Its answer holds for connections that were made after the process was known to listen, and before the question. Requests that wait for it share it. A 200 that isn't a report, and 2xx and 3xx otherwise, show nothing, and nothing is sent on their word.

In the existing test the process that closes after its answer is asked once instead of twice, as its answer closes no connection of a request.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -33,9 +33,11 @@
 use tokio::time::timeout_at;
 
 use crate::body::Payload;
+use crate::client::process::Age;
 pub use crate::client::process::Check;
 use crate::client::process::Process;
-use crate::client::process::Verified;
+pub use crate::client::process::Statement;
+use crate::client::process::Testimonies;
 pub use crate::client::reply_body::Body;
 pub use crate::client::reply_body::Unread;
 use crate::inbound;
@@ -115,6 +117,7 @@
     limits: Limits,
     /// Unused connections, sorted by address; a few tens of addresses.
     pools: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
+    testimonies: Testimonies,
     made: AtomicU64,
 }
 
@@ -132,6 +135,10 @@
     task: JoinHandle<()>,
     allowance: Allowance,
     process: Process,
+    /// When it was begun to be made.
+    began_at: Instant,
+    /// When it was made.
+    opened_at: Instant,
 }
 
 impl Drop for Connection {
@@ -200,6 +207,7 @@
         Arc::new(Self {
             limits,
             pools: Mutex::default(),
+            testimonies: Testimonies::default(),
             made: AtomicU64::new(0),
         })
     }
@@ -272,10 +280,12 @@
                 attempt,
             }));
         };
-        let established = match check {
-            Some(check) => self.verify_new(address, established?, check).await?,
-            None => established?,
+        let Established { connection, took } = established?;
+        let connection = match check {
+            Some(check) => self.verify(address, connection, Age::New, check).await?,
+            None => connection,
         };
+        let established = Established { connection, took };
         let sent = self.send_new(address, established, request, wait.head);
         sent.await.map(Box::new).map(Sent::Answered)
     }
@@ -291,11 +301,11 @@
         let mut request = request;
         while let Some(connection) = self.checkout(address) {
             let connection = match check {
-                Some(check) => match process::verify(connection, address, check).await {
-                    Ok(Verified::Open(connection)) => connection,
+                Some(check) => match self.verify(address, connection, Age::Kept, check).await {
+                    Ok(connection) => connection,
                     Err(fault @ Fault::Silent(_)) => return Kept::Answered(Err(fault)),
                     // A new connection shows which process is at the address now.
-                    Ok(Verified::Closed(_)) | Err(_) => continue,
+                    Err(_) => continue,
                 },
                 None => connection,
             };
@@ -340,12 +350,16 @@
         established.took
     }
 
-    /// Closes the unused connections to the address of a peer that is gone.
+    /// Closes the unused connections to the address of a peer that is gone, and forgets what it said.
     pub fn forget(&self, address: SocketAddr) {
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         if let Ok(at) = pools.binary_search_by_key(&address, |(key, _)| *key) {
             pools.remove(at);
         }
+        drop(pools);
+        let testimonies = self.testimonies.lock();
+        let mut testimonies = testimonies.unwrap_or_else(PoisonError::into_inner);
+        testimonies.retain(|(known, _)| *known != address);
     }
 
     /// Closes connections that have been unused for too long.
@@ -356,6 +370,12 @@
             idle.retain(|kept| kept.expires_at > now && !kept.connection.sender.is_closed());
         }
         pools.retain(|(_, idle)| !idle.is_empty());
+        let testimonies = self.testimonies.lock();
+        let mut testimonies = testimonies.unwrap_or_else(PoisonError::into_inner);
+        testimonies.retain(|(address, testimony)| {
+            let is_used = Arc::strong_count(testimony) > 1;
+            is_used || pools.binary_search_by_key(address, |(key, _)| *key).is_ok()
+        });
     }
 
     fn checkout(&self, address: SocketAddr) -> Option<Connection> {
@@ -396,14 +416,14 @@
 
     async fn connect(&self, address: SocketAddr) -> Result<Established> {
         let not_sent = |text: String| Fault::NotSent(format!("{address}: {text}"));
-        let began = Instant::now();
+        let began_at = Instant::now();
         let connected = timeout(self.limits.connect_timeout, TcpStream::connect(address));
         let stream = match connected.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(fault)) => return Err(not_sent(fault.to_string())),
             Err(_) => return Err(Fault::Silent(address)),
         };
-        let took = began.elapsed();
+        let opened_at = Instant::now();
         if let Err(fault) = socket::prepare(&stream, self.limits.unacked_timeout) {
             log::debug!("setting socket options for {address} failed: {fault}");
         }
@@ -425,8 +445,10 @@
                 task,
                 allowance,
                 process: Process::default(),
+                began_at,
+                opened_at,
             },
-            took,
+            took: opened_at - began_at,
         })
     }
 
--- a/crates/link/src/client/process.rs
+++ b/crates/link/src/client/process.rs
@@ -1,20 +1,29 @@
 //! Finds out which process is at the other end of a connection.
 //!
 //! A process may end, and another one listen at its address. A connection belongs to one process, so what
-//! that says of itself on the connection holds for all later requests on it: it is asked once.
+//! is known of that holds for all later requests on it.
+//!
+//! The question names no request, so its answer can be told from others only by its place: as the first one
+//! on its connection. It is asked on a connection of its own, the witness, which is closed afterwards, so
+//! that a second answer meets no request. The answer holds for each connection that was made after the
+//! process was known to listen, and before the witness was.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::Request;
 use hyper::StatusCode;
+use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::timeout;
 
-use crate::body;
 use crate::body::Payload;
 use crate::client::Client;
 use crate::client::Connection;
-use crate::client::Established;
 use crate::client::Fault;
 use crate::client::Result;
 
@@ -30,8 +39,19 @@
     pub born: u64,
     /// Builds the question.
     pub question: fn(SocketAddr) -> Request<Payload>,
-    /// Decodes the answer's body; `None` if it doesn't tell.
-    pub decode: fn(&[u8]) -> Option<u64>,
+    /// Decodes the body of a successful answer.
+    pub decode: fn(&[u8]) -> Statement,
+}
+
+/// What a successful answer says of the process that gave it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Statement {
+    /// When it started.
+    Born(u64),
+    /// Other things.
+    Other,
+    /// Nothing: it isn't an answer to the question.
+    Undecodable,
 }
 
 /// What is known of the process at the other end of a connection.
@@ -46,72 +66,165 @@
     Born(u64),
 }
 
-/// A connection whose process is the expected one, or doesn't tell.
-#[derive(Debug)]
-pub(super) enum Verified {
-    /// It is open.
-    Open(Connection),
-    /// The process closed it after its answer.
-    Closed(Process),
+impl Process {
+    /// Returns an error if it isn't the expected process.
+    const fn expect(self, check: Check) -> Result<()> {
+        match self {
+            Self::Born(born) if born != check.born => Err(Fault::OtherProcess(born)),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// What the witnesses at one address have shown.
+#[derive(Debug, Default)]
+pub(super) struct Testimony {
+    /// The process that has listened since the first of these times, until the second one at least.
+    listening: Option<(Process, Instant, Instant)>,
+    /// The last answer that showed nothing, and when it was known.
+    failure: Option<(Instant, Result<Process>)>,
+}
+
+impl Testimony {
+    /// Returns the process to which a connection belongs, as far as that is known.
+    fn process_of(&self, connection: &Connection) -> Option<Process> {
+        let (process, since, until) = self.listening?;
+        let is_covered = since <= connection.began_at && connection.opened_at <= until;
+        is_covered.then_some(process)
+    }
+
+    /// Returns why there was no proof, if that became known after `since`.
+    fn failure_after(&self, since: Instant) -> Option<Result<Process>> {
+        let (known_at, failure) = self.failure.as_ref()?;
+        (*known_at >= since).then(|| failure.clone())
+    }
+
+    /// Returns whether an answer can show to which process a connection belongs. The expected one listened
+    /// before a new connection was made; before a kept one only if a witness has shown it.
+    fn could_cover(&self, connection: &Connection, age: Age, check: Check) -> bool {
+        match (age, self.listening) {
+            (Age::New, _) => true,
+            (Age::Kept, None) => false,
+            (Age::Kept, Some((process, since, _))) => {
+                since <= connection.began_at && process.expect(check).is_ok()
+            }
+        }
+    }
+
+    /// Records what a witness showed that was asked at a time, after a connection was made.
+    fn note(
+        &mut self,
+        shown: &Result<Process>,
+        asked_at: Instant,
+        connection: &Connection,
+        check: Check,
+    ) {
+        match *shown {
+            Ok(Process::Unknown) => self.failure = Some((Instant::now(), shown.clone())),
+            Ok(process) if process.expect(check).is_ok() => {
+                let since = match self.listening {
+                    Some((known, since, _)) if known == process => since,
+                    _ => connection.began_at,
+                };
+                self.listening = Some((process, since, asked_at));
+            }
+            Ok(_) => self.listening = None,
+            Err(_) => {
+                self.listening = None;
+                self.failure = Some((Instant::now(), shown.clone()));
+            }
+        }
+    }
+}
+
+/// The testimonies by address, sorted; a few tens of addresses.
+pub(super) type Testimonies = Mutex<Vec<(SocketAddr, Arc<AsyncMutex<Testimony>>)>>;
+
+/// Whether a connection was made for the request that is to be sent on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Age {
+    /// It was.
+    New,
+    /// It was used before.
+    Kept,
 }
 
 impl Client {
-    /// Returns a connection to the process that `check` describes.
-    ///
-    /// If that closes the new connection after its answer, another one is made, and the process is asked
-    /// on a third. As it was there before the second one was made and still is, that one is its own.
-    pub(super) async fn verify_new(
-        &self,
+    /// Checks that a connection belongs to the expected process, or to one that doesn't tell when it started.
+    pub(super) async fn verify(
+        self: &Arc<Self>,
         address: SocketAddr,
-        established: Established,
+        mut connection: Connection,
+        age: Age,
         check: Check,
-    ) -> Result<Established> {
-        let Established { connection, took } = established;
-        if let Verified::Open(connection) = verify(connection, address, check).await? {
-            return Ok(Established { connection, took });
+    ) -> Result<Connection> {
+        if connection.process == Process::Unknown {
+            connection.process = self.identify(address, &connection, age, check).await?;
         }
-        let mut next = self.connect(address).await?;
-        let witness = self.connect(address).await?;
-        let verified = verify(witness.connection, address, check).await?;
-        next.connection.process = match &verified {
-            Verified::Open(witness) => witness.process,
-            Verified::Closed(process) => *process,
-        };
-        Ok(next)
+        connection.process.expect(check)?;
+        Ok(connection)
     }
-}
 
-/// Asks the process at the other end of a connection, unless that was done before.
-pub(super) async fn verify(
-    mut connection: Connection,
-    address: SocketAddr,
-    check: Check,
-) -> Result<Verified> {
-    if connection.process == Process::Unknown {
-        let asked = timeout(ANSWER_TIMEOUT, ask(&mut connection, address, check)).await;
-        connection.process = asked.map_err(|_| Fault::Silent(address))??;
+    /// Returns the process to which a connection belongs. Requests that wait for a witness share it.
+    async fn identify(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        connection: &Connection,
+        age: Age,
+        check: Check,
+    ) -> Result<Process> {
+        let began_at = Instant::now();
+        let testimony = self.testimony(address);
+        let mut testimony = testimony.lock().await;
+        if let Some(process) = testimony.process_of(connection) {
+            return Ok(process);
+        }
+        if !testimony.could_cover(connection, age, check) {
+            let text = format!("{address}: the connection may belong to an earlier process");
+            return Err(Fault::NotSent(text));
+        }
+        if let Some(failure) = testimony.failure_after(began_at) {
+            return failure;
+        }
+        let asked_at = Instant::now();
+        let asked = timeout(ANSWER_TIMEOUT, self.ask_witness(address, check)).await;
+        let shown = asked.unwrap_or(Err(Fault::Silent(address)));
+        testimony.note(&shown, asked_at, connection, check);
+        shown
     }
-    match connection.process {
-        Process::Born(born) if born != check.born => Err(Fault::OtherProcess(born)),
-        process if connection.sender.ready().await.is_err() => Ok(Verified::Closed(process)),
-        _ => Ok(Verified::Open(connection)),
+
+    fn testimony(&self, address: SocketAddr) -> Arc<AsyncMutex<Testimony>> {
+        let known = self.testimonies.lock();
+        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        let found = known.binary_search_by_key(&address, |(key, _)| *key);
+        let at = found.unwrap_or_else(|at| {
+            known.insert(at, (address, Arc::default()));
+            at
+        });
+        known[at].1.clone()
     }
-}
 
-async fn ask(connection: &mut Connection, address: SocketAddr, check: Check) -> Result<Process> {
-    connection.allowance.grant(2 * MAX_ANSWER_BYTES as u64);
-    let sent = connection
-        .sender
-        .send_request((check.question)(address))
-        .await;
-    let response = sent.map_err(|fault| Fault::NotSent(format!("{address}: {fault}")))?;
-    let status = response.status();
-    let read = body::read(response.into_body(), MAX_ANSWER_BYTES).await;
-    let bytes = read.map_err(|fault| Fault::NotSent(format!("{address}: {fault}")))?;
-    Ok(match status {
-        StatusCode::OK => (check.decode)(&bytes).map_or(Process::Silent, Process::Born),
-        StatusCode::TOO_MANY_REQUESTS => Process::Unknown,
-        status if status.is_server_error() => Process::Unknown,
-        _ => Process::Silent,
-    })
+    /// Asks the process that listens now, on a connection that carries nothing else.
+    async fn ask_witness(self: &Arc<Self>, address: SocketAddr, check: Check) -> Result<Process> {
+        let unproven = |why: &dyn Display| Fault::NotSent(format!("{address}: {why}"));
+        let witness = self.connect(address).await?.connection;
+        let sent = self.exchange(address, witness, (check.question)(address), None);
+        let mut reply = sent.await.map_err(|(_, fault)| unproven(&fault))?;
+        // Keeps the connection from being reused.
+        let _witness = reply.body.connection.take();
+        let bytes = reply.body.whole(MAX_ANSWER_BYTES).await;
+        let bytes = bytes.map_err(|fault| unproven(&fault))?;
+        let status = reply.head.status;
+        match status {
+            StatusCode::OK => match (check.decode)(&bytes) {
+                Statement::Born(born) => Ok(Process::Born(born)),
+                Statement::Other => Ok(Process::Silent),
+                Statement::Undecodable => Err(unproven(&"its report can't be decoded")),
+            },
+            StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS => Ok(Process::Unknown),
+            _ if status.is_server_error() => Ok(Process::Unknown),
+            _ if status.is_client_error() => Ok(Process::Silent),
+            _ => Err(unproven(&format_args!("no report, but status {status}"))),
+        }
+    }
 }
