--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -5,14 +5,18 @@
 //! may be sent elsewhere even if it must not run twice, and dropping an exchange closes its
 //! connection at once, which is how a runner learns that nobody waits for its response any more.
 
+mod mark;
 mod process;
 mod reply_body;
+mod trail;
+mod unsolicited;
 
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -33,11 +37,16 @@
 use tokio::time::timeout_at;
 
 use crate::body::Payload;
+pub use crate::client::mark::Foreign;
+pub use crate::client::mark::Marks;
 pub use crate::client::process::Check;
 use crate::client::process::Process;
 use crate::client::process::Verified;
 pub use crate::client::reply_body::Body;
 pub use crate::client::reply_body::Unread;
+pub use crate::client::trail::History;
+use crate::client::trail::Trail;
+use crate::client::unsolicited::Unsolicited;
 use crate::inbound;
 use crate::inbound::Allowance;
 use crate::inbound::Renewal;
@@ -113,9 +122,11 @@
 #[derive(Debug)]
 pub struct Client {
     limits: Limits,
+    marks: Marks,
     /// Unused connections, sorted by address; a few tens of addresses.
     pools: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
     made: AtomicU64,
+    unsolicited: Arc<Unsolicited>,
 }
 
 #[derive(Debug)]
@@ -132,6 +143,14 @@
     task: JoinHandle<()>,
     allowance: Allowance,
     process: Process,
+    /// Shared with the task.
+    trail: Arc<Mutex<Trail>>,
+}
+
+impl Connection {
+    fn trail(&self) -> MutexGuard<'_, Trail> {
+        lock(&self.trail)
+    }
 }
 
 impl Drop for Connection {
@@ -149,6 +168,8 @@
     pub body: Body,
     /// How long it took to establish the connection; `None` if it was a kept one.
     pub connected_in: Option<Duration>,
+    /// Set unless the answer has the mark of its request.
+    pub foreign: Option<Box<Foreign>>,
 }
 
 /// What became of a request that waits only for some time for a connection.
@@ -194,13 +215,21 @@
 }
 
 impl Client {
-    /// Creates a client without connections.
+    /// Creates a client without connections, for peers that answer each request once.
     #[must_use]
     pub fn new(limits: Limits) -> Arc<Self> {
+        Self::with_marks(limits, Marks::Unused)
+    }
+
+    /// Creates a client without connections, for peers that repeat a request's mark in the answer.
+    #[must_use]
+    pub fn with_marks(limits: Limits, marks: Marks) -> Arc<Self> {
         Arc::new(Self {
             limits,
+            marks,
             pools: Mutex::default(),
             made: AtomicU64::new(0),
+            unsolicited: Arc::default(),
         })
     }
 
@@ -210,6 +239,18 @@
         self.made.load(Ordering::Relaxed)
     }
 
+    /// Returns how many connections were closed so far as bytes came that no request had asked for.
+    #[must_use]
+    pub fn unsolicited(&self) -> u64 {
+        self.unsolicited.count()
+    }
+
+    /// Takes the descriptions of such connections since the last call; of many, only the first.
+    #[must_use]
+    pub fn take_unsolicited(&self) -> Vec<History> {
+        self.unsolicited.take()
+    }
+
     /// Sends a request and returns the response once its headers have arrived.
     ///
     /// # Errors
@@ -404,6 +445,8 @@
             Err(_) => return Err(Fault::Silent(address)),
         };
         let took = began.elapsed();
+        let local_port = stream.local_addr().map_or(0, |local| local.port());
+        let trail = Arc::new(Mutex::new(Trail::new(address, local_port)));
         if let Err(fault) = socket::prepare(&stream, self.limits.unacked_timeout) {
             log::debug!("setting socket options for {address} failed: {fault}");
         }
@@ -414,8 +457,12 @@
         protocol.max_buf_size(self.limits.max_buffer);
         let handshake = protocol.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|fault| not_sent(fault.to_string()))?;
+        let (unsolicited, shared) = (self.unsolicited.clone(), trail.clone());
         let task = tokio::spawn(async move {
             if let Err(fault) = connection.await {
+                if unsolicited::is_cause(&fault) {
+                    unsolicited.note(lock(&shared).history());
+                }
                 log::debug!("connection to {address} ended: {fault}");
             }
         });
@@ -425,6 +472,7 @@
                 task,
                 allowance,
                 process: Process::default(),
+                trail,
             },
             took,
         })
@@ -439,6 +487,8 @@
         head_until: Option<time::Instant>,
     ) -> std::result::Result<Reply, (Option<Request<Payload>>, Fault)> {
         connection.allowance.grant(self.limits.max_head());
+        let mark = self.marks.read(request.headers()).map(<[u8]>::to_vec);
+        connection.trail().note_request();
         let sent = connection.sender.try_send_request(request);
         let sent = match head_until {
             Some(until) => timeout_at(until, sent).await,
@@ -461,6 +511,11 @@
         };
         connection.allowance.grant(self.limits.max_answer);
         let (head, incoming) = response.into_parts();
+        let answer_mark = self.marks.read(&head.headers);
+        let foreign = (answer_mark != mark.as_deref()).then(|| {
+            let history = connection.trail().history();
+            Box::new(Foreign::new(head.status, answer_mark, history))
+        });
         Ok(Reply {
             head,
             body: Body {
@@ -471,10 +526,15 @@
                 idle_timeout: self.limits.idle_timeout,
             },
             connected_in: None,
+            foreign,
         })
     }
 }
 
+fn lock(trail: &Mutex<Trail>) -> MutexGuard<'_, Trail> {
+    trail.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns why there is no head when the time for it is over. A peer that has begun to answer sends
 /// something else.
 fn late(address: SocketAddr, allowance: &Allowance) -> Fault {
--- a/crates/link/src/client/reply_body.rs
+++ b/crates/link/src/client/reply_body.rs
@@ -53,6 +53,7 @@
         loop {
             let Some(frame) = self.incoming.frame().await else {
                 if let Some(connection) = self.connection.take() {
+                    connection.trail().note_answered();
                     self.client
                         .checkin(self.address, connection, self.idle_timeout);
                 }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -31,6 +31,7 @@
 use crate::register;
 use crate::signals::Reloads;
 use crate::signals::Signals;
+use crate::stray;
 use crate::subject::Subject;
 
 /// How long a caller's connection may be idle: longer than any limit that operators set, because
@@ -191,6 +192,7 @@
         sleep(SWEEP_INTERVAL).await;
         node.runner_client.sweep();
         node.vm_client.sweep();
+        stray::log_unsolicited(&node);
         let now = node.clock.now();
         let gone = node.fleet().remove_missing(now);
         for id in gone {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -45,6 +45,7 @@
 use crate::node::Node;
 use crate::reachability;
 use crate::refuse;
+use crate::stray;
 use crate::table::Table;
 use crate::usage::Admission;
 
@@ -429,6 +430,9 @@
     /// Decides from the head of an answer whether the runner took the request, and records what the
     /// head says about the runner.
     async fn classify_reply(&self, mut reply: Reply, mut attempt: Attempt) -> SendOutcome {
+        if let Some(foreign) = &reply.foreign {
+            stray::log_foreign(self, &attempt.runner.id, foreign);
+        }
         let answer_headers = header::answer(&reply.head.headers);
         let now = self.node.clock.now();
         if let Some(span) = answer_headers.idle_timeout {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod signals;
 pub mod store;
 mod store_call;
+pub mod stray;
 pub mod stream;
 pub mod subject;
 pub mod table;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -9,11 +9,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use adapter::header;
 use adapter::kv::Freshness;
 use adapter::kv::Kv;
 use adapter::settings::Settings;
 use link::client::Client;
 use link::client::Limits;
+use link::client::Marks;
 use policy::opening::Opening;
 use policy::stop::Stop;
 use replica::client::Replicas;
@@ -190,12 +192,13 @@
     /// Creates the state of a process that knows no runners, routes or other VMs yet.
     #[must_use]
     pub fn new(settings: Settings, clock: Clock) -> Arc<Self> {
-        let runner_client = Client::new(Limits {
+        let limits = Limits {
             reuse_delay: REUSE_DELAY,
             max_buffer: MAX_RUNNER_BUFFER_BYTES,
             max_answer: MAX_RUNNER_ANSWER_BYTES,
             ..VM_LIMITS
-        });
+        };
+        let runner_client = Client::with_marks(limits, Marks::Repeated(header::request_id));
         let vm_client = Client::new(VM_LIMITS);
         let kv = Kv::new(vm_client.clone(), settings.store, STORE_TIMEOUT);
         let replicas = Replicas::new(
--- a/crates/relay/src/probe.rs
+++ b/crates/relay/src/probe.rs
@@ -43,6 +43,10 @@
         ("revision_age_ms", node.config_age().as_u64()),
         ("members_version", node.replicas.list().version),
         ("runner_connections_made", node.runner_client.made()),
+        (
+            "runner_connections_unsolicited",
+            node.runner_client.unsolicited(),
+        ),
         ("vm_connections_made", node.vm_client.made()),
         ("request_bytes", held.bytes),
         ("requests_without_memory", held.waiting as u64),
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -52,6 +52,8 @@
     TurnNotSettled = 1212, "turn not settled";
     EventsNotRecorded = 1213, "a stream's events are no longer recorded";
     AnswerDisplaced = 1214, "answer broken off for the VM's memory";
+    AnswerForeign = 1215, "answer isn't known to be the request's";
+    BytesUnsolicited = 1216, "connection closed for unsolicited bytes";
     ShardClaimed = 2001, "shard claimed";
     ShardOpened = 2002, "shard opened";
     ShardReleased = 2003, "shard released";
