Send each request to an endpoint of the first door on its own connection

A call of a service was answered, for good, with the answer to another call or to a question for load, and an endpoint counted as leaving by the answer to a call, where an endpoint sent its answers a second time. Its answers name no request, and the pooled client took the second one for the answer to the next request on the connection.

Before, in crates/node/tests/request/stuttering.rs:

An endpoint's connection now carries one request: nothing in an answer proves more there. VMs keep their connections among themselves: their server answers each request once.

--- a/crates/node/src/controllers/run/poller.rs
+++ b/crates/node/src/controllers/run/poller.rs
@@ -221,7 +221,7 @@
 
 async fn query<T: DeserializeOwned>(core: &Core, poll: &Poll, path: &str) -> Option<T> {
     let request = async {
-        let response = core.client.get(&poll.address, path).await.ok()?;
+        let response = core.endpoint_client.get(&poll.address, path).await.ok()?;
         if response.status() != StatusCode::OK {
             return None;
         }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -44,8 +44,10 @@
     pub metrics: Metrics,
     /// The latest routing and placement decisions.
     pub trace: Trace,
-    /// Connections to VMs and endpoints.
+    /// Connections to VMs.
     pub client: Client,
+    /// Connections to endpoints.
+    pub endpoint_client: Client,
     /// The callers' listener.
     pub connections: Arc<Connections>,
     /// The tasks that serve requests: callers' connections, and every task that an answer or a
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -1,5 +1,4 @@
-//! The HTTP client: pooled connections to VMs and endpoints. Its errors tell whether a request may
-//! have arrived.
+//! The HTTP client. Its errors tell whether a request may have arrived.
 
 use std::time::Duration;
 
@@ -45,7 +44,7 @@
 /// The outcome of a request.
 pub type Result<T> = std::result::Result<T, Fault>;
 
-/// A client with pooled connections.
+/// A client of VMs or of endpoints.
 #[derive(Clone, Debug)]
 pub struct Client(legacy::Client<Connector, Full<Bytes>>);
 
@@ -64,18 +63,30 @@
     pub body: Bytes,
 }
 
-impl Default for Client {
-    fn default() -> Self {
+impl Client {
+    /// Creates a client with pooled connections, for peers that answer each request once.
+    #[must_use]
+    pub fn of_vms() -> Self {
+        Self::new(usize::MAX)
+    }
+
+    /// Creates a client that sends each request on a connection of its own. An endpoint's answer doesn't
+    /// say to which request it belongs, and a faulty endpoint may send it a second time.
+    #[must_use]
+    pub fn of_endpoints() -> Self {
+        Self::new(0)
+    }
+
+    fn new(max_idle: usize) -> Self {
         let client = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(max_idle)
             .http1_max_buf_size(MAX_BUFFER_BYTES)
             .build(Connector::new(CONNECT_TIMEOUT));
         Self(client)
     }
-}
 
-impl Client {
     /// Sends a GET request and returns the response once its headers have arrived.
     ///
     /// # Errors
--- a/crates/node/src/owner/call.rs
+++ b/crates/node/src/owner/call.rs
@@ -285,7 +285,7 @@
             attempt,
             timeout: self.core.settings.limits.silence,
         };
-        let end = service::run(&self.core.client, job).await;
+        let end = service::run(&self.core.endpoint_client, job).await;
         match &end {
             End::Answered { .. } => {
                 let elapsed = self.core.clock.now().since(slot.assigned_at());
@@ -320,7 +320,7 @@
     }
 
     async fn blame_if_crashed(&self, endpoint: &config::Endpoint) {
-        if runner::is_alive(&self.core.client, &endpoint.address).await {
+        if runner::is_alive(&self.core.endpoint_client, &endpoint.address).await {
             return;
         }
         let is_refused = poison::note_crash(&self.core, subject(&self.call), &endpoint.name);
--- a/crates/node/src/owner/maintenance.rs
+++ b/crates/node/src/owner/maintenance.rs
@@ -159,6 +159,7 @@
         headers: &[],
         body: order.into(),
     };
-    let sent = tokio::time::timeout(ORDER_TIMEOUT.as_duration(), core.client.post(post)).await;
+    let sent =
+        tokio::time::timeout(ORDER_TIMEOUT.as_duration(), core.endpoint_client.post(post)).await;
     sent.is_ok_and(|answer| answer.is_ok_and(|answer| answer.status().is_success()))
 }
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -184,7 +184,8 @@
             silence: self.core.settings.limits.silence,
         };
         let feed = &self.feed;
-        runner::run(&self.core.client, job, partial, |piece| feed.push(piece)).await
+        let client = &self.core.endpoint_client;
+        runner::run(client, job, partial, |piece| feed.push(piece)).await
     }
 
     async fn commit(
@@ -255,7 +256,8 @@
         let address = ended.slot.endpoint.address.clone();
         let ended_id = ended.id;
         drop(ended);
-        let crashed = failed.crashed && !runner::is_alive(&self.core.client, &address).await;
+        let crashed =
+            failed.crashed && !runner::is_alive(&self.core.endpoint_client, &address).await;
         if crashed && self.blame(&endpoint).await? {
             self.stop(ended_id, failed.used).await?;
             return Err(Refusal::new(Code::Poisoned, "").ran(Ran::Yes));
--- a/crates/node/tests/request/main.rs
+++ b/crates/node/tests/request/main.rs
@@ -11,4 +11,5 @@
 mod order;
 mod service;
 mod stop;
+mod stuttering;
 mod turn;
