--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -73,6 +73,9 @@
     /// wasn't written.
     #[display("another process, started at {_0}, is at the address")]
     OtherProcess(#[error(not(source))] u64),
+    /// The answer that came isn't known to be the request's. The request may have arrived.
+    #[display("{_0}")]
+    Foreign(#[error(not(source))] Box<Foreign>),
     /// No byte of an answer came in time. The request may have arrived.
     #[display("no answer in time from {_0}")]
     Late(#[error(not(source))] SocketAddr),
@@ -168,8 +171,6 @@
     pub body: Body,
     /// How long it took to establish the connection; `None` if it was a kept one.
     pub connected_in: Option<Duration>,
-    /// Set unless the answer has the mark of its request.
-    pub foreign: Option<Box<Foreign>>,
 }
 
 /// What became of a request that waits only for some time for a connection.
@@ -330,7 +331,7 @@
         check: Option<Check>,
     ) -> Kept {
         let mut request = request;
-        while let Some(connection) = self.checkout(address) {
+        while let Some(connection) = self.checkout(address, &request) {
             let connection = match check {
                 Some(check) => match process::verify(connection, address, check).await {
                     Ok(Verified::Open(connection)) => connection,
@@ -399,21 +400,26 @@
         pools.retain(|(_, idle)| !idle.is_empty());
     }
 
-    fn checkout(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes an unused connection on which the answer to a request can be told from all others.
+    fn checkout(&self, address: SocketAddr, request: &Request<Payload>) -> Option<Connection> {
+        let mark = self.marks.read(request.headers());
         let now = Instant::now();
         let reusable_since = now.checked_sub(self.limits.reuse_delay).unwrap_or(now);
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         let at = pools.binary_search_by_key(&address, |(key, _)| *key).ok()?;
         let idle = &mut pools[at].1;
         idle.retain(|kept| kept.expires_at > now && !kept.connection.sender.is_closed());
-        let usable =
-            |kept: &Idle| kept.unused_since <= reusable_since && kept.connection.sender.is_ready();
+        let usable = |kept: &Idle| {
+            kept.unused_since <= reusable_since
+                && kept.connection.sender.is_ready()
+                && kept.connection.trail().may_carry(self.marks, mark)
+        };
         let at = idle.iter().rposition(usable)?;
         Some(idle.remove(at).connection)
     }
 
     fn checkin(&self, address: SocketAddr, connection: Connection, idle_timeout: Duration) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.trail().is_full() {
             return;
         }
         let unused_since = Instant::now();
@@ -488,7 +494,7 @@
     ) -> std::result::Result<Reply, (Option<Request<Payload>>, Fault)> {
         connection.allowance.grant(self.limits.max_head());
         let mark = self.marks.read(request.headers()).map(<[u8]>::to_vec);
-        connection.trail().note_request();
+        connection.trail().note_request(mark.as_deref());
         let sent = connection.sender.try_send_request(request);
         let sent = match head_until {
             Some(until) => timeout_at(until, sent).await,
@@ -512,10 +518,11 @@
         connection.allowance.grant(self.limits.max_answer);
         let (head, incoming) = response.into_parts();
         let answer_mark = self.marks.read(&head.headers);
-        let foreign = (answer_mark != mark.as_deref()).then(|| {
+        if answer_mark != mark.as_deref() {
             let history = connection.trail().history();
-            Box::new(Foreign::new(head.status, answer_mark, history))
-        });
+            let foreign = Foreign::new(head.status, answer_mark, history);
+            return Err((None, Fault::Foreign(Box::new(foreign))));
+        }
         Ok(Reply {
             head,
             body: Body {
@@ -526,7 +533,6 @@
                 idle_timeout: self.limits.idle_timeout,
             },
             connected_in: None,
-            foreign,
         })
     }
 }
--- a/crates/link/src/client/mark.rs
+++ b/crates/link/src/client/mark.rs
@@ -1,4 +1,7 @@
-//! Marks that a peer repeats, by which an answer can be told to belong to a request.
+//! Tells whether an answer belongs to the request that waits for it.
+//!
+//! A faulty peer may answer a request a second time, at the point where the answer to the next one on the
+//! same connection is expected. The place of an answer proves nothing then; a mark that peers repeat does.
 
 use std::fmt;
 
--- a/crates/link/src/client/trail.rs
+++ b/crates/link/src/client/trail.rs
@@ -4,6 +4,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::client::mark::Marks;
+
+/// The most marked requests that a connection carries. Bounds what is remembered of them.
+const MAX_MARKS: usize = 512;
+
 /// What is told of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct History {
@@ -27,6 +34,8 @@
     opened_at: Instant,
     answered_at: Option<Instant>,
     requests: u64,
+    /// The hashes of the requests' marks, sorted.
+    marks: Vec<u64>,
 }
 
 impl Trail {
@@ -38,12 +47,37 @@
             opened_at: Instant::now(),
             answered_at: None,
             requests: 0,
+            marks: Vec::new(),
+        }
+    }
+
+    /// Returns whether the answer to a request with this mark can be told from all others: a mark is carried
+    /// once, and a request without one is the first.
+    pub(super) fn may_carry(&self, marks: Marks, mark: Option<&[u8]>) -> bool {
+        match (marks, mark) {
+            (Marks::Unused, _) => true,
+            (Marks::Repeated(_), None) => self.requests == 0,
+            (Marks::Repeated(_), Some(mark)) => self.find(mark).is_err(),
         }
     }
 
-    /// Records that a request is sent.
-    pub(super) const fn note_request(&mut self) {
+    /// Returns whether the connection may carry no more requests.
+    pub(super) const fn is_full(&self) -> bool {
+        self.marks.len() >= MAX_MARKS
+    }
+
+    /// Records that a request with this mark is sent.
+    pub(super) fn note_request(&mut self, mark: Option<&[u8]>) {
         self.requests += 1;
+        if let Some(mark) = mark
+            && let Err(at) = self.find(mark)
+        {
+            self.marks.insert(at, xxh3_64(mark));
+        }
+    }
+
+    fn find(&self, mark: &[u8]) -> Result<usize, usize> {
+        self.marks.binary_search(&xxh3_64(mark))
     }
 
     /// Records that the answer to the last request has ended.
@@ -62,3 +96,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -303,6 +303,11 @@
     fn classify_fault(&self, fault: client::Fault, runner: &fleet::Choice) -> SendOutcome {
         match fault {
             client::Fault::Late(_) => return SendOutcome::TimedOut,
+            // It says nothing of the runner but that it answers: no crash, and no lost connection.
+            client::Fault::Foreign(foreign) => {
+                stray::log_foreign(self, &runner.id, &foreign);
+                return SendOutcome::Unknown(foreign.to_string());
+            }
             client::Fault::Broken(why) => {
                 crashes::note_break(self, runner);
                 reachability::note_broken(&self.node, &runner.id, runner.address);
@@ -430,9 +435,6 @@
     /// Decides from the head of an answer whether the runner took the request, and records what the
     /// head says about the runner.
     async fn classify_reply(&self, mut reply: Reply, mut attempt: Attempt) -> SendOutcome {
-        if let Some(foreign) = &reply.foreign {
-            stray::log_foreign(self, &attempt.runner.id, foreign);
-        }
         let answer_headers = header::answer(&reply.head.headers);
         let now = self.node.clock.now();
         if let Some(span) = answer_headers.idle_timeout {
@@ -444,13 +446,6 @@
         self.note_head(&reply, &attempt, answer_headers.load, now);
         let load = answer_headers.load;
         attempt.slowdown = load.and_then(|load| slowdown::reading(load, now));
-        if answer_headers
-            .id
-            .as_ref()
-            .is_some_and(|id| *id != self.call.id)
-        {
-            return SendOutcome::Unknown("the answer belongs to another request".to_owned());
-        }
         // 421: another runner has the address now. It has not run the request.
         let wrong_runner = reply.head.status.as_u16() == 421;
         if !answer_headers.not_run && !wrong_runner {
