--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -5,14 +5,18 @@
 //! may be sent elsewhere even if it must not run twice, and dropping an exchange closes its
 //! connection at once, which is how a runner learns that nobody waits for its response any more.
 
+mod mark;
 mod process;
 mod reply_body;
+mod trail;
+mod unsolicited;
 
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -33,6 +37,8 @@
 use tokio::time::timeout_at;
 
 use crate::body::Payload;
+pub use crate::client::mark::Foreign;
+pub use crate::client::mark::Marks;
 use crate::client::process::Age;
 pub use crate::client::process::Check;
 use crate::client::process::Process;
@@ -40,6 +46,9 @@
 use crate::client::process::Testimonies;
 pub use crate::client::reply_body::Body;
 pub use crate::client::reply_body::Unread;
+pub use crate::client::trail::History;
+use crate::client::trail::Trail;
+use crate::client::unsolicited::Unsolicited;
 use crate::inbound;
 use crate::inbound::Allowance;
 use crate::inbound::Renewal;
@@ -66,6 +75,9 @@
     /// wasn't written.
     #[display("another process, started at {_0}, is at the address")]
     OtherProcess(#[error(not(source))] u64),
+    /// The answer that came isn't known to be the request's. The request may have arrived.
+    #[display("{_0}")]
+    Foreign(#[error(not(source))] Box<Foreign>),
     /// No byte of an answer came in time. The request may have arrived.
     #[display("no answer in time from {_0}")]
     Late(#[error(not(source))] SocketAddr),
@@ -115,10 +127,12 @@
 #[derive(Debug)]
 pub struct Client {
     limits: Limits,
+    marks: Marks,
     /// Unused connections, sorted by address; a few tens of addresses.
     pools: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
     testimonies: Testimonies,
     made: AtomicU64,
+    unsolicited: Arc<Unsolicited>,
 }
 
 #[derive(Debug)]
@@ -139,6 +153,14 @@
     began_at: Instant,
     /// When it was made.
     opened_at: Instant,
+    /// Shared with the task.
+    trail: Arc<Mutex<Trail>>,
+}
+
+impl Connection {
+    fn trail(&self) -> MutexGuard<'_, Trail> {
+        lock(&self.trail)
+    }
 }
 
 impl Drop for Connection {
@@ -201,14 +223,22 @@
 }
 
 impl Client {
-    /// Creates a client without connections.
+    /// Creates a client without connections, for peers that answer each request once.
     #[must_use]
     pub fn new(limits: Limits) -> Arc<Self> {
+        Self::with_marks(limits, Marks::Unused)
+    }
+
+    /// Creates a client without connections, for peers that repeat a request's mark in the answer.
+    #[must_use]
+    pub fn with_marks(limits: Limits, marks: Marks) -> Arc<Self> {
         Arc::new(Self {
             limits,
+            marks,
             pools: Mutex::default(),
             testimonies: Testimonies::default(),
             made: AtomicU64::new(0),
+            unsolicited: Arc::default(),
         })
     }
 
@@ -218,6 +248,18 @@
         self.made.load(Ordering::Relaxed)
     }
 
+    /// Returns how many connections were closed so far as bytes came that no request had asked for.
+    #[must_use]
+    pub fn unsolicited(&self) -> u64 {
+        self.unsolicited.count()
+    }
+
+    /// Takes the descriptions of such connections since the last call; of many, only the first.
+    #[must_use]
+    pub fn take_unsolicited(&self) -> Vec<History> {
+        self.unsolicited.take()
+    }
+
     /// Sends a request and returns the response once its headers have arrived.
     ///
     /// # Errors
@@ -299,7 +341,7 @@
         check: Option<Check>,
     ) -> Kept {
         let mut request = request;
-        while let Some(connection) = self.checkout(address) {
+        while let Some(connection) = self.checkout(address, &request) {
             let connection = match check {
                 Some(check) => match self.verify(address, connection, Age::Kept, check).await {
                     Ok(connection) => connection,
@@ -357,8 +399,7 @@
             pools.remove(at);
         }
         drop(pools);
-        let testimonies = self.testimonies.lock();
-        let mut testimonies = testimonies.unwrap_or_else(PoisonError::into_inner);
+        let mut testimonies = lock(&self.testimonies);
         testimonies.retain(|(known, _)| *known != address);
     }
 
@@ -370,29 +411,33 @@
             idle.retain(|kept| kept.expires_at > now && !kept.connection.sender.is_closed());
         }
         pools.retain(|(_, idle)| !idle.is_empty());
-        let testimonies = self.testimonies.lock();
-        let mut testimonies = testimonies.unwrap_or_else(PoisonError::into_inner);
+        let mut testimonies = lock(&self.testimonies);
         testimonies.retain(|(address, testimony)| {
             let is_used = Arc::strong_count(testimony) > 1;
             is_used || pools.binary_search_by_key(address, |(key, _)| *key).is_ok()
         });
     }
 
-    fn checkout(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes an unused connection on which the answer to a request can be told from all others.
+    fn checkout(&self, address: SocketAddr, request: &Request<Payload>) -> Option<Connection> {
+        let mark = self.marks.read(request.headers());
         let now = Instant::now();
         let reusable_since = now.checked_sub(self.limits.reuse_delay).unwrap_or(now);
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         let at = pools.binary_search_by_key(&address, |(key, _)| *key).ok()?;
         let idle = &mut pools[at].1;
         idle.retain(|kept| kept.expires_at > now && !kept.connection.sender.is_closed());
-        let usable =
-            |kept: &Idle| kept.unused_since <= reusable_since && kept.connection.sender.is_ready();
+        let usable = |kept: &Idle| {
+            kept.unused_since <= reusable_since
+                && kept.connection.sender.is_ready()
+                && kept.connection.trail().may_carry(self.marks, mark)
+        };
         let at = idle.iter().rposition(usable)?;
         Some(idle.remove(at).connection)
     }
 
     fn checkin(&self, address: SocketAddr, connection: Connection, idle_timeout: Duration) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.trail().is_full() {
             return;
         }
         let unused_since = Instant::now();
@@ -424,6 +469,8 @@
             Err(_) => return Err(Fault::Silent(address)),
         };
         let opened_at = Instant::now();
+        let local_port = stream.local_addr().map_or(0, |local| local.port());
+        let trail = Arc::new(Mutex::new(Trail::new(address, local_port)));
         if let Err(fault) = socket::prepare(&stream, self.limits.unacked_timeout) {
             log::debug!("setting socket options for {address} failed: {fault}");
         }
@@ -434,8 +481,12 @@
         protocol.max_buf_size(self.limits.max_buffer);
         let handshake = protocol.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|fault| not_sent(fault.to_string()))?;
+        let (unsolicited, shared) = (self.unsolicited.clone(), trail.clone());
         let task = tokio::spawn(async move {
             if let Err(fault) = connection.await {
+                if unsolicited::is_cause(&fault) {
+                    unsolicited.note(lock(&shared).history());
+                }
                 log::debug!("connection to {address} ended: {fault}");
             }
         });
@@ -447,6 +498,7 @@
                 process: Process::default(),
                 began_at,
                 opened_at,
+                trail,
             },
             took: opened_at - began_at,
         })
@@ -461,6 +513,8 @@
         head_until: Option<time::Instant>,
     ) -> std::result::Result<Reply, (Option<Request<Payload>>, Fault)> {
         connection.allowance.grant(self.limits.max_head());
+        let mark = self.marks.read(request.headers()).map(<[u8]>::to_vec);
+        connection.trail().note_request(mark.as_deref());
         let sent = connection.sender.try_send_request(request);
         let sent = match head_until {
             Some(until) => timeout_at(until, sent).await,
@@ -483,6 +537,12 @@
         };
         connection.allowance.grant(self.limits.max_answer);
         let (head, incoming) = response.into_parts();
+        let answer_mark = self.marks.read(&head.headers);
+        if answer_mark != mark.as_deref() {
+            let history = connection.trail().history();
+            let foreign = Foreign::new(head.status, answer_mark, history);
+            return Err((None, Fault::Foreign(Box::new(foreign))));
+        }
         Ok(Reply {
             head,
             body: Body {
@@ -497,6 +557,10 @@
     }
 }
 
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns why there is no head when the time for it is over. A peer that has begun to answer sends
 /// something else.
 fn late(address: SocketAddr, allowance: &Allowance) -> Fault {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -45,6 +45,7 @@
 use crate::node::Node;
 use crate::reachability;
 use crate::refuse;
+use crate::stray;
 use crate::table::Table;
 use crate::usage::Admission;
 
@@ -302,6 +303,11 @@
     fn classify_fault(&self, fault: client::Fault, runner: &fleet::Choice) -> SendOutcome {
         match fault {
             client::Fault::Late(_) => return SendOutcome::TimedOut,
+            // It says nothing of the runner but that it answers: no crash, and no lost connection.
+            client::Fault::Foreign(foreign) => {
+                stray::log_foreign(self, &runner.id, &foreign);
+                return SendOutcome::Unknown(foreign.to_string());
+            }
             client::Fault::Broken(why) => {
                 crashes::note_break(self, runner);
                 reachability::note_broken(&self.node, &runner.id, runner.address);
@@ -440,13 +446,6 @@
         self.note_head(&reply, &attempt, answer_headers.load, now);
         let load = answer_headers.load;
         attempt.slowdown = load.and_then(|load| slowdown::reading(load, now));
-        if answer_headers
-            .id
-            .as_ref()
-            .is_some_and(|id| *id != self.call.id)
-        {
-            return SendOutcome::Unknown("the answer belongs to another request".to_owned());
-        }
         // 421: another runner has the address now. It has not run the request.
         let wrong_runner = reply.head.status.as_u16() == 421;
         if !answer_headers.not_run && !wrong_runner {
