--- a/crates/link/src/client/process.rs
+++ b/crates/link/src/client/process.rs
@@ -12,7 +12,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +21,7 @@
 use tokio::time::timeout;
 
 use crate::body::Payload;
+use crate::client;
 use crate::client::Client;
 use crate::client::Connection;
 use crate::client::Fault;
@@ -194,8 +194,7 @@
     }
 
     fn testimony(&self, address: SocketAddr) -> Arc<AsyncMutex<Testimony>> {
-        let known = self.testimonies.lock();
-        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        let mut known = client::lock(&self.testimonies);
         let found = known.binary_search_by_key(&address, |(key, _)| *key);
         let at = found.unwrap_or_else(|at| {
             known.insert(at, (address, Arc::default()));
