Send no resumable stream to a process that can't say which it is

What callers saw: 200 and the rest of their stream from a process of another software version. The process had started at the id and address of one whose entry the VM still held, and answered the question when it started with 429 or 503, as one may that is just starting.

Cause: such an answer let the stream pass, to be asked again for the next one. The class: a check that fails open. "It couldn't answer" proves as little as another process's word.

Now the client gives the request back unsent, as for another process: the request goes elsewhere, and for a second the runner takes only requests whose build doesn't matter. A take-up that finds no other runner is refused as not run (503). New streams begin there, unrecorded, once no runner's build is known, so that a VM isn't closed for as long as reports fail.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -64,6 +64,10 @@
     /// wasn't written.
     #[display("another process, started at {_0}, is at the address")]
     OtherProcess(#[error(not(source))] u64),
+    /// The process at the address couldn't say which it is, though such processes tell. The request wasn't
+    /// written.
+    #[display("the process at {_0} can't say which it is")]
+    Unidentified(#[error(not(source))] SocketAddr),
     /// No byte of an answer came in time. The request may have arrived.
     #[display("no answer in time from {_0}")]
     Late(#[error(not(source))] SocketAddr),
@@ -246,7 +250,7 @@
     ///
     /// # Errors
     ///
-    /// Fails also if another process is at the address, or it can't be asked.
+    /// Fails also if another process is at the address, or it can't be asked or can't answer.
     pub async fn send_checked(
         self: &Arc<Self>,
         address: SocketAddr,
@@ -273,7 +277,13 @@
             }));
         };
         let established = match check {
-            Some(check) => self.verify_new(address, established?, check).await?,
+            Some(check) => {
+                let verified = self.verify_new(address, established?, check).await?;
+                if verified.connection.process == Process::Unknown {
+                    return Err(Fault::Unidentified(address));
+                }
+                verified
+            }
             None => established?,
         };
         let sent = self.send_new(address, established, request, wait.head);
@@ -292,6 +302,9 @@
         while let Some(connection) = self.checkout(address) {
             let connection = match check {
                 Some(check) => match process::verify(connection, address, check).await {
+                    Ok(Verified::Open(connection)) if connection.process == Process::Unknown => {
+                        return Kept::Answered(Err(Fault::Unidentified(address)));
+                    }
                     Ok(Verified::Open(connection)) => connection,
                     Err(fault @ Fault::Silent(_)) => return Kept::Answered(Err(fault)),
                     // A new connection shows which process is at the address now.
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -32,8 +32,8 @@
 /// entry is usually gone from the list.
 const ADDRESS_TAKEN_PAUSE: Millis = Millis::new(1_000);
 /// How long a runner's build counts as unknown after a process answered at its address that had not written
-/// its entry. About the time in which the new entry is read.
-const REPLACED_PAUSE: Millis = Millis::new(1_000);
+/// its entry, or couldn't say whether it had. About the time in which the new entry is read.
+const UNIDENTIFIED_PAUSE: Millis = Millis::new(1_000);
 /// How long a runner counts as full after it refused a request as full. About the time in which one
 /// of its requests ends.
 const FULL_PAUSE: Millis = Millis::new(40);
@@ -81,8 +81,8 @@
     pub(super) last_contact: Millis,
     /// Gets no requests before this time, because a different runner answered at its address.
     pub(super) address_taken_until: Millis,
-    /// Its build counts as unknown before this time, because its entry is of an earlier process.
-    pub(super) replaced_until: Millis,
+    /// Its build counts as unknown before this time, because its entry is or may be of an earlier process.
+    pub(super) unidentified_until: Millis,
     /// Counts as full before this time, because it refused a request as full.
     pub(super) full_until: Millis,
     /// When the runner's entry was found missing after an outage of the key-value service.
@@ -122,7 +122,7 @@
             avoided_until: Millis::ZERO,
             last_contact: Millis::ZERO,
             address_taken_until: Millis::ZERO,
-            replaced_until: Millis::ZERO,
+            unidentified_until: Millis::ZERO,
             full_until: Millis::ZERO,
             missing_since: None,
         }
@@ -139,7 +139,7 @@
     }
 
     fn may_run(&self, software: Software<'_>, now: Millis) -> bool {
-        let is_known = self.replaced_until <= now;
+        let is_known = self.unidentified_until <= now;
         match software {
             Software::Any => true,
             Software::Known => is_known,
@@ -276,9 +276,10 @@
         self.address_taken_until = now.plus(ADDRESS_TAKEN_PAUSE);
     }
 
-    /// Records that another process answered at the address than the one that wrote the entry.
-    pub fn note_replaced(&mut self, now: Millis) {
-        self.replaced_until = now.plus(REPLACED_PAUSE);
+    /// Records that the process at the address isn't the one that wrote the entry, or can't say whether it
+    /// is.
+    pub fn note_unidentified(&mut self, now: Millis) {
+        self.unidentified_until = now.plus(UNIDENTIFIED_PAUSE);
     }
 
     /// Records that the runner refused a request as full.
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -307,10 +307,10 @@
                 reachability::note_broken(&self.node, &runner.id, runner.address);
                 return SendOutcome::Unknown(why);
             }
-            client::Fault::OtherProcess(_) => {
+            client::Fault::OtherProcess(_) | client::Fault::Unidentified(_) => {
                 let now = self.node.clock.now();
                 if let Some(known) = self.node.fleet().runner(&runner.id) {
-                    known.note_replaced(now);
+                    known.note_unidentified(now);
                 }
             }
             client::Fault::Silent(_) | client::Fault::NotSent(_) => {
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -216,7 +216,11 @@
                     node.fleet().note_silent(&target.id, since, now);
                     Outcome::Silent
                 }
-                Fault::NotSent(_) | Fault::OtherProcess(_) | Fault::Broken(_) | Fault::Late(_) => {
+                Fault::NotSent(_)
+                | Fault::OtherProcess(_)
+                | Fault::Unidentified(_)
+                | Fault::Broken(_)
+                | Fault::Late(_) => {
                     crashes::note_refused(node, &target.id);
                     Outcome::Refused
                 }
