--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -79,6 +79,10 @@
     /// The answer that came isn't known to be the request's. The request may have arrived.
     #[display("{_0}")]
     Foreign(#[error(not(source))] Box<Foreign>),
+    /// The process at the address couldn't say which it is, though such processes tell. The request wasn't
+    /// written.
+    #[display("the process at {_0} can't say which it is")]
+    Unidentified(#[error(not(source))] SocketAddr),
     /// No byte of an answer came in time. The request may have arrived.
     #[display("no answer in time from {_0}")]
     Late(#[error(not(source))] SocketAddr),
@@ -297,7 +301,7 @@
     ///
     /// # Errors
     ///
-    /// Fails also if another process is at the address, or it can't be asked.
+    /// Fails also if another process is at the address, or it can't be asked or can't answer.
     pub async fn send_checked(
         self: &Arc<Self>,
         address: SocketAddr,
@@ -346,7 +350,9 @@
             let connection = match check {
                 Some(check) => match self.verify(address, connection, Age::Kept, check).await {
                     Ok(connection) => connection,
-                    Err(fault @ Fault::Silent(_)) => return Kept::Answered(Err(fault)),
+                    Err(fault @ (Fault::Silent(_) | Fault::Unidentified(_))) => {
+                        return Kept::Answered(Err(fault));
+                    }
                     // A new connection shows which process is at the address now.
                     Err(_) => continue,
                 },
--- a/crates/link/src/client/process.rs
+++ b/crates/link/src/client/process.rs
@@ -161,6 +161,9 @@
         if connection.process == Process::Unknown {
             connection.process = self.identify(address, &connection, age, check).await?;
         }
+        if connection.process == Process::Unknown {
+            return Err(Fault::Unidentified(address));
+        }
         connection.process.expect(check)?;
         Ok(connection)
     }
--- a/crates/link/tests/process.rs
+++ b/crates/link/tests/process.rs
@@ -152,7 +152,6 @@
 #[case::states_and_closes(STATES_AND_CLOSES, 1)]
 #[case::has_no_report(HAS_NO_REPORT, 1)]
 #[case::has_no_start(HAS_NO_START, 1)]
-#[case::is_busy(IS_BUSY, 2)]
 #[tokio::test]
 async fn the_expected_process_gets_requests(#[case] answer: &'static str, #[case] asked: usize) {
     let (address, paths) = start(answer).await;
@@ -226,3 +225,16 @@
     assert_eq!(count(&paths, "/work"), 8);
     assert!(count(&paths, "/start") < 8, "{paths:?}");
 }
+
+/// Guards against requests that reach any process at the address while it can't say which it is. It is asked
+/// again for the next one.
+#[tokio::test]
+async fn a_process_that_cannot_say_which_it_is_gets_no_requests() {
+    let (address, paths) = start(IS_BUSY).await;
+    let client = Client::new(LIMITS);
+    for _ in 0..2 {
+        let sent = send(&client, address, 7).await;
+        assert_eq!(sent, Err(Fault::Unidentified(address)));
+    }
+    assert_eq!(*paths.lock().unwrap(), ["/start", "/start"]);
+}
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -218,6 +218,7 @@
                 }
                 Fault::NotSent(_)
                 | Fault::OtherProcess(_)
+                | Fault::Unidentified(_)
                 | Fault::Broken(_)
                 | Fault::Foreign(_)
                 | Fault::Late(_) => {
