Frame answers to callers by their own bodies alone

What callers saw: in a debug build, a connection that closed without an answer. By reading hyper (not run as a release build): in a release build an answer whose stated length isn't that of its body, so that the caller waits for more, or takes the beginning of the next answer on its connection for the rest.

Cause: the headers of a runner's answer were passed on with the length that it states, while the body is framed anew. Where a runner states a length beside chunks, or for a 204, the two differ. Streams had their length removed for another reason.

Fix: no answer is passed on with its runner's length; the server states that of the body. Answers to HEAD no longer state the length that a GET would have. A test asks HEAD and then GET on one connection; it was green before, too.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -6,6 +6,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use link::body::Body;
@@ -32,11 +33,16 @@
 }
 
 /// Builds the response that passes a runner's answer on, with its end-to-end headers only.
+///
+/// The length that the runner states is left out. The body is framed again on its way to the caller, and a
+/// runner may state a length that isn't that of its body: beside chunks, or where there is no body.
 #[must_use]
 pub fn forwarded(status: StatusCode, headers: &HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
-    *response.headers_mut() = header::end_to_end(headers);
+    let mut headers = header::end_to_end(headers);
+    headers.remove(CONTENT_LENGTH);
+    *response.headers_mut() = headers;
     response
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -263,10 +263,6 @@
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
     let status = reply.head.status;
     let response = answer::forwarded(status, &reply.head.headers, Body::Parts(receiver));
-    let mut response = response;
-    // The end of the stream is sent by this process, so the runner's content length isn't passed
-    // on.
-    response.headers_mut().remove(hyper::header::CONTENT_LENGTH);
     if responder.send(response).is_err() {
         job.log_caller_gone(0);
         account::settle(job, account, 0);
