Take an interim answer that ends an exchange for no answer

What callers saw: a runner's 101 with its stamp, passed on as the answer to a request that asked for no other protocol, at all three kinds of routes; the first door counted it as the answer of a call.

Cause: the HTTP library skips interim answers except 101, which it hands out as a final one. Every other status below 200 was skipped already.

Fix: the client checks each head for both faults and takes such an answer for one that broke off. The first door's client, which has a pool of its own, makes the same check; it had the fault of the joined heads, too.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -460,9 +460,8 @@
                 return Err((unsent, fault));
             }
         };
-        if head::is_joined(&response) {
-            let why = format!("{address}: an answer begins within the head of another one");
-            return Err((None, Fault::Broken(why)));
+        if let Err(fault) = head::check(&response) {
+            return Err((None, Fault::Broken(format!("{address}: {fault}"))));
         }
         connection.allowance.grant(self.limits.max_answer);
         let (head, incoming) = response.into_parts();
--- a/crates/link/src/head.rs
+++ b/crates/link/src/head.rs
@@ -1,18 +1,50 @@
-//! Tells the head of an answer from the heads of two that were joined.
+//! Tells the head of an answer from heads that are none, although they can be parsed.
+//!
+//! An interim answer that ends HTTP on its connection is the answer to no request that asked for no other
+//! protocol.
 //!
 //! Where an answer breaks off within its status line or a header's value, and its sender goes on with
 //! another answer on the same connection, the bytes parse as one head: the status of the first answer with
 //! the length and body of the second.
 
+use derive_more::Display;
+use derive_more::Error;
 use hyper::Response;
 use hyper::ext::ReasonPhrase;
 
 /// The beginning of a status line, up to the minor version.
 const VERSION: &[u8] = b"HTTP/1.";
 
-/// Returns whether a status line begins within the reason or a header's value.
-#[must_use]
-pub fn is_joined<B>(answer: &Response<B>) -> bool {
+/// Why a head is none of a final answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+pub enum Fault {
+    /// The peer goes on in another protocol.
+    #[display("an interim answer in place of one")]
+    Interim,
+    /// It consists of the heads of two answers.
+    #[display("an answer begins within the head of another one")]
+    Joined,
+}
+
+/// The result of a check.
+pub type Result = std::result::Result<(), Fault>;
+
+/// Checks that a head is one of a final answer.
+///
+/// # Errors
+///
+/// Fails if the answer is an interim one, or a status line begins within the reason or a header's value.
+pub fn check<B>(answer: &Response<B>) -> Result {
+    if answer.status().is_informational() {
+        return Err(Fault::Interim);
+    }
+    if is_joined(answer) {
+        return Err(Fault::Joined);
+    }
+    Ok(())
+}
+
+fn is_joined<B>(answer: &Response<B>) -> bool {
     let reason = answer.extensions().get::<ReasonPhrase>();
     let reason = reason.map_or(&[][..], |reason| reason.as_bytes());
     let mut values = answer.headers().values();
--- a/crates/link/src/head/tests.rs
+++ b/crates/link/src/head/tests.rs
@@ -1,7 +1,7 @@
 use hyper::Response;
 use rstest::rstest;
 
-use super::is_joined;
+use super::check;
 
 /// Guards against whole answers that are refused because of the names of protocols in their headers.
 #[rstest]
@@ -13,5 +13,5 @@
 #[case::other_protocol("RTSP/1.0 200 OK")]
 fn a_header_may_name_protocols(#[case] value: &str) {
     let answer = Response::builder().header("via", value).body(()).unwrap();
-    assert!(!is_joined(&answer));
+    assert_eq!(check(&answer), Ok(()));
 }
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -14,6 +14,7 @@
 use hyper_util::client::legacy;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
+use link::head;
 use link::inbound;
 
 use crate::http::connect::Connector;
@@ -86,10 +87,7 @@
             .uri(format!("http://{address}{path}"))
             .body(Full::default())
             .map_err(|fault| Fault::NotSent(fault.to_string()))?;
-        self.0
-            .request(request)
-            .await
-            .map_err(|fault| fault_of(&fault))
+        self.send(request).await
     }
 
     /// Sends a POST request and returns the response once its headers have arrived.
@@ -108,10 +106,14 @@
         let request = builder
             .body(Full::new(post.body))
             .map_err(|fault| Fault::NotSent(fault.to_string()))?;
-        self.0
-            .request(request)
-            .await
-            .map_err(|fault| fault_of(&fault))
+        self.send(request).await
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<hyper::Response<Incoming>> {
+        let answer = self.0.request(request).await;
+        let answer = answer.map_err(|fault| fault_of(&fault))?;
+        head::check(&answer).map_err(|fault| Fault::Garbled(fault.to_string()))?;
+        Ok(answer)
     }
 }
 
--- a/crates/node/tests/request/main.rs
+++ b/crates/node/tests/request/main.rs
@@ -2,6 +2,7 @@
 //! failures that a request may meet.
 
 mod admission;
+mod broken_heads;
 mod config;
 mod endless;
 mod fleet;
