Refuse streams to callers of HTTP/1.0

What callers saw: a 200 whose stream broke off, with a runner's stamp, that looks complete: in HTTP/1.0 a body without a length ends with its connection, and the VM closes it in the same way after a whole stream and a broken one. Callers of HTTP/1.1 get chunks without the last one, also where they ask to close the connection (green before).

Cause: whether a response can show that it broke off depends on the caller's version, which nothing looked at.

Fix: a request for a stream in HTTP/1.0 is refused before it is sent to a runner, with CY1109 and 505. Plain answers state their length and are served as before.

--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -12,6 +12,7 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header::EXPECT;
@@ -323,6 +324,10 @@
     if call.id.is_empty() {
         return Err(Refusal::new(Code::BadField, "the request has no id"));
     }
+    // Its caller takes the end of the connection for the end of the stream.
+    if route.kind == Kind::Stream && head.version < Version::HTTP_11 {
+        return Err(Refusal::new(Code::VersionTooOld, ""));
+    }
     let identity = identify(node, &route, call)?;
     Ok(Found {
         table,
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -61,6 +61,7 @@
     ReadTimeout = 1106, 408, "the request wasn't received in time";
     BadMethod = 1107, 405, "the path doesn't take this method";
     TooManyConnections = 1108, 503, "the VM has as many connections as it takes";
+    VersionTooOld = 1109, 505, "streams take HTTP/1.1";
     UnknownToken = 1201, 401, "the token isn't known";
     NotAllowed = 1202, 403, "no selector lets this work use such an endpoint";
     UnknownModel = 1203, 404, "the model isn't known";
