Stop using an endpoint whose entry names none any more

What callers saw: requests went on to an endpoint whose entry another writer had replaced by one that names none (a state or type that isn't known, a port out of range, a number too large, a value nested too deeply), at the VMs that had read the entry before. A VM that started then didn't know it, and other VMs weren't told.

Cause: an entry that couldn't be decoded was passed over, so that the one before it stayed in force, also at each later list. Each time that it was written again brought a line of the log; nothing counted it.

Such an entry now ends the use of the one before it, at its revision, and other VMs hear of that as of any removal.

--- a/crates/relay/src/ingest.rs
+++ b/crates/relay/src/ingest.rs
@@ -40,8 +40,14 @@
     let before = node.roster().revision;
     if listing.revision >= before {
         let entries = listing.entries.iter();
-        let mut ids: Vec<String> = entries.filter_map(|entry| runner_id(&entry.key)).collect();
+        let ids = entries.filter_map(|entry| keys::runner_id(&entry.key));
+        let mut ids: Vec<String> = ids.map(str::to_owned).collect();
         ids.sort();
+        node.unreadable().retain(|key| {
+            let entries = &listing.entries;
+            let found = entries.binary_search_by(|entry| entry.key.as_str().cmp(key));
+            found.is_ok()
+        });
         // These haven't lapsed: the service has told of their removal.
         for key in &listing.removed {
             drop_runner(node, key, listing.revision);
@@ -158,48 +164,58 @@
     }
 }
 
-fn runner_id(key: &str) -> Option<String> {
-    key.strip_prefix(keys::RUNNERS).map(str::to_owned)
-}
-
 fn runner_entry(node: &Arc<Node>, entry: &Entry) {
-    let Some(id) = runner_id(&entry.key) else {
-        return;
-    };
-    let Some(decoded) = runner::decode(&entry.value) else {
-        log::warn!(
-            "event=E{} text=\"{}\" key={} store_revision={}",
-            Event::EntryUnreadable.number(),
-            Event::EntryUnreadable.text(),
-            entry.key,
-            entry.revision
-        );
+    let decoded = runner::decode(&entry.value);
+    let (Some(id), Some(decoded)) = (keys::runner_id(&entry.key), decoded) else {
+        unreadable_entry(node, entry);
         return;
     };
+    node.unreadable().forget(&entry.key);
     let line = format!(
         "runner={id} service={} address={} slots={} store_revision={}",
         decoded.service, decoded.address, decoded.slots, entry.revision
     );
-    let change = set_runner(node, &id, decoded);
+    let change = set_runner(node, id, decoded);
     let roster_change = match change {
         fleet::Change::Unchanged => roster::Change::Heartbeat,
         _ => roster::Change::Significant,
     };
     node.roster()
-        .set(&id, &entry.value, entry.revision, roster_change);
+        .set(id, &entry.value, entry.revision, roster_change);
     fleet::log_change(&change, &line);
 }
 
+/// Applies an entry that names no runner. The one that it named before isn't used any more: no VM that
+/// starts now would know it.
+fn unreadable_entry(node: &Node, entry: &Entry) {
+    node.metrics.count(Counter::EntriesUnreadable);
+    if node.unreadable().note(&entry.key) {
+        log::warn!(
+            "event=E{} text=\"{}\" key={:?} store_revision={}",
+            Event::EntryUnreadable.number(),
+            Event::EntryUnreadable.text(),
+            entry.key,
+            entry.revision
+        );
+    }
+    remove_runner(node, &entry.key, entry.revision);
+}
+
 /// Applies a runner's entry, whether it came from the key-value service or from another VM.
 pub fn set_runner(node: &Arc<Node>, id: &str, entry: runner::Entry) -> fleet::Change {
     let memory = node.table().memory_tokens(&entry.service);
     node.fleet().set(id, entry, memory)
 }
 
-fn drop_runner(node: &Arc<Node>, key: &str, revision: u64) {
-    if let Some(id) = runner_id(key) {
-        node.roster().remove(&id, revision);
-        let change = node.fleet().remove(&id);
+fn drop_runner(node: &Node, key: &str, revision: u64) {
+    node.unreadable().forget(key);
+    remove_runner(node, key, revision);
+}
+
+fn remove_runner(node: &Node, key: &str, revision: u64) {
+    if let Some(id) = keys::runner_id(key) {
+        node.roster().remove(id, revision);
+        let change = node.fleet().remove(id);
         fleet::log_change(&change, &format!("runner={id}"));
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod table;
 pub mod tally;
 pub mod turns;
+pub mod unreadable;
 pub mod usage;
 pub mod work;
 pub mod workspace;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -74,6 +74,7 @@
     ExchangesFailed = "exchanges_failed", "messages to other VMs that weren't answered in time";
     DocumentBytes = "document_bytes", "bytes of configurations that were sent to other VMs";
     Displaced = "answers_displaced", "answers broken off as they had grown into memory that others need";
+    EntriesUnreadable = "entries_unreadable", "entries that named no runner when they were read";
 }
 
 impl Counter {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -46,6 +46,7 @@
 use crate::subject::Subject;
 use crate::table::Table;
 use crate::turns::Cache;
+use crate::unreadable::Unreadable;
 use crate::usage::ledger::Ledger;
 use crate::work;
 
@@ -152,6 +153,8 @@
     opening: Mutex<Opening>,
     crashes: Mutex<Crashes>,
     roster: Mutex<Roster>,
+    /// The entries that name no runner.
+    unreadable: Mutex<Unreadable>,
     /// The runners' entries that another VM is sending in parts.
     roster_transfer: Mutex<Option<Transfer>>,
     directory: Mutex<Directory>,
@@ -227,6 +230,7 @@
             opening: Mutex::default(),
             crashes: Mutex::default(),
             roster: Mutex::default(),
+            unreadable: Mutex::default(),
             roster_transfer: Mutex::default(),
             directory: Mutex::default(),
             directory_read: AtomicBool::new(false),
@@ -374,6 +378,13 @@
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the entries that name no runner.
+    pub fn unreadable(&self) -> MutexGuard<'_, Unreadable> {
+        self.unreadable
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds a part of the runners' entries that another VM sent. Returns the entries if they are
     /// complete.
     pub fn add_roster_part(&self, vm: &str, part: Part) -> Option<Roster> {
