--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -75,6 +75,7 @@
     DocumentBytes = "document_bytes", "bytes of configurations that were sent to other VMs";
     Displaced = "answers_displaced", "answers broken off as they had grown into memory that others need";
     AnswersForeign = "answers_foreign", "answers that named another request than the one that waited, or none";
+    EntriesUnreadable = "entries_unreadable", "entries that named no runner when they were read";
 }
 
 impl Counter {
