--- a/crates/node/tests/request/broken_heads.rs
+++ b/crates/node/tests/request/broken_heads.rs
@@ -35,7 +35,7 @@
         attempt: id::Attempt(1),
         timeout: Millis::new(2_000),
     };
-    service::run(&Client::default(), job).await
+    service::run(&Client::of_endpoints(), job).await
 }
 
 fn write(text: &str) -> Step {
