Let only an entry that states its start prove a build

What callers saw: 200 and the rest of their stream from a process of another software version, at a runner whose entry doesn't say when its process started.

Cause: without a start in the entry the client had nothing to compare the process's own word with, and didn't ask. A change of such an entry's build also counted as a heartbeat, so that VMs that learn of runners from other VMs weren't told.

Now such a runner takes only requests whose build doesn't matter: new streams begin there unrecorded if no runner's build is known, and aren't resumed or taken up. A changed build counts as a new process, as a changed start does. E1201 names the start that has to answer (born).

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -104,7 +104,8 @@
 pub enum Software<'a> {
     /// Any.
     Any,
-    /// Any whose build is known: of runners whose entry was written by the process that answers.
+    /// Any whose build is known: of runners whose entry was written by the process that answers. An entry that
+    /// doesn't say when that process started proves no build.
     Known,
     /// That of one build.
     Build(&'a str),
@@ -262,7 +263,8 @@
             Ok(index) => {
                 let runner = &mut self.runners[index];
                 runner.missing_since = None;
-                let restarted = runner.entry.born != entry.born;
+                let known = &runner.entry;
+                let restarted = (known.born, &known.build) != (entry.born, &entry.build);
                 let starts_draining =
                     runner.entry.state == State::Ready && entry.state == State::Draining;
                 if restarted {
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -139,7 +139,7 @@
     }
 
     fn may_run(&self, software: Software<'_>, now: Millis) -> bool {
-        let is_known = self.unidentified_until <= now;
+        let is_known = self.entry.born.is_some() && self.unidentified_until <= now;
         match software {
             Software::Any => true,
             Software::Known => is_known,
--- a/crates/relay/src/fleet/tests.rs
+++ b/crates/relay/src/fleet/tests.rs
@@ -202,6 +202,37 @@
     assert_eq!(fleet.tallies(NOW, |_| false), [tally("i-0", 2, 0)]);
 }
 
+/// Guards against VMs that go on with a runner's earlier build because another one, which reads the entries
+/// for them, doesn't pass the change on.
+#[test]
+fn a_changed_build_is_passed_on() {
+    let mut fleet = fleet(1);
+    let changed = Entry {
+        build: "v2".to_owned(),
+        ..entry(State::Ready)
+    };
+    assert_eq!(fleet.set("i-0", changed, 0), Change::Appeared);
+}
+
+/// Guards against a stream that is placed by the build of an entry that any process may have written.
+#[rstest]
+#[case::any(Software::Any, true)]
+#[case::known(Software::Known, false)]
+#[case::build(Software::Build("v1"), false)]
+fn an_entry_without_a_start_proves_no_build(#[case] software: Software<'_>, #[case] runs: bool) {
+    let mut fleet = Fleet::default();
+    let unknown = Entry {
+        born: None,
+        ..entry(State::Ready)
+    };
+    fleet.set("i-0", unknown, 0);
+    let request = Request {
+        software,
+        ..request(&[])
+    };
+    assert_eq!(fleet.choose(&request).is_some(), runs);
+}
+
 #[test]
 fn request_is_not_sent_again_to_a_runner_that_refused_it() {
     let fleet = fleet(2);
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -365,16 +365,12 @@
             .metrics
             .add(Counter::TokensAsked, self.call.prompt_tokens);
         self.node.metrics.add(Counter::TokensMissed, missed);
-        match runner.placement {
-            fleet::Placement::Unassigned => {}
-            fleet::Placement::Home(_) => self.node.metrics.count(Counter::PlacedHome),
-            fleet::Placement::Elsewhere => self.node.metrics.count(Counter::PlacedElsewhere),
-        }
+        self.count_placement(runner.placement);
         if let Some(standing) = standing {
             self.node.metrics.count(Counter::of_standing(standing));
         }
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} workspace={} counted={} route={} revision={} runner={} build={} resumes={} occupied={} slots={} prompt={} cached={} home={} cost_ms={:.0} among={} slowdown={} runners_age_ms={} waited_ms={} left_ms={} standing={} priority={}",
+            "event=E{} text=\"{}\" request={} program={} workspace={} counted={} route={} revision={} runner={} build={} born={} resumes={} occupied={} slots={} prompt={} cached={} home={} cost_ms={:.0} among={} slowdown={} runners_age_ms={} waited_ms={} left_ms={} standing={} priority={}",
             Event::CallPlaced.number(),
             Event::CallPlaced.text(),
             self.call.id,
@@ -385,6 +381,9 @@
             self.table.version,
             runner.id,
             runner.build,
+            runner
+                .born
+                .map_or_else(String::new, |born| born.to_string()),
             self.call.resumes.as_deref().unwrap_or_default(),
             runner.occupied,
             runner.slots,
@@ -410,6 +409,14 @@
         }
     }
 
+    fn count_placement(&self, placement: fleet::Placement) {
+        match placement {
+            fleet::Placement::Unassigned => {}
+            fleet::Placement::Home(_) => self.node.metrics.count(Counter::PlacedHome),
+            fleet::Placement::Elsewhere => self.node.metrics.count(Counter::PlacedElsewhere),
+        }
+    }
+
     /// Records what the coming of an answer, and its head, say about the runner.
     fn note_head(&self, reply: &Reply, attempt: &Attempt, load: Option<Load>, now: Millis) {
         let id = &attempt.runner.id;
