Connect to endpoints that were never reached before requests go there

What callers saw: beside 100 entries of another writer whose addresses are plausible and wrong, with 6 endpoints that answer, requests were refused with 503 though the endpoints had room: all four offers went to addresses at which nothing listens, until each had been tried.

Cause: an endpoint of which nothing is known was chosen as readily as one that answers, even rather, as it looks idle.

While a VM has reached endpoints of a service, one that it has never reached is passed over by the request that would have gone there, which starts a connection to it instead: the check that endpoints get which other VMs found silent. The connection is kept for the next request, so that it costs no more than the one that the request would have made, and an endpoint that joins is used once it has accepted it. A VM that has reached none uses all as before. E5012 tells why=unreached.

Two tests of silences set up endpoints of which only one had been reached and expected requests at the others. What they guard against concerns endpoints in service, so all are reached long ago in them now; what they assert is unchanged, and a test of its own covers endpoints that were never reached.

--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -252,6 +252,12 @@
         self.held_off_until = Millis::ZERO;
     }
 
+    /// Returns whether the runner has answered this VM, or a connection to it was made. Another writer's entry
+    /// may name an address at which there is none.
+    pub(super) fn has_been_reached(&self) -> bool {
+        self.last_contact > Millis::ZERO
+    }
+
     /// Returns whether this VM holds the runner off because requests to it broke.
     pub(super) fn is_held_off(&self, now: Millis) -> bool {
         self.held_off_until > now
--- a/crates/relay/src/fleet/silence.rs
+++ b/crates/relay/src/fleet/silence.rs
@@ -71,6 +71,8 @@
     Slow,
     /// Another VM found it silent.
     Told,
+    /// This VM has never reached it.
+    Unreached,
 }
 
 impl Why {
@@ -80,6 +82,7 @@
         match self {
             Self::Slow => "slow",
             Self::Told => "told",
+            Self::Unreached => "unreached",
         }
     }
 }
@@ -152,10 +155,13 @@
     }
 
     /// Returns those that get requests before the other ones: neither they are suspected, nor that their
-    /// data centre is cut off.
+    /// data centre is cut off, and this VM has reached them, if it has reached any.
     pub(super) fn trusted<'a>(&self, runners: &[&'a Runner], now: Millis) -> Vec<&'a Runner> {
         let verdict = |runner: &Runner| runner.silence.knowledge.verdict(now);
-        let is_trusted = |runner: &Runner| verdict(runner) == Verdict::Trusted;
+        let has_reached_any = runners.iter().any(|runner| runner.has_been_reached());
+        let is_trusted = |runner: &Runner| {
+            verdict(runner) == Verdict::Trusted && (runner.has_been_reached() || !has_reached_any)
+        };
         if self.runners.iter().all(is_trusted) {
             return runners.to_vec();
         }
@@ -189,6 +195,13 @@
         })
     }
 
+    /// Returns whether this VM has reached a runner.
+    #[must_use]
+    pub fn has_reached(&self, id: &str) -> bool {
+        let known = self.find(id).map(|index| &self.runners[index]);
+        known.is_ok_and(Runner::has_been_reached)
+    }
+
     /// Records that a check of a runner begins that isn't trusted. Returns where to connect; `None` if it is
     /// under way already, or too many others are.
     pub fn begin_check(&mut self, id: &str, now: Millis) -> Option<Target> {
--- a/crates/relay/src/fleet/tests/silences.rs
+++ b/crates/relay/src/fleet/tests/silences.rs
@@ -17,9 +17,19 @@
 use crate::fleet::silence::Told;
 use crate::fleet::told::short_hash;
 
-/// A fleet of runners in data centres of their own.
-fn spread(count: usize) -> Fleet {
+/// A fleet of runners that this VM reached long ago.
+fn reached(count: usize) -> Fleet {
     let mut fleet = fleet(count);
+    for number in 0..count {
+        let runner = fleet.runner(&format!("i-{number}"));
+        runner.expect("it is known").note_reachable(Millis::new(1));
+    }
+    fleet
+}
+
+/// The same in data centres of their own.
+fn spread(count: usize) -> Fleet {
+    let mut fleet = reached(count);
     for number in 0..count {
         let entry = Entry {
             centre: format!("centre-{number}"),
@@ -64,6 +74,26 @@
     (ids, passed_over)
 }
 
+/// Guards against requests that are lost at entries with wrong addresses while other runners answer, and
+/// against those that no runner gets before the first one was reached.
+#[test]
+fn a_runner_that_was_never_reached_is_checked_before_it_is_used() {
+    let mut fleet = fleet(3);
+    let quiet = chosen(&fleet, NOW);
+    assert!(quiet.0.iter().any(|id| id == "i-1") && quiet.1.is_empty());
+    for id in ["i-0", "i-2"] {
+        let runner = fleet.runner(id).expect("it is known");
+        runner.note_reachable(NOW);
+    }
+    let (ids, passed_over) = chosen(&fleet, NOW);
+    assert!(!ids.iter().any(|id| id == "i-1"));
+    assert_eq!(passed_over, ["i-1"]);
+    assert!(fleet.begin_check("i-1", NOW).is_some());
+    let runner = fleet.runner("i-1").expect("it is known");
+    runner.note_reachable(NOW.plus(Millis::new(4)));
+    assert_eq!(chosen(&fleet, NOW.plus(Millis::new(5))), quiet);
+}
+
 /// Another VM found a runner silent. Requests go to others until a check has reached it, and the check is
 /// asked for by the request that would have gone there.
 #[test]
@@ -104,7 +134,7 @@
     #[case] answering: Option<&str>,
     #[case] expected: &[&str],
 ) {
-    let mut fleet = fleet(4);
+    let mut fleet = reached(4);
     let remote = Entry {
         centre: "b".to_owned(),
         ..entry(State::Ready)
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -231,7 +231,7 @@
             .as_ref()
             .and_then(|chosen| chosen.passed_over.as_ref());
         if let Some(suspected) = passed_over {
-            reachability::check_told(&self.node, suspected);
+            reachability::check_untrusted(&self.node, suspected);
         }
         chosen
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -68,7 +68,7 @@
     Blamed = "crashes_blamed", "crashes of runners for which this VM blamed a content";
     SlowdownsHeard = "slowdowns_heard", "readings of how fast a runner's machine is that other VMs told";
     SilencesHeard = "silences_heard", "reports of other VMs that a runner is silent or was reached again";
-    RunnersChecked = "runners_checked", "checks of runners that other VMs found silent";
+    RunnersChecked = "runners_checked", "checks of runners that other VMs found silent, or that this one has never reached";
     ConnectsSlow = "connects_slow", "requests that went to another runner as a connection took long";
     ConfigsDropped = "revisions_dropped", "configurations that couldn't be taken";
     ExchangesFailed = "exchanges_failed", "messages to other VMs that weren't answered in time";
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -48,15 +48,21 @@
     });
 }
 
-/// Checks a runner that other VMs found silent and that would have got a request, unless a check is under
-/// way.
-pub fn check_told(node: &Arc<Node>, id: &str) {
+/// Checks a runner that other VMs found silent, or that this one has never reached, and that would have got a
+/// request, unless a check is under way.
+pub fn check_untrusted(node: &Arc<Node>, id: &str) {
     let since = node.clock.now();
     let Some(target) = node.fleet().begin_check(id, since) else {
         return;
     };
     node.metrics.count(Counter::RunnersChecked);
-    log_suspected(&target, Why::Told);
+    let has_been_reached = node.fleet().has_reached(id);
+    let why = if has_been_reached {
+        Why::Told
+    } else {
+        Why::Unreached
+    };
+    log_suspected(&target, why);
     let node = node.clone();
     tokio::spawn(async move {
         let result = node.runner_client.probe(target.address).await;
