Send no request behind bytes that have arrived unread

A second answer that had arrived on an unused connection was taken for the answer to the next request, if the runtime hadn't come round to noticing it: the connection's task sees only what the runtime last told it. Callers got it, or a failure, and the request was lost to them.

The first read after a request is handed over now asks the system itself. What is there closes the connection and is counted as unsolicited, and the request goes out on another one. It costs a system call a request, which was not measured.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -527,7 +527,11 @@
             Ok(response) => response,
             Err(mut failed) => {
                 let unsent = failed.take_message();
-                let text = format!("{address}: {}", failed.into_error());
+                let cause = failed.into_error();
+                if unsolicited::is_cause_of(&cause) {
+                    self.unsolicited.note(connection.trail().history());
+                }
+                let text = format!("{address}: {cause}");
                 let fault = match unsent {
                     Some(_) => Fault::NotSent(text),
                     None => Fault::Broken(text),
--- a/crates/link/src/client/unsolicited.rs
+++ b/crates/link/src/client/unsolicited.rs
@@ -59,3 +59,10 @@
         && !fault.is_timeout()
         && !fault.is_shutdown()
 }
+
+/// Returns whether a request wasn't sent because such bytes were there before.
+pub(super) fn is_cause_of(fault: &hyper::Error) -> bool {
+    let cause = fault.source();
+    let cause = cause.and_then(<dyn Error>::downcast_ref::<hyper::Error>);
+    fault.is_canceled() && cause.is_some_and(is_cause)
+}
--- a/crates/link/src/inbound.rs
+++ b/crates/link/src/inbound.rs
@@ -7,8 +7,10 @@
 use std::error::Error;
 use std::io;
 use std::io::IoSlice;
+use std::io::Read;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -17,6 +19,7 @@
 use derive_more::Display;
 use hyper_util::client::legacy::connect::Connected;
 use hyper_util::client::legacy::connect::Connection;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -53,6 +56,8 @@
 struct Count {
     granted: AtomicU64,
     received: AtomicU64,
+    /// Whether nothing was read since the last grant.
+    is_new: AtomicBool,
 }
 
 /// The peer sent more bytes than an answer may have.
@@ -74,6 +79,20 @@
         }
     }
 
+    /// Reads a byte that has arrived, even if the runtime hasn't noticed it yet. It may be late to do so, and
+    /// bytes that came before a request is written are no answer to it.
+    fn read_at_once(&self, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let byte = buffer.initialize_unfilled_to(buffer.remaining().min(1));
+        match (&*SockRef::from(&self.inner)).read(byte) {
+            Ok(count) => {
+                buffer.advance(count);
+                Poll::Ready(Ok(()))
+            }
+            Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
+            Err(fault) => Poll::Ready(Err(fault)),
+        }
+    }
+
     fn note_write(&self) {
         match self.renewal {
             Renewal::ByOwner => {}
@@ -89,12 +108,14 @@
         Self(Arc::new(Count {
             granted: AtomicU64::new(bytes),
             received: AtomicU64::new(0),
+            is_new: AtomicBool::new(false),
         }))
     }
 
     /// Allows `bytes` bytes from now on, whatever was received.
     pub fn grant(&self, bytes: u64) {
         self.0.granted.store(bytes, Ordering::Relaxed);
+        self.0.is_new.store(true, Ordering::Relaxed);
         self.renew();
     }
 
@@ -150,7 +171,10 @@
             return Poll::Pending;
         }
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.inner).poll_read(context, buffer);
+        let mut read = Pin::new(&mut self.inner).poll_read(context, buffer);
+        if self.allowance.0.is_new.swap(false, Ordering::Relaxed) && read.is_pending() {
+            read = self.read_at_once(buffer);
+        }
         let bytes = buffer.filled().len() - before;
         self.turn_bytes = match read {
             Poll::Ready(_) => self.turn_bytes + bytes,
