Acknowledge at once what a runner's connection receives

An endpoint with Nagle's algorithm holds back the second answer until the first one is acknowledged; the system acknowledges late, or with the next request, which so released the answer to the one before it in its own place.

--- a/crates/link/src/inbound.rs
+++ b/crates/link/src/inbound.rs
@@ -25,6 +25,8 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::socket;
+
 /// The most bytes that are read before other tasks, and time limits, get the thread. A flood is always ready
 /// to be read.
 const MAX_TURN_BYTES: usize = 32 * 1024;
@@ -180,6 +182,9 @@
             Poll::Ready(_) => self.turn_bytes + bytes,
             Poll::Pending => 0,
         };
+        if bytes > 0 && self.renewal == Renewal::ByOwner {
+            socket::acknowledge(&self.inner);
+        }
         if let Err(fault) = self.allowance.note(bytes as u64) {
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, fault)));
         }
--- a/crates/link/src/socket.rs
+++ b/crates/link/src/socket.rs
@@ -15,6 +15,15 @@
 /// How many unanswered probes end the connection.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
+/// Acknowledges what has been received at once. A peer with Nagle's algorithm holds back what it sends
+/// behind that, a second answer for one, until it is acknowledged: with the next request at the latest, so
+/// that it would arrive in place of that one's answer.
+pub(crate) fn acknowledge(stream: &TcpStream) {
+    if let Err(fault) = SockRef::from(stream).set_tcp_quickack(true) {
+        log::debug!("acknowledging at once failed: {fault}");
+    }
+}
+
 /// Turns off Nagle's algorithm, turns on keep-alive probes, and ends the connection if sent bytes
 /// stay unacknowledged for `unacked_timeout`.
 ///
