--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -9,7 +9,9 @@
 use adapter::config::Route;
 use adapter::header;
 use adapter::header::Additions;
+use adapter::header::Answer;
 use adapter::header::Call;
+use adapter::header::Signature;
 use adapter::runner::Load;
 use adapter::runner::State;
 use adapter::settings::Supply;
@@ -436,6 +438,10 @@
     /// head says about the runner.
     async fn classify_reply(&self, mut reply: Reply, mut attempt: Attempt) -> SendOutcome {
         let answer_headers = header::answer(&reply.head.headers);
+        if is_unsigned_success(reply.head.status, &answer_headers) {
+            self.note_failed(&attempt.runner);
+            return SendOutcome::Unknown("a success that no runner signed".to_owned());
+        }
         let now = self.node.clock.now();
         if let Some(span) = answer_headers.idle_timeout {
             // Closed a second earlier than the runner closes it, so that no request is sent on a
@@ -528,6 +534,11 @@
     rank.unwrap_or(route.priority)
 }
 
+/// Returns whether an answer claims that the request was served, though no runner signed it.
+fn is_unsigned_success(status: StatusCode, answer: &Answer) -> bool {
+    status.is_success() && !answer.not_run && answer.signature == Signature::Absent
+}
+
 /// Returns whether a status is a failure of the runner itself. A gateway timeout isn't: that runner
 /// was slow, which shows in the time that it took.
 #[must_use]
