Take no endpoint for unreachable as its report could not be had

What callers would see: refusals while an endpoint was sound. A report that could not be had (its connection was reset beyond the endpoint's limit, it was late, or it was none) counted as a connection that broke: all kept connections to the endpoint were closed, and it got no requests of any kind until it was probed, and longer with each one.

Cause: the outcome of the question on its own connection was taken for an outcome of the request's connection, which stood.

Now the request is given back as one for a process that can't say which it is: it goes elsewhere, and for a second only work whose build doesn't matter goes to the endpoint. Requests that wait for the same report share another process's answer, too, and don't ask one after the other.

an_answer_that_proves_nothing_sends_no_request asserted NotSent, which is that fault; it asserts Unidentified now (red before: NotSent) and has a case for bytes that are no answer.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -350,9 +350,7 @@
             let connection = match check {
                 Some(check) => match self.verify(address, connection, Age::Kept, check).await {
                     Ok(connection) => connection,
-                    Err(fault @ (Fault::Silent(_) | Fault::Unidentified(_))) => {
-                        return Kept::Answered(Err(fault));
-                    }
+                    Err(fault @ Fault::Unidentified(_)) => return Kept::Answered(Err(fault)),
                     // A new connection shows which process is at the address now.
                     Err(_) => continue,
                 },
--- a/crates/link/src/client/process.rs
+++ b/crates/link/src/client/process.rs
@@ -128,7 +128,11 @@
                 };
                 self.listening = Some((process, since, asked_at));
             }
-            Ok(_) => self.listening = None,
+            Ok(process) => {
+                self.listening = None;
+                let failure = process.expect(check).map(|()| process);
+                self.failure = Some((Instant::now(), failure));
+            }
             Err(_) => {
                 self.listening = None;
                 self.failure = Some((Instant::now(), shown.clone()));
@@ -192,6 +196,11 @@
         let asked_at = Instant::now();
         let asked = timeout(ANSWER_TIMEOUT, self.ask_witness(address, check)).await;
         let shown = asked.unwrap_or(Err(Fault::Silent(address)));
+        // The connection of the request itself was made, so this says nothing of whether the peer is reachable.
+        let shown = shown.map_err(|fault| {
+            log::debug!("a process wasn't identified: {fault}");
+            Fault::Unidentified(address)
+        });
         testimony.note(&shown, asked_at, connection, check);
         shown
     }
--- a/crates/link/tests/process.rs
+++ b/crates/link/tests/process.rs
@@ -41,6 +41,7 @@
 const HAS_NO_START: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnone";
 const IS_NO_REPORT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx";
 const IS_ELSEWHERE: &str = "HTTP/1.1 302 Found\r\ncontent-length: 0\r\n\r\n";
+const IS_NO_ANSWER: &str = "connection: close\r\n\r\n";
 const WORKED: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
 
 /// How often a process answers.
@@ -202,11 +203,12 @@
 #[rstest]
 #[case::is_no_report(IS_NO_REPORT)]
 #[case::is_elsewhere(IS_ELSEWHERE)]
+#[case::is_no_answer(IS_NO_ANSWER)]
 #[tokio::test]
 async fn an_answer_that_proves_nothing_sends_no_request(#[case] answer: &'static str) {
     let (address, paths) = start(answer).await;
     let sent = send(&Client::new(LIMITS), address, 7).await;
-    assert!(matches!(sent, Err(Fault::NotSent(_))), "{sent:?}");
+    assert_eq!(sent, Err(Fault::Unidentified(address)));
     assert_eq!(count(&paths, "/work"), 0);
 }
 
