--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -41,9 +41,9 @@
 pub use crate::client::mark::Marks;
 use crate::client::process::Age;
 pub use crate::client::process::Check;
+use crate::client::process::Observations;
 use crate::client::process::Process;
 pub use crate::client::process::Statement;
-use crate::client::process::Testimonies;
 pub use crate::client::reply_body::Body;
 pub use crate::client::reply_body::Unread;
 pub use crate::client::trail::History;
@@ -135,7 +135,7 @@
     marks: Marks,
     /// Unused connections, sorted by address; a few tens of addresses.
     pools: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
-    testimonies: Testimonies,
+    observations: Observations,
     made: AtomicU64,
     unsolicited: Arc<Unsolicited>,
 }
@@ -241,7 +241,7 @@
             limits,
             marks,
             pools: Mutex::default(),
-            testimonies: Testimonies::default(),
+            observations: Observations::default(),
             made: AtomicU64::new(0),
             unsolicited: Arc::default(),
         })
@@ -404,8 +404,8 @@
             pools.remove(at);
         }
         drop(pools);
-        let mut testimonies = lock(&self.testimonies);
-        testimonies.retain(|(known, _)| *known != address);
+        let mut observations = lock(&self.observations);
+        observations.retain(|(known, _)| *known != address);
     }
 
     /// Closes connections that have been unused for too long.
@@ -416,9 +416,9 @@
             idle.retain(|kept| kept.expires_at > now && !kept.connection.sender.is_closed());
         }
         pools.retain(|(_, idle)| !idle.is_empty());
-        let mut testimonies = lock(&self.testimonies);
-        testimonies.retain(|(address, testimony)| {
-            let is_used = Arc::strong_count(testimony) > 1;
+        let mut observations = lock(&self.observations);
+        observations.retain(|(address, observation)| {
+            let is_used = Arc::strong_count(observation) > 1;
             is_used || pools.binary_search_by_key(address, |(key, _)| *key).is_ok()
         });
     }
--- a/crates/link/src/client/process.rs
+++ b/crates/link/src/client/process.rs
@@ -4,9 +4,9 @@
 //! is known of that holds for all later requests on it.
 //!
 //! The question names no request, so its answer can be told from others only by its place: as the first one
-//! on its connection. It is asked on a connection of its own, the witness, which is closed afterwards, so
+//! on its connection. It is asked on a connection of its own, which is closed afterwards, so
 //! that a second answer meets no request. The answer holds for each connection that was made after the
-//! process was known to listen, and before the witness was.
+//! process was known to listen, and before the one of the question was.
 
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -76,16 +76,16 @@
     }
 }
 
-/// What the witnesses at one address have shown.
+/// What the questions at one address have shown.
 #[derive(Debug, Default)]
-pub(super) struct Testimony {
+pub(super) struct Observation {
     /// The process that has listened since the first of these times, until the second one at least.
     listening: Option<(Process, Instant, Instant)>,
     /// The last answer that showed nothing, and when it was known.
     failure: Option<(Instant, Result<Process>)>,
 }
 
-impl Testimony {
+impl Observation {
     /// Returns the process to which a connection belongs, as far as that is known.
     fn process_of(&self, connection: &Connection) -> Option<Process> {
         let (process, since, until) = self.listening?;
@@ -100,7 +100,7 @@
     }
 
     /// Returns whether an answer can show to which process a connection belongs. The expected one listened
-    /// before a new connection was made; before a kept one only if a witness has shown it.
+    /// before a new connection was made; before a kept one only if a question has shown it.
     fn could_cover(&self, connection: &Connection, age: Age, check: Check) -> bool {
         match (age, self.listening) {
             (Age::New, _) => true,
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Records what a witness showed that was asked at a time, after a connection was made.
+    /// Records what a question showed that was asked at a time, after a connection was made.
     fn note(
         &mut self,
         shown: &Result<Process>,
@@ -141,8 +141,8 @@
     }
 }
 
-/// The testimonies by address, sorted; a few tens of addresses.
-pub(super) type Testimonies = Mutex<Vec<(SocketAddr, Arc<AsyncMutex<Testimony>>)>>;
+/// The observations, by address, sorted; a few tens of addresses.
+pub(super) type Observations = Mutex<Vec<(SocketAddr, Arc<AsyncMutex<Observation>>)>>;
 
 /// Whether a connection was made for the request that is to be sent on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -172,7 +172,7 @@
         Ok(connection)
     }
 
-    /// Returns the process to which a connection belongs. Requests that wait for a witness share it.
+    /// Returns the process to which a connection belongs. Requests that wait for an answer share it.
     async fn identify(
         self: &Arc<Self>,
         address: SocketAddr,
@@ -181,32 +181,32 @@
         check: Check,
     ) -> Result<Process> {
         let began_at = Instant::now();
-        let testimony = self.testimony(address);
-        let mut testimony = testimony.lock().await;
-        if let Some(process) = testimony.process_of(connection) {
+        let observation = self.observation(address);
+        let mut observation = observation.lock().await;
+        if let Some(process) = observation.process_of(connection) {
             return Ok(process);
         }
-        if !testimony.could_cover(connection, age, check) {
+        if !observation.could_cover(connection, age, check) {
             let text = format!("{address}: the connection may belong to an earlier process");
             return Err(Fault::NotSent(text));
         }
-        if let Some(failure) = testimony.failure_after(began_at) {
+        if let Some(failure) = observation.failure_after(began_at) {
             return failure;
         }
         let asked_at = Instant::now();
-        let asked = timeout(ANSWER_TIMEOUT, self.ask_witness(address, check)).await;
+        let asked = timeout(ANSWER_TIMEOUT, self.ask_separately(address, check)).await;
         let shown = asked.unwrap_or(Err(Fault::Silent(address)));
         // The connection of the request itself was made, so this says nothing of whether the peer is reachable.
         let shown = shown.map_err(|fault| {
             log::debug!("a process wasn't identified: {fault}");
             Fault::Unidentified(address)
         });
-        testimony.note(&shown, asked_at, connection, check);
+        observation.note(&shown, asked_at, connection, check);
         shown
     }
 
-    fn testimony(&self, address: SocketAddr) -> Arc<AsyncMutex<Testimony>> {
-        let mut known = client::lock(&self.testimonies);
+    fn observation(&self, address: SocketAddr) -> Arc<AsyncMutex<Observation>> {
+        let mut known = client::lock(&self.observations);
         let found = known.binary_search_by_key(&address, |(key, _)| *key);
         let at = found.unwrap_or_else(|at| {
             known.insert(at, (address, Arc::default()));
@@ -216,13 +216,17 @@
     }
 
     /// Asks the process that listens now, on a connection that carries nothing else.
-    async fn ask_witness(self: &Arc<Self>, address: SocketAddr, check: Check) -> Result<Process> {
+    async fn ask_separately(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        check: Check,
+    ) -> Result<Process> {
         let unproven = |why: &dyn Display| Fault::NotSent(format!("{address}: {why}"));
-        let witness = self.connect(address).await?.connection;
-        let sent = self.exchange(address, witness, (check.question)(address), None);
+        let connection = self.connect(address).await?.connection;
+        let sent = self.exchange(address, connection, (check.question)(address), None);
         let mut reply = sent.await.map_err(|(_, fault)| unproven(&fault))?;
         // Keeps the connection from being reused.
-        let _witness = reply.body.connection.take();
+        let _unused = reply.body.connection.take();
         let bytes = reply.body.whole(MAX_ANSWER_BYTES).await;
         let bytes = bytes.map_err(|fault| unproven(&fault))?;
         let status = reply.head.status;
