Have test endpoints repeat the id and sign their successes

readers answered without the request's id, failing and keeping without a signature. Endpoints do both, and an answer without either is none any more: callers_that_send_nothing_hold_up_nobody got 502 for 200, and a_flood_of_long_requests_fits_the_smallest_vm::case_1_answers refused nothing, as no answer was read. What the tests assert is as before.

--- a/crates/chestnutyoke/tests/readers.rs
+++ b/crates/chestnutyoke/tests/readers.rs
@@ -234,6 +234,9 @@
     }
     let head = String::from_utf8_lossy(&read).into_owned();
     let path: Vec<&str> = head.split(' ').nth(1)?.split('/').collect();
+    let fields = head.lines().filter_map(|line| line.split_once(": "));
+    let mut ids = fields.filter(|(name, _)| *name == "request-id");
+    let (_, id) = ids.next()?;
     if path[2] == "unread" {
         sleep(Duration::from_secs(30)).await;
         return None;
@@ -241,13 +244,15 @@
     if path[1] == "plain" {
         let bytes: usize = path[2].parse().ok()?;
         let head = format!(
-            "HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-length: {bytes}\r\nconnection: close\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-stamp: s\r\ncontent-length: {bytes}\r\nconnection: close\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).await.ok()?;
         stream.write_all(&vec![b'x'; bytes]).await.ok()?;
     } else {
         let (count, bytes): (usize, usize) = (path[2].parse().ok()?, path[3].parse().ok()?);
-        let head = "HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-stamp: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
         stream.write_all(head.as_bytes()).await.ok()?;
         for id in 1..=count {
             let event = format!("id: {id}\ndata: {}\n\n", "x".repeat(bytes));
--- a/crates/relay/tests/failing.rs
+++ b/crates/relay/tests/failing.rs
@@ -28,7 +28,7 @@
 /// How long the work of a request takes.
 const WORK_TIME: Duration = Duration::from_millis(20);
 
-const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
 const FAILED_RESPONSE: &str = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n";
 
 /// What a runner does with a request.
@@ -81,7 +81,9 @@
             Behaviour::StallsRefusal => {
                 "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 9\r\n\r\n"
             }
-            Behaviour::BreaksOff => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no",
+            Behaviour::BreaksOff => {
+                "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\no"
+            }
         };
         if stream.write_all(response.as_bytes()).await.is_err() {
             return;
--- a/crates/relay/tests/keeping.rs
+++ b/crates/relay/tests/keeping.rs
@@ -22,7 +22,7 @@
 /// The least time that a VM with a disk takes to restart.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(600);
 const ANSWER: &[u8] =
-    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n";
+    b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n";
 
 /// Starts a runner that answers one request with one event.
 async fn runner() -> SocketAddr {
