--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -100,10 +100,9 @@
     pub unacked_timeout: Duration,
     /// How long an unused connection is kept.
     pub idle_timeout: Duration,
-    /// How long a connection stays unused after a response before it is reused. A faulty runner
-    /// sends a second response some milliseconds after the first. On a connection already in use
-    /// that response would be taken for the answer to the next request; on an unused connection it
-    /// closes the connection.
+    /// How long a connection stays unused after a response before it is reused. A faulty runner sends a second
+    /// response some milliseconds after the first. A request that is sent before it comes is lost behind it; an
+    /// unused connection is closed.
     pub reuse_delay: Duration,
     /// The most unused connections that are kept for each address.
     pub max_idle: usize,
--- a/crates/relay/src/fleet/runner.rs
+++ b/crates/relay/src/fleet/runner.rs
@@ -14,12 +14,12 @@
 use wire::clock::Millis;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::connections::CONNECT_TIMEOUT;
 use crate::fleet::Request;
 use crate::fleet::Software;
 use crate::fleet::health;
 use crate::fleet::silence;
 use crate::fleet::slowdown;
-use crate::node::CONNECT_TIMEOUT;
 use crate::tally;
 
 /// Prompt tokens that an engine reads in the time in which it generates one token. The ratio is
--- a/crates/relay/src/fleet/silence.rs
+++ b/crates/relay/src/fleet/silence.rs
@@ -17,12 +17,12 @@
 use serde::Serialize;
 use wire::clock::Millis;
 
+use crate::connections::CONNECT_TIMEOUT;
 use crate::fleet::Fleet;
 use crate::fleet::runner::Runner;
 use crate::fleet::runner::Target;
 use crate::fleet::told;
 use crate::fleet::told::short_hash;
-use crate::node::CONNECT_TIMEOUT;
 use crate::tally::Origin;
 
 /// The most reports that a message holds, the newest: some 400 bytes.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod answer;
 pub mod arrival;
 pub mod build;
+pub mod connections;
 pub mod content;
 pub mod crashes;
 pub mod delivered;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -14,7 +14,6 @@
 use adapter::kv::Kv;
 use adapter::settings::Settings;
 use link::client::Client;
-use link::client::Limits;
 use link::client::Marks;
 use policy::opening::Opening;
 use policy::stop::Stop;
@@ -25,6 +24,8 @@
 use wire::clock::Clock;
 use wire::clock::Millis;
 
+use crate::connections::RUNNER_LIMITS;
+use crate::connections::VM_LIMITS;
 use crate::crashes::Crashes;
 use crate::directory::Directory;
 use crate::document;
@@ -37,7 +38,6 @@
 use crate::peers;
 use crate::peers::Access;
 use crate::peers::Peers;
-use crate::plain;
 use crate::roster::Roster;
 use crate::roster::transfer::Part;
 use crate::roster::transfer::Transfer;
@@ -56,42 +56,6 @@
 /// is enough even when the service is fifty times slower, and short enough to notice a lost answer
 /// within the time in which a configuration has to be in force.
 pub const STORE_TIMEOUT: Millis = Millis::new(900);
-/// Timeout for connecting to a runner or VM. Data centres are a few milliseconds apart.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// How long sent bytes may stay unacknowledged before the connection counts as dead. Longer than
-/// two retransmissions of a packet (after 0.2 and 0.4 s). In a partition, requests on kept
-/// connections hang for this long before the failure is noticed.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(650);
-/// How long an unused connection to a runner is kept. Runners that close connections sooner
-/// announce it.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// How long a connection stays unused after an answer. A faulty runner that sends a second answer
-/// sends it within some milliseconds.
-const REUSE_DELAY: Duration = Duration::from_millis(5);
-/// The most unused connections kept to a runner. More than the requests that one VM has in flight
-/// at a runner.
-const MAX_IDLE_CONNECTIONS: usize = 24;
-/// The most bytes of a connection to a runner that are read ahead: several events, or a plain answer. Each
-/// connection may take them twice, beside the bytes that are counted: a part that waits to be taken, and
-/// the next one.
-const MAX_RUNNER_BUFFER_BYTES: usize = 16 * 1024;
-/// The most bytes of an answer that its connection has read ahead.
-pub const READ_AHEAD_BYTES: usize = 2 * MAX_RUNNER_BUFFER_BYTES;
-/// The same for connections to VMs and to the key-value service, of which histories come.
-const MAX_VM_BUFFER_BYTES: usize = 400 * 1024;
-/// The most bytes that a runner may send after the head of an answer: twice the longest answer that is
-/// passed on whole, for the framing of short chunks.
-const MAX_RUNNER_ANSWER_BYTES: u64 = 2 * plain::MAX_ANSWER_BYTES as u64;
-/// The limits of connections to VMs and to the key-value service, from VMs that take requests.
-pub const VM_LIMITS: Limits = Limits {
-    connect_timeout: CONNECT_TIMEOUT,
-    unacked_timeout: UNACKED_TIMEOUT,
-    idle_timeout: IDLE_TIMEOUT,
-    reuse_delay: Duration::ZERO,
-    max_idle: MAX_IDLE_CONNECTIONS,
-    max_buffer: MAX_VM_BUFFER_BYTES,
-    max_answer: u64::MAX,
-};
 /// Age of a VM's knowledge of the runners above which it reads their entries itself, as a
 /// percentage of the time in which a leaving runner has to stop getting new calls. In a large
 /// deployment the knowledge of most VMs is up to a second old, because it comes through two hubs,
@@ -195,13 +159,7 @@
     /// Creates the state of a process that knows no runners, routes or other VMs yet.
     #[must_use]
     pub fn new(settings: Settings, clock: Clock) -> Arc<Self> {
-        let limits = Limits {
-            reuse_delay: REUSE_DELAY,
-            max_buffer: MAX_RUNNER_BUFFER_BYTES,
-            max_answer: MAX_RUNNER_ANSWER_BYTES,
-            ..VM_LIMITS
-        };
-        let runner_client = Client::with_marks(limits, Marks::Repeated(header::request_id));
+        let runner_client = Client::with_marks(RUNNER_LIMITS, Marks::Repeated(header::request_id));
         let vm_client = Client::new(VM_LIMITS);
         let kv = Kv::new(vm_client.clone(), settings.store, STORE_TIMEOUT);
         let replicas = Replicas::new(
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -34,6 +34,7 @@
 use wire::event::Event;
 
 use crate::answer;
+use crate::connections;
 use crate::front::Fault;
 use crate::front::Result;
 use crate::memory;
@@ -57,7 +58,7 @@
     unacked_timeout: UNACKED_TIMEOUT,
     idle_timeout: IDLE_TIMEOUT,
     max_idle: MAX_IDLE_CONNECTIONS,
-    ..node::VM_LIMITS
+    ..connections::VM_LIMITS
 };
 /// How long a connection from another VM may be idle.
 const INCOMING_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
