--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admit;
 pub mod balancer;
 pub mod class;
+pub mod connections;
 pub mod crash;
 pub mod decay;
 pub mod decaying_mean;
