Bound what each listener's connections hold, and for how long

Callers saw: VMs that ran out of memory or descriptors, and no answers, while clients sent heads over the limit or without end, empty lines before a request, half heads, or connected and sent nothing.

Cause: a peer's bytes were bounded where they are decoded only by the decoder's own limits: a read buffer of some 400 KB a connection, also while a body comes. Of the configuration's limits `headerBytes` and `headerMs` weren't read, and idle connections ended after a minute whatever `idleMs` said. Nothing bounded how many connections there are, or what their heads hold together; accepting went on until descriptors ended. A flood that the decoder swallows kept the thread.

Now every listener of the roles `front` and `store` has a share of the process's memory and descriptors (`relay::ingress`), `link::ingress` reads 8 KB of a head at a time and lets others run, and `policy::connections` decides who is let go when there is no room. `headerBytes`, `headerMs` and `idleMs` are in force from their version on, for open connections as well; before it, 64 KB or 16 KB, 10 s and a minute. A refused head is followed by up to 512 KB that are read and thrown away, so that the 431 isn't lost with a reset. Bodies without a length may bring sixteen bytes of framing a byte of data.

--- a/crates/chestnutyoke/tests/readers.rs
+++ b/crates/chestnutyoke/tests/readers.rs
@@ -173,9 +173,8 @@
     for (ip, centre) in ips.iter().zip(["a", "b", "c"]) {
         let address = SocketAddr::new(*ip, file::PEERS);
         let listener = listen::bind(address).await.unwrap();
-        let idle = Duration::from_mins(1);
         let answer = move |request| answer_member(request, turns);
-        tokio::spawn(listen::run(listener, Arc::default(), idle, answer));
+        tokio::spawn(listen::run(listener, Arc::default(), answer));
         members.push(Member {
             vm: format!("store-{centre}-1"),
             centre: centre.to_owned(),
--- a/crates/link/src/accept.rs
+++ b/crates/link/src/accept.rs
@@ -16,12 +16,21 @@
 /// can't keep it open. Equals the number that the kernel queues.
 const BACKLOG: usize = 1_024;
 
+/// What to do after a connection was accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Accept the next one.
+    Accept,
+    /// Let others run first, so that they close theirs.
+    Yield,
+}
+
 /// Passes each accepted connection to `on_connection` until `closed` is cancelled, then those that are
 /// still pending.
 pub async fn run(
     listener: TcpListener,
     closed: &CancellationToken,
-    mut on_connection: impl FnMut(TcpStream),
+    mut on_connection: impl FnMut(TcpStream) -> Next,
 ) {
     loop {
         let accepted = tokio::select! {
@@ -30,7 +39,10 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _from)) => on_connection(stream),
+            Ok((stream, _from)) => match on_connection(stream) {
+                Next::Accept => {}
+                Next::Yield => tokio::task::yield_now().await,
+            },
             Err(fault) => {
                 log::warn!("accept failed: {fault}");
                 tokio::time::sleep(FAILED_ACCEPT_DELAY).await;
@@ -55,12 +67,14 @@
 /// Returns the last failure, after all other connections have been accepted.
 fn accept_pending(
     mut accept: impl FnMut() -> io::Result<net::TcpStream>,
-    mut on_connection: impl FnMut(TcpStream),
+    mut on_connection: impl FnMut(TcpStream) -> Next,
 ) -> io::Result<()> {
     let mut outcome = Ok(());
     for _ in 0..BACKLOG {
         match accept().and_then(prepare) {
-            Ok(stream) => on_connection(stream),
+            Ok(stream) => {
+                let _next = on_connection(stream);
+            }
             Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => break,
             Err(fault) => outcome = Err(fault),
         }
--- a/crates/link/src/accept/tests.rs
+++ b/crates/link/src/accept/tests.rs
@@ -19,7 +19,10 @@
         Ok(listener.accept()?.0)
     };
     let mut accepted = 0;
-    let _last_failure = accept_pending(accept, |_stream| accepted += 1);
+    let _last_failure = accept_pending(accept, |_stream| {
+        accepted += 1;
+        Next::Accept
+    });
     assert_eq!(accepted, 3);
 }
 
@@ -32,6 +35,6 @@
         attempts += 1;
         Err(io::Error::from_raw_os_error(24))
     };
-    let _last_failure = accept_pending(accept, |_stream| {});
+    let _last_failure = accept_pending(accept, |_stream| Next::Accept);
     assert!(attempts <= BACKLOG);
 }
--- a/crates/link/src/body.rs
+++ b/crates/link/src/body.rs
@@ -13,7 +13,6 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use tokio::sync::mpsc;
 
@@ -150,7 +149,11 @@
 ///
 /// Closing a connection that has unread bytes resets it, and the peer may never see the response
 /// that was sent before.
-pub async fn discard(body: Incoming, limit: usize) {
+pub async fn discard<B>(body: B, limit: usize)
+where
+    B: hyper::body::Body + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let mut body = Limited::new(body, limit);
     // Stops reading if the body exceeds the limit or breaks off.
     while let Some(Ok(_frame)) = body.frame().await {}
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -14,11 +14,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
+use crate::ingress::Stream;
+
 /// While the server stops, how long after its start a connection may still send its first request.
 pub const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// The least time that a connection without a request gets after the drain begins, so that a
@@ -37,7 +38,7 @@
 ///
 /// Fails if the connection breaks off or receives something that can't be parsed.
 pub async fn serve<H, F, B>(
-    stream: TcpStream,
+    stream: &mut Stream,
     protocol: &http1::Builder,
     draining: &CancellationToken,
     handler: H,
--- a/crates/link/src/connection/tests.rs
+++ b/crates/link/src/connection/tests.rs
@@ -4,6 +4,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use super::*;
@@ -29,7 +30,9 @@
     let (stream, _from) = accepted.unwrap();
     let server_draining = draining.clone();
     let served = tokio::spawn(async move {
-        let _ended = serve(stream, &http1::Builder::new(), &server_draining, hello).await;
+        let mut stream = Stream::new(stream);
+        let protocol = http1::Builder::new();
+        let _ended = serve(&mut stream, &protocol, &server_draining, hello).await;
     });
     Pair {
         caller: caller.unwrap(),
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod connection;
 pub mod head;
 pub mod inbound;
+pub mod ingress;
 pub mod listen;
 pub mod output;
 pub mod segments;
--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -3,6 +3,9 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -10,25 +13,87 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioTimer;
+use policy::connections;
+use policy::connections::Id;
+use policy::connections::Table;
+use policy::connections::UNREAD_BYTES;
+use policy::connections::Verdict;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
+use wire::clock::Clock;
+use wire::clock::Millis;
 
 use crate::accept;
+use crate::accept::Next;
 use crate::body::Body;
 use crate::connection;
+use crate::ingress;
+use crate::ingress::Connection;
+use crate::ingress::Guarded;
 use crate::socket;
 
 /// How long bytes sent to a caller may go unacknowledged. This is longer than any partition that a
 /// caller would wait out.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The most connections, and the most bytes that they may hold, of a listener without limits of its own.
+const DEFAULT_CONNECTIONS: usize = 4_096;
+const DEFAULT_BYTES: u64 = 256 * 1024 * 1024;
+/// How long a head may take, and a connection wait, at a listener without limits of its own.
+const DEFAULT_TIME: Millis = Millis::new(60_000);
+/// The largest head that a listener takes at all, in bytes, and that of one without limits of its own.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
+const DEFAULT_HEAD_BYTES: usize = 64 * 1024;
+/// What a head may have beyond the stated limit: callers may not count empty lines or the request line.
+const HEAD_SLACK_BYTES: usize = 1024;
+
+/// What the callers of a listener may send and hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The limits of its connections.
+    pub connections: connections::Limits,
+    /// The largest head in bytes.
+    pub head_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: connections::Limits {
+                count: DEFAULT_CONNECTIONS,
+                bytes: DEFAULT_BYTES,
+                head_time: DEFAULT_TIME,
+                idle_time: DEFAULT_TIME,
+            },
+            head_bytes: DEFAULT_HEAD_BYTES,
+        }
+    }
+}
+
+/// What became of the connections of a listener.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// How many were let go for others.
+    pub let_go: u64,
+    /// How many were ended as their time was up.
+    pub expired: u64,
+    /// How many were turned away without room.
+    pub turned_away: u64,
+}
+
 /// The connections of a listener, and the signals by which the process shuts it down.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Connections {
     open: AtomicUsize,
+    state: Mutex<State>,
+    head_bytes: AtomicUsize,
+    clock: Clock,
     /// Cancelled when the process begins to stop. A connection that is made from then on gets one
     /// response.
     pub stopping: CancellationToken,
@@ -40,23 +105,162 @@
     pub closed: CancellationToken,
 }
 
+#[derive(Debug)]
+struct State {
+    table: Table,
+    /// Ends each connection; sorted by id, because ids only grow.
+    ends: Vec<(Id, CancellationToken)>,
+    figures: Figures,
+}
+
+impl State {
+    /// Ends the connections that the table has let go. Returns how many.
+    fn end_connections(&mut self) -> u64 {
+        let ended = self.table.take_ended();
+        for id in &ended {
+            if let Ok(at) = self.ends.binary_search_by_key(id, |(known, _)| *known) {
+                self.ends.remove(at).1.cancel();
+            }
+        }
+        ended.len() as u64
+    }
+}
+
+impl Default for Connections {
+    fn default() -> Self {
+        Self::new(Limits::default())
+    }
+}
+
 impl Connections {
+    /// Creates a listener without connections.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        let state = State {
+            table: Table::new(limits.connections),
+            ends: Vec::new(),
+            figures: Figures::default(),
+        };
+        Self {
+            open: AtomicUsize::new(0),
+            state: Mutex::new(state),
+            head_bytes: AtomicUsize::new(head_limit(limits.head_bytes)),
+            clock: Clock::System,
+            stopping: CancellationToken::new(),
+            draining: CancellationToken::new(),
+            closed: CancellationToken::new(),
+        }
+    }
+
+    /// Sets the limits, also for the connections that are open.
+    pub fn set_limits(&self, limits: Limits) {
+        let head_bytes = head_limit(limits.head_bytes);
+        self.head_bytes.store(head_bytes, Ordering::Relaxed);
+        self.lock().table.set_limits(limits.connections);
+    }
+
     /// Returns how many connections are open.
     #[must_use]
     pub fn open(&self) -> usize {
         self.open.load(Ordering::Relaxed)
     }
-}
 
-/// Counts one connection as open until dropped.
-struct OpenGuard(Arc<Connections>);
+    /// Returns what became of the connections so far.
+    #[must_use]
+    pub fn figures(&self) -> Figures {
+        self.lock().figures
+    }
 
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    /// Ends the connections whose time is up.
+    pub fn expire(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.table.expire(now);
+        state.figures.expired += state.end_connections();
+    }
+
+    /// Returns the largest head in bytes.
+    pub(crate) fn head_bytes(&self) -> usize {
+        self.head_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether connections were turned away within `span`.
+    pub(crate) fn is_crowded(&self, span: Duration) -> bool {
+        let full_at = self.lock().table.full_at();
+        full_at.is_some_and(|at| self.clock.now().since(at) < Millis::from(span))
+    }
+
+    pub(crate) fn note_head(&self, id: Id, bytes: u64) {
+        let now = self.clock.now();
+        self.change(|table| table.note_head(id, bytes, now));
+    }
+
+    pub(crate) fn begin_request(&self, id: Id, bytes: u64, fields: u64) -> Verdict {
+        let now = self.clock.now();
+        self.change(|table| table.begin_request(id, bytes, fields, now))
+    }
+
+    pub(crate) fn end_request(&self, id: Id) {
+        let now = self.clock.now();
+        self.change(|table| table.end_request(id, now));
+    }
+
+    pub(crate) fn note_blocked(&self, id: Id) {
+        let now = self.clock.now();
+        self.change(|table| table.note_blocked(id, now));
+    }
+
+    pub(crate) fn close(&self, id: Id) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+        let mut state = self.lock();
+        state.table.close(id);
+        if let Ok(at) = state.ends.binary_search_by_key(&id, |(known, _)| *known) {
+            state.ends.remove(at);
+        }
+    }
+
+    /// Takes up a connection; `None` if there is no room for it.
+    fn admit(self: &Arc<Self>) -> Option<Arc<Connection>> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let id = state.table.open(now);
+        state.figures.let_go += state.end_connections();
+        let Some(id) = id else {
+            state.figures.turned_away += 1;
+            return None;
+        };
+        let ended = CancellationToken::new();
+        state.ends.push((id, ended.clone()));
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Some(Connection::new(self.clone(), id, ended))
+    }
+
+    /// Returns whether connections that were let go have to close before the next one is accepted.
+    fn next_step(&self) -> Next {
+        let count = self.lock().table.limits().count;
+        if self.open() > count {
+            return Next::Yield;
+        }
+        Next::Accept
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut Table) -> T) -> T {
+        let mut state = self.lock();
+        let outcome = change(&mut state.table);
+        state.figures.let_go += state.end_connections();
+        outcome
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Returns the bytes that a head may have where `stated` are allowed.
+fn head_limit(stated: usize) -> usize {
+    stated.saturating_add(HEAD_SLACK_BYTES).min(MAX_HEAD_BYTES)
+}
+
 /// Binds a listener.
 ///
 /// # Errors
@@ -67,47 +271,85 @@
 }
 
 /// Accepts connections until `connections.closed` is cancelled, and answers each request with
-/// `handler`. A connection may be idle for `idle`.
-pub async fn run<H, F>(
-    listener: TcpListener,
-    connections: Arc<Connections>,
-    idle: Duration,
-    handler: H,
-) where
+/// `handler`.
+pub async fn run<H, F>(listener: TcpListener, connections: Arc<Connections>, handler: H)
+where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
+    if let Err(fault) = SockRef::from(&listener).set_recv_buffer_size(UNREAD_BYTES) {
+        log::debug!("setting the receive buffer of a listener failed: {fault}");
+    }
     let spawn = |stream| {
-        connections.open.fetch_add(1, Ordering::Relaxed);
-        let guard = OpenGuard(connections.clone());
-        tokio::spawn(connection(stream, guard, idle, handler.clone()));
+        let Some(connection) = connections.admit() else {
+            return Next::Accept;
+        };
+        let served = serve(stream, connections.clone(), connection, handler.clone());
+        tokio::spawn(served);
+        connections.next_step()
     };
     accept::run(listener, &connections.closed, spawn).await;
 }
 
-async fn connection<H, F>(stream: TcpStream, guard: OpenGuard, idle: Duration, handler: H)
-where
+async fn serve<H, F>(
+    stream: TcpStream,
+    connections: Arc<Connections>,
+    connection: Arc<Connection>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     if let Err(fault) = socket::prepare(&stream, UNACKED_TIMEOUT) {
         log::debug!("setting socket options for a caller failed: {fault}");
     }
-    let connections = &guard.0;
     // A connection that arrives while the process stops gets one response. Closing it unread would
     // turn its caller away although there is time to serve it.
-    let stopping = connections.stopping.is_cancelled();
-    let idle = if stopping {
-        idle.min(connection::FIRST_REQUEST_TIMEOUT)
-    } else {
-        idle
-    };
+    let is_stopping = connections.stopping.is_cancelled();
+    let head_bytes = connection.head_bytes;
     let mut protocol = http1::Builder::new();
     protocol
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .keep_alive(!stopping);
-    if let Err(fault) = connection::serve(stream, &protocol, &connections.draining, handler).await {
+        .max_header_size(head_bytes)
+        .max_buf_size(head_bytes + ingress::HEAD_READ_BYTES)
+        .keep_alive(!is_stopping);
+    if is_stopping {
+        protocol
+            .timer(TokioTimer::new())
+            .header_read_timeout(connection::FIRST_REQUEST_TIMEOUT);
+    }
+    let tracked = connection.clone();
+    let respond = move |mut request| {
+        let guard = tracked.begin(&mut request);
+        // Boxed, as each future that awaits another one by value has room for it twice.
+        let response = Box::pin(handler(request));
+        let tracked = tracked.clone();
+        async move {
+            let mut response = response.await;
+            if tracked.is_outdated() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            response.map(|body| Guarded {
+                body,
+                _guard: guard,
+            })
+        }
+    };
+    let mut stream = ingress::Stream::tracked(stream, connection.clone());
+    let served = connection::serve(&mut stream, &protocol, &connections.draining, respond);
+    let outcome = tokio::select! {
+        biased;
+        outcome = served => outcome,
+        () = connection.ended.cancelled() => return,
+    };
+    if let Err(fault) = outcome {
         log::debug!("a caller's connection ended: {fault}");
+        if fault.is_parse() {
+            tokio::select! {
+                biased;
+                () = connection.ended.cancelled() => {}
+                () = stream.linger() => {}
+            }
+        }
     }
 }
--- a/crates/node/src/http/listen.rs
+++ b/crates/node/src/http/listen.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioTimer;
 use link::accept;
 use link::connection;
+use link::ingress;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
@@ -125,6 +126,7 @@
         let end = lifetime.end.clone();
         let served = serve(stream, slot, admission, end, core.clone(), handler);
         lifetime.tasks.spawn(served);
+        accept::Next::Accept
     };
     accept::run(listener, &lifetime.end, accept).await;
 }
@@ -154,7 +156,8 @@
         async move { close_if_stopping(&core, answer.await) }
     };
     // Errors of a connection concern its caller alone. The filters report what ran.
-    let _ended = connection::serve(stream, &protocol, &end, answer).await;
+    let mut stream = ingress::Stream::new(stream);
+    let _ended = connection::serve(&mut stream, &protocol, &end, answer).await;
 }
 
 /// Makes a stopping node close each connection after its response. If it closed the connection
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -1,6 +1,5 @@
 //! The arrival of a request: it is read, routed, and accepted or refused.
 
-use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +19,9 @@
 use hyper::http::request;
 use link::body;
 use link::body::Body;
+use link::ingress::Meter;
+use link::ingress::Metered;
+use policy::connections::Verdict;
 use policy::memory::Step;
 use policy::prefix;
 use tokio::time::Instant;
@@ -36,8 +38,8 @@
 use crate::identity;
 use crate::identity::Access;
 use crate::identity::Identity;
-use crate::job;
 use crate::job::Job;
+use crate::job::rank;
 use crate::kept;
 use crate::metrics::Counter;
 use crate::node::Node;
@@ -127,16 +129,19 @@
     call: Call,
     arrived: Instant,
 ) -> Result<Job, Refusal> {
-    let (head, mut incoming) = request.into_parts();
+    let (mut head, incoming) = request.into_parts();
+    let meter = head.extensions.remove::<Meter>();
+    let mut incoming = Metered::new(incoming, meter.clone());
     let mut body_requested = !expects_continue(&head.headers);
     let received = async {
+        check_room(meter.as_ref())?;
         let routed = route(node, &head, &call, arrived).await?;
         if !body_requested && incoming.size_hint().lower() > routed.table.body_bytes as u64 {
             return Err(Refusal::new(Code::BodyTooLarge, ""));
         }
         let memory = hold_body(node, &routed, &incoming).await?;
         body_requested = true;
-        let body = receive(node, &routed, &mut incoming, memory).await?;
+        let body = receive(node, &routed, &mut incoming, meter.as_ref(), memory).await?;
         // The key may have been taken away while the body was received.
         identify(node, &routed.route, &call)?;
         Ok::<_, Refusal>((routed, body))
@@ -155,6 +160,18 @@
             return Err(refusal);
         }
     };
+    job(node, head, call, routed, body, arrived)
+}
+
+/// Joins what is known of a request that was read.
+fn job(
+    node: &Arc<Node>,
+    head: request::Parts,
+    call: Call,
+    routed: RoutedRequest,
+    body: Bytes,
+    arrived: Instant,
+) -> Result<Job, Refusal> {
     let RoutedRequest {
         table,
         route,
@@ -204,7 +221,7 @@
 async fn hold_body(
     node: &Node,
     routed: &RoutedRequest,
-    incoming: &Incoming,
+    incoming: &Metered<Incoming>,
 ) -> Result<Held, Refusal> {
     let most = routed.table.body_bytes as u64;
     let bytes = match incoming.size_hint().exact() {
@@ -212,19 +229,28 @@
         None => most.min(node.holdings.limit()),
     };
     let wait = Millis::from(routed.deadline.saturating_duration_since(Instant::now()));
-    let rank = job::rank(&routed.identity, &routed.route);
+    let rank = rank(&routed.identity, &routed.route);
     let claim = node.holdings.claim(Step::Arrival, rank, bytes, wait);
     let latest_end = kept::latest_end(&routed.route, routed.deadline);
     shutdown::with_send_deadline(node, latest_end, claim).await?
 }
 
-/// Waits until others need the memory of a long body that has had its time to arrive.
-async fn until_awaited(holdings: &Holdings, bytes: u64) {
-    if bytes < holdings.limit() / LONG_BODY_DIVISOR {
-        return pending().await;
+/// Refuses a request for whose head the listener has no room.
+fn check_room(meter: Option<&Meter>) -> Result<(), Refusal> {
+    if meter.is_none_or(|meter| meter.verdict() == Verdict::Admitted) {
+        return Ok(());
     }
+    let refusal = Refusal::new(Code::MemoryTaken, "there is no room for the request's head");
+    Err(refusal.retry_after(refuse::RETRY_DELAY))
+}
+
+/// Waits until others need the memory of a long body, or the connection of any, that has had its time to
+/// arrive.
+async fn until_awaited(holdings: &Holdings, bytes: u64, meter: Option<&Meter>) {
+    let is_long = bytes >= holdings.limit() / LONG_BODY_DIVISOR;
+    let is_crowded = || meter.is_some_and(|meter| meter.is_crowded(BODY_TIME));
     sleep(BODY_TIME).await;
-    while !holdings.is_awaited() {
+    while !(is_long && holdings.is_awaited() || is_crowded()) {
         sleep(AWAITED_POLL_INTERVAL).await;
     }
 }
@@ -233,7 +259,8 @@
 async fn receive(
     node: &Node,
     routed: &RoutedRequest,
-    incoming: &mut Incoming,
+    incoming: &mut Metered<Incoming>,
+    meter: Option<&Meter>,
     memory: Held,
 ) -> Result<Bytes, Refusal> {
     let limit = match incoming.size_hint().exact() {
@@ -244,8 +271,8 @@
         tokio::select! {
             biased;
             read = timeout_at(routed.deadline, body::read(incoming, limit)) => read,
-            () = until_awaited(&node.holdings, memory.bytes()) => Ok(Err(body::Fault::Broken(
-                "others wait for the memory of what the caller doesn't send".to_owned(),
+            () = until_awaited(&node.holdings, memory.bytes(), meter) => Ok(Err(body::Fault::Broken(
+                "others wait for the room of what the caller doesn't send".to_owned(),
             ))),
         }
     };
--- a/crates/relay/src/drain/tests.rs
+++ b/crates/relay/src/drain/tests.rs
@@ -23,8 +23,7 @@
     let listener = listen::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let address = listener.local_addr().unwrap();
     let handler = |_request| std::future::ready(hyper::Response::new(Body::whole("")));
-    let idle = Duration::from_mins(1);
-    let listening = tokio::spawn(listen::run(listener, connections.clone(), idle, handler));
+    let listening = tokio::spawn(listen::run(listener, connections.clone(), handler));
     let (stopping_node, stopping_connections) = (node.clone(), connections.clone());
     let drained =
         tokio::spawn(async move { run(&stopping_node, &stopping_connections, listening).await });
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -10,7 +10,6 @@
 use derive_more::Error;
 use derive_more::From;
 use link::listen;
-use link::listen::Connections;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use wire::clock::Clock;
@@ -34,9 +33,6 @@
 use crate::stray;
 use crate::subject::Subject;
 
-/// How long a caller's connection may be idle: longer than any limit that operators set, because
-/// callers close first.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 /// How often the members (VMs with a disk) are checked: often enough that a partition is noticed
 /// before the load balancer's next readiness check, and that turns are served again soon after it
 /// ends.
@@ -92,10 +88,8 @@
     let ready = settings.ready.ok_or(Fault::Missing("ready"))?;
     let ip = callers.ip();
     let peer_address = SocketAddr::new(ip, settings.first_port);
-    let connections = Arc::new(Connections::default());
     let listener = listen_all(
         &node,
-        &connections,
         callers,
         ready,
         peer_address,
@@ -117,14 +111,13 @@
     tokio::spawn(check_members(node.clone()));
     tokio::spawn(sweep(node.clone()));
     stop.await;
-    drain::run(&node, &connections, listener).await;
+    drain::run(&node, &node.listeners.callers, listener).await;
     Ok(())
 }
 
 /// Opens all listeners; returns the task of the listener for callers.
 async fn listen_all(
     node: &Arc<Node>,
-    connections: &Arc<Connections>,
     callers: SocketAddr,
     ready: SocketAddr,
     peer_address: SocketAddr,
@@ -133,43 +126,26 @@
     let shared = node.clone();
     let handler = move |request| arrival::serve(shared.clone(), request);
     let listener = listen::bind(callers).await?;
-    let listening = tokio::spawn(listen::run(
-        listener,
-        connections.clone(),
-        CALLER_IDLE_TIMEOUT,
-        handler,
-    ));
+    let connections = node.listeners.callers.clone();
+    let listening = tokio::spawn(listen::run(listener, connections, handler));
 
     let shared = node.clone();
     let handler = move |_request| std::future::ready(probe::answer_readiness(&shared));
     let listener = listen::bind(ready).await?;
-    tokio::spawn(listen::run(
-        listener,
-        Arc::default(),
-        CALLER_IDLE_TIMEOUT,
-        handler,
-    ));
+    let connections = node.listeners.ready.clone();
+    tokio::spawn(listen::run(listener, connections, handler));
 
     let shared = node.clone();
     let handler = move |request| exchange::serve(shared.clone(), request);
     let listener = listen::bind(peer_address).await?;
-    tokio::spawn(listen::run(
-        listener,
-        Arc::default(),
-        CALLER_IDLE_TIMEOUT,
-        handler,
-    ));
+    let connections = node.listeners.vms.clone();
+    tokio::spawn(listen::run(listener, connections, handler));
 
     let shared = node.clone();
-    let counted = connections.clone();
-    let handler = move |_request| std::future::ready(probe::answer_metrics(&shared, &counted));
+    let handler = move |_request| std::future::ready(probe::answer_metrics(&shared));
     let listener = listen::bind(metrics).await?;
-    tokio::spawn(listen::run(
-        listener,
-        Arc::default(),
-        CALLER_IDLE_TIMEOUT,
-        handler,
-    ));
+    let connections = node.listeners.metrics.clone();
+    tokio::spawn(listen::run(listener, connections, handler));
     Ok(listening)
 }
 
@@ -188,10 +164,12 @@
 /// been missing for too long, and probes unreachable runners.
 async fn sweep(node: Arc<Node>) {
     let mut proof_log = identity::ChangeLog::default();
+    let mut connections = listen::Figures::default();
     loop {
         sleep(SWEEP_INTERVAL).await;
         node.runner_client.sweep();
         node.vm_client.sweep();
+        node.listeners.sweep(&mut connections);
         stray::log_unsolicited(&node);
         let now = node.clock.now();
         let gone = node.fleet().remove_missing(now);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod history;
 pub mod identity;
 pub mod ingest;
+pub mod ingress;
 pub mod job;
 pub mod kept;
 pub mod member_health;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -33,6 +33,7 @@
 use crate::freshness::Stamp;
 use crate::held::Holdings;
 use crate::identity;
+use crate::ingress::Listeners;
 use crate::member_health;
 use crate::metrics::Metrics;
 use crate::peers;
@@ -140,6 +141,8 @@
     pub document_permits: document::Permits,
     /// What is fetched from other VMs.
     document_fetches: Mutex<document::Fetches>,
+    /// The connections of the listeners.
+    pub listeners: Listeners,
     /// Work in progress.
     pub work: Arc<work::Registry>,
 }
@@ -202,6 +205,7 @@
             runners_current_at: AtomicU64::new(0),
             document_permits: document::Permits::default(),
             document_fetches: Mutex::default(),
+            listeners: Listeners::new(&settings),
             work: Arc::default(),
             settings,
             clock,
@@ -235,6 +239,7 @@
         if in_force.table.loaded && table.version <= in_force.table.version {
             return false;
         }
+        self.listeners.apply(&self.settings, &table);
         in_force.table = Arc::new(table);
         in_force.unreadable = false;
         true
--- a/crates/relay/src/probe.rs
+++ b/crates/relay/src/probe.rs
@@ -3,10 +3,10 @@
 use hyper::Response;
 use hyper::StatusCode;
 use link::body::Body;
-use link::listen::Connections;
 
 use crate::answer;
 use crate::memory;
+use crate::metrics;
 use crate::node::Node;
 
 /// Answers whether the VM takes callers. Ignores the path, because nothing else is asked there.
@@ -20,7 +20,7 @@
 
 /// Answers with the metrics.
 #[must_use]
-pub fn answer_metrics(node: &Node, connections: &Connections) -> Response<Body> {
+pub fn answer_metrics(node: &Node) -> Response<Body> {
     // Taken before the array is built: otherwise the lock would be held until the array is
     // complete, and `is_ready` locks it again.
     let load = node.fleet().load(node.clock.now());
@@ -35,7 +35,7 @@
         ("requests_at_runners", load.own_requests),
         ("slots", load.slots),
         ("slots_occupied", load.occupied),
-        ("connections", connections.open() as u64),
+        ("connections", node.listeners.callers.open() as u64),
         ("runners", load.runners),
         ("runners_slowed", load.slowed),
         ("runners_age_ms", node.runners_age().as_u64()),
@@ -53,5 +53,11 @@
         ("memory_bytes", memory::resident()),
         ("ready", u64::from(node.is_ready())),
     ];
-    answer::text(StatusCode::OK, node.metrics.render(&gauges))
+    let figures = node.listeners.figures();
+    // Behind all others, as some scrapers read only the first kilobytes.
+    let connections = metrics::render(&[
+        ("connections_ended", figures.let_go + figures.expired),
+        ("connections_turned_away", figures.turned_away),
+    ]);
+    answer::text(StatusCode::OK, node.metrics.render(&gauges) + &connections)
 }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -37,6 +37,7 @@
 use crate::connections;
 use crate::front::Fault;
 use crate::front::Result;
+use crate::ingress::Listeners;
 use crate::memory;
 use crate::metrics;
 use crate::node;
@@ -60,8 +61,8 @@
     max_idle: MAX_IDLE_CONNECTIONS,
     ..connections::VM_LIMITS
 };
-/// How long a connection from another VM may be idle.
-const INCOMING_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+/// How often connections are ended whose time is up.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a watch waits at the service for the request to retire this VM. A watch that waits for
 /// longer than the service keeps its history breaks off, and the request has to be read again.
 const WATCH_TIMEOUT: Millis = Millis::new(20_000);
@@ -87,7 +88,7 @@
 pub async fn run(settings: Settings, metrics_port: u16, reloads: Reloads) -> Result<()> {
     let clock = Clock::System;
     let grace = settings.grace;
-    let conns = Arc::new(Connections::default());
+    let listeners = Listeners::new(&settings);
     let folder = settings.data.clone().ok_or(Fault::Missing("data folder"))?;
     let new_disk_id = rand::rng().random::<u64>();
     let member = server::open(&folder, settings.disk_bytes, new_disk_id, clock.clone()).await?;
@@ -95,7 +96,8 @@
     let ip = settings.ip.parse();
     let ip = ip.map_err(|_| Fault::Missing("IP address"))?;
     let address = SocketAddr::new(ip, settings.first_port);
-    listen_all(&member, &conns, address, SocketAddr::new(ip, metrics_port)).await?;
+    let metrics_address = SocketAddr::new(ip, metrics_port);
+    listen_all(&member, &listeners, address, metrics_address).await?;
     log::info!(
         "event=E{} text=\"{}\" vm={} role=store vms={address}",
         Event::NodeStarted.number(),
@@ -123,6 +125,8 @@
     };
     tokio::spawn(driver.run());
     tokio::spawn(retire(kv, settings.vm.clone(), phase, phases));
+    let conns = listeners.vms.clone();
+    tokio::spawn(sweep(listeners));
     signals.stopped().await;
     log::info!(
         "event=E{} text=\"{}\"",
@@ -158,21 +162,25 @@
     let _unflushed = timeout(FLUSH_TIMEOUT, all_closed).await;
 }
 
+/// Repeatedly ends the connections whose time is up.
+async fn sweep(listeners: Listeners) {
+    let mut logged = listen::Figures::default();
+    loop {
+        sleep(SWEEP_INTERVAL).await;
+        listeners.sweep(&mut logged);
+    }
+}
+
 async fn listen_all(
     member: &Arc<Member>,
-    connections: &Arc<Connections>,
+    listeners: &Listeners,
     address: SocketAddr,
     metrics_address: SocketAddr,
 ) -> Result<()> {
     let shared = member.clone();
     let handler = move |request| server::serve(shared.clone(), request);
     let listener = listen::bind(address).await?;
-    tokio::spawn(listen::run(
-        listener,
-        connections.clone(),
-        INCOMING_IDLE_TIMEOUT,
-        handler,
-    ));
+    tokio::spawn(listen::run(listener, listeners.vms.clone(), handler));
 
     let shared = member.clone();
     let handler = move |_request| {
@@ -188,12 +196,7 @@
         std::future::ready(answer::text(StatusCode::OK, text))
     };
     let listener = listen::bind(metrics_address).await?;
-    tokio::spawn(listen::run(
-        listener,
-        Arc::default(),
-        INCOMING_IDLE_TIMEOUT,
-        handler,
-    ));
+    tokio::spawn(listen::run(listener, listeners.metrics.clone(), handler));
     Ok(())
 }
 
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -7,6 +7,7 @@
 use adapter::config::Route;
 use adapter::config::Service;
 use bytes::Bytes;
+use wire::clock::Millis;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::workspace::Index;
@@ -18,8 +19,12 @@
     pub version: u64,
     /// Whether a configuration has been read yet.
     pub loaded: bool,
-    /// How long a caller's connection may be idle, in milliseconds.
-    pub idle_ms: u64,
+    /// The largest head of a caller's request in bytes.
+    pub head_bytes: usize,
+    /// How long a head may take.
+    pub head_time: Millis,
+    /// How long a caller's connection may be idle.
+    pub idle_time: Millis,
     /// The largest body in bytes.
     pub body_bytes: usize,
     /// The configuration's bytes as they were read, for other VMs.
@@ -46,7 +51,9 @@
         Self {
             version: config.version,
             loaded: true,
-            idle_ms: config.idle.as_u64(),
+            head_bytes: config.head_bytes,
+            head_time: config.head_time,
+            idle_time: config.idle,
             body_bytes: config.body_bytes,
             document: Bytes::copy_from_slice(document),
             workspaces,
--- a/crates/relay/tests/opening.rs
+++ b/crates/relay/tests/opening.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 
 use link::listen;
 use relay::account;
@@ -54,8 +53,7 @@
     });
     let shared = member.clone();
     let handler = move |request| server::serve(shared.clone(), request);
-    let limit = Duration::from_secs(9);
-    tokio::spawn(listen::run(listener, Arc::default(), limit, handler));
+    tokio::spawn(listen::run(listener, Arc::default(), handler));
     member.adopt(&list).await.expect("the list is kept");
     member.set_ready(list.version).await.expect("it is ready");
     list
--- a/crates/replica/tests/chain.rs
+++ b/crates/replica/tests/chain.rs
@@ -51,8 +51,7 @@
             Response::new(Body::Parts(body))
         }
     };
-    let idle = Duration::from_mins(1);
-    tokio::spawn(listen::run(listener, Arc::default(), idle, answer));
+    tokio::spawn(listen::run(listener, Arc::default(), answer));
     Member {
         vm: format!("store-{centre}-1"),
         centre: centre.to_owned(),
--- a/crates/replica/tests/list_changes.rs
+++ b/crates/replica/tests/list_changes.rs
@@ -66,12 +66,7 @@
     };
     let shared = member.clone();
     let handler = move |request| server::serve(shared.clone(), request);
-    tokio::spawn(listen::run(
-        listener,
-        Arc::default(),
-        Duration::from_secs(9),
-        handler,
-    ));
+    tokio::spawn(listen::run(listener, Arc::default(), handler));
     let first = List::default().with(&own);
     let second = first.with(&own);
     member.adopt(&second).await.unwrap();
--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -67,8 +67,7 @@
                 server::serve(member, request).await
             }
         };
-        let idle = Duration::from_secs(9);
-        tokio::spawn(listen::run(listener, Arc::default(), idle, handler));
+        tokio::spawn(listen::run(listener, Arc::default(), handler));
         Self {
             name,
             address,
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -54,6 +54,7 @@
     AnswerDisplaced = 1214, "answer broken off for the VM's memory";
     AnswerForeign = 1215, "answer isn't known to be the request's";
     BytesUnsolicited = 1216, "connection closed for unsolicited bytes";
+    ConnectionsLetGo = 1217, "connections let go for others";
     ShardClaimed = 2001, "shard claimed";
     ShardOpened = 2002, "shard opened";
     ShardReleased = 2003, "shard released";
