Bound the bodies that are read before their sender is known

What happened: 60 clients that sent 4 MB bodies but for the last byte to the VMs' address of a front, or to a VM with a disk, made it hold 306 and 309 MB, and all their connections went on until the process ended.

Cause: messages of other VMs (up to 4 MB) and requests to members (up to 16 MB) were read whole whoever sent them, as many at once as came, without a time limit. Callers' bodies are claimed from the budget of requests; these weren't.

Now `link::intake` counts their bytes as they come against a part of the memory (a sixteenth at a front, a quarter at a VM with a disk); short bodies find room beside long ones, and each has a time limit. Who finds no room gets 503, a body without a length 400: VMs always state one.

--- a/crates/chestnutyoke/tests/hostile.rs
+++ b/crates/chestnutyoke/tests/hostile.rs
@@ -272,6 +272,7 @@
         Form::Fields,
         Form::HalfHead,
         Form::ManyFields,
+        Form::HalfBody,
         Form::ChunkBytes,
         Form::Pipelined
     )]
@@ -294,6 +295,7 @@
         Form::Fields,
         Form::HalfHead,
         Form::ManyFields,
+        Form::HalfBody,
         Form::ChunkBytes,
         Form::Pipelined
     )]
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod head;
 pub mod inbound;
 pub mod ingress;
+pub mod intake;
 pub mod listen;
 pub mod output;
 pub mod segments;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -21,7 +21,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use link::body;
 use link::body::Body;
 use link::body::Payload;
 use link::client;
@@ -52,6 +51,8 @@
 const MESSAGE_TIME: Duration = Duration::from_millis(20);
 /// How long an exchange may take.
 pub const TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a message may take to come: its sender has given it up by then.
+const MESSAGE_READ_TIME: Duration = Duration::from_secs(1);
 /// The longest message in bytes: all entries of some thousand runners.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -166,11 +167,14 @@
     if request.uri().path() == document::PATH {
         return document::serve(&node);
     }
-    let bytes = match body::read(request.into_body(), MAX_MESSAGE_BYTES).await {
-        Ok(bytes) => bytes,
-        Err(fault) => return answer::text(StatusCode::BAD_REQUEST, fault.to_string()),
+    let read = node
+        .vm_messages
+        .read(request.into_body(), MAX_MESSAGE_BYTES, MESSAGE_READ_TIME);
+    let message = match read.await {
+        Ok(message) => message,
+        Err(fault) => return answer::text(fault.status(), fault.to_string()),
     };
-    let theirs = match outgoing::decode(&bytes) {
+    let theirs = match outgoing::decode(&message.bytes) {
         Ok(message) => message,
         Err(fault) => return answer::text(StatusCode::BAD_REQUEST, fault.to_string()),
     };
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use adapter::settings::Settings;
+use link::intake::Intake;
 use link::listen;
 use link::listen::Connections;
 use link::listen::Figures;
@@ -23,6 +24,10 @@
 const HEAD_TIME: Millis = Millis::new(10_000);
 /// How long a connection may be idle there.
 const IDLE_TIME: Millis = Millis::new(60_000);
+/// The divisor of a front's memory that gives the bytes of other VMs' messages that are being read.
+const FRONT_MESSAGES_DIVISOR: u64 = 16;
+/// The same for a VM with a disk, whose requests hold turns.
+const STORE_MESSAGES_DIVISOR: u64 = 4;
 
 /// A part of a process's memory and descriptors.
 #[derive(Clone, Copy, Debug)]
@@ -124,3 +129,14 @@
         head_bytes: HEAD_BYTES,
     }
 }
+
+/// Creates the budget of other VMs' messages: that of a process with a disk if it has a folder for it.
+#[must_use]
+pub fn vm_messages(settings: &Settings) -> Intake {
+    let divisor = match settings.callers {
+        Some(_) => FRONT_MESSAGES_DIVISOR,
+        None => STORE_MESSAGES_DIVISOR,
+    };
+    let bytes = settings.memory_bytes / divisor;
+    Intake::new(usize::try_from(bytes).unwrap_or(usize::MAX))
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -15,6 +15,7 @@
 use adapter::settings::Settings;
 use link::client::Client;
 use link::client::Marks;
+use link::intake::Intake;
 use policy::opening::Opening;
 use policy::stop::Stop;
 use replica::client::Replicas;
@@ -33,6 +34,7 @@
 use crate::freshness::Stamp;
 use crate::held::Holdings;
 use crate::identity;
+use crate::ingress;
 use crate::ingress::Listeners;
 use crate::member_health;
 use crate::metrics::Metrics;
@@ -143,6 +145,8 @@
     document_fetches: Mutex<document::Fetches>,
     /// The connections of the listeners.
     pub listeners: Listeners,
+    /// The budget of other VMs' messages.
+    pub vm_messages: Intake,
     /// Work in progress.
     pub work: Arc<work::Registry>,
 }
@@ -206,6 +210,7 @@
             document_permits: document::Permits::default(),
             document_fetches: Mutex::default(),
             listeners: Listeners::new(&settings),
+            vm_messages: ingress::vm_messages(&settings),
             work: Arc::default(),
             settings,
             clock,
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -12,6 +12,7 @@
 use hyper::StatusCode;
 use link::client::Client;
 use link::client::Limits;
+use link::intake::Intake;
 use link::listen;
 use link::listen::Connections;
 use platform::edge::Change;
@@ -37,6 +38,7 @@
 use crate::connections;
 use crate::front::Fault;
 use crate::front::Result;
+use crate::ingress;
 use crate::ingress::Listeners;
 use crate::memory;
 use crate::metrics;
@@ -89,6 +91,7 @@
     let clock = Clock::System;
     let grace = settings.grace;
     let listeners = Listeners::new(&settings);
+    let intake = ingress::vm_messages(&settings);
     let folder = settings.data.clone().ok_or(Fault::Missing("data folder"))?;
     let new_disk_id = rand::rng().random::<u64>();
     let member = server::open(&folder, settings.disk_bytes, new_disk_id, clock.clone()).await?;
@@ -97,7 +100,7 @@
     let ip = ip.map_err(|_| Fault::Missing("IP address"))?;
     let address = SocketAddr::new(ip, settings.first_port);
     let metrics_address = SocketAddr::new(ip, metrics_port);
-    listen_all(&member, &listeners, address, metrics_address).await?;
+    listen_all(&member, &intake, &listeners, address, metrics_address).await?;
     log::info!(
         "event=E{} text=\"{}\" vm={} role=store vms={address}",
         Event::NodeStarted.number(),
@@ -173,12 +176,14 @@
 
 async fn listen_all(
     member: &Arc<Member>,
+    intake: &Intake,
     listeners: &Listeners,
     address: SocketAddr,
     metrics_address: SocketAddr,
 ) -> Result<()> {
     let shared = member.clone();
-    let handler = move |request| server::serve(shared.clone(), request);
+    let intake = intake.clone();
+    let handler = move |request| server::serve(shared.clone(), intake.clone(), request);
     let listener = listen::bind(address).await?;
     tokio::spawn(listen::run(listener, listeners.vms.clone(), handler));
 
--- a/crates/relay/tests/opening.rs
+++ b/crates/relay/tests/opening.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use link::intake::Intake;
 use link::listen;
 use relay::account;
 use relay::job::Job;
@@ -21,6 +22,8 @@
 use wire::code::Refusal;
 
 const SCARCE: &str = "contracts = [\"pressure\"]";
+/// The most bytes of requests that the VM with a disk reads at once.
+const MAX_BYTES: usize = 32 * 1024 * 1024;
 /// The longest wait that leaves a program time to end.
 const MAX_WAIT: Millis = Millis::new(2_000);
 
@@ -52,7 +55,8 @@
         disk: 7,
     });
     let shared = member.clone();
-    let handler = move |request| server::serve(shared.clone(), request);
+    let intake = Intake::new(MAX_BYTES);
+    let handler = move |request| server::serve(shared.clone(), intake.clone(), request);
     tokio::spawn(listen::run(listener, Arc::default(), handler));
     member.adopt(&list).await.expect("the list is kept");
     member.set_ready(list.version).await.expect("it is ready");
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -10,14 +10,15 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::mpsc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use link::body;
 use link::body::Body as ResponseBody;
+use link::intake::Intake;
 use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
 use wire::clock::Clock;
@@ -42,6 +43,8 @@
 
 /// The longest request in bytes: a turn of the largest body that operators allow, and its output.
 const MAX_REQUEST_BYTES: usize = 16 * 1024 * 1024;
+/// How long a request may take to come: longer than its sender waits for the answer.
+const REQUEST_READ_TIME: Duration = Duration::from_secs(5);
 
 /// A member: its disk, and its state in memory.
 #[derive(Debug)]
@@ -326,12 +329,17 @@
 }
 
 /// Handles an HTTP request from another VM.
-pub async fn serve(member: Arc<Member>, request: Request<Incoming>) -> Response<ResponseBody> {
-    let bytes = match body::read(request.into_body(), MAX_REQUEST_BYTES).await {
-        Ok(bytes) => bytes,
-        Err(fault) => return response_with(StatusCode::BAD_REQUEST, fault.to_string()),
+pub async fn serve(
+    member: Arc<Member>,
+    intake: Intake,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let read = intake.read(request.into_body(), MAX_REQUEST_BYTES, REQUEST_READ_TIME);
+    let taken = match read.await {
+        Ok(taken) => taken,
+        Err(fault) => return response_with(fault.status(), fault.to_string()),
     };
-    let ask = match rmp_serde::from_slice(&bytes) {
+    let ask = match rmp_serde::from_slice(&taken.bytes) {
         Ok(ask) => ask,
         Err(fault) => return response_with(StatusCode::BAD_REQUEST, fault.to_string()),
     };
--- a/crates/replica/tests/list_changes.rs
+++ b/crates/replica/tests/list_changes.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use link::client::Client;
 use link::client::Limits;
+use link::intake::Intake;
 use link::listen;
 use replica::client::Found;
 use replica::client::Replicas;
@@ -24,6 +25,8 @@
 use replica::server;
 use wire::clock::Clock;
 
+/// The most bytes of requests that a member reads at once.
+const MAX_BYTES: usize = 32 * 1024 * 1024;
 /// Writes that are tried until one is still being synced when the list changes. The disk's thread may
 /// be done with one at once.
 const MAX_ATTEMPTS: u32 = 100;
@@ -65,7 +68,8 @@
         disk: 7,
     };
     let shared = member.clone();
-    let handler = move |request| server::serve(shared.clone(), request);
+    let intake = Intake::new(MAX_BYTES);
+    let handler = move |request| server::serve(shared.clone(), intake.clone(), request);
     tokio::spawn(listen::run(listener, Arc::default(), handler));
     let first = List::default().with(&own);
     let second = first.with(&own);
--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use link::client::Client;
 use link::client::Limits;
+use link::intake::Intake;
 use link::listen;
 use platform::memory::Memory;
 use replica::client::Fault;
@@ -35,6 +36,8 @@
 use tokio::time::timeout;
 use wire::clock::Clock;
 
+/// The most bytes of requests that a member reads at once.
+const MAX_BYTES: usize = 32 * 1024 * 1024;
 /// The size of a disk in bytes.
 const DISK_BYTES: u64 = 500_000_000;
 /// How long members that can't become complete replicas get for it: some steps of their drivers.
@@ -64,7 +67,8 @@
                 if is_silent.load(Ordering::SeqCst) {
                     pending::<()>().await;
                 }
-                server::serve(member, request).await
+                let intake = Intake::new(MAX_BYTES);
+                server::serve(member, intake, request).await
             }
         };
         tokio::spawn(listen::run(listener, Arc::default(), handler));
