Take as many header fields as a head has room for

What callers saw: a head of 150 fields within `headerBytes` got 431 (single_requests_within_the_limits_are_served, red on the code before).

--- a/crates/chestnutyoke/tests/hostile.rs
+++ b/crates/chestnutyoke/tests/hostile.rs
@@ -372,6 +372,18 @@
     let mut after_empty_line = b"\r\n".to_vec();
     after_empty_line.extend_from_slice(&head(empty, 0));
     vec![
+        Single::whole(
+            "150 fields",
+            head(&format!("{}{empty}", "a: b\r\n".repeat(150)), 0),
+        ),
+        Single::whole(
+            "1,000 fields",
+            head(&format!("{}{empty}", "a: b\r\n".repeat(1_000)), 0),
+        ),
+        Single::whole(
+            "4,000 fields",
+            head(&format!("{}{empty}", "a:\r\n".repeat(4_000)), 0),
+        ),
         Single::whole("the longest head", head(empty, 16_384)),
         Single::whole("a long path", path),
         Single::whole("an empty line first", after_empty_line),
--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -52,6 +52,8 @@
 const DEFAULT_HEAD_BYTES: usize = 64 * 1024;
 /// What a head may have beyond the stated limit: callers may not count empty lines or the request line.
 const HEAD_SLACK_BYTES: usize = 1024;
+/// The shortest header field in bytes: a name, a colon and the end of the line.
+const MIN_FIELD_BYTES: usize = 4;
 
 /// What the callers of a listener may send and hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -311,6 +313,7 @@
     protocol
         .max_header_size(head_bytes)
         .max_buf_size(head_bytes + ingress::HEAD_READ_BYTES)
+        .max_headers(head_bytes / MIN_FIELD_BYTES)
         .keep_alive(!is_stopping);
     if is_stopping {
         protocol
