Leave what the process itself takes out of the shares of a small memory

A third of the memory for requests, a sixth for turns and a fifth for connections left 12 MB for a process that takes more.

--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -15,6 +15,7 @@
 use wire::clock::Millis;
 use wire::event::Event;
 
+use crate::memory;
 use crate::table::Table;
 
 /// The largest head at the listeners that aren't for callers, in bytes.
@@ -122,7 +123,7 @@
     listen::Limits {
         connections: connections::Limits {
             count: settings.max_descriptors / share.descriptor_divisor,
-            bytes: settings.memory_bytes / share.memory_divisor,
+            bytes: memory::shareable(settings.memory_bytes) / share.memory_divisor,
             head_time: HEAD_TIME,
             idle_time: IDLE_TIME,
         },
@@ -137,6 +138,6 @@
         Some(_) => FRONT_MESSAGES_DIVISOR,
         None => STORE_MESSAGES_DIVISOR,
     };
-    let bytes = settings.memory_bytes / divisor;
+    let bytes = memory::shareable(settings.memory_bytes) / divisor;
     Intake::new(usize::try_from(bytes).unwrap_or(usize::MAX))
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -37,6 +37,7 @@
 use crate::ingress;
 use crate::ingress::Listeners;
 use crate::member_health;
+use crate::memory;
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::peers::Access;
@@ -174,8 +175,8 @@
             &settings.centre,
             settings.tolerated_losses,
         );
-        let cache_bytes =
-            usize::try_from(settings.memory_bytes / TURN_CACHE_DIVISOR).unwrap_or(usize::MAX);
+        let memory = memory::shareable(settings.memory_bytes);
+        let cache_bytes = usize::try_from(memory / TURN_CACHE_DIVISOR).unwrap_or(usize::MAX);
         Arc::new(Self {
             runner_client,
             vm_client,
@@ -183,7 +184,7 @@
             replicas,
             peers: Mutex::new(Peers::new(&settings)),
             turns: Mutex::new(Cache::new(cache_bytes)),
-            holdings: Holdings::new(settings.memory_bytes / HELD_DIVISOR, clock.clone()),
+            holdings: Holdings::new(memory / HELD_DIVISOR, clock.clone()),
             metrics: Metrics::default(),
             started: Instant::now(),
             started_at: clock.now(),
