Keep the memory of header fields from growing and shrinking the heap

Cause: the allocator gives free memory at the end of the heap back beyond a bound. Only callers' heads may have as many fields; the other listeners keep the decoder's hundred, without memory of its own."

--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -62,6 +62,17 @@
     pub connections: connections::Limits,
     /// The largest head in bytes.
     pub head_bytes: usize,
+    /// How many fields it may have.
+    pub fields: Fields,
+}
+
+/// How many fields a head may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fields {
+    /// As many as the decoder takes without memory of its own: a hundred.
+    Usual,
+    /// As many as fit the head. The decoder reserves the memory for them with each request.
+    Any,
 }
 
 impl Default for Limits {
@@ -74,6 +85,7 @@
                 idle_time: DEFAULT_TIME,
             },
             head_bytes: DEFAULT_HEAD_BYTES,
+            fields: Fields::Usual,
         }
     }
 }
@@ -95,6 +107,7 @@
     open: AtomicUsize,
     state: Mutex<State>,
     head_bytes: AtomicUsize,
+    fields: Fields,
     clock: Clock,
     /// Cancelled when the process begins to stop. A connection that is made from then on gets one
     /// response.
@@ -147,6 +160,7 @@
             open: AtomicUsize::new(0),
             state: Mutex::new(state),
             head_bytes: AtomicUsize::new(head_limit(limits.head_bytes)),
+            fields: limits.fields,
             clock: Clock::System,
             stopping: CancellationToken::new(),
             draining: CancellationToken::new(),
@@ -154,7 +168,7 @@
         }
     }
 
-    /// Sets the limits, also for the connections that are open.
+    /// Sets the limits, also for the connections that are open; but for how many fields heads may have.
     pub fn set_limits(&self, limits: Limits) {
         let head_bytes = head_limit(limits.head_bytes);
         self.head_bytes.store(head_bytes, Ordering::Relaxed);
@@ -313,8 +327,10 @@
     protocol
         .max_header_size(head_bytes)
         .max_buf_size(head_bytes + ingress::HEAD_READ_BYTES)
-        .max_headers(head_bytes / MIN_FIELD_BYTES)
         .keep_alive(!is_stopping);
+    if connections.fields == Fields::Any {
+        protocol.max_headers(head_bytes / MIN_FIELD_BYTES);
+    }
     if is_stopping {
         protocol
             .timer(TokioTimer::new())
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -10,6 +10,7 @@
 use link::intake::Intake;
 use link::listen;
 use link::listen::Connections;
+use link::listen::Fields;
 use link::listen::Figures;
 use policy::connections;
 use wire::clock::Millis;
@@ -30,6 +31,10 @@
 /// The same for a VM with a disk, whose requests hold turns.
 const STORE_MESSAGES_DIVISOR: u64 = 4;
 
+/// The free memory that the allocator keeps, in bytes: more than the decoder reserves for the fields of a
+/// head and gives back with each request.
+const KEPT_FREE_BYTES: usize = 1024 * 1024;
+
 /// A part of a process's memory and descriptors.
 #[derive(Clone, Copy, Debug)]
 struct Share {
@@ -67,18 +72,22 @@
     /// Creates listeners without connections.
     #[must_use]
     pub fn new(settings: &Settings) -> Self {
-        let connections = |share| Arc::new(Connections::new(limits(settings, share)));
+        memory::keep_free(KEPT_FREE_BYTES);
+        let connections = |share, fields| {
+            let limits = limits(settings, share, fields);
+            Arc::new(Connections::new(limits))
+        };
         Self {
-            callers: connections(CALLERS),
-            ready: connections(PROBES),
-            vms: connections(VMS),
-            metrics: connections(PROBES),
+            callers: connections(CALLERS, Fields::Any),
+            ready: connections(PROBES, Fields::Usual),
+            vms: connections(VMS, Fields::Usual),
+            metrics: connections(PROBES, Fields::Usual),
         }
     }
 
     /// Sets the callers' limits to those of a configuration.
     pub fn apply(&self, settings: &Settings, table: &Table) {
-        let mut limits = limits(settings, CALLERS);
+        let mut limits = limits(settings, CALLERS, Fields::Any);
         limits.head_bytes = table.head_bytes;
         limits.connections.head_time = table.head_time;
         limits.connections.idle_time = table.idle_time;
@@ -119,7 +128,7 @@
     }
 }
 
-fn limits(settings: &Settings, share: Share) -> listen::Limits {
+fn limits(settings: &Settings, share: Share, fields: Fields) -> listen::Limits {
     listen::Limits {
         connections: connections::Limits {
             count: settings.max_descriptors / share.descriptor_divisor,
@@ -128,6 +137,7 @@
             idle_time: IDLE_TIME,
         },
         head_bytes: HEAD_BYTES,
+        fields,
     }
 }
 
