Soak: clients outside the limits beside the ordinary ones

Every second twenty clients that send no request (empty lines, endless and half heads, garbage, nothing) play at a VM that takes callers, beside faults and restarts. Bodies are left out: they compete with ordinary ones for memory, and the oracle doesn't know their requests.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod fault;
 pub mod fleet;
 pub mod history;
+pub mod hostile;
 pub mod opener;
 pub mod oracle;
 pub mod plan;
@@ -112,6 +113,7 @@
         clients.spawn(Client::new(fleet.context.clone(), index, plan.seed).run(end));
     }
     let balancer = tokio::spawn(probe_vms(fleet.clone()));
+    let hostile = tokio::spawn(hostile::run(fleet.context.clone(), plan.seed));
     let lateness = tokio::spawn(measure_lateness(end));
     let samples = tokio::spawn(sample(fleet.context.clone(), end));
     let (context, folder) = (fleet.context.clone(), plan.folder.clone());
@@ -144,6 +146,7 @@
         ended.map_err(io::Error::other)?;
     }
     balancer.abort();
+    hostile.abort();
     Ok(Traffic {
         done,
         late: lateness.await.map_err(io::Error::other)?,
