Leave the receive buffers of listeners to the kernel

Cause: listeners had a receive buffer of 32 KB. Where a segment is larger (64 KB on loopback), the window is less than one, and the sender waits for its probe timer of 200 ms with parts of a message. So the kernel's own bound of what waits unread stays; 32 KB a request under way are counted for it (open in docs/design/ingress.md).

The listener's table test had limits that its refused request didn't fit since that count was raised.

--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -20,9 +20,7 @@
 use policy::connections;
 use policy::connections::Id;
 use policy::connections::Table;
-use policy::connections::UNREAD_BYTES;
 use policy::connections::Verdict;
-use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
@@ -293,9 +291,6 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    if let Err(fault) = SockRef::from(&listener).set_recv_buffer_size(UNREAD_BYTES) {
-        log::debug!("setting the receive buffer of a listener failed: {fault}");
-    }
     let spawn = |stream| {
         let Some(connection) = connections.admit() else {
             return Next::Accept;
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -8,8 +8,8 @@
 
 /// What a connection takes that only waits: socket, task and buffers, in bytes.
 const CONNECTION_BYTES: u64 = 12 * 1024;
-/// What may wait unread while a request is under way, in bytes: the receive buffer of a connection.
-pub const UNREAD_BYTES: usize = 32 * 1024;
+/// What may wait unread while a request is under way, in bytes.
+const UNREAD_BYTES: u64 = 32 * 1024;
 /// What a decoded header field takes, its copy for an endpoint included, in bytes.
 const FIELD_BYTES: u64 = 256;
 /// How often the bytes of a head are held: the decoder's buffer doubles.
@@ -191,7 +191,7 @@
         self.enter(at, Phase::Request, now);
         self.entries[at].record = Record::Served;
         let held = HEAD_FACTOR * bytes + FIELD_BYTES * fields;
-        self.count(at, CONNECTION_BYTES + UNREAD_BYTES as u64 + held);
+        self.count(at, CONNECTION_BYTES + UNREAD_BYTES + held);
         if self.make_room(now) {
             return Verdict::Admitted;
         }
--- a/crates/policy/src/connections/tests.rs
+++ b/crates/policy/src/connections/tests.rs
@@ -2,7 +2,7 @@
 
 const LIMITS: Limits = Limits {
     count: 3,
-    bytes: 10 * CONNECTION_BYTES,
+    bytes: 20 * CONNECTION_BYTES,
     head_time: Millis::new(3_000),
     idle_time: Millis::new(10_000),
 };
