Test refusals of heads and raised limits at a listener

A caller that sends on gets its 431, nothing behind a refused head is served, and a connection that was made under a smaller limit ends with its next answer.

--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -367,3 +367,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
