Let the allocator give free memory back again

Cause: told the allocator to keep free memory. That also takes blocks of up to half of it from the heap, where small ones that live longer keep it from shrinking.

A bound of 1,024 fields would cost none, and refuse heads within the limits of the configuration."

--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -31,10 +31,6 @@
 /// The same for a VM with a disk, whose requests hold turns.
 const STORE_MESSAGES_DIVISOR: u64 = 4;
 
-/// The free memory that the allocator keeps, in bytes: more than the decoder reserves for the fields of a
-/// head and gives back with each request.
-const KEPT_FREE_BYTES: usize = 1024 * 1024;
-
 /// A part of a process's memory and descriptors.
 #[derive(Clone, Copy, Debug)]
 struct Share {
@@ -72,7 +68,6 @@
     /// Creates listeners without connections.
     #[must_use]
     pub fn new(settings: &Settings) -> Self {
-        memory::keep_free(KEPT_FREE_BYTES);
         let connections = |share, fields| {
             let limits = limits(settings, share, fields);
             Arc::new(Connections::new(limits))
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -1,7 +1,6 @@
 //! Memory of the process as reported by the kernel.
 
 use std::fs;
-use std::hint::black_box;
 
 /// The unit in which the kernel reports sizes, in bytes.
 const KIB: u64 = 1024;
@@ -20,14 +19,6 @@
     total.min(rest / SHARES_DENOMINATOR * SHARES_NUMERATOR)
 }
 
-/// Has the allocator keep `bytes` of free memory instead of giving it back to the kernel.
-///
-/// The system's allocator keeps twice as much as the largest block that it had from the kernel by itself and
-/// that was freed. Elsewhere this has no effect.
-pub fn keep_free(bytes: usize) {
-    drop(black_box(Vec::<u8>::with_capacity(bytes / 2)));
-}
-
 /// Returns the resident memory of the process in bytes, or zero if the kernel doesn't report it.
 #[must_use]
 pub fn resident() -> u64 {
