Let unread answers go although another request came behind them

Cause, by reading the code: a connection counted as blocked only between requests. When a further request was already in the decoder's buffer, it began before the last answer was sent, and the connection counted as one with a request under way, which is kept. With all of a listener's connections in that state nobody else got in until the kernel gave them up.

Now an answer that waits for its reader counts whatever came behind it, a stream's as well, and lets its connection go after three seconds if others find no room (a_further_request_does_not_keep_an_unread_answer; note_blocked was overridden by begin_request before)."

--- a/crates/link/src/ingress.rs
+++ b/crates/link/src/ingress.rs
@@ -131,9 +131,6 @@
     }
 
     fn note_write<T>(&self, written: &Poll<T>) {
-        if self.in_request.load(Ordering::Relaxed) {
-            return;
-        }
         let is_blocked = written.is_pending();
         if self.is_blocked.swap(is_blocked, Ordering::Relaxed) == is_blocked {
             return;
@@ -141,7 +138,7 @@
         if is_blocked {
             self.owner.note_blocked(self.id);
         } else {
-            self.owner.end_request(self.id);
+            self.owner.note_unblocked(self.id);
         }
     }
 }
--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -224,6 +224,11 @@
         self.change(|table| table.note_blocked(id, now));
     }
 
+    pub(crate) fn note_unblocked(&self, id: Id) {
+        let now = self.clock.now();
+        self.change(|table| table.note_unblocked(id, now));
+    }
+
     pub(crate) fn close(&self, id: Id) {
         self.open.fetch_sub(1, Ordering::Relaxed);
         let mut state = self.lock();
--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -45,8 +45,6 @@
     Head,
     /// A request is under way.
     Request,
-    /// The answer waits for its reader.
-    Blocked,
 }
 
 /// Whether a connection has had a complete head.
@@ -62,6 +60,8 @@
     phase: Phase,
     since: Millis,
     record: Record,
+    /// Since when an answer waits for its reader.
+    blocked_since: Option<Millis>,
     /// The bytes counted.
     bytes: u64,
 }
@@ -158,6 +158,7 @@
             phase: Phase::Waiting,
             since: now,
             record: Record::None,
+            blocked_since: None,
             bytes: CONNECTION_BYTES,
         });
         Some(id)
@@ -207,10 +208,21 @@
         }
     }
 
-    /// Notes that a complete answer waits for its reader.
+    /// Notes that an answer waits for its reader.
     pub fn note_blocked(&mut self, id: Id, now: Millis) {
         if let Some(at) = self.find(id) {
-            self.enter(at, Phase::Blocked, now);
+            self.entries[at].blocked_since = Some(now);
+        }
+    }
+
+    /// Notes that the reader of an answer reads on.
+    pub fn note_unblocked(&mut self, id: Id, now: Millis) {
+        if let Some(at) = self.find(id) {
+            let entry = &mut self.entries[at];
+            entry.blocked_since = None;
+            if entry.phase == Phase::Waiting {
+                entry.since = now;
+            }
         }
     }
 
@@ -228,9 +240,9 @@
             let is_over = match entry.phase {
                 Phase::Waiting => age > idle_time,
                 Phase::Head => age > head_time,
-                Phase::Request | Phase::Blocked => false,
+                Phase::Request => false,
             };
-            if is_over {
+            if is_over && entry.blocked_since.is_none() {
                 self.let_go(at);
             } else {
                 at += 1;
@@ -274,6 +286,9 @@
 
     /// Returns when it is an entry's turn to be let go; `None` if it is kept.
     fn rank(&self, entry: &Entry, now: Millis) -> Option<Rank> {
+        if let Some(since) = entry.blocked_since {
+            return (now.since(since) > BLOCKED_TIME).then_some(Rank::Unread);
+        }
         let age = now.since(entry.since);
         let reuse = Millis::new(self.limits.idle_time.as_u64() / 100 * REUSE_PERCENT);
         match (entry.phase, entry.record) {
@@ -281,8 +296,7 @@
             (Phase::Waiting, Record::None) => Some(Rank::Fresh),
             (Phase::Waiting, Record::Served) => Some(Rank::Reusable),
             (Phase::Head, _) => Some(Rank::Unfinished),
-            (Phase::Blocked, _) if age > BLOCKED_TIME => Some(Rank::Unread),
-            (Phase::Blocked | Phase::Request, _) => None,
+            (Phase::Request, _) => None,
         }
     }
 
--- a/crates/policy/src/connections/tests.rs
+++ b/crates/policy/src/connections/tests.rs
@@ -93,6 +93,21 @@
     assert_eq!(table.take_ended(), [ids[0]]);
 }
 
+/// Guards against callers that send requests one behind the other and read nothing: the next request begins
+/// before the answer to the last one is sent.
+#[test]
+fn a_further_request_does_not_keep_an_unread_answer() {
+    let (mut table, ids) = full();
+    for id in ids {
+        let _admitted = table.begin_request(id, 100, 5, at(3));
+        table.note_blocked(id, at(4));
+        table.end_request(id, at(5));
+        let _admitted = table.begin_request(id, 100, 5, at(2_900));
+    }
+    assert!(table.open(at(3_005)).is_some());
+    assert_eq!(table.take_ended(), [ids[0]]);
+}
+
 /// Guards against heads that are each within the limits and fill the memory together.
 #[test]
 fn heads_that_grow_give_way_to_each_other() {
