Say in the comments which connections are kept, and whose budget other VMs' messages have

Comments and a line of the design note only: a connection whose answer lies unread is let go since, and the budget goes by whether callers connect to the process.

--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -2,7 +2,8 @@
 //! known, and how long they may take.
 //!
 //! A newcomer isn't refused while others can be let go, as a crowd that is connected would keep everyone else
-//! out. A connection with a request under way is never let go, nor is the newcomer itself.
+//! out. A connection with a request under way is kept, unless its caller has left an answer unread for some
+//! time; so is the newcomer itself.
 
 use wire::clock::Millis;
 
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -2,7 +2,8 @@
 //!
 //! With the shares of `node` for requests that are known and for turns, and that of [`vm_messages`], they
 //! leave over a tenth of the memory to what the process holds itself. Of the descriptors a third is left for
-//! connections to endpoints, as each caller's request needs one, and a twelfth for all else. Each listener has its own share, so that a crowd at one takes nothing from the others.
+//! connections to endpoints, as each caller's request needs one, and a twelfth for all else. Each listener
+//! has its own share, so that a crowd at one takes nothing from the others.
 
 use std::sync::Arc;
 
@@ -136,7 +137,8 @@
     }
 }
 
-/// Creates the budget of other VMs' messages: that of a process with a disk if it has a folder for it.
+/// Creates the budget of other VMs' messages: that of a front if callers connect to the process, else that of
+/// a VM with a disk.
 #[must_use]
 pub fn vm_messages(settings: &Settings) -> Intake {
     let divisor = match settings.callers {
