Take no event of an earlier attempt for the caller's where its record is missing

What callers saw: a stream of a kept turn was taken up twice, and the second attempt's events weren't recorded, as no VM with a disk answered at that moment. The third attempt was answered whole, and the next turn's runner got events that the first attempt had made and its caller never got.

Cause: the record of the caller's last event was looked for by its number, from the latest resumption back to the first attempt. A number proves nothing once a later attempt has made an event of its own of that number: a missing record wasn't told from one that never was, and an older one was taken in its place. Any reason for which an event isn't recorded will do: members killed, or standing still for longer than an event is held back.

Why this works: after which event a stream is taken up is recorded before the new run begins. An attempt that passed no event on withdraws its resumption. Two attempts that count the same number at once are told apart by a mark of their own, and whichever sees the other one refuses.

--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -176,6 +176,12 @@
         turn: account.turn,
         used,
     };
+    apply_settlement(job, settlement);
+}
+
+/// Records a settlement in the background. The process waits for it when it stops.
+pub fn apply_settlement(job: &Job, settlement: Settlement) {
+    let used = settlement.used;
     let node = job.node.clone();
     let id = job.call.id.clone();
     let guard = node.work.begin(work::Kind::Settlement, &id);
--- a/crates/relay/src/delivered.rs
+++ b/crates/relay/src/delivered.rs
@@ -11,8 +11,9 @@
 //! stream had been taken up, and which continues the record of the event before: like any turn it is copied,
 //! restored and dropped. The chain of the last event that the caller has is thus what the caller has. An
 //! event that an earlier attempt recorded, and its caller never got, has another key than the event that the
-//! next attempt makes in its place. How often a stream was taken up is counted by reservations of no tokens,
-//! as its build is recorded ([`crate::build`]).
+//! next attempt makes in its place. That the stream is taken up, and after which event, is recorded before
+//! the new run begins, so that it is known which attempt made the caller's last event ([`resumption`]). Only
+//! that attempt's record counts: where it is missing, the stream isn't taken up.
 
 use std::time::Duration;
 
@@ -23,10 +24,8 @@
 use policy::crash::Content;
 use replica::call::ANSWER_TIMEOUT;
 use replica::client::Fault;
-use replica::ledger::Entry;
 use replica::record::Key;
 use replica::record::Record;
-use replica::record::Reservation;
 use replica::record::Turn;
 use tokio::time::timeout;
 use wire::code::Code;
@@ -40,6 +39,11 @@
 use crate::history;
 use crate::job::Job;
 
+use resumption::Claim;
+use resumption::Keys;
+
+pub mod resumption;
+
 /// How long an event is held back at most while it is being recorded: as long as a member may take to answer.
 /// A stream waits so long once, as its later events aren't recorded then.
 const MAX_HOLD: Duration = ANSWER_TIMEOUT;
@@ -75,12 +79,13 @@
     content: Content,
 }
 
-/// Finds out what the caller of a stream has, if it takes the stream up.
+/// Finds out what the caller of a stream has, if it takes the stream up, and records that it does. Sets `claim`
+/// as soon as that may have been recorded.
 ///
 /// # Errors
 ///
 /// Refuses a stream that can't be taken up because what the caller has isn't known for certain.
-pub async fn find(job: &Job) -> Result<Delivered> {
+pub async fn find(job: &Job, claim: &mut Option<Claim>) -> Result<Delivered> {
     let Some(last_event) = job.call.last_event else {
         let recorder = is_recorded(&job.route).then(|| Recorder::begin(job));
         return Ok(Delivered {
@@ -99,15 +104,25 @@
     };
     let stream = Stream::of(job, attempt);
     account::wait_for_members(job).await?;
-    let resumptions = count_resumptions(job, &stream).await?;
-    let (texts, last) = read(job, &stream, resumptions, last_event).await?;
+    let owner = build::owner(job, attempt);
+    let entries = account::answer_of(job, job.node.replicas.entries(owner)).await?;
+    let resumptions = resumption::read(&entries, |number| stream.resumption_keys(job, number));
+    let Some(origin) = resumption::origin(&resumptions, last_event) else {
+        let why = format!("it isn't known which attempt made event {last_event} of {attempt}");
+        return Err(unknown(&why));
+    };
+    let (texts, last) = read(job, &stream, origin, last_event).await?;
+    let number = resumptions.len() + 1;
+    let keys = stream.resumption_keys(job, number);
+    let id = job.identity.key_of(&job.call.id);
+    let claimed = claim.insert(Claim::new(owner, keys, id, last_event));
+    record_claim(job, claimed).await?;
     let recorder = Recorder {
         stream,
-        resumptions: resumptions + 1,
+        resumptions: number,
         last: Some(last),
         pending: BytesMut::new(),
     };
-    recorder.note_resumption(job).await?;
     Ok(Delivered {
         texts,
         recorder: Some(recorder),
@@ -119,38 +134,47 @@
     route.kind == Kind::Stream && route.keeps_turns && route.resumable
 }
 
-/// Returns how often a stream has been taken up.
-async fn count_resumptions(job: &Job, stream: &Stream) -> Result<usize> {
-    let owner = build::owner(job, &stream.attempt);
-    let entries = account::answer_of(job, job.node.replicas.entries(owner)).await?;
-    let is_noted = |number: &usize| has_entry(&entries, stream.resumption_key(job, *number));
-    Ok((1..=entries.len()).take_while(is_noted).count())
-}
-
-fn has_entry(entries: &[Entry], key: Key) -> bool {
-    entries.iter().any(|entry| entry.turn == key)
-}
-
-/// Reads the data of a stream's events up to one, as the latest attempt recorded it that has the event.
-/// Returns the key of the last one, too.
+/// Reads the data of a stream's events up to one that the attempt of this number made. Returns the key of the
+/// last one, too.
 async fn read(
     job: &Job,
     stream: &Stream,
-    resumptions: usize,
+    origin: usize,
     last_event: u64,
 ) -> Result<(Vec<Bytes>, Key)> {
-    for resumption in (0..=resumptions).rev() {
-        let key = stream.event_key(job, resumption, last_event);
-        match history::read(&job.node, key).await {
-            Ok(texts) => return Ok((texts, key)),
-            Err(refusal) if refusal.code == Code::UnknownTurn => {}
-            Err(refusal) => return Err(refusal),
+    let key = stream.event_key(job, origin, last_event);
+    match history::read(&job.node, key).await {
+        Ok(texts) => Ok((texts, key)),
+        Err(refusal) if refusal.code == Code::UnknownTurn => {
+            let attempt = &stream.attempt;
+            Err(unknown(&format!(
+                "event {last_event} of {attempt} isn't recorded by the attempt that made it ({origin})"
+            )))
         }
+        Err(refusal) => Err(refusal),
+    }
+}
+
+/// Records that the stream is taken up once more.
+///
+/// # Errors
+///
+/// Refuses the stream if another attempt does the same at this moment: their events would have the same keys.
+async fn record_claim(job: &Job, claim: &Claim) -> Result<()> {
+    let replicas = &job.node.replicas;
+    let records = claim.reservations().map(Record::Reserve).to_vec();
+    account::answer_of(job, replicas.apply(claim.owner, records)).await?;
+    let entries = account::answer_of(job, replicas.entries(claim.owner)).await?;
+    if claim.is_contested(&entries) {
+        return Err(unknown("another attempt takes it up at the same time"));
     }
-    let attempt = &stream.attempt;
-    Err(unknown(&format!(
-        "event {last_event} of {attempt} isn't recorded"
-    )))
+    Ok(())
+}
+
+/// Withdraws the claim of an attempt that has passed no event on, so that its lack of records doesn't keep
+/// later attempts from taking the stream up.
+pub fn withdraw(job: &Job, claim: &Claim) {
+    account::apply_settlement(job, claim.withdrawal());
 }
 
 fn unknown(why: &str) -> Refusal {
@@ -169,8 +193,12 @@
         self.key(job, &format!("{resumption}\n{event}"))
     }
 
-    fn resumption_key(&self, job: &Job, number: usize) -> Key {
-        self.key(job, &number.to_string())
+    fn resumption_keys(&self, job: &Job, number: usize) -> Keys {
+        Keys {
+            number: self.key(job, &number.to_string()),
+            claims: self.key(job, &format!("claims\n{number}")),
+            points: self.key(job, &format!("points\n{number}")),
+        }
     }
 
     fn key(&self, job: &Job, part: &str) -> Key {
@@ -198,18 +226,6 @@
         self.pending.capacity()
     }
 
-    /// Records that the stream is taken up once more.
-    async fn note_resumption(&self, job: &Job) -> Result<()> {
-        let owner = build::owner(job, &self.stream.attempt);
-        let reservation = Reservation {
-            program: owner,
-            turn: self.stream.resumption_key(job, self.resumptions),
-            most: 0,
-        };
-        let records = vec![Record::Reserve(reservation)];
-        account::answer_of(job, job.node.replicas.apply(owner, records)).await
-    }
-
     /// Records an event.
     ///
     /// # Errors
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -33,6 +33,7 @@
 use crate::delivered;
 use crate::delivered::Delivered;
 use crate::delivered::Recorder;
+use crate::delivered::resumption::Claim;
 use crate::events;
 use crate::events::Reader;
 use crate::held::Displacement;
@@ -121,22 +122,36 @@
 }
 
 async fn run(job: Job, responder: oneshot::Sender<Response<Body>>) {
-    let account = account::of(&job);
+    let mut claim = None;
+    let events = respond(&job, &mut claim, responder).await;
+    if let Some(claim) = claim.filter(|_| events == 0) {
+        delivered::withdraw(&job, &claim);
+    }
+}
+
+/// Answers the caller. Returns how many events were passed on.
+async fn respond(
+    job: &Job,
+    claim: &mut Option<Claim>,
+    responder: oneshot::Sender<Response<Body>>,
+) -> u64 {
+    let account = account::of(job);
     let mut responder = responder;
     let started = tokio::select! {
-        started = start_turn(&job, account) => started,
+        started = start_turn(job, account, claim) => started,
         () = responder.closed() => {
             job.log_caller_gone(0);
-            account::settle(&job, account, 0);
-            return;
+            account::settle(job, account, 0);
+            return 0;
         }
     };
     match started {
-        Ok(begun) => forward_answer(&job, account, begun, responder).await,
+        Ok(begun) => forward_answer(job, account, begun, responder).await,
         Err(refusal) => {
-            account::settle(&job, account, 0);
+            account::settle(job, account, 0);
             // A caller that has left needs no answer.
             let _gone = responder.send(refuse::respond(&job.node, &refusal, &job.request_info()));
+            0
         }
     }
 }
@@ -151,13 +166,17 @@
 }
 
 /// Prepares a turn and finds the runner that answers it.
-async fn start_turn(job: &Job, account: Option<Account>) -> Result<Begun, Refusal> {
+async fn start_turn(
+    job: &Job,
+    account: Option<Account>,
+    claim: &mut Option<Claim>,
+) -> Result<Begun, Refusal> {
     crashes::check(job, 0).await?;
     let admitted = opening::admit(job, account);
     shutdown::with_send_deadline(&job.node, job.latest_end(), admitted).await??;
     let pinned = build::pin(job, account);
     let mut pin = shutdown::with_send_deadline(&job.node, job.latest_end(), pinned).await??;
-    let delivered = delivered::find(job);
+    let delivered = delivered::find(job, claim);
     let delivered = shutdown::with_send_deadline(&job.node, job.latest_end(), delivered).await??;
     let prepared = prepare(job, account, &pin);
     let history = shutdown::with_send_deadline(&job.node, job.latest_end(), prepared).await??;
@@ -246,13 +265,14 @@
     Err(refuse::no_runner(possible_runs))
 }
 
-/// Passes an answer on, and resumes the stream after a break if the route allows it.
+/// Passes an answer on, and resumes the stream after a break if the route allows it. Returns how many events
+/// were passed on.
 async fn forward_answer(
     job: &Job,
     account: Option<Account>,
     begun: Begun,
     responder: oneshot::Sender<Response<Body>>,
-) {
+) -> u64 {
     let Begun {
         history,
         delivered,
@@ -266,7 +286,7 @@
     if responder.send(response).is_err() {
         job.log_caller_gone(0);
         account::settle(job, account, 0);
-        return;
+        return 0;
     }
     let holdings = &job.node.holdings;
     let expected = holdings.expected_answer(&job.route.name);
@@ -295,7 +315,9 @@
     } else {
         forward_body(job, &mut state, reply, &attempt).await
     };
+    let events = state.events;
     finish(job, account, state, end, status.as_u16()).await;
+    events
 }
 
 async fn finish(job: &Job, account: Option<Account>, state: State, end: End, status: u16) {
