Draw gaps in records, and streams taken up more than once, in the soak

What was missing: clients of the soak took each stream up once, left as soon as they gave up, and the VMs with a disk were never away together while VMs went on.

Now all VMs with a disk are paused or killed at once, up to three times in a row (disks-away); streams of half of such turns break up to twice, and the VM learns up to 0.3 s late that its caller has left.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -47,6 +47,11 @@
 const RESUMABLE_EACH: usize = 3;
 /// One turn of such a program in so many loses its connection.
 const BREAK_EACH: usize = 2;
+/// How often the stream of such a turn breaks off at most.
+const MAX_BREAKS: usize = 2;
+/// How long the VM doesn't learn at most that the connection has broken off. It records events meanwhile that the
+/// client doesn't get.
+const MAX_UNNOTICED_MS: u64 = 300;
 /// A token budget that no program uses up.
 const AMPLE_BUDGET: u64 = 20_000;
 
@@ -240,6 +245,7 @@
 
     async fn request(&mut self, spec: &Spec) -> Completion {
         let mut spec = spec.clone();
+        let mut breaks_left = self.random.random_range(1..=MAX_BREAKS);
         let deadline = Instant::now() + spec.deadline;
         for attempt in 0..MAX_ATTEMPTS {
             let left = deadline.saturating_duration_since(Instant::now());
@@ -272,15 +278,19 @@
                 .map_or(deadline, |span| deadline.min(Instant::now() + span));
             let outcome = connection.send(request, give_up_at).await;
             self.context.oracle().finish(&id, &outcome);
-            if let Outcome::Whole(answer) = &outcome
-                && !answer.info.closes
-            {
-                self.idle = Some(connection);
+            if spec.kind == Kind::Resumable && matches!(outcome, Outcome::GaveUp(Some(_))) {
+                self.pause(0, MAX_UNNOTICED_MS).await;
+            }
+            match &outcome {
+                Outcome::Whole(answer) if !answer.info.closes => self.idle = Some(connection),
+                _ => drop(connection),
             }
             let left = deadline.saturating_duration_since(Instant::now());
             if spec.kind == Kind::Resumable {
                 spec.got = after_break(&spec, &id, &outcome);
-                spec.leave_after = None;
+                breaks_left = breaks_left.saturating_sub(1);
+                let breaks_again = spec.leave_after.is_some() && breaks_left > 0;
+                spec.leave_after = breaks_again.then(|| spec.work_left() / 2);
             }
             match decide(spec.kind, id, &outcome, left) {
                 Decision::Done(completion) => return completion,
--- a/crates/soak/src/connection.rs
+++ b/crates/soak/src/connection.rs
@@ -33,7 +33,7 @@
 /// The outcome of opening a connection.
 pub type Result<T> = std::result::Result<T, Fault>;
 
-/// An open connection; closed when dropped.
+/// An open connection; closed when dropped, also if the client has given up on its answer.
 #[derive(Debug)]
 pub struct Connection {
     /// The index of the VM at its other end.
@@ -42,6 +42,8 @@
     pub used: Instant,
     sender: SendRequest<Body>,
     task: JoinHandle<()>,
+    /// The rest of an answer that the client doesn't read.
+    unread: Option<Incoming>,
 }
 
 /// The part of an answer that a client has received.
@@ -98,6 +100,7 @@
             used: Instant::now(),
             sender,
             task,
+            unread: None,
         })
     }
 
@@ -132,7 +135,10 @@
             let frame = timeout_at(until, incoming.frame()).await;
             self.used = Instant::now();
             match frame {
-                Err(_) => return Outcome::GaveUp(Some(answer)),
+                Err(_) => {
+                    self.unread = Some(incoming);
+                    return Outcome::GaveUp(Some(answer));
+                }
                 Ok(None) => return Outcome::Whole(answer),
                 Ok(Some(Err(_))) => return Outcome::Cut(answer),
                 Ok(Some(Ok(frame))) => {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -29,6 +29,8 @@
     Pause,
     /// A VM with a disk is killed and comes back with an empty disk.
     Wipe,
+    /// All VMs with a disk are paused or killed at the same time.
+    DisksAway,
     /// The platform's key-value store refuses all calls for a while.
     StoreAway,
     /// A VM's link to the store is slowed, cut, silenced or reset.
@@ -81,6 +83,7 @@
             Self::Kill,
             Self::Pause,
             Self::Wipe,
+            Self::DisksAway,
             Self::StoreAway,
             Self::StoreLink,
             Self::RunnerLeaves,
@@ -104,6 +107,7 @@
             Self::Kill => "kill",
             Self::Pause => "pause",
             Self::Wipe => "wipe",
+            Self::DisksAway => "disks-away",
             Self::StoreAway => "store-away",
             Self::StoreLink => "store-link",
             Self::RunnerLeaves => "runner-leaves",
--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -167,6 +167,13 @@
         self.pause * u32::try_from(self.events).unwrap_or(u32::MAX)
     }
 
+    /// Returns how long a runner works on what the client doesn't have.
+    #[must_use]
+    pub fn work_left(&self) -> Duration {
+        let left = self.events + 1 - self.first_event();
+        self.pause * u32::try_from(left).unwrap_or(u32::MAX)
+    }
+
     /// Returns the most tokens that it generates.
     #[must_use]
     pub const fn max_tokens(&self) -> u64 {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -31,6 +31,9 @@
 /// How long the VMs with a disk must have been undisturbed before a disk is lost.
 const WIPE_CLEARANCE_MS: u64 = 10_000;
 
+/// How often all VMs with a disk are away in a row at most, and the time between.
+const MAX_DISK_OUTAGES: u64 = 3;
+const DISK_OUTAGE_GAP_MS: u64 = 800;
 /// The longest impairment of a link.
 const MAX_LINK_FAULT_MS: u64 = 4_000;
 
@@ -167,6 +170,7 @@
                 self.push(at, Fault::Pause(vm, span));
             }
             Kind::Wipe => self.push_wipe(at),
+            Kind::DisksAway => self.push_disks_away(at, to),
             Kind::StoreAway => {
                 let span = self.random_span(500, 5_000);
                 self.disks_disturbed_until =
@@ -283,6 +287,29 @@
         self.push(at, Fault::Wipe(vm));
     }
 
+    /// Pauses or kills all VMs with a disk at the same time, several times: nothing can be recorded for a while.
+    fn push_disks_away(&mut self, at: u64, to: u64) {
+        let mut at = at;
+        for _ in 0..self.random.random_range(1..=MAX_DISK_OUTAGES) {
+            if at >= to {
+                return;
+            }
+            let span = self.random_span(300, 2_000);
+            let are_killed = self.random.random_bool(0.6);
+            for vm in self.size.callers..self.size.callers + self.size.disks {
+                let fault = if are_killed {
+                    Fault::Kill(vm)
+                } else {
+                    Fault::Pause(vm, span)
+                };
+                self.push(at, fault);
+            }
+            at += span.as_u64();
+            self.disks_disturbed_until = self.disks_disturbed_until.max(Some(at));
+            at += DISK_OUTAGE_GAP_MS;
+        }
+    }
+
     fn push_link(&mut self, at: u64, target: Target) {
         let impairments = [
             Impairment::Slow(self.random_span(20, 400)),
