Take no answer whose status is none of the protocol's

What callers got: a runner's status of 600, 700 or 999 as it was, on all kinds of routes; it promises nothing that a caller could act on. RFC 9110 defines 100 to 599, and has others taken for a failure of the server. 000, 0, 20, 099, 1000, 2OO and +200 were refused by the decoder already.

Cause: the decoder takes any three digits from 100 on, and nobody looked further. The check of heads is shared by both doors, so it is made there: such an answer is none, the request may have run, and callers get 502, or another runner's answer.

--- a/crates/link/src/head.rs
+++ b/crates/link/src/head.rs
@@ -12,6 +12,8 @@
 use hyper::Response;
 use hyper::ext::ReasonPhrase;
 
+/// The status codes from this one on are undefined (RFC 9110, section 15).
+const FIRST_UNDEFINED_STATUS: u16 = 600;
 /// The beginning of a status line, up to the minor version.
 const VERSION: &[u8] = b"HTTP/1.";
 
@@ -21,6 +23,9 @@
     /// The peer goes on in another protocol.
     #[display("an interim answer in place of one")]
     Interim,
+    /// Its status is none of the protocol's, and promises nothing.
+    #[display("{_0} is no status of the protocol")]
+    Status(#[error(not(source))] u16),
     /// It consists of the heads of two answers.
     #[display("an answer begins within the head of another one")]
     Joined,
@@ -33,11 +38,16 @@
 ///
 /// # Errors
 ///
-/// Fails if the answer is an interim one, or a status line begins within the reason or a header's value.
+/// Fails if the answer is an interim one, its status is undefined, or a status line begins within the reason or a
+/// header's value.
 pub fn check<B>(answer: &Response<B>) -> Result {
     if answer.status().is_informational() {
         return Err(Fault::Interim);
     }
+    let status = answer.status().as_u16();
+    if status >= FIRST_UNDEFINED_STATUS {
+        return Err(Fault::Status(status));
+    }
     if is_joined(answer) {
         return Err(Fault::Joined);
     }
--- a/crates/link/tests/broken_answers.rs
+++ b/crates/link/tests/broken_answers.rs
@@ -217,3 +217,14 @@
     let got = ask(method, &[answer], End::Close).await;
     assert_eq!(got, Ok((status, Bytes::new())));
 }
+
+/// Guards against a status that is none of the protocol's and is taken for that of an answer.
+#[rstest]
+#[tokio::test]
+async fn an_undefined_status_is_no_answer(
+    #[values("000", "0", "20", "099", "600", "700", "999", "1000", "2OO", "+200")] status: &str,
+) {
+    let answer = LENGTH.replacen("200", status, 1);
+    let got = ask(Method::GET, &[&answer], End::Close).await;
+    assert!(got.is_err(), "{got:?}");
+}
--- a/crates/node/tests/request/broken_heads.rs
+++ b/crates/node/tests/request/broken_heads.rs
@@ -75,3 +75,13 @@
     let got = call(vec![write(INTERIM)]).await;
     assert!(is_open(&got), "{got:?}");
 }
+
+/// Guards against a status that promises nothing and counts as that of an answer.
+#[rstest]
+#[tokio::test]
+async fn an_undefined_status_is_none(
+    #[values("000", "0", "20", "099", "600", "700", "999", "1000", "2OO", "+200")] status: &str,
+) {
+    let got = call(vec![write(&LENGTH.replacen("200", status, 1))]).await;
+    assert!(is_open(&got), "{got:?}");
+}
