--- a/crates/node/src/dispatch/service.rs
+++ b/crates/node/src/dispatch/service.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use link::head;
 use serde_json::Value;
 use tokio::time::timeout;
 use wire::ask::Call;
@@ -85,6 +86,12 @@
         Err(Fault::Garbled(detail)) => return End::Unknown { detail },
     };
     let status = response.status();
+    // What is journaled as the answer of a call stays its answer.
+    if status.is_success() && !head::states_end(&response) {
+        return End::Unknown {
+            detail: "the answer doesn't state where its body ends".to_owned(),
+        };
+    }
     let body = match Limited::new(response.into_body(), MAX_ANSWER_BYTES)
         .collect()
         .await
--- a/crates/node/tests/request/broken_heads.rs
+++ b/crates/node/tests/request/broken_heads.rs
@@ -16,6 +16,7 @@
 const LENGTH: &str = "HTTP/1.1 200 OK\r\nkind: a\r\ncontent-length: 10\r\n\r\n0123456789";
 const CHUNKS: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
     4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n";
+const NO_LENGTH: &str = "HTTP/1.1 200 OK\r\nkind: a\r\n\r\n0123456789";
 const INTERIM: &str =
     "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n";
 
@@ -76,6 +77,20 @@
     assert!(is_open(&got), "{got:?}");
 }
 
+/// Guards against a part of an answer that is journaled as a call's answer, as its body ends with the connection.
+#[rstest]
+#[tokio::test]
+async fn a_success_whose_end_is_not_stated_is_none(
+    #[values(Step::Close, Step::Reset)] end: Step,
+    #[values(Step::Pause, Step::EndSide)] before: Step,
+) {
+    for cut in 0..=NO_LENGTH.len() {
+        let steps = vec![write(&NO_LENGTH[..cut]), before.clone(), end.clone()];
+        let got = call(steps).await;
+        assert!(is_open(&got), "cut at {cut}: {got:?}");
+    }
+}
+
 /// Guards against a status that promises nothing and counts as that of an answer.
 #[rstest]
 #[tokio::test]
