Take no body for whole that a reset follows, or whose request wasn't taken

What callers got: a runner's 200 without a length, half of its body, its side ended and the connection reset 30 ms later: the half as a whole answer, on calls that run once and on those that may be repeated, with the upload read or not. On streams an answer that ends with its connection between two events was taken for whole, and on a route that keeps turns the next one would have run on the part.

Cause: a body without a length and without chunks ends with its connection. The end of the peer's side was taken as the end of the body, and the socket was dropped, so that the reset that followed showed nowhere.

Now: the socket of a connection whose peer ends its side within an answer stays open until the body's reader has looked at it: where the request wasn't taken whole, or a reset comes within 100 ms, the answer broke off. Only answers without a stated end wait. Streams need a stated end: others are broken off before an event, and go on at another runner where the route allows it. VMs and members always state the end, so an answer of theirs that doesn't is none.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -547,6 +547,7 @@
             return Err((None, Fault::Broken(format!("{address}: {fault}"))));
         }
         connection.allowance.grant(self.limits.max_answer);
+        let states_end = head::states_end(&response);
         let (head, incoming) = response.into_parts();
         let answer_mark = self.marks.read(&head.headers);
         if answer_mark != mark.as_deref() {
@@ -562,6 +563,7 @@
                 client: self.clone(),
                 address,
                 idle_timeout: self.limits.idle_timeout,
+                states_end,
             },
             connected_in: None,
         })
--- a/crates/link/src/client/reply_body.rs
+++ b/crates/link/src/client/reply_body.rs
@@ -16,6 +16,10 @@
 use crate::client::Fault;
 use crate::client::Result;
 
+/// How long after the end of a body that ends with its connection a reset may follow. A peer that crashes or gives
+/// up within an answer closes its sockets within the time in which its process ends.
+const RESET_WAIT: Duration = Duration::from_millis(100);
+
 /// The reason that the body of a response wasn't read to its end.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum Unread {
@@ -35,6 +39,7 @@
     pub(super) client: Arc<Client>,
     pub(super) address: SocketAddr,
     pub(super) idle_timeout: Duration,
+    pub(super) states_end: bool,
 }
 
 impl Body {
@@ -53,7 +58,11 @@
         loop {
             let Some(frame) = self.incoming.frame().await else {
                 if let Some(connection) = self.connection.take() {
+                    if !self.states_end {
+                        return confirm_end(&connection).await;
+                    }
                     connection.trail().note_answered();
+                    connection.allowance.note_answered();
                     self.client
                         .checkin(self.address, connection, self.idle_timeout);
                 }
@@ -66,6 +75,12 @@
         }
     }
 
+    /// Returns whether the head says where the body ends.
+    #[must_use]
+    pub const fn states_end(&self) -> bool {
+        self.states_end
+    }
+
     /// Returns the bytes that the body has according to its head; zero if that doesn't say.
     #[must_use]
     pub fn size(&self) -> u64 {
@@ -93,6 +108,21 @@
         })
     }
 
+    /// Reads the complete body of an answer of the same software, which always says where its bodies end. A message
+    /// that breaks off may look like a whole one of an earlier version.
+    ///
+    /// # Errors
+    ///
+    /// As [`Body::whole`], and if the head doesn't say where the body ends.
+    pub async fn whole_stated(self, limit: usize) -> Result<Bytes> {
+        if !self.states_end {
+            return Err(Fault::Broken(
+                "the answer doesn't state where its body ends".to_owned(),
+            ));
+        }
+        self.whole(limit).await
+    }
+
     /// Reads the rest of the body and keeps nothing of it, so that the connection can be reused.
     ///
     /// # Errors
@@ -144,3 +174,19 @@
         hyper::body::Body::is_end_stream(&self.incoming)
     }
 }
+
+/// Returns the end of a body that ends with its connection. A peer that breaks off may end its side first.
+///
+/// # Errors
+///
+/// Fails if the peer hasn't taken the whole request, or resets the connection.
+async fn confirm_end(connection: &Connection) -> Result<Option<Bytes>> {
+    let Some(ended) = connection.allowance.take_ended() else {
+        return Err(Fault::Broken(
+            "it isn't known how the connection ended".to_owned(),
+        ));
+    };
+    let confirmed = ended.confirm(RESET_WAIT).await;
+    confirmed.map_err(|fault| Fault::Broken(fault.to_string()))?;
+    Ok(None)
+}
--- a/crates/link/src/head.rs
+++ b/crates/link/src/head.rs
@@ -9,8 +9,11 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use hyper::HeaderMap;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::ext::ReasonPhrase;
+use hyper::header::TRANSFER_ENCODING;
 
 /// The status codes from this one on are undefined (RFC 9110, section 15).
 const FIRST_UNDEFINED_STATUS: u16 = 600;
@@ -54,6 +57,20 @@
     Ok(())
 }
 
+/// Returns whether the head of an answer says where its body ends. Otherwise the body ends with the connection,
+/// which looks the same where the peer breaks off.
+pub fn states_end<B: Body>(answer: &Response<B>) -> bool {
+    answer.body().size_hint().exact().is_some() || is_chunked(answer.headers())
+}
+
+/// Returns whether the last transfer coding is that in chunks.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = last.and_then(|value| value.to_str().ok());
+    let coding = codings.and_then(|codings| codings.rsplit(',').next());
+    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 fn is_joined<B>(answer: &Response<B>) -> bool {
     let reason = answer.extensions().get::<ReasonPhrase>();
     let reason = reason.map_or(&[][..], |reason| reason.as_bytes());
--- a/crates/link/tests/broken_answers.rs
+++ b/crates/link/tests/broken_answers.rs
@@ -28,6 +28,8 @@
     max_answer: 16 * 1024,
 };
 
+/// More bytes than the buffers of a connection hold.
+const UNREAD_BYTES: usize = 64 * 1024 * 1024;
 /// Separates two pieces of an answer.
 const PAUSE: Duration = Duration::from_millis(1);
 
@@ -53,8 +55,13 @@
 enum End {
     Close,
     Reset,
+    /// The peer ends its side, and resets the connection a little later.
+    HalfThenReset,
 }
 
+/// How long after the end of its side a peer resets the connection.
+const RESET_AFTER: Duration = Duration::from_millis(30);
+
 /// Serves one connection: reads the request, writes the pieces with a pause between them, and ends.
 async fn peer(pieces: Vec<Bytes>, end: End) -> (SocketAddr, JoinHandle<std::io::Result<()>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -71,6 +78,11 @@
         match end {
             End::Close => stream.shutdown().await,
             End::Reset => stream.set_zero_linger(),
+            End::HalfThenReset => {
+                stream.shutdown().await?;
+                sleep(RESET_AFTER).await;
+                stream.set_zero_linger()
+            }
         }
     });
     (address, serving)
@@ -148,11 +160,65 @@
     for cut in 0..=NO_LENGTH.len() {
         let reset = ask(Method::GET, &[&NO_LENGTH[..cut], ""], End::Reset).await;
         assert!(reset.is_err(), "cut at {cut}: {reset:?}");
+        let half = ask(Method::GET, &[&NO_LENGTH[..cut]], End::HalfThenReset).await;
+        assert!(half.is_err(), "cut at {cut}: {half:?}");
         let closed = ask(Method::GET, &[&NO_LENGTH[..cut]], End::Close).await;
         assert_eq!(closed.is_ok(), cut >= head, "cut at {cut}: {closed:?}");
     }
 }
 
+/// Guards against a part of a message that is taken for a whole one of an earlier version.
+#[rstest]
+#[case::length(LENGTH, true)]
+#[case::chunks(CHUNKS, true)]
+#[case::no_content(NO_CONTENT, true)]
+#[case::no_length(NO_LENGTH, false)]
+#[case::other_coding("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n0123456789", false)]
+#[case::old_version("HTTP/1.0 200 OK\r\n\r\n0123456789", false)]
+#[tokio::test]
+async fn only_a_stated_end_proves_a_whole_body(#[case] answer: &str, #[case] is_stated: bool) {
+    let pieces = vec![Bytes::copy_from_slice(answer.as_bytes())];
+    let (address, _serving) = peer(pieces, End::Close).await;
+    let request = Request::builder().uri("/").body(Payload::default());
+    let reply = Client::new(LIMITS).send(address, request.unwrap()).await;
+    let reply = reply.unwrap();
+    assert_eq!(reply.body.states_end(), is_stated);
+    let got = reply.body.whole_stated(1024).await;
+    assert_eq!(got.is_ok(), is_stated, "{got:?}");
+}
+
+/// Guards against a part of a body that looks whole though the peer never took the request that it answers.
+#[tokio::test]
+async fn an_answer_that_ends_before_its_request_is_not_whole() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.read_u8().await.unwrap();
+        stream.write_all(NO_LENGTH.as_bytes()).await.unwrap();
+        stream.shutdown().await.unwrap();
+        std::future::pending::<TcpStream>().await
+    });
+    let upload = Payload::from(Bytes::from(vec![0; UNREAD_BYTES]));
+    let request = Request::builder().method(Method::POST).uri("/");
+    let request = request.body(upload).unwrap();
+    let reply = Client::new(LIMITS).send(address, request).await.unwrap();
+    let got = reply.body.whole(1024).await;
+    assert!(got.is_err(), "{got:?}");
+    serving.abort();
+}
+
+/// Guards against a status that is none of the protocol's and is taken for that of an answer.
+#[rstest]
+#[tokio::test]
+async fn an_undefined_status_is_no_answer(
+    #[values("000", "0", "20", "099", "600", "700", "999", "1000", "2OO", "+200")] status: &str,
+) {
+    let answer = LENGTH.replacen("200", status, 1);
+    let got = ask(Method::GET, &[&answer], End::Close).await;
+    assert!(got.is_err(), "{got:?}");
+}
+
 /// Guards against framing that can be read in two ways, or not at all.
 #[rstest]
 #[case::two_lengths("content-length: 4\r\ncontent-length: 10")]
@@ -217,14 +283,3 @@
     let got = ask(method, &[answer], End::Close).await;
     assert_eq!(got, Ok((status, Bytes::new())));
 }
-
-/// Guards against a status that is none of the protocol's and is taken for that of an answer.
-#[rstest]
-#[tokio::test]
-async fn an_undefined_status_is_no_answer(
-    #[values("000", "0", "20", "099", "600", "700", "999", "1000", "2OO", "+200")] status: &str,
-) {
-    let answer = LENGTH.replacen("200", status, 1);
-    let got = ask(Method::GET, &[&answer], End::Close).await;
-    assert!(got.is_err(), "{got:?}");
-}
--- a/crates/relay/src/document.rs
+++ b/crates/relay/src/document.rs
@@ -253,7 +253,7 @@
     if reply.head.status != StatusCode::OK {
         return Err(Fault::Refused(reply.head.status));
     }
-    Ok(reply.body.whole(MAX_BYTES).await?)
+    Ok(reply.body.whole_stated(MAX_BYTES).await?)
 }
 
 /// Begins to send the document to another VM; `None` if too many are being sent.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -158,7 +158,7 @@
         .header("host", peer.address.to_string())
         .body(Payload::from(Bytes::from(body)))?;
     let reply = node.vm_client.send(peer.address, request).await?;
-    let bytes = reply.body.whole(MAX_MESSAGE_BYTES).await?;
+    let bytes = reply.body.whole_stated(MAX_MESSAGE_BYTES).await?;
     Ok(outgoing::decode(&bytes)?)
 }
 
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -449,6 +449,10 @@
             self.note_failed(&attempt.runner);
             return SendOutcome::Unknown("a success that no runner signed".to_owned());
         }
+        if self.route.kind == Kind::Stream && is_endless_success(&reply) {
+            self.note_failed(&attempt.runner);
+            return SendOutcome::Unknown("a stream whose end isn't stated".to_owned());
+        }
         let now = self.node.clock.now();
         if let Some(span) = answer_headers.idle_timeout {
             // Closed a second earlier than the runner closes it, so that no request is sent on a
@@ -546,6 +550,12 @@
     status.is_success() && !answer.not_run && answer.signature == Signature::Absent
 }
 
+/// Returns whether a success ends with its connection. A stream that breaks off between two events then looks
+/// whole, and would be kept; a plain answer is left to the reader of its body.
+fn is_endless_success(reply: &Reply) -> bool {
+    reply.head.status.is_success() && !reply.body.states_end()
+}
+
 /// Returns whether a status is a failure of the runner itself. A gateway timeout isn't: that runner
 /// was slow, which shows in the time that it took.
 #[must_use]
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -114,7 +114,7 @@
     let id = job.call.id.clone();
     let (sender, receiver) = oneshot::channel();
     tokio::spawn(async move {
-        run(job, sender).await;
+        Box::pin(run(job, sender)).await;
         drop(guard);
     });
     let answer = receiver.await;
--- a/crates/replica/src/call.rs
+++ b/crates/replica/src/call.rs
@@ -90,7 +90,7 @@
     /// Reads and decodes the answer. Returns `None` if that fails in any way.
     pub async fn read(self) -> Option<Answer> {
         let address = self.address;
-        let whole = self.begun.body.whole(MAX_ANSWER_BYTES);
+        let whole = self.begun.body.whole_stated(MAX_ANSWER_BYTES);
         let bytes = note(address, timeout_at(self.deadline, whole).await)?;
         match rmp_serde::from_slice(&bytes) {
             Ok(answer) => Some(answer),
