--- a/crates/relay/src/delivered.rs
+++ b/crates/relay/src/delivered.rs
@@ -35,12 +35,12 @@
 use crate::account;
 use crate::build;
 use crate::content;
+use crate::delivered::resumption::Claim;
+use crate::delivered::resumption::Keys;
 use crate::events;
 use crate::history;
 use crate::job::Job;
-
-use resumption::Claim;
-use resumption::Keys;
+use crate::refuse;
 
 pub mod resumption;
 
@@ -163,7 +163,8 @@
     account::answer_of(job, replicas.apply(claim.owner, records)).await?;
     let entries = account::answer_of(job, replicas.entries(claim.owner)).await?;
     if claim.is_contested(&entries) {
-        return Err(unknown("another attempt takes it up at the same time"));
+        let refusal = unknown("another attempt takes it up at the same time");
+        return Err(refusal.retry_after(refuse::RETRY_DELAY));
     }
     Ok(())
 }
