Record events that couldn't be recorded with the next one that can be

What callers got: once a store outage had kept one event of a stream from being recorded, no later event was recorded either, and a connection that broke off after it cost the whole stream: refused (CY2210), begun anew.

Now an event that can't be recorded is kept and goes into the record of the next one that can be, so that the chain of records is whole again behind the gap.

--- a/crates/relay/src/delivered.rs
+++ b/crates/relay/src/delivered.rs
@@ -4,8 +4,8 @@
 //! A turn is kept with all events that its caller has. The attempt that takes a stream up gets only the later
 //! ones from its runner, and a new run of the earlier ones may differ from what the caller has. So where a
 //! route both keeps turns and lets streams be resumed, each event is on the disks of a majority before the
-//! caller has it. An event that can't be recorded is passed on all the same: a stream whose first part can't be
-//! read later isn't taken up.
+//! caller has it. An event that can't be recorded is passed on all the same, and recorded with the next one that
+//! can be: a stream whose first part can't be read later isn't taken up.
 //!
 //! The record of an event is a turn whose key is computed from the stream, the event's id and how often the
 //! stream had been taken up, and which continues the record of the event before: like any turn it is copied,
@@ -45,8 +45,10 @@
 pub mod resumption;
 
 /// How long an event is held back at most while it is being recorded: as long as a member may take to answer.
-/// A stream waits so long once, as its later events aren't recorded then.
+/// A stream waits so long once.
 const MAX_HOLD: Duration = ANSWER_TIMEOUT;
+/// The same for events behind one that couldn't be recorded: several times as long as members take that answer.
+const MAX_LATER_HOLD: Duration = Duration::from_millis(20);
 
 /// The result of a step that may refuse the request.
 type Result<T> = std::result::Result<T, Refusal>;
@@ -68,8 +70,10 @@
     resumptions: usize,
     /// The record of the last event.
     last: Option<Key>,
-    /// The data of events that came since without an id.
+    /// The data of events that came since, and have no id or couldn't be recorded.
     pending: BytesMut,
+    /// How long an event is held back at most.
+    max_hold: Duration,
 }
 
 /// Identifies a stream: the attempt that began it, and what it asks for.
@@ -119,6 +123,7 @@
         resumptions: number,
         last: Some(last),
         pending: BytesMut::new(),
+        max_hold: MAX_HOLD,
     };
     Ok(Delivered {
         texts,
@@ -215,6 +220,7 @@
             resumptions: 0,
             last: None,
             pending: BytesMut::new(),
+            max_hold: MAX_HOLD,
         }
     }
 
@@ -224,39 +230,45 @@
         self.pending.capacity()
     }
 
-    /// Records an event.
-    ///
-    /// # Errors
-    ///
-    /// Fails if too few members record it within [`MAX_HOLD`], or if it is known that too few can be reached.
-    /// No later event can be recorded then.
-    pub async fn record(
-        &mut self,
-        job: &Job,
-        event: &events::Event,
-    ) -> std::result::Result<(), Fault> {
+    /// Records an event, and those before it that couldn't be recorded. Holds it back for that, and gives up if too
+    /// few members record it in time, or if it is known that too few can be reached.
+    pub async fn record(&mut self, job: &Job, event: &events::Event) {
         self.pending.extend_from_slice(&event.data);
         self.pending.extend_from_slice(b"\n");
         let Some(id) = event.id else {
-            return Ok(());
+            return;
         };
+        if let Err(fault) = self.record_pending(job, id).await
+            && self.max_hold == MAX_HOLD
+        {
+            log_interrupted(job, &fault);
+            self.max_hold = MAX_LATER_HOLD;
+        }
+    }
+
+    /// Records the data of all events up to one as its record.
+    async fn record_pending(&mut self, job: &Job, id: u64) -> std::result::Result<(), Fault> {
         if !job.node.can_serve_turns() {
             return Err(Fault::TooFew);
         }
         let key = self.stream.event_key(job, self.resumptions, id);
         let turn = Turn {
             key,
-            previous: self.last.replace(key),
-            text: self.pending.split().freeze(),
+            previous: self.last,
+            text: self.pending.clone().freeze(),
         };
         let recorded = job.node.replicas.apply(key, vec![Record::Turn(turn)]);
-        let recorded = timeout(MAX_HOLD, recorded).await;
-        recorded.unwrap_or(Err(Fault::TooFew))
+        timeout(self.max_hold, recorded)
+            .await
+            .unwrap_or(Err(Fault::TooFew))?;
+        self.last = Some(key);
+        self.pending.clear();
+        Ok(())
     }
 }
 
-/// Logs that a stream's events are no longer recorded.
-pub fn log_failed(job: &Job, fault: &Fault) {
+/// Logs that events of a stream aren't recorded for the time being.
+fn log_interrupted(job: &Job, fault: &Fault) {
     log::warn!(
         "event=E{} text=\"{}\" request={} program={} route={} fault=\"{fault}\"",
         Event::EventsNotRecorded.number(),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -34,7 +34,6 @@
 use crate::delivered::Delivered;
 use crate::delivered::Recorder;
 use crate::delivered::resumption::Claim;
-use crate::events;
 use crate::events::Reader;
 use crate::held::Displacement;
 use crate::held::Growth;
@@ -524,7 +523,9 @@
                 state.output.extend(b"\n");
             }
             job.node.metrics.count(Counter::Events);
-            record(job, state, &event).await;
+            if let Some(recorder) = &mut state.recorder {
+                recorder.record(job, &event).await;
+            }
             if let Err(end) = send(job, state, event.bytes).await {
                 return end;
             }
@@ -535,17 +536,6 @@
     }
 }
 
-/// Records an event before the caller has it, if the route's streams are recorded.
-async fn record(job: &Job, state: &mut State, event: &events::Event) {
-    let Some(recorder) = &mut state.recorder else {
-        return;
-    };
-    if let Err(fault) = recorder.record(job, event).await {
-        delivered::log_failed(job, &fault);
-        state.recorder = None;
-    }
-}
-
 /// Returns whether one more than `events` events are more than the tokens that the turn may generate, of
 /// which each event holds at least one.
 fn exceeds_tokens(job: &Job, events: u64) -> bool {
