--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -31,8 +31,9 @@
 /// How long the VMs with a disk must have been undisturbed before a disk is lost.
 const WIPE_CLEARANCE_MS: u64 = 10_000;
 
-/// How often all VMs with a disk are away in a row at most, and the time between.
+/// How often all VMs with a disk are away in a row at most.
 const MAX_DISK_OUTAGES: u64 = 3;
+/// The time between two of these outages.
 const DISK_OUTAGE_GAP_MS: u64 = 800;
 /// The longest impairment of a link.
 const MAX_LINK_FAULT_MS: u64 = 4_000;
