A member that can't read a turn says so instead of leaving it out

A member that catches up asks others for the turns that it lacks. A member that couldn't read one of them (no descriptor left to open the segment, an error of the disk) left it out of its answer, and an answer without turns means that they were dropped in the meantime: the one that copies went on, wrote that it holds everything, and was counted as a complete replica without a turn that had been acknowledged. With the disk of the other holder lost, callers get 404 for it.

Now such an answer is a failure as long as nothing else could be read, so that whoever copies asks again and doesn't count as complete until then. What is no longer there (a removed segment, a damaged frame) is still left out: it could never be copied, and the list could never change again.

Weighed: a failure for any turn that can't be read. It would keep back those that can, and the sender asks again for the rest anyway.

--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -343,7 +343,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the disk does, or if no valid record is stored there.
+    /// Fails if the disk does, or with [`io::ErrorKind::InvalidData`] if no valid record is stored there.
     pub fn read(&self, location: Location) -> io::Result<Record> {
         let file = self.file(location.segment)?;
         let mut frame = vec![0; location.length as usize];
@@ -351,9 +351,10 @@
         frame.truncate(read);
         match record::parse_frame(&frame) {
             Parsed::Record(record, _) => Ok(record),
-            Parsed::Incomplete | Parsed::Torn => {
-                Err(io::Error::other("no valid record at this location"))
-            }
+            Parsed::Incomplete | Parsed::Torn => Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "no valid record at this location",
+            )),
         }
     }
 
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -275,7 +275,7 @@
             },
             Body::Keys => Answer::Keys(self.holdings()),
             Body::Gained { vm, losses } => Answer::Keys(self.gained(&vm, losses).await),
-            Body::Fetch(keys) => Answer::Turns(self.fetch(&keys)),
+            Body::Fetch(keys) => self.fetch(&keys),
             Body::Status | Body::List => Answer::Status(self.status()),
         }
     }
--- a/crates/replica/src/server/read.rs
+++ b/crates/replica/src/server/read.rs
@@ -1,5 +1,8 @@
 //! How a member answers requests for what it holds.
 
+use std::io;
+use std::io::ErrorKind;
+
 use crate::message::Answer;
 use crate::message::Chain;
 use crate::message::Holdings;
@@ -54,8 +57,11 @@
         }
     }
 
-    pub(super) fn fetch(&self, keys: &[Key]) -> Vec<Turn> {
-        let mut turns = Vec::new();
+    /// Returns the turns that the member holds. Fails if the disk does before any of them is read: without
+    /// an answer's turns, the sender takes all that it asked for as dropped, and no longer copies them.
+    pub(super) fn fetch(&self, keys: &[Key]) -> Answer {
+        let mut turns: Vec<Turn> = Vec::new();
+        let mut failure = None;
         let mut text_bytes = 0;
         for key in keys {
             let Some(entry) = self.lock().index.find(*key) else {
@@ -67,13 +73,19 @@
                     turns.push(turn);
                 }
                 Ok(_) => {}
-                Err(fault) => log::error!("text=\"a turn can't be read\" fault=\"{fault}\""),
+                Err(fault) if is_absent(&fault) => {
+                    log::error!("text=\"a turn can't be read\" fault=\"{fault}\"");
+                }
+                Err(fault) => failure = Some(fault),
             }
             if text_bytes > MAX_TEXT_BYTES {
                 break;
             }
         }
-        turns
+        match failure {
+            Some(fault) if turns.is_empty() => disk_failed(&fault),
+            _ => Answer::Turns(turns),
+        }
     }
 
     /// Returns which of these turns the member doesn't hold.
@@ -84,3 +96,9 @@
         keys.iter().filter(absent).copied().collect()
     }
 }
+
+/// Returns whether a record is no longer on the disk: its segment was removed, or its frame is damaged.
+/// After any other failure it may be read later.
+fn is_absent(fault: &io::Error) -> bool {
+    matches!(fault.kind(), ErrorKind::NotFound | ErrorKind::InvalidData)
+}
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -38,6 +38,8 @@
     failing_append: Option<usize>,
     /// Whether the next sync of a file fails.
     failing_sync: bool,
+    /// Whether the process has no descriptors left to open files with.
+    out_of_descriptors: bool,
 }
 
 /// A file of a stand-in disk.
@@ -151,6 +153,16 @@
         self.lock().failing_sync = true;
     }
 
+    /// Has the process run out of descriptors: it opens no more files.
+    pub fn use_up_descriptors(&self) {
+        self.lock().out_of_descriptors = true;
+    }
+
+    /// Lets the process open files again.
+    pub fn free_descriptors(&self) {
+        self.lock().out_of_descriptors = false;
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.state.lock().unwrap()
     }
@@ -198,6 +210,9 @@
 
     fn open(&self, name: &str) -> io::Result<Arc<dyn medium::File>> {
         let state = self.lock();
+        if state.out_of_descriptors {
+            return Err(io::Error::other("too many open files"));
+        }
         let at = state.find(name)?;
         Ok(Arc::new(state.names[at].1.clone()))
     }
