A member tries again to rewrite the accounts after a failed write

A member writes all accounts again after some new segments, so that a program's entries don't leave with the oldest segment. It forgot how many segments were new before it wrote, so a write that failed (a full disk for a moment) was only tried again after as many segments more. On a disk with room for few segments the entries could be removed in between; after a restart the program has its budget a second time.

Now the count is reset once the accounts are on disk.

test accounts_are_rewritten_again_after_a_failed_write ... FAILED panicked at crates/replica/tests/power_loss.rs: nothing was written

Found by reading. Usual disks have room for dozens of segments, and two failures in a row would be needed there.

--- a/crates/replica/src/server/write.rs
+++ b/crates/replica/src/server/write.rs
@@ -123,12 +123,14 @@
             if state.segments_since_rewrite < REWRITE_AFTER_SEGMENTS {
                 return Ok(());
             }
-            state.segments_since_rewrite = 0;
             state.ledger.accounts()
         };
         let records: Vec<Record> = accounts.iter().flat_map(account_records).collect();
         log::info!("text=\"rewriting the accounts\" entries={}", records.len());
-        self.write_records(&records).await
+        self.write_records(&records).await?;
+        // Not before: a write that failed has to be tried again.
+        self.lock().segments_since_rewrite = 0;
+        Ok(())
     }
 }
 
--- a/crates/replica/tests/power_loss.rs
+++ b/crates/replica/tests/power_loss.rs
@@ -15,6 +15,7 @@
 use replica::message::Body;
 use replica::record::Key;
 use replica::record::Record;
+use replica::record::Reservation;
 use replica::record::Turn;
 use replica::server;
 use rstest::rstest;
@@ -24,6 +25,8 @@
 
 /// The size of a disk in bytes.
 const DISK_BYTES: u64 = 500_000_000;
+/// After how many new segments a member writes all accounts again.
+const SEGMENTS_BEFORE_REWRITE: usize = 8;
 /// How long an answer that has to wait for a blocked sync is waited for.
 const BLOCKED: Duration = Duration::from_millis(200);
 
@@ -259,3 +262,29 @@
     let after = start(&disk.after_power_loss()).await;
     assert!(holds(&after, "t2").await, "the turn is lost");
 }
+
+/// Guards against accounts whose rewriting fails once and isn't tried again: they are lost with the oldest
+/// segments, and a program may spend its budget a second time.
+#[tokio::test]
+async fn accounts_are_rewritten_again_after_a_failed_write() {
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    let reservation = Record::Reserve(Reservation {
+        program: Key::of("p1"),
+        turn: Key::of("t1"),
+        most: 50,
+    });
+    let reserved = ask(&member, Body::Apply(vec![reservation])).await;
+    assert!(matches!(reserved, Answer::Applied(_)), "{reserved:?}");
+    for _ in 0..SEGMENTS_BEFORE_REWRITE {
+        // The next write begins a new segment.
+        disk.fail_next_sync();
+        let failed = write(&member, "t1").await;
+        assert!(matches!(failed, Answer::Failed(_)), "{failed:?}");
+    }
+    disk.fail_append_after(0);
+    member.sweep().await.unwrap_err();
+    let bytes_before = disk.bytes();
+    member.sweep().await.unwrap();
+    assert!(disk.bytes() > bytes_before, "nothing was written");
+}
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -138,6 +138,13 @@
         }
     }
 
+    /// Returns how many bytes all files have.
+    pub fn bytes(&self) -> usize {
+        let state = self.lock();
+        let lengths = state.names.iter().map(|(_, file)| file.lock().bytes.len());
+        lengths.sum()
+    }
+
     /// Returns how many files were created.
     pub fn created(&self) -> usize {
         self.lock().created
