replica: A reservation counts only what members that have caught up know

What callers saw: three members, none of which had caught up with its list, took a reservation, and the writer was told that it fits. After two changes of the list, or a lost disk and one, members may lack earlier reservations, so a program could exceed its budget. A read of the same account says "catching up".

Cause: a member answered a reservation with the entries that it knew whether it had caught up or not, and with answers from all members the writer takes their union for everything that was acknowledged. Only the second round, at a majority, asked who had caught up.

Now such a member stores the reservation and answers NotReady. With two members that have caught up and one new disk reservations go on.

Turns and settlements still count at a listed disk that is catching up. What they need is a copy: whoever catches up later copies from members that intersect every majority of the list before, whether those had caught up or not, and an absence is told only by members that had. Records that go with `apply` (claims and builds of streams) count likewise, as their readers ask a majority that has caught up.

Ways weighed: always a second round (one more trip for each reservation in calm, nothing else) and this answer (no more trips in calm). Not measured against each other.

Old and new processes side by side: no message changed its form. An old writer takes NotReady for a failure, so a reservation is refused while two members catch up; it never counts wrongly. A new writer gets entries from an old member that is catching up, as before.

--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -157,7 +157,8 @@
             let mut list_changed = false;
             while let Some(answer) = answers.recv().await {
                 match answer {
-                    Some(Answer::Applied(_)) => done += 1,
+                    // A member that is still catching up has stored the records nevertheless.
+                    Some(Answer::Applied(_) | Answer::NotReady) => done += 1,
                     Some(Answer::Newer(newer)) => {
                         self.adopt(newer);
                         list_changed = true;
@@ -212,7 +213,7 @@
         let mut answers = self.ask_all(&list, &group, body)?;
         let mut known = Vec::new();
         let mut failed = 0;
-        let mut list_changed = false;
+        let mut fault = Fault::TooFew;
         let mut deadline = Instant::now() + call::ANSWER_TIMEOUT * 2;
         let mut state = quorum::State::Waiting;
         // Ends early when the time for the stragglers is over.
@@ -221,7 +222,13 @@
                 Some(Answer::Applied(entries)) => known.push(entries),
                 Some(Answer::Newer(newer)) => {
                     self.adopt(newer);
-                    list_changed = true;
+                    fault = Fault::ListChanged;
+                    failed += 1;
+                }
+                Some(Answer::NotReady) => {
+                    if fault == Fault::TooFew {
+                        fault = Fault::CatchingUp;
+                    }
                     failed += 1;
                 }
                 _ => failed += 1,
@@ -251,8 +258,7 @@
                 );
                 Ok(quorum::check_budget(&quorum::union(&known), &own, budget))
             }
-            _ if list_changed => Err(Fault::ListChanged),
-            _ => Err(Fault::TooFew),
+            quorum::State::Waiting | quorum::State::Failed => Err(fault),
         }
     }
 
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -76,7 +76,8 @@
     Newer(List),
     /// The member uses an older list; the sender has to send its own list first.
     Older,
-    /// The member doesn't yet hold everything that was acknowledged before its list.
+    /// The member doesn't yet hold everything that was acknowledged before its list. It has stored
+    /// the records that it was sent, if any.
     NotReady,
     /// The member can't do what was asked, for this reason. For example, its disk failed or it is
     /// stopping.
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -76,6 +76,13 @@
     last_write: Millis,
 }
 
+impl State {
+    /// Returns whether the member holds everything that was acknowledged before its list.
+    const fn has_caught_up(&self) -> bool {
+        self.identity.ready >= self.identity.list.version
+    }
+}
+
 /// Opens a member's folder. A disk without a stored identity gets the number `new_disk`.
 ///
 /// # Errors
@@ -306,7 +313,7 @@
             Body::Account(_) => true,
             _ => false,
         };
-        (needs_all && state.identity.ready < own.version).then_some(Answer::NotReady)
+        (needs_all && !state.has_caught_up()).then_some(Answer::NotReady)
     }
 
     fn list_newer_than(&self, version: u64) -> Option<Answer> {
--- a/crates/replica/src/server/write.rs
+++ b/crates/replica/src/server/write.rs
@@ -23,6 +23,10 @@
 impl Member {
     /// Syncs records. Reservations count at once, before they are on disk, because another
     /// reservation that is answered in the meantime must see them.
+    ///
+    /// A member that is still catching up stores a reservation, but answers [`Answer::NotReady`]:
+    /// its entries may lack earlier reservations. Turns and settlements are answered as usual,
+    /// because members that catch up later copy them from every disk that the list names.
     pub async fn apply(&self, records: Vec<Record>) -> Answer {
         let now = self.clock.now();
         let mut frames = Vec::with_capacity(records.len());
@@ -55,8 +59,12 @@
             let location = locations[at];
             state.index.insert(key, index::Entry { previous, location });
         }
-        let entries = program.map_or_else(Vec::new, |key| state.ledger.entries(key).to_vec());
-        Answer::Applied(entries)
+        match program {
+            // Checked under the same lock as the entries, which may be from before a catch-up.
+            Some(_) if !state.has_caught_up() => Answer::NotReady,
+            Some(key) => Answer::Applied(state.ledger.entries(key).to_vec()),
+            None => Answer::Applied(Vec::new()),
+        }
     }
 
     /// Merges and stores another member's accounts.
--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -26,9 +26,11 @@
 use replica::message::Answer;
 use replica::message::Ask;
 use replica::message::Body;
+use replica::quorum::Verdict;
 use replica::record::Key;
 use replica::record::Record;
 use replica::record::Reservation;
+use replica::record::Settlement;
 use replica::record::Turn;
 use replica::server;
 use support::Disk;
@@ -230,3 +232,55 @@
     let verdict = writer.reserve(reservation, None, 100).await;
     assert_eq!(verdict, Err(Fault::CatchingUp));
 }
+
+/// Guards against turns that are refused after each lost disk, as the new one doesn't count yet and the
+/// others aren't asked for the rest, and against a budget that counts only what the new disk knows.
+#[tokio::test]
+async fn a_reservation_rests_on_the_majority_that_has_caught_up() {
+    let vms = [
+        Vm::start("a", 1).await,
+        Vm::start("b", 2).await,
+        Vm::start("c", 3).await,
+    ];
+    let [a, b, c] = &vms;
+    let mut list = List::default();
+    for vm in &vms {
+        list = list.with(&vm.entry());
+    }
+    for vm in [a, b] {
+        vm.adopt(&list, list.version).await;
+    }
+    c.adopt(&list, 0).await;
+    let writer = Replicas::new(client(), "a", 1);
+    writer.adopt(list);
+    let program = Key::of("p1");
+    let reserve = |turn, most| {
+        let turn = Key::of(turn);
+        writer.reserve(
+            Reservation {
+                program,
+                turn,
+                most,
+            },
+            None,
+            100,
+        )
+    };
+    assert_eq!(reserve("t1", 50).await, Ok(Verdict::Fits));
+    assert_eq!(reserve("t2", 60).await, Ok(Verdict::Spent(50)));
+    // A member that hasn't caught up doesn't make up for one that has.
+    b.silent.store(true, Ordering::SeqCst);
+    assert_eq!(reserve("t3", 1).await, Err(Fault::CatchingUp));
+    let settlement = Settlement {
+        program,
+        turn: Key::of("t1"),
+        used: 50,
+    };
+    assert_eq!(writer.settle(settlement).await, Ok(()));
+    let tail = Record::Reserve(Reservation {
+        program,
+        turn: Key::of("t4"),
+        most: 1,
+    });
+    assert_eq!(writer.apply(program, vec![tail]).await, Ok(()));
+}
