A turn on a path that an older configuration lacks is not refused for good

Callers saw 404 CY1105 ("no such path") for a turn that continues a turn answered whole, which ends the program, at a VM whose configuration was older than the one under which the first turn was answered: cut off from the platform's store, or 30 ms behind its caller.

Cause: `find` in relay::arrival looked the path up in the configuration in force and took its absence for certain, whatever the age of that configuration. Evidence, platform/tests/behind.rs on the code before:

a_vm_that_is_cut_off_refuses_the_turn_for_now::case_1_the_path_is_new left: 404 (CY1105 no such path: /late/x), right: 503 a_turn_waits_for_the_configuration_that_allows_it::case_1_the_path_is_new left: 404 (CY1105 no such path: /late/x), right: 200

Such a turn is now refused for good only once the configuration is known to have been current after the turn arrived: what allowed the turn before it is then part of it. The decision is relay::doubt, without clock or network.

Ways weighed: to ask the platform's store at each unknown path would end the wait within milliseconds, but costs a call for each request of a flood of unknown paths; to refuse with 503 whenever the path is unknown never says a final no. Requests that continue no turn keep their 404 at once: nothing is promised for them beyond the time of a change, and no proof is needed for it.

After: 3 of 3 tests of behind.rs, 244 of 244 unit tests of relay.

--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -1,5 +1,6 @@
 //! The arrival of a request: it is read, routed, and accepted or refused.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
 use wire::code::Refusal;
 
 use crate::answer;
+use crate::doubt;
+use crate::doubt::Verdict as Doubt;
 use crate::held::Held;
 use crate::held::Holdings;
 use crate::identity;
@@ -292,13 +295,14 @@
     call: &Call,
     arrived: Instant,
 ) -> Result<RoutedRequest, Refusal> {
+    let arrived_at = node.clock.now();
     let time_limit = call.deadline.unwrap_or(DEFAULT_TIME_LIMIT);
     wait_at_start(node, head, call, arrived + time_limit.as_duration()).await;
     let Found {
         table,
         route,
         identity,
-    } = find(node, head, call)?;
+    } = find_certainly(node, head, call, arrived_at, time_limit).await?;
     let deadline = arrived + time_limit.min(route.timeout).as_duration();
     shutdown::admit(node, kept::latest_end(&route, deadline))?;
     let admission = admit(node, &route, &identity, call)?;
@@ -336,6 +340,42 @@
     identity: Identity,
 }
 
+/// Finds what the configuration says of a request. Refuses a turn that continues another one for good only if
+/// no configuration allowed it when it arrived.
+async fn find_certainly(
+    node: &Node,
+    head: &request::Parts,
+    call: &Call,
+    arrived_at: Millis,
+    time_limit: Millis,
+) -> Result<Found, Refusal> {
+    let max_wait = doubt::max_wait(time_limit);
+    loop {
+        let mut news = pin!(node.config_news.notified());
+        news.as_mut().enable();
+        // Taken before the routes are looked up: a proof in between would be of later ones.
+        let knowledge = node.config_knowledge();
+        let found = find(node, head, call);
+        if !rests_on_old_routes(&found, call) {
+            return found;
+        }
+        let waited = node.clock.now().since(arrived_at);
+        match doubt::decide(knowledge, waited, max_wait) {
+            Doubt::Final => return found,
+            Doubt::Open => return Err(identity::stale(node.freshness(knowledge.age))),
+            Doubt::Wait(limit) => {
+                let _no_news = timeout(limit.as_duration(), news).await;
+            }
+        }
+    }
+}
+
+/// Returns whether a turn that continues another one isn't allowed, though that one was.
+fn rests_on_old_routes(found: &Result<Found, Refusal>, call: &Call) -> bool {
+    let is_unknown = matches!(found, Err(refusal) if refusal.code == Code::UnknownPath);
+    is_unknown && call.previous.is_some()
+}
+
 fn find(node: &Node, head: &request::Parts, call: &Call) -> Result<Found, Refusal> {
     let table = node.table();
     if !table.loaded {
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -192,7 +192,9 @@
     }
 }
 
-fn stale(freshness: Freshness) -> Refusal {
+/// Returns the refusal of a request that a later configuration may allow.
+#[must_use]
+pub fn stale(freshness: Freshness) -> Refusal {
     let detail = match freshness.age {
         Some(age) => format!("last known to be current {age} ago"),
         None => "not known to be current yet".to_owned(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod delivered;
 pub mod directory;
 pub mod document;
+pub mod doubt;
 pub mod drain;
 pub mod events;
 pub mod exchange;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -19,6 +19,7 @@
 use policy::opening::Opening;
 use policy::stop::Stop;
 use replica::client::Replicas;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -30,6 +31,7 @@
 use crate::crashes::Crashes;
 use crate::directory::Directory;
 use crate::document;
+use crate::doubt;
 use crate::fleet::Fleet;
 use crate::freshness::Stamp;
 use crate::held::Holdings;
@@ -118,6 +120,8 @@
     /// Distinguishes this process's stamps from those of others.
     process: u64,
     in_force: Mutex<InForce>,
+    /// Notified when the configuration changes or is proved to be current.
+    pub config_news: Notify,
     fleet: Mutex<Fleet>,
     usage: Mutex<Ledger>,
     opening: Mutex<Opening>,
@@ -190,6 +194,7 @@
             started_at: clock.now(),
             process: rand::random(),
             in_force: Mutex::default(),
+            config_news: Notify::new(),
             fleet: Mutex::default(),
             usage: Mutex::new(Ledger::new(
                 &settings.vm,
@@ -248,6 +253,8 @@
         self.listeners.apply(&self.settings, &table);
         in_force.table = Arc::new(table);
         in_force.unreadable = false;
+        drop(in_force);
+        self.config_news.notify_waiters();
         true
     }
 
@@ -264,6 +271,8 @@
             return;
         }
         in_force.current_at = in_force.current_at.max(Some(at));
+        drop(in_force);
+        self.config_news.notify_waiters();
     }
 
     fn in_force(&self) -> MutexGuard<'_, InForce> {
@@ -290,6 +299,16 @@
         }
     }
 
+    /// Returns how old the knowledge of the configuration is and may become.
+    #[must_use]
+    pub fn config_knowledge(&self) -> doubt::Knowledge {
+        let (_, age) = self.table_with_age();
+        doubt::Knowledge {
+            age,
+            max_age: self.config_max_age(),
+        }
+    }
+
     /// Returns whether the configuration is recent enough for unknown keys to be refused for good.
     #[must_use]
     pub fn can_identify(&self) -> bool {
