A turn does not run without its history on an old configuration's word

A runner got only the new input of a turn that continues another one, at a VM whose older configuration says that the route keeps no turns: the turn ran without its history, and its caller got 200.

Cause: `read_history` in relay::stream::begin ignores the turn before where the route in force doesn't keep turns, however old that configuration is.

A request that names a turn before it, on a route that keeps none, now waits for the same proof as one whose path isn't there; with it, it runs as before, else it gets 503 CY4109 with Retry-After and doesn't run.

--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -340,8 +340,8 @@
     identity: Identity,
 }
 
-/// Finds what the configuration says of a request. Refuses a turn that continues another one for good only if
-/// no configuration allowed it when it arrived.
+/// Finds what the configuration says of a request. Refuses a turn that continues another one for good, or lets it
+/// run without its history, only if no configuration said otherwise when it arrived.
 async fn find_certainly(
     node: &Node,
     head: &request::Parts,
@@ -370,10 +370,14 @@
     }
 }
 
-/// Returns whether a turn that continues another one isn't allowed, though that one was.
+/// Returns whether a turn that continues another one has no path, or one whose turns have no history, though
+/// the other one was kept.
 fn rests_on_old_routes(found: &Result<Found, Refusal>, call: &Call) -> bool {
-    let is_unknown = matches!(found, Err(refusal) if refusal.code == Code::UnknownPath);
-    is_unknown && call.previous.is_some()
+    let lacks_history = match found {
+        Ok(found) => !found.route.keeps_turns,
+        Err(refusal) => refusal.code == Code::UnknownPath,
+    };
+    lacks_history && call.previous.is_some()
 }
 
 fn find(node: &Node, head: &request::Parts, call: &Call) -> Result<Found, Refusal> {
--- a/crates/relay/src/doubt.rs
+++ b/crates/relay/src/doubt.rs
@@ -1,7 +1,7 @@
-//! Whether a refusal that rests on the configuration in force may be final.
+//! Whether what the configuration in force says of a turn may be final.
 //!
 //! A turn that continues another one was allowed by some configuration, maybe by a later one than this VM
-//! knows. That its path isn't there is certain only once the configuration is known to have been current
+//! knows. That its path isn't there, or keeps no turns, is certain only once the configuration is known to have been current
 //! after the turn arrived: whatever allowed the turn before it would then be part of it. Such a proof comes at
 //! regular intervals, and requests wait for it without asking for one.
 
@@ -13,14 +13,14 @@
 /// Divisor of a request's time that gives how long it may wait: another VM needs the rest.
 const WAIT_DIVISOR: u64 = 3;
 
-/// What may be said of a request that the configuration doesn't allow.
+/// What may be said of a request that the configuration doesn't allow, or whose history it doesn't keep.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// No configuration that was in force before the request arrived allows it.
+    /// No configuration that was in force before the request arrived says otherwise.
     Final,
     /// A proof may come within this time.
     Wait(Millis),
-    /// A later configuration may allow it.
+    /// A later configuration may say otherwise.
     Open,
 }
 
