Log who ended a caller's connection, and whether its request was passed on

E1209 said that a caller had gone, not how: an end of its writing (a half-close looks the same as a close), a reset, the listener letting the connection go, or more bytes than the request may bring. Nor did it say whether the request had been sent to an endpoint. Without that, a connection that ends without an answer can't be told from a caller that left.

The connection keeps its first ending, the request's meter gives it to the job, and E1209 has `ended_by` and `passed_on`, also where the call runs on.

A caller that leaves while its request is read had no line at all; it has one now, with an empty route.

--- a/crates/link/src/ingress.rs
+++ b/crates/link/src/ingress.rs
@@ -7,6 +7,7 @@
 use std::io::IoSlice;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -29,6 +30,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use crate::ending::Ending;
 use crate::listen::Connections;
 
 /// The most bytes of a head that are read at once, and before other tasks get the thread. The decoder's
@@ -75,6 +77,8 @@
     came: AtomicU64,
     /// How many of them may come while a request is under way.
     bound: AtomicU64,
+    /// What ended it.
+    ending: OnceLock<Ending>,
 }
 
 impl Connection {
@@ -88,6 +92,7 @@
             is_blocked: AtomicBool::new(false),
             came: AtomicU64::new(0),
             bound: AtomicU64::new(u64::MAX),
+            ending: OnceLock::new(),
         })
     }
 
@@ -115,6 +120,11 @@
         self.head_bytes < self.owner.head_bytes()
     }
 
+    /// Notes what ends the connection; what comes after the first ending is a consequence of it.
+    pub(crate) fn note_ending(&self, ending: Ending) {
+        self.ending.get_or_init(|| ending);
+    }
+
     /// Notes bytes that have come.
     fn note_read(&self, bytes: usize) -> Result<(), Exceeded> {
         let came = self.came.fetch_add(bytes as u64, Ordering::Relaxed) + bytes as u64;
@@ -130,7 +140,10 @@
         Ok(())
     }
 
-    fn note_write<T>(&self, written: &Poll<T>) {
+    fn note_write<T>(&self, written: &Poll<io::Result<T>>) {
+        if let Poll::Ready(Err(_)) = written {
+            self.note_ending(Ending::Reset);
+        }
         let is_blocked = written.is_pending();
         if self.is_blocked.swap(is_blocked, Ordering::Relaxed) == is_blocked {
             return;
@@ -182,6 +195,12 @@
         self.connection.owner.is_crowded(span)
     }
 
+    /// Returns what ended the connection; `None` while it is open.
+    #[must_use]
+    pub fn ending(&self) -> Option<Ending> {
+        self.connection.ending.get().copied()
+    }
+
     fn grant(&self, bytes: u64) {
         let bound = &self.connection.bound;
         let more = bytes.saturating_mul(FRAMING_FACTOR);
@@ -322,7 +341,7 @@
         (BODY_READ_BYTES, BODY_TURN_BYTES)
     }
 
-    fn note_write<T>(&self, written: Poll<T>) -> Poll<T> {
+    fn note_write<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if let Some(connection) = &self.connection {
             connection.note_write(&written);
         }
@@ -367,15 +386,21 @@
             Poll::Ready(Ok(bytes)) => self.turn_bytes += bytes,
             Poll::Ready(Err(_)) | Poll::Pending => self.turn_bytes = 0,
         }
-        let (Poll::Ready(Ok(bytes)), Some(connection)) = (&read, &self.connection) else {
+        let (Poll::Ready(outcome), Some(connection)) = (&read, &self.connection) else {
             return read.map_ok(|_| ());
         };
-        if *bytes > 0
-            && let Err(fault) = connection.note_read(*bytes)
-        {
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, fault)));
+        match outcome {
+            Ok(0) => connection.note_ending(Ending::EndOfWriting),
+            Ok(bytes) => {
+                if let Err(fault) = connection.note_read(*bytes) {
+                    connection.note_ending(Ending::Protocol);
+                    let fault = io::Error::new(io::ErrorKind::InvalidData, fault);
+                    return Poll::Ready(Err(fault));
+                }
+            }
+            Err(_) => connection.note_ending(Ending::Reset),
         }
-        Poll::Ready(Ok(()))
+        read.map_ok(|_| ())
     }
 }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod body;
 pub mod client;
 pub mod connection;
+pub mod ending;
 pub mod head;
 pub mod inbound;
 pub mod ingress;
--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -31,6 +31,7 @@
 use crate::accept::Next;
 use crate::body::Body;
 use crate::connection;
+use crate::ending::Ending;
 use crate::ingress;
 use crate::ingress::Connection;
 use crate::ingress::Guarded;
@@ -356,10 +357,14 @@
     };
     let mut stream = ingress::Stream::tracked(stream, connection.clone());
     let served = connection::serve(&mut stream, &protocol, &connections.draining, respond);
+    let let_go = async {
+        connection.ended.cancelled().await;
+        connection.note_ending(Ending::LetGo);
+    };
     let outcome = tokio::select! {
         biased;
         outcome = served => outcome,
-        () = connection.ended.cancelled() => return,
+        () = let_go => return,
     };
     if let Err(fault) = outcome {
         log::debug!("a caller's connection ended: {fault}");
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -1,6 +1,7 @@
 //! The arrival of a request: it is read, routed, and accepted or refused.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use adapter::config::Kind;
@@ -44,6 +45,7 @@
 use crate::metrics::Counter;
 use crate::node::Node;
 use crate::plain;
+use crate::reading;
 use crate::refuse;
 use crate::shutdown;
 use crate::stream;
@@ -79,7 +81,12 @@
     let program = call.program.clone();
     let guard = node.work.begin(work::Kind::Answer, &id);
     let expects_continue = expects_continue(request.headers());
-    let mut response = match read_request(&node, request, call, arrived).await {
+    let connection = request.extensions().get::<Meter>().cloned();
+    let named = program.as_deref().unwrap_or_default();
+    let reading = reading::Guard::begin(&node, &id, named, connection, arrived);
+    let read = read_request(&node, request, call, arrived).await;
+    reading.finish();
+    let mut response = match read {
         Ok(job) => match job.route.kind {
             Kind::Stream => stream::serve(job, guard).await,
             Kind::Idempotent | Kind::AtMostOnce => plain::serve(job, guard).await,
@@ -87,7 +94,7 @@
         Err(refusal) => {
             let info = refuse::Info {
                 request: &id,
-                program: program.as_deref().unwrap_or_default(),
+                program: named,
                 waited: Millis::from(arrived.elapsed()),
                 ..refuse::Info::default()
             };
@@ -160,13 +167,14 @@
             return Err(refusal);
         }
     };
-    job(node, head, call, routed, body, arrived)
+    job(node, head, meter, call, routed, body, arrived)
 }
 
 /// Joins what is known of a request that was read.
 fn job(
     node: &Arc<Node>,
     head: request::Parts,
+    connection: Option<Meter>,
     call: Call,
     routed: RoutedRequest,
     body: Bytes,
@@ -205,6 +213,8 @@
         admission,
         call,
         body,
+        connection,
+        passed_on: AtomicBool::default(),
         arrived,
         deadline,
     })
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -3,6 +3,8 @@
 mod log_lines;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use adapter::config::Kind;
@@ -25,6 +27,7 @@
 use link::client::Reply;
 use link::client::Sent;
 use link::client::Wait;
+use link::ingress::Meter;
 use policy::prefix;
 use policy::slowdown::Reading;
 use policy::standing;
@@ -91,6 +94,10 @@
     pub body: Bytes,
     /// The parts of the prompt.
     pub prompt: Vec<prefix::Part>,
+    /// The connection that it came on, where the listener tracks it.
+    pub connection: Option<Meter>,
+    /// Whether it was sent to a runner.
+    pub passed_on: AtomicBool,
     /// When the request arrived.
     pub arrived: Instant,
     /// When the answer has to be complete.
@@ -356,6 +363,7 @@
         standing: Option<Standing>,
         priority: Option<u8>,
     ) -> Attempt {
+        self.passed_on.store(true, Ordering::Relaxed);
         if let Some(admission) = &self.admission {
             admission.note_sent();
         }
--- a/crates/relay/src/job/log_lines.rs
+++ b/crates/relay/src/job/log_lines.rs
@@ -1,5 +1,9 @@
 //! What is logged of a request.
 
+use std::sync::atomic::Ordering;
+
+use link::ending::Ending;
+use link::ingress::Meter;
 use wire::clock::Millis;
 use wire::event::Event;
 
@@ -10,6 +14,11 @@
 use crate::metrics::Counter;
 use crate::metrics::Outcome;
 
+/// Returns what ended a caller's connection, for the log; empty if that isn't known.
+fn ended_by(connection: Option<&Meter>) -> &'static str {
+    connection.and_then(Meter::ending).map_or("", Ending::name)
+}
+
 impl Job {
     /// Logs and counts a failed attempt: one whose answer, if any, isn't passed on to the caller.
     pub fn log_retry(&self, runner: &str, why: &str) {
@@ -46,13 +55,27 @@
         let kind = Some(self.route.kind);
         self.node.metrics.count_outcome(kind, Outcome::Gone);
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={}",
+            "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={} ended_by={} passed_on={}",
             Event::CallerGone.number(),
             Event::CallerGone.text(),
             self.call.id,
             self.call.program.as_deref().unwrap_or_default(),
             self.route.name,
-            self.age().as_u64()
+            self.age().as_u64(),
+            ended_by(self.connection.as_ref()),
+            self.passed_on.load(Ordering::Relaxed)
+        );
+    }
+
+    /// Logs that the caller left before its answer was complete, and that the request ran on.
+    pub fn log_ran_on(&self) {
+        log::info!(
+            "event=E{} text=\"{}\" request={} ran_on=true ended_by={} passed_on={}",
+            Event::CallerGone.number(),
+            Event::CallerGone.text(),
+            self.call.id,
+            ended_by(self.connection.as_ref()),
+            self.passed_on.load(Ordering::Relaxed)
         );
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod plain;
 pub mod probe;
 pub mod reachability;
+pub mod reading;
 pub mod refuse;
 pub mod register;
 pub mod reports;
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -21,7 +21,6 @@
 use wire::code::Code;
 use wire::code::Ran;
 use wire::code::Refusal;
-use wire::event::Event;
 
 use crate::answer;
 use crate::build;
@@ -62,12 +61,7 @@
             .unwrap_or_else(|why| refuse(&job, &why));
         drop(guard);
         if sender.send(response).is_err() {
-            log::info!(
-                "event=E{} text=\"{}\" request={} ran_on=true",
-                Event::CallerGone.number(),
-                Event::CallerGone.text(),
-                job.call.id
-            );
+            job.log_ran_on();
         }
     });
     match shutdown::with_answer_deadline(&shared.node, receiver).await {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use adapter::config;
 use adapter::header::Call;
@@ -90,6 +91,8 @@
         headers: HeaderMap::new(),
         body: Bytes::new(),
         prompt: Vec::new(),
+        connection: None,
+        passed_on: AtomicBool::default(),
         arrived,
         deadline: arrived + TIME_LIMIT.as_duration(),
     }
