Answer a call that may run once whose caller has ended its half of the connection

A client that ends its writing half behind its request got no answer: the server drops the request's handler when it reads the end. A call that may run once was passed on, ran to its end at its endpoint, and its answer was thrown away, as its connection was closed.

The stream now holds the end back while a request is under way and lets the handler say what it means: for a call that may run once the caller waits and gets the answer, after which the connection closes; what may be repeated, and a body that is cut short, end as before. An undecided request counts as left after 200 ms. A reset behind the end is checked every 50 ms, as reading no longer tells it. Other listeners than the callers' treat the end as before.

--- a/crates/link/src/ingress.rs
+++ b/crates/link/src/ingress.rs
@@ -1,6 +1,8 @@
 //! Bounds what callers send: reads little at a time, counts what each connection holds before its request is
 //! known, and ends those that `policy::connections` lets go.
 
+mod half_close;
+
 use std::error::Error;
 use std::fmt;
 use std::io;
@@ -13,6 +15,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use hyper::Request;
@@ -27,10 +30,16 @@
 use tokio::io::AsyncWriteExt;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::ending::Ending;
+pub use crate::ingress::half_close::Meaning;
+
+use crate::ingress::half_close::HalfClose;
 use crate::listen::Connections;
 
 /// The most bytes of a head that are read at once, and before other tasks get the thread. The decoder's
@@ -49,6 +58,11 @@
 const LINGER_BYTES: usize = 512 * 1024;
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
+/// How often it is checked whether a caller that has ended its half has reset the connection since.
+const RESET_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a request may be undecided once its caller has ended its half; then the caller has left.
+const UNDECIDED_TIME: Duration = Duration::from_millis(200);
+
 /// A body has brought too many bytes that are no data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Exceeded;
@@ -79,6 +93,7 @@
     bound: AtomicU64,
     /// What ended it.
     ending: OnceLock<Ending>,
+    half_close: HalfClose,
 }
 
 impl Connection {
@@ -93,6 +108,7 @@
             came: AtomicU64::new(0),
             bound: AtomicU64::new(u64::MAX),
             ending: OnceLock::new(),
+            half_close: HalfClose::new(),
         })
     }
 
@@ -105,6 +121,7 @@
             None => u64::MAX,
         };
         self.bound.store(bound, Ordering::Relaxed);
+        self.half_close.decide(self.owner.half_close());
         self.in_request.store(true, Ordering::Relaxed);
         let fields = request.headers().len() as u64;
         let verdict = self.owner.begin_request(self.id, bytes, fields);
@@ -115,6 +132,11 @@
         RequestGuard(self.clone())
     }
 
+    /// Returns whether its caller has ended its half.
+    pub(crate) fn is_half_closed(&self) -> bool {
+        self.half_close.is_seen()
+    }
+
     /// Returns whether its decoder takes smaller heads than the listener does now.
     pub(crate) fn is_outdated(&self) -> bool {
         self.head_bytes < self.owner.head_bytes()
@@ -172,6 +194,7 @@
         connection.came.store(0, Ordering::Relaxed);
         connection.in_request.store(false, Ordering::Relaxed);
         connection.owner.end_request(connection.id);
+        connection.half_close.decide(Meaning::Leaves);
     }
 }
 
@@ -195,6 +218,17 @@
         self.connection.owner.is_crowded(span)
     }
 
+    /// Says what it means for the request that its caller ends its half of the connection.
+    pub fn decide(&self, meaning: Meaning) {
+        self.connection.half_close.decide(meaning);
+    }
+
+    /// Returns whether the caller has ended its half of the connection.
+    #[must_use]
+    pub fn is_half_closed(&self) -> bool {
+        self.connection.is_half_closed()
+    }
+
     /// Returns what ended the connection; `None` while it is open.
     #[must_use]
     pub fn ending(&self) -> Option<Ending> {
@@ -245,6 +279,12 @@
             let bytes = frame.data_ref().map_or(0, bytes::Bytes::len);
             meter.grant(bytes as u64);
         }
+        // All that has come is read by then, and nothing follows.
+        if let (Poll::Pending, Some(meter)) = (&polled, &self.meter)
+            && meter.is_half_closed()
+        {
+            meter.decide(Meaning::Leaves);
+        }
         polled
     }
 
@@ -291,6 +331,24 @@
     connection: Option<Arc<Connection>>,
     /// The bytes that were read since other tasks had the thread.
     turn_bytes: usize,
+    /// Set once the caller has ended its half.
+    half_closed: Option<HalfClosed>,
+}
+
+/// The wait of a stream whose caller has ended its half.
+#[derive(Debug)]
+struct HalfClosed {
+    since: Instant,
+    next_check: Pin<Box<Sleep>>,
+}
+
+impl HalfClosed {
+    fn now() -> Self {
+        Self {
+            since: Instant::now(),
+            next_check: Box::pin(sleep(RESET_POLL_INTERVAL)),
+        }
+    }
 }
 
 impl Stream {
@@ -301,6 +359,7 @@
             inner,
             connection: None,
             turn_bytes: 0,
+            half_closed: None,
         }
     }
 
@@ -309,6 +368,7 @@
             inner,
             connection: Some(connection),
             turn_bytes: 0,
+            half_closed: None,
         }
     }
 
@@ -341,6 +401,33 @@
         (BODY_READ_BYTES, BODY_TURN_BYTES)
     }
 
+    /// Waits while the end of the caller's half doesn't end the connection.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(connection) = &self.connection else {
+            return Poll::Ready(Ok(()));
+        };
+        let half_closed = self.half_closed.get_or_insert_with(HalfClosed::now);
+        loop {
+            let has_left = match connection.half_close.meaning(context.waker()) {
+                Meaning::Undecided => half_closed.since.elapsed() >= UNDECIDED_TIME,
+                Meaning::Leaves => true,
+                Meaning::Waits => false,
+            };
+            if has_left {
+                connection.note_ending(Ending::EndOfWriting);
+                return Poll::Ready(Ok(()));
+            }
+            // Reading tells nothing more behind the end.
+            if let Some(fault) = self.inner.take_error()? {
+                connection.note_ending(Ending::Reset);
+                return Poll::Ready(Err(fault));
+            }
+            ready!(half_closed.next_check.as_mut().poll(context));
+            let next_check = Instant::now() + RESET_POLL_INTERVAL;
+            half_closed.next_check.as_mut().reset(next_check);
+        }
+    }
+
     fn note_write<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if let Some(connection) = &self.connection {
             connection.note_write(&written);
@@ -375,6 +462,9 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.half_closed.is_some() {
+            return self.poll_end(context);
+        }
         let (most, turn) = self.read_limits();
         if self.turn_bytes >= turn {
             self.turn_bytes = 0;
@@ -390,7 +480,7 @@
             return read.map_ok(|_| ());
         };
         match outcome {
-            Ok(0) => connection.note_ending(Ending::EndOfWriting),
+            Ok(0) => return self.poll_end(context),
             Ok(bytes) => {
                 if let Err(fault) = connection.note_read(*bytes) {
                     connection.note_ending(Ending::Protocol);
--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -35,6 +35,7 @@
 use crate::ingress;
 use crate::ingress::Connection;
 use crate::ingress::Guarded;
+use crate::ingress::Meaning;
 use crate::socket;
 
 /// How long bytes sent to a caller may go unacknowledged. This is longer than any partition that a
@@ -63,6 +64,8 @@
     pub head_bytes: usize,
     /// How many fields it may have.
     pub fields: Fields,
+    /// What it means that a caller ends its half of a connection, unless the request's handler says it.
+    pub half_close: Meaning,
 }
 
 /// How many fields a head may have.
@@ -85,6 +88,7 @@
             },
             head_bytes: DEFAULT_HEAD_BYTES,
             fields: Fields::Usual,
+            half_close: Meaning::Leaves,
         }
     }
 }
@@ -107,6 +111,7 @@
     state: Mutex<State>,
     head_bytes: AtomicUsize,
     fields: Fields,
+    half_close: Meaning,
     clock: Clock,
     /// Cancelled when the process begins to stop. A connection that is made from then on gets one
     /// response.
@@ -160,6 +165,7 @@
             state: Mutex::new(state),
             head_bytes: AtomicUsize::new(head_limit(limits.head_bytes)),
             fields: limits.fields,
+            half_close: limits.half_close,
             clock: Clock::System,
             stopping: CancellationToken::new(),
             draining: CancellationToken::new(),
@@ -167,7 +173,8 @@
         }
     }
 
-    /// Sets the limits, also for the connections that are open; but for how many fields heads may have.
+    /// Sets the limits, also for the connections that are open; but for how many fields heads may have, and
+    /// for what the end of a caller's half means.
     pub fn set_limits(&self, limits: Limits) {
         let head_bytes = head_limit(limits.head_bytes);
         self.head_bytes.store(head_bytes, Ordering::Relaxed);
@@ -199,6 +206,11 @@
         self.head_bytes.load(Ordering::Relaxed)
     }
 
+    /// Returns what the end of a caller's half means until a request's handler says it.
+    pub(crate) const fn half_close(&self) -> Meaning {
+        self.half_close
+    }
+
     /// Returns whether connections were turned away within `span`.
     pub(crate) fn is_crowded(&self, span: Duration) -> bool {
         let full_at = self.lock().table.full_at();
@@ -345,7 +357,7 @@
         let tracked = tracked.clone();
         async move {
             let mut response = response.await;
-            if tracked.is_outdated() {
+            if tracked.is_outdated() || tracked.is_half_closed() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -20,6 +20,7 @@
 use hyper::http::request;
 use link::body;
 use link::body::Body;
+use link::ingress::Meaning;
 use link::ingress::Meter;
 use link::ingress::Metered;
 use policy::connections::Verdict;
@@ -143,6 +144,9 @@
     let received = async {
         check_room(meter.as_ref())?;
         let routed = route(node, &head, &call, arrived).await?;
+        if let Some(meter) = meter.as_ref().filter(|_| is_repeatable(&routed.route)) {
+            meter.decide(Meaning::Leaves);
+        }
         if !body_requested && incoming.size_hint().lower() > routed.table.body_bytes as u64 {
             return Err(Refusal::new(Code::BodyTooLarge, ""));
         }
@@ -170,6 +174,14 @@
     job(node, head, meter, call, routed, body, arrived)
 }
 
+/// Returns whether a route's requests may be broken off, as they may run again.
+fn is_repeatable(route: &Route) -> bool {
+    match route.kind {
+        Kind::Idempotent | Kind::Stream => true,
+        Kind::AtMostOnce => false,
+    }
+}
+
 /// Joins what is known of a request that was read.
 fn job(
     node: &Arc<Node>,
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use adapter::settings::Settings;
+use link::ingress::Meaning;
 use link::intake::Intake;
 use link::listen;
 use link::listen::Connections;
@@ -32,24 +33,32 @@
 /// The same for a VM with a disk, whose requests hold turns.
 const STORE_MESSAGES_DIVISOR: u64 = 4;
 
-/// A part of a process's memory and descriptors.
+/// A part of a process's memory and descriptors, and what its callers may send.
 #[derive(Clone, Copy, Debug)]
 struct Share {
     memory_divisor: u64,
     descriptor_divisor: usize,
+    fields: Fields,
+    half_close: Meaning,
 }
 
 const CALLERS: Share = Share {
     memory_divisor: 5,
     descriptor_divisor: 3,
+    fields: Fields::Any,
+    half_close: Meaning::Undecided,
 };
 const VMS: Share = Share {
     memory_divisor: 16,
     descriptor_divisor: 6,
+    fields: Fields::Usual,
+    half_close: Meaning::Leaves,
 };
 const PROBES: Share = Share {
     memory_divisor: 32,
     descriptor_divisor: 24,
+    fields: Fields::Usual,
+    half_close: Meaning::Leaves,
 };
 
 /// The connections of a process's listeners.
@@ -69,21 +78,21 @@
     /// Creates listeners without connections.
     #[must_use]
     pub fn new(settings: &Settings) -> Self {
-        let connections = |share, fields| {
-            let limits = limits(settings, share, fields);
+        let connections = |share| {
+            let limits = limits(settings, share);
             Arc::new(Connections::new(limits))
         };
         Self {
-            callers: connections(CALLERS, Fields::Any),
-            ready: connections(PROBES, Fields::Usual),
-            vms: connections(VMS, Fields::Usual),
-            metrics: connections(PROBES, Fields::Usual),
+            callers: connections(CALLERS),
+            ready: connections(PROBES),
+            vms: connections(VMS),
+            metrics: connections(PROBES),
         }
     }
 
     /// Sets the callers' limits to those of a configuration.
     pub fn apply(&self, settings: &Settings, table: &Table) {
-        let mut limits = limits(settings, CALLERS, Fields::Any);
+        let mut limits = limits(settings, CALLERS);
         limits.head_bytes = table.head_bytes;
         limits.connections.head_time = table.head_time;
         limits.connections.idle_time = table.idle_time;
@@ -124,7 +133,7 @@
     }
 }
 
-fn limits(settings: &Settings, share: Share, fields: Fields) -> listen::Limits {
+fn limits(settings: &Settings, share: Share) -> listen::Limits {
     listen::Limits {
         connections: connections::Limits {
             count: settings.max_descriptors / share.descriptor_divisor,
@@ -133,7 +142,8 @@
             idle_time: IDLE_TIME,
         },
         head_bytes: HEAD_BYTES,
-        fields,
+        fields: share.fields,
+        half_close: share.half_close,
     }
 }
 
--- a/crates/relay/src/plain.rs
+++ b/crates/relay/src/plain.rs
@@ -12,6 +12,8 @@
 use link::body::Payload;
 use link::client;
 use link::client::Reply;
+use link::ingress::Meaning;
+use link::ingress::Meter;
 use policy::memory::Displaced;
 use policy::memory::Step;
 use tokio::sync::oneshot;
@@ -46,12 +48,16 @@
 const TIMEOUT_MULTIPLE: u32 = 3;
 
 /// Serves a call. A call that may run at most once continues after its caller has left, because
-/// breaking it off would leave its outcome unknown to everyone. `guard` makes a stopping process
+/// breaking it off would leave its outcome unknown to everyone. One that has only ended its half of the
+/// connection gets the answer; a closed connection answers it with a reset. `guard` makes a stopping process
 /// wait for the call.
 pub async fn serve(job: Job, guard: work::Guard) -> Response<Body> {
     if job.route.kind == Kind::Idempotent {
         return run_cancellable(&job).await;
     }
+    if let Some(connection) = &job.connection {
+        connection.decide(Meaning::Waits);
+    }
     let shared = Arc::new(job);
     let job = shared.clone();
     let (sender, receiver) = oneshot::channel();
@@ -60,7 +66,8 @@
             .await
             .unwrap_or_else(|why| refuse(&job, &why));
         drop(guard);
-        if sender.send(response).is_err() {
+        let connection = job.connection.as_ref();
+        if sender.send(response).is_err() || connection.is_some_and(Meter::is_half_closed) {
             job.log_ran_on();
         }
     });
