Answer a request that lies unread as its idle connection ends

When a stop drained connections, or an idle one expired, the connection was closed by what the runtime knew. A request that had come while the process got no processor time lay unread in the kernel, and the close reset it: its caller got no answer, although it had been sent long before.

An idle connection now stays open for one turn of the event loop, 1 ms, in which the runtime asks the kernel; a request that shows is answered or refused (within 1 s where the listener lets the connection go), with the last answer marked as such.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -15,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
@@ -25,6 +26,9 @@
 /// The least time that a connection without a request gets after the drain begins, so that a
 /// request in transit can arrive.
 const IN_TRANSIT_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long an idle connection stays open once it has to end. Meanwhile the runtime asks the kernel which
+/// connections have something to read, and serves a request that came before.
+pub(crate) const UNREAD_TIMEOUT: Duration = Duration::from_millis(1);
 
 /// Serves a connection with the options of `protocol` until it ends or, once `draining` is
 /// cancelled, until its last response.
@@ -76,6 +80,11 @@
         () = requested.cancelled() => {}
         () = sleep_until(deadline) => return Ok(()),
     }
+    tokio::select! {
+        biased;
+        ended = served.as_mut() => return ended,
+        () = sleep(UNREAD_TIMEOUT) => {}
+    }
     // Doesn't shut down earlier, because hyper closes a connection at once if it has had no request.
     served.as_mut().graceful_shutdown();
     served.await
--- a/crates/link/src/ingress.rs
+++ b/crates/link/src/ingress.rs
@@ -36,6 +36,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use crate::connection::UNREAD_TIMEOUT;
 use crate::ending::Ending;
 pub use crate::ingress::half_close::Meaning;
 
@@ -63,6 +64,9 @@
 /// How long a request may be undecided once its caller has ended its half; then the caller has left.
 const UNDECIDED_TIME: Duration = Duration::from_millis(200);
 
+/// How often it is checked whether the last request of a connection that was let go is answered.
+const ANSWERED_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// A body has brought too many bytes that are no data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Exceeded;
@@ -132,16 +136,34 @@
         RequestGuard(self.clone())
     }
 
+    /// Returns whether it ends with the answer to its request: its decoder takes smaller heads than the
+    /// listener does now, its caller has ended its half, or the listener has let it go.
+    pub(crate) fn ends_with_request(&self) -> bool {
+        let is_outdated = self.head_bytes < self.owner.head_bytes();
+        is_outdated || self.is_half_closed() || self.ended.is_cancelled()
+    }
+
+    /// Completes when the listener has let the connection go and no request is under way that came before
+    /// that; at the latest after `limit`.
+    pub(crate) async fn let_go(&self, limit: Duration) {
+        self.ended.cancelled().await;
+        if !self.in_request.load(Ordering::Relaxed) {
+            let answered = async {
+                sleep(UNREAD_TIMEOUT).await;
+                while self.in_request.load(Ordering::Relaxed) {
+                    sleep(ANSWERED_POLL_INTERVAL).await;
+                }
+            };
+            let _over = timeout(limit, answered).await;
+        }
+        self.note_ending(Ending::LetGo);
+    }
+
     /// Returns whether its caller has ended its half.
     pub(crate) fn is_half_closed(&self) -> bool {
         self.half_close.is_seen()
     }
 
-    /// Returns whether its decoder takes smaller heads than the listener does now.
-    pub(crate) fn is_outdated(&self) -> bool {
-        self.head_bytes < self.owner.head_bytes()
-    }
-
     /// Notes what ends the connection; what comes after the first ending is a consequence of it.
     pub(crate) fn note_ending(&self, ending: Ending) {
         self.ending.get_or_init(|| ending);
--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -31,7 +31,6 @@
 use crate::accept::Next;
 use crate::body::Body;
 use crate::connection;
-use crate::ending::Ending;
 use crate::ingress;
 use crate::ingress::Connection;
 use crate::ingress::Guarded;
@@ -42,6 +41,9 @@
 /// caller would wait out.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long a request may take that came just before its connection was let go.
+const LAST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The most connections, and the most bytes that they may hold, of a listener without limits of its own.
 const DEFAULT_CONNECTIONS: usize = 4_096;
 const DEFAULT_BYTES: u64 = 256 * 1024 * 1024;
@@ -357,7 +359,7 @@
         let tracked = tracked.clone();
         async move {
             let mut response = response.await;
-            if tracked.is_outdated() || tracked.is_half_closed() {
+            if tracked.ends_with_request() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -369,14 +371,10 @@
     };
     let mut stream = ingress::Stream::tracked(stream, connection.clone());
     let served = connection::serve(&mut stream, &protocol, &connections.draining, respond);
-    let let_go = async {
-        connection.ended.cancelled().await;
-        connection.note_ending(Ending::LetGo);
-    };
     let outcome = tokio::select! {
         biased;
         outcome = served => outcome,
-        () = let_go => return,
+        () = connection.let_go(LAST_ANSWER_TIMEOUT) => return,
     };
     if let Err(fault) = outcome {
         log::debug!("a caller's connection ended: {fault}");
