--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -31,16 +31,19 @@
 use crate::accept::Next;
 use crate::body::Body;
 use crate::connection;
-use crate::ending::Ending;
 use crate::ingress;
 use crate::ingress::Connection;
 use crate::ingress::Guarded;
+use crate::ingress::Meaning;
 use crate::socket;
 
 /// How long bytes sent to a caller may go unacknowledged. This is longer than any partition that a
 /// caller would wait out.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long a request may take that came just before its connection was let go.
+const LAST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The most connections, and the most bytes that they may hold, of a listener without limits of its own.
 const DEFAULT_CONNECTIONS: usize = 4_096;
 const DEFAULT_BYTES: u64 = 256 * 1024 * 1024;
@@ -63,6 +66,8 @@
     pub head_bytes: usize,
     /// How many fields it may have.
     pub fields: Fields,
+    /// What it means that a caller ends its half of a connection, unless the request's handler says it.
+    pub half_close: Meaning,
 }
 
 /// How many fields a head may have.
@@ -85,6 +90,7 @@
             },
             head_bytes: DEFAULT_HEAD_BYTES,
             fields: Fields::Usual,
+            half_close: Meaning::Leaves,
         }
     }
 }
@@ -107,6 +113,7 @@
     state: Mutex<State>,
     head_bytes: AtomicUsize,
     fields: Fields,
+    half_close: Meaning,
     clock: Clock,
     /// Cancelled when the process begins to stop. A connection that is made from then on gets one
     /// response.
@@ -160,6 +167,7 @@
             state: Mutex::new(state),
             head_bytes: AtomicUsize::new(head_limit(limits.head_bytes)),
             fields: limits.fields,
+            half_close: limits.half_close,
             clock: Clock::System,
             stopping: CancellationToken::new(),
             draining: CancellationToken::new(),
@@ -167,7 +175,8 @@
         }
     }
 
-    /// Sets the limits, also for the connections that are open; but for how many fields heads may have.
+    /// Sets the limits, also for the connections that are open; but for how many fields heads may have, and
+    /// for what the end of a caller's half means.
     pub fn set_limits(&self, limits: Limits) {
         let head_bytes = head_limit(limits.head_bytes);
         self.head_bytes.store(head_bytes, Ordering::Relaxed);
@@ -199,6 +208,11 @@
         self.head_bytes.load(Ordering::Relaxed)
     }
 
+    /// Returns what the end of a caller's half means until a request's handler says it.
+    pub(crate) const fn half_close(&self) -> Meaning {
+        self.half_close
+    }
+
     /// Returns whether connections were turned away within `span`.
     pub(crate) fn is_crowded(&self, span: Duration) -> bool {
         let full_at = self.lock().table.full_at();
@@ -345,7 +359,7 @@
         let tracked = tracked.clone();
         async move {
             let mut response = response.await;
-            if tracked.is_outdated() {
+            if tracked.ends_with_request() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -357,14 +371,10 @@
     };
     let mut stream = ingress::Stream::tracked(stream, connection.clone());
     let served = connection::serve(&mut stream, &protocol, &connections.draining, respond);
-    let let_go = async {
-        connection.ended.cancelled().await;
-        connection.note_ending(Ending::LetGo);
-    };
     let outcome = tokio::select! {
         biased;
         outcome = served => outcome,
-        () = let_go => return,
+        () = connection.let_go(LAST_ANSWER_TIMEOUT) => return,
     };
     if let Err(fault) = outcome {
         log::debug!("a caller's connection ended: {fault}");
