A full disk isn't filled with files by writes that fail

After a write that fails, a member goes on in a new segment, since no restart finds what lies behind a torn frame. On a full disk each further write failed in its turn and left another file with a torn frame: one for each turn that the system tries to keep, for as long as the disk is full. They count nothing towards the removal of old segments, take the file system's last files, and the next start opens and syncs every one of them before the VM answers.

A segment that holds nothing but a torn frame is now created again in place of the next one. Nothing in it was acknowledged, nothing points into it, and creating it empties it.

The test also writes once there is room again, and finds the record after a power loss. Found by reading.

Weighed: refusing writes without trying until some time has passed. It would keep turns away for longer than the disk is full, and needs a clock in the disk's thread.

--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -453,6 +453,13 @@
     }
 
     fn roll_segment(&mut self) -> io::Result<()> {
+        if self.length == 0 {
+            // Holds nothing but a torn frame. With another segment for each write that fails, a full disk
+            // would fill with files.
+            self.file = create_segment(&*self.medium, self.number)?;
+            self.is_torn = false;
+            return Ok(());
+        }
         let next = self.number + 1;
         self.file = create_segment(&*self.medium, next)?;
         self.closed.push((self.number, self.length));
--- a/crates/replica/tests/power_loss.rs
+++ b/crates/replica/tests/power_loss.rs
@@ -288,3 +288,28 @@
     member.sweep().await.unwrap();
     assert!(disk.bytes() > bytes_before, "nothing was written");
 }
+
+/// Guards against a full disk on which each write that fails leaves another file: the next start has to open
+/// all of them, and they take the rest of the disk's files.
+#[tokio::test]
+async fn failed_writes_on_a_full_disk_leave_no_files() {
+    const WRITES: usize = 50;
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    assert_eq!(write(&member, "t1").await, Answer::Applied(Vec::new()));
+    disk.fill();
+    let names = || disk.medium().names().unwrap().len();
+    let names_before = names();
+    for _ in 0..WRITES {
+        let failed = write(&member, "t2").await;
+        assert!(matches!(failed, Answer::Failed(_)), "{failed:?}");
+    }
+    // The next segment.
+    assert!(names() <= names_before + 1, "{} files", names());
+    disk.make_room();
+    assert_eq!(write(&member, "t2").await, Answer::Applied(Vec::new()));
+    let after = start(&disk.after_power_loss()).await;
+    for id in ["t1", "t2"] {
+        assert!(holds(&after, id).await, "{id} is lost");
+    }
+}
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -22,6 +22,14 @@
     changed: Condvar,
 }
 
+/// Whether appends find space.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Space {
+    #[default]
+    Free,
+    Full,
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// Files by name, sorted.
@@ -38,6 +46,7 @@
     failing_append: Option<usize>,
     /// Whether the next sync of a file fails.
     failing_sync: bool,
+    space: Space,
     /// Whether the process has no descriptors left to open files with.
     out_of_descriptors: bool,
 }
@@ -160,6 +169,16 @@
         self.lock().failing_sync = true;
     }
 
+    /// Has all appends fail half-way from now on.
+    pub fn fill(&self) {
+        self.lock().space = Space::Full;
+    }
+
+    /// Makes room for appends.
+    pub fn make_room(&self) {
+        self.lock().space = Space::Free;
+    }
+
     /// Has the process run out of descriptors: it opens no more files.
     pub fn use_up_descriptors(&self) {
         self.lock().out_of_descriptors = true;
@@ -279,7 +298,7 @@
     fn append(&self, bytes: &[u8]) -> io::Result<()> {
         let fails = {
             let mut state = self.disk.lock();
-            let fails = state.failing_append == Some(0);
+            let fails = state.space == Space::Full || state.failing_append == Some(0);
             state.failing_append = state.failing_append.and_then(|left| left.checked_sub(1));
             fails
         };
