Logs and metrics tell why a kept turn isn't found

A refusal with CY1306 or CY4107 didn't tell which VMs with a disk were asked, and what each said; a removed segment had an unnumbered line without the number of turns in it. So "never stored", "stored and dropped" and "stored and not asked for" looked the same.

E3111 takes the place of the line for a removed segment: how many turns went with it, and for how long nothing had been written to it, which is about the age of the youngest. Programs' tokens aren't counted there, as they are written anew before. Metrics of VMs with a disk: turns_dropped, disk_bytes, disk_limit_bytes.

--- a/crates/relay/src/delivered.rs
+++ b/crates/relay/src/delivered.rs
@@ -145,7 +145,7 @@
     last_event: u64,
 ) -> Result<(Vec<Bytes>, Key)> {
     let key = stream.event_key(job, origin, last_event);
-    match history::read(&job.node, key).await {
+    match history::read(&job.node, &job.call.id, key).await {
         Ok(texts) => Ok((texts, key)),
         Err(refusal) if refusal.code == Code::UnknownTurn => {
             let attempt = &stream.attempt;
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -5,10 +5,12 @@
 use bytes::Bytes;
 use policy::memory::Step;
 use replica::client::Found;
+use replica::inquiry::Inquiry;
 use replica::record::Key;
 use wire::clock::Millis;
 use wire::code::Code;
 use wire::code::Refusal;
+use wire::event::Event;
 
 use crate::held::Held;
 use crate::member_health;
@@ -28,16 +30,22 @@
     _held: Option<Held>,
 }
 
-/// Returns the texts of a turn and of all turns that it continued from, once there is memory for them. Waits
-/// for it at most for `wait`.
+/// Returns the texts of a turn and of all turns that it continued from, for a request, once there is memory for
+/// them. Waits for it at most for `wait`.
 ///
 /// # Errors
 ///
 /// Refuses with "no such turn" only if that is certain, and otherwise asks the caller to retry.
-pub async fn load(node: &Arc<Node>, last: Key, rank: u8, wait: Millis) -> Result<History, Refusal> {
+pub async fn load(
+    node: &Arc<Node>,
+    request: &str,
+    last: Key,
+    rank: u8,
+    wait: Millis,
+) -> Result<History, Refusal> {
     let bytes = expected_bytes(node, last).min(node.holdings.limit());
     let mut held = node.holdings.claim(Step::Work, rank, bytes, wait).await?;
-    let texts = read(node, last).await?;
+    let texts = read(node, request, last).await?;
     let bytes = texts.iter().map(|text| text.len() as u64).sum();
     node.holdings.note_history(bytes);
     held.resize(bytes);
@@ -64,12 +72,12 @@
     cached
 }
 
-/// Returns the texts of a turn and of all turns that it continued from, oldest first.
+/// Returns the texts of a turn and of all turns that it continued from, oldest first, for a request.
 ///
 /// # Errors
 ///
 /// As [`load`].
-pub async fn read(node: &Arc<Node>, last: Key) -> Result<Vec<Bytes>, Refusal> {
+pub async fn read(node: &Arc<Node>, request: &str, last: Key) -> Result<Vec<Bytes>, Refusal> {
     let mut texts = Vec::new();
     let mut next = Some(last);
     while let Some(key) = next {
@@ -79,7 +87,12 @@
             next = kept.previous;
             continue;
         }
-        match node.replicas.chain(key).await {
+        let mut inquiry = Inquiry::default();
+        let found = node.replicas.look_up(key, &mut inquiry).await;
+        if !matches!(found, Ok(Found::Part(..))) {
+            log_not_found(request, key, &inquiry);
+        }
+        match found {
             Ok(Found::Part(links, after)) => {
                 let mut turns = node.turns();
                 for (at, link) in links.iter().enumerate() {
@@ -109,5 +122,15 @@
     Ok(texts)
 }
 
+/// Logs what each member said of a turn that wasn't found.
+fn log_not_found(request: &str, key: Key, inquiry: &Inquiry) {
+    log::warn!(
+        "event=E{} text=\"{}\" request={request} turn={:x} {inquiry}",
+        Event::TurnNotFound.number(),
+        Event::TurnNotFound.text(),
+        key.0
+    );
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/relay/src/history/tests.rs
+++ b/crates/relay/src/history/tests.rs
@@ -15,7 +15,7 @@
     node.member_health().record_check(Check::Enough, now);
     node.member_health().record_check(Check::TooFew, now);
     assert!(node.member_health().serves_turns());
-    let refusal = load(&node, Key::of("t1"), 0, Millis::new(1_000))
+    let refusal = load(&node, "r1", Key::of("t1"), 0, Millis::new(1_000))
         .await
         .unwrap_err();
     assert_eq!(refusal.code, Code::RecordsUnreachable);
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -191,11 +191,15 @@
     let handler = move |_request| {
         let status = shared.status();
         let (turns, accounts) = shared.counts();
+        let (disk_bytes, disk_limit_bytes) = shared.disk_usage();
         let text = metrics::render(&[
             ("members_version", status.version),
             ("members_ready", status.ready),
             ("turns", turns as u64),
             ("accounts", accounts as u64),
+            ("turns_dropped", shared.dropped_turns()),
+            ("disk_bytes", disk_bytes),
+            ("disk_limit_bytes", disk_limit_bytes),
             ("memory_bytes", memory::resident()),
         ]);
         std::future::ready(answer::text(StatusCode::OK, text))
--- a/crates/relay/src/stream/begin.rs
+++ b/crates/relay/src/stream/begin.rs
@@ -85,7 +85,7 @@
     match &job.call.previous {
         Some(previous) if job.route.keeps_turns => {
             let last = job.identity.key_of(previous);
-            history::load(&job.node, last, job.rank(), job.time_left()).await
+            history::load(&job.node, &job.call.id, last, job.rank(), job.time_left()).await
         }
         _ => Ok(History::default()),
     }
--- a/crates/replica/src/chain.rs
+++ b/crates/replica/src/chain.rs
@@ -14,6 +14,8 @@
 
 use crate::call;
 use crate::client::Found;
+use crate::inquiry::Inquiry;
+use crate::inquiry::Word;
 use crate::list;
 use crate::list::List;
 use crate::list::Member;
@@ -41,7 +43,7 @@
     reply: Option<call::Reply>,
 }
 
-/// Reads a chain from a group of members, those of `centre` first.
+/// Reads a chain from a group of members, those of `centre` first. Notes in `inquiry` what each says.
 ///
 /// # Errors
 ///
@@ -52,11 +54,13 @@
     group: Vec<Member>,
     centre: &str,
     key: Key,
+    inquiry: &mut Inquiry,
 ) -> Result<Found, Fault> {
     let majority = list::majority(group.len());
     let (nearby, others): (Vec<_>, Vec<_>) = group
         .into_iter()
         .partition(|member| member.centre == centre);
+    inquiry.begin(list, nearby.iter().chain(&others));
     let mut rest = nearby.into_iter().chain(others);
     let bytes = call::encode(list.version, Body::Chain(key)).ok_or(Fault::TooFew)?;
     let mut asked = JoinSet::new();
@@ -66,6 +70,7 @@
         let next = rest.next();
         let may_ask_more = next.is_some();
         if let Some(member) = next {
+            inquiry.note(&member, Word::Awaited);
             let (http, bytes) = (http.clone(), bytes.clone());
             asked.spawn(async move {
                 let reply = call::open(&http, member.address, bytes).await;
@@ -83,12 +88,14 @@
             Ok(Some(Err(_))) | Err(_) => continue,
         };
         let Some(reply) = begun.reply else {
+            inquiry.note(&begun.member, Word::Silent);
             continue;
         };
         let mut answer = reply.read().await;
         if answer == Some(Answer::Older) {
             answer = call::resend_with_list(http, &begun.member, list, bytes.clone()).await;
         }
+        inquiry.note(&begun.member, Word::of(answer.as_ref()));
         match answer {
             Some(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
             Some(Answer::Chain(chain)) => return Ok(Found::Part(chain.turns, chain.next)),
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -15,6 +15,7 @@
 
 use crate::call;
 use crate::chain;
+use crate::inquiry::Inquiry;
 use crate::ledger::Entry;
 use crate::list;
 use crate::list::List;
@@ -315,18 +316,27 @@
     ///
     /// Fails if too few members answer to be certain that there is no such turn.
     pub async fn chain(&self, key: Key) -> Result<Found> {
+        self.look_up(key, &mut Inquiry::default()).await
+    }
+
+    /// The same, with a note of what each member said.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::chain`].
+    pub async fn look_up(&self, key: Key, inquiry: &mut Inquiry) -> Result<Found> {
         let mut retries = Retries::default();
         loop {
-            match self.chain_once(key).await {
+            match self.chain_once(key, inquiry).await {
                 Err(fault) => retries.wait_or_fail(fault).await?,
                 outcome => return outcome,
             }
         }
     }
 
-    async fn chain_once(&self, key: Key) -> Result<Found> {
+    async fn chain_once(&self, key: Key, inquiry: &mut Inquiry) -> Result<Found> {
         let (list, group) = self.group(key)?;
-        let found = chain::read(&self.http, &list, group, &self.centre, key).await;
+        let found = chain::read(&self.http, &list, group, &self.centre, key, inquiry).await;
         found.map_err(|fault| match fault {
             chain::Fault::Newer(newer) => {
                 self.adopt(newer);
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -12,6 +12,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::thread;
 
@@ -69,6 +71,8 @@
     /// How many writes of the identity were queued.
     identity_writes: Mutex<u64>,
     identities: watch::Receiver<Identities>,
+    used_bytes: Arc<AtomicU64>,
+    limit_bytes: u64,
     /// Segments that are open for reading, sorted by number.
     files: Mutex<Vec<(u64, Arc<dyn File>)>>,
 }
@@ -114,6 +118,8 @@
     is_torn: bool,
     /// The oldest segments are removed to keep all of them below this.
     limit_bytes: u64,
+    /// The length of all segments.
+    used_bytes: Arc<AtomicU64>,
     events: mpsc::Sender<SegmentEvent>,
     identities: watch::Sender<Identities>,
 }
@@ -170,6 +176,9 @@
     let (jobs, queue) = mpsc::channel();
     let (sender, events) = mpsc::channel();
     let (written, identities) = watch::channel(Identities::default());
+    let used = closed.iter().map(|(_, length)| length).sum();
+    let used_bytes = Arc::new(AtomicU64::new(used));
+    let limit_bytes = bytes / 100 * FILL_PERCENT;
     let mut writer = Writer {
         medium: medium.clone(),
         closed,
@@ -177,7 +186,8 @@
         file,
         length: 0,
         is_torn: false,
-        limit_bytes: bytes / 100 * FILL_PERCENT,
+        limit_bytes,
+        used_bytes: used_bytes.clone(),
         events: sender,
         identities: written,
     };
@@ -187,6 +197,8 @@
         jobs,
         identity_writes: Mutex::default(),
         identities,
+        used_bytes,
+        limit_bytes,
         files: Mutex::default(),
     };
     Ok(Opened {
@@ -334,6 +346,12 @@
         }
     }
 
+    /// Returns the bytes of all segments, and those from which on the oldest ones are removed.
+    #[must_use]
+    pub fn usage(&self) -> (u64, u64) {
+        (self.used_bytes.load(Ordering::Relaxed), self.limit_bytes)
+    }
+
     fn send_job(&self, job: Job) -> io::Result<()> {
         let sent = self.jobs.send(job);
         sent.map_err(|_| io::Error::other("the disk writer thread has ended"))
@@ -447,6 +465,8 @@
                 length: u32::try_from(frame.len()).unwrap_or(u32::MAX),
             });
             self.length += frame.len() as u64;
+            self.used_bytes
+                .fetch_add(frame.len() as u64, Ordering::Relaxed);
         }
         Ok(locations)
     }
@@ -462,11 +482,9 @@
         let mut used: u64 = self.closed.iter().map(|(_, length)| length).sum();
         while used + SEGMENT_BYTES > self.limit_bytes && self.closed.len() > 1 {
             let (number, length) = self.closed.remove(0);
-            log::warn!(
-                "text=\"oldest segment removed\" segment={number} bytes={length} used={used}"
-            );
             self.medium.remove(&segment_name(number))?;
             used -= length;
+            self.used_bytes.fetch_sub(length, Ordering::Relaxed);
             self.emit(SegmentEvent::Removed(number));
         }
         Ok(())
--- a/crates/replica/src/index.rs
+++ b/crates/replica/src/index.rs
@@ -54,9 +54,11 @@
         self.turns.keys().copied().collect()
     }
 
-    /// Removes the turns of a segment that was removed.
-    pub fn remove_segment(&mut self, segment: u64) {
+    /// Removes the turns of a segment that was removed, and returns their number.
+    pub fn remove_segment(&mut self, segment: u64) -> usize {
+        let before = self.turns.len();
         self.turns
             .retain(|_, entry| entry.location.segment != segment);
+        before - self.turns.len()
     }
 }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod client;
 pub mod disk;
 pub mod index;
+pub mod inquiry;
 pub mod ledger;
 pub mod list;
 pub mod medium;
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -72,6 +72,10 @@
     ledger: Ledger,
     /// Segments created since the accounts were last rewritten.
     segments_since_rewrite: u64,
+    /// The segments that this process closed, the oldest first, and when it noticed that.
+    closed_at: Vec<(u64, Millis)>,
+    /// The turns that went with removed segments.
+    dropped_turns: u64,
     /// When another VM last sent a write.
     last_write: Millis,
 }
@@ -321,6 +325,18 @@
         let state = self.lock();
         (state.index.count(), state.ledger.count())
     }
+
+    /// Returns the bytes of the records on disk, and those from which on the oldest ones are dropped.
+    #[must_use]
+    pub fn disk_usage(&self) -> (u64, u64) {
+        self.disk.usage()
+    }
+
+    /// Returns how many turns were dropped since the start as the disk filled.
+    #[must_use]
+    pub fn dropped_turns(&self) -> u64 {
+        self.lock().dropped_turns
+    }
 }
 
 fn disk_failed(fault: &io::Error) -> Answer {
--- a/crates/replica/src/server/write.rs
+++ b/crates/replica/src/server/write.rs
@@ -3,6 +3,9 @@
 use std::io;
 use std::sync::PoisonError;
 
+use wire::clock::Millis;
+use wire::event::Event;
+
 use crate::disk::SegmentEvent;
 use crate::index;
 use crate::ledger::Account;
@@ -14,6 +17,7 @@
 use crate::record::Reservation;
 use crate::record::Settlement;
 use crate::server::Member;
+use crate::server::State;
 use crate::server::disk_failed;
 
 /// All accounts are rewritten after this many new segments, so that no program's entries are
@@ -110,12 +114,16 @@
         };
         let accounts = {
             let mut state = self.lock();
-            state.ledger.sweep(self.clock.now());
+            let now = self.clock.now();
+            state.ledger.sweep(now);
             for event in events {
                 match event {
-                    SegmentEvent::Created(_) => state.segments_since_rewrite += 1,
+                    SegmentEvent::Created(segment) => {
+                        state.segments_since_rewrite += 1;
+                        state.closed_at.push((segment - 1, now));
+                    }
                     SegmentEvent::Removed(segment) => {
-                        state.index.remove_segment(segment);
+                        state.drop_segment(segment, now);
                         self.disk.close_segment(segment);
                     }
                 }
@@ -132,6 +140,26 @@
     }
 }
 
+impl State {
+    /// Forgets the turns of a segment that was removed, and logs how many there were and for how long nothing
+    /// had been written to it.
+    fn drop_segment(&mut self, segment: u64, now: Millis) {
+        let turns = self.index.remove_segment(segment);
+        self.dropped_turns += turns as u64;
+        let closed = self.closed_at.iter().find(|(number, _)| *number == segment);
+        let unwritten = closed.map_or_else(
+            || "unknown".to_owned(),
+            |(_, at)| now.since(*at).as_u64().to_string(),
+        );
+        self.closed_at.retain(|(number, _)| *number > segment);
+        log::warn!(
+            "event=E{} text=\"{}\" segment={segment} turns={turns} unwritten_ms={unwritten}",
+            Event::RecordsDropped.number(),
+            Event::RecordsDropped.text()
+        );
+    }
+}
+
 /// Returns the entries that are new or settle a known one.
 fn added_entries(known: &[Entry], entries: &[Entry]) -> Vec<Entry> {
     let says_more = |entry: &&Entry| match known.iter().find(|other| other.turn == entry.turn) {
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -55,6 +55,7 @@
     AnswerForeign = 1215, "answer isn't known to be the request's";
     BytesUnsolicited = 1216, "connection closed for unsolicited bytes";
     ConnectionsLetGo = 1217, "connections let go for others";
+    TurnNotFound = 1218, "a turn isn't found";
     ShardClaimed = 2001, "shard claimed";
     ShardOpened = 2002, "shard opened";
     ShardReleased = 2003, "shard released";
@@ -76,6 +77,7 @@
     MembersLost = 3108, "too few members answer";
     MembersRegained = 3109, "enough members answer";
     DiskReplaced = 3110, "a member's disk is another one";
+    RecordsDropped = 3111, "oldest records dropped as the disk fills";
     RevisionApplied = 4001, "configuration revision in force";
     RevisionDropped = 4002, "configuration that can't be taken";
     ConfigurationStale = 4003, "configuration may be out of date";
