replica: A request names the disk that it is meant for

What callers saw: a store VM had lost its disk and came back with an empty one. Until the list named the new disk, it acknowledged turns and settlements as if it were the lost one.

Cause: requests went to an address. Members that catch up asked afterwards which disk had answered; writers and readers didn't.

Now requests that stand for a disk name its number in a header; a VM with another disk does nothing and answers OtherDisk with its own number. Writers and readers wait for it as for members that catch up (8 times 40 ms), also writers of turns and settlements, and fail with "still catching up". Whether enough members answer is asked of listed disks only. E3110 is also told where the refusal comes from a member of the list in force.

Ways weighed, on paper (docs/design/members.md): a field in the request (a process of the release before takes the longer array for a broken request), a check by the member that its list names it (an address that passed to another listed VM isn't seen), this header. None was measured.

Old and new processes side by side: the body is as before. An old process ignores the header; a new one answers requests without it as before, and sends OtherDisk only to those who named a disk.

Red before: a_disk_that_the_list_does_not_name_acknowledges_nothing (Ok(()) in place of Err(CatchingUp), 1 of 1 run). a_request_for_a_lost_disk_is_refused names what is new and can't be built on the code before.

Not mended: a list whose only whole disk is gone has no way out.

--- a/crates/replica/src/chain.rs
+++ b/crates/replica/src/chain.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::call;
+use crate::call::Recipient;
 use crate::client::Found;
 use crate::list;
 use crate::list::List;
@@ -29,7 +30,8 @@
 pub enum Fault {
     /// A member uses a newer list: this one.
     Newer(List),
-    /// The members don't yet hold everything that was acknowledged before their list.
+    /// The members don't yet hold everything that was acknowledged before their list, or the list
+    /// doesn't name their disks yet.
     CatchingUp,
     /// Too few members answered.
     TooFew,
@@ -68,7 +70,7 @@
         if let Some(member) = next {
             let (http, bytes) = (http.clone(), bytes.clone());
             asked.spawn(async move {
-                let reply = call::open(&http, member.address, bytes).await;
+                let reply = call::open(&http, Recipient::Disk(&member), bytes).await;
                 Asked { member, reply }
             });
         }
@@ -93,7 +95,7 @@
             Some(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
             Some(Answer::Chain(chain)) => return Ok(Found::Part(chain.turns, chain.next)),
             Some(Answer::Newer(newer)) => return Err(Fault::Newer(newer)),
-            Some(Answer::NotReady) => fault = Fault::CatchingUp,
+            Some(Answer::NotReady | Answer::OtherDisk(_)) => fault = Fault::CatchingUp,
             _ => {}
         }
         if absent >= majority {
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -225,13 +225,7 @@
         };
         let is_its_disk = status.disk == member.disk;
         if !is_its_disk {
-            log::info!(
-                "event=E{} text=\"{}\" member={} version={}",
-                Event::DiskReplaced.number(),
-                Event::DiskReplaced.text(),
-                member.vm,
-                list.version
-            );
+            log_replaced(member, list);
         }
         is_its_disk
     }
@@ -267,6 +261,7 @@
             match answer.await {
                 Ok(Some(Answer::Keys(holdings))) => all.push((member, holdings)),
                 Ok(Some(Answer::Newer(newer))) => self.adopt(&newer).await,
+                Ok(Some(Answer::OtherDisk(_))) => log_replaced(member, list),
                 _ => {}
             }
         }
@@ -385,3 +380,14 @@
         self.phase.send_replace(Phase::Left);
     }
 }
+
+/// Logs that another disk answers at a member's address.
+fn log_replaced(member: &list::Member, list: &List) {
+    log::info!(
+        "event=E{} text=\"{}\" member={} version={}",
+        Event::DiskReplaced.number(),
+        Event::DiskReplaced.text(),
+        member.vm,
+        list.version
+    );
+}
