Histories are held before they are read, and wait or are refused

The whole chain was then read without a bound, and `Held::resize` grants always.

Fix: a part of a chain is read only once twice its stated length is held beside the texts that came. If these bytes aren't free, the connection is closed unread, all bytes are given back and twice what was needed by then is claimed anew, which waits in order; so nobody waits who holds bytes, and the budget isn't exceeded whatever was learnt before. What never fits is refused as not run: CY2211 beyond the whole budget, CY2209 with Retry-After else. What a stream's caller has (relay::delivered) had the same cause: it is now held too, and refused if it isn't free.

--- a/crates/link/src/client/reply_body.rs
+++ b/crates/link/src/client/reply_body.rs
@@ -31,6 +31,15 @@
     Stopped(#[error(not(source))] usize),
 }
 
+impl From<Unread> for Fault {
+    fn from(unread: Unread) -> Self {
+        match unread {
+            Unread::Broken(fault) => fault,
+            Unread::Stopped(_) => Self::Broken(unread.to_string()),
+        }
+    }
+}
+
 /// The body of a response. Dropping it before its end closes the connection.
 #[derive(Debug)]
 pub struct Body {
@@ -102,10 +111,7 @@
     /// Fails if the body is longer or breaks off.
     pub async fn whole(self, limit: usize) -> Result<Bytes> {
         let read = self.whole_while(limit, |_| true).await;
-        read.map_err(|unread| match unread {
-            Unread::Broken(fault) => fault,
-            Unread::Stopped(_) => Fault::Broken(unread.to_string()),
-        })
+        read.map_err(Fault::from)
     }
 
     /// Reads the complete body of an answer of the same software, which always says where its bodies end. A message
@@ -115,12 +121,26 @@
     ///
     /// As [`Body::whole`], and if the head doesn't say where the body ends.
     pub async fn whole_stated(self, limit: usize) -> Result<Bytes> {
+        let read = self.whole_stated_while(limit, |_| true).await;
+        read.map_err(Fault::from)
+    }
+
+    /// The same, but only while `may_grow` allows the number of bytes that have come.
+    ///
+    /// # Errors
+    ///
+    /// As [`Body::whole_while`], and if the head doesn't say where the body ends.
+    pub async fn whole_stated_while(
+        self,
+        limit: usize,
+        may_grow: impl FnMut(usize) -> bool,
+    ) -> std::result::Result<Bytes, Unread> {
         if !self.states_end {
-            return Err(Fault::Broken(
+            return Err(Unread::Broken(Fault::Broken(
                 "the answer doesn't state where its body ends".to_owned(),
-            ));
+            )));
         }
-        self.whole(limit).await
+        self.whole_while(limit, may_grow).await
     }
 
     /// Reads the rest of the body and keeps nothing of it, so that the connection can be reused.
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -6,7 +6,9 @@
 //!
 //! Claims on arrival get at most half of the budget, and those before work go first and wait for none of
 //! the former. Whoever holds bytes for work claims no more, so it ends without anyone else's, and all
-//! claims are met in the end: nobody waits in a circle. Bytes that can't be refused, as of an answer that
+//! claims are met in the end: nobody waits in a circle. What turns out to be longer while it is read, as a
+//! history, gets the bytes that are free beside its claim; if they don't do, its reader gives all of its bytes
+//! back before it claims more. Bytes that can't be refused, as of an answer that
 //! has come, are granted always, and keep others waiting until the budget is met again.
 //!
 //! An answer that is still being read may grow beyond what was claimed for it, as its peer may send without
@@ -163,6 +165,12 @@
         }
     }
 
+    /// Returns the bytes that there are, be they held or not.
+    #[must_use]
+    pub const fn total(&self) -> u64 {
+        self.total
+    }
+
     /// Returns the most bytes that a claim may have.
     #[must_use]
     pub const fn limit(&self) -> u64 {
@@ -233,6 +241,17 @@
         }
     }
 
+    /// Holds more bytes beside a claim that was granted, and returns whether they are free. Claims that wait don't
+    /// come first: they are met when those who hold bytes have ended.
+    #[must_use]
+    pub fn extend(&mut self, step: Step, bytes: u64) -> bool {
+        let fits = self.claimed() + bytes <= self.total;
+        if fits {
+            self.hold(step, bytes);
+        }
+        fits
+    }
+
     /// Gives bytes back that were held for some time.
     pub fn release(&mut self, step: Step, bytes: u64, held_for: Millis, now: Millis) {
         let share = self.share(step);
--- a/crates/policy/src/memory/tests.rs
+++ b/crates/policy/src/memory/tests.rs
@@ -189,3 +189,18 @@
     assert!(budget.grant_next().is_some());
     assert_eq!(budget.take_displaced(), [answer]);
 }
+
+/// Guards against histories that together hold more than the budget, and against holders that wait for claims
+/// behind them.
+#[test]
+fn a_claim_is_extended_by_free_bytes_only() {
+    let mut budget = Budget::new(TOTAL);
+    budget.hold(Step::Work, TOTAL - TEXT);
+    let waiting = budget.claim(&claim(Step::Work, 0, 2 * TEXT), NOW);
+    assert!(matches!(waiting, Verdict::Waits(_)));
+    assert!(budget.extend(Step::Work, TEXT));
+    assert!(!budget.extend(Step::Work, 1));
+    assert_eq!(budget.held(), TOTAL);
+    budget.release(Step::Work, 2 * TEXT, Millis::new(1), NOW);
+    assert!(budget.grant_next().is_some());
+}
--- a/crates/relay/src/delivered.rs
+++ b/crates/relay/src/delivered.rs
@@ -19,7 +19,6 @@
 
 use adapter::config::Kind;
 use adapter::config::Route;
-use bytes::Bytes;
 use bytes::BytesMut;
 use policy::crash::Content;
 use replica::call::ANSWER_TIMEOUT;
@@ -39,6 +38,7 @@
 use crate::delivered::resumption::Keys;
 use crate::events;
 use crate::history;
+use crate::history::History;
 use crate::job::Job;
 use crate::refuse;
 
@@ -57,7 +57,7 @@
 #[derive(Debug, Default)]
 pub struct Delivered {
     /// The data of the events that earlier attempts brought, oldest first, each followed by a line feed.
-    pub texts: Vec<Bytes>,
+    pub history: History,
     /// `None` if the route's streams aren't recorded.
     pub recorder: Option<Recorder>,
 }
@@ -93,7 +93,7 @@
     let Some(last_event) = job.call.last_event else {
         let recorder = is_recorded(&job.route).then(|| Recorder::begin(job));
         return Ok(Delivered {
-            texts: Vec::new(),
+            history: History::default(),
             recorder,
         });
     };
@@ -112,7 +112,7 @@
     let entries = account::answer_of(job, job.node.replicas.entries(owner)).await?;
     let resumptions = resumption::read(&entries, |number| stream.resumption_keys(job, number));
     let origin = resumption::origin(&resumptions, last_event);
-    let (texts, last) = read(job, &stream, origin, last_event).await?;
+    let (history, last) = read(job, &stream, origin, last_event).await?;
     let number = resumptions.len() + 1;
     let keys = stream.resumption_keys(job, number);
     let id = job.identity.key_of(&job.call.id);
@@ -126,7 +126,7 @@
         max_hold: MAX_HOLD,
     };
     Ok(Delivered {
-        texts,
+        history,
         recorder: Some(recorder),
     })
 }
@@ -143,10 +143,10 @@
     stream: &Stream,
     origin: usize,
     last_event: u64,
-) -> Result<(Vec<Bytes>, Key)> {
+) -> Result<(History, Key)> {
     let key = stream.event_key(job, origin, last_event);
     match history::read(&job.node, key).await {
-        Ok(texts) => Ok((texts, key)),
+        Ok(history) => Ok((history, key)),
         Err(refusal) if refusal.code == Code::UnknownTurn => {
             let attempt = &stream.attempt;
             Err(unknown(&format!(
--- a/crates/relay/src/held.rs
+++ b/crates/relay/src/held.rs
@@ -33,8 +33,9 @@
 
 /// The shortest time after which a refused request may be retried.
 const MIN_RETRY_DELAY: Millis = Millis::new(100);
-/// The bytes of a history before any was read: the longest part that a VM with a disk returns at once.
-const FIRST_HISTORY_BYTES: u64 = 512 * 1024;
+/// The bytes of a history before any was read: the usual longest part that a VM with a disk returns at once, read
+/// and then decoded.
+const FIRST_HISTORY_BYTES: u64 = 1024 * 1024;
 /// The bytes of a route's answer before any came: some times what plain services answer.
 const FIRST_ANSWER_BYTES: u64 = 64 * 1024;
 
@@ -131,19 +132,25 @@
         }
     }
 
+    /// Returns the bytes that all requests may hold together.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.lock().budget.total()
+    }
+
     /// Returns the most bytes that a claim may have.
     #[must_use]
     pub fn limit(&self) -> u64 {
         self.lock().budget.limit()
     }
 
-    /// Returns the bytes that a history of which nothing is known may take.
+    /// Returns the bytes that a history of which nothing is known may take while it is read.
     #[must_use]
     pub fn expected_history(&self) -> u64 {
         self.lock().history.bytes(FIRST_HISTORY_BYTES)
     }
 
-    /// Records the size of a history.
+    /// Records how many bytes a history took while it was read.
     pub fn note_history(&self, bytes: u64) {
         self.lock().history.note(bytes);
     }
@@ -325,6 +332,21 @@
         self.bytes = bytes;
     }
 
+    /// Holds `bytes` at least, and returns whether those that are missing are free. Waits for none.
+    #[must_use]
+    pub fn extend_to(&mut self, bytes: u64) -> bool {
+        let more = bytes.saturating_sub(self.bytes);
+        let (step, mut is_free) = (self.step, true);
+        if more > 0 {
+            self.holdings
+                .change(|state| is_free = state.budget.extend(step, more));
+        }
+        if is_free {
+            self.bytes += more;
+        }
+        is_free
+    }
+
     /// Holds as many bytes as there are, until the last copy of them is dropped.
     #[must_use]
     pub fn attach(mut self, bytes: Bytes) -> Bytes {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -178,7 +178,7 @@
     let expected = holdings.expected_answer(&job.route.name);
     let (growth, displacement) = holdings.begin_growth(holdings.hold_nothing(), expected);
     let mut output = Segments::default();
-    for text in &delivered.texts {
+    for text in &delivered.history.texts {
         output.extend(text);
     }
     let mut state = State {
--- a/crates/replica/src/call.rs
+++ b/crates/replica/src/call.rs
@@ -62,9 +62,20 @@
     list: &List,
     bytes: Bytes,
 ) -> Option<Answer> {
+    let reply = reopen_with_list(http, member, list, bytes).await?;
+    reply.read().await
+}
+
+/// The same, but only waits for the head of the answer.
+pub async fn reopen_with_list(
+    http: &Arc<Client>,
+    member: &Member,
+    list: &List,
+    bytes: Bytes,
+) -> Option<Reply> {
     let adopt = Body::Adopt(list.clone());
     ask(http, member.address, list.version, adopt).await?;
-    send(http, member.address, bytes).await
+    open(http, member.address, bytes).await
 }
 
 /// Encodes a request once for all members that receive it. Returns `None` if it can't be encoded.
@@ -79,6 +90,15 @@
     }
 }
 
+/// Why an answer wasn't read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    /// It failed in some way.
+    Failed,
+    /// Its bytes weren't allowed.
+    Stopped,
+}
+
 /// An answer whose head has come.
 pub struct Reply {
     begun: client::Reply,
@@ -89,18 +109,34 @@
 impl Reply {
     /// Reads and decodes the answer. Returns `None` if that fails in any way.
     pub async fn read(self) -> Option<Answer> {
+        self.read_while(|_| true).await.ok()
+    }
+
+    /// The same, but only while `may_read` allows the bytes that the answer has: first as its head states them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes aren't allowed, and if reading or decoding fails in any way.
+    pub async fn read_while(self, mut may_read: impl FnMut(u64) -> bool) -> Result<Answer, Unread> {
         let address = self.address;
-        let whole = self.begun.body.whole_stated(MAX_ANSWER_BYTES);
-        let bytes = note(address, timeout_at(self.deadline, whole).await)?;
-        match rmp_serde::from_slice(&bytes) {
-            Ok(answer) => Some(answer),
-            Err(fault) => {
-                log::warn!(
-                    "text=\"a member's answer can't be decoded\" member={address} fault=\"{fault}\""
-                );
-                None
-            }
+        let body = self.begun.body;
+        let stated = body.size();
+        if !may_read(stated) {
+            return Err(Unread::Stopped);
         }
+        let may_grow = |bytes: usize| may_read(stated.max(bytes as u64));
+        let whole = body.whole_stated_while(MAX_ANSWER_BYTES, may_grow);
+        let read = match timeout_at(self.deadline, whole).await {
+            Ok(Err(client::Unread::Stopped(_))) => return Err(Unread::Stopped),
+            read => read.map(|read| read.map_err(client::Fault::from)),
+        };
+        let bytes = note(address, read).ok_or(Unread::Failed)?;
+        rmp_serde::from_slice(&bytes).map_err(|fault| {
+            log::warn!(
+                "text=\"a member's answer can't be decoded\" member={address} fault=\"{fault}\""
+            );
+            Unread::Failed
+        })
     }
 }
 
--- a/crates/replica/src/chain.rs
+++ b/crates/replica/src/chain.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::call;
+use crate::call::Unread;
 use crate::client::Found;
 use crate::list;
 use crate::list::List;
@@ -41,7 +42,7 @@
     reply: Option<call::Reply>,
 }
 
-/// Reads a chain from a group of members, those of `centre` first.
+/// Reads a chain from a group of members, those of `centre` first, if `may_read` allows an answer's bytes.
 ///
 /// # Errors
 ///
@@ -52,6 +53,7 @@
     group: Vec<Member>,
     centre: &str,
     key: Key,
+    may_read: &mut (impl FnMut(u64) -> bool + Send),
 ) -> Result<Found, Fault> {
     let majority = list::majority(group.len());
     let (nearby, others): (Vec<_>, Vec<_>) = group
@@ -85,15 +87,20 @@
         let Some(reply) = begun.reply else {
             continue;
         };
-        let mut answer = reply.read().await;
-        if answer == Some(Answer::Older) {
-            answer = call::resend_with_list(http, &begun.member, list, bytes.clone()).await;
+        let mut answer = reply.read_while(&mut *may_read).await;
+        if answer == Ok(Answer::Older) {
+            let again = call::reopen_with_list(http, &begun.member, list, bytes.clone());
+            answer = match again.await {
+                Some(reply) => reply.read_while(&mut *may_read).await,
+                None => Err(Unread::Failed),
+            };
         }
         match answer {
-            Some(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
-            Some(Answer::Chain(chain)) => return Ok(Found::Part(chain.turns, chain.next)),
-            Some(Answer::Newer(newer)) => return Err(Fault::Newer(newer)),
-            Some(Answer::NotReady) => fault = Fault::CatchingUp,
+            Ok(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
+            Ok(Answer::Chain(chain)) => return Ok(Found::Part(chain.turns, chain.next)),
+            Ok(Answer::Newer(newer)) => return Err(Fault::Newer(newer)),
+            Ok(Answer::NotReady) => fault = Fault::CatchingUp,
+            Err(Unread::Stopped) => return Ok(Found::Unread),
             _ => {}
         }
         if absent >= majority {
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -90,6 +90,8 @@
     Part(Vec<Link>, Option<Key>),
     /// No such turn was ever acknowledged, or it has been dropped.
     Absent,
+    /// The bytes of the answer weren't allowed.
+    Unread,
 }
 
 /// Counts the retries of one request by their reason.
@@ -309,25 +311,34 @@
             .await
     }
 
-    /// Finds a turn and the turns that it continues.
+    /// Finds a turn and the turns that it continues. Of an answer no more is read than `may_read` allows, which
+    /// gets the bytes that it has: first as its head states them.
     ///
     /// # Errors
     ///
     /// Fails if too few members answer to be certain that there is no such turn.
-    pub async fn chain(&self, key: Key) -> Result<Found> {
+    pub async fn chain(
+        &self,
+        key: Key,
+        mut may_read: impl FnMut(u64) -> bool + Send,
+    ) -> Result<Found> {
         let mut retries = Retries::default();
         loop {
-            match self.chain_once(key).await {
+            match self.chain_once(key, &mut may_read).await {
                 Err(fault) => retries.wait_or_fail(fault).await?,
                 outcome => return outcome,
             }
         }
     }
 
-    async fn chain_once(&self, key: Key) -> Result<Found> {
+    async fn chain_once(
+        &self,
+        key: Key,
+        may_read: &mut (impl FnMut(u64) -> bool + Send),
+    ) -> Result<Found> {
         let (list, group) = self.group(key)?;
-        let found = chain::read(&self.http, &list, group, &self.centre, key).await;
-        found.map_err(|fault| match fault {
+        let found = chain::read(&self.http, &list, group, &self.centre, key, may_read);
+        found.await.map_err(|fault| match fault {
             chain::Fault::Newer(newer) => {
                 self.adopt(newer);
                 Fault::ListChanged
--- a/crates/replica/tests/chain.rs
+++ b/crates/replica/tests/chain.rs
@@ -108,7 +108,7 @@
         members,
         before: Vec::new(),
     });
-    let found = replicas.chain(Key(1)).await.unwrap();
+    let found = replicas.chain(Key(1), |_| true).await.unwrap();
     assert!(matches!(found, Found::Part(turns, None) if turns.len() == 1));
     assert_eq!(asked.load(Ordering::Relaxed), requests);
 }
--- a/crates/replica/tests/list_changes.rs
+++ b/crates/replica/tests/list_changes.rs
@@ -97,7 +97,7 @@
 
     let reader = replicas();
     reader.adopt(first.clone());
-    let Found::Part(links, None) = reader.chain(key).await.unwrap() else {
+    let Found::Part(links, None) = reader.chain(key, |_| true).await.unwrap() else {
         panic!("the turn wasn't found");
     };
     assert_eq!(links[0].text, "one");
@@ -138,7 +138,10 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
         member.set_ready(third.version).await.unwrap();
     });
-    assert_eq!(reader.chain(Key::of("never")).await.unwrap(), Found::Absent);
+    assert_eq!(
+        reader.chain(Key::of("never"), |_| true).await.unwrap(),
+        Found::Absent
+    );
     caught_up.await.unwrap();
 }
 
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -89,6 +89,7 @@
     BuildUnavailable = 2208, 503, "the build that began the stream isn't known or has no endpoint";
     MemoryTaken = 2209, 503, "requests under way hold all the memory that they may";
     StreamUnknown = 2210, 503, "what the caller has of the stream isn't known";
+    HistoryTooLong = 2211, 503, "the turn's history is longer than the VM's memory for requests";
     EndpointFailed = 3101, 502, "the endpoint failed";
     Poisoned = 3102, 500, "the request crashed the endpoints that ran it";
     AnswerIncomplete = 3103, 502, "the answer couldn't be completed";
