--- a/crates/replica/src/chain.rs
+++ b/crates/replica/src/chain.rs
@@ -14,6 +14,7 @@
 
 use crate::call;
 use crate::call::Recipient;
+use crate::call::Unread;
 use crate::client::Found;
 use crate::inquiry::Inquiry;
 use crate::inquiry::Word;
@@ -45,7 +46,8 @@
     reply: Option<call::Reply>,
 }
 
-/// Reads a chain from a group of members, those of `centre` first. Notes in `inquiry` what each says.
+/// Reads a chain from a group of members, those of `centre` first, if `may_read` allows an answer's bytes. Notes in
+/// `inquiry` what each says.
 ///
 /// # Errors
 ///
@@ -57,6 +59,7 @@
     centre: &str,
     key: Key,
     inquiry: &mut Inquiry,
+    may_read: &mut (impl FnMut(u64) -> bool + Send),
 ) -> Result<Found, Fault> {
     let majority = list::majority(group.len());
     let (nearby, others): (Vec<_>, Vec<_>) = group
@@ -93,16 +96,21 @@
             inquiry.note(&begun.member, Word::Silent);
             continue;
         };
-        let mut answer = reply.read().await;
-        if answer == Some(Answer::Older) {
-            answer = call::resend_with_list(http, &begun.member, list, bytes.clone()).await;
+        let mut answer = reply.read_while(&mut *may_read).await;
+        if answer == Ok(Answer::Older) {
+            let again = call::reopen_with_list(http, &begun.member, list, bytes.clone());
+            answer = match again.await {
+                Some(reply) => reply.read_while(&mut *may_read).await,
+                None => Err(Unread::Failed),
+            };
         }
-        inquiry.note(&begun.member, Word::of(answer.as_ref()));
+        inquiry.note(&begun.member, Word::of(answer.as_ref().ok()));
         match answer {
-            Some(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
-            Some(Answer::Chain(chain)) => return Ok(Found::Part(chain.turns, chain.next)),
-            Some(Answer::Newer(newer)) => return Err(Fault::Newer(newer)),
-            Some(Answer::NotReady | Answer::OtherDisk(_)) => fault = Fault::CatchingUp,
+            Ok(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
+            Ok(Answer::Chain(chain)) => return Ok(Found::Part(chain.turns, chain.next)),
+            Ok(Answer::Newer(newer)) => return Err(Fault::Newer(newer)),
+            Ok(Answer::NotReady | Answer::OtherDisk(_)) => fault = Fault::CatchingUp,
+            Err(Unread::Stopped) => return Ok(Found::Unread),
             _ => {}
         }
         if absent >= majority {
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -92,6 +92,8 @@
     Part(Vec<Link>, Option<Key>),
     /// No such turn was ever acknowledged, or it has been dropped.
     Absent,
+    /// The bytes of the answer weren't allowed.
+    Unread,
 }
 
 /// Counts the retries of one request by their reason.
@@ -324,13 +326,14 @@
             .await
     }
 
-    /// Finds a turn and the turns that it continues.
+    /// Finds a turn and the turns that it continues. Of an answer no more is read than `may_read` allows, which
+    /// gets the bytes that it has: first as its head states them.
     ///
     /// # Errors
     ///
     /// Fails if too few members answer to be certain that there is no such turn.
-    pub async fn chain(&self, key: Key) -> Result<Found> {
-        self.look_up(key, &mut Inquiry::default()).await
+    pub async fn chain(&self, key: Key, may_read: impl FnMut(u64) -> bool + Send) -> Result<Found> {
+        self.look_up(key, &mut Inquiry::default(), may_read).await
     }
 
     /// The same, with a note of what each member said.
@@ -338,20 +341,38 @@
     /// # Errors
     ///
     /// As [`Self::chain`].
-    pub async fn look_up(&self, key: Key, inquiry: &mut Inquiry) -> Result<Found> {
+    pub async fn look_up(
+        &self,
+        key: Key,
+        inquiry: &mut Inquiry,
+        mut may_read: impl FnMut(u64) -> bool + Send,
+    ) -> Result<Found> {
         let mut retries = Retries::default();
         loop {
-            match self.chain_once(key, inquiry).await {
+            match self.chain_once(key, inquiry, &mut may_read).await {
                 Err(fault) => retries.wait_or_fail(fault).await?,
                 outcome => return outcome,
             }
         }
     }
 
-    async fn chain_once(&self, key: Key, inquiry: &mut Inquiry) -> Result<Found> {
+    async fn chain_once(
+        &self,
+        key: Key,
+        inquiry: &mut Inquiry,
+        may_read: &mut (impl FnMut(u64) -> bool + Send),
+    ) -> Result<Found> {
         let (list, group) = self.group(key)?;
-        let found = chain::read(&self.http, &list, group, &self.centre, key, inquiry).await;
-        found.map_err(|fault| match fault {
+        let found = chain::read(
+            &self.http,
+            &list,
+            group,
+            &self.centre,
+            key,
+            inquiry,
+            may_read,
+        );
+        found.await.map_err(|fault| match fault {
             chain::Fault::Newer(newer) => {
                 self.adopt(newer);
                 Fault::ListChanged
