Revert requests that name the disk that they are meant for

Tried, measured, and taken back until a list whose disks are gone has a way out.

What it guards against needs a lost disk, another member away at the same moment, and a disk that is lost again before the list names it; what it costs is every turn in such a state. First the list has to be able to change there.

--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -225,7 +225,13 @@
         };
         let is_its_disk = status.disk == member.disk;
         if !is_its_disk {
-            log_replaced(member, list);
+            log::info!(
+                "event=E{} text=\"{}\" member={} version={}",
+                Event::DiskReplaced.number(),
+                Event::DiskReplaced.text(),
+                member.vm,
+                list.version
+            );
         }
         is_its_disk
     }
@@ -261,7 +267,6 @@
             match answer.await {
                 Ok(Some(Answer::Keys(holdings))) => all.push((member, holdings)),
                 Ok(Some(Answer::Newer(newer))) => self.adopt(&newer).await,
-                Ok(Some(Answer::OtherDisk(_))) => log_replaced(member, list),
                 _ => {}
             }
         }
@@ -380,14 +385,3 @@
         self.phase.send_replace(Phase::Left);
     }
 }
-
-/// Logs that another disk answers at a member's address.
-fn log_replaced(member: &list::Member, list: &List) {
-    log::info!(
-        "event=E{} text=\"{}\" member={} version={}",
-        Event::DiskReplaced.number(),
-        Event::DiskReplaced.text(),
-        member.vm,
-        list.version
-    );
-}
