A VM whose members go on catching up says that it isn't ready

What callers saw: in a cut, a VM with a disk can't learn what was acknowledged before the new list, and the VMs that reach it and one more refuse turns with CY4107 ("still catching up") after 0.32 s. They went on telling the balancer that they are ready, and told callers to come back in 0.3 s: up to five tries of a turn at the same VM.

Cause: the check of members counted those that answer, not those that can serve. A refused history named the fixed delay.

Change: a check tells `CatchingUp` from `Enough`. Once that lasts as long as a turn waits (or a turn has just waited in vain), the VM isn't ready and refusals name the time in which the balancer notices; turns that can be served still are, unlike when members are lost. E3112 tells it, E3109 its end. A member counts by its own list, so that one that hasn't heard of a newer one can't keep VMs from being ready without a turn that asks.

The class: health that is looked at by reachability, not by the ability to serve. Not shown to be the case at Riga.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -153,7 +153,7 @@
 async fn check_members(node: Arc<Node>) {
     loop {
         let pause = match member_health::check(&node).await {
-            Check::Enough => MEMBER_CHECK_INTERVAL,
+            Check::Enough | Check::CatchingUp => MEMBER_CHECK_INTERVAL,
             Check::TooFew => LOST_MEMBER_CHECK_INTERVAL,
         };
         sleep(pause).await;
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -206,7 +206,8 @@
                 // names the members before it shows this refusal.
                 member_health::suspect(node, &fault).await;
                 let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
-                return Err(refusal.retry_after(RETRY_DELAY));
+                let delay = node.member_health().retry_after(node.clock.now());
+                return Err(refusal.retry_after(delay));
             }
         }
     }
--- a/crates/relay/src/member_health.rs
+++ b/crates/relay/src/member_health.rs
@@ -7,6 +7,10 @@
 //! after the first failed check, refuses turns at once from the second failed check on, and asks
 //! their callers to come back when the load balancer is expected to have noticed.
 //!
+//! Members that answer may still be catching up with a new list. Usually that is over before a turn that
+//! asks them gives up. Beyond that the VM reports itself as not ready, as the members of other VMs may
+//! have caught up, but serves the turns that it can: a member that is catching up returns what it holds.
+//!
 //! A turn whose records can't be read or whose tokens can't be reserved makes the VM suspect its
 //! members. Their disks may be slow while they still answer. Counting the members as lost then
 //! would refuse turns and break off answers that only have to wait. So a suspicion counts as one
@@ -15,6 +19,8 @@
 use std::time::Duration;
 
 use policy::balancer;
+use replica::client::CATCH_UP_WAIT;
+use replica::client::Coverage;
 use replica::client::Fault;
 use replica::client::Reach;
 use wire::clock::Millis;
@@ -44,6 +50,8 @@
 pub enum Check {
     /// Enough members answer for every key.
     Enough,
+    /// Enough members answer, but too few of them have caught up.
+    CatchingUp,
     /// Too few members answer.
     TooFew,
 }
@@ -51,18 +59,24 @@
 /// Checks whether enough members answer, and logs changes.
 pub async fn check(node: &Node) -> Check {
     let reach = node.replicas.reachable(CHECK_TIMEOUT).await;
-    let check = if reach.enough {
-        Check::Enough
-    } else {
-        Check::TooFew
+    let check = match reach.coverage {
+        Coverage::Full => Check::Enough,
+        Coverage::CatchingUp => Check::CatchingUp,
+        Coverage::TooFew => Check::TooFew,
     };
-    let changed = node.member_health().record_check(check, node.clock.now());
+    let now = node.clock.now();
+    let changed = node.member_health().record_check(check, now);
     match check {
-        Check::Enough if changed => log_reach(Event::MembersRegained, &reach),
+        Check::Enough | Check::CatchingUp if changed => {
+            log_reach(Event::MembersRegained, &reach);
+        }
+        Check::CatchingUp if node.member_health().should_log_behind(now) => {
+            log_reach(Event::MembersBehind, &reach);
+        }
         Check::TooFew if reach.members > 0 && node.member_health().should_log_silent() => {
             log_reach(Event::MembersLost, &reach);
         }
-        Check::Enough | Check::TooFew => {}
+        Check::Enough | Check::CatchingUp | Check::TooFew => {}
     }
     check
 }
@@ -87,12 +101,13 @@
 
 fn log_reach(event: Event, reach: &Reach) {
     log::warn!(
-        "event=E{} text=\"{}\" answered={} members={} silent={}",
+        "event=E{} text=\"{}\" answered={} members={} silent={} behind={}",
         event.number(),
         event.text(),
         reach.answered,
         reach.members,
-        format_names(&reach.silent)
+        format_names(&reach.silent),
+        format_names(&reach.behind)
     );
 }
 
@@ -132,17 +147,33 @@
     silent_logged: bool,
     /// The time of the first failure since the last successful check.
     failing_since: Millis,
+    /// Since when too few of the members that answer have caught up; `None` if enough have.
+    behind_since: Option<Millis>,
+    /// Whether the names of the members that are catching up have been logged.
+    behind_logged: bool,
 }
 
 impl Health {
-    /// Records the result of a check. Returns whether turns start or stop being served.
+    /// Records the result of a check. Returns whether turns start or stop being served, or the load
+    /// balancer is no longer told that members are catching up.
     pub fn record_check(&mut self, check: Check, now: Millis) -> bool {
         match check {
             Check::Enough => {
-                self.failed_checks = 0;
-                self.suspected = false;
-                self.silent_logged = false;
-                std::mem::replace(&mut self.service, TurnService::Served) != TurnService::Served
+                self.behind_since = None;
+                let was_logged = std::mem::take(&mut self.behind_logged);
+                self.record_answers() || was_logged
+            }
+            Check::CatchingUp => {
+                // A turn that suspects members that are catching up has waited for them in vain.
+                let waited = if self.suspected {
+                    CATCH_UP_WAIT
+                } else {
+                    Millis::ZERO
+                };
+                let since = now.since(waited);
+                let earlier = self.behind_since.unwrap_or(since);
+                self.behind_since = Some(earlier.min(since));
+                self.record_answers()
             }
             Check::TooFew => {
                 self.record_first_failure(now);
@@ -153,6 +184,14 @@
         }
     }
 
+    /// Records that enough members answer. Returns whether turns start being served.
+    fn record_answers(&mut self) -> bool {
+        self.failed_checks = 0;
+        self.suspected = false;
+        self.silent_logged = false;
+        std::mem::replace(&mut self.service, TurnService::Served) != TurnService::Served
+    }
+
     /// Records that a turn found too few members. Returns whether turns stop being served.
     pub fn suspect(&mut self, now: Millis) -> bool {
         self.record_first_failure(now);
@@ -172,6 +211,18 @@
         !self.serves_turns() && !std::mem::replace(&mut self.silent_logged, true)
     }
 
+    /// Returns whether the load balancer is told that members are catching up and their names have not
+    /// been logged; `true` only once until enough have caught up.
+    fn should_log_behind(&mut self, now: Millis) -> bool {
+        self.is_behind(now) && !std::mem::replace(&mut self.behind_logged, true)
+    }
+
+    /// Returns whether members have been catching up for longer than a turn waits for them.
+    fn is_behind(&self, now: Millis) -> bool {
+        self.behind_since
+            .is_some_and(|since| now.since(since) >= CATCH_UP_WAIT)
+    }
+
     fn record_first_failure(&mut self, now: Millis) {
         if self.failed_checks == 0 && !self.suspected {
             self.failing_since = now;
@@ -202,8 +253,8 @@
 
     /// Returns whether the load balancer should send turns here.
     #[must_use]
-    pub const fn is_ready(&self) -> bool {
-        self.serves_turns() && self.failed_checks == 0 && !self.suspected
+    pub fn is_ready(&self, now: Millis) -> bool {
+        self.serves_turns() && self.failed_checks == 0 && !self.suspected && !self.is_behind(now)
     }
 
     /// Returns when a refused turn may be retried: when the load balancer is expected to send it to
@@ -212,13 +263,22 @@
     /// started: it needs only some more milliseconds, so the turn needs no other VM.
     #[must_use]
     pub fn retry_after(&self, now: Millis) -> Millis {
-        if self.service == TurnService::Starting || self.is_ready() {
+        if self.service == TurnService::Starting || self.is_ready(now) {
             return RETRY_DELAY;
         }
         balancer::DETECTION_TIME
-            .since(now.since(self.failing_since))
+            .since(now.since(self.unready_since()))
             .max(RETRY_DELAY_NOTICED)
     }
+
+    /// Returns since when the load balancer is told that the VM isn't ready.
+    fn unready_since(&self) -> Millis {
+        let is_failing = self.failed_checks > 0 || self.suspected;
+        match self.behind_since {
+            Some(since) if !is_failing => since.plus(CATCH_UP_WAIT),
+            Some(_) | None => self.failing_since,
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/relay/src/member_health/tests.rs
+++ b/crates/relay/src/member_health/tests.rs
@@ -1,3 +1,4 @@
+use replica::client::CATCH_UP_WAIT;
 use wire::clock::Millis;
 
 use super::Check;
@@ -28,11 +29,11 @@
     let mut health = serving();
     assert!(!health.record_check(Check::TooFew, later(300)));
     assert!(health.serves_turns(), "two members may have paused");
-    assert!(!health.is_ready());
+    assert!(!health.is_ready(later(300)));
     assert!(health.record_check(Check::TooFew, later(600)));
     assert!(!health.serves_turns());
     assert!(health.record_check(Check::Enough, later(900)));
-    assert!(health.is_ready());
+    assert!(health.is_ready(later(900)));
 }
 
 /// Several turns can't reserve their tokens, because the disks of two members are slow; both
@@ -45,10 +46,10 @@
     for ms in [100, 110, 120] {
         assert!(!health.suspect(later(ms)));
         assert!(health.serves_turns());
-        assert!(!health.is_ready());
+        assert!(!health.is_ready(later(ms)));
     }
     assert!(!health.record_check(Check::Enough, later(150)));
-    assert!(health.is_ready());
+    assert!(health.is_ready(later(150)));
     assert_eq!(health.retry_after(later(150)), RETRY_DELAY);
 }
 
@@ -88,6 +89,44 @@
     assert_eq!(health.retry_after(later(3_000)), RETRY_DELAY);
 }
 
+/// The list changes while all is well. The members catch up before a turn gives up on them, so that the load
+/// balancer isn't told.
+#[test]
+fn a_short_catch_up_does_not_cost_readiness() {
+    let mut health = serving();
+    assert!(!health.record_check(Check::CatchingUp, later(0)));
+    assert!(health.is_ready(later(300)));
+    assert!(!health.record_check(Check::Enough, later(310)));
+    assert!(health.is_ready(later(10_000)));
+}
+
+/// Members go on catching up, as they are cut off from those that they copy from. The VM isn't ready, refused
+/// turns come back when the load balancer sends them elsewhere, and turns that can be served still are.
+#[test]
+fn members_that_go_on_catching_up_cost_readiness_but_refuse_nothing() {
+    let mut health = serving();
+    for ms in [0, 300, 600] {
+        assert!(!health.record_check(Check::CatchingUp, later(ms)));
+    }
+    assert!(!health.is_ready(later(600)));
+    assert!(health.serves_turns());
+    let told_at = later(0).plus(CATCH_UP_WAIT);
+    let retry_after = health.retry_after(told_at.plus(Millis::new(500)));
+    assert_eq!(retry_after, Millis::new(1_500));
+    health.record_check(Check::Enough, later(900));
+    assert!(health.is_ready(later(900)));
+}
+
+/// A turn has waited in vain for members that are catching up, before any check has seen that.
+#[test]
+fn a_suspicion_of_members_that_are_catching_up_costs_readiness_at_once() {
+    let mut health = serving();
+    assert!(!health.suspect(later(400)));
+    assert!(!health.record_check(Check::CatchingUp, later(410)));
+    assert!(!health.is_ready(later(410)));
+    assert_eq!(health.retry_after(later(410)), Millis::new(2_000));
+}
+
 #[test]
 fn a_log_line_names_some_vms_and_counts_the_others() {
     let vms: Vec<String> = (0..MAX_NAMED_VMS + 3).map(|at| format!("v{at}")).collect();
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -585,6 +585,6 @@
         if !self.can_route() || self.stop().is_some() || self.is_config_stale() {
             return false;
         }
-        !table.has_streams() || self.member_health().is_ready()
+        !table.has_streams() || self.member_health().is_ready(self.clock.now())
     }
 }
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
+use wire::clock::Millis;
 
 use crate::call;
 use crate::chain;
@@ -37,9 +38,11 @@
 const MAX_TRIES: usize = 3;
 /// The pause before asking members again that are still catching up. A change of the list takes
 /// them some tens of milliseconds; after a new disk joins, the other members have nothing to copy.
-const CATCH_UP_RETRY_DELAY: Duration = Duration::from_millis(40);
+const CATCH_UP_RETRY_DELAY: Millis = Millis::new(40);
 /// How many times such members are asked again. See [`CATCH_UP_RETRY_DELAY`].
-const CATCH_UP_RETRIES: usize = 8;
+const CATCH_UP_RETRIES: u64 = 8;
+/// For how long a request waits for members that are still catching up before it fails.
+pub const CATCH_UP_WAIT: Millis = Millis::new(CATCH_UP_RETRY_DELAY.as_u64() * CATCH_UP_RETRIES);
 
 /// Why the members gave no reliable answer.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -70,15 +73,28 @@
     losses: usize,
 }
 
+/// Whether a majority of the group of every key can serve it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Coverage {
+    /// It can.
+    Full,
+    /// It answers, but some of it is still catching up.
+    CatchingUp,
+    /// It doesn't answer.
+    TooFew,
+}
+
 /// Which members answer, and whether they are enough.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reach {
-    /// Whether a majority answers for every key.
-    pub enough: bool,
+    /// Whether enough members can serve every key.
+    pub coverage: Coverage,
     /// How many members answer.
     pub answered: usize,
     /// The VMs of the members that don't answer.
     pub silent: Vec<String>,
+    /// The VMs of the members that answer and are still catching up.
+    pub behind: Vec<String>,
     /// How many members the list has.
     pub members: usize,
 }
@@ -99,7 +115,7 @@
 #[derive(Debug, Default)]
 struct Retries {
     list_changes: usize,
-    catch_ups: usize,
+    catch_ups: u64,
 }
 
 impl Retries {
@@ -109,7 +125,7 @@
             Fault::ListChanged if self.list_changes + 1 < MAX_TRIES => self.list_changes += 1,
             Fault::CatchingUp if self.catch_ups < CATCH_UP_RETRIES => {
                 self.catch_ups += 1;
-                tokio::time::sleep(CATCH_UP_RETRY_DELAY).await;
+                tokio::time::sleep(CATCH_UP_RETRY_DELAY.as_duration()).await;
             }
             fault => return Err(fault),
         }
@@ -375,11 +391,13 @@
     }
 
     /// Returns whether enough members answer within `limit` to serve every key, and which members
-    /// don't.
+    /// don't, or are still catching up.
     pub async fn reachable(&self, limit: Duration) -> Reach {
         let list = self.list();
         let mut answered = Vec::new();
+        let mut caught_up = Vec::new();
         let mut silent = Vec::new();
+        let mut behind = Vec::new();
         let mut requests = Vec::new();
         for member in &list.members {
             let http = self.http.clone();
@@ -390,21 +408,38 @@
             }));
         }
         for (member, answer) in list.members.iter().zip(requests) {
-            if let Ok(Some(Answer::Status(_))) = answer.await {
-                answered.push(member);
-            } else {
+            let Ok(Some(Answer::Status(status))) = answer.await else {
                 silent.push(member.vm.clone());
+                continue;
+            };
+            answered.push(member);
+            if status.has_caught_up() {
+                caught_up.push(member);
+            } else {
+                behind.push(member.vm.clone());
             }
         }
-        let needed = list::majority(list.group_size(self.losses));
         Reach {
-            enough: !list.members.is_empty() && list.covers(&answered, self.losses, needed),
+            coverage: self.coverage(&list, &answered, &caught_up),
             answered: answered.len(),
             silent,
+            behind,
             members: list.members.len(),
         }
     }
 
+    fn coverage(&self, list: &List, answered: &[&Member], caught_up: &[&Member]) -> Coverage {
+        let needed = list::majority(list.group_size(self.losses));
+        if list.members.is_empty() || !list.covers(answered, self.losses, needed) {
+            return Coverage::TooFew;
+        }
+        if list.covers(caught_up, self.losses, needed) {
+            Coverage::Full
+        } else {
+            Coverage::CatchingUp
+        }
+    }
+
     fn group(&self, key: Key) -> Result<(Arc<List>, Vec<Member>)> {
         let list = self.list();
         if list.members.is_empty() {
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -124,3 +124,11 @@
     /// The list version up to which it holds everything that was acknowledged.
     pub ready: u64,
 }
+
+impl Status {
+    /// Returns whether the member holds everything that was acknowledged before its list.
+    #[must_use]
+    pub const fn has_caught_up(&self) -> bool {
+        self.ready >= self.version
+    }
+}
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -78,6 +78,7 @@
     MembersRegained = 3109, "enough members answer";
     DiskReplaced = 3110, "a member's disk is another one";
     RecordsDropped = 3111, "oldest records dropped as the disk fills";
+    MembersBehind = 3112, "too few members have caught up";
     RevisionApplied = 4001, "configuration revision in force";
     RevisionDropped = 4002, "configuration that can't be taken";
     ConfigurationStale = 4003, "configuration may be out of date";
