A reservation whose write failed is written when another member brings it

What callers got: a program may be handed its budget a second time (BUDGET), after a disk's write failed and another disk was lost.

Cause: a reservation counts in memory before it is on disk. Where its write fails, it stays there; the accounts of another member, copied after a change of the list, then brought nothing new, and nothing was written, though the member said that it holds everything.

Change: the ledger knows which attempts may not be on disk, being written or after a failed write, and merged accounts write these too.

--- a/crates/replica/src/ledger.rs
+++ b/crates/replica/src/ledger.rs
@@ -53,6 +53,17 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     accounts: HashMap<Key, StoredAccount>,
+    /// Attempts whose entries may not be on disk, sorted: being written, or after a failed write.
+    unsynced: Vec<Attempt>,
+}
+
+/// An attempt at a turn of a program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Attempt {
+    /// The program's key.
+    pub program: Key,
+    /// The key of the attempt.
+    pub turn: Key,
 }
 
 #[derive(Debug)]
@@ -95,6 +106,41 @@
         merge_entries(&mut stored.entries, entries);
     }
 
+    /// Records that an attempt's entry may not be on disk.
+    pub fn note_unsynced(&mut self, attempt: Attempt) {
+        if let Err(at) = self.unsynced.binary_search(&attempt) {
+            self.unsynced.insert(at, attempt);
+        }
+    }
+
+    /// Records that an attempt's entry is on disk.
+    pub fn note_synced(&mut self, attempt: Attempt) {
+        if let Ok(at) = self.unsynced.binary_search(&attempt) {
+            self.unsynced.remove(at);
+        }
+    }
+
+    /// Returns the entries that another member knows and that are not on disk here, or say more.
+    #[must_use]
+    pub fn missing(&self, account: &Account) -> Vec<Entry> {
+        let program = account.program;
+        let known = self.entries(program);
+        let is_missing = |entry: &&Entry| match known.iter().find(|other| other.turn == entry.turn)
+        {
+            Some(other) => {
+                let turn = entry.turn;
+                let says_more = other.used.is_none() && entry.used.is_some();
+                says_more
+                    || self
+                        .unsynced
+                        .binary_search(&Attempt { program, turn })
+                        .is_ok()
+            }
+            None => true,
+        };
+        account.entries.iter().filter(is_missing).copied().collect()
+    }
+
     /// Returns a program's entries.
     #[must_use]
     pub fn entries(&self, program: Key) -> &[Entry] {
@@ -129,6 +175,9 @@
     pub fn sweep(&mut self, now: Millis) {
         self.accounts
             .retain(|_, stored| now.since(stored.updated_at) < RETENTION);
+        let accounts = &self.accounts;
+        self.unsynced
+            .retain(|attempt| accounts.contains_key(&attempt.program));
     }
 }
 
--- a/crates/replica/src/server/write.rs
+++ b/crates/replica/src/server/write.rs
@@ -9,6 +9,7 @@
 use crate::disk::SegmentEvent;
 use crate::index;
 use crate::ledger::Account;
+use crate::ledger::Attempt;
 use crate::ledger::Entry;
 use crate::message::Answer;
 use crate::record;
@@ -35,10 +36,15 @@
         let now = self.clock.now();
         let mut frames = Vec::with_capacity(records.len());
         let mut turns = Vec::new();
+        let mut attempts = Vec::new();
         let mut program = None;
         {
             let mut state = self.lock();
             for record in &records {
+                if let Some(attempt) = attempt(record) {
+                    state.ledger.note_unsynced(attempt);
+                    attempts.push(attempt);
+                }
                 match record {
                     Record::Turn(turn) if state.index.find(turn.key).is_some() => continue,
                     Record::Turn(turn) => turns.push((frames.len(), turn.key, turn.previous)),
@@ -59,6 +65,9 @@
             Err(fault) => return disk_failed(&fault),
         };
         let mut state = self.lock();
+        for attempt in attempts {
+            state.ledger.note_synced(attempt);
+        }
         for (at, key, previous) in turns {
             let location = locations[at];
             state.index.insert(key, index::Entry { previous, location });
@@ -81,11 +90,9 @@
         {
             let state = self.lock();
             for account in accounts {
-                let known = state.ledger.entries(account.program);
-                let entries = added_entries(known, &account.entries);
                 merged.push(Account {
                     program: account.program,
-                    entries,
+                    entries: state.ledger.missing(account),
                 });
             }
         }
@@ -97,6 +104,9 @@
         for account in merged {
             state.ledger.merge(account.program, &account.entries, now);
         }
+        for attempt in records.iter().filter_map(attempt) {
+            state.ledger.note_synced(attempt);
+        }
         Ok(())
     }
 
@@ -170,13 +180,16 @@
     }
 }
 
-/// Returns the entries that are new or settle a known one.
-fn added_entries(known: &[Entry], entries: &[Entry]) -> Vec<Entry> {
-    let says_more = |entry: &&Entry| match known.iter().find(|other| other.turn == entry.turn) {
-        Some(other) => other.used.is_none() && entry.used.is_some(),
-        None => true,
-    };
-    entries.iter().filter(says_more).copied().collect()
+/// Returns the attempt whose tokens a record is about; `None` for a turn's text.
+fn attempt(record: &Record) -> Option<Attempt> {
+    match record {
+        Record::Turn(_) => None,
+        Record::Reserve(Reservation { program, turn, .. })
+        | Record::Settle(Settlement { program, turn, .. }) => Some(Attempt {
+            program: *program,
+            turn: *turn,
+        }),
+    }
 }
 
 fn account_records(account: &Account) -> Vec<Record> {
--- a/crates/replica/tests/power_loss.rs
+++ b/crates/replica/tests/power_loss.rs
@@ -313,3 +313,30 @@
         assert!(holds(&after, id).await, "{id} is lost");
     }
 }
+
+/// Guards against a reservation whose write failed, that is known in memory and therefore not written when
+/// another member's accounts bring it: a program may spend its budget a second time.
+#[tokio::test]
+async fn a_merged_reservation_is_written_though_an_earlier_write_of_it_failed() {
+    let disk = Disk::default();
+    let member = start(&disk).await;
+    let reservation = Reservation {
+        program: Key::of("p1"),
+        turn: Key::of("t1"),
+        most: 50,
+    };
+    disk.fail_append_after(0);
+    let failed = ask(&member, Body::Apply(vec![Record::Reserve(reservation)])).await;
+    assert!(matches!(failed, Answer::Failed(_)), "{failed:?}");
+    let account = Account {
+        program: reservation.program,
+        entries: vec![Entry {
+            turn: reservation.turn,
+            most: reservation.most,
+            used: None,
+        }],
+    };
+    member.merge_accounts(&[account]).await.unwrap();
+    let after = start(&disk.after_power_loss()).await;
+    assert_eq!(after.counts(), (0, 1));
+}
