A connection that is let go for another one ends at once again

The listener lets other tasks run before it accepts beyond its count, but none of them closes within that turn, so it accepted the whole crowd first.

Change: only connections whose time is up wait.

Test: link/tests/crowds, red before (60 connections open at a listener with room for 8), green after.

--- a/crates/link/src/ingress.rs
+++ b/crates/link/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Bounds what callers send: reads little at a time, counts what each connection holds before its request is
 //! known, and ends those that `policy::connections` lets go.
 
+pub(crate) mod eviction;
 mod half_close;
 
 use std::error::Error;
@@ -34,13 +35,13 @@
 use tokio::time::Sleep;
 use tokio::time::sleep;
 use tokio::time::timeout;
-use tokio_util::sync::CancellationToken;
 
 use crate::connection::UNREAD_TIMEOUT;
 use crate::ending::Ending;
-pub use crate::ingress::half_close::Meaning;
-
+use crate::ingress::eviction::Cause;
+use crate::ingress::eviction::Eviction;
 use crate::ingress::half_close::HalfClose;
+pub use crate::ingress::half_close::Meaning;
 use crate::listen::Connections;
 
 /// The most bytes of a head that are read at once, and before other tasks get the thread. The decoder's
@@ -84,8 +85,8 @@
 pub struct Connection {
     owner: Arc<Connections>,
     id: Id,
-    /// Cancelled when the connection has to end for others, or its time is up.
-    pub(crate) ended: CancellationToken,
+    /// Tells when the connection has to end for others, or its time is up.
+    pub(crate) eviction: Arc<Eviction>,
     /// The largest head that its decoder takes, in bytes.
     pub(crate) head_bytes: usize,
     in_request: AtomicBool,
@@ -101,12 +102,12 @@
 }
 
 impl Connection {
-    pub(crate) fn new(owner: Arc<Connections>, id: Id, ended: CancellationToken) -> Arc<Self> {
+    pub(crate) fn new(owner: Arc<Connections>, id: Id, eviction: Arc<Eviction>) -> Arc<Self> {
         Arc::new(Self {
             head_bytes: owner.head_bytes(),
             owner,
             id,
-            ended,
+            eviction,
             in_request: AtomicBool::new(false),
             is_blocked: AtomicBool::new(false),
             came: AtomicU64::new(0),
@@ -140,14 +141,14 @@
     /// listener does now, its caller has ended its half, or the listener has let it go.
     pub(crate) fn ends_with_request(&self) -> bool {
         let is_outdated = self.head_bytes < self.owner.head_bytes();
-        is_outdated || self.is_half_closed() || self.ended.is_cancelled()
+        is_outdated || self.is_half_closed() || self.eviction.is_evicted()
     }
 
-    /// Completes when the listener has let the connection go and no request is under way that came before
-    /// that; at the latest after `limit`.
+    /// Completes when the listener has let the connection go. If that is as its time is up, and none is under
+    /// way, a request that came before is waited for; at most for `limit`.
     pub(crate) async fn let_go(&self, limit: Duration) {
-        self.ended.cancelled().await;
-        if !self.in_request.load(Ordering::Relaxed) {
+        let cause = self.eviction.evicted().await;
+        if cause == Cause::Time && !self.in_request.load(Ordering::Relaxed) {
             let answered = async {
                 sleep(UNREAD_TIMEOUT).await;
                 while self.in_request.load(Ordering::Relaxed) {
--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -35,13 +35,15 @@
 use crate::ingress::Connection;
 use crate::ingress::Guarded;
 use crate::ingress::Meaning;
+use crate::ingress::eviction::Cause;
+use crate::ingress::eviction::Eviction;
 use crate::socket;
 
 /// How long bytes sent to a caller may go unacknowledged. This is longer than any partition that a
 /// caller would wait out.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// How long a request may take that came just before its connection was let go.
+/// How long a request may take that came just before its connection's time was up.
 const LAST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The most connections, and the most bytes that they may hold, of a listener without limits of its own.
@@ -130,21 +132,28 @@
 struct State {
     table: Table,
     /// Ends each connection; sorted by id, because ids only grow.
-    ends: Vec<(Id, CancellationToken)>,
+    evictions: Vec<(Id, Arc<Eviction>)>,
     figures: Figures,
 }
 
 impl State {
     /// Ends the connections that the table has let go. Returns how many.
-    fn end_connections(&mut self) -> u64 {
+    fn end_connections(&mut self, cause: Cause) -> u64 {
         let ended = self.table.take_ended();
         for id in &ended {
-            if let Ok(at) = self.ends.binary_search_by_key(id, |(known, _)| *known) {
-                self.ends.remove(at).1.cancel();
+            if let Some(eviction) = self.take_eviction(*id) {
+                eviction.evict(cause);
             }
         }
         ended.len() as u64
     }
+
+    fn take_eviction(&mut self, id: Id) -> Option<Arc<Eviction>> {
+        let found = self
+            .evictions
+            .binary_search_by_key(&id, |(known, _)| *known);
+        Some(self.evictions.remove(found.ok()?).1)
+    }
 }
 
 impl Default for Connections {
@@ -159,7 +168,7 @@
     pub fn new(limits: Limits) -> Self {
         let state = State {
             table: Table::new(limits.connections),
-            ends: Vec::new(),
+            evictions: Vec::new(),
             figures: Figures::default(),
         };
         Self {
@@ -200,7 +209,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.table.expire(now);
-        state.figures.expired += state.end_connections();
+        state.figures.expired += state.end_connections(Cause::Time);
     }
 
     /// Returns the largest head in bytes.
@@ -248,9 +257,7 @@
         self.open.fetch_sub(1, Ordering::Relaxed);
         let mut state = self.lock();
         state.table.close(id);
-        if let Ok(at) = state.ends.binary_search_by_key(&id, |(known, _)| *known) {
-            state.ends.remove(at);
-        }
+        let _closed = state.take_eviction(id);
     }
 
     /// Takes up a connection; `None` if there is no room for it.
@@ -258,15 +265,15 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let id = state.table.open(now);
-        state.figures.let_go += state.end_connections();
+        state.figures.let_go += state.end_connections(Cause::Room);
         let Some(id) = id else {
             state.figures.turned_away += 1;
             return None;
         };
-        let ended = CancellationToken::new();
-        state.ends.push((id, ended.clone()));
+        let eviction = Arc::new(Eviction::default());
+        state.evictions.push((id, eviction.clone()));
         self.open.fetch_add(1, Ordering::Relaxed);
-        Some(Connection::new(self.clone(), id, ended))
+        Some(Connection::new(self.clone(), id, eviction))
     }
 
     /// Returns whether connections that were let go have to close before the next one is accepted.
@@ -281,7 +288,7 @@
     fn change<T>(&self, change: impl FnOnce(&mut Table) -> T) -> T {
         let mut state = self.lock();
         let outcome = change(&mut state.table);
-        state.figures.let_go += state.end_connections();
+        state.figures.let_go += state.end_connections(Cause::Room);
         outcome
     }
 
@@ -381,7 +388,7 @@
         if fault.is_parse() {
             tokio::select! {
                 biased;
-                () = connection.ended.cancelled() => {}
+                _ = connection.eviction.evicted() => {}
                 () = stream.linger() => {}
             }
         }
