A usual change of the list doesn't cost readiness

Refused turns were told to come back in 2 s in place of 0.3 s.

Cause: took the time that a turn waits, 0.32 s, for the time after which catching up isn't usual.

Change: readiness goes after 1.5 s, twice what a change takes beside a silent member, and a turn's suspicion no longer shortens that.

--- a/crates/relay/src/member_health.rs
+++ b/crates/relay/src/member_health.rs
@@ -7,9 +7,10 @@
 //! after the first failed check, refuses turns at once from the second failed check on, and asks
 //! their callers to come back when the load balancer is expected to have noticed.
 //!
-//! Members that answer may still be catching up with a new list. Usually that is over before a turn that
-//! asks them gives up. Beyond that the VM reports itself as not ready, as the members of other VMs may
-//! have caught up, but serves the turns that it can: a member that is catching up returns what it holds.
+//! Members that answer may still be catching up with a new list. After a usual change all VMs see that for some
+//! hundred milliseconds, and none may be missing then. If it lasts longer, the VM reports itself as not
+//! ready, as other VMs may reach members that have caught up, but serves the turns that it can: a member that
+//! is catching up returns what it holds.
 //!
 //! A turn whose records can't be read or whose tokens can't be reserved makes the VM suspect its
 //! members. Their disks may be slow while they still answer. Counting the members as lost then
@@ -19,7 +20,6 @@
 use std::time::Duration;
 
 use policy::balancer;
-use replica::client::CATCH_UP_WAIT;
 use replica::client::Coverage;
 use replica::client::Fault;
 use replica::client::Reach;
@@ -37,6 +37,9 @@
 /// The longest time that a restarting member is away: its process is started again after a short
 /// delay. Members that are away for longer are cut off or down, for an unknown time.
 const MAX_RESTART_TIME: Millis = Millis::new(1_000);
+/// How long too few members may have caught up before the load balancer is told. They need up to 0.8 s while another
+/// one is silent for whose answer they wait, and about as long again if one of them asks once more.
+const MAX_CATCH_UP_TIME: Millis = Millis::new(1_500);
 /// The most VMs that a log line names.
 const MAX_NAMED_VMS: usize = 12;
 /// The retry delay of a refused turn that needs no other VM: about the time in which a member
@@ -164,15 +167,7 @@
                 self.record_answers() || was_logged
             }
             Check::CatchingUp => {
-                // A turn that suspects members that are catching up has waited for them in vain.
-                let waited = if self.suspected {
-                    CATCH_UP_WAIT
-                } else {
-                    Millis::ZERO
-                };
-                let since = now.since(waited);
-                let earlier = self.behind_since.unwrap_or(since);
-                self.behind_since = Some(earlier.min(since));
+                self.behind_since.get_or_insert(now);
                 self.record_answers()
             }
             Check::TooFew => {
@@ -217,10 +212,10 @@
         self.is_behind(now) && !std::mem::replace(&mut self.behind_logged, true)
     }
 
-    /// Returns whether members have been catching up for longer than a turn waits for them.
+    /// Returns whether members have been catching up for longer than a change of the list takes.
     fn is_behind(&self, now: Millis) -> bool {
         self.behind_since
-            .is_some_and(|since| now.since(since) >= CATCH_UP_WAIT)
+            .is_some_and(|since| now.since(since) >= MAX_CATCH_UP_TIME)
     }
 
     fn record_first_failure(&mut self, now: Millis) {
@@ -275,7 +270,7 @@
     fn unready_since(&self) -> Millis {
         let is_failing = self.failed_checks > 0 || self.suspected;
         match self.behind_since {
-            Some(since) if !is_failing => since.plus(CATCH_UP_WAIT),
+            Some(since) if !is_failing => since.plus(MAX_CATCH_UP_TIME),
             Some(_) | None => self.failing_since,
         }
     }
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -41,8 +41,6 @@
 const CATCH_UP_RETRY_DELAY: Millis = Millis::new(40);
 /// How many times such members are asked again. See [`CATCH_UP_RETRY_DELAY`].
 const CATCH_UP_RETRIES: u64 = 8;
-/// For how long a request waits for members that are still catching up before it fails.
-pub const CATCH_UP_WAIT: Millis = Millis::new(CATCH_UP_RETRY_DELAY.as_u64() * CATCH_UP_RETRIES);
 
 /// Why the members gave no reliable answer.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
