A request whose head is read as its connection expires is answered

Found by a reviewer who hadn't seen the work, in: where the runtime learns of a request before its connection learns that it has expired, the head is read first, and `let_go` took the request for one that needs no wait, and closed the connection without an answer.

--- a/crates/link/src/ingress.rs
+++ b/crates/link/src/ingress.rs
@@ -144,11 +144,11 @@
         is_outdated || self.is_half_closed() || self.eviction.is_evicted()
     }
 
-    /// Completes when the listener has let the connection go. If that is as its time is up, and none is under
-    /// way, a request that came before is waited for; at most for `limit`.
+    /// Completes when the listener has let the connection go. If that is as its time is up, it was idle, and a
+    /// request that came just before is waited for; at most for `limit`.
     pub(crate) async fn let_go(&self, limit: Duration) {
         let cause = self.eviction.evicted().await;
-        if cause == Cause::Time && !self.in_request.load(Ordering::Relaxed) {
+        if cause == Cause::Time {
             let answered = async {
                 sleep(UNREAD_TIMEOUT).await;
                 while self.in_request.load(Ordering::Relaxed) {
--- a/crates/link/tests/idle_ends.rs
+++ b/crates/link/tests/idle_ends.rs
@@ -42,6 +42,12 @@
     Response::new(Body::whole(Bytes::from_static(b"hello")))
 }
 
+/// Answers only after the connection's task has run once more.
+async fn late_hello(request: Request<Incoming>) -> Response<Body> {
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    hello(request).await
+}
+
 fn read_answer(stream: &mut TcpStream) -> String {
     let mut answer = [0; 4096];
     let count = stream.read(&mut answer).unwrap_or_default();
@@ -98,3 +104,35 @@
     let answer = answer.await.unwrap();
     assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
 }
+
+/// Guards against a request with a body that comes as its idle connection expires, before the connection learns
+/// of that, and that nobody answers.
+#[tokio::test]
+async fn a_request_whose_head_is_read_as_its_connection_expires_is_answered() {
+    let listener = listen::bind(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = Arc::new(Connections::new(Limits {
+        connections: connections::Limits {
+            idle_time: Millis::from(IDLE_TIME),
+            ..Limits::default().connections
+        },
+        ..Limits::default()
+    }));
+    tokio::spawn(listen::run(listener, connections.clone(), late_hello));
+    let caller = thread::spawn(move || {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.write_all(REQUEST).unwrap();
+        assert!(read_answer(&mut stream).starts_with("HTTP/1.1 200"));
+        thread::sleep(IDLE_TIME / 2 + STALLED_TIME);
+        stream.write_all(REQUEST).unwrap();
+        read_answer(&mut stream)
+    });
+    tokio::time::sleep(IDLE_TIME / 2).await;
+    thread::sleep(STALL);
+    // The runtime learns of the request here, and wakes its connection, which runs after this task.
+    tokio::task::yield_now().await;
+    connections.expire();
+    let answer = tokio::task::spawn_blocking(|| caller.join().unwrap());
+    let answer = answer.await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+}
