A disk that the list doesn't name isn't taken for one that can serve

Found by a reviewer who hadn't seen the work, in: a VM that has lost its disk says version 0, ready 0, and counted as caught up; requests to it get NotReady.

The check compares the disk's number with the list's, as members do among themselves.

Test: relay/tests/catching_up, case they_have_lost_their_disks, red before (ready), 2 of 2 after.

--- a/crates/relay/tests/catching_up.rs
+++ b/crates/relay/tests/catching_up.rs
@@ -2,8 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use adapter::settings;
@@ -23,6 +22,7 @@
 use replica::message::Body as AskBody;
 use replica::message::Status;
 use replica::record::Key;
+use rstest::rstest;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use wire::clock::Clock;
@@ -34,10 +34,17 @@
 /// Time in which the VM has to tell the balancer: fewer than the five tries that a turn has, 0.3 s and 0.32 s each.
 const TIME_TO_TELL: Duration = Duration::from_millis(2_500);
 
-/// Members that share how far they have caught up.
-#[derive(Clone, Default)]
+/// Members that have caught up.
+const CAUGHT_UP: Status = Status {
+    disk: 1,
+    version: VERSION,
+    ready: VERSION,
+};
+
+/// Members that share a state.
+#[derive(Clone)]
 struct Members {
-    ready: Arc<AtomicU64>,
+    status: Arc<Mutex<Status>>,
 }
 
 impl Members {
@@ -45,11 +52,7 @@
         let bytes = body::read(request.into_body(), 1 << 20).await.unwrap();
         let ask: Ask = rmp_serde::from_slice(&bytes).unwrap();
         let answer = match ask.body {
-            AskBody::Status => Answer::Status(Status {
-                disk: 1,
-                version: VERSION,
-                ready: self.ready.load(Ordering::Relaxed),
-            }),
+            AskBody::Status => Answer::Status(*self.status.lock().unwrap()),
             _ => Answer::NotReady,
         };
         Response::new(Body::whole(rmp_serde::to_vec(&answer).unwrap()))
@@ -99,17 +102,20 @@
 }
 
 /// Guards against a VM that the balancer goes on sending turns to while its members can't serve any.
+#[rstest]
+#[case::they_go_on_catching_up(Status { ready: VERSION - 1, ..CAUGHT_UP })]
+#[case::they_have_lost_their_disks(Status { disk: 2, ..CAUGHT_UP })]
 #[tokio::test]
-async fn a_vm_whose_members_go_on_catching_up_is_not_ready() {
+async fn a_vm_whose_members_cannot_serve_is_not_ready(#[case] status: Status) {
     let members = Members {
-        ready: Arc::new(AtomicU64::new(VERSION)),
+        status: Arc::new(Mutex::new(CAUGHT_UP)),
     };
     let node = members.start().await;
     assert!(check_until(&node, is_ready).await);
-    members.ready.store(VERSION - 1, Ordering::Relaxed);
+    *members.status.lock().unwrap() = status;
     let refused = node.replicas.chain(Key::of("t1"), |_| true).await;
     assert_eq!(refused, Err(Fault::CatchingUp));
     assert!(check_until(&node, |node| !is_ready(node)).await);
-    members.ready.store(VERSION, Ordering::Relaxed);
+    *members.status.lock().unwrap() = CAUGHT_UP;
     assert!(check_until(&node, is_ready).await);
 }
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -411,7 +411,7 @@
                 continue;
             };
             answered.push(member);
-            if status.has_caught_up() {
+            if status.disk == member.disk && status.has_caught_up() {
                 caught_up.push(member);
             } else {
                 behind.push(member.vm.clone());
