Time between two readings of the clock doesn't make a proof seem younger

Found by a reviewer who hadn't seen the work, in: the age of the configuration was taken before the time since the request's arrival. If the process stands still in between, a proof from before the arrival passes for one after it: a turn is refused for good, or runs without its history, on an older configuration's word.

The time since the arrival is taken first.

--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -375,13 +375,14 @@
     loop {
         let mut news = pin!(node.config_news.notified());
         news.as_mut().enable();
+        // In this order: time that passes in between makes the proof seem older, not younger than the request.
+        let waited = node.clock.now().since(arrived_at);
         // Taken before the routes are looked up: a proof in between would be of later ones.
         let knowledge = node.config_knowledge();
         let found = find(node, head, call);
         if !rests_on_old_routes(&found, call) {
             return found;
         }
-        let waited = node.clock.now().since(arrived_at);
         match doubt::decide(knowledge, waited, max_wait) {
             Doubt::Final => return found,
             Doubt::Open => return Err(identity::stale(node.freshness(knowledge.age))),
