A turn that waits for members that catch up is refused in time

Found by a reviewer who hadn't seen the work: one member caught up, one catching up, one silent (cut off or frozen). Each of nine rounds waited 0.7 s for the silent one, so that a turn was refused only after 6.6 s; its caller's other tries came too late.

Cause: the wait was a number of tries of 40 ms, as if members answered at once.

Change: members are asked again for 0.32 s from the first time that they are found to be catching up; where all answer, that is as before.

Test: a_reservation_rests_on_the_majority_that_has_caught_up bounds the refusal by 1.9 s: 6.64 s before.

--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -12,7 +12,6 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
-use wire::clock::Millis;
 
 use crate::call;
 use crate::chain;
@@ -38,9 +37,10 @@
 const MAX_TRIES: usize = 3;
 /// The pause before asking members again that are still catching up. A change of the list takes
 /// them some tens of milliseconds; after a new disk joins, the other members have nothing to copy.
-const CATCH_UP_RETRY_DELAY: Millis = Millis::new(40);
-/// How many times such members are asked again. See [`CATCH_UP_RETRY_DELAY`].
-const CATCH_UP_RETRIES: u64 = 8;
+const CATCH_UP_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// For how long such members are asked again. A silent member beside them takes the whole time of an answer
+/// each time, so that this isn't a number of tries.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(320);
 
 /// Why the members gave no reliable answer.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -109,11 +109,12 @@
     Unread,
 }
 
-/// Counts the retries of one request by their reason.
+/// The retries of one request by their reason.
 #[derive(Debug, Default)]
 struct Retries {
     list_changes: usize,
-    catch_ups: u64,
+    /// When members were first found to be catching up.
+    catching_up_since: Option<Instant>,
 }
 
 impl Retries {
@@ -121,9 +122,12 @@
     async fn wait_or_fail(&mut self, fault: Fault) -> Result<()> {
         match fault {
             Fault::ListChanged if self.list_changes + 1 < MAX_TRIES => self.list_changes += 1,
-            Fault::CatchingUp if self.catch_ups < CATCH_UP_RETRIES => {
-                self.catch_ups += 1;
-                tokio::time::sleep(CATCH_UP_RETRY_DELAY.as_duration()).await;
+            Fault::CatchingUp => {
+                let since = *self.catching_up_since.get_or_insert_with(Instant::now);
+                if since.elapsed() >= CATCH_UP_WAIT {
+                    return Err(fault);
+                }
+                tokio::time::sleep(CATCH_UP_RETRY_DELAY).await;
             }
             fault => return Err(fault),
         }
--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use link::client::Client;
@@ -44,6 +45,8 @@
 const DISK_BYTES: u64 = 500_000_000;
 /// How long members that can't become complete replicas get for it: some steps of their drivers.
 const STEPS: Duration = Duration::from_millis(1_500);
+/// How long a refusal may take: twice the time in which a silent member is given up, and half a second.
+const REFUSAL: Duration = Duration::from_millis(1_900);
 /// How long members may take to become complete replicas once all answer.
 const RECOVERY: Duration = Duration::from_secs(12);
 
@@ -270,7 +273,10 @@
     assert_eq!(reserve("t2", 60).await, Ok(Verdict::Spent(50)));
     // A member that hasn't caught up doesn't make up for one that has.
     b.silent.store(true, Ordering::SeqCst);
+    let asked = Instant::now();
     assert_eq!(reserve("t3", 1).await, Err(Fault::CatchingUp));
+    // Another VM needs the rest of the turn's time.
+    assert!(asked.elapsed() < REFUSAL, "{:?}", asked.elapsed());
     let settlement = Settlement {
         program,
         turn: Key::of("t1"),
