A rewrite of the accounts that failed is tried again after a pause

Found by a reviewer who hadn't seen the work, in: the driver runs each 200 ms, and where syncs fail each try appends all accounts to a segment that is then given up. On a filling disk the oldest segments go for it, with turns that are still kept.

Tries are 2 s apart now.

--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -72,6 +72,8 @@
     ledger: Ledger,
     /// Segments created since the accounts were last rewritten.
     segments_since_rewrite: u64,
+    /// When the accounts may be rewritten again.
+    next_rewrite: Millis,
     /// The segments that this process closed, the oldest first, and when it noticed that.
     closed_at: Vec<(u64, Millis)>,
     /// The turns that went with removed segments.
--- a/crates/replica/src/server/write.rs
+++ b/crates/replica/src/server/write.rs
@@ -24,6 +24,8 @@
 /// All accounts are rewritten after this many new segments, so that no program's entries are
 /// removed with the oldest segment. The smallest disk fits far more segments.
 const REWRITE_AFTER_SEGMENTS: u64 = 8;
+/// The pause after a failed rewrite. Each takes a part of the disk, for which the oldest segments are removed.
+const REWRITE_RETRY_DELAY: Millis = Millis::new(2_000);
 
 impl Member {
     /// Syncs records. Reservations count at once, before they are on disk, because another
@@ -146,15 +148,16 @@
                     }
                 }
             }
-            if state.segments_since_rewrite < REWRITE_AFTER_SEGMENTS {
+            if state.segments_since_rewrite < REWRITE_AFTER_SEGMENTS || now < state.next_rewrite {
                 return Ok(());
             }
+            // A rewrite that fails has to be tried again.
+            state.next_rewrite = now.plus(REWRITE_RETRY_DELAY);
             state.ledger.accounts()
         };
         let records: Vec<Record> = accounts.iter().flat_map(account_records).collect();
         log::info!("text=\"rewriting the accounts\" entries={}", records.len());
         self.write_records(&records).await?;
-        // Not before: a write that failed has to be tried again.
         self.lock().segments_since_rewrite = 0;
         Ok(())
     }
--- a/crates/replica/tests/power_loss.rs
+++ b/crates/replica/tests/power_loss.rs
@@ -27,6 +27,8 @@
 const DISK_BYTES: u64 = 500_000_000;
 /// After how many new segments a member writes all accounts again.
 const SEGMENTS_BEFORE_REWRITE: usize = 8;
+/// How long a member waits until it tries again to rewrite the accounts.
+const REWRITE_RETRY_DELAY: Duration = Duration::from_millis(2_050);
 /// How long an answer that has to wait for a blocked sync is waited for.
 const BLOCKED: Duration = Duration::from_millis(200);
 
@@ -285,6 +287,10 @@
     disk.fail_append_after(0);
     member.sweep().await.unwrap_err();
     let bytes_before = disk.bytes();
+    // Each failed write takes a part of the disk, for which the oldest turns go.
+    member.sweep().await.unwrap();
+    assert_eq!(disk.bytes(), bytes_before, "tried again at once");
+    tokio::time::sleep(REWRITE_RETRY_DELAY).await;
     member.sweep().await.unwrap();
     assert!(disk.bytes() > bytes_before, "nothing was written");
 }
