--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -290,3 +290,41 @@
     });
     assert_eq!(writer.apply(program, vec![tail]).await, Ok(()));
 }
+
+/// Guards against a turn that is acknowledged and lost, as an empty disk that isn't in the list yet stores it in
+/// the place of the lost one, and nobody copies from it.
+#[tokio::test]
+async fn a_disk_that_the_list_does_not_name_acknowledges_nothing() {
+    let vms = [
+        Vm::start("a", 1).await,
+        Vm::start("b", 2).await,
+        Vm::start("c", 3).await,
+    ];
+    let [a, b, c] = &vms;
+    let mut list = List::default();
+    for vm in &vms {
+        list = list.with(&vm.entry());
+    }
+    for vm in [a, b] {
+        vm.adopt(&list, list.version).await;
+    }
+    c.lose_disk(4).await;
+    c.adopt(&list, 0).await;
+    b.silent.store(true, Ordering::SeqCst);
+    let writer = Replicas::new(client(), "a", 1);
+    writer.adopt(list.clone());
+    let key = Key::of("t1");
+    let turn = Turn {
+        key,
+        previous: None,
+        text: Bytes::from_static(b"some text"),
+    };
+    let records = vec![Record::Turn(turn)];
+    let written = writer.apply(key, records.clone()).await;
+    assert!(written.is_err(), "acknowledged");
+    assert_eq!(c.member().counts(), (0, 0));
+
+    // Once the list names the new disk, it counts at once, also before it has caught up.
+    writer.adopt(list.with(&c.entry()));
+    assert_eq!(writer.apply(key, records).await, Ok(()));
+}
