Members catch up from those that answer, without waiting for a silent one

What callers saw: after each change of the list beside a silent member, all members refused for 0.7 s what needs all that was acknowledged.

Cause: a member that catches up waited for the answers of all members of the list before, though it needs only as many as meet every majority.

Change: answers are taken as they come, until they are enough by catch_up::has_enough_sources, the condition as before.

Test: members_catch_up_without_waiting_for_a_silent_one, red before.

--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -15,6 +15,7 @@
 use link::client::Client;
 use platform::edge::Platform;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use wire::clock::Clock;
 use wire::clock::Millis;
 use wire::event::Event;
@@ -44,6 +45,12 @@
 /// holds.
 const FETCH_BATCH_TURNS: usize = 32;
 
+/// A member that was asked for what it holds, and its answer.
+struct Asked {
+    member: list::Member,
+    answer: Option<Answer>,
+}
+
 /// Where a member is in its life cycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -165,7 +172,17 @@
             }
         }
         let before = list.previous();
-        for (member, holdings) in self.fetch_holdings(&list.before, list, scope).await {
+        let has_enough = |answered: &[_], caught_up: &[_]| {
+            catch_up::has_enough_sources(list, answered, caught_up, self.losses)
+        };
+        let mut asked = self.ask_holdings(&list.before, list, scope);
+        // The others may be silent, and aren't waited for.
+        while !has_enough(&answered, &caught_up)
+            && let Some((member, holdings)) = self.next_holdings(&mut asked).await
+        {
+            let Some(member) = list.before.iter().find(|known| **known == member) else {
+                continue;
+            };
             if !self.copy_from(member, list, &before, &holdings).await {
                 continue;
             }
@@ -174,7 +191,7 @@
                 caught_up.push(member);
             }
         }
-        let enough = catch_up::has_enough_sources(list, &answered, &caught_up, self.losses);
+        let enough = has_enough(&answered, &caught_up);
         if !enough {
             log::warn!(
                 "event=E{} text=\"{}\" version={} heard={} whole={} before={}",
@@ -236,14 +253,9 @@
         is_its_disk
     }
 
-    /// Asks the other members concurrently for what they hold and returns the answers. Concurrent
-    /// requests cost one timeout in total when several members don't answer.
-    async fn fetch_holdings<'a>(
-        &self,
-        members: &'a [list::Member],
-        list: &List,
-        scope: Scope,
-    ) -> Vec<(&'a list::Member, Holdings)> {
+    /// Asks the other members concurrently for what they hold. Concurrent requests cost one timeout in
+    /// total when several members don't answer.
+    fn ask_holdings(&self, members: &[list::Member], list: &List, scope: Scope) -> JoinSet<Asked> {
         let body = match scope {
             Scope::All => Body::Keys,
             Scope::Gained => Body::Gained {
@@ -251,26 +263,34 @@
                 losses: self.losses,
             },
         };
+        let mut asked = JoinSet::new();
         let Some(bytes) = call::encode(list.version, body) else {
-            return Vec::new();
+            return asked;
         };
-        let mut requests = Vec::new();
         for member in members.iter().filter(|member| **member != self.own) {
             let (http, bytes) = (self.http.clone(), bytes.clone());
-            let (to, list) = (member.clone(), list.clone());
-            let answer =
-                tokio::spawn(async move { call::ask_with_list(&http, &to, &list, bytes).await });
-            requests.push((member, answer));
+            let (member, list) = (member.clone(), list.clone());
+            asked.spawn(async move {
+                let answer = call::ask_with_list(&http, &member, &list, bytes).await;
+                Asked { member, answer }
+            });
         }
-        let mut all = Vec::new();
-        for (member, answer) in requests {
-            match answer.await {
-                Ok(Some(Answer::Keys(holdings))) => all.push((member, holdings)),
-                Ok(Some(Answer::Newer(newer))) => self.adopt(&newer).await,
+        asked
+    }
+
+    /// Returns the next answer that tells what a member holds; `None` once all have answered or failed.
+    async fn next_holdings(&self, asked: &mut JoinSet<Asked>) -> Option<(list::Member, Holdings)> {
+        while let Some(next) = asked.join_next().await {
+            let Ok(Asked { member, answer }) = next else {
+                continue;
+            };
+            match answer {
+                Some(Answer::Keys(holdings)) => return Some((member, holdings)),
+                Some(Answer::Newer(newer)) => self.adopt(&newer).await,
                 _ => {}
             }
         }
-        all
+        None
     }
 
     async fn copy_missing(
@@ -323,9 +343,10 @@
             return;
         }
         state.compared = true;
-        for (member, holdings) in self.fetch_holdings(&list.members, list, Scope::All).await {
+        let mut asked = self.ask_holdings(&list.members, list, Scope::All);
+        while let Some((member, holdings)) = self.next_holdings(&mut asked).await {
             let wanted = |key| list.group(key, self.losses).contains(&&self.own);
-            if let Err(fault) = self.copy_missing(member, list, &holdings, wanted).await {
+            if let Err(fault) = self.copy_missing(&member, list, &holdings, wanted).await {
                 log::warn!(
                     "text=\"a member's records not compared\" member={} fault=\"{fault}\"",
                     member.vm
--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -45,6 +45,8 @@
 const DISK_BYTES: u64 = 500_000_000;
 /// How long members that can't become complete replicas get for it: some steps of their drivers.
 const STEPS: Duration = Duration::from_millis(1_500);
+/// How long members may take to catch up: less than the time in which a silent member is given up.
+const CATCH_UP: Duration = Duration::from_millis(500);
 /// How long a refusal may take: twice the time in which a silent member is given up, and half a second.
 const REFUSAL: Duration = Duration::from_millis(1_900);
 /// How long members may take to become complete replicas once all answer.
@@ -328,3 +330,32 @@
     writer.adopt(list.with(&c.entry()));
     assert_eq!(writer.apply(key, records).await, Ok(()));
 }
+
+/// Guards against members that refuse turns after each change of the list, as they wait for the answer of a
+/// silent one though the others' are enough.
+#[tokio::test]
+async fn members_catch_up_without_waiting_for_a_silent_one() {
+    let vms = [
+        Vm::start("a", 1).await,
+        Vm::start("b", 2).await,
+        Vm::start("c", 3).await,
+    ];
+    let mut list = List::default();
+    for vm in &vms {
+        list = list.with(&vm.entry());
+    }
+    let next = list.with(&vms[0].entry());
+    let [a, b, c] = &vms;
+    c.silent.store(true, Ordering::SeqCst);
+    for vm in [a, b] {
+        vm.adopt(&next, list.version).await;
+    }
+    let begun = Instant::now();
+    for vm in [a, b] {
+        vm.drive();
+    }
+    while !a.is_ready(&next) || !b.is_ready(&next) {
+        assert!(begun.elapsed() < CATCH_UP, "they wait for c");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
