--- a/crates/relay/src/member_health.rs
+++ b/crates/relay/src/member_health.rs
@@ -37,8 +37,8 @@
 /// The longest time that a restarting member is away: its process is started again after a short
 /// delay. Members that are away for longer are cut off or down, for an unknown time.
 const MAX_RESTART_TIME: Millis = Millis::new(1_000);
-/// How long too few members may have caught up before the load balancer is told. They need up to 0.8 s while another
-/// one is silent for whose answer they wait, and about as long again if one of them asks once more.
+/// How long too few members may have caught up before the load balancer is told. They need up to 0.8 s where too
+/// few others answer at once, and about as long again if one of them asks once more.
 const MAX_CATCH_UP_TIME: Millis = Millis::new(1_500);
 /// The most VMs that a log line names.
 const MAX_NAMED_VMS: usize = 12;
