The check of members uses the client's coverage

`member_health::Check` had the same three variants as `replica::client::Coverage`, which it was made from one to one. Behaviour and assertions stay.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -10,6 +10,7 @@
 use derive_more::Error;
 use derive_more::From;
 use link::listen;
+use replica::client::Coverage;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use wire::clock::Clock;
@@ -23,7 +24,6 @@
 use crate::follow;
 use crate::identity;
 use crate::member_health;
-use crate::member_health::Check;
 use crate::node::Node;
 use crate::probe;
 use crate::reachability;
@@ -153,8 +153,8 @@
 async fn check_members(node: Arc<Node>) {
     loop {
         let pause = match member_health::check(&node).await {
-            Check::Enough | Check::CatchingUp => MEMBER_CHECK_INTERVAL,
-            Check::TooFew => LOST_MEMBER_CHECK_INTERVAL,
+            Coverage::Full | Coverage::CatchingUp => MEMBER_CHECK_INTERVAL,
+            Coverage::TooFew => LOST_MEMBER_CHECK_INTERVAL,
         };
         sleep(pause).await;
     }
--- a/crates/relay/src/member_health.rs
+++ b/crates/relay/src/member_health.rs
@@ -48,40 +48,24 @@
 /// The retry delay once the load balancer should have noticed that the VM isn't ready.
 const RETRY_DELAY_NOTICED: Millis = Millis::new(100);
 
-/// The result of one check of the members.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Check {
-    /// Enough members answer for every key.
-    Enough,
-    /// Enough members answer, but too few of them have caught up.
-    CatchingUp,
-    /// Too few members answer.
-    TooFew,
-}
-
 /// Checks whether enough members answer, and logs changes.
-pub async fn check(node: &Node) -> Check {
+pub async fn check(node: &Node) -> Coverage {
     let reach = node.replicas.reachable(CHECK_TIMEOUT).await;
-    let check = match reach.coverage {
-        Coverage::Full => Check::Enough,
-        Coverage::CatchingUp => Check::CatchingUp,
-        Coverage::TooFew => Check::TooFew,
-    };
     let now = node.clock.now();
-    let changed = node.member_health().record_check(check, now);
-    match check {
-        Check::Enough | Check::CatchingUp if changed => {
+    let changed = node.member_health().record_check(reach.coverage, now);
+    match reach.coverage {
+        Coverage::Full | Coverage::CatchingUp if changed => {
             log_reach(Event::MembersRegained, &reach);
         }
-        Check::CatchingUp if node.member_health().should_log_behind(now) => {
+        Coverage::CatchingUp if node.member_health().should_log_behind(now) => {
             log_reach(Event::MembersBehind, &reach);
         }
-        Check::TooFew if reach.members > 0 && node.member_health().should_log_silent() => {
+        Coverage::TooFew if reach.members > 0 && node.member_health().should_log_silent() => {
             log_reach(Event::MembersLost, &reach);
         }
-        Check::Enough | Check::CatchingUp | Check::TooFew => {}
+        Coverage::Full | Coverage::CatchingUp | Coverage::TooFew => {}
     }
-    check
+    reach.coverage
 }
 
 /// Records that a turn found too few members, and returns when a check has confirmed or cleared the
@@ -159,18 +143,18 @@
 impl Health {
     /// Records the result of a check. Returns whether turns start or stop being served, or the load
     /// balancer is no longer told that members are catching up.
-    pub fn record_check(&mut self, check: Check, now: Millis) -> bool {
-        match check {
-            Check::Enough => {
+    pub fn record_check(&mut self, coverage: Coverage, now: Millis) -> bool {
+        match coverage {
+            Coverage::Full => {
                 self.behind_since = None;
                 let was_logged = std::mem::take(&mut self.behind_logged);
                 self.record_answers() || was_logged
             }
-            Check::CatchingUp => {
+            Coverage::CatchingUp => {
                 self.behind_since.get_or_insert(now);
                 self.record_answers()
             }
-            Check::TooFew => {
+            Coverage::TooFew => {
                 self.record_first_failure(now);
                 let suspicions = u32::from(std::mem::take(&mut self.suspected));
                 self.failed_checks = self.failed_checks.saturating_add(1 + suspicions);
--- a/crates/relay/src/member_health/tests.rs
+++ b/crates/relay/src/member_health/tests.rs
@@ -1,6 +1,6 @@
+use replica::client::Coverage;
 use wire::clock::Millis;
 
-use super::Check;
 use super::Health;
 use super::MAX_CATCH_UP_TIME;
 use super::MAX_NAMED_VMS;
@@ -16,7 +16,7 @@
 fn serving() -> Health {
     let mut health = Health::default();
     assert!(
-        health.record_check(Check::Enough, START),
+        health.record_check(Coverage::Full, START),
         "turns are served from now on"
     );
     health
@@ -27,12 +27,12 @@
 #[test]
 fn readiness_is_lost_at_the_first_failed_check() {
     let mut health = serving();
-    assert!(!health.record_check(Check::TooFew, later(300)));
+    assert!(!health.record_check(Coverage::TooFew, later(300)));
     assert!(health.serves_turns(), "two members may have paused");
     assert!(!health.is_ready(later(300)));
-    assert!(health.record_check(Check::TooFew, later(600)));
+    assert!(health.record_check(Coverage::TooFew, later(600)));
     assert!(!health.serves_turns());
-    assert!(health.record_check(Check::Enough, later(900)));
+    assert!(health.record_check(Coverage::Full, later(900)));
     assert!(health.is_ready(later(900)));
 }
 
@@ -48,7 +48,7 @@
         assert!(health.serves_turns());
         assert!(!health.is_ready(later(ms)));
     }
-    assert!(!health.record_check(Check::Enough, later(150)));
+    assert!(!health.record_check(Coverage::Full, later(150)));
     assert!(health.is_ready(later(150)));
     assert_eq!(health.retry_after(later(150)), RETRY_DELAY);
 }
@@ -59,10 +59,10 @@
 fn a_suspicion_and_a_failed_check_lose_the_members() {
     let mut health = serving();
     assert!(!health.suspect(later(100)));
-    assert!(health.record_check(Check::TooFew, later(300)));
+    assert!(health.record_check(Coverage::TooFew, later(300)));
     assert!(!health.serves_turns());
     let mut health = serving();
-    assert!(!health.record_check(Check::TooFew, later(300)));
+    assert!(!health.record_check(Coverage::TooFew, later(300)));
     assert!(health.suspect(later(350)));
     assert!(!health.serves_turns());
 }
@@ -73,7 +73,7 @@
 fn refused_turn_is_retried_when_the_balancer_has_noticed() {
     let mut health = serving();
     assert!(!health.suspect(later(100)));
-    assert!(health.record_check(Check::TooFew, later(200)));
+    assert!(health.record_check(Coverage::TooFew, later(200)));
     assert_eq!(health.retry_after(later(100)), Millis::new(2_000));
     assert_eq!(health.retry_after(later(1_600)), Millis::new(500));
     assert_eq!(health.retry_after(later(5_000)), Millis::new(100));
@@ -84,7 +84,7 @@
 #[test]
 fn retry_delay_is_short_just_after_the_start() {
     let mut health = Health::default();
-    assert!(!health.record_check(Check::TooFew, START));
+    assert!(!health.record_check(Coverage::TooFew, START));
     assert!(!health.serves_turns());
     assert_eq!(health.retry_after(later(3_000)), RETRY_DELAY);
 }
@@ -95,11 +95,11 @@
 fn a_usual_catch_up_does_not_cost_readiness() {
     let mut health = serving();
     for ms in [0, 300, 600, 900] {
-        assert!(!health.record_check(Check::CatchingUp, later(ms)));
+        assert!(!health.record_check(Coverage::CatchingUp, later(ms)));
         assert!(health.is_ready(later(ms)));
         assert_eq!(health.retry_after(later(ms)), RETRY_DELAY);
     }
-    assert!(!health.record_check(Check::Enough, later(1_200)));
+    assert!(!health.record_check(Coverage::Full, later(1_200)));
     assert!(health.is_ready(later(10_000)));
 }
 
@@ -109,14 +109,14 @@
 fn members_that_go_on_catching_up_cost_readiness_but_refuse_nothing() {
     let mut health = serving();
     for ms in (0..=1_500).step_by(300) {
-        assert!(!health.record_check(Check::CatchingUp, later(ms)));
+        assert!(!health.record_check(Coverage::CatchingUp, later(ms)));
     }
     assert!(!health.is_ready(later(1_500)));
     assert!(health.serves_turns());
     let told_at = later(0).plus(MAX_CATCH_UP_TIME);
     let retry_after = health.retry_after(told_at.plus(Millis::new(500)));
     assert_eq!(retry_after, Millis::new(1_500));
-    health.record_check(Check::Enough, later(2_100));
+    health.record_check(Coverage::Full, later(2_100));
     assert!(health.is_ready(later(2_100)));
 }
 
--- a/crates/relay/tests/keeping.rs
+++ b/crates/relay/tests/keeping.rs
@@ -9,10 +9,10 @@
 use adapter::settings;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use relay::member_health::Check;
 use relay::node::Node;
 use relay::stream;
 use relay::work::Kind;
+use replica::client::Coverage;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -53,7 +53,7 @@
     );
     let entry = support::entry(runner().await);
     node.fleet().set("i-1", entry, 0);
-    for check in [Check::Enough, Check::TooFew, Check::TooFew] {
+    for check in [Coverage::Full, Coverage::TooFew, Coverage::TooFew] {
         node.member_health().record_check(check, node.clock.now());
     }
     assert!(!node.can_serve_turns());
--- a/crates/relay/tests/lost.rs
+++ b/crates/relay/tests/lost.rs
@@ -8,8 +8,8 @@
 use log::Metadata;
 use log::Record;
 use relay::member_health;
-use relay::member_health::Check;
 use relay::node::Node;
+use replica::client::Coverage;
 use replica::client::Fault;
 use wire::clock::Clock;
 use wire::event::Event;
@@ -44,8 +44,8 @@
         Clock::System,
     );
     let now = node.clock.now();
-    assert!(node.member_health().record_check(Check::Enough, now));
-    assert!(!node.member_health().record_check(Check::TooFew, now));
+    assert!(node.member_health().record_check(Coverage::Full, now));
+    assert!(!node.member_health().record_check(Coverage::TooFew, now));
     member_health::suspect(&node, &Fault::CatchingUp).await;
     let lines = LINES.0.lock().unwrap();
     let event = format!("event=E{} ", Event::MembersLost.number());
