--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -178,7 +178,7 @@
         }
         let mut inquiry = Inquiry::default();
         let may_read = |bytes: u64| room.admits(bytes.saturating_mul(COPIES));
-        let found = node.replicas.look_up(key, &mut inquiry, may_read).await;
+        let found = node.replicas.chain(key, &mut inquiry, may_read).await;
         if matches!(found, Ok(Found::Absent) | Err(_)) {
             log_not_found(request, key, &inquiry);
         }
--- a/crates/relay/tests/catching_up.rs
+++ b/crates/relay/tests/catching_up.rs
@@ -15,6 +15,7 @@
 use relay::member_health;
 use relay::node::Node;
 use replica::client::Fault;
+use replica::inquiry::Inquiry;
 use replica::list::List;
 use replica::list::Member;
 use replica::message::Answer;
@@ -113,7 +114,10 @@
     let node = members.start().await;
     assert!(check_until(&node, is_ready).await);
     *members.status.lock().unwrap() = status;
-    let refused = node.replicas.chain(Key::of("t1"), |_| true).await;
+    let refused = node
+        .replicas
+        .chain(Key::of("t1"), &mut Inquiry::default(), |_| true)
+        .await;
     assert_eq!(refused, Err(Fault::CatchingUp));
     assert!(check_until(&node, |node| !is_ready(node)).await);
     *members.status.lock().unwrap() = CAUGHT_UP;
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -336,22 +336,13 @@
             .await
     }
 
-    /// Finds a turn and the turns that it continues. Of an answer no more is read than `may_read` allows, which
-    /// gets the bytes that it has: first as its head states them.
+    /// Finds a turn and the turns that it continues, and notes in `inquiry` what each member said. Of an answer
+    /// no more is read than `may_read` allows, which gets the bytes that it has: first as its head states them.
     ///
     /// # Errors
     ///
     /// Fails if too few members answer to be certain that there is no such turn.
-    pub async fn chain(&self, key: Key, may_read: impl FnMut(u64) -> bool + Send) -> Result<Found> {
-        self.look_up(key, &mut Inquiry::default(), may_read).await
-    }
-
-    /// The same, with a note of what each member said.
-    ///
-    /// # Errors
-    ///
-    /// As [`Self::chain`].
-    pub async fn look_up(
+    pub async fn chain(
         &self,
         key: Key,
         inquiry: &mut Inquiry,
--- a/crates/replica/tests/chain.rs
+++ b/crates/replica/tests/chain.rs
@@ -15,6 +15,7 @@
 use link::listen;
 use replica::client::Found;
 use replica::client::Replicas;
+use replica::inquiry::Inquiry;
 use replica::list::List;
 use replica::list::Member;
 use replica::message::Answer;
@@ -108,7 +109,10 @@
         members,
         before: Vec::new(),
     });
-    let found = replicas.chain(Key(1), |_| true).await.unwrap();
+    let found = replicas
+        .chain(Key(1), &mut Inquiry::default(), |_| true)
+        .await
+        .unwrap();
     assert!(matches!(found, Found::Part(turns, None) if turns.len() == 1));
     assert_eq!(asked.load(Ordering::Relaxed), requests);
 }
--- a/crates/replica/tests/list_changes.rs
+++ b/crates/replica/tests/list_changes.rs
@@ -12,6 +12,7 @@
 use link::listen;
 use replica::client::Found;
 use replica::client::Replicas;
+use replica::inquiry::Inquiry;
 use replica::list::List;
 use replica::list::Member;
 use replica::message::Answer;
@@ -98,7 +99,11 @@
 
     let reader = replicas();
     reader.adopt(first.clone());
-    let Found::Part(links, None) = reader.chain(key, |_| true).await.unwrap() else {
+    let Found::Part(links, None) = reader
+        .chain(key, &mut Inquiry::default(), |_| true)
+        .await
+        .unwrap()
+    else {
         panic!("the turn wasn't found");
     };
     assert_eq!(links[0].text, "one");
@@ -140,7 +145,10 @@
         member.set_ready(third.version).await.unwrap();
     });
     assert_eq!(
-        reader.chain(Key::of("never"), |_| true).await.unwrap(),
+        reader
+            .chain(Key::of("never"), &mut Inquiry::default(), |_| true)
+            .await
+            .unwrap(),
         Found::Absent
     );
     caught_up.await.unwrap();
--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -20,6 +20,7 @@
 use replica::client::Fault;
 use replica::client::Found;
 use replica::client::Replicas;
+use replica::inquiry::Inquiry;
 use replica::list::List;
 use replica::list::Member;
 use replica::member::Driver;
@@ -191,7 +192,7 @@
     tokio::time::sleep(STEPS).await;
     let reader = Replicas::new(client(), "a", 1);
     reader.adopt(next.clone());
-    let found = reader.chain(key, |_| true).await;
+    let found = reader.chain(key, &mut Inquiry::default(), |_| true).await;
     assert_ne!(found, Ok(Found::Absent), "the turn is called absent");
     assert!(!a.is_ready(&next) && !c.is_ready(&next));
 
@@ -204,7 +205,7 @@
     };
     timeout(RECOVERY, all_ready).await.expect("all are ready");
     b.silent.store(true, Ordering::SeqCst);
-    let found = reader.chain(key, |_| true).await;
+    let found = reader.chain(key, &mut Inquiry::default(), |_| true).await;
     let Ok(Found::Part(links, None)) = found else {
         panic!("{found:?}");
     };
