--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -83,9 +83,12 @@
 }
 
 impl State {
-    /// Returns whether the member holds everything that was acknowledged before its list.
-    const fn has_caught_up(&self) -> bool {
-        self.identity.ready >= self.identity.list.version
+    const fn status(&self) -> Status {
+        Status {
+            disk: self.identity.disk,
+            version: self.identity.list.version,
+            ready: self.identity.ready,
+        }
     }
 }
 
@@ -174,12 +177,7 @@
     /// Returns the member's state as other VMs see it.
     #[must_use]
     pub fn status(&self) -> Status {
-        let state = self.lock();
-        Status {
-            disk: state.identity.disk,
-            version: state.identity.list.version,
-            ready: state.identity.ready,
-        }
+        self.lock().status()
     }
 
     /// Adopts a list if it is newer. From then on the member refuses requests under an older list,
@@ -319,7 +317,7 @@
             Body::Account(_) => true,
             _ => false,
         };
-        (needs_all && !state.has_caught_up()).then_some(Answer::NotReady)
+        (needs_all && !state.status().has_caught_up()).then_some(Answer::NotReady)
     }
 
     fn list_newer_than(&self, version: u64) -> Option<Answer> {
--- a/crates/replica/src/server/write.rs
+++ b/crates/replica/src/server/write.rs
@@ -76,7 +76,7 @@
         }
         match program {
             // Checked under the same lock as the entries, which may be from before a catch-up.
-            Some(_) if !state.has_caught_up() => Answer::NotReady,
+            Some(_) if !state.status().has_caught_up() => Answer::NotReady,
             Some(key) => Answer::Applied(state.ledger.entries(key).to_vec()),
             None => Answer::Applied(Vec::new()),
         }
