--- a/crates/replica/src/ledger.rs
+++ b/crates/replica/src/ledger.rs
@@ -125,19 +125,16 @@
     pub fn missing(&self, account: &Account) -> Vec<Entry> {
         let program = account.program;
         let known = self.entries(program);
-        let is_missing = |entry: &&Entry| match known.iter().find(|other| other.turn == entry.turn)
-        {
-            Some(other) => {
-                let turn = entry.turn;
-                let says_more = other.used.is_none() && entry.used.is_some();
-                says_more
-                    || self
-                        .unsynced
-                        .binary_search(&Attempt { program, turn })
-                        .is_ok()
-            }
-            None => true,
+        let is_synced = |turn| {
+            self.unsynced
+                .binary_search(&Attempt { program, turn })
+                .is_err()
         };
+        let is_missing =
+            |entry: &&Entry| match known.binary_search_by_key(&entry.turn, |other| other.turn) {
+                Ok(at) if is_synced(entry.turn) => known[at].used.is_none() && entry.used.is_some(),
+                Ok(_) | Err(_) => true,
+            };
         account.entries.iter().filter(is_missing).copied().collect()
     }
 
