--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -44,6 +44,7 @@
 use crate::fleet::Software;
 use crate::fleet::slowdown;
 use crate::identity::Identity;
+pub(crate) use crate::job::log_lines::ended_by;
 use crate::kept;
 use crate::metrics::Counter;
 use crate::metrics::Latency;
--- a/crates/relay/src/job/log_lines.rs
+++ b/crates/relay/src/job/log_lines.rs
@@ -15,7 +15,7 @@
 use crate::metrics::Outcome;
 
 /// Returns what ended a caller's connection, for the log; empty if that isn't known.
-fn ended_by(connection: Option<&Meter>) -> &'static str {
+pub(crate) fn ended_by(connection: Option<&Meter>) -> &'static str {
     connection.and_then(Meter::ending).map_or("", Ending::name)
 }
 
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -1,12 +1,12 @@
 //! Notes the callers that leave while their requests are read, before anything is known of the requests
 //! but their heads.
 
-use link::ending::Ending;
 use link::ingress::Meter;
 use tokio::time::Instant;
 use wire::clock::Millis;
 use wire::event::Event;
 
+use crate::job::ended_by;
 use crate::metrics::Outcome;
 use crate::node::Node;
 
@@ -60,7 +60,6 @@
             return;
         }
         self.node.metrics.count_outcome(None, Outcome::Gone);
-        let ending = self.connection.as_ref().and_then(Meter::ending);
         log::info!(
             "event=E{} text=\"{}\" request={} program={} route= events=0 ms={} ended_by={} passed_on=false",
             Event::CallerGone.number(),
@@ -68,7 +67,7 @@
             self.request,
             self.program,
             Millis::from(self.arrived.elapsed()).as_u64(),
-            ending.map_or("", Ending::name)
+            ended_by(self.connection.as_ref())
         );
     }
 }
