--- a/crates/link/src/ingress.rs
+++ b/crates/link/src/ingress.rs
@@ -85,7 +85,7 @@
 pub struct Connection {
     owner: Arc<Connections>,
     id: Id,
-    /// Tells when the connection has to end for others, or its time is up.
+    /// Set when the connection has to end.
     pub(crate) eviction: Arc<Eviction>,
     /// The largest head that its decoder takes, in bytes.
     pub(crate) head_bytes: usize,
@@ -141,14 +141,13 @@
     /// listener does now, its caller has ended its half, or the listener has let it go.
     pub(crate) fn ends_with_request(&self) -> bool {
         let is_outdated = self.head_bytes < self.owner.head_bytes();
-        is_outdated || self.is_half_closed() || self.eviction.is_evicted()
+        is_outdated || self.is_half_closed() || self.eviction.initialized()
     }
 
     /// Completes when the listener has let the connection go. If that is as its time is up, it was idle, and a
     /// request that came just before is waited for; at most for `limit`.
     pub(crate) async fn let_go(&self, limit: Duration) {
-        let cause = self.eviction.evicted().await;
-        if cause == Cause::Time {
+        if *self.eviction.wait().await == Cause::Time {
             let answered = async {
                 sleep(UNREAD_TIMEOUT).await;
                 while self.in_request.load(Ordering::Relaxed) {
--- a/crates/link/src/listen.rs
+++ b/crates/link/src/listen.rs
@@ -142,7 +142,8 @@
         let ended = self.table.take_ended();
         for id in &ended {
             if let Some(eviction) = self.take_eviction(*id) {
-                eviction.evict(cause);
+                // Each connection is let go once.
+                let _earlier = eviction.set(cause);
             }
         }
         ended.len() as u64
@@ -388,7 +389,7 @@
         if fault.is_parse() {
             tokio::select! {
                 biased;
-                _ = connection.eviction.evicted() => {}
+                _ = connection.eviction.wait() => {}
                 () = stream.linger() => {}
             }
         }
