--- a/crates/link/tests/idle_ends.rs
+++ b/crates/link/tests/idle_ends.rs
@@ -38,6 +38,25 @@
     Newcomer,
 }
 
+/// Returns a listener with room for one connection, which may be idle for [`IDLE_TIME`].
+fn connections() -> Arc<Connections> {
+    Arc::new(Connections::new(Limits {
+        connections: connections::Limits {
+            count: 1,
+            idle_time: Millis::from(IDLE_TIME),
+            ..Limits::default().connections
+        },
+        ..Limits::default()
+    }))
+}
+
+/// Waits for the second answer of a caller, whichever it is.
+async fn expect_answer(caller: JoinHandle<String>) {
+    let answer = tokio::task::spawn_blocking(|| caller.join().unwrap());
+    let answer = answer.await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+}
+
 async fn hello(_request: Request<Incoming>) -> Response<Body> {
     Response::new(Body::whole(Bytes::from_static(b"hello")))
 }
@@ -76,14 +95,7 @@
 async fn a_request_that_came_while_the_process_stood_still_is_answered(#[case] cause: Cause) {
     let listener = listen::bind(([127, 0, 0, 1], 0).into()).await.unwrap();
     let address = listener.local_addr().unwrap();
-    let connections = Arc::new(Connections::new(Limits {
-        connections: connections::Limits {
-            count: 1,
-            idle_time: Millis::from(IDLE_TIME),
-            ..Limits::default().connections
-        },
-        ..Limits::default()
-    }));
+    let connections = connections();
     tokio::spawn(listen::run(listener, connections.clone(), hello));
     let caller = call_twice(address);
     tokio::time::sleep(IDLE_TIME / 2).await;
@@ -100,39 +112,22 @@
         }
         Cause::Newcomer => Some(tokio::net::TcpStream::connect(address).await.unwrap()),
     };
-    let answer = tokio::task::spawn_blocking(|| caller.join().unwrap());
-    let answer = answer.await.unwrap();
-    assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+    expect_answer(caller).await;
 }
 
-/// Guards against a request with a body that comes as its idle connection expires, before the connection learns
-/// of that, and that nobody answers.
+/// Guards against a request that its connection reads before it learns that it has expired, and that nobody
+/// answers.
 #[tokio::test]
 async fn a_request_whose_head_is_read_as_its_connection_expires_is_answered() {
     let listener = listen::bind(([127, 0, 0, 1], 0).into()).await.unwrap();
     let address = listener.local_addr().unwrap();
-    let connections = Arc::new(Connections::new(Limits {
-        connections: connections::Limits {
-            idle_time: Millis::from(IDLE_TIME),
-            ..Limits::default().connections
-        },
-        ..Limits::default()
-    }));
+    let connections = connections();
     tokio::spawn(listen::run(listener, connections.clone(), late_hello));
-    let caller = thread::spawn(move || {
-        let mut stream = TcpStream::connect(address).unwrap();
-        stream.write_all(REQUEST).unwrap();
-        assert!(read_answer(&mut stream).starts_with("HTTP/1.1 200"));
-        thread::sleep(IDLE_TIME / 2 + STALLED_TIME);
-        stream.write_all(REQUEST).unwrap();
-        read_answer(&mut stream)
-    });
+    let caller = call_twice(address);
     tokio::time::sleep(IDLE_TIME / 2).await;
     thread::sleep(STALL);
     // The runtime learns of the request here, and wakes its connection, which runs after this task.
     tokio::task::yield_now().await;
     connections.expire();
-    let answer = tokio::task::spawn_blocking(|| caller.join().unwrap());
-    let answer = answer.await.unwrap();
-    assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+    expect_answer(caller).await;
 }
