--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -134,6 +134,28 @@
     }
 }
 
+/// Starts three VMs, and returns them with the list of their members.
+async fn three_vms() -> ([Vm; 3], List) {
+    let vms = [
+        Vm::start("a", 1).await,
+        Vm::start("b", 2).await,
+        Vm::start("c", 3).await,
+    ];
+    let mut list = List::default();
+    for vm in &vms {
+        list = list.with(&vm.entry());
+    }
+    (vms, list)
+}
+
+fn turn() -> Turn {
+    Turn {
+        key: Key::of("t1"),
+        previous: None,
+        text: Bytes::from_static(b"some text"),
+    }
+}
+
 async fn open(disk: u64) -> Arc<server::Member> {
     let medium = Disk::default().medium();
     let member = server::open_on(medium, DISK_BYTES, disk, Clock::System);
@@ -156,26 +178,14 @@
 /// the disk that was lost, and the only member that has the turn wasn't heard.
 #[tokio::test]
 async fn a_member_does_not_answer_for_the_disk_that_it_lost() {
-    let vms = [
-        Vm::start("a", 1).await,
-        Vm::start("b", 2).await,
-        Vm::start("c", 3).await,
-    ];
+    let (vms, list) = three_vms().await;
     let [a, b, c] = &vms;
-    let mut list = List::default();
-    for vm in &vms {
-        list = list.with(&vm.entry());
-    }
     for vm in &vms {
         vm.adopt(&list, list.version).await;
     }
     // Two members have the turn, which is enough; then one of the two loses its disk.
-    let key = Key::of("t1");
-    let turn = Turn {
-        key,
-        previous: None,
-        text: Bytes::from_static(b"some text"),
-    };
+    let turn = turn();
+    let key = turn.key;
     for vm in [b, c] {
         let body = Body::Apply(vec![Record::Turn(turn.clone())]);
         let version = list.version;
@@ -216,15 +226,7 @@
 /// reserved before, count as knowing it.
 #[tokio::test]
 async fn a_reservation_does_not_rest_on_members_that_have_not_caught_up() {
-    let vms = [
-        Vm::start("a", 1).await,
-        Vm::start("b", 2).await,
-        Vm::start("c", 3).await,
-    ];
-    let mut list = List::default();
-    for vm in &vms {
-        list = list.with(&vm.entry());
-    }
+    let (vms, list) = three_vms().await;
     for vm in &vms {
         vm.adopt(&list, 0).await;
     }
@@ -243,16 +245,8 @@
 /// others aren't asked for the rest, and against a budget that counts only what the new disk knows.
 #[tokio::test]
 async fn a_reservation_rests_on_the_majority_that_has_caught_up() {
-    let vms = [
-        Vm::start("a", 1).await,
-        Vm::start("b", 2).await,
-        Vm::start("c", 3).await,
-    ];
+    let (vms, list) = three_vms().await;
     let [a, b, c] = &vms;
-    let mut list = List::default();
-    for vm in &vms {
-        list = list.with(&vm.entry());
-    }
     for vm in [a, b] {
         vm.adopt(&list, list.version).await;
     }
@@ -298,16 +292,8 @@
 /// the place of the lost one, and nobody copies from it.
 #[tokio::test]
 async fn a_disk_that_the_list_does_not_name_acknowledges_nothing() {
-    let vms = [
-        Vm::start("a", 1).await,
-        Vm::start("b", 2).await,
-        Vm::start("c", 3).await,
-    ];
+    let (vms, list) = three_vms().await;
     let [a, b, c] = &vms;
-    let mut list = List::default();
-    for vm in &vms {
-        list = list.with(&vm.entry());
-    }
     for vm in [a, b] {
         vm.adopt(&list, list.version).await;
     }
@@ -316,12 +302,8 @@
     b.silent.store(true, Ordering::SeqCst);
     let writer = Replicas::new(client(), "a", 1);
     writer.adopt(list.clone());
-    let key = Key::of("t1");
-    let turn = Turn {
-        key,
-        previous: None,
-        text: Bytes::from_static(b"some text"),
-    };
+    let turn = turn();
+    let key = turn.key;
     let records = vec![Record::Turn(turn)];
     let written = writer.apply(key, records.clone()).await;
     assert!(written.is_err(), "acknowledged");
@@ -336,15 +318,7 @@
 /// silent one though the others' are enough.
 #[tokio::test]
 async fn members_catch_up_without_waiting_for_a_silent_one() {
-    let vms = [
-        Vm::start("a", 1).await,
-        Vm::start("b", 2).await,
-        Vm::start("c", 3).await,
-    ];
-    let mut list = List::default();
-    for vm in &vms {
-        list = list.with(&vm.entry());
-    }
+    let (vms, list) = three_vms().await;
     let next = list.with(&vms[0].entry());
     let [a, b, c] = &vms;
     c.silent.store(true, Ordering::SeqCst);
