--- a/crates/relay/tests/histories.rs
+++ b/crates/relay/tests/histories.rs
@@ -1,21 +1,13 @@
 //! Histories that together, or alone, are longer than what a process that has just started may hold.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use adapter::settings;
-use hyper::Request;
-use hyper::Response;
-use hyper::body::Incoming;
-use link::body;
-use link::body::Body;
-use link::listen;
 use relay::history;
 use relay::history::History;
 use relay::node::Node;
-use replica::list::List;
-use replica::list::Member;
 use replica::message::Answer;
 use replica::message::Ask;
 use replica::message::Body as AskBody;
@@ -24,7 +16,6 @@
 use replica::record::Key;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
-use wire::clock::Clock;
 use wire::clock::Millis;
 use wire::code::Code;
 use wire::code::Ran;
@@ -52,9 +43,7 @@
     Key(conversation * KEYS + turn)
 }
 
-async fn answer(request: Request<Incoming>) -> Response<Body> {
-    let bytes = body::read(request.into_body(), 1 << 20).await.unwrap();
-    let ask: Ask = rmp_serde::from_slice(&bytes).unwrap();
+async fn answer(ask: Ask) -> Answer {
     let AskBody::Chain(Key(last)) = ask.body else {
         panic!("only chains are asked for");
     };
@@ -64,35 +53,15 @@
         key,
         text: vec![b'x'; TURN].into(),
     });
-    let chain = Answer::Chain(Chain {
+    Answer::Chain(Chain {
         turns: links.collect(),
         next: (last % KEYS > count).then(|| Key(last - count)),
-    });
-    Response::new(Body::whole(rmp_serde::to_vec(&chain).unwrap()))
+    })
 }
 
 /// Returns a process that has just started and reaches members that hold any turn.
 async fn start() -> Arc<Node> {
-    let mut members = Vec::new();
-    for centre in ["a", "b", "c"] {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let listener = listen::bind(any).await.unwrap();
-        members.push(Member {
-            vm: format!("store-{centre}-1"),
-            centre: centre.to_owned(),
-            address: listener.local_addr().unwrap(),
-            disk: 1,
-        });
-        tokio::spawn(listen::run(listener, Arc::default(), answer));
-    }
-    let settings = settings::parse(&fakes::settings::alone()).unwrap();
-    let node = Node::new(settings, Clock::System);
-    node.replicas.adopt(List {
-        version: 1,
-        members,
-        before: Vec::new(),
-    });
-    node
+    support::node_with_members(1, answer).await
 }
 
 /// Loads histories, each of which is held for some work. Returns them with the most bytes that were held.
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -13,10 +13,20 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use link::body;
+use link::body::Body;
+use link::listen;
 use relay::identity::Identity;
 use relay::job::Job;
 use relay::node::Node;
 use relay::table::Table;
+use replica::list::List;
+use replica::list::Member;
+use replica::message::Answer;
+use replica::message::Ask;
 use tokio::time::Instant;
 use wire::clock::Clock;
 use wire::clock::Millis;
@@ -25,6 +35,8 @@
 const SERVICE: &str = "s";
 /// A path on the only route.
 const PATH: &str = "/r/x";
+/// The most bytes of a request to a member.
+const MAX_ASK_BYTES: usize = 1 << 20;
 /// The time limit of a request.
 const TIME_LIMIT: Millis = Millis::new(20_000);
 
@@ -71,6 +83,42 @@
     Node::new(settings, Clock::System)
 }
 
+/// Creates a process that uses a list of this version, with a member in each of three data centres: each has
+/// disk 1 and answers with `answer`.
+pub async fn node_with_members<H, F>(version: u64, answer: H) -> Arc<Node>
+where
+    H: Fn(Ask) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let handler = move |request: Request<Incoming>| {
+        let answer = answer.clone();
+        async move {
+            let bytes = body::read(request.into_body(), MAX_ASK_BYTES).await;
+            let ask = rmp_serde::from_slice(&bytes.unwrap()).unwrap();
+            Response::new(Body::whole(rmp_serde::to_vec(&answer(ask).await).unwrap()))
+        }
+    };
+    let mut members = Vec::new();
+    for centre in ["a", "b", "c"] {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = listen::bind(any).await.unwrap();
+        members.push(Member {
+            vm: format!("store-{centre}-1"),
+            centre: centre.to_owned(),
+            address: listener.local_addr().unwrap(),
+            disk: 1,
+        });
+        tokio::spawn(listen::run(listener, Arc::default(), handler.clone()));
+    }
+    let node = node("");
+    node.replicas.adopt(List {
+        version,
+        members,
+        before: Vec::new(),
+    });
+    node
+}
+
 /// Creates a request that arrives now.
 pub fn job(node: &Arc<Node>, table: &Arc<Table>, id: &str) -> Job {
     let route = table.find(fakes::store::HOST, PATH);
