A list whose disks are lost is reset to those that are left

The list of members held one disk, the disk was lost, and neither the VM with the new disk nor the other one, which held most records, could join: `propose` waits for ready members of the present list, of which there are none any more.

Cause: nothing distinguishes a disk that is silent from one that is gone. A VM that answers with another disk number proves that the listed one is lost.

`replica::outlook` (pure) decides from what the VMs say whether a list can change (`Usable`), can once more of its disks answer or have caught up (`Waiting`), or never will (`Lost`). A list that is lost, with each disk either answering or known to be gone, is reset by compare-and-swap to the disks that answer; each member then copies from all of them. A silent VM is waited for as long as anything that it held is still owed (`Driver::max_silence`, `ledger::RETENTION`).

What can't be certain is said: an absent turn is CY4110 (503, not 404) until nothing of before the reset is kept any more, and accounts of which a majority may be lost get an entry that charges more than any budget, so that processes without this change refuse their turns, too; a program's later turn whose account is gone as a whole is refused. First turns of new programs are served. The list's new field is encoded only after a reset, so that other lists stay readable for the release before.

Besides: a change no longer needs two ready members of a list in which each member holds everything, but what a copy needs (a majority's intersection that answers, one of it caught up), and a member that can't catch up for 3 s though the list could change renews the list, whose members copy from each other.

--- a/crates/chestnutyoke/tests/readers.rs
+++ b/crates/chestnutyoke/tests/readers.rs
@@ -186,6 +186,7 @@
         version: 1,
         members,
         before: Vec::new(),
+        reset: None,
     };
     store.put("chestnutyoke/members", &rmp_serde::to_vec(&list).unwrap());
 }
--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -69,6 +69,9 @@
         return Ok(());
     };
     wait_for_members(job).await?;
+    if job.call.previous.is_some() {
+        answer_of(job, job.node.replicas.check_account(account.program)).await?;
+    }
     let reservation = Reservation {
         program: account.program,
         turn: account.turn,
@@ -131,11 +134,21 @@
 
 /// Returns the refusal of a turn for which the members gave no reliable answer, and looks into it.
 pub async fn unreachable(job: &Job, fault: &Fault) -> Refusal {
+    if let Fault::RecordsLost(left) = fault {
+        return records_lost(fault, *left);
+    }
     let _late = timeout_at(job.deadline, member_health::suspect(&job.node, fault)).await;
     let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
     refusal.retry_after(delay(job))
 }
 
+/// Returns the refusal of a turn that needs records which may have been lost with disks, `left` before they would have
+/// been dropped. Asking other members doesn't bring them back, and the members that are left serve other turns.
+#[must_use]
+pub fn records_lost(fault: &Fault, left: Millis) -> Refusal {
+    Refusal::new(Code::RecordsLost, &fault.to_string()).retry_after(left)
+}
+
 /// Refuses a turn at once if it is known that too few members can be reached. Waiting for them
 /// would only cost the caller time in which another VM could serve the turn.
 fn check_reachable(job: &Job) -> Result<(), Refusal> {
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use policy::memory::Step;
+use replica::client::Fault;
 use replica::client::Found;
 use replica::inquiry::Inquiry;
 use replica::record::Key;
@@ -13,6 +14,7 @@
 use wire::code::Refusal;
 use wire::event::Event;
 
+use crate::account;
 use crate::held::Held;
 use crate::member_health;
 use crate::node::Node;
@@ -201,6 +203,9 @@
                 let refusal = Refusal::new(Code::RecordsUnreachable, "an earlier turn is missing");
                 return Err(refusal.retry_after(RETRY_DELAY));
             }
+            Err(fault @ Fault::RecordsLost(left)) => {
+                return Err(account::records_lost(&fault, left));
+            }
             Err(fault) => {
                 // If the members are lost, the following turns are refused at once, and the log
                 // names the members before it shows this refusal.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -22,6 +22,7 @@
 use platform::edge::Write;
 use policy::stop::Stop;
 use rand::RngExt;
+use replica::ledger;
 use replica::list;
 use replica::member::Driver;
 use replica::member::Phase;
@@ -123,6 +124,7 @@
         platform: Arc::new(kv.clone()),
         key: subject::members_key(),
         losses: settings.tolerated_losses,
+        max_silence: ledger::RETENTION,
         clock: clock.clone(),
         phase: phase.clone(),
     };
@@ -195,6 +197,7 @@
         let text = metrics::render(&[
             ("members_version", status.version),
             ("members_ready", status.ready),
+            ("members_complete", shared.complete_members() as u64),
             ("turns", turns as u64),
             ("accounts", accounts as u64),
             ("turns_dropped", shared.dropped_turns()),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -115,6 +115,7 @@
         version,
         members,
         before: Vec::new(),
+        reset: None,
     });
     node
 }
--- a/crates/replica/src/catch_up.rs
+++ b/crates/replica/src/catch_up.rs
@@ -54,27 +54,41 @@
 
 /// Returns whether a member has copied from enough members of the previous list: `answered` have
 /// sent what they hold, and `caught_up` are those of them that had caught up with the previous
-/// list.
+/// list. After a reset, all disks that are left have to answer.
+#[must_use]
+pub fn has_enough_sources(
+    list: &List,
+    answered: &[&Member],
+    caught_up: &[&Member],
+    losses: usize,
+) -> bool {
+    if list.is_reset() {
+        return list.before.iter().all(|member| answered.contains(&member));
+    }
+    let before = list.previous();
+    before.members.is_empty() || can_be_copied_from(&before, answered, caught_up, losses)
+}
+
+/// Returns whether members of a list hold all that was acknowledged under it: `answered` of them, of which
+/// `caught_up` had caught up with it.
 ///
 /// `answered` must intersect every majority, so that the remaining members are too few to continue
-/// with the previous list. Where members hold everything, one caught-up member is enough; where
+/// with the list. Where members hold everything, one caught-up member is enough; where
 /// each holds a part, the caught-up ones must intersect every majority that may have a record.
 #[must_use]
-pub fn has_enough_sources(
+pub fn can_be_copied_from(
     list: &List,
     answered: &[&Member],
     caught_up: &[&Member],
     losses: usize,
 ) -> bool {
-    let before = list.previous();
-    let blocking = list::blocking_size(before.group_size(losses));
-    let needed = if is_partial(&before, losses) {
+    let blocking = list::blocking_size(list.group_size(losses));
+    let needed = if is_partial(list, losses) {
         blocking
     } else {
         1
     };
-    before.members.is_empty()
-        || (before.covers(answered, losses, blocking) && before.covers(caught_up, losses, needed))
+    list.covers(answered, losses, blocking) && list.covers(caught_up, losses, needed)
 }
 
 /// Returns pairs of a VM and a key that its member gains by a change of the list.
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -12,14 +12,19 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
+use wire::clock::Clock;
+use wire::clock::Millis;
 
 use crate::call;
 use crate::chain;
 use crate::inquiry::Inquiry;
+use crate::ledger;
 use crate::ledger::Entry;
 use crate::list;
+use crate::list::Certainty;
 use crate::list::List;
 use crate::list::Member;
+use crate::list::Reset;
 use crate::message::Answer;
 use crate::message::Body;
 use crate::message::Link;
@@ -57,6 +62,9 @@
     /// The list changed too often during the request.
     #[display("the list of members changed meanwhile")]
     ListChanged,
+    /// What was asked for may have been on disks that were lost. Holds how long that may matter.
+    #[display("records may have been lost with disks; this matters for {_0} more")]
+    RecordsLost(#[error(not(source))] Millis),
 }
 
 /// The result of asking the members.
@@ -271,16 +279,46 @@
             used: None,
         };
         match state {
-            quorum::State::All => Ok(quorum::check_budget(&quorum::union(&known), &own, budget)),
+            quorum::State::All => {}
             quorum::State::Majority => {
                 known.extend(
                     self.read_entries(&list, &group, reservation.program)
                         .await?,
                 );
-                Ok(quorum::check_budget(&quorum::union(&known), &own, budget))
             }
-            quorum::State::Waiting | quorum::State::Failed => Err(fault),
+            quorum::State::Waiting | quorum::State::Failed => return Err(fault),
         }
+        let entries = self.complete(quorum::union(&known))?;
+        Ok(quorum::check_budget(&entries, &own, budget))
+    }
+
+    /// Returns a program's entries, unless they may lack some.
+    fn complete(&self, entries: Vec<Entry>) -> Result<Vec<Entry>> {
+        if entries.iter().any(Entry::says_incomplete) {
+            let left = reset_remains(&self.list()).unwrap_or_default();
+            return Err(Fault::RecordsLost(left));
+        }
+        Ok(entries)
+    }
+
+    /// Checks that the account of a program that has run turns wasn't lost as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it may have been, or if no majority answers.
+    pub async fn check_account(&self, program: Key) -> Result<()> {
+        let list = self.list();
+        let is_incomplete = |reset: &Reset| reset.accounts == Certainty::Some;
+        if !list.reset.as_ref().is_some_and(is_incomplete) {
+            return Ok(());
+        }
+        let Some(left) = reset_remains(&list) else {
+            return Ok(());
+        };
+        if self.entries(program).await?.is_empty() {
+            return Err(Fault::RecordsLost(left));
+        }
+        Ok(())
     }
 
     /// Returns a program's entries: all that were acknowledged.
@@ -293,7 +331,7 @@
         loop {
             let (list, group) = self.group(program)?;
             match self.read_entries(&list, &group, program).await {
-                Ok(known) => return Ok(quorum::union(&known)),
+                Ok(known) => return self.complete(quorum::union(&known)),
                 Err(fault) => retries.wait_or_fail(fault).await?,
             }
         }
@@ -373,14 +411,18 @@
             inquiry,
             may_read,
         );
-        found.await.map_err(|fault| match fault {
+        let found = found.await.map_err(|fault| match fault {
             chain::Fault::Newer(newer) => {
                 self.adopt(newer);
                 Fault::ListChanged
             }
             chain::Fault::CatchingUp => Fault::CatchingUp,
             chain::Fault::TooFew => Fault::TooFew,
-        })
+        })?;
+        match reset_remains(&list) {
+            Some(left) if found == Found::Absent => Err(Fault::RecordsLost(left)),
+            Some(_) | None => Ok(found),
+        }
     }
 
     /// Returns whether enough members answer within `limit` to serve every key, and which members
@@ -465,3 +507,10 @@
         Ok(receiver)
     }
 }
+
+/// Returns for how long records from before the last reset of the list are still kept; `None` if there are none.
+fn reset_remains(list: &List) -> Option<Millis> {
+    let reset = list.reset.as_ref()?;
+    let age = Clock::System.now().since(reset.at);
+    (age < ledger::RETENTION).then(|| ledger::RETENTION.since(age))
+}
--- a/crates/replica/src/inquiry/tests.rs
+++ b/crates/replica/src/inquiry/tests.rs
@@ -17,6 +17,7 @@
         version: 7,
         members: (0..members).map(member).collect(),
         before: Vec::new(),
+        reset: None,
     }
 }
 
--- a/crates/replica/src/ledger.rs
+++ b/crates/replica/src/ledger.rs
@@ -19,6 +19,10 @@
 /// programs.
 pub const RETENTION: Millis = Millis::new(300_000);
 
+/// The key of the entry of an account that may lack others. It charges more than a budget holds, so that a process
+/// that doesn't know it refuses the program's turns, too.
+const INCOMPLETE: Key = Key(u128::MAX);
+
 /// The tokens that one attempt at a turn reserved and used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -31,6 +35,12 @@
 }
 
 impl Entry {
+    /// Returns whether this entry says that the account may lack others.
+    #[must_use]
+    pub fn says_incomplete(&self) -> bool {
+        self.turn == INCOMPLETE
+    }
+
     /// Returns the tokens charged to the budget: all that were reserved until the attempt is
     /// settled.
     #[must_use]
@@ -178,6 +188,16 @@
     }
 }
 
+/// Builds the record by which a program's account says that it may lack entries.
+#[must_use]
+pub const fn incomplete(program: Key) -> Reservation {
+    Reservation {
+        program,
+        turn: INCOMPLETE,
+        most: u32::MAX,
+    }
+}
+
 /// Merges `more` into sorted entries.
 pub fn merge_entries(entries: &mut Vec<Entry>, more: &[Entry]) {
     for entry in more {
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod medium;
 pub mod member;
 pub mod message;
+pub mod outlook;
 pub mod quorum;
 pub mod record;
 pub mod server;
--- a/crates/replica/src/list.rs
+++ b/crates/replica/src/list.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use wire::clock::Millis;
 use wire::event::Event;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -32,8 +33,60 @@
     /// The members, sorted by VM name.
     pub members: Vec<Member>,
     /// The members of the previous version. The present members copy from them what was
-    /// acknowledged.
+    /// acknowledged. After a reset, all disks that are left.
     pub before: Vec<Member>,
+    /// The last reset, if any. Not encoded without one: a process that doesn't know it reads all other lists.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reset: Option<Reset>,
+}
+
+/// A change of the list to the disks that were left after more of them were lost than the list bore.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reset {
+    /// The version that it made.
+    pub version: u64,
+    /// When it was made, in milliseconds since the Unix epoch.
+    pub at: Millis,
+    /// How many members could be lost at once.
+    pub losses: usize,
+    /// Numbers of the disks that were left, sorted.
+    pub left: Vec<u64>,
+    /// Numbers of those that knew all accounts of the list before, sorted.
+    pub knowing: Vec<u64>,
+    /// Which accounts are complete.
+    pub accounts: Certainty,
+}
+
+impl Reset {
+    /// Returns whether the disks that are left hold all entries of a program's account that were acknowledged
+    /// under the list `before` the reset.
+    #[must_use]
+    pub fn is_complete(&self, before: &List, program: Key) -> bool {
+        if self.accounts == Certainty::All {
+            return true;
+        }
+        if before.version + 1 != self.version {
+            return false;
+        }
+        let group = before.group(program, self.losses);
+        let count = |numbers: &[u64]| {
+            let is_among = |member: &&&Member| numbers.binary_search(&member.disk).is_ok();
+            group.iter().filter(is_among).count()
+        };
+        let blocking = blocking_size(group.len());
+        let is_partial = before.members.len() > group.len();
+        let needed = if is_partial { blocking } else { 1 };
+        count(&self.left) >= blocking && count(&self.knowing) >= needed
+    }
+}
+
+/// Which accounts are certain to hold all entries that were acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Certainty {
+    /// Each one.
+    All,
+    /// Those that [`Reset::is_complete`] names.
+    Some,
 }
 
 impl List {
@@ -83,9 +136,28 @@
             version: self.version + 1,
             members,
             before: self.members.clone(),
+            reset: self.reset.clone(),
         }
     }
 
+    /// Builds the next version with these members, which copy from all disks that are left.
+    #[must_use]
+    pub fn reset(&self, members: Vec<Member>, left: Vec<Member>, reset: Reset) -> Self {
+        Self {
+            version: self.version + 1,
+            members,
+            before: left,
+            reset: Some(reset),
+        }
+    }
+
+    /// Returns whether a reset made this version.
+    #[must_use]
+    pub fn is_reset(&self) -> bool {
+        let reset = self.reset.as_ref();
+        reset.is_some_and(|reset| reset.version == self.version)
+    }
+
     /// Returns the members that hold a key: enough of them that `losses` may be lost.
     ///
     /// They are spread over the data centres even if there are only a few more members than a group
--- a/crates/replica/src/list/tests.rs
+++ b/crates/replica/src/list/tests.rs
@@ -26,6 +26,7 @@
         version: 1,
         members: members.map(|(at, centre)| member(at, centre)).collect(),
         before: Vec::new(),
+        reset: None,
     }
 }
 
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -7,6 +7,7 @@
 //! hold. What they hold then includes everything acknowledged under the old list.
 
 mod list_change;
+mod survey;
 
 use std::io;
 use std::sync::Arc;
@@ -51,6 +52,30 @@
     answer: Option<Answer>,
 }
 
+/// What a member heard from the members of the list before.
+struct Sources {
+    /// Whether they are enough to hold all that was acknowledged.
+    are_enough: bool,
+    answered: usize,
+    caught_up: usize,
+    /// What each other one holds.
+    copies: Vec<(list::Member, Holdings)>,
+}
+
+/// How many members of the list before were heard in vain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Heard {
+    version: u64,
+    answered: usize,
+    caught_up: usize,
+}
+
+/// Whether a member has caught up.
+enum Progress {
+    Complete,
+    Missing,
+}
+
 /// Where a member is in its life cycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -76,6 +101,8 @@
     pub own: list::Member,
     /// How many members may be lost at once.
     pub losses: usize,
+    /// How long a silent VM is waited for where the list can't change without it.
+    pub max_silence: Millis,
     /// The source of the current time.
     pub clock: Clock,
     /// `Leaving` once operators have asked for the member to leave the list, `Left` once the other
@@ -103,40 +130,33 @@
         self.refresh_list(state).await;
         let identity = self.member.identity();
         let list = identity.list;
-        if list.version > identity.ready && list.has_member(&self.own) {
-            self.catch_up_with(&list).await;
+        let is_listed = list.has_member(&self.own);
+        if is_listed && list.version > identity.ready {
+            match self.catch_up_with(state, &list).await {
+                Progress::Complete => state.behind_since = None,
+                Progress::Missing => self.restore(state, &list).await,
+            }
             return;
         }
+        state.behind_since = None;
         let phase = *self.phase.borrow();
-        match (phase, list.has_member(&self.own)) {
-            (Phase::Member, false) => self.propose(state, &list, &list.with(&self.own)).await,
+        match (phase, is_listed) {
+            (Phase::Member, false) => self.join(state, &list).await,
             (Phase::Member, true) => {
                 self.compare(state, &list).await;
-                self.evict(state, &list).await;
+                let view = self.watch(state, &list).await;
+                self.evict(state, &list, &view).await;
             }
             (Phase::Leaving, true) => {
-                self.propose(state, &list, &list.without(&self.own.vm))
-                    .await;
+                self.compare(state, &list).await;
+                let view = self.watch(state, &list).await;
+                self.begin_leaving(state, &list, &view).await;
             }
-            (Phase::Leaving, false) => self.leave(&list).await,
+            (Phase::Leaving, false) => self.leave(state, &list).await,
             (Phase::Left, _) => {}
         }
     }
 
-    /// Returns the members that hold everything acknowledged before the list.
-    async fn ready_members<'a>(&self, list: &'a List) -> Vec<&'a list::Member> {
-        let mut ready = Vec::new();
-        for member in &list.members {
-            let Some(status) = self.status(member).await else {
-                continue;
-            };
-            if status.disk == member.disk && status.ready >= list.version {
-                ready.push(member);
-            }
-        }
-        ready
-    }
-
     async fn status(&self, member: &list::Member) -> Option<Status> {
         if *member == self.own {
             return Some(self.member.status());
@@ -151,7 +171,8 @@
         call::ask(&self.http, member.address, version, body).await
     }
 
-    /// Copies everything that was acknowledged before this list.
+    /// Copies everything that was acknowledged before this list: first all accounts, without which no turn can be
+    /// admitted, then the turns.
     ///
     /// By [`catch_up::has_enough_sources`], the members that answer must intersect every majority
     /// of every group of the previous list. They then hold whatever was acknowledged. Because they
@@ -159,19 +180,63 @@
     /// certain that one is absent, so nobody continues with the old list beside the new one. At
     /// least one member of every group must itself have caught up before. A member is a disk: a VM
     /// that has lost it doesn't answer for it.
-    async fn catch_up_with(&self, list: &List) {
+    async fn catch_up_with(&self, state: &mut State, list: &List) -> Progress {
         let started = self.clock.now();
-        let mut answered = Vec::new();
-        let mut caught_up = Vec::new();
         let ready = self.member.status().ready;
         let scope = catch_up::scope(list, &self.own, ready, self.losses);
+        let sources = self.find_sources(list, scope, ready).await;
+        if !sources.are_enough {
+            let heard = Heard {
+                version: list.version,
+                answered: sources.answered,
+                caught_up: sources.caught_up,
+            };
+            if state.heard.replace(heard) != Some(heard) {
+                log::warn!(
+                    "event=E{} text=\"{}\" version={} heard={} whole={} before={}",
+                    Event::RecordsMissing.number(),
+                    Event::RecordsMissing.text(),
+                    list.version,
+                    heard.answered,
+                    heard.caught_up,
+                    list.before.len()
+                );
+            }
+            tokio::time::sleep(STEP_INTERVAL).await;
+            return Progress::Missing;
+        }
+        state.heard = None;
+        for (member, holdings) in &sources.copies {
+            if !self.copy_turns(member, list, holdings).await {
+                return Progress::Missing;
+            }
+        }
+        if let Err(fault) = self.member.set_ready(list.version).await {
+            disk::log_failed(&fault);
+            return Progress::Missing;
+        }
+        log::info!(
+            "event=E{} text=\"{}\" version={} heard={} ms={}",
+            Event::RecordsLearnt.number(),
+            Event::RecordsLearnt.text(),
+            list.version,
+            sources.answered,
+            self.clock.now().since(started).as_u64()
+        );
+        Progress::Complete
+    }
+
+    /// Asks members of the list before for what they hold, and copies their accounts, until they are enough.
+    async fn find_sources(&self, list: &List, scope: Scope, ready: u64) -> Sources {
+        let mut answered = Vec::new();
+        let mut caught_up = Vec::new();
+        let mut copies = Vec::new();
         if let Some(own) = list.before.iter().find(|member| **member == self.own) {
             answered.push(own);
             if ready + 1 >= list.version {
                 caught_up.push(own);
             }
         }
-        let before = list.previous();
         let has_enough = |answered: &[_], caught_up: &[_]| {
             catch_up::has_enough_sources(list, answered, caught_up, self.losses)
         };
@@ -183,60 +248,60 @@
             let Some(member) = list.before.iter().find(|known| **known == member) else {
                 continue;
             };
-            if !self.copy_from(member, list, &before, &holdings).await {
+            if !self.copy_accounts(member, list, &holdings).await {
                 continue;
             }
             answered.push(member);
             if holdings.ready + 1 >= list.version {
                 caught_up.push(member);
             }
+            copies.push((member.clone(), holdings));
         }
-        let enough = has_enough(&answered, &caught_up);
-        if !enough {
-            log::warn!(
-                "event=E{} text=\"{}\" version={} heard={} whole={} before={}",
-                Event::RecordsMissing.number(),
-                Event::RecordsMissing.text(),
-                list.version,
-                answered.len(),
-                caught_up.len(),
-                list.before.len()
-            );
-            tokio::time::sleep(STEP_INTERVAL).await;
-            return;
+        Sources {
+            are_enough: has_enough(&answered, &caught_up),
+            answered: answered.len(),
+            caught_up: caught_up.len(),
+            copies,
         }
-        if let Err(fault) = self.member.set_ready(list.version).await {
+    }
+
+    /// Returns whether a member copies a key when it catches up with a list.
+    fn must_copy(&self, list: &List, key: Key) -> bool {
+        catch_up::must_copy(list, &list.previous(), &self.own, key, self.losses)
+    }
+
+    /// Copies the accounts of a member of the list before. Returns whether that is all that its disk holds.
+    async fn copy_accounts(&self, member: &list::Member, list: &List, holdings: &Holdings) -> bool {
+        let accounts = holdings.accounts.iter();
+        let accounts: Vec<Account> = accounts
+            .filter(|account| self.must_copy(list, account.program))
+            .cloned()
+            .collect();
+        if let Err(fault) = self.member.merge_accounts(&accounts).await {
             disk::log_failed(&fault);
-            return;
+            return false;
         }
-        log::info!(
-            "event=E{} text=\"{}\" version={} heard={} ms={}",
-            Event::RecordsLearnt.number(),
-            Event::RecordsLearnt.text(),
-            list.version,
-            answered.len(),
-            self.clock.now().since(started).as_u64()
-        );
+        self.is_its_disk(member, list).await
     }
 
-    /// Copies what a member of the list `before` holds. Returns whether that is all that its disk holds.
-    async fn copy_from(
-        &self,
-        member: &list::Member,
-        list: &List,
-        before: &List,
-        holdings: &Holdings,
-    ) -> bool {
-        let wanted = |key| catch_up::must_copy(list, before, &self.own, key, self.losses);
-        if let Err(fault) = self.copy_missing(member, list, holdings, wanted).await {
+    /// Copies the turns of a member of the list before. Returns whether that is all that its disk holds.
+    async fn copy_turns(&self, member: &list::Member, list: &List, holdings: &Holdings) -> bool {
+        let mut missing = self.member.missing(&holdings.turns);
+        missing.retain(|key| self.must_copy(list, *key));
+        if let Err(fault) = self.fetch(member, list, missing).await {
             log::warn!(
                 "text=\"a member's records not copied\" member={} fault=\"{fault}\"",
                 member.vm
             );
             return false;
         }
-        // Asked afterwards, so that all that was copied came from that disk: a VM whose disk was lost answers
-        // at the same address, also to itself, with the little that it has.
+        self.is_its_disk(member, list).await
+    }
+
+    /// Returns whether the listed disk of a member answers at its address. Asked after a copy, so that all that was
+    /// copied came from that disk: a VM whose disk was lost answers at the same address, also to itself, with the
+    /// little that it has.
+    async fn is_its_disk(&self, member: &list::Member, list: &List) -> bool {
         let Some(status) = self.status(member).await else {
             return false;
         };
@@ -293,22 +358,17 @@
         None
     }
 
-    async fn copy_missing(
+    /// Fetches turns from a member, in this order.
+    async fn fetch(
         &self,
         member: &list::Member,
         list: &List,
-        holdings: &Holdings,
-        wanted: impl Fn(Key) -> bool,
+        mut missing: Vec<Key>,
     ) -> io::Result<()> {
-        let accounts = holdings.accounts.iter();
-        let accounts: Vec<Account> = accounts
-            .filter(|account| wanted(account.program))
-            .cloned()
-            .collect();
-        self.member.merge_accounts(&accounts).await?;
-        let mut missing = self.member.missing(&holdings.turns);
-        missing.retain(|key| wanted(*key));
         while !missing.is_empty() {
+            if self.member.status().version > list.version {
+                return Err(io::Error::other("the list has changed"));
+            }
             let batch: Vec<Key> = missing.iter().take(FETCH_BATCH_TURNS).copied().collect();
             let answer = self
                 .ask(member, list.version, Body::Fetch(batch.clone()))
@@ -345,8 +405,7 @@
         state.compared = true;
         let mut asked = self.ask_holdings(&list.members, list, Scope::All);
         while let Some((member, holdings)) = self.next_holdings(&mut asked).await {
-            let wanted = |key| list.group(key, self.losses).contains(&&self.own);
-            if let Err(fault) = self.copy_missing(&member, list, &holdings, wanted).await {
+            if let Err(fault) = self.copy_held(&member, list, &holdings).await {
                 log::warn!(
                     "text=\"a member's records not compared\" member={} fault=\"{fault}\"",
                     member.vm
@@ -355,54 +414,22 @@
         }
     }
 
-    /// Proposes to remove an unresponsive member if the list has more members than it needs, or
-    /// exactly two.
-    async fn evict(&self, state: &mut State, list: &List) {
-        let has_spare = list.members.len() > 2 * self.losses + 1;
-        if !has_spare && list.members.len() != 2 {
-            state.unresponsive.clear();
-            return;
-        }
-        let mut responsive: Vec<&list::Member> = Vec::new();
-        for member in &list.members {
-            if self.status(member).await.is_some() {
-                responsive.push(member);
-            }
-        }
-        let now = self.clock.now();
-        let answered: Vec<&str> = responsive.iter().map(|member| member.vm.as_str()).collect();
-        state.unresponsive.record_answers(list, &answered, now);
-        // In a partition, the side with too few members leaves the list alone because the other
-        // side will come back. In a list of two, each member holds everything because a write needs
-        // both; neither can continue without the other until the list changes, and only one of them
-        // can change it.
-        let enough = responsive.len() > 2 * self.losses || list.members.len() == 2;
-        if !enough || responsive.first().is_none_or(|first| **first != self.own) {
-            return;
-        }
-        if let Some(vm) = state.unresponsive.to_evict(list, now) {
-            log::warn!(
-                "event=E{} text=\"{}\" member={vm}",
-                Event::MemberEvicted.number(),
-                Event::MemberEvicted.text()
-            );
-            let next = list.without(vm);
-            self.propose(state, list, &next).await;
-        }
-    }
-
-    /// Completes leaving the list once the remaining members have caught up and so hold all that
-    /// this member held.
-    async fn leave(&self, list: &List) {
-        if self.ready_members(list).await.len() < list.members.len() {
-            return;
-        }
-        log::info!(
-            "event=E{} text=\"{}\" version={}",
-            Event::MemberLeft.number(),
-            Event::MemberLeft.text(),
-            list.version
-        );
-        self.phase.send_replace(Phase::Left);
+    /// Copies what a member holds and this one has to hold under the list.
+    async fn copy_held(
+        &self,
+        member: &list::Member,
+        list: &List,
+        holdings: &Holdings,
+    ) -> io::Result<()> {
+        let is_held = |key| list.group(key, self.losses).contains(&&self.own);
+        let accounts = holdings.accounts.iter();
+        let accounts: Vec<Account> = accounts
+            .filter(|account| is_held(account.program))
+            .cloned()
+            .collect();
+        self.member.merge_accounts(&accounts).await?;
+        let mut missing = self.member.missing(&holdings.turns);
+        missing.retain(|key| is_held(*key));
+        self.fetch(member, list, missing).await
     }
 }
--- a/crates/replica/src/member/list_change.rs
+++ b/crates/replica/src/member/list_change.rs
@@ -12,12 +12,15 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::disk;
-use crate::list;
 use crate::list::List;
 use crate::member::Driver;
+use crate::member::Heard;
 use crate::member::Phase;
 use crate::message::Answer;
 use crate::message::Body;
+use crate::outlook;
+use crate::outlook::Outlook;
+use crate::outlook::View;
 use crate::unresponsive;
 
 /// How often a member reads a copy of the list from the key-value service. Other VMs' requests
@@ -52,6 +55,16 @@
     in_outage: bool,
     /// When a call for a proposal last failed.
     proposal_failed_at: Option<Millis>,
+    /// The version of the list for which a change that waits was last logged.
+    waits_logged: u64,
+    /// The sources that were last heard in vain.
+    pub(super) heard: Option<Heard>,
+    /// Since when the member hasn't caught up with its list.
+    pub(super) behind_since: Option<Millis>,
+    /// VMs that don't answer, and since when.
+    pub(super) silent: Vec<(String, Millis)>,
+    /// How many complete members were last logged as too few; zero if there were enough.
+    pub(super) short_logged: Option<usize>,
 }
 
 impl State {
@@ -153,25 +166,32 @@
         }
     }
 
-    /// Proposes the next list once enough members have caught up with the current one.
-    pub(super) async fn propose(&self, state: &mut State, list: &List, next: &List) {
-        let failed_at = state.proposal_failed_at;
-        let has_just_failed =
-            failed_at.is_some_and(|at| self.clock.now().since(at) < PROPOSAL_RETRY_PAUSE);
-        if next.members.is_empty() || has_just_failed {
+    /// Proposes the next list if enough members hold what was acknowledged under the current one.
+    pub(super) async fn propose(&self, state: &mut State, list: &List, view: &View, next: &List) {
+        if outlook::outlook(list, view, self.losses) == Outlook::Usable {
+            state.waits_logged = 0;
+            self.submit(state, list, next).await;
             return;
         }
-        let ready = self.ready_members(list).await;
-        let needed = list::blocking_size(list.group_size(self.losses));
-        if list.version > 0 && !list.covers(&ready, self.losses, needed) {
+        if std::mem::replace(&mut state.waits_logged, list.version) != list.version {
             log::info!(
-                "event=E{} text=\"{}\" version={} ready={} members={}",
+                "event=E{} text=\"{}\" version={} ready={} answered={} members={}",
                 Event::ChangeWaits.number(),
                 Event::ChangeWaits.text(),
                 list.version,
-                ready.len(),
+                view.caught_up(&list.members, list.version).len(),
+                view.present(&list.members).len(),
                 list.members.len()
             );
+        }
+    }
+
+    /// Writes the next list unless another one has taken the current one's place.
+    pub(super) async fn submit(&self, state: &mut State, list: &List, next: &List) {
+        let failed_at = state.proposal_failed_at;
+        let has_just_failed =
+            failed_at.is_some_and(|at| self.clock.now().since(at) < PROPOSAL_RETRY_PAUSE);
+        if next.members.is_empty() || has_just_failed {
             return;
         }
         tokio::time::sleep(proposal_delay(&self.own.vm, list).as_duration()).await;
--- /dev/null
+++ b/crates/replica/src/member/survey.rs
@@ -0,0 +1,262 @@
+//! How a member watches the others, and what it does when they are too few.
+
+use tokio::task::JoinSet;
+use wire::clock::Millis;
+use wire::event::Event;
+
+use crate::call;
+use crate::list;
+use crate::list::List;
+use crate::member::Driver;
+use crate::member::list_change::State;
+use crate::message::Answer;
+use crate::message::Body;
+use crate::outlook;
+use crate::outlook::Outlook;
+use crate::outlook::Sight;
+use crate::outlook::View;
+
+/// How long a member that can't catch up waits before it proposes a new version of the list, whose members copy
+/// from each other: longer than a restart or a short network cut.
+const RENEW_AFTER: Millis = Millis::new(3_000);
+/// The most VMs that a log line names.
+const MAX_NAMED_VMS: usize = 6;
+
+impl Driver {
+    /// Joins the list.
+    pub(super) async fn join(&self, state: &mut State, list: &List) {
+        let view = self.survey(state, list).await;
+        if outlook::outlook(list, &view, self.losses) == Outlook::Lost {
+            self.reset(state, list, &view).await;
+            return;
+        }
+        let next = list.with(&self.own);
+        self.propose(state, list, &view, &next).await;
+    }
+
+    /// Looks after a list with which the member can't catch up.
+    pub(super) async fn restore(&self, state: &mut State, list: &List) {
+        let now = self.clock.now();
+        let since = *state.behind_since.get_or_insert(now);
+        let view = self.survey(state, list).await;
+        match outlook::outlook(list, &view, self.losses) {
+            Outlook::Lost => self.reset(state, list, &view).await,
+            Outlook::Usable if now.since(since) >= RENEW_AFTER => {
+                state.behind_since = None;
+                let next = list.with(&self.own);
+                self.propose(state, list, &view, &next).await;
+            }
+            Outlook::Usable | Outlook::Waiting => {}
+        }
+    }
+
+    /// Looks at the members of the list, and resets the list if too few disks are left.
+    pub(super) async fn watch(&self, state: &mut State, list: &List) -> View {
+        let mut view = View::default();
+        self.look_at(state, &mut view, list, &list.members).await;
+        let caught_up = view.caught_up(&list.members, list.version);
+        self.note_complete(state, list, &caught_up);
+        if outlook::outlook(list, &view, self.losses) != Outlook::Usable {
+            self.look_at(state, &mut view, list, &list.before).await;
+            if outlook::outlook(list, &view, self.losses) == Outlook::Lost {
+                self.reset(state, list, &view).await;
+            }
+        }
+        view
+    }
+
+    /// Looks at the members of the list and, where they aren't enough, at those of the list before.
+    async fn survey(&self, state: &mut State, list: &List) -> View {
+        let mut view = View::default();
+        self.look_at(state, &mut view, list, &list.members).await;
+        if outlook::outlook(list, &view, self.losses) != Outlook::Usable {
+            self.look_at(state, &mut view, list, &list.before).await;
+        }
+        view
+    }
+
+    /// Asks VMs that the view doesn't hold yet for their state, all at the same time.
+    async fn look_at(
+        &self,
+        state: &mut State,
+        view: &mut View,
+        list: &List,
+        members: &[list::Member],
+    ) {
+        let mut asked = JoinSet::new();
+        for member in members {
+            if view.has(&member.vm) {
+                continue;
+            }
+            if member.vm == self.own.vm {
+                view.note(member.clone(), Sight::Answers(self.member.status()));
+                continue;
+            }
+            let (http, member, version) = (self.http.clone(), member.clone(), list.version);
+            asked.spawn(async move {
+                let answer = call::ask(&http, member.address, version, Body::Status).await;
+                (member, answer)
+            });
+        }
+        while let Some(next) = asked.join_next().await {
+            let Ok((member, answer)) = next else {
+                continue;
+            };
+            let sight = match answer {
+                Some(Answer::Status(status)) => Sight::Answers(status),
+                _ => Sight::Silent,
+            };
+            let sight = self.note_silence(state, &member.vm, sight);
+            view.note(member, sight);
+        }
+    }
+
+    /// Records whether a VM answers, and gives up one that hasn't for too long.
+    fn note_silence(&self, state: &mut State, vm: &str, sight: Sight) -> Sight {
+        let at = state
+            .silent
+            .binary_search_by(|(known, _)| known.as_str().cmp(vm));
+        match (sight, at) {
+            (Sight::Answers(_), Ok(at)) => {
+                state.silent.remove(at);
+                sight
+            }
+            (Sight::Answers(_), Err(_)) | (Sight::GivenUp, _) => sight,
+            (Sight::Silent, Err(at)) => {
+                state.silent.insert(at, (vm.to_owned(), self.clock.now()));
+                sight
+            }
+            (Sight::Silent, Ok(at)) => {
+                let silence = self.clock.now().since(state.silent[at].1);
+                if silence >= self.max_silence {
+                    Sight::GivenUp
+                } else {
+                    sight
+                }
+            }
+        }
+    }
+
+    /// Logs when there are too few complete members for another loss, and when there are enough again.
+    fn note_complete(&self, state: &mut State, list: &List, caught_up: &[&list::Member]) {
+        let complete = caught_up.len();
+        self.member.note_complete(complete);
+        let needed = 2 * self.losses + 1;
+        let short = (complete < needed).then_some(complete);
+        if std::mem::replace(&mut state.short_logged, short) == short {
+            return;
+        }
+        let event = match short {
+            Some(_) => Event::MembersShort,
+            None => Event::MembersComplete,
+        };
+        let missing = list
+            .members
+            .iter()
+            .filter(|member| !caught_up.contains(member));
+        let missing: Vec<&str> = missing
+            .map(|member| member.vm.as_str())
+            .take(MAX_NAMED_VMS)
+            .collect();
+        log::warn!(
+            "event=E{} text=\"{}\" version={} complete={complete} needed={needed} members={} missing={}",
+            event.number(),
+            event.text(),
+            list.version,
+            list.members.len(),
+            missing.join(",")
+        );
+    }
+
+    /// Resets the list to the disks that are left, once each other one is known to be lost.
+    async fn reset(&self, state: &mut State, list: &List, view: &View) {
+        if !outlook::is_settled(list, view) {
+            return;
+        }
+        let knowing = self.ask_knowing(list, view).await;
+        let now = self.clock.now();
+        let next = outlook::reset(list, view, &self.own, &knowing, now, self.losses);
+        log::warn!(
+            "event=E{} text=\"{}\" version={} members={} left={} knowing={} before={}",
+            Event::ListReset.number(),
+            Event::ListReset.text(),
+            next.version,
+            next.members.len(),
+            next.before.len(),
+            knowing.len(),
+            list.members.len()
+        );
+        self.submit(state, list, &next).await;
+    }
+
+    /// Returns the numbers of the list's disks that know all accounts of it.
+    async fn ask_knowing(&self, list: &List, view: &View) -> Vec<u64> {
+        let mut knowing = Vec::new();
+        for member in view.present(&list.members) {
+            let known = if *member == self.own {
+                Some(Answer::Accounts(self.member.accounts_ready()))
+            } else {
+                self.ask(member, list.version, Body::Accounts).await
+            };
+            if matches!(known, Some(Answer::Accounts(version)) if version >= list.version) {
+                knowing.push(member.disk);
+            }
+        }
+        knowing
+    }
+
+    /// Proposes to remove an unresponsive member if the list has more members than it needs, or
+    /// exactly two.
+    pub(super) async fn evict(&self, state: &mut State, list: &List, view: &View) {
+        let has_spare = list.members.len() > 2 * self.losses + 1;
+        if !has_spare && list.members.len() != 2 {
+            state.unresponsive.clear();
+            return;
+        }
+        let responsive = view.responsive(&list.members);
+        let now = self.clock.now();
+        let answered: Vec<&str> = responsive.iter().map(|member| member.vm.as_str()).collect();
+        state.unresponsive.record_answers(list, &answered, now);
+        // In a partition, the side with too few members leaves the list alone because the other
+        // side will come back. In a list of two, each member holds everything because a write needs
+        // both; neither can continue without the other until the list changes, and only one of them
+        // can change it.
+        let enough = responsive.len() > 2 * self.losses || list.members.len() == 2;
+        if !enough || responsive.first().is_none_or(|first| **first != self.own) {
+            return;
+        }
+        let Some(vm) = state.unresponsive.to_evict(list, now) else {
+            return;
+        };
+        log::warn!(
+            "event=E{} text=\"{}\" member={vm}",
+            Event::MemberEvicted.number(),
+            Event::MemberEvicted.text()
+        );
+        let next = list.without(vm);
+        self.propose(state, list, view, &next).await;
+    }
+
+    /// Proposes the list without this member.
+    pub(super) async fn begin_leaving(&self, state: &mut State, list: &List, view: &View) {
+        let next = list.without(&self.own.vm);
+        self.propose(state, list, view, &next).await;
+    }
+
+    /// Completes leaving the list once the remaining members have caught up and so hold all that
+    /// this member held.
+    pub(super) async fn leave(&self, state: &mut State, list: &List) {
+        let mut view = View::default();
+        self.look_at(state, &mut view, list, &list.members).await;
+        if view.caught_up(&list.members, list.version).len() < list.members.len() {
+            return;
+        }
+        log::info!(
+            "event=E{} text=\"{}\" version={}",
+            Event::MemberLeft.number(),
+            Event::MemberLeft.text(),
+            list.version
+        );
+        self.phase.send_replace(super::Phase::Left);
+    }
+}
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -2,7 +2,7 @@
 //!
 //! Each message is the body of a POST, encoded as `MessagePack`. Requests name the version of the
 //! list that the sender uses. A member that uses another one refuses the request, unless it is
-//! [`Body::Adopt`], [`Body::Status`] or [`Body::Fetch`].
+//! [`Body::Adopt`], [`Body::Status`], [`Body::Fetch`] or [`Body::Accounts`].
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -55,6 +55,8 @@
     Status,
     /// Return the member's state, or its list if it is newer.
     List,
+    /// Return up to which list version the member knows all accounts.
+    Accounts,
 }
 
 /// A member's answer.
@@ -82,6 +84,8 @@
     /// The member can't do what was asked, for this reason. For example, its disk failed or it is
     /// stopping.
     Failed(String),
+    /// The list version up to which the member knows all accounts.
+    Accounts(u64),
 }
 
 /// A part of a chain of turns.
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -70,6 +70,8 @@
     list_write: u64,
     index: Index,
     ledger: Ledger,
+    /// The list version up to which all accounts are known. They are copied before the turns, which take longer.
+    accounts_ready: u64,
     /// Segments created since the accounts were last rewritten.
     segments_since_rewrite: u64,
     /// When the accounts may be rewritten again.
@@ -80,6 +82,8 @@
     dropped_turns: u64,
     /// When another VM last sent a write.
     last_write: Millis,
+    /// How many members of the list were complete when they were last asked.
+    complete_members: usize,
 }
 
 impl State {
@@ -90,6 +94,11 @@
             ready: self.identity.ready,
         }
     }
+
+    /// Returns whether the member knows all accounts of its list.
+    const fn knows_accounts(&self) -> bool {
+        self.accounts_ready >= self.identity.list.version
+    }
 }
 
 /// Opens a member's folder. A disk without a stored identity gets the number `new_disk`.
@@ -145,6 +154,7 @@
         identity
     };
     state.queued = state.identity.clone();
+    state.accounts_ready = state.identity.ready;
     log::info!(
         "text=\"disk opened\" disk={} records={records} version={} ready={}",
         state.identity.disk,
@@ -187,6 +197,7 @@
     ///
     /// Fails if the disk does.
     pub async fn adopt(&self, list: &List) -> io::Result<()> {
+        self.mark_incomplete(list).await?;
         let is_newer = {
             let mut state = self.lock();
             let before = state.identity.list.version;
@@ -238,9 +249,22 @@
         self.disk.wait_for_identity(write).await?;
         // Not before: others may change the list again because of it.
         self.lock().identity.ready = ready;
+        self.note_accounts(ready);
         Ok(())
     }
 
+    /// Records that the member knows all accounts of list version `version`.
+    pub fn note_accounts(&self, version: u64) {
+        let mut state = self.lock();
+        state.accounts_ready = state.accounts_ready.max(version);
+    }
+
+    /// Returns the list version up to which the member knows all accounts.
+    #[must_use]
+    pub fn accounts_ready(&self) -> u64 {
+        self.lock().accounts_ready
+    }
+
     /// Refuses writes from now on because the process is stopping. A writer that waited for a write
     /// that may not finish would lose time in which the other members decide.
     pub fn refuse_writes(&self) {
@@ -288,6 +312,7 @@
             Body::Gained { vm, losses } => Answer::Keys(self.gained(&vm, losses).await),
             Body::Fetch(keys) => self.fetch(&keys),
             Body::Status | Body::List => Answer::Status(self.status()),
+            Body::Accounts => Answer::Accounts(self.accounts_ready()),
         }
     }
 
@@ -299,7 +324,10 @@
         if self.writes.is_closed() && matches!(ask.body, Body::Apply(_) | Body::Status) {
             return Some(Answer::Failed("stopping".to_owned()));
         }
-        if matches!(ask.body, Body::Adopt(_) | Body::Status | Body::Fetch(_)) {
+        if matches!(
+            ask.body,
+            Body::Adopt(_) | Body::Status | Body::Fetch(_) | Body::Accounts
+        ) {
             return None;
         }
         if let Some(newer) = self.list_newer_than(ask.version) {
@@ -310,14 +338,14 @@
         if ask.version > own.version {
             return Some(Answer::Older);
         }
-        let needs_all = match ask.body {
+        let is_ready = match ask.body {
             // A turn never changes, so one that is here can be returned while others may be
             // missing.
-            Body::Chain(key) => state.index.find(key).is_none(),
-            Body::Account(_) => true,
-            _ => false,
+            Body::Chain(key) => state.index.find(key).is_some() || state.status().has_caught_up(),
+            Body::Account(_) => state.knows_accounts(),
+            _ => true,
         };
-        (needs_all && !state.status().has_caught_up()).then_some(Answer::NotReady)
+        (!is_ready).then_some(Answer::NotReady)
     }
 
     fn list_newer_than(&self, version: u64) -> Option<Answer> {
@@ -333,6 +361,17 @@
         (state.index.count(), state.ledger.count())
     }
 
+    /// Records how many members of the list are complete.
+    pub fn note_complete(&self, members: usize) {
+        self.lock().complete_members = members;
+    }
+
+    /// Returns how many members of the list were complete when they were last asked.
+    #[must_use]
+    pub fn complete_members(&self) -> usize {
+        self.lock().complete_members
+    }
+
     /// Returns the bytes of the records on disk, and those from which on the oldest ones are dropped.
     #[must_use]
     pub fn disk_usage(&self) -> (u64, u64) {
--- a/crates/replica/src/server/write.rs
+++ b/crates/replica/src/server/write.rs
@@ -8,9 +8,11 @@
 
 use crate::disk::SegmentEvent;
 use crate::index;
+use crate::ledger;
 use crate::ledger::Account;
 use crate::ledger::Attempt;
 use crate::ledger::Entry;
+use crate::list::List;
 use crate::message::Answer;
 use crate::record;
 use crate::record::Key;
@@ -31,7 +33,7 @@
     /// Syncs records. Reservations count at once, before they are on disk, because another
     /// reservation that is answered in the meantime must see them.
     ///
-    /// A member that is still catching up stores a reservation, but answers [`Answer::NotReady`]:
+    /// A member that doesn't know all accounts yet stores a reservation, but answers [`Answer::NotReady`]:
     /// its entries may lack earlier reservations. Turns and settlements are answered as usual,
     /// because members that catch up later copy them from every disk that the list names.
     pub async fn apply(&self, records: Vec<Record>) -> Answer {
@@ -76,7 +78,7 @@
         }
         match program {
             // Checked under the same lock as the entries, which may be from before a catch-up.
-            Some(_) if !state.status().has_caught_up() => Answer::NotReady,
+            Some(_) if !state.knows_accounts() => Answer::NotReady,
             Some(key) => Answer::Applied(state.ledger.entries(key).to_vec()),
             None => Answer::Applied(Vec::new()),
         }
@@ -112,6 +114,45 @@
         Ok(())
     }
 
+    /// Marks the accounts that may lack entries since the reset that made `list` or one before it, if the
+    /// member hasn't done so.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk does.
+    pub(super) async fn mark_incomplete(&self, list: &List) -> io::Result<()> {
+        let Some(reset) = &list.reset else {
+            return Ok(());
+        };
+        let programs = {
+            let state = self.lock();
+            let before = &state.identity.list;
+            if before.version >= reset.version {
+                return Ok(());
+            }
+            let mut programs = state.ledger.programs();
+            programs.retain(|program| !reset.is_complete(before, *program));
+            programs
+        };
+        if programs.is_empty() {
+            return Ok(());
+        }
+        log::warn!(
+            "event=E{} text=\"{}\" accounts={} version={}",
+            Event::AccountsIncomplete.number(),
+            Event::AccountsIncomplete.text(),
+            programs.len(),
+            reset.version
+        );
+        let records = programs
+            .into_iter()
+            .map(|program| Record::Reserve(ledger::incomplete(program)));
+        match self.apply(records.collect()).await {
+            Answer::Failed(fault) => Err(io::Error::other(fault)),
+            _ => Ok(()),
+        }
+    }
+
     async fn write_records(&self, records: &[Record]) -> io::Result<()> {
         let frames = records
             .iter()
--- a/crates/replica/tests/chain.rs
+++ b/crates/replica/tests/chain.rs
@@ -108,6 +108,7 @@
         version: 1,
         members,
         before: Vec::new(),
+        reset: None,
     });
     let found = replicas
         .chain(Key(1), &mut Inquiry::default(), |_| true)
--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -21,6 +21,7 @@
 use replica::client::Found;
 use replica::client::Replicas;
 use replica::inquiry::Inquiry;
+use replica::ledger;
 use replica::list::List;
 use replica::list::Member;
 use replica::member::Driver;
@@ -118,6 +119,7 @@
             key: "members".to_owned(),
             own: self.entry(),
             losses: 1,
+            max_silence: ledger::RETENTION,
             clock: Clock::System,
             phase,
         };
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -104,6 +104,7 @@
     RecordsUnreachable = 4107, 503, "too few VMs with a disk answer";
     NoConfiguration = 4108, 503, "no configuration is known yet";
     StaleConfiguration = 4109, 503, "the configuration may have changed without the VM hearing of it";
+    RecordsLost = 4110, 503, "records may have been lost with disks";
     RevisionConflict = 5101, 409, "the configuration changed meanwhile";
     BadChange = 5102, 400, "the change isn't allowed";
     ChangeUnknown = 5103, 504, "it isn't known whether the change was accepted";
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -79,6 +79,10 @@
     DiskReplaced = 3110, "a member's disk is another one";
     RecordsDropped = 3111, "oldest records dropped as the disk fills";
     MembersBehind = 3112, "too few members have caught up";
+    MembersShort = 3113, "too few complete members for another loss";
+    MembersComplete = 3114, "enough complete members for another loss";
+    ListReset = 3116, "list of members reset to the disks that are left";
+    AccountsIncomplete = 3117, "accounts may lack entries";
     RevisionApplied = 4001, "configuration revision in force";
     RevisionDropped = 4002, "configuration that can't be taken";
     ConfigurationStale = 4003, "configuration may be out of date";
