A list keeps as many complete members as a loss and a write need

What callers saw: LOST and BUDGET after one lost disk, where a VM with a disk had been retired before: turns that were answered whole and tokens that were spent were on one disk.

Cause: a list of three went down to two as a VM was emptied, whatever was left of it, and a list of two to one after 1.5 s of silence; a write then needs, and gets, one copy.

A silent member is removed only where a list has more than that. A list of two stops turns while one of them is away, where it went on alone before; it arises only where a deployment never had three.

Evidence: `a_vm_is_not_emptied_while_the_others_are_too_few_for_a_loss` fails on (emptied at once); `a_list_of_two_keeps_a_silent_member` is new beside it. `one_of_two_members_is_evicted_sooner` asked for the fault itself; in its place `one_of_two_members_is_not_evicted_sooner` asks for the time of all other lists, to the tenth of a second as before.

--- a/crates/replica/src/member/list_change.rs
+++ b/crates/replica/src/member/list_change.rs
@@ -65,6 +65,8 @@
     pub(super) silent: Vec<(String, Millis)>,
     /// How many complete members were last logged as too few; zero if there were enough.
     pub(super) short_logged: Option<usize>,
+    /// Whether it was logged that the VM can't be emptied.
+    pub(super) retirement_logged: bool,
 }
 
 impl State {
--- a/crates/replica/src/member/survey.rs
+++ b/crates/replica/src/member/survey.rs
@@ -205,11 +205,9 @@
         knowing
     }
 
-    /// Proposes to remove an unresponsive member if the list has more members than it needs, or
-    /// exactly two.
+    /// Proposes to remove an unresponsive member if the list has more members than it needs.
     pub(super) async fn evict(&self, state: &mut State, list: &List, view: &View) {
-        let has_spare = list.members.len() > 2 * self.losses + 1;
-        if !has_spare && list.members.len() != 2 {
+        if list.members.len() <= 2 * self.losses + 1 {
             state.unresponsive.clear();
             return;
         }
@@ -218,10 +216,8 @@
         let answered: Vec<&str> = responsive.iter().map(|member| member.vm.as_str()).collect();
         state.unresponsive.record_answers(list, &answered, now);
         // In a partition, the side with too few members leaves the list alone because the other
-        // side will come back. In a list of two, each member holds everything because a write needs
-        // both; neither can continue without the other until the list changes, and only one of them
-        // can change it.
-        let enough = responsive.len() > 2 * self.losses || list.members.len() == 2;
+        // side will come back.
+        let enough = responsive.len() > 2 * self.losses;
         if !enough || responsive.first().is_none_or(|first| **first != self.own) {
             return;
         }
@@ -237,10 +233,27 @@
         self.propose(state, list, view, &next).await;
     }
 
-    /// Proposes the list without this member.
+    /// Proposes the list without this member, if the others are enough without it.
     pub(super) async fn begin_leaving(&self, state: &mut State, list: &List, view: &View) {
-        let next = list.without(&self.own.vm);
-        self.propose(state, list, view, &next).await;
+        let caught_up = view.caught_up(&list.members, list.version);
+        if outlook::may_leave(list, &caught_up, &self.own.vm, self.losses) {
+            state.retirement_logged = false;
+            let next = list.without(&self.own.vm);
+            self.propose(state, list, view, &next).await;
+            return;
+        }
+        if std::mem::replace(&mut state.retirement_logged, true) {
+            return;
+        }
+        log::warn!(
+            "event=E{} text=\"{}\" version={} complete={} needed={} members={}",
+            Event::RetirementWaits.number(),
+            Event::RetirementWaits.text(),
+            list.version,
+            caught_up.len(),
+            2 * self.losses + 2,
+            list.members.len()
+        );
     }
 
     /// Completes leaving the list once the remaining members have caught up and so hold all that
--- a/crates/replica/src/outlook.rs
+++ b/crates/replica/src/outlook.rs
@@ -1,7 +1,7 @@
 //! Decides, from what is known of the members' disks, what may become of the list of members.
 //!
 //! A disk that is lost takes its copies with it, so the list changes only while enough of its disks are there to
-//! copy from. If more disks are lost than it bears,
+//! copy from, and it never gives up members that a loss and a write need. If more disks are lost than it bears,
 //! no regular change is possible any more, and nobody would be a complete replica again. The list is then reset
 //! to the disks that are left.
 
@@ -210,3 +210,10 @@
     };
     list.reset(members, left, reset)
 }
+
+/// Returns whether a member may leave the list: as many others are complete as a loss and a write need.
+#[must_use]
+pub fn may_leave(list: &List, caught_up: &[&Member], vm: &str, losses: usize) -> bool {
+    let others = caught_up.iter().filter(|member| member.vm != vm);
+    list.find(vm).is_some() && others.count() > 2 * losses
+}
--- a/crates/replica/src/unresponsive.rs
+++ b/crates/replica/src/unresponsive.rs
@@ -10,9 +10,6 @@
 /// after which the replacement of a removed VM counts. It is longer than a restart or a short
 /// network cut, because each change of the list makes all members compare what they hold.
 const EVICT_AFTER: Millis = Millis::new(3_000);
-/// The same for a member of a list of two. It is shorter because each write needs both members, so
-/// turns wait for the unresponsive one.
-const EVICT_AFTER_OF_TWO: Millis = Millis::new(1_500);
 /// The same where a data centre has several members and all of them are unresponsive. It is cut off
 /// or has lost its power, which the groups tolerate, and its members will come back together.
 /// Removing and re-adding them one by one would keep all members busy catching up for seconds. This
@@ -56,9 +53,6 @@
 
     /// Returns how long a member may be unresponsive.
     fn timeout(&self, list: &List, vm: &str) -> Millis {
-        if list.members.len() == 2 {
-            return EVICT_AFTER_OF_TWO;
-        }
         let centre = list.find(vm).map(|member| member.centre.as_str());
         let in_centre = list.members.iter();
         let mut in_centre = in_centre.filter(|member| Some(member.centre.as_str()) == centre);
--- a/crates/replica/src/unresponsive/tests.rs
+++ b/crates/replica/src/unresponsive/tests.rs
@@ -64,15 +64,17 @@
     assert_eq!(unresponsive.to_evict(&four, last), None);
 }
 
+/// Guards against a member of a list of two that is removed sooner than one of another list: what is written without it
+/// is on one disk only.
 #[test]
-fn one_of_two_members_is_evicted_sooner() {
+fn one_of_two_members_is_not_evicted_sooner() {
     let mut unresponsive = Members::default();
     let two = list(&["a", "b"]);
     unresponsive.record_answers(&two, &["a"], NOW);
     assert_eq!(
-        unresponsive.to_evict(&two, NOW.plus(Millis::new(1_400))),
+        unresponsive.to_evict(&two, NOW.plus(Millis::new(2_900))),
         None
     );
-    let later = NOW.plus(Millis::new(1_500));
+    let later = NOW.plus(Millis::new(3_000));
     assert_eq!(unresponsive.to_evict(&two, later), Some("b"));
 }
--- a/crates/replica/tests/members.rs
+++ b/crates/replica/tests/members.rs
@@ -336,3 +336,65 @@
     assert!((1..500).contains(&incomplete), "{incomplete}");
     assert!(!reset.is_complete(&List::default(), Key::of("p0")));
 }
+
+/// Guards against acknowledged turns on too few disks, as a VM is emptied though the others aren't enough for a
+/// loss.
+#[tokio::test]
+async fn a_vm_is_not_emptied_while_the_others_are_too_few_for_a_loss() {
+    let platform = Arc::new(Memory::new(Clock::System));
+    let vms = [
+        Vm::start("a", 1).await,
+        Vm::start("b", 2).await,
+        Vm::start("c", 3).await,
+    ];
+    let mut list = List::default();
+    for vm in &vms {
+        list = list.with(&vm.entry());
+    }
+    write_list(&platform, &list).await;
+    let [a, b, c] = &vms;
+    for vm in &vms {
+        vm.adopt(&list, list.version).await;
+    }
+    let phases = a.drive(&platform, Phase::Leaving);
+    for vm in [b, c] {
+        vm.drive(&platform, Phase::Member);
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(*phases.borrow(), Phase::Leaving);
+    assert_eq!(b.member().identity().list, list);
+
+    let d = Vm::start("d", 4).await;
+    d.drive(&platform, Phase::Member);
+    let left = async {
+        let mut phases = phases;
+        phases
+            .wait_for(|phase| *phase == Phase::Left)
+            .await
+            .map(drop)
+    };
+    timeout(RECOVERY, left)
+        .await
+        .expect("the VM is emptied")
+        .unwrap();
+    assert_eq!(b.member().identity().list.members.len(), 3);
+}
+
+/// Guards against acknowledged turns on one disk only, as a silent member of two is removed.
+#[tokio::test]
+async fn a_list_of_two_keeps_a_silent_member() {
+    let platform = Arc::new(Memory::new(Clock::System));
+    let a = Vm::start("a", 1).await;
+    let mut list = List::default().with(&a.entry());
+    list = list.with(&Member {
+        vm: "b".to_owned(),
+        centre: "b".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        disk: 2,
+    });
+    write_list(&platform, &list).await;
+    a.adopt(&list, list.version).await;
+    a.drive(&platform, Phase::Member);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(a.member().identity().list, list);
+}
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -81,6 +81,7 @@
     MembersBehind = 3112, "too few members have caught up";
     MembersShort = 3113, "too few complete members for another loss";
     MembersComplete = 3114, "enough complete members for another loss";
+    RetirementWaits = 3115, "the VM can't be emptied yet";
     ListReset = 3116, "list of members reset to the disks that are left";
     AccountsIncomplete = 3117, "accounts may lack entries";
     RevisionApplied = 4001, "configuration revision in force";
