A member that was away learns of a newer list at once

What callers saw: a VM with a disk that was cut off, and was taken off the list meanwhile, did nothing for 5.5 s after it was back, and then the last listed disk was lost.

Cause: a member that believes that it is listed reads a copy of the list each 5 s. Others' answers to its requests for their state carry the version of their list, and nobody looked at it.

It now asks whoever names a newer version for the list.

Evidence: `a_member_that_was_away_learns_of_the_new_list_at_once` fails on (still the old list 1 s later).

--- a/crates/replica/src/member/survey.rs
+++ b/crates/replica/src/member/survey.rs
@@ -11,6 +11,7 @@
 use crate::member::list_change::State;
 use crate::message::Answer;
 use crate::message::Body;
+use crate::message::Status;
 use crate::outlook;
 use crate::outlook::Outlook;
 use crate::outlook::Sight;
@@ -50,7 +51,7 @@
         }
     }
 
-    /// Looks at the members of the list, and resets the list if too few disks are left.
+    /// Looks at the members of the list, learns of a newer one, and resets the list if too few disks are left.
     pub(super) async fn watch(&self, state: &mut State, list: &List) -> View {
         let mut view = View::default();
         self.look_at(state, &mut view, list, &list.members).await;
@@ -107,10 +108,23 @@
                 _ => Sight::Silent,
             };
             let sight = self.note_silence(state, &member.vm, sight);
+            if let Sight::Answers(status) = sight {
+                self.learn_from(list, &member, status).await;
+            }
             view.note(member, sight);
         }
     }
 
+    /// Adopts the list of a member that uses a newer one.
+    async fn learn_from(&self, list: &List, member: &list::Member, status: Status) {
+        if status.version <= list.version {
+            return;
+        }
+        if let Some(Answer::Newer(newer)) = self.ask(member, list.version, Body::List).await {
+            self.adopt(&newer).await;
+        }
+    }
+
     /// Records whether a VM answers, and gives up one that hasn't for too long.
     fn note_silence(&self, state: &mut State, vm: &str, sight: Sight) -> Sight {
         let at = state
--- a/crates/replica/tests/members.rs
+++ b/crates/replica/tests/members.rs
@@ -398,3 +398,25 @@
     tokio::time::sleep(Duration::from_secs(4)).await;
     assert_eq!(a.member().identity().list, list);
 }
+
+/// Guards against a member that stays with a list that has changed while it was away, and serves nobody until it
+/// happens to read the new one.
+#[tokio::test]
+async fn a_member_that_was_away_learns_of_the_new_list_at_once() {
+    let platform = Arc::new(Memory::new(Clock::System));
+    let a = Vm::start("a", 1).await;
+    let b = Vm::start("b", 2).await;
+    let old = List::default().with(&a.entry()).with(&b.entry());
+    write_list(&platform, &old).await;
+    b.adopt(&old, old.version).await;
+    b.drive(&platform, Phase::Member);
+    // Its driver has read the list when it changes.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let new = old.without("b");
+    write_list(&platform, &new).await;
+    a.adopt(&new, new.version).await;
+    a.drive(&platform, Phase::Member);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(b.member().identity().list.version > old.version);
+    until_complete(&[&a, &b]).await;
+}
