A member that knows all accounts admits turns while it copies texts

What callers saw: CY4107 for as long as a new member copied the texts of all others, where the list needs it for a majority.

Cause: one version stood for both, and accounts are a small part of what is copied. A sum needs the accounts only.

Accounts of enough sources are merged first; from then on the member counts for reservations and reads of accounts. "No such turn" still waits for the texts.

Evidence: `a_member_admits_turns_while_it_still_copies_texts` fails without it (12 s).

--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -206,6 +206,7 @@
             return Progress::Missing;
         }
         state.heard = None;
+        self.member.note_accounts(list.version);
         for (member, holdings) in &sources.copies {
             if !self.copy_turns(member, list, holdings).await {
                 return Progress::Missing;
--- a/crates/replica/tests/members.rs
+++ b/crates/replica/tests/members.rs
@@ -294,8 +294,8 @@
     };
     let refused = front.reserve(old, None, BUDGET).await;
     assert!(matches!(refused, Err(Fault::RecordsLost(_))), "{refused:?}");
-    let lost = front.check_account(Key::of("wholly lost")).await;
-    assert!(matches!(lost, Err(Fault::RecordsLost(_))), "{lost:?}");
+    let unknown = front.check_account(Key::of("wholly lost")).await;
+    assert!(matches!(unknown, Err(Fault::RecordsLost(_))), "{unknown:?}");
     assert_eq!(
         front.reserve(reservation("new"), None, BUDGET).await,
         Ok(Verdict::Fits)
@@ -312,7 +312,12 @@
         address: ([127, 0, 0, 1], 1).into(),
         disk: number,
     };
-    let members = (1..=9).map(|number| member(number, ["a", "b", "c"][number as usize % 3]));
+    let members = (1..=9).map(|number| {
+        member(
+            number,
+            ["a", "b", "c"][usize::try_from(number % 3).unwrap()],
+        )
+    });
     let list = members.fold(List::default(), |list, member| list.with(&member));
     // Of each data centre but the last, one disk is lost.
     let left: Vec<u64> = (1..=9).filter(|number| ![3, 4].contains(number)).collect();
@@ -328,8 +333,8 @@
     for number in 0..1_000_u32 {
         let program = Key::of(&format!("p{number}"));
         let group = list.group(program, 1);
-        let lost = group.iter().filter(|member| !left.contains(&member.disk));
-        let is_complete = lost.count() < 2;
+        let gone = group.iter().filter(|member| !left.contains(&member.disk));
+        let is_complete = gone.count() < 2;
         assert_eq!(reset.is_complete(&list, program), is_complete);
         incomplete += usize::from(!is_complete);
     }
@@ -420,3 +425,36 @@
     assert!(b.member().identity().list.version > old.version);
     until_complete(&[&a, &b]).await;
 }
+
+/// Guards against turns that are refused for as long as a new member copies the texts of all others.
+#[tokio::test]
+async fn a_member_admits_turns_while_it_still_copies_texts() {
+    let platform = Arc::new(Memory::new(Clock::System));
+    let disk = Disk::default();
+    let a = Vm::start("a", 1).await;
+    a.replace(&disk, 1).await;
+    let list = List::default().with(&a.entry());
+    write_list(&platform, &list).await;
+    a.adopt(&list, list.version).await;
+    a.store(Record::Turn(turn("kept"))).await;
+    // The text can't be read, so that its copy doesn't end.
+    disk.use_up_descriptors();
+    let b = Vm::start("b", 2).await;
+    b.drive(&platform, Phase::Member);
+    a.drive(&platform, Phase::Member);
+    let admitted = async {
+        loop {
+            let front = reader(&b.member().identity().list);
+            if front.list().members.len() == 2
+                && front.reserve(reservation("new"), None, BUDGET).await == Ok(Verdict::Fits)
+            {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(RECOVERY, admitted)
+        .await
+        .expect("the turn is admitted");
+    assert!(!b.is_complete());
+}
