Requests name the disk that they are meant for

Seen: a turn that was acknowledged is called absent (LOST). A VM whose disk was lost acknowledged it with its new disk in the place of the lost one, which the list still named; nobody copies from a disk that the list doesn't name, so that one more lost disk took the turn.

Cause: a request went to an address, and whichever disk was there answered for the member.

Requests that stand for a disk (store, read, list the keys) name its number in a header, which a VM with another disk answers with OtherDisk, having done nothing. Writers and readers take that as members that catch up and wait for the list; readiness counts listed disks only.

--- a/crates/replica/src/call.rs
+++ b/crates/replica/src/call.rs
@@ -29,17 +29,37 @@
 /// The longest answer in bytes.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
-/// Sends a request to a member. Returns `None` if it fails in any way.
+/// Who is to answer a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Recipient<'a> {
+    /// Whichever disk the VM at this address has.
+    Address(SocketAddr),
+    /// This disk only. A VM that has lost it refuses the request.
+    Disk(&'a Member),
+}
+
+impl Recipient<'_> {
+    const fn address(self) -> SocketAddr {
+        match self {
+            Self::Address(address) => address,
+            Self::Disk(member) => member.address,
+        }
+    }
+}
+
+/// Sends a request to whichever disk the VM at `address` has. Returns `None` if it fails in any
+/// way.
 pub async fn ask(
     http: &Arc<Client>,
     address: SocketAddr,
     version: u64,
     body: Body,
 ) -> Option<Answer> {
-    send(http, address, encode(version, body)?).await
+    let to = Recipient::Address(address);
+    send(http, to, encode(version, body)?).await
 }
 
-/// Sends a request encoded by [`encode`] for the list. If the member uses an older list, sends it
+/// Sends a request encoded by [`encode`] for the list to a member's disk. If the member uses an older list, sends it
 /// this list and then the request again. Returns `None` if it fails in any way.
 pub async fn ask_with_list(
     http: &Arc<Client>,
@@ -47,7 +67,7 @@
     list: &List,
     bytes: Bytes,
 ) -> Option<Answer> {
-    let answer = send(http, member.address, bytes.clone()).await;
+    let answer = send(http, Recipient::Disk(member), bytes.clone()).await;
     if answer != Some(Answer::Older) {
         return answer;
     }
@@ -75,7 +95,7 @@
 ) -> Option<Reply> {
     let adopt = Body::Adopt(list.clone());
     ask(http, member.address, list.version, adopt).await?;
-    open(http, member.address, bytes).await
+    open(http, Recipient::Disk(member), bytes).await
 }
 
 /// Encodes a request once for all members that receive it. Returns `None` if it can't be encoded.
@@ -142,14 +162,17 @@
 
 /// Sends a request encoded by [`encode`] and waits for the head of the answer. Returns `None` if it
 /// fails in any way.
-pub async fn open(http: &Arc<Client>, address: SocketAddr, body: Bytes) -> Option<Reply> {
+pub async fn open(http: &Arc<Client>, to: Recipient<'_>, body: Bytes) -> Option<Reply> {
     let deadline = Instant::now() + ANSWER_TIMEOUT;
-    let request = Request::builder()
+    let address = to.address();
+    let mut request = Request::builder()
         .method(Method::POST)
         .uri(message::PATH)
-        .header("host", address.to_string())
-        .body(Payload::from(body))
-        .ok()?;
+        .header("host", address.to_string());
+    if let Recipient::Disk(member) = to {
+        request = request.header(message::DISK_HEADER, member.disk);
+    }
+    let request = request.body(Payload::from(body)).ok()?;
     let sent = timeout_at(deadline, http.send(address, request)).await;
     Some(Reply {
         begun: note(address, sent)?,
@@ -158,8 +181,8 @@
     })
 }
 
-async fn send(http: &Arc<Client>, address: SocketAddr, body: Bytes) -> Option<Answer> {
-    open(http, address, body).await?.read().await
+async fn send(http: &Arc<Client>, to: Recipient<'_>, body: Bytes) -> Option<Answer> {
+    open(http, to, body).await?.read().await
 }
 
 /// Logs why a step of an exchange failed.
--- a/crates/replica/src/chain.rs
+++ b/crates/replica/src/chain.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::call;
+use crate::call::Recipient;
 use crate::call::Unread;
 use crate::client::Found;
 use crate::inquiry::Inquiry;
@@ -32,7 +33,8 @@
 pub enum Fault {
     /// A member uses a newer list: this one.
     Newer(List),
-    /// The members don't yet hold everything that was acknowledged before their list.
+    /// The members don't yet hold everything that was acknowledged before their list, or the list
+    /// doesn't name their disks yet.
     CatchingUp,
     /// Too few members answered.
     TooFew,
@@ -76,7 +78,7 @@
             inquiry.note(&member, Word::Awaited);
             let (http, bytes) = (http.clone(), bytes.clone());
             asked.spawn(async move {
-                let reply = call::open(&http, member.address, bytes).await;
+                let reply = call::open(&http, Recipient::Disk(&member), bytes).await;
                 Asked { member, reply }
             });
         }
@@ -107,7 +109,7 @@
             Ok(Answer::Chain(chain)) if chain.turns.is_empty() => absent += 1,
             Ok(Answer::Chain(chain)) => return Ok(Found::Part(chain.turns, chain.next)),
             Ok(Answer::Newer(newer)) => return Err(Fault::Newer(newer)),
-            Ok(Answer::NotReady) => fault = Fault::CatchingUp,
+            Ok(Answer::NotReady | Answer::OtherDisk(_)) => fault = Fault::CatchingUp,
             Err(Unread::Stopped) => return Ok(Found::Unread),
             _ => {}
         }
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -51,7 +51,8 @@
     /// No list of members is known yet.
     #[display("no list of members is known")]
     NoList,
-    /// The members don't yet hold everything that was acknowledged before their list.
+    /// The members don't yet hold everything that was acknowledged before their list, or the list
+    /// doesn't name their disks yet.
     #[display("the members with a disk are still catching up")]
     CatchingUp,
     /// The list changed too often during the request.
@@ -89,7 +90,7 @@
     pub coverage: Coverage,
     /// How many members answer.
     pub answered: usize,
-    /// The VMs of the members that don't answer.
+    /// The VMs of the members that don't answer, or that have another disk than the list names.
     pub silent: Vec<String>,
     /// The VMs of the members that answer and are still catching up.
     pub behind: Vec<String>,
@@ -170,35 +171,50 @@
     ///
     /// Fails if no majority can be reached; the records may still be on some members.
     pub async fn apply(&self, key: Key, records: Vec<Record>) -> Result<()> {
-        for _ in 0..MAX_TRIES {
-            let (list, group) = self.group(key)?;
-            let mut answers = self.ask_all(&list, &group, Body::Apply(records.clone()))?;
-            let mut done = 0;
-            let mut failed = 0;
-            let mut list_changed = false;
-            while let Some(answer) = answers.recv().await {
-                match answer {
-                    // A member that is still catching up has stored the records nevertheless.
-                    Some(Answer::Applied(_) | Answer::NotReady) => done += 1,
-                    Some(Answer::Newer(newer)) => {
-                        self.adopt(newer);
-                        list_changed = true;
-                        failed += 1;
-                    }
-                    _ => failed += 1,
-                }
-                match quorum::write_state(group.len(), done, failed) {
-                    quorum::State::Waiting => {}
-                    quorum::State::Majority | quorum::State::All => return Ok(()),
-                    quorum::State::Failed if list_changed => break,
-                    quorum::State::Failed => return Err(Fault::TooFew),
+        let mut retries = Retries::default();
+        loop {
+            match self.apply_once(key, &records).await {
+                Err(fault) => retries.wait_or_fail(fault).await?,
+                Ok(()) => return Ok(()),
+            }
+        }
+    }
+
+    async fn apply_once(&self, key: Key, records: &[Record]) -> Result<()> {
+        let (list, group) = self.group(key)?;
+        let mut answers = self.ask_all(&list, &group, Body::Apply(records.to_vec()))?;
+        let mut done = 0;
+        let mut failed = 0;
+        let mut fault = Fault::TooFew;
+        while let Some(answer) = answers.recv().await {
+            match answer {
+                // A member that is still catching up has stored the records nevertheless.
+                Some(Answer::Applied(_) | Answer::NotReady) => done += 1,
+                other => {
+                    fault = self.fault_after(fault, other);
+                    failed += 1;
                 }
             }
-            if !list_changed {
-                return Err(Fault::TooFew);
+            match quorum::write_state(group.len(), done, failed) {
+                quorum::State::Waiting => {}
+                quorum::State::Majority | quorum::State::All => return Ok(()),
+                quorum::State::Failed => return Err(fault),
             }
         }
-        Err(Fault::ListChanged)
+        Err(fault)
+    }
+
+    /// Returns why a request fails if this answer doesn't count: `fault` so far, or a reason that
+    /// passes sooner. Adopts the list of a member that uses a newer one.
+    fn fault_after(&self, fault: Fault, answer: Option<Answer>) -> Fault {
+        match (answer, fault) {
+            (Some(Answer::Newer(newer)), _) => {
+                self.adopt(newer);
+                Fault::ListChanged
+            }
+            (Some(Answer::NotReady | Answer::OtherDisk(_)), Fault::TooFew) => Fault::CatchingUp,
+            (_, fault) => fault,
+        }
     }
 
     /// Reserves tokens if they fit the program's budget, and syncs another reservation of the same
@@ -241,18 +257,10 @@
         while let Ok(Some(answer)) = timeout_at(deadline, answers.recv()).await {
             match answer {
                 Some(Answer::Applied(entries)) => known.push(entries),
-                Some(Answer::Newer(newer)) => {
-                    self.adopt(newer);
-                    fault = Fault::ListChanged;
+                other => {
+                    fault = self.fault_after(fault, other);
                     failed += 1;
                 }
-                Some(Answer::NotReady) => {
-                    if fault == Fault::TooFew {
-                        fault = Fault::CatchingUp;
-                    }
-                    failed += 1;
-                }
-                _ => failed += 1,
             }
             let before = state;
             state = quorum::write_state(group.len(), known.len(), failed);
@@ -316,7 +324,7 @@
                     self.adopt(newer);
                     return Err(Fault::ListChanged);
                 }
-                Some(Answer::NotReady) => fault = Fault::CatchingUp,
+                Some(Answer::NotReady | Answer::OtherDisk(_)) => fault = Fault::CatchingUp,
                 _ => {}
             }
             if known.len() >= list::majority(group.len()) {
@@ -401,12 +409,16 @@
             }));
         }
         for (member, answer) in list.members.iter().zip(requests) {
-            let Ok(Some(Answer::Status(status))) = answer.await else {
+            let status = match answer.await {
+                Ok(Some(Answer::Status(status))) if status.disk == member.disk => Some(status),
+                _ => None,
+            };
+            let Some(status) = status else {
                 silent.push(member.vm.clone());
                 continue;
             };
             answered.push(member);
-            if status.disk == member.disk && status.has_caught_up() {
+            if status.has_caught_up() {
                 caught_up.push(member);
             } else {
                 behind.push(member.vm.clone());
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -178,7 +178,7 @@
         let mut asked = self.ask_holdings(&list.before, list, scope);
         // The others may be silent, and aren't waited for.
         while !has_enough(&answered, &caught_up)
-            && let Some((member, holdings)) = self.next_holdings(&mut asked).await
+            && let Some((member, holdings)) = self.next_holdings(list, &mut asked).await
         {
             let Some(member) = list.before.iter().find(|known| **known == member) else {
                 continue;
@@ -242,13 +242,7 @@
         };
         let is_its_disk = status.disk == member.disk;
         if !is_its_disk {
-            log::info!(
-                "event=E{} text=\"{}\" member={} version={}",
-                Event::DiskReplaced.number(),
-                Event::DiskReplaced.text(),
-                member.vm,
-                list.version
-            );
+            log_replaced(member, list);
         }
         is_its_disk
     }
@@ -279,7 +273,11 @@
     }
 
     /// Returns the next answer that tells what a member holds; `None` once all have answered or failed.
-    async fn next_holdings(&self, asked: &mut JoinSet<Asked>) -> Option<(list::Member, Holdings)> {
+    async fn next_holdings(
+        &self,
+        list: &List,
+        asked: &mut JoinSet<Asked>,
+    ) -> Option<(list::Member, Holdings)> {
         while let Some(next) = asked.join_next().await {
             let Ok(Asked { member, answer }) = next else {
                 continue;
@@ -287,6 +285,7 @@
             match answer {
                 Some(Answer::Keys(holdings)) => return Some((member, holdings)),
                 Some(Answer::Newer(newer)) => self.adopt(&newer).await,
+                Some(Answer::OtherDisk(_)) => log_replaced(&member, list),
                 _ => {}
             }
         }
@@ -344,7 +343,7 @@
         }
         state.compared = true;
         let mut asked = self.ask_holdings(&list.members, list, Scope::All);
-        while let Some((member, holdings)) = self.next_holdings(&mut asked).await {
+        while let Some((member, holdings)) = self.next_holdings(list, &mut asked).await {
             let wanted = |key| list.group(key, self.losses).contains(&&self.own);
             if let Err(fault) = self.copy_missing(&member, list, &holdings, wanted).await {
                 log::warn!(
@@ -406,3 +405,14 @@
         self.phase.send_replace(Phase::Left);
     }
 }
+
+/// Logs that another disk answers at a member's address.
+fn log_replaced(member: &list::Member, list: &List) {
+    log::info!(
+        "event=E{} text=\"{}\" member={} version={}",
+        Event::DiskReplaced.number(),
+        Event::DiskReplaced.text(),
+        member.vm,
+        list.version
+    );
+}
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -3,6 +3,9 @@
 //! Each message is the body of a POST, encoded as `MessagePack`. Requests name the version of the
 //! list that the sender uses. A member that uses another one refuses the request, unless it is
 //! [`Body::Adopt`], [`Body::Status`] or [`Body::Fetch`].
+//!
+//! A request that is meant for a disk rather than for whoever answers at an address names the disk
+//! in [`DISK_HEADER`], beside the body, so that a process that doesn't know the header ignores it.
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -17,6 +20,8 @@
 
 /// The path of the only HTTP endpoint.
 pub const PATH: &str = "/replica";
+/// The header that names the number of the disk that a request is for.
+pub const DISK_HEADER: &str = "replica-disk";
 
 /// A request to a member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +84,8 @@
     /// The member doesn't yet hold everything that was acknowledged before its list. It has stored
     /// the records that it was sent, if any.
     NotReady,
+    /// The request names another disk than the VM's own, which has this number. Nothing was done.
+    OtherDisk(u64),
     /// The member can't do what was asked, for this reason. For example, its disk failed or it is
     /// stopping.
     Failed(String),
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -5,6 +5,7 @@
 mod write;
 
 use std::io;
+use std::num::ParseIntError;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -13,6 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -35,6 +37,7 @@
 use crate::list::List;
 use crate::medium::Folder;
 use crate::medium::Medium;
+use crate::message;
 use crate::message::Answer;
 use crate::message::Ask;
 use crate::message::Body;
@@ -357,6 +360,10 @@
     intake: Intake,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
+    let disk = match named_disk(request.headers()) {
+        Ok(disk) => disk,
+        Err(fault) => return response_with(StatusCode::BAD_REQUEST, fault.to_string()),
+    };
     let read = intake.read(request.into_body(), MAX_REQUEST_BYTES, REQUEST_READ_TIME);
     let taken = match read.await {
         Ok(taken) => taken,
@@ -366,13 +373,25 @@
         Ok(ask) => ask,
         Err(fault) => return response_with(StatusCode::BAD_REQUEST, fault.to_string()),
     };
-    let answer = member.answer(ask).await;
+    let own_disk = member.status().disk;
+    let answer = match disk {
+        Some(disk) if disk != own_disk => Answer::OtherDisk(own_disk),
+        Some(_) | None => member.answer(ask).await,
+    };
     match rmp_serde::to_vec(&answer) {
         Ok(bytes) => response_with(StatusCode::OK, bytes),
         Err(fault) => response_with(StatusCode::INTERNAL_SERVER_ERROR, fault.to_string()),
     }
 }
 
+/// Returns the disk that a request names, if it names one.
+fn named_disk(headers: &HeaderMap) -> Result<Option<u64>, ParseIntError> {
+    let value = headers.get(message::DISK_HEADER);
+    // A value that isn't text is no number either.
+    let text = value.map(|value| value.to_str().unwrap_or_default());
+    text.map(str::parse).transpose()
+}
+
 fn response_with(status: StatusCode, body: impl Into<Bytes>) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::whole(body));
     *response.status_mut() = status;
--- a/crates/replica/tests/cut_answers.rs
+++ b/crates/replica/tests/cut_answers.rs
@@ -32,6 +32,7 @@
 #[case::no_entries(Answer::Account(Vec::new()))]
 #[case::chain(chain())]
 #[case::not_ready(Answer::NotReady)]
+#[case::other_disk(Answer::OtherDisk(7))]
 #[case::failed(Answer::Failed("disk".to_owned()))]
 fn a_part_of_an_answer_is_not_decoded(#[case] answer: Answer) {
     let bytes = rmp_serde::to_vec(&answer).unwrap();
--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -17,6 +17,8 @@
 use link::intake::Intake;
 use link::listen;
 use platform::memory::Memory;
+use replica::call;
+use replica::client::Coverage;
 use replica::client::Fault;
 use replica::client::Found;
 use replica::client::Replicas;
@@ -306,8 +308,11 @@
     let key = turn.key;
     let records = vec![Record::Turn(turn)];
     let written = writer.apply(key, records.clone()).await;
-    assert!(written.is_err(), "acknowledged");
+    assert_eq!(written, Err(Fault::CatchingUp));
     assert_eq!(c.member().counts(), (0, 0));
+    let reach = writer.reachable(STEPS).await;
+    assert_eq!((reach.coverage, reach.answered), (Coverage::TooFew, 1));
+    assert_eq!(reach.silent, ["b", "c"]);
 
     // Once the list names the new disk, it counts at once, also before it has caught up.
     writer.adopt(list.with(&c.entry()));
@@ -334,3 +339,38 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// Guards against an empty disk that answers in the name of the lost one, whatever is asked, and against
+/// requests of processes that name no disk being refused.
+#[tokio::test]
+async fn a_request_for_a_lost_disk_is_refused() {
+    let vm = Vm::start("a", 1).await;
+    let lost_disk = vm.entry();
+    let list = List::default().with(&lost_disk);
+    vm.lose_disk(2).await;
+    vm.adopt(&list, 0).await;
+    let key = Key::of("t1");
+    let gained = Body::Gained {
+        vm: "a".to_owned(),
+        losses: 1,
+    };
+    let bodies = [
+        Body::Apply(Vec::new()),
+        Body::Chain(key),
+        Body::Account(key),
+        Body::Keys,
+        gained,
+    ];
+    let http = client();
+    for body in bodies {
+        let bytes = call::encode(list.version, body.clone()).unwrap();
+        let answer = call::ask_with_list(&http, &lost_disk, &list, bytes.clone()).await;
+        assert_eq!(answer, Some(Answer::OtherDisk(2)), "{body:?}");
+        let answer = call::ask_with_list(&http, &vm.entry(), &list, bytes).await;
+        let is_refused = matches!(answer, None | Some(Answer::OtherDisk(_)));
+        assert!(!is_refused, "{body:?}: {answer:?}");
+        let answer = call::ask(&http, vm.address, list.version, body.clone()).await;
+        let is_refused = matches!(answer, None | Some(Answer::OtherDisk(_)));
+        assert!(!is_refused, "{body:?}: {answer:?}");
+    }
+}
