--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -2,21 +2,11 @@
 
 mod support;
 
-use std::future::pending;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
-use link::client::Client;
-use link::client::Limits;
-use link::intake::Intake;
-use link::listen;
-use platform::memory::Memory;
 use replica::call;
 use replica::client::Coverage;
 use replica::client::Fault;
@@ -24,9 +14,6 @@
 use replica::client::Replicas;
 use replica::inquiry::Inquiry;
 use replica::list::List;
-use replica::list::Member;
-use replica::member::Driver;
-use replica::member::Phase;
 use replica::message::Answer;
 use replica::message::Ask;
 use replica::message::Body;
@@ -36,16 +23,13 @@
 use replica::record::Reservation;
 use replica::record::Settlement;
 use replica::record::Turn;
-use replica::server;
-use support::Disk;
-use tokio::sync::watch;
+use rstest::rstest;
+use support::vm::Process;
+use support::vm::Vm;
+use support::vm::client;
+use support::vm::three_vms;
 use tokio::time::timeout;
-use wire::clock::Clock;
 
-/// The most bytes of requests that a member reads at once.
-const MAX_BYTES: usize = 32 * 1024 * 1024;
-/// The size of a disk in bytes.
-const DISK_BYTES: u64 = 500_000_000;
 /// How long members that can't become complete replicas get for it: some steps of their drivers.
 const STEPS: Duration = Duration::from_millis(1_500);
 /// How long members may take to catch up: less than the time in which a silent member is given up.
@@ -55,101 +39,6 @@
 /// How long members may take to become complete replicas once all answer.
 const RECOVERY: Duration = Duration::from_secs(12);
 
-/// A VM at whose address one member after another answers, or nobody.
-struct Vm {
-    name: &'static str,
-    address: SocketAddr,
-    member: Arc<Mutex<Arc<server::Member>>>,
-    silent: Arc<AtomicBool>,
-}
-
-impl Vm {
-    async fn start(name: &'static str, disk: u64) -> Self {
-        let listener = listen::bind(([127, 0, 0, 1], 0).into()).await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let member = Arc::new(Mutex::new(open(disk).await));
-        let silent = Arc::new(AtomicBool::new(false));
-        let (shared, is_silent) = (member.clone(), silent.clone());
-        let handler = move |request| {
-            let member = shared.lock().unwrap().clone();
-            let is_silent = is_silent.clone();
-            async move {
-                if is_silent.load(Ordering::SeqCst) {
-                    pending::<()>().await;
-                }
-                let intake = Intake::new(MAX_BYTES);
-                server::serve(member, intake, request).await
-            }
-        };
-        tokio::spawn(listen::run(listener, Arc::default(), handler));
-        Self {
-            name,
-            address,
-            member,
-            silent,
-        }
-    }
-
-    fn member(&self) -> Arc<server::Member> {
-        self.member.lock().unwrap().clone()
-    }
-
-    /// Returns the VM's entry in a list.
-    fn entry(&self) -> Member {
-        Member {
-            vm: self.name.to_owned(),
-            centre: self.name.to_owned(),
-            address: self.address,
-            disk: self.member().status().disk,
-        }
-    }
-
-    /// Replaces the disk by an empty one.
-    async fn lose_disk(&self, new_disk: u64) {
-        let member = open(new_disk).await;
-        *self.member.lock().unwrap() = member;
-    }
-
-    /// Has the member do on its own what it does in a process.
-    fn drive(&self) {
-        let (phase, _) = watch::channel(Phase::Member);
-        let driver = Driver {
-            member: self.member(),
-            http: client(),
-            platform: Arc::new(Memory::new(Clock::System)),
-            key: "members".to_owned(),
-            own: self.entry(),
-            losses: 1,
-            clock: Clock::System,
-            phase,
-        };
-        tokio::spawn(driver.run());
-    }
-
-    async fn adopt(&self, list: &List, ready: u64) {
-        self.member().adopt(list).await.unwrap();
-        self.member().set_ready(ready).await.unwrap();
-    }
-
-    fn is_ready(&self, list: &List) -> bool {
-        self.member().status().ready >= list.version
-    }
-}
-
-/// Starts three VMs, and returns them with the list of their members.
-async fn three_vms() -> ([Vm; 3], List) {
-    let vms = [
-        Vm::start("a", 1).await,
-        Vm::start("b", 2).await,
-        Vm::start("c", 3).await,
-    ];
-    let mut list = List::default();
-    for vm in &vms {
-        list = list.with(&vm.entry());
-    }
-    (vms, list)
-}
-
 fn turn() -> Turn {
     Turn {
         key: Key::of("t1"),
@@ -158,29 +47,14 @@
     }
 }
 
-async fn open(disk: u64) -> Arc<server::Member> {
-    let medium = Disk::default().medium();
-    let member = server::open_on(medium, DISK_BYTES, disk, Clock::System);
-    member.await.unwrap()
-}
-
-fn client() -> Arc<Client> {
-    Client::new(Limits {
-        connect_timeout: Duration::from_secs(1),
-        unacked_timeout: Duration::from_secs(1),
-        idle_timeout: Duration::from_secs(1),
-        reuse_delay: Duration::ZERO,
-        max_idle: 4,
-        max_buffer: 64 * 1024,
-        max_answer: u64::MAX,
-    })
-}
-
 /// Guards against a turn that is called absent, as a member with an empty disk answered in the place of
 /// the disk that was lost, and the only member that has the turn wasn't heard.
+#[rstest]
+#[case::named(Process::Current)]
+#[case::not_named(Process::Earlier)]
 #[tokio::test]
-async fn a_member_does_not_answer_for_the_disk_that_it_lost() {
-    let (vms, list) = three_vms().await;
+async fn a_member_does_not_answer_for_the_disk_that_it_lost(#[case] process: Process) {
+    let (vms, list) = three_vms(process).await;
     let [a, b, c] = &vms;
     for vm in &vms {
         vm.adopt(&list, list.version).await;
@@ -228,7 +102,7 @@
 /// reserved before, count as knowing it.
 #[tokio::test]
 async fn a_reservation_does_not_rest_on_members_that_have_not_caught_up() {
-    let (vms, list) = three_vms().await;
+    let (vms, list) = three_vms(Process::Current).await;
     for vm in &vms {
         vm.adopt(&list, 0).await;
     }
@@ -247,7 +121,7 @@
 /// others aren't asked for the rest, and against a budget that counts only what the new disk knows.
 #[tokio::test]
 async fn a_reservation_rests_on_the_majority_that_has_caught_up() {
-    let (vms, list) = three_vms().await;
+    let (vms, list) = three_vms(Process::Current).await;
     let [a, b, c] = &vms;
     for vm in [a, b] {
         vm.adopt(&list, list.version).await;
@@ -294,7 +168,7 @@
 /// the place of the lost one, and nobody copies from it.
 #[tokio::test]
 async fn a_disk_that_the_list_does_not_name_acknowledges_nothing() {
-    let (vms, list) = three_vms().await;
+    let (vms, list) = three_vms(Process::Current).await;
     let [a, b, c] = &vms;
     for vm in [a, b] {
         vm.adopt(&list, list.version).await;
@@ -323,7 +197,7 @@
 /// silent one though the others' are enough.
 #[tokio::test]
 async fn members_catch_up_without_waiting_for_a_silent_one() {
-    let (vms, list) = three_vms().await;
+    let (vms, list) = three_vms(Process::Current).await;
     let next = list.with(&vms[0].entry());
     let [a, b, c] = &vms;
     c.silent.store(true, Ordering::SeqCst);
@@ -344,7 +218,7 @@
 /// requests of processes that name no disk being refused.
 #[tokio::test]
 async fn a_request_for_a_lost_disk_is_refused() {
-    let vm = Vm::start("a", 1).await;
+    let vm = Vm::start("a", 1, Process::Current).await;
     let lost_disk = vm.entry();
     let list = List::default().with(&lost_disk);
     vm.lose_disk(2).await;
@@ -360,6 +234,7 @@
         Body::Account(key),
         Body::Keys,
         gained,
+        Body::Fetch(vec![key]),
     ];
     let http = client();
     for body in bodies {
--- a/crates/replica/tests/support/mod.rs
+++ b/crates/replica/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A stand-in for a disk that loses what was not synced.
 #![allow(dead_code)] // each test file uses only a part of this module
 
+pub mod vm;
+
 use std::io;
 use std::mem;
 use std::sync::Arc;
