A member that was frozen compares what it holds, and asks again until enough have answered

A record that a majority acknowledged while a member was frozen or cut off stays on one disk fewer for good, so that the second lost disk after that takes it (LOST).

Cause: the driver looked whether no write had come for a second. On a frozen VM the writes that waited in its sockets are handled first, and the driver finds no pause. And a comparison counted as done when it was begun, whether anybody answered or not.

A write notes itself whether the one before it is a second ago, and the driver compares once for each such pause; the comparison is done when the members that answered, with the own disk, intersect every majority of each group, and else repeated after 2 s.

--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -38,9 +38,8 @@
 
 /// How often the driver runs.
 const STEP_INTERVAL: Duration = Duration::from_millis(200);
-/// A member without write requests for this long was cut off, frozen or idle. It then compares its
-/// records with the other members to get what it missed.
-const IDLE_BEFORE_COMPARE: Millis = Millis::new(1_000);
+/// The pause before a member compares its records again after too few others have answered.
+const COMPARE_RETRY_DELAY: Millis = Millis::new(2_000);
 /// Turns fetched in one request: typical ones add up to half a megabyte, which is what an answer
 /// holds.
 const FETCH_BATCH_TURNS: usize = 32;
@@ -330,18 +329,16 @@
         Ok(())
     }
 
-    /// Compares records with the other members after the start and after each idle period. Copies
-    /// records that a majority got while this member was away, so that they survive the next loss
-    /// of a member.
+    /// Compares records with the other members after the start and after each pause in which no
+    /// write came, until enough of them have answered. Copies records that a majority got while this
+    /// member was away, so that they survive the next loss of a member.
     async fn compare(&self, state: &mut State, list: &List) {
-        if self.member.idle_for() >= IDLE_BEFORE_COMPARE {
-            state.compared = false;
-            return;
-        }
-        if state.compared {
+        let pauses = self.member.pauses();
+        let now = self.clock.now();
+        if state.compared_pauses == pauses || now < state.next_compare {
             return;
         }
-        state.compared = true;
+        let mut compared = vec![&self.own];
         let mut asked = self.ask_holdings(&list.members, list, Scope::All);
         while let Some((member, holdings)) = self.next_holdings(list, &mut asked).await {
             let wanted = |key| list.group(key, self.losses).contains(&&self.own);
@@ -350,7 +347,16 @@
                     "text=\"a member's records not compared\" member={} fault=\"{fault}\"",
                     member.vm
                 );
+                continue;
             }
+            compared.extend(list.members.iter().find(|known| **known == member));
+        }
+        // Whatever was acknowledged meanwhile is on one of these, too.
+        let needed = list::blocking_size(list.group_size(self.losses));
+        if list.covers(&compared, self.losses, needed) {
+            state.compared_pauses = pauses;
+        } else {
+            state.next_compare = self.clock.now().plus(COMPARE_RETRY_DELAY);
         }
     }
 
--- a/crates/replica/src/member/list_change.rs
+++ b/crates/replica/src/member/list_change.rs
@@ -45,9 +45,10 @@
     version: u64,
     list_read_at: Option<Millis>,
     pub(super) unresponsive: unresponsive::Members,
-    /// Whether records were compared with the other members since the start or the last idle
-    /// period.
-    pub(super) compared: bool,
+    /// The number of pauses after which records were last compared with the other members.
+    pub(super) compared_pauses: u64,
+    /// When records may be compared again.
+    pub(super) next_compare: Millis,
     /// Whether the last read of the key-value service failed.
     in_outage: bool,
     /// When a call for a proposal last failed.
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -49,6 +49,9 @@
 /// How long a request may take to come: longer than its sender waits for the answer.
 const REQUEST_READ_TIME: Duration = Duration::from_secs(5);
 
+/// A member without write requests for this long was cut off, frozen or idle.
+const MIN_PAUSE: Millis = Millis::new(1_000);
+
 /// A member: its disk, and its state in memory.
 #[derive(Debug)]
 pub struct Member {
@@ -82,7 +85,9 @@
     /// The turns that went with removed segments.
     dropped_turns: u64,
     /// When another VM last sent a write.
-    last_write: Millis,
+    last_write: Option<Millis>,
+    /// How many writes came after a pause, or after the start.
+    pauses: u64,
 }
 
 impl State {
@@ -93,6 +98,14 @@
             ready: self.identity.ready,
         }
     }
+
+    /// Records that another VM sent a write.
+    fn note_write(&mut self, now: Millis) {
+        let last = self.last_write.replace(now);
+        if last.is_none_or(|last| now.since(last) >= MIN_PAUSE) {
+            self.pauses += 1;
+        }
+    }
 }
 
 /// Opens a member's folder. A disk without a stored identity gets the number `new_disk`.
@@ -221,10 +234,10 @@
         self.disk.wait_for_identity(write).await
     }
 
-    /// Returns how long ago another VM last sent a write.
+    /// Returns how many writes came after a pause, or after the start: the member may have missed others before.
     #[must_use]
-    pub fn idle_for(&self) -> Millis {
-        self.clock.now().since(self.lock().last_write)
+    pub fn pauses(&self) -> u64 {
+        self.lock().pauses
     }
 
     /// Records that the member holds everything acknowledged before list version `ready`.
@@ -271,7 +284,7 @@
         }
         match ask.body {
             Body::Apply(records) => {
-                self.lock().last_write = self.clock.now();
+                self.lock().note_write(self.clock.now());
                 let answer = self.apply(records).await;
                 if let Err(fault) = self.store_list().await {
                     return disk_failed(&fault);
