Turns are copied from the disk that listed them

Seen: by reading, for answers that are taken for those of another disk. A VM that loses its disk between telling what it holds and sending the turns answers with none of them, which its peer takes for turns that were dropped: the comparison is done, and nobody else is asked for them. When a member catches up this was found by asking for the disk's number after the copy.

Requests for turns name the disk, too.

--- a/crates/replica/src/call.rs
+++ b/crates/replica/src/call.rs
@@ -59,6 +59,16 @@
     send(http, to, encode(version, body)?).await
 }
 
+/// Sends a request to a member's disk. Returns `None` if it fails in any way.
+pub async fn ask_disk(
+    http: &Arc<Client>,
+    member: &Member,
+    version: u64,
+    body: Body,
+) -> Option<Answer> {
+    send(http, Recipient::Disk(member), encode(version, body)?).await
+}
+
 /// Sends a request encoded by [`encode`] for the list to a member's disk. If the member uses an older list, sends it
 /// this list and then the request again. Returns `None` if it fails in any way.
 pub async fn ask_with_list(
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -308,9 +308,8 @@
         missing.retain(|key| wanted(*key));
         while !missing.is_empty() {
             let batch: Vec<Key> = missing.iter().take(FETCH_BATCH_TURNS).copied().collect();
-            let answer = self
-                .ask(member, list.version, Body::Fetch(batch.clone()))
-                .await;
+            let body = Body::Fetch(batch.clone());
+            let answer = call::ask_disk(&self.http, member, list.version, body).await;
             let Some(Answer::Turns(turns)) = answer else {
                 return Err(io::Error::other("no answer"));
             };
--- a/crates/replica/tests/paused.rs
+++ b/crates/replica/tests/paused.rs
@@ -2,15 +2,27 @@
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use link::body::Body as ResponseBody;
+use link::body::read;
+use link::listen;
 use replica::list::List;
+use replica::list::Member;
+use replica::message;
 use replica::message::Answer;
 use replica::message::Ask;
 use replica::message::Body;
+use replica::message::Holdings;
+use replica::message::Status;
 use replica::record::Key;
 use replica::record::Record;
 use replica::record::Turn;
@@ -103,3 +115,65 @@
     }
     assert!(write_until_held(&a, "t1", RECOVERY).await, "still missing");
 }
+
+/// Guards against turns of a lost disk that count as dropped, as its empty successor doesn't have them: the
+/// member that copies them asks nobody else.
+#[tokio::test]
+async fn turns_are_copied_from_the_disk_that_listed_them() {
+    let copying = Vm::start("a", 1, Process::Current).await;
+    let silent = Vm::start("b", 2, Process::Current).await;
+    let comparisons = Arc::new(AtomicUsize::new(0));
+    let emptied = start_lost_disk(comparisons.clone()).await;
+    let list = List::default();
+    let list = list
+        .with(&copying.entry())
+        .with(&silent.entry())
+        .with(&emptied);
+    copying.adopt(&list, list.version).await;
+    silent.silent.store(true, Ordering::SeqCst);
+    copying.drive();
+    assert!(!write_until_held(&copying, "t1", RECOVERY).await);
+    assert!(comparisons.load(Ordering::SeqCst) > 1, "asked once");
+}
+
+/// Starts a VM that loses its disk each time after it has told what it holds.
+async fn start_lost_disk(comparisons: Arc<AtomicUsize>) -> Member {
+    const MAX_ASK_BYTES: usize = 1024 * 1024;
+    const DISK: u64 = 3;
+    const NEW_DISK: u64 = 4;
+    let listener = listen::bind(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let handler = move |request: Request<Incoming>| {
+        let comparisons = comparisons.clone();
+        async move {
+            let is_named = request.headers().contains_key(message::DISK_HEADER);
+            let bytes = read(request.into_body(), MAX_ASK_BYTES).await.unwrap();
+            let ask: Ask = rmp_serde::from_slice(&bytes).unwrap();
+            let answer = match ask.body {
+                Body::Keys => {
+                    comparisons.fetch_add(1, Ordering::SeqCst);
+                    Answer::Keys(Holdings {
+                        ready: ask.version,
+                        turns: vec![Key::of("t1")],
+                        accounts: Vec::new(),
+                    })
+                }
+                Body::Fetch(_) if is_named => Answer::OtherDisk(NEW_DISK),
+                Body::Fetch(_) => Answer::Turns(Vec::new()),
+                _ => Answer::Status(Status {
+                    disk: NEW_DISK,
+                    version: ask.version,
+                    ready: 0,
+                }),
+            };
+            Response::new(ResponseBody::whole(rmp_serde::to_vec(&answer).unwrap()))
+        }
+    };
+    tokio::spawn(listen::run(listener, Arc::default(), handler));
+    Member {
+        vm: "c".to_owned(),
+        centre: "c".to_owned(),
+        address,
+        disk: DISK,
+    }
+}
