--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -39,9 +39,8 @@
 
 /// How often the driver runs.
 const STEP_INTERVAL: Duration = Duration::from_millis(200);
-/// A member without write requests for this long was cut off, frozen or idle. It then compares its
-/// records with the other members to get what it missed.
-const IDLE_BEFORE_COMPARE: Millis = Millis::new(1_000);
+/// The pause before a member compares its records again after too few others have answered.
+const COMPARE_RETRY_DELAY: Millis = Millis::new(2_000);
 /// Turns fetched in one request: typical ones add up to half a megabyte, which is what an answer
 /// holds.
 const FETCH_BATCH_TURNS: usize = 32;
@@ -244,7 +243,7 @@
         let mut asked = self.ask_holdings(&list.before, list, scope);
         // The others may be silent, and aren't waited for.
         while !has_enough(&answered, &caught_up)
-            && let Some((member, holdings)) = self.next_holdings(&mut asked).await
+            && let Some((member, holdings)) = self.next_holdings(list, &mut asked).await
         {
             let Some(member) = list.before.iter().find(|known| **known == member) else {
                 continue;
@@ -308,13 +307,7 @@
         };
         let is_its_disk = status.disk == member.disk;
         if !is_its_disk {
-            log::info!(
-                "event=E{} text=\"{}\" member={} version={}",
-                Event::DiskReplaced.number(),
-                Event::DiskReplaced.text(),
-                member.vm,
-                list.version
-            );
+            log_replaced(member, list);
         }
         is_its_disk
     }
@@ -345,7 +338,11 @@
     }
 
     /// Returns the next answer that tells what a member holds; `None` once all have answered or failed.
-    async fn next_holdings(&self, asked: &mut JoinSet<Asked>) -> Option<(list::Member, Holdings)> {
+    async fn next_holdings(
+        &self,
+        list: &List,
+        asked: &mut JoinSet<Asked>,
+    ) -> Option<(list::Member, Holdings)> {
         while let Some(next) = asked.join_next().await {
             let Ok(Asked { member, answer }) = next else {
                 continue;
@@ -353,6 +350,7 @@
             match answer {
                 Some(Answer::Keys(holdings)) => return Some((member, holdings)),
                 Some(Answer::Newer(newer)) => self.adopt(&newer).await,
+                Some(Answer::OtherDisk(_)) => log_replaced(&member, list),
                 _ => {}
             }
         }
@@ -371,9 +369,8 @@
                 return Err(io::Error::other("the list has changed"));
             }
             let batch: Vec<Key> = missing.iter().take(FETCH_BATCH_TURNS).copied().collect();
-            let answer = self
-                .ask(member, list.version, Body::Fetch(batch.clone()))
-                .await;
+            let body = Body::Fetch(batch.clone());
+            let answer = call::ask_disk(&self.http, member, list.version, body).await;
             let Some(Answer::Turns(turns)) = answer else {
                 return Err(io::Error::other("no answer"));
             };
@@ -392,26 +389,33 @@
         Ok(())
     }
 
-    /// Compares records with the other members after the start and after each idle period. Copies
-    /// records that a majority got while this member was away, so that they survive the next loss
-    /// of a member.
+    /// Compares records with the other members after the start and after each pause in which no
+    /// write came, until enough of them have answered. Copies records that a majority got while this
+    /// member was away, so that they survive the next loss of a member.
     async fn compare(&self, state: &mut State, list: &List) {
-        if self.member.idle_for() >= IDLE_BEFORE_COMPARE {
-            state.compared = false;
-            return;
-        }
-        if state.compared {
+        let pauses = self.member.pauses();
+        let now = self.clock.now();
+        if state.compared_pauses == pauses || now < state.next_compare {
             return;
         }
-        state.compared = true;
+        let mut compared = vec![&self.own];
         let mut asked = self.ask_holdings(&list.members, list, Scope::All);
-        while let Some((member, holdings)) = self.next_holdings(&mut asked).await {
+        while let Some((member, holdings)) = self.next_holdings(list, &mut asked).await {
             if let Err(fault) = self.copy_held(&member, list, &holdings).await {
                 log::warn!(
                     "text=\"a member's records not compared\" member={} fault=\"{fault}\"",
                     member.vm
                 );
+                continue;
             }
+            compared.extend(list.members.iter().find(|known| **known == member));
+        }
+        // Whatever was acknowledged meanwhile is on one of these, too.
+        let needed = list::blocking_size(list.group_size(self.losses));
+        if list.covers(&compared, self.losses, needed) {
+            state.compared_pauses = pauses;
+        } else {
+            state.next_compare = self.clock.now().plus(COMPARE_RETRY_DELAY);
         }
     }
 
@@ -434,3 +438,14 @@
         self.fetch(member, list, missing).await
     }
 }
+
+/// Logs that another disk answers at a member's address.
+fn log_replaced(member: &list::Member, list: &List) {
+    log::info!(
+        "event=E{} text=\"{}\" member={} version={}",
+        Event::DiskReplaced.number(),
+        Event::DiskReplaced.text(),
+        member.vm,
+        list.version
+    );
+}
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -5,6 +5,7 @@
 mod write;
 
 use std::io;
+use std::num::ParseIntError;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -13,6 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -35,6 +37,7 @@
 use crate::list::List;
 use crate::medium::Folder;
 use crate::medium::Medium;
+use crate::message;
 use crate::message::Answer;
 use crate::message::Ask;
 use crate::message::Body;
@@ -46,6 +49,9 @@
 /// How long a request may take to come: longer than its sender waits for the answer.
 const REQUEST_READ_TIME: Duration = Duration::from_secs(5);
 
+/// A member without write requests for this long was cut off, frozen or idle.
+const MIN_PAUSE: Millis = Millis::new(1_000);
+
 /// A member: its disk, and its state in memory.
 #[derive(Debug)]
 pub struct Member {
@@ -81,7 +87,9 @@
     /// The turns that went with removed segments.
     dropped_turns: u64,
     /// When another VM last sent a write.
-    last_write: Millis,
+    last_write: Option<Millis>,
+    /// How many writes came after a pause, or after the start.
+    pauses: u64,
     /// How many members of the list were complete when they were last asked.
     complete_members: usize,
 }
@@ -99,6 +107,14 @@
     const fn knows_accounts(&self) -> bool {
         self.accounts_ready >= self.identity.list.version
     }
+
+    /// Records that another VM sent a write.
+    fn note_write(&mut self, now: Millis) {
+        let last = self.last_write.replace(now);
+        if last.is_none_or(|last| now.since(last) >= MIN_PAUSE) {
+            self.pauses += 1;
+        }
+    }
 }
 
 /// Opens a member's folder. A disk without a stored identity gets the number `new_disk`.
@@ -229,10 +245,10 @@
         self.disk.wait_for_identity(write).await
     }
 
-    /// Returns how long ago another VM last sent a write.
+    /// Returns how many writes came after a pause, or after the start: the member may have missed others before.
     #[must_use]
-    pub fn idle_for(&self) -> Millis {
-        self.clock.now().since(self.lock().last_write)
+    pub fn pauses(&self) -> u64 {
+        self.lock().pauses
     }
 
     /// Records that the member holds everything acknowledged before list version `ready`.
@@ -292,7 +308,7 @@
         }
         match ask.body {
             Body::Apply(records) => {
-                self.lock().last_write = self.clock.now();
+                self.lock().note_write(self.clock.now());
                 let answer = self.apply(records).await;
                 if let Err(fault) = self.store_list().await {
                     return disk_failed(&fault);
@@ -396,6 +412,10 @@
     intake: Intake,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
+    let disk = match named_disk(request.headers()) {
+        Ok(disk) => disk,
+        Err(fault) => return response_with(StatusCode::BAD_REQUEST, fault.to_string()),
+    };
     let read = intake.read(request.into_body(), MAX_REQUEST_BYTES, REQUEST_READ_TIME);
     let taken = match read.await {
         Ok(taken) => taken,
@@ -405,13 +425,25 @@
         Ok(ask) => ask,
         Err(fault) => return response_with(StatusCode::BAD_REQUEST, fault.to_string()),
     };
-    let answer = member.answer(ask).await;
+    let own_disk = member.status().disk;
+    let answer = match disk {
+        Some(disk) if disk != own_disk => Answer::OtherDisk(own_disk),
+        Some(_) | None => member.answer(ask).await,
+    };
     match rmp_serde::to_vec(&answer) {
         Ok(bytes) => response_with(StatusCode::OK, bytes),
         Err(fault) => response_with(StatusCode::INTERNAL_SERVER_ERROR, fault.to_string()),
     }
 }
 
+/// Returns the disk that a request names, if it names one.
+fn named_disk(headers: &HeaderMap) -> Result<Option<u64>, ParseIntError> {
+    let value = headers.get(message::DISK_HEADER);
+    // A value that isn't text is no number either.
+    let text = value.map(|value| value.to_str().unwrap_or_default());
+    text.map(str::parse).transpose()
+}
+
 fn response_with(status: StatusCode, body: impl Into<Bytes>) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::whole(body));
     *response.status_mut() = status;
