A member that is gone is evicted as soon as its successor is complete

Cause: how long a member has been silent was forgotten while none could be spared, so that the 3 s began only with the successor, and each proposal asked the silent member first. Both are noted now, and silent members are asked last.

--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -139,19 +139,20 @@
         }
         state.behind_since = None;
         let phase = *self.phase.borrow();
+        // A VM whose lost disk is listed takes that one's place before it leaves.
+        let is_named = list.find(&self.own.vm).is_some();
         match (phase, is_listed) {
             (Phase::Member, false) => self.join(state, &list).await,
-            (Phase::Member, true) => {
+            (Phase::Leaving, false) if is_named => self.join(state, &list).await,
+            (Phase::Leaving, false) => self.leave(state, &list).await,
+            (Phase::Member | Phase::Leaving, true) => {
                 self.compare(state, &list).await;
                 let view = self.watch(state, &list).await;
                 self.evict(state, &list, &view).await;
+                if phase == Phase::Leaving {
+                    self.begin_leaving(state, &list, &view).await;
+                }
             }
-            (Phase::Leaving, true) => {
-                self.compare(state, &list).await;
-                let view = self.watch(state, &list).await;
-                self.begin_leaving(state, &list, &view).await;
-            }
-            (Phase::Leaving, false) => self.leave(state, &list).await,
             (Phase::Left, _) => {}
         }
     }
--- a/crates/replica/src/member/list_change.rs
+++ b/crates/replica/src/member/list_change.rs
@@ -71,6 +71,14 @@
 }
 
 impl State {
+    /// Returns whether a VM didn't answer when it was last asked.
+    fn is_silent(&self, vm: &str) -> bool {
+        let silent = &self.silent;
+        silent
+            .binary_search_by(|(known, _)| known.as_str().cmp(vm))
+            .is_ok()
+    }
+
     /// Returns whether the last read of the list is at least `interval` ago, and notes the time if
     /// so.
     fn is_read_due(&mut self, interval: Millis, now: Millis) -> bool {
@@ -102,7 +110,7 @@
             }
             return;
         }
-        if self.learn_newer(&list).await == Asked::Silence
+        if self.learn_newer(state, &list).await == Asked::Silence
             && state.is_read_due(LIST_READ_INTERVAL_PENDING, self.clock.now())
         {
             self.read_latest(state).await;
@@ -198,7 +206,7 @@
             return;
         }
         tokio::time::sleep(proposal_delay(&self.own.vm, list).as_duration()).await;
-        self.learn_newer(list).await;
+        self.learn_newer(state, list).await;
         if state.version != list.version {
             self.read_latest(state).await;
         }
@@ -210,12 +218,13 @@
     }
 
     /// Asks members in turn, up to the first that answers, whether the list has changed. That costs
-    /// the key-value service nothing.
-    async fn learn_newer(&self, list: &List) -> Asked {
+    /// the key-value service nothing. Those that didn't answer before are asked last.
+    async fn learn_newer(&self, state: &State, list: &List) -> Asked {
         let mut others = list.members.clone();
         others.retain(|member| *member != self.own);
         let first = choice(&self.own.vm, list) % (others.len() as u64).max(1);
         others.rotate_left(usize::try_from(first).unwrap_or(0));
+        others.sort_by_key(|member| state.is_silent(&member.vm));
         for member in &others {
             match self.ask(member, list.version, Body::List).await {
                 Some(Answer::Newer(newer)) => {
--- a/crates/replica/src/member/survey.rs
+++ b/crates/replica/src/member/survey.rs
@@ -219,20 +219,19 @@
         knowing
     }
 
-    /// Proposes to remove an unresponsive member if the list has more members than it needs.
+    /// Proposes to remove an unresponsive member if the list has more members than it needs. For how long each one has
+    /// been so is known also while none can be spared, so that it goes as soon as its successor is complete.
     pub(super) async fn evict(&self, state: &mut State, list: &List, view: &View) {
-        if list.members.len() <= 2 * self.losses + 1 {
-            state.unresponsive.clear();
-            return;
-        }
         let responsive = view.responsive(&list.members);
         let now = self.clock.now();
         let answered: Vec<&str> = responsive.iter().map(|member| member.vm.as_str()).collect();
         state.unresponsive.record_answers(list, &answered, now);
+        let present = view.present(&list.members);
+        let needed = 2 * self.losses + 1;
         // In a partition, the side with too few members leaves the list alone because the other
         // side will come back.
-        let enough = responsive.len() > 2 * self.losses;
-        if !enough || responsive.first().is_none_or(|first| **first != self.own) {
+        let can_spare = list.members.len() > needed && present.len() >= needed;
+        if !can_spare || present.first().is_none_or(|first| **first != self.own) {
             return;
         }
         let Some(vm) = state.unresponsive.to_evict(list, now) else {
