A new member copies what is still owed, newest first

Callers saw: after store VMs had lost their disks, turns were refused for as long as a new member copied all of its neighbours' disks, over 20 s of a disk of usual fill, though turns are kept for a minute.

Cause: Member::holdings and Member::gained listed every turn, in no order.

Now the index knows when each turn was stored. Where members hold all turns and the member has caught up, it lists the turns of the last 300 s (ledger::RETENTION) and all that they continue, however old, because a turn is kept together with its chain. Where a chain may be spread over members, or one of its turns isn't here, it lists all, as before. Always newest first. What is found at a start counts as stored then. The ages go with the list, as repetitions of its keys (replica::age): a list that an older process can read, and a copy that doesn't count as new.

--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -95,6 +95,7 @@
     let folder = settings.data.clone().ok_or(Fault::Missing("data folder"))?;
     let new_disk_id = rand::rng().random::<u64>();
     let member = server::open(&folder, settings.disk_bytes, new_disk_id, clock.clone()).await?;
+    member.set_losses(settings.tolerated_losses);
     let signals = Signals::catch(reloads)?;
     let ip = settings.ip.parse();
     let ip = ip.map_err(|_| Fault::Missing("IP address"))?;
--- a/crates/replica/src/ledger.rs
+++ b/crates/replica/src/ledger.rs
@@ -14,9 +14,9 @@
 use crate::record::Reservation;
 use crate::record::Settlement;
 
-/// How long a program's entries are kept after its last one. A stopped program may continue for as
-/// long as its turns are kept, which is one minute as deployed; five minutes leave room for slow
-/// programs.
+/// How long a program's entries are kept after its last one, and for how long members copy a turn from each
+/// other. A stopped program may continue for as long as its turns are kept, which is one minute as deployed;
+/// five minutes leave room for slow programs.
 pub const RETENTION: Millis = Millis::new(300_000);
 
 /// The tokens that one attempt at a turn reserved and used.
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -10,6 +10,7 @@
 //! compare-and-swap in the platform's key-value service. A member refuses requests made under a
 //! version other than its own, so no majority of an old list forms once a new one is in use.
 
+mod age;
 pub mod call;
 pub mod catch_up;
 mod chain;
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::mpsc;
 use std::time::Duration;
@@ -39,7 +40,9 @@
 use crate::message::Ask;
 use crate::message::Body;
 use crate::message::Status;
+use crate::record::Key;
 use crate::record::Record;
+use crate::server::write::Source;
 
 /// The longest request in bytes: a turn of the largest body that operators allow, and its output.
 const MAX_REQUEST_BYTES: usize = 16 * 1024 * 1024;
@@ -55,6 +58,8 @@
     /// Computed once for each version of the list.
     gained_cache: tokio::sync::Mutex<gained::Keys>,
     clock: Clock,
+    /// How many members may be lost at once.
+    losses: OnceLock<usize>,
     /// Accepted writes that aren't answered yet; closed when the process stops.
     writes: TaskTracker,
     /// Notified when the list changes.
@@ -80,6 +85,9 @@
     dropped_turns: u64,
     /// When another VM last sent a write.
     last_write: Millis,
+    /// The turns that another member listed last and that weren't here, and when each may have been stored at
+    /// the latest; sorted by key.
+    listed: Vec<(Key, Millis)>,
 }
 
 impl State {
@@ -127,6 +135,8 @@
                 let entry = index::Entry {
                     previous: turn.previous,
                     location: found.location,
+                    // When it was written isn't on disk.
+                    stored_at: now,
                 };
                 state.index.insert(turn.key, entry);
             }
@@ -157,6 +167,7 @@
         events: Mutex::new(opened.events),
         gained_cache: tokio::sync::Mutex::default(),
         clock,
+        losses: OnceLock::new(),
         writes: TaskTracker::new(),
         list_changed: Notify::new(),
     }))
@@ -174,6 +185,12 @@
         self.lock().identity.clone()
     }
 
+    /// Sets how many members may be lost at once, if it isn't set. Until then the member lists all its turns
+    /// for others to copy, because it can't tell whether it holds whole chains.
+    pub fn set_losses(&self, losses: usize) {
+        self.losses.get_or_init(|| losses);
+    }
+
     /// Returns the member's state as other VMs see it.
     #[must_use]
     pub fn status(&self) -> Status {
@@ -269,7 +286,7 @@
         match ask.body {
             Body::Apply(records) => {
                 self.lock().last_write = self.clock.now();
-                let answer = self.apply(records).await;
+                let answer = self.store(records, Source::Writer).await;
                 if let Err(fault) = self.store_list().await {
                     return disk_failed(&fault);
                 }
--- a/crates/replica/src/server/gained.rs
+++ b/crates/replica/src/server/gained.rs
@@ -1,6 +1,8 @@
 //! Answers which keys another member gained by the latest change of the list.
 
+use crate::age;
 use crate::catch_up;
+use crate::index;
 use crate::ledger::Account;
 use crate::list::List;
 use crate::message::Holdings;
@@ -68,7 +70,7 @@
 
 impl Member {
     /// Returns what this member holds and `vm` has to hold only since the latest change of the
-    /// list.
+    /// list, old turns included: a new one that continues them may be held by others.
     pub(super) async fn gained(&self, vm: &str, losses: usize) -> Holdings {
         // The lock is held during the computation, so that members that ask at the same time share
         // the result.
@@ -89,15 +91,25 @@
         }
         cached.turns.compute(&list, losses).await;
         cached.programs.compute(&list, losses).await;
-        let state = self.lock();
-        let account = |program: Key| Account {
-            program,
-            entries: state.ledger.entries(program).to_vec(),
+        let keys = cached.turns.of_vm(vm);
+        let programs = cached.programs.of_vm(vm);
+        let now = self.clock.now();
+        let (mut turns, accounts) = {
+            let state = self.lock();
+            let stored = |key: Key| Some((key, state.index.find(key)?));
+            let account = |program: Key| Account {
+                program,
+                entries: state.ledger.entries(program).to_vec(),
+            };
+            let turns: Vec<(Key, index::Entry)> = keys.into_iter().filter_map(stored).collect();
+            (turns, programs.into_iter().map(account).collect())
         };
+        index::sort_newest_first(&mut turns);
+        let turns = turns.iter().map(|(key, entry)| (*key, entry.stored_at));
         Holdings {
             ready: cached.ready,
-            turns: cached.turns.of_vm(vm),
-            accounts: cached.programs.of_vm(vm).into_iter().map(account).collect(),
+            turns: age::encode(turns, now),
+            accounts,
         }
     }
 }
--- a/crates/replica/src/server/read.rs
+++ b/crates/replica/src/server/read.rs
@@ -3,6 +3,10 @@
 use std::io;
 use std::io::ErrorKind;
 
+use crate::age;
+use crate::disk::Identity;
+use crate::index;
+use crate::list::List;
 use crate::message::Answer;
 use crate::message::Chain;
 use crate::message::Holdings;
@@ -46,17 +50,38 @@
         Answer::Chain(chain)
     }
 
-    /// Returns what the member holds, for a member that has to copy it.
+    /// Returns what a member that joins has to copy. If this member holds whole chains, that is only the turns
+    /// that are still owed; otherwise, an old turn may belong to the chain of a new one that others hold.
     #[must_use]
     pub(super) fn holdings(&self) -> Holdings {
-        let state = self.lock();
+        let now = self.clock.now();
+        let (ready, mut turns, accounts) = {
+            let state = self.lock();
+            let owed = self.has_whole_chains(&state.identity);
+            let owed = owed.then(|| state.index.owed(now)).flatten();
+            let turns = owed.unwrap_or_else(|| state.index.turns());
+            (state.identity.ready, turns, state.ledger.accounts())
+        };
+        index::sort_newest_first(&mut turns);
+        let turns = turns.iter().map(|(key, entry)| (*key, entry.stored_at));
         Holdings {
-            ready: state.identity.ready,
-            turns: state.index.keys(),
-            accounts: state.ledger.accounts(),
+            ready,
+            turns: age::encode(turns, now),
+            accounts,
         }
     }
 
+    /// Returns whether the member has to hold the turns of all keys, and has caught up with the list that it
+    /// uses or with the one before.
+    fn has_whole_chains(&self, identity: &Identity) -> bool {
+        let list = &identity.list;
+        let Some(losses) = self.losses.get() else {
+            return false;
+        };
+        let holds_all = |list: &List| list.members.len() == list.group_size(*losses);
+        identity.ready + 1 >= list.version && holds_all(list) && holds_all(&list.previous())
+    }
+
     /// Returns the turns that the member holds. Fails if the disk does before any of them is read: without
     /// an answer's turns, the sender takes all that it asked for as dropped, and no longer copies them.
     pub(super) fn fetch(&self, keys: &[Key]) -> Answer {
@@ -88,12 +113,17 @@
         }
     }
 
-    /// Returns which of these turns the member doesn't hold.
+    /// Returns which of the turns that another member listed this one doesn't hold, in the order of the list. The
+    /// ages that the list tells apply to what is copied until the next list.
     #[must_use]
     pub fn missing(&self, keys: &[Key]) -> Vec<Key> {
-        let state = self.lock();
-        let absent = |key: &&Key| state.index.find(**key).is_none();
-        keys.iter().filter(absent).copied().collect()
+        let mut listed = age::decode(keys, self.clock.now());
+        let mut state = self.lock();
+        listed.retain(|(key, _)| state.index.find(*key).is_none());
+        let missing = listed.iter().map(|(key, _)| *key).collect();
+        listed.sort_unstable_by_key(|(key, _)| *key);
+        state.listed = listed;
+        missing
     }
 }
 
--- a/crates/replica/src/server/write.rs
+++ b/crates/replica/src/server/write.rs
@@ -27,14 +27,29 @@
 /// The pause after a failed rewrite. Each takes a part of the disk, for which the oldest segments are removed.
 const REWRITE_RETRY_DELAY: Millis = Millis::new(2_000);
 
+/// Where records come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    /// From who wrote them: they are new.
+    Writer,
+    /// From a member that listed them, with their ages.
+    Member,
+}
+
 impl Member {
+    /// Stores records that another member holds, as [`Body::Apply`](crate::message::Body::Apply) does with new
+    /// ones. Turns count as stored when [`Self::missing`] learnt that they were, and as new if it didn't.
+    pub async fn apply(&self, records: Vec<Record>) -> Answer {
+        self.store(records, Source::Member).await
+    }
+
     /// Syncs records. Reservations count at once, before they are on disk, because another
     /// reservation that is answered in the meantime must see them.
     ///
     /// A member that is still catching up stores a reservation, but answers [`Answer::NotReady`]:
     /// its entries may lack earlier reservations. Turns and settlements are answered as usual,
     /// because members that catch up later copy them from every disk that the list names.
-    pub async fn apply(&self, records: Vec<Record>) -> Answer {
+    pub(super) async fn store(&self, records: Vec<Record>, source: Source) -> Answer {
         let now = self.clock.now();
         let mut frames = Vec::with_capacity(records.len());
         let mut turns = Vec::new();
@@ -48,7 +63,12 @@
                     attempts.push(attempt);
                 }
                 match record {
-                    Record::Turn(turn) if state.index.find(turn.key).is_some() => continue,
+                    Record::Turn(turn) if state.index.find(turn.key).is_some() => {
+                        if source == Source::Writer {
+                            state.index.renew(turn.key, now);
+                        }
+                        continue;
+                    }
                     Record::Turn(turn) => turns.push((frames.len(), turn.key, turn.previous)),
                     Record::Reserve(reservation) => {
                         state.ledger.reserve(reservation, now);
@@ -71,8 +91,16 @@
             state.ledger.note_synced(attempt);
         }
         for (at, key, previous) in turns {
-            let location = locations[at];
-            state.index.insert(key, index::Entry { previous, location });
+            let stored_at = match source {
+                Source::Writer => self.clock.now(),
+                Source::Member => state.stored_at(key).unwrap_or(now),
+            };
+            let entry = index::Entry {
+                previous,
+                location: locations[at],
+                stored_at,
+            };
+            state.index.insert(key, entry);
         }
         match program {
             // Checked under the same lock as the entries, which may be from before a catch-up.
@@ -164,6 +192,13 @@
 }
 
 impl State {
+    /// Returns when a turn that another member listed may have been stored at the latest.
+    fn stored_at(&self, key: Key) -> Option<Millis> {
+        let listed = &self.listed;
+        let at = listed.binary_search_by_key(&key, |(key, _)| *key).ok()?;
+        Some(listed[at].1)
+    }
+
     /// Forgets the turns of a segment that was removed, and logs how many there were and for how long nothing
     /// had been written to it.
     fn drop_segment(&mut self, segment: u64, now: Millis) {
