--- a/crates/replica/src/member/list_change.rs
+++ b/crates/replica/src/member/list_change.rs
@@ -72,7 +72,7 @@
 
 impl State {
     /// Returns whether a VM didn't answer when it was last asked.
-    fn is_silent(&self, vm: &str) -> bool {
+    pub(super) fn is_silent(&self, vm: &str) -> bool {
         let silent = &self.silent;
         silent
             .binary_search_by(|(known, _)| known.as_str().cmp(vm))
--- a/crates/replica/src/member/survey.rs
+++ b/crates/replica/src/member/survey.rs
@@ -1,6 +1,9 @@
 //! How a member watches the others, and what it does when they are too few.
 
+use std::time::Duration;
+
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 use wire::clock::Millis;
 use wire::event::Event;
 
@@ -20,6 +23,9 @@
 /// How long a member that can't catch up waits before it proposes a new version of the list, whose members copy
 /// from each other: longer than a restart or a short network cut.
 const RENEW_AFTER: Millis = Millis::new(3_000);
+/// How long a VM that didn't answer when it was last asked may take to answer: some ten times as long as usual. A member
+/// that waited longer each time would hear late of a new list.
+const SILENT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The most VMs that a log line names.
 const MAX_NAMED_VMS: usize = 6;
 
@@ -94,8 +100,14 @@
                 continue;
             }
             let (http, member, version) = (self.http.clone(), member.clone(), list.version);
+            let limit = if state.is_silent(&member.vm) {
+                SILENT_TIMEOUT
+            } else {
+                call::ANSWER_TIMEOUT
+            };
             asked.spawn(async move {
-                let answer = call::ask(&http, member.address, version, Body::Status).await;
+                let answer = call::ask(&http, member.address, version, Body::Status);
+                let answer = timeout(limit, answer).await.ok().flatten();
                 (member, answer)
             });
         }
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::mpsc;
 use std::time::Duration;
@@ -42,7 +43,9 @@
 use crate::message::Ask;
 use crate::message::Body;
 use crate::message::Status;
+use crate::record::Key;
 use crate::record::Record;
+use crate::server::write::Source;
 
 /// The longest request in bytes: a turn of the largest body that operators allow, and its output.
 const MAX_REQUEST_BYTES: usize = 16 * 1024 * 1024;
@@ -61,6 +64,8 @@
     /// Computed once for each version of the list.
     gained_cache: tokio::sync::Mutex<gained::Keys>,
     clock: Clock,
+    /// How many members may be lost at once.
+    losses: OnceLock<usize>,
     /// Accepted writes that aren't answered yet; closed when the process stops.
     writes: TaskTracker,
     /// Notified when the list changes.
@@ -92,6 +97,9 @@
     pauses: u64,
     /// How many members of the list were complete when they were last asked.
     complete_members: usize,
+    /// The turns that another member listed last and that weren't here, and when each may have been stored at
+    /// the latest; sorted by key.
+    listed: Vec<(Key, Millis)>,
 }
 
 impl State {
@@ -152,6 +160,8 @@
                 let entry = index::Entry {
                     previous: turn.previous,
                     location: found.location,
+                    // When it was written isn't on disk.
+                    stored_at: now,
                 };
                 state.index.insert(turn.key, entry);
             }
@@ -183,6 +193,7 @@
         events: Mutex::new(opened.events),
         gained_cache: tokio::sync::Mutex::default(),
         clock,
+        losses: OnceLock::new(),
         writes: TaskTracker::new(),
         list_changed: Notify::new(),
     }))
@@ -200,6 +211,12 @@
         self.lock().identity.clone()
     }
 
+    /// Sets how many members may be lost at once, if it isn't set. Until then the member lists all its turns
+    /// for others to copy, because it can't tell whether it holds whole chains.
+    pub fn set_losses(&self, losses: usize) {
+        self.losses.get_or_init(|| losses);
+    }
+
     /// Returns the member's state as other VMs see it.
     #[must_use]
     pub fn status(&self) -> Status {
@@ -309,7 +326,7 @@
         match ask.body {
             Body::Apply(records) => {
                 self.lock().note_write(self.clock.now());
-                let answer = self.apply(records).await;
+                let answer = self.store(records, Source::Writer).await;
                 if let Err(fault) = self.store_list().await {
                     return disk_failed(&fault);
                 }
