A turn that is refused while members catch up is settled until they take it down

Callers saw: a turn refused with CY4107 never ran, and its program was refused with CY2104 afterwards, its budget being charged with the refused turn.

Cause: members store a reservation and answer that they catch up or fail, so that the turn is refused. Its settlement, with 0 used, was sent once; where too few members took it down it was given up (E1212), and the reservation counted with all its tokens until its account was dropped, 300 s after the last entry.

A turn that was refused before it reserved anything writes no settlement any more.

--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -1,6 +1,7 @@
 //! Token accounting for a turn: tokens are reserved before it runs, and settled to what it used
 //! afterwards.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use replica::client::Fault;
@@ -13,13 +14,12 @@
 use wire::clock::Millis;
 use wire::code::Code;
 use wire::code::Refusal;
-use wire::event::Event;
 
 use crate::job::Job;
 use crate::member_health;
 use crate::metrics::Counter;
 use crate::node::Node;
-use crate::work;
+use crate::settlement;
 
 /// How long after a refusal for lack of tokens the reservation is tried once more. Two turns that
 /// start at the same time see each other's reservation, and a turn that has just ended is settled
@@ -74,6 +74,7 @@
         turn: account.turn,
         most: account.max_tokens,
     };
+    job.reserved.store(true, Ordering::Relaxed);
     let mut spent = 0;
     for round in 0..2 {
         if round > 0 {
@@ -164,36 +165,19 @@
     u32::try_from(tokens).unwrap_or(u32::MAX).min(max_tokens)
 }
 
-/// Settles a turn's tokens. No caller waits for this: until it is done, the turn counts with its
-/// whole reservation. The process waits for it when it stops, because otherwise the turn would
-/// count with its whole reservation forever.
+/// Settles a turn's tokens, if members may hold a reservation of them. No caller waits for this: until it is done,
+/// the turn counts with its whole reservation.
 pub fn settle(job: &Job, account: Option<Account>, used: u32) {
     let Some(account) = account else {
         return;
     };
+    if !job.reserved.load(Ordering::Relaxed) {
+        return;
+    }
     let settlement = Settlement {
         program: account.program,
         turn: account.turn,
         used,
     };
-    apply_settlement(job, settlement);
-}
-
-/// Records a settlement in the background. The process waits for it when it stops.
-pub fn apply_settlement(job: &Job, settlement: Settlement) {
-    let used = settlement.used;
-    let node = job.node.clone();
-    let id = job.call.id.clone();
-    let guard = node.work.begin(work::Kind::Settlement, &id);
-    tokio::spawn(async move {
-        let settled = node.replicas.settle(settlement).await;
-        drop(guard);
-        if let Err(fault) = settled {
-            log::warn!(
-                "event=E{} text=\"{}\" request={id} used={used} fault=\"{fault}\"",
-                Event::TurnNotSettled.number(),
-                Event::TurnNotSettled.text()
-            );
-        }
-    });
+    settlement::record(job, settlement);
 }
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -230,6 +230,7 @@
         body,
         connection,
         passed_on: AtomicBool::default(),
+        reserved: AtomicBool::default(),
         arrived,
         deadline,
     })
--- a/crates/relay/src/delivered.rs
+++ b/crates/relay/src/delivered.rs
@@ -41,6 +41,7 @@
 use crate::history::History;
 use crate::job::Job;
 use crate::refuse;
+use crate::settlement;
 
 pub mod resumption;
 
@@ -177,7 +178,7 @@
 /// Withdraws the claim of an attempt that has passed no event on, so that its lack of records doesn't keep
 /// later attempts from taking the stream up.
 pub fn withdraw(job: &Job, claim: &Claim) {
-    account::apply_settlement(job, claim.withdrawal());
+    settlement::record(job, claim.withdrawal());
 }
 
 fn unknown(why: &str) -> Refusal {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -99,6 +99,8 @@
     pub connection: Option<Meter>,
     /// Whether it was sent to a runner.
     pub passed_on: AtomicBool,
+    /// Whether members may hold a reservation of its tokens.
+    pub reserved: AtomicBool,
     /// When the request arrived.
     pub arrived: Instant,
     /// When the answer has to be complete.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod register;
 pub mod reports;
 pub mod roster;
+pub mod settlement;
 pub mod shutdown;
 pub mod signals;
 pub mod store;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -20,6 +20,7 @@
 use policy::stop::Stop;
 use replica::client::Replicas;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -47,6 +48,7 @@
 use crate::roster::Roster;
 use crate::roster::transfer::Part;
 use crate::roster::transfer::Transfer;
+use crate::settlement;
 use crate::subject;
 use crate::subject::Knowledge;
 use crate::subject::Situation;
@@ -154,6 +156,8 @@
     pub vm_messages: Intake,
     /// Work in progress.
     pub work: Arc<work::Registry>,
+    /// The rights to try settlements again.
+    pub settlement_retries: Semaphore,
 }
 
 /// The configuration in force.
@@ -218,6 +222,7 @@
             listeners: Listeners::new(&settings),
             vm_messages: ingress::vm_messages(&settings),
             work: Arc::default(),
+            settlement_retries: Semaphore::new(settlement::MAX_RETRIED),
             settings,
             clock,
         })
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -141,6 +141,7 @@
         prompt: Vec::new(),
         connection: None,
         passed_on: AtomicBool::default(),
+        reserved: AtomicBool::default(),
         arrived,
         deadline: arrived + TIME_LIMIT.as_duration(),
     }
