Log lines begin with what decides, and CY4107 names its case

Callers saw: turns refused with CY4107, and a record whose lines end after 200 characters, before E1102's why and revision_age_ms, so that nothing told which of four cases it was, nor by which list of members.

E1102 now holds request, program, code, ran, waited_ms and why first; why is what is known beyond the code, whose general text comes last (code_text). For CY4107 it names the case and what the last check of the members found, for example "catching up, list 12/3, 0 ready 3 behind". E3108, E3109 and E3112 begin with answered, ready, members and the list's version, then behind and silent; E1218 with what each member said. E1103, E1201, E1203, E1207 to E1209, E1213 and E1215 move endpoint, outcome, times and reason forward. Keys keep their meaning.

trace reads lines by key: old and new order give the same reason, a line that is cut behind why is read, one that is cut within a quoted value is left out and counted, as before.

Two expectations of replica's inquiry tests follow the new order of the same fields.

--- a/crates/relay/src/account.rs
+++ b/crates/relay/src/account.rs
@@ -133,7 +133,8 @@
 /// Returns the refusal of a turn for which the members gave no reliable answer, and looks into it.
 pub async fn unreachable(job: &Job, fault: &Fault) -> Refusal {
     let _late = timeout_at(job.deadline, member_health::suspect(&job.node, fault)).await;
-    let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
+    let detail = member_health::detail(&job.node, fault);
+    let refusal = Refusal::new(Code::RecordsUnreachable, &detail);
     refusal.retry_after(delay(job))
 }
 
@@ -143,10 +144,8 @@
     if job.node.can_serve_turns() {
         return Ok(());
     }
-    let refusal = Refusal::new(
-        Code::RecordsUnreachable,
-        "already known when the turn arrived",
-    );
+    let seen = job.node.member_health().seen();
+    let refusal = Refusal::new(Code::RecordsUnreachable, &format!("known before, {seen}"));
     Err(refusal.retry_after(delay(job)))
 }
 
--- a/crates/relay/src/delivered.rs
+++ b/crates/relay/src/delivered.rs
@@ -271,7 +271,7 @@
 /// Logs that events of a stream aren't recorded for the time being.
 fn log_interrupted(job: &Job, fault: &Fault) {
     log::warn!(
-        "event=E{} text=\"{}\" request={} program={} route={} fault=\"{fault}\"",
+        "event=E{} text=\"{}\" request={} program={} fault=\"{fault}\" route={}",
         Event::EventsNotRecorded.number(),
         Event::EventsNotRecorded.text(),
         job.call.id,
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -205,7 +205,8 @@
                 // If the members are lost, the following turns are refused at once, and the log
                 // names the members before it shows this refusal.
                 member_health::suspect(node, &fault).await;
-                let refusal = Refusal::new(Code::RecordsUnreachable, &fault.to_string());
+                let detail = member_health::detail(node, &fault);
+                let refusal = Refusal::new(Code::RecordsUnreachable, &detail);
                 let delay = node.member_health().retry_after(node.clock.now());
                 return Err(refusal.retry_after(delay));
             }
@@ -217,7 +218,7 @@
 /// Logs what each member said of a turn that wasn't found.
 fn log_not_found(request: &str, key: Key, inquiry: &Inquiry) {
     log::warn!(
-        "event=E{} text=\"{}\" request={request} turn={:x} {inquiry}",
+        "event=E{} text=\"{}\" request={request} {inquiry} turn={:x}",
         Event::TurnNotFound.number(),
         Event::TurnNotFound.text(),
         key.0
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -389,23 +389,25 @@
             self.node.metrics.count(Counter::of_standing(standing));
         }
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} workspace={} counted={} route={} revision={} runner={} build={} born={} resumes={} occupied={} slots={} prompt={} cached={} home={} cost_ms={:.0} among={} slowdown={} runners_age_ms={} waited_ms={} left_ms={} standing={} priority={}",
+            "event=E{} text=\"{}\" request={} program={} runner={} waited_ms={} left_ms={} occupied={} slots={} route={} revision={} workspace={} counted={} build={} born={} resumes={} prompt={} cached={} home={} cost_ms={:.0} among={} slowdown={} runners_age_ms={} standing={} priority={}",
             Event::CallPlaced.number(),
             Event::CallPlaced.text(),
             self.call.id,
             self.call.program.as_deref().unwrap_or_default(),
-            self.workspace_name(),
-            self.counted(),
+            runner.id,
+            self.age().as_u64(),
+            self.time_left().as_u64(),
+            runner.occupied,
+            runner.slots,
             self.route.name,
             self.table.version,
-            runner.id,
+            self.workspace_name(),
+            self.counted(),
             runner.build,
             runner
                 .born
                 .map_or_else(String::new, |born| born.to_string()),
             self.call.resumes.as_deref().unwrap_or_default(),
-            runner.occupied,
-            runner.slots,
             self.call.prompt_tokens,
             runner.cached,
             runner.placement,
@@ -413,8 +415,6 @@
             runner.candidates,
             format_slowdown(runner.slowdown, now),
             self.node.runners_age().as_u64(),
-            self.age().as_u64(),
-            self.time_left().as_u64(),
             standing.map_or("", Standing::name),
             standing
                 .and(priority)
--- a/crates/relay/src/job/log_lines.rs
+++ b/crates/relay/src/job/log_lines.rs
@@ -24,14 +24,14 @@
     pub fn log_retry(&self, runner: &str, why: &str) {
         self.node.metrics.count(Counter::Retried);
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} route={} content={} runner={runner} waited_ms={} why=\"{why}\"",
+            "event=E{} text=\"{}\" request={} program={} runner={runner} waited_ms={} why=\"{why}\" route={} content={}",
             Event::CallRetried.number(),
             Event::CallRetried.text(),
             self.call.id,
             self.call.program.as_deref().unwrap_or_default(),
+            self.age().as_u64(),
             self.route.name,
-            content::digest(self),
-            self.age().as_u64()
+            content::digest(self)
         );
     }
 
@@ -55,15 +55,15 @@
         let kind = Some(self.route.kind);
         self.node.metrics.count_outcome(kind, Outcome::Gone);
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} route={} events={events} ms={} ended_by={} passed_on={}",
+            "event=E{} text=\"{}\" request={} program={} events={events} ms={} ended_by={} passed_on={} route={}",
             Event::CallerGone.number(),
             Event::CallerGone.text(),
             self.call.id,
             self.call.program.as_deref().unwrap_or_default(),
-            self.route.name,
             self.age().as_u64(),
             ended_by(self.connection.as_ref()),
-            self.passed_on.load(Ordering::Relaxed)
+            self.passed_on.load(Ordering::Relaxed),
+            self.route.name
         );
     }
 
@@ -88,17 +88,17 @@
         first_event: Option<Millis>,
     ) {
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} line={} route={} revision={} runner={runner} status={status} events={events} first_ms={} ms={} finish_ms={}",
+            "event=E{} text=\"{}\" request={} program={} runner={runner} status={status} events={events} first_ms={} ms={} finish_ms={} line={} route={} revision={}",
             Event::RequestAnswered.number(),
             Event::RequestAnswered.text(),
             self.call.id,
             self.call.program.as_deref().unwrap_or_default(),
-            self.call.session.as_deref().unwrap_or_default(),
-            self.route.name,
-            self.table.version,
             format_span(first_event),
             self.age().as_u64(),
-            self.call.finish_within.unwrap_or_default().as_u64()
+            self.call.finish_within.unwrap_or_default().as_u64(),
+            self.call.session.as_deref().unwrap_or_default(),
+            self.route.name,
+            self.table.version
         );
     }
 }
--- a/crates/relay/src/member_health.rs
+++ b/crates/relay/src/member_health.rs
@@ -17,6 +17,7 @@
 //! would refuse turns and break off answers that only have to wait. So a suspicion counts as one
 //! failed check, however many turns raise it, and a check is made at once to confirm or clear it.
 
+use std::fmt;
 use std::time::Duration;
 
 use policy::balancer;
@@ -50,28 +51,47 @@
 
 /// Checks whether enough members answer, and logs changes.
 pub async fn check(node: &Node) -> Coverage {
+    let version = node.replicas.list().version;
     let reach = node.replicas.reachable(CHECK_TIMEOUT).await;
     let now = node.clock.now();
-    let changed = node.member_health().record_check(reach.coverage, now);
+    let seen = Seen::new(version, &reach);
+    let changed = {
+        let mut health = node.member_health();
+        health.seen = seen;
+        health.record_check(reach.coverage, now)
+    };
     match reach.coverage {
         Coverage::Full | Coverage::CatchingUp if changed => {
-            log_reach(Event::MembersRegained, &reach);
+            log_reach(Event::MembersRegained, seen, &reach);
         }
         Coverage::CatchingUp if node.member_health().should_log_behind(now) => {
-            log_reach(Event::MembersBehind, &reach);
+            log_reach(Event::MembersBehind, seen, &reach);
         }
         Coverage::TooFew if reach.members > 0 && node.member_health().should_log_silent() => {
-            log_reach(Event::MembersLost, &reach);
+            log_reach(Event::MembersLost, seen, &reach);
         }
         Coverage::Full | Coverage::CatchingUp | Coverage::TooFew => {}
     }
     reach.coverage
 }
 
+/// Returns why a turn is refused, and what the last check found: in few words, as collectors truncate long lines.
+#[must_use]
+pub fn detail(node: &Node, fault: &Fault) -> String {
+    let case = match fault {
+        Fault::TooFew => "too few",
+        Fault::NoList => "no list",
+        Fault::CatchingUp => "catching up",
+        Fault::ListChanged => "list changed",
+    };
+    format!("{case}, {}", node.member_health().seen())
+}
+
 /// Records that a turn found too few members, and returns when a check has confirmed or cleared the
 /// suspicion. Turns that suspect the members at the same time share one check.
 pub async fn suspect(node: &Node, fault: &Fault) {
-    let lost = node.member_health().suspect(node.clock.now());
+    let now = node.clock.now();
+    let lost = node.member_health().suspect(now);
     if lost {
         log::warn!(
             "event=E{} text=\"{}\" why=\"a turn's tokens could not be set aside: {fault}\"",
@@ -86,15 +106,14 @@
     }
 }
 
-fn log_reach(event: Event, reach: &Reach) {
+fn log_reach(event: Event, seen: Seen, reach: &Reach) {
     log::warn!(
-        "event=E{} text=\"{}\" answered={} members={} silent={} behind={}",
+        "event=E{} text=\"{}\" {} behind={} silent={}",
         event.number(),
         event.text(),
-        reach.answered,
-        reach.members,
-        format_names(&reach.silent),
-        format_names(&reach.behind)
+        seen.fields(),
+        format_names(&reach.behind),
+        format_names(&reach.silent)
     );
 }
 
@@ -108,6 +127,55 @@
     }
 }
 
+/// What a check found.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// The version of the list whose members were asked; 0 if there was none.
+    version: u64,
+    /// How many members that list has.
+    members: usize,
+    /// How many of them answered.
+    answered: usize,
+    /// How many of those were still catching up.
+    behind: usize,
+}
+
+impl Seen {
+    fn new(version: u64, reach: &Reach) -> Self {
+        Self {
+            version,
+            members: reach.members,
+            answered: reach.answered,
+            behind: reach.behind.len(),
+        }
+    }
+
+    /// Returns the fields of a log line.
+    fn fields(self) -> String {
+        let Self {
+            version,
+            members,
+            answered,
+            behind,
+        } = self;
+        let ready = answered.saturating_sub(behind);
+        format!("answered={answered} ready={ready} members={members} version={version}")
+    }
+}
+
+impl fmt::Display for Seen {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            version,
+            members,
+            answered,
+            behind,
+        } = self;
+        let ready = answered.saturating_sub(*behind);
+        write!(f, "list {version}/{members}, {ready} ready {behind} behind")
+    }
+}
+
 /// Whether turns are served.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum TurnService {
@@ -138,6 +206,8 @@
     behind_since: Option<Millis>,
     /// Whether the names of the members that are catching up have been logged.
     behind_logged: bool,
+    /// What the last check found.
+    seen: Seen,
 }
 
 impl Health {
@@ -163,6 +233,12 @@
         }
     }
 
+    /// Returns what the last check found.
+    #[must_use]
+    pub const fn seen(&self) -> Seen {
+        self.seen
+    }
+
     /// Records that enough members answer. Returns whether turns start being served.
     fn record_answers(&mut self) -> bool {
         self.failed_checks = 0;
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -61,7 +61,7 @@
         }
         self.node.metrics.count_outcome(None, Outcome::Gone);
         log::info!(
-            "event=E{} text=\"{}\" request={} program={} route= events=0 ms={} ended_by={} passed_on=false",
+            "event=E{} text=\"{}\" request={} program={} events=0 ms={} ended_by={} passed_on=false route=",
             Event::CallerGone.number(),
             Event::CallerGone.text(),
             self.request,
--- a/crates/relay/src/refuse.rs
+++ b/crates/relay/src/refuse.rs
@@ -84,17 +84,20 @@
         ..
     } = info;
     let table = node.table();
+    let code = refusal.code;
+    // What decides comes first, because collectors truncate long lines.
     log::warn!(
-        "event=E{} text=\"{}\" request={request} program={program} workspace={workspace} route={route} revision={} code=CY{} ran={:?} waited_ms={} runners_age_ms={} revision_age_ms={} why=\"{}\"",
+        "event=E{} text=\"{}\" request={request} program={program} code=CY{} ran={:?} waited_ms={} why=\"{}\" route={route} revision={} revision_age_ms={} runners_age_ms={} workspace={workspace} code_text=\"{}\"",
         Event::RequestRefused.number(),
         Event::RequestRefused.text(),
-        table.version,
-        refusal.code.number(),
+        code.number(),
         refusal.ran,
         waited.as_u64(),
-        node.runners_age().as_u64(),
+        refusal.detail(),
+        table.version,
         node.config_age().as_u64(),
-        refusal.message
+        node.runners_age().as_u64(),
+        code.text()
     );
     answer::refusal(refusal, request)
 }
--- a/crates/relay/src/stray.rs
+++ b/crates/relay/src/stray.rs
@@ -14,14 +14,14 @@
 pub fn log_foreign(job: &Job, runner: &str, foreign: &Foreign) {
     job.node.metrics.count(Counter::AnswersForeign);
     log::warn!(
-        "event=E{} text=\"{}\" request={} route={} runner={runner} {} status={} named=\"{}\"",
+        "event=E{} text=\"{}\" request={} runner={runner} status={} named=\"{}\" {} route={}",
         Event::AnswerForeign.number(),
         Event::AnswerForeign.text(),
         job.call.id,
-        job.route.name,
-        format_history(&foreign.history),
         foreign.status.as_u16(),
-        foreign.mark.as_deref().unwrap_or_default().escape_debug()
+        foreign.mark.as_deref().unwrap_or_default().escape_debug(),
+        format_history(&foreign.history),
+        job.route.name
     );
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -320,14 +320,14 @@
     state.reader = Reader::default();
     let same_runner = attempt.runner.clone();
     log::info!(
-        "event=E{} text=\"{}\" request={} program={} runner={} build={} event_id={:?} why=\"{why}\"",
+        "event=E{} text=\"{}\" request={} program={} runner={} event_id={:?} why=\"{why}\" build={}",
         Event::StreamResumed.number(),
         Event::StreamResumed.text(),
         job.call.id,
         job.call.program.as_deref().unwrap_or_default(),
         same_runner.id,
-        same_runner.build,
-        state.last_event_id
+        state.last_event_id,
+        same_runner.build
     );
     let mut pieces = history.texts.clone();
     pieces.push(job.body.clone());
@@ -469,15 +469,15 @@
         .count_outcome(Some(job.route.kind), Outcome::Failed);
     job.node.metrics.count_break(cause);
     log::warn!(
-        "event=E{} text=\"{}\" request={} program={} route={} runner={} events={} first_ms={} ms={} why=\"{why}\"",
+        "event=E{} text=\"{}\" request={} program={} runner={} events={} first_ms={} ms={} why=\"{why}\" route={}",
         Event::StreamBroken.number(),
         Event::StreamBroken.text(),
         job.call.id,
         job.call.program.as_deref().unwrap_or_default(),
-        job.route.name,
         state.runner,
         state.events,
         job::format_span(state.first_event_after),
-        job.age().as_u64()
+        job.age().as_u64(),
+        job.route.name
     );
 }
--- a/crates/replica/src/inquiry.rs
+++ b/crates/replica/src/inquiry.rs
@@ -98,18 +98,16 @@
             rounds,
             words,
         } = self;
-        write!(
-            f,
-            "version={version} members={members} rounds={rounds} said="
-        )?;
+        f.write_str("said=")?;
         for (at, (vm, word)) in words.iter().take(MAX_NAMED).enumerate() {
             let separator = if at == 0 { "" } else { "," };
             write!(f, "{separator}{vm}:{word}")?;
         }
-        match words.len().saturating_sub(MAX_NAMED) {
-            0 => Ok(()),
-            more => write!(f, ",+{more}"),
+        let more = words.len().saturating_sub(MAX_NAMED);
+        if more > 0 {
+            write!(f, ",+{more}")?;
         }
+        write!(f, " version={version} members={members} rounds={rounds}")
     }
 }
 
--- a/crates/replica/src/inquiry/tests.rs
+++ b/crates/replica/src/inquiry/tests.rs
@@ -41,8 +41,8 @@
     inquiry.note(&list.members[4], Word::Awaited);
     assert_eq!(
         inquiry.to_string(),
-        "version=7 members=6 rounds=1 said=store-0:absent,store-1:not_ready,store-2:silent,\
-         store-3:newer_list_9,store-4:awaited,store-5:unasked"
+        "said=store-0:absent,store-1:not_ready,store-2:silent,\
+         store-3:newer_list_9,store-4:awaited,store-5:unasked version=7 members=6 rounds=1"
     );
 }
 
@@ -53,6 +53,6 @@
     let mut inquiry = Inquiry::default();
     inquiry.begin(&list, list.members.iter());
     let line = inquiry.to_string();
-    assert!(line.ends_with(",+3"), "{line}");
+    assert!(line.contains("unasked,+3 version="), "{line}");
     assert_eq!(line.matches("unasked").count(), MAX_NAMED);
 }
--- a/crates/trace/src/line/tests.rs
+++ b/crates/trace/src/line/tests.rs
@@ -68,3 +68,29 @@
     assert_eq!(line.at, "2026-05-17T07:22:07.072");
     assert_eq!(line.field("code"), "CY1");
 }
+
+/// What a collector keeps of a line with the deciding fields first.
+const KEPT: &str = "at=2026-05-17T07:22:07.072 level=WARN event=E1102 text=\"request refused\" request=f218b529f06de527 program=dfb702ab34cd code=CY4107 ran=No waited_ms=379 why=\"catching up, list 12/3, 0 ready 3 behind\" ro";
+
+/// Guards against a refusal that is left out because a collector cut its line behind the reason.
+#[test]
+fn a_line_that_is_cut_behind_its_reason_tells_it() {
+    let line = parse(&KEPT[..200], "front-a-1").expect("what decides is complete");
+    assert_eq!(line.field("code"), "CY4107");
+    assert_eq!(line.number("waited_ms"), Some(379));
+    assert_eq!(
+        line.field("why"),
+        "catching up, list 12/3, 0 ready 3 behind"
+    );
+}
+
+/// Guards against a panic on a line that is cut anywhere, and against other values than those that were written.
+#[test]
+fn a_line_that_is_cut_anywhere_has_no_other_reason() {
+    for end in 0..KEPT.len() {
+        if let Some(line) = parse(&KEPT[..end], "front-a-1") {
+            let why = line.field("why");
+            assert!(why.is_empty() || why.ends_with(" behind"), "{why}");
+        }
+    }
+}
--- a/crates/trace/src/timeline.rs
+++ b/crates/trace/src/timeline.rs
@@ -333,7 +333,7 @@
         if is(line, Event::RequestRefused) {
             return Cause::Refused {
                 code: line.field("code").to_owned(),
-                why: line.field("why").to_owned(),
+                why: refusal_reason(line),
             };
         }
         if is(line, Event::StreamBroken) {
@@ -363,6 +363,14 @@
     }
 }
 
+/// Returns the message of a refusal. A line whose `why` holds all of it has no `code_text`.
+fn refusal_reason(line: &Line) -> String {
+    match (line.field("code_text"), line.field("why")) {
+        ("", reason) | (reason, "") => reason.to_owned(),
+        (text, detail) => format!("{text}: {detail}"),
+    }
+}
+
 /// Determines whether an answer came in time. A program that states no time limit has
 /// `finish_ms=0`.
 fn answered(line: &Line, request_lines: &[&Line]) -> Cause {
--- a/crates/trace/src/timeline/tests.rs
+++ b/crates/trace/src/timeline/tests.rs
@@ -279,3 +279,20 @@
     let text = build("r2", &all).to_string();
     assert!(!text.contains("another VM about that runner"), "{text}");
 }
+
+/// Guards against logs of old and new processes beside each other of which `trace` reads only the ones.
+#[test]
+fn a_refusal_is_read_in_the_order_of_old_and_new_lines() {
+    let old = "v at=2026-05-17T07:00:05.000 level=WARN event=E1102 text=\"request refused\" request=r1 program=p1 workspace= route=r revision=17 code=CY4107 ran=No waited_ms=379 runners_age_ms=2 revision_age_ms=5 why=\"too few VMs with a disk answer: catching up\"";
+    let new = "v at=2026-05-17T07:00:05.000 level=WARN event=E1102 text=\"request refused\" request=r1 program=p1 code=CY4107 ran=No waited_ms=379 why=\"catching up\" route=r revision=17 revision_age_ms=5 runners_age_ms=2 workspace= code_text=\"too few VMs with a disk answer\"";
+    let cut = &new[..160];
+    let refused = |line: &str| match build("r1", &lines(line)).ends.remove(0).cause {
+        Cause::Refused { code, why } => (code, why),
+        cause => panic!("{cause}"),
+    };
+    assert_eq!(refused(old), refused(new));
+    assert_eq!(
+        refused(cut),
+        ("CY4107".to_owned(), "catching up".to_owned())
+    );
+}
--- a/crates/wire/src/code.rs
+++ b/crates/wire/src/code.rs
@@ -142,6 +142,13 @@
         }
     }
 
+    /// Returns what the message adds to the fixed part; empty if it adds nothing.
+    #[must_use]
+    pub fn detail(&self) -> &str {
+        let added = self.message.strip_prefix(self.code.text());
+        added.map_or(&self.message, |added| added.trim_start_matches(": "))
+    }
+
     /// Sets the time after which to retry.
     #[must_use]
     pub fn retry_after(mut self, span: Millis) -> Self {
