Turns that are refused though checks find enough members are logged

Callers saw: turns refused with CY4107 for seconds, and neither E3108 nor E3112.

E3112 needs members that are found catching up by each check for 1.5 s; one check that finds them whole begins anew. Members that catch up again within each second, and members that answer checks while their disks fail, refuse turns for as long as that lasts, and no line but E1102 told of it.

E3118 is logged once turns have been refused for 2 s and no other line explains it, E3119 once none was refused for 1.5 s. trace shows both, and E3112, among the state of a request's VM; before, E3112 was left out there.

Tests: member_health/refusals/tests.rs, relay/tests/log_lines.rs (a VM whose members are whole at each check and catch up in between), trace's index.

--- a/crates/relay/src/member_health.rs
+++ b/crates/relay/src/member_health.rs
@@ -17,6 +17,8 @@
 //! would refuse turns and break off answers that only have to wait. So a suspicion counts as one
 //! failed check, however many turns raise it, and a check is made at once to confirm or clear it.
 
+mod refusals;
+
 use std::fmt;
 use std::time::Duration;
 
@@ -27,6 +29,7 @@
 use wire::clock::Millis;
 use wire::event::Event;
 
+use crate::member_health::refusals::Refusals;
 use crate::node::Node;
 
 /// How long the members may take to answer a check. They usually answer within a few milliseconds;
@@ -72,6 +75,7 @@
         }
         Coverage::Full | Coverage::CatchingUp | Coverage::TooFew => {}
     }
+    refusals::log_end(node, now);
     reach.coverage
 }
 
@@ -91,6 +95,7 @@
 /// suspicion. Turns that suspect the members at the same time share one check.
 pub async fn suspect(node: &Node, fault: &Fault) {
     let now = node.clock.now();
+    refusals::note(node, fault, now);
     let lost = node.member_health().suspect(now);
     if lost {
         log::warn!(
@@ -208,6 +213,8 @@
     behind_logged: bool,
     /// What the last check found.
     seen: Seen,
+    /// The turns that are refused while the checks find enough members.
+    refusals: Refusals,
 }
 
 impl Health {
--- a/crates/relay/tests/log_lines.rs
+++ b/crates/relay/tests/log_lines.rs
@@ -181,3 +181,22 @@
     let silent = format!("silent={}", VMS.join(","));
     capture.assert_kept(Event::MembersLost, &[counts, &silent]);
 }
+
+/// Guards against turns that are refused for seconds while each check finds that the members serve.
+#[tokio::test]
+async fn refusals_that_no_check_explains_are_told() {
+    let phase = Arc::new(Mutex::new(Phase::Ready));
+    let node = start(&phase).await;
+    member_health::check(&node).await;
+    let capture = capture();
+    while capture.kept(Event::TurnsRefused).is_none() {
+        *phase.lock().unwrap() = Phase::Behind;
+        refuse_turn(&node).await;
+        *phase.lock().unwrap() = Phase::Ready;
+        member_health::check(&node).await;
+        assert!(node.member_health().is_ready(node.clock.now()));
+    }
+    let parts = ["answered=3 ", " members=3 version=12", "catching up"];
+    capture.assert_kept(Event::TurnsRefused, &parts);
+    check_until_logged(&node, capture, Event::TurnsServed).await;
+}
--- a/crates/trace/src/state.rs
+++ b/crates/trace/src/state.rs
@@ -6,11 +6,16 @@
 
 use crate::line::Line;
 
-/// The pairs of events about a VM's own state: in each pair one event ends what the other began.
-const STATE_EVENTS: [[Event; 2]; 3] = [
-    [Event::NodeStarted, Event::NodeStopping],
-    [Event::OutageBegan, Event::OutageEnded],
-    [Event::MembersLost, Event::MembersRegained],
+/// The groups of events about a VM's own state: in each group an event ends what the one before began.
+const STATE_EVENTS: [&[Event]; 4] = [
+    &[Event::NodeStarted, Event::NodeStopping],
+    &[Event::OutageBegan, Event::OutageEnded],
+    &[
+        Event::MembersLost,
+        Event::MembersBehind,
+        Event::MembersRegained,
+    ],
+    &[Event::TurnsRefused, Event::TurnsServed],
 ];
 
 /// The lines about the VMs' own states.
@@ -24,25 +29,25 @@
     /// Builds the index from the lines of all logs.
     #[must_use]
     pub fn new(all: &'a [Line]) -> Self {
-        let is_state = |line: &&Line| STATE_EVENTS.iter().any(|pair| is_one_of(line, *pair));
+        let is_state = |line: &&Line| STATE_EVENTS.iter().any(|group| is_one_of(line, group));
         let mut lines: Vec<&Line> = all.iter().filter(is_state).collect();
         lines.sort_by(|a, b| (&a.vm, &a.at).cmp(&(&b.vm, &b.at)));
         Self { lines }
     }
 
     /// Returns the latest state lines that the VM of `line` wrote up to the time of `line`: one for
-    /// each pair of events, and one for each subject of an outage.
+    /// each group of events, and one for each subject of an outage.
     #[must_use]
     pub fn latest(&self, line: &Line) -> Vec<Line> {
         let vm_lines = self.vm_lines(&line.vm);
         let before = &vm_lines[..vm_lines.partition_point(|other| other.at <= line.at)];
         let mut latest = Vec::new();
-        for pair in STATE_EVENTS {
-            let mut pair_lines = before.to_vec();
-            pair_lines.retain(|other| is_one_of(other, pair));
+        for group in STATE_EVENTS {
+            let mut lines = before.to_vec();
+            lines.retain(|other| is_one_of(other, group));
             // The sort is stable, so the lines of one subject stay ordered by time.
-            pair_lines.sort_by_key(|other| other.field("subject"));
-            let subjects = pair_lines.chunk_by(|a, b| a.field("subject") == b.field("subject"));
+            lines.sort_by_key(|other| other.field("subject"));
+            let subjects = lines.chunk_by(|a, b| a.field("subject") == b.field("subject"));
             latest.extend(subjects.filter_map(|lines| lines.last().copied().cloned()));
         }
         latest
@@ -64,8 +69,8 @@
     }
 }
 
-fn is_one_of(line: &Line, pair: [Event; 2]) -> bool {
-    pair.iter().any(|event| event.number() == line.event)
+fn is_one_of(line: &Line, group: &[Event]) -> bool {
+    group.iter().any(|event| event.number() == line.event)
 }
 
 #[cfg(test)]
--- a/crates/trace/src/state/tests.rs
+++ b/crates/trace/src/state/tests.rs
@@ -6,7 +6,7 @@
 
 /// Builds concatenated logs of several VMs, out of order, with several lines at the same time.
 fn logs() -> Vec<Line> {
-    let events = [1001, 1002, 2102, 2103, 3108, 3109, 1201];
+    let events = [1001, 1002, 2102, 2103, 3108, 3112, 3109, 3118, 3119, 1201];
     let line = |at: usize| {
         let second = at * 7 % 13;
         let event = events[at * 5 % 11 % events.len()];
@@ -22,14 +22,19 @@
     let all = logs();
     let index = Index::new(&all);
     for line in &all {
-        let pairs = [[1001, 1002], [2102, 2103], [3108, 3109]];
-        let latest = |pair: &[u16; 2]| {
+        let groups: [&[u16]; 4] = [
+            &[1001, 1002],
+            &[2102, 2103],
+            &[3108, 3112, 3109],
+            &[3118, 3119],
+        ];
+        let latest = |group: &&[u16]| {
             let vm_lines = all.iter().filter(|other| other.vm == line.vm);
             let matching =
-                vm_lines.filter(|other| other.at <= line.at && pair.contains(&other.event));
+                vm_lines.filter(|other| other.at <= line.at && group.contains(&other.event));
             matching.max_by(|a, b| a.at.cmp(&b.at)).cloned()
         };
-        let expected: Vec<Line> = pairs.iter().filter_map(latest).collect();
+        let expected: Vec<Line> = groups.iter().filter_map(latest).collect();
         assert_eq!(index.latest(line), expected, "{line}");
         let started = |other: &Line| other.event == Event::NodeStarted.number();
         let vm_lines = all.iter().filter(|other| other.vm == line.vm);
--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -79,6 +79,8 @@
     DiskReplaced = 3110, "a member's disk is another one";
     RecordsDropped = 3111, "oldest records dropped as the disk fills";
     MembersBehind = 3112, "too few members have caught up";
+    TurnsRefused = 3118, "turns are refused for their records";
+    TurnsServed = 3119, "turns are no longer refused for their records";
     RevisionApplied = 4001, "configuration revision in force";
     RevisionDropped = 4002, "configuration that can't be taken";
     ConfigurationStale = 4003, "configuration may be out of date";
