--- a/crates/wire/src/event.rs
+++ b/crates/wire/src/event.rs
@@ -84,6 +84,8 @@
     RetirementWaits = 3115, "the VM can't be emptied yet";
     ListReset = 3116, "list of members reset to the disks that are left";
     AccountsIncomplete = 3117, "accounts may lack entries";
+    TurnsRefused = 3118, "turns are refused for their records";
+    TurnsServed = 3119, "turns are no longer refused for their records";
     RevisionApplied = 4001, "configuration revision in force";
     RevisionDropped = 4002, "configuration that can't be taken";
     ConfigurationStale = 4003, "configuration may be out of date";
