--- a/crates/replica/tests/support/vm.rs
+++ b/crates/replica/tests/support/vm.rs
@@ -45,6 +45,7 @@
     name: &'static str,
     pub address: SocketAddr,
     member: Arc<Mutex<Arc<server::Member>>>,
+    disk: Mutex<Disk>,
     pub silent: Arc<AtomicBool>,
 }
 
@@ -53,7 +54,8 @@
     pub async fn start(name: &'static str, disk: u64, process: Process) -> Self {
         let listener = listen::bind(([127, 0, 0, 1], 0).into()).await.unwrap();
         let address = listener.local_addr().unwrap();
-        let member = Arc::new(Mutex::new(open(disk).await));
+        let medium = Disk::default();
+        let member = Arc::new(Mutex::new(open(&medium, disk).await));
         let silent = Arc::new(AtomicBool::new(false));
         let (shared, is_silent) = (member.clone(), silent.clone());
         let handler = move |mut request: Request<Incoming>| {
@@ -75,6 +77,7 @@
             name,
             address,
             member,
+            disk: Mutex::new(medium),
             silent,
         }
     }
@@ -96,7 +99,19 @@
 
     /// Replaces the disk by an empty one.
     pub async fn lose_disk(&self, new_disk: u64) {
-        let member = open(new_disk).await;
+        self.start_on(Disk::default(), new_disk).await;
+    }
+
+    /// Kills the process and starts it again on the same disk.
+    pub async fn restart(&self) {
+        let disk = self.disk.lock().unwrap().clone_unsynced();
+        self.start_on(disk, 0).await;
+    }
+
+    /// Starts a process on a disk, which gets this number if it is empty.
+    async fn start_on(&self, disk: Disk, number: u64) {
+        let member = open(&disk, number).await;
+        *self.disk.lock().unwrap() = disk;
         *self.member.lock().unwrap() = member;
     }
 
@@ -143,9 +158,8 @@
     (vms, list)
 }
 
-async fn open(disk: u64) -> Arc<server::Member> {
-    let medium = Disk::default().medium();
-    let member = server::open_on(medium, DISK_BYTES, disk, Clock::System);
+async fn open(disk: &Disk, number: u64) -> Arc<server::Member> {
+    let member = server::open_on(disk.medium(), DISK_BYTES, number, Clock::System);
     member.await.unwrap()
 }
 
