A member whose address passed to another VM is taken off the list

Seen: by reading, for answers that are taken for those of another disk. A member of a list with a spare whose VM is gone stays on it for ever if another VM has got its address: that one's answer counts as the member's, and each group that names the lost disk bears one loss less.

Cause: whether a member is silent went by any answer from its address.

It goes by an answer with the member's disk number.

The log of a look-up names disks that the list doesn't name

An answer of another VM at a member's address tells nothing of that member

Seen: by reading the reset of lists, before any landing with it.

Cause: a disk was judged by whichever number came from the member's address.

A number that another VM's entry has counts as silence of the member. Whether a disk knows all accounts is asked of that disk, too.

--- a/crates/replica/src/inquiry.rs
+++ b/crates/replica/src/inquiry.rs
@@ -24,6 +24,8 @@
     Held,
     /// It hasn't caught up with the list.
     NotReady,
+    /// Another disk than the list names answered at its address.
+    OtherDisk,
     /// It uses this newer list.
     Newer(u64),
     /// It can't tell.
@@ -38,6 +40,7 @@
             Some(Answer::Chain(chain)) if chain.turns.is_empty() => Self::Absent,
             Some(Answer::Chain(_)) => Self::Held,
             Some(Answer::NotReady) => Self::NotReady,
+            Some(Answer::OtherDisk(_)) => Self::OtherDisk,
             Some(Answer::Newer(list)) => Self::Newer(list.version),
             Some(_) => Self::Failed,
             None => Self::Silent,
@@ -54,6 +57,7 @@
             Self::Absent => f.write_str("absent"),
             Self::Held => f.write_str("held"),
             Self::NotReady => f.write_str("not_ready"),
+            Self::OtherDisk => f.write_str("other_disk"),
             Self::Newer(version) => write!(f, "newer_list_{version}"),
             Self::Failed => f.write_str("failed"),
         }
--- a/crates/replica/src/inquiry/tests.rs
+++ b/crates/replica/src/inquiry/tests.rs
@@ -24,7 +24,7 @@
 /// Guards against a log that can't tell a turn that was never stored from one that wasn't asked for.
 #[test]
 fn each_member_stands_in_the_line_with_what_it_said() {
-    let list = list(6);
+    let list = list(7);
     let answers = [
         Some(Answer::Chain(Chain::default())),
         Some(Answer::NotReady),
@@ -33,17 +33,18 @@
             version: 9,
             ..List::default()
         })),
+        Some(Answer::OtherDisk(2)),
     ];
     let mut inquiry = Inquiry::default();
     inquiry.begin(&list, list.members.iter());
     for (member, answer) in list.members.iter().zip(&answers) {
         inquiry.note(member, Word::of(answer.as_ref()));
     }
-    inquiry.note(&list.members[4], Word::Awaited);
+    inquiry.note(&list.members[5], Word::Awaited);
     assert_eq!(
         inquiry.to_string(),
         "said=store-0:absent,store-1:not_ready,store-2:silent,\
-         store-3:newer_list_9,store-4:awaited,store-5:unasked version=7 members=6 rounds=1"
+         store-3:newer_list_9,store-4:other_disk,store-5:awaited,store-6:unasked version=7 members=7 rounds=1"
     );
 }
 
--- a/crates/replica/src/member/survey.rs
+++ b/crates/replica/src/member/survey.rs
@@ -116,7 +116,9 @@
                 continue;
             };
             let sight = match answer {
-                Some(Answer::Status(status)) => Sight::Answers(status),
+                Some(Answer::Status(status)) if !self.is_of_another_vm(list, &member, status) => {
+                    Sight::Answers(status)
+                }
                 _ => Sight::Silent,
             };
             let sight = self.note_silence(state, &member.vm, sight);
@@ -127,6 +129,14 @@
         }
     }
 
+    /// Returns whether another VM, which has got a member's address, answered in its place. That VM's disk is
+    /// known by its own entry, and tells nothing of the member's.
+    fn is_of_another_vm(&self, list: &List, member: &list::Member, status: Status) -> bool {
+        let known = list.members.iter().chain(&list.before);
+        let mut known = known.chain([&self.own]);
+        known.any(|other| other.disk == status.disk && other.vm != member.vm)
+    }
+
     /// Adopts the list of a member that uses a newer one.
     async fn learn_from(&self, list: &List, member: &list::Member, status: Status) {
         if status.version <= list.version {
@@ -222,7 +232,7 @@
             let known = if *member == self.own {
                 Some(Answer::Accounts(self.member.accounts_ready()))
             } else {
-                self.ask(member, list.version, Body::Accounts).await
+                call::ask_disk(&self.http, member, list.version, Body::Accounts).await
             };
             if matches!(known, Some(Answer::Accounts(version)) if version >= list.version) {
                 knowing.push(member.disk);
--- a/crates/replica/tests/replaced_disks.rs
+++ b/crates/replica/tests/replaced_disks.rs
@@ -2,11 +2,17 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use platform::edge::Platform;
+use platform::edge::Priority;
+use platform::edge::Txn;
+use platform::edge::Write;
+use platform::memory::Memory;
 use replica::call;
 use replica::client::Coverage;
 use replica::client::Fault;
@@ -14,6 +20,7 @@
 use replica::client::Replicas;
 use replica::inquiry::Inquiry;
 use replica::list::List;
+use replica::list::Member;
 use replica::message::Answer;
 use replica::message::Ask;
 use replica::message::Body;
@@ -24,11 +31,13 @@
 use replica::record::Settlement;
 use replica::record::Turn;
 use rstest::rstest;
+use support::vm::LIST_KEY;
 use support::vm::Process;
 use support::vm::Vm;
 use support::vm::client;
 use support::vm::three_vms;
 use tokio::time::timeout;
+use wire::clock::Clock;
 
 /// How long members that can't become complete replicas get for it: some steps of their drivers.
 const STEPS: Duration = Duration::from_millis(1_500);
@@ -249,3 +258,70 @@
         assert!(!is_refused, "{body:?}: {answer:?}");
     }
 }
+
+/// Starts a service that stores the list.
+async fn store(list: &List) -> Arc<Memory> {
+    let platform = Arc::new(Memory::new(Clock::System));
+    let stored = Write::Put {
+        key: LIST_KEY.to_owned(),
+        value: rmp_serde::to_vec(list).unwrap(),
+        lease: None,
+    };
+    let txn = Txn {
+        compares: Vec::new(),
+        writes: vec![stored],
+    };
+    platform.commit(&txn, Priority::Claim).await.unwrap();
+    platform
+}
+
+/// Guards against a lost disk that stays on the list for ever, as another VM has got its address and answers there.
+#[tokio::test]
+async fn a_member_whose_address_passed_to_another_vm_is_taken_off() {
+    let (vms, list) = three_vms(Process::Current).await;
+    let successor = Vm::start("d", 4, Process::Current).await;
+    let gone = Member {
+        vm: "e".to_owned(),
+        disk: 5,
+        ..successor.entry()
+    };
+    let list = list.with(&successor.entry()).with(&gone);
+    let platform = store(&list).await;
+    for vm in vms.iter().chain([&successor]) {
+        vm.adopt(&list, list.version).await;
+        vm.drive_with(platform.clone());
+    }
+    let is_taken_off = async {
+        while vms[0].member().identity().list.find(&gone.vm).is_some() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(RECOVERY, is_taken_off).await.expect("taken off");
+    let kept = vms[0].member().identity().list.members;
+    assert_eq!(kept.len(), 4, "{kept:?}");
+}
+
+/// Guards against a turn that is acknowledged and on one disk, as that disk is on the list twice: for its VM, and
+/// for one that is gone and whose address it has got.
+#[tokio::test]
+async fn a_reset_list_names_each_disk_once() {
+    let emptied = Vm::start("a", 1, Process::Current).await;
+    let left = Vm::start("b", 2, Process::Current).await;
+    let gone = Member {
+        vm: "c".to_owned(),
+        disk: 3,
+        ..left.entry()
+    };
+    let list = List::default().with(&emptied.entry()).with(&left.entry());
+    let list = list.with(&gone);
+    left.adopt(&list, list.version).await;
+    emptied.lose_disk(4).await;
+    let platform = store(&list).await;
+    for vm in [&emptied, &left] {
+        vm.drive_with(platform.clone());
+    }
+    tokio::time::sleep(STEPS * 2).await;
+    let members = left.member().identity().list.members;
+    let same = members.iter().filter(|member| member.disk == 2).count();
+    assert_eq!(same, 1, "{members:?}");
+}
--- a/crates/replica/tests/support/vm.rs
+++ b/crates/replica/tests/support/vm.rs
@@ -14,6 +14,7 @@
 use link::client::Limits;
 use link::intake::Intake;
 use link::listen;
+use platform::edge::Platform;
 use platform::memory::Memory;
 use replica::ledger;
 use replica::list::List;
@@ -32,6 +33,9 @@
 /// The size of a disk in bytes.
 const DISK_BYTES: u64 = 500_000_000;
 
+/// The key under which the list is stored.
+pub const LIST_KEY: &str = "members";
+
 /// Which release a VM runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Process {
@@ -117,12 +121,17 @@
 
     /// Has the member do on its own what it does in a process.
     pub fn drive(&self) {
+        self.drive_with(Arc::new(Memory::new(Clock::System)));
+    }
+
+    /// The same with the service that stores the list under [`LIST_KEY`].
+    pub fn drive_with(&self, platform: Arc<dyn Platform>) {
         let (phase, _) = watch::channel(Phase::Member);
         let driver = Driver {
             member: self.member(),
             http: client(),
-            platform: Arc::new(Memory::new(Clock::System)),
-            key: "members".to_owned(),
+            platform,
+            key: LIST_KEY.to_owned(),
             own: self.entry(),
             losses: 1,
             max_silence: ledger::RETENTION,
