--- a/crates/replica/tests/play/course.rs
+++ b/crates/replica/tests/play/course.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use replica::ledger;
 use replica::record::Key;
 use tokio::task::AbortHandle;
 use tokio::task::JoinSet;
+use wire::clock::Millis;
 
 use crate::fleet::Fleet;
 use crate::oracle::Mode;
@@ -25,6 +27,8 @@
 const READ_RESERVE: Duration = Duration::from_secs(6);
 /// How many new turns and reservations have to be served in a check, so that all members matter.
 const PROBES: usize = 8;
+/// How long a VM that may be gone for good is waited for: longer than any cut.
+const MAX_SILENCE: Millis = Millis::new(10_000);
 /// How many callers send requests.
 const CALLERS: u64 = 2;
 /// The most problems of a kind that a report names.
@@ -51,7 +55,11 @@
 impl Course {
     /// Starts `vms` VMs without requests.
     pub async fn start_idle(mode: Mode, vms: usize, seed: u64) -> Self {
-        let fleet = Fleet::start(vms).await;
+        let max_silence = match mode {
+            Mode::Tolerated => ledger::RETENTION,
+            Mode::Any => MAX_SILENCE,
+        };
+        let fleet = Fleet::start(vms, max_silence).await;
         let oracle = Arc::new(Oracle::new(mode));
         let caller = Caller::new(&fleet, &oracle, "probe", seed).await;
         Self {
--- a/crates/replica/tests/play/fleet.rs
+++ b/crates/replica/tests/play/fleet.rs
@@ -30,6 +30,7 @@
 use replica::list::Member;
 use replica::member::Driver;
 use replica::member::Phase;
+use replica::message;
 use replica::message::Answer;
 use replica::message::Ask;
 use replica::message::Body;
@@ -37,6 +38,7 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use wire::clock::Clock;
+use wire::clock::Millis;
 
 use crate::network::Cut;
 use crate::network::FRONT;
@@ -117,16 +119,19 @@
     memory: Memory,
     vms: Mutex<Vec<Arc<Vm>>>,
     next_disk: AtomicU64,
+    max_silence: Millis,
 }
 
 impl Fleet {
-    /// Starts VMs whose members are listed and complete.
-    pub async fn start(vms: usize) -> Arc<Self> {
+    /// Starts VMs whose members are listed and complete. Where the list can't change without a VM, it is
+    /// given up after `max_silence`.
+    pub async fn start(vms: usize, max_silence: Millis) -> Arc<Self> {
         let fleet = Arc::new(Self {
             network: Network::new(),
             memory: Memory::new(Clock::System),
             vms: Mutex::default(),
             next_disk: AtomicU64::new(1),
+            max_silence,
         });
         for at in 0..vms {
             fleet.open_vm(at).await;
@@ -241,6 +246,7 @@
         let number = self.next_disk.fetch_add(1, Ordering::SeqCst);
         let member = server::open_on(disk.medium(), DISK_BYTES, number, Clock::System);
         let member = member.await.unwrap();
+        member.set_losses(LOSSES);
         let mut process = vm.lock();
         if process.presence == Presence::Present {
             process.member = Some(member);
@@ -281,6 +287,7 @@
             key: KEY.to_owned(),
             own,
             losses: LOSSES,
+            max_silence: self.max_silence,
             clock: Clock::System,
             phase: vm.phase.clone(),
         };
@@ -438,6 +445,8 @@
     request: Request<Incoming>,
 ) -> Option<Response<ResponseBody>> {
     let member = vm.member()?;
+    let named = request.headers().get(message::DISK_HEADER);
+    let disk: Option<u64> = named.map(|value| value.to_str().unwrap().parse().unwrap());
     let read = intake.read(request.into_body(), MAX_BYTES, READ_TIME);
     let mut ask: Ask = rmp_serde::from_slice(&read.await.ok()?.bytes).unwrap();
     if !network.is_open(asker, &vm.name) {
@@ -451,7 +460,11 @@
         Body::Fetch(_) => tokio::time::sleep(network.fetch_delay()).await,
         _ => {}
     }
-    let mut answer = member.answer(ask).await;
+    let own_disk = member.status().disk;
+    let mut answer = match disk {
+        Some(disk) if disk != own_disk => Answer::OtherDisk(own_disk),
+        Some(_) | None => member.answer(ask).await,
+    };
     pace.wait_for(runs).await.ok()?;
     if let Answer::Newer(list) = &mut answer {
         *list = network.translate(list, asker);
--- a/crates/replica/tests/play/network.rs
+++ b/crates/replica/tests/play/network.rs
@@ -203,8 +203,12 @@
             .map(|member| format!("{}:{}", member.vm, member.disk));
         names.collect::<Vec<_>>().join(" ")
     };
+    let reset = match &list.reset {
+        Some(reset) => format!(" reset at {} {:?}", reset.version, reset.accounts),
+        None => String::new(),
+    };
     format!(
-        "version {} [{}] before [{}]",
+        "version {} [{}] before [{}]{reset}",
         list.version,
         names(&list.members),
         names(&list.before)
