An eviction is logged once it is written; a marked account's refusal states the whole time

E3106 named evictions of members that reach nobody and write nothing. A program whose account may lack entries was told to come back at once after the reset's time was over; its entry is kept for as long again.

--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -303,7 +303,7 @@
     /// Returns a program's entries, unless they may lack some.
     fn complete(&self, entries: Vec<Entry>) -> Result<Vec<Entry>> {
         if entries.iter().any(Entry::says_incomplete) {
-            let left = reset_remains(&self.list()).unwrap_or_default();
+            let left = reset_remains(&self.list()).unwrap_or(ledger::RETENTION);
             return Err(Fault::RecordsLost(left));
         }
         Ok(entries)
--- a/crates/replica/src/member/survey.rs
+++ b/crates/replica/src/member/survey.rs
@@ -259,13 +259,16 @@
         let Some(vm) = state.unresponsive.to_evict(list, now) else {
             return;
         };
-        log::warn!(
-            "event=E{} text=\"{}\" member={vm}",
-            Event::MemberEvicted.number(),
-            Event::MemberEvicted.text()
-        );
         let next = list.without(vm);
+        let evicted = vm.to_owned();
         self.propose(state, list, view, &next).await;
+        if self.member.identity().list == next {
+            log::warn!(
+                "event=E{} text=\"{}\" member={evicted}",
+                Event::MemberEvicted.number(),
+                Event::MemberEvicted.text()
+            );
+        }
     }
 
     /// Proposes the list without this member, if the others are enough without it.
