What the review of the list of one found

By a reviewer who hadn't seen the work, by reading.

- After a reset, members that had caught up asked only for what they had gained, which the disks that were left don't tell; they copy everything.
- A second reset took accounts for complete that the first one may have lost.
- A reservation that came while accounts were being marked stayed unmarked; those that came since are marked under the lock that takes the new list.
- A VM counted as silent since it was first found so, also if it had answered in between without being looked at; looks have to follow each other.
- The evictor was the first member that answers, which may be one that copies for long; it is the first that has caught up.
- E3116 was logged before the list was written; a newer list was asked for once for each member that named it.

Tests: members_copy_everything_after_a_reset, a_reset_keeps_the_uncertainty_of_the_one_before; the others by reading only.

--- a/crates/replica/src/catch_up.rs
+++ b/crates/replica/src/catch_up.rs
@@ -29,6 +29,10 @@
 /// Returns what the member `own` has to copy for a list, if it has caught up with version `ready`.
 #[must_use]
 pub fn scope(list: &List, own: &Member, ready: u64, losses: usize) -> Scope {
+    // The disks that are left aren't the members of the list before, by which gains are told.
+    if list.is_reset() {
+        return Scope::All;
+    }
     let before = list.previous();
     let was_caught_up = ready + 1 == list.version && before.has_member(own);
     let same_group_size = before.group_size(losses) == list.group_size(losses);
--- a/crates/replica/src/catch_up/tests.rs
+++ b/crates/replica/src/catch_up/tests.rs
@@ -3,6 +3,7 @@
 use proptest::prop_assert;
 use proptest::prop_assume;
 use proptest::proptest;
+use wire::clock::Millis;
 
 use super::Scope;
 use super::gained_keys;
@@ -10,8 +11,10 @@
 use super::must_copy;
 use super::scope;
 use crate::list;
+use crate::list::Certainty;
 use crate::list::List;
 use crate::list::Member;
+use crate::list::Reset;
 use crate::record::Key;
 
 const LOSSES: usize = 2;
@@ -275,3 +278,22 @@
         assert_eq!(model.lost_record(), None);
     }
 }
+
+/// Guards against members that take themselves for complete after a reset: what they gained isn't told by the disks
+/// that were left.
+#[test]
+fn members_copy_everything_after_a_reset() {
+    let list = (0..9).fold(List::default(), |list, at| list.with(&member(at)));
+    let left: Vec<Member> = list.members[1..].to_vec();
+    let reset = Reset {
+        version: list.version + 1,
+        at: Millis::ZERO,
+        losses: LOSSES,
+        left: Vec::new(),
+        knowing: Vec::new(),
+        accounts: Certainty::Some,
+    };
+    let next = list.reset(left.clone(), left, reset);
+    let own = next.members[0].clone();
+    assert_eq!(scope(&next, &own, list.version, LOSSES), Scope::All);
+}
--- a/crates/replica/src/list.rs
+++ b/crates/replica/src/list.rs
@@ -62,12 +62,12 @@
     /// under the list `before` the reset.
     #[must_use]
     pub fn is_complete(&self, before: &List, program: Key) -> bool {
-        if self.accounts == Certainty::All {
-            return true;
-        }
         if before.version + 1 != self.version {
             return false;
         }
+        if self.accounts == Certainty::All {
+            return true;
+        }
         let group = before.group(program, self.losses);
         let count = |numbers: &[u64]| {
             let is_among = |member: &&&Member| numbers.binary_search(&member.disk).is_ok();
--- a/crates/replica/src/member/list_change.rs
+++ b/crates/replica/src/member/list_change.rs
@@ -39,6 +39,15 @@
 /// How long a VM waits before it proposes again after the key-value service has failed.
 const PROPOSAL_RETRY_PAUSE: Millis = Millis::new(500);
 
+/// A VM that doesn't answer.
+pub(super) struct Silence {
+    pub(super) vm: String,
+    /// When it was first found not to answer.
+    pub(super) since: Millis,
+    /// When it was last found not to answer.
+    pub(super) seen_at: Millis,
+}
+
 /// What a driver remembers between its steps.
 #[derive(Default)]
 pub(super) struct State {
@@ -62,8 +71,8 @@
     pub(super) heard: Option<Heard>,
     /// Since when the member hasn't caught up with its list.
     pub(super) behind_since: Option<Millis>,
-    /// VMs that don't answer, and since when.
-    pub(super) silent: Vec<(String, Millis)>,
+    /// VMs that don't answer, sorted by name.
+    pub(super) silent: Vec<Silence>,
     /// How many complete members were last logged as too few; zero if there were enough.
     pub(super) short_logged: Option<usize>,
     /// Whether it was logged that the VM can't be emptied.
@@ -75,7 +84,7 @@
     pub(super) fn is_silent(&self, vm: &str) -> bool {
         let silent = &self.silent;
         silent
-            .binary_search_by(|(known, _)| known.as_str().cmp(vm))
+            .binary_search_by(|known| known.vm.as_str().cmp(vm))
             .is_ok()
     }
 
--- a/crates/replica/src/member/survey.rs
+++ b/crates/replica/src/member/survey.rs
@@ -11,6 +11,7 @@
 use crate::list;
 use crate::list::List;
 use crate::member::Driver;
+use crate::member::list_change::Silence;
 use crate::member::list_change::State;
 use crate::message::Answer;
 use crate::message::Body;
@@ -26,6 +27,8 @@
 /// How long a VM that didn't answer when it was last asked may take to answer: some ten times as long as usual. A member
 /// that waited longer each time would hear late of a new list.
 const SILENT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The longest time between two looks at a silent VM after which it still counts as silent in between.
+const MAX_LOOK_GAP: Millis = Millis::new(5_000);
 /// The most VMs that a log line names.
 const MAX_NAMED_VMS: usize = 6;
 
@@ -139,7 +142,7 @@
 
     /// Adopts the list of a member that uses a newer one.
     async fn learn_from(&self, list: &List, member: &list::Member, status: Status) {
-        if status.version <= list.version {
+        if status.version <= self.member.status().version {
             return;
         }
         if let Some(Answer::Newer(newer)) = self.ask(member, list.version, Body::List).await {
@@ -147,24 +150,32 @@
         }
     }
 
-    /// Records whether a VM answers, and gives up one that hasn't for too long.
+    /// Records whether a VM answers, and gives up one that hasn't for too long. Only looks that follow each other
+    /// closely tell for how long.
     fn note_silence(&self, state: &mut State, vm: &str, sight: Sight) -> Sight {
-        let at = state
-            .silent
-            .binary_search_by(|(known, _)| known.as_str().cmp(vm));
+        let now = self.clock.now();
+        let silent = &mut state.silent;
+        silent.retain(|known| now.since(known.seen_at) < MAX_LOOK_GAP);
+        let at = silent.binary_search_by(|known| known.vm.as_str().cmp(vm));
         match (sight, at) {
             (Sight::Answers(_), Ok(at)) => {
-                state.silent.remove(at);
+                silent.remove(at);
                 sight
             }
             (Sight::Answers(_), Err(_)) | (Sight::GivenUp, _) => sight,
             (Sight::Silent, Err(at)) => {
-                state.silent.insert(at, (vm.to_owned(), self.clock.now()));
+                let vm = vm.to_owned();
+                let silence = Silence {
+                    vm,
+                    since: now,
+                    seen_at: now,
+                };
+                silent.insert(at, silence);
                 sight
             }
             (Sight::Silent, Ok(at)) => {
-                let silence = self.clock.now().since(state.silent[at].1);
-                if silence >= self.max_silence {
+                silent[at].seen_at = now;
+                if now.since(silent[at].since) >= self.max_silence {
                     Sight::GivenUp
                 } else {
                     sight
@@ -212,17 +223,19 @@
         let knowing = self.ask_knowing(list, view).await;
         let now = self.clock.now();
         let next = outlook::reset(list, view, &self.own, &knowing, now, self.losses);
-        log::warn!(
-            "event=E{} text=\"{}\" version={} members={} left={} knowing={} before={}",
-            Event::ListReset.number(),
-            Event::ListReset.text(),
-            next.version,
-            next.members.len(),
-            next.before.len(),
-            knowing.len(),
-            list.members.len()
-        );
         self.submit(state, list, &next).await;
+        if self.member.identity().list == next {
+            log::warn!(
+                "event=E{} text=\"{}\" version={} members={} left={} knowing={} before={}",
+                Event::ListReset.number(),
+                Event::ListReset.text(),
+                next.version,
+                next.members.len(),
+                next.before.len(),
+                knowing.len(),
+                list.members.len()
+            );
+        }
     }
 
     /// Returns the numbers of the list's disks that know all accounts of it.
@@ -249,11 +262,13 @@
         let answered: Vec<&str> = responsive.iter().map(|member| member.vm.as_str()).collect();
         state.unresponsive.record_answers(list, &answered, now);
         let present = view.present(&list.members);
+        let caught_up = view.caught_up(&list.members, list.version);
         let needed = 2 * self.losses + 1;
         // In a partition, the side with too few members leaves the list alone because the other
         // side will come back.
         let can_spare = list.members.len() > needed && present.len() >= needed;
-        if !can_spare || present.first().is_none_or(|first| **first != self.own) {
+        // One that is behind has no time for it.
+        if !can_spare || caught_up.first().is_none_or(|first| **first != self.own) {
             return;
         }
         let Some(vm) = state.unresponsive.to_evict(list, now) else {
--- a/crates/replica/src/outlook.rs
+++ b/crates/replica/src/outlook.rs
@@ -190,7 +190,13 @@
         .filter(|member| left.contains(member))
         .collect();
     let knowing_members: Vec<&Member> = present.iter().copied().filter(knows).collect();
-    let accounts = if catch_up::can_be_copied_from(list, &present, &knowing_members, losses) {
+    // What an earlier reset may have lost is as uncertain as before.
+    let was_certain = list
+        .reset
+        .as_ref()
+        .is_none_or(|reset| reset.accounts == Certainty::All);
+    let all_known = catch_up::can_be_copied_from(list, &present, &knowing_members, losses);
+    let accounts = if was_certain && all_known {
         Certainty::All
     } else {
         Certainty::Some
@@ -217,3 +223,6 @@
     let others = caught_up.iter().filter(|member| member.vm != vm);
     list.find(vm).is_some() && others.count() > 2 * losses
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/replica/src/server.rs
+++ b/crates/replica/src/server.rs
@@ -231,19 +231,25 @@
     /// Fails if the disk does.
     pub async fn adopt(&self, list: &List) -> io::Result<()> {
         self.mark_incomplete(list).await?;
-        let is_newer = {
+        let now = self.clock.now();
+        let (is_newer, late) = {
             let mut state = self.lock();
             let before = state.identity.list.version;
             let is_newer = list.version > before;
+            let mut late = Vec::new();
             if is_newer {
+                // Those that a writer brought since the first ones were marked.
+                late = state.incomplete_programs(list);
+                state.mark(&late, now);
                 list::log_list_change(list, before);
                 state.identity.list = list.clone();
                 state.queued.list = list.clone();
                 // Queued under the lock, so that no record under the new list is written before it.
                 state.list_write = self.disk.queue_identity(&state.queued)?;
             }
-            is_newer
+            (is_newer, late)
         };
+        self.write_marks(&late).await?;
         if is_newer {
             self.list_changed.notify_waiters();
         }
--- a/crates/replica/src/server/write.rs
+++ b/crates/replica/src/server/write.rs
@@ -149,19 +149,7 @@
     ///
     /// Fails if the disk does.
     pub(super) async fn mark_incomplete(&self, list: &List) -> io::Result<()> {
-        let Some(reset) = &list.reset else {
-            return Ok(());
-        };
-        let programs = {
-            let state = self.lock();
-            let before = &state.identity.list;
-            if before.version >= reset.version {
-                return Ok(());
-            }
-            let mut programs = state.ledger.programs();
-            programs.retain(|program| !reset.is_complete(before, *program));
-            programs
-        };
+        let programs = self.lock().incomplete_programs(list);
         if programs.is_empty() {
             return Ok(());
         }
@@ -170,12 +158,23 @@
             Event::AccountsIncomplete.number(),
             Event::AccountsIncomplete.text(),
             programs.len(),
-            reset.version
+            list.version
         );
-        let records = programs
-            .into_iter()
-            .map(|program| Record::Reserve(ledger::incomplete(program)));
-        match self.apply(records.collect()).await {
+        self.write_marks(&programs).await
+    }
+
+    /// Syncs the marks of accounts that may lack entries.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk does.
+    pub(super) async fn write_marks(&self, programs: &[Key]) -> io::Result<()> {
+        if programs.is_empty() {
+            return Ok(());
+        }
+        let marks = programs.iter();
+        let marks = marks.map(|program| Record::Reserve(ledger::incomplete(*program)));
+        match self.apply(marks.collect()).await {
             Answer::Failed(fault) => Err(io::Error::other(fault)),
             _ => Ok(()),
         }
@@ -233,6 +232,31 @@
 }
 
 impl State {
+    /// Returns the programs whose accounts may lack entries once the member uses `list`, and that aren't marked.
+    pub(super) fn incomplete_programs(&self, list: &List) -> Vec<Key> {
+        let before = &self.identity.list;
+        let Some(reset) = &list.reset else {
+            return Vec::new();
+        };
+        if before.version >= reset.version {
+            return Vec::new();
+        }
+        let is_marked = |program: Key| {
+            let entries = self.ledger.entries(program);
+            entries.iter().any(Entry::says_incomplete)
+        };
+        let mut programs = self.ledger.programs();
+        programs.retain(|program| !is_marked(*program) && !reset.is_complete(before, *program));
+        programs
+    }
+
+    /// Marks accounts that may lack entries, before that is on disk.
+    pub(super) fn mark(&mut self, programs: &[Key], now: Millis) {
+        for program in programs {
+            self.ledger.reserve(&ledger::incomplete(*program), now);
+        }
+    }
+
     /// Returns when a turn that another member listed may have been stored at the latest.
     fn stored_at(&self, key: Key) -> Option<Millis> {
         let listed = &self.listed;
