--- a/crates/replica/src/unresponsive.rs
+++ b/crates/replica/src/unresponsive.rs
@@ -63,11 +63,6 @@
         }
         EVICT_AFTER
     }
-
-    /// Forgets all members.
-    pub fn clear(&mut self) {
-        self.members.clear();
-    }
 }
 
 #[cfg(test)]
